Distribute configuration: writer, replica and their exported interface

Accepted changes form one dense sequence ordered by compare-and-swap on a head record; replicas move along it only forward, fed by two watchers per zone and by exchanges between nodes.

--- /dev/null
+++ b/internal/confsync/replica.go
@@ -0,0 +1,200 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/transport"
+)
+
+// peerPeriod is how often the list of live peers is read.
+const peerPeriod = 500 * time.Millisecond
+
+// Options make a Replica. Self, Store, Peers and Dialer are required.
+type Options struct {
+	Self   Peer
+	Store  kv.Store
+	Peers  PeerSource
+	Dialer transport.Dialer
+	// Decode makes the catalog snapshot of a state; nil means an empty snapshot at the state's revision.
+	Decode Decode
+	// DataDir is where the last copy is saved; empty means that nothing is written to disk.
+	DataDir    string
+	Logger     zerolog.Logger
+	Registerer prometheus.Registerer
+	// Timing is DefaultTiming if zero.
+	Timing Timing
+	// Seed drives the choice of peers; nodes need different ones.
+	Seed uint64
+}
+
+// Replica is a node's copy of the configuration. It implements catalog.Source and LocalCopy and is safe for concurrent
+// use. It is usable before Run, which feeds it.
+type Replica struct {
+	options Options
+	remote  remote
+	metrics *metrics
+	wake    chan struct{}
+
+	mutex    sync.Mutex
+	core     *Core
+	snapshot *catalog.Snapshot
+	changed  chan struct{}
+	// advanced is closed when the copy's revision grows, whether or not it could be decoded.
+	advanced chan struct{}
+	warned   bool
+}
+
+var (
+	_ catalog.Source = (*Replica)(nil)
+	_ LocalCopy      = (*Replica)(nil)
+)
+
+// NewReplica returns a copy: empty, or the one saved in the data folder.
+func NewReplica(options Options) (*Replica, error) {
+	if options.Timing == (Timing{}) {
+		options.Timing = DefaultTiming()
+	}
+	if options.Decode == nil {
+		options.Decode = decodeNothing
+	}
+	registered, err := newMetrics(options.Registerer)
+	if err != nil {
+		return nil, fmt.Errorf("new configuration replica: %w", err)
+	}
+	replica := &Replica{
+		options:  options,
+		remote:   remote{store: options.Store},
+		metrics:  registered,
+		wake:     make(chan struct{}, 1),
+		core:     NewCore(options.Self, options.Timing, options.Seed, time.Now()),
+		snapshot: catalog.Empty(),
+		changed:  make(chan struct{}),
+		advanced: make(chan struct{}),
+	}
+	replica.load()
+	return replica, nil
+}
+
+func decodeNothing(state *State) (*catalog.Snapshot, error) {
+	snapshot := catalog.Empty()
+	snapshot.Revision = state.Revision
+	return snapshot, nil
+}
+
+// Run feeds the copy from peers and, on relays, from the key-value service, until ctx ends.
+func (r *Replica) Run(ctx context.Context) error {
+	supervisor, running := tomb.WithContext(ctx)
+	supervisor.Go(func() error {
+		supervisor.Go(func() error { return r.exchange(running, supervisor) })
+		supervisor.Go(func() error { return r.follow(running) })
+		if r.options.DataDir != "" {
+			supervisor.Go(func() error { return r.save(running) })
+		}
+		return nil
+	})
+	if err := supervisor.Wait(); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("configuration replica: %w", err)
+	}
+	return nil
+}
+
+// Current implements catalog.Source.
+func (r *Replica) Current() *catalog.Snapshot {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.snapshot
+}
+
+// Changed implements catalog.Source.
+func (r *Replica) Changed(afterRevision int64) <-chan struct{} {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.snapshot.Revision > afterRevision {
+		return closedChannel()
+	}
+	return r.changed
+}
+
+func closedChannel() <-chan struct{} {
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}
+
+// State implements LocalCopy.
+func (r *Replica) State() *State {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.core.State()
+}
+
+// Learn implements LocalCopy.
+func (r *Replica) Learn(changes []Change) {
+	r.update(func(core *Core, now time.Time) { core.Learn(now, changes) })
+}
+
+// Install implements LocalCopy.
+func (r *Replica) Install(state *State) {
+	r.update(func(core *Core, now time.Time) { core.Install(now, state) })
+}
+
+// Recent implements LocalCopy.
+func (r *Replica) Recent(id string) (Change, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.core.Recent(id)
+}
+
+// Relay reports whether this node watches the key-value service for its zone.
+func (r *Replica) Relay() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.core.Relay()
+}
+
+// update runs one input of the core, publishes what it changed, and has its messages sent.
+func (r *Replica) update(input func(core *Core, now time.Time)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	before := r.core.State().Revision
+	input(r.core, time.Now())
+	if r.core.State().Revision > before {
+		r.publish()
+	}
+	if r.core.Diverged() && !r.warned {
+		r.warned = true
+		event.ConfigDiverged.Log(r.options.Logger).Int64("revision", r.core.State().Revision).Send()
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// publish puts the newest state in force. It holds the mutex, so that snapshots are published in revision order.
+func (r *Replica) publish() {
+	state := r.core.State()
+	close(r.advanced)
+	r.advanced = make(chan struct{})
+	r.metrics.revision.Set(float64(state.Revision))
+	snapshot, err := r.options.Decode(state)
+	if err != nil {
+		event.ConfigDecodeFailed.Log(r.options.Logger).Int64("revision", state.Revision).Err(err).Send()
+		return
+	}
+	r.snapshot = snapshot
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.metrics.inForce.Set(float64(snapshot.Revision))
+	event.ConfigInForce.Log(r.options.Logger).Int64("revision", state.Revision).Send()
+}
--- /dev/null
+++ b/internal/event/confsync.go
@@ -0,0 +1,24 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of configuration distribution: 4000 to 4099.
+var (
+	ConfigInForce = register(4000, "config_in_force", zerolog.InfoLevel,
+		"A newer configuration revision is in force on this node.", "none")
+	ConfigDecodeFailed = register(4001, "config_decode_failed", zerolog.ErrorLevel,
+		"The newest configuration cannot be decoded; the node serves from the last one that could.",
+		"upgrade this node, or roll the configuration back")
+	ConfigDiverged = register(4002, "config_diverged", zerolog.ErrorLevel,
+		"Another history was seen at a revision this node holds: the key-value service has lost accepted changes.",
+		"see docs/operators/key-value-outage.md, section on a restored service")
+	ConfigFollowFailed = register(4003, "config_follow_failed", zerolog.WarnLevel,
+		"This relay cannot follow the key-value service and tries again; changes still arrive from other nodes.",
+		"check the key-value service if it goes on")
+	ConfigFollowing = register(4004, "config_following", zerolog.InfoLevel,
+		"This node is a relay of its zone and follows the key-value service.", "none")
+	ConfigSaveFailed = register(4005, "config_save_failed", zerolog.WarnLevel,
+		"The copy could not be saved in the data folder; after a restart the node asks its peers.", "check the disk")
+	ConfigLoadFailed = register(4006, "config_load_failed", zerolog.WarnLevel,
+		"The saved copy could not be read and is ignored; the node asks its peers.", "none")
+)
--- a/internal/lab/labcli/standin.go
+++ b/internal/lab/labcli/standin.go
@@ -29,7 +29,7 @@
 func serveStandIn(ctx context.Context, out io.Writer, listeners ...standInListener) error {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	supervisor, ctx := tomb.WithContext(ctx)
+	supervisor, serving := tomb.WithContext(ctx)
 	for _, listener := range listeners {
 		bound, err := net.Listen("tcp", listener.address)
 		if err != nil {
@@ -38,7 +38,7 @@
 		}
 		fmt.Fprintf(out, "%s listening on %s\n", listener.name, bound.Addr())
 		server := &http.Server{Handler: listener.handler, ReadHeaderTimeout: 5 * time.Second}
-		supervisor.Go(func() error { return serveUntil(ctx, server, bound) })
+		supervisor.Go(func() error { return serveUntil(serving, server, bound) })
 	}
 	if err := supervisor.Wait(); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("serve: %w", err)
