--- a/internal/kv/kvtest/data.go
+++ b/internal/kv/kvtest/data.go
@@ -4,7 +4,6 @@
 
 import (
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -318,10 +317,12 @@
 
 // PrefixEnd returns the end of the range of keys with the prefix.
 func PrefixEnd(prefix string) string {
-	trimmed := strings.TrimRight(prefix, "\xff")
-	if trimmed == "" {
-		return openEnd
+	end := []byte(prefix)
+	for last := len(end) - 1; last >= 0; last-- {
+		if end[last] < 0xff {
+			end[last]++
+			return string(end[:last+1])
+		}
 	}
-	last := len(trimmed) - 1
-	return trimmed[:last] + string([]byte{trimmed[last] + 1})
+	return openEnd
 }
--- a/internal/lab/kvsim/kvsim.go
+++ b/internal/lab/kvsim/kvsim.go
@@ -1,5 +1,6 @@
 // Package kvsim is the lab's stand-in for the platform's key-value service: the etcd v3 JSON-over-HTTP mapping over a
-// store in memory, and a separate fault port that switches seeded faults on and off.
+// store in memory, and a separate fault port that switches seeded faults on and off. Of the two spellings that the
+// mapping allows for a field, it takes the original one (mod_revision), not modRevision.
 package kvsim
 
 import (
