Prove configuration distribution over a simulated fleet

Hollow nodes run the real core and writer over a simulated clock, network and key-value service; rapid draws operators that race, lost answers, lost and held-up requests, outages, cuts, stops, lost disks, pauses and compactions.

--- /dev/null
+++ b/internal/confsync/core_test.go
@@ -0,0 +1,163 @@
+package confsync_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/confsync"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/lab/confsim"
+)
+
+// accept runs a change at a node until it is accepted.
+func accept(t *testing.T, fleet *confsim.Fleet, node *confsim.Node, id string) confsim.Outcome {
+	t.Helper()
+	var ended *confsim.Outcome
+	fleet.Submit(node, increment(node.State(), id), func(outcome confsim.Outcome) { ended = &outcome })
+	for range 6000 {
+		if ended != nil {
+			assert.NilError(t, ended.Err)
+			return *ended
+		}
+		fleet.Run(time.Millisecond)
+	}
+	t.Fatal("the change did not end")
+	return confsim.Outcome{}
+}
+
+// TestOutageRightAfterAccept starts an outage at the instant a change is accepted on a node that is no relay: every node
+// must have it in force within the goal of two simulated seconds, from other nodes alone.
+func TestOutageRightAfterAccept(t *testing.T) {
+	for seed := range uint64(20) {
+		fleet := confsim.New(simOptions(seed, 11, 110))
+		fleet.Run(5 * time.Second)
+		accepted := accept(t, fleet, fleet.Nodes()[seed], "first")
+		fleet.SetOutage(true)
+		fleet.Run(2 * time.Second)
+		assert.Equal(t, fleet.Lowest(), accepted.Change.Revision, "seed %d", seed)
+		assert.Equal(t, fleet.Violation, "")
+	}
+}
+
+// TestStaleNodeReturns pauses a node for twenty changes and lets a zone's only node come back from an old disk during an
+// outage: neither takes anything back, and both catch up from other nodes.
+func TestStaleNodeReturns(t *testing.T) {
+	fleet := confsim.New(simOptions(7, 3, 9))
+	fleet.Run(5 * time.Second)
+	accept(t, fleet, fleet.Nodes()[0], "before")
+	fleet.Run(3 * time.Second)
+	paused, stopped := fleet.Nodes()[4], fleet.Nodes()[5]
+	old := stopped.State()
+	paused.SetPaused(true)
+	stopped.Stop()
+	for i := range 20 {
+		accept(t, fleet, fleet.Nodes()[i%4], fmt.Sprint("change-", i))
+		fleet.Run(time.Second)
+	}
+	fleet.SetOutage(true)
+	paused.SetPaused(false)
+	stopped.Restart(old)
+	fleet.Run(10 * time.Second)
+	assert.Equal(t, fleet.Lowest(), int64(21))
+	assert.Equal(t, fleet.Violation, "")
+}
+
+// TestCutZoneCatchesUp cuts a zone off, changes the configuration, and heals the cut during an outage.
+func TestCutZoneCatchesUp(t *testing.T) {
+	fleet := confsim.New(simOptions(3, 4, 16))
+	fleet.Run(5 * time.Second)
+	cut := fleet.Zones()[2]
+	fleet.SetCut(cut, true)
+	accepted := accept(t, fleet, fleet.Nodes()[0], "while cut")
+	fleet.Run(20 * time.Second)
+	assert.Equal(t, fleet.Lowest(), int64(0))
+	fleet.SetOutage(true)
+	fleet.SetCut(cut, false)
+	fleet.Run(6 * time.Second)
+	assert.Equal(t, fleet.Lowest(), accepted.Change.Revision)
+}
+
+func newCore(node ident.Node) *confsync.Core {
+	return confsync.NewCore(confsync.Peer{Node: node, Zone: "z"}, confsync.DefaultTiming(), 1, time.Unix(0, 0))
+}
+
+// TestWholeCopyWhenChangesAreGone brings an empty copy up to date from one that holds no single changes.
+func TestWholeCopyWhenChangesAreGone(t *testing.T) {
+	now := time.Unix(0, 0)
+	writer, _, source, _ := newWriter(1)
+	_, err := writer.Apply(context.Background(), put("a", "1"))
+	assert.NilError(t, err)
+	full, empty := newCore("full"), newCore("empty")
+	full.Install(now, source.State())
+	full.Drain()
+
+	delta := full.HandleDigest(now, confsync.Digest{From: confsync.Peer{Node: "empty", Zone: "z"}})
+	assert.Assert(t, delta.Snapshot)
+	from := confsync.Peer{Node: "full", Zone: "z"}
+	empty.HandleDelta(now, from, delta)
+	sends := empty.Drain()
+	assert.Equal(t, len(sends), 1)
+	assert.Assert(t, sends[0].Snapshot)
+	empty.HandleSnapshot(now, from, full.State())
+	assert.Equal(t, empty.State(), full.State())
+}
+
+// TestLongTailComesInParts brings a copy up to date that lacks more than one answer may hold.
+func TestLongTailComesInParts(t *testing.T) {
+	now := time.Unix(0, 0)
+	writer, _, source, _ := newWriter(1)
+	value := string(make([]byte, 50<<10))
+	for i := range 10 {
+		_, err := writer.Apply(context.Background(), put(fmt.Sprint(i), value))
+		assert.NilError(t, err)
+	}
+	behind := newCore("behind")
+	from := confsync.Peer{Node: "source", Zone: "z"}
+	behind.HandleDigest(now, confsync.Digest{From: from, Revision: 10})
+	rounds := 0
+	for sends := behind.Drain(); len(sends) > 0; sends = behind.Drain() {
+		pulled := false
+		for _, send := range sends {
+			if send.To == from && !pulled {
+				pulled = true
+				behind.HandleDelta(now, from, source.core.HandleDigest(now, send.Digest))
+			}
+		}
+		if !pulled {
+			break
+		}
+		rounds++
+	}
+	assert.Equal(t, behind.State().Revision, int64(10))
+	assert.Assert(t, rounds > 1)
+}
+
+// TestRelaysAreFew checks that each zone has as many relays as it should and that all nodes agree on them.
+func TestRelaysAreFew(t *testing.T) {
+	fleet := confsim.New(simOptions(1, 11, 330))
+	fleet.Run(time.Second)
+	relays := map[ident.Zone]int{}
+	for _, node := range fleet.Nodes() {
+		if node.Relay() {
+			relays[node.Peer().Zone]++
+		}
+	}
+	for _, zone := range fleet.Zones() {
+		assert.Equal(t, relays[zone], confsync.DefaultTiming().RelaysPerZone)
+	}
+}
+
+// TestOnlyRelaysCallTheService has 330 nodes idle for a minute: only the relays call the service.
+func TestOnlyRelaysCallTheService(t *testing.T) {
+	fleet := confsim.New(simOptions(1, 11, 330))
+	fleet.Run(time.Minute)
+	for _, node := range fleet.Nodes() {
+		if !node.Relay() {
+			assert.Equal(t, node.Store().Calls(), 0)
+		}
+	}
+}
--- a/internal/confsync/exchange.go
+++ b/internal/confsync/exchange.go
@@ -206,3 +206,9 @@
 	}
 	return delta
 }
+
+// WireBytes returns the encoded size of the message, without framing.
+func (d Digest) WireBytes() int { return proto.Size(digestToWire(d)) }
+
+// WireBytes returns the encoded size of the message, without framing.
+func (d Delta) WireBytes() int { return proto.Size(deltaToWire(d)) }
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
@@ -46,7 +45,7 @@
 		}
 		r.metrics.followRetries.Inc()
 		event.ConfigFollowFailed.Log(r.options.Logger).Err(err).Send()
-		_ = sleepContext(ctx, bound/2+rand.N(bound/2))
+		_ = sleepContext(ctx, upperHalf(bound))
 		bound = min(2*bound, maxFollowDelay)
 	}
 	return nil
@@ -55,13 +54,10 @@
 // followOnce catches up and follows the watch until it fails, the head is due to be read again, or this node is no
 // longer a relay; the last two return nil.
 func (r *Replica) followOnce(ctx context.Context) error {
-	newest, err := r.remote.head(ctx)
+	newest, err := r.remote.follow(ctx, r)
 	if err != nil {
 		return err
 	}
-	if err := r.remote.catchUp(ctx, r, newest.revision); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses, err := r.remote.store.Watch(ctx, changePrefix, newest.readRevision)
--- a/internal/confsync/remote.go
+++ b/internal/confsync/remote.go
@@ -26,6 +26,22 @@
 	store kv.Store
 }
 
+// CatchUp brings a copy up to date with the key-value service. It costs two calls when the copy is behind, one when it is
+// not, and never takes the copy back.
+func CatchUp(ctx context.Context, store kv.Store, local LocalCopy) error {
+	_, err := remote{store: store}.follow(ctx, local)
+	return err
+}
+
+// follow brings the copy up to date and returns the head it caught up with.
+func (r remote) follow(ctx context.Context, local LocalCopy) (head, error) {
+	newest, err := r.head(ctx)
+	if err != nil {
+		return head{}, err
+	}
+	return newest, r.catchUp(ctx, local, newest.revision)
+}
+
 // head reads the head record; a service without one is at revision zero. It lists rather than gets the one key, because
 // a listing says which revision of the service it was read at: the record's own revision may be compacted long since.
 func (r remote) head(ctx context.Context) (head, error) {
--- a/internal/confsync/writer.go
+++ b/internal/confsync/writer.go
@@ -80,6 +80,7 @@
 	local   LocalCopy
 	now     func() time.Time
 	sleep   func(ctx context.Context, duration time.Duration) error
+	jitter  func(bound time.Duration) time.Duration
 	timeout time.Duration
 }
 
@@ -91,11 +92,16 @@
 	return func(w *Writer) { w.timeout = timeout }
 }
 
-// WithClock sets the clock and the wait between attempts, for simulations.
-func WithClock(now func() time.Time, sleep func(context.Context, time.Duration) error) WriterOption {
+// WithClock sets the clock, the wait between attempts and how it is drawn below a bound, for simulations.
+func WithClock(
+	now func() time.Time,
+	sleep func(context.Context, time.Duration) error,
+	jitter func(bound time.Duration) time.Duration,
+) WriterOption {
 	return func(w *Writer) {
 		w.now = now
 		w.sleep = sleep
+		w.jitter = jitter
 	}
 }
 
@@ -107,6 +113,7 @@
 		local:   local,
 		now:     time.Now,
 		sleep:   sleepContext,
+		jitter:  upperHalf,
 		timeout: DefaultApplyTimeout,
 	}
 	for _, option := range options {
@@ -185,7 +192,7 @@
 		if done {
 			return change, err
 		}
-		delay := bound/2 + rand.N(bound/2)
+		delay := a.writer.jitter(bound)
 		bound = min(2*bound, maxApplyDelay)
 		if a.writer.sleep(ctx, delay) != nil {
 			return Change{}, a.giveUp(err)
@@ -382,6 +389,9 @@
 		WithCause(cause)
 }
 
+// upperHalf draws a wait between half the bound and the bound, so that callers that failed together part.
+func upperHalf(bound time.Duration) time.Duration { return bound/2 + rand.N(bound/2) }
+
 func sleepContext(ctx context.Context, duration time.Duration) error {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
--- a/internal/kv/kvtest/data_test.go
+++ b/internal/kv/kvtest/data_test.go
@@ -47,6 +47,7 @@
 		{kvtest.Faults{RateLimited: 1}, kv.ErrRateLimited, false},
 		{kvtest.Faults{LoseRequest: 1}, kv.ErrOutcomeUnknown, false},
 		{kvtest.Faults{LoseAnswer: 1}, kv.ErrOutcomeUnknown, true},
+		{kvtest.Faults{LoseContact: true}, kv.ErrOutcomeUnknown, true},
 	}
 	for _, test := range tests {
 		store.SetFaults(test.faults)
--- a/internal/kv/kvtest/store.go
+++ b/internal/kv/kvtest/store.go
@@ -23,6 +23,8 @@
 	LoseAnswer float64
 	// LoseRequest is the chance that a change is not applied and its caller cannot tell: kv.ErrOutcomeUnknown.
 	LoseRequest float64
+	// LoseContact applies the next change, loses its answer, and is an outage from then on.
+	LoseContact bool
 }
 
 // Store is a kv.Store in memory with seeded faults. Each client of one Data may have a Store of its own, and so its
@@ -242,6 +244,11 @@
 func (s *Store) drawChange() (applied, answered bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.faults.LoseContact {
+		s.faults.LoseContact = false
+		s.faults.Outage = true
+		return true, false
+	}
 	if s.random.Float64() < s.faults.LoseRequest {
 		return false, false
 	}
