--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -135,6 +135,8 @@
 	Policies map[string]Policy
 	Zones    map[ident.Zone]Zone
 	Drains   map[string]Drain
+	// Revisions tells the revision that last changed each resource.
+	Revisions map[Reference]int64
 }
 
 // Empty returns a snapshot without resources at revision zero.
@@ -148,6 +150,8 @@
 		Policies: map[string]Policy{},
 		Zones:    map[ident.Zone]Zone{},
 		Drains:   map[string]Drain{},
+
+		Revisions: map[Reference]int64{},
 	}
 }
 
