Route online requests and relay answers by offset

The thin path: a pure schedule package (filter, score, pick by two random choices), a runner table with health and the four sources of leaving, and a dispatcher that keeps three-valued outcomes, resumes on the same runner by offset, and runs non-repeatable requests through the ledger.

--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,205 @@
+// Package dispatch gives online requests to runners and relays the answers. It keeps the rules that a request told as
+// not run was not run, that a non-repeatable request runs at most once, and that a caller gets the whole answer to its
+// own request or a typed error.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
+	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/ledger"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+)
+
+// Sink receives an answer chunk by chunk.
+type Sink = answer.Sink
+
+// Aggregate is a Sink that joins chunks to a whole answer.
+type Aggregate = answer.Aggregate
+
+// NewAggregate returns an empty aggregate for the endpoint.
+func NewAggregate(endpoint inference.Endpoint) *Aggregate { return answer.NewAggregate(endpoint) }
+
+// Engines finds the engine of a runner. Implementations are safe for concurrent use.
+type Engines interface {
+	// Engine returns the adapter for the runner at the address of its machine, or false if the runner is unknown.
+	Engine(runner ident.Runner) (engine.Engine, bool)
+}
+
+// Limits bound the waiting of one request. Zero values take the defaults.
+type Limits struct {
+	// FirstChunk is the longest wait for the first chunk of an attempt.
+	FirstChunk time.Duration
+	// Stall is the longest wait between chunks.
+	Stall time.Duration
+	// OnceDuration is the longest run of a non-repeatable request whose caller has gone.
+	OnceDuration time.Duration
+	// Abort is the longest wait for an engine to confirm an abort.
+	Abort time.Duration
+}
+
+// Defaults of Limits.
+const (
+	defaultFirstChunk   = 30 * time.Second
+	defaultStall        = 5 * time.Second
+	defaultOnceDuration = 10 * time.Minute
+	defaultAbort        = 2 * time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	fill := func(value *time.Duration, byDefault time.Duration) {
+		if *value <= 0 {
+			*value = byDefault
+		}
+	}
+	fill(&l.FirstChunk, defaultFirstChunk)
+	fill(&l.Stall, defaultStall)
+	fill(&l.OnceDuration, defaultOnceDuration)
+	fill(&l.Abort, defaultAbort)
+	return l
+}
+
+// Config is what a Dispatcher needs.
+type Config struct {
+	// Node and Zone are this node's own.
+	Node ident.Node
+	Zone ident.Zone
+	// Table is the node's table of runners.
+	Table *Table
+	// Engines finds engines.
+	Engines Engines
+	// Catalog is the configuration.
+	Catalog catalog.Source
+	// Ledger records non-repeatable requests.
+	Ledger ledger.Ledger
+	// Limits bound waiting.
+	Limits Limits
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Seed makes decisions repeatable in tests; zero takes a random one.
+	Seed uint64
+	// Logger gets the node's events.
+	Logger zerolog.Logger
+	// Registerer gets the metrics; nil registers none.
+	Registerer prometheus.Registerer
+}
+
+// Dispatcher gives requests to runners. It is safe for concurrent use.
+type Dispatcher struct {
+	config  Config
+	budget  *retryBudget
+	metrics *metrics
+
+	randomMutex sync.Mutex
+	random      *rand.Rand
+
+	// background supervises aborts that outlive their request.
+	background tomb.Tomb
+	running    inFlight
+}
+
+// New returns a dispatcher. Close stops it.
+func New(config Config) *Dispatcher {
+	config.Limits = config.Limits.withDefaults()
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
+	dispatcher := &Dispatcher{
+		config:  config,
+		budget:  newRetryBudget(),
+		metrics: newMetrics(config.Registerer),
+		random:  rand.New(rand.NewPCG(config.Seed, config.Seed)),
+	}
+	dispatcher.background.Go(dispatcher.waitClose)
+	return dispatcher
+}
+
+// waitClose keeps the tomb alive between background calls.
+func (d *Dispatcher) waitClose() error {
+	<-d.background.Dying()
+	return nil
+}
+
+// Dispatch runs a request and passes its answer to the sink. The error is a *failure.Error that states whether the
+// request ran. A sink that got chunks before an error has a truncated answer and must say so to its caller.
+func (d *Dispatcher) Dispatch(ctx context.Context, request *inference.Request, sink Sink) error {
+	if !d.running.enter() {
+		return failure.New(failure.CodeDraining, "this node is stopping; send the request to another").WithRetryAfter(drainRetryAfter)
+	}
+	defer d.running.leave()
+	d.budget.earn()
+	if request.Repeatable {
+		return asError(d.run(ctx, request, sink))
+	}
+	return asError(d.runOnce(ctx, request, sink))
+}
+
+// drainRetryAfter is the advice of a stopping node: another node can take the request at once.
+const drainRetryAfter = 100 * time.Millisecond
+
+// asError avoids a non-nil error interface around a nil pointer.
+func asError(failed *failure.Error) error {
+	if failed == nil {
+		return nil
+	}
+	return failed
+}
+
+// run dispatches under the request's deadline.
+func (d *Dispatcher) run(ctx context.Context, request *inference.Request, sink Sink) *failure.Error {
+	if !request.Deadline.IsZero() {
+		deadlineContext, cancel := context.WithDeadlineCause(ctx, request.Deadline, errDeadline)
+		defer cancel()
+		ctx = deadlineContext
+	}
+	current := flight{dispatcher: d, request: request, sink: sink, outcome: outcome.NotRun}
+	failed := current.run(ctx)
+	d.metrics.finished(failed)
+	return failed
+}
+
+// Drain refuses new requests and waits until those in flight have ended or ctx is done.
+func (d *Dispatcher) Drain(ctx context.Context) error { return d.running.drain(ctx) }
+
+// InFlight returns the number of requests in flight.
+func (d *Dispatcher) InFlight() int { return d.running.count() }
+
+// Close waits for background aborts to end. Requests in flight should have been drained before.
+func (d *Dispatcher) Close() error {
+	d.background.Kill(nil)
+	return d.background.Wait()
+}
+
+// abortLater frees the work of a request on a runner without holding up the caller.
+func (d *Dispatcher) abortLater(target engine.Engine, request ident.Request) {
+	if !d.background.Alive() {
+		return
+	}
+	d.background.Go(func() error {
+		d.abort(target, request)
+		return nil
+	})
+}
+
+func (d *Dispatcher) abort(target engine.Engine, request ident.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.config.Limits.Abort)
+	defer cancel()
+	if err := target.Abort(ctx, request, false); err != nil {
+		d.metrics.abortFailed()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/view.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/schedule"
+)
+
+// Snapshot returns the runners that have the model, for one decision.
+func (t *Table) Snapshot(zone ident.Zone, distance map[ident.Zone]float64, model string, blocks []uint64, now time.Time) *schedule.Snapshot {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	snapshot := &schedule.Snapshot{Zone: zone, Distance: distance}
+	matched := t.prefixes.Match(blocks)
+	for _, known := range t.ordered {
+		if !holds(known.report, model) {
+			continue
+		}
+		snapshot.Runners = append(snapshot.Runners, known.view(now, matched[known.id]))
+	}
+	return snapshot
+}
+
+func holds(report *engine.LoadReport, model string) bool {
+	if report == nil {
+		return false
+	}
+	for _, loaded := range report.Models {
+		if loaded.Name == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) view(now time.Time, prefixBlocks int) schedule.Runner {
+	return schedule.Runner{
+		ID:            e.id,
+		Zone:          e.zone,
+		Leaving:       e.leaving.is(now),
+		Ejected:       e.health.ejected,
+		SlowStart:     e.health.share(now),
+		BusyUntil:     e.busyUntil,
+		OwnInFlight:   e.own,
+		PeersInFlight: e.peers.sum(now),
+		Report:        e.report,
+		PrefixBlocks:  prefixBlocks,
+	}
+}
+
+// RunnerView is what a node knows of one runner, for batch credits and for operators.
+type RunnerView struct {
+	ID      ident.Runner
+	Zone    ident.Zone
+	Address string
+	Leaving bool
+	Ejected bool
+	// OwnInFlight and PeersInFlight count online requests of this node and of its peers.
+	OwnInFlight, PeersInFlight int
+	// Report is the newest report, or nil; it must not be changed. ReportAge is its age.
+	Report    *engine.LoadReport
+	ReportAge time.Duration
+}
+
+// Runner returns what is known of one runner.
+func (t *Table) Runner(runner ident.Runner, now time.Time) (RunnerView, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, found := t.runners[runner]
+	if !found {
+		return RunnerView{}, false
+	}
+	return known.describe(now), true
+}
+
+// Runners returns what is known of every runner, ordered by identifier.
+func (t *Table) Runners(now time.Time) []RunnerView {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	views := make([]RunnerView, 0, len(t.runners))
+	for _, known := range t.ordered {
+		views = append(views, known.describe(now))
+	}
+	return views
+}
+
+func (e *entry) describe(now time.Time) RunnerView {
+	view := RunnerView{
+		ID: e.id, Zone: e.zone, Address: e.address,
+		Leaving: e.leaving.is(now), Ejected: e.health.ejected,
+		OwnInFlight: e.own, PeersInFlight: e.peers.sum(now),
+		Report: e.report,
+	}
+	if e.report != nil {
+		view.ReportAge = max(0, now.Sub(e.report.Measured))
+	}
+	return view
+}
