Node settings from one YAML file and flags, described once by struct tags

The decoder, the flags, the range checks and docs/SETTINGS.md all follow from the tags of the Settings struct, so they cannot drift apart. 'config check' and 'config reference' are the commands.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,5 +37,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(NewConfigCommand())
 	return root
 }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,139 @@
+// Package settings holds what a node learns from its settings file and flags. Every field is described once, by the
+// tags of its struct field: the decoder, the flags, the range checks and docs/SETTINGS.md all follow from them.
+//
+// Tags: yaml is the name, doc the one line of documentation, unit the unit of a plain number, default the value of an
+// absent field, min and max the range, oneof the permitted words, and required marks a field without a default.
+package settings
+
+import "time"
+
+// Settings is the whole of a node's settings.
+type Settings struct {
+	Node       Node       `yaml:"node"`
+	Listen     Listen     `yaml:"listen"`
+	Platform   Platform   `yaml:"platform"`
+	DataDir    Path       `yaml:"data_dir" doc:"Folder for job data. Empty means that the node stores no jobs and writes nothing to disk."`
+	Jobs       Jobs       `yaml:"jobs"`
+	TLS        TLS        `yaml:"tls"`
+	Limits     Limits     `yaml:"limits"`
+	Dispatch   Dispatch   `yaml:"dispatch"`
+	Batch      Batch      `yaml:"batch"`
+	Membership Membership `yaml:"membership"`
+	Log        Log        `yaml:"log"`
+	Bootstrap  Bootstrap  `yaml:"bootstrap"`
+}
+
+// Node names the node and its place.
+type Node struct {
+	ID     Name `yaml:"id" required:"true" doc:"Name of the node, unique in the fleet and the same after a restart."`
+	Zone   Name `yaml:"zone" required:"true" doc:"Zone the node stands in."`
+	Region Name `yaml:"region" required:"true" doc:"Region of the zone."`
+}
+
+// Listen holds the addresses the node serves and is reached at.
+type Listen struct {
+	Caller    Address   `yaml:"caller" default:"127.0.0.1:8080" doc:"Address of the caller API."`
+	Admin     Address   `yaml:"admin" default:"127.0.0.1:8081" doc:"Address of the admin API, metrics and profiles."`
+	Peer      Address   `yaml:"peer" default:"127.0.0.1:8082" doc:"Address for other nodes, TCP for calls and UDP for membership."`
+	Advertise Address   `yaml:"advertise" doc:"Address other nodes reach this one at. Empty means listen.peer."`
+	Seeds     []Address `yaml:"seeds" doc:"Peer addresses of nodes to join through; any that answer will do."`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	KVEndpoints []Address     `yaml:"kv_endpoints" required:"true" doc:"Addresses of the key-value service, tried in order."`
+	KVTimeout   time.Duration `yaml:"kv_timeout" default:"2s" min:"10ms" max:"1m" doc:"Longest wait for one answer of the key-value service."`
+	MachineList Address       `yaml:"machine_list" required:"true" doc:"Address of the machine list."`
+	MachinePoll time.Duration `yaml:"machine_poll" default:"2s" min:"100ms" max:"10m" doc:"Time between readings of the machine list."`
+	WeightStore Address       `yaml:"weight_store" doc:"Address of the weight store. Empty means that the node never orders loads."`
+}
+
+// Jobs shapes the job shards. Shards, Replicas and MinimumCopies must be the same on every node.
+type Jobs struct {
+	Shards        int           `yaml:"shards" unit:"shards" default:"8" min:"1" max:"1024" doc:"Number of job shards in the fleet; fixed once jobs exist."`
+	Replicas      int           `yaml:"replicas" unit:"replicas" default:"3" min:"1" max:"7" doc:"Replicas of each shard, where that many disk machines exist."`
+	MinimumCopies int           `yaml:"minimum_copies" unit:"copies" default:"3" min:"1" max:"7" doc:"Least number of synchronised copies that may accept a job; below it submissions are refused."`
+	LeaseTTL      time.Duration `yaml:"lease_ttl" default:"10s" min:"200ms" max:"10m" doc:"How long a batch worker may run items without renewing their lease."`
+	Retention     time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
+}
+
+// TLS holds the certificates of the three listeners.
+type TLS struct {
+	Caller Certificate `yaml:"caller"`
+	Admin  Certificate `yaml:"admin"`
+	Peer   Certificate `yaml:"peer"`
+	// Poll is not part of a listener: one period serves all three.
+	Poll time.Duration `yaml:"poll" default:"5s" min:"100ms" max:"1h" doc:"Time between looks at the certificate files for a change."`
+}
+
+// Certificate names the PEM files of one listener.
+type Certificate struct {
+	Cert Path `yaml:"cert" doc:"PEM file of the certificate chain. Empty means plain TCP."`
+	Key  Path `yaml:"key" doc:"PEM file of the private key."`
+	CA   Path `yaml:"ca" doc:"PEM file of the authorities that client certificates must be signed by. Empty means that none is asked for."`
+}
+
+// Enabled says whether the listener speaks TLS.
+func (c Certificate) Enabled() bool { return c.Cert != "" }
+
+// Limits bounds what callers can make the node hold and wait for.
+type Limits struct {
+	BodyBytes          Size          `yaml:"body_bytes" default:"4MiB" min:"1KiB" max:"256MiB" doc:"Largest body of a request other than a file upload."`
+	HeaderBytes        Size          `yaml:"header_bytes" default:"32KiB" min:"1KiB" max:"1MiB" doc:"Largest header of a request."`
+	BatchFileBytes     Size          `yaml:"batch_file_bytes" default:"512MiB" min:"1KiB" max:"16GiB" doc:"Largest uploaded file."`
+	ConcurrentRequests int           `yaml:"concurrent_requests" unit:"requests" default:"4096" min:"1" max:"1000000" doc:"Online requests in progress at once on this node; more are refused."`
+	ConcurrentUploads  int           `yaml:"concurrent_uploads" unit:"uploads" default:"16" min:"1" max:"10000" doc:"File uploads and downloads in progress at once on this node; more are refused."`
+	BufferedBodyBytes  Size          `yaml:"buffered_body_bytes" default:"256MiB" min:"1MiB" max:"64GiB" doc:"Request bodies held in memory at once on this node; more are refused."`
+	RequestTimeout     time.Duration `yaml:"request_timeout" default:"10m" min:"1s" max:"24h" doc:"Longest time of one online request; it ends with deadline_exceeded."`
+	WriteTimeout       time.Duration `yaml:"write_timeout" default:"20s" min:"100ms" max:"10m" doc:"Longest wait for a caller to take one piece of its answer; then the request is aborted."`
+	HeaderTimeout      time.Duration `yaml:"header_timeout" default:"10s" min:"100ms" max:"10m" doc:"Longest time a caller may take to send the header of a request."`
+	BodyTimeout        time.Duration `yaml:"body_timeout" default:"1m" min:"100ms" max:"1h" doc:"Longest time a caller may take to send the body of a request other than a file upload."`
+	IdleTimeout        time.Duration `yaml:"idle_timeout" default:"2m" min:"1s" max:"1h" doc:"How long an idle connection is kept."`
+	DrainTimeout       time.Duration `yaml:"drain_timeout" default:"10m" min:"1s" max:"24h" doc:"Longest time a planned stop waits for requests in progress."`
+}
+
+// Dispatch tunes the online path.
+type Dispatch struct {
+	AttemptTimeout  time.Duration `yaml:"attempt_timeout" default:"5s" min:"10ms" max:"10m" doc:"Longest wait for the first answer of one engine before the attempt counts as failed."`
+	StallTimeout    time.Duration `yaml:"stall_timeout" default:"10s" min:"10ms" max:"10m" doc:"Longest silence of an engine within an answer before the stream is resumed or moved."`
+	MaxAttempts     int           `yaml:"max_attempts" unit:"attempts" default:"4" min:"1" max:"20" doc:"Engines tried for one request that was not run."`
+	RetryBudget     float64       `yaml:"retry_budget" unit:"share of requests" default:"0.1" min:"0" max:"1" doc:"Largest share of requests that may be retries."`
+	QueueDepth      int           `yaml:"queue_depth" unit:"requests" default:"256" min:"0" max:"100000" doc:"Online requests that may wait for an engine at once on this node."`
+	QueueTimeout    time.Duration `yaml:"queue_timeout" default:"1s" min:"0s" max:"10m" doc:"Longest wait for an engine before an online request is refused as overloaded."`
+	LoadReportEvery time.Duration `yaml:"load_report_every" default:"1s" min:"50ms" max:"1m" doc:"Time between readings of an engine's load report."`
+}
+
+// Batch tunes the batch workers.
+type Batch struct {
+	Workers      int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
+	LeaseItems   int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
+	PollInterval time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
+	CreditTTL    time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
+}
+
+// Membership tunes the failure detector.
+type Membership struct {
+	ProbeInterval  time.Duration `yaml:"probe_interval" default:"1s" min:"20ms" max:"1m" doc:"Time between probes of other nodes."`
+	ProbeTimeout   time.Duration `yaml:"probe_timeout" default:"300ms" min:"5ms" max:"30s" doc:"Longest wait for the answer to a probe before others are asked to probe."`
+	SuspectTimeout time.Duration `yaml:"suspect_timeout" default:"4s" min:"50ms" max:"10m" doc:"How long a silent node is suspected before it counts as dead."`
+	IndirectProbes int           `yaml:"indirect_probes" unit:"nodes" default:"3" min:"0" max:"16" doc:"Other nodes asked to probe a silent one."`
+	DigestInterval time.Duration `yaml:"digest_interval" default:"2s" min:"50ms" max:"10m" doc:"Time between exchanges of membership and configuration digests with another zone."`
+}
+
+// Log shapes the log.
+type Log struct {
+	Level string `yaml:"level" default:"info" oneof:"debug info warn error" doc:"Least severe level that is logged."`
+}
+
+// Bootstrap gives a fresh fleet its first admin key.
+type Bootstrap struct {
+	AdminKeyDigest Digest `yaml:"admin_key_digest" doc:"SHA-256 of an admin key, in hexadecimal, accepted while the configuration holds no admin key."`
+}
+
+// AdvertiseAddress returns the address other nodes reach this one at.
+func (s Settings) AdvertiseAddress() Address {
+	if s.Listen.Advertise != "" {
+		return s.Listen.Advertise
+	}
+	return s.Listen.Peer
+}
