--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -8,5 +8,6 @@
 		newKV(),
 		newMachines(),
 		newWeights(),
+		newEngine(),
 	}
 }
