Replicate a shard's log with write-all commits and survivor-only replacement

An entry commits when every member of the epoch's set has it on disk; a leader needs every member's promise; the set changes by compare-and-swap with a proposer that can prove it holds everything. A leader serves only after every member durably knows that the epoch is activated: else a survivor could hold all data without being able to prove it. A step of a set either drops or adds members: a combined step would leave a window in which two lost disks lose data.

--- /dev/null
+++ b/internal/shard/plan.go
@@ -0,0 +1,241 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+// ErrUnsafeConfiguration means that a replica set may not follow another one.
+const ErrUnsafeConfiguration = failure.Kind("shard: unsafe replica set")
+
+// World is what the host knows beyond its own replica when it plans a replica set.
+type World struct {
+	// Desired are the members the shard should have, the best place first: the present incarnations of live nodes.
+	Desired []Member
+	// Draining are nodes about to stop as planned.
+	Draining []ident.Node
+	// Suspected are nodes that the membership believes dead.
+	Suspected []ident.Node
+}
+
+// PlanSettings are the times and sizes that planning goes by.
+type PlanSettings struct {
+	// SuspectAfter is the silence after which a member is given up.
+	SuspectAfter time.Duration
+	// SuspectedAfter is the shorter silence that is enough if the membership suspects the node too.
+	SuspectedAfter time.Duration
+	// Copies is the wanted size of the set.
+	Copies int
+	// CaughtUp is how many entries a learner may lack when it becomes a member.
+	CaughtUp uint64
+}
+
+// DefaultPlanSettings suit DefaultSettings.
+func DefaultPlanSettings() PlanSettings {
+	return PlanSettings{SuspectAfter: 5 * time.Second, SuspectedAfter: 2 * time.Second, Copies: 3, CaughtUp: 1000}
+}
+
+// CheckSuccessor reports whether next may follow current when the proposer writes it: the proposer is a member of both
+// that holds every committed entry, and no member is called seasoned that was not known to be.
+func CheckSuccessor(current, next Configuration, proposer Member, activated bool) bool {
+	seasoned := knownSeasoned(current, activated)
+	if next.Epoch != current.Epoch+1 || !slices.Contains(seasoned, proposer) || !next.IsSeasoned(proposer) {
+		return false
+	}
+	for _, member := range next.Seasoned {
+		if !slices.Contains(seasoned, member) || !next.Has(member) {
+			return false
+		}
+	}
+	return next.Has(proposer)
+}
+
+// knownSeasoned returns the members that hold every committed entry: all of them once the epoch is activated, else the
+// ones the epoch began with. Marking a member earlier would let a set that was never activated hand over to one that
+// has none of the data.
+func knownSeasoned(current Configuration, activated bool) []Member {
+	if activated {
+		return current.Members
+	}
+	return current.Seasoned
+}
+
+// PlanSet returns the replica set that should follow, if a change is due. status.Configuration must be the one stored.
+// A step either drops members or adds some, never both: so whoever is dropped was replaced by a member that already
+// holds everything, and any two disks may be lost at any point of a move.
+func PlanSet(status Status, world World, settings PlanSettings) (Configuration, bool) {
+	current := status.Configuration
+	activated := status.Activated == current.Epoch
+	if !slices.Contains(knownSeasoned(current, activated), status.Self) {
+		return Configuration{}, false
+	}
+	members := planMembers(status, world, settings, activated)
+	if len(members) == 0 {
+		return Configuration{}, false
+	}
+	next := Configuration{Epoch: current.Epoch + 1, Members: members}
+	for _, member := range members {
+		if slices.Contains(knownSeasoned(current, activated), member) {
+			next.Seasoned = append(next.Seasoned, member)
+		}
+	}
+	next = next.normalise()
+	return next, CheckSuccessor(current, next, status.Self, activated)
+}
+
+func planMembers(status Status, world World, settings PlanSettings, activated bool) []Member {
+	if status.Role != Leader {
+		return planSurvivors(status, world, settings)
+	}
+	if lost := lostMembers(status, world, settings); len(lost) > 0 {
+		return without(status.Configuration.Members, lost)
+	}
+	if !activated {
+		return nil
+	}
+	if drained := drainedMember(status, world); drained != (Member{}) {
+		return without(status.Configuration.Members, []Member{drained})
+	}
+	if added := caughtUpLearners(status, world, settings); len(added) > 0 {
+		return append(slices.Clone(status.Configuration.Members), added...)
+	}
+	return planSurplus(status, world, settings)
+}
+
+// lostMembers returns members that have been silent for too long. Losing several takes longer to believe than losing
+// one, so that the side of a partition with fewer members is the slower one.
+func lostMembers(status Status, world World, settings PlanSettings) []Member {
+	lost, unit := silentMembers(status, world, settings)
+	if len(membersSilentFor(status, unit*time.Duration(len(lost)))) < len(lost) {
+		return nil
+	}
+	return lost
+}
+
+// planSurvivors is the plan of a member without a leader: to go on with the members that still answer. Members take
+// turns by rank, and those that reach fewer wait longer.
+func planSurvivors(status Status, world World, settings PlanSettings) []Member {
+	lost, unit := silentMembers(status, world, settings)
+	if len(lost) == 0 {
+		return nil
+	}
+	members := status.Configuration.Members
+	rank := slices.Index(members, status.Self)
+	patience := unit*time.Duration(1+len(lost)) + unit/2*time.Duration(rank)
+	if status.LeaderSilence < patience {
+		return nil
+	}
+	return without(members, lost)
+}
+
+// silentMembers returns the members that have been silent for a unit of patience, and the unit: the shorter one if the
+// membership suspects all of them.
+func silentMembers(status Status, world World, settings PlanSettings) ([]Member, time.Duration) {
+	unit := settings.SuspectedAfter
+	silent := membersSilentFor(status, unit)
+	for _, member := range silent {
+		if !slices.Contains(world.Suspected, member.Node) {
+			unit = settings.SuspectAfter
+			return membersSilentFor(status, unit), unit
+		}
+	}
+	return silent, unit
+}
+
+func membersSilentFor(status Status, silence time.Duration) []Member {
+	var silent []Member
+	for _, other := range status.Others {
+		if !other.Learner && other.Silence >= silence {
+			silent = append(silent, other.Member)
+		}
+	}
+	return silent
+}
+
+// drainedMember returns another member that is about to stop, if two members remain.
+func drainedMember(status Status, world World) Member {
+	const leastRemaining = 2
+	if len(status.Configuration.Members) <= leastRemaining {
+		return Member{}
+	}
+	for _, member := range status.Configuration.Members {
+		if member != status.Self && slices.Contains(world.Draining, member.Node) {
+			return member
+		}
+	}
+	return Member{}
+}
+
+func caughtUpLearners(status Status, world World, settings PlanSettings) []Member {
+	wanted := Learners(status, world, settings)
+	var ready []Member
+	for _, other := range status.Others {
+		recent := other.Silence < settings.SuspectedAfter
+		caughtUp := other.Match > 0 && other.Match+settings.CaughtUp >= status.LastIndex
+		if other.Learner && recent && caughtUp && slices.Contains(wanted, other.Member) {
+			ready = append(ready, other.Member)
+		}
+	}
+	if len(ready) < len(wanted) && len(status.Configuration.Members) >= settings.Copies {
+		return nil
+	}
+	return ready
+}
+
+// planSurplus drops one member beyond the wanted number that is not where it should be. The leader never drops itself;
+// it hands over first.
+func planSurplus(status Status, world World, settings PlanSettings) []Member {
+	members := status.Configuration.Members
+	if len(members) <= settings.Copies {
+		return nil
+	}
+	for _, member := range members {
+		if member != status.Self && !slices.Contains(places(world, settings), member) {
+			return without(members, []Member{member})
+		}
+	}
+	return nil
+}
+
+// Learners returns the replicas a leader should bring up to date: wanted places that are not members yet.
+func Learners(status Status, world World, settings PlanSettings) []Member {
+	var learners []Member
+	for _, member := range places(world, settings) {
+		if !status.Configuration.Has(member) && !slices.Contains(world.Draining, member.Node) {
+			learners = append(learners, member)
+		}
+	}
+	return learners
+}
+
+// HandOver returns the member that should lead in the place of this leader, if its node is draining or is no wanted
+// place although another member is.
+func HandOver(status Status, world World, settings PlanSettings) (Member, bool) {
+	draining := slices.Contains(world.Draining, status.Self.Node)
+	surplus := len(status.Configuration.Members) > settings.Copies
+	misplaced := surplus && !slices.Contains(places(world, settings), status.Self)
+	if status.Role != Leader || status.Transferring || !draining && !misplaced {
+		return Member{}, false
+	}
+	best := MemberStatus{}
+	for _, other := range status.Others {
+		unfit := other.Learner || slices.Contains(world.Draining, other.Member.Node)
+		if unfit || other.Silence >= settings.SuspectedAfter || other.Match < best.Match {
+			continue
+		}
+		best = other
+	}
+	return best.Member, best.Member != (Member{})
+}
+
+// places returns the wanted members, as many as there should be copies.
+func places(world World, settings PlanSettings) []Member {
+	return world.Desired[:min(len(world.Desired), settings.Copies)]
+}
+
+func without(members, dropped []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return slices.Contains(dropped, m) })
+}
--- /dev/null
+++ b/internal/shard/shardsim/faults.go
@@ -0,0 +1,263 @@
+package shardsim
+
+import (
+	"fmt"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/shard"
+)
+
+// FaultKind is a kind of injected fault.
+type FaultKind uint8
+
+// The kinds of fault.
+const (
+	// Crash stops a process, losing unsynced writes, and restarts it after Duration.
+	Crash FaultKind = iota
+	// Wipe stops a process and restarts it after Duration with an empty data folder.
+	Wipe
+	// WipeTwo wipes Node and Peer at once.
+	WipeTwo
+	// Pause stops a process like SIGSTOP for Duration.
+	Pause
+	// Cut cuts both directions between Node and Peer.
+	Cut
+	// CutOneWay cuts messages from Node to Peer.
+	CutOneWay
+	// Isolate cuts Node from all others.
+	Isolate
+	// Loss drops a fifth of all messages.
+	Loss
+	// StoreOutage makes the key-value service unreachable for all.
+	StoreOutage
+	// StoreCut makes it unreachable for Node.
+	StoreCut
+	// StoreLostAnswers loses most answers to swaps, which may take effect at once, late or never.
+	StoreLostAnswers
+	// SlowDisk makes the syncs of Node take 200 times as long.
+	SlowDisk
+	// Drain announces a planned stop of Node, which then restarts.
+	Drain
+	// CrashAll stops every process at once.
+	CrashAll
+	faultKinds
+)
+
+// Fault is one injected fault.
+type Fault struct {
+	At       time.Duration
+	Kind     FaultKind
+	Node     int
+	Peer     int
+	Duration time.Duration
+}
+
+// RandomFaults draws faults over a time from the simulation's seed.
+func (s *Simulation) RandomFaults(count int, over time.Duration) []Fault {
+	faults := make([]Fault, count)
+	for position := range faults {
+		faults[position] = Fault{
+			At:       s.between(0, over),
+			Kind:     FaultKind(s.random.IntN(int(faultKinds))),
+			Node:     s.random.IntN(s.options.Nodes),
+			Peer:     s.random.IntN(s.options.Nodes),
+			Duration: s.between(100*time.Millisecond, 5*time.Second),
+		}
+	}
+	return faults
+}
+
+// Inject schedules the faults.
+func (s *Simulation) Inject(faults []Fault) {
+	for _, fault := range faults {
+		s.After(fault.At, func() { s.apply(fault) })
+	}
+}
+
+func (s *Simulation) apply(fault Fault) {
+	hit, peer := s.nodes[fault.Node], s.nodes[fault.Peer]
+	until := s.now + fault.Duration
+	switch fault.Kind {
+	case Crash:
+		s.crash(hit, fault.Duration, false)
+	case Wipe:
+		s.wipe(fault.Duration, hit)
+	case WipeTwo:
+		s.wipe(fault.Duration, hit, peer)
+	case Pause:
+		s.pause(hit, until)
+	case Cut:
+		s.cut(hit, peer, until)
+		s.cut(peer, hit, until)
+	case CutOneWay:
+		s.cut(hit, peer, until)
+	case Isolate:
+		for _, other := range s.nodes {
+			s.cut(hit, other, until)
+			s.cut(other, hit, until)
+		}
+	case Loss:
+		s.network.lossUntil = max(s.network.lossUntil, until)
+	case StoreOutage:
+		s.store.downUntil = max(s.store.downUntil, until)
+	case StoreCut:
+		s.store.unreachable[hit.name] = until
+	case StoreLostAnswers:
+		s.store.loseUntil = max(s.store.loseUntil, until)
+	case SlowDisk:
+		hit.slowUntil = until
+	case Drain:
+		hit.draining = true
+		s.After(fault.Duration, func() {
+			hit.draining = false
+			s.crash(hit, fault.Duration, false)
+		})
+	case CrashAll:
+		for _, each := range s.nodes {
+			s.crash(each, fault.Duration, false)
+		}
+	}
+}
+
+func (s *Simulation) cut(from, to *node, until time.Duration) {
+	path := link{from: from.name, to: to.name}
+	s.network.cut[path] = max(s.network.cut[path], until)
+}
+
+func (s *Simulation) pause(hit *node, until time.Duration) {
+	hit.paused = max(hit.paused, until)
+	s.After(hit.paused-s.now, func() { hit.work() })
+}
+
+func (s *Simulation) crash(hit *node, duration time.Duration, wipe bool) {
+	if !hit.running {
+		return
+	}
+	s.Crashes++
+	hit.crash()
+	if wipe {
+		s.Wipes++
+		hit.blankDisk()
+	}
+	s.After(duration, func() {
+		if !hit.running {
+			hit.start()
+		}
+	})
+}
+
+// wipe destroys disks, as long as that keeps to what is promised: one disk survives that can prove from its own content
+// and the stored set that it holds every committed entry.
+func (s *Simulation) wipe(duration time.Duration, hit ...*node) {
+	configuration, _ := s.store.current()
+	for _, survivor := range s.nodes {
+		doomed := false
+		for _, each := range hit {
+			doomed = doomed || each == survivor
+		}
+		member := survivor.member()
+		proof := configuration.IsSeasoned(member) || survivor.disk.hard.Activated == configuration.Epoch
+		if !doomed && configuration.Has(member) && proof {
+			for _, each := range hit {
+				s.crash(each, duration, true)
+			}
+			return
+		}
+	}
+}
+
+// Heal ends all faults.
+func (s *Simulation) Heal() {
+	clear(s.network.cut)
+	clear(s.store.unreachable)
+	s.network.lossUntil, s.store.downUntil, s.store.loseUntil = 0, 0, 0
+	for _, each := range s.nodes {
+		each.paused, each.slowUntil, each.draining = 0, 0, false
+		if !each.running {
+			each.start()
+		}
+		each.work()
+	}
+}
+
+// Leader returns a node that serves, or nothing.
+func (s *Simulation) Leader() ident.Node {
+	for _, candidate := range s.nodes {
+		if !candidate.running || s.now < candidate.paused {
+			continue
+		}
+		if _, leading := candidate.driver.Core.Leadership(candidate.clock()); leading {
+			return candidate.name
+		}
+	}
+	return ""
+}
+
+// Propose gives a command to every node's replica that believes it serves, at most one of which may be right; done is
+// called for each.
+func (s *Simulation) Propose(command []byte, done func(reply []byte, acknowledged bool)) {
+	for _, target := range s.nodes {
+		target.input(func() error {
+			first, term, err := target.driver.Core.Propose(target.clock(), command)
+			if err != nil {
+				s.Refused++
+				return nil
+			}
+			target.waiting[first] = waiter{term: term, done: done}
+			return nil
+		})
+	}
+}
+
+// View reads the state at every replica that believes it serves, and checks that the read is fresh.
+func (s *Simulation) View(read func(shard.Reader)) {
+	for _, target := range s.nodes {
+		target.input(func() error {
+			if _, leading := target.driver.Core.Leadership(target.clock()); leading {
+				s.checker.viewed(s, target)
+				read(target.disk.state)
+			}
+			return nil
+		})
+	}
+}
+
+// Load proposes numbered commands and reads at random times until the simulated time is reached.
+func (s *Simulation) Load(until time.Duration) {
+	number := 0
+	var next func()
+	next = func() {
+		if s.now >= until {
+			return
+		}
+		number++
+		s.Propose([]byte(fmt.Sprintf("%d-%d", s.options.Seed, number)), func(_ []byte, acknowledged bool) {
+			if !acknowledged {
+				s.Unknown++
+			}
+		})
+		s.View(func(shard.Reader) {})
+		s.After(s.between(time.Millisecond, 100*time.Millisecond), next)
+	}
+	next()
+}
+
+// Schedule runs load under the faults, heals, and checks the end.
+func (s *Simulation) Schedule(faults []Fault, faulty, healing time.Duration) error {
+	const settle = 2 * time.Second
+	s.Load(settle + faulty + healing)
+	if err := s.Run(settle); err != nil {
+		return err
+	}
+	s.Inject(faults)
+	if err := s.Run(faulty); err != nil {
+		return err
+	}
+	s.Heal()
+	if err := s.Run(healing); err != nil {
+		return err
+	}
+	s.checker.final(s)
+	return s.err
+}
--- /dev/null
+++ b/internal/shard/shardsim/sim_test.go
@@ -0,0 +1,108 @@
+package shardsim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/shard"
+)
+
+// logMachine keeps every command under its index and answers with the number of commands.
+type logMachine struct{}
+
+func (logMachine) Apply(transaction shard.Transaction, index uint64, command []byte) ([]byte, error) {
+	key := binary.BigEndian.AppendUint64([]byte("c"), index)
+	if err := transaction.Set(key, command); err != nil {
+		return nil, err
+	}
+	return key, nil
+}
+
+func simulation(seed uint64) *Simulation {
+	return New(Options{Seed: seed, Nodes: 5, Copies: 3, Machine: logMachine{}, Retained: 30})
+}
+
+const (
+	faulty  = 15 * time.Second
+	healing = 25 * time.Second
+)
+
+func TestHealthyShardServes(t *testing.T) {
+	s := simulation(1)
+	assert.NilError(t, s.Schedule(nil, faulty, healing))
+	assert.Assert(t, s.Acknowledged > 500, "%d acknowledged", s.Acknowledged)
+	assert.Equal(t, s.Swaps, 0)
+}
+
+// TestSchedules runs seeded schedules of faults. MALLOWLATCH_SCHEDULES sets another number, from MALLOWLATCH_SEED on.
+func TestSchedules(t *testing.T) {
+	schedules, first := setting("MALLOWLATCH_SCHEDULES", 1000), setting("MALLOWLATCH_SEED", 1)
+	const workers = 8
+	totals := make([]Simulation, workers)
+	t.Run("seeds", func(t *testing.T) {
+		for worker := range workers {
+			t.Run(fmt.Sprint(worker), func(t *testing.T) {
+				t.Parallel()
+				for seed := first + worker; seed < first+schedules; seed += workers {
+					s := simulation(uint64(seed))
+					faults := s.RandomFaults(1+s.random.IntN(12), faulty)
+					if err := s.Schedule(faults, faulty, healing); err != nil {
+						t.Errorf("%v\nfaults: %+v", err, faults)
+					}
+					totals[worker].add(s)
+				}
+			})
+		}
+	})
+	var total Simulation
+	for worker := range totals {
+		total.add(&totals[worker])
+	}
+	t.Logf("%d schedules: %d acknowledged, %d unknown, %d refused, %d reads, %d wipes, %d crashes, %d swaps, %d messages",
+		schedules, total.Acknowledged, total.Unknown, total.Refused, total.Reads, total.Wipes, total.Crashes, total.Swaps,
+		total.Messages)
+	assert.Assert(t, total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0)
+}
+
+func (s *Simulation) add(other *Simulation) {
+	s.Acknowledged += other.Acknowledged
+	s.Unknown += other.Unknown
+	s.Refused += other.Refused
+	s.Reads += other.Reads
+	s.Wipes += other.Wipes
+	s.Crashes += other.Crashes
+	s.Swaps += other.Swaps
+	s.Messages += other.Messages
+}
+
+func setting(name string, otherwise int) int {
+	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return value
+	}
+	return otherwise
+}
+
+// TestAnySchedule lets rapid draw the faults one by one, so that a failing schedule shrinks.
+func TestAnySchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := simulation(rapid.Uint64().Draw(t, "seed"))
+		fault := rapid.Custom(func(t *rapid.T) Fault {
+			return Fault{
+				At:       time.Duration(rapid.IntRange(0, 100).Draw(t, "at")) * faulty / 100,
+				Kind:     FaultKind(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind")),
+				Node:     rapid.IntRange(0, 4).Draw(t, "node"),
+				Peer:     rapid.IntRange(0, 4).Draw(t, "peer"),
+				Duration: time.Duration(rapid.IntRange(1, 60).Draw(t, "duration")) * 100 * time.Millisecond,
+			}
+		})
+		faults := rapid.SliceOfN(fault, 0, 12).Draw(t, "faults")
+		assert.NilError(t, s.Schedule(faults, faulty, healing))
+	})
+}
--- /dev/null
+++ b/internal/shard/shardsim/store.go
@@ -0,0 +1,95 @@
+package shardsim
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/shard"
+)
+
+// store is the simulated key-value service: one key, with outages, lost answers and late effects.
+type store struct {
+	simulation *Simulation
+	history    []shard.Configuration
+	downUntil  time.Duration
+	// loseUntil is the time until which answers get lost, before or after the change took effect.
+	loseUntil   time.Duration
+	unreachable map[ident.Node]time.Duration
+}
+
+func (k *store) current() (shard.Configuration, int64) {
+	if len(k.history) == 0 {
+		return shard.Configuration{}, 0
+	}
+	return k.history[len(k.history)-1], int64(len(k.history))
+}
+
+func (k *store) write(configuration shard.Configuration) {
+	s := k.simulation
+	if previous, revision := k.current(); revision > 0 {
+		s.Swaps++
+		s.checker.successor(s, previous, configuration)
+	}
+	k.history = append(k.history, configuration)
+	revision := int64(len(k.history))
+	for _, watcher := range s.nodes {
+		s.After(s.between(time.Millisecond, 100*time.Millisecond), func() {
+			if k.reachable(watcher.name) {
+				watcher.input(func() error { watcher.driver.Observe(configuration, revision); return nil })
+			}
+		})
+	}
+}
+
+func (k *store) reachable(from ident.Node) bool {
+	now := k.simulation.now
+	return now >= k.downUntil && now >= k.unreachable[from]
+}
+
+// call serves a request of a node and gives the outcome to its driver.
+func (k *store) call(caller *node, request shard.StoreRequest) {
+	s := k.simulation
+	lives := caller.lives
+	answer := func(result shard.StoreResult) {
+		s.After(s.between(time.Millisecond, 30*time.Millisecond), func() {
+			if caller.lives == lives {
+				caller.input(func() error { return caller.driver.StoreResult(caller.clock(), request, result) })
+			}
+		})
+	}
+	s.After(s.between(time.Millisecond, 30*time.Millisecond), func() {
+		if !k.reachable(caller.name) {
+			answer(shard.StoreResult{Outcome: shard.StoreFailed})
+			return
+		}
+		if request.Swap == nil {
+			configuration, revision := k.current()
+			answer(shard.StoreResult{Configuration: configuration, Revision: revision})
+			return
+		}
+		k.swap(request, answer)
+	})
+}
+
+func (k *store) swap(request shard.StoreRequest, answer func(shard.StoreResult)) {
+	s := k.simulation
+	attempt := func() shard.StoreResult {
+		_, revision := k.current()
+		if revision != request.Revision {
+			return shard.StoreResult{Outcome: shard.StoreConflict}
+		}
+		k.write(*request.Swap)
+		return shard.StoreResult{Revision: revision + 1}
+	}
+	if s.now >= k.loseUntil || s.chance(0.3) {
+		answer(attempt())
+		return
+	}
+	switch s.random.IntN(3) {
+	case 0: // took effect, answer lost
+		attempt()
+	case 1: // takes effect long after the caller gave up
+		s.After(s.between(time.Second, 5*time.Second), func() { attempt() })
+	}
+	answer(shard.StoreResult{Outcome: shard.StoreUnknown})
+}
