Keep shard logs and states in one embedded store with group commit

One store per node, not one per shard: one write-ahead log lets concurrent writes of several replicas share an fsync, keeps the order between log, state and compaction across a crash, and bounds memory once.

--- a/internal/shard/log.go
+++ b/internal/shard/log.go
@@ -95,12 +95,10 @@
 		l.bytes = 0
 		l.tailFirst = first
 	}
-	for _, dropped := range l.tail[first-l.tailFirst:] {
-		l.bytes -= dropped.size()
+	if first <= l.lastIndex() {
+		l.cut(first)
 	}
-	// A new slice: messages on their way may still refer to the dropped entries.
-	kept := l.tail[:first-l.tailFirst]
-	l.tail = append(kept[:len(kept):len(kept)], entries...)
+	l.tail = append(l.tail, entries...)
 	for _, added := range entries {
 		l.bytes += added.size()
 	}
@@ -109,6 +107,15 @@
 	return nil
 }
 
+// cut drops the entries from first on. The slice is capped, as messages on their way may still refer to the dropped ones.
+func (l *replicaLog) cut(first uint64) {
+	kept := first - l.tailFirst
+	for _, dropped := range l.tail[kept:] {
+		l.bytes -= dropped.size()
+	}
+	l.tail = l.tail[:kept:kept]
+}
+
 // take returns the entries that are not durable yet and were not handed out before.
 func (l *replicaLog) take() []Entry {
 	last := l.lastIndex()
--- /dev/null
+++ b/internal/shardlog/snapshot.go
@@ -0,0 +1,110 @@
+package shardlog
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cockroachdb/pebble"
+
+	"mallowlatch.example/mallowlatch/internal/shard"
+)
+
+// Pair is a key of the state machine with its value.
+type Pair struct{ Key, Value []byte }
+
+// Export gives the state of the view to send, in chunks of about chunkBytes. The pairs are only valid during the call.
+// Memory stays bounded by a chunk.
+func (v *View) Export(chunkBytes int, send func(pairs []Pair) error) error {
+	var chunk []Pair
+	var failed error
+	size := 0
+	flush := func() bool {
+		if len(chunk) > 0 {
+			failed = send(chunk)
+		}
+		chunk, size = chunk[:0], 0
+		return failed == nil
+	}
+	err := v.Reader().Scan(nil, nil, func(key, value []byte) bool {
+		chunk = append(chunk, Pair{Key: append([]byte(nil), key...), Value: append([]byte(nil), value...)})
+		size += len(key) + len(value)
+		return size < chunkBytes || flush()
+	})
+	if err != nil {
+		return err
+	}
+	if failed == nil {
+		flush()
+	}
+	return failed
+}
+
+// Staged is a state being received. It replaces the replica's own when an output installs it.
+type Staged struct {
+	log    *Log
+	number uint64
+}
+
+// Stage begins to receive a state, beside the present one.
+func (l *Log) Stage() *Staged { return &Staged{log: l, number: l.staging.Add(1)} }
+
+// Number is the shard.Snapshot's Staging.
+func (s *Staged) Number() uint64 { return s.number }
+
+// Add stores a chunk. It is not synced: the installation is, and it follows in the same write-ahead log.
+func (s *Staged) Add(pairs []Pair) error {
+	batch := s.log.store.db.NewBatch()
+	prefix := numberedKey(spaceState, s.log.id, s.number)
+	for _, pair := range pairs {
+		if err := batch.Set(stateKey(prefix, pair.Key), pair.Value, nil); err != nil {
+			return fmt.Errorf("staging: %w: %w", ErrDisk, err)
+		}
+	}
+	return s.log.commit(batch, pebble.NoSync)
+}
+
+// Discard drops a state that will not be installed.
+func (s *Staged) Discard() error {
+	batch := s.log.store.db.NewBatch()
+	prefix := numberedKey(spaceState, s.log.id, s.number)
+	if err := batch.DeleteRange(prefix, after(prefix), nil); err != nil {
+		return fmt.Errorf("discarding: %w: %w", ErrDisk, err)
+	}
+	return s.log.commit(batch, pebble.NoSync)
+}
+
+// setInstalled makes a staged state the one that counts and empties the log.
+func (l *Log) setInstalled(batch *pebble.Batch, changed meta) error {
+	old := numberedKey(spaceState, l.id, l.meta.generation)
+	wholeLog := shardKey(spaceLog, l.id)
+	steps := []error{
+		batch.Set(shardKey(spaceMeta, l.id), changed.encode(), nil),
+		batch.Set(l.appliedKey(changed.generation), encodeNumber(changed.base), nil),
+		batch.Delete(l.appliedKey(l.meta.generation), nil),
+		batch.DeleteRange(wholeLog, after(wholeLog), nil),
+		batch.DeleteRange(old, after(old), nil),
+	}
+	for _, err := range steps {
+		if err != nil {
+			return fmt.Errorf("installing: %w: %w", ErrDisk, err)
+		}
+	}
+	return nil
+}
+
+// Remove deletes the replica's log and state from the disk. Its promises stay. It is only for a replica that is no
+// member of the newest set.
+func (l *Log) Remove() error {
+	batch := l.store.db.NewBatch()
+	for _, space := range []byte{spaceMeta, spaceApplied, spaceLog, spaceState} {
+		prefix := shardKey(space, l.id)
+		if err := batch.DeleteRange(prefix, after(prefix), nil); err != nil {
+			return fmt.Errorf("removing: %w: %w", ErrDisk, err)
+		}
+	}
+	return l.commit(batch, pebble.Sync)
+}
+
+func encodeNumber(number uint64) []byte { return binary.BigEndian.AppendUint64(nil, number) }
+
+var _ shard.LogReader = (*Log)(nil)
