--- /dev/null
+++ b/internal/batch/slots.go
@@ -0,0 +1,205 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/credit"
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+// grant is what one runner may carry now.
+type grant struct {
+	runner  ident.Runner
+	state   *runnerState
+	view    dispatch.RunnerView
+	credits credit.Credits
+}
+
+// readOwnership takes over what this node owns now. Work on a runner that it owns no more, or under a new epoch, is
+// aborted: another node may already count that room as its own. Only non-repeatable items end where they are.
+func (w *Worker) readOwnership(time.Time) {
+	owned := map[ident.Runner]uint64{}
+	for _, claim := range w.config.Ownership.Owned() {
+		owned[claim.Runner] = claim.Epoch
+	}
+	for runner, state := range w.runners {
+		epoch, still := owned[runner]
+		state.owned = still
+		if !still || epoch != state.epoch {
+			w.preemptSome(state, len(state.running))
+		}
+		if !still && len(state.running) == 0 {
+			delete(w.runners, runner)
+		}
+	}
+	for runner, epoch := range owned {
+		w.state(runner).epoch = epoch
+		w.state(runner).owned = true
+	}
+}
+
+func (w *Worker) state(runner ident.Runner) *runnerState {
+	state, known := w.runners[runner]
+	if !known {
+		state = &runnerState{controller: credit.NewController(), running: map[*execution]struct{}{}}
+		w.runners[runner] = state
+	}
+	return state
+}
+
+// grants asks for the credits of every runner, in a fixed order.
+func (w *Worker) grants(now time.Time) []grant {
+	grants := make([]grant, 0, len(w.runners))
+	for runner, state := range w.runners {
+		view, known := w.config.Table.Runner(runner, now)
+		if !known || !state.owned {
+			state.granted = 0
+			grants = append(grants, grant{runner: runner, state: state})
+			continue
+		}
+		input := credit.Input{
+			KnownOnline:  view.OwnInFlight + view.PeersInFlight,
+			Report:       view.Report,
+			RunningBatch: len(state.running),
+			Leaving:      view.Leaving || view.Ejected,
+		}
+		credits := state.controller.Decide(input, now)
+		state.granted = credits.Sequences
+		grants = append(grants, grant{runner: runner, state: state, view: view, credits: credits})
+	}
+	slices.SortFunc(grants, func(a, b grant) int { return cmp.Compare(a.runner, b.runner) })
+	return grants
+}
+
+// preempt aborts what runs above the credits. A leaving runner finishes what it has: it only takes nothing new.
+func (w *Worker) preempt(grants []grant) {
+	for _, granted := range grants {
+		if granted.view.Leaving {
+			continue
+		}
+		surplus := len(granted.state.running) - granted.credits.Sequences
+		if surplus <= 0 {
+			continue
+		}
+		w.preemptSome(granted.state, surplus)
+	}
+}
+
+// preemptSome ends up to surplus runs, counting those that are ending already. The youngest go first: they lose least
+// should the engine not keep their tokens. Non-repeatable items stay, since a lost resumption would leave their
+// outcome unknown; nonRepeatableShare bounds how many there are.
+func (w *Worker) preemptSome(state *runnerState, surplus int) {
+	running := make([]*execution, 0, len(state.running))
+	for candidate := range state.running {
+		if candidate.preempted {
+			surplus--
+			continue
+		}
+		if candidate.item.request.Repeatable {
+			running = append(running, candidate)
+		}
+	}
+	slices.SortFunc(running, func(a, b *execution) int { return cmp.Compare(b.order, a.order) })
+	for _, chosen := range running[:max(0, min(surplus, len(running)))] {
+		chosen.preempted = true
+		chosen.cancel(errPreempted)
+		w.metrics.preempted()
+	}
+}
+
+// startItems fills the credits of every runner.
+//
+// Invariant: a runner never carries more runs than its credits when one is started; runs being preempted still count.
+func (w *Worker) startItems(grants []grant, now time.Time) {
+	for _, granted := range grants {
+		if !granted.mayStart(now) {
+			continue
+		}
+		for len(granted.state.running) < granted.credits.Sequences {
+			if !w.startOne(&granted, now) {
+				break
+			}
+		}
+	}
+}
+
+func (g *grant) mayStart(now time.Time) bool {
+	state := g.state
+	return state.owned && !g.view.Leaving && state.epoch != state.fencedEpoch && !now.Before(state.pausedUntil)
+}
+
+// nonRepeatableShare is the part of a runner's sequences that items which can't be preempted may take.
+const nonRepeatableShare = 1.0 / 16
+
+// startOne starts the next item that suits the runner, or reports that there is none.
+func (w *Worker) startOne(granted *grant, now time.Time) bool {
+	if len(w.book.queue) == 0 {
+		return false
+	}
+	target, found := w.config.Engines.Engine(granted.runner)
+	if !found {
+		return false
+	}
+	fits := func(candidate *item) bool { return granted.fits(candidate) }
+	chosen := w.book.next(granted.runner, fits, now)
+	if chosen == nil {
+		return false
+	}
+	w.launch(newExecution(chosen, granted.runner, target, granted.state.epoch), granted.state)
+	return true
+}
+
+// fits reports whether the runner can take the item within its credits. An item whose prompt is larger than the
+// prefill credit may still start alone.
+func (g *grant) fits(candidate *item) bool {
+	if !suits(&g.view, candidate.request) {
+		return false
+	}
+	if !candidate.request.Repeatable && g.nonRepeatable() >= g.nonRepeatableLimit() {
+		return false
+	}
+	return g.state.prefill == 0 || g.state.prefill+candidate.request.PromptTokens <= g.credits.PrefillTokens
+}
+
+func (g *grant) nonRepeatable() int {
+	count := 0
+	for running := range g.state.running {
+		if !running.item.request.Repeatable {
+			count++
+		}
+	}
+	return count
+}
+
+func (g *grant) nonRepeatableLimit() int {
+	return max(1, int(float64(g.view.Report.MaxSequences)*nonRepeatableShare))
+}
+
+// launch runs an item in a goroutine of its own.
+func (w *Worker) launch(started *execution, state *runnerState) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	w.launched++
+	started.order = w.launched
+	started.cancel = cancel
+	state.running[started] = struct{}{}
+	state.prefill += started.item.request.PromptTokens
+	started.prefilling = true
+	started.started = func() { w.post(func() { endPrefill(state, started) }) }
+	w.tomb.Go(func() error {
+		defer cancel(nil)
+		started.run(ctx)
+		w.post(func() { w.ended(started, state) })
+		return nil
+	})
+}
+
+func endPrefill(state *runnerState, started *execution) {
+	if started.prefilling {
+		started.prefilling = false
+		state.prefill -= started.item.request.PromptTokens
+	}
+}
--- /dev/null
+++ b/internal/credit/credit.go
@@ -0,0 +1,142 @@
+// Package credit decides how much batch work one runner may carry now. It is pure: the figures and the time go in, the
+// credits come out. The runner's owner asks it whenever anything changes, so credits are revoked the moment online work
+// is known, without waiting for a load report.
+package credit
+
+import (
+	"math"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/engine"
+)
+
+// Input is what the owner of a runner knows now.
+type Input struct {
+	// KnownOnline counts online requests on the runner by the owner's own dispatches and its peers' hints.
+	KnownOnline int
+	// Report is the newest load report, or nil. It must not be changed.
+	Report *engine.LoadReport
+	// RunningBatch counts the batch sequences the owner has on the runner.
+	RunningBatch int
+	// Leaving says that the runner takes no new work.
+	Leaving bool
+}
+
+// Credits is the batch work a runner may carry.
+type Credits struct {
+	// Sequences bounds the batch sequences that may run. Those above it are to be preempted at once.
+	Sequences int
+	// PrefillTokens bounds the prompt tokens of batch items that were sent and have given no token yet.
+	PrefillTokens int
+}
+
+// Parameters of the controller.
+const (
+	// maxReportAge is the age at which a load report counts no more; without one there are no credits.
+	maxReportAge = 5 * time.Second
+	// reserveShare is the least share of a runner's sequences kept free for online arrivals.
+	reserveShare = 1.0 / 64
+	// reserveOfRise is the part of the largest recent rise of online work that is kept free for the next one.
+	reserveOfRise = 0.5
+	// riseHalfLife is the time in which the memory of a rise halves.
+	riseHalfLife = 2 * time.Second
+	// riseWindow is the time within which arrivals count as one rise: about what it takes to preempt.
+	riseWindow = 50 * time.Millisecond
+	// prefillAlone and prefillBeside bound outstanding batch prefill without and with online work on the runner.
+	prefillAlone  = 32768
+	prefillBeside = 4096
+	// memoryFull is the share of the KV cache in use above which batch may not grow.
+	memoryFull = 0.95
+	// stepTarget is the decode step time, in the presence of online work, above which batch shrinks. It leaves room
+	// under the 47 ms between tokens.
+	stepTarget = 40 * time.Millisecond
+	// stepShrink and stepGrow change the step limit once for each report.
+	stepShrink = 0.85
+	stepGrow   = 1.0 / 16
+)
+
+// Controller decides the credits of one runner. It belongs to one goroutine.
+type Controller struct {
+	history  history
+	rise     float64
+	riseTime time.Time
+	// stepLimit is the share of the runner's sequences that batch may use as the step time allows.
+	stepLimit    float64
+	lastMeasured time.Time
+}
+
+// NewController returns the controller of a runner nothing is known of yet.
+func NewController() *Controller { return &Controller{stepLimit: 1} }
+
+// Decide returns the credits now. Calls must not go back in time.
+func (c *Controller) Decide(input Input, now time.Time) Credits {
+	c.history.add(now, input.KnownOnline)
+	c.trackRise(now)
+	report := input.Report
+	if input.Leaving || report == nil || now.Sub(report.Measured) > maxReportAge {
+		return Credits{}
+	}
+	online := input.KnownOnline + c.unexplained(report)
+	c.trackStep(report, online)
+	capacity := float64(report.MaxSequences)
+	free := capacity - float64(online) - c.reserve(capacity)
+	free = min(free, math.Floor(capacity*c.stepLimit))
+	sequences := max(0, int(free))
+	if c.surging(report, online) {
+		sequences = 0
+	}
+	if report.MemoryUsed >= memoryFull {
+		sequences = min(sequences, input.RunningBatch)
+	}
+	return Credits{Sequences: sequences, PrefillTokens: prefillLimit(online)}
+}
+
+// surging reports whether online work waits on the engine, as far as is known: then batch gets nothing.
+func (c *Controller) surging(report *engine.LoadReport, online int) bool {
+	if online >= report.MaxSequences {
+		return true
+	}
+	return report.WaitingOnline > 0 && c.unexplained(report)+c.history.last() > 0
+}
+
+// unexplained returns the online work of the report beyond what the owner knew when it was measured. What the owner
+// knew is not counted again: the report lags, and its requests may long have ended.
+func (c *Controller) unexplained(report *engine.LoadReport) int {
+	reported := report.RunningOnline + report.WaitingOnline
+	return max(0, reported-c.history.mostAround(report.Measured))
+}
+
+// reserve returns the sequences to keep free for online arrivals.
+func (c *Controller) reserve(capacity float64) float64 {
+	least := math.Ceil(capacity * reserveShare)
+	return max(least, math.Ceil(reserveOfRise*c.rise))
+}
+
+// trackRise remembers the largest recent rise of online work, fading with time.
+func (c *Controller) trackRise(now time.Time) {
+	if !c.riseTime.IsZero() {
+		c.rise *= math.Exp2(-now.Sub(c.riseTime).Seconds() / riseHalfLife.Seconds())
+	}
+	c.riseTime = now
+	c.rise = max(c.rise, float64(c.history.riseWithin(riseWindow)))
+}
+
+// trackStep adapts the step limit once for each new report.
+func (c *Controller) trackStep(report *engine.LoadReport, online int) {
+	if !report.Measured.After(c.lastMeasured) {
+		return
+	}
+	c.lastMeasured = report.Measured
+	if online > 0 && report.StepTime > stepTarget {
+		c.stepLimit = max(reserveShare, c.stepLimit*stepShrink)
+		return
+	}
+	c.stepLimit = min(1, c.stepLimit+stepGrow)
+}
+
+func prefillLimit(online int) int {
+	if online == 0 {
+		return prefillAlone
+	}
+	return prefillBeside
+}
--- a/internal/dispatch/peercounts.go
+++ b/internal/dispatch/peercounts.go
@@ -22,16 +22,18 @@
 	counts map[ident.Node]peerCount
 }
 
-// set takes a peer's count. A count older than the one held is ignored: messages may overtake each other.
-func (p *peerCounts) set(peer ident.Node, sequence uint64, inFlight int, now time.Time) {
+// set takes a peer's count and reports whether it grew. A count older than the one held is ignored: messages may overtake each other.
+func (p *peerCounts) set(peer ident.Node, sequence uint64, inFlight int, now time.Time) bool {
 	held, known := p.counts[peer]
-	if known && now.Before(held.until) && sequence <= held.sequence {
-		return
+	live := known && now.Before(held.until)
+	if live && sequence <= held.sequence {
+		return false
 	}
 	if p.counts == nil {
 		p.counts = map[ident.Node]peerCount{}
 	}
 	p.counts[peer] = peerCount{sequence: sequence, inFlight: inFlight, until: now.Add(hintTime)}
+	return inFlight > 0 && (!live || inFlight > held.inFlight)
 }
 
 // sum returns the online requests of all peers, and forgets counts that ran out.
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -28,6 +28,8 @@
 	started bool
 	// onlineChanged is called, without the lock, when this node's online work on a runner changed.
 	onlineChanged []func(runner ident.Runner, inFlight int)
+	// onlineRose is called, without the lock, when online work on a runner is known to have grown, here or at a peer.
+	onlineRose []func(runner ident.Runner)
 	// leavingLearned is called, without the lock, when this node is the first to learn that a runner is leaving.
 	leavingLearned []func(runner ident.Runner)
 }
@@ -62,6 +64,12 @@
 	t.onlineChanged = append(t.onlineChanged, changed)
 }
 
+// OnOnlineRise registers a function called whenever online work on a runner is known to have grown, here or at a peer.
+// It must not block and must be registered before the table is used.
+func (t *Table) OnOnlineRise(rose func(runner ident.Runner)) {
+	t.onlineRose = append(t.onlineRose, rose)
+}
+
 // OnLeaving registers a function called when this node learns at first hand that a runner is leaving. It must not
 // block and must be registered before the table is used.
 func (t *Table) OnLeaving(learned func(runner ident.Runner)) {
@@ -169,7 +177,11 @@
 
 // ObservePeer takes a peer's count of its online requests on a runner.
 func (t *Table) ObservePeer(peer ident.Node, sequence uint64, runner ident.Runner, inFlight int, now time.Time) {
-	t.with(runner, func(known *entry) { known.peers.set(peer, sequence, inFlight, now) })
+	rose := false
+	t.with(runner, func(known *entry) { rose = known.peers.set(peer, sequence, inFlight, now) })
+	if rose {
+		t.tellRise(runner)
+	}
 }
 
 // ObserveBusy records that the runner refused work because it is full.
@@ -247,6 +259,15 @@
 	for _, changed := range t.onlineChanged {
 		changed(runner, inFlight)
 	}
+	if by > 0 {
+		t.tellRise(runner)
+	}
+}
+
+func (t *Table) tellRise(runner ident.Runner) {
+	for _, rose := range t.onlineRose {
+		rose(runner)
+	}
 }
 
 func (t *Table) tellLeaving(runners []ident.Runner) {
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/engine"
@@ -98,3 +99,8 @@
 	}
 	return view
 }
+
+// Holds reports whether the runner had the model, and the adapter unless it is empty, at its last report.
+func (v *RunnerView) Holds(model, adapter string) bool {
+	return holds(v.Report, model) && (adapter == "" || slices.Contains(v.Report.Adapters, adapter))
+}
