--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,7 +11,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
-	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
@@ -106,7 +105,7 @@
 	random      *rand.Rand
 
 	// background supervises aborts that outlive their request.
-	background tomb.Tomb
+	background *Background
 	running    inFlight
 }
 
@@ -119,20 +118,13 @@
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
-	dispatcher := &Dispatcher{
-		config:  config,
-		budget:  newRetryBudget(),
-		metrics: newMetrics(config.Registerer),
-		random:  rand.New(rand.NewPCG(config.Seed, config.Seed)),
+	return &Dispatcher{
+		config:     config,
+		budget:     newRetryBudget(),
+		metrics:    newMetrics(config.Registerer),
+		random:     rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		background: NewBackground(),
 	}
-	dispatcher.background.Go(dispatcher.waitClose)
-	return dispatcher
-}
-
-// waitClose keeps the tomb alive between background calls.
-func (d *Dispatcher) waitClose() error {
-	<-d.background.Dying()
-	return nil
 }
 
 // Dispatch runs a request and passes its answer to the sink. The error is a *failure.Error that states whether the
@@ -180,20 +172,11 @@
 func (d *Dispatcher) InFlight() int { return d.running.count() }
 
 // Close waits for background aborts to end. Requests in flight should have been drained before.
-func (d *Dispatcher) Close() error {
-	d.background.Kill(nil)
-	return d.background.Wait()
-}
+func (d *Dispatcher) Close() error { return d.background.Close() }
 
 // abortLater frees the work of a request on a runner without holding up the caller.
 func (d *Dispatcher) abortLater(target engine.Engine, request ident.Request) {
-	if !d.background.Alive() {
-		return
-	}
-	d.background.Go(func() error {
-		d.abort(target, request)
-		return nil
-	})
+	d.background.Go(func() { d.abort(target, request) })
 }
 
 func (d *Dispatcher) abort(target engine.Engine, request ident.Request) {
--- /dev/null
+++ b/internal/dispatch/exchange/coalescer.go
@@ -0,0 +1,132 @@
+package exchange
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+const (
+	// coalesceTime is how long a change that is no surge waits for others.
+	coalesceTime = 20 * time.Millisecond
+	// renewTime is how often a count above zero is told again. Peers forget it after several times that.
+	renewTime = 2 * time.Second
+	// surgeStep is the rise beyond twice the count last told that is told at once.
+	surgeStep = 2
+)
+
+// coalescer decides when which counts are told. It is pure but for its own state and belongs to one goroutine.
+//
+// Invariant: a count that rose from idle, or by a surge, is due at the moment of the change.
+type coalescer struct {
+	counts map[ident.Runner]*told
+}
+
+// told is the count of one runner, what was told of it, and when to tell it again.
+type told struct {
+	current int
+	last    int
+	due     time.Time
+	dirty   bool
+}
+
+func newCoalescer() *coalescer { return &coalescer{counts: map[ident.Runner]*told{}} }
+
+// changed takes a new count and reports whether it must be told at once.
+func (c *coalescer) changed(runner ident.Runner, current int, now time.Time) bool {
+	count, known := c.counts[runner]
+	if !known {
+		count = &told{}
+		c.counts[runner] = count
+	}
+	count.current = current
+	urgent := current > 0 && (count.last == 0 || current >= 2*count.last+surgeStep)
+	due := now.Add(coalesceTime)
+	if urgent {
+		due = now
+	}
+	if !count.dirty || due.Before(count.due) {
+		count.due = due
+	}
+	count.dirty = true
+	return urgent
+}
+
+// take returns the counts to tell now, by owner. With a count that is due, the other changed ones of its owner go
+// along. skip reports owners that still have a message on its way; their counts stay.
+func (c *coalescer) take(now time.Time, owner func(ident.Runner) (ident.Node, bool), skip func(ident.Node) bool) map[ident.Node]map[ident.Runner]int {
+	messages := map[ident.Node]map[ident.Runner]int{}
+	for runner, count := range c.counts {
+		if now.Before(count.due) {
+			continue
+		}
+		node, known := owner(runner)
+		if !known {
+			count.due = now.Add(renewTime)
+			continue
+		}
+		if skip(node) {
+			continue
+		}
+		addCount(messages, node, runner, count.current)
+	}
+	for runner, count := range c.counts {
+		node, known := owner(runner)
+		if _, going := messages[node]; known && going && count.dirty {
+			messages[node][runner] = count.current
+		}
+	}
+	return messages
+}
+
+func addCount(messages map[ident.Node]map[ident.Runner]int, node ident.Node, runner ident.Runner, current int) {
+	if messages[node] == nil {
+		messages[node] = map[ident.Runner]int{}
+	}
+	messages[node][runner] = current
+}
+
+// sent records that a message is on its way.
+func (c *coalescer) sent(counts map[ident.Runner]int, now time.Time) {
+	for runner, current := range counts {
+		count := c.counts[runner]
+		count.last = current
+		count.dirty = false
+		count.due = now.Add(renewTime)
+	}
+}
+
+// delivered forgets runners that were told to be idle.
+func (c *coalescer) delivered(counts map[ident.Runner]int) {
+	for runner, current := range counts {
+		count, known := c.counts[runner]
+		if known && current == 0 && count.current == 0 && !count.dirty {
+			delete(c.counts, runner)
+		}
+	}
+}
+
+// failed makes the counts of a lost message due again after a pause.
+func (c *coalescer) failed(counts map[ident.Runner]int, now time.Time) {
+	for runner := range counts {
+		if count, known := c.counts[runner]; known {
+			count.last = 0
+			count.dirty = true
+			count.due = now.Add(failurePause)
+		}
+	}
+}
+
+// failurePause is the wait before a lost message is sent again.
+const failurePause = 200 * time.Millisecond
+
+// nextDue returns when the next count is due, or false if none is.
+func (c *coalescer) nextDue() (time.Time, bool) {
+	var next time.Time
+	for _, count := range c.counts {
+		if next.IsZero() || count.due.Before(next) {
+			next = count.due
+		}
+	}
+	return next, !next.IsZero()
+}
--- /dev/null
+++ b/internal/dispatch/exchange/metrics.go
@@ -0,0 +1,44 @@
+package exchange
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+)
+
+// sized is a message whose bytes are counted.
+type sized = proto.Message
+
+// metrics counts messages and polls.
+type metrics struct {
+	messages *prometheus.CounterVec
+	bytes    *prometheus.CounterVec
+	polls    *prometheus.CounterVec
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	vector := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+	}
+	created := &metrics{
+		messages: vector("mallowlatch_exchange_messages_total", "Messages sent to peers, by kind.", "kind"),
+		bytes:    vector("mallowlatch_exchange_payload_bytes_total", "Payload bytes sent to peers, by kind, without transport overhead.", "kind"),
+		polls:    vector("mallowlatch_exchange_polls_total", "Load reports asked of runners, by result.", "result"),
+	}
+	if registerer != nil {
+		registerer.MustRegister(created.messages, created.bytes, created.polls)
+	}
+	return created
+}
+
+func (m *metrics) sent(kind string, message sized) {
+	m.messages.WithLabelValues(kind).Inc()
+	m.bytes.WithLabelValues(kind).Add(float64(proto.Size(message)))
+}
+
+func (m *metrics) polled(err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.polls.WithLabelValues(result).Inc()
+}
--- /dev/null
+++ b/internal/dispatch/exchange/poll.go
@@ -0,0 +1,147 @@
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+const (
+	// planTick is how often the plans are looked at.
+	planTick = 25 * time.Millisecond
+	// maxPolls bounds the load requests on their way at once.
+	maxPolls = 32
+	// pollTimeout bounds one load request.
+	pollTimeout = 2 * time.Second
+)
+
+// pollPlan decides which runners are asked for their load. It is pure but for its own state.
+type pollPlan struct {
+	intervals Intervals
+	polling   map[ident.Runner]bool
+	last      map[ident.Runner]time.Time
+}
+
+func newPollPlan(intervals Intervals) pollPlan {
+	return pollPlan{intervals: intervals, polling: map[ident.Runner]bool{}, last: map[ident.Runner]time.Time{}}
+}
+
+// due returns the runners to ask now, those of the own zone first.
+func (p *pollPlan) due(views []dispatch.RunnerView, zone ident.Zone, owns func(ident.Runner) (own, ownerless bool), now time.Time) []ident.Runner {
+	p.forget(views)
+	var wanted []dispatch.RunnerView
+	for _, view := range views {
+		if !p.polling[view.ID] && p.wants(&view, zone, owns, now) {
+			wanted = append(wanted, view)
+		}
+	}
+	slices.SortStableFunc(wanted, func(a, b dispatch.RunnerView) int {
+		return cmp.Compare(rank(a.Zone == zone), rank(b.Zone == zone))
+	})
+	var chosen []ident.Runner
+	for _, view := range wanted[:min(len(wanted), max(0, maxPolls-len(p.polling)))] {
+		p.polling[view.ID] = true
+		p.last[view.ID] = now
+		chosen = append(chosen, view.ID)
+	}
+	return chosen
+}
+
+func rank(first bool) int {
+	if first {
+		return 0
+	}
+	return 1
+}
+
+// wants reports whether a runner's report is older than this node may let it be.
+func (p *pollPlan) wants(view *dispatch.RunnerView, zone ident.Zone, owns func(ident.Runner) (own, ownerless bool), now time.Time) bool {
+	since := now.Sub(p.last[view.ID])
+	own, ownerless := owns(view.ID)
+	if own || view.ProbeDue || (ownerless && view.Zone == zone) {
+		return since >= p.intervals.PollOwned
+	}
+	stale := p.intervals.StaleFar
+	if view.Zone == zone {
+		stale = p.intervals.StaleNear
+	}
+	return (view.Report == nil && since >= defaultRetryUnknown) || (view.Report != nil && view.ReportAge >= stale && since >= stale)
+}
+
+// defaultRetryUnknown is the time between tries to get the first report of a runner this node does not own.
+const defaultRetryUnknown = time.Second
+
+func (p *pollPlan) forget(views []dispatch.RunnerView) {
+	if len(p.last) <= len(views) {
+		return
+	}
+	listed := map[ident.Runner]bool{}
+	for _, view := range views {
+		listed[view.ID] = true
+	}
+	for runner := range p.last {
+		if !listed[runner] {
+			delete(p.last, runner)
+		}
+	}
+}
+
+// periodicLoop polls runners and shares their states.
+func (e *Exchange) periodicLoop() error {
+	ticker := time.NewTicker(planTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		now := e.config.Now()
+		views := e.config.Table.Runners(now)
+		e.mutex.Lock()
+		due := e.polls.due(views, e.config.Zone, e.owns, now)
+		e.mutex.Unlock()
+		for _, runner := range due {
+			e.tomb.Go(func() error {
+				e.poll(runner)
+				return nil
+			})
+		}
+		e.share(views, now)
+	}
+}
+
+func (e *Exchange) owns(runner ident.Runner) (own, ownerless bool) {
+	owner, known := e.config.Peers.Owner(runner)
+	return known && owner == e.config.Node, !known
+}
+
+// poll asks one runner for its load. For an ejected runner this is the probe.
+func (e *Exchange) poll(runner ident.Runner) {
+	defer func() {
+		e.mutex.Lock()
+		delete(e.polls.polling, runner)
+		e.mutex.Unlock()
+	}()
+	target, found := e.config.Engines.Engine(runner)
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), pollTimeout)
+	defer cancel()
+	report, err := target.Load(ctx)
+	now := e.config.Now()
+	e.metrics.polled(err)
+	e.config.Table.ObserveProbe(runner, now, err == nil)
+	if err != nil {
+		if e.tomb.Alive() {
+			e.config.Table.ObserveFailure(runner, now)
+		}
+		return
+	}
+	e.config.Table.ObserveReport(runner, report, now)
+}
--- /dev/null
+++ b/internal/dispatch/exchange/share.go
@@ -0,0 +1,141 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+// sharePlan decides which peers are told the state of the own runners. It is pure but for its own state.
+type sharePlan struct {
+	intervals Intervals
+	last      map[ident.Node]time.Time
+}
+
+func newSharePlan(intervals Intervals) sharePlan {
+	return sharePlan{intervals: intervals, last: map[ident.Node]time.Time{}}
+}
+
+// maxShares bounds the peers told in one look, which spreads the messages over the interval.
+const maxShares = 8
+
+// due returns the peers to tell now.
+func (s *sharePlan) due(peers []Peer, zone ident.Zone, now time.Time) []ident.Node {
+	s.forget(peers)
+	var due []ident.Node
+	for _, peer := range peers {
+		interval := s.intervals.ShareFar
+		if peer.Zone == zone {
+			interval = s.intervals.ShareNear
+		}
+		if now.Sub(s.last[peer.Node]) < interval || len(due) >= maxShares {
+			continue
+		}
+		s.last[peer.Node] = now
+		due = append(due, peer.Node)
+	}
+	return due
+}
+
+func (s *sharePlan) forget(peers []Peer) {
+	if len(s.last) <= len(peers) {
+		return
+	}
+	live := map[ident.Node]bool{}
+	for _, peer := range peers {
+		live[peer.Node] = true
+	}
+	for node := range s.last {
+		if !live[node] {
+			delete(s.last, node)
+		}
+	}
+}
+
+// share tells due peers the state of the runners this node owns.
+func (e *Exchange) share(views []dispatch.RunnerView, now time.Time) {
+	if e.config.Dialer == nil {
+		return
+	}
+	e.mutex.Lock()
+	due := e.shares.due(e.config.Peers.Peers(), e.config.Zone, now)
+	e.mutex.Unlock()
+	if len(due) == 0 {
+		return
+	}
+	message := e.ownedStates(views)
+	if len(message.States) == 0 {
+		return
+	}
+	for _, peer := range due {
+		e.tomb.Go(func() error {
+			e.callPeer(peer, "share", message, func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
+				_, err := client.Share(ctx, message)
+				return err
+			})
+			return nil
+		})
+	}
+}
+
+func (e *Exchange) ownedStates(views []dispatch.RunnerView) *dispatchpb.RunnerStates {
+	message := &dispatchpb.RunnerStates{}
+	for index := range views {
+		view := &views[index]
+		if own, _ := e.owns(view.ID); own && view.Report != nil {
+			message.States = append(message.States, encodeState(view))
+		}
+	}
+	return message
+}
+
+// leavingLearned tells every peer at once that a runner takes no new work.
+func (e *Exchange) leavingLearned(runner ident.Runner) {
+	event.RunnerLeaving.Log(e.config.Logger).Str("runner", string(runner)).Send()
+	if e.config.Dialer == nil {
+		return
+	}
+	message := &dispatchpb.LeavingRunners{Runners: []string{string(runner)}}
+	peers := e.config.Peers.Peers()
+	for worker := range min(leavingSenders, len(peers)) {
+		e.background.Go(func() {
+			for index := worker; index < len(peers); index += leavingSenders {
+				e.tellLeaving(peers[index].Node, message)
+			}
+		})
+	}
+}
+
+// leavingSenders is how many peers are told at the same time.
+const leavingSenders = 16
+
+// tellLeaving tells one peer, once more if the first message was lost. A peer missed twice learns it from the owner's
+// share, the machine list, or a refusal by the runner itself.
+func (e *Exchange) tellLeaving(peer ident.Node, message *dispatchpb.LeavingRunners) {
+	call := func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
+		_, err := client.Leaving(ctx, message)
+		return err
+	}
+	if e.callPeer(peer, "leaving", message, call) != nil && e.tomb.Alive() {
+		_ = e.callPeer(peer, "leaving", message, call)
+	}
+}
+
+// callPeer makes one bounded call.
+func (e *Exchange) callPeer(peer ident.Node, kind string, message sized, call func(context.Context, dispatchpb.DRPCRunnerExchangeClient) error) error {
+	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), callTimeout)
+	defer cancel()
+	client, err := e.client(ctx, peer)
+	if err == nil {
+		e.metrics.sent(kind, message)
+		err = call(ctx, client)
+	}
+	if err != nil {
+		event.PeerHintFailed.Log(e.config.Logger).Err(err).Str("peer", string(peer)).Str("kind", kind).Send()
+	}
+	return err
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -29,6 +29,9 @@
 
 // failed records a failure that points at the runner or the way to it.
 func (h *health) failed(now time.Time) {
+	if h.ejected {
+		return
+	}
 	h.failures++
 	recovering := !h.startedAt.IsZero() && now.Sub(h.startedAt) < slowStartTime && h.ejections > 0
 	if h.failures < failuresToEject && !recovering {
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -141,8 +141,18 @@
 	}
 }
 
-// ObserveReport takes a load report that the runner gave or its owner shared.
+// ObserveReport takes a load report that the runner gave this node.
 func (t *Table) ObserveReport(runner ident.Runner, report engine.LoadReport, now time.Time) {
+	t.observeReport(runner, report, true, now)
+}
+
+// ObserveShared takes a load report that a peer passed on. Its owner tells everyone of a leaving runner, so this node
+// does not.
+func (t *Table) ObserveShared(runner ident.Runner, report engine.LoadReport, now time.Time) {
+	t.observeReport(runner, report, false, now)
+}
+
+func (t *Table) observeReport(runner ident.Runner, report engine.LoadReport, firstHand bool, now time.Time) {
 	t.mutex.Lock()
 	known, found := t.runners[runner]
 	if !found || (known.report != nil && report.Measured.Before(known.report.Measured)) {
@@ -153,7 +163,7 @@
 	known.report = &report
 	known.reportedAt = now
 	known.leaving.report(report.Leaving, report.Measured)
-	learned := !before && known.leaving.is(now)
+	learned := firstHand && !before && known.leaving.is(now)
 	t.mutex.Unlock()
 	if learned {
 		t.tellLeaving([]ident.Runner{runner})
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -58,6 +58,8 @@
 	Address string
 	Leaving bool
 	Ejected bool
+	// ProbeDue says that the runner is ejected and should be probed.
+	ProbeDue bool
 	// OwnInFlight and PeersInFlight count online requests of this node and of its peers.
 	OwnInFlight, PeersInFlight int
 	// Report is the newest report, or nil; it must not be changed. ReportAge is its age.
@@ -91,6 +93,7 @@
 	view := RunnerView{
 		ID: e.id, Zone: e.zone, Address: e.address,
 		Leaving: e.leaving.is(now), Ejected: e.health.ejected,
+		ProbeDue:    e.health.probeDue(now),
 		OwnInFlight: e.own, PeersInFlight: e.peers.sum(now),
 		Report: e.report,
 	}
