--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"mallowlatch.example/mallowlatch/internal/auth"
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -108,12 +109,12 @@
 	if len(header) < len(bearerPrefix) || !strings.EqualFold(header[:len(bearerPrefix)], bearerPrefix) {
 		return failure.New(failure.CodeInvalidKey, "an API key is required: Authorization: Bearer KEY")
 	}
-	key, err := e.gateway.options.Authenticate(e.snapshot, strings.TrimSpace(header[len(bearerPrefix):]))
+	key, err := auth.Authenticate(e.snapshot, strings.TrimSpace(header[len(bearerPrefix):]))
 	if err != nil {
 		return failure.New(failure.CodeInvalidKey, "the API key is not known").WithCause(err)
 	}
-	if key.Role != catalog.RoleCaller {
-		return failure.New(failure.CodeForbidden, "the API key has the role %s, which may not use the caller API", key.Role)
+	if err := auth.Require(key, auth.PermissionInfer); err != nil {
+		return failure.New(failure.CodeForbidden, "the API key has the role %s, which may not use the caller API", key.Role).WithCause(err)
 	}
 	if _, known := e.snapshot.Tenants[key.Tenant]; !known {
 		return failure.New(failure.CodeForbidden, "the tenant of the API key does not exist")
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -17,18 +17,18 @@
 	"github.com/openai/openai-go/option"
 	"gotest.tools/v3/assert"
 
+	"mallowlatch.example/mallowlatch/internal/auth"
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
-	"mallowlatch.example/mallowlatch/internal/ledger"
 	"mallowlatch.example/mallowlatch/internal/request"
 )
 
 const (
 	testKey     = "mlk_test"
-	errNoSuch   = failure.Kind("fake: unknown key")
+	adminKey    = "mlk_admin"
 	testService = "assistant"
 )
 
@@ -40,22 +40,14 @@
 func testSnapshot() *catalog.Snapshot {
 	snapshot := catalog.Empty()
 	snapshot.Tenants["palermo"] = catalog.Tenant{Name: "palermo"}
+	snapshot.Keys[auth.Digest(testKey)] = catalog.Key{Tenant: "palermo", Role: catalog.RoleCaller, Digest: auth.Digest(testKey)}
+	snapshot.Keys[auth.Digest(adminKey)] = catalog.Key{Tenant: "palermo", Role: catalog.RoleAdmin, Digest: auth.Digest(adminKey)}
 	snapshot.Services[testService] = catalog.Service{Name: testService, Model: "llama", MaxTokens: 64, Repeatable: true}
 	snapshot.Services["bookings"] = catalog.Service{Name: "bookings", Model: "llama", Tenants: []ident.Tenant{"palermo"}}
 	snapshot.Services["private"] = catalog.Service{Name: "private", Model: "llama", Tenants: []ident.Tenant{"other"}}
 	return snapshot
 }
 
-func authenticate(_ *catalog.Snapshot, bearer string) (catalog.Key, error) {
-	switch bearer {
-	case testKey:
-		return catalog.Key{Tenant: "palermo", Role: catalog.RoleCaller}, nil
-	case "mlk_admin":
-		return catalog.Key{Tenant: "palermo", Role: catalog.RoleAdmin}, nil
-	}
-	return catalog.Key{}, errNoSuch
-}
-
 // chunkOf writes one token in the dialect of the endpoint.
 func chunkOf(endpoint inference.Endpoint, offset int, text string, final bool) inference.Chunk {
 	finish := "null"
@@ -84,55 +76,6 @@
 	return nil
 }
 
-// fakeAggregate joins the text of chunks; it stands in for the dispatcher's.
-type fakeAggregate struct {
-	endpoint inference.Endpoint
-	text     strings.Builder
-	final    *inference.Chunk
-	stored   *ledger.Answer
-}
-
-func newFakeAggregate(endpoint inference.Endpoint) Aggregate {
-	return &fakeAggregate{endpoint: endpoint}
-}
-
-func (a *fakeAggregate) Chunk(chunk inference.Chunk) error {
-	var parsed struct {
-		Choices []struct {
-			Text  string
-			Delta struct{ Content string }
-		}
-	}
-	if err := json.Unmarshal(chunk.Data, &parsed); err != nil {
-		return err
-	}
-	a.text.WriteString(parsed.Choices[0].Text + parsed.Choices[0].Delta.Content)
-	if chunk.Final {
-		a.final = &chunk
-	}
-	return nil
-}
-
-func (a *fakeAggregate) Stored(stored ledger.Answer) error { a.stored = &stored; return nil }
-func (a *fakeAggregate) Reset() bool                       { a.text.Reset(); return true }
-
-func (a *fakeAggregate) Answer() (ledger.Answer, error) {
-	if a.stored != nil {
-		return *a.stored, nil
-	}
-	if a.final == nil {
-		return ledger.Answer{}, errNoSuch
-	}
-	quoted, _ := json.Marshal(a.text.String())
-	usage, _ := json.Marshal(a.final.Usage)
-	content := fmt.Sprintf(`"message":{"role":"assistant","content":%s}`, quoted)
-	if a.endpoint == inference.Completions {
-		content = fmt.Sprintf(`"text":%s`, quoted)
-	}
-	body := fmt.Appendf(nil, `{"id":"cmpl-1","object":"chat.completion","created":1,"model":"llama","choices":[{"index":0,%s,"finish_reason":"stop"}],"usage":%s}`, content, usage)
-	return ledger.Answer{Status: http.StatusOK, Body: body}, nil
-}
-
 // fakeJobs is a job store in memory that runs nothing.
 type fakeJobs struct {
 	mutex sync.Mutex
@@ -259,11 +202,9 @@
 func newSite(t testing.TB, dispatch DispatchFunc, change func(*Options)) *site {
 	jobs := newFakeJobs()
 	options := Options{
-		Source:       staticSource{testSnapshot()},
-		Dispatcher:   dispatch,
-		NewAggregate: newFakeAggregate,
-		Jobs:         jobs,
-		Authenticate: authenticate,
+		Source:     staticSource{testSnapshot()},
+		Dispatcher: dispatch,
+		Jobs:       jobs,
 	}
 	if change != nil {
 		change(&options)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -8,16 +8,14 @@
 	"github.com/rs/zerolog"
 
 	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
-	"mallowlatch.example/mallowlatch/internal/ledger"
+	"mallowlatch.example/mallowlatch/internal/settings"
 )
 
 // Sink receives an answer chunk by chunk, in order, without gap or duplicate.
-type Sink interface {
-	// Chunk takes the next chunk. Its Data is only valid during the call. An error means that the caller is gone.
-	Chunk(chunk inference.Chunk) error
-}
+type Sink = answer.Sink
 
 // Dispatcher runs a request and passes its answer to the sink. The error is a *failure.Error that states whether the
 // request ran. A sink that got chunks before an error has a truncated answer.
@@ -33,17 +31,6 @@
 	return f(ctx, request, sink)
 }
 
-// Aggregate is a Sink that joins the chunks of an answer to one JSON answer.
-type Aggregate interface {
-	Sink
-	// Stored takes a stored whole answer in place of chunks.
-	Stored(stored ledger.Answer) error
-	// Reset forgets every chunk received so far.
-	Reset() bool
-	// Answer returns the whole answer.
-	Answer() (ledger.Answer, error)
-}
-
 // Limits bounds what callers can make the node hold and wait for. Zero values take the defaults of the settings.
 type Limits struct {
 	// BodyBytes bounds a body other than a file; FileBytes bounds a file.
@@ -102,12 +89,8 @@
 	Source catalog.Source
 	// Dispatcher runs online requests.
 	Dispatcher Dispatcher
-	// NewAggregate returns an empty aggregate for the endpoint.
-	NewAggregate func(endpoint inference.Endpoint) Aggregate
 	// Jobs is the job store.
 	Jobs job.Service
-	// Authenticate returns the key whose secret is the bearer token.
-	Authenticate func(snapshot *catalog.Snapshot, bearer string) (catalog.Key, error)
 	// Ready returns nil while the node can serve; nil means always.
 	Ready func() error
 	// Limits bound the callers.
@@ -119,3 +102,17 @@
 	// Registerer gets the metrics; nil registers none.
 	Registerer prometheus.Registerer
 }
+
+// LimitsOf returns the limits that the node's settings give.
+func LimitsOf(limits settings.Limits) Limits {
+	return Limits{
+		BodyBytes:      int64(limits.BodyBytes),
+		FileBytes:      int64(limits.BatchFileBytes),
+		BufferedBytes:  int64(limits.BufferedBodyBytes),
+		Requests:       limits.ConcurrentRequests,
+		Transfers:      limits.ConcurrentUploads,
+		RequestTimeout: limits.RequestTimeout,
+		BodyTimeout:    limits.BodyTimeout,
+		WriteTimeout:   limits.WriteTimeout,
+	}
+}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 
+	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/ledger"
@@ -13,7 +14,7 @@
 
 // wholeAnswer joins an answer and sends it at once.
 func (e *exchange) wholeAnswer(ctx context.Context, decoded *inference.Request) error {
-	sink := &wholeSink{aggregate: e.gateway.options.NewAggregate(decoded.Endpoint), timing: e.gateway.metrics.timing(e)}
+	sink := &wholeSink{aggregate: answer.NewAggregate(decoded.Endpoint), timing: e.gateway.metrics.timing(e)}
 	err := e.dispatch(ctx, decoded, sink, &sink.finisher, func(failed *failure.Error) {
 		e.answerFailure(failed)
 		_ = e.control.Flush()
@@ -24,18 +25,18 @@
 	if err != nil {
 		return err
 	}
-	answer, err := sink.aggregate.Answer()
+	whole, err := sink.aggregate.Answer()
 	if err != nil {
 		return failure.New(failure.CodeStreamInterrupted, "the answer was cut short").WithCause(err).WithOutcome(outcome.Ran)
 	}
-	e.writeJSON(answer.Status, answer.Body)
+	e.writeJSON(whole.Status, whole.Body)
 	return nil
 }
 
 // wholeSink keeps an answer until it is whole. It passes nothing on, so the dispatcher may start over.
 type wholeSink struct {
 	finisher
-	aggregate Aggregate
+	aggregate *answer.Aggregate
 	timing    timing
 }
 
