Carry drpc calls between nodes over mutual TLS

A drpc connection carries one call at a time and reports a lost connection as io.EOF or context.Canceled, which a caller takes for the end of a stream or its own cancel. The pool therefore opens several connections per node, within a bound, and every error says whether the peer may have run the call. Certificates are read again at handshakes. Ruled out: soft cancel (a connection to a frozen peer would be used again); a pool of our own (drpcpool does idle connections well; only bound, backoff and kinds of error are added).

--- /dev/null
+++ b/internal/transport/errors.go
@@ -0,0 +1,54 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"storj.io/drpc/drpcerr"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+)
+
+// Codes of drpc errors on the wire. An error with a code is the peer's answer; one without comes from the connection.
+const (
+	codeRemote  uint64 = 1
+	codeRefused uint64 = 2
+)
+
+func isAny(err error, kinds ...failure.Kind) bool {
+	for _, kind := range kinds {
+		if errors.Is(err, kind) {
+			return true
+		}
+	}
+	return false
+}
+
+// withCode makes sure that an error of a handler carries a code, which tells the client that the call ran.
+func withCode(err error) error {
+	if err == nil || drpcerr.Code(err) != 0 {
+		return err
+	}
+	return drpcerr.WithCode(err, codeRemote)
+}
+
+// classify gives an error of a drpc call its kind. The library reports a lost connection as io.EOF or
+// context.Canceled; neither may leak, because a caller would take them for the end of a stream or its own doing.
+func classify(ctx context.Context, err error) error {
+	if err == nil || err == io.EOF {
+		return err
+	}
+	switch drpcerr.Code(err) {
+	case 0:
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
+		}
+		return fmt.Errorf("%w: %s", ErrBroken, err.Error())
+	case codeRefused:
+		return fmt.Errorf("%w", ErrRefused)
+	default:
+		return fmt.Errorf("%w: %w", ErrRemote, err)
+	}
+}
--- /dev/null
+++ b/internal/transport/tls_test.go
@@ -0,0 +1,92 @@
+package transport_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/transport"
+)
+
+func noAddress(ident.Node) (string, bool) { return "", false }
+
+func whoami(ctx context.Context, _ string) (string, error) {
+	peer, _ := transport.Peer(ctx)
+	return string(peer), nil
+}
+
+func TestMutualIdentity(t *testing.T) {
+	signer := newAuthority(t)
+	_, address := serve(t, &echo{say: whoami}, transport.ServerOptions{Credentials: signer.credentials(t, "b")})
+
+	answer, err := say(limited(t), connect(t, address, transport.PoolOptions{Credentials: signer.credentials(t, "a")}), "")
+	assert.NilError(t, err)
+	assert.Equal(t, answer, "a")
+
+	stranger := newAuthority(t).credentials(t, "a")
+	_, err = say(limited(t), connect(t, address, transport.PoolOptions{Credentials: stranger}), "")
+	assert.Check(t, errors.Is(err, transport.ErrIdentity), "%v", err)
+
+	_, err = say(limited(t), connect(t, address, transport.PoolOptions{}), "")
+	assert.Check(t, errors.Is(err, transport.ErrBroken), "%v", err)
+}
+
+func TestOtherNodeAtTheAddressIsRefused(t *testing.T) {
+	signer := newAuthority(t)
+	_, address := serve(t, &echo{say: whoami}, transport.ServerOptions{Credentials: signer.credentials(t, "c")})
+	options := transport.PoolOptions{Credentials: signer.credentials(t, "a")}
+	_, err := say(limited(t), connect(t, address, options), "")
+	assert.Check(t, errors.Is(err, transport.ErrIdentity), "%v", err)
+	assert.Check(t, transport.NothingSent(err))
+
+	options.Lookup = noAddress
+	pool := transport.NewPool(options)
+	seed, err := pool.ConnAddress(address)
+	assert.NilError(t, err)
+	answer, err := say(limited(t), seed, "")
+	assert.NilError(t, err)
+	assert.Equal(t, answer, "a")
+	assert.NilError(t, pool.Close())
+}
+
+func TestPlainOffLoopbackIsRefused(t *testing.T) {
+	listener, err := net.Listen("tcp", "0.0.0.0:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	assert.Check(t, errors.Is(transport.NewServer(transport.ServerOptions{}).Serve(listener), transport.ErrInsecure))
+	_, err = say(limited(t), connect(t, "192.0.2.1:1", transport.PoolOptions{}), "")
+	assert.Check(t, errors.Is(err, transport.ErrInsecure), "%v", err)
+}
+
+// Replaced files are in use for new connections; half-written ones change nothing.
+func TestCertificatesReload(t *testing.T) {
+	directory := t.TempDir()
+	old, renewed := newAuthority(t), newAuthority(t)
+	files := old.write(t, directory, "b")
+	credentials, err := transport.LoadCredentials(files, zerolog.Nop())
+	assert.NilError(t, err)
+	_, address := serve(t, &echo{say: whoami}, transport.ServerOptions{Credentials: credentials})
+	reaches := func(signer *authority) bool {
+		_, failed := say(limited(t), connect(t, address, transport.PoolOptions{Credentials: signer.credentials(t, "a")}), "")
+		return failed == nil
+	}
+	eventually := func(signer *authority) {
+		for !reaches(signer) {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	eventually(old)
+	assert.NilError(t, os.WriteFile(files.Certificate, []byte("half"), 0o600))
+	time.Sleep(1100 * time.Millisecond)
+	assert.Check(t, reaches(old))
+	renewed.write(t, directory, "b")
+	eventually(renewed)
+	assert.Check(t, !reaches(old))
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,171 @@
+package transport_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"google.golang.org/protobuf/types/known/wrapperspb"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/transport"
+)
+
+func TestCallsAtOnceShareANode(t *testing.T) {
+	var gate sync.WaitGroup
+	gate.Add(8)
+	service := &echo{say: func(_ context.Context, text string) (string, error) {
+		gate.Done()
+		gate.Wait()
+		return text, nil
+	}}
+	_, address := serve(t, service, transport.ServerOptions{})
+	conn := connect(t, address, transport.PoolOptions{})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			answer, err := say(limited(t), conn, "hello")
+			assert.Check(t, err)
+			assert.Check(t, answer == "hello")
+		})
+	}
+	callers.Wait()
+}
+
+func TestBoundOfCallsSaysNothingSent(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	service := &echo{say: func(context.Context, string) (string, error) {
+		close(entered)
+		<-leave
+		return "", nil
+	}}
+	_, address := serve(t, service, transport.ServerOptions{})
+	conn := connect(t, address, transport.PoolOptions{MaxPerNode: 1})
+	done := make(chan error, 1)
+	go func() {
+		_, err := say(limited(t), conn, "")
+		done <- err
+	}()
+	<-entered
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := say(ctx, conn, "")
+	assert.Check(t, transport.NothingSent(err), "%v", err)
+	close(leave)
+	assert.NilError(t, <-done)
+}
+
+func TestErrorKinds(t *testing.T) {
+	_, address := serve(t, &echo{say: failing(nil)}, transport.ServerOptions{MaxMessageBytes: 1 << 10})
+	conn := connect(t, address, transport.PoolOptions{})
+	_, err := say(limited(t), conn, "hello")
+	assert.Check(t, errors.Is(err, transport.ErrRemote), "%v", err)
+	assert.Check(t, !transport.NothingSent(err))
+
+	_, err = say(limited(t), conn, strings.Repeat("long", 1<<12))
+	assert.Check(t, errors.Is(err, transport.ErrBroken), "%v", err)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	_, err = say(limited(t), connect(t, listener.Addr().String(), transport.PoolOptions{}), "hello")
+	assert.Check(t, errors.Is(err, transport.ErrUnreachable), "%v", err)
+	assert.Check(t, transport.NothingSent(err))
+}
+
+// A connection cut in the middle of a stream must never look like the stream's end, nor like a cancel by the caller.
+func TestCutStreamIsNotItsEnd(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	service := &echo{count: func(stream drpc.Stream) error {
+		if err := stream.MsgSend(wrapperspb.String("one"), encoding{}); err != nil {
+			return err
+		}
+		select {
+		case <-hold:
+		case <-stream.Context().Done():
+		}
+		return nil
+	}}
+	server, address := serve(t, service, transport.ServerOptions{})
+	conn := connect(t, address, transport.PoolOptions{})
+	stream, err := conn.NewStream(limited(t), streamCall, encoding{})
+	assert.NilError(t, err)
+	assert.NilError(t, stream.MsgSend(wrapperspb.String(""), encoding{}))
+	assert.NilError(t, stream.CloseSend())
+	message := new(wrapperspb.StringValue)
+	assert.NilError(t, stream.MsgRecv(message, encoding{}))
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Check(t, errors.Is(server.Stop(expired), context.Canceled))
+	err = stream.MsgRecv(message, encoding{})
+	assert.Check(t, errors.Is(err, transport.ErrBroken), "%v", err)
+	assert.Check(t, !errors.Is(err, io.EOF), "%v", err)
+	assert.Check(t, !errors.Is(err, context.Canceled), "%v", err)
+}
+
+func TestStopFinishesCallsAndRefusesNewOnes(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	service := &echo{say: func(_ context.Context, text string) (string, error) {
+		if text == "slow" {
+			close(entered)
+			<-leave
+		}
+		return text, nil
+	}}
+	server, address := serve(t, service, transport.ServerOptions{})
+	conn := connect(t, address, transport.PoolOptions{})
+	// Two connections are open, so that a new call still reaches the stopping server.
+	first, err := conn.NewStream(limited(t), echoCall, encoding{})
+	assert.NilError(t, err)
+	assert.NilError(t, first.MsgSend(wrapperspb.String("quick"), encoding{}))
+	slow := make(chan error, 1)
+	go func() {
+		_, failed := say(limited(t), conn, "slow")
+		slow <- failed
+	}()
+	<-entered
+	assert.NilError(t, first.MsgRecv(new(wrapperspb.StringValue), encoding{}))
+	assert.NilError(t, first.Close())
+	<-first.Context().Done()
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(limited(t)) }()
+	for {
+		_, err = say(limited(t), conn, "new")
+		if err != nil {
+			break
+		}
+	}
+	assert.Check(t, transport.NothingSent(err), "%v", err)
+	close(leave)
+	assert.NilError(t, <-slow)
+	assert.NilError(t, <-stopped)
+}
+
+func TestDeadIdleConnectionIsReplaced(t *testing.T) {
+	server, address := serve(t, &echo{}, transport.ServerOptions{})
+	conn := connect(t, address, transport.PoolOptions{})
+	_, err := say(limited(t), conn, "one")
+	assert.NilError(t, err)
+	assert.NilError(t, server.Stop(limited(t)))
+	again := transport.NewServer(transport.ServerOptions{})
+	assert.NilError(t, again.Register(&echo{say: func(context.Context, string) (string, error) { return "again", nil }}, description{}))
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	go func() { _ = again.Serve(listener) }()
+	defer func() { _ = again.Stop(limited(t)) }()
+	answer, err := say(limited(t), conn, "two")
+	assert.NilError(t, err)
+	assert.Equal(t, answer, "again")
+}
+
+func TestUnknownNode(t *testing.T) {
+	pool := transport.NewPool(transport.PoolOptions{Lookup: noAddress})
+	_, err := pool.Conn(context.Background(), "nobody")
+	assert.Check(t, errors.Is(err, transport.ErrUnknownNode))
+}
