Prove that a stopping server refuses calls on open connections

The earlier test could miss the refusal and failed now and then: it relied on a half-closed stream's connection. Two plain calls at once open the two connections instead. It failed first with the refusal removed and with calls counted as ended before their answer left; 60 runs under the race detector passed.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -110,40 +110,38 @@
 }
 
 func TestStopFinishesCallsAndRefusesNewOnes(t *testing.T) {
-	entered, leave := make(chan struct{}), make(chan struct{})
+	entered := make(chan struct{}, 2)
+	leave := map[string]chan struct{}{"slow": make(chan struct{}), "quick": make(chan struct{})}
 	service := &echo{say: func(_ context.Context, text string) (string, error) {
-		if text == "slow" {
-			close(entered)
-			<-leave
+		if gate, gated := leave[text]; gated {
+			entered <- struct{}{}
+			<-gate
 		}
 		return text, nil
 	}}
 	server, address := serve(t, service, transport.ServerOptions{})
 	conn := connect(t, address, transport.PoolOptions{})
-	// Two connections are open, so that a new call still reaches the stopping server.
-	first, err := conn.NewStream(limited(t), echoCall, encoding{})
-	assert.NilError(t, err)
-	assert.NilError(t, first.MsgSend(wrapperspb.String("quick"), encoding{}))
-	slow := make(chan error, 1)
-	go func() {
-		_, failed := say(limited(t), conn, "slow")
-		slow <- failed
-	}()
-	<-entered
-	assert.NilError(t, first.MsgRecv(new(wrapperspb.StringValue), encoding{}))
-	assert.NilError(t, first.Close())
-	<-first.Context().Done()
+	// Two calls at once open two connections, so that a new call still reaches the stopping server by the one that
+	// is free again.
+	ended := map[string]chan error{"slow": make(chan error, 1), "quick": make(chan error, 1)}
+	for name, end := range ended {
+		go func() {
+			_, failed := say(limited(t), conn, name)
+			end <- failed
+		}()
+		<-entered
+	}
+	close(leave["quick"])
+	assert.NilError(t, <-ended["quick"])
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Stop(limited(t)) }()
-	for {
+	var err error
+	for err == nil {
 		_, err = say(limited(t), conn, "new")
-		if err != nil {
-			break
-		}
 	}
-	assert.Check(t, transport.NothingSent(err), "%v", err)
-	close(leave)
-	assert.NilError(t, <-slow)
+	assert.Check(t, errors.Is(err, transport.ErrRefused), "%v", err)
+	close(leave["slow"])
+	assert.NilError(t, <-ended["slow"])
 	assert.NilError(t, <-stopped)
 }
 
@@ -169,3 +167,22 @@
 	_, err := pool.Conn(context.Background(), "nobody")
 	assert.Check(t, errors.Is(err, transport.ErrUnknownNode))
 }
+
+// A stream closed before its end leaves its connection fit for the next call.
+func TestConnectionOfClosedStreamIsReused(t *testing.T) {
+	service := &echo{count: func(stream drpc.Stream) error {
+		return stream.MsgSend(wrapperspb.String("one"), encoding{})
+	}}
+	_, address := serve(t, service, transport.ServerOptions{})
+	conn := connect(t, address, transport.PoolOptions{MaxPerNode: 1})
+	for range 200 {
+		stream, err := conn.NewStream(limited(t), streamCall, encoding{})
+		assert.NilError(t, err)
+		assert.NilError(t, stream.MsgSend(wrapperspb.String(""), encoding{}))
+		assert.NilError(t, stream.MsgRecv(new(wrapperspb.StringValue), encoding{}))
+		assert.NilError(t, stream.Close())
+		answer, err := say(limited(t), conn, "next")
+		assert.NilError(t, err)
+		assert.Equal(t, answer, "next")
+	}
+}
