--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -33,7 +33,7 @@
 type Process struct {
 	// Name is unique in the fleet and names the log file.
 	Name string
-	// ReadyURL answers 200 once the process serves.
+	// ReadyURL answers with a status below 500 once the process serves.
 	ReadyURL string
 
 	binary    string
@@ -93,7 +93,7 @@
 	ticker := time.NewTicker(readyPollPeriod)
 	defer ticker.Stop()
 	for {
-		if answersOK(ctx, p.ReadyURL) {
+		if answers(ctx, p.ReadyURL) {
 			return nil
 		}
 		select {
@@ -104,7 +104,7 @@
 	}
 }
 
-func answersOK(ctx context.Context, url string) bool {
+func answers(ctx context.Context, url string) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -116,7 +116,7 @@
 		return false
 	}
 	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return response.StatusCode < http.StatusInternalServerError
 }
 
 // PID returns the process id, or zero if it does not run.
