Add the open-loop load generator and its ledger

Arrivals are planned from a seed before the run (Poisson by thinning, surges as steps), and delays count from the planned arrival, so that queueing in the system is not hidden by a sender that waits for it. Every answer is compared with the one its body asks for; batch items are booked once each as completed, failed, lost, doubled, foreign or wrong; refusals by code and not_run; doubled runs of requests that must run at most once are read from the engines' own ledgers.

Seen to fail: with the engine's faults on, each kind of damage moves from 'completed' to its own count (test).

--- a/internal/lab/enginesim/prompt.go
+++ b/internal/lab/enginesim/prompt.go
@@ -108,7 +108,7 @@
 	}
 	var texts []string
 	if json.Unmarshal(raw, &texts) == nil {
-		return strings.Join(texts, "\n"), nil
+		return strings.Join(texts, ""), nil
 	}
 	var parts []contentPart
 	if err := json.Unmarshal(raw, &parts); err != nil {
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -9,5 +9,6 @@
 		newMachines(),
 		newWeights(),
 		newEngine(),
+		newLoad(),
 	}
 }
--- /dev/null
+++ b/internal/lab/load/ledger.go
@@ -0,0 +1,106 @@
+package load
+
+import "time"
+
+// verdict is how a request ended.
+type verdict uint8
+
+const (
+	// verdictCompleted means the whole right answer came.
+	verdictCompleted verdict = iota
+	// verdictRefused means an error answer with a code, before any token.
+	verdictRefused
+	// verdictInterrupted means a typed error within the stream.
+	verdictInterrupted
+	// verdictCut means the stream ended without its end mark and without an error, or was short.
+	verdictCut
+	// verdictWrong means an answer that passed as whole holds wrong tokens.
+	verdictWrong
+	// verdictFailed means the connection failed before an answer.
+	verdictFailed
+	// verdictUnfinished means the run ended first.
+	verdictUnfinished
+)
+
+// onlineResult is the end of one online request.
+type onlineResult struct {
+	verdict verdict
+	// code and notRun are what an error answer said.
+	code, notRun string
+	// firstToken and whole are counted from the planned arrival.
+	firstToken, whole time.Duration
+	gaps              []time.Duration
+	detail            string
+}
+
+// maxDetails bounds the failures kept word for word.
+const maxDetails = 20
+
+// OnlineLedger counts what became of online requests.
+type OnlineLedger struct {
+	Planned     int `json:"planned"`
+	Sent        int `json:"sent"`
+	Completed   int `json:"completed"`
+	Interrupted int `json:"interrupted"`
+	Cut         int `json:"cut"`
+	Wrong       int `json:"wrong"`
+	Failed      int `json:"failed"`
+	Unfinished  int `json:"unfinished"`
+	// Refused counts error answers by "code not_run=...".
+	Refused map[string]int `json:"refused"`
+	// DoubledRuns counts requests marked as not repeatable that engines ran more than once; negative if not asked.
+	DoubledRuns int `json:"doubled_runs"`
+	// Details holds the first failures.
+	Details []string `json:"details,omitempty"`
+}
+
+func (l *OnlineLedger) book(result onlineResult) {
+	switch result.verdict {
+	case verdictCompleted:
+		l.Completed++
+	case verdictRefused:
+		l.Refused[result.code+" not_run="+result.notRun]++
+	case verdictInterrupted:
+		l.Interrupted++
+	case verdictCut:
+		l.Cut++
+	case verdictWrong:
+		l.Wrong++
+	case verdictFailed:
+		l.Failed++
+	case verdictUnfinished:
+		l.Unfinished++
+	}
+	if result.detail != "" && len(l.Details) < maxDetails {
+		l.Details = append(l.Details, result.detail)
+	}
+}
+
+// BatchLedger counts what became of batch items.
+type BatchLedger struct {
+	Planned int `json:"planned"`
+	// Accepted counts the items of accepted jobs; JobsAccepted, JobsEnded count jobs.
+	Accepted     int `json:"accepted"`
+	JobsAccepted int `json:"jobs_accepted"`
+	JobsEnded    int `json:"jobs_ended"`
+	Completed    int `json:"completed"`
+	// Failed counts items whose result is an error.
+	Failed int `json:"failed"`
+	// Lost counts items of ended jobs without a result; Unfinished those of jobs still open at the end.
+	Lost       int `json:"lost"`
+	Unfinished int `json:"unfinished"`
+	// Doubled counts results beyond the first of an item; Foreign results of items that were never sent.
+	Doubled int `json:"doubled"`
+	Foreign int `json:"foreign"`
+	// Wrong counts results with wrong tokens.
+	Wrong int `json:"wrong"`
+	// Refused counts submissions that were given up, by reason.
+	Refused map[string]int `json:"refused"`
+	Details []string       `json:"details,omitempty"`
+}
+
+func (l *BatchLedger) note(detail string) {
+	if len(l.Details) < maxDetails {
+		l.Details = append(l.Details, detail)
+	}
+}
--- /dev/null
+++ b/internal/lab/load/options.go
@@ -0,0 +1,83 @@
+// Package load is an open-loop load generator for the caller API, or for an engine directly. The arrivals are fixed
+// beforehand from a seed and every delay is counted from the planned arrival, so that a slow system cannot hide its
+// queueing. An independent ledger checks every answer.
+package load
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+)
+
+// ErrBadOptions means options that make no run.
+const ErrBadOptions = failure.Kind("load: bad options")
+
+// Options describes a run. Zero lengths take the defaults below.
+type Options struct {
+	// Targets are base URLs; requests take them in turn.
+	Targets []string
+	// Keys are API keys, each of one tenant; requests take them in turn. Empty means none is sent.
+	Keys []string
+	// Model is the service callers ask for.
+	Model string
+	// Rate is the mean rate of online arrivals, in requests per second. Arrivals are Poisson.
+	Rate float64
+	// Surges change the rate for a while.
+	Surges []Surge
+	// Duration is how long arrivals go on. Figures leave out arrivals before Warmup.
+	Duration, Warmup time.Duration
+	// Drain is how long to wait after Duration for open requests and jobs.
+	Drain time.Duration
+	// PromptTokens and AnswerTokens are the medians of online lengths, which are log-normal.
+	PromptTokens, AnswerTokens int
+	// PrefixTokens is the length of the prefix shared by the requests of one of Prefixes groups.
+	PrefixTokens, Prefixes int
+	// NotRepeatable is the share of online requests marked as not repeatable, each with an idempotency key.
+	NotRepeatable float64
+	// BatchEvery is the time between heaps of batch work; zero means none.
+	BatchEvery time.Duration
+	// BatchItems is the number of items of a heap; BatchPromptTokens and BatchAnswerTokens are medians.
+	BatchItems, BatchPromptTokens, BatchAnswerTokens int
+	// Seed fixes arrivals and bodies.
+	Seed uint64
+	// EngineFaults are the inspection ports of stand-in engines, "IP:port", asked for doubled runs at the end.
+	EngineFaults []string
+}
+
+// Surge changes the rate of online arrivals between At and At+For.
+type Surge struct {
+	At, For time.Duration
+	Rate    float64
+}
+
+// Defaults of the lengths.
+const (
+	DefaultPromptTokens      = 256
+	DefaultAnswerTokens      = 48
+	DefaultPrefixTokens      = 128
+	DefaultPrefixes          = 16
+	DefaultBatchPromptTokens = 128
+	DefaultBatchAnswerTokens = 32
+	DefaultDrain             = 30 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.PromptTokens, DefaultPromptTokens)
+	setDefault(&o.AnswerTokens, DefaultAnswerTokens)
+	setDefault(&o.PrefixTokens, DefaultPrefixTokens)
+	setDefault(&o.Prefixes, DefaultPrefixes)
+	setDefault(&o.BatchPromptTokens, DefaultBatchPromptTokens)
+	setDefault(&o.BatchAnswerTokens, DefaultBatchAnswerTokens)
+	setDefault(&o.Drain, DefaultDrain)
+	if len(o.Keys) == 0 {
+		o.Keys = []string{""}
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
