--- a/internal/catalog/codec.go
+++ b/internal/catalog/codec.go
@@ -235,3 +235,16 @@
 	sort.Strings(keys)
 	return keys
 }
+
+// NameOf returns the name of a resource, which may stand in its spec alone; empty if it stands nowhere.
+func NameOf(resource Resource) string {
+	if resource.Name != "" {
+		return resource.Name
+	}
+	var fields map[string]json.RawMessage
+	var name string
+	// What cannot be decoded has no name; Decode says what is wrong with it.
+	_ = json.Unmarshal(resource.Spec, &fields)
+	_ = json.Unmarshal(fields[nameField(resource.Kind)], &name)
+	return name
+}
