--- a/internal/shard/replication.go
+++ b/internal/shard/replication.go
@@ -242,7 +242,9 @@
 
 // rewind goes back to where the follower's log may still agree.
 func (c *Core) rewind(member Member, follower *progress, reply AppendReply) error {
-	if reply.Match+1 >= follower.next && follower.known {
+	if follower.known && (reply.Match+1 >= follower.next || reply.Match < follower.match) {
+		// An answer from before the last ones, or from a disk that lost what it acknowledged: answering such a one
+		// again and again would only breed messages.
 		return nil
 	}
 	follower.known = true
--- /dev/null
+++ b/internal/shardhost/snapshot.go
@@ -0,0 +1,186 @@
+package shardhost
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/shard"
+	pb "mallowlatch.example/mallowlatch/internal/shardhost/shardhostpb"
+	"mallowlatch.example/mallowlatch/internal/shardlog"
+)
+
+const (
+	concurrentSnapshots = 2
+	snapshotChunkBytes  = 256 << 10
+	snapshotTimeout     = 30 * time.Minute
+)
+
+// sendSnapshot sends the applied state beside the replica's goroutine, which goes on.
+func (r *replica) sendSnapshot(to shard.Member) {
+	view := r.log.View()
+	status := r.driver.Core.Status(r.host.now())
+	r.host.tomb.Go(func() error {
+		err := r.streamSnapshot(view, status, to)
+		logger := r.host.options.Logger
+		if err != nil && r.ctx.Err() == nil {
+			event.ShardSnapshotFailed.Log(logger).Uint32("shard", uint32(r.id)).Str("to", string(to.Node)).Err(err).Send()
+		} else if err == nil {
+			event.ShardSnapshotSent.Log(logger).Uint32("shard", uint32(r.id)).Str("to", string(to.Node)).Send()
+		}
+		_ = view.Close()
+		// The receipt, if there is one, went to the core as a message: in either case nothing is on its way any more.
+		select {
+		case <-r.stopped:
+		case r.inbox <- func() error { r.driver.Core.SnapshotFailed(to); return nil }:
+		}
+		return nil
+	})
+}
+
+func (r *replica) streamSnapshot(view *shardlog.View, status shard.Status, to shard.Member) error {
+	select {
+	case r.host.sending <- struct{}{}:
+		defer func() { <-r.host.sending }()
+	case <-r.ctx.Done():
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, snapshotTimeout)
+	defer cancel()
+	index, term, err := view.Position()
+	if err != nil {
+		return err
+	}
+	conn, err := r.host.options.Dialer.Conn(ctx, to.Node)
+	if err != nil {
+		return fmt.Errorf("dialling %s: %w", to.Node, err)
+	}
+	stream, err := pb.NewDRPCShardsClient(conn).Install(ctx)
+	if err != nil {
+		return fmt.Errorf("opening a stream to %s: %w", to.Node, err)
+	}
+	defer func() { _ = stream.Close() }()
+	header := &pb.SnapshotHeader{
+		Shard: uint32(r.id), From: encodeMember(r.host.self), To: encodeMember(to),
+		LeaderTerm: encodeTerm(status.Term), Index: index, Term: encodeTerm(term),
+		Configuration: encodeConfiguration(&status.Configuration),
+	}
+	if err := stream.Send(&pb.SnapshotPart{Header: header}); err != nil {
+		return fmt.Errorf("sending a header: %w", err)
+	}
+	if err := view.Export(snapshotChunkBytes, func(pairs []shardlog.Pair) error { return sendPairs(stream, pairs) }); err != nil {
+		return err
+	}
+	// Without the end mark the receiver must not install: a stream that broke off is no whole state.
+	if err := stream.Send(&pb.SnapshotPart{End: true}); err != nil {
+		return fmt.Errorf("sending the end: %w", err)
+	}
+	answer, err := stream.CloseAndRecv()
+	if err != nil {
+		return fmt.Errorf("awaiting the receipt: %w", err)
+	}
+	if !answer.GetAccepted() {
+		return fmt.Errorf("refused by %s: %w", to.Node, ErrProtocol)
+	}
+	return nil
+}
+
+func sendPairs(stream pb.DRPCShards_InstallClient, pairs []shardlog.Pair) error {
+	part := &pb.SnapshotPart{}
+	for _, pair := range pairs {
+		part.Pairs = append(part.Pairs, &pb.Pair{Key: pair.Key, Value: pair.Value})
+	}
+	if err := stream.Send(part); err != nil {
+		return fmt.Errorf("sending a chunk: %w", err)
+	}
+	return nil
+}
+
+// Install receives a state beside the present one and offers it to the replica.
+func (s *server) Install(stream pb.DRPCShards_InstallStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return fmt.Errorf("receiving a header: %w", err)
+	}
+	header := first.GetHeader()
+	snapshot, err := s.snapshotOf(stream.Context(), header)
+	if err != nil {
+		return err
+	}
+	local, err := s.host.openReplica(snapshot.Shard)
+	if err != nil {
+		return err
+	}
+	staged := local.log.Stage()
+	snapshot.Staging = staged.Number()
+	if err := receivePairs(stream, staged); err != nil {
+		_ = staged.Discard()
+		return err
+	}
+	accepted, err := local.install(stream.Context(), snapshot, staged)
+	if err != nil {
+		return err
+	}
+	return stream.SendAndClose(&pb.Installed{Accepted: accepted})
+}
+
+func (s *server) snapshotOf(ctx context.Context, header *pb.SnapshotHeader) (shard.Snapshot, error) {
+	snapshot := shard.Snapshot{
+		Shard: ident.Shard(header.GetShard()), From: decodeMember(header.GetFrom()), To: decodeMember(header.GetTo()),
+		LeaderTerm: decodeTerm(header.GetLeaderTerm()), Index: header.GetIndex(), Term: decodeTerm(header.GetTerm()),
+	}
+	configuration := decodeConfiguration(header.GetConfiguration())
+	known := int(snapshot.Shard) < s.host.options.Shards
+	if header == nil || configuration == nil || snapshot.To != s.host.self || !known || !s.host.tomb.Alive() {
+		return shard.Snapshot{}, fmt.Errorf("snapshot for %v: %w", snapshot.To, ErrProtocol)
+	}
+	snapshot.Configuration = *configuration
+	return snapshot, s.authentic(ctx, snapshot.From.Node)
+}
+
+func receivePairs(stream pb.DRPCShards_InstallStream, staged *shardlog.Staged) error {
+	for {
+		part, err := stream.Recv()
+		if err != nil {
+			return fmt.Errorf("receiving a chunk: %w", err)
+		}
+		if part.GetEnd() {
+			return nil
+		}
+		pairs := make([]shardlog.Pair, 0, len(part.GetPairs()))
+		for _, pair := range part.GetPairs() {
+			pairs = append(pairs, shardlog.Pair{Key: pair.GetKey(), Value: pair.GetValue()})
+		}
+		if err := staged.Add(pairs); err != nil {
+			return err
+		}
+	}
+}
+
+// install offers a received state to the replica. Only a refused state is dropped here: an accepted one is the state.
+func (r *replica) install(ctx context.Context, snapshot shard.Snapshot, staged *shardlog.Staged) (bool, error) {
+	done := make(chan bool, 1)
+	action := func() error {
+		accepted := r.driver.Core.Install(r.host.now(), snapshot)
+		done <- accepted
+		if accepted {
+			return nil
+		}
+		return staged.Discard()
+	}
+	select {
+	case r.inbox <- action:
+	case <-r.stopped:
+		return false, fmt.Errorf("shard %d: stopped: %w", r.id, shard.ErrUnavailable)
+	case <-ctx.Done():
+		return false, fmt.Errorf("shard %d: %w: %w", r.id, shard.ErrUnavailable, ctx.Err())
+	}
+	select {
+	case accepted := <-done:
+		return accepted, nil
+	case <-r.stopped:
+		return false, fmt.Errorf("shard %d: stopped: %w", r.id, shard.ErrUnavailable)
+	}
+}
