--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -57,6 +57,8 @@
 type Client struct {
 	options Options
 	tomb    tomb.Tomb
+	// running counts background work.
+	running sync.WaitGroup
 
 	mutex sync.Mutex
 	// hints are leaders that replies named, newer than what the directory knows.
@@ -104,7 +106,9 @@
 	if !c.tomb.Alive() {
 		return
 	}
+	c.running.Add(1)
 	c.tomb.Go(func() error {
+		defer c.running.Done()
 		ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), c.options.AttemptTimeout)
 		defer cancel()
 		work(ctx)
--- a/internal/jobstore/active.go
+++ b/internal/jobstore/active.go
@@ -21,7 +21,9 @@
 	fragments map[uint32]bool
 
 	// record is the newest record the leader has seen. It and what follows are guarded by the server's mutex.
-	record   *pb.JobRecord
+	record *pb.JobRecord
+	// indexed counts the chunks whose items are in runs.
+	indexed  uint32
 	runs     []itemRun
 	services []*serviceItems
 	// busy holds the items that are leased or have a result.
@@ -129,10 +131,27 @@
 }
 
 func (j *activeJob) loadIndex(reader shard.Reader) error {
-	start, end := ownerRange(spaceIndex, j.id)
-	return scanRecords(reader, start, end, func(_ []byte, index *pb.IndexRecord) {
-		j.addRuns(index.GetRuns())
+	chunks, err := indexedChunks(reader, j.id, 0)
+	for _, runs := range chunks {
+		j.addChunk(runs)
+	}
+	return err
+}
+
+// indexedChunks returns the runs of the indexed chunks of a job from a chunk on.
+func indexedChunks(reader shard.Reader, job string, from uint32) ([][]*pb.ItemRun, error) {
+	var chunks [][]*pb.ItemRun
+	_, end := ownerRange(spaceIndex, job)
+	err := scanRecords(reader, numberKey(spaceIndex, job, from), end, func(_ []byte, index *pb.IndexRecord) {
+		chunks = append(chunks, index.GetRuns())
 	})
+	return chunks, err
+}
+
+// addChunk adds the items of the next indexed chunk; the busy bits of its malformed lines are set before.
+func (j *activeJob) addChunk(runs []*pb.ItemRun) {
+	j.addRuns(runs)
+	j.indexed++
 }
 
 // startedItems returns a job's items that are marked as started, by lease.
@@ -145,7 +164,6 @@
 	return started, err
 }
 
-// addRuns adds indexed items; their busy bits are set before.
 func (j *activeJob) addRuns(runs []*pb.ItemRun) {
 	for _, run := range runs {
 		service := j.service(run.GetService())
--- a/internal/jobstore/index.go
+++ b/internal/jobstore/index.go
@@ -116,11 +116,11 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if reply.GetResent() {
+	if reply.GetResent() || job.indexed != index.GetChunk() {
 		return unavailable(s.settings.RetryAfter)
 	}
 	job.take(resultIndexes(index.GetErrors()))
-	job.addRuns(index.GetRuns())
+	job.addChunk(index.GetRuns())
 	s.update(job, reply.GetJob())
 	return nil
 }
--- a/internal/jobstore/lease.go
+++ b/internal/jobstore/lease.go
@@ -136,7 +136,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s.narrow(lease, without(once, granted), finished)
+	s.narrow(lease, finished)
+	if err := s.resolve(ctx, lease, without(once, granted)); err != nil {
+		return nil, err
+	}
 	reply := &pb.LeaseReply{
 		Lease:    lease.id,
 		Tenant:   job.tenant,
@@ -206,12 +209,56 @@
 	return reply.GetGranted(), nil
 }
 
-// narrow takes items out of a lease that is not handed out yet. Refused items are given back: another lease started
-// them or the job is stopped, so the committed state decides; finished ones stay busy.
-func (s *Server) narrow(lease *heldLease, refused, finished []uint32) {
+// narrow takes finished items out of a lease that is not handed out yet. They stay busy.
+func (s *Server) narrow(lease *heldLease, finished []uint32) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	lease.indexes = without(lease.indexes, finished)
+}
+
+// resolve takes items out of a lease whose start was refused. One that is marked as started under a lease that nobody
+// holds was marked by a command that took effect late: every lease handed out by an earlier leader was loaded with the
+// term, and one handed out in this term is held until its items are settled. So that lease will not run it, and the
+// mark is released by the next tick.
+func (s *Server) resolve(ctx context.Context, lease *heldLease, refused []uint32) error {
+	if len(refused) == 0 {
+		return nil
+	}
+	holders := map[string][]uint32{}
+	err := s.view(ctx, func(reader shard.Reader) error {
+		for _, index := range refused {
+			holder, err := startedBy(reader, lease.job.id, index)
+			if err != nil {
+				return err
+			}
+			holders[holder] = append(holders[holder], index)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	lease.indexes = without(without(lease.indexes, refused), finished)
+	lease.indexes = without(lease.indexes, refused)
+	if s.leases[lease.id] != lease {
+		return nil
+	}
+	for holder, indexes := range holders {
+		s.resolveHolder(lease.job, holder, indexes)
+	}
+	return nil
+}
+
+func (s *Server) resolveHolder(job *activeJob, holder string, indexes []uint32) {
+	if holder == "" {
+		job.give(indexes)
+		return
+	}
+	if s.leases[holder] == nil {
+		s.leases[holder] = &heldLease{id: holder, job: job, indexes: indexes, withdrawn: true, expires: s.settings.Now()}
+		job.leases++
+	}
 }
 
 // handOut makes a prepared lease valid from now, unless leadership changed meanwhile or nothing is in it.
--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -81,17 +81,14 @@
 	if err := s.lockLeading(ctx); err != nil {
 		return err
 	}
-	known := map[string]bool{}
-	for id := range s.jobs {
-		known[id] = true
+	known := map[string]uint32{}
+	for id, job := range s.jobs {
+		known[id] = job.indexed
 	}
 	term := s.term
 	s.mutex.Unlock()
-	var added []*activeJob
-	var records []*pb.JobRecord
-	err := s.view(ctx, func(reader shard.Reader) error {
-		return readJobs(reader, known, &added, &records)
-	})
+	var news refreshed
+	err := s.view(ctx, func(reader shard.Reader) error { return news.read(reader, known) })
 	if err != nil {
 		return err
 	}
@@ -100,12 +97,13 @@
 	if s.term != term || !s.loaded {
 		return nil
 	}
-	for _, record := range records {
+	for _, record := range news.records {
 		if job := s.jobs[record.GetId()]; job != nil {
+			job.catchUp(known[job.id], news.chunks[job.id])
 			s.update(job, record)
 		}
 	}
-	for _, job := range added {
+	for _, job := range news.added {
 		if s.jobs[job.id] == nil {
 			s.jobs[job.id] = job
 		}
@@ -113,15 +111,33 @@
 	return nil
 }
 
-// readJobs reads the records of the known jobs and loads the unfinished ones that are not known.
-func readJobs(reader shard.Reader, known map[string]bool, added *[]*activeJob, records *[]*pb.JobRecord) error {
-	for id := range known {
+// refreshed is what a refresh read.
+type refreshed struct {
+	records []*pb.JobRecord
+	// chunks holds the runs of chunks that were indexed without the leader's knowledge.
+	chunks map[string][][]*pb.ItemRun
+	// added are unfinished jobs the leader did not know.
+	added []*activeJob
+}
+
+// read reads the records of the known jobs, given the number of chunks the leader knows to be indexed, and loads the
+// unfinished ones that are not known.
+func (r *refreshed) read(reader shard.Reader, known map[string]uint32) error {
+	r.chunks = map[string][][]*pb.ItemRun{}
+	for id, indexed := range known {
 		record, err := loadJob(reader, "", id)
 		if err != nil {
 			return err
 		}
-		if record != nil {
-			*records = append(*records, record)
+		if record == nil {
+			continue
+		}
+		r.records = append(r.records, record)
+		if record.GetIndexed() <= indexed {
+			continue
+		}
+		if r.chunks[id], err = indexedChunks(reader, id, indexed); err != nil {
+			return err
 		}
 	}
 	active, err := activeJobs(reader)
@@ -129,18 +145,28 @@
 		return err
 	}
 	for _, id := range active {
-		if known[id] {
+		if _, isKnown := known[id]; isKnown {
 			continue
 		}
 		job, err := loadActiveJob(reader, id)
 		if err != nil {
 			return err
 		}
-		*added = append(*added, job)
+		r.added = append(r.added, job)
 	}
 	return nil
 }
 
+// catchUp adds chunks that were indexed by a command whose outcome the leader did not learn.
+func (j *activeJob) catchUp(from uint32, chunks [][]*pb.ItemRun) {
+	if j.indexed != from {
+		return
+	}
+	for _, runs := range chunks {
+		j.addChunk(runs)
+	}
+}
+
 // lapse takes back the items of leases that ran out. Repeatable ones wait again; those that may run at most once end
 // with an unknown outcome, and those that were never handed out are released.
 func (s *Server) lapse(ctx context.Context) error {
