Prove the dispatch path at every scripted point of failure

Property test over refusals, lost answers before and after the engine began, duplicated, swapped, dropped and cut chunks, failed resumptions, callers that leave, resends and ledger failures.

--- /dev/null
+++ b/internal/dispatch/fake_test.go
@@ -0,0 +1,323 @@
+package dispatch_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/ledger"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+)
+
+// script draws what goes wrong; each name is one decision.
+type script func(name string, choices int) int
+
+// world holds the engines of one test and counts what truly ran.
+type world struct {
+	mutex  sync.Mutex
+	script script
+	tokens int
+	// runs counts the runs of each request over all engines.
+	runs    map[ident.Request]int
+	engines map[ident.Runner]*fakeEngine
+	// onChunk is called before each chunk is given.
+	onChunk func()
+}
+
+func newWorld(tokens int, runners []ident.Runner, drawn script) *world {
+	created := &world{script: drawn, tokens: tokens, runs: map[ident.Request]int{}, engines: map[ident.Runner]*fakeEngine{}}
+	for _, runner := range runners {
+		created.engines[runner] = &fakeEngine{world: created, name: runner, kept: map[ident.Request]string{}, live: map[ident.Request]bool{}}
+	}
+	return created
+}
+
+// draw is for callers that do not hold the mutex.
+func (w *world) draw(name string, choices int) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.script(name, choices)
+}
+
+func (w *world) Engine(runner ident.Runner) (engine.Engine, bool) {
+	found, known := w.engines[runner]
+	return found, known
+}
+
+// fakeEngine is one scripted engine.
+type fakeEngine struct {
+	engine.Engine
+	world *world
+	name  ident.Runner
+	// kept holds the label of the run of each request whose tokens the engine has.
+	kept map[ident.Request]string
+	// live holds the requests whose run neither ended nor was aborted.
+	live  map[ident.Request]bool
+	calls int
+}
+
+func refusal(kind failure.Kind) error {
+	return &engine.AttemptError{Outcome: outcome.NotRun, Cause: kind}
+}
+
+var refusals = []failure.Kind{engine.ErrUnreachable, engine.ErrBusy, engine.ErrLeaving, engine.ErrModelNotLoaded, engine.ErrRejected}
+
+// Generate runs the request, refuses it, or loses the answer before or after it began.
+func (e *fakeEngine) Generate(ctx context.Context, call engine.Call) (engine.Stream, error) {
+	e.world.mutex.Lock()
+	defer e.world.mutex.Unlock()
+	e.calls++
+	switch e.world.script("generate", 4) {
+	case 1:
+		return nil, refusal(refusals[e.world.script("refusal", len(refusals))])
+	case 2:
+		return nil, &engine.AttemptError{Outcome: outcome.Unknown, Cause: engine.ErrBroken}
+	case 3:
+		e.begin(call.Request)
+		return nil, &engine.AttemptError{Outcome: outcome.Unknown, Cause: engine.ErrBroken}
+	}
+	return e.stream(ctx, call.Request.ID, e.begin(call.Request), 0), nil
+}
+
+// begin counts a run. Runs of a request that is not deterministic differ in their tokens.
+func (e *fakeEngine) begin(request *inference.Request) string {
+	e.world.runs[request.ID]++
+	label := "same"
+	if !request.Deterministic {
+		label = fmt.Sprint("run", e.world.runs[request.ID])
+	}
+	e.kept[request.ID] = label
+	e.live[request.ID] = true
+	return label
+}
+
+// Resume reads on from a kept run, or fails.
+func (e *fakeEngine) Resume(ctx context.Context, request ident.Request, offset int) (engine.Stream, error) {
+	e.world.mutex.Lock()
+	defer e.world.mutex.Unlock()
+	switch e.world.script("resume", 4) {
+	case 1:
+		return nil, engine.ErrUnreachable
+	case 2:
+		return nil, engine.ErrBroken
+	}
+	label, held := e.kept[request]
+	if !held {
+		return nil, engine.ErrGone
+	}
+	return e.stream(ctx, request, label, offset), nil
+}
+
+func (e *fakeEngine) Abort(_ context.Context, request ident.Request, _ bool) error {
+	e.world.mutex.Lock()
+	defer e.world.mutex.Unlock()
+	e.live[request] = false
+	return nil
+}
+
+func (e *fakeEngine) ended(request ident.Request) {
+	e.world.mutex.Lock()
+	defer e.world.mutex.Unlock()
+	e.live[request] = false
+}
+
+// stream lays out the chunks from an offset and then damages them.
+func (e *fakeEngine) stream(ctx context.Context, request ident.Request, label string, offset int) *fakeStream {
+	var chunks []inference.Chunk
+	total := e.world.tokens
+	chunks = append(chunks, inference.Chunk{Offset: offset, Data: textChunk("")})
+	for at := offset; at < total; {
+		length := min(total-at, 1+e.world.script("length", 2))
+		text := ""
+		for token := at; token < at+length; token++ {
+			text += tokenText(label, token)
+		}
+		chunks = append(chunks, inference.Chunk{Offset: at, Tokens: length, Data: textChunk(text)})
+		at += length
+	}
+	chunks = append(chunks, inference.Chunk{
+		Offset: total, Data: textChunk(""), Final: true, FinishReason: "stop",
+		Usage: inference.Usage{CompletionTokens: total, TotalTokens: total},
+	})
+	return &fakeStream{ctx: ctx, engine: e, request: request, chunks: e.damage(chunks)}
+}
+
+// damage repeats, reorders, drops or cuts chunks.
+func (e *fakeEngine) damage(chunks []inference.Chunk) []inference.Chunk {
+	at := e.world.script("damage at", len(chunks))
+	switch e.world.script("damage", 6) {
+	case 1:
+		return append(chunks[:at+1:at+1], chunks[at:]...)
+	case 2:
+		other := e.world.script("swap with", len(chunks))
+		chunks[at], chunks[other] = chunks[other], chunks[at]
+	case 3:
+		return append(chunks[:at:at], chunks[at+1:]...)
+	case 4:
+		return chunks[:at]
+	case 5:
+		return append(chunks, chunks[at])
+	}
+	return chunks
+}
+
+func tokenText(label string, token int) string { return fmt.Sprintf("<%s:%d>", label, token) }
+
+// expectedText is the whole answer of a run.
+func expectedText(label string, tokens int) string {
+	text := ""
+	for token := range tokens {
+		text += tokenText(label, token)
+	}
+	return text
+}
+
+func textChunk(text string) []byte {
+	data, _ := json.Marshal(map[string]any{"id": "x", "choices": []map[string]any{{"index": 0, "text": text}}})
+	return data
+}
+
+// fakeStream gives chunks and then breaks, unless the final one was among them.
+type fakeStream struct {
+	ctx     context.Context
+	engine  *fakeEngine
+	request ident.Request
+	chunks  []inference.Chunk
+	final   bool
+}
+
+func (s *fakeStream) Next() (inference.Chunk, error) {
+	if s.engine.world.onChunk != nil {
+		s.engine.world.onChunk()
+	}
+	if s.ctx.Err() != nil {
+		return inference.Chunk{}, fmt.Errorf("%w: %w", engine.ErrBroken, s.ctx.Err())
+	}
+	if len(s.chunks) == 0 && s.final {
+		return inference.Chunk{}, io.EOF
+	}
+	if len(s.chunks) == 0 && s.engine.world.draw("cut", 2) == 1 {
+		return inference.Chunk{}, io.EOF
+	}
+	if len(s.chunks) == 0 {
+		return inference.Chunk{}, engine.ErrBroken
+	}
+	next := s.chunks[0]
+	s.chunks = s.chunks[1:]
+	if next.Final {
+		s.final = true
+		s.engine.ended(s.request)
+	}
+	return next, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// textSink joins the text of chunks, as a caller would.
+type textSink struct {
+	text  string
+	final bool
+	after bool
+	limit int
+}
+
+// errCallerGone stands for a broken connection to the caller.
+const errCallerGone = failure.Kind("caller gone")
+
+func (s *textSink) Chunk(chunk inference.Chunk) error {
+	s.after = s.after || s.final
+	var object struct {
+		Choices []struct {
+			Text    string
+			Message struct{ Content string }
+		}
+	}
+	if err := json.Unmarshal(chunk.Data, &object); err != nil {
+		return err
+	}
+	for _, choice := range object.Choices {
+		s.text += choice.Text
+	}
+	s.final = s.final || chunk.Final
+	if s.limit > 0 && len(s.text) > s.limit {
+		return errCallerGone
+	}
+	return nil
+}
+
+// fakeLedger is a ledger in memory whose calls may fail.
+type fakeLedger struct {
+	mutex   sync.Mutex
+	script  script
+	entries map[ledger.Key]*ledger.Entry
+}
+
+func (l *fakeLedger) Begin(_ context.Context, key ledger.Key, _ string, _ ident.Node) (ledger.Entry, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.script("begin", 4) == 1 {
+		return ledger.Entry{}, failure.New(failure.CodeShardUnavailable, "no leader")
+	}
+	held, known := l.entries[key]
+	if known && held.State != 0 {
+		return *held, nil
+	}
+	attempt := uint64(1)
+	if known {
+		attempt = held.Attempt + 1
+	}
+	l.entries[key] = &ledger.Entry{State: ledger.InProgress, Attempt: attempt}
+	return ledger.Entry{State: ledger.Started, Attempt: attempt}, nil
+}
+
+func (l *fakeLedger) end(key ledger.Key, attempt uint64, state ledger.State, answer ledger.Answer) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.script("end", 4) == 1 {
+		return failure.New(failure.CodeShardUnavailable, "no leader")
+	}
+	held := l.entries[key]
+	if held.Attempt == attempt && held.State == ledger.InProgress {
+		held.State, held.Answer = state, answer
+	}
+	return nil
+}
+
+func (l *fakeLedger) Finish(_ context.Context, key ledger.Key, attempt uint64, answer ledger.Answer) error {
+	return l.end(key, attempt, ledger.Finished, answer)
+}
+
+func (l *fakeLedger) Abandon(_ context.Context, key ledger.Key, attempt uint64) error {
+	return l.end(key, attempt, 0, ledger.Answer{})
+}
+
+func (l *fakeLedger) Lose(_ context.Context, key ledger.Key, attempt uint64) error {
+	return l.end(key, attempt, ledger.OutcomeUnknown, ledger.Answer{})
+}
+
+// clock is a time that only tests move.
+type clock struct {
+	mutex sync.Mutex
+	time  time.Time
+}
+
+func newClock() *clock { return &clock{time: time.Unix(1_800_000_000, 0)} }
+
+func (c *clock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.time
+}
+
+func (c *clock) Advance(by time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.time = c.time.Add(by)
+}
