--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -8,5 +8,7 @@
 		newKV(),
 		newMachines(),
 		newWeights(),
+		newEngine(),
+		newLoad(),
 	}
 }
