--- a/internal/confsync/exchange.go
+++ b/internal/confsync/exchange.go
@@ -27,8 +27,7 @@
 	for {
 		if now := time.Now(); !now.Before(peersDue) {
 			peersDue = now.Add(peerPeriod)
-			peers := r.options.Peers.Peers()
-			r.update(func(core *Core, now time.Time) { core.SetPeers(now, peers) })
+			r.refreshPeers()
 		}
 		for _, send := range r.due() {
 			supervisor.Go(func() error {
@@ -42,6 +41,12 @@
 	}
 }
 
+// refreshPeers shows the core the live peers of now.
+func (r *Replica) refreshPeers() {
+	peers := r.options.Peers.Peers()
+	r.update(func(core *Core, now time.Time) { core.SetPeers(now, peers) })
+}
+
 // due runs the core's clock and returns the messages to be sent.
 func (r *Replica) due() []Send {
 	r.mutex.Lock()
--- a/internal/confsync/status.go
+++ b/internal/confsync/status.go
@@ -52,6 +52,7 @@
 func (r *Replica) Status(ctx context.Context, revision int64) Status {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
+	r.refreshPeers()
 	zones := r.zoneMembers()
 	status := Status{Revision: revision, Zones: make([]ZoneStatus, len(zones))}
 	var group errgroup.Group
@@ -140,6 +141,7 @@
 func (r *Replica) zoneReport(ctx context.Context, revision int64) ZoneStatus {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	r.refreshPeers()
 	r.mutex.Lock()
 	peers := r.core.zonePeers()
 	own := r.snapshot.Revision
