Detect failures by probes within a zone and digests between zones

The key-value service is rate-limited and has outages, so leases for 330 nodes are ruled out. Records form a join-semilattice, so that order and repetition of messages don't matter; a node alone raises its incarnation. Properties run over a simulated network with loss, cuts, pauses, restarts and replacements.

--- /dev/null
+++ b/internal/lab/scale/fleet.go
@@ -0,0 +1,93 @@
+package scale
+
+import (
+	"fmt"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/membership"
+)
+
+// zonesPerRegion spreads the zones over regions: eleven zones make three.
+const zonesPerRegion = 4
+
+// Shape is the size of a fleet.
+type Shape struct {
+	Nodes int
+	Zones int
+}
+
+// Place returns the description of the numbered node. Nodes go to the zones in turn.
+func (s Shape) Place(index int) membership.Self {
+	zone := index % s.Zones
+	return membership.Self{
+		Node:          ident.Node(fmt.Sprintf("node-%03d", index)),
+		Zone:          ident.Zone(fmt.Sprintf("zone-%02d", zone)),
+		Region:        ident.Region(fmt.Sprintf("region-%d", zone/zonesPerRegion)),
+		PeerAddress:   fmt.Sprintf("10.%d.%d.%d:7000", zone, index/250, index%250+1),
+		CallerAddress: fmt.Sprintf("10.%d.%d.%d:8080", zone, index/250, index%250+1),
+	}
+}
+
+// Seeds returns the addresses new nodes join by: the first two nodes of each of the first two zones.
+func (s Shape) Seeds() []string {
+	var seeds []string
+	for _, index := range []int{0, 1, s.Zones, s.Zones + 1} {
+		if index < s.Nodes {
+			seeds = append(seeds, s.Place(index).PeerAddress)
+		}
+	}
+	return seeds
+}
+
+// NewFleet returns a simulation with all nodes started at once.
+func NewFleet(seed uint64, shape Shape, config membership.Config, network Network) *Simulation {
+	simulation := NewSimulation(seed, config, network)
+	for index := range shape.Nodes {
+		simulation.Add(shape.Place(index), shape.Seeds())
+	}
+	return simulation
+}
+
+// Near and Far are the one-way delays of the stand-in network within a region and between regions.
+const (
+	Near = time.Millisecond
+	Far  = 15 * time.Millisecond
+)
+
+// Healthy is a network without faults.
+func Healthy(from, to membership.Self) Link {
+	if from.Region != to.Region {
+		return Link{Delay: Far}
+	}
+	return Link{Delay: Near}
+}
+
+// Lossy returns a network that loses a share of the messages.
+func Lossy(share float64) Network {
+	return func(from, to membership.Self) Link {
+		link := Healthy(from, to)
+		link.Loss = share
+		return link
+	}
+}
+
+// Agree says whether every running node sees every other running one as alive, and no other.
+func (s *Simulation) Agree() bool { return s.Disagreement() == "" }
+
+// Disagreement describes the first difference that Agree finds.
+func (s *Simulation) Disagreement() string {
+	for _, node := range s.Order {
+		if !node.Up {
+			continue
+		}
+		view := node.Core.View()
+		for _, other := range s.Order {
+			member, known := view.Member(other.Self.Node)
+			if alive := known && member.State == membership.Alive; alive != other.Up {
+				return fmt.Sprintf("%s sees %+v, which is up: %t", node.Self.Node, member, other.Up)
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/membership/network_test.go
@@ -0,0 +1,218 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/lab/scale"
+	"mallowlatch.example/mallowlatch/internal/membership"
+)
+
+// settleTime is ample for a fleet of test size to form.
+const settleTime = 90 * time.Second
+
+func settled(t *rapid.T, shape scale.Shape, network scale.Network) *scale.Simulation {
+	fleet := scale.NewFleet(rapid.Uint64().Draw(t, "seed"), shape, membership.DefaultConfig(), network)
+	if !fleet.RunUntil(settleTime, fleet.Agree) {
+		t.Fatalf("no agreement: %s", fleet.Disagreement())
+	}
+	return fleet
+}
+
+func drawShape(t *rapid.T) scale.Shape {
+	zones := rapid.IntRange(1, 3).Draw(t, "zones")
+	return scale.Shape{Zones: zones, Nodes: zones * rapid.IntRange(2, 6).Draw(t, "nodes of a zone")}
+}
+
+func stateOf(viewer *scale.Hollow, node ident.Node) membership.State {
+	member, known := viewer.Core.View().Member(node)
+	if !known {
+		return membership.Dead
+	}
+	return member.State
+}
+
+func everyoneSees(fleet *scale.Simulation, node ident.Node, state membership.State) func() bool {
+	return func() bool {
+		for _, viewer := range fleet.Order {
+			if viewer.Up && viewer.Self.Node != node && stateOf(viewer, node) != state {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestDeadNodeIsFoundWithinBound(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		shape := drawShape(t)
+		fleet := settled(t, shape, scale.Healthy)
+		victim := rapid.SampledFrom(fleet.Order).Draw(t, "victim")
+		fleet.Stop(victim)
+		bound := fleet.Config.DetectionBound(shape.Nodes/shape.Zones) + 2*fleet.Config.BridgePeriod
+		if shape.Nodes == 2 {
+			bound = fleet.Config.LoneDetectionBound(shape.Nodes)
+		}
+		if !fleet.RunUntil(bound, everyoneSees(fleet, victim.Self.Node, membership.Dead)) {
+			t.Fatalf("%s isn't dead to all after %s", victim.Self.Node, bound)
+		}
+	})
+}
+
+func TestLiveNodesSurviveLoss(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := settled(t, drawShape(t), scale.Lossy(0.05))
+		end := fleet.Now().Add(time.Minute)
+		for fleet.Now().Before(end) {
+			fleet.Run(2 * time.Second)
+			for _, viewer := range fleet.Order {
+				for _, member := range viewer.Core.View().Members {
+					if member.State == membership.Dead {
+						t.Fatalf("%s declared %s dead", viewer.Self.Node, member.Node)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Whatever part of the fleet is cut off, and for however long, everybody agrees after the heal, also when nodes died,
+// restarted or were replaced meanwhile.
+func TestAgreementAfterHeal(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		shape := drawShape(t)
+		side := map[ident.Node]bool{}
+		cut := false
+		fleet := settled(t, shape, func(from, to membership.Self) scale.Link {
+			link := scale.Healthy(from, to)
+			link.Cut = cut && side[from.Node] != side[to.Node]
+			return link
+		})
+		wholeZones := rapid.Bool().Draw(t, "cut along zones")
+		for index, node := range fleet.Order {
+			side[node.Self.Node] = rapid.Bool().Draw(t, "side")
+			if wholeZones {
+				side[node.Self.Node] = side[fleet.Order[index%shape.Zones].Self.Node]
+			}
+		}
+		cut = true
+		fleet.Run(time.Duration(rapid.IntRange(1, 120).Draw(t, "cut seconds")) * time.Second)
+		churn(t, fleet, shape)
+		fleet.Run(time.Duration(rapid.IntRange(0, 60).Draw(t, "more seconds")) * time.Second)
+		cut = false
+		if !fleet.RunUntil(3*time.Minute, fleet.Agree) {
+			t.Fatalf("no agreement after the heal: %s", fleet.Disagreement())
+		}
+	})
+}
+
+// churn restarts, replaces or kills some nodes, but not the seeds.
+func churn(t *rapid.T, fleet *scale.Simulation, shape scale.Shape) {
+	for _, node := range fleet.Order[min(len(fleet.Order), 2*shape.Zones):] {
+		switch rapid.IntRange(0, 5).Draw(t, "fate") {
+		case 0:
+			fleet.Stop(node)
+		case 1:
+			fleet.Stop(node)
+			fleet.Run(500 * time.Millisecond)
+			fleet.Start(node, shape.Seeds())
+		case 2:
+			fleet.Exit(node)
+			replacement := shape.Place(len(fleet.Order))
+			replacement.Zone, replacement.Region = node.Self.Zone, node.Self.Region
+			fleet.Add(replacement, shape.Seeds())
+		}
+	}
+}
+
+func TestAnnouncedLeaveIsSeenWithinSeconds(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := settled(t, drawShape(t), scale.Healthy)
+		leaver := rapid.SampledFrom(fleet.Order).Draw(t, "leaver")
+		leaver.Core.Leave()
+		if !fleet.RunUntil(10*time.Second, everyoneSees(fleet, leaver.Self.Node, membership.Leaving)) {
+			t.Fatalf("%s isn't leaving to all", leaver.Self.Node)
+		}
+		fleet.Exit(leaver)
+		if !fleet.RunUntil(15*time.Second, everyoneSees(fleet, leaver.Self.Node, membership.Dead)) {
+			t.Fatalf("%s isn't gone to all", leaver.Self.Node)
+		}
+	})
+}
+
+// A paused process neither gives the others up when it wakes nor is it forgotten by them for good.
+func TestPausedNodeComesBackWithoutBlame(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := settled(t, drawShape(t), scale.Healthy)
+		sleeper := rapid.SampledFrom(fleet.Order).Draw(t, "sleeper")
+		sleeper.Paused = true
+		fleet.Run(time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds")) * time.Second)
+		fleet.Resume(sleeper)
+		for range 20 {
+			fleet.Run(2 * time.Second)
+			for _, viewer := range fleet.Order {
+				for _, member := range viewer.Core.View().Members {
+					if member.State == membership.Dead && member.Node != sleeper.Self.Node {
+						t.Fatalf("%s holds %s for dead", viewer.Self.Node, member.Node)
+					}
+				}
+			}
+		}
+		if !fleet.RunUntil(30*time.Second, fleet.Agree) {
+			t.Fatalf("no agreement: %s", fleet.Disagreement())
+		}
+	})
+}
+
+// A zone that is cut off is an island: its members know one another, and hold the others for suspect, not dead.
+func TestCutZoneIsAnIsland(t *testing.T) {
+	shape := scale.Shape{Nodes: 24, Zones: 4}
+	cut := false
+	fleet := scale.NewFleet(1, shape, membership.DefaultConfig(), func(from, to membership.Self) scale.Link {
+		link := scale.Healthy(from, to)
+		link.Cut = cut && (from.Zone == "zone-03") != (to.Zone == "zone-03")
+		return link
+	})
+	assert.Assert(t, fleet.RunUntil(settleTime, fleet.Agree), fleet.Disagreement())
+	cut = true
+	fleet.Run(fleet.Config.ReachableWithin + 5*time.Second)
+	for _, viewer := range fleet.Order {
+		for _, member := range viewer.Core.View().Members {
+			want := membership.Alive
+			if (viewer.Self.Zone == "zone-03") != (member.Zone == "zone-03") {
+				want = membership.Suspect
+			}
+			assert.Equal(t, member.State, want, fmt.Sprint(viewer.Self.Node, member.Node))
+		}
+	}
+}
+
+// A zone that is lost as a whole has nobody left to judge it; the others see that it can't be reached.
+func TestLostZoneIsSuspect(t *testing.T) {
+	shape := scale.Shape{Nodes: 24, Zones: 4}
+	fleet := scale.NewFleet(1, shape, membership.DefaultConfig(), scale.Healthy)
+	assert.Assert(t, fleet.RunUntil(settleTime, fleet.Agree), fleet.Disagreement())
+	for _, node := range fleet.Order {
+		if node.Self.Zone == "zone-02" {
+			fleet.Stop(node)
+		}
+	}
+	fleet.Run(fleet.Config.ReachableWithin + 5*time.Second)
+	assert.Assert(t, fleet.Agree(), fleet.Disagreement())
+	for _, node := range fleet.Order {
+		if node.Self.Zone == "zone-02" {
+			fleet.Start(node, shape.Seeds())
+		}
+	}
+	assert.Assert(t, fleet.RunUntil(time.Minute, fleet.Agree), fleet.Disagreement())
+}
