--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -46,6 +46,5 @@
 		return Decision{}, refusal
 	}
 	scoreAll(snapshot, request, now, candidates)
-	pickTwoChoices(candidates, random)
-	return Decision{Candidates: candidates}, nil
+	return Decision{Candidates: pickTwoChoices(candidates, random)}, nil
 }
--- a/internal/schedule/score_report.go
+++ b/internal/schedule/score_report.go
@@ -19,7 +19,7 @@
 )
 
 // scoreReport rates a runner by its last load report, drawn towards neutral as the report ages.
-// Inputs: load report, its age. Range: 1 when idle to 0 when full, 0.5 when old. It abstains without a report, with
+// Inputs: load report, its age, and the online work known without it, which the report never talks down. Range: 1 when idle to 0 when full, 0.5 when old. It abstains without a report, with
 // one older than maxReportAge, and while the capacity is not known.
 func scoreReport(_ *Snapshot, runner *Runner, _ *inference.Request, now time.Time) (float64, bool) {
 	age, reported := runner.reportAge(now)
@@ -29,6 +29,7 @@
 	}
 	report := runner.Report
 	load := float64(report.RunningOnline) + waitingLoadShare*float64(report.WaitingOnline)
+	load = max(load, runner.knownOnline())
 	load += batchLoadShare * float64(report.RunningBatch)
 	trust := math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
 	return trust*clamp(1-load/capacity) + (1-trust)*neutral, true
