--- a/internal/confsync/writer_test.go
+++ b/internal/confsync/writer_test.go
@@ -74,19 +74,21 @@
 	wantFailure(t, err, failure.CodeConflict, outcome.NotRun)
 }
 
-func TestOutageIsDefiniteAndLostContactIsUnknown(t *testing.T) {
-	ctx := context.Background()
-	writer, store, local, _ := newWriter(1)
+func TestOutageIsDefinite(t *testing.T) {
+	writer, store, _, _ := newWriter(1)
 	store.SetFaults(kvtest.Faults{Outage: true})
-	_, err := writer.Apply(ctx, put("a", "1"))
+	_, err := writer.Apply(context.Background(), put("a", "1"))
 	wantFailure(t, err, failure.CodeConfigUnavailable, outcome.NotRun)
 	assert.Assert(t, failure.As(err).RetryAfter > 0)
+}
 
-	writer, store, local, _ = newWriter(1)
+func TestLostContactIsUnknown(t *testing.T) {
+	ctx := context.Background()
+	writer, store, local, _ := newWriter(1)
 	store.SetFaults(kvtest.Faults{LoseContact: true})
 	proposal := put("a", "1")
 	proposal.ID = "resent"
-	_, err = writer.Apply(ctx, proposal)
+	_, err := writer.Apply(ctx, proposal)
 	wantFailure(t, err, failure.CodeConfigUnknown, outcome.Unknown)
 	assert.Equal(t, local.State().Revision, int64(0))
 
