Measure configuration spread and its cost; announce in three rounds

Cause: at 330 nodes two rounds of three announcements now and then miss a node, which then waits for its periodic digest. Fetching a whole copy has a time-out of its own: it would have been begun again every two seconds.

--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -20,6 +20,8 @@
 	Fanout int
 	// ExchangeTimeout is after how long an unanswered exchange is given up and another peer asked.
 	ExchangeTimeout time.Duration
+	// SnapshotTimeout is the same for the fetch of a whole copy.
+	SnapshotTimeout time.Duration
 	// RelaysPerZone is how many nodes of a zone watch the key-value service and talk to other zones.
 	RelaysPerZone int
 }
@@ -29,9 +31,10 @@
 	return Timing{
 		DigestPeriod:    2 * time.Second,
 		AnnouncePeriod:  200 * time.Millisecond,
-		AnnounceRounds:  2,
+		AnnounceRounds:  3,
 		Fanout:          3,
-		ExchangeTimeout: 2 * time.Second,
+		ExchangeTimeout: 1 * time.Second,
+		SnapshotTimeout: 20 * time.Second,
 		RelaysPerZone:   2,
 	}
 }
@@ -300,7 +303,11 @@
 }
 
 func (c *Core) startPull(now time.Time, from Peer, snapshot bool) {
-	c.pulling = &pull{from: from.Node, until: now.Add(c.timing.ExchangeTimeout)}
+	timeout := c.timing.ExchangeTimeout
+	if snapshot {
+		timeout = c.timing.SnapshotTimeout
+	}
+	c.pulling = &pull{from: from.Node, until: now.Add(timeout)}
 	c.outbox = append(c.outbox, Send{To: from, Digest: c.digest(), Snapshot: snapshot})
 }
 
--- a/internal/confsync/exchange.go
+++ b/internal/confsync/exchange.go
@@ -17,9 +17,6 @@
 // maxSends bounds the exchanges a node has under way at once; more wait for the next round.
 const maxSends = 32
 
-// snapshotTimeout bounds the fetch of a whole copy.
-const snapshotTimeout = 20 * time.Second
-
 // exchange drives the core's clock and sends its messages until ctx ends.
 func (r *Replica) exchange(ctx context.Context, supervisor *tomb.Tomb) error {
 	slots := make(chan struct{}, maxSends)
@@ -133,7 +130,7 @@
 // fetchSnapshot fetches a peer's whole copy. Parts are taken in together once the last has come, so that a copy that
 // breaks off half way leaves nothing behind.
 func (r *Replica) fetchSnapshot(ctx context.Context, peer Peer) error {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.options.Timing.SnapshotTimeout)
 	defer cancel()
 	connection, err := r.options.Dialer.Conn(ctx, peer.Node)
 	if err != nil {
--- a/internal/lab/confsim/operator.go
+++ b/internal/lab/confsim/operator.go
@@ -16,10 +16,12 @@
 
 // Outcome is how an operator's change ended.
 type Outcome struct {
-	ID       string
-	Change   confsync.Change
-	Err      error
-	Finished time.Time
+	ID     string
+	Change confsync.Change
+	Err    error
+	// Committed is the instant at which the last commit was tried at the key-value service.
+	Committed time.Time
+	Finished  time.Time
 }
 
 // Submit runs Writer.Apply at a node, beginning now. Each of its calls of the key-value service takes simulated time, in
@@ -42,7 +44,13 @@
 		<-operator.resume
 		change, err := writer.Apply(context.Background(), proposal)
 		operator.tasks <- task{finish: func() {
-			done(Outcome{ID: proposal.ID, Change: change, Err: err, Finished: f.Now()})
+			done(Outcome{
+				ID:        proposal.ID,
+				Change:    change,
+				Err:       err,
+				Committed: operator.committed,
+				Finished:  f.Now(),
+			})
 		}}
 	}()
 	operator.proceed()
@@ -51,12 +59,13 @@
 // operator is one Apply, run in a goroutine of its own that only moves while the scheduler waits for it: the run stays
 // deterministic and free of data races.
 type operator struct {
-	fleet    *Fleet
-	node     *Node
-	life     int
-	deadline time.Time
-	tasks    chan task
-	resume   chan struct{}
+	fleet     *Fleet
+	node      *Node
+	life      int
+	deadline  time.Time
+	tasks     chan task
+	resume    chan struct{}
+	committed time.Time
 	// abandoned operators end at once when they are resumed.
 	abandoned bool
 }
@@ -135,6 +144,7 @@
 ) (kv.TransactionResult, error) {
 	s.pass()
 	result, err := s.Store.Commit(ctx, compares, writes)
+	s.operator.committed = s.operator.fleet.Now()
 	s.operator.fleet.committed()
 	if errors.Is(err, kv.ErrOutcomeUnknown) {
 		s.operator.fleet.commitLate(compares, writes)
