Answer accepted only once a second node holds the change, for half a second at most

Cause: a change was answered as accepted, the node that accepted it died and the key-value service went away at that instant: the change stayed unknown to all nodes until the service was back. Ruled out: accepting on nodes without the service, which would need an agreement of its own.

--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -130,6 +130,16 @@
 // Known returns the revision the peer last said that it has, or zero.
 func (c *Core) Known(node ident.Node) int64 { return c.known[node] }
 
+// Held reports whether some live peer has said that it has the revision.
+func (c *Core) Held(revision int64) bool {
+	for _, known := range c.known {
+		if known >= revision {
+			return true
+		}
+	}
+	return false
+}
+
 // Relay reports whether this node is one of its zone's relays, by its own view of the peers.
 func (c *Core) Relay() bool { return contains(c.relays[c.self.Zone], c.self.Node) }
 
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -43,6 +43,26 @@
 	}
 }
 
+// TestAcceptorDiesWithTheService stops the node that accepted a change for good, and starts an outage, at the instant its
+// operator was answered.
+func TestAcceptorDiesWithTheService(t *testing.T) {
+	for seed := range uint64(20) {
+		fleet := confsim.New(simOptions(seed, 11, 110))
+		fleet.Run(5 * time.Second)
+		acceptor := fleet.Nodes()[seed]
+		accepted := int64(0)
+		fleet.Submit(acceptor, increment(acceptor.State(), "first"), func(ended confsim.Outcome) {
+			assert.NilError(t, ended.Err)
+			accepted = ended.Change.Revision
+			fleet.SetOutage(true)
+			acceptor.Stop()
+		})
+		fleet.Run(3 * time.Second)
+		assert.Equal(t, accepted, int64(1))
+		assert.Equal(t, fleet.Lowest(), accepted, "seed %d", seed)
+	}
+}
+
 // TestStaleNodeReturns pauses a node for twenty changes and lets a zone's only node come back from an old disk during an
 // outage: neither takes anything back, and both catch up from other nodes.
 func TestStaleNodeReturns(t *testing.T) {
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -51,8 +51,7 @@
 	return nil
 }
 
-// followOnce catches up and follows the watch until it fails, the head is due to be read again, or this node is no
-// longer a relay; the last two return nil.
+// followOnce catches up and follows the watch until it fails or this node is no longer a relay; the latter returns nil.
 func (r *Replica) followOnce(ctx context.Context) error {
 	newest, err := r.remote.follow(ctx, r)
 	if err != nil {
@@ -65,34 +64,41 @@
 		return fmt.Errorf("watch changes: %w", err)
 	}
 	event.ConfigFollowing.Log(r.options.Logger).Int64("revision", newest.revision).Send()
-	poll := time.NewTimer(headPollPeriod)
+	poll := time.NewTicker(headPollPeriod)
 	defer poll.Stop()
 	relay := time.NewTicker(relayPeriod)
 	defer relay.Stop()
 	for {
 		select {
 		case response, open := <-responses:
-			if !open {
-				return fmt.Errorf("watch changes: %w", errWatchClosed)
-			}
-			if response.Err != nil {
-				return fmt.Errorf("watch changes: %w", response.Err)
+			if err := r.learnResponse(response, open); err != nil {
+				return err
 			}
-			if err := r.learnEvents(response); err != nil {
+		case <-poll.C:
+			if _, err := r.remote.follow(ctx, r); err != nil {
 				return err
 			}
 		case <-relay.C:
 			if !r.Relay() {
 				return nil
 			}
-		case <-poll.C:
-			return nil
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// learnResponse takes in a response of a watch, or its end.
+func (r *Replica) learnResponse(response kv.WatchResponse, open bool) error {
+	if !open {
+		return fmt.Errorf("watch changes: %w", errWatchClosed)
+	}
+	if response.Err != nil {
+		return fmt.Errorf("watch changes: %w", response.Err)
+	}
+	return r.learnEvents(response)
+}
+
 // learnEvents takes in the changes of a watch's response; deletions only trim the history.
 func (r *Replica) learnEvents(response kv.WatchResponse) error {
 	for _, written := range response.Events {
--- a/internal/confsync/replica.go
+++ b/internal/confsync/replica.go
@@ -51,7 +51,9 @@
 	changed  chan struct{}
 	// advanced is closed when the copy's revision grows, whether or not it could be decoded.
 	advanced chan struct{}
-	warned   bool
+	// heard is closed at the next input of the core.
+	heard  chan struct{}
+	warned bool
 }
 
 var (
@@ -80,6 +82,7 @@
 		snapshot: catalog.Empty(),
 		changed:  make(chan struct{}),
 		advanced: make(chan struct{}),
+		heard:    make(chan struct{}),
 	}
 	replica.load()
 	return replica, nil
@@ -175,12 +178,33 @@
 		r.warned = true
 		event.ConfigDiverged.Log(r.options.Logger).Int64("revision", r.core.State().Revision).Send()
 	}
+	close(r.heard)
+	r.heard = make(chan struct{})
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
 }
 
+// AwaitHeld waits until another node is known to hold the revision, and reports whether one is. It does not wait if there
+// is no other node.
+func (r *Replica) AwaitHeld(ctx context.Context, revision int64) bool {
+	for {
+		r.mutex.Lock()
+		held, alone := r.core.Held(revision), len(r.core.peers) == 0
+		heard := r.heard
+		r.mutex.Unlock()
+		if held || alone {
+			return held
+		}
+		select {
+		case <-heard:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // publish puts the newest state in force. It holds the mutex, so that snapshots are published in revision order.
 func (r *Replica) publish() {
 	state := r.core.State()
--- a/internal/confsync/writer.go
+++ b/internal/confsync/writer.go
@@ -34,6 +34,8 @@
 const (
 	minApplyDelay = 50 * time.Millisecond
 	maxApplyDelay = 1 * time.Second
+	// heldTimeout bounds the wait for a second node to hold an accepted change.
+	heldTimeout = 500 * time.Millisecond
 	// retryAfterOutage is what operators are told while the service is away.
 	retryAfterOutage = 10 * time.Second
 )
@@ -50,6 +52,12 @@
 	Recent(id string) (Change, bool)
 }
 
+// heldWaiter is a copy that hears what other nodes hold. Replica implements it.
+type heldWaiter interface {
+	// AwaitHeld waits until another node is known to hold the revision, and reports whether one is.
+	AwaitHeld(ctx context.Context, revision int64) bool
+}
+
 // Mutation writes or deletes one resource.
 type Mutation struct {
 	Key    Key
@@ -269,9 +277,22 @@
 	}
 	accepted := change.withoutPrevious()
 	a.writer.local.Learn([]Change{accepted})
+	a.writer.awaitHeld(ctx, accepted.Revision)
 	return accepted, true, nil
 }
 
+// awaitHeld holds the answer back until a second node has the change, for a short while. The change is accepted either
+// way; but should this node and the service fail together right after the answer, it still spreads from the second node.
+func (w *Writer) awaitHeld(ctx context.Context, revision int64) {
+	waiter, able := w.local.(heldWaiter)
+	if !able {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
+	defer cancel()
+	waiter.AwaitHeld(ctx, revision)
+}
+
 // definitelyNotApplied reports whether a failed commit is known to have had no effect.
 func definitelyNotApplied(err error) bool {
 	return errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrRateLimited)
--- a/internal/lab/confsim/operator.go
+++ b/internal/lab/confsim/operator.go
@@ -35,7 +35,7 @@
 		tasks:    make(chan task),
 		resume:   make(chan struct{}),
 	}
-	writer := confsync.NewWriter(&slowStore{Store: node.store, operator: operator}, node,
+	writer := confsync.NewWriter(&slowStore{Store: node.store, operator: operator}, &operatorCopy{node, operator},
 		confsync.WithApplyTimeout(time.Hour),
 		confsync.WithClock(f.Now, operator.sleep, func(bound time.Duration) time.Duration {
 			return bound/2 + f.draw(bound/2)
@@ -110,6 +110,27 @@
 	return nil
 }
 
+// operatorCopy is a node's copy as an operator on it sees it.
+type operatorCopy struct {
+	*Node
+	operator *operator
+}
+
+// Periods of an operator's wait for a second node.
+const (
+	heldTimeout    = 500 * time.Millisecond
+	heldPollPeriod = 10 * time.Millisecond
+)
+
+// AwaitHeld waits in simulated time until another node is known to hold the revision.
+func (c *operatorCopy) AwaitHeld(_ context.Context, revision int64) bool {
+	until := c.fleet.Now().Add(heldTimeout)
+	for !c.core.Held(revision) && c.fleet.Now().Before(until) {
+		c.operator.wait(heldPollPeriod)
+	}
+	return c.core.Held(revision)
+}
+
 // slowStore has each call take the store's delay before and after it takes effect.
 type slowStore struct {
 	kv.Store
