Assemble the node from its parts; run a fleet of processes from the lab

Cause: the parts existed singly. A node now runs caller API, admin API, dispatcher, job shards, configuration replica and membership from one settings file, and 'mallowlatch-lab fleet' starts stand-ins, engines and nodes as processes. Measured: the fleet of two zones starts and accepts its first configuration; no load yet.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,5 +38,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(NewConfigCommand())
+	root.AddCommand(newNodeCommand())
 	return root
 }
--- a/internal/jobstore/registry.go
+++ b/internal/jobstore/registry.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"storj.io/drpc/drpcmux"
+	"storj.io/drpc"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	pb "mallowlatch.example/mallowlatch/internal/jobstore/jobstorepb"
@@ -43,7 +43,7 @@
 }
 
 // Register makes the registry answer the job store's calls on a mux.
-func Register(mux *drpcmux.Mux, registry *Registry) error {
+func Register(mux drpc.Mux, registry *Registry) error {
 	if err := pb.DRPCRegisterJobStore(mux, registry); err != nil {
 		return fmt.Errorf("registering the job store: %w", err)
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"os"
+	"sync"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
 )
@@ -238,14 +240,21 @@
 	return nil
 }
 
-// Stop ends every process, nodes first, and returns the first error.
+// Stop ends every process: the nodes first, all at once, and then what they depend on. It returns every error.
 func (f *Fleet) Stop() error {
-	processes := f.Processes()
-	var first error
-	for index := len(processes) - 1; index >= 0; index-- {
-		if err := processes[index].Stop(); err != nil && first == nil {
-			first = err
-		}
+	nodes := make([]*Process, len(f.Nodes))
+	for index, node := range f.Nodes {
+		nodes[index] = node.Process
+	}
+	return errors.Join(stopAll(nodes), stopAll(f.Processes()))
+}
+
+func stopAll(processes []*Process) error {
+	results := make([]error, len(processes))
+	var stopping sync.WaitGroup
+	for index, process := range processes {
+		stopping.Go(func() { results[index] = process.Stop() })
 	}
-	return first
+	stopping.Wait()
+	return errors.Join(results...)
 }
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -9,6 +9,7 @@
 		newMachines(),
 		newWeights(),
 		newEngine(),
+		newFleet(),
 		newLoad(),
 	}
 }
--- /dev/null
+++ b/internal/node/apis.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"mallowlatch.example/mallowlatch/internal/admin"
+	"mallowlatch.example/mallowlatch/internal/gateway"
+	"mallowlatch.example/mallowlatch/internal/settings"
+)
+
+func (n *Node) assembleCallerAPI() error {
+	n.gateway = gateway.New(gateway.Options{
+		Source:     n.replica,
+		Dispatcher: admittedDispatcher{admission: n.admission, dispatcher: n.dispatcher},
+		Jobs:       n.jobs,
+		Ready:      n.ready,
+		Limits:     gateway.LimitsOf(n.settings.Limits),
+		Logger:     n.logger,
+		Registerer: n.registry,
+	})
+	n.callerServer = newHTTPServer(n.settings.Limits, n.gateway)
+	return nil
+}
+
+func (n *Node) assembleAdminAPI() error {
+	handler, err := admin.New(admin.Options{
+		Source:          n.replica,
+		Writer:          n.writer,
+		Status:          n.replica,
+		Fleet:           fleetStatus{members: n.members, table: n.table, owners: n.owners, source: n.replica},
+		BootstrapDigest: string(n.settings.Bootstrap.AdminKeyDigest),
+		Logger:          n.logger,
+		Registerer:      n.registry,
+	})
+	if err != nil {
+		return fmt.Errorf("admin API: %w", err)
+	}
+	n.adminServer = newHTTPServer(n.settings.Limits, n.adminRoutes(handler))
+	return nil
+}
+
+// adminRoutes adds what only operators may see: metrics, profiles, and health for the platform's checks.
+func (n *Node) adminRoutes(api http.Handler) http.Handler {
+	routes := http.NewServeMux()
+	routes.Handle("/admin/", api)
+	routes.Handle("/metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	routes.Handle("/healthz", n.gateway)
+	routes.Handle("/readyz", n.gateway)
+	routes.HandleFunc("/debug/pprof/", pprof.Index)
+	routes.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	routes.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	routes.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	routes.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return routes
+}
+
+// newHTTPServer bounds what a slow or hostile caller can hold open.
+func newHTTPServer(limits settings.Limits, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    int(limits.HeaderBytes),
+	}
+}
--- /dev/null
+++ b/internal/node/assemble.go
@@ -0,0 +1,286 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/admission"
+	"mallowlatch.example/mallowlatch/internal/admission/admissionpb"
+	"mallowlatch.example/mallowlatch/internal/batch"
+	"mallowlatch.example/mallowlatch/internal/confsync"
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
+	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobclient"
+	"mallowlatch.example/mallowlatch/internal/jobstore"
+	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
+	"mallowlatch.example/mallowlatch/internal/machine"
+	"mallowlatch.example/mallowlatch/internal/machine/httplist"
+	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/membership/membershippb"
+	"mallowlatch.example/mallowlatch/internal/settings"
+	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/transport"
+)
+
+const machineListPath = "/machines"
+
+func (n *Node) assemblePeers() error {
+	if err := n.loadCredentials(); err != nil {
+		return err
+	}
+	metrics := transport.NewMetrics(n.registry)
+	n.members = membership.NewService(membership.Options{
+		Config:     membershipConfig(n.settings.Membership),
+		Self:       n.self(),
+		Seeds:      texts(n.settings.Listen.Seeds),
+		Random:     newRandom(),
+		Registerer: n.registry,
+		Logger:     n.logger,
+	})
+	n.peers = peers{self: n.id(), members: n.members}
+	n.pool = transport.NewPool(transport.PoolOptions{
+		Lookup:      n.members.Address,
+		Credentials: n.credentials,
+		Metrics:     metrics,
+		Jitter:      rand.Float64,
+	})
+	n.peerServer = transport.NewServer(transport.ServerOptions{
+		Credentials: n.credentials,
+		Metrics:     metrics,
+		Logger:      n.logger,
+	})
+	return nil
+}
+
+func (n *Node) loadCredentials() error {
+	certificate := n.settings.TLS.Peer
+	if !certificate.Enabled() {
+		return nil
+	}
+	files := transport.Files{
+		Certificate: string(certificate.Cert),
+		Key:         string(certificate.Key),
+		Authority:   string(certificate.CA),
+	}
+	credentials, err := transport.LoadCredentials(files, n.logger)
+	if err != nil {
+		return fmt.Errorf("peer certificates: %w", err)
+	}
+	n.credentials = credentials
+	return nil
+}
+
+func (n *Node) self() membership.Self {
+	return membership.Self{
+		Node:          n.id(),
+		Zone:          n.zone(),
+		Region:        ident.Region(n.settings.Node.Region),
+		PeerAddress:   string(n.settings.AdvertiseAddress()),
+		CallerAddress: string(n.settings.Listen.Caller),
+		Started:       time.Now(),
+		Attributes:    membership.Attributes{HasDisk: n.settings.DataDir != ""},
+	}
+}
+
+func membershipConfig(from settings.Membership) membership.Config {
+	config := membership.DefaultConfig()
+	config.ProbePeriod = from.ProbeInterval
+	config.DirectTimeout = from.ProbeTimeout
+	config.SuspicionTimeout = from.SuspectTimeout
+	config.IndirectProbes = from.IndirectProbes
+	config.BridgePeriod = from.DigestInterval
+	return config
+}
+
+func (n *Node) assembleConfiguration() error {
+	endpoints := make([]string, len(n.settings.Platform.KVEndpoints))
+	for index, address := range n.settings.Platform.KVEndpoints {
+		endpoints[index] = "http://" + string(address)
+	}
+	store, err := etcdhttp.New(endpoints,
+		etcdhttp.WithCallTimeout(n.settings.Platform.KVTimeout),
+		etcdhttp.WithClientName(string(n.id())))
+	if err != nil {
+		return fmt.Errorf("key-value service: %w", err)
+	}
+	n.kv = store
+	n.replica, err = confsync.NewReplica(confsync.Options{
+		Self:       confsync.Peer{Node: n.id(), Zone: n.zone()},
+		Store:      store,
+		Peers:      n.peers,
+		Dialer:     n.pool,
+		Decode:     catalogDecoder(n.logger),
+		DataDir:    string(n.settings.DataDir),
+		Logger:     n.logger,
+		Registerer: n.registry,
+		Seed:       rand.Uint64(),
+	})
+	if err != nil {
+		return fmt.Errorf("configuration replica: %w", err)
+	}
+	n.writer = confsync.NewWriter(store, n.replica)
+	return nil
+}
+
+func (n *Node) assembleStorage() error {
+	var registry *jobstore.Registry
+	if n.settings.DataDir == "" {
+		n.directory = shardhost.NewDirectory(n.kv, shardhost.DefaultPrefix, n.logger)
+	} else {
+		opened, err := openStorage(storageOptions{
+			settings:   n.settings,
+			kv:         n.kv,
+			dialer:     n.pool,
+			peers:      n.peers,
+			repeatable: n.repeatable,
+			logger:     n.logger,
+			registerer: n.registry,
+		})
+		if err != nil {
+			return err
+		}
+		n.storage = opened
+		n.directory = opened.host.Directory()
+		registry = opened.registry
+	}
+	n.jobs = jobclient.New(jobclient.Options{
+		Self:      n.id(),
+		Local:     registry,
+		Dialer:    n.pool,
+		Directory: shardDirectory{shards: n.settings.Jobs.Shards, leaders: n.directory},
+		Logger:    n.logger,
+	})
+	return nil
+}
+
+// repeatable is the default of a service for items that do not say.
+func (n *Node) repeatable(service string) bool {
+	found, known := n.replica.Current().Services[service]
+	return !known || found.Repeatable
+}
+
+func (n *Node) assembleOnline() error {
+	n.engines = newEngineDirectory()
+	n.table = dispatch.NewTable()
+	n.owners = &claims{peers: n.peers, zone: n.zone(), engines: n.engines, owned: map[ident.Runner]uint64{}}
+	n.poller = &machinePoller{
+		lister:  httplist.New("http://"+string(n.settings.Platform.MachineList)+machineListPath, nil),
+		period:  n.settings.Platform.MachinePoll,
+		engines: n.engines,
+		table:   n.table,
+		logger:  n.logger,
+		seen:    []func(machine.List){n.owners.seen},
+	}
+	n.exchange = exchange.New(exchange.Config{
+		Node:       n.id(),
+		Zone:       n.zone(),
+		Table:      n.table,
+		Engines:    n.engines,
+		Peers:      runnerPeers{peers: n.peers, owners: n.owners},
+		Dialer:     n.pool,
+		Intervals:  exchange.Intervals{PollOwned: n.settings.Dispatch.LoadReportEvery},
+		Logger:     n.logger,
+		Registerer: n.registry,
+	})
+	n.admission = admission.New(admission.Config{
+		Node:    n.id(),
+		Catalog: n.replica,
+		Nodes:   n.peers.nodes,
+		Bounds: admission.Bounds{
+			Waiters: n.settings.Dispatch.QueueDepth,
+			Wait:    n.settings.Dispatch.QueueTimeout,
+		},
+		Registerer: n.registry,
+	})
+	n.demand = admission.NewExchange(n.admission, n.pool)
+	n.dispatcher = dispatch.New(dispatch.Config{
+		Node:    n.id(),
+		Zone:    n.zone(),
+		Table:   n.table,
+		Engines: n.engines,
+		Catalog: n.replica,
+		Ledger:  n.jobs,
+		Limits: dispatch.Limits{
+			FirstChunk: n.settings.Dispatch.AttemptTimeout,
+			Stall:      n.settings.Dispatch.StallTimeout,
+		},
+		Logger:     n.logger,
+		Registerer: n.registry,
+	})
+	return nil
+}
+
+func (n *Node) assembleBatch() error {
+	n.worker = batch.New(batch.Config{
+		Node:       n.id(),
+		Table:      n.table,
+		Engines:    n.engines,
+		Catalog:    n.replica,
+		Ownership:  n.owners,
+		Work:       n.jobs,
+		Order:      newJobOrder(n.replica, n.logger).order,
+		Logger:     n.logger,
+		Registerer: n.registry,
+	})
+	return nil
+}
+
+// register adds the parts' calls to the peer listener.
+func (n *Node) register() error {
+	steps := []func() error{
+		func() error { return membershippb.DRPCRegisterMembership(n.peerServer, n.members) },
+		func() error { return n.replica.Register(n.peerServer) },
+		func() error { return dispatchpb.DRPCRegisterRunnerExchange(n.peerServer, n.exchange) },
+		func() error { return admissionpb.DRPCRegisterDemandHome(n.peerServer, n.demand) },
+	}
+	if n.storage != nil {
+		steps = append(steps, func() error { return n.storage.Register(n.peerServer) })
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return fmt.Errorf("register calls: %w", err)
+		}
+	}
+	return nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.listeners.peer, err = open(n.settings.Listen.Peer); err != nil {
+		return err
+	}
+	if n.listeners.admin, err = open(n.settings.Listen.Admin); err != nil {
+		return err
+	}
+	n.listeners.caller, err = open(n.settings.Listen.Caller)
+	return err
+}
+
+func open(address settings.Address) (net.Listener, error) {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+func texts(addresses []settings.Address) []string {
+	plain := make([]string, len(addresses))
+	for index, address := range addresses {
+		plain[index] = string(address)
+	}
+	return plain
+}
+
+// serveHTTP serves until the server is shut down.
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	}
+	return nil
+}
--- a/internal/node/engines.go
+++ b/internal/node/engines.go
@@ -54,3 +54,9 @@
 	}
 	return engineEntry{address: runner.Address, engine: openaihttp.New(runner.Address, d.client)}
 }
+
+func (d *engineDirectory) empty() bool {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return len(d.entries) == 0
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,176 @@
+// Package node assembles the roles of one machine from its settings, runs them, and stops them in order.
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/admission"
+	"mallowlatch.example/mallowlatch/internal/batch"
+	"mallowlatch.example/mallowlatch/internal/confsync"
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/gateway"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobclient"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/settings"
+	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/transport"
+)
+
+// Options are what a node needs besides its settings.
+type Options struct {
+	Logger zerolog.Logger
+	// Registry gets the metrics and serves them on the admin listener.
+	Registry *prometheus.Registry
+}
+
+// Node is one running mallowlatch process.
+type Node struct {
+	settings settings.Settings
+	logger   zerolog.Logger
+	registry *prometheus.Registry
+	tomb     tomb.Tomb
+
+	kv          kv.Store
+	credentials *transport.Credentials
+	pool        *transport.Pool
+	peerServer  *transport.Server
+	members     *membership.Service
+	peers       peers
+
+	replica   *confsync.Replica
+	writer    *confsync.Writer
+	directory *shardhost.Directory
+	storage   *storage
+	jobs      *jobclient.Client
+
+	engines    *engineDirectory
+	table      *dispatch.Table
+	poller     *machinePoller
+	owners     *claims
+	exchange   *exchange.Exchange
+	admission  *admission.Controller
+	demand     *admission.Exchange
+	dispatcher *dispatch.Dispatcher
+	worker     *batch.Worker
+	gateway    *gateway.Gateway
+
+	callerServer *http.Server
+	adminServer  *http.Server
+	listeners    listeners
+}
+
+// listeners are the open sockets of a node.
+type listeners struct {
+	caller, admin, peer net.Listener
+}
+
+// New assembles a node from checked settings. It opens the store and the sockets and starts nothing.
+func New(config settings.Settings, options Options) (*Node, error) {
+	node := &Node{settings: config, logger: options.Logger, registry: options.Registry}
+	steps := []func() error{
+		node.assemblePeers,
+		node.assembleConfiguration,
+		node.assembleStorage,
+		node.assembleOnline,
+		node.assembleBatch,
+		node.assembleCallerAPI,
+		node.assembleAdminAPI,
+		node.register,
+		node.listen,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, fmt.Errorf("assemble node %s: %w", config.Node.ID, err)
+		}
+	}
+	return node, nil
+}
+
+func (n *Node) id() ident.Node   { return ident.Node(n.settings.Node.ID) }
+func (n *Node) zone() ident.Zone { return ident.Zone(n.settings.Node.Zone) }
+
+// newRandom returns a source seeded from the system, for choices that must differ between nodes.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// Run starts the node, serves until ctx ends or a part fails, and then stops it as planned.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.start(); err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	event.NodeStarted.Log(n.logger).
+		Str("caller", n.listeners.caller.Addr().String()).
+		Str("admin", n.listeners.admin.Addr().String()).
+		Str("peer", n.listeners.peer.Addr().String()).
+		Send()
+	select {
+	case <-ctx.Done():
+	case <-n.tomb.Dying():
+	}
+	return n.stop()
+}
+
+// start runs the parts. Peers come first: what follows needs them to find configuration and shards.
+func (n *Node) start() error {
+	n.tomb.Go(func() error { return n.peerServer.Serve(n.listeners.peer) })
+	n.members.Start(n.pool)
+	n.run(n.replica.Run)
+	n.run(n.directory.Follow)
+	if n.storage != nil {
+		work, err := n.storage.Start()
+		if err != nil {
+			return err
+		}
+		for _, periodic := range work {
+			n.run(periodic)
+		}
+	}
+	n.run(n.poller.Run)
+	n.run(n.followDrains)
+	n.owners.Start()
+	n.exchange.Start()
+	n.demand.Start()
+	n.worker.Start()
+	n.tomb.Go(func() error { return serveHTTP(n.adminServer, n.listeners.admin) })
+	n.tomb.Go(func() error { return serveHTTP(n.callerServer, n.listeners.caller) })
+	return nil
+}
+
+// run supervises a part that works until its context ends.
+func (n *Node) run(work func(context.Context) error) {
+	n.tomb.Go(func() error { return work(n.tomb.Context(context.Background())) })
+}
+
+// followDrains passes the operators' drains of each new configuration to the runner table.
+func (n *Node) followDrains(ctx context.Context) error {
+	for {
+		snapshot := n.replica.Current()
+		n.table.SetDrains(snapshot.Drains)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.replica.Changed(snapshot.Revision):
+		}
+	}
+}
+
+// CallerAddress returns the address of the caller API.
+func (n *Node) CallerAddress() string { return n.listeners.caller.Addr().String() }
+
+// AdminAddress returns the address of the admin API.
+func (n *Node) AdminAddress() string { return n.listeners.admin.Addr().String() }
+
+// stopBound is how long the steps of a planned stop that do not wait for callers may take, each.
+const stopBound = 10 * time.Second
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"mallowlatch.example/mallowlatch/internal/confsync"
+	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/shardhost"
+)
+
+// peers shows the membership to the other parts in the forms they ask for.
+type peers struct {
+	self    ident.Node
+	members *membership.Service
+}
+
+// Peers returns the live nodes without this one, for the distribution of configuration.
+func (p peers) Peers() []confsync.Peer {
+	var found []confsync.Peer
+	for _, member := range p.live() {
+		found = append(found, confsync.Peer{Node: member.Node, Zone: member.Zone})
+	}
+	return found
+}
+
+// live returns the members that take part, without this node. Leaving ones do until they are gone.
+func (p peers) live() []membership.Member {
+	var live []membership.Member
+	for _, member := range p.members.View().Members {
+		if member.Node == p.self || !takesPart(member.State) {
+			continue
+		}
+		live = append(live, member)
+	}
+	return live
+}
+
+func takesPart(state membership.State) bool {
+	return state == membership.Alive || state == membership.Leaving
+}
+
+// nodes returns the names of the live nodes with this one, over which shared limits are split.
+func (p peers) nodes() []ident.Node {
+	nodes := []ident.Node{p.self}
+	for _, member := range p.live() {
+		nodes = append(nodes, member.Node)
+	}
+	return nodes
+}
+
+// disks returns the nodes with a disk, this one included, for the placement of shard replicas.
+func (p peers) disks() []shardhost.NodeInfo {
+	var disks []shardhost.NodeInfo
+	for _, member := range p.members.View().Members {
+		if !member.Attributes.HasDisk {
+			continue
+		}
+		disks = append(disks, shardhost.NodeInfo{
+			Node:     member.Node,
+			Zone:     member.Zone,
+			Alive:    takesPart(member.State),
+			Draining: member.State == membership.Leaving,
+		})
+	}
+	return disks
+}
+
+// runnerPeers adds the owners of runners.
+type runnerPeers struct {
+	peers
+	owners ownerLookup
+}
+
+// ownerLookup finds the node that owns a runner.
+type ownerLookup interface {
+	Owner(runner ident.Runner) (ident.Node, bool)
+}
+
+// Owner returns the node that owns a runner, if it is known.
+func (p runnerPeers) Owner(runner ident.Runner) (ident.Node, bool) { return p.owners.Owner(runner) }
+
+// Peers returns the live nodes without this one, for the exchange of runner state.
+func (p runnerPeers) Peers() []exchange.Peer {
+	var found []exchange.Peer
+	for _, member := range p.live() {
+		found = append(found, exchange.Peer{Node: member.Node, Zone: member.Zone})
+	}
+	return found
+}
