Trust the sender's name between nodes only where nobody authenticates

Cause: a shard host refused every message between nodes on plain loopback TCP, since no certificate names the sender; no shard elected a leader and uploads ended in job_storage_unavailable. Ruled out: placement (sets had three members), dialling (calls went out, 48 of them). Change: the check is on where peer TLS is, which any address but loopback needs.

--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -137,6 +138,7 @@
 			kv:         n.kv,
 			dialer:     n.pool,
 			peers:      n.peers,
+			peer:       n.peerNames(),
 			repeatable: n.repeatable,
 			logger:     n.logger,
 			registerer: n.registry,
@@ -158,6 +160,14 @@
 	return nil
 }
 
+// peerNames returns how to name the node behind a call, or nil if peers do not authenticate.
+func (n *Node) peerNames() func(context.Context) (ident.Node, bool) {
+	if n.credentials == nil {
+		return nil
+	}
+	return transport.Peer
+}
+
 // repeatable is the default of a service for items that do not say.
 func (n *Node) repeatable(service string) bool {
 	found, known := n.replica.Current().Services[service]
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -29,10 +29,12 @@
 
 // storageOptions are what openStorage needs.
 type storageOptions struct {
-	settings   settings.Settings
-	kv         kv.Store
-	dialer     transport.Dialer
-	peers      peers
+	settings settings.Settings
+	kv       kv.Store
+	dialer   transport.Dialer
+	peers    peers
+	// peer names the authenticated node behind a call; nil without TLS, where the message is trusted (loopback only).
+	peer       func(context.Context) (ident.Node, bool)
 	repeatable func(service string) bool
 	logger     zerolog.Logger
 	registerer prometheus.Registerer
@@ -54,7 +56,7 @@
 		Nodes:      options.peers.disks,
 		Shards:     options.settings.Jobs.Shards,
 		Machine:    func(ident.Shard) shard.Machine { return jobstore.NewMachine() },
-		Peer:       transport.Peer,
+		Peer:       options.peer,
 		Plan:       &plan,
 		Logger:     options.logger,
 		Registerer: options.registerer,
