Add the experiment framework: relay, interference, surge

The batch bound of interference is the rate of batch alone less the share of engine time that the online work needs when steps run full, from the engines' own counters. Baselines (one queue, priority without credits, fixed split) route from one place with exact knowledge, which favours them.

--- a/internal/lab/enginesim/engine.go
+++ b/internal/lab/enginesim/engine.go
@@ -211,6 +211,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stepTime = duration
+	e.scheduler.counters.Steps++
+	e.scheduler.counters.BusyTime += time.Duration(float64(duration) * e.options.TimeScale)
 	running := append([]*sequence(nil), e.scheduler.running...)
 	now := time.Now()
 	for _, finished := range e.scheduler.apply() {
--- a/internal/lab/enginesim/faultserver.go
+++ b/internal/lab/enginesim/faultserver.go
@@ -16,6 +16,7 @@
 	router.DELETE("/faults", e.handleDeleteFaults)
 	router.GET("/runs", e.handleGetRuns)
 	router.DELETE("/runs", e.handleDeleteRuns)
+	router.GET("/counters", e.handleGetCounters)
 	router.POST("/stop", e.handleStop)
 	return router
 }
@@ -58,6 +59,10 @@
 	return writeJSON(w, http.StatusOK, struct{}{})
 }
 
+func (e *Engine) handleGetCounters(w http.ResponseWriter, _ bunrouter.Request) error {
+	return writeJSON(w, http.StatusOK, e.Counters())
+}
+
 // handleStop ends the engine as a crash would.
 func (e *Engine) handleStop(w http.ResponseWriter, _ bunrouter.Request) error {
 	w.WriteHeader(http.StatusAccepted)
--- /dev/null
+++ b/internal/lab/experiment/environment.go
@@ -0,0 +1,249 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
+	"mallowlatch.example/mallowlatch/internal/lab/fleet"
+	"mallowlatch.example/mallowlatch/internal/lab/load"
+)
+
+const (
+	// startTimeout bounds the start of a fleet.
+	startTimeout = 60 * time.Second
+	callTimeout  = 20 * time.Second
+	adminKey     = "lab-admin-key"
+	callerKey    = "lab-caller-key"
+	service      = "base"
+)
+
+// environment is what one run of an experiment works in.
+type environment struct {
+	options Options
+	seed    uint64
+	run     int
+	phases  int
+	notes   []string
+}
+
+// phase is one fleet under load. Each phase starts its processes afresh, so that none inherits another's backlog.
+type phase struct {
+	name string
+	// engineArguments are further arguments of every engine.
+	engineArguments []string
+	// nodes says that the load goes through nodes.
+	nodes bool
+	load  load.Options
+	// shape changes the load once the addresses are known.
+	shape func(*load.Options, *fleet.Fleet)
+	// during runs beside the load.
+	during func(ctx context.Context, fleet *fleet.Fleet) error
+}
+
+// outcome is what a phase gave.
+type outcome struct {
+	report *load.Report
+	// counters are the sum over the engines, from the start of the load to its end.
+	counters enginesim.Counters
+	engines  int
+}
+
+// runPhase starts the processes of a phase, sends its load and stops them.
+func (e *environment) runPhase(ctx context.Context, phase phase) (outcome, error) {
+	started, err := e.start(ctx, phase)
+	if err != nil {
+		return outcome{}, fmt.Errorf("phase %s: %w", phase.name, err)
+	}
+	defer e.stop(phase.name, started)
+	fmt.Fprintf(e.options.Progress, "run %d, phase %s\n", e.run+1, phase.name)
+	options := e.loadOptions(phase, started)
+	before := e.counters(ctx, started)
+	report, err := e.underLoad(ctx, phase, started, options)
+	if err != nil {
+		return outcome{}, fmt.Errorf("phase %s: %w", phase.name, err)
+	}
+	after := e.counters(ctx, started)
+	e.check(phase.name, report)
+	return outcome{report: report, counters: after.Minus(before), engines: len(started.Engines)}, nil
+}
+
+func (e *environment) underLoad(ctx context.Context, phase phase, started *fleet.Fleet, options load.Options) (*load.Report, error) {
+	var beside tomb.Tomb
+	if phase.during != nil {
+		beside.Go(func() error { return phase.during(beside.Context(ctx), started) })
+	}
+	report, err := load.Start(ctx, options)
+	if phase.during != nil {
+		beside.Kill(nil)
+		if err := beside.Wait(); err != nil {
+			e.notes = append(e.notes, phase.name+": "+err.Error())
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	return report, nil
+}
+
+func (e *environment) start(ctx context.Context, phase phase) (*fleet.Fleet, error) {
+	plan, err := e.plan(phase)
+	if err != nil {
+		return nil, err
+	}
+	laidOut, err := fleet.New(plan)
+	if err != nil {
+		return nil, fmt.Errorf("laying out the fleet: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := e.startProcesses(ctx, phase, laidOut); err != nil {
+		e.stop(phase.name, laidOut)
+		return nil, err
+	}
+	return laidOut, nil
+}
+
+func (e *environment) startProcesses(ctx context.Context, phase phase, laidOut *fleet.Fleet) error {
+	if !phase.nodes {
+		return startEngines(ctx, laidOut)
+	}
+	if err := laidOut.Start(ctx); err != nil {
+		return fmt.Errorf("starting the fleet: %w", err)
+	}
+	return provision(ctx, laidOut)
+}
+
+func startEngines(ctx context.Context, laidOut *fleet.Fleet) error {
+	for _, engine := range laidOut.Engines {
+		if err := engine.Start(); err != nil {
+			return fmt.Errorf("starting engines: %w", err)
+		}
+	}
+	for _, engine := range laidOut.Engines {
+		if err := engine.WaitReady(ctx); err != nil {
+			return fmt.Errorf("starting engines: %w", err)
+		}
+	}
+	return nil
+}
+
+func (e *environment) stop(name string, started *fleet.Fleet) {
+	if err := started.Stop(); err != nil {
+		e.notes = append(e.notes, name+": stopping: "+err.Error())
+	}
+}
+
+func (e *environment) plan(phase phase) (fleet.Plan, error) {
+	plan, err := fleet.ByName(e.options.Plan)
+	if err != nil {
+		return plan, fmt.Errorf("choosing the plan: %w", err)
+	}
+	e.phases++
+	plan.Directory = filepath.Join(e.options.Directory, fmt.Sprintf("run-%d-%d-%s", e.run+1, e.phases, phase.name))
+	plan.Binaries = e.options.Binaries
+	plan.BasePort = e.options.BasePort
+	plan.Models = []string{service}
+	plan.AdminKey = adminKey
+	plan.NodeSettings = e.options.NodeSettings
+	plan.EngineArguments = append([]string{
+		"--max-sequences", strconv.Itoa(e.options.MaxSequences),
+		"--max-waiting", strconv.Itoa(e.options.MaxWaiting),
+		"--seed", strconv.FormatUint(e.seed, 10),
+	}, phase.engineArguments...)
+	return plan, nil
+}
+
+// loadOptions completes a phase's load with the addresses and the common settings.
+func (e *environment) loadOptions(phase phase, started *fleet.Fleet) load.Options {
+	options := phase.load
+	options.Seed = e.seed
+	options.Model = service
+	options.Duration = e.options.Duration
+	options.Warmup = e.options.Warmup
+	if phase.nodes {
+		options.Keys = []string{callerKey}
+		options.Targets = nodeTargets(started)
+	} else {
+		options.LeastInFlight = true
+		options.Targets = engineTargets(started.Engines)
+	}
+	for _, engine := range started.Engines {
+		options.EngineFaults = append(options.EngineFaults, engine.Fault)
+	}
+	if phase.shape != nil {
+		phase.shape(&options, started)
+	}
+	return options
+}
+
+func nodeTargets(started *fleet.Fleet) []string {
+	var targets []string
+	for _, node := range started.Nodes {
+		targets = append(targets, "http://"+node.Caller)
+	}
+	return targets
+}
+
+func engineTargets(engines []fleet.Engine) []string {
+	var targets []string
+	for _, engine := range engines {
+		targets = append(targets, "http://"+engine.Address)
+	}
+	return targets
+}
+
+// counters sums the engines' counters. An engine that does not answer is noted and left out.
+func (e *environment) counters(ctx context.Context, started *fleet.Fleet) enginesim.Counters {
+	var sum enginesim.Counters
+	for _, engine := range started.Engines {
+		var counters enginesim.Counters
+		if err := getJSON(ctx, "http://"+engine.Fault+"/counters", &counters); err != nil {
+			e.notes = append(e.notes, err.Error())
+			continue
+		}
+		sum = sum.Minus(enginesim.Counters{}.Minus(counters))
+	}
+	return sum
+}
+
+func getJSON(ctx context.Context, url string, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("asking %s: %w", url, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("asking %s: %w", url, err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return fmt.Errorf("asking %s: %w", url, err)
+	}
+	return nil
+}
+
+// check notes everything in a report that is not a plain success, so that no figure hides lost work.
+func (e *environment) check(name string, report *load.Report) {
+	online, batch := report.Online, report.Batch
+	if online.Completed != online.Planned {
+		e.notes = append(e.notes, fmt.Sprintf("%s: online planned %d completed %d interrupted %d cut %d wrong %d failed %d unfinished %d refused %v",
+			name, online.Planned, online.Completed, online.Interrupted, online.Cut, online.Wrong, online.Failed, online.Unfinished, online.Refused))
+	}
+	if online.DoubledRuns > 0 {
+		e.notes = append(e.notes, fmt.Sprintf("%s: %d requests that must run once ran more often", name, online.DoubledRuns))
+	}
+	if batch.Lost+batch.Doubled+batch.Foreign+batch.Wrong+batch.Failed > 0 || len(batch.Refused) > 0 {
+		e.notes = append(e.notes, fmt.Sprintf("%s: batch accepted %d completed %d failed %d lost %d doubled %d foreign %d wrong %d refused %v",
+			name, batch.Accepted, batch.Completed, batch.Failed, batch.Lost, batch.Doubled, batch.Foreign, batch.Wrong, batch.Refused))
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/provision.go
@@ -0,0 +1,70 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/lab/fleet"
+)
+
+const (
+	provisionPause = 500 * time.Millisecond
+	manifestFormat = `kind: tenants
+spec: {name: lab, weight: 1}
+---
+kind: keys
+spec: {id: lab-caller, tenant: lab, role: caller, digest: %s}
+---
+kind: models
+spec: {name: %s, version: "1", memory_bytes: 1073741824}
+---
+kind: services
+spec: {name: %s, model: %s, max_tokens: 4096, repeatable: true}
+`
+)
+
+// provision writes the configuration that the load needs through the admin API and waits until it is in force.
+func provision(ctx context.Context, started *fleet.Fleet) error {
+	digest := sha256.Sum256([]byte(callerKey))
+	manifest := fmt.Appendf(nil, manifestFormat, hex.EncodeToString(digest[:]), service, service, service)
+	url := "http://" + started.Nodes[0].Admin + "/admin/v1/apply?overwrite=true&wait=20s"
+	for {
+		err := apply(ctx, url, manifest)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(provisionPause):
+		}
+	}
+}
+
+func apply(ctx context.Context, url string, manifest []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(manifest))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrSetup, err)
+	}
+	request.Header.Set("Authorization", "Bearer "+adminKey)
+	request.Header.Set("Content-Type", "application/yaml")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrSetup, err)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrSetup, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%w: configuration answered %d: %.500s", ErrSetup, response.StatusCode, content)
+	}
+	return nil
+}
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -10,5 +10,6 @@
 		newWeights(),
 		newEngine(),
 		newLoad(),
+		newExperiment(),
 	}
 }
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -34,10 +34,19 @@
 	PrefixTokens, Prefixes int
 	// NotRepeatable is the share of online requests marked as not repeatable, each with an idempotency key.
 	NotRepeatable float64
+	// LeastInFlight sends each online request to the target with the fewest of this generator's requests under way,
+	// instead of in turn.
+	LeastInFlight bool
+	// DirectBatch are engine addresses that get batch items directly, DirectWorkers at a time each, one after the other.
+	// It stands for a batch client without the system, in baselines.
+	DirectBatch   []string
+	DirectWorkers int
 	// BatchEvery is the time between heaps of batch work; zero means none.
 	BatchEvery time.Duration
 	// BatchItems is the number of items of a heap; BatchPromptTokens and BatchAnswerTokens are medians.
 	BatchItems, BatchPromptTokens, BatchAnswerTokens int
+	// AbandonJobs ends the run without waiting for open jobs, for a run that keeps a backlog on purpose.
+	AbandonJobs bool
 	// Seed fixes arrivals and bodies.
 	Seed uint64
 	// EngineFaults are the inspection ports of stand-in engines, "IP:port", asked for doubled runs at the end.
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -25,6 +25,7 @@
 	name    string
 	started time.Time
 	slots   chan struct{}
+	balance balance
 }
 
 // Start runs the options' schedule to its end, or to the end of the context, and returns the report.
@@ -39,6 +40,7 @@
 		recorder: newRecorder(options),
 		client:   newClient(),
 		slots:    make(chan struct{}, maxInFlight),
+		balance:  balance{inFlight: make([]int, len(options.Targets))},
 	}
 	return run.run(ctx)
 }
@@ -55,9 +57,16 @@
 	r.name = strconv.FormatInt(r.started.UnixNano(), 36)
 	ctx, cancel := context.WithDeadline(ctx, r.started.Add(r.options.Duration+r.options.Drain))
 	defer cancel()
+	arrivals, stop := context.WithDeadline(ctx, r.started.Add(r.options.Duration))
+	defer stop()
 	var group tomb.Tomb
 	group.Go(func() error { return r.sendOnline(ctx, &group) })
-	group.Go(func() error { return r.sendBatch(ctx, &group) })
+	jobs := ctx
+	if r.options.AbandonJobs {
+		jobs = arrivals
+	}
+	group.Go(func() error { return r.sendBatch(jobs, &group) })
+	r.startDirectBatch(arrivals, &group)
 	if err := group.Wait(); err != nil {
 		return nil, fmt.Errorf("running load: %w", err)
 	}
@@ -105,11 +114,15 @@
 
 // newRequest makes a call to the target and with the key whose turn it is. One number always has the same key.
 func (r *Run) newRequest(ctx context.Context, method string, number int, path, contentType string, body []byte) (*http.Request, error) {
+	target := r.options.Targets[number%len(r.options.Targets)]
+	return r.newRequestTo(ctx, target, method, number, path, contentType, body)
+}
+
+func (r *Run) newRequestTo(ctx context.Context, target, method string, number int, path, contentType string, body []byte) (*http.Request, error) {
 	var reader io.Reader
 	if body != nil {
 		reader = bytes.NewReader(body)
 	}
-	target := r.options.Targets[number%len(r.options.Targets)]
 	request, err := http.NewRequestWithContext(ctx, method, target+path, reader)
 	if err != nil {
 		return nil, fmt.Errorf("making request: %w", err)
