--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -11,5 +11,6 @@
 		newEngine(),
 		newFleet(),
 		newLoad(),
+		newExperiment(),
 	}
 }
