--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,15 +28,17 @@
 	return ExitOK
 }
 
-func exitCode(error) int { return ExitFailure }
-
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "mallowlatch",
 		Short:         "Serve online and batch inference on one fleet of many small sites",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		Args:          cobra.ArbitraryArgs,
+		RunE:          runGroup,
 	}
+	root.SetFlagErrorFunc(flagError)
 	root.AddCommand(NewConfigCommand())
+	root.AddCommand(operatorCommands()...)
 	return root
 }
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,122 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"mallowlatch.example/mallowlatch/internal/admin"
+	"mallowlatch.example/mallowlatch/internal/catalog"
+)
+
+// newRunnerCommand returns "runner": the state of runners, and draining one.
+func newRunnerCommand() *cobra.Command {
+	return group("runner", "Show runners, or take one out of work", newRunnerStatusCommand(), newDrainCommand("runner"))
+}
+
+// newNodeCommand returns "node": the state of nodes, and draining one.
+func newNodeCommand() *cobra.Command {
+	return group("node", "Show nodes, or take one out of work", newNodeStatusCommand(), newDrainCommand("node"))
+}
+
+func newNodeStatusCommand() *cobra.Command {
+	command := &cobra.Command{Use: "status", Short: "List the nodes of the fleet", Args: exactArguments(0)}
+	server := adminConnection(command)
+	format := addOutput(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		client, err := server.client()
+		if err != nil {
+			return err
+		}
+		var list admin.NodeList
+		if err := client.read(command.Context(), adminPrefix+"status/nodes", nil, &list); err != nil {
+			return err
+		}
+		return format.print(command.OutOrStdout(), list.Items, func(rows *tabwriter.Writer) {
+			row(rows, "NODE", "ZONE", "STATE", "DRAINING", "STORAGE", "ADDRESS", "VERSION")
+			for _, node := range list.Items {
+				row(rows, node.Name, node.Zone, node.State, node.Draining, node.Storage, node.Address, node.Version)
+			}
+		})
+	}
+	return command
+}
+
+func newRunnerStatusCommand() *cobra.Command {
+	command := &cobra.Command{Use: "status", Short: "List the runners of the fleet", Args: exactArguments(0)}
+	server := adminConnection(command)
+	format := addOutput(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		client, err := server.client()
+		if err != nil {
+			return err
+		}
+		var list admin.RunnerList
+		if err := client.read(command.Context(), adminPrefix+"status/runners", nil, &list); err != nil {
+			return err
+		}
+		return format.print(command.OutOrStdout(), list.Items, func(rows *tabwriter.Writer) {
+			row(rows, "RUNNER", "ZONE", "STATE", "DRAINING", "OWNER", "MODEL", "VERSION", "ADAPTERS", "RUNNING", "WAITING")
+			for _, runner := range list.Items {
+				row(rows, runner.Name, runner.Zone, runner.State, runner.Draining, runner.Owner, runner.Model,
+					runner.Version, join(runner.Adapters), runner.Running, runner.Waiting)
+			}
+		})
+	}
+	return command
+}
+
+// newDrainCommand returns "drain" for a kind of machine, "runner" or "node". A drain is a resource of the
+// configuration, so that it survives every restart until it is taken back.
+func newDrainCommand(machine string) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "drain NAME",
+		Short: fmt.Sprintf("Give a %s no new work; --undo takes it back", machine),
+		Args:  exactArguments(1),
+	}
+	flags := addChangeFlags(command)
+	reason := command.Flags().String("reason", "", "text kept with the drain")
+	undo := command.Flags().Bool("undo", false, "give it work again")
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		client, err := flags.server.client()
+		if err != nil {
+			return err
+		}
+		reference := catalog.Reference{Kind: catalog.KindDrain, Name: machine + "/" + arguments[0]}
+		if *undo {
+			return deleteResource(command, client, flags, reference, 0)
+		}
+		return drain(command, client, flags, catalog.Drain{Name: reference.Name, Reason: *reason})
+	}
+	return command
+}
+
+func drain(command *cobra.Command, client *client, flags *changeFlags, order catalog.Drain) error {
+	resource, err := catalog.Encode(&order)
+	if err != nil {
+		return fmt.Errorf("writing the drain: %w", err)
+	}
+	result, err := putNew(command, client, flags, resource)
+	if err != nil {
+		return err
+	}
+	return flags.finish(command, result)
+}
+
+// putNew creates a resource that must not exist yet.
+func putNew(command *cobra.Command, client *client, flags *changeFlags, resource catalog.Resource) (admin.ChangeResult, error) {
+	body, err := json.Marshal(resource)
+	if err != nil {
+		return admin.ChangeResult{}, fmt.Errorf("writing the resource: %w", err)
+	}
+	return client.sendChange(command, call{
+		method: http.MethodPut,
+		path:   adminPrefix + resource.Reference().String(),
+		query:  flags.query(),
+		header: map[string]string{"If-None-Match": "*", "Content-Type": "application/json"},
+		body:   textBody(string(body)),
+	})
+}
