--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -181,16 +181,37 @@
 	assert.Equal(t, len(s.replica.Current().Drains), 1)
 }
 
+const samplePolicy = `kind: policies
+spec:
+  name: p
+  priority: '(tenant == "trucks" && service == "match" ? 1000.0 : 0.0) + age_seconds - deadline_seconds + waiting_items - tenant_share'
+  may_wait: 'queue_length < 3 && estimated_wait_seconds < deadline_seconds && repeatable && tenant == "t" && service == "s"'
+  when_cut_off: 'zone == "z" && region == "r" && service == "s" && cut_off_seconds > 60 && reachable_zones < total_zones ? "refuse_batch" : "serve"'
+`
+
+const sampleWorkFile = `work:
+- {tenant: books, service: match, deadline: 1h}
+- {tenant: trucks, service: match, deadline: 2m, age: 10s, waiting_items: 5, tenant_share: 0.5}
+requests:
+- {queue_length: 2, deadline: 2s, estimated_wait: 1s, repeatable: true, tenant: t, service: s}
+- {queue_length: 3, deadline: 2s, estimated_wait: 1s, repeatable: true, tenant: t, service: s}
+sites:
+- {zone: z, region: r, service: s, cut_off: 2m, reachable_zones: 1, total_zones: 2}
+- {zone: z, region: r, service: s, cut_off: 2m, reachable_zones: 2, total_zones: 2}
+`
+
 func TestPolicyCheckAndTest(t *testing.T) {
 	s := newSite(t)
-	policies := s.file("policies.yaml", "kind: policies\nspec:\n  name: p\n  priority: 'tenant == \"trucks\" ? 1.0 : 0.0'\n  may_wait: queue_length < 3\n  when_cut_off: '\"refuse_batch\"'\n")
+	policies := s.file("policies.yaml", samplePolicy)
 	assert.Assert(t, strings.Contains(succeed(t, "policy", "check", "-f", policies), "p "))
-	sample := s.file("sample.yaml", "work:\n- {tenant: books, deadline: 1h}\n- {tenant: trucks, deadline: 2h}\nrequests:\n- {queue_length: 9}\nsites:\n- {zone: sahat}\n")
+	sample := s.file("sample.yaml", sampleWorkFile)
 	var results []policyTest
 	assert.NilError(t, json.Unmarshal([]byte(succeed(t, "policy", "test", "-f", policies, "--sample", sample, "-o", "json")), &results))
 	assert.Equal(t, results[0].Order[0].Sample, 2)
-	assert.Equal(t, results[0].Requests[0].MayWait, false)
+	assert.Equal(t, results[0].Order[0].Priority, 1000.0+10-120+5-0.5)
+	assert.Assert(t, results[0].Requests[0].MayWait && !results[0].Requests[1].MayWait)
 	assert.Equal(t, string(results[0].Sites[0].Action), "refuse_batch")
+	assert.Equal(t, string(results[0].Sites[1].Action), "serve")
 	stderr := fail(t, ExitInvalid, "policy", "check", "-f", s.file("bad.yaml", "kind: policies\nspec:\n  name: p\n  priority: colour\n"))
 	assert.Assert(t, strings.Contains(stderr, "line 4"), stderr)
 	fail(t, ExitInvalid, "policy", "test", "-f", policies, "--sample", s.file("typo.yaml", "wrok: []\n"))
