--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -17,13 +17,14 @@
 	"mallowlatch.example/mallowlatch/internal/settings"
 )
 
-// newNodeCommand returns the command that runs a node until it is told to stop.
+// newNodeCommand returns "node": it runs a node until it is told to stop; its subcommands show nodes and drain them.
 func newNodeCommand() *cobra.Command {
 	command := &cobra.Command{
 		Use:   "node",
 		Short: "Run a node until SIGTERM or SIGINT, then stop it as planned",
-		Args:  cobra.NoArgs,
+		Args:  exactArguments(0),
 	}
+	command.AddCommand(newNodeStatusCommand(), newDrainCommand("node"))
 	path := command.Flags().String("config", "", "settings file; every setting may also be given as a flag")
 	flags := settings.BindFlags(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
