--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -35,6 +35,9 @@
 	hard      HardState
 	savedHard HardState
 
+	// otherMembers are the members of the present set but this replica.
+	otherMembers []Member
+
 	role   Role
 	leader Member
 	now    time.Duration
@@ -81,6 +84,7 @@
 	core.heardAt = now
 	core.followingSince = now
 	core.round = hard.Term.Round
+	core.updateOthers()
 	core.resetElection()
 	return core
 }
@@ -129,6 +133,7 @@
 		return false
 	}
 	c.hard.Configuration = configuration.normalise()
+	c.updateOthers()
 	c.round = 0
 	if c.hard.Term.Epoch == configuration.Epoch {
 		c.round = c.hard.Term.Round
@@ -192,9 +197,12 @@
 
 func (c *Core) isMember() bool { return c.hard.Configuration.Has(c.self) }
 
-// others returns the other members of the set.
-func (c *Core) others() []Member {
-	return slices.DeleteFunc(slices.Clone(c.hard.Configuration.Members), func(m Member) bool { return m == c.self })
+// others returns the other members of the set. The slice must not be changed.
+func (c *Core) others() []Member { return c.otherMembers }
+
+func (c *Core) updateOthers() {
+	members := slices.Clone(c.hard.Configuration.Members)
+	c.otherMembers = slices.DeleteFunc(members, func(m Member) bool { return m == c.self })
 }
 
 // observeTerm remembers the highest round in use, and ends the leadership of a leader that a member has left for a
--- a/internal/shard/replication.go
+++ b/internal/shard/replication.go
@@ -48,7 +48,12 @@
 }
 
 // followers returns the other members and the learners, in a fixed order.
-func (c *Core) followers() []Member { return append(c.others(), c.learners...) }
+func (c *Core) followers() []Member {
+	if len(c.learners) == 0 {
+		return c.others()
+	}
+	return slices.Concat(c.others(), c.learners)
+}
 
 // sendEntries sends what each follower still lacks.
 func (c *Core) sendEntries() error {
--- a/internal/shard/shardsim/sim.go
+++ b/internal/shard/shardsim/sim.go
@@ -63,6 +63,8 @@
 	network network
 	checker *checker
 	err     error
+	// hostileUntil is when the last injected fault is due; until then faults also follow changes of the set.
+	hostileUntil time.Duration
 	// Counts of what happened, for reports.
 	Messages, Acknowledged, Unknown, Refused, Reads, Wipes, Crashes, Swaps int
 }
--- a/internal/shard/shardsim/store.go
+++ b/internal/shard/shardsim/store.go
@@ -29,6 +29,7 @@
 	if previous, revision := k.current(); revision > 0 {
 		s.Swaps++
 		s.checker.successor(s, previous, configuration)
+		s.strikeAfterSwap(configuration)
 	}
 	k.history = append(k.history, configuration)
 	revision := int64(len(k.history))
