--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 	}
 	root.SetFlagErrorFunc(flagError)
 	root.AddCommand(NewConfigCommand())
+	root.AddCommand(newNodeCommand(), newDevCommand())
 	root.AddCommand(operatorCommands()...)
 	return root
 }
--- a/internal/lab/fleet/configure.go
+++ b/internal/lab/fleet/configure.go
@@ -45,26 +45,27 @@
 
 // Configure writes the first configuration through the admin API of a node and waits until it is in force.
 func (f *Fleet) Configure(ctx context.Context, keys Keys) error {
-	resources, err := f.firstResources(keys)
+	resources, err := FirstResources(f.Plan.Models, f.Plan.Zones, keys)
 	if err != nil {
 		return err
 	}
 	return Apply(ctx, f.Nodes[0].Admin, keys.Admin, resources)
 }
 
-func (f *Fleet) firstResources(keys Keys) ([]catalog.Resource, error) {
+// FirstResources returns a configuration with two tenants, their keys, and two services on the first model.
+func FirstResources(models []string, zones []Zone, keys Keys) ([]catalog.Resource, error) {
 	typed := []any{
 		&catalog.Tenant{Name: OnlineTenant, Weight: onlineWeight},
 		&catalog.Tenant{Name: BatchTenant, Weight: batchWeight},
 		&catalog.Key{ID: "online", Tenant: OnlineTenant, Role: catalog.RoleCaller, Digest: auth.Digest(keys.Online)},
 		&catalog.Key{ID: "batch", Tenant: BatchTenant, Role: catalog.RoleCaller, Digest: auth.Digest(keys.Batch)},
 	}
-	for _, model := range f.Plan.Models {
+	for _, model := range models {
 		typed = append(typed, &catalog.Model{Name: model, Version: modelVersion, MemoryBytes: modelBytes})
 	}
-	model := f.Plan.Models[0]
+	model := models[0]
 	typed = append(typed, newService(Service, model, true), newService(OnceService, model, false))
-	for _, zone := range f.Plan.Zones {
+	for _, zone := range zones {
 		typed = append(typed, &catalog.Zone{Name: ident.Zone(zone.Name), Region: ident.Region(zone.Region)})
 	}
 	resources := make([]catalog.Resource, len(typed))
