Add the experiments overload, leave and rolling-restart

Load gains a careful client (a request that surely was not run goes to the next target), goodput against the first-token goal, and the engines' counters the time of the last call, which is what 'no new work after the mark' is judged by.

--- a/internal/lab/enginesim/counters.go
+++ b/internal/lab/enginesim/counters.go
@@ -18,6 +18,10 @@
 	Cached    [2]int64 `json:"cached"`
 	// Preempted counts sequences sent back to the queue.
 	Preempted int64 `json:"preempted"`
+	// Calls counts generation calls, taken or refused; LastCall and LastTaken are the times of the latest.
+	Calls     int64     `json:"calls"`
+	LastCall  time.Time `json:"last_call"`
+	LastTaken time.Time `json:"last_taken"`
 }
 
 // Minus returns what was done since an earlier reading.
@@ -25,6 +29,7 @@
 	c.Steps -= earlier.Steps
 	c.BusyTime -= earlier.BusyTime
 	c.Preempted -= earlier.Preempted
+	c.Calls -= earlier.Calls
 	for class := range c.Tokens {
 		c.Tokens[class] -= earlier.Tokens[class]
 		c.Prefilled[class] -= earlier.Prefilled[class]
--- a/internal/lab/enginesim/engine.go
+++ b/internal/lab/enginesim/engine.go
@@ -294,6 +294,9 @@
 func (e *Engine) accept(submitted submission) (*sequence, chan struct{}, *refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
+	e.scheduler.counters.Calls++
+	e.scheduler.counters.LastCall = now
 	if refused := e.refuse(submitted); refused != nil {
 		return nil, nil, refused
 	}
@@ -304,6 +307,7 @@
 	if accepted == nil {
 		accepted = e.newSequence(submitted)
 	}
+	e.scheduler.counters.LastTaken = now
 	e.scheduler.enqueue(accepted)
 	reader := e.attach(accepted)
 	e.wakeUp()
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -99,6 +99,9 @@
 		{"relay", "added latency of a node against a direct call to the engine, in the same run", runRelay},
 		{"interference", "online latency alone and with batch, and batch against the idle capacity, with baselines", runInterference},
 		{"surge", "online latency around a step of the load, with and without batch", runSurge},
+		{"overload", "goodput at 0.5 to 3 times the capacity", runOverload},
+		{"leave", "how long calls still come to a runner marked as leaving, by the way it is learned", runLeave},
+		{"rolling-restart", "restart of every node in turn under load", runRollingRestart},
 	}
 }
 
--- a/internal/lab/experiment/plot.go
+++ b/internal/lab/experiment/plot.go
@@ -40,6 +40,8 @@
 	Points plotter.XYs `json:"points"`
 }
 
+func (l *Line) add(x, y float64) { l.Points = append(l.Points, plotter.XY{X: x, Y: y}) }
+
 // Bars is one bar of each group.
 type Bars struct {
 	Name   string         `json:"name"`
@@ -71,7 +73,7 @@
 func (c *Chart) addTimeline(name string, report *load.Report, figure func(load.Second) float64) {
 	line := Line{Name: name}
 	for index, second := range report.Timeline {
-		line.Points = append(line.Points, plotter.XY{X: float64(index), Y: figure(second)})
+		line.add(float64(index), figure(second))
 	}
 	c.Lines = append(c.Lines, line)
 	sort.Slice(c.Lines, func(i, j int) bool { return c.Lines[i].Name < c.Lines[j].Name })
--- a/internal/lab/experiment/surge.go
+++ b/internal/lab/experiment/surge.go
@@ -29,7 +29,11 @@
 	if err != nil {
 		return Measurement{}, err
 	}
-	mixed, err := environment.runPhase(ctx, environment.surgeMixed(mixedName, options))
+	engines, err := environment.engineCount()
+	if err != nil {
+		return Measurement{}, err
+	}
+	mixed, err := environment.runPhase(ctx, environment.surgeMixed(mixedName, options, engines))
 	if err != nil {
 		return Measurement{}, err
 	}
@@ -45,18 +49,17 @@
 	return Measurement{Fields: fields, Charts: charts}, nil
 }
 
-func (e *environment) surgeMixed(name string, options load.Options) phase {
+func (e *environment) surgeMixed(name string, options load.Options, engines int) phase {
 	if e.options.Mode == ModeFleet {
-		return phase{name: name, nodes: true, load: e.withHeaps(options, e.nominalCapacity())}
+		return phase{name: name, nodes: true, load: e.withHeaps(options, e.batchCapacity(engines))}
 	}
 	return e.directBatch(name, options, arm{batchEngines: shared})
 }
 
-// nominalCapacity estimates the batch items per second of the whole plan from the cost model.
-func (e *environment) nominalCapacity() float64 {
-	const enginesAtMost = 18
+// batchCapacity is the batch rate that full engines carry by the cost model, in items per second.
+func (e *environment) batchCapacity(engines int) float64 {
 	step := cost().StepTime(e.options.MaxSequences, 0)
-	tokens := float64(enginesAtMost*e.options.MaxSequences) / step.Seconds()
+	tokens := float64(engines*e.options.MaxSequences) / step.Seconds()
 	return tokens / load.DefaultBatchAnswerTokens
 }
 
--- a/internal/lab/labcli/load.go
+++ b/internal/lab/labcli/load.go
@@ -48,6 +48,7 @@
 	flags.IntVar(&options.BatchItems, "batch-items", 100, "items of a heap")
 	flags.IntVar(&options.BatchPromptTokens, "batch-prompt-tokens", load.DefaultBatchPromptTokens, "median prompt of an item")
 	flags.IntVar(&options.BatchAnswerTokens, "batch-answer-tokens", load.DefaultBatchAnswerTokens, "median answer of an item")
+	flags.BoolVar(&options.Retry, "retry", false, "send requests that surely were not run to the next target")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of arrivals and bodies")
 	flags.StringSliceVar(&options.EngineFaults, "engine-faults", nil, "fault ports of stand-in engines, asked for doubled runs")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
--- a/internal/lab/load/balance.go
+++ b/internal/lab/load/balance.go
@@ -28,10 +28,10 @@
 	b.inFlight[index]--
 }
 
-// target returns where an online request goes, and what to call once it has ended.
-func (r *Run) target(arrival Arrival) (string, func()) {
+// target returns where an attempt at an online request goes, and what to call once it has ended.
+func (r *Run) target(arrival Arrival, attempt int) (string, func()) {
 	if !r.options.LeastInFlight {
-		return r.options.Targets[arrival.Number%len(r.options.Targets)], func() {}
+		return r.options.Targets[(arrival.Number+attempt)%len(r.options.Targets)], func() {}
 	}
 	index := r.balance.least()
 	return r.options.Targets[index], func() { r.balance.release(index) }
--- a/internal/lab/load/ledger.go
+++ b/internal/lab/load/ledger.go
@@ -31,6 +31,8 @@
 	firstToken, whole time.Duration
 	gaps              []time.Duration
 	detail            string
+	// again says that the request surely was not run and may be sent elsewhere.
+	again bool
 }
 
 // maxDetails bounds the failures kept word for word.
@@ -38,8 +40,10 @@
 
 // OnlineLedger counts what became of online requests.
 type OnlineLedger struct {
-	Planned     int `json:"planned"`
-	Sent        int `json:"sent"`
+	Planned int `json:"planned"`
+	Sent    int `json:"sent"`
+	// Retried counts requests sent again because they surely were not run.
+	Retried     int `json:"retried"`
 	Completed   int `json:"completed"`
 	Interrupted int `json:"interrupted"`
 	Cut         int `json:"cut"`
--- a/internal/lab/load/online.go
+++ b/internal/lab/load/online.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
@@ -18,6 +19,9 @@
 // maxEventLine bounds a line of a stream, in bytes.
 const maxEventLine = 1 << 20
 
+// notRun is the word of an error answer for a request that was not run.
+const notRun = "true"
+
 // maxErrorBody bounds what is read of an error answer, in bytes.
 const maxErrorBody = 64 << 10
 
@@ -44,7 +48,17 @@
 // online sends one request and checks its answer. planned is when it should have left.
 func (r *Run) online(ctx context.Context, arrival Arrival, planned time.Time) onlineResult {
 	body := arrival.prompt.chat(r.options.Model, true, arrival.repeatable)
-	target, release := r.target(arrival)
+	for attempt := 0; ; attempt++ {
+		result := r.attempt(ctx, arrival, attempt, planned, body)
+		if !r.options.Retry || !result.again || attempt+1 >= len(r.options.Targets) {
+			return result
+		}
+		r.recorder.retried()
+	}
+}
+
+func (r *Run) attempt(ctx context.Context, arrival Arrival, attempt int, planned time.Time, body []byte) onlineResult {
+	target, release := r.target(arrival, attempt)
 	defer release()
 	request, err := r.newRequestTo(ctx, target, http.MethodPost, arrival.Number, chatPath, "application/json", body)
 	if err != nil {
@@ -55,7 +69,9 @@
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		return endedEarly(ctx, verdictFailed, err)
+		failed := endedEarly(ctx, verdictFailed, err)
+		failed.again = errors.Is(err, syscall.ECONNREFUSED)
+		return failed
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
@@ -83,7 +99,12 @@
 	if json.Unmarshal(content, &envelope) != nil || envelope.Error == nil {
 		return onlineResult{verdict: verdictRefused, code: fmt.Sprintf("untyped_%d", response.StatusCode), notRun: "absent"}
 	}
-	return onlineResult{verdict: verdictRefused, code: envelope.Error.Code, notRun: envelope.Error.NotRun}
+	return onlineResult{
+		verdict: verdictRefused,
+		code:    envelope.Error.Code,
+		notRun:  envelope.Error.NotRun,
+		again:   envelope.Error.NotRun == notRun && response.Header.Get("Retry-After") != "",
+	}
 }
 
 // streamReading reads one streamed answer.
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -47,6 +47,11 @@
 	BatchItems, BatchPromptTokens, BatchAnswerTokens int
 	// AbandonJobs ends the run without waiting for open jobs, for a run that keeps a backlog on purpose.
 	AbandonJobs bool
+	// Retry sends a request that surely was not run (no connection, or an error answer that says so and asks to come
+	// back) to the next target, once for each target, as a careful client would.
+	Retry bool
+	// FirstTokenGoal is the delay of the first token up to which a completed request counts as good.
+	FirstTokenGoal time.Duration
 	// Seed fixes arrivals and bodies.
 	Seed uint64
 	// EngineFaults are the inspection ports of stand-in engines, "IP:port", asked for doubled runs at the end.
@@ -68,6 +73,8 @@
 	DefaultBatchPromptTokens = 128
 	DefaultBatchAnswerTokens = 32
 	DefaultDrain             = 30 * time.Second
+	// DefaultFirstTokenGoal is what 95 in 100 callers are promised.
+	DefaultFirstTokenGoal = 1300 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -78,6 +85,7 @@
 	setDefault(&o.BatchPromptTokens, DefaultBatchPromptTokens)
 	setDefault(&o.BatchAnswerTokens, DefaultBatchAnswerTokens)
 	setDefault(&o.Drain, DefaultDrain)
+	setDefault(&o.FirstTokenGoal, DefaultFirstTokenGoal)
 	if len(o.Keys) == 0 {
 		o.Keys = []string{""}
 	}
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -24,7 +24,7 @@
 
 // recorder gathers the figures of a run. It is safe for concurrent use.
 type recorder struct {
-	warmup time.Duration
+	warmup, goal time.Duration
 
 	mu           sync.Mutex
 	firstToken   *hdrhistogram.Histogram
@@ -36,12 +36,15 @@
 	seconds      []second
 	batchSeconds []int
 	tokens       int64
+	// good counts the completed requests whose first token came in time.
+	good int
 }
 
 func newRecorder(options Options) *recorder {
 	count := int(options.Duration/time.Second) + 1
 	return &recorder{
 		warmup:       options.Warmup,
+		goal:         options.FirstTokenGoal,
 		firstToken:   newHistogram(),
 		interToken:   newHistogram(),
 		whole:        newHistogram(),
@@ -67,6 +70,12 @@
 	r.seconds[arrival.At/time.Second].arrived++
 }
 
+func (r *recorder) retried() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.online.Retried++
+}
+
 // onlineResult books the end of an online request.
 func (r *recorder) onlineResult(arrival Arrival, result onlineResult) {
 	r.mu.Lock()
@@ -86,6 +95,9 @@
 	}
 	record(r.firstToken, result.firstToken)
 	record(r.whole, result.whole)
+	if result.firstToken <= r.goal {
+		r.good++
+	}
 	r.tokens += int64(len(result.gaps) + 1)
 	for _, gap := range result.gaps {
 		record(r.interToken, gap)
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -46,11 +46,13 @@
 	Seed     uint64  `json:"seed"`
 	Measured float64 `json:"measured_s"`
 	// RequestsPerSecond counts completed online requests by their planned arrival.
-	RequestsPerSecond float64   `json:"requests_per_s"`
-	TokensPerSecond   float64   `json:"tokens_per_s"`
-	FirstToken        Quantiles `json:"ttft"`
-	InterToken        Quantiles `json:"inter_token"`
-	Whole             Quantiles `json:"whole_answer"`
+	RequestsPerSecond float64 `json:"requests_per_s"`
+	// GoodPerSecond counts those of them whose first token came within the goal.
+	GoodPerSecond   float64   `json:"good_requests_per_s"`
+	TokensPerSecond float64   `json:"tokens_per_s"`
+	FirstToken      Quantiles `json:"ttft"`
+	InterToken      Quantiles `json:"inter_token"`
+	Whole           Quantiles `json:"whole_answer"`
 	// Lateness is the generator's own delay in sending.
 	Lateness         Quantiles    `json:"generator_lateness"`
 	BatchItemsPerSec float64      `json:"batch_items_per_s"`
@@ -68,6 +70,7 @@
 		Seed:              r.options.Seed,
 		Measured:          measured,
 		RequestsPerSecond: float64(recorder.firstToken.TotalCount()) / measured,
+		GoodPerSecond:     float64(recorder.good) / measured,
 		TokensPerSecond:   float64(recorder.tokens) / measured,
 		FirstToken:        quantilesOf(recorder.firstToken),
 		InterToken:        quantilesOf(recorder.interToken),
@@ -110,14 +113,14 @@
 // Write writes the report for reading.
 func (r *Report) Write(out io.Writer) {
 	fmt.Fprintf(out, "measured %.0f s, seed %d\n", r.Measured, r.Seed)
-	fmt.Fprintf(out, "online   %.1f requests/s  %.0f tokens/s\n", r.RequestsPerSecond, r.TokensPerSecond)
+	fmt.Fprintf(out, "online   %.1f requests/s (%.1f in time)  %.0f tokens/s\n", r.RequestsPerSecond, r.GoodPerSecond, r.TokensPerSecond)
 	r.FirstToken.write(out, "first token")
 	r.InterToken.write(out, "inter token")
 	r.Whole.write(out, "whole answer")
 	r.Lateness.write(out, "generator late")
 	online := r.Online
-	fmt.Fprintf(out, "online   planned %d sent %d completed %d interrupted %d cut %d wrong %d failed %d unfinished %d doubled runs %d\n",
-		online.Planned, online.Sent, online.Completed, online.Interrupted, online.Cut, online.Wrong, online.Failed, online.Unfinished, online.DoubledRuns)
+	fmt.Fprintf(out, "online   planned %d sent %d retried %d completed %d interrupted %d cut %d wrong %d failed %d unfinished %d doubled runs %d\n",
+		online.Planned, online.Sent, online.Retried, online.Completed, online.Interrupted, online.Cut, online.Wrong, online.Failed, online.Unfinished, online.DoubledRuns)
 	writeCounts(out, online.Refused)
 	batch := r.Batch
 	fmt.Fprintf(out, "batch    %.1f items/s\n", r.BatchItemsPerSec)
