--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -17,11 +17,6 @@
 	return group("runner", "Show runners, or take one out of work", newRunnerStatusCommand(), newDrainCommand("runner"))
 }
 
-// newNodeCommand returns "node": the state of nodes, and draining one.
-func newNodeCommand() *cobra.Command {
-	return group("node", "Show nodes, or take one out of work", newNodeStatusCommand(), newDrainCommand("node"))
-}
-
 func newNodeStatusCommand() *cobra.Command {
 	command := &cobra.Command{Use: "status", Short: "List the nodes of the fleet", Args: exactArguments(0)}
 	server := adminConnection(command)
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -9,6 +9,8 @@
 		newMachines(),
 		newWeights(),
 		newEngine(),
+		newFleet(),
 		newLoad(),
+		newExperiment(),
 	}
 }
