--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -85,7 +85,10 @@
 	if stored, known := c.members[to]; known {
 		out.Address = stored.peerAddress
 		if stored.zone == c.self.zone {
-			c.piggyback(&message)
+			// What an isolated node believes about the others is likely its own fault and isn't passed on.
+			if !c.isolated(now) {
+				c.piggyback(&message)
+			}
 			message.contactAges, message.zoneSet = c.contactAges(now), c.zoneSet
 		}
 	}
--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -46,14 +46,16 @@
 		now := time.Unix(1000, 0)
 		alive := record{node: "a", zone: "z", peerAddress: "10.0.0.1:1", incarnation: 1}
 		core.learn(alive, now)
-		highest := alive
+		highest, newest := alive, alive.incarnation
 		for _, received := range rapid.SliceOfN(rapid.Custom(drawRecord), 1, 12).Draw(t, "records") {
 			before := core.members["a"].record
 			core.Step(Message{kind: KindAck, from: "b", fromZone: "z", members: []record{received}}, now)
 			after := core.members["a"].record
 			assert.Assert(t, after.incarnation >= before.incarnation)
 			assert.Assert(t, after.incarnation > before.incarnation || after.health >= before.health)
+			newest = max(newest, received.incarnation)
 			highest = merge(highest, received)
+			assert.Equal(t, after.incarnation, newest)
 		}
 		assert.Equal(t, core.members["a"].record, highest)
 	})
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -174,6 +174,55 @@
 	})
 }
 
+// Two nodes that can't reach each other, but can reach a third, don't suspect each other.
+func TestBrokenLinkBetweenTwoIsNoSuspicion(t *testing.T) {
+	shape := scale.Shape{Nodes: 4, Zones: 1}
+	cut := false
+	fleet := scale.NewFleet(1, shape, membership.DefaultConfig(), func(from, to membership.Self) scale.Link {
+		link := scale.Healthy(from, to)
+		link.Cut = cut && from.Node < "node-002" && to.Node < "node-002"
+		return link
+	})
+	assert.Assert(t, fleet.RunUntil(settleTime, fleet.Agree), fleet.Disagreement())
+	cut = true
+	for range 60 {
+		fleet.Run(time.Second)
+		assert.Assert(t, fleet.Agree(), fleet.Disagreement())
+	}
+}
+
+// A node whose own link fails for a while blames nobody once the link is back.
+func TestIsolatedNodeBlamesNobody(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		cut := ident.Node("")
+		shape := scale.Shape{Zones: rapid.IntRange(1, 2).Draw(t, "zones")}
+		shape.Nodes = shape.Zones * rapid.IntRange(3, 6).Draw(t, "nodes of a zone")
+		fleet := settled(t, shape, func(from, to membership.Self) scale.Link {
+			link := scale.Healthy(from, to)
+			link.Cut = from.Node == cut || to.Node == cut
+			return link
+		})
+		lonely := rapid.SampledFrom(fleet.Order).Draw(t, "lonely").Self.Node
+		cut = lonely
+		fleet.Run(time.Duration(rapid.IntRange(5, 20).Draw(t, "seconds")) * time.Second)
+		cut = ""
+		for range 50 {
+			fleet.Run(200 * time.Millisecond)
+			for _, viewer := range fleet.Order {
+				for _, member := range viewer.Core.View().Members {
+					if viewer.Self.Node != lonely && member.Node != lonely && member.State != membership.Alive {
+						t.Fatalf("%s holds %s for %s", viewer.Self.Node, member.Node, member.State)
+					}
+				}
+			}
+		}
+		if !fleet.RunUntil(30*time.Second, fleet.Agree) {
+			t.Fatalf("no agreement: %s", fleet.Disagreement())
+		}
+	})
+}
+
 // A zone that is cut off is an island: its members know one another, and hold the others for suspect, not dead.
 func TestCutZoneIsAnIsland(t *testing.T) {
 	shape := scale.Shape{Nodes: 24, Zones: 4}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -176,6 +176,9 @@
 
 // tellSuspects pings this node's own suspects, each period, with the suspicion itself on board.
 func (c *Core) tellSuspects(now time.Time) []Outgoing {
+	if c.isolated(now) {
+		return nil
+	}
 	var out []Outgoing
 	for _, node := range c.zonePeers() {
 		stored := c.members[node]
@@ -208,9 +211,10 @@
 	return now.Sub(c.lastHeard) > c.config.IsolatedAfter
 }
 
-// endIsolation takes back the suspicions of the time in which this node heard nobody. They were its own fault, and
-// since it could reach nobody, nobody has heard them.
+// endIsolation takes back the suspicions of the time in which this node heard nobody: they were its own fault, and it
+// hasn't passed them on. The probe under way proves nothing either.
 func (c *Core) endIsolation() {
+	c.probe.answered = true
 	for node, stored := range c.members {
 		if stored.health == healthSuspect && stored.ownSuspicion {
 			stored.health = healthAlive
