--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -19,10 +19,10 @@
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/jobstore"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
-	"mallowlatch.example/mallowlatch/internal/machine"
 	"mallowlatch.example/mallowlatch/internal/machine/httplist"
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/membership/membershippb"
+	"mallowlatch.example/mallowlatch/internal/ownership"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/transport"
@@ -177,14 +177,20 @@
 func (n *Node) assembleOnline() error {
 	n.engines = newEngineDirectory()
 	n.table = dispatch.NewTable()
-	n.owners = &claims{peers: n.peers, zone: n.zone(), engines: n.engines, owned: map[ident.Runner]uint64{}}
+	n.owners = ownership.NewService(ownership.Options{
+		Self:     n.id(),
+		Members:  currentMembers(n.members),
+		Runners:  ownedRunners(n.table),
+		Engine:   n.engines.Engine,
+		Distance: zoneDistance(n.replica),
+		Logger:   n.logger,
+	})
 	n.poller = &machinePoller{
 		lister:  httplist.New("http://"+string(n.settings.Platform.MachineList)+machineListPath, nil),
 		period:  n.settings.Platform.MachinePoll,
 		engines: n.engines,
 		table:   n.table,
 		logger:  n.logger,
-		seen:    []func(machine.List){n.owners.seen},
 	}
 	n.exchange = exchange.New(exchange.Config{
 		Node:       n.id(),
@@ -231,7 +237,7 @@
 		Table:      n.table,
 		Engines:    n.engines,
 		Catalog:    n.replica,
-		Ownership:  n.owners,
+		Ownership:  batchClaims{service: n.owners},
 		Work:       n.jobs,
 		Order:      newJobOrder(n.replica, n.logger).order,
 		Logger:     n.logger,
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -1,152 +1,51 @@
 package node
 
 import (
-	"context"
-	"slices"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"gopkg.in/tomb.v2"
-
 	"mallowlatch.example/mallowlatch/internal/batch"
-	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/machine"
+	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/ownership"
 )
 
-const claimPeriod = 500 * time.Millisecond
-
-// claims claims the runners that rendezvous hashing gives this node among the live nodes of the runner's zone.
-type claims struct {
-	peers   peers
-	zone    ident.Zone
-	engines *engineDirectory
-	tomb    tomb.Tomb
-
-	mutex   sync.Mutex
-	runners []machine.Runner
-	owned   map[ident.Runner]uint64
-}
-
-func (c *claims) seen(list machine.List) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.runners = list.Runners
-}
-
-// Start begins to claim.
-func (c *claims) Start() {
-	c.tomb.Go(func() error {
-		ticker := time.NewTicker(claimPeriod)
-		defer ticker.Stop()
-		for {
-			c.round(c.tomb.Context(context.Background()))
-			select {
-			case <-c.tomb.Dying():
-				return nil
-			case <-ticker.C:
-			}
-		}
-	})
-}
-
-// Release stops claiming.
-func (c *claims) Release(context.Context) error {
-	c.tomb.Kill(nil)
-	return c.tomb.Wait()
-}
+// batchClaims shows the runners this node owns to the batch worker.
+type batchClaims struct{ service *ownership.Service }
 
-func (c *claims) round(ctx context.Context) {
-	c.mutex.Lock()
-	runners := slices.Clone(c.runners)
-	c.mutex.Unlock()
-	for _, runner := range runners {
-		owner, _ := c.Owner(runner.ID)
-		if owner == c.peers.self {
-			c.claim(ctx, runner.ID)
-			continue
-		}
-		c.drop(runner.ID)
+// Owned returns the runners this node may send batch work to.
+func (c batchClaims) Owned() []batch.Owned {
+	held := c.service.Owned()
+	owned := make([]batch.Owned, len(held))
+	for index, claim := range held {
+		owned[index] = batch.Owned{Runner: claim.Runner, Epoch: claim.Epoch}
 	}
+	return owned
 }
 
-func (c *claims) drop(runner ident.Runner) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.owned, runner)
-}
-
-func (c *claims) claim(ctx context.Context, runner ident.Runner) {
-	adapter, known := c.engines.Engine(runner)
-	if !known {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimPeriod)
-	defer cancel()
-	report, err := adapter.Load(ctx)
-	if err != nil || report.Owner == c.peers.self && c.holds(runner) {
-		return
-	}
-	epoch := report.OwnerEpoch + 1
-	if _, err := adapter.Order(ctx, engine.Order{Kind: engine.OrderOwn, Epoch: epoch, Node: c.peers.self}); err != nil {
-		c.drop(runner)
-		return
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.owned[runner] = epoch
-}
-
-func (c *claims) holds(runner ident.Runner) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	_, held := c.owned[runner]
-	return held
+// currentMembers returns the members as this node sees them now, ordered by name.
+func currentMembers(members *membership.Service) func() []membership.Member {
+	return func() []membership.Member { return members.View().Members }
 }
 
-// Owned returns the runners this node has claimed.
-func (c *claims) Owned() []batch.Owned {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var owned []batch.Owned
-	for runner, epoch := range c.owned {
-		owned = append(owned, batch.Owned{Runner: runner, Epoch: epoch})
-	}
-	return owned
-}
-
-// Owner returns the node that rendezvous hashing gives a runner.
-func (c *claims) Owner(runner ident.Runner) (ident.Node, bool) {
-	zone, known := c.zoneOf(runner)
-	if !known {
-		return "", false
-	}
-	var best ident.Node
-	var highest uint64
-	consider := func(node ident.Node) {
-		if score := xxhash.Sum64String(string(runner) + "/" + string(node)); best == "" || score > highest {
-			best, highest = node, score
-		}
-	}
-	if zone == c.zone {
-		consider(c.peers.self)
-	}
-	for _, member := range c.peers.live() {
-		if member.Zone == zone {
-			consider(member.Node)
+// ownedRunners returns the runners that ought to have an owner: those known that are not leaving.
+func ownedRunners(table *dispatch.Table) func() []ownership.Runner {
+	return func() []ownership.Runner {
+		var runners []ownership.Runner
+		for _, view := range table.Runners(time.Now()) {
+			if view.Leaving {
+				continue
+			}
+			runners = append(runners, ownership.Runner{ID: view.ID, Zone: view.Zone})
 		}
+		return runners
 	}
-	return best, best != ""
 }
 
-func (c *claims) zoneOf(runner ident.Runner) (ident.Zone, bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, listed := range c.runners {
-		if listed.ID == runner {
-			return listed.Zone, true
-		}
+// zoneDistance returns the configured distance between zones, in milliseconds; unknown ones are equally far.
+func zoneDistance(source catalog.Source) ownership.Distance {
+	return func(from, to ident.Zone) float64 {
+		return source.Current().Zones[from].Distance[to]
 	}
-	return "", false
 }
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -19,8 +19,6 @@
 	engines *engineDirectory
 	table   *dispatch.Table
 	logger  zerolog.Logger
-	// seen are called with each reading, in order.
-	seen []func(machine.List)
 
 	failing bool
 }
@@ -48,9 +46,6 @@
 	p.failing = false
 	p.engines.Update(list)
 	p.table.SetMachines(list, time.Now())
-	for _, seen := range p.seen {
-		seen(list)
-	}
 }
 
 // noteFailure logs the first of a row of failures.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/ownership"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/transport"
@@ -59,7 +60,7 @@
 	engines    *engineDirectory
 	table      *dispatch.Table
 	poller     *machinePoller
-	owners     *claims
+	owners     *ownership.Service
 	exchange   *exchange.Exchange
 	admission  *admission.Controller
 	demand     *admission.Exchange
