--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -10,6 +10,8 @@
 		newMachines(),
 		newWeights(),
 		newEngine(),
+		newFleet(),
 		newLoad(),
+		newExperiment(),
 	}
 }
