--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -143,10 +143,11 @@
 // Relay reports whether this node is one of its zone's relays, by its own view of the peers.
 func (c *Core) Relay() bool { return contains(c.relays[c.self.Zone], c.self.Node) }
 
-// SetPeers replaces the list of live peers. A relay compares copies at once with the relays of zones that have come
-// into view, so that a healed cut is caught up on without waiting.
+// SetPeers replaces the list of live peers. A node that has just come up compares copies with one of them at once; a
+// relay does so with the relays of zones that have come into view, so that a healed cut is caught up on without waiting.
 func (c *Core) SetPeers(now time.Time, peers []Peer) {
 	before := c.relays
+	alone := len(c.peers) == 0
 	c.peers = c.peers[:0]
 	live := make(map[ident.Node]bool, len(peers))
 	for _, peer := range peers {
@@ -161,6 +162,9 @@
 		}
 	}
 	c.relays = chooseRelays(append([]Peer{c.self}, c.peers...), c.timing.RelaysPerZone)
+	if near := c.zonePeers(); alone && len(near) > 0 {
+		c.sendDigest(c.pick(near))
+	}
 	if !c.Relay() {
 		return
 	}
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -181,3 +182,22 @@
 		}
 	}
 }
+
+// TestRestartWithoutDiskDuringOutage restarts a node that is no relay empty while the service is away: it must have the copy from its peers
+// long before its first periodic digest would fetch it.
+func TestRestartWithoutDiskDuringOutage(t *testing.T) {
+	for seed := range uint64(20) {
+		fleet := confsim.New(simOptions(seed, 3, 12))
+		fleet.Run(5 * time.Second)
+		accept(t, fleet, fleet.Nodes()[0], "first")
+		fleet.Run(3 * time.Second)
+		fleet.SetOutage(true)
+		nodes := fleet.Nodes()
+		restarted := nodes[slices.IndexFunc(nodes, func(node *confsim.Node) bool { return !node.Relay() })]
+		restarted.Stop()
+		fleet.Run(10 * time.Second)
+		restarted.Restart(confsync.EmptyState())
+		fleet.Run(100 * time.Millisecond)
+		assert.Equal(t, restarted.State().Revision, int64(1), "seed %d", seed)
+	}
+}
