--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -50,6 +50,8 @@
 	BasePort int
 	// NodeSettings are further settings of every node, as dotted names and values.
 	NodeSettings map[string]string
+	// Faults is the number of faults of the experiment faults.
+	Faults int
 	// Progress gets a line for each phase.
 	Progress io.Writer
 }
@@ -102,6 +104,7 @@
 		{"overload", "goodput at 0.5 to 3 times the capacity", runOverload},
 		{"leave", "how long calls still come to a runner marked as leaving, by the way it is learned", runLeave},
 		{"rolling-restart", "restart of every node in turn under load", runRollingRestart},
+		{"faults", "a seeded schedule of process faults under load, counted by an independent ledger", runFaults},
 	}
 }
 
--- /dev/null
+++ b/internal/lab/experiment/faultplan.go
@@ -0,0 +1,67 @@
+package experiment
+
+import "math/rand/v2"
+
+// faultKind names a fault that is done to a fleet from outside.
+type faultKind string
+
+// The kinds of fault.
+const (
+	// faultKill ends a node's process at once and starts it again.
+	faultKill faultKind = "kill_node"
+	// faultPause stops a node from running for longer than any lease.
+	faultPause faultKind = "pause_node"
+	// faultWipe ends a node with a disk, deletes its data folder and starts it again.
+	faultWipe faultKind = "wipe_disk"
+	// faultWipeTwo does the same to two nodes at once.
+	faultWipeTwo faultKind = "wipe_two_disks"
+	// faultKillPaused kills one node while another is paused.
+	faultKillPaused faultKind = "kill_while_paused"
+	// faultKeyValueOutage makes the key-value service refuse every call.
+	faultKeyValueOutage faultKind = "key_value_outage"
+	// faultKeyValueOutageKill kills a node during an outage, so that its shards cannot change their sets.
+	faultKeyValueOutageKill faultKind = "key_value_outage_and_kill"
+	// faultLostAnswersKill kills a node while the key-value service loses half of its answers after the change.
+	faultLostAnswersKill faultKind = "lost_answers_and_kill"
+	// faultEngineFreeze stops an engine's steps and answers.
+	faultEngineFreeze faultKind = "freeze_engine"
+	// faultEngineCut closes an engine's streams midway; it holds them for a resume.
+	faultEngineCut faultKind = "cut_streams"
+	// faultEngineDie loses an engine's streams midway.
+	faultEngineDie faultKind = "lose_streams"
+	// faultEngineDrop closes connections after the engine has accepted the call.
+	faultEngineDrop faultKind = "drop_after_accept"
+	// faultChunks duplicates and reorders an engine's chunks.
+	faultChunks faultKind = "duplicate_and_reorder"
+)
+
+var faultKinds = []faultKind{
+	faultKill, faultPause, faultWipe, faultWipeTwo, faultKillPaused, faultKeyValueOutage, faultKeyValueOutageKill,
+	faultLostAnswersKill, faultEngineFreeze, faultEngineCut, faultEngineDie, faultEngineDrop, faultChunks,
+}
+
+// plannedFault is one fault of a schedule. First and Second choose the targets: each is a random number, taken modulo the
+// number of targets of the kind.
+type plannedFault struct {
+	Kind          faultKind
+	First, Second int
+}
+
+// planFaults draws a schedule. Each round has every kind once, in random order, so that none is left to chance.
+func planFaults(seed uint64, count int) []plannedFault {
+	random := rand.New(rand.NewPCG(seed, uint64(count)))
+	planned := make([]plannedFault, 0, count)
+	for len(planned) < count {
+		for _, index := range random.Perm(len(faultKinds)) {
+			planned = append(planned, plannedFault{Kind: faultKinds[index], First: random.IntN(1 << 16), Second: random.IntN(1 << 16)})
+		}
+	}
+	return planned[:count]
+}
+
+// two returns two different indexes below count, which must be at least two.
+func (p plannedFault) two(count int) (int, int) {
+	first := p.First % count
+	second := (first + 1 + p.Second%(count-1)) % count
+	return first, second
+}
--- a/internal/lab/labcli/experiment.go
+++ b/internal/lab/labcli/experiment.go
@@ -48,6 +48,7 @@
 	flags.IntVar(&options.MaxWaiting, "max-waiting", 64, "sequences of a class that wait in an engine")
 	flags.IntVar(&options.BasePort, "base-port", 22000, "first loopback port")
 	flags.StringToStringVar(&options.NodeSettings, "node-setting", nil, "further settings of the nodes, name=value")
+	flags.IntVar(&options.Faults, "faults", 50, "faults of the experiment faults; the load must last long enough for them")
 	flags.BoolVar(&chosen.asJSON, "json", false, "print JSON")
 	flags.StringVar(&chosen.plot, "plot", "", "PNG file to draw")
 	return command
