Resolve every resend of a change, and never call an unsure one refused

A change sent again after a lost answer was recognised only if it met a conflict. A resent overwrite found nothing to do and was answered as not accepted, a resent deletion was not found, and while the history could not be read the resend was refused as definitely not accepted. On the client, an outage after a lost answer counted as nothing changed. An outage now settles nothing, and a refusal only after the history was searched.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -62,6 +62,15 @@
 	// commitErr is returned instead of the answer; applied says whether the commit takes effect all the same.
 	commitErr error
 	applied   bool
+	// historyErr is the answer to readings of the history.
+	historyErr error
+}
+
+func (s *faultyStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	if s.historyErr != nil && strings.Contains(prefix, "/changes/") {
+		return nil, 0, s.historyErr
+	}
+	return s.Store.List(ctx, prefix)
 }
 
 func (s *faultyStore) Commit(ctx context.Context, compares []kv.Compare, writes []kv.Write) (kv.TransactionResult, error) {
@@ -333,9 +342,30 @@
 	first := f.change(put)
 	resent := f.change(put)
 	assert.DeepEqual(t, resent, first)
+	assert.Equal(t, strings.Count(f.logs.String(), `"change_id":"bootstrap/first"`), 1, "an acceptance is logged once")
 	assert.Equal(t, f.replica.Current().Revision, int64(2))
 	put.header["Change-Id"] = "second"
 	f.refused(put, 409, "conflict")
+	put.header["Change-Id"] = "first"
+	f.store.historyErr = kv.ErrUnavailable
+	unresolved := f.refused(put, 504, "configuration_outcome_unknown")
+	assert.Equal(t, unresolved.NotRun, "unknown", "without the history nobody knows whether the first send was accepted")
+}
+
+func TestResendsOfOverwritesAndDeletionsAreResolvedToo(t *testing.T) {
+	for name, resent := range map[string]call{
+		"overwrite": {method: "PUT", path: "/admin/v1/tenants/nurses", body: "{kind: tenants, spec: {weight: 2}}"},
+		"deletion":  {method: "DELETE", path: "/admin/v1/services/booking"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.applySite()
+			resent.header = map[string]string{"Change-Id": "c", "If-Match": "*"}
+			first := f.change(resent)
+			assert.Assert(t, first.Accepted)
+			assert.DeepEqual(t, f.change(resent), first)
+		})
+	}
 }
 
 func TestOutageIsDefiniteAndALostCommitIsUnknown(t *testing.T) {
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/confsync"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/outcome"
 )
 
 // edit is one resource that a request writes or deletes.
@@ -63,15 +64,36 @@
 	return change{id: id, author: r.key.ID, comment: comment, edits: edits, dryRun: dryRun, wait: wait}, nil
 }
 
-// accept runs a change: it is checked against the newest configuration, reduced to what it really changes, and
-// committed on the state it was checked against.
+// accept runs a change. A change under a client's id that is refused, or finds nothing to do, may be a resend whose
+// first answer was lost: then that answer is given.
 func (s *server) accept(ctx context.Context, requested change) (ChangeResult, error) {
+	result, err := s.attempt(ctx, requested)
+	mayBeResend := requested.id != "" && !requested.dryRun
+	settled := result.Accepted || (err != nil && !isRefusal(err))
+	if !mayBeResend || settled {
+		return result, err
+	}
+	earlier, found, searchErr := s.findAccepted(ctx, requested.id)
+	switch {
+	case found:
+		return s.accepted(ctx, requested, earlier, resultsOf(earlier)), nil
+	case searchErr != nil && err != nil:
+		// The refusal speaks of this send only; an earlier one may have been accepted and be what caused it.
+		return ChangeResult{}, unresolved(requested.id, searchErr)
+	default:
+		return result, err
+	}
+}
+
+// attempt checks a change against the newest configuration, reduces it to what it really changes, and commits it on the
+// state it was checked against.
+func (s *server) attempt(ctx context.Context, requested change) (ChangeResult, error) {
 	if err := requireGuards(requested); err != nil {
 		return ChangeResult{}, err
 	}
 	base, err := s.rehearse(ctx, requested)
 	if err != nil {
-		return s.resolveConflict(ctx, requested, err)
+		return ChangeResult{}, err
 	}
 	results, err := plan(base, requested.edits)
 	if err != nil {
@@ -83,14 +105,14 @@
 	}
 	accepted, err := s.Writer.Apply(ctx, s.pinned(requested, base, results))
 	if err != nil {
-		return s.resolveConflict(ctx, requested, err)
+		return ChangeResult{}, fmt.Errorf("committing the change: %w", err)
 	}
+	s.auditAccepted(accepted)
 	return s.accepted(ctx, requested, accepted, results), nil
 }
 
-// accepted logs an accepted change and waits until it is in force, if asked to.
+// accepted answers an accepted change, once it is in force if that was asked for.
 func (s *server) accepted(ctx context.Context, requested change, accepted confsync.Change, edits []EditResult) ChangeResult {
-	s.auditAccepted(requested.author, accepted)
 	result := ChangeResult{Accepted: true, ChangeID: accepted.ID, Revision: accepted.Revision, Edits: edits}
 	if requested.wait == 0 {
 		return result
@@ -105,13 +127,13 @@
 	return result
 }
 
-func (s *server) auditAccepted(author string, accepted confsync.Change) {
+func (s *server) auditAccepted(accepted confsync.Change) {
 	var edits []string
 	for _, changed := range accepted.Resources {
 		edits = append(edits, string(changed.Resource.Kind)+"/"+changed.Resource.Name)
 	}
 	event.AdminChangeAccepted.Log(s.Logger).
-		Str("author", author).
+		Str("author", accepted.Author).
 		Str("change_id", accepted.ID).
 		Str("comment", accepted.Comment).
 		Int64("revision", accepted.Revision).
@@ -227,35 +249,41 @@
 // recentChanges is how far back a resent change is looked for.
 const recentChanges = 100
 
-// resolveConflict turns the conflict of a change that is a resend into the answer that was lost: its own first
-// acceptance is what moved the revision.
-func (s *server) resolveConflict(ctx context.Context, requested change, cause error) (ChangeResult, error) {
-	if requested.id == "" || requested.dryRun || !hasCode(cause, failure.CodeConflict, failure.CodeNotFound) {
-		return ChangeResult{}, cause
-	}
+// findAccepted looks for a change in the recent history.
+func (s *server) findAccepted(ctx context.Context, id string) (confsync.Change, bool, error) {
 	changes, err := s.Writer.History(ctx, 0, recentChanges)
 	if err != nil {
-		return ChangeResult{}, fmt.Errorf("looking for an earlier acceptance: %w", err)
+		return confsync.Change{}, false, fmt.Errorf("looking for an earlier acceptance: %w", err)
 	}
 	for _, accepted := range changes {
-		if accepted.ID == requested.id {
-			return s.accepted(ctx, requested, accepted, resultsOf(accepted)), nil
+		if accepted.ID == id {
+			return accepted, true, nil
 		}
 	}
-	return ChangeResult{}, cause
+	return confsync.Change{}, false, nil
 }
 
-func hasCode(err error, codes ...failure.Code) bool {
+// unresolved is the answer to a refused change that may be a resend while the history cannot be read.
+func unresolved(id string, cause error) error {
+	return failure.New(failure.CodeConfigUnknown, "the history cannot be read to find out whether change %s was accepted before; resend it with the same id", id).
+		WithOutcome(outcome.Unknown).
+		WithRetryAfter(retryUnresolved).
+		WithCause(cause)
+}
+
+const retryUnresolved = 5 * time.Second
+
+// isRefusal says whether the error is one that an earlier acceptance of the same change can cause.
+func isRefusal(err error) bool {
+	var invalid *catalog.InvalidError
+	if errors.As(err, &invalid) {
+		return true
+	}
 	var shown *failure.Error
 	if !errors.As(err, &shown) {
 		return false
 	}
-	for _, code := range codes {
-		if shown.Code == code {
-			return true
-		}
-	}
-	return false
+	return shown.Code == failure.CodeConflict || shown.Code == failure.CodeNotFound
 }
 
 func resultsOf(accepted confsync.Change) []EditResult {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -161,17 +161,31 @@
 // sendSafely sends a request that the server recognises when it comes again, and repeats it while its outcome is
 // unknown.
 func (c *client) sendSafely(ctx context.Context, request call, answer any) error {
-	var err error
-	for attempt := range resendAttempts {
-		if attempt > 0 && !pause(ctx, resendDelay) {
-			return err
+	err := c.send(ctx, request, answer)
+	if exitCode(err) != ExitUnknown {
+		return err
+	}
+	for range resendAttempts - 1 {
+		if !pause(ctx, resendDelay) {
+			break
 		}
 		err = c.send(ctx, request, answer)
-		if exitCode(err) != ExitUnknown || ctx.Err() != nil {
+		if settles(err) {
 			return err
 		}
 	}
-	return fmt.Errorf("%w after %d attempts: %w", errUnknown, resendAttempts, err)
+	return withExit(ExitUnknown, fmt.Errorf("%w: %w", errUnknown, err))
+}
+
+// settles says whether the answer to a resend tells the outcome of the first send too: success does, and so does a
+// refusal for which the server has looked for the first send. An outage, for one, says nothing about it.
+func settles(err error) bool {
+	switch exitCode(err) {
+	case ExitConflict, ExitInvalid, ExitNotFound:
+		return true
+	default:
+		return err == nil
+	}
 }
 
 // pause waits, and returns false if ctx ends first.
--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -32,6 +32,8 @@
 	replica *confsync.Replica
 	// loseAnswers is how many answers to changes are lost after they took effect.
 	loseAnswers atomic.Int32
+	// outage makes the server refuse every change that comes after a lost answer.
+	outage atomic.Bool
 }
 
 func newSite(t *testing.T) *site {
@@ -62,6 +64,11 @@
 			handler.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
+		if isChange && s.outage.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			fmt.Fprint(w, `{"error":{"code":"configuration_service_unavailable","message":"away","not_run":"true"}}`)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -143,6 +150,10 @@
 	s.loseAnswers.Store(resendAttempts)
 	stderr := fail(t, ExitUnknown, "delete", "models", "medic")
 	assert.Assert(t, strings.Contains(stderr, "mallowlatch history"), stderr)
+	s.outage.Store(true)
+	s.loseAnswers.Store(1)
+	fail(t, ExitUnknown, "delete", "tenants", "nurses")
+	fail(t, ExitUnavailable, "runner", "drain", "r1")
 	_, exists := s.replica.Current().Models["medic"]
 	assert.Assert(t, !exists, "the deletion took effect though its answers were lost")
 }
