--- /dev/null
+++ b/internal/batch/fake_test.go
@@ -0,0 +1,340 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/job"
+	"mallowlatch.example/mallowlatch/internal/machine"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+)
+
+// fakeStore is a job store in memory with one shard. Its calls fail at random.
+type fakeStore struct {
+	mutex    sync.Mutex
+	now      func() time.Time
+	random   *rand.Rand
+	faults   bool
+	ttl      time.Duration
+	items    []job.Item
+	next     int
+	leases   map[string]*fakeLease
+	results  map[uint32]job.Result
+	released int
+	renewals int
+	// refuseRenewals makes every renewal fail.
+	refuseRenewals bool
+}
+
+type fakeLease struct {
+	lease   job.Lease
+	expires time.Time
+}
+
+func newStore(items []job.Item, ttl time.Duration, now func() time.Time, random *rand.Rand, faults bool) *fakeStore {
+	return &fakeStore{now: now, random: random, faults: faults, ttl: ttl, items: items, leases: map[string]*fakeLease{}, results: map[uint32]job.Result{}}
+}
+
+const errStore = failure.Kind("store: unavailable")
+
+// fails says that a call is lost: before it took effect, or after.
+func (s *fakeStore) fails() (before, after bool) {
+	if !s.faults {
+		return false, false
+	}
+	drawn := s.random.IntN(20)
+	return drawn == 0, drawn == 1
+}
+
+func (s *fakeStore) Waiting(context.Context, int) ([]job.Priority, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if before, _ := s.fails(); before {
+		return nil, errStore
+	}
+	if s.next >= len(s.items) {
+		return nil, nil
+	}
+	return []job.Priority{{Job: "j", Service: "s", Waiting: len(s.items) - s.next}}, nil
+}
+
+func (s *fakeStore) Lease(_ context.Context, _ ident.Shard, _ ident.Job, request job.LeaseRequest) (job.Lease, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if before, _ := s.fails(); before {
+		return job.Lease{}, errStore
+	}
+	count := min(request.Max, 16, len(s.items)-s.next)
+	lease := job.Lease{ID: fmt.Sprint("l", len(s.leases)), Job: "j", Items: s.items[s.next : s.next+count], TTL: s.ttl}
+	s.next += count
+	s.leases[lease.ID] = &fakeLease{lease: lease, expires: s.now().Add(s.ttl)}
+	return lease, nil
+}
+
+func (s *fakeStore) Renew(_ context.Context, _ ident.Shard, _ ident.Node, leases []string) ([]string, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.renewals++
+	if before, after := s.fails(); before || after || s.refuseRenewals {
+		return nil, errStore
+	}
+	for _, id := range leases {
+		s.leases[id].expires = s.now().Add(s.ttl)
+	}
+	return nil, nil
+}
+
+func (s *fakeStore) Complete(_ context.Context, _ job.Lease, results []job.Result) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before, after := s.fails()
+	if before {
+		return errStore
+	}
+	for _, result := range results {
+		if _, known := s.results[result.Index]; !known {
+			s.results[result.Index] = result
+		}
+	}
+	if after {
+		return errStore
+	}
+	return nil
+}
+
+func (s *fakeStore) Release(_ context.Context, _ job.Lease, indexes []uint32) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.released += len(indexes)
+	return nil
+}
+
+func (s *fakeStore) done() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.results)
+}
+
+// fakeEngine runs batch items token by token. With faults, calls and streams fail at random.
+type fakeEngine struct {
+	engine.Engine
+	mutex  sync.Mutex
+	random *rand.Rand
+	faults bool
+	tokens int
+	// gate, if set, is received from before each token.
+	gate chan struct{}
+	// runs counts the runs begun of each item; running the calls now in progress; resumed the continuations.
+	runs    map[ident.Request]int
+	kept    map[ident.Request]bool
+	aborts  []bool
+	resumed []int
+	epochs  []uint64
+	// fencedBelow is the lowest epoch the engine accepts.
+	fencedBelow uint64
+}
+
+func newEngine(tokens int, random *rand.Rand, faults bool) *fakeEngine {
+	return &fakeEngine{random: random, faults: faults, tokens: tokens, runs: map[ident.Request]int{}, kept: map[ident.Request]bool{}}
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, call engine.Call) (engine.Stream, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.epochs = append(e.epochs, call.OwnerEpoch)
+	if call.OwnerEpoch < e.fencedBelow {
+		return nil, fenced()
+	}
+	drawn := 100
+	if e.faults {
+		drawn = e.random.IntN(12)
+	}
+	switch {
+	case drawn == 0:
+		return nil, &engine.AttemptError{Outcome: outcome.NotRun, Cause: engine.ErrBusy}
+	case drawn == 1:
+		return nil, &engine.AttemptError{Outcome: outcome.Unknown, Cause: engine.ErrBroken}
+	case drawn == 2:
+		e.runs[call.Request.ID]++
+		return nil, &engine.AttemptError{Outcome: outcome.Unknown, Cause: engine.ErrBroken}
+	case call.ResumeOffset > 0 && !e.kept[call.Request.ID]:
+		return nil, &engine.AttemptError{Outcome: outcome.NotRun, Cause: engine.ErrGone}
+	}
+	if call.ResumeOffset > 0 {
+		e.resumed = append(e.resumed, call.ResumeOffset)
+	} else {
+		e.runs[call.Request.ID]++
+	}
+	return &fakeStream{ctx: ctx, engine: e, request: call.Request, next: call.ResumeOffset}, nil
+}
+
+func (e *fakeEngine) Resume(context.Context, ident.Request, int) (engine.Stream, error) {
+	return nil, engine.ErrGone
+}
+
+func (e *fakeEngine) Abort(_ context.Context, request ident.Request, keep bool) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.aborts = append(e.aborts, keep)
+	e.kept[request] = keep && (!e.faults || e.random.IntN(3) > 0)
+	return nil
+}
+
+// breaks draws whether a stream breaks at this token.
+func (e *fakeEngine) breaks() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.faults && e.random.IntN(40) == 0
+}
+
+type fakeStream struct {
+	ctx     context.Context
+	engine  *fakeEngine
+	request *inference.Request
+	next    int
+}
+
+func (s *fakeStream) Next() (inference.Chunk, error) {
+	if s.next > s.engine.tokens {
+		return inference.Chunk{}, io.EOF
+	}
+	if s.engine.gate != nil {
+		select {
+		case <-s.engine.gate:
+		case <-s.ctx.Done():
+		}
+	} else if s.engine.faults {
+		time.Sleep(100 * time.Microsecond)
+	}
+	if s.ctx.Err() != nil || s.engine.breaks() {
+		return inference.Chunk{}, engine.ErrBroken
+	}
+	chunk := inference.Chunk{Offset: s.next, Tokens: 1, Data: textChunk(fmt.Sprintf("<%d>", s.next))}
+	if s.next == s.engine.tokens {
+		usage := inference.Usage{CompletionTokens: s.next}
+		chunk = inference.Chunk{Offset: s.next, Data: textChunk(""), Final: true, FinishReason: "stop", Usage: usage}
+	}
+	s.next++
+	return chunk, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+func textChunk(text string) []byte {
+	data, _ := json.Marshal(map[string]any{"choices": []map[string]any{{"index": 0, "text": text}}})
+	return data
+}
+
+// site is a worker with what surrounds it.
+type site struct {
+	worker  *Worker
+	table   *dispatch.Table
+	store   *fakeStore
+	engines map[ident.Runner]*fakeEngine
+	owned   []Owned
+	mutex   sync.Mutex
+}
+
+func (s *site) Engine(runner ident.Runner) (engine.Engine, bool) {
+	found, known := s.engines[runner]
+	return found, known
+}
+
+func (s *site) Owned() []Owned {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.owned)
+}
+
+func (s *site) setOwned(owned []Owned) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.owned = owned
+}
+
+// Current is the configuration: one service on one model.
+func (s *site) Current() *catalog.Snapshot {
+	snapshot := catalog.Empty()
+	snapshot.Services["s"] = catalog.Service{Name: "s", Model: "m"}
+	return snapshot
+}
+
+func (s *site) Changed(int64) <-chan struct{} { return nil }
+
+const testSequences = 6
+
+func newSite(store *fakeStore, engines map[ident.Runner]*fakeEngine, now func() time.Time) *site {
+	created := &site{store: store, engines: engines, table: dispatch.NewTable()}
+	list := machine.List{}
+	for runner := range engines {
+		list.Runners = append(list.Runners, machine.Runner{ID: runner, Zone: "a", State: machine.Live})
+		created.owned = append(created.owned, Owned{Runner: runner, Epoch: 7})
+	}
+	created.table.SetMachines(list, now())
+	created.worker = New(Config{
+		Node: "n", Table: created.table, Engines: created, Catalog: created, Ownership: created,
+		Work: store, Tick: time.Millisecond, Now: now,
+	})
+	created.report(now())
+	return created
+}
+
+// report renews the load reports and probes ejected runners, as the exchange does.
+func (s *site) report(now time.Time) {
+	for runner := range s.engines {
+		report := engine.LoadReport{Measured: now, MaxSequences: testSequences, Models: []engine.LoadedModel{{Name: "m"}}}
+		s.table.ObserveProbe(runner, now, true)
+		s.table.ObserveReport(runner, report, now)
+	}
+}
+
+func newItems(count int, nonRepeatableEvery int) []job.Item {
+	var items []job.Item
+	for index := range count {
+		items = append(items, job.Item{
+			Job: "j", Index: uint32(index), Endpoint: inference.Completions, Body: json.RawMessage(`{"model":"s","prompt":"x"}`),
+			Repeatable: nonRepeatableEvery == 0 || index%nonRepeatableEvery != 0,
+		})
+	}
+	return items
+}
+
+func expectedText(tokens int) string {
+	text := ""
+	for token := range tokens {
+		text += fmt.Sprintf("<%d>", token)
+	}
+	return text
+}
+
+// clock is a time that only tests move.
+type clock struct {
+	mutex sync.Mutex
+	time  time.Time
+}
+
+func newClock() *clock { return &clock{time: time.Unix(1_800_000_000, 0)} }
+
+func (c *clock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.time
+}
+
+func (c *clock) Advance(by time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.time = c.time.Add(by)
+}
--- a/internal/batch/leasebook.go
+++ b/internal/batch/leasebook.go
@@ -12,8 +12,10 @@
 const (
 	// startMargin is the least time a lease must have left for an item to be started under it.
 	startMargin = time.Second
-	// keptTime is how long a preempted item waits for the runner that holds its tokens before another may run it anew.
-	keptTime = 30 * time.Second
+	// keptTimePerToken is how long a preempted item waits for the runner that holds its tokens, for each token, before
+	// another may run it anew. It is about what the token takes to generate: whoever waits as long as the work would
+	// take again never spends more than twice the least possible.
+	keptTimePerToken = 40 * time.Millisecond
 )
 
 // itemState is where an item of a lease stands.
@@ -104,7 +106,8 @@
 	if i.kept == nil || i.kept.runner == runner {
 		return true
 	}
-	return i.request.Repeatable && now.Sub(i.kept.since) > keptTime
+	patience := time.Duration(i.kept.position.Next()) * keptTimePerToken
+	return i.request.Repeatable && now.Sub(i.kept.since) > patience
 }
 
 // requeue puts an item back, before the others: it was leased earlier.
--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -65,7 +65,7 @@
 			KnownOnline:  view.OwnInFlight + view.PeersInFlight,
 			Report:       view.Report,
 			RunningBatch: len(state.running),
-			Leaving:      view.Leaving || view.Ejected,
+			Leaving:      view.Leaving,
 		}
 		credits := state.controller.Decide(input, now)
 		state.granted = credits.Sequences
@@ -129,7 +129,7 @@
 
 func (g *grant) mayStart(now time.Time) bool {
 	state := g.state
-	return state.owned && !g.view.Leaving && state.epoch != state.fencedEpoch && !now.Before(state.pausedUntil)
+	return state.owned && !g.view.Leaving && !g.view.Ejected && state.epoch != state.fencedEpoch && !now.Before(state.pausedUntil)
 }
 
 // nonRepeatableShare is the part of a runner's sequences that items which can't be preempted may take.
--- /dev/null
+++ b/internal/batch/worker_test.go
@@ -0,0 +1,179 @@
+package batch
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/job"
+)
+
+// until waits for a condition that must come about, and only fails if it never does.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("not %s yet", what)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(30*time.Second))
+}
+
+// inLoop runs a check within the worker's loop and returns its finding.
+func inLoop(w *Worker, check func() string) string {
+	found := make(chan string, 1)
+	w.post(func() { found <- check() })
+	select {
+	case text := <-found:
+		return text
+	case <-w.tomb.Dying():
+		return ""
+	}
+}
+
+// overCredit names a runner that carries more than its credits, leaving out runs that are being preempted and items
+// that can't be.
+func overCredit(w *Worker) string {
+	for runner, state := range w.runners {
+		held := 0
+		for running := range state.running {
+			if !running.preempted && running.item.request.Repeatable {
+				held++
+			}
+		}
+		if held > state.granted {
+			return string(runner) + " holds more than its credits"
+		}
+	}
+	return ""
+}
+
+func resultText(t rapid.TB, result job.Result) string {
+	var object struct{ Choices []struct{ Text string } }
+	assert.NilError(t, json.Unmarshal(result.Body, &object))
+	text := ""
+	for _, choice := range object.Choices {
+		text += choice.Text
+	}
+	return text
+}
+
+// TestItemsCompleteOnceUnderFaults runs a heap of items while online work comes and goes and calls fail, and checks
+// that every item has exactly its answer, that credits hold at every look, and that a non-repeatable item ran at most
+// once.
+func TestItemsCompleteOnceUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		random := rand.New(rand.NewPCG(seed, 1))
+		at := newClock()
+		items := newItems(rapid.IntRange(1, 40).Draw(t, "items"), rapid.SampledFrom([]int{0, 3}).Draw(t, "non-repeatable every"))
+		tokens := rapid.IntRange(1, 5).Draw(t, "tokens")
+		engines := map[ident.Runner]*fakeEngine{}
+		for _, runner := range []ident.Runner{"a", "b"} {
+			engines[runner] = newEngine(tokens, rand.New(rand.NewPCG(seed, 2)), true)
+		}
+		store := newStore(items, time.Minute, at.Now, rand.New(rand.NewPCG(seed, 3)), true)
+		tested := newSite(store, engines, at.Now)
+		tested.worker.Start()
+		online := disturb(t, tested, at, random, len(items))
+		for ; online > 0; online-- {
+			tested.table.End("a")
+		}
+		assert.NilError(t, tested.worker.Stop())
+		checkResults(t, tested, items, tokens)
+	})
+}
+
+// disturb lets online work on runner a come and go until every item has its result.
+func disturb(t *rapid.T, tested *site, at *clock, random *rand.Rand, items int) (online int) {
+	for steps := 0; tested.store.done() < items; steps++ {
+		assert.Assert(t, steps < mostSteps, "%d of %d items done", tested.store.done(), items)
+		if random.IntN(3) > 0 && online < testSequences {
+			tested.table.Start("a", nil)
+			online++
+		} else if online > 0 {
+			tested.table.End("a")
+			online--
+		}
+		at.Advance(5 * time.Millisecond)
+		tested.report(at.Now())
+		assert.Equal(t, inLoop(tested.worker, func() string { return overCredit(tested.worker) }), "")
+	}
+	return online
+}
+
+// mostSteps is far more than any run needs; one that takes as many is stuck.
+const mostSteps = 100000
+
+func checkResults(t *rapid.T, tested *site, items []job.Item, tokens int) {
+	runs := map[uint32]int{}
+	for _, fake := range tested.engines {
+		for request, count := range fake.runs {
+			runs[indexOf(request)] += count
+		}
+	}
+	for _, leased := range items {
+		result, known := tested.store.results[leased.Index]
+		assert.Assert(t, known, "item %d has no result", leased.Index)
+		if !result.Failed {
+			assert.Equal(t, resultText(t, result), expectedText(tokens))
+		}
+		if result.Failed {
+			assert.Assert(t, runs[leased.Index] > 0 || strings.Contains(string(result.Body), `"unknown"`) || leased.Repeatable)
+		}
+		if !leased.Repeatable {
+			assert.Assert(t, runs[leased.Index] <= 1, "non-repeatable item %d ran %d times", leased.Index, runs[leased.Index])
+		}
+	}
+}
+
+// indexOf reads the item's index from a request identifier.
+func indexOf(request ident.Request) uint32 {
+	var index uint32
+	for _, digit := range strings.Split(string(request), "/")[1] {
+		index = index*10 + uint32(digit-'0')
+	}
+	return index
+}
+
+// TestPreemptedItemResumes fills a runner with online work in the middle of an item and takes it away again.
+func TestPreemptedItemResumes(t *testing.T) {
+	fake := newEngine(4, rand.New(rand.NewPCG(1, 1)), false)
+	fake.gate = make(chan struct{})
+	store := newStore(newItems(1, 0), time.Minute, time.Now, nil, false)
+	tested := newSite(store, map[ident.Runner]*fakeEngine{"a": fake}, time.Now)
+	tested.worker.Start()
+	fake.gate <- struct{}{}
+	fake.gate <- struct{}{}
+	// The third token is asked for only once the second was taken in.
+	fake.gate <- struct{}{}
+	for range testSequences {
+		tested.table.Start("a", nil)
+	}
+	until(t, "preempted", func() bool {
+		fake.mutex.Lock()
+		defer fake.mutex.Unlock()
+		return len(fake.aborts) == 1
+	})
+	assert.Equal(t, fake.aborts[0], true, "its tokens were not asked to be kept")
+	for range testSequences {
+		tested.table.End("a")
+	}
+	close(fake.gate)
+	until(t, "done", func() bool {
+		tested.report(time.Now())
+		return store.done() == 1
+	})
+	assert.NilError(t, tested.worker.Stop())
+	assert.Equal(t, resultText(t, store.results[0]), expectedText(4))
+	assert.Equal(t, len(fake.resumed), 1)
+	assert.Assert(t, fake.resumed[0] >= 2, "resumed at token %d", fake.resumed[0])
+	assert.Equal(t, fake.runs["j/0/l0"], 1, "the item ran again from its start")
+}
