--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -211,6 +211,7 @@
 	}
 	gateway := New(options)
 	server := httptest.NewServer(gateway)
+	server.Client().Timeout = patience
 	t.Cleanup(server.Close)
 	client := openai.NewClient(option.WithBaseURL(server.URL+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
 	return &site{gateway: gateway, server: server, client: client, jobs: jobs}
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+)
+
+// patience bounds a wait for something that must happen; no verdict depends on how long it took.
+const patience = 20 * time.Second
+
+func await[T any](t testing.TB, from <-chan T, what string) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(patience):
+		t.Fatalf("timed out: %s", what)
+		panic("unreachable")
+	}
+}
+
+// open sends a streamed request over a connection of its own and leaves the answer unread.
+func (s *site) open(t testing.TB) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { connection.Close() })
+	assert.NilError(t, connection.SetDeadline(time.Now().Add(patience)))
+	call, err := http.NewRequest(http.MethodPost, s.server.URL+chatPath, strings.NewReader(streamBody))
+	assert.NilError(t, err)
+	call.Header.Set("Authorization", "Bearer "+testKey)
+	assert.NilError(t, call.Write(connection))
+	return connection
+}
+
+func TestEachChunkIsFlushed(t *testing.T) {
+	proceed := make(chan struct{})
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		for index := range 3 {
+			if err := sink.Chunk(chunkOf(request.Endpoint, index, "w", index == 2)); err != nil {
+				return err
+			}
+			select {
+			case <-proceed:
+			case <-t.Context().Done():
+			}
+		}
+		return nil
+	}, nil)
+	reader := bufio.NewReader(site.open(t))
+	for range 3 {
+		line := ""
+		for !strings.HasPrefix(line, "data: {") {
+			var err error
+			line, err = reader.ReadString('\n')
+			assert.NilError(t, err)
+		}
+		proceed <- struct{}{}
+	}
+}
+
+func TestLineBreaksOfAChunkStayInItsEvent(t *testing.T) {
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		chunk := chunkOf(request.Endpoint, 0, "w", true)
+		chunk.Data = []byte("{\n\"id\":1,\r\n\"choices\":[]}")
+		return sink.Chunk(chunk)
+	}, nil)
+	_, body := site.post(t, chatPath, streamBody)
+	assert.Equal(t, body, "data: { \"id\":1,  \"choices\":[]}\n\ndata: [DONE]\n\n")
+}
+
+// TestCallerGoneCancelsItsRequest proves that a caller who hangs up frees the engine.
+func TestCallerGoneCancelsItsRequest(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan error, 1)
+	site := newSite(t, func(ctx context.Context, _ *inference.Request, _ Sink) error {
+		close(started)
+		select {
+		case <-ctx.Done():
+			cancelled <- context.Cause(ctx)
+		case <-t.Context().Done():
+		}
+		return failure.New(failure.CodeCancelled, "gone")
+	}, nil)
+	connection := site.open(t)
+	await(t, started, "dispatch")
+	assert.NilError(t, connection.Close())
+	assert.ErrorIs(t, await(t, cancelled, "cancellation"), context.Canceled)
+}
+
+// TestSlowReaderIsCutOff proves that a caller who stops reading holds nothing beyond the write timeout.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	ended := make(chan error, 1)
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		large := chunkOf(request.Endpoint, 0, strings.Repeat("x", 1<<20), false)
+		for {
+			if err := sink.Chunk(large); err != nil {
+				ended <- err
+				return failure.New(failure.CodeCancelled, "gone").WithCause(err)
+			}
+		}
+	}, func(options *Options) { options.Limits.WriteTimeout = 300 * time.Millisecond })
+	site.open(t)
+	assert.ErrorContains(t, await(t, ended, "the write deadline"), "timeout")
+}
+
+// TestRequestGivenUpOnGetsItsAnswer proves that a stuck dispatcher cannot keep a caller waiting, and that nothing is
+// written after the final answer.
+func TestRequestGivenUpOnGetsItsAnswer(t *testing.T) {
+	for name, body := range map[string]string{"whole": chatBody, "streamed": streamBody} {
+		t.Run(name, func(t *testing.T) {
+			blocked, late := make(chan struct{}), make(chan error, 1)
+			release := sync.OnceFunc(func() { close(blocked) })
+			defer release()
+			site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+				<-blocked
+				late <- sink.Chunk(chunkOf(request.Endpoint, 0, "late", true))
+				return nil
+			}, func(options *Options) { options.Limits.GiveUpGrace = time.Millisecond })
+			call, err := http.NewRequest(http.MethodPost, site.server.URL+chatPath, strings.NewReader(body))
+			assert.NilError(t, err)
+			call.Header.Set("Authorization", "Bearer "+testKey)
+			call.Header.Set(headerRequestDeadline, "50")
+			response, err := site.server.Client().Do(call)
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			content := make([]byte, response.ContentLength)
+			_, err = io.ReadFull(response.Body, content)
+			assert.NilError(t, err)
+			failed := envelopeOf(t, string(content))
+			assert.Equal(t, failed.Code, failure.CodeDeadlineExceeded)
+			assert.Equal(t, failed.NotRun, "unknown")
+			release()
+			assert.ErrorIs(t, await(t, late, "late chunk"), errAnswered)
+		})
+	}
+}
+
+func TestDrainFinishesStreamsAndRefusesNewWork(t *testing.T) {
+	started, proceed := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(proceed) })
+	defer release()
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		assert.Check(t, sink.Chunk(chunkOf(request.Endpoint, 0, "first", false)) == nil)
+		close(started)
+		<-proceed
+		return sink.Chunk(chunkOf(request.Endpoint, 1, "last", true))
+	}, nil)
+	connection := site.open(t)
+	await(t, started, "the stream")
+	drained := make(chan error, 1)
+	go func() { drained <- site.gateway.Drain(context.Background()) }()
+	for !site.gateway.draining.isClosed() {
+		time.Sleep(time.Millisecond)
+	}
+	response, body := site.post(t, chatPath, chatBody)
+	assert.Equal(t, envelopeOf(t, body).Code, failure.CodeDraining)
+	assert.Equal(t, response.Header.Get(headerNotRun), "true")
+	assert.Assert(t, response.Header.Get(headerRetryAfterMilliseconds) != "")
+	response, _ = site.send(t, "GET", "/readyz", "")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	response, _ = site.send(t, "GET", "/healthz", "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	select {
+	case <-drained:
+		t.Fatal("the drain ended before the stream")
+	default:
+	}
+	release()
+	assert.NilError(t, await(t, drained, "drain"))
+	rest, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	content, err := io.ReadAll(rest.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(content), "data: [DONE]\n\n"), "%s", content)
+}
+
+func TestCutDrainEndsStreamsWithAnError(t *testing.T) {
+	started := make(chan struct{})
+	site := newSite(t, func(ctx context.Context, request *inference.Request, sink Sink) error {
+		assert.Check(t, sink.Chunk(chunkOf(request.Endpoint, 0, "first", false)) == nil)
+		close(started)
+		select {
+		case <-ctx.Done():
+		case <-t.Context().Done():
+		}
+		return failure.New(failure.CodeCancelled, "gone").WithOutcome(outcome.Ran)
+	}, nil)
+	connection := site.open(t)
+	await(t, started, "the stream")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.ErrorIs(t, site.gateway.Drain(ctx), context.Canceled)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	content, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(content), `"code":"node_draining","not_run":"false"`), "%s", content)
+}
+
+func TestPanicStaysInItsRequest(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		if request.Stream {
+			assert.Check(t, sink.Chunk(chunkOf(request.Endpoint, 0, "first", false)) == nil)
+		}
+		panic("seeded")
+	}, func(options *Options) { options.Registerer = registry })
+	response, body := site.post(t, chatPath, chatBody)
+	assert.Equal(t, response.StatusCode, http.StatusInternalServerError)
+	assert.Equal(t, envelopeOf(t, body).NotRun, "unknown")
+	connection := site.open(t)
+	broken, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(broken.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "a part must not look like the whole")
+	assert.Equal(t, counterValue(t, registry, "mallowlatch_gateway_panics_total"), 2.0)
+	assert.Equal(t, site.gateway.InProgress(), 0)
+}
+
+func TestTruncatedAnswerIsAnError(t *testing.T) {
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		return sink.Chunk(chunkOf(request.Endpoint, 0, "first", false))
+	}, nil)
+	for _, body := range []string{chatBody, streamBody} {
+		_, answer := site.post(t, chatPath, body)
+		assert.Assert(t, strings.Contains(answer, string(failure.CodeStreamInterrupted)), answer)
+		assert.Assert(t, !strings.Contains(answer, "[DONE]"), answer)
+	}
+}
+
+func counterValue(t testing.TB, registry *prometheus.Registry, name string) float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	t.Fatalf("no metric %s", name)
+	return 0
+}
