--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -108,3 +108,16 @@
 		core.Tick(time.Unix(1001, 0))
 	})
 }
+
+// A suspicion from before a pause is given its time anew: what the others said meanwhile is still unread.
+func TestPauseGivesSuspectsTheirTimeAnew(t *testing.T) {
+	core := testCore()
+	now := time.Unix(1000, 0)
+	core.learn(record{node: "a", zone: "z", peerAddress: "10.0.0.1:1", incarnation: 1}, now)
+	for core.members["a"].health == healthAlive {
+		now = now.Add(200 * time.Millisecond)
+		core.Tick(now)
+	}
+	core.Tick(now.Add(time.Hour))
+	assert.Equal(t, core.members["a"].health, healthSuspect)
+}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -193,6 +193,27 @@
 	assert.Equal(t, grants, 0)
 }
 
+// A node that joins and goes again and again takes no runner from a live owner before it has stayed for a while.
+func TestFlappingNewcomerTakesNothing(t *testing.T) {
+	s := newSite(3, 20)
+	s.nodes["n2"].paused = true
+	s.see("n2", membership.Dead)
+	s.run(5)
+	s.nodes["n2"].paused = false
+	for range 10 {
+		s.see("n2", membership.Alive)
+		s.run(6)
+		s.see("n2", membership.Dead)
+		s.run(2)
+	}
+	for _, register := range s.engines {
+		assert.Equal(t, register.grants, 1)
+	}
+	s.see("n2", membership.Alive)
+	s.run(15)
+	assert.Assert(t, len(s.nodes["n2"].service.Owned()) > 0)
+}
+
 func TestLeavingOwnerIsReplacedSoon(t *testing.T) {
 	s := newSite(3, 6)
 	s.run(5)
