Fence placement orders by the owner's epoch whatever their subject

A paused former owner's order for a model that its successor had not touched was accepted: the stand-in engine fenced each subject by its own epochs only. The new test failed first without the change. Base package: one comment states the rule that engines must keep.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -119,7 +119,9 @@
 	OrderStay  OrderKind = "stay"
 )
 
-// Order is a fenced order to an engine. The engine keeps the highest epoch it has accepted and refuses lower ones.
+// Order is a fenced order to an engine. The engine keeps the highest epoch it has accepted and refuses lower ones. Orders
+// that change models, adapters or the role are the owner's: they carry the epoch of its claim, and the engine refuses
+// them below the highest epoch it has granted by OrderOwn, whatever their subject.
 type Order struct {
 	Kind    OrderKind
 	Epoch   uint64
--- a/internal/lab/enginesim/orders.go
+++ b/internal/lab/enginesim/orders.go
@@ -55,14 +55,27 @@
 	}
 }
 
+// placement says whether the order is the owner's to give, so that its claim's epoch fences it whatever its subject.
+func placement(order dialect.Order) bool {
+	switch engine.OrderKind(order.Kind) {
+	case engine.OrderLoadModel, engine.OrderUnloadModel, engine.OrderLoadAdapter, engine.OrderUnloadAdapter, engine.OrderRole:
+		return true
+	default:
+		return false
+	}
+}
+
 // admit checks the order's epoch and books it. It returns false if the order is stale: a lower epoch than one seen,
-// or another node's claim at the owner's epoch.
+// another node's claim at the owner's epoch, or placement by a node whose claim has been overtaken.
 func (b *orderBook) admit(order dialect.Order) bool {
 	about := subject(order)
 	seen := b.epochs[about]
 	if order.Epoch < seen {
 		return false
 	}
+	if placement(order) && order.Epoch < b.epochs[ownerSubject] {
+		return false
+	}
 	if about == ownerSubject && order.Epoch == seen && seen > 0 && order.Node != b.owner {
 		return false
 	}
