Judge a fleet whole by full sets with serving leaders

Cause: the experiment faults waited for the stored list of seasoned members to be full, but that list is written only with the next change of the set; the sets had grown to three (seen in a trial that printed the planner's input). Ruled out: a learner that does not catch up.

--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -9,6 +9,9 @@
 	"os"
 	"time"
 
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
@@ -35,6 +38,7 @@
 	wholeBound      = 90 * time.Second
 	wholeLook       = 250 * time.Millisecond
 	streamFaultRate = 0.3
+	ledMetric       = "mallowlatch_shard_led_replicas"
 )
 
 // runFaults strikes a fleet under load with a seeded schedule of faults and counts, by a ledger that trusts no node,
@@ -249,7 +253,8 @@
 	return send(ctx, http.MethodPut, "http://"+address+"/faults", string(body), "")
 }
 
-// waitWhole waits until every shard has its full number of members and all are known to hold every committed entry.
+// waitWhole waits until every shard has its full number of members and a leader that serves. A leader serves once all
+// members have elected it and hold its first entry, so they hold every committed entry too.
 func waitWhole(ctx context.Context, store kv.Store, started *fleet.Fleet) error {
 	deadline := time.Now().Add(wholeBound)
 	for {
@@ -279,9 +284,48 @@
 		if err := json.Unmarshal(pair.Value, &set); err != nil {
 			return false, fmt.Errorf("reading %s: %w", pair.Key, err)
 		}
-		if len(set.Members) < started.Plan.Replicas || len(set.Seasoned) < started.Plan.Replicas {
+		if len(set.Members) < started.Plan.Replicas {
 			return false, ErrSetup
 		}
 	}
-	return true, nil
+	led, err := ledShards(ctx, started)
+	return led == started.Plan.Shards, err
+}
+
+// ledShards sums the shards that nodes say they lead and serve. A node that does not answer counts none.
+func ledShards(ctx context.Context, started *fleet.Fleet) (int, error) {
+	sum := 0
+	for _, node := range diskNodes(started) {
+		led, err := gauge(ctx, node.Admin, ledMetric)
+		if err != nil {
+			return 0, err
+		}
+		sum += int(led)
+	}
+	return sum, nil
+}
+
+// gauge reads one metric without labels from a node's admin listener.
+func gauge(ctx context.Context, address, name string) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return 0, fmt.Errorf("reading metrics of %s: %w", address, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, fmt.Errorf("reading metrics of %s: %w", address, err)
+	}
+	defer response.Body.Close()
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(response.Body)
+	if err != nil {
+		return 0, fmt.Errorf("reading metrics of %s: %w", address, err)
+	}
+	family := families[name]
+	if family == nil || len(family.GetMetric()) == 0 {
+		return 0, fmt.Errorf("metric %s of %s: %w", name, address, ErrSetup)
+	}
+	return family.GetMetric()[0].GetGauge().GetValue(), nil
 }
