--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -455,6 +455,51 @@
 	f.refused(call{method: "GET", path: "/admin/v1/models"}, 401, "invalid_api_key")
 }
 
+type fakeFleet struct {
+	nodes   []NodeStatus
+	runners []RunnerStatus
+}
+
+func (f fakeFleet) Nodes(context.Context) ([]NodeStatus, error)     { return f.nodes, nil }
+func (f fakeFleet) Runners(context.Context) ([]RunnerStatus, error) { return f.runners, nil }
+
+func TestStateOfTheFleetIsListed(t *testing.T) {
+	for _, fleet := range []fakeFleet{
+		{},
+		{
+			nodes:   []NodeStatus{{Name: "n1", Zone: "palermo", State: "alive", Address: "10.0.0.1:1", Version: "v1"}},
+			runners: []RunnerStatus{{Name: "r1", Zone: "palermo", State: "ready", Owner: "n1", Model: "m", Adapters: []string{"a"}, Running: 3}},
+		},
+	} {
+		f := newFixture(t)
+		var err error
+		f.handler, err = New(Options{Source: f.replica, Status: f.replica, Fleet: fleet, BootstrapDigest: auth.Digest(bootstrapSecret), Logger: zerolog.Nop()})
+		assert.NilError(t, err)
+		nodes := decodeAnswer[NodeList](t, f.do(call{method: "GET", path: "/admin/v1/status/nodes"}))
+		assert.DeepEqual(t, nodes.Items, listed(fleet.nodes))
+		runners := decodeAnswer[RunnerList](t, f.do(call{method: "GET", path: "/admin/v1/status/runners"}))
+		assert.DeepEqual(t, runners.Items, listed(fleet.runners))
+	}
+}
+
+func TestProtectServesOnlyKeysWithThePermission(t *testing.T) {
+	f := newFixture(t)
+	options := Options{Source: f.replica, BootstrapDigest: auth.Digest(bootstrapSecret), Logger: zerolog.Nop()}
+	inner := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	for secret, wanted := range map[string]int{bootstrapSecret: http.StatusTeapot, "wrong": http.StatusUnauthorized, "": http.StatusUnauthorized} {
+		request := httptest.NewRequest("GET", "/debug/pprof/", nil)
+		request.Header.Set("Authorization", "Bearer "+secret)
+		answer := httptest.NewRecorder()
+		Protect(options, auth.PermissionRead, inner).ServeHTTP(answer, request)
+		assert.Equal(t, answer.Code, wanted)
+	}
+	request := httptest.NewRequest("GET", "/debug/pprof/", nil)
+	request.Header.Set("Authorization", "Bearer "+bootstrapSecret)
+	answer := httptest.NewRecorder()
+	Protect(options, auth.PermissionInfer, inner).ServeHTTP(answer, request)
+	assert.Equal(t, answer.Code, http.StatusForbidden)
+}
+
 func TestFormOfRequestsIsChecked(t *testing.T) {
 	f := newFixture(t)
 	f.applySite()
--- a/internal/admin/read.go
+++ b/internal/admin/read.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the state of nodes: %w", err)
 	}
-	return NodeList{Items: nodes}, nil
+	return NodeList{Items: listed(nodes)}, nil
 }
 
 func (s *server) runners(r *request) (any, error) {
@@ -153,5 +153,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the state of runners: %w", err)
 	}
-	return RunnerList{Items: runners}, nil
+	return RunnerList{Items: listed(runners)}, nil
+}
+
+// listed returns the list, which must not be null in JSON when it is empty.
+func listed[T any](items []T) []T {
+	if items == nil {
+		return []T{}
+	}
+	return items
 }
--- a/internal/admin/route.go
+++ b/internal/admin/route.go
@@ -84,13 +84,9 @@
 }
 
 func (s *server) answer(w http.ResponseWriter, r *request, route route) (any, error) {
-	key, err := auth.Administrator(s.Source.Current(), s.BootstrapDigest, bearer(r.Request.Request))
-	if err != nil {
-		event.AdminUnauthenticated.Log(s.Logger).Str("remote", r.RemoteAddr).Str("path", r.URL.Path).Err(err).Send()
-		return nil, failure.New(failure.CodeInvalidKey, "the API key is missing or unknown").WithCause(err)
-	}
+	key, err := s.authenticate(r.Request.Request, route.permission)
 	r.key = key
-	if err := requirePermission(key, route.permission); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	if err := checkQuery(r.URL.Query(), route.query); err != nil {
@@ -102,6 +98,30 @@
 	return route.handle(r)
 }
 
+// Protect serves the handler only to keys whose role has the permission. It is for what stands beside the API on the
+// same listener, such as profiles and metrics.
+func Protect(options Options, permission auth.Permission, handler http.Handler) http.Handler {
+	guard := &server{Options: options}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := guard.authenticate(r, permission); err != nil {
+			shown := typed(err)
+			writeJSON(w, shown.Code.Status(), envelope(shown))
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// authenticate returns the request's key, which must have the permission.
+func (s *server) authenticate(r *http.Request, permission auth.Permission) (catalog.Key, error) {
+	key, err := auth.Administrator(s.Source.Current(), s.BootstrapDigest, bearer(r))
+	if err != nil {
+		event.AdminUnauthenticated.Log(s.Logger).Str("remote", r.RemoteAddr).Str("path", r.URL.Path).Err(err).Send()
+		return catalog.Key{}, failure.New(failure.CodeInvalidKey, "the API key is missing or unknown").WithCause(err)
+	}
+	return key, requirePermission(key, permission)
+}
+
 func requirePermission(key catalog.Key, permission auth.Permission) error {
 	if err := auth.Require(key, permission); err != nil {
 		return failure.New(failure.CodeForbidden, "the role %s of this key may not %s", key.Role, permission).WithCause(err)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -14,6 +14,9 @@
 // ErrEvaluation means that a program failed at run time and its default stood in for it.
 const ErrEvaluation = failure.Kind("policy: evaluation failed, the default was used")
 
+// NoDeadline stands for the time left to a request that has no deadline.
+const NoDeadline = 24 * time.Hour
+
 // Work describes batch work that waits: what the program "priority" sees of it.
 type Work struct {
 	Tenant  ident.Tenant
@@ -32,7 +35,7 @@
 type Request struct {
 	Tenant  ident.Tenant
 	Service string
-	// UntilDeadline is the time left to the caller's deadline.
+	// UntilDeadline is the time left to the caller's deadline, or NoDeadline.
 	UntilDeadline time.Duration
 	// EstimatedWait is the expected time in the queue.
 	EstimatedWait time.Duration
