Vary the schedules in kind and give released items back after a lost answer

Change: a release is granted again, and a lapse gives back what it did not end. Schedules now also have deposed leaders that do not notice, check that no item is in two leases that are valid by their workers' clocks, and try the ledger alone.

--- a/internal/jobclient/schedule_test.go
+++ b/internal/jobclient/schedule_test.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +31,8 @@
 	caller  *jobclient.Client
 	workers []*simWorker
 	begun   []simAttempt
+	// kind is which items are repeatable: all, none or some.
+	kind int
 }
 
 // simWorker is a worker whose clock may run slow: its lease lasts longer than it should by true time.
@@ -73,43 +77,76 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
 		defer sim.close()
-		t.Repeat(map[string]func(*rapid.T){
-			"":          sim.pass,
+		t.Repeat(sim.swarm(t, map[string]func(*rapid.T){
 			"submit":    sim.submit,
-			"resubmit":  sim.resubmit,
-			"cancel":    sim.cancel,
-			"observe":   sim.observe,
 			"lease":     sim.lease,
-			"start":     sim.start,
-			"arm":       sim.arm,
-			"fire":      sim.fire,
-			"complete":  sim.complete,
-			"release":   sim.release,
-			"renew":     sim.renew,
-			"crash":     sim.crash,
-			"time":      sim.passTime,
-			"tick":      sim.tick,
-			"leader":    sim.changeLeader,
-			"proposal":  func(t *rapid.T) { sim.world.proposalFault = drawFault(t) },
-			"call":      func(t *rapid.T) { sim.world.callFault = drawFault(t) },
-			"deliver":   sim.deliver,
-			"begin":     sim.begin,
-			"settle":    sim.settle,
 			"lease 2":   sim.lease,
+			"start":     sim.start,
 			"start 2":   sim.start,
-			"start 3":   sim.start,
+			"complete":  sim.complete,
 			"complete2": sim.complete,
-		})
+			"tick":      sim.tick,
+			"time":      sim.passTime,
+		}, map[string]func(*rapid.T){
+			"resubmit": sim.resubmit,
+			"cancel":   sim.cancel,
+			"observe":  sim.observe,
+			"arm":      sim.arm,
+			"fire":     sim.fire,
+			"release":  sim.release,
+			"renew":    sim.renew,
+			"crash":    sim.crash,
+			"leader":   sim.changeLeader,
+			"proposal": sim.faultProposal,
+			"call":     sim.faultCall,
+		}))
 		sim.drain()
 		sim.count(&sum)
 	})
 }
 
+func TestEveryLedgerSchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t)
+		defer sim.close()
+		t.Repeat(sim.swarm(t, map[string]func(*rapid.T){
+			"begin":    sim.begin,
+			"begin 2":  sim.begin,
+			"settle":   sim.settle,
+			"settle 2": sim.settle,
+		}, map[string]func(*rapid.T){
+			"tick":     sim.tick,
+			"time":     sim.passTime,
+			"leader":   sim.changeLeader,
+			"proposal": sim.faultProposal,
+			"call":     sim.faultCall,
+		}))
+	})
+}
+
+// swarm returns the core actions and a drawn part of the others, so that schedules differ in kind and rare ones become
+// common within some.
+func (s *simulation) swarm(t *rapid.T, core, others map[string]func(*rapid.T)) map[string]func(*rapid.T) {
+	core[""] = s.pass
+	core["deliver"] = s.deliver
+	names := slices.Sorted(maps.Keys(others))
+	for _, name := range names {
+		if rapid.Bool().Draw(t, name) {
+			core[name] = others[name]
+		}
+	}
+	return core
+}
+
+func (s *simulation) faultProposal(t *rapid.T) { s.world.proposalFault = drawFault(t) }
+
+func (s *simulation) faultCall(t *rapid.T) { s.world.callFault = drawFault(t) }
+
 func drawFault(t *rapid.T) fault { return fault(rapid.IntRange(1, int(faults)-1).Draw(t, "fault")) }
 
 func newSimulation(t *rapid.T) *simulation {
 	w := newWorld(t)
-	sim := &simulation{checker: newChecker(t), world: w, ctx: context.Background(), caller: w.client("caller")}
+	sim := &simulation{checker: newChecker(t), world: w, ctx: context.Background(), caller: w.client("caller"), kind: rapid.IntRange(0, 2).Draw(t, "kind")}
 	ttl := jobstore.DefaultSettings().LeaseTTL
 	for _, name := range []ident.Node{"w1", "w2"} {
 		const slow = 32
@@ -139,7 +176,7 @@
 	var sent []sentLine
 	customIDs := map[string]bool{}
 	for range rapid.IntRange(1, 5).Draw(t, "lines") {
-		one := sentLine{customID: fmt.Sprintf("c%d", rapid.IntRange(0, 9).Draw(t, "custom id")), repeatable: rapid.Bool().Draw(t, "repeatable")}
+		one := sentLine{customID: fmt.Sprintf("c%d", rapid.IntRange(0, 9).Draw(t, "custom id")), repeatable: s.kind == 0 || s.kind == 2 && rapid.Bool().Draw(t, "repeatable")}
 		one.malformed = customIDs[one.customID]
 		customIDs[one.customID] = true
 		content.WriteString(line(one.customID, fmt.Sprintf(`,"repeatable":%v`, one.repeatable)))
@@ -232,10 +269,31 @@
 	sent := s.world.now
 	lease, err := worker.client.Lease(s.ctx, 0, from, job.LeaseRequest{Worker: worker.name, Services: []string{"stock"}, Max: most})
 	if err == nil && len(lease.Items) > 0 {
+		s.exclusive(lease)
 		worker.leases = append(worker.leases, &simLease{Lease: lease, expires: sent.Add(worker.ttl), waiting: lease.Items})
 	}
 }
 
+// exclusive checks that no item of a new lease is in another that is valid by its worker's clock.
+func (s *simulation) exclusive(leased job.Lease) {
+	fresh := map[uint32]bool{}
+	for _, item := range leased.Items {
+		fresh[item.Index] = true
+	}
+	for _, worker := range s.workers {
+		for _, lease := range worker.leases {
+			if lease.Job != leased.Job || !s.valid(lease) {
+				continue
+			}
+			for _, item := range lease.waiting {
+				if fresh[item.Index] {
+					s.t.Fatalf("item %d of %s is in two valid leases", item.Index, item.Job)
+				}
+			}
+		}
+	}
+}
+
 func (s *simulation) drawLease(t *rapid.T) (*simWorker, *simLease) {
 	worker := s.drawWorker(t)
 	if len(worker.leases) == 0 {
@@ -327,8 +385,7 @@
 }
 
 func (s *simulation) changeLeader(t *rapid.T) {
-	s.world.leader = rapid.SampledFrom([]ident.Node{"a", "b"}).Draw(t, "leader")
-	s.world.round++
+	s.world.changeLeader(rapid.SampledFrom([]ident.Node{"a", "b"}).Draw(t, "leader"), rapid.Bool().Draw(t, "notices"))
 }
 
 func (s *simulation) deliver(t *rapid.T) {
--- a/internal/jobclient/world_test.go
+++ b/internal/jobclient/world_test.go
@@ -59,10 +59,12 @@
 	name     ident.Node
 	server   *jobstore.Server
 	registry *jobstore.Registry
+	// believes is the round in which the node thinks it leads, or zero. A deposed leader may go on believing.
+	believes uint64
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.Unix(1_700_000_000, 0), state: shardtest.NewState(), machine: jobstore.NewMachine(), leader: "a", round: 1, nodes: map[ident.Node]*worldNode{}}
+	w := &world{t: t, now: time.Unix(1_700_000_000, 0), state: shardtest.NewState(), machine: jobstore.NewMachine(), leader: "a", nodes: map[ident.Node]*worldNode{}}
 	settings := jobstore.DefaultSettings()
 	settings.Now = func() time.Time { return w.now }
 	settings.NewID = w.newID
@@ -74,9 +76,20 @@
 		node.registry.Add(node.server)
 		w.nodes[name] = node
 	}
+	w.changeLeader("a", true)
 	return w
 }
 
+// changeLeader begins a new term. The old leader may not notice; it can neither read nor propose any more.
+func (w *world) changeLeader(leader ident.Node, notices bool) {
+	if notices && leader != w.leader {
+		w.nodes[w.leader].believes = 0
+	}
+	w.round++
+	w.leader = leader
+	w.nodes[leader].believes = w.round
+}
+
 // newID returns ids that sort by time and are the same in every run of a schedule.
 func (w *world) newID() string {
 	w.ids++
@@ -156,7 +169,7 @@
 
 // Leading implements shard.Replica.
 func (n *worldNode) Leading() (shard.Leadership, bool) {
-	return shard.Leadership{Epoch: 1, Round: n.world.round}, n.world.leader == n.name
+	return shard.Leadership{Epoch: 1, Round: n.believes}, n.believes > 0
 }
 
 // faultyConn is a connection on which calls get lost, late or doubled. It calls the node without a network.
--- a/internal/jobstore/complete.go
+++ b/internal/jobstore/complete.go
@@ -15,7 +15,8 @@
 	for position, item := range request.GetItems() {
 		results[position] = renderResult(request.GetJob(), item)
 	}
-	return s.record(ctx, &pb.CompleteItems{Job: request.GetJob(), Lease: request.GetLease(), Results: results})
+	_, err := s.record(ctx, &pb.CompleteItems{Job: request.GetJob(), Lease: request.GetLease(), Results: results})
+	return err
 }
 
 // renderResult returns the line of a worker's result.
@@ -53,20 +54,21 @@
 	return &decoded.itemError
 }
 
-// record commits results in commands of bounded size.
-func (s *Server) record(ctx context.Context, complete *pb.CompleteItems) error {
+// record commits results in commands of bounded size and returns how many were the first of their item.
+func (s *Server) record(ctx context.Context, complete *pb.CompleteItems) (accepted int, err error) {
 	results := complete.GetResults()
 	for len(results) > 0 {
 		count := fitting(results)
 		part := &pb.CompleteItems{Job: complete.GetJob(), Lease: complete.GetLease(), StartedOnly: complete.GetStartedOnly(), Results: results[:count]}
 		reply, err := s.propose(ctx, &pb.Command{Operation: &pb.Command_Complete{Complete: part}}, 0)
 		if err != nil {
-			return err
+			return accepted, err
 		}
 		s.recorded(part, reply)
+		accepted += int(reply.GetAccepted())
 		results = results[count:]
 	}
-	return nil
+	return accepted, nil
 }
 
 // fitting returns how many of the results fit into one command; one always does.
--- a/internal/jobstore/machine_items.go
+++ b/internal/jobstore/machine_items.go
@@ -72,7 +72,8 @@
 	return record.GetLease(), err
 }
 
-// applyRelease unmarks items that the lease started and that definitely did not run.
+// applyRelease unmarks items that the lease started and that definitely did not run. It grants the items that no lease
+// has started now, also those that an earlier proposal of the same release unmarked.
 func applyRelease(transaction shard.Transaction, release *pb.ReleaseItems) (*pb.Reply, error) {
 	writes := &writer{transaction: transaction}
 	reply := &pb.Reply{}
@@ -81,7 +82,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if holder == "" || holder != release.GetLease() {
+		if holder != "" && holder != release.GetLease() {
 			continue
 		}
 		writes.delete(numberKey(spaceStart, release.GetJob(), index))
--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -213,13 +213,18 @@
 // an item that was released or completed meanwhile is left alone.
 func (s *Server) lose(ctx context.Context, lease *heldLease, once []uint32) error {
 	ended := &itemError{Code: string(failure.CodeOutcomeUnknown), Message: "the item may have run; its outcome is lost and it does not run again"}
-	if err := s.endItems(ctx, lease.job, lease.id, once, ended); err != nil {
+	accepted, err := s.endItems(ctx, lease.job, lease.id, once, ended)
+	if err != nil {
 		return err
 	}
-	s.metrics.add((*Metrics).unknownItems, len(once))
-	event.JobItemsLost.Log(s.logger).Str("job", lease.job.id).Str("lease", lease.id).Int("items", len(once)).Send()
+	s.metrics.add((*Metrics).unknownItems, accepted)
+	event.JobItemsLost.Log(s.logger).Str("job", lease.job.id).Str("lease", lease.id).Int("items", accepted).Send()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if accepted < len(once) {
+		// Some were released or had a result; the next lease that meets a finished one leaves it out.
+		lease.job.give(once)
+	}
 	s.shrink(lease, without(lease.indexes, once))
 	return nil
 }
@@ -235,14 +240,14 @@
 }
 
 // endItems commits an error as the result of items; with a lease, only of items marked as started under it.
-func (s *Server) endItems(ctx context.Context, job *activeJob, lease string, indexes []uint32, ended *itemError) error {
+func (s *Server) endItems(ctx context.Context, job *activeJob, lease string, indexes []uint32, ended *itemError) (accepted int, err error) {
 	complete := &pb.CompleteItems{Job: job.id, Lease: lease, StartedOnly: lease != ""}
-	err := s.lines(ctx, job.input(), indexes, func(index uint32, text []byte) {
+	err = s.lines(ctx, job.input(), indexes, func(index uint32, text []byte) {
 		line, _, _ := parseLine(text, "")
 		complete.Results = append(complete.Results, s.lineError(job, index, line.CustomID, ended))
 	})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	return s.record(ctx, complete)
 }
@@ -330,7 +335,7 @@
 		ended = &itemError{Code: codeBatchExpired, Message: "the batch's completion window ended before the item ran"}
 	}
 	for part := range slices.Chunk(open, endingItems) {
-		if err := s.endItems(ctx, job, "", part, ended); err != nil {
+		if _, err := s.endItems(ctx, job, "", part, ended); err != nil {
 			return err
 		}
 	}
