--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -169,6 +169,9 @@
 	case drawn == 2:
 		e.runs[call.Request.ID]++
 		return nil, &engine.AttemptError{Outcome: outcome.Unknown, Cause: engine.ErrBroken}
+	case drawn == 3:
+		e.runs[call.Request.ID]++
+		return nil, engine.ErrBroken
 	case call.ResumeOffset > 0 && !e.kept[call.Request.ID]:
 		return nil, &engine.AttemptError{Outcome: outcome.NotRun, Cause: engine.ErrGone}
 	}
--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -19,9 +19,10 @@
 	credits credit.Credits
 }
 
-// readOwnership takes over what this node owns now. Work on a runner that it owns no more, or under a new epoch, is
-// aborted: another node may already count that room as its own. Only non-repeatable items end where they are.
-func (w *Worker) readOwnership(time.Time) {
+// readOwnership takes over what this node owns now. A runner that it owns no more gets no credits, so what runs there is
+// preempted with the next grants. A new epoch means that the runner was not owned for a while: work under the old one
+// is aborted, since another node may have counted that room as its own. Only non-repeatable items end where they are.
+func (w *Worker) readOwnership() {
 	owned := map[ident.Runner]uint64{}
 	for _, claim := range w.config.Ownership.Owned() {
 		owned[claim.Runner] = claim.Epoch
@@ -29,7 +30,7 @@
 	for runner, state := range w.runners {
 		epoch, still := owned[runner]
 		state.owned = still
-		if !still || epoch != state.epoch {
+		if still && epoch != state.epoch {
 			w.preemptSome(state, len(state.running))
 		}
 		if !still && len(state.running) == 0 {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -215,7 +215,7 @@
 
 // turn brings everything up to date. Preemption comes first: it is what a caller waits for.
 func (w *Worker) turn(now time.Time) {
-	w.readOwnership(now)
+	w.readOwnership()
 	grants := w.grants(now)
 	w.preempt(grants)
 	w.expire(now)
