--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -62,6 +62,15 @@
 	// commitErr is returned instead of the answer; applied says whether the commit takes effect all the same.
 	commitErr error
 	applied   bool
+	// historyErr is the answer to readings of the history.
+	historyErr error
+}
+
+func (s *faultyStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	if s.historyErr != nil && strings.Contains(prefix, "/changes/") {
+		return nil, 0, s.historyErr
+	}
+	return s.Store.List(ctx, prefix)
 }
 
 func (s *faultyStore) Commit(ctx context.Context, compares []kv.Compare, writes []kv.Write) (kv.TransactionResult, error) {
@@ -333,9 +342,30 @@
 	first := f.change(put)
 	resent := f.change(put)
 	assert.DeepEqual(t, resent, first)
+	assert.Equal(t, strings.Count(f.logs.String(), `"change_id":"bootstrap/first"`), 1, "an acceptance is logged once")
 	assert.Equal(t, f.replica.Current().Revision, int64(2))
 	put.header["Change-Id"] = "second"
 	f.refused(put, 409, "conflict")
+	put.header["Change-Id"] = "first"
+	f.store.historyErr = kv.ErrUnavailable
+	unresolved := f.refused(put, 504, "configuration_outcome_unknown")
+	assert.Equal(t, unresolved.NotRun, "unknown", "without the history nobody knows whether the first send was accepted")
+}
+
+func TestResendsOfOverwritesAndDeletionsAreResolvedToo(t *testing.T) {
+	for name, resent := range map[string]call{
+		"overwrite": {method: "PUT", path: "/admin/v1/tenants/nurses", body: "{kind: tenants, spec: {weight: 2}}"},
+		"deletion":  {method: "DELETE", path: "/admin/v1/services/booking"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.applySite()
+			resent.header = map[string]string{"Change-Id": "c", "If-Match": "*"}
+			first := f.change(resent)
+			assert.Assert(t, first.Accepted)
+			assert.DeepEqual(t, f.change(resent), first)
+		})
+	}
 }
 
 func TestOutageIsDefiniteAndALostCommitIsUnknown(t *testing.T) {
@@ -425,6 +455,51 @@
 	f.refused(call{method: "GET", path: "/admin/v1/models"}, 401, "invalid_api_key")
 }
 
+type fakeFleet struct {
+	nodes   []NodeStatus
+	runners []RunnerStatus
+}
+
+func (f fakeFleet) Nodes(context.Context) ([]NodeStatus, error)     { return f.nodes, nil }
+func (f fakeFleet) Runners(context.Context) ([]RunnerStatus, error) { return f.runners, nil }
+
+func TestStateOfTheFleetIsListed(t *testing.T) {
+	for _, fleet := range []fakeFleet{
+		{},
+		{
+			nodes:   []NodeStatus{{Name: "n1", Zone: "palermo", State: "alive", Address: "10.0.0.1:1", Version: "v1"}},
+			runners: []RunnerStatus{{Name: "r1", Zone: "palermo", State: "ready", Owner: "n1", Model: "m", Adapters: []string{"a"}, Running: 3}},
+		},
+	} {
+		f := newFixture(t)
+		var err error
+		f.handler, err = New(Options{Source: f.replica, Status: f.replica, Fleet: fleet, BootstrapDigest: auth.Digest(bootstrapSecret), Logger: zerolog.Nop()})
+		assert.NilError(t, err)
+		nodes := decodeAnswer[NodeList](t, f.do(call{method: "GET", path: "/admin/v1/status/nodes"}))
+		assert.DeepEqual(t, nodes.Items, listed(fleet.nodes))
+		runners := decodeAnswer[RunnerList](t, f.do(call{method: "GET", path: "/admin/v1/status/runners"}))
+		assert.DeepEqual(t, runners.Items, listed(fleet.runners))
+	}
+}
+
+func TestProtectServesOnlyKeysWithThePermission(t *testing.T) {
+	f := newFixture(t)
+	options := Options{Source: f.replica, BootstrapDigest: auth.Digest(bootstrapSecret), Logger: zerolog.Nop()}
+	inner := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	for secret, wanted := range map[string]int{bootstrapSecret: http.StatusTeapot, "wrong": http.StatusUnauthorized, "": http.StatusUnauthorized} {
+		request := httptest.NewRequest("GET", "/debug/pprof/", nil)
+		request.Header.Set("Authorization", "Bearer "+secret)
+		answer := httptest.NewRecorder()
+		Protect(options, auth.PermissionRead, inner).ServeHTTP(answer, request)
+		assert.Equal(t, answer.Code, wanted)
+	}
+	request := httptest.NewRequest("GET", "/debug/pprof/", nil)
+	request.Header.Set("Authorization", "Bearer "+bootstrapSecret)
+	answer := httptest.NewRecorder()
+	Protect(options, auth.PermissionInfer, inner).ServeHTTP(answer, request)
+	assert.Equal(t, answer.Code, http.StatusForbidden)
+}
+
 func TestFormOfRequestsIsChecked(t *testing.T) {
 	f := newFixture(t)
 	f.applySite()
