--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -146,18 +147,15 @@
 // SetPeers replaces the list of live peers. A node that has just come up compares copies with one of them at once; a
 // relay does so with the relays of zones that have come into view, so that a healed cut is caught up on without waiting.
 func (c *Core) SetPeers(now time.Time, peers []Peer) {
+	others := slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return peer.Node == c.self.Node })
+	if c.relays != nil && slices.Equal(others, c.peers) {
+		return
+	}
 	before := c.relays
 	alone := len(c.peers) == 0
-	c.peers = c.peers[:0]
-	live := make(map[ident.Node]bool, len(peers))
-	for _, peer := range peers {
-		if peer.Node != c.self.Node {
-			c.peers = append(c.peers, peer)
-			live[peer.Node] = true
-		}
-	}
+	c.peers = others
 	for node := range c.known {
-		if !live[node] {
+		if !contains(c.peers, node) {
 			delete(c.known, node)
 		}
 	}
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -16,6 +16,9 @@
 	headPollPeriod = 30 * time.Second
 	// relayPeriod is how often a node looks whether it is, or still is, a relay.
 	relayPeriod = 1 * time.Second
+	// aloneGrace is how long a node that has just started and knows no other waits before it takes itself for its zone's
+	// only relay: until membership has joined, every node of a fleet would.
+	aloneGrace = 1 * time.Second
 	// Bounds of the wait after a failure. Each wait is drawn evenly between half its bound and the bound.
 	minFollowDelay = 500 * time.Millisecond
 	maxFollowDelay = 10 * time.Second
@@ -29,6 +32,10 @@
 
 // follow keeps the copy up to date from the key-value service while this node is a relay.
 func (r *Replica) follow(ctx context.Context) error {
+	if len(r.options.Peers.Peers()) == 0 {
+		_ = sleepContext(ctx, aloneGrace)
+	}
+	r.refreshPeers()
 	bound := minFollowDelay
 	for ctx.Err() == nil {
 		if !r.Relay() {
--- a/internal/confsync/resource.go
+++ b/internal/confsync/resource.go
@@ -145,7 +145,8 @@
 	Zone ident.Zone
 }
 
-// PeerSource lists the live nodes other than this one, by this node's own view. Membership implements it.
+// PeerSource lists the live nodes other than this one, by this node's own view. Membership implements it. A list that is
+// the same in order saves the work of choosing relays anew.
 type PeerSource interface {
 	Peers() []Peer
 }
