--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -37,6 +37,7 @@
 	}
 	r.refreshPeers()
 	bound := minFollowDelay
+	failing := false
 	for ctx.Err() == nil {
 		if !r.Relay() {
 			_ = sleepContext(ctx, relayPeriod)
@@ -49,9 +50,14 @@
 		}
 		if time.Since(started) > maxFollowDelay {
 			bound = minFollowDelay
+			failing = false
 		}
 		r.metrics.followRetries.Inc()
-		event.ConfigFollowFailed.Log(r.options.Logger).Err(err).Send()
+		if !failing {
+			// An outage is told once, not at each retry.
+			event.ConfigFollowFailed.Log(r.options.Logger).Err(err).Send()
+		}
+		failing = true
 		_ = sleepContext(ctx, upperHalf(bound))
 		bound = min(2*bound, maxFollowDelay)
 	}
--- a/internal/confsync/replica_test.go
+++ b/internal/confsync/replica_test.go
@@ -218,6 +218,38 @@
 	restarted.settle(change.Revision)
 }
 
+// TestRelayFollowsThroughFaults has a lone relay follow changes made by another client through dropped watches, lost
+// answers, and a cut during which 350 changes are made and their history compacted.
+func TestRelayFollowsThroughFaults(t *testing.T) {
+	site := newSite(t)
+	relay := site.start("relay", "a", "")
+	store, err := etcdhttp.New([]string{site.url}, etcdhttp.WithClientName("other"))
+	assert.NilError(t, err)
+	other := confsync.NewWriter(store, &coreCopy{newCore("other")})
+	apply := func(count int) int64 {
+		var change confsync.Change
+		for i := range count {
+			change, err = other.Apply(site.ctx, put(fmt.Sprint(i%10), "value"))
+			assert.NilError(t, err)
+		}
+		return change.Revision
+	}
+	relay.settle(apply(3))
+	for range 3 {
+		site.service.DropWatches()
+		site.service.SetFaults(kvsim.Faults{LoseNextAnswers: 1})
+		relay.settle(apply(2))
+	}
+	site.service.SetFaults(kvsim.Faults{CutOffClients: []string{"relay"}})
+	last := apply(350)
+	assert.Assert(t, relay.replica.Current().Revision < last)
+	site.service.Data().Compact(site.service.Data().Revision())
+	site.service.SetFaults(kvsim.Faults{})
+	relay.settle(last)
+	assert.Equal(t, relay.replica.State().Len(), 10)
+	relay.settle(apply(1))
+}
+
 // waitForSaved waits until a copy of the revision can be loaded from the data folder.
 func waitForSaved(t *testing.T, site *site, dataDir string, revision int64) {
 	for site.ctx.Err() == nil {
--- a/internal/confsync/writer_test.go
+++ b/internal/confsync/writer_test.go
@@ -11,6 +11,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/confsync"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 )
@@ -208,3 +209,35 @@
 	wantFailure(t, err, failure.CodeConfigUnavailable, outcome.NotRun)
 	assert.Equal(t, local.State().Revision, int64(1))
 }
+
+// TestCatchUpCostsFewCalls brings copies up to date that lack nothing, one change, several hundred, and changes that are
+// no longer kept.
+func TestCatchUpCostsFewCalls(t *testing.T) {
+	writer, store, source, _ := newWriter(1)
+	ctx := context.Background()
+	var behind *confsync.State
+	const changes = 700
+	for i := range changes {
+		_, err := writer.Apply(ctx, put(fmt.Sprint("m", i%7), fmt.Sprint(i)))
+		assert.NilError(t, err)
+		if i == changes-2 {
+			behind = source.State()
+		}
+	}
+	catchUp := func(from *confsync.State, wantCalls int) {
+		t.Helper()
+		local := &coreCopy{newCore("n")}
+		local.Install(from)
+		before := store.Calls()
+		assert.NilError(t, confsync.CatchUp(ctx, store, local))
+		assert.Equal(t, store.Calls()-before, wantCalls)
+		assert.DeepEqual(t, local.State().Resources(), source.State().Resources())
+		assert.Equal(t, local.State().Chain, source.State().Chain)
+	}
+	catchUp(source.State(), 1)
+	catchUp(behind, 2)
+	catchUp(confsync.EmptyState(), 5)
+	_, err := store.Commit(ctx, nil, []kv.Write{{Key: "mallowlatch/config/changes/0000000000000001", Delete: true}})
+	assert.NilError(t, err)
+	catchUp(confsync.EmptyState(), 3)
+}
