Answer any digest without failing

A digest with a revision near the least integer overflowed the index into the kept changes and ended the process; TestAnyMessageIsHarmless found it, and a revision that wrapped after the greatest integer.

--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -213,7 +213,7 @@
 	for _, change := range changes {
 		// The revisions are dense: only the change right after ours may be applied. An older one would take the
 		// configuration back, a later one would skip what lies between.
-		if change.Revision != c.state.Revision+1 {
+		if change.Revision <= c.state.Revision || change.Revision-1 != c.state.Revision {
 			continue
 		}
 		if change.Chain != nextChain(c.state.Chain, change.ID) {
@@ -259,13 +259,13 @@
 	if digest.Revision >= c.state.Revision {
 		return delta
 	}
-	first := len(c.tail) - int(c.state.Revision-digest.Revision)
-	if first < 0 {
+	oldest := c.state.Revision - int64(len(c.tail))
+	if digest.Revision < oldest {
 		delta.Snapshot = true
 		return delta
 	}
 	size := 0
-	for _, change := range c.tail[first:] {
+	for _, change := range c.tail[digest.Revision-oldest:] {
 		size += change.size()
 		if size > maxDeltaBytes && len(delta.Changes) > 0 {
 			break
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"mallowlatch.example/mallowlatch/internal/confsync"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -201,3 +202,36 @@
 		assert.Equal(t, restarted.State().Revision, int64(1), "seed %d", seed)
 	}
 }
+
+// TestAnyMessageIsHarmless feeds a copy digests, answers and whole copies with arbitrary numbers: it must not fail, and its
+// revision must not go down.
+func TestAnyMessageIsHarmless(t *testing.T) {
+	revisions := rapid.OneOf(rapid.Int64(), rapid.Int64Range(-2, 12))
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		core := newCore("n")
+		core.Install(now, confsync.NewState(rapid.Int64Range(0, 5).Draw(t, "start"), 7, nil))
+		for range rapid.IntRange(1, 20).Draw(t, "messages") {
+			before := core.State().Revision
+			from := confsync.Peer{Node: ident.Node(rapid.SampledFrom([]string{"a", "b", "n", ""}).Draw(t, "from")), Zone: "z"}
+			revision := revisions.Draw(t, "revision")
+			chain := rapid.SampledFrom([]uint64{0, 7, 9}).Draw(t, "chain")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				core.HandleDigest(now, confsync.Digest{From: from, Revision: revision, Chain: chain})
+			case 1:
+				core.HandleDelta(now, from, confsync.Delta{
+					Revision: revision, Chain: chain, Snapshot: rapid.Bool().Draw(t, "snapshot"),
+					Changes: []confsync.Change{{Revision: revisions.Draw(t, "change"), Chain: chain}, {Revision: before + 1}},
+				})
+			case 2:
+				core.HandleSnapshot(now, from, confsync.NewState(revision, chain, nil))
+			default:
+				core.Learn(now, []confsync.Change{{Revision: before + 1, ID: "x", Chain: nextOf(core.State().Chain, "x")}})
+			}
+			core.Tick(now)
+			core.Drain()
+			assert.Assert(t, core.State().Revision >= before)
+		}
+	})
+}
