Let policies decide on a node: order of jobs, waiting, cut-off sites; place models; drain a node on order

Cause: policies, placement and node drains existed without effect. Change: the job order uses the live policies with each tenant's share of running items; a site that reaches no other zone follows when_cut_off; may_wait governs queueing; one node of a zone places models where a weight store is set; a drain named node/ID empties that node.

--- a/internal/batch/ended.go
+++ b/internal/batch/ended.go
@@ -22,6 +22,7 @@
 // ended takes a run's end and decides what becomes of its item.
 func (w *Worker) ended(done *execution, state *runnerState) {
 	delete(state.running, done)
+	w.tenants.add(done.item.job.Tenant, -1)
 	endPrefill(state, done)
 	now := w.config.Now()
 	w.observe(done, state, now)
--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -187,6 +187,7 @@
 	started.order = w.launched
 	started.cancel = cancel
 	state.running[started] = struct{}{}
+	w.tenants.add(started.item.job.Tenant, 1)
 	state.prefill += started.item.request.PromptTokens
 	started.prefilling = true
 	started.started = func() { w.post(func() { endPrefill(state, started) }) }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -72,6 +72,8 @@
 	events chan func()
 	// draining is closed by Drain.
 	draining chan struct{}
+	// tenants counts what runs, for the policies, which may ask from another goroutine.
+	tenants tenantCounter
 
 	book     *leaseBook
 	runners  map[ident.Runner]*runnerState
--- a/internal/node/apis.go
+++ b/internal/node/apis.go
@@ -15,7 +15,7 @@
 func (n *Node) assembleCallerAPI() error {
 	n.gateway = gateway.New(gateway.Options{
 		Source:     n.replica,
-		Dispatcher: admittedDispatcher{admission: n.admission, dispatcher: n.dispatcher},
+		Dispatcher: n.onlinePath(),
 		Jobs:       n.jobs,
 		Ready:      n.ready,
 		Limits:     gateway.LimitsOf(n.settings.Limits),
@@ -26,6 +26,15 @@
 	return nil
 }
 
+func (n *Node) onlinePath() admittedDispatcher {
+	return admittedDispatcher{
+		admission:  n.admission,
+		dispatcher: n.dispatcher,
+		cutOff:     n.cutOff,
+		demand:     n.demandMeter,
+	}
+}
+
 func (n *Node) assembleAdminAPI() error {
 	handler, err := admin.New(admin.Options{
 		Source:          n.replica,
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -16,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/jobstore"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
@@ -23,6 +24,8 @@
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/membership/membershippb"
 	"mallowlatch.example/mallowlatch/internal/ownership"
+	"mallowlatch.example/mallowlatch/internal/placement/placementpb"
+	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/transport"
@@ -174,6 +177,19 @@
 	return !known || found.Repeatable
 }
 
+// assemblePolicies prepares what the policies in force decide on this node.
+func (n *Node) assemblePolicies() error {
+	n.policies = live.New(n.replica, n.logger, time.Now)
+	n.cutOff = &cutOffWatch{
+		zone:     n.zone(),
+		region:   ident.Region(n.settings.Node.Region),
+		view:     n.members.View,
+		policies: n.policies,
+	}
+	n.demandMeter = newDemandMeter(time.Now)
+	return nil
+}
+
 func (n *Node) assembleOnline() error {
 	n.engines = newEngineDirectory()
 	n.table = dispatch.NewTable()
@@ -211,6 +227,9 @@
 			Waiters: n.settings.Dispatch.QueueDepth,
 			Wait:    n.settings.Dispatch.QueueTimeout,
 		},
+		MayWait: func(request *inference.Request) bool {
+			return n.policies.MayWait(policyRequest(request))
+		},
 		Registerer: n.registry,
 	})
 	n.demand = admission.NewExchange(n.admission, n.pool)
@@ -232,6 +251,7 @@
 }
 
 func (n *Node) assembleBatch() error {
+	order := &jobOrder{source: n.replica, policies: n.policies, cutOff: n.cutOff, running: n.runningByTenant}
 	n.worker = batch.New(batch.Config{
 		Node:       n.id(),
 		Table:      n.table,
@@ -239,13 +259,16 @@
 		Catalog:    n.replica,
 		Ownership:  batchClaims{service: n.owners},
 		Work:       n.jobs,
-		Order:      newJobOrder(n.replica, n.logger).order,
+		Order:      order.order,
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
 	return nil
 }
 
+// runningByTenant counts the batch items that run now on this node's runners.
+func (n *Node) runningByTenant() map[ident.Tenant]int { return n.worker.RunningByTenant() }
+
 // register adds the parts' calls to the peer listener.
 func (n *Node) register() error {
 	steps := []func() error{
@@ -254,6 +277,9 @@
 		func() error { return dispatchpb.DRPCRegisterRunnerExchange(n.peerServer, n.exchange) },
 		func() error { return admissionpb.DRPCRegisterDemandHome(n.peerServer, n.demand) },
 	}
+	if n.placementAgent != nil {
+		steps = append(steps, func() error { return placementpb.DRPCRegisterPlacement(n.peerServer, n.placementAgent) })
+	}
 	if n.storage != nil {
 		steps = append(steps, func() error { return n.storage.Register(n.peerServer) })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,6 +26,8 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/ownership"
+	"mallowlatch.example/mallowlatch/internal/placement"
+	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/transport"
@@ -57,6 +60,10 @@
 	storage   *storage
 	jobs      *jobclient.Client
 
+	policies    *live.Evaluator
+	cutOff      *cutOffWatch
+	demandMeter *demandMeter
+
 	engines    *engineDirectory
 	table      *dispatch.Table
 	poller     *machinePoller
@@ -66,8 +73,14 @@
 	demand     *admission.Exchange
 	dispatcher *dispatch.Dispatcher
 	worker     *batch.Worker
-	gateway    *gateway.Gateway
 
+	// placementAgent and placement are nil without a weight store.
+	placementAgent *placement.Agent
+	placement      *placement.Service
+
+	gateway *gateway.Gateway
+
+	drained      sync.Once
 	callerServer *http.Server
 	adminServer  *http.Server
 	listeners    listeners
@@ -85,7 +98,9 @@
 		node.assemblePeers,
 		node.assembleConfiguration,
 		node.assembleStorage,
+		node.assemblePolicies,
 		node.assembleOnline,
+		node.assemblePlacement,
 		node.assembleBatch,
 		node.assembleCallerAPI,
 		node.assembleAdminAPI,
@@ -144,6 +159,9 @@
 	n.exchange.Start()
 	n.demand.Start()
 	n.worker.Start()
+	if n.placement != nil {
+		n.placement.Start()
+	}
 	n.tomb.Go(func() error { return serveHTTP(n.adminServer, n.listeners.admin) })
 	n.tomb.Go(func() error { return serveHTTP(n.callerServer, n.listeners.caller) })
 	return nil
@@ -154,11 +172,15 @@
 	n.tomb.Go(func() error { return work(n.tomb.Context(context.Background())) })
 }
 
-// followDrains passes the operators' drains of each new configuration to the runner table.
+// followDrains passes the operators' drains of each new configuration to the runner table, and drains this node if one
+// of them names it. A drained node stays up, without work, until it is stopped; it takes work again after a restart.
 func (n *Node) followDrains(ctx context.Context) error {
 	for {
 		snapshot := n.replica.Current()
 		n.table.SetDrains(snapshot.Drains)
+		if _, drained := snapshot.Drains[nodeDrainPrefix+string(n.id())]; drained {
+			n.drain()
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -167,6 +189,9 @@
 	}
 }
 
+// nodeDrainPrefix begins the name of a drain of a node.
+const nodeDrainPrefix = "node/"
+
 // CallerAddress returns the address of the caller API.
 func (n *Node) CallerAddress() string { return n.listeners.caller.Addr().String() }
 
--- a/internal/node/order.go
+++ b/internal/node/order.go
@@ -3,99 +3,111 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"mallowlatch.example/mallowlatch/internal/catalog"
-	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/job"
 	"mallowlatch.example/mallowlatch/internal/policy"
+	"mallowlatch.example/mallowlatch/internal/policy/live"
 )
 
-// jobOrder orders waiting jobs by the policies of their services.
+// jobOrder orders waiting jobs by the policies of their services and leaves out those that have to wait.
 type jobOrder struct {
-	source catalog.Source
-	logger zerolog.Logger
-
-	mutex sync.Mutex
-	cache *policy.Cache
-}
-
-func newJobOrder(source catalog.Source, logger zerolog.Logger) *jobOrder {
-	return &jobOrder{source: source, logger: logger, cache: policy.NewCache()}
+	source   catalog.Source
+	policies *live.Evaluator
+	cutOff   *cutOffWatch
+	// running returns the batch items that run now on this node's runners, by tenant.
+	running func() map[ident.Tenant]int
 }
 
-// rankedJob is a waiting job with its place by policy.
+// rankedJob is a waiting job with its priority by policy.
 type rankedJob struct {
-	priority job.Priority
-	rank     float64
+	waiting  job.Priority
+	priority float64
 }
 
 // order returns the jobs, most urgent first. Jobs of different services are compared by what their own policies give.
 func (o *jobOrder) order(now time.Time, waiting []job.Priority) []job.Priority {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	snapshot := o.source.Current()
-	ranked := make([]rankedJob, 0, len(waiting))
+	shares := tenantShares(o.source.Current(), o.running())
+	var ranked []rankedJob
 	for service, jobs := range byService(waiting) {
-		ranked = append(ranked, o.rank(snapshot, service, jobs, now)...)
+		if o.cutOff.refusesBatch(service, now) {
+			continue
+		}
+		ranked = append(ranked, o.rank(service, jobs, shares, now)...)
 	}
 	return sorted(ranked)
 }
 
 func byService(waiting []job.Priority) map[string][]job.Priority {
 	groups := map[string][]job.Priority{}
-	for _, priority := range waiting {
-		groups[priority.Service] = append(groups[priority.Service], priority)
+	for _, one := range waiting {
+		groups[one.Service] = append(groups[one.Service], one)
 	}
 	return groups
 }
 
-func (o *jobOrder) rank(snapshot *catalog.Snapshot, service string, jobs []job.Priority, now time.Time) []rankedJob {
-	compiled, err := o.cache.ForService(snapshot, service)
-	if err != nil {
-		event.PolicyNotCompiling.Log(o.logger).Str("service", service).Err(err).Send()
-	}
+func (o *jobOrder) rank(service string, jobs []job.Priority, shares map[ident.Tenant]float64, now time.Time) []rankedJob {
 	works := make([]policy.Work, len(jobs))
 	for index, waiting := range jobs {
-		works[index] = workOf(waiting, now)
-	}
-	priorities, err := compiled.Priorities(works)
-	if err != nil {
-		event.PolicyFailed.Log(o.logger).Str("service", service).Err(err).Send()
+		works[index] = workOf(waiting, shares[waiting.Tenant], now)
 	}
+	priorities := o.policies.Priorities(service, works)
 	ranked := make([]rankedJob, len(jobs))
 	for index, waiting := range jobs {
-		ranked[index] = rankedJob{priority: waiting, rank: priorities[index]}
+		ranked[index] = rankedJob{waiting: waiting, priority: priorities[index]}
 	}
 	return ranked
 }
 
-func workOf(waiting job.Priority, now time.Time) policy.Work {
+func workOf(waiting job.Priority, share float64, now time.Time) policy.Work {
 	return policy.Work{
 		Tenant:        waiting.Tenant,
 		Service:       waiting.Service,
 		Age:           now.Sub(waiting.Created),
 		UntilDeadline: waiting.Deadline.Sub(now),
 		WaitingItems:  waiting.Waiting,
-		TenantShare:   1,
+		TenantShare:   share,
+	}
+}
+
+// tenantShares returns each tenant's part of the running items divided by its fair part by weight among the tenants that
+// run any. A tenant without running items has no entry: its share is zero.
+func tenantShares(snapshot *catalog.Snapshot, running map[ident.Tenant]int) map[ident.Tenant]float64 {
+	var items, weights float64
+	for tenant, count := range running {
+		items += float64(count)
+		weights += weightOf(snapshot, tenant)
+	}
+	shares := make(map[ident.Tenant]float64, len(running))
+	for tenant, count := range running {
+		fair := weightOf(snapshot, tenant) / weights
+		shares[tenant] = float64(count) / items / fair
+	}
+	return shares
+}
+
+// weightOf returns a tenant's weight; a tenant that is gone or has none counts as one.
+func weightOf(snapshot *catalog.Snapshot, tenant ident.Tenant) float64 {
+	if weight := snapshot.Tenants[tenant].Weight; weight > 0 {
+		return weight
 	}
+	return 1
 }
 
 func sorted(ranked []rankedJob) []job.Priority {
 	slices.SortFunc(ranked, func(first, second rankedJob) int {
 		return cmp.Or(
-			cmp.Compare(second.rank, first.rank),
-			first.priority.Deadline.Compare(second.priority.Deadline),
-			first.priority.Created.Compare(second.priority.Created),
-			cmp.Compare(first.priority.Job, second.priority.Job),
+			cmp.Compare(second.priority, first.priority),
+			first.waiting.Deadline.Compare(second.waiting.Deadline),
+			first.waiting.Created.Compare(second.waiting.Created),
+			cmp.Compare(first.waiting.Job, second.waiting.Job),
 		)
 	})
 	jobs := make([]job.Priority, len(ranked))
 	for index, entry := range ranked {
-		jobs[index] = entry.priority
+		jobs[index] = entry.waiting
 	}
 	return jobs
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -23,9 +23,8 @@
 func (n *Node) stop() error {
 	event.NodeStopping.Log(n.logger).Send()
 	cause := n.tomb.Err()
-	for _, step := range n.stopSteps() {
-		n.runStep(step)
-	}
+	n.drain()
+	n.runSteps(n.closeSteps())
 	n.tomb.Kill(nil)
 	if err := n.tomb.Wait(); err != nil && cause == nil {
 		cause = err
@@ -43,30 +42,68 @@
 	return nil
 }
 
-func (n *Node) stopSteps() []stopStep {
-	drain := n.settings.Limits.DrainTimeout
+// drain empties the node, once: an operator's drain and a planned stop begin the same way.
+func (n *Node) drain() {
+	n.drained.Do(func() { n.runSteps(n.drainSteps()) })
+}
+
+// drainSteps leave the node without work and without duties, but still answering.
+func (n *Node) drainSteps() []stopStep {
+	bound := n.settings.Limits.DrainTimeout
 	steps := []stopStep{
-		{"announce leaving", stopBound, n.members.Leave},
-		{"drain callers", drain, n.gateway.Drain},
-		{"drain batch", drain, n.worker.Drain},
-		{"drain dispatcher", drain, n.dispatcher.Drain},
+		{"announce leaving", stopBound, n.announceLeaving},
+		{"drain callers", bound, n.gateway.Drain},
+		{"drain batch", bound, n.worker.Drain},
+		{"drain dispatcher", bound, n.dispatcher.Drain},
 		{"stop batch", stopBound, ignoreContext(n.worker.Stop)},
 		{"release runners", stopBound, n.owners.Release},
 	}
+	if n.placement != nil {
+		steps = append(steps, stopStep{"stop placement", stopBound, ignoreContext(n.placement.Stop)})
+	}
 	if n.storage != nil {
-		steps = append(steps, stopStep{"hand over shards", stopBound, n.storage.host.Drain})
+		steps = append(steps, stopStep{"hand over shards", stopBound, n.handOverShards})
+	}
+	return steps
+}
+
+// announceLeaving tells the other nodes, if there are any, and gives the word time to spread.
+func (n *Node) announceLeaving(ctx context.Context) error {
+	if len(n.peers.live()) == 0 {
+		return nil
+	}
+	return n.members.Leave(ctx)
+}
+
+// handOverShards hands the leadership of shards to other nodes with a disk, if any stays.
+func (n *Node) handOverShards(ctx context.Context) error {
+	for _, disk := range n.peers.disks() {
+		if disk.Node != n.id() && disk.Alive && !disk.Draining {
+			return n.storage.host.Drain(ctx)
+		}
+	}
+	return nil
+}
+
+// closeSteps end what answers.
+func (n *Node) closeSteps() []stopStep {
+	return []stopStep{
+		{"close dispatcher", stopBound, ignoreContext(n.dispatcher.Close)},
+		{"close job client", stopBound, ignoreContext(n.jobs.Close)},
+		{"stop exchange", stopBound, ignoreContext(n.exchange.Stop)},
+		{"stop demand exchange", stopBound, ignoreContext(n.demand.Stop)},
+		{"close caller listener", stopBound, n.callerServer.Shutdown},
+		{"close admin listener", stopBound, n.adminServer.Shutdown},
+		{"leave", stopBound, n.members.Stop},
+		{"close peer listener", stopBound, n.peerServer.Stop},
+		{"close connections", stopBound, ignoreContext(n.pool.Close)},
+	}
+}
+
+func (n *Node) runSteps(steps []stopStep) {
+	for _, step := range steps {
+		n.runStep(step)
 	}
-	return append(steps,
-		stopStep{"close dispatcher", stopBound, ignoreContext(n.dispatcher.Close)},
-		stopStep{"close job client", stopBound, ignoreContext(n.jobs.Close)},
-		stopStep{"stop exchange", stopBound, ignoreContext(n.exchange.Stop)},
-		stopStep{"stop demand exchange", stopBound, ignoreContext(n.demand.Stop)},
-		stopStep{"close caller listener", stopBound, n.callerServer.Shutdown},
-		stopStep{"close admin listener", stopBound, n.adminServer.Shutdown},
-		stopStep{"leave", stopBound, n.members.Stop},
-		stopStep{"close peer listener", stopBound, n.peerServer.Stop},
-		stopStep{"close connections", stopBound, ignoreContext(n.pool.Close)},
-	)
 }
 
 func ignoreContext(run func() error) func(context.Context) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,11 +41,12 @@
 
 // Platform holds the addresses of the platform's services.
 type Platform struct {
-	KVEndpoints []Address     `yaml:"kv_endpoints" required:"true" doc:"Addresses of the key-value service, tried in order."`
-	KVTimeout   time.Duration `yaml:"kv_timeout" default:"2s" min:"10ms" max:"1m" doc:"Longest wait for one answer of the key-value service."`
-	MachineList Address       `yaml:"machine_list" required:"true" doc:"Address of the machine list."`
-	MachinePoll time.Duration `yaml:"machine_poll" default:"2s" min:"100ms" max:"10m" doc:"Time between readings of the machine list."`
-	WeightStore Address       `yaml:"weight_store" doc:"Address of the weight store. Empty means that the node never orders loads."`
+	KVEndpoints  []Address     `yaml:"kv_endpoints" required:"true" doc:"Addresses of the key-value service, tried in order."`
+	KVTimeout    time.Duration `yaml:"kv_timeout" default:"2s" min:"10ms" max:"1m" doc:"Longest wait for one answer of the key-value service."`
+	MachineList  Address       `yaml:"machine_list" required:"true" doc:"Address of the machine list."`
+	MachinePoll  time.Duration `yaml:"machine_poll" default:"2s" min:"100ms" max:"10m" doc:"Time between readings of the machine list."`
+	WeightStore  Address       `yaml:"weight_store" doc:"Address of the weight store. Empty means that the node never orders loads."`
+	RunnerMemory Size          `yaml:"runner_memory" default:"80GiB" min:"1MiB" max:"16384GiB" doc:"What each runner has for the weights of models and adapters."`
 }
 
 // Jobs shapes the job shards. Shards, Replicas and MinimumCopies must be the same on every node.
