--- a/internal/lab/experiment/leave.go
+++ b/internal/lab/experiment/leave.go
@@ -89,10 +89,10 @@
 			return err
 		}
 	}
+	w.marked = time.Now()
 	if err := w.way.mark(ctx, started, leaving); err != nil {
 		return fmt.Errorf("marking %s: %w", leaving.ID, err)
 	}
-	w.marked = time.Now()
 	for sleep(ctx, leaveLook) {
 		var latest enginesim.Counters
 		if err := getJSON(ctx, "http://"+leaving.Fault+"/counters", &latest); err == nil {
