--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -46,14 +46,16 @@
 		now := time.Unix(1000, 0)
 		alive := record{node: "a", zone: "z", peerAddress: "10.0.0.1:1", incarnation: 1}
 		core.learn(alive, now)
-		highest := alive
+		highest, newest := alive, alive.incarnation
 		for _, received := range rapid.SliceOfN(rapid.Custom(drawRecord), 1, 12).Draw(t, "records") {
 			before := core.members["a"].record
 			core.Step(Message{kind: KindAck, from: "b", fromZone: "z", members: []record{received}}, now)
 			after := core.members["a"].record
 			assert.Assert(t, after.incarnation >= before.incarnation)
 			assert.Assert(t, after.incarnation > before.incarnation || after.health >= before.health)
+			newest = max(newest, received.incarnation)
 			highest = merge(highest, received)
+			assert.Equal(t, after.incarnation, newest)
 		}
 		assert.Equal(t, core.members["a"].record, highest)
 	})
@@ -106,3 +108,16 @@
 		core.Tick(time.Unix(1001, 0))
 	})
 }
+
+// A suspicion from before a pause is given its time anew: what the others said meanwhile is still unread.
+func TestPauseGivesSuspectsTheirTimeAnew(t *testing.T) {
+	core := testCore()
+	now := time.Unix(1000, 0)
+	core.learn(record{node: "a", zone: "z", peerAddress: "10.0.0.1:1", incarnation: 1}, now)
+	for core.members["a"].health == healthAlive {
+		now = now.Add(200 * time.Millisecond)
+		core.Tick(now)
+	}
+	core.Tick(now.Add(time.Hour))
+	assert.Equal(t, core.members["a"].health, healthSuspect)
+}
