--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -54,6 +54,15 @@
 	// counters are the sum over the engines, from the start of the load to its end.
 	counters enginesim.Counters
 	engines  int
+	// nodes is what the nodes used from the start of the load to the end of the last request.
+	nodes     usage
+	nodeCount int
+	lasted    time.Duration
+}
+
+// coreShare returns the share of a core that one node used, on average.
+func (o outcome) coreShare() float64 {
+	return o.nodes.processor.Seconds() / o.lasted.Seconds() / float64(max(1, o.nodeCount))
 }
 
 // runPhase starts the processes of a phase, sends its load and stops them.
@@ -65,14 +74,23 @@
 	defer e.stop(phase.name, started)
 	fmt.Fprintf(e.options.Progress, "run %d, phase %s\n", e.run+1, phase.name)
 	options := e.loadOptions(phase, started)
-	before := e.counters(ctx, started)
+	before, usedBefore, began := e.counters(ctx, started), e.nodeUsage(started), time.Now()
 	report, err := e.underLoad(ctx, phase, started, options)
 	if err != nil {
 		return outcome{}, fmt.Errorf("phase %s: %w", phase.name, err)
 	}
+	lasted, used := time.Since(began), e.nodeUsage(started)
+	used.processor -= usedBefore.processor
 	after := e.counters(ctx, started)
 	e.check(phase.name, report)
-	return outcome{report: report, counters: after.Minus(before), engines: len(started.Engines)}, nil
+	return outcome{
+		report:    report,
+		counters:  after.Minus(before),
+		engines:   len(started.Engines),
+		nodes:     used,
+		nodeCount: len(started.Nodes),
+		lasted:    lasted,
+	}, nil
 }
 
 func (e *environment) underLoad(ctx context.Context, phase phase, started *fleet.Fleet, options load.Options) (*load.Report, error) {
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -46,6 +46,15 @@
 	assert.Assert(t, bytes.Contains(text.Bytes(), []byte("note, run 1: lost")))
 }
 
+func TestProcessorTime(t *testing.T) {
+	line := "7 (a (b) c) S 1 7 7 0 -1 4194560 100 0 0 0 250 50 0 0 20 0 8 0 100 1000 200"
+	used, err := parseProcessorTime(line)
+	assert.NilError(t, err)
+	assert.Equal(t, used, 3*time.Second)
+	_, err = parseProcessorTime("7 (a) S 1")
+	assert.ErrorIs(t, err, ErrSetup)
+}
+
 func TestUnknownExperiment(t *testing.T) {
 	_, err := Run(t.Context(), "nothing", Options{})
 	assert.ErrorIs(t, err, ErrUnknown)
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -67,6 +67,11 @@
 	}
 	group.Go(func() error { return r.sendBatch(jobs, &group) })
 	r.startDirectBatch(arrivals, &group)
+	// A run lasts its whole duration, also when nothing is left to send.
+	group.Go(func() error {
+		<-arrivals.Done()
+		return nil
+	})
 	if err := group.Wait(); err != nil {
 		return nil, fmt.Errorf("running load: %w", err)
 	}
