--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/uptrace/bunrouter"
+	"golang.org/x/time/rate"
 
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/confsync"
@@ -54,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &server{Options: options, metrics: metrics}
+	server := newServer(options, metrics)
 	router := bunrouter.New(
 		bunrouter.WithNotFoundHandler(server.refuse(errNoRoute)),
 		bunrouter.WithMethodNotAllowedHandler(server.refuse(errMethod)),
@@ -65,7 +67,16 @@
 	return router, nil
 }
 
+// unauthenticatedLogPeriod bounds the log lines that somebody without a key can cause; the metrics count every request.
+const unauthenticatedLogPeriod = time.Second
+
 type server struct {
 	Options
 	metrics *metrics
+	// sometimes lets a log line through once in a while.
+	sometimes *rate.Sometimes
+}
+
+func newServer(options Options, metrics *metrics) *server {
+	return &server{Options: options, metrics: metrics, sometimes: &rate.Sometimes{Interval: unauthenticatedLogPeriod}}
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -482,6 +482,17 @@
 	}
 }
 
+func TestStrangersCannotFloodTheLog(t *testing.T) {
+	f := newFixture(t)
+	const requests = 500
+	for range requests {
+		request := httptest.NewRequest("GET", "/admin/v1/models", nil)
+		f.handler.ServeHTTP(httptest.NewRecorder(), request)
+	}
+	lines := strings.Count(f.logs.String(), "admin_unauthenticated")
+	assert.Assert(t, lines >= 1 && lines < requests/2, "%d lines", lines)
+}
+
 func TestProtectServesOnlyKeysWithThePermission(t *testing.T) {
 	f := newFixture(t)
 	options := Options{Source: f.replica, BootstrapDigest: auth.Digest(bootstrapSecret), Logger: zerolog.Nop()}
--- a/internal/admin/route.go
+++ b/internal/admin/route.go
@@ -101,7 +101,7 @@
 // Protect serves the handler only to keys whose role has the permission. It is for what stands beside the API on the
 // same listener, such as profiles and metrics.
 func Protect(options Options, permission auth.Permission, handler http.Handler) http.Handler {
-	guard := &server{Options: options}
+	guard := newServer(options, nil)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := guard.authenticate(r, permission); err != nil {
 			shown := typed(err)
@@ -116,7 +116,9 @@
 func (s *server) authenticate(r *http.Request, permission auth.Permission) (catalog.Key, error) {
 	key, err := auth.Administrator(s.Source.Current(), s.BootstrapDigest, bearer(r))
 	if err != nil {
-		event.AdminUnauthenticated.Log(s.Logger).Str("remote", r.RemoteAddr).Str("path", r.URL.Path).Err(err).Send()
+		s.sometimes.Do(func() {
+			event.AdminUnauthenticated.Log(s.Logger).Str("remote", r.RemoteAddr).Str("path", r.URL.Path).Err(err).Send()
+		})
 		return catalog.Key{}, failure.New(failure.CodeInvalidKey, "the API key is missing or unknown").WithCause(err)
 	}
 	return key, requirePermission(key, permission)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -251,18 +251,26 @@
 	f.Add([]byte(site))
 	f.Add([]byte(`{"kind":"tenants","spec":{"name":"a","weight":1e400}}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		manifests, err := catalog.ParseManifests(text)
-		if err != nil {
-			return
-		}
-		for _, manifest := range manifests {
-			normal, err := catalog.Normalize(manifest.Resource)
+		for _, parse := range []func([]byte) ([]catalog.Manifest, error){catalog.ParseManifests, catalog.ParseJSONManifests} {
+			manifests, err := parse(text)
 			if err != nil {
-				continue
+				assert.ErrorIs(t, err, catalog.ErrInvalid)
 			}
-			again, err := catalog.Normalize(normal)
-			assert.NilError(t, err)
-			assert.DeepEqual(t, again, normal)
+			checkNormalization(t, manifests)
 		}
 	})
 }
+
+// checkNormalization checks that normalizing twice gives what normalizing once does.
+func checkNormalization(t *testing.T, manifests []catalog.Manifest) {
+	t.Helper()
+	for _, manifest := range manifests {
+		normal, err := catalog.Normalize(manifest.Resource)
+		if err != nil {
+			continue
+		}
+		again, err := catalog.Normalize(normal)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, normal)
+	}
+}
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -1,6 +1,10 @@
 package cli
 
 import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -76,6 +80,28 @@
 func printResources(rows *tabwriter.Writer, resources []catalog.Resource) {
 	row(rows, "KIND", "NAME", "REVISION", "SPEC")
 	for _, resource := range resources {
-		row(rows, resource.Kind, resource.Name, resource.Revision, string(resource.Spec))
+		row(rows, resource.Kind, resource.Name, resource.Revision, specText(resource.Spec))
 	}
 }
+
+// specText writes a spec in one line for people, without its name and the fields that are zero.
+func specText(spec json.RawMessage) string {
+	var fields map[string]any
+	if err := json.Unmarshal(spec, &fields); err != nil {
+		return string(spec)
+	}
+	var texts []string
+	for _, field := range slices.Sorted(maps.Keys(fields)) {
+		if field == "name" || field == "id" || isZero(fields[field]) {
+			continue
+		}
+		encoded, err := json.Marshal(fields[field])
+		if err != nil {
+			return string(spec)
+		}
+		texts = append(texts, field+"="+strings.Trim(string(encoded), `"`))
+	}
+	return strings.Join(texts, " ")
+}
+
+func isZero(value any) bool { return value == "" || value == 0.0 || value == false }
--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -122,6 +122,8 @@
 	fail(t, ExitConflict, "apply", "-f", edited)
 	assert.Equal(t, s.replica.Current().Models["medic"].Version, "v2")
 
+	table := succeed(t, "get", "models")
+	assert.Assert(t, strings.HasSuffix(table, "version=v2\n"), table)
 	all := s.file("all.json", succeed(t, "get", "models", "-o", "json"))
 	assert.Assert(t, strings.Contains(succeed(t, "apply", "-f", all), "nothing to change"), "the output of get can be applied")
 	succeed(t, "rollback", "1", "--comment", "undo")
