Confirm the lead before answers from memory, and keep leases over a moment without the lead

Change: answers from memory alone read the shard first. A replica that loses its lead for a moment and leads on in the same term keeps its leases; before, it took the term up anew and leased nothing for one lease period.

--- a/internal/jobclient/world_test.go
+++ b/internal/jobclient/world_test.go
@@ -45,8 +45,10 @@
 	machine shard.Machine
 	index   uint64
 	leader  ident.Node
-	round   uint64
-	nodes   map[ident.Node]*worldNode
+	// known is the leader the directory names. It may be the one before.
+	known ident.Node
+	round uint64
+	nodes map[ident.Node]*worldNode
 	// proposalFault and callFault befall the next proposal and the next call.
 	proposalFault, callFault fault
 	// pending are proposals and calls that take effect later.
@@ -80,11 +82,15 @@
 	return w
 }
 
-// changeLeader begins a new term. The old leader may not notice; it can neither read nor propose any more.
+// changeLeader begins a new term. The old leader and the directory may not notice; the old leader can neither read nor
+// propose any more.
 func (w *world) changeLeader(leader ident.Node, notices bool) {
 	if notices && leader != w.leader {
 		w.nodes[w.leader].believes = 0
 	}
+	if notices {
+		w.known = leader
+	}
 	w.round++
 	w.leader = leader
 	w.nodes[leader].believes = w.round
@@ -104,7 +110,7 @@
 func (w *world) Shards() int { return 1 }
 
 // Leader implements jobclient.Directory.
-func (w *world) Leader(ident.Shard) (ident.Node, bool) { return w.leader, true }
+func (w *world) Leader(ident.Shard) (ident.Node, bool) { return w.known, true }
 
 // Conn implements transport.Dialer.
 func (w *world) Conn(_ context.Context, node ident.Node) (drpc.Conn, error) {
--- a/internal/jobstore/lease.go
+++ b/internal/jobstore/lease.go
@@ -33,6 +33,9 @@
 
 // waiting lists the jobs with items to lease, one entry for each service, by deadline and age.
 func (s *Server) waiting(ctx context.Context, limit int) ([]*pb.WaitingJob, error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
 	if err := s.lockLeading(ctx); err != nil {
 		return nil, err
 	}
@@ -82,8 +85,11 @@
 // gives nothing; commit the start of non-repeatable items; only then hand out.
 func (s *Server) lease(ctx context.Context, request *pb.LeaseRequest) (*pb.LeaseReply, error) {
 	lease, err := s.reserve(ctx, request)
-	if err != nil || lease == nil {
-		return &pb.LeaseReply{}, err
+	if err != nil {
+		return nil, err
+	}
+	if lease == nil {
+		return &pb.LeaseReply{}, s.confirm(ctx)
 	}
 	reply, err := s.prepare(ctx, lease)
 	if err != nil {
@@ -326,7 +332,7 @@
 	job := s.jobs[request.GetJob()]
 	if job == nil {
 		s.mutex.Unlock()
-		return nil
+		return s.confirm(ctx)
 	}
 	indexes := request.GetIndexes()
 	if lease := s.leases[request.GetLease()]; len(indexes) == 0 && lease != nil && lease.job == job {
--- a/internal/jobstore/server.go
+++ b/internal/jobstore/server.go
@@ -131,7 +131,6 @@
 	defer s.loading.Unlock()
 	term, leading := s.replica.Leading()
 	if !leading {
-		s.forget()
 		return s.redirection(ctx)
 	}
 	s.mutex.Lock()
@@ -144,27 +143,51 @@
 
 // redirection returns what a call on a replica that does not lead fails with.
 func (s *Server) redirection(ctx context.Context) error {
-	err := s.view(ctx, func(shard.Reader) error { return nil })
-	if err == nil {
-		return unavailable(s.settings.RetryAfter)
+	if err := s.confirm(ctx); err != nil {
+		return err
 	}
-	return err
+	return unavailable(s.settings.RetryAfter)
 }
 
-func (s *Server) forget() {
+// confirm fails unless the replica leads. An answer from memory alone, such as that nothing is to be leased, needs it:
+// a deposed leader may still think that it leads.
+func (s *Server) confirm(ctx context.Context) error {
+	return s.view(ctx, func(shard.Reader) error { return nil })
+}
+
+// forgetStale drops the memory of a term in which every lease has run out, once the replica does not lead. A replica
+// that loses the lead for a moment and leads on in the same term keeps its leases.
+func (s *Server) forgetStale() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	now := s.settings.Now()
+	for _, lease := range s.leases {
+		if lease.granting || now.Before(lease.expires) {
+			return
+		}
+	}
 	s.loaded = false
 	s.jobs = map[string]*activeJob{}
 	s.leases = map[string]*heldLease{}
 }
 
+// inheritance returns when the leases of earlier terms have run out. In a term that was taken up before and forgotten
+// since, nobody else has led in between, and every lease of the term had run out by then.
+func (s *Server) inheritance(term shard.Leadership) time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.term == term {
+		return s.inheritedUntil
+	}
+	return s.settings.Now().Add(s.settings.leaderTTL())
+}
+
 // takeUp loads the unfinished jobs of a new term. Their items may be leased by an earlier leader, so none is leased
 // again before one lease period has passed, except under a lease its worker renews.
 func (s *Server) takeUp(ctx context.Context, term shard.Leadership) error {
 	jobs := map[string]*activeJob{}
 	leases := map[string]*heldLease{}
-	until := s.settings.Now().Add(s.settings.leaderTTL())
+	until := s.inheritance(term)
 	err := s.view(ctx, func(reader shard.Reader) error {
 		return loadActiveJobs(reader, func(job *activeJob, started map[string][]uint32) {
 			job.inherited = true
--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -43,7 +43,7 @@
 	s.ticking.Lock()
 	defer s.ticking.Unlock()
 	if _, leading := s.replica.Leading(); !leading {
-		s.forget()
+		s.forgetStale()
 		return nil
 	}
 	for _, work := range []func(context.Context) error{s.sweep, s.refresh, s.lapse, s.indexNew, s.endStopped} {
