--- a/internal/jobclient/schedule_test.go
+++ b/internal/jobclient/schedule_test.go
@@ -95,6 +95,7 @@
 			"fire":     sim.fire,
 			"release":  sim.release,
 			"renew":    sim.renew,
+			"renewals": sim.renewAll,
 			"crash":    sim.crash,
 			"leader":   sim.changeLeader,
 			"proposal": sim.faultProposal,
@@ -355,10 +356,23 @@
 }
 
 func (s *simulation) renew(t *rapid.T) {
-	worker, lease := s.drawLease(t)
-	if lease == nil {
-		return
+	if worker, lease := s.drawLease(t); lease != nil {
+		s.renewOne(worker, lease)
+	}
+}
+
+// renewAll is a round of renewals, with some time after it, as workers make them.
+func (s *simulation) renewAll(t *rapid.T) {
+	for _, worker := range s.workers {
+		for _, lease := range worker.leases {
+			s.renewOne(worker, lease)
+		}
 	}
+	const share = 3
+	s.world.now = s.world.now.Add(s.workers[0].ttl / share)
+}
+
+func (s *simulation) renewOne(worker *simWorker, lease *simLease) {
 	sent := s.world.now
 	lost, err := worker.client.Renew(s.ctx, 0, worker.name, []string{lease.ID})
 	if err == nil && len(lost) == 0 {
