--- /dev/null
+++ b/internal/credit/credit_test.go
@@ -0,0 +1,123 @@
+package credit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/engine"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+func reportAt(measured time.Time, sequences int) *engine.LoadReport {
+	return &engine.LoadReport{Measured: measured, MaxSequences: sequences, StepTime: 20 * time.Millisecond}
+}
+
+// TestCreditsNeverReachIntoKnownOnline checks, over random histories, that batch and known online work fit the runner
+// together with a free sequence left, and that there are no credits without a fresh report, on a leaving runner, or
+// while online work waits.
+func TestCreditsNeverReachIntoKnownOnline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controller := NewController()
+		sequences := rapid.IntRange(1, 128).Draw(t, "sequences")
+		report := reportAt(begin, sequences)
+		now := begin
+		known, running := 0, 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "elapsed")) * time.Millisecond)
+			known = max(0, known+rapid.IntRange(-8, 8).Draw(t, "change"))
+			if rapid.Bool().Draw(t, "reported") {
+				report = reportAt(now.Add(-200*time.Millisecond), sequences)
+				report.RunningOnline = rapid.IntRange(0, sequences).Draw(t, "running online")
+				report.WaitingOnline = rapid.SampledFrom([]int{0, 0, 0, 2}).Draw(t, "waiting online")
+				report.MemoryUsed = rapid.SampledFrom([]float64{0.1, 0.5, 0.99}).Draw(t, "memory")
+			}
+			leaving := rapid.IntRange(0, 5).Draw(t, "leaving") == 1
+			credits := controller.Decide(Input{KnownOnline: known, Report: report, RunningBatch: running, Leaving: leaving}, now)
+			assert.Assert(t, credits.Sequences >= 0)
+			fresh := now.Sub(report.Measured) <= maxReportAge
+			if leaving || !fresh || known >= sequences {
+				assert.Equal(t, credits.Sequences, 0)
+				continue
+			}
+			assert.Assert(t, credits.Sequences == 0 || known+credits.Sequences < sequences, "known %d credits %d of %d", known, credits.Sequences, sequences)
+			if report.WaitingOnline > 0 && known > 0 {
+				assert.Equal(t, credits.Sequences, 0, "online work waits")
+			}
+			if report.MemoryUsed > memoryFull {
+				assert.Assert(t, credits.Sequences <= running, "batch grows into full memory")
+			}
+			running = credits.Sequences
+		}
+	})
+}
+
+// TestSurgeRevokesAtOnce steps online work from nothing to the whole runner, with no new report.
+func TestSurgeRevokesAtOnce(t *testing.T) {
+	controller := NewController()
+	report := reportAt(begin, 64)
+	before := controller.Decide(Input{Report: report}, begin.Add(time.Millisecond))
+	assert.Assert(t, before.Sequences >= 60, "an idle runner gives %d of 64", before.Sequences)
+	after := controller.Decide(Input{KnownOnline: 64, Report: report, RunningBatch: before.Sequences}, begin.Add(2*time.Millisecond))
+	assert.Equal(t, after.Sequences, 0)
+	half := controller.Decide(Input{KnownOnline: 32, Report: report}, begin.Add(3*time.Millisecond))
+	assert.Assert(t, half.Sequences < 32)
+}
+
+// TestLaggingReportIsNotCountedTwice ends the online work the report still shows.
+func TestLaggingReportIsNotCountedTwice(t *testing.T) {
+	controller := NewController()
+	idle := reportAt(begin, 64)
+	controller.Decide(Input{KnownOnline: 30, Report: idle}, begin)
+	lagging := reportAt(begin.Add(100*time.Millisecond), 64)
+	lagging.RunningOnline = 30
+	now := begin.Add(300 * time.Millisecond)
+	credits := controller.Decide(Input{KnownOnline: 0, Report: lagging}, now)
+	idleAfter := controller.Decide(Input{KnownOnline: 0, Report: reportAt(now, 64)}, now)
+	assert.Equal(t, credits.Sequences, idleAfter.Sequences, "work that has ended still counts")
+	later := now.Add(2 * reportSlack)
+	unknown := reportAt(later, 64)
+	unknown.RunningOnline = 50
+	credits = controller.Decide(Input{KnownOnline: 0, Report: unknown}, later)
+	assert.Assert(t, credits.Sequences <= 14, "%d credits beside 50 online sequences nobody told of", credits.Sequences)
+}
+
+// TestSteadyLoadLeavesLittleUnused checks the share of the idle sequences that batch may use once online work is
+// steady, at several levels.
+func TestSteadyLoadLeavesLittleUnused(t *testing.T) {
+	for _, online := range []int{0, 8, 24} {
+		controller := NewController()
+		now := begin
+		var credits Credits
+		for range 600 {
+			now = now.Add(50 * time.Millisecond)
+			report := reportAt(now.Add(-100*time.Millisecond), 64)
+			report.RunningOnline = online
+			credits = controller.Decide(Input{KnownOnline: online, Report: report}, now)
+		}
+		share := float64(credits.Sequences) / float64(64-online)
+		assert.Assert(t, share >= 0.95, "beside %d: %.3f of the idle sequences", online, share)
+	}
+}
+
+// TestSlowStepsShrinkBatchOnlyBesideOnline checks the step limit.
+func TestSlowStepsShrinkBatchOnlyBesideOnline(t *testing.T) {
+	decide := func(online int) int {
+		controller := NewController()
+		now := begin
+		var credits Credits
+		for range 10 {
+			now = now.Add(250 * time.Millisecond)
+			report := reportAt(now, 64)
+			report.RunningOnline = online
+			report.StepTime = 2 * stepTarget
+			credits = controller.Decide(Input{KnownOnline: online, Report: report}, now)
+		}
+		return credits.Sequences
+	}
+	assert.Assert(t, decide(1) < 20)
+	assert.Assert(t, decide(0) >= 60)
+}
