--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -70,9 +70,10 @@
 	config  Config
 	metrics *metrics
 
-	mutex    sync.Mutex
-	limits   map[string]*limit
-	home     *home
+	mutex  sync.Mutex
+	limits map[string]*limit
+	home   *home
+	// inFlight counts each tenant's requests, waiting ones too.
 	inFlight map[ident.Tenant]int
 	services map[string]*service
 	waiters  int
@@ -146,14 +147,14 @@
 	}
 	ticket := &Ticket{controller: c, tenant: request.Tenant, service: target}
 	if target.concurrency.free() && target.queue.len() == 0 {
-		c.charge(request, now)
-		c.occupy(ticket)
+		c.charge(request)
+		target.concurrency.inFlight++
 		return ticket, nil, nil
 	}
 	if refused := c.checkQueue(request, target, now); refused != nil {
 		return nil, nil, refused
 	}
-	c.charge(request, now)
+	c.charge(request)
 	queued := &waiter{tenant: request.Tenant, bytes: len(request.Body), until: c.giveUpAt(request, now), granted: make(chan struct{})}
 	target.queue.push(queued, tenant.Weight)
 	c.waiters++
@@ -170,10 +171,12 @@
 	return target
 }
 
-// occupy counts an admitted request.
-func (c *Controller) occupy(ticket *Ticket) {
-	ticket.service.concurrency.inFlight++
-	c.inFlight[ticket.tenant]++
+// release ends the count of a tenant's request.
+func (c *Controller) release(tenant ident.Tenant) {
+	c.inFlight[tenant]--
+	if c.inFlight[tenant] <= 0 {
+		delete(c.inFlight, tenant)
+	}
 }
 
 func (c *Controller) giveUpAt(request *inference.Request, now time.Time) time.Time {
@@ -240,6 +243,7 @@
 	waited := ticket.service.queue.remove(queued)
 	if waited {
 		c.unqueue(queued)
+		c.release(queued.tenant)
 	}
 	expected := c.expectedWait(ticket.service, c.config.Now())
 	c.mutex.Unlock()
@@ -279,10 +283,7 @@
 		t.service.concurrency.overloaded(now)
 	}
 	t.service.concurrency.inFlight--
-	c.inFlight[t.tenant]--
-	if c.inFlight[t.tenant] <= 0 {
-		delete(c.inFlight, t.tenant)
-	}
+	c.release(t.tenant)
 	c.grantNext(t.service)
 }
 
@@ -294,7 +295,7 @@
 			return
 		}
 		c.unqueue(next)
-		c.occupy(&Ticket{controller: c, tenant: next.tenant, service: target})
+		target.concurrency.inFlight++
 		close(next.granted)
 	}
 }
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -92,8 +92,9 @@
 	return failure.New(failure.CodeRateLimited, "the tenant has too many requests in flight").WithRetryAfter(leastRetryAfter)
 }
 
-// charge takes what an admitted request needs. The limits were checked under the same lock.
-func (c *Controller) charge(request *inference.Request, _ time.Time) {
+// charge counts the request and takes what an admitted request needs. The limits were checked under the same lock.
+func (c *Controller) charge(request *inference.Request) {
+	c.inFlight[request.Tenant]++
 	for _, needed := range c.claims(request) {
 		c.limit(needed.name).bucket.take(needed.amount)
 	}
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -27,7 +27,7 @@
 		now := begin
 		known, running := 0, 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "elapsed")) * time.Millisecond)
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 5, 40, 200, 400, 6000}).Draw(t, "elapsed")) * time.Millisecond)
 			known = max(0, known+rapid.IntRange(-8, 8).Draw(t, "change"))
 			if rapid.Bool().Draw(t, "reported") {
 				report = reportAt(now.Add(-200*time.Millisecond), sequences)
