List the node command once, and name the caller variables like the administrator's

The command that runs a node has taken in status and drain; both stood in the list. The development site prints MALLOWLATCH_CALLER_KEY, so the command line reads that name.

--- a/internal/cli/connection.go
+++ b/internal/cli/connection.go
@@ -17,8 +17,8 @@
 const (
 	envAdminServer  = "MALLOWLATCH_ADMIN_SERVER"
 	envAdminKey     = "MALLOWLATCH_ADMIN_KEY"
-	envCallerServer = "MALLOWLATCH_SERVER"
-	envCallerKey    = "MALLOWLATCH_KEY"
+	envCallerServer = "MALLOWLATCH_CALLER_SERVER"
+	envCallerKey    = "MALLOWLATCH_CALLER_KEY"
 )
 
 const (
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -16,7 +16,6 @@
 		newJobCommand(),
 		newEventsCommand(),
 		newVersionCommand(),
-		newNodeCommand(),
 		newRunnerCommand(),
 	}
 }
--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -276,3 +276,12 @@
 	succeed(t, "job", "results", "job-k", "--output-file", target)
 	fail(t, ExitNotFound, "job", "results", "job-k", "--errors")
 }
+
+func TestNoCommandStandsTwice(t *testing.T) {
+	seen := map[string]bool{}
+	for _, command := range newRoot().Commands() {
+		assert.Assert(t, !seen[command.Name()], command.Name())
+		seen[command.Name()] = true
+		assert.Assert(t, command.Short != "", command.Name())
+	}
+}
