--- a/internal/event/jobstore.go
+++ b/internal/event/jobstore.go
@@ -10,5 +10,6 @@
 	JobTickFailed   = register(3003, "job_tick_failed", zerolog.WarnLevel, "Periodic work of a job shard failed; it is tried again.", "if it goes on, look at the shard's replicas: the shard cannot commit")
 	JobItemsLost    = register(3004, "job_items_lost", zerolog.WarnLevel, "Leases of non-repeatable items ran out; the items end with outcome_unknown.", "look for workers that died or were paused")
 	JobLeasesLapsed = register(3005, "job_leases_lapsed", zerolog.InfoLevel, "Leases ran out; their repeatable items will be leased again.", "none")
+	JobRequestLost  = register(3007, "job_request_lost", zerolog.WarnLevel, "A non-repeatable request was started by a process that is gone; its outcome is unknown and it does not run again.", "none; the caller's resend is told outcome_unknown")
 	JobSwept        = register(3006, "job_swept", zerolog.DebugLevel, "Deadlines and retentions that were due have been committed.", "none")
 )
--- a/internal/jobclient/chunker.go
+++ b/internal/jobclient/chunker.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-
-	"mallowlatch.example/mallowlatch/internal/jobstore"
 )
 
 // chunkTarget is the size of an upload's chunks, in bytes, where lines allow. A leader reads a whole chunk for a lease
@@ -25,6 +23,9 @@
 // chunker cuts a stream into chunks of whole lines, holding one chunk in memory.
 type chunker struct {
 	reader io.Reader
+	// target is the wanted and limit the largest size of a chunk, in bytes.
+	target, limit int
+
 	buffer []byte
 	ended  bool
 	// inside says that the last chunk ended within a line.
@@ -34,8 +35,8 @@
 // next returns the next chunk, valid until the following call, or io.EOF.
 func (c *chunker) next(previous int) (chunk, error) {
 	c.buffer = c.buffer[:copy(c.buffer, c.buffer[previous:])]
-	for limit := chunkTarget; ; limit *= 2 {
-		if err := c.fill(limit); err != nil {
+	for size := c.target; ; size *= 2 {
+		if err := c.fill(min(size, c.limit)); err != nil {
 			return chunk{}, err
 		}
 		if len(c.buffer) == 0 {
@@ -47,14 +48,13 @@
 	}
 }
 
-// fill reads until the buffer holds limit bytes or the stream ends.
-func (c *chunker) fill(limit int) error {
-	limit = min(limit, jobstore.MaxCommandBytes)
-	for !c.ended && len(c.buffer) < limit {
-		if cap(c.buffer) < limit {
-			c.buffer = append(make([]byte, 0, limit), c.buffer...)
+// fill reads until the buffer holds a number of bytes or the stream ends.
+func (c *chunker) fill(size int) error {
+	for !c.ended && len(c.buffer) < size {
+		if cap(c.buffer) < size {
+			c.buffer = append(make([]byte, 0, size), c.buffer...)
 		}
-		count, err := c.reader.Read(c.buffer[len(c.buffer):limit])
+		count, err := c.reader.Read(c.buffer[len(c.buffer):size])
 		c.buffer = c.buffer[:len(c.buffer)+count]
 		c.ended = errors.Is(err, io.EOF)
 		if err != nil && !c.ended {
@@ -77,24 +77,25 @@
 		data := c.buffer[:end]
 		return chunk{data: data, lines: countLines(data)}, true
 	}
-	if len(c.buffer) < jobstore.MaxCommandBytes {
+	if len(c.buffer) < c.limit {
 		return chunk{}, false
 	}
 	return c.cutFragment(), true
 }
 
+// cutFragment takes a piece of a long line. While more may come it leaves a byte in the buffer, so that the piece that
+// ends the line is known as such even if the stream ends right there.
 func (c *chunker) cutFragment() chunk {
 	end := bytes.IndexByte(c.buffer, '\n') + 1
 	if end > 0 {
 		c.inside = false
 		return chunk{data: c.buffer[:end], lines: 1, fragment: true}
 	}
-	c.inside = true
-	piece := chunk{data: c.buffer, fragment: true}
 	if c.ended {
-		piece.lines = 1
+		return chunk{data: c.buffer, lines: 1, fragment: true}
 	}
-	return piece
+	c.inside = true
+	return chunk{data: c.buffer[:len(c.buffer)-1], fragment: true}
 }
 
 // countLines counts lines; the last one needs no newline.
--- a/internal/jobclient/client_test.go
+++ b/internal/jobclient/client_test.go
@@ -322,3 +322,18 @@
 	err = f.Finish(ctx, key, 2, ledger.Answer{Status: 200, Body: json.RawMessage(`{}`)})
 	assert.Equal(t, failure.As(err).Code, failure.CodeOutcomeUnknown)
 }
+
+// brokenReader is an upload that breaks off.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// countKeys counts the keys of a shard's state.
+func countKeys(count *int) func(shard.Reader) error {
+	return func(reader shard.Reader) error {
+		return reader.Scan([]byte{0}, []byte{0xff}, func(_, _ []byte) bool {
+			*count++
+			return true
+		})
+	}
+}
--- a/internal/jobclient/files.go
+++ b/internal/jobclient/files.go
@@ -11,6 +11,7 @@
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/job"
+	"mallowlatch.example/mallowlatch/internal/jobstore"
 	pb "mallowlatch.example/mallowlatch/internal/jobstore/jobstorepb"
 )
 
@@ -22,7 +23,7 @@
 	}
 	id := "file-" + c.options.NewID()
 	digest := sha256.New()
-	cutter := &chunker{reader: content}
+	cutter := &chunker{reader: content, target: chunkTarget, limit: jobstore.MaxCommandBytes}
 	sequence := uint32(0)
 	previous := 0
 	for {
--- a/internal/jobstore/keys.go
+++ b/internal/jobstore/keys.go
@@ -21,6 +21,7 @@
 	spaceOutput      = 'O' // job id, item -> line of the output file
 	spaceError       = 'X' // job id, item -> line of the error file
 	spaceLedger      = 'L' // tenant, idempotency key -> LedgerRecord
+	spaceBegun       = 'G' // ledger key -> empty, while the entry is started
 	spaceExpiry      = 'E' // time, kind, id -> empty
 )
 
--- a/internal/jobstore/machine_ledger.go
+++ b/internal/jobstore/machine_ledger.go
@@ -11,6 +11,11 @@
 	return pairKey(spaceLedger, tenant, key)
 }
 
+// begunKey returns the key that lists a started ledger entry.
+func begunKey(key []byte) []byte {
+	return append([]byte{spaceBegun}, key...)
+}
+
 // applyBegin starts a non-repeatable request, or reports the earlier start. Only an abandoned request starts again.
 // The same call (token) proposed twice finds its own start.
 func applyBegin(transaction shard.Transaction, now int64, begin *pb.BeginRequest) (*pb.Reply, error) {
@@ -39,6 +44,7 @@
 	}
 	writes := &writer{transaction: transaction}
 	writes.save(key, started)
+	writes.set(begunKey(key), nil)
 	writes.set(expiryKey(started.GetDeadline(), expiryLedger, string(key)), nil)
 	return &pb.Reply{Ledger: started}, writes.err
 }
@@ -103,5 +109,6 @@
 	entry.State = state
 	entry.Expires = expires
 	w.save(key, entry)
+	w.delete(begunKey(key))
 	w.set(expiryKey(expires, expiryLedger, string(key)), nil)
 }
--- a/internal/jobstore/settings.go
+++ b/internal/jobstore/settings.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
 // Settings are the limits and periods of a job shard.
@@ -30,6 +32,9 @@
 	RetryAfter time.Duration
 	// Repeatable is the default of a service for items that do not say; nil means true.
 	Repeatable func(service string) bool
+	// Gone reports whether the process that was a node at a time is gone for good, so that requests it started then have
+	// an unknown outcome. nil means that only LedgerTimeout ends them.
+	Gone func(node ident.Node, since time.Time) bool
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
 	// NewID returns a fresh identifier that sorts by time.
--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -46,7 +46,7 @@
 		s.forgetStale()
 		return nil
 	}
-	for _, work := range []func(context.Context) error{s.sweep, s.refresh, s.lapse, s.indexNew, s.endStopped} {
+	for _, work := range []func(context.Context) error{s.sweep, s.loseGone, s.refresh, s.lapse, s.indexNew, s.endStopped} {
 		if err := work(ctx); err != nil {
 			return err
 		}
