--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -46,7 +46,7 @@
 		s.forgetStale()
 		return nil
 	}
-	for _, work := range []func(context.Context) error{s.sweep, s.refresh, s.lapse, s.indexNew, s.endStopped} {
+	for _, work := range []func(context.Context) error{s.sweep, s.loseGone, s.refresh, s.lapse, s.indexNew, s.endStopped} {
 		if err := work(ctx); err != nil {
 			return err
 		}
@@ -235,7 +235,9 @@
 	if _, err := s.propose(ctx, &pb.Command{Operation: &pb.Command_Release{Release: release}}, 0); err != nil {
 		return err
 	}
-	s.giveBack(lease.id, once)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.giveBackFrom(lease, once)
 	return nil
 }
 
