--- /dev/null
+++ b/internal/dispatch/exchange/plan_test.go
@@ -0,0 +1,136 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+func ownerOf(runner ident.Runner) (ident.Node, bool) {
+	return ident.Node("owner-of-" + runner[:1]), true
+}
+
+func nobody(ident.Node) bool { return false }
+
+// TestCoalescerTellsSurgesAtOnceAndEverythingSoon checks over random changes, losses and pauses that a rise from idle or
+// a surge is due at once, that no change waits longer than the coalescing time, and that in the end owners know the
+// true counts.
+func TestCoalescerTellsSurgesAtOnceAndEverythingSoon(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tested := newCoalescer()
+		runners := []ident.Runner{"a1", "a2", "b1"}
+		truth, heard := map[ident.Runner]int{}, map[ident.Runner]int{}
+		now := begin
+		deliver := func(lose bool) {
+			for _, counts := range tested.take(now, ownerOf, nobody) {
+				tested.sent(counts, now)
+				if lose {
+					tested.failed(counts, now)
+					continue
+				}
+				for runner, count := range counts {
+					heard[runner] = count
+				}
+				tested.delivered(counts)
+			}
+		}
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "elapsed")) * time.Millisecond)
+			runner := rapid.SampledFrom(runners).Draw(t, "runner")
+			before := heard[runner]
+			count := rapid.IntRange(0, 12).Draw(t, "count")
+			truth[runner] = count
+			urgent := tested.changed(runner, count, now)
+			assert.Assert(t, urgent || count == 0 || before > 0, "a rise from idle waits")
+			lose := rapid.IntRange(0, 3).Draw(t, "lose") == 1
+			deliver(lose)
+			if urgent && !lose {
+				assert.Equal(t, heard[runner], count, "a surge was not told at once")
+			}
+		}
+		now = now.Add(failurePause)
+		deliver(false)
+		for _, runner := range runners {
+			assert.Equal(t, heard[runner], truth[runner], "runner %s", runner)
+		}
+		now = now.Add(renewTime)
+		deliver(false)
+		for runner, count := range truth {
+			_, kept := tested.counts[runner]
+			assert.Equal(t, kept, count > 0, "runner %s with %d", runner, count)
+		}
+	})
+}
+
+// TestCoalescerHoldsBackWhileAMessageIsOnItsWay keeps one message to an owner at a time.
+func TestCoalescerHoldsBackWhileAMessageIsOnItsWay(t *testing.T) {
+	tested := newCoalescer()
+	tested.changed("a1", 1, begin)
+	busy := func(node ident.Node) bool { return node == "owner-of-a" }
+	assert.Equal(t, len(tested.take(begin, ownerOf, busy)), 0)
+	tested.changed("a1", 3, begin)
+	messages := tested.take(begin, ownerOf, nobody)
+	assert.Equal(t, messages["owner-of-a"]["a1"], 3, "the newest count goes out")
+}
+
+// TestPollPlanAsksOwnersOftenAndOthersOnlyWhenStale counts polls over a simulated minute.
+func TestPollPlanAsksOwnersOftenAndOthersOnlyWhenStale(t *testing.T) {
+	plan := newPollPlan(Intervals{}.withDefaults())
+	polls := map[ident.Runner]int{}
+	owns := func(runner ident.Runner) (own, ownerless bool) { return runner == "own", runner == "ownerless" }
+	shared := begin
+	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(planTick) {
+		if now.Sub(shared) >= defaultShareNear {
+			shared = now
+		}
+		views := []dispatch.RunnerView{view("own", "a", 0), view("ownerless", "a", 0), view("other", "a", now.Sub(shared)), view("dead", "a", time.Hour)}
+		for _, runner := range plan.due(views, "a", owns, now) {
+			polls[runner]++
+			delete(plan.polling, runner)
+		}
+	}
+	assert.Equal(t, polls["own"], 240)
+	assert.Equal(t, polls["ownerless"], 240)
+	assert.Equal(t, polls["other"], 0, "a runner whose owner shares is not asked")
+	assert.Equal(t, polls["dead"], 5, "a runner whose owner is gone is asked once a stale time")
+}
+
+func view(runner ident.Runner, zone ident.Zone, age time.Duration) dispatch.RunnerView {
+	return dispatch.RunnerView{ID: runner, Zone: zone, Report: &engine.LoadReport{}, ReportAge: age}
+}
+
+// TestPollPlanIsBounded starts a node that knows nothing of 880 runners.
+func TestPollPlanIsBounded(t *testing.T) {
+	plan := newPollPlan(Intervals{}.withDefaults())
+	var views []dispatch.RunnerView
+	for index := range 880 {
+		views = append(views, dispatch.RunnerView{ID: ident.Runner(fmt.Sprint(index)), Zone: ident.Zone(fmt.Sprint("z", index%11))})
+	}
+	none := func(ident.Runner) (bool, bool) { return false, false }
+	due := plan.due(views, "z3", none, begin)
+	assert.Equal(t, len(due), maxPolls)
+	assert.Equal(t, due[0], ident.Runner("3"), "the own zone goes first")
+	assert.Equal(t, len(plan.due(views, "z3", none, begin)), 0)
+}
+
+// TestStateSurvivesTheWire encodes and decodes a view.
+func TestStateSurvivesTheWire(t *testing.T) {
+	report := engine.LoadReport{
+		Measured: begin, RunningOnline: 3, WaitingOnline: 1, RunningBatch: 5, WaitingBatch: 2, MaxSequences: 64,
+		MemoryUsed: 0.25, MemoryTokens: 1000, StepTime: 20 * time.Millisecond,
+		Models: []engine.LoadedModel{{Name: "m", Version: "1"}}, Adapters: []string{"x"}, Leaving: true,
+	}
+	encoded := encodeState(&dispatch.RunnerView{ID: "r", Report: &report, ReportAge: 40 * time.Millisecond, OwnInFlight: 6, PeersInFlight: 4})
+	decoded := decodeState(encoded, begin.Add(40*time.Millisecond))
+	report.RunningOnline = 9
+	assert.DeepEqual(t, decoded, report)
+}
--- a/internal/dispatch/exchange/share.go
+++ b/internal/dispatch/exchange/share.go
@@ -113,16 +113,27 @@
 // leavingSenders is how many peers are told at the same time.
 const leavingSenders = 16
 
-// tellLeaving tells one peer, once more if the first message was lost. A peer missed twice learns it from the owner's
-// share, the machine list, or a refusal by the runner itself.
+// leavingPauses are the waits before the news is sent again to a peer that could not be reached.
+var leavingPauses = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
+
+// tellLeaving tells one peer, with a few repeats. A peer that is missed all the same learns it from the owner's share,
+// the machine list, or a refusal by the runner itself.
 func (e *Exchange) tellLeaving(peer ident.Node, message *dispatchpb.LeavingRunners) {
 	call := func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
 		_, err := client.Leaving(ctx, message)
 		return err
 	}
-	if e.callPeer(peer, "leaving", message, call) != nil && e.tomb.Alive() {
-		_ = e.callPeer(peer, "leaving", message, call)
+	for _, pause := range leavingPauses {
+		if e.callPeer(peer, "leaving", message, call) == nil {
+			return
+		}
+		select {
+		case <-time.After(pause):
+		case <-e.tomb.Dying():
+			return
+		}
 	}
+	_ = e.callPeer(peer, "leaving", message, call)
 }
 
 // callPeer makes one bounded call.
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -12,28 +12,33 @@
 	listed   bool
 	reported bool
 	drained  bool
-	// hearsayUntil is the end of the time a refusal or a peer's word counts.
-	hearsayUntil time.Time
-	// hearsayAt is when it was last renewed; a report measured later overrules it.
-	hearsayAt time.Time
+	// toldUntil is the end of the time a peer's word counts. No report overrules it: the peer may have it from the
+	// machine list or an operator, of which the engine knows nothing.
+	toldUntil time.Time
+	// refusedUntil is the end of the time the engine's refusal counts, and refusedAt when it refused last; a report
+	// measured later overrules it.
+	refusedUntil, refusedAt time.Time
 }
 
-// now reports whether the runner takes no new work.
+// is reports whether the runner takes no new work.
 func (l *leaving) is(now time.Time) bool {
-	return l.listed || l.reported || l.drained || now.Before(l.hearsayUntil)
+	return l.listed || l.reported || l.drained || now.Before(l.toldUntil) || now.Before(l.refusedUntil)
 }
 
-// hear records a refusal or a peer's word.
-func (l *leaving) hear(now time.Time) {
-	l.hearsayAt = now
-	l.hearsayUntil = now.Add(hearsayTime)
+// told records a peer's word.
+func (l *leaving) told(now time.Time) { l.toldUntil = now.Add(hearsayTime) }
+
+// refused records a refusal by the engine.
+func (l *leaving) refused(now time.Time) {
+	l.refusedAt = now
+	l.refusedUntil = now.Add(hearsayTime)
 }
 
-// report records the engine's own word. One measured after the hearsay ends it, so that a runner that stays after all
-// is used again at once.
+// report records the engine's own word. One measured after its refusal ends that, so that a runner that stays after
+// all is used again.
 func (l *leaving) report(isLeaving bool, measured time.Time) {
 	l.reported = isLeaving
-	if measured.After(l.hearsayAt) {
-		l.hearsayUntil = time.Time{}
+	if measured.After(l.refusedAt) {
+		l.refusedUntil = time.Time{}
 	}
 }
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -177,7 +177,11 @@
 	learned := false
 	if found {
 		learned = firstHand && !known.leaving.is(now)
-		known.leaving.hear(now)
+		if firstHand {
+			known.leaving.refused(now)
+		} else {
+			known.leaving.told(now)
+		}
 	}
 	t.mutex.Unlock()
 	if learned {
