--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -9,6 +9,5 @@
 	NodeStopped       = register(1002, "node_stopped", zerolog.InfoLevel, "The node has stopped.", "none")
 	NodeFailed        = register(1003, "node_failed", zerolog.ErrorLevel, "The node stopped on an error.", "read the error field; restart the node once it is mended")
 	MachineListUnread = register(1004, "machine_list_unread", zerolog.WarnLevel, "The machine list could not be read; the last reading stands.", "check the machine list service; routing goes on from engine reports and peers")
-	CatalogLeftOut    = register(1005, "catalog_left_out", zerolog.WarnLevel, "Resources of the accepted configuration could not be decoded and are left out on this node.", "upgrade the node: a newer program accepted them")
 	NodeStopStep      = register(1006, "node_stop_step", zerolog.WarnLevel, "A step of a planned stop did not end in its time.", "none if the step is a drain that ran out its time; otherwise read the error field")
 )
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -313,6 +313,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("reading metrics of %s: %w", address, err)
 	}
+	request.Header.Set("Authorization", "Bearer "+adminKey)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, fmt.Errorf("reading metrics of %s: %w", address, err)
--- a/internal/node/apis.go
+++ b/internal/node/apis.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"mallowlatch.example/mallowlatch/internal/admin"
+	"mallowlatch.example/mallowlatch/internal/auth"
 	"mallowlatch.example/mallowlatch/internal/gateway"
 	"mallowlatch.example/mallowlatch/internal/settings"
 )
@@ -36,7 +37,7 @@
 }
 
 func (n *Node) assembleAdminAPI() error {
-	handler, err := admin.New(admin.Options{
+	options := admin.Options{
 		Source:          n.replica,
 		Writer:          n.writer,
 		Status:          n.replica,
@@ -44,26 +45,32 @@
 		BootstrapDigest: string(n.settings.Bootstrap.AdminKeyDigest),
 		Logger:          n.logger,
 		Registerer:      n.registry,
-	})
+	}
+	handler, err := admin.New(options)
 	if err != nil {
 		return fmt.Errorf("admin API: %w", err)
 	}
-	n.adminServer = newHTTPServer(n.settings.Limits, n.adminRoutes(handler))
+	n.adminServer = newHTTPServer(n.settings.Limits, n.adminRoutes(handler, options))
 	return nil
 }
 
-// adminRoutes adds what only operators may see: metrics, profiles, and health for the platform's checks.
-func (n *Node) adminRoutes(api http.Handler) http.Handler {
+// adminRoutes adds what only operators may see: metrics and profiles, behind a key that may read, and health, which
+// shows nothing and needs no key.
+func (n *Node) adminRoutes(api http.Handler, options admin.Options) http.Handler {
+	profiles := http.NewServeMux()
+	profiles.HandleFunc("/debug/pprof/", pprof.Index)
+	profiles.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	profiles.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	profiles.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	profiles.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	metrics := promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})
+
 	routes := http.NewServeMux()
 	routes.Handle("/admin/", api)
-	routes.Handle("/metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	routes.Handle("/metrics", admin.Protect(options, auth.PermissionRead, metrics))
+	routes.Handle("/debug/pprof/", admin.Protect(options, auth.PermissionRead, profiles))
 	routes.Handle("/healthz", n.gateway)
 	routes.Handle("/readyz", n.gateway)
-	routes.HandleFunc("/debug/pprof/", pprof.Index)
-	routes.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
-	routes.HandleFunc("/debug/pprof/profile", pprof.Profile)
-	routes.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
-	routes.HandleFunc("/debug/pprof/trace", pprof.Trace)
 	return routes
 }
 
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/admin"
 	"mallowlatch.example/mallowlatch/internal/admission"
 	"mallowlatch.example/mallowlatch/internal/admission/admissionpb"
 	"mallowlatch.example/mallowlatch/internal/batch"
@@ -118,7 +119,7 @@
 		Store:      store,
 		Peers:      n.peers,
 		Dialer:     n.pool,
-		Decode:     catalogDecoder(n.logger),
+		Decode:     admin.NewDecode(n.logger),
 		DataDir:    string(n.settings.DataDir),
 		Logger:     n.logger,
 		Registerer: n.registry,
@@ -227,8 +228,8 @@
 			Waiters: n.settings.Dispatch.QueueDepth,
 			Wait:    n.settings.Dispatch.QueueTimeout,
 		},
-		MayWait: func(request *inference.Request) bool {
-			return n.policies.MayWait(policyRequest(request))
+		MayWait: func(request *inference.Request, prospect admission.Prospect) bool {
+			return n.policies.MayWait(policyRequest(request, prospect))
 		},
 		Registerer: n.registry,
 	})
--- a/internal/node/online.go
+++ b/internal/node/online.go
@@ -40,11 +40,14 @@
 }
 
 // policyRequest is what the program "may_wait" sees of a request.
-func policyRequest(request *inference.Request) policy.Request {
+func policyRequest(request *inference.Request, prospect admission.Prospect) policy.Request {
 	asked := policy.Request{
-		Tenant:     request.Tenant,
-		Service:    request.Service,
-		Repeatable: request.Repeatable,
+		Tenant:        request.Tenant,
+		Service:       request.Service,
+		UntilDeadline: policy.NoDeadline,
+		EstimatedWait: prospect.Wait,
+		QueueLength:   prospect.Queued,
+		Repeatable:    request.Repeatable,
 	}
 	if !request.Deadline.IsZero() {
 		asked.UntilDeadline = time.Until(request.Deadline)
