Replace a lost replica also where the first set was stored unsorted

Cause: a first replica set was stored in the order of its places while replicas keep theirs sorted, so the coordinator never found them equal and never wrote a change. Change: sets are normalised where they are stored and where they are observed. Proof: TestCoordinatorChangesASetStoredInAnyOrder failed before the change.

--- a/internal/shard/coordinator.go
+++ b/internal/shard/coordinator.go
@@ -64,7 +64,7 @@
 // Observe takes a stored replica set, from a watch or a read.
 func (k *Coordinator) Observe(configuration Configuration, revision int64) {
 	if revision > k.revision {
-		k.stored = configuration
+		k.stored = configuration.normalise()
 		k.revision = revision
 		k.fresh = false
 	}
--- a/internal/shard/types.go
+++ b/internal/shard/types.go
@@ -67,6 +67,11 @@
 	return c.Epoch == other.Epoch && slices.Equal(c.Members, other.Members) && slices.Equal(c.Seasoned, other.Seasoned)
 }
 
+// NewConfiguration returns a replica set in normal form, so that sets with the same members are equal.
+func NewConfiguration(epoch uint64, members, seasoned []Member) Configuration {
+	return Configuration{Epoch: epoch, Members: members, Seasoned: seasoned}.normalise()
+}
+
 // normalise sorts the lists, so that equal configurations are stored as equal bytes.
 func (c Configuration) normalise() Configuration {
 	members := slices.Clone(c.Members)
--- a/internal/shardhost/bootstrap.go
+++ b/internal/shardhost/bootstrap.go
@@ -53,7 +53,7 @@
 		return
 	}
 	// Nothing was ever committed, so every member holds all of it.
-	first := shard.Configuration{Epoch: 1, Members: members, Seasoned: members}
+	first := shard.NewConfiguration(1, members, members)
 	calling, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	revision, outcome := h.swap(calling, id, first, 0)
