Revoke batch credits only for online work that lacks room; give back preempted items in a drain

Cause: any waiting online request in a report took all credits for the time to the next report. On a continuously batching engine an arrival always waits for the next step, so a lightly loaded runner lost its batch several times a second; a step with much prefill shrank batch further. Ruled out: leases, store failures (none), fencing (none). Outstanding batch prefill beside online work is now 256 tokens. A drain waited for preempted items that nothing would start again; it now gives back everything queued.

--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -136,9 +136,9 @@
 	})
 }
 
-// releaseFresh gives back the items that never ran.
-func (w *Worker) releaseFresh() {
-	for held, indexes := range w.book.takeFresh() {
+// releaseQueued gives back the items that do not run.
+func (w *Worker) releaseQueued() {
+	for held, indexes := range w.book.takeQueued() {
 		w.tomb.Go(func() error {
 			ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), leaseTimeout)
 			defer cancel()
--- a/internal/batch/lease_test.go
+++ b/internal/batch/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -149,6 +150,25 @@
 	assert.Equal(t, fake.begun(), testSequences-1, "an item was started during the drain")
 }
 
+// TestDrainGivesBackPreemptedItems fills the runner with online work during a drain.
+func TestDrainGivesBackPreemptedItems(t *testing.T) {
+	at := newClock()
+	tested, fake := gatedSite(testSequences-1, 1, at)
+	tested.worker.Start()
+	until(t, "all slots in use", func() bool { return fake.begun() == testSequences-1 })
+	drained := make(chan error, 1)
+	go func() { drained <- tested.worker.Drain(context.Background()) }()
+	until(t, "draining", func() bool {
+		return inLoop(tested.worker, func() string { return fmt.Sprint(tested.worker.stopping) }) == "true"
+	})
+	for range testSequences {
+		tested.table.Start("a", nil)
+	}
+	assert.NilError(t, <-drained)
+	assert.NilError(t, tested.worker.Stop())
+	assert.Equal(t, tested.store.gave(), testSequences-1)
+}
+
 // TestLostLeaseLeavesNothingBehind checks the book alone.
 func TestLostLeaseLeavesNothingBehind(t *testing.T) {
 	book, now := newLeaseBook(), newClock().Now()
--- a/internal/batch/leasebook.go
+++ b/internal/batch/leasebook.go
@@ -198,21 +198,17 @@
 	b.queue = kept
 }
 
-// takeFresh takes every queued item that never ran out of the queue, to be released.
-func (b *leaseBook) takeFresh() map[*heldLease][]uint32 {
-	fresh := map[*heldLease][]uint32{}
-	kept := b.queue[:0]
+// takeQueued takes every item out of the queue, to be released. None of them may be lost by that: an item is queued
+// only if it was not run, or may run again.
+func (b *leaseBook) takeQueued() map[*heldLease][]uint32 {
+	taken := map[*heldLease][]uint32{}
 	for _, queued := range b.queue {
-		if queued.kept != nil || queued.attempts > 0 {
-			kept = append(kept, queued)
-			continue
-		}
 		queued.state = itemEnded
-		fresh[queued.lease] = append(fresh[queued.lease], queued.job.Index)
+		taken[queued.lease] = append(taken[queued.lease], queued.job.Index)
 	}
-	clear(b.queue[len(kept):])
-	b.queue = kept
-	return fresh
+	clear(b.queue)
+	b.queue = b.queue[:0]
+	return taken
 }
 
 // byShard groups the identifiers of the leases held, for renewal.
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -138,7 +138,7 @@
 // Start begins the work.
 func (w *Worker) Start() { w.tomb.Go(w.loop) }
 
-// Drain stops leasing and starting items, gives back those that never ran, and waits until the others have ended and
+// Drain stops leasing and starting items, gives back those that do not run, and waits until the others have ended and
 // are committed, or ctx is done.
 func (w *Worker) Drain(ctx context.Context) error {
 	w.post(func() {
@@ -220,7 +220,7 @@
 	w.preempt(grants)
 	w.expire(now)
 	if w.stopping {
-		w.releaseFresh()
+		w.releaseQueued()
 	} else {
 		w.startItems(grants, now)
 		w.feed(now)
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -43,13 +43,17 @@
 	// riseWindow is the time within which arrivals count as one rise: about what it takes to preempt.
 	riseWindow = 50 * time.Millisecond
 	// prefillAlone and prefillBeside bound outstanding batch prefill without and with online work on the runner.
-	prefillAlone  = 32768
-	prefillBeside = 4096
+	prefillAlone  = 4096
+	prefillBeside = 256
+	// crowdedFactor is how many batch sequences make room for each online one that waits for room.
+	crowdedFactor = 2
 	// memoryFull is the share of the KV cache in use above which batch may not grow.
 	memoryFull = 0.95
-	// stepTarget is the decode step time, in the presence of online work, above which batch shrinks. It leaves room
+	// stepTarget is the smoothed step time, in the presence of online work, above which batch shrinks. It leaves room
 	// under the 47 ms between tokens.
-	stepTarget = 40 * time.Millisecond
+	stepTarget = 42 * time.Millisecond
+	// stepSmoothing is the weight of a new report's step time: a single step with much prefill says little.
+	stepSmoothing = 0.2
 	// stepShrink and stepGrow change the step limit once for each report.
 	stepShrink = 0.85
 	stepGrow   = 1.0 / 16
@@ -63,6 +67,8 @@
 	// stepLimit is the share of the runner's sequences that batch may use as the step time allows.
 	stepLimit    float64
 	lastMeasured time.Time
+	// stepTime is the smoothed step time.
+	stepTime time.Duration
 }
 
 // NewController returns the controller of a runner nothing is known of yet.
@@ -82,8 +88,8 @@
 	free := capacity - float64(online) - c.reserve(capacity)
 	free = min(free, math.Floor(capacity*c.stepLimit))
 	sequences := max(0, int(free))
-	if c.surging(report, online) {
-		sequences = 0
+	if crowded(report) {
+		sequences = min(sequences, max(0, input.RunningBatch-crowdedFactor*report.WaitingOnline))
 	}
 	if report.MemoryUsed >= memoryFull {
 		sequences = min(sequences, input.RunningBatch)
@@ -91,12 +97,11 @@
 	return Credits{Sequences: sequences, PrefillTokens: prefillLimit(online)}
 }
 
-// surging reports whether online work waits on the engine, as far as is known: then batch gets nothing.
-func (c *Controller) surging(report *engine.LoadReport, online int) bool {
-	if online >= report.MaxSequences {
-		return true
-	}
-	return report.WaitingOnline > 0 && c.unexplained(report)+c.history.last() > 0
+// crowded reports whether online work waits on the engine because there is no room for it. Work that waits beside free
+// room only waits for the next step.
+func crowded(report *engine.LoadReport) bool {
+	wanted := report.RunningOnline + report.RunningBatch + report.WaitingOnline
+	return report.WaitingOnline > 0 && (wanted > report.MaxSequences || report.MemoryUsed >= memoryFull)
 }
 
 // unexplained returns the online work of the report beyond what the owner knew when it was measured. What the owner
@@ -127,7 +132,8 @@
 		return
 	}
 	c.lastMeasured = report.Measured
-	if online > 0 && report.StepTime > stepTarget {
+	c.stepTime += time.Duration(stepSmoothing * float64(report.StepTime-c.stepTime))
+	if online > 0 && c.stepTime > stepTarget {
 		c.stepLimit = max(reserveShare, c.stepLimit*stepShrink)
 		return
 	}
