Offer one hash between zones; measure hollow nodes in simulated time

Offers carried a digest of every zone both ways, and a new configuration revision made all zones differ. The start of 330 nodes at once is over the budget of bytes for its first two minutes.

--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -12,5 +12,6 @@
 		newFleet(),
 		newLoad(),
 		newExperiment(),
+		newScale(),
 	}
 }
--- /dev/null
+++ b/internal/lab/labcli/scale.go
@@ -0,0 +1,61 @@
+package labcli
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mallowlatch.example/mallowlatch/internal/lab/scale"
+)
+
+// newScale returns the command that measures the control cost of hollow nodes.
+func newScale() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "scale",
+		Short: "Measure the control cost of hollow nodes at the size of the design",
+	}
+	command.AddCommand(newScaleSimulated())
+	return command
+}
+
+func newScaleSimulated() *cobra.Command {
+	var sizes []int
+	var asJSON bool
+	schedule := scale.Schedule{}
+	command := &cobra.Command{
+		Use:   "simulated",
+		Short: "In simulated time: start, steady service, loss of a zone, cut of a region",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var all []scale.Measurement
+			for _, size := range sizes {
+				schedule.Shape.Nodes = size
+				all = append(all, schedule.Run()...)
+			}
+			return printScale(command, all, asJSON)
+		},
+	}
+	flags := command.Flags()
+	flags.IntSliceVar(&sizes, "nodes", []int{30, 110, 330}, "sizes of the fleet, one run each")
+	flags.IntVar(&schedule.Shape.Zones, "zones", 11, "number of zones")
+	flags.Uint64Var(&schedule.Seed, "seed", 20261202, "seed of the run")
+	flags.DurationVar(&schedule.Steady, "steady", 10*time.Minute, "simulated length of steady service")
+	flags.DurationVar(&schedule.Fault, "fault", 2*time.Minute, "simulated length of each fault")
+	flags.Float64Var(&schedule.Loss, "loss", 0.01, "share of messages lost")
+	flags.BoolVar(&asJSON, "json", false, "print JSON")
+	return command
+}
+
+func printScale(command *cobra.Command, measurements []scale.Measurement, asJSON bool) error {
+	if !asJSON {
+		return scale.WriteReport(command.OutOrStdout(), measurements)
+	}
+	encoder := json.NewEncoder(command.OutOrStdout())
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(measurements); err != nil {
+		return fmt.Errorf("print: %w", err)
+	}
+	return nil
+}
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -81,9 +81,8 @@
 		if !node.Up {
 			continue
 		}
-		view := node.Core.View()
 		for _, other := range s.Order {
-			member, known := view.Member(other.Self.Node)
+			member, known := node.Core.Member(other.Self.Node)
 			if alive := known && member.State == membership.Alive; alive != other.Up {
 				return fmt.Sprintf("%s sees %+v, which is up: %t", node.Self.Node, member, other.Up)
 			}
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -25,6 +25,7 @@
 		Target:      string(m.target),
 		ContactAges: m.contactAges,
 		ZoneSet:     m.zoneSet,
+		FleetHash:   m.fleetHash,
 	}
 	for _, item := range m.members {
 		encoded.Members = append(encoded.Members, encodeRecord(item))
@@ -76,6 +77,7 @@
 		target:      ident.Node(encoded.GetTarget()),
 		contactAges: encoded.GetContactAges(),
 		zoneSet:     encoded.GetZoneSet(),
+		fleetHash:   encoded.GetFleetHash(),
 	}
 	if message.from == "" || message.fromZone == "" || encoded.GetKind() > uint32(KindRecords) {
 		return Message{}, fmt.Errorf("%w: kind %d from %q", ErrBadMessage, encoded.GetKind(), message.from)
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -163,6 +163,8 @@
 		return nil
 	case KindOffer:
 		return c.answerOffer(message, now)
+	case KindDigests:
+		return c.answerDigests(message, now)
 	case KindSummary:
 		return c.answerSummary(message, now)
 	case KindRecords:
@@ -210,6 +212,15 @@
 	}
 }
 
+// Member returns one member as it is now.
+func (c *Core) Member(node ident.Node) (Member, bool) {
+	stored, known := c.members[node]
+	if !known {
+		return Member{}, false
+	}
+	return stored.member(c.zoneReachable(stored.zone)), true
+}
+
 // Changes grows with every change that Members would show.
 func (c *Core) Changes() uint64 { return c.changes }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -56,7 +56,8 @@
 	// HasDisk says that the node stores job shards; DiskIncarnation is the random number written on its disk.
 	HasDisk         bool
 	DiskIncarnation uint64
-	// ConfigRevision is the newest configuration revision the node has in force.
+	// ConfigRevision is the newest configuration revision the node has in force. It is kept up to date within the zone
+	// only; other zones have it as it was when something else about the node changed.
 	ConfigRevision int64
 }
 
--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -75,7 +75,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		message := Message{
 			kind: Kind(rapid.IntRange(1, int(KindRecords)).Draw(t, "kind")), from: "a", fromZone: "z", fromAddress: "10.0.0.1:1",
-			sequence: rapid.Uint64().Draw(t, "sequence"), target: "b", zoneSet: 7, contactAges: []byte{1, 2},
+			sequence: rapid.Uint64().Draw(t, "sequence"), target: "b", zoneSet: 7, fleetHash: 8, contactAges: []byte{1, 2},
 			members:   rapid.SliceOfN(rapid.Custom(drawRecord), 1, 3).Draw(t, "members"),
 			revisions: []revision{{node: "c", incarnation: 3, revision: 4}},
 			digests:   []zoneDigest{{zone: "z", hash: 5}},
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -15,16 +15,21 @@
 	KindPingRequest
 	// KindIndirectAck tells the asker that Target has answered.
 	KindIndirectAck
-	// KindOffer carries a digest of each zone; a KindSummary answers it.
+	// KindOffer carries a hash over the fleet, or digests of the zones that are known to differ. An empty KindSummary
+	// answers a hash that agrees and KindDigests one that differs; KindSummary answers digests.
 	KindOffer
-	// KindSummary lists the members of the zones whose digests differed.
+	// KindDigests carries a digest of each zone.
+	KindDigests
+	// KindSummary lists the members of the offered zones that differ.
 	KindSummary
 	// KindRecords carries the records the receiver lacks, and wants; a KindRecords without wants answers it.
 	KindRecords
 )
 
 // IsAnswer says whether a message of the kind answers one from its receiver, so that it may travel in the reply.
-func (k Kind) IsAnswer() bool { return k == KindAck || k == KindSummary || k == KindRecords }
+func (k Kind) IsAnswer() bool {
+	return k == KindAck || k == KindDigests || k == KindSummary || k == KindRecords
+}
 
 // Message is what nodes tell each other.
 type Message struct {
@@ -38,6 +43,7 @@
 	revisions   []revision
 	contactAges []byte
 	zoneSet     uint32
+	fleetHash   uint64
 	digests     []zoneDigest
 	summaries   []summary
 	wants       []ident.Node
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -30,7 +30,7 @@
 }
 
 func stateOf(viewer *scale.Hollow, node ident.Node) membership.State {
-	member, known := viewer.Core.View().Member(node)
+	member, known := viewer.Core.Member(node)
 	if !known {
 		return membership.Dead
 	}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -30,9 +30,10 @@
 	return out
 }
 
-// offer returns a digest for a member, or for whatever node serves the address.
+// offer returns the fleet's hash for a member, or for whatever node serves the address. As a rule it agrees, so that
+// digests and summaries travel only after changes.
 func (c *Core) offer(to ident.Node, address string, now time.Time) Outgoing {
-	out := c.outgoing(to, Message{kind: KindOffer, digests: c.digests()}, now)
+	out := c.outgoing(to, Message{kind: KindOffer, fleetHash: fleetHash(c.digests())}, now)
 	if address != "" {
 		out.Address = address
 	}
@@ -47,6 +48,9 @@
 		if zone == c.self.zone {
 			continue
 		}
+		if !c.begins(zone, now) {
+			continue
+		}
 		if !slices.Contains(bridges(byZone[c.self.zone], c.self.zone, zone, c.config.Bridges), c.self.node) {
 			continue
 		}
@@ -57,6 +61,17 @@
 	return out
 }
 
+// begins says whether this zone's bridges offer to the other zone's. One side of each pair does, since an answer shows
+// both that they can reach each other; the other side joins in once it has heard nothing for half of the time allowed.
+func (c *Core) begins(zone ident.Zone, now time.Time) bool {
+	first, second := min(zone, c.self.zone), max(zone, c.self.zone)
+	beginner := first
+	if xxhash.Sum64String(string(first)+"\x00"+string(second))%2 == 1 {
+		beginner = second
+	}
+	return beginner == c.self.zone || now.Sub(c.contacts[zone]) > c.config.ReachableWithin/2
+}
+
 // bridgeTarget prefers the other zone's bridges, whose connections are open already. Once the zone has been silent for
 // half of the time allowed, any of its members will do.
 func (c *Core) bridgeTarget(live []ident.Node, zone ident.Zone, now time.Time) ident.Node {
@@ -139,7 +154,8 @@
 }
 
 // digests returns a hash for each zone. Suspicions don't count, since they end by themselves; the dead don't either,
-// since nodes forget them at different times.
+// since nodes forget them at different times; nor do configuration revisions, which would make all zones differ with
+// every change and are of use within a zone only.
 func (c *Core) digests() []zoneDigest {
 	hashes := map[ident.Zone]uint64{}
 	for _, stored := range c.members {
@@ -159,38 +175,66 @@
 	const odd = 0x9e3779b97f4a7c15
 	hash := xxhash.Sum64String(string(r.node))
 	hash = (hash ^ r.incarnation) * odd
-	hash = (hash ^ hash>>29 ^ uint64(r.revision)) * odd
 	return hash ^ hash>>32
 }
 
-// answerOffer lists the members of the zones that differ. The empty list says that none do.
+func fleetHash(digests []zoneDigest) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	var hash uint64
+	for _, digest := range digests {
+		hash = (hash ^ xxhash.Sum64String(string(digest.zone)) ^ digest.hash) * odd
+	}
+	return hash
+}
+
+// answerOffer answers a hash by agreement or by digests, and digests by the members of the zones that differ.
 func (c *Core) answerOffer(message Message, now time.Time) []Outgoing {
-	theirs := map[ident.Zone]uint64{}
-	for _, digest := range message.digests {
-		theirs[digest.zone] = digest.hash
+	own := c.digests()
+	if len(message.digests) > 0 {
+		return []Outgoing{c.answerTo(message, c.summarize(differing(message.digests, own)), now)}
 	}
-	differs := map[ident.Zone]bool{}
-	for _, digest := range c.digests() {
-		hash, known := theirs[digest.zone]
-		differs[digest.zone] = !known || hash != digest.hash
-		delete(theirs, digest.zone)
+	answer := Message{kind: KindDigests, digests: own}
+	if message.fleetHash == fleetHash(own) {
+		answer = Message{kind: KindSummary}
 	}
-	for zone := range theirs {
-		differs[zone] = true
+	return []Outgoing{c.answerTo(message, answer, now)}
+}
+
+// differing returns the digests of the first list that the second lacks or has otherwise.
+func differing(first, second []zoneDigest) []zoneDigest {
+	return slices.DeleteFunc(slices.Clone(first), func(digest zoneDigest) bool { return slices.Contains(second, digest) })
+}
+
+// summarize lists the members of the zones. The zones are named even if nobody of them is known here, so that the other
+// side pushes them.
+func (c *Core) summarize(zones []zoneDigest) Message {
+	answer := Message{kind: KindSummary, digests: zones}
+	listed := map[ident.Zone]bool{}
+	for _, digest := range zones {
+		listed[digest.zone] = true
 	}
-	answer := Message{kind: KindSummary}
 	for _, stored := range c.members {
-		if differs[stored.zone] {
+		if listed[stored.zone] {
 			answer.summaries = append(answer.summaries, stored.summary())
 		}
 	}
-	// The zones that differ are named even if nobody of them is known here, so that the other side pushes them.
-	for zone, different := range differs {
-		if different {
-			answer.digests = append(answer.digests, zoneDigest{zone: zone})
+	return answer
+}
+
+// answerDigests offers the digests of the zones that differ, those that only the other side knows with a zero hash.
+func (c *Core) answerDigests(message Message, now time.Time) []Outgoing {
+	own := c.digests()
+	offered := differing(own, message.digests)
+	for _, theirs := range differing(message.digests, own) {
+		known := slices.ContainsFunc(offered, func(digest zoneDigest) bool { return digest.zone == theirs.zone })
+		if !known {
+			offered = append(offered, zoneDigest{zone: theirs.zone})
 		}
 	}
-	return []Outgoing{c.answerTo(message, answer, now)}
+	if len(offered) == 0 {
+		return nil
+	}
+	return []Outgoing{c.answerTo(message, Message{kind: KindOffer, digests: offered}, now)}
 }
 
 // answerSummary pushes the records the other side lacks and asks for those this side lacks.
