Measure hollow nodes over the real transport on loopback

Simulated time can't show what TLS, drpc and the connections cost. The new run has the real membership, distribution of configuration and transport with mutual TLS, many nodes to a process.

--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -16,7 +16,7 @@
 		Use:   "scale",
 		Short: "Measure the control cost of hollow nodes at the size of the design",
 	}
-	command.AddCommand(newScaleSimulated())
+	command.AddCommand(newScaleSimulated(), newScaleLoopback())
 	return command
 }
 
@@ -48,6 +48,38 @@
 	return command
 }
 
+func newScaleLoopback() *cobra.Command {
+	var sizes []int
+	var asJSON bool
+	loopback := scale.Loopback{}
+	command := &cobra.Command{
+		Use:   "loopback",
+		Short: "In real time: membership and configuration over the real transport with mutual TLS, in one process",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var all []scale.Measurement
+			for _, size := range sizes {
+				loopback.Shape.Nodes = size
+				measured, err := loopback.Run(command.Context())
+				if err != nil {
+					return fmt.Errorf("%d nodes: %w", size, err)
+				}
+				all = append(all, measured...)
+			}
+			return printScale(command, all, asJSON)
+		},
+	}
+	flags := command.Flags()
+	flags.IntSliceVar(&sizes, "nodes", []int{30}, "sizes of the fleet, one run each; a zone of n nodes needs 2n(n-1) open files")
+	flags.IntVar(&loopback.Shape.Zones, "zones", 11, "number of zones")
+	flags.Uint64Var(&loopback.Seed, "seed", 20261202, "seed of the run")
+	flags.DurationVar(&loopback.Warm, "warm", 45*time.Second, "length of the warm-up")
+	flags.DurationVar(&loopback.Length, "length", 45*time.Second, "length of the measurement")
+	flags.BoolVar(&loopback.Configuration, "configuration", true, "add the distribution of configuration")
+	flags.BoolVar(&asJSON, "json", false, "print JSON")
+	return command
+}
+
 func printScale(command *cobra.Command, measurements []scale.Measurement, asJSON bool) error {
 	if !asJSON {
 		return scale.WriteReport(command.OutOrStdout(), measurements)
