--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -72,6 +72,8 @@
 	events chan func()
 	// draining is closed by Drain.
 	draining chan struct{}
+	// tenants counts what runs, for the policies, which may ask from another goroutine.
+	tenants tenantCounter
 
 	book     *leaseBook
 	runners  map[ident.Runner]*runnerState
@@ -215,7 +217,7 @@
 
 // turn brings everything up to date. Preemption comes first: it is what a caller waits for.
 func (w *Worker) turn(now time.Time) {
-	w.readOwnership(now)
+	w.readOwnership()
 	grants := w.grants(now)
 	w.preempt(grants)
 	w.expire(now)
--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -20,6 +21,8 @@
 	Fanout int
 	// ExchangeTimeout is after how long an unanswered exchange is given up and another peer asked.
 	ExchangeTimeout time.Duration
+	// SnapshotTimeout is the same for the fetch of a whole copy.
+	SnapshotTimeout time.Duration
 	// RelaysPerZone is how many nodes of a zone watch the key-value service and talk to other zones.
 	RelaysPerZone int
 }
@@ -29,9 +32,10 @@
 	return Timing{
 		DigestPeriod:    2 * time.Second,
 		AnnouncePeriod:  200 * time.Millisecond,
-		AnnounceRounds:  2,
+		AnnounceRounds:  3,
 		Fanout:          3,
-		ExchangeTimeout: 2 * time.Second,
+		ExchangeTimeout: 1 * time.Second,
+		SnapshotTimeout: 20 * time.Second,
 		RelaysPerZone:   2,
 	}
 }
@@ -127,27 +131,38 @@
 // Known returns the revision the peer last said that it has, or zero.
 func (c *Core) Known(node ident.Node) int64 { return c.known[node] }
 
+// Held reports whether some live peer has said that it has the revision.
+func (c *Core) Held(revision int64) bool {
+	for _, known := range c.known {
+		if known >= revision {
+			return true
+		}
+	}
+	return false
+}
+
 // Relay reports whether this node is one of its zone's relays, by its own view of the peers.
 func (c *Core) Relay() bool { return contains(c.relays[c.self.Zone], c.self.Node) }
 
-// SetPeers replaces the list of live peers. A relay compares copies at once with the relays of zones that have come
-// into view, so that a healed cut is caught up on without waiting.
+// SetPeers replaces the list of live peers. A node that has just come up compares copies with one of them at once; a
+// relay does so with the relays of zones that have come into view, so that a healed cut is caught up on without waiting.
 func (c *Core) SetPeers(now time.Time, peers []Peer) {
-	before := c.relays
-	c.peers = c.peers[:0]
-	live := make(map[ident.Node]bool, len(peers))
-	for _, peer := range peers {
-		if peer.Node != c.self.Node {
-			c.peers = append(c.peers, peer)
-			live[peer.Node] = true
-		}
+	others := slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return peer.Node == c.self.Node })
+	if c.relays != nil && slices.Equal(others, c.peers) {
+		return
 	}
+	before := c.relays
+	alone := len(c.peers) == 0
+	c.peers = others
 	for node := range c.known {
-		if !live[node] {
+		if !contains(c.peers, node) {
 			delete(c.known, node)
 		}
 	}
 	c.relays = chooseRelays(append([]Peer{c.self}, c.peers...), c.timing.RelaysPerZone)
+	if near := c.zonePeers(); alone && len(near) > 0 {
+		c.sendDigest(c.pick(near))
+	}
 	if !c.Relay() {
 		return
 	}
@@ -300,7 +315,11 @@
 }
 
 func (c *Core) startPull(now time.Time, from Peer, snapshot bool) {
-	c.pulling = &pull{from: from.Node, until: now.Add(c.timing.ExchangeTimeout)}
+	timeout := c.timing.ExchangeTimeout
+	if snapshot {
+		timeout = c.timing.SnapshotTimeout
+	}
+	c.pulling = &pull{from: from.Node, until: now.Add(timeout)}
 	c.outbox = append(c.outbox, Send{To: from, Digest: c.digest(), Snapshot: snapshot})
 }
 
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,6 +44,26 @@
 	}
 }
 
+// TestAcceptorDiesWithTheService stops the node that accepted a change for good, and starts an outage, at the instant its
+// operator was answered.
+func TestAcceptorDiesWithTheService(t *testing.T) {
+	for seed := range uint64(20) {
+		fleet := confsim.New(simOptions(seed, 11, 110))
+		fleet.Run(5 * time.Second)
+		acceptor := fleet.Nodes()[seed]
+		accepted := int64(0)
+		fleet.Submit(acceptor, increment(acceptor.State(), "first"), func(ended confsim.Outcome) {
+			assert.NilError(t, ended.Err)
+			accepted = ended.Change.Revision
+			fleet.SetOutage(true)
+			acceptor.Stop()
+		})
+		fleet.Run(3 * time.Second)
+		assert.Equal(t, accepted, int64(1))
+		assert.Equal(t, fleet.Lowest(), accepted, "seed %d", seed)
+	}
+}
+
 // TestStaleNodeReturns pauses a node for twenty changes and lets a zone's only node come back from an old disk during an
 // outage: neither takes anything back, and both catch up from other nodes.
 func TestStaleNodeReturns(t *testing.T) {
@@ -161,3 +182,22 @@
 		}
 	}
 }
+
+// TestRestartWithoutDiskDuringOutage restarts a node that is no relay empty while the service is away: it must have the copy from its peers
+// long before its first periodic digest would fetch it.
+func TestRestartWithoutDiskDuringOutage(t *testing.T) {
+	for seed := range uint64(20) {
+		fleet := confsim.New(simOptions(seed, 3, 12))
+		fleet.Run(5 * time.Second)
+		accept(t, fleet, fleet.Nodes()[0], "first")
+		fleet.Run(3 * time.Second)
+		fleet.SetOutage(true)
+		nodes := fleet.Nodes()
+		restarted := nodes[slices.IndexFunc(nodes, func(node *confsim.Node) bool { return !node.Relay() })]
+		restarted.Stop()
+		fleet.Run(10 * time.Second)
+		restarted.Restart(confsync.EmptyState())
+		fleet.Run(100 * time.Millisecond)
+		assert.Equal(t, restarted.State().Revision, int64(1), "seed %d", seed)
+	}
+}
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -16,6 +16,9 @@
 	headPollPeriod = 30 * time.Second
 	// relayPeriod is how often a node looks whether it is, or still is, a relay.
 	relayPeriod = 1 * time.Second
+	// aloneGrace is how long a node that has just started and knows no other waits before it takes itself for its zone's
+	// only relay: until membership has joined, every node of a fleet would.
+	aloneGrace = 1 * time.Second
 	// Bounds of the wait after a failure. Each wait is drawn evenly between half its bound and the bound.
 	minFollowDelay = 500 * time.Millisecond
 	maxFollowDelay = 10 * time.Second
@@ -29,6 +32,10 @@
 
 // follow keeps the copy up to date from the key-value service while this node is a relay.
 func (r *Replica) follow(ctx context.Context) error {
+	if len(r.options.Peers.Peers()) == 0 {
+		_ = sleepContext(ctx, aloneGrace)
+	}
+	r.refreshPeers()
 	bound := minFollowDelay
 	for ctx.Err() == nil {
 		if !r.Relay() {
@@ -51,8 +58,7 @@
 	return nil
 }
 
-// followOnce catches up and follows the watch until it fails, the head is due to be read again, or this node is no
-// longer a relay; the last two return nil.
+// followOnce catches up and follows the watch until it fails or this node is no longer a relay; the latter returns nil.
 func (r *Replica) followOnce(ctx context.Context) error {
 	newest, err := r.remote.follow(ctx, r)
 	if err != nil {
@@ -65,34 +71,41 @@
 		return fmt.Errorf("watch changes: %w", err)
 	}
 	event.ConfigFollowing.Log(r.options.Logger).Int64("revision", newest.revision).Send()
-	poll := time.NewTimer(headPollPeriod)
+	poll := time.NewTicker(headPollPeriod)
 	defer poll.Stop()
 	relay := time.NewTicker(relayPeriod)
 	defer relay.Stop()
 	for {
 		select {
 		case response, open := <-responses:
-			if !open {
-				return fmt.Errorf("watch changes: %w", errWatchClosed)
-			}
-			if response.Err != nil {
-				return fmt.Errorf("watch changes: %w", response.Err)
+			if err := r.learnResponse(response, open); err != nil {
+				return err
 			}
-			if err := r.learnEvents(response); err != nil {
+		case <-poll.C:
+			if _, err := r.remote.follow(ctx, r); err != nil {
 				return err
 			}
 		case <-relay.C:
 			if !r.Relay() {
 				return nil
 			}
-		case <-poll.C:
-			return nil
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// learnResponse takes in a response of a watch, or its end.
+func (r *Replica) learnResponse(response kv.WatchResponse, open bool) error {
+	if !open {
+		return fmt.Errorf("watch changes: %w", errWatchClosed)
+	}
+	if response.Err != nil {
+		return fmt.Errorf("watch changes: %w", response.Err)
+	}
+	return r.learnEvents(response)
+}
+
 // learnEvents takes in the changes of a watch's response; deletions only trim the history.
 func (r *Replica) learnEvents(response kv.WatchResponse) error {
 	for _, written := range response.Events {
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -16,13 +16,16 @@
 	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/jobstore"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
-	"mallowlatch.example/mallowlatch/internal/machine"
 	"mallowlatch.example/mallowlatch/internal/machine/httplist"
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/membership/membershippb"
+	"mallowlatch.example/mallowlatch/internal/ownership"
+	"mallowlatch.example/mallowlatch/internal/placement/placementpb"
+	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/transport"
@@ -174,17 +177,36 @@
 	return !known || found.Repeatable
 }
 
+// assemblePolicies prepares what the policies in force decide on this node.
+func (n *Node) assemblePolicies() error {
+	n.policies = live.New(n.replica, n.logger, time.Now)
+	n.cutOff = &cutOffWatch{
+		zone:     n.zone(),
+		region:   ident.Region(n.settings.Node.Region),
+		view:     n.members.View,
+		policies: n.policies,
+	}
+	n.demandMeter = newDemandMeter(time.Now)
+	return nil
+}
+
 func (n *Node) assembleOnline() error {
 	n.engines = newEngineDirectory()
 	n.table = dispatch.NewTable()
-	n.owners = &claims{peers: n.peers, zone: n.zone(), engines: n.engines, owned: map[ident.Runner]uint64{}}
+	n.owners = ownership.NewService(ownership.Options{
+		Self:     n.id(),
+		Members:  currentMembers(n.members),
+		Runners:  ownedRunners(n.table),
+		Engine:   n.engines.Engine,
+		Distance: zoneDistance(n.replica),
+		Logger:   n.logger,
+	})
 	n.poller = &machinePoller{
 		lister:  httplist.New("http://"+string(n.settings.Platform.MachineList)+machineListPath, nil),
 		period:  n.settings.Platform.MachinePoll,
 		engines: n.engines,
 		table:   n.table,
 		logger:  n.logger,
-		seen:    []func(machine.List){n.owners.seen},
 	}
 	n.exchange = exchange.New(exchange.Config{
 		Node:       n.id(),
@@ -205,6 +227,9 @@
 			Waiters: n.settings.Dispatch.QueueDepth,
 			Wait:    n.settings.Dispatch.QueueTimeout,
 		},
+		MayWait: func(request *inference.Request) bool {
+			return n.policies.MayWait(policyRequest(request))
+		},
 		Registerer: n.registry,
 	})
 	n.demand = admission.NewExchange(n.admission, n.pool)
@@ -226,20 +251,24 @@
 }
 
 func (n *Node) assembleBatch() error {
+	order := &jobOrder{source: n.replica, policies: n.policies, cutOff: n.cutOff, running: n.runningByTenant}
 	n.worker = batch.New(batch.Config{
 		Node:       n.id(),
 		Table:      n.table,
 		Engines:    n.engines,
 		Catalog:    n.replica,
-		Ownership:  n.owners,
+		Ownership:  batchClaims{service: n.owners},
 		Work:       n.jobs,
-		Order:      newJobOrder(n.replica, n.logger).order,
+		Order:      order.order,
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
 	return nil
 }
 
+// runningByTenant counts the batch items that run now on this node's runners.
+func (n *Node) runningByTenant() map[ident.Tenant]int { return n.worker.RunningByTenant() }
+
 // register adds the parts' calls to the peer listener.
 func (n *Node) register() error {
 	steps := []func() error{
@@ -248,6 +277,9 @@
 		func() error { return dispatchpb.DRPCRegisterRunnerExchange(n.peerServer, n.exchange) },
 		func() error { return admissionpb.DRPCRegisterDemandHome(n.peerServer, n.demand) },
 	}
+	if n.placementAgent != nil {
+		steps = append(steps, func() error { return placementpb.DRPCRegisterPlacement(n.peerServer, n.placementAgent) })
+	}
 	if n.storage != nil {
 		steps = append(steps, func() error { return n.storage.Register(n.peerServer) })
 	}
