--- a/internal/jobclient/world_test.go
+++ b/internal/jobclient/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,8 +46,10 @@
 	machine shard.Machine
 	index   uint64
 	leader  ident.Node
-	round   uint64
-	nodes   map[ident.Node]*worldNode
+	// known is the leader the directory names. It may be the one before.
+	known ident.Node
+	round uint64
+	nodes map[ident.Node]*worldNode
 	// proposalFault and callFault befall the next proposal and the next call.
 	proposalFault, callFault fault
 	// pending are proposals and calls that take effect later.
@@ -80,11 +83,15 @@
 	return w
 }
 
-// changeLeader begins a new term. The old leader may not notice; it can neither read nor propose any more.
+// changeLeader begins a new term. The old leader and the directory may not notice; the old leader can neither read nor
+// propose any more.
 func (w *world) changeLeader(leader ident.Node, notices bool) {
 	if notices && leader != w.leader {
 		w.nodes[w.leader].believes = 0
 	}
+	if notices {
+		w.known = leader
+	}
 	w.round++
 	w.leader = leader
 	w.nodes[leader].believes = w.round
@@ -104,7 +111,7 @@
 func (w *world) Shards() int { return 1 }
 
 // Leader implements jobclient.Directory.
-func (w *world) Leader(ident.Shard) (ident.Node, bool) { return w.leader, true }
+func (w *world) Leader(ident.Shard) (ident.Node, bool) { return w.known, true }
 
 // Conn implements transport.Dialer.
 func (w *world) Conn(_ context.Context, node ident.Node) (drpc.Conn, error) {
@@ -219,3 +226,15 @@
 	proto.Merge(out.(proto.Message), proto.Clone(answer.(proto.Message)))
 	return nil
 }
+
+// newRequest returns an empty request of a call.
+func newRequest(rpc string) proto.Message {
+	description := pb.DRPCJobStoreDescription{}
+	for number := range description.NumMethods() {
+		name, _, _, method, _ := description.Method(number)
+		if name == rpc {
+			return reflect.New(reflect.TypeOf(method).In(2).Elem()).Interface().(proto.Message)
+		}
+	}
+	return nil
+}
--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -43,10 +43,10 @@
 	s.ticking.Lock()
 	defer s.ticking.Unlock()
 	if _, leading := s.replica.Leading(); !leading {
-		s.forget()
+		s.forgetStale()
 		return nil
 	}
-	for _, work := range []func(context.Context) error{s.sweep, s.refresh, s.lapse, s.indexNew, s.endStopped} {
+	for _, work := range []func(context.Context) error{s.sweep, s.loseGone, s.refresh, s.lapse, s.indexNew, s.endStopped} {
 		if err := work(ctx); err != nil {
 			return err
 		}
@@ -235,7 +235,9 @@
 	if _, err := s.propose(ctx, &pb.Command{Operation: &pb.Command_Release{Release: release}}, 0); err != nil {
 		return err
 	}
-	s.giveBack(lease.id, once)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.giveBackFrom(lease, once)
 	return nil
 }
 
