--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -195,11 +195,12 @@
 		if lease.granting || now.Before(lease.expires) {
 			continue
 		}
-		if !lease.lapsed {
+		repeatable, once := lease.job.split(lease.indexes)
+		if !lease.lapsed && !lease.withdrawn {
 			s.metrics.add((*Metrics).lapsedLeases, 1)
+			event.JobLeasesLapsed.Log(s.logger).Str("job", lease.job.id).Str("lease", lease.id).Str("worker", lease.worker).Int("items", len(repeatable)).Send()
 		}
 		lease.lapsed = true
-		repeatable, once := lease.job.split(lease.indexes)
 		lease.job.give(repeatable)
 		s.shrink(lease, once)
 		if len(once) > 0 {
