--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -10,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
 const site = `
@@ -111,7 +115,7 @@
 		{"zones", "catania", "zones/palermo: distance.catania: there is no zone \"catania\""},
 		{"drains", "runner/10.0.0.1:9000", ""},
 	} {
-		_, err := catalog.Build(snapshot.With([]catalog.Edit{{Kind: catalog.Kind(row.kind), Name: row.name}}))
+		_, err := catalog.Build(without(snapshot, row.kind+"/"+row.name))
 		if row.wanted == "" {
 			assert.NilError(t, err)
 			continue
@@ -120,6 +124,12 @@
 	}
 }
 
+func without(snapshot *catalog.Snapshot, reference string) []catalog.Resource {
+	return slices.DeleteFunc(snapshot.Resources(), func(resource catalog.Resource) bool {
+		return resource.Reference().String() == reference
+	})
+}
+
 func TestManifestProblemsNameTheLine(t *testing.T) {
 	for text, wanted := range map[string]string{
 		"kind: tenants\nspec:\n  name: a\n  name: b\n":     "line 4: name: stands twice",
@@ -198,22 +208,69 @@
 	}
 }
 
+func TestLoadAfterEqualsLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stored := map[catalog.Reference]catalog.Resource{}
+		previous := catalog.Empty()
+		for revision := int64(1); revision <= 12; revision++ {
+			typed := drawResource(t)
+			resource, err := catalog.Encode(typed)
+			assert.NilError(t, err)
+			resource.Revision = revision
+			if rapid.Bool().Draw(t, "delete") {
+				delete(stored, resource.Reference())
+			} else {
+				stored[resource.Reference()] = resource
+			}
+			resources := slices.Collect(maps.Values(stored))
+			after, afterProblems := catalog.LoadAfter(previous, resources)
+			fresh, freshProblems := catalog.Load(resources)
+			assert.Equal(t, len(afterProblems), len(freshProblems))
+			if len(freshProblems) == 0 {
+				assert.DeepEqual(t, after, fresh)
+				previous = after
+			}
+		}
+	})
+}
+
+func drawResource(t *rapid.T) any {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	number := rapid.IntRange(1, 3).Draw(t, "number")
+	return rapid.SampledFrom([]any{
+		&catalog.Tenant{Name: ident.Tenant(name), Weight: float64(number)},
+		&catalog.Key{ID: name, Role: catalog.RoleViewer, Digest: strings.Repeat(fmt.Sprint(number), 64)},
+		&catalog.Service{Name: name, Model: name, MaxTokens: number},
+		&catalog.Model{Name: name, Version: fmt.Sprint(number)},
+		&catalog.Zone{Name: ident.Zone(name), Region: "r"},
+		&catalog.Drain{Name: "node/" + name, Reason: fmt.Sprint(number)},
+	}).Draw(t, "typed")
+}
+
 func FuzzParseManifests(f *testing.F) {
 	f.Add([]byte(site))
 	f.Add([]byte(`{"kind":"tenants","spec":{"name":"a","weight":1e400}}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		manifests, err := catalog.ParseManifests(text)
-		if err != nil {
-			return
-		}
-		for _, manifest := range manifests {
-			normal, err := catalog.Normalize(manifest.Resource)
+		for _, parse := range []func([]byte) ([]catalog.Manifest, error){catalog.ParseManifests, catalog.ParseJSONManifests} {
+			manifests, err := parse(text)
 			if err != nil {
-				continue
+				assert.ErrorIs(t, err, catalog.ErrInvalid)
 			}
-			again, err := catalog.Normalize(normal)
-			assert.NilError(t, err)
-			assert.DeepEqual(t, again, normal)
+			checkNormalization(t, manifests)
 		}
 	})
 }
+
+// checkNormalization checks that normalizing twice gives what normalizing once does.
+func checkNormalization(t *testing.T, manifests []catalog.Manifest) {
+	t.Helper()
+	for _, manifest := range manifests {
+		normal, err := catalog.Normalize(manifest.Resource)
+		if err != nil {
+			continue
+		}
+		again, err := catalog.Normalize(normal)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, normal)
+	}
+}
--- a/internal/lab/enginesim/engine.go
+++ b/internal/lab/enginesim/engine.go
@@ -211,6 +211,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stepTime = duration
+	e.scheduler.counters.Steps++
+	e.scheduler.counters.BusyTime += time.Duration(float64(duration) * e.options.TimeScale)
 	running := append([]*sequence(nil), e.scheduler.running...)
 	now := time.Now()
 	for _, finished := range e.scheduler.apply() {
@@ -292,6 +294,9 @@
 func (e *Engine) accept(submitted submission) (*sequence, chan struct{}, *refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
+	e.scheduler.counters.Calls++
+	e.scheduler.counters.LastCall = now
 	if refused := e.refuse(submitted); refused != nil {
 		return nil, nil, refused
 	}
@@ -302,6 +307,7 @@
 	if accepted == nil {
 		accepted = e.newSequence(submitted)
 	}
+	e.scheduler.counters.LastTaken = now
 	e.scheduler.enqueue(accepted)
 	reader := e.attach(accepted)
 	e.wakeUp()
