Let several processes share a loopback scale run

One process may open 20,000 files, 330 nodes in zones of 30 need about that many for their connections alone.

--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -75,6 +75,10 @@
 	flags.Uint64Var(&loopback.Seed, "seed", 20261202, "seed of the run")
 	flags.DurationVar(&loopback.Warm, "warm", 45*time.Second, "length of the warm-up")
 	flags.DurationVar(&loopback.Length, "length", 45*time.Second, "length of the measurement")
+	flags.IntVar(&loopback.First, "first", 0, "first node that this process runs")
+	flags.IntVar(&loopback.Count, "count", 0, "number of nodes that this process runs; 0 means all")
+	flags.IntVar(&loopback.BasePort, "base-port", 0, "port of node zero, if several processes share the fleet")
+	flags.StringVar(&loopback.Directory, "directory", "", "empty folder for the certificates, if several processes share the fleet")
 	flags.BoolVar(&loopback.Configuration, "configuration", true, "add the distribution of configuration")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
 	return command
--- a/internal/lab/scale/authority.go
+++ b/internal/lab/scale/authority.go
@@ -54,10 +54,10 @@
 }
 
 // issue writes a node's certificate, key and authority to files.
-func (a *authority) issue(node ident.Node) (transport.Files, error) {
+func (a *authority) issue(node ident.Node) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return transport.Files{}, fmt.Errorf("make key: %w", err)
+		return fmt.Errorf("make key: %w", err)
 	}
 	a.serial++
 	template := &x509.Certificate{
@@ -70,25 +70,29 @@
 	}
 	encoded, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
 	if err != nil {
-		return transport.Files{}, fmt.Errorf("sign %s: %w", node, err)
+		return fmt.Errorf("sign %s: %w", node, err)
 	}
 	encodedKey, err := x509.MarshalECPrivateKey(key)
 	if err != nil {
-		return transport.Files{}, fmt.Errorf("encode key: %w", err)
-	}
-	files := transport.Files{
-		Certificate: filepath.Join(a.directory, string(node)+".crt"),
-		Key:         filepath.Join(a.directory, string(node)+".key"),
-		Authority:   filepath.Join(a.directory, "authority.crt"),
+		return fmt.Errorf("encode key: %w", err)
 	}
+	files := credentialFiles(a.directory, node)
 	for path, block := range map[string]*pem.Block{
 		files.Key:         {Type: "EC PRIVATE KEY", Bytes: encodedKey},
 		files.Certificate: {Type: "CERTIFICATE", Bytes: encoded},
 		files.Authority:   {Type: "CERTIFICATE", Bytes: a.certificate.Raw},
 	} {
 		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
-			return transport.Files{}, fmt.Errorf("write %s: %w", path, err)
+			return fmt.Errorf("write %s: %w", path, err)
 		}
 	}
-	return files, nil
+	return nil
+}
+
+func credentialFiles(directory string, node ident.Node) transport.Files {
+	return transport.Files{
+		Certificate: filepath.Join(directory, string(node)+".crt"),
+		Key:         filepath.Join(directory, string(node)+".key"),
+		Authority:   filepath.Join(directory, "authority.crt"),
+	}
 }
--- a/internal/lab/scale/loopback.go
+++ b/internal/lab/scale/loopback.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +31,12 @@
 	Warm, Length time.Duration
 	// Configuration adds the distribution of configuration, in front of a key-value service in the process's memory.
 	Configuration bool
+	// First and Count select the nodes that this process runs, where several processes share the fleet because one may
+	// not open enough files; a zero Count means all. BasePort is then the port of node zero, and Directory holds the
+	// certificates, which the process with node zero makes.
+	First, Count int
+	BasePort     int
+	Directory    string
 }
 
 // loopbackNode is one hollow node of a loopback run.
@@ -54,11 +61,21 @@
 
 // Run starts the nodes, waits, and measures.
 func (l Loopback) Run(ctx context.Context) ([]Measurement, error) {
-	directory, err := os.MkdirTemp("", "mallowlatch-scale")
-	if err != nil {
-		return nil, fmt.Errorf("make folder for certificates: %w", err)
+	directory := l.Directory
+	if directory == "" {
+		made, err := os.MkdirTemp("", "mallowlatch-scale")
+		if err != nil {
+			return nil, fmt.Errorf("make folder for certificates: %w", err)
+		}
+		defer func() { _ = os.RemoveAll(made) }()
+		directory = made
+	}
+	if l.Count == 0 {
+		l.Count = l.Shape.Nodes
+	}
+	if err := l.certify(ctx, directory); err != nil {
+		return nil, err
 	}
-	defer func() { _ = os.RemoveAll(directory) }()
 	supervisor, ctx := tomb.WithContext(ctx)
 	r := &loopbackRun{Loopback: l, tomb: supervisor, registry: prometheus.NewRegistry(), store: kvtest.NewData(time.Now)}
 	r.metrics = transport.NewMetrics(r.registry)
@@ -69,13 +86,51 @@
 	return r.measure(ctx)
 }
 
-func (r *loopbackRun) start(ctx context.Context, directory string) error {
+// certify makes the certificates of all nodes, or waits until the process with node zero has.
+func (l Loopback) certify(ctx context.Context, directory string) error {
+	done := filepath.Join(directory, "done")
+	for l.First > 0 {
+		if _, err := os.Stat(done); err == nil {
+			return nil
+		}
+		if err := wait(ctx, time.Second); err != nil {
+			return err
+		}
+	}
 	signer, err := newAuthority(directory)
 	if err != nil {
 		return err
 	}
-	for index := range r.Shape.Nodes {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for index := range l.Shape.Nodes {
+		if err := signer.issue(l.Shape.Place(index).Node); err != nil {
+			return err
+		}
+	}
+	if err := os.WriteFile(done, nil, 0o600); err != nil {
+		return fmt.Errorf("write %s: %w", done, err)
+	}
+	return nil
+}
+
+// address returns where a node listens; without a base port any free one will do.
+func (l Loopback) address(index int) string {
+	if l.BasePort == 0 {
+		return "127.0.0.1:0"
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(l.BasePort+index))
+}
+
+// seeds returns the peer addresses of two nodes of different zones.
+func (r *loopbackRun) seeds() []string {
+	if r.BasePort != 0 {
+		return []string{r.address(0), r.address(r.Shape.Nodes / 2)}
+	}
+	return []string{r.nodes[0].self.PeerAddress, r.nodes[len(r.nodes)/2].self.PeerAddress}
+}
+
+func (r *loopbackRun) start(ctx context.Context, directory string) error {
+	for index := r.First; index < r.First+r.Count; index++ {
+		listener, err := net.Listen("tcp", r.address(index))
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
@@ -85,7 +140,7 @@
 		r.nodes = append(r.nodes, &loopbackNode{self: self, listener: listener})
 	}
 	for index, node := range r.nodes {
-		if err := r.assemble(node, signer, uint64(index)); err != nil {
+		if err := r.assemble(node, directory, uint64(r.First+index)); err != nil {
 			return err
 		}
 		r.tomb.Go(func() error { return node.server.Serve(node.listener) })
@@ -97,19 +152,15 @@
 	return nil
 }
 
-func (r *loopbackRun) assemble(node *loopbackNode, signer *authority, index uint64) error {
-	files, err := signer.issue(node.self.Node)
-	if err != nil {
-		return err
-	}
-	credentials, err := transport.LoadCredentials(files, zerolog.Nop())
+func (r *loopbackRun) assemble(node *loopbackNode, directory string, index uint64) error {
+	credentials, err := transport.LoadCredentials(credentialFiles(directory, node.self.Node), zerolog.Nop())
 	if err != nil {
 		return fmt.Errorf("credentials of %s: %w", node.self.Node, err)
 	}
 	node.server = transport.NewServer(transport.ServerOptions{Credentials: credentials, Metrics: r.metrics})
 	node.members = membership.NewService(membership.Options{
 		Self:   node.self,
-		Seeds:  []string{r.nodes[0].self.PeerAddress, r.nodes[len(r.nodes)/2].self.PeerAddress},
+		Seeds:  r.seeds(),
 		Random: rand.New(rand.NewPCG(r.Seed, index)),
 		Logger: zerolog.Nop(),
 	})
@@ -207,7 +258,7 @@
 
 func (r *loopbackRun) agree() bool {
 	for _, node := range r.nodes {
-		if len(node.members.View().Live("")) != len(r.nodes) {
+		if len(node.members.View().Live("")) != r.Shape.Nodes {
 			return false
 		}
 	}
