Serve the caller and admin APIs by the shared listener, with TLS that reloads

Cause: the node built plain HTTP servers of its own beside the listener package, without TLS. Change: one listener package serves both; metrics now need a key like profiles, and the test of the diagnostics asks for that too.

--- a/internal/listener/admin.go
+++ b/internal/listener/admin.go
@@ -15,8 +15,9 @@
 	Gatherer prometheus.Gatherer
 	// Ready returns nil while new work should be sent to the node.
 	Ready func() error
-	// AuthorizeProfiles returns nil if the request may read profiles, which show memory and stacks. Nil refuses all.
-	AuthorizeProfiles func(request *http.Request) error
+	// Protect lets a handler serve only those who may read: metrics name tenants, and profiles show memory. It must be
+	// set.
+	Protect func(handler http.Handler) http.Handler
 }
 
 // Handler serves /metrics, /healthz, /readyz and /debug/pprof/, and gives every other request to next: the admin API.
@@ -25,7 +26,7 @@
 		bunrouter.WithNotFoundHandler(pass(next)),
 		bunrouter.WithMethodNotAllowedHandler(pass(next)),
 	)
-	router.GET("/metrics", pass(promhttp.HandlerFor(d.Gatherer, promhttp.HandlerOpts{MaxRequestsInFlight: maximumScrapes})))
+	router.GET("/metrics", pass(d.Protect(promhttp.HandlerFor(d.Gatherer, promhttp.HandlerOpts{MaxRequestsInFlight: maximumScrapes}))))
 	router.GET("/healthz", func(response http.ResponseWriter, _ bunrouter.Request) error { return answer(response, nil) })
 	router.GET("/readyz", func(response http.ResponseWriter, _ bunrouter.Request) error { return answer(response, d.Ready()) })
 	router.GET("/debug/pprof/cmdline", d.guarded(pprof.Cmdline))
@@ -48,14 +49,7 @@
 const maximumScrapes = 4
 
 func (d Diagnostics) guarded(serve http.HandlerFunc) bunrouter.HandlerFunc {
-	return func(response http.ResponseWriter, request bunrouter.Request) error {
-		if d.AuthorizeProfiles == nil || d.AuthorizeProfiles(request.Request) != nil {
-			http.Error(response, "profiles need an operator's key", http.StatusForbidden)
-			return nil
-		}
-		serve(response, request.Request)
-		return nil
-	}
+	return pass(d.Protect(serve))
 }
 
 // answer says ok, or why not.
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -130,11 +130,14 @@
 	diagnostics := Diagnostics{
 		Gatherer: prometheus.NewRegistry(),
 		Ready:    func() error { return ready },
-		AuthorizeProfiles: func(request *http.Request) error {
-			if request.Header.Get("Authorization") == "" {
-				return errRefused
-			}
-			return nil
+		Protect: func(handler http.Handler) http.Handler {
+			return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+				if request.Header.Get("Authorization") == "" {
+					response.WriteHeader(http.StatusForbidden)
+					return
+				}
+				handler.ServeHTTP(response, request)
+			})
 		},
 	}
 	handler := diagnostics.Handler(http.HandlerFunc(func(response http.ResponseWriter, _ *http.Request) { response.WriteHeader(http.StatusTeapot) }))
@@ -145,13 +148,12 @@
 		handler.ServeHTTP(recorder, request)
 		return recorder.Code
 	}
-	assert.Equal(t, ask("/metrics", ""), http.StatusOK)
 	assert.Equal(t, ask("/healthz", ""), http.StatusOK)
 	assert.Equal(t, ask("/readyz", ""), http.StatusOK)
 	ready = errRefused
 	assert.Equal(t, ask("/readyz", ""), http.StatusServiceUnavailable)
 	assert.Equal(t, ask("/v1/admin/tenants", ""), http.StatusTeapot)
-	for _, path := range []string{"/debug/pprof/", "/debug/pprof/heap", "/debug/pprof/cmdline"} {
+	for _, path := range []string{"/metrics", "/debug/pprof/", "/debug/pprof/heap", "/debug/pprof/cmdline"} {
 		assert.Equal(t, ask(path, ""), http.StatusForbidden, path)
 		assert.Equal(t, ask(path, "Bearer key"), http.StatusOK, path)
 	}
--- a/internal/node/apis.go
+++ b/internal/node/apis.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/pprof"
-
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"time"
 
 	"mallowlatch.example/mallowlatch/internal/admin"
 	"mallowlatch.example/mallowlatch/internal/auth"
 	"mallowlatch.example/mallowlatch/internal/gateway"
+	"mallowlatch.example/mallowlatch/internal/listener"
 	"mallowlatch.example/mallowlatch/internal/settings"
+	"mallowlatch.example/mallowlatch/internal/tlsreload"
 )
 
 func (n *Node) assembleCallerAPI() error {
@@ -23,8 +23,9 @@
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
-	n.callerServer = newHTTPServer(n.settings.Limits, n.gateway)
-	return nil
+	var err error
+	n.callerServer, err = n.newServer("caller", n.settings.Listen.Caller, n.settings.TLS.Caller, n.gateway)
+	return err
 }
 
 func (n *Node) onlinePath() admittedDispatcher {
@@ -50,36 +51,61 @@
 	if err != nil {
 		return fmt.Errorf("admin API: %w", err)
 	}
-	n.adminServer = newHTTPServer(n.settings.Limits, n.adminRoutes(handler, options))
-	return nil
+	handler = n.diagnostics(options).Handler(handler)
+	n.adminServer, err = n.newServer("admin", n.settings.Listen.Admin, n.settings.TLS.Admin, handler)
+	return err
 }
 
-// adminRoutes adds what only operators may see: metrics and profiles, behind a key that may read, and health, which
-// shows nothing and needs no key.
-func (n *Node) adminRoutes(api http.Handler, options admin.Options) http.Handler {
-	profiles := http.NewServeMux()
-	profiles.HandleFunc("/debug/pprof/", pprof.Index)
-	profiles.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
-	profiles.HandleFunc("/debug/pprof/profile", pprof.Profile)
-	profiles.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
-	profiles.HandleFunc("/debug/pprof/trace", pprof.Trace)
-	metrics := promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})
+// diagnostics are what operators and their tools read beside the admin API, with a key that may read. Health shows nothing
+// and needs none.
+func (n *Node) diagnostics(options admin.Options) listener.Diagnostics {
+	return listener.Diagnostics{
+		Gatherer: n.registry,
+		Ready:    n.gateway.Ready,
+		Protect: func(handler http.Handler) http.Handler {
+			return admin.Protect(options, auth.PermissionRead, handler)
+		},
+	}
+}
 
-	routes := http.NewServeMux()
-	routes.Handle("/admin/", api)
-	routes.Handle("/metrics", admin.Protect(options, auth.PermissionRead, metrics))
-	routes.Handle("/debug/pprof/", admin.Protect(options, auth.PermissionRead, profiles))
-	routes.Handle("/healthz", n.gateway)
-	routes.Handle("/readyz", n.gateway)
-	return routes
+// newServer opens a listener with the limits of the settings, and TLS if it has a certificate.
+func (n *Node) newServer(name string, address settings.Address, certificate settings.Certificate, handler http.Handler) (*listener.Server, error) {
+	limits := n.settings.Limits
+	options := listener.Options{
+		Name:          name,
+		Address:       string(address),
+		Handler:       handler,
+		HeaderBytes:   int(limits.HeaderBytes),
+		HeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:   limits.IdleTimeout,
+		Logger:        n.logger,
+		Registerer:    n.registry,
+	}
+	if certificate.Enabled() {
+		reloader, err := n.newReloader(certificate)
+		if err != nil {
+			return nil, fmt.Errorf("certificate of the %s listener: %w", name, err)
+		}
+		options.TLS = reloader.ServerConfig(tlsreload.ProtocolHTTP2, tlsreload.ProtocolHTTP1)
+	}
+	server, err := listener.New(options)
+	if err != nil {
+		return nil, fmt.Errorf("%s listener: %w", name, err)
+	}
+	return server, nil
 }
 
-// newHTTPServer bounds what a slow or hostile caller can hold open.
-func newHTTPServer(limits settings.Limits, handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    int(limits.HeaderBytes),
+// newReloader loads a listener's certificate; it is followed from the start of the node.
+func (n *Node) newReloader(certificate settings.Certificate) (*tlsreload.Reloader, error) {
+	files := tlsreload.Files{
+		Certificate: string(certificate.Cert),
+		Key:         string(certificate.Key),
+		Authorities: string(certificate.CA),
+	}
+	reloader, err := tlsreload.New(files, n.logger, time.Now)
+	if err != nil {
+		return nil, err
 	}
+	n.reloaders = append(n.reloaders, reloader)
+	return reloader, nil
 }
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/admin"
@@ -293,23 +292,13 @@
 }
 
 func (n *Node) listen() error {
-	var err error
-	if n.listeners.peer, err = open(n.settings.Listen.Peer); err != nil {
-		return err
-	}
-	if n.listeners.admin, err = open(n.settings.Listen.Admin); err != nil {
-		return err
-	}
-	n.listeners.caller, err = open(n.settings.Listen.Caller)
-	return err
-}
-
-func open(address settings.Address) (net.Listener, error) {
-	listener, err := net.Listen("tcp", string(address))
+	address := n.settings.Listen.Peer
+	opened, err := net.Listen("tcp", string(address))
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return listener, nil
+	n.peerListener = opened
+	return nil
 }
 
 func texts(addresses []settings.Address) []string {
@@ -319,11 +308,3 @@
 	}
 	return plain
 }
-
-// serveHTTP serves until the server is shut down.
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
-		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
-	}
-	return nil
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -24,12 +23,14 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/listener"
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/ownership"
 	"mallowlatch.example/mallowlatch/internal/placement"
 	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/tlsreload"
 	"mallowlatch.example/mallowlatch/internal/transport"
 )
 
@@ -81,14 +82,10 @@
 	gateway *gateway.Gateway
 
 	drained      sync.Once
-	callerServer *http.Server
-	adminServer  *http.Server
-	listeners    listeners
-}
-
-// listeners are the open sockets of a node.
-type listeners struct {
-	caller, admin, peer net.Listener
+	callerServer *listener.Server
+	adminServer  *listener.Server
+	peerListener net.Listener
+	reloaders    []*tlsreload.Reloader
 }
 
 // New assembles a node from checked settings. It opens the store and the sockets and starts nothing.
@@ -127,9 +124,9 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	event.NodeStarted.Log(n.logger).
-		Str("caller", n.listeners.caller.Addr().String()).
-		Str("admin", n.listeners.admin.Addr().String()).
-		Str("peer", n.listeners.peer.Addr().String()).
+		Str("caller", n.callerServer.Address()).
+		Str("admin", n.adminServer.Address()).
+		Str("peer", n.peerListener.Addr().String()).
 		Send()
 	select {
 	case <-ctx.Done():
@@ -140,7 +137,7 @@
 
 // start runs the parts. Peers come first: what follows needs them to find configuration and shards.
 func (n *Node) start() error {
-	n.tomb.Go(func() error { return n.peerServer.Serve(n.listeners.peer) })
+	n.tomb.Go(func() error { return n.peerServer.Serve(n.peerListener) })
 	n.members.Start(n.pool)
 	n.run(n.replica.Run)
 	n.run(n.directory.Follow)
@@ -162,8 +159,11 @@
 	if n.placement != nil {
 		n.placement.Start()
 	}
-	n.tomb.Go(func() error { return serveHTTP(n.adminServer, n.listeners.admin) })
-	n.tomb.Go(func() error { return serveHTTP(n.callerServer, n.listeners.caller) })
+	for _, reloader := range n.reloaders {
+		n.run(func(ctx context.Context) error { return reloader.Run(ctx, n.settings.TLS.Poll) })
+	}
+	n.tomb.Go(n.adminServer.Serve)
+	n.tomb.Go(n.callerServer.Serve)
 	return nil
 }
 
@@ -193,10 +193,10 @@
 const nodeDrainPrefix = "node/"
 
 // CallerAddress returns the address of the caller API.
-func (n *Node) CallerAddress() string { return n.listeners.caller.Addr().String() }
+func (n *Node) CallerAddress() string { return n.callerServer.Address() }
 
 // AdminAddress returns the address of the admin API.
-func (n *Node) AdminAddress() string { return n.listeners.admin.Addr().String() }
+func (n *Node) AdminAddress() string { return n.adminServer.Address() }
 
 // stopBound is how long the steps of a planned stop that do not wait for callers may take, each.
 const stopBound = 10 * time.Second
