--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"path/filepath"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
 	"mallowlatch.example/mallowlatch/internal/lab/fleet"
 	"mallowlatch.example/mallowlatch/internal/lab/load"
@@ -54,6 +56,8 @@
 	// counters are the sum over the engines, from the start of the load to its end.
 	counters enginesim.Counters
 	engines  int
+	// perEngine holds the counters of each engine.
+	perEngine []enginesim.Counters
 	// nodes is what the nodes used from the start of the load to the end of the last request.
 	nodes     usage
 	nodeCount int
@@ -81,11 +85,12 @@
 	}
 	lasted, used := time.Since(began), e.nodeUsage(started)
 	used.processor -= usedBefore.processor
-	after := e.counters(ctx, started)
+	each, sum := differences(before, e.counters(ctx, started))
 	e.check(phase.name, report)
 	return outcome{
 		report:    report,
-		counters:  after.Minus(before),
+		counters:  sum,
+		perEngine: each,
 		engines:   len(started.Engines),
 		nodes:     used,
 		nodeCount: len(started.Nodes),
@@ -218,18 +223,39 @@
 	return targets
 }
 
-// counters sums the engines' counters. An engine that does not answer is noted and left out.
-func (e *environment) counters(ctx context.Context, started *fleet.Fleet) enginesim.Counters {
-	var sum enginesim.Counters
-	for _, engine := range started.Engines {
-		var counters enginesim.Counters
-		if err := getJSON(ctx, "http://"+engine.Fault+"/counters", &counters); err != nil {
+// counters reads the counters of every engine. An engine that does not answer is noted and counts as zero.
+func (e *environment) counters(ctx context.Context, started *fleet.Fleet) []enginesim.Counters {
+	readings := make([]enginesim.Counters, len(started.Engines))
+	for index, engine := range started.Engines {
+		if err := getJSON(ctx, "http://"+engine.Fault+"/counters", &readings[index]); err != nil {
 			e.notes = append(e.notes, err.Error())
-			continue
 		}
-		sum = sum.Minus(enginesim.Counters{}.Minus(counters))
 	}
-	return sum
+	return readings
+}
+
+// differences returns what each engine did between two readings, and the sum.
+func differences(before, after []enginesim.Counters) (each []enginesim.Counters, sum enginesim.Counters) {
+	for index := range after {
+		done := after[index].Minus(before[index])
+		each = append(each, done)
+		sum = sum.Minus(enginesim.Counters{}.Minus(done))
+	}
+	return each, sum
+}
+
+// balance returns the tokens of the engine that generated fewest and of the one that generated most, each as a share of
+// the mean.
+func (o outcome) balance() (least, most float64) {
+	total, fewest, largest := int64(0), int64(math.MaxInt64), int64(0)
+	for _, counters := range o.perEngine {
+		tokens := counters.Tokens[inference.Online] + counters.Tokens[inference.Batch]
+		total += tokens
+		fewest = min(fewest, tokens)
+		largest = max(largest, tokens)
+	}
+	mean := float64(max(1, total)) / float64(max(1, len(o.perEngine)))
+	return float64(fewest) / mean, float64(largest) / mean
 }
 
 func getJSON(ctx context.Context, url string, answer any) error {
--- a/internal/lab/experiment/interference.go
+++ b/internal/lab/experiment/interference.go
@@ -135,6 +135,7 @@
 		return err
 	}
 	fields.latency("system", measured.report)
+	fields["system_least_engine_ratio"], fields["system_most_engine_ratio"] = measured.balance()
 	fields.harm("system", "system_alone", measured.report)
 	return nil
 }
--- a/internal/lab/experiment/overload.go
+++ b/internal/lab/experiment/overload.go
@@ -36,6 +36,7 @@
 		fields.latency(name, report)
 		fields[name+"_good_requests_per_s"] = report.GoodPerSecond
 		fields[name+"_refused_share"] = refusedShare(report)
+		fields[name+"_least_engine_ratio"], fields[name+"_most_engine_ratio"] = measured.balance()
 		best = max(best, report.GoodPerSecond)
 		goodput.add(factor, report.GoodPerSecond)
 	}
