--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -122,8 +122,8 @@
 	return ranked[:min(count, len(ranked))]
 }
 
-// reconnect tries a seed that no live member is known at, or a member given up: after a cut inside a zone both sides
-// hold the other for dead, and no probe would ever find out.
+// reconnect tries a seed that no live member is known at, or a member of the own zone given up: after a cut inside a
+// zone both sides hold the other for dead, and no probe would ever find out.
 func (c *Core) reconnect(now time.Time) []Outgoing {
 	live := map[string]bool{c.self.peerAddress: true}
 	var lost []ident.Node
@@ -131,7 +131,7 @@
 		switch {
 		case stored.health != healthDead:
 			live[stored.peerAddress] = true
-		case node != c.self.node:
+		case node != c.self.node && stored.zone == c.self.zone:
 			lost = append(lost, node)
 		}
 	}
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -239,6 +239,22 @@
 	assert.Equal(t, f.store.reserved, 4)
 }
 
+// Permits are used after a random wait, so that zones which miss copies at one time don't load at one time.
+func TestPermitsAreSpread(t *testing.T) {
+	f := newFleet(1, 1)
+	f.store.wait = 0
+	f.services["n0"].options.Random = func() float64 { return 0.9 }
+	f.want("m", "1", 1)
+	for f.store.reserved == 0 {
+		f.round(t)
+	}
+	f.now = f.now.Add(permitSpread * 8 / 10)
+	assert.NilError(t, f.services["n0"].Round(context.Background()))
+	assert.Equal(t, f.orders(), 0)
+	f.round(t)
+	assert.Equal(t, f.orders(), 1)
+}
+
 // A planner that was paused between its look and its orders gives none of them once another has looked.
 func TestPausedPlannerOrdersNothing(t *testing.T) {
 	f := newFleet(1, 1)
