Do not warn of a zone cut off before it was ever reached

Cause: every node warned of every other zone at its start, since a zone it had only heard of counted as cut off. Proof: TestZoneIsReportedCutOffOnlyOnceItWasKnown failed before the change.

--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"slices"
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -81,10 +82,21 @@
 		}
 		eventOfState[member.State].Log(logger).Str("member", string(member.Node)).Send()
 	}
-	logZones(logger, event.ZoneCutOff, after.CutOff, before.CutOff)
+	logZones(logger, event.ZoneCutOff, knownZones(before, after.CutOff), before.CutOff)
 	logZones(logger, event.ZoneReached, before.CutOff, after.CutOff)
 }
 
+// knownZones returns those of the zones that the view has members of. One that is new and not reached yet is not lost.
+func knownZones(view *View, zones []ident.Zone) []ident.Zone {
+	var known []ident.Zone
+	for _, zone := range zones {
+		if slices.ContainsFunc(view.Members, func(member Member) bool { return member.Zone == zone }) {
+			known = append(known, zone)
+		}
+	}
+	return known
+}
+
 // logZones logs the zones that are in the first list only.
 func logZones(logger zerolog.Logger, what event.Event, in, notIn []ident.Zone) {
 	known := map[ident.Zone]bool{}
