Leave a key-value endpoint that hangs or is away

Cause: calls began with the first endpoint each time, so one that held calls open took the whole time of every call, and a fleet with two more endpoints was without the service. TestEndpointThatHangsIsLeft failed on it and passes now.

--- a/internal/kv/etcdhttp/call.go
+++ b/internal/kv/etcdhttp/call.go
@@ -71,30 +71,37 @@
 	return nil
 }
 
-// send posts the request to the endpoints in order and returns the first answer with status 200. It goes on to the
-// next endpoint only while a repeat is harmless: after a failed read, or a change of which nothing was sent.
+// send posts the request and returns the first answer with status 200. It begins with the preferred endpoint and goes on
+// to the next only while a repeat is harmless: after a failed read, or a change of which nothing was sent. An endpoint that
+// failed or said that the service is away is not preferred any more, so that the caller's next call meets another.
 func (s *Store) send(ctx context.Context, path string, kind effect, request any) (*http.Response, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return nil, fmt.Errorf("encode request: %v: %w", err, kv.ErrUnavailable)
 	}
 	var last error
-	for _, endpoint := range s.endpoints {
+	for range s.endpoints {
+		turn := s.preferred.Load()
+		endpoint := s.endpoints[turn%uint64(len(s.endpoints))]
 		response, sent, err := s.post(ctx, endpoint+path, body)
-		if err != nil {
-			last = fmt.Errorf("post: %v: %w", err, kv.ErrUnavailable)
-			if sent {
-				last = fmt.Errorf("post: %v: %w", err, kind.lost())
-			}
-			if sent && kind == change || ctx.Err() != nil {
-				return nil, last
+		if err == nil && response.StatusCode == http.StatusOK {
+			return response, nil
+		}
+		if err == nil {
+			failed := refused(response, kind)
+			if response.StatusCode >= http.StatusInternalServerError {
+				s.preferred.CompareAndSwap(turn, turn+1)
 			}
-			continue
+			return nil, failed
 		}
-		if response.StatusCode == http.StatusOK {
-			return response, nil
+		s.preferred.CompareAndSwap(turn, turn+1)
+		last = fmt.Errorf("post: %v: %w", err, kv.ErrUnavailable)
+		if sent {
+			last = fmt.Errorf("post: %v: %w", err, kind.lost())
+		}
+		if sent && kind == change || ctx.Err() != nil {
+			return nil, last
 		}
-		return nil, refused(response, kind)
 	}
 	return nil, last
 }
--- a/internal/kv/etcdhttp/store.go
+++ b/internal/kv/etcdhttp/store.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -36,6 +37,8 @@
 	client      *http.Client
 	callTimeout time.Duration
 	clientName  string
+	// preferred counts how often calls have moved on; modulo the endpoints it is the one that calls begin with.
+	preferred atomic.Uint64
 }
 
 var _ kv.Store = (*Store)(nil)
@@ -58,7 +61,8 @@
 	return func(s *Store) { s.clientName = name }
 }
 
-// New returns a Store that tries the endpoints ("http://IP:PORT") in order. Nothing is sent until the first call.
+// New returns a Store that stays with one of the endpoints ("http://IP:PORT") until a call to it fails, and then goes on
+// to the next. Nothing is sent until the first call.
 func New(endpoints []string, options ...Option) (*Store, error) {
 	if len(endpoints) == 0 {
 		return nil, fmt.Errorf("new key-value client: %w", ErrNoEndpoint)
--- a/internal/kv/etcdhttp/store_test.go
+++ b/internal/kv/etcdhttp/store_test.go
@@ -176,6 +176,23 @@
 	assert.ErrorIs(t, err, etcdhttp.ErrNoEndpoint)
 }
 
+// TestEndpointThatHangsIsLeft has the first of two endpoints hang: the first call is lost, the next ones are not.
+func TestEndpointThatHangsIsLeft(t *testing.T) {
+	for _, outage := range []kvsim.Outage{kvsim.OutageHang, kvsim.OutageRefuse} {
+		away, _, first := newService(t)
+		away.SetFaults(kvsim.Faults{Outage: outage})
+		_, _, second := newService(t)
+		store, err := etcdhttp.New([]string{first, second}, etcdhttp.WithCallTimeout(300*time.Millisecond))
+		assert.NilError(t, err)
+		_, _, err = store.List(testContext(t), "k")
+		assert.ErrorIs(t, err, kv.ErrUnavailable)
+		for range 2 {
+			_, err = store.Commit(testContext(t), nil, []kv.Write{{Key: "k"}})
+			assert.NilError(t, err)
+		}
+	}
+}
+
 // TestErrorsAfterProposing checks that answers the service gives after it may have proposed a change stay unknown.
 func TestErrorsAfterProposing(t *testing.T) {
 	for _, body := range []string{
