--- a/internal/jobclient/speed_test.go
+++ b/internal/jobclient/speed_test.go
@@ -38,18 +38,34 @@
 	client  *jobclient.Client
 	metrics *prometheus.Registry
 	calls   atomic.Int64
+
+	settings   jobstore.Settings
+	jobMetrics *jobstore.Metrics
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+	mutex      sync.Mutex
 }
 
 // Shards implements jobclient.Directory.
 func (r *rig) Shards() int { return 1 }
 
 // Leader implements jobclient.Directory.
-func (r *rig) Leader(id ident.Shard) (ident.Node, bool) { return r.fleet.Host(0).Leader(id) }
+func (r *rig) Leader(id ident.Shard) (ident.Node, bool) {
+	for number := range replicas {
+		if host := r.fleet.Host(number); host != nil {
+			return host.Leader(id)
+		}
+	}
+	return "", false
+}
 
 // Conn implements transport.Dialer. The client reaches each node over a call of drpc's messages in this process.
 func (r *rig) Conn(_ context.Context, node ident.Node) (drpc.Conn, error) {
-	server, known := r.servers[node]
-	if !known {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	server := r.servers[node]
+	if server == nil {
 		return nil, transport.ErrUnknownNode
 	}
 	return &countingConn{rig: r, server: server}, nil
@@ -86,31 +102,38 @@
 	return encoding.Unmarshal(reply, out)
 }
 
-func newRig(b *testing.B) *rig {
-	made := &rig{servers: map[ident.Node]*jobstore.Server{}, metrics: prometheus.NewRegistry()}
+// newRig starts the hosts. Disks are in a folder, or in memory if it is empty.
+func newRig(b testing.TB, folder string, settings jobstore.Settings) *rig {
+	made := &rig{servers: map[ident.Node]*jobstore.Server{}, metrics: prometheus.NewRegistry(), settings: settings}
+	made.jobMetrics = jobstore.NewMetrics(made.metrics)
+	made.ctx, made.cancel = context.WithCancel(context.Background())
 	made.fleet = shardhosttest.New(shardhosttest.Options{
-		Nodes: 3, Shards: 1, Folder: b.TempDir(), Logger: zerolog.Nop(),
+		Nodes: replicas, Shards: 1, Folder: folder, Logger: zerolog.Nop(),
 		Machine: func(ident.Shard) shard.Machine { return jobstore.NewMachine() },
 	})
 	assert.NilError(b, made.fleet.StartAll())
-	metrics := jobstore.NewMetrics(made.metrics)
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	for number := range 3 {
-		server := jobstore.NewServer(0, made.fleet.Host(number).Replica(0), jobstore.DefaultSettings(), zerolog.Nop(), metrics)
-		made.servers[made.fleet.Name(number)] = server
-		running.Go(func() { _ = server.Run(ctx) })
+	for number := range replicas {
+		made.serve(number)
 	}
 	made.client = jobclient.New(jobclient.Options{Self: "worker", Dialer: made, Directory: made, Logger: zerolog.Nop(), Attempts: 40})
 	b.Cleanup(func() {
-		cancel()
-		running.Wait()
+		made.cancel()
+		made.running.Wait()
 		assert.NilError(b, made.client.Close())
 		assert.NilError(b, made.fleet.Close())
 	})
 	return made
 }
 
+// serve runs the job server of a node that has started.
+func (r *rig) serve(number int) {
+	server := jobstore.NewServer(0, r.fleet.Host(number).Replica(0), r.settings, zerolog.Nop(), r.jobMetrics)
+	r.mutex.Lock()
+	r.servers[r.fleet.Name(number)] = server
+	r.mutex.Unlock()
+	r.running.Go(func() { _ = server.Run(r.ctx) })
+}
+
 // counter reads one of the job store's counters.
 func (r *rig) counter(b *testing.B, name string) float64 {
 	families, err := r.metrics.Gather()
@@ -141,7 +164,7 @@
 // BenchmarkJobs measures accept, lease and complete of whole jobs through three replicas with disks: in chunks, and
 // with one commit for each item. Run it by: go test -run XXX -bench Jobs -benchtime 1x ./internal/jobclient/
 func BenchmarkJobs(b *testing.B) {
-	measured := newRig(b)
+	measured := newRig(b, b.TempDir(), jobstore.DefaultSettings())
 	for _, size := range []struct{ items, chunk int }{
 		{1_000, 256}, {10_000, 256}, {40_000, 256}, {130_000, 256},
 		{500, 1}, {1_000, 1}, {2_000, 1},
