--- a/internal/jobclient/world_test.go
+++ b/internal/jobclient/world_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
-	"pgregory.net/rapid"
 	"storj.io/drpc"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -38,9 +37,14 @@
 	faults
 )
 
+// fataler is what testing and rapid tests share.
+type fataler interface {
+	Fatalf(format string, arguments ...any)
+}
+
 // world is one shard on two nodes. Its log is replicated by assumption: package shard's own tests are about that.
 type world struct {
-	t       *rapid.T
+	t       fataler
 	now     time.Time
 	state   *shardtest.State
 	machine shard.Machine
@@ -66,7 +70,7 @@
 	believes uint64
 }
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t fataler) *world {
 	w := &world{t: t, now: time.Unix(1_700_000_000, 0), state: shardtest.NewState(), machine: jobstore.NewMachine(), leader: "a", nodes: map[ident.Node]*worldNode{}}
 	settings := jobstore.DefaultSettings()
 	settings.Now = func() time.Time { return w.now }
