--- a/internal/jobclient/kept_test.go
+++ b/internal/jobclient/kept_test.go
@@ -101,3 +101,19 @@
 	assert.Equal(t, len(lease.Items), 1)
 	assert.NilError(t, k.client.Complete(k.ctx, lease, answers(lease.Items)))
 }
+
+// TestANewLeaderWaitsBeforeItEndsAStoppedJob: a worker of the old leader may still start items of a cancelled job.
+func TestANewLeaderWaitsBeforeItEndsAStoppedJob(t *testing.T) {
+	k := keep(t, line("a", ""))
+	lease := k.lease(t)
+	_, err := k.client.Cancel(k.ctx, tenant, k.job.ID)
+	assert.NilError(t, err)
+	k.changeLeader("b", true)
+	for _, expected := range []job.Status{job.Cancelling, job.Cancelled} {
+		k.tick()
+		found, err := k.client.Job(k.ctx, tenant, k.job.ID)
+		assert.NilError(t, err)
+		assert.Equal(t, found.Status, expected)
+		k.now = k.now.Add(2 * lease.TTL)
+	}
+}
