--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -58,21 +58,30 @@
 	Nodes  func() []ident.Node
 	Bounds Bounds
 	// MayWait says whether a request may wait rather than be refused; nil means that all may.
-	MayWait func(*inference.Request) bool
+	MayWait func(request *inference.Request, prospect Prospect) bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Registerer gets the metrics; nil registers none.
 	Registerer prometheus.Registerer
 }
 
+// Prospect is what a request that cannot start at once would wait for.
+type Prospect struct {
+	// Wait is the expected time in the queue.
+	Wait time.Duration
+	// Queued is the number of requests of the service that wait on this node.
+	Queued int
+}
+
 // Controller admits requests. It is safe for concurrent use.
 type Controller struct {
 	config  Config
 	metrics *metrics
 
-	mutex    sync.Mutex
-	limits   map[string]*limit
-	home     *home
+	mutex  sync.Mutex
+	limits map[string]*limit
+	home   *home
+	// inFlight counts each tenant's requests, waiting ones too.
 	inFlight map[ident.Tenant]int
 	services map[string]*service
 	waiters  int
@@ -97,7 +106,7 @@
 		config.Nodes = func() []ident.Node { return []ident.Node{config.Node} }
 	}
 	if config.MayWait == nil {
-		config.MayWait = func(*inference.Request) bool { return true }
+		config.MayWait = func(*inference.Request, Prospect) bool { return true }
 	}
 	return &Controller{
 		config:   config,
@@ -146,14 +155,14 @@
 	}
 	ticket := &Ticket{controller: c, tenant: request.Tenant, service: target}
 	if target.concurrency.free() && target.queue.len() == 0 {
-		c.charge(request, now)
-		c.occupy(ticket)
+		c.charge(request)
+		target.concurrency.inFlight++
 		return ticket, nil, nil
 	}
 	if refused := c.checkQueue(request, target, now); refused != nil {
 		return nil, nil, refused
 	}
-	c.charge(request, now)
+	c.charge(request)
 	queued := &waiter{tenant: request.Tenant, bytes: len(request.Body), until: c.giveUpAt(request, now), granted: make(chan struct{})}
 	target.queue.push(queued, tenant.Weight)
 	c.waiters++
@@ -170,10 +179,12 @@
 	return target
 }
 
-// occupy counts an admitted request.
-func (c *Controller) occupy(ticket *Ticket) {
-	ticket.service.concurrency.inFlight++
-	c.inFlight[ticket.tenant]++
+// release ends the count of a tenant's request.
+func (c *Controller) release(tenant ident.Tenant) {
+	c.inFlight[tenant]--
+	if c.inFlight[tenant] <= 0 {
+		delete(c.inFlight, tenant)
+	}
 }
 
 func (c *Controller) giveUpAt(request *inference.Request, now time.Time) time.Time {
@@ -188,7 +199,7 @@
 func (c *Controller) checkQueue(request *inference.Request, target *service, now time.Time) *failure.Error {
 	expected := c.expectedWait(target, now)
 	switch {
-	case !c.config.MayWait(request):
+	case !c.config.MayWait(request, Prospect{Wait: expected, Queued: len(target.queue.order)}):
 		return overloaded("the service is at its limit and its policy lets no request wait", expected)
 	case c.waiters >= c.config.Bounds.Waiters || c.bytes+len(request.Body) > c.config.Bounds.WaitingBytes:
 		return overloaded("too many requests wait on this node", expected)
@@ -240,6 +251,7 @@
 	waited := ticket.service.queue.remove(queued)
 	if waited {
 		c.unqueue(queued)
+		c.release(queued.tenant)
 	}
 	expected := c.expectedWait(ticket.service, c.config.Now())
 	c.mutex.Unlock()
@@ -279,10 +291,7 @@
 		t.service.concurrency.overloaded(now)
 	}
 	t.service.concurrency.inFlight--
-	c.inFlight[t.tenant]--
-	if c.inFlight[t.tenant] <= 0 {
-		delete(c.inFlight, t.tenant)
-	}
+	c.release(t.tenant)
 	c.grantNext(t.service)
 }
 
@@ -294,7 +303,7 @@
 			return
 		}
 		c.unqueue(next)
-		c.occupy(&Ticket{controller: c, tenant: next.tenant, service: target})
+		target.concurrency.inFlight++
 		close(next.granted)
 	}
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -72,6 +72,8 @@
 	events chan func()
 	// draining is closed by Drain.
 	draining chan struct{}
+	// tenants counts what runs, for the policies, which may ask from another goroutine.
+	tenants tenantCounter
 
 	book     *leaseBook
 	runners  map[ident.Runner]*runnerState
@@ -138,7 +140,7 @@
 // Start begins the work.
 func (w *Worker) Start() { w.tomb.Go(w.loop) }
 
-// Drain stops leasing and starting items, gives back those that never ran, and waits until the others have ended and
+// Drain stops leasing and starting items, gives back those that do not run, and waits until the others have ended and
 // are committed, or ctx is done.
 func (w *Worker) Drain(ctx context.Context) error {
 	w.post(func() {
@@ -215,12 +217,12 @@
 
 // turn brings everything up to date. Preemption comes first: it is what a caller waits for.
 func (w *Worker) turn(now time.Time) {
-	w.readOwnership(now)
+	w.readOwnership()
 	grants := w.grants(now)
 	w.preempt(grants)
 	w.expire(now)
 	if w.stopping {
-		w.releaseFresh()
+		w.releaseQueued()
 	} else {
 		w.startItems(grants, now)
 		w.feed(now)
--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -143,24 +144,25 @@
 // Relay reports whether this node is one of its zone's relays, by its own view of the peers.
 func (c *Core) Relay() bool { return contains(c.relays[c.self.Zone], c.self.Node) }
 
-// SetPeers replaces the list of live peers. A relay compares copies at once with the relays of zones that have come
-// into view, so that a healed cut is caught up on without waiting.
+// SetPeers replaces the list of live peers. A node that has just come up compares copies with one of them at once; a
+// relay does so with the relays of zones that have come into view, so that a healed cut is caught up on without waiting.
 func (c *Core) SetPeers(now time.Time, peers []Peer) {
-	before := c.relays
-	c.peers = c.peers[:0]
-	live := make(map[ident.Node]bool, len(peers))
-	for _, peer := range peers {
-		if peer.Node != c.self.Node {
-			c.peers = append(c.peers, peer)
-			live[peer.Node] = true
-		}
+	others := slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return peer.Node == c.self.Node })
+	if c.relays != nil && slices.Equal(others, c.peers) {
+		return
 	}
+	before := c.relays
+	alone := len(c.peers) == 0
+	c.peers = others
 	for node := range c.known {
-		if !live[node] {
+		if !contains(c.peers, node) {
 			delete(c.known, node)
 		}
 	}
 	c.relays = chooseRelays(append([]Peer{c.self}, c.peers...), c.timing.RelaysPerZone)
+	if near := c.zonePeers(); alone && len(near) > 0 {
+		c.sendDigest(c.pick(near))
+	}
 	if !c.Relay() {
 		return
 	}
@@ -211,7 +213,7 @@
 	for _, change := range changes {
 		// The revisions are dense: only the change right after ours may be applied. An older one would take the
 		// configuration back, a later one would skip what lies between.
-		if change.Revision != c.state.Revision+1 {
+		if change.Revision <= c.state.Revision || change.Revision-1 != c.state.Revision {
 			continue
 		}
 		if change.Chain != nextChain(c.state.Chain, change.ID) {
@@ -257,13 +259,13 @@
 	if digest.Revision >= c.state.Revision {
 		return delta
 	}
-	first := len(c.tail) - int(c.state.Revision-digest.Revision)
-	if first < 0 {
+	oldest := c.state.Revision - int64(len(c.tail))
+	if digest.Revision < oldest {
 		delta.Snapshot = true
 		return delta
 	}
 	size := 0
-	for _, change := range c.tail[first:] {
+	for _, change := range c.tail[digest.Revision-oldest:] {
 		size += change.size()
 		if size > maxDeltaBytes && len(delta.Changes) > 0 {
 			break
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -13,5 +13,6 @@
 		newFleet(),
 		newLoad(),
 		newExperiment(),
+		newScale(),
 	}
 }
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/admin"
 	"mallowlatch.example/mallowlatch/internal/admission"
 	"mallowlatch.example/mallowlatch/internal/admission/admissionpb"
 	"mallowlatch.example/mallowlatch/internal/batch"
@@ -16,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/jobstore"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
@@ -23,6 +24,8 @@
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/membership/membershippb"
 	"mallowlatch.example/mallowlatch/internal/ownership"
+	"mallowlatch.example/mallowlatch/internal/placement/placementpb"
+	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/transport"
@@ -115,7 +118,7 @@
 		Store:      store,
 		Peers:      n.peers,
 		Dialer:     n.pool,
-		Decode:     catalogDecoder(n.logger),
+		Decode:     admin.NewDecode(n.logger),
 		DataDir:    string(n.settings.DataDir),
 		Logger:     n.logger,
 		Registerer: n.registry,
@@ -174,6 +177,19 @@
 	return !known || found.Repeatable
 }
 
+// assemblePolicies prepares what the policies in force decide on this node.
+func (n *Node) assemblePolicies() error {
+	n.policies = live.New(n.replica, n.logger, time.Now)
+	n.cutOff = &cutOffWatch{
+		zone:     n.zone(),
+		region:   ident.Region(n.settings.Node.Region),
+		view:     n.members.View,
+		policies: n.policies,
+	}
+	n.demandMeter = newDemandMeter(time.Now)
+	return nil
+}
+
 func (n *Node) assembleOnline() error {
 	n.engines = newEngineDirectory()
 	n.table = dispatch.NewTable()
@@ -211,6 +227,9 @@
 			Waiters: n.settings.Dispatch.QueueDepth,
 			Wait:    n.settings.Dispatch.QueueTimeout,
 		},
+		MayWait: func(request *inference.Request, prospect admission.Prospect) bool {
+			return n.policies.MayWait(policyRequest(request, prospect))
+		},
 		Registerer: n.registry,
 	})
 	n.demand = admission.NewExchange(n.admission, n.pool)
@@ -232,6 +251,7 @@
 }
 
 func (n *Node) assembleBatch() error {
+	order := &jobOrder{source: n.replica, policies: n.policies, cutOff: n.cutOff, running: n.runningByTenant}
 	n.worker = batch.New(batch.Config{
 		Node:       n.id(),
 		Table:      n.table,
@@ -239,13 +259,16 @@
 		Catalog:    n.replica,
 		Ownership:  batchClaims{service: n.owners},
 		Work:       n.jobs,
-		Order:      newJobOrder(n.replica, n.logger).order,
+		Order:      order.order,
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
 	return nil
 }
 
+// runningByTenant counts the batch items that run now on this node's runners.
+func (n *Node) runningByTenant() map[ident.Tenant]int { return n.worker.RunningByTenant() }
+
 // register adds the parts' calls to the peer listener.
 func (n *Node) register() error {
 	steps := []func() error{
@@ -254,6 +277,9 @@
 		func() error { return dispatchpb.DRPCRegisterRunnerExchange(n.peerServer, n.exchange) },
 		func() error { return admissionpb.DRPCRegisterDemandHome(n.peerServer, n.demand) },
 	}
+	if n.placementAgent != nil {
+		steps = append(steps, func() error { return placementpb.DRPCRegisterPlacement(n.peerServer, n.placementAgent) })
+	}
 	if n.storage != nil {
 		steps = append(steps, func() error { return n.storage.Register(n.peerServer) })
 	}
@@ -266,23 +292,13 @@
 }
 
 func (n *Node) listen() error {
-	var err error
-	if n.listeners.peer, err = open(n.settings.Listen.Peer); err != nil {
-		return err
-	}
-	if n.listeners.admin, err = open(n.settings.Listen.Admin); err != nil {
-		return err
-	}
-	n.listeners.caller, err = open(n.settings.Listen.Caller)
-	return err
-}
-
-func open(address settings.Address) (net.Listener, error) {
-	listener, err := net.Listen("tcp", string(address))
+	address := n.settings.Listen.Peer
+	opened, err := net.Listen("tcp", string(address))
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return listener, nil
+	n.peerListener = opened
+	return nil
 }
 
 func texts(addresses []settings.Address) []string {
@@ -292,11 +308,3 @@
 	}
 	return plain
 }
-
-// serveHTTP serves until the server is shut down.
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
-		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
-	}
-	return nil
-}
