--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -23,7 +23,6 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
-	"mallowlatch.example/mallowlatch/internal/request"
 )
 
 const (
@@ -150,10 +149,13 @@
 	var output, faults strings.Builder
 	for index, line := range bytes.Split(bytes.TrimSpace(f.files[spec.InputFile]), []byte("\n")) {
 		created.Counts.Total++
-		parsed, err := request.DecodeLine(line, index+1, spec.Endpoint)
-		if err != nil {
+		var parsed struct {
+			CustomID string `json:"custom_id"`
+		}
+		if json.Unmarshal(line, &parsed) != nil {
 			created.Counts.Failed++
-			faults.Write(append(newEnvelope(failure.As(err)).encode(), '\n'))
+			refused := failure.New(failure.CodeInvalidLine, "not JSON").WithLine(index + 1)
+			faults.Write(append(newEnvelope(refused).encode(), '\n'))
 			continue
 		}
 		created.Counts.Completed++
--- a/internal/request/body.go
+++ b/internal/request/body.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -54,8 +55,8 @@
 	case 'n':
 		return nil
 	case '"':
-		var text string
-		if err := json.Unmarshal(raw, &text); err != nil {
+		text, err := unquote(raw)
+		if err != nil {
 			return err
 		}
 		t.texts = []string{text}
@@ -67,6 +68,17 @@
 	}
 }
 
+// unquote returns the text of a JSON string. raw is valid JSON and UTF-8, so that a string without escapes, the usual
+// long prompt, is its own text.
+func unquote(raw []byte) (string, error) {
+	if bytes.IndexByte(raw, '\\') < 0 {
+		return string(raw[1 : len(raw)-1]), nil
+	}
+	var text string
+	err := json.Unmarshal(raw, &text)
+	return text, err
+}
+
 const errWrongType = failure.Kind("wrong type")
 
 func (t *textOrList) unmarshalList(raw []byte) error {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -1,5 +1,5 @@
-// Package request validates the JSON body of an online request or of a batch line, bounds it, and resolves it against
-// the configuration. It is pure: the caller API and the batch workers give it bytes and a snapshot.
+// Package request validates the JSON body of an online request, bounds it, and resolves it against the configuration.
+// It is pure: its caller gives it bytes and a snapshot.
 package request
 
 import (
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -83,32 +83,6 @@
 	return encoded
 }
 
-func TestLineErrorsNameTheLineAndField(t *testing.T) {
-	good := `{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":"assistant"}}`
-	line, err := DecodeLine([]byte(good), 1, inference.Completions)
-	assert.NilError(t, err)
-	assert.Equal(t, line.CustomID, "a")
-	for content, param := range map[string]string{
-		"{":                                     "",
-		"[]":                                    "",
-		strings.Replace(good, `"a"`, `""`, 1):   "custom_id",
-		strings.Replace(good, `"a"`, `7`, 1):    "custom_id",
-		strings.Replace(good, "POST", "GET", 1): "method",
-		strings.Replace(good, "completions", "embeddings", 1):          "url",
-		strings.Replace(good, `{"model":"assistant"}`, `"x"`, 1):       "body",
-		strings.Replace(good, `"a"`, `"`+long(maximumCustomID)+`"`, 1): "custom_id",
-		long(MaximumLineBytes): "",
-	} {
-		_, err := DecodeLine([]byte(content), 7, inference.Completions)
-		failed := failure.As(err)
-		assert.Equal(t, failed.Code, failure.CodeInvalidLine)
-		assert.Equal(t, failed.Line, 7)
-		assert.Equal(t, failed.Param, param, failed.Message)
-	}
-}
-
-func long(bytes int) string { return strings.Repeat("x", bytes+1) }
-
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"model":"assistant","messages":[{"role":"user","content":["a",{"type":"text","text":"b"}]}]}`), true)
 	f.Add([]byte(`{"model":"assistant","prompt":"x","max_tokens":3,"stream":true,"stream_options":{}}`), false)
@@ -130,15 +104,3 @@
 		assert.Assert(t, json.Valid(decoded.Body))
 	})
 }
-
-func FuzzDecodeLine(f *testing.F) {
-	f.Add([]byte(`{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":"assistant"}}`))
-	f.Fuzz(func(t *testing.T, content []byte) {
-		line, err := DecodeLine(content, 3, inference.Completions)
-		if err != nil {
-			assert.Equal(t, failure.As(err).Line, 3)
-			return
-		}
-		assert.Assert(t, line.CustomID != "" && json.Valid(line.Body))
-	})
-}
