Caller API: a long answer over a weak link only has to move on

A whole answer, a stored one or a large chunk was written under one deadline, so 16 MB needed 800 kB/s. Now each 64 KiB has a deadline of its own. Ruled out on the way: taking the read deadline back by hand after the body; removing that changed nothing, since net/http does it when it begins to watch the connection, and a test now pins it.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -35,8 +35,7 @@
 		body.release()
 		return nil, err
 	}
-	// The server watches for the caller's going by reading on: that read must not time out.
-	_ = e.control.SetReadDeadline(time.Time{})
+	// The server takes the deadline back at the end of the body, where it begins to watch for the caller's going.
 	return body, nil
 }
 
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -15,8 +15,6 @@
 const (
 	// jobCallTimeout bounds a call to the job store that moves no file.
 	jobCallTimeout = 30 * time.Second
-	// copyBytes is the piece of a download that is written under one deadline.
-	copyBytes = 64 << 10
 )
 
 type fileObject struct {
@@ -112,7 +110,7 @@
 		return err
 	}
 	defer content.Close()
-	buffer := make([]byte, copyBytes)
+	buffer := make([]byte, pieceBytes)
 	for {
 		count, err := io.ReadFull(content, buffer)
 		ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
@@ -131,8 +129,7 @@
 		e.Header().Set("Content-Type", "application/octet-stream")
 		e.WriteHeader(http.StatusOK)
 	}
-	e.extendWriteDeadline()
-	if _, err := e.Write(piece); err != nil {
+	if err := e.writePieces(piece); err != nil {
 		e.callerFailed(err)
 		return false
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,7 +63,6 @@
 		return errAnswered
 	}
 	s.begin()
-	s.exchange.extendWriteDeadline()
 	if err := s.writeEvent(chunk.Data); err != nil {
 		return s.callerFailed(err)
 	}
@@ -90,10 +89,11 @@
 		data = oneLine(data)
 	}
 	response := s.exchange.response
+	s.exchange.extendWriteDeadline()
 	if _, err := response.Write(eventPrefix); err != nil {
 		return err
 	}
-	if _, err := response.Write(data); err != nil {
+	if err := s.exchange.writePieces(data); err != nil {
 		return err
 	}
 	if _, err := response.Write(eventEnd); err != nil {
@@ -126,7 +126,6 @@
 		_ = s.exchange.control.Flush()
 		return
 	}
-	s.exchange.extendWriteDeadline()
 	if err := s.writeEvent(newEnvelope(failed).encode()); err != nil {
 		s.exchange.callerFailed(err)
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -33,13 +33,20 @@
 	}
 }
 
-// open sends a streamed request over a connection of its own and leaves the answer unread.
-func (s *site) open(t testing.TB) net.Conn {
+// dial opens a connection of its own.
+func (s *site) dial(t testing.TB) net.Conn {
 	t.Helper()
 	connection, err := net.Dial("tcp", s.server.Listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { connection.Close() })
 	assert.NilError(t, connection.SetDeadline(time.Now().Add(patience)))
+	return connection
+}
+
+// open sends a streamed request over a connection of its own and leaves the answer unread.
+func (s *site) open(t testing.TB) net.Conn {
+	t.Helper()
+	connection := s.dial(t)
 	call, err := http.NewRequest(http.MethodPost, s.server.URL+chatPath, strings.NewReader(streamBody))
 	assert.NilError(t, err)
 	call.Header.Set("Authorization", "Bearer "+testKey)
@@ -117,6 +124,38 @@
 	assert.ErrorContains(t, await(t, ended, "the write deadline"), "timeout")
 }
 
+// TestSlowBodyIsCutOff proves that a caller who trickles a body is answered and holds no memory.
+func TestSlowBodyIsCutOff(t *testing.T) {
+	for path, kind := range map[string]string{chatPath: "application/json", "/v1/files": formType} {
+		site := newSite(t, greet, func(options *Options) { options.Limits.BodyTimeout = 50 * time.Millisecond })
+		connection := site.dial(t)
+		_, err := io.WriteString(connection, "POST "+path+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+
+			"\r\nContent-Type: "+kind+"\r\nContent-Length: 1000\r\n\r\n--b\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+		_, err = io.ReadAll(connection)
+		assert.NilError(t, err, "the server must close the connection")
+		assert.Equal(t, site.gateway.buffered.held.Load(), int64(0))
+	}
+}
+
+// TestBodyTimeoutEndsWithTheBody pins what net/http does for us: the read that watches for the caller's going does not
+// inherit the body's deadline, so a request may take longer than its body.
+func TestBodyTimeoutEndsWithTheBody(t *testing.T) {
+	site := newSite(t, func(ctx context.Context, request *inference.Request, sink Sink) error {
+		select {
+		case <-ctx.Done():
+			return failure.New(failure.CodeCancelled, "gone")
+		case <-time.After(300 * time.Millisecond):
+			return sendWords(request, sink, "late")
+		}
+	}, func(options *Options) { options.Limits.BodyTimeout = 100 * time.Millisecond })
+	response, body := site.post(t, chatPath, chatBody)
+	assert.Equal(t, response.StatusCode, http.StatusOK, body)
+}
+
 // TestRequestGivenUpOnGetsItsAnswer proves that a stuck dispatcher cannot keep a caller waiting, and that nothing is
 // written after the final answer.
 func TestRequestGivenUpOnGetsItsAnswer(t *testing.T) {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -70,11 +70,26 @@
 
 // writeJSON answers with a JSON object.
 func (e *exchange) writeJSON(status int, body []byte) {
-	e.extendWriteDeadline()
 	e.Header().Set("Content-Type", "application/json")
 	e.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	e.WriteHeader(status)
-	if _, err := e.Write(body); err != nil {
+	if err := e.writePieces(body); err != nil {
 		e.callerFailed(err)
 	}
 }
+
+// pieceBytes is what a caller must take within one write deadline: a long answer over a weak link only has to move on.
+const pieceBytes = 64 << 10
+
+// writePieces writes the content, giving each piece a deadline of its own.
+func (e *exchange) writePieces(content []byte) error {
+	for len(content) > 0 {
+		e.extendWriteDeadline()
+		count, err := e.Write(content[:min(pieceBytes, len(content))])
+		if err != nil {
+			return err
+		}
+		content = content[count:]
+	}
+	return nil
+}
