--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -276,6 +276,15 @@
 	return nil
 }
 
+// shownDetails bounds the failures quoted of one ledger of a phase.
+const shownDetails = 5
+
+func (e *environment) addDetails(name string, details []string) {
+	for _, detail := range details[:min(len(details), shownDetails)] {
+		e.notes = append(e.notes, name+": "+detail)
+	}
+}
+
 // check notes everything in a report that is not a plain success, so that no figure hides lost work.
 func (e *environment) check(name string, report *load.Report) {
 	online, batch := report.Online, report.Batch
@@ -286,8 +295,13 @@
 	if online.DoubledRuns > 0 {
 		e.notes = append(e.notes, fmt.Sprintf("%s: %d requests that must run once ran more often", name, online.DoubledRuns))
 	}
+	if batch.Unfinished > 0 {
+		e.notes = append(e.notes, fmt.Sprintf("%s: batch accepted %d, unfinished at the end %d", name, batch.Accepted, batch.Unfinished))
+	}
 	if batch.Lost+batch.Doubled+batch.Foreign+batch.Wrong+batch.Failed > 0 || len(batch.Refused) > 0 {
 		e.notes = append(e.notes, fmt.Sprintf("%s: batch accepted %d completed %d failed %d lost %d doubled %d foreign %d wrong %d refused %v",
 			name, batch.Accepted, batch.Completed, batch.Failed, batch.Lost, batch.Doubled, batch.Foreign, batch.Wrong, batch.Refused))
 	}
+	e.addDetails(name, batch.Details)
+	e.addDetails(name, online.Details)
 }
--- a/internal/lab/experiment/provision.go
+++ b/internal/lab/experiment/provision.go
@@ -5,11 +5,13 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/admin"
 	"mallowlatch.example/mallowlatch/internal/lab/fleet"
 )
 
@@ -63,8 +65,12 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	var result admin.ChangeResult
+	if err := json.Unmarshal(content, &result); err != nil || response.StatusCode >= http.StatusBadRequest {
 		return fmt.Errorf("%w: configuration answered %d: %.500s", ErrSetup, response.StatusCode, content)
 	}
+	if result.InForce == nil || !*result.InForce {
+		return fmt.Errorf("%w: configuration is not in force: %.500s", ErrSetup, content)
+	}
 	return nil
 }
