State an engine's incarnation in its load report

Cause: an engine that is killed and started again forgets its owner epoch. An epoch alone cannot tell a late word from a fresh engine; the incarnation can. The field is additive; ownership does not read it yet.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -91,6 +91,9 @@
 	OwnerEpoch uint64
 	// Owner is the node that holds OwnerEpoch.
 	Owner ident.Node
+	// Incarnation differs between any two starts of the engine, or is empty if the engine does not say. A new one means
+	// that epochs, streams and kept tokens of the last are gone.
+	Incarnation string
 }
 
 // LoadedModel is a model the engine holds.
--- a/internal/engine/openaihttp/control.go
+++ b/internal/engine/openaihttp/control.go
@@ -47,6 +47,7 @@
 		Leaving:       load.Leaving,
 		OwnerEpoch:    load.OwnerEpoch,
 		Owner:         ident.Node(load.Owner),
+		Incarnation:   load.Incarnation,
 	}
 	for _, model := range load.Models {
 		report.Models = append(report.Models, engine.LoadedModel(model))
--- a/internal/engine/openaihttp/dialect/dialect.go
+++ b/internal/engine/openaihttp/dialect/dialect.go
@@ -76,6 +76,8 @@
 	Leaving              bool     `json:"leaving"`
 	OwnerEpoch           uint64   `json:"owner_epoch"`
 	Owner                string   `json:"owner"`
+	// Incarnation differs between any two starts of the engine.
+	Incarnation string `json:"incarnation"`
 }
 
 // Model is a loaded model.
--- a/internal/lab/enginesim/engine.go
+++ b/internal/lab/enginesim/engine.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/engine/openaihttp/dialect"
@@ -36,6 +37,8 @@
 	runs    *runLedger
 	wake    chan struct{}
 	tomb    tomb.Tomb
+	// incarnation differs between any two starts.
+	incarnation string
 
 	server, faultServer     *http.Server
 	address, faultAddress   string
@@ -56,13 +59,15 @@
 func New(options Options) *Engine {
 	options = options.withDefaults()
 	created := &Engine{
-		options:   options,
-		faults:    newFaultSwitch(options.Seed),
-		runs:      newRunLedger(),
-		wake:      make(chan struct{}, 1),
-		random:    rand.New(rand.NewPCG(options.Seed, uint64(time.Now().UnixNano()))),
-		sequences: map[ident.Request][]*sequence{},
-		orders:    newOrderBook(options),
+		options: options,
+		faults:  newFaultSwitch(options.Seed),
+		runs:    newRunLedger(),
+		wake:    make(chan struct{}, 1),
+
+		incarnation: ulid.Make().String(),
+		random:      rand.New(rand.NewPCG(options.Seed, uint64(time.Now().UnixNano()))),
+		sequences:   map[ident.Request][]*sequence{},
+		orders:      newOrderBook(options),
 	}
 	created.cache = newPrefixCache(options.BlockTokens, created.cacheChanged)
 	created.scheduler = scheduler{options: options, cache: created.cache, started: created.recordStart}
--- a/internal/lab/enginesim/report.go
+++ b/internal/lab/enginesim/report.go
@@ -47,6 +47,7 @@
 		Leaving:              e.orders.leaving,
 		OwnerEpoch:           reply.Epoch,
 		Owner:                reply.Owner,
+		Incarnation:          e.incarnation,
 	}
 }
 
