--- a/internal/batch/ended.go
+++ b/internal/batch/ended.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/job"
 	"mallowlatch.example/mallowlatch/internal/outcome"
@@ -50,6 +51,7 @@
 	case errors.Is(done.err, engine.ErrFenced):
 		state.fencedEpoch = done.epoch
 		w.metrics.fenced()
+		event.BatchFenced.Log(w.config.Logger).Str("runner", string(done.runner)).Uint64("epoch", done.epoch).Send()
 	case errors.Is(done.err, engine.ErrLeaving):
 		table.ObserveLeaving(done.runner, true, now)
 	case errors.Is(done.err, engine.ErrBusy):
@@ -60,7 +62,9 @@
 		return
 	default:
 		state.pausedUntil = now.Add(busyPause)
-		table.ObserveFailure(done.runner, now)
+		if table.ObserveFailure(done.runner, now) {
+			event.RunnerEjected.Log(w.config.Logger).Str("runner", string(done.runner)).Err(done.err).Send()
+		}
 	}
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/credit"
 	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
@@ -238,6 +239,7 @@
 
 func (w *Worker) cancelLease(held *heldLease) {
 	w.metrics.leaseLost()
+	event.BatchLeaseLost.Log(w.config.Logger).Str("job", string(held.lease.Job)).Str("lease", held.lease.ID).Send()
 	delete(w.commits, held)
 	for _, state := range w.runners {
 		for running := range state.running {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -9,6 +9,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
 	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
@@ -177,7 +178,9 @@
 	case errors.Is(failed.cause, engine.ErrRejected), errors.Is(failed.cause, errSink), errors.Is(failed.cause, context.Canceled):
 		return
 	default:
-		table.ObserveFailure(runner, now)
+		if table.ObserveFailure(runner, now) {
+			event.RunnerEjected.Log(f.dispatcher.config.Logger).Str("runner", string(runner)).Err(failed.cause).Send()
+		}
 	}
 }
 
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
@@ -136,12 +137,19 @@
 	report, err := target.Load(ctx)
 	now := e.config.Now()
 	e.metrics.polled(err)
-	e.config.Table.ObserveProbe(runner, now, err == nil)
+	if e.config.Table.ObserveProbe(runner, now, err == nil) {
+		event.RunnerRecovered.Log(e.config.Logger).Str("runner", string(runner)).Send()
+	}
 	if err != nil {
-		if e.tomb.Alive() {
-			e.config.Table.ObserveFailure(runner, now)
-		}
+		e.pollFailed(runner, err, now)
 		return
 	}
 	e.config.Table.ObserveReport(runner, report, now)
 }
+
+// pollFailed counts a failed poll against the runner, unless this node is stopping.
+func (e *Exchange) pollFailed(runner ident.Runner, err error, now time.Time) {
+	if e.tomb.Alive() && e.config.Table.ObserveFailure(runner, now) {
+		event.RunnerEjected.Log(e.config.Logger).Str("runner", string(runner)).Err(err).Send()
+	}
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -219,9 +219,15 @@
 	})
 }
 
-// ObserveFailure records a failure that points at the runner or the way to it.
-func (t *Table) ObserveFailure(runner ident.Runner, now time.Time) {
-	t.with(runner, func(known *entry) { known.health.failed(now) })
+// ObserveFailure records a failure that points at the runner or the way to it, and reports whether it took the runner
+// out of use.
+func (t *Table) ObserveFailure(runner ident.Runner, now time.Time) (ejected bool) {
+	t.with(runner, func(known *entry) {
+		before := known.health.ejected
+		known.health.failed(now)
+		ejected = !before && known.health.ejected
+	})
+	return ejected
 }
 
 // ObserveSuccess records a request that the runner answered.
@@ -229,9 +235,14 @@
 	t.with(runner, func(known *entry) { known.health.succeeded() })
 }
 
-// ObserveProbe records the result of a probe of the runner.
-func (t *Table) ObserveProbe(runner ident.Runner, now time.Time, succeeded bool) {
-	t.with(runner, func(known *entry) { known.health.probed(now, succeeded) })
+// ObserveProbe records the result of a probe of the runner, and reports whether it brought the runner back into use.
+func (t *Table) ObserveProbe(runner ident.Runner, now time.Time, succeeded bool) (recovered bool) {
+	t.with(runner, func(known *entry) {
+		before := known.health.ejected
+		known.health.probed(now, succeeded)
+		recovered = before && !known.health.ejected
+	})
+	return recovered
 }
 
 // ObserveCache takes cache events, which come late and with gaps and so only correct the own history.
