--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -57,14 +57,22 @@
 	// Nodes returns the live nodes with this one; nil means that it is alone.
 	Nodes  func() []ident.Node
 	Bounds Bounds
-	// MayWait says whether a request may wait rather than be refused; nil means that all may.
-	MayWait func(*inference.Request) bool
+	// MayWait says whether a request may wait rather than be refused; nil means that all may. It must not block.
+	MayWait func(request *inference.Request, wait Wait) bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Registerer gets the metrics; nil registers none.
 	Registerer prometheus.Registerer
 }
 
+// Wait is what a request that has to wait would meet.
+type Wait struct {
+	// Expected is the estimated wait, zero if nothing is known.
+	Expected time.Duration
+	// Queued is the number of requests before it.
+	Queued int
+}
+
 // Controller admits requests. It is safe for concurrent use.
 type Controller struct {
 	config  Config
@@ -98,7 +106,7 @@
 		config.Nodes = func() []ident.Node { return []ident.Node{config.Node} }
 	}
 	if config.MayWait == nil {
-		config.MayWait = func(*inference.Request) bool { return true }
+		config.MayWait = func(*inference.Request, Wait) bool { return true }
 	}
 	return &Controller{
 		config:   config,
@@ -191,7 +199,7 @@
 func (c *Controller) checkQueue(request *inference.Request, target *service, now time.Time) *failure.Error {
 	expected := c.expectedWait(target, now)
 	switch {
-	case !c.config.MayWait(request):
+	case !c.config.MayWait(request, Wait{Expected: expected, Queued: target.queue.len()}):
 		return overloaded("the service is at its limit and its policy lets no request wait", expected)
 	case c.waiters >= c.config.Bounds.Waiters || c.bytes+len(request.Body) > c.config.Bounds.WaitingBytes:
 		return overloaded("too many requests wait on this node", expected)
