Look at all runners once a second and at the owned ones often

Batch credits now tell apart what may start from what may run on, so that an online arrival takes the reserve and preempts only when there is none.

--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -58,7 +58,7 @@
 	for runner, state := range w.runners {
 		view, known := w.config.Table.Runner(runner, now)
 		if !known || !state.owned {
-			state.granted = 0
+			state.granted = credit.Credits{}
 			grants = append(grants, grant{runner: runner, state: state})
 			continue
 		}
@@ -69,7 +69,7 @@
 			Leaving:      view.Leaving,
 		}
 		credits := state.controller.Decide(input, now)
-		state.granted = credits.Sequences
+		state.granted = credits
 		grants = append(grants, grant{runner: runner, state: state, view: view, credits: credits})
 	}
 	slices.SortFunc(grants, func(a, b grant) int { return cmp.Compare(a.runner, b.runner) })
@@ -82,7 +82,7 @@
 		if granted.view.Leaving {
 			continue
 		}
-		surplus := len(granted.state.running) - granted.credits.Sequences
+		surplus := len(granted.state.running) - granted.credits.Hold
 		if surplus <= 0 {
 			continue
 		}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -90,8 +90,8 @@
 	owned      bool
 	controller *credit.Controller
 	running    map[*execution]struct{}
-	// granted is the number of sequences of the last credits.
-	granted int
+	// granted are the last credits.
+	granted credit.Credits
 	// prefill counts the prompt tokens of runs that have given no token yet.
 	prefill int
 	// pausedUntil is the end of a pause after a refusal.
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -23,8 +23,13 @@
 }
 
 // Credits is the batch work a runner may carry.
+//
+// Invariant: Sequences is at most Hold.
 type Credits struct {
-	// Sequences bounds the batch sequences that may run. Those above it are to be preempted at once.
+	// Hold bounds the batch sequences that may run on. Those above it are to be preempted at once.
+	Hold int
+	// Sequences bounds the batch sequences when one is started. It leaves a reserve free, so that an online arrival
+	// finds room without a preemption; the reserve is restored as batch sequences end.
 	Sequences int
 	// PrefillTokens bounds the prompt tokens of batch items that were sent and have given no token yet.
 	PrefillTokens int
@@ -85,16 +90,16 @@
 	online := input.KnownOnline + c.unexplained(report)
 	c.trackStep(report, online)
 	capacity := float64(report.MaxSequences)
-	free := capacity - float64(online) - c.reserve(capacity)
-	free = min(free, math.Floor(capacity*c.stepLimit))
-	sequences := max(0, int(free))
+	hold := max(0, report.MaxSequences-online)
 	if crowded(report) {
-		sequences = min(sequences, max(0, input.RunningBatch-crowdedFactor*report.WaitingOnline))
+		hold = min(hold, max(0, input.RunningBatch-crowdedFactor*report.WaitingOnline))
 	}
+	free := min(float64(hold), capacity-float64(online)-c.reserve(capacity), math.Floor(capacity*c.stepLimit))
+	sequences := max(0, int(free))
 	if report.MemoryUsed >= memoryFull {
 		sequences = min(sequences, input.RunningBatch)
 	}
-	return Credits{Sequences: sequences, PrefillTokens: prefillLimit(online)}
+	return Credits{Hold: hold, Sequences: sequences, PrefillTokens: prefillLimit(online)}
 }
 
 // crowded reports whether online work waits on the engine because there is no room for it. Work that waits beside free
--- /dev/null
+++ b/internal/dispatch/exchange/bench_test.go
@@ -0,0 +1,115 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
+	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/machine"
+)
+
+// alone is a fleet in which this node owns every runner.
+type alone struct{}
+
+func (alone) Owner(ident.Runner) (ident.Node, bool) { return "me", true }
+func (alone) Peers() []Peer                         { return nil }
+
+// designTable is a table of 880 runners in 11 zones with full reports.
+func designTable() *dispatch.Table {
+	table := dispatch.NewTable()
+	list := machine.List{}
+	for index := range 880 {
+		list.Runners = append(list.Runners, machine.Runner{ID: designRunner(index), Zone: ident.Zone(fmt.Sprint("zone-", index%11)), State: machine.Live})
+	}
+	table.SetMachines(list, begin)
+	for index := range 880 {
+		table.ObserveReport(designRunner(index), engine.LoadReport{
+			Measured: begin, RunningOnline: 20, RunningBatch: 30, MaxSequences: 64, MemoryUsed: 0.4, MemoryTokens: 400000,
+			StepTime: 25 * time.Millisecond, Models: []engine.LoadedModel{{Name: fmt.Sprint("model-", index%29), Version: "2026-11"}},
+		}, begin)
+	}
+	return table
+}
+
+func designRunner(index int) ident.Runner {
+	return ident.Runner(fmt.Sprintf("10.%d.%d.%d:9000", index%11, index/256, index%256))
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkOnlineCount is one message of one count and its reply, without the transport.
+func BenchmarkOnlineCount(b *testing.B) {
+	tested := New(Config{Node: "me", Zone: "zone-0", Table: designTable(), Peers: alone{}, Now: func() time.Time { return begin }})
+	message := &dispatchpb.OnlineCounts{Node: "node-10-1-0-7", Counts: []*dispatchpb.OnlineCount{{Runner: string(designRunner(5)), InFlight: 3}}}
+	replyBytes := 0
+	before := processorTime()
+	for b.Loop() {
+		message.Sequence++
+		encoded, err := proto.Marshal(message)
+		assert.NilError(b, err)
+		received := &dispatchpb.OnlineCounts{}
+		assert.NilError(b, proto.Unmarshal(encoded, received))
+		reply, err := tested.Online(context.Background(), received)
+		assert.NilError(b, err)
+		encodedReply, err := proto.Marshal(reply)
+		assert.NilError(b, err)
+		replyBytes = len(encodedReply)
+	}
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(proto.Size(message)), "message-bytes")
+	b.ReportMetric(float64(replyBytes), "reply-bytes")
+}
+
+// BenchmarkShare is one share of three runners, as a node of the design size owns, and what the receiver spends on it.
+func BenchmarkShare(b *testing.B) {
+	tested := New(Config{Node: "me", Zone: "zone-0", Table: designTable(), Peers: alone{}, Now: func() time.Time { return begin }})
+	message := tested.ownedStates(tested.config.Table.Runners(begin)[:3])
+	before := processorTime()
+	for b.Loop() {
+		encoded, err := proto.Marshal(message)
+		assert.NilError(b, err)
+		received := &dispatchpb.RunnerStates{}
+		assert.NilError(b, proto.Unmarshal(encoded, received))
+		_, err = tested.Share(context.Background(), received)
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(proto.Size(message)), "message-bytes")
+}
+
+// BenchmarkWholeLook is one look at all 880 runners, and BenchmarkUsualLook one at the three a node owns.
+func BenchmarkWholeLook(b *testing.B) {
+	table := designTable()
+	benchmarkLook(b, func() []dispatch.RunnerView { return table.Runners(begin) })
+}
+
+func BenchmarkUsualLook(b *testing.B) {
+	table := designTable()
+	often := []ident.Runner{designRunner(1), designRunner(2), designRunner(3)}
+	benchmarkLook(b, func() []dispatch.RunnerView { return table.RunnersOf(often, begin) })
+}
+
+func benchmarkLook(b *testing.B, views func() []dispatch.RunnerView) {
+	plan := newPollPlan(Intervals{}.withDefaults())
+	owns := func(ident.Runner) (own, ownerless bool) { return false, false }
+	before := processorTime()
+	for b.Loop() {
+		plan.due(views(), "zone-0", owns, begin)
+	}
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+}
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// planTick is how often the plans are looked at.
-	planTick = 25 * time.Millisecond
+	// planTick is how often the runners this node polls often are looked at, and wholeTick how often all are: a look at
+	// the 880 runners of the design size takes 0.3 ms.
+	planTick  = 25 * time.Millisecond
+	wholeTick = time.Second
 	// maxPolls bounds the load requests on their way at once.
 	maxPolls = 32
 	// pollTimeout bounds one load request.
@@ -33,7 +35,6 @@
 
 // due returns the runners to ask now, those of the own zone first.
 func (p *pollPlan) due(views []dispatch.RunnerView, zone ident.Zone, owns func(ident.Runner) (own, ownerless bool), now time.Time) []ident.Runner {
-	p.forget(views)
 	var wanted []dispatch.RunnerView
 	for _, view := range views {
 		if !p.polling[view.ID] && p.wants(&view, zone, owns, now) {
@@ -59,6 +60,18 @@
 	return 1
 }
 
+// polledOften returns the runners that are asked every PollOwned, or may soon be.
+func (p *pollPlan) polledOften(views []dispatch.RunnerView, zone ident.Zone, owns func(ident.Runner) (own, ownerless bool)) []ident.Runner {
+	var often []ident.Runner
+	for _, view := range views {
+		own, ownerless := owns(view.ID)
+		if own || view.Ejected || view.Report == nil || (ownerless && view.Zone == zone) {
+			often = append(often, view.ID)
+		}
+	}
+	return often
+}
+
 // wants reports whether a runner's report is older than this node may let it be.
 func (p *pollPlan) wants(view *dispatch.RunnerView, zone ident.Zone, owns func(ident.Runner) (own, ownerless bool), now time.Time) bool {
 	since := now.Sub(p.last[view.ID])
@@ -76,6 +89,7 @@
 // defaultRetryUnknown is the time between tries to get the first report of a runner this node does not own.
 const defaultRetryUnknown = time.Second
 
+// forget drops the runners that are listed no more.
 func (p *pollPlan) forget(views []dispatch.RunnerView) {
 	if len(p.last) <= len(views) {
 		return
@@ -95,6 +109,8 @@
 func (e *Exchange) periodicLoop() error {
 	ticker := time.NewTicker(planTick)
 	defer ticker.Stop()
+	var wholeAt time.Time
+	var often []ident.Runner
 	for {
 		select {
 		case <-e.tomb.Dying():
@@ -102,17 +118,31 @@
 		case <-ticker.C:
 		}
 		now := e.config.Now()
+		if now.Before(wholeAt) {
+			e.pollDue(e.config.Table.RunnersOf(often, now), now)
+			continue
+		}
+		wholeAt = now.Add(wholeTick)
 		views := e.config.Table.Runners(now)
 		e.mutex.Lock()
-		due := e.polls.due(views, e.config.Zone, e.owns, now)
+		e.polls.forget(views)
 		e.mutex.Unlock()
-		for _, runner := range due {
-			e.tomb.Go(func() error {
-				e.poll(runner)
-				return nil
-			})
-		}
+		e.pollDue(views, now)
 		e.share(views, now)
+		often = e.polls.polledOften(views, e.config.Zone, e.owns)
+	}
+}
+
+// pollDue asks the runners among the views that are due.
+func (e *Exchange) pollDue(views []dispatch.RunnerView, now time.Time) {
+	e.mutex.Lock()
+	due := e.polls.due(views, e.config.Zone, e.owns, now)
+	e.mutex.Unlock()
+	for _, runner := range due {
+		e.tomb.Go(func() error {
+			e.poll(runner)
+			return nil
+		})
 	}
 }
 
--- a/internal/dispatch/exchange/share.go
+++ b/internal/dispatch/exchange/share.go
@@ -20,8 +20,9 @@
 	return sharePlan{intervals: intervals, last: map[ident.Node]time.Time{}}
 }
 
-// maxShares bounds the peers told in one look, which spreads the messages over the interval.
-const maxShares = 8
+// maxShares bounds the peers told in one look, which spreads the messages over the interval. At the design size about
+// sixteen are due in a second.
+const maxShares = 64
 
 // due returns the peers to tell now.
 func (s *sharePlan) due(peers []Peer, zone ident.Zone, now time.Time) []ident.Node {
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -9,12 +9,16 @@
 	"mallowlatch.example/mallowlatch/internal/schedule"
 )
 
+// usualCopies is a guess at the runners that hold a model.
+const usualCopies = 64
+
 // Snapshot returns the runners that have the model, for one decision.
 func (t *Table) Snapshot(zone ident.Zone, distance map[ident.Zone]float64, model string, blocks []uint64, now time.Time) *schedule.Snapshot {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	snapshot := &schedule.Snapshot{Zone: zone, Distance: distance}
 	matched := t.prefixes.Match(blocks)
+	snapshot.Runners = make([]schedule.Runner, 0, min(len(t.ordered), usualCopies))
 	for _, known := range t.ordered {
 		if !holds(known.report, model) {
 			continue
@@ -89,6 +93,19 @@
 	return views
 }
 
+// RunnersOf returns what is known of the given runners, in their order, without those not listed.
+func (t *Table) RunnersOf(runners []ident.Runner, now time.Time) []RunnerView {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	views := make([]RunnerView, 0, len(runners))
+	for _, runner := range runners {
+		if known, found := t.runners[runner]; found {
+			views = append(views, known.describe(now))
+		}
+	}
+	return views
+}
+
 func (e *entry) describe(now time.Time) RunnerView {
 	view := RunnerView{
 		ID: e.id, Zone: e.zone, Address: e.address,
