--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -102,6 +102,13 @@
 
 const bearerPrefix = "Bearer "
 
+// unconfiguredRetryAfter is when callers of a node without a configuration should come back.
+const unconfiguredRetryAfter = 2 * time.Second
+
+// unconfigured reports whether the node has not got a configuration yet: a node that restarts without a disk while the
+// key-value service is away knows no key, and must not call a good one wrong.
+func unconfigured(snapshot *catalog.Snapshot) bool { return snapshot.Revision == 0 && len(snapshot.Keys) == 0 }
+
 // authenticate finds the caller's key in the newest snapshot, which then serves the whole exchange.
 func (e *exchange) authenticate() error {
 	e.snapshot = e.gateway.options.Source.Current()
@@ -110,6 +117,9 @@
 		return failure.New(failure.CodeInvalidKey, "an API key is required: Authorization: Bearer KEY")
 	}
 	key, err := auth.Authenticate(e.snapshot, strings.TrimSpace(header[len(bearerPrefix):]))
+	if err != nil && unconfigured(e.snapshot) {
+		return failure.New(failure.CodeConfigUnavailable, "this node has no configuration yet").WithRetryAfter(unconfiguredRetryAfter)
+	}
 	if err != nil {
 		return failure.New(failure.CodeInvalidKey, "the API key is not known").WithCause(err)
 	}
