--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,7 +107,9 @@
 
 // unconfigured reports whether the node has not got a configuration yet: a node that restarts without a disk while the
 // key-value service is away knows no key, and must not call a good one wrong.
-func unconfigured(snapshot *catalog.Snapshot) bool { return snapshot.Revision == 0 && len(snapshot.Keys) == 0 }
+func unconfigured(snapshot *catalog.Snapshot) bool {
+	return snapshot.Revision == 0 && len(snapshot.Keys) == 0
+}
 
 // authenticate finds the caller's key in the newest snapshot, which then serves the whole exchange.
 func (e *exchange) authenticate() error {
