--- a/internal/dispatch/exchange/exchange.go
+++ b/internal/dispatch/exchange/exchange.go
@@ -51,7 +51,7 @@
 const (
 	defaultPollOwned = 250 * time.Millisecond
 	defaultShareNear = 5 * time.Second
-	defaultShareFar  = 30 * time.Second
+	defaultShareFar  = time.Minute
 	defaultStaleNear = 12 * time.Second
 	defaultStaleFar  = 90 * time.Second
 )
