--- a/internal/jobclient/world_test.go
+++ b/internal/jobclient/world_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
-	"pgregory.net/rapid"
 	"storj.io/drpc"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -37,16 +37,23 @@
 	faults
 )
 
+// fataler is what testing and rapid tests share.
+type fataler interface {
+	Fatalf(format string, arguments ...any)
+}
+
 // world is one shard on two nodes. Its log is replicated by assumption: package shard's own tests are about that.
 type world struct {
-	t       *rapid.T
+	t       fataler
 	now     time.Time
 	state   *shardtest.State
 	machine shard.Machine
 	index   uint64
 	leader  ident.Node
-	round   uint64
-	nodes   map[ident.Node]*worldNode
+	// known is the leader the directory names. It may be the one before.
+	known ident.Node
+	round uint64
+	nodes map[ident.Node]*worldNode
 	// proposalFault and callFault befall the next proposal and the next call.
 	proposalFault, callFault fault
 	// pending are proposals and calls that take effect later.
@@ -59,10 +66,12 @@
 	name     ident.Node
 	server   *jobstore.Server
 	registry *jobstore.Registry
+	// believes is the round in which the node thinks it leads, or zero. A deposed leader may go on believing.
+	believes uint64
 }
 
-func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.Unix(1_700_000_000, 0), state: shardtest.NewState(), machine: jobstore.NewMachine(), leader: "a", round: 1, nodes: map[ident.Node]*worldNode{}}
+func newWorld(t fataler) *world {
+	w := &world{t: t, now: time.Unix(1_700_000_000, 0), state: shardtest.NewState(), machine: jobstore.NewMachine(), leader: "a", nodes: map[ident.Node]*worldNode{}}
 	settings := jobstore.DefaultSettings()
 	settings.Now = func() time.Time { return w.now }
 	settings.NewID = w.newID
@@ -74,9 +83,24 @@
 		node.registry.Add(node.server)
 		w.nodes[name] = node
 	}
+	w.changeLeader("a", true)
 	return w
 }
 
+// changeLeader begins a new term. The old leader and the directory may not notice; the old leader can neither read nor
+// propose any more.
+func (w *world) changeLeader(leader ident.Node, notices bool) {
+	if notices && leader != w.leader {
+		w.nodes[w.leader].believes = 0
+	}
+	if notices {
+		w.known = leader
+	}
+	w.round++
+	w.leader = leader
+	w.nodes[leader].believes = w.round
+}
+
 // newID returns ids that sort by time and are the same in every run of a schedule.
 func (w *world) newID() string {
 	w.ids++
@@ -91,7 +115,7 @@
 func (w *world) Shards() int { return 1 }
 
 // Leader implements jobclient.Directory.
-func (w *world) Leader(ident.Shard) (ident.Node, bool) { return w.leader, true }
+func (w *world) Leader(ident.Shard) (ident.Node, bool) { return w.known, true }
 
 // Conn implements transport.Dialer.
 func (w *world) Conn(_ context.Context, node ident.Node) (drpc.Conn, error) {
@@ -156,7 +180,7 @@
 
 // Leading implements shard.Replica.
 func (n *worldNode) Leading() (shard.Leadership, bool) {
-	return shard.Leadership{Epoch: 1, Round: n.world.round}, n.world.leader == n.name
+	return shard.Leadership{Epoch: 1, Round: n.believes}, n.believes > 0
 }
 
 // faultyConn is a connection on which calls get lost, late or doubled. It calls the node without a network.
@@ -206,3 +230,15 @@
 	proto.Merge(out.(proto.Message), proto.Clone(answer.(proto.Message)))
 	return nil
 }
+
+// newRequest returns an empty request of a call.
+func newRequest(rpc string) proto.Message {
+	description := pb.DRPCJobStoreDescription{}
+	for number := range description.NumMethods() {
+		name, _, _, method, _ := description.Method(number)
+		if name == rpc {
+			return reflect.New(reflect.TypeOf(method).In(2).Elem()).Interface().(proto.Message)
+		}
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,10 +23,14 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/listener"
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/ownership"
+	"mallowlatch.example/mallowlatch/internal/placement"
+	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/tlsreload"
 	"mallowlatch.example/mallowlatch/internal/transport"
 )
 
@@ -57,6 +61,10 @@
 	storage   *storage
 	jobs      *jobclient.Client
 
+	policies    *live.Evaluator
+	cutOff      *cutOffWatch
+	demandMeter *demandMeter
+
 	engines    *engineDirectory
 	table      *dispatch.Table
 	poller     *machinePoller
@@ -66,16 +74,18 @@
 	demand     *admission.Exchange
 	dispatcher *dispatch.Dispatcher
 	worker     *batch.Worker
-	gateway    *gateway.Gateway
 
-	callerServer *http.Server
-	adminServer  *http.Server
-	listeners    listeners
-}
+	// placementAgent and placement are nil without a weight store.
+	placementAgent *placement.Agent
+	placement      *placement.Service
 
-// listeners are the open sockets of a node.
-type listeners struct {
-	caller, admin, peer net.Listener
+	gateway *gateway.Gateway
+
+	drained      sync.Once
+	callerServer *listener.Server
+	adminServer  *listener.Server
+	peerListener net.Listener
+	reloaders    []*tlsreload.Reloader
 }
 
 // New assembles a node from checked settings. It opens the store and the sockets and starts nothing.
@@ -85,7 +95,9 @@
 		node.assemblePeers,
 		node.assembleConfiguration,
 		node.assembleStorage,
+		node.assemblePolicies,
 		node.assembleOnline,
+		node.assemblePlacement,
 		node.assembleBatch,
 		node.assembleCallerAPI,
 		node.assembleAdminAPI,
@@ -112,9 +124,9 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	event.NodeStarted.Log(n.logger).
-		Str("caller", n.listeners.caller.Addr().String()).
-		Str("admin", n.listeners.admin.Addr().String()).
-		Str("peer", n.listeners.peer.Addr().String()).
+		Str("caller", n.callerServer.Address()).
+		Str("admin", n.adminServer.Address()).
+		Str("peer", n.peerListener.Addr().String()).
 		Send()
 	select {
 	case <-ctx.Done():
@@ -125,7 +137,7 @@
 
 // start runs the parts. Peers come first: what follows needs them to find configuration and shards.
 func (n *Node) start() error {
-	n.tomb.Go(func() error { return n.peerServer.Serve(n.listeners.peer) })
+	n.tomb.Go(func() error { return n.peerServer.Serve(n.peerListener) })
 	n.members.Start(n.pool)
 	n.run(n.replica.Run)
 	n.run(n.directory.Follow)
@@ -144,8 +156,14 @@
 	n.exchange.Start()
 	n.demand.Start()
 	n.worker.Start()
-	n.tomb.Go(func() error { return serveHTTP(n.adminServer, n.listeners.admin) })
-	n.tomb.Go(func() error { return serveHTTP(n.callerServer, n.listeners.caller) })
+	if n.placement != nil {
+		n.placement.Start()
+	}
+	for _, reloader := range n.reloaders {
+		n.run(func(ctx context.Context) error { return reloader.Run(ctx, n.settings.TLS.Poll) })
+	}
+	n.tomb.Go(n.adminServer.Serve)
+	n.tomb.Go(n.callerServer.Serve)
 	return nil
 }
 
@@ -154,11 +172,15 @@
 	n.tomb.Go(func() error { return work(n.tomb.Context(context.Background())) })
 }
 
-// followDrains passes the operators' drains of each new configuration to the runner table.
+// followDrains passes the operators' drains of each new configuration to the runner table, and drains this node if one
+// of them names it. A drained node stays up, without work, until it is stopped; it takes work again after a restart.
 func (n *Node) followDrains(ctx context.Context) error {
 	for {
 		snapshot := n.replica.Current()
 		n.table.SetDrains(snapshot.Drains)
+		if _, drained := snapshot.Drains[nodeDrainPrefix+string(n.id())]; drained {
+			n.drain()
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -167,11 +189,14 @@
 	}
 }
 
+// nodeDrainPrefix begins the name of a drain of a node.
+const nodeDrainPrefix = "node/"
+
 // CallerAddress returns the address of the caller API.
-func (n *Node) CallerAddress() string { return n.listeners.caller.Addr().String() }
+func (n *Node) CallerAddress() string { return n.callerServer.Address() }
 
 // AdminAddress returns the address of the admin API.
-func (n *Node) AdminAddress() string { return n.listeners.admin.Addr().String() }
+func (n *Node) AdminAddress() string { return n.adminServer.Address() }
 
 // stopBound is how long the steps of a planned stop that do not wait for callers may take, each.
 const stopBound = 10 * time.Second
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,11 +41,12 @@
 
 // Platform holds the addresses of the platform's services.
 type Platform struct {
-	KVEndpoints []Address     `yaml:"kv_endpoints" required:"true" doc:"Addresses of the key-value service, tried in order."`
-	KVTimeout   time.Duration `yaml:"kv_timeout" default:"2s" min:"10ms" max:"1m" doc:"Longest wait for one answer of the key-value service."`
-	MachineList Address       `yaml:"machine_list" required:"true" doc:"Address of the machine list."`
-	MachinePoll time.Duration `yaml:"machine_poll" default:"2s" min:"100ms" max:"10m" doc:"Time between readings of the machine list."`
-	WeightStore Address       `yaml:"weight_store" doc:"Address of the weight store. Empty means that the node never orders loads."`
+	KVEndpoints  []Address     `yaml:"kv_endpoints" required:"true" doc:"Addresses of the key-value service, tried in order."`
+	KVTimeout    time.Duration `yaml:"kv_timeout" default:"2s" min:"10ms" max:"1m" doc:"Longest wait for one answer of the key-value service."`
+	MachineList  Address       `yaml:"machine_list" required:"true" doc:"Address of the machine list."`
+	MachinePoll  time.Duration `yaml:"machine_poll" default:"2s" min:"100ms" max:"10m" doc:"Time between readings of the machine list."`
+	WeightStore  Address       `yaml:"weight_store" doc:"Address of the weight store. Empty means that the node never orders loads."`
+	RunnerMemory Size          `yaml:"runner_memory" default:"80GiB" min:"1MiB" max:"16384GiB" doc:"What each runner has for the weights of models and adapters."`
 }
 
 // Jobs shapes the job shards. Shards, Replicas and MinimumCopies must be the same on every node.
@@ -86,6 +87,7 @@
 	BufferedBodyBytes  Size          `yaml:"buffered_body_bytes" default:"256MiB" min:"1MiB" max:"64GiB" doc:"Request bodies held in memory at once on this node; more are refused."`
 	RequestTimeout     time.Duration `yaml:"request_timeout" default:"10m" min:"1s" max:"24h" doc:"Longest time of one online request; it ends with deadline_exceeded."`
 	WriteTimeout       time.Duration `yaml:"write_timeout" default:"20s" min:"100ms" max:"10m" doc:"Longest wait for a caller to take one piece of its answer; then the request is aborted."`
+	Connections        int           `yaml:"connections" unit:"connections" default:"16384" min:"1" max:"1000000" doc:"Open connections of a listener; more wait until one closes."`
 	HeaderTimeout      time.Duration `yaml:"header_timeout" default:"10s" min:"100ms" max:"10m" doc:"Longest time a caller may take to send the header of a request."`
 	BodyTimeout        time.Duration `yaml:"body_timeout" default:"1m" min:"100ms" max:"1h" doc:"Longest time a caller may take to send the body of a request other than a file upload."`
 	IdleTimeout        time.Duration `yaml:"idle_timeout" default:"2m" min:"1s" max:"1h" doc:"How long an idle connection is kept."`
