Put stand-ins for weak links in front of the nodes of a lab fleet

Plan.Links puts one before every node's peer listener; the experiment faults uses it for the kinds cut_node, cut_zone and freeze_link. A link knows the node it leads to but not who sends, so a cut is one-way: nothing reaches the node, and it still reaches the others. The reverse, and a zone that keeps its own links, cannot be expressed by one link per node.

--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -43,6 +43,8 @@
 	engineArguments []string
 	// nodes says that the load goes through nodes.
 	nodes bool
+	// links puts a link in front of every node's peer listener.
+	links bool
 	load  load.Options
 	// shape changes the load once the addresses are known.
 	shape func(*load.Options, *fleet.Fleet)
@@ -175,6 +177,7 @@
 	plan.BasePort = e.options.BasePort
 	plan.Models = []string{service}
 	plan.AdminKey = adminKey
+	plan.Links = phase.links
 	plan.NodeSettings = e.options.NodeSettings
 	plan.EngineArguments = append([]string{
 		"--max-sequences", strconv.Itoa(e.options.MaxSequences),
--- a/internal/lab/experiment/faultplan.go
+++ b/internal/lab/experiment/faultplan.go
@@ -23,6 +23,13 @@
 	faultKeyValueOutageKill faultKind = "key_value_outage_and_kill"
 	// faultLostAnswersKill kills a node while the key-value service loses half of its answers after the change.
 	faultLostAnswersKill faultKind = "lost_answers_and_kill"
+	// faultCutNode cuts the link to a node with a disk for longer than any lease: nothing reaches the node, and it still
+	// reaches the others.
+	faultCutNode faultKind = "cut_node"
+	// faultCutZone does the same to every node of a zone, so that they do not reach each other either.
+	faultCutZone faultKind = "cut_zone"
+	// faultFreezeLink has a node's link pass nothing while its connections stay open.
+	faultFreezeLink faultKind = "freeze_link"
 	// faultEngineFreeze stops an engine's steps and answers.
 	faultEngineFreeze faultKind = "freeze_engine"
 	// faultEngineCut closes an engine's streams midway; it holds them for a resume.
@@ -37,7 +44,7 @@
 
 var faultKinds = []faultKind{
 	faultKill, faultPause, faultWipe, faultWipeTwo, faultKillPaused, faultKeyValueOutage, faultKeyValueOutageKill,
-	faultLostAnswersKill, faultEngineFreeze, faultEngineCut, faultEngineDie, faultEngineDrop, faultChunks,
+	faultLostAnswersKill, faultCutNode, faultCutZone, faultFreezeLink, faultEngineFreeze, faultEngineCut, faultEngineDie, faultEngineDrop, faultChunks,
 }
 
 // plannedFault is one fault of a schedule. First and Second choose the targets: each is a random number, taken modulo the
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -17,6 +17,7 @@
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
 	"mallowlatch.example/mallowlatch/internal/lab/fleet"
 	"mallowlatch.example/mallowlatch/internal/lab/kvsim"
+	"mallowlatch.example/mallowlatch/internal/lab/linksim"
 	"mallowlatch.example/mallowlatch/internal/lab/load"
 	"mallowlatch.example/mallowlatch/internal/shard"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
@@ -53,6 +54,7 @@
 	measured, err := environment.runPhase(ctx, phase{
 		name:  "faults",
 		nodes: true,
+		links: true,
 		load: load.Options{
 			Rate:          environment.rate(faultRate),
 			NotRepeatable: faultNotRepeatable,
@@ -151,6 +153,12 @@
 		return keyValue(ctx, started, kvsim.Faults{Outage: kvsim.OutageRefuse}, func() error { return restart(ctx, disks[first], false) })
 	case faultLostAnswersKill:
 		return keyValue(ctx, started, kvsim.Faults{LoseAnswers: 0.5}, func() error { return restart(ctx, disks[first], false) })
+	case faultCutNode:
+		return linkFault(ctx, disks[first:first+1], linksim.Faults{Cut: true})
+	case faultCutZone:
+		return linkFault(ctx, zoneOf(started, fault.First), linksim.Faults{Cut: true})
+	case faultFreezeLink:
+		return linkFault(ctx, disks[first:first+1], linksim.Faults{Freeze: true})
 	case faultEngineFreeze:
 		return engineFault(ctx, engine, enginesim.Faults{Freeze: true})
 	case faultEngineCut:
@@ -245,6 +253,33 @@
 	return setFaults(context.WithoutCancel(ctx), engine.Fault, enginesim.Faults{})
 }
 
+// linkFault sets faults of the links to nodes, holds them for longer than any lease and takes them back.
+func linkFault(ctx context.Context, nodes []fleet.Node, faults linksim.Faults) error {
+	set := setLinks(ctx, nodes, faults)
+	sleep(ctx, faultHold)
+	return errors.Join(set, setLinks(context.WithoutCancel(ctx), nodes, linksim.Faults{}))
+}
+
+func setLinks(ctx context.Context, nodes []fleet.Node, faults linksim.Faults) error {
+	var failed error
+	for _, node := range nodes {
+		failed = errors.Join(failed, setFaults(ctx, node.Link.Fault, faults))
+	}
+	return failed
+}
+
+// zoneOf returns the nodes of the zone that a random number chooses.
+func zoneOf(started *fleet.Fleet, random int) []fleet.Node {
+	zone := started.Plan.Zones[random%len(started.Plan.Zones)].Name
+	var nodes []fleet.Node
+	for _, node := range started.Nodes {
+		if node.Zone == zone {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
 func setFaults(ctx context.Context, address string, faults any) error {
 	body, err := json.Marshal(faults)
 	if err != nil {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -26,6 +27,8 @@
 	*Process
 	ID, Zone            string
 	Caller, Admin, Peer string
+	// Link is what other nodes reach the peer listener through; nil without links.
+	Link *StandIn
 	// DataDirectory is empty for a node without a disk.
 	DataDirectory string
 }
@@ -166,14 +169,42 @@
 	arguments := []string{"node", "--config", f.Plan.path("settings", id+".yaml")}
 	arguments = append(arguments, settingFlags(f.Plan.NodeSettings)...)
 	node.Process = f.process(id, "mallowlatch", node.Admin, "/readyz", arguments)
+	if f.Plan.Links {
+		node.Link = f.newLink(id, node.Peer)
+	}
 	return node
 }
 
+// newLink lays out the link in front of a node's peer listener.
+func (f *Fleet) newLink(id, target string) *StandIn {
+	address, fault := f.address(), f.address()
+	arguments := []string{"link", "--listen", address, "--target", target, "--fault-listen", fault}
+	process := f.process(id+"-link", "mallowlatch-lab", fault, "/", arguments)
+	return &StandIn{Process: process, Address: address, Fault: fault}
+}
+
+// advertised returns the link's address, or nothing without one.
+func (n Node) advertised() string {
+	if n.Link == nil {
+		return ""
+	}
+	return n.Link.Address
+}
+
+// reached returns the address that other nodes reach the node at.
+func (n Node) reached() string { return cmp.Or(n.advertised(), n.Peer) }
+
 func (f *Fleet) writeSettings(node *Node) error {
 	digest := sha256.Sum256([]byte(f.Plan.AdminKey))
 	file := nodeFile{
-		Node:   nodeSection{ID: node.ID, Zone: node.Zone, Region: f.regionOf(node.Zone)},
-		Listen: listenSection{Caller: node.Caller, Admin: node.Admin, Peer: node.Peer, Seeds: f.seeds()},
+		Node: nodeSection{ID: node.ID, Zone: node.Zone, Region: f.regionOf(node.Zone)},
+		Listen: listenSection{
+			Caller:    node.Caller,
+			Admin:     node.Admin,
+			Peer:      node.Peer,
+			Advertise: node.advertised(),
+			Seeds:     f.seeds(),
+		},
 		Platform: platformSection{
 			KVEndpoints: []string{f.KV.Address},
 			MachineList: f.Machines.Address,
@@ -199,7 +230,7 @@
 			continue
 		}
 		seen[node.Zone] = true
-		seeds = append(seeds, node.Peer)
+		seeds = append(seeds, node.reached())
 	}
 	return seeds
 }
@@ -219,6 +250,11 @@
 	for _, engine := range f.Engines {
 		processes = append(processes, engine.Process)
 	}
+	for _, node := range f.Nodes {
+		if node.Link != nil {
+			processes = append(processes, node.Link.Process)
+		}
+	}
 	for _, node := range f.Nodes {
 		processes = append(processes, node.Process)
 	}
--- a/internal/lab/fleet/plan.go
+++ b/internal/lab/fleet/plan.go
@@ -27,6 +27,8 @@
 	BasePort int
 	// MachineListLag is how old the machine list is.
 	MachineListLag time.Duration
+	// Links puts a stand-in for a weak link in front of every node's peer listener; other nodes reach it through that.
+	Links bool
 	// AdminKey is the secret of the first admin key.
 	AdminKey string
 }
--- a/internal/lab/fleet/settings.go
+++ b/internal/lab/fleet/settings.go
@@ -27,10 +27,11 @@
 }
 
 type listenSection struct {
-	Caller string   `yaml:"caller"`
-	Admin  string   `yaml:"admin"`
-	Peer   string   `yaml:"peer"`
-	Seeds  []string `yaml:"seeds"`
+	Caller    string   `yaml:"caller"`
+	Admin     string   `yaml:"admin"`
+	Peer      string   `yaml:"peer"`
+	Advertise string   `yaml:"advertise,omitempty"`
+	Seeds     []string `yaml:"seeds"`
 }
 
 type platformSection struct {
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -9,6 +9,7 @@
 		newKV(),
 		newMachines(),
 		newWeights(),
+		newLink(),
 		newEngine(),
 		newFleet(),
 		newLoad(),
