Acknowledge nothing on fewer copies than asked for, also when the set shrinks meanwhile

A proposal for three copies that waited in the log while a member died was committed by the set of two that followed, and acknowledged. The size of the set is checked again before the reply; the outcome is then unknown, as the command is applied. The test failed before. A replica also looks up its stored set at each tick, as a full queue may have dropped the news.

--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -76,6 +76,9 @@
 	return Leadership{Epoch: c.hard.Term.Epoch, Round: c.hard.Term.Round}, serving
 }
 
+// Copies returns the size of the present set.
+func (c *Core) Copies() int { return len(c.hard.Configuration.Members) }
+
 // Compactable returns the last index that may be dropped from the log when retained applied entries are kept.
 func (c *Core) Compactable(retained uint64) uint64 {
 	if c.log.applied <= retained {
--- a/internal/shardhost/host_test.go
+++ b/internal/shardhost/host_test.go
@@ -165,6 +165,20 @@
 	}
 }
 
+// TestNothingIsAcknowledgedOnFewerCopies proposes for three copies while one has just died. It failed before replies were
+// checked against the set that committed: the entry went on into a set of two.
+func TestNothingIsAcknowledgedOnFewerCopies(t *testing.T) {
+	f := newFixture(t, 3)
+	leader := f.leader(3)
+	assert.NilError(t, f.fleet.Stop((leader+1)%3))
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	_, err := f.fleet.Host(leader).Replica(0).Propose(ctx, []byte("three copies"), 3)
+	assert.Assert(t, err != nil)
+	f.leader(2)
+	f.propose(1)
+}
+
 func TestLostAnswersOfTheStore(t *testing.T) {
 	f := newFixture(t, 4)
 	f.leader(3)
--- a/internal/shardhost/propose.go
+++ b/internal/shardhost/propose.go
@@ -84,7 +84,7 @@
 	if !candidate.state.CompareAndSwap(proposalQueued, proposalTaken) {
 		return false
 	}
-	copies := len(r.published.Load().status.Configuration.Members)
+	copies := r.driver.Core.Copies()
 	if copies < candidate.minimumCopies {
 		candidate.finish(nil, fmt.Errorf("shard %d: %d of %d copies: %w", r.id, copies, candidate.minimumCopies,
 			shard.ErrTooFewCopies))
--- a/internal/shardhost/replica.go
+++ b/internal/shardhost/replica.go
@@ -37,7 +37,9 @@
 
 	// The fields below belong to the goroutine.
 	waiting map[uint64]*proposal
-	ctx     context.Context
+	// observed is the revision of the newest stored set the driver was told of by tick.
+	observed int64
+	ctx      context.Context
 }
 
 // published is what other goroutines may know of a replica.
@@ -143,6 +145,11 @@
 }
 
 func (r *replica) tick() error {
+	// A full queue may have dropped the news of a stored set.
+	if record, known := r.host.directory.record(r.id); known && record.Revision > r.observed {
+		r.observed = record.Revision
+		r.driver.Observe(record.Configuration, record.Revision)
+	}
 	request, due, err := r.driver.Tick(r.host.now(), r.host.nodes.world(r.id))
 	if due {
 		r.host.tomb.Go(func() error { r.ask(request); return nil })
@@ -187,6 +194,11 @@
 			continue
 		}
 		delete(r.waiting, entry.Index)
+		if copies := r.driver.Core.Copies(); copies < waiting.minimumCopies {
+			// The set shrank while the entry was in the log: it is applied, but not on what was asked for.
+			waiting.finish(nil, fmt.Errorf("shard %d: committed at %d copies: %w", r.id, copies, shard.ErrOutcomeUnknown))
+			continue
+		}
 		if waiting.term == entry.Term {
 			waiting.finish(replies[position], nil)
 			continue
