Adopt a lease whose worker does not know that an item of it is recorded

Cause: after a lost answer of Complete the worker still reports the item, whose start mark is gone; the new leader refused the whole lease and the worker's other non-repeatable items ended with an unknown outcome. The kept test failed before. Also: the cache of chunks of a shard is 1 MiB, for the sake of nodes that lead many shards.

--- a/internal/jobclient/kept_test.go
+++ b/internal/jobclient/kept_test.go
@@ -117,3 +117,19 @@
 		k.now = k.now.Add(2 * lease.TTL)
 	}
 }
+
+// TestAdoptionOutlivesALostAnswerOfComplete: the worker reports an item it does not know to be recorded.
+func TestAdoptionOutlivesALostAnswerOfComplete(t *testing.T) {
+	k := keep(t, line("a", `,"repeatable":false`)+line("b", `,"repeatable":false`))
+	lease := k.lease(t)
+	results := answers(lease.Items)
+	k.changeLeader("a", true)
+	k.client.Attempt(func() {
+		k.callFault = answerLost
+		assert.Assert(t, k.client.Complete(k.ctx, lease, results[:1]) != nil)
+	})
+	lost, err := k.client.Renew(k.ctx, 0, "w1", []string{lease.ID})
+	assert.NilError(t, err)
+	assert.Equal(t, len(lost), 0)
+	assert.NilError(t, k.client.Complete(k.ctx, lease, results))
+}
--- a/internal/jobstore/chunks.go
+++ b/internal/jobstore/chunks.go
@@ -10,7 +10,7 @@
 )
 
 // chunkCacheBytes bounds the chunks of input files a server keeps in memory, in bytes.
-const chunkCacheBytes = 2 << 20
+const chunkCacheBytes = 1 << 20
 
 type chunkName struct {
 	file     string
--- a/internal/jobstore/renew.go
+++ b/internal/jobstore/renew.go
@@ -78,8 +78,13 @@
 	if marked != nil {
 		started = marked.indexes
 	}
-	_, once := job.split(held.GetIndexes())
-	if len(without(once, started)) > 0 || s.overlaps(job, without(held.GetIndexes(), started)) {
+	unmarked := without(held.GetIndexes(), started)
+	if s.overlaps(job, unmarked) {
+		return false
+	}
+	// What is busy without a lease has a result, whose commit the worker was not told of.
+	unmarked = slices.DeleteFunc(slices.Clone(unmarked), job.busy.has)
+	if slices.ContainsFunc(unmarked, job.notRepeatable) {
 		return false
 	}
 	if marked == nil {
@@ -90,8 +95,8 @@
 	marked.worker = worker
 	marked.inherited = false
 	marked.expires = now.Add(s.settings.leaderTTL())
-	job.take(held.GetIndexes())
-	marked.indexes = append(slices.Clone(started), without(held.GetIndexes(), started)...)
+	job.take(unmarked)
+	marked.indexes = append(slices.Clone(started), unmarked...)
 	slices.Sort(marked.indexes)
 	return true
 }
@@ -103,5 +108,5 @@
 			return true
 		}
 	}
-	return len(indexes) > 0 && indexes[len(indexes)-1] >= job.total
+	return slices.ContainsFunc(indexes, func(index uint32) bool { return index >= job.total })
 }
