--- a/internal/dispatch/answer/answer_test.go
+++ b/internal/dispatch/answer/answer_test.go
@@ -104,6 +104,22 @@
 	})
 }
 
+// TestStoredToolCallsStayApart streams a stored answer with two function calls.
+func TestStoredToolCallsStayApart(t *testing.T) {
+	first := NewAggregate(inference.ChatCompletions)
+	data := `{"id":"x","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"a","function":{"name":"f"}},{"index":1,"id":"b","function":{"name":"g"}}]}}]}`
+	assert.NilError(t, first.Chunk(inference.Chunk{Data: []byte(data), Final: true, FinishReason: "tool_calls"}))
+	stored, err := first.Answer()
+	assert.NilError(t, err)
+	chunk, err := AsChunk(inference.ChatCompletions, stored)
+	assert.NilError(t, err)
+	second := NewAggregate(inference.ChatCompletions)
+	assert.NilError(t, second.Chunk(chunk))
+	again, err := second.Answer()
+	assert.NilError(t, err)
+	assert.Equal(t, string(again.Body), string(stored.Body))
+}
+
 func textChunk(endpoint inference.Endpoint, text string) []byte {
 	encoded, _ := json.Marshal(text)
 	if endpoint == inference.Completions {
