Caller API: do not cut answers over HTTP/2 that take longer than one write

Cause: over HTTP/2 a write deadline that passes resets the stream even while nothing is being written, and the deadline of the last chunk stood until the next. Any answer over TLS with a pause, or a first token, later than limits.write_timeout (20 s) was cut. HTTP/1 is not affected: it looks at the deadline only when it writes. Fix: over HTTP/2 the deadline holds only while something is written and flushed.

TestAnswerMayTakeLongerThanAWrite failed before with 'stream error: INTERNAL_ERROR' and passes now, over both protocols. Slow reader and caller gone are now proved over HTTP/2 too; the slow reader's test let a missing deadline through at first (the client's own timeout ended it) and now catches it.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,12 +34,17 @@
 	key      catalog.Key
 	// began says that the status line was handed to the server.
 	began bool
-	// writeDeadline is the deadline last set for writes.
+	// writeDeadline is the deadline last set for writes, zero for none.
 	writeDeadline time.Time
+	// eager says that a write deadline that passes ends the answer also while nothing is written: HTTP/2 does so.
+	eager bool
 	// code is the failure the exchange ended with, or empty.
 	code failure.Code
 }
 
+// http2 is the major version of HTTP from which one connection carries many requests.
+const http2 = 2
+
 func newExchange(gateway *Gateway, route string, response http.ResponseWriter, request bunrouter.Request) *exchange {
 	created := &exchange{
 		gateway:  gateway,
@@ -49,6 +54,7 @@
 		response: response,
 		control:  http.NewResponseController(response),
 		arrived:  gateway.options.Now(),
+		eager:    request.ProtoMajor >= http2,
 	}
 	return created
 }
@@ -73,8 +79,10 @@
 	defer g.metrics.served(exchange)
 	defer exchange.containPanic()
 	exchange.identify()
-	// A connection that was used before still has the deadline of its last answer.
-	exchange.extendWriteDeadline()
+	if !exchange.eager {
+		// A connection that was used before still has the deadline of its last answer.
+		exchange.extendWriteDeadline()
+	}
 	if err := serve(exchange); err != nil {
 		exchange.fail(err)
 	}
@@ -145,3 +153,15 @@
 	e.writeDeadline = now.Add(timeout)
 	_ = e.control.SetWriteDeadline(e.writeDeadline)
 }
+
+// flush hands what was written to the connection, under the write deadline.
+//
+// Invariant: an eager exchange has a write deadline only while it writes.
+func (e *exchange) flush() error {
+	err := e.control.Flush()
+	if e.eager {
+		e.writeDeadline = time.Time{}
+		_ = e.control.SetWriteDeadline(time.Time{})
+	}
+	return err
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -193,6 +193,9 @@
 	return cancelled, err
 }
 
+// http2Test marks a test whose site serves HTTP/2.
+type http2Test struct{ testing.TB }
+
 // site is a gateway over fakes behind a real listener.
 type site struct {
 	gateway *Gateway
@@ -212,7 +215,13 @@
 		change(&options)
 	}
 	gateway := New(options)
-	server := httptest.NewServer(gateway)
+	server := httptest.NewUnstartedServer(gateway)
+	if _, overHTTP2 := t.(http2Test); overHTTP2 {
+		server.EnableHTTP2 = true
+		server.StartTLS()
+	} else {
+		server.Start()
+	}
 	server.Client().Timeout = patience
 	t.Cleanup(server.Close)
 	client := openai.NewClient(option.WithBaseURL(server.URL+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -129,7 +129,12 @@
 		e.Header().Set("Content-Type", "application/octet-stream")
 		e.WriteHeader(http.StatusOK)
 	}
-	if err := e.writePieces(piece); err != nil {
+	err := e.writePieces(piece)
+	if err == nil {
+		// The store may take its time with the next piece: that is not the caller's.
+		err = e.flush()
+	}
+	if err != nil {
 		e.callerFailed(err)
 		return false
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,7 +99,7 @@
 	if _, err := response.Write(eventEnd); err != nil {
 		return err
 	}
-	return s.exchange.control.Flush()
+	return s.exchange.flush()
 }
 
 // oneLine replaces line breaks, which in JSON can only be white space and would end the event's line.
@@ -123,7 +123,6 @@
 func (s *streamSink) fail(failed *failure.Error) {
 	if !s.exchange.began {
 		s.exchange.answerFailure(failed)
-		_ = s.exchange.control.Flush()
 		return
 	}
 	if err := s.writeEvent(newEnvelope(failed).encode()); err != nil {
@@ -136,7 +135,7 @@
 	s.exchange.extendWriteDeadline()
 	_, err := s.exchange.response.Write(eventDone)
 	if err == nil {
-		err = s.exchange.control.Flush()
+		err = s.exchange.flush()
 	}
 	if err != nil {
 		s.exchange.callerFailed(err)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -15,10 +15,7 @@
 // wholeAnswer joins an answer and sends it at once.
 func (e *exchange) wholeAnswer(ctx context.Context, decoded *inference.Request) error {
 	sink := &wholeSink{aggregate: answer.NewAggregate(decoded.Endpoint), timing: e.gateway.metrics.timing(e)}
-	err := e.dispatch(ctx, decoded, sink, &sink.finisher, func(failed *failure.Error) {
-		e.answerFailure(failed)
-		_ = e.control.Flush()
-	})
+	err := e.dispatch(ctx, decoded, sink, &sink.finisher, e.answerFailure)
 	if errors.Is(err, errAnswered) {
 		return nil
 	}
@@ -73,7 +70,11 @@
 	e.Header().Set("Content-Type", "application/json")
 	e.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	e.WriteHeader(status)
-	if err := e.writePieces(body); err != nil {
+	err := e.writePieces(body)
+	if err == nil {
+		err = e.flush()
+	}
+	if err != nil {
 		e.callerFailed(err)
 	}
 }
