--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/credit"
 	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
@@ -91,8 +92,8 @@
 	owned      bool
 	controller *credit.Controller
 	running    map[*execution]struct{}
-	// granted is the number of sequences of the last credits.
-	granted int
+	// granted are the last credits.
+	granted credit.Credits
 	// prefill counts the prompt tokens of runs that have given no token yet.
 	prefill int
 	// pausedUntil is the end of a pause after a refusal.
@@ -140,7 +141,7 @@
 // Start begins the work.
 func (w *Worker) Start() { w.tomb.Go(w.loop) }
 
-// Drain stops leasing and starting items, gives back those that never ran, and waits until the others have ended and
+// Drain stops leasing and starting items, gives back those that do not run, and waits until the others have ended and
 // are committed, or ctx is done.
 func (w *Worker) Drain(ctx context.Context) error {
 	w.post(func() {
@@ -222,7 +223,7 @@
 	w.preempt(grants)
 	w.expire(now)
 	if w.stopping {
-		w.releaseFresh()
+		w.releaseQueued()
 	} else {
 		w.startItems(grants, now)
 		w.feed(now)
@@ -240,6 +241,7 @@
 
 func (w *Worker) cancelLease(held *heldLease) {
 	w.metrics.leaseLost()
+	event.BatchLeaseLost.Log(w.config.Logger).Str("job", string(held.lease.Job)).Str("lease", held.lease.ID).Send()
 	delete(w.commits, held)
 	for _, state := range w.runners {
 		for running := range state.running {
--- a/internal/confsync/replica_test.go
+++ b/internal/confsync/replica_test.go
@@ -218,6 +218,38 @@
 	restarted.settle(change.Revision)
 }
 
+// TestRelayFollowsThroughFaults has a lone relay follow changes made by another client through dropped watches, lost
+// answers, and a cut during which 350 changes are made and their history compacted.
+func TestRelayFollowsThroughFaults(t *testing.T) {
+	site := newSite(t)
+	relay := site.start("relay", "a", "")
+	store, err := etcdhttp.New([]string{site.url}, etcdhttp.WithClientName("other"))
+	assert.NilError(t, err)
+	other := confsync.NewWriter(store, &coreCopy{newCore("other")})
+	apply := func(count int) int64 {
+		var change confsync.Change
+		for i := range count {
+			change, err = other.Apply(site.ctx, put(fmt.Sprint(i%10), "value"))
+			assert.NilError(t, err)
+		}
+		return change.Revision
+	}
+	relay.settle(apply(3))
+	for range 3 {
+		site.service.DropWatches()
+		site.service.SetFaults(kvsim.Faults{LoseNextAnswers: 1})
+		relay.settle(apply(2))
+	}
+	site.service.SetFaults(kvsim.Faults{CutOffClients: []string{"relay"}})
+	last := apply(350)
+	assert.Assert(t, relay.replica.Current().Revision < last)
+	site.service.Data().Compact(site.service.Data().Revision())
+	site.service.SetFaults(kvsim.Faults{})
+	relay.settle(last)
+	assert.Equal(t, relay.replica.State().Len(), 10)
+	relay.settle(apply(1))
+}
+
 // waitForSaved waits until a copy of the revision can be loaded from the data folder.
 func waitForSaved(t *testing.T, site *site, dataDir string, revision int64) {
 	for site.ctx.Err() == nil {
@@ -257,3 +289,45 @@
 	replica.Install(confsync.NewState(3, 3, nil))
 	assert.Equal(t, replica.Current().Revision, int64(3))
 }
+
+// TestSlowDecodeHoldsUpNobody holds the decoding of a revision: the last snapshot can still be read, the copy still learns,
+// and of what it learned meanwhile only the newest is decoded.
+func TestSlowDecodeHoldsUpNobody(t *testing.T) {
+	decoding, release := make(chan int64, 10), make(chan struct{})
+	replica, err := confsync.NewReplica(confsync.Options{
+		Self: confsync.Peer{Node: "x", Zone: "x"},
+		Decode: func(state *confsync.State) (*catalog.Snapshot, error) {
+			decoding <- state.Revision
+			<-release
+			snapshot := catalog.Empty()
+			snapshot.Revision = state.Revision
+			return snapshot, nil
+		},
+	})
+	assert.NilError(t, err)
+	var learned sync.WaitGroup
+	learn := func(revision int64) {
+		learned.Go(func() { replica.Install(confsync.NewState(revision, 1, nil)) })
+	}
+	learn(1)
+	assert.Equal(t, <-decoding, int64(1))
+	read := make(chan int64)
+	go func() { read <- replica.Current().Revision }()
+	select {
+	case revision := <-read:
+		assert.Equal(t, revision, int64(0))
+	case <-time.After(30 * time.Second):
+		t.Fatal("readers wait for the decoder")
+	}
+	for revision := int64(2); revision <= 9; revision++ {
+		learn(revision)
+	}
+	for replica.State().Revision < 9 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	learned.Wait()
+	assert.Equal(t, replica.Current().Revision, int64(9))
+	assert.Equal(t, <-decoding, int64(9))
+	assert.Equal(t, len(decoding), 0)
+}
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -23,8 +23,13 @@
 }
 
 // Credits is the batch work a runner may carry.
+//
+// Invariant: Sequences is at most Hold.
 type Credits struct {
-	// Sequences bounds the batch sequences that may run. Those above it are to be preempted at once.
+	// Hold bounds the batch sequences that may run on. Those above it are to be preempted at once.
+	Hold int
+	// Sequences bounds the batch sequences when one is started. It leaves a reserve free, so that an online arrival
+	// finds room without a preemption; the reserve is restored as batch sequences end.
 	Sequences int
 	// PrefillTokens bounds the prompt tokens of batch items that were sent and have given no token yet.
 	PrefillTokens int
@@ -43,13 +48,17 @@
 	// riseWindow is the time within which arrivals count as one rise: about what it takes to preempt.
 	riseWindow = 50 * time.Millisecond
 	// prefillAlone and prefillBeside bound outstanding batch prefill without and with online work on the runner.
-	prefillAlone  = 32768
-	prefillBeside = 4096
+	prefillAlone  = 4096
+	prefillBeside = 256
+	// crowdedFactor is how many batch sequences make room for each online one that waits for room.
+	crowdedFactor = 2
 	// memoryFull is the share of the KV cache in use above which batch may not grow.
 	memoryFull = 0.95
-	// stepTarget is the decode step time, in the presence of online work, above which batch shrinks. It leaves room
+	// stepTarget is the smoothed step time, in the presence of online work, above which batch shrinks. It leaves room
 	// under the 47 ms between tokens.
-	stepTarget = 40 * time.Millisecond
+	stepTarget = 42 * time.Millisecond
+	// stepSmoothing is the weight of a new report's step time: a single step with much prefill says little.
+	stepSmoothing = 0.2
 	// stepShrink and stepGrow change the step limit once for each report.
 	stepShrink = 0.85
 	stepGrow   = 1.0 / 16
@@ -63,6 +72,8 @@
 	// stepLimit is the share of the runner's sequences that batch may use as the step time allows.
 	stepLimit    float64
 	lastMeasured time.Time
+	// stepTime is the smoothed step time.
+	stepTime time.Duration
 }
 
 // NewController returns the controller of a runner nothing is known of yet.
@@ -79,24 +90,23 @@
 	online := input.KnownOnline + c.unexplained(report)
 	c.trackStep(report, online)
 	capacity := float64(report.MaxSequences)
-	free := capacity - float64(online) - c.reserve(capacity)
-	free = min(free, math.Floor(capacity*c.stepLimit))
-	sequences := max(0, int(free))
-	if c.surging(report, online) {
-		sequences = 0
+	hold := max(0, report.MaxSequences-online)
+	if crowded(report) {
+		hold = min(hold, max(0, input.RunningBatch-crowdedFactor*report.WaitingOnline))
 	}
+	free := min(float64(hold), capacity-float64(online)-c.reserve(capacity), math.Floor(capacity*c.stepLimit))
+	sequences := max(0, int(free))
 	if report.MemoryUsed >= memoryFull {
 		sequences = min(sequences, input.RunningBatch)
 	}
-	return Credits{Sequences: sequences, PrefillTokens: prefillLimit(online)}
+	return Credits{Hold: hold, Sequences: sequences, PrefillTokens: prefillLimit(online)}
 }
 
-// surging reports whether online work waits on the engine, as far as is known: then batch gets nothing.
-func (c *Controller) surging(report *engine.LoadReport, online int) bool {
-	if online >= report.MaxSequences {
-		return true
-	}
-	return report.WaitingOnline > 0 && c.unexplained(report)+c.history.last() > 0
+// crowded reports whether online work waits on the engine because there is no room for it. Work that waits beside free
+// room only waits for the next step.
+func crowded(report *engine.LoadReport) bool {
+	wanted := report.RunningOnline + report.RunningBatch + report.WaitingOnline
+	return report.WaitingOnline > 0 && (wanted > report.MaxSequences || report.MemoryUsed >= memoryFull)
 }
 
 // unexplained returns the online work of the report beyond what the owner knew when it was measured. What the owner
@@ -127,7 +137,8 @@
 		return
 	}
 	c.lastMeasured = report.Measured
-	if online > 0 && report.StepTime > stepTarget {
+	c.stepTime += time.Duration(stepSmoothing * float64(report.StepTime-c.stepTime))
+	if online > 0 && c.stepTime > stepTarget {
 		c.stepLimit = max(reserveShare, c.stepLimit*stepShrink)
 		return
 	}
--- a/internal/shard/shardsim/sim.go
+++ b/internal/shard/shardsim/sim.go
@@ -26,6 +26,8 @@
 	Machine shard.Machine
 	// Retained is the number of applied entries that stay in the log.
 	Retained uint64
+	// HairTrigger makes replicas give each other up before a lease is over.
+	HairTrigger bool
 }
 
 // Times of the simulated replicas: those of production, shortened alike.
@@ -38,17 +40,28 @@
 	longestSync     = 8 * time.Millisecond
 )
 
-func settings(seed uint64) shard.Settings {
-	return shard.Settings{
+func settings(options Options, seed uint64) shard.Settings {
+	chosen := shard.Settings{
 		Heartbeat: 100 * time.Millisecond, Lease: 300 * time.Millisecond, Election: 500 * time.Millisecond,
 		MaximumAppendBytes: 200, MaximumInflight: 4, Seed: seed,
 	}
+	if options.HairTrigger {
+		chosen.Lease = 1500 * time.Millisecond
+		chosen.Election = 1600 * time.Millisecond
+	}
+	return chosen
 }
 
-func planSettings(copies int) shard.PlanSettings {
-	return shard.PlanSettings{
-		SuspectAfter: 1500 * time.Millisecond, SuspectedAfter: 700 * time.Millisecond, Copies: copies, CaughtUp: 10,
+func planSettings(options Options) shard.PlanSettings {
+	plan := shard.PlanSettings{
+		SuspectAfter: 1500 * time.Millisecond, SuspectedAfter: 700 * time.Millisecond, Copies: options.Copies, CaughtUp: 10,
+	}
+	if options.HairTrigger {
+		// Much shorter than the lease, so that only the lease keeps reads fresh.
+		plan.SuspectAfter = 100 * time.Millisecond
+		plan.SuspectedAfter = 100 * time.Millisecond
 	}
+	return plan
 }
 
 // Simulation is one simulated shard. It is not safe for concurrent use.
@@ -77,7 +90,7 @@
 		network: network{cut: map[link]time.Duration{}},
 	}
 	s.checker = newChecker(options.Machine)
-	s.store = &store{simulation: s, unreachable: map[ident.Node]time.Duration{}}
+	s.store = &store{simulation: s, unreachable: map[ident.Node]time.Duration{}, pending: map[ident.Node]int{}}
 	for number := range options.Nodes {
 		s.nodes = append(s.nodes, newNode(s, ident.Node(fmt.Sprintf("n%d", number))))
 	}
