Leave an empty path empty

An empty data_dir given as a flag was cleaned to ".", so a node meant to have no disk opened its store in the working directory and announced a disk. Found when a test started a node that way; TestEmptyPathStaysEmpty failed with "." before.

--- a/internal/settings/kinds.go
+++ b/internal/settings/kinds.go
@@ -105,6 +105,9 @@
 	if strings.ContainsFunc(text, unicode.IsControl) {
 		return "", fmt.Errorf("%w: the path has control characters", ErrBadValue)
 	}
+	if text == "" {
+		return "", nil
+	}
 	return Path(filepath.Clean(text)), nil
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -146,3 +146,17 @@
 		}
 	})
 }
+
+// An empty folder means none; it must not become the working directory, where a node without a disk would then write.
+func TestEmptyPathStaysEmpty(t *testing.T) {
+	overrides := []Override{{Field: "data_dir", Value: ""}}
+	for _, field := range []string{"node.id", "node.zone", "node.region"} {
+		overrides = append(overrides, Override{Field: field, Value: "name"})
+	}
+	for _, field := range []string{"platform.kv_endpoints", "platform.machine_list"} {
+		overrides = append(overrides, Override{Field: field, Value: "127.0.0.1:1"})
+	}
+	parsed, err := Parse("test", nil, overrides)
+	assert.NilError(t, err)
+	assert.Equal(t, parsed.DataDir, Path(""))
+}
