Let nodes without a disk learn the replica sets from nodes with one

Every node listed and watched the replica sets in the rate-limited key-value service, and those with a disk did so twice: 330 nodes would hold 363 watches where the 33 with a disk need 33. A node without a disk now asks one peer with a disk, chosen by rendezvous hashing in its zone, else anywhere, for what changed since the version it knows. A miss of a leader asks at once, ever more slowly while the answers bring nothing new; a peer that fails is passed over for 10 s. An older set never replaces a newer one, so a lagging peer does no harm.

A digest of the whole map was weighed: it costs as little while nothing changes, but one change then costs the whole map (19.8 KB at 264 shards against 162 bytes).

--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -65,11 +65,13 @@
 	answer, err := one(ctx, leader)
 	if err != nil {
 		c.forgetHint(id)
+		c.options.Missed(id)
 		return none, err
 	}
 	status := answer.GetStatus()
 	if status.GetRedirected() {
 		c.hint(id, ident.Node(status.GetLeader()))
+		c.options.Missed(id)
 		return none, errNotSent
 	}
 	if err := jobstore.ErrorOf(status.GetFault()); err != nil {
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -35,7 +35,9 @@
 	// Dialer connects to other nodes; nil if all shards are here.
 	Dialer    transport.Dialer
 	Directory Directory
-	Logger    zerolog.Logger
+	// Missed is told when a shard's leader was unreachable or not the leader; nil means that nobody is.
+	Missed func(shard ident.Shard)
+	Logger zerolog.Logger
 	// Attempts bounds how often a call is sent; zero means DefaultAttempts.
 	Attempts int
 	// Backoff is the pause after the first attempt, doubled after each; zero means DefaultBackoff.
@@ -87,6 +89,9 @@
 	if options.NewID == nil {
 		options.NewID = func() string { return ulid.Make().String() }
 	}
+	if options.Missed == nil {
+		options.Missed = func(ident.Shard) {}
+	}
 	client := &Client{options: options, hints: map[ident.Shard]ident.Node{}, held: map[string]*heldLease{}}
 	client.tomb.Go(func() error {
 		<-client.tomb.Dying()
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -18,7 +18,6 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
-	"mallowlatch.example/mallowlatch/internal/jobstore"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
 	"mallowlatch.example/mallowlatch/internal/machine/httplist"
 	"mallowlatch.example/mallowlatch/internal/membership"
@@ -27,7 +26,7 @@
 	"mallowlatch.example/mallowlatch/internal/placement/placementpb"
 	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
-	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/shardmap"
 	"mallowlatch.example/mallowlatch/internal/transport"
 )
 
@@ -132,9 +131,12 @@
 }
 
 func (n *Node) assembleStorage() error {
-	var registry *jobstore.Registry
+	options := jobclient.Options{Self: n.id(), Dialer: n.pool, Logger: n.logger}
+	var leaders leaderLookup
 	if n.settings.DataDir == "" {
-		n.directory = shardhost.NewDirectory(n.kv, shardhost.DefaultPrefix, n.logger)
+		n.routes = n.newRoutes()
+		leaders = n.routes
+		options.Missed = n.routes.Missed
 	} else {
 		opened, err := openStorage(storageOptions{
 			settings:   n.settings,
@@ -150,19 +152,28 @@
 			return err
 		}
 		n.storage = opened
-		n.directory = opened.host.Directory()
-		registry = opened.registry
+		leaders = opened.host.Directory()
+		options.Local = opened.registry
 	}
-	n.jobs = jobclient.New(jobclient.Options{
-		Self:      n.id(),
-		Local:     registry,
-		Dialer:    n.pool,
-		Directory: shardDirectory{shards: n.settings.Jobs.Shards, leaders: n.directory},
-		Logger:    n.logger,
-	})
+	options.Directory = shardDirectory{shards: n.settings.Jobs.Shards, leaders: leaders}
+	n.jobs = jobclient.New(options)
 	return nil
 }
 
+// newRoutes returns the client by which a node without a disk learns where the shards are. Such a node does not watch the
+// replica sets: the key-value service could not carry a watch by every node.
+func (n *Node) newRoutes() *shardmap.Client {
+	return shardmap.NewClient(shardmap.Options{
+		Self:       n.id(),
+		Zone:       n.zone(),
+		Peers:      n.peers.routePeers,
+		Dialer:     n.pool,
+		Jitter:     rand.Float64,
+		Logger:     n.logger,
+		Registerer: n.registry,
+	})
+}
+
 // peerNames returns how to name the node behind a call, or nil if peers do not authenticate.
 func (n *Node) peerNames() func(context.Context) (ident.Node, bool) {
 	if n.credentials == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,7 +29,7 @@
 	"mallowlatch.example/mallowlatch/internal/placement"
 	"mallowlatch.example/mallowlatch/internal/policy/live"
 	"mallowlatch.example/mallowlatch/internal/settings"
-	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/shardmap"
 	"mallowlatch.example/mallowlatch/internal/tlsreload"
 	"mallowlatch.example/mallowlatch/internal/transport"
 )
@@ -55,11 +55,12 @@
 	members     *membership.Service
 	peers       peers
 
-	replica   *confsync.Replica
-	writer    *confsync.Writer
-	directory *shardhost.Directory
-	storage   *storage
-	jobs      *jobclient.Client
+	replica *confsync.Replica
+	writer  *confsync.Writer
+	// routes is nil on a node with a disk, storage on one without.
+	routes  *shardmap.Client
+	storage *storage
+	jobs    *jobclient.Client
 
 	policies    *live.Evaluator
 	cutOff      *cutOffWatch
@@ -140,7 +141,9 @@
 	n.tomb.Go(func() error { return n.peerServer.Serve(n.peerListener) })
 	n.members.Start(n.pool)
 	n.run(n.replica.Run)
-	n.run(n.directory.Follow)
+	if n.routes != nil {
+		n.run(n.routes.Run)
+	}
 	if n.storage != nil {
 		work, err := n.storage.Start()
 		if err != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/membership"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/shardmap"
 )
 
 // peers shows the membership to the other parts in the forms they ask for.
@@ -65,6 +66,17 @@
 	return disks
 }
 
+// routePeers returns the live nodes with a disk, which know where the shards are.
+func (p peers) routePeers() []shardmap.Peer {
+	var found []shardmap.Peer
+	for _, member := range p.live() {
+		if member.Attributes.HasDisk {
+			found = append(found, shardmap.Peer{Node: member.Node, Zone: member.Zone})
+		}
+	}
+	return found
+}
+
 // runnerPeers adds the owners of runners.
 type runnerPeers struct {
 	peers
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -15,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/shard"
 	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/shardlog"
+	"mallowlatch.example/mallowlatch/internal/shardmap"
 	"mallowlatch.example/mallowlatch/internal/transport"
 )
 
@@ -98,6 +100,10 @@
 	if err := s.host.Register(mux); err != nil {
 		return fmt.Errorf("register shard host: %w", err)
 	}
+	routes := shardmap.NewServer(knownRoutes{directory: s.host.Directory()}, rand.Uint64())
+	if err := routes.Register(mux); err != nil {
+		return err
+	}
 	return jobstore.Register(mux, s.registry)
 }
 
--- a/internal/shardhost/directory.go
+++ b/internal/shardhost/directory.go
@@ -87,6 +87,25 @@
 	return shards
 }
 
+// Known is what a directory knows of a shard.
+type Known struct {
+	Shard ident.Shard
+	Record
+	// Leader is the node last seen to lead; empty if unknown, as it is on nodes without a replica of the shard.
+	Leader ident.Node
+}
+
+// Known returns what is known of every shard, and whether the sets were listed at least once.
+func (d *Directory) Known() ([]Known, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := make([]Known, 0, len(d.records))
+	for id, record := range d.records {
+		known = append(known, Known{Shard: id, Record: record, Leader: d.leaders[id]})
+	}
+	return known, d.listed
+}
+
 func (d *Directory) record(id ident.Shard) (Record, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
