--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -238,7 +238,7 @@
 			Waiters: n.settings.Dispatch.QueueDepth,
 			Wait:    n.settings.Dispatch.QueueTimeout,
 		},
-		MayWait: func(request *inference.Request, prospect admission.Prospect) bool {
+		MayWait: func(request *inference.Request, prospect admission.Wait) bool {
 			return n.policies.MayWait(policyRequest(request, prospect))
 		},
 		Registerer: n.registry,
