Begin a phase only once every node serves

Cause: the first requests of a phase were refused with configuration_service_unavailable or no_backend on nodes that had not yet the configuration or a runner (1 to 14 of some 240 to 530 a phase in three relay runs).

--- a/internal/lab/experiment/leave.go
+++ b/internal/lab/experiment/leave.go
@@ -140,7 +140,7 @@
 	}
 	if key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
-		request.Header.Set("Content-Type", "application/yaml")
+		request.Header.Set("Content-Type", contentTypeOf(body))
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -165,3 +165,11 @@
 		return false
 	}
 }
+
+// contentTypeOf tells a JSON body from a YAML manifest.
+func contentTypeOf(body string) string {
+	if json.Valid([]byte(body)) {
+		return "application/json"
+	}
+	return "application/yaml"
+}
--- a/internal/lab/experiment/provision.go
+++ b/internal/lab/experiment/provision.go
@@ -17,6 +17,9 @@
 
 const (
 	provisionPause = 500 * time.Millisecond
+	chatPath       = "/v1/chat/completions"
+	// probeBody asks a node for one token: it serves once it has the configuration and knows a runner.
+	probeBody      = `{"model":"base","messages":[{"role":"user","content":"probe"}],"max_tokens":1}`
 	manifestFormat = `kind: tenants
 spec: {name: lab, weight: 1}
 ---
@@ -31,20 +34,33 @@
 `
 )
 
-// provision writes the configuration that the load needs through the admin API and waits until it is in force.
+// provision writes the configuration that the load needs through the admin API, waits until it is in force, and then
+// until every node serves, so that a phase measures a fleet that is up.
 func provision(ctx context.Context, started *fleet.Fleet) error {
 	digest := sha256.Sum256([]byte(callerKey))
 	manifest := fmt.Appendf(nil, manifestFormat, hex.EncodeToString(digest[:]), service, service, service)
 	url := "http://" + started.Nodes[0].Admin + "/admin/v1/apply?overwrite=true&wait=20s"
+	if err := persist(ctx, func() error { return apply(ctx, url, manifest) }); err != nil {
+		return err
+	}
+	for _, node := range started.Nodes {
+		probe := func() error { return send(ctx, http.MethodPost, "http://"+node.Caller+chatPath, probeBody, callerKey) }
+		if err := persist(ctx, probe); err != nil {
+			return fmt.Errorf("waiting for %s to serve: %w", node.ID, err)
+		}
+	}
+	return nil
+}
+
+// persist calls until it succeeds or the context ends.
+func persist(ctx context.Context, call func() error) error {
 	for {
-		err := apply(ctx, url, manifest)
+		err := call()
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, provisionPause) {
 			return err
-		case <-time.After(provisionPause):
 		}
 	}
 }
