--- a/internal/shard/types.go
+++ b/internal/shard/types.go
@@ -129,9 +129,9 @@
 // DefaultSettings suit zones a few milliseconds apart.
 func DefaultSettings() Settings {
 	return Settings{
-		Heartbeat:          250 * time.Millisecond,
-		Lease:              time.Second,
-		Election:           1500 * time.Millisecond,
+		Heartbeat:          500 * time.Millisecond,
+		Lease:              1500 * time.Millisecond,
+		Election:           2 * time.Second,
 		MaximumAppendBytes: 1 << 20,
 		MaximumInflight:    16,
 	}
--- a/internal/shardhost/peers.go
+++ b/internal/shardhost/peers.go
@@ -71,7 +71,9 @@
 	queue  chan shard.Message
 	stream pb.DRPCShards_DeliverClient
 	cancel context.CancelFunc
-	wait   time.Duration
+	// introduced is set once the stream has carried the identities.
+	introduced bool
+	wait       time.Duration
 }
 
 const senderIdle = time.Minute
@@ -95,7 +97,7 @@
 }
 
 func (s *sender) batch(first shard.Message) *pb.Batch {
-	batch := &pb.Batch{From: encodeMember(s.host.self), To: encodeMember(s.to)}
+	batch := &pb.Batch{}
 	size := 0
 	for message, more := first, true; more; {
 		batch.Envelopes = append(batch.Envelopes, encodeMessage(message))
@@ -129,6 +131,10 @@
 		s.backOff(ctx)
 		return
 	}
+	if !s.introduced {
+		batch.From, batch.To = encodeMember(s.host.self), encodeMember(s.to)
+		s.introduced = true
+	}
 	if err := s.stream.Send(batch); err != nil {
 		s.close()
 		s.backOff(ctx)
@@ -162,6 +168,7 @@
 	s.cancel()
 	_ = s.stream.Close()
 	s.stream = nil
+	s.introduced = false
 }
 
 func (s *sender) backOff(ctx context.Context) {
--- a/internal/shardhost/server.go
+++ b/internal/shardhost/server.go
@@ -14,8 +14,12 @@
 // server answers the calls of other hosts.
 type server struct{ host *Host }
 
+// ends are the two identities of a stream, which its first batch names.
+type ends struct{ from, to shard.Member }
+
 // Deliver takes messages until the sender ends the stream.
 func (s *server) Deliver(stream pb.DRPCShards_DeliverStream) error {
+	var known ends
 	for {
 		batch, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -24,24 +28,36 @@
 		if err != nil {
 			return fmt.Errorf("receiving messages: %w", err)
 		}
-		if err := s.take(stream.Context(), batch); err != nil {
+		if batch.GetFrom() != nil {
+			known = ends{from: decodeMember(batch.GetFrom()), to: decodeMember(batch.GetTo())}
+			if err := s.check(stream.Context(), known); err != nil {
+				return err
+			}
+		}
+		if err := s.take(known, batch); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *server) take(ctx context.Context, batch *pb.Batch) error {
-	from, to := decodeMember(batch.GetFrom()), decodeMember(batch.GetTo())
-	if err := s.authentic(ctx, from.Node); err != nil {
+// check refuses streams of pretenders, and those meant for an earlier disk of this node, which is gone with its promises.
+func (s *server) check(ctx context.Context, named ends) error {
+	if err := s.authentic(ctx, named.from.Node); err != nil {
 		return err
 	}
-	if to != s.host.self {
-		// Meant for an earlier disk of this node, which is gone with its promises.
-		return fmt.Errorf("messages for incarnation %q: %w", to.Incarnation, ErrProtocol)
+	if named.to != s.host.self {
+		return fmt.Errorf("messages for incarnation %q: %w", named.to.Incarnation, ErrProtocol)
+	}
+	return nil
+}
+
+func (s *server) take(known ends, batch *pb.Batch) error {
+	if known.to != s.host.self {
+		return fmt.Errorf("messages without an introduction: %w", ErrProtocol)
 	}
 	s.host.metrics.messages.WithLabelValues("received").Add(float64(len(batch.GetEnvelopes())))
 	for _, envelope := range batch.GetEnvelopes() {
-		message, err := decodeMessage(from, to, envelope)
+		message, err := decodeMessage(known.from, known.to, envelope)
 		if err != nil {
 			return err
 		}
