--- a/internal/shardhost/bench_test.go
+++ b/internal/shardhost/bench_test.go
@@ -34,9 +34,10 @@
 func benchFixture(b *testing.B, options shardhosttest.Options) (*shardhosttest.Fleet, shard.Replica) {
 	options.Machine = func(ident.Shard) shard.Machine { return putMachine{} }
 	options.Folder = b.TempDir()
-	settings := shardhosttest.FastSettings()
-	settings.Lease, settings.Election = 2*time.Second, 3*time.Second
-	options.Settings = settings
+	if options.Settings == nil {
+		options.Settings = shardhosttest.FastSettings()
+		options.Settings.Lease, options.Settings.Election = 2*time.Second, 3*time.Second
+	}
 	fleet := shardhosttest.New(options)
 	assert.NilError(b, fleet.StartAll())
 	b.Cleanup(func() { assert.NilError(b, fleet.Close()) })
@@ -168,3 +169,39 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/shards, "heap-bytes/replica")
 }
+
+// BenchmarkFailover measures how long proposals wait, at production's times, after a member has died.
+func BenchmarkFailover(b *testing.B) {
+	for _, victim := range []string{"follower", "leader"} {
+		b.Run(victim, func(b *testing.B) {
+			settings, plan := shard.DefaultSettings(), shard.DefaultPlanSettings()
+			options := shardhosttest.Options{Nodes: 3, Shards: 1, Settings: &settings, Plan: &plan}
+			fleet, replica := benchFixture(b, options)
+			var total time.Duration
+			for range b.N {
+				proposeMany(b, replica, 100)
+				killed := followerOf(fleet)
+				if victim == "leader" {
+					killed = leaderOf(fleet)
+				}
+				began := time.Now()
+				assert.NilError(b, fleet.Stop(killed))
+				survivor := benchLeader(b, fleet, 2)
+				assert.NilError(b, proposeSurely(survivor, []byte("after")))
+				total += time.Since(began)
+				assert.NilError(b, fleet.Start(killed))
+				replica = benchLeader(b, fleet, 3)
+			}
+			b.ReportMetric(total.Seconds()/float64(b.N), "s/failover")
+		})
+	}
+}
+
+func leaderOf(fleet *shardhosttest.Fleet) int {
+	for number := range fleet.Size() {
+		if _, leads := fleet.Host(number).Replica(0).Leading(); leads {
+			return number
+		}
+	}
+	return 0
+}
