--- a/internal/jobclient/fleet_test.go
+++ b/internal/jobclient/fleet_test.go
@@ -24,6 +24,7 @@
 // Every third item is not repeatable: none may run twice, and each item has one result at the end. Workers let every
 // eighth lease go without a word after they ran it, as if they died.
 func TestJobSurvivesLossOfDisks(t *testing.T) {
+	t.Parallel()
 	const items, chunk, everyOnce = 1200, 16, 3
 	settings := jobstore.DefaultSettings()
 	settings.LeaseTTL = 2 * time.Second
--- a/internal/jobclient/schedule_test.go
+++ b/internal/jobclient/schedule_test.go
@@ -72,6 +72,7 @@
 type totals struct{ schedules, jobs, items, completed, failed, unknown, lost, doubled int }
 
 func TestEverySchedule(t *testing.T) {
+	t.Parallel()
 	var sum totals
 	defer func() { t.Logf("%+v", sum) }()
 	rapid.Check(t, func(t *rapid.T) {
@@ -108,6 +109,7 @@
 }
 
 func TestEveryLedgerSchedule(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
 		defer sim.close()
