--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -23,7 +23,6 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
-	"mallowlatch.example/mallowlatch/internal/request"
 )
 
 const (
@@ -150,10 +149,13 @@
 	var output, faults strings.Builder
 	for index, line := range bytes.Split(bytes.TrimSpace(f.files[spec.InputFile]), []byte("\n")) {
 		created.Counts.Total++
-		parsed, err := request.DecodeLine(line, index+1, spec.Endpoint)
-		if err != nil {
+		var parsed struct {
+			CustomID string `json:"custom_id"`
+		}
+		if json.Unmarshal(line, &parsed) != nil {
 			created.Counts.Failed++
-			faults.Write(append(newEnvelope(failure.As(err)).encode(), '\n'))
+			refused := failure.New(failure.CodeInvalidLine, "not JSON").WithLine(index + 1)
+			faults.Write(append(newEnvelope(refused).encode(), '\n'))
 			continue
 		}
 		created.Counts.Completed++
@@ -191,6 +193,9 @@
 	return cancelled, err
 }
 
+// http2Test marks a test whose site serves HTTP/2.
+type http2Test struct{ testing.TB }
+
 // site is a gateway over fakes behind a real listener.
 type site struct {
 	gateway *Gateway
@@ -210,7 +215,13 @@
 		change(&options)
 	}
 	gateway := New(options)
-	server := httptest.NewServer(gateway)
+	server := httptest.NewUnstartedServer(gateway)
+	if _, overHTTP2 := t.(http2Test); overHTTP2 {
+		server.EnableHTTP2 = true
+		server.StartTLS()
+	} else {
+		server.Start()
+	}
 	server.Client().Timeout = patience
 	t.Cleanup(server.Close)
 	client := openai.NewClient(option.WithBaseURL(server.URL+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,7 +63,6 @@
 		return errAnswered
 	}
 	s.begin()
-	s.exchange.extendWriteDeadline()
 	if err := s.writeEvent(chunk.Data); err != nil {
 		return s.callerFailed(err)
 	}
@@ -90,16 +89,17 @@
 		data = oneLine(data)
 	}
 	response := s.exchange.response
+	s.exchange.extendWriteDeadline()
 	if _, err := response.Write(eventPrefix); err != nil {
 		return err
 	}
-	if _, err := response.Write(data); err != nil {
+	if err := s.exchange.writePieces(data); err != nil {
 		return err
 	}
 	if _, err := response.Write(eventEnd); err != nil {
 		return err
 	}
-	return s.exchange.control.Flush()
+	return s.exchange.flush()
 }
 
 // oneLine replaces line breaks, which in JSON can only be white space and would end the event's line.
@@ -123,10 +123,8 @@
 func (s *streamSink) fail(failed *failure.Error) {
 	if !s.exchange.began {
 		s.exchange.answerFailure(failed)
-		_ = s.exchange.control.Flush()
 		return
 	}
-	s.exchange.extendWriteDeadline()
 	if err := s.writeEvent(newEnvelope(failed).encode()); err != nil {
 		s.exchange.callerFailed(err)
 	}
@@ -137,7 +135,7 @@
 	s.exchange.extendWriteDeadline()
 	_, err := s.exchange.response.Write(eventDone)
 	if err == nil {
-		err = s.exchange.control.Flush()
+		err = s.exchange.flush()
 	}
 	if err != nil {
 		s.exchange.callerFailed(err)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -15,10 +15,7 @@
 // wholeAnswer joins an answer and sends it at once.
 func (e *exchange) wholeAnswer(ctx context.Context, decoded *inference.Request) error {
 	sink := &wholeSink{aggregate: answer.NewAggregate(decoded.Endpoint), timing: e.gateway.metrics.timing(e)}
-	err := e.dispatch(ctx, decoded, sink, &sink.finisher, func(failed *failure.Error) {
-		e.answerFailure(failed)
-		_ = e.control.Flush()
-	})
+	err := e.dispatch(ctx, decoded, sink, &sink.finisher, e.answerFailure)
 	if errors.Is(err, errAnswered) {
 		return nil
 	}
@@ -70,11 +67,30 @@
 
 // writeJSON answers with a JSON object.
 func (e *exchange) writeJSON(status int, body []byte) {
-	e.extendWriteDeadline()
 	e.Header().Set("Content-Type", "application/json")
 	e.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	e.WriteHeader(status)
-	if _, err := e.Write(body); err != nil {
+	err := e.writePieces(body)
+	if err == nil {
+		err = e.flush()
+	}
+	if err != nil {
 		e.callerFailed(err)
 	}
 }
+
+// pieceBytes is what a caller must take within one write deadline: a long answer over a weak link only has to move on.
+const pieceBytes = 64 << 10
+
+// writePieces writes the content, giving each piece a deadline of its own.
+func (e *exchange) writePieces(content []byte) error {
+	for len(content) > 0 {
+		e.extendWriteDeadline()
+		count, err := e.Write(content[:min(pieceBytes, len(content))])
+		if err != nil {
+			return err
+		}
+		content = content[count:]
+	}
+	return nil
+}
--- a/internal/node/online.go
+++ b/internal/node/online.go
@@ -40,12 +40,12 @@
 }
 
 // policyRequest is what the program "may_wait" sees of a request.
-func policyRequest(request *inference.Request, prospect admission.Prospect) policy.Request {
+func policyRequest(request *inference.Request, prospect admission.Wait) policy.Request {
 	asked := policy.Request{
 		Tenant:        request.Tenant,
 		Service:       request.Service,
 		UntilDeadline: policy.NoDeadline,
-		EstimatedWait: prospect.Wait,
+		EstimatedWait: prospect.Expected,
 		QueueLength:   prospect.Queued,
 		Repeatable:    request.Repeatable,
 	}
