--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -93,6 +93,19 @@
 	return views
 }
 
+// Reported returns the number of runners of which a load report is known. A node without any refuses every request.
+func (t *Table) Reported() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	count := 0
+	for _, known := range t.runners {
+		if known.report != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // RunnersOf returns what is known of the given runners, in their order, without those not listed.
 func (t *Table) RunnersOf(runners []ident.Runner, now time.Time) []RunnerView {
 	t.mutex.Lock()
