--- a/internal/dispatch/exchange/wire_test.go
+++ b/internal/dispatch/exchange/wire_test.go
@@ -57,7 +57,7 @@
 func (w *wire) add(node ident.Node, others ...Peer) *dispatch.Table {
 	table := dispatch.NewTable()
 	table.SetMachines(machine.List{Runners: []machine.Runner{{ID: "r", Zone: "a", State: machine.Live}}}, time.Now())
-	created := New(Config{Node: node, Zone: "a", Table: table, Engines: noEngines{}, Peers: member{others}, Dialer: w})
+	created := New(Config{Node: node, Zone: "a", Table: table, Engines: noEngines{}, Peers: member{others}, Dialer: w, Intervals: Intervals{ShareNear: time.Hour}})
 	w.nodes[node] = created
 	created.Start()
 	w.t.Cleanup(func() { assert.Check(w.t, created.Stop()) })
@@ -88,7 +88,15 @@
 	other.Start("r", nil)
 	other.Start("r", nil)
 	eventually(t, "owner knows of two", func() bool { return inFlight() == 2 })
-	eventually(t, "the reply brought the report", func() bool { return other.Reported() == 1 })
+	eventually(t, "the other node knows the runner", func() bool { return other.Reported() == 1 })
+	// The one share of this test has been sent by now or carries the first report: a newer one comes by a reply alone.
+	owner.ObserveReport("r", engine.LoadReport{Measured: time.Now(), MaxSequences: 32, Models: []engine.LoadedModel{{Name: "m"}}}, time.Now())
+	other.Start("r", nil)
+	eventually(t, "a reply brought the newer report", func() bool {
+		view, _ := other.Runner("r", time.Now())
+		return view.Report.MaxSequences == 32
+	})
+	other.End("r")
 	other.End("r")
 	other.End("r")
 	eventually(t, "owner knows of none", func() bool { return inFlight() == 0 })
