--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/spf13/cobra"
@@ -23,15 +24,19 @@
 		Use:   "check FILE",
 		Short: "Check a settings file and print every problem with file, line and field",
 		Long: "Check a settings file, with any flags of the node on top, and print every problem with file, line and field.\n" +
-			"Exit codes: 0 the settings are good, 1 they have problems or the file cannot be read.",
-		Args: cobra.ExactArgs(1),
+			"Exit codes: 0 the settings are good, 1 the file cannot be read, 2 wrong use, 3 the settings have problems.",
+		Args: exactArguments(1),
 	}
 	flags := settings.BindFlags(command)
 	command.RunE = func(command *cobra.Command, arguments []string) error {
-		if _, err := settings.Load(arguments[0], flags.Overrides()); err != nil {
+		_, err := settings.Load(arguments[0], flags.Overrides())
+		if errors.Is(err, settings.ErrInvalid) {
+			return withExit(ExitInvalid, err)
+		}
+		if err != nil {
 			return err
 		}
-		_, err := fmt.Fprintf(command.OutOrStdout(), "%s: ok\n", arguments[0])
+		_, err = fmt.Fprintf(command.OutOrStdout(), "%s: ok\n", arguments[0])
 		return err
 	}
 	return command
@@ -41,7 +46,7 @@
 	return &cobra.Command{
 		Use:   "reference",
 		Short: "Print the reference of all settings in Markdown",
-		Args:  cobra.NoArgs,
+		Args:  exactArguments(0),
 		RunE: func(command *cobra.Command, _ []string) error {
 			_, err := fmt.Fprint(command.OutOrStdout(), settings.Reference())
 			return err
