Caller API: end a given-up stream on the wire, not only with an error event

A caller that reads to the end of a stream, or sends its next request on the same connection, still waited for the stuck dispatcher: the server ends an HTTP/1 answer only when its handler returns. The connection is now ended and closed at once; the handler goes on waiting, as a non-repeatable request may. Ruled out: one more goroutine for each stream to let the handler return early.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -64,6 +64,28 @@
 	failed := contextFailure(ctx).WithOutcome(outcome.Unknown)
 	e.note(failed)
 	answer(failed)
+	e.endNow()
+}
+
+// lastChunk ends an HTTP/1.1 body of unstated length.
+var lastChunk = []byte("0\r\n\r\n")
+
+// endNow ends the answer on the wire while its handler still waits for the dispatcher. Over HTTP/1 the server would end
+// it only after the handler, and the connection could carry nothing else until then, so it is closed. Over HTTP/2 the
+// error event or the stated length has to do; other requests of the connection go on.
+func (e *exchange) endNow() {
+	if e.eager {
+		return
+	}
+	chunked := e.Header().Get("Content-Length") == "" && e.request.ProtoAtLeast(1, 1)
+	connection, _, err := e.control.Hijack()
+	if err != nil {
+		return
+	}
+	if chunked {
+		_, _ = connection.Write(lastChunk)
+	}
+	_ = connection.Close()
 }
 
 // explain returns the dispatcher's error, with the reason the gateway knows where it ended the request itself.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -158,30 +158,29 @@
 	}
 }
 
-// TestRequestGivenUpOnGetsItsAnswer proves that a stuck dispatcher cannot keep a caller waiting, and that nothing is
-// written after the final answer.
+// TestRequestGivenUpOnGetsItsAnswer proves that a stuck dispatcher cannot keep a caller waiting, before or after the
+// first token, and that nothing is written after the final answer.
 func TestRequestGivenUpOnGetsItsAnswer(t *testing.T) {
-	for name, body := range map[string]string{"whole": chatBody, "streamed": streamBody} {
+	for name, row := range map[string]struct {
+		body  string
+		begun bool
+	}{"whole": {chatBody, false}, "streamed": {streamBody, false}, "streamed and begun": {streamBody, true}} {
 		t.Run(name, func(t *testing.T) {
 			blocked, late := make(chan struct{}), make(chan error, 1)
 			release := sync.OnceFunc(func() { close(blocked) })
 			defer release()
 			site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+				if row.begun {
+					assert.Check(t, sink.Chunk(chunkOf(request.Endpoint, 0, "first", false)) == nil)
+				}
 				<-blocked
-				late <- sink.Chunk(chunkOf(request.Endpoint, 0, "late", true))
+				late <- sink.Chunk(chunkOf(request.Endpoint, 1, "late", true))
 				return nil
 			}, func(options *Options) { options.Limits.GiveUpGrace = time.Millisecond })
-			call, err := http.NewRequest(http.MethodPost, site.server.URL+chatPath, strings.NewReader(body))
-			assert.NilError(t, err)
-			call.Header.Set("Authorization", "Bearer "+testKey)
-			call.Header.Set(headerRequestDeadline, "50")
-			response, err := site.server.Client().Do(call)
-			assert.NilError(t, err)
-			defer response.Body.Close()
-			content := make([]byte, response.ContentLength)
-			_, err = io.ReadFull(response.Body, content)
-			assert.NilError(t, err)
-			failed := envelopeOf(t, string(content))
+			response, content := site.post(t, chatPath, row.body, headerRequestDeadline, "50")
+			assert.Equal(t, response.StatusCode == http.StatusOK, row.begun)
+			events := strings.Split(strings.TrimSpace(content), "\n\n")
+			failed := envelopeOf(t, strings.TrimPrefix(events[len(events)-1], "data: "))
 			assert.Equal(t, failed.Code, failure.CodeDeadlineExceeded)
 			assert.Equal(t, failed.NotRun, "unknown")
 			release()
