--- a/internal/lab/scale/loopback.go
+++ b/internal/lab/scale/loopback.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		return nil, err
 	}
-	before, processor, start := r.counters(), processorTime(), time.Now()
+	before, suspicions, processor, start := r.counters(), r.suspicions(), processorTime(), time.Now()
 	if err := wait(ctx, r.Length); err != nil {
 		return nil, err
 	}
@@ -224,6 +224,7 @@
 	whole := Measurement{
 		Phase: "loopback", Nodes: len(r.nodes), Seconds: seconds, Settled: settled,
 		CoreShare: spent.Seconds() / seconds / nodes, MemoryBytes: resident / nodes,
+		Suspicions: float64(r.suspicions()-suspicions) / seconds / nodes,
 	}
 	results := []Measurement{whole}
 	for service, after := range r.counters() {
@@ -265,6 +266,15 @@
 	return true
 }
 
+// suspicions adds up what the nodes' own probes made suspect.
+func (r *loopbackRun) suspicions() uint64 {
+	var sum uint64
+	for _, node := range r.nodes {
+		sum += node.members.Counts().Suspicions
+	}
+	return sum
+}
+
 type serviceCounters struct{ calls, sent, received float64 }
 
 // counters adds up the transport's counters by service. A call counts as a message on each of its two sides.
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -30,6 +30,8 @@
 	BytesOut     float64 `json:"bytes_out"`
 	BytesIn      float64 `json:"bytes_in"`
 	PeakBytesOut float64 `json:"peak_bytes_out"`
+	// Suspicions is how many members a second one node's own probes made suspect.
+	Suspicions float64 `json:"suspicions"`
 	// Settled is the time until all nodes agreed again after the phase's event, or negative if they did not.
 	Settled time.Duration `json:"settled_ns"`
 }
@@ -42,7 +44,7 @@
 // WriteReport prints the measurements against the budgets.
 func WriteReport(to io.Writer, measurements []Measurement) error {
 	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "phase\tnodes\tseconds\tcore %\tMB\tmsg/s out\tB/s out\tB/s in\tpeak B/s out\tsettled\tbudget\t")
+	fmt.Fprintln(table, "phase\tnodes\tseconds\tcore %\tMB\tmsg/s out\tB/s out\tB/s in\tpeak B/s out\tsuspicions/s\tsettled\tbudget\t")
 	for _, m := range measurements {
 		verdict := "within"
 		if !m.Within() {
@@ -52,10 +54,10 @@
 		if m.Settled < 0 {
 			settled = "not"
 		}
-		fmt.Fprintf(table, "%s\t%d\t%.0f\t%.3f\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%s\t%s\t\n", m.Phase, m.Nodes, m.Seconds,
-			100*m.CoreShare, m.MemoryBytes/(1<<20), m.MessagesOut, m.BytesOut, m.BytesIn, m.PeakBytesOut, settled, verdict)
+		fmt.Fprintf(table, "%s\t%d\t%.0f\t%.3f\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.4f\t%s\t%s\t\n", m.Phase, m.Nodes, m.Seconds,
+			100*m.CoreShare, m.MemoryBytes/(1<<20), m.MessagesOut, m.BytesOut, m.BytesIn, m.PeakBytesOut, m.Suspicions, settled, verdict)
 	}
-	fmt.Fprintf(table, "budget\t\t\t%.3f\t%.2f\t\t%d\t(out + in)\t\t\t\t\n", 100*BudgetCore, float64(BudgetMemory)/(1<<20), BudgetTraffic)
+	fmt.Fprintf(table, "budget\t\t\t%.3f\t%.2f\t\t%d\t(out + in)\t\t\t\t\t\n", 100*BudgetCore, float64(BudgetMemory)/(1<<20), BudgetTraffic)
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write report: %w", err)
 	}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -21,6 +21,7 @@
 	members map[ident.Node]*entry
 	queue   gossipQueue
 	changes uint64
+	counts  Counts
 
 	lastTick  time.Time
 	lastHeard time.Time
@@ -39,6 +40,18 @@
 	nextReconnect time.Time
 }
 
+// Counts are totals since the start. Many suspicions or refutations without deaths mean that nodes or links are too slow
+// for the probes.
+type Counts struct {
+	// Suspicions counts members this node's own probes made suspect.
+	Suspicions uint64
+	// Refutations counts records of others that this node had to contradict.
+	Refutations uint64
+}
+
+// Counts returns the totals.
+func (c *Core) Counts() Counts { return c.counts }
+
 // entry is a record with what this node alone knows about it.
 type entry struct {
 	record
@@ -298,6 +311,7 @@
 	if stale || own {
 		return
 	}
+	c.counts.Refutations++
 	c.raise(received.incarnation)
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -166,6 +166,7 @@
 		return
 	}
 	if stored.health == healthAlive {
+		c.counts.Suspicions++
 		suspected := stored.record
 		suspected.health = healthSuspect
 		c.store(stored, suspected, now)
--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -36,6 +36,23 @@
 	return created
 }
 
+// registerCounts exports the detector's totals.
+func (s *Service) registerCounts(registerer prometheus.Registerer) {
+	if registerer == nil {
+		return
+	}
+	registerer.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mallowlatch_membership_own_suspicions",
+			Help: "Members that this node's own probes made suspect.",
+		}, func() float64 { return float64(s.Counts().Suspicions) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mallowlatch_membership_own_refutations",
+			Help: "Records of other nodes about this one that it had to contradict.",
+		}, func() float64 { return float64(s.Counts().Refutations) }),
+	)
+}
+
 // publish replaces the snapshot if anything changed and tells the subscribers. The caller holds the mutex.
 func (s *Service) publish() {
 	if s.published == s.core.Changes() {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -79,6 +79,7 @@
 		metrics:     newMetrics(options.Registerer),
 	}
 	service.view.Store(service.core.View())
+	service.registerCounts(options.Registerer)
 	return service
 }
 
@@ -114,6 +115,13 @@
 	return out
 }
 
+// Counts returns the detector's totals.
+func (s *Service) Counts() Counts {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Counts()
+}
+
 // Exchange serves a message of another node.
 func (s *Service) Exchange(ctx context.Context, encoded *membershippb.Message) (*membershippb.Answers, error) {
 	message, err := Decode(encoded)
