--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	if err := fleet.Apply(ctx, assembled.AdminAddress(), s.keys.Admin, resources); err != nil {
+	if err := fleet.Apply(ctx, http.DefaultClient, "http://"+assembled.AdminAddress(), s.keys.Admin, resources); err != nil {
 		return err
 	}
 	return s.describe(assembled)
--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -45,7 +45,9 @@
 	nodes bool
 	// links puts a link in front of every node's peer listener.
 	links bool
-	load  load.Options
+	// tls has the nodes' listeners speak TLS.
+	tls  bool
+	load load.Options
 	// shape changes the load once the addresses are known.
 	shape func(*load.Options, *fleet.Fleet)
 	// during runs beside the load.
@@ -178,6 +180,7 @@
 	plan.Models = []string{service}
 	plan.AdminKey = adminKey
 	plan.Links = phase.links
+	plan.TLS = phase.tls
 	plan.NodeSettings = e.options.NodeSettings
 	plan.EngineArguments = append([]string{
 		"--max-sequences", strconv.Itoa(e.options.MaxSequences),
@@ -213,7 +216,7 @@
 func nodeTargets(started *fleet.Fleet) []string {
 	var targets []string
 	for _, node := range started.Nodes {
-		targets = append(targets, "http://"+node.Caller)
+		targets = append(targets, started.CallerURL(node))
 	}
 	return targets
 }
--- a/internal/lab/experiment/provision.go
+++ b/internal/lab/experiment/provision.go
@@ -33,9 +33,9 @@
 func provision(ctx context.Context, started *fleet.Fleet) error {
 	digest := sha256.Sum256([]byte(callerKey))
 	manifest := fmt.Appendf(nil, manifestFormat, hex.EncodeToString(digest[:]), service, service, service)
-	url := "http://" + started.Nodes[0].Admin + "/admin/v1/apply?overwrite=true&wait=20s"
+	url := started.AdminURL(started.Nodes[0]) + "/admin/v1/apply?overwrite=true&wait=20s"
 	for {
-		err := apply(ctx, url, manifest)
+		err := apply(ctx, started.Client(), url, manifest)
 		if err == nil {
 			return nil
 		}
@@ -47,14 +47,14 @@
 	}
 }
 
-func apply(ctx context.Context, url string, manifest []byte) error {
+func apply(ctx context.Context, client *http.Client, url string, manifest []byte) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(manifest))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+adminKey)
 	request.Header.Set("Content-Type", "application/yaml")
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
--- a/internal/lab/fleet/configure.go
+++ b/internal/lab/fleet/configure.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	return Apply(ctx, f.Nodes[0].Admin, keys.Admin, resources)
+	return Apply(ctx, f.client, f.AdminURL(f.Nodes[0]), keys.Admin, resources)
 }
 
 // FirstResources returns a configuration with two tenants, their keys, and two services on the first model.
@@ -89,21 +89,21 @@
 	}
 }
 
-// Apply writes resources through the admin API at an address, over what is there, and waits until they are in force.
-func Apply(ctx context.Context, admin, key string, resources []catalog.Resource) error {
+// Apply writes resources through the admin API at a base URL, over what is there, and waits until they are in force.
+func Apply(ctx context.Context, client *http.Client, admin, key string, resources []catalog.Resource) error {
 	body, err := json.Marshal(resources)
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
 	query := url.Values{"overwrite": {"true"}, "wait": {configureWait.String()}}
-	target := "http://" + admin + "/admin/v1/apply?" + query.Encode()
+	target := admin + "/admin/v1/apply?" + query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("configure: %w", err)
 	}
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return fmt.Errorf("configure: %w", err)
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
 
@@ -54,7 +55,10 @@
 	Weights  StandIn
 	Engines  []Engine
 	Nodes    []Node
+	// Certificates is nil without TLS.
+	Certificates *Certificates
 
+	client   *http.Client
 	nextPort int
 }
 
@@ -67,6 +71,14 @@
 		}
 	}
 	fleet := &Fleet{Plan: plan, nextPort: plan.BasePort}
+	if plan.TLS {
+		certificates, err := newCertificates()
+		if err != nil {
+			return nil, err
+		}
+		fleet.Certificates = certificates
+	}
+	fleet.client = newClient(fleet.Certificates)
 	fleet.layOutEngines()
 	fleet.layOutStandIns()
 	if err := fleet.layOutNodes(); err != nil {
@@ -93,7 +105,7 @@
 
 func (f *Fleet) process(name, binary, readyAddress, readyPath string, arguments []string) *Process {
 	readyURL := "http://" + readyAddress + readyPath
-	return newProcess(name, f.Plan.binary(binary), arguments, f.Plan.path("logs"), readyURL)
+	return newProcess(name, f.Plan.binary(binary), arguments, f.Plan.path("logs"), readyURL, http.DefaultClient)
 }
 
 func (f *Fleet) layOutEngines() {
@@ -157,7 +169,7 @@
 			return err
 		}
 	}
-	return nil
+	return f.writeCertificates()
 }
 
 func (f *Fleet) newNode(zone Zone, number int) Node {
@@ -168,7 +180,8 @@
 	}
 	arguments := []string{"node", "--config", f.Plan.path("settings", id+".yaml")}
 	arguments = append(arguments, settingFlags(f.Plan.NodeSettings)...)
-	node.Process = f.process(id, "mallowlatch", node.Admin, "/readyz", arguments)
+	readyURL := f.AdminURL(node) + "/readyz"
+	node.Process = newProcess(id, f.Plan.binary("mallowlatch"), arguments, f.Plan.path("logs"), readyURL, f.client)
 	if f.Plan.Links {
 		node.Link = f.newLink(id, node.Peer)
 	}
@@ -216,6 +229,7 @@
 			Replicas:      f.Plan.Replicas,
 			MinimumCopies: f.Plan.MinimumCopies,
 		},
+		TLS:       f.tlsSettings(node.ID),
 		Bootstrap: bootstrapSection{AdminKeyDigest: hex.EncodeToString(digest[:])},
 	}
 	return file.write(f.Plan.path("settings", node.ID+".yaml"))
--- a/internal/lab/fleet/plan.go
+++ b/internal/lab/fleet/plan.go
@@ -29,6 +29,8 @@
 	MachineListLag time.Duration
 	// Links puts a stand-in for a weak link in front of every node's peer listener; other nodes reach it through that.
 	Links bool
+	// TLS has every listener of the nodes speak TLS, and the nodes authenticate each other.
+	TLS bool
 	// AdminKey is the secret of the first admin key.
 	AdminKey string
 }
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -36,6 +36,7 @@
 	// ReadyURL answers with a status below 500 once the process serves.
 	ReadyURL string
 
+	client    *http.Client
 	binary    string
 	arguments []string
 	logPath   string
@@ -45,10 +46,11 @@
 	exited  chan struct{}
 }
 
-func newProcess(name, binary string, arguments []string, logDirectory, readyURL string) *Process {
+func newProcess(name, binary string, arguments []string, logDirectory, readyURL string, client *http.Client) *Process {
 	return &Process{
 		Name:      name,
 		ReadyURL:  readyURL,
+		client:    client,
 		binary:    binary,
 		arguments: arguments,
 		logPath:   filepath.Join(logDirectory, name+".log"),
@@ -93,7 +95,7 @@
 	ticker := time.NewTicker(readyPollPeriod)
 	defer ticker.Stop()
 	for {
-		if answers(ctx, p.ReadyURL) {
+		if answers(ctx, p.client, p.ReadyURL) {
 			return nil
 		}
 		select {
@@ -104,14 +106,14 @@
 	}
 }
 
-func answers(ctx context.Context, url string) bool {
+func answers(ctx context.Context, client *http.Client, url string) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return false
 	}
--- a/internal/lab/fleet/settings.go
+++ b/internal/lab/fleet/settings.go
@@ -17,6 +17,7 @@
 	Platform  platformSection  `yaml:"platform"`
 	DataDir   string           `yaml:"data_dir,omitempty"`
 	Jobs      jobsSection      `yaml:"jobs"`
+	TLS       *tlsSection      `yaml:"tls,omitempty"`
 	Bootstrap bootstrapSection `yaml:"bootstrap"`
 }
 
@@ -46,6 +47,19 @@
 	MinimumCopies int `yaml:"minimum_copies"`
 }
 
+type tlsSection struct {
+	Caller certificateSection `yaml:"caller"`
+	Admin  certificateSection `yaml:"admin"`
+	Peer   certificateSection `yaml:"peer"`
+	Poll   string             `yaml:"poll"`
+}
+
+type certificateSection struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca,omitempty"`
+}
+
 type bootstrapSection struct {
 	AdminKeyDigest string `yaml:"admin_key_digest"`
 }
--- a/internal/lab/labcli/fleet.go
+++ b/internal/lab/labcli/fleet.go
@@ -20,6 +20,7 @@
 func newFleet() *cobra.Command {
 	var name, directory, binaries string
 	var basePort int
+	var secure bool
 	command := &cobra.Command{
 		Use:   "fleet",
 		Short: "Run a fleet of separate processes on loopback until interrupted",
@@ -29,13 +30,14 @@
 	flags.StringVar(&name, "plan", "small", "what to run: small, trinacria or petrovi")
 	flags.StringVar(&directory, "dir", "out/fleet", "folder for settings, logs and data")
 	flags.StringVar(&binaries, "bin", "bin", "folder of the programs mallowlatch and mallowlatch-lab")
+	flags.BoolVar(&secure, "tls", false, "TLS on every listener, with certificates of an authority made for the run")
 	flags.IntVar(&basePort, "base-port", 0, "first loopback port; 0 means the default")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		plan, err := fleet.ByName(name)
 		if err != nil {
 			return err
 		}
-		plan.Directory, plan.Binaries, plan.BasePort = directory, binaries, basePort
+		plan.Directory, plan.Binaries, plan.BasePort, plan.TLS = directory, binaries, basePort, secure
 		return runFleet(command, plan)
 	}
 	return command
@@ -84,11 +86,11 @@
 	out := command.OutOrStdout()
 	fmt.Fprintf(out, "admin key   %s\nonline key  %s\nbatch key   %s\n", keys.Admin, keys.Online, keys.Batch)
 	for _, node := range running.Nodes {
-		fmt.Fprintf(out, "%-20s caller http://%s  admin http://%s  pid %d\n", node.ID, node.Caller, node.Admin, node.PID())
+		fmt.Fprintf(out, "%-20s caller %s  admin %s  pid %d\n", node.ID, running.CallerURL(node), running.AdminURL(node), node.PID())
 	}
 	for _, engine := range running.Engines {
 		fmt.Fprintf(out, "%-20s engine http://%s  faults http://%s  pid %d\n", engine.ID, engine.Address, engine.Fault, engine.PID())
 	}
-	fmt.Fprintf(out, "\ncurl -s http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"messages\":[{\"role\":\"user\",\"content\":\"When may I give blood again?\"}]}'\n",
-		running.Nodes[0].Caller, keys.Online, fleet.Service)
+	fmt.Fprintf(out, "\ncurl -s%s %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"messages\":[{\"role\":\"user\",\"content\":\"When may I give blood again?\"}]}'\n",
+		running.CurlTrust(), running.CallerURL(running.Nodes[0]), keys.Online, fleet.Service)
 }
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -4,6 +4,7 @@
 package load
 
 import (
+	"crypto/x509"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -18,6 +19,10 @@
 	Targets []string
 	// Keys are API keys, each of one tenant; requests take them in turn. Empty means none is sent.
 	Keys []string
+	// Authorities are trusted for targets over TLS; nil means those of the system.
+	Authorities *x509.CertPool
+	// FreshConnections has every request open a connection of its own.
+	FreshConnections bool
 	// Model is the service callers ask for.
 	Model string
 	// Rate is the mean rate of online arrivals, in requests per second. Arrivals are Poisson.
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net/http"
@@ -38,17 +39,19 @@
 		options:  options,
 		schedule: Plan(options),
 		recorder: newRecorder(options),
-		client:   newClient(),
+		client:   newClient(options),
 		slots:    make(chan struct{}, maxInFlight),
 		balance:  balance{inFlight: make([]int, len(options.Targets))},
 	}
 	return run.run(ctx)
 }
 
-func newClient() *http.Client {
+func newClient(options Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: maxInFlight,
 		DisableCompression:  true,
+		DisableKeepAlives:   options.FreshConnections,
+		TLSClientConfig:     &tls.Config{RootCAs: options.Authorities},
 	}}
 }
 
