Tell the ledger which processes are gone

Cause: an online request that runs at most once and whose node died stayed in progress for the ledger's timeout of ten minutes. Change: a node that has started anew, by more than the clocks may differ, is gone as the process it was; a silent node is not, since it may still finish.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"mallowlatch.example/mallowlatch/internal/confsync"
 	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -77,6 +79,20 @@
 	return found
 }
 
+// restartMargin is more than the clocks of two nodes may differ by, so that a process is not taken for a later one.
+const restartMargin = 5 * time.Second
+
+// restartedSince reports whether the process that was a node at a time is gone for good, since the node has started anew
+// after it. A node that is only silent may still finish what it began.
+func (p peers) restartedSince(node ident.Node, since time.Time) bool {
+	member, known := p.members.View().Member(node)
+	if !known {
+		return false
+	}
+	started := time.UnixMilli(int64(member.Started))
+	return started.After(since.Add(restartMargin))
+}
+
 // runnerPeers adds the owners of runners.
 type runnerPeers struct {
 	peers
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -86,6 +86,7 @@
 	limits.JobRetention = options.settings.Jobs.Retention
 	limits.MaxFileBytes = int64(options.settings.Limits.BatchFileBytes)
 	limits.Repeatable = options.repeatable
+	limits.Gone = options.peers.restartedSince
 	metrics := jobstore.NewMetrics(options.registerer)
 	for number := range options.settings.Jobs.Shards {
 		id := ident.Shard(number)
