--- a/internal/shard/shardsim/sim.go
+++ b/internal/shard/shardsim/sim.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -99,6 +100,10 @@
 		first.Members = append(first.Members, started.member())
 		first.Seasoned = append(first.Seasoned, started.member())
 	}
+	if options.Seed%2 == 1 {
+		// The service keeps whatever order a set was written in.
+		slices.Reverse(first.Members)
+	}
 	s.store.write(first)
 	for _, started := range s.nodes {
 		started.start()
