--- a/internal/lab/experiment/provision.go
+++ b/internal/lab/experiment/provision.go
@@ -5,11 +5,13 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/admin"
 	"mallowlatch.example/mallowlatch/internal/lab/fleet"
 )
 
@@ -33,9 +35,9 @@
 func provision(ctx context.Context, started *fleet.Fleet) error {
 	digest := sha256.Sum256([]byte(callerKey))
 	manifest := fmt.Appendf(nil, manifestFormat, hex.EncodeToString(digest[:]), service, service, service)
-	url := "http://" + started.Nodes[0].Admin + "/admin/v1/apply?overwrite=true&wait=20s"
+	url := started.AdminURL(started.Nodes[0]) + "/admin/v1/apply?overwrite=true&wait=20s"
 	for {
-		err := apply(ctx, url, manifest)
+		err := apply(ctx, started.Client(), url, manifest)
 		if err == nil {
 			return nil
 		}
@@ -47,14 +49,14 @@
 	}
 }
 
-func apply(ctx context.Context, url string, manifest []byte) error {
+func apply(ctx context.Context, client *http.Client, url string, manifest []byte) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(manifest))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+adminKey)
 	request.Header.Set("Content-Type", "application/yaml")
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
@@ -63,8 +65,12 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	var result admin.ChangeResult
+	if err := json.Unmarshal(content, &result); err != nil || response.StatusCode >= http.StatusBadRequest {
 		return fmt.Errorf("%w: configuration answered %d: %.500s", ErrSetup, response.StatusCode, content)
 	}
+	if result.InForce == nil || !*result.InForce {
+		return fmt.Errorf("%w: configuration is not in force: %.500s", ErrSetup, content)
+	}
 	return nil
 }
