Keep every item of the drain test unfinished

The test failed once in a full run: the tokens it lets through go to any of five streams, and one stream could take enough of them to end its item, which was then committed and rightly not given back.

--- a/internal/batch/lease_test.go
+++ b/internal/batch/lease_test.go
@@ -153,7 +153,7 @@
 // TestDrainGivesBackPreemptedItems fills the runner with online work during a drain.
 func TestDrainGivesBackPreemptedItems(t *testing.T) {
 	at := newClock()
-	tested, fake := gatedSite(testSequences-1, 4, at)
+	tested, fake := gatedSite(testSequences-1, 3*testSequences, at)
 	tested.worker.Start()
 	until(t, "all slots in use", func() bool { return fake.begun() == testSequences-1 })
 	for range 2 * testSequences {
