--- a/internal/lab/experiment/leave.go
+++ b/internal/lab/experiment/leave.go
@@ -119,7 +119,7 @@
 
 func markByDrain(ctx context.Context, started *fleet.Fleet, leaving fleet.Engine) error {
 	manifest := fmt.Sprintf("kind: drains\nspec: {name: runner/%s, reason: experiment}\n", leaving.ID)
-	return send(ctx, http.MethodPost, "http://"+started.Nodes[0].Admin+"/admin/v1/apply?overwrite=true", manifest, adminKey)
+	return sendBy(ctx, started.Client(), http.MethodPost, started.AdminURL(started.Nodes[0])+"/admin/v1/apply?overwrite=true", manifest, adminKey)
 }
 
 func markByOrder(ctx context.Context, _ *fleet.Fleet, leaving fleet.Engine) error {
@@ -132,6 +132,11 @@
 
 // send makes one call and returns an error unless it succeeds.
 func send(ctx context.Context, method, url, body, key string) error {
+	return sendBy(ctx, http.DefaultClient, method, url, body, key)
+}
+
+// sendBy is send by a client that trusts the fleet's certificates.
+func sendBy(ctx context.Context, client *http.Client, method, url, body, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
@@ -142,7 +147,7 @@
 		request.Header.Set("Authorization", "Bearer "+key)
 		request.Header.Set("Content-Type", contentTypeOf(body))
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return fmt.Errorf("calling %s: %w", url, err)
 	}
--- a/internal/lab/experiment/provision.go
+++ b/internal/lab/experiment/provision.go
@@ -39,12 +39,13 @@
 func provision(ctx context.Context, started *fleet.Fleet) error {
 	digest := sha256.Sum256([]byte(callerKey))
 	manifest := fmt.Appendf(nil, manifestFormat, hex.EncodeToString(digest[:]), service, service, service)
-	url := "http://" + started.Nodes[0].Admin + "/admin/v1/apply?overwrite=true&wait=20s"
-	if err := persist(ctx, func() error { return apply(ctx, url, manifest) }); err != nil {
+	url := started.AdminURL(started.Nodes[0]) + "/admin/v1/apply?overwrite=true&wait=20s"
+	if err := persist(ctx, func() error { return apply(ctx, started.Client(), url, manifest) }); err != nil {
 		return err
 	}
 	for _, node := range started.Nodes {
-		probe := func() error { return send(ctx, http.MethodPost, "http://"+node.Caller+chatPath, probeBody, callerKey) }
+		url := started.CallerURL(node) + chatPath
+		probe := func() error { return sendBy(ctx, started.Client(), http.MethodPost, url, probeBody, callerKey) }
 		if err := persist(ctx, probe); err != nil {
 			return fmt.Errorf("waiting for %s to serve: %w", node.ID, err)
 		}
@@ -65,14 +66,14 @@
 	}
 }
 
-func apply(ctx context.Context, url string, manifest []byte) error {
+func apply(ctx context.Context, client *http.Client, url string, manifest []byte) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(manifest))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+adminKey)
 	request.Header.Set("Content-Type", "application/yaml")
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
