--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -23,6 +23,9 @@
 	ticksPerPeriod = 5
 	// maxSending bounds the messages under way at once; what comes beyond is dropped like a message lost on the way.
 	maxSending = 256
+	// callPeriods is how many probe periods a call may take. The detector judges by its own clock; a call given up closes
+	// its connection, and a busy machine must not pay for new handshakes on top.
+	callPeriods = 5
 	// leavePeriods is how many probe periods an announced leave is given to spread.
 	leavePeriods = 3
 )
@@ -199,7 +202,7 @@
 
 // exchange makes one call. A failed one needs no word: the detector works from the answers that don't come.
 func (s *Service) exchange(ctx context.Context, out Outgoing) {
-	ctx, cancel := context.WithTimeout(ctx, s.options.Config.ProbePeriod)
+	ctx, cancel := context.WithTimeout(ctx, callPeriods*s.options.Config.ProbePeriod)
 	defer cancel()
 	conn, err := s.connect(ctx, out)
 	if err != nil {
