Give leased items back when the node no longer owns a runner for them

Once a second the worker now gives back the queued items whose model no runner it owns holds.

TestItemsNoOwnedRunnerCanRunAreGivenBack failed before (lease still held after 30 s).

--- a/internal/batch/lease_test.go
+++ b/internal/batch/lease_test.go
@@ -202,3 +202,24 @@
 	}
 	return requests
 }
+
+// A node whose runners all go to another owner gives its leased items back: it would renew their lease for ever and never
+// run them.
+func TestItemsNoOwnedRunnerCanRunAreGivenBack(t *testing.T) {
+	at := newClock()
+	tested, fake := gatedSite(20, 1, at)
+	tested.worker.Start()
+	until(t, "all slots in use", func() bool { return fake.begun() == testSequences-1 })
+	tested.setOwned(nil)
+	until(t, "no lease held", func() bool {
+		at.Advance(10 * time.Millisecond)
+		return inLoop(tested.worker, func() string {
+			if len(tested.worker.book.leases)+tested.worker.book.queued() > 0 {
+				return "lease still held"
+			}
+			return ""
+		}) == ""
+	})
+	assert.NilError(t, tested.worker.Stop())
+	assert.Assert(t, tested.store.gave() > testSequences, "only %d items given back", tested.store.gave())
+}
--- a/internal/batch/leasebook.go
+++ b/internal/batch/leasebook.go
@@ -198,16 +198,21 @@
 	b.queue = kept
 }
 
-// takeQueued takes every item out of the queue, to be released. None of them may be lost by that: an item is queued
+// takeQueued takes the chosen items out of the queue, to be released. None of them may be lost by that: an item is queued
 // only if it was not run, or may run again.
-func (b *leaseBook) takeQueued() map[*heldLease][]uint32 {
+func (b *leaseBook) takeQueued(chosen func(*item) bool) map[*heldLease][]uint32 {
 	taken := map[*heldLease][]uint32{}
+	kept := b.queue[:0]
 	for _, queued := range b.queue {
+		if !chosen(queued) {
+			kept = append(kept, queued)
+			continue
+		}
 		queued.state = itemEnded
 		taken[queued.lease] = append(taken[queued.lease], queued.job.Index)
 	}
-	clear(b.queue)
-	b.queue = b.queue[:0]
+	clear(b.queue[len(kept):])
+	b.queue = kept
 	return taken
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -76,12 +76,14 @@
 	// tenants counts what runs, for the policies, which may ask from another goroutine.
 	tenants tenantCounter
 
-	book     *leaseBook
-	runners  map[ident.Runner]*runnerState
-	feeder   feeder
-	commits  map[*heldLease]*commit
-	renewAt  time.Time
-	stopping bool
+	book    *leaseBook
+	runners map[ident.Runner]*runnerState
+	feeder  feeder
+	commits map[*heldLease]*commit
+	renewAt time.Time
+	// strandedAt is the time of the next look for items that no owned runner can run.
+	strandedAt time.Time
+	stopping   bool
 	// launched numbers the runs.
 	launched uint64
 }
@@ -223,8 +225,9 @@
 	w.preempt(grants)
 	w.expire(now)
 	if w.stopping {
-		w.releaseQueued()
+		w.releaseQueued(func(*item) bool { return true })
 	} else {
+		w.releaseStranded(now)
 		w.startItems(grants, now)
 		w.feed(now)
 	}
