--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -45,7 +46,11 @@
 // runFaults strikes a fleet under load with a seeded schedule of faults and counts, by a ledger that trusts no node,
 // what was accepted, completed, lost and doubled. It goes on to the next fault once every replica set is whole again.
 func runFaults(ctx context.Context, environment *environment) (Measurement, error) {
-	striking := &striker{planned: planFaults(environment.seed, environment.options.Faults), struck: map[faultKind]int{}}
+	striking := &striker{
+		planned:  planFaults(environment.seed, environment.options.Faults),
+		progress: environment.options.Progress,
+		struck:   map[faultKind]int{},
+	}
 	settings := map[string]string{"jobs.lease_ttl": faultLease}
 	for name, value := range environment.options.NodeSettings {
 		settings[name] = value
@@ -100,9 +105,11 @@
 // striker does the faults of a schedule one after the other.
 type striker struct {
 	planned []plannedFault
-	struck  map[faultKind]int
-	done    int
-	slowest time.Duration
+	// progress gets a line for each fault.
+	progress io.Writer
+	struck   map[faultKind]int
+	done     int
+	slowest  time.Duration
 }
 
 func (s *striker) run(ctx context.Context, started *fleet.Fleet) error {
@@ -121,7 +128,9 @@
 		if err := waitWhole(ctx, store, started); err != nil {
 			return fmt.Errorf("after fault %d, %s: %w", s.done+1, fault.Kind, err)
 		}
-		s.slowest = max(s.slowest, time.Since(began))
+		lasted := time.Since(began)
+		fmt.Fprintf(s.progress, "%s fault %d, %s: whole %s after its end\n", began.Format(time.TimeOnly), s.done+1, fault.Kind, lasted.Round(time.Millisecond))
+		s.slowest = max(s.slowest, lasted)
 		s.struck[fault.Kind]++
 		s.done++
 		if !sleep(ctx, faultPauseAfter) {
