Rank nodes for a duty in one package, rendezvous

Ruled out: taking shardhost.Places and jobstore.HomeShard in. They keep their own and are pinned by literal values.

The hashed bytes are those of before, which a property test states; no choice moves. Share's order between zones of equal weight is now decided by name, where it was left open.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 )
 
 const (
@@ -106,13 +108,6 @@
 
 // homeOf returns the node that sums a limit, by rendezvous hashing over the live nodes.
 func homeOf(limit string, nodes []ident.Node) ident.Node {
-	var best ident.Node
-	var bestWeight uint64
-	for _, node := range nodes {
-		weight := rendezvousWeight(limit, node)
-		if best == "" || weight > bestWeight || (weight == bestWeight && node < best) {
-			best, bestWeight = node, weight
-		}
-	}
-	return best
+	home, _ := rendezvous.First(limit, slices.Values(nodes))
+	return home
 }
--- a/internal/confsync/spread.go
+++ b/internal/confsync/spread.go
@@ -1,14 +1,12 @@
 package confsync
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 )
 
 // announce starts the rounds that tell others of a new revision.
@@ -92,20 +90,13 @@
 	}
 	for zone, members := range relays {
 		slices.SortFunc(members, func(a, b Peer) int {
-			if order := cmp.Compare(relayScore(b), relayScore(a)); order != 0 {
-				return order
-			}
-			return cmp.Compare(a.Node, b.Node)
+			return rendezvous.Compare(string(zone), a.Node, b.Node)
 		})
 		relays[zone] = members[:min(perZone, len(members))]
 	}
 	return relays
 }
 
-func relayScore(peer Peer) uint64 {
-	return xxhash.Sum64String(string(peer.Zone) + "\x00" + string(peer.Node))
-}
-
 func sortedZones(relays map[ident.Zone][]Peer) []ident.Zone {
 	return slices.Sorted(maps.Keys(relays))
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 )
 
 // tickSync sends the digests that are due: to other zones, to a peer of the own zone, to seeds and lost members.
@@ -66,7 +67,7 @@
 func (c *Core) begins(zone ident.Zone, now time.Time) bool {
 	first, second := min(zone, c.self.zone), max(zone, c.self.zone)
 	beginner := first
-	if xxhash.Sum64String(string(first)+"\x00"+string(second))%2 == 1 {
+	if rendezvous.Weight(string(first), second)%2 == 1 {
 		beginner = second
 	}
 	return beginner == c.self.zone || now.Sub(c.contacts[zone]) > c.config.ReachableWithin/2
@@ -110,14 +111,9 @@
 // bridges returns the members of a zone that keep contact with another zone: those of the highest weight.
 func bridges(members []ident.Node, zone, other ident.Zone, count int) []ident.Node {
 	ranked := slices.Clone(members)
-	weight := func(node ident.Node) uint64 {
-		return xxhash.Sum64String(string(zone) + "\x00" + string(other) + "\x00" + string(node))
-	}
+	duty := string(zone) + "\x00" + string(other)
 	slices.SortFunc(ranked, func(first, second ident.Node) int {
-		if order := cmp.Compare(weight(second), weight(first)); order != 0 {
-			return order
-		}
-		return cmp.Compare(first, second)
+		return rendezvous.Compare(duty, first, second)
 	})
 	return ranked[:min(count, len(ranked))]
 }
--- a/internal/ownership/choose.go
+++ b/internal/ownership/choose.go
@@ -5,10 +5,11 @@
 package ownership
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"iter"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 )
 
 // Distance returns how far one zone is from another, in any unit; it is asked for different zones only.
@@ -26,35 +27,29 @@
 // Choose returns the owner of a runner among the members: the highest rendezvous weight of the live members of its
 // zone, else of the nearest zone that has any. It returns false if nobody is alive.
 func Choose(runner ident.Runner, zone ident.Zone, members []membership.Member, distance Distance) (Choice, bool) {
-	if best, found := heaviest(runner, zone, members); found {
+	if best, found := rendezvous.First(string(runner), live(zone, members)); found {
 		return Choice{Node: best}, true
 	}
 	nearest, found := nearestZone(zone, members, distance)
 	if !found {
 		return Choice{}, false
 	}
-	best, _ := heaviest(runner, nearest, members)
+	best, _ := rendezvous.First(string(runner), live(nearest, members))
 	return Choice{Node: best, Foreign: true, Doubtful: anySuspect(zone, members)}, true
 }
 
-func heaviest(runner ident.Runner, zone ident.Zone, members []membership.Member) (ident.Node, bool) {
-	var best ident.Node
-	var highest uint64
-	for _, member := range members {
-		if member.Zone != zone || member.State != membership.Alive {
-			continue
-		}
-		weight := Weight(string(runner), member.Node)
-		if best == "" || weight > highest || (weight == highest && member.Node < best) {
-			best, highest = member.Node, weight
+// live yields the live members of a zone.
+func live(zone ident.Zone, members []membership.Member) iter.Seq[ident.Node] {
+	return func(yield func(ident.Node) bool) {
+		for _, member := range members {
+			if member.Zone != zone || member.State != membership.Alive {
+				continue
+			}
+			if !yield(member.Node) {
+				return
+			}
 		}
 	}
-	return best, best != ""
-}
-
-// Weight is the rendezvous weight of a node for a duty.
-func Weight(duty string, node ident.Node) uint64 {
-	return xxhash.Sum64String(duty + "\x00" + string(node))
 }
 
 func nearestZone(from ident.Zone, members []membership.Member, distance Distance) (ident.Zone, bool) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -12,7 +12,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/engine"
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/ownership"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 	"mallowlatch.example/mallowlatch/internal/weight"
 )
 
@@ -278,12 +278,7 @@
 func preferred(runners []*site, model string) []*site {
 	ranked := slices.Clone(runners)
 	slices.SortFunc(ranked, func(a, b *site) int {
-		weightA := ownership.Weight(model, ident.Node(a.ID))
-		weightB := ownership.Weight(model, ident.Node(b.ID))
-		if order := cmp.Compare(weightB, weightA); order != 0 {
-			return order
-		}
-		return cmp.Compare(a.ID, b.ID)
+		return rendezvous.Compare(model, a.ID, b.ID)
 	})
 	return ranked
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -7,7 +7,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/ownership"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 	"mallowlatch.example/mallowlatch/internal/weight"
 )
 
@@ -90,7 +90,7 @@
 		if order := cmp.Compare(copies*b.Runners%total, copies*a.Runners%total); order != 0 {
 			return order
 		}
-		return cmp.Compare(zoneWeight(service, b.Zone), zoneWeight(service, a.Zone))
+		return rendezvous.Compare("placement/"+service, a.Zone, b.Zone)
 	})
 	rest := copies
 	for _, size := range zones {
@@ -108,7 +108,3 @@
 	}
 	return 0
 }
-
-func zoneWeight(service string, zone ident.Zone) uint64 {
-	return ownership.Weight("placement/"+service, ident.Node(zone))
-}
--- a/internal/shardmap/plan.go
+++ b/internal/shardmap/plan.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 )
 
 // Peer is a node with a disk that may be asked.
@@ -136,7 +135,7 @@
 	return rank{
 		trusted: !failed || !now.Before(until),
 		near:    peer.Zone == p.zone,
-		score:   xxhash.Sum64String(string(p.self) + "\x00" + string(peer.Node)),
+		score:   rendezvous.Weight(string(p.self), peer.Node),
 	}
 }
 
