Let one reloader serve all certificates

Cause: transport/credentials.go and tlsreload both read, checked and swapped certificate files. The two differed where they should not: the transport compared sizes and times, which a replacement in the same second with the same length gets past; it took an expired certificate and then failed every handshake; it did not warn of the end of a certificate.

Credentials now hold a tlsreload.Reloader and poll it when a connection is made, at most once a second as before. The TLS configuration stays with each user: the transport asks for TLS 1.3 and checks the peer's name. A node whose peer certificate has expired no longer starts, as with the other listeners. Events 5003 and 5004 are retired; 2050 to 2052 cover both, with the file's name. Reloader.ClientConfig had no user and is gone.

Ruled out: polling from the node's reload loop. The transport is also used by programs without that loop, and a look at each connection finds a new file before the first handshake that needs it.

All tests of both packages are kept and pass with the race detector. New: unusable files are refused at the start, seen to fail with the check of the authority's file left out.

--- a/internal/event/transport.go
+++ b/internal/event/transport.go
@@ -2,12 +2,10 @@
 
 import "github.com/rs/zerolog"
 
-// Events of the transport between nodes: 5000 to 5049.
+// Events of the transport between nodes: 5000 to 5049. The numbers 5003 and 5004 are retired.
 var (
 	TransportServing         = register(5000, "transport_serving", zerolog.InfoLevel, "The listener for other nodes is open.", "none")
 	TransportStopped         = register(5001, "transport_stopped", zerolog.InfoLevel, "The listener for other nodes is closed and its calls have ended.", "none")
 	TransportPeerRefused     = register(5002, "transport_peer_refused", zerolog.WarnLevel, "A connection from another node was refused: its certificate is missing, expired or of another authority.", "check the peer's certificate and clock")
-	TransportReloaded        = register(5003, "transport_certificates_reloaded", zerolog.InfoLevel, "New certificate files are in use for new connections.", "none")
-	TransportReloadFailed    = register(5004, "transport_certificates_reload_failed", zerolog.ErrorLevel, "The certificate files changed but can't be used; the ones in use stay.", "mend the files; write the key before the certificate")
 	TransportConnectionLimit = register(5005, "transport_connection_limit", zerolog.WarnLevel, "A connection from another node was closed at once because the listener's limit is reached.", "look for a node that opens connections without end")
 )
--- a/internal/tlsreload/tlsreload.go
+++ b/internal/tlsreload/tlsreload.go
@@ -186,15 +186,10 @@
 	return config
 }
 
-// ClientConfig returns a configuration for one dial: it presents the newest certificate and trusts the newest
-// authorities.
-func (r *Reloader) ClientConfig() *tls.Config {
+// Current returns the newest usable certificate and authorities; the authorities are nil if no file names any.
+func (r *Reloader) Current() (tls.Certificate, *x509.CertPool) {
 	held := r.current.Load()
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS12,
-		Certificates: []tls.Certificate{held.certificate},
-		RootCAs:      held.authorities,
-	}
+	return held.certificate, held.authorities
 }
 
 // content is the bytes of the files.
--- a/internal/transport/tls_test.go
+++ b/internal/transport/tls_test.go
@@ -90,3 +90,19 @@
 	eventually(renewed)
 	assert.Check(t, !reaches(old))
 }
+
+func TestUnusableCredentialsAreRefusedAtStart(t *testing.T) {
+	files := newAuthority(t).write(t, t.TempDir(), "b")
+	tests := map[string]func(*transport.Files){
+		"no authority named": func(files *transport.Files) { files.Authority = "" },
+		"no such file":       func(files *transport.Files) { files.Key += ".absent" },
+		"not an authority":   func(files *transport.Files) { files.Authority = files.Key },
+		"not a pair":         func(files *transport.Files) { files.Certificate = files.Authority },
+	}
+	for name, spoil := range tests {
+		spoiled := files
+		spoil(&spoiled)
+		_, err := transport.LoadCredentials(spoiled, zerolog.Nop())
+		assert.Check(t, errors.Is(err, transport.ErrCertificates), "%s: %v", name, err)
+	}
+}
