Read batch items as online requests are read

Cause: internal/batch had its own reading of a body: its own token estimate over the whole JSON text, its own default bound of an answer (1024 against 4096), and no check beside the service's name. A service closed to a tenant was thus open to it in a batch.

Items now go through request.Decode.

An item whose body an online request could not have (no messages, n above 1, max_tokens of 0) now ends as not run with the same error, without a call to an engine. What the input line says of repeatability still decides.

--- a/internal/batch/request.go
+++ b/internal/batch/request.go
@@ -10,55 +10,23 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
+	"mallowlatch.example/mallowlatch/internal/request"
 )
 
-// bytesPerToken is a rough estimate for prompts.
-const bytesPerToken = 4
-
-// defaultMaxTokens bounds an answer if neither the item nor its service does.
-const defaultMaxTokens = 1024
-
-// itemBody is the part of an item's body that the worker reads.
-type itemBody struct {
-	Model               string `json:"model"`
-	MaxTokens           int    `json:"max_tokens"`
-	MaxCompletionTokens int    `json:"max_completion_tokens"`
-}
-
-// newRequest resolves an item against the configuration. The identifier holds the lease, so that a run under an
-// earlier lease is never taken for this one.
+// newRequest reads an item as an online request of its tenant is read, and resolves it against the configuration. The
+// identifier holds the lease, so that a run under an earlier lease is never taken for this one. Whether the item may run
+// twice was settled when its input line was accepted.
 func newRequest(leased *job.Item, lease string, configuration *catalog.Snapshot, now time.Time) (*inference.Request, *failure.Error) {
-	var body itemBody
-	if err := json.Unmarshal(leased.Body, &body); err != nil {
-		return nil, failure.New(failure.CodeInvalidJSON, "the item's body is not a JSON object").WithCause(err)
-	}
-	service, known := configuration.Services[body.Model]
-	if !known {
-		return nil, failure.New(failure.CodeModelNotFound, "no service is called %q", body.Model).WithParam("model")
-	}
-	return &inference.Request{
-		ID:           ident.Request(fmt.Sprintf("%s/%d/%s", leased.Job, leased.Index, lease)),
-		Tenant:       leased.Tenant,
-		Service:      service.Name,
-		Model:        service.Model,
-		Adapter:      service.Adapter,
-		Endpoint:     leased.Endpoint,
-		Body:         leased.Body,
-		Class:        inference.Batch,
-		PromptTokens: len(leased.Body)/bytesPerToken + 1,
-		MaxTokens:    firstPositive(body.MaxCompletionTokens, body.MaxTokens, service.MaxTokens, defaultMaxTokens),
-		Repeatable:   leased.Repeatable,
-		Arrived:      now,
-	}, nil
-}
-
-func firstPositive(values ...int) int {
-	for _, value := range values {
-		if value > 0 {
-			return value
-		}
+	made, err := request.Decode(leased.Endpoint, leased.Body, leased.Tenant, configuration)
+	if err != nil {
+		return nil, failure.As(err)
 	}
-	return 0
+	made.ID = ident.Request(fmt.Sprintf("%s/%d/%s", leased.Job, leased.Index, lease))
+	made.Class = inference.Batch
+	made.Stream = false
+	made.Repeatable = leased.Repeatable
+	made.Arrived = now
+	return made, nil
 }
 
 // errorBody is the OpenAI error envelope of an item that failed.
