Write a first configuration in one way

Cause: lab/fleet and lab/experiment each had their own call of the admin API. Fleet's promised to wait until the configuration is in force but took any 200 for that, also in_force=false, and gave up on a node that was still starting. The experiments' checked and tried again, but a second try of a write that had gone through changes nothing, is answered without in_force, and so could never succeed. Both wrote the same four kinds, one as typed values, one as YAML text.

--- a/internal/lab/experiment/provision.go
+++ b/internal/lab/experiment/provision.go
@@ -1,76 +1,33 @@
 package experiment
 
 import (
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
-	"time"
 
-	"mallowlatch.example/mallowlatch/internal/admin"
+	"mallowlatch.example/mallowlatch/internal/auth"
+	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/lab/fleet"
 )
 
 const (
-	provisionPause = 500 * time.Millisecond
-	manifestFormat = `kind: tenants
-spec: {name: lab, weight: 1}
----
-kind: keys
-spec: {id: lab-caller, tenant: lab, role: caller, digest: %s}
----
-kind: models
-spec: {name: %s, version: "1", memory_bytes: 1073741824}
----
-kind: services
-spec: {name: %s, model: %s, max_tokens: 4096, repeatable: true}
-`
+	tenant          = "lab"
+	modelBytes      = 1 << 30
+	maxAnswerTokens = 4096
 )
 
 // provision writes the configuration that the load needs through the admin API and waits until it is in force.
 func provision(ctx context.Context, started *fleet.Fleet) error {
-	digest := sha256.Sum256([]byte(callerKey))
-	manifest := fmt.Appendf(nil, manifestFormat, hex.EncodeToString(digest[:]), service, service, service)
-	url := started.AdminURL(started.Nodes[0]) + "/admin/v1/apply?overwrite=true&wait=20s"
-	for {
-		err := apply(ctx, started.Client(), url, manifest)
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(provisionPause):
-		}
-	}
-}
-
-func apply(ctx context.Context, client *http.Client, url string, manifest []byte) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(manifest))
+	resources, err := fleet.Encode(
+		&catalog.Tenant{Name: tenant, Weight: 1},
+		&catalog.Key{ID: "lab-caller", Tenant: tenant, Role: catalog.RoleCaller, Digest: auth.Digest(callerKey)},
+		&catalog.Model{Name: service, Version: "1", MemoryBytes: modelBytes},
+		&catalog.Service{Name: service, Model: service, MaxTokens: maxAnswerTokens, Repeatable: true},
+	)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
-	request.Header.Set("Authorization", "Bearer "+adminKey)
-	request.Header.Set("Content-Type", "application/yaml")
-	response, err := client.Do(request)
-	if err != nil {
+	if err := fleet.Apply(ctx, started.Client(), started.AdminURL(started.Nodes[0]), adminKey, resources); err != nil {
 		return fmt.Errorf("%w: %w", ErrSetup, err)
 	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrSetup, err)
-	}
-	var result admin.ChangeResult
-	if err := json.Unmarshal(content, &result); err != nil || response.StatusCode >= http.StatusBadRequest {
-		return fmt.Errorf("%w: configuration answered %d: %.500s", ErrSetup, response.StatusCode, content)
-	}
-	if result.InForce == nil || !*result.InForce {
-		return fmt.Errorf("%w: configuration is not in force: %.500s", ErrSetup, content)
-	}
 	return nil
 }
