End the replicas' streams when a host stops, before the listener waits for them

Cause: a planned stop took more than 15 s, since the peer listener waited for calls to end and the streams between replicas never end by themselves (seen in a goroutine dump of a rolling restart and in the log: stop transport, deadline exceeded). Change: a stream ends with its host, and the node stops the host before the listener. Proof: TestStoppedHostLeavesNoCallOpen failed before the change.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -87,7 +87,7 @@
 
 // closeSteps end what answers.
 func (n *Node) closeSteps() []stopStep {
-	return []stopStep{
+	steps := []stopStep{
 		{"close dispatcher", stopBound, ignoreContext(n.dispatcher.Close)},
 		{"close job client", stopBound, ignoreContext(n.jobs.Close)},
 		{"stop exchange", stopBound, ignoreContext(n.exchange.Stop)},
@@ -95,9 +95,15 @@
 		{"close caller listener", stopBound, n.callerServer.Shutdown},
 		{"close admin listener", stopBound, n.adminServer.Shutdown},
 		{"leave", stopBound, n.members.Stop},
-		{"close peer listener", stopBound, n.peerServer.Stop},
-		{"close connections", stopBound, ignoreContext(n.pool.Close)},
 	}
+	if n.storage != nil {
+		// The streams of the replicas end with the host; the listener waits for them.
+		steps = append(steps, stopStep{"stop replicas", stopBound, ignoreContext(n.storage.host.Stop)})
+	}
+	return append(steps,
+		stopStep{"close peer listener", stopBound, n.peerServer.Stop},
+		stopStep{"close connections", stopBound, ignoreContext(n.pool.Close)},
+	)
 }
 
 func (n *Node) runSteps(steps []stopStep) {
--- a/internal/shardhost/host_test.go
+++ b/internal/shardhost/host_test.go
@@ -135,6 +135,19 @@
 	f.verify()
 }
 
+// TestStoppedHostLeavesNoCallOpen keeps a failure of a fleet of processes: the streams that other replicas held open kept
+// the listener of a stopping node waiting until its time was up.
+func TestStoppedHostLeavesNoCallOpen(t *testing.T) {
+	f := newFixture(t, 3)
+	leader := f.leader(3)
+	f.propose(10)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	cut, err := f.fleet.StopWithin(ctx, leader)
+	assert.NilError(t, err)
+	assert.NilError(t, cut, "calls were still open")
+}
+
 func TestLeaderChangesWithoutKeyValueService(t *testing.T) {
 	f := newFixture(t, 3)
 	leader := f.leader(3)
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -220,28 +220,33 @@
 	f.nodes[number].draining = draining
 }
 
-// Stop stops a node. Its disk stays.
+// Stop stops a node without patience: calls under way are cut, as by a crash. Its disk stays.
 func (f *Fleet) Stop(number int) error {
+	hurried, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := f.StopWithin(hurried, number)
+	return err
+}
+
+// StopWithin stops a node and gives its calls under way until ctx ends. cut says that some had not ended then.
+func (f *Fleet) StopWithin(ctx context.Context, number int) (cut, err error) {
 	f.mutex.Lock()
 	stopped := f.nodes[number]
 	wasRunning := stopped.running
 	stopped.running = false
 	f.mutex.Unlock()
 	if !wasRunning {
-		return nil
+		return nil, nil
 	}
 	if err := stopped.host.Stop(); err != nil {
-		return err
+		return nil, err
 	}
 	if err := stopped.pool.Close(); err != nil {
-		return fmt.Errorf("closing the pool: %w", err)
+		return nil, fmt.Errorf("closing the pool: %w", err)
 	}
-	// A stop without patience: calls under way are cut, as by a crash.
-	hurried, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = stopped.server.Stop(hurried)
+	cut = stopped.server.Stop(ctx)
 	<-stopped.served
-	return stopped.store.Close()
+	return cut, stopped.store.Close()
 }
 
 // Wipe stops a node and gives it an empty disk.
