Wait for both replicas before the test stops the leader

Cause: under load the first set of a shard was stored while only one disk was known, and the test stopped that disk at once; the shard then had no replica left and no new leader could be found. The test now waits until both disks hold a replica, and asks for as much as before after that.

--- a/internal/node/routes_test.go
+++ b/internal/node/routes_test.go
@@ -133,10 +133,15 @@
 	storeAddress, machineAddress := store.Listener.Addr().String(), machines.Listener.Addr().String()
 	seed := freeAddress(t)
 	stops := map[ident.Node]func(){}
-	_, stops["disk-1"] = startNode(t, "disk-1", t.TempDir(), seed, seed, storeAddress, machineAddress)
+	var first *Node
+	first, stops["disk-1"] = startNode(t, "disk-1", t.TempDir(), seed, seed, storeAddress, machineAddress)
 	_, stops["disk-2"] = startNode(t, "disk-2", t.TempDir(), freeAddress(t), seed, storeAddress, machineAddress)
 	plain, _ := startNode(t, "plain", "", freeAddress(t), seed, storeAddress, machineAddress)
 
+	eventually(t, "both disks hold a replica", func() bool {
+		status, known := first.storage.host.Status(0)
+		return known && len(status.Configuration.Members) == 2 && status.Activated == status.Configuration.Epoch
+	})
 	var leader ident.Node
 	eventually(t, "a leader is known", func() bool {
 		var known bool
