Take the timing of the machine out of the batch lease tests

Repeated runs under load failed in four ways, each a fault of the test and none of the worker: a second lease taken after the clock moved was rightly still held; the clock moved past the age of the load report, which preempts; two moves could fall before one renewal, since the renewals made before the first move were counted; and the time that passed at each look outran the renewals.

--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -76,7 +76,7 @@
 	if before, _ := s.fails(); before {
 		return job.Lease{}, errStore
 	}
-	count := min(request.Max, 16, len(s.items)-s.next)
+	count := min(request.Max, leaseItems, len(s.items)-s.next)
 	lease := job.Lease{ID: fmt.Sprint("l", len(s.leases)), Job: "j", Items: s.items[s.next : s.next+count], TTL: s.ttl}
 	s.next += count
 	s.leases[lease.ID] = &fakeLease{lease: lease, expires: s.now().Add(s.ttl)}
@@ -278,6 +278,9 @@
 
 const testSequences = 6
 
+// leaseItems is the most items the store gives in one lease.
+const leaseItems = 16
+
 func newSite(store *fakeStore, engines map[ident.Runner]*fakeEngine, now func() time.Time) *site {
 	created := &site{store: store, engines: engines, table: dispatch.NewTable()}
 	list := machine.List{}
--- a/internal/batch/lease_test.go
+++ b/internal/batch/lease_test.go
@@ -16,6 +16,10 @@
 	"mallowlatch.example/mallowlatch/internal/outcome"
 )
 
+// pollStep is the time that passes at each look while a test waits. It is small, so that the worker gets to renew its
+// leases however slowly the machine runs it.
+const pollStep = time.Millisecond
+
 // gatedSite has one runner whose items wait at the gate for each token.
 func gatedSite(items, tokens int, at *clock) (*site, *fakeEngine) {
 	fake := newEngine(tokens, rand.New(rand.NewPCG(1, 1)), false)
@@ -38,10 +42,12 @@
 // TestWorkerStopsByItselfWhenItCannotRenew lets renewals fail until the lease has run out.
 func TestWorkerStopsByItselfWhenItCannotRenew(t *testing.T) {
 	at := newClock()
-	tested, fake := gatedSite(20, 1, at)
+	tested, fake := gatedSite(leaseItems, 1, at)
 	tested.store.refuseRenewals = true
 	tested.worker.Start()
 	until(t, "all slots in use", func() bool { return fake.begun() == testSequences-1 })
+	// The report comes first: without a fresh one the items would be preempted for that reason.
+	tested.report(at.Now().Add(9500 * time.Millisecond))
 	at.Advance(9500 * time.Millisecond)
 	until(t, "renewal tried", func() bool { return tested.store.asked() > 0 })
 	assert.Equal(t, fake.ended(), 0, "aborted before the lease ran out")
@@ -64,16 +70,17 @@
 	tested, fake := gatedSite(20, 1, at)
 	tested.worker.Start()
 	until(t, "all slots in use", func() bool { return fake.begun() == testSequences-1 })
-	for step := range 8 {
+	for range 8 {
+		before := tested.store.asked()
 		at.Advance(4 * time.Second)
 		tested.report(at.Now())
-		until(t, "renewed", func() bool { return tested.store.asked() > step })
+		until(t, "renewed", func() bool { return tested.store.asked() > before })
 		assert.Equal(t, inLoop(tested.worker, func() string { return "" }), "")
 	}
 	assert.Equal(t, fake.ended(), 0)
 	close(fake.gate)
 	until(t, "done", func() bool {
-		at.Advance(20 * time.Millisecond)
+		at.Advance(pollStep)
 		tested.report(at.Now())
 		return tested.store.done() == 20
 	})
@@ -102,7 +109,7 @@
 	until(t, "aborted", func() bool { return fake.ended() == testSequences-1 })
 	close(fake.gate)
 	until(t, "done", func() bool {
-		at.Advance(50 * time.Millisecond)
+		at.Advance(pollStep)
 		tested.report(at.Now())
 		return tested.store.done() == testSequences-1
 	})
@@ -126,7 +133,7 @@
 	assert.Equal(t, fake.begun(), 1, "the stale epoch was used again")
 	tested.setOwned([]Owned{{Runner: "a", Epoch: 8}})
 	until(t, "done", func() bool {
-		at.Advance(50 * time.Millisecond)
+		at.Advance(pollStep)
 		tested.report(at.Now())
 		return tested.store.done() == 1
 	})
@@ -144,7 +151,7 @@
 	go func() { drained <- tested.worker.Drain(context.Background()) }()
 	until(t, "released", func() bool { return tested.store.gave() == 16-(testSequences-1) })
 	close(fake.gate)
-	until(t, "committed", func() bool { at.Advance(20 * time.Millisecond); return tested.store.done() == testSequences-1 })
+	until(t, "committed", func() bool { at.Advance(pollStep); return tested.store.done() == testSequences-1 })
 	assert.NilError(t, <-drained)
 	assert.NilError(t, tested.worker.Stop())
 	assert.Equal(t, fake.begun(), testSequences-1, "an item was started during the drain")
