--- a/internal/lab/linksim/pump.go
+++ b/internal/lab/linksim/pump.go
@@ -80,10 +80,11 @@
 		if way.limiter.WaitN(through.ctx, len(next.content)) != nil || !l.state.waitThawed(dropped) {
 			return false
 		}
+		// Counted first: whoever has received bytes must find them in the counters.
+		way.bytes.Add(int64(len(next.content)))
 		if _, err := to.Write(next.content); err != nil {
 			return false
 		}
-		way.bytes.Add(int64(len(next.content)))
 	}
 	return true
 }
