Tell load balancers of a stop before work is refused

Cause: install.md says that /readyz turns to 503 on SIGTERM. Followed as written it stayed 200 for the three seconds in which the other nodes are told, and an idle node then closed its listeners at once: a prober never saw 503.

Gateway.AnnounceDrain now fails readiness first, and requests are still served meanwhile.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -29,7 +30,9 @@
 	router  *bunrouter.Router
 	metrics *metrics
 
-	draining  drainGate
+	draining drainGate
+	// leaving says that a drain is about to begin.
+	leaving   atomic.Bool
 	requests  slots
 	transfers slots
 	calls     slots
@@ -127,6 +130,10 @@
 	})
 }
 
+// AnnounceDrain makes Ready fail while requests are still served, so that load balancers look elsewhere before Drain
+// refuses new work.
+func (g *Gateway) AnnounceDrain() { g.leaving.Store(true) }
+
 // Drain refuses new work and waits until what is in progress has ended. When ctx is done first, every request in
 // progress is ended with an error and Drain returns the cause.
 func (g *Gateway) Drain(ctx context.Context) error {
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -28,7 +28,7 @@
 
 // Ready returns nil while new work should be sent here, else a *failure.Error.
 func (g *Gateway) Ready() error {
-	if g.draining.isClosed() {
+	if g.leaving.Load() || g.draining.isClosed() {
 		return failure.New(failure.CodeDraining, "this node is stopping").WithRetryAfter(drainingRetryAfter)
 	}
 	if g.options.Ready == nil {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -228,6 +228,20 @@
 	assert.Assert(t, strings.HasSuffix(string(content), "data: [DONE]\n\n"), "%s", content)
 }
 
+func TestAnnouncedDrainStillServes(t *testing.T) {
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		return sink.Chunk(chunkOf(request.Endpoint, 0, "all", true))
+	}, nil)
+	response, _ := site.send(t, "GET", "/readyz", "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	site.gateway.AnnounceDrain()
+	response, body := site.send(t, "GET", "/readyz", "")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, envelopeOf(t, body).Code, failure.CodeDraining)
+	response, body = site.post(t, chatPath, chatBody)
+	assert.Equal(t, response.StatusCode, http.StatusOK, "%s", body)
+}
+
 func TestCutDrainEndsStreamsWithAnError(t *testing.T) {
 	started := make(chan struct{})
 	site := newSite(t, func(ctx context.Context, request *inference.Request, sink Sink) error {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -67,8 +67,9 @@
 	return steps
 }
 
-// announceLeaving tells the other nodes, if there are any, and gives the word time to spread.
+// announceLeaving tells load balancers and the other nodes, if there are any, and gives the word time to spread.
 func (n *Node) announceLeaving(ctx context.Context) error {
+	n.gateway.AnnounceDrain()
 	if len(n.peers.live()) == 0 {
 		return nil
 	}
