--- a/internal/ownership/planner.go
+++ b/internal/ownership/planner.go
@@ -89,10 +89,10 @@
 	seenAt    time.Time
 	// incarnation is the engine's start that seenEpoch and epoch belong to.
 	incarnation string
-	asking    bool
-	notBefore time.Time
-	losses    int
-	heldSince time.Time
+	asking      bool
+	notBefore   time.Time
+	losses      int
+	heldSince   time.Time
 }
 
 // NewPlanner returns the planner of a node that holds nothing.
