Remove exported code that nothing uses

Cause: staticcheck's U1000 finds nothing, as it counts every exported name as used. A search for exported names that stand once outside tests, and in no test, found these: kvtest's Expire, enginesim's ExpectedTokens, membership's Suspects, shard's ErrUnsafeConfiguration, which no function returned, and shardhosttest's SetDraining with its field.

Left: names of a wire format (etcdwire), methods that an interface asks for, and kv/etcdhttp's WithHTTPClient, without which the key-value service can't be reached over TLS; nothing sets it yet. The build and go vet of the packages pass; no other code changes.

--- a/internal/kv/kvtest/data.go
+++ b/internal/kv/kvtest/data.go
@@ -191,13 +191,6 @@
 	return nil
 }
 
-// Expire ends the leases that have lapsed; every other method does so too.
-func (d *Data) Expire() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.expireLocked()
-}
-
 func (d *Data) expireLocked() {
 	if len(d.leases) == 0 {
 		return
--- a/internal/lab/enginesim/answer.go
+++ b/internal/lab/enginesim/answer.go
@@ -48,15 +48,6 @@
 	return string(appendTokens(nil, prompt.Digest, 0, n))
 }
 
-// ExpectedTokens returns the length of the whole answer to a request body, in tokens.
-func ExpectedTokens(body []byte) int {
-	prompt, err := ParsePrompt(body)
-	if err != nil {
-		return 0
-	}
-	return prompt.AnswerTokens
-}
-
 func appendTokens(buffer []byte, digest, nonce uint64, n int) []byte {
 	for k := 0; k < n; k++ {
 		buffer = appendToken(buffer, digest, nonce, k)
--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -164,9 +164,3 @@
 	member, known := s.View().Member(node)
 	return known && member.State == Alive
 }
-
-// Suspects says whether a member is suspect, or its zone cut off.
-func (s *Service) Suspects(node ident.Node) bool {
-	member, known := s.View().Member(node)
-	return known && member.State == Suspect
-}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -4,13 +4,9 @@
 	"slices"
 	"time"
 
-	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
-// ErrUnsafeConfiguration means that a replica set may not follow another one.
-const ErrUnsafeConfiguration = failure.Kind("shard: unsafe replica set")
-
 // World is what the host knows beyond its own replica when it plans a replica set.
 type World struct {
 	// Desired are the members the shard should have, the best place first: the present incarnations of live nodes.
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -68,19 +68,18 @@
 }
 
 type node struct {
-	name     ident.Node
-	zone     ident.Zone
-	fs       vfs.FS
-	folder   string
-	disks    int
-	address  string
-	running  bool
-	draining bool
-	store    *shardlog.Store
-	pool     *transport.Pool
-	server   *transport.Server
-	host     *shardhost.Host
-	served   chan error
+	name    ident.Node
+	zone    ident.Zone
+	fs      vfs.FS
+	folder  string
+	disks   int
+	address string
+	running bool
+	store   *shardlog.Store
+	pool    *transport.Pool
+	server  *transport.Server
+	host    *shardhost.Host
+	served  chan error
 }
 
 // New returns a fleet of stopped nodes.
@@ -183,7 +182,6 @@
 	started.store, started.pool, started.server, started.host, started.served = store, pool, server, host, served
 	started.address = listener.Addr().String()
 	started.running = true
-	started.draining = false
 	f.mutex.Unlock()
 	return host.Start()
 }
@@ -195,7 +193,7 @@
 	var nodes []shardhost.NodeInfo
 	for _, known := range f.nodes {
 		nodes = append(nodes, shardhost.NodeInfo{
-			Node: known.name, Zone: known.zone, Alive: known.running, Draining: known.draining,
+			Node: known.name, Zone: known.zone, Alive: known.running,
 		})
 	}
 	return nodes
@@ -213,13 +211,6 @@
 	return address, address != ""
 }
 
-// SetDraining announces the planned stop of a node.
-func (f *Fleet) SetDraining(number int, draining bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.nodes[number].draining = draining
-}
-
 // Stop stops a node without patience: calls under way are cut, as by a crash. Its disk stays.
 func (f *Fleet) Stop(number int) error {
 	hurried, cancel := context.WithCancel(context.Background())
