--- a/internal/lab/experiment/interference.go
+++ b/internal/lab/experiment/interference.go
@@ -12,7 +12,7 @@
 const (
 	// interferenceRate is the default online load, in requests per second: about a third of the small fleet's engines.
 	interferenceRate = 40
-	// heapPeriod is the time between batch heaps of the brief's first deployment.
+	// heapPeriod is the time between batch heaps of the deployment Trinacria.
 	heapPeriod = 8 * time.Second
 	// backlog is how many times the engines' capacity the batch heaps ask for, so that work is always waiting.
 	backlog = 1.5
--- a/internal/lab/fleet/plan.go
+++ b/internal/lab/fleet/plan.go
@@ -45,7 +45,7 @@
 	Runners int
 }
 
-// Sizes of the brief's two deployments.
+// Sizes of two typical deployments.
 var (
 	trinacriaZones = []string{"palermo", "catania", "agrigento"}
 	petroviZones   = []string{"maritsa", "trakia", "rodopi", "sahat"}
@@ -69,7 +69,7 @@
 	}
 }
 
-// Trinacria is the brief's first deployment: three zones and twelve runners.
+// Trinacria is a typical deployment of small sites: three zones and twelve runners.
 func Trinacria() Plan {
 	return Plan{
 		Zones:         spread(trinacriaZones, "sicily", trinacriaRunners),
@@ -79,7 +79,7 @@
 	}
 }
 
-// Petrovi is the brief's second deployment: four halls and eighteen runners.
+// Petrovi is a typical deployment of larger sites: four halls and eighteen runners.
 func Petrovi() Plan {
 	return Plan{
 		Zones:         spread(petroviZones, "plovdiv", petroviRunners),
