ownership: claim an engine again after its restart

Cause: the planner ignored every word with an epoch below the last seen, as out of order. A restarted engine reports epoch 0, so its owner never verified, lost the claim as stale, and nobody claimed the runner again. The restart also forgets the engine's fence: the new process was claimed at epoch 1 or little above, which a paused former owner's epoch could pass.

Now the report's incarnation tells a restart. A change of it is believed only of a question sent after the newest word was taken in, so late words and late consents of the former process change nothing. New claims start above the highest epoch this node knows of the runner over all incarnations, and on an engine without any epoch also at the wall clock in milliseconds, since the successor may never have heard of the epochs before.

Ruled out: a set of remembered former incarnations (a node that hears the new process first and a late answer of the old one second would take the old for the newer); the engine's own age of its figures (it lags and is reckoned at receipt).

The tests of the planner's new rules failed with each rule seeded away: order by question, incarnation of a consent, highest epoch, floor by the clock.

Not covered: clocks apart by more than the time between the first claims on two processes, where the successor never heard of the former epochs; engines that state no incarnation.

--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -27,12 +27,14 @@
 	// loseAnswer applies the next claim but breaks the connection.
 	loseAnswer bool
 	grants     int
+	// starts counts the restarts.
+	starts int
 }
 
 func (r *register) Load(context.Context) (engine.LoadReport, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return engine.LoadReport{OwnerEpoch: r.epoch, Owner: r.owner}, nil
+	return engine.LoadReport{OwnerEpoch: r.epoch, Owner: r.owner, Incarnation: r.incarnation()}, nil
 }
 
 func (r *register) Order(_ context.Context, order engine.Order) (engine.OrderReply, error) {
--- a/internal/ownership/planner.go
+++ b/internal/ownership/planner.go
@@ -61,6 +61,19 @@
 	config Config
 	self   ident.Node
 	states map[ident.Runner]*runnerState
+	// highest is the highest epoch known of each runner, over all incarnations of its engine. It outlives the runner's
+	// state, which goes while the runner isn't listed.
+	highest map[ident.Runner]uint64
+}
+
+// Word is what an engine says of its owner.
+type Word struct {
+	Epoch uint64
+	Owner ident.Node
+	// Incarnation tells one start of the engine from another; it is empty if the engine does not say.
+	Incarnation string
+	// Asked is when the question was sent, by this node's monotonic clock.
+	Asked time.Time
 }
 
 type runnerState struct {
@@ -74,15 +87,17 @@
 	seenEpoch uint64
 	seenOwner ident.Node
 	seenAt    time.Time
-	asking    bool
-	notBefore time.Time
-	losses    int
-	heldSince time.Time
+	// incarnation is the engine's start that seenEpoch and epoch belong to.
+	incarnation string
+	asking      bool
+	notBefore   time.Time
+	losses      int
+	heldSince   time.Time
 }
 
 // NewPlanner returns the planner of a node that holds nothing.
 func NewPlanner(config Config, self ident.Node) *Planner {
-	return &Planner{config: config, self: self, states: map[ident.Runner]*runnerState{}}
+	return &Planner{config: config, self: self, states: map[ident.Runner]*runnerState{}, highest: map[ident.Runner]uint64{}}
 }
 
 // Plan takes in the runners and members of now and returns the runners whose engine should be asked for its word, after
@@ -174,22 +189,37 @@
 	if !state.chosen || state.choice.Node != p.self || !p.due(state, now, members) {
 		return 0, false
 	}
-	return state.seenEpoch + 1, true
+	return p.nextEpoch(runner, state, now), true
+}
+
+// nextEpoch returns the epoch of a new claim. An engine that holds none may have been started anew and have forgotten its
+// fence, and this node may never have heard of the epochs before: so the first claim is the wall clock in milliseconds,
+// which is above what began at an earlier clock and went up by one with each claim since.
+func (p *Planner) nextEpoch(runner ident.Runner, state *runnerState, now time.Time) uint64 {
+	next := p.highest[runner] + 1
+	if state.seenEpoch == 0 {
+		next = max(next, uint64(max(0, now.UnixMilli())))
+	}
+	return next
 }
 
 // Observe takes in an engine's word on its owner. A claim with a lower epoch than the engine's ends at once.
-func (p *Planner) Observe(runner ident.Runner, epoch uint64, owner ident.Node, now time.Time) {
+func (p *Planner) Observe(runner ident.Runner, word Word, now time.Time) {
 	state, known := p.states[runner]
 	if !known {
 		return
 	}
 	state.asking = false
-	// Words may come out of order; the epoch only grows, so a lower one is an old word.
-	if epoch < state.seenEpoch {
+	p.raise(runner, word.Epoch)
+	if word.Incarnation != state.incarnation && !state.restart(word) {
+		return
+	}
+	// Words may come out of order; within an incarnation the epoch only grows, so a lower one is an old word.
+	if word.Epoch < state.seenEpoch {
 		return
 	}
-	state.seenEpoch, state.seenOwner, state.seenAt = epoch, owner, now
-	if state.epoch != 0 && (epoch > state.epoch || owner != p.self) {
+	state.seenEpoch, state.seenOwner, state.seenAt = word.Epoch, word.Owner, now
+	if state.epoch != 0 && (word.Epoch > state.epoch || word.Owner != p.self) {
 		p.lose(state, now)
 	}
 	if state.epoch != 0 && now.Sub(state.heldSince) >= p.config.MaxLossBackoff {
@@ -197,14 +227,41 @@
 	}
 }
 
-// Claimed takes in the engine's consent to a claim.
-func (p *Planner) Claimed(runner ident.Runner, epoch uint64, now time.Time) {
+// restart takes in that the engine is another process, which knows nothing of former epochs, and reports whether the word
+// counts. The claim ends, but it is not lost to another node, so nothing is waited for.
+//
+// Invariant: a word of a former incarnation never brings back its state. Only a question sent after the newest word was
+// taken in is sure to be answered by the same process or a later one; any other is left to the next question.
+func (s *runnerState) restart(word Word) bool {
+	if !s.seenAt.IsZero() && !word.Asked.After(s.seenAt) {
+		return false
+	}
+	s.incarnation = word.Incarnation
+	s.epoch, s.seenEpoch, s.seenOwner = 0, 0, ""
+	return true
+}
+
+// raise keeps the highest epoch known of a runner.
+//
+// Invariant: Claim never returns an epoch that is not above it. A restarted engine has forgotten its fence, so this is what
+// keeps a paused former owner's epoch below the new one.
+func (p *Planner) raise(runner ident.Runner, epoch uint64) {
+	p.highest[runner] = max(p.highest[runner], epoch)
+}
+
+// Claimed takes in the consent of the engine's given incarnation to a claim.
+func (p *Planner) Claimed(runner ident.Runner, epoch uint64, incarnation string, now time.Time) {
+	p.raise(runner, epoch)
 	state, known := p.states[runner]
 	if !known {
 		return
 	}
 	state.asking = false
-	// A newer claim may have been seen while this answer was on its way.
+	// The engine may have been started anew while this answer was on its way: it doesn't know of the claim then.
+	if incarnation != state.incarnation {
+		return
+	}
+	// A newer claim may have been seen meanwhile, too.
 	if epoch < state.seenEpoch {
 		p.lose(state, now)
 		return
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -125,23 +125,24 @@
 		s.failed(runner)
 		return nil
 	}
+	asked := s.options.Now()
 	report, err := adapter.Load(ctx)
 	if err != nil {
 		s.failed(runner)
 		return fmt.Errorf("ask %s for its owner: %w", runner, err)
 	}
-	epoch, due := s.observeAndClaim(runner, report)
+	epoch, due := s.observeAndClaim(runner, wordOf(report, asked))
 	if !due {
 		return nil
 	}
-	return s.claim(ctx, runner, adapter, epoch)
+	return s.claim(ctx, runner, adapter, claimOf{epoch: epoch, incarnation: report.Incarnation})
 }
 
-func (s *Service) observeAndClaim(runner ident.Runner, report engine.LoadReport) (uint64, bool) {
+func (s *Service) observeAndClaim(runner ident.Runner, word Word) (uint64, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.options.Now()
-	s.planner.Observe(runner, report.OwnerEpoch, report.Owner, now)
+	s.planner.Observe(runner, word, now)
 	s.logChanges()
 	if s.released {
 		return 0, false
@@ -149,9 +150,16 @@
 	return s.planner.Claim(runner, now, s.options.Members())
 }
 
+// claimOf is a claim to make: its epoch, and the start of the engine whose word led to it.
+type claimOf struct {
+	epoch       uint64
+	incarnation string
+}
+
 // claim orders the engine to take this node for its owner. A lost answer does no harm: the next word of the engine
 // shows the claim, and this node claims anew above it.
-func (s *Service) claim(ctx context.Context, runner ident.Runner, adapter engine.Engine, epoch uint64) error {
+func (s *Service) claim(ctx context.Context, runner ident.Runner, adapter engine.Engine, wanted claimOf) error {
+	epoch := wanted.epoch
 	reply, err := adapter.Order(ctx, engine.Order{Kind: engine.OrderOwn, Epoch: epoch, Node: s.options.Self})
 	if err == nil && (reply.Epoch != epoch || reply.Owner != s.options.Self) {
 		err = fmt.Errorf("%w: epoch %d is held by %s", ErrClaimLost, reply.Epoch, reply.Owner)
@@ -161,7 +169,7 @@
 	now := s.options.Now()
 	switch {
 	case err == nil:
-		s.planner.Claimed(runner, epoch, now)
+		s.planner.Claimed(runner, epoch, wanted.incarnation, now)
 	case errors.Is(err, engine.ErrFenced) || errors.Is(err, ErrClaimLost):
 		s.planner.Fenced(runner, epoch, now)
 	default:
@@ -180,14 +188,19 @@
 	s.planner.Failed(runner, s.options.Now())
 }
 
-// Observe takes in a load report that was read for another purpose, which spares asking the engine again.
-func (s *Service) Observe(runner ident.Runner, report engine.LoadReport) {
+// Observe takes in a load report that was read for another purpose, which spares asking the engine again. asked is when it
+// was asked for.
+func (s *Service) Observe(runner ident.Runner, report engine.LoadReport, asked time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.planner.Observe(runner, report.OwnerEpoch, report.Owner, s.options.Now())
+	s.planner.Observe(runner, wordOf(report, asked), s.options.Now())
 	s.logChanges()
 }
 
+func wordOf(report engine.LoadReport, asked time.Time) Word {
+	return Word{Epoch: report.OwnerEpoch, Owner: report.Owner, Incarnation: report.Incarnation, Asked: asked}
+}
+
 // Fenced tells that an engine refused work or an order under the epoch: the claim ends at once.
 func (s *Service) Fenced(runner ident.Runner, epoch uint64) {
 	s.mutex.Lock()
