--- a/internal/lab/experiment/leave.go
+++ b/internal/lab/experiment/leave.go
@@ -23,7 +23,7 @@
 	// leaveLook is the time between looks at the engine that leaves.
 	leaveLook = 100 * time.Millisecond
 	// leaveEpoch is above any epoch that a run reaches.
-	leaveEpoch = 1 << 40
+	leaveEpoch = 1 << 50
 )
 
 // leaveWay is a way in which the fleet may learn that a runner leaves.
--- a/internal/ownership/planner.go
+++ b/internal/ownership/planner.go
@@ -189,7 +189,18 @@
 	if !state.chosen || state.choice.Node != p.self || !p.due(state, now, members) {
 		return 0, false
 	}
-	return p.highest[runner] + 1, true
+	return p.nextEpoch(runner, state, now), true
+}
+
+// nextEpoch returns the epoch of a new claim. An engine that holds none may have been started anew and have forgotten its
+// fence, and this node may never have heard of the epochs before: so the first claim is the wall clock in milliseconds,
+// which is above what began at an earlier clock and went up by one with each claim since.
+func (p *Planner) nextEpoch(runner ident.Runner, state *runnerState, now time.Time) uint64 {
+	next := p.highest[runner] + 1
+	if state.seenEpoch == 0 {
+		next = max(next, uint64(max(0, now.UnixMilli())))
+	}
+	return next
 }
 
 // Observe takes in an engine's word on its owner. A claim with a lower epoch than the engine's ends at once.
