batch: count what the sequences of owned runners are used for

Ruled out after the start: leases (nothing idle for want of items), commits, preemption. Cause of the loss: the prefill credit of 256 outstanding tokens, each item of which takes about 50 ms from its start to its first token, and the reserve of one sequence a runner.

--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -11,6 +11,7 @@
 	preempts   prometheus.Counter
 	fences     prometheus.Counter
 	storeFails prometheus.Counter
+	slotTime   *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -25,9 +26,13 @@
 		preempts:   counter("mallowlatch_batch_preemptions_total", "Runs ended to make way for online work."),
 		fences:     counter("mallowlatch_batch_fenced_total", "Runs refused because another node owns the runner."),
 		storeFails: counter("mallowlatch_batch_store_failures_total", "Calls of the job store that failed."),
+		slotTime: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mallowlatch_batch_slot_seconds_total",
+			Help: "Sequences of owned runners times seconds, by what they were used for or why batch did not use them.",
+		}, []string{"use"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(created.items, created.tokens, created.leases, created.lost, created.preempts, created.fences, created.storeFails)
+		registerer.MustRegister(created.items, created.tokens, created.leases, created.lost, created.preempts, created.fences, created.storeFails, created.slotTime)
 	}
 	return created
 }
--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -117,13 +117,17 @@
 // Invariant: a runner never carries more runs than its credits when one is started; runs being preempted still count.
 func (w *Worker) startItems(grants []grant, now time.Time) {
 	for _, granted := range grants {
-		if !granted.mayStart(now) {
-			continue
+		if granted.mayStart(now) {
+			w.fill(&granted, now)
 		}
-		for len(granted.state.running) < granted.credits.Sequences {
-			if !w.startOne(&granted, now) {
-				break
-			}
+		granted.state.use = w.slotUse(&granted, now)
+	}
+}
+
+func (w *Worker) fill(granted *grant, now time.Time) {
+	for len(granted.state.running) < granted.credits.Sequences {
+		if !w.startOne(granted, now) {
+			return
 		}
 	}
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -86,6 +86,8 @@
 	stopping   bool
 	// launched numbers the runs.
 	launched uint64
+	// usedSince is the time of the last turn, which slot times are counted from.
+	usedSince time.Time
 }
 
 // runnerState is a runner as the worker uses it.
@@ -100,6 +102,8 @@
 	prefill int
 	// pausedUntil is the end of a pause after a refusal.
 	pausedUntil time.Time
+	// use is what the last turn left the sequences in.
+	use slotUse
 	// fencedEpoch is an epoch the engine refused as stale; nothing is sent under it again.
 	fencedEpoch uint64
 }
@@ -220,6 +224,7 @@
 
 // turn brings everything up to date. Preemption comes first: it is what a caller waits for.
 func (w *Worker) turn(now time.Time) {
+	w.countSlotTime(now)
 	w.readOwnership()
 	grants := w.grants(now)
 	w.preempt(grants)
