credit: spread batch prefill by a rate instead of waiting for first tokens

Now a prompt may be sent as long as prefill keeps to 160 tokens in 25 ms; the bound on outstanding tokens is 1,024.

--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -142,7 +142,7 @@
 
 // startOne starts the next item that suits the runner, or reports that there is none.
 func (w *Worker) startOne(granted *grant, now time.Time) bool {
-	if len(w.book.queue) == 0 {
+	if len(w.book.queue) == 0 || !granted.state.controller.MayPrefill(now) {
 		return false
 	}
 	target, found := w.config.Engines.Engine(granted.runner)
@@ -154,6 +154,7 @@
 	if chosen == nil {
 		return false
 	}
+	granted.state.controller.Prefilling(chosen.request.PromptTokens, now)
 	w.launch(newExecution(chosen, granted.runner, target, granted.state.epoch), granted.state)
 	return true
 }
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -47,9 +47,10 @@
 	riseHalfLife = 2 * time.Second
 	// riseWindow is the time within which arrivals count as one rise: about what it takes to preempt.
 	riseWindow = 50 * time.Millisecond
-	// prefillAlone and prefillBeside bound outstanding batch prefill without and with online work on the runner.
+	// prefillAlone and prefillBeside bound outstanding batch prefill without and with online work on the runner. Beside
+	// online work the pace spreads it; the bound only matters on an engine that falls behind.
 	prefillAlone  = 4096
-	prefillBeside = 256
+	prefillBeside = 1024
 	// crowdedFactor is how many batch sequences make room for each online one that waits for room.
 	crowdedFactor = 2
 	// memoryFull is the share of the KV cache in use above which batch may not grow.
@@ -74,6 +75,9 @@
 	lastMeasured time.Time
 	// stepTime is the smoothed step time.
 	stepTime time.Duration
+	pace     pace
+	// beside is true while online work is on the runner, as of the last decision.
+	beside bool
 }
 
 // NewController returns the controller of a runner nothing is known of yet.
@@ -89,6 +93,7 @@
 	}
 	online := input.KnownOnline + c.unexplained(report)
 	c.trackStep(report, online)
+	c.beside = online > 0
 	capacity := float64(report.MaxSequences)
 	hold := max(0, report.MaxSequences-online)
 	if crowded(report) {
@@ -102,6 +107,20 @@
 	return Credits{Hold: hold, Sequences: sequences, PrefillTokens: prefillLimit(online)}
 }
 
+// MayPrefill reports whether the prompt of another batch item may be sent now. Beside online work batch prefill keeps to a
+// pace, so that no step is much longer than the others.
+func (c *Controller) MayPrefill(now time.Time) bool {
+	return c.pace.clear(now) || !c.beside
+}
+
+// Prefilling records that a prompt of a batch item was sent, in tokens.
+func (c *Controller) Prefilling(tokens int, now time.Time) {
+	c.pace.spend(tokens, now)
+	if !c.beside {
+		c.pace.debt = min(c.pace.debt, paceTokens)
+	}
+}
+
 // crowded reports whether online work waits on the engine because there is no room for it. Work that waits beside free
 // room only waits for the next step.
 func crowded(report *engine.LoadReport) bool {
