--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -117,13 +117,17 @@
 // Invariant: a runner never carries more runs than its credits when one is started; runs being preempted still count.
 func (w *Worker) startItems(grants []grant, now time.Time) {
 	for _, granted := range grants {
-		if !granted.mayStart(now) {
-			continue
+		if granted.mayStart(now) {
+			w.fill(&granted, now)
 		}
-		for len(granted.state.running) < granted.credits.Sequences {
-			if !w.startOne(&granted, now) {
-				break
-			}
+		granted.state.use = w.slotUse(&granted, now)
+	}
+}
+
+func (w *Worker) fill(granted *grant, now time.Time) {
+	for len(granted.state.running) < granted.credits.Sequences {
+		if !w.startOne(granted, now) {
+			return
 		}
 	}
 }
@@ -138,7 +142,7 @@
 
 // startOne starts the next item that suits the runner, or reports that there is none.
 func (w *Worker) startOne(granted *grant, now time.Time) bool {
-	if len(w.book.queue) == 0 {
+	if len(w.book.queue) == 0 || !granted.state.controller.MayPrefill(now) {
 		return false
 	}
 	target, found := w.config.Engines.Engine(granted.runner)
@@ -150,6 +154,7 @@
 	if chosen == nil {
 		return false
 	}
+	granted.state.controller.Prefilling(chosen.request.PromptTokens, now)
 	w.launch(newExecution(chosen, granted.runner, target, granted.state.epoch), granted.state)
 	return true
 }
