End the replicas' streams when a host stops

A node of a fleet still waited 10 s for its peer listener; a goroutine dump showed two open Deliver calls. Proof: TestStoppedHostLeavesNoCallOpen fails without this change (21.7 s) and passes with it (1.7 s).

--- a/internal/shardhost/server.go
+++ b/internal/shardhost/server.go
@@ -17,8 +17,11 @@
 // ends are the two identities of a stream, which its first batch names.
 type ends struct{ from, to shard.Member }
 
-// Deliver takes messages until the sender ends the stream.
+// Deliver takes messages until the sender ends the stream or this host stops: a sender never ends one by itself, and an
+// open call would hold up the stop of the listener.
 func (s *server) Deliver(stream pb.DRPCShards_DeliverStream) error {
+	forget := context.AfterFunc(s.host.ctx, func() { _ = stream.Close() })
+	defer forget()
 	var known ends
 	for {
 		batch, err := stream.Recv()
