credit: keep batch prefill out of the steps an online arrival waits for

For 45 ms after online work rises on a runner no batch prompt is sent there, unless none was for 120 ms.

--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -76,6 +76,9 @@
 	// stepTime is the smoothed step time.
 	stepTime time.Duration
 	pace     pace
+	// known is the newest known online count, arrived when it last rose, and prefilled when batch prefill last started.
+	known              int
+	arrived, prefilled time.Time
 	// beside is true while online work is on the runner, as of the last decision.
 	beside bool
 }
@@ -87,6 +90,10 @@
 func (c *Controller) Decide(input Input, now time.Time) Credits {
 	c.history.add(now, input.KnownOnline)
 	c.trackRise(now)
+	if input.KnownOnline > c.known {
+		c.arrived = now
+	}
+	c.known = input.KnownOnline
 	report := input.Report
 	if input.Leaving || report == nil || now.Sub(report.Measured) > maxReportAge {
 		return Credits{}
@@ -108,13 +115,18 @@
 }
 
 // MayPrefill reports whether the prompt of another batch item may be sent now. Beside online work batch prefill keeps to a
-// pace, so that no step is much longer than the others.
+// pace, so that no step is much longer than the others, and stays out of the steps in which a new online prompt waits.
 func (c *Controller) MayPrefill(now time.Time) bool {
-	return c.pace.clear(now) || !c.beside
+	if !c.beside {
+		return true
+	}
+	quiet := now.Sub(c.arrived) < quietTime && now.Sub(c.prefilled) < longestQuiet
+	return !quiet && c.pace.clear(now)
 }
 
 // Prefilling records that a prompt of a batch item was sent, in tokens.
 func (c *Controller) Prefilling(tokens int, now time.Time) {
+	c.prefilled = now
 	c.pace.spend(tokens, now)
 	if !c.beside {
 		c.pace.debt = min(c.pace.debt, paceTokens)
--- a/internal/credit/pace.go
+++ b/internal/credit/pace.go
@@ -9,6 +9,10 @@
 	paceTime   = 25 * time.Millisecond
 	// paceBurst is the prefill, in tokens, that may be made up for after a time without any.
 	paceBurst = 320
+	// quietTime is how long batch prefill waits after an online arrival: about its wait for a step and its own prefill.
+	quietTime = 45 * time.Millisecond
+	// longestQuiet is the time after which batch prefill goes on, however fast online requests arrive.
+	longestQuiet = 120 * time.Millisecond
 )
 
 // pace spreads batch prefill over the steps. Waiting for the first token of one item before the next is sent would leave
