--- a/internal/batch/slotuse.go
+++ b/internal/batch/slotuse.go
@@ -12,7 +12,7 @@
 	// useReserve is what the controller keeps free beyond that.
 	useReserve = "reserve"
 	// idlePaused, idlePrefill and idleEmpty are credits left unused: the runner may not be started on, too much prefill is
-	// outstanding, no leased item suits.
+	// outstanding or under way too fast (or what is queued may not start yet), no leased item suits.
 	idlePaused  = "idle_paused"
 	idlePrefill = "idle_prefill"
 	idleEmpty   = "idle_empty"
