Forget the addresses of replaced nodes in the connection pool

Cause: Pool.Forget asks to be called when members leave, and nothing called it.

The node now follows the membership's changes and has the pool drop what is neither a member's present address nor a seed's. A target with a call under way stays until the next change. The tests of transport and node pass. The growth of a long-lived node was not measured.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,6 +155,7 @@
 	}
 	n.run(n.poller.Run)
 	n.run(n.followDrains)
+	n.run(n.followMembers)
 	n.owners.Start()
 	n.exchange.Start()
 	n.demand.Start()
@@ -192,6 +193,20 @@
 	}
 }
 
+// followMembers has the pool forget the addresses of nodes that were replaced, of which there are some each day.
+func (n *Node) followMembers(ctx context.Context) error {
+	changed, cancel := n.members.Subscribe()
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			n.pool.Forget(n.peers.dialled)
+		}
+	}
+}
+
 // nodeDrainPrefix begins the name of a drain of a node.
 const nodeDrainPrefix = "node/"
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -38,6 +38,15 @@
 	return live
 }
 
+// dialled says whether calls may still go to a node at an address. An address without a node is that of a seed.
+func (p peers) dialled(node ident.Node, address string) bool {
+	if node == "" {
+		return true
+	}
+	current, known := p.members.Address(node)
+	return known && current == address
+}
+
 func takesPart(state membership.State) bool {
 	return state == membership.Alive || state == membership.Leaving
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -152,7 +152,8 @@
 	return nil
 }
 
-// Forget drops what the pool holds about targets that keep says no to; call it when members leave.
+// Forget drops what the pool holds about targets that keep says no to, unless a call to them is under way; call it when
+// the members or their addresses change. The node is empty for targets of ConnAddress.
 func (p *Pool) Forget(keep func(node ident.Node, address string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
