batch: make the test of a lease that can't be renewed independent of other causes

It is the test that was wrong, in two ways: the clock jumped past the age of the only load report, so that credits could end and abort the items before the lease ran out; and the store had four more items, whose new lease could be taken for the old one. Now a report of the later time comes first, and the store has no other items. What is asserted is unchanged.

--- a/internal/batch/lease_test.go
+++ b/internal/batch/lease_test.go
@@ -35,13 +35,16 @@
 func (s *fakeStore) asked() int  { s.mutex.Lock(); defer s.mutex.Unlock(); return s.renewals }
 func (s *fakeStore) gave() int   { s.mutex.Lock(); defer s.mutex.Unlock(); return s.released }
 
-// TestWorkerStopsByItselfWhenItCannotRenew lets renewals fail until the lease has run out.
+// TestWorkerStopsByItselfWhenItCannotRenew lets renewals fail until the lease has run out. The store has no other items,
+// so that no new lease takes its place.
 func TestWorkerStopsByItselfWhenItCannotRenew(t *testing.T) {
 	at := newClock()
-	tested, fake := gatedSite(20, 1, at)
+	tested, fake := gatedSite(16, 1, at)
 	tested.store.refuseRenewals = true
 	tested.worker.Start()
 	until(t, "all slots in use", func() bool { return fake.begun() == testSequences-1 })
+	// The report of then comes first: with one that is too old the credits end, and the items with them.
+	tested.report(at.Now().Add(9500 * time.Millisecond))
 	at.Advance(9500 * time.Millisecond)
 	until(t, "renewal tried", func() bool { return tested.store.asked() > 0 })
 	assert.Equal(t, fake.ended(), 0, "aborted before the lease ran out")
