batch: give back items that no usable runner can start

Cause: a queued item was given back only if no owned runner held its model. An owned runner counted although it was ejected, its engine had refused the claim's epoch, or it had no credits for as long as online work filled it; the lease was renewed meanwhile and no other worker could take the items. A release that failed was tried once and its items stayed with the lease until the lease's other items ended. Items with kept tokens waited 40 ms for each token for a runner that was gone.

Now a runner counts only if items may be started there, for leasing as for keeping. Items that waited 10 s while no such runner had a run that had begun go back too. Releases are repeated until confirmed or the lease is lost, and the items never start here in between. Kept tokens of a runner of no use are given up. What becomes of runs with an unknown outcome is unchanged.

The job store of the tests now leases released items again, as the real one does.

Ruled out as the present cause: commits repeated for ever (a lost lease ends them) and renewals that fail (leases then run out here).

--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -135,33 +135,3 @@
 		}
 	})
 }
-
-// strandedLook is the time between looks for items that no owned runner can run.
-const strandedLook = time.Second
-
-// releaseStranded gives back the items whose model no owned runner holds any more. Their leases would be renewed for ever
-// while other nodes have runners for them.
-func (w *Worker) releaseStranded(now time.Time) {
-	if now.Before(w.strandedAt) {
-		return
-	}
-	w.strandedAt = now.Add(strandedLook)
-	w.releaseQueued(func(queued *item) bool {
-		return !w.anyHolds(queued.request.Model, queued.request.Adapter, now)
-	})
-}
-
-// releaseQueued gives back the chosen items of those that do not run.
-func (w *Worker) releaseQueued(chosen func(*item) bool) {
-	for held, indexes := range w.book.takeQueued(chosen) {
-		w.tomb.Go(func() error {
-			ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), leaseTimeout)
-			defer cancel()
-			if err := w.config.Work.Release(ctx, held.lease, indexes); err != nil {
-				w.metrics.storeFailed()
-			}
-			w.post(func() { w.book.settle(held, len(indexes)) })
-			return nil
-		})
-	}
-}
--- a/internal/batch/ended.go
+++ b/internal/batch/ended.go
@@ -27,6 +27,9 @@
 	endPrefill(state, done)
 	now := w.config.Now()
 	w.observe(done, state, now)
+	if done.begun {
+		done.item.waitingSince = now
+	}
 	if done.item.lease.lost {
 		return
 	}
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -34,6 +34,10 @@
 	results  map[uint32]job.Result
 	released int
 	renewals int
+	// returned holds released items, to be leased again first.
+	returned []job.Item
+	// refuseReleases makes that many releases fail.
+	refuseReleases int
 	// refuseRenewals makes every renewal fail.
 	refuseRenewals bool
 }
@@ -64,10 +68,11 @@
 	if before, _ := s.fails(); before {
 		return nil, errStore
 	}
-	if s.next >= len(s.items) {
+	waiting := len(s.returned) + len(s.items) - s.next
+	if waiting == 0 {
 		return nil, nil
 	}
-	return []job.Priority{{Job: "j", Service: "s", Waiting: len(s.items) - s.next}}, nil
+	return []job.Priority{{Job: "j", Service: "s", Waiting: waiting}}, nil
 }
 
 func (s *fakeStore) Lease(_ context.Context, _ ident.Shard, _ ident.Job, request job.LeaseRequest) (job.Lease, error) {
@@ -76,9 +81,12 @@
 	if before, _ := s.fails(); before {
 		return job.Lease{}, errStore
 	}
-	count := min(request.Max, 16, len(s.items)-s.next)
-	lease := job.Lease{ID: fmt.Sprint("l", len(s.leases)), Job: "j", Items: s.items[s.next : s.next+count], TTL: s.ttl}
-	s.next += count
+	waiting := append(slices.Clone(s.returned), s.items[s.next:]...)
+	count := min(request.Max, 16, len(waiting))
+	lease := job.Lease{ID: fmt.Sprint("l", len(s.leases)), Job: "j", Items: waiting[:count], TTL: s.ttl}
+	again := min(count, len(s.returned))
+	s.returned = s.returned[again:]
+	s.next += count - again
 	s.leases[lease.ID] = &fakeLease{lease: lease, expires: s.now().Add(s.ttl)}
 	return lease, nil
 }
@@ -114,10 +122,19 @@
 	return nil
 }
 
-func (s *fakeStore) Release(_ context.Context, _ job.Lease, indexes []uint32) error {
+func (s *fakeStore) Release(_ context.Context, lease job.Lease, indexes []uint32) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.refuseReleases > 0 {
+		s.refuseReleases--
+		return errStore
+	}
 	s.released += len(indexes)
+	for _, leased := range lease.Items {
+		if slices.Contains(indexes, leased.Index) {
+			s.returned = append(s.returned, leased)
+		}
+	}
 	return nil
 }
 
--- a/internal/batch/feeder.go
+++ b/internal/batch/feeder.go
@@ -87,7 +87,7 @@
 	return free + max(leastPrefetch, int(prefetchShare*float64(free+used)))
 }
 
-// services lists the services whose model an owned runner holds.
+// services lists the services whose model a usable runner holds.
 func (w *Worker) services(now time.Time) []string {
 	var services []string
 	for name, service := range w.config.Catalog.Current().Services {
@@ -99,16 +99,6 @@
 	return services
 }
 
-func (w *Worker) anyHolds(model, adapter string, now time.Time) bool {
-	for runner, state := range w.runners {
-		view, known := w.config.Table.Runner(runner, now)
-		if known && state.owned && !view.Leaving && view.Holds(model, adapter) {
-			return true
-		}
-	}
-	return false
-}
-
 // background runs one bounded call of the job store outside the loop.
 func (w *Worker) background(call func(ctx context.Context)) {
 	w.tomb.Go(func() error {
--- a/internal/batch/leasebook.go
+++ b/internal/batch/leasebook.go
@@ -38,6 +38,8 @@
 	attempts int
 	// notBefore is the earliest time of the next run.
 	notBefore time.Time
+	// waitingSince is when the item was leased, or last stopped after a run that had begun.
+	waitingSince time.Time
 	// kept is what a preempted item has so far, or nil.
 	kept *keptAnswer
 }
@@ -77,7 +79,7 @@
 func (b *leaseBook) add(lease job.Lease, sent time.Time, requests []*inference.Request) *heldLease {
 	held := &heldLease{lease: lease, expires: sent.Add(lease.TTL), unfinished: len(lease.Items)}
 	for index := range lease.Items {
-		added := &item{job: lease.Items[index], lease: held, request: requests[index]}
+		added := &item{job: lease.Items[index], lease: held, request: requests[index], waitingSince: sent}
 		held.items = append(held.items, added)
 		b.queue = append(b.queue, added)
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -102,6 +102,8 @@
 	pausedUntil time.Time
 	// fencedEpoch is an epoch the engine refused as stale; nothing is sent under it again.
 	fencedEpoch uint64
+	// servedAt is when a run that had begun was last seen there.
+	servedAt time.Time
 }
 
 // New returns a worker that does nothing until it is started.
