--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -82,7 +82,7 @@
 		return job.Lease{}, errStore
 	}
 	waiting := append(slices.Clone(s.returned), s.items[s.next:]...)
-	count := min(request.Max, 16, len(waiting))
+	count := min(request.Max, leaseItems, len(waiting))
 	lease := job.Lease{ID: fmt.Sprint("l", len(s.leases)), Job: "j", Items: waiting[:count], TTL: s.ttl}
 	again := min(count, len(s.returned))
 	s.returned = s.returned[again:]
@@ -295,6 +295,9 @@
 
 const testSequences = 6
 
+// leaseItems is the most items the store gives in one lease.
+const leaseItems = 16
+
 func newSite(store *fakeStore, engines map[ident.Runner]*fakeEngine, now func() time.Time) *site {
 	created := &site{store: store, engines: engines, table: dispatch.NewTable()}
 	list := machine.List{}
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -68,19 +68,18 @@
 }
 
 type node struct {
-	name     ident.Node
-	zone     ident.Zone
-	fs       vfs.FS
-	folder   string
-	disks    int
-	address  string
-	running  bool
-	draining bool
-	store    *shardlog.Store
-	pool     *transport.Pool
-	server   *transport.Server
-	host     *shardhost.Host
-	served   chan error
+	name    ident.Node
+	zone    ident.Zone
+	fs      vfs.FS
+	folder  string
+	disks   int
+	address string
+	running bool
+	store   *shardlog.Store
+	pool    *transport.Pool
+	server  *transport.Server
+	host    *shardhost.Host
+	served  chan error
 }
 
 // New returns a fleet of stopped nodes.
@@ -183,7 +182,6 @@
 	started.store, started.pool, started.server, started.host, started.served = store, pool, server, host, served
 	started.address = listener.Addr().String()
 	started.running = true
-	started.draining = false
 	f.mutex.Unlock()
 	return host.Start()
 }
@@ -195,7 +193,7 @@
 	var nodes []shardhost.NodeInfo
 	for _, known := range f.nodes {
 		nodes = append(nodes, shardhost.NodeInfo{
-			Node: known.name, Zone: known.zone, Alive: known.running, Draining: known.draining,
+			Node: known.name, Zone: known.zone, Alive: known.running,
 		})
 	}
 	return nodes
@@ -213,35 +211,33 @@
 	return address, address != ""
 }
 
-// SetDraining announces the planned stop of a node.
-func (f *Fleet) SetDraining(number int, draining bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.nodes[number].draining = draining
+// Stop stops a node without patience: calls under way are cut, as by a crash. Its disk stays.
+func (f *Fleet) Stop(number int) error {
+	hurried, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := f.StopWithin(hurried, number)
+	return err
 }
 
-// Stop stops a node. Its disk stays.
-func (f *Fleet) Stop(number int) error {
+// StopWithin stops a node and gives its calls under way until ctx ends. cut says that some had not ended then.
+func (f *Fleet) StopWithin(ctx context.Context, number int) (cut, err error) {
 	f.mutex.Lock()
 	stopped := f.nodes[number]
 	wasRunning := stopped.running
 	stopped.running = false
 	f.mutex.Unlock()
 	if !wasRunning {
-		return nil
+		return nil, nil
 	}
 	if err := stopped.host.Stop(); err != nil {
-		return err
+		return nil, err
 	}
 	if err := stopped.pool.Close(); err != nil {
-		return fmt.Errorf("closing the pool: %w", err)
+		return nil, fmt.Errorf("closing the pool: %w", err)
 	}
-	// A stop without patience: calls under way are cut, as by a crash.
-	hurried, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = stopped.server.Stop(hurried)
+	cut = stopped.server.Stop(ctx)
 	<-stopped.served
-	return stopped.store.Close()
+	return cut, stopped.store.Close()
 }
 
 // Wipe stops a node and gives it an empty disk.
