--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -84,6 +84,8 @@
 	// strandedAt is the time of the next look for items that no owned runner can run.
 	strandedAt time.Time
 	stopping   bool
+	// rested counts the ticks that passed without work.
+	rested int
 	// launched numbers the runs.
 	launched uint64
 	// usedSince is the time of the last turn, which slot times are counted from.
@@ -207,11 +209,28 @@
 			w.drainEvents()
 		case <-w.wake:
 		case <-ticker.C:
+			if w.rests() {
+				continue
+			}
 		}
 		w.turn(w.config.Now())
 	}
 }
 
+// restTicks is how many ticks a worker without work lets pass between two looks.
+const restTicks = 10
+
+// rests reports whether this tick may pass: without a lease there is nothing to preempt, renew or commit, and waiting
+// work may be found a little later. It keeps an idle node within its budget of processor time.
+func (w *Worker) rests() bool {
+	if len(w.book.leases) > 0 || len(w.commits) > 0 || w.stopping {
+		w.rested = 0
+		return false
+	}
+	w.rested = (w.rested + 1) % restTicks
+	return w.rested != 0
+}
+
 // drainEvents takes the events that already wait, so that one turn serves them all.
 func (w *Worker) drainEvents() {
 	for range eventQueue {
