Let a batch item outlast a short fault of its runner

Change: eight runs with waits up to 5 s, 16 s in all. An item that brings its runner down still ends after eight.

--- a/internal/batch/ended.go
+++ b/internal/batch/ended.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// maxAttempts bounds the runs of an item that fail on the runner's side.
-	maxAttempts = 5
-	// firstBackoff is the wait after the first failed run; each further one doubles.
+	// maxAttempts bounds the runs of an item that fail on the runner's side. With the waits between them an item outlasts
+	// a fault of 16 s, and one that brings its runner down does so no more often than this.
+	maxAttempts = 8
+	// firstBackoff is the wait after a refusal; each failed run doubles it up to lastBackoff.
 	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 5 * time.Second
 	// busyPause is how long a runner that refused is left alone if it gave no advice.
 	busyPause = 200 * time.Millisecond
 )
@@ -134,9 +136,14 @@
 		WithOutcome(outcome.Unknown)
 }
 
+// backoffAfter returns the wait after a number of failed runs.
+func backoffAfter(attempts int) time.Duration {
+	return min(firstBackoff<<attempts, lastBackoff)
+}
+
 // backOff puts an item back for a later run.
 func (w *Worker) backOff(returned *item, now time.Time) {
-	returned.notBefore = now.Add(firstBackoff << returned.attempts)
+	returned.notBefore = now.Add(backoffAfter(returned.attempts))
 	w.book.requeue(returned)
 }
 
