Tell an answered call from a broken one when the peer stops

Cause, two faults of internal calls at a planned stop: - An idle connection that the peer had closed was written to before the library had read the close. The write failed, or was taken by the kernel for nobody, and the call ended as broken with an unknown outcome. A server that stopped right after its last answer so turned the answer into an unknown outcome.

Change: the pool asks the kernel for a hang-up before it uses an idle connection; a write of which nothing left is not counted as sent; a decoded answer is an answer whatever closing says. A pool whose idle connections the peer has closed closes without an error.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -15,9 +15,10 @@
 // meteredConn is a network connection that counts its bytes.
 type meteredConn struct {
 	net.Conn
-	closeOnce                 sync.Once
-	closed                    func()
-	received, sent            atomic.Int64
+	closeOnce      sync.Once
+	closed         func()
+	received, sent atomic.Int64
+	// writes counts the writes that are under way or have sent anything.
 	writes                    atomic.Int64
 	accountedIn, accountedOut int64
 }
@@ -29,10 +30,14 @@
 	return count, err
 }
 
-// Write counts the attempt before the bytes can leave, so that an unchanged count proves that nothing was sent.
+// Write counts the attempt before the bytes can leave, and takes it back if none left, so that an unchanged count proves
+// that nothing was sent.
 func (c *meteredConn) Write(buffer []byte) (int, error) {
 	c.writes.Add(1)
 	count, err := c.Conn.Write(buffer)
+	if count == 0 && err != nil {
+		c.writes.Add(-1)
+	}
 	c.sent.Add(int64(count))
 	return count, err
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"storj.io/drpc"
@@ -146,12 +147,17 @@
 	p.mutex.Lock()
 	p.closed = true
 	p.mutex.Unlock()
-	if err := p.idle.Close(); err != nil {
+	if err := p.idle.Close(); err != nil && !isGone(err) {
 		return fmt.Errorf("close pool: %w", err)
 	}
 	return nil
 }
 
+// isGone reports whether an error of closing says only that the peer had closed the connection before.
+func isGone(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Forget drops what the pool holds about targets that keep says no to, unless a call to them is under way; call it when
 // the members or their addresses change. The node is empty for targets of ConnAddress.
 func (p *Pool) Forget(keep func(node ident.Node, address string) bool) {
@@ -178,13 +184,28 @@
 // acquire returns a connection for one call, an idle one if there is. fresh asks for a new one.
 func (p *Pool) acquire(ctx context.Context, where target, fresh bool) (*clientConn, error) {
 	if !fresh {
-		if connection, found := p.idle.Take(where); found {
+		if connection, found := p.takeIdle(where); found {
 			return connection, nil
 		}
 	}
 	return p.dial(ctx, where)
 }
 
+// takeIdle returns an idle connection that the peer has not closed. The kernel may know of the close before the library
+// has read it; a call written after it would end with an unknown outcome although it surely did not run.
+func (p *Pool) takeIdle(where target) (*clientConn, bool) {
+	for {
+		connection, found := p.idle.Take(where)
+		if !found {
+			return nil, false
+		}
+		if !hungUp(connection.meter.Conn) {
+			return connection, true
+		}
+		_ = connection.Close()
+	}
+}
+
 // release keeps a connection that still works for the next call.
 func (p *Pool) release(where target, connection *clientConn) {
 	select {
--- a/internal/transport/shared.go
+++ b/internal/transport/shared.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcenc"
 )
 
 // neverClosed is the Closed channel of shared connections, which reconnect by themselves.
@@ -41,14 +42,38 @@
 	}
 	defer known.leave()
 	err = c.try(ctx, false, func(connection *clientConn) error {
-		defer c.pool.release(c.target, connection)
-		failed := connection.Invoke(ctx, rpc, encoding, in, out)
+		answer := &answerWatch{Encoding: encoding}
+		failed := connection.Invoke(ctx, rpc, answer, in, out)
 		c.pool.options.Metrics.account(connection.meter, serviceOf(rpc), sideClient)
+		if failed != nil && answer.decoded {
+			_ = connection.Close()
+			return nil
+		}
+		c.pool.release(c.target, connection)
 		return failed
 	})
 	return classified(ctx, rpc, err)
 }
 
+// answerWatch notes that the answer of a call was decoded. The library closes the call after that, and reports a failure
+// to close, as when the peer stops right after its last answer, as a failure of the call.
+type answerWatch struct {
+	drpc.Encoding
+	decoded bool
+}
+
+// MarshalAppend encodes the request behind what buffer holds, in place where the encoding can.
+func (w *answerWatch) MarshalAppend(buffer []byte, message drpc.Message) ([]byte, error) {
+	return drpcenc.MarshalAppend(message, w.Encoding, buffer)
+}
+
+// Unmarshal decodes the answer.
+func (w *answerWatch) Unmarshal(data []byte, message drpc.Message) error {
+	err := w.Encoding.Unmarshal(data, message)
+	w.decoded = err == nil
+	return err
+}
+
 // NewStream opens a streaming call. The stream's connection returns to the pool when the stream ends: callers read it
 // to its end, close it, or cancel ctx.
 func (c *sharedConn) NewStream(ctx context.Context, rpc string, encoding drpc.Encoding) (drpc.Stream, error) {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -146,12 +146,25 @@
 }
 
 func TestDeadIdleConnectionIsReplaced(t *testing.T) {
-	server, address := serve(t, &echo{}, transport.ServerOptions{})
-	conn := connect(t, address, transport.PoolOptions{})
+	authority := newAuthority(t)
+	for name, credentials := range map[string]*transport.Credentials{"plain": nil, "tls": authority.credentials(t, "b")} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 {
+				replaceDeadIdleConnection(t, credentials)
+			}
+		})
+	}
+}
+
+// replaceDeadIdleConnection calls a server that stopped and was started again while the connection to it was idle.
+func replaceDeadIdleConnection(t *testing.T, credentials *transport.Credentials) {
+	options := transport.ServerOptions{Credentials: credentials}
+	server, address := serve(t, &echo{}, options)
+	conn := connect(t, address, transport.PoolOptions{Credentials: credentials})
 	_, err := say(limited(t), conn, "one")
 	assert.NilError(t, err)
 	assert.NilError(t, server.Stop(limited(t)))
-	again := transport.NewServer(transport.ServerOptions{})
+	again := transport.NewServer(options)
 	assert.NilError(t, again.Register(&echo{say: func(context.Context, string) (string, error) { return "again", nil }}, description{}))
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
