Let the last node of a zone find its dead neighbour in time

Cause: a node that hears nothing for 3 s takes itself for isolated, and takes its suspicions back when it hears somebody again. The last live node of a zone of two hears only from the bridges of other zones, every two seconds on average and half of it addressed to the dead neighbour, so it fell in and out of isolation and began its suspicion anew each time. TestDeadNodeIsFoundWithinBound failed with rapid (two zones of two nodes: not dead after 18 s).

Change: while a node holds nobody of its own zone for alive but suspects some, it pings one member of another zone each probe period. An answer tells the death of the neighbours from a fault of its own links.

Ruled out: judging isolation by a longer silence, since it would lengthen the doubt of a node that is really cut off.

--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -65,6 +65,22 @@
 	})
 }
 
+// The last node of a zone hears only from other zones, and seldom. It must not take that for a fault of its own, or it would
+// take back its suspicion of the dead neighbour again and again.
+func TestLastNodeOfAZoneFindsTheDead(t *testing.T) {
+	t.Parallel()
+	shape := scale.Shape{Zones: 2, Nodes: 4}
+	for seed := range uint64(100) {
+		fleet := scale.NewFleet(seed, shape, membership.DefaultConfig(), scale.Healthy)
+		assert.Assert(t, fleet.RunUntil(settleTime, fleet.Agree), "seed %d: %s", seed, fleet.Disagreement())
+		victim := fleet.Order[1]
+		fleet.Stop(victim)
+		bound := fleet.Config.DetectionBound(shape.Nodes/shape.Zones) + 2*fleet.Config.BridgePeriod
+		found := fleet.RunUntil(bound, everyoneSees(fleet, victim.Self.Node, membership.Dead))
+		assert.Check(t, found, "seed %d: not dead to all after %s", seed, bound)
+	}
+}
+
 func TestLiveNodesSurviveLoss(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -37,9 +37,25 @@
 		c.suspect(c.probe.target, now)
 	}
 	out = append(out, c.tellSuspects(now)...)
+	out = append(out, c.pingAbroad(now)...)
 	return append(out, c.startProbe(now)...)
 }
 
+// pingAbroad pings a member of another zone while this node holds nobody of its own zone for alive but suspects some.
+// Its answer tells the death of all neighbours from a fault of this node's own links: without it, the node would hear from
+// other zones so seldom that it took itself for isolated in between, and took its suspicions back each time.
+func (c *Core) pingAbroad(now time.Time) []Outgoing {
+	if len(c.zonePeers()) == 0 || len(c.randomPeers(1, "")) > 0 {
+		return nil
+	}
+	var out []Outgoing
+	for _, node := range c.anyLive(1) {
+		c.sequence++
+		out = append(out, c.outgoing(node, Message{kind: KindPing, sequence: c.sequence}, now))
+	}
+	return out
+}
+
 // startProbe pings the next member of the zone. Each pass goes over all of them in a new random order, which bounds
 // the time until a given one is probed.
 func (c *Core) startProbe(now time.Time) []Outgoing {
