Answer a resent change "unknown" while the service is away

A change whose first send ended unknown and whose resend finds the key-value service away was answered "not accepted, not_run true", although the commit of the first send may still arrive. The command line knew that such an answer settles nothing; other clients of the API could not.

Change: a client says `Change-Resend: true` with the `Change-Id` it sent before; an unavailable service is then answered as configuration_outcome_unknown. The command line says so on its repeats. Without the header the answer speaks of that send alone, as before, so that a first send in an outage keeps its definite refusal.

Ruled out: unknown for every change with an id (each first send in an outage would be unknown); a fence on the head (the service is away).

The new lines of TestOutageIsDefiniteAndALostCommitIsUnknown fail without the change (503 for 504) and pass with it.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -214,6 +214,14 @@
 	unknown := f.refused(put, 504, "configuration_outcome_unknown")
 	assert.Equal(t, unknown.NotRun, "unknown")
 	assert.Assert(t, strings.Contains(f.logs.String(), "admin_change_unknown"))
+	f.store.commitErr = kv.ErrUnavailable
+	put.header["Change-Resend"] = "true"
+	resent := f.refused(put, 504, "configuration_outcome_unknown")
+	assert.Equal(t, resent.NotRun, "unknown", "the lost commit may still arrive")
+	put.header["Change-Resend"] = "perhaps"
+	f.refused(put, 400, "invalid_request")
+	put.header["Change-Resend"] = "true"
+	f.store.commitErr = kv.ErrOutcomeUnknown
 	f.store.applied = true
 	resolved := f.change(put)
 	assert.Assert(t, resolved.Accepted, "the writer reads back what took effect")
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -44,16 +44,19 @@
 	// base, if set, is the configuration revision the whole change is meant for.
 	base   *int64
 	dryRun bool
+	// resent says that the client has sent the change before and doesn't know its outcome.
+	resent bool
 	wait   time.Duration
 }
 
 // newChange reads what all changing requests have in common.
 func (r *request) newChange(edits []edit) (change, error) {
 	id, idErr := r.changeID()
+	resent, resentErr := r.changeResend()
 	comment, commentErr := r.comment()
 	dryRun, dryRunErr := r.flag(queryDryRun)
 	wait, waitErr := r.wait()
-	if err := errors.Join(idErr, commentErr, dryRunErr, waitErr); err != nil {
+	if err := errors.Join(idErr, resentErr, commentErr, dryRunErr, waitErr); err != nil {
 		return change{}, fmt.Errorf("reading the request: %w", err)
 	}
 	for _, edit := range edits {
@@ -61,13 +64,17 @@
 			return change{}, err
 		}
 	}
-	return change{id: id, author: r.key.ID, comment: comment, edits: edits, dryRun: dryRun, wait: wait}, nil
+	return change{id: id, author: r.key.ID, comment: comment, edits: edits, dryRun: dryRun, resent: resent, wait: wait}, nil
 }
 
 // accept runs a change. A change under a client's id that is refused, or finds nothing to do, may be a resend whose
 // first answer was lost: then that answer is given.
 func (s *server) accept(ctx context.Context, requested change) (ChangeResult, error) {
 	result, err := s.attempt(ctx, requested)
+	if requested.resent && failure.As(err).Code == failure.CodeConfigUnavailable {
+		// This send had no effect, but the commit of an earlier one may still be on its way to the service.
+		return ChangeResult{}, unresolved(requested.id, err)
+	}
 	mayBeResend := requested.id != "" && !requested.dryRun
 	settled := result.Accepted || (err != nil && !isRefusal(err))
 	if !mayBeResend || settled {
@@ -263,9 +270,9 @@
 	return confsync.Change{}, false, nil
 }
 
-// unresolved is the answer to a refused change that may be a resend while the history cannot be read.
+// unresolved is the answer to a change that may be a resend while nobody can tell what became of the first send.
 func unresolved(id string, cause error) error {
-	return failure.New(failure.CodeConfigUnknown, "the history cannot be read to find out whether change %s was accepted before; resend it with the same id", id).
+	return failure.New(failure.CodeConfigUnknown, "it cannot be found out now whether change %s was accepted before; resend it with the same id", id).
 		WithOutcome(outcome.Unknown).
 		WithRetryAfter(retryUnresolved).
 		WithCause(cause)
--- a/internal/admin/request.go
+++ b/internal/admin/request.go
@@ -18,8 +18,10 @@
 const (
 	// headerChangeID lets a client resend a change whose answer was lost.
 	headerChangeID = "Change-Id"
-	maxChangeID    = 64
-	maxComment     = 1 << 10
+	// headerChangeResend says that a change with this id was sent before and its outcome isn't known.
+	headerChangeResend = "Change-Resend"
+	maxChangeID        = 64
+	maxComment         = 1 << 10
 	// maxWait bounds how long an answer is held back until a change is in force.
 	maxWait       = 30 * time.Second
 	anyRevision   = "*"
@@ -179,6 +181,19 @@
 	return r.key.ID + "/" + id, nil
 }
 
+// changeResend reports whether the client says that it has sent the change before.
+func (r *request) changeResend() (bool, error) {
+	text := r.Header.Get(headerChangeResend)
+	if text == "" {
+		return false, nil
+	}
+	resent, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, failure.New(failure.CodeInvalidRequest, "%s must be true or false", headerChangeResend).WithParam(headerChangeResend)
+	}
+	return resent, nil
+}
+
 func (r *request) comment() (string, error) {
 	comment := r.URL.Query().Get(queryComment)
 	if len(comment) > maxComment {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -165,6 +165,9 @@
 	if exitCode(err) != ExitUnknown {
 		return err
 	}
+	if request.header["Change-Id"] != "" {
+		request.header["Change-Resend"] = "true"
+	}
 	for range resendAttempts - 1 {
 		if !pause(ctx, resendDelay) {
 			break
