Cut a zone both ways, and strike cancels and resends with faults

A link knew where it leads and not who sends, so a cut zone still reached the others, and nothing ran cancels or storms of resends on processes. A link now finds the process behind a connection in the kernel's tables, so each is cut for the nodes on the other side of a zone's border; engines and the key-value service have links too. The load's ledger follows cancels (starts by the engines' own account, counts and states that go back, files read twice) and resends (second, foreign and untold jobs, wrong refusals, other bodies). Polls and sends go to another node each time: a read must not go back whichever node answers.

Seen to fail first: senders not dropped, senders admitted, the sides of a border swapped.

--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -304,6 +304,16 @@
 	if batch.Unfinished > 0 {
 		e.notes = append(e.notes, fmt.Sprintf("%s: batch accepted %d, unfinished at the end %d", name, batch.Accepted, batch.Unfinished))
 	}
+	if batch.Backwards+batch.Changed > 0 {
+		e.notes = append(e.notes, fmt.Sprintf("%s: %d counts or states went back, %d result files changed", name, batch.Backwards, batch.Changed))
+	}
+	if cancel := report.Cancel; cancel.LateStarts+cancel.Misended > 0 || cancel.Ended < cancel.Accepted {
+		e.notes = append(e.notes, fmt.Sprintf("%s: cancels accepted %d ended %d misended %d, late starts %d", name, cancel.Accepted, cancel.Ended, cancel.Misended, cancel.LateStarts))
+	}
+	if resend := report.Resend; resend.Doubled+resend.Foreign+resend.WrongRefusals+resend.OthersAccepted+resend.UntoldJobs > 0 {
+		e.notes = append(e.notes, fmt.Sprintf("%s: resends answered with a second job %d, a foreign one %d, wrongly refused %d, another body accepted %d, jobs told to nobody %d",
+			name, resend.Doubled, resend.Foreign, resend.WrongRefusals, resend.OthersAccepted, resend.UntoldJobs))
+	}
 	if batch.Lost+batch.Doubled+batch.Foreign+batch.Wrong+batch.Failed > 0 || len(batch.Refused) > 0 {
 		e.notes = append(e.notes, fmt.Sprintf("%s: batch accepted %d completed %d failed %d lost %d doubled %d foreign %d wrong %d refused %v",
 			name, batch.Accepted, batch.Completed, batch.Failed, batch.Lost, batch.Doubled, batch.Foreign, batch.Wrong, batch.Refused))
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -107,6 +107,8 @@
 		{"control", "processor time and memory of nodes without any load", runControl},
 		{"rolling-restart", "restart of every node in turn under load", runRollingRestart},
 		{"faults", "a seeded schedule of process faults under load, counted by an independent ledger", runFaults},
+		{"cancel", "jobs cancelled at random under faults; the engines' own ledgers tell what started later", runCancel},
+		{"resend", "each submission sent to every node at once, again and again, under faults", runResend},
 		{"certificates", "a fleet with TLS on all listeners changes its certificates and then its authority under load", runCertificates},
 	}
 }
--- a/internal/lab/experiment/faultplan.go
+++ b/internal/lab/experiment/faultplan.go
@@ -28,6 +28,10 @@
 	faultCutNode faultKind = "cut_node"
 	// faultCutZone does the same to every node of a zone, so that they do not reach each other either.
 	faultCutZone faultKind = "cut_zone"
+	// faultCutBorder cuts a zone from the others both ways, nodes and engines, for longer than any lease; faultCutAway cuts
+	// its nodes from the key-value service too.
+	faultCutBorder faultKind = "cut_zone_both_ways"
+	faultCutAway   faultKind = "cut_zone_both_ways_and_key_value"
 	// faultFreezeLink has a node's link pass nothing while its connections stay open.
 	faultFreezeLink faultKind = "freeze_link"
 	// faultEngineFreeze stops an engine's steps and answers.
@@ -44,9 +48,17 @@
 
 var faultKinds = []faultKind{
 	faultKill, faultPause, faultWipe, faultWipeTwo, faultKillPaused, faultKeyValueOutage, faultKeyValueOutageKill,
-	faultLostAnswersKill, faultCutNode, faultCutZone, faultFreezeLink, faultEngineFreeze, faultEngineCut, faultEngineDie, faultEngineDrop, faultChunks,
+	faultLostAnswersKill, faultCutNode, faultCutZone, faultCutBorder, faultCutAway, faultFreezeLink,
+	faultEngineFreeze, faultEngineCut, faultEngineDie, faultEngineDrop, faultChunks,
 }
 
+// cancelKinds are the faults of the experiment cancel: workers die, are paused past their lease or cut off both ways, and
+// leaders change.
+var cancelKinds = []faultKind{faultKill, faultPause, faultKillPaused, faultCutNode, faultCutBorder, faultCutAway}
+
+// resendKinds are the faults of the experiment resend: leaders change, disks are lost, answers too.
+var resendKinds = []faultKind{faultKill, faultWipe, faultKillPaused, faultLostAnswersKill, faultCutBorder, faultCutAway}
+
 // plannedFault is one fault of a schedule. First and Second choose the targets: each is a random number, taken modulo the
 // number of targets of the kind.
 type plannedFault struct {
@@ -54,13 +66,14 @@
 	First, Second int
 }
 
-// planFaults draws a schedule. Each round has every kind once, in random order, so that none is left to chance.
-func planFaults(seed uint64, count int) []plannedFault {
+// planFaults draws a schedule of some kinds. Each round has every kind once, in random order, so that none is left to
+// chance.
+func planFaults(kinds []faultKind, seed uint64, count int) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, uint64(count)))
 	planned := make([]plannedFault, 0, count)
 	for len(planned) < count {
-		for _, index := range random.Perm(len(faultKinds)) {
-			planned = append(planned, plannedFault{Kind: faultKinds[index], First: random.IntN(1 << 16), Second: random.IntN(1 << 16)})
+		for _, index := range random.Perm(len(kinds)) {
+			planned = append(planned, plannedFault{Kind: kinds[index], First: random.IntN(1 << 16), Second: random.IntN(1 << 16)})
 		}
 	}
 	return planned[:count]
--- a/internal/lab/experiment/faultplan_test.go
+++ b/internal/lab/experiment/faultplan_test.go
@@ -7,8 +7,8 @@
 )
 
 func TestFaultScheduleIsSeededAndHasEveryKind(t *testing.T) {
-	planned := planFaults(7, 2*len(faultKinds))
-	assert.DeepEqual(t, planned, planFaults(7, 2*len(faultKinds)))
+	planned := planFaults(faultKinds, 7, 2*len(faultKinds))
+	assert.DeepEqual(t, planned, planFaults(faultKinds, 7, 2*len(faultKinds)))
 	seen := map[faultKind]int{}
 	for _, fault := range planned {
 		seen[fault.Kind]++
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"time"
@@ -31,8 +32,8 @@
 	faultHeapItems     = 160
 	faultNotRepeatable = 0.25
 	faultDrain         = 120 * time.Second
-	// faultLease is the lease of batch items, in the form of a setting; faultHold is longer.
-	faultLease      = "4s"
+	// faultLease is the lease of batch items; faultHold is longer.
+	faultLease      = 4 * time.Second
 	faultHold       = 6 * time.Second
 	engineFaultHold = 3 * time.Second
 	faultPauseAfter = 500 * time.Millisecond
@@ -46,40 +47,42 @@
 // runFaults strikes a fleet under load with a seeded schedule of faults and counts, by a ledger that trusts no node,
 // what was accepted, completed, lost and doubled. It goes on to the next fault once every replica set is whole again.
 func runFaults(ctx context.Context, environment *environment) (Measurement, error) {
-	striking := &striker{
-		planned:  planFaults(environment.seed, environment.options.Faults),
-		progress: environment.options.Progress,
-		struck:   map[faultKind]int{},
-	}
-	settings := map[string]string{"jobs.lease_ttl": faultLease}
-	for name, value := range environment.options.NodeSettings {
-		settings[name] = value
-	}
-	environment.options.NodeSettings = settings
-	measured, err := environment.runPhase(ctx, phase{
-		name:  "faults",
-		nodes: true,
-		links: true,
-		load: load.Options{
-			Rate:          environment.rate(faultRate),
-			NotRepeatable: faultNotRepeatable,
-			Retry:         true,
-			BatchEvery:    faultHeapEvery,
-			BatchItems:    faultHeapItems,
-			Drain:         faultDrain,
-		},
-		during: striking.run,
+	measured, struck, err := environment.underFaults(ctx, "faults", faultKinds, load.Options{
+		Rate:          environment.rate(faultRate),
+		NotRepeatable: faultNotRepeatable,
+		Retry:         true,
+		BatchEvery:    faultHeapEvery,
+		BatchItems:    faultHeapItems,
+		Drain:         faultDrain,
 	})
 	if err != nil {
 		return Measurement{}, err
 	}
 	fields := faultFields(measured.report)
-	fields["faults"] = float64(striking.done)
-	fields["slowest_whole_s"] = striking.slowest.Seconds()
+	maps.Copy(fields, struck)
+	return Measurement{Fields: fields}, nil
+}
+
+// underFaults runs a phase of a name with a load and a seeded schedule of faults of some kinds, and returns what the load
+// gave and the counts of the faults.
+func (e *environment) underFaults(ctx context.Context, name string, kinds []faultKind, offered load.Options) (outcome, Fields, error) {
+	striking := &striker{
+		planned:  planFaults(kinds, e.seed, e.options.Faults),
+		progress: e.options.Progress,
+		struck:   map[faultKind]int{},
+	}
+	settings := map[string]string{"jobs.lease_ttl": faultLease.String()}
+	maps.Copy(settings, e.options.NodeSettings)
+	e.options.NodeSettings = settings
+	measured, err := e.runPhase(ctx, phase{name: name, nodes: true, links: true, load: offered, during: striking.run})
+	if err != nil {
+		return outcome{}, nil, err
+	}
+	fields := Fields{"faults": float64(striking.done), "slowest_whole_s": striking.slowest.Seconds()}
 	for kind, count := range striking.struck {
 		fields["fault_"+string(kind)] = float64(count)
 	}
-	return Measurement{Fields: fields}, nil
+	return measured, fields, nil
 }
 
 func faultFields(report *load.Report) Fields {
@@ -95,6 +98,9 @@
 		"batch_completed":     float64(batch.Completed),
 		"batch_failed":        float64(batch.Failed),
 		"batch_lost":          float64(batch.Lost),
+		"batch_cancelled":     float64(batch.Cancelled),
+		"batch_backwards":     float64(batch.Backwards),
+		"batch_changed":       float64(batch.Changed),
 		"batch_doubled":       float64(batch.Doubled),
 		"batch_foreign":       float64(batch.Foreign),
 		"batch_wrong":         float64(batch.Wrong),
@@ -166,6 +172,10 @@
 		return linkFault(ctx, disks[first:first+1], linksim.Faults{Cut: true})
 	case faultCutZone:
 		return linkFault(ctx, zoneOf(started, fault.First), linksim.Faults{Cut: true})
+	case faultCutBorder:
+		return cutBorder(ctx, started, fault.First, false)
+	case faultCutAway:
+		return cutBorder(ctx, started, fault.First, true)
 	case faultFreezeLink:
 		return linkFault(ctx, disks[first:first+1], linksim.Faults{Freeze: true})
 	case faultEngineFreeze:
@@ -262,33 +272,6 @@
 	return setFaults(context.WithoutCancel(ctx), engine.Fault, enginesim.Faults{})
 }
 
-// linkFault sets faults of the links to nodes, holds them for longer than any lease and takes them back.
-func linkFault(ctx context.Context, nodes []fleet.Node, faults linksim.Faults) error {
-	set := setLinks(ctx, nodes, faults)
-	sleep(ctx, faultHold)
-	return errors.Join(set, setLinks(context.WithoutCancel(ctx), nodes, linksim.Faults{}))
-}
-
-func setLinks(ctx context.Context, nodes []fleet.Node, faults linksim.Faults) error {
-	var failed error
-	for _, node := range nodes {
-		failed = errors.Join(failed, setFaults(ctx, node.Link.Fault, faults))
-	}
-	return failed
-}
-
-// zoneOf returns the nodes of the zone that a random number chooses.
-func zoneOf(started *fleet.Fleet, random int) []fleet.Node {
-	zone := started.Plan.Zones[random%len(started.Plan.Zones)].Name
-	var nodes []fleet.Node
-	for _, node := range started.Nodes {
-		if node.Zone == zone {
-			nodes = append(nodes, node)
-		}
-	}
-	return nodes
-}
-
 func setFaults(ctx context.Context, address string, faults any) error {
 	body, err := json.Marshal(faults)
 	if err != nil {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -39,6 +38,8 @@
 	*Process
 	ID, Zone       string
 	Address, Fault string
+	// Link is what nodes reach the engine through; nil without links.
+	Link *StandIn
 }
 
 // StandIn is a stand-in for one of the platform's services.
@@ -49,8 +50,10 @@
 
 // Fleet is a set of processes on loopback.
 type Fleet struct {
-	Plan     Plan
-	KV       StandIn
+	Plan Plan
+	KV   StandIn
+	// KVLink is what nodes reach the key-value service through; nil without links.
+	KVLink   *StandIn
 	Machines StandIn
 	Weights  StandIn
 	Engines  []Engine
@@ -125,11 +128,18 @@
 	}
 	arguments = append(arguments, f.Plan.EngineArguments...)
 	process := f.process(id, "mallowlatch-lab", address, "/healthz", arguments)
-	return Engine{Process: process, ID: id, Zone: zone.Name, Address: address, Fault: fault}
+	engine := Engine{Process: process, ID: id, Zone: zone.Name, Address: address, Fault: fault}
+	if f.Plan.Links {
+		engine.Link = f.newLink(id, address)
+	}
+	return engine
 }
 
 func (f *Fleet) layOutStandIns() {
 	f.KV = f.newStandIn("kv", f.Plan.KVArguments)
+	if f.Plan.Links {
+		f.KVLink = f.newLink("kv", f.KV.Address)
+	}
 	f.Weights = f.newStandIn("weights", f.weightArguments())
 	f.Machines = f.newStandIn("machines", f.machineArguments())
 }
@@ -153,7 +163,7 @@
 func (f *Fleet) machineArguments() []string {
 	arguments := []string{"--lag", f.Plan.MachineListLag.String()}
 	for _, engine := range f.Engines {
-		arguments = append(arguments, "--runner", fmt.Sprintf("%s=%s@%s", engine.ID, engine.Zone, engine.Address))
+		arguments = append(arguments, "--runner", fmt.Sprintf("%s=%s@%s", engine.ID, engine.Zone, engine.Link.or(engine.Address)))
 	}
 	return arguments
 }
@@ -188,7 +198,7 @@
 	return node
 }
 
-// newLink lays out the link in front of a node's peer listener.
+// newLink lays out the link in front of a listener.
 func (f *Fleet) newLink(id, target string) *StandIn {
 	address, fault := f.address(), f.address()
 	arguments := []string{"link", "--listen", address, "--target", target, "--fault-listen", fault}
@@ -196,16 +206,16 @@
 	return &StandIn{Process: process, Address: address, Fault: fault}
 }
 
-// advertised returns the link's address, or nothing without one.
-func (n Node) advertised() string {
-	if n.Link == nil {
-		return ""
+// or returns the link's address, or the given one without a link.
+func (s *StandIn) or(address string) string {
+	if s == nil {
+		return address
 	}
-	return n.Link.Address
+	return s.Address
 }
 
 // reached returns the address that other nodes reach the node at.
-func (n Node) reached() string { return cmp.Or(n.advertised(), n.Peer) }
+func (n Node) reached() string { return n.Link.or(n.Peer) }
 
 func (f *Fleet) writeSettings(node *Node) error {
 	digest := sha256.Sum256([]byte(f.Plan.AdminKey))
@@ -215,11 +225,11 @@
 			Caller:    node.Caller,
 			Admin:     node.Admin,
 			Peer:      node.Peer,
-			Advertise: node.advertised(),
+			Advertise: node.Link.or(""),
 			Seeds:     f.seeds(),
 		},
 		Platform: platformSection{
-			KVEndpoints: []string{f.KV.Address},
+			KVEndpoints: []string{f.KVLink.or(f.KV.Address)},
 			MachineList: f.Machines.Address,
 			WeightStore: f.Weights.Address,
 		},
@@ -264,10 +274,8 @@
 	for _, engine := range f.Engines {
 		processes = append(processes, engine.Process)
 	}
-	for _, node := range f.Nodes {
-		if node.Link != nil {
-			processes = append(processes, node.Link.Process)
-		}
+	for _, link := range f.links() {
+		processes = append(processes, link.Process)
 	}
 	for _, node := range f.Nodes {
 		processes = append(processes, node.Process)
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -44,6 +44,33 @@
 	assert.Equal(t, len(links), len(made.Nodes))
 }
 
+// Every link is cut for the nodes on the other side of the border, and for no others; the key-value service if asked.
+func TestBorderIsEveryWayBetweenZones(t *testing.T) {
+	plan := fleet.Small()
+	plan.Links = true
+	made := laidOut(t, plan)
+	count := len(made.Nodes) + len(made.Engines)
+	assert.Equal(t, len(made.Border("north", false)), count)
+	crossings := made.Border("north", true)
+	assert.Equal(t, len(crossings), count+1)
+	zones := map[string]string{made.KVLink.Address: "south"}
+	for _, node := range made.Nodes {
+		zones[node.Link.Address] = node.Zone
+	}
+	for _, engine := range made.Engines {
+		zones[engine.Link.Address] = engine.Zone
+	}
+	assert.Equal(t, len(zones), count+1)
+	for _, crossing := range crossings {
+		assert.Equal(t, len(crossing.Senders), 2)
+		for _, sender := range crossing.Senders {
+			assert.Assert(t, sender.Zone != zones[crossing.Link.Address])
+		}
+		delete(zones, crossing.Link.Address)
+	}
+	assert.Equal(t, len(zones), 0)
+}
+
 func TestFleetIsPlainByDefault(t *testing.T) {
 	made := laidOut(t, fleet.Small())
 	for _, node := range made.Nodes {
--- a/internal/lab/fleet/plan.go
+++ b/internal/lab/fleet/plan.go
@@ -27,7 +27,8 @@
 	BasePort int
 	// MachineListLag is how old the machine list is.
 	MachineListLag time.Duration
-	// Links puts a stand-in for a weak link in front of every node's peer listener; other nodes reach it through that.
+	// Links puts a stand-in for a weak link in front of every node's peer listener, every engine and the key-value
+	// service; nodes reach them through that.
 	Links bool
 	// TLS has every listener of the nodes speak TLS, and the nodes authenticate each other.
 	TLS bool
--- a/internal/lab/linksim/faults.go
+++ b/internal/lab/linksim/faults.go
@@ -17,6 +17,9 @@
 type Faults struct {
 	// Cut drops every connection and has new ones refused.
 	Cut bool `json:"cut"`
+	// CutSenders are ids of processes of this machine: their connections are dropped and new ones closed at once, those
+	// of others pass.
+	CutSenders []int `json:"cut_senders,omitempty"`
 	// Freeze keeps connections open and passes nothing, as a link that loses every packet does. What was under way
 	// arrives after the end of the freeze.
 	Freeze bool `json:"freeze"`
--- a/internal/lab/linksim/link.go
+++ b/internal/lab/linksim/link.go
@@ -79,9 +79,40 @@
 		l.cut()
 		return nil
 	}
+	if err := l.cutSenders(faults.CutSenders); err != nil {
+		return err
+	}
 	return l.restore()
 }
 
+// cutSenders drops the connections that come from processes. It needs the mutex.
+func (l *Link) cutSenders(processes []int) error {
+	if len(processes) == 0 {
+		return nil
+	}
+	cut, err := findSenders(processes)
+	if err != nil {
+		return err
+	}
+	for each := range l.open {
+		if cut.sent(each.near) {
+			l.drop(each)
+		}
+	}
+	return nil
+}
+
+// admits reports whether the connection's sender is not cut; one that can't be told is closed, as its call is then sent
+// again. It needs the mutex.
+func (l *Link) admits(near net.Conn) bool {
+	processes := l.state.get().CutSenders
+	if len(processes) == 0 {
+		return true
+	}
+	cut, err := findSenders(processes)
+	return err == nil && !cut.sent(near)
+}
+
 // Faults returns the faults in force.
 func (l *Link) Faults() Faults { return l.state.get() }
 
@@ -124,11 +155,11 @@
 	}
 }
 
-// admit begins to forward a connection, unless the link was cut since it was accepted.
+// admit begins to forward a connection, unless the link was cut since it was accepted, or for its sender.
 func (l *Link) admit(near net.Conn) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.listener == nil {
+	if l.listener == nil || !l.admits(near) {
 		_ = near.Close()
 		return
 	}
--- a/internal/lab/linksim/link_test.go
+++ b/internal/lab/linksim/link_test.go
@@ -75,6 +75,28 @@
 	assert.Equal(t, link.Counters(), linksim.Counters{Connections: 2, BytesToTarget: 11, BytesFromTarget: 11})
 }
 
+// The test's own process is the sender.
+func TestCutSendersDropsOnlyTheirConnections(t *testing.T) {
+	link := newLink(t)
+	cut, passing := []int{os.Getpid()}, []int{os.Getppid()}
+	conn := dial(t, link)
+	_, err := echo(conn, "before")
+	assert.NilError(t, err)
+	assert.NilError(t, link.SetFaults(linksim.Faults{CutSenders: passing}))
+	_, err = echo(conn, "others")
+	assert.NilError(t, err)
+	_, err = echo(dial(t, link), "others")
+	assert.NilError(t, err)
+	assert.NilError(t, link.SetFaults(linksim.Faults{CutSenders: cut}))
+	_, err = echo(conn, "during")
+	assert.Assert(t, err != nil)
+	_, err = echo(dial(t, link), "during")
+	assert.Assert(t, err != nil)
+	assert.NilError(t, link.SetFaults(linksim.Faults{}))
+	_, err = echo(dial(t, link), "after")
+	assert.NilError(t, err)
+}
+
 func TestFreezeHoldsBytesAndNewConnections(t *testing.T) {
 	link := newLink(t)
 	conn := dial(t, link)
--- a/internal/lab/load/batch.go
+++ b/internal/lab/load/batch.go
@@ -8,6 +8,7 @@
 	"io"
 	"mime/multipart"
 	"net/http"
+	"sync"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -64,7 +65,9 @@
 // batch sends one heap as a file and a job, follows it to its end and checks every result.
 func (r *Run) batch(ctx context.Context, heap Heap) {
 	bodies := r.bodiesOf(heap)
-	job, err := r.submit(ctx, heap, bodies)
+	var storming sync.WaitGroup
+	defer storming.Wait()
+	job, err := r.submit(ctx, heap, bodies, &storming)
 	if err != nil {
 		r.recorder.batchResult(func(ledger *BatchLedger) {
 			ledger.Refused["submission"]++
@@ -89,7 +92,12 @@
 	r.recorder.batchResult(func(ledger *BatchLedger) {
 		ledger.JobsEnded++
 		checker.book(ledger, job.Status)
+		if checker.counts.Completed != job.RequestCounts.Completed {
+			ledger.Backwards++
+			ledger.note(fmt.Sprintf("job %s counts %d completed, its file %d", job.ID, job.RequestCounts.Completed, checker.counts.Completed))
+		}
 	})
+	r.bookCancelled(job, checker)
 }
 
 func (r *Run) unfinished(heap Heap, err error) {
@@ -119,30 +127,57 @@
 	return file.Bytes(), nil
 }
 
-func (r *Run) submit(ctx context.Context, heap Heap, bodies map[string][]byte) (batchObject, error) {
+// submit uploads a heap and submits its job; with storms, many times at once and again while the job runs.
+func (r *Run) submit(ctx context.Context, heap Heap, bodies map[string][]byte, storming *sync.WaitGroup) (batchObject, error) {
 	content, err := fileOf(bodies)
 	if err != nil {
 		return batchObject{}, err
 	}
-	upload, contentType, err := multipartOf(content)
+	if r.options.Storms > 0 {
+		return r.submitInStorms(ctx, heap, content, storming)
+	}
+	request, err := r.upload(ctx, heap, content, "")
 	if err != nil {
 		return batchObject{}, err
 	}
-	var file fileObject
-	if err := r.persist(ctx, heap, "/v1/files", contentType, upload, &file); err != nil {
-		return batchObject{}, fmt.Errorf("uploading heap %d: %w", heap.Number, err)
-	}
-	request, err := json.Marshal(batchRequest{InputFileID: file.ID, Endpoint: chatPath, CompletionWindow: "24h"})
+	return r.submitUntilAnswered(ctx, heap, request, r.heapKey(heap, "/v1/batches"))
+}
+
+func (r *Run) submitInStorms(ctx context.Context, heap Heap, content []byte, storming *sync.WaitGroup) (batchObject, error) {
+	sent, err := r.prepareStorms(ctx, heap, content)
 	if err != nil {
-		return batchObject{}, fmt.Errorf("encoding batch: %w", err)
+		return batchObject{}, err
 	}
+	var first sync.WaitGroup
+	first.Add(1)
+	storming.Go(func() { r.storms(ctx, heap, sent, &first) })
+	first.Wait()
+	job, err := r.submitUntilAnswered(ctx, heap, sent.copies[0], sent.key)
+	r.recorder.resent(heap.Number, job.ID, err)
+	return job, err
+}
+
+func (r *Run) submitUntilAnswered(ctx context.Context, heap Heap, request []byte, key string) (batchObject, error) {
 	var job batchObject
-	if err := r.persist(ctx, heap, "/v1/batches", "application/json", request, &job); err != nil {
+	if err := r.persistAs(ctx, heap, key, "/v1/batches", "application/json", request, &job); err != nil {
 		return batchObject{}, fmt.Errorf("submitting heap %d: %w", heap.Number, err)
 	}
 	return job, nil
 }
 
+// upload uploads a file and returns the encoded submission of it. The suffix tells the files of a heap apart.
+func (r *Run) upload(ctx context.Context, heap Heap, content []byte, suffix string) ([]byte, error) {
+	body, contentType, err := multipartOf(content)
+	if err != nil {
+		return nil, err
+	}
+	var file fileObject
+	if err := r.persistAs(ctx, heap, r.heapKey(heap, "/v1/files")+suffix, "/v1/files", contentType, body, &file); err != nil {
+		return nil, fmt.Errorf("uploading heap %d: %w", heap.Number, err)
+	}
+	return encodeSubmission(file.ID)
+}
+
 func multipartOf(content []byte) ([]byte, string, error) {
 	var body bytes.Buffer
 	writer := multipart.NewWriter(&body)
@@ -162,14 +197,26 @@
 	return body.Bytes(), writer.FormDataContentType(), nil
 }
 
+func (r *Run) heapKey(heap Heap, path string) string {
+	return fmt.Sprintf("load-%s-heap-%d%s", r.name, heap.Number, path)
+}
+
 // persist posts until it succeeds, is refused for good, or the run ends. Every send carries the same idempotency key.
 func (r *Run) persist(ctx context.Context, heap Heap, path, contentType string, body []byte, answer any) error {
+	return r.persistAs(ctx, heap, r.heapKey(heap, path), path, contentType, body, answer)
+}
+
+// persistAs does so with a given key, or without one if it is empty. Each send goes to another target.
+func (r *Run) persistAs(ctx context.Context, heap Heap, key, path, contentType string, body []byte, answer any) error {
 	for attempt := 0; ; attempt++ {
-		request, err := r.newRequest(ctx, http.MethodPost, heap.Number, path, contentType, body)
+		target := r.options.Targets[(heap.Number+attempt)%len(r.options.Targets)]
+		request, err := r.newRequestTo(ctx, target, http.MethodPost, heap.Number, path, contentType, body)
 		if err != nil {
 			return err
 		}
-		request.Header.Set("Idempotency-Key", fmt.Sprintf("load-%s-heap-%d%s", r.name, heap.Number, path))
+		if key != "" {
+			request.Header.Set("Idempotency-Key", key)
+		}
 		retry, err := r.call(request, answer)
 		if err == nil || !retry {
 			return err
@@ -201,14 +248,20 @@
 	return false, nil
 }
 
-// follow polls a job until it has ended.
+// follow polls a job until it has ended, at another node each time, and cancels it when that is due.
 func (r *Run) follow(ctx context.Context, heap Heap, job batchObject) (batchObject, error) {
-	seen := 0
-	for {
+	accepted, asked := time.Now(), false
+	for poll := 0; ; poll++ {
 		if !pause(ctx, pollPeriod) {
 			return job, fmt.Errorf("job %s is %s at the end of the run: %w", job.ID, job.Status, ctx.Err())
 		}
-		request, err := r.newRequest(ctx, http.MethodGet, heap.Number, "/v1/batches/"+job.ID, "", nil)
+		answered, err := r.cancelIfDue(ctx, heap, job, accepted, &asked)
+		if err != nil {
+			return job, err
+		}
+		r.progressed(job, answered)
+		job = answered
+		request, err := r.pollRequest(ctx, heap, job.ID, poll)
 		if err != nil {
 			return job, err
 		}
@@ -220,15 +273,29 @@
 		if err != nil {
 			continue
 		}
+		r.progressed(job, latest)
 		job = latest
-		r.recorder.batchProgress(time.Since(r.started), job.RequestCounts.Completed-seen)
-		seen = job.RequestCounts.Completed
 		if job.ended() {
 			return job, nil
 		}
 	}
 }
 
+// progressed books what a job's counts grew by; they must never shrink, and a job that has ended or is being cancelled
+// stays so.
+func (r *Run) progressed(before, now batchObject) {
+	r.recorder.batchProgress(time.Since(r.started), now.RequestCounts.Completed-before.RequestCounts.Completed)
+	shrunk := now.RequestCounts.Completed < before.RequestCounts.Completed || now.RequestCounts.Failed < before.RequestCounts.Failed
+	revived := before.Status == "cancelling" && now.Status != "cancelling" && now.Status != "cancelled"
+	if !shrunk && !revived {
+		return
+	}
+	r.recorder.batchResult(func(ledger *BatchLedger) {
+		ledger.Backwards++
+		ledger.note(fmt.Sprintf("job %s went back from %s %+v to %s %+v", now.ID, before.Status, before.RequestCounts, now.Status, now.RequestCounts))
+	})
+}
+
 func (r *Run) readResults(ctx context.Context, heap Heap, job batchObject, checker *itemChecker) error {
 	for _, file := range []string{job.OutputFileID, job.ErrorFileID} {
 		if file == "" {
@@ -237,13 +304,15 @@
 		if err := r.readFile(ctx, heap, file, checker); err != nil {
 			return fmt.Errorf("reading results of job %s: %w", job.ID, err)
 		}
+		r.keepFile(resultFile{id: file, digest: checker.digest()})
 	}
 	return nil
 }
 
 func (r *Run) readFile(ctx context.Context, heap Heap, file string, checker *itemChecker) error {
-	for {
-		request, err := r.newRequest(ctx, http.MethodGet, heap.Number, "/v1/files/"+file+"/content", "", nil)
+	for attempt := 0; ; attempt++ {
+		target := r.options.Targets[(heap.Number+attempt)%len(r.options.Targets)]
+		request, err := r.newRequestTo(ctx, target, http.MethodGet, heap.Number, "/v1/files/"+file+"/content", "", nil)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/load/engines.go
+++ b/internal/lab/load/engines.go
@@ -14,47 +14,58 @@
 // inspectTimeout bounds the question to one engine.
 const inspectTimeout = 5 * time.Second
 
-// askEngines counts the requests that must run at most once and that engines, taken together, ran more often.
+// askEngines holds the engines' own ledgers against what callers were told: requests that must run at most once and that
+// engines, taken together, ran more often; starts of items of cancelled jobs; jobs that nobody was told of.
 func (r *Run) askEngines(report *Report) {
+	report.Online.DoubledRuns = -1
 	if len(r.options.EngineFaults) == 0 {
-		report.Online.DoubledRuns = -1
 		return
 	}
-	runs := map[string]int{}
+	doubled := 0
+	once := map[string]int{}
 	for _, address := range r.options.EngineFaults {
-		if err := r.countRuns(address, runs); err != nil {
+		runs, err := r.engineRuns(address)
+		if err != nil {
 			report.Online.Details = append(report.Online.Details, err.Error())
-			report.Online.DoubledRuns = -1
 			return
 		}
+		r.countOnce(runs, once)
+		report.Cancel.countStarts(runs, r.recorder.cancelled, r.options.CancelBound)
+		if r.options.Storms > 0 {
+			report.Resend.countUntold(runs, r.recorder.heaps)
+		}
 	}
-	for _, count := range runs {
+	for _, count := range once {
 		if count > 1 {
-			report.Online.DoubledRuns++
+			doubled++
 		}
 	}
+	report.Online.DoubledRuns = doubled
 }
 
-func (r *Run) countRuns(address string, runs map[string]int) error {
+func (r *Run) countOnce(runs map[string]enginesim.Run, once map[string]int) {
+	for _, run := range runs {
+		if strings.HasPrefix(run.Idempotency, "load-"+r.name+"-") {
+			once[run.Idempotency] += run.Runs
+		}
+	}
+}
+
+func (r *Run) engineRuns(address string) (map[string]enginesim.Run, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/runs", nil)
 	if err != nil {
-		return fmt.Errorf("asking engine %s: %w", address, err)
+		return nil, fmt.Errorf("asking engine %s: %w", address, err)
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		return fmt.Errorf("asking engine %s: %w", address, err)
+		return nil, fmt.Errorf("asking engine %s: %w", address, err)
 	}
 	defer response.Body.Close()
 	var ledger map[string]enginesim.Run
 	if err := json.NewDecoder(response.Body).Decode(&ledger); err != nil {
-		return fmt.Errorf("asking engine %s: %w", address, err)
-	}
-	for _, run := range ledger {
-		if strings.HasPrefix(run.Idempotency, "load-"+r.name+"-") {
-			runs[run.Idempotency] += run.Runs
-		}
+		return nil, fmt.Errorf("asking engine %s: %w", address, err)
 	}
-	return nil
+	return ledger, nil
 }
--- a/internal/lab/load/itemcheck.go
+++ b/internal/lab/load/itemcheck.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 
@@ -14,8 +16,12 @@
 		StatusCode int             `json:"status_code"`
 		Body       json.RawMessage `json:"body"`
 	} `json:"response"`
+	Error *errorDetail `json:"error"`
 }
 
+// codeCancelled is the error of an item that did not run because its job was cancelled.
+const codeCancelled = "batch_cancelled"
+
 type answerBody struct {
 	Choices []struct {
 		Message struct {
@@ -29,6 +35,8 @@
 	bodies map[string][]byte
 	seen   map[string]bool
 	counts BatchLedger
+	// latest is the digest of the file checked last.
+	latest [sha256.Size]byte
 }
 
 func newItemChecker(bodies map[string][]byte) *itemChecker {
@@ -37,6 +45,7 @@
 
 // file checks the lines of an output or error file.
 func (c *itemChecker) file(content []byte) error {
+	c.latest = sha256.Sum256(content)
 	for line := range bytes.Lines(content) {
 		if len(bytes.TrimSpace(line)) == 0 {
 			continue
@@ -50,6 +59,9 @@
 	return nil
 }
 
+// digest returns the digest of the file checked last.
+func (c *itemChecker) digest() string { return hex.EncodeToString(c.latest[:]) }
+
 func (c *itemChecker) result(result resultLine) {
 	body, known := c.bodies[result.CustomID]
 	switch {
@@ -61,6 +73,10 @@
 		return
 	}
 	c.seen[result.CustomID] = true
+	if result.Error != nil && result.Error.Code == codeCancelled {
+		c.counts.Cancelled++
+		return
+	}
 	if result.Response == nil || result.Response.StatusCode != 200 {
 		c.counts.Failed++
 		return
@@ -85,6 +101,7 @@
 func (c *itemChecker) book(ledger *BatchLedger, status string) {
 	ledger.Completed += c.counts.Completed
 	ledger.Failed += c.counts.Failed
+	ledger.Cancelled += c.counts.Cancelled
 	ledger.Doubled += c.counts.Doubled
 	ledger.Foreign += c.counts.Foreign
 	ledger.Wrong += c.counts.Wrong
--- a/internal/lab/load/ledger.go
+++ b/internal/lab/load/ledger.go
@@ -88,8 +88,13 @@
 	JobsAccepted int `json:"jobs_accepted"`
 	JobsEnded    int `json:"jobs_ended"`
 	Completed    int `json:"completed"`
-	// Failed counts items whose result is an error.
-	Failed int `json:"failed"`
+	// Failed counts items whose result is an error, other than Cancelled ones that their job's cancel ended.
+	Failed    int `json:"failed"`
+	Cancelled int `json:"cancelled"`
+	// Backwards counts jobs' counts and states that went back, or that a result file does not bear out; Changed counts
+	// result files that are not as they were read first.
+	Backwards int `json:"backwards"`
+	Changed   int `json:"changed"`
 	// Lost counts items of ended jobs without a result; Unfinished those of jobs still open at the end.
 	Lost       int `json:"lost"`
 	Unfinished int `json:"unfinished"`
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -50,6 +50,14 @@
 	BatchEvery time.Duration
 	// BatchItems is the number of items of a heap; BatchPromptTokens and BatchAnswerTokens are medians.
 	BatchItems, BatchPromptTokens, BatchAnswerTokens int
+	// CancelShare is the share of jobs that are cancelled, each at a random time within CancelWithin of its acceptance.
+	// CancelBound is how long after the answer items may still start.
+	CancelShare               float64
+	CancelWithin, CancelBound time.Duration
+	// Storms is how often each submission is sent to every target at once, the first time to begin with and then after
+	// random pauses of up to StormsWithin; zero means that it is sent until it is answered.
+	Storms       int
+	StormsWithin time.Duration
 	// AbandonJobs ends the run without waiting for open jobs, for a run that keeps a backlog on purpose.
 	AbandonJobs bool
 	// Retry sends a request that surely was not run (no connection, or an error answer that says so and asks to come
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -26,13 +26,22 @@
 type recorder struct {
 	warmup, goal time.Duration
 
-	mu           sync.Mutex
-	firstToken   *hdrhistogram.Histogram
-	interToken   *hdrhistogram.Histogram
-	whole        *hdrhistogram.Histogram
-	late         *hdrhistogram.Histogram
-	online       OnlineLedger
-	batch        BatchLedger
+	mu         sync.Mutex
+	firstToken *hdrhistogram.Histogram
+	interToken *hdrhistogram.Histogram
+	whole      *hdrhistogram.Histogram
+	late       *hdrhistogram.Histogram
+	online     OnlineLedger
+	batch      BatchLedger
+	cancel     CancelLedger
+	// cancelled holds when the cancel of a job was answered.
+	cancelled map[string]time.Time
+	resend    ResendLedger
+	// jobs holds the job that a heap was first answered with, heaps the heap of a job.
+	jobs  map[int]string
+	heaps map[string]int
+	// files are the result files that were read.
+	files        []resultFile
 	seconds      []second
 	batchSeconds []int
 	tokens       int64
@@ -51,6 +60,9 @@
 		late:         newHistogram(),
 		online:       OnlineLedger{Refused: map[string]int{}},
 		batch:        BatchLedger{Refused: map[string]int{}},
+		cancelled:    map[string]time.Time{},
+		jobs:         map[int]string{},
+		heaps:        map[string]int{},
 		seconds:      make([]second, count),
 		batchSeconds: make([]int, count),
 	}
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -58,6 +58,8 @@
 	BatchItemsPerSec float64      `json:"batch_items_per_s"`
 	Online           OnlineLedger `json:"online"`
 	Batch            BatchLedger  `json:"batch"`
+	Cancel           CancelLedger `json:"cancel"`
+	Resend           ResendLedger `json:"resend"`
 	Timeline         []Second     `json:"timeline"`
 }
 
@@ -78,6 +80,8 @@
 		Lateness:          quantilesOf(recorder.late),
 		Online:            recorder.online,
 		Batch:             recorder.batch,
+		Cancel:            recorder.cancel,
+		Resend:            recorder.resend,
 		Timeline:          recorder.timeline(),
 	}
 	report.Online.Planned = len(r.schedule.Online)
@@ -124,8 +128,8 @@
 	writeCounts(out, online.Refused)
 	batch := r.Batch
 	fmt.Fprintf(out, "batch    %.1f items/s\n", r.BatchItemsPerSec)
-	fmt.Fprintf(out, "batch    planned %d accepted %d completed %d failed %d lost %d unfinished %d doubled %d foreign %d wrong %d; jobs accepted %d ended %d\n",
-		batch.Planned, batch.Accepted, batch.Completed, batch.Failed, batch.Lost, batch.Unfinished, batch.Doubled, batch.Foreign, batch.Wrong, batch.JobsAccepted, batch.JobsEnded)
+	fmt.Fprintf(out, "batch    planned %d accepted %d completed %d failed %d cancelled %d lost %d unfinished %d doubled %d foreign %d wrong %d backwards %d changed %d; jobs accepted %d ended %d\n",
+		batch.Planned, batch.Accepted, batch.Completed, batch.Failed, batch.Cancelled, batch.Lost, batch.Unfinished, batch.Doubled, batch.Foreign, batch.Wrong, batch.Backwards, batch.Changed, batch.JobsAccepted, batch.JobsEnded)
 	writeCounts(out, batch.Refused)
 	for _, detail := range append(slices.Clone(online.Details), batch.Details...) {
 		fmt.Fprintf(out, "  detail: %s\n", detail)
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -16,6 +16,9 @@
 // maxInFlight bounds the requests under way at once. Arrivals beyond it count as unfinished.
 const maxInFlight = 20_000
 
+// readAgainBound bounds the second reading of the result files.
+const readAgainBound = 30 * time.Second
+
 // Run is one run of a schedule.
 type Run struct {
 	options  Options
@@ -78,6 +81,9 @@
 	if err := group.Wait(); err != nil {
 		return nil, fmt.Errorf("running load: %w", err)
 	}
+	again, stop := context.WithTimeout(context.WithoutCancel(ctx), readAgainBound)
+	defer stop()
+	r.readAgain(again)
 	r.client.CloseIdleConnections()
 	report := r.report()
 	r.askEngines(report)
--- a/internal/lab/load/schedule.go
+++ b/internal/lab/load/schedule.go
@@ -27,6 +27,8 @@
 	At     time.Duration
 	Number int
 	Items  []promptShape
+	// CancelAfter is how long after its acceptance the job is cancelled; zero means never.
+	CancelAfter time.Duration
 }
 
 // Schedule is everything a run will send, fixed before it starts.
@@ -73,6 +75,7 @@
 
 func planBatch(options Options) []Heap {
 	random := rand.New(rand.NewPCG(options.Seed, 2))
+	cancels := rand.New(rand.NewPCG(options.Seed, 4))
 	var heaps []Heap
 	if options.BatchEvery <= 0 {
 		return nil
@@ -87,6 +90,9 @@
 				answer:   length(random, options.BatchAnswerTokens),
 			})
 		}
+		if cancels.Float64() < options.CancelShare {
+			heap.CancelAfter = time.Duration(1 + cancels.Float64()*float64(options.CancelWithin))
+		}
 		heaps = append(heaps, heap)
 	}
 	return heaps
