Make cancels meet jobs that outlast the bound

A worker keeps half a fill of its sequences ready, so items leased before a cancel start within about a second, and with 32 sequences an engine a heap was over before the bound: a leader that ignores the committed stop would not have shown. Engines of 8 sequences make the rest of a cancelled job last longer than a lease.

--- a/internal/lab/experiment/cancel.go
+++ b/internal/lab/experiment/cancel.go
@@ -8,11 +8,14 @@
 )
 
 const (
-	// The heaps of cancel are large for the engines' batch room, so that most cancels meet items under way.
-	cancelHeapEvery = 4 * time.Second
-	cancelHeapItems = 400
-	cancelShare     = 0.7
+	// The heaps of cancel are large for engines of so few sequences, so that most cancels meet a job that would go on for
+	// longer than the bound.
+	cancelSequences = "8"
+	cancelHeapEvery = 5 * time.Second
+	cancelHeapItems = 300
+	cancelShare     = 0.8
 	cancelWithin    = 4 * time.Second
+	cancelRate      = 2
 	// cancelMargin is what a start may lag behind the lease: the call's way to the engine and the abort's, on a busy
 	// machine.
 	cancelMargin = 500 * time.Millisecond
@@ -22,15 +25,19 @@
 // runCancel cancels jobs at random under a seeded schedule of faults. The engines' own ledgers say when items of cancelled
 // jobs started: none later than a lease and the margin after the cancel was answered.
 func runCancel(ctx context.Context, environment *environment) (Measurement, error) {
-	measured, struck, err := environment.underFaults(ctx, "cancel", cancelKinds, load.Options{
-		Rate:         environment.rate(faultRate),
-		Retry:        true,
-		BatchEvery:   cancelHeapEvery,
-		BatchItems:   cancelHeapItems,
-		CancelShare:  cancelShare,
-		CancelWithin: cancelWithin,
-		CancelBound:  faultLease + cancelMargin,
-		Drain:        cancelDrain,
+	measured, struck, err := environment.underFaults(ctx, cancelKinds, phase{
+		name:            "cancel",
+		engineArguments: []string{"--max-sequences", cancelSequences},
+		load: load.Options{
+			Rate:         environment.rate(cancelRate),
+			Retry:        true,
+			BatchEvery:   cancelHeapEvery,
+			BatchItems:   cancelHeapItems,
+			CancelShare:  cancelShare,
+			CancelWithin: cancelWithin,
+			CancelBound:  faultLease + cancelMargin,
+			Drain:        cancelDrain,
+		},
 	})
 	if err != nil {
 		return Measurement{}, err
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -47,13 +47,16 @@
 // runFaults strikes a fleet under load with a seeded schedule of faults and counts, by a ledger that trusts no node,
 // what was accepted, completed, lost and doubled. It goes on to the next fault once every replica set is whole again.
 func runFaults(ctx context.Context, environment *environment) (Measurement, error) {
-	measured, struck, err := environment.underFaults(ctx, "faults", faultKinds, load.Options{
-		Rate:          environment.rate(faultRate),
-		NotRepeatable: faultNotRepeatable,
-		Retry:         true,
-		BatchEvery:    faultHeapEvery,
-		BatchItems:    faultHeapItems,
-		Drain:         faultDrain,
+	measured, struck, err := environment.underFaults(ctx, faultKinds, phase{
+		name: "faults",
+		load: load.Options{
+			Rate:          environment.rate(faultRate),
+			NotRepeatable: faultNotRepeatable,
+			Retry:         true,
+			BatchEvery:    faultHeapEvery,
+			BatchItems:    faultHeapItems,
+			Drain:         faultDrain,
+		},
 	})
 	if err != nil {
 		return Measurement{}, err
@@ -63,9 +66,9 @@
 	return Measurement{Fields: fields}, nil
 }
 
-// underFaults runs a phase of a name with a load and a seeded schedule of faults of some kinds, and returns what the load
-// gave and the counts of the faults.
-func (e *environment) underFaults(ctx context.Context, name string, kinds []faultKind, offered load.Options) (outcome, Fields, error) {
+// underFaults runs a phase through nodes and links under a seeded schedule of faults of some kinds, and returns what the
+// load gave and the counts of the faults.
+func (e *environment) underFaults(ctx context.Context, kinds []faultKind, struck phase) (outcome, Fields, error) {
 	striking := &striker{
 		planned:  planFaults(kinds, e.seed, e.options.Faults),
 		progress: e.options.Progress,
@@ -74,7 +77,8 @@
 	settings := map[string]string{"jobs.lease_ttl": faultLease.String()}
 	maps.Copy(settings, e.options.NodeSettings)
 	e.options.NodeSettings = settings
-	measured, err := e.runPhase(ctx, phase{name: name, nodes: true, links: true, load: offered, during: striking.run})
+	struck.nodes, struck.links, struck.during = true, true, striking.run
+	measured, err := e.runPhase(ctx, struck)
 	if err != nil {
 		return outcome{}, nil, err
 	}
--- a/internal/lab/experiment/resend.go
+++ b/internal/lab/experiment/resend.go
@@ -19,14 +19,17 @@
 // runResend sends each submission to every node at once, again and again, under a seeded schedule of faults, with and
 // without a key, with clients that give up, and with another body under a key in use.
 func runResend(ctx context.Context, environment *environment) (Measurement, error) {
-	measured, struck, err := environment.underFaults(ctx, "resend", resendKinds, load.Options{
-		Rate:         environment.rate(faultRate),
-		Retry:        true,
-		BatchEvery:   resendHeapEvery,
-		BatchItems:   resendHeapItems,
-		Storms:       resendStorms,
-		StormsWithin: resendWithin,
-		Drain:        resendDrain,
+	measured, struck, err := environment.underFaults(ctx, resendKinds, phase{
+		name: "resend",
+		load: load.Options{
+			Rate:         environment.rate(faultRate),
+			Retry:        true,
+			BatchEvery:   resendHeapEvery,
+			BatchItems:   resendHeapItems,
+			Storms:       resendStorms,
+			StormsWithin: resendWithin,
+			Drain:        resendDrain,
+		},
 	})
 	if err != nil {
 		return Measurement{}, err
--- a/internal/lab/load/batch.go
+++ b/internal/lab/load/batch.go
@@ -210,7 +210,7 @@
 func (r *Run) persistAs(ctx context.Context, heap Heap, key, path, contentType string, body []byte, answer any) error {
 	for attempt := 0; ; attempt++ {
 		target := r.options.Targets[(heap.Number+attempt)%len(r.options.Targets)]
-		request, err := r.newRequestTo(ctx, target, http.MethodPost, heap.Number, path, contentType, body)
+		request, err := r.newRequest(ctx, target, http.MethodPost, heap.Number, path, contentType, body)
 		if err != nil {
 			return err
 		}
@@ -312,7 +312,7 @@
 func (r *Run) readFile(ctx context.Context, heap Heap, file string, checker *itemChecker) error {
 	for attempt := 0; ; attempt++ {
 		target := r.options.Targets[(heap.Number+attempt)%len(r.options.Targets)]
-		request, err := r.newRequestTo(ctx, target, http.MethodGet, heap.Number, "/v1/files/"+file+"/content", "", nil)
+		request, err := r.newRequest(ctx, target, http.MethodGet, heap.Number, "/v1/files/"+file+"/content", "", nil)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/load/cancel.go
+++ b/internal/lab/load/cancel.go
@@ -123,5 +123,5 @@
 // pollRequest asks for a job's state, each time another node.
 func (r *Run) pollRequest(ctx context.Context, heap Heap, job string, poll int) (*http.Request, error) {
 	target := r.options.Targets[(heap.Number+poll)%len(r.options.Targets)]
-	return r.newRequestTo(ctx, target, http.MethodGet, heap.Number, "/v1/batches/"+job, "", nil)
+	return r.newRequest(ctx, target, http.MethodGet, heap.Number, "/v1/batches/"+job, "", nil)
 }
--- a/internal/lab/load/direct.go
+++ b/internal/lab/load/direct.go
@@ -73,7 +73,7 @@
 }
 
 func (r *Run) directCall(ctx context.Context, address string, body []byte) ([]byte, error) {
-	request, err := r.newRequestTo(ctx, address, http.MethodPost, 0, chatPath, "application/json", body)
+	request, err := r.newRequest(ctx, address, http.MethodPost, 0, chatPath, "application/json", body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/load/online.go
+++ b/internal/lab/load/online.go
@@ -60,7 +60,7 @@
 func (r *Run) attempt(ctx context.Context, arrival Arrival, attempt int, planned time.Time, body []byte) onlineResult {
 	target, release := r.target(arrival, attempt)
 	defer release()
-	request, err := r.newRequestTo(ctx, target, http.MethodPost, arrival.Number, chatPath, "application/json", body)
+	request, err := r.newRequest(ctx, target, http.MethodPost, arrival.Number, chatPath, "application/json", body)
 	if err != nil {
 		return onlineResult{verdict: verdictFailed, detail: err.Error()}
 	}
--- a/internal/lab/load/resend.go
+++ b/internal/lab/load/resend.go
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	target := r.options.Targets[index%len(r.options.Targets)]
-	request, err := r.newRequestTo(ctx, target, http.MethodPost, heap.Number, "/v1/batches", "application/json", body)
+	request, err := r.newRequest(ctx, target, http.MethodPost, heap.Number, "/v1/batches", "application/json", body)
 	if err != nil {
 		return "", err
 	}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -126,13 +126,8 @@
 	return nil
 }
 
-// newRequest makes a call to the target and with the key whose turn it is. One number always has the same key.
-func (r *Run) newRequest(ctx context.Context, method string, number int, path, contentType string, body []byte) (*http.Request, error) {
-	target := r.options.Targets[number%len(r.options.Targets)]
-	return r.newRequestTo(ctx, target, method, number, path, contentType, body)
-}
-
-func (r *Run) newRequestTo(ctx context.Context, target, method string, number int, path, contentType string, body []byte) (*http.Request, error) {
+// newRequest makes a call with the key whose turn it is. One number always has the same key.
+func (r *Run) newRequest(ctx context.Context, target, method string, number int, path, contentType string, body []byte) (*http.Request, error) {
 	var reader io.Reader
 	if body != nil {
 		reader = bytes.NewReader(body)
