--- a/internal/lab/load/batch.go
+++ b/internal/lab/load/batch.go
@@ -250,12 +250,12 @@
 
 // follow polls a job until it has ended, at another node each time, and cancels it when that is due.
 func (r *Run) follow(ctx context.Context, heap Heap, job batchObject) (batchObject, error) {
-	accepted, asked := time.Now(), false
+	planned := &canceller{heap: heap}
 	for poll := 0; ; poll++ {
 		if !pause(ctx, pollPeriod) {
 			return job, fmt.Errorf("job %s is %s at the end of the run: %w", job.ID, job.Status, ctx.Err())
 		}
-		answered, err := r.cancelIfDue(ctx, heap, job, accepted, &asked)
+		answered, err := r.cancelIfDue(ctx, heap, job, planned)
 		if err != nil {
 			return job, err
 		}
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -50,7 +50,8 @@
 	BatchEvery time.Duration
 	// BatchItems is the number of items of a heap; BatchPromptTokens and BatchAnswerTokens are medians.
 	BatchItems, BatchPromptTokens, BatchAnswerTokens int
-	// CancelShare is the share of jobs that are cancelled, each at a random time within CancelWithin of its acceptance.
+	// CancelShare is the share of jobs that are cancelled, each at a random time within CancelWithin of its first completed
+	// item, a quarter of them within CancelWithin of the acceptance.
 	// CancelBound is how long after the answer items may still start.
 	CancelShare               float64
 	CancelWithin, CancelBound time.Duration
--- a/internal/lab/load/schedule.go
+++ b/internal/lab/load/schedule.go
@@ -12,6 +12,9 @@
 // lengthLimit bounds a length to this multiple of its median.
 const lengthLimit = 4
 
+// unseenCancels is the part of the cancels, one in this many, that do not wait until the job runs.
+const unseenCancels = 4
+
 // Arrival is one online request of the schedule.
 type Arrival struct {
 	// At is counted from the start of the run.
@@ -27,8 +30,10 @@
 	At     time.Duration
 	Number int
 	Items  []promptShape
-	// CancelAfter is how long after its acceptance the job is cancelled; zero means never.
-	CancelAfter time.Duration
+	// CancelAfter is how long after its first completed item was seen the job is cancelled, or after its acceptance if
+	// CancelUnseen; zero means never.
+	CancelAfter  time.Duration
+	CancelUnseen bool
 }
 
 // Schedule is everything a run will send, fixed before it starts.
@@ -91,6 +96,7 @@
 			})
 		}
 		if cancels.Float64() < options.CancelShare {
+			heap.CancelUnseen = cancels.IntN(unseenCancels) == 0
 			heap.CancelAfter = time.Duration(1 + cancels.Float64()*float64(options.CancelWithin))
 		}
 		heaps = append(heaps, heap)
