--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -51,7 +51,7 @@
 	// BatchItems is the number of items of a heap; BatchPromptTokens and BatchAnswerTokens are medians.
 	BatchItems, BatchPromptTokens, BatchAnswerTokens int
 	// CancelShare is the share of jobs that are cancelled, each at a random time within CancelWithin of its first completed
-	// item, a quarter of them within CancelWithin of the acceptance.
+	// item, half of them within CancelWithin of the acceptance.
 	// CancelBound is how long after the answer items may still start.
 	CancelShare               float64
 	CancelWithin, CancelBound time.Duration
