Do not take a leader's own time for silence of the others

A leader that stepped down still held the time at which it last followed somebody, so at once it believed that its leader and all members had been silent since it began to lead. If the key-value service answered before the successor's first message, it stored a set of itself alone: one disk.

Found by planned stops in the simulation without any fault. Ruled out: a slow successor (its first message was 50 ms away), the draining rules (the hand-over alone does it).

--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -229,6 +229,11 @@
 	if c.role != Follower || leader == (Member{}) {
 		c.resetElection()
 	}
+	if c.role == Leader {
+		// A leader hears nobody else lead: the time of its own leadership is no silence of the others.
+		c.heardAt = c.now
+		c.followingSince = c.now
+	}
 	c.role = Follower
 	c.leader = leader
 	c.votes = nil
--- a/internal/shard/shardsim/sim_test.go
+++ b/internal/shard/shardsim/sim_test.go
@@ -126,3 +126,30 @@
 		assert.NilError(t, s.Schedule(faults, faulty, healing), cause)
 	}
 }
+
+// TestHandOverIsNoSilence hands leadership over in a healthy shard. It failed when a leader that stepped down took the
+// whole time it had led for silence of all others: if the key-value service was quicker than the successor's first
+// message, it stored a set of itself alone.
+func TestHandOverIsNoSilence(t *testing.T) {
+	handedOver := 0
+	for seed := range uint64(200) {
+		s := New(Options{Seed: seed, Nodes: 3, Copies: 3, Machine: logMachine{}, Retained: 30})
+		s.Load(time.Minute)
+		assert.NilError(t, s.Run(4*time.Second))
+		leader := s.node(s.Leader())
+		configuration, _ := s.store.current()
+		for _, successor := range configuration.Members {
+			if successor != leader.member() {
+				leader.input(func() error { leader.driver.Core.Transfer(successor); return nil })
+				break
+			}
+		}
+		assert.NilError(t, s.Run(time.Second))
+		if s.Leader() != leader.name {
+			handedOver++
+		}
+		assert.Equal(t, s.Swaps, 0, "seed %d: %v", seed, s.store.history[len(s.store.history)-1])
+	}
+	// A message may be lost on the way, and the leader goes on.
+	assert.Assert(t, handedOver > 180, "%d of 200", handedOver)
+}
