Hold a planned stop until other disks hold its shards

Cause: a planned stop waited for leadership to go, not for the set. A follower left at once, a set dropped the leaving member before another had joined, and a set of one whose leader handed over still named the stopped disk. Sets now grow first and drop after; Host.Leave ends once no stored set names the node, at once if no other disk stays, else with the drain time, and says so (event 3156). Below two members a planned stop shrinks nothing unless the fleet has but two disks. node status shows SHARDS and SOLE, node drain warns.

Ruled out: dropping at once (a set of two, then one, in a rolling stop).

Tests: RandomFaults still draws from the 14 old kinds, as kept schedules depend on their number.

--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -93,6 +93,10 @@
 	Storage  bool   `json:"storage"`
 	Draining bool   `json:"draining"`
 	Version  string `json:"version,omitempty"`
+	// Shards is the number of job shards with a copy on the node's disk; SoleShards of them have no copy on another node
+	// that stays, and are away while the node is stopped.
+	Shards     int `json:"shards"`
+	SoleShards int `json:"sole_shards"`
 }
 
 // NodeList answers a request for the state of nodes.
--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -25,6 +26,15 @@
 
 func (noPeers) Peers() []confsync.Peer { return nil }
 
+// oneNode is a fleet whose only node with a disk is n1.
+type oneNode struct{}
+
+func (oneNode) Nodes(context.Context) ([]admin.NodeStatus, error) {
+	return []admin.NodeStatus{{Name: "n1", State: "alive", Storage: true, Shards: 3, SoleShards: 2}}, nil
+}
+
+func (oneNode) Runners(context.Context) ([]admin.RunnerStatus, error) { return nil, nil }
+
 // site is an administration API over the real configuration writer, and the command line that calls it.
 type site struct {
 	t       *testing.T
@@ -44,7 +54,7 @@
 	})
 	assert.NilError(t, err)
 	handler, err := admin.New(admin.Options{
-		Source: replica, Writer: confsync.NewWriter(store, replica), Status: replica,
+		Source: replica, Writer: confsync.NewWriter(store, replica), Status: replica, Fleet: oneNode{},
 		BootstrapDigest: auth.Digest("bootstrap"), Logger: zerolog.Nop(),
 	})
 	assert.NilError(t, err)
@@ -190,7 +200,9 @@
 	succeed(t, "runner", "drain", "10.0.0.1:9000", "--reason", "disk")
 	assert.Equal(t, s.replica.Current().Drains["runner/10.0.0.1:9000"].Reason, "disk")
 	succeed(t, "runner", "drain", "10.0.0.1:9000", "--undo")
-	succeed(t, "node", "drain", "n1")
+	code, _, warning := run("node", "drain", "n1")
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.HasPrefix(warning, "2 of the 3 job shards on n1"), "%q", warning)
 	assert.Equal(t, len(s.replica.Current().Drains), 1)
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -10,6 +10,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/admin"
 	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
 // newRunnerCommand returns "runner": the state of runners, and draining one.
@@ -31,9 +32,10 @@
 			return err
 		}
 		return format.print(command.OutOrStdout(), list.Items, func(rows *tabwriter.Writer) {
-			row(rows, "NODE", "ZONE", "STATE", "DRAINING", "STORAGE", "ADDRESS", "VERSION")
+			row(rows, "NODE", "ZONE", "STATE", "DRAINING", "STORAGE", "SHARDS", "SOLE", "ADDRESS", "VERSION")
 			for _, node := range list.Items {
-				row(rows, node.Name, node.Zone, node.State, node.Draining, node.Storage, node.Address, node.Version)
+				row(rows, node.Name, node.Zone, node.State, node.Draining, node.Storage, node.Shards, node.SoleShards,
+					node.Address, node.Version)
 			}
 		})
 	}
@@ -84,11 +86,30 @@
 		if *undo {
 			return deleteResource(command, client, flags, reference, 0)
 		}
+		if machine == "node" {
+			warnOfSoleShards(command, client, ident.Node(arguments[0]))
+		}
 		return drain(command, client, flags, catalog.Drain{Name: reference.Name, Reason: *reason})
 	}
 	return command
 }
 
+// warnOfSoleShards tells before a node is drained which job shards would be away without it. The drain goes on: the
+// node itself waits for another copy as long as its drain time allows.
+func warnOfSoleShards(command *cobra.Command, client *client, name ident.Node) {
+	var list admin.NodeList
+	if err := client.read(command.Context(), adminPrefix+"status/nodes", nil, &list); err != nil {
+		command.PrintErrf("Whether job shards would be away is not known: %v\n", err)
+		return
+	}
+	for _, node := range list.Items {
+		if node.Name == name && node.SoleShards > 0 {
+			command.PrintErrf("%d of the %d job shards on %s have no copy on another node that stays: they are away while "+
+				"it is stopped, unless another node with a disk takes them over first.\n", node.SoleShards, node.Shards, name)
+		}
+	}
+}
+
 func drain(command *cobra.Command, client *client, flags *changeFlags, order catalog.Drain) error {
 	resource, err := catalog.Encode(&order)
 	if err != nil {
--- a/internal/event/shard.go
+++ b/internal/event/shard.go
@@ -16,5 +16,6 @@
 	ShardSnapshotFailed   = register(3153, "shard_snapshot_failed", zerolog.WarnLevel, "Sending the state of a shard failed; it is tried again.", "check the receiving node's disk and the network if it repeats")
 	ShardBootstrapped     = register(3154, "shard_bootstrapped", zerolog.InfoLevel, "This node stored the first replica set of a new shard.", "none")
 	ShardRecordInvalid    = register(3155, "shard_record_invalid", zerolog.ErrorLevel, "The key-value service holds a replica set that cannot be read.", "restore the key from its history; no node changes it")
+	ShardStopAway         = register(3156, "shard_stop_away", zerolog.WarnLevel, "A planned stop ends although replica sets still name this node. Shards of which it holds the only copy (sole) are away until its disk returns; the others go on once they have given it up.", "start the node again with its disk, or another node with a disk before you stop this one (docs/operators/draining.md)")
 	ShardMapPollFailed    = register(3160, "shard_map_poll_failed", zerolog.DebugLevel, "A node with a disk did not tell where the job shards are; another one is asked. What was known stays in use.", "none; if it lasts, look at the peers of the node")
 )
--- a/internal/node/apis.go
+++ b/internal/node/apis.go
@@ -39,10 +39,12 @@
 
 func (n *Node) assembleAdminAPI() error {
 	options := admin.Options{
-		Source:          n.replica,
-		Writer:          n.writer,
-		Status:          n.replica,
-		Fleet:           fleetStatus{members: n.members, table: n.table, owners: n.owners, source: n.replica},
+		Source: n.replica,
+		Writer: n.writer,
+		Status: n.replica,
+		Fleet: fleetStatus{
+			members: n.members, table: n.table, owners: n.owners, source: n.replica, routes: n.shardRoutes,
+		},
 		BootstrapDigest: string(n.settings.Bootstrap.AdminKeyDigest),
 		Logger:          n.logger,
 		Registerer:      n.registry,
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -38,3 +38,12 @@
 	}
 	return routes, complete
 }
+
+// shardRoutes returns where the job shards are as far as this node knows: by its own watch or by another node's word.
+func (n *Node) shardRoutes() []shardmap.Route {
+	if n.storage == nil {
+		return n.routes.Routes()
+	}
+	routes, _ := knownRoutes{directory: n.storage.host.Directory()}.Routes()
+	return routes
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,6 +9,7 @@
 	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/shardmap"
 )
 
 // fleetStatus tells operators what this node knows of the fleet.
@@ -17,12 +18,20 @@
 	table   *dispatch.Table
 	owners  ownerLookup
 	source  catalog.Source
+	// routes tells where the job shards are.
+	routes func() []shardmap.Route
 }
 
 // Nodes returns the members this node knows, the dead that are still remembered included.
 func (f fleetStatus) Nodes(context.Context) ([]admin.NodeStatus, error) {
+	view := f.members.View()
+	holdings := shardmap.Holdings(f.routes(), func(node ident.Node) bool {
+		member, known := view.Member(node)
+		return known && member.State == membership.Alive
+	})
 	var statuses []admin.NodeStatus
-	for _, member := range f.members.View().Members {
+	for _, member := range view.Members {
+		held := holdings[member.Node]
 		statuses = append(statuses, admin.NodeStatus{
 			Name:     member.Node,
 			Zone:     member.Zone,
@@ -31,6 +40,9 @@
 			Address:  member.PeerAddress,
 			Storage:  member.Attributes.HasDisk,
 			Draining: member.State == membership.Leaving,
+
+			Shards:     held.Shards,
+			SoleShards: held.Sole,
 		})
 	}
 	return statuses, nil
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -62,7 +62,9 @@
 		steps = append(steps, stopStep{"stop placement", stopBound, ignoreContext(n.placement.Stop)})
 	}
 	if n.storage != nil {
-		steps = append(steps, stopStep{"hand over shards", stopBound, n.handOverShards})
+		steps = append(steps,
+			stopStep{"leave shards", bound, n.storage.host.Leave},
+			stopStep{"hand over shards", stopBound, n.handOverShards})
 	}
 	return steps
 }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -15,6 +15,11 @@
 	Draining []ident.Node
 	// Suspected are nodes that the membership believes dead.
 	Suspected []ident.Node
+	// Places is the number of nodes that may hold a copy: those seen lately that are not about to stop, whether their
+	// incarnation is known or not.
+	Places int
+	// Fleet is the number of nodes with a disk that were seen lately, those about to stop included.
+	Fleet int
 }
 
 // PlanSettings are the times and sizes that planning goes by.
@@ -92,7 +97,7 @@
 	if !activated {
 		return nil
 	}
-	if drained := drainedMember(status, world); drained != (Member{}) {
+	if drained := drainedMember(status, world, settings); drained != (Member{}) {
 		return without(status.Configuration.Members, []Member{drained})
 	}
 	if added := caughtUpLearners(status, world, settings); len(added) > 0 {
@@ -151,13 +156,16 @@
 	return silent
 }
 
-// drainedMember returns another member that is about to stop, if two members remain.
-func drainedMember(status Status, world World) Member {
-	const leastRemaining = 2
-	if len(status.Configuration.Members) <= leastRemaining {
+// drainedMember returns another member that is about to stop, once the set can do without it: the members that stay are
+// as many as the fleet can hold, and leastRemaining are left whether they stay or not. Until then it is kept, and the set
+// grows first.
+func drainedMember(status Status, world World, settings PlanSettings) Member {
+	members := status.Configuration.Members
+	staying := stayingMembers(status, world, settings)
+	if staying < max(1, min(settings.Copies, world.Places)) || len(members) <= leastRemaining(world) {
 		return Member{}
 	}
-	for _, member := range status.Configuration.Members {
+	for _, member := range members {
 		if member != status.Self && slices.Contains(world.Draining, member.Node) {
 			return member
 		}
@@ -165,6 +173,32 @@
 	return Member{}
 }
 
+// leastRemaining is the size below which planned stops shrink no set: the whole fleet may be about to stop, and the last
+// node to say so must not be left as the only one that can start the shard again. A fleet of two machines has no third
+// to grow to, and goes on with the one that stays.
+func leastRemaining(world World) int {
+	const smallestFleet = 2
+	if world.Fleet == smallestFleet {
+		return 1
+	}
+	return 2
+}
+
+// stayingMembers counts the members that answer and are not about to stop.
+func stayingMembers(status Status, world World, settings PlanSettings) int {
+	staying := 0
+	if !slices.Contains(world.Draining, status.Self.Node) {
+		staying++
+	}
+	for _, other := range status.Others {
+		leaves := slices.Contains(world.Draining, other.Member.Node)
+		if !other.Learner && !leaves && other.Silence < settings.SuspectedAfter {
+			staying++
+		}
+	}
+	return staying
+}
+
 func caughtUpLearners(status Status, world World, settings PlanSettings) []Member {
 	wanted := Learners(status, world, settings)
 	var ready []Member
--- a/internal/shard/shardsim/faults.go
+++ b/internal/shard/shardsim/faults.go
@@ -41,9 +41,14 @@
 	Drain
 	// CrashAll stops every process at once.
 	CrashAll
+	// PlannedStop announces a stop of Node, waits until the stored set does without it, at most Duration, and stops it.
+	PlannedStop
 	faultKinds
 )
 
+// randomKinds are the kinds that RandomFaults draws from: kept schedules depend on their number.
+const randomKinds = CrashAll + 1
+
 // Fault is one injected fault.
 type Fault struct {
 	At       time.Duration
@@ -59,7 +64,7 @@
 	for position := range faults {
 		faults[position] = Fault{
 			At:       s.between(0, over),
-			Kind:     FaultKind(s.random.IntN(int(faultKinds))),
+			Kind:     FaultKind(s.random.IntN(int(randomKinds))),
 			Node:     s.random.IntN(s.options.Nodes),
 			Peer:     s.random.IntN(s.options.Nodes),
 			Duration: s.between(100*time.Millisecond, 5*time.Second),
@@ -68,6 +73,20 @@
 	return faults
 }
 
+// RandomStops draws planned stops over a time from the simulation's seed.
+func (s *Simulation) RandomStops(count int, over time.Duration) []Fault {
+	faults := make([]Fault, count)
+	for position := range faults {
+		faults[position] = Fault{
+			At:       s.between(0, over),
+			Kind:     PlannedStop,
+			Node:     s.random.IntN(s.options.Nodes),
+			Duration: s.between(time.Second, 5*time.Second),
+		}
+	}
+	return faults
+}
+
 // Inject schedules the faults.
 func (s *Simulation) Inject(faults []Fault) {
 	for _, fault := range faults {
@@ -185,6 +204,8 @@
 			hit.draining = false
 			s.crash(hit, fault.Duration, false)
 		})
+	case PlannedStop:
+		s.plannedStop(hit, until)
 	case CrashAll:
 		for _, each := range s.nodes {
 			s.crash(each, fault.Duration, false)
@@ -192,6 +213,26 @@
 	}
 }
 
+// plannedStop does what a host does: it leaves once the stored set does without it, or its time is up, and is back a
+// second later.
+func (s *Simulation) plannedStop(hit *node, until time.Duration) {
+	if !hit.running {
+		hit.draining = false
+		return
+	}
+	hit.draining = true
+	configuration, _ := s.store.current()
+	if s.now < until && configuration.Has(hit.member()) {
+		s.After(tickEvery, func() { s.plannedStop(hit, until) })
+		return
+	}
+	if s.now < until {
+		s.Vacated++
+	}
+	hit.draining = false
+	s.crash(hit, time.Second, false)
+}
+
 func (s *Simulation) cut(from, to *node, until time.Duration) {
 	path := link{from: from.name, to: to.name}
 	s.network.cut[path] = max(s.network.cut[path], until)
--- a/internal/shard/shardsim/node.go
+++ b/internal/shard/shardsim/node.go
@@ -292,12 +292,13 @@
 
 // world is what every host knows: which nodes live, and which places the shard wants.
 func (s *Simulation) world() shard.World {
-	var world shard.World
+	world := shard.World{Fleet: len(s.nodes)}
 	for _, known := range s.nodes {
 		if known.draining {
 			world.Draining = append(world.Draining, known.name)
 			continue
 		}
+		world.Places++
 		if known.running && s.now >= known.paused {
 			world.Desired = append(world.Desired, known.member())
 		}
--- a/internal/shard/shardsim/sim.go
+++ b/internal/shard/shardsim/sim.go
@@ -81,6 +81,8 @@
 	hostileUntil time.Duration
 	// Counts of what happened, for reports.
 	Proposed, Messages, Acknowledged, Unknown, Refused, Reads, Wipes, Crashes, Swaps int
+	// Vacated counts planned stops that ended with the node replaced.
+	Vacated int
 }
 
 // New returns a simulation whose replica set is stored and whose nodes have started.
--- a/internal/shard/shardsim/sim_test.go
+++ b/internal/shard/shardsim/sim_test.go
@@ -61,6 +61,7 @@
 				for seed := first + worker; seed < first+schedules; seed += workers {
 					s := simulation(uint64(seed))
 					faults := s.RandomFaults(1+s.random.IntN(12), faulty)
+					faults = append(faults, s.RandomStops(s.random.IntN(3), faulty)...)
 					if err := s.Schedule(faults, faulty, healing); err != nil {
 						t.Errorf("%v\nfaults: %+v", err, faults)
 					}
@@ -73,10 +74,10 @@
 	for worker := range totals {
 		total.add(&totals[worker])
 	}
-	t.Logf("%d schedules: %d acknowledged, %d unknown, %d refused, %d reads, %d wipes, %d crashes, %d swaps, %d messages",
+	t.Logf("%d schedules: %d acknowledged, %d unknown, %d refused, %d reads, %d wipes, %d crashes, %d swaps, %d messages, %d stops replaced",
 		schedules, total.Acknowledged, total.Unknown, total.Refused, total.Reads, total.Wipes, total.Crashes, total.Swaps,
-		total.Messages)
-	assert.Assert(t, total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0)
+		total.Messages, total.Vacated)
+	assert.Assert(t, total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0 && total.Vacated > 0)
 }
 
 func (s *Simulation) add(other *Simulation) {
@@ -88,6 +89,7 @@
 	s.Crashes += other.Crashes
 	s.Swaps += other.Swaps
 	s.Messages += other.Messages
+	s.Vacated += other.Vacated
 }
 
 func setting(name string, otherwise int) int {
@@ -153,3 +155,47 @@
 	// A message may be lost on the way, and the leader goes on.
 	assert.Assert(t, handedOver > 180, "%d of 200", handedOver)
 }
+
+// TestPlannedStopsKeepEveryCopy stops one node after the other while no fault is at work. Where another disk exists, the
+// newcomer holds everything before the one that stops is dropped. It failed when a set dropped the leaving member first.
+func TestPlannedStopsKeepEveryCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Options{
+			Seed: rapid.Uint64().Draw(t, "seed"), Nodes: rapid.IntRange(4, 5).Draw(t, "nodes"), Copies: 3,
+			Machine: logMachine{}, Retained: 30,
+		})
+		s.Load(time.Hour)
+		stops := rapid.SliceOfN(rapid.IntRange(0, s.options.Nodes-1), 1, 6).Draw(t, "stops")
+		for _, number := range stops {
+			assert.NilError(t, s.Run(2*time.Second))
+			s.apply(Fault{Kind: PlannedStop, Node: number, Duration: 4 * time.Second})
+			assert.NilError(t, s.Run(4*time.Second))
+		}
+		assert.Equal(t, s.Vacated, len(stops))
+		assert.NilError(t, s.Run(healing))
+		s.checker.final(s)
+		assert.NilError(t, s.Err())
+		for _, stored := range s.store.history {
+			assert.Assert(t, len(stored.Members) >= 3, "%v", stored)
+		}
+	})
+}
+
+// TestStopOfTheWholeFleetLeavesTwoCopies stops every node, one shortly after the other: whichever disk is lost while they
+// are down, another one can start the shard again. It failed when two members that leave counted as replaceable.
+func TestStopOfTheWholeFleetLeavesTwoCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Options{
+			Seed: rapid.Uint64().Draw(t, "seed"), Nodes: 3, Copies: 3, Machine: logMachine{}, Retained: 30,
+		})
+		s.Load(time.Minute)
+		assert.NilError(t, s.Run(2*time.Second))
+		apart := time.Duration(rapid.IntRange(0, 300).Draw(t, "apart")) * time.Millisecond
+		for number, leaving := range s.nodes {
+			s.After(time.Duration(number)*apart, func() { leaving.draining = true })
+		}
+		assert.NilError(t, s.Run(3*time.Second))
+		configuration, _ := s.store.current()
+		assert.Assert(t, len(configuration.Members) >= 2, "%v", configuration)
+	})
+}
--- a/internal/shardhost/host.go
+++ b/internal/shardhost/host.go
@@ -266,29 +266,3 @@
 
 // now is the host's monotonic clock.
 func (h *Host) now() time.Duration { return time.Since(h.started) }
-
-// Drain hands over the leadership of every shard led here and returns when none is left, or with the context's error.
-// The node should be announced as draining before, so that the sets replace it.
-func (h *Host) Drain(ctx context.Context) error {
-	h.mutex.Lock()
-	h.draining = true
-	h.mutex.Unlock()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for len(h.Led()) > 0 {
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("draining the shard host: %w", ctx.Err())
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
-const drainPoll = 50 * time.Millisecond
-
-func (h *Host) isDraining() bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.draining
-}
--- a/internal/shardhost/host_test.go
+++ b/internal/shardhost/host_test.go
@@ -35,10 +35,12 @@
 }
 
 func newFixture(t *testing.T, nodes int) *fixture {
-	fleet := shardhosttest.New(shardhosttest.Options{
-		Nodes: nodes, Shards: 2, RetainedEntries: 20,
-		Machine: func(ident.Shard) shard.Machine { return setMachine{} },
-	})
+	return newFixtureOf(t, shardhosttest.Options{Nodes: nodes, Shards: 2, RetainedEntries: 20})
+}
+
+func newFixtureOf(t *testing.T, options shardhosttest.Options) *fixture {
+	options.Machine = func(ident.Shard) shard.Machine { return setMachine{} }
+	fleet := shardhosttest.New(options)
 	f := &fixture{t: t, fleet: fleet, acknowledged: map[string]bool{}}
 	assert.NilError(t, fleet.StartAll())
 	t.Cleanup(func() { assert.NilError(t, fleet.Close()) })
--- a/internal/shardhost/nodes.go
+++ b/internal/shardhost/nodes.go
@@ -30,6 +30,8 @@
 	places   map[ident.Shard][]NodeInfo
 	draining []ident.Node
 	suspects []ident.Node
+	// fleet is the number of nodes seen within DeadAfter, draining ones included.
+	fleet int
 }
 
 func newNodeTracker(host *Host) *nodeTracker {
@@ -66,6 +68,7 @@
 	t.nodes = nil
 	t.draining = nil
 	t.suspects = nil
+	t.fleet = 0
 	for _, node := range seen {
 		if node.Alive || t.lastSeen[node.Node].IsZero() {
 			t.lastSeen[node.Node] = now
@@ -79,7 +82,11 @@
 		if !node.Alive {
 			t.suspects = append(t.suspects, node.Node)
 		}
-		if now.Sub(t.lastSeen[node.Node]) < t.host.options.DeadAfter && !node.Draining {
+		if now.Sub(t.lastSeen[node.Node]) >= t.host.options.DeadAfter {
+			continue
+		}
+		t.fleet++
+		if !node.Draining {
 			t.nodes = append(t.nodes, node)
 		}
 	}
@@ -103,7 +110,7 @@
 	drainingHere := t.host.isDraining()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	world := shard.World{Draining: t.draining, Suspected: t.suspects}
+	world := shard.World{Draining: t.draining, Suspected: t.suspects, Places: len(t.nodes), Fleet: t.fleet}
 	if drainingHere {
 		world.Draining = append(slices.Clone(world.Draining), t.host.self.Node)
 	}
@@ -164,3 +171,15 @@
 	}
 	return members, rank, rank >= 0
 }
+
+// othersStay reports whether another node with a disk lives and is not about to stop.
+func (t *nodeTracker) othersStay() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, node := range t.nodes {
+		if node.Alive && node.Node != t.host.self.Node {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -75,6 +75,7 @@
 	disks   int
 	address string
 	running bool
+	leaving bool
 	store   *shardlog.Store
 	pool    *transport.Pool
 	server  *transport.Server
@@ -182,6 +183,7 @@
 	started.store, started.pool, started.server, started.host, started.served = store, pool, server, host, served
 	started.address = listener.Addr().String()
 	started.running = true
+	started.leaving = false
 	f.mutex.Unlock()
 	return host.Start()
 }
@@ -193,7 +195,7 @@
 	var nodes []shardhost.NodeInfo
 	for _, known := range f.nodes {
 		nodes = append(nodes, shardhost.NodeInfo{
-			Node: known.name, Zone: known.zone, Alive: known.running,
+			Node: known.name, Zone: known.zone, Alive: known.running, Draining: known.leaving,
 		})
 	}
 	return nodes
@@ -219,6 +221,13 @@
 	return err
 }
 
+// Announce tells all nodes that one is about to stop as planned.
+func (f *Fleet) Announce(number int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.nodes[number].leaving = true
+}
+
 // StopWithin stops a node and gives its calls under way until ctx ends. cut says that some had not ended then.
 func (f *Fleet) StopWithin(ctx context.Context, number int) (cut, err error) {
 	f.mutex.Lock()
--- a/internal/shardmap/client.go
+++ b/internal/shardmap/client.go
@@ -181,3 +181,6 @@
 	defer c.mutex.Unlock()
 	c.plan.answered(time.Now(), peer, known, changed, c.options.Jitter())
 }
+
+// Routes returns what this reader was told.
+func (c *Client) Routes() []Route { return c.table.all() }
--- /dev/null
+++ b/internal/shardmap/holding_test.go
@@ -0,0 +1,24 @@
+package shardmap
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+// TestHoldingsTellWhatAStopTakesAway: c is down, so a is the only one that could serve shard 1 and 2.
+func TestHoldingsTellWhatAStopTakesAway(t *testing.T) {
+	routes := []Route{
+		{Shard: 0, Members: []ident.Node{"a", "b", "c"}},
+		{Shard: 1, Members: []ident.Node{"a"}},
+		{Shard: 2, Members: []ident.Node{"a", "c"}},
+	}
+	holdings := Holdings(routes, func(node ident.Node) bool { return node != "c" })
+	assert.DeepEqual(t, holdings, map[ident.Node]Holding{
+		"a": {Shards: 3, Sole: 2},
+		"b": {Shards: 1},
+		"c": {Shards: 2},
+	})
+}
--- a/internal/shardmap/route.go
+++ b/internal/shardmap/route.go
@@ -3,6 +3,7 @@
 package shardmap
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -63,6 +64,12 @@
 	return t.routes[shard].first()
 }
 
+func (t *table) all() []Route {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Collect(maps.Values(t.routes))
+}
+
 // merge takes routes in and reports whether any changed.
 func (t *table) merge(told []Route) bool {
 	t.mutex.Lock()
