Keep the sites of other CLI tests without a fleet

The commit before gave every site of the command line's tests a fleet, so TestExitCodesTellWhatToDo no longer met the unavailable status it checks. Only the drain's site has one now; the test itself is unchanged.

--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -1,8 +1,8 @@
 package cli
 
 import (
-	"context"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -46,7 +46,10 @@
 	outage atomic.Bool
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newSiteOf(t, nil) }
+
+// newSiteOf returns a site that knows the state of a fleet.
+func newSiteOf(t *testing.T, fleet admin.Fleet) *site {
 	t.Helper()
 	store := kvtest.New(1)
 	replica, err := confsync.NewReplica(confsync.Options{
@@ -54,7 +57,7 @@
 	})
 	assert.NilError(t, err)
 	handler, err := admin.New(admin.Options{
-		Source: replica, Writer: confsync.NewWriter(store, replica), Status: replica, Fleet: oneNode{},
+		Source: replica, Writer: confsync.NewWriter(store, replica), Status: replica, Fleet: fleet,
 		BootstrapDigest: auth.Digest("bootstrap"), Logger: zerolog.Nop(),
 	})
 	assert.NilError(t, err)
@@ -190,7 +193,7 @@
 }
 
 func TestKeysAndDrains(t *testing.T) {
-	s := newSite(t)
+	s := newSiteOf(t, oneNode{})
 	succeed(t, "apply", "-f", s.file("site.yaml", tenants))
 	secret := strings.TrimSpace(succeed(t, "key", "create", "viewer", "--role", "viewer"))
 	succeed(t, "get", "models", "--key", secret)
