Remove the data of replicas that left their sets

Cause: it stayed for ever. A replica now removes its data when a set read from the key-value service for this purpose is whole without it, held by disks that live, and it had no leader for an hour; a tombstone keeps its promises, and it is a blank member if it is added again. Metrics, event 3105, and BYTES and LEFTOVER in node status of the answering node.

Ruled out: removal on a watch or on age alone.

--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -97,6 +97,10 @@
 	// that stays, and are away while the node is stopped.
 	Shards     int `json:"shards"`
 	SoleShards int `json:"sole_shards"`
+	// StorageBytes is the disk space of the job shards, LeftoverBytes that of copies no shard needs any more, which are
+	// removed in time. Only the answering node knows its own.
+	StorageBytes  uint64 `json:"storage_bytes,omitempty"`
+	LeftoverBytes uint64 `json:"leftover_bytes,omitempty"`
 }
 
 // NodeList answers a request for the state of nodes.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -32,10 +32,10 @@
 			return err
 		}
 		return format.print(command.OutOrStdout(), list.Items, func(rows *tabwriter.Writer) {
-			row(rows, "NODE", "ZONE", "STATE", "DRAINING", "STORAGE", "SHARDS", "SOLE", "ADDRESS", "VERSION")
+			row(rows, "NODE", "ZONE", "STATE", "DRAINING", "STORAGE", "SHARDS", "SOLE", "BYTES", "LEFTOVER", "ADDRESS", "VERSION")
 			for _, node := range list.Items {
 				row(rows, node.Name, node.Zone, node.State, node.Draining, node.Storage, node.Shards, node.SoleShards,
-					node.Address, node.Version)
+					node.StorageBytes, node.LeftoverBytes, node.Address, node.Version)
 			}
 		})
 	}
--- a/internal/event/shard.go
+++ b/internal/event/shard.go
@@ -4,11 +4,12 @@
 
 // Events of the shard replicas and their host: 3100 to 3199.
 var (
-	ShardLeading       = register(3100, "shard_leading", zerolog.InfoLevel, "This replica leads the shard and serves it.", "none")
-	ShardFollowing     = register(3101, "shard_following", zerolog.InfoLevel, "This replica no longer leads the shard.", "none")
-	ShardReplicaFailed = register(3102, "shard_replica_failed", zerolog.ErrorLevel, "A replica stopped on an error; the others go on without it after the time of suspicion.", "read the error field; check the disk; if the data is damaged, wipe the data folder and restart the node (docs/operators/lost-disk.md)")
-	ShardSetChanged    = register(3103, "shard_set_changed", zerolog.InfoLevel, "This replica stored a new replica set in the key-value service.", "none; many in a row mean that a member comes and goes")
-	ShardSetLearned    = register(3104, "shard_set_learned", zerolog.InfoLevel, "The stored replica set of the shard changed.", "none")
+	ShardLeading        = register(3100, "shard_leading", zerolog.InfoLevel, "This replica leads the shard and serves it.", "none")
+	ShardFollowing      = register(3101, "shard_following", zerolog.InfoLevel, "This replica no longer leads the shard.", "none")
+	ShardReplicaFailed  = register(3102, "shard_replica_failed", zerolog.ErrorLevel, "A replica stopped on an error; the others go on without it after the time of suspicion.", "read the error field; check the disk; if the data is damaged, wipe the data folder and restart the node (docs/operators/lost-disk.md)")
+	ShardSetChanged     = register(3103, "shard_set_changed", zerolog.InfoLevel, "This replica stored a new replica set in the key-value service.", "none; many in a row mean that a member comes and goes")
+	ShardSetLearned     = register(3104, "shard_set_learned", zerolog.InfoLevel, "The stored replica set of the shard changed.", "none")
+	ShardReplicaRemoved = register(3105, "shard_replica_removed", zerolog.InfoLevel, "A replica that left its set removed its data, after the key-value service confirmed that the set is whole without it.", "none")
 
 	ShardHostStarted      = register(3150, "shard_host_started", zerolog.InfoLevel, "The node's shard replicas run; the incarnation names its disk.", "none")
 	ShardStoreUnavailable = register(3151, "shard_store_unavailable", zerolog.WarnLevel, "The key-value service could not be reached for a replica set. Shards whose members all live go on.", "check the key-value service if it lasts")
--- a/internal/node/apis.go
+++ b/internal/node/apis.go
@@ -38,13 +38,17 @@
 }
 
 func (n *Node) assembleAdminAPI() error {
+	fleet := fleetStatus{
+		members: n.members, table: n.table, owners: n.owners, source: n.replica, routes: n.shardRoutes, self: n.id(),
+	}
+	if n.storage != nil {
+		fleet.disk = n.storage.host
+	}
 	options := admin.Options{
-		Source: n.replica,
-		Writer: n.writer,
-		Status: n.replica,
-		Fleet: fleetStatus{
-			members: n.members, table: n.table, owners: n.owners, source: n.replica, routes: n.shardRoutes,
-		},
+		Source:          n.replica,
+		Writer:          n.writer,
+		Status:          n.replica,
+		Fleet:           fleet,
 		BootstrapDigest: string(n.settings.Bootstrap.AdminKeyDigest),
 		Logger:          n.logger,
 		Registerer:      n.registry,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,6 +9,7 @@
 	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/shardhost"
 	"mallowlatch.example/mallowlatch/internal/shardmap"
 )
 
@@ -20,6 +21,9 @@
 	source  catalog.Source
 	// routes tells where the job shards are.
 	routes func() []shardmap.Route
+	self   ident.Node
+	// disk is nil on a node without one.
+	disk *shardhost.Host
 }
 
 // Nodes returns the members this node knows, the dead that are still remembered included.
@@ -32,7 +36,7 @@
 	var statuses []admin.NodeStatus
 	for _, member := range view.Members {
 		held := holdings[member.Node]
-		statuses = append(statuses, admin.NodeStatus{
+		status := admin.NodeStatus{
 			Name:     member.Node,
 			Zone:     member.Zone,
 			Region:   member.Region,
@@ -43,7 +47,11 @@
 
 			Shards:     held.Shards,
 			SoleShards: held.Sole,
-		})
+		}
+		if member.Node == f.self && f.disk != nil {
+			status.StorageBytes, status.LeftoverBytes = f.disk.DiskBytes(), f.disk.LeftoverBytes()
+		}
+		statuses = append(statuses, status)
 	}
 	return statuses, nil
 }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -33,6 +33,8 @@
 	// AloneAfter is the silence after which a member goes on alone. It is longer than that of a pause or a cut of the
 	// network: all that was acknowledged would rest on one disk for a false suspicion.
 	AloneAfter time.Duration
+	// RemoveAfter is how long a replica must have been out of its set, without a leader, before its data may be removed.
+	RemoveAfter time.Duration
 	// Copies is the wanted size of the set.
 	Copies int
 	// CaughtUp is how many entries a learner may lack when it becomes a member.
@@ -43,7 +45,7 @@
 func DefaultPlanSettings() PlanSettings {
 	return PlanSettings{
 		SuspectAfter: 5 * time.Second, SuspectedAfter: 2 * time.Second, AloneAfter: 30 * time.Second,
-		Copies: 3, CaughtUp: 1000,
+		RemoveAfter: time.Hour, Copies: 3, CaughtUp: 1000,
 	}
 }
 
--- a/internal/shard/shardsim/check.go
+++ b/internal/shard/shardsim/check.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// removed checks that two other disks, at the least, hold every acknowledged command when a replica removes its data.
+func (c *checker) removed(s *Simulation, n *node) {
+	const leastHolders = 2
+	holders := 0
+	for _, other := range s.nodes {
+		if other != n && other.disk.LastIndex() >= c.acked {
+			holders++
+		}
+	}
+	if holders < leastHolders {
+		s.fail("%s removed its data when %d other disks held all %d acknowledged", n.name, holders, c.acked)
+	}
+}
+
 // stateAt replays the log from the start.
 func (c *checker) stateAt(s *Simulation, index uint64) *shardtest.State {
 	state := shardtest.NewState()
--- a/internal/shard/shardsim/node.go
+++ b/internal/shard/shardsim/node.go
@@ -148,6 +148,7 @@
 	n.driver = shard.NewDriver(core, planSettings(s.options), seed)
 	n.tick(n.lives)
 	n.poll(n.lives)
+	n.collect(n.lives)
 }
 
 func (n *node) crash() {
@@ -191,6 +192,39 @@
 	}
 }
 
+// collect removes the data of a replica that is out of its set, as a host does: it reads the stored set, and decides when
+// the answer is there.
+func (n *node) collect(life int) {
+	if n.lives != life {
+		return
+	}
+	s := n.simulation
+	s.After(s.between(collectEvery/2, collectEvery), func() { n.collect(life) })
+	if !s.store.reachable(n.name) || n.disk.LastIndex() == 0 {
+		return
+	}
+	stored, _ := s.store.current()
+	s.After(s.between(time.Millisecond, 300*time.Millisecond), func() {
+		if n.lives == life {
+			n.input(func() error { n.remove(stored); return nil })
+		}
+	})
+}
+
+func (n *node) remove(stored shard.Configuration) {
+	s := n.simulation
+	if !shard.MayRemove(n.driver.Core.Status(n.clock()), stored, s.world(), planSettings(s.options)) {
+		return
+	}
+	s.Removed++
+	s.checker.removed(s, n)
+	tombstone := n.driver.Core.Tombstone()
+	incarnation := n.disk.incarnation
+	n.crash()
+	n.disk = &disk{incarnation: incarnation, hard: tombstone, state: shardtest.NewState()}
+	n.start()
+}
+
 // input queues an action of the replica: it waits for a paused process and for the disk.
 func (n *node) input(action func() error) {
 	if !n.running {
--- a/internal/shard/shardsim/sim.go
+++ b/internal/shard/shardsim/sim.go
@@ -40,6 +40,8 @@
 	longestStraggle = 4 * time.Second
 	longestSync     = 8 * time.Millisecond
 	aloneAfter      = 4 * time.Second
+	collectEvery    = 200 * time.Millisecond
+	removeAfter     = 300 * time.Millisecond
 )
 
 func settings(options Options, seed uint64) shard.Settings {
@@ -56,7 +58,7 @@
 
 func planSettings(options Options) shard.PlanSettings {
 	plan := shard.PlanSettings{
-		SuspectAfter: 1500 * time.Millisecond, SuspectedAfter: 700 * time.Millisecond, AloneAfter: aloneAfter,
+		SuspectAfter: 1500 * time.Millisecond, SuspectedAfter: 700 * time.Millisecond, AloneAfter: aloneAfter, RemoveAfter: removeAfter,
 		Copies: options.Copies, CaughtUp: 10,
 	}
 	if options.HairTrigger {
@@ -86,6 +88,8 @@
 	Proposed, Messages, Acknowledged, Unknown, Refused, Reads, Wipes, Crashes, Swaps int
 	// Vacated counts planned stops that ended with the node replaced.
 	Vacated int
+	// Removed counts replicas that removed their data.
+	Removed int
 }
 
 // New returns a simulation whose replica set is stored and whose nodes have started.
--- a/internal/shard/shardsim/sim_test.go
+++ b/internal/shard/shardsim/sim_test.go
@@ -74,10 +74,10 @@
 	for worker := range totals {
 		total.add(&totals[worker])
 	}
-	t.Logf("%d schedules: %d acknowledged, %d unknown, %d refused, %d reads, %d wipes, %d crashes, %d swaps, %d messages, %d stops replaced",
+	t.Logf("%d schedules: %d acknowledged, %d unknown, %d refused, %d reads, %d wipes, %d crashes, %d swaps, %d messages, %d stops replaced, %d removals",
 		schedules, total.Acknowledged, total.Unknown, total.Refused, total.Reads, total.Wipes, total.Crashes, total.Swaps,
-		total.Messages, total.Vacated)
-	assert.Assert(t, total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0 && total.Vacated > 0)
+		total.Messages, total.Vacated, total.Removed)
+	assert.Assert(t, total.Wipes > 0 && total.Swaps > 0 && total.Reads > 0 && total.Vacated > 0 && total.Removed > 0)
 }
 
 func (s *Simulation) add(other *Simulation) {
@@ -90,6 +90,7 @@
 	s.Swaps += other.Swaps
 	s.Messages += other.Messages
 	s.Vacated += other.Vacated
+	s.Removed += other.Removed
 }
 
 func setting(name string, otherwise int) int {
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -35,6 +35,8 @@
 	Transferring bool
 	// LeaderSilence is the time since this replica last heard from a leader, or started.
 	LeaderSilence time.Duration
+	// Unfollowed is the time since this replica last followed a leader, learnt its set, or started.
+	Unfollowed time.Duration
 	// Others are the other members and the learners.
 	Others []MemberStatus
 }
@@ -47,6 +49,7 @@
 		Activated: c.hard.Activated, FirstIndex: c.log.firstIndex(), LastIndex: c.log.lastIndex(),
 		Commit: c.log.commit, Applied: c.log.applied, LeaseEnd: c.LeaseEnd(),
 		Transferring: c.transferTo != (Member{}), LeaderSilence: c.now - c.heardAt,
+		Unfollowed: c.now - c.followingSince,
 	}
 	status.Serving = c.Serving() && status.Applied >= c.firstOfTerm
 	for _, member := range c.others() {
--- a/internal/shardhost/host.go
+++ b/internal/shardhost/host.go
@@ -148,6 +148,7 @@
 	h.tomb.Go(func() error { return h.directory.Follow(h.ctx) })
 	h.tomb.Go(h.nodes.run)
 	h.tomb.Go(h.bootstrap)
+	h.tomb.Go(h.collect)
 	return nil
 }
 
--- a/internal/shardhost/leave_test.go
+++ b/internal/shardhost/leave_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,3 +93,44 @@
 		assert.ErrorIs(t, f.fleet.Host(leaving).Leave(ctx), shardhost.ErrStillNeeded)
 	})
 }
+
+// TestReplicaOutOfItsSetIsRemovedAndComesBackBlank drops a member by a planned stop that is taken back. Its data goes
+// after the grace time, and when its place is wanted again it is filled anew.
+func TestReplicaOutOfItsSetIsRemovedAndComesBackBlank(t *testing.T) {
+	plan := shardhosttest.FastPlan()
+	plan.RemoveAfter = time.Second
+	f := newFixtureOf(t, shardhosttest.Options{Nodes: 4, Shards: 1, RetainedEntries: 20, Plan: plan})
+	status, _ := f.fleet.Host(f.leader(3)).Status(0)
+	f.propose(50)
+	dropped := slices.IndexFunc(f.hosts(), func(host *shardhost.Host) bool {
+		return status.Configuration.Has(host.Member())
+	})
+	f.fleet.Announce(dropped)
+	host := f.fleet.Host(dropped)
+	f.eventually(func() bool {
+		_, exists := host.Status(0)
+		return !exists
+	})
+	held, err := f.fleet.Store(dropped).Shards()
+	assert.NilError(t, err)
+	assert.Equal(t, len(held), 0)
+	f.propose(50)
+	assert.NilError(t, f.fleet.Stop(dropped))
+	assert.NilError(t, f.fleet.Start(dropped))
+	f.eventually(func() bool {
+		status, exists := f.fleet.Host(dropped).Status(0)
+		return exists && status.Configuration.Has(host.Member()) && status.Activated == status.Configuration.Epoch
+	})
+	f.verify()
+}
+
+func (f *fixture) eventually(holds func() bool) {
+	f.t.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	f.t.Fatal("it never did")
+}
--- a/internal/shardhost/metrics.go
+++ b/internal/shardhost/metrics.go
@@ -11,6 +11,8 @@
 	replicas  prometheus.GaugeFunc
 	disk      prometheus.GaugeFunc
 	syncs     prometheus.CounterFunc
+	leftover  prometheus.Gauge
+	removed   prometheus.Counter
 }
 
 const maximumBatchBucket = 12
@@ -39,13 +41,19 @@
 		disk: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mallowlatch_shard_disk_bytes", Help: "Disk space of the shard store.",
 		}, func() float64 { return float64(host.options.Store.Usage().DiskBytes) }),
+		leftover: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "mallowlatch_shard_leftover_bytes", Help: "Disk space of replicas that left their sets.",
+		}),
+		removed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mallowlatch_shard_removed_replicas_total", Help: "Replicas that left their sets and were removed.",
+		}),
 		syncs: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mallowlatch_shard_log_syncs_total", Help: "Syncs of the write-ahead log.",
 		}, func() float64 { return float64(host.options.Store.Usage().Syncs) }),
 	}
 	if registerer != nil {
 		registerer.MustRegister(created.proposals, created.batch, created.messages, created.swaps, created.leading,
-			created.replicas, created.disk, created.syncs)
+			created.replicas, created.disk, created.syncs, created.leftover, created.removed)
 	}
 	return created
 }
--- a/internal/shardhost/replica.go
+++ b/internal/shardhost/replica.go
@@ -74,7 +74,7 @@
 	err := r.loop()
 	r.published.Store(&published{})
 	r.failWaiting()
-	if err != nil {
+	if err != nil && !r.host.forgetRemoved(r, err) {
 		event.ShardReplicaFailed.Log(r.host.options.Logger).Uint32("shard", uint32(r.id)).Err(err).Send()
 	}
 	return nil
--- a/internal/shardlog/log.go
+++ b/internal/shardlog/log.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/pebble"
@@ -27,6 +28,9 @@
 	// generation is that of the state that counts; staging is the last number given to a received state.
 	generation atomic.Uint64
 	staging    atomic.Uint64
+	// receiving keeps a state from being received while the replica is removed; removed says that it was.
+	receiving sync.RWMutex
+	removed   bool
 }
 
 type mark struct{ index, written uint64 }
@@ -73,10 +77,15 @@
 	l.meta = meta{generation: 1}
 	l.generation.Store(1)
 	l.staging.Store(1)
-	if err := l.store.db.Set(shardKey(spaceMeta, l.id), l.meta.encode(), pebble.Sync); err != nil {
+	batch := l.store.db.NewBatch()
+	// A state may have been on its way when an earlier replica was removed.
+	if err := l.clear(batch); err != nil {
+		return err
+	}
+	if err := batch.Set(shardKey(spaceMeta, l.id), l.meta.encode(), nil); err != nil {
 		return fmt.Errorf("creating: %w: %w", ErrDisk, err)
 	}
-	return nil
+	return l.commit(batch, pebble.Sync)
 }
 
 func (l *Log) loadHardState() error {
--- a/internal/shardlog/snapshot.go
+++ b/internal/shardlog/snapshot.go
@@ -53,6 +53,11 @@
 
 // Add stores a chunk. It is not synced: the installation is, and it follows in the same write-ahead log.
 func (s *Staged) Add(pairs []Pair) error {
+	s.log.receiving.RLock()
+	defer s.log.receiving.RUnlock()
+	if s.log.removed {
+		return fmt.Errorf("shard %d: staging for a removed replica: %w", s.log.id, ErrCompacted)
+	}
 	batch := s.log.store.db.NewBatch()
 	prefix := numberedKey(spaceState, s.log.id, s.number)
 	for _, pair := range pairs {
@@ -92,17 +97,45 @@
 	return nil
 }
 
-// Remove deletes the replica's log and state from the disk. Its promises stay. It is only for a replica that is no
-// member of the newest set.
-func (l *Log) Remove() error {
+// Remove deletes the replica's log and state from the disk and leaves the tombstone in their place, in one synced write.
+// It is only for a replica that is no member of the newest set, and the last use of this Log.
+func (l *Log) Remove(tombstone shard.HardState) error {
+	l.receiving.Lock()
+	defer l.receiving.Unlock()
+	l.removed = true
 	batch := l.store.db.NewBatch()
+	if err := l.clear(batch); err != nil {
+		return err
+	}
+	if err := l.setHardState(batch, tombstone); err != nil {
+		return err
+	}
+	return l.commit(batch, pebble.Sync)
+}
+
+// clear deletes all but the hard state.
+func (l *Log) clear(batch *pebble.Batch) error {
 	for _, space := range []byte{spaceMeta, spaceApplied, spaceLog, spaceState} {
 		prefix := shardKey(space, l.id)
 		if err := batch.DeleteRange(prefix, after(prefix), nil); err != nil {
 			return fmt.Errorf("removing: %w: %w", ErrDisk, err)
 		}
 	}
-	return l.commit(batch, pebble.Sync)
+	return nil
+}
+
+// Bytes estimates the disk space of the replica's log and state.
+func (l *Log) Bytes() (uint64, error) {
+	total := uint64(0)
+	for _, space := range []byte{spaceLog, spaceState} {
+		prefix := shardKey(space, l.id)
+		size, err := l.store.db.EstimateDiskUsage(prefix, after(prefix))
+		if err != nil {
+			return 0, fmt.Errorf("measuring: %w: %w", ErrDisk, err)
+		}
+		total += size
+	}
+	return total, nil
 }
 
 func encodeNumber(number uint64) []byte { return binary.BigEndian.AppendUint64(nil, number) }
