--- a/internal/shard/shardsim/sim.go
+++ b/internal/shard/shardsim/sim.go
@@ -39,6 +39,9 @@
 	longestDelay    = 10 * time.Millisecond
 	longestStraggle = 4 * time.Second
 	longestSync     = 8 * time.Millisecond
+	aloneAfter      = 4 * time.Second
+	collectEvery    = 200 * time.Millisecond
+	removeAfter     = 300 * time.Millisecond
 )
 
 func settings(options Options, seed uint64) shard.Settings {
@@ -55,12 +58,14 @@
 
 func planSettings(options Options) shard.PlanSettings {
 	plan := shard.PlanSettings{
-		SuspectAfter: 1500 * time.Millisecond, SuspectedAfter: 700 * time.Millisecond, Copies: options.Copies, CaughtUp: 10,
+		SuspectAfter: 1500 * time.Millisecond, SuspectedAfter: 700 * time.Millisecond, AloneAfter: aloneAfter, RemoveAfter: removeAfter,
+		Copies: options.Copies, CaughtUp: 10,
 	}
 	if options.HairTrigger {
 		// Much shorter than the lease, so that only the lease keeps reads fresh.
 		plan.SuspectAfter = 100 * time.Millisecond
 		plan.SuspectedAfter = 100 * time.Millisecond
+		plan.AloneAfter = 100 * time.Millisecond
 	}
 	return plan
 }
@@ -81,6 +86,10 @@
 	hostileUntil time.Duration
 	// Counts of what happened, for reports.
 	Proposed, Messages, Acknowledged, Unknown, Refused, Reads, Wipes, Crashes, Swaps int
+	// Vacated counts planned stops that ended with the node replaced.
+	Vacated int
+	// Removed counts replicas that removed their data.
+	Removed int
 }
 
 // New returns a simulation whose replica set is stored and whose nodes have started.
