Send chunks that are at hand together with one write

Cause: every token of a stream was flushed alone, also where the node was behind and several whole events of the stream stood in its buffer.

A stream now says whether its next event is at hand, and a sink that can keep chunks keeps one that others follow. The dispatcher sends what is kept before it waits for the stream and when the stream ends in any way; the first chunk of an answer and the final one go out at once. No timer takes part, so no ready token is delayed by a wait.

Ruled out: a short delay that joins tokens of successive steps; it would put the delay on every token.

It helps a node that is behind; one that keeps up has one token at hand and gains nothing.

TestDispatchAtEveryPointOfFailure and TestEachCallerGetsExactlyItsOwnAnswer now also draw buffered chunks; their checks are as before, with two more.

--- a/internal/dispatch/answer/sink.go
+++ b/internal/dispatch/answer/sink.go
@@ -12,6 +12,16 @@
 	Chunk(chunk inference.Chunk) error
 }
 
+// BufferedSink is a Sink that can keep chunks for a moment, so that several that are at hand together are sent together.
+type BufferedSink interface {
+	Sink
+	// Buffer takes the next chunk as Chunk does, but may keep it until the next call of Chunk or Flush. Nothing may be
+	// waited for between the two.
+	Buffer(chunk inference.Chunk) error
+	// Flush sends what Buffer kept.
+	Flush() error
+}
+
 // StoredSink is a Sink that can take a stored whole answer, as a resend of a non-repeatable request gets it. A sink
 // without this method gets the stored answer as one chunk.
 type StoredSink interface {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -118,10 +118,23 @@
 	return f.relay(stream, watch)
 }
 
-// relay passes chunks of a stream on until the answer is whole.
+// relay passes chunks of a stream on until the answer is whole. Whatever ends it, the sink has been told to send all
+// that it took.
 func (f *flight) relay(stream engine.Stream, watch *stallWatch) error {
 	defer stream.Close()
+	out := newRelayOutput(f.sink, stream)
+	failed := f.relayTo(out, stream, watch)
+	if err := out.flush(); err != nil && failed == nil {
+		return fmt.Errorf("%w: %w", errSink, err)
+	}
+	return failed
+}
+
+func (f *flight) relayTo(out *relayOutput, stream engine.Stream, watch *stallWatch) error {
 	for !f.position.Final() {
+		if err := out.beforeNext(); err != nil {
+			return fmt.Errorf("%w: %w", errSink, err)
+		}
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			return answer.ErrTruncated
@@ -138,7 +151,7 @@
 			continue
 		}
 		f.sent = true
-		if err := f.sink.Chunk(chunk); err != nil {
+		if err := out.chunk(chunk); err != nil {
 			return fmt.Errorf("%w: %w", errSink, err)
 		}
 	}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +28,8 @@
 	// runs counts the runs of each request over all engines.
 	runs    map[ident.Request]int
 	engines map[ident.Runner]*fakeEngine
-	// onChunk is called before each chunk is given.
-	onChunk func()
+	// onChunk is called before each chunk is given, onWait before one that its reader was not told to be at hand.
+	onChunk, onWait func()
 }
 
 func newWorld(tokens int, runners []ident.Runner, drawn script) *world {
@@ -191,9 +192,21 @@
 	request ident.Request
 	chunks  []inference.Chunk
 	final   bool
+	// ready is the last answer of Ready.
+	ready bool
+}
+
+// Ready implements engine.ReadyStream; what is at hand is drawn.
+func (s *fakeStream) Ready() bool {
+	s.ready = len(s.chunks) > 0 && s.engine.world.draw("ready", 2) == 1
+	return s.ready
 }
 
 func (s *fakeStream) Next() (inference.Chunk, error) {
+	if !s.ready && s.engine.world.onWait != nil {
+		s.engine.world.onWait()
+	}
+	s.ready = false
 	if s.engine.world.onChunk != nil {
 		s.engine.world.onChunk()
 	}
@@ -252,6 +265,35 @@
 	return nil
 }
 
+// keepingSink is a textSink that keeps buffered chunks; only what was sent counts.
+type keepingSink struct {
+	textSink
+	kept []inference.Chunk
+}
+
+func (s *keepingSink) Buffer(chunk inference.Chunk) error {
+	chunk.Data = slices.Clone(chunk.Data)
+	s.kept = append(s.kept, chunk)
+	return nil
+}
+
+func (s *keepingSink) Chunk(chunk inference.Chunk) error {
+	if err := s.Flush(); err != nil {
+		return err
+	}
+	return s.textSink.Chunk(chunk)
+}
+
+func (s *keepingSink) Flush() error {
+	for _, chunk := range s.kept {
+		if err := s.textSink.Chunk(chunk); err != nil {
+			return err
+		}
+	}
+	s.kept = nil
+	return nil
+}
+
 // fakeLedger is a ledger in memory whose calls may fail.
 type fakeLedger struct {
 	mutex   sync.Mutex
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -117,7 +117,7 @@
 			cancel()
 		}
 	}
-	text, final, err := send(ctx, dispatcher, request, whole)
+	text, final, err := send(t, ctx, dispatcher, fakes, request, whole)
 	ran := fakes.runs[request.ID] - before
 	if err == nil {
 		assert.Assert(t, final, "success without a final chunk")
@@ -134,10 +134,14 @@
 	checkPrefix(t, text, fakes, request)
 }
 
-func send(ctx context.Context, dispatcher *dispatch.Dispatcher, request *inference.Request, whole bool) (text string, final bool, err error) {
+// send dispatches into a sink that joins chunks at hand, and checks that nothing it kept waits for the engine or for ever.
+func send(t *rapid.T, ctx context.Context, dispatcher *dispatch.Dispatcher, fakes *world, request *inference.Request, whole bool) (text string, final bool, err error) {
+	fakes.onWait = nil
 	if !whole {
-		sink := &textSink{}
+		sink := &keepingSink{}
+		fakes.onWait = func() { assert.Check(t, len(sink.kept) == 0, "chunks kept while the engine is waited for") }
 		err := dispatcher.Dispatch(ctx, request, sink)
+		assert.Equal(t, len(sink.kept), 0, "chunks kept after the end")
 		return sink.text, sink.final, err
 	}
 	sink := dispatch.NewAggregate(request.Endpoint)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -69,6 +69,13 @@
 	Close() error
 }
 
+// ReadyStream is a Stream that knows whether its next chunk is at hand.
+type ReadyStream interface {
+	Stream
+	// Ready reports whether Next returns without waiting for the engine. It is asked between calls of Next.
+	Ready() bool
+}
+
 // LoadReport is an engine's view of itself some time ago.
 type LoadReport struct {
 	// Measured is when the engine took the figures, by its own account of their age.
--- a/internal/engine/openaihttp/decoder.go
+++ b/internal/engine/openaihttp/decoder.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// ready reports whether next returns an event without reading on. It is asked between calls of next.
+func (d *decoder) ready() bool {
+	rest := d.buffer[d.start:d.end]
+	for {
+		end := bytes.IndexByte(rest, '\n')
+		if end < 0 {
+			return false
+		}
+		if name, _ := splitField(rest[:end]); string(name) == "data" {
+			return true
+		}
+		rest = rest[end+1:]
+	}
+}
+
 // splitField splits "name: value"; the space is optional. A comment has an empty name.
 func splitField(line []byte) (name, value []byte) {
 	colon := bytes.IndexByte(line, ':')
--- a/internal/engine/openaihttp/decoder_test.go
+++ b/internal/engine/openaihttp/decoder_test.go
@@ -79,6 +79,24 @@
 	return r.source.Read(buffer[:size])
 }
 
+// A stream says that its next chunk is ready exactly if it need not read for it.
+func TestReadyMeansThatNothingIsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tokens := rapid.IntRange(0, 30).Draw(t, "tokens")
+		cuts := rapid.SliceOfN(rapid.IntRange(1, 2000), 1, 20).Draw(t, "cuts")
+		source := &splitReader{source: strings.NewReader(answerOf(tokens)), sizes: cuts}
+		stream := streamOf(source)
+		for token := 0; token <= tokens; token++ {
+			ready, before := stream.Ready(), source.reads
+			chunk, err := stream.Next()
+			assert.NilError(t, err)
+			assert.Equal(t, chunk.Offset, token)
+			assert.Equal(t, ready, source.reads == before, "at token %d", token)
+		}
+		assert.Assert(t, !stream.Ready(), "ready after the end")
+	})
+}
+
 func TestDecoderBoundsLines(t *testing.T) {
 	endless := io.MultiReader(strings.NewReader("data: "), iotest.OneByteReader(bytes.NewReader(nil)), repeating('x'))
 	_, err := streamOf(endless).Next()
--- a/internal/engine/openaihttp/stream.go
+++ b/internal/engine/openaihttp/stream.go
@@ -68,6 +68,9 @@
 	return s.chunk(event)
 }
 
+// Ready implements engine.ReadyStream: it reports whether a whole event was received and not yet read.
+func (s *stream) Ready() bool { return !s.finished.Load() && s.decoder.ready() }
+
 func (s *stream) chunk(event lineEvent) (inference.Chunk, error) {
 	offset, tokens, err := parseID(event.id, s.offset)
 	if err != nil {
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
 	"mallowlatch.example/mallowlatch/internal/inference"
 )
 
@@ -90,6 +91,33 @@
 	})
 }
 
+// BenchmarkTokensAtHand gives the cost of one token over loopback where so many at a time are at hand together.
+func BenchmarkTokensAtHand(b *testing.B) {
+	for _, together := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("together=%d", together), func(b *testing.B) {
+			site := newSite(b, func(_ context.Context, request *inference.Request, sink Sink) error {
+				buffered := sink.(answer.BufferedSink)
+				chunk := chunkOf(request.Endpoint, 0, " donor", false)
+				for index := range b.N {
+					chunk.Offset = index
+					take := buffered.Buffer
+					if index%together == together-1 {
+						take = buffered.Chunk
+					}
+					if err := take(chunk); err != nil {
+						return err
+					}
+				}
+				return nil
+			}, nil)
+			connection := site.open(b)
+			b.ResetTimer()
+			_, err := io.CopyN(io.Discard, connection, int64(b.N*len(chunkOf(inference.ChatCompletions, 0, " donor", false).Data)))
+			assert.NilError(b, err)
+		})
+	}
+}
+
 // BenchmarkOpenStream gives the memory of one open stream: the server's and the dispatcher's goroutine included, the
 // caller's socket excluded.
 func BenchmarkOpenStream(b *testing.B) {
--- a/internal/gateway/property_test.go
+++ b/internal/gateway/property_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/outcome"
@@ -37,14 +38,26 @@
 		return err
 	}
 	buffer := make([]byte, 0, 512)
+	flush := func() error { return nil }
+	keep := sink.Chunk
+	if buffered, able := sink.(answer.BufferedSink); able {
+		keep, flush = buffered.Buffer, buffered.Flush
+	}
 	for index := range asked.Words {
 		if index == asked.BreakAt {
+			if err := flush(); err != nil {
+				return failure.New(failure.CodeCancelled, "gone").WithCause(err)
+			}
 			return failure.New(failure.CodeStreamInterrupted, "broken").WithOutcome(outcome.Ran)
 		}
 		chunk := chunkOf(request.Endpoint, index, fmt.Sprintf("%s:%d ", asked.User, index), index == asked.Words-1)
 		buffer = append(buffer[:0], chunk.Data...)
 		chunk.Data = buffer
-		if err := sink.Chunk(chunk); err != nil {
+		take := sink.Chunk
+		if index%3 > 0 && !chunk.Final {
+			take = keep
+		}
+		if err := take(chunk); err != nil {
 			return failure.New(failure.CodeCancelled, "gone").WithCause(err)
 		}
 		for position := range buffer {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,8 +46,9 @@
 	return sink.done()
 }
 
-// streamSink writes each chunk as one event and flushes it. It holds no chunk: a caller that does not read holds up
-// its own stream, until the write deadline ends it.
+// streamSink writes each chunk as one event and flushes it, or leaves it in the connection's buffer for those that
+// follow at once. It holds no chunk: a caller that does not read holds up its own stream, until the write deadline ends
+// it.
 type streamSink struct {
 	finisher
 	exchange *exchange
@@ -56,14 +57,34 @@
 }
 
 // Chunk implements Sink.
-func (s *streamSink) Chunk(chunk inference.Chunk) error {
+func (s *streamSink) Chunk(chunk inference.Chunk) error { return s.take(chunk, false) }
+
+// Buffer implements answer.BufferedSink. The first event goes out at once all the same.
+func (s *streamSink) Buffer(chunk inference.Chunk) error { return s.take(chunk, true) }
+
+// Flush implements answer.BufferedSink.
+func (s *streamSink) Flush() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.final {
+		return errAnswered
+	}
+	if err := s.exchange.flush(); err != nil {
+		return s.callerFailed(err)
+	}
+	return nil
+}
+
+// take writes a chunk; mayKeep leaves it unsent unless it is the first.
+func (s *streamSink) take(chunk inference.Chunk, mayKeep bool) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.final {
 		return errAnswered
 	}
+	flush := !mayKeep || !s.exchange.began
 	s.begin()
-	if err := s.writeEvent(chunk.Data); err != nil {
+	if err := s.writeEvent(chunk.Data, flush); err != nil {
 		return s.callerFailed(err)
 	}
 	s.timing.chunk(chunk.Tokens)
@@ -83,8 +104,8 @@
 	s.exchange.WriteHeader(http.StatusOK)
 }
 
-// writeEvent writes and flushes one event: the pieces go straight into the connection's buffer.
-func (s *streamSink) writeEvent(data []byte) error {
+// writeEvent writes one event, and flushes it if asked to: the pieces go straight into the connection's buffer.
+func (s *streamSink) writeEvent(data []byte, flush bool) error {
 	if bytes.IndexByte(data, '\n') >= 0 || bytes.IndexByte(data, '\r') >= 0 {
 		data = oneLine(data)
 	}
@@ -96,7 +117,7 @@
 	if err := s.exchange.writePieces(data); err != nil {
 		return err
 	}
-	if _, err := response.Write(eventEnd); err != nil {
+	if _, err := response.Write(eventEnd); err != nil || !flush {
 		return err
 	}
 	return s.exchange.flush()
@@ -125,7 +146,7 @@
 		s.exchange.answerFailure(failed)
 		return
 	}
-	if err := s.writeEvent(newEnvelope(failed).encode()); err != nil {
+	if err := s.writeEvent(newEnvelope(failed).encode(), true); err != nil {
 		s.exchange.callerFailed(err)
 	}
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"mallowlatch.example/mallowlatch/internal/dispatch/answer"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/outcome"
@@ -80,6 +82,46 @@
 	}
 }
 
+// readEvent returns the data of the next event with data.
+func readEvent(t testing.TB, reader *bufio.Reader) string {
+	t.Helper()
+	for {
+		line, err := reader.ReadString('\n')
+		assert.NilError(t, err)
+		if data, found := strings.CutPrefix(line, "data: "); found {
+			return strings.TrimSuffix(data, "\n")
+		}
+	}
+}
+
+// The first chunk goes out at once, whatever follows it; those buffered after it go out with the flush, in order, also
+// where the answer then breaks off.
+func TestBufferedChunks(t *testing.T) {
+	proceed := make(chan struct{})
+	chunk := func(request *inference.Request, index int) inference.Chunk {
+		return chunkOf(request.Endpoint, index, fmt.Sprint("word", index), false)
+	}
+	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
+		buffered := sink.(answer.BufferedSink)
+		assert.Check(t, buffered.Buffer(chunk(request, 0)))
+		await(t, proceed, "first event")
+		assert.Check(t, buffered.Buffer(chunk(request, 1)))
+		assert.Check(t, buffered.Buffer(chunk(request, 2)))
+		assert.Check(t, buffered.Flush())
+		await(t, proceed, "flushed events")
+		assert.Check(t, buffered.Buffer(chunk(request, 3)))
+		return failure.New(failure.CodeStreamInterrupted, "broken").WithOutcome(outcome.Ran)
+	}, nil)
+	reader := bufio.NewReader(site.open(t))
+	assert.Equal(t, textOf(readEvent(t, reader)), "word0")
+	proceed <- struct{}{}
+	assert.Equal(t, textOf(readEvent(t, reader)), "word1")
+	assert.Equal(t, textOf(readEvent(t, reader)), "word2")
+	proceed <- struct{}{}
+	assert.Equal(t, textOf(readEvent(t, reader)), "word3")
+	assert.Equal(t, textOf(readEvent(t, reader)), string(failure.CodeStreamInterrupted))
+}
+
 func TestLineBreaksOfAChunkStayInItsEvent(t *testing.T) {
 	site := newSite(t, func(_ context.Context, request *inference.Request, sink Sink) error {
 		chunk := chunkOf(request.Endpoint, 0, "w", true)
