--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -104,6 +104,7 @@
 		{"overload", "goodput at 0.5 to 3 times the capacity", runOverload},
 		{"leave", "how long calls still come to a runner marked as leaving, by the way it is learned", runLeave},
 		{"jobs", "every accepted batch item followed to its result, in calm and with crashes", runJobs},
+		{"idle", "processor time, wake-ups, memory and bytes of each node without any load, against the budgets", runIdle},
 		{"control", "processor time and memory of nodes without any load", runControl},
 		{"rolling-restart", "restart of every node in turn under load", runRollingRestart},
 		{"faults", "a seeded schedule of process faults under load, counted by an independent ledger", runFaults},
