Use as few processors as the load needs, and set the collector

Cause: on a machine with 12 processors an idle node's time goes to waking idle processors, not to its work. In a profile of four idle nodes (40 s each, 1.77% of a core, 2.83 s of samples) 63% of the samples are below runtime.schedule, 53% in findRunnable, 23% in epoll_wait, 13% in futex and 10% in wakep. Each message wakes further processors that look for work and sleep again; on the relay's path the same happens for each token.

A node now starts with process.idle_processors (default 1), looks four times a second how many were busy, doubles them at the first look above half, and halves them after five seconds below an eighth of what is in use, up to process.processors (default all). process.memory_target and process.collector_percent set the soft memory limit and the collector. Only `mallowlatch node` does this; `dev` has several nodes in a process.

Ruled out: a fixed small number, which would cap a large machine; fewer threads by other means, since the runtime has none.

Failed first, each seeded and taken out again: no cap; below the least; quiet looks kept after a busy one; down at once; thresholds that swing; never down; least above what is available; processors not given back; each of the four conditions of the settings check left out.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -40,7 +40,7 @@
 func runNode(ctx context.Context, loaded settings.Settings, log io.Writer) error {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	assembled, err := node.New(loaded, node.Options{Logger: newLogger(loaded, log), Registry: newRegistry()})
+	assembled, err := node.New(loaded, node.Options{Logger: newLogger(loaded, log), Registry: newRegistry(), OwnProcess: true})
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,8 @@
 	Logger zerolog.Logger
 	// Registry gets the metrics and serves them on the admin listener.
 	Registry *prometheus.Registry
+	// OwnProcess says that the node is alone in its process and may set the processors and the collector of it.
+	OwnProcess bool
 }
 
 // Node is one running mallowlatch process.
@@ -46,7 +48,9 @@
 	settings settings.Settings
 	logger   zerolog.Logger
 	registry *prometheus.Registry
-	tomb     tomb.Tomb
+	// ownProcess says that no other node is in the process.
+	ownProcess bool
+	tomb       tomb.Tomb
 
 	kv          kv.Store
 	credentials *transport.Credentials
@@ -91,7 +95,7 @@
 
 // New assembles a node from checked settings. It opens the store and the sockets and starts nothing.
 func New(config settings.Settings, options Options) (*Node, error) {
-	node := &Node{settings: config, logger: options.Logger, registry: options.Registry}
+	node := &Node{settings: config, logger: options.Logger, registry: options.Registry, ownProcess: options.OwnProcess}
 	steps := []func() error{
 		node.assemblePeers,
 		node.assembleConfiguration,
@@ -138,6 +142,10 @@
 
 // start runs the parts. Peers come first: what follows needs them to find configuration and shards.
 func (n *Node) start() error {
+	if n.ownProcess {
+		applyProcess(n.settings.Process)
+		n.run(n.followLoad)
+	}
 	n.tomb.Go(func() error { return n.peerServer.Serve(n.peerListener) })
 	n.members.Start(n.pool)
 	n.run(n.replica.Run)
--- /dev/null
+++ b/internal/node/processors.go
@@ -0,0 +1,51 @@
+package node
+
+import "mallowlatch.example/mallowlatch/internal/settings"
+
+const (
+	// busyShare of the processors in use has the node take twice as many.
+	busyShare = 0.5
+	// quietShare of half the processors in use has the node give up that half, once it has lasted for quietLooks.
+	quietShare = 0.25
+	quietLooks = 20
+)
+
+// processorScaler decides how many processors a node uses. It goes up at the first busy look and down slowly: a surge
+// must find the processors it needs, and each change stops the program for a moment.
+//
+// Invariant: least <= current <= most.
+type processorScaler struct {
+	least, most, current int
+	// quiet counts the looks in a row at which half the processors would do.
+	quiet int
+}
+
+// newProcessorScaler returns a scaler between the settings' bounds on a machine that has some processors available.
+func newProcessorScaler(process settings.Process, available int) *processorScaler {
+	most := available
+	if process.Processors > 0 {
+		most = min(process.Processors, available)
+	}
+	least := min(process.IdleProcessors, most)
+	return &processorScaler{least: least, most: most, current: least}
+}
+
+// next takes how many processors were busy since the last look, and reports whether current has changed.
+func (s *processorScaler) next(busy float64) bool {
+	before := s.current
+	half := max(s.least, s.current/2)
+	switch {
+	case busy > busyShare*float64(s.current):
+		s.quiet = 0
+		s.current = min(s.most, 2*s.current)
+	case busy < quietShare*float64(half):
+		s.quiet++
+	default:
+		s.quiet = 0
+	}
+	if s.quiet >= quietLooks {
+		s.quiet = 0
+		s.current = half
+	}
+	return s.current != before
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -9,6 +9,7 @@
 	found = append(found, checkAddresses(settings)...)
 	found = append(found, checkCertificates(settings)...)
 	found = append(found, checkTimes(settings)...)
+	found = append(found, checkProcess(settings.Process)...)
 	return found
 }
 
@@ -104,3 +105,17 @@
 	}
 	return found
 }
+
+// leastMemoryTarget is what a node needs before any load; below it the collector would never rest.
+const leastMemoryTarget = 32 * mebibyte
+
+func checkProcess(process Process) Problems {
+	var found Problems
+	if process.Processors > 0 && process.IdleProcessors > process.Processors {
+		found = append(found, Problem{Field: "process.idle_processors", Message: "is larger than process.processors"})
+	}
+	if process.MemoryTarget > 0 && process.MemoryTarget < leastMemoryTarget {
+		found = append(found, Problem{Field: "process.memory_target", Message: "is below " + leastMemoryTarget.String() + ", which a node needs before any load"})
+	}
+	return found
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	Dispatch   Dispatch   `yaml:"dispatch"`
 	Batch      Batch      `yaml:"batch"`
 	Membership Membership `yaml:"membership"`
+	Process    Process    `yaml:"process"`
 	Log        Log        `yaml:"log"`
 	Bootstrap  Bootstrap  `yaml:"bootstrap"`
 }
@@ -122,6 +123,14 @@
 	DigestInterval time.Duration `yaml:"digest_interval" default:"2s" min:"50ms" max:"10m" doc:"Time between exchanges of membership and configuration digests with another zone."`
 }
 
+// Process bounds what the process takes of its machine.
+type Process struct {
+	Processors       int  `yaml:"processors" unit:"processors" default:"0" min:"0" max:"1024" doc:"Most processors that run the node's code at once. 0 means all that the machine gives."`
+	IdleProcessors   int  `yaml:"idle_processors" unit:"processors" default:"1" min:"1" max:"1024" doc:"Processors the node uses while it has little to do; it takes more within half a second as the load grows."`
+	MemoryTarget     Size `yaml:"memory_target" default:"0" min:"0" max:"1024GiB" doc:"Memory above which the collector works harder; it is no hard bound. 0 means none."`
+	CollectorPercent int  `yaml:"collector_percent" unit:"percent" default:"100" min:"10" max:"1000" doc:"Growth of the heap since the last collection that starts the next; less takes less memory and more processor time."`
+}
+
 // Log shapes the log.
 type Log struct {
 	Level string `yaml:"level" default:"info" oneof:"debug info warn error" doc:"Least severe level that is logged."`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -125,6 +125,27 @@
 	}
 }
 
+func TestProcessSettingsFitTogether(t *testing.T) {
+	for _, test := range []struct {
+		processors, idle, memory string
+		problem                  string
+	}{
+		{"0", "4", "0", ""},
+		{"4", "4", "32MiB", ""},
+		{"3", "4", "0", "process.idle_processors: is larger than process.processors"},
+		{"0", "1", "31MiB", "process.memory_target: is below 32MiB"},
+	} {
+		_, err := Parse("node.yaml", []byte(minimal), []Override{
+			{"process.processors", test.processors}, {"process.idle_processors", test.idle}, {"process.memory_target", test.memory},
+		})
+		if test.problem == "" {
+			assert.NilError(t, err, "%v", test)
+			continue
+		}
+		assert.ErrorContains(t, err, test.problem)
+	}
+}
+
 func TestSizeIsReadBackAsWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		unit := rapid.SampledFrom([]Size{1, kibibyte, mebibyte, gibibyte}).Draw(t, "unit")
