--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -134,10 +134,10 @@
 // exchangeAll carries every report to its home and the totals back, as the exchange does over the network.
 func exchangeAll(names []ident.Node, controllers []*Controller) {
 	for _, sender := range controllers {
-		for home, message := range sender.reports() {
+		for home, message := range sender.Reports() {
 			for index, name := range names {
 				if name == home {
-					sender.takeTotals(controllers[index].homeReport(message))
+					sender.TakeTotals(controllers[index].HomeReport(message))
 				}
 			}
 		}
@@ -298,13 +298,13 @@
 	for range 100 {
 		holder, _, refused := controller.enter(request)
 		assert.Assert(t, refused == nil)
-		ticket, queued, refused := controller.enter(request)
-		assert.Assert(t, refused == nil && queued != nil)
+		_, turn, refused := controller.Enter(request)
+		assert.Assert(t, refused == nil && turn != nil)
 		holder.Done(context.Canceled)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		if controller.await(ctx, request, ticket, queued) == nil {
-			ticket.Done(context.Canceled)
+		if controller.await(ctx, turn) == nil {
+			turn.Ticket().Done(context.Canceled)
 		}
 		assert.Equal(t, controller.service("s").concurrency.inFlight, 0, "a slot was lost")
 	}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -128,15 +128,12 @@
 // Admit returns a ticket, after a wait for the tenant's fair turn if need be. The error is a *failure.Error of a
 // request that was not run.
 func (c *Controller) Admit(ctx context.Context, request *inference.Request) (*Ticket, error) {
-	ticket, queued, refused := c.enter(request)
-	if refused != nil {
-		c.metrics.refused(refused.Code)
-		return nil, refused
-	}
-	if queued == nil {
-		return ticket, nil
+	ticket, turn, refused := c.Enter(request)
+	if turn != nil {
+		ticket = turn.ticket
+		refused = c.await(ctx, turn)
 	}
-	if refused := c.await(ctx, request, ticket, queued); refused != nil {
+	if refused != nil {
 		c.metrics.refused(refused.Code)
 		return nil, refused
 	}
@@ -238,30 +235,23 @@
 func retryAdvice(expected time.Duration) time.Duration { return max(leastRetryAfter, expected) }
 
 // await waits for the slot.
-func (c *Controller) await(ctx context.Context, request *inference.Request, ticket *Ticket, queued *waiter) *failure.Error {
-	timer := time.NewTimer(queued.until.Sub(c.config.Now()))
+func (c *Controller) await(ctx context.Context, turn *Turn) *failure.Error {
+	timer := time.NewTimer(turn.Until().Sub(c.config.Now()))
 	defer timer.Stop()
 	select {
-	case <-queued.granted:
+	case <-turn.Granted():
 		return nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	c.mutex.Lock()
-	waited := ticket.service.queue.remove(queued)
-	if waited {
-		c.unqueue(queued)
-		c.release(queued.tenant)
-	}
-	expected := c.expectedWait(ticket.service, c.config.Now())
-	c.mutex.Unlock()
-	if !waited {
-		return c.grantedLate(ctx, ticket)
+	refused := turn.GiveUp()
+	if refused == nil {
+		return c.grantedLate(ctx, turn.ticket)
 	}
 	if ctx.Err() != nil {
 		return failure.New(failure.CodeCancelled, "the caller has gone")
 	}
-	return c.inVain(request, expected)
+	return refused
 }
 
 // grantedLate settles a slot that came at the moment of giving up: it is used unless the caller is gone.
--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -57,7 +57,7 @@
 }
 
 func (e *Exchange) reportAll() {
-	for home, report := range e.controller.reports() {
+	for home, report := range e.controller.Reports() {
 		e.tomb.Go(func() error {
 			e.report(home, report)
 			return nil
@@ -71,7 +71,7 @@
 	defer cancel()
 	if home == e.controller.config.Node {
 		totals, _ := e.Report(ctx, report)
-		e.controller.takeTotals(totals)
+		e.controller.TakeTotals(totals)
 		return
 	}
 	connection, err := e.dialer.Conn(ctx, home)
@@ -82,16 +82,16 @@
 	if err != nil {
 		return
 	}
-	e.controller.takeTotals(totals)
+	e.controller.TakeTotals(totals)
 }
 
 // Report serves as home of limits.
 func (e *Exchange) Report(_ context.Context, report *admissionpb.DemandReport) (*admissionpb.DemandTotals, error) {
-	return e.controller.homeReport(report), nil
+	return e.controller.HomeReport(report), nil
 }
 
-// reports groups this node's demand by home, and forgets limits out of use.
-func (c *Controller) reports() map[ident.Node]*admissionpb.DemandReport {
+// Reports groups this node's demand by home, and forgets limits out of use.
+func (c *Controller) Reports() map[ident.Node]*admissionpb.DemandReport {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Now()
@@ -113,7 +113,8 @@
 	return messages
 }
 
-func (c *Controller) homeReport(report *admissionpb.DemandReport) *admissionpb.DemandTotals {
+// HomeReport takes a node's demand for limits this node is home of, and returns the sums over all nodes.
+func (c *Controller) HomeReport(report *admissionpb.DemandReport) *admissionpb.DemandTotals {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Now()
@@ -125,7 +126,8 @@
 	return totals
 }
 
-func (c *Controller) takeTotals(totals *admissionpb.DemandTotals) {
+// TakeTotals takes the sums of a home.
+func (c *Controller) TakeTotals(totals *admissionpb.DemandTotals) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Now()
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -10,23 +10,24 @@
 	retryReserve = 20.0
 )
 
-// retryBudget limits retries to a share of traffic, so that they cannot multiply an overload. Safe for concurrent use.
-type retryBudget struct {
+// RetryBudget limits retries to a share of traffic, so that they cannot multiply an overload. Safe for concurrent use.
+type RetryBudget struct {
 	mutex sync.Mutex
 	left  float64
 }
 
-func newRetryBudget() *retryBudget { return &retryBudget{left: retryReserve} }
+// NewRetryBudget returns a budget with a full reserve.
+func NewRetryBudget() *RetryBudget { return &RetryBudget{left: retryReserve} }
 
-// earn adds the share of one request.
-func (b *retryBudget) earn() {
+// Earn adds the share of one request.
+func (b *RetryBudget) Earn() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.left = min(retryReserve, b.left+retryShare)
 }
 
-// spend takes one retry, or reports that there is none left.
-func (b *retryBudget) spend() bool {
+// Spend takes one retry, or reports that there is none left.
+func (b *RetryBudget) Spend() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.left < 1 {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -98,7 +98,7 @@
 // Dispatcher gives requests to runners. It is safe for concurrent use.
 type Dispatcher struct {
 	config  Config
-	budget  *retryBudget
+	budget  *RetryBudget
 	metrics *metrics
 
 	randomMutex sync.Mutex
@@ -120,7 +120,7 @@
 	}
 	return &Dispatcher{
 		config:     config,
-		budget:     newRetryBudget(),
+		budget:     NewRetryBudget(),
 		metrics:    newMetrics(config.Registerer),
 		random:     rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		background: NewBackground(),
@@ -134,7 +134,7 @@
 		return failure.New(failure.CodeDraining, "this node is stopping; send the request to another").WithRetryAfter(drainRetryAfter)
 	}
 	defer d.running.leave()
-	d.budget.earn()
+	d.budget.Earn()
 	if request.Repeatable {
 		return asError(d.run(ctx, request, sink))
 	}
--- a/internal/dispatch/exchange/state.go
+++ b/internal/dispatch/exchange/state.go
@@ -49,12 +49,8 @@
 		Adapters:      state.GetAdapters(),
 		Leaving:       state.GetLeaving(),
 	}
-	known := int(state.GetKnownOnline())
-	if reported := report.RunningOnline + report.WaitingOnline; known > reported {
-		report.RunningOnline += known - reported
-	}
 	for _, loaded := range state.GetModels() {
 		report.Models = append(report.Models, engine.LoadedModel{Name: loaded.GetName(), Version: loaded.GetVersion()})
 	}
-	return report
+	return dispatch.CountKnown(report, int(state.GetKnownOnline()))
 }
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -55,7 +55,7 @@
 		if !f.mayRetry(failed) {
 			return f.final(failed)
 		}
-		if !f.dispatcher.budget.spend() {
+		if !f.dispatcher.budget.Spend() {
 			f.dispatcher.metrics.budgetSpent()
 			return f.final(failed)
 		}
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -44,11 +44,11 @@
 
 // TestRetriesAreAShareOfTraffic spends whenever it can.
 func TestRetriesAreAShareOfTraffic(t *testing.T) {
-	budget := newRetryBudget()
+	budget := NewRetryBudget()
 	retries := 0
 	for range 1000 {
-		budget.earn()
-		for budget.spend() {
+		budget.Earn()
+		for budget.Spend() {
 			retries++
 		}
 	}
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -137,3 +137,16 @@
 func (v *RunnerView) Holds(model, adapter string) bool {
 	return holds(v.Report, model) && (adapter == "" || slices.Contains(v.Report.Adapters, adapter))
 }
+
+// Shared returns the report as the owner of a runner passes it on.
+func (v *RunnerView) Shared() engine.LoadReport {
+	return CountKnown(*v.Report, v.OwnInFlight+v.PeersInFlight)
+}
+
+// CountKnown returns the report with the online requests that are known beyond it counted as running.
+func CountKnown(report engine.LoadReport, known int) engine.LoadReport {
+	if reported := report.RunningOnline + report.WaitingOnline; known > reported {
+		report.RunningOnline += known - reported
+	}
+	return report
+}
