Keep the concurrency limit and the queue at what the runners serve in time

The limit had collapsed: each refusal for lack of runners cut it by a fifth every 200 ms, while a cut only shows after an answer (1.7 s), and it grew back by one request per answer time. Completed requests fell from 85/s to 66/s, nodes got 173 to 353 of them, engines ran 18 of 32 sequences. Second, a queue of up to 1 s on the node plus 0.36 s on the engine eats the goal of 1.3 s for the first token: in simulation p95 1.27 to 1.41 s. Ruled out: full engine queues (no call was refused), the retry budget (no retry), the generator (3 to 5 ms late), cost of refusing (rates of refusals and of completions do not go together).

Change: a cut at most once in the time of an answer, by a tenth; growth by 5% and one, not before a cut has shown. The queue takes what is served in 250 ms; beyond that the last in fair order is refused, at once, be it new or waiting. A request the runners had no room for takes its turn again instead of being refused. Turns got without waiting count, and a light tenant has a credit of two turns.

Tests changed: TestSlotThatComesTooLateIsGivenBack allows a wait of 4 s, because its second request would now be refused as hopeless on arrival, and uses Enter and Turn; TestConcurrencyFindsTheKnee passes the time of an answer. No bound eased.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -292,19 +292,19 @@
 
 // TestSlotThatComesTooLateIsGivenBack cancels a request at the moment its slot comes, which settles either way.
 func TestSlotThatComesTooLateIsGivenBack(t *testing.T) {
-	controller := New(Config{Node: "n", Catalog: configuration()})
+	controller := New(Config{Node: "n", Catalog: configuration(), Bounds: Bounds{Wait: 4 * time.Second}})
 	request := &inference.Request{Tenant: "t", Service: "s"}
 	controller.service("s").concurrency.limit = 1
 	for range 100 {
-		holder, _, refused := controller.enter(request)
+		holder, _, refused := controller.Enter(request)
 		assert.Assert(t, refused == nil)
 		_, turn, refused := controller.Enter(request)
 		assert.Assert(t, refused == nil && turn != nil)
 		holder.Done(context.Canceled)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		if controller.await(ctx, turn) == nil {
-			turn.Ticket().Done(context.Canceled)
+		if ticket, refused := turn.await(ctx); refused == nil {
+			ticket.Done(context.Canceled)
 		}
 		assert.Equal(t, controller.service("s").concurrency.inFlight, 0, "a slot was lost")
 	}
@@ -348,7 +348,7 @@
 		if tested.limit > capacity {
 			tested.overloaded(now)
 		} else {
-			tested.answered()
+			tested.answered(100*time.Millisecond, now)
 		}
 		if step > 2000 {
 			most = max(most, tested.limit)
--- a/internal/admission/concurrency.go
+++ b/internal/admission/concurrency.go
@@ -9,36 +9,72 @@
 	// leastLimit and mostLimit bound the concurrency.
 	leastLimit = 1.0
 	mostLimit  = 8192.0
-	// limitShrink is the factor after an overload refusal, at most once in shrinkEvery.
-	limitShrink = 0.8
-	shrinkEvery = 200 * time.Millisecond
+	// limitShrink is the factor after an overload refusal, at most once in the time of an answer.
+	limitShrink = 0.9
+	// limitGrowth is the share of itself, beside one, by which the limit grows with each full round of answers.
+	limitGrowth = 0.05
+	// guessedTime stands for the time of an answer before any was measured; answerWeight is the weight of a new one.
+	guessedTime  = time.Second
+	answerWeight = 0.1
+	// closedTime is how long no slot is given after the runners refused, unless an answer ends before.
+	closedTime = 100 * time.Millisecond
 )
 
 // concurrency is the number of requests of one service this node may have in flight. It shrinks by a factor when the
-// runners refuse for overload and grows by one for each full round of answers, so that excess demand waits in the fair
-// queue or is refused early, and the runners stay at the knee of their throughput. It is pure.
+// runners refuse for overload and grows with each full round of answers, so that excess demand waits in the fair queue
+// or is refused early, and the runners stay at the knee of their throughput. It is pure.
+//
+// A cut shows only once the requests in flight have ended, so the limit is not cut twice within the time of an answer.
 type concurrency struct {
 	limit    float64
 	inFlight int
 	shrunk   time.Time
+	// closedUntil holds new slots back after a refusal.
+	closedUntil time.Time
+	// answerTime is the recent mean time of an answer, zero before the first.
+	answerTime time.Duration
 }
 
 func newConcurrency() *concurrency { return &concurrency{limit: startLimit} }
 
-func (c *concurrency) free() bool { return float64(c.inFlight) < c.limit }
+// free says whether a request may go to a runner now.
+func (c *concurrency) free(now time.Time) bool {
+	return float64(c.inFlight) < c.limit && !now.Before(c.closedUntil)
+}
+
+// meanTime is the time of an answer, as far as is known.
+func (c *concurrency) meanTime() time.Duration {
+	if c.answerTime <= 0 {
+		return guessedTime
+	}
+	return c.answerTime
+}
 
-// overloaded records that the runners refused a request.
+// rate is the number of answers in a second that the slots in use give, above zero.
+func (c *concurrency) rate() float64 {
+	return min(c.limit, max(1, float64(c.inFlight))) / c.meanTime().Seconds()
+}
+
+// overloaded records that the runners refused a request, which still counts as in flight.
 func (c *concurrency) overloaded(now time.Time) {
-	if now.Sub(c.shrunk) < shrinkEvery {
+	c.closedUntil = now.Add(closedTime)
+	if now.Sub(c.shrunk) < c.meanTime() {
 		return
 	}
 	c.shrunk = now
 	c.limit = max(leastLimit, min(c.limit, float64(c.inFlight))*limitShrink)
 }
 
-// answered records an answer. The limit only grows while it is used.
-func (c *concurrency) answered() {
-	if float64(c.inFlight) >= c.limit/2 {
-		c.limit = min(mostLimit, c.limit+1/c.limit)
+// reopen records that a runner has room for one request more.
+func (c *concurrency) reopen() { c.closedUntil = time.Time{} }
+
+// answered records an answer and how long it took. The limit only grows while it is used, and once a cut has shown.
+func (c *concurrency) answered(took time.Duration, now time.Time) {
+	if c.answerTime <= 0 {
+		c.answerTime = took
+	}
+	c.answerTime += time.Duration(answerWeight * float64(took-c.answerTime))
+	if float64(c.inFlight) >= c.limit/2 && now.Sub(c.shrunk) >= c.meanTime() {
+		c.limit = min(mostLimit, c.limit+1/c.limit+limitGrowth)
 	}
 }
--- a/internal/admission/fairqueue.go
+++ b/internal/admission/fairqueue.go
@@ -2,8 +2,9 @@
 
 import (
 	"container/heap"
-	"time"
+	"maps"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
@@ -11,16 +12,20 @@
 type waiter struct {
 	tenant ident.Tenant
 	bytes  int
-	// until is when it gives up.
-	until time.Time
-	// finish is its virtual finish time; sequence breaks ties in order of arrival.
+	// start and finish are its virtual times; sequence breaks ties in order of arrival.
+	start    float64
 	finish   float64
 	sequence uint64
 	index    int
-	// granted is closed when it gets its slot.
-	granted chan struct{}
+	// turn is what it waits for. settled is closed when it has its slot, or when it is refused with the reason.
+	turn    *Turn
+	settled chan struct{}
+	refused *failure.Error
 }
 
+// precedes says whether the waiter goes before another that waits.
+func (w *waiter) precedes(other *waiter) bool { return w.finish < other.finish }
+
 // fairQueue orders waiters by weighted fair queueing over tenants: a tenant's requests are spaced in virtual time by
 // the inverse of its weight, so a tenant that sends much waits behind its own requests and not before others'. It is
 // pure but for its own state.
@@ -33,33 +38,99 @@
 	waiting  map[ident.Tenant]int
 	bytes    int
 	sequence uint64
+	// sweepAt is the number of remembered tenants at which idle ones are forgotten.
+	sweepAt int
 }
 
 func newFairQueue() *fairQueue {
-	return &fairQueue{finishes: map[ident.Tenant]float64{}, waiting: map[ident.Tenant]int{}}
+	return &fairQueue{sweepAt: leastSweep, finishes: map[ident.Tenant]float64{}, waiting: map[ident.Tenant]int{}}
 }
 
-// push adds a waiter of a tenant with the given weight.
-func (q *fairQueue) push(added *waiter, weight float64) {
+// burstCredit is how far behind the virtual time a tenant that uses less than its share may start, in turns of weight
+// one. Without it, the second of two requests of a light tenant that arrive together would be refused by a
+// short queue as readily as those of a tenant that floods it.
+const burstCredit = 2.0
+
+// pass counts a turn that a request of a tenant got without waiting.
+func (q *fairQueue) pass(tenant ident.Tenant, weight float64) {
+	passed := &waiter{tenant: tenant}
+	q.place(passed, weight)
+	q.finishes[tenant] = passed.finish
+	q.advance(passed.finish)
+}
+
+// advance moves the virtual time forward and forgets tenants that have been idle for longer than their credit.
+func (q *fairQueue) advance(to float64) {
+	q.virtual = max(q.virtual, to)
+	if len(q.finishes) < q.sweepAt {
+		return
+	}
+	maps.DeleteFunc(q.finishes, func(_ ident.Tenant, finish float64) bool { return finish <= q.virtual-burstCredit })
+	q.sweepAt = 2*len(q.finishes) + leastSweep
+}
+
+// leastSweep is the least number of tenants remembered before idle ones are looked for.
+const leastSweep = 64
+
+// place sets the virtual times of a waiter that is added next: behind the tenant's others.
+func (q *fairQueue) place(added *waiter, weight float64) {
 	if weight <= 0 {
 		weight = 1
 	}
-	added.finish = max(q.virtual, q.finishes[added.tenant]) + 1/weight
+	added.start = max(q.virtual-burstCredit, q.finishes[added.tenant])
+	added.finish = added.start + 1/weight
+}
+
+// push adds a waiter of a tenant with the given weight.
+func (q *fairQueue) push(added *waiter, weight float64) {
+	q.place(added, weight)
+	q.finishes[added.tenant] = added.finish
+	q.insert(added)
+}
+
+// pushFirst adds a waiter that had its turn before and could not use it.
+func (q *fairQueue) pushFirst(added *waiter) {
+	added.start, added.finish = q.virtual, q.virtual
+	q.insert(added)
+}
+
+func (q *fairQueue) insert(added *waiter) {
 	q.sequence++
 	added.sequence = q.sequence
-	q.finishes[added.tenant] = added.finish
 	q.waiting[added.tenant]++
 	q.bytes += added.bytes
 	heap.Push(&q.order, added)
 }
 
+// last returns the waiter whose turn comes last, or nil.
+func (q *fairQueue) last() *waiter {
+	var last *waiter
+	for _, waiting := range q.order {
+		if last == nil || waiting.finish > last.finish || (waiting.finish == last.finish && waiting.sequence > last.sequence) {
+			last = waiting
+		}
+	}
+	return last
+}
+
+// before counts the waiters whose turn comes before that of a waiter to be added.
+func (q *fairQueue) before(added *waiter) int {
+	count := 0
+	for _, waiting := range q.order {
+		if !added.precedes(waiting) {
+			count++
+		}
+	}
+	return count
+}
+
 // pop removes the waiter whose turn it is, or returns nil.
 func (q *fairQueue) pop() *waiter {
 	if len(q.order) == 0 {
 		return nil
 	}
 	next := heap.Pop(&q.order).(*waiter)
-	q.virtual = max(q.virtual, next.finish)
+	q.advance(next.finish)
 	q.left(next)
 	return next
 }
@@ -70,25 +141,24 @@
 		return false
 	}
 	heap.Remove(&q.order, gone.index)
+	q.takeBack(gone)
 	q.left(gone)
 	return true
 }
 
+// takeBack undoes the charge of a tenant for a turn it did not get, if it was the tenant's last.
+func (q *fairQueue) takeBack(gone *waiter) {
+	if q.finishes[gone.tenant] == gone.finish {
+		q.finishes[gone.tenant] = gone.start
+		gone.finish = gone.start
+	}
+}
+
 func (q *fairQueue) left(gone *waiter) {
 	q.bytes -= gone.bytes
 	q.waiting[gone.tenant]--
 	if q.waiting[gone.tenant] == 0 {
 		delete(q.waiting, gone.tenant)
-		delete(q.finishes, gone.tenant)
-		// The tenant's last finish time is forgotten only once the virtual time has reached it, or a tenant could
-		// jump the queue by letting it run empty.
-		if gone.finish > q.virtual {
-			q.finishes[gone.tenant] = gone.finish
-		}
-	}
-	if len(q.order) == 0 {
-		q.virtual = 0
-		clear(q.finishes)
 	}
 }
 
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -71,7 +71,7 @@
 		}
 	}
 	if longest > 0 {
-		return failure.New(failure.CodeRateLimited, "%s", message).WithRetryAfter(longest)
+		return failure.New(failure.CodeRateLimited, "%s", message).WithRetryAfter(c.spread(longest))
 	}
 	return c.checkInFlight(tenant, now)
 }
@@ -89,7 +89,7 @@
 	if c.inFlight[tenant.Name] < allowed {
 		return nil
 	}
-	return failure.New(failure.CodeRateLimited, "the tenant has too many requests in flight").WithRetryAfter(leastRetryAfter)
+	return failure.New(failure.CodeRateLimited, "the tenant has too many requests in flight").WithRetryAfter(c.spread(leastRetryAfter))
 }
 
 // charge counts the request and takes what an admitted request needs. The limits were checked under the same lock.
@@ -108,3 +108,8 @@
 	}
 	return held
 }
+
+// spread lengthens advice by up to a half, so that callers refused together do not come back together.
+func (c *Controller) spread(advice time.Duration) time.Duration {
+	return advice + time.Duration(c.config.Random()*float64(advice)/2)
+}
--- /dev/null
+++ b/internal/admission/property_test.go
@@ -0,0 +1,259 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/catalog"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+)
+
+// driver makes arbitrary moves on one controller in virtual time and checks its promises after each.
+type driver struct {
+	t          *rapid.T
+	at         *clock
+	controller *Controller
+	running    []*Ticket
+	turns      []*Turn
+	admitted   map[ident.Tenant]float64
+}
+
+const (
+	drivenInFlight = 2
+	drivenRate     = 5.0
+	drivenWaiters  = 5
+	drivenBytes    = 64
+)
+
+func newDriver(t *rapid.T) *driver {
+	made := &driver{t: t, at: newClock(), admitted: map[ident.Tenant]float64{}}
+	random := rand.New(rand.NewPCG(1, 2))
+	made.controller = New(Config{
+		Node:   "n",
+		Now:    made.at.Now,
+		Random: random.Float64,
+		Bounds: Bounds{Waiters: drivenWaiters, WaitingBytes: drivenBytes, TenantWaiters: 3},
+		Catalog: configuration(
+			catalog.Tenant{Name: "bounded", MaxInFlight: drivenInFlight},
+			catalog.Tenant{Name: "rated", RequestsPerSecond: drivenRate, Burst: drivenRate},
+			catalog.Tenant{Name: "heavy", Weight: 3},
+		),
+	})
+	made.controller.service("s").concurrency.limit = rapid.Float64Range(1, 12).Draw(t, "limit")
+	return made
+}
+
+// arrive sends a request.
+func (d *driver) arrive() {
+	request := &inference.Request{
+		Tenant:     rapid.SampledFrom([]ident.Tenant{"bounded", "rated", "heavy", "light"}).Draw(d.t, "tenant"),
+		Service:    "s",
+		Body:       make([]byte, rapid.IntRange(1, 30).Draw(d.t, "bytes")),
+		Repeatable: rapid.Bool().Draw(d.t, "repeatable"),
+	}
+	if rapid.Bool().Draw(d.t, "has deadline") {
+		request.Deadline = d.at.Now().Add(time.Duration(rapid.IntRange(-10, 3000).Draw(d.t, "deadline")) * time.Millisecond)
+	}
+	ticket, turn, refused := d.controller.Enter(request)
+	switch {
+	case refused != nil:
+		d.checkRefusal(refused)
+	case turn != nil:
+		d.turns = append(d.turns, turn)
+		d.admitted[request.Tenant]++
+	default:
+		d.running = append(d.running, ticket)
+		d.admitted[request.Tenant]++
+	}
+}
+
+// end ends a dispatch with an answer, an overload refusal or another failure.
+func (d *driver) end() {
+	if len(d.running) == 0 {
+		return
+	}
+	index := rapid.IntRange(0, len(d.running)-1).Draw(d.t, "which")
+	ticket := d.running[index]
+	d.running = slices.Delete(d.running, index, index+1)
+	results := []error{nil, nil, failure.New(failure.CodeOverloaded, "full").WithRetryAfter(time.Second), failure.New(failure.CodeBackendFailed, "broken")}
+	result := rapid.SampledFrom(results).Draw(d.t, "result")
+	if turn := ticket.Return(result); turn != nil {
+		d.turns = append(d.turns, turn)
+		return
+	}
+	ticket.Done(result)
+}
+
+// pass lets time pass, and ends what has waited as long as it may.
+func (d *driver) pass() {
+	d.at.Advance(time.Duration(rapid.IntRange(1, 400).Draw(d.t, "elapsed")) * time.Millisecond)
+	for _, turn := range slices.Clone(d.turns) {
+		if d.at.Now().Before(turn.Until()) {
+			continue
+		}
+		if refused := turn.GiveUp(); refused != nil {
+			d.checkRefusal(refused)
+			d.turns = slices.DeleteFunc(d.turns, func(other *Turn) bool { return other == turn })
+		}
+	}
+}
+
+// settle takes the turns that have ended.
+func (d *driver) settle() {
+	d.turns = slices.DeleteFunc(d.turns, func(turn *Turn) bool {
+		select {
+		case <-turn.Settled():
+		default:
+			return false
+		}
+		ticket, refused := turn.Result()
+		if refused != nil {
+			d.checkRefusal(refused)
+			return true
+		}
+		d.running = append(d.running, ticket)
+		return true
+	})
+}
+
+func (d *driver) checkRefusal(refused *failure.Error) {
+	assert.Equal(d.t, refused.Outcome, outcome.NotRun, "%v", refused)
+	assert.Assert(d.t, refused.RetryAfter > 0, "%v", refused)
+}
+
+// check compares the controller's books with what was handed out.
+func (d *driver) check(before int) {
+	c, target := d.controller, d.controller.service("s")
+	assert.Equal(d.t, target.concurrency.inFlight, len(d.running), "slots in use")
+	assert.Equal(d.t, target.queue.len(), len(d.turns), "requests waiting")
+	assert.Equal(d.t, c.waiters, len(d.turns))
+	counted := 0
+	for _, count := range c.inFlight {
+		counted += count
+	}
+	assert.Equal(d.t, counted, len(d.turns)+len(d.running), "requests in flight of all tenants")
+	if now := len(d.running); now > before {
+		assert.Assert(d.t, float64(now) < target.concurrency.limit+1, "%d in flight of %.2f", now, target.concurrency.limit)
+	}
+	assert.Assert(d.t, target.queue.len() <= target.depth(), "queue of %d", target.queue.len())
+	assert.Assert(d.t, c.waiters <= drivenWaiters && c.bytes <= drivenBytes, "waiting: %d requests, %d bytes", c.waiters, c.bytes)
+	assert.Assert(d.t, c.inFlight["bounded"] <= drivenInFlight, "tenant in flight: %d", c.inFlight["bounded"])
+	most := drivenRate + drivenRate*d.at.Now().Sub(begin).Seconds()
+	assert.Assert(d.t, d.admitted["rated"] <= most+0.001, "admitted %.0f of %.2f", d.admitted["rated"], most)
+}
+
+// TestAdmissionUnderAnyMoves checks that no limit is exceeded (the concurrency limit by less than one request), that no slot or place is lost, and that every refusal
+// says that the request was not run and when to come back.
+func TestAdmissionUnderAnyMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		driver := newDriver(t)
+		moves := []func(){driver.arrive, driver.arrive, driver.arrive, driver.end, driver.pass}
+		for range rapid.IntRange(1, 120).Draw(t, "moves") {
+			before := len(driver.running)
+			moves[rapid.IntRange(0, len(moves)-1).Draw(t, "move")]()
+			driver.settle()
+			driver.check(before)
+		}
+	})
+}
+
+// TestNoTenantIsStarved lets tenants of any demand and weight meet a service of fixed speed. A tenant that always asks
+// for more than its weighted share gets nine tenths of the share. One that asks for less gets seven tenths of what it
+// asks for at least: the queue is a quarter of a second long, and what it sends in bursts beyond that is refused.
+func TestNoTenantIsStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const answerTime, span = 500 * time.Millisecond, 20 * time.Second
+		slots := rapid.IntRange(4, 20).Draw(t, "slots")
+		capacity := float64(slots) / answerTime.Seconds()
+		at := newClock()
+		var tenants []catalog.Tenant
+		var demands []float64
+		weights := 0.0
+		for index := range rapid.IntRange(2, 4).Draw(t, "tenants") {
+			weight := rapid.SampledFrom([]float64{1, 1, 2, 3}).Draw(t, "weight")
+			tenants = append(tenants, catalog.Tenant{Name: ident.Tenant(fmt.Sprint("t", index)), Weight: weight})
+			demands = append(demands, capacity*rapid.Float64Range(0.1, 3).Draw(t, "demand"))
+			weights += weight
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		controller := New(Config{Node: "n", Catalog: configuration(tenants...), Now: at.Now, Random: random.Float64})
+		controller.service("s").concurrency.limit = float64(slots) - 0.5
+		answered := serveTenants(controller, at, random, tenants, demands, answerTime, span)
+		for index, tenant := range tenants {
+			share := capacity * tenant.Weight / weights
+			least := 0.7 * min(demands[index], share)
+			if demands[index] > 1.5*share {
+				least = 0.9 * share
+			}
+			got := float64(answered[tenant.Name]) / span.Seconds()
+			assert.Assert(t, got >= least-1, "%s of demand %.1f/s and weight %.0f got %.1f/s, its share is %.1f/s of %.1f/s",
+				tenant.Name, demands[index], tenant.Weight, got, share, capacity)
+		}
+	})
+}
+
+// served is a request that occupies a slot until it is answered.
+type served struct {
+	ticket *Ticket
+	until  time.Time
+}
+
+// serveTenants runs arrivals of the given rates against slots of the given time and counts the answers of each tenant.
+func serveTenants(controller *Controller, at *clock, random *rand.Rand, tenants []catalog.Tenant, demands []float64, answerTime, span time.Duration) map[ident.Tenant]int {
+	const tick = 20 * time.Millisecond
+	limit := controller.service("s").concurrency.limit
+	answered := map[ident.Tenant]int{}
+	var running []served
+	var turns []*Turn
+	start := func(ticket *Ticket) {
+		// Answers take from half to one and a half times their mean.
+		took := time.Duration((0.5 + random.Float64()) * float64(answerTime))
+		running = append(running, served{ticket, at.Now().Add(took)})
+	}
+	for elapsed := time.Duration(0); elapsed < span; elapsed += tick {
+		at.Advance(tick)
+		running = slices.DeleteFunc(running, func(ended served) bool {
+			if at.Now().Before(ended.until) {
+				return false
+			}
+			// The limit stays the same number of slots: the service's speed is fixed.
+			controller.service("s").concurrency.limit = limit
+			ended.ticket.Done(nil)
+			answered[ended.ticket.request.Tenant]++
+			return true
+		})
+		for index, tenant := range tenants {
+			if random.Float64() >= demands[index]*tick.Seconds() {
+				continue
+			}
+			ticket, turn, _ := controller.Enter(&inference.Request{Tenant: tenant.Name, Service: "s"})
+			if ticket != nil {
+				start(ticket)
+			}
+			if turn != nil {
+				turns = append(turns, turn)
+			}
+		}
+		turns = slices.DeleteFunc(turns, func(turn *Turn) bool {
+			select {
+			case <-turn.Settled():
+				if ticket, _ := turn.Result(); ticket != nil {
+					start(ticket)
+				}
+				return true
+			default:
+				return !at.Now().Before(turn.Until()) && turn.GiveUp() != nil
+			}
+		})
+	}
+	return answered
+}
--- a/internal/admission/turn.go
+++ b/internal/admission/turn.go
@@ -1,42 +1,103 @@
 package admission
 
 import (
+	"context"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/outcome"
 )
 
-// Turn is a request that waits for its slot. A grant or GiveUp ends it, whichever comes first.
-type Turn struct {
-	ticket  *Ticket
-	request *inference.Request
-	queued  *waiter
+// Ticket is the right to dispatch one request. Done, or Return with success, must be called once.
+type Ticket struct {
+	controller *Controller
+	request    *inference.Request
+	service    *service
+	// until is when the request must have its slot; taken is when it got it.
+	until, taken time.Time
+}
+
+// take occupies a slot. The lock is held.
+func (t *Ticket) take(now time.Time) {
+	t.taken = now
+	t.service.concurrency.inFlight++
+}
+
+// Done gives the slot back with the result of the dispatch. An overload refusal lowers the service's concurrency.
+func (t *Ticket) Done(result error) {
+	c := t.controller
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := c.config.Now()
+	t.giveBack(result, now)
+	c.release(t.request.Tenant)
+	c.grantNext(t.service, now)
+	c.trim(t.service, now)
 }
 
-// Enter decides without waiting. Exactly one of the results is set: a ticket, a turn to wait for, or the refusal of a
-// request that was not run.
-func (c *Controller) Enter(request *inference.Request) (*Ticket, *Turn, *failure.Error) {
-	ticket, queued, refused := c.enter(request)
-	if refused != nil {
-		return nil, nil, refused
+// giveBack frees the slot and learns from the result. The lock is held.
+func (t *Ticket) giveBack(result error, now time.Time) {
+	running := t.service.concurrency
+	switch {
+	case result == nil:
+		running.answered(now.Sub(t.taken), now)
+	case failure.As(result).Code == failure.CodeOverloaded:
+		running.overloaded(now)
 	}
-	if queued == nil {
-		return ticket, nil, nil
+	running.inFlight--
+	if result == nil {
+		running.reopen()
 	}
-	return nil, &Turn{ticket: ticket, request: request, queued: queued}, nil
 }
 
-// Granted is closed once the request has its slot.
-func (t *Turn) Granted() <-chan struct{} { return t.queued.granted }
+// Return gives the slot back after the runners had no room for the request, and has the request wait again in its old
+// place. It returns nil and changes nothing if the result is another, or if the request may not wait any longer; then
+// Done must be called.
+func (t *Ticket) Return(result error) *Turn {
+	failed := failure.As(result)
+	if result == nil || failed.Code != failure.CodeOverloaded || failed.Outcome != outcome.NotRun || !t.request.Repeatable {
+		return nil
+	}
+	c := t.controller
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := c.config.Now()
+	// Without another request in flight nothing tells when the runners have room again.
+	if t.service.concurrency.inFlight <= 1 || !now.Before(t.until) {
+		return nil
+	}
+	t.giveBack(result, now)
+	again := &Ticket{controller: c, request: t.request, service: t.service, until: t.until}
+	turn := &Turn{ticket: again}
+	turn.queued = &waiter{tenant: t.request.Tenant, bytes: len(t.request.Body), settled: make(chan struct{}), turn: turn}
+	t.service.queue.pushFirst(turn.queued)
+	c.enqueued(turn.queued)
+	c.trim(t.service, now)
+	return turn
+}
+
+// Turn is a request that waits for its slot.
+type Turn struct {
+	ticket *Ticket
+	queued *waiter
+}
+
+// Settled is closed once the request has its slot or is refused.
+func (t *Turn) Settled() <-chan struct{} { return t.queued.settled }
 
 // Until is when the request must give up.
-func (t *Turn) Until() time.Time { return t.queued.until }
+func (t *Turn) Until() time.Time { return t.ticket.until }
 
-// Ticket returns the ticket, which is valid once the slot is granted.
-func (t *Turn) Ticket() *Ticket { return t.ticket }
+// Result returns the ticket or the refusal of a settled turn.
+func (t *Turn) Result() (*Ticket, *failure.Error) {
+	if t.queued.refused != nil {
+		return nil, t.queued.refused
+	}
+	return t.ticket, nil
+}
 
-// GiveUp leaves the queue and returns the refusal, or nil if the slot was granted before.
+// GiveUp leaves the queue and returns the refusal, or nil if the turn was settled before.
 func (t *Turn) GiveUp() *failure.Error {
 	c := t.ticket.controller
 	c.mutex.Lock()
@@ -46,5 +107,56 @@
 	}
 	c.unqueue(t.queued)
 	c.release(t.queued.tenant)
-	return c.inVain(t.request, c.expectedWait(t.ticket.service, c.config.Now()))
+	return c.inVain(t.ticket, c.config.Now())
+}
+
+// await waits for the slot.
+func (t *Turn) await(ctx context.Context) (*Ticket, *failure.Error) {
+	timer := time.NewTimer(t.Until().Sub(t.ticket.controller.config.Now()))
+	defer timer.Stop()
+	select {
+	case <-t.Settled():
+		return t.Result()
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	refused := t.GiveUp()
+	switch {
+	case refused == nil:
+		return t.settledLate(ctx)
+	case ctx.Err() != nil:
+		return nil, failure.New(failure.CodeCancelled, "the caller has gone")
+	}
+	return nil, refused
+}
+
+// settledLate settles a slot that came at the moment of giving up: it is used unless the caller is gone.
+func (t *Turn) settledLate(ctx context.Context) (*Ticket, *failure.Error) {
+	ticket, refused := t.Result()
+	if refused != nil || ctx.Err() == nil {
+		return ticket, refused
+	}
+	ticket.Done(ctx.Err())
+	return nil, failure.New(failure.CodeCancelled, "the caller has gone")
+}
+
+// Run admits a request and dispatches it. While the runners have no room for it, it waits for its turn again.
+func (c *Controller) Run(ctx context.Context, request *inference.Request, dispatch func() error) error {
+	ticket, err := c.Admit(ctx, request)
+	if err != nil {
+		return err
+	}
+	for {
+		result := dispatch()
+		turn := ticket.Return(result)
+		if turn == nil {
+			ticket.Done(result)
+			return result
+		}
+		var refused *failure.Error
+		if ticket, refused = turn.await(ctx); refused != nil {
+			c.metrics.refused(refused.Code)
+			return refused
+		}
+	}
 }
--- a/internal/lab/overloadsim/fleet.go
+++ b/internal/lab/overloadsim/fleet.go
@@ -65,10 +65,10 @@
 	var list machine.List
 	for index := range options.Runners {
 		engine := enginesim.Options{MaxSequences: options.MaxSequences, MaxWaiting: options.MaxWaiting}
-		added := newRunner(runnerName(index), fleet.clock, engine)
+		added := newRunner(index, fleet.clock, engine)
 		fleet.runners = append(fleet.runners, added)
 		fleet.byName[added.id] = added
-		list.Runners = append(list.Runners, machine.Runner{ID: added.id, State: machine.Live})
+		list.Runners = append(list.Runners, machine.Runner{ID: added.id, Zone: options.zone(index), State: machine.Live})
 	}
 	for index := range options.Nodes {
 		fleet.addNode(index, list)
@@ -84,6 +84,7 @@
 	added := &node{
 		fleet:   f,
 		id:      nodeName(index),
+		zone:    f.options.zone(index),
 		table:   dispatch.NewTable(),
 		budget:  dispatch.NewRetryBudget(),
 		random:  rand.New(rand.NewPCG(f.options.Seed, uint64(index)+2)),
@@ -96,6 +97,7 @@
 		Nodes:   func() []ident.Node { return names },
 		Bounds:  f.options.Bounds,
 		Now:     f.clock.Now,
+		Random:  added.random.Float64,
 	})
 	added.table.SetMachines(list, f.clock.Now())
 	for _, runner := range f.runners {
@@ -234,15 +236,8 @@
 
 func (f *Fleet) runner(id ident.Runner) *runner { return f.byName[id] }
 
-// owner spreads the runners evenly over the nodes.
-func (f *Fleet) owner(id ident.Runner) *node {
-	for index, known := range f.runners {
-		if known.id == id {
-			return f.nodes[index%len(f.nodes)]
-		}
-	}
-	return nil
-}
+// owner spreads the runners evenly over the nodes, within zones.
+func (f *Fleet) owner(id ident.Runner) *node { return f.nodes[f.byName[id].index%len(f.nodes)] }
 
 func (f *Fleet) nextAttempt() uint64 {
 	f.made++
--- a/internal/lab/overloadsim/node.go
+++ b/internal/lab/overloadsim/node.go
@@ -23,6 +23,7 @@
 type node struct {
 	fleet     *Fleet
 	id        ident.Node
+	zone      ident.Zone
 	admission *admission.Controller
 	table     *dispatch.Table
 	budget    *dispatch.RetryBudget
@@ -71,9 +72,7 @@
 	case refused != nil:
 		started.refuse(refused)
 	case turn != nil:
-		started.turn = turn
-		n.turns = append(n.turns, started)
-		n.fleet.clock.after(turn.Until().Sub(n.fleet.clock.Now()), started.giveUp)
+		started.wait(turn)
 	default:
 		started.ticket = ticket
 		n.dispatch(started)
@@ -90,23 +89,37 @@
 		}
 		next := n.turns[index]
 		n.turns = slices.Delete(n.turns, index, index+1)
-		next.ticket = next.turn.Ticket()
+		ticket, refused := next.turn.Result()
+		if refused != nil {
+			next.refuse(refused)
+			continue
+		}
+		next.ticket = ticket
 		n.dispatch(next)
 	}
 }
 
 func (c *call) isSettled() bool {
 	select {
-	case <-c.turn.Granted():
+	case <-c.turn.Settled():
 		return true
 	default:
 		return false
 	}
 }
 
-func (c *call) giveUp() {
+// wait has the request wait for its turn until it must give up.
+func (c *call) wait(turn *admission.Turn) {
+	n := c.node
+	c.turn = turn
+	c.tried = nil
+	n.turns = append(n.turns, c)
+	n.fleet.clock.after(turn.Until().Sub(n.fleet.clock.Now()), func() { c.giveUp(turn) })
+}
+
+func (c *call) giveUp(turn *admission.Turn) {
 	index := slices.Index(c.node.turns, c)
-	if index < 0 {
+	if index < 0 || c.turn != turn {
 		return
 	}
 	refused := c.turn.GiveUp()
@@ -126,7 +139,7 @@
 // try chooses a runner and calls it. last is the failure of the attempt before, or nil.
 func (n *node) try(started *call, last *failure.Error) {
 	now := n.fleet.clock.Now()
-	snapshot := n.table.Snapshot("", nil, started.request.Model, started.request.PrefixBlocks, now)
+	snapshot := n.table.Snapshot(n.zone, nil, started.request.Model, started.request.PrefixBlocks, now)
 	exclude := func(runner ident.Runner) bool { return slices.Contains(started.tried, runner) }
 	decision, refusal := schedule.Decide(snapshot, started.request, now, n.random, schedule.Options{Exclude: exclude})
 	if refusal != nil && last == nil {
@@ -213,6 +226,9 @@
 	if failed == nil {
 		c.ticket.Done(nil)
 		c.node.fleet.completed(c)
+	} else if turn := c.ticket.Return(failed); turn != nil {
+		c.node.fleet.result.Returned++
+		c.wait(turn)
 	} else {
 		c.ticket.Done(failed)
 		c.refuse(failed)
@@ -288,3 +304,6 @@
 
 func nodeName(index int) ident.Node     { return ident.Node(fmt.Sprintf("node-%03d", index)) }
 func runnerName(index int) ident.Runner { return ident.Runner(fmt.Sprintf("runner-%03d", index)) }
+
+// zone deals nodes and runners out to the zones in turn.
+func (o Options) zone(index int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%d", index%o.Zones)) }
--- a/internal/lab/overloadsim/options.go
+++ b/internal/lab/overloadsim/options.go
@@ -38,6 +38,8 @@
 type Options struct {
 	Seed           uint64
 	Nodes, Runners int
+	// Zones hold equal shares of nodes and runners. The distance between zones is not known, as in the lab.
+	Zones int
 	// MaxSequences and MaxWaiting shape the runners.
 	MaxSequences, MaxWaiting int
 	// Stages are in order of their beginnings.
@@ -77,6 +79,7 @@
 	}
 	fill(&o.Nodes, 4)
 	fill(&o.Runners, 4)
+	fill(&o.Zones, 1)
 	fill(&o.MaxSequences, 32)
 	fill(&o.MaxWaiting, 64)
 	if o.Duration <= 0 {
--- a/internal/lab/overloadsim/overload_test.go
+++ b/internal/lab/overloadsim/overload_test.go
@@ -10,9 +10,9 @@
 )
 
 // size is a fleet to simulate.
-type size struct{ nodes, runners int }
+type size struct{ nodes, runners, zones int }
 
-var sizes = []size{{4, 4}, {40, 12}}
+var sizes = []size{{4, 4, 1}, {4, 4, 2}, {40, 12, 3}}
 
 func (s size) capacity() float64 { return Capacity(s.runners, 32) }
 
@@ -28,7 +28,7 @@
 // at returns options that offer a multiple of the capacity.
 func (s size) at(factor float64) Options {
 	return Options{
-		Seed: 1, Nodes: s.nodes, Runners: s.runners, Tenants: unequalTenants(),
+		Seed: 1, Nodes: s.nodes, Runners: s.runners, Zones: s.zones, Tenants: unequalTenants(),
 		Stages:   []Stage{{0, factor * s.capacity()}},
 		Duration: 30 * time.Second, Warmup: 6 * time.Second,
 	}
@@ -40,6 +40,7 @@
 		name, result.GoodPerSecond, result.Completed, Quantile(result.FirstTokens, 0.5), Quantile(result.FirstTokens, 0.95),
 		len(result.RefusalDelays), Quantile(result.RefusalDelays, 0.5), Quantile(result.RefusalDelays, 0.99), Quantile(result.RefusalDelays, 1),
 		result.Retries, result.Attempts, result.EngineRefusals, result.Failed)
+	t.Logf("  occupied %.2f returned %d", result.Occupied, result.Returned)
 	t.Logf("  refusals %v", result.Refusals)
 	for _, tenant := range unequalTenants() {
 		if counts := result.Tenants[tenant.Name]; counts != nil {
@@ -63,7 +64,7 @@
 
 // TestSameSeedSameRun repeats a run.
 func TestSameSeedSameRun(t *testing.T) {
-	options := size{6, 3}.at(3)
+	options := size{6, 3, 2}.at(3)
 	options.Losses = []Loss{{Runner: 1, At: 10 * time.Second, For: 5 * time.Second}}
 	options.Returns = 2
 	assert.DeepEqual(t, Run(options), Run(options))
--- a/internal/lab/overloadsim/result.go
+++ b/internal/lab/overloadsim/result.go
@@ -29,6 +29,8 @@
 	FirstTokens                       []time.Duration
 	Tenants                           map[ident.Tenant]*Counts
 	Attempts, Retries, EngineRefusals int
+	// Returned counts requests that waited again because the runners had no room.
+	Returned int
 	// Timeline counts good requests by the second of their arrival.
 	Timeline []int
 	// Occupied is the mean share of the runners' sequences in use, over the arrivals' time, by second.
@@ -92,7 +94,11 @@
 	if failed.Outcome != outcome.NotRun {
 		r.Failed++
 	}
-	r.Refusals[string(failed.Code)+": "+failed.Message]++
+	waited := ""
+	if now.After(ended.began) {
+		waited = " (waited)"
+	}
+	r.Refusals[string(failed.Code)+": "+failed.Message+waited]++
 	r.RefusalDelays = append(r.RefusalDelays, now.Sub(ended.began))
 	r.RetryAfters = append(r.RetryAfters, failed.RetryAfter)
 }
--- a/internal/lab/overloadsim/runner.go
+++ b/internal/lab/overloadsim/runner.go
@@ -10,6 +10,7 @@
 
 // runner is one engine: the stand-in's scheduler stepped by the simulated clock.
 type runner struct {
+	index   int
 	id      ident.Runner
 	clock   *clock
 	stepper *enginesim.Stepper
@@ -23,8 +24,8 @@
 	full     float64
 }
 
-func newRunner(id ident.Runner, clock *clock, options enginesim.Options) *runner {
-	return &runner{id: id, clock: clock, options: options, stepper: enginesim.NewStepper(options), running: map[uint64]*attempt{}}
+func newRunner(index int, clock *clock, options enginesim.Options) *runner {
+	return &runner{index: index, id: runnerName(index), clock: clock, options: options, stepper: enginesim.NewStepper(options), running: map[uint64]*attempt{}}
 }
 
 // submit takes an attempt or reports that the waiting queue is full.
--- a/internal/node/online.go
+++ b/internal/node/online.go
@@ -28,15 +28,11 @@
 		return failure.New(failure.CodeNoBackend, "this site is cut off and its policy refuses %s", request.Service).
 			WithRetryAfter(cutOffRetryAfter)
 	}
-	ticket, err := d.admission.Admit(ctx, request)
-	if err != nil {
-		return err
-	}
-	d.demand.begin(request.Model)
-	err = d.dispatcher.Dispatch(ctx, request, sink)
-	d.demand.end(request.Model)
-	ticket.Done(err)
-	return err
+	return d.admission.Run(ctx, request, func() error {
+		d.demand.begin(request.Model)
+		defer d.demand.end(request.Model)
+		return d.dispatcher.Dispatch(ctx, request, sink)
+	})
 }
 
 // policyRequest is what the program "may_wait" sees of a request.
