Count what ended since a load report against the report

Cause: a runner's online work was the larger of the known counts and the report, which lags by 200 to 450 ms. A runner that had been full looked full for that long after requests had ended, to the owner and, through the shared report, to every node; and a shared report with newer counts was dropped if its message happened to be faster than the one before.

Change: the table keeps the known counts of the last second; the report counts with the changes since it was measured, in decisions and in what owners pass on. Reports whose moments differ by less than 100 ms hold in the order they arrive. A runner takes 1.15 times its sequences (was 1.25): with truer figures less suffices to keep it full.

The links of the simulation now have delays that differ, without which the dropped reports did not show.

Failed first: changes since the report ignored, history at now instead of at the report, shared report not brought up to now, no allowance for delays, older reports taken.

--- a/internal/dispatch/exchange/state.go
+++ b/internal/dispatch/exchange/state.go
@@ -12,7 +12,7 @@
 
 // encodeState writes a view that has a report.
 func encodeState(view *dispatch.RunnerView) *dispatchpb.RunnerState {
-	report := view.Report
+	report := view.Shared()
 	state := &dispatchpb.RunnerState{
 		Runner:             string(view.ID),
 		AgeMilliseconds:    uint32(view.ReportAge.Milliseconds()),
@@ -52,5 +52,9 @@
 	for _, loaded := range state.GetModels() {
 		report.Models = append(report.Models, engine.LoadedModel{Name: loaded.GetName(), Version: loaded.GetVersion()})
 	}
-	return dispatch.CountKnown(report, int(state.GetKnownOnline()))
+	known := int(state.GetKnownOnline())
+	if reported := report.RunningOnline + report.WaitingOnline; known > reported {
+		report.RunningOnline += known - reported
+	}
+	return report
 }
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -47,6 +47,9 @@
 	report    *engine.LoadReport
 	// reportedAt is when the report arrived, by this node's clock.
 	reportedAt time.Time
+	// counts is the history of the known online requests, and knownAtReport what was known at the report's moment.
+	counts        countHistory
+	knownAtReport int
 }
 
 // NewTable returns an empty table.
@@ -152,16 +155,25 @@
 	t.observeReport(runner, report, false, now)
 }
 
+// reportJitter is how much the moments of reports differ for the delays of the messages that carry their ages. Peers pass
+// on one report several times, each with newer counts of the online requests; the last to arrive must hold.
+const reportJitter = 100 * time.Millisecond
+
 func (t *Table) observeReport(runner ident.Runner, report engine.LoadReport, firstHand bool, now time.Time) {
 	t.mutex.Lock()
 	known, found := t.runners[runner]
-	if !found || (known.report != nil && report.Measured.Before(known.report.Measured)) {
+	if !found || (known.report != nil && report.Measured.Before(known.report.Measured.Add(-reportJitter))) {
 		t.mutex.Unlock()
 		return
 	}
 	before := known.leaving.is(now)
+	known.noteCount(now)
 	known.report = &report
 	known.reportedAt = now
+	known.knownAtReport = known.known(now)
+	if firstHand {
+		known.knownAtReport = known.counts.at(report.Measured)
+	}
 	known.leaving.report(report.Leaving, report.Measured)
 	learned := firstHand && !before && known.leaving.is(now)
 	t.mutex.Unlock()
@@ -192,7 +204,10 @@
 // ObservePeer takes a peer's count of its online requests on a runner.
 func (t *Table) ObservePeer(peer ident.Node, sequence uint64, runner ident.Runner, inFlight int, now time.Time) {
 	rose := false
-	t.with(runner, func(known *entry) { rose = known.peers.set(peer, sequence, inFlight, now) })
+	t.with(runner, func(known *entry) {
+		rose = known.peers.set(peer, sequence, inFlight, now)
+		known.noteCount(now)
+	})
 	if rose {
 		t.tellRise(runner)
 	}
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -41,6 +41,7 @@
 }
 
 func (e *entry) view(now time.Time, prefixBlocks int) schedule.Runner {
+	e.noteCount(now)
 	return schedule.Runner{
 		ID:            e.id,
 		Zone:          e.zone,
@@ -50,11 +51,21 @@
 		BusyUntil:     e.busyUntil,
 		OwnInFlight:   e.own,
 		PeersInFlight: e.peers.sum(now),
+		SinceReport:   e.sinceReport(now),
 		Report:        e.report,
 		PrefixBlocks:  prefixBlocks,
 	}
 }
 
+// known returns the online requests on the runner that this node knows of without a report.
+func (e *entry) known(now time.Time) int { return e.own + e.peers.sum(now) }
+
+// noteCount records the known online requests, whenever anyone looks: a change without a look decided nothing.
+func (e *entry) noteCount(now time.Time) { e.counts.add(now, e.known(now)) }
+
+// sinceReport returns by how much the known online requests have changed since the report was measured.
+func (e *entry) sinceReport(now time.Time) int { return e.known(now) - e.knownAtReport }
+
 // RunnerView is what a node knows of one runner, for batch credits and for operators.
 type RunnerView struct {
 	ID      ident.Runner
@@ -66,6 +77,8 @@
 	ProbeDue bool
 	// OwnInFlight and PeersInFlight count online requests of this node and of its peers.
 	OwnInFlight, PeersInFlight int
+	// SinceReport is by how much these counts have changed since the report was measured.
+	SinceReport int
 	// Report is the newest report, or nil; it must not be changed. ReportAge is its age.
 	Report    *engine.LoadReport
 	ReportAge time.Duration
@@ -120,12 +133,14 @@
 }
 
 func (e *entry) describe(now time.Time) RunnerView {
+	e.noteCount(now)
 	view := RunnerView{
 		ID: e.id, Zone: e.zone, Address: e.address,
 		Leaving: e.leaving.is(now), Ejected: e.health.ejected,
 		ProbeDue:    e.health.probeDue(now),
 		OwnInFlight: e.own, PeersInFlight: e.peers.sum(now),
-		Report: e.report,
+		SinceReport: e.sinceReport(now),
+		Report:      e.report,
 	}
 	if e.report != nil {
 		view.ReportAge = max(0, now.Sub(e.report.Measured))
@@ -138,15 +153,18 @@
 	return holds(v.Report, model) && (adapter == "" || slices.Contains(v.Report.Adapters, adapter))
 }
 
-// Shared returns the report as the owner of a runner passes it on.
+// Shared returns the report as the owner of a runner passes it on: with its online requests brought up to now. What ended
+// since is taken from the waiting ones first, what came is counted as running.
 func (v *RunnerView) Shared() engine.LoadReport {
-	return CountKnown(*v.Report, v.OwnInFlight+v.PeersInFlight)
-}
-
-// CountKnown returns the report with the online requests that are known beyond it counted as running.
-func CountKnown(report engine.LoadReport, known int) engine.LoadReport {
-	if reported := report.RunningOnline + report.WaitingOnline; known > reported {
-		report.RunningOnline += known - reported
+	report := *v.Report
+	before := report.RunningOnline + report.WaitingOnline
+	online := max(v.OwnInFlight+v.PeersInFlight, before+v.SinceReport)
+	if online >= before {
+		report.RunningOnline += online - before
+		return report
 	}
+	fewerWaiting := min(report.WaitingOnline, before-online)
+	report.WaitingOnline -= fewerWaiting
+	report.RunningOnline -= before - online - fewerWaiting
 	return report
 }
--- a/internal/lab/overloadsim/fleet.go
+++ b/internal/lab/overloadsim/fleet.go
@@ -20,13 +20,14 @@
 type Fleet struct {
 	options Options
 	clock   *clock
-	random  *rand.Rand
-	catalog staticCatalog
-	nodes   []*node
-	runners []*runner
-	byName  map[ident.Runner]*runner
-	made    uint64
-	result  Result
+	// random draws the arrivals and links the delays, so that what the nodes do changes no arrival.
+	random, links *rand.Rand
+	catalog       staticCatalog
+	nodes         []*node
+	runners       []*runner
+	byName        map[ident.Runner]*runner
+	made          uint64
+	result        Result
 }
 
 // staticCatalog is a configuration that never changes.
@@ -55,6 +56,7 @@
 		options: options,
 		clock:   newClock(),
 		random:  rand.New(rand.NewPCG(options.Seed, 1)),
+		links:   rand.New(rand.NewPCG(options.Seed, 0)),
 		byName:  map[ident.Runner]*runner{},
 		result:  newResult(options),
 	}
@@ -65,7 +67,7 @@
 	var list machine.List
 	for index := range options.Runners {
 		engine := enginesim.Options{MaxSequences: options.MaxSequences, MaxWaiting: options.MaxWaiting}
-		added := newRunner(index, fleet.clock, engine)
+		added := newRunner(index, fleet.clock, fleet.link, engine)
 		fleet.runners = append(fleet.runners, added)
 		fleet.byName[added.id] = added
 		list.Runners = append(list.Runners, machine.Runner{ID: added.id, Zone: options.zone(index), State: machine.Live})
@@ -243,3 +245,8 @@
 	f.made++
 	return f.made
 }
+
+// link draws the delay of a message.
+func (f *Fleet) link() time.Duration {
+	return leastLinkDelay + time.Duration(f.links.ExpFloat64()*float64(meanLinkExcess))
+}
--- a/internal/lab/overloadsim/node.go
+++ b/internal/lab/overloadsim/node.go
@@ -155,7 +155,7 @@
 	n.fleet.result.Attempts++
 	made := &attempt{id: n.fleet.nextAttempt(), request: started, runner: chosen}
 	n.table.Start(chosen.id, started.request.PrefixBlocks)
-	n.fleet.clock.after(linkDelay, made.arrive)
+	n.fleet.clock.after(n.fleet.link(), made.arrive)
 }
 
 // arrive reaches the runner.
@@ -163,9 +163,9 @@
 	clock := a.request.node.fleet.clock
 	switch {
 	case a.runner.down:
-		clock.after(linkDelay, func() { a.failed(engine.ErrUnreachable, outcome.NotRun) })
+		clock.after(a.request.node.fleet.link(), func() { a.failed(engine.ErrUnreachable, outcome.NotRun) })
 	case !a.runner.submit(a):
-		clock.after(linkDelay, func() { a.failed(engine.ErrBusy, outcome.NotRun) })
+		clock.after(a.request.node.fleet.link(), func() { a.failed(engine.ErrBusy, outcome.NotRun) })
 	}
 }
 
@@ -262,15 +262,17 @@
 	n.told[runner] = view.OwnInFlight
 	n.sequence++
 	sequence := n.sequence
-	n.fleet.clock.after(linkDelay, func() {
+	n.fleet.clock.after(n.fleet.link(), func() {
 		now := n.fleet.clock.Now()
 		owner.table.ObservePeer(n.id, sequence, runner, view.OwnInFlight, now)
 		seen, _ := owner.table.Runner(runner, now)
 		if seen.Report == nil {
 			return
 		}
-		state := seen.Shared()
-		n.fleet.clock.after(linkDelay, func() { n.table.ObserveShared(runner, state, n.fleet.clock.Now()) })
+		state, back := seen.Shared(), n.fleet.link()
+		// The age travels, not the time, so the receiver takes the report for younger by the delay of the message.
+		state.Measured = state.Measured.Add(back)
+		n.fleet.clock.after(back, func() { n.table.ObserveShared(runner, state, n.fleet.clock.Now()) })
 	})
 }
 
--- a/internal/lab/overloadsim/options.go
+++ b/internal/lab/overloadsim/options.go
@@ -55,8 +55,10 @@
 
 // Figures of the simulated network and callers.
 const (
-	// linkDelay is the one-way delay between any two processes.
-	linkDelay = 500 * time.Microsecond
+	// leastLinkDelay and meanLinkExcess give the one-way delay between any two processes: the first, and an exponentially
+	// distributed time beyond it.
+	leastLinkDelay = 300 * time.Microsecond
+	meanLinkExcess = 700 * time.Microsecond
 	// tellDelay is how long a change of a count waits for others before it is told to the runner's owner.
 	tellDelay = 20 * time.Millisecond
 	// renewEvery is the time between renewals of counts above zero.
--- a/internal/lab/overloadsim/runner.go
+++ b/internal/lab/overloadsim/runner.go
@@ -13,6 +13,7 @@
 	index   int
 	id      ident.Runner
 	clock   *clock
+	link    func() time.Duration
 	stepper *enginesim.Stepper
 	options enginesim.Options
 	// stepping says that a step is under way; lives counts the starts, so that steps of an earlier life end in nothing.
@@ -24,8 +25,8 @@
 	full     float64
 }
 
-func newRunner(index int, clock *clock, options enginesim.Options) *runner {
-	return &runner{index: index, id: runnerName(index), clock: clock, options: options, stepper: enginesim.NewStepper(options), running: map[uint64]*attempt{}}
+func newRunner(index int, clock *clock, link func() time.Duration, options enginesim.Options) *runner {
+	return &runner{index: index, id: runnerName(index), clock: clock, link: link, options: options, stepper: enginesim.NewStepper(options), running: map[uint64]*attempt{}}
 }
 
 // submit takes an attempt or reports that the waiting queue is full.
@@ -74,7 +75,7 @@
 	if made.Whole {
 		delete(r.running, made.ID)
 	}
-	r.clock.after(linkDelay, func() {
+	r.clock.after(r.link(), func() {
 		if made.First {
 			started.first()
 		}
@@ -93,7 +94,7 @@
 	r.running = map[uint64]*attempt{}
 	r.stepper = enginesim.NewStepper(r.options)
 	for _, started := range sortedAttempts(broken) {
-		r.clock.after(linkDelay, started.broken)
+		r.clock.after(r.link(), started.broken)
 	}
 }
 
--- a/internal/schedule/decide_test.go
+++ b/internal/schedule/decide_test.go
@@ -164,3 +164,20 @@
 		assert.Assert(t, decision.Candidates[0].Runner != "r3")
 	}
 }
+
+// TestARunnerThatHasRoomAgainIsUsed ends requests that the newest report of a full runner still counts.
+func TestARunnerThatHasRoomAgainIsUsed(t *testing.T) {
+	runner := Runner{ID: "r", SlowStart: 1, OwnInFlight: 10, Report: &engine.LoadReport{
+		Measured: simulationStart, RunningOnline: 8, WaitingOnline: 2, MaxSequences: 8, Models: []engine.LoadedModel{{Name: "m"}},
+	}}
+	request := &inference.Request{Model: "m"}
+	random := rand.New(rand.NewPCG(1, 1))
+	_, refusal := Decide(&Snapshot{Runners: []Runner{runner}}, request, simulationStart, random, Options{})
+	assert.Equal(t, refusal.Reason, ReasonOverloaded)
+	runner.OwnInFlight, runner.SinceReport = 8, -2
+	_, refusal = Decide(&Snapshot{Runners: []Runner{runner}}, request, simulationStart, random, Options{})
+	assert.Assert(t, refusal == nil)
+	runner.OwnInFlight, runner.SinceReport = 12, 2
+	_, refusal = Decide(&Snapshot{Runners: []Runner{runner}}, request, simulationStart, random, Options{})
+	assert.Equal(t, refusal.Reason, ReasonOverloaded)
+}
--- a/internal/schedule/filter.go
+++ b/internal/schedule/filter.go
@@ -9,7 +9,7 @@
 
 // overloadFactor bounds a runner's online work as a multiple of the sequences it can run at once. Above one, some
 // requests wait on the engine; the bound keeps that wait short, so that goodput does not fall under overload.
-const overloadFactor = 1.25
+const overloadFactor = 1.15
 
 // filter returns the runners that may take the request, or why there is none. A later stage's reason is the better
 // explanation, because the runner got further.
--- a/internal/schedule/snapshot.go
+++ b/internal/schedule/snapshot.go
@@ -36,6 +36,8 @@
 	OwnInFlight int
 	// PeersInFlight counts online requests other dispatchers have told of.
 	PeersInFlight int
+	// SinceReport is by how much the two counts have changed since the report was measured.
+	SinceReport int
 	// Report is the newest load report, or nil if none was ever seen. It must not be changed.
 	Report *engine.LoadReport
 	// PrefixBlocks counts the leading blocks of the request's prompt that the runner probably has in its cache.
@@ -61,14 +63,15 @@
 // knownOnline returns the online requests known to be on the runner without its report.
 func (r *Runner) knownOnline() float64 { return float64(r.OwnInFlight + r.PeersInFlight) }
 
-// online returns the best estimate of online sequences running or waiting on the runner.
+// online returns the best estimate of online sequences running or waiting on the runner: the report with the known
+// changes since. Without them a runner that was full would look full for as long as reports lag, and stand half empty.
 func (r *Runner) online(now time.Time) float64 {
 	known := r.knownOnline()
 	age, reported := r.reportAge(now)
 	if !reported || age > maxReportAge {
 		return known
 	}
-	return max(known, float64(r.Report.RunningOnline+r.Report.WaitingOnline))
+	return max(known, float64(r.Report.RunningOnline+r.Report.WaitingOnline+r.SinceReport))
 }
 
 // hasModel reports whether the runner had the model loaded at its last report.
