Simulate batch beside online in virtual time

Cause: the process experiment's p99 rests on some 200 requests, and its generator is late by as much as the arms differ, so no change of the credit controller could be judged by it.

The lab command interference-sim runs the stand-in engine's scheduler and cost model (enginesim.Virtual, no copy) with the real credit controller in virtual time, for 30,000 open-loop requests an arm, in four traffic patterns. Delays of calls, counts and reports are parameters. Not simulated: leases and commits, lost messages, the dispatcher's choice, processor time.

Tests seen to fail first: without preemption in the worker (TestWorkerKeepsWithinItsCredits); coalesced counts not sent (TestCountsReachTheOwner); arrivals seeded by the clock (TestRunIsRepeatable); an engine that does not wake (TestEveryArmServesTheSameWork).

--- /dev/null
+++ b/internal/lab/interferencesim/arms.go
@@ -0,0 +1,80 @@
+package interferencesim
+
+// arm is one way of running batch beside online.
+type arm struct {
+	name           string
+	ignorePriority bool
+	online         bool
+	startBatch     func(*fleet)
+}
+
+// Names of the arms.
+const (
+	OnlineAlone  = "online_alone"
+	BatchAlone   = "batch_alone"
+	OneQueue     = "one_queue"
+	PriorityOnly = "priority_only"
+	FixedSplit   = "fixed_split"
+	System       = "system"
+)
+
+// references are the arms the others are compared with.
+func references() []arm {
+	return []arm{
+		{name: OnlineAlone, online: true, startBatch: func(*fleet) {}},
+		{name: BatchAlone, startBatch: func(fleet *fleet) { fleet.startDirect(fleet.runners) }},
+	}
+}
+
+func compared() []arm {
+	everywhere := func(fleet *fleet) { fleet.startDirect(fleet.runners) }
+	return []arm{
+		{name: OneQueue, online: true, ignorePriority: true, startBatch: everywhere},
+		{name: PriorityOnly, online: true, startBatch: everywhere},
+		{name: FixedSplit, online: true, startBatch: startSplit},
+		{name: System, online: true, startBatch: startWorkers},
+	}
+}
+
+// startSplit gives batch a third of the runners, at least one.
+func startSplit(fleet *fleet) {
+	count := max(1, len(fleet.runners)/3)
+	fleet.onlineRunners = fleet.runners[count:]
+	fleet.startDirect(fleet.runners[:count])
+}
+
+// startDirect keeps a fixed number of items under way on each of the runners, whatever online work does.
+func (f *fleet) startDirect(runners []*runner) {
+	for _, target := range runners {
+		idle := int(workersPerSlot * float64(f.options.MaxSequences))
+		var start func()
+		start = func() {
+			for idle > 0 {
+				next := f.backlog.take()
+				if next == nil {
+					return
+				}
+				idle--
+				f.runDirect(target, next, func() {
+					idle++
+					start()
+				})
+			}
+		}
+		f.moreBatch = append(f.moreBatch, start)
+		f.clock.after(0, start)
+	}
+}
+
+func (f *fleet) runDirect(target *runner, started *item, done func()) {
+	started.sequence.Token = func(last bool) {
+		if !last {
+			return
+		}
+		f.clock.after(f.options.CallDelay, func() {
+			f.completed(started)
+			done()
+		})
+	}
+	f.clock.after(f.options.CallDelay, func() { target.submit(started.sequence) })
+}
--- /dev/null
+++ b/internal/lab/interferencesim/fleet.go
@@ -0,0 +1,175 @@
+package interferencesim
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
+)
+
+// fleet is one arm under way.
+type fleet struct {
+	options Options
+	arm     arm
+	clock   clock
+	prompts *prompts
+	backlog backlog
+	runners []*runner
+	// onlineRunners get the online requests.
+	onlineRunners []*runner
+	// workers are the nodes' batch workers, by node; nil in arms without the system.
+	workers []*worker
+	// moreBatch is called when a heap has come.
+	moreBatch []func()
+	measured  measured
+}
+
+// runner is one engine with its step loop.
+type runner struct {
+	clock    *clock
+	index    int
+	engine   *enginesim.Virtual
+	stepping bool
+	// online counts the online requests under way, from dispatch to the last token at the node.
+	online int
+	// told are the counts the nodes tell the runner's owner, by node.
+	told []told
+}
+
+func newFleet(options Options, arm arm) *fleet {
+	created := &fleet{options: options, arm: arm, prompts: newPrompts(options)}
+	created.backlog = backlog{prompts: created.prompts, endless: options.HeapEvery == 0}
+	engineOptions := enginesim.Options{MaxSequences: options.MaxSequences, IgnorePriority: arm.ignorePriority}
+	for index := range options.Runners {
+		created.runners = append(created.runners, &runner{
+			clock:  &created.clock,
+			index:  index,
+			engine: enginesim.NewVirtual(engineOptions),
+			told:   make([]told, options.Nodes),
+		})
+	}
+	created.onlineRunners = created.runners
+	return created
+}
+
+// submit gives the engine a sequence; an engine without work begins a step at once.
+func (r *runner) submit(sequence *enginesim.VirtualSequence) {
+	r.engine.Submit(sequence)
+	if !r.stepping {
+		r.step()
+	}
+}
+
+func (r *runner) step() {
+	duration, busy := r.engine.Plan()
+	r.stepping = busy
+	if !busy {
+		return
+	}
+	r.clock.after(duration, func() {
+		r.engine.Apply()
+		r.step()
+	})
+}
+
+// run plays the arm and returns what was measured.
+func (f *fleet) run() measured {
+	f.arm.startBatch(f)
+	f.startHeaps()
+	if f.arm.online {
+		f.setArrivals(arrivals(f.options))
+	}
+	end := f.options.duration()
+	f.clock.runUntil(warmup)
+	before := f.counters()
+	f.measured.open = true
+	f.clock.runUntil(end)
+	f.measured.open = false
+	f.measured.counters = f.counters().Minus(before)
+	f.measured.window = end - warmup
+	// Requests that are under way still count; batch goes on beside them.
+	f.clock.runUntil(end + warmup)
+	return f.measured
+}
+
+func (f *fleet) counters() enginesim.Counters {
+	var sum enginesim.Counters
+	for _, runner := range f.runners {
+		sum = sum.Minus(enginesim.Counters{}.Minus(runner.engine.Counters()))
+	}
+	return sum
+}
+
+// setArrivals sets the first arrival; each sets the next.
+func (f *fleet) setArrivals(planned []request) {
+	if len(planned) == 0 {
+		return
+	}
+	f.clock.after(planned[0].at-f.clock.now, func() {
+		f.dispatch(planned[0])
+		f.setArrivals(planned[1:])
+	})
+}
+
+// dispatch sends a request to the runner with the fewest under way.
+func (f *fleet) dispatch(planned request) {
+	chosen := f.leastLoaded(planned.choice)
+	node := int(planned.choice>>32) % f.options.Nodes
+	f.count(chosen, node, 1)
+	sequence := f.prompts.online(planned)
+	var lastToken time.Duration
+	sequence.Token = func(last bool) {
+		now := f.clock.now
+		if planned.at >= warmup {
+			f.measured.token(now+f.options.CallDelay-planned.at, now-lastToken, sequence.Generated() == 1)
+		}
+		lastToken = now
+		if last {
+			f.clock.after(f.options.CallDelay, func() { f.count(chosen, node, -1) })
+		}
+	}
+	f.clock.after(f.options.CallDelay, func() { chosen.submit(sequence) })
+}
+
+func (f *fleet) leastLoaded(choice uint64) *runner {
+	count := len(f.onlineRunners)
+	first := int(choice % uint64(count))
+	chosen := f.onlineRunners[first]
+	for offset := range count {
+		candidate := f.onlineRunners[(first+offset)%count]
+		if candidate.online < chosen.online {
+			chosen = candidate
+		}
+	}
+	return chosen
+}
+
+// startHeaps sets the batch heaps, the first at once.
+func (f *fleet) startHeaps() {
+	if f.options.HeapEvery == 0 {
+		return
+	}
+	f.backlog.waiting += int(f.options.HeapShare * f.options.itemsPerSecond() * f.options.HeapEvery.Seconds())
+	for _, start := range f.moreBatch {
+		start()
+	}
+	f.clock.after(f.options.HeapEvery, f.startHeaps)
+}
+
+// completed books a whole batch answer.
+func (f *fleet) completed(done *item) {
+	if !f.measured.open {
+		return
+	}
+	f.measured.items++
+	f.measured.batchTokens += int64(done.answer)
+	f.measured.batchPrompts += int64(done.prompt)
+}
+
+// needed returns the engine time that the measured batch answers take when every step runs full.
+func (f *fleet) needed() time.Duration {
+	var counters enginesim.Counters
+	counters.Tokens[inference.Batch] = f.measured.batchTokens
+	counters.Prefilled[inference.Batch] = f.measured.batchPrompts
+	return counters.NeededTime(inference.Batch, costModel(), f.options.MaxSequences)
+}
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -15,5 +15,6 @@
 		newLoad(),
 		newExperiment(),
 		newScale(),
+		newInterferenceSim(),
 	}
 }
