Send batch prompts by the engine's steps

The controller paced prompts by time: a prompt waits in the engine for the next step, and an online request that comes meanwhile shares that step.

Change: batch tokens show when a step ends. Beside online work prompts go out 5 ms before the expected end of a step, at most 12 tokens for each sequence of the engine, and not in the step in which an online request came nor in the next, where it is prefilled and a long prompt goes on. While no tokens come, the pace and the quiet time hold as before.

--- a/internal/batch/execute.go
+++ b/internal/batch/execute.go
@@ -45,6 +45,8 @@
 	stall *time.Timer
 	// started is called once the first chunk came: the prompt has been taken in.
 	started func()
+	// token is called at every chunk.
+	token func()
 	// begun is set once started was called.
 	begun bool
 	// order numbers the runs of the worker; preempted and prefilling are marks of the worker's loop.
@@ -159,6 +161,7 @@
 		}
 		e.stall.Reset(stallTime)
 		e.signalStart()
+		e.token()
 		verdict, err := e.position.Accept(&chunk)
 		if err != nil {
 			return fmt.Errorf("chunk at token %d: %w", chunk.Offset, err)
--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -70,6 +70,7 @@
 		}
 		credits := state.controller.Decide(input, now)
 		state.granted = credits
+		state.steps.setGap(state.controller.StepGap())
 		grants = append(grants, grant{runner: runner, state: state, view: view, credits: credits})
 	}
 	slices.SortFunc(grants, func(a, b grant) int { return cmp.Compare(a.runner, b.runner) })
@@ -121,6 +122,7 @@
 			w.fill(&granted, now)
 		}
 		granted.state.use = w.slotUse(&granted, now)
+		w.lookAgain(granted.state.controller.LookAt(now), now)
 	}
 }
 
@@ -149,7 +151,7 @@
 	if !found {
 		return false
 	}
-	fits := func(candidate *item) bool { return granted.fits(candidate) }
+	fits := func(candidate *item) bool { return granted.fits(candidate, now) }
 	chosen := w.book.next(granted.runner, fits, now)
 	if chosen == nil {
 		return false
@@ -161,8 +163,8 @@
 
 // fits reports whether the runner can take the item within its credits. An item whose prompt is larger than the
 // prefill credit may still start alone.
-func (g *grant) fits(candidate *item) bool {
-	if !suits(&g.view, candidate.request) {
+func (g *grant) fits(candidate *item, now time.Time) bool {
+	if !suits(&g.view, candidate.request) || !g.state.controller.Fits(candidate.request.PromptTokens, now) {
 		return false
 	}
 	if !candidate.request.Repeatable && g.nonRepeatable() >= g.nonRepeatableLimit() {
@@ -196,6 +198,7 @@
 	state.prefill += started.item.request.PromptTokens
 	started.prefilling = true
 	started.started = func() { w.post(func() { endPrefill(state, started) }) }
+	started.token = func() { w.watchSteps(state) }
 	w.tomb.Go(func() error {
 		defer cancel(nil)
 		started.run(ctx)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -88,6 +88,9 @@
 	rested int
 	// launched numbers the runs.
 	launched uint64
+	// look fires when a controller may allow prefill; lookAt is when, or zero.
+	look   *time.Timer
+	lookAt time.Time
 	// usedSince is the time of the last turn, which slot times are counted from.
 	usedSince time.Time
 }
@@ -98,6 +101,8 @@
 	owned      bool
 	controller *credit.Controller
 	running    map[*execution]struct{}
+	// steps notices the engine's steps by the tokens of the runs.
+	steps stepWatch
 	// granted are the last credits.
 	granted credit.Credits
 	// prefill counts the prompt tokens of runs that have given no token yet.
@@ -127,6 +132,7 @@
 		config:   config,
 		metrics:  newMetrics(config.Registerer),
 		wake:     make(chan struct{}, 1),
+		look:     time.NewTimer(config.Tick),
 		events:   make(chan func(), eventQueue),
 		draining: make(chan struct{}),
 		book:     newLeaseBook(),
@@ -199,6 +205,7 @@
 func (w *Worker) loop() error {
 	ticker := time.NewTicker(w.config.Tick)
 	defer ticker.Stop()
+	defer w.look.Stop()
 	for {
 		select {
 		case <-w.tomb.Dying():
@@ -208,6 +215,8 @@
 			step()
 			w.drainEvents()
 		case <-w.wake:
+		case <-w.look.C:
+			w.lookAt = time.Time{}
 		case <-ticker.C:
 			if w.rests() {
 				continue
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -76,6 +76,7 @@
 	// stepTime is the smoothed step time.
 	stepTime time.Duration
 	pace     pace
+	steps    stepClock
 	// known is the newest known online count, arrived when it last rose, and prefilled when batch prefill last started.
 	known              int
 	arrived, prefilled time.Time
@@ -114,19 +115,28 @@
 	return Credits{Hold: hold, Sequences: sequences, PrefillTokens: prefillLimit(online)}
 }
 
-// MayPrefill reports whether the prompt of another batch item may be sent now. Beside online work batch prefill keeps to a
-// pace, so that no step is much longer than the others, and stays out of the steps in which a new online prompt waits.
+// MayPrefill reports whether the prompt of another batch item may be sent now. Beside online work batch prefill stays out
+// of the steps in which a new online prompt waits, and no step gets much of it. While the engine's steps are not known, it
+// keeps to a pace instead.
 func (c *Controller) MayPrefill(now time.Time) bool {
 	if !c.beside {
 		return true
 	}
-	quiet := now.Sub(c.arrived) < quietTime && now.Sub(c.prefilled) < longestQuiet
+	starved := now.Sub(c.prefilled) >= longestQuiet
+	if c.steps.followed(now) {
+		return c.steps.open(now) && (starved || !c.steps.busy(c.arrived))
+	}
+	quiet := now.Sub(c.arrived) < quietTime && !starved
 	return !quiet && c.pace.clear(now)
 }
 
 // Prefilling records that a prompt of a batch item was sent, in tokens.
 func (c *Controller) Prefilling(tokens int, now time.Time) {
 	c.prefilled = now
+	if c.steps.followed(now) {
+		c.steps.spent += tokens
+		return
+	}
 	c.pace.spend(tokens, now)
 	if !c.beside {
 		c.pace.debt = min(c.pace.debt, paceTokens)
@@ -168,6 +178,7 @@
 		return
 	}
 	c.lastMeasured = report.Measured
+	c.steps.observe(report)
 	c.stepTime += time.Duration(stepSmoothing * float64(report.StepTime-c.stepTime))
 	if online > 0 && c.stepTime > stepTarget {
 		c.stepLimit = max(reserveShare, c.stepLimit*stepShrink)
--- a/internal/lab/interferencesim/worker.go
+++ b/internal/lab/interferencesim/worker.go
@@ -31,6 +31,9 @@
 	running []*execution
 	prefill int
 	credits credit.Credits
+	// stepEnd is when the last step that the worker is told of ended.
+	stepEnd time.Duration
+	lookAt  time.Time
 }
 
 // execution is one run of an item.
@@ -40,6 +43,9 @@
 	preempted, prefilling, told, finished bool
 }
 
+// leastPrefetch is the least number of items kept ready, as in package batch.
+const leastPrefetch = 16
+
 // keptTimePerToken is how long an item waits for the runner that keeps its tokens, as in package batch.
 const keptTimePerToken = 40 * time.Millisecond
 
@@ -106,6 +112,7 @@
 	}
 	for _, state := range w.owned {
 		w.fill(state, now)
+		w.lookAgain(state, now)
 	}
 }
 
@@ -182,10 +189,24 @@
 	}
 }
 
+// lease keeps the queue filled ahead of the credits.
+func (w *worker) lease() {
+	for len(w.queue) < leastPrefetch {
+		taken := w.fleet.backlog.take()
+		if taken == nil {
+			return
+		}
+		w.queue = append(w.queue, taken)
+	}
+}
+
 // next takes the first item that may start on the runner, or returns nil.
 func (w *worker) next(state *runnerState) *item {
+	w.lease()
+	now := w.fleet.clock.wall()
 	fits := func(candidate *item) bool {
-		return state.prefill == 0 || state.prefill+candidate.prompt <= state.credits.PrefillTokens
+		return state.controller.Fits(candidate.prompt, now) &&
+			(state.prefill == 0 || state.prefill+candidate.prompt <= state.credits.PrefillTokens)
 	}
 	for index, queued := range w.queue {
 		if fits(queued) && w.startable(queued, state.runner) {
@@ -196,12 +217,29 @@
 			return queued
 		}
 	}
-	taken := w.fleet.backlog.take()
-	if taken != nil && !fits(taken) {
-		w.queue = append(w.queue, taken)
-		return nil
+	return nil
+}
+
+// lookAgain sets a turn for when the controller may allow prefill.
+func (w *worker) lookAgain(state *runnerState, now time.Time) {
+	at := state.controller.LookAt(now)
+	if at.IsZero() || at.Equal(state.lookAt) {
+		return
 	}
-	return taken
+	state.lookAt = at
+	w.fleet.clock.after(at.Sub(now), w.turn)
+}
+
+// watchSteps tells the controller of the end of a step by the first token that shows it.
+func (w *worker) watchSteps(state *runnerState) {
+	if state.stepEnd == w.fleet.clock.now {
+		return
+	}
+	state.stepEnd = w.fleet.clock.now
+	w.fleet.clock.after(w.fleet.options.CallDelay, func() {
+		state.controller.Stepped(w.fleet.clock.wall())
+		w.turn()
+	})
 }
 
 func (w *worker) startable(queued *item, on *runner) bool {
@@ -218,6 +256,7 @@
 	state.prefill += started.prompt
 	started.sequence.Token = func(last bool) {
 		run.finished = last
+		w.watchSteps(state)
 		if run.told && !last {
 			return
 		}
