Tell an owner every rise of online work at once

Cause: a node told a rise that was no surge within 20 ms, which is an engine's step.

TestCoalescerTellsEveryRiseAtOnce fails with the old rule.

--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -7,17 +7,16 @@
 )
 
 const (
-	// coalesceTime is how long a change that is no surge waits for others.
+	// coalesceTime is how long a change that is no rise waits for others.
 	coalesceTime = 20 * time.Millisecond
 	// renewTime is how often a count above zero is told again. Peers forget it after several times that.
 	renewTime = 2 * time.Second
-	// surgeStep is the rise beyond twice the count last told that is told at once.
-	surgeStep = 2
 )
 
 // coalescer decides when which counts are told. It is pure but for its own state and belongs to one goroutine.
 //
-// Invariant: a count that rose from idle, or by a surge, is due at the moment of the change.
+// Invariant: a count above the one last told is due at the moment of the change, so that the owner can keep batch prompts
+// out of the steps in which the new request waits.
 type coalescer struct {
 	counts map[ident.Runner]*told
 }
@@ -40,7 +39,7 @@
 		c.counts[runner] = count
 	}
 	count.current = current
-	urgent := current > 0 && (count.last == 0 || current >= 2*count.last+surgeStep)
+	urgent := current > count.last
 	due := now.Add(coalesceTime)
 	if urgent {
 		due = now
--- a/internal/dispatch/exchange/plan_test.go
+++ b/internal/dispatch/exchange/plan_test.go
@@ -71,6 +71,24 @@
 	})
 }
 
+// TestCoalescerTellsEveryRiseAtOnce checks that a count above the one last told is due at once, however small the rise, and
+// that a fall waits for others but no longer than the coalescing time.
+func TestCoalescerTellsEveryRiseAtOnce(t *testing.T) {
+	tested := newCoalescer()
+	now := begin
+	for count := 1; count <= 12; count++ {
+		now = now.Add(time.Second / 10)
+		assert.Assert(t, tested.changed("a1", count, now), "a rise to %d waits", count)
+		messages := tested.take(now, ownerOf, nobody)
+		assert.Equal(t, messages["owner-of-a"]["a1"], count)
+		tested.sent(messages["owner-of-a"], now)
+	}
+	assert.Assert(t, !tested.changed("a1", 11, now))
+	assert.Equal(t, len(tested.take(now, ownerOf, nobody)), 0, "a fall does not wait")
+	now = now.Add(coalesceTime)
+	assert.Equal(t, tested.take(now, ownerOf, nobody)["owner-of-a"]["a1"], 11)
+}
+
 // TestCoalescerHoldsBackWhileAMessageIsOnItsWay keeps one message to an owner at a time.
 func TestCoalescerHoldsBackWhileAMessageIsOnItsWay(t *testing.T) {
 	tested := newCoalescer()
--- a/internal/lab/interferencesim/counts.go
+++ b/internal/lab/interferencesim/counts.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// told is what one node tells a runner's owner of its own requests there, by the rules of the exchange between nodes: at
-// once when the count rises from idle or by a surge, otherwise within coalesceTime.
+// told is what one node tells a runner's owner of its own requests there, by the rules of the exchange between nodes: a
+// count that rises at once, otherwise within coalesceTime.
 type told struct {
 	current, last int
 	waiting       bool
@@ -23,7 +23,7 @@
 	}
 	telling := &changed.told[node]
 	telling.current += by
-	if telling.current > 0 && (telling.last == 0 || telling.current >= 2*telling.last+surgeStep) {
+	if telling.current > telling.last {
 		f.tell(telling, state, node, 0)
 		return
 	}
--- a/internal/lab/interferencesim/options.go
+++ b/internal/lab/interferencesim/options.go
@@ -43,9 +43,8 @@
 	tick = 20 * time.Millisecond
 	// workersPerSlot is how many batch items are under way for each sequence of an engine where nothing limits them.
 	workersPerSlot = 1.25
-	// coalesceTime and surgeStep are those of the exchange of counts between nodes.
+	// coalesceTime is that of the exchange of counts between nodes.
 	coalesceTime = 20 * time.Millisecond
-	surgeStep    = 2
 )
 
 // Lengths in tokens, as those of the load generator: medians of log-normal lengths.
