Let operators bound batch beside online work

batch.share_beside_online (0.05 to 1, default 1: as before) bounds the sequences batch fills on a runner while online work is on it. It preempts nothing: what runs above it ends by itself. One sequence is always allowed, so that batch goes on.

TestShareBoundsBatchOnlyBesideOnline fails when the bound also holds on a quiet runner, when it is not applied, and without the one sequence.

--- a/internal/batch/slots.go
+++ b/internal/batch/slots.go
@@ -67,6 +67,8 @@
 			Report:       view.Report,
 			RunningBatch: len(state.running),
 			Leaving:      view.Leaving,
+
+			ShareBesideOnline: w.config.ShareBesideOnline,
 		}
 		credits := state.controller.Decide(input, now)
 		state.granted = credits
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -53,6 +53,8 @@
 	Now func() time.Time
 	// Tick is the time between looks at the credits without a cause; zero means defaultTick.
 	Tick time.Duration
+	// ShareBesideOnline bounds the share of a runner's sequences that batch fills while online work is on it; zero means 1.
+	ShareBesideOnline float64
 	// Logger gets the node's events.
 	Logger zerolog.Logger
 	// Registerer gets the metrics; nil registers none.
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -20,6 +20,10 @@
 	RunningBatch int
 	// Leaving says that the runner takes no new work.
 	Leaving bool
+	// ShareBesideOnline bounds the share of the sequences that batch fills while online work is on the runner, above 0 to
+	// 1; one sequence is always allowed. It is the operator's choice between the tail of online latency and batch
+	// throughput; zero means 1.
+	ShareBesideOnline float64
 }
 
 // Credits is the batch work a runner may carry.
@@ -108,6 +112,9 @@
 		hold = min(hold, max(0, input.RunningBatch-crowdedFactor*report.WaitingOnline))
 	}
 	free := min(float64(hold), capacity-float64(online)-c.reserve(capacity), math.Floor(capacity*c.stepLimit))
+	if c.beside && input.ShareBesideOnline > 0 {
+		free = min(free, max(1, math.Floor(capacity*input.ShareBesideOnline)))
+	}
 	sequences := max(0, int(free))
 	if report.MemoryUsed >= memoryFull {
 		sequences = min(sequences, input.RunningBatch)
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -144,3 +144,25 @@
 	assert.Assert(t, decide(1) < 20)
 	assert.Assert(t, decide(0) >= 60)
 }
+
+// TestShareBoundsBatchOnlyBesideOnline sets the operator's share: it bounds what may start beside online work, preempts
+// nothing and leaves a quiet runner alone. Unset, it bounds nothing.
+func TestShareBoundsBatchOnlyBesideOnline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sequences := rapid.IntRange(1, 128).Draw(t, "sequences")
+		online := rapid.IntRange(0, 140).Draw(t, "online")
+		share := rapid.Float64Range(0.05, 1).Draw(t, "share")
+		decide := func(share float64) Credits {
+			input := Input{KnownOnline: online, Report: reportAt(begin, sequences), ShareBesideOnline: share}
+			return NewController().Decide(input, begin)
+		}
+		bounded, unset := decide(share), decide(0)
+		assert.Equal(t, decide(1), unset)
+		assert.Equal(t, bounded.Hold, unset.Hold)
+		if online == 0 {
+			assert.Equal(t, bounded, unset)
+			return
+		}
+		assert.Equal(t, bounded.Sequences, min(unset.Sequences, max(1, int(share*float64(sequences)))))
+	})
+}
--- a/internal/lab/interferencesim/options.go
+++ b/internal/lab/interferencesim/options.go
@@ -32,6 +32,8 @@
 	CallDelay time.Duration
 	// CountDelay is the time a count needs from a node to a runner's owner.
 	CountDelay time.Duration
+	// ShareBesideOnline is the batch share setting of the nodes.
+	ShareBesideOnline float64
 	// ReportEvery is the time between looks at an engine's load, ReportLag the age of the report on arrival.
 	ReportEvery, ReportLag time.Duration
 }
@@ -66,7 +68,8 @@
 	return Options{
 		Seed: 1, Nodes: 4, Runners: 4, MaxSequences: 32,
 		Requests: 30_000, RatePerRunner: 5, HeapShare: 1.5,
-		CallDelay: 500 * time.Microsecond, CountDelay: time.Millisecond,
+		ShareBesideOnline: 1,
+		CallDelay:         500 * time.Microsecond, CountDelay: time.Millisecond,
 		ReportEvery: time.Second, ReportLag: enginesim.DefaultLoadLag,
 	}
 }
--- a/internal/lab/interferencesim/result.go
+++ b/internal/lab/interferencesim/result.go
@@ -1,6 +1,7 @@
 package interferencesim
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -130,6 +131,19 @@
 	return 0
 }
 
+// Frontier plays the system with several values of the batch share setting. Online alone comes first.
+func Frontier(options Options, shares []float64) []Result {
+	against := newReference(options)
+	results := []Result{against.alone}
+	for _, share := range shares {
+		options.ShareBesideOnline = share
+		fleet := newFleet(options, arm{name: fmt.Sprintf("%s %.2f", System, share), online: true, startBatch: startWorkers})
+		fleet.run()
+		results = append(results, against.result(fleet))
+	}
+	return results
+}
+
 // Run plays every arm with the same arrivals.
 func Run(options Options) []Result {
 	against := newReference(options)
--- a/internal/lab/interferencesim/worker.go
+++ b/internal/lab/interferencesim/worker.go
@@ -121,7 +121,12 @@
 	for _, count := range s.counts {
 		known += count
 	}
-	s.credits = s.controller.Decide(credit.Input{KnownOnline: known, Report: s.report, RunningBatch: len(s.running)}, now)
+	s.credits = s.controller.Decide(credit.Input{
+		KnownOnline:       known,
+		Report:            s.report,
+		RunningBatch:      len(s.running),
+		ShareBesideOnline: s.worker.fleet.options.ShareBesideOnline,
+	}, now)
 }
 
 // preempt ends the youngest runs above the credits.
--- a/internal/lab/labcli/interferencesim.go
+++ b/internal/lab/labcli/interferencesim.go
@@ -26,12 +26,13 @@
 	options := interferencesim.Default()
 	var wanted string
 	var asJSON bool
+	var shares []float64
 	command := &cobra.Command{
 		Use:   "interference-sim",
 		Short: "Measure in virtual time what batch work costs online requests, and how much of the idle capacity it uses",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			results, err := simulatePatterns(options, wanted)
+			results, err := simulatePatterns(options, wanted, shares)
 			if err != nil {
 				return err
 			}
@@ -48,6 +49,7 @@
 	flags.Uint64Var(&options.Seed, "seed", options.Seed, "seed of arrivals and lengths")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
 	flags.StringVar(&wanted, "pattern", "", "the one pattern to run; empty means all")
+	flags.Float64SliceVar(&shares, "frontier", nil, "play the system with these values of batch.share_beside_online instead of the other arms")
 	flags.IntVar(&options.Requests, "requests", options.Requests, "online requests to measure, about")
 	flags.Float64Var(&options.RatePerRunner, "rate-per-runner", options.RatePerRunner, "mean online requests per second and runner")
 	flags.IntVar(&options.MaxSequences, "max-sequences", options.MaxSequences, "sequences an engine runs at once")
@@ -59,7 +61,7 @@
 	return command
 }
 
-func simulatePatterns(options interferencesim.Options, wanted string) ([]patternResult, error) {
+func simulatePatterns(options interferencesim.Options, wanted string, shares []float64) ([]patternResult, error) {
 	var results []patternResult
 	for _, pattern := range interferencesim.Patterns() {
 		if wanted != "" && wanted != pattern.Name {
@@ -67,7 +69,13 @@
 		}
 		shaped := options
 		pattern.Shape(&shaped)
-		results = append(results, patternResult{pattern.Name, shaped.Seed, interferencesim.Run(shaped)})
+		result := patternResult{Pattern: pattern.Name, Seed: shaped.Seed}
+		if len(shares) > 0 {
+			result.Arms = interferencesim.Frontier(shaped, shares)
+		} else {
+			result.Arms = interferencesim.Run(shaped)
+		}
+		results = append(results, result)
 	}
 	if len(results) == 0 {
 		return nil, fmt.Errorf("%w: %q", errUnknownPattern, wanted)
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -264,13 +264,16 @@
 func (n *Node) assembleBatch() error {
 	order := &jobOrder{source: n.replica, policies: n.policies, cutOff: n.cutOff, running: n.runningByTenant}
 	n.worker = batch.New(batch.Config{
-		Node:       n.id(),
-		Table:      n.table,
-		Engines:    n.engines,
-		Catalog:    n.replica,
-		Ownership:  batchClaims{service: n.owners},
-		Work:       n.jobs,
-		Order:      order.order,
+		Node:      n.id(),
+		Table:     n.table,
+		Engines:   n.engines,
+		Catalog:   n.replica,
+		Ownership: batchClaims{service: n.owners},
+		Work:      n.jobs,
+		Order:     order.order,
+
+		ShareBesideOnline: n.settings.Batch.ShareBesideOnline,
+
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,10 +107,11 @@
 
 // Batch tunes the batch workers.
 type Batch struct {
-	Workers      int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
-	LeaseItems   int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
-	PollInterval time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
-	CreditTTL    time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
+	Workers           int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
+	LeaseItems        int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
+	PollInterval      time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
+	ShareBesideOnline float64       `yaml:"share_beside_online" unit:"share of sequences" default:"1" min:"0.05" max:"1" doc:"Largest share of a runner's sequences that batch items fill while online work is on it. Lower spares the tail of online latency, higher gives batch throughput."`
+	CreditTTL         time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
 }
 
 // Membership tunes the failure detector.
