Show what batch sequences cost without any prefill

The arm promptless of interference-sim gives batch items prompts of one token under plain engine priority. No placement of prompts can harm less at the same share of the sequences.

--- a/internal/lab/interferencesim/arms.go
+++ b/internal/lab/interferencesim/arms.go
@@ -4,6 +4,8 @@
 type arm struct {
 	name           string
 	ignorePriority bool
+	// promptless gives batch items prompts of one token.
+	promptless bool
 	online         bool
 	startBatch     func(*fleet)
 }
@@ -15,6 +17,7 @@
 	OneQueue     = "one_queue"
 	PriorityOnly = "priority_only"
 	FixedSplit   = "fixed_split"
+	Promptless   = "promptless"
 	System       = "system"
 )
 
@@ -32,6 +35,8 @@
 		{name: OneQueue, online: true, ignorePriority: true, startBatch: everywhere},
 		{name: PriorityOnly, online: true, startBatch: everywhere},
 		{name: FixedSplit, online: true, startBatch: startSplit},
+		// Batch without prefill to place: what the sequences alone cost, below which no placement of prompts can come.
+		{name: Promptless, online: true, promptless: true, startBatch: everywhere},
 		{name: System, online: true, startBatch: startWorkers},
 	}
 }
--- a/internal/lab/interferencesim/fleet.go
+++ b/internal/lab/interferencesim/fleet.go
@@ -38,7 +38,7 @@
 
 func newFleet(options Options, arm arm) *fleet {
 	created := &fleet{options: options, arm: arm, prompts: newPrompts(options)}
-	created.backlog = backlog{prompts: created.prompts, endless: options.HeapEvery == 0}
+	created.backlog = backlog{prompts: created.prompts, endless: options.HeapEvery == 0, promptless: arm.promptless}
 	engineOptions := enginesim.Options{MaxSequences: options.MaxSequences, IgnorePriority: arm.ignorePriority}
 	for index := range options.Runners {
 		created.runners = append(created.runners, &runner{
--- a/internal/lab/interferencesim/workload.go
+++ b/internal/lab/interferencesim/workload.go
@@ -85,11 +85,14 @@
 	keptAt time.Duration
 }
 
-func (p *prompts) batch() *item {
+func (p *prompts) batch(promptless bool) *item {
 	created := &item{
 		prompt: length(p.random, batchPromptTokens) + frameTokens,
 		answer: length(p.random, batchAnswerTokens),
 	}
+	if promptless {
+		created.prompt = 1
+	}
 	created.sequence = enginesim.NewVirtualSequence(inference.Batch, created.prompt, created.answer, p.blocks(created.prompt, nil))
 	return created
 }
@@ -99,6 +102,8 @@
 	prompts *prompts
 	endless bool
 	waiting int
+	// promptless gives the items prompts of one token.
+	promptless bool
 }
 
 // take returns the next item, or nil.
@@ -109,5 +114,5 @@
 		}
 		b.waiting--
 	}
-	return b.prompts.batch()
+	return b.prompts.batch(b.promptless)
 }
