--- a/internal/lab/interferencesim/arms.go
+++ b/internal/lab/interferencesim/arms.go
@@ -6,8 +6,8 @@
 	ignorePriority bool
 	// promptless gives batch items prompts of one token.
 	promptless bool
-	online         bool
-	startBatch     func(*fleet)
+	online     bool
+	startBatch func(*fleet)
 }
 
 // Names of the arms.
