--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -295,6 +295,9 @@
 
 const testSequences = 6
 
+// testStep is the step time the engines report; their tokens come at any time.
+const testStep = time.Millisecond
+
 // leaseItems is the most items the store gives in one lease.
 const leaseItems = 16
 
@@ -317,7 +320,7 @@
 // report renews the load reports and probes ejected runners, as the exchange does.
 func (s *site) report(now time.Time) {
 	for runner := range s.engines {
-		report := engine.LoadReport{Measured: now, MaxSequences: testSequences, Models: []engine.LoadedModel{{Name: "m"}}}
+		report := engine.LoadReport{Measured: now, MaxSequences: testSequences, StepTime: testStep, Models: []engine.LoadedModel{{Name: "m"}}}
 		s.table.ObserveProbe(runner, now, true)
 		s.table.ObserveReport(runner, report, now)
 	}
