--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -53,6 +53,8 @@
 	Now func() time.Time
 	// Tick is the time between looks at the credits without a cause; zero means defaultTick.
 	Tick time.Duration
+	// ShareBesideOnline bounds the share of a runner's sequences that batch fills while online work is on it; zero means 1.
+	ShareBesideOnline float64
 	// Logger gets the node's events.
 	Logger zerolog.Logger
 	// Registerer gets the metrics; nil registers none.
@@ -88,6 +90,9 @@
 	rested int
 	// launched numbers the runs.
 	launched uint64
+	// look fires when a controller may allow prefill; lookAt is when, or zero.
+	look   *time.Timer
+	lookAt time.Time
 	// usedSince is the time of the last turn, which slot times are counted from.
 	usedSince time.Time
 }
@@ -98,6 +103,8 @@
 	owned      bool
 	controller *credit.Controller
 	running    map[*execution]struct{}
+	// steps notices the engine's steps by the tokens of the runs.
+	steps stepWatch
 	// granted are the last credits.
 	granted credit.Credits
 	// prefill counts the prompt tokens of runs that have given no token yet.
@@ -127,6 +134,7 @@
 		config:   config,
 		metrics:  newMetrics(config.Registerer),
 		wake:     make(chan struct{}, 1),
+		look:     time.NewTimer(config.Tick),
 		events:   make(chan func(), eventQueue),
 		draining: make(chan struct{}),
 		book:     newLeaseBook(),
@@ -199,6 +207,7 @@
 func (w *Worker) loop() error {
 	ticker := time.NewTicker(w.config.Tick)
 	defer ticker.Stop()
+	defer w.look.Stop()
 	for {
 		select {
 		case <-w.tomb.Dying():
@@ -208,6 +217,8 @@
 			step()
 			w.drainEvents()
 		case <-w.wake:
+		case <-w.look.C:
+			w.lookAt = time.Time{}
 		case <-ticker.C:
 			if w.rests() {
 				continue
