Split the decisions of the runner exchange from its adapter

Cause: the exchange could only run by the wall clock, so its cost at 330 nodes was worked out and never run. Core now decides what is sent and when, with time as an argument; Exchange does the calls.

--- a/internal/dispatch/exchange/bench_test.go
+++ b/internal/dispatch/exchange/bench_test.go
@@ -78,7 +78,7 @@
 // BenchmarkShare is one share of three runners, as a node of the design size owns, and what the receiver spends on it.
 func BenchmarkShare(b *testing.B) {
 	tested := New(Config{Node: "me", Zone: "zone-0", Table: designTable(), Peers: alone{}, Now: func() time.Time { return begin }})
-	message := tested.ownedStates(tested.config.Table.Runners(begin)[:3])
+	message := tested.core.ownedStates(tested.config.Table.Runners(begin)[:3])
 	before := processorTime()
 	for b.Loop() {
 		encoded, err := proto.Marshal(message)
--- /dev/null
+++ b/internal/dispatch/exchange/core.go
@@ -0,0 +1,185 @@
+package exchange
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/dispatch"
+	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+// CoreConfig is what a Core needs.
+type CoreConfig struct {
+	Node      ident.Node
+	Zone      ident.Zone
+	Table     *dispatch.Table
+	Peers     Peers
+	Intervals Intervals
+}
+
+// Core decides which messages one node sends about runners, and when. It does no I/O and reads no clock, so that the
+// same code runs in service and in simulated time. It is not safe for concurrent use, but for Counted and Take.
+type Core struct {
+	config    CoreConfig
+	coalescer *coalescer
+	sending   map[ident.Node]bool
+	sequence  uint64
+	polls     pollPlan
+	shares    sharePlan
+	// often lists the runners that are looked at every planTick; all are from wholeAt on.
+	often   []ident.Runner
+	wholeAt time.Time
+}
+
+// Tell is one message of counts to an owner.
+type Tell struct {
+	Owner   ident.Node
+	Message *dispatchpb.OnlineCounts
+	counts  map[ident.Runner]int
+}
+
+// Share is one message about this node's runners to a peer.
+type Share struct {
+	Peer    ident.Node
+	Message *dispatchpb.RunnerStates
+}
+
+// NewCore returns the core of a node that starts now.
+func NewCore(config CoreConfig, now time.Time) *Core {
+	config.Intervals = config.Intervals.withDefaults()
+	return &Core{
+		config:    config,
+		coalescer: newCoalescer(),
+		sending:   map[ident.Node]bool{},
+		// A later run of this node continues above the sequence of an earlier one.
+		sequence: uint64(now.UnixNano()),
+		polls:    newPollPlan(config.Intervals),
+		shares:   newSharePlan(config.Intervals),
+	}
+}
+
+// OnlineChanged notes a change of this node's online work and reports whether another node is to be told.
+func (c *Core) OnlineChanged(runner ident.Runner, inFlight int, now time.Time) bool {
+	if own, _ := c.owns(runner); own {
+		return false
+	}
+	c.coalescer.changed(runner, inFlight, now)
+	return true
+}
+
+// Tells returns the messages of counts to send now. Each must be followed by Told.
+func (c *Core) Tells(now time.Time) []Tell {
+	messages := c.coalescer.take(now, c.otherOwner, func(node ident.Node) bool { return c.sending[node] })
+	tells := make([]Tell, 0, len(messages))
+	for owner, counts := range messages {
+		c.coalescer.sent(counts, now)
+		c.sending[owner] = true
+		c.sequence++
+		tells = append(tells, Tell{Owner: owner, Message: c.encodeCounts(counts), counts: counts})
+	}
+	return tells
+}
+
+func (c *Core) encodeCounts(counts map[ident.Runner]int) *dispatchpb.OnlineCounts {
+	message := &dispatchpb.OnlineCounts{Node: string(c.config.Node), Sequence: c.sequence}
+	for runner, inFlight := range counts {
+		message.Counts = append(message.Counts, &dispatchpb.OnlineCount{Runner: string(runner), InFlight: uint32(inFlight)})
+	}
+	return message
+}
+
+// Told takes in that a message of counts arrived, or that it is not known to have.
+func (c *Core) Told(tell Tell, delivered bool, now time.Time) {
+	delete(c.sending, tell.Owner)
+	if delivered {
+		c.coalescer.delivered(tell.counts)
+		return
+	}
+	c.coalescer.failed(tell.counts, now)
+}
+
+// NextTell returns the time until Tells should be called again.
+func (c *Core) NextTell(now time.Time) time.Duration {
+	next, any := c.coalescer.nextDue()
+	if !any {
+		return idleWait
+	}
+	return max(shortestWait, next.Sub(now))
+}
+
+// Look returns the shares to send and the runners to ask for their load. Call it every planTick. Each runner asked must
+// be followed by Polled.
+func (c *Core) Look(now time.Time) (shares []Share, polls []ident.Runner) {
+	if now.Before(c.wholeAt) {
+		views := c.config.Table.RunnersOf(c.often, now)
+		return nil, c.polls.due(views, c.config.Zone, c.owns, now)
+	}
+	c.wholeAt = now.Add(wholeTick)
+	views := c.config.Table.Runners(now)
+	c.polls.forget(views)
+	polls = c.polls.due(views, c.config.Zone, c.owns, now)
+	shares = c.sharesDue(views, now)
+	c.often = c.polls.polledOften(views, c.config.Zone, c.owns)
+	return shares, polls
+}
+
+// Polled takes in that a runner was asked, whatever came of it.
+func (c *Core) Polled(runner ident.Runner) { delete(c.polls.polling, runner) }
+
+func (c *Core) sharesDue(views []dispatch.RunnerView, now time.Time) []Share {
+	due := c.shares.due(c.config.Peers.Peers(), c.config.Zone, now)
+	if len(due) == 0 {
+		return nil
+	}
+	message := c.ownedStates(views)
+	if len(message.States) == 0 {
+		return nil
+	}
+	shares := make([]Share, 0, len(due))
+	for _, peer := range due {
+		shares = append(shares, Share{Peer: peer, Message: message})
+	}
+	return shares
+}
+
+func (c *Core) ownedStates(views []dispatch.RunnerView) *dispatchpb.RunnerStates {
+	message := &dispatchpb.RunnerStates{}
+	for index := range views {
+		view := &views[index]
+		if own, _ := c.owns(view.ID); own && view.Report != nil {
+			message.States = append(message.States, encodeState(view))
+		}
+	}
+	return message
+}
+
+// Counted takes a peer's counts and answers with this node's view of the runners. It is safe for concurrent use.
+func (c *Core) Counted(message *dispatchpb.OnlineCounts, now time.Time) *dispatchpb.RunnerStates {
+	reply := &dispatchpb.RunnerStates{}
+	for _, count := range message.GetCounts() {
+		runner := ident.Runner(count.GetRunner())
+		c.config.Table.ObservePeer(ident.Node(message.GetNode()), message.GetSequence(), runner, int(count.GetInFlight()), now)
+		view, known := c.config.Table.Runner(runner, now)
+		if known && view.Report != nil {
+			reply.States = append(reply.States, encodeState(&view))
+		}
+	}
+	return reply
+}
+
+// Take takes the states of runners from their owner. It is safe for concurrent use.
+func (c *Core) Take(states *dispatchpb.RunnerStates, now time.Time) {
+	for _, state := range states.GetStates() {
+		c.config.Table.ObserveShared(ident.Runner(state.GetRunner()), decodeState(state, now), now)
+	}
+}
+
+func (c *Core) owns(runner ident.Runner) (own, ownerless bool) {
+	owner, known := c.config.Peers.Owner(runner)
+	return known && owner == c.config.Node, !known
+}
+
+func (c *Core) otherOwner(runner ident.Runner) (ident.Node, bool) {
+	owner, known := c.config.Peers.Owner(runner)
+	return owner, known && owner != c.config.Node
+}
--- a/internal/dispatch/exchange/exchange.go
+++ b/internal/dispatch/exchange/exchange.go
@@ -95,12 +95,8 @@
 	background *dispatch.Background
 	wake       chan struct{}
 
-	mutex     sync.Mutex
-	coalescer *coalescer
-	sending   map[ident.Node]bool
-	sequence  uint64
-	polls     pollPlan
-	shares    sharePlan
+	mutex sync.Mutex
+	core  *Core
 }
 
 // callTimeout bounds one call to a peer.
@@ -108,7 +104,6 @@
 
 // New returns an exchange and hooks it to the table. Start begins it.
 func New(config Config) *Exchange {
-	config.Intervals = config.Intervals.withDefaults()
 	if config.Now == nil {
 		config.Now = time.Now
 	}
@@ -117,12 +112,9 @@
 		background: dispatch.NewBackground(),
 		metrics:    newMetrics(config.Registerer),
 		wake:       make(chan struct{}, 1),
-		coalescer:  newCoalescer(),
-		sending:    map[ident.Node]bool{},
-		// A later run of this node continues above the sequence of an earlier one.
-		sequence: uint64(config.Now().UnixNano()),
-		polls:    newPollPlan(config.Intervals),
-		shares:   newSharePlan(config.Intervals),
+		core: NewCore(CoreConfig{
+			Node: config.Node, Zone: config.Zone, Table: config.Table, Peers: config.Peers, Intervals: config.Intervals,
+		}, config.Now()),
 	}
 	config.Table.OnOnlineChange(created.onlineChanged)
 	config.Table.OnLeaving(created.leavingLearned)
@@ -145,12 +137,12 @@
 // onlineChanged notes a change of this node's online work and wakes the loop. The time of a surge from the change to
 // the send is the time of one channel operation.
 func (e *Exchange) onlineChanged(runner ident.Runner, inFlight int) {
-	if owner, known := e.config.Peers.Owner(runner); known && owner == e.config.Node {
-		return
-	}
 	e.mutex.Lock()
-	e.coalescer.changed(runner, inFlight, e.config.Now())
+	toTell := e.core.OnlineChanged(runner, inFlight, e.config.Now())
 	e.mutex.Unlock()
+	if !toTell {
+		return
+	}
 	select {
 	case e.wake <- struct{}{}:
 	default:
@@ -183,50 +175,27 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.config.Now()
-	messages := e.coalescer.take(now, e.otherOwner, func(node ident.Node) bool { return e.sending[node] })
-	for owner, counts := range messages {
-		e.coalescer.sent(counts, now)
-		e.sending[owner] = true
-		e.sequence++
-		sequence := e.sequence
+	for _, tell := range e.core.Tells(now) {
 		e.tomb.Go(func() error {
-			e.tell(owner, sequence, counts)
+			e.tell(tell)
 			return nil
 		})
 	}
-	next, any := e.coalescer.nextDue()
-	if !any {
-		return idleWait
-	}
-	return max(shortestWait, next.Sub(now))
-}
-
-func (e *Exchange) otherOwner(runner ident.Runner) (ident.Node, bool) {
-	owner, known := e.config.Peers.Owner(runner)
-	return owner, known && owner != e.config.Node
+	return e.core.NextTell(now)
 }
 
 // tell sends one message of counts and takes the owner's view in return.
-func (e *Exchange) tell(owner ident.Node, sequence uint64, counts map[ident.Runner]int) {
-	message := &dispatchpb.OnlineCounts{Node: string(e.config.Node), Sequence: sequence}
-	for runner, inFlight := range counts {
-		message.Counts = append(message.Counts, &dispatchpb.OnlineCount{Runner: string(runner), InFlight: uint32(inFlight)})
-	}
-	e.metrics.sent("online", message)
-	states, err := e.callOnline(owner, message)
+func (e *Exchange) tell(tell Tell) {
+	e.metrics.sent("online", tell.Message)
+	states, err := e.callOnline(tell.Owner, tell.Message)
 	e.mutex.Lock()
-	delete(e.sending, owner)
-	if err != nil {
-		e.coalescer.failed(counts, e.config.Now())
-	} else {
-		e.coalescer.delivered(counts)
-	}
+	e.core.Told(tell, err == nil, e.config.Now())
 	e.mutex.Unlock()
 	if err != nil {
-		event.PeerHintFailed.Log(e.config.Logger).Err(err).Str("peer", string(owner)).Send()
+		event.PeerHintFailed.Log(e.config.Logger).Err(err).Str("peer", string(tell.Owner)).Send()
 		return
 	}
-	e.takeStates(states)
+	e.core.Take(states, e.config.Now())
 }
 
 func (e *Exchange) callOnline(owner ident.Node, message *dispatchpb.OnlineCounts) (*dispatchpb.RunnerStates, error) {
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -109,36 +109,28 @@
 func (e *Exchange) periodicLoop() error {
 	ticker := time.NewTicker(planTick)
 	defer ticker.Stop()
-	var wholeAt time.Time
-	var often []ident.Runner
 	for {
 		select {
 		case <-e.tomb.Dying():
 			return nil
 		case <-ticker.C:
 		}
-		now := e.config.Now()
-		if now.Before(wholeAt) {
-			e.pollDue(e.config.Table.RunnersOf(often, now), now)
-			continue
-		}
-		wholeAt = now.Add(wholeTick)
-		views := e.config.Table.Runners(now)
-		e.mutex.Lock()
-		e.polls.forget(views)
-		e.mutex.Unlock()
-		e.pollDue(views, now)
-		e.share(views, now)
-		often = e.polls.polledOften(views, e.config.Zone, e.owns)
+		e.look()
 	}
 }
 
-// pollDue asks the runners among the views that are due.
-func (e *Exchange) pollDue(views []dispatch.RunnerView, now time.Time) {
+// look sends the shares and polls that are due.
+func (e *Exchange) look() {
 	e.mutex.Lock()
-	due := e.polls.due(views, e.config.Zone, e.owns, now)
+	shares, polls := e.core.Look(e.config.Now())
 	e.mutex.Unlock()
-	for _, runner := range due {
+	for _, share := range shares {
+		e.tomb.Go(func() error {
+			e.share(share)
+			return nil
+		})
+	}
+	for _, runner := range polls {
 		e.tomb.Go(func() error {
 			e.poll(runner)
 			return nil
@@ -146,16 +138,11 @@
 	}
 }
 
-func (e *Exchange) owns(runner ident.Runner) (own, ownerless bool) {
-	owner, known := e.config.Peers.Owner(runner)
-	return known && owner == e.config.Node, !known
-}
-
 // poll asks one runner for its load. For an ejected runner this is the probe.
 func (e *Exchange) poll(runner ident.Runner) {
 	defer func() {
 		e.mutex.Lock()
-		delete(e.polls.polling, runner)
+		e.core.Polled(runner)
 		e.mutex.Unlock()
 	}()
 	target, found := e.config.Engines.Engine(runner)
--- a/internal/dispatch/exchange/server.go
+++ b/internal/dispatch/exchange/server.go
@@ -9,22 +9,12 @@
 
 // Online takes a peer's counts and answers with this node's view of the runners.
 func (e *Exchange) Online(_ context.Context, message *dispatchpb.OnlineCounts) (*dispatchpb.RunnerStates, error) {
-	now := e.config.Now()
-	reply := &dispatchpb.RunnerStates{}
-	for _, count := range message.GetCounts() {
-		runner := ident.Runner(count.GetRunner())
-		e.config.Table.ObservePeer(ident.Node(message.GetNode()), message.GetSequence(), runner, int(count.GetInFlight()), now)
-		view, known := e.config.Table.Runner(runner, now)
-		if known && view.Report != nil {
-			reply.States = append(reply.States, encodeState(&view))
-		}
-	}
-	return reply, nil
+	return e.core.Counted(message, e.config.Now()), nil
 }
 
 // Share takes the state of runners that a peer owns.
 func (e *Exchange) Share(_ context.Context, message *dispatchpb.RunnerStates) (*dispatchpb.Received, error) {
-	e.takeStates(message)
+	e.core.Take(message, e.config.Now())
 	return &dispatchpb.Received{}, nil
 }
 
@@ -36,10 +26,3 @@
 	}
 	return &dispatchpb.Received{}, nil
 }
-
-func (e *Exchange) takeStates(states *dispatchpb.RunnerStates) {
-	now := e.config.Now()
-	for _, state := range states.GetStates() {
-		e.config.Table.ObserveShared(ident.Runner(state.GetRunner()), decodeState(state, now), now)
-	}
-}
--- a/internal/dispatch/exchange/share.go
+++ b/internal/dispatch/exchange/share.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -57,41 +56,15 @@
 	}
 }
 
-// share tells due peers the state of the runners this node owns.
-func (e *Exchange) share(views []dispatch.RunnerView, now time.Time) {
+// share sends one share.
+func (e *Exchange) share(share Share) {
 	if e.config.Dialer == nil {
 		return
 	}
-	e.mutex.Lock()
-	due := e.shares.due(e.config.Peers.Peers(), e.config.Zone, now)
-	e.mutex.Unlock()
-	if len(due) == 0 {
-		return
-	}
-	message := e.ownedStates(views)
-	if len(message.States) == 0 {
-		return
-	}
-	for _, peer := range due {
-		e.tomb.Go(func() error {
-			e.callPeer(peer, "share", message, func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
-				_, err := client.Share(ctx, message)
-				return err
-			})
-			return nil
-		})
-	}
-}
-
-func (e *Exchange) ownedStates(views []dispatch.RunnerView) *dispatchpb.RunnerStates {
-	message := &dispatchpb.RunnerStates{}
-	for index := range views {
-		view := &views[index]
-		if own, _ := e.owns(view.ID); own && view.Report != nil {
-			message.States = append(message.States, encodeState(view))
-		}
-	}
-	return message
+	_ = e.callPeer(share.Peer, "share", share.Message, func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
+		_, err := client.Share(ctx, share.Message)
+		return err
+	})
 }
 
 // leavingLearned tells every peer at once that a runner takes no new work.
