Run the control of whole nodes in simulated time

mallowlatch-lab scale control: hollow nodes with the real decision code of membership, runner exchange and ownership before runners that only count, online load at the peak's rate by the real routing, and the schedule of failures.

--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -26,7 +26,7 @@
 	sequence  uint64
 	polls     pollPlan
 	shares    sharePlan
-	// often lists the runners that are looked at every planTick; all are from wholeAt on.
+	// often lists the runners that are looked at every PlanTick; all are from wholeAt on.
 	often   []ident.Runner
 	wholeAt time.Time
 }
@@ -107,7 +107,7 @@
 	return max(shortestWait, next.Sub(now))
 }
 
-// Look returns the shares to send and the runners to ask for their load. Call it every planTick. Each runner asked must
+// Look returns the shares to send and the runners to ask for their load. Call it every PlanTick. Each runner asked must
 // be followed by Polled.
 func (c *Core) Look(now time.Time) (shares []Share, polls []ident.Runner) {
 	if now.Before(c.wholeAt) {
--- a/internal/dispatch/exchange/leaving_test.go
+++ b/internal/dispatch/exchange/leaving_test.go
@@ -93,7 +93,7 @@
 	for to := range s.nodes {
 		delay := time.Duration(5+s.random.IntN(100)) * time.Millisecond
 		lost := s.random.IntN(100) < lossPercent
-		for _, pause := range leavingPauses {
+		for _, pause := range LeavingPauses {
 			if !lost {
 				break
 			}
@@ -108,7 +108,7 @@
 
 // step lets a tick pass on every node: mail, polls, list readings, and one request.
 func (s *simulation) step() {
-	s.now = s.now.Add(planTick)
+	s.now = s.now.Add(PlanTick)
 	kept := s.mail[:0]
 	for _, sent := range s.mail {
 		if sent.due.After(s.now) {
@@ -120,7 +120,7 @@
 	s.mail = kept
 	for _, node := range s.nodes {
 		s.poll(node)
-		if (s.now.Sub(begin)-node.listsAt)%listPeriod < planTick {
+		if (s.now.Sub(begin)-node.listsAt)%listPeriod < PlanTick {
 			node.table.SetMachines(s.list(), s.now)
 		}
 		s.request(node)
--- a/internal/dispatch/exchange/plan_test.go
+++ b/internal/dispatch/exchange/plan_test.go
@@ -88,7 +88,7 @@
 	polls := map[ident.Runner]int{}
 	owns := func(runner ident.Runner) (own, ownerless bool) { return runner == "own", runner == "ownerless" }
 	shared := begin
-	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(planTick) {
+	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(PlanTick) {
 		if now.Sub(shared) >= defaultShareNear {
 			shared = now
 		}
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// planTick is how often the runners this node polls often are looked at, and wholeTick how often all are: a look at
+	// PlanTick is how often the runners this node polls often are looked at, and wholeTick how often all are: a look at
 	// the 880 runners of the design size takes 0.3 ms.
-	planTick  = 25 * time.Millisecond
+	PlanTick  = 25 * time.Millisecond
 	wholeTick = time.Second
 	// maxPolls bounds the load requests on their way at once.
 	maxPolls = 32
@@ -107,7 +107,7 @@
 
 // periodicLoop polls runners and shares their states.
 func (e *Exchange) periodicLoop() error {
-	ticker := time.NewTicker(planTick)
+	ticker := time.NewTicker(PlanTick)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/dispatch/exchange/share.go
+++ b/internal/dispatch/exchange/share.go
@@ -87,8 +87,8 @@
 // leavingSenders is how many peers are told at the same time.
 const leavingSenders = 16
 
-// leavingPauses are the waits before the news is sent again to a peer that could not be reached.
-var leavingPauses = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
+// LeavingPauses are the waits before the news is sent again to a peer that could not be reached.
+var LeavingPauses = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
 
 // tellLeaving tells one peer, with a few repeats. A peer that is missed all the same learns it from the owner's share,
 // the machine list, or a refusal by the runner itself.
@@ -97,7 +97,7 @@
 		_, err := client.Leaving(ctx, message)
 		return err
 	}
-	for _, pause := range leavingPauses {
+	for _, pause := range LeavingPauses {
 		if e.callPeer(peer, "leaving", message, call) == nil {
 			return
 		}
--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -16,7 +16,7 @@
 		Use:   "scale",
 		Short: "Measure the control cost of hollow nodes at the size of the design",
 	}
-	command.AddCommand(newScaleSimulated(), newScaleLoopback())
+	command.AddCommand(newScaleSimulated(), newScaleControl(), newScaleLoopback())
 	return command
 }
 
