--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -9,12 +9,20 @@
 const (
 	// coalesceTime is how long a change that is no surge waits for others.
 	coalesceTime = 20 * time.Millisecond
-	// renewTime is how often a count above zero is told again. Peers forget it after several times that.
-	renewTime = 2 * time.Second
+	// renewTime is how often a count above zero is told again, and the longest a change within the slack waits. Peers
+	// forget a count after several times that.
+	renewTime = 15 * time.Second
 	// surgeStep is the rise beyond twice the count last told that is told at once.
 	surgeStep = 2
+	// slackShare is the part of a runner's online work by which one node's untold change may differ from what it told: one
+	// request in 32. The other nodes' changes mostly cancel out, and the owner's reserve and the engine's reports cover
+	// the rest. Runners with less online work have no slack.
+	slackShare = 1.0 / 32
 )
 
+// slackOf returns the untold change that may wait on a runner with the given online work.
+func slackOf(online int) int { return int(float64(online) * slackShare) }
+
 // coalescer decides when which counts are told. It is pure but for its own state and belongs to one goroutine.
 //
 // Invariant: a count that rose from idle, or by a surge, is due at the moment of the change.
@@ -32,28 +40,32 @@
 
 func newCoalescer() *coalescer { return &coalescer{counts: map[ident.Runner]*told{}} }
 
-// changed takes a new count and reports whether it must be told at once.
-func (c *coalescer) changed(runner ident.Runner, current int, now time.Time) bool {
+// changed takes a new count and reports whether it must be told at once. A change within the slack waits until something
+// else is told to the owner, or the count is due to be renewed.
+func (c *coalescer) changed(runner ident.Runner, current, slack int, now time.Time) bool {
 	count, known := c.counts[runner]
 	if !known {
-		count = &told{}
+		count = &told{due: now.Add(renewTime)}
 		c.counts[runner] = count
 	}
 	count.current = current
+	count.dirty = true
+	if max(current-count.last, count.last-current) <= slack {
+		return false
+	}
 	urgent := current > 0 && (count.last == 0 || current >= 2*count.last+surgeStep)
 	due := now.Add(coalesceTime)
 	if urgent {
 		due = now
 	}
-	if !count.dirty || due.Before(count.due) {
+	if due.Before(count.due) {
 		count.due = due
 	}
-	count.dirty = true
 	return urgent
 }
 
-// take returns the counts to tell now, by owner. With a count that is due, the other changed ones of its owner go
-// along. skip reports owners that still have a message on its way; their counts stay.
+// take returns the counts to tell now, by owner. With a count that is due, all others of its owner go along, so that
+// they need no message of their own before the next renewal. skip reports owners that still have a message on its way; their counts stay.
 func (c *coalescer) take(now time.Time, owner func(ident.Runner) (ident.Node, bool), skip func(ident.Node) bool) map[ident.Node]map[ident.Runner]int {
 	messages := map[ident.Node]map[ident.Runner]int{}
 	for runner, count := range c.counts {
@@ -72,7 +84,7 @@
 	}
 	for runner, count := range c.counts {
 		node, known := owner(runner)
-		if _, going := messages[node]; known && going && count.dirty {
+		if _, going := messages[node]; known && going && (count.dirty || count.current > 0) {
 			messages[node][runner] = count.current
 		}
 	}
--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -29,6 +29,8 @@
 	// often lists the runners that are looked at every PlanTick; all are from wholeAt on.
 	often   []ident.Runner
 	wholeAt time.Time
+	// present are the peers that took part at the last whole look.
+	present map[ident.Node]bool
 }
 
 // Tell is one message of counts to an owner.
@@ -63,10 +65,19 @@
 	if own, _ := c.owns(runner); own {
 		return false
 	}
-	c.coalescer.changed(runner, inFlight, now)
+	c.coalescer.changed(runner, inFlight, c.slack(runner, now), now)
 	return true
 }
 
+// slack returns how far this node's count of a runner may be from what its owner was told, by the newest view of it.
+func (c *Core) slack(runner ident.Runner, now time.Time) int {
+	view, known := c.config.Table.Runner(runner, now)
+	if !known || view.Report == nil {
+		return 0
+	}
+	return slackOf(view.Report.RunningOnline + view.Report.WaitingOnline)
+}
+
 // Tells returns the messages of counts to send now. Each must be followed by Told.
 func (c *Core) Tells(now time.Time) []Tell {
 	messages := c.coalescer.take(now, c.otherOwner, func(node ident.Node) bool { return c.sending[node] })
@@ -117,12 +128,27 @@
 	c.wholeAt = now.Add(wholeTick)
 	views := c.config.Table.Runners(now)
 	c.polls.forget(views)
+	c.forgetGonePeers(now)
 	polls = c.polls.due(views, c.config.Zone, c.owns, now)
 	shares = c.sharesDue(views, now)
 	c.often = c.polls.polledOften(views, c.config.Zone, c.owns)
 	return shares, polls
 }
 
+// forgetGonePeers lets the counts of peers that take part no more run out sooner.
+func (c *Core) forgetGonePeers(now time.Time) {
+	present := map[ident.Node]bool{}
+	for _, peer := range c.config.Peers.Peers() {
+		present[peer.Node] = true
+	}
+	for node := range c.present {
+		if !present[node] {
+			c.config.Table.ObservePeerGone(node, now)
+		}
+	}
+	c.present = present
+}
+
 // Polled takes in that a runner was asked, whatever came of it.
 func (c *Core) Polled(runner ident.Runner) { delete(c.polls.polling, runner) }
 
--- a/internal/dispatch/peercounts.go
+++ b/internal/dispatch/peercounts.go
@@ -6,9 +6,13 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
-// hintTime is how long a peer's count of its online requests on a runner holds. Peers renew counts above zero several
-// times within it, so that the count of a dead peer goes away by itself.
-const hintTime = 6 * time.Second
+const (
+	// hintTime is how long a peer's count of its online requests on a runner holds. Peers renew counts above zero several
+	// times within it, so that the count of a dead peer goes away by itself.
+	hintTime = 45 * time.Second
+	// goneTime is how long it still holds once the peer takes part no more.
+	goneTime = 6 * time.Second
+)
 
 // peerCount is what one peer last said.
 type peerCount struct {
@@ -36,6 +40,15 @@
 	return inFlight > 0 && (!live || inFlight > held.inFlight)
 }
 
+// gone shortens the time that a peer's count holds.
+func (p *peerCounts) gone(peer ident.Node, now time.Time) {
+	held, known := p.counts[peer]
+	if end := now.Add(goneTime); known && end.Before(held.until) {
+		held.until = end
+		p.counts[peer] = held
+	}
+}
+
 // sum returns the online requests of all peers, and forgets counts that ran out.
 func (p *peerCounts) sum(now time.Time) int {
 	sum := 0
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -198,6 +198,15 @@
 	}
 }
 
+// ObservePeerGone records that a peer takes part no more: its counts run out soon unless it renews them.
+func (t *Table) ObservePeerGone(peer ident.Node, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, known := range t.ordered {
+		known.peers.gone(peer, now)
+	}
+}
+
 // ObserveBusy records that the runner refused work because it is full.
 func (t *Table) ObserveBusy(runner ident.Runner, until time.Time) {
 	t.with(runner, func(known *entry) { known.busyUntil = until })
