Share runner states by change instead of by time

An owner now keeps what each peer was told, by a share or in the reply to its counts, and shares when something is loaded, unloaded or leaving (at the next look), when the load moved by 1/8 (own zone, at most every 5 s) or 1/3 (others, every minute), and for anti-entropy after 30 s or 10 min. A failed call is made good after 5 s. A peer asks a runner itself when its report is 75 s old (25 min elsewhere) instead of 12 (90): the owner seems gone, of which ownership tells it anyway. The reply to a message that is not the sender's newest does not count as told: nobody reads it. The property test found that.

TestViewsConvergeAfterAnyLoss failed first with: replies to old messages counted; failures ignored; loaded models not compared; steps twice as large; counts of a failed message not sent again.

--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -118,8 +118,8 @@
 	return max(shortestWait, next.Sub(now))
 }
 
-// Look returns the shares to send and the runners to ask for their load. Call it every PlanTick. Each runner asked must
-// be followed by Polled.
+// Look returns the shares to send and the runners to ask for their load. Call it every PlanTick. Each share must be
+// followed by Shared, each runner asked by Polled.
 func (c *Core) Look(now time.Time) (shares []Share, polls []ident.Runner) {
 	if now.Before(c.wholeAt) {
 		views := c.config.Table.RunnersOf(c.often, now)
@@ -135,7 +135,7 @@
 	return shares, polls
 }
 
-// forgetGonePeers lets the counts of peers that take part no more run out sooner.
+// forgetGonePeers lets the counts of peers that take part no more run out sooner, and forgets what they were told.
 func (c *Core) forgetGonePeers(now time.Time) {
 	present := map[ident.Node]bool{}
 	for _, peer := range c.config.Peers.Peers() {
@@ -144,6 +144,7 @@
 	for node := range c.present {
 		if !present[node] {
 			c.config.Table.ObservePeerGone(node, now)
+			c.shares.forget(node)
 		}
 	}
 	c.present = present
@@ -153,21 +154,38 @@
 func (c *Core) Polled(runner ident.Runner) { delete(c.polls.polling, runner) }
 
 func (c *Core) sharesDue(views []dispatch.RunnerView, now time.Time) []Share {
-	due := c.shares.due(c.config.Peers.Peers(), c.config.Zone, now)
+	gists := c.ownedGists(views)
+	due := c.shares.due(c.config.Peers.Peers(), c.config.Zone, gists, now)
 	if len(due) == 0 {
 		return nil
 	}
 	message := c.ownedStates(views)
-	if len(message.States) == 0 {
-		return nil
-	}
 	shares := make([]Share, 0, len(due))
 	for _, peer := range due {
+		c.shares.told(peer, gists, now)
 		shares = append(shares, Share{Peer: peer, Message: message})
 	}
 	return shares
 }
 
+func (c *Core) ownedGists(views []dispatch.RunnerView) map[ident.Runner]gist {
+	gists := map[ident.Runner]gist{}
+	for index := range views {
+		view := &views[index]
+		if own, _ := c.owns(view.ID); own && view.Report != nil {
+			gists[view.ID] = gistOf(view)
+		}
+	}
+	return gists
+}
+
+// Shared takes in that a share arrived, or that it is not known to have.
+func (c *Core) Shared(share Share, delivered bool, now time.Time) {
+	if !delivered {
+		c.shares.failed(share.Peer, now)
+	}
+}
+
 func (c *Core) ownedStates(views []dispatch.RunnerView) *dispatchpb.RunnerStates {
 	message := &dispatchpb.RunnerStates{}
 	for index := range views {
@@ -193,6 +211,25 @@
 	return reply
 }
 
+// Replied notes that a peer is being told the states of a reply to its counts, which spares it the next share. Only a reply
+// to its newest message counts: whoever sent an older one has given it up and gets no reply, and a newest one that fails is
+// sent again.
+func (c *Core) Replied(message *dispatchpb.OnlineCounts, reply *dispatchpb.RunnerStates, now time.Time) {
+	peer := ident.Node(message.GetNode())
+	if len(reply.GetStates()) == 0 || !c.shares.newest(peer, message.GetSequence()) {
+		return
+	}
+	gists := map[ident.Runner]gist{}
+	for _, state := range reply.GetStates() {
+		runner := ident.Runner(state.GetRunner())
+		view, known := c.config.Table.Runner(runner, now)
+		if own, _ := c.owns(runner); own && known && view.Report != nil {
+			gists[runner] = gistOf(&view)
+		}
+	}
+	c.shares.told(peer, gists, now)
+}
+
 // Take takes the states of runners from their owner. It is safe for concurrent use.
 func (c *Core) Take(states *dispatchpb.RunnerStates, now time.Time) {
 	for _, state := range states.GetStates() {
--- a/internal/dispatch/exchange/exchange.go
+++ b/internal/dispatch/exchange/exchange.go
@@ -40,8 +40,11 @@
 type Intervals struct {
 	// PollOwned is the time between load reports of a runner this node owns or that has no owner in its zone.
 	PollOwned time.Duration
-	// ShareNear and ShareFar are the times between shares with peers in the own and in other zones.
+	// ShareNear and ShareFar are the least times between shares with a peer in the own and in another zone for a change of
+	// load. Other changes are shared at once.
 	ShareNear, ShareFar time.Duration
+	// RefreshNear and RefreshFar are the times after which a state is shared though nothing changed.
+	RefreshNear, RefreshFar time.Duration
 	// StaleNear and StaleFar are the ages at which a report of a runner in the own or another zone is fetched from the
 	// runner itself: its owner seems to be gone.
 	StaleNear, StaleFar time.Duration
@@ -49,11 +52,13 @@
 
 // Defaults of Intervals.
 const (
-	defaultPollOwned = 250 * time.Millisecond
-	defaultShareNear = 5 * time.Second
-	defaultShareFar  = time.Minute
-	defaultStaleNear = 12 * time.Second
-	defaultStaleFar  = 90 * time.Second
+	defaultPollOwned   = 250 * time.Millisecond
+	defaultShareNear   = 5 * time.Second
+	defaultShareFar    = time.Minute
+	defaultRefreshNear = 30 * time.Second
+	defaultRefreshFar  = 10 * time.Minute
+	defaultStaleNear   = 75 * time.Second
+	defaultStaleFar    = 25 * time.Minute
 )
 
 func (i Intervals) withDefaults() Intervals {
@@ -65,6 +70,8 @@
 	fill(&i.PollOwned, defaultPollOwned)
 	fill(&i.ShareNear, defaultShareNear)
 	fill(&i.ShareFar, defaultShareFar)
+	fill(&i.RefreshNear, defaultRefreshNear)
+	fill(&i.RefreshFar, defaultRefreshFar)
 	fill(&i.StaleNear, defaultStaleNear)
 	fill(&i.StaleFar, defaultStaleFar)
 	return i
--- a/internal/dispatch/exchange/server.go
+++ b/internal/dispatch/exchange/server.go
@@ -9,7 +9,12 @@
 
 // Online takes a peer's counts and answers with this node's view of the runners.
 func (e *Exchange) Online(_ context.Context, message *dispatchpb.OnlineCounts) (*dispatchpb.RunnerStates, error) {
-	return e.core.Counted(message, e.config.Now()), nil
+	now := e.config.Now()
+	reply := e.core.Counted(message, now)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.core.Replied(message, reply, now)
+	return reply, nil
 }
 
 // Share takes the state of runners that a peer owns.
--- a/internal/dispatch/exchange/share.go
+++ b/internal/dispatch/exchange/share.go
@@ -9,62 +9,15 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
-// sharePlan decides which peers are told the state of the own runners. It is pure but for its own state.
-type sharePlan struct {
-	intervals Intervals
-	last      map[ident.Node]time.Time
-}
-
-func newSharePlan(intervals Intervals) sharePlan {
-	return sharePlan{intervals: intervals, last: map[ident.Node]time.Time{}}
-}
-
-// maxShares bounds the peers told in one look, which spreads the messages over the interval. At the design size about
-// sixteen are due in a second.
-const maxShares = 64
-
-// due returns the peers to tell now.
-func (s *sharePlan) due(peers []Peer, zone ident.Zone, now time.Time) []ident.Node {
-	s.forget(peers)
-	var due []ident.Node
-	for _, peer := range peers {
-		interval := s.intervals.ShareFar
-		if peer.Zone == zone {
-			interval = s.intervals.ShareNear
-		}
-		if now.Sub(s.last[peer.Node]) < interval || len(due) >= maxShares {
-			continue
-		}
-		s.last[peer.Node] = now
-		due = append(due, peer.Node)
-	}
-	return due
-}
-
-func (s *sharePlan) forget(peers []Peer) {
-	if len(s.last) <= len(peers) {
-		return
-	}
-	live := map[ident.Node]bool{}
-	for _, peer := range peers {
-		live[peer.Node] = true
-	}
-	for node := range s.last {
-		if !live[node] {
-			delete(s.last, node)
-		}
-	}
-}
-
 // share sends one share.
 func (e *Exchange) share(share Share) {
-	if e.config.Dialer == nil {
-		return
-	}
-	_ = e.callPeer(share.Peer, "share", share.Message, func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
+	delivered := e.config.Dialer != nil && e.callPeer(share.Peer, "share", share.Message, func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
 		_, err := client.Share(ctx, share.Message)
 		return err
-	})
+	}) == nil
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.core.Shared(share, delivered, e.config.Now())
 }
 
 // leavingLearned tells every peer at once that a runner takes no new work.
--- a/internal/lab/scale/controlcall.go
+++ b/internal/lab/scale/controlcall.go
@@ -138,7 +138,9 @@
 	for _, tell := range node.exchange.Tells(f.fleet.now) {
 		call(f, node, tell.Owner, serviceOnline, tell.Message,
 			func(owner *controlNode, message *dispatchpb.OnlineCounts) *dispatchpb.RunnerStates {
-				return owner.exchange.Counted(message, f.fleet.now)
+				reply := owner.exchange.Counted(message, f.fleet.now)
+				owner.exchange.Replied(message, reply, f.fleet.now)
+				return reply
 			},
 			func(states *dispatchpb.RunnerStates, delivered bool) {
 				node.exchange.Told(tell, delivered, f.fleet.now)
@@ -167,7 +169,7 @@
 			peer.exchange.Take(states, f.fleet.now)
 			return &dispatchpb.Received{}
 		},
-		func(*dispatchpb.Received, bool) {})
+		func(_ *dispatchpb.Received, delivered bool) { node.exchange.Shared(share, delivered, f.fleet.now) })
 }
 
 // leavingLearned tells every peer, with the repeats of a real node.
