Let a count wander by its square root before it is told

Cause: a slack of 1/32 of the runner's online work was no help where few nodes share a runner and each has many requests on it. The square root of the own count is how far it wanders by chance, and sums up to the root of the runner's online work however many nodes there are. Runners with fewer than 32 online requests still have none.

--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -14,14 +15,19 @@
 	renewTime = 15 * time.Second
 	// surgeStep is the rise beyond twice the count last told that is told at once.
 	surgeStep = 2
-	// slackShare is the part of a runner's online work by which one node's untold change may differ from what it told: one
-	// request in 32. The other nodes' changes mostly cancel out, and the owner's reserve and the engine's reports cover
-	// the rest. Runners with less online work have no slack.
-	slackShare = 1.0 / 32
+	// slackFrom is the online work of a runner from which small changes may wait. Below it each request weighs.
+	slackFrom = 32
 )
 
-// slackOf returns the untold change that may wait on a runner with the given online work.
-func slackOf(online int) int { return int(float64(online) * slackShare) }
+// slackOf returns by how much one node's count on a runner may differ from what it told: the square root of its count,
+// which is how far the count wanders by chance. So all nodes together are wrong by about the square root of the runner's
+// online work, however many they are; the owner's reserve and the engine's reports cover that.
+func slackOf(online, told int) int {
+	if online < slackFrom {
+		return 0
+	}
+	return int(math.Sqrt(float64(max(1, told))))
+}
 
 // coalescer decides when which counts are told. It is pure but for its own state and belongs to one goroutine.
 //
@@ -40,9 +46,10 @@
 
 func newCoalescer() *coalescer { return &coalescer{counts: map[ident.Runner]*told{}} }
 
-// changed takes a new count and reports whether it must be told at once. A change within the slack waits until something
+// changed takes a new count, and the runner's online work in all, and reports whether it must be told at once. A change within
+// the slack waits until something
 // else is told to the owner, or the count is due to be renewed.
-func (c *coalescer) changed(runner ident.Runner, current, slack int, now time.Time) bool {
+func (c *coalescer) changed(runner ident.Runner, current, online int, now time.Time) bool {
 	count, known := c.counts[runner]
 	if !known {
 		count = &told{due: now.Add(renewTime)}
@@ -50,7 +57,7 @@
 	}
 	count.current = current
 	count.dirty = true
-	if max(current-count.last, count.last-current) <= slack {
+	if max(current-count.last, count.last-current) <= slackOf(online, count.last) {
 		return false
 	}
 	urgent := current > 0 && (count.last == 0 || current >= 2*count.last+surgeStep)
--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -65,17 +65,17 @@
 	if own, _ := c.owns(runner); own {
 		return false
 	}
-	c.coalescer.changed(runner, inFlight, c.slack(runner, now), now)
+	c.coalescer.changed(runner, inFlight, c.onlineOn(runner, now), now)
 	return true
 }
 
-// slack returns how far this node's count of a runner may be from what its owner was told, by the newest view of it.
-func (c *Core) slack(runner ident.Runner, now time.Time) int {
+// onlineOn returns the online work on a runner by the newest view of it, zero without any.
+func (c *Core) onlineOn(runner ident.Runner, now time.Time) int {
 	view, known := c.config.Table.Runner(runner, now)
 	if !known || view.Report == nil {
 		return 0
 	}
-	return slackOf(view.Report.RunningOnline + view.Report.WaitingOnline)
+	return view.Report.RunningOnline + view.Report.WaitingOnline
 }
 
 // Tells returns the messages of counts to send now. Each must be followed by Told.
