Tell counts within the slack once a minute and answer with news only

Counts are renewed every minute and hold three (6 s for peers that are gone); the slack is one more than the square root of the count, on runners with 32 online requests and more, as before. A reply holds only states that moved by 1/16, changed what is loaded, or are 30 s old by what the sender was told; a sender whose last message had no answer asks for the whole. A node looks at its runners ten times a poll period instead of 40 times a second.

Failed first: the wish for a whole reply ignored; replies to old messages taken as told; an unanswered owner taken as answered. A reply that leaves out a change of models passes: the share of the next second carries it.

--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -12,21 +12,22 @@
 	coalesceTime = 20 * time.Millisecond
 	// renewTime is how often a count above zero is told again, and the longest a change within the slack waits. Peers
 	// forget a count after several times that.
-	renewTime = 15 * time.Second
+	renewTime = time.Minute
 	// surgeStep is the rise beyond twice the count last told that is told at once.
 	surgeStep = 2
 	// slackFrom is the online work of a runner from which small changes may wait. Below it each request weighs.
 	slackFrom = 32
 )
 
-// slackOf returns by how much one node's count on a runner may differ from what it told: the square root of its count,
-// which is how far the count wanders by chance. So all nodes together are wrong by about the square root of the runner's
-// online work, however many they are; the owner's reserve and the engine's reports cover that.
+// slackOf returns by how much one node's count on a runner may differ from what it told: one more than the square root of its
+// count, which is how far the count wanders by chance. So all nodes together are wrong by about the square root of the
+// runner's online work, or by as much as nodes with one or two requests have there. The engine's report, a second old, gives
+// the owner the sum, and its reserve covers what changes within that second.
 func slackOf(online, told int) int {
 	if online < slackFrom {
 		return 0
 	}
-	return int(math.Sqrt(float64(max(1, told))))
+	return 1 + int(math.Sqrt(float64(told)))
 }
 
 // coalescer decides when which counts are told. It is pure but for its own state and belongs to one goroutine.
--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -23,10 +23,12 @@
 	config    CoreConfig
 	coalescer *coalescer
 	sending   map[ident.Node]bool
+	// answered are the owners that answered the last message of counts. Others are asked for a whole answer.
+	answered map[ident.Node]bool
 	sequence  uint64
 	polls     pollPlan
 	shares    sharePlan
-	// often lists the runners that are looked at every PlanTick; all are from wholeAt on.
+	// often lists the runners that are looked at every Tick; all are from wholeAt on.
 	often   []ident.Runner
 	wholeAt time.Time
 	// present are the peers that took part at the last whole look.
@@ -53,6 +55,7 @@
 		config:    config,
 		coalescer: newCoalescer(),
 		sending:   map[ident.Node]bool{},
+		answered:  map[ident.Node]bool{},
 		// A later run of this node continues above the sequence of an earlier one.
 		sequence: uint64(now.UnixNano()),
 		polls:    newPollPlan(config.Intervals),
@@ -86,7 +89,9 @@
 		c.coalescer.sent(counts, now)
 		c.sending[owner] = true
 		c.sequence++
-		tells = append(tells, Tell{Owner: owner, Message: c.encodeCounts(counts), counts: counts})
+		message := c.encodeCounts(counts)
+		message.Whole = !c.answered[owner]
+		tells = append(tells, Tell{Owner: owner, Message: message, counts: counts})
 	}
 	return tells
 }
@@ -103,9 +108,11 @@
 func (c *Core) Told(tell Tell, delivered bool, now time.Time) {
 	delete(c.sending, tell.Owner)
 	if delivered {
+		c.answered[tell.Owner] = true
 		c.coalescer.delivered(tell.counts)
 		return
 	}
+	delete(c.answered, tell.Owner)
 	c.coalescer.failed(tell.counts, now)
 }
 
@@ -118,7 +125,13 @@
 	return max(shortestWait, next.Sub(now))
 }
 
-// Look returns the shares to send and the runners to ask for their load. Call it every PlanTick. Each share must be
+// Tick returns how often Look should be called: often enough that no poll is late by more than a tenth.
+func (c *Core) Tick() time.Duration {
+	const part = 10
+	return min(longestTick, max(PlanTick, c.config.Intervals.PollOwned/part))
+}
+
+// Look returns the shares to send and the runners to ask for their load. Call it every Tick. Each share must be
 // followed by Shared, each runner asked by Polled.
 func (c *Core) Look(now time.Time) (shares []Share, polls []ident.Runner) {
 	if now.Before(c.wholeAt) {
@@ -145,6 +158,7 @@
 		if !present[node] {
 			c.config.Table.ObservePeerGone(node, now)
 			c.shares.forget(node)
+			delete(c.answered, node)
 		}
 	}
 	c.present = present
@@ -197,37 +211,36 @@
 	return message
 }
 
-// Counted takes a peer's counts and answers with this node's view of the runners. It is safe for concurrent use.
-func (c *Core) Counted(message *dispatchpb.OnlineCounts, now time.Time) *dispatchpb.RunnerStates {
-	reply := &dispatchpb.RunnerStates{}
+// Counted takes a peer's counts. It is safe for concurrent use; Reply answers.
+func (c *Core) Counted(message *dispatchpb.OnlineCounts, now time.Time) {
 	for _, count := range message.GetCounts() {
-		runner := ident.Runner(count.GetRunner())
-		c.config.Table.ObservePeer(ident.Node(message.GetNode()), message.GetSequence(), runner, int(count.GetInFlight()), now)
-		view, known := c.config.Table.Runner(runner, now)
-		if known && view.Report != nil {
-			reply.States = append(reply.States, encodeState(&view))
-		}
+		c.config.Table.ObservePeer(ident.Node(message.GetNode()), message.GetSequence(), ident.Runner(count.GetRunner()), int(count.GetInFlight()), now)
 	}
-	return reply
 }
 
-// Replied notes that a peer is being told the states of a reply to its counts, which spares it the next share. Only a reply
-// to its newest message counts: whoever sent an older one has given it up and gets no reply, and a newest one that fails is
-// sent again.
-func (c *Core) Replied(message *dispatchpb.OnlineCounts, reply *dispatchpb.RunnerStates, now time.Time) {
+// Reply returns what is news to the peer of the runners it counted on, or all if it asks, which spares it a share. Only the reply to a
+// peer's newest message is noted as told: whoever sent an older one has given it up and gets no reply, and after a newest one
+// that failed the peer asks for all.
+func (c *Core) Reply(message *dispatchpb.OnlineCounts, now time.Time) *dispatchpb.RunnerStates {
 	peer := ident.Node(message.GetNode())
-	if len(reply.GetStates()) == 0 || !c.shares.newest(peer, message.GetSequence()) {
-		return
-	}
-	gists := map[ident.Runner]gist{}
-	for _, state := range reply.GetStates() {
-		runner := ident.Runner(state.GetRunner())
+	newest := c.shares.newest(peer, message.GetSequence())
+	reply := &dispatchpb.RunnerStates{}
+	told := map[ident.Runner]gist{}
+	for _, count := range message.GetCounts() {
+		runner := ident.Runner(count.GetRunner())
 		view, known := c.config.Table.Runner(runner, now)
-		if own, _ := c.owns(runner); own && known && view.Report != nil {
-			gists[runner] = gistOf(&view)
+		if !known || view.Report == nil || (!message.GetWhole() && !c.shares.news(peer, runner, gistOf(&view), now)) {
+			continue
+		}
+		reply.States = append(reply.States, encodeState(&view))
+		if own, _ := c.owns(runner); own {
+			told[runner] = gistOf(&view)
 		}
 	}
-	c.shares.told(peer, gists, now)
+	if newest {
+		c.shares.told(peer, told, now)
+	}
+	return reply
 }
 
 // Take takes the states of runners from their owner. It is safe for concurrent use.
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// PlanTick is how often the runners this node polls often are looked at, and wholeTick how often all are: a look at
-	// the 880 runners of the design size takes 0.3 ms.
-	PlanTick  = 25 * time.Millisecond
-	wholeTick = time.Second
+	// PlanTick and longestTick bound how often the runners this node polls often are looked at, and wholeTick is how often
+	// all are: a look at the 880 runners of the design size takes 0.3 ms.
+	PlanTick    = 25 * time.Millisecond
+	longestTick = 100 * time.Millisecond
+	wholeTick   = time.Second
 	// maxPolls bounds the load requests on their way at once.
 	maxPolls = 32
 	// pollTimeout bounds one load request.
@@ -107,7 +108,7 @@
 
 // periodicLoop polls runners and shares their states.
 func (e *Exchange) periodicLoop() error {
-	ticker := time.NewTicker(PlanTick)
+	ticker := time.NewTicker(e.core.Tick())
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/dispatch/exchange/server.go
+++ b/internal/dispatch/exchange/server.go
@@ -7,14 +7,13 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
-// Online takes a peer's counts and answers with this node's view of the runners.
+// Online takes a peer's counts and answers with what is news to it of the runners.
 func (e *Exchange) Online(_ context.Context, message *dispatchpb.OnlineCounts) (*dispatchpb.RunnerStates, error) {
 	now := e.config.Now()
-	reply := e.core.Counted(message, now)
+	e.core.Counted(message, now)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.core.Replied(message, reply, now)
-	return reply, nil
+	return e.core.Reply(message, now), nil
 }
 
 // Share takes the state of runners that a peer owns.
--- a/internal/dispatch/exchange/shareplan.go
+++ b/internal/dispatch/exchange/shareplan.go
@@ -132,6 +132,13 @@
 	return current.loaded != told.gist.loaded || age >= refresh || (moved && age >= interval)
 }
 
+// news says whether a state is worth its bytes in a reply that is sent anyway: half of the near step is enough.
+func (s *sharePlan) news(peer ident.Node, runner ident.Runner, current gist, now time.Time) bool {
+	told := s.peer(peer).runners[runner]
+	moved := math.Abs(current.load-told.gist.load) >= nearStep/2 || math.Abs(current.memory-told.gist.memory) >= nearStep/2
+	return moved || current.loaded != told.gist.loaded || now.Sub(told.at) >= s.intervals.RefreshNear
+}
+
 // told notes that a peer is being told of runners.
 func (s *sharePlan) told(peer ident.Node, states map[ident.Runner]gist, now time.Time) {
 	held := s.peer(peer)
--- a/internal/dispatch/peercounts.go
+++ b/internal/dispatch/peercounts.go
@@ -9,7 +9,7 @@
 const (
 	// hintTime is how long a peer's count of its online requests on a runner holds. Peers renew counts above zero several
 	// times within it, so that the count of a dead peer goes away by itself.
-	hintTime = 45 * time.Second
+	hintTime = 3 * time.Minute
 	// goneTime is how long it still holds once the peer takes part no more.
 	goneTime = 6 * time.Second
 )
--- a/internal/lab/labcli/scalecontrol.go
+++ b/internal/lab/labcli/scalecontrol.go
@@ -54,7 +54,8 @@
 	flags.DurationVar(&control.Steady, "steady", time.Minute, "simulated length of steady service")
 	flags.DurationVar(&control.Fault, "fault", time.Minute, "simulated length of each fault")
 	flags.Float64Var(&control.Loss, "loss", 0.01, "share of messages lost")
-	flags.BoolVar(&control.Faults, "faults", true, "add the schedule of failures after steady service")
+	flags.StringSliceVar(&control.Phases, "phases", scale.Phases(), "phases to play, in this order")
+	flags.DurationVar(&control.Settle, "settle", time.Minute, "simulated length of each phase in which the fleet comes to rest")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
 	return command
 }
--- a/internal/lab/scale/controlcall.go
+++ b/internal/lab/scale/controlcall.go
@@ -138,9 +138,8 @@
 	for _, tell := range node.exchange.Tells(f.fleet.now) {
 		call(f, node, tell.Owner, serviceOnline, tell.Message,
 			func(owner *controlNode, message *dispatchpb.OnlineCounts) *dispatchpb.RunnerStates {
-				reply := owner.exchange.Counted(message, f.fleet.now)
-				owner.exchange.Replied(message, reply, f.fleet.now)
-				return reply
+				owner.exchange.Counted(message, f.fleet.now)
+				return owner.exchange.Reply(message, f.fleet.now)
 			},
 			func(states *dispatchpb.RunnerStates, delivered bool) {
 				node.exchange.Told(tell, delivered, f.fleet.now)
