--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -9,14 +10,28 @@
 const (
 	// coalesceTime is how long a change that is no rise waits for others.
 	coalesceTime = 20 * time.Millisecond
-	// renewTime is how often a count above zero is told again. Peers forget it after several times that.
-	renewTime = 2 * time.Second
+	// renewTime is how often a count above zero is told again, and the longest a change within the slack waits. Peers
+	// forget a count after several times that.
+	renewTime = time.Minute
+	// slackFrom is the online work of a runner from which small changes may wait. Below it each request weighs.
+	slackFrom = 32
 )
 
+// slackOf returns by how much one node's count on a runner may differ from what it told: one more than the square root of its
+// count, which is how far the count wanders by chance. So all nodes together are wrong by about the square root of the
+// runner's online work, or by as much as nodes with one or two requests have there. The engine's report, a second old, gives
+// the owner the sum, and its reserve covers what changes within that second.
+func slackOf(online, told int) int {
+	if online < slackFrom {
+		return 0
+	}
+	return 1 + int(math.Sqrt(float64(told)))
+}
+
 // coalescer decides when which counts are told. It is pure but for its own state and belongs to one goroutine.
 //
-// Invariant: a count above the one last told is due at the moment of the change, so that the owner can keep batch prompts
-// out of the steps in which the new request waits.
+// Invariant: a count above the one last told by more than the runner's slack is due at the moment of the change, so that the
+// owner can keep batch prompts out of the steps in which the new request waits.
 type coalescer struct {
 	counts map[ident.Runner]*told
 }
@@ -31,28 +46,32 @@
 
 func newCoalescer() *coalescer { return &coalescer{counts: map[ident.Runner]*told{}} }
 
-// changed takes a new count and reports whether it must be told at once.
-func (c *coalescer) changed(runner ident.Runner, current int, now time.Time) bool {
+// changed takes a new count, and the runner's online work in all, and reports whether it must be told at once. A change within
+// the slack waits until something else is told to the owner, or the count is due to be renewed.
+func (c *coalescer) changed(runner ident.Runner, current, online int, now time.Time) bool {
 	count, known := c.counts[runner]
 	if !known {
-		count = &told{}
+		count = &told{due: now.Add(renewTime)}
 		c.counts[runner] = count
 	}
 	count.current = current
+	count.dirty = true
+	if max(current-count.last, count.last-current) <= slackOf(online, count.last) {
+		return false
+	}
 	urgent := current > count.last
 	due := now.Add(coalesceTime)
 	if urgent {
 		due = now
 	}
-	if !count.dirty || due.Before(count.due) {
+	if due.Before(count.due) {
 		count.due = due
 	}
-	count.dirty = true
 	return urgent
 }
 
-// take returns the counts to tell now, by owner. With a count that is due, the other changed ones of its owner go
-// along. skip reports owners that still have a message on its way; their counts stay.
+// take returns the counts to tell now, by owner. With a count that is due, all others of its owner go along, so that
+// they need no message of their own before the next renewal. skip reports owners that still have a message on its way; their counts stay.
 func (c *coalescer) take(now time.Time, owner func(ident.Runner) (ident.Node, bool), skip func(ident.Node) bool) map[ident.Node]map[ident.Runner]int {
 	messages := map[ident.Node]map[ident.Runner]int{}
 	for runner, count := range c.counts {
@@ -71,7 +90,7 @@
 	}
 	for runner, count := range c.counts {
 		node, known := owner(runner)
-		if _, going := messages[node]; known && going && count.dirty {
+		if _, going := messages[node]; known && going && (count.dirty || count.current > 0) {
 			messages[node][runner] = count.current
 		}
 	}
