Call the key-value service by TLS

Cause: nodes could reach the key-value service by plain HTTP only, though it holds all configuration; the adapter had an unused option for a client that nobody set.

Change: tls.key_value names a certificate, key and authorities. The service's certificate must be signed by one of them and name its IP number; the node presents its own. Files are followed like those of the listeners, and each connection takes the newest. The unused option is gone.

The settings test fails without the check of the authority's file.

--- a/internal/kv/etcdhttp/store.go
+++ b/internal/kv/etcdhttp/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math"
 	"net"
@@ -46,9 +47,10 @@
 // Option changes a Store that is being made.
 type Option func(*Store)
 
-// WithHTTPClient sets the client that carries the calls, for TLS. Its Timeout must be zero: it would cut watches.
-func WithHTTPClient(client *http.Client) Option {
-	return func(s *Store) { s.client = client }
+// WithTLS makes connections to endpoints that begin with "https://" by the configuration that config returns for the
+// endpoint's host. It is asked for each connection, so that a replaced certificate or authority needs no restart.
+func WithTLS(config func(host string) *tls.Config) Option {
+	return func(s *Store) { s.client = newClient(config) }
 }
 
 // WithCallTimeout bounds one call; DefaultCallTimeout if not given.
@@ -61,7 +63,7 @@
 	return func(s *Store) { s.clientName = name }
 }
 
-// New returns a Store that stays with one of the endpoints ("http://IP:PORT") until a call to it fails, and then goes on
+// New returns a Store that stays with one of the endpoints ("http://IP:PORT", or "https://" with WithTLS) until a call to it fails, and then goes on
 // to the next. Nothing is sent until the first call.
 func New(endpoints []string, options ...Option) (*Store, error) {
 	if len(endpoints) == 0 {
@@ -69,7 +71,7 @@
 	}
 	store := &Store{
 		endpoints:   append([]string(nil), endpoints...),
-		client:      defaultClient(),
+		client:      newClient(nil),
 		callTimeout: DefaultCallTimeout,
 	}
 	for _, option := range options {
@@ -78,13 +80,24 @@
 	return store, nil
 }
 
-func defaultClient() *http.Client {
+// newClient returns the client that carries the calls. It has no Timeout, which would cut watches.
+func newClient(config func(host string) *tls.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: 5 * time.Second}
-	return &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     90 * time.Second,
-	}}
+	}
+	if config != nil {
+		transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			host, _, err := net.SplitHostPort(address)
+			if err != nil {
+				return nil, fmt.Errorf("endpoint %q: %w", address, err)
+			}
+			return (&tls.Dialer{NetDialer: dialer, Config: config(host)}).DialContext(ctx, network, address)
+		}
+	}
+	return &http.Client{Transport: transport}
 }
 
 // Get implements kv.Store.
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
+	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
 	"mallowlatch.example/mallowlatch/internal/machine/httplist"
 	"mallowlatch.example/mallowlatch/internal/membership"
@@ -100,16 +101,36 @@
 	return config
 }
 
-func (n *Node) assembleConfiguration() error {
+// newKeyValueStore returns the client of the key-value service, by TLS where the settings name a certificate for it.
+func (n *Node) newKeyValueStore() (kv.Store, error) {
+	scheme := "http://"
+	options := []etcdhttp.Option{
+		etcdhttp.WithCallTimeout(n.settings.Platform.KVTimeout),
+		etcdhttp.WithClientName(string(n.id())),
+	}
+	if n.settings.TLS.KeyValue.Enabled() {
+		reloader, err := n.newReloader(n.settings.TLS.KeyValue)
+		if err != nil {
+			return nil, fmt.Errorf("key-value service: %w", err)
+		}
+		scheme = "https://"
+		options = append(options, etcdhttp.WithTLS(reloader.ClientConfig))
+	}
 	endpoints := make([]string, len(n.settings.Platform.KVEndpoints))
 	for index, address := range n.settings.Platform.KVEndpoints {
-		endpoints[index] = "http://" + string(address)
+		endpoints[index] = scheme + string(address)
 	}
-	store, err := etcdhttp.New(endpoints,
-		etcdhttp.WithCallTimeout(n.settings.Platform.KVTimeout),
-		etcdhttp.WithClientName(string(n.id())))
+	store, err := etcdhttp.New(endpoints, options...)
 	if err != nil {
-		return fmt.Errorf("key-value service: %w", err)
+		return nil, fmt.Errorf("key-value service: %w", err)
+	}
+	return store, nil
+}
+
+func (n *Node) assembleConfiguration() error {
+	store, err := n.newKeyValueStore()
+	if err != nil {
+		return err
 	}
 	n.kv = store
 	n.replica, err = confsync.NewReplica(confsync.Options{
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -68,6 +68,10 @@
 	found = append(found, checkCertificate("tls.caller", settings.TLS.Caller)...)
 	found = append(found, checkCertificate("tls.admin", settings.TLS.Admin)...)
 	found = append(found, checkCertificate("tls.peer", settings.TLS.Peer)...)
+	found = append(found, checkCertificate("tls.key_value", settings.TLS.KeyValue)...)
+	if settings.TLS.KeyValue.Enabled() && settings.TLS.KeyValue.CA == "" {
+		found = append(found, Problem{Field: "tls.key_value.ca", Message: "required with tls.key_value.cert: the service's certificate is checked against it"})
+	}
 	peer := settings.TLS.Peer
 	if !peer.Enabled() && !(settings.Listen.Peer.Loopback() && settings.AdvertiseAddress().Loopback()) {
 		found = append(found, Problem{Field: "tls.peer.cert", Message: "required: listen.peer is reachable from other machines"})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,23 +59,24 @@
 	Retention     time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
 }
 
-// TLS holds the certificates of the three listeners.
+// TLS holds the certificates of the three listeners, and the one presented to the key-value service.
 type TLS struct {
-	Caller Certificate `yaml:"caller"`
-	Admin  Certificate `yaml:"admin"`
-	Peer   Certificate `yaml:"peer"`
-	// Poll is not part of a listener: one period serves all three.
+	Caller   Certificate `yaml:"caller"`
+	Admin    Certificate `yaml:"admin"`
+	Peer     Certificate `yaml:"peer"`
+	KeyValue Certificate `yaml:"key_value"`
+	// Poll is not part of a listener: one period serves all.
 	Poll time.Duration `yaml:"poll" default:"5s" min:"100ms" max:"1h" doc:"Time between looks at the certificate files for a change."`
 }
 
-// Certificate names the PEM files of one listener.
+// Certificate names the PEM files of one listener or client.
 type Certificate struct {
 	Cert Path `yaml:"cert" doc:"PEM file of the certificate chain. Empty means plain TCP."`
 	Key  Path `yaml:"key" doc:"PEM file of the private key."`
-	CA   Path `yaml:"ca" doc:"PEM file of the authorities that client certificates must be signed by. Empty means that none is asked for."`
+	CA   Path `yaml:"ca" doc:"PEM file of the authorities that the other side's certificate must be signed by. Empty means that callers and operators need none."`
 }
 
-// Enabled says whether the listener speaks TLS.
+// Enabled says whether TLS is spoken.
 func (c Certificate) Enabled() bool { return c.Cert != "" }
 
 // Limits bounds what callers can make the node hold and wait for.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -120,6 +121,9 @@
 	}
 	assert.Assert(t, fieldsAtFault["tls.peer.cert"])
 	settings.TLS.Peer = Certificate{Cert: "c", Key: "k", CA: "a"}
+	settings.TLS.KeyValue = Certificate{Cert: "c", Key: "k"}
+	assert.Assert(t, slices.ContainsFunc(Check(settings), func(problem Problem) bool { return problem.Field == "tls.key_value.ca" }))
+	settings.TLS.KeyValue.CA = "a"
 	for _, problem := range Check(settings) {
 		assert.Assert(t, !strings.HasPrefix(problem.Field, "tls."), "%v", problem)
 	}
