Let a planned stop end beside HTTP/2 connections that were about to open

Cause: the library tells HTTP/2 connections of a stop once. One whose handshake is under way at that moment never hears of it, is never counted as idle, and holds Shutdown until its client leaves or the idle time of two minutes is over. A planned stop then used up its bound at the listener and cut what was left.

Change: the listener follows the states of its connections and, while it stops, closes those that have been idle beyond the second and a half in which the library ends the others by itself.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -11,11 +11,11 @@
 	"log"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -60,7 +60,7 @@
 	options  Options
 	listener net.Listener
 	server   *http.Server
-	open     atomic.Int64
+	open     connections
 }
 
 // New listens on the address. Serve must be called to take connections, or Close to free the address.
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrListen, err)
 	}
-	server := &Server{options: options, listener: newLimited(listening, options.Connections)}
+	server := &Server{options: options, listener: newLimited(listening, options.Connections), open: newConnections()}
 	server.server = &http.Server{
 		Handler:           options.Handler,
 		MaxHeaderBytes:    options.HeaderBytes,
@@ -78,7 +78,7 @@
 		IdleTimeout:       options.IdleTimeout,
 		TLSConfig:         options.TLS,
 		ErrorLog:          log.New(faultWriter{options}, "", 0),
-		ConnState:         server.count,
+		ConnState:         server.open.note,
 	}
 	server.register(options)
 	return server, nil
@@ -108,16 +108,7 @@
 		Name:        "mallowlatch_listener_connections_count",
 		Help:        "Open connections of a listener.",
 		ConstLabels: prometheus.Labels{"listener": options.Name},
-	}, func() float64 { return float64(s.open.Load()) }))
-}
-
-func (s *Server) count(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
-	}
+	}, func() float64 { return float64(s.open.count()) }))
 }
 
 // Address returns the address listened on, with the port the system picked if none was given.
@@ -143,7 +134,12 @@
 // Shutdown stops taking connections and waits until those with a request in progress have answered, or ctx is done;
 // then it closes the rest.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
+	var idle tomb.Tomb
+	idle.Go(func() error { return s.open.closeIdle(idle.Dying()) })
+	err := s.server.Shutdown(ctx)
+	idle.Kill(nil)
+	_ = idle.Wait()
+	if err != nil {
 		_ = s.server.Close()
 		return fmt.Errorf("%w: %w", ErrServe, err)
 	}
