Count runs of batch items that must run at most once

The ledger held only online requests to that. Every third heap of the resend experiment is of such items, and the engines' runs of one add up over its leases. An item whose outcome is unknown is no longer counted as failed; more of them than items that must run once, and cancelled items without a cancel, are noted as before.

--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -304,6 +304,12 @@
 	if batch.Unfinished > 0 {
 		e.notes = append(e.notes, fmt.Sprintf("%s: batch accepted %d, unfinished at the end %d", name, batch.Accepted, batch.Unfinished))
 	}
+	if batch.Unknown > batch.Once || batch.Cancelled > 0 && report.Cancel.Asked == 0 {
+		e.notes = append(e.notes, fmt.Sprintf("%s: outcome unknown of %d batch items with %d that must run once, cancelled %d", name, batch.Unknown, batch.Once, batch.Cancelled))
+	}
+	if batch.DoubledRuns > 0 {
+		e.notes = append(e.notes, fmt.Sprintf("%s: %d batch items that must run once ran more often", name, batch.DoubledRuns))
+	}
 	if batch.Backwards+batch.Changed > 0 {
 		e.notes = append(e.notes, fmt.Sprintf("%s: %d counts or states went back, %d result files changed", name, batch.Backwards, batch.Changed))
 	}
--- a/internal/lab/experiment/resend.go
+++ b/internal/lab/experiment/resend.go
@@ -10,6 +10,8 @@
 const (
 	resendHeapEvery = 6 * time.Second
 	resendHeapItems = 40
+	// Of each third heap the items must run at most once.
+	resendOnceEvery = 3
 	// resendStorms is the number of storms of each submission; resendWithin bounds the pause between two.
 	resendStorms = 4
 	resendWithin = 10 * time.Second
@@ -26,6 +28,7 @@
 			Retry:        true,
 			BatchEvery:   resendHeapEvery,
 			BatchItems:   resendHeapItems,
+			OnceEvery:    resendOnceEvery,
 			Storms:       resendStorms,
 			StormsWithin: resendWithin,
 			Drain:        resendDrain,
--- a/internal/lab/load/batch.go
+++ b/internal/lab/load/batch.go
@@ -30,6 +30,8 @@
 	Method   string          `json:"method"`
 	URL      string          `json:"url"`
 	Body     json.RawMessage `json:"body"`
+	// Repeatable is nil or false.
+	Repeatable *bool `json:"repeatable,omitempty"`
 }
 
 type fileObject struct {
@@ -77,6 +79,10 @@
 	}
 	r.recorder.batchResult(func(ledger *BatchLedger) {
 		ledger.JobsAccepted++
+		if heap.Once {
+			r.recorder.onceJobs[job.ID] = true
+			ledger.Once += len(heap.Items)
+		}
 		ledger.Accepted += len(heap.Items)
 	})
 	job, err = r.follow(ctx, heap, job)
@@ -115,11 +121,14 @@
 	return bodies
 }
 
-func fileOf(bodies map[string][]byte) ([]byte, error) {
+func fileOf(bodies map[string][]byte, once bool) ([]byte, error) {
 	var file bytes.Buffer
 	encoder := json.NewEncoder(&file)
 	for customID, body := range bodies {
 		line := batchLine{CustomID: customID, Method: http.MethodPost, URL: chatPath, Body: body}
+		if once {
+			line.Repeatable = new(bool)
+		}
 		if err := encoder.Encode(line); err != nil {
 			return nil, fmt.Errorf("encoding batch line: %w", err)
 		}
@@ -129,7 +138,7 @@
 
 // submit uploads a heap and submits its job; with storms, many times at once and again while the job runs.
 func (r *Run) submit(ctx context.Context, heap Heap, bodies map[string][]byte, storming *sync.WaitGroup) (batchObject, error) {
-	content, err := fileOf(bodies)
+	content, err := fileOf(bodies, heap.Once)
 	if err != nil {
 		return batchObject{}, err
 	}
--- a/internal/lab/load/claims_test.go
+++ b/internal/lab/load/claims_test.go
@@ -86,3 +86,13 @@
 	}
 	assert.Assert(t, cancelled > 20 && cancelled < 40, "%d", cancelled)
 }
+
+// An item's runs count under every lease, and only those of jobs that must run at most once.
+func TestItemRunsAddUpOverLeases(t *testing.T) {
+	items := map[string]int{}
+	once := map[string]bool{"a": true}
+	countItems(map[string]enginesim.Run{"a/0/x": {Runs: 1}, "a/1/x": {Runs: 1}, "b/0/x": {Runs: 2}}, once, items)
+	assert.Equal(t, moreThanOnce(items), 0)
+	countItems(map[string]enginesim.Run{"a/0/y": {Runs: 1}, "online": {Runs: 3}}, once, items)
+	assert.Equal(t, moreThanOnce(items), 1)
+}
--- a/internal/lab/load/itemcheck.go
+++ b/internal/lab/load/itemcheck.go
@@ -19,8 +19,11 @@
 	Error *errorDetail `json:"error"`
 }
 
-// codeCancelled is the error of an item that did not run because its job was cancelled.
-const codeCancelled = "batch_cancelled"
+// Errors of items that are no failures: its job was cancelled first; or it must run at most once and may have.
+const (
+	codeCancelled = "batch_cancelled"
+	codeUnknown   = "outcome_unknown"
+)
 
 type answerBody struct {
 	Choices []struct {
@@ -77,6 +80,10 @@
 		c.counts.Cancelled++
 		return
 	}
+	if result.Error != nil && result.Error.Code == codeUnknown {
+		c.counts.Unknown++
+		return
+	}
 	if result.Response == nil || result.Response.StatusCode != 200 {
 		c.counts.Failed++
 		return
@@ -102,6 +109,7 @@
 	ledger.Completed += c.counts.Completed
 	ledger.Failed += c.counts.Failed
 	ledger.Cancelled += c.counts.Cancelled
+	ledger.Unknown += c.counts.Unknown
 	ledger.Doubled += c.counts.Doubled
 	ledger.Foreign += c.counts.Foreign
 	ledger.Wrong += c.counts.Wrong
--- a/internal/lab/load/ledger.go
+++ b/internal/lab/load/ledger.go
@@ -88,9 +88,14 @@
 	JobsAccepted int `json:"jobs_accepted"`
 	JobsEnded    int `json:"jobs_ended"`
 	Completed    int `json:"completed"`
-	// Failed counts items whose result is an error, other than Cancelled ones that their job's cancel ended.
+	// Failed counts items whose result is an error, other than Cancelled ones that their job's cancel ended and Unknown
+	// ones that must run at most once and whose outcome was lost.
 	Failed    int `json:"failed"`
 	Cancelled int `json:"cancelled"`
+	Unknown   int `json:"unknown"`
+	// Once counts the items of accepted jobs that must run at most once, DoubledRuns those that engines ran more often.
+	Once        int `json:"once"`
+	DoubledRuns int `json:"doubled_runs"`
 	// Backwards counts jobs' counts and states that went back, or that a result file does not bear out; Changed counts
 	// result files that are not as they were read first.
 	Backwards int `json:"backwards"`
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -55,6 +55,8 @@
 	// CancelBound is how long after the answer items may still start.
 	CancelShare               float64
 	CancelWithin, CancelBound time.Duration
+	// OnceEvery marks the items of every heap in this many as not repeatable; zero means of none.
+	OnceEvery int
 	// Storms is how often each submission is sent to every target at once, the first time to begin with and then after
 	// random pauses of up to StormsWithin; zero means that it is sent until it is answered.
 	Storms       int
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -40,6 +40,8 @@
 	// jobs holds the job that a heap was first answered with, heaps the heap of a job.
 	jobs  map[int]string
 	heaps map[string]int
+	// onceJobs are the jobs whose items must run at most once.
+	onceJobs map[string]bool
 	// files are the result files that were read.
 	files        []resultFile
 	seconds      []second
@@ -63,6 +65,7 @@
 		cancelled:    map[string]time.Time{},
 		jobs:         map[int]string{},
 		heaps:        map[string]int{},
+		onceJobs:     map[string]bool{},
 		seconds:      make([]second, count),
 		batchSeconds: make([]int, count),
 	}
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -128,8 +128,8 @@
 	writeCounts(out, online.Refused)
 	batch := r.Batch
 	fmt.Fprintf(out, "batch    %.1f items/s\n", r.BatchItemsPerSec)
-	fmt.Fprintf(out, "batch    planned %d accepted %d completed %d failed %d cancelled %d lost %d unfinished %d doubled %d foreign %d wrong %d backwards %d changed %d; jobs accepted %d ended %d\n",
-		batch.Planned, batch.Accepted, batch.Completed, batch.Failed, batch.Cancelled, batch.Lost, batch.Unfinished, batch.Doubled, batch.Foreign, batch.Wrong, batch.Backwards, batch.Changed, batch.JobsAccepted, batch.JobsEnded)
+	fmt.Fprintf(out, "batch    planned %d accepted %d completed %d failed %d cancelled %d unknown %d doubled runs %d lost %d unfinished %d doubled %d foreign %d wrong %d backwards %d changed %d; jobs accepted %d ended %d\n",
+		batch.Planned, batch.Accepted, batch.Completed, batch.Failed, batch.Cancelled, batch.Unknown, batch.DoubledRuns, batch.Lost, batch.Unfinished, batch.Doubled, batch.Foreign, batch.Wrong, batch.Backwards, batch.Changed, batch.JobsAccepted, batch.JobsEnded)
 	writeCounts(out, batch.Refused)
 	for _, detail := range append(slices.Clone(online.Details), batch.Details...) {
 		fmt.Fprintf(out, "  detail: %s\n", detail)
--- a/internal/lab/load/schedule.go
+++ b/internal/lab/load/schedule.go
@@ -30,6 +30,8 @@
 	At     time.Duration
 	Number int
 	Items  []promptShape
+	// Once marks the items as not repeatable.
+	Once bool
 	// CancelAfter is how long after its first completed item was seen the job is cancelled, or after its acceptance if
 	// CancelUnseen; zero means never.
 	CancelAfter  time.Duration
@@ -87,6 +89,7 @@
 	}
 	for at := time.Duration(0); at < options.Duration; at += options.BatchEvery {
 		heap := Heap{At: at, Number: len(heaps)}
+		heap.Once = options.OnceEvery > 0 && heap.Number%options.OnceEvery == options.OnceEvery-1
 		for range options.BatchItems {
 			heap.Items = append(heap.Items, promptShape{
 				identity: random.Uint64(),
