Resend unanswered submissions, copies and other contents in the schedules

The schedules sent again only what had been answered, by the same file, and nothing else under its key; a second job that nobody was told of went unseen. Now a submission with a lost answer is sent again, also by another upload of the same content, other contents must be refused, and a job that runs without being told of must be one of those unanswered; all are answered by the end.

--- a/internal/jobclient/checker_test.go
+++ b/internal/jobclient/checker_test.go
@@ -21,6 +21,9 @@
 	byKey   map[string]ident.Job
 	entries map[string]*seenEntry
 	runs    int
+	// unanswered counts submissions that no job was told for; untold holds jobs that ran and were not told.
+	unanswered int
+	untold     map[ident.Job]*seenJob
 }
 
 // seenJob is what was seen of an accepted job.
@@ -52,7 +55,7 @@
 }
 
 func newChecker(t *rapid.T) *checker {
-	return &checker{t: t, jobs: map[ident.Job]*seenJob{}, byKey: map[string]ident.Job{}, entries: map[string]*seenEntry{}}
+	return &checker{t: t, jobs: map[ident.Job]*seenJob{}, byKey: map[string]ident.Job{}, untold: map[ident.Job]*seenJob{}, entries: map[string]*seenEntry{}}
 }
 
 // accepted is told of every successful submission.
@@ -65,23 +68,47 @@
 		return
 	}
 	c.byKey[key] = accepted.ID
-	c.jobs[accepted.ID] = &seenJob{id: accepted.ID, key: key, file: file, lines: lines, last: accepted, runs: map[uint32][]int{}, outputs: map[ident.File]string{}}
+	seen := c.untold[accepted.ID]
+	if seen == nil {
+		seen = newSeenJob(accepted.ID)
+	}
+	delete(c.untold, accepted.ID)
+	seen.key, seen.file, seen.lines, seen.last = key, file, lines, accepted
+	c.jobs[accepted.ID] = seen
+	if len(c.untold) > c.unanswered {
+		c.t.Fatalf("%d jobs ran and %d submissions are not answered", len(c.untold), c.unanswered)
+	}
 	c.order = append(c.order, accepted.ID)
 }
 
+func newSeenJob(id ident.Job) *seenJob {
+	return &seenJob{id: id, runs: map[uint32][]int{}, outputs: map[ident.File]string{}}
+}
+
+// ranUntold returns what was seen of a job that nobody was told of. Each is one of the submissions without an answer.
+func (c *checker) ranUntold(id ident.Job) *seenJob {
+	if c.untold[id] == nil {
+		c.untold[id] = newSeenJob(id)
+	}
+	if len(c.untold) > c.unanswered {
+		c.t.Fatalf("%d jobs ran and %d submissions are not answered", len(c.untold), c.unanswered)
+	}
+	return c.untold[id]
+}
+
 // started is told that an engine starts an item. bound is the latest start after a cancellation, or zero if the worker
 // was stalled between its look at the lease and the start.
 func (c *checker) started(now time.Time, item job.Item, bound time.Duration) int {
 	seen := c.jobs[item.Job]
 	if seen == nil {
-		return 0
+		seen = c.ranUntold(item.Job)
 	}
 	c.runs++
 	seen.runs[item.Index] = append(seen.runs[item.Index], c.runs)
 	if !item.Repeatable && len(seen.runs[item.Index]) > 1 {
 		c.t.Fatalf("non-repeatable item %d of %s ran twice", item.Index, item.Job)
 	}
-	if seen.lines[item.Index].repeatable != item.Repeatable {
+	if seen.lines != nil && seen.lines[item.Index].repeatable != item.Repeatable {
 		c.t.Fatalf("item %d of %s was leased as repeatable=%v", item.Index, item.Job, item.Repeatable)
 	}
 	if bound == 0 {
--- a/internal/jobclient/schedule_test.go
+++ b/internal/jobclient/schedule_test.go
@@ -9,14 +9,12 @@
 	"maps"
 	"os"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/job"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
 	"mallowlatch.example/mallowlatch/internal/jobstore"
@@ -33,6 +31,8 @@
 	begun   []simAttempt
 	// kind is which items are repeatable: all, none or some.
 	kind int
+	// submissions are all that were sent, answered or not.
+	submissions []*submission
 }
 
 // simWorker is a worker whose clock may run slow: its lease lasts longer than it should by true time.
@@ -91,6 +91,7 @@
 			"observe":   sim.observe,
 		}, map[string]func(*rapid.T){
 			"resubmit": sim.resubmit,
+			"other":    sim.submitOther,
 			"cancel":   sim.cancel,
 			"arm":      sim.arm,
 			"fire":     sim.fire,
@@ -175,37 +176,6 @@
 	}
 }
 
-func (s *simulation) submit(t *rapid.T) {
-	var content strings.Builder
-	var sent []sentLine
-	customIDs := map[string]bool{}
-	for range rapid.IntRange(1, 5).Draw(t, "lines") {
-		one := sentLine{customID: fmt.Sprintf("c%d", rapid.IntRange(0, 9).Draw(t, "custom id")), repeatable: s.kind == 0 || s.kind == 2 && rapid.Bool().Draw(t, "repeatable")}
-		one.malformed = customIDs[one.customID]
-		customIDs[one.customID] = true
-		content.WriteString(line(one.customID, fmt.Sprintf(`,"repeatable":%v`, one.repeatable)))
-		sent = append(sent, one)
-	}
-	file, err := s.caller.CreateFile(s.ctx, job.FileSpec{Tenant: tenant, Purpose: jobstore.PurposeBatch}, strings.NewReader(content.String()))
-	if err != nil {
-		return
-	}
-	s.send(fmt.Sprintf("key-%d", len(s.byKey)), file.ID, sent, rapid.SampledFrom([]time.Duration{time.Minute, time.Hour}).Draw(t, "window"))
-}
-
-func (s *simulation) send(key string, file ident.File, sent []sentLine, window time.Duration) {
-	accepted, _, err := s.caller.Submit(s.ctx, job.Spec{Tenant: tenant, IdempotencyKey: key, InputFile: file, Endpoint: inference.ChatCompletions, Window: window})
-	if err == nil {
-		s.accepted(key, file, sent, accepted)
-	}
-}
-
-func (s *simulation) resubmit(t *rapid.T) {
-	if seen := s.drawJob(t); seen != nil {
-		s.send(seen.key, seen.file, seen.lines, time.Hour)
-	}
-}
-
 func (s *simulation) drawJob(t *rapid.T) *seenJob {
 	if len(s.order) == 0 {
 		return nil
@@ -461,6 +431,7 @@
 	s.world.heal()
 	worker := s.workers[0]
 	worker.leases = nil
+	s.answerAll()
 	for range rounds {
 		s.tick(nil)
 		for _, id := range s.order {
