--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -215,6 +214,3 @@
 
 // AdminAddress returns the address of the admin API.
 func (n *Node) AdminAddress() string { return n.adminServer.Address() }
-
-// stopBound is how long the steps of a planned stop that do not wait for callers may take, each.
-const stopBound = 10 * time.Second
