Let recovery of a large state end under load, and bound it

Cause: the log is kept for 10,000 entries or 16 MiB, and nothing kept it for a state on its way. A state that took longer to send was too old when it arrived and was sent again, without end while commands came. The leader now keeps the log behind it (up to 64 times the retained bytes) until the replica has caught up. Streams are bounded on both sides, and the rate of all that a node sends (jobs.catch_up_streams, jobs.catch_up_rate); a stream ends when a chunk stalls for 5 min, no longer after 30 min in all. A node seen dead is asked for its disk as soon as it is back, not up to 10 s later.

Not done: resuming a transfer that broke off.

--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -51,15 +51,19 @@
 	plan := shard.DefaultPlanSettings()
 	plan.Copies = options.settings.Jobs.Replicas
 	host, err := shardhost.New(shardhost.Options{
-		Node:       ident.Node(options.settings.Node.ID),
-		Store:      store,
-		KV:         options.kv,
-		Dialer:     options.dialer,
-		Nodes:      options.peers.disks,
-		Shards:     options.settings.Jobs.Shards,
-		Machine:    func(ident.Shard) shard.Machine { return jobstore.NewMachine() },
-		Peer:       options.peer,
-		Plan:       &plan,
+		Node:    ident.Node(options.settings.Node.ID),
+		Store:   store,
+		KV:      options.kv,
+		Dialer:  options.dialer,
+		Nodes:   options.peers.disks,
+		Shards:  options.settings.Jobs.Shards,
+		Machine: func(ident.Shard) shard.Machine { return jobstore.NewMachine() },
+		Peer:    options.peer,
+		Plan:    &plan,
+
+		CatchUpStreams: options.settings.Jobs.CatchUpStreams,
+		CatchUpRate:    int(options.settings.Jobs.CatchUpRate),
+
 		Logger:     options.logger,
 		Registerer: options.registerer,
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,11 +51,13 @@
 
 // Jobs shapes the job shards. Shards, Replicas and MinimumCopies must be the same on every node.
 type Jobs struct {
-	Shards        int           `yaml:"shards" unit:"shards" default:"8" min:"1" max:"1024" doc:"Number of job shards in the fleet; fixed once jobs exist."`
-	Replicas      int           `yaml:"replicas" unit:"replicas" default:"3" min:"1" max:"7" doc:"Replicas of each shard, where that many disk machines exist."`
-	MinimumCopies int           `yaml:"minimum_copies" unit:"copies" default:"3" min:"1" max:"7" doc:"Least number of synchronised copies that may accept a job; below it submissions are refused."`
-	LeaseTTL      time.Duration `yaml:"lease_ttl" default:"10s" min:"200ms" max:"10m" doc:"How long a batch worker may run items without renewing their lease."`
-	Retention     time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
+	Shards         int           `yaml:"shards" unit:"shards" default:"8" min:"1" max:"1024" doc:"Number of job shards in the fleet; fixed once jobs exist."`
+	Replicas       int           `yaml:"replicas" unit:"replicas" default:"3" min:"1" max:"7" doc:"Replicas of each shard, where that many disk machines exist."`
+	MinimumCopies  int           `yaml:"minimum_copies" unit:"copies" default:"3" min:"1" max:"7" doc:"Least number of synchronised copies that may accept a job; below it submissions are refused."`
+	CatchUpStreams int           `yaml:"catch_up_streams" unit:"streams" default:"2" min:"1" max:"64" doc:"States of shards that this node sends at once to disks that lack them, and receives at once."`
+	CatchUpRate    Size          `yaml:"catch_up_rate" default:"64MiB" min:"64KiB" max:"64GiB" doc:"State that this node sends in a second to disks that lack it, all streams together."`
+	LeaseTTL       time.Duration `yaml:"lease_ttl" default:"10s" min:"200ms" max:"10m" doc:"How long a batch worker may run items without renewing their lease."`
+	Retention      time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
 }
 
 // TLS holds the certificates of the three listeners.
--- a/internal/shard/replication.go
+++ b/internal/shard/replication.go
@@ -17,6 +17,9 @@
 	inflight int
 	// snapshot is set while the applied state is on its way.
 	snapshot bool
+	// held is the index of the state that was last sent; the log behind it is kept until the replica has caught up. Zero
+	// if none is.
+	held uint64
 	// answered is the leader's clock in the newest message the replica answered.
 	answered time.Duration
 	// since is when the leader began to follow this replica.
@@ -349,10 +352,24 @@
 	}
 }
 
-// SnapshotFailed tells that sending the applied state to a member ended without its receipt.
-func (c *Core) SnapshotFailed(member Member) {
+// SnapshotStarted tells that the state at an index is on its way to a member. The log behind it is kept meanwhile: else
+// a state that takes longer to send than the log is kept would have to be sent again, without end.
+func (c *Core) SnapshotStarted(member Member, index uint64) {
 	if c.role == Leader && c.progress[member] != nil {
-		c.progress[member].snapshot = false
+		c.progress[member].held = index
+	}
+}
+
+// SnapshotEnded tells that sending the applied state to a member ended, and whether it was received. The receipt itself
+// is a message.
+func (c *Core) SnapshotEnded(member Member, received bool) {
+	follower := c.progress[member]
+	if c.role != Leader || follower == nil {
+		return
+	}
+	follower.snapshot = false
+	if !received {
+		follower.held = 0
 	}
 }
 
--- a/internal/shard/shardsim/network.go
+++ b/internal/shard/shardsim/network.go
@@ -66,13 +66,14 @@
 		Configuration: status.Configuration,
 	}
 	state := sender.disk.state.Clone()
+	sender.driver.Core.SnapshotStarted(to, snapshot.Index)
 	receiver := s.node(to.Node)
 	lives := sender.lives
 	s.After(s.between(snapshotTakes/2, 2*snapshotTakes), func() {
 		arrives := s.now >= s.network.cut[link{from: sender.name, to: to.Node}]
 		if !arrives || receiver.member() != to {
 			if sender.lives == lives {
-				sender.input(func() error { sender.driver.Core.SnapshotFailed(to); return nil })
+				sender.input(func() error { sender.driver.Core.SnapshotEnded(to, arrives); return nil })
 			}
 			return
 		}
@@ -85,7 +86,7 @@
 		// The receipt may be refused or lost: the sender's stream ends either way.
 		s.After(snapshotTakes, func() {
 			if sender.lives == lives {
-				sender.input(func() error { sender.driver.Core.SnapshotFailed(to); return nil })
+				sender.input(func() error { sender.driver.Core.SnapshotEnded(to, arrives); return nil })
 			}
 		})
 	})
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -82,14 +83,34 @@
 // Copies returns the size of the present set.
 func (c *Core) Copies() int { return len(c.hard.Configuration.Members) }
 
-// Compactable returns the last index that may be dropped from the log when retained applied entries are kept.
+// Compactable returns the last index that may be dropped from the log when retained applied entries are kept. Entries
+// that a replica still needs after a state on its way stay too.
 func (c *Core) Compactable(retained uint64) uint64 {
+	return min(c.CompactableAtMost(retained), c.heldAfter(retained))
+}
+
+// CompactableAtMost is Compactable without regard to states on their way, for a log that has grown too long for them.
+func (c *Core) CompactableAtMost(retained uint64) uint64 {
 	if c.log.applied <= retained {
 		return 0
 	}
 	return min(c.log.applied-retained, c.log.persisted)
 }
 
+// heldAfter returns the index after which entries are held for replicas that catch up.
+func (c *Core) heldAfter(retained uint64) uint64 {
+	held := uint64(math.MaxUint64)
+	for _, follower := range c.progress {
+		if follower.match+retained >= c.log.applied {
+			follower.held = 0
+		}
+		if follower.held > 0 {
+			held = min(held, max(follower.held, follower.match))
+		}
+	}
+	return held
+}
+
 // TermAt returns the term of an entry, so that a snapshot of the applied state can name it.
 func (c *Core) TermAt(index uint64) (Term, error) { return c.log.term(index) }
 
--- a/internal/shardhost/bench_test.go
+++ b/internal/shardhost/bench_test.go
@@ -28,6 +28,7 @@
 
 const (
 	benchCommandBytes = 512
+	benchLargeBytes   = 16 << 10
 	benchProposers    = 256
 )
 
@@ -45,15 +46,19 @@
 }
 
 func benchLeader(b *testing.B, fleet *shardhosttest.Fleet, members int) shard.Replica {
-	for range 3000 {
+	return shardLeader(b, fleet, 0, members)
+}
+
+func shardLeader(b *testing.B, fleet *shardhosttest.Fleet, id ident.Shard, members int) shard.Replica {
+	for range 6000 {
 		for number := range fleet.Size() {
 			host := fleet.Host(number)
 			if host == nil {
 				continue
 			}
-			status, _ := host.Status(0)
-			if _, leads := host.Replica(0).Leading(); leads && len(status.Configuration.Members) == members {
-				return host.Replica(0)
+			status, _ := host.Status(id)
+			if _, leads := host.Replica(id).Leading(); leads && len(status.Configuration.Members) == members {
+				return host.Replica(id)
 			}
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -63,13 +68,17 @@
 }
 
 func proposeMany(b *testing.B, replica shard.Replica, count int) {
+	proposeSized(b, replica, count, benchCommandBytes)
+}
+
+func proposeSized(b *testing.B, replica shard.Replica, count, size int) {
 	var next atomic.Int64
 	var proposers sync.WaitGroup
 	for proposer := range benchProposers {
 		proposers.Go(func() {
 			random := rand.New(rand.NewPCG(uint64(proposer), 1))
 			for next.Add(1) <= int64(count) {
-				command := make([]byte, benchCommandBytes)
+				command := make([]byte, size)
 				for position := 0; position < len(command); position += 8 {
 					binary.LittleEndian.PutUint64(command[position:], random.Uint64())
 				}
@@ -143,6 +152,39 @@
 	}
 }
 
+// BenchmarkRecovery measures how long a wiped node takes until it is a member of all its shards again, by the number of
+// shards, with two streams of state at once and a rate that does not bind; 64 MB of state for each shard.
+func BenchmarkRecovery(b *testing.B) {
+	const megabytes = 64
+	for _, shards := range []int{1, 2, 4} {
+		b.Run(fmt.Sprintf("%dshards", shards), func(b *testing.B) {
+			fleet, _ := benchFixture(b, shardhosttest.Options{
+				Nodes: 3, Shards: shards, RetainedEntries: 100, CatchUpRate: 4 << 30,
+			})
+			for number := range shards {
+				proposeSized(b, shardLeader(b, fleet, ident.Shard(number), 3), megabytes<<20/benchLargeBytes, benchLargeBytes)
+			}
+			b.ResetTimer()
+			for range b.N {
+				b.StopTimer()
+				wiped := followerOf(fleet)
+				assert.NilError(b, fleet.Wipe(wiped))
+				for number := range shards {
+					shardLeader(b, fleet, ident.Shard(number), 2)
+				}
+				b.StartTimer()
+				assert.NilError(b, fleet.Start(wiped))
+				for number := range shards {
+					shardLeader(b, fleet, ident.Shard(number), 3)
+				}
+			}
+			seconds := b.Elapsed().Seconds() / float64(b.N)
+			b.ReportMetric(seconds, "s/recovery")
+			b.ReportMetric(seconds/(float64(shards*megabytes)/1024), "s/GB")
+		})
+	}
+}
+
 func followerOf(fleet *shardhosttest.Fleet) int {
 	for number := range fleet.Size() {
 		if _, leads := fleet.Host(number).Replica(0).Leading(); !leads {
--- a/internal/shardhost/host.go
+++ b/internal/shardhost/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 	"storj.io/drpc"
 
@@ -51,8 +52,12 @@
 	// MaximumBatch bounds the messages and proposals that one write of the log serves; 512 if zero. One means a sync for
 	// each, which is only of use for comparison.
 	MaximumBatch int
-	Logger       zerolog.Logger
-	Registerer   prometheus.Registerer
+	// CatchUpStreams bounds the states that are sent from here at once, and those received; 2 if zero.
+	CatchUpStreams int
+	// CatchUpRate is how many bytes of state a second all streams from here may send together; 64 MiB if zero.
+	CatchUpRate int
+	Logger      zerolog.Logger
+	Registerer  prometheus.Registerer
 }
 
 const (
@@ -60,6 +65,8 @@
 	defaultRetainedEntries = 10000
 	defaultRetainedBytes   = 16 << 20
 	defaultMaximumBatch    = 512
+	defaultCatchUpStreams  = 2
+	defaultCatchUpRate     = 64 << 20
 )
 
 func (o *Options) setDefaults() {
@@ -83,6 +90,12 @@
 	if o.MaximumBatch == 0 {
 		o.MaximumBatch = defaultMaximumBatch
 	}
+	if o.CatchUpStreams == 0 {
+		o.CatchUpStreams = defaultCatchUpStreams
+	}
+	if o.CatchUpRate == 0 {
+		o.CatchUpRate = defaultCatchUpRate
+	}
 	if o.RetainedBytes == 0 {
 		o.RetainedBytes = defaultRetainedBytes
 	}
@@ -100,8 +113,9 @@
 	tomb      tomb.Tomb
 	// ctx ends when the host stops.
 	ctx context.Context
-	// sending bounds the snapshots on their way from here.
-	sending chan struct{}
+	// sending and receiving bound the states on their way from here and to here; pace is the rate of those from here.
+	sending, receiving chan struct{}
+	pace               *rate.Limiter
 
 	mutex    sync.Mutex
 	replicas map[ident.Shard]*replica
@@ -114,7 +128,8 @@
 	host := &Host{
 		options: options, started: time.Now(), replicas: map[ident.Shard]*replica{},
 		self:    shard.Member{Node: options.Node, Incarnation: options.Store.Incarnation()},
-		sending: make(chan struct{}, concurrentSnapshots),
+		sending: make(chan struct{}, options.CatchUpStreams), receiving: make(chan struct{}, options.CatchUpStreams),
+		pace: rate.NewLimiter(rate.Limit(options.CatchUpRate), 2*snapshotChunkBytes),
 	}
 	host.ctx = host.tomb.Context(context.Background())
 	host.directory = NewDirectory(options.KV, options.Prefix, options.Logger)
--- a/internal/shardhost/metrics.go
+++ b/internal/shardhost/metrics.go
@@ -13,6 +13,7 @@
 	syncs     prometheus.CounterFunc
 	leftover  prometheus.Gauge
 	removed   prometheus.Counter
+	catchUp   prometheus.Counter
 }
 
 const maximumBatchBucket = 12
@@ -47,13 +48,16 @@
 		removed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "mallowlatch_shard_removed_replicas_total", Help: "Replicas that left their sets and were removed.",
 		}),
+		catchUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mallowlatch_shard_catch_up_bytes_total", Help: "Bytes of state sent to replicas that lacked it.",
+		}),
 		syncs: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mallowlatch_shard_log_syncs_total", Help: "Syncs of the write-ahead log.",
 		}, func() float64 { return float64(host.options.Store.Usage().Syncs) }),
 	}
 	if registerer != nil {
 		registerer.MustRegister(created.proposals, created.batch, created.messages, created.swaps, created.leading,
-			created.replicas, created.disk, created.syncs, created.leftover, created.removed)
+			created.replicas, created.disk, created.syncs, created.leftover, created.removed, created.catchUp)
 	}
 	return created
 }
--- a/internal/shardhost/nodes.go
+++ b/internal/shardhost/nodes.go
@@ -81,6 +81,8 @@
 		}
 		if !node.Alive {
 			t.suspects = append(t.suspects, node.Node)
+			// It may come back with another disk: asked as soon as it does.
+			delete(t.asked, node.Node)
 		}
 		if now.Sub(t.lastSeen[node.Node]) >= t.host.options.DeadAfter {
 			continue
--- a/internal/shardhost/replica.go
+++ b/internal/shardhost/replica.go
@@ -22,6 +22,8 @@
 	storeTimeout       = 5 * time.Second
 	// compactEvery is how many entries more than the retained ones gather before the log is compacted.
 	compactEvery = 1000
+	// heldFactor is how many times the retained bytes of log are kept for a replica that catches up: 1 GiB by default.
+	heldFactor = 64
 )
 
 // replica runs the driver of one shard in one goroutine. Everything else talks to it through its channels.
@@ -208,11 +210,14 @@
 	return nil
 }
 
+// compact drops the applied part of the log beyond what is retained by number and by size. What replicas that catch up
+// still need stays, up to heldFactor times the retained size.
 func (r *replica) compact() error {
-	options := r.host.options
-	until := r.driver.Core.Compactable(options.RetainedEntries)
-	until = max(until, min(r.log.Retained(options.RetainedBytes), r.driver.Core.Compactable(0)))
-	bySize := r.log.Retained(options.RetainedBytes) >= r.log.FirstIndex()
+	options, core := r.host.options, r.driver.Core
+	sized := r.log.Retained(options.RetainedBytes)
+	until := max(core.Compactable(options.RetainedEntries), min(sized, core.Compactable(0)))
+	until = max(until, min(r.log.Retained(heldFactor*options.RetainedBytes), core.CompactableAtMost(0)))
+	bySize := sized >= r.log.FirstIndex()
 	if until < r.log.FirstIndex()+compactEvery && !(bySize && until >= r.log.FirstIndex()) {
 		return nil
 	}
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -36,7 +36,9 @@
 	// RetainedEntries and MaximumBatch are those of the hosts.
 	RetainedEntries uint64
 	MaximumBatch    int
-	Logger          zerolog.Logger
+	// CatchUpStreams and CatchUpRate are those of the hosts.
+	CatchUpStreams, CatchUpRate int
+	Logger                      zerolog.Logger
 }
 
 const defaultZones = 3
@@ -169,6 +171,7 @@
 		Node: started.name, Store: store, KV: f.KV, Dialer: pool, Nodes: f.view, Shards: f.options.Shards,
 		Machine: f.options.Machine, Settings: f.options.Settings, Plan: f.options.Plan,
 		RetainedEntries: f.options.RetainedEntries, MaximumBatch: f.options.MaximumBatch, DeadAfter: 2 * time.Second,
+		CatchUpStreams: f.options.CatchUpStreams, CatchUpRate: f.options.CatchUpRate,
 		Logger: f.options.Logger.With().Str("node", string(started.name)).Logger(),
 	})
 	if err != nil {
--- a/internal/shardhost/snapshot.go
+++ b/internal/shardhost/snapshot.go
@@ -13,15 +13,18 @@
 )
 
 const (
-	concurrentSnapshots = 2
-	snapshotChunkBytes  = 256 << 10
-	snapshotTimeout     = 30 * time.Minute
+	snapshotChunkBytes = 256 << 10
+	// snapshotStall is how long one chunk may take before the stream counts as broken. A whole state may take hours.
+	snapshotStall = 5 * time.Minute
 )
 
 // sendSnapshot sends the applied state beside the replica's goroutine, which goes on.
 func (r *replica) sendSnapshot(to shard.Member) {
 	view := r.log.View()
 	status := r.driver.Core.Status(r.host.now())
+	if index, _, err := view.Position(); err == nil {
+		r.driver.Core.SnapshotStarted(to, index)
+	}
 	r.host.tomb.Go(func() error {
 		err := r.streamSnapshot(view, status, to)
 		logger := r.host.options.Logger
@@ -34,7 +37,7 @@
 		// The receipt, if there is one, went to the core as a message: in either case nothing is on its way any more.
 		select {
 		case <-r.stopped:
-		case r.inbox <- func() error { r.driver.Core.SnapshotFailed(to); return nil }:
+		case r.inbox <- func() error { r.driver.Core.SnapshotEnded(to, err == nil); return nil }:
 		}
 		return nil
 	})
@@ -47,8 +50,10 @@
 	case <-r.ctx.Done():
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, snapshotTimeout)
+	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
+	stalled := time.AfterFunc(snapshotStall, cancel)
+	defer stalled.Stop()
 	index, term, err := view.Position()
 	if err != nil {
 		return err
@@ -70,7 +75,13 @@
 	if err := stream.Send(&pb.SnapshotPart{Header: header}); err != nil {
 		return fmt.Errorf("sending a header: %w", err)
 	}
-	if err := view.Export(snapshotChunkBytes, func(pairs []shardlog.Pair) error { return sendPairs(stream, pairs) }); err != nil {
+	if err := view.Export(snapshotChunkBytes, func(pairs []shardlog.Pair) error {
+		if err := r.host.paceCatchUp(ctx, pairs); err != nil {
+			return err
+		}
+		stalled.Reset(snapshotStall)
+		return sendPairs(stream, pairs)
+	}); err != nil {
 		return err
 	}
 	// Without the end mark the receiver must not install: a stream that broke off is no whole state.
@@ -87,6 +98,24 @@
 	return nil
 }
 
+// paceCatchUp waits until a chunk may go out: all states sent from here share one rate, so that commits keep their part
+// of the disk and the network.
+func (h *Host) paceCatchUp(ctx context.Context, pairs []shardlog.Pair) error {
+	size := 0
+	for _, pair := range pairs {
+		size += len(pair.Key) + len(pair.Value)
+	}
+	h.metrics.catchUp.Add(float64(size))
+	for size > 0 {
+		part := min(size, h.pace.Burst())
+		if err := h.pace.WaitN(ctx, part); err != nil {
+			return fmt.Errorf("pacing a state: %w", err)
+		}
+		size -= part
+	}
+	return nil
+}
+
 func sendPairs(stream pb.DRPCShards_InstallClient, pairs []shardlog.Pair) error {
 	part := &pb.SnapshotPart{}
 	for _, pair := range pairs {
@@ -109,6 +138,14 @@
 	if err != nil {
 		return err
 	}
+	select {
+	case s.host.receiving <- struct{}{}:
+		defer func() { <-s.host.receiving }()
+	case <-stream.Context().Done():
+		return fmt.Errorf("awaiting a turn: %w", stream.Context().Err())
+	case <-s.host.ctx.Done():
+		return fmt.Errorf("shard %d: stopping: %w", snapshot.Shard, shard.ErrUnavailable)
+	}
 	local, err := s.host.openReplica(snapshot.Shard)
 	if err != nil {
 		return err
