Resume a transfer of state that broke off

Cause: each attempt began anew, so a link that breaks more often than a state takes never filled a disk.

--- a/internal/shard/replication.go
+++ b/internal/shard/replication.go
@@ -360,16 +360,11 @@
 	}
 }
 
-// SnapshotEnded tells that sending the applied state to a member ended, and whether it was received. The receipt itself
-// is a message.
-func (c *Core) SnapshotEnded(member Member, received bool) {
-	follower := c.progress[member]
-	if c.role != Leader || follower == nil {
-		return
-	}
-	follower.snapshot = false
-	if !received {
-		follower.held = 0
+// SnapshotEnded tells that sending the applied state to a member ended. The receipt itself is a message. The log behind
+// the state stays: the next attempt may go on where this one broke off.
+func (c *Core) SnapshotEnded(member Member) {
+	if c.role == Leader && c.progress[member] != nil {
+		c.progress[member].snapshot = false
 	}
 }
 
--- a/internal/shard/shardsim/network.go
+++ b/internal/shard/shardsim/network.go
@@ -73,7 +73,7 @@
 		arrives := s.now >= s.network.cut[link{from: sender.name, to: to.Node}]
 		if !arrives || receiver.member() != to {
 			if sender.lives == lives {
-				sender.input(func() error { sender.driver.Core.SnapshotEnded(to, arrives); return nil })
+				sender.input(func() error { sender.driver.Core.SnapshotEnded(to); return nil })
 			}
 			return
 		}
@@ -86,7 +86,7 @@
 		// The receipt may be refused or lost: the sender's stream ends either way.
 		s.After(snapshotTakes, func() {
 			if sender.lives == lives {
-				sender.input(func() error { sender.driver.Core.SnapshotEnded(to, arrives); return nil })
+				sender.input(func() error { sender.driver.Core.SnapshotEnded(to); return nil })
 			}
 		})
 	})
--- a/internal/shardhost/metrics.go
+++ b/internal/shardhost/metrics.go
@@ -14,6 +14,7 @@
 	leftover  prometheus.Gauge
 	removed   prometheus.Counter
 	catchUp   prometheus.Counter
+	resumed   prometheus.Counter
 }
 
 const maximumBatchBucket = 12
@@ -51,13 +52,17 @@
 		catchUp: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "mallowlatch_shard_catch_up_bytes_total", Help: "Bytes of state sent to replicas that lacked it.",
 		}),
+		resumed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mallowlatch_shard_resumed_transfers_total", Help: "Transfers of state that went on where one broke off.",
+		}),
 		syncs: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mallowlatch_shard_log_syncs_total", Help: "Syncs of the write-ahead log.",
 		}, func() float64 { return float64(host.options.Store.Usage().Syncs) }),
 	}
 	if registerer != nil {
 		registerer.MustRegister(created.proposals, created.batch, created.messages, created.swaps, created.leading,
-			created.replicas, created.disk, created.syncs, created.leftover, created.removed, created.catchUp)
+			created.replicas, created.disk, created.syncs, created.leftover, created.removed, created.catchUp,
+			created.resumed)
 	}
 	return created
 }
--- a/internal/shardhost/replica.go
+++ b/internal/shardhost/replica.go
@@ -36,6 +36,7 @@
 	proposals chan *proposal
 	stopped   chan struct{}
 	published atomic.Pointer[published]
+	transfers transfers
 
 	// The fields below belong to the goroutine.
 	waiting map[uint64]*proposal
@@ -63,6 +64,7 @@
 		proposals: make(chan *proposal, proposalLength),
 		stopped:   make(chan struct{}),
 		waiting:   map[uint64]*proposal{},
+		transfers: transfers{views: map[shard.Member]keptView{}},
 	}
 	created.ctx = host.ctx
 	created.publish()
@@ -75,6 +77,7 @@
 	defer close(r.stopped)
 	err := r.loop()
 	r.published.Store(&published{})
+	r.transfers.close()
 	r.failWaiting()
 	if err != nil && !r.host.forgetRemoved(r, err) {
 		event.ShardReplicaFailed.Log(r.host.options.Logger).Uint32("shard", uint32(r.id)).Err(err).Send()
@@ -152,6 +155,9 @@
 		r.observed = record.Revision
 		r.driver.Observe(record.Configuration, record.Revision)
 	}
+	if err := r.transfers.expire(time.Now()); err != nil {
+		return err
+	}
 	request, due, err := r.driver.Tick(r.host.now(), r.host.nodes.world(r.id))
 	if due {
 		r.host.tomb.Go(func() error { r.ask(request); return nil })
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -38,6 +38,8 @@
 	MaximumBatch    int
 	// CatchUpStreams and CatchUpRate are those of the hosts.
 	CatchUpStreams, CatchUpRate int
+	// Dialer wraps the dialer of each host, to break its calls; nil leaves it.
+	Dialer func(transport.Dialer) transport.Dialer
 	Logger                      zerolog.Logger
 }
 
@@ -167,8 +169,12 @@
 	pool := transport.NewPool(transport.PoolOptions{Lookup: func(to ident.Node) (string, bool) {
 		return f.lookup(to)
 	}})
+	var dialer transport.Dialer = pool
+	if f.options.Dialer != nil {
+		dialer = f.options.Dialer(pool)
+	}
 	host, err := shardhost.New(shardhost.Options{
-		Node: started.name, Store: store, KV: f.KV, Dialer: pool, Nodes: f.view, Shards: f.options.Shards,
+		Node: started.name, Store: store, KV: f.KV, Dialer: dialer, Nodes: f.view, Shards: f.options.Shards,
 		Machine: f.options.Machine, Settings: f.options.Settings, Plan: f.options.Plan,
 		RetainedEntries: f.options.RetainedEntries, MaximumBatch: f.options.MaximumBatch, DeadAfter: 2 * time.Second,
 		CatchUpStreams: f.options.CatchUpStreams, CatchUpRate: f.options.CatchUpRate,
--- a/internal/shardhost/snapshot.go
+++ b/internal/shardhost/snapshot.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/shard"
 	pb "mallowlatch.example/mallowlatch/internal/shardhost/shardhostpb"
@@ -18,11 +20,18 @@
 	snapshotStall = 5 * time.Minute
 )
 
+// errRefused means that a state arrived whole and was of no use to the receiver.
+const errRefused = failure.Kind("shard host: state refused")
+
 // sendSnapshot sends the applied state beside the replica's goroutine, which goes on.
 func (r *replica) sendSnapshot(to shard.Member) {
-	view := r.log.View()
+	view := r.transfers.takeView(to, r.log.FirstIndex())
+	if view == nil {
+		view = r.log.View()
+	}
 	status := r.driver.Core.Status(r.host.now())
-	if index, _, err := view.Position(); err == nil {
+	index, _, failed := view.Position()
+	if failed == nil {
 		r.driver.Core.SnapshotStarted(to, index)
 	}
 	r.host.tomb.Go(func() error {
@@ -33,11 +42,15 @@
 		} else if err == nil {
 			event.ShardSnapshotSent.Log(logger).Uint32("shard", uint32(r.id)).Str("to", string(to.Node)).Send()
 		}
-		_ = view.Close()
+		if err != nil && failed == nil && !errors.Is(err, errRefused) {
+			r.transfers.keepView(to, view, index)
+		} else {
+			_ = view.Close()
+		}
 		// The receipt, if there is one, went to the core as a message: in either case nothing is on its way any more.
 		select {
 		case <-r.stopped:
-		case r.inbox <- func() error { r.driver.Core.SnapshotEnded(to, err == nil); return nil }:
+		case r.inbox <- func() error { r.driver.Core.SnapshotEnded(to); return nil }:
 		}
 		return nil
 	})
@@ -62,7 +75,9 @@
 	if err != nil {
 		return fmt.Errorf("dialling %s: %w", to.Node, err)
 	}
-	stream, err := pb.NewDRPCShardsClient(conn).Install(ctx)
+	client := pb.NewDRPCShardsClient(conn)
+	behind := r.askStaged(ctx, client, to, position{index: index, term: term})
+	stream, err := client.Install(ctx)
 	if err != nil {
 		return fmt.Errorf("opening a stream to %s: %w", to.Node, err)
 	}
@@ -70,12 +85,12 @@
 	header := &pb.SnapshotHeader{
 		Shard: uint32(r.id), From: encodeMember(r.host.self), To: encodeMember(to),
 		LeaderTerm: encodeTerm(status.Term), Index: index, Term: encodeTerm(term),
-		Configuration: encodeConfiguration(&status.Configuration),
+		Configuration: encodeConfiguration(&status.Configuration), Resumed: behind != nil, After: behind,
 	}
 	if err := stream.Send(&pb.SnapshotPart{Header: header}); err != nil {
 		return fmt.Errorf("sending a header: %w", err)
 	}
-	if err := view.Export(snapshotChunkBytes, func(pairs []shardlog.Pair) error {
+	if err := view.Export(behind, snapshotChunkBytes, func(pairs []shardlog.Pair) error {
 		if err := r.host.paceCatchUp(ctx, pairs); err != nil {
 			return err
 		}
@@ -93,7 +108,7 @@
 		return fmt.Errorf("awaiting the receipt: %w", err)
 	}
 	if !answer.GetAccepted() {
-		return fmt.Errorf("refused by %s: %w", to.Node, ErrProtocol)
+		return fmt.Errorf("sending to %s: %w", to.Node, errRefused)
 	}
 	return nil
 }
@@ -150,12 +165,16 @@
 	if err != nil {
 		return err
 	}
-	staged := local.log.Stage()
-	snapshot.Staging = staged.Number()
-	if err := receivePairs(stream, staged); err != nil {
-		_ = staged.Discard()
+	received, err := local.beginReceiving(header, snapshot)
+	if err != nil {
 		return err
 	}
+	staged := received.staged
+	snapshot.Staging = staged.Number()
+	if err := receivePairs(stream, received); err != nil {
+		received.since = time.Now()
+		return errors.Join(err, local.transfers.keepReceived(received))
+	}
 	accepted, err := local.install(stream.Context(), snapshot, staged)
 	if err != nil {
 		return err
@@ -177,7 +196,25 @@
 	return snapshot, s.authentic(ctx, snapshot.From.Node)
 }
 
-func receivePairs(stream pb.DRPCShards_InstallStream, staged *shardlog.Staged) error {
+// beginReceiving goes on with what an earlier stream brought of the same state, or begins anew.
+func (r *replica) beginReceiving(header *pb.SnapshotHeader, snapshot shard.Snapshot) (*partial, error) {
+	of := position{index: snapshot.Index, term: snapshot.Term}
+	var behind []byte
+	if header.GetResumed() {
+		behind = header.GetAfter()
+	}
+	kept, err := r.transfers.takeReceived(of, behind)
+	if err != nil || kept != nil {
+		return kept, err
+	}
+	if header.GetResumed() {
+		return nil, fmt.Errorf("shard %d: nothing to resume: %w", r.id, ErrProtocol)
+	}
+	return &partial{staged: r.log.Stage(), of: of}, nil
+}
+
+// receivePairs stages the pairs. Without the end mark the state is not whole.
+func receivePairs(stream pb.DRPCShards_InstallStream, received *partial) error {
 	for {
 		part, err := stream.Recv()
 		if err != nil {
@@ -190,9 +227,12 @@
 		for _, pair := range part.GetPairs() {
 			pairs = append(pairs, shardlog.Pair{Key: pair.GetKey(), Value: pair.GetValue()})
 		}
-		if err := staged.Add(pairs); err != nil {
+		if err := received.staged.Add(pairs); err != nil {
 			return err
 		}
+		if len(pairs) > 0 {
+			received.lastKey = pairs[len(pairs)-1].Key
+		}
 	}
 }
 
--- a/internal/shardlog/log_test.go
+++ b/internal/shardlog/log_test.go
@@ -129,7 +129,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, index, uint64(40))
 	staged := target.Stage()
-	assert.NilError(t, view.Export(8, staged.Add))
+	assert.NilError(t, view.Export(nil, 8, staged.Add))
 	assert.NilError(t, view.Close())
 	assert.Equal(t, target.Applied(), uint64(5))
 
--- a/internal/shardlog/snapshot.go
+++ b/internal/shardlog/snapshot.go
@@ -1,6 +1,7 @@
 package shardlog
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 
@@ -12,9 +13,9 @@
 // Pair is a key of the state machine with its value.
 type Pair struct{ Key, Value []byte }
 
-// Export gives the state of the view to send, in chunks of about chunkBytes. The pairs are only valid during the call.
+// Export gives the state of the view behind a key (nil for all of it) to send, in chunks of about chunkBytes. The pairs are only valid during the call.
 // Memory stays bounded by a chunk.
-func (v *View) Export(chunkBytes int, send func(pairs []Pair) error) error {
+func (v *View) Export(behind []byte, chunkBytes int, send func(pairs []Pair) error) error {
 	var chunk []Pair
 	var failed error
 	size := 0
@@ -25,7 +26,11 @@
 		chunk, size = chunk[:0], 0
 		return failed == nil
 	}
-	err := v.Reader().Scan(nil, nil, func(key, value []byte) bool {
+	var start []byte
+	if behind != nil {
+		start = append(bytes.Clone(behind), 0)
+	}
+	err := v.Reader().Scan(start, nil, func(key, value []byte) bool {
 		chunk = append(chunk, Pair{Key: append([]byte(nil), key...), Value: append([]byte(nil), value...)})
 		size += len(key) + len(value)
 		return size < chunkBytes || flush()
@@ -70,6 +75,11 @@
 
 // Discard drops a state that will not be installed.
 func (s *Staged) Discard() error {
+	s.log.receiving.RLock()
+	defer s.log.receiving.RUnlock()
+	if s.log.removed {
+		return nil
+	}
 	batch := s.log.store.db.NewBatch()
 	prefix := numberedKey(spaceState, s.log.id, s.number)
 	if err := batch.DeleteRange(prefix, after(prefix), nil); err != nil {
