Say when a planned stop failed for the key-value service

The event and the error of a stop that ran out its time did not tell a slow copy from a service that is away. One read tells them apart (ErrStoreAway). TestLeaveSaysWhenItCannot asks for it.

--- a/internal/shardhost/leave.go
+++ b/internal/shardhost/leave.go
@@ -10,6 +10,7 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/kv"
 )
 
 // Failures of leaving. The node may stop all the same; its shards go on as after a crash, or wait for its return.
@@ -19,8 +20,13 @@
 	// ErrStillNeeded means that stored sets still name this node when the time is up: the others lack a copy, or the
 	// key-value service cannot be reached.
 	ErrStillNeeded = failure.Kind("shard host: replica sets still name this node")
+	// ErrStoreAway is joined to it when the key-value service does not answer: no set can change.
+	ErrStoreAway = failure.Kind("shard host: key-value service away")
 )
 
+// storeProbe is how long the key-value service may take to show that it is there.
+const storeProbe = time.Second
+
 const drainPoll = 50 * time.Millisecond
 
 // Drain hands over the leadership of every shard led here and returns when none is left, or with the context's error.
@@ -45,7 +51,7 @@
 		return false, nil
 	})
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = fmt.Errorf("%w: %w", ErrStillNeeded, err)
+		err = fmt.Errorf("%w: %w", ErrStillNeeded, h.reasonToStay(err))
 	}
 	if err != nil {
 		held := h.Held()
@@ -55,6 +61,17 @@
 	return err
 }
 
+// reasonToStay adds ErrStoreAway if the key-value service does not answer.
+func (h *Host) reasonToStay(cause error) error {
+	ctx, cancel := context.WithTimeout(h.ctx, storeProbe)
+	defer cancel()
+	_, err := h.options.KV.Get(ctx, recordKey(h.options.Prefix, 0))
+	if err == nil || errors.Is(err, kv.ErrNotFound) {
+		return cause
+	}
+	return fmt.Errorf("%w: %w: %w", ErrStoreAway, err, cause)
+}
+
 // poll asks until the answer is yes, an error, or ctx ends.
 func (h *Host) poll(ctx context.Context, finished func() (bool, error)) error {
 	ticker := time.NewTicker(drainPoll)
--- a/internal/shardhost/leave_test.go
+++ b/internal/shardhost/leave_test.go
@@ -90,7 +90,9 @@
 		f.fleet.Announce(leaving)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
-		assert.ErrorIs(t, f.fleet.Host(leaving).Leave(ctx), shardhost.ErrStillNeeded)
+		err := f.fleet.Host(leaving).Leave(ctx)
+		assert.ErrorIs(t, err, shardhost.ErrStillNeeded)
+		assert.ErrorIs(t, err, shardhost.ErrStoreAway)
 	})
 }
 
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -40,7 +40,7 @@
 	CatchUpStreams, CatchUpRate int
 	// Dialer wraps the dialer of each host, to break its calls; nil leaves it.
 	Dialer func(transport.Dialer) transport.Dialer
-	Logger                      zerolog.Logger
+	Logger zerolog.Logger
 }
 
 const defaultZones = 3
