--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -36,7 +36,11 @@
 	// RetainedEntries and MaximumBatch are those of the hosts.
 	RetainedEntries uint64
 	MaximumBatch    int
-	Logger          zerolog.Logger
+	// CatchUpStreams and CatchUpRate are those of the hosts.
+	CatchUpStreams, CatchUpRate int
+	// Dialer wraps the dialer of each host, to break its calls; nil leaves it.
+	Dialer func(transport.Dialer) transport.Dialer
+	Logger zerolog.Logger
 }
 
 const defaultZones = 3
@@ -165,10 +169,15 @@
 	pool := transport.NewPool(transport.PoolOptions{Lookup: func(to ident.Node) (string, bool) {
 		return f.lookup(to)
 	}})
+	var dialer transport.Dialer = pool
+	if f.options.Dialer != nil {
+		dialer = f.options.Dialer(pool)
+	}
 	host, err := shardhost.New(shardhost.Options{
-		Node: started.name, Store: store, KV: f.KV, Dialer: pool, Nodes: f.view, Shards: f.options.Shards,
+		Node: started.name, Store: store, KV: f.KV, Dialer: dialer, Nodes: f.view, Shards: f.options.Shards,
 		Machine: f.options.Machine, Settings: f.options.Settings, Plan: f.options.Plan,
 		RetainedEntries: f.options.RetainedEntries, MaximumBatch: f.options.MaximumBatch, DeadAfter: 2 * time.Second,
+		CatchUpStreams: f.options.CatchUpStreams, CatchUpRate: f.options.CatchUpRate,
 		Logger: f.options.Logger.With().Str("node", string(started.name)).Logger(),
 	})
 	if err != nil {
