--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -84,8 +84,6 @@
 	// strandedAt is the time of the next look for items that no owned runner can run.
 	strandedAt time.Time
 	stopping   bool
-	// rested counts the ticks that passed without work.
-	rested int
 	// launched numbers the runs.
 	launched uint64
 	// usedSince is the time of the last turn, which slot times are counted from.
@@ -197,7 +195,8 @@
 
 // loop owns the state. Everything else reaches it by events.
 func (w *Worker) loop() error {
-	ticker := time.NewTicker(w.config.Tick)
+	period := w.tickPeriod()
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
@@ -209,26 +208,25 @@
 			w.drainEvents()
 		case <-w.wake:
 		case <-ticker.C:
-			if w.rests() {
-				continue
-			}
 		}
 		w.turn(w.config.Now())
+		if wanted := w.tickPeriod(); wanted != period {
+			period = wanted
+			ticker.Reset(period)
+		}
 	}
 }
 
 // restTicks is how many ticks a worker without work lets pass between two looks.
 const restTicks = 10
 
-// rests reports whether this tick may pass: without a lease there is nothing to preempt, renew or commit, and waiting
-// work may be found a little later. It keeps an idle node within its budget of processor time.
-func (w *Worker) rests() bool {
+// tickPeriod is the time to the next look. Without a lease there is nothing to preempt, renew or commit, and waiting work
+// may be found a little later: the ticker itself is slowed, since each wake-up costs an idle node more than the look.
+func (w *Worker) tickPeriod() time.Duration {
 	if len(w.book.leases) > 0 || len(w.commits) > 0 || w.stopping {
-		w.rested = 0
-		return false
+		return w.config.Tick
 	}
-	w.rested = (w.rested + 1) % restTicks
-	return w.rested != 0
+	return restTicks * w.config.Tick
 }
 
 // drainEvents takes the events that already wait, so that one turn serves them all.
--- a/internal/batch/worker_test.go
+++ b/internal/batch/worker_test.go
@@ -177,3 +177,21 @@
 	assert.Assert(t, fake.resumed[0] >= 2, "resumed at token %d", fake.resumed[0])
 	assert.Equal(t, fake.runs["j/0/l0"], 1, "the item ran again from its start")
 }
+
+// Only a worker that has nothing to preempt, renew, commit or give back looks rarely.
+func TestTickIsSlowOnlyWithoutWork(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func(*Worker)
+		ticks   time.Duration
+	}{
+		{"no work", func(*Worker) {}, restTicks},
+		{"a lease", func(w *Worker) { w.book.leases = map[string]*heldLease{"l": {}} }, 1},
+		{"a commit", func(w *Worker) { w.commits[&heldLease{}] = &commit{} }, 1},
+		{"stopping", func(w *Worker) { w.stopping = true }, 1},
+	} {
+		worker := &Worker{config: Config{Tick: time.Second}, book: &leaseBook{}, commits: map[*heldLease]*commit{}}
+		test.prepare(worker)
+		assert.Equal(t, worker.tickPeriod(), test.ticks*time.Second, test.name)
+	}
+}
