--- a/internal/dispatch/exchange/plan_test.go
+++ b/internal/dispatch/exchange/plan_test.go
@@ -134,9 +134,3 @@
 	report.RunningOnline = 9
 	assert.DeepEqual(t, decoded, report)
 }
-
-// Runners are looked at often enough for a poll to be late by a twentieth, and never more often than planTick.
-func TestTickFollowsThePollInterval(t *testing.T) {
-	assert.Equal(t, Intervals{PollOwned: time.Second}.tick(), 50*time.Millisecond)
-	assert.Equal(t, Intervals{PollOwned: 10 * time.Millisecond}.tick(), planTick)
-}
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// planTick is how often at most the runners this node polls often are looked at, and wholeTick how often all are: a
-	// look at the 880 runners of the design size takes 0.3 ms.
+	// planTick is how often the runners this node polls often are looked at, and wholeTick how often all are: a look at
+	// the 880 runners of the design size takes 0.3 ms.
 	planTick  = 25 * time.Millisecond
 	wholeTick = time.Second
 	// maxPolls bounds the load requests on their way at once.
@@ -105,15 +105,9 @@
 	}
 }
 
-// pollLooks is how often in PollOwned the runners are looked at, so that a poll is late by at most one part of it.
-const pollLooks = 20
-
-// tick is the time between looks at the runners that are polled often.
-func (i Intervals) tick() time.Duration { return max(planTick, i.PollOwned/pollLooks) }
-
 // periodicLoop polls runners and shares their states.
 func (e *Exchange) periodicLoop() error {
-	ticker := time.NewTicker(e.polls.intervals.tick())
+	ticker := time.NewTicker(planTick)
 	defer ticker.Stop()
 	var wholeAt time.Time
 	var often []ident.Runner
