Let a closed service open by itself, and a light node keep its share

Cause, found by the test now added: after a refusal no slot is given for 100 ms, but if no answer ended and nobody arrived later, nothing looked again, and a request waited for the whole of its time to be refused. And every refusal cut the limit to what the node had in flight, so a node that sent one request now and then was left with a limit of one, from which the next burst had to climb. Refusals that came from the dispatcher kept its constant advice of 1 s for every caller.

Change: waiting requests look every 100 ms; a lone request closes nothing; a cut starts from the share if the node uses less, and an unused limit goes back to the share from below too; advice of refusals that end a dispatch comes from the queue, other advice is spread.

--- a/internal/admission/concurrency.go
+++ b/internal/admission/concurrency.go
@@ -19,9 +19,9 @@
 	// not take long to follow callers who move to this node.
 	limitGrowth = 0.05
 	mostGrowth  = 1.0
-	// limitDecay is the share by which an unused limit shrinks towards the node's share with each round of answers, so
-	// that no surge meets limits of an earlier one.
-	limitDecay = 0.1
+	// limitReturn is the part of the way that an unused limit goes back to the node's share with each round of answers, so
+	// that no surge meets limits that an earlier one left high or low.
+	limitReturn = 0.2
 	// guessedTime stands for the time of an answer before any was measured; answerWeight is the weight of a new one.
 	guessedTime  = time.Second
 	answerWeight = 0.1
@@ -73,12 +73,16 @@
 
 // overloaded records that the runners refused a request, which still counts as in flight.
 func (c *concurrency) overloaded(now time.Time) {
-	c.closedUntil = now.Add(closedTime)
+	if c.inFlight > 1 {
+		c.closedUntil = now.Add(closedTime)
+	}
 	if now.Sub(c.shrunk) < c.meanTime() {
 		return
 	}
 	c.shrunk, c.usedSince = now, now
-	c.limit = max(leastLimit, min(c.limit, float64(c.inFlight))*limitShrink)
+	// A node that uses less than its share is not who fills the runners: its limit goes down slowly.
+	used := max(float64(c.inFlight), c.share)
+	c.limit = max(leastLimit, min(c.limit, used)*limitShrink)
 }
 
 // reopen records that a runner has room for one request more.
@@ -103,8 +107,8 @@
 		return
 	}
 	c.usedSince = now
-	if c.share > 0 && c.limit > c.share {
-		c.limit = max(c.share, c.limit*(1-limitDecay/float64(max(1, c.inFlight))))
+	if c.share > 0 {
+		c.limit += (c.share - c.limit) * limitReturn / float64(max(1, c.inFlight))
 	}
 }
 
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -257,3 +258,78 @@
 	}
 	return answered
 }
+
+// TestRunWaitsAgainAndSpreadsAdvice dispatches while the runners have no room: a lone request is refused at once,
+// with advice of its own, and neither the result nor the outcome is changed.
+func TestLoneRefusalsSpreadAdvice(t *testing.T) {
+	at := newClock()
+	random := rand.New(rand.NewPCG(1, 2))
+	controller := New(Config{Node: "n", Catalog: configuration(), Now: at.Now, Random: random.Float64})
+	request := &inference.Request{Tenant: "t", Service: "s", Repeatable: true}
+	full := failure.New(failure.CodeOverloaded, "full").WithRetryAfter(time.Second)
+	gone := failure.New(failure.CodeNoBackend, "gone").WithRetryAfter(time.Second)
+	advice := map[time.Duration]bool{}
+	for _, result := range []*failure.Error{full, gone} {
+		for range 10 {
+			failed := failure.As(controller.Run(context.Background(), request, func() error { return result }))
+			assert.Equal(t, failed.Code, result.Code)
+			assert.Equal(t, failed.Outcome, outcome.NotRun)
+			assert.Assert(t, failed.RetryAfter >= leastRetryAfter)
+			advice[failed.RetryAfter] = true
+		}
+	}
+	assert.Assert(t, len(advice) > 10, "callers come back together: %v", advice)
+	ran := failure.New(failure.CodeBackendFailed, "broken").WithOutcome(outcome.Ran).WithRetryAfter(time.Second)
+	assert.Equal(t, controller.Run(context.Background(), request, func() error { return ran }), error(ran))
+	assert.NilError(t, controller.Run(context.Background(), request, func() error { return nil }))
+
+}
+
+// TestRequestWaitsAgainForRoom has the runners refuse a request while another is in flight. It must get its turn when the
+// other ends, and also when nothing happens at all.
+func TestRequestWaitsAgainForRoom(t *testing.T) {
+	for _, otherEnds := range []bool{true, false} {
+		controller := New(Config{Node: "n", Catalog: configuration(), Bounds: Bounds{Wait: 30 * time.Second}})
+		request := &inference.Request{Tenant: "t", Service: "s", Repeatable: true}
+		full := failure.New(failure.CodeOverloaded, "full").WithRetryAfter(time.Second)
+		other, _, _ := controller.Enter(request)
+		tries := 0
+		err := controller.Run(context.Background(), request, func() error {
+			tries++
+			if tries > 1 {
+				return nil
+			}
+			if otherEnds {
+				time.AfterFunc(time.Millisecond, func() { other.Done(nil) })
+			}
+			return full
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, tries, 2)
+		if !otherEnds {
+			other.Done(nil)
+		}
+		assert.Equal(t, controller.service("s").concurrency.inFlight, 0)
+		assert.Equal(t, len(controller.inFlight), 0)
+	}
+}
+
+// TestUnusedLimitReturnsToTheShare cuts the limit of a node that sends little, and raises it far above its share.
+func TestUnusedLimitReturnsToTheShare(t *testing.T) {
+	const share, rounds = 16.0, 60
+	for _, from := range []float64{1, 500} {
+		tested, now := newConcurrency(), begin
+		tested.setShare(share)
+		assert.Equal(t, tested.limit, share)
+		tested.inFlight = 1
+		tested.overloaded(now)
+		assert.Assert(t, tested.limit > 0.8*share, "a light node was cut to %.1f", tested.limit)
+		tested.limit = from
+		for range rounds {
+			now = now.Add(time.Second)
+			tested.inFlight = min(1, int(tested.limit/2))
+			tested.answered(time.Second, now)
+		}
+		assert.Assert(t, tested.limit > 0.9*share && tested.limit < 1.1*share, "from %.0f to %.1f", from, tested.limit)
+	}
+}
--- a/internal/admission/turn.go
+++ b/internal/admission/turn.go
@@ -97,6 +97,18 @@
 	return t.ticket, nil
 }
 
+// RecheckEvery is how often a request that waits must be rechecked.
+const RecheckEvery = closedTime
+
+// Recheck gives slots that are free again. Other events do so too, but none may come while the service is closed after a
+// refusal and no answer ends.
+func (t *Turn) Recheck() {
+	c := t.ticket.controller
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.grantNext(t.ticket.service, c.config.Now())
+}
+
 // GiveUp leaves the queue and returns the refusal, or nil if the turn was settled before.
 func (t *Turn) GiveUp() *failure.Error {
 	c := t.ticket.controller
@@ -114,11 +126,19 @@
 func (t *Turn) await(ctx context.Context) (*Ticket, *failure.Error) {
 	timer := time.NewTimer(t.Until().Sub(t.ticket.controller.config.Now()))
 	defer timer.Stop()
-	select {
-	case <-t.Settled():
-		return t.Result()
-	case <-timer.C:
-	case <-ctx.Done():
+	recheck := time.NewTicker(RecheckEvery)
+	defer recheck.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-t.Settled():
+			return t.Result()
+		case <-recheck.C:
+			t.Recheck()
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	refused := t.GiveUp()
 	switch {
@@ -151,7 +171,7 @@
 		turn := ticket.Return(result)
 		if turn == nil {
 			ticket.Done(result)
-			return result
+			return ticket.advise(result)
 		}
 		var refused *failure.Error
 		if ticket, refused = turn.await(ctx); refused != nil {
@@ -160,3 +180,24 @@
 		}
 	}
 }
+
+// advise replaces the advice of a refusal that came from the dispatcher, which knows neither the queue nor how many
+// others were refused. Other failures keep theirs, lengthened so that callers do not come back together.
+func (t *Ticket) advise(result error) error {
+	if result == nil {
+		return nil
+	}
+	failed := failure.As(result)
+	if failed.Outcome != outcome.NotRun || failed.RetryAfter <= 0 {
+		return result
+	}
+	c := t.controller
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if failed.Code != failure.CodeOverloaded {
+		return failed.WithRetryAfter(c.spread(failed.RetryAfter))
+	}
+	now := c.config.Now()
+	t.service.refusals.add(1, now)
+	return failed.WithRetryAfter(t.service.retryAdvice(c.config.Random(), now))
+}
--- a/internal/lab/overloadsim/node.go
+++ b/internal/lab/overloadsim/node.go
@@ -115,6 +115,17 @@
 	c.tried = nil
 	n.turns = append(n.turns, c)
 	n.fleet.clock.after(turn.Until().Sub(n.fleet.clock.Now()), func() { c.giveUp(turn) })
+	n.fleet.clock.after(admission.RecheckEvery, func() { c.recheck(turn) })
+}
+
+// recheck looks for a free slot while the request waits.
+func (c *call) recheck(turn *admission.Turn) {
+	if c.turn != turn || !slices.Contains(c.node.turns, c) {
+		return
+	}
+	turn.Recheck()
+	c.node.settleTurns()
+	c.node.fleet.clock.after(admission.RecheckEvery, func() { c.recheck(turn) })
 }
 
 func (c *call) giveUp(turn *admission.Turn) {
--- a/internal/lab/overloadsim/overload_test.go
+++ b/internal/lab/overloadsim/overload_test.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// span is long enough for some thousand completed requests: their lengths alone make goodput vary by a few percent with
+// fewer.
+func (s size) span() time.Duration {
+	return max(30*time.Second, 360*time.Second/time.Duration(s.runners))
+}
+
 // at returns options that offer a multiple of the capacity.
 func (s size) at(factor float64) Options {
 	return Options{
@@ -74,7 +80,9 @@
 			t.Parallel()
 			best := 0.0
 			for _, factor := range []float64{1, 1.5, 3, 5} {
-				result := Run(size.at(factor))
+				options := size.at(factor)
+				options.Duration = size.span()
+				result := Run(options)
 				logResult(t, fmt.Sprintf("%.1f times the capacity", factor), result)
 				best = max(best, result.GoodPerSecond)
 				t.Logf("  %.3f of the best", result.GoodPerSecond/best)
