--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -41,7 +41,7 @@
 }
 
 func (e *entry) view(now time.Time, prefixBlocks int) schedule.Runner {
-	e.noteCount(now)
+	peers, since := e.lookAtCounts(now)
 	return schedule.Runner{
 		ID:            e.id,
 		Zone:          e.zone,
@@ -50,8 +50,8 @@
 		SlowStart:     e.health.share(now),
 		BusyUntil:     e.busyUntil,
 		OwnInFlight:   e.own,
-		PeersInFlight: e.peers.sum(now),
-		SinceReport:   e.sinceReport(now),
+		PeersInFlight: peers,
+		SinceReport:   since,
 		Report:        e.report,
 		PrefixBlocks:  prefixBlocks,
 	}
@@ -63,8 +63,14 @@
 // noteCount records the known online requests, whenever anyone looks: a change without a look decided nothing.
 func (e *entry) noteCount(now time.Time) { e.counts.add(now, e.known(now)) }
 
-// sinceReport returns by how much the known online requests have changed since the report was measured.
-func (e *entry) sinceReport(now time.Time) int { return e.known(now) - e.knownAtReport }
+// lookAtCounts returns the requests that peers told of, and by how much the known online requests have changed since the
+// report was measured.
+func (e *entry) lookAtCounts(now time.Time) (peers, sinceReport int) {
+	peers = e.peers.sum(now)
+	known := e.own + peers
+	e.counts.add(now, known)
+	return peers, known - e.knownAtReport
+}
 
 // Capacity returns how many online requests the runners with the model that may take work take at once, all together.
 // Empty zones mean all.
@@ -149,13 +155,13 @@
 }
 
 func (e *entry) describe(now time.Time) RunnerView {
-	e.noteCount(now)
+	peers, since := e.lookAtCounts(now)
 	view := RunnerView{
 		ID: e.id, Zone: e.zone, Address: e.address,
 		Leaving: e.leaving.is(now), Ejected: e.health.ejected,
 		ProbeDue:    e.health.probeDue(now),
-		OwnInFlight: e.own, PeersInFlight: e.peers.sum(now),
-		SinceReport: e.sinceReport(now),
+		OwnInFlight: e.own, PeersInFlight: peers,
+		SinceReport: since,
 		Report:      e.report,
 	}
 	if e.report != nil {
--- a/internal/lab/overloadsim/node.go
+++ b/internal/lab/overloadsim/node.go
@@ -49,7 +49,6 @@
 	ticket         *admission.Ticket
 	tried          []ident.Runner
 	firstAt        time.Time
-	settled        bool
 }
 
 // attempt is one call to a runner.
--- a/internal/lab/overloadsim/options.go
+++ b/internal/lab/overloadsim/options.go
@@ -9,7 +9,6 @@
 
 	"mallowlatch.example/mallowlatch/internal/admission"
 	"mallowlatch.example/mallowlatch/internal/catalog"
-	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
 	"mallowlatch.example/mallowlatch/internal/lab/load"
 )
@@ -101,12 +100,3 @@
 	needed := load.DefaultAnswerTokens*perToken + float64(prompt)*enginesim.DefaultStepPerPrefill.Seconds()
 	return float64(runners) / needed
 }
-
-func (o Options) tenant(name ident.Tenant) catalog.Tenant {
-	for _, known := range o.Tenants {
-		if known.Name == name {
-			return known.Tenant
-		}
-	}
-	return catalog.Tenant{}
-}
