--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -112,7 +112,7 @@
 	if config.MayWait == nil {
 		config.MayWait = func(*inference.Request, Wait) bool { return true }
 	}
-	return &Controller{
+	created := &Controller{
 		config:   config,
 		metrics:  newMetrics(config.Registerer),
 		limits:   map[string]*limit{},
@@ -120,6 +120,10 @@
 		inFlight: map[ident.Tenant]int{},
 		services: map[string]*service{},
 	}
+	if config.Registerer != nil {
+		config.Registerer.MustRegister(gauges{created})
+	}
+	return created
 }
 
 // Admit returns a ticket, after a wait for the tenant's fair turn if need be. The error is a *failure.Error of a
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -333,3 +334,23 @@
 		assert.Assert(t, tested.limit > 0.9*share && tested.limit < 1.1*share, "from %.0f to %.1f", from, tested.limit)
 	}
 }
+
+// TestGaugesShowTheService reads the metrics while one request runs and another waits.
+func TestGaugesShowTheService(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	controller := New(Config{Node: "n", Catalog: configuration(), Registerer: registry, Bounds: Bounds{Wait: 4 * time.Second}})
+	controller.service("s").concurrency.limit = 1
+	for range 2 {
+		_, _, refused := controller.Enter(&inference.Request{Tenant: "t", Service: "s"})
+		assert.Assert(t, refused == nil)
+	}
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	shown := map[string]float64{}
+	for _, family := range families {
+		shown[family.GetName()] = family.GetMetric()[0].GetGauge().GetValue()
+	}
+	assert.DeepEqual(t, shown, map[string]float64{
+		"mallowlatch_admission_limit": 1, "mallowlatch_admission_in_flight": 1, "mallowlatch_admission_waiting": 1,
+	})
+}
