Hold the concurrency limit at the share while first tokens come late

A node uses a runner every few seconds there and hears of it as seldom, so no node sees a full one, no limit is cut, and the engines' queues fill (first token p95 3.4 s, 3,632 calls refused by full engine queues) while they complete as much as before. Ruled out: refusals by the nodes (few), retries, lost answers.

Change: the dispatcher tells how long a runner took to the first chunk. Above the share of the node the limit grows only below 250 ms in the mean, and falls above 400 ms. It does not fall below the share, so long prompts cannot starve a node.

--- a/internal/admission/concurrency.go
+++ b/internal/admission/concurrency.go
@@ -22,6 +22,13 @@
 	// limitReturn is the part of the way that an unused limit goes back to the node's share with each round of answers, so
 	// that no surge meets limits that an earlier one left high or low.
 	limitReturn = 0.2
+	// A limit above the share grows while the mean time to the first token, without the wait on the node, is below
+	// quickFirstToken. Above slowFirstToken the runners are taken to be full, and each answer lowers it by slowShrink.
+	quickFirstToken = 250 * time.Millisecond
+	slowFirstToken  = 400 * time.Millisecond
+	slowShrink      = 0.3
+	// firstTokenWeight is the weight of a new time to the first token in the mean.
+	firstTokenWeight = 0.2
 	// guessedTime stands for the time of an answer before any was measured; answerWeight is the weight of a new one.
 	guessedTime  = time.Second
 	answerWeight = 0.1
@@ -36,6 +43,10 @@
 // It begins with the node's share of what the runners take at once. Nodes learn of each other's requests too late to
 // keep a surge on all of them at once within that, if each may send as much as it sees room for.
 //
+// Above the share it only grows while first tokens come soon. With many nodes each seldom hears of a runner, and the
+// runners' queues fill without any node seeing one full; only the delay tells. It never lowers the limit below the share,
+// since prompts may be long.
+//
 // A cut shows only once the requests in flight have ended, so the limit is not cut twice within the time of an answer.
 type concurrency struct {
 	limit    float64
@@ -49,6 +60,8 @@
 	closedUntil time.Time
 	// answerTime is the recent mean time of an answer, zero before the first.
 	answerTime time.Duration
+	// firstToken is the recent mean time to the first token, from when the request left the node.
+	firstToken time.Duration
 }
 
 func newConcurrency() *concurrency { return &concurrency{limit: startLimit} }
@@ -102,6 +115,10 @@
 		c.answerTime, c.usedSince = took, now
 	}
 	c.answerTime += time.Duration(answerWeight * float64(took-c.answerTime))
+	if c.laterThan(slowFirstToken) && c.limit > c.share {
+		c.limit = max(c.share, c.limit-slowShrink)
+		return
+	}
 	if float64(c.inFlight) >= c.limit/2 {
 		c.limit = min(mostLimit, c.limit+c.growth(now))
 		return
@@ -112,10 +129,18 @@
 	}
 }
 
+// began records the time to the first token of a request.
+func (c *concurrency) began(took time.Duration) {
+	c.firstToken += time.Duration(firstTokenWeight * float64(took-c.firstToken))
+}
+
+// laterThan says that first tokens take longer than a time, while the share of the node is known.
+func (c *concurrency) laterThan(bound time.Duration) bool { return c.share > 0 && c.firstToken > bound }
+
 // growth is what the limit grows by with one answer.
 func (c *concurrency) growth(now time.Time) float64 {
 	rounds := now.Sub(c.usedSince).Seconds() / c.meanTime().Seconds()
-	if rounds < 1 {
+	if rounds < 1 || (c.laterThan(quickFirstToken) && c.limit >= c.share) {
 		return 0
 	}
 	return 1/c.limit + min(mostGrowth, limitGrowth*math.Exp2(rounds-1))
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -182,6 +182,13 @@
 	return target
 }
 
+// ObserveFirstToken records how long a runner took to the first token of a request.
+func (c *Controller) ObserveFirstToken(name string, took time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.service(name).concurrency.began(took)
+}
+
 // release ends the count of a tenant's request.
 func (c *Controller) release(tenant ident.Tenant) {
 	c.inFlight[tenant]--
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -354,3 +354,25 @@
 		"mallowlatch_admission_limit": 1, "mallowlatch_admission_in_flight": 1, "mallowlatch_admission_waiting": 1,
 	})
 }
+
+// TestLateFirstTokensHoldTheLimitAtTheShare lets answers come while first tokens are quick, late, and quick again.
+func TestLateFirstTokensHoldTheLimitAtTheShare(t *testing.T) {
+	const share = 10.0
+	tested, now := newConcurrency(), begin
+	tested.setShare(share)
+	run := func(firstToken time.Duration) float64 {
+		for range 20 {
+			now = now.Add(time.Second)
+			tested.inFlight = int(tested.limit)
+			for range tested.inFlight {
+				tested.began(firstToken)
+				tested.answered(time.Second, now)
+			}
+		}
+		return tested.limit
+	}
+	assert.Assert(t, run(100*time.Millisecond) > 3*share, "quick first tokens let it grow")
+	assert.Equal(t, run(time.Second), share)
+	assert.Equal(t, run(300*time.Millisecond), share, "it must not grow into full runners")
+	assert.Assert(t, run(100*time.Millisecond) > 3*share)
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -47,6 +47,7 @@
 	table := f.dispatcher.config.Table
 	table.Start(runner, f.request.PrefixBlocks)
 	defer table.End(runner)
+	f.begun = f.dispatcher.config.Now()
 	failed := f.runOn(ctx, target)
 	f.observe(runner, failed)
 	if failed != nil && failed.outcome != outcome.NotRun {
@@ -137,6 +138,7 @@
 		if verdict == answer.Drop {
 			continue
 		}
+		f.firstChunk()
 		f.sent = true
 		if err := f.sink.Chunk(chunk); err != nil {
 			return fmt.Errorf("%w: %w", errSink, err)
@@ -145,6 +147,15 @@
 	return nil
 }
 
+// firstChunk tells how long the runner took to the first chunk of the running attempt.
+func (f *flight) firstChunk() {
+	if f.begun.IsZero() {
+		return
+	}
+	f.dispatcher.config.FirstToken(f.request, f.dispatcher.config.Now().Sub(f.begun))
+	f.begun = time.Time{}
+}
+
 // generateFailure reads the outcome of a call that gave no stream. An error that states none is Unknown.
 func generateFailure(err error) *attemptFailure {
 	failed := &attemptFailure{outcome: outcome.Unknown, cause: err}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -85,6 +85,9 @@
 	Ledger ledger.Ledger
 	// Limits bound waiting.
 	Limits Limits
+	// FirstToken is told how long a runner took to the first chunk of a request; nil means that nobody is. It must not
+	// block.
+	FirstToken func(request *inference.Request, took time.Duration)
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Seed makes decisions repeatable in tests; zero takes a random one.
@@ -115,6 +118,9 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.FirstToken == nil {
+		config.FirstToken = func(*inference.Request, time.Duration) {}
+	}
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -28,7 +28,9 @@
 	// sent is true once the sink has taken a chunk that it cannot forget.
 	sent     bool
 	attempts int
-	tried    []ident.Runner
+	// begun is when the running attempt began; zero once its first chunk has come.
+	begun time.Time
+	tried []ident.Runner
 	// outcome joins the outcomes of all attempts so far.
 	outcome outcome.Outcome
 }
--- a/internal/lab/overloadsim/node.go
+++ b/internal/lab/overloadsim/node.go
@@ -56,6 +56,7 @@
 	id      uint64
 	request *call
 	runner  *runner
+	began   time.Time
 	over    bool
 }
 
@@ -163,7 +164,7 @@
 	started.tried = append(started.tried, chosen.id)
 	n.attempts++
 	n.fleet.result.Attempts++
-	made := &attempt{id: n.fleet.nextAttempt(), request: started, runner: chosen}
+	made := &attempt{id: n.fleet.nextAttempt(), request: started, runner: chosen, began: now}
 	n.table.Start(chosen.id, started.request.PrefixBlocks)
 	n.fleet.clock.after(n.fleet.link(), made.arrive)
 }
@@ -181,7 +182,9 @@
 
 func (a *attempt) first() {
 	if !a.over && a.request.firstAt.IsZero() {
-		a.request.firstAt = a.request.node.fleet.clock.Now()
+		now := a.request.node.fleet.clock.Now()
+		a.request.firstAt = now
+		a.request.node.admission.ObserveFirstToken(service, now.Sub(a.began))
 	}
 }
 
--- a/internal/lab/overloadsim/overload_test.go
+++ b/internal/lab/overloadsim/overload_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// TestManyNodesForEachRunner has each node use a runner so seldom that none ever sees one full.
+func TestManyNodesForEachRunner(t *testing.T) {
+	size := size{165, 44, 6}
+	options := size.at(3)
+	options.Duration = 15 * time.Second
+	result := Run(options)
+	logResult(t, "many nodes", result)
+	assert.Assert(t, result.GoodPerSecond >= 0.95*size.capacity(), "%.0f of %.0f", result.GoodPerSecond, size.capacity())
+}
+
 // TestCallersOnOneNode sends all callers to one node of four, more than the runners carry. The node must find that it may
 // use what the others leave.
 func TestCallersOnOneNode(t *testing.T) {
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -256,6 +256,9 @@
 			FirstChunk: n.settings.Dispatch.AttemptTimeout,
 			Stall:      n.settings.Dispatch.StallTimeout,
 		},
+		FirstToken: func(request *inference.Request, took time.Duration) {
+			n.admission.ObserveFirstToken(request.Service, took)
+		},
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
