--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -112,7 +112,7 @@
 	if config.MayWait == nil {
 		config.MayWait = func(*inference.Request, Wait) bool { return true }
 	}
-	return &Controller{
+	created := &Controller{
 		config:   config,
 		metrics:  newMetrics(config.Registerer),
 		limits:   map[string]*limit{},
@@ -120,6 +120,10 @@
 		inFlight: map[ident.Tenant]int{},
 		services: map[string]*service{},
 	}
+	if config.Registerer != nil {
+		config.Registerer.MustRegister(gauges{created})
+	}
+	return created
 }
 
 // Admit returns a ticket, after a wait for the tenant's fair turn if need be. The error is a *failure.Error of a
@@ -178,6 +182,13 @@
 	return target
 }
 
+// ObserveFirstToken records how long a runner took to the first token of a request.
+func (c *Controller) ObserveFirstToken(name string, took time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.service(name).concurrency.began(took)
+}
+
 // release ends the count of a tenant's request.
 func (c *Controller) release(tenant ident.Tenant) {
 	c.inFlight[tenant]--
--- a/internal/lab/overloadsim/node.go
+++ b/internal/lab/overloadsim/node.go
@@ -49,7 +49,6 @@
 	ticket         *admission.Ticket
 	tried          []ident.Runner
 	firstAt        time.Time
-	settled        bool
 }
 
 // attempt is one call to a runner.
@@ -57,6 +56,7 @@
 	id      uint64
 	request *call
 	runner  *runner
+	began   time.Time
 	over    bool
 }
 
@@ -115,6 +115,17 @@
 	c.tried = nil
 	n.turns = append(n.turns, c)
 	n.fleet.clock.after(turn.Until().Sub(n.fleet.clock.Now()), func() { c.giveUp(turn) })
+	n.fleet.clock.after(admission.RecheckEvery, func() { c.recheck(turn) })
+}
+
+// recheck looks for a free slot while the request waits.
+func (c *call) recheck(turn *admission.Turn) {
+	if c.turn != turn || !slices.Contains(c.node.turns, c) {
+		return
+	}
+	turn.Recheck()
+	c.node.settleTurns()
+	c.node.fleet.clock.after(admission.RecheckEvery, func() { c.recheck(turn) })
 }
 
 func (c *call) giveUp(turn *admission.Turn) {
@@ -153,7 +164,7 @@
 	started.tried = append(started.tried, chosen.id)
 	n.attempts++
 	n.fleet.result.Attempts++
-	made := &attempt{id: n.fleet.nextAttempt(), request: started, runner: chosen}
+	made := &attempt{id: n.fleet.nextAttempt(), request: started, runner: chosen, began: now}
 	n.table.Start(chosen.id, started.request.PrefixBlocks)
 	n.fleet.clock.after(n.fleet.link(), made.arrive)
 }
@@ -171,7 +182,9 @@
 
 func (a *attempt) first() {
 	if !a.over && a.request.firstAt.IsZero() {
-		a.request.firstAt = a.request.node.fleet.clock.Now()
+		now := a.request.node.fleet.clock.Now()
+		a.request.firstAt = now
+		a.request.node.admission.ObserveFirstToken(service, now.Sub(a.began))
 	}
 }
 
