--- a/internal/lab/interferencesim/arms.go
+++ b/internal/lab/interferencesim/arms.go
@@ -76,10 +76,10 @@
 		if !last {
 			return
 		}
-		f.clock.after(f.options.CallDelay, func() {
+		target.from.send(func() {
 			f.completed(started)
 			done()
 		})
 	}
-	f.clock.after(f.options.CallDelay, func() { target.submit(started.sequence) })
+	target.to.send(func() { target.submit(started.sequence) })
 }
--- a/internal/lab/interferencesim/counts.go
+++ b/internal/lab/interferencesim/counts.go
@@ -7,6 +7,7 @@
 type told struct {
 	current, last int
 	waiting       bool
+	link          *link
 }
 
 // count changes the requests that a node has under way on a runner.
@@ -39,6 +40,6 @@
 		telling.waiting = telling.waiting && wait == 0
 		telling.last = telling.current
 		count := telling.current
-		f.clock.after(f.options.CountDelay, func() { state.worker.setOnline(state, node, count) })
+		telling.link.send(func() { state.worker.setOnline(state, node, count) })
 	})
 }
--- a/internal/lab/interferencesim/fleet.go
+++ b/internal/lab/interferencesim/fleet.go
@@ -1,6 +1,7 @@
 package interferencesim
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/inference"
@@ -12,6 +13,8 @@
 	options Options
 	arm     arm
 	clock   clock
+	// random draws the jitter.
+	random  *rand.Rand
 	prompts *prompts
 	backlog backlog
 	runners []*runner
@@ -32,26 +35,38 @@
 	stepping bool
 	// online counts the online requests under way, from dispatch to the last token at the node.
 	online int
+	// to and from carry the calls to the engine and its answers.
+	to, from *link
 	// told are the counts the nodes tell the runner's owner, by node.
 	told []told
 }
 
 func newFleet(options Options, arm arm) *fleet {
-	created := &fleet{options: options, arm: arm, prompts: newPrompts(options)}
+	created := &fleet{options: options, arm: arm, prompts: newPrompts(options), random: rand.New(rand.NewPCG(options.Seed, 3))}
 	created.backlog = backlog{prompts: created.prompts, endless: options.HeapEvery == 0, promptless: arm.promptless}
 	engineOptions := enginesim.Options{MaxSequences: options.MaxSequences, IgnorePriority: arm.ignorePriority}
 	for index := range options.Runners {
-		created.runners = append(created.runners, &runner{
+		added := &runner{
 			clock:  &created.clock,
 			index:  index,
 			engine: enginesim.NewVirtual(engineOptions),
+			to:     created.newLink(options.CallDelay),
+			from:   created.newLink(options.CallDelay),
 			told:   make([]told, options.Nodes),
-		})
+		}
+		for node := range added.told {
+			added.told[node].link = created.newLink(options.CountDelay)
+		}
+		created.runners = append(created.runners, added)
 	}
 	created.onlineRunners = created.runners
 	return created
 }
 
+func (f *fleet) newLink(delay time.Duration) *link {
+	return &link{clock: &f.clock, random: f.random, delay: delay, jitter: f.options.Jitter}
+}
+
 // submit gives the engine a sequence; an engine without work begins a step at once.
 func (r *runner) submit(sequence *enginesim.VirtualSequence) {
 	r.engine.Submit(sequence)
@@ -121,14 +136,14 @@
 	sequence.Token = func(last bool) {
 		now := f.clock.now
 		if planned.at >= warmup {
-			f.measured.token(now+f.options.CallDelay-planned.at, now-lastToken, sequence.Generated() == 1)
+			f.measured.token(chosen.from.arrival()-planned.at, now-lastToken, sequence.Generated() == 1)
 		}
 		lastToken = now
 		if last {
-			f.clock.after(f.options.CallDelay, func() { f.count(chosen, node, -1) })
+			chosen.from.send(func() { f.count(chosen, node, -1) })
 		}
 	}
-	f.clock.after(f.options.CallDelay, func() { chosen.submit(sequence) })
+	chosen.to.send(func() { chosen.submit(sequence) })
 }
 
 func (f *fleet) leastLoaded(choice uint64) *runner {
--- a/internal/lab/interferencesim/options.go
+++ b/internal/lab/interferencesim/options.go
@@ -34,6 +34,8 @@
 	CountDelay time.Duration
 	// ShareBesideOnline is the batch share setting of the nodes.
 	ShareBesideOnline float64
+	// Jitter is the mean of an exponential time added to the delay of each call and count, or zero.
+	Jitter time.Duration
 	// ReportEvery is the time between looks at an engine's load, ReportLag the age of the report on arrival.
 	ReportEvery, ReportLag time.Duration
 }
--- a/internal/lab/interferencesim/worker.go
+++ b/internal/lab/interferencesim/worker.go
@@ -147,7 +147,7 @@
 		running.preempted = true
 		surplus--
 		w.fleet.measured.preempted()
-		w.fleet.clock.after(w.fleet.options.CallDelay, func() { w.abort(state, running) })
+		state.runner.to.send(func() { w.abort(state, running) })
 	}
 }
 
@@ -161,7 +161,7 @@
 	if !aborted.told {
 		sequence.Restart()
 	}
-	w.fleet.clock.after(w.fleet.options.CallDelay, func() {
+	state.runner.from.send(func() {
 		aborted.item.runner, aborted.item.keptAt = state.runner, w.fleet.clock.now
 		w.queue = slices.Insert(w.queue, 0, aborted.item)
 		w.ended(state, aborted)
@@ -241,7 +241,7 @@
 		return
 	}
 	state.stepEnd = w.fleet.clock.now
-	w.fleet.clock.after(w.fleet.options.CallDelay, func() {
+	state.runner.from.send(func() {
 		state.controller.Stepped(w.fleet.clock.wall())
 		w.turn()
 	})
@@ -265,9 +265,9 @@
 		if run.told && !last {
 			return
 		}
-		w.fleet.clock.after(w.fleet.options.CallDelay, func() { w.token(state, run, last) })
+		state.runner.from.send(func() { w.token(state, run, last) })
 	}
-	w.fleet.clock.after(w.fleet.options.CallDelay, func() { state.runner.submit(started.sequence) })
+	state.runner.to.send(func() { state.runner.submit(started.sequence) })
 }
 
 // token takes the first or the last token of a run.
--- a/internal/lab/labcli/interferencesim.go
+++ b/internal/lab/labcli/interferencesim.go
@@ -56,6 +56,7 @@
 	flags.Float64Var(&options.HeapShare, "heap-share", options.HeapShare, "size of a batch heap, as a share of what the fleet does alone until the next")
 	flags.DurationVar(&options.CallDelay, "call-delay", options.CallDelay, "time between node and engine, each way")
 	flags.DurationVar(&options.CountDelay, "count-delay", options.CountDelay, "time a count takes to a runner's owner")
+	flags.DurationVar(&options.Jitter, "jitter", 0, "mean of an exponential time added to each call and count")
 	flags.DurationVar(&options.ReportEvery, "report-every", options.ReportEvery, "time between load reports")
 	flags.DurationVar(&options.ReportLag, "report-lag", options.ReportLag, "age of a load report when it arrives")
 	return command
