--- a/internal/credit/steps.go
+++ b/internal/credit/steps.go
@@ -10,9 +10,9 @@
 	// stepPrefill bounds the batch prompt tokens sent for one step beside online work, for each sequence of the engine.
 	// One larger prompt may go alone.
 	stepPrefill = 12
-	// sendLead is how long before the expected end of a step batch prompts are sent: time for the call, and little time
+	// sendLead is how long before the expected end of a step batch prompts are sent: time for a late call, and little time
 	// for an online request to arrive in, which would share the step with them.
-	sendLead = 5 * time.Millisecond
+	sendLead = 8 * time.Millisecond
 	// knownLate is how much later an online request may be known of than it reached the engine.
 	knownLate = 1500 * time.Microsecond
 	// stepRise and stepFall are the weights of a longer and of a shorter step in the expected time of one.
