--- a/internal/lab/interferencesim/interferencesim_test.go
+++ b/internal/lab/interferencesim/interferencesim_test.go
@@ -97,3 +97,17 @@
 		}
 	}
 }
+
+// TestSystemKeepsItsPlaceOnTheFrontier holds what the controller has reached: nearly all of the share that the free sequence
+// leaves, at less harm to the median and to p95 than engine priority alone. p99 needs more requests than a test has.
+func TestSystemKeepsItsPlaceOnTheFrontier(t *testing.T) {
+	results := map[string]Result{}
+	for _, result := range Run(short(6000)) {
+		results[result.Arm] = result
+	}
+	system, priority := results[System], results[PriorityOnly]
+	assert.Assert(t, system.ShareOfBound >= 0.935, "share %.3f", system.ShareOfBound)
+	assert.Assert(t, system.HarmP50 <= priority.HarmP50, "harm at p50 %.3f, of priority only %.3f", system.HarmP50, priority.HarmP50)
+	assert.Assert(t, system.HarmP95 <= priority.HarmP95-0.015, "harm at p95 %.3f, of priority only %.3f", system.HarmP95, priority.HarmP95)
+	assert.Assert(t, results[Promptless].HarmP95 < system.HarmP95, "prompts cost nothing")
+}
