Measure the job shards on disk nodes of their own

The experiment job-shards starts disk nodes as separate processes, submits jobs of many tenants through the caller API, and has workers that run no model lease, renew and complete through the real job client. It prints what an item costs the disk nodes by the kernel's account, in leases of many items and, in the same run, with one commit an item. A node now counts the bytes of its write-ahead log.

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -52,6 +52,8 @@
 	NodeSettings map[string]string
 	// Faults is the number of faults of the experiment faults.
 	Faults int
+	// Jobs shapes the experiment job-shards.
+	Jobs JobOptions
 	// Progress gets a line for each phase.
 	Progress io.Writer
 }
@@ -104,6 +106,7 @@
 		{"overload", "goodput at 0.5 to 3 times the capacity", runOverload},
 		{"leave", "how long calls still come to a runner marked as leaving, by the way it is learned", runLeave},
 		{"jobs", "every accepted batch item followed to its result, in calm and with crashes", runJobs},
+		{"job-shards", "items through replicated job shards on disk nodes of their own, in leases and one commit an item", runJobShards},
 		{"control", "processor time and memory of nodes without any load", runControl},
 		{"rolling-restart", "restart of every node in turn under load", runRollingRestart},
 		{"faults", "a seeded schedule of process faults under load, counted by an independent ledger", runFaults},
--- a/internal/lab/labcli/experiment.go
+++ b/internal/lab/labcli/experiment.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"mallowlatch.example/mallowlatch/internal/lab/experiment"
 )
@@ -49,11 +50,24 @@
 	flags.IntVar(&options.BasePort, "base-port", 22000, "first loopback port")
 	flags.StringToStringVar(&options.NodeSettings, "node-setting", nil, "further settings of the nodes, name=value")
 	flags.IntVar(&options.Faults, "faults", 50, "faults of the experiment faults; the load must last long enough for them")
+	addJobFlags(flags, &options.Jobs)
 	flags.BoolVar(&chosen.asJSON, "json", false, "print JSON")
 	flags.StringVar(&chosen.plot, "plot", "", "PNG file to draw")
 	return command
 }
 
+// addJobFlags adds the flags of the experiment job-shards.
+func addJobFlags(flags *pflag.FlagSet, options *experiment.JobOptions) {
+	flags.IntSliceVar(&options.Nodes, "nodes", []int{3, 6, 9}, "job-shards: numbers of disk nodes, a fleet for each")
+	flags.IntVar(&options.Shards, "shards", 16, "job-shards: number of job shards")
+	flags.IntVar(&options.Tenants, "tenants", 48, "job-shards: number of tenants, each with one job")
+	flags.IntVar(&options.Items, "items", 2000, "job-shards: items of each job")
+	flags.IntVar(&options.PlainItems, "plain-items", 40, "job-shards: items of each job of the variant with one commit an item")
+	flags.IntVar(&options.LargeItems, "large-items", 0, "job-shards: items of one large job with small ones behind it; zero leaves it out")
+	flags.IntVar(&options.Workers, "workers", 16, "job-shards: number of workers, which run no model")
+	flags.IntVar(&options.LeaseItems, "lease-items", 256, "job-shards: items of a lease")
+}
+
 func experimentList() string {
 	var list strings.Builder
 	for _, known := range experiment.All() {
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -66,11 +66,22 @@
 	if err != nil {
 		return nil, closeAfter(store, err)
 	}
+	registerLogBytes(options.registerer, store)
 	opened := &storage{store: store, host: host, registry: jobstore.NewRegistry()}
 	opened.addServers(options)
 	return opened, nil
 }
 
+// registerLogBytes exports what the store wrote to its write-ahead log.
+func registerLogBytes(registerer prometheus.Registerer, store *shardlog.Store) {
+	if registerer == nil {
+		return
+	}
+	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "mallowlatch_shard_log_written_bytes_total", Help: "Bytes written to the write-ahead log.",
+	}, func() float64 { return float64(store.Usage().WrittenBytes) }))
+}
+
 func closeAfter(store *shardlog.Store, cause error) error {
 	if err := store.Close(); err != nil {
 		return fmt.Errorf("%w; closing the store: %w", cause, err)
