Index a large job in slices beside the small ones

Cause: a tick indexed a job to its end before it looked at the next one, and leases, deadlines and retention wait for the tick. A job of 130,000 items has about 370 chunks, each a commit, so a small job submitted behind it waited for all of them.

--- a/internal/jobstore/index.go
+++ b/internal/jobstore/index.go
@@ -13,7 +13,7 @@
 
 type customIdentity [identityBytes]byte
 
-// indexer finds duplicate custom ids. It lives while one job's input is indexed.
+// indexer finds duplicate custom ids. It lives while a job's input is indexed.
 type indexer struct {
 	next uint32
 	seen map[customIdentity]struct{}
@@ -84,31 +84,6 @@
 	return &pb.ItemResult{Index: index, Line: renderError(job.id, index, customID, refusal), Failed: true}
 }
 
-// indexJob indexes the rest of a job's input, one command a chunk. Items may be leased as soon as their chunk is
-// indexed. A new leader reads the indexed chunks once more for their custom ids.
-func (s *Server) indexJob(ctx context.Context, job *activeJob, indexed uint32) error {
-	x := &indexer{seen: map[customIdentity]struct{}{}}
-	for x.next < uint32(len(job.chunkEnds)) && !s.stopping(job) {
-		index, err := s.indexChunk(ctx, job, x)
-		if err != nil {
-			return err
-		}
-		if index.GetChunk() < indexed {
-			continue
-		}
-		if err := s.commitIndex(ctx, job, index); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (s *Server) stopping(job *activeJob) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return job.stopped()
-}
-
 func (s *Server) commitIndex(ctx context.Context, job *activeJob, index *pb.IndexItems) error {
 	reply, err := s.propose(ctx, &pb.Command{Operation: &pb.Command_Index{Index: index}}, 0)
 	if err != nil {
--- a/internal/jobstore/server.go
+++ b/internal/jobstore/server.go
@@ -29,6 +29,8 @@
 	// ticking serialises Tick; loading serialises taking up a new term.
 	ticking sync.Mutex
 	loading sync.Mutex
+	// indexers are guarded by ticking.
+	indexers map[string]*indexer
 
 	mutex  sync.Mutex
 	term   shard.Leadership
@@ -53,6 +55,7 @@
 		metrics:  metrics,
 		jobs:     map[string]*activeJob{},
 		leases:   map[string]*heldLease{},
+		indexers: map[string]*indexer{},
 		chunks:   newChunkCache(chunkCacheBytes),
 		kicked:   make(chan struct{}, 1),
 	}
--- a/internal/jobstore/tick.go
+++ b/internal/jobstore/tick.go
@@ -255,38 +255,6 @@
 	return s.record(ctx, complete)
 }
 
-// indexNew indexes jobs whose input is not read to its end, the smallest first, so that a small job does not wait for
-// a large one.
-func (s *Server) indexNew(ctx context.Context) error {
-	for {
-		job, indexed := s.nextToIndex()
-		if job == nil {
-			return nil
-		}
-		if err := s.indexJob(ctx, job, indexed); err != nil {
-			return err
-		}
-	}
-}
-
-func (s *Server) nextToIndex() (*activeJob, uint32) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var next *activeJob
-	for _, job := range s.jobs {
-		if job.stopped() || job.record.GetIndexed() == job.record.GetChunks() {
-			continue
-		}
-		if next == nil || job.total < next.total {
-			next = job
-		}
-	}
-	if next == nil {
-		return nil, 0
-	}
-	return next, next.record.GetIndexed()
-}
-
 // endStopped ends the items of stopped jobs that no lease covers any more.
 func (s *Server) endStopped(ctx context.Context) error {
 	for _, job := range s.stoppedJobs() {
