Refuse new batch work before the disk is full, and lose nothing when it is

Cause: nothing looked at the disk. Uploads and results were written until a write failed, and a failed write stops the process, reads with it.

A node now measures its job storage at most once a second against jobs.disk_bytes and against the file system's free space. With less than jobs.disk_reserve free, the shards it leads refuse uploads and submissions as job_storage_full, 503 with Retry-After; with less than a quarter of it, leases, results and non-repeatable starts too. Reading, cancelling, deleting and expiring go on, and accepted work ends once there is room. What it does not see: a follower's disk that is fuller than its leader's.

--- a/internal/failure/code.go
+++ b/internal/failure/code.go
@@ -29,6 +29,7 @@
 	CodeStreamInterrupted    Code = "stream_interrupted"
 	CodeShardUnavailable     Code = "job_storage_unavailable"
 	CodeTooFewCopies         Code = "too_few_copies"
+	CodeStorageFull          Code = "job_storage_full"
 	CodeConfigUnavailable    Code = "configuration_service_unavailable"
 	CodeConfigUnknown        Code = "configuration_outcome_unknown"
 	CodeDraining             Code = "node_draining"
@@ -61,6 +62,7 @@
 	CodeStreamInterrupted:    http.StatusBadGateway,
 	CodeShardUnavailable:     http.StatusServiceUnavailable,
 	CodeTooFewCopies:         http.StatusServiceUnavailable,
+	CodeStorageFull:          http.StatusServiceUnavailable,
 	CodeConfigUnavailable:    http.StatusServiceUnavailable,
 	CodeConfigUnknown:        http.StatusGatewayTimeout,
 	CodeDraining:             http.StatusServiceUnavailable,
--- a/internal/jobstore/lease.go
+++ b/internal/jobstore/lease.go
@@ -87,6 +87,10 @@
 // lease hands out items of a job. The order is: reserve in memory; read the committed state, so that a cancelled job
 // gives nothing; commit the start of non-repeatable items; only then hand out.
 func (s *Server) lease(ctx context.Context, request *pb.LeaseRequest) (*pb.LeaseReply, error) {
+	// Without room for results nothing is worth running.
+	if err := s.require(RoomLow); err != nil {
+		return nil, err
+	}
 	lease, err := s.reserve(ctx, request)
 	if err != nil {
 		return nil, err
--- a/internal/jobstore/server.go
+++ b/internal/jobstore/server.go
@@ -64,6 +64,9 @@
 // propose commits a command and returns its reply, or the refusal in it. A proposal that is definitely not applied
 // fails with NotRun, one that may be applied with Unknown.
 func (s *Server) propose(ctx context.Context, command *pb.Command, minimumCopies int) (*pb.Reply, error) {
+	if err := s.takes(command); err != nil {
+		return nil, err
+	}
 	command.Now = s.settings.Now().UnixNano()
 	encoded, err := encode(command)
 	if err != nil {
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -97,6 +97,7 @@
 	limits.JobRetention = options.settings.Jobs.Retention
 	limits.MaxFileBytes = int64(options.settings.Limits.BatchFileBytes)
 	limits.Repeatable = options.repeatable
+	limits.Room = newDiskRoom(options.settings, s.store).now
 	limits.Gone = options.peers.restartedSince
 	metrics := jobstore.NewMetrics(options.registerer)
 	for number := range options.settings.Jobs.Shards {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -96,6 +96,9 @@
 	if settings.Jobs.MinimumCopies > settings.Jobs.Replicas {
 		found = append(found, Problem{Field: "jobs.minimum_copies", Message: "is larger than jobs.replicas, so no job could ever be accepted"})
 	}
+	if settings.Jobs.DiskBytes > 0 && settings.Jobs.DiskBytes <= settings.Jobs.DiskReserve {
+		found = append(found, Problem{Field: "jobs.disk_bytes", Message: "is not larger than jobs.disk_reserve, so no job could ever be accepted"})
+	}
 	if settings.Membership.ProbeTimeout >= settings.Membership.ProbeInterval {
 		found = append(found, Problem{Field: "membership.probe_timeout", Message: "must be shorter than membership.probe_interval"})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,8 @@
 	Replicas      int           `yaml:"replicas" unit:"replicas" default:"3" min:"1" max:"7" doc:"Replicas of each shard, where that many disk machines exist."`
 	MinimumCopies int           `yaml:"minimum_copies" unit:"copies" default:"3" min:"1" max:"7" doc:"Least number of synchronised copies that may accept a job; below it submissions are refused."`
 	LeaseTTL      time.Duration `yaml:"lease_ttl" default:"10s" min:"200ms" max:"10m" doc:"How long a batch worker may run items without renewing their lease."`
+	DiskBytes     Size          `yaml:"disk_bytes" default:"0B" min:"0B" max:"1048576GiB" doc:"Most bytes the job storage of this node may take; 0B means as many as the file system has."`
+	DiskReserve   Size          `yaml:"disk_reserve" default:"1GiB" min:"0B" max:"1024GiB" doc:"Free bytes kept for accepted work: with fewer, uploads and submissions are refused, and with a quarter of it, results too."`
 	Retention     time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
 }
 
