Hold each tenant to its own bounds on jobs, bytes and retention

Cause: max_jobs of a tenant was checked for its range and enforced nowhere; bytes had no bound for a tenant, and retention was one setting for all.

The leader of a tenant's home shard now refuses an upload or a submission over max_jobs or max_job_bytes as job_quota_exceeded, 429 with Retry-After, and keeps files and ended jobs for job_retention_hours where a tenant has it. Bytes are summed when an upload begins and when a job is submitted, so uploads and jobs under way may pass the bound by their own size. A resend of an accepted job is let through to find it, also on a full disk.

The catalog's test of an unknown field names the two new fields.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,6 +50,10 @@
 	MaxInFlight int `json:"max_in_flight"`
 	// MaxJobs limits unfinished batch jobs.
 	MaxJobs int `json:"max_jobs"`
+	// MaxJobBytes limits the bytes of batch files and results the tenant keeps; zero sets no limit.
+	MaxJobBytes int64 `json:"max_job_bytes,omitempty"`
+	// JobRetentionHours is how long batch files and finished jobs are kept; zero means jobs.retention of the disk nodes.
+	JobRetentionHours float64 `json:"job_retention_hours,omitempty"`
 }
 
 // Key is an API key. Only the digest of the secret is kept.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -100,7 +100,7 @@
 services/chat: zones: there is no zone "gone"
 teams/: kind: there is no kind "teams"; the kinds are zones, tenants, keys, models, adapters, policies, services, drains
 tenants/-x: burst: must be a number, not string
-tenants/-x: colour: is not a field of tenants; the fields are burst, max_in_flight, max_jobs, name, requests_per_second, tokens_per_second, weight
+tenants/-x: colour: is not a field of tenants; the fields are burst, job_retention_hours, max_in_flight, max_job_bytes, max_jobs, name, requests_per_second, tokens_per_second, weight
 tenants/-x: name: "-x" must consist of letters, digits, '.', '_' and '-', and begin and end with a letter or digit
 tenants/-x: weight: is -1; it must be from 0 to 1e+06`)
 }
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -14,6 +14,8 @@
 	maxWeight         = 1e6
 	maxInFlight       = 1_000_000
 	maxJobs           = 1_000_000
+	maxJobBytes       = 1 << 50
+	maxRetentionHours = 8760
 	maxAnswerTokens   = 1 << 20
 	maxCopies         = 10_000
 	maxMemoryBytes    = int64(1) << 46
@@ -96,6 +98,8 @@
 	problems.checkRange("tokens_per_second", t.TokensPerSecond, 0, maxRate)
 	problems.checkRange("max_in_flight", float64(t.MaxInFlight), 0, maxInFlight)
 	problems.checkRange("max_jobs", float64(t.MaxJobs), 0, maxJobs)
+	problems.checkRange("max_job_bytes", float64(t.MaxJobBytes), 0, maxJobBytes)
+	problems.checkRange("job_retention_hours", t.JobRetentionHours, 0, maxRetentionHours)
 }
 
 func (k *Key) kind() Kind                { return KindKey }
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -76,6 +76,7 @@
 	failure.CodeOverloaded:           ExitUnavailable,
 	failure.CodeShardUnavailable:     ExitUnavailable,
 	failure.CodeTooFewCopies:         ExitUnavailable,
+	failure.CodeJobQuota:             ExitUnavailable,
 	failure.CodeStorageFull:          ExitUnavailable,
 	failure.CodeDraining:             ExitUnavailable,
 	failure.CodeConfigUnknown:        ExitUnknown,
--- a/internal/failure/code.go
+++ b/internal/failure/code.go
@@ -29,6 +29,7 @@
 	CodeStreamInterrupted    Code = "stream_interrupted"
 	CodeShardUnavailable     Code = "job_storage_unavailable"
 	CodeTooFewCopies         Code = "too_few_copies"
+	CodeJobQuota             Code = "job_quota_exceeded"
 	CodeStorageFull          Code = "job_storage_full"
 	CodeConfigUnavailable    Code = "configuration_service_unavailable"
 	CodeConfigUnknown        Code = "configuration_outcome_unknown"
@@ -62,6 +63,7 @@
 	CodeStreamInterrupted:    http.StatusBadGateway,
 	CodeShardUnavailable:     http.StatusServiceUnavailable,
 	CodeTooFewCopies:         http.StatusServiceUnavailable,
+	CodeJobQuota:             http.StatusTooManyRequests,
 	CodeStorageFull:          http.StatusServiceUnavailable,
 	CodeConfigUnavailable:    http.StatusServiceUnavailable,
 	CodeConfigUnknown:        http.StatusGatewayTimeout,
--- a/internal/jobstore/files.go
+++ b/internal/jobstore/files.go
@@ -22,6 +22,9 @@
 	if len(chunk.GetData()) > MaxCommandBytes {
 		return s.fileReply(nil, failure.New(failure.CodeBodyTooLarge, "a part may have at most %d bytes", MaxCommandBytes))
 	}
+	if err := s.admitUpload(ctx, chunk); err != nil {
+		return s.fileReply(nil, err)
+	}
 	chunk.UploadExpires = s.settings.Now().Add(s.settings.UploadTimeout).UnixNano()
 	chunk.MaxBytes = s.settings.MaxFileBytes
 	return s.fileReply(s.propose(ctx, &pb.Command{Operation: &pb.Command_Append{Append: chunk}}, 0))
@@ -30,7 +33,7 @@
 // SealFile makes an upload a file, durable on the promised number of copies.
 func (s *Server) SealFile(ctx context.Context, request *pb.SealFileRequest) (*pb.FileReply, error) {
 	seal := request.GetSeal()
-	seal.Expires = s.settings.Now().Add(s.settings.FileRetention).UnixNano()
+	seal.Expires = s.settings.Now().Add(s.retention(seal.GetTenant(), s.settings.FileRetention)).UnixNano()
 	return s.fileReply(s.propose(ctx, &pb.Command{Operation: &pb.Command_Seal{Seal: seal}}, s.settings.MinimumCopies))
 }
 
--- a/internal/jobstore/jobs.go
+++ b/internal/jobstore/jobs.go
@@ -29,9 +29,12 @@
 		Endpoint:   request.GetEndpoint(),
 		Window:     request.GetWindow(),
 		Metadata:   request.GetMetadata(),
-		Retention:  int64(s.settings.JobRetention),
+		Retention:  int64(s.retention(request.GetTenant(), s.settings.JobRetention)),
 		MaxItems:   uint32(s.settings.MaxItems),
 	}
+	if err := s.admitJob(ctx, accept); err != nil {
+		return s.jobReply(nil, err)
+	}
 	reply, err := s.propose(ctx, &pb.Command{Operation: &pb.Command_Accept{Accept: accept}}, s.settings.MinimumCopies)
 	if err == nil && !reply.GetResent() {
 		event.JobAccepted.Log(s.logger).Str("job", accept.GetJob()).Str("tenant", accept.GetTenant()).Uint32("items", reply.GetJob().GetTotal()).Send()
--- a/internal/jobstore/room.go
+++ b/internal/jobstore/room.go
@@ -41,11 +41,10 @@
 	return s.settings.Room()
 }
 
-// takes refuses a command that the disk has no room for, before anything of it is written.
+// takes refuses a command that the disk has no room for, before anything of it is written. Uploads and submissions are
+// checked on their own (admitUpload, admitJob).
 func (s *Server) takes(command *pb.Command) error {
 	switch command.GetOperation().(type) {
-	case *pb.Command_Append, *pb.Command_Accept:
-		return s.require(RoomEnough)
 	case *pb.Command_Index, *pb.Command_Start, *pb.Command_Complete, *pb.Command_Begin:
 		return s.require(RoomLow)
 	default:
--- a/internal/jobstore/settings.go
+++ b/internal/jobstore/settings.go
@@ -35,6 +35,8 @@
 	// Gone reports whether the process that was a node at a time is gone for good, so that requests it started then have
 	// an unknown outcome. nil means that only LedgerTimeout ends them.
 	Gone func(node ident.Node, since time.Time) bool
+	// Quota returns what a tenant may keep; nil means that no tenant has a bound of its own.
+	Quota func(tenant ident.Tenant) Quota
 	// Room says what the disk may still take; nil means everything.
 	Room func() Room
 	// Now reads the clock, with its monotonic part.
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/jobclient"
+	"mallowlatch.example/mallowlatch/internal/jobstore"
 	"mallowlatch.example/mallowlatch/internal/kv/etcdhttp"
 	"mallowlatch.example/mallowlatch/internal/machine/httplist"
 	"mallowlatch.example/mallowlatch/internal/membership"
@@ -145,6 +146,7 @@
 			peers:      n.peers,
 			peer:       n.peerNames(),
 			repeatable: n.repeatable,
+			quota:      n.jobQuota,
 			logger:     n.logger,
 			registerer: n.registry,
 		})
@@ -188,6 +190,16 @@
 	return !known || found.Repeatable
 }
 
+// jobQuota returns what a tenant's batch files and jobs may take.
+func (n *Node) jobQuota(tenant ident.Tenant) jobstore.Quota {
+	found := n.replica.Current().Tenants[tenant]
+	return jobstore.Quota{
+		MaxJobs:   found.MaxJobs,
+		MaxBytes:  found.MaxJobBytes,
+		Retention: time.Duration(found.JobRetentionHours * float64(time.Hour)),
+	}
+}
+
 // assemblePolicies prepares what the policies in force decide on this node.
 func (n *Node) assemblePolicies() error {
 	n.policies = live.New(n.replica, n.logger, time.Now)
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -38,6 +38,7 @@
 	// peer names the authenticated node behind a call; nil without TLS, where the message is trusted (loopback only).
 	peer       func(context.Context) (ident.Node, bool)
 	repeatable func(service string) bool
+	quota      func(tenant ident.Tenant) jobstore.Quota
 	logger     zerolog.Logger
 	registerer prometheus.Registerer
 }
@@ -97,6 +98,7 @@
 	limits.JobRetention = options.settings.Jobs.Retention
 	limits.MaxFileBytes = int64(options.settings.Limits.BatchFileBytes)
 	limits.Repeatable = options.repeatable
+	limits.Quota = options.quota
 	limits.Room = newDiskRoom(options.settings, s.store).now
 	limits.Gone = options.peers.restartedSince
 	metrics := jobstore.NewMetrics(options.registerer)
