--- a/internal/jobstore/server.go
+++ b/internal/jobstore/server.go
@@ -29,6 +29,8 @@
 	// ticking serialises Tick; loading serialises taking up a new term.
 	ticking sync.Mutex
 	loading sync.Mutex
+	// indexers are guarded by ticking.
+	indexers map[string]*indexer
 
 	mutex  sync.Mutex
 	term   shard.Leadership
@@ -53,6 +55,7 @@
 		metrics:  metrics,
 		jobs:     map[string]*activeJob{},
 		leases:   map[string]*heldLease{},
+		indexers: map[string]*indexer{},
 		chunks:   newChunkCache(chunkCacheBytes),
 		kicked:   make(chan struct{}, 1),
 	}
@@ -61,6 +64,9 @@
 // propose commits a command and returns its reply, or the refusal in it. A proposal that is definitely not applied
 // fails with NotRun, one that may be applied with Unknown.
 func (s *Server) propose(ctx context.Context, command *pb.Command, minimumCopies int) (*pb.Reply, error) {
+	if err := s.takes(command); err != nil {
+		return nil, err
+	}
 	command.Now = s.settings.Now().UnixNano()
 	encoded, err := encode(command)
 	if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,8 @@
 	CatchUpStreams int           `yaml:"catch_up_streams" unit:"streams" default:"2" min:"1" max:"64" doc:"States of shards that this node sends at once to disks that lack them, and receives at once."`
 	CatchUpRate    Size          `yaml:"catch_up_rate" default:"64MiB" min:"64KiB" max:"64GiB" doc:"State that this node sends in a second to disks that lack it, all streams together."`
 	LeaseTTL       time.Duration `yaml:"lease_ttl" default:"10s" min:"200ms" max:"10m" doc:"How long a batch worker may run items without renewing their lease."`
+	DiskBytes      Size          `yaml:"disk_bytes" default:"0B" min:"0B" max:"1048576GiB" doc:"Most bytes the job storage of this node may take; 0B means as many as the file system has."`
+	DiskReserve    Size          `yaml:"disk_reserve" default:"1GiB" min:"0B" max:"1024GiB" doc:"Free bytes kept for accepted work: with fewer, uploads and submissions are refused, and with a quarter of it, results too."`
 	Retention      time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
 }
 
