Keep a starting fleet from asking and telling everybody at once

Ruled out: waiting before any claim, which would delay the node's own zone.

A node leaves runners of other zones unclaimed for its first 10 s; asks those of other zones for a first report after 15 s, in which their owners share; tells peers of other zones at most every 10 s and 16 peers a look, near ones first (before 64).

--- a/internal/dispatch/exchange/converge_test.go
+++ b/internal/dispatch/exchange/converge_test.go
@@ -138,7 +138,7 @@
 			l.step()
 		}
 		l.faulty = false
-		l.settle(sharePause + 2*time.Second)
+		l.settle(max(sharePause, farPause) + 2*time.Second)
 		l.checkLoaded(t)
 		l.checkLoad(t, "near", nearStep)
 		l.settle(max(renewTime, defaultShareFar))
--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -25,9 +25,9 @@
 	sending   map[ident.Node]bool
 	// answered are the owners that answered the last message of counts. Others are asked for a whole answer.
 	answered map[ident.Node]bool
-	sequence  uint64
-	polls     pollPlan
-	shares    sharePlan
+	sequence uint64
+	polls    pollPlan
+	shares   sharePlan
 	// often lists the runners that are looked at every Tick; all are from wholeAt on.
 	often   []ident.Runner
 	wholeAt time.Time
--- a/internal/dispatch/exchange/plan_test.go
+++ b/internal/dispatch/exchange/plan_test.go
@@ -148,3 +148,22 @@
 	report.RunningOnline = 9
 	assert.DeepEqual(t, decoded, report)
 }
+
+// TestFirstReportsOfOtherZonesAreLeftToTheirOwners starts a node that knows nothing: it asks the runners of its own zone, and
+// those of others only once their owners had time to share.
+func TestFirstReportsOfOtherZonesAreLeftToTheirOwners(t *testing.T) {
+	plan := newPollPlan(Intervals{}.withDefaults())
+	none := func(ident.Runner) (bool, bool) { return false, false }
+	views := []dispatch.RunnerView{{ID: "near", Zone: "a"}, {ID: "far", Zone: "b"}}
+	first := map[ident.Runner]time.Duration{}
+	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(PlanTick) {
+		for _, runner := range plan.due(views, "a", none, now) {
+			delete(plan.polling, runner)
+			if _, asked := first[runner]; !asked {
+				first[runner] = now.Sub(begin)
+			}
+		}
+	}
+	assert.Equal(t, first["near"], time.Duration(0))
+	assert.Equal(t, first["far"], retryUnknownFar)
+}
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -80,15 +80,36 @@
 	if own || view.ProbeDue || (ownerless && view.Zone == zone) {
 		return since >= p.intervals.PollOwned
 	}
+	if view.Report == nil {
+		return p.wantsFirst(view, zone, now)
+	}
 	stale := p.intervals.StaleFar
 	if view.Zone == zone {
 		stale = p.intervals.StaleNear
 	}
-	return (view.Report == nil && since >= defaultRetryUnknown) || (view.Report != nil && view.ReportAge >= stale && since >= stale)
+	return view.ReportAge >= stale && since >= stale
 }
 
-// defaultRetryUnknown is the time between tries to get the first report of a runner this node does not own.
-const defaultRetryUnknown = time.Second
+const (
+	// retryUnknownNear and retryUnknownFar are the times between tries to get the first report of a runner this node does
+	// not own.
+	retryUnknownNear = time.Second
+	retryUnknownFar  = 15 * time.Second
+)
+
+// wantsFirst reports whether a runner of which there is no report is to be asked. Those of other zones are given the time in
+// which their owners share, else each start of the fleet would have every node ask every runner.
+func (p *pollPlan) wantsFirst(view *dispatch.RunnerView, zone ident.Zone, now time.Time) bool {
+	last, asked := p.last[view.ID]
+	if view.Zone == zone {
+		return now.Sub(last) >= retryUnknownNear
+	}
+	if !asked {
+		p.last[view.ID] = now
+		return false
+	}
+	return now.Sub(last) >= retryUnknownFar
+}
 
 // forget drops the runners that are listed no more.
 func (p *pollPlan) forget(views []dispatch.RunnerView) {
--- a/internal/dispatch/exchange/shareplan.go
+++ b/internal/dispatch/exchange/shareplan.go
@@ -19,14 +19,18 @@
 	farStep  = 1.0 / 3
 	// sharePause is the wait before a peer that could not be told is told again.
 	sharePause = 5 * time.Second
-	// maxShares bounds the peers told in one look, which spreads the messages over time.
-	maxShares = 64
+	// farPause is the least time between two shares with a peer in another zone. While a fleet starts, owners claim their
+	// runners one by one, and each would be news to everybody.
+	farPause = 10 * time.Second
+	// maxShares bounds the peers told in one look, those of the own zone first. A start or a refresh of everybody takes about
+	// 20 looks at the design size.
+	maxShares = 16
 )
 
 // sharePlan decides which peers are told the state of the own runners. It is pure but for its own state.
 //
 // Invariant: while messages arrive, no peer's picture of a runner is wrong by more than the step of its zone for longer
-// than the share interval, nor in what is loaded for longer than a look; and none is older than the refresh interval, so that
+// than the share interval, nor in what is loaded for longer than a look, or farPause in other zones; and none is older than the refresh interval, so that
 // whatever went wrong unseen is made good.
 type sharePlan struct {
 	intervals Intervals
@@ -38,8 +42,8 @@
 	runners map[ident.Runner]toldState
 	// sequence is that of the newest message of counts that the peer sent.
 	sequence uint64
-	// notBefore is the end of the pause after a failure.
-	notBefore time.Time
+	// notBefore is the end of the pause after a failure, and at when the peer was last told anything.
+	notBefore, at time.Time
 }
 
 // toldState is what a peer was told of one runner, and when.
@@ -92,16 +96,18 @@
 	if len(own) == 0 {
 		return nil
 	}
-	var due []ident.Node
+	var near, far []ident.Node
 	for _, peer := range peers {
-		if len(due) >= maxShares {
-			break
-		}
-		if s.wants(peer, zone, own, now) {
-			due = append(due, peer.Node)
+		switch {
+		case !s.wants(peer, zone, own, now):
+		case peer.Zone == zone:
+			near = append(near, peer.Node)
+		default:
+			far = append(far, peer.Node)
 		}
 	}
-	return due
+	due := append(near, far...)
+	return due[:min(maxShares, len(due))]
 }
 
 func (s *sharePlan) wants(peer Peer, zone ident.Zone, own map[ident.Runner]gist, now time.Time) bool {
@@ -113,6 +119,9 @@
 		return false
 	}
 	near := peer.Zone == zone
+	if !near && now.Sub(held.at) < farPause {
+		return false
+	}
 	for runner, current := range own {
 		if s.worth(held.runners[runner], current, near, now) {
 			return true
@@ -142,6 +151,7 @@
 // told notes that a peer is being told of runners.
 func (s *sharePlan) told(peer ident.Node, states map[ident.Runner]gist, now time.Time) {
 	held := s.peer(peer)
+	held.at = now
 	for runner, current := range states {
 		held.runners[runner] = toldState{gist: current, at: now}
 	}
--- a/internal/lab/scale/controlreport.go
+++ b/internal/lab/scale/controlreport.go
@@ -170,11 +170,11 @@
 
 func writeServices(to io.Writer, measurements []ControlMeasurement) error {
 	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "\nsteady service\tnodes\tmsg/s out\tB/s out\tB/s in\twith TCP, both ways\t")
-	steady := slices.DeleteFunc(slices.Clone(measurements), func(m ControlMeasurement) bool { return m.Phase != "steady" })
-	for _, m := range steady {
+	fmt.Fprintln(table, "\nphase\tservice\tnodes\tmsg/s out\tB/s out\tB/s in\twith TCP, both ways\t")
+	listed := slices.DeleteFunc(slices.Clone(measurements), func(m ControlMeasurement) bool { return m.Phase != "start" && m.Phase != "steady" })
+	for _, m := range listed {
 		for _, sum := range m.Services {
-			fmt.Fprintf(table, "%s\t%d\t%.2f\t%.0f\t%.0f\t%.0f\t\n", sum.Service, m.Nodes, sum.MessagesOut, sum.BytesOut, sum.BytesIn,
+			fmt.Fprintf(table, "%s\t%s\t%d\t%.2f\t%.0f\t%.0f\t%.0f\t\n", m.Phase, sum.Service, m.Nodes, sum.MessagesOut, sum.BytesOut, sum.BytesIn,
 				sum.BytesOut+sum.BytesIn+2*segmentOverhead*sum.MessagesOut)
 		}
 	}
--- a/internal/ownership/choice_test.go
+++ b/internal/ownership/choice_test.go
@@ -64,3 +64,24 @@
 		planner.Plan(now, runners, members, flat)
 	}
 }
+
+// TestNewNodeLeavesOtherZonesAlone starts a node before the members of another zone are known to it: it must not ask for their
+// runners at once, and takes them if nobody has come up by then.
+func TestNewNodeLeavesOtherZonesAlone(t *testing.T) {
+	config := ownership.DefaultConfig()
+	planner := ownership.NewPlanner(config, "n0")
+	members := []membership.Member{{Node: "n0", Zone: "a"}}
+	runners := []ownership.Runner{{ID: "own", Zone: "a"}, {ID: "foreign", Zone: "b"}}
+	start := time.Unix(1_800_000_000, 0)
+	asked := map[ident.Runner]time.Duration{}
+	for now := start; now.Before(start.Add(2 * config.HandOver)); now = now.Add(500 * time.Millisecond) {
+		for _, runner := range planner.Plan(now, runners, members, flat) {
+			if _, before := asked[runner]; !before {
+				asked[runner] = now.Sub(start)
+			}
+			planner.Failed(runner, now)
+		}
+	}
+	assert.Equal(t, asked["own"], time.Duration(0))
+	assert.Equal(t, asked["foreign"], config.HandOver)
+}
