--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -39,6 +39,8 @@
 
 // told is the count of one runner, what was told of it, and when to tell it again.
 type told struct {
+	// owner is who owned the runner at the last change, to tell with little work which counts may go along.
+	owner   ident.Node
 	current int
 	last    int
 	due     time.Time
@@ -50,12 +52,13 @@
 // changed takes a new count, and the runner's online work in all, and reports whether it must be told at once. A change within
 // the slack waits until something
 // else is told to the owner, or the count is due to be renewed.
-func (c *coalescer) changed(runner ident.Runner, current, online int, now time.Time) bool {
+func (c *coalescer) changed(runner ident.Runner, owner ident.Node, current, online int, now time.Time) bool {
 	count, known := c.counts[runner]
 	if !known {
 		count = &told{due: now.Add(renewTime)}
 		c.counts[runner] = count
 	}
+	count.owner = owner
 	count.current = current
 	count.dirty = true
 	if max(current-count.last, count.last-current) <= slackOf(online, count.last) {
@@ -91,6 +94,9 @@
 		addCount(messages, node, runner, count.current)
 	}
 	for runner, count := range c.counts {
+		if messages[count.owner] == nil {
+			continue
+		}
 		node, known := owner(runner)
 		if _, going := messages[node]; known && going && (count.dirty || count.current > 0) {
 			messages[node][runner] = count.current
--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -65,10 +65,11 @@
 
 // OnlineChanged notes a change of this node's online work and reports whether another node is to be told.
 func (c *Core) OnlineChanged(runner ident.Runner, inFlight int, now time.Time) bool {
-	if own, _ := c.owns(runner); own {
+	owner, known := c.config.Peers.Owner(runner)
+	if known && owner == c.config.Node {
 		return false
 	}
-	c.coalescer.changed(runner, inFlight, c.onlineOn(runner, now), now)
+	c.coalescer.changed(runner, owner, inFlight, c.onlineOn(runner, now), now)
 	return true
 }
 
--- a/internal/dispatch/exchange/plan_test.go
+++ b/internal/dispatch/exchange/plan_test.go
@@ -50,7 +50,8 @@
 			before := heard[runner]
 			count := rapid.IntRange(0, 12).Draw(t, "count")
 			truth[runner] = count
-			urgent := tested.changed(runner, count, online[runner], now)
+			owner, _ := ownerOf(runner)
+			urgent := tested.changed(runner, owner, count, online[runner], now)
 			assert.Assert(t, urgent || count <= mostSlack(online[runner]) || before > 0, "a rise from idle waits")
 			lose := rapid.IntRange(0, 3).Draw(t, "lose") == 1
 			deliver(lose)
@@ -87,10 +88,10 @@
 // TestCoalescerHoldsBackWhileAMessageIsOnItsWay keeps one message to an owner at a time.
 func TestCoalescerHoldsBackWhileAMessageIsOnItsWay(t *testing.T) {
 	tested := newCoalescer()
-	tested.changed("a1", 1, 0, begin)
+	tested.changed("a1", "owner-of-a", 1, 0, begin)
 	busy := func(node ident.Node) bool { return node == "owner-of-a" }
 	assert.Equal(t, len(tested.take(begin, ownerOf, busy)), 0)
-	tested.changed("a1", 3, 0, begin)
+	tested.changed("a1", "owner-of-a", 3, 0, begin)
 	messages := tested.take(begin, ownerOf, nobody)
 	assert.Equal(t, messages["owner-of-a"]["a1"], 3, "the newest count goes out")
 }
