Report demand for a limit only beyond its floor, and run limits at size

Cause: a node reported every limit in use to a home of its own every 2 s. Ruled out: fewer homes, which would move the same bytes to a few nodes.

Demand within the tenth of a limit that is split evenly is not reported: the parts the home gives out leave it free.

Failed first: demand up to the even share not reported; the fleet's rate not kept.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -134,10 +134,10 @@
 // exchangeAll carries every report to its home and the totals back, as the exchange does over the network.
 func exchangeAll(names []ident.Node, controllers []*Controller) {
 	for _, sender := range controllers {
-		for home, message := range sender.reports() {
+		for home, message := range sender.Reports() {
 			for index, name := range names {
 				if name == home {
-					sender.takeTotals(controllers[index].homeReport(message))
+					sender.TakeTotals(controllers[index].HomeReport(message))
 				}
 			}
 		}
--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// reportEvery is the time between reports of demand.
-	reportEvery = 2 * time.Second
+	// ReportEvery is the time between reports of demand.
+	ReportEvery = 2 * time.Second
 	// reportTimeout bounds one report.
 	reportTimeout = time.Second
 	// leastDemand is the rate below which a limit is not reported and forgotten.
@@ -44,7 +44,7 @@
 }
 
 func (e *Exchange) loop() error {
-	ticker := time.NewTicker(reportEvery)
+	ticker := time.NewTicker(ReportEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -57,7 +57,7 @@
 }
 
 func (e *Exchange) reportAll() {
-	for home, report := range e.controller.reports() {
+	for home, report := range e.controller.Reports() {
 		e.tomb.Go(func() error {
 			e.report(home, report)
 			return nil
@@ -71,7 +71,7 @@
 	defer cancel()
 	if home == e.controller.config.Node {
 		totals, _ := e.Report(ctx, report)
-		e.controller.takeTotals(totals)
+		e.controller.TakeTotals(totals)
 		return
 	}
 	connection, err := e.dialer.Conn(ctx, home)
@@ -82,16 +82,16 @@
 	if err != nil {
 		return
 	}
-	e.controller.takeTotals(totals)
+	e.controller.TakeTotals(totals)
 }
 
 // Report serves as home of limits.
 func (e *Exchange) Report(_ context.Context, report *admissionpb.DemandReport) (*admissionpb.DemandTotals, error) {
-	return e.controller.homeReport(report), nil
+	return e.controller.HomeReport(report), nil
 }
 
-// reports groups this node's demand by home, and forgets limits out of use.
-func (c *Controller) reports() map[ident.Node]*admissionpb.DemandReport {
+// Reports groups this node's demand by home, and forgets limits out of use.
+func (c *Controller) Reports() map[ident.Node]*admissionpb.DemandReport {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Now()
@@ -104,6 +104,9 @@
 			delete(c.limits, name)
 			continue
 		}
+		if withinFloor(rate, held.rate, len(nodes)) {
+			continue
+		}
 		home := homeOf(name, nodes)
 		if messages[home] == nil {
 			messages[home] = &admissionpb.DemandReport{Node: string(c.config.Node)}
@@ -113,7 +116,14 @@
 	return messages
 }
 
-func (c *Controller) homeReport(report *admissionpb.DemandReport) *admissionpb.DemandTotals {
+// withinFloor says whether a node's demand fits into the part of a limit that is split evenly, whatever others ask for. Such a
+// demand is no news to the limit's home: the parts it gives out leave the floor of every node free.
+func withinFloor(demand, rate float64, nodes int) bool {
+	return demand <= floorShare*rate/float64(max(1, nodes))
+}
+
+// HomeReport takes a node's demand as home of its limits and returns the totals.
+func (c *Controller) HomeReport(report *admissionpb.DemandReport) *admissionpb.DemandTotals {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Now()
@@ -125,7 +135,8 @@
 	return totals
 }
 
-func (c *Controller) takeTotals(totals *admissionpb.DemandTotals) {
+// TakeTotals takes the totals that a home returned.
+func (c *Controller) TakeTotals(totals *admissionpb.DemandTotals) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Now()
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -12,6 +12,8 @@
 
 // limit is one limit of the fleet as this node applies it.
 type limit struct {
+	// rate is the fleet's.
+	rate   float64
 	bucket bucket
 	demand demand
 	total  total
@@ -63,6 +65,7 @@
 	var message string
 	for _, needed := range c.claims(request) {
 		held := c.limit(needed.name)
+		held.rate = needed.rate
 		held.demand.add(needed.amount, now)
 		part := share(held.demand.current(now), held.total, len(c.config.Nodes()), now)
 		held.bucket.set(needed.rate*part, max(leastBurst, needed.burst*part), now)
--- a/internal/lab/labcli/scalecontrol.go
+++ b/internal/lab/labcli/scalecontrol.go
@@ -54,6 +54,7 @@
 	flags.DurationVar(&control.Steady, "steady", time.Minute, "simulated length of steady service")
 	flags.DurationVar(&control.Fault, "fault", time.Minute, "simulated length of each fault")
 	flags.Float64Var(&control.Loss, "loss", 0.01, "share of messages lost")
+	flags.Float64Var(&control.TenantRate, "tenant-rate", 1000, "limit of each of 2,200 tenants in requests a second, split by demand; 0 means none")
 	flags.StringSliceVar(&control.Phases, "phases", scale.Phases(), "phases to play, in this order")
 	flags.DurationVar(&control.Settle, "settle", time.Minute, "simulated length of each phase in which the fleet comes to rest")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/admission"
 	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/dispatch/exchange"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -32,6 +33,8 @@
 	Settle, Steady, Fault time.Duration
 	// Loss is the share of messages between nodes that are lost. A call that loses one fails after its time.
 	Loss float64
+	// TenantRate is the limit of each of the design's tenants in requests a second, split by demand; zero means no limits.
+	TenantRate float64
 	// Phases are those to play, of Phases.
 	Phases []string
 }
@@ -45,8 +48,11 @@
 	byID     map[ident.Runner]*simulatedRunner
 	distance map[ident.Zone]map[ident.Zone]float64
 	regions  map[ident.Zone]ident.Region
-	cut      bool
-	started  int
+	// zoneIndex numbers the zones, to give each its tenants.
+	zoneIndex map[ident.Zone]int
+	tenants   fixedCatalog
+	cut       bool
+	started   int
 	// loadTime is the processor time of the load generator and of routing, which is no control work.
 	loadTime time.Duration
 	requests requestCounts
@@ -61,13 +67,16 @@
 	table    *dispatch.Table
 	exchange *exchange.Core
 	planner  *ownership.Planner
+	limits   *admission.Controller
 	accounts map[string]*account
 	random   *rand.Rand
 
 	changes uint64
 	view    *membership.View
 	peers   []exchange.Peer
-	tellAt  time.Time
+	// names are those of the peers and the node itself.
+	names  []ident.Node
+	tellAt time.Time
 }
 
 func newControlFleet(control Control) *controlFleet {
@@ -75,6 +84,7 @@
 		control: control, started: control.Shape.Nodes,
 		nodes: map[ident.Node]*controlNode{}, byID: map[ident.Runner]*simulatedRunner{},
 		distance: map[ident.Zone]map[ident.Zone]float64{}, regions: map[ident.Zone]ident.Region{},
+		zoneIndex: map[ident.Zone]int{}, tenants: limitedTenants(control.TenantRate),
 	}
 	f.fleet = NewSimulation(control.Seed, membership.DefaultConfig(), f.network)
 	f.fleet.Encode = true
@@ -113,6 +123,7 @@
 	for zone := range f.control.Shape.Zones {
 		place := f.control.Shape.Place(zone)
 		f.regions[place.Zone] = place.Region
+		f.zoneIndex[place.Zone] = zone
 	}
 	for from, region := range f.regions {
 		f.distance[from] = map[ident.Zone]float64{}
@@ -171,7 +182,7 @@
 	node.life = node.hollow.life
 	node.table = dispatch.NewTable()
 	node.planner = ownership.NewPlanner(ownership.DefaultConfig(), node.hollow.Self.Node)
-	node.changes, node.view, node.peers, node.tellAt = 0, nil, nil, time.Time{}
+	node.changes, node.view, node.peers, node.names, node.tellAt, node.limits = 0, nil, nil, nil, time.Time{}, nil
 	node.exchange = exchange.NewCore(exchange.CoreConfig{
 		Node: node.hollow.Self.Node, Zone: node.hollow.Self.Zone, Table: node.table, Peers: nodePeers{f, node},
 		Intervals: exchange.Intervals{PollOwned: time.Second},
@@ -180,6 +191,9 @@
 	node.table.OnLeaving(func(runner ident.Runner) { f.leavingLearned(node, runner) })
 	f.everyOf(node, node.exchange.Tick(), func() { f.look(node) })
 	f.everyOf(node, ownershipPeriod, func() { f.planOwnership(node) })
+	if f.control.TenantRate > 0 {
+		f.addLimits(node)
+	}
 	f.readList(node)
 	f.everyOf(node, listPeriod, func() { f.readList(node) })
 	f.scheduleRequest(node, node.life)
@@ -244,11 +258,12 @@
 	}
 	n.changes = n.hollow.Core.Changes()
 	n.view = n.hollow.Core.View()
-	n.peers = nil
+	n.peers, n.names = nil, []ident.Node{n.hollow.Self.Node}
 	for _, member := range n.view.Members {
 		takesPart := member.State == membership.Alive || member.State == membership.Leaving
 		if takesPart && member.Node != n.hollow.Self.Node {
 			n.peers = append(n.peers, exchange.Peer{Node: member.Node, Zone: member.Zone})
+			n.names = append(n.names, member.Node)
 		}
 	}
 }
--- a/internal/lab/scale/controlreport.go
+++ b/internal/lab/scale/controlreport.go
@@ -120,7 +120,7 @@
 		}
 		result.PeakBytesOut = max(result.PeakBytesOut, peak)
 	}
-	for _, service := range []string{serviceMembership, serviceOnline, serviceShare, serviceLeaving, serviceEngine} {
+	for _, service := range []string{serviceMembership, serviceOnline, serviceShare, serviceLeaving, serviceLimits, serviceEngine} {
 		if sum, known := sums[service]; known {
 			result.Services = append(result.Services, *sum)
 		}
--- a/internal/lab/scale/controlrunner.go
+++ b/internal/lab/scale/controlrunner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/admission"
 	"mallowlatch.example/mallowlatch/internal/engine"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
@@ -178,6 +179,14 @@
 		f.requests.refused++
 		return
 	}
+	var ticket *admission.Ticket
+	if node.limits != nil {
+		admitted := false
+		if ticket, admitted = f.admit(node); !admitted {
+			f.requests.refused++
+			return
+		}
+	}
 	for _, candidate := range decision.Candidates {
 		chosen := f.byID[candidate.Runner]
 		if chosen.leaving {
@@ -185,12 +194,12 @@
 			node.table.ObserveLeaving(chosen.id, true, f.fleet.now)
 			continue
 		}
-		f.run(node, chosen)
+		f.run(node, chosen, ticket)
 		return
 	}
 }
 
-func (f *controlFleet) run(node *controlNode, chosen *simulatedRunner) {
+func (f *controlFleet) run(node *controlNode, chosen *simulatedRunner, ticket *admission.Ticket) {
 	f.requests.started++
 	chosen.online++
 	chosen.lastWork = f.fleet.now
@@ -200,6 +209,9 @@
 		chosen.online--
 		if node.alive(life) {
 			node.table.End(chosen.id)
+			if ticket != nil {
+				ticket.Done(nil)
+			}
 		}
 	})
 }
