Doubt that a zone of which nobody is known is empty

A zone of which no member is known, dead ones included, is now doubtful like one whose members are suspect: its runners are neither asked nor claimed for 30 s. A zone known to be dead is taken over as before. Replaces the wait of ten seconds. Failed first: an unknown zone not doubted.

--- a/internal/ownership/choice_test.go
+++ b/internal/ownership/choice_test.go
@@ -74,7 +74,7 @@
 	runners := []ownership.Runner{{ID: "own", Zone: "a"}, {ID: "foreign", Zone: "b"}}
 	start := time.Unix(1_800_000_000, 0)
 	asked := map[ident.Runner]time.Duration{}
-	for now := start; now.Before(start.Add(2 * config.HandOver)); now = now.Add(500 * time.Millisecond) {
+	for now := start; now.Before(start.Add(2 * config.Foreign)); now = now.Add(500 * time.Millisecond) {
 		for _, runner := range planner.Plan(now, runners, members, flat) {
 			if _, before := asked[runner]; !before {
 				asked[runner] = now.Sub(start)
@@ -83,5 +83,5 @@
 		}
 	}
 	assert.Equal(t, asked["own"], time.Duration(0))
-	assert.Equal(t, asked["foreign"], config.HandOver)
+	assert.Equal(t, asked["foreign"], config.Foreign)
 }
--- a/internal/ownership/choose.go
+++ b/internal/ownership/choose.go
@@ -22,7 +22,9 @@
 	Node ident.Node
 	// Foreign says that the node is of another zone than the runner.
 	Foreign bool
-	// Doubtful says that the runner's zone has members that are suspect only, so that they may well be at work.
+	// Doubtful says that the runner's zone has members that are suspect only, so that they may well be at work, or none that
+	// are known at all, as when this node has just started. Were such runners asked for and claimed at once, each node of a
+	// starting fleet would claim them all.
 	Doubtful bool
 }
 
@@ -37,7 +39,7 @@
 		return Choice{}, false
 	}
 	best, _ := rendezvous.First(string(runner), live(nearest, members))
-	return Choice{Node: best, Foreign: true, Doubtful: anySuspect(zone, members)}, true
+	return Choice{Node: best, Foreign: true, Doubtful: anyMayLive(zone, members)}, true
 }
 
 // live yields the live members of a zone.
@@ -83,11 +85,17 @@
 	return nearest, nearest != ""
 }
 
-func anySuspect(zone ident.Zone, members []membership.Member) bool {
+// anyMayLive says whether a zone without live members may have some: one is suspect, or none is known to be dead either.
+func anyMayLive(zone ident.Zone, members []membership.Member) bool {
+	known := false
 	for _, member := range members {
-		if member.Zone == zone && member.State == membership.Suspect {
+		if member.Zone != zone {
+			continue
+		}
+		known = true
+		if member.State == membership.Suspect {
 			return true
 		}
 	}
-	return false
+	return !known
 }
--- a/internal/ownership/planner.go
+++ b/internal/ownership/planner.go
@@ -64,8 +64,6 @@
 	// highest is the highest epoch known of each runner, over all incarnations of its engine. It outlives the runner's
 	// state, which goes while the runner isn't listed.
 	highest map[ident.Runner]uint64
-	// begun is when the first plan was made.
-	begun time.Time
 }
 
 // Word is what an engine says of its owner.
@@ -111,9 +109,6 @@
 	listed := make(map[ident.Runner]bool, len(runners))
 	var ask []ident.Runner
 	among := fingerprint(members)
-	if p.begun.IsZero() {
-		p.begun = now
-	}
 	for _, runner := range runners {
 		listed[runner.ID] = true
 		state := p.state(runner.ID)
@@ -164,16 +159,11 @@
 	if state.epoch != 0 {
 		return now.Sub(state.seenAt) >= p.config.Verify
 	}
-	if !state.chosen || state.choice.Node != p.self || p.tooNew(state, now) {
+	if !state.chosen || state.choice.Node != p.self {
 		return false
 	}
-	return state.seenAt.IsZero() || p.due(state, now, members)
-}
-
-// tooNew says whether a runner of another zone is left alone because this node has just started: its members are likely not
-// known here yet. At the start of a fleet every node would claim every runner.
-func (p *Planner) tooNew(state *runnerState, now time.Time) bool {
-	return state.choice.Foreign && now.Sub(p.begun) < p.config.HandOver
+	first := state.seenAt.IsZero() && !state.choice.Doubtful
+	return first || p.due(state, now, members)
 }
 
 // due says whether the choice of this node has stood for long enough, given who owns the runner.
@@ -210,7 +200,7 @@
 	if !known || state.epoch != 0 || state.seenAt.IsZero() || now.Before(state.notBefore) {
 		return 0, false
 	}
-	if !state.chosen || state.choice.Node != p.self || p.tooNew(state, now) || !p.due(state, now, members) {
+	if !state.chosen || state.choice.Node != p.self || !p.due(state, now, members) {
 		return 0, false
 	}
 	return p.nextEpoch(runner, state, now), true
