Choose owners anew only where a zone's live members changed

Choices now hang on the live members of the runner's own zone, which are sorted out once a plan; and a node looks ten times a second only at unknown runners of its own zone.

--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -66,7 +66,7 @@
 	var often []ident.Runner
 	for _, view := range views {
 		own, ownerless := owns(view.ID)
-		if own || view.Ejected || view.Report == nil || (ownerless && view.Zone == zone) {
+		if own || view.Ejected || (view.Zone == zone && (ownerless || view.Report == nil)) {
 			often = append(often, view.ID)
 		}
 	}
--- a/internal/ownership/choose.go
+++ b/internal/ownership/choose.go
@@ -56,16 +56,37 @@
 	}
 }
 
-// fingerprint returns a hash over what Choose reads of the members: names, zones and states, in their order.
-func fingerprint(members []membership.Member) uint64 {
+// zoneMembers are the live members of a zone, in the order of the members, and a hash over their names.
+type zoneMembers struct {
+	live        []ident.Node
+	fingerprint uint64
+}
+
+// zonesOf sorts the live members by zone.
+func zonesOf(members []membership.Member) map[ident.Zone]zoneMembers {
+	zones := map[ident.Zone]zoneMembers{}
+	for _, member := range members {
+		if member.State != membership.Alive {
+			continue
+		}
+		zone := zones[member.Zone]
+		zone.live = append(zone.live, member.Node)
+		zones[member.Zone] = zone
+	}
+	for name, zone := range zones {
+		zone.fingerprint = fingerprint(zone.live)
+		zones[name] = zone
+	}
+	return zones
+}
+
+func fingerprint(nodes []ident.Node) uint64 {
 	const end = 0
 	var digest xxhash.Digest
 	digest.Reset()
-	for _, member := range members {
-		_, _ = digest.WriteString(string(member.Node))
+	for _, node := range nodes {
+		_, _ = digest.WriteString(string(node))
 		_, _ = digest.Write([]byte{end})
-		_, _ = digest.WriteString(string(member.Zone))
-		_, _ = digest.Write([]byte{end, byte(member.State)})
 	}
 	return digest.Sum64()
 }
--- a/internal/ownership/planner.go
+++ b/internal/ownership/planner.go
@@ -1,10 +1,12 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/rendezvous"
 )
 
 // Config holds the planner's times.
@@ -79,9 +81,8 @@
 type runnerState struct {
 	choice Choice
 	chosen bool
-	// chosenAmong is the fingerprint of the members that the choice was made among, for a runner of chosenZone.
+	// chosenAmong is the fingerprint of the live members of the runner's zone that the choice was made among.
 	chosenAmong uint64
-	chosenZone  ident.Zone
 	// since is when the choice last changed.
 	since time.Time
 	// epoch is that of the claim this node holds; zero means none.
@@ -108,14 +109,11 @@
 func (p *Planner) Plan(now time.Time, runners []Runner, members []membership.Member, distance Distance) []ident.Runner {
 	listed := make(map[ident.Runner]bool, len(runners))
 	var ask []ident.Runner
-	among := fingerprint(members)
+	zones := zonesOf(members)
 	for _, runner := range runners {
 		listed[runner.ID] = true
 		state := p.state(runner.ID)
-		if !state.choiceStands(runner, among) {
-			p.choose(state, runner, members, distance, now)
-			state.chosenAmong, state.chosenZone = among, runner.Zone
-		}
+		p.choose(state, runner, zones[runner.Zone], members, distance, now)
 		if p.mustAsk(state, now, members) {
 			state.asking = true
 			ask = append(ask, runner.ID)
@@ -138,17 +136,25 @@
 	return state
 }
 
-// choiceStands says whether choosing again would come to the same: within a zone the choice depends on the members alone. To
-// choose among all members for all runners took most of the time of a plan, which is made twice a second.
-func (s *runnerState) choiceStands(runner Runner, among uint64) bool {
-	return s.chosen && !s.choice.Foreign && s.chosenAmong == among && s.chosenZone == runner.Zone
+// choiceStands says whether choosing again would come to the same: within a zone the choice depends on its live members alone.
+// To choose among all members for all runners took most of the time of a plan, which is made twice a second.
+func (s *runnerState) choiceStands(among zoneMembers) bool {
+	return s.chosen && !s.choice.Foreign && s.chosenAmong == among.fingerprint
 }
 
-func (p *Planner) choose(state *runnerState, runner Runner, members []membership.Member, distance Distance, now time.Time) {
-	choice, chosen := Choose(runner.ID, runner.Zone, members, distance)
+func (p *Planner) choose(state *runnerState, runner Runner, among zoneMembers, members []membership.Member, distance Distance, now time.Time) {
+	if state.choiceStands(among) {
+		return
+	}
+	best, chosen := rendezvous.First(string(runner.ID), slices.Values(among.live))
+	choice := Choice{Node: best}
+	if !chosen {
+		choice, chosen = Choose(runner.ID, runner.Zone, members, distance)
+	}
 	if chosen != state.chosen || choice != state.choice {
 		state.choice, state.chosen, state.since = choice, chosen, now
 	}
+	state.chosenAmong = among.fingerprint
 }
 
 // mustAsk says whether the engine's word is needed: to verify a claim that is held, or to make one that is due.
