--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/dispatch"
@@ -82,11 +84,12 @@
 	return view.Report.RunningOnline + view.Report.WaitingOnline
 }
 
-// Tells returns the messages of counts to send now. Each must be followed by Told.
+// Tells returns the messages of counts to send now, in the order of their owners. Each must be followed by Told.
 func (c *Core) Tells(now time.Time) []Tell {
 	messages := c.coalescer.take(now, c.otherOwner, func(node ident.Node) bool { return c.sending[node] })
 	tells := make([]Tell, 0, len(messages))
-	for owner, counts := range messages {
+	for _, owner := range slices.Sorted(maps.Keys(messages)) {
+		counts := messages[owner]
 		c.coalescer.sent(counts, now)
 		c.sending[owner] = true
 		c.sequence++
@@ -99,8 +102,8 @@
 
 func (c *Core) encodeCounts(counts map[ident.Runner]int) *dispatchpb.OnlineCounts {
 	message := &dispatchpb.OnlineCounts{Node: string(c.config.Node), Sequence: c.sequence}
-	for runner, inFlight := range counts {
-		message.Counts = append(message.Counts, &dispatchpb.OnlineCount{Runner: string(runner), InFlight: uint32(inFlight)})
+	for _, runner := range slices.Sorted(maps.Keys(counts)) {
+		message.Counts = append(message.Counts, &dispatchpb.OnlineCount{Runner: string(runner), InFlight: uint32(counts[runner])})
 	}
 	return message
 }
--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -50,7 +50,7 @@
 
 func newScaleLoopback() *cobra.Command {
 	var sizes []int
-	var asJSON bool
+	var asJSON, runners bool
 	loopback := scale.Loopback{}
 	command := &cobra.Command{
 		Use:   "loopback",
@@ -60,6 +60,10 @@
 			var all []scale.Measurement
 			for _, size := range sizes {
 				loopback.Shape.Nodes = size
+				if runners {
+					loopback.Runners = max(1, designRunners*size/designNodes)
+					loopback.Rate = designRate * float64(size) / designNodes
+				}
 				measured, err := loopback.Run(command.Context())
 				if err != nil {
 					return fmt.Errorf("%d nodes: %w", size, err)
@@ -79,6 +83,7 @@
 	flags.IntVar(&loopback.Count, "count", 0, "number of nodes that this process runs; 0 means all")
 	flags.IntVar(&loopback.BasePort, "base-port", 0, "port of node zero, if several processes share the fleet")
 	flags.StringVar(&loopback.Directory, "directory", "", "empty folder for the certificates, if several processes share the fleet")
+	flags.BoolVar(&runners, "runners", false, "add runner exchange and ownership under online load, with the size's part of 880 runners")
 	flags.BoolVar(&loopback.Configuration, "configuration", true, "add the distribution of configuration")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
 	return command
--- a/internal/lab/scale/controllimits.go
+++ b/internal/lab/scale/controllimits.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 
 	"mallowlatch.example/mallowlatch/internal/admission"
 	"mallowlatch.example/mallowlatch/internal/admission/admissionpb"
@@ -57,7 +59,9 @@
 
 // reportDemand tells the homes of the limits in use, as the exchange of a real node does.
 func (f *controlFleet) reportDemand(node *controlNode) {
-	for home, report := range node.limits.Reports() {
+	reports := node.limits.Reports()
+	for _, home := range slices.Sorted(maps.Keys(reports)) {
+		report := reports[home]
 		if home == node.hollow.Self.Node {
 			node.limits.TakeTotals(node.limits.HomeReport(report))
 			continue
--- a/internal/lab/scale/controlphase.go
+++ b/internal/lab/scale/controlphase.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -14,6 +15,9 @@
 	leavingPhase = 6 * time.Second
 )
 
+// collectAt lets the heap of a run grow to five times what lives: 330 nodes live in half a GiB, and the run is a third faster.
+const collectAt = 400
+
 // Phases lists the phases of a control run in their order. Each begins in the state that those before it left.
 func Phases() []string {
 	return []string{"start", "steady", "leaving", "changes", "zone", "region"}
@@ -22,6 +26,7 @@
 // Run plays the chosen phases: the start of the whole fleet, steady service, two runners that leave, a day's replacements and
 // failures within one fault's length, the loss and return of a zone, the cut and heal of a region.
 func (c Control) Run() []ControlMeasurement {
+	defer debug.SetGCPercent(debug.SetGCPercent(collectAt))
 	f := newControlFleet(c)
 	for _, phase := range Phases() {
 		if slices.Contains(c.Phases, phase) {
--- a/internal/lab/scale/loopback.go
+++ b/internal/lab/scale/loopback.go
@@ -31,6 +31,10 @@
 	Warm, Length time.Duration
 	// Configuration adds the distribution of configuration, in front of a key-value service in the process's memory.
 	Configuration bool
+	// Runners and Rate add the runner exchange and ownership before that many runners in the process's memory, under that
+	// many online requests a second over the fleet; a run with several processes can't have them. Zero means none.
+	Runners int
+	Rate    float64
 	// First and Count select the nodes that this process runs, where several processes share the fleet because one may
 	// not open enough files; a zero Count means all. BasePort is then the port of node zero, and Directory holds the
 	// certificates, which the process with node zero makes.
@@ -47,6 +51,7 @@
 	pool     *transport.Pool
 	members  *membership.Service
 	replica  *confsync.Replica
+	control  *loopbackControl
 }
 
 // loopbackRun is a loopback run under way.
@@ -56,6 +61,7 @@
 	registry *prometheus.Registry
 	metrics  *transport.Metrics
 	store    *kvtest.Data
+	engines  *loopbackEngines
 	nodes    []*loopbackNode
 }
 
@@ -79,6 +85,7 @@
 	supervisor, ctx := tomb.WithContext(ctx)
 	r := &loopbackRun{Loopback: l, tomb: supervisor, registry: prometheus.NewRegistry(), store: kvtest.NewData(time.Now)}
 	r.metrics = transport.NewMetrics(r.registry)
+	r.engines = newLoopbackEngines(l.Shape, l.Runners)
 	if err := r.start(ctx, directory); err != nil {
 		return nil, err
 	}
@@ -145,6 +152,9 @@
 		}
 		r.tomb.Go(func() error { return node.server.Serve(node.listener) })
 		node.members.Start(node.pool)
+		if node.control != nil {
+			r.startControl(node, rand.New(rand.NewPCG(r.Seed+1, uint64(r.First+index))))
+		}
 		if node.replica != nil {
 			r.tomb.Go(func() error { return node.replica.Run(ctx) })
 		}
@@ -170,6 +180,11 @@
 	if err := membershippb.DRPCRegisterMembership(node.server, node.members); err != nil {
 		return fmt.Errorf("register membership: %w", err)
 	}
+	if r.Runners > 0 {
+		if err := r.addControl(node); err != nil {
+			return err
+		}
+	}
 	if !r.Configuration {
 		return nil
 	}
@@ -224,7 +239,8 @@
 	whole := Measurement{
 		Phase: "loopback", Nodes: len(r.nodes), Seconds: seconds, Settled: settled,
 		CoreShare: spent.Seconds() / seconds / nodes, MemoryBytes: resident / nodes,
-		Suspicions: float64(r.suspicions()-suspicions) / seconds / nodes,
+		RunnersOwned: r.owned(),
+		Suspicions:   float64(r.suspicions()-suspicions) / seconds / nodes,
 	}
 	results := []Measurement{whole}
 	for service, after := range r.counters() {
@@ -314,6 +330,10 @@
 	cut, cancel := context.WithCancel(context.Background())
 	cancel()
 	for _, node := range r.nodes {
+		if node.control != nil {
+			_ = node.control.exchange.Stop()
+			_ = node.control.owners.Release(cut)
+		}
 		_ = node.members.Stop(cut)
 		_ = node.pool.Close()
 		_ = node.server.Stop(cut)
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -32,6 +32,8 @@
 	PeakBytesOut float64 `json:"peak_bytes_out"`
 	// Suspicions is how many members a second one node's own probes made suspect.
 	Suspicions float64 `json:"suspicions"`
+	// RunnersOwned is the number of runners that some node holds at the end, in a loopback run with runners.
+	RunnersOwned int `json:"runners_owned,omitempty"`
 	// Settled is the time until all nodes agreed again after the phase's event, or negative if they did not.
 	Settled time.Duration `json:"settled_ns"`
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -214,6 +214,7 @@
 			answer.summaries = append(answer.summaries, stored.summary())
 		}
 	}
+	slices.SortFunc(answer.summaries, func(first, second summary) int { return cmp.Compare(first.node, second.node) })
 	return answer
 }
 
@@ -257,6 +258,7 @@
 			answer.members = append(answer.members, stored.record)
 		}
 	}
+	slices.SortFunc(answer.members, func(first, second record) int { return cmp.Compare(first.node, second.node) })
 	if len(answer.members)+len(answer.revisions)+len(answer.wants) == 0 {
 		return nil
 	}
