Leave single requests on busy runners to the engine's report

A count within the slack is not told while the owner holds none; after a message that may be lost it is told in any case.

Failed first: a lost message's count left untold; a slack three times as large; lost counts not told again.

--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -45,6 +45,16 @@
 	last    int
 	due     time.Time
 	dirty   bool
+	// slack is the change that may wait, as of the last change.
+	slack int
+	// unsure says that a message of the count may have been lost, so that what the owner holds is not known.
+	unsure bool
+}
+
+// silent reports whether the owner need not hear of a count: it holds none, and the count is within the slack. The engine's
+// report shows the owner such requests; were they told, many nodes with one request each would still be counted long after.
+func (t *told) silent() bool {
+	return t.slack > 0 && t.last == 0 && !t.unsure && t.current <= t.slack
 }
 
 func newCoalescer() *coalescer { return &coalescer{counts: map[ident.Runner]*told{}} }
@@ -61,7 +71,8 @@
 	count.owner = owner
 	count.current = current
 	count.dirty = true
-	if max(current-count.last, count.last-current) <= slackOf(online, count.last) {
+	count.slack = slackOf(online, count.last)
+	if max(current-count.last, count.last-current) <= count.slack {
 		return false
 	}
 	urgent := current > 0 && (count.last == 0 || current >= 2*count.last+surgeStep)
@@ -83,6 +94,10 @@
 		if now.Before(count.due) {
 			continue
 		}
+		if count.silent() {
+			c.postpone(runner, count, now)
+			continue
+		}
 		node, known := owner(runner)
 		if !known {
 			count.due = now.Add(renewTime)
@@ -94,7 +109,7 @@
 		addCount(messages, node, runner, count.current)
 	}
 	for runner, count := range c.counts {
-		if messages[count.owner] == nil {
+		if messages[count.owner] == nil || count.silent() {
 			continue
 		}
 		node, known := owner(runner)
@@ -105,6 +120,15 @@
 	return messages
 }
 
+// postpone looks at a count again after the renewal time, or forgets it if it is idle.
+func (c *coalescer) postpone(runner ident.Runner, count *told, now time.Time) {
+	if count.current == 0 {
+		delete(c.counts, runner)
+		return
+	}
+	count.due = now.Add(renewTime)
+}
+
 func addCount(messages map[ident.Node]map[ident.Runner]int, node ident.Node, runner ident.Runner, current int) {
 	if messages[node] == nil {
 		messages[node] = map[ident.Runner]int{}
@@ -118,6 +142,7 @@
 		count := c.counts[runner]
 		count.last = current
 		count.dirty = false
+		count.unsure = false
 		count.due = now.Add(renewTime)
 	}
 }
@@ -137,6 +162,7 @@
 	for runner := range counts {
 		if count, known := c.counts[runner]; known {
 			count.last = 0
+			count.unsure = true
 			count.dirty = true
 			count.due = now.Add(failurePause)
 		}
