--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// reportEvery is the time between reports of demand.
-	reportEvery = 2 * time.Second
+	// ReportEvery is the time between reports of demand.
+	ReportEvery = 2 * time.Second
 	// reportTimeout bounds one report.
 	reportTimeout = time.Second
 	// leastDemand is the rate below which a limit is not reported and forgotten.
@@ -44,7 +44,7 @@
 }
 
 func (e *Exchange) loop() error {
-	ticker := time.NewTicker(reportEvery)
+	ticker := time.NewTicker(ReportEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -104,6 +104,9 @@
 			delete(c.limits, name)
 			continue
 		}
+		if rate <= unreportedDemand(held.rate, len(nodes)) {
+			continue
+		}
 		held.reported = rate
 		home := homeOf(name, nodes)
 		if messages[home] == nil {
@@ -114,6 +117,12 @@
 	return messages
 }
 
+// unreportedDemand is the most that a node may ask of a limit without telling the limit's home: half of the part that is split
+// evenly, which the parts given out leave free.
+func unreportedDemand(rate float64, nodes int) float64 {
+	return floorShare / 2 * rate / float64(max(1, nodes))
+}
+
 // HomeReport takes a node's demand for limits this node is home of, and returns the sums over all nodes.
 func (c *Controller) HomeReport(report *admissionpb.DemandReport) *admissionpb.DemandTotals {
 	c.mutex.Lock()
@@ -133,9 +142,11 @@
 	defer c.mutex.Unlock()
 	now := c.config.Now()
 	for _, stated := range totals.GetTotals() {
-		if held, known := c.limits[stated.GetLimit()]; known {
-			held.before = held.total
-			held.total = total{demand: float64(stated.GetRateMilli()) / milli, own: held.reported, until: now.Add(totalTime)}
+		held, known := c.limits[stated.GetLimit()]
+		if !known {
+			continue
 		}
+		held.before = held.total
+		held.total = total{demand: float64(stated.GetRateMilli()) / milli, own: held.reported, until: now.Add(totalTime)}
 	}
 }
--- a/internal/ownership/choose.go
+++ b/internal/ownership/choose.go
@@ -22,7 +22,9 @@
 	Node ident.Node
 	// Foreign says that the node is of another zone than the runner.
 	Foreign bool
-	// Doubtful says that the runner's zone has members that are suspect only, so that they may well be at work.
+	// Doubtful says that the runner's zone has members that are suspect only, so that they may well be at work, or none that
+	// are known at all, as when this node has just started. Were such runners asked for and claimed at once, each node of a
+	// starting fleet would claim them all.
 	Doubtful bool
 }
 
@@ -37,7 +39,7 @@
 		return Choice{}, false
 	}
 	best, _ := rendezvous.First(string(runner), live(nearest, members))
-	return Choice{Node: best, Foreign: true, Doubtful: anySuspect(zone, members)}, true
+	return Choice{Node: best, Foreign: true, Doubtful: anyMayLive(zone, members)}, true
 }
 
 // live yields the live members of a zone.
@@ -54,16 +56,37 @@
 	}
 }
 
-// fingerprint returns a hash over what Choose reads of the members: names, zones and states, in their order.
-func fingerprint(members []membership.Member) uint64 {
+// zoneMembers are the live members of a zone, in the order of the members, and a hash over their names.
+type zoneMembers struct {
+	live        []ident.Node
+	fingerprint uint64
+}
+
+// zonesOf sorts the live members by zone.
+func zonesOf(members []membership.Member) map[ident.Zone]zoneMembers {
+	zones := map[ident.Zone]zoneMembers{}
+	for _, member := range members {
+		if member.State != membership.Alive {
+			continue
+		}
+		zone := zones[member.Zone]
+		zone.live = append(zone.live, member.Node)
+		zones[member.Zone] = zone
+	}
+	for name, zone := range zones {
+		zone.fingerprint = fingerprint(zone.live)
+		zones[name] = zone
+	}
+	return zones
+}
+
+func fingerprint(nodes []ident.Node) uint64 {
 	const end = 0
 	var digest xxhash.Digest
 	digest.Reset()
-	for _, member := range members {
-		_, _ = digest.WriteString(string(member.Node))
+	for _, node := range nodes {
+		_, _ = digest.WriteString(string(node))
 		_, _ = digest.Write([]byte{end})
-		_, _ = digest.WriteString(string(member.Zone))
-		_, _ = digest.Write([]byte{end, byte(member.State)})
 	}
 	return digest.Sum64()
 }
@@ -83,11 +106,17 @@
 	return nearest, nearest != ""
 }
 
-func anySuspect(zone ident.Zone, members []membership.Member) bool {
+// anyMayLive says whether a zone without live members may have some: one is suspect, or none is known to be dead either.
+func anyMayLive(zone ident.Zone, members []membership.Member) bool {
+	known := false
 	for _, member := range members {
-		if member.Zone == zone && member.State == membership.Suspect {
+		if member.Zone != zone {
+			continue
+		}
+		known = true
+		if member.State == membership.Suspect {
 			return true
 		}
 	}
-	return false
+	return !known
 }
