Have the stand-in state incarnation and newest number with its cache events

Cause: the stand-in published events without saying which start they belong to or how far publication has come, so a reader could tell neither a restart nor the loss of the last events. Its export and import of KV memory had no user and no test: they are removed; a listing of a sample of the cached blocks takes their place, for a reader that has lost events.

The model of the cache is a package of its own, so that simulations can share it. The adapter's test gets stricter: its signature changed with the interface.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -45,8 +45,10 @@
 	Load(ctx context.Context) (LoadReport, error)
 	// Order gives a fenced order. It returns ErrFenced if the engine has seen a newer epoch for the order's subject.
 	Order(ctx context.Context, order Order) (OrderReply, error)
-	// CacheEvents returns the cache events after a sequence number; there may be gaps.
-	CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error)
+	// CacheEvents returns the published cache events after a sequence number; they come late and with gaps.
+	CacheEvents(ctx context.Context, after uint64) (CacheEvents, error)
+	// CacheBlocks lists the cached blocks whose hash ends in sampleBits zero bits.
+	CacheBlocks(ctx context.Context, sampleBits uint) (CacheBlocks, error)
 }
 
 // Call is one attempt at a request on one engine.
@@ -141,6 +143,25 @@
 	Owner ident.Node
 }
 
+// CacheEvents is what an engine has published of the changes of its prefix cache.
+type CacheEvents struct {
+	// Incarnation is that of LoadReport; sequence numbers of two incarnations have nothing to do with each other.
+	Incarnation string
+	// Newest is the number of the last event published, lost ones included; zero if the engine does not say.
+	Newest uint64
+	Events []CacheEvent
+}
+
+// CacheBlocks is a listing of a sample of an engine's prefix cache.
+type CacheBlocks struct {
+	Incarnation string
+	// Sequence is the number of the last event that the listing includes.
+	Sequence uint64
+	// SampleBits says that only blocks whose hash ends in this many zero bits are listed.
+	SampleBits uint
+	Blocks     []uint64
+}
+
 // CacheEvent tells that a prefix block entered or left the engine's cache.
 type CacheEvent struct {
 	Sequence uint64
--- a/internal/engine/openaihttp/control.go
+++ b/internal/engine/openaihttp/control.go
@@ -81,19 +81,30 @@
 }
 
 // CacheEvents returns cache events; see engine.Engine. Errors: engine.ErrUnreachable, engine.ErrBroken.
-func (c *client) CacheEvents(ctx context.Context, after uint64) ([]engine.CacheEvent, error) {
+func (c *client) CacheEvents(ctx context.Context, after uint64) (engine.CacheEvents, error) {
 	var answer dialect.CacheEvents
 	path := dialect.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
 	if err := c.control(ctx, http.MethodGet, path, nil, &answer); err != nil {
-		return nil, fmt.Errorf("reading cache events: %w", err)
+		return engine.CacheEvents{}, fmt.Errorf("reading cache events: %w", err)
 	}
-	events := make([]engine.CacheEvent, 0, len(answer.Events))
+	events := engine.CacheEvents{Incarnation: answer.Incarnation, Newest: answer.Newest}
 	for _, event := range answer.Events {
-		events = append(events, engine.CacheEvent(event))
+		events.Events = append(events.Events, engine.CacheEvent(event))
 	}
 	return events, nil
 }
 
+// CacheBlocks returns a sample of the cached blocks; see engine.Engine. Errors: engine.ErrRejected,
+// engine.ErrUnreachable, engine.ErrBroken.
+func (c *client) CacheBlocks(ctx context.Context, sampleBits uint) (engine.CacheBlocks, error) {
+	var answer dialect.CacheBlocks
+	path := dialect.PathCacheBlocks + "?sample_bits=" + strconv.FormatUint(uint64(sampleBits), 10)
+	if err := c.control(ctx, http.MethodGet, path, nil, &answer); err != nil {
+		return engine.CacheBlocks{}, fmt.Errorf("listing cached blocks: %w", err)
+	}
+	return engine.CacheBlocks(answer), nil
+}
+
 func encode(body any) ([]byte, error) {
 	if body == nil {
 		return nil, nil
--- a/internal/engine/openaihttp/dialect/dialect.go
+++ b/internal/engine/openaihttp/dialect/dialect.go
@@ -52,10 +52,9 @@
 	PathOrders      = "/orders"
 	PathStreams     = "/v1/streams/"
 	PathCacheEvents = "/cache_events"
+	PathCacheBlocks = "/cache_blocks"
 	PathModels      = "/v1/models"
 	PathHealth      = "/healthz"
-	PathKVExport    = "/kv/export"
-	PathKVImport    = "/kv/import"
 )
 
 // Load is the answer to GET /load.
@@ -117,11 +116,24 @@
 	Stored   bool   `json:"stored"`
 }
 
-// CacheEvents is the answer to GET /cache_events.
+// CacheEvents is the answer to GET /cache_events?after=N: the events above N that are published by now. There may be gaps.
 type CacheEvents struct {
+	// Incarnation is that of Load; sequence numbers of two incarnations have nothing to do with each other.
+	Incarnation string `json:"incarnation"`
+	// Newest is the number of the last event published, lost ones included; zero if the engine does not say.
+	Newest uint64       `json:"newest"`
 	Events []CacheEvent `json:"events"`
 }
 
+// CacheBlocks is the answer to GET /cache_blocks?sample_bits=N: the cached blocks whose hash ends in N zero bits.
+type CacheBlocks struct {
+	Incarnation string `json:"incarnation"`
+	// Sequence is the number of the last event that the listing includes.
+	Sequence   uint64   `json:"sequence"`
+	SampleBits uint     `json:"sample_bits"`
+	Blocks     []uint64 `json:"blocks"`
+}
+
 // ErrorBody is the OpenAI error envelope.
 type ErrorBody struct {
 	Error ErrorDetail `json:"error"`
--- a/internal/engine/openaihttp/engine_test.go
+++ b/internal/engine/openaihttp/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -179,7 +180,24 @@
 	assert.Assert(t, second.Incarnation != report.Incarnation)
 	events, err := client.CacheEvents(t.Context(), 0)
 	assert.NilError(t, err)
-	assert.Assert(t, len(events) > 0 && events[0].Stored)
+	assert.Assert(t, len(events.Events) > 0 && events.Events[0].Stored)
+	assert.Equal(t, events.Incarnation, report.Incarnation)
+	assert.Equal(t, events.Newest, events.Events[len(events.Events)-1].Sequence)
+	listed, err := client.CacheBlocks(t.Context(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, listed.Sequence, events.Newest)
+	assert.Equal(t, listed.Incarnation, report.Incarnation)
+	var sampled []uint64
+	for _, event := range events.Events {
+		if event.Block%2 == 0 {
+			sampled = append(sampled, event.Block)
+		}
+	}
+	slices.Sort(sampled)
+	slices.Sort(listed.Blocks)
+	assert.DeepEqual(t, listed.Blocks, sampled)
+	_, err = client.CacheBlocks(t.Context(), 99)
+	assert.ErrorIs(t, err, engine.ErrRejected)
 }
 
 func TestBusyEngineDoesNotRun(t *testing.T) {
--- a/internal/lab/enginesim/engine.go
+++ b/internal/lab/enginesim/engine.go
@@ -16,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/lab/prefixcache"
 )
 
 // ErrListen means a listener could not be opened.
@@ -47,7 +48,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	scheduler scheduler
-	cache     *prefixCache
+	cache     *prefixcache.Cache
 	sequences map[ident.Request][]*sequence
 	orders    orderBook
 	events    eventLog
@@ -69,7 +70,7 @@
 		sequences:   map[ident.Request][]*sequence{},
 		orders:      newOrderBook(options),
 	}
-	created.cache = newPrefixCache(options.BlockTokens, created.cacheChanged)
+	created.cache = prefixcache.New(options.BlockTokens, created.cacheChanged)
 	created.scheduler = scheduler{options: options, cache: created.cache, started: created.recordStart}
 	return created
 }
--- /dev/null
+++ b/internal/lab/enginesim/events.go
@@ -0,0 +1,84 @@
+package enginesim
+
+import (
+	"slices"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/engine/openaihttp/dialect"
+)
+
+// eventHistory bounds the cache events held.
+const eventHistory = 4096
+
+// timedEvent is a cache event, when it happened, and whether it is lost: then no reader ever sees it.
+type timedEvent struct {
+	at    time.Time
+	event dialect.CacheEvent
+	lost  bool
+}
+
+// eventLog holds the newest cache events, in order, until readers may see them. The engine's lock guards it.
+type eventLog struct {
+	last   uint64
+	events []timedEvent
+}
+
+// add books an event at the next sequence number.
+func (l *eventLog) add(block uint64, stored, lost bool, now time.Time) {
+	l.last++
+	event := dialect.CacheEvent{Sequence: l.last, Block: block, Stored: stored}
+	l.events = append(l.events, timedEvent{at: now, event: event, lost: lost})
+	if excess := len(l.events) - eventHistory; excess > 0 {
+		l.events = slices.Delete(l.events, 0, excess)
+	}
+}
+
+// read returns the events after a sequence number that happened before the moment, and the number of the last of all
+// that did, lost ones included. An event that fell out of the history is missing without notice.
+func (l *eventLog) read(after uint64, before time.Time) (events []dialect.CacheEvent, newest uint64) {
+	events = []dialect.CacheEvent{}
+	newest = l.last - uint64(len(l.events))
+	for _, timed := range l.events {
+		if timed.at.After(before) {
+			break
+		}
+		newest = timed.event.Sequence
+		if timed.event.Sequence > after && !timed.lost {
+			events = append(events, timed.event)
+		}
+	}
+	return events, newest
+}
+
+// cacheChanged is called by the prefix cache, under the lock.
+func (e *Engine) cacheChanged(block uint64, stored bool) {
+	lost := e.faults.happens(e.faults.get().EventGap)
+	e.events.add(block, stored, lost, time.Now())
+}
+
+// cacheEvents returns the events after a sequence number that are at least the event lag old.
+func (e *Engine) cacheEvents(after uint64, now time.Time) dialect.CacheEvents {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events, newest := e.events.read(after, now.Add(-e.options.EventLag))
+	return dialect.CacheEvents{Incarnation: e.incarnation, Newest: newest, Events: events}
+}
+
+// cacheBlocks returns the cached blocks of a sample as they stand now.
+func (e *Engine) cacheBlocks(sampleBits uint) dialect.CacheBlocks {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mask := uint64(1)<<sampleBits - 1
+	blocks := []uint64{}
+	for _, block := range e.cache.Blocks() {
+		if block&mask == 0 {
+			blocks = append(blocks, block)
+		}
+	}
+	return dialect.CacheBlocks{
+		Incarnation: e.incarnation,
+		Sequence:    e.events.last,
+		SampleBits:  sampleBits,
+		Blocks:      blocks,
+	}
+}
--- a/internal/lab/enginesim/scheduler.go
+++ b/internal/lab/enginesim/scheduler.go
@@ -4,12 +4,13 @@
 	"slices"
 
 	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/lab/prefixcache"
 )
 
 // scheduler decides what runs in each step. It does no I/O and knows no time; the engine's lock guards it.
 type scheduler struct {
 	options Options
-	cache   *prefixCache
+	cache   *prefixcache.Cache
 	// waiting is indexed by inference.Class; with IgnorePriority all wait in the first queue.
 	waiting [2][]*sequence
 	// running is in order of admission.
@@ -66,7 +67,7 @@
 	if len(s.waiting[inference.Online]) == 0 {
 		s.admit(inference.Batch)
 	}
-	s.cache.shrink(s.options.MemoryTokens - s.memory())
+	s.cache.Shrink(s.options.MemoryTokens - s.memory())
 	var planned step
 	for _, sequence := range s.running {
 		sequence.prefill = 0
@@ -123,7 +124,7 @@
 
 func (s *scheduler) start(sequence *sequence) {
 	sequence.state = stateRunning
-	cached := min(s.cache.hit(sequence.blocks), sequence.memory()-1)
+	cached := min(s.cache.Hit(sequence.blocks), sequence.memory()-1)
 	sequence.pending = sequence.memory() - max(cached, 0)
 	s.counters.Cached[sequence.class] += int64(max(cached, 0))
 	s.running = append(s.running, sequence)
@@ -168,7 +169,7 @@
 			if sequence.pending > 0 {
 				continue
 			}
-			s.cache.store(sequence.blocks, s.options.MemoryTokens-s.memory())
+			s.cache.Store(sequence.blocks, s.options.MemoryTokens-s.memory())
 		}
 		sequence.generated++
 		s.counters.Tokens[sequence.class]++
--- a/internal/lab/enginesim/scheduler_test.go
+++ b/internal/lab/enginesim/scheduler_test.go
@@ -7,11 +7,12 @@
 	"pgregory.net/rapid"
 
 	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/lab/prefixcache"
 )
 
 func newTestScheduler(options Options) *scheduler {
 	options = options.withDefaults()
-	cache := newPrefixCache(options.BlockTokens, func(uint64, bool) {})
+	cache := prefixcache.New(options.BlockTokens, func(uint64, bool) {})
 	return &scheduler{options: options, cache: cache, started: func(*sequence) {}}
 }
 
--- a/internal/lab/enginesim/server.go
+++ b/internal/lab/enginesim/server.go
@@ -27,10 +27,9 @@
 	router.GET(dialect.PathLoad, e.handleLoad)
 	router.POST(dialect.PathOrders, e.handleOrder)
 	router.GET(dialect.PathCacheEvents, e.handleCacheEvents)
+	router.GET(dialect.PathCacheBlocks, e.handleCacheBlocks)
 	router.GET(dialect.PathModels, e.handleModels)
 	router.GET(dialect.PathHealth, e.handleHealth)
-	router.GET(dialect.PathKVExport, e.handleExport)
-	router.POST(dialect.PathKVImport, e.handleImport)
 	return router
 }
 
@@ -134,7 +133,18 @@
 	if err != nil {
 		return reject(w, "after must be a sequence number")
 	}
-	return writeJSON(w, http.StatusOK, dialect.CacheEvents{Events: e.cacheEvents(after, time.Now())})
+	return writeJSON(w, http.StatusOK, e.cacheEvents(after, time.Now()))
+}
+
+// maxSampleBits bounds the sample of a cache listing to one block in 65,536.
+const maxSampleBits = 16
+
+func (e *Engine) handleCacheBlocks(w http.ResponseWriter, request bunrouter.Request) error {
+	bits, err := strconv.ParseUint(request.URL.Query().Get("sample_bits"), 10, 8)
+	if err != nil || bits > maxSampleBits {
+		return reject(w, "sample_bits must be a number from 0 to 16")
+	}
+	return writeJSON(w, http.StatusOK, e.cacheBlocks(uint(bits)))
 }
 
 type modelEntry struct {
@@ -165,30 +175,3 @@
 func (e *Engine) handleHealth(w http.ResponseWriter, _ bunrouter.Request) error {
 	return writeJSON(w, http.StatusOK, health{Runner: string(e.options.Runner), Zone: string(e.options.Zone)})
 }
-
-// kvBlocks is the exported cache: the blocks' hashes stand for their contents.
-type kvBlocks struct {
-	BlockTokens int      `json:"block_tokens"`
-	Blocks      []uint64 `json:"blocks"`
-}
-
-func (e *Engine) handleExport(w http.ResponseWriter, _ bunrouter.Request) error {
-	e.mu.Lock()
-	exported := kvBlocks{BlockTokens: e.options.BlockTokens, Blocks: e.cache.blocks()}
-	e.mu.Unlock()
-	return writeJSON(w, http.StatusOK, exported)
-}
-
-func (e *Engine) handleImport(w http.ResponseWriter, request bunrouter.Request) error {
-	var imported kvBlocks
-	if err := readJSON(w, request, &imported); err != nil {
-		return reject(w, err.Error())
-	}
-	if imported.BlockTokens != e.options.BlockTokens {
-		return reject(w, "block size differs")
-	}
-	e.mu.Lock()
-	e.cache.store(imported.Blocks, e.options.MemoryTokens-e.scheduler.memory())
-	e.mu.Unlock()
-	return writeJSON(w, http.StatusOK, struct{}{})
-}
