Correct a node's prompt history by what engines hold

Cause: affinity rested on each node's own history: a block counted as cached for ever after it was sent, and what other nodes had sent was unknown.

The owner follows the cache of its runners with its polls. A count of online work now says how far its sender knows the cache, and the reply carries at most 64 changes since, as four-byte names. The history counts only within the bounds of that view; what was sent in the last 5 s counts whatever the view says, since it may not show it yet. A view without news for 30 s is ignored. The plain-model test of the history follows its new interface (sending with times, no removals) and checks freshness and the bound of runners as well.

Failed first, each with a seeded bug: evictions ignored, others' blocks ignored, no changes on replies, removals not decoded, changes sent unasked (TestCacheChangesRideOnReplies); no bound on views, match beyond the prompt, views of unlisted runners (TestLyingCachesOnlyReorder).

--- a/internal/dispatch/exchange/exchange.go
+++ b/internal/dispatch/exchange/exchange.go
@@ -101,6 +101,7 @@
 	sequence  uint64
 	polls     pollPlan
 	shares    sharePlan
+	caches    *cacheFollower
 }
 
 // callTimeout bounds one call to a peer.
@@ -123,6 +124,7 @@
 		sequence: uint64(config.Now().UnixNano()),
 		polls:    newPollPlan(config.Intervals),
 		shares:   newSharePlan(config.Intervals),
+		caches:   newCacheFollower(),
 	}
 	config.Table.OnOnlineChange(created.onlineChanged)
 	config.Table.OnLeaving(created.leavingLearned)
@@ -210,7 +212,7 @@
 func (e *Exchange) tell(owner ident.Node, sequence uint64, counts map[ident.Runner]int) {
 	message := &dispatchpb.OnlineCounts{Node: string(e.config.Node), Sequence: sequence}
 	for runner, inFlight := range counts {
-		message.Counts = append(message.Counts, &dispatchpb.OnlineCount{Runner: string(runner), InFlight: uint32(inFlight)})
+		message.Counts = append(message.Counts, e.encodeCount(runner, inFlight))
 	}
 	e.metrics.sent("online", message)
 	states, err := e.callOnline(owner, message)
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -127,6 +127,7 @@
 		e.mutex.Lock()
 		e.polls.forget(views)
 		e.mutex.Unlock()
+		e.caches.keep(e.owns)
 		e.pollDue(views, now)
 		e.share(views, now)
 		often = e.polls.polledOften(views, e.config.Zone, e.owns)
@@ -175,6 +176,9 @@
 		return
 	}
 	e.config.Table.ObserveReport(runner, report, now)
+	if own, _ := e.owns(runner); own {
+		e.followCache(ctx, runner, target)
+	}
 }
 
 // pollFailed counts a failed poll against the runner, unless this node is stopping.
--- a/internal/dispatch/exchange/server.go
+++ b/internal/dispatch/exchange/server.go
@@ -16,7 +16,9 @@
 		e.config.Table.ObservePeer(ident.Node(message.GetNode()), message.GetSequence(), runner, int(count.GetInFlight()), now)
 		view, known := e.config.Table.Runner(runner, now)
 		if known && view.Report != nil {
-			reply.States = append(reply.States, encodeState(&view))
+			state := encodeState(&view)
+			state.Cache = e.cacheChanges(runner, count.GetCache())
+			reply.States = append(reply.States, state)
 		}
 	}
 	return reply, nil
@@ -40,6 +42,10 @@
 func (e *Exchange) takeStates(states *dispatchpb.RunnerStates) {
 	now := e.config.Now()
 	for _, state := range states.GetStates() {
-		e.config.Table.ObserveShared(ident.Runner(state.GetRunner()), decodeState(state, now), now)
+		runner := ident.Runner(state.GetRunner())
+		e.config.Table.ObserveShared(runner, decodeState(state, now), now)
+		if state.GetCache() != nil {
+			e.config.Table.ObserveCache(runner, decodeDelta(state.GetCache()), now)
+		}
 	}
 }
--- a/internal/dispatch/exchange/wire_test.go
+++ b/internal/dispatch/exchange/wire_test.go
@@ -25,6 +25,8 @@
 type wire struct {
 	t     *testing.T
 	nodes map[ident.Node]*Exchange
+	// engines are those of every node; nil means that none can be reached.
+	engines dispatch.Engines
 }
 
 func (w *wire) Conn(_ context.Context, node ident.Node) (drpc.Conn, error) {
@@ -57,7 +59,11 @@
 func (w *wire) add(node ident.Node, others ...Peer) *dispatch.Table {
 	table := dispatch.NewTable()
 	table.SetMachines(machine.List{Runners: []machine.Runner{{ID: "r", Zone: "a", State: machine.Live}}}, time.Now())
-	created := New(Config{Node: node, Zone: "a", Table: table, Engines: noEngines{}, Peers: member{others}, Dialer: w, Intervals: Intervals{ShareNear: time.Hour}})
+	engines := w.engines
+	if engines == nil {
+		engines = noEngines{}
+	}
+	created := New(Config{Node: node, Zone: "a", Table: table, Engines: engines, Peers: member{others}, Dialer: w, Intervals: Intervals{ShareNear: time.Hour}})
 	w.nodes[node] = created
 	created.Start()
 	w.t.Cleanup(func() { assert.Check(w.t, created.Stop()) })
--- /dev/null
+++ b/internal/dispatch/prefixes_test.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/engine/cacheindex"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/machine"
+	"mallowlatch.example/mallowlatch/internal/schedule"
+)
+
+// TestLyingCachesOnlyReorder draws any deltas about any runner and checks that they never change which runners may take a
+// request or whether it is refused, that a match stays within the prompt, and that what is kept of them is bounded.
+func TestLyingCachesOnlyReorder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_800_000_000, 0)
+		blind, lied := NewTable(), NewTable()
+		blind.SetAffinity(AffinityNone)
+		count := rapid.SampledFrom([]int{1, 5, maxViews + 20}).Draw(t, "runners")
+		list := machine.List{}
+		for index := range count {
+			list.Runners = append(list.Runners, machine.Runner{ID: ident.Runner(fmt.Sprint("r", index)), Zone: "a", State: machine.Live})
+		}
+		blocks := rapid.SliceOfN(rapid.Uint64(), 0, 8).Draw(t, "prompt")
+		names := []uint32{0}
+		for _, block := range blocks {
+			names = append(names, uint32(block>>32))
+		}
+		drawNames := rapid.SliceOf(rapid.SampledFrom(names))
+		for _, table := range []*Table{blind, lied} {
+			table.SetMachines(list, now)
+			for index, runner := range list.Runners {
+				table.ObserveReport(runner.ID, engine.LoadReport{
+					Measured: now, MaxSequences: 8, RunningOnline: index % 12, Models: []engine.LoadedModel{{Name: "m"}},
+				}, now)
+			}
+		}
+		for index := range rapid.IntRange(0, 2*count).Draw(t, "deltas") {
+			lied.ObserveCache(ident.Runner(fmt.Sprint("r", index%(count+3))), cacheindex.Delta{
+				Mark:       cacheindex.Mark{Epoch: uint32(index % 2), Position: uint64(index % 7)},
+				SampleBits: rapid.UintRange(0, 70).Draw(t, "bits"),
+				Reset:      index%3 > 0, Sure: index%5 > 0, More: index%7 == 0,
+				Stored: drawNames.Draw(t, "stored"), Removed: drawNames.Draw(t, "removed"),
+			}, now)
+			if index%4 == 0 {
+				lied.Start(ident.Runner(fmt.Sprint("r", index%count)), blocks)
+				lied.End(ident.Runner(fmt.Sprint("r", index%count)))
+			}
+		}
+		assert.Assert(t, len(lied.prefixes.views) <= min(maxViews, count), "views of runners not listed, or too many")
+		request := &inference.Request{Model: "m", PrefixBlocks: blocks}
+		decide := func(table *Table) (int, bool) {
+			snapshot := table.Snapshot("a", nil, "m", blocks, now)
+			for _, runner := range snapshot.Runners {
+				assert.Assert(t, 0 <= runner.PrefixBlocks && runner.PrefixBlocks <= len(blocks))
+			}
+			decision, refusal := schedule.Decide(snapshot, request, now, rand.New(rand.NewPCG(1, 1)), schedule.Options{})
+			for _, candidate := range decision.Candidates {
+				view, _ := table.Runner(candidate.Runner, now)
+				assert.Assert(t, view.Report.RunningOnline < 10, "a full runner was chosen")
+			}
+			return len(decision.Candidates), refusal != nil
+		}
+		offeredBlind, refusedBlind := decide(blind)
+		offered, refused := decide(lied)
+		assert.Equal(t, offered, offeredBlind)
+		assert.Equal(t, refused, refusedBlind)
+	})
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -10,20 +10,18 @@
 	"mallowlatch.example/mallowlatch/internal/engine"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/machine"
-	"mallowlatch.example/mallowlatch/internal/schedule"
 )
 
-// prefixHistoryBlocks bounds the remembered prompt blocks of a node: about 4 MB.
-const prefixHistoryBlocks = 20000
-
 // Table is what a node knows of every runner. It is safe for concurrent use. Methods that depend on time take it.
 type Table struct {
 	mutex   sync.Mutex
 	runners map[ident.Runner]*entry
 	// ordered holds the same entries in order of their identifiers, so that decisions depend on nothing but their inputs.
 	ordered  []*entry
-	prefixes *schedule.PrefixHistory
+	prefixes *prefixes
 	drained  map[ident.Runner]bool
+	// decidedAt is when the last decision was made: what is started next was decided then.
+	decidedAt time.Time
 	// started is true once the machine list was read: a runner that appears later is fresh and starts slowly.
 	started bool
 	// onlineChanged is called, without the lock, when this node's online work on a runner changed.
@@ -53,7 +51,7 @@
 func NewTable() *Table {
 	return &Table{
 		runners:  map[ident.Runner]*entry{},
-		prefixes: schedule.NewPrefixHistory(prefixHistoryBlocks),
+		prefixes: newPrefixes(),
 		drained:  map[ident.Runner]bool{},
 	}
 }
@@ -90,6 +88,7 @@
 	for id := range t.runners {
 		if !listed[id] {
 			delete(t.runners, id)
+			t.prefixes.forget(id)
 		}
 	}
 	t.started = true
@@ -245,19 +244,6 @@
 	return recovered
 }
 
-// ObserveCache takes cache events, which come late and with gaps and so only correct the own history.
-func (t *Table) ObserveCache(runner ident.Runner, events []engine.CacheEvent) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	for _, event := range events {
-		if event.Stored {
-			t.prefixes.Stored(runner, event.Block)
-		} else {
-			t.prefixes.Removed(runner, event.Block)
-		}
-	}
-}
-
 // Start records that an online request goes to the runner.
 func (t *Table) Start(runner ident.Runner, prefixBlocks []uint64) {
 	t.change(runner, 1, prefixBlocks)
@@ -275,7 +261,7 @@
 		inFlight = known.own
 	}
 	if len(prefixBlocks) > 0 {
-		t.prefixes.Sent(runner, prefixBlocks)
+		t.prefixes.sent(runner, prefixBlocks, t.decidedAt)
 	}
 	t.mutex.Unlock()
 	if !found {
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -17,13 +17,14 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	snapshot := &schedule.Snapshot{Zone: zone, Distance: distance}
-	matched := t.prefixes.Match(blocks)
+	t.decidedAt = now
+	matched := t.prefixes.match(blocks, now)
 	snapshot.Runners = make([]schedule.Runner, 0, min(len(t.ordered), usualCopies))
 	for _, known := range t.ordered {
 		if !holds(known.report, model) {
 			continue
 		}
-		snapshot.Runners = append(snapshot.Runners, known.view(now, matched[known.id]))
+		snapshot.Runners = append(snapshot.Runners, known.view(now, matched.depth(known.id)))
 	}
 	return snapshot
 }
--- a/internal/engine/cacheindex/view.go
+++ b/internal/engine/cacheindex/view.go
@@ -21,6 +21,9 @@
 // Mark returns how far the view has come.
 func (v *View) Mark() Mark { return v.mark }
 
+// TakenAt returns when the view last took a delta.
+func (v *View) TakenAt() time.Time { return v.takenAt }
+
 // Take takes a delta. One that is overtaken, or that continues what the view does not know, is ignored.
 func (v *View) Take(delta Delta, now time.Time) {
 	if delta.Reset {
--- a/internal/schedule/decide_test.go
+++ b/internal/schedule/decide_test.go
@@ -97,7 +97,8 @@
 	assert.Assert(t, candidate.Load >= 0 && candidate.Load <= 1, "load %v", candidate.Load)
 }
 
-// TestPrefixHistoryAgainstPlainModel compares the bounded index with a plain set while nothing is evicted.
+// TestPrefixHistoryAgainstPlainModel compares the bounded index with a plain map of the last time each block was sent to
+// each runner, while nothing is evicted.
 func TestPrefixHistoryAgainstPlainModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := NewPrefixHistory(100)
@@ -105,40 +106,50 @@
 			runner ident.Runner
 			block  uint64
 		}
-		plain := map[held]bool{}
+		sentAt := map[held]time.Time{}
 		runners := []ident.Runner{"a", "b", "c"}
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+		drawBlocks := rapid.SliceOfN(rapid.Uint64Range(1, 6), 0, 5)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			runner := rapid.SampledFrom(runners).Draw(t, "runner")
-			block := rapid.Uint64Range(1, 6).Draw(t, "block")
-			if rapid.IntRange(0, 2).Draw(t, "remove") == 1 {
-				history.Removed(runner, block)
-				delete(plain, held{runner, block})
-				continue
+			blocks, now := drawBlocks.Draw(t, "sent"), simulationStart.Add(time.Duration(step)*time.Second)
+			history.Sent(runner, blocks, now)
+			for _, block := range blocks {
+				sentAt[held{runner, block}] = now
 			}
-			history.Stored(runner, block)
-			plain[held{runner, block}] = true
 		}
-		blocks := rapid.SliceOfN(rapid.Uint64Range(1, 6), 0, 5).Draw(t, "prompt")
-		matched := history.Match(blocks)
+		blocks := drawBlocks.Draw(t, "prompt")
+		freshAfter := simulationStart.Add(time.Duration(rapid.IntRange(-1, 40).Draw(t, "fresh after")) * time.Second)
+		matched := history.Match(blocks, freshAfter)
 		for _, runner := range runners {
-			depth := 0
-			for depth < len(blocks) && plain[held{runner, blocks[depth]}] {
-				depth++
+			expected := PrefixMatch{}
+			for _, block := range blocks {
+				at, sent := sentAt[held{runner, block}]
+				if !sent {
+					break
+				}
+				if expected.Fresh == expected.Depth && at.After(freshAfter) {
+					expected.Fresh++
+				}
+				expected.Depth++
 			}
-			assert.Equal(t, matched[runner], depth, "runner %s", runner)
+			assert.Equal(t, matched[runner], expected, "runner %s", runner)
 		}
 	})
 }
 
-// TestPrefixHistoryIsBounded fills it beyond its limit.
+// TestPrefixHistoryIsBounded fills it beyond its limits of blocks and of runners for a block.
 func TestPrefixHistoryIsBounded(t *testing.T) {
 	history := NewPrefixHistory(10)
 	for block := range uint64(100) {
-		history.Sent("a", []uint64{block})
+		history.Sent("a", []uint64{block}, simulationStart)
 	}
 	assert.Equal(t, history.Len(), 10)
-	assert.Equal(t, history.Match([]uint64{99})["a"], 1)
-	assert.Equal(t, len(history.Match([]uint64{1})), 0)
+	assert.Equal(t, history.Match([]uint64{99}, simulationStart)["a"].Depth, 1)
+	assert.Equal(t, len(history.Match([]uint64{1}, simulationStart)), 0)
+	for runner := range 3 * maxRunnersPerBlock {
+		history.Sent(ident.Runner(rune('a'+runner)), []uint64{99}, simulationStart)
+	}
+	assert.Equal(t, len(history.Match([]uint64{99}, simulationStart)), maxRunnersPerBlock)
 }
 
 // TestPrefixAndZoneAreFollowedUntilHot checks that affinity wins while the runner has room, and yields when it has not.
--- a/internal/schedule/prefix.go
+++ b/internal/schedule/prefix.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"slices"
+	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
@@ -14,29 +16,34 @@
 	recent *list.List
 }
 
-// prefixEntry is one remembered block and the runners that probably cache it.
+// prefixEntry is one remembered block and the runners it was lately sent to, the latest last.
 type prefixEntry struct {
 	block   uint64
-	runners []ident.Runner
+	holders []prefixHolder
+}
+
+// prefixHolder is a runner that probably caches a block, since it was sent there.
+type prefixHolder struct {
+	runner ident.Runner
+	sentAt time.Time
 }
 
 // maxRunnersPerBlock bounds the runners remembered for one block; the oldest is forgotten first.
 const maxRunnersPerBlock = 8
 
-// NewPrefixHistory returns a history of at most limit blocks. A block takes about 200 bytes.
+// NewPrefixHistory returns a history of at most limit blocks. A block takes about 300 bytes.
 func NewPrefixHistory(limit int) *PrefixHistory {
 	return &PrefixHistory{limit: max(1, limit), blocks: map[uint64]*list.Element{}, recent: list.New()}
 }
 
 // Sent records that a prompt with these blocks went to the runner.
-func (h *PrefixHistory) Sent(runner ident.Runner, blocks []uint64) {
+func (h *PrefixHistory) Sent(runner ident.Runner, blocks []uint64, now time.Time) {
 	for _, block := range blocks {
-		h.Stored(runner, block)
+		h.sent(prefixHolder{runner: runner, sentAt: now}, block)
 	}
 }
 
-// Stored records that the runner has the block, for example by a cache event.
-func (h *PrefixHistory) Stored(runner ident.Runner, block uint64) {
+func (h *PrefixHistory) sent(holder prefixHolder, block uint64) {
 	element, known := h.blocks[block]
 	if !known {
 		element = h.recent.PushFront(&prefixEntry{block: block})
@@ -45,38 +52,33 @@
 	}
 	h.recent.MoveToFront(element)
 	entry := element.Value.(*prefixEntry)
-	entry.runners = append(without(entry.runners, runner), runner)
-	if len(entry.runners) > maxRunnersPerBlock {
-		entry.runners = entry.runners[1:]
+	others := slices.DeleteFunc(entry.holders, func(other prefixHolder) bool { return other.runner == holder.runner })
+	entry.holders = append(others, holder)
+	if len(entry.holders) > maxRunnersPerBlock {
+		entry.holders = slices.Delete(entry.holders, 0, 1)
 	}
 }
 
-// Removed records that the runner no longer has the block.
-func (h *PrefixHistory) Removed(runner ident.Runner, block uint64) {
-	element, known := h.blocks[block]
-	if !known {
-		return
-	}
-	entry := element.Value.(*prefixEntry)
-	entry.runners = without(entry.runners, runner)
-	if len(entry.runners) == 0 {
-		h.recent.Remove(element)
-		delete(h.blocks, block)
-	}
+// PrefixMatch is what the history says of one runner and one prompt.
+type PrefixMatch struct {
+	// Depth counts the leading blocks that were sent to the runner, without a gap.
+	Depth int
+	// Fresh counts those of them that were all sent after the time asked for.
+	Fresh int
 }
 
-// Match returns for each runner that has the first block how many leading blocks it has without a gap.
-func (h *PrefixHistory) Match(blocks []uint64) map[ident.Runner]int {
-	var matched map[ident.Runner]int
+// Match returns what is known of each runner that was sent the first block. What was sent after freshAfter is fresh.
+func (h *PrefixHistory) Match(blocks []uint64, freshAfter time.Time) map[ident.Runner]PrefixMatch {
+	var matched map[ident.Runner]PrefixMatch
 	for depth, block := range blocks {
 		element, known := h.blocks[block]
 		if !known {
 			break
 		}
 		if matched == nil {
-			matched = map[ident.Runner]int{}
+			matched = map[ident.Runner]PrefixMatch{}
 		}
-		if !extendMatch(matched, element.Value.(*prefixEntry).runners, depth) {
+		if !extendMatch(matched, element.Value.(*prefixEntry).holders, depth, freshAfter) {
 			break
 		}
 	}
@@ -84,13 +86,19 @@
 }
 
 // extendMatch lengthens the match of runners that matched every earlier block, and reports whether there was any.
-func extendMatch(matched map[ident.Runner]int, runners []ident.Runner, depth int) bool {
+func extendMatch(matched map[ident.Runner]PrefixMatch, holders []prefixHolder, depth int, freshAfter time.Time) bool {
 	extended := false
-	for _, runner := range runners {
-		if matched[runner] == depth {
-			matched[runner] = depth + 1
-			extended = true
+	for _, holder := range holders {
+		match := matched[holder.runner]
+		if match.Depth != depth {
+			continue
+		}
+		if match.Fresh == depth && holder.sentAt.After(freshAfter) {
+			match.Fresh = depth + 1
 		}
+		match.Depth = depth + 1
+		matched[holder.runner] = match
+		extended = true
 	}
 	return extended
 }
@@ -105,13 +113,3 @@
 		h.recent.Remove(oldest)
 	}
 }
-
-func without(runners []ident.Runner, removed ident.Runner) []ident.Runner {
-	kept := runners[:0]
-	for _, runner := range runners {
-		if runner != removed {
-			kept = append(kept, runner)
-		}
-	}
-	return kept
-}
