--- a/internal/dispatch/exchange/bench_test.go
+++ b/internal/dispatch/exchange/bench_test.go
@@ -13,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 	"mallowlatch.example/mallowlatch/internal/engine"
+	"mallowlatch.example/mallowlatch/internal/engine/cacheindex"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/machine"
 )
@@ -113,3 +114,43 @@
 	}
 	b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
 }
+
+// BenchmarkOnlineCountWithCache is one message of one count that asks for the runner's cache, and its reply, by the number
+// of changes in it, without the transport.
+func BenchmarkOnlineCountWithCache(b *testing.B) {
+	for _, changes := range []int{0, 8, maxCacheChanges} {
+		b.Run(fmt.Sprint(changes, "-changes"), func(b *testing.B) {
+			tested := New(Config{Node: "me", Zone: "zone-0", Table: designTable(), Peers: alone{}, Now: func() time.Time { return begin }})
+			runner := designRunner(5)
+			tested.caches.with(runner, fillIndex)
+			mark, _ := tested.caches.since(runner, cacheindex.Mark{})
+			asked := cacheindex.Mark{Epoch: mark.Epoch, Position: indexedBlocks - uint64(changes)}
+			count := &dispatchpb.OnlineCount{Runner: string(runner), InFlight: 3, Cache: encodeMark(asked)}
+			message := &dispatchpb.OnlineCounts{Node: "node-10-1-0-7", Counts: []*dispatchpb.OnlineCount{count}}
+			replyBytes := 0
+			before := processorTime()
+			for b.Loop() {
+				message.Sequence++
+				reply, err := tested.Online(context.Background(), message)
+				assert.NilError(b, err)
+				encoded, err := proto.Marshal(reply)
+				assert.NilError(b, err)
+				replyBytes = len(encoded)
+			}
+			b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(proto.Size(message)), "message-bytes")
+			b.ReportMetric(float64(replyBytes), "reply-bytes")
+		})
+	}
+}
+
+// indexedBlocks is a usual number of sampled blocks: 400,000 tokens in blocks of 64, one in sixteen.
+const indexedBlocks = 390
+
+func fillIndex(index *cacheindex.Index) {
+	listing := engine.CacheBlocks{Sequence: 1, SampleBits: cacheindex.BaseSampleBits}
+	for number := range uint64(indexedBlocks) {
+		listing.Blocks = append(listing.Blocks, (number+1)<<32)
+	}
+	index.TakeListing(listing)
+}
--- a/internal/dispatch/exchange/cache_test.go
+++ b/internal/dispatch/exchange/cache_test.go
@@ -115,7 +115,7 @@
 			Mark:       cacheindex.Mark{Epoch: rapid.Uint32().Draw(t, "epoch"), Position: rapid.Uint64().Draw(t, "position"), Base: rapid.Uint64().Draw(t, "base")},
 			SampleBits: rapid.UintRange(0, 64).Draw(t, "bits"),
 			Reset:      rapid.Bool().Draw(t, "reset"),
-			Sure:       rapid.Bool().Draw(t, "sure"),
+			Listed:     rapid.Bool().Draw(t, "listed"),
 			More:       rapid.Bool().Draw(t, "more"),
 			Stored:     rapid.SliceOfN(rapid.Uint32(), 1, 64).Draw(t, "stored"),
 			Removed:    rapid.SliceOfN(rapid.Uint32(), 1, 64).Draw(t, "removed"),
--- a/internal/dispatch/prefixes_test.go
+++ b/internal/dispatch/prefixes_test.go
@@ -47,7 +47,7 @@
 			lied.ObserveCache(ident.Runner(fmt.Sprint("r", index%(count+3))), cacheindex.Delta{
 				Mark:       cacheindex.Mark{Epoch: uint32(index % 2), Position: uint64(index % 7)},
 				SampleBits: rapid.UintRange(0, 70).Draw(t, "bits"),
-				Reset:      index%3 > 0, Sure: index%5 > 0, More: index%7 == 0,
+				Reset:      index%3 > 0, Listed: index%5 > 0, More: index%7 == 0,
 				Stored: drawNames.Draw(t, "stored"), Removed: drawNames.Draw(t, "removed"),
 			}, now)
 			if index%4 == 0 {
--- a/internal/engine/cacheindex/delta.go
+++ b/internal/engine/cacheindex/delta.go
@@ -21,8 +21,9 @@
 	SampleBits uint
 	// Reset says that the reader must forget what it knew: the delta begins at nothing.
 	Reset bool
-	// Sure says that no event of the engine is known to be missing; More that there are further changes.
-	Sure, More      bool
+	// Listed says that the index began with a listing, so that what it does not hold is not cached; More that there are
+	// further changes.
+	Listed, More    bool
 	Stored, Removed []uint32
 }
 
--- a/internal/engine/cacheindex/index.go
+++ b/internal/engine/cacheindex/index.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// BaseSampleBits is the least number of zero bits at the end of a sampled hash: one block in eight.
-	BaseSampleBits = 3
+	// BaseSampleBits is the least number of zero bits at the end of a sampled hash: one block in sixteen.
+	BaseSampleBits = 4
 	// MaxBlocks bounds the sampled blocks of one engine. When more are cached, the sample is halved.
 	MaxBlocks = 2048
 	// gapPatience is how long missing events may still come before the index goes on without them.
@@ -35,7 +35,9 @@
 	sample
 	incarnation string
 	applied     uint64
-	sure        bool
+	// sure says that no event is known to be missing; listed that there was a listing since the engine's start, so that a
+	// block that is not held is not cached, but for the few events that may be missing.
+	sure, listed bool
 	// gapAt is the number of the event before a gap, and gapSince when the gap was first seen; zero means no gap.
 	gapAt    uint64
 	gapSince time.Time
@@ -122,6 +124,7 @@
 	i.incarnation = incarnation
 	i.applied = 0
 	i.sure = false
+	i.listed = false
 	i.gapSince = time.Time{}
 	i.listedAt = time.Time{}
 }
@@ -154,12 +157,13 @@
 	i.replace(listing.Blocks)
 	i.applied = listing.Sequence
 	i.sure = true
+	i.listed = true
 	i.gapSince = time.Time{}
 }
 
 // Since returns what a reader that stands at the mark does not know yet, at most limit changes.
 func (i *Index) Since(mark Mark, limit int) Delta {
 	delta := i.since(mark, limit)
-	delta.Sure = i.sure
+	delta.Listed = i.listed
 	return delta
 }
--- a/internal/engine/cacheindex/view.go
+++ b/internal/engine/cacheindex/view.go
@@ -43,7 +43,7 @@
 	}
 	v.mark = delta.Mark
 	v.bits = delta.SampleBits
-	v.whole = fits && delta.Sure && !delta.More
+	v.whole = fits && delta.Listed && !delta.More
 	v.takenAt = now
 }
 
--- a/internal/lab/enginesim/events.go
+++ b/internal/lab/enginesim/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/engine/openaihttp/dialect"
+	"mallowlatch.example/mallowlatch/internal/lab/prefixcache"
 )
 
 // eventHistory bounds the cache events held.
@@ -64,21 +65,26 @@
 	return dialect.CacheEvents{Incarnation: e.incarnation, Newest: newest, Events: events}
 }
 
-// cacheBlocks returns the cached blocks of a sample as they stand now.
-func (e *Engine) cacheBlocks(sampleBits uint) dialect.CacheBlocks {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// sampleOf lists the cached blocks whose hash ends in so many zero bits, the least recently used first.
+func sampleOf(cache *prefixcache.Cache, sampleBits uint) []uint64 {
 	mask := uint64(1)<<sampleBits - 1
 	blocks := []uint64{}
-	for _, block := range e.cache.Blocks() {
+	for _, block := range cache.Blocks() {
 		if block&mask == 0 {
 			blocks = append(blocks, block)
 		}
 	}
+	return blocks
+}
+
+// cacheBlocks returns the cached blocks of a sample as they stand now.
+func (e *Engine) cacheBlocks(sampleBits uint) dialect.CacheBlocks {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return dialect.CacheBlocks{
 		Incarnation: e.incarnation,
 		Sequence:    e.events.last,
 		SampleBits:  sampleBits,
-		Blocks:      blocks,
+		Blocks:      sampleOf(e.cache, sampleBits),
 	}
 }
--- a/internal/lab/prefixcache/prefixcache.go
+++ b/internal/lab/prefixcache/prefixcache.go
@@ -25,15 +25,19 @@
 
 // Hit returns how many leading tokens of a prompt are cached, and counts them as used.
 func (c *Cache) Hit(blocks []uint64) int {
-	count := 0
-	for _, block := range blocks {
+	count := c.Leading(blocks)
+	c.use(blocks[:count])
+	return count * c.blockTokens
+}
+
+// Leading returns how many leading blocks of a prompt are cached.
+func (c *Cache) Leading(blocks []uint64) int {
+	for index, block := range blocks {
 		if _, cached := c.entries[block]; !cached {
-			break
+			return index
 		}
-		count++
 	}
-	c.use(blocks[:count])
-	return count * c.blockTokens
+	return len(blocks)
 }
 
 // use makes the blocks of a prompt the most recent, its first block last of all.
