Add the experiment affinity and the setting dispatch.prefix_affinity

The load generator can give each group of requests a prefix length of its own; schedules of other options are as before.

--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"path/filepath"
@@ -41,6 +42,8 @@
 	name string
 	// engineArguments are further arguments of every engine.
 	engineArguments []string
+	// nodeSettings are further settings of every node, beside those of the run.
+	nodeSettings map[string]string
 	// nodes says that the load goes through nodes.
 	nodes bool
 	// links puts a link in front of every node's peer listener.
@@ -181,7 +184,11 @@
 	plan.AdminKey = adminKey
 	plan.Links = phase.links
 	plan.TLS = phase.tls
-	plan.NodeSettings = e.options.NodeSettings
+	plan.NodeSettings = maps.Clone(e.options.NodeSettings)
+	if plan.NodeSettings == nil {
+		plan.NodeSettings = map[string]string{}
+	}
+	maps.Copy(plan.NodeSettings, phase.nodeSettings)
 	plan.EngineArguments = append([]string{
 		"--max-sequences", strconv.Itoa(e.options.MaxSequences),
 		"--max-waiting", strconv.Itoa(e.options.MaxWaiting),
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -107,6 +107,7 @@
 		{"control", "processor time and memory of nodes without any load", runControl},
 		{"rolling-restart", "restart of every node in turn under load", runRollingRestart},
 		{"faults", "a seeded schedule of process faults under load, counted by an independent ledger", runFaults},
+		{"affinity", "prompts with long shared beginnings: tokens saved by prefix caches and first token, by what nodes go by", runAffinity},
 		{"certificates", "a fleet with TLS on all listeners changes its certificates and then its authority under load", runCertificates},
 	}
 }
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -37,6 +37,8 @@
 	PromptTokens, AnswerTokens int
 	// PrefixTokens is the length of the prefix shared by the requests of one of Prefixes groups.
 	PrefixTokens, Prefixes int
+	// LongestPrefixTokens, if it is above PrefixTokens, has each group's prefix a length of its own between the two.
+	LongestPrefixTokens int
 	// NotRepeatable is the share of online requests marked as not repeatable, each with an idempotency key.
 	NotRepeatable float64
 	// LeastInFlight sends each online request to the target with the fewest of this generator's requests under way,
--- a/internal/lab/load/schedule.go
+++ b/internal/lab/load/schedule.go
@@ -56,14 +56,15 @@
 		if random.Float64()*options.peak() >= options.rateAt(at) {
 			continue
 		}
+		repeatable, identity, prefix := random.Float64() >= options.NotRepeatable, random.Uint64(), random.IntN(options.Prefixes)
 		arrivals = append(arrivals, Arrival{
 			At:         at,
 			Number:     len(arrivals),
-			repeatable: random.Float64() >= options.NotRepeatable,
+			repeatable: repeatable,
 			prompt: promptShape{
-				identity:     random.Uint64(),
-				prefix:       random.IntN(options.Prefixes),
-				prefixTokens: options.PrefixTokens,
+				identity:     identity,
+				prefix:       prefix,
+				prefixTokens: options.prefixLength(prefix),
 				tokens:       length(random, options.PromptTokens),
 				answer:       length(random, options.AnswerTokens),
 			},
@@ -71,6 +72,15 @@
 	}
 }
 
+// prefixLength returns the length of the shared prefix of a group, in tokens.
+func (o Options) prefixLength(prefix int) int {
+	if o.LongestPrefixTokens <= o.PrefixTokens {
+		return o.PrefixTokens
+	}
+	random := rand.New(rand.NewPCG(o.Seed, 4+uint64(prefix)))
+	return o.PrefixTokens + random.IntN(o.LongestPrefixTokens-o.PrefixTokens+1)
+}
+
 func planBatch(options Options) []Heap {
 	random := rand.New(rand.NewPCG(options.Seed, 2))
 	var heaps []Heap
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -204,6 +204,7 @@
 func (n *Node) assembleOnline() error {
 	n.engines = newEngineDirectory()
 	n.table = dispatch.NewTable()
+	n.table.SetAffinity(dispatch.Affinity(n.settings.Dispatch.PrefixAffinity))
 	n.owners = ownership.NewService(ownership.Options{
 		Self:     n.id(),
 		Members:  currentMembers(n.members),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,7 @@
 	RetryBudget     float64       `yaml:"retry_budget" unit:"share of requests" default:"0.1" min:"0" max:"1" doc:"Largest share of requests that may be retries."`
 	QueueDepth      int           `yaml:"queue_depth" unit:"requests" default:"256" min:"0" max:"100000" doc:"Online requests that may wait for an engine at once on this node."`
 	QueueTimeout    time.Duration `yaml:"queue_timeout" default:"1s" min:"0s" max:"10m" doc:"Longest wait for an engine before an online request is refused as overloaded."`
+	PrefixAffinity  string        `yaml:"prefix_affinity" default:"events" oneof:"none history events" doc:"What a prompt's way to an engine that has its beginning cached goes by: nothing, what this node sent, or that corrected by the engines' cache events."`
 	LoadReportEvery time.Duration `yaml:"load_report_every" default:"1s" min:"50ms" max:"1m" doc:"Time between readings of an engine's load report."`
 }
 
