Send no prompt to a runner for its cache when it is much busier than its zone

Cause: the simulation of affinity shows that the pick holds the requests of a few shared beginnings to the first runners that cached them, until these are hot by their sequences; long prefills fill them much sooner. With 4 beginnings the tail of the first token was worse with history, and even with perfect knowledge, than without affinity.

Failed first: TestCrowdedRunnerIsNotChosenForItsCache without the mark, and with one mean over all zones.

--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -36,6 +36,7 @@
 const neutral = 0.5
 
 func scoreAll(snapshot *Snapshot, request *inference.Request, now time.Time, candidates []Candidate) {
+	markCrowded(snapshot, candidates, now)
 	for index := range candidates {
 		candidate := &candidates[index]
 		runner := &snapshot.Runners[candidate.index]
--- a/internal/schedule/snapshot.go
+++ b/internal/schedule/snapshot.go
@@ -40,6 +40,8 @@
 	Report *engine.LoadReport
 	// PrefixBlocks counts the leading blocks of the request's prompt that the runner probably has in its cache.
 	PrefixBlocks int
+	// crowded says that the runner has much more online work than its zone's mean; see markCrowded.
+	crowded bool
 }
 
 // reportAge returns the age of the runner's report, or false if there is none.
