--- a/internal/dispatch/prefixes.go
+++ b/internal/dispatch/prefixes.go
@@ -24,7 +24,7 @@
 const (
 	// prefixHistoryBlocks bounds the remembered prompt blocks of a node: about 6 MB.
 	prefixHistoryBlocks = 20000
-	// maxViews bounds the runners whose caches a node keeps a view of: about 3 MB if all are full.
+	// maxViews bounds the runners whose caches a node keeps a view of: 5 KB each as a rule, 38 KB full.
 	maxViews = 128
 	// sentTrust is how long what was sent counts against a view that does not show it: the prefill, the lag of the events,
 	// the owner's poll and the next reply must fit.
