--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -20,6 +20,10 @@
 	RunningBatch int
 	// Leaving says that the runner takes no new work.
 	Leaving bool
+	// ShareBesideOnline bounds the share of the sequences that batch fills while online work is on the runner, above 0 to
+	// 1; one sequence is always allowed. It is the operator's choice between the tail of online latency and batch
+	// throughput; zero means 1.
+	ShareBesideOnline float64
 }
 
 // Credits is the batch work a runner may carry.
@@ -76,6 +80,7 @@
 	// stepTime is the smoothed step time.
 	stepTime time.Duration
 	pace     pace
+	steps    stepClock
 	// known is the newest known online count, arrived when it last rose, and prefilled when batch prefill last started.
 	known              int
 	arrived, prefilled time.Time
@@ -107,6 +112,9 @@
 		hold = min(hold, max(0, input.RunningBatch-crowdedFactor*report.WaitingOnline))
 	}
 	free := min(float64(hold), capacity-float64(online)-c.reserve(capacity), math.Floor(capacity*c.stepLimit))
+	if c.beside && input.ShareBesideOnline > 0 {
+		free = min(free, max(1, math.Floor(capacity*input.ShareBesideOnline)))
+	}
 	sequences := max(0, int(free))
 	if report.MemoryUsed >= memoryFull {
 		sequences = min(sequences, input.RunningBatch)
@@ -114,19 +122,28 @@
 	return Credits{Hold: hold, Sequences: sequences, PrefillTokens: prefillLimit(online)}
 }
 
-// MayPrefill reports whether the prompt of another batch item may be sent now. Beside online work batch prefill keeps to a
-// pace, so that no step is much longer than the others, and stays out of the steps in which a new online prompt waits.
+// MayPrefill reports whether the prompt of another batch item may be sent now. Beside online work batch prefill stays out
+// of the steps in which a new online prompt waits, and no step gets much of it. While the engine's steps are not known, it
+// keeps to a pace instead.
 func (c *Controller) MayPrefill(now time.Time) bool {
 	if !c.beside {
 		return true
 	}
-	quiet := now.Sub(c.arrived) < quietTime && now.Sub(c.prefilled) < longestQuiet
+	starved := now.Sub(c.prefilled) >= longestQuiet
+	if c.steps.followed(now) {
+		return c.steps.open(now) && (starved || !c.steps.busy(c.arrived))
+	}
+	quiet := now.Sub(c.arrived) < quietTime && !starved
 	return !quiet && c.pace.clear(now)
 }
 
 // Prefilling records that a prompt of a batch item was sent, in tokens.
 func (c *Controller) Prefilling(tokens int, now time.Time) {
 	c.prefilled = now
+	if c.steps.followed(now) {
+		c.steps.spent += tokens
+		return
+	}
 	c.pace.spend(tokens, now)
 	if !c.beside {
 		c.pace.debt = min(c.pace.debt, paceTokens)
@@ -168,6 +185,7 @@
 		return
 	}
 	c.lastMeasured = report.Measured
+	c.steps.observe(report)
 	c.stepTime += time.Duration(stepSmoothing * float64(report.StepTime-c.stepTime))
 	if online > 0 && c.stepTime > stepTarget {
 		c.stepLimit = max(reserveShare, c.stepLimit*stepShrink)
--- a/internal/dispatch/exchange/cache.go
+++ b/internal/dispatch/exchange/cache.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 	"mallowlatch.example/mallowlatch/internal/engine"
 	"mallowlatch.example/mallowlatch/internal/engine/cacheindex"
@@ -16,8 +14,9 @@
 )
 
 const (
-	// maxCacheChanges bounds the changes of one runner's cache in one reply: at most 256 bytes.
-	maxCacheChanges = 64
+	// maxCacheChanges bounds the changes of one runner's cache in one reply: at most 1 KiB. On a busy runner a reply may have
+	// to hold those of a minute.
+	maxCacheChanges = 256
 	// maxOwnReads is enough for this node's own table to read a full index.
 	maxOwnReads = 2 * cacheindex.MaxBlocks / maxCacheChanges
 	// cacheTimeout bounds a question about a cache, so that it does not hold up the runner's load reports.
@@ -84,7 +83,7 @@
 	}
 	for range maxOwnReads {
 		mark, _ := e.config.Table.CacheMark(runner)
-		delta, known := e.caches.since(runner, mark)
+		delta, known := e.core.caches.since(runner, mark)
 		if !known {
 			return
 		}
@@ -97,14 +96,14 @@
 
 func (e *Exchange) askCache(ctx context.Context, runner ident.Runner, target engine.Engine) error {
 	var question cacheindex.Question
-	e.caches.with(runner, func(index *cacheindex.Index) { question = index.Next(e.config.Now()) })
+	e.core.caches.with(runner, func(index *cacheindex.Index) { question = index.Next(e.config.Now()) })
 	if question.Listing {
 		listing, err := target.CacheBlocks(ctx, question.SampleBits)
 		if err != nil {
 			return err
 		}
 		e.metrics.questions.WithLabelValues("listing").Inc()
-		e.caches.with(runner, func(index *cacheindex.Index) { index.TakeListing(listing) })
+		e.core.caches.with(runner, func(index *cacheindex.Index) { index.TakeListing(listing) })
 		return nil
 	}
 	published, err := target.CacheEvents(ctx, question.After, question.SampleBits)
@@ -112,32 +111,46 @@
 		return err
 	}
 	e.metrics.questions.WithLabelValues("events").Inc()
-	e.caches.with(runner, func(index *cacheindex.Index) { index.TakeEvents(published, e.config.Now()) })
+	e.core.caches.with(runner, func(index *cacheindex.Index) { index.TakeEvents(published, e.config.Now()) })
 	return nil
 }
 
 // encodeCount writes a count and how far this node's view of the runner's cache has come.
-func (e *Exchange) encodeCount(runner ident.Runner, inFlight int) *dispatchpb.OnlineCount {
+func (c *Core) encodeCount(runner ident.Runner, inFlight int) *dispatchpb.OnlineCount {
 	count := &dispatchpb.OnlineCount{Runner: string(runner), InFlight: uint32(inFlight)}
-	if mark, wanted := e.config.Table.CacheMark(runner); wanted {
+	if mark, wanted := c.config.Table.CacheMark(runner); wanted {
 		count.Cache = encodeMark(mark)
 	}
 	return count
 }
 
-// cacheChanges returns what the sender of a mark does not know of a runner's cache, or nil if it did not ask or this node
-// does not know.
-func (e *Exchange) cacheChanges(runner ident.Runner, mark *dispatchpb.CacheMark) *dispatchpb.CacheDelta {
-	if mark == nil {
-		return nil
+// cacheChanges returns what the sender of counts does not know of the caches it asked for and this node follows.
+func (c *Core) cacheChanges(counts []*dispatchpb.OnlineCount) []*dispatchpb.CacheDelta {
+	var changes []*dispatchpb.CacheDelta
+	for place, count := range counts {
+		if count.GetCache() == nil {
+			continue
+		}
+		delta, known := c.caches.since(ident.Runner(count.GetRunner()), decodeMark(count.GetCache()))
+		if !known {
+			continue
+		}
+		encoded := encodeDelta(delta)
+		encoded.Count = uint32(place)
+		changes = append(changes, encoded)
 	}
-	delta, known := e.caches.since(runner, decodeMark(mark))
-	if !known {
-		return nil
+	return changes
+}
+
+// TakeReply takes an owner's answer to a message of counts. It is safe for concurrent use.
+func (c *Core) TakeReply(tell Tell, states *dispatchpb.RunnerStates, now time.Time) {
+	c.Take(states, now)
+	counts := tell.Message.GetCounts()
+	for _, delta := range states.GetCaches() {
+		if place := int(delta.GetCount()); place < len(counts) {
+			c.config.Table.ObserveCache(ident.Runner(counts[place].GetRunner()), decodeDelta(delta), now)
+		}
 	}
-	encoded := encodeDelta(delta)
-	e.metrics.cacheBytes.Add(float64(proto.Size(encoded)))
-	return encoded
 }
 
 func encodeMark(mark cacheindex.Mark) *dispatchpb.CacheMark {
--- a/internal/dispatch/exchange/exchange.go
+++ b/internal/dispatch/exchange/exchange.go
@@ -40,8 +40,11 @@
 type Intervals struct {
 	// PollOwned is the time between load reports of a runner this node owns or that has no owner in its zone.
 	PollOwned time.Duration
-	// ShareNear and ShareFar are the times between shares with peers in the own and in other zones.
+	// ShareNear and ShareFar are the least times between shares with a peer in the own and in another zone for a change of
+	// load. Other changes are shared at once.
 	ShareNear, ShareFar time.Duration
+	// RefreshNear and RefreshFar are the times after which a state is shared though nothing changed.
+	RefreshNear, RefreshFar time.Duration
 	// StaleNear and StaleFar are the ages at which a report of a runner in the own or another zone is fetched from the
 	// runner itself: its owner seems to be gone.
 	StaleNear, StaleFar time.Duration
@@ -49,11 +52,13 @@
 
 // Defaults of Intervals.
 const (
-	defaultPollOwned = 250 * time.Millisecond
-	defaultShareNear = 5 * time.Second
-	defaultShareFar  = time.Minute
-	defaultStaleNear = 12 * time.Second
-	defaultStaleFar  = 90 * time.Second
+	defaultPollOwned   = 250 * time.Millisecond
+	defaultShareNear   = 5 * time.Second
+	defaultShareFar    = time.Minute
+	defaultRefreshNear = 30 * time.Second
+	defaultRefreshFar  = 10 * time.Minute
+	defaultStaleNear   = 75 * time.Second
+	defaultStaleFar    = 25 * time.Minute
 )
 
 func (i Intervals) withDefaults() Intervals {
@@ -65,6 +70,8 @@
 	fill(&i.PollOwned, defaultPollOwned)
 	fill(&i.ShareNear, defaultShareNear)
 	fill(&i.ShareFar, defaultShareFar)
+	fill(&i.RefreshNear, defaultRefreshNear)
+	fill(&i.RefreshFar, defaultRefreshFar)
 	fill(&i.StaleNear, defaultStaleNear)
 	fill(&i.StaleFar, defaultStaleFar)
 	return i
@@ -95,13 +102,8 @@
 	background *dispatch.Background
 	wake       chan struct{}
 
-	mutex     sync.Mutex
-	coalescer *coalescer
-	sending   map[ident.Node]bool
-	sequence  uint64
-	polls     pollPlan
-	shares    sharePlan
-	caches    *cacheFollower
+	mutex sync.Mutex
+	core  *Core
 }
 
 // callTimeout bounds one call to a peer.
@@ -109,7 +111,6 @@
 
 // New returns an exchange and hooks it to the table. Start begins it.
 func New(config Config) *Exchange {
-	config.Intervals = config.Intervals.withDefaults()
 	if config.Now == nil {
 		config.Now = time.Now
 	}
@@ -118,13 +119,9 @@
 		background: dispatch.NewBackground(),
 		metrics:    newMetrics(config.Registerer),
 		wake:       make(chan struct{}, 1),
-		coalescer:  newCoalescer(),
-		sending:    map[ident.Node]bool{},
-		// A later run of this node continues above the sequence of an earlier one.
-		sequence: uint64(config.Now().UnixNano()),
-		polls:    newPollPlan(config.Intervals),
-		shares:   newSharePlan(config.Intervals),
-		caches:   newCacheFollower(),
+		core: NewCore(CoreConfig{
+			Node: config.Node, Zone: config.Zone, Table: config.Table, Peers: config.Peers, Intervals: config.Intervals,
+		}, config.Now()),
 	}
 	config.Table.OnOnlineChange(created.onlineChanged)
 	config.Table.OnLeaving(created.leavingLearned)
@@ -147,12 +144,12 @@
 // onlineChanged notes a change of this node's online work and wakes the loop. The time of a surge from the change to
 // the send is the time of one channel operation.
 func (e *Exchange) onlineChanged(runner ident.Runner, inFlight int) {
-	if owner, known := e.config.Peers.Owner(runner); known && owner == e.config.Node {
-		return
-	}
 	e.mutex.Lock()
-	e.coalescer.changed(runner, inFlight, e.config.Now())
+	toTell := e.core.OnlineChanged(runner, inFlight, e.config.Now())
 	e.mutex.Unlock()
+	if !toTell {
+		return
+	}
 	select {
 	case e.wake <- struct{}{}:
 	default:
@@ -185,50 +182,27 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.config.Now()
-	messages := e.coalescer.take(now, e.otherOwner, func(node ident.Node) bool { return e.sending[node] })
-	for owner, counts := range messages {
-		e.coalescer.sent(counts, now)
-		e.sending[owner] = true
-		e.sequence++
-		sequence := e.sequence
+	for _, tell := range e.core.Tells(now) {
 		e.tomb.Go(func() error {
-			e.tell(owner, sequence, counts)
+			e.tell(tell)
 			return nil
 		})
 	}
-	next, any := e.coalescer.nextDue()
-	if !any {
-		return idleWait
-	}
-	return max(shortestWait, next.Sub(now))
-}
-
-func (e *Exchange) otherOwner(runner ident.Runner) (ident.Node, bool) {
-	owner, known := e.config.Peers.Owner(runner)
-	return owner, known && owner != e.config.Node
+	return e.core.NextTell(now)
 }
 
 // tell sends one message of counts and takes the owner's view in return.
-func (e *Exchange) tell(owner ident.Node, sequence uint64, counts map[ident.Runner]int) {
-	message := &dispatchpb.OnlineCounts{Node: string(e.config.Node), Sequence: sequence}
-	for runner, inFlight := range counts {
-		message.Counts = append(message.Counts, e.encodeCount(runner, inFlight))
-	}
-	e.metrics.sent("online", message)
-	states, err := e.callOnline(owner, message)
+func (e *Exchange) tell(tell Tell) {
+	e.metrics.sent("online", tell.Message)
+	states, err := e.callOnline(tell.Owner, tell.Message)
 	e.mutex.Lock()
-	delete(e.sending, owner)
-	if err != nil {
-		e.coalescer.failed(counts, e.config.Now())
-	} else {
-		e.coalescer.delivered(counts)
-	}
+	e.core.Told(tell, err == nil, e.config.Now())
 	e.mutex.Unlock()
 	if err != nil {
-		event.PeerHintFailed.Log(e.config.Logger).Err(err).Str("peer", string(owner)).Send()
+		event.PeerHintFailed.Log(e.config.Logger).Err(err).Str("peer", string(tell.Owner)).Send()
 		return
 	}
-	e.takeStates(states)
+	e.core.TakeReply(tell, states, e.config.Now())
 }
 
 func (e *Exchange) callOnline(owner ident.Node, message *dispatchpb.OnlineCounts) (*dispatchpb.RunnerStates, error) {
--- a/internal/dispatch/exchange/metrics.go
+++ b/internal/dispatch/exchange/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
+
+	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 )
 
 // sized is a message whose bytes are counted.
@@ -43,6 +45,12 @@
 	m.bytes.WithLabelValues(kind).Add(float64(proto.Size(message)))
 }
 
+func (m *metrics) repliedCaches(caches []*dispatchpb.CacheDelta) {
+	for _, delta := range caches {
+		m.cacheBytes.Add(float64(proto.Size(delta)))
+	}
+}
+
 func (m *metrics) polled(err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/dispatch/exchange/server.go
+++ b/internal/dispatch/exchange/server.go
@@ -7,26 +7,20 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
-// Online takes a peer's counts and answers with this node's view of the runners.
+// Online takes a peer's counts and answers with what is news to it of the runners.
 func (e *Exchange) Online(_ context.Context, message *dispatchpb.OnlineCounts) (*dispatchpb.RunnerStates, error) {
 	now := e.config.Now()
-	reply := &dispatchpb.RunnerStates{}
-	for _, count := range message.GetCounts() {
-		runner := ident.Runner(count.GetRunner())
-		e.config.Table.ObservePeer(ident.Node(message.GetNode()), message.GetSequence(), runner, int(count.GetInFlight()), now)
-		view, known := e.config.Table.Runner(runner, now)
-		if known && view.Report != nil {
-			state := encodeState(&view)
-			state.Cache = e.cacheChanges(runner, count.GetCache())
-			reply.States = append(reply.States, state)
-		}
-	}
+	e.core.Counted(message, now)
+	e.mutex.Lock()
+	reply := e.core.Reply(message, now)
+	e.mutex.Unlock()
+	e.metrics.repliedCaches(reply.GetCaches())
 	return reply, nil
 }
 
 // Share takes the state of runners that a peer owns.
 func (e *Exchange) Share(_ context.Context, message *dispatchpb.RunnerStates) (*dispatchpb.Received, error) {
-	e.takeStates(message)
+	e.core.Take(message, e.config.Now())
 	return &dispatchpb.Received{}, nil
 }
 
@@ -38,14 +32,3 @@
 	}
 	return &dispatchpb.Received{}, nil
 }
-
-func (e *Exchange) takeStates(states *dispatchpb.RunnerStates) {
-	now := e.config.Now()
-	for _, state := range states.GetStates() {
-		runner := ident.Runner(state.GetRunner())
-		e.config.Table.ObserveShared(runner, decodeState(state, now), now)
-		if state.GetCache() != nil {
-			e.config.Table.ObserveCache(runner, decodeDelta(state.GetCache()), now)
-		}
-	}
-}
--- a/internal/dispatch/exchange/share.go
+++ b/internal/dispatch/exchange/share.go
@@ -4,94 +4,20 @@
 	"context"
 	"time"
 
-	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/dispatch/dispatchpb"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
-// sharePlan decides which peers are told the state of the own runners. It is pure but for its own state.
-type sharePlan struct {
-	intervals Intervals
-	last      map[ident.Node]time.Time
-}
-
-func newSharePlan(intervals Intervals) sharePlan {
-	return sharePlan{intervals: intervals, last: map[ident.Node]time.Time{}}
-}
-
-// maxShares bounds the peers told in one look, which spreads the messages over the interval. At the design size about
-// sixteen are due in a second.
-const maxShares = 64
-
-// due returns the peers to tell now.
-func (s *sharePlan) due(peers []Peer, zone ident.Zone, now time.Time) []ident.Node {
-	s.forget(peers)
-	var due []ident.Node
-	for _, peer := range peers {
-		interval := s.intervals.ShareFar
-		if peer.Zone == zone {
-			interval = s.intervals.ShareNear
-		}
-		if now.Sub(s.last[peer.Node]) < interval || len(due) >= maxShares {
-			continue
-		}
-		s.last[peer.Node] = now
-		due = append(due, peer.Node)
-	}
-	return due
-}
-
-func (s *sharePlan) forget(peers []Peer) {
-	if len(s.last) <= len(peers) {
-		return
-	}
-	live := map[ident.Node]bool{}
-	for _, peer := range peers {
-		live[peer.Node] = true
-	}
-	for node := range s.last {
-		if !live[node] {
-			delete(s.last, node)
-		}
-	}
-}
-
-// share tells due peers the state of the runners this node owns.
-func (e *Exchange) share(views []dispatch.RunnerView, now time.Time) {
-	if e.config.Dialer == nil {
-		return
-	}
+// share sends one share.
+func (e *Exchange) share(share Share) {
+	delivered := e.config.Dialer != nil && e.callPeer(share.Peer, "share", share.Message, func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
+		_, err := client.Share(ctx, share.Message)
+		return err
+	}) == nil
 	e.mutex.Lock()
-	due := e.shares.due(e.config.Peers.Peers(), e.config.Zone, now)
-	e.mutex.Unlock()
-	if len(due) == 0 {
-		return
-	}
-	message := e.ownedStates(views)
-	if len(message.States) == 0 {
-		return
-	}
-	for _, peer := range due {
-		e.tomb.Go(func() error {
-			e.callPeer(peer, "share", message, func(ctx context.Context, client dispatchpb.DRPCRunnerExchangeClient) error {
-				_, err := client.Share(ctx, message)
-				return err
-			})
-			return nil
-		})
-	}
-}
-
-func (e *Exchange) ownedStates(views []dispatch.RunnerView) *dispatchpb.RunnerStates {
-	message := &dispatchpb.RunnerStates{}
-	for index := range views {
-		view := &views[index]
-		if own, _ := e.owns(view.ID); own && view.Report != nil {
-			message.States = append(message.States, encodeState(view))
-		}
-	}
-	return message
+	defer e.mutex.Unlock()
+	e.core.Shared(share, delivered, e.config.Now())
 }
 
 // leavingLearned tells every peer at once that a runner takes no new work.
@@ -114,8 +40,8 @@
 // leavingSenders is how many peers are told at the same time.
 const leavingSenders = 16
 
-// leavingPauses are the waits before the news is sent again to a peer that could not be reached.
-var leavingPauses = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
+// LeavingPauses are the waits before the news is sent again to a peer that could not be reached.
+var LeavingPauses = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
 
 // tellLeaving tells one peer, with a few repeats. A peer that is missed all the same learns it from the owner's share,
 // the machine list, or a refusal by the runner itself.
@@ -124,7 +50,7 @@
 		_, err := client.Leaving(ctx, message)
 		return err
 	}
-	for _, pause := range leavingPauses {
+	for _, pause := range LeavingPauses {
 		if e.callPeer(peer, "leaving", message, call) == nil {
 			return
 		}
--- a/internal/dispatch/exchange/state.go
+++ b/internal/dispatch/exchange/state.go
@@ -12,7 +12,7 @@
 
 // encodeState writes a view that has a report.
 func encodeState(view *dispatch.RunnerView) *dispatchpb.RunnerState {
-	report := view.Report
+	report := view.Shared()
 	state := &dispatchpb.RunnerState{
 		Runner:             string(view.ID),
 		AgeMilliseconds:    uint32(view.ReportAge.Milliseconds()),
@@ -49,12 +49,12 @@
 		Adapters:      state.GetAdapters(),
 		Leaving:       state.GetLeaving(),
 	}
+	for _, loaded := range state.GetModels() {
+		report.Models = append(report.Models, engine.LoadedModel{Name: loaded.GetName(), Version: loaded.GetVersion()})
+	}
 	known := int(state.GetKnownOnline())
 	if reported := report.RunningOnline + report.WaitingOnline; known > reported {
 		report.RunningOnline += known - reported
 	}
-	for _, loaded := range state.GetModels() {
-		report.Models = append(report.Models, engine.LoadedModel{Name: loaded.GetName(), Version: loaded.GetVersion()})
-	}
 	return report
 }
--- a/internal/engine/cacheindex/view.go
+++ b/internal/engine/cacheindex/view.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// viewLife is how long a view counts after the last delta.
-const viewLife = 30 * time.Second
+// viewLife is how long a view counts after the last delta: counts to a busy runner are told once a minute.
+const viewLife = 150 * time.Second
 
 // View is what a reader knows of one engine's cache by deltas. The zero value knows nothing. It is not safe for
 // concurrent use.
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -104,9 +104,12 @@
 		{"overload", "goodput at 0.5 to 3 times the capacity", runOverload},
 		{"leave", "how long calls still come to a runner marked as leaving, by the way it is learned", runLeave},
 		{"jobs", "every accepted batch item followed to its result, in calm and with crashes", runJobs},
+		{"idle", "processor time, wake-ups, memory and bytes of each node without any load, against the budgets", runIdle},
 		{"control", "processor time and memory of nodes without any load", runControl},
 		{"rolling-restart", "restart of every node in turn under load", runRollingRestart},
 		{"faults", "a seeded schedule of process faults under load, counted by an independent ledger", runFaults},
+		{"cancel", "jobs cancelled at random under faults; the engines' own ledgers tell what started later", runCancel},
+		{"resend", "each submission sent to every node at once, again and again, under faults", runResend},
 		{"affinity", "prompts with long shared beginnings: tokens saved by prefix caches and first token, by what nodes go by", runAffinity},
 		{"certificates", "a fleet with TLS on all listeners changes its certificates and then its authority under load", runCertificates},
 	}
--- a/internal/node/online.go
+++ b/internal/node/online.go
@@ -28,15 +28,17 @@
 		return failure.New(failure.CodeNoBackend, "this site is cut off and its policy refuses %s", request.Service).
 			WithRetryAfter(cutOffRetryAfter)
 	}
-	ticket, err := d.admission.Admit(ctx, request)
-	if err != nil {
-		return err
-	}
-	d.demand.begin(request.Model)
-	err = d.dispatcher.Dispatch(ctx, request, sink)
-	d.demand.end(request.Model)
-	ticket.Done(err)
-	return err
+	return d.admission.Run(ctx, request, func() error {
+		d.demand.begin(request.Model)
+		defer d.demand.end(request.Model)
+		return d.dispatcher.Dispatch(ctx, request, sink)
+	})
+}
+
+// serviceCapacity returns how many online requests the runners of a service take at once.
+func (n *Node) serviceCapacity(name string) float64 {
+	target := n.replica.Current().Services[name]
+	return n.table.Capacity(target.Model, target.Zones, time.Now())
 }
 
 // policyRequest is what the program "may_wait" sees of a request.
--- a/internal/schedule/crowd.go
+++ b/internal/schedule/crowd.go
@@ -10,7 +10,7 @@
 	// crowdFactor and crowdSlack bound the online work of a runner that is chosen for its cache, as a multiple of the mean
 	// of its zone and requests beyond it.
 	crowdFactor = 1.25
-	crowdSlack  = 4.0
+	crowdSlack  = 6.0
 )
 
 // markCrowded marks the candidates with more online work than the bound. A beginning that many prompts share would
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -9,6 +9,7 @@
 	found = append(found, checkAddresses(settings)...)
 	found = append(found, checkCertificates(settings)...)
 	found = append(found, checkTimes(settings)...)
+	found = append(found, checkProcess(settings.Process)...)
 	return found
 }
 
@@ -67,6 +68,10 @@
 	found = append(found, checkCertificate("tls.caller", settings.TLS.Caller)...)
 	found = append(found, checkCertificate("tls.admin", settings.TLS.Admin)...)
 	found = append(found, checkCertificate("tls.peer", settings.TLS.Peer)...)
+	found = append(found, checkCertificate("tls.key_value", settings.TLS.KeyValue)...)
+	if settings.TLS.KeyValue.Enabled() && settings.TLS.KeyValue.CA == "" {
+		found = append(found, Problem{Field: "tls.key_value.ca", Message: "required with tls.key_value.cert: the service's certificate is checked against it"})
+	}
 	peer := settings.TLS.Peer
 	if !peer.Enabled() && !(settings.Listen.Peer.Loopback() && settings.AdvertiseAddress().Loopback()) {
 		found = append(found, Problem{Field: "tls.peer.cert", Message: "required: listen.peer is reachable from other machines"})
@@ -104,3 +109,17 @@
 	}
 	return found
 }
+
+// leastMemoryTarget is what a node needs before any load; below it the collector would never rest.
+const leastMemoryTarget = 32 * mebibyte
+
+func checkProcess(process Process) Problems {
+	var found Problems
+	if process.Processors > 0 && process.IdleProcessors > process.Processors {
+		found = append(found, Problem{Field: "process.idle_processors", Message: "is larger than process.processors"})
+	}
+	if process.MemoryTarget > 0 && process.MemoryTarget < leastMemoryTarget {
+		found = append(found, Problem{Field: "process.memory_target", Message: "is below " + leastMemoryTarget.String() + ", which a node needs before any load"})
+	}
+	return found
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	Dispatch   Dispatch   `yaml:"dispatch"`
 	Batch      Batch      `yaml:"batch"`
 	Membership Membership `yaml:"membership"`
+	Process    Process    `yaml:"process"`
 	Log        Log        `yaml:"log"`
 	Bootstrap  Bootstrap  `yaml:"bootstrap"`
 }
@@ -58,23 +59,24 @@
 	Retention     time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
 }
 
-// TLS holds the certificates of the three listeners.
+// TLS holds the certificates of the three listeners, and the one presented to the key-value service.
 type TLS struct {
-	Caller Certificate `yaml:"caller"`
-	Admin  Certificate `yaml:"admin"`
-	Peer   Certificate `yaml:"peer"`
-	// Poll is not part of a listener: one period serves all three.
+	Caller   Certificate `yaml:"caller"`
+	Admin    Certificate `yaml:"admin"`
+	Peer     Certificate `yaml:"peer"`
+	KeyValue Certificate `yaml:"key_value"`
+	// Poll is not part of a listener: one period serves all.
 	Poll time.Duration `yaml:"poll" default:"5s" min:"100ms" max:"1h" doc:"Time between looks at the certificate files for a change."`
 }
 
-// Certificate names the PEM files of one listener.
+// Certificate names the PEM files of one listener or client.
 type Certificate struct {
 	Cert Path `yaml:"cert" doc:"PEM file of the certificate chain. Empty means plain TCP."`
 	Key  Path `yaml:"key" doc:"PEM file of the private key."`
-	CA   Path `yaml:"ca" doc:"PEM file of the authorities that client certificates must be signed by. Empty means that none is asked for."`
+	CA   Path `yaml:"ca" doc:"PEM file of the authorities that the other side's certificate must be signed by. Empty means that callers and operators need none."`
 }
 
-// Enabled says whether the listener speaks TLS.
+// Enabled says whether TLS is spoken.
 func (c Certificate) Enabled() bool { return c.Cert != "" }
 
 // Limits bounds what callers can make the node hold and wait for.
@@ -108,10 +110,11 @@
 
 // Batch tunes the batch workers.
 type Batch struct {
-	Workers      int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
-	LeaseItems   int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
-	PollInterval time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
-	CreditTTL    time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
+	Workers           int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
+	LeaseItems        int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
+	PollInterval      time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
+	ShareBesideOnline float64       `yaml:"share_beside_online" unit:"share of sequences" default:"1" min:"0.05" max:"1" doc:"Largest share of a runner's sequences that batch items fill while online work is on it. Lower spares the tail of online latency, higher gives batch throughput."`
+	CreditTTL         time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
 }
 
 // Membership tunes the failure detector.
@@ -123,6 +126,14 @@
 	DigestInterval time.Duration `yaml:"digest_interval" default:"2s" min:"50ms" max:"10m" doc:"Time between exchanges of membership and configuration digests with another zone."`
 }
 
+// Process bounds what the process takes of its machine.
+type Process struct {
+	Processors       int  `yaml:"processors" unit:"processors" default:"0" min:"0" max:"1024" doc:"Most processors that run the node's code at once. 0 means all that the machine gives."`
+	IdleProcessors   int  `yaml:"idle_processors" unit:"processors" default:"1" min:"1" max:"1024" doc:"Processors the node uses while it has little to do; it takes more within half a second as the load grows."`
+	MemoryTarget     Size `yaml:"memory_target" default:"0" min:"0" max:"1024GiB" doc:"Memory above which the collector works harder; it is no hard bound. 0 means none."`
+	CollectorPercent int  `yaml:"collector_percent" unit:"percent" default:"100" min:"10" max:"1000" doc:"Growth of the heap since the last collection that starts the next; less takes less memory and more processor time."`
+}
+
 // Log shapes the log.
 type Log struct {
 	Level string `yaml:"level" default:"info" oneof:"debug info warn error" doc:"Least severe level that is logged."`
--- a/internal/shard/shardsim/node.go
+++ b/internal/shard/shardsim/node.go
@@ -148,6 +148,7 @@
 	n.driver = shard.NewDriver(core, planSettings(s.options), seed)
 	n.tick(n.lives)
 	n.poll(n.lives)
+	n.collect(n.lives)
 }
 
 func (n *node) crash() {
@@ -191,6 +192,39 @@
 	}
 }
 
+// collect removes the data of a replica that is out of its set, as a host does: it reads the stored set, and decides when
+// the answer is there.
+func (n *node) collect(life int) {
+	if n.lives != life {
+		return
+	}
+	s := n.simulation
+	s.After(s.between(collectEvery/2, collectEvery), func() { n.collect(life) })
+	if !s.store.reachable(n.name) || n.disk.LastIndex() == 0 {
+		return
+	}
+	stored, _ := s.store.current()
+	s.After(s.between(time.Millisecond, 300*time.Millisecond), func() {
+		if n.lives == life {
+			n.input(func() error { n.remove(stored); return nil })
+		}
+	})
+}
+
+func (n *node) remove(stored shard.Configuration) {
+	s := n.simulation
+	if !shard.MayRemove(n.driver.Core.Status(n.clock()), stored, s.world(), planSettings(s.options)) {
+		return
+	}
+	s.Removed++
+	s.checker.removed(s, n)
+	tombstone := n.driver.Core.Tombstone()
+	incarnation := n.disk.incarnation
+	n.crash()
+	n.disk = &disk{incarnation: incarnation, hard: tombstone, state: shardtest.NewState()}
+	n.start()
+}
+
 // input queues an action of the replica: it waits for a paused process and for the disk.
 func (n *node) input(action func() error) {
 	if !n.running {
@@ -292,14 +326,16 @@
 
 // world is what every host knows: which nodes live, and which places the shard wants.
 func (s *Simulation) world() shard.World {
-	var world shard.World
+	world := shard.World{Fleet: len(s.nodes)}
 	for _, known := range s.nodes {
 		if known.draining {
 			world.Draining = append(world.Draining, known.name)
 			continue
 		}
+		world.Places++
 		if known.running && s.now >= known.paused {
 			world.Desired = append(world.Desired, known.member())
+			world.Disks = append(world.Disks, known.member())
 		}
 	}
 	return world
