List a cache once at a start of its engine

Cause, found by following the real stand-in: taking the first listing of an incarnation made another due at once. Failed first: TestAnswersToOtherQuestionsAreIgnored with the code as it was.

--- a/internal/engine/cacheindex/index.go
+++ b/internal/engine/cacheindex/index.go
@@ -136,7 +136,9 @@
 // that point, and the events after it are asked for again.
 func (i *Index) TakeListing(listing engine.CacheBlocks) {
 	if listing.Incarnation != i.incarnation {
+		listedAt := i.listedAt
 		i.restart(listing.Incarnation)
+		i.listedAt = listedAt
 	}
 	if listing.SampleBits != i.bits || !i.listed {
 		i.sample = newSample(i.epoch+1, max(listing.SampleBits, BaseSampleBits))
--- a/internal/engine/cacheindex/property_test.go
+++ b/internal/engine/cacheindex/property_test.go
@@ -303,6 +303,10 @@
 	index.TakeListing(engine.CacheBlocks{Sequence: 1, SampleBits: BaseSampleBits, Blocks: []uint64{1 << 40}})
 	view.Take(index.Since(view.Mark(), 64), begin)
 	assert.Assert(t, view.whole)
+	fresh := New(1)
+	assert.Assert(t, fresh.Next(begin).Listing)
+	fresh.TakeListing(engine.CacheBlocks{Incarnation: "first", SampleBits: BaseSampleBits})
+	assert.Assert(t, !fresh.Next(begin.Add(pollPeriod)).Listing, "two listings of one start")
 	removed := []engine.CacheEvent{{Sequence: 2, Block: 1 << 40}}
 	for _, other := range []engine.CacheEvents{
 		{After: 1, SampleBits: BaseSampleBits + 1, Newest: 2, Held: 1},
