--- a/internal/dispatch/exchange/core.go
+++ b/internal/dispatch/exchange/core.go
@@ -33,6 +33,8 @@
 	// often lists the runners that are looked at every Tick; all are from wholeAt on.
 	often   []ident.Runner
 	wholeAt time.Time
+	// caches follows the caches of the owned runners. It is safe for concurrent use.
+	caches *cacheFollower
 	// present are the peers that took part at the last whole look.
 	present map[ident.Node]bool
 }
@@ -62,6 +64,7 @@
 		sequence: uint64(now.UnixNano()),
 		polls:    newPollPlan(config.Intervals),
 		shares:   newSharePlan(config.Intervals),
+		caches:   newCacheFollower(),
 	}
 }
 
@@ -103,7 +106,7 @@
 func (c *Core) encodeCounts(counts map[ident.Runner]int) *dispatchpb.OnlineCounts {
 	message := &dispatchpb.OnlineCounts{Node: string(c.config.Node), Sequence: c.sequence}
 	for _, runner := range slices.Sorted(maps.Keys(counts)) {
-		message.Counts = append(message.Counts, &dispatchpb.OnlineCount{Runner: string(runner), InFlight: uint32(counts[runner])})
+		message.Counts = append(message.Counts, c.encodeCount(runner, counts[runner]))
 	}
 	return message
 }
@@ -146,6 +149,7 @@
 	views := c.config.Table.Runners(now)
 	c.polls.forget(views)
 	c.forgetGonePeers(now)
+	c.caches.keep(c.owns)
 	polls = c.polls.due(views, c.config.Zone, c.owns, now)
 	shares = c.sharesDue(views, now)
 	c.often = c.polls.polledOften(views, c.config.Zone, c.owns)
@@ -228,7 +232,7 @@
 func (c *Core) Reply(message *dispatchpb.OnlineCounts, now time.Time) *dispatchpb.RunnerStates {
 	peer := ident.Node(message.GetNode())
 	newest := c.shares.newest(peer, message.GetSequence())
-	reply := &dispatchpb.RunnerStates{}
+	reply := &dispatchpb.RunnerStates{Caches: c.cacheChanges(message.GetCounts())}
 	told := map[ident.Runner]gist{}
 	for _, count := range message.GetCounts() {
 		runner := ident.Runner(count.GetRunner())
--- a/internal/dispatch/exchange/exchange.go
+++ b/internal/dispatch/exchange/exchange.go
@@ -202,7 +202,7 @@
 		event.PeerHintFailed.Log(e.config.Logger).Err(err).Str("peer", string(tell.Owner)).Send()
 		return
 	}
-	e.core.Take(states, e.config.Now())
+	e.core.TakeReply(tell, states, e.config.Now())
 }
 
 func (e *Exchange) callOnline(owner ident.Node, message *dispatchpb.OnlineCounts) (*dispatchpb.RunnerStates, error) {
--- a/internal/dispatch/exchange/poll.go
+++ b/internal/dispatch/exchange/poll.go
@@ -184,6 +184,9 @@
 		return
 	}
 	e.config.Table.ObserveReport(runner, report, now)
+	if own, _ := e.core.owns(runner); own {
+		e.followCache(ctx, runner, target)
+	}
 }
 
 // pollFailed counts a failed poll against the runner, unless this node is stopping.
--- a/internal/dispatch/exchange/server.go
+++ b/internal/dispatch/exchange/server.go
@@ -12,8 +12,10 @@
 	now := e.config.Now()
 	e.core.Counted(message, now)
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.core.Reply(message, now), nil
+	reply := e.core.Reply(message, now)
+	e.mutex.Unlock()
+	e.metrics.repliedCaches(reply.GetCaches())
+	return reply, nil
 }
 
 // Share takes the state of runners that a peer owns.
--- a/internal/lab/enginesim/stepper.go
+++ b/internal/lab/enginesim/stepper.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/lab/prefixcache"
 )
 
 // Stepper is the stand-in's scheduler and cost model without clock, sockets and goroutines, for simulations in virtual
@@ -18,7 +19,7 @@
 func NewStepper(options Options) *Stepper {
 	options = options.withDefaults()
 	created := &Stepper{sequences: map[uint64]*sequence{}}
-	cache := newPrefixCache(options.BlockTokens, func(uint64, bool) {})
+	cache := prefixcache.New(options.BlockTokens, func(uint64, bool) {})
 	created.scheduler = scheduler{options: options, cache: cache, started: func(*sequence) {}}
 	return created
 }
--- a/internal/lab/enginesim/virtual.go
+++ b/internal/lab/enginesim/virtual.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/inference"
+	"mallowlatch.example/mallowlatch/internal/lab/prefixcache"
 )
 
 // Virtual is the engine's scheduler and cost model without a clock, a network or a lock, for simulations in virtual time.
@@ -12,6 +13,7 @@
 	scheduler scheduler
 	handles   map[*sequence]*VirtualSequence
 	stepTime  time.Duration
+	cache     virtualCache
 }
 
 // VirtualSequence is one request in a Virtual engine.
@@ -33,11 +35,10 @@
 // NewVirtual returns an engine without work.
 func NewVirtual(options Options) *Virtual {
 	options = options.withDefaults()
-	cache := newPrefixCache(options.BlockTokens, func(uint64, bool) {})
-	return &Virtual{
-		scheduler: scheduler{options: options, cache: cache, started: func(*sequence) {}},
-		handles:   map[*sequence]*VirtualSequence{},
-	}
+	created := &Virtual{handles: map[*sequence]*VirtualSequence{}, cache: newVirtualCache(options.Seed)}
+	cache := prefixcache.New(options.BlockTokens, created.cache.changed)
+	created.scheduler = scheduler{options: options, cache: cache, started: func(*sequence) {}}
+	return created
 }
 
 // NewVirtualSequence returns a request that is not submitted yet. Lengths are in tokens; blocks are the hashes of the
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -113,6 +113,7 @@
 		{"faults", "a seeded schedule of process faults under load, counted by an independent ledger", runFaults},
 		{"cancel", "jobs cancelled at random under faults; the engines' own ledgers tell what started later", runCancel},
 		{"resend", "each submission sent to every node at once, again and again, under faults", runResend},
+		{"affinity", "prompts with long shared beginnings: tokens saved by prefix caches and first token, by what nodes go by", runAffinity},
 		{"certificates", "a fleet with TLS on all listeners changes its certificates and then its authority under load", runCertificates},
 	}
 }
