Check an answer's JSON once, while it is encoded

The leader checked each answer with json.Valid and then encoded it, which checks it again.

TestAnAnswerWithoutABodyIsAFailure failed when the look at an empty body was left out, and FuzzLine's corpus, which now holds that an answer fails exactly if it is not JSON, when a failed encoding counted as an answer.

--- a/internal/jobstore/lines.go
+++ b/internal/jobstore/lines.go
@@ -90,26 +90,36 @@
 
 // renderResponse returns the output line of an answered item, and false if the answer's body is not JSON.
 func renderResponse(job string, index uint32, customID string, status int, body []byte) ([]byte, bool) {
-	line := outputLine{
+	// An empty raw message would become null; any other that is not JSON fails to encode.
+	if len(body) == 0 {
+		return nil, false
+	}
+	encoded, err := marshalLine(outputLine{
 		ID:       itemID(job, index),
 		CustomID: &customID,
 		Response: &itemResponse{StatusCode: status, RequestID: fmt.Sprintf("req_%s_%d", job, index), Body: body},
-	}
-	if !json.Valid(body) {
-		return nil, false
-	}
-	return mustMarshal(line), true
+	})
+	return encoded, err == nil
 }
 
-// mustMarshal encodes a line whose raw parts are known to be valid JSON.
+// mustMarshal encodes a line without raw parts.
 func mustMarshal(line outputLine) []byte {
+	encoded, err := marshalLine(line)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// marshalLine encodes a line. It fails only if a raw part is not JSON.
+func marshalLine(line outputLine) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := json.NewEncoder(&buffer)
 	encoder.SetEscapeHTML(false)
 	if err := encoder.Encode(line); err != nil {
-		panic(err)
+		return nil, fmt.Errorf("encoding an output line: %w", err)
 	}
-	return bytes.TrimSuffix(buffer.Bytes(), []byte{'\n'})
+	return bytes.TrimSuffix(buffer.Bytes(), []byte{'\n'}), nil
 }
 
 // splitLines calls visit for each line of a chunk, without its newline.
