Obey dispatch.max_attempts and retry_budget; drop settings nobody read

Cause: six checked settings did nothing. Found by a search for fields that no code outside the settings package reads.

dispatch.max_attempts and dispatch.retry_budget are now the dispatcher's. The budget's default is 0.2, which is what the code did whatever the setting said, and its least value 0.01; one attempt means no retries. batch.workers, lease_items, poll_interval and credit_ttl are gone: leases follow the credits of the runners, and no credit outlives a look.

TestAttemptsAreBounded fails without the bound.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,10 +47,15 @@
 	OnceDuration time.Duration
 	// Abort is the longest wait for an engine to confirm an abort.
 	Abort time.Duration
+	// Attempts is the most runners tried for one request.
+	Attempts int
+	// RetryShare is the number of retries for each request that the node may make.
+	RetryShare float64
 }
 
 // Defaults of Limits.
 const (
+	defaultAttempts     = 4
 	defaultFirstChunk   = 30 * time.Second
 	defaultStall        = 5 * time.Second
 	defaultOnceDuration = 10 * time.Minute
@@ -67,6 +72,12 @@
 	fill(&l.Stall, defaultStall)
 	fill(&l.OnceDuration, defaultOnceDuration)
 	fill(&l.Abort, defaultAbort)
+	if l.Attempts <= 0 {
+		l.Attempts = defaultAttempts
+	}
+	if l.RetryShare <= 0 {
+		l.RetryShare = DefaultRetryShare
+	}
 	return l
 }
 
@@ -126,7 +137,7 @@
 	}
 	return &Dispatcher{
 		config:     config,
-		budget:     NewRetryBudget(),
+		budget:     NewRetryBudget(config.Limits.RetryShare),
 		metrics:    newMetrics(config.Registerer),
 		random:     rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		background: NewBackground(),
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -104,7 +104,7 @@
 // Invariant: a request that may have run goes to another runner only if it is repeatable and the caller cannot notice:
 // nothing was sent, or a second run gives the same tokens.
 func (f *flight) mayRetry(failed *attemptFailure) bool {
-	if failed.final {
+	if failed.final || f.attempts >= f.dispatcher.config.Limits.Attempts {
 		return false
 	}
 	if failed.outcome == outcome.NotRun && f.outcome == outcome.NotRun {
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -44,7 +44,7 @@
 
 // TestRetriesAreAShareOfTraffic spends whenever it can.
 func TestRetriesAreAShareOfTraffic(t *testing.T) {
-	budget := NewRetryBudget()
+	budget := NewRetryBudget(DefaultRetryShare)
 	retries := 0
 	for range 1000 {
 		budget.Earn()
@@ -52,7 +52,7 @@
 			retries++
 		}
 	}
-	assert.Assert(t, float64(retries) <= retryReserve+1000*retryShare, "%d retries", retries)
+	assert.Assert(t, float64(retries) <= retryReserve+1000*DefaultRetryShare, "%d retries", retries)
 	assert.Assert(t, retries >= 200)
 }
 
--- a/internal/dispatch/retries_test.go
+++ b/internal/dispatch/retries_test.go
@@ -68,3 +68,20 @@
 		assert.NilError(t, dispatcher.Close())
 	})
 }
+
+// TestAttemptsAreBounded lets every runner refuse: a request tries as many as the limit says, though the budget has more.
+func TestAttemptsAreBounded(t *testing.T) {
+	for attempts := 1; attempts <= 3; attempts++ {
+		at := newClock()
+		engines := &failingEngines{failingEngine{draw: func() error {
+			return &engine.AttemptError{Outcome: outcome.NotRun, Cause: engine.ErrUnreachable}
+		}}}
+		dispatcher := dispatch.New(dispatch.Config{
+			Table: newTable(runnerNames(8), at), Engines: engines, Now: at.Now, Limits: dispatch.Limits{Attempts: attempts},
+		})
+		err := dispatcher.Dispatch(context.Background(), &inference.Request{Model: "m", Repeatable: true}, dispatch.NewAggregate(inference.Completions))
+		assert.Equal(t, failure.As(err).Outcome, outcome.NotRun)
+		assert.Equal(t, engines.all.calls, attempts)
+		assert.NilError(t, dispatcher.Close())
+	}
+}
--- a/internal/lab/overloadsim/fleet.go
+++ b/internal/lab/overloadsim/fleet.go
@@ -88,7 +88,7 @@
 		id:      nodeName(index),
 		zone:    f.options.zone(index),
 		table:   dispatch.NewTable(),
-		budget:  dispatch.NewRetryBudget(),
+		budget:  dispatch.NewRetryBudget(dispatch.DefaultRetryShare),
 		random:  rand.New(rand.NewPCG(f.options.Seed, uint64(index)+2)),
 		telling: map[ident.Runner]bool{},
 		told:    map[ident.Runner]int{},
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -289,6 +289,8 @@
 		Limits: dispatch.Limits{
 			FirstChunk: n.settings.Dispatch.AttemptTimeout,
 			Stall:      n.settings.Dispatch.StallTimeout,
+			Attempts:   n.settings.Dispatch.MaxAttempts,
+			RetryShare: n.settings.Dispatch.RetryBudget,
 		},
 		FirstToken: func(request *inference.Request, took time.Duration) {
 			n.admission.ObserveFirstToken(request.Service, took)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,8 +104,8 @@
 type Dispatch struct {
 	AttemptTimeout  time.Duration `yaml:"attempt_timeout" default:"5s" min:"10ms" max:"10m" doc:"Longest wait for the first answer of one engine before the attempt counts as failed."`
 	StallTimeout    time.Duration `yaml:"stall_timeout" default:"10s" min:"10ms" max:"10m" doc:"Longest silence of an engine within an answer before the stream is resumed or moved."`
-	MaxAttempts     int           `yaml:"max_attempts" unit:"attempts" default:"4" min:"1" max:"20" doc:"Engines tried for one request that was not run."`
-	RetryBudget     float64       `yaml:"retry_budget" unit:"share of requests" default:"0.1" min:"0" max:"1" doc:"Largest share of requests that may be retries."`
+	MaxAttempts     int           `yaml:"max_attempts" unit:"attempts" default:"4" min:"1" max:"20" doc:"Engines tried for one request; 1 means no retries."`
+	RetryBudget     float64       `yaml:"retry_budget" unit:"share of requests" default:"0.2" min:"0.01" max:"1" doc:"Largest share of requests that may be retries, beyond a reserve of 20."`
 	QueueDepth      int           `yaml:"queue_depth" unit:"requests" default:"256" min:"0" max:"100000" doc:"Online requests that may wait for an engine at once on this node."`
 	QueueTimeout    time.Duration `yaml:"queue_timeout" default:"1s" min:"0s" max:"10m" doc:"Longest wait for an engine before an online request is refused as overloaded."`
 	PrefixAffinity  string        `yaml:"prefix_affinity" default:"events" oneof:"none history events" doc:"What a prompt's way to an engine that has its beginning cached goes by: nothing, what this node sent, or that corrected by the engines' cache events."`
@@ -114,11 +114,7 @@
 
 // Batch tunes the batch workers.
 type Batch struct {
-	Workers           int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
-	LeaseItems        int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
-	PollInterval      time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
-	ShareBesideOnline float64       `yaml:"share_beside_online" unit:"share of sequences" default:"1" min:"0.05" max:"1" doc:"Largest share of a runner's sequences that batch items fill while online work is on it. Lower spares the tail of online latency, higher gives batch throughput."`
-	CreditTTL         time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
+	ShareBesideOnline float64 `yaml:"share_beside_online" unit:"share of sequences" default:"1" min:"0.05" max:"1" doc:"Largest share of a runner's sequences that batch items fill while online work is on it. Lower spares the tail of online latency, higher gives batch throughput."`
 }
 
 // Membership tunes the failure detector.
