--- a/internal/dispatch/retries_test.go
+++ b/internal/dispatch/retries_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/engine"
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -77,7 +78,8 @@
 			return &engine.AttemptError{Outcome: outcome.NotRun, Cause: engine.ErrUnreachable}
 		}}}
 		dispatcher := dispatch.New(dispatch.Config{
-			Table: newTable(runnerNames(8), at), Engines: engines, Now: at.Now, Limits: dispatch.Limits{Attempts: attempts},
+			Table: newTable(runnerNames(8), at), Engines: engines, Now: at.Now, Seed: 1,
+			Catalog: staticCatalog{catalog.Empty()}, Limits: dispatch.Limits{Attempts: attempts},
 		})
 		err := dispatcher.Dispatch(context.Background(), &inference.Request{Model: "m", Repeatable: true}, dispatch.NewAggregate(inference.Completions))
 		assert.Equal(t, failure.As(err).Outcome, outcome.NotRun)
