Find the waiting jobs of a shard whose leader the directory does not know

Cause: a node that is asked for the waiting jobs of a shard it does not lead says only that it missed the shard. The client forgot its hint and asked the same member again by the routes, for ever, if these named no leader. So the jobs of such a shard were never leased by a worker that made no other call on it.

Now the client asks a missed shard's member once more with a call that is redirected, so that the next list has the shard's jobs.

TestWaitingFindsALeaderTheDirectoryDoesNotKnow failed without it.

--- a/internal/jobclient/work.go
+++ b/internal/jobclient/work.go
@@ -66,12 +66,21 @@
 		return err
 	}
 	for _, id := range answer.GetMissed() {
-		c.forgetHint(ident.Shard(id))
+		c.locate(ctx, ident.Shard(id))
 	}
 	answers <- answer
 	return nil
 }
 
+// locate learns the leader of a shard that the node asked does not lead, so that the next list has the shard's jobs. The
+// answer to Waiting does not name it, and the directory may know no more than a member: a renewal of nothing is
+// redirected like any call.
+func (c *Client) locate(ctx context.Context, id ident.Shard) {
+	_, _ = try(ctx, c, id, func(ctx context.Context, leader pb.DRPCJobStoreServer) (*pb.RenewReply, error) {
+		return leader.Renew(ctx, &pb.RenewRequest{Shard: uint32(id), Worker: string(c.options.Self)})
+	})
+}
+
 func (c *Client) callWaiting(ctx context.Context, node ident.Node, request *pb.WaitingRequest) (*pb.WaitingReply, error) {
 	server, err := c.node(ctx, node)
 	if err != nil {
