--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// ReportEvery is the time between reports of demand.
-	ReportEvery = 2 * time.Second
+	// reportEvery is the time between reports of demand.
+	reportEvery = 2 * time.Second
 	// reportTimeout bounds one report.
 	reportTimeout = time.Second
 	// leastDemand is the rate below which a limit is not reported and forgotten.
@@ -44,7 +44,7 @@
 }
 
 func (e *Exchange) loop() error {
-	ticker := time.NewTicker(ReportEvery)
+	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -104,9 +104,7 @@
 			delete(c.limits, name)
 			continue
 		}
-		if withinFloor(rate, held.rate, len(nodes)) {
-			continue
-		}
+		held.reported = rate
 		home := homeOf(name, nodes)
 		if messages[home] == nil {
 			messages[home] = &admissionpb.DemandReport{Node: string(c.config.Node)}
@@ -116,13 +114,7 @@
 	return messages
 }
 
-// withinFloor says whether a node's demand fits into the part of a limit that is split evenly, whatever others ask for. Such a
-// demand is no news to the limit's home: the parts it gives out leave the floor of every node free.
-func withinFloor(demand, rate float64, nodes int) bool {
-	return demand <= floorShare*rate/float64(max(1, nodes))
-}
-
-// HomeReport takes a node's demand as home of its limits and returns the totals.
+// HomeReport takes a node's demand for limits this node is home of, and returns the sums over all nodes.
 func (c *Controller) HomeReport(report *admissionpb.DemandReport) *admissionpb.DemandTotals {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -135,14 +127,15 @@
 	return totals
 }
 
-// TakeTotals takes the totals that a home returned.
+// TakeTotals takes the sums of a home.
 func (c *Controller) TakeTotals(totals *admissionpb.DemandTotals) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Now()
 	for _, stated := range totals.GetTotals() {
 		if held, known := c.limits[stated.GetLimit()]; known {
-			held.total = total{demand: float64(stated.GetRateMilli()) / milli, until: now.Add(totalTime)}
+			held.before = held.total
+			held.total = total{demand: float64(stated.GetRateMilli()) / milli, own: held.reported, until: now.Add(totalTime)}
 		}
 	}
 }
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -12,11 +12,11 @@
 
 // limit is one limit of the fleet as this node applies it.
 type limit struct {
-	// rate is the fleet's.
-	rate   float64
 	bucket bucket
 	demand demand
-	total  total
+	// reported is the demand last told to the limit's home; total is what the home answered last, before the time before.
+	reported      float64
+	total, before total
 }
 
 // leastBurst lets a node with a small share admit a single request.
@@ -65,20 +65,29 @@
 	var message string
 	for _, needed := range c.claims(request) {
 		held := c.limit(needed.name)
-		held.rate = needed.rate
 		held.demand.add(needed.amount, now)
-		part := share(held.demand.current(now), held.total, len(c.config.Nodes()), now)
+		part := c.part(held, now)
 		held.bucket.set(needed.rate*part, max(leastBurst, needed.burst*part), now)
 		if wait := held.bucket.wait(needed.amount, now); wait > longest {
 			longest, message = wait, needed.message
 		}
 	}
 	if longest > 0 {
-		return failure.New(failure.CodeRateLimited, "%s", message).WithRetryAfter(longest)
+		return failure.New(failure.CodeRateLimited, "%s", message).WithRetryAfter(c.spread(longest))
 	}
 	return c.checkInFlight(tenant, now)
 }
 
+// part returns this node's part of a limit.
+//
+// It rests on the demand that the total contains, not on the present one: a rise on all nodes at once would have each of
+// them claim nearly the whole limit until the next total. And it grows only once two totals agree, because whoever
+// reports a rise first is told a total without the others'. It shrinks at once.
+func (c *Controller) part(held *limit, now time.Time) float64 {
+	nodes := len(c.config.Nodes())
+	return min(share(held.total.own, held.total, nodes, now), share(held.before.own, held.before, nodes, now))
+}
+
 // checkInFlight applies the node's part of the tenant's concurrent requests.
 func (c *Controller) checkInFlight(tenant catalog.Tenant, now time.Time) *failure.Error {
 	if tenant.MaxInFlight <= 0 {
@@ -86,13 +95,13 @@
 	}
 	part := 1 / float64(max(1, len(c.config.Nodes())))
 	if held, known := c.limits[tenantRequests(tenant.Name)]; known {
-		part = share(held.demand.current(now), held.total, len(c.config.Nodes()), now)
+		part = c.part(held, now)
 	}
 	allowed := max(1, int(math.Floor(float64(tenant.MaxInFlight)*part)))
 	if c.inFlight[tenant.Name] < allowed {
 		return nil
 	}
-	return failure.New(failure.CodeRateLimited, "the tenant has too many requests in flight").WithRetryAfter(leastRetryAfter)
+	return failure.New(failure.CodeRateLimited, "the tenant has too many requests in flight").WithRetryAfter(c.spread(leastRetryAfter))
 }
 
 // charge counts the request and takes what an admitted request needs. The limits were checked under the same lock.
@@ -111,3 +120,8 @@
 	}
 	return held
 }
+
+// spread lengthens advice by up to a half, so that callers refused together do not come back together.
+func (c *Controller) spread(advice time.Duration) time.Duration {
+	return advice + time.Duration(c.config.Random()*float64(advice)/2)
+}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -53,6 +53,8 @@
 	Now func() time.Time
 	// Tick is the time between looks at the credits without a cause; zero means defaultTick.
 	Tick time.Duration
+	// ShareBesideOnline bounds the share of a runner's sequences that batch fills while online work is on it; zero means 1.
+	ShareBesideOnline float64
 	// Logger gets the node's events.
 	Logger zerolog.Logger
 	// Registerer gets the metrics; nil registers none.
@@ -84,10 +86,11 @@
 	// strandedAt is the time of the next look for items that no owned runner can run.
 	strandedAt time.Time
 	stopping   bool
-	// rested counts the ticks that passed without work.
-	rested int
 	// launched numbers the runs.
 	launched uint64
+	// look fires when a controller may allow prefill; lookAt is when, or zero.
+	look   *time.Timer
+	lookAt time.Time
 	// usedSince is the time of the last turn, which slot times are counted from.
 	usedSince time.Time
 }
@@ -98,6 +101,8 @@
 	owned      bool
 	controller *credit.Controller
 	running    map[*execution]struct{}
+	// steps notices the engine's steps by the tokens of the runs.
+	steps stepWatch
 	// granted are the last credits.
 	granted credit.Credits
 	// prefill counts the prompt tokens of runs that have given no token yet.
@@ -127,6 +132,7 @@
 		config:   config,
 		metrics:  newMetrics(config.Registerer),
 		wake:     make(chan struct{}, 1),
+		look:     time.NewTimer(config.Tick),
 		events:   make(chan func(), eventQueue),
 		draining: make(chan struct{}),
 		book:     newLeaseBook(),
@@ -197,8 +203,10 @@
 
 // loop owns the state. Everything else reaches it by events.
 func (w *Worker) loop() error {
-	ticker := time.NewTicker(w.config.Tick)
+	period := w.tickPeriod()
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
+	defer w.look.Stop()
 	for {
 		select {
 		case <-w.tomb.Dying():
@@ -208,27 +216,28 @@
 			step()
 			w.drainEvents()
 		case <-w.wake:
+		case <-w.look.C:
+			w.lookAt = time.Time{}
 		case <-ticker.C:
-			if w.rests() {
-				continue
-			}
 		}
 		w.turn(w.config.Now())
+		if wanted := w.tickPeriod(); wanted != period {
+			period = wanted
+			ticker.Reset(period)
+		}
 	}
 }
 
 // restTicks is how many ticks a worker without work lets pass between two looks.
 const restTicks = 10
 
-// rests reports whether this tick may pass: without a lease there is nothing to preempt, renew or commit, and waiting
-// work may be found a little later. It keeps an idle node within its budget of processor time.
-func (w *Worker) rests() bool {
+// tickPeriod is the time to the next look. Without a lease there is nothing to preempt, renew or commit, and waiting work
+// may be found a little later: the ticker itself is slowed, since each wake-up costs an idle node more than the look.
+func (w *Worker) tickPeriod() time.Duration {
 	if len(w.book.leases) > 0 || len(w.commits) > 0 || w.stopping {
-		w.rested = 0
-		return false
+		return w.config.Tick
 	}
-	w.rested = (w.rested + 1) % restTicks
-	return w.rested != 0
+	return restTicks * w.config.Tick
 }
 
 // drainEvents takes the events that already wait, so that one turn serves them all.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -47,6 +47,7 @@
 	table := f.dispatcher.config.Table
 	table.Start(runner, f.request.PrefixBlocks)
 	defer table.End(runner)
+	f.begun = f.dispatcher.config.Now()
 	failed := f.runOn(ctx, target)
 	f.observe(runner, failed)
 	if failed != nil && failed.outcome != outcome.NotRun {
@@ -118,10 +119,23 @@
 	return f.relay(stream, watch)
 }
 
-// relay passes chunks of a stream on until the answer is whole.
+// relay passes chunks of a stream on until the answer is whole. Whatever ends it, the sink has been told to send all
+// that it took.
 func (f *flight) relay(stream engine.Stream, watch *stallWatch) error {
 	defer stream.Close()
+	out := newRelayOutput(f.sink, stream)
+	failed := f.relayTo(out, stream, watch)
+	if err := out.flush(); err != nil && failed == nil {
+		return fmt.Errorf("%w: %w", errSink, err)
+	}
+	return failed
+}
+
+func (f *flight) relayTo(out *relayOutput, stream engine.Stream, watch *stallWatch) error {
 	for !f.position.Final() {
+		if err := out.beforeNext(); err != nil {
+			return fmt.Errorf("%w: %w", errSink, err)
+		}
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			return answer.ErrTruncated
@@ -137,14 +151,24 @@
 		if verdict == answer.Drop {
 			continue
 		}
+		f.firstChunk()
 		f.sent = true
-		if err := f.sink.Chunk(chunk); err != nil {
+		if err := out.chunk(chunk); err != nil {
 			return fmt.Errorf("%w: %w", errSink, err)
 		}
 	}
 	return nil
 }
 
+// firstChunk tells how long the runner took to the first chunk of the running attempt.
+func (f *flight) firstChunk() {
+	if f.begun.IsZero() {
+		return
+	}
+	f.dispatcher.config.FirstToken(f.request, f.dispatcher.config.Now().Sub(f.begun))
+	f.begun = time.Time{}
+}
+
 // generateFailure reads the outcome of a call that gave no stream. An error that states none is Unknown.
 func generateFailure(err error) *attemptFailure {
 	failed := &attemptFailure{outcome: outcome.Unknown, cause: err}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -85,6 +85,9 @@
 	Ledger ledger.Ledger
 	// Limits bound waiting.
 	Limits Limits
+	// FirstToken is told how long a runner took to the first chunk of a request; nil means that nobody is. It must not
+	// block.
+	FirstToken func(request *inference.Request, took time.Duration)
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Seed makes decisions repeatable in tests; zero takes a random one.
@@ -98,7 +101,7 @@
 // Dispatcher gives requests to runners. It is safe for concurrent use.
 type Dispatcher struct {
 	config  Config
-	budget  *retryBudget
+	budget  *RetryBudget
 	metrics *metrics
 
 	randomMutex sync.Mutex
@@ -115,12 +118,15 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.FirstToken == nil {
+		config.FirstToken = func(*inference.Request, time.Duration) {}
+	}
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
 	return &Dispatcher{
 		config:     config,
-		budget:     newRetryBudget(),
+		budget:     NewRetryBudget(),
 		metrics:    newMetrics(config.Registerer),
 		random:     rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		background: NewBackground(),
@@ -134,7 +140,7 @@
 		return failure.New(failure.CodeDraining, "this node is stopping; send the request to another").WithRetryAfter(drainRetryAfter)
 	}
 	defer d.running.leave()
-	d.budget.earn()
+	d.budget.Earn()
 	if request.Repeatable {
 		return asError(d.run(ctx, request, sink))
 	}
--- a/internal/dispatch/exchange/coalescer.go
+++ b/internal/dispatch/exchange/coalescer.go
@@ -8,13 +8,11 @@
 )
 
 const (
-	// coalesceTime is how long a change that is no surge waits for others.
+	// coalesceTime is how long a change that is no rise waits for others.
 	coalesceTime = 20 * time.Millisecond
 	// renewTime is how often a count above zero is told again, and the longest a change within the slack waits. Peers
 	// forget a count after several times that.
 	renewTime = time.Minute
-	// surgeStep is the rise beyond twice the count last told that is told at once.
-	surgeStep = 2
 	// slackFrom is the online work of a runner from which small changes may wait. Below it each request weighs.
 	slackFrom = 32
 )
@@ -32,7 +30,8 @@
 
 // coalescer decides when which counts are told. It is pure but for its own state and belongs to one goroutine.
 //
-// Invariant: a count that rose from idle, or by a surge, is due at the moment of the change.
+// Invariant: a count above the one last told by more than the runner's slack is due at the moment of the change, so that the
+// owner can keep batch prompts out of the steps in which the new request waits.
 type coalescer struct {
 	counts map[ident.Runner]*told
 }
@@ -60,8 +59,7 @@
 func newCoalescer() *coalescer { return &coalescer{counts: map[ident.Runner]*told{}} }
 
 // changed takes a new count, and the runner's online work in all, and reports whether it must be told at once. A change within
-// the slack waits until something
-// else is told to the owner, or the count is due to be renewed.
+// the slack waits until something else is told to the owner, or the count is due to be renewed.
 func (c *coalescer) changed(runner ident.Runner, owner ident.Node, current, online int, now time.Time) bool {
 	count, known := c.counts[runner]
 	if !known {
@@ -75,7 +73,7 @@
 	if max(current-count.last, count.last-current) <= count.slack {
 		return false
 	}
-	urgent := current > 0 && (count.last == 0 || current >= 2*count.last+surgeStep)
+	urgent := current > count.last
 	due := now.Add(coalesceTime)
 	if urgent {
 		due = now
--- a/internal/failure/code.go
+++ b/internal/failure/code.go
@@ -29,6 +29,8 @@
 	CodeStreamInterrupted    Code = "stream_interrupted"
 	CodeShardUnavailable     Code = "job_storage_unavailable"
 	CodeTooFewCopies         Code = "too_few_copies"
+	CodeJobQuota             Code = "job_quota_exceeded"
+	CodeStorageFull          Code = "job_storage_full"
 	CodeConfigUnavailable    Code = "configuration_service_unavailable"
 	CodeConfigUnknown        Code = "configuration_outcome_unknown"
 	CodeDraining             Code = "node_draining"
@@ -61,6 +63,8 @@
 	CodeStreamInterrupted:    http.StatusBadGateway,
 	CodeShardUnavailable:     http.StatusServiceUnavailable,
 	CodeTooFewCopies:         http.StatusServiceUnavailable,
+	CodeJobQuota:             http.StatusTooManyRequests,
+	CodeStorageFull:          http.StatusServiceUnavailable,
 	CodeConfigUnavailable:    http.StatusServiceUnavailable,
 	CodeConfigUnknown:        http.StatusGatewayTimeout,
 	CodeDraining:             http.StatusServiceUnavailable,
--- a/internal/lab/load/itemcheck.go
+++ b/internal/lab/load/itemcheck.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 
@@ -14,8 +16,15 @@
 		StatusCode int             `json:"status_code"`
 		Body       json.RawMessage `json:"body"`
 	} `json:"response"`
+	Error *errorDetail `json:"error"`
 }
 
+// Errors of items that are no failures: its job was cancelled first; or it must run at most once and may have.
+const (
+	codeCancelled = "batch_cancelled"
+	codeUnknown   = "outcome_unknown"
+)
+
 type answerBody struct {
 	Choices []struct {
 		Message struct {
@@ -29,6 +38,8 @@
 	bodies map[string][]byte
 	seen   map[string]bool
 	counts BatchLedger
+	// latest is the digest of the file checked last.
+	latest [sha256.Size]byte
 }
 
 func newItemChecker(bodies map[string][]byte) *itemChecker {
@@ -37,6 +48,7 @@
 
 // file checks the lines of an output or error file.
 func (c *itemChecker) file(content []byte) error {
+	c.latest = sha256.Sum256(content)
 	for line := range bytes.Lines(content) {
 		if len(bytes.TrimSpace(line)) == 0 {
 			continue
@@ -50,6 +62,9 @@
 	return nil
 }
 
+// digest returns the digest of the file checked last.
+func (c *itemChecker) digest() string { return hex.EncodeToString(c.latest[:]) }
+
 func (c *itemChecker) result(result resultLine) {
 	body, known := c.bodies[result.CustomID]
 	switch {
@@ -61,6 +76,14 @@
 		return
 	}
 	c.seen[result.CustomID] = true
+	if result.Error != nil && result.Error.Code == codeCancelled {
+		c.counts.Cancelled++
+		return
+	}
+	if result.Error != nil && result.Error.Code == codeUnknown {
+		c.counts.Unknown++
+		return
+	}
 	if result.Response == nil || result.Response.StatusCode != 200 {
 		c.counts.Failed++
 		return
@@ -85,6 +108,8 @@
 func (c *itemChecker) book(ledger *BatchLedger, status string) {
 	ledger.Completed += c.counts.Completed
 	ledger.Failed += c.counts.Failed
+	ledger.Cancelled += c.counts.Cancelled
+	ledger.Unknown += c.counts.Unknown
 	ledger.Doubled += c.counts.Doubled
 	ledger.Foreign += c.counts.Foreign
 	ledger.Wrong += c.counts.Wrong
--- a/internal/lab/scale/controllimits.go
+++ b/internal/lab/scale/controllimits.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"mallowlatch.example/mallowlatch/internal/admission"
 	"mallowlatch.example/mallowlatch/internal/admission/admissionpb"
@@ -17,6 +18,8 @@
 	// tenantCount is the number of tenants of the design. A tenant's callers come to the nodes of one zone.
 	tenantCount     = 2200
 	tokensOfRequest = 1000
+	// demandPeriod is how often a node reports its demand, as the exchange of admission does.
+	demandPeriod    = 2 * time.Second
 	promptTokens    = 300
 	answerTokens    = 440
 	serviceLimits   = "limits"
@@ -54,7 +57,7 @@
 		},
 		Now: f.fleet.Now,
 	})
-	f.everyOf(node, admission.ReportEvery, func() { f.reportDemand(node) })
+	f.everyOf(node, demandPeriod, func() { f.reportDemand(node) })
 }
 
 // reportDemand tells the homes of the limits in use, as the exchange of a real node does.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,6 +9,8 @@
 	"mallowlatch.example/mallowlatch/internal/dispatch"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/shardhost"
+	"mallowlatch.example/mallowlatch/internal/shardmap"
 )
 
 // fleetStatus tells operators what this node knows of the fleet.
@@ -17,13 +19,24 @@
 	table   *dispatch.Table
 	owners  ownerLookup
 	source  catalog.Source
+	// routes tells where the job shards are.
+	routes func() []shardmap.Route
+	self   ident.Node
+	// disk is nil on a node without one.
+	disk *shardhost.Host
 }
 
 // Nodes returns the members this node knows, the dead that are still remembered included.
 func (f fleetStatus) Nodes(context.Context) ([]admin.NodeStatus, error) {
+	view := f.members.View()
+	holdings := shardmap.Holdings(f.routes(), func(node ident.Node) bool {
+		member, known := view.Member(node)
+		return known && member.State == membership.Alive
+	})
 	var statuses []admin.NodeStatus
-	for _, member := range f.members.View().Members {
-		statuses = append(statuses, admin.NodeStatus{
+	for _, member := range view.Members {
+		held := holdings[member.Node]
+		status := admin.NodeStatus{
 			Name:     member.Node,
 			Zone:     member.Zone,
 			Region:   member.Region,
@@ -31,7 +44,14 @@
 			Address:  member.PeerAddress,
 			Storage:  member.Attributes.HasDisk,
 			Draining: member.State == membership.Leaving,
-		})
+
+			Shards:     held.Shards,
+			SoleShards: held.Sole,
+		}
+		if member.Node == f.self && f.disk != nil {
+			status.StorageBytes, status.LeftoverBytes = f.disk.DiskBytes(), f.disk.LeftoverBytes()
+		}
+		statuses = append(statuses, status)
 	}
 	return statuses, nil
 }
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -29,6 +29,10 @@
 	servers  []*jobstore.Server
 }
 
+// writeBufferBytes is the size of one write buffer of the store. Batch items are written twice, to the log and to the
+// state; with smaller buffers most of a disk node's processor time goes into compacting them.
+const writeBufferBytes = 8 << 20
+
 // storageOptions are what openStorage needs.
 type storageOptions struct {
 	settings settings.Settings
@@ -38,39 +42,55 @@
 	// peer names the authenticated node behind a call; nil without TLS, where the message is trusted (loopback only).
 	peer       func(context.Context) (ident.Node, bool)
 	repeatable func(service string) bool
+	quota      func(tenant ident.Tenant) jobstore.Quota
 	logger     zerolog.Logger
 	registerer prometheus.Registerer
 }
 
 // openStorage opens the store in the data folder. Nothing runs until Start.
 func openStorage(options storageOptions) (*storage, error) {
-	store, err := shardlog.Open(string(options.settings.DataDir), shardlog.Options{})
+	store, err := shardlog.Open(string(options.settings.DataDir), shardlog.Options{MemTableBytes: writeBufferBytes})
 	if err != nil {
 		return nil, fmt.Errorf("open job storage: %w", err)
 	}
 	plan := shard.DefaultPlanSettings()
 	plan.Copies = options.settings.Jobs.Replicas
 	host, err := shardhost.New(shardhost.Options{
-		Node:       ident.Node(options.settings.Node.ID),
-		Store:      store,
-		KV:         options.kv,
-		Dialer:     options.dialer,
-		Nodes:      options.peers.disks,
-		Shards:     options.settings.Jobs.Shards,
-		Machine:    func(ident.Shard) shard.Machine { return jobstore.NewMachine() },
-		Peer:       options.peer,
-		Plan:       &plan,
+		Node:    ident.Node(options.settings.Node.ID),
+		Store:   store,
+		KV:      options.kv,
+		Dialer:  options.dialer,
+		Nodes:   options.peers.disks,
+		Shards:  options.settings.Jobs.Shards,
+		Machine: func(ident.Shard) shard.Machine { return jobstore.NewMachine() },
+		Peer:    options.peer,
+		Plan:    &plan,
+
+		CatchUpStreams: options.settings.Jobs.CatchUpStreams,
+		CatchUpRate:    int(options.settings.Jobs.CatchUpRate),
+
 		Logger:     options.logger,
 		Registerer: options.registerer,
 	})
 	if err != nil {
 		return nil, closeAfter(store, err)
 	}
+	registerLogBytes(options.registerer, store)
 	opened := &storage{store: store, host: host, registry: jobstore.NewRegistry()}
 	opened.addServers(options)
 	return opened, nil
 }
 
+// registerLogBytes exports what the store wrote to its write-ahead log.
+func registerLogBytes(registerer prometheus.Registerer, store *shardlog.Store) {
+	if registerer == nil {
+		return
+	}
+	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "mallowlatch_shard_log_written_bytes_total", Help: "Bytes written to the write-ahead log.",
+	}, func() float64 { return float64(store.Usage().WrittenBytes) }))
+}
+
 func closeAfter(store *shardlog.Store, cause error) error {
 	if err := store.Close(); err != nil {
 		return fmt.Errorf("%w; closing the store: %w", cause, err)
@@ -86,6 +106,8 @@
 	limits.JobRetention = options.settings.Jobs.Retention
 	limits.MaxFileBytes = int64(options.settings.Limits.BatchFileBytes)
 	limits.Repeatable = options.repeatable
+	limits.Quota = options.quota
+	limits.Room = newDiskRoom(options.settings, s.store).now
 	limits.Gone = options.peers.restartedSince
 	metrics := jobstore.NewMetrics(options.registerer)
 	for number := range options.settings.Jobs.Shards {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	Dispatch   Dispatch   `yaml:"dispatch"`
 	Batch      Batch      `yaml:"batch"`
 	Membership Membership `yaml:"membership"`
+	Process    Process    `yaml:"process"`
 	Log        Log        `yaml:"log"`
 	Bootstrap  Bootstrap  `yaml:"bootstrap"`
 }
@@ -51,30 +52,35 @@
 
 // Jobs shapes the job shards. Shards, Replicas and MinimumCopies must be the same on every node.
 type Jobs struct {
-	Shards        int           `yaml:"shards" unit:"shards" default:"8" min:"1" max:"1024" doc:"Number of job shards in the fleet; fixed once jobs exist."`
-	Replicas      int           `yaml:"replicas" unit:"replicas" default:"3" min:"1" max:"7" doc:"Replicas of each shard, where that many disk machines exist."`
-	MinimumCopies int           `yaml:"minimum_copies" unit:"copies" default:"3" min:"1" max:"7" doc:"Least number of synchronised copies that may accept a job; below it submissions are refused."`
-	LeaseTTL      time.Duration `yaml:"lease_ttl" default:"10s" min:"200ms" max:"10m" doc:"How long a batch worker may run items without renewing their lease."`
-	Retention     time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
+	Shards         int           `yaml:"shards" unit:"shards" default:"8" min:"1" max:"1024" doc:"Number of job shards in the fleet; fixed once jobs exist."`
+	Replicas       int           `yaml:"replicas" unit:"replicas" default:"3" min:"1" max:"7" doc:"Replicas of each shard, where that many disk machines exist."`
+	MinimumCopies  int           `yaml:"minimum_copies" unit:"copies" default:"3" min:"1" max:"7" doc:"Least number of synchronised copies that may accept a job; below it submissions are refused."`
+	CatchUpStreams int           `yaml:"catch_up_streams" unit:"streams" default:"2" min:"1" max:"64" doc:"States of shards that this node sends at once to disks that lack them, and receives at once."`
+	CatchUpRate    Size          `yaml:"catch_up_rate" default:"64MiB" min:"64KiB" max:"64GiB" doc:"State that this node sends in a second to disks that lack it, all streams together."`
+	LeaseTTL       time.Duration `yaml:"lease_ttl" default:"10s" min:"200ms" max:"10m" doc:"How long a batch worker may run items without renewing their lease."`
+	DiskBytes      Size          `yaml:"disk_bytes" default:"0B" min:"0B" max:"1048576GiB" doc:"Most bytes the job storage of this node may take; 0B means as many as the file system has."`
+	DiskReserve    Size          `yaml:"disk_reserve" default:"1GiB" min:"0B" max:"1024GiB" doc:"Free bytes kept for accepted work: with fewer, uploads and submissions are refused, and with a quarter of it, results too."`
+	Retention      time.Duration `yaml:"retention" default:"720h" min:"1m" max:"8760h" doc:"How long files and finished jobs stay readable."`
 }
 
-// TLS holds the certificates of the three listeners.
+// TLS holds the certificates of the three listeners, and the one presented to the key-value service.
 type TLS struct {
-	Caller Certificate `yaml:"caller"`
-	Admin  Certificate `yaml:"admin"`
-	Peer   Certificate `yaml:"peer"`
-	// Poll is not part of a listener: one period serves all three.
+	Caller   Certificate `yaml:"caller"`
+	Admin    Certificate `yaml:"admin"`
+	Peer     Certificate `yaml:"peer"`
+	KeyValue Certificate `yaml:"key_value"`
+	// Poll is not part of a listener: one period serves all.
 	Poll time.Duration `yaml:"poll" default:"5s" min:"100ms" max:"1h" doc:"Time between looks at the certificate files for a change."`
 }
 
-// Certificate names the PEM files of one listener.
+// Certificate names the PEM files of one listener or client.
 type Certificate struct {
 	Cert Path `yaml:"cert" doc:"PEM file of the certificate chain. Empty means plain TCP."`
 	Key  Path `yaml:"key" doc:"PEM file of the private key."`
-	CA   Path `yaml:"ca" doc:"PEM file of the authorities that client certificates must be signed by. Empty means that none is asked for."`
+	CA   Path `yaml:"ca" doc:"PEM file of the authorities that the other side's certificate must be signed by. Empty means that callers and operators need none."`
 }
 
-// Enabled says whether the listener speaks TLS.
+// Enabled says whether TLS is spoken.
 func (c Certificate) Enabled() bool { return c.Cert != "" }
 
 // Limits bounds what callers can make the node hold and wait for.
@@ -107,10 +113,11 @@
 
 // Batch tunes the batch workers.
 type Batch struct {
-	Workers      int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
-	LeaseItems   int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
-	PollInterval time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
-	CreditTTL    time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
+	Workers           int           `yaml:"workers" unit:"leases" default:"8" min:"0" max:"10000" doc:"Leases held at once on this node; 0 means that the node runs no batch work."`
+	LeaseItems        int           `yaml:"lease_items" unit:"items" default:"64" min:"1" max:"10000" doc:"Items asked for in one lease."`
+	PollInterval      time.Duration `yaml:"poll_interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between looks for waiting work when none was found."`
+	ShareBesideOnline float64       `yaml:"share_beside_online" unit:"share of sequences" default:"1" min:"0.05" max:"1" doc:"Largest share of a runner's sequences that batch items fill while online work is on it. Lower spares the tail of online latency, higher gives batch throughput."`
+	CreditTTL         time.Duration `yaml:"credit_ttl" default:"2s" min:"50ms" max:"1m" doc:"How long a batch credit of a runner's owner holds without renewal."`
 }
 
 // Membership tunes the failure detector.
@@ -122,6 +129,14 @@
 	DigestInterval time.Duration `yaml:"digest_interval" default:"2s" min:"50ms" max:"10m" doc:"Time between exchanges of membership and configuration digests with another zone."`
 }
 
+// Process bounds what the process takes of its machine.
+type Process struct {
+	Processors       int  `yaml:"processors" unit:"processors" default:"0" min:"0" max:"1024" doc:"Most processors that run the node's code at once. 0 means all that the machine gives."`
+	IdleProcessors   int  `yaml:"idle_processors" unit:"processors" default:"0" min:"0" max:"1024" doc:"Processors the node uses while it has little to do; it takes more within half a second as the load grows. 0 means 1, or 2 with data_dir."`
+	MemoryTarget     Size `yaml:"memory_target" default:"0" min:"0" max:"1024GiB" doc:"Memory above which the collector works harder; it is no hard bound. 0 means none."`
+	CollectorPercent int  `yaml:"collector_percent" unit:"percent" default:"100" min:"10" max:"1000" doc:"Growth of the heap since the last collection that starts the next; less takes less memory and more processor time."`
+}
+
 // Log shapes the log.
 type Log struct {
 	Level string `yaml:"level" default:"info" oneof:"debug info warn error" doc:"Least severe level that is logged."`
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -15,6 +15,13 @@
 	Draining []ident.Node
 	// Suspected are nodes that the membership believes dead.
 	Suspected []ident.Node
+	// Disks are the present incarnations of live nodes, as far as they are known.
+	Disks []Member
+	// Places is the number of nodes that may hold a copy: those seen lately that are not about to stop, whether their
+	// incarnation is known or not.
+	Places int
+	// Fleet is the number of nodes with a disk that were seen lately, those about to stop included.
+	Fleet int
 }
 
 // PlanSettings are the times and sizes that planning goes by.
@@ -23,6 +30,11 @@
 	SuspectAfter time.Duration
 	// SuspectedAfter is the shorter silence that is enough if the membership suspects the node too.
 	SuspectedAfter time.Duration
+	// AloneAfter is the silence after which a member goes on alone. It is longer than that of a pause or a cut of the
+	// network: all that was acknowledged would rest on one disk for a false suspicion.
+	AloneAfter time.Duration
+	// RemoveAfter is how long a replica must have been out of its set, without a leader, before its data may be removed.
+	RemoveAfter time.Duration
 	// Copies is the wanted size of the set.
 	Copies int
 	// CaughtUp is how many entries a learner may lack when it becomes a member.
@@ -31,7 +43,10 @@
 
 // DefaultPlanSettings suit DefaultSettings.
 func DefaultPlanSettings() PlanSettings {
-	return PlanSettings{SuspectAfter: 5 * time.Second, SuspectedAfter: 2 * time.Second, Copies: 3, CaughtUp: 1000}
+	return PlanSettings{
+		SuspectAfter: 5 * time.Second, SuspectedAfter: 2 * time.Second, AloneAfter: 30 * time.Second,
+		RemoveAfter: time.Hour, Copies: 3, CaughtUp: 1000,
+	}
 }
 
 // CheckSuccessor reports whether next may follow current when the proposer writes it: the proposer is a member of both
@@ -92,7 +107,7 @@
 	if !activated {
 		return nil
 	}
-	if drained := drainedMember(status, world); drained != (Member{}) {
+	if drained := drainedMember(status, world, settings); drained != (Member{}) {
 		return without(status.Configuration.Members, []Member{drained})
 	}
 	if added := caughtUpLearners(status, world, settings); len(added) > 0 {
@@ -105,12 +120,34 @@
 // one, so that the side of a partition with fewer members is the slower one.
 func lostMembers(status Status, world World, settings PlanSettings) []Member {
 	lost, unit := silentMembers(status, world, settings)
-	if len(membersSilentFor(status, unit*time.Duration(len(lost)))) < len(lost) {
+	patience := max(unit*time.Duration(len(lost)), alonePatience(status, world, settings, lost))
+	if len(membersSilentFor(status, patience)) < len(lost) {
 		return nil
 	}
 	return lost
 }
 
+// alonePatience returns the longer silence that is needed before the loss of these members is believed, if this replica
+// would be left alone and any of them may still have its disk; else zero.
+func alonePatience(status Status, world World, settings PlanSettings, lost []Member) time.Duration {
+	if len(status.Configuration.Members)-len(lost) > 1 {
+		return 0
+	}
+	for _, member := range lost {
+		if !diskGone(world, member) {
+			return settings.AloneAfter
+		}
+	}
+	return 0
+}
+
+// diskGone reports whether a member's node has come back with another disk: the proof that the former one is gone.
+func diskGone(world World, member Member) bool {
+	return slices.ContainsFunc(world.Disks, func(disk Member) bool {
+		return disk.Node == member.Node && disk.Incarnation != member.Incarnation
+	})
+}
+
 // planSurvivors is the plan of a member without a leader: to go on with the members that still answer. Members take
 // turns by rank, and those that reach fewer wait longer.
 func planSurvivors(status Status, world World, settings PlanSettings) []Member {
@@ -120,8 +157,9 @@
 	}
 	members := status.Configuration.Members
 	rank := slices.Index(members, status.Self)
-	patience := unit*time.Duration(1+len(lost)) + unit/2*time.Duration(rank)
-	if status.LeaderSilence < patience {
+	alone := alonePatience(status, world, settings, lost)
+	patience := max(unit*time.Duration(1+len(lost)), alone) + unit/2*time.Duration(rank)
+	if status.LeaderSilence < patience || len(membersSilentFor(status, alone)) < len(lost) {
 		return nil
 	}
 	return without(members, lost)
@@ -151,13 +189,16 @@
 	return silent
 }
 
-// drainedMember returns another member that is about to stop, if two members remain.
-func drainedMember(status Status, world World) Member {
-	const leastRemaining = 2
-	if len(status.Configuration.Members) <= leastRemaining {
+// drainedMember returns another member that is about to stop, once the set can do without it: the members that stay are
+// as many as the fleet can hold, and leastRemaining are left whether they stay or not. Until then it is kept, and the set
+// grows first.
+func drainedMember(status Status, world World, settings PlanSettings) Member {
+	members := status.Configuration.Members
+	staying := stayingMembers(status, world, settings)
+	if staying < max(1, min(settings.Copies, world.Places)) || len(members) <= leastRemaining(world) {
 		return Member{}
 	}
-	for _, member := range status.Configuration.Members {
+	for _, member := range members {
 		if member != status.Self && slices.Contains(world.Draining, member.Node) {
 			return member
 		}
@@ -165,6 +206,32 @@
 	return Member{}
 }
 
+// leastRemaining is the size below which planned stops shrink no set: the whole fleet may be about to stop, and the last
+// node to say so must not be left as the only one that can start the shard again. A fleet of two machines has no third
+// to grow to, and goes on with the one that stays.
+func leastRemaining(world World) int {
+	const smallestFleet = 2
+	if world.Fleet == smallestFleet {
+		return 1
+	}
+	return 2
+}
+
+// stayingMembers counts the members that answer and are not about to stop.
+func stayingMembers(status Status, world World, settings PlanSettings) int {
+	staying := 0
+	if !slices.Contains(world.Draining, status.Self.Node) {
+		staying++
+	}
+	for _, other := range status.Others {
+		leaves := slices.Contains(world.Draining, other.Member.Node)
+		if !other.Learner && !leaves && other.Silence < settings.SuspectedAfter {
+			staying++
+		}
+	}
+	return staying
+}
+
 func caughtUpLearners(status Status, world World, settings PlanSettings) []Member {
 	wanted := Learners(status, world, settings)
 	var ready []Member
--- a/internal/shardhost/replica.go
+++ b/internal/shardhost/replica.go
@@ -22,6 +22,8 @@
 	storeTimeout       = 5 * time.Second
 	// compactEvery is how many entries more than the retained ones gather before the log is compacted.
 	compactEvery = 1000
+	// heldFactor is how many times the retained bytes of log are kept for a replica that catches up: 1 GiB by default.
+	heldFactor = 64
 )
 
 // replica runs the driver of one shard in one goroutine. Everything else talks to it through its channels.
@@ -34,6 +36,7 @@
 	proposals chan *proposal
 	stopped   chan struct{}
 	published atomic.Pointer[published]
+	transfers transfers
 
 	// The fields below belong to the goroutine.
 	waiting map[uint64]*proposal
@@ -61,6 +64,7 @@
 		proposals: make(chan *proposal, proposalLength),
 		stopped:   make(chan struct{}),
 		waiting:   map[uint64]*proposal{},
+		transfers: transfers{views: map[shard.Member]keptView{}},
 	}
 	created.ctx = host.ctx
 	created.publish()
@@ -73,8 +77,9 @@
 	defer close(r.stopped)
 	err := r.loop()
 	r.published.Store(&published{})
+	r.transfers.close()
 	r.failWaiting()
-	if err != nil {
+	if err != nil && !r.host.forgetRemoved(r, err) {
 		event.ShardReplicaFailed.Log(r.host.options.Logger).Uint32("shard", uint32(r.id)).Err(err).Send()
 	}
 	return nil
@@ -150,6 +155,9 @@
 		r.observed = record.Revision
 		r.driver.Observe(record.Configuration, record.Revision)
 	}
+	if err := r.transfers.expire(time.Now()); err != nil {
+		return err
+	}
 	request, due, err := r.driver.Tick(r.host.now(), r.host.nodes.world(r.id))
 	if due {
 		r.host.tomb.Go(func() error { r.ask(request); return nil })
@@ -208,11 +216,14 @@
 	return nil
 }
 
+// compact drops the applied part of the log beyond what is retained by number and by size. What replicas that catch up
+// still need stays, up to heldFactor times the retained size.
 func (r *replica) compact() error {
-	options := r.host.options
-	until := r.driver.Core.Compactable(options.RetainedEntries)
-	until = max(until, min(r.log.Retained(options.RetainedBytes), r.driver.Core.Compactable(0)))
-	bySize := r.log.Retained(options.RetainedBytes) >= r.log.FirstIndex()
+	options, core := r.host.options, r.driver.Core
+	sized := r.log.Retained(options.RetainedBytes)
+	until := max(core.Compactable(options.RetainedEntries), min(sized, core.Compactable(0)))
+	until = max(until, min(r.log.Retained(heldFactor*options.RetainedBytes), core.CompactableAtMost(0)))
+	bySize := sized >= r.log.FirstIndex()
 	if until < r.log.FirstIndex()+compactEvery && !(bySize && until >= r.log.FirstIndex()) {
 		return nil
 	}
--- a/internal/shardhost/shardhosttest/fleet.go
+++ b/internal/shardhost/shardhosttest/fleet.go
@@ -36,7 +36,11 @@
 	// RetainedEntries and MaximumBatch are those of the hosts.
 	RetainedEntries uint64
 	MaximumBatch    int
-	Logger          zerolog.Logger
+	// CatchUpStreams and CatchUpRate are those of the hosts.
+	CatchUpStreams, CatchUpRate int
+	// Dialer wraps the dialer of each host, to break its calls; nil leaves it.
+	Dialer func(transport.Dialer) transport.Dialer
+	Logger zerolog.Logger
 }
 
 const defaultZones = 3
@@ -55,6 +59,7 @@
 	plan := shard.DefaultPlanSettings()
 	plan.SuspectAfter = 2 * time.Second
 	plan.SuspectedAfter = time.Second
+	plan.AloneAfter = 4 * time.Second
 	return &plan
 }
 
@@ -75,6 +80,7 @@
 	disks   int
 	address string
 	running bool
+	leaving bool
 	store   *shardlog.Store
 	pool    *transport.Pool
 	server  *transport.Server
@@ -163,10 +169,15 @@
 	pool := transport.NewPool(transport.PoolOptions{Lookup: func(to ident.Node) (string, bool) {
 		return f.lookup(to)
 	}})
+	var dialer transport.Dialer = pool
+	if f.options.Dialer != nil {
+		dialer = f.options.Dialer(pool)
+	}
 	host, err := shardhost.New(shardhost.Options{
-		Node: started.name, Store: store, KV: f.KV, Dialer: pool, Nodes: f.view, Shards: f.options.Shards,
+		Node: started.name, Store: store, KV: f.KV, Dialer: dialer, Nodes: f.view, Shards: f.options.Shards,
 		Machine: f.options.Machine, Settings: f.options.Settings, Plan: f.options.Plan,
 		RetainedEntries: f.options.RetainedEntries, MaximumBatch: f.options.MaximumBatch, DeadAfter: 2 * time.Second,
+		CatchUpStreams: f.options.CatchUpStreams, CatchUpRate: f.options.CatchUpRate,
 		Logger: f.options.Logger.With().Str("node", string(started.name)).Logger(),
 	})
 	if err != nil {
@@ -182,6 +193,7 @@
 	started.store, started.pool, started.server, started.host, started.served = store, pool, server, host, served
 	started.address = listener.Addr().String()
 	started.running = true
+	started.leaving = false
 	f.mutex.Unlock()
 	return host.Start()
 }
@@ -193,7 +205,7 @@
 	var nodes []shardhost.NodeInfo
 	for _, known := range f.nodes {
 		nodes = append(nodes, shardhost.NodeInfo{
-			Node: known.name, Zone: known.zone, Alive: known.running,
+			Node: known.name, Zone: known.zone, Alive: known.running, Draining: known.leaving,
 		})
 	}
 	return nodes
@@ -219,6 +231,13 @@
 	return err
 }
 
+// Announce tells all nodes that one is about to stop as planned.
+func (f *Fleet) Announce(number int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.nodes[number].leaving = true
+}
+
 // StopWithin stops a node and gives its calls under way until ctx ends. cut says that some had not ended then.
 func (f *Fleet) StopWithin(ctx context.Context, number int) (cut, err error) {
 	f.mutex.Lock()
--- a/internal/shardlog/snapshot.go
+++ b/internal/shardlog/snapshot.go
@@ -1,6 +1,7 @@
 package shardlog
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 
@@ -12,9 +13,9 @@
 // Pair is a key of the state machine with its value.
 type Pair struct{ Key, Value []byte }
 
-// Export gives the state of the view to send, in chunks of about chunkBytes. The pairs are only valid during the call.
+// Export gives the state of the view behind a key (nil for all of it) to send, in chunks of about chunkBytes. The pairs are only valid during the call.
 // Memory stays bounded by a chunk.
-func (v *View) Export(chunkBytes int, send func(pairs []Pair) error) error {
+func (v *View) Export(behind []byte, chunkBytes int, send func(pairs []Pair) error) error {
 	var chunk []Pair
 	var failed error
 	size := 0
@@ -25,7 +26,11 @@
 		chunk, size = chunk[:0], 0
 		return failed == nil
 	}
-	err := v.Reader().Scan(nil, nil, func(key, value []byte) bool {
+	var start []byte
+	if behind != nil {
+		start = append(bytes.Clone(behind), 0)
+	}
+	err := v.Reader().Scan(start, nil, func(key, value []byte) bool {
 		chunk = append(chunk, Pair{Key: append([]byte(nil), key...), Value: append([]byte(nil), value...)})
 		size += len(key) + len(value)
 		return size < chunkBytes || flush()
@@ -53,6 +58,11 @@
 
 // Add stores a chunk. It is not synced: the installation is, and it follows in the same write-ahead log.
 func (s *Staged) Add(pairs []Pair) error {
+	s.log.receiving.RLock()
+	defer s.log.receiving.RUnlock()
+	if s.log.removed {
+		return fmt.Errorf("shard %d: staging for a removed replica: %w", s.log.id, ErrCompacted)
+	}
 	batch := s.log.store.db.NewBatch()
 	prefix := numberedKey(spaceState, s.log.id, s.number)
 	for _, pair := range pairs {
@@ -65,6 +75,11 @@
 
 // Discard drops a state that will not be installed.
 func (s *Staged) Discard() error {
+	s.log.receiving.RLock()
+	defer s.log.receiving.RUnlock()
+	if s.log.removed {
+		return nil
+	}
 	batch := s.log.store.db.NewBatch()
 	prefix := numberedKey(spaceState, s.log.id, s.number)
 	if err := batch.DeleteRange(prefix, after(prefix), nil); err != nil {
@@ -92,17 +107,45 @@
 	return nil
 }
 
-// Remove deletes the replica's log and state from the disk. Its promises stay. It is only for a replica that is no
-// member of the newest set.
-func (l *Log) Remove() error {
+// Remove deletes the replica's log and state from the disk and leaves the tombstone in their place, in one synced write.
+// It is only for a replica that is no member of the newest set, and the last use of this Log.
+func (l *Log) Remove(tombstone shard.HardState) error {
+	l.receiving.Lock()
+	defer l.receiving.Unlock()
+	l.removed = true
 	batch := l.store.db.NewBatch()
+	if err := l.clear(batch); err != nil {
+		return err
+	}
+	if err := l.setHardState(batch, tombstone); err != nil {
+		return err
+	}
+	return l.commit(batch, pebble.Sync)
+}
+
+// clear deletes all but the hard state.
+func (l *Log) clear(batch *pebble.Batch) error {
 	for _, space := range []byte{spaceMeta, spaceApplied, spaceLog, spaceState} {
 		prefix := shardKey(space, l.id)
 		if err := batch.DeleteRange(prefix, after(prefix), nil); err != nil {
 			return fmt.Errorf("removing: %w: %w", ErrDisk, err)
 		}
 	}
-	return l.commit(batch, pebble.Sync)
+	return nil
+}
+
+// Bytes estimates the disk space of the replica's log and state.
+func (l *Log) Bytes() (uint64, error) {
+	total := uint64(0)
+	for _, space := range []byte{spaceLog, spaceState} {
+		prefix := shardKey(space, l.id)
+		size, err := l.store.db.EstimateDiskUsage(prefix, after(prefix))
+		if err != nil {
+			return 0, fmt.Errorf("measuring: %w: %w", ErrDisk, err)
+		}
+		total += size
+	}
+	return total, nil
 }
 
 func encodeNumber(number uint64) []byte { return binary.BigEndian.AppendUint64(nil, number) }
