--- a/internal/lab/experiment/jobworkers.go
+++ b/internal/lab/experiment/jobworkers.go
@@ -42,8 +42,8 @@
 	answer json.RawMessage
 	seed   uint64
 
-	finished, calls, failures atomic.Int64
-	mutex                     sync.Mutex
+	finished, failures atomic.Int64
+	mutex              sync.Mutex
 	// firstLease is when the first items of a job were leased.
 	firstLease map[ident.Job]time.Time
 	lastError  error
