Run four simulations on one virtual clock

Cause: the event queue of confsim stood again in overloadsim, affinity and interferencesim, alike but for names.

--- a/internal/lab/affinity/simulation.go
+++ b/internal/lab/affinity/simulation.go
@@ -15,6 +15,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
+	"mallowlatch.example/mallowlatch/internal/lab/virtualtime"
 	"mallowlatch.example/mallowlatch/internal/machine"
 	"mallowlatch.example/mallowlatch/internal/schedule"
 )
@@ -80,7 +81,7 @@
 
 type simulation struct {
 	options  Options
-	clock    clock
+	clock    *virtualtime.Clock
 	random   *rand.Rand
 	work     *workload
 	nodes    []*node
@@ -124,14 +125,14 @@
 	start := time.Unix(1_800_000_000, 0)
 	simulated := &simulation{
 		options:  options,
-		clock:    clock{now: start},
+		clock:    virtualtime.New(start),
 		random:   rand.New(rand.NewPCG(options.Seed, 2)),
 		work:     newWorkload(options.Seed, options.Chains),
 		measured: start.Add(options.Warmup),
 	}
 	simulated.build()
 	simulated.begin()
-	simulated.clock.runUntil(simulated.measured.Add(options.Duration))
+	simulated.clock.RunUntil(simulated.measured.Add(options.Duration))
 	return simulated.finish()
 }
 
@@ -148,7 +149,7 @@
 			table: dispatch.NewTable(), counts: map[ident.Runner]int{},
 		}
 		created.table.SetAffinity(s.affinity())
-		created.table.SetMachines(list, s.clock.now)
+		created.table.SetMachines(list, s.clock.Now())
 		s.nodes = append(s.nodes, created)
 	}
 	for number, runner := range list.Runners {
@@ -172,14 +173,14 @@
 
 func (s *simulation) begin() {
 	for _, each := range s.engines {
-		s.clock.every(pollPeriod, func() { s.poll(each) })
-		s.clock.every(sharePeriod, func() { s.share(each) })
+		s.clock.Every(0, pollPeriod, func() { s.poll(each) })
+		s.clock.Every(0, sharePeriod, func() { s.share(each) })
 	}
 	if s.options.Life > 0 {
-		s.clock.every(s.options.Life/time.Duration(s.options.Chains), s.work.replaceOne)
+		s.clock.Every(0, s.options.Life/time.Duration(s.options.Chains), s.work.replaceOne)
 	}
-	s.clock.after(time.Second, s.arrive)
-	s.clock.after(s.options.Warmup, func() { s.hits = -s.cachedTokens() })
+	s.clock.After(time.Second, s.arrive)
+	s.clock.After(s.options.Warmup, func() { s.hits = -s.cachedTokens() })
 }
 
 // cachedTokens returns the prompt tokens that the caches have saved so far.
@@ -194,15 +195,15 @@
 // poll is an owner's look at its engine: the load as of a while ago, and the cache.
 func (s *simulation) poll(polled *engineAt) {
 	report := s.report(polled)
-	s.clock.after(loadLag, func() { polled.owner.table.ObserveReport(polled.id, report, s.clock.now) })
+	s.clock.After(loadLag, func() { polled.owner.table.ObserveReport(polled.id, report, s.clock.Now()) })
 	if s.options.Knowledge != Events {
 		return
 	}
-	question := polled.index.Next(s.clock.now)
+	question := polled.index.Next(s.clock.Now())
 	if question.Listing {
 		polled.index.TakeListing(polled.virtual.CacheBlocks(question.SampleBits))
 	} else {
-		polled.index.TakeEvents(polled.virtual.CacheEvents(question.After, question.SampleBits, s.clock.now), s.clock.now)
+		polled.index.TakeEvents(polled.virtual.CacheEvents(question.After, question.SampleBits, s.clock.Now()), s.clock.Now())
 	}
 	s.readCache(polled.owner, polled)
 }
@@ -211,7 +212,7 @@
 func (s *simulation) report(reporting *engineAt) engine.LoadReport {
 	load := reporting.virtual.Load()
 	return engine.LoadReport{
-		Measured:      s.clock.now,
+		Measured:      s.clock.Now(),
 		RunningOnline: load.RunningOnline,
 		WaitingOnline: load.WaitingOnline,
 		MaxSequences:  load.MaxSequences,
@@ -229,7 +230,7 @@
 		return
 	}
 	delta := read.index.Since(mark, repliedChanges)
-	s.clock.after(distance, func() { reader.table.ObserveCache(read.id, delta, s.clock.now) })
+	s.clock.After(distance, func() { reader.table.ObserveCache(read.id, delta, s.clock.Now()) })
 	if reader != read.owner {
 		s.result.Replies++
 		s.result.Changes += len(delta.Stored) + len(delta.Removed)
@@ -245,24 +246,24 @@
 
 // tell gives a node the owner's view of an engine, with the online work the owner knows of.
 func (s *simulation) tell(shared *engineAt, told *node) {
-	view, _ := shared.owner.table.Runner(shared.id, s.clock.now)
+	view, _ := shared.owner.table.Runner(shared.id, s.clock.Now())
 	if told == shared.owner || view.Report == nil {
 		return
 	}
 	report := *view.Report
 	report.RunningOnline = max(report.RunningOnline, view.OwnInFlight+view.PeersInFlight-report.WaitingOnline)
-	s.clock.after(distance, func() { told.table.ObserveShared(shared.id, report, s.clock.now) })
+	s.clock.After(distance, func() { told.table.ObserveShared(shared.id, report, s.clock.Now()) })
 }
 
 func (s *simulation) arrive() {
 	gap := time.Duration(s.random.ExpFloat64() / s.options.Rate * float64(time.Second))
-	s.clock.after(gap, s.arrive)
+	s.clock.After(gap, s.arrive)
 	s.place(s.nodes[s.random.IntN(len(s.nodes))], s.work.next())
 }
 
 // place decides on one request and sends it.
 func (s *simulation) place(at *node, content prompt) {
-	counted := !s.clock.now.Before(s.measured)
+	counted := !s.clock.Now().Before(s.measured)
 	if counted {
 		s.result.Requests++
 	}
@@ -273,7 +274,7 @@
 		}
 		return
 	}
-	placed := &request{arrived: s.clock.now, node: at, engine: chosen}
+	placed := &request{arrived: s.clock.Now(), node: at, engine: chosen}
 	at.table.Start(chosen.id, content.blocks)
 	s.count(at, chosen, 1)
 	if counted {
@@ -281,7 +282,7 @@
 	}
 	sequence := enginesim.NewVirtualSequence(inference.Online, content.tokens, content.answer, content.blocks)
 	sequence.Token = func(last bool) { s.token(placed, last) }
-	s.clock.after(distance, func() {
+	s.clock.After(distance, func() {
 		chosen.virtual.Submit(sequence)
 		s.step(chosen)
 	})
@@ -293,14 +294,14 @@
 	for number := range zones {
 		far[zoneName(number)] = distance.Seconds() * 1000
 	}
-	snapshot := at.table.Snapshot(at.zone, far, model, content.blocks, s.clock.now)
+	snapshot := at.table.Snapshot(at.zone, far, model, content.blocks, s.clock.Now())
 	if s.options.Knowledge == Perfect {
 		for index := range snapshot.Runners {
 			snapshot.Runners[index].PrefixBlocks = s.engineOf(snapshot.Runners[index].ID).virtual.Cached(content.blocks)
 		}
 	}
 	asked := &inference.Request{Model: model, PrefixBlocks: content.blocks, PromptTokens: content.tokens, MaxTokens: content.answer}
-	decision, refusal := schedule.Decide(snapshot, asked, s.clock.now, s.random, schedule.Options{})
+	decision, refusal := schedule.Decide(snapshot, asked, s.clock.Now(), s.random, schedule.Options{})
 	if refusal != nil {
 		return nil
 	}
@@ -315,7 +316,7 @@
 // measure books where a request went.
 func (s *simulation) measure(chosen *engineAt, content prompt) {
 	s.tokens += int64(content.tokens)
-	window := int(s.clock.now.Sub(s.measured) / herdWindow)
+	window := int(s.clock.Now().Sub(s.measured) / herdWindow)
 	for len(s.windows) <= window {
 		s.windows = append(s.windows, make([]int, runners))
 	}
@@ -328,9 +329,9 @@
 	if at == on.owner {
 		return
 	}
-	s.clock.after(countDelay+distance, func() {
+	s.clock.After(countDelay+distance, func() {
 		at.sequence++
-		on.owner.table.ObservePeer(at.id, at.sequence, on.id, at.counts[on.id], s.clock.now)
+		on.owner.table.ObservePeer(at.id, at.sequence, on.id, at.counts[on.id], s.clock.Now())
 		s.tell(on, at)
 		if s.options.Knowledge == Events {
 			s.readCache(at, on)
@@ -343,14 +344,14 @@
 	if stepped.busy {
 		return
 	}
-	stepped.virtual.At(s.clock.now)
+	stepped.virtual.At(s.clock.Now())
 	lasts, any := stepped.virtual.Plan()
 	if !any {
 		return
 	}
 	stepped.busy = true
-	s.clock.after(lasts, func() {
-		stepped.virtual.At(s.clock.now)
+	s.clock.After(lasts, func() {
+		stepped.virtual.At(s.clock.Now())
 		stepped.virtual.Apply()
 		stepped.busy = false
 		s.step(stepped)
@@ -360,13 +361,13 @@
 // token books a token of an answer.
 func (s *simulation) token(answered *request, last bool) {
 	if !answered.begun && !answered.arrived.Before(s.measured) {
-		s.firsts = append(s.firsts, s.clock.now.Add(distance).Sub(answered.arrived))
+		s.firsts = append(s.firsts, s.clock.Now().Add(distance).Sub(answered.arrived))
 	}
 	answered.begun = true
 	if !last {
 		return
 	}
-	s.clock.after(distance, func() {
+	s.clock.After(distance, func() {
 		answered.node.table.End(answered.engine.id)
 		s.count(answered.node, answered.engine, -1)
 	})
--- a/internal/lab/confsim/fleet.go
+++ b/internal/lab/confsim/fleet.go
@@ -8,6 +8,7 @@
 	"mallowlatch.example/mallowlatch/internal/confsync"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/lab/virtualtime"
 )
 
 // Options describe a fleet.
@@ -34,10 +35,10 @@
 
 // Fleet is a simulated fleet.
 type Fleet struct {
-	options   Options
-	scheduler *scheduler
-	random    *rand.Rand
-	data      *kvtest.Data
+	options Options
+	clock   *virtualtime.Clock
+	random  *rand.Rand
+	data    *kvtest.Data
 	// late is a client of the key-value service without faults, for requests that were held up.
 	late   *kvtest.Store
 	nodes  []*Node
@@ -55,11 +56,11 @@
 // New returns a running fleet of empty nodes at the simulated instant zero.
 func New(options Options) *Fleet {
 	fleet := &Fleet{
-		options:   options,
-		scheduler: newScheduler(),
-		random:    rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		byName:    map[ident.Node]*Node{},
-		cut:       map[ident.Zone]bool{},
+		options: options,
+		clock:   virtualtime.New(virtualtime.Epoch),
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		byName:  map[ident.Node]*Node{},
+		cut:     map[ident.Zone]bool{},
 	}
 	fleet.data = kvtest.NewData(fleet.Now)
 	fleet.late = kvtest.NewStore(fleet.data, options.Seed)
@@ -81,10 +82,10 @@
 }
 
 // Now returns the simulated instant.
-func (f *Fleet) Now() time.Time { return f.scheduler.now }
+func (f *Fleet) Now() time.Time { return f.clock.Now() }
 
 // Run runs the fleet for a simulated duration.
-func (f *Fleet) Run(duration time.Duration) { f.scheduler.runUntil(f.Now().Add(duration)) }
+func (f *Fleet) Run(duration time.Duration) { f.clock.RunUntil(f.Now().Add(duration)) }
 
 // Nodes returns the nodes.
 func (f *Fleet) Nodes() []*Node { return f.nodes }
@@ -128,7 +129,7 @@
 // viewsChanged has every node's list of live peers follow within the detection delay.
 func (f *Fleet) viewsChanged() {
 	for _, node := range f.nodes {
-		f.scheduler.after(f.draw(f.options.DetectionDelay), node.refreshPeers)
+		f.clock.After(f.draw(f.options.DetectionDelay), node.refreshPeers)
 	}
 }
 
--- a/internal/lab/confsim/network.go
+++ b/internal/lab/confsim/network.go
@@ -11,7 +11,7 @@
 func (f *Fleet) send(from *Node, send confsync.Send) {
 	to := f.byName[send.To.Node]
 	call := &call{fleet: f, from: from, to: to, send: send, life: from.life}
-	f.scheduler.after(f.options.Timing.ExchangeTimeout, call.timeOut)
+	f.clock.After(f.options.Timing.ExchangeTimeout, call.timeOut)
 	f.count(send.Digest.WireBytes())
 	call.deliver()
 	if f.random.Float64() < f.options.Duplicate {
@@ -44,7 +44,7 @@
 	if c.fleet.lost(c.from, c.to) {
 		return
 	}
-	c.fleet.scheduler.after(c.fleet.linkDelay(c.from.peer.Zone, c.to.peer.Zone), c.arrive)
+	c.fleet.clock.After(c.fleet.linkDelay(c.from.peer.Zone, c.to.peer.Zone), c.arrive)
 }
 
 // arrive handles the request and carries the answer back.
@@ -56,7 +56,7 @@
 	if c.fleet.lost(c.to, c.from) {
 		return
 	}
-	c.fleet.scheduler.after(c.fleet.linkDelay(c.to.peer.Zone, c.from.peer.Zone), func() {
+	c.fleet.clock.After(c.fleet.linkDelay(c.to.peer.Zone, c.from.peer.Zone), func() {
 		if c.from.life == c.life && !c.from.paused {
 			c.answered = true
 			c.from.step(finish)
--- a/internal/lab/confsim/node.go
+++ b/internal/lab/confsim/node.go
@@ -152,7 +152,7 @@
 	}
 	n.ticking = next
 	life := n.life
-	n.fleet.scheduler.after(max(0, next.Sub(n.fleet.Now())), func() {
+	n.fleet.clock.After(max(0, next.Sub(n.fleet.Now())), func() {
 		if n.life != life || !n.ticking.Equal(next) {
 			return
 		}
@@ -167,7 +167,7 @@
 // scheduleFollow has a relay read the key-value service after a delay, and again and again.
 func (n *Node) scheduleFollow(delay time.Duration) {
 	life := n.life
-	n.fleet.scheduler.after(delay, func() {
+	n.fleet.clock.After(delay, func() {
 		if n.life != life {
 			return
 		}
--- a/internal/lab/confsim/operator.go
+++ b/internal/lab/confsim/operator.go
@@ -56,7 +56,7 @@
 	operator.proceed()
 }
 
-// operator is one Apply, run in a goroutine of its own that only moves while the scheduler waits for it: the run stays
+// operator is one Apply, run in a goroutine of its own that only moves while the clock waits for it: the run stays
 // deterministic and free of data races.
 type operator struct {
 	fleet     *Fleet
@@ -90,7 +90,7 @@
 		next.finish()
 		return
 	}
-	o.fleet.scheduler.after(next.delay, o.proceed)
+	o.fleet.clock.After(next.delay, o.proceed)
 }
 
 // wait lets simulated time pass.
@@ -176,7 +176,7 @@
 
 // commitLate applies a commit after a while, past every fault.
 func (f *Fleet) commitLate(compares []kv.Compare, writes []kv.Write) {
-	f.scheduler.after(f.draw(3*time.Second), func() {
+	f.clock.After(f.draw(3*time.Second), func() {
 		// A compare that no longer holds is the case under test.
 		_, _ = f.late.Commit(context.Background(), compares, writes)
 		f.committed()
@@ -186,6 +186,6 @@
 // committed has the watches of all relays show a change after the store's delay.
 func (f *Fleet) committed() {
 	for _, node := range f.nodes {
-		f.scheduler.after(f.options.StoreDelay+f.draw(f.options.StoreDelay), node.follow)
+		f.clock.After(f.options.StoreDelay+f.draw(f.options.StoreDelay), node.follow)
 	}
 }
--- a/internal/lab/interferencesim/arms.go
+++ b/internal/lab/interferencesim/arms.go
@@ -67,7 +67,7 @@
 			}
 		}
 		f.moreBatch = append(f.moreBatch, start)
-		f.clock.after(0, start)
+		f.clock.After(0, start)
 	}
 }
 
--- a/internal/lab/interferencesim/counts.go
+++ b/internal/lab/interferencesim/counts.go
@@ -36,7 +36,7 @@
 
 // tell sends the count that stands after the wait.
 func (f *fleet) tell(telling *told, state *runnerState, node int, wait time.Duration) {
-	f.clock.after(wait, func() {
+	f.clock.After(wait, func() {
 		telling.waiting = telling.waiting && wait == 0
 		telling.last = telling.current
 		count := telling.current
--- a/internal/lab/interferencesim/fleet.go
+++ b/internal/lab/interferencesim/fleet.go
@@ -6,13 +6,14 @@
 
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
+	"mallowlatch.example/mallowlatch/internal/lab/virtualtime"
 )
 
 // fleet is one arm under way.
 type fleet struct {
 	options Options
 	arm     arm
-	clock   clock
+	clock   *virtualtime.Clock
 	// random draws the jitter.
 	random  *rand.Rand
 	prompts *prompts
@@ -29,7 +30,7 @@
 
 // runner is one engine with its step loop.
 type runner struct {
-	clock    *clock
+	clock    *virtualtime.Clock
 	index    int
 	engine   *enginesim.Virtual
 	stepping bool
@@ -42,12 +43,18 @@
 }
 
 func newFleet(options Options, arm arm) *fleet {
-	created := &fleet{options: options, arm: arm, prompts: newPrompts(options), random: rand.New(rand.NewPCG(options.Seed, 3))}
+	created := &fleet{
+		clock:   virtualtime.New(virtualtime.Epoch),
+		options: options,
+		arm:     arm,
+		prompts: newPrompts(options),
+		random:  rand.New(rand.NewPCG(options.Seed, 3)),
+	}
 	created.backlog = backlog{prompts: created.prompts, endless: options.HeapEvery == 0, promptless: arm.promptless}
 	engineOptions := enginesim.Options{MaxSequences: options.MaxSequences, IgnorePriority: arm.ignorePriority}
 	for index := range options.Runners {
 		added := &runner{
-			clock:  &created.clock,
+			clock:  created.clock,
 			index:  index,
 			engine: enginesim.NewVirtual(engineOptions),
 			to:     created.newLink(options.CallDelay),
@@ -64,7 +71,7 @@
 }
 
 func (f *fleet) newLink(delay time.Duration) *link {
-	return &link{clock: &f.clock, random: f.random, delay: delay, jitter: f.options.Jitter}
+	return &link{clock: f.clock, random: f.random, delay: delay, jitter: f.options.Jitter}
 }
 
 // submit gives the engine a sequence; an engine without work begins a step at once.
@@ -81,7 +88,7 @@
 	if !busy {
 		return
 	}
-	r.clock.after(duration, func() {
+	r.clock.After(duration, func() {
 		r.engine.Apply()
 		r.step()
 	})
@@ -95,15 +102,15 @@
 		f.setArrivals(arrivals(f.options))
 	}
 	end := f.options.duration()
-	f.clock.runUntil(warmup)
+	f.clock.RunUntil(virtualtime.Epoch.Add(warmup))
 	before := f.counters()
 	f.measured.open = true
-	f.clock.runUntil(end)
+	f.clock.RunUntil(virtualtime.Epoch.Add(end))
 	f.measured.open = false
 	f.measured.counters = f.counters().Minus(before)
 	f.measured.window = end - warmup
 	// Requests that are under way still count; batch goes on beside them.
-	f.clock.runUntil(end + warmup)
+	f.clock.RunUntil(virtualtime.Epoch.Add(end + warmup))
 	return f.measured
 }
 
@@ -120,7 +127,7 @@
 	if len(planned) == 0 {
 		return
 	}
-	f.clock.after(planned[0].at-f.clock.now, func() {
+	f.clock.After(planned[0].at-f.clock.Elapsed(), func() {
 		f.dispatch(planned[0])
 		f.setArrivals(planned[1:])
 	})
@@ -134,7 +141,7 @@
 	sequence := f.prompts.online(planned)
 	var lastToken time.Duration
 	sequence.Token = func(last bool) {
-		now := f.clock.now
+		now := f.clock.Elapsed()
 		if planned.at >= warmup {
 			f.measured.token(chosen.from.arrival()-planned.at, now-lastToken, sequence.Generated() == 1)
 		}
@@ -168,7 +175,7 @@
 	for _, start := range f.moreBatch {
 		start()
 	}
-	f.clock.after(f.options.HeapEvery, f.startHeaps)
+	f.clock.After(f.options.HeapEvery, f.startHeaps)
 }
 
 // completed books a whole batch answer.
--- a/internal/lab/interferencesim/interferencesim_test.go
+++ b/internal/lab/interferencesim/interferencesim_test.go
@@ -74,7 +74,7 @@
 				assert.Assert(t, held <= max(state.credits.Hold, 0), "%d runs, %d may run on", held, state.credits.Hold)
 			}
 		}
-		fleet.clock.after(3*time.Millisecond, look)
+		fleet.clock.After(3*time.Millisecond, look)
 	}
 	look()
 	found := fleet.run()
--- a/internal/lab/interferencesim/worker.go
+++ b/internal/lab/interferencesim/worker.go
@@ -64,23 +64,23 @@
 		owner.states[runner.index] = state
 		owner.owned = append(owner.owned, state)
 		phase := fleet.options.ReportEvery * time.Duration(runner.index) / time.Duration(len(fleet.runners))
-		fleet.clock.after(phase, func() { owner.poll(state) })
+		fleet.clock.After(phase, func() { owner.poll(state) })
 	}
 	for index, worker := range fleet.workers {
-		fleet.clock.after(tick*time.Duration(index)/time.Duration(len(fleet.workers)), worker.tick)
+		fleet.clock.After(tick*time.Duration(index)/time.Duration(len(fleet.workers)), worker.tick)
 	}
 }
 
 func (w *worker) tick() {
 	w.turn()
-	w.fleet.clock.after(tick, w.tick)
+	w.fleet.clock.After(tick, w.tick)
 }
 
 // poll takes a load report, which is here after the lag.
 func (w *worker) poll(state *runnerState) {
 	load := state.runner.engine.Load()
 	report := &engine.LoadReport{
-		Measured:      w.fleet.clock.wall(),
+		Measured:      w.fleet.clock.Now(),
 		RunningOnline: load.RunningOnline,
 		RunningBatch:  load.RunningBatch,
 		WaitingOnline: load.WaitingOnline,
@@ -89,8 +89,8 @@
 		MemoryUsed:    load.MemoryUsed,
 		StepTime:      load.StepTime,
 	}
-	w.fleet.clock.after(w.fleet.options.ReportLag, func() { state.report = report })
-	w.fleet.clock.after(w.fleet.options.ReportEvery, func() { w.poll(state) })
+	w.fleet.clock.After(w.fleet.options.ReportLag, func() { state.report = report })
+	w.fleet.clock.After(w.fleet.options.ReportEvery, func() { w.poll(state) })
 }
 
 // setOnline takes a node's count of online requests; the worker looks at once when it rises.
@@ -103,7 +103,7 @@
 }
 
 func (w *worker) turn() {
-	now := w.fleet.clock.wall()
+	now := w.fleet.clock.Now()
 	for _, state := range w.owned {
 		state.decide(now)
 	}
@@ -162,7 +162,7 @@
 		sequence.Restart()
 	}
 	state.runner.from.send(func() {
-		aborted.item.runner, aborted.item.keptAt = state.runner, w.fleet.clock.now
+		aborted.item.runner, aborted.item.keptAt = state.runner, w.fleet.clock.Elapsed()
 		w.queue = slices.Insert(w.queue, 0, aborted.item)
 		w.ended(state, aborted)
 	})
@@ -208,7 +208,7 @@
 // next takes the first item that may start on the runner, or returns nil.
 func (w *worker) next(state *runnerState) *item {
 	w.lease()
-	now := w.fleet.clock.wall()
+	now := w.fleet.clock.Now()
 	fits := func(candidate *item) bool {
 		return state.controller.Fits(candidate.prompt, now) &&
 			(state.prefill == 0 || state.prefill+candidate.prompt <= state.credits.PrefillTokens)
@@ -232,17 +232,17 @@
 		return
 	}
 	state.lookAt = at
-	w.fleet.clock.after(at.Sub(now), w.turn)
+	w.fleet.clock.After(at.Sub(now), w.turn)
 }
 
 // watchSteps tells the controller of the end of a step by the first token that shows it.
 func (w *worker) watchSteps(state *runnerState) {
-	if state.stepEnd == w.fleet.clock.now {
+	if state.stepEnd == w.fleet.clock.Elapsed() {
 		return
 	}
-	state.stepEnd = w.fleet.clock.now
+	state.stepEnd = w.fleet.clock.Elapsed()
 	state.runner.from.send(func() {
-		state.controller.Stepped(w.fleet.clock.wall())
+		state.controller.Stepped(w.fleet.clock.Now())
 		w.turn()
 	})
 }
@@ -252,7 +252,7 @@
 		return true
 	}
 	patience := time.Duration(queued.sequence.Generated()) * keptTimePerToken
-	return w.fleet.clock.now-queued.keptAt > patience
+	return w.fleet.clock.Elapsed()-queued.keptAt > patience
 }
 
 func (w *worker) launch(state *runnerState, started *item) {
--- a/internal/lab/overloadsim/fleet.go
+++ b/internal/lab/overloadsim/fleet.go
@@ -13,13 +13,14 @@
 	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
 	"mallowlatch.example/mallowlatch/internal/lab/load"
+	"mallowlatch.example/mallowlatch/internal/lab/virtualtime"
 	"mallowlatch.example/mallowlatch/internal/machine"
 )
 
 // Fleet is a simulated fleet.
 type Fleet struct {
 	options Options
-	clock   *clock
+	clock   *virtualtime.Clock
 	// random draws the arrivals and links the delays, so that what the nodes do changes no arrival.
 	random, links *rand.Rand
 	catalog       staticCatalog
@@ -44,7 +45,7 @@
 	options = options.withDefaults()
 	fleet := newFleet(options)
 	fleet.schedule()
-	fleet.clock.runFor(options.Duration + drainTime)
+	fleet.clock.RunFor(options.Duration + drainTime)
 	return fleet.finish()
 }
 
@@ -54,7 +55,7 @@
 func newFleet(options Options) *Fleet {
 	fleet := &Fleet{
 		options: options,
-		clock:   newClock(),
+		clock:   virtualtime.New(virtualtime.Epoch),
 		random:  rand.New(rand.NewPCG(options.Seed, 1)),
 		links:   rand.New(rand.NewPCG(options.Seed, 0)),
 		byName:  map[ident.Runner]*runner{},
@@ -114,16 +115,16 @@
 func (f *Fleet) schedule() {
 	for index, node := range f.nodes {
 		phase := time.Duration(index) * time.Millisecond
-		f.clock.every(pollEvery/2+phase, pollEvery, node.poll)
-		f.clock.every(renewEvery/2+phase, renewEvery, node.renew)
-		f.clock.every(demandEvery/2+phase, demandEvery, func() { f.exchangeDemand(node) })
+		f.clock.Every(pollEvery/2+phase, pollEvery, node.poll)
+		f.clock.Every(renewEvery/2+phase, renewEvery, node.renew)
+		f.clock.Every(demandEvery/2+phase, demandEvery, func() { f.exchangeDemand(node) })
 	}
 	for _, loss := range f.options.Losses {
 		lost := f.runners[loss.Runner]
-		f.clock.after(loss.At, lost.crash)
-		f.clock.after(loss.At+loss.For, lost.restart)
+		f.clock.After(loss.At, lost.crash)
+		f.clock.After(loss.At+loss.For, lost.restart)
 	}
-	f.clock.every(time.Second, time.Second, f.sample)
+	f.clock.Every(time.Second, time.Second, f.sample)
 	f.nextArrival()
 }
 
@@ -159,18 +160,18 @@
 func (f *Fleet) nextArrival() {
 	rate := 0.0
 	for _, stage := range f.options.Stages {
-		if f.clock.elapsed() >= stage.From {
+		if f.clock.Elapsed() >= stage.From {
 			rate = stage.Rate
 		}
 	}
-	if f.clock.elapsed() >= f.options.Duration {
+	if f.clock.Elapsed() >= f.options.Duration {
 		return
 	}
 	if rate <= 0 {
-		f.clock.after(10*time.Millisecond, f.nextArrival)
+		f.clock.After(10*time.Millisecond, f.nextArrival)
 		return
 	}
-	f.clock.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
+	f.clock.After(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
 		f.arrive()
 		f.nextArrival()
 	})
@@ -234,7 +235,7 @@
 		return
 	}
 	made.returns++
-	f.clock.after(failed.RetryAfter, func() { f.nodes[made.node].receive(made) })
+	f.clock.After(failed.RetryAfter, func() { f.nodes[made.node].receive(made) })
 }
 
 func (f *Fleet) runner(id ident.Runner) *runner { return f.byName[id] }
--- a/internal/lab/overloadsim/node.go
+++ b/internal/lab/overloadsim/node.go
@@ -114,8 +114,8 @@
 	c.turn = turn
 	c.tried = nil
 	n.turns = append(n.turns, c)
-	n.fleet.clock.after(turn.Until().Sub(n.fleet.clock.Now()), func() { c.giveUp(turn) })
-	n.fleet.clock.after(admission.RecheckEvery, func() { c.recheck(turn) })
+	n.fleet.clock.After(turn.Until().Sub(n.fleet.clock.Now()), func() { c.giveUp(turn) })
+	n.fleet.clock.After(admission.RecheckEvery, func() { c.recheck(turn) })
 }
 
 // recheck looks for a free slot while the request waits.
@@ -125,7 +125,7 @@
 	}
 	turn.Recheck()
 	c.node.settleTurns()
-	c.node.fleet.clock.after(admission.RecheckEvery, func() { c.recheck(turn) })
+	c.node.fleet.clock.After(admission.RecheckEvery, func() { c.recheck(turn) })
 }
 
 func (c *call) giveUp(turn *admission.Turn) {
@@ -166,7 +166,7 @@
 	n.fleet.result.Attempts++
 	made := &attempt{id: n.fleet.nextAttempt(), request: started, runner: chosen, began: now}
 	n.table.Start(chosen.id, started.request.PrefixBlocks)
-	n.fleet.clock.after(n.fleet.link(), made.arrive)
+	n.fleet.clock.After(n.fleet.link(), made.arrive)
 }
 
 // arrive reaches the runner.
@@ -174,9 +174,9 @@
 	clock := a.request.node.fleet.clock
 	switch {
 	case a.runner.down:
-		clock.after(a.request.node.fleet.link(), func() { a.failed(engine.ErrUnreachable, outcome.NotRun) })
+		clock.After(a.request.node.fleet.link(), func() { a.failed(engine.ErrUnreachable, outcome.NotRun) })
 	case !a.runner.submit(a):
-		clock.after(a.request.node.fleet.link(), func() { a.failed(engine.ErrBusy, outcome.NotRun) })
+		clock.After(a.request.node.fleet.link(), func() { a.failed(engine.ErrBusy, outcome.NotRun) })
 	}
 }
 
@@ -265,7 +265,7 @@
 		return
 	}
 	n.telling[runner] = true
-	n.fleet.clock.after(delay, func() { n.tell(owner, runner) })
+	n.fleet.clock.After(delay, func() { n.tell(owner, runner) })
 }
 
 // tell sends the count and takes the owner's view in return.
@@ -275,7 +275,7 @@
 	n.told[runner] = view.OwnInFlight
 	n.sequence++
 	sequence := n.sequence
-	n.fleet.clock.after(n.fleet.link(), func() {
+	n.fleet.clock.After(n.fleet.link(), func() {
 		now := n.fleet.clock.Now()
 		owner.table.ObservePeer(n.id, sequence, runner, view.OwnInFlight, now)
 		seen, _ := owner.table.Runner(runner, now)
@@ -285,7 +285,7 @@
 		state, back := seen.Shared(), n.fleet.link()
 		// The age travels, not the time, so the receiver takes the report for younger by the delay of the message.
 		state.Measured = state.Measured.Add(back)
-		n.fleet.clock.after(back, func() { n.table.ObserveShared(runner, state, n.fleet.clock.Now()) })
+		n.fleet.clock.After(back, func() { n.table.ObserveShared(runner, state, n.fleet.clock.Now()) })
 	})
 }
 
@@ -313,7 +313,7 @@
 			continue
 		}
 		report := runner.load()
-		n.fleet.clock.after(reportLag, func() { n.table.ObserveReport(runner.id, report, n.fleet.clock.Now()) })
+		n.fleet.clock.After(reportLag, func() { n.table.ObserveReport(runner.id, report, n.fleet.clock.Now()) })
 	}
 }
 
--- a/internal/lab/overloadsim/result.go
+++ b/internal/lab/overloadsim/result.go
@@ -6,6 +6,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/lab/virtualtime"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 )
 
@@ -55,7 +56,7 @@
 }
 
 func (o Options) counts(made *arrival) bool {
-	return made.at.Sub(newClock().start) >= o.Warmup
+	return made.at.Sub(virtualtime.Epoch) >= o.Warmup
 }
 
 func (r *Result) offered(made *arrival, options Options) {
@@ -70,7 +71,7 @@
 	first := ended.firstAt.Sub(ended.began)
 	good := first <= FirstTokenGoal
 	if good {
-		r.Timeline[int(ended.arrival.at.Sub(newClock().start)/time.Second)]++
+		r.Timeline[int(ended.arrival.at.Sub(virtualtime.Epoch)/time.Second)]++
 	}
 	if !options.counts(ended.arrival) {
 		return
@@ -105,7 +106,7 @@
 
 // sample notes how full the runners are.
 func (f *Fleet) sample() {
-	if f.clock.elapsed() > f.options.Duration {
+	if f.clock.Elapsed() > f.options.Duration {
 		return
 	}
 	full := 0.0
--- a/internal/lab/overloadsim/runner.go
+++ b/internal/lab/overloadsim/runner.go
@@ -6,13 +6,14 @@
 	"mallowlatch.example/mallowlatch/internal/engine"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
+	"mallowlatch.example/mallowlatch/internal/lab/virtualtime"
 )
 
 // runner is one engine: the stand-in's scheduler stepped by the simulated clock.
 type runner struct {
 	index   int
 	id      ident.Runner
-	clock   *clock
+	clock   *virtualtime.Clock
 	link    func() time.Duration
 	stepper *enginesim.Stepper
 	options enginesim.Options
@@ -25,7 +26,7 @@
 	full     float64
 }
 
-func newRunner(index int, clock *clock, link func() time.Duration, options enginesim.Options) *runner {
+func newRunner(index int, clock *virtualtime.Clock, link func() time.Duration, options enginesim.Options) *runner {
 	return &runner{index: index, id: runnerName(index), clock: clock, link: link, options: options, stepper: enginesim.NewStepper(options), running: map[uint64]*attempt{}}
 }
 
@@ -52,7 +53,7 @@
 	}
 	r.stepping = true
 	life := r.lives
-	r.clock.after(duration, func() { r.finish(life, duration) })
+	r.clock.After(duration, func() { r.finish(life, duration) })
 }
 
 func (r *runner) finish(life int, duration time.Duration) {
@@ -75,7 +76,7 @@
 	if made.Whole {
 		delete(r.running, made.ID)
 	}
-	r.clock.after(r.link(), func() {
+	r.clock.After(r.link(), func() {
 		if made.First {
 			started.first()
 		}
@@ -94,7 +95,7 @@
 	r.running = map[uint64]*attempt{}
 	r.stepper = enginesim.NewStepper(r.options)
 	for _, started := range sortedAttempts(broken) {
-		r.clock.after(r.link(), started.broken)
+		r.clock.After(r.link(), started.broken)
 	}
 }
 
