--- a/internal/lab/enginesim/virtual.go
+++ b/internal/lab/enginesim/virtual.go
@@ -57,6 +57,9 @@
 // Restart makes the sequence begin anew when it is submitted next.
 func (s *VirtualSequence) Restart() { s.sequence.generated = 0 }
 
+// Full says whether the waiting queue of a class takes no more. Submit doesn't look at it.
+func (v *Virtual) Full(class inference.Class) bool { return v.scheduler.full(class) }
+
 // Submit queues a sequence. One that was aborted goes on where it stopped.
 func (v *Virtual) Submit(submitted *VirtualSequence) {
 	v.handles[&submitted.sequence] = submitted
--- a/internal/lab/overloadsim/runner.go
+++ b/internal/lab/overloadsim/runner.go
@@ -5,17 +5,18 @@
 
 	"mallowlatch.example/mallowlatch/internal/engine"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/inference"
 	"mallowlatch.example/mallowlatch/internal/lab/enginesim"
 	"mallowlatch.example/mallowlatch/internal/lab/virtualtime"
 )
 
-// runner is one engine: the stand-in's scheduler stepped by the simulated clock.
+// runner is one engine: the stand-in without sockets, stepped by the simulated clock.
 type runner struct {
 	index   int
 	id      ident.Runner
 	clock   *virtualtime.Clock
 	link    func() time.Duration
-	stepper *enginesim.Stepper
+	engine  *enginesim.Virtual
 	options enginesim.Options
 	// stepping says that a step is under way; lives counts the starts, so that steps of an earlier life end in nothing.
 	stepping bool
@@ -27,16 +28,18 @@
 }
 
 func newRunner(index int, clock *virtualtime.Clock, link func() time.Duration, options enginesim.Options) *runner {
-	return &runner{index: index, id: runnerName(index), clock: clock, link: link, options: options, stepper: enginesim.NewStepper(options), running: map[uint64]*attempt{}}
+	return &runner{index: index, id: runnerName(index), clock: clock, link: link, options: options, engine: enginesim.NewVirtual(options), running: map[uint64]*attempt{}}
 }
 
 // submit takes an attempt or reports that the waiting queue is full.
 func (r *runner) submit(started *attempt) bool {
-	request := started.request
-	work := enginesim.Work{ID: started.id, PromptTokens: request.prompt, AnswerTokens: request.answer, Blocks: request.request.PrefixBlocks}
-	if !r.stepper.Submit(work) {
+	if r.engine.Full(inference.Online) {
 		return false
 	}
+	request := started.request
+	sequence := enginesim.NewVirtualSequence(inference.Online, request.prompt, request.answer, request.request.PrefixBlocks)
+	sequence.Token = func(last bool) { r.tell(started, sequence.Generated() == 1, last) }
+	r.engine.Submit(sequence)
 	r.running[started.id] = started
 	r.step()
 	return true
@@ -47,7 +50,7 @@
 	if r.stepping {
 		return
 	}
-	duration, any := r.stepper.Begin()
+	duration, any := r.engine.Plan()
 	if !any {
 		return
 	}
@@ -61,26 +64,26 @@
 		return
 	}
 	r.stepping = false
-	running, _ := r.stepper.Online()
+	load := r.engine.Load()
 	r.busy += duration
-	r.full += duration.Seconds() * float64(running) / float64(r.stepper.MaxSequences())
-	for _, made := range r.stepper.Finish() {
-		r.tell(made)
-	}
+	r.full += duration.Seconds() * float64(load.RunningOnline) / float64(load.MaxSequences)
+	r.engine.Apply()
 	r.step()
 }
 
-// tell carries tokens to the node.
-func (r *runner) tell(made enginesim.Progress) {
-	started := r.running[made.ID]
-	if made.Whole {
-		delete(r.running, made.ID)
+// tell carries the first and the last token to the node.
+func (r *runner) tell(started *attempt, first, last bool) {
+	if !first && !last {
+		return
+	}
+	if last {
+		delete(r.running, started.id)
 	}
 	r.clock.After(r.link(), func() {
-		if made.First {
+		if first {
 			started.first()
 		}
-		if made.Whole {
+		if last {
 			started.whole()
 		}
 	})
@@ -93,7 +96,7 @@
 	r.stepping = false
 	broken := r.running
 	r.running = map[uint64]*attempt{}
-	r.stepper = enginesim.NewStepper(r.options)
+	r.engine = enginesim.NewVirtual(r.options)
 	for _, started := range sortedAttempts(broken) {
 		r.clock.After(r.link(), started.broken)
 	}
@@ -103,13 +106,13 @@
 
 // load is the runner's report as of now.
 func (r *runner) load() engine.LoadReport {
-	running, waiting := r.stepper.Online()
+	load := r.engine.Load()
 	return engine.LoadReport{
 		Measured:      r.clock.Now(),
-		RunningOnline: running,
-		WaitingOnline: waiting,
-		MaxSequences:  r.stepper.MaxSequences(),
-		StepTime:      r.stepper.StepTime(),
+		RunningOnline: load.RunningOnline,
+		WaitingOnline: load.WaitingOnline,
+		MaxSequences:  load.MaxSequences,
+		StepTime:      load.StepTime,
 		Models:        []engine.LoadedModel{{Name: service, Version: "1"}},
 	}
 }
