Refuse on idle connections before a planned stop closes them

Cause: a rolling restart of four nodes under 39 requests/s failed one of 2,347 requests with EOF (load average about 12, a run of faults and the tests beside it): the listener closed an idle connection just as its caller sent a request on it.

Change: from the announcement of a drain on, each answer is the last of its connection; and the caller listener goes on for up to 2 s while callers hold idle connections, so that what they send is refused as not run. A connection left idle beyond that is closed, and a request sent in that instant is still broken: HTTP/1 has no way to tell it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,10 @@
 // public serves a route without a key and also while draining.
 func (g *Gateway) public(route string, serve handler) bunrouter.HandlerFunc {
 	return func(response http.ResponseWriter, request bunrouter.Request) error {
+		if g.leaving.Load() {
+			// The caller opens its next connection to another node, so that none is idle here when the listener closes.
+			response.Header().Set("Connection", "close")
+		}
 		g.serve(newExchange(g, route, response, request), serve)
 		return nil
 	}
@@ -130,8 +134,8 @@
 	})
 }
 
-// AnnounceDrain makes Ready fail while requests are still served, so that load balancers look elsewhere before Drain
-// refuses new work.
+// AnnounceDrain makes Ready fail and each answer the last of its connection, while requests are still served, so that load
+// balancers and callers look elsewhere before Drain refuses new work.
 func (g *Gateway) AnnounceDrain() { g.leaving.Store(true) }
 
 // Drain refuses new work and waits until what is in progress has ended. When ctx is done first, every request in
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -282,6 +282,7 @@
 	assert.Equal(t, envelopeOf(t, body).Code, failure.CodeDraining)
 	response, body = site.post(t, chatPath, chatBody)
 	assert.Equal(t, response.StatusCode, http.StatusOK, "%s", body)
+	assert.Assert(t, response.Close, "the connection stays open for another request")
 }
 
 func TestCutDrainEndsStreamsWithAnError(t *testing.T) {
--- a/internal/listener/connections.go
+++ b/internal/listener/connections.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -42,6 +43,21 @@
 	return len(c.states)
 }
 
+// awaitNoneIdle waits until no connection is idle, at most for the bound or until ctx is done.
+func (c connections) awaitNoneIdle(ctx context.Context, bound time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	look := time.NewTicker(idlePoll)
+	defer look.Stop()
+	for len(c.idle()) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-look.C:
+		}
+	}
+}
+
 // closeIdle closes idle connections once idleGrace has passed, until done. The library never ends an idle HTTP/2 connection
 // whose handshake was under way when the stop began: it was not told of the stop, and Shutdown would wait for its client.
 func (c connections) closeIdle(done <-chan struct{}) error {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -42,7 +42,11 @@
 	HeaderTimeout, IdleTimeout time.Duration
 	// Connections bounds the open connections; more wait in the system's backlog.
 	Connections int
-	Logger      zerolog.Logger
+	// Linger is how long Shutdown goes on serving while callers hold idle connections; the handler must end the connection
+	// with each answer by then. A caller that sends a request just as its idle connection is closed can't tell whether the
+	// request ran.
+	Linger time.Duration
+	Logger zerolog.Logger
 	// Registerer gets the metrics; nil registers none.
 	Registerer prometheus.Registerer
 }
@@ -131,9 +135,10 @@
 	return s.server.ServeTLS(s.listener, "", "")
 }
 
-// Shutdown stops taking connections and waits until those with a request in progress have answered, or ctx is done;
+// Shutdown lingers, stops taking connections and waits until those with a request in progress have answered, or ctx is done;
 // then it closes the rest.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.open.awaitNoneIdle(ctx, s.options.Linger)
 	var idle tomb.Tomb
 	idle.Go(func() error { return s.open.closeIdle(idle.Dying()) })
 	err := s.server.Shutdown(ctx)
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -111,6 +111,29 @@
 	assert.NilError(t, <-ended)
 }
 
+// TestShutdownServesWhoHoldsAnIdleConnection sends a request on an idle connection after a stop began. It is answered, as the
+// last of its connection, and the stop then ends.
+func TestShutdownServesWhoHoldsAnIdleConnection(t *testing.T) {
+	server := start(t, Options{Linger: patience, Handler: http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("Last") != "" {
+			response.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(response, "whole")
+	})})
+	connection := dial(t, server)
+	first := get(t, connection, "")
+	_, err := io.ReadAll(first.Body)
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Shutdown(context.Background()) }()
+	time.Sleep(2 * idlePoll)
+	last := get(t, connection, "Last: yes\r\n")
+	body, err := io.ReadAll(last.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "whole")
+	assert.NilError(t, <-ended)
+}
+
 func TestTLSServesBothProtocols(t *testing.T) {
 	borrowed := httptest.NewUnstartedServer(nil)
 	borrowed.StartTLS()
--- a/internal/node/apis.go
+++ b/internal/node/apis.go
@@ -24,7 +24,7 @@
 		Registerer: n.registry,
 	})
 	var err error
-	n.callerServer, err = n.newServer("caller", n.settings.Listen.Caller, n.settings.TLS.Caller, n.gateway)
+	n.callerServer, err = n.newServer("caller", n.settings.Listen.Caller, n.settings.TLS.Caller, n.gateway, callerLinger)
 	return err
 }
 
@@ -58,7 +58,7 @@
 		return fmt.Errorf("admin API: %w", err)
 	}
 	handler = n.diagnostics(options).Handler(handler)
-	n.adminServer, err = n.newServer("admin", n.settings.Listen.Admin, n.settings.TLS.Admin, handler)
+	n.adminServer, err = n.newServer("admin", n.settings.Listen.Admin, n.settings.TLS.Admin, handler, 0)
 	return err
 }
 
@@ -74,8 +74,11 @@
 	}
 }
 
+// callerLinger is how long a planned stop goes on refusing callers that hold idle connections.
+const callerLinger = 2 * time.Second
+
 // newServer opens a listener with the limits of the settings, and TLS if it has a certificate.
-func (n *Node) newServer(name string, address settings.Address, certificate settings.Certificate, handler http.Handler) (*listener.Server, error) {
+func (n *Node) newServer(name string, address settings.Address, certificate settings.Certificate, handler http.Handler, linger time.Duration) (*listener.Server, error) {
 	limits := n.settings.Limits
 	options := listener.Options{
 		Name:          name,
@@ -84,6 +87,7 @@
 		HeaderBytes:   int(limits.HeaderBytes),
 		HeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:   limits.IdleTimeout,
+		Linger:        linger,
 		Logger:        n.logger,
 		Registerer:    n.registry,
 	}
