Serve streamed requests on the users' platform through a thin adapter

Cause: the product could not run on the users' platform: it had no dialect for its clients, runners and store, and its core knew only parsed prompts.

Change: dialect-neutral types (internal/work), a connection pool that says of each failed call whether the other side may have seen it (internal/connpool), the list of runners with health, load and placement of shared beginnings (internal/runnertable), routes that never go back (internal/routetable), the forwarding of one request with its attempts and resumption (internal/online), and the reading of the registry (internal/follower). platform/ translates; cmd/mallowlatch-site runs the roles.

Ruled out: net/http's client towards runners. It retries and reads ahead by itself, so it cannot say whether a request was sent.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 test: lint model unit ## everything CI runs
 
 lint:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; echo "gofmt: files above need formatting"; exit 1; }
 	$(GO) vet ./...
 	$(STATICCHECK) ./...
 
--- /dev/null
+++ b/cmd/mallowlatch-site/front.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/online"
+	"mallowlatch.example/mallowlatch/internal/sitesettings"
+	"mallowlatch.example/mallowlatch/platform"
+)
+
+// Bounds of a client's connection. The configuration's own are what clients keep to; these only end what is dead.
+const (
+	headerTimeout = 20 * time.Second
+	idleTimeout   = 3 * time.Minute
+	headerBytes   = 256 << 10
+)
+
+// runFront answers clients until it is asked to stop.
+func runFront(path string, settings sitesettings.Settings) error {
+	process := newProcess(path, settings, "front")
+	process.follow()
+	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Logger: process.logger, Now: time.Now}
+	front := &platform.Front{
+		Routes: process.routes, Serve: forwarder.Serve, Stopping: process.lifecycle.Stopping,
+		Logger: process.logger, Now: time.Now,
+	}
+	callers, err := process.serve(settings.Listen.Callers, front)
+	if err != nil {
+		return err
+	}
+	if _, err := process.serve(settings.Listen.Ready, platform.ReadyHandler(process.ready)); err != nil {
+		return err
+	}
+	process.waitForStop()
+	process.lifecycle.StopServer(callers, settings.Bounds.Grace())
+	return process.end()
+}
+
+// ready says whether the node can serve: it knows the configuration and the runners, and is not stopping.
+func (p *process) ready() bool {
+	return !p.lifecycle.Stopping() && p.routes.Catalog() != nil && p.runners.Count() > 0
+}
+
+// serve listens on an address and answers with the handler.
+func (p *process) serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	p.tomb.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serving %s: %w", address, err)
+		}
+		return nil
+	})
+	p.tomb.Go(func() error {
+		<-p.tomb.Dying()
+		return server.Close()
+	})
+	return server, nil
+}
--- /dev/null
+++ b/cmd/mallowlatch-site/main.go
@@ -0,0 +1,59 @@
+// Command mallowlatch-site runs mallowlatch on the users' platform: one process for each role of a machine.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"mallowlatch.example/mallowlatch/internal/sitesettings"
+)
+
+// settingsVariable names the settings file.
+const settingsVariable = "MALLOWLATCH_NODE_FILE"
+
+func main() {
+	root := &cobra.Command{
+		Use:           "mallowlatch-site",
+		Short:         "Run mallowlatch on the users' platform",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	path := root.PersistentFlags().String("settings", os.Getenv(settingsVariable), "settings file; the variable "+settingsVariable+" names it too")
+	root.AddCommand(
+		roleCommand("front", "Answer clients", path, runFront),
+		roleCommand("worker", "Run the items of batch jobs", path, runWorker),
+		checkCommand(path),
+	)
+	if err := root.Execute(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "mallowlatch-site:", err)
+		os.Exit(1)
+	}
+}
+
+func roleCommand(name, short string, path *string, run func(path string, settings sitesettings.Settings) error) *cobra.Command {
+	return &cobra.Command{
+		Use: name, Short: short, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			settings, err := sitesettings.Load(*path)
+			if err != nil {
+				return fmt.Errorf("reading the settings %q: %w", *path, err)
+			}
+			return run(*path, settings)
+		},
+	}
+}
+
+func checkCommand(path *string) *cobra.Command {
+	return &cobra.Command{
+		Use: "check-settings", Short: "Check a settings file and say what is wrong with it", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if _, err := sitesettings.Load(*path); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(command.OutOrStdout(), "settings are good:", *path)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/mallowlatch-site/process.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/connpool"
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/site"
+	"mallowlatch.example/mallowlatch/internal/sitesettings"
+	"mallowlatch.example/mallowlatch/platform"
+)
+
+// Connections to runners and to the store.
+const (
+	runnerDialTimeout = 400 * time.Millisecond
+	runnerIdleTimeout = 4 * time.Second
+	runnerIdle        = 32
+	storeDialTimeout  = 500 * time.Millisecond
+	storeIdleTimeout  = 10 * time.Second
+	storeIdle         = 8
+	// idleSweep is the time between closings of connections past their time.
+	idleSweep = 2 * time.Second
+)
+
+// process is what both roles share: the connections, what is known of the fleet, and the logs.
+type process struct {
+	path      string
+	settings  sitesettings.Settings
+	logs      *site.LogWriter
+	logger    zerolog.Logger
+	tomb      *tomb.Tomb
+	store     *platform.Store
+	caller    *platform.RunnerCaller
+	runners   *runnertable.Table
+	routes    *routetable.Table
+	lifecycle *site.Lifecycle
+}
+
+func newProcess(path string, settings sitesettings.Settings, role string) *process {
+	site.ApplyLimits(settings.Limits)
+	logs := site.NewLogWriter(os.Stdout, time.Now)
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	logger := zerolog.New(logs).With().Timestamp().Str("node", settings.Node.Name).Logger()
+	event.SiteStarting.Log(logger).Str("role", role).Str("zone", settings.Node.Zone).Int("memory_mb", settings.Limits.MemoryMB).Send()
+	return &process{
+		path: path, settings: settings, logs: logs, logger: logger, tomb: new(tomb.Tomb),
+		store: &platform.Store{Address: settings.Store.Address, Pool: connpool.New(connpool.Options{
+			DialTimeout: storeDialTimeout, IdleTimeout: storeIdleTimeout, MaximumIdle: storeIdle,
+		})},
+		caller: &platform.RunnerCaller{Pool: connpool.New(connpool.Options{
+			DialTimeout: runnerDialTimeout, IdleTimeout: runnerIdleTimeout, MaximumIdle: runnerIdle,
+		})},
+		runners:   runnertable.New(ident.Zone(settings.Node.Zone)),
+		routes:    &routetable.Table{},
+		lifecycle: &site.Lifecycle{},
+	}
+}
+
+// follow keeps the runners and the configuration up to date.
+func (p *process) follow() {
+	registry := &platform.Registry{Store: p.store, Damaged: func(key string, err error) {
+		event.CatalogInvalid.Log(p.logger).Str("key", key).Err(err).Send()
+	}}
+	(&follower.Follower{
+		Registry: registry, Runners: p.runners, Routes: p.routes, Options: follower.DefaultOptions, Logger: p.logger, Now: time.Now,
+	}).Start(p.tomb)
+	p.tomb.Go(p.sweepConnections)
+}
+
+func (p *process) sweepConnections() error {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			p.caller.Pool.CloseExpired()
+			p.store.Pool.CloseExpired()
+		}
+	}
+}
+
+// waitForStop returns when the process is asked to stop or a part of it failed. On a hang-up it reads the settings
+// again.
+func (p *process) waitForStop() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case <-p.tomb.Dying():
+			return
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				event.SiteStopping.Log(p.logger).Str("signal", received.String()).Send()
+				return
+			}
+			p.readSettingsAgain()
+		}
+	}
+}
+
+func (p *process) readSettingsAgain() {
+	settings, err := sitesettings.Load(p.path)
+	if err != nil {
+		event.SettingsBad.Log(p.logger).Err(err).Send()
+		return
+	}
+	site.ApplyLimits(settings.Limits)
+	event.SettingsAgain.Log(p.logger).Int("memory_mb", settings.Limits.MemoryMB).Send()
+}
+
+// end stops the process's parts and writes the last lines.
+func (p *process) end() error {
+	p.tomb.Kill(nil)
+	err := p.tomb.Wait()
+	event.SiteStopped.Log(p.logger).Err(err).Send()
+	p.logs.Close()
+	return err
+}
--- /dev/null
+++ b/internal/event/online.go
@@ -0,0 +1,20 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of serving requests of a platform's dialect: 3500 to 3599.
+var (
+	AttemptFailed  = register(3500, "attempt_failed", zerolog.WarnLevel, "An attempt at a runner gave no whole answer; the line says which run it was and after which event it ended.", "none unless one runner stands out: check that runner")
+	RequestFailed  = register(3501, "request_failed", zerolog.WarnLevel, "A request got an error of the system's own; the line says whether it may have run.", "follow the request's id through attempt_failed lines")
+	RequestBroken  = register(3502, "request_broken", zerolog.WarnLevel, "An answer was begun and broken off, so that it does not look complete.", "follow the request's id through attempt_failed lines")
+	CatalogAdopted = register(3503, "catalog_adopted", zerolog.InfoLevel, "A newer configuration is in force on this node.", "none")
+	CatalogInvalid = register(3504, "catalog_invalid", zerolog.ErrorLevel, "The configuration in the store could not be read; the last good one stays in force.", "check the configuration that was written last")
+	RegistryLost   = register(3505, "registry_lost", zerolog.WarnLevel, "The list of runners could not be read; the last known list stays in use.", "check the store and the path to it")
+	RegistryBack   = register(3506, "registry_back", zerolog.InfoLevel, "The list of runners can be read again.", "none")
+	RunnersChanged = register(3507, "runners_changed", zerolog.InfoLevel, "Runners joined or left the registry.", "none")
+	SiteStarting   = register(3508, "site_starting", zerolog.InfoLevel, "A process of a platform's machine starts.", "none")
+	SiteStopping   = register(3509, "site_stopping", zerolog.InfoLevel, "A process was asked to stop: it is no longer ready and ends what it has.", "none")
+	SiteStopped    = register(3510, "site_stopped", zerolog.InfoLevel, "A process ended in order.", "none")
+	SettingsAgain  = register(3511, "settings_read_again", zerolog.InfoLevel, "The settings file was read again after a signal.", "none")
+	SettingsBad    = register(3512, "settings_unreadable", zerolog.ErrorLevel, "The settings file could not be read again; the old settings stay in use.", "correct the settings file")
+)
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,170 @@
+// Package follower keeps a node's list of runners and its configuration up to date from the registry. It reads for
+// itself, so that no other node's failure leaves it behind, and it goes on with what it knows while the registry is
+// away.
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Options shape the reading.
+type Options struct {
+	// RunnersEvery is the time between readings of the list of runners.
+	RunnersEvery time.Duration
+	// ConfigurationWait is how long one call waits for a new configuration.
+	ConfigurationWait time.Duration
+	// CallTimeout bounds a call beyond its wait.
+	CallTimeout time.Duration
+	// RetryAfter is the pause after a failed call.
+	RetryAfter time.Duration
+	// OutageAfter is the time without a reading after which the registry counts as having been away.
+	OutageAfter time.Duration
+	// KeepMissing is how long after an outage runners that answered lately are kept although they are not listed.
+	KeepMissing time.Duration
+}
+
+// DefaultOptions suit a registry that must be followed within two seconds and whose every call has a price.
+var DefaultOptions = Options{
+	RunnersEvery:      time.Second,
+	ConfigurationWait: 2 * time.Second,
+	CallTimeout:       700 * time.Millisecond,
+	RetryAfter:        250 * time.Millisecond,
+	OutageAfter:       2500 * time.Millisecond,
+	KeepMissing:       2500 * time.Millisecond,
+}
+
+// Follower reads the registry. Its fields are set before Start.
+type Follower struct {
+	Registry work.Registry
+	Runners  *runnertable.Table
+	Routes   *routetable.Table
+	Options  Options
+	Logger   zerolog.Logger
+	Now      func() time.Time
+
+	lastRead   time.Time
+	graceUntil time.Time
+	lost       bool
+}
+
+// Start runs the follower's loops until the tomb dies.
+func (f *Follower) Start(parent *tomb.Tomb) {
+	ctx := parent.Context(context.Background())
+	parent.Go(func() error { return f.followRunners(ctx) })
+	parent.Go(func() error { return f.followConfiguration(ctx) })
+}
+
+func (f *Follower) followRunners(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := f.Options.RunnersEvery
+		if err := f.readRunners(ctx); err != nil {
+			f.noteLost(err)
+			pause = f.Options.RetryAfter
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+func (f *Follower) readRunners(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
+	defer cancel()
+	listed, err := f.Registry.Runners(ctx)
+	if err != nil {
+		return err
+	}
+	now := f.Now()
+	added, removed := f.Runners.Replace(listed, now, f.keepIfAnswered(now))
+	f.lastRead = now
+	if f.lost {
+		f.lost = false
+		event.RegistryBack.Log(f.Logger).Int("runners", len(listed)).Send()
+	}
+	if len(added)+len(removed) > 0 {
+		event.RunnersChanged.Log(f.Logger).Int("added", len(added)).Int("removed", len(removed)).Int("listed", len(listed)).Send()
+	}
+	return nil
+}
+
+// keepIfAnswered returns the time after which a runner must have answered to be kept although it is not listed. While
+// the registry was away, the runners could not renew their entries, so their absence right after proves nothing.
+func (f *Follower) keepIfAnswered(now time.Time) time.Time {
+	if !f.lastRead.IsZero() && now.Sub(f.lastRead) > f.Options.OutageAfter {
+		f.graceUntil = now.Add(f.Options.KeepMissing)
+	}
+	if now.Before(f.graceUntil) {
+		return now.Add(-f.Options.KeepMissing)
+	}
+	return time.Time{}
+}
+
+func (f *Follower) noteLost(err error) {
+	if f.lost {
+		return
+	}
+	f.lost = true
+	event.RegistryLost.Log(f.Logger).Err(err).Send()
+}
+
+func (f *Follower) followConfiguration(ctx context.Context) error {
+	revision := int64(0)
+	for ctx.Err() == nil {
+		next, err := f.nextConfiguration(ctx, revision)
+		if err != nil {
+			revision = 0
+			sleep(ctx, f.Options.RetryAfter)
+			continue
+		}
+		revision = next
+	}
+	return nil
+}
+
+// nextConfiguration reads the configuration whole after a failure, and otherwise waits for a newer one.
+func (f *Follower) nextConfiguration(ctx context.Context, revision int64) (int64, error) {
+	if revision == 0 {
+		ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
+		defer cancel()
+		catalog, read, err := f.Registry.Configuration(ctx)
+		if err != nil {
+			return 0, err
+		}
+		f.adopt(catalog)
+		return read, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Options.ConfigurationWait+f.Options.CallTimeout)
+	defer cancel()
+	catalog, next, err := f.Registry.NextConfiguration(ctx, revision, f.Options.ConfigurationWait)
+	if err != nil {
+		return 0, err
+	}
+	if catalog != nil {
+		f.adopt(catalog)
+	}
+	return next, nil
+}
+
+func (f *Follower) adopt(catalog *work.Catalog) {
+	if f.Routes.Adopt(catalog) {
+		event.CatalogAdopted.Log(f.Logger).Int64("version", catalog.Version).Int("routes", len(catalog.Routes)).Send()
+	}
+}
+
+// sleep waits for the duration or the end of ctx.
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -56,6 +56,9 @@
 type TransactionResult struct {
 	Succeeded bool
 	Revision  int64
+	// Conflicts holds the present pairs of the compares of a transaction that failed, where the service tells them.
+	// A compared key that is not among them does not exist.
+	Conflicts []Pair
 }
 
 // WatchEvent is one change seen by a watch, in revision order.
@@ -89,3 +92,61 @@
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
 }
+
+// PageOptions narrow one page of a list.
+type PageOptions struct {
+	// After is the last key of the page before; empty starts at the beginning.
+	After string
+	// Stale permits an answer that is seconds old, which costs the service less.
+	Stale bool
+}
+
+// Page is a part of a list, in the order of keys. Pages of one list are not one snapshot.
+type Page struct {
+	Pairs    []Pair
+	Revision int64
+	// More says that keys follow.
+	More bool
+}
+
+// Paged is a key-value service whose lists come in pages and whose changes are asked for, one call at a time.
+// Implementations are safe for concurrent use and bound each call by its context.
+type Paged interface {
+	// Get returns one pair, or ErrNotFound. revision is the service's at the reading, also where the key is absent, or
+	// zero where the service does not tell.
+	Get(ctx context.Context, key string) (pair Pair, revision int64, err error)
+	// ListPage returns one page of the pairs whose keys have the prefix.
+	ListPage(ctx context.Context, prefix string, options PageOptions) (Page, error)
+	// Changes waits for changes to keys with the prefix after the revision. Without any within the wait it returns no
+	// events and a revision to go on from.
+	Changes(ctx context.Context, prefix string, afterRevision int64, wait time.Duration) (WatchResponse, error)
+	// Commit applies the writes if every compare holds.
+	Commit(ctx context.Context, compares []Compare, writes []Write) (TransactionResult, error)
+	// Grant creates a lease.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews a lease and returns its new time to live.
+	KeepAlive(ctx context.Context, lease LeaseID) (time.Duration, error)
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, lease LeaseID) error
+}
+
+// ListAll reads every page of a list. The revision is that of the first page: what changed later is found again by
+// asking for the changes after it.
+func ListAll(ctx context.Context, store Paged, prefix string, options PageOptions) ([]Pair, int64, error) {
+	var pairs []Pair
+	revision := int64(0)
+	for {
+		page, err := store.ListPage(ctx, prefix, options)
+		if err != nil {
+			return nil, 0, err
+		}
+		if revision == 0 {
+			revision = page.Revision
+		}
+		pairs = append(pairs, page.Pairs...)
+		if !page.More || len(page.Pairs) == 0 {
+			return pairs, revision, nil
+		}
+		options.After = page.Pairs[len(page.Pairs)-1].Key
+	}
+}
--- /dev/null
+++ b/internal/online/forwarder.go
@@ -0,0 +1,101 @@
+// Package online serves requests whose caller waits: it chooses runners, keeps to the attempts and the time a route
+// allows, resumes broken streams where that is allowed, and says of every failure whether the request may have run.
+package online
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mallowlatch.example/mallowlatch/internal/connpool"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// maximumTries bounds the runners asked in a row where none ran the request.
+	maximumTries = 5
+	// retryAfter is when a refused client may come back: longer than a burst's first queue, shorter than its patience.
+	retryAfter = 300 * time.Millisecond
+	// silenceFactor times the objective is how long a runner may leave a repeatable request without a first event before
+	// another gets it, within the bounds below.
+	silenceFactor   = 3
+	shortestSilence = 600 * time.Millisecond
+	longestSilence  = 1200 * time.Millisecond
+	// leastBudget is the time below which an attempt is not worth sending.
+	leastBudget = 5 * time.Millisecond
+)
+
+// Forwarder serves requests. It is safe for concurrent use.
+type Forwarder struct {
+	Runners *runnertable.Table
+	Caller  work.Caller
+	Logger  zerolog.Logger
+	Now     func() time.Time
+}
+
+// Serve answers one request of a route. A nil error means that the whole answer was passed on. An error that wraps
+// ErrBroken means that the answer was begun and must not look complete; any other is a *failure.Error for an answer
+// that was not begun.
+func (f *Forwarder) Serve(ctx context.Context, route *work.Route, request *work.Request, writer work.AnswerWriter) error {
+	deadline := f.deadline(route, request)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	exchange := &exchange{
+		forwarder: f, ctx: ctx, route: route, request: request, writer: writer, deadline: deadline,
+		service: chooseService(route), tried: map[ident.Runner]bool{},
+		lastEvent: request.ResumeAfter, outcome: outcome.NotRun,
+	}
+	return exchange.run()
+}
+
+// deadline is when the client stops waiting or the route's time is over, whichever is first.
+func (f *Forwarder) deadline(route *work.Route, request *work.Request) time.Time {
+	deadline := request.Deadline
+	if route.Timeout > 0 {
+		routeEnd := request.Arrived.Add(route.Timeout)
+		if deadline.IsZero() || routeEnd.Before(deadline) {
+			deadline = routeEnd
+		}
+	}
+	if deadline.IsZero() {
+		deadline = request.Arrived.Add(defaultTimeout)
+	}
+	return deadline
+}
+
+// defaultTimeout bounds a request for which neither the client nor the route names a time.
+const defaultTimeout = 60 * time.Second
+
+// chooseService draws a part of the route's split by its weight.
+func chooseService(route *work.Route) string {
+	total := 0.0
+	for _, part := range route.Split {
+		total += part.Weight
+	}
+	drawn := rand.Float64() * total
+	for _, part := range route.Split {
+		drawn -= part.Weight
+		if drawn < 0 {
+			return part.Service
+		}
+	}
+	return route.Split[len(route.Split)-1].Service
+}
+
+// classify says what a failed sending means for the request and for the runner.
+func classify(err error) (outcome.Outcome, runnertable.Failure) {
+	if errors.Is(err, connpool.ErrNotSent) {
+		return outcome.NotRun, runnertable.Unreachable
+	}
+	return outcome.Unknown, runnertable.NoAnswer
+}
+
+// ErrBroken means that an answer was begun and cannot be ended.
+const ErrBroken = failure.Kind("online: answer broken off")
--- /dev/null
+++ b/internal/runnertable/flight.go
@@ -0,0 +1,103 @@
+package runnertable
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Flight is one request at one runner, from the choice to its end.
+type Flight struct {
+	// Runner is where the request goes.
+	Runner work.Runner
+	table  *Table
+	entry  *entry
+	class  Class
+	// uncached are the prompt tokens the runner is not thought to keep.
+	uncached int
+	ended    bool
+}
+
+// start counts a flight. The caller holds the mutex.
+func (t *Table) start(chosen *entry, class Class, uncached int, prefix []work.Part, now time.Time) *Flight {
+	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached}
+	chosen.own[class]++
+	chosen.waiting[flight] = now
+	chosen.pendingTokens += uncached
+	chosen.prefixes.add(prefix, now)
+	return flight
+}
+
+// Answered notes the head of the runner's answer and the load it told.
+func (f *Flight) Answered(load *work.Load, now time.Time) {
+	f.table.mutex.Lock()
+	defer f.table.mutex.Unlock()
+	f.stopWaiting()
+	f.entry.lastAnswer = now
+	if load != nil {
+		f.entry.observe(*load, now)
+	}
+}
+
+// Began notes the first event, and that the runner works.
+func (f *Flight) Began(now time.Time) {
+	f.table.mutex.Lock()
+	defer f.table.mutex.Unlock()
+	f.stopWaiting()
+	f.entry.lastAnswer = now
+	f.entry.health.succeeded()
+}
+
+func (f *Flight) stopWaiting() {
+	if _, waits := f.entry.waiting[f]; !waits {
+		return
+	}
+	delete(f.entry.waiting, f)
+	f.entry.pendingTokens -= f.uncached
+}
+
+// End stops counting the flight. Further calls do nothing.
+func (f *Flight) End() {
+	f.table.mutex.Lock()
+	defer f.table.mutex.Unlock()
+	if f.ended {
+		return
+	}
+	f.ended = true
+	f.stopWaiting()
+	f.entry.own[f.class]--
+}
+
+// Failed notes a failure of the runner or of the way to it.
+func (f *Flight) Failed(failure Failure, now time.Time) {
+	f.table.mutex.Lock()
+	defer f.table.mutex.Unlock()
+	f.entry.health.failed(failure, now)
+}
+
+// observe takes over a runner's own count of its work.
+func (e *entry) observe(load work.Load, now time.Time) {
+	others := load.Running + load.Waiting - e.own[Online] - e.own[Batch]
+	e.load = loadReport{at: now, others: max(others, 0), waiting: load.Waiting}
+}
+
+// Observe takes over a count that the runner told outside a flight.
+func (t *Table) Observe(id ident.Runner, load work.Load, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.runners[id]; known != nil {
+		known.observe(load, now)
+		known.lastAnswer = now
+	}
+}
+
+// Own returns this node's work in progress of a class at a runner.
+func (t *Table) Own(id ident.Runner, class Class) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.runners[id]; known != nil {
+		return known.own[class]
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/runnertable/pick.go
@@ -0,0 +1,189 @@
+package runnertable
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// ErrNoRunner means that no runner of the service may take the request now.
+const ErrNoRunner = failure.Kind("runner table: no runner may take the request")
+
+// Costs are in milliseconds of expected delay to the first event, so that unlike things can be added.
+const (
+	// loadCost is the delay of a runner whose places are all taken, beside one that is idle.
+	loadCost = 12.0
+	// queueCost is the delay for each request beyond the places.
+	queueCost = 60.0
+	// tokensPerMillisecond is how fast a prompt is read.
+	tokensPerMillisecond = 50.0
+	// farCost and farCostPerKilobyte stand for the price of bytes between zones.
+	farCost            = 25.0
+	farCostPerKilobyte = 4.0
+	// silenceCost is added for a runner that has left a request without a first byte for longer than silenceSuspect.
+	silenceCost    = 250.0
+	silenceSuspect = 450 * time.Millisecond
+	// warmUpCost is added while a runner is in its slow start.
+	warmUpCost = 80.0
+	// jitterCost spreads equal choices of nodes that decide at once.
+	jitterCost = 6.0
+	// fullCost is added for a runner that refused a request a moment ago.
+	fullCost = 400.0
+	// loadMemory is how long a runner's own count of others' work is believed.
+	loadMemory = 1500 * time.Millisecond
+)
+
+// Wish is what a choice depends on.
+type Wish struct {
+	Service string
+	Class   Class
+	Prefix  []work.Part
+	// PromptTokens is the whole prompt.
+	PromptTokens int
+	// Bytes is the size of the request, for the price of sending it to another zone.
+	Bytes int
+	// Exclude holds runners that already had the request.
+	Exclude map[ident.Runner]bool
+}
+
+// Pick chooses the runner with the least expected delay and starts a flight on it. The error wraps ErrNoRunner.
+func (t *Table) Pick(wish Wish, now time.Time, random *rand.Rand) (*Flight, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	home := t.home(wish, now)
+	best := t.cheapest(wish, home, now, random)
+	if best == nil {
+		best = t.firstBack(wish)
+	}
+	if best == nil {
+		return nil, fmt.Errorf("%w: service %s", ErrNoRunner, wish.Service)
+	}
+	return t.start(best, wish.Class, best.uncached(wish, best == home, now), wish.Prefix, now), nil
+}
+
+// cheapest returns the eligible runner with the least cost, or nil.
+func (t *Table) cheapest(wish Wish, home *entry, now time.Time, random *rand.Rand) *entry {
+	var best *entry
+	bestCost := 0.0
+	for _, candidate := range t.services[wish.Service] {
+		if !candidate.eligible(wish, now) {
+			continue
+		}
+		cost := t.cost(candidate, wish, candidate == home, now) + jitterCost*random.Float64()
+		if best == nil || cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	return best
+}
+
+// firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
+// is ejected, which may be this node's own fault.
+func (t *Table) firstBack(wish Wish) *entry {
+	var best *entry
+	for _, candidate := range t.services[wish.Service] {
+		if !candidate.allowed(wish) {
+			continue
+		}
+		if best == nil || candidate.health.ejectedUntil.Before(best.health.ejectedUntil) {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// StartAt starts a flight at a runner the caller chose by itself.
+func (t *Table) StartAt(id ident.Runner, wish Wish, now time.Time) (*Flight, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	chosen := t.runners[id]
+	if chosen == nil || !chosen.eligible(wish, now) {
+		return nil, fmt.Errorf("%w: runner %s", ErrNoRunner, id)
+	}
+	return t.start(chosen, wish.Class, chosen.uncached(wish, false, now), wish.Prefix, now), nil
+}
+
+// allowed filters out the runners that must never have the request.
+func (e *entry) allowed(wish Wish) bool {
+	return e.runner.State == work.Ready && !wish.Exclude[e.runner.ID] && !e.health.replaced
+}
+
+// eligible filters out the ejected runners too.
+func (e *entry) eligible(wish Wish, now time.Time) bool {
+	return e.allowed(wish) && !e.health.ejected(now)
+}
+
+// home returns the runner of the node's zone at which nodes gather the shared beginning of the prompt, or nil.
+func (t *Table) home(wish Wish, now time.Time) *entry {
+	if sharedTokens(wish.Prefix) < smallestSharedTokens {
+		return nil
+	}
+	var best *entry
+	var bestRank uint64
+	for _, candidate := range t.services[wish.Service] {
+		if candidate.runner.Zone != t.zone || !candidate.eligible(wish, now) {
+			continue
+		}
+		if rank := homeRank(wish.Prefix, candidate.runner.ID); best == nil || rank > bestRank {
+			best, bestRank = candidate, rank
+		}
+	}
+	return best
+}
+
+// cost is the expected delay of the first event, in milliseconds, with the price of the bytes.
+func (t *Table) cost(candidate *entry, wish Wish, isHome bool, now time.Time) float64 {
+	places := float64(max(candidate.runner.Slots, 1))
+	load := float64(candidate.estimate(now) + 1)
+	cost := loadCost * min(load/places, 1)
+	if load > places {
+		cost += queueCost * (load - places)
+	}
+	cost += float64(candidate.pendingTokens+candidate.uncached(wish, isHome, now)) / tokensPerMillisecond
+	if candidate.runner.Zone != t.zone {
+		cost += farCost + farCostPerKilobyte*float64(wish.Bytes)/1000
+	}
+	if candidate.silentFor(now) > silenceSuspect {
+		cost += silenceCost
+	}
+	if now.Before(candidate.warmUntil) {
+		cost += warmUpCost
+	}
+	if candidate.health.full(now) {
+		cost += fullCost
+	}
+	return cost
+}
+
+// uncached returns the prompt tokens that the runner would have to read. At the runner where nodes gather a beginning,
+// another node may have sent it, so that half of it is thought to be kept.
+func (e *entry) uncached(wish Wish, isHome bool, now time.Time) int {
+	kept := e.prefixes.kept(wish.Prefix, now)
+	if isHome {
+		kept = max(kept, sharedTokens(wish.Prefix)/2)
+	}
+	return max(wish.PromptTokens-kept, 0)
+}
+
+// estimate returns the work thought to be at the runner: this node's, and what the runner counted beyond it, fading.
+func (e *entry) estimate(now time.Time) int {
+	own := e.own[Online] + e.own[Batch]
+	age := now.Sub(e.load.at)
+	if age >= loadMemory {
+		return own
+	}
+	return own + int(float64(e.load.others)*(1-float64(age)/float64(loadMemory))+0.5)
+}
+
+// silentFor returns how long the oldest request without a first byte has waited.
+func (e *entry) silentFor(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, since := range e.waiting {
+		longest = max(longest, now.Sub(since))
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/runnertable/table.go
@@ -0,0 +1,143 @@
+// Package runnertable holds what a node believes of the runners: the registry's list, its own work in progress, the
+// runners' own counts, and which of them failed lately. It chooses the runner of a request. Times are arguments; the
+// table does no I/O.
+package runnertable
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Class orders work on a runner.
+type Class uint8
+
+const (
+	// Online work has a caller that waits.
+	Online Class = iota
+	// Batch work is an item of a job.
+	Batch
+	classes
+)
+
+// Table is safe for concurrent use.
+type Table struct {
+	zone    ident.Zone
+	mutex   sync.Mutex
+	runners map[ident.Runner]*entry
+	// services holds the entries of each service in a fixed order.
+	services map[string][]*entry
+}
+
+// New returns an empty table for a node of the zone.
+func New(zone ident.Zone) *Table {
+	return &Table{zone: zone, runners: map[ident.Runner]*entry{}, services: map[string][]*entry{}}
+}
+
+// entry is what the table believes of one runner. The table's mutex guards it.
+type entry struct {
+	runner work.Runner
+	// warmUntil is when the runner ends its slow start.
+	warmUntil time.Time
+	// own counts this node's work in progress, by class.
+	own [classes]int
+	// waiting holds the flights without a first byte.
+	waiting map[*Flight]time.Time
+	// pendingTokens are the prompt tokens of flights without a first event that the runner is not thought to keep.
+	pendingTokens int
+	load          loadReport
+	health        health
+	prefixes      prefixHistory
+	lastAnswer    time.Time
+	// missing is set while the registry does not list the runner and the table keeps it for a while.
+	missing bool
+}
+
+// loadReport is the runner's own count and what it was of.
+type loadReport struct {
+	at time.Time
+	// others is the work the runner counted beyond this node's.
+	others int
+	// waiting is the number of requests that waited at the runner.
+	waiting int
+}
+
+// Replace takes over the registry's list. Runners that it does not name take no more work, except that those which
+// answered after keepIfAnswered stay: a registry that has just come back may not list the living yet. A zero time keeps
+// none. It returns the runners that are new and those that left.
+func (t *Table) Replace(listed []work.Runner, now, keepIfAnswered time.Time) (added, removed []ident.Runner) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	seen := make(map[ident.Runner]bool, len(listed))
+	for _, runner := range listed {
+		seen[runner.ID] = true
+		known := t.runners[runner.ID]
+		if known == nil {
+			known = &entry{waiting: map[*Flight]time.Time{}}
+			t.runners[runner.ID] = known
+			added = append(added, runner.ID)
+		}
+		known.runner = runner
+		known.missing = false
+		known.warmUntil = now.Add(runner.WarmUp)
+	}
+	for id, known := range t.runners {
+		if seen[id] {
+			continue
+		}
+		if !keepIfAnswered.IsZero() && known.runner.State == work.Ready && known.lastAnswer.After(keepIfAnswered) {
+			known.missing = true
+			continue
+		}
+		delete(t.runners, id)
+		removed = append(removed, id)
+	}
+	t.index()
+	return added, removed
+}
+
+// index rebuilds the lists by service, ordered so that a choice depends on nothing but its inputs.
+func (t *Table) index() {
+	t.services = make(map[string][]*entry, len(t.services))
+	for _, known := range t.runners {
+		t.services[known.runner.Service] = append(t.services[known.runner.Service], known)
+	}
+	for _, entries := range t.services {
+		slices.SortFunc(entries, func(first, second *entry) int { return cmp.Compare(first.runner.ID, second.runner.ID) })
+	}
+}
+
+// Runner returns the runner with the id, if the table has it.
+func (t *Table) Runner(id ident.Runner) (work.Runner, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.runners[id]
+	if known == nil {
+		return work.Runner{}, false
+	}
+	return known.runner, true
+}
+
+// Of returns the ready runners of a service.
+func (t *Table) Of(service string) []work.Runner {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var found []work.Runner
+	for _, known := range t.services[service] {
+		if known.runner.State == work.Ready {
+			found = append(found, known.runner)
+		}
+	}
+	return found
+}
+
+// Count returns how many runners the table has.
+func (t *Table) Count() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.runners)
+}
--- /dev/null
+++ b/internal/sitesettings/settings.go
@@ -0,0 +1,150 @@
+// Package sitesettings holds what a process on a platform's machine learns from its settings file. The file is written
+// by the platform from deploy/settings.yaml, in this product's own names.
+package sitesettings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+)
+
+const (
+	// ErrUnreadable means that the file cannot be read or is not YAML.
+	ErrUnreadable = failure.Kind("site settings: unreadable")
+	// ErrInvalid means that a field is missing or wrong; the text names it.
+	ErrInvalid = failure.Kind("site settings: invalid")
+)
+
+// Settings are those of one process.
+type Settings struct {
+	Node   Node   `yaml:"node"`
+	Listen Listen `yaml:"listen"`
+	Store  Store  `yaml:"store"`
+	Limits Limits `yaml:"limits"`
+	Bounds Bounds `yaml:"bounds"`
+}
+
+// Node names the process and its place.
+type Node struct {
+	Name   string `yaml:"name"`
+	Zone   string `yaml:"zone"`
+	Region string `yaml:"region"`
+	// DataFolder is empty on machines without a disk.
+	DataFolder string `yaml:"data_folder"`
+	// Zones are all zones of the deployment.
+	Zones []string `yaml:"zones"`
+}
+
+// Listen holds the addresses the process serves; empty ones are not served.
+type Listen struct {
+	Callers string `yaml:"callers"`
+	Ready   string `yaml:"ready"`
+}
+
+// Store is the platform's metadata store.
+type Store struct {
+	Address string `yaml:"address"`
+	// ValueBytes is the largest value.
+	ValueBytes int `yaml:"value_bytes"`
+	// ShortestLeaseMs is the shortest time to live of a lease, in milliseconds.
+	ShortestLeaseMs int `yaml:"shortest_lease_ms"`
+}
+
+// Limits are those of the machine.
+type Limits struct {
+	MemoryMB int `yaml:"memory_mb"`
+	// Cores the processor shows.
+	Cores int `yaml:"cores"`
+	// Descriptors the process may open.
+	Descriptors int `yaml:"descriptors"`
+}
+
+// Bounds are the deployment's times. Values in seconds may have fractions.
+type Bounds struct {
+	DrainMs          int     `yaml:"drain_ms"`
+	GraceS           float64 `yaml:"grace_s"`
+	ConfigurationMs  int     `yaml:"configuration_ms"`
+	SettleMs         int     `yaml:"settle_ms"`
+	CancelMs         int     `yaml:"cancel_ms"`
+	ResultRetentionS float64 `yaml:"result_retention_s"`
+	QuotaOverage     float64 `yaml:"quota_overage"`
+}
+
+// Grace is how long a process may take to stop.
+func (b Bounds) Grace() time.Duration { return time.Duration(b.GraceS * float64(time.Second)) }
+
+// ResultRetention is how long results stay readable, counted from the submission of their job.
+func (b Bounds) ResultRetention() time.Duration {
+	return time.Duration(b.ResultRetentionS * float64(time.Second))
+}
+
+// ShortestLease is the shortest time to live of a lease.
+func (s Store) ShortestLease() time.Duration {
+	return time.Duration(s.ShortestLeaseMs) * time.Millisecond
+}
+
+// Load reads and checks the file. The error wraps ErrUnreadable or ErrInvalid.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	return Parse(content)
+}
+
+// Parse reads and checks the content of a settings file.
+func Parse(content []byte) (Settings, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	var settings Settings
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	return settings, settings.check()
+}
+
+// check reports every fault at once.
+func (s Settings) check() error {
+	var faults []error
+	fault := func(field, message string) {
+		faults = append(faults, fmt.Errorf("%w: %s: %s", ErrInvalid, field, message))
+	}
+	if s.Node.Name == "" {
+		fault("node.name", "is missing")
+	}
+	if s.Node.Zone == "" {
+		fault("node.zone", "is missing")
+	}
+	checkAddress("store.address", s.Store.Address, true, fault)
+	checkAddress("listen.callers", s.Listen.Callers, false, fault)
+	checkAddress("listen.ready", s.Listen.Ready, false, fault)
+	if s.Limits.MemoryMB <= 0 {
+		fault("limits.memory_mb", "must be above zero")
+	}
+	if s.Bounds.GraceS <= 0 {
+		fault("bounds.grace_s", "must be above zero")
+	}
+	if s.Store.ValueBytes <= 0 {
+		fault("store.value_bytes", "must be above zero")
+	}
+	return errors.Join(faults...)
+}
+
+func checkAddress(field, address string, required bool, fault func(field, message string)) {
+	if address == "" {
+		if required {
+			fault(field, "is missing")
+		}
+		return
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		fault(field, "must be an IP address and a port")
+	}
+}
--- /dev/null
+++ b/internal/work/attempt.go
@@ -0,0 +1,63 @@
+package work
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// Attempt is one sending of a request to one runner.
+type Attempt struct {
+	Request *Request
+	Runner  Runner
+	// Budget is the time the runner may take.
+	Budget time.Duration
+	// ResumeAfter is the id of the last event already had; zero asks for the whole answer.
+	ResumeAfter int64
+}
+
+// Reply is a runner's answer to one attempt. Body must be closed; closing it before its end tells the runner to stop.
+type Reply struct {
+	Head Head
+	// NotRun says that the runner did not and will not run the request.
+	NotRun bool
+	// Replaced says that the address belongs to another runner, which did not run the request.
+	Replaced bool
+	// Sealed says that the answer carries the runner's signature, without which a success does not count.
+	Sealed bool
+	// Encoded says that the body is not the runner's own bytes.
+	Encoded bool
+	// Framed says that the end of the body is proven by its framing and not only by the end of the connection.
+	Framed bool
+	// Length is the length of the body, or negative where the answer does not tell.
+	Length int64
+	Body   io.ReadCloser
+}
+
+// Caller sends attempts to runners. Its errors wrap connpool.ErrNotSent or connpool.ErrNoAnswer.
+type Caller interface {
+	Send(ctx context.Context, attempt Attempt) (*Reply, error)
+	// Report reads a runner's own account of its work.
+	Report(ctx context.Context, runner Runner) (Load, error)
+	// Forget drops the connections kept to a runner.
+	Forget(runner Runner)
+}
+
+// Registry lists the runners and reads the configuration.
+type Registry interface {
+	// Runners returns all runners the registry lists, of one moment or later.
+	Runners(ctx context.Context) ([]Runner, error)
+	// Configuration returns the newest configuration and the revision it was read at.
+	Configuration(ctx context.Context) (*Catalog, int64, error)
+	// NextConfiguration waits for a configuration newer than the revision. It returns a nil catalog and a revision to go
+	// on from when none came within the wait.
+	NextConfiguration(ctx context.Context, after int64, wait time.Duration) (*Catalog, int64, error)
+}
+
+// AnswerWriter passes an answer on to the caller. Its errors mean that the caller is gone.
+type AnswerWriter interface {
+	// Begin sends the head. length is the length of the body, or negative for a body that ends by itself.
+	Begin(head Head, length int64) error
+	// Write sends bytes of the body at once.
+	Write(bytes []byte) error
+}
