--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobentry"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
 	"mallowlatch.example/mallowlatch/platform"
@@ -26,8 +28,9 @@
 	process := newProcess(path, settings, "front")
 	process.follow()
 	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Logger: process.logger, Now: time.Now}
+	desk := &jobentry.Desk{Records: process.records(), Logger: process.logger}
 	front := &platform.Front{
-		Routes: process.routes, Serve: forwarder.Serve, Stopping: process.lifecycle.Stopping,
+		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: time.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -13,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/site"
@@ -66,6 +67,13 @@
 	}
 }
 
+// records are the batch jobs in the store.
+func (p *process) records() *jobrecord.Records {
+	return &jobrecord.Records{
+		Store: p.store, ValueBytes: p.settings.Store.ValueBytes, Retention: p.settings.Bounds.ResultRetention(), Now: time.Now,
+	}
+}
+
 // follow keeps the runners and the configuration up to date.
 func (p *process) follow() {
 	registry := &platform.Registry{Store: p.store, Damaged: func(key string, err error) {
--- /dev/null
+++ b/internal/batchroom/gauge.go
@@ -0,0 +1,77 @@
+// Package batchroom decides how much batch work one runner may carry beside its online work, and how much must step
+// aside at once. It is pure: reports and times go in, counts come out.
+package batchroom
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// window is how long the online work that was seen is kept room for: online work comes in bursts.
+	window = 1200 * time.Millisecond
+	// reportMemory is how long a report is believed.
+	reportMemory = time.Second
+	// reservedShare of the places is kept free for online work that comes before the next report; at least
+	// smallestReserve places.
+	reservedShare   = 0.12
+	smallestReserve = 2
+	// blindRoom is how much batch work a runner may carry while nothing is known of it.
+	blindRoom = 1
+)
+
+// sample is the work of others seen at one time.
+type sample struct {
+	at     time.Time
+	others int
+}
+
+// Gauge follows one runner. The zero Gauge knows nothing.
+type Gauge struct {
+	samples []sample
+	excess  int
+	last    time.Time
+}
+
+// Observe takes in a report. own is the batch work this node had at the runner when the report was made.
+func (g *Gauge) Observe(load work.Load, own int, now time.Time) {
+	g.last = now
+	g.samples = append(g.samples, sample{at: now, others: max(load.Running+load.Waiting-own, 0)})
+	for len(g.samples) > 1 && now.Sub(g.samples[0].at) > window {
+		g.samples = g.samples[1:]
+	}
+	g.excess = 0
+	if load.Waiting > 0 {
+		g.excess = max(load.Running+load.Waiting-load.Slots, load.Waiting)
+	}
+}
+
+// others is the most work of others seen in the window.
+func (g *Gauge) others() int {
+	most := 0
+	for _, seen := range g.samples {
+		most = max(most, seen.others)
+	}
+	return most
+}
+
+// Room returns how many batch items more the runner may take beside the own ones it has.
+func (g *Gauge) Room(slots, own int, now time.Time) int {
+	if now.Sub(g.last) > reportMemory {
+		return max(blindRoom-own, 0)
+	}
+	if g.excess > 0 {
+		return 0
+	}
+	reserve := max(int(reservedShare*float64(slots)+0.5), smallestReserve)
+	return max(slots-reserve-g.others()-own, 0)
+}
+
+// Yield returns how many of the own batch items must step aside, because requests wait at the runner. Each report is
+// acted on once.
+func (g *Gauge) Yield(own int) int {
+	yield := min(g.excess, own)
+	g.excess = 0
+	return yield
+}
--- /dev/null
+++ b/internal/event/jobworker.go
@@ -0,0 +1,16 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of batch jobs kept in the platform's store: 3600 to 3699.
+var (
+	JobTaken       = register(3600, "job_taken", zerolog.InfoLevel, "A batch job is durable; its client was told.", "none")
+	JobRefused     = register(3601, "job_refused", zerolog.WarnLevel, "A batch job was not taken; the line says why and whether it may have been written.", "none unless it persists: check the store")
+	JobClaimed     = register(3602, "job_claimed", zerolog.InfoLevel, "This node runs a batch job from now on, from its beginning or from what another node recorded.", "none")
+	JobLeft        = register(3603, "job_left", zerolog.InfoLevel, "This node does not run a batch job any more.", "none")
+	LeaseLapsed    = register(3604, "claim_lease_lapsed", zerolog.WarnLevel, "The lease that this node's claims hang on lapsed; they are taken anew.", "check the store and the path to it, or whether the process stood still")
+	JobStoreFailed = register(3605, "job_store_failed", zerolog.WarnLevel, "A call of the store for batch jobs failed and is tried again.", "check the store and the path to it")
+	ItemRunBroken  = register(3606, "item_run_broken", zerolog.WarnLevel, "A run of a batch item ended without its whole output; another run goes on after the event named.", "none unless one runner stands out")
+	ItemGivenUp    = register(3607, "item_given_up", zerolog.WarnLevel, "A batch item was given up and is listed as a dead letter; the line says why.", "see the reason")
+	JobReadFailed  = register(3608, "job_read_failed", zerolog.WarnLevel, "A job could not be read and the caller was told to come again.", "check the store and the path to it")
+)
--- /dev/null
+++ b/internal/jobentry/desk.go
@@ -0,0 +1,153 @@
+// Package jobentry takes batch jobs in and reads them for callers, at any node. It answers from the records alone, so
+// that every node gives the same answer, and says of a submission that failed whether the job can still come to be.
+package jobentry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// callTimeout bounds one call of the store.
+	callTimeout = 900 * time.Millisecond
+	// submitTries bounds the tries of one submission, submitPause parts them.
+	submitTries = 4
+	submitPause = 120 * time.Millisecond
+	// retryAfter is when a caller may come back after a refusal.
+	retryAfter = 500 * time.Millisecond
+	// quotaRetryAfter is when a caller may come back to a full queue.
+	quotaRetryAfter = time.Second
+	// cachedHeaders bounds the headers kept in memory. A header never changes, so that any copy is good.
+	cachedHeaders = 256
+	// answerBytes bounds the results of one answer.
+	answerBytes = 900 << 10
+	// resultOverhead is what a result takes in an answer beside its text.
+	resultOverhead = 128
+)
+
+// Desk takes jobs in and reads them. It is safe for concurrent use.
+type Desk struct {
+	Records *jobrecord.Records
+	Logger  zerolog.Logger
+
+	mutex   sync.Mutex
+	headers map[ident.Job]*jobrecord.Header
+}
+
+// Accept makes a job durable. A nil error means that it is, now or since an earlier submission. The error is a
+// *failure.Error; its outcome is NotRun only where the job was not written and never will be.
+func (d *Desk) Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+	told := outcome.NotRun
+	var last error
+	for try := range submitTries {
+		if try > 0 && !pause(ctx, submitPause) {
+			break
+		}
+		err := d.accept(ctx, route, submission)
+		if err == nil {
+			event.JobTaken.Log(d.Logger).Str("job", string(submission.ID)).Int("items", len(submission.Items)).Int("tries", try+1).Send()
+			return nil
+		}
+		var final *failure.Error
+		if errors.As(err, &final) {
+			last = err
+			break
+		}
+		if jobrecord.Unknown(err) {
+			told = outcome.Unknown
+		}
+		last = err
+	}
+	refused := refusal(last, told)
+	event.JobRefused.Log(d.Logger).Str("job", string(submission.ID)).Str("not_run", refused.Outcome.String()).Err(last).Send()
+	return refused
+}
+
+// refusal is the final answer of a submission that failed.
+func refusal(last error, told outcome.Outcome) *failure.Error {
+	var final *failure.Error
+	switch {
+	case errors.As(last, &final) && told == outcome.NotRun:
+		return final
+	case told != outcome.NotRun:
+		return failure.New(failure.CodeOutcomeUnknown, "the job may have been taken; send it again").WithOutcome(told).WithCause(last)
+	}
+	return failure.New(failure.CodeShardUnavailable, "the job could not be written").WithRetryAfter(retryAfter).WithCause(last)
+}
+
+// accept makes one try.
+func (d *Desk) accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := d.checkQuota(ctx, route, submission); err != nil {
+		return err
+	}
+	err := d.Records.Accept(ctx, submission)
+	if errors.Is(err, jobrecord.ErrTooLarge) {
+		return failure.New(failure.CodeBodyTooLarge, "the job is too large to be kept").WithCause(err)
+	}
+	return err
+}
+
+// checkQuota refuses a job that does not fit beside those that wait on the route, over all nodes. A job that was
+// accepted before is not refused.
+func (d *Desk) checkQuota(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+	bound := route.MaximumQueuedTokens
+	if bound <= 0 {
+		return nil
+	}
+	tokens := submission.Tokens()
+	waiting, err := d.Records.WaitingTokens(ctx, route.Name, bound-tokens)
+	if err != nil {
+		return errNotWritten(err)
+	}
+	if waiting+tokens <= bound {
+		return nil
+	}
+	exists, err := d.Records.Exists(ctx, submission.ID)
+	if err != nil {
+		return errNotWritten(err)
+	}
+	if exists {
+		return nil
+	}
+	return failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, tokens, bound).
+		WithRetryAfter(quotaRetryAfter)
+}
+
+// ErrNotChecked means that the records could not be read before anything was written.
+const ErrNotChecked = failure.Kind("job entry: the records could not be read")
+
+// errNotWritten hides the outcome of a reading call: whatever became of it, nothing was written.
+func errNotWritten(err error) error { return readError{cause: err} }
+
+// readError is a failed reading before a write.
+type readError struct{ cause error }
+
+func (e readError) Error() string { return string(ErrNotChecked) + ": " + e.cause.Error() }
+
+// Is makes the error an ErrNotChecked, and not what the reading call failed with.
+func (e readError) Is(target error) bool { return target == ErrNotChecked }
+
+// pause waits, or returns false when ctx ends first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/jobentry/read.go
@@ -0,0 +1,152 @@
+package jobentry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Listing is a part of a job's results.
+type Listing struct {
+	// Total is the number of the job's items.
+	Total int
+	// Results stand at successive positions from the one asked for.
+	Results []work.Result
+}
+
+// Results reads results from a position on. Without any it waits for the next one, at most for the wait. The error is
+// a *failure.Error.
+func (d *Desk) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (Listing, error) {
+	header, err := d.header(ctx, job)
+	if err != nil {
+		return Listing{}, d.readFailure(job, err)
+	}
+	listing := Listing{Total: len(header.Items)}
+	if from >= listing.Total {
+		return listing, nil
+	}
+	results, revision, err := d.list(ctx, job, from)
+	if err != nil {
+		return Listing{}, d.readFailure(job, err)
+	}
+	if len(results) == 0 && wait > 0 {
+		// A wait that fails is an empty answer: the list was read before it.
+		results, _ = d.next(ctx, job, from, revision, wait)
+	}
+	listing.Results = cut(results)
+	return listing, nil
+}
+
+func (d *Desk) list(ctx context.Context, job ident.Job, from int) ([]work.Result, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return d.Records.Results(ctx, job, from)
+}
+
+func (d *Desk) next(ctx context.Context, job ident.Job, from int, after int64, wait time.Duration) ([]work.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout/4)
+	defer cancel()
+	return d.Records.NextResults(ctx, job, from, after, wait)
+}
+
+// cut keeps an answer within its bound, with one result at least.
+func cut(results []work.Result) []work.Result {
+	size := 0
+	for index, result := range results {
+		size += len(result.Text) + resultOverhead
+		if size > answerBytes && index > 0 {
+			return results[:index]
+		}
+	}
+	return results
+}
+
+// Body reads the body of an item that is not listed yet. The error is a *failure.Error.
+func (d *Desk) Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, error) {
+	header, err := d.header(ctx, job)
+	if err != nil {
+		return nil, d.readFailure(job, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := d.Records.Body(ctx, header, item)
+	if err != nil {
+		return nil, d.readFailure(job, err)
+	}
+	return body, nil
+}
+
+// End ends a job. The error is a *failure.Error.
+func (d *Desk) End(ctx context.Context, job ident.Job) error {
+	header, err := d.header(ctx, job)
+	if err != nil {
+		return d.readFailure(job, err)
+	}
+	var last error
+	for try := range submitTries {
+		if try > 0 && !pause(ctx, submitPause) {
+			break
+		}
+		if last = d.end(ctx, header); last == nil {
+			return nil
+		}
+	}
+	return d.readFailure(job, last)
+}
+
+func (d *Desk) end(ctx context.Context, header *jobrecord.Header) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return d.Records.End(ctx, header)
+}
+
+// header returns a job's header, from memory if it was read before.
+func (d *Desk) header(ctx context.Context, job ident.Job) (*jobrecord.Header, error) {
+	d.mutex.Lock()
+	known := d.headers[job]
+	d.mutex.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	header, err := d.Records.Header(ctx, job)
+	if err != nil {
+		return nil, err
+	}
+	d.remember(header)
+	return header, nil
+}
+
+func (d *Desk) remember(header *jobrecord.Header) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.headers == nil {
+		d.headers = map[ident.Job]*jobrecord.Header{}
+	}
+	if len(d.headers) >= cachedHeaders {
+		for id := range d.headers {
+			delete(d.headers, id)
+			break
+		}
+	}
+	d.headers[header.ID] = header
+}
+
+// readFailure turns a failed reading into what the caller is told. Only what the records deny is not found.
+func (d *Desk) readFailure(job ident.Job, err error) *failure.Error {
+	switch {
+	case errors.Is(err, jobrecord.ErrNoSuchJob):
+		return failure.New(failure.CodeNotFound, "no such batch job").WithCause(err)
+	case errors.Is(err, jobrecord.ErrNoSuchItem):
+		return failure.New(failure.CodeNotFound, "no such item, or its result is listed").WithCause(err)
+	}
+	event.JobReadFailed.Log(d.Logger).Str("job", string(job)).Err(err).Send()
+	return failure.New(failure.CodeShardUnavailable, "the job cannot be read now").WithRetryAfter(retryAfter).WithCause(err)
+}
--- /dev/null
+++ b/internal/jobrecord/accept.go
@@ -0,0 +1,124 @@
+package jobrecord
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// partBytes is how much of the bodies one value holds: as few values as the service's bound on entries needs, and small
+// enough that reading one body does not move the whole job.
+const partBytes = 512 << 10
+
+// maximumParts keeps a job within the entries of one transaction, with its header, its open entry and its claim.
+const maximumParts = 14
+
+// Submission is a job to be accepted.
+type Submission struct {
+	ID    ident.Job
+	Route string
+	Host  string
+	Zone  ident.Zone
+	Items []work.Item
+}
+
+// Tokens are those of all items.
+func (s *Submission) Tokens() int {
+	tokens := 0
+	for _, item := range s.Items {
+		tokens += item.Tokens
+	}
+	return tokens
+}
+
+// Accept writes a job. Repeating it is harmless: a job that exists is left as it is. After an error that wraps
+// kv.ErrOutcomeUnknown the job may exist, or come to exist seconds later.
+func (r *Records) Accept(ctx context.Context, submission *Submission) error {
+	header, parts, err := r.layOut(submission)
+	if err != nil {
+		return err
+	}
+	open := Open{Route: header.Route, Zone: header.Zone, Tokens: header.Tokens}
+	writes := []kv.Write{
+		{Key: keyHeader(header.ID), Value: encode(header)},
+		{Key: keyOpen(header.ID), Value: encode(open)},
+	}
+	for index, part := range parts {
+		writes = append(writes, kv.Write{Key: keyPart(header.ID, index), Value: part})
+	}
+	// A transaction that fails its compare found the header: the job was accepted before.
+	_, err = r.Store.Commit(ctx, []kv.Compare{{Key: keyHeader(header.ID)}}, writes)
+	return err
+}
+
+// layOut puts the bodies one behind the other into values.
+func (r *Records) layOut(submission *Submission) (*Header, [][]byte, error) {
+	header := &Header{
+		ID: submission.ID, Route: submission.Route, Host: submission.Host, Zone: submission.Zone,
+		SubmittedMs: r.Now().UnixMilli(), Tokens: submission.Tokens(),
+	}
+	largest := r.ValueBytes / 4 * 3
+	var parts [][]byte
+	for _, item := range submission.Items {
+		if len(item.Body) > largest {
+			return nil, nil, fmt.Errorf("%w: item %s has %d bytes, at most %d are kept", ErrTooLarge, item.ID, len(item.Body), largest)
+		}
+		if len(parts) == 0 || len(parts[len(parts)-1])+len(item.Body) > min(partBytes, largest) {
+			parts = append(parts, nil)
+		}
+		last := len(parts) - 1
+		header.Items = append(header.Items, ItemHeader{Item: item, Part: last, Offset: len(parts[last]), Length: len(item.Body)})
+		parts[last] = append(parts[last], item.Body...)
+	}
+	if len(parts) > maximumParts {
+		return nil, nil, fmt.Errorf("%w: the bodies need %d values, at most %d are kept", ErrTooLarge, len(parts), maximumParts)
+	}
+	header.Parts = len(parts)
+	return header, parts, nil
+}
+
+// Exists says whether a job was accepted.
+func (r *Records) Exists(ctx context.Context, job ident.Job) (bool, error) {
+	_, err := r.Header(ctx, job)
+	if isNoSuchJob(err) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// WaitingTokens returns the tokens of a route's items that have no result, over all nodes. Finished items of jobs in
+// progress are only left out where the sum would go beyond the bound: that takes a second call.
+func (r *Records) WaitingTokens(ctx context.Context, route string, bound int) (int, error) {
+	open, _, err := r.ListOpen(ctx)
+	if err != nil {
+		return 0, err
+	}
+	waiting := 0
+	tokens := map[ident.Job]int{}
+	for _, entry := range open {
+		if entry.Route == route {
+			waiting += entry.Tokens
+			tokens[entry.ID] = entry.Tokens
+		}
+	}
+	if waiting <= bound {
+		return waiting, nil
+	}
+	left, _, err := kv.ListAll(ctx, r.Store, prefixLeft, kv.PageOptions{})
+	if err != nil {
+		return 0, err
+	}
+	for _, pair := range left {
+		whole, isOpen := tokens[ident.Job(strings.TrimPrefix(pair.Key, prefixLeft))]
+		remaining, err := strconv.Atoi(string(pair.Value))
+		if isOpen && err == nil {
+			waiting -= whole - remaining
+		}
+	}
+	return waiting, nil
+}
--- /dev/null
+++ b/internal/jobrecord/read.go
@@ -0,0 +1,162 @@
+package jobrecord
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+func isNoSuchJob(err error) bool { return errors.Is(err, ErrNoSuchJob) }
+
+// Header reads a job's header, or returns ErrNoSuchJob.
+func (r *Records) Header(ctx context.Context, job ident.Job) (*Header, error) {
+	pair, _, err := r.Store.Get(ctx, keyHeader(job))
+	if errors.Is(err, kv.ErrNotFound) {
+		return nil, fmt.Errorf("%w: %s", ErrNoSuchJob, job)
+	}
+	if err != nil {
+		return nil, err
+	}
+	header := &Header{}
+	return header, decode(pair, header)
+}
+
+// Body reads the body of an item, or returns ErrNoSuchItem.
+func (r *Records) Body(ctx context.Context, header *Header, item ident.Request) ([]byte, error) {
+	for _, candidate := range header.Items {
+		if candidate.ID != item {
+			continue
+		}
+		pair, _, err := r.Store.Get(ctx, keyPart(header.ID, candidate.Part))
+		if errors.Is(err, kv.ErrNotFound) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		return candidate.cut(pair.Value)
+	}
+	return nil, fmt.Errorf("%w: %s", ErrNoSuchItem, item)
+}
+
+// cut takes the item's body out of its part.
+func (i *ItemHeader) cut(part []byte) ([]byte, error) {
+	if i.Offset < 0 || i.Length < 0 || i.Offset+i.Length > len(part) {
+		return nil, fmt.Errorf("%w: body of item %s", ErrDamaged, i.ID)
+	}
+	return part[i.Offset : i.Offset+i.Length : i.Offset+i.Length], nil
+}
+
+// Results reads results from a position on, one page at most, and the revision of the reading.
+func (r *Records) Results(ctx context.Context, job ident.Job, from int) ([]work.Result, int64, error) {
+	options := kv.PageOptions{}
+	if from > 0 {
+		options.After = keyResult(job, from-1)
+	}
+	page, err := r.Store.ListPage(ctx, resultsOf(job), options)
+	if err != nil {
+		return nil, 0, err
+	}
+	results, err := decodeResults(job, from, page.Pairs)
+	return results, page.Revision, err
+}
+
+// NextResults waits for results from a position on that came after the revision. It returns none when the wait is over,
+// or when what came does not continue at the position.
+func (r *Records) NextResults(ctx context.Context, job ident.Job, from int, after int64, wait time.Duration) ([]work.Result, error) {
+	response, err := r.Store.Changes(ctx, resultsOf(job), after, wait)
+	if err != nil {
+		return nil, err
+	}
+	var pairs []kv.Pair
+	for _, changed := range response.Events {
+		if !changed.Deleted {
+			pairs = append(pairs, changed.Pair)
+		}
+	}
+	return decodeResults(job, from, pairs)
+}
+
+// decodeResults takes the results at successive positions from the given one on; it stops at a gap.
+func decodeResults(job ident.Job, from int, pairs []kv.Pair) ([]work.Result, error) {
+	var results []work.Result
+	for _, pair := range pairs {
+		if pair.Key != keyResult(job, from+len(results)) {
+			break
+		}
+		var result work.Result
+		if err := decode(pair, &result); err != nil {
+			return nil, err
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+// ListOpen returns the open jobs and the revision to watch from.
+func (r *Records) ListOpen(ctx context.Context) ([]Open, int64, error) {
+	pairs, revision, err := kv.ListAll(ctx, r.Store, prefixOpen, kv.PageOptions{})
+	if err != nil {
+		return nil, 0, err
+	}
+	var open []Open
+	for _, pair := range pairs {
+		if entry, err := decodeOpen(pair); err == nil {
+			open = append(open, entry)
+		}
+	}
+	return open, revision, nil
+}
+
+func decodeOpen(pair kv.Pair) (Open, error) {
+	var entry Open
+	err := decode(pair, &entry)
+	entry.ID = ident.Job(strings.TrimPrefix(pair.Key, prefixOpen))
+	entry.Revision = pair.ModRevision
+	return entry, err
+}
+
+// OpenChange is an open job that came, or one that was finished or ended.
+type OpenChange struct {
+	Open Open
+	Gone bool
+}
+
+// NextOpen waits for changes to the open jobs after the revision.
+func (r *Records) NextOpen(ctx context.Context, after int64, wait time.Duration) ([]OpenChange, int64, error) {
+	response, err := r.Store.Changes(ctx, prefixOpen, after, wait)
+	if err != nil {
+		return nil, 0, err
+	}
+	var changes []OpenChange
+	for _, event := range response.Events {
+		id := ident.Job(strings.TrimPrefix(event.Pair.Key, prefixOpen))
+		if event.Deleted {
+			changes = append(changes, OpenChange{Open: Open{ID: id}, Gone: true})
+			continue
+		}
+		if entry, err := decodeOpen(event.Pair); err == nil {
+			changes = append(changes, OpenChange{Open: entry})
+		}
+	}
+	return changes, response.Revision, nil
+}
+
+// Claimed returns the jobs that some node holds a claim on.
+func (r *Records) Claimed(ctx context.Context) (map[ident.Job]bool, error) {
+	pairs, _, err := kv.ListAll(ctx, r.Store, prefixClaim, kv.PageOptions{})
+	if err != nil {
+		return nil, err
+	}
+	claimed := make(map[ident.Job]bool, len(pairs))
+	for _, pair := range pairs {
+		claimed[ident.Job(strings.TrimPrefix(pair.Key, prefixClaim))] = true
+	}
+	return claimed, nil
+}
--- /dev/null
+++ b/internal/jobrecord/run.go
@@ -0,0 +1,205 @@
+package jobrecord
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Claim takes the right to run an open job for as long as the lease lives. It returns ErrClaimLost where another node
+// holds it or the job is not open any more. holder names the node.
+func (r *Records) Claim(ctx context.Context, open Open, holder ident.Node, lease kv.LeaseID) (Claim, error) {
+	value := []byte(holder + "/" + ident.Node(strconv.FormatInt(int64(lease), 10)))
+	result, err := r.Store.Commit(ctx,
+		[]kv.Compare{{Key: keyClaim(open.ID)}, {Key: keyOpen(open.ID), ModRevision: open.Revision}},
+		[]kv.Write{{Key: keyClaim(open.ID), Value: value, Lease: lease}})
+	if err != nil {
+		return Claim{}, err
+	}
+	if result.Succeeded {
+		return Claim{Job: open.ID, Revision: result.Revision}, nil
+	}
+	// The claim may be this node's own, from a try whose answer was lost.
+	for _, present := range result.Conflicts {
+		if present.Key == keyClaim(open.ID) && bytes.Equal(present.Value, value) {
+			return Claim{Job: open.ID, Revision: present.ModRevision}, nil
+		}
+	}
+	return Claim{}, fmt.Errorf("%w: %s", ErrClaimLost, open.ID)
+}
+
+// Load reads a claimed job and the results it already has.
+func (r *Records) Load(ctx context.Context, job ident.Job) (*Job, []work.Result, error) {
+	results, err := r.AllResults(ctx, job)
+	if err != nil {
+		return nil, nil, err
+	}
+	pairs, _, err := kv.ListAll(ctx, r.Store, prefixData+string(job)+"/", kv.PageOptions{})
+	if err != nil {
+		return nil, nil, err
+	}
+	loaded, err := assemble(job, pairs)
+	return loaded, results, err
+}
+
+// AllResults reads every result of a job.
+func (r *Records) AllResults(ctx context.Context, job ident.Job) ([]work.Result, error) {
+	pairs, _, err := kv.ListAll(ctx, r.Store, resultsOf(job), kv.PageOptions{})
+	if err != nil {
+		return nil, err
+	}
+	return decodeResults(job, 0, pairs)
+}
+
+// assemble puts a job together from its values.
+func assemble(job ident.Job, pairs []kv.Pair) (*Job, error) {
+	sort.Slice(pairs, func(first, second int) bool { return pairs[first].Key < pairs[second].Key })
+	loaded := &Job{}
+	var parts [][]byte
+	for _, pair := range pairs {
+		if strings.HasSuffix(pair.Key, suffixHeader) {
+			if err := decode(pair, &loaded.Header); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		parts = append(parts, pair.Value)
+	}
+	if loaded.Header.ID != job || len(parts) != loaded.Header.Parts {
+		return nil, fmt.Errorf("%w: %s", ErrNoSuchJob, job)
+	}
+	for index := range loaded.Header.Items {
+		item := &loaded.Header.Items[index]
+		body, err := item.cut(parts[item.Part])
+		if err != nil {
+			return nil, err
+		}
+		loaded.Bodies = append(loaded.Bodies, body)
+	}
+	return loaded, nil
+}
+
+// maximumAppended keeps an Append within the entries of one transaction beside the entries that finish a job.
+const maximumAppended = 6
+
+// MaximumAppended is how many results one Append takes.
+func (r *Records) MaximumAppended() int { return maximumAppended }
+
+// Append writes results from a position on. remaining are the tokens of the items without a result; finished says that
+// there are none, and closes the job in the same transaction. After an error that wraps kv.ErrOutcomeUnknown the
+// caller repeats the same Append until it knows. It returns ErrClaimLost where the claim is not the newest.
+func (r *Records) Append(ctx context.Context, claim Claim, header *Header, position int, results []work.Result, remaining int, finished bool) error {
+	compares := []kv.Compare{{Key: keyClaim(claim.Job), ModRevision: claim.Revision}}
+	var writes []kv.Write
+	for index, result := range results {
+		key := keyResult(claim.Job, position+index)
+		compares = append(compares, kv.Compare{Key: key})
+		writes = append(writes, kv.Write{Key: key, Value: encode(result)})
+	}
+	if finished {
+		writes = append(writes, r.closing(header)...)
+	} else {
+		writes = append(writes, kv.Write{Key: keyLeft(claim.Job), Value: strconv.AppendInt(nil, int64(remaining), 10)})
+	}
+	outcome, err := r.Store.Commit(ctx, compares, writes)
+	if err != nil || outcome.Succeeded {
+		return err
+	}
+	if holdsResults(outcome.Conflicts, writes[:len(results)]) {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", ErrClaimLost, claim.Job)
+}
+
+// holdsResults says whether an earlier try of the same Append took effect.
+func holdsResults(present []kv.Pair, writes []kv.Write) bool {
+	found := 0
+	for _, pair := range present {
+		for _, write := range writes {
+			if pair.Key == write.Key && bytes.Equal(pair.Value, write.Value) {
+				found++
+			}
+		}
+	}
+	return found == len(writes)
+}
+
+// End ends a job: its claim goes, so that no more results are added. Repeating it is harmless.
+func (r *Records) End(ctx context.Context, header *Header) error {
+	_, err := r.Store.Commit(ctx, nil, r.closing(header))
+	return err
+}
+
+// closing removes what only an open job needs and notes when the rest may go.
+func (r *Records) closing(header *Header) []kv.Write {
+	expires := header.Submitted().Add(r.Retention)
+	writes := []kv.Write{
+		{Key: keyDone(header.ID), Value: strconv.AppendInt(nil, expires.UnixMilli(), 10)},
+		{Key: keyOpen(header.ID), Delete: true},
+		{Key: keyClaim(header.ID), Delete: true},
+		{Key: keyLeft(header.ID), Delete: true},
+	}
+	for part := range header.Parts {
+		writes = append(writes, kv.Write{Key: keyPart(header.ID, part), Delete: true})
+	}
+	return writes
+}
+
+// retentionSlack is kept beyond the retention, because clocks of machines differ.
+const retentionSlack = 30 * time.Second
+
+// RemoveExpired removes closed jobs whose retention is over. Results are removed before the entry that names the job,
+// so that a removal cut short is taken up again.
+func (r *Records) RemoveExpired(ctx context.Context) (int, error) {
+	pairs, _, err := kv.ListAll(ctx, r.Store, prefixDone, kv.PageOptions{})
+	if err != nil {
+		return 0, err
+	}
+	removed := 0
+	for _, pair := range pairs {
+		expires, err := strconv.ParseInt(string(pair.Value), 10, 64)
+		if err == nil && r.Now().Before(time.UnixMilli(expires).Add(retentionSlack)) {
+			continue
+		}
+		if err := r.remove(ctx, ident.Job(strings.TrimPrefix(pair.Key, prefixDone))); err != nil {
+			return removed, err
+		}
+		removed++
+	}
+	return removed, nil
+}
+
+// removedTogether bounds the entries of one removing transaction.
+const removedTogether = 24
+
+func (r *Records) remove(ctx context.Context, job ident.Job) error {
+	pairs, _, err := kv.ListAll(ctx, r.Store, resultsOf(job), kv.PageOptions{})
+	if err != nil {
+		return err
+	}
+	var writes []kv.Write
+	for _, pair := range pairs {
+		writes = append(writes, kv.Write{Key: pair.Key, Delete: true})
+		if len(writes) == removedTogether {
+			if _, err := r.Store.Commit(ctx, nil, writes); err != nil {
+				return err
+			}
+			writes = writes[:0]
+		}
+	}
+	writes = append(writes, kv.Write{Key: keyHeader(job), Delete: true}, kv.Write{Key: keyDone(job), Delete: true})
+	_, err = r.Store.Commit(ctx, nil, writes)
+	return err
+}
+
+// Unknown says whether an error leaves open what happened.
+func Unknown(err error) bool { return errors.Is(err, kv.ErrOutcomeUnknown) }
--- /dev/null
+++ b/internal/jobworker/dispatch.go
@@ -0,0 +1,293 @@
+package jobworker
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// spillShare of the time until an item is due may pass before a runner of another zone takes it.
+	spillShare = 0.6
+	// reportDelay is how old a runner's report is when it is made: work started since is not in it.
+	reportDelay = 100 * time.Millisecond
+	// routeMissing is how long an item's route must be gone before the item is given up.
+	routeMissing = 5 * time.Second
+)
+
+// dispatchLoop gives out items round by round.
+func (w *Worker) dispatchLoop() error {
+	for w.pause(w.Options.DispatchEvery) {
+		now := w.Now()
+		w.mutex.Lock()
+		waiting := w.waiting(now)
+		w.endStalled(now)
+		w.mutex.Unlock()
+		w.askReports(now)
+		w.give(waiting, now)
+	}
+	return nil
+}
+
+// waiting returns the items to be given out, the earliest due first. The caller holds the mutex.
+func (w *Worker) waiting(now time.Time) []*itemRun {
+	var waiting []*itemRun
+	if w.draining {
+		return nil
+	}
+	for _, job := range w.jobs {
+		for _, item := range job.items {
+			if !item.finished && !item.running && !now.Before(item.notBefore) {
+				waiting = append(waiting, item)
+			}
+		}
+	}
+	slices.SortFunc(waiting, func(first, second *itemRun) int {
+		if order := cmp.Compare(first.job.header.SubmittedMs, second.job.header.SubmittedMs); order != 0 {
+			return order
+		}
+		if order := cmp.Compare(first.job.header.ID, second.job.header.ID); order != 0 {
+			return order
+		}
+		return cmp.Compare(first.index, second.index)
+	})
+	return waiting
+}
+
+// endStalled ends runs that show no event any more; another runner goes on with them. The caller holds the mutex.
+func (w *Worker) endStalled(now time.Time) {
+	for _, job := range w.jobs {
+		for _, item := range job.items {
+			if item.running && now.Sub(item.progressed) > w.Options.StallAfter {
+				item.cancel()
+			}
+		}
+	}
+}
+
+// give starts the items that a runner has room for.
+func (w *Worker) give(waiting []*itemRun, now time.Time) {
+	for position, item := range waiting {
+		route := w.routeOf(item, now)
+		if route == nil {
+			continue
+		}
+		service := route.Split[item.index%len(route.Split)].Service
+		far := w.mayLeaveZone(item, route, position, now)
+		id, found := w.roomiest(service, far, now)
+		if !found {
+			if far {
+				return
+			}
+			continue
+		}
+		w.start(item, route, service, id, now)
+	}
+}
+
+// routeOf returns the route of an item in the configuration in force, or nil while it has none. An item whose route is
+// gone for good is given up.
+func (w *Worker) routeOf(item *itemRun, now time.Time) *work.Route {
+	route, known := w.Routes.Match(item.job.header.Host, item.item.Path)
+	if !known {
+		return nil
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if route != nil && route.Kind == work.Batch {
+		item.routeGone = time.Time{}
+		if route.Retention > 0 && now.After(item.job.header.Submitted().Add(route.Retention)) {
+			w.giveUp(item, "its retention is over")
+			return nil
+		}
+		return route
+	}
+	if item.routeGone.IsZero() {
+		item.routeGone = now
+	}
+	if now.Sub(item.routeGone) > routeMissing {
+		w.giveUp(item, "its route is gone")
+	}
+	return nil
+}
+
+// mayLeaveZone says whether the item would come too late if it waited for a runner of the node's zone: bytes between
+// zones have their price. position is its place among the waiting items.
+func (w *Worker) mayLeaveZone(item *itemRun, route *work.Route, position int, now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	running := 0
+	for _, job := range w.jobs {
+		running += job.running
+	}
+	expected := w.duration + w.duration*time.Duration(position+1)/time.Duration(max(running, 1))
+	left := item.job.header.Submitted().Add(route.CompletionObjective).Sub(now)
+	return float64(expected) > spillShare*float64(left)
+}
+
+// roomiest returns the runner of a service with the most room for batch items, of the node's zone if it has any.
+func (w *Worker) roomiest(service string, far bool, now time.Time) (ident.Runner, bool) {
+	var best ident.Runner
+	bestRoom, bestNear := 0, false
+	for _, runner := range w.Runners.Of(service) {
+		near := runner.Zone == w.Zone
+		if !near && (!far || bestNear) {
+			continue
+		}
+		room := w.room(runner, now)
+		if room > 0 && (room > bestRoom || (near && !bestNear)) {
+			best, bestRoom, bestNear = runner.ID, room, near
+		}
+	}
+	return best, bestRoom > 0
+}
+
+func (w *Worker) room(runner work.Runner, now time.Time) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.Runners.Own(runner.ID, runnertable.Batch), now)
+}
+
+// gaugeOf returns the gauge of a runner. The caller holds the mutex.
+func (w *Worker) gaugeOf(id ident.Runner) *gauged {
+	known := w.gauges[id]
+	if known == nil {
+		known = &gauged{}
+		w.gauges[id] = known
+	}
+	return known
+}
+
+// askReports reads the reports of the runners that take part, so that online work is seen and batch steps aside.
+func (w *Worker) askReports(now time.Time) {
+	services := w.servicesInUse()
+	for _, service := range services {
+		for _, runner := range w.Runners.Of(service) {
+			own := w.Runners.Own(runner.ID, runnertable.Batch)
+			if runner.Zone != w.Zone && own == 0 && !w.anyFar(now) {
+				continue
+			}
+			w.mutex.Lock()
+			gauge := w.gaugeOf(runner.ID)
+			due := now.Sub(gauge.asked) >= w.Options.ReportEvery
+			if due {
+				gauge.asked = now
+			}
+			w.mutex.Unlock()
+			if due {
+				w.tomb.Go(func() error { w.askReport(runner); return nil })
+			}
+		}
+	}
+}
+
+// servicesInUse returns the services of the items this node has.
+func (w *Worker) servicesInUse() []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var services []string
+	for _, job := range w.jobs {
+		route, _ := w.Routes.Match(job.header.Host, job.items[0].item.Path)
+		if route == nil {
+			continue
+		}
+		for _, part := range route.Split {
+			if !slices.Contains(services, part.Service) {
+				services = append(services, part.Service)
+			}
+		}
+	}
+	return services
+}
+
+// anyFar says whether an item waits that may leave the zone, so that the runners there are asked too.
+func (w *Worker) anyFar(now time.Time) bool {
+	w.mutex.Lock()
+	waiting := w.waiting(now)
+	w.mutex.Unlock()
+	if len(waiting) == 0 {
+		return false
+	}
+	last := waiting[len(waiting)-1]
+	route, _ := w.Routes.Match(last.job.header.Host, last.item.Path)
+	return route != nil && w.mayLeaveZone(last, route, len(waiting)-1, now)
+}
+
+func (w *Worker) askReport(runner work.Runner) {
+	ctx, cancel := w.call()
+	defer cancel()
+	load, err := w.Caller.Report(ctx, runner)
+	if err != nil {
+		return
+	}
+	now := w.Now()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	gauge := &w.gaugeOf(runner.ID).gauge
+	gauge.Observe(load, w.ownReported(runner.ID, now), now)
+	w.yield(runner.ID, gauge.Yield(w.Runners.Own(runner.ID, runnertable.Batch)))
+}
+
+// ownReported counts the own items at a runner that its report can know of. The caller holds the mutex.
+func (w *Worker) ownReported(id ident.Runner, now time.Time) int {
+	count := 0
+	for _, job := range w.jobs {
+		for _, item := range job.items {
+			if item.running && item.runner == id && now.Sub(item.started) > reportDelay {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// yield ends the newest runs at a runner so that online work has their places; they go on later after their last event.
+// The caller holds the mutex.
+func (w *Worker) yield(id ident.Runner, count int) {
+	if count <= 0 {
+		return
+	}
+	var running []*itemRun
+	for _, job := range w.jobs {
+		for _, item := range job.items {
+			if item.running && item.runner == id {
+				running = append(running, item)
+			}
+		}
+	}
+	slices.SortFunc(running, func(first, second *itemRun) int { return second.started.Compare(first.started) })
+	for _, item := range running[:min(count, len(running))] {
+		item.cancel()
+	}
+}
+
+// start runs an item at a runner.
+func (w *Worker) start(item *itemRun, route *work.Route, service string, id ident.Runner, now time.Time) {
+	wish := runnertable.Wish{Service: service, Class: runnertable.Batch, Bytes: len(item.body)}
+	flight, err := w.Runners.StartAt(id, wish, now)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	w.mutex.Lock()
+	if item.job.dropped || item.finished || item.running {
+		w.mutex.Unlock()
+		cancel()
+		flight.End()
+		return
+	}
+	item.running, item.cancel, item.runner = true, cancel, id
+	item.started, item.progressed = now, now
+	item.job.running++
+	w.mutex.Unlock()
+	w.tomb.Go(func() error {
+		defer cancel()
+		w.run(ctx, item, route, flight)
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/jobworker/job.go
@@ -0,0 +1,232 @@
+package jobworker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// jobRun is a job this node holds the claim of. The worker's mutex guards it.
+type jobRun struct {
+	entry  jobrecord.Open
+	claim  jobrecord.Claim
+	header *jobrecord.Header
+	items  []*itemRun
+	// listed is the number of results that are recorded, the next position.
+	listed int
+	// unlisted are results that wait to be recorded, in the order they came.
+	unlisted []work.Result
+	running  int
+	// dropped says that this node does not run the job any more.
+	dropped bool
+	wake    chan struct{}
+}
+
+// itemRun is one item and what is known of its output so far.
+type itemRun struct {
+	job   *jobRun
+	index int
+	item  work.Item
+	body  []byte
+	// finished says that the item has a result, recorded or waiting to be.
+	finished bool
+	running  bool
+	// cancel ends the run in progress.
+	cancel context.CancelFunc
+	runner ident.Runner
+	// started and progressed are when the run began and when its last event came.
+	started, progressed time.Time
+	// text is the data of the events so far, lastEvent the id of the last.
+	text      bytes.Buffer
+	lastEvent int64
+	// failures counts the runs that the runner itself failed.
+	failures int
+	// notBefore is when the item may be tried again.
+	notBefore time.Time
+	// routeGone is when the item was first seen to have no route.
+	routeGone time.Time
+}
+
+func newJobRun(claim jobrecord.Claim, loaded *jobrecord.Job) *jobRun {
+	job := &jobRun{claim: claim, header: &loaded.Header, wake: make(chan struct{}, 1)}
+	for index, item := range loaded.Header.Items {
+		job.items = append(job.items, &itemRun{job: job, index: index, item: item.Item, body: loaded.Bodies[index]})
+	}
+	return job
+}
+
+// list takes over the recorded results; results of this node that another one recorded meanwhile are dropped.
+func (j *jobRun) list(results []work.Result) {
+	recorded := make(map[ident.Request]bool, len(results))
+	for _, result := range results {
+		recorded[result.ID] = true
+	}
+	for _, item := range j.items {
+		if recorded[item.item.ID] {
+			item.finished = true
+		}
+	}
+	kept := j.unlisted[:0]
+	for _, result := range j.unlisted {
+		if !recorded[result.ID] {
+			kept = append(kept, result)
+		}
+	}
+	j.unlisted = kept
+	j.listed = len(results)
+	j.signal()
+}
+
+// remaining are the tokens of the items without a recorded result beyond those about to be recorded.
+func (j *jobRun) remaining(recording []work.Result) int {
+	tokens := 0
+	about := make(map[ident.Request]bool, len(recording))
+	for _, result := range recording {
+		about[result.ID] = true
+	}
+	for _, item := range j.items {
+		if !item.finished || (j.isUnlisted(item.item.ID) && !about[item.item.ID]) {
+			tokens += item.item.Tokens
+		}
+	}
+	return tokens
+}
+
+func (j *jobRun) isUnlisted(id ident.Request) bool {
+	for _, result := range j.unlisted {
+		if result.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// finish notes an item's result and wakes the writer.
+func (j *jobRun) finish(item *itemRun, state work.ResultState) {
+	if item.finished {
+		return
+	}
+	item.finished = true
+	result := work.Result{ID: item.item.ID, State: state}
+	if state == work.Completed {
+		result.Text = item.text.String()
+	}
+	item.text = bytes.Buffer{}
+	item.body = nil
+	j.unlisted = append(j.unlisted, result)
+	j.signal()
+}
+
+func (j *jobRun) signal() {
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drop stops running a job. The caller holds the mutex.
+func (w *Worker) drop(job *jobRun) {
+	job.dropped = true
+	job.unlisted = nil
+	for _, item := range job.items {
+		if item.cancel != nil {
+			item.cancel()
+		}
+	}
+	delete(w.jobs, job.header.ID)
+	job.signal()
+}
+
+// startWriter records the job's results, one transaction at a time. The caller holds the mutex.
+func (w *Worker) startWriter(job *jobRun) {
+	job.signal()
+	w.tomb.Go(func() error {
+		for {
+			select {
+			case <-w.tomb.Dying():
+				return nil
+			case <-job.wake:
+			}
+			if done := w.recordAll(job); done {
+				return nil
+			}
+		}
+	})
+}
+
+// recordAll records until nothing waits. It returns true when the job needs no writer any more.
+func (w *Worker) recordAll(job *jobRun) bool {
+	for {
+		w.mutex.Lock()
+		batch, waiting := job.nextBatch(w.Records.MaximumAppended())
+		gone := job.dropped
+		w.mutex.Unlock()
+		if gone {
+			return true
+		}
+		if !waiting {
+			return false
+		}
+		finished, err := w.record(job, batch)
+		switch {
+		case finished:
+			return true
+		case errors.Is(err, jobrecord.ErrClaimLost):
+			w.reclaim(job)
+		case err != nil:
+			w.logStore("recording results of job "+string(job.header.ID), err)
+		}
+		if err != nil && !w.pause(w.Options.RetryAfter) {
+			return true
+		}
+	}
+}
+
+// batch is what one transaction records.
+type batch struct {
+	claim     jobrecord.Claim
+	position  int
+	results   []work.Result
+	remaining int
+	finished  bool
+}
+
+// nextBatch returns what to record next. While an Append is unanswered the same results come again, in the same order:
+// new ones only join behind.
+func (j *jobRun) nextBatch(most int) (batch, bool) {
+	if j.dropped || (len(j.unlisted) == 0 && j.listed < len(j.items)) {
+		return batch{}, false
+	}
+	results := append([]work.Result(nil), j.unlisted[:min(len(j.unlisted), most)]...)
+	return batch{
+		claim: j.claim, position: j.listed, results: results, remaining: j.remaining(results),
+		finished: j.listed+len(results) == len(j.items),
+	}, true
+}
+
+// record writes one batch. It returns true when the job is finished with it.
+func (w *Worker) record(job *jobRun, next batch) (bool, error) {
+	ctx, cancel := w.call()
+	defer cancel()
+	err := w.Records.Append(ctx, next.claim, job.header, next.position, next.results, next.remaining, next.finished)
+	if err != nil {
+		return false, err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if job.claim != next.claim || job.dropped {
+		return false, nil
+	}
+	job.listed += len(next.results)
+	job.unlisted = job.unlisted[len(next.results):]
+	if next.finished {
+		w.drop(job)
+		delete(w.open, job.header.ID)
+	}
+	return next.finished, nil
+}
--- /dev/null
+++ b/internal/jobworker/run.go
@@ -0,0 +1,195 @@
+package jobworker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/connpool"
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/eventstream"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Ends of a run that leave the item to be tried again.
+const (
+	errRefused    = failure.Kind("job worker: runner refused the item")
+	errBroken     = failure.Kind("job worker: run broken off")
+	errUnexpected = failure.Kind("job worker: unexpected answer")
+)
+
+// Pauses before an item is tried again.
+const (
+	pauseAfterRefusal = 150 * time.Millisecond
+	pauseAfterFailure = 300 * time.Millisecond
+	pauseAfterBreak   = 20 * time.Millisecond
+)
+
+// longestBudget bounds the time given to a runner for one item.
+const longestBudget = 2 * time.Minute
+
+// durationWeight is the part a new run has in the mean time of a run.
+const durationWeight = 0.1
+
+// run makes one run of an item and notes how it ended.
+func (w *Worker) run(ctx context.Context, item *itemRun, route *work.Route, flight *runnertable.Flight) {
+	defer flight.End()
+	resumed := item.lastEvent
+	status, err := w.stream(ctx, item, route, flight)
+	now := w.Now()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	item.running = false
+	item.job.running--
+	if item.job.dropped {
+		return
+	}
+	switch {
+	case err == nil && status == http.StatusOK:
+		w.noteDuration(now.Sub(item.started), resumed)
+		item.job.finish(item, work.Completed)
+	case err == nil && status == http.StatusUnprocessableEntity:
+		w.giveUp(item, "no runner can do it")
+	case err == nil && status == http.StatusInternalServerError:
+		item.failures++
+		item.notBefore = now.Add(pauseAfterFailure)
+		if item.failures >= max(route.MaximumAttempts, 1) {
+			w.giveUp(item, "its attempts failed")
+		}
+	case errors.Is(err, errRefused):
+		item.notBefore = now.Add(pauseAfterRefusal)
+	default:
+		item.notBefore = now.Add(pauseAfterBreak)
+		if ctx.Err() == nil {
+			item.notBefore = now.Add(pauseAfterFailure)
+			flight.Failed(failureOf(err), now)
+			event.ItemRunBroken.Log(w.Logger).Str("job", string(item.job.header.ID)).Str("item", string(item.item.ID)).
+				Str("runner", string(flight.Runner.ID)).Int64("last_event", item.lastEvent).Int("status", status).Err(err).Send()
+		}
+	}
+}
+
+func failureOf(err error) runnertable.Failure {
+	if errors.Is(err, connpool.ErrNotSent) {
+		return runnertable.Unreachable
+	}
+	return runnertable.NoAnswer
+}
+
+// noteDuration keeps the mean time of whole runs. The caller holds the mutex.
+func (w *Worker) noteDuration(took time.Duration, resumed int64) {
+	if resumed == 0 {
+		w.duration += time.Duration(durationWeight * float64(took-w.duration))
+	}
+}
+
+// giveUp ends an item without its output. The caller holds the mutex.
+func (w *Worker) giveUp(item *itemRun, why string) {
+	if item.finished {
+		return
+	}
+	event.ItemGivenUp.Log(w.Logger).Str("job", string(item.job.header.ID)).Str("item", string(item.item.ID)).
+		Int("failures", item.failures).Str("why", why).Send()
+	item.job.finish(item, work.DeadLetter)
+}
+
+// stream sends the item to the runner and takes its events. It returns the status of an answer that was read whole.
+func (w *Worker) stream(ctx context.Context, item *itemRun, route *work.Route, flight *runnertable.Flight) (int, error) {
+	reply, err := w.Caller.Send(ctx, work.Attempt{
+		Request: w.request(item), Runner: flight.Runner, Budget: longestBudget, ResumeAfter: item.lastEvent,
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	now := w.Now()
+	flight.Answered(reply.Head.Load, now)
+	switch {
+	case reply.Replaced:
+		flight.Failed(runnertable.Replaced, now)
+		w.Caller.Forget(flight.Runner)
+		return 0, fmt.Errorf("%w: runner is replaced", errRefused)
+	case reply.NotRun:
+		flight.Failed(runnertable.Refused, now)
+		return 0, errRefused
+	case reply.Head.Status != http.StatusOK:
+		_, err := io.Copy(io.Discard, reply.Body)
+		return statusOf(reply, err)
+	case !reply.Sealed || reply.Encoded:
+		return 0, fmt.Errorf("%w: success without the runner's signature or bytes", errUnexpected)
+	}
+	return http.StatusOK, w.take(item, flight, reply)
+}
+
+// statusOf returns the status of a failure that was read whole and is the runner's own.
+func statusOf(reply *work.Reply, err error) (int, error) {
+	if err != nil {
+		return reply.Head.Status, fmt.Errorf("%w: %w", errBroken, err)
+	}
+	switch reply.Head.Status {
+	case http.StatusInternalServerError, http.StatusUnprocessableEntity:
+		return reply.Head.Status, nil
+	}
+	return reply.Head.Status, fmt.Errorf("%w: status %d", errUnexpected, reply.Head.Status)
+}
+
+func (w *Worker) request(item *itemRun) *work.Request {
+	headers := make(http.Header, len(item.item.Headers)+4)
+	for name, value := range item.item.Headers {
+		headers.Set(name, value)
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return &work.Request{
+		ID: item.item.ID, Method: http.MethodPost, Path: item.item.Path, Host: item.job.header.Host, Headers: headers, Body: item.body,
+	}
+}
+
+// take collects the events of a run. Only an end that the framing proves makes the output whole.
+func (w *Worker) take(item *itemRun, flight *runnertable.Flight, reply *work.Reply) error {
+	reader := eventstream.NewReader(reply.Body)
+	for {
+		next, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			if !reply.Framed {
+				return fmt.Errorf("%w: stream without a proven end", errBroken)
+			}
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", errBroken, err)
+		}
+		if !next.HasID {
+			continue
+		}
+		now := w.Now()
+		flight.Began(now)
+		if err := w.append(item, next, now); err != nil {
+			return err
+		}
+	}
+}
+
+// append adds one event that follows the last one.
+func (w *Worker) append(item *itemRun, next eventstream.Event, now time.Time) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if next.ID != item.lastEvent+1 {
+		return fmt.Errorf("%w: event %d after %d", errBroken, next.ID, item.lastEvent)
+	}
+	if item.job.dropped || item.finished {
+		return fmt.Errorf("%w: the item is not run here any more", errBroken)
+	}
+	if item.lastEvent > 0 {
+		item.text.WriteByte('\n')
+	}
+	item.text.Write(next.Data)
+	item.lastEvent = next.ID
+	item.progressed = now
+	return nil
+}
--- /dev/null
+++ b/internal/jobworker/worker.go
@@ -0,0 +1,185 @@
+// Package jobworker runs the items of batch jobs. Each job is run by the one node that holds its claim; the claim goes
+// with the node's lease, so that another node goes on where a dead or frozen one stopped.
+package jobworker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/batchroom"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Options shape a worker.
+type Options struct {
+	// LeaseTTL is how long the claims of a silent node live; they are renewed each third of it.
+	LeaseTTL time.Duration
+	// CallTimeout bounds one call of the store.
+	CallTimeout time.Duration
+	// WatchWait is how long one call waits for changes of the open jobs; it bounds how late the end of a job is seen.
+	WatchWait time.Duration
+	// WatchPause is the pause between two such calls, so that changes in quick succession cost one call.
+	WatchPause time.Duration
+	// RetryAfter is the pause after a failed call of the store.
+	RetryAfter time.Duration
+	// OrphanSweep is the time between looks for open jobs without a claim.
+	OrphanSweep time.Duration
+	// ForeignDelay is how long a job accepted in another zone is left to the workers there.
+	ForeignDelay time.Duration
+	// DispatchEvery is the time between two rounds of giving out items.
+	DispatchEvery time.Duration
+	// ReportEvery is the time between two reports read from a runner in use.
+	ReportEvery time.Duration
+	// StallAfter is how long a run may show no event before another runner goes on with it.
+	StallAfter time.Duration
+	// ExpirySweep is the time between removals of jobs whose retention is over.
+	ExpirySweep time.Duration
+}
+
+// DefaultOptions suit items of some seconds that are due within some tens of seconds.
+var DefaultOptions = Options{
+	LeaseTTL:      3 * time.Second,
+	CallTimeout:   time.Second,
+	WatchWait:     2 * time.Second,
+	WatchPause:    100 * time.Millisecond,
+	RetryAfter:    200 * time.Millisecond,
+	OrphanSweep:   2 * time.Second,
+	ForeignDelay:  1500 * time.Millisecond,
+	DispatchEvery: 60 * time.Millisecond,
+	ReportEvery:   250 * time.Millisecond,
+	StallAfter:    2500 * time.Millisecond,
+	ExpirySweep:   time.Minute,
+}
+
+// Worker runs jobs. Its exported fields are set before Start.
+type Worker struct {
+	Node    ident.Node
+	Zone    ident.Zone
+	Records *jobrecord.Records
+	Store   kv.Paged
+	Runners *runnertable.Table
+	Routes  *routetable.Table
+	Caller  work.Caller
+	Options Options
+	Logger  zerolog.Logger
+	Now     func() time.Time
+
+	tomb  *tomb.Tomb
+	ctx   context.Context
+	mutex sync.Mutex
+	// lease is the node's, or zero while it has none.
+	lease kv.LeaseID
+	// open holds the open jobs of all nodes, jobs those that this node runs.
+	open map[ident.Job]*openJob
+	jobs map[ident.Job]*jobRun
+	// gauges follow the runners that may take batch items.
+	gauges map[ident.Runner]*gauged
+	// duration is the mean time of a whole run.
+	duration time.Duration
+	draining bool
+}
+
+// openJob is a job that is not finished.
+type openJob struct {
+	entry    jobrecord.Open
+	seen     time.Time
+	claiming bool
+}
+
+// gauged is a runner's gauge and when it was last asked for a report.
+type gauged struct {
+	gauge batchroom.Gauge
+	asked time.Time
+}
+
+// expectedDuration is the time of a run before any was seen.
+const expectedDuration = 5 * time.Second
+
+// Start runs the worker's loops until the tomb dies.
+func (w *Worker) Start(parent *tomb.Tomb) {
+	w.tomb = parent
+	w.ctx = parent.Context(context.Background())
+	w.open = map[ident.Job]*openJob{}
+	w.jobs = map[ident.Job]*jobRun{}
+	w.gauges = map[ident.Runner]*gauged{}
+	w.duration = expectedDuration
+	parent.Go(w.keepLease)
+	parent.Go(w.watchOpen)
+	parent.Go(w.sweepOrphans)
+	parent.Go(w.dispatchLoop)
+	parent.Go(w.expireLoop)
+}
+
+// Drain stops giving out items and waits until those in progress are recorded, at most until the wait is over. Then it
+// gives up the lease, so that other nodes take the jobs at once.
+func (w *Worker) Drain(wait time.Duration) {
+	w.mutex.Lock()
+	w.draining = true
+	lease := w.lease
+	w.mutex.Unlock()
+	end := w.Now().Add(wait)
+	for w.Now().Before(end) && w.busy() {
+		time.Sleep(w.Options.DispatchEvery)
+	}
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), w.Options.CallTimeout)
+	defer cancel()
+	_ = w.Store.Revoke(ctx, lease)
+}
+
+// busy says whether items run or results wait to be recorded.
+func (w *Worker) busy() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, job := range w.jobs {
+		if job.running > 0 || len(job.unlisted) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// call returns a context for one call of the store.
+func (w *Worker) call() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(w.ctx, w.Options.CallTimeout)
+}
+
+// pause waits, or returns false when the worker ends.
+func (w *Worker) pause(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-w.tomb.Dying():
+		return false
+	}
+}
+
+func (w *Worker) expireLoop() error {
+	for w.pause(w.Options.ExpirySweep) {
+		ctx, cancel := w.call()
+		_, err := w.Records.RemoveExpired(ctx)
+		cancel()
+		if err != nil {
+			w.logStore("removing expired jobs", err)
+		}
+	}
+	return nil
+}
+
+// callWithin returns a context for a call of the store that waits.
+func (w *Worker) callWithin(wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(w.ctx, wait)
+}
