Give each runner one worker for its batch places, and jobs to idle workers

Ruled out: runners refusing items (a trial that logged each refusal found none).

Change: workers register under their lease; a runner's owner is one of them by rendezvous hashing; an unclaimed job is left by busy workers to idle ones, and claims are followed with the open jobs by one watch.

--- a/internal/batchroom/gauge.go
+++ b/internal/batchroom/gauge.go
@@ -10,7 +10,7 @@
 
 const (
 	// window is how long the online work that was seen is kept room for: online work comes in bursts.
-	window = 1200 * time.Millisecond
+	window = 600 * time.Millisecond
 	// reportMemory is how long a report is believed.
 	reportMemory = time.Second
 	// reservedShare of the places is kept free for online work that comes before the next report; at least
--- /dev/null
+++ b/internal/jobrecord/live.go
@@ -0,0 +1,100 @@
+package jobrecord
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/kv"
+)
+
+// Worker is the entry of a node that runs jobs. It goes with the node's lease.
+type Worker struct {
+	Node ident.Node `json:"-"`
+	Zone ident.Zone `json:"zone"`
+}
+
+// Live is what every worker follows. The zero Live is empty; it is not safe for concurrent use.
+type Live struct {
+	Open    map[ident.Job]Open
+	Claimed map[ident.Job]bool
+	Workers map[ident.Node]Worker
+	// Revision is what to ask for changes after; zero asks for the whole.
+	Revision int64
+}
+
+func newLive() *Live {
+	return &Live{Open: map[ident.Job]Open{}, Claimed: map[ident.Job]bool{}, Workers: map[ident.Node]Worker{}}
+}
+
+// ReadLive reads the whole.
+func (r *Records) ReadLive(ctx context.Context) (*Live, error) {
+	pairs, revision, err := kv.ListAll(ctx, r.Store, prefixLive, kv.PageOptions{})
+	if err != nil {
+		return nil, err
+	}
+	live := newLive()
+	live.Revision = revision
+	for _, pair := range pairs {
+		live.apply(kv.WatchEvent{Pair: pair})
+	}
+	return live, nil
+}
+
+// Follow waits for changes and takes them over. Pages of ReadLive are not one snapshot, but each change since the first
+// page comes again here.
+func (r *Records) Follow(ctx context.Context, live *Live, wait time.Duration) error {
+	response, err := r.Store.Changes(ctx, prefixLive, live.Revision, wait)
+	if err != nil {
+		return err
+	}
+	for _, changed := range response.Events {
+		live.apply(changed)
+	}
+	live.Revision = max(live.Revision, response.Revision)
+	return nil
+}
+
+// Register writes the entry of a worker under its lease.
+func (r *Records) Register(ctx context.Context, worker Worker, lease kv.LeaseID) error {
+	_, err := r.Store.Commit(ctx, nil, []kv.Write{{Key: keyWorker(worker.Node), Value: encode(worker), Lease: lease}})
+	return err
+}
+
+func (l *Live) apply(changed kv.WatchEvent) {
+	key := changed.Pair.Key
+	switch {
+	case strings.HasPrefix(key, prefixOpen):
+		l.applyOpen(ident.Job(strings.TrimPrefix(key, prefixOpen)), changed)
+	case strings.HasPrefix(key, prefixClaim):
+		job := ident.Job(strings.TrimPrefix(key, prefixClaim))
+		l.Claimed[job] = true
+		if changed.Deleted {
+			delete(l.Claimed, job)
+		}
+	case strings.HasPrefix(key, prefixWorker):
+		l.applyWorker(ident.Node(strings.TrimPrefix(key, prefixWorker)), changed)
+	}
+}
+
+func (l *Live) applyOpen(job ident.Job, changed kv.WatchEvent) {
+	if changed.Deleted {
+		delete(l.Open, job)
+		return
+	}
+	if entry, err := decodeOpen(changed.Pair); err == nil {
+		l.Open[job] = entry
+	}
+}
+
+func (l *Live) applyWorker(node ident.Node, changed kv.WatchEvent) {
+	if changed.Deleted {
+		delete(l.Workers, node)
+		return
+	}
+	worker := Worker{Node: node}
+	if err := decode(changed.Pair, &worker); err == nil {
+		l.Workers[node] = worker
+	}
+}
--- a/internal/jobrecord/record.go
+++ b/internal/jobrecord/record.go
@@ -37,9 +37,12 @@
 
 // Keys of the key-value service. A job's data lies under one prefix, so that one list reads it whole.
 const (
-	prefixOpen   = "job/open/"
+	// prefixLive holds what every worker follows: open jobs, claims and workers.
+	prefixLive   = "job/live/"
+	prefixOpen   = prefixLive + "open/"
+	prefixClaim  = prefixLive + "claim/"
+	prefixWorker = prefixLive + "worker/"
 	prefixData   = "job/data/"
-	prefixClaim  = "job/claim/"
 	prefixLeft   = "job/left/"
 	prefixResult = "job/result/"
 	prefixDone   = "job/done/"
@@ -48,12 +51,13 @@
 	suffixBody   = "/part-"
 )
 
-func keyOpen(job ident.Job) string   { return prefixOpen + string(job) }
-func keyHeader(job ident.Job) string { return prefixData + string(job) + suffixHeader }
-func keyClaim(job ident.Job) string  { return prefixClaim + string(job) }
-func keyLeft(job ident.Job) string   { return prefixLeft + string(job) }
-func keyDone(job ident.Job) string   { return prefixDone + string(job) }
-func resultsOf(job ident.Job) string { return prefixResult + string(job) + "/" }
+func keyOpen(job ident.Job) string     { return prefixOpen + string(job) }
+func keyWorker(node ident.Node) string { return prefixWorker + string(node) }
+func keyHeader(job ident.Job) string   { return prefixData + string(job) + suffixHeader }
+func keyClaim(job ident.Job) string    { return prefixClaim + string(job) }
+func keyLeft(job ident.Job) string     { return prefixLeft + string(job) }
+func keyDone(job ident.Job) string     { return prefixDone + string(job) }
+func resultsOf(job ident.Job) string   { return prefixResult + string(job) + "/" }
 func keyPart(job ident.Job, part int) string {
 	return fmt.Sprintf("%s%s%s%04d", prefixData, job, suffixBody, part)
 }
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
-	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
 )
@@ -39,17 +39,25 @@
 		event.LeaseLapsed.Log(w.Logger).Int64("lease", int64(lease)).Send()
 	}
 	granted, err := w.Store.Grant(ctx, w.Options.LeaseTTL)
+	if err == nil {
+		err = w.Records.Register(ctx, jobrecord.Worker{Node: w.Node, Zone: w.Zone}, granted)
+	}
 	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.lease = granted
-	held := w.heldJobs()
-	w.mutex.Unlock()
 	if err != nil {
+		w.lease = 0
 		return err
 	}
+	held := w.heldJobs()
+	w.tomb.Go(func() error { w.reclaimAll(held); return nil })
+	return nil
+}
+
+func (w *Worker) reclaimAll(held []*jobRun) {
 	for _, job := range held {
 		w.reclaim(job)
 	}
-	return nil
 }
 
 func (w *Worker) heldJobs() []*jobRun {
@@ -60,91 +68,99 @@
 	return held
 }
 
-// watchOpen follows the open jobs of all nodes. It lists them anew after a failure.
-func (w *Worker) watchOpen() error {
-	revision := int64(0)
+// followLive follows the open jobs, the claims and the workers. It reads them anew after a failure.
+func (w *Worker) followLive() error {
 	for {
-		next, err := w.nextOpen(revision)
 		pause := w.Options.WatchPause
-		if err != nil {
-			w.logStore("watching the open jobs", err)
-			next, pause = 0, w.Options.RetryAfter
+		if err := w.nextLive(); err != nil {
+			w.logStore("following the open jobs", err)
+			w.live.Revision = 0
+			pause = w.Options.RetryAfter
 		}
-		revision = next
 		if !w.pause(pause) {
 			return nil
 		}
 	}
 }
 
-func (w *Worker) nextOpen(revision int64) (int64, error) {
-	ctx, cancel := w.call()
-	if revision != 0 {
-		cancel()
-		ctx, cancel = w.callWithin(w.Options.WatchWait + w.Options.CallTimeout)
-	}
-	defer cancel()
-	if revision == 0 {
-		open, read, err := w.Records.ListOpen(ctx)
+// nextLive takes over the next changes. Only followLive calls it, so that the live state has one writer; what other
+// loops need of it is copied under the mutex.
+func (w *Worker) nextLive() error {
+	if w.live.Revision == 0 {
+		ctx, cancel := w.call()
+		defer cancel()
+		live, err := w.Records.ReadLive(ctx)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		w.replaceOpen(open)
-		return read, nil
-	}
-	changes, next, err := w.Records.NextOpen(ctx, revision, w.Options.WatchWait)
-	if err != nil {
-		return 0, err
+		w.live = live
+		w.takeOver()
+		return nil
 	}
-	for _, change := range changes {
-		w.noteOpen(change)
+	ctx, cancel := w.callWithin(w.Options.WatchWait + w.Options.CallTimeout)
+	defer cancel()
+	if err := w.Records.Follow(ctx, w.live, w.Options.WatchWait); err != nil {
+		return err
 	}
-	return next, nil
+	w.takeOver()
+	return nil
 }
 
-// replaceOpen takes over a whole list.
-func (w *Worker) replaceOpen(open []jobrecord.Open) {
-	listed := make(map[ident.Job]bool, len(open))
-	for _, entry := range open {
-		listed[entry.ID] = true
-		w.noteOpen(jobrecord.OpenChange{Open: entry})
-	}
+// takeOver compares the live state with what this node runs. A job that is open no more was finished or ended: nothing
+// more of it is run.
+func (w *Worker) takeOver() {
 	w.mutex.Lock()
-	var gone []ident.Job
-	for id := range w.open {
-		if !listed[id] {
-			gone = append(gone, id)
+	defer w.mutex.Unlock()
+	now := w.Now()
+	w.workers = maps.Clone(w.live.Workers)
+	for id, entry := range w.live.Open {
+		known := w.open[id]
+		if known == nil {
+			known = &openJob{unclaimed: now}
+			w.open[id] = known
 		}
+		known.entry = entry
+		if known.claimed && !w.live.Claimed[id] {
+			known.unclaimed = now
+		}
+		known.claimed = w.live.Claimed[id]
 	}
-	w.mutex.Unlock()
-	for _, id := range gone {
-		w.noteOpen(jobrecord.OpenChange{Open: jobrecord.Open{ID: id}, Gone: true})
-	}
-}
-
-// noteOpen takes over one change. A job that is open no more was finished or ended: nothing more of it is run.
-func (w *Worker) noteOpen(change jobrecord.OpenChange) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	id := change.Open.ID
-	if change.Gone {
+	for id := range w.open {
+		if _, isOpen := w.live.Open[id]; isOpen {
+			continue
+		}
 		delete(w.open, id)
 		if job := w.jobs[id]; job != nil {
 			w.drop(job)
 			event.JobLeft.Log(w.Logger).Str("job", string(id)).Str("why", "finished or ended").Send()
 		}
-		return
 	}
-	if known := w.open[id]; known != nil {
-		known.entry = change.Open
-		return
-	}
-	w.open[id] = &openJob{entry: change.Open, seen: w.Now()}
-	if change.Open.Zone == w.Zone {
-		w.startClaim(w.open[id])
+	w.claimDue(now)
+}
+
+// claimDue claims the unclaimed jobs whose delay is over. The caller holds the mutex.
+func (w *Worker) claimDue(now time.Time) {
+	waiting, places := 0, 0
+	counted := false
+	for _, candidate := range w.open {
+		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil {
+			continue
+		}
+		if !counted {
+			waiting, places = len(w.waiting(now)), w.places(now)
+			counted = true
+		}
+		delay := claimDelay(waiting, places, w.duration, candidate.entry.Zone == w.Zone, w.Options.ForeignDelay)
+		if now.Sub(candidate.unclaimed) >= delay {
+			w.startClaim(candidate)
+			waiting += expectedItems
+		}
 	}
 }
 
+// expectedItems is what a job that is being claimed is thought to add before it is read.
+const expectedItems = 10
+
 // startClaim claims a job in the background. The caller holds the mutex.
 func (w *Worker) startClaim(candidate *openJob) {
 	if w.lease == 0 || w.draining || candidate.claiming || w.jobs[candidate.entry.ID] != nil {
@@ -183,9 +199,11 @@
 	job.list(results)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.open[entry.ID] == nil {
+	known := w.open[entry.ID]
+	if known == nil {
 		return nil
 	}
+	known.claimed = true
 	w.jobs[entry.ID] = job
 	event.JobClaimed.Log(w.Logger).Str("job", string(entry.ID)).Int("items", len(loaded.Header.Items)).Int("listed", len(results)).Send()
 	w.startWriter(job)
@@ -232,53 +250,6 @@
 	return nil
 }
 
-// sweepOrphans claims open jobs that no node holds.
-func (w *Worker) sweepOrphans() error {
-	for w.pause(w.Options.OrphanSweep) {
-		if !w.hasForeign() {
-			continue
-		}
-		ctx, cancel := w.call()
-		claimed, err := w.Records.Claimed(ctx)
-		cancel()
-		if err != nil {
-			w.logStore("listing claims", err)
-			continue
-		}
-		w.claimOrphans(claimed)
-	}
-	return nil
-}
-
-// hasForeign says whether a job has been open for a while that this node does not run.
-func (w *Worker) hasForeign() bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	for id, candidate := range w.open {
-		if w.jobs[id] == nil && w.Now().Sub(candidate.seen) > w.foreignDelay(candidate) {
-			return true
-		}
-	}
-	return false
-}
-
-func (w *Worker) foreignDelay(candidate *openJob) time.Duration {
-	if candidate.entry.Zone == w.Zone {
-		return w.Options.ForeignDelay / 2
-	}
-	return w.Options.ForeignDelay
-}
-
-func (w *Worker) claimOrphans(claimed map[ident.Job]bool) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	for id, candidate := range w.open {
-		if !claimed[id] && w.Now().Sub(candidate.seen) > w.foreignDelay(candidate) {
-			w.startClaim(candidate)
-		}
-	}
-}
-
 func (w *Worker) logStore(doing string, err error) {
 	event.JobStoreFailed.Log(w.Logger).Str("doing", doing).Err(err).Send()
 }
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// spillShare of the time until an item is due may pass before a runner of another zone takes it.
-	spillShare = 0.6
 	// reportDelay is how old a runner's report is when it is made: work started since is not in it.
 	reportDelay = 100 * time.Millisecond
 	// routeMissing is how long an item's route must be gone before the item is given up.
@@ -27,6 +25,7 @@
 		w.mutex.Lock()
 		waiting := w.waiting(now)
 		w.endStalled(now)
+		w.claimDue(now)
 		w.mutex.Unlock()
 		w.askReports(now)
 		w.give(waiting, now)
@@ -72,21 +71,22 @@
 
 // give starts the items that a runner has room for.
 func (w *Worker) give(waiting []*itemRun, now time.Time) {
-	for position, item := range waiting {
+	full := map[string]bool{}
+	for _, item := range waiting {
 		route := w.routeOf(item, now)
 		if route == nil {
 			continue
 		}
 		service := route.Split[item.index%len(route.Split)].Service
-		far := w.mayLeaveZone(item, route, position, now)
-		id, found := w.roomiest(service, far, now)
+		if full[service] {
+			continue
+		}
+		id, found := w.roomiest(service, now)
 		if !found {
-			if far {
-				return
-			}
+			full[service] = true
 			continue
 		}
-		w.start(item, route, service, id, now)
+		w.start(item, service, route, id, now)
 	}
 }
 
@@ -116,40 +116,44 @@
 	return nil
 }
 
-// mayLeaveZone says whether the item would come too late if it waited for a runner of the node's zone: bytes between
-// zones have their price. position is its place among the waiting items.
-func (w *Worker) mayLeaveZone(item *itemRun, route *work.Route, position int, now time.Time) bool {
+// roomiest returns the runner of a service with the most room for batch items, among those this node owns.
+func (w *Worker) roomiest(service string, now time.Time) (ident.Runner, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	running := 0
-	for _, job := range w.jobs {
-		running += job.running
+	var best ident.Runner
+	bestRoom := 0
+	for _, runner := range w.owned(service) {
+		if room := w.room(runner, now); room > bestRoom {
+			best, bestRoom = runner.ID, room
+		}
 	}
-	expected := w.duration + w.duration*time.Duration(position+1)/time.Duration(max(running, 1))
-	left := item.job.header.Submitted().Add(route.CompletionObjective).Sub(now)
-	return float64(expected) > spillShare*float64(left)
+	return best, bestRoom > 0
 }
 
-// roomiest returns the runner of a service with the most room for batch items, of the node's zone if it has any.
-func (w *Worker) roomiest(service string, far bool, now time.Time) (ident.Runner, bool) {
-	var best ident.Runner
-	bestRoom, bestNear := 0, false
+// owned returns the runners of a service that this node gives batch items to. The caller holds the mutex.
+func (w *Worker) owned(service string) []work.Runner {
+	var owned []work.Runner
 	for _, runner := range w.Runners.Of(service) {
-		near := runner.Zone == w.Zone
-		if !near && (!far || bestNear) {
-			continue
+		if owner(runner, w.workers) == w.Node {
+			owned = append(owned, runner)
 		}
-		room := w.room(runner, now)
-		if room > 0 && (room > bestRoom || (near && !bestNear)) {
-			best, bestRoom, bestNear = runner.ID, room, near
+	}
+	return owned
+}
+
+// places returns how many items the owned runners could run now, beside their online work. The caller holds the mutex.
+func (w *Worker) places(now time.Time) int {
+	places := 0
+	for _, service := range w.servicesInUse() {
+		for _, runner := range w.owned(service) {
+			places += w.room(runner, now) + w.Runners.Own(runner.ID, runnertable.Batch)
 		}
 	}
-	return best, bestRoom > 0
+	return places
 }
 
+// room returns how many items more a runner may take. The caller holds the mutex.
 func (w *Worker) room(runner work.Runner, now time.Time) int {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
 	return w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.Runners.Own(runner.ID, runnertable.Batch), now)
 }
 
@@ -163,33 +167,28 @@
 	return known
 }
 
-// askReports reads the reports of the runners that take part, so that online work is seen and batch steps aside.
+// askReports reads the reports of the runners that this node owns or still has items at, so that online work is seen
+// and batch steps aside.
 func (w *Worker) askReports(now time.Time) {
-	services := w.servicesInUse()
-	for _, service := range services {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, service := range w.servicesInUse() {
 		for _, runner := range w.Runners.Of(service) {
-			own := w.Runners.Own(runner.ID, runnertable.Batch)
-			if runner.Zone != w.Zone && own == 0 && !w.anyFar(now) {
+			if owner(runner, w.workers) != w.Node && w.Runners.Own(runner.ID, runnertable.Batch) == 0 {
 				continue
 			}
-			w.mutex.Lock()
 			gauge := w.gaugeOf(runner.ID)
-			due := now.Sub(gauge.asked) >= w.Options.ReportEvery
-			if due {
-				gauge.asked = now
-			}
-			w.mutex.Unlock()
-			if due {
-				w.tomb.Go(func() error { w.askReport(runner); return nil })
+			if now.Sub(gauge.asked) < w.Options.ReportEvery {
+				continue
 			}
+			gauge.asked = now
+			w.tomb.Go(func() error { w.askReport(runner); return nil })
 		}
 	}
 }
 
-// servicesInUse returns the services of the items this node has.
+// servicesInUse returns the services of the items this node has. The caller holds the mutex.
 func (w *Worker) servicesInUse() []string {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
 	var services []string
 	for _, job := range w.jobs {
 		route, _ := w.Routes.Match(job.header.Host, job.items[0].item.Path)
@@ -205,19 +204,6 @@
 	return services
 }
 
-// anyFar says whether an item waits that may leave the zone, so that the runners there are asked too.
-func (w *Worker) anyFar(now time.Time) bool {
-	w.mutex.Lock()
-	waiting := w.waiting(now)
-	w.mutex.Unlock()
-	if len(waiting) == 0 {
-		return false
-	}
-	last := waiting[len(waiting)-1]
-	route, _ := w.Routes.Match(last.job.header.Host, last.item.Path)
-	return route != nil && w.mayLeaveZone(last, route, len(waiting)-1, now)
-}
-
 func (w *Worker) askReport(runner work.Runner) {
 	ctx, cancel := w.call()
 	defer cancel()
@@ -267,7 +253,7 @@
 }
 
 // start runs an item at a runner.
-func (w *Worker) start(item *itemRun, route *work.Route, service string, id ident.Runner, now time.Time) {
+func (w *Worker) start(item *itemRun, service string, route *work.Route, id ident.Runner, now time.Time) {
 	wish := runnertable.Wish{Service: service, Class: runnertable.Batch, Bytes: len(item.body)}
 	flight, err := w.Runners.StartAt(id, wish, now)
 	if err != nil {
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -31,9 +31,8 @@
 	WatchPause time.Duration
 	// RetryAfter is the pause after a failed call of the store.
 	RetryAfter time.Duration
-	// OrphanSweep is the time between looks for open jobs without a claim.
-	OrphanSweep time.Duration
-	// ForeignDelay is how long a job accepted in another zone is left to the workers there.
+	// ForeignDelay is how long a job accepted in another zone is left to the workers there, beside what a busy node
+	// leaves it to idler ones.
 	ForeignDelay time.Duration
 	// DispatchEvery is the time between two rounds of giving out items.
 	DispatchEvery time.Duration
@@ -52,10 +51,9 @@
 	WatchWait:     2 * time.Second,
 	WatchPause:    100 * time.Millisecond,
 	RetryAfter:    200 * time.Millisecond,
-	OrphanSweep:   2 * time.Second,
-	ForeignDelay:  1500 * time.Millisecond,
+	ForeignDelay:  350 * time.Millisecond,
 	DispatchEvery: 60 * time.Millisecond,
-	ReportEvery:   250 * time.Millisecond,
+	ReportEvery:   200 * time.Millisecond,
 	StallAfter:    2500 * time.Millisecond,
 	ExpirySweep:   time.Minute,
 }
@@ -78,9 +76,12 @@
 	mutex sync.Mutex
 	// lease is the node's, or zero while it has none.
 	lease kv.LeaseID
-	// open holds the open jobs of all nodes, jobs those that this node runs.
-	open map[ident.Job]*openJob
-	jobs map[ident.Job]*jobRun
+	// live is what the node follows; only followLive touches it.
+	live *jobrecord.Live
+	// workers are all that run jobs, open the open jobs of all nodes, jobs those that this node runs.
+	workers map[ident.Node]jobrecord.Worker
+	open    map[ident.Job]*openJob
+	jobs    map[ident.Job]*jobRun
 	// gauges follow the runners that may take batch items.
 	gauges map[ident.Runner]*gauged
 	// duration is the mean time of a whole run.
@@ -90,8 +91,11 @@
 
 // openJob is a job that is not finished.
 type openJob struct {
-	entry    jobrecord.Open
-	seen     time.Time
+	entry jobrecord.Open
+	// claimed says that some node holds it; otherwise unclaimed is since when none does.
+	claimed   bool
+	unclaimed time.Time
+	// claiming says that this node is about to claim it.
 	claiming bool
 }
 
@@ -108,13 +112,13 @@
 func (w *Worker) Start(parent *tomb.Tomb) {
 	w.tomb = parent
 	w.ctx = parent.Context(context.Background())
+	w.live = &jobrecord.Live{}
 	w.open = map[ident.Job]*openJob{}
 	w.jobs = map[ident.Job]*jobRun{}
 	w.gauges = map[ident.Runner]*gauged{}
 	w.duration = expectedDuration
 	parent.Go(w.keepLease)
-	parent.Go(w.watchOpen)
-	parent.Go(w.sweepOrphans)
+	parent.Go(w.followLive)
 	parent.Go(w.dispatchLoop)
 	parent.Go(w.expireLoop)
 }
