Read results from the memory of the worker that holds the job

Change: a front finds the holder in the job's claim and asks it over drpc (internal/jobpeer); the holder answers only while its lease certainly lives, or from a finished job; everything else is read from the records. Waits and the reading of runners follow the drain bound.

Ruled out: one watch on all results at each front (about 3 calls a second a front with a pause, and every result to every front).

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -5,14 +5,17 @@
 	"fmt"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobentry"
+	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
+	"mallowlatch.example/mallowlatch/internal/transport"
 	"mallowlatch.example/mallowlatch/platform"
 )
 
@@ -21,6 +24,8 @@
 	headerTimeout = 20 * time.Second
 	idleTimeout   = 3 * time.Minute
 	headerBytes   = 256 << 10
+	// peerDialTimeout bounds the opening of a connection to another node.
+	peerDialTimeout = 300 * time.Millisecond
 )
 
 // runFront answers clients until it is asked to stop.
@@ -28,7 +33,13 @@
 	process := newProcess(path, settings, "front")
 	process.follow()
 	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Logger: process.logger, Now: time.Now}
-	desk := &jobentry.Desk{Records: process.records(), Logger: process.logger}
+	pool := transport.NewPool(transport.PoolOptions{PrivateNetwork: true, DialTimeout: peerDialTimeout, Jitter: rand.Float64})
+	defer func() { _ = pool.Close() }()
+	records := process.records()
+	desk := &jobentry.Desk{
+		Records: records, Logger: process.logger,
+		Holders: &jobpeer.Holders{Records: records, Connect: pool.ConnAddress, Now: time.Now},
+	}
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: time.Now,
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -80,7 +80,7 @@
 		event.CatalogInvalid.Log(p.logger).Str("key", key).Err(err).Send()
 	}}
 	(&follower.Follower{
-		Registry: registry, Runners: p.runners, Routes: p.routes, Options: follower.DefaultOptions, Logger: p.logger, Now: time.Now,
+		Registry: registry, Runners: p.runners, Routes: p.routes, Options: follower.OptionsFor(p.settings.Bounds.Drain()), Logger: p.logger, Now: time.Now,
 	}).Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
 }
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -1,11 +1,16 @@
 package main
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
+	"mallowlatch.example/mallowlatch/internal/transport"
 )
 
 // drainReserve is kept of the grace for giving up the lease and ending the process.
@@ -18,12 +23,36 @@
 	options := jobworker.DefaultOptions
 	options.LeaseTTL = max(options.LeaseTTL, settings.Store.ShortestLease())
 	worker := &jobworker.Worker{
-		Node: ident.Node(settings.Node.Name), Zone: ident.Zone(settings.Node.Zone),
+		Node: ident.Node(settings.Node.Name), Zone: ident.Zone(settings.Node.Zone), Address: settings.Listen.Peers,
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
 		Caller: process.caller, Options: options, Logger: process.logger, Now: time.Now,
 	}
 	worker.Start(process.tomb)
+	if err := process.servePeers(worker); err != nil {
+		return err
+	}
 	process.waitForStop()
 	worker.Drain(settings.Bounds.Grace() - drainReserve)
 	return process.end()
 }
+
+// servePeers lets other nodes read the results of the worker's jobs.
+func (p *process) servePeers(worker *jobworker.Worker) error {
+	listener, err := net.Listen("tcp4", p.settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listening on %s: %w", p.settings.Listen.Peers, err)
+	}
+	server := transport.NewServer(transport.ServerOptions{PrivateNetwork: true, Logger: p.logger})
+	if err := server.Register(&jobpeer.WorkerServer{Worker: worker}, jobpeer.Description{}); err != nil {
+		return fmt.Errorf("serving other nodes: %w", err)
+	}
+	p.tomb.Go(func() error { return server.Serve(listener) })
+	p.tomb.Go(func() error {
+		<-p.tomb.Dying()
+		ctx, cancel := context.WithTimeout(context.Background(), drainReserve/2)
+		defer cancel()
+		_ = server.Stop(ctx)
+		return nil
+	})
+	return nil
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -32,14 +32,21 @@
 	KeepMissing time.Duration
 }
 
-// DefaultOptions suit a registry that must be followed within two seconds and whose every call has a price.
-var DefaultOptions = Options{
-	RunnersEvery:      time.Second,
-	ConfigurationWait: 2 * time.Second,
-	CallTimeout:       700 * time.Millisecond,
-	RetryAfter:        250 * time.Millisecond,
-	OutageAfter:       2500 * time.Millisecond,
-	KeepMissing:       2500 * time.Millisecond,
+// readingShare is the part of the drain bound between two readings; the rest is for a reading that is slow or tried
+// again.
+const readingShare = 0.65
+
+// OptionsFor suits a registry whose every call has a price. drain is how soon after the registry's news a leaving runner
+// must get no more work.
+func OptionsFor(drain time.Duration) Options {
+	return Options{
+		RunnersEvery:      time.Duration(readingShare * float64(drain)),
+		ConfigurationWait: 4 * time.Second,
+		CallTimeout:       700 * time.Millisecond,
+		RetryAfter:        250 * time.Millisecond,
+		OutageAfter:       drain + 500*time.Millisecond,
+		KeepMissing:       2500 * time.Millisecond,
+	}
 }
 
 // Follower reads the registry. Its fields are set before Start.
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -36,9 +36,17 @@
 	resultOverhead = 128
 )
 
+// Holders reads the results of a job from the worker that runs it. sure is false where none answered for certain.
+type Holders interface {
+	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool)
+}
+
 // Desk takes jobs in and reads them. It is safe for concurrent use.
 type Desk struct {
 	Records *jobrecord.Records
+	// Holders answers readings from the memory of the worker that runs the job, where it is sure; nil reads the records
+	// alone.
+	Holders Holders
 	Logger  zerolog.Logger
 
 	mutex   sync.Mutex
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -23,6 +23,16 @@
 // Results reads results from a position on. Without any it waits for the next one, at most for the wait. The error is
 // a *failure.Error.
 func (d *Desk) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (Listing, error) {
+	if d.Holders != nil {
+		if total, results, sure := d.Holders.Results(ctx, job, from, wait); sure {
+			return Listing{Total: total, Results: cut(results)}, nil
+		}
+	}
+	return d.recordedResults(ctx, job, from, wait)
+}
+
+// recordedResults reads the records themselves.
+func (d *Desk) recordedResults(ctx context.Context, job ident.Job, from int, wait time.Duration) (Listing, error) {
 	header, err := d.header(ctx, job)
 	if err != nil {
 		return Listing{}, d.readFailure(job, err)
--- /dev/null
+++ b/internal/jobpeer/message.go
@@ -0,0 +1,84 @@
+// Package jobpeer lets a node read the results of a job from the memory of the worker that runs it, over drpc. It
+// saves calls of the key-value service; whoever gets no sure answer reads there.
+package jobpeer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// methodResults is the name of the one call.
+const methodResults = "/mallowlatch.jobpeer.Jobs/Results"
+
+// Query asks for the results of a job from a position on.
+type Query struct {
+	Job  ident.Job `json:"job"`
+	From int       `json:"from"`
+	// WaitMs is how long the worker may wait for the next result, in milliseconds.
+	WaitMs int64 `json:"wait_ms"`
+}
+
+// Reply is what the worker knows.
+type Reply struct {
+	// Sure says that the worker knows the newest state; without, the rest means nothing.
+	Sure    bool          `json:"sure"`
+	Total   int           `json:"total"`
+	Results []work.Result `json:"results"`
+}
+
+// encoding carries messages as JSON: the texts of results are most of them, and no generated code is needed.
+type encoding struct{}
+
+// Marshal implements drpc.Encoding.
+func (encoding) Marshal(message drpc.Message) ([]byte, error) {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encoding a call between nodes: %w", err)
+	}
+	return encoded, nil
+}
+
+// Unmarshal implements drpc.Encoding.
+func (encoding) Unmarshal(buffer []byte, message drpc.Message) error {
+	if err := json.Unmarshal(buffer, message); err != nil {
+		return fmt.Errorf("decoding a call between nodes: %w", err)
+	}
+	return nil
+}
+
+// Server answers queries.
+type Server interface {
+	Results(ctx context.Context, query *Query) (*Reply, error)
+}
+
+// Description registers a Server with a drpc.Mux.
+type Description struct{}
+
+// NumMethods implements drpc.Description.
+func (Description) NumMethods() int { return 1 }
+
+// Method implements drpc.Description.
+func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if index != 0 {
+		return "", nil, nil, nil, false
+	}
+	receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		return server.(Server).Results(ctx, in.(*Query))
+	}
+	return methodResults, encoding{}, receive, Server.Results, true
+}
+
+// call makes the call over a connection.
+func call(ctx context.Context, connection drpc.Conn, query *Query) (*Reply, error) {
+	reply := &Reply{}
+	if err := connection.Invoke(ctx, methodResults, encoding{}, query, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/jobpeer/server.go
@@ -0,0 +1,23 @@
+package jobpeer
+
+import (
+	"context"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+)
+
+// longestWait bounds how long a query is held.
+const longestWait = 2 * time.Second
+
+// WorkerServer answers queries from a worker's memory. It implements Server.
+type WorkerServer struct {
+	Worker *jobworker.Worker
+}
+
+// Results implements Server.
+func (s *WorkerServer) Results(ctx context.Context, query *Query) (*Reply, error) {
+	wait := min(time.Duration(query.WaitMs)*time.Millisecond, longestWait)
+	total, results, sure := s.Worker.Held(ctx, query.Job, max(query.From, 0), wait)
+	return &Reply{Sure: sure, Total: total, Results: results}, nil
+}
--- a/internal/jobrecord/live.go
+++ b/internal/jobrecord/live.go
@@ -13,6 +13,8 @@
 type Worker struct {
 	Node ident.Node `json:"-"`
 	Zone ident.Zone `json:"zone"`
+	// Address is where other nodes read results from the worker's memory.
+	Address string `json:"address"`
 }
 
 // Live is what every worker follows. The zero Live is empty; it is not safe for concurrent use.
@@ -98,3 +100,16 @@
 		l.Workers[node] = worker
 	}
 }
+
+// Holder returns the worker that holds the claim of a job, or kv.ErrNotFound where the job has no claim.
+func (r *Records) Holder(ctx context.Context, job ident.Job) (Worker, error) {
+	pair, _, err := r.Store.Get(ctx, keyClaim(job))
+	if err != nil {
+		return Worker{}, err
+	}
+	var held claimValue
+	if err := decode(pair, &held); err != nil {
+		return Worker{}, err
+	}
+	return Worker{Node: held.Node, Address: held.Address}, nil
+}
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -31,8 +31,12 @@
 	w.mutex.Unlock()
 	ctx, cancel := w.call()
 	defer cancel()
+	sent := w.Now()
 	if lease != 0 {
-		_, err := w.Store.KeepAlive(ctx, lease)
+		ttl, err := w.Store.KeepAlive(ctx, lease)
+		if err == nil {
+			w.holdLease(lease, sent.Add(ttl))
+		}
 		if !errors.Is(err, kv.ErrLeaseNotFound) {
 			return err
 		}
@@ -40,20 +44,31 @@
 	}
 	granted, err := w.Store.Grant(ctx, w.Options.LeaseTTL)
 	if err == nil {
-		err = w.Records.Register(ctx, jobrecord.Worker{Node: w.Node, Zone: w.Zone}, granted)
+		err = w.Records.Register(ctx, w.self(), granted)
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.lease = granted
 	if err != nil {
-		w.lease = 0
+		w.holdLease(0, time.Time{})
 		return err
 	}
+	w.holdLease(granted, sent.Add(w.Options.LeaseTTL))
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	held := w.heldJobs()
 	w.tomb.Go(func() error { w.reclaimAll(held); return nil })
 	return nil
 }
 
+// self is this node's entry among the workers.
+func (w *Worker) self() jobrecord.Worker {
+	return jobrecord.Worker{Node: w.Node, Zone: w.Zone, Address: w.Address}
+}
+
+func (w *Worker) holdLease(lease kv.LeaseID, until time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.lease, w.leaseUntil = lease, until
+}
+
 func (w *Worker) reclaimAll(held []*jobRun) {
 	for _, job := range held {
 		w.reclaim(job)
@@ -183,7 +198,7 @@
 func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID) error {
 	ctx, cancel := w.call()
 	defer cancel()
-	claim, err := w.Records.Claim(ctx, entry, w.Node, lease)
+	claim, err := w.Records.Claim(ctx, entry, w.self(), lease)
 	if errors.Is(err, jobrecord.ErrClaimLost) {
 		return nil
 	}
@@ -220,7 +235,7 @@
 	}
 	ctx, cancel := w.call()
 	defer cancel()
-	claim, err := w.Records.Claim(ctx, job.entry, w.Node, lease)
+	claim, err := w.Records.Claim(ctx, job.entry, w.self(), lease)
 	if err == nil {
 		err = w.catchUp(job, claim)
 	}
--- /dev/null
+++ b/internal/jobworker/held.go
@@ -0,0 +1,103 @@
+package jobworker
+
+import (
+	"context"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// leaseMargin is kept before the end of the lease for clocks that do not run alike.
+	leaseMargin = 300 * time.Millisecond
+	// finishedKept is how long the results of a finished job are kept in memory, finishedBytes bounds their text.
+	finishedKept  = 45 * time.Second
+	finishedBytes = 24 << 20
+)
+
+// Held answers from memory how far a job is recorded: its number of items and its results from a position on. With none
+// it waits for the next, at most for the wait. It returns false where this node cannot be sure that it knows the newest
+// state: it does not hold the claim, or its lease may have lapsed, so that another node may have recorded more.
+func (w *Worker) Held(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool) {
+	end := w.Now().Add(wait)
+	for {
+		total, results, changed, sure := w.heldNow(job, from)
+		left := end.Sub(w.Now())
+		if !sure || len(results) > 0 || from >= total || left <= 0 {
+			return total, results, sure
+		}
+		if !waitFor(ctx, changed, left) {
+			total, results, _, sure = w.heldNow(job, from)
+			return total, results, sure
+		}
+	}
+}
+
+// heldNow returns what is recorded now, and what is closed when that changes.
+func (w *Worker) heldNow(id ident.Job, from int) (total int, results []work.Result, changed <-chan struct{}, sure bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if kept, found := w.finished.find(id); found {
+		return len(kept), tail(kept, from), nil, true
+	}
+	job := w.jobs[id]
+	if job == nil || !w.Now().Before(w.leaseUntil.Add(-leaseMargin)) {
+		return 0, nil, nil, false
+	}
+	return len(job.items), tail(job.recorded, from), job.changed, true
+}
+
+func tail(results []work.Result, from int) []work.Result {
+	return results[min(from, len(results)):]
+}
+
+// waitFor waits for the channel's end. It returns false when the time or ctx ended first.
+func waitFor(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// finishedJobs keeps the results of finished jobs for a while. They never change, so that no lease is needed.
+type finishedJobs struct {
+	byID  map[ident.Job][]work.Result
+	order []finishedJob
+	bytes int
+}
+
+type finishedJob struct {
+	id    ident.Job
+	at    time.Time
+	bytes int
+}
+
+func (f *finishedJobs) find(id ident.Job) ([]work.Result, bool) {
+	results, found := f.byID[id]
+	return results, found
+}
+
+func (f *finishedJobs) keep(id ident.Job, results []work.Result, now time.Time) {
+	if f.byID == nil {
+		f.byID = map[ident.Job][]work.Result{}
+	}
+	size := 0
+	for _, result := range results {
+		size += len(result.Text)
+	}
+	f.byID[id] = results
+	f.order = append(f.order, finishedJob{id: id, at: now, bytes: size})
+	f.bytes += size
+	for len(f.order) > 0 && (f.bytes > finishedBytes || now.Sub(f.order[0].at) > finishedKept) {
+		oldest := f.order[0]
+		f.order = f.order[1:]
+		f.bytes -= oldest.bytes
+		delete(f.byID, oldest.id)
+	}
+}
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -17,8 +18,10 @@
 	claim  jobrecord.Claim
 	header *jobrecord.Header
 	items  []*itemRun
-	// listed is the number of results that are recorded, the next position.
-	listed int
+	// recorded are the results in the records, by position.
+	recorded []work.Result
+	// changed is closed and made anew when results are recorded.
+	changed chan struct{}
 	// unlisted are results that wait to be recorded, in the order they came.
 	unlisted []work.Result
 	running  int
@@ -53,7 +56,7 @@
 }
 
 func newJobRun(claim jobrecord.Claim, loaded *jobrecord.Job) *jobRun {
-	job := &jobRun{claim: claim, header: &loaded.Header, wake: make(chan struct{}, 1)}
+	job := &jobRun{claim: claim, header: &loaded.Header, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	for index, item := range loaded.Header.Items {
 		job.items = append(job.items, &itemRun{job: job, index: index, item: item.Item, body: loaded.Bodies[index]})
 	}
@@ -78,10 +81,17 @@
 		}
 	}
 	j.unlisted = kept
-	j.listed = len(results)
+	j.record(results)
 	j.signal()
 }
 
+// record takes over the results in the records and tells those that wait for them.
+func (j *jobRun) record(results []work.Result) {
+	j.recorded = results
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
 // remaining are the tokens of the items without a recorded result beyond those about to be recorded.
 func (j *jobRun) remaining(recording []work.Result) int {
 	tokens := 0
@@ -140,6 +150,8 @@
 	}
 	delete(w.jobs, job.header.ID)
 	job.signal()
+	close(job.changed)
+	job.changed = make(chan struct{})
 }
 
 // startWriter records the job's results, one transaction at a time. The caller holds the mutex.
@@ -199,13 +211,13 @@
 // nextBatch returns what to record next. While an Append is unanswered the same results come again, in the same order:
 // new ones only join behind.
 func (j *jobRun) nextBatch(most int) (batch, bool) {
-	if j.dropped || (len(j.unlisted) == 0 && j.listed < len(j.items)) {
+	if j.dropped || (len(j.unlisted) == 0 && len(j.recorded) < len(j.items)) {
 		return batch{}, false
 	}
 	results := append([]work.Result(nil), j.unlisted[:min(len(j.unlisted), most)]...)
 	return batch{
-		claim: j.claim, position: j.listed, results: results, remaining: j.remaining(results),
-		finished: j.listed+len(results) == len(j.items),
+		claim: j.claim, position: len(j.recorded), results: results, remaining: j.remaining(results),
+		finished: len(j.recorded)+len(results) == len(j.items),
 	}, true
 }
 
@@ -222,10 +234,12 @@
 	if job.claim != next.claim || job.dropped {
 		return false, nil
 	}
-	job.listed += len(next.results)
+	job.record(append(job.recorded, next.results...))
 	job.unlisted = job.unlisted[len(next.results):]
 	if next.finished {
+		w.finished.keep(job.header.ID, job.recorded, w.Now())
 		w.drop(job)
+		event.JobLeft.Log(w.Logger).Str("job", string(job.header.ID)).Str("why", "all results are recorded").Int("items", len(job.items)).Send()
 		delete(w.open, job.header.ID)
 	}
 	return next.finished, nil
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -48,7 +48,7 @@
 var DefaultOptions = Options{
 	LeaseTTL:      3 * time.Second,
 	CallTimeout:   time.Second,
-	WatchWait:     2 * time.Second,
+	WatchWait:     4 * time.Second,
 	WatchPause:    100 * time.Millisecond,
 	RetryAfter:    200 * time.Millisecond,
 	ForeignDelay:  350 * time.Millisecond,
@@ -60,8 +60,10 @@
 
 // Worker runs jobs. Its exported fields are set before Start.
 type Worker struct {
-	Node    ident.Node
-	Zone    ident.Zone
+	Node ident.Node
+	Zone ident.Zone
+	// Address is where other nodes reach this one.
+	Address string
 	Records *jobrecord.Records
 	Store   kv.Paged
 	Runners *runnertable.Table
@@ -76,6 +78,8 @@
 	mutex sync.Mutex
 	// lease is the node's, or zero while it has none.
 	lease kv.LeaseID
+	// leaseUntil is when the lease may lapse, counted from the sending of the last renewal that was answered.
+	leaseUntil time.Time
 	// live is what the node follows; only followLive touches it.
 	live *jobrecord.Live
 	// workers are all that run jobs, open the open jobs of all nodes, jobs those that this node runs.
@@ -87,6 +91,8 @@
 	// duration is the mean time of a whole run.
 	duration time.Duration
 	draining bool
+	// finished holds the results of jobs that were finished here lately.
+	finished finishedJobs
 }
 
 // openJob is a job that is not finished.
--- a/internal/sitesettings/settings.go
+++ b/internal/sitesettings/settings.go
@@ -46,6 +46,8 @@
 type Listen struct {
 	Callers string `yaml:"callers"`
 	Ready   string `yaml:"ready"`
+	// Peers is where other nodes call this one.
+	Peers string `yaml:"peers"`
 }
 
 // Store is the platform's metadata store.
@@ -80,6 +82,9 @@
 // Grace is how long a process may take to stop.
 func (b Bounds) Grace() time.Duration { return time.Duration(b.GraceS * float64(time.Second)) }
 
+// Drain is how soon a leaving runner must get no more work.
+func (b Bounds) Drain() time.Duration { return time.Duration(b.DrainMs) * time.Millisecond }
+
 // ResultRetention is how long results stay readable, counted from the submission of their job.
 func (b Bounds) ResultRetention() time.Duration {
 	return time.Duration(b.ResultRetentionS * float64(time.Second))
@@ -125,6 +130,7 @@
 	checkAddress("store.address", s.Store.Address, true, fault)
 	checkAddress("listen.callers", s.Listen.Callers, false, fault)
 	checkAddress("listen.ready", s.Listen.Ready, false, fault)
+	checkAddress("listen.peers", s.Listen.Peers, true, fault)
 	if s.Limits.MemoryMB <= 0 {
 		fault("limits.memory_mb", "must be above zero")
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -39,8 +39,10 @@
 type PoolOptions struct {
 	// Lookup returns the peer address, "IP:port", of a node.
 	Lookup func(node ident.Node) (string, bool)
-	// Credentials turn on mutual TLS; without them only loopback addresses are dialled.
+	// Credentials turn on mutual TLS; without them only loopback addresses are dialled, unless PrivateNetwork says that
+	// nobody else can reach the network between the nodes.
 	Credentials     *Credentials
+	PrivateNetwork  bool
 	MaxPerNode      int
 	IdlePerNode     int
 	IdleTimeout     time.Duration
@@ -236,7 +238,7 @@
 }
 
 func (p *Pool) connect(ctx context.Context, where target) (*clientConn, error) {
-	if p.options.Credentials == nil && !isLoopback(where.address) {
+	if p.options.Credentials == nil && !p.options.PrivateNetwork && !isLoopback(where.address) {
 		return nil, fmt.Errorf("connect to %s: %w", where.address, ErrInsecure)
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -36,8 +36,10 @@
 
 // ServerOptions sets up a server. The zero value serves plain TCP on loopback.
 type ServerOptions struct {
-	// Credentials turn on mutual TLS; without them only loopback listeners are served.
-	Credentials *Credentials
+	// Credentials turn on mutual TLS; without them only loopback listeners are served, unless PrivateNetwork says that
+	// nobody else can reach the network between the nodes.
+	Credentials    *Credentials
+	PrivateNetwork bool
 	// MaxMessageBytes and MaxConnections default to the constants of this package.
 	MaxMessageBytes int
 	MaxConnections  int
@@ -113,7 +115,7 @@
 // Serve accepts connections until Stop. It returns nil after Stop, ErrInsecure for a plain listener off loopback, or
 // the listener's error.
 func (s *Server) Serve(listener net.Listener) error {
-	if s.options.Credentials == nil && !isLoopback(listener.Addr().String()) {
+	if s.options.Credentials == nil && !s.options.PrivateNetwork && !isLoopback(listener.Addr().String()) {
 		return fmt.Errorf("serve %s: %w", listener.Addr(), ErrInsecure)
 	}
 	s.mutex.Lock()
