--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -38,7 +38,7 @@
 	records := process.records()
 	desk := &jobentry.Desk{
 		Records: records, Logger: process.logger,
-		Holders: &jobpeer.Holders{Records: records, Connect: pool.ConnAddress, Now: time.Now},
+		Holders: &jobpeer.Holders{Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Now: time.Now},
 	}
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -36,9 +36,12 @@
 	resultOverhead = 128
 )
 
-// Holders reads the results of a job from the worker that runs it. sure is false where none answered for certain.
+// Holders reads from the memory of the worker that runs a job.
 type Holders interface {
+	// Results returns results from a position on. sure is false where no worker answered for certain.
 	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool)
+	// Body returns the body of an item without a result, if a worker has it.
+	Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, bool)
 }
 
 // Desk takes jobs in and reads them. It is safe for concurrent use.
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -79,6 +79,11 @@
 
 // Body reads the body of an item that is not listed yet. The error is a *failure.Error.
 func (d *Desk) Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, error) {
+	if d.Holders != nil {
+		if body, found := d.Holders.Body(ctx, job, item); found {
+			return body, nil
+		}
+	}
 	header, err := d.header(ctx, job)
 	if err != nil {
 		return nil, d.readFailure(job, err)
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,107 +16,160 @@
 const (
 	// callSlack bounds a call beyond its wait.
 	callSlack = 350 * time.Millisecond
-	// lookupTimeout bounds the look for a job's holder in the records.
+	// lookupTimeout bounds the reading of the workers from the records.
 	lookupTimeout = 500 * time.Millisecond
+	// workersKept is how long the list of workers is used before it is read again.
+	workersKept = 20 * time.Second
 	// avoidFor is how long a worker that did not answer is left alone.
 	avoidFor = 1500 * time.Millisecond
-	// cachedHolders bounds the jobs whose holder is remembered.
-	cachedHolders = 512
+	// unheldFor is how long a job that no worker held is read from the records without asking again.
+	unheldFor = 3 * time.Second
+	// cachedJobs bounds the jobs of which something is remembered.
+	cachedJobs = 512
 )
 
-// Holders reads results from the workers that hold the jobs. It is safe for concurrent use.
+// Holders reads from the memory of the workers that hold the jobs. It is safe for concurrent use.
 type Holders struct {
 	Records *jobrecord.Records
+	// Zone is the node's own: its workers are asked first.
+	Zone ident.Zone
 	// Connect returns a connection to an address.
 	Connect func(address string) (drpc.Conn, error)
 	Now     func() time.Time
 
 	mutex   sync.Mutex
-	holders map[ident.Job]string
+	workers []jobrecord.Worker
+	read    time.Time
+	jobs    map[ident.Job]whereabouts
 	avoided map[string]time.Time
 }
 
+// whereabouts is what is remembered of a job: the address of its holder, or since when none was found.
+type whereabouts struct {
+	address string
+	unheld  time.Time
+}
+
 // Results reads the results of a job from its holder. sure is false where no holder answered for certain.
 func (h *Holders) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool) {
-	address, known := h.find(ctx, job)
-	if !known {
-		return 0, nil, false
-	}
-	reply, err := h.ask(ctx, address, &Query{Job: job, From: from, WaitMs: wait.Milliseconds()}, wait)
-	if err != nil {
-		if ctx.Err() == nil {
-			h.avoid(address)
+	query := &Query{Job: job, From: from, WaitMs: wait.Milliseconds()}
+	for _, address := range h.candidates(ctx, job) {
+		reply := &Reply{}
+		if h.ask(ctx, address, methodResults, query, reply, wait) && reply.Sure {
+			h.remember(job, whereabouts{address: address})
+			return reply.Total, reply.Results, true
 		}
-		return 0, nil, false
 	}
-	if !reply.Sure {
-		h.forget(job)
-		return 0, nil, false
+	h.remember(job, whereabouts{unheld: h.Now()})
+	return 0, nil, false
+}
+
+// Body reads the body of an item from the worker that holds its job.
+func (h *Holders) Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, bool) {
+	for _, address := range h.candidates(ctx, job) {
+		reply := &BodyReply{}
+		if h.ask(ctx, address, methodBody, &BodyQuery{Job: job, Item: item}, reply, 0) && reply.Found {
+			return reply.Body, true
+		}
 	}
-	return reply.Total, reply.Results, true
+	return nil, false
 }
 
-func (h *Holders) ask(ctx context.Context, address string, query *Query, wait time.Duration) (*Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+// ask makes one call. A worker that does not answer is left alone for a while.
+func (h *Holders) ask(ctx context.Context, address, method string, query, reply any, wait time.Duration) bool {
+	call, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
 	connection, err := h.Connect(address)
-	if err != nil {
-		return nil, err
+	if err == nil {
+		err = connection.Invoke(call, method, encoding{}, query, reply)
+	}
+	if err != nil && ctx.Err() == nil {
+		h.avoid(address)
+	}
+	return err == nil
+}
+
+// candidates returns the addresses to ask: the holder that answered last, or else all workers, those of the zone first.
+func (h *Holders) candidates(ctx context.Context, job ident.Job) []string {
+	h.readWorkers(ctx)
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.Now()
+	known := h.jobs[job]
+	if known.address != "" && !now.Before(h.avoided[known.address]) {
+		return []string{known.address}
+	}
+	if now.Sub(known.unheld) < unheldFor {
+		return nil
 	}
-	return call(ctx, connection, query)
+	var addresses []string
+	for _, worker := range h.workers {
+		if !now.Before(h.avoided[worker.Address]) {
+			addresses = append(addresses, worker.Address)
+		}
+	}
+	return addresses
 }
 
-// find returns the address of a job's holder, from memory or from the records.
-func (h *Holders) find(ctx context.Context, job ident.Job) (string, bool) {
+// readWorkers reads the list of workers when it is old.
+func (h *Holders) readWorkers(ctx context.Context) {
 	h.mutex.Lock()
-	address, known := h.holders[job]
-	avoided := h.Now().Before(h.avoided[address])
+	now := h.Now()
+	fresh := !h.read.IsZero() && now.Sub(h.read) < workersKept
+	if !fresh {
+		h.read = now
+	}
 	h.mutex.Unlock()
-	if known {
-		return address, !avoided
+	if fresh {
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	holder, err := h.Records.Holder(ctx, job)
-	if err != nil || holder.Address == "" {
-		return "", false
+	workers, err := h.Records.Workers(ctx)
+	if err != nil {
+		return
 	}
-	h.remember(job, holder.Address)
-	return holder.Address, true
+	slices.SortFunc(workers, h.nearFirst)
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.workers = workers
 }
 
-func (h *Holders) remember(job ident.Job, address string) {
+func (h *Holders) nearFirst(first, second jobrecord.Worker) int {
+	switch {
+	case first.Zone == second.Zone:
+		return 0
+	case first.Zone == h.Zone:
+		return -1
+	case second.Zone == h.Zone:
+		return 1
+	}
+	return 0
+}
+
+func (h *Holders) remember(job ident.Job, where whereabouts) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.holders == nil {
-		h.holders = map[ident.Job]string{}
+	if h.jobs == nil {
+		h.jobs = map[ident.Job]whereabouts{}
 	}
-	if len(h.holders) >= cachedHolders {
-		for id := range h.holders {
-			delete(h.holders, id)
+	if len(h.jobs) >= cachedJobs {
+		for id := range h.jobs {
+			delete(h.jobs, id)
 			break
 		}
 	}
-	h.holders[job] = address
+	h.jobs[job] = where
 }
 
-func (h *Holders) forget(job ident.Job) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	delete(h.holders, job)
-}
-
-// avoid leaves a worker alone for a while and forgets its jobs: others may hold them by now.
+// avoid leaves a worker alone for a while, and has the list of workers read again soon.
 func (h *Holders) avoid(address string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.avoided == nil {
 		h.avoided = map[string]time.Time{}
 	}
-	h.avoided[address] = h.Now().Add(avoidFor)
-	for job, holder := range h.holders {
-		if holder == address {
-			delete(h.holders, job)
-		}
-	}
+	now := h.Now()
+	h.avoided[address] = now.Add(avoidFor)
+	h.read = now.Add(avoidFor - workersKept)
 }
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -13,8 +13,11 @@
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
-// methodResults is the name of the one call.
-const methodResults = "/mallowlatch.jobpeer.Jobs/Results"
+// Names of the calls.
+const (
+	methodResults = "/mallowlatch.jobpeer.Jobs/Results"
+	methodBody    = "/mallowlatch.jobpeer.Jobs/Body"
+)
 
 // Query asks for the results of a job from a position on.
 type Query struct {
@@ -32,6 +35,18 @@
 	Results []work.Result `json:"results"`
 }
 
+// BodyQuery asks for the body of an item without a recorded result.
+type BodyQuery struct {
+	Job  ident.Job     `json:"job"`
+	Item ident.Request `json:"item"`
+}
+
+// BodyReply is the body, if the worker has it.
+type BodyReply struct {
+	Found bool   `json:"found"`
+	Body  []byte `json:"body"`
+}
+
 // encoding carries messages as JSON: the texts of results are most of them, and no generated code is needed.
 type encoding struct{}
 
@@ -55,30 +70,30 @@
 // Server answers queries.
 type Server interface {
 	Results(ctx context.Context, query *Query) (*Reply, error)
+	Body(ctx context.Context, query *BodyQuery) (*BodyReply, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 1 }
+func (Description) NumMethods() int { return 2 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if index != 0 {
-		return "", nil, nil, nil, false
+	switch index {
+	case 0:
+		return methodResults, encoding{}, receiveResults, Server.Results, true
+	case 1:
+		return methodBody, encoding{}, receiveBody, Server.Body, true
 	}
-	receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return server.(Server).Results(ctx, in.(*Query))
-	}
-	return methodResults, encoding{}, receive, Server.Results, true
+	return "", nil, nil, nil, false
 }
 
-// call makes the call over a connection.
-func call(ctx context.Context, connection drpc.Conn, query *Query) (*Reply, error) {
-	reply := &Reply{}
-	if err := connection.Invoke(ctx, methodResults, encoding{}, query, reply); err != nil {
-		return nil, err
-	}
-	return reply, nil
+func receiveResults(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Results(ctx, in.(*Query))
+}
+
+func receiveBody(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Body(ctx, in.(*BodyQuery))
 }
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -21,3 +21,9 @@
 	total, results, sure := s.Worker.Held(ctx, query.Job, max(query.From, 0), wait)
 	return &Reply{Sure: sure, Total: total, Results: results}, nil
 }
+
+// Body implements Server.
+func (s *WorkerServer) Body(_ context.Context, query *BodyQuery) (*BodyReply, error) {
+	body, found := s.Worker.HeldBody(query.Job, query.Item)
+	return &BodyReply{Found: found, Body: body}, nil
+}
--- a/internal/jobrecord/live.go
+++ b/internal/jobrecord/live.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -101,15 +103,15 @@
 	}
 }
 
-// Holder returns the worker that holds the claim of a job, or kv.ErrNotFound where the job has no claim.
-func (r *Records) Holder(ctx context.Context, job ident.Job) (Worker, error) {
-	pair, _, err := r.Store.Get(ctx, keyClaim(job))
+// Workers returns the nodes that run jobs.
+func (r *Records) Workers(ctx context.Context) ([]Worker, error) {
+	pairs, _, err := kv.ListAll(ctx, r.Store, prefixWorker, kv.PageOptions{})
 	if err != nil {
-		return Worker{}, err
+		return nil, err
 	}
-	var held claimValue
-	if err := decode(pair, &held); err != nil {
-		return Worker{}, err
+	live := newLive()
+	for _, pair := range pairs {
+		live.apply(kv.WatchEvent{Pair: pair})
 	}
-	return Worker{Node: held.Node, Address: held.Address}, nil
+	return slices.Collect(maps.Values(live.Workers)), nil
 }
--- a/internal/jobrecord/run.go
+++ b/internal/jobrecord/run.go
@@ -17,15 +17,14 @@
 
 // claimValue is what a claim's entry holds. The lease tells a node's claims of before a lapse from those after it.
 type claimValue struct {
-	Node    ident.Node `json:"node"`
-	Address string     `json:"address"`
-	Lease   kv.LeaseID `json:"lease"`
+	Node  ident.Node `json:"node"`
+	Lease kv.LeaseID `json:"lease"`
 }
 
 // Claim takes the right to run an open job for as long as the lease lives. It returns ErrClaimLost where another node
 // holds it or the job is not open any more.
-func (r *Records) Claim(ctx context.Context, open Open, holder Worker, lease kv.LeaseID) (Claim, error) {
-	value := encode(claimValue{Node: holder.Node, Address: holder.Address, Lease: lease})
+func (r *Records) Claim(ctx context.Context, open Open, holder ident.Node, lease kv.LeaseID) (Claim, error) {
+	value := encode(claimValue{Node: holder, Lease: lease})
 	result, err := r.Store.Commit(ctx,
 		[]kv.Compare{{Key: keyClaim(open.ID)}, {Key: keyOpen(open.ID), ModRevision: open.Revision}},
 		[]kv.Write{{Key: keyClaim(open.ID), Value: value, Lease: lease}})
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -198,7 +198,7 @@
 func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID) error {
 	ctx, cancel := w.call()
 	defer cancel()
-	claim, err := w.Records.Claim(ctx, entry, w.self(), lease)
+	claim, err := w.Records.Claim(ctx, entry, w.Node, lease)
 	if errors.Is(err, jobrecord.ErrClaimLost) {
 		return nil
 	}
@@ -235,7 +235,7 @@
 	}
 	ctx, cancel := w.call()
 	defer cancel()
-	claim, err := w.Records.Claim(ctx, job.entry, w.self(), lease)
+	claim, err := w.Records.Claim(ctx, job.entry, w.Node, lease)
 	if err == nil {
 		err = w.catchUp(job, claim)
 	}
--- a/internal/jobworker/held.go
+++ b/internal/jobworker/held.go
@@ -12,7 +12,7 @@
 	// leaseMargin is kept before the end of the lease for clocks that do not run alike.
 	leaseMargin = 300 * time.Millisecond
 	// finishedKept is how long the results of a finished job are kept in memory, finishedBytes bounds their text.
-	finishedKept  = 45 * time.Second
+	finishedKept  = 2 * time.Minute
 	finishedBytes = 24 << 20
 )
 
@@ -65,6 +65,23 @@
 	return false
 }
 
+// HeldBody answers the body of an item without a recorded result from memory. It returns false where this node does not
+// have it; that says nothing about the item.
+func (w *Worker) HeldBody(id ident.Job, item ident.Request) ([]byte, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	job := w.jobs[id]
+	if job == nil {
+		return nil, false
+	}
+	for _, candidate := range job.items {
+		if candidate.item.ID == item {
+			return candidate.body, candidate.body != nil
+		}
+	}
+	return nil, false
+}
+
 // finishedJobs keeps the results of finished jobs for a while. They never change, so that no lease is needed.
 type finishedJobs struct {
 	byID  map[ident.Job][]work.Result
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -49,7 +49,7 @@
 	LeaseTTL:      3 * time.Second,
 	CallTimeout:   time.Second,
 	WatchWait:     4 * time.Second,
-	WatchPause:    100 * time.Millisecond,
+	WatchPause:    250 * time.Millisecond,
 	RetryAfter:    200 * time.Millisecond,
 	ForeignDelay:  350 * time.Millisecond,
 	DispatchEvery: 60 * time.Millisecond,
