Empty a worker when the operator asks

Change: the orders under one prefix are read together; a worker drains, gives up its lease and reports; one that is gone is reported by another, because workers keep nothing on disk.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -31,7 +31,7 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
-	process.follow()
+	process.follow(nil)
 	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Logger: process.logger, Now: time.Now}
 	pool := transport.NewPool(transport.PoolOptions{PrivateNetwork: true, DialTimeout: peerDialTimeout, Jitter: rand.Float64})
 	defer func() { _ = pool.Close() }()
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/site"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
+	"mallowlatch.example/mallowlatch/internal/work"
 	"mallowlatch.example/mallowlatch/platform"
 )
 
@@ -74,13 +75,17 @@
 	}
 }
 
-// follow keeps the runners and the configuration up to date.
-func (p *process) follow() {
-	registry := &platform.Registry{Store: p.store, Damaged: func(key string, err error) {
+// registry reads the runners and the operators' orders.
+func (p *process) registry() *platform.Registry {
+	return &platform.Registry{Store: p.store, Damaged: func(key string, err error) {
 		event.CatalogInvalid.Log(p.logger).Str("key", key).Err(err).Send()
 	}}
+}
+
+// follow keeps the runners and the configuration up to date. retire is told of workers to be emptied; nil is not.
+func (p *process) follow(retire func(work.Retirement)) {
 	(&follower.Follower{
-		Registry: registry, Runners: p.runners, Routes: p.routes, Options: follower.OptionsFor(p.settings.Bounds.Drain()), Logger: p.logger, Now: time.Now,
+		Registry: p.registry(), Retire: retire, Runners: p.runners, Routes: p.routes, Options: follower.OptionsFor(p.settings.Bounds.Drain()), Logger: p.logger, Now: time.Now,
 	}).Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
 }
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -19,15 +19,15 @@
 // runWorker runs the items of batch jobs until it is asked to stop.
 func runWorker(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "worker")
-	process.follow()
 	options := jobworker.DefaultOptions
 	options.LeaseTTL = max(options.LeaseTTL, settings.Store.ShortestLease())
 	worker := &jobworker.Worker{
 		Node: ident.Node(settings.Node.Name), Zone: ident.Zone(settings.Node.Zone), Address: settings.Listen.Peers,
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
-		Caller: process.caller, Options: options, Logger: process.logger, Now: time.Now,
+		Caller: process.caller, Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
 	}
 	worker.Start(process.tomb)
+	process.follow(worker.Retire)
 	if err := process.servePeers(worker); err != nil {
 		return err
 	}
--- a/internal/event/jobworker.go
+++ b/internal/event/jobworker.go
@@ -13,4 +13,5 @@
 	ItemRunBroken  = register(3606, "item_run_broken", zerolog.WarnLevel, "A run of a batch item ended without its whole output; another run goes on after the event named.", "none unless one runner stands out")
 	ItemGivenUp    = register(3607, "item_given_up", zerolog.WarnLevel, "A batch item was given up and is listed as a dead letter; the line says why.", "see the reason")
 	JobReadFailed  = register(3608, "job_read_failed", zerolog.WarnLevel, "A job could not be read and the caller was told to come again.", "check the store and the path to it")
+	WorkerRetired  = register(3609, "worker_retired", zerolog.InfoLevel, "A worker is emptied as the operator asked, and the operator was told.", "none")
 )
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -20,8 +20,8 @@
 type Options struct {
 	// RunnersEvery is the time between readings of the list of runners.
 	RunnersEvery time.Duration
-	// ConfigurationWait is how long one call waits for a new configuration.
-	ConfigurationWait time.Duration
+	// OrdersWait is how long one call waits for new orders.
+	OrdersWait time.Duration
 	// CallTimeout bounds a call beyond its wait.
 	CallTimeout time.Duration
 	// RetryAfter is the pause after a failed call.
@@ -40,12 +40,12 @@
 // must get no more work.
 func OptionsFor(drain time.Duration) Options {
 	return Options{
-		RunnersEvery:      time.Duration(readingShare * float64(drain)),
-		ConfigurationWait: 4 * time.Second,
-		CallTimeout:       700 * time.Millisecond,
-		RetryAfter:        250 * time.Millisecond,
-		OutageAfter:       drain + 500*time.Millisecond,
-		KeepMissing:       2500 * time.Millisecond,
+		RunnersEvery: time.Duration(readingShare * float64(drain)),
+		OrdersWait:   4 * time.Second,
+		CallTimeout:  700 * time.Millisecond,
+		RetryAfter:   250 * time.Millisecond,
+		OutageAfter:  drain + 500*time.Millisecond,
+		KeepMissing:  2500 * time.Millisecond,
 	}
 }
 
@@ -55,8 +55,10 @@
 	Runners  *runnertable.Table
 	Routes   *routetable.Table
 	Options  Options
-	Logger   zerolog.Logger
-	Now      func() time.Time
+	// Retire is told of each worker to be emptied, again after each whole reading; nil is told nothing.
+	Retire func(retirement work.Retirement)
+	Logger zerolog.Logger
+	Now    func() time.Time
 
 	lastRead   time.Time
 	graceUntil time.Time
@@ -67,7 +69,7 @@
 func (f *Follower) Start(parent *tomb.Tomb) {
 	ctx := parent.Context(context.Background())
 	parent.Go(func() error { return f.followRunners(ctx) })
-	parent.Go(func() error { return f.followConfiguration(ctx) })
+	parent.Go(func() error { return f.followOrders(ctx) })
 }
 
 func (f *Follower) followRunners(ctx context.Context) error {
@@ -122,10 +124,10 @@
 	event.RegistryLost.Log(f.Logger).Err(err).Send()
 }
 
-func (f *Follower) followConfiguration(ctx context.Context) error {
+func (f *Follower) followOrders(ctx context.Context) error {
 	revision := int64(0)
 	for ctx.Err() == nil {
-		next, err := f.nextConfiguration(ctx, revision)
+		next, err := f.nextOrders(ctx, revision)
 		if err != nil {
 			revision = 0
 			sleep(ctx, f.Options.RetryAfter)
@@ -136,33 +138,37 @@
 	return nil
 }
 
-// nextConfiguration reads the configuration whole after a failure, and otherwise waits for a newer one.
-func (f *Follower) nextConfiguration(ctx context.Context, revision int64) (int64, error) {
+// nextOrders reads the orders whole after a failure, and otherwise waits for newer ones.
+func (f *Follower) nextOrders(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
 		defer cancel()
-		catalog, read, err := f.Registry.Configuration(ctx)
+		orders, read, err := f.Registry.Orders(ctx)
 		if err != nil {
 			return 0, err
 		}
-		f.adopt(catalog)
+		f.take(orders)
 		return read, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Options.ConfigurationWait+f.Options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.Options.OrdersWait+f.Options.CallTimeout)
 	defer cancel()
-	catalog, next, err := f.Registry.NextConfiguration(ctx, revision, f.Options.ConfigurationWait)
+	orders, next, err := f.Registry.NextOrders(ctx, revision, f.Options.OrdersWait)
 	if err != nil {
 		return 0, err
 	}
-	if catalog != nil {
-		f.adopt(catalog)
-	}
+	f.take(orders)
 	return next, nil
 }
 
-func (f *Follower) adopt(catalog *work.Catalog) {
-	if f.Routes.Adopt(catalog) {
-		event.CatalogAdopted.Log(f.Logger).Int64("version", catalog.Version).Int("routes", len(catalog.Routes)).Send()
+func (f *Follower) take(orders work.Orders) {
+	if orders.Catalog != nil && f.Routes.Adopt(orders.Catalog) {
+		event.CatalogAdopted.Log(f.Logger).Int64("version", orders.Catalog.Version).Int("routes", len(orders.Catalog.Routes)).Send()
+	}
+	if f.Retire == nil {
+		return
+	}
+	for _, retirement := range orders.Retire {
+		f.Retire(retirement)
 	}
 }
 
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -27,8 +27,11 @@
 
 func (w *Worker) renewLease() error {
 	w.mutex.Lock()
-	lease := w.lease
+	lease, draining := w.lease, w.draining
 	w.mutex.Unlock()
+	if lease == 0 && draining {
+		return nil
+	}
 	ctx, cancel := w.call()
 	defer cancel()
 	sent := w.Now()
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -70,8 +70,10 @@
 	Routes  *routetable.Table
 	Caller  work.Caller
 	Options Options
-	Logger  zerolog.Logger
-	Now     func() time.Time
+	// Registry is told when a worker is emptied.
+	Registry work.Registry
+	Logger   zerolog.Logger
+	Now      func() time.Time
 
 	tomb  *tomb.Tomb
 	ctx   context.Context
@@ -91,6 +93,8 @@
 	// duration is the mean time of a whole run.
 	duration time.Duration
 	draining bool
+	// retirements are the workers to be emptied.
+	retirements map[ident.Node]*retirement
 	// finished holds the results of jobs that were finished here lately.
 	finished finishedJobs
 }
@@ -122,11 +126,13 @@
 	w.open = map[ident.Job]*openJob{}
 	w.jobs = map[ident.Job]*jobRun{}
 	w.gauges = map[ident.Runner]*gauged{}
+	w.retirements = map[ident.Node]*retirement{}
 	w.duration = expectedDuration
 	parent.Go(w.keepLease)
 	parent.Go(w.followLive)
 	parent.Go(w.dispatchLoop)
 	parent.Go(w.expireLoop)
+	parent.Go(w.retireLoop)
 }
 
 // Drain stops giving out items and waits until those in progress are recorded, at most until the wait is over. Then it
@@ -134,12 +140,15 @@
 func (w *Worker) Drain(wait time.Duration) {
 	w.mutex.Lock()
 	w.draining = true
-	lease := w.lease
 	w.mutex.Unlock()
 	end := w.Now().Add(wait)
 	for w.Now().Before(end) && w.busy() {
 		time.Sleep(w.Options.DispatchEvery)
 	}
+	w.mutex.Lock()
+	lease := w.lease
+	w.lease = 0
+	w.mutex.Unlock()
 	if lease == 0 {
 		return
 	}
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
 // Attempt is one sending of a request to one runner.
@@ -43,15 +45,32 @@
 	Forget(runner Runner)
 }
 
-// Registry lists the runners and reads the configuration.
+// Retirement asks that a worker be emptied.
+type Retirement struct {
+	Node ident.Node
+	// Within is how long that may take, counted from the order.
+	Within time.Duration
+}
+
+// Orders are what operators want.
+type Orders struct {
+	// Catalog is the newest configuration, or nil where none came.
+	Catalog *Catalog
+	// Retire holds the workers to be emptied.
+	Retire []Retirement
+}
+
+// Registry lists the runners and reads the operators' orders.
 type Registry interface {
 	// Runners returns all runners the registry lists, of one moment or later.
 	Runners(ctx context.Context) ([]Runner, error)
-	// Configuration returns the newest configuration and the revision it was read at.
-	Configuration(ctx context.Context) (*Catalog, int64, error)
-	// NextConfiguration waits for a configuration newer than the revision. It returns a nil catalog and a revision to go
-	// on from when none came within the wait.
-	NextConfiguration(ctx context.Context, after int64, wait time.Duration) (*Catalog, int64, error)
+	// Orders returns all orders and the revision to ask for newer ones after.
+	Orders(ctx context.Context) (Orders, int64, error)
+	// NextOrders waits for orders newer than the revision. It returns none, and a revision to go on from, when none
+	// came within the wait.
+	NextOrders(ctx context.Context, after int64, wait time.Duration) (Orders, int64, error)
+	// ReportRetired tells the operators how far a worker is emptied.
+	ReportRetired(ctx context.Context, node ident.Node, emptied bool) error
 }
 
 // AnswerWriter passes an answer on to the caller. Its errors mean that the caller is gone.
