Give out first the items that can be in time, and end fewer runs

Ruled out: too little room (the gauges showed rooms of 4 to 8 and no item waiting at most times), runners that refuse items.

Change: items that can still be in time go first and step aside last; a queue seen in two reports in a row ends half as many runs as wait.

--- a/internal/batchroom/gauge.go
+++ b/internal/batchroom/gauge.go
@@ -17,6 +17,8 @@
 	// smallestReserve places.
 	reservedShare   = 0.12
 	smallestReserve = 2
+	// briefQueue is how many requests may wait in one report before any batch steps aside.
+	briefQueue = 0
 	// blindRoom is how much batch work a runner may carry while nothing is known of it.
 	blindRoom = 1
 )
@@ -30,8 +32,11 @@
 // Gauge follows one runner. The zero Gauge knows nothing.
 type Gauge struct {
 	samples []sample
-	excess  int
-	last    time.Time
+	// waiting is the number of requests that waited at the runner in the newest report, waitedBefore in the one before.
+	waiting, waitedBefore int
+	// acted says that the newest report was acted on.
+	acted bool
+	last  time.Time
 }
 
 // Observe takes in a report. own is the batch work this node had at the runner when the report was made.
@@ -41,10 +46,7 @@
 	for len(g.samples) > 1 && now.Sub(g.samples[0].at) > window {
 		g.samples = g.samples[1:]
 	}
-	g.excess = 0
-	if load.Waiting > 0 {
-		g.excess = max(load.Running+load.Waiting-load.Slots, load.Waiting)
-	}
+	g.waitedBefore, g.waiting, g.acted = g.waiting, load.Waiting, false
 }
 
 // others is the most work of others seen in the window.
@@ -61,17 +63,24 @@
 	if now.Sub(g.last) > reportMemory {
 		return max(blindRoom-own, 0)
 	}
-	if g.excess > 0 {
+	if g.waiting > 0 {
 		return 0
 	}
 	reserve := max(int(reservedShare*float64(slots)+0.5), smallestReserve)
 	return max(slots-reserve-g.others()-own, 0)
 }
 
-// Yield returns how many of the own batch items must step aside, because requests wait at the runner. Each report is
-// acted on once.
+// Yield returns how many of the own batch items must step aside, because requests wait at the runner. Online requests
+// are short, so that a few that wait for the first time find places by themselves sooner than a place is cleared. Each
+// report is acted on once.
 func (g *Gauge) Yield(own int) int {
-	yield := min(g.excess, own)
-	g.excess = 0
-	return yield
+	if g.acted {
+		return 0
+	}
+	g.acted = true
+	yield := g.waiting - briefQueue
+	if g.waitedBefore > 0 {
+		yield = (g.waiting + 1) / 2
+	}
+	return min(max(yield, 0), own)
 }
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -1,7 +1,6 @@
 package jobworker
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -33,7 +32,7 @@
 	return nil
 }
 
-// waiting returns the items to be given out, the earliest due first. The caller holds the mutex.
+// waiting returns the items to be given out, in their order. The caller holds the mutex.
 func (w *Worker) waiting(now time.Time) []*itemRun {
 	var waiting []*itemRun
 	if w.draining {
@@ -46,15 +45,10 @@
 			}
 		}
 	}
-	slices.SortFunc(waiting, func(first, second *itemRun) int {
-		if order := cmp.Compare(first.job.header.SubmittedMs, second.job.header.SubmittedMs); order != 0 {
-			return order
-		}
-		if order := cmp.Compare(first.job.header.ID, second.job.header.ID); order != 0 {
-			return order
-		}
-		return cmp.Compare(first.index, second.index)
-	})
+	ordered := w.prospects(waiting, now)
+	for position, prospect := range ordered {
+		waiting[position] = prospect.item
+	}
 	return waiting
 }
 
@@ -232,8 +226,8 @@
 	return count
 }
 
-// yield ends the newest runs at a runner so that online work has their places; they go on later after their last event.
-// The caller holds the mutex.
+// yield ends runs at a runner so that online work has their places, the last in order first; they go on later after
+// their last event. The caller holds the mutex.
 func (w *Worker) yield(id ident.Runner, count int) {
 	if count <= 0 {
 		return
@@ -246,9 +240,10 @@
 			}
 		}
 	}
-	slices.SortFunc(running, func(first, second *itemRun) int { return second.started.Compare(first.started) })
-	for _, item := range running[:min(count, len(running))] {
-		item.cancel()
+	ordered := w.prospects(running, w.Now())
+	slices.Reverse(ordered)
+	for _, prospect := range ordered[:min(count, len(ordered))] {
+		prospect.item.cancel()
 	}
 }
 
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -33,8 +33,8 @@
 // longestBudget bounds the time given to a runner for one item.
 const longestBudget = 2 * time.Minute
 
-// durationWeight is the part a new run has in the mean time of a run.
-const durationWeight = 0.1
+// meanWeight is the part a new run has in the means.
+const meanWeight = 0.1
 
 // run makes one run of an item and notes how it ended.
 func (w *Worker) run(ctx context.Context, item *itemRun, route *work.Route, flight *runnertable.Flight) {
@@ -51,7 +51,7 @@
 	}
 	switch {
 	case err == nil && status == http.StatusOK:
-		w.noteDuration(now.Sub(item.started), resumed)
+		w.noteWhole(now.Sub(item.started), item.lastEvent, resumed)
 		item.job.finish(item, work.Completed)
 	case err == nil && status == http.StatusUnprocessableEntity:
 		w.giveUp(item, "no runner can do it")
@@ -81,10 +81,14 @@
 	return runnertable.NoAnswer
 }
 
-// noteDuration keeps the mean time of whole runs. The caller holds the mutex.
-func (w *Worker) noteDuration(took time.Duration, resumed int64) {
+// noteWhole keeps the mean time and the mean number of events of whole runs. The caller holds the mutex.
+func (w *Worker) noteWhole(took time.Duration, events, resumed int64) {
+	if w.events == 0 {
+		w.events = float64(events)
+	}
+	w.events += meanWeight * (float64(events) - w.events)
 	if resumed == 0 {
-		w.duration += time.Duration(durationWeight * float64(took-w.duration))
+		w.duration += time.Duration(meanWeight * float64(took-w.duration))
 	}
 }
 
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -90,8 +90,9 @@
 	jobs    map[ident.Job]*jobRun
 	// gauges follow the runners that may take batch items.
 	gauges map[ident.Runner]*gauged
-	// duration is the mean time of a whole run.
+	// duration is the mean time of a whole run, events the mean number of its events.
 	duration time.Duration
+	events   float64
 	draining bool
 	// retirements are the workers to be emptied.
 	retirements map[ident.Node]*retirement
