--- /dev/null
+++ b/internal/jobrecord/claim_test.go
@@ -0,0 +1,99 @@
+package jobrecord_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// claimed returns a job of four items, claimed by one client.
+func claimed(t *testing.T) (*bench, *jobrecord.Records, *kvtest.Paged, jobrecord.Open, jobrecord.Claim, *jobrecord.Header) {
+	t.Helper()
+	ctx := context.Background()
+	b := newBench()
+	records, store := b.client()
+	assert.NilError(t, records.Accept(ctx, submission("j", 4)))
+	lease, err := store.Grant(ctx, time.Minute)
+	assert.NilError(t, err)
+	open := openJob(t, records, "j")
+	claim, err := records.Claim(ctx, open, "n", lease)
+	assert.NilError(t, err)
+	header, err := records.Header(ctx, "j")
+	assert.NilError(t, err)
+	return b, records, store, open, claim, header
+}
+
+func TestClaimIsNotTakenFromALiveHolder(t *testing.T) {
+	ctx := context.Background()
+	b, records, _, open, claim, header := claimed(t)
+	other, store := b.client()
+	lease, _ := store.Grant(ctx, time.Minute)
+	_, err := other.Claim(ctx, open, "m", lease)
+	assert.ErrorIs(t, err, jobrecord.ErrClaimLost)
+	assert.NilError(t, records.Append(ctx, claim, header, 0, []work.Result{{ID: "j-0"}}, 30, false))
+	b.now = b.now.Add(2 * time.Minute)
+	lease, _ = store.Grant(ctx, time.Minute)
+	_, err = other.Claim(ctx, open, "m", lease)
+	assert.NilError(t, err)
+	err = records.Append(ctx, claim, header, 1, []work.Result{{ID: "j-1"}}, 20, false)
+	assert.ErrorIs(t, err, jobrecord.ErrClaimLost)
+}
+
+// TestClaimKnowsItsOwnLostAnswer repeats a claim that took effect although its answer was lost.
+func TestClaimKnowsItsOwnLostAnswer(t *testing.T) {
+	ctx := context.Background()
+	b := newBench()
+	records, store := b.client()
+	assert.NilError(t, records.Accept(ctx, submission("j", 1)))
+	lease, _ := store.Grant(ctx, time.Minute)
+	open := openJob(t, records, "j")
+	store.SetFaults(kvtest.PagedFaults{LoseNext: 1})
+	_, err := records.Claim(ctx, open, "n", lease)
+	assert.Assert(t, jobrecord.Unknown(err))
+	_, err = records.Claim(ctx, open, "n", lease)
+	assert.NilError(t, err)
+}
+
+func TestEndedJobIsNotClaimed(t *testing.T) {
+	ctx := context.Background()
+	_, records, store, open, _, header := claimed(t)
+	assert.NilError(t, records.End(ctx, header))
+	lease, _ := store.Grant(ctx, time.Minute)
+	_, err := records.Claim(ctx, open, "m", lease)
+	assert.ErrorIs(t, err, jobrecord.ErrClaimLost)
+}
+
+// TestRepeatedAppendKnowsItsOwnEffect loses the answer of an Append and repeats it, alone and with more behind it.
+func TestRepeatedAppendKnowsItsOwnEffect(t *testing.T) {
+	ctx := context.Background()
+	_, records, store, _, claim, header := claimed(t)
+	first := []work.Result{{ID: "j-0", State: work.Completed, Text: "a"}}
+	store.SetFaults(kvtest.PagedFaults{LoseNext: 1})
+	assert.Assert(t, jobrecord.Unknown(records.Append(ctx, claim, header, 0, first, 30, false)))
+	extended := append(first, work.Result{ID: "j-1", State: work.Completed, Text: "b"})
+	assert.ErrorIs(t, records.Append(ctx, claim, header, 0, extended, 20, false), jobrecord.ErrClaimLost)
+	assert.NilError(t, records.Append(ctx, claim, header, 0, first, 30, false))
+	results, err := records.AllResults(ctx, "j")
+	assert.NilError(t, err)
+	assert.Equal(t, len(results), 1)
+}
+
+// TestLateAppendDoesNotOverwrite applies an unanswered Append after the holder, having read the results anew under the
+// same claim, wrote another result at the position.
+func TestLateAppendDoesNotOverwrite(t *testing.T) {
+	ctx := context.Background()
+	_, records, store, _, claim, header := claimed(t)
+	store.SetFaults(kvtest.PagedFaults{DelayNext: 1})
+	assert.Assert(t, jobrecord.Unknown(records.Append(ctx, claim, header, 0, []work.Result{{ID: "j-0", Text: "a"}}, 30, false)))
+	assert.NilError(t, records.Append(ctx, claim, header, 0, []work.Result{{ID: "j-1", Text: "b"}}, 30, false))
+	store.ApplyDelayed()
+	results, err := records.AllResults(ctx, "j")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, results, []work.Result{{ID: "j-1", Text: "b"}})
+}
