--- a/cmd/mallowlatch-site/main.go
+++ b/cmd/mallowlatch-site/main.go
@@ -8,11 +8,9 @@
 	"github.com/spf13/cobra"
 
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
+	"mallowlatch.example/mallowlatch/platform"
 )
 
-// settingsVariable names the settings file.
-const settingsVariable = "MALLOWLATCH_NODE_FILE"
-
 func main() {
 	root := &cobra.Command{
 		Use:           "mallowlatch-site",
@@ -20,7 +18,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	path := root.PersistentFlags().String("settings", os.Getenv(settingsVariable), "settings file; the variable "+settingsVariable+" names it too")
+	path := root.PersistentFlags().String("settings", os.Getenv(platform.SettingsVariable), "settings file; the variable "+platform.SettingsVariable+" names it too")
 	root.AddCommand(
 		roleCommand("front", "Answer clients", path, runFront),
 		roleCommand("worker", "Run the items of batch jobs", path, runWorker),
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -12,6 +12,9 @@
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
+// longestWait bounds how long a reading is held.
+const longestWait = time.Second
+
 // Listing is a part of a job's results.
 type Listing struct {
 	// Total is the number of the job's items.
@@ -23,6 +26,7 @@
 // Results reads results from a position on. Without any it waits for the next one, at most for the wait. The error is
 // a *failure.Error.
 func (d *Desk) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (Listing, error) {
+	wait = min(wait, longestWait)
 	if d.Holders != nil {
 		if total, results, sure := d.Holders.Results(ctx, job, from, wait); sure {
 			return Listing{Total: total, Results: cut(results)}, nil
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -28,6 +28,8 @@
 	silenceFactor   = 3
 	shortestSilence = 600 * time.Millisecond
 	longestSilence  = 1200 * time.Millisecond
+	// writeSlack is how long after a request's end its answer may still be written to a slow caller.
+	writeSlack = 2 * time.Second
 	// leastBudget is the time below which an attempt is not worth sending.
 	leastBudget = 5 * time.Millisecond
 )
@@ -45,6 +47,7 @@
 // that was not begun.
 func (f *Forwarder) Serve(ctx context.Context, route *work.Route, request *work.Request, writer work.AnswerWriter) error {
 	deadline := f.deadline(route, request)
+	writer.Until(deadline.Add(writeSlack))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	exchange := &exchange{
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -6,7 +6,9 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"time"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -53,6 +55,33 @@
 	return nil
 }
 
+// retryAfter is when a caller may come back to a node that knows no configuration yet.
+const retryAfter = 500 * time.Millisecond
+
+// Route returns the route of a request. The error is a *failure.Error: a missing route is not found only where a
+// configuration says so, and a node without one refuses.
+func (t *Table) Route(host, path string) (*work.Route, error) {
+	route, known := t.Match(host, path)
+	switch {
+	case !known:
+		return nil, failure.New(failure.CodeNoBackend, "this node knows no configuration yet").WithRetryAfter(retryAfter)
+	case route == nil:
+		return nil, failure.New(failure.CodeNotFound, "no route for this host and path")
+	}
+	return route, nil
+}
+
+// defaultBodyBytes bounds a body while the configuration names no bound.
+const defaultBodyBytes = 4 << 20
+
+// BodyLimit is the largest body a client may send, in bytes.
+func (t *Table) BodyLimit() int64 {
+	if catalog := t.Catalog(); catalog != nil && catalog.Limits.BodyBytes > 0 {
+		return int64(catalog.Limits.BodyBytes)
+	}
+	return defaultBodyBytes
+}
+
 // Match returns the route with the longest prefix among those of the host, or nil. known is false while the node
 // knows no configuration, so that a missing route proves nothing.
 func (t *Table) Match(host, path string) (route *work.Route, known bool) {
@@ -72,20 +101,6 @@
 	return best, true
 }
 
-// Named returns the route with the name, or nil. known is false while the node knows no configuration.
-func (t *Table) Named(name string) (route *work.Route, known bool) {
-	current := t.current.Load()
-	if current == nil {
-		return nil, false
-	}
-	for position := range current.catalog.Routes {
-		if current.catalog.Routes[position].Name == name {
-			return &current.catalog.Routes[position], true
-		}
-	}
-	return nil, true
-}
-
 // normalHost drops the port and the case of a Host header.
 func normalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -75,6 +75,8 @@
 
 // AnswerWriter passes an answer on to the caller. Its errors mean that the caller is gone.
 type AnswerWriter interface {
+	// Until says when writing to the caller ends in any case: a caller that does not read must not hold the node.
+	Until(deadline time.Time)
 	// Begin sends the head. length is the length of the body, or negative for a body that ends by itself.
 	Begin(head Head, length int64) error
 	// Write sends bytes of the body at once.
