--- /dev/null
+++ b/internal/batchroom/gauge_test.go
@@ -0,0 +1,58 @@
+package batchroom_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/batchroom"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+var start = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+
+// TestBatchNeverTakesTheLastPlaces draws reports: what is given out beside what runs leaves places for online work.
+func TestBatchNeverTakesTheLastPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var gauge batchroom.Gauge
+		now := start
+		slots := rapid.IntRange(1, 40).Draw(t, "slots")
+		for range rapid.IntRange(1, 20).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			own := rapid.IntRange(0, slots).Draw(t, "own")
+			load := work.Load{
+				Running: own + rapid.IntRange(0, slots).Draw(t, "online"),
+				Waiting: rapid.IntRange(0, 5).Draw(t, "waiting"), Slots: slots,
+			}
+			gauge.Observe(load, own, now)
+			room := gauge.Room(slots, own, now)
+			assert.Assert(t, room >= 0)
+			if room > 0 {
+				assert.Equal(t, load.Waiting, 0)
+				assert.Assert(t, load.Running+room <= slots-2, "%d run, %d more are given out, %d places", load.Running, room, slots)
+			}
+			yield := gauge.Yield(own)
+			assert.Assert(t, yield >= 0 && yield <= min(own, load.Waiting))
+			assert.Equal(t, gauge.Yield(own), 0, "one report was acted on twice")
+		}
+	})
+}
+
+func TestQueueSeenOnceAndAgain(t *testing.T) {
+	var gauge batchroom.Gauge
+	gauge.Observe(work.Load{Running: 10, Waiting: 4, Slots: 10}, 6, start)
+	assert.Equal(t, gauge.Yield(6), 4)
+	gauge.Observe(work.Load{Running: 10, Waiting: 4, Slots: 10}, 6, start.Add(200*time.Millisecond))
+	assert.Equal(t, gauge.Yield(6), 2)
+}
+
+func TestUnknownRunnerGetsOneItem(t *testing.T) {
+	var gauge batchroom.Gauge
+	assert.Equal(t, gauge.Room(10, 0, start), 1)
+	assert.Equal(t, gauge.Room(10, 1, start), 0)
+	gauge.Observe(work.Load{Slots: 10}, 0, start)
+	assert.Equal(t, gauge.Room(10, 0, start), 8)
+	assert.Equal(t, gauge.Room(10, 0, start.Add(5*time.Second)), 1, "an old report is still believed")
+}
--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -23,9 +23,9 @@
 }
 
 // usable says whether a kept connection may take another request: it is within its time, the other side has not
-// closed it, and no bytes lie on it that belong to no request.
+// closed it, and no bytes came on it that belong to no request.
 func (c *connection) usable(now time.Time) bool {
-	return now.Before(c.expires) && c.reader.Buffered() == 0 && c.silent()
+	return now.Before(c.expires) && c.silent()
 }
 
 // silent looks at the socket without waiting: true when there is nothing to read and no end.
--- /dev/null
+++ b/internal/runnertable/table_test.go
@@ -0,0 +1,146 @@
+package runnertable_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+var start = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+
+func runner(id, zone string) work.Runner {
+	return work.Runner{ID: ident.Runner(id), Service: "s", Address: id, Zone: ident.Zone(zone), Slots: 4}
+}
+
+func tableOf(runners ...work.Runner) *runnertable.Table {
+	table := runnertable.New("a")
+	table.Replace(runners, start, time.Time{})
+	return table
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func pick(t *testing.T, table *runnertable.Table, now time.Time, wish runnertable.Wish) *runnertable.Flight {
+	t.Helper()
+	wish.Service = "s"
+	flight, err := table.Pick(wish, now, random())
+	assert.NilError(t, err)
+	return flight
+}
+
+// TestLeavingRunnersGetNoWork covers a runner that says that it leaves, one that is gone, and one another service has.
+func TestLeavingRunnersGetNoWork(t *testing.T) {
+	table := tableOf(runner("1", "a"), runner("2", "a"))
+	leaving := runner("1", "a")
+	leaving.State = work.Draining
+	table.Replace([]work.Runner{leaving, runner("2", "a")}, start, time.Time{})
+	for range 20 {
+		assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+	}
+	_, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start)
+	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
+	_, removed := table.Replace([]work.Runner{leaving}, start, time.Time{})
+	assert.DeepEqual(t, removed, []ident.Runner{"2"})
+	_, err = table.Pick(runnertable.Wish{Service: "s"}, start, random())
+	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
+}
+
+// TestAbsenceAfterAnOutageIsNoProof keeps the runner that answered, until a later reading without the outage.
+func TestAbsenceAfterAnOutageIsNoProof(t *testing.T) {
+	table := tableOf(runner("1", "a"), runner("2", "a"))
+	flight, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start)
+	assert.NilError(t, err)
+	flight.Answered(nil, start.Add(time.Second))
+	flight.End()
+	table.Replace(nil, start.Add(2*time.Second), start)
+	assert.Equal(t, table.Count(), 1)
+	assert.Equal(t, pick(t, table, start.Add(2*time.Second), runnertable.Wish{}).Runner.ID, ident.Runner("1"))
+	table.Replace(nil, start.Add(5*time.Second), time.Time{})
+	assert.Equal(t, table.Count(), 0)
+}
+
+// TestUnreachableRunnerIsEjectedAndComesBack ejects for longer each time; one success brings the runner back.
+func TestUnreachableRunnerIsEjectedAndComesBack(t *testing.T) {
+	table := tableOf(runner("1", "a"), runner("2", "a"))
+	ejectedFor := func(now time.Time) time.Duration {
+		flight, err := table.StartAt("1", runnertable.Wish{Service: "s"}, now)
+		assert.NilError(t, err)
+		flight.Failed(runnertable.Unreachable, now)
+		flight.End()
+		for waited := time.Duration(0); ; waited += 50 * time.Millisecond {
+			if probe, err := table.StartAt("1", runnertable.Wish{Service: "s"}, now.Add(waited)); err == nil {
+				probe.End()
+				return waited
+			}
+		}
+	}
+	first := ejectedFor(start)
+	second := ejectedFor(start.Add(10 * time.Second))
+	assert.Assert(t, first > 0 && second > first, "%v, %v", first, second)
+	flight, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start.Add(20*time.Second))
+	assert.NilError(t, err)
+	flight.Began(start.Add(20 * time.Second))
+	flight.End()
+	assert.Equal(t, ejectedFor(start.Add(30*time.Second)), first)
+}
+
+// TestOneLostAnswerEjectsNobody tells a bad answer from a bad runner.
+func TestOneLostAnswerEjectsNobody(t *testing.T) {
+	table := tableOf(runner("1", "a"))
+	for range 2 {
+		flight := pick(t, table, start, runnertable.Wish{})
+		flight.Failed(runnertable.NoAnswer, start)
+		flight.End()
+		_, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start)
+		assert.NilError(t, err)
+	}
+}
+
+// TestEveryRunnerEjectedIsBetterTriedThanRefused picks the one whose ejection ends first.
+func TestEveryRunnerEjectedIsBetterTriedThanRefused(t *testing.T) {
+	table := tableOf(runner("1", "a"), runner("2", "a"))
+	for index, id := range []ident.Runner{"2", "1"} {
+		flight, err := table.StartAt(id, runnertable.Wish{Service: "s"}, start)
+		assert.NilError(t, err)
+		flight.Failed(runnertable.Unreachable, start.Add(time.Duration(index)*time.Millisecond))
+		flight.End()
+	}
+	assert.Equal(t, pick(t, table, start.Add(time.Millisecond), runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+}
+
+// TestWorkStaysInTheZoneUntilItIsFull fills the near runner.
+func TestWorkStaysInTheZoneUntilItIsFull(t *testing.T) {
+	table := tableOf(runner("far", "b"), runner("near", "a"))
+	near := 0
+	for {
+		if pick(t, table, start, runnertable.Wish{Bytes: 1000}).Runner.ID == "far" {
+			break
+		}
+		near++
+	}
+	assert.Assert(t, near >= 4 && near <= 6, "%d went to the near runner of 4 places", near)
+}
+
+// TestSharedBeginningsMeetAtOneRunner lets two nodes that never spoke place the same beginning.
+func TestSharedBeginningsMeetAtOneRunner(t *testing.T) {
+	runners := []work.Runner{runner("1", "a"), runner("2", "a"), runner("3", "a"), runner("4", "a")}
+	used := map[ident.Runner]bool{}
+	for part := range 40 {
+		wish := runnertable.Wish{
+			PromptTokens: 9000,
+			Prefix:       []work.Part{{ID: "base", Tokens: 2500}, {ID: fmt.Sprint(part), Tokens: 3800}, {ID: "own", Tokens: 2700}},
+		}
+		first := pick(t, tableOf(runners...), start, wish).Runner.ID
+		second := pick(t, tableOf(runners...), start, wish).Runner.ID
+		assert.Equal(t, first, second)
+		used[first] = true
+	}
+	assert.Equal(t, len(used), 4)
+}
