Pass the fleet's state from a worker to the fronts of its zone

Change: internal/fleetfeed passes on a worker's newest reading with its age; a follower uses it while it is fresh and reads for itself otherwise; lists never go back in revision.

Ruled out: stale reads (seconds behind after history is lost), one reader for the whole deployment (its loss would leave all behind).

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,10 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobentry"
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
@@ -31,15 +36,13 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
-	process.follow(nil)
 	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Logger: process.logger, Now: time.Now}
 	pool := transport.NewPool(transport.PoolOptions{PrivateNetwork: true, DialTimeout: peerDialTimeout, Jitter: rand.Float64})
 	defer func() { _ = pool.Close() }()
 	records := process.records()
-	desk := &jobentry.Desk{
-		Records: records, Logger: process.logger,
-		Holders: &jobpeer.Holders{Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Now: time.Now},
-	}
+	holders := &jobpeer.Holders{Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Now: time.Now}
+	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders}
+	process.follow(&follower.Follower{Source: &workerFeed{holders: holders, index: xxhash.Sum64String(settings.Node.Name)}})
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: time.Now,
@@ -56,6 +59,25 @@
 	return process.end()
 }
 
+// workerFeed asks a worker for what it read of the registry. It implements follower.Source.
+type workerFeed struct {
+	holders *jobpeer.Holders
+	index   uint64
+}
+
+// Next implements follower.Source.
+func (w *workerFeed) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
+	address, connection, err := w.holders.Nearest(ctx, w.index)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := fleetfeed.Ask(ctx, connection, known)
+	if err != nil {
+		w.holders.Avoid(address)
+	}
+	return snapshot, err
+}
+
 // ready says whether the node can serve: it knows the configuration and the runners, and is not stopping.
 func (p *process) ready() bool {
 	return !p.lifecycle.Stopping() && p.routes.Catalog() != nil && p.runners.Count() > 0
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -18,7 +18,6 @@
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/site"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
-	"mallowlatch.example/mallowlatch/internal/work"
 	"mallowlatch.example/mallowlatch/platform"
 )
 
@@ -82,11 +81,11 @@
 	}}
 }
 
-// follow keeps the runners and the configuration up to date. retire is told of workers to be emptied; nil is not.
-func (p *process) follow(retire func(work.Retirement)) {
-	(&follower.Follower{
-		Registry: p.registry(), Retire: retire, Runners: p.runners, Routes: p.routes, Options: follower.OptionsFor(p.settings.Bounds.Drain()), Logger: p.logger, Now: time.Now,
-	}).Start(p.tomb)
+// follow keeps the runners and the configuration up to date. What the roles differ in is set in the follower given.
+func (p *process) follow(role *follower.Follower) {
+	role.Registry, role.Runners, role.Routes = p.registry(), p.runners, p.routes
+	role.Options, role.Logger, role.Now = follower.OptionsFor(p.settings.Bounds.Drain()), p.logger, time.Now
+	role.Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
 }
 
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
@@ -27,8 +29,9 @@
 		Caller: process.caller, Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
 	}
 	worker.Start(process.tomb)
-	process.follow(worker.Retire)
-	if err := process.servePeers(worker); err != nil {
+	feed := fleetfeed.New(time.Now)
+	process.follow(&follower.Follower{Retire: worker.Retire, Feed: feed})
+	if err := process.servePeers(worker, feed); err != nil {
 		return err
 	}
 	process.waitForStop()
@@ -36,8 +39,8 @@
 	return process.end()
 }
 
-// servePeers lets other nodes read the results of the worker's jobs.
-func (p *process) servePeers(worker *jobworker.Worker) error {
+// servePeers lets other nodes read the results of the worker's jobs, and what it read of the registry.
+func (p *process) servePeers(worker *jobworker.Worker, feed *fleetfeed.Feed) error {
 	listener, err := net.Listen("tcp4", p.settings.Listen.Peers)
 	if err != nil {
 		return fmt.Errorf("listening on %s: %w", p.settings.Listen.Peers, err)
@@ -46,6 +49,9 @@
 	if err := server.Register(&jobpeer.WorkerServer{Worker: worker}, jobpeer.Description{}); err != nil {
 		return fmt.Errorf("serving other nodes: %w", err)
 	}
+	if err := server.Register(feed, fleetfeed.Description{}); err != nil {
+		return fmt.Errorf("serving other nodes: %w", err)
+	}
 	p.tomb.Go(func() error { return server.Serve(listener) })
 	p.tomb.Go(func() error {
 		<-p.tomb.Dying()
--- /dev/null
+++ b/internal/fleetfeed/feed.go
@@ -0,0 +1,185 @@
+// Package fleetfeed passes what one node read of the runners and the configuration on to nodes of its zone, over drpc.
+// Each reading of the registry has its price; with a feed one node of a zone pays it for all. A snapshot carries its
+// age, so that a node whose feed is old, silent or gone reads for itself.
+package fleetfeed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// Known is what a node already has.
+type Known struct {
+	// Reading numbers the feed's readings; zero has none.
+	Reading int64 `json:"reading"`
+	// Incarnation tells feeds of different processes apart: their numbers mean nothing to each other.
+	Incarnation int64 `json:"incarnation"`
+	// CatalogVersion is that of the configuration in force.
+	CatalogVersion int64 `json:"catalog_version"`
+	// WaitMs is how long the answer may be held for a newer reading, in milliseconds.
+	WaitMs int64 `json:"wait_ms"`
+}
+
+// Snapshot is what the feeding node read last.
+type Snapshot struct {
+	Incarnation int64 `json:"incarnation"`
+	Reading     int64 `json:"reading"`
+	// Runners are those of the registry at the revision.
+	Runners  []work.Runner `json:"runners"`
+	Revision int64         `json:"revision"`
+	// RunnersAgeMs is the time since the reading began, OrdersAgeMs since the newest answer about the orders.
+	RunnersAgeMs int64 `json:"runners_age_ms"`
+	OrdersAgeMs  int64 `json:"orders_age_ms"`
+	// Catalog is the configuration, or nil where the node has this version.
+	Catalog *work.Catalog `json:"catalog,omitempty"`
+	// HeldMs is how long the answer was held; what is left of the call's time was its way.
+	HeldMs int64 `json:"held_ms"`
+}
+
+// Feed holds the newest readings of a node and answers others. It is safe for concurrent use.
+type Feed struct {
+	Now func() time.Time
+
+	mutex       sync.Mutex
+	incarnation int64
+	reading     int64
+	runners     []work.Runner
+	revision    int64
+	readAt      time.Time
+	ordersAt    time.Time
+	catalog     *work.Catalog
+	changed     chan struct{}
+}
+
+// New returns an empty feed.
+func New(now func() time.Time) *Feed {
+	return &Feed{Now: now, incarnation: now().UnixNano(), changed: make(chan struct{})}
+}
+
+// Read notes a reading of the runners that began at the time.
+func (f *Feed) Read(runners []work.Runner, revision int64, began time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.reading++
+	f.runners, f.revision, f.readAt = runners, revision, began
+	f.wake()
+}
+
+// Orders notes an answer about the orders, and the configuration if one came.
+func (f *Feed) Orders(catalog *work.Catalog, answered time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.ordersAt = answered
+	if catalog != nil && (f.catalog == nil || catalog.Version > f.catalog.Version) {
+		f.catalog = catalog
+		f.wake()
+	}
+}
+
+// wake tells those that wait. The caller holds the mutex.
+func (f *Feed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Snapshot answers a node: at once where it lacks something, otherwise when something comes or the wait is over.
+func (f *Feed) Snapshot(ctx context.Context, known *Known) (*Snapshot, error) {
+	began := f.Now()
+	timer := time.NewTimer(min(time.Duration(known.WaitMs)*time.Millisecond, longestHold))
+	defer timer.Stop()
+	for over := false; ; {
+		snapshot, changed, newer := f.compare(known)
+		if newer || over {
+			snapshot.HeldMs = f.Now().Sub(began).Milliseconds()
+			return snapshot, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return nil, fmt.Errorf("holding a call for a newer reading: %w", ctx.Err())
+		}
+	}
+}
+
+// longestHold bounds how long an answer is held.
+const longestHold = 5 * time.Second
+
+// compare returns the present snapshot, what is closed at the next change, and whether the node lacks something.
+func (f *Feed) compare(known *Known) (*Snapshot, <-chan struct{}, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.Now()
+	snapshot := &Snapshot{
+		Incarnation: f.incarnation, Reading: f.reading, Runners: f.runners, Revision: f.revision,
+		RunnersAgeMs: now.Sub(f.readAt).Milliseconds(), OrdersAgeMs: now.Sub(f.ordersAt).Milliseconds(),
+	}
+	newCatalog := f.catalog != nil && f.catalog.Version > known.CatalogVersion
+	if newCatalog {
+		snapshot.Catalog = f.catalog
+	}
+	newer := known.Incarnation != f.incarnation || known.Reading != f.reading || newCatalog
+	return snapshot, f.changed, newer && f.reading > 0
+}
+
+// Server answers nodes.
+type Server interface {
+	Snapshot(ctx context.Context, known *Known) (*Snapshot, error)
+}
+
+const methodSnapshot = "/mallowlatch.fleetfeed.Feed/Snapshot"
+
+// Description registers a Server with a drpc.Mux.
+type Description struct{}
+
+// NumMethods implements drpc.Description.
+func (Description) NumMethods() int { return 1 }
+
+// Method implements drpc.Description.
+func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if index != 0 {
+		return "", nil, nil, nil, false
+	}
+	return methodSnapshot, encoding{}, receiveSnapshot, Server.Snapshot, true
+}
+
+func receiveSnapshot(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Snapshot(ctx, in.(*Known))
+}
+
+// Ask asks the feed behind a connection.
+func Ask(ctx context.Context, connection drpc.Conn, known *Known) (*Snapshot, error) {
+	snapshot := &Snapshot{}
+	if err := connection.Invoke(ctx, methodSnapshot, encoding{}, known, snapshot); err != nil {
+		return nil, fmt.Errorf("asking a feed: %w", err)
+	}
+	return snapshot, nil
+}
+
+// encoding carries messages as JSON; no generated code is needed.
+type encoding struct{}
+
+// Marshal implements drpc.Encoding.
+func (encoding) Marshal(message drpc.Message) ([]byte, error) {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encoding a call of a feed: %w", err)
+	}
+	return encoded, nil
+}
+
+// Unmarshal implements drpc.Encoding.
+func (encoding) Unmarshal(buffer []byte, message drpc.Message) error {
+	if err := json.Unmarshal(buffer, message); err != nil {
+		return fmt.Errorf("decoding a call of a feed: %w", err)
+	}
+	return nil
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -60,6 +62,14 @@
 	Logger zerolog.Logger
 	Now    func() time.Time
 
+	// Source is another node that passes on what it read; nil reads alone.
+	Source Source
+	// Feed passes on what this node read; nil passes nothing on.
+	Feed *fleetfeed.Feed
+
+	mutex      sync.Mutex
+	fresh      freshness
+	revision   int64
 	lastRead   time.Time
 	graceUntil time.Time
 	lost       bool
@@ -70,10 +80,17 @@
 	ctx := parent.Context(context.Background())
 	parent.Go(func() error { return f.followRunners(ctx) })
 	parent.Go(func() error { return f.followOrders(ctx) })
+	if f.Source != nil {
+		parent.Go(func() error { return f.followSource(ctx) })
+	}
 }
 
 func (f *Follower) followRunners(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if relayed := f.relayedUntil().runners.Sub(f.Now()); relayed > 0 {
+			sleep(ctx, relayed)
+			continue
+		}
 		pause := f.Options.RunnersEvery
 		if err := f.readRunners(ctx); err != nil {
 			f.noteLost(err)
@@ -87,11 +104,27 @@
 func (f *Follower) readRunners(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
 	defer cancel()
-	listed, err := f.Registry.Runners(ctx)
+	began := f.Now()
+	listed, revision, err := f.Registry.Runners(ctx)
 	if err != nil {
 		return err
 	}
-	now := f.Now()
+	f.applyRunners(listed, revision, f.Now())
+	if f.Feed != nil {
+		f.Feed.Read(listed, revision, began)
+	}
+	return nil
+}
+
+// applyRunners takes over a list. One of an older revision than the newest is passed over: a relayed list may come
+// after a newer one was read.
+func (f *Follower) applyRunners(listed []work.Runner, revision int64, now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if revision < f.revision {
+		return
+	}
+	f.revision = revision
 	added, removed := f.Runners.Replace(listed, now, f.keepIfAnswered(now))
 	f.lastRead = now
 	if f.lost {
@@ -101,11 +134,11 @@
 	if len(added)+len(removed) > 0 {
 		event.RunnersChanged.Log(f.Logger).Int("added", len(added)).Int("removed", len(removed)).Int("listed", len(listed)).Send()
 	}
-	return nil
 }
 
 // keepIfAnswered returns the time after which a runner must have answered to be kept although it is not listed. While
-// the registry was away, the runners could not renew their entries, so their absence right after proves nothing.
+// the registry was away, the runners could not renew their entries, so their absence right after proves nothing. The
+// caller holds the mutex.
 func (f *Follower) keepIfAnswered(now time.Time) time.Time {
 	if !f.lastRead.IsZero() && now.Sub(f.lastRead) > f.Options.OutageAfter {
 		f.graceUntil = now.Add(f.Options.KeepMissing)
@@ -117,6 +150,8 @@
 }
 
 func (f *Follower) noteLost(err error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	if f.lost {
 		return
 	}
@@ -127,6 +162,11 @@
 func (f *Follower) followOrders(ctx context.Context) error {
 	revision := int64(0)
 	for ctx.Err() == nil {
+		if relayed := f.relayedUntil().orders.Sub(f.Now()); relayed > 0 {
+			revision = 0
+			sleep(ctx, relayed)
+			continue
+		}
 		next, err := f.nextOrders(ctx, revision)
 		if err != nil {
 			revision = 0
@@ -161,6 +201,9 @@
 }
 
 func (f *Follower) take(orders work.Orders) {
+	if f.Feed != nil {
+		f.Feed.Orders(orders.Catalog, f.Now())
+	}
 	if orders.Catalog != nil && f.Routes.Adopt(orders.Catalog) {
 		event.CatalogAdopted.Log(f.Logger).Int64("version", orders.Catalog.Version).Int("routes", len(orders.Catalog.Routes)).Send()
 	}
--- /dev/null
+++ b/internal/follower/relay.go
@@ -0,0 +1,87 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+)
+
+// Source asks another node for what it read of the registry. An error, or a snapshot that is too old, makes the
+// follower read for itself.
+type Source interface {
+	// Next returns a snapshot newer than what is known, or the present one when the wait is over.
+	Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error)
+}
+
+// freshness is until when the relayed readings are good enough.
+type freshness struct {
+	runners, orders time.Time
+}
+
+const (
+	// relaySlack is what a call of the source may take beyond the time it is held.
+	relaySlack = 400 * time.Millisecond
+	// oldestShare of the time between two readings is how old a relayed one may be: the next one needs its time too.
+	oldestShare = 1.15
+	// relayPause parts two calls after one that brought nothing usable.
+	relayPause = 500 * time.Millisecond
+)
+
+// followSource takes over what the source read, as long as it is fresh.
+func (f *Follower) followSource(ctx context.Context) error {
+	known := &fleetfeed.Known{WaitMs: f.oldest().Milliseconds()}
+	for ctx.Err() == nil {
+		if !f.relay(ctx, known) {
+			sleep(ctx, relayPause)
+		}
+	}
+	return nil
+}
+
+// oldest is the age from which on a relayed reading of the runners is not used.
+func (f *Follower) oldest() time.Duration {
+	return time.Duration(oldestShare * float64(f.Options.RunnersEvery))
+}
+
+// relay makes one call and says whether it brought something usable.
+func (f *Follower) relay(ctx context.Context, known *fleetfeed.Known) bool {
+	ctx, cancel := context.WithTimeout(ctx, f.oldest()+relaySlack)
+	defer cancel()
+	if catalog := f.Routes.Catalog(); catalog != nil {
+		known.CatalogVersion = catalog.Version
+	}
+	began := f.Now()
+	snapshot, err := f.Source.Next(ctx, known)
+	if err != nil {
+		return false
+	}
+	now := f.Now()
+	// Whatever of the call's time the other node did not hold it, the answer may have been on its way.
+	way := max(now.Sub(began)-time.Duration(snapshot.HeldMs)*time.Millisecond, 0)
+	runnersAge := time.Duration(snapshot.RunnersAgeMs)*time.Millisecond + way
+	ordersAge := time.Duration(snapshot.OrdersAgeMs)*time.Millisecond + way
+	if runnersAge > f.oldest() || ordersAge > f.Options.OrdersWait+f.Options.CallTimeout {
+		return false
+	}
+	known.Incarnation, known.Reading = snapshot.Incarnation, snapshot.Reading
+	if snapshot.Catalog != nil && f.Routes.Adopt(snapshot.Catalog) {
+		event.CatalogAdopted.Log(f.Logger).Int64("version", snapshot.Catalog.Version).Bool("relayed", true).Send()
+	}
+	f.applyRunners(snapshot.Runners, snapshot.Revision, now)
+	f.mutex.Lock()
+	f.fresh = freshness{
+		runners: now.Add(f.oldest() - runnersAge),
+		orders:  now.Add(f.Options.OrdersWait + f.Options.CallTimeout - ordersAge),
+	}
+	f.mutex.Unlock()
+	return true
+}
+
+// relayedUntil returns until when the relayed readings are good enough, or a time that has passed.
+func (f *Follower) relayedUntil() freshness {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.fresh
+}
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -1,6 +1,7 @@
 package jobpeer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"storj.io/drpc"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -75,6 +77,46 @@
 	return nil, false
 }
 
+// Nearest returns a connection to a worker of the node's zone, or of another where the zone has none that answers.
+// index chooses among those of the zone, so that nodes spread over them.
+func (h *Holders) Nearest(ctx context.Context, index uint64) (string, drpc.Conn, error) {
+	h.readWorkers(ctx)
+	address, found := h.nearest(index)
+	if !found {
+		return "", nil, ErrNoWorker
+	}
+	connection, err := h.Connect(address)
+	return address, connection, err
+}
+
+// ErrNoWorker means that no worker is known that answers.
+const ErrNoWorker = failure.Kind("job peer: no worker is known that answers")
+
+func (h *Holders) nearest(index uint64) (string, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var near, far []string
+	for _, worker := range h.workers {
+		switch {
+		case h.Now().Before(h.avoided[worker.Address]):
+		case worker.Zone == h.Zone:
+			near = append(near, worker.Address)
+		default:
+			far = append(far, worker.Address)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return "", false
+	}
+	return near[index%uint64(len(near))], true
+}
+
+// Avoid leaves a worker alone for a while that did not answer a call made elsewhere.
+func (h *Holders) Avoid(address string) { h.avoid(address) }
+
 // ask makes one call. A worker that does not answer is left alone for a while.
 func (h *Holders) ask(ctx context.Context, address, method string, query, reply any, wait time.Duration) bool {
 	call, cancel := context.WithTimeout(ctx, wait+callSlack)
@@ -129,7 +171,8 @@
 	if err != nil {
 		return
 	}
-	slices.SortFunc(workers, h.nearFirst)
+	slices.SortFunc(workers, func(first, second jobrecord.Worker) int { return cmp.Compare(first.Node, second.Node) })
+	slices.SortStableFunc(workers, h.nearFirst)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.workers = workers
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -62,8 +62,8 @@
 
 // Registry lists the runners and reads the operators' orders.
 type Registry interface {
-	// Runners returns all runners the registry lists, of one moment or later.
-	Runners(ctx context.Context) ([]Runner, error)
+	// Runners returns all runners the registry lists, of the revision or later.
+	Runners(ctx context.Context) (runners []Runner, revision int64, err error)
 	// Orders returns all orders and the revision to ask for newer ones after.
 	Orders(ctx context.Context) (Orders, int64, error)
 	// NextOrders waits for orders newer than the revision. It returns none, and a revision to go on from, when none
