--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -51,7 +51,7 @@
 	}
 	switch {
 	case err == nil && status == http.StatusOK:
-		w.noteWhole(now.Sub(item.started), item.lastEvent, resumed)
+		w.noteWhole(item, now.Sub(item.started), resumed)
 		item.job.finish(item, work.Completed)
 	case err == nil && status == http.StatusUnprocessableEntity:
 		w.giveUp(item, "no runner can do it")
@@ -81,12 +81,14 @@
 	return runnertable.NoAnswer
 }
 
-// noteWhole keeps the mean time and the mean number of events of whole runs. The caller holds the mutex.
-func (w *Worker) noteWhole(took time.Duration, events, resumed int64) {
+// noteWhole keeps the means of whole runs. The caller holds the mutex.
+func (w *Worker) noteWhole(item *itemRun, took time.Duration, resumed int64) {
+	events, tokens := float64(item.lastEvent), float64(item.item.Tokens)
 	if w.events == 0 {
-		w.events = float64(events)
+		w.events, w.tokens = events, tokens
 	}
-	w.events += meanWeight * (float64(events) - w.events)
+	w.events += meanWeight * (events - w.events)
+	w.tokens += meanWeight * (tokens - w.tokens)
 	if resumed == 0 {
 		w.duration += time.Duration(meanWeight * float64(took-w.duration))
 	}
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -90,9 +90,11 @@
 	jobs    map[ident.Job]*jobRun
 	// gauges follow the runners that may take batch items.
 	gauges map[ident.Runner]*gauged
-	// duration is the mean time of a whole run, events the mean number of its events.
+	// duration is the mean time of a whole run, events the mean number of its events, tokens the mean of the items'
+	// counts.
 	duration time.Duration
 	events   float64
+	tokens   float64
 	draining bool
 	// retirements are the workers to be emptied.
 	retirements map[ident.Node]*retirement
