--- a/internal/jobrecord/run.go
+++ b/internal/jobrecord/run.go
@@ -43,6 +43,14 @@
 	return Claim{}, fmt.Errorf("%w: %s", ErrClaimLost, open.ID)
 }
 
+// Release gives a claim up, so that another node may take the job at once.
+func (r *Records) Release(ctx context.Context, claim Claim) error {
+	_, err := r.Store.Commit(ctx,
+		[]kv.Compare{{Key: keyClaim(claim.Job), ModRevision: claim.Revision}},
+		[]kv.Write{{Key: keyClaim(claim.Job), Delete: true}})
+	return err
+}
+
 // Load reads a claimed job and the results it already has.
 func (r *Records) Load(ctx context.Context, job ident.Job) (*Job, []work.Result, error) {
 	results, err := r.AllResults(ctx, job)
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -9,6 +9,7 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // keepLease holds a lease of the node. When it lapsed, the claims went with it and are taken anew.
@@ -161,7 +162,10 @@
 	waiting, places := 0, 0
 	counted := false
 	for _, candidate := range w.open {
-		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil {
+		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil || now.Before(candidate.notBefore) {
+			continue
+		}
+		if !w.canRun(candidate.entry.Route) {
 			continue
 		}
 		if !counted {
@@ -192,11 +196,97 @@
 		}
 		w.mutex.Lock()
 		candidate.claiming = false
+		candidate.notBefore = w.Now().Add(w.Options.RetryAfter)
 		w.mutex.Unlock()
 		return nil
 	})
 }
 
+// canRun says whether this node owns a runner for the route's items. Without any it must not hold their job. A route
+// that is gone needs no runner: its items are given up. The caller holds the mutex.
+func (w *Worker) canRun(name string) bool {
+	catalog := w.Routes.Catalog()
+	if catalog == nil {
+		return false
+	}
+	for index := range catalog.Routes {
+		route := &catalog.Routes[index]
+		if route.Name == name && !w.ownsFor(route) {
+			return false
+		}
+	}
+	return true
+}
+
+// ownsFor says whether this node owns a runner of each part of a route. The caller holds the mutex.
+func (w *Worker) ownsFor(route *work.Route) bool {
+	for _, part := range route.Split {
+		if len(w.owned(part.Service)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// releaseResting gives up jobs that rest here, so that they do not lie while another worker could run them: this node
+// owns no runner for them, or reaches none.
+func (w *Worker) releaseResting(now time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.workers) < 2 || w.draining {
+		return
+	}
+	busy := w.anyRunning()
+	for _, job := range w.jobs {
+		canRun := w.canRun(job.header.Route)
+		if job.running > 0 || len(job.unlisted) > 0 || (canRun && busy) || now.Sub(job.progressed) < w.restFor(canRun) {
+			continue
+		}
+		if known := w.open[job.header.ID]; known != nil {
+			known.notBefore = now.Add(w.Options.ReleaseAfter)
+		}
+		w.drop(job)
+		event.JobLeft.Log(w.Logger).Str("job", string(job.header.ID)).Str("why", "nothing of it could be run here").Send()
+		claim := job.claim
+		w.tomb.Go(func() error { w.release(claim); return nil })
+	}
+}
+
+// anyRunning says whether any item runs: then this node reaches its runners, and a job that rests waits for its turn.
+// The caller holds the mutex.
+func (w *Worker) anyRunning() bool {
+	for _, job := range w.jobs {
+		if job.running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// restFor is how long a job may rest: less where this node owns no runner for it.
+func (w *Worker) restFor(canRun bool) time.Duration {
+	if canRun {
+		return w.Options.ReleaseAfter
+	}
+	return w.Options.ReleaseAfter / 4
+}
+
+// release gives a claim up. It tries until it knows the outcome: a claim that nobody serves lives as long as the lease.
+func (w *Worker) release(claim jobrecord.Claim) {
+	for {
+		ctx, cancel := w.call()
+		err := w.Records.Release(ctx, claim)
+		cancel()
+		if err == nil {
+			return
+		}
+		w.logStore("releasing job "+string(claim.Job), err)
+		if !w.pause(w.Options.RetryAfter) {
+			return
+		}
+	}
+}
+
 // claim takes a job over from the beginning or from where another node stopped.
 func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID) error {
 	ctx, cancel := w.call()
@@ -214,6 +304,7 @@
 	}
 	job := newJobRun(claim, loaded)
 	job.entry = entry
+	job.progressed = w.Now()
 	job.list(results)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -28,6 +28,7 @@
 		w.mutex.Unlock()
 		w.askReports(now)
 		w.give(waiting, now)
+		w.releaseResting(now)
 	}
 	return nil
 }
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -25,6 +25,8 @@
 	// unlisted are results that wait to be recorded, in the order they came.
 	unlisted []work.Result
 	running  int
+	// progressed is when the claim was taken, an event of an item came, or results were recorded.
+	progressed time.Time
 	// dropped says that this node does not run the job any more.
 	dropped bool
 	wake    chan struct{}
@@ -236,6 +238,7 @@
 	}
 	job.record(append(job.recorded, next.results...))
 	job.unlisted = job.unlisted[len(next.results):]
+	job.progressed = w.Now()
 	if next.finished {
 		w.finished.keep(job.header.ID, job.recorded, w.Now())
 		w.drop(job)
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -197,5 +197,6 @@
 	item.text.Write(next.Data)
 	item.lastEvent = next.ID
 	item.progressed = now
+	item.job.progressed = now
 	return nil
 }
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -40,6 +40,9 @@
 	ReportEvery time.Duration
 	// StallAfter is how long a run may show no event before another runner goes on with it.
 	StallAfter time.Duration
+	// ReleaseAfter is how long a job may rest here, with nothing of it running and nothing recorded, before it is left to
+	// another worker.
+	ReleaseAfter time.Duration
 	// ExpirySweep is the time between removals of jobs whose retention is over.
 	ExpirySweep time.Duration
 }
@@ -55,6 +58,7 @@
 	DispatchEvery: 60 * time.Millisecond,
 	ReportEvery:   200 * time.Millisecond,
 	StallAfter:    2500 * time.Millisecond,
+	ReleaseAfter:  5 * time.Second,
 	ExpirySweep:   time.Minute,
 }
 
@@ -110,6 +114,8 @@
 	unclaimed time.Time
 	// claiming says that this node is about to claim it.
 	claiming bool
+	// notBefore is when this node may claim it (again).
+	notBefore time.Time
 }
 
 // gauged is a runner's gauge and when it was last asked for a report.
--- /dev/null
+++ b/internal/jobworker/worker_test.go
@@ -0,0 +1,188 @@
+package jobworker_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/connpool"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const eventsEach = 3
+
+// fakeCaller answers each item whole. Nodes that are cut off reach no runner.
+type fakeCaller struct {
+	mutex sync.Mutex
+	cut   bool
+	sent  int
+}
+
+func (c *fakeCaller) Send(_ context.Context, attempt work.Attempt) (*work.Reply, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.cut {
+		return nil, connpool.ErrNotSent
+	}
+	c.sent++
+	var text strings.Builder
+	for position := attempt.ResumeAfter + 1; position <= eventsEach; position++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s/%d\n\n", position, attempt.Request.ID, position)
+	}
+	return &work.Reply{
+		Head: work.Head{Status: http.StatusOK}, Sealed: true, Framed: true, Body: io.NopCloser(strings.NewReader(text.String())),
+	}, nil
+}
+
+func (c *fakeCaller) Report(context.Context, work.Runner) (work.Load, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.cut {
+		return work.Load{}, connpool.ErrNotSent
+	}
+	return work.Load{Slots: 8}, nil
+}
+
+func (c *fakeCaller) Forget(work.Runner) {}
+
+func (c *fakeCaller) setCut(cut bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.cut = cut
+}
+
+// group is a set of workers over one store, in one zone.
+type group struct {
+	t       *testing.T
+	data    *kvtest.Data
+	records *jobrecord.Records
+	routes  *routetable.Table
+	callers map[ident.Node]*fakeCaller
+	stores  map[ident.Node]*kvtest.Paged
+	tables  map[ident.Node]*runnertable.Table
+	tombs   map[ident.Node]*tomb.Tomb
+}
+
+func newGroup(t *testing.T) *group {
+	g := &group{
+		t: t, data: kvtest.NewData(time.Now), routes: &routetable.Table{}, callers: map[ident.Node]*fakeCaller{},
+		stores: map[ident.Node]*kvtest.Paged{}, tables: map[ident.Node]*runnertable.Table{}, tombs: map[ident.Node]*tomb.Tomb{},
+	}
+	g.records = g.recordsOf(kvtest.NewPaged(g.data))
+	g.routes.Adopt(&work.Catalog{Version: 1, Routes: []work.Route{{
+		Name: "r", Host: "h", PathPrefix: "/p/", Kind: work.Batch, Split: []work.WeightedService{{Service: "s", Weight: 1}},
+		CompletionObjective: 20 * time.Second, Retention: time.Minute, MaximumAttempts: 3,
+	}}})
+	return g
+}
+
+func (g *group) recordsOf(store *kvtest.Paged) *jobrecord.Records {
+	return &jobrecord.Records{Store: store, ValueBytes: 1 << 20, Retention: time.Minute, Now: time.Now}
+}
+
+// add starts a worker that knows the runners.
+func (g *group) add(node ident.Node, runners ...work.Runner) {
+	store := kvtest.NewPaged(g.data)
+	table := runnertable.New("z")
+	table.Replace(runners, time.Now(), time.Time{})
+	g.callers[node], g.stores[node], g.tables[node], g.tombs[node] = &fakeCaller{}, store, table, new(tomb.Tomb)
+	options := jobworker.DefaultOptions
+	options.LeaseTTL = time.Second
+	worker := &jobworker.Worker{
+		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
+		Caller: g.callers[node], Options: options, Logger: zerolog.Nop(), Now: time.Now,
+	}
+	worker.Start(g.tombs[node])
+	g.t.Cleanup(func() {
+		g.tombs[node].Kill(nil)
+		_ = g.tombs[node].Wait()
+	})
+}
+
+func (g *group) submit(id string, items int) {
+	submission := &jobrecord.Submission{ID: ident.Job(id), Route: "r", Host: "h", Zone: "z"}
+	for index := range items {
+		submission.Items = append(submission.Items, work.Item{ID: ident.Request(fmt.Sprint(id, "-", index)), Path: "/p/x", Tokens: 10, Body: []byte("b")})
+	}
+	assert.NilError(g.t, g.records.Accept(context.Background(), submission))
+}
+
+// waitWhole waits until every item of a job has its whole output; the bound only ends a test that hangs.
+func (g *group) waitWhole(id string, items int) {
+	g.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		results, err := g.records.AllResults(context.Background(), ident.Job(id))
+		assert.NilError(g.t, err)
+		if len(results) < items {
+			continue
+		}
+		for _, result := range results {
+			assert.Equal(g.t, result.State, work.Completed)
+			assert.Equal(g.t, result.Text, fmt.Sprintf("%[1]s/1\n%[1]s/2\n%[1]s/3", result.ID))
+		}
+		return
+	}
+	g.t.Fatalf("job %s was left lying", id)
+}
+
+func oneRunner(id string) work.Runner {
+	return work.Runner{ID: ident.Runner(id), Service: "s", Address: id, Zone: "z", Slots: 8}
+}
+
+// TestEveryJobIsRunThoughSomeWorkersOwnNoRunner has more workers than runners: none may keep a job it cannot run.
+func TestEveryJobIsRunThoughSomeWorkersOwnNoRunner(t *testing.T) {
+	g := newGroup(t)
+	for node := range 4 {
+		g.add(ident.Node(fmt.Sprint("n", node)), oneRunner("i-1"))
+	}
+	for job := range 8 {
+		g.submit(fmt.Sprint("j", job), 3)
+	}
+	for job := range 8 {
+		g.waitWhole(fmt.Sprint("j", job), 3)
+	}
+}
+
+// TestJobLeavesAWorkerThatReachesNoRunner cuts the worker that runs the job off from the runners.
+func TestJobLeavesAWorkerThatReachesNoRunner(t *testing.T) {
+	g := newGroup(t)
+	runners := []work.Runner{oneRunner("i-1"), oneRunner("i-2"), oneRunner("i-3"), oneRunner("i-4"), oneRunner("i-5"), oneRunner("i-6")}
+	g.add("n0", runners...)
+	g.add("n1", runners...)
+	time.Sleep(time.Second)
+	g.callers["n0"].setCut(true)
+	for job := range 6 {
+		g.submit(fmt.Sprint("j", job), 2)
+	}
+	for job := range 6 {
+		g.waitWhole(fmt.Sprint("j", job), 2)
+	}
+}
+
+// TestJobOfADeadWorkerIsTakenOver ends a worker without a word, and later its lease.
+func TestJobOfADeadWorkerIsTakenOver(t *testing.T) {
+	g := newGroup(t)
+	g.add("n0", oneRunner("i-1"))
+	g.callers["n0"].setCut(true)
+	g.submit("j", 3)
+	time.Sleep(500 * time.Millisecond)
+	g.tombs["n0"].Kill(nil)
+	_ = g.tombs["n0"].Wait()
+	g.add("n1", oneRunner("i-1"))
+	g.waitWhole("j", 3)
+}
