Serve a claim whose answer was lost

Ruled out: the ownership of runners (each worker owned one), the records (the claim was there).

Change: a claim of a node's own for a job it does not run is claimed again; the records know it as its own. Test: four answers lost in a row, seen to fail first (a job left lying for 30 s).

--- a/internal/jobrecord/live.go
+++ b/internal/jobrecord/live.go
@@ -21,15 +21,16 @@
 
 // Live is what every worker follows. The zero Live is empty; it is not safe for concurrent use.
 type Live struct {
-	Open    map[ident.Job]Open
-	Claimed map[ident.Job]bool
+	Open map[ident.Job]Open
+	// Claimed holds the node that holds each claim.
+	Claimed map[ident.Job]ident.Node
 	Workers map[ident.Node]Worker
 	// Revision is what to ask for changes after; zero asks for the whole.
 	Revision int64
 }
 
 func newLive() *Live {
-	return &Live{Open: map[ident.Job]Open{}, Claimed: map[ident.Job]bool{}, Workers: map[ident.Node]Worker{}}
+	return &Live{Open: map[ident.Job]Open{}, Claimed: map[ident.Job]ident.Node{}, Workers: map[ident.Node]Worker{}}
 }
 
 // ReadLive reads the whole.
@@ -72,11 +73,7 @@
 	case strings.HasPrefix(key, prefixOpen):
 		l.applyOpen(ident.Job(strings.TrimPrefix(key, prefixOpen)), changed)
 	case strings.HasPrefix(key, prefixClaim):
-		job := ident.Job(strings.TrimPrefix(key, prefixClaim))
-		l.Claimed[job] = true
-		if changed.Deleted {
-			delete(l.Claimed, job)
-		}
+		l.applyClaim(ident.Job(strings.TrimPrefix(key, prefixClaim)), changed)
 	case strings.HasPrefix(key, prefixWorker):
 		l.applyWorker(ident.Node(strings.TrimPrefix(key, prefixWorker)), changed)
 	}
@@ -92,6 +89,17 @@
 	}
 }
 
+func (l *Live) applyClaim(job ident.Job, changed kv.WatchEvent) {
+	if changed.Deleted {
+		delete(l.Claimed, job)
+		return
+	}
+	// A claim that cannot be read is somebody's all the same.
+	var held claimValue
+	_ = decode(changed.Pair, &held)
+	l.Claimed[job] = held.Node
+}
+
 func (l *Live) applyWorker(node ident.Node, changed kv.WatchEvent) {
 	if changed.Deleted {
 		delete(l.Workers, node)
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -139,10 +140,11 @@
 			w.open[id] = known
 		}
 		known.entry = entry
-		if known.claimed && !w.live.Claimed[id] {
+		claimed := w.claimedElsewhere(id)
+		if known.claimed && !claimed {
 			known.unclaimed = now
 		}
-		known.claimed = w.live.Claimed[id]
+		known.claimed = claimed
 	}
 	for id := range w.open {
 		if _, isOpen := w.live.Open[id]; isOpen {
@@ -157,6 +159,13 @@
 	w.claimDue(now)
 }
 
+// claimedElsewhere says whether a claim keeps this node from a job. A claim of its own of which it does not run the job
+// comes from a call whose answer was lost: it is claimed again, because nobody else can. The caller holds the mutex.
+func (w *Worker) claimedElsewhere(id ident.Job) bool {
+	holder, claimed := w.live.Claimed[id]
+	return claimed && (holder != w.Node || w.jobs[id] != nil)
+}
+
 // claimDue claims the unclaimed jobs whose delay is over. The caller holds the mutex.
 func (w *Worker) claimDue(now time.Time) {
 	waiting, places := 0, 0
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -186,3 +186,15 @@
 	g.add("n1", oneRunner("i-1"))
 	g.waitWhole("j", 3)
 }
+
+// TestClaimWhoseAnswerWasLostIsServed loses the answers of a claim that took effect and of its repetitions: the claim lives as long as the
+// worker does, so nobody else will run the job.
+func TestClaimWhoseAnswerWasLostIsServed(t *testing.T) {
+	g := newGroup(t)
+	g.add("n0", oneRunner("i-1"))
+	g.submit("first", 1)
+	g.waitWhole("first", 1)
+	g.stores["n0"].SetFaults(kvtest.PagedFaults{LoseNext: 4})
+	g.submit("second", 2)
+	g.waitWhole("second", 2)
+}
