Write jobs through a worker where the store refuses a front; drop the scale run

Cause: the platform's store may refuse single machines while it serves others. A front that started before the workers had registered also knew none for 20 s.

Change: a front asks a worker to write a job when its own try failed, and first for 2 s after that; every try may be repeated by any node, and the promise of not having run is kept only while none of them may have written. An empty list of workers is read again after a second.

--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -9,6 +9,7 @@
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobentry"
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
@@ -46,7 +47,9 @@
 		return fmt.Errorf("listening on %s: %w", p.settings.Listen.Peers, err)
 	}
 	server := transport.NewServer(transport.ServerOptions{PrivateNetwork: true, Logger: p.logger})
-	if err := server.Register(&jobpeer.WorkerServer{Worker: worker}, jobpeer.Description{}); err != nil {
+	if err := server.Register(&jobpeer.WorkerServer{
+		Worker: worker, Accepter: &jobentry.Desk{Records: p.records(), Logger: p.logger},
+	}, jobpeer.Description{}); err != nil {
 		return fmt.Errorf("serving other nodes: %w", err)
 	}
 	if err := server.Register(feed, fleetfeed.Description{}); err != nil {
--- a/internal/event/online.go
+++ b/internal/event/online.go
@@ -17,4 +17,6 @@
 	SiteStopped    = register(3510, "site_stopped", zerolog.InfoLevel, "A process ended in order.", "none")
 	SettingsAgain  = register(3511, "settings_read_again", zerolog.InfoLevel, "The settings file was read again after a signal.", "none")
 	SettingsBad    = register(3512, "settings_unreadable", zerolog.ErrorLevel, "The settings file could not be read again; the old settings stay in use.", "correct the settings file")
+	FleetRelayed   = register(3513, "fleet_relayed", zerolog.InfoLevel, "The runners and the configuration come from a worker; this node reads the store only when that is too old.", "none")
+	FleetReadAlone = register(3514, "fleet_read_alone", zerolog.InfoLevel, "No worker passes the runners and the configuration on; this node reads the store itself.", "none unless it persists: check the workers of the zone")
 )
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -67,6 +67,9 @@
 	// Feed passes on what this node read; nil passes nothing on.
 	Feed *fleetfeed.Feed
 
+	// relaying is touched by followSource alone.
+	relaying bool
+
 	mutex      sync.Mutex
 	fresh      freshness
 	revision   int64
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -33,13 +33,28 @@
 func (f *Follower) followSource(ctx context.Context) error {
 	known := &fleetfeed.Known{WaitMs: f.oldest().Milliseconds()}
 	for ctx.Err() == nil {
-		if !f.relay(ctx, known) {
+		used := f.relay(ctx, known)
+		f.noteRelay(used)
+		if !used {
 			sleep(ctx, relayPause)
 		}
 	}
 	return nil
 }
 
+// noteRelay logs when relaying begins and ends.
+func (f *Follower) noteRelay(used bool) {
+	if used == f.relaying {
+		return
+	}
+	f.relaying = used
+	if used {
+		event.FleetRelayed.Log(f.Logger).Send()
+		return
+	}
+	event.FleetReadAlone.Log(f.Logger).Send()
+}
+
 // oldest is the age from which on a relayed reading of the runners is not used.
 func (f *Follower) oldest() time.Duration {
 	return time.Duration(oldestShare * float64(f.Options.RunnersEvery))
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -26,6 +26,8 @@
 	submitPause = 120 * time.Millisecond
 	// retryAfter is when a caller may come back after a refusal.
 	retryAfter = 500 * time.Millisecond
+	// doubtFor is how long after a failed call the workers are asked before the store: it may refuse this node alone.
+	doubtFor = 2 * time.Second
 	// quotaRetryAfter is when a caller may come back to a full queue.
 	quotaRetryAfter = time.Second
 	// cachedHeaders bounds the headers kept in memory. A header never changes, so that any copy is good.
@@ -40,6 +42,8 @@
 type Holders interface {
 	// Results returns results from a position on. sure is false where no worker answered for certain.
 	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool)
+	// Accept has a worker write a job. Its error is a *failure.Error.
+	Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error
 	// Body returns the body of an item without a result, if a worker has it.
 	Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, bool)
 }
@@ -52,44 +56,113 @@
 	Holders Holders
 	Logger  zerolog.Logger
 
+	// Now is the steady clock; nil is the machine's.
+	Now func() time.Time
+
 	mutex   sync.Mutex
 	headers map[ident.Job]*jobrecord.Header
+	// storeDoubted is until when the store is tried after the workers.
+	storeDoubted time.Time
 }
 
 // Accept makes a job durable. A nil error means that it is, now or since an earlier submission. The error is a
 // *failure.Error; its outcome is NotRun only where the job was not written and never will be.
 func (d *Desk) Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
-	told := outcome.NotRun
-	var last error
-	for try := range submitTries {
-		if try > 0 && !pause(ctx, submitPause) {
-			break
+	attempt := &acceptance{desk: d, route: route, submission: submission, told: outcome.NotRun}
+	if attempt.run(ctx) {
+		event.JobTaken.Log(d.Logger).Str("job", string(submission.ID)).Int("items", len(submission.Items)).
+			Int("tries", attempt.tries).Bool("relayed", attempt.relayed).Send()
+		return nil
+	}
+	refused := refusal(attempt.last, attempt.told)
+	event.JobRefused.Log(d.Logger).Str("job", string(submission.ID)).Str("not_run", refused.Outcome.String()).Err(attempt.last).Send()
+	return refused
+}
+
+// acceptance is the taking of one job.
+type acceptance struct {
+	desk       *Desk
+	route      *work.Route
+	submission *jobrecord.Submission
+	tries      int
+	relayed    bool
+	// told is Unknown once a try may have written the job.
+	told outcome.Outcome
+	last error
+}
+
+// run tries the store and the workers by turns, and returns true when the job is durable. A job that exists is left as it
+// is, so that every try may be repeated by any node.
+func (a *acceptance) run(ctx context.Context) bool {
+	for a.tries = 1; a.tries <= submitTries; a.tries++ {
+		relay := a.desk.Holders != nil && (a.tries > 1 || a.desk.doubtsStore())
+		if relay && a.try(func() error { return a.desk.Holders.Accept(ctx, a.route, a.submission) }) {
+			a.relayed = true
+			return true
 		}
-		err := d.accept(ctx, route, submission)
-		if err == nil {
-			event.JobTaken.Log(d.Logger).Str("job", string(submission.ID)).Int("items", len(submission.Items)).Int("tries", try+1).Send()
-			return nil
+		if a.final() {
+			return false
 		}
-		var final *failure.Error
-		if errors.As(err, &final) {
-			last = err
-			break
+		if a.try(func() error { return a.desk.accept(ctx, a.route, a.submission) }) {
+			return true
 		}
-		if jobrecord.Unknown(err) {
-			told = outcome.Unknown
+		if a.final() || !pause(ctx, submitPause) {
+			return false
 		}
-		last = err
+		a.desk.doubtStore()
 	}
-	refused := refusal(last, told)
-	event.JobRefused.Log(d.Logger).Str("job", string(submission.ID)).Str("not_run", refused.Outcome.String()).Err(last).Send()
-	return refused
+	return false
+}
+
+// try makes one try and notes what it may have done.
+func (a *acceptance) try(accept func() error) bool {
+	err := accept()
+	if err == nil {
+		return true
+	}
+	a.last = err
+	var typed *failure.Error
+	if jobrecord.Unknown(err) || (errors.As(err, &typed) && typed.Outcome != outcome.NotRun) {
+		a.told = outcome.Unknown
+	}
+	return false
+}
+
+// final says whether the last failure is of the job itself, so that no other node would take it.
+func (a *acceptance) final() bool {
+	var typed *failure.Error
+	if !errors.As(a.last, &typed) {
+		return false
+	}
+	return typed.Code == failure.CodeJobQuota || typed.Code == failure.CodeBodyTooLarge
+}
+
+func (d *Desk) now() time.Time {
+	if d.Now == nil {
+		return time.Now()
+	}
+	return d.Now()
+}
+
+func (d *Desk) doubtsStore() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.now().Before(d.storeDoubted)
+}
+
+func (d *Desk) doubtStore() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.storeDoubted = d.now().Add(doubtFor)
 }
 
 // refusal is the final answer of a submission that failed.
 func refusal(last error, told outcome.Outcome) *failure.Error {
 	var final *failure.Error
 	switch {
-	case errors.As(last, &final) && told == outcome.NotRun:
+	case errors.As(last, &final) && told == outcome.NotRun && final.RetryAfter > 0:
+		return final
+	case errors.As(last, &final) && final.Code == failure.CodeBodyTooLarge:
 		return final
 	case told != outcome.NotRun:
 		return failure.New(failure.CodeOutcomeUnknown, "the job may have been taken; send it again").WithOutcome(told).WithCause(last)
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -22,6 +22,8 @@
 	lookupTimeout = 500 * time.Millisecond
 	// workersKept is how long the list of workers is used before it is read again.
 	workersKept = 20 * time.Second
+	// noWorkersKept is how long an empty list is: workers that start with this node register a moment later.
+	noWorkersKept = time.Second
 	// avoidFor is how long a worker that did not answer is left alone.
 	avoidFor = 1500 * time.Millisecond
 	// unheldFor is how long a job that no worker held is read from the records without asking again.
@@ -157,7 +159,11 @@
 func (h *Holders) readWorkers(ctx context.Context) {
 	h.mutex.Lock()
 	now := h.Now()
-	fresh := !h.read.IsZero() && now.Sub(h.read) < workersKept
+	kept := workersKept
+	if len(h.workers) == 0 {
+		kept = noWorkersKept
+	}
+	fresh := !h.read.IsZero() && now.Sub(h.read) < kept
 	if !fresh {
 		h.read = now
 	}
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -9,7 +9,9 @@
 
 	"storj.io/drpc"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -17,6 +19,7 @@
 const (
 	methodResults = "/mallowlatch.jobpeer.Jobs/Results"
 	methodBody    = "/mallowlatch.jobpeer.Jobs/Body"
+	methodAccept  = "/mallowlatch.jobpeer.Jobs/Accept"
 )
 
 // Query asks for the results of a job from a position on.
@@ -47,6 +50,34 @@
 	Body  []byte `json:"body"`
 }
 
+// Acceptance asks a worker to write a job for a node that cannot reach the store.
+type Acceptance struct {
+	Job   ident.Job  `json:"job"`
+	Route string     `json:"route"`
+	Host  string     `json:"host"`
+	Zone  ident.Zone `json:"zone"`
+	// MaximumQueuedTokens is the route's.
+	MaximumQueuedTokens int            `json:"maximum_queued_tokens"`
+	Items               []AcceptedItem `json:"items"`
+}
+
+// AcceptedItem is an item with its body.
+type AcceptedItem struct {
+	work.Item
+	Bytes []byte `json:"bytes"`
+}
+
+// AcceptReply says how the worker ended.
+type AcceptReply struct {
+	Accepted bool `json:"accepted"`
+	// Code and Outcome are those of the failure, if there is one.
+	Code    failure.Code    `json:"code,omitempty"`
+	Message string          `json:"message,omitempty"`
+	Outcome outcome.Outcome `json:"outcome,omitempty"`
+	// RetryAfterMs is when the caller may come back, in milliseconds.
+	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
+}
+
 // encoding carries messages as JSON: the texts of results are most of them, and no generated code is needed.
 type encoding struct{}
 
@@ -71,13 +102,14 @@
 type Server interface {
 	Results(ctx context.Context, query *Query) (*Reply, error)
 	Body(ctx context.Context, query *BodyQuery) (*BodyReply, error)
+	Accept(ctx context.Context, acceptance *Acceptance) (*AcceptReply, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 2 }
+func (Description) NumMethods() int { return 3 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -86,6 +118,8 @@
 		return methodResults, encoding{}, receiveResults, Server.Results, true
 	case 1:
 		return methodBody, encoding{}, receiveBody, Server.Body, true
+	case 2:
+		return methodAccept, encoding{}, receiveAccept, Server.Accept, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -97,3 +131,7 @@
 func receiveBody(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 	return server.(Server).Body(ctx, in.(*BodyQuery))
 }
+
+func receiveAccept(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Accept(ctx, in.(*Acceptance))
+}
--- a/internal/lab/experiment/jobrun.go
+++ b/internal/lab/experiment/jobrun.go
@@ -29,7 +29,7 @@
 	started     *fleet.Fleet
 	name        string
 	fields      Fields
-	workers     *hollowWorkers
+	workers     *jobWorkers
 	client      *http.Client
 }
 
@@ -39,7 +39,7 @@
 		started:     started,
 		name:        name,
 		fields:      fields,
-		workers:     newHollowWorkers(started, e.options.Jobs.Shards, e.seed),
+		workers:     newJobWorkers(started, e.options.Jobs.Shards, e.seed),
 		client:      &http.Client{},
 	}
 }
--- a/internal/lab/experiment/jobshards.go
+++ b/internal/lab/experiment/jobshards.go
@@ -20,7 +20,7 @@
 	Items, PlainItems int
 	// LargeItems is the number of items of one large job that a small one follows; zero leaves that part out.
 	LargeItems int
-	// Workers is the number of hollow workers, LeaseItems the items of one of their leases.
+	// Workers is the number of workers without a model, LeaseItems the items of one of their leases.
 	Workers, LeaseItems int
 }
 
--- a/internal/lab/experiment/jobsubmit.go
+++ b/internal/lab/experiment/jobsubmit.go
@@ -23,9 +23,9 @@
 	lineBytes, answerBytes = 740, 800
 	// uploadTimeout bounds one upload or download of a job's file.
 	uploadTimeout = 5 * time.Minute
-	// hollowModelBytes is more than the one engine has, so that no node leases the jobs' items for it.
-	hollowModelBytes = 1 << 45
-	resendAfter      = 200 * time.Millisecond
+	// unfitModelBytes is more than the one engine has, so that no node leases the jobs' items for it.
+	unfitModelBytes = 1 << 45
+	resendAfter     = 200 * time.Millisecond
 	// tenantsAtOnce is the number of tenants of one change of the configuration.
 	tenantsAtOnce = 100
 )
@@ -40,7 +40,7 @@
 // provisionTenants writes the tenants, their keys and one service, and waits until every node knows them.
 func (e *environment) provisionTenants(ctx context.Context, started *fleet.Fleet) error {
 	typed := []any{
-		&catalog.Model{Name: service, Version: "1", MemoryBytes: hollowModelBytes},
+		&catalog.Model{Name: service, Version: "1", MemoryBytes: unfitModelBytes},
 		&catalog.Service{Name: service, Model: service, MaxTokens: maxAnswerTokens, Repeatable: true},
 	}
 	for number := range e.options.Jobs.Tenants {
--- a/internal/lab/experiment/jobworkers.go
+++ b/internal/lab/experiment/jobworkers.go
@@ -28,14 +28,14 @@
 	// waitingAtOnce bounds the jobs a worker is told of by each shard.
 	waitingAtOnce = 64
 	// idlePause is how long a worker rests when nothing waits.
-	idlePause    = 5 * time.Millisecond
-	hollowWorker = "lab-workers"
+	idlePause  = 5 * time.Millisecond
+	workerNode = "lab-workers"
 	// connectionsPerNode bounds the workers' calls to one node at a time.
 	connectionsPerNode = 64
 )
 
-// hollowWorkers lease items, renew and complete them through the real job client, and run no model.
-type hollowWorkers struct {
+// jobWorkers lease items, renew and complete them through the real job client, and run no model.
+type jobWorkers struct {
 	client *jobclient.Client
 	pool   *transport.Pool
 	tomb   tomb.Tomb
@@ -58,7 +58,7 @@
 // Shards implements jobclient.Directory.
 func (d jobDirectory) Shards() int { return d.shards }
 
-func newHollowWorkers(started *fleet.Fleet, shards int, seed uint64) *hollowWorkers {
+func newJobWorkers(started *fleet.Fleet, shards int, seed uint64) *jobWorkers {
 	addresses := map[ident.Node]string{}
 	var peers []shardmap.Peer
 	for _, node := range started.Nodes {
@@ -71,21 +71,21 @@
 		IdlePerNode: connectionsPerNode,
 	})
 	routes := shardmap.NewClient(shardmap.Options{
-		Self:   hollowWorker,
+		Self:   workerNode,
 		Zone:   "zone-0",
 		Peers:  func() []shardmap.Peer { return peers },
 		Dialer: pool,
 		Jitter: rand.Float64,
 		Logger: zerolog.Nop(),
 	})
-	workers := &hollowWorkers{
+	workers := &jobWorkers{
 		pool:       pool,
 		answer:     json.RawMessage(`{"answer":"` + strings.Repeat("0", answerBytes) + `"}`),
 		seed:       seed,
 		firstLease: map[ident.Job]time.Time{},
 	}
 	workers.client = jobclient.New(jobclient.Options{
-		Self:      hollowWorker,
+		Self:      workerNode,
 		Dialer:    pool,
 		Directory: jobDirectory{Client: routes, shards: shards},
 		Missed:    routes.Missed,
@@ -95,7 +95,7 @@
 	return workers
 }
 
-func (w *hollowWorkers) close() error {
+func (w *jobWorkers) close() error {
 	w.tomb.Kill(nil)
 	if err := w.tomb.Wait(); err != nil {
 		return fmt.Errorf("stopping the workers' routes: %w", err)
@@ -107,7 +107,7 @@
 }
 
 // drain has a number of workers run until so many items are completed. It returns the context's failure if it ends first.
-func (w *hollowWorkers) drain(ctx context.Context, workers, leaseItems, items int) error {
+func (w *jobWorkers) drain(ctx context.Context, workers, leaseItems, items int) error {
 	goal := w.finished.Load() + int64(items)
 	var group sync.WaitGroup
 	for number := range workers {
@@ -123,7 +123,7 @@
 	return fmt.Errorf("%w: %d of %d items are left: %w: last failure: %v", ErrSetup, goal-w.finished.Load(), items, ctx.Err(), w.lastError)
 }
 
-func (w *hollowWorkers) work(ctx context.Context, random *rand.Rand, leaseItems int, goal int64) {
+func (w *jobWorkers) work(ctx context.Context, random *rand.Rand, leaseItems int, goal int64) {
 	for turn := 0; w.finished.Load() < goal && ctx.Err() == nil; {
 		waiting, err := w.client.Waiting(ctx, waitingAtOnce)
 		w.note(err)
@@ -139,8 +139,8 @@
 }
 
 // turn runs one lease and reports whether the job gave a full one.
-func (w *hollowWorkers) turn(ctx context.Context, from job.Priority, leaseItems, turn int) bool {
-	request := job.LeaseRequest{Worker: hollowWorker, Services: []string{service}, Max: leaseItems}
+func (w *jobWorkers) turn(ctx context.Context, from job.Priority, leaseItems, turn int) bool {
+	request := job.LeaseRequest{Worker: workerNode, Services: []string{service}, Max: leaseItems}
 	lease, err := w.client.Lease(ctx, from.Shard, from.Job, request)
 	if err != nil || len(lease.Items) == 0 {
 		w.note(err)
@@ -148,7 +148,7 @@
 	}
 	w.noteFirst(from.Job)
 	if turn%renewEvery == renewEvery-1 {
-		_, err := w.client.Renew(ctx, from.Shard, hollowWorker, []string{lease.ID})
+		_, err := w.client.Renew(ctx, from.Shard, workerNode, []string{lease.ID})
 		w.note(err)
 	}
 	results := make([]job.Result, len(lease.Items))
@@ -166,7 +166,7 @@
 	return len(lease.Items) == leaseItems
 }
 
-func (w *hollowWorkers) noteFirst(id ident.Job) {
+func (w *jobWorkers) noteFirst(id ident.Job) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if _, known := w.firstLease[id]; !known {
@@ -174,7 +174,7 @@
 	}
 }
 
-func (w *hollowWorkers) note(err error) {
+func (w *jobWorkers) note(err error) {
 	if err == nil {
 		return
 	}
@@ -186,7 +186,7 @@
 
 // lateness returns how long each job waited for its first lease after its submission was answered, in milliseconds,
 // in order. A job that was not leased counts as zero.
-func (w *hollowWorkers) lateness(submitted map[ident.Job]time.Time) []float64 {
+func (w *jobWorkers) lateness(submitted map[ident.Job]time.Time) []float64 {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	waits := make([]float64, 0, len(submitted))
--- a/internal/lab/labcli/commands.go
+++ b/internal/lab/labcli/commands.go
@@ -14,7 +14,6 @@
 		newFleet(),
 		newLoad(),
 		newExperiment(),
-		newScale(),
 		newInterferenceSim(),
 	}
 }
--- a/internal/lab/scale/fleet.go
+++ b/internal/membership/membershipsim/fleet.go
@@ -1,4 +1,4 @@
-package scale
+package membershipsim
 
 import (
 	"fmt"
--- a/internal/lab/scale/simulation.go
+++ b/internal/membership/membershipsim/simulation.go
@@ -1,6 +1,6 @@
-// Package scale runs hollow nodes, which have the control code of real ones and no model work, at the size the system
-// is designed for: in simulated time over a simulated network, and in real time over the real transport on loopback.
-package scale
+// Package membershipsim runs the failure detectors of many nodes in simulated time over a simulated network, for the
+// tests of package membership.
+package membershipsim
 
 import (
 	"container/heap"
@@ -16,10 +16,10 @@
 )
 
 const (
-	// tickInterval is how often the detector of a hollow node is woken.
+	// tickInterval is how often the detector of a node is woken.
 	tickInterval = 200 * time.Millisecond
 	// callOverhead is what a call adds to its messages on the wire, in bytes each way: drpc's frames, the call's name
-	// and the records of TLS. The loopback run measures the true sum.
+	// and the records of TLS.
 	callOverhead = 80
 )
 
@@ -36,14 +36,14 @@
 // Network says what the network does between two nodes at the moment.
 type Network func(from, to membership.Self) Link
 
-// Traffic counts what a hollow node sent and received.
+// Traffic counts what a node sent and received.
 type Traffic struct {
 	MessagesOut, MessagesIn int64
 	BytesOut, BytesIn       int64
 }
 
-// Hollow is a simulated node.
-type Hollow struct {
+// Node is a simulated node.
+type Node struct {
 	Self    membership.Self
 	Core    *membership.Core
 	Traffic Traffic
@@ -55,21 +55,21 @@
 	life    int
 }
 
-// Simulation is a fleet of hollow nodes in simulated time. The same seed gives the same run.
+// Simulation is a fleet of nodes in simulated time. The same seed gives the same run.
 type Simulation struct {
 	Config  membership.Config
 	Network Network
 	// Encode sends messages through their wire form, to count bytes and processor time.
 	Encode bool
-	Nodes  map[ident.Node]*Hollow
+	Nodes  map[ident.Node]*Node
 	// Order lists the nodes in the order in which they were added.
-	Order []*Hollow
+	Order []*Node
 
 	now       time.Time
 	random    *rand.Rand
 	events    eventQueue
 	sequence  uint64
-	byAddress map[string]*Hollow
+	byAddress map[string]*Node
 }
 
 // NewSimulation returns an empty fleet.
@@ -77,10 +77,10 @@
 	return &Simulation{
 		Config:    config,
 		Network:   network,
-		Nodes:     map[ident.Node]*Hollow{},
+		Nodes:     map[ident.Node]*Node{},
 		now:       time.Unix(1_800_000_000, 0),
 		random:    rand.New(rand.NewPCG(seed, seed)),
-		byAddress: map[string]*Hollow{},
+		byAddress: map[string]*Node{},
 	}
 }
 
@@ -91,8 +91,8 @@
 func (s *Simulation) Random() *rand.Rand { return s.random }
 
 // Add starts a node that joins by the seeds.
-func (s *Simulation) Add(self membership.Self, seeds []string) *Hollow {
-	node := &Hollow{Self: self}
+func (s *Simulation) Add(self membership.Self, seeds []string) *Node {
+	node := &Node{Self: self}
 	s.Nodes[self.Node] = node
 	s.Order = append(s.Order, node)
 	s.byAddress[self.PeerAddress] = node
@@ -101,7 +101,7 @@
 }
 
 // Start starts a node that is new or switched off, with an empty memory.
-func (s *Simulation) Start(node *Hollow, seeds []string) {
+func (s *Simulation) Start(node *Node, seeds []string) {
 	node.Self.Started = s.now
 	random := rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
 	node.Core = membership.NewCore(s.Config, node.Self, seeds, random, s.now)
@@ -112,16 +112,16 @@
 }
 
 // Stop switches a node off without a word.
-func (s *Simulation) Stop(node *Hollow) { node.Up = false }
+func (s *Simulation) Stop(node *Node) { node.Up = false }
 
 // Exit ends a node by plan: it tells a few peers and is gone.
-func (s *Simulation) Exit(node *Hollow) {
+func (s *Simulation) Exit(node *Node) {
 	s.send(node, node.Core.Exit(s.now))
 	node.Up = false
 }
 
 // Resume ends a pause; the messages that waited are read first.
-func (s *Simulation) Resume(node *Hollow) {
+func (s *Simulation) Resume(node *Node) {
 	node.Paused = false
 	waiting := node.waiting
 	node.waiting = nil
@@ -156,7 +156,7 @@
 	heap.Push(&s.events, &simulated{at: s.now.Add(after), sequence: s.sequence, act: act})
 }
 
-func (s *Simulation) scheduleTick(node *Hollow, life int, after int64) {
+func (s *Simulation) scheduleTick(node *Node, life int, after int64) {
 	s.schedule(time.Duration(after), func() {
 		if !node.Up || node.life != life {
 			return
@@ -168,7 +168,7 @@
 	})
 }
 
-func (s *Simulation) send(from *Hollow, messages []membership.Outgoing) {
+func (s *Simulation) send(from *Node, messages []membership.Outgoing) {
 	for _, out := range messages {
 		to, known := s.byAddress[out.Address]
 		if !known {
@@ -206,7 +206,7 @@
 	return decoded, int64(len(encoded)) + callOverhead
 }
 
-func (s *Simulation) deliver(to *Hollow, message membership.Message, bytes int64) {
+func (s *Simulation) deliver(to *Node, message membership.Message, bytes int64) {
 	if !to.Up {
 		return
 	}
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -9,27 +9,27 @@
 	"pgregory.net/rapid"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/lab/scale"
 	"mallowlatch.example/mallowlatch/internal/membership"
+	"mallowlatch.example/mallowlatch/internal/membership/membershipsim"
 )
 
 // settleTime is ample for a fleet of test size to form.
 const settleTime = 90 * time.Second
 
-func settled(t *rapid.T, shape scale.Shape, network scale.Network) *scale.Simulation {
-	fleet := scale.NewFleet(rapid.Uint64().Draw(t, "seed"), shape, membership.DefaultConfig(), network)
+func settled(t *rapid.T, shape membershipsim.Shape, network membershipsim.Network) *membershipsim.Simulation {
+	fleet := membershipsim.NewFleet(rapid.Uint64().Draw(t, "seed"), shape, membership.DefaultConfig(), network)
 	if !fleet.RunUntil(settleTime, fleet.Agree) {
 		t.Fatalf("no agreement: %s", fleet.Disagreement())
 	}
 	return fleet
 }
 
-func drawShape(t *rapid.T) scale.Shape {
+func drawShape(t *rapid.T) membershipsim.Shape {
 	zones := rapid.IntRange(1, 3).Draw(t, "zones")
-	return scale.Shape{Zones: zones, Nodes: zones * rapid.IntRange(2, 6).Draw(t, "nodes of a zone")}
+	return membershipsim.Shape{Zones: zones, Nodes: zones * rapid.IntRange(2, 6).Draw(t, "nodes of a zone")}
 }
 
-func stateOf(viewer *scale.Hollow, node ident.Node) membership.State {
+func stateOf(viewer *membershipsim.Node, node ident.Node) membership.State {
 	member, known := viewer.Core.Member(node)
 	if !known {
 		return membership.Dead
@@ -37,7 +37,7 @@
 	return member.State
 }
 
-func everyoneSees(fleet *scale.Simulation, node ident.Node, state membership.State) func() bool {
+func everyoneSees(fleet *membershipsim.Simulation, node ident.Node, state membership.State) func() bool {
 	return func() bool {
 		for _, viewer := range fleet.Order {
 			if viewer.Up && viewer.Self.Node != node && stateOf(viewer, node) != state {
@@ -52,7 +52,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		shape := drawShape(t)
-		fleet := settled(t, shape, scale.Healthy)
+		fleet := settled(t, shape, membershipsim.Healthy)
 		victim := rapid.SampledFrom(fleet.Order).Draw(t, "victim")
 		fleet.Stop(victim)
 		bound := fleet.Config.DetectionBound(shape.Nodes/shape.Zones) + 2*fleet.Config.BridgePeriod
@@ -69,9 +69,9 @@
 // take back its suspicion of the dead neighbour again and again.
 func TestLastNodeOfAZoneFindsTheDead(t *testing.T) {
 	t.Parallel()
-	shape := scale.Shape{Zones: 2, Nodes: 4}
+	shape := membershipsim.Shape{Zones: 2, Nodes: 4}
 	for seed := range uint64(100) {
-		fleet := scale.NewFleet(seed, shape, membership.DefaultConfig(), scale.Healthy)
+		fleet := membershipsim.NewFleet(seed, shape, membership.DefaultConfig(), membershipsim.Healthy)
 		assert.Assert(t, fleet.RunUntil(settleTime, fleet.Agree), "seed %d: %s", seed, fleet.Disagreement())
 		victim := fleet.Order[1]
 		fleet.Stop(victim)
@@ -84,7 +84,7 @@
 func TestLiveNodesSurviveLoss(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		fleet := settled(t, drawShape(t), scale.Lossy(0.05))
+		fleet := settled(t, drawShape(t), membershipsim.Lossy(0.05))
 		end := fleet.Now().Add(time.Minute)
 		for fleet.Now().Before(end) {
 			fleet.Run(2 * time.Second)
@@ -107,8 +107,8 @@
 		shape := drawShape(t)
 		side := map[ident.Node]bool{}
 		cut := false
-		fleet := settled(t, shape, func(from, to membership.Self) scale.Link {
-			link := scale.Healthy(from, to)
+		fleet := settled(t, shape, func(from, to membership.Self) membershipsim.Link {
+			link := membershipsim.Healthy(from, to)
 			link.Cut = cut && side[from.Node] != side[to.Node]
 			return link
 		})
@@ -131,7 +131,7 @@
 }
 
 // churn restarts, replaces or kills some nodes, but not the seeds.
-func churn(t *rapid.T, fleet *scale.Simulation, shape scale.Shape) {
+func churn(t *rapid.T, fleet *membershipsim.Simulation, shape membershipsim.Shape) {
 	for _, node := range fleet.Order[min(len(fleet.Order), 2*shape.Zones):] {
 		switch rapid.IntRange(0, 5).Draw(t, "fate") {
 		case 0:
@@ -152,7 +152,7 @@
 func TestAnnouncedLeaveIsSeenWithinSeconds(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		fleet := settled(t, drawShape(t), scale.Healthy)
+		fleet := settled(t, drawShape(t), membershipsim.Healthy)
 		leaver := rapid.SampledFrom(fleet.Order).Draw(t, "leaver")
 		leaver.Core.Leave()
 		if !fleet.RunUntil(10*time.Second, everyoneSees(fleet, leaver.Self.Node, membership.Leaving)) {
@@ -169,7 +169,7 @@
 func TestPausedNodeComesBackWithoutBlame(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		fleet := settled(t, drawShape(t), scale.Healthy)
+		fleet := settled(t, drawShape(t), membershipsim.Healthy)
 		sleeper := rapid.SampledFrom(fleet.Order).Draw(t, "sleeper")
 		sleeper.Paused = true
 		fleet.Run(time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds")) * time.Second)
@@ -192,10 +192,10 @@
 
 // Two nodes that can't reach each other, but can reach a third, don't suspect each other.
 func TestBrokenLinkBetweenTwoIsNoSuspicion(t *testing.T) {
-	shape := scale.Shape{Nodes: 4, Zones: 1}
+	shape := membershipsim.Shape{Nodes: 4, Zones: 1}
 	cut := false
-	fleet := scale.NewFleet(1, shape, membership.DefaultConfig(), func(from, to membership.Self) scale.Link {
-		link := scale.Healthy(from, to)
+	fleet := membershipsim.NewFleet(1, shape, membership.DefaultConfig(), func(from, to membership.Self) membershipsim.Link {
+		link := membershipsim.Healthy(from, to)
 		link.Cut = cut && from.Node < "node-002" && to.Node < "node-002"
 		return link
 	})
@@ -212,10 +212,10 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cut := ident.Node("")
-		shape := scale.Shape{Zones: rapid.IntRange(1, 2).Draw(t, "zones")}
+		shape := membershipsim.Shape{Zones: rapid.IntRange(1, 2).Draw(t, "zones")}
 		shape.Nodes = shape.Zones * rapid.IntRange(3, 6).Draw(t, "nodes of a zone")
-		fleet := settled(t, shape, func(from, to membership.Self) scale.Link {
-			link := scale.Healthy(from, to)
+		fleet := settled(t, shape, func(from, to membership.Self) membershipsim.Link {
+			link := membershipsim.Healthy(from, to)
 			link.Cut = from.Node == cut || to.Node == cut
 			return link
 		})
@@ -241,10 +241,10 @@
 
 // A zone that is cut off is an island: its members know one another, and hold the others for suspect, not dead.
 func TestCutZoneIsAnIsland(t *testing.T) {
-	shape := scale.Shape{Nodes: 24, Zones: 4}
+	shape := membershipsim.Shape{Nodes: 24, Zones: 4}
 	cut := false
-	fleet := scale.NewFleet(1, shape, membership.DefaultConfig(), func(from, to membership.Self) scale.Link {
-		link := scale.Healthy(from, to)
+	fleet := membershipsim.NewFleet(1, shape, membership.DefaultConfig(), func(from, to membership.Self) membershipsim.Link {
+		link := membershipsim.Healthy(from, to)
 		link.Cut = cut && (from.Zone == "zone-03") != (to.Zone == "zone-03")
 		return link
 	})
@@ -264,8 +264,8 @@
 
 // A zone that is lost as a whole has nobody left to judge it; the others see that it can't be reached.
 func TestLostZoneIsSuspect(t *testing.T) {
-	shape := scale.Shape{Nodes: 24, Zones: 4}
-	fleet := scale.NewFleet(1, shape, membership.DefaultConfig(), scale.Healthy)
+	shape := membershipsim.Shape{Nodes: 24, Zones: 4}
+	fleet := membershipsim.NewFleet(1, shape, membership.DefaultConfig(), membershipsim.Healthy)
 	assert.Assert(t, fleet.RunUntil(settleTime, fleet.Agree), fleet.Disagreement())
 	for _, node := range fleet.Order {
 		if node.Self.Zone == "zone-02" {
