Pass over runners that fail, and do not use up an item's attempts on them

Ruled out: poison items (1 in 100 by the site file).

Change: a runner's failure counts for its health; the rate of failures, fading within seconds, is a cost of the choice and keeps batch away from 0.4 on; an item avoids runners that failed it. Tests: a runner that fails fast gets under a tenth of the picks; 24 items are whole beside a failing runner (without the change: dead letters).

--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -76,9 +76,9 @@
 		if full[service] {
 			continue
 		}
-		id, found := w.roomiest(service, now)
+		id, found := w.roomiest(service, item, now)
 		if !found {
-			full[service] = true
+			full[service] = len(item.avoid) == 0
 			continue
 		}
 		w.start(item, service, route, id, now)
@@ -111,13 +111,30 @@
 	return nil
 }
 
-// roomiest returns the runner of a service with the most room for batch items, among those this node owns.
-func (w *Worker) roomiest(service string, now time.Time) (ident.Runner, bool) {
+// failingRate is the share of failures from which on a runner gets no batch items while it fails: it would answer fast
+// and so take one item after another.
+const failingRate = 0.4
+
+// roomiest returns the runner of a service with the most room for batch items, among those this node owns that neither
+// fail nor failed the item before. Where all it owns did, the item goes to any that does not fail now.
+func (w *Worker) roomiest(service string, item *itemRun, now time.Time) (ident.Runner, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	owned := w.owned(service)
+	best, found := w.roomiestOf(owned, item.avoid, now)
+	if !found && len(item.avoid) > 0 && len(item.avoid) >= len(owned) {
+		return w.roomiestOf(owned, nil, now)
+	}
+	return best, found
+}
+
+func (w *Worker) roomiestOf(runners []work.Runner, avoid map[ident.Runner]bool, now time.Time) (ident.Runner, bool) {
 	var best ident.Runner
 	bestRoom := 0
-	for _, runner := range w.owned(service) {
+	for _, runner := range runners {
+		if avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > failingRate {
+			continue
+		}
 		if room := w.room(runner, now); room > bestRoom {
 			best, bestRoom = runner.ID, room
 		}
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -51,6 +51,8 @@
 	lastEvent int64
 	// failures counts the runs that the runner itself failed.
 	failures int
+	// avoid holds the runners that failed it.
+	avoid map[ident.Runner]bool
 	// notBefore is when the item may be tried again.
 	notBefore time.Time
 	// routeGone is when the item was first seen to have no route.
@@ -60,7 +62,9 @@
 func newJobRun(claim jobrecord.Claim, loaded *jobrecord.Job) *jobRun {
 	job := &jobRun{claim: claim, header: &loaded.Header, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	for index, item := range loaded.Header.Items {
-		job.items = append(job.items, &itemRun{job: job, index: index, item: item.Item, body: loaded.Bodies[index]})
+		job.items = append(job.items, &itemRun{
+			job: job, index: index, item: item.Item, body: loaded.Bodies[index], avoid: map[ident.Runner]bool{},
+		})
 	}
 	return job
 }
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -57,6 +57,8 @@
 		w.giveUp(item, "no runner can do it")
 	case err == nil && status == http.StatusInternalServerError:
 		item.failures++
+		item.avoid[flight.Runner.ID] = true
+		flight.Failed(runnertable.Erred, now)
 		item.notBefore = now.Add(pauseAfterFailure)
 		if item.failures >= max(route.MaximumAttempts, 1) {
 			w.giveUp(item, "its attempts failed")
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -30,7 +30,8 @@
 type fakeCaller struct {
 	mutex sync.Mutex
 	cut   bool
-	sent  int
+	// failing is the runner that answers every item with a failure.
+	failing ident.Runner
 }
 
 func (c *fakeCaller) Send(_ context.Context, attempt work.Attempt) (*work.Reply, error) {
@@ -39,7 +40,11 @@
 	if c.cut {
 		return nil, connpool.ErrNotSent
 	}
-	c.sent++
+	if attempt.Runner.ID == c.failing {
+		return &work.Reply{
+			Head: work.Head{Status: http.StatusInternalServerError}, Sealed: true, Framed: true, Body: io.NopCloser(strings.NewReader("")),
+		}, nil
+	}
 	var text strings.Builder
 	for position := attempt.ResumeAfter + 1; position <= eventsEach; position++ {
 		fmt.Fprintf(&text, "id: %d\ndata: %s/%d\n\n", position, attempt.Request.ID, position)
@@ -198,3 +203,13 @@
 	g.submit("second", 2)
 	g.waitWhole("second", 2)
 }
+
+// TestFailingRunnerDoesNotUseUpTheAttempts has one of two runners fail every item at once, so that its places are always
+// free: each item still gets its output from the other one.
+func TestFailingRunnerDoesNotUseUpTheAttempts(t *testing.T) {
+	g := newGroup(t)
+	g.add("n0", oneRunner("i-1"), oneRunner("i-2"))
+	g.callers["n0"].failing = "i-1"
+	g.submit("j", 24)
+	g.waitWhole("j", 24)
+}
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -142,7 +142,10 @@
 		flight.Failed(runnertable.NoAnswer, e.forwarder.Now())
 		return e.afterRun(fmt.Errorf("%w: success without the runner's signature or bytes", errUnsound))
 	}
-	if reply.Head.Status >= http.StatusInternalServerError && reply.Head.Status != http.StatusGatewayTimeout && e.mayRunAgain() {
+	if erred(reply) {
+		flight.Failed(runnertable.Erred, e.forwarder.Now())
+	}
+	if erred(reply) && e.mayRunAgain() {
 		guard.stop()
 		return fmt.Errorf("%w: status %d", errTryAgain, reply.Head.Status)
 	}
@@ -161,6 +164,11 @@
 	return e.afterRun(err)
 }
 
+// erred says whether the runner failed; its answer at the request's deadline is no failure of the runner.
+func erred(reply *work.Reply) bool {
+	return reply.Head.Status >= http.StatusInternalServerError && reply.Head.Status != http.StatusGatewayTimeout
+}
+
 func (e *exchange) mayRunAgain() bool {
 	return !e.begun && e.route.Repeatable() && e.runs < e.route.MaximumAttempts
 }
--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -41,7 +41,9 @@
 	if len(body) > maximumBodyBytes {
 		return fmt.Errorf("%w: body over %d bytes", errUnsound, maximumBodyBytes)
 	}
-	flight.Began(e.forwarder.Now())
+	if !erred(reply) {
+		flight.Began(e.forwarder.Now())
+	}
 	if err := e.begin(reply.Head, int64(len(body))); err != nil {
 		return err
 	}
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -16,7 +16,9 @@
 	class  Class
 	// uncached are the prompt tokens the runner is not thought to keep.
 	uncached int
-	ended    bool
+	// succeeded says that the runner's work on the flight was noted, so that each flight counts once.
+	succeeded bool
+	ended     bool
 }
 
 // start counts a flight. The caller holds the mutex.
@@ -46,7 +48,10 @@
 	defer f.table.mutex.Unlock()
 	f.stopWaiting()
 	f.entry.lastAnswer = now
-	f.entry.health.succeeded()
+	if !f.succeeded {
+		f.succeeded = true
+		f.entry.health.succeeded(now)
+	}
 }
 
 func (f *Flight) stopWaiting() {
@@ -92,6 +97,16 @@
 	}
 }
 
+// FailureRate returns the share of failures among a runner's last outcomes, fading with time.
+func (t *Table) FailureRate(id ident.Runner, now time.Time) float64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.runners[id]; known != nil {
+		return known.health.failureRate(now)
+	}
+	return 0
+}
+
 // Own returns this node's work in progress of a class at a runner.
 func (t *Table) Own(id ident.Runner, class Class) int {
 	t.mutex.Lock()
--- a/internal/runnertable/health.go
+++ b/internal/runnertable/health.go
@@ -1,6 +1,9 @@
 package runnertable
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Failure says how an attempt at a runner failed.
 type Failure uint8
@@ -14,6 +17,8 @@
 	Silent
 	// Refused means that the runner is full and said so.
 	Refused
+	// Erred means that the runner answered with a failure of its own.
+	Erred
 	// Replaced means that another incarnation, or another service, has the address.
 	Replaced
 )
@@ -24,6 +29,10 @@
 	longestEjection = 3 * time.Second
 	// failuresBeforeEjection is how many lost answers in a row show that the runner, and not one answer, is bad.
 	failuresBeforeEjection = 3
+	// rateWeight is the part of one outcome in the rate of failures, rateHalfLife how fast the rate is forgotten, so that a
+	// runner that is passed over gets another chance.
+	rateWeight   = 0.2
+	rateHalfLife = 3 * time.Second
 	// fullPause is how long a runner that refused a request is passed over.
 	fullPause = 60 * time.Millisecond
 )
@@ -37,6 +46,9 @@
 	fullUntil    time.Time
 	// replaced is set once something else answered at the runner's address: no probe brings it back.
 	replaced bool
+	// rate is the share of failures among the last outcomes, as of rateAt.
+	rate   float64
+	rateAt time.Time
 }
 
 func (h *health) failed(failure Failure, now time.Time) {
@@ -48,9 +60,26 @@
 	case Unreachable, Silent:
 		h.failures = max(h.failures, failuresBeforeEjection-1)
 		h.count(now)
-	case NoAnswer:
+	case NoAnswer, Erred:
 		h.count(now)
 	}
+	if failure != Refused && failure != Replaced {
+		h.noteRate(1, now)
+	}
+}
+
+// noteRate takes one outcome into the rate: one for a failure, zero for a success.
+func (h *health) noteRate(outcome float64, now time.Time) {
+	rate := h.failureRate(now)
+	h.rate, h.rateAt = rate+rateWeight*(outcome-rate), now
+}
+
+// failureRate is the share of failures, fading with time.
+func (h *health) failureRate(now time.Time) float64 {
+	if h.rate == 0 {
+		return 0
+	}
+	return h.rate * math.Exp2(-float64(now.Sub(h.rateAt))/float64(rateHalfLife))
 }
 
 // count adds one failure and ejects the runner when they are enough.
@@ -63,7 +92,8 @@
 	h.ejections++
 }
 
-func (h *health) succeeded() {
+func (h *health) succeeded(now time.Time) {
+	h.noteRate(0, now)
 	h.failures = 0
 	h.ejections = 0
 	h.ejectedUntil = time.Time{}
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -33,6 +33,8 @@
 	jitterCost = 6.0
 	// fullCost is added for a runner that refused a request a moment ago.
 	fullCost = 400.0
+	// failureCost is added to a runner whose last outcomes were all failures, and in proportion.
+	failureCost = 500.0
 	// loadMemory is how long a runner's own count of others' work is believed.
 	loadMemory = 1500 * time.Millisecond
 )
@@ -156,6 +158,7 @@
 	if candidate.health.full(now) {
 		cost += fullCost
 	}
+	cost += failureCost * candidate.health.failureRate(now)
 	return cost
 }
 
--- a/internal/runnertable/table_test.go
+++ b/internal/runnertable/table_test.go
@@ -144,3 +144,27 @@
 	}
 	assert.Equal(t, len(used), 4)
 }
+
+// TestRunnerThatFailsFastIsNoBlackHole has one runner answer everything with a failure at once: its place is always free,
+// and still the other one gets nearly all.
+func TestRunnerThatFailsFastIsNoBlackHole(t *testing.T) {
+	table := tableOf(runner("bad", "a"), runner("good", "a"))
+	now := start
+	random := random()
+	bad := 0
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		flight, err := table.Pick(runnertable.Wish{Service: "s"}, now, random)
+		assert.NilError(t, err)
+		if flight.Runner.ID == "bad" {
+			bad++
+			flight.Failed(runnertable.Erred, now)
+		} else {
+			flight.Began(now)
+		}
+		flight.End()
+	}
+	assert.Assert(t, bad < 20, "%d of 200 went to the failing runner", bad)
+	assert.Assert(t, table.FailureRate("bad", now) > table.FailureRate("good", now))
+	assert.Assert(t, table.FailureRate("bad", now.Add(time.Minute)) < 0.01)
+}
