Read the runners twice within the drain bound; say a longer time to come back in an outage

Change: a reading each half of the drain bound, relayed ones used up to 1.3 of that; where no runner can be reached, clients are told to come back in 1.2 s, within the third of their time that they heed.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -34,9 +34,9 @@
 	KeepMissing time.Duration
 }
 
-// readingShare is the part of the drain bound between two readings; the rest is for a reading that is slow or tried
-// again.
-const readingShare = 0.65
+// readingShare is the part of the drain bound between two readings; the rest is for a reading that is slow (thousands of
+// runners take many pages) or tried again.
+const readingShare = 0.5
 
 // OptionsFor suits a registry whose every call has a price. drain is how soon after the registry's news a leaving runner
 // must get no more work.
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -24,7 +24,7 @@
 	// relaySlack is what a call of the source may take beyond the time it is held.
 	relaySlack = 400 * time.Millisecond
 	// oldestShare of the time between two readings is how old a relayed one may be: the next one needs its time too.
-	oldestShare = 1.15
+	oldestShare = 1.3
 	// relayPause parts two calls after one that brought nothing usable.
 	relayPause = 500 * time.Millisecond
 )
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -206,10 +207,13 @@
 // refusal is the final answer of a request that is given up. Only one that has not run is told when to come back.
 func (e *exchange) refusal(code failure.Code, message string, cause error) error {
 	refused := failure.New(code, "%s", message).WithOutcome(e.outcome).WithCause(cause)
-	if e.outcome == outcome.NotRun {
-		return refused.WithRetryAfter(retryAfter)
+	switch {
+	case e.outcome != outcome.NotRun:
+		return refused
+	case errors.Is(cause, connpool.ErrNotSent), errors.Is(cause, runnertable.ErrNoRunner):
+		return refused.WithRetryAfter(retryAfterOutage)
 	}
-	return refused
+	return refused.WithRetryAfter(retryAfter)
 }
 
 func (e *exchange) logAttempt(flight *runnertable.Flight, err error) {
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -21,8 +21,12 @@
 const (
 	// maximumTries bounds the runners asked in a row where none ran the request.
 	maximumTries = 5
-	// retryAfter is when a refused client may come back: longer than a burst's first queue, shorter than its patience.
+	// retryAfter is when a client may come back that was refused by full runners: longer than a burst's first queue,
+	// shorter than its patience.
 	retryAfter = 300 * time.Millisecond
+	// retryAfterOutage is when a client may come back where no runner could be reached: they restart within seconds, and
+	// clients have few retries.
+	retryAfterOutage = 1200 * time.Millisecond
 	// silenceFactor times the objective is how long a runner may leave a repeatable request without a first event before
 	// another gets it, within the bounds below.
 	silenceFactor   = 3
