--- /dev/null
+++ b/internal/fleetfeed/feed_test.go
@@ -0,0 +1,53 @@
+package fleetfeed_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// TestFeedTellsWhatIsNewAndHowOldItIs asks with and without what the feed has.
+func TestFeedTellsWhatIsNewAndHowOldItIs(t *testing.T) {
+	now := time.Unix(100, 0)
+	feed := fleetfeed.New(func() time.Time { return now })
+	ctx := context.Background()
+	feed.Orders(&work.Catalog{Version: 4}, now)
+	feed.Read([]work.Runner{{ID: "i-1"}}, 7, now)
+	now = now.Add(300 * time.Millisecond)
+	first, err := feed.Snapshot(ctx, &fleetfeed.Known{WaitMs: 5000})
+	assert.NilError(t, err)
+	assert.Equal(t, len(first.Runners), 1)
+	assert.Equal(t, first.Revision, int64(7))
+	assert.Equal(t, first.RunnersAgeMs, int64(300))
+	assert.Equal(t, first.Catalog.Version, int64(4))
+
+	known := &fleetfeed.Known{Incarnation: first.Incarnation, Reading: first.Reading, CatalogVersion: 4, WaitMs: 1}
+	same, err := feed.Snapshot(ctx, known)
+	assert.NilError(t, err)
+	assert.Equal(t, same.Reading, first.Reading)
+	assert.Assert(t, same.Catalog == nil, "a configuration was sent again")
+
+	known.WaitMs = 60_000
+	answered := make(chan *fleetfeed.Snapshot, 1)
+	go func() {
+		snapshot, _ := feed.Snapshot(ctx, known)
+		answered <- snapshot
+	}()
+	feed.Orders(&work.Catalog{Version: 3}, now)
+	feed.Orders(&work.Catalog{Version: 6}, now)
+	assert.Equal(t, (<-answered).Catalog.Version, int64(6))
+}
+
+// TestFeedWithoutAReadingAnswersNothing holds a call that comes before the first reading.
+func TestFeedWithoutAReadingAnswersNothing(t *testing.T) {
+	feed := fleetfeed.New(time.Now)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := feed.Snapshot(ctx, &fleetfeed.Known{WaitMs: 60_000})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,173 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// fakeRegistry answers what the test sets, and counts the readings of runners.
+type fakeRegistry struct {
+	mutex    sync.Mutex
+	down     bool
+	runners  []work.Runner
+	revision int64
+	catalog  *work.Catalog
+	readings int
+}
+
+func (r *fakeRegistry) Runners(context.Context) ([]work.Runner, int64, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.readings++
+	if r.down {
+		return nil, 0, kv.ErrUnavailable
+	}
+	return r.runners, r.revision, nil
+}
+
+func (r *fakeRegistry) Orders(context.Context) (work.Orders, int64, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down {
+		return work.Orders{}, 0, kv.ErrUnavailable
+	}
+	return work.Orders{Catalog: r.catalog}, r.revision, nil
+}
+
+func (r *fakeRegistry) NextOrders(ctx context.Context, after int64, _ time.Duration) (work.Orders, int64, error) {
+	select {
+	case <-time.After(10 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	orders, _, err := r.Orders(ctx)
+	return orders, after + 1, err
+}
+
+func (r *fakeRegistry) ReportRetired(context.Context, ident.Node, bool) error { return nil }
+
+func (r *fakeRegistry) set(change func(r *fakeRegistry)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	change(r)
+}
+
+func (r *fakeRegistry) read() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.readings
+}
+
+// feedSource asks a feed in the same process, until it is cut.
+type feedSource struct {
+	feed *fleetfeed.Feed
+	cut  chan struct{}
+}
+
+func (s *feedSource) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
+	select {
+	case <-s.cut:
+		return nil, kv.ErrUnavailable
+	default:
+		return s.feed.Snapshot(ctx, known)
+	}
+}
+
+// shortDrain makes readings frequent. longDrain makes them so rare that a busy machine does not make a feed look old.
+const (
+	shortDrain = 200 * time.Millisecond
+	longDrain  = 4 * time.Second
+)
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for range 6000 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the condition never held")
+}
+
+func start(t *testing.T, f *follower.Follower, drain time.Duration) {
+	t.Helper()
+	f.Runners, f.Routes, f.Logger, f.Now = runnertable.New("z"), &routetable.Table{}, zerolog.Nop(), time.Now
+	f.Options = follower.OptionsFor(drain)
+	f.Options.RetryAfter = 10 * time.Millisecond
+	supervisor := new(tomb.Tomb)
+	f.Start(supervisor)
+	t.Cleanup(func() {
+		supervisor.Kill(nil)
+		_ = supervisor.Wait()
+	})
+}
+
+// TestNothingKnownIsLostWhileTheRegistryIsAway keeps the last runners and routes, and goes on when it is back.
+func TestNothingKnownIsLostWhileTheRegistryIsAway(t *testing.T) {
+	registry := &fakeRegistry{runners: []work.Runner{{ID: "i-1"}}, revision: 1, catalog: &work.Catalog{Version: 1}}
+	f := &follower.Follower{Registry: registry}
+	start(t, f, shortDrain)
+	eventually(t, func() bool { return f.Runners.Count() == 1 && f.Routes.Catalog() != nil })
+	registry.set(func(r *fakeRegistry) { r.down = true })
+	before := registry.read()
+	eventually(t, func() bool { return registry.read() > before+5 })
+	assert.Equal(t, f.Runners.Count(), 1)
+	assert.Equal(t, f.Routes.Catalog().Version, int64(1))
+	registry.set(func(r *fakeRegistry) {
+		r.down, r.revision, r.catalog = false, 2, &work.Catalog{Version: 9}
+		r.runners = []work.Runner{{ID: "i-1"}, {ID: "i-2"}}
+	})
+	eventually(t, func() bool { return f.Runners.Count() == 2 && f.Routes.Catalog().Version == 9 })
+}
+
+// TestListsNeverGoBack passes over a list of an older revision.
+func TestListsNeverGoBack(t *testing.T) {
+	registry := &fakeRegistry{runners: []work.Runner{{ID: "i-1"}}, revision: 5}
+	f := &follower.Follower{Registry: registry}
+	start(t, f, shortDrain)
+	eventually(t, func() bool { return f.Runners.Count() == 1 })
+	registry.set(func(r *fakeRegistry) { r.revision, r.runners = 4, []work.Runner{{ID: "i-1"}, {ID: "old"}} })
+	before := registry.read()
+	eventually(t, func() bool { return registry.read() > before+3 })
+	assert.Equal(t, f.Runners.Count(), 1)
+}
+
+// TestRelayedNodeReadsForItselfWhenTheRelayIsSilent reads nothing while a feed is fresh, and all when it is cut.
+func TestRelayedNodeReadsForItselfWhenTheRelayIsSilent(t *testing.T) {
+	registry := &fakeRegistry{runners: []work.Runner{{ID: "i-1"}}, revision: 1, catalog: &work.Catalog{Version: 1}}
+	feed := fleetfeed.New(time.Now)
+	start(t, &follower.Follower{Registry: registry, Feed: feed}, longDrain)
+	eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		_, err := feed.Snapshot(ctx, &fleetfeed.Known{})
+		return err == nil
+	})
+	own := &fakeRegistry{down: true}
+	source := &feedSource{feed: feed, cut: make(chan struct{})}
+	f := &follower.Follower{Registry: own, Source: source}
+	start(t, f, longDrain)
+	eventually(t, func() bool { return f.Runners.Count() == 1 && f.Routes.Catalog() != nil })
+	quiet := own.read()
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, own.read() <= quiet+2, "%d readings of its own beside a fresh feed", own.read()-quiet)
+	own.set(func(r *fakeRegistry) {
+		r.down, r.revision, r.runners, r.catalog = false, 2, []work.Runner{{ID: "i-1"}, {ID: "i-2"}}, &work.Catalog{Version: 2}
+	})
+	close(source.cut)
+	eventually(t, func() bool { return f.Runners.Count() == 2 && f.Routes.Catalog().Version == 2 })
+}
--- a/internal/site/logwriter.go
+++ b/internal/site/logwriter.go
@@ -8,14 +8,18 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
 	// queuedLines bounds the lines that wait to be written.
 	queuedLines = 1024
-	// linesEachSecond and bytesEachSecond bound what is written; beyond them only lines of failures pass, up to twice.
+	// linesEachSecond and bytesEachSecond bound what is written; beyond them only lines of failures pass.
 	linesEachSecond = 200
 	bytesEachSecond = 64 << 10
+	// failureBudget is the budget of lines of failures, as a multiple.
+	failureBudget = 2
 )
 
 // LogWriter writes lines in the background. A line that finds the queue full, or the budget of the second spent, is
@@ -45,9 +49,13 @@
 	return w.write(line, 1)
 }
 
-// WriteFailure queues a line of a failure, which has twice the budget.
-func (w *LogWriter) WriteFailure(line []byte) (int, error) {
-	return w.write(line, 2)
+// WriteLevel implements zerolog.LevelWriter. Lines of failures have twice the budget, so that they are kept before
+// those of successes.
+func (w *LogWriter) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	if level >= zerolog.WarnLevel {
+		return w.write(line, failureBudget)
+	}
+	return w.write(line, 1)
 }
 
 func (w *LogWriter) write(line []byte, factor int) (int, error) {
