--- /dev/null
+++ b/internal/jobworker/order_test.go
@@ -0,0 +1,54 @@
+package jobworker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// orderStart is when the jobs of these tests are looked at.
+var orderStart = time.UnixMilli(1_000_000)
+
+// waitingItem is an item of a job that was submitted some time ago and is due 20 s after that.
+func waitingItem(job string, age time.Duration, tokens int) *itemRun {
+	header := &jobrecord.Header{ID: ident.Job(job), Host: "h", SubmittedMs: orderStart.Add(-age).UnixMilli()}
+	return &itemRun{job: &jobRun{header: header}, item: work.Item{ID: ident.Request(job), Path: "/p/x", Tokens: tokens}}
+}
+
+func orderOf(w *Worker, items ...*itemRun) string {
+	text := ""
+	for _, prospect := range w.prospects(items, orderStart) {
+		text += fmt.Sprint(prospect.item.item.ID, " ")
+	}
+	return text
+}
+
+func newOrderWorker() *Worker {
+	w := &Worker{Routes: &routetable.Table{}, duration: 5 * time.Second, events: 100, tokens: 1000}
+	w.Routes.Adopt(&work.Catalog{Version: 1, Routes: []work.Route{{Host: "h", PathPrefix: "/p/", CompletionObjective: 20 * time.Second}}})
+	return w
+}
+
+func TestItemsWithTheLeastTimeToSpareGoFirst(t *testing.T) {
+	w := newOrderWorker()
+	young, old := waitingItem("young", time.Second, 1000), waitingItem("old", 8*time.Second, 1000)
+	assert.Equal(t, orderOf(w, young, old), "old young ")
+	large := waitingItem("large", time.Second, 2800)
+	assert.Equal(t, orderOf(w, young, old, large), "large old young ")
+}
+
+func TestItemsThatCannotBeInTimeGoLast(t *testing.T) {
+	w := newOrderWorker()
+	late, young := waitingItem("late", 17*time.Second, 1000), waitingItem("young", time.Second, 1000)
+	assert.Equal(t, orderOf(w, late, young), "young late ")
+	// With most of its events it needs little more and can be in time again.
+	late.lastEvent = 90
+	assert.Equal(t, orderOf(w, late, young), "late young ")
+}
