--- a/cmd/mallowlatch-site/main.go
+++ b/cmd/mallowlatch-site/main.go
@@ -3,10 +3,12 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/spf13/cobra"
 
+	"mallowlatch.example/mallowlatch/internal/explain"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
 	"mallowlatch.example/mallowlatch/platform"
 )
@@ -23,6 +25,7 @@
 		roleCommand("front", "Answer clients", path, runFront),
 		roleCommand("worker", "Run the items of batch jobs", path, runWorker),
 		checkCommand(path),
+		explainCommand(),
 	)
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "mallowlatch-site:", err)
@@ -55,3 +58,25 @@
 		},
 	}
 }
+
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "explain ID FILE...", Short: "Tell the story of a request, a job or an item from log files", Args: cobra.MinimumNArgs(2),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			var sources []io.Reader
+			for _, name := range arguments[1:] {
+				file, err := os.Open(name)
+				if err != nil {
+					return fmt.Errorf("opening a log file: %w", err)
+				}
+				defer func() { _ = file.Close() }()
+				sources = append(sources, file)
+			}
+			lines, err := explain.Collect(arguments[0], sources...)
+			if err != nil {
+				return err
+			}
+			return explain.Write(command.OutOrStdout(), lines)
+		},
+	}
+}
