Ask the workers again for a job that none held at first

Cause: make test hung in TestFrontThatCannotReachTheStoreStillServes; 6 of 10 runs side by side failed. A front that asked before the job was claimed remembered that nobody held it, and renewed that memory with each reading, so that it never asked again: readings went to the store for good, and failed where the store refuses the front.

Ruled out: the worker (it had the job, its log shows the results), its lease, the avoidance of workers.

Change: the time without a holder begins only when workers were asked, and is 1.5 s.

--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -27,7 +27,7 @@
 	// avoidFor is how long a worker that did not answer is left alone.
 	avoidFor = 1500 * time.Millisecond
 	// unheldFor is how long a job that no worker held is read from the records without asking again.
-	unheldFor = 3 * time.Second
+	unheldFor = 1500 * time.Millisecond
 	// cachedJobs bounds the jobs of which something is remembered.
 	cachedJobs = 512
 )
@@ -57,7 +57,12 @@
 // Results reads the results of a job from its holder. sure is false where no holder answered for certain.
 func (h *Holders) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool) {
 	query := &Query{Job: job, From: from, WaitMs: wait.Milliseconds()}
-	for _, address := range h.candidates(ctx, job) {
+	candidates := h.candidates(ctx, job)
+	if len(candidates) == 0 {
+		// Nobody was asked, so that nothing new is known: the time without a holder must not begin anew.
+		return 0, nil, false
+	}
+	for _, address := range candidates {
 		reply := &Reply{}
 		if h.ask(ctx, address, methodResults, query, reply, wait) && reply.Sure {
 			h.remember(job, whereabouts{address: address})
