Trust relayed orders no longer than relayed runners

A node that waits for orders and is cut off hears nothing; only its failing readings of the runners show it.

Ruled out: the front's own path to the store (it read as soon as it tried).

Change: relayed orders are good for no longer than the relayed runners.

--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -42,6 +42,18 @@
 	return nil
 }
 
+// freshUntil returns until when relayed readings of the ages are good enough. The orders are so no longer than the
+// runners: a node that waits for orders and is cut off from the registry hears nothing, and only its failing readings of
+// the runners show that its silence is no proof.
+func (f *Follower) freshUntil(now time.Time, runnersAge, ordersAge time.Duration) freshness {
+	runners := now.Add(f.oldest() - runnersAge)
+	orders := now.Add(f.Options.OrdersWait + f.Options.CallTimeout - ordersAge)
+	if runners.Before(orders) {
+		orders = runners
+	}
+	return freshness{runners: runners, orders: orders}
+}
+
 // noteRelay logs when relaying begins and ends.
 func (f *Follower) noteRelay(used bool) {
 	if used == f.relaying {
@@ -86,10 +98,7 @@
 	}
 	f.applyRunners(snapshot.Runners, snapshot.Revision, now)
 	f.mutex.Lock()
-	f.fresh = freshness{
-		runners: now.Add(f.oldest() - runnersAge),
-		orders:  now.Add(f.Options.OrdersWait + f.Options.CallTimeout - ordersAge),
-	}
+	f.fresh = f.freshUntil(now, runnersAge, ordersAge)
 	f.mutex.Unlock()
 	return true
 }
