Keep the order of batch items still while they progress

Cause: items were ordered by the time they had to spare, counted from what was left of them. Items were also begun that could only just be done without a break.

Change: an item's place follows from when it had to start at the latest, which does not move; one without output is begun only with a quarter more time than it needs; among late items the nearest to its end goes first.

Ruled out: too little room for batch (places were 95% used between the bursts of online work).

--- a/internal/jobworker/order_test.go
+++ b/internal/jobworker/order_test.go
@@ -36,7 +36,7 @@
 	return w
 }
 
-func TestItemsWithTheLeastTimeToSpareGoFirst(t *testing.T) {
+func TestItemsThatMustStartFirstGoFirst(t *testing.T) {
 	w := newOrderWorker()
 	young, old := waitingItem("young", time.Second, 1000), waitingItem("old", 8*time.Second, 1000)
 	assert.Equal(t, orderOf(w, young, old), "old young ")
@@ -52,3 +52,26 @@
 	late.lastEvent = 90
 	assert.Equal(t, orderOf(w, late, young), "late young ")
 }
+
+func TestProgressDoesNotPutAnItemBehind(t *testing.T) {
+	w := newOrderWorker()
+	begun, unbegun := waitingItem("begun", 5*time.Second, 1000), waitingItem("unbegun", 4*time.Second, 1000)
+	begun.lastEvent = 60
+	assert.Equal(t, orderOf(w, unbegun, begun), "begun unbegun ")
+}
+
+func TestAnItemIsBegunOnlyWithTimeForBreaks(t *testing.T) {
+	w := newOrderWorker()
+	// 5.5 s are left for a run of 5 s: enough for one that goes on, not for one that begins and will step aside.
+	tight, young := waitingItem("tight", 14500*time.Millisecond, 1000), waitingItem("young", time.Second, 1000)
+	assert.Equal(t, orderOf(w, tight, young), "young tight ")
+	tight.lastEvent = 1
+	assert.Equal(t, orderOf(w, tight, young), "tight young ")
+}
+
+func TestAmongLateItemsTheNearestToItsEndGoesFirst(t *testing.T) {
+	w := newOrderWorker()
+	older, nearlyDone := waitingItem("older", 40*time.Second, 1000), waitingItem("nearly", 30*time.Second, 1000)
+	nearlyDone.lastEvent = 80
+	assert.Equal(t, orderOf(w, older, nearlyDone), "nearly older ")
+}
