--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -33,15 +33,20 @@
 	peerDialTimeout = 300 * time.Millisecond
 )
 
+// newPeerPool returns connections to other nodes.
+func newPeerPool() *transport.Pool {
+	return transport.NewPool(transport.PoolOptions{PrivateNetwork: true, DialTimeout: peerDialTimeout, Jitter: rand.Float64})
+}
+
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
 	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Logger: process.logger, Now: time.Now}
-	pool := transport.NewPool(transport.PoolOptions{PrivateNetwork: true, DialTimeout: peerDialTimeout, Jitter: rand.Float64})
+	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	records := process.records()
-	holders := &jobpeer.Holders{Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Now: time.Now}
-	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders}
+	holders := &jobpeer.Holders{Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Copies: settings.Bounds.LostDisks + 1, Now: time.Now}
+	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes()}
 	process.follow(&follower.Follower{Source: &workerFeed{holders: holders, index: xxhash.Sum64String(settings.Node.Name)}})
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -4,12 +4,13 @@
 	"context"
 	"fmt"
 	"net"
+	"path/filepath"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/jobentry"
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
@@ -29,9 +30,17 @@
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
 		Caller: process.caller, Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
 	}
+	kept, err := process.openHandoff()
+	if err != nil {
+		return err
+	}
+	worker.Handoff = kept
 	worker.Start(process.tomb)
 	feed := fleetfeed.New(time.Now)
-	process.follow(&follower.Follower{Retire: worker.Retire, Feed: feed})
+	pool := newPeerPool()
+	defer func() { _ = pool.Close() }()
+	source := &jobpeer.LeaderFeed{Leader: worker.Leader, Connect: pool.ConnAddress, Now: time.Now}
+	process.follow(&follower.Follower{Retire: worker.Retire, Feed: feed, Source: source})
 	if err := process.servePeers(worker, feed); err != nil {
 		return err
 	}
@@ -40,6 +49,30 @@
 	return process.end()
 }
 
+const (
+	// handoffFolder is the folder of the jobs that the store did not take yet, below the data folder.
+	handoffFolder = "handoff"
+	// handoffShare of the disk may be taken by them.
+	handoffShare = 0.5
+)
+
+// openHandoff opens the jobs on the disk and begins to hand them over; nil where the machine has no disk.
+func (p *process) openHandoff() (*handoff.Log, error) {
+	if p.settings.Node.DataFolder == "" {
+		return nil, nil
+	}
+	most := int64(handoffShare * float64(p.settings.Limits.DiskBytes()))
+	log, err := handoff.Open(filepath.Join(p.settings.Node.DataFolder, handoffFolder), most)
+	if err != nil {
+		return nil, fmt.Errorf("opening the jobs on the disk: %w", err)
+	}
+	deliverer := &handoff.Deliverer{
+		Log: log, Store: p.records(), Lifetime: p.settings.Bounds.ResultRetention(), Logger: p.logger, Now: time.Now,
+	}
+	deliverer.Start(p.tomb)
+	return log, nil
+}
+
 // servePeers lets other nodes read the results of the worker's jobs, and what it read of the registry.
 func (p *process) servePeers(worker *jobworker.Worker, feed *fleetfeed.Feed) error {
 	listener, err := net.Listen("tcp4", p.settings.Listen.Peers)
@@ -48,7 +81,7 @@
 	}
 	server := transport.NewServer(transport.ServerOptions{PrivateNetwork: true, Logger: p.logger})
 	if err := server.Register(&jobpeer.WorkerServer{
-		Worker: worker, Accepter: &jobentry.Desk{Records: p.records(), Logger: p.logger},
+		Worker: worker,
 	}, jobpeer.Description{}); err != nil {
 		return fmt.Errorf("serving other nodes: %w", err)
 	}
--- a/internal/event/jobworker.go
+++ b/internal/event/jobworker.go
@@ -13,5 +13,8 @@
 	ItemRunBroken  = register(3606, "item_run_broken", zerolog.WarnLevel, "A run of a batch item ended without its whole output; another run goes on after the event named.", "none unless one runner stands out")
 	ItemGivenUp    = register(3607, "item_given_up", zerolog.WarnLevel, "A batch item was given up and is listed as a dead letter; the line says why.", "see the reason")
 	JobReadFailed  = register(3608, "job_read_failed", zerolog.WarnLevel, "A job could not be read and the caller was told to come again.", "check the store and the path to it")
+	JobKept        = register(3610, "job_kept", zerolog.InfoLevel, "A batch job is on this worker's disk until the store takes it.", "none")
+	HandoffFailed  = register(3611, "handoff_failed", zerolog.WarnLevel, "The store did not take a job from this worker's disk; it is tried again.", "check the store and the path to it")
+	HandoffEnded   = register(3612, "handoff_ended", zerolog.InfoLevel, "A job left this worker's disk; the line says why.", "none, unless the reason is that its time is over: then the store was away for minutes")
 	WorkerRetired  = register(3609, "worker_retired", zerolog.InfoLevel, "A worker is emptied as the operator asked, and the operator was told.", "none")
 )
--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	OrdersAgeMs  int64 `json:"orders_age_ms"`
 	// Catalog is the configuration, or nil where the node has this version.
 	Catalog *work.Catalog `json:"catalog,omitempty"`
+	// Retire holds the workers to be emptied.
+	Retire []work.Retirement `json:"retire,omitempty"`
 	// HeldMs is how long the answer was held; what is left of the call's time was its way.
 	HeldMs int64 `json:"held_ms"`
 }
@@ -55,6 +58,7 @@
 	readAt      time.Time
 	ordersAt    time.Time
 	catalog     *work.Catalog
+	retire      []work.Retirement
 	changed     chan struct{}
 }
 
@@ -63,24 +67,36 @@
 	return &Feed{Now: now, incarnation: now().UnixNano(), changed: make(chan struct{})}
 }
 
-// Read notes a reading of the runners that began at the time.
+// Read notes a reading of the runners that began at the time. One older than the newest is passed over.
 func (f *Feed) Read(runners []work.Runner, revision int64, began time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if revision < f.revision || began.Before(f.readAt) {
+		return
+	}
 	f.reading++
 	f.runners, f.revision, f.readAt = runners, revision, began
 	f.wake()
 }
 
-// Orders notes an answer about the orders, and the configuration if one came.
-func (f *Feed) Orders(catalog *work.Catalog, answered time.Time) {
+// Orders notes an answer about the orders as of the time.
+func (f *Feed) Orders(orders work.Orders, answered time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.ordersAt = answered
-	if catalog != nil && (f.catalog == nil || catalog.Version > f.catalog.Version) {
+	if answered.After(f.ordersAt) {
+		f.ordersAt = answered
+	}
+	if catalog := orders.Catalog; catalog != nil && (f.catalog == nil || catalog.Version > f.catalog.Version) {
 		f.catalog = catalog
 		f.wake()
 	}
+	for _, retirement := range orders.Retire {
+		if !slices.Contains(f.retire, retirement) {
+			f.retire = append(f.retire, retirement)
+			f.reading++
+			f.wake()
+		}
+	}
 }
 
 // wake tells those that wait. The caller holds the mutex.
@@ -120,6 +136,7 @@
 	now := f.Now()
 	snapshot := &Snapshot{
 		Incarnation: f.incarnation, Reading: f.reading, Runners: f.runners, Revision: f.revision,
+		Retire:       slices.Clone(f.retire),
 		RunnersAgeMs: now.Sub(f.readAt).Milliseconds(), OrdersAgeMs: now.Sub(f.ordersAt).Milliseconds(),
 	}
 	newCatalog := f.catalog != nil && f.catalog.Version > known.CatalogVersion
@@ -127,7 +144,7 @@
 		snapshot.Catalog = f.catalog
 	}
 	newer := known.Incarnation != f.incarnation || known.Reading != f.reading || newCatalog
-	return snapshot, f.changed, newer && f.reading > 0
+	return snapshot, f.changed, newer && !f.readAt.IsZero()
 }
 
 // Server answers nodes.
--- a/internal/fleetfeed/feed_test.go
+++ b/internal/fleetfeed/feed_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(100, 0)
 	feed := fleetfeed.New(func() time.Time { return now })
 	ctx := context.Background()
-	feed.Orders(&work.Catalog{Version: 4}, now)
+	feed.Orders(work.Orders{Catalog: &work.Catalog{Version: 4}}, now)
 	feed.Read([]work.Runner{{ID: "i-1"}}, 7, now)
 	now = now.Add(300 * time.Millisecond)
 	first, err := feed.Snapshot(ctx, &fleetfeed.Known{WaitMs: 5000})
@@ -38,8 +38,8 @@
 		snapshot, _ := feed.Snapshot(ctx, known)
 		answered <- snapshot
 	}()
-	feed.Orders(&work.Catalog{Version: 3}, now)
-	feed.Orders(&work.Catalog{Version: 6}, now)
+	feed.Orders(work.Orders{Catalog: &work.Catalog{Version: 3}}, now)
+	feed.Orders(work.Orders{Catalog: &work.Catalog{Version: 6}}, now)
 	assert.Equal(t, (<-answered).Catalog.Version, int64(6))
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,7 +64,7 @@
 
 	// Source is another node that passes on what it read; nil reads alone.
 	Source Source
-	// Feed passes on what this node read; nil passes nothing on.
+	// Feed passes on what this node read or was told; nil passes nothing on.
 	Feed *fleetfeed.Feed
 
 	// relaying is touched by followSource alone.
@@ -205,15 +205,19 @@
 
 func (f *Follower) take(orders work.Orders) {
 	if f.Feed != nil {
-		f.Feed.Orders(orders.Catalog, f.Now())
+		f.Feed.Orders(orders, f.Now())
 	}
 	if orders.Catalog != nil && f.Routes.Adopt(orders.Catalog) {
 		event.CatalogAdopted.Log(f.Logger).Int64("version", orders.Catalog.Version).Int("routes", len(orders.Catalog.Routes)).Send()
 	}
+	f.tellRetirements(orders.Retire)
+}
+
+func (f *Follower) tellRetirements(retirements []work.Retirement) {
 	if f.Retire == nil {
 		return
 	}
-	for _, retirement := range orders.Retire {
+	for _, retirement := range retirements {
 		f.Retire(retirement)
 	}
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -171,3 +171,40 @@
 	close(source.cut)
 	eventually(t, func() bool { return f.Runners.Count() == 2 && f.Routes.Catalog().Version == 2 })
 }
+
+// TestWorkerPassesOnWhatItWasTold reads through a worker that itself was told by another one: runners, configuration and
+// retirements arrive with an age that counts the whole way.
+func TestWorkerPassesOnWhatItWasTold(t *testing.T) {
+	first := fleetfeed.New(time.Now)
+	read := time.Now().Add(-200 * time.Millisecond)
+	first.Orders(work.Orders{Catalog: &work.Catalog{Version: 3}, Retire: []work.Retirement{{Node: "w-2", Within: time.Second}}}, read)
+	first.Read([]work.Runner{{ID: "i-1"}}, 1, read)
+
+	var mutex sync.Mutex
+	var told []work.Retirement
+	second := fleetfeed.New(time.Now)
+	source := &feedSource{feed: first, cut: make(chan struct{})}
+	start(t, &follower.Follower{
+		Registry: &fakeRegistry{down: true}, Source: source, Feed: second,
+		Retire: func(retirement work.Retirement) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			told = append(told, retirement)
+		},
+	}, longDrain)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	snapshot, err := second.Snapshot(ctx, &fleetfeed.Known{WaitMs: 30_000})
+	assert.NilError(t, err)
+	assert.Equal(t, len(snapshot.Runners), 1)
+	assert.Assert(t, snapshot.RunnersAgeMs >= 200, "the age is %d ms", snapshot.RunnersAgeMs)
+	eventually(t, func() bool {
+		snapshot, err = second.Snapshot(ctx, &fleetfeed.Known{})
+		return err == nil && snapshot.Catalog != nil && len(snapshot.Retire) == 1
+	})
+	assert.Equal(t, snapshot.Catalog.Version, int64(3))
+	mutex.Lock()
+	defer mutex.Unlock()
+	assert.Equal(t, told[0].Node, ident.Node("w-2"))
+}
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -6,6 +6,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // Source asks another node for what it read of the registry. An error, or a snapshot that is too old, makes the
@@ -97,6 +98,11 @@
 		event.CatalogAdopted.Log(f.Logger).Int64("version", snapshot.Catalog.Version).Bool("relayed", true).Send()
 	}
 	f.applyRunners(snapshot.Runners, snapshot.Revision, now)
+	f.tellRetirements(snapshot.Retire)
+	if f.Feed != nil {
+		f.Feed.Read(snapshot.Runners, snapshot.Revision, now.Add(-runnersAge))
+		f.Feed.Orders(work.Orders{Catalog: snapshot.Catalog, Retire: snapshot.Retire}, now.Add(-ordersAge))
+	}
 	f.mutex.Lock()
 	f.fresh = f.freshUntil(now, runnersAge, ordersAge)
 	f.mutex.Unlock()
--- /dev/null
+++ b/internal/handoff/log.go
@@ -0,0 +1,226 @@
+package handoff
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+const (
+	suffixEntry   = ".job"
+	suffixPartial = ".partial"
+	// digestBytes is the length of the checksum at the beginning of a file.
+	digestBytes = 8
+	filePerm    = 0o600
+	folderPerm  = 0o700
+)
+
+// Summary is what the log remembers of an entry without reading its file.
+type Summary struct {
+	Job    ident.Job
+	Route  string
+	Tokens int
+	Turn   int
+	bytes  int64
+}
+
+// Log is a folder with one file for each entry. It is safe for concurrent use.
+type Log struct {
+	folder string
+	// most is the bound of all files together, in bytes.
+	most int64
+
+	mutex   sync.Mutex
+	entries map[ident.Job]Summary
+	bytes   int64
+}
+
+// Open reads the folder, which is made where it is missing. Files that are not whole entries are removed: their sync was
+// not over, so that they were not acknowledged. The error wraps ErrDisk.
+func Open(folder string, most int64) (*Log, error) {
+	if err := os.MkdirAll(folder, folderPerm); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
+	}
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
+	}
+	log := &Log{folder: folder, most: most, entries: map[ident.Job]Summary{}}
+	for _, file := range files {
+		if err := log.recover(file.Name()); err != nil {
+			return nil, err
+		}
+	}
+	return log, nil
+}
+
+// recover takes over one file of an earlier process.
+func (l *Log) recover(name string) error {
+	path := filepath.Join(l.folder, name)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrDisk, err)
+	}
+	entry, err := decodeEntry(content)
+	if err != nil || strings.HasSuffix(name, suffixPartial) {
+		_ = os.Remove(path)
+		return nil
+	}
+	l.add(entry, int64(len(content)))
+	return nil
+}
+
+// add notes an entry. The caller holds the mutex or is the only user.
+func (l *Log) add(entry *Entry, size int64) {
+	l.entries[entry.Job] = Summary{Job: entry.Job, Route: entry.Route, Tokens: entry.Tokens(), Turn: entry.Turn, bytes: size}
+	l.bytes += size
+}
+
+// Put makes an entry durable. One that is there already is left as it is. The error wraps ErrFull or ErrDisk.
+func (l *Log) Put(entry *Entry) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, known := l.entries[entry.Job]; known {
+		return nil
+	}
+	content, err := encodeEntry(entry)
+	if err != nil {
+		return err
+	}
+	size := int64(len(content))
+	if l.bytes+size > l.most {
+		return fmt.Errorf("%w: %d bytes are kept and the entry has %d, at most %d", ErrFull, l.bytes, size, l.most)
+	}
+	if err := l.write(l.path(entry.Job), content); err != nil {
+		return fmt.Errorf("%w: %w", ErrDisk, err)
+	}
+	l.add(entry, size)
+	return nil
+}
+
+// write makes a file durable under its name: its content is synced before the name exists, and the folder after, because
+// a name that was not synced may be gone after a loss of power.
+func (l *Log) write(path string, content []byte) error {
+	partial := path + suffixPartial
+	file, err := os.OpenFile(partial, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(content)
+	if err == nil {
+		err = file.Sync()
+	}
+	err = errors.Join(err, file.Close())
+	if err == nil {
+		err = os.Rename(partial, path)
+	}
+	if err != nil {
+		_ = os.Remove(partial)
+		return err
+	}
+	return syncFolder(l.folder)
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
+// Load reads an entry. The error wraps ErrDisk or ErrDamaged.
+func (l *Log) Load(job ident.Job) (*Entry, error) {
+	content, err := os.ReadFile(l.path(job))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
+	}
+	return decodeEntry(content)
+}
+
+// Remove drops an entry. A name that comes back after a loss of power does no harm: the job is handed over once more.
+func (l *Log) Remove(job ident.Job) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known, found := l.entries[job]
+	if !found {
+		return
+	}
+	_ = os.Remove(l.path(job))
+	delete(l.entries, job)
+	l.bytes -= known.bytes
+}
+
+// Has says whether the log has an entry of the job.
+func (l *Log) Has(job ident.Job) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, known := l.entries[job]
+	return known
+}
+
+// Entries returns what the log has, ordered by turn and name.
+func (l *Log) Entries() []Summary {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	kept := make([]Summary, 0, len(l.entries))
+	for _, entry := range l.entries {
+		kept = append(kept, entry)
+	}
+	slices.SortFunc(kept, func(first, second Summary) int {
+		if first.Turn != second.Turn {
+			return first.Turn - second.Turn
+		}
+		return strings.Compare(string(first.Job), string(second.Job))
+	})
+	return kept
+}
+
+// Tokens returns the tokens of a route's entries.
+func (l *Log) Tokens(route string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	tokens := 0
+	for _, entry := range l.entries {
+		if entry.Route == route {
+			tokens += entry.Tokens
+		}
+	}
+	return tokens
+}
+
+// path names the file of a job by a digest, because ids are the client's.
+func (l *Log) path(job ident.Job) string {
+	return filepath.Join(l.folder, fmt.Sprintf("%016x%s", xxhash.Sum64String(string(job)), suffixEntry))
+}
+
+func encodeEntry(entry *Entry) ([]byte, error) {
+	encoded, err := json.Marshal(entry)
+	if err != nil {
+		return nil, fmt.Errorf("encoding the entry of job %s: %w", entry.Job, err)
+	}
+	content := make([]byte, digestBytes, digestBytes+len(encoded))
+	binary.BigEndian.PutUint64(content, xxhash.Sum64(encoded))
+	return append(content, encoded...), nil
+}
+
+func decodeEntry(content []byte) (*Entry, error) {
+	if len(content) < digestBytes || binary.BigEndian.Uint64(content) != xxhash.Sum64(content[digestBytes:]) {
+		return nil, ErrDamaged
+	}
+	entry := &Entry{}
+	if err := json.Unmarshal(content[digestBytes:], entry); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/internal/jobentry/acceptance_test.go
@@ -0,0 +1,177 @@
+package jobentry_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobentry"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const bound = 100
+
+// fakeHolders is a set of workers that keep jobs or do not.
+type fakeHolders struct {
+	mutex    sync.Mutex
+	keepErr  error
+	asked    int
+	pending  bool
+	unsure   bool
+	onAsking func()
+}
+
+func (h *fakeHolders) Results(context.Context, ident.Job, int, time.Duration) (int, []work.Result, bool) {
+	return 0, nil, false
+}
+
+func (h *fakeHolders) Body(context.Context, ident.Job, ident.Request) ([]byte, bool) {
+	return nil, false
+}
+
+func (h *fakeHolders) Keep(context.Context, *work.Route, *jobrecord.Submission) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.asked++
+	return h.keepErr
+}
+
+func (h *fakeHolders) Pending(context.Context, ident.Job) (bool, bool) {
+	if h.onAsking != nil {
+		h.onAsking()
+	}
+	return h.pending, !h.unsure
+}
+
+// newDesk returns a desk before a store and workers.
+func newDesk(holders *fakeHolders) (*jobentry.Desk, *kvtest.Paged) {
+	store := kvtest.NewPaged(kvtest.NewData(time.Now))
+	records := &jobrecord.Records{Store: store, ValueBytes: 1 << 20, Retention: time.Minute, Now: time.Now}
+	return &jobentry.Desk{Records: records, Holders: holders, Logger: zerolog.Nop()}, store
+}
+
+func submit(desk *jobentry.Desk, job string, tokens int) error {
+	submission := &jobrecord.Submission{ID: ident.Job(job), Route: "r", Host: "h", Zone: "z", Items: []work.Item{
+		{ID: ident.Request(job + "-0"), Path: "/p/x", Tokens: tokens, Body: []byte("b")},
+	}}
+	return desk.Accept(context.Background(), &work.Route{Name: "r", MaximumQueuedTokens: bound}, submission)
+}
+
+// mustRefuse returns the failure of a submission.
+func mustRefuse(t *testing.T, err error) *failure.Error {
+	t.Helper()
+	assert.Assert(t, err != nil)
+	return failure.As(err)
+}
+
+func TestStoreAloneTakesAJobWhileItAnswers(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	assert.NilError(t, submit(desk, "a", 10))
+	assert.Equal(t, holders.asked, 0)
+	exists, err := desk.Records.Exists(context.Background(), "a")
+	assert.NilError(t, err)
+	assert.Assert(t, exists)
+}
+
+func TestWorkersKeepAJobWhileTheStoreIsDown(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	assert.NilError(t, submit(desk, "a", 10))
+	assert.Equal(t, holders.asked, 1)
+}
+
+// TestWorkersKeepAJobWhileTheStoreIsSilent leaves the write unanswered: the caller is not made to wait for its end.
+func TestWorkersKeepAJobWhileTheStoreIsSilent(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{DelayNext: 1})
+	assert.NilError(t, submit(desk, "a", 10))
+	assert.Equal(t, holders.asked, 1)
+	// The write takes effect late; the job that the workers hand over is the same one.
+	store.ApplyDelayed()
+	open, _, err := desk.Records.ListOpen(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, len(open), 1)
+}
+
+// TestNoPromiseForAJobThatAWorkerMayKeep has too few workers keep the job: what is there may still be handed over.
+func TestNoPromiseForAJobThatAWorkerMayKeep(t *testing.T) {
+	holders := &fakeHolders{keepErr: failure.New(failure.CodeOutcomeUnknown, "1 of 2").WithOutcome(outcome.Unknown)}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	refused := mustRefuse(t, submit(desk, "a", 10))
+	assert.Equal(t, refused.Outcome, outcome.Unknown)
+}
+
+func TestJobThatNobodyHasIsPromisedNotToRun(t *testing.T) {
+	holders := &fakeHolders{keepErr: failure.New(failure.CodeShardUnavailable, "no worker")}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	refused := mustRefuse(t, submit(desk, "a", 10))
+	assert.Equal(t, refused.Outcome, outcome.NotRun)
+	assert.Assert(t, refused.RetryAfter > 0)
+}
+
+func TestWorkersCountTheQueueWhileTheStoreIsDown(t *testing.T) {
+	holders := &fakeHolders{keepErr: failure.New(failure.CodeJobQuota, "full").WithRetryAfter(time.Second)}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	refused := mustRefuse(t, submit(desk, "a", 10))
+	assert.Equal(t, refused.Code, failure.CodeJobQuota)
+	assert.Equal(t, refused.Outcome, outcome.NotRun)
+	assert.Equal(t, holders.asked, 1, "the job was offered again to a full queue")
+}
+
+func TestFullQueueIsNotPassedToTheWorkers(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	assert.NilError(t, submit(desk, "a", bound))
+	refused := mustRefuse(t, submit(desk, "b", 10))
+	assert.Equal(t, refused.Code, failure.CodeJobQuota)
+	assert.Equal(t, holders.asked, 0)
+	// One that comes again is known, also where it is still on its way.
+	assert.NilError(t, submit(desk, "a", bound))
+	holders.pending = true
+	holders.keepErr = failure.New(failure.CodeJobQuota, "full")
+	refused = mustRefuse(t, submit(desk, "b", 10))
+	assert.Equal(t, refused.Outcome, outcome.Unknown)
+}
+
+// TestJobOnItsWayIsNotDenied reads a job that only workers have.
+func TestJobOnItsWayIsNotDenied(t *testing.T) {
+	holders := &fakeHolders{pending: true}
+	desk, _ := newDesk(holders)
+	ctx := context.Background()
+	_, err := desk.Results(ctx, "a", 0, 0)
+	assert.Equal(t, failure.As(err).Code, failure.CodeShardUnavailable)
+	assert.Equal(t, failure.As(desk.End(ctx, "a")).Code, failure.CodeShardUnavailable)
+
+	holders.pending, holders.unsure = false, true
+	_, err = desk.Body(ctx, "a", "a-0")
+	assert.Equal(t, failure.As(err).Code, failure.CodeShardUnavailable)
+
+	holders.unsure = false
+	_, err = desk.Results(ctx, "a", 0, 0)
+	assert.Equal(t, failure.As(err).Code, failure.CodeNotFound)
+}
+
+// TestJobHandedOverWhileItIsReadIsFound has the store take the job between the first reading and the workers' answer.
+func TestJobHandedOverWhileItIsReadIsFound(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	holders.onAsking = func() { assert.NilError(t, submit(desk, "a", 10)) }
+	listing, err := desk.Results(context.Background(), "a", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, listing.Total, 1)
+}
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -26,7 +26,12 @@
 	submitPause = 120 * time.Millisecond
 	// retryAfter is when a caller may come back after a refusal.
 	retryAfter = 500 * time.Millisecond
-	// doubtFor is how long after a failed call the workers are asked before the store: it may refuse this node alone.
+	// hedgeAfter is how long a submission waits for the store alone before workers are asked to keep it as well.
+	hedgeAfter = 120 * time.Millisecond
+	// sendingFactor times what the bodies of a job take on the node's link is added to it: they are sent in a text encoding,
+	// beside other traffic.
+	sendingFactor = 4
+	// doubtFor is how long after a failed call the workers are asked at once.
 	doubtFor = 2 * time.Second
 	// quotaRetryAfter is when a caller may come back to a full queue.
 	quotaRetryAfter = time.Second
@@ -42,8 +47,11 @@
 type Holders interface {
 	// Results returns results from a position on. sure is false where no worker answered for certain.
 	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool)
-	// Accept has a worker write a job. Its error is a *failure.Error.
-	Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error
+	// Keep has workers keep a job on disk until the store takes it. Its error is a *failure.Error.
+	Keep(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error
+	// Pending says whether a worker keeps a job that the store may not have yet; sure is false where one may and did not
+	// answer.
+	Pending(ctx context.Context, job ident.Job) (pending, sure bool)
 	// Body returns the body of an item without a result, if a worker has it.
 	Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, bool)
 }
@@ -54,14 +62,16 @@
 	// Holders answers readings from the memory of the worker that runs the job, where it is sure; nil reads the records
 	// alone.
 	Holders Holders
-	Logger  zerolog.Logger
+	// LinkBytes is what the node's link carries, in bytes a second; zero is not known.
+	LinkBytes float64
+	Logger    zerolog.Logger
 
 	// Now is the steady clock; nil is the machine's.
 	Now func() time.Time
 
 	mutex   sync.Mutex
 	headers map[ident.Job]*jobrecord.Header
-	// storeDoubted is until when the store is tried after the workers.
+	// storeDoubted is until when workers are asked to keep a job without waiting for the store first.
 	storeDoubted time.Time
 }
 
@@ -71,7 +81,7 @@
 	attempt := &acceptance{desk: d, route: route, submission: submission, told: outcome.NotRun}
 	if attempt.run(ctx) {
 		event.JobTaken.Log(d.Logger).Str("job", string(submission.ID)).Int("items", len(submission.Items)).
-			Int("tries", attempt.tries).Bool("relayed", attempt.relayed).Send()
+			Int("tries", attempt.tries).Bool("handed_off", attempt.handedOff).Send()
 		return nil
 	}
 	refused := refusal(attempt.last, attempt.told)
@@ -79,64 +89,6 @@
 	return refused
 }
 
-// acceptance is the taking of one job.
-type acceptance struct {
-	desk       *Desk
-	route      *work.Route
-	submission *jobrecord.Submission
-	tries      int
-	relayed    bool
-	// told is Unknown once a try may have written the job.
-	told outcome.Outcome
-	last error
-}
-
-// run tries the store and the workers by turns, and returns true when the job is durable. A job that exists is left as it
-// is, so that every try may be repeated by any node.
-func (a *acceptance) run(ctx context.Context) bool {
-	for a.tries = 1; a.tries <= submitTries; a.tries++ {
-		relay := a.desk.Holders != nil && (a.tries > 1 || a.desk.doubtsStore())
-		if relay && a.try(func() error { return a.desk.Holders.Accept(ctx, a.route, a.submission) }) {
-			a.relayed = true
-			return true
-		}
-		if a.final() {
-			return false
-		}
-		if a.try(func() error { return a.desk.accept(ctx, a.route, a.submission) }) {
-			return true
-		}
-		if a.final() || !pause(ctx, submitPause) {
-			return false
-		}
-		a.desk.doubtStore()
-	}
-	return false
-}
-
-// try makes one try and notes what it may have done.
-func (a *acceptance) try(accept func() error) bool {
-	err := accept()
-	if err == nil {
-		return true
-	}
-	a.last = err
-	var typed *failure.Error
-	if jobrecord.Unknown(err) || (errors.As(err, &typed) && typed.Outcome != outcome.NotRun) {
-		a.told = outcome.Unknown
-	}
-	return false
-}
-
-// final says whether the last failure is of the job itself, so that no other node would take it.
-func (a *acceptance) final() bool {
-	var typed *failure.Error
-	if !errors.As(a.last, &typed) {
-		return false
-	}
-	return typed.Code == failure.CodeJobQuota || typed.Code == failure.CodeBodyTooLarge
-}
-
 func (d *Desk) now() time.Time {
 	if d.Now == nil {
 		return time.Now()
@@ -179,11 +131,15 @@
 	}
 	err := d.Records.Accept(ctx, submission)
 	if errors.Is(err, jobrecord.ErrTooLarge) {
-		return failure.New(failure.CodeBodyTooLarge, "the job is too large to be kept").WithCause(err)
+		return tooLarge(err)
 	}
 	return err
 }
 
+func tooLarge(err error) *failure.Error {
+	return failure.New(failure.CodeBodyTooLarge, "the job is too large to be kept").WithCause(err)
+}
+
 // checkQuota refuses a job that does not fit beside those that wait on the route, over all nodes. A job that was
 // accepted before is not refused.
 func (d *Desk) checkQuota(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
@@ -206,6 +162,9 @@
 	if exists {
 		return nil
 	}
+	if d.mayBePending(ctx, submission.ID) {
+		return failure.New(failure.CodeOutcomeUnknown, "an earlier submission of the job is on its way").WithOutcome(outcome.Unknown)
+	}
 	return failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, tokens, bound).
 		WithRetryAfter(quotaRetryAfter)
 }
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
@@ -136,6 +137,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	header, err := d.Records.Header(ctx, job)
+	if errors.Is(err, jobrecord.ErrNoSuchJob) && d.Holders != nil {
+		header, err = d.headerAfterHandoff(ctx, job)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -143,6 +147,27 @@
 	return header, nil
 }
 
+// ErrPending means that a worker keeps the job, or may keep it, until the store takes it.
+const ErrPending = failure.Kind("job entry: the job may be on its way to the store")
+
+// headerAfterHandoff reads the header of a job that the store did not have. An entry leaves a worker's disk only once the
+// store has the job: where no worker keeps it, a second reading finds what was handed over meanwhile.
+func (d *Desk) headerAfterHandoff(ctx context.Context, job ident.Job) (*jobrecord.Header, error) {
+	if d.mayBePending(ctx, job) {
+		return nil, fmt.Errorf("%w: %s", ErrPending, job)
+	}
+	return d.Records.Header(ctx, job)
+}
+
+// mayBePending says whether a worker keeps the job, or did not answer and so may keep it.
+func (d *Desk) mayBePending(ctx context.Context, job ident.Job) bool {
+	if d.Holders == nil {
+		return false
+	}
+	pending, sure := d.Holders.Pending(ctx, job)
+	return pending || !sure
+}
+
 func (d *Desk) remember(header *jobrecord.Header) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -27,7 +27,7 @@
 	// avoidFor is how long a worker that did not answer is left alone.
 	avoidFor = 1500 * time.Millisecond
 	// unheldFor is how long a job that no worker held is read from the records without asking again.
-	unheldFor = 1500 * time.Millisecond
+	unheldFor = 600 * time.Millisecond
 	// cachedJobs bounds the jobs of which something is remembered.
 	cachedJobs = 512
 )
@@ -39,7 +39,9 @@
 	Zone ident.Zone
 	// Connect returns a connection to an address.
 	Connect func(address string) (drpc.Conn, error)
-	Now     func() time.Time
+	// Copies is the number of workers that must have a job on disk before it is acknowledged without the store.
+	Copies int
+	Now    func() time.Time
 
 	mutex   sync.Mutex
 	workers []jobrecord.Worker
--- /dev/null
+++ b/internal/jobpeer/keep.go
@@ -0,0 +1,187 @@
+package jobpeer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/handoff"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// keepTimeout bounds the writing of a job to a worker's disk, beside callSlack.
+const keepTimeout = 600 * time.Millisecond
+
+// Keep has workers put a job on their disks until the store takes it. A nil error means that enough of them did for the
+// job to be durable. Any other is a *failure.Error: its outcome is NotRun only where no worker can have the job.
+func (h *Holders) Keep(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+	h.readWorkers(ctx)
+	keeping := &keeping{
+		holders: h, candidates: h.keepers(), needed: h.Copies,
+		bound: route.MaximumQueuedTokens, submission: submission, accepted: h.Now(),
+	}
+	return keeping.run(ctx)
+}
+
+// keeping is the putting of one job on the disks of workers.
+type keeping struct {
+	holders    *Holders
+	candidates []string
+	// needed is the number of workers that must have the job.
+	needed     int
+	bound      int
+	submission *jobrecord.Submission
+	accepted   time.Time
+	asked      int
+	kept       int
+	// told is Unknown once a worker may have the job without having said so.
+	told    outcome.Outcome
+	refused *failure.Error
+}
+
+// spareKeepers is how many workers more than needed are asked at once, so that one that is slow or gone costs no time.
+const spareKeepers = 1
+
+// run asks workers until enough have the job or none is left to ask.
+func (k *keeping) run(ctx context.Context) error {
+	k.told = outcome.NotRun
+	if k.needed < 1 || len(k.candidates) < k.needed {
+		return failure.New(failure.CodeShardUnavailable, "%d workers are known and %d must keep the job", len(k.candidates), k.needed)
+	}
+	replies := make(chan *KeepReply, len(k.candidates))
+	for k.asked < min(k.needed+spareKeepers, len(k.candidates)) {
+		k.ask(ctx, replies)
+	}
+	for answered := 0; answered < k.asked; answered++ {
+		if k.take(<-replies) {
+			return nil
+		}
+		if k.asked < len(k.candidates) && k.kept+k.asked-answered-1 < k.needed {
+			k.ask(ctx, replies)
+		}
+	}
+	return k.failure()
+}
+
+// ask sends the job to the next worker. Each call has a tomb of its own: one whose calls all ended takes no more.
+func (k *keeping) ask(ctx context.Context, replies chan<- *KeepReply) {
+	address, turn := k.candidates[k.asked], k.asked
+	k.asked++
+	new(tomb.Tomb).Go(func() error {
+		request := &KeepRequest{Entry: handoff.NewEntry(k.submission, k.accepted, turn), MaximumQueuedTokens: k.bound, Copies: k.needed + spareKeepers}
+		reply := &KeepReply{}
+		if !k.holders.ask(ctx, address, methodKeep, request, reply, keepTimeout) {
+			reply = nil
+		}
+		replies <- reply
+		return nil
+	})
+}
+
+// take notes a worker's answer, or that none came, and says whether the job is durable.
+func (k *keeping) take(reply *KeepReply) bool {
+	switch {
+	case reply == nil:
+		k.told = outcome.Unknown
+	case reply.Kept:
+		k.kept++
+	default:
+		k.told = outcome.Join(k.told, reply.Outcome)
+		k.refused = reply.failure()
+	}
+	return k.kept >= k.needed
+}
+
+// failure is what the caller is told of a job that too few workers have.
+func (k *keeping) failure() error {
+	if k.kept > 0 || k.told != outcome.NotRun {
+		return failure.New(failure.CodeOutcomeUnknown, "%d of %d workers have the job", k.kept, k.needed).WithOutcome(outcome.Unknown)
+	}
+	return k.refused
+}
+
+// failure is the worker's refusal.
+func (r *KeepReply) failure() *failure.Error {
+	return failure.New(r.Code, "%s", r.Message).WithOutcome(r.Outcome).WithRetryAfter(time.Duration(r.RetryAfterMs) * time.Millisecond)
+}
+
+// keepers returns the addresses of the workers that are not avoided, in the order in which they are to be asked: one of
+// each zone by turns, the node's own zone first, so that the copies of a job lie in different zones where they can.
+func (h *Holders) keepers() []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var zones []ident.Zone
+	byZone := map[ident.Zone][]string{}
+	for _, worker := range h.workers {
+		if h.Now().Before(h.avoided[worker.Address]) {
+			continue
+		}
+		if !slices.Contains(zones, worker.Zone) {
+			zones = append(zones, worker.Zone)
+		}
+		byZone[worker.Zone] = append(byZone[worker.Zone], worker.Address)
+	}
+	var ordered []string
+	for position := 0; len(zones) > 0; position++ {
+		zones = slices.DeleteFunc(zones, func(zone ident.Zone) bool { return len(byZone[zone]) <= position })
+		for _, zone := range zones {
+			ordered = append(ordered, byZone[zone][position])
+		}
+	}
+	return ordered
+}
+
+// Pending says whether a worker has a job on its disk that the store may not have yet. sure is false where a worker did
+// not answer, so that it may have it. It asks the workers that are registered now and those known from before.
+func (h *Holders) Pending(ctx context.Context, job ident.Job) (pending, sure bool) {
+	h.mutex.Lock()
+	workers := addresses(h.workers)
+	h.mutex.Unlock()
+	registered, err := h.Records.Workers(ctx)
+	sure = err == nil
+	for _, address := range addresses(registered) {
+		if !slices.Contains(workers, address) {
+			workers = append(workers, address)
+		}
+	}
+	for _, address := range workers {
+		reply := &PendingReply{}
+		if !h.ask(ctx, address, methodPending, &PendingQuery{Job: job}, reply, 0) {
+			sure = false
+			continue
+		}
+		if reply.Pending {
+			return true, true
+		}
+	}
+	return false, sure
+}
+
+func addresses(workers []jobrecord.Worker) []string {
+	var found []string
+	for _, worker := range workers {
+		found = append(found, worker.Address)
+	}
+	return found
+}
+
+// Keep implements Server.
+func (s *WorkerServer) Keep(_ context.Context, request *KeepRequest) (*KeepReply, error) {
+	err := s.Worker.Keep(request.Entry, request.MaximumQueuedTokens, request.Copies)
+	if err == nil {
+		return &KeepReply{Kept: true}, nil
+	}
+	told := failure.As(err)
+	return &KeepReply{Code: told.Code, Message: told.Message, Outcome: told.Outcome, RetryAfterMs: told.RetryAfter.Milliseconds()}, nil
+}
+
+// Pending implements Server.
+func (s *WorkerServer) Pending(_ context.Context, query *PendingQuery) (*PendingReply, error) {
+	return &PendingReply{Pending: s.Worker.Keeps(query.Job)}, nil
+}
--- /dev/null
+++ b/internal/jobpeer/keep_test.go
@@ -0,0 +1,122 @@
+package jobpeer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobpeer"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// errSilent is the answer of a worker that does not answer.
+const errSilent = failure.Kind("test: silent")
+
+// peer is a connection to a worker that answers as the test says.
+type peer struct {
+	drpc.Conn
+	keep    jobpeer.KeepReply
+	pending bool
+	silent  bool
+	asked   chan *jobpeer.KeepRequest
+}
+
+func (p *peer) Invoke(_ context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	if request, isKeep := in.(*jobpeer.KeepRequest); isKeep {
+		p.asked <- request
+	}
+	if p.silent {
+		return errSilent
+	}
+	switch reply := out.(type) {
+	case *jobpeer.KeepReply:
+		*reply = p.keep
+	case *jobpeer.PendingReply:
+		reply.Pending = p.pending
+	}
+	return nil
+}
+
+var (
+	keeps  = jobpeer.KeepReply{Kept: true}
+	isFull = jobpeer.KeepReply{Code: failure.CodeJobQuota, Message: "full", Outcome: outcome.NotRun, RetryAfterMs: 500}
+)
+
+// newHolders registers a worker for each peer, in the zones given, of which two must keep a job.
+func newHolders(t *testing.T, zones []ident.Zone, peers ...*peer) *jobpeer.Holders {
+	t.Helper()
+	store := kvtest.NewPaged(kvtest.NewData(time.Now))
+	records := &jobrecord.Records{Store: store, ValueBytes: 1 << 20, Now: time.Now}
+	byAddress := map[string]*peer{}
+	for index, p := range peers {
+		name := string(rune('a' + index))
+		p.asked = make(chan *jobpeer.KeepRequest, 4)
+		byAddress[name] = p
+		lease, err := store.Grant(context.Background(), time.Minute)
+		assert.NilError(t, err)
+		assert.NilError(t, records.Register(context.Background(), jobrecord.Worker{Node: ident.Node(name), Zone: zones[index], Address: name}, lease))
+	}
+	return &jobpeer.Holders{
+		Records: records, Zone: "z", Copies: 2, Now: time.Now,
+		Connect: func(address string) (drpc.Conn, error) { return byAddress[address], nil },
+	}
+}
+
+func keep(holders *jobpeer.Holders) error {
+	submission := &jobrecord.Submission{ID: "j", Route: "r", Items: []work.Item{{ID: "j-0", Path: "/p", Tokens: 1}}}
+	return holders.Keep(context.Background(), &work.Route{Name: "r"}, submission)
+}
+
+var oneZone = []ident.Zone{"z", "z", "z", "z"}
+
+func TestEnoughWorkersMakeAJobDurable(t *testing.T) {
+	assert.NilError(t, keep(newHolders(t, oneZone, &peer{keep: keeps}, &peer{silent: true}, &peer{keep: keeps})))
+	// The fourth is asked once it is clear that the first three are not enough.
+	assert.NilError(t, keep(newHolders(t, oneZone, &peer{keep: keeps}, &peer{silent: true}, &peer{keep: isFull}, &peer{keep: keeps})))
+}
+
+func TestTooFewCopiesPromiseNothing(t *testing.T) {
+	for name, second := range map[string]*peer{"silent": {silent: true}, "full": {keep: isFull}} {
+		err := keep(newHolders(t, oneZone, &peer{keep: keeps}, second))
+		assert.Equal(t, failure.As(err).Outcome, outcome.Unknown, name)
+	}
+	// A worker that did not answer may have the job.
+	err := keep(newHolders(t, oneZone, &peer{silent: true}, &peer{keep: isFull}))
+	assert.Equal(t, failure.As(err).Outcome, outcome.Unknown)
+}
+
+func TestJobThatNoWorkerHasIsRefused(t *testing.T) {
+	err := keep(newHolders(t, oneZone, &peer{keep: isFull}, &peer{keep: isFull}))
+	assert.Equal(t, failure.As(err).Code, failure.CodeJobQuota)
+	assert.Equal(t, failure.As(err).Outcome, outcome.NotRun)
+
+	alone := &peer{keep: keeps}
+	err = keep(newHolders(t, oneZone, alone))
+	assert.Equal(t, failure.As(err).Outcome, outcome.NotRun)
+	assert.Equal(t, len(alone.asked), 0, "a worker was given a job that cannot become durable")
+}
+
+func TestCopiesLieInDifferentZones(t *testing.T) {
+	far := &peer{keep: keeps}
+	holders := newHolders(t, []ident.Zone{"z", "z", "z", "y"}, &peer{keep: keeps}, &peer{keep: keeps}, &peer{keep: keeps}, far)
+	assert.NilError(t, keep(holders))
+	assert.Equal(t, (<-far.asked).Entry.Turn, 1)
+}
+
+func TestPendingIsOnlyDeniedForCertain(t *testing.T) {
+	ctx := context.Background()
+	pending, sure := newHolders(t, oneZone, &peer{}, &peer{pending: true}).Pending(ctx, "j")
+	assert.Assert(t, pending && sure)
+	pending, sure = newHolders(t, oneZone, &peer{}, &peer{}).Pending(ctx, "j")
+	assert.Assert(t, !pending && sure)
+	_, sure = newHolders(t, oneZone, &peer{}, &peer{silent: true}).Pending(ctx, "j")
+	assert.Assert(t, !sure)
+}
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -19,7 +20,8 @@
 const (
 	methodResults = "/mallowlatch.jobpeer.Jobs/Results"
 	methodBody    = "/mallowlatch.jobpeer.Jobs/Body"
-	methodAccept  = "/mallowlatch.jobpeer.Jobs/Accept"
+	methodKeep    = "/mallowlatch.jobpeer.Jobs/Keep"
+	methodPending = "/mallowlatch.jobpeer.Jobs/Pending"
 )
 
 // Query asks for the results of a job from a position on.
@@ -50,27 +52,19 @@
 	Body  []byte `json:"body"`
 }
 
-// Acceptance asks a worker to write a job for a node that cannot reach the store.
-type Acceptance struct {
-	Job   ident.Job  `json:"job"`
-	Route string     `json:"route"`
-	Host  string     `json:"host"`
-	Zone  ident.Zone `json:"zone"`
+// KeepRequest asks a worker to put a job on its disk until the store takes it.
+type KeepRequest struct {
+	Entry *handoff.Entry `json:"entry"`
 	// MaximumQueuedTokens is the route's.
-	MaximumQueuedTokens int            `json:"maximum_queued_tokens"`
-	Items               []AcceptedItem `json:"items"`
+	MaximumQueuedTokens int `json:"maximum_queued_tokens"`
+	// Copies is the number of workers asked to keep the job.
+	Copies int `json:"copies"`
 }
 
-// AcceptedItem is an item with its body.
-type AcceptedItem struct {
-	work.Item
-	Bytes []byte `json:"bytes"`
-}
-
-// AcceptReply says how the worker ended.
-type AcceptReply struct {
-	Accepted bool `json:"accepted"`
-	// Code and Outcome are those of the failure, if there is one.
+// KeepReply says whether the worker keeps the job.
+type KeepReply struct {
+	Kept bool `json:"kept"`
+	// Code and Outcome are those of the refusal, if there is one.
 	Code    failure.Code    `json:"code,omitempty"`
 	Message string          `json:"message,omitempty"`
 	Outcome outcome.Outcome `json:"outcome,omitempty"`
@@ -78,6 +72,16 @@
 	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
 }
 
+// PendingQuery asks whether a worker has a job on its disk that the store may not have yet.
+type PendingQuery struct {
+	Job ident.Job `json:"job"`
+}
+
+// PendingReply answers a PendingQuery.
+type PendingReply struct {
+	Pending bool `json:"pending"`
+}
+
 // encoding carries messages as JSON: the texts of results are most of them, and no generated code is needed.
 type encoding struct{}
 
@@ -102,14 +106,15 @@
 type Server interface {
 	Results(ctx context.Context, query *Query) (*Reply, error)
 	Body(ctx context.Context, query *BodyQuery) (*BodyReply, error)
-	Accept(ctx context.Context, acceptance *Acceptance) (*AcceptReply, error)
+	Keep(ctx context.Context, request *KeepRequest) (*KeepReply, error)
+	Pending(ctx context.Context, query *PendingQuery) (*PendingReply, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 3 }
+func (Description) NumMethods() int { return 4 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -119,7 +124,9 @@
 	case 1:
 		return methodBody, encoding{}, receiveBody, Server.Body, true
 	case 2:
-		return methodAccept, encoding{}, receiveAccept, Server.Accept, true
+		return methodKeep, encoding{}, receiveKeep, Server.Keep, true
+	case 3:
+		return methodPending, encoding{}, receivePending, Server.Pending, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -132,6 +139,10 @@
 	return server.(Server).Body(ctx, in.(*BodyQuery))
 }
 
-func receiveAccept(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
-	return server.(Server).Accept(ctx, in.(*Acceptance))
+func receiveKeep(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Keep(ctx, in.(*KeepRequest))
+}
+
+func receivePending(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Pending(ctx, in.(*PendingQuery))
 }
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -13,8 +13,6 @@
 // WorkerServer answers queries from a worker's memory. It implements Server.
 type WorkerServer struct {
 	Worker *jobworker.Worker
-	// Accepter writes jobs for nodes that cannot reach the store.
-	Accepter Accepter
 }
 
 // Results implements Server.
--- a/internal/jobrecord/accept.go
+++ b/internal/jobrecord/accept.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/kv"
@@ -24,7 +25,9 @@
 	Route string
 	Host  string
 	Zone  ident.Zone
-	Items []work.Item
+	// Accepted is when the job was accepted; zero means now.
+	Accepted time.Time
+	Items    []work.Item
 }
 
 // Tokens are those of all items.
@@ -56,11 +59,24 @@
 	return err
 }
 
+func (r *Records) accepted(submission *Submission) time.Time {
+	if submission.Accepted.IsZero() {
+		return r.Now()
+	}
+	return submission.Accepted
+}
+
+// Check says whether a job can be kept; the error wraps ErrTooLarge.
+func (r *Records) Check(submission *Submission) error {
+	_, _, err := r.layOut(submission)
+	return err
+}
+
 // layOut puts the bodies one behind the other into values.
 func (r *Records) layOut(submission *Submission) (*Header, [][]byte, error) {
 	header := &Header{
 		ID: submission.ID, Route: submission.Route, Host: submission.Host, Zone: submission.Zone,
-		SubmittedMs: r.Now().UnixMilli(), Tokens: submission.Tokens(),
+		SubmittedMs: r.accepted(submission).UnixMilli(), Tokens: submission.Tokens(),
 	}
 	largest := r.ValueBytes / 4 * 3
 	var parts [][]byte
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -181,7 +181,7 @@
 			waiting, places = len(w.waiting(now)), w.places(now)
 			counted = true
 		}
-		delay := claimDelay(waiting, places, w.duration, candidate.entry.Zone == w.Zone, w.Options.ForeignDelay)
+		delay := claimDelay(waiting, places, w.duration, w.claimTurn(candidate), w.Options.ClaimStep)
 		if now.Sub(candidate.unclaimed) >= delay {
 			w.startClaim(candidate)
 			waiting += expectedItems
@@ -189,6 +189,11 @@
 	}
 }
 
+// claimTurn is this node's position among the workers for a job. The caller holds the mutex.
+func (w *Worker) claimTurn(candidate *openJob) int {
+	return claimTurn(w.Node, w.workers, candidate.entry.ID, candidate.entry.Zone)
+}
+
 // expectedItems is what a job that is being claimed is thought to add before it is read.
 const expectedItems = 10
 
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -170,6 +170,9 @@
 				return nil
 			case <-job.wake:
 			}
+			if !w.gather(job) {
+				return nil
+			}
 			if done := w.recordAll(job); done {
 				return nil
 			}
@@ -177,6 +180,37 @@
 	})
 }
 
+// gather waits until enough results wait to be recorded, or one has waited long enough. It returns false when the worker
+// ends.
+func (w *Worker) gather(job *jobRun) bool {
+	timer := time.NewTimer(w.Options.RecordDelay)
+	defer timer.Stop()
+	for !w.urgent(job) {
+		select {
+		case <-w.tomb.Dying():
+			return false
+		case <-timer.C:
+			return true
+		case <-job.wake:
+		}
+	}
+	return true
+}
+
+// urgent says whether a job's results are to be recorded at once: no more can come or fit, or the job is about to be due.
+func (w *Worker) urgent(job *jobRun) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if job.dropped || w.draining || len(job.unlisted) == 0 || len(job.unlisted) >= w.Records.MaximumAppended() {
+		return true
+	}
+	if len(job.recorded)+len(job.unlisted) == len(job.items) {
+		return true
+	}
+	untilDue := w.due(job.items[0]).Sub(w.Now())
+	return untilDue.Abs() < 2*w.Options.RecordDelay
+}
+
 // recordAll records until nothing waits. It returns true when the job needs no writer any more.
 func (w *Worker) recordAll(job *jobRun) bool {
 	for {
--- /dev/null
+++ b/internal/jobworker/keep.go
@@ -0,0 +1,87 @@
+package jobworker
+
+import (
+	"errors"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/handoff"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+)
+
+// keepRetryAfter is when a caller may come back to a worker that does not keep its job.
+const keepRetryAfter = 500 * time.Millisecond
+
+// Keep puts a job on this node's disk until the store takes it. bound is the route's bound of waiting tokens (zero has
+// none), copies the number of workers that keep each job. A nil error means that the job is durable here; any other is a
+// *failure.Error, with the outcome NotRun where the job is not kept here.
+func (w *Worker) Keep(entry *handoff.Entry, bound, copies int) error {
+	if w.Keeps(entry.Job) {
+		return nil
+	}
+	if refused := w.refuseToKeep(entry, bound, copies); refused != nil {
+		return refused
+	}
+	if err := w.Handoff.Put(entry); err != nil {
+		failed := failure.New(failure.CodeShardUnavailable, "the job could not be written here").WithCause(err)
+		if errors.Is(err, handoff.ErrDisk) {
+			return failed.WithOutcome(outcome.Unknown)
+		}
+		return failed.WithRetryAfter(keepRetryAfter)
+	}
+	event.JobKept.Log(w.Logger).Str("job", string(entry.Job)).Int("items", len(entry.Items)).Int("turn", entry.Turn).Send()
+	return nil
+}
+
+// refuseToKeep returns why this node does not take a job, or nil.
+func (w *Worker) refuseToKeep(entry *handoff.Entry, bound, copies int) error {
+	if w.Handoff == nil {
+		return failure.New(failure.CodeShardUnavailable, "this worker has no disk")
+	}
+	kept := w.Handoff.Tokens(entry.Route)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.draining {
+		return failure.New(failure.CodeShardUnavailable, "this worker is about to stop").WithRetryAfter(keepRetryAfter)
+	}
+	waiting := w.waitingTokens(entry.Route) + keptByAll(kept, len(w.workers), copies)
+	if bound > 0 && waiting+entry.Tokens() > bound {
+		return failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, entry.Tokens(), bound).
+			WithRetryAfter(keepRetryAfter)
+	}
+	return nil
+}
+
+// keptByAll estimates the tokens of the jobs that all workers keep from those kept here: each job is kept by some of
+// them, drawn anew for each job.
+func keptByAll(kept, workers, copies int) int {
+	if copies <= 0 || workers <= copies {
+		return kept
+	}
+	return kept * workers / copies
+}
+
+// waitingTokens returns the tokens of the open jobs of a route, as this node last saw them. Of the jobs of other nodes all
+// items count. The caller holds the mutex.
+func (w *Worker) waitingTokens(route string) int {
+	tokens := 0
+	for id, known := range w.open {
+		switch job := w.jobs[id]; {
+		case known.entry.Route != route:
+		case job != nil:
+			tokens += job.remaining(nil)
+		default:
+			tokens += known.entry.Tokens
+		}
+	}
+	return tokens
+}
+
+func (w *Worker) keepsJobs() bool { return w.Handoff != nil && len(w.Handoff.Entries()) > 0 }
+
+// Keeps says whether a job is on this node's disk and not known to be in the store.
+func (w *Worker) Keeps(job ident.Job) bool {
+	return w.Handoff != nil && w.Handoff.Has(job)
+}
--- a/internal/jobworker/retire.go
+++ b/internal/jobworker/retire.go
@@ -81,7 +81,7 @@
 // retireSelf ends what runs, gives up the jobs and reports.
 func (w *Worker) retireSelf(order *retirement) {
 	w.Drain(time.Duration(retireShare * float64(order.within)))
-	for !w.reportEmptied(w.Node) {
+	for w.keepsJobs() || !w.reportEmptied(w.Node) {
 		if !w.pause(w.Options.RetryAfter) {
 			return
 		}
--- a/internal/jobworker/share.go
+++ b/internal/jobworker/share.go
@@ -41,20 +41,53 @@
 	return c
 }
 
+// Leader returns the address of the worker that reads the registry for the others: the first by name of those that are
+// registered. It returns false where that is this node, or none is known.
+func (w *Worker) Leader() (string, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var first jobrecord.Worker
+	for _, worker := range w.workers {
+		if first.Node == "" || worker.Node < first.Node {
+			first = worker
+		}
+	}
+	return first.Address, first.Node != "" && first.Node != w.Node
+}
+
 const (
 	// claimShare of the time the waiting items will take is how long a node leaves a new job to idler ones.
 	claimShare = 0.25
 	// longestClaimDelay bounds that.
 	longestClaimDelay = 2 * time.Second
+	// lastClaimTurn bounds the turns of a job's workers.
+	lastClaimTurn = 3
 )
 
-// claimDelay is how long a node leaves an unclaimed job to others: a busy one to idler ones, and one of another zone to
-// those of the zone where the job was accepted, because bytes between zones have their price.
-func claimDelay(waiting, places int, duration time.Duration, sameZone bool, foreign time.Duration) time.Duration {
+// claimDelay is how long a node leaves an unclaimed job to others: a busy one to idler ones, and one whose turn is later
+// to those before it, so that they do not all call the store for the same job. step parts two turns.
+func claimDelay(waiting, places int, duration time.Duration, turn int, step time.Duration) time.Duration {
 	wait := duration * time.Duration(waiting) / time.Duration(max(places, 1))
 	delay := min(time.Duration(claimShare*float64(wait)), longestClaimDelay)
-	if !sameZone {
-		delay += foreign
+	return delay + time.Duration(min(turn, lastClaimTurn))*step
+}
+
+// claimTurn is the position of a worker in a job's order of workers: those of the zone where the job was accepted come
+// first, because bytes between zones have their price; among them each job has an order of its own (rendezvous
+// hashing), so that the jobs spread.
+func claimTurn(node ident.Node, workers map[ident.Node]jobrecord.Worker, job ident.Job, zone ident.Zone) int {
+	own := claimRank(node, job)
+	isNear := workers[node].Zone == zone
+	turn := 0
+	for other, worker := range workers {
+		near := worker.Zone == zone
+		if other != node && (near && !isNear || near == isNear && claimRank(other, job) > own) {
+			turn++
+		}
 	}
-	return delay
+	return turn
+}
+
+func claimRank(node ident.Node, job ident.Job) uint64 {
+	return xxhash.Sum64String(string(node) + "/" + string(job))
 }
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/batchroom"
+	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
@@ -31,9 +32,11 @@
 	WatchPause time.Duration
 	// RetryAfter is the pause after a failed call of the store.
 	RetryAfter time.Duration
-	// ForeignDelay is how long a job accepted in another zone is left to the workers there, beside what a busy node
-	// leaves it to idler ones.
-	ForeignDelay time.Duration
+	// ClaimStep is how long a job is left to each worker whose turn comes before this one's, beside what a busy node
+	// leaves it to idler ones. It is longer than a claim takes to be seen by the others.
+	ClaimStep time.Duration
+	// RecordDelay is how long results wait for others of their job, so that they cost one call together.
+	RecordDelay time.Duration
 	// DispatchEvery is the time between two rounds of giving out items.
 	DispatchEvery time.Duration
 	// ReportEvery is the time between two reports read from a runner in use.
@@ -52,9 +55,10 @@
 	LeaseTTL:      3 * time.Second,
 	CallTimeout:   time.Second,
 	WatchWait:     4 * time.Second,
-	WatchPause:    250 * time.Millisecond,
+	WatchPause:    400 * time.Millisecond,
 	RetryAfter:    200 * time.Millisecond,
-	ForeignDelay:  350 * time.Millisecond,
+	ClaimStep:     600 * time.Millisecond,
+	RecordDelay:   500 * time.Millisecond,
 	DispatchEvery: 60 * time.Millisecond,
 	ReportEvery:   200 * time.Millisecond,
 	StallAfter:    2500 * time.Millisecond,
@@ -74,6 +78,8 @@
 	Routes  *routetable.Table
 	Caller  work.Caller
 	Options Options
+	// Handoff keeps jobs that the store did not take yet; nil keeps none.
+	Handoff *handoff.Log
 	// Registry is told when a worker is emptied.
 	Registry work.Registry
 	Logger   zerolog.Logger
@@ -166,8 +172,11 @@
 	_ = w.Store.Revoke(ctx, lease)
 }
 
-// busy says whether items run or results wait to be recorded.
+// busy says whether items run, results wait to be recorded, or jobs wait to be handed over.
 func (w *Worker) busy() bool {
+	if w.keepsJobs() {
+		return true
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, job := range w.jobs {
--- a/internal/sitesettings/settings.go
+++ b/internal/sitesettings/settings.go
@@ -66,8 +66,18 @@
 	Cores int `yaml:"cores"`
 	// Descriptors the process may open.
 	Descriptors int `yaml:"descriptors"`
+	// DiskMB is the size of the disk, zero without one.
+	DiskMB float64 `yaml:"disk_mb"`
+	// LinkMbps is the speed of the machine's link in megabits a second.
+	LinkMbps float64 `yaml:"link_mbps"`
 }
 
+// DiskBytes is the size of the disk.
+func (l Limits) DiskBytes() int64 { return int64(l.DiskMB * 1e6) }
+
+// LinkBytes is what the link carries in bytes a second.
+func (l Limits) LinkBytes() float64 { return l.LinkMbps * 1e6 / 8 }
+
 // Bounds are the deployment's times. Values in seconds may have fractions.
 type Bounds struct {
 	DrainMs          int     `yaml:"drain_ms"`
@@ -77,6 +87,8 @@
 	CancelMs         int     `yaml:"cancel_ms"`
 	ResultRetentionS float64 `yaml:"result_retention_s"`
 	QuotaOverage     float64 `yaml:"quota_overage"`
+	// LostDisks is how many machines with a disk may be lost at once.
+	LostDisks int `yaml:"lost_disks"`
 }
 
 // Grace is how long a process may take to stop.
@@ -137,6 +149,9 @@
 	if s.Bounds.GraceS <= 0 {
 		fault("bounds.grace_s", "must be above zero")
 	}
+	if s.Bounds.LostDisks < 0 {
+		fault("bounds.lost_disks", "must not be below zero")
+	}
 	if s.Store.ValueBytes <= 0 {
 		fault("store.value_bytes", "must be above zero")
 	}
