Keep room for the mean of online work, and tell fronts which workers there are

Cause: (1) batch kept room for the most online work seen at a runner in 0.6 s. Counts of a few vary by chance, so that the sum over 18 runners of the highest counts was up to 186 of 192 places in each burst, and batch fell from 150 runs to 10 to 40; online work alone needs about half of the places then. (2) A front read the list of workers each 20 s, and one that started with them knew one of three: too few to keep a job while the store was down (found by TestJobIsNotTakenWithTooFewDisks, which was told 503 where one worker should have had the job).

Change: room beside the mean of the window or the newest count; workers tell fronts which workers there are, with each reading of the registry.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobentry"
@@ -47,7 +45,7 @@
 	records := process.records()
 	holders := &jobpeer.Holders{Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Copies: settings.Bounds.LostDisks + 1, Now: time.Now}
 	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes()}
-	process.follow(&follower.Follower{Source: &workerFeed{holders: holders, index: xxhash.Sum64String(settings.Node.Name)}})
+	process.follow(&follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}})
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: time.Now,
@@ -64,25 +62,6 @@
 	return process.end()
 }
 
-// workerFeed asks a worker for what it read of the registry. It implements follower.Source.
-type workerFeed struct {
-	holders *jobpeer.Holders
-	index   uint64
-}
-
-// Next implements follower.Source.
-func (w *workerFeed) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
-	address, connection, err := w.holders.Nearest(ctx, w.index)
-	if err != nil {
-		return nil, err
-	}
-	snapshot, err := fleetfeed.Ask(ctx, connection, known)
-	if err != nil {
-		w.holders.Avoid(address)
-	}
-	return snapshot, err
-}
-
 // ready says whether the node can serve: it knows the configuration and the runners, and is not stopping.
 func (p *process) ready() bool {
 	return !p.lifecycle.Stopping() && p.routes.Catalog() != nil && p.runners.Count() > 0
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -37,6 +37,7 @@
 	worker.Handoff = kept
 	worker.Start(process.tomb)
 	feed := fleetfeed.New(time.Now)
+	feed.Workers = jobpeer.FeedWorkers(worker)
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	source := &jobpeer.LeaderFeed{Leader: worker.Leader, Connect: pool.ConnAddress, Now: time.Now}
--- a/internal/batchroom/gauge.go
+++ b/internal/batchroom/gauge.go
@@ -49,13 +49,18 @@
 	g.waitedBefore, g.waiting, g.acted = g.waiting, load.Waiting, false
 }
 
-// others is the most work of others seen in the window.
+// others is the work of others that room is kept for: the mean of the window or the newest count, whichever is more. The
+// most seen in the window would be far more than the mean at every runner, by chance alone.
 func (g *Gauge) others() int {
-	most := 0
+	if len(g.samples) == 0 {
+		return 0
+	}
+	sum := 0
 	for _, seen := range g.samples {
-		most = max(most, seen.others)
+		sum += seen.others
 	}
-	return most
+	mean := (sum + len(g.samples) - 1) / len(g.samples)
+	return max(mean, g.samples[len(g.samples)-1].others)
 }
 
 // Room returns how many batch items more the runner may take beside the own ones it has.
--- a/internal/batchroom/gauge_test.go
+++ b/internal/batchroom/gauge_test.go
@@ -56,3 +56,17 @@
 	assert.Equal(t, gauge.Room(10, 0, start), 8)
 	assert.Equal(t, gauge.Room(10, 0, start.Add(5*time.Second)), 1, "an old report is still believed")
 }
+
+// TestRoomFollowsTheMeanOfOnlineWork has the online work of one runner vary by chance, as it does all the time: the highest
+// count lately is not what is kept room for, but the newest count always is.
+func TestRoomFollowsTheMeanOfOnlineWork(t *testing.T) {
+	var gauge batchroom.Gauge
+	now := start
+	for _, online := range []int{8, 3, 3, 2} {
+		gauge.Observe(work.Load{Running: online, Slots: 12}, 0, now)
+		now = now.Add(150 * time.Millisecond)
+	}
+	assert.Equal(t, gauge.Room(12, 0, now), 12-2-4)
+	gauge.Observe(work.Load{Running: 9, Slots: 12}, 0, now)
+	assert.Equal(t, gauge.Room(12, 0, now), 12-2-9)
+}
--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -13,6 +13,7 @@
 
 	"storj.io/drpc"
 
+	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -42,13 +43,25 @@
 	Catalog *work.Catalog `json:"catalog,omitempty"`
 	// Retire holds the workers to be emptied.
 	Retire []work.Retirement `json:"retire,omitempty"`
+	// Workers are those that run batch jobs, as the node last saw them; none means that it does not know.
+	Workers []Worker `json:"workers,omitempty"`
 	// HeldMs is how long the answer was held; what is left of the call's time was its way.
 	HeldMs int64 `json:"held_ms"`
 }
 
+// Worker is a node that runs batch jobs.
+type Worker struct {
+	Node ident.Node `json:"node"`
+	Zone ident.Zone `json:"zone"`
+	// Address is where other nodes call it.
+	Address string `json:"address"`
+}
+
 // Feed holds the newest readings of a node and answers others. It is safe for concurrent use.
 type Feed struct {
 	Now func() time.Time
+	// Workers returns the nodes that run batch jobs; nil tells none.
+	Workers func() []Worker
 
 	mutex       sync.Mutex
 	incarnation int64
@@ -114,6 +127,9 @@
 		snapshot, changed, newer := f.compare(known)
 		if newer || over {
 			snapshot.HeldMs = f.Now().Sub(began).Milliseconds()
+			if f.Workers != nil {
+				snapshot.Workers = f.Workers()
+			}
 			return snapshot, nil
 		}
 		select {
--- /dev/null
+++ b/internal/jobpeer/feed.go
@@ -0,0 +1,58 @@
+package jobpeer
+
+import (
+	"context"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+)
+
+// oldestLearned is how old a worker's reading of the registry may be for its list of the workers to be taken over: one
+// that is cut off from the store does not see who comes and goes.
+const oldestLearned = 3 * time.Second
+
+// WorkerFeed asks a near worker for what it read of the registry, and learns from it which workers there are. It
+// implements follower.Source.
+type WorkerFeed struct {
+	Holders *Holders
+	// Index chooses among the near workers, so that nodes spread over them.
+	Index uint64
+}
+
+// Next implements follower.Source.
+func (w *WorkerFeed) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
+	address, connection, err := w.Holders.Nearest(ctx, w.Index)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := fleetfeed.Ask(ctx, connection, known)
+	if err != nil {
+		w.Holders.avoid(address)
+		return nil, err
+	}
+	if len(snapshot.Workers) > 0 && snapshot.RunnersAgeMs < oldestLearned.Milliseconds() {
+		w.Holders.Learn(workersOf(snapshot))
+	}
+	return snapshot, nil
+}
+
+func workersOf(snapshot *fleetfeed.Snapshot) []jobrecord.Worker {
+	workers := make([]jobrecord.Worker, 0, len(snapshot.Workers))
+	for _, worker := range snapshot.Workers {
+		workers = append(workers, jobrecord.Worker{Node: worker.Node, Zone: worker.Zone, Address: worker.Address})
+	}
+	return workers
+}
+
+// FeedWorkers returns the workers that a worker knows, for its feed.
+func FeedWorkers(worker *jobworker.Worker) func() []fleetfeed.Worker {
+	return func() []fleetfeed.Worker {
+		var workers []fleetfeed.Worker
+		for _, registered := range worker.Registered() {
+			workers = append(workers, fleetfeed.Worker{Node: registered.Node, Zone: registered.Zone, Address: registered.Address})
+		}
+		return workers
+	}
+}
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -123,9 +123,6 @@
 	return near[index%uint64(len(near))], true
 }
 
-// Avoid leaves a worker alone for a while that did not answer a call made elsewhere.
-func (h *Holders) Avoid(address string) { h.avoid(address) }
-
 // ask makes one call. A worker that does not answer is left alone for a while.
 func (h *Holders) ask(ctx context.Context, address, method string, query, reply any, wait time.Duration) bool {
 	call, cancel := context.WithTimeout(ctx, wait+callSlack)
@@ -184,11 +181,17 @@
 	if err != nil {
 		return
 	}
+	h.Learn(workers)
+}
+
+// Learn takes over a list of the workers that was just read, here or by another node.
+func (h *Holders) Learn(workers []jobrecord.Worker) {
 	slices.SortFunc(workers, func(first, second jobrecord.Worker) int { return cmp.Compare(first.Node, second.Node) })
 	slices.SortStableFunc(workers, h.nearFirst)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.workers = workers
+	h.read = h.Now()
 }
 
 func (h *Holders) nearFirst(first, second jobrecord.Worker) int {
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -26,6 +27,7 @@
 	keep    jobpeer.KeepReply
 	pending bool
 	silent  bool
+	feed    fleetfeed.Snapshot
 	asked   chan *jobpeer.KeepRequest
 }
 
@@ -39,6 +41,8 @@
 	switch reply := out.(type) {
 	case *jobpeer.KeepReply:
 		*reply = p.keep
+	case *fleetfeed.Snapshot:
+		*reply = p.feed
 	case *jobpeer.PendingReply:
 		reply.Pending = p.pending
 	}
@@ -120,3 +124,23 @@
 	_, sure = newHolders(t, oneZone, &peer{}, &peer{silent: true}).Pending(ctx, "j")
 	assert.Assert(t, !sure)
 }
+
+// TestFrontLearnsOfWorkersFromAWorker has a worker name one that came after the front's own reading: only with it are there
+// enough to keep a job.
+func TestFrontLearnsOfWorkersFromAWorker(t *testing.T) {
+	first := &peer{keep: keeps}
+	holders := newHolders(t, oneZone, first)
+	assert.Assert(t, keep(holders) != nil)
+	source := &jobpeer.WorkerFeed{Holders: holders}
+	first.feed = fleetfeed.Snapshot{
+		RunnersAgeMs: (5 * time.Second).Milliseconds(),
+		Workers:      []fleetfeed.Worker{{Node: "a", Zone: "z", Address: "a"}, {Node: "b", Zone: "z", Address: "a"}},
+	}
+	_, err := source.Next(context.Background(), &fleetfeed.Known{})
+	assert.NilError(t, err)
+	assert.Assert(t, keep(holders) != nil, "the word of a worker that is cut off was taken")
+	first.feed.RunnersAgeMs = 200
+	_, err = source.Next(context.Background(), &fleetfeed.Known{})
+	assert.NilError(t, err)
+	assert.NilError(t, keep(holders))
+}
--- a/internal/jobworker/share.go
+++ b/internal/jobworker/share.go
@@ -1,6 +1,8 @@
 package jobworker
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +43,13 @@
 	return c
 }
 
+// Registered returns the workers as this node last saw them.
+func (w *Worker) Registered() []jobrecord.Worker {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Collect(maps.Values(w.workers))
+}
+
 // Leader returns the address of the worker that reads the registry for the others: the first by name of those that are
 // registered. It returns false where that is this node, or none is known.
 func (w *Worker) Leader() (string, bool) {
