Leave a claim that lapsed in an outage to its holder

Cause: where the store's leases run out while it is away, the first worker to see a job unclaimed took it, though its holder lived and had results that it could not record.

Change: a worker whose own lease could not be renewed for a second leaves such a claim to its former holder for 1.5 s.

Ruled out: following the open jobs as the sign of an outage (a watch may wait through it: the test failed 4 times of 6).

--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -17,7 +17,9 @@
 func (w *Worker) keepLease() error {
 	for {
 		pause := w.Options.LeaseTTL / 3
-		if err := w.renewLease(); err != nil {
+		err := w.renewLease()
+		w.noteOutage(err != nil)
+		if err != nil {
 			w.logStore("renewing the lease", err)
 			pause = w.Options.RetryAfter
 		}
@@ -27,6 +29,12 @@
 	}
 }
 
+func (w *Worker) noteOutage(failed bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.outage.note(failed, w.Options.OutageAfter, w.Now())
+}
+
 func (w *Worker) renewLease() error {
 	w.mutex.Lock()
 	lease, draining := w.lease, w.draining
@@ -143,6 +151,10 @@
 		claimed := w.claimedElsewhere(id)
 		if known.claimed && !claimed {
 			known.unclaimed = now
+			if w.outage.justEnded(w.Options.HolderGrace, w.Options.OutageAfter, now) {
+				// Its holder renews its lease as soon as the store answers, and has what it made since.
+				known.notBefore = now.Add(w.Options.HolderGrace)
+			}
 		}
 		known.claimed = claimed
 	}
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -35,6 +35,11 @@
 	// ClaimStep is how long a job is left to each worker whose turn comes before this one's, beside what a busy node
 	// leaves it to idler ones. It is longer than a claim takes to be seen by the others.
 	ClaimStep time.Duration
+	// OutageAfter is how long the lease could not be renewed for it to count as an outage, in which leases may run out though
+	// their holders live.
+	OutageAfter time.Duration
+	// HolderGrace is how long a claim that went in an outage is left to its former holder.
+	HolderGrace time.Duration
 	// RecordDelay is how long results wait for others of their job, so that they cost one call together.
 	RecordDelay time.Duration
 	// DispatchEvery is the time between two rounds of giving out items.
@@ -58,6 +63,8 @@
 	WatchPause:    400 * time.Millisecond,
 	RetryAfter:    200 * time.Millisecond,
 	ClaimStep:     600 * time.Millisecond,
+	OutageAfter:   time.Second,
+	HolderGrace:   1500 * time.Millisecond,
 	RecordDelay:   500 * time.Millisecond,
 	DispatchEvery: 60 * time.Millisecond,
 	ReportEvery:   200 * time.Millisecond,
@@ -94,6 +101,8 @@
 	leaseUntil time.Time
 	// live is what the node follows; only followLive touches it.
 	live *jobrecord.Live
+	// outage follows whether the store is away, by the renewals of the lease.
+	outage outage
 	// workers are all that run jobs, open the open jobs of all nodes, jobs those that this node runs.
 	workers map[ident.Node]jobrecord.Worker
 	open    map[ident.Job]*openJob
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -30,11 +30,28 @@
 type fakeCaller struct {
 	mutex sync.Mutex
 	cut   bool
+	// held makes every item wait until it is false.
+	held bool
 	// failing is the runner that answers every item with a failure.
 	failing ident.Runner
 }
 
-func (c *fakeCaller) Send(_ context.Context, attempt work.Attempt) (*work.Reply, error) {
+func (c *fakeCaller) hold(held bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.held = held
+}
+
+func (c *fakeCaller) isHeld() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.held
+}
+
+func (c *fakeCaller) Send(ctx context.Context, attempt work.Attempt) (*work.Reply, error) {
+	for c.isHeld() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.cut {
@@ -119,6 +136,20 @@
 	})
 }
 
+// waitClaimed waits until a worker holds the claim of a job, and fails where another one does.
+func (g *group) waitClaimed(id string, node ident.Node) {
+	g.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		live, err := g.records.ReadLive(context.Background())
+		assert.NilError(g.t, err)
+		if holder, claimed := live.Claimed[ident.Job(id)]; claimed {
+			assert.Equal(g.t, holder, node)
+			return
+		}
+	}
+	g.t.Fatalf("job %s was not claimed", id)
+}
+
 func (g *group) submit(id string, items int) {
 	submission := &jobrecord.Submission{ID: ident.Job(id), Route: "r", Host: "h", Zone: "z"}
 	for index := range items {
@@ -213,3 +244,25 @@
 	g.submit("j", 24)
 	g.waitWhole("j", 24)
 }
+
+// TestClaimThatLapsedInAnOutageIsLeftToItsHolder lets the lease of a living worker run out while the store is away: the
+// other worker sees the job unclaimed first, and still leaves it to the one that has its results.
+func TestClaimThatLapsedInAnOutageIsLeftToItsHolder(t *testing.T) {
+	g := newGroup(t)
+	g.add("n0", oneRunner("i-1"))
+	g.callers["n0"].hold(true)
+	g.submit("j", 2)
+	g.waitClaimed("j", "n0")
+	g.add("n1", oneRunner("i-1"))
+	time.Sleep(700 * time.Millisecond)
+	for _, store := range g.stores {
+		store.SetFaults(kvtest.PagedFaults{Down: true})
+	}
+	time.Sleep(2500 * time.Millisecond)
+	g.stores["n1"].SetFaults(kvtest.PagedFaults{})
+	time.Sleep(500 * time.Millisecond)
+	g.stores["n0"].SetFaults(kvtest.PagedFaults{})
+	g.waitClaimed("j", "n0")
+	g.callers["n0"].hold(false)
+	g.waitWhole("j", 2)
+}
