--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RAPID_PACKAGES = $(shell grep -rl '"pgregory.net/rapid"' --include='*_test.go' . | xargs -r -n1 dirname | sort -u)
 PLAIN_PACKAGES = $(filter-out $(patsubst ./%,mallowlatch.example/mallowlatch/%,$(RAPID_PACKAGES)),$(shell $(GO) list ./...))
 
-.PHONY: dev test build lint model unit generate
+.PHONY: dev test tools build lint model unit generate
 
 dev: ## a whole small site in one process on loopback
 	$(GO) run ./cmd/mallowlatch dev
@@ -12,7 +12,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-test: lint model unit ## everything CI runs
+test: tools lint model unit ## everything CI runs
+
+tools: ## says what is missing before anything starts
+	@command -v spin >/dev/null && command -v gcc >/dev/null || { echo "make test needs spin and gcc: apt-get install spin gcc make"; exit 1; }
 
 lint:
 	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; echo "gofmt: files above need formatting"; exit 1; }
