Call the store less with many workers, and while it is away

Change: from four workers on they pause longer between two looks, up to three times, and leave jobs longer to each other; after a failed call a loop waits while the renewals of the lease fail too, at most a second.

--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -99,11 +99,14 @@
 // followLive follows the open jobs, the claims and the workers. It reads them anew after a failure.
 func (w *Worker) followLive() error {
 	for {
-		pause := w.Options.WatchPause
+		pause := w.watchPause()
 		if err := w.nextLive(); err != nil {
 			w.logStore("following the open jobs", err)
 			w.live.Revision = 0
-			pause = w.Options.RetryAfter
+			if !w.pauseForStore() {
+				return nil
+			}
+			continue
 		}
 		if !w.pause(pause) {
 			return nil
@@ -111,6 +114,12 @@
 	}
 }
 
+func (w *Worker) watchPause() time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.crowded(w.Options.WatchPause)
+}
+
 // nextLive takes over the next changes. Only followLive calls it, so that the live state has one writer; what other
 // loops need of it is copied under the mutex.
 func (w *Worker) nextLive() error {
@@ -193,7 +202,7 @@
 			waiting, places = len(w.waiting(now)), w.places(now)
 			counted = true
 		}
-		delay := claimDelay(waiting, places, w.duration, w.claimTurn(candidate), w.Options.ClaimStep)
+		delay := claimDelay(waiting, places, w.duration, w.claimTurn(candidate), w.crowded(w.Options.ClaimStep))
 		if now.Sub(candidate.unclaimed) >= delay {
 			w.startClaim(candidate)
 			waiting += expectedItems
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -233,7 +233,7 @@
 		case err != nil:
 			w.logStore("recording results of job "+string(job.header.ID), err)
 		}
-		if err != nil && !w.pause(w.Options.RetryAfter) {
+		if err != nil && !w.pauseForStore() {
 			return true
 		}
 	}
--- a/internal/jobworker/share.go
+++ b/internal/jobworker/share.go
@@ -73,6 +73,25 @@
 	lastClaimTurn = 3
 )
 
+const (
+	// fewWorkers follow the open jobs as often as the options say; more of them follow less often, so that the calls of all
+	// together do not rise with their number.
+	fewWorkers = 4
+	// mostCrowding bounds how much less often: the end of a job must be seen in time.
+	mostCrowding = 3
+)
+
+// crowding is the factor by which a number of workers pauses longer between two looks at the open jobs, and leaves jobs
+// longer to each other.
+func crowding(workers int) float64 {
+	return min(max(float64(workers)/fewWorkers, 1), mostCrowding)
+}
+
+// crowded stretches a duration by the number of workers. The caller holds the mutex.
+func (w *Worker) crowded(duration time.Duration) time.Duration {
+	return time.Duration(crowding(len(w.workers)) * float64(duration))
+}
+
 // claimDelay is how long a node leaves an unclaimed job to others: a busy one to idler ones, and one whose turn is later
 // to those before it, so that they do not all call the store for the same job. step parts two turns.
 func claimDelay(waiting, places int, duration time.Duration, turn int, step time.Duration) time.Duration {
--- a/internal/jobworker/share_test.go
+++ b/internal/jobworker/share_test.go
@@ -57,3 +57,13 @@
 	assert.Assert(t, other)
 	assert.Equal(t, address, "first")
 }
+
+func TestManyWorkersCallLessOftenEach(t *testing.T) {
+	assert.Equal(t, crowding(0), 1.0)
+	assert.Equal(t, crowding(fewWorkers), 1.0)
+	assert.Equal(t, crowding(2*fewWorkers), 2.0)
+	assert.Equal(t, crowding(1000), float64(mostCrowding))
+	// The end of a job is seen by every worker well within the three seconds in which nothing of it may be run any more.
+	pause := time.Duration(mostCrowding * float64(DefaultOptions.WatchPause))
+	assert.Assert(t, pause+DefaultOptions.CallTimeout < 2500*time.Millisecond)
+}
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -213,6 +213,29 @@
 	}
 }
 
+// longestStorePause bounds the pause after a failed call of the store.
+const longestStorePause = time.Second
+
+// pauseForStore waits after a failed call, while the renewals of the lease fail too: one loop that tries is enough to see
+// that the store is back. It returns false when the worker ends.
+func (w *Worker) pauseForStore() bool {
+	for waited := time.Duration(0); waited < longestStorePause; waited += w.Options.RetryAfter {
+		if !w.pause(w.Options.RetryAfter) {
+			return false
+		}
+		if !w.storeFails() {
+			return true
+		}
+	}
+	return true
+}
+
+func (w *Worker) storeFails() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return !w.outage.failingSince.IsZero()
+}
+
 func (w *Worker) expireLoop() error {
 	for w.pause(w.Options.ExpirySweep) {
 		ctx, cancel := w.call()
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -266,3 +266,29 @@
 	g.callers["n0"].hold(false)
 	g.waitWhole("j", 2)
 }
+
+// TestWorkerCallsAStoreThatIsAwayLittle has results of several jobs wait for the store: the worker must not call it for each.
+func TestWorkerCallsAStoreThatIsAwayLittle(t *testing.T) {
+	g := newGroup(t)
+	g.add("n0", oneRunner("i-1"))
+	g.callers["n0"].hold(true)
+	for job := range 6 {
+		g.submit(fmt.Sprint("j", job), 1)
+	}
+	for job := range 6 {
+		g.waitClaimed(fmt.Sprint("j", job), "n0")
+	}
+	time.Sleep(500 * time.Millisecond)
+	g.stores["n0"].SetFaults(kvtest.PagedFaults{Down: true})
+	g.callers["n0"].hold(false)
+	time.Sleep(time.Second)
+	before := g.stores["n0"].Calls()
+	time.Sleep(2 * time.Second)
+	// Each of the writers tries about once a second, and the lease is renewed five times a second.
+	calls := g.stores["n0"].Calls() - before
+	assert.Assert(t, calls <= 40, "%d calls in two seconds", calls)
+	g.stores["n0"].SetFaults(kvtest.PagedFaults{})
+	for job := range 6 {
+		g.waitWhole(fmt.Sprint("j", job), 1)
+	}
+}
