--- a/internal/sitesettings/settings_test.go
+++ b/internal/sitesettings/settings_test.go
@@ -17,7 +17,7 @@
 listen: {callers: "127.0.0.1:1", ready: "127.0.0.1:2", peers: "127.0.0.1:3"}
 store: {address: "127.0.0.1:4", value_bytes: 1048576, shortest_lease_ms: 1000}
 limits: {memory_mb: 300, cores: 1, descriptors: 1000}
-bounds: {drain_ms: 2000, grace_s: 8.5, configuration_ms: 2000, settle_ms: 1000, cancel_ms: 3000, result_retention_s: 120, quota_overage: 0.1}
+bounds: {drain_ms: 2000, grace_s: 8.5, configuration_ms: 2000, settle_ms: 1000, cancel_ms: 3000, result_retention_s: 120, quota_overage: 0.1, lost_disks: 1}
 `
 
 func TestGoodSettings(t *testing.T) {
@@ -44,6 +44,7 @@
 		{`value_bytes: 1048576`, `value_bytes: 0`, "store.value_bytes"},
 		{`memory_mb: 300`, `memory_mb: -1`, "limits.memory_mb"},
 		{`grace_s: 8.5`, `grace_s: 0`, "bounds.grace_s"},
+		{`lost_disks: 1`, `lost_disks: -1`, "bounds.lost_disks"},
 	}
 	for _, c := range cases {
 		changed := strings.Replace(good, c.from, c.to, 1)
