Say every two seconds what becomes of the places that batch may take

The logs did not say whether places were lacking, out of reach, or kept free. Change: each worker writes event 3615 (batch_load) while jobs are open: items that run, wait and wait in vain; places of its runners, online work there, batch items, room for more. No decision changed.

--- a/internal/event/jobworker.go
+++ b/internal/event/jobworker.go
@@ -19,4 +19,5 @@
 	WorkerRetired  = register(3609, "worker_retired", zerolog.InfoLevel, "A worker is emptied as the operator asked, and the operator was told.", "none")
 	MirrorFailed   = register(3613, "mirror_failed", zerolog.WarnLevel, "The output so far of batch items could not be kept at a second worker, or asked for there.", "none unless it persists: check the worker named")
 	JobNotAssigned = register(3614, "job_not_assigned", zerolog.InfoLevel, "A batch job was claimed for a worker as it was accepted, and the worker did not answer or does not run it; the claim is given up.", "none unless it persists: check the worker named")
+	BatchLoad      = register(3615, "batch_load", zerolog.InfoLevel, "How many batch items of this worker's jobs run and wait, how many of those that wait can be in time no more, and what becomes of the places of the runners that it owns: online work, batch items, room for more; the rest is kept free.", "where items wait and other workers have room, look at the lines of those; where room is zero everywhere, the places are used up")
 )
--- a/internal/jobworker/assign.go
+++ b/internal/jobworker/assign.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
@@ -39,22 +40,29 @@
 
 // batchPlaces returns how many items the owned runners of all batch routes could run now. The caller holds the mutex.
 func (w *Worker) batchPlaces(now time.Time) int {
+	places := 0
+	for _, service := range w.batchServices() {
+		places += w.placesOf(service, now)
+	}
+	return places
+}
+
+// batchServices returns the services that batch routes go to.
+func (w *Worker) batchServices() []string {
 	catalog := w.Routes.Catalog()
 	if catalog == nil {
-		return 0
+		return nil
 	}
-	services := map[string]bool{}
-	places := 0
+	var services []string
 	for index := range catalog.Routes {
 		route := &catalog.Routes[index]
 		for _, part := range route.Split {
-			if route.Kind == work.Batch && !services[part.Service] {
-				services[part.Service] = true
-				places += w.placesOf(part.Service, now)
+			if route.Kind == work.Batch && !slices.Contains(services, part.Service) {
+				services = append(services, part.Service)
 			}
 		}
 	}
-	return places
+	return services
 }
 
 // Assign has this node run a job that was accepted with its claim. It returns ErrNotAssignable where it does not, so that
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -30,6 +30,7 @@
 		w.askReports(now)
 		w.give(waiting, now)
 		w.releaseResting(now)
+		w.logLoad(now)
 	}
 	return nil
 }
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -125,6 +125,8 @@
 	owners map[ident.Runner]ident.Node
 	// found is the batch work that the last round of giving out items found.
 	found batchLoad
+	// loadLogged is when the batch load was last written to the log.
+	loadLogged time.Time
 	// gauges follow the runners that may take batch items.
 	gauges map[ident.Runner]*gauged
 	// duration is the mean time of a whole run, events the mean number of its events, tokens the mean of the items'
