Lend places of runners between workers, so that a job runs wherever the fleet has a free place

Change: internal/lending keeps account of lent places; a worker with waiting items asks owners of its zone for places, and those of other zones only for items that would be late here. The borrower runs the items itself, so that claims, results, second places and ends are as before. Owners take places back at once when online work needs them.

--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -41,7 +41,8 @@
 	}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
-	worker.Mirrors = &jobpeer.Mirrors{Connect: pool.ConnAddress}
+	peers := &jobpeer.Peers{Connect: pool.ConnAddress}
+	worker.Mirrors, worker.Lenders = peers, peers
 	worker.Start(process.tomb)
 	feed := fleetfeed.New(time.Now)
 	feed.Workers = jobpeer.FeedWorkers(worker)
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -13,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jsoncall"
+	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -20,14 +21,16 @@
 
 // Names of the calls.
 const (
-	methodResults = "/mallowlatch.jobpeer.Jobs/Results"
-	methodBody    = "/mallowlatch.jobpeer.Jobs/Body"
-	methodKeep    = "/mallowlatch.jobpeer.Jobs/Keep"
-	methodPending = "/mallowlatch.jobpeer.Jobs/Pending"
-	methodDemand  = "/mallowlatch.jobpeer.Jobs/Demand"
-	methodMirror  = "/mallowlatch.jobpeer.Jobs/Mirror"
-	methodRecall  = "/mallowlatch.jobpeer.Jobs/Recall"
-	methodAssign  = "/mallowlatch.jobpeer.Jobs/Assign"
+	methodResults  = "/mallowlatch.jobpeer.Jobs/Results"
+	methodBody     = "/mallowlatch.jobpeer.Jobs/Body"
+	methodKeep     = "/mallowlatch.jobpeer.Jobs/Keep"
+	methodPending  = "/mallowlatch.jobpeer.Jobs/Pending"
+	methodDemand   = "/mallowlatch.jobpeer.Jobs/Demand"
+	methodMirror   = "/mallowlatch.jobpeer.Jobs/Mirror"
+	methodRecall   = "/mallowlatch.jobpeer.Jobs/Recall"
+	methodAssign   = "/mallowlatch.jobpeer.Jobs/Assign"
+	methodLend     = "/mallowlatch.jobpeer.Jobs/Lend"
+	methodTakeBack = "/mallowlatch.jobpeer.Jobs/TakeBack"
 )
 
 // Query asks for the results of a job from a position on.
@@ -132,6 +135,9 @@
 	Outputs []progress.Output `json:"outputs"`
 }
 
+// TakeBackReply says that places were given back.
+type TakeBackReply struct{}
+
 // Server answers queries.
 type Server interface {
 	Results(ctx context.Context, query *Query) (*Reply, error)
@@ -142,13 +148,15 @@
 	Mirror(ctx context.Context, request *MirrorRequest) (*MirrorReply, error)
 	Recall(ctx context.Context, query *RecallQuery) (*RecallReply, error)
 	Assign(ctx context.Context, request *AssignRequest) (*AssignReply, error)
+	Lend(ctx context.Context, request *lending.Request) (*lending.Reply, error)
+	TakeBack(ctx context.Context, recall *lending.Recall) (*TakeBackReply, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 8 }
+func (Description) NumMethods() int { return 10 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -169,6 +177,10 @@
 		return methodRecall, jsoncall.Encoding{}, receiveRecall, Server.Recall, true
 	case 7:
 		return methodAssign, jsoncall.Encoding{}, receiveAssign, Server.Assign, true
+	case 8:
+		return methodLend, jsoncall.Encoding{}, receiveLend, Server.Lend, true
+	case 9:
+		return methodTakeBack, jsoncall.Encoding{}, receiveTakeBack, Server.TakeBack, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -204,3 +216,11 @@
 func receiveAssign(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 	return server.(Server).Assign(ctx, in.(*AssignRequest))
 }
+
+func receiveLend(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Lend(ctx, in.(*lending.Request))
+}
+
+func receiveTakeBack(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).TakeBack(ctx, in.(*lending.Recall))
+}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -7,6 +7,7 @@
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/lending"
 )
 
 // longestWait bounds how long a query is held.
@@ -50,3 +51,14 @@
 	err := s.Worker.Assign(request.assigned(), kv.LeaseID(request.Lease))
 	return &AssignReply{Taken: err == nil}, nil
 }
+
+// Lend implements Server.
+func (s *WorkerServer) Lend(_ context.Context, request *lending.Request) (*lending.Reply, error) {
+	return s.Worker.Lend(request), nil
+}
+
+// TakeBack implements Server.
+func (s *WorkerServer) TakeBack(_ context.Context, recall *lending.Recall) (*TakeBackReply, error) {
+	s.Worker.TakenBack(*recall)
+	return &TakeBackReply{}, nil
+}
--- a/internal/jobworker/assign.go
+++ b/internal/jobworker/assign.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
@@ -57,8 +56,8 @@
 	for index := range catalog.Routes {
 		route := &catalog.Routes[index]
 		for _, part := range route.Split {
-			if route.Kind == work.Batch && !slices.Contains(services, part.Service) {
-				services = append(services, part.Service)
+			if route.Kind == work.Batch {
+				services = appendNew(services, part.Service)
 			}
 		}
 	}
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -6,7 +6,6 @@
 	"mallowlatch.example/mallowlatch/internal/batchroom"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -46,7 +45,7 @@
 		return
 	}
 	short := &w.gaugeOf(id).short
-	excess := batchroom.Excess(runner.Slots, w.Runners.Own(id, runnertable.Batch), w.demand.Online(id, "", now))
+	excess := batchroom.Excess(runner.Slots, w.batchAt(id, now), w.demand.Online(id, "", now))
 	if short.awaited {
 		short.least = min(short.least, excess)
 		return
@@ -99,13 +98,13 @@
 func (w *Worker) shares(asking ident.Node, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
 	for _, runner := range w.Runners.All() {
-		if w.ownerOf(runner) != w.Node {
+		if !w.owns(runner) {
 			continue
 		}
 		answer.Shares = append(answer.Shares, demand.Share{
 			Runner: runner.ID,
 			Others: w.demand.Online(runner.ID, asking, now),
-			Batch:  w.Runners.Own(runner.ID, runnertable.Batch),
+			Batch:  w.batchAt(runner.ID, now),
 		})
 	}
 	return answer
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -124,12 +124,34 @@
 	defer w.mutex.Unlock()
 	owned := w.owned(service)
 	best, found := w.roomiestOf(owned, item.avoid, now)
+	if !found {
+		best, found = w.roomiestBorrowed(service, item.avoid, now)
+	}
 	if !found && len(item.avoid) > 0 && len(item.avoid) >= len(owned) {
 		return w.roomiestOf(owned, nil, now)
 	}
 	return best, found
 }
 
+// roomiestBorrowed returns the runner with the most borrowed places that are free, one of this zone where there is any.
+// The caller holds the mutex.
+func (w *Worker) roomiestBorrowed(service string, avoid map[ident.Runner]bool, now time.Time) (ident.Runner, bool) {
+	var best work.Runner
+	bestRoom := 0
+	for _, runner := range w.Runners.Of(service) {
+		if w.owns(runner) || avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > failingRate {
+			continue
+		}
+		room := w.borrowedRoom(runner.ID, now)
+		isNear, bestIsNear := runner.Zone == w.Zone, best.Zone == w.Zone
+		if room > 0 && (bestRoom == 0 || (isNear && !bestIsNear) || (isNear == bestIsNear && room > bestRoom)) {
+			best, bestRoom = runner, room
+		}
+	}
+	return best.ID, bestRoom > 0
+}
+
+// roomiestOf returns the runner with the most room for batch items among some. The caller holds the mutex.
 func (w *Worker) roomiestOf(runners []work.Runner, avoid map[ident.Runner]bool, now time.Time) (ident.Runner, bool) {
 	var best ident.Runner
 	bestRoom := 0
@@ -148,7 +170,7 @@
 func (w *Worker) owned(service string) []work.Runner {
 	var owned []work.Runner
 	for _, runner := range w.Runners.Of(service) {
-		if w.ownerOf(runner) == w.Node {
+		if w.owns(runner) {
 			owned = append(owned, runner)
 		}
 	}
@@ -176,7 +198,7 @@
 // room returns how many items more a runner may take. The caller holds the mutex.
 func (w *Worker) room(runner work.Runner, now time.Time) int {
 	told := w.demand.Online(runner.ID, "", now)
-	return w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.Runners.Own(runner.ID, runnertable.Batch), told, now)
+	return w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.batchAt(runner.ID, now), told, now)
 }
 
 // gaugeOf returns the gauge of a runner. The caller holds the mutex.
@@ -194,9 +216,9 @@
 func (w *Worker) askReports(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	for _, service := range w.servicesInUse() {
+	for _, service := range w.watched(now) {
 		for _, runner := range w.Runners.Of(service) {
-			if w.ownerOf(runner) != w.Node && w.Runners.Own(runner.ID, runnertable.Batch) == 0 {
+			if !w.watches(runner, now) {
 				continue
 			}
 			gauge := w.gaugeOf(runner.ID)
@@ -209,6 +231,12 @@
 	}
 }
 
+// watches says whether this node reads the reports of a runner: it owns it, or has items there that no owner has lent a
+// place to. The caller holds the mutex.
+func (w *Worker) watches(runner work.Runner, now time.Time) bool {
+	return w.owns(runner) || (w.Runners.Own(runner.ID, runnertable.Batch) > 0 && w.borrowedAt(runner.ID, now) == 0)
+}
+
 // servicesInUse returns the services of the items this node has. The caller holds the mutex.
 func (w *Worker) servicesInUse() []string {
 	var services []string
@@ -218,14 +246,20 @@
 			continue
 		}
 		for _, part := range route.Split {
-			if !slices.Contains(services, part.Service) {
-				services = append(services, part.Service)
-			}
+			services = appendNew(services, part.Service)
 		}
 	}
 	return services
 }
 
+// appendNew appends a service that is not there yet.
+func appendNew(services []string, service string) []string {
+	if slices.Contains(services, service) {
+		return services
+	}
+	return append(services, service)
+}
+
 func (w *Worker) askReport(runner work.Runner) {
 	ctx, cancel := w.call()
 	defer cancel()
@@ -237,8 +271,9 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	gauge := &w.gaugeOf(runner.ID).gauge
-	gauge.Observe(load, w.ownReported(runner.ID, now), w.demand.Online(runner.ID, "", now), now)
-	w.yield(runner.ID, gauge.Yield(w.Runners.Own(runner.ID, runnertable.Batch)))
+	_, lent := w.lent.At(runner.ID, now)
+	gauge.Observe(load, w.ownReported(runner.ID, now)+lent, w.demand.Online(runner.ID, "", now), now)
+	w.yield(runner.ID, gauge.Yield(w.batchAt(runner.ID, now)))
 }
 
 // ownReported counts the own items at a runner that its report can know of. The caller holds the mutex.
@@ -254,9 +289,9 @@
 	return count
 }
 
-// yield ends runs at a runner so that online work has their places, the last in order first; they go on later after
-// their last event. The caller holds the mutex.
-func (w *Worker) yield(id ident.Runner, count int) {
+// cut ends runs of this node at a runner, the last in order first; they go on later after their last event. The caller
+// holds the mutex.
+func (w *Worker) cut(id ident.Runner, count int) {
 	if count <= 0 {
 		return
 	}
--- a/internal/jobworker/load.go
+++ b/internal/jobworker/load.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
-	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -16,7 +15,8 @@
 // online nor batch nor room is kept free.
 type placesUse struct {
 	runners, slots int
-	// online is the work that nodes tell of, batch the runs of items, room what more items could start now.
+	// online is the work that nodes tell of, batch the runs of items and the places lent, room what more items could start
+	// now.
 	online, batch, room int
 }
 
@@ -68,7 +68,7 @@
 	var use placesUse
 	for _, service := range w.batchServices() {
 		for _, runner := range w.owned(service) {
-			use.add(runner, w.demand.Online(runner.ID, "", now), w.Runners.Own(runner.ID, runnertable.Batch), w.room(runner, now))
+			use.add(runner, w.demand.Online(runner.ID, "", now), w.batchAt(runner.ID, now), w.room(runner, now))
 		}
 	}
 	return use
--- a/internal/jobworker/order.go
+++ b/internal/jobworker/order.go
@@ -29,6 +29,8 @@
 	// start is when the item had to start at the latest to be done in time. It does not move as the item progresses:
 	// otherwise each item would fall behind those with less output, and all would be finished late together.
 	start time.Time
+	// latest is when the item has to go on at the latest to be likely done in time.
+	latest time.Time
 	// remaining is the time the item still needs.
 	remaining time.Duration
 	// hopeless says that the item cannot be done in time any more.
@@ -53,8 +55,8 @@
 	if item.lastEvent > 0 {
 		slowdown = begunSlowdown
 	}
-	likely := time.Duration(slowdown * float64(remaining))
-	return prospect{item: item, start: due.Add(-whole), remaining: remaining, hopeless: now.Add(likely).After(due)}
+	latest := due.Add(-time.Duration(slowdown * float64(remaining)))
+	return prospect{item: item, start: due.Add(-whole), latest: latest, remaining: remaining, hopeless: now.After(latest)}
 }
 
 func compareProspects(first, second prospect) int {
--- a/internal/jobworker/share.go
+++ b/internal/jobworker/share.go
@@ -33,6 +33,7 @@
 	}
 	w.workers = maps.Clone(workers)
 	w.owners = nil
+	w.forgetLenders(workers)
 }
 
 // Registered returns the workers as this node last saw them.
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -16,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
@@ -55,6 +56,8 @@
 	ReleaseAfter time.Duration
 	// MirrorEvery is the time between two sendings of output to its second place: what a worker's end costs at most.
 	MirrorEvery time.Duration
+	// BorrowEvery is the time between two rounds of asking other workers for places.
+	BorrowEvery time.Duration
 	// ExpirySweep is the time between removals of jobs whose retention is over.
 	ExpirySweep time.Duration
 }
@@ -75,6 +78,7 @@
 	StallAfter:    2500 * time.Millisecond,
 	ReleaseAfter:  5 * time.Second,
 	MirrorEvery:   400 * time.Millisecond,
+	BorrowEvery:   200 * time.Millisecond,
 	ExpirySweep:   time.Minute,
 }
 
@@ -94,6 +98,8 @@
 	Handoff *handoff.Log
 	// Mirrors carries the output of items to a second worker; nil keeps it here alone.
 	Mirrors Mirrors
+	// Lenders reaches the workers that lend places; nil uses the own runners alone.
+	Lenders Lenders
 	// Outputs keeps the output of other workers' items on this node's disk too; nil keeps it in memory alone.
 	Outputs *progress.Journal
 	// Registry is told when a worker is emptied.
@@ -120,6 +126,12 @@
 	mirror progress.Mirror
 	// demand is the online work that nodes tell of.
 	demand demand.Ledger
+	// lent is what this node has lent to others, wanted when places of a service were last asked for.
+	lent   lending.Ledger
+	wanted map[string]time.Time
+	// borrowed is what this node may use at runners of other owners, lenders what is known of those.
+	borrowed map[ident.Runner]*borrowed
+	lenders  map[ident.Node]*lender
 	// owners holds the workers that own runners, as far as they were asked for since the workers changed: each report of
 	// online work asks for all.
 	owners map[ident.Runner]ident.Node
@@ -180,6 +192,7 @@
 	parent.Go(w.dispatchLoop)
 	parent.Go(w.expireLoop)
 	parent.Go(w.mirrorLoop)
+	parent.Go(w.borrowLoop)
 	parent.Go(w.retireLoop)
 }
 
--- /dev/null
+++ b/internal/lending/lending_test.go
@@ -0,0 +1,120 @@
+package lending
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+func request(node string, sequence int64, held ...Count) *Request {
+	return &Request{Node: ident.Node(node), Address: node + ":1", Sequence: sequence, Held: held}
+}
+
+func TestPlacesLastAsLongAsTheirBorrowerCalls(t *testing.T) {
+	var l Ledger
+	now := time.Unix(100, 0)
+	assert.Assert(t, l.Renew(request("w-1", 1), now))
+	l.Lend("w-1", "r", 3)
+	lent, used := l.At("r", now)
+	assert.Equal(t, lent, 3)
+	assert.Equal(t, used, 0)
+	assert.Assert(t, l.Renew(request("w-1", 2, Count{Runner: "r", Places: 2}), now))
+	lent, used = l.At("r", now)
+	assert.Equal(t, lent, 2, "what the borrower does not hold is given back")
+	assert.Equal(t, used, 2)
+	lent, _ = l.At("r", now.Add(Lifetime))
+	assert.Equal(t, lent, 0, "a silent borrower keeps nothing")
+	assert.Assert(t, !l.Any(now.Add(Lifetime)))
+}
+
+func TestPlaceTakenBackIsNotRevivedByARenewalUnderWay(t *testing.T) {
+	var l Ledger
+	now := time.Unix(100, 0)
+	l.Renew(request("w-1", 1), now)
+	l.Lend("w-1", "r", 3)
+	l.Renew(request("w-1", 2, Count{Runner: "r", Places: 3}), now)
+	orders, taken := l.TakeBack("r", 2, now)
+	assert.Equal(t, taken, 2)
+	assert.DeepEqual(t, orders, []Order{{Address: "w-1:1", Recall: Recall{Runner: "r", Places: 2}}})
+	l.Renew(request("w-1", 3, Count{Runner: "r", Places: 3}), now)
+	assert.DeepEqual(t, l.To("w-1"), []Count{{Runner: "r", Places: 1}})
+	orders, taken = l.TakeBack("r", 5, now)
+	assert.Equal(t, taken, 1)
+	assert.Equal(t, len(orders), 1)
+	l.Renew(request("w-1", 4, Count{Runner: "r", Places: 1}), now)
+	assert.DeepEqual(t, l.To("w-1"), []Count{{Runner: "r", Places: 0}})
+}
+
+func TestLateRequestChangesNothing(t *testing.T) {
+	var l Ledger
+	now := time.Unix(100, 0)
+	l.Renew(request("w-1", 5, Count{Runner: "r", Places: 2}), now)
+	assert.Assert(t, !l.Renew(request("w-1", 4), now))
+	lent, _ := l.At("r", now)
+	assert.Equal(t, lent, 2)
+}
+
+// TestNewOwnerTakesHeldPlacesOver has an owner that knows nothing, after a restart say: items run there all the same.
+func TestNewOwnerTakesHeldPlacesOver(t *testing.T) {
+	var l Ledger
+	now := time.Unix(100, 0)
+	l.Renew(request("w-1", 9, Count{Runner: "r", Places: 4}), now)
+	lent, used := l.At("r", now)
+	assert.Equal(t, lent, 4)
+	assert.Equal(t, used, 4)
+}
+
+// TestLentPlacesNeverExceedWhatWasLent draws calls of borrowers and the owner: the places of all borrowers at the runner
+// stay within what the owner lent and did not take back, however requests are repeated or late.
+func TestLentPlacesNeverExceedWhatWasLent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Ledger
+		now := time.Unix(100, 0)
+		names := []string{"w-1", "w-2", "w-3"}
+		allowed := map[string]int{}
+		sequence := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "borrower")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				sequence++
+				held := rapid.IntRange(0, allowed[name]+2).Draw(t, "held")
+				_, known := allowed[name]
+				assert.Assert(t, l.Renew(request(name, sequence, Count{Runner: "r", Places: held}), now))
+				if !known || held < allowed[name] {
+					allowed[name] = held
+				}
+			case 1:
+				if _, known := allowed[name]; known {
+					places := rapid.IntRange(0, 3).Draw(t, "places")
+					l.Lend(ident.Node(name), "r", places)
+					allowed[name] += places
+				}
+			case 2:
+				wanted := rapid.IntRange(0, 6).Draw(t, "back")
+				orders, taken := l.TakeBack("r", wanted, now)
+				assert.Assert(t, taken <= wanted)
+				told := 0
+				for _, order := range orders {
+					told += order.Recall.Places
+					allowed[order.Address[:3]] -= order.Recall.Places
+				}
+				assert.Equal(t, told, taken)
+			}
+			total := 0
+			for name, places := range allowed {
+				total += places
+				for _, count := range l.To(ident.Node(name)) {
+					assert.Equal(t, count.Places, places)
+				}
+			}
+			lent, used := l.At("r", now)
+			assert.Equal(t, lent, total)
+			assert.Assert(t, used <= lent)
+		}
+	})
+}
