Keep places free over all runners of an owner, where nodes tell of online work

Change: where nodes tell of their work, 6% of all places of an owner are kept free together, and no work told of means none. Runners whose load is not known count neither way, so that an idle worker still tells of places. Ruled out: lending alone (28 of 70 places stay free while items wait).

--- a/internal/batchroom/gauge.go
+++ b/internal/batchroom/gauge.go
@@ -3,6 +3,7 @@
 package batchroom
 
 import (
+	"math"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -13,13 +14,14 @@
 	window = 600 * time.Millisecond
 	// reportMemory is how long a report is believed.
 	reportMemory = time.Second
-	// reservedShare of the places is kept free for online work that comes before the next report; at least
+	// reservedShare of a runner's places is kept free for online work that comes before the next report; at least
 	// smallestReserve places.
 	reservedShare   = 0.12
 	smallestReserve = 2
-	// toldReserve is the number of places kept free where nodes tell of their online work: a place is cleared within
-	// milliseconds of a request, so that few are needed; with none, each request would break off a run.
-	toldReserve = 1
+	// keptShare of the places of all runners of an owner is kept free where nodes tell of their online work: they choose
+	// among the runners, so that a free place is needed somewhere and not at each, and a place is cleared within milliseconds
+	// of a request; with none, each request would break off a run.
+	keptShare = 0.06
 	// briefQueue is how many requests may wait in one report before any batch steps aside.
 	briefQueue = 0
 	// blindRoom is how much batch work a runner may carry while nothing is known of it.
@@ -54,13 +56,24 @@
 	g.waitedBefore, g.waiting, g.acted = g.waiting, load.Waiting, false
 }
 
+// Told is the online work at a runner that nodes tell of.
+type Told struct {
+	Online int
+	// Any says that nodes tell of their work at all, so that no work is told of where there is none.
+	Any bool
+}
+
+// Kept returns how many places an owner keeps free of all that its runners have together, where nodes tell of their online
+// work.
+func Kept(slots int) int { return int(math.Ceil(keptShare * float64(slots))) }
+
 // others is the work of others that room is kept for. What nodes tell is newer than any report; what reports show beyond it
 // all the time (work of nodes that tell nothing, or are gone) is added. Where nothing is told, it is the mean of the window
 // or the newest count, whichever is more: the most seen in the window would be far more than the mean at every runner, by
 // chance alone.
-func (g *Gauge) others(told int) int {
-	if told > 0 {
-		return told + g.untold()
+func (g *Gauge) others(told Told) int {
+	if told.Any {
+		return told.Online + g.untold()
 	}
 	if len(g.samples) == 0 {
 		return 0
@@ -86,18 +99,21 @@
 	return least
 }
 
+// Blind says whether no report of the runner is new enough to be believed.
+func (g *Gauge) Blind(now time.Time) bool { return now.Sub(g.last) > reportMemory }
+
 // Room returns how many batch items more the runner may take beside the own ones it has. told is the online work there
-// that nodes tell of now.
-func (g *Gauge) Room(slots, own, told int, now time.Time) int {
-	if now.Sub(g.last) > reportMemory {
+// that nodes tell of now; where they do, its owner keeps places free over all its runners.
+func (g *Gauge) Room(slots, own int, told Told, now time.Time) int {
+	if g.Blind(now) {
 		return max(blindRoom-own, 0)
 	}
 	if g.waiting > 0 {
 		return 0
 	}
 	reserve := max(int(reservedShare*float64(slots)+0.5), smallestReserve)
-	if told > 0 {
-		reserve = toldReserve
+	if told.Any {
+		reserve = 0
 	}
 	return max(slots-reserve-g.others(told)-own, 0)
 }
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// Any says whether nodes tell of their work.
+func (l *Ledger) Any(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, kept := range l.nodes {
+		if now.Sub(kept.at) <= Lifetime {
+			return true
+		}
+	}
+	return false
+}
+
 // Online returns the online work at a runner by all nodes but the one named, which may be empty.
 func (l *Ledger) Online(runner ident.Runner, except ident.Node, now time.Time) int {
 	l.mutex.Lock()
--- a/internal/jobworker/borrow.go
+++ b/internal/jobworker/borrow.go
@@ -201,13 +201,9 @@
 // freePlaces returns how many items of a service could start now, at own and at borrowed places. The caller holds the
 // mutex.
 func (w *Worker) freePlaces(service string, now time.Time) int {
-	free := 0
+	free := w.spare(w.owned(service), now)
 	for _, runner := range w.Runners.Of(service) {
-		switch {
-		case w.Runners.FailureRate(runner.ID, now) > failingRate:
-		case w.owns(runner):
-			free += w.room(runner, now)
-		default:
+		if !w.owns(runner) && w.Runners.FailureRate(runner.ID, now) <= failingRate {
 			free += w.borrowedRoom(runner.ID, now)
 		}
 	}
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/batchroom"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -155,6 +156,9 @@
 func (w *Worker) roomiestOf(runners []work.Runner, avoid map[ident.Runner]bool, now time.Time) (ident.Runner, bool) {
 	var best ident.Runner
 	bestRoom := 0
+	if w.spare(runners, now) == 0 {
+		return best, false
+	}
 	for _, runner := range runners {
 		if avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > failingRate {
 			continue
@@ -188,16 +192,34 @@
 
 // placesOf returns how many items the owned runners of a service could run now. The caller holds the mutex.
 func (w *Worker) placesOf(service string, now time.Time) int {
-	places := 0
-	for _, runner := range w.owned(service) {
-		places += w.room(runner, now) + w.Runners.Own(runner.ID, runnertable.Batch)
+	owned := w.owned(service)
+	places := w.spare(owned, now)
+	for _, runner := range owned {
+		places += w.Runners.Own(runner.ID, runnertable.Batch)
 	}
 	return places
 }
 
-// room returns how many items more a runner may take. The caller holds the mutex.
+// spare returns how many items more the owned runners of a service may take together, beside the places that are kept free
+// for online work. The caller holds the mutex.
+func (w *Worker) spare(owned []work.Runner, now time.Time) int {
+	slots, room := 0, 0
+	for _, runner := range owned {
+		room += w.room(runner, now)
+		if !w.gaugeOf(runner.ID).gauge.Blind(now) {
+			// One of which nothing is known keeps all places but one free anyway.
+			slots += runner.Slots
+		}
+	}
+	if w.demand.Any(now) {
+		room -= batchroom.Kept(slots)
+	}
+	return max(room, 0)
+}
+
+// room returns how many items more a runner by itself could take. The caller holds the mutex.
 func (w *Worker) room(runner work.Runner, now time.Time) int {
-	told := w.demand.Online(runner.ID, "", now)
+	told := batchroom.Told{Online: w.demand.Online(runner.ID, "", now), Any: w.demand.Any(now)}
 	return w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.batchAt(runner.ID, now), told, now)
 }
 
--- a/internal/jobworker/load.go
+++ b/internal/jobworker/load.go
@@ -67,17 +67,18 @@
 func (w *Worker) placesInUse(now time.Time) placesUse {
 	var use placesUse
 	for _, service := range w.batchServices() {
-		for _, runner := range w.owned(service) {
-			use.add(runner, w.demand.Online(runner.ID, "", now), w.batchAt(runner.ID, now), w.room(runner, now))
+		owned := w.owned(service)
+		use.room += w.spare(owned, now)
+		for _, runner := range owned {
+			use.add(runner, w.demand.Online(runner.ID, "", now), w.batchAt(runner.ID, now))
 		}
 	}
 	return use
 }
 
-func (u *placesUse) add(runner work.Runner, online, batch, room int) {
+func (u *placesUse) add(runner work.Runner, online, batch int) {
 	u.runners++
 	u.slots += runner.Slots
 	u.online += online
 	u.batch += batch
-	u.room += room
 }
