Learn once for all fronts that a runner is silent

Change: fronts name the runners that they pass over in their reports of online work; the worker that owns such a runner asks it for a report, and where it gets none tells all fronts, has batch work leave it, and asks on until it answers. One front's word alone silences no runner. Ruled out: trusting a front by itself (its own path may be cut).

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -66,7 +66,7 @@
 
 // tellDemand has the workers told of the online work of this node.
 func (p *process) tellDemand(holders *jobpeer.Holders) {
-	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners}, time.Now)
+	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Now: time.Now}, time.Now)
 	teller.Tell = holders.TellDemand
 	p.runners.OnOnlineChanged(teller.Changed)
 	teller.Start(p.tomb)
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -20,10 +20,12 @@
 type Count struct {
 	Runner ident.Runner `json:"runner"`
 	Online int          `json:"online"`
+	// Suspect says that the node passes the runner over, because it could not be reached or did not answer.
+	Suspect bool `json:"suspect,omitempty"`
 }
 
-// Report is what a node tells the owner of some runners: all its online work at them. Runners that it does not name have
-// none.
+// Report is what a node tells the owner of some runners: all its online work at them, and those that it suspects. Runners
+// that it does not name have neither.
 type Report struct {
 	Node ident.Node `json:"node"`
 	// Incarnation rises with each start of the node's process, Sequence with each of its reports to one worker.
@@ -38,6 +40,8 @@
 	// Others is the online work of all nodes but the one that asks, Batch the items of the worker.
 	Others int `json:"others"`
 	Batch  int `json:"batch"`
+	// Silent says that the runner answers neither some node nor the worker.
+	Silent bool `json:"silent,omitempty"`
 }
 
 // Batch is the batch work of a worker, for those that choose who runs a job.
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -65,7 +65,9 @@
 type fakeWork struct {
 	mutex  sync.Mutex
 	online int
-	taken  []demand.Share
+	// suspect says that the runner is under suspicion.
+	suspect bool
+	taken   []demand.Share
 }
 
 func (f *fakeWork) set(online int) {
@@ -77,10 +79,10 @@
 func (f *fakeWork) Online() map[string][]demand.Count {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.online == 0 {
+	if f.online == 0 && !f.suspect {
 		return map[string][]demand.Count{}
 	}
-	return map[string][]demand.Count{"w": {{Runner: "r", Online: f.online}}}
+	return map[string][]demand.Count{"w": {{Runner: "r", Online: f.online, Suspect: f.suspect}}}
 }
 
 func (f *fakeWork) Take(_ string, answer *demand.Answer, _ time.Time) {
@@ -94,6 +96,8 @@
 	mutex  sync.Mutex
 	away   bool
 	ledger demand.Ledger
+	// suspected counts the reports that suspect the runner.
+	suspected int
 }
 
 func (w *fakeWorker) tell(_ context.Context, address string, report *demand.Report) (*demand.Answer, error) {
@@ -103,6 +107,11 @@
 		return nil, failure.Kind("away")
 	}
 	w.ledger.Take(report, time.Now())
+	for _, count := range report.Counts {
+		if count.Suspect {
+			w.suspected++
+		}
+	}
 	return &demand.Answer{Shares: []demand.Share{{Runner: "r", Others: 2}}}, nil
 }
 
@@ -156,6 +165,18 @@
 	change(0, false)
 	hears(0)
 	work.mutex.Lock()
+	work.suspect = true
+	work.mutex.Unlock()
+	teller.Changed(false)
+	hearsOfSuspicion := func() bool {
+		worker.mutex.Lock()
+		defer worker.mutex.Unlock()
+		return worker.suspected > 0
+	}
+	for end := time.Now().Add(10 * time.Second); !hearsOfSuspicion() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	assert.Assert(t, hearsOfSuspicion(), "a suspicion without work was not told of")
+	work.mutex.Lock()
 	defer work.mutex.Unlock()
 	assert.DeepEqual(t, work.taken, []demand.Share{{Runner: "r", Others: 2}})
 }
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -26,8 +26,8 @@
 
 // Work is the online work of this node.
 type Work interface {
-	// Online returns the counts of all runners with online work, by the address of the worker that owns the runner. It names
-	// every worker.
+	// Online returns the counts of all runners with online work or under suspicion, by the address of the worker that owns
+	// the runner. It names every worker.
 	Online() map[string][]Count
 	// Take takes over what the worker at an address knows of its runners and tells of its batch work.
 	Take(address string, answer *Answer, now time.Time)
@@ -56,7 +56,7 @@
 	// telling says that a call is on its way, missed that something may have changed since it was sent.
 	telling, missed bool
 	// last is what was told, and lastAt when.
-	last   map[ident.Runner]int
+	last   map[ident.Runner]Count
 	lastAt time.Time
 	// notBefore is when the worker may be called again after a failure.
 	notBefore time.Time
@@ -155,7 +155,7 @@
 		return true
 	}
 	for _, count := range counts {
-		if c.last[count.Runner] != count.Online {
+		if c.last[count.Runner] != count {
 			return true
 		}
 	}
@@ -169,9 +169,9 @@
 func (c *correspondent) next(counts []Count, now time.Time) *Report {
 	c.sequence++
 	c.telling, c.lastAt = true, now
-	c.last = make(map[ident.Runner]int, len(counts))
+	c.last = make(map[ident.Runner]Count, len(counts))
 	for _, count := range counts {
-		c.last[count.Runner] = count.Online
+		c.last[count.Runner] = count
 	}
 	return &Report{Sequence: c.sequence, Counts: counts}
 }
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -15,6 +15,7 @@
 type OnlineWork struct {
 	Holders *Holders
 	Runners *runnertable.Table
+	Now     func() time.Time
 }
 
 // Online implements demand.Work.
@@ -24,9 +25,9 @@
 	for _, worker := range workers {
 		counts[worker.Address] = nil
 	}
-	for runner, online := range o.Runners.Online() {
+	for runner, count := range o.Runners.Online(o.Now()) {
 		if owner, found := jobrecord.Owner(runner, workers); found {
-			counts[owner.Address] = append(counts[owner.Address], demand.Count{Runner: runner.ID, Online: online})
+			counts[owner.Address] = append(counts[owner.Address], count)
 		}
 	}
 	return counts
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -19,6 +19,11 @@
 	for _, id := range changed {
 		w.noteExcess(id, now)
 	}
+	for _, count := range report.Counts {
+		if count.Suspect {
+			w.suspect(count.Runner, now)
+		}
+	}
 	answer := w.shares(report.Node, now)
 	answer.Batch = w.batch(now)
 	return answer
@@ -105,6 +110,7 @@
 			Runner: runner.ID,
 			Others: w.demand.Online(runner.ID, asking, now),
 			Batch:  w.batchAt(runner.ID, now),
+			Silent: w.silent(runner.ID),
 		})
 	}
 	return answer
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -160,7 +160,7 @@
 		return best, false
 	}
 	for _, runner := range runners {
-		if avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > failingRate {
+		if avoid[runner.ID] || w.silent(runner.ID) || w.Runners.FailureRate(runner.ID, now) > failingRate {
 			continue
 		}
 		if room := w.room(runner, now); room > bestRoom {
@@ -205,6 +205,9 @@
 func (w *Worker) spare(owned []work.Runner, now time.Time) int {
 	slots, room := 0, 0
 	for _, runner := range owned {
+		if w.silent(runner.ID) {
+			continue
+		}
 		room += w.room(runner, now)
 		if !w.gaugeOf(runner.ID).gauge.Blind(now) {
 			// One of which nothing is known keeps all places but one free anyway.
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -139,6 +139,8 @@
 	found batchLoad
 	// loadLogged is when the batch load was last written to the log.
 	loadLogged time.Time
+	// suspicions are the runners that some node suspects.
+	suspicions map[ident.Runner]*suspicion
 	// gauges follow the runners that may take batch items.
 	gauges map[ident.Runner]*gauged
 	// duration is the mean time of a whole run, events the mean number of its events, tokens the mean of the items'
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -118,9 +118,10 @@
 	return e.runner.State == work.Ready && !wish.Exclude[e.runner.ID] && !e.health.replaced
 }
 
-// eligible filters out the ejected runners too.
+// eligible filters out the ejected runners too, and those of which their owner tells that they are silent.
 func (e *entry) eligible(wish Wish, now time.Time) bool {
-	return e.allowed(wish) && !e.health.ejected(now)
+	silent := e.share.silent && now.Sub(e.share.at) < shareMemory
+	return e.allowed(wish) && !e.health.ejected(now) && !silent
 }
 
 // home returns the runner of the node's zone at which nodes gather the shared beginning of the prompt, or nil.
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -21,13 +21,15 @@
 	}
 }
 
-// Online returns the runners at which this node has online work, and how much.
-func (t *Table) Online() map[work.Runner]int {
+// Online returns the runners at which this node has online work, and how much, and those that it passes over after
+// failures.
+func (t *Table) Online(now time.Time) map[work.Runner]demand.Count {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	online := map[work.Runner]int{}
-	for _, known := range t.runners {
-		if count := known.own[Online]; count > 0 {
+	online := map[work.Runner]demand.Count{}
+	for id, known := range t.runners {
+		count := demand.Count{Runner: id, Online: known.own[Online], Suspect: known.health.ejected(now)}
+		if count.Online > 0 || count.Suspect {
 			online[known.runner] = count
 		}
 	}
@@ -40,7 +42,7 @@
 	defer t.mutex.Unlock()
 	for _, told := range shares {
 		if known := t.runners[told.Runner]; known != nil {
-			known.share = share{at: now, others: told.Others, batch: told.Batch}
+			known.share = share{at: now, others: told.Others, batch: told.Batch, silent: told.Silent}
 		}
 	}
 }
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -65,6 +65,8 @@
 	at time.Time
 	// others is the online work of other nodes, batch the owner's items.
 	others, batch int
+	// silent says that the runner does not answer its owner either.
+	silent bool
 }
 
 // loadReport is the runner's own count and what it was of.
--- a/internal/runnertable/table_test.go
+++ b/internal/runnertable/table_test.go
@@ -197,10 +197,37 @@
 	item, err := table.StartAt("1", runnertable.Wish{Service: "s", Class: runnertable.Batch}, start)
 	assert.NilError(t, err)
 	flight := pick(t, table, start, runnertable.Wish{})
-	assert.DeepEqual(t, table.Online(), map[work.Runner]int{runner("1", "a"): 1})
+	assert.DeepEqual(t, table.Online(start), map[work.Runner]demand.Count{runner("1", "a"): {Runner: "1", Online: 1}})
 	item.End()
 	flight.End()
 	flight.End()
 	assert.DeepEqual(t, told, []bool{true, false})
-	assert.Equal(t, len(table.Online()), 0)
+	assert.Equal(t, len(table.Online(start)), 0)
+}
+
+// TestSuspectsAreToldOf has a runner not be reached: it is told of though no work is there, for as long as it is passed over.
+func TestSuspectsAreToldOf(t *testing.T) {
+	table := tableOf(runner("1", "a"), runner("2", "a"))
+	flight := pick(t, table, start, runnertable.Wish{})
+	flight.Failed(runnertable.Unreachable, start)
+	flight.End()
+	assert.DeepEqual(t, table.Online(start), map[work.Runner]demand.Count{
+		flight.Runner: {Runner: flight.Runner.ID, Suspect: true},
+	})
+	assert.Equal(t, len(table.Online(start.Add(time.Minute))), 0)
+}
+
+// TestSilentRunnerIsPassedOver has the owner of a runner tell that it is silent: no request goes there though this node saw
+// no failure, until the word is old or is taken back. Where all are silent one is tried all the same.
+func TestSilentRunnerIsPassedOver(t *testing.T) {
+	table := tableOf(runner("1", "a"), runner("2", "a"))
+	table.TakeShares([]demand.Share{{Runner: "1", Silent: true}, {Runner: "2", Others: 50}}, start)
+	for range 10 {
+		assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+	}
+	assert.Equal(t, pick(t, table, start.Add(demand.Lifetime), runnertable.Wish{}).Runner.ID, ident.Runner("1"), "an old word is still believed")
+	table.TakeShares([]demand.Share{{Runner: "1"}, {Runner: "2", Others: 50}}, start)
+	assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("1"))
+	table.TakeShares([]demand.Share{{Runner: "1", Silent: true}, {Runner: "2", Silent: true}}, start)
+	pick(t, table, start, runnertable.Wish{})
 }
