Bound the calls to idle workers of other zones, and add up online work as it is told

Change: a front makes at most four calls a second to the workers of other zones at whose runners it has no work, all together; the ledger keeps sums; the list of owned runners is made ten times a second at most. Ruled out: that lending alone makes the calls: at most 1,350 a second with all 45 workers short of places, worked out.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -68,10 +68,17 @@
 	Batch  Batch   `json:"batch"`
 }
 
-// Ledger holds what nodes told. It is safe for concurrent use.
+// Ledger holds what nodes told. It is safe for concurrent use. It is asked some hundred times for each report, so that the
+// work at a runner is added up as reports come and not as it is asked for.
 type Ledger struct {
 	mutex sync.Mutex
 	nodes map[ident.Node]*told
+	// totals is the sum of the counts of all nodes that are counted.
+	totals map[ident.Runner]int
+	// counted is the number of those nodes.
+	counted int
+	// nextExpiry is no later than the first moment at which a counted node has been silent for too long.
+	nextExpiry time.Time
 }
 
 // told is the newest report of one node.
@@ -79,6 +86,8 @@
 	incarnation, sequence int64
 	at                    time.Time
 	counts                map[ident.Runner]int
+	// counted says that the counts are part of the ledger's totals: nothing older than Lifetime is.
+	counted bool
 }
 
 // Take takes over a report. It returns the runners at which the node's work changed; none where a newer report was taken
@@ -86,6 +95,7 @@
 func (l *Ledger) Take(report *Report, now time.Time) []ident.Runner {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.expire(now)
 	before := l.nodes[report.Node]
 	if before != nil && !report.newer(before) {
 		return nil
@@ -98,13 +108,62 @@
 		next.counts[count.Runner] = max(count.Online, 0)
 	}
 	if l.nodes == nil {
-		l.nodes = map[ident.Node]*told{}
+		l.nodes, l.totals = map[ident.Node]*told{}, map[ident.Runner]int{}
+	}
+	if before != nil {
+		l.uncount(before)
 	}
 	l.nodes[report.Node] = next
-	l.forget(now)
+	l.count(next)
 	return next.changed(before)
 }
 
+// count adds a report to the totals. The caller holds the mutex.
+func (l *Ledger) count(kept *told) {
+	kept.counted = true
+	l.counted++
+	for runner, online := range kept.counts {
+		l.totals[runner] += online
+	}
+	if until := kept.at.Add(Lifetime); l.counted == 1 || until.Before(l.nextExpiry) {
+		l.nextExpiry = until
+	}
+}
+
+// uncount takes a report out of the totals, if it is part of them. The caller holds the mutex.
+func (l *Ledger) uncount(kept *told) {
+	if !kept.counted {
+		return
+	}
+	kept.counted = false
+	l.counted--
+	for runner, online := range kept.counts {
+		l.totals[runner] -= online
+		if l.totals[runner] == 0 {
+			delete(l.totals, runner)
+		}
+	}
+}
+
+// expire takes out what silent nodes told, and forgets the nodes that it took out the last time. The caller holds the mutex.
+func (l *Ledger) expire(now time.Time) {
+	if len(l.nodes) == 0 || !now.After(l.nextExpiry) {
+		return
+	}
+	l.nextExpiry = now.Add(Lifetime)
+	for node, kept := range l.nodes {
+		until := kept.at.Add(Lifetime)
+		switch {
+		case !kept.counted:
+			delete(l.nodes, node)
+		case now.After(until):
+			l.uncount(kept)
+		case until.Before(l.nextExpiry):
+			l.nextExpiry = until
+		}
+	}
+}
+
 // changed returns the runners at which the counts differ from those before, in the order of their names.
 func (t *told) changed(before *told) []ident.Runner {
 	var changed []ident.Runner
@@ -131,36 +190,22 @@
 	return r.Sequence > than.sequence
 }
 
-// forget drops the nodes of which nothing was heard for long. The caller holds the mutex.
-func (l *Ledger) forget(now time.Time) {
-	for node, kept := range l.nodes {
-		if now.Sub(kept.at) > Lifetime {
-			delete(l.nodes, node)
-		}
-	}
-}
-
 // Any says whether nodes tell of their work.
 func (l *Ledger) Any(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, kept := range l.nodes {
-		if now.Sub(kept.at) <= Lifetime {
-			return true
-		}
-	}
-	return false
+	l.expire(now)
+	return l.counted > 0
 }
 
 // Online returns the online work at a runner by all nodes but the one named, which may be empty.
 func (l *Ledger) Online(runner ident.Runner, except ident.Node, now time.Time) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	online := 0
-	for node, kept := range l.nodes {
-		if node != except && now.Sub(kept.at) <= Lifetime {
-			online += kept.counts[runner]
-		}
+	l.expire(now)
+	online := l.totals[runner]
+	if kept := l.nodes[except]; kept != nil && kept.counted {
+		online -= kept.counts[runner]
 	}
 	return online
 }
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -61,6 +61,51 @@
 	})
 }
 
+// TestLedgerIsTheSumOfWhatIsFresh draws reports of nodes over time, some of which fall silent: at each moment the work at a
+// runner is the sum of the newest reports that are not older than the lifetime, with and without one node.
+func TestLedgerIsTheSumOfWhatIsFresh(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type heard struct {
+			at     time.Time
+			online map[ident.Runner]int
+		}
+		var ledger demand.Ledger
+		nodes, runners := []ident.Node{"a", "b", "c"}, []ident.Runner{"r", "s"}
+		newest := map[ident.Node]heard{}
+		now := start
+		for sequence := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			node := rapid.SampledFrom(nodes).Draw(t, "node")
+			told := &demand.Report{Node: node, Incarnation: 1, Sequence: int64(sequence + 1)}
+			online := map[ident.Runner]int{}
+			for _, runner := range runners {
+				if rapid.Bool().Draw(t, "told") {
+					online[runner] = rapid.IntRange(0, 5).Draw(t, "online")
+					told.Counts = append(told.Counts, demand.Count{Runner: runner, Online: online[runner]})
+				}
+			}
+			ledger.Take(told, now)
+			newest[node] = heard{at: now, online: online}
+			asked := now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "later")) * time.Millisecond)
+			now = asked
+			for _, runner := range runners {
+				for _, except := range append(nodes, "") {
+					want, any := 0, false
+					for node, known := range newest {
+						fresh := asked.Sub(known.at) <= demand.Lifetime
+						any = any || fresh
+						if fresh && node != except {
+							want += known.online[runner]
+						}
+					}
+					assert.Equal(t, ledger.Online(runner, except, asked), want)
+					assert.Equal(t, ledger.Any(asked), any)
+				}
+			}
+		}
+	})
+}
+
 // fakeWork is one runner's work, owned by the worker "w".
 type fakeWork struct {
 	mutex  sync.Mutex
@@ -76,13 +121,13 @@
 	f.online = online
 }
 
-func (f *fakeWork) Online() map[string][]demand.Count {
+func (f *fakeWork) Online() map[string]demand.Owned {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.online == 0 && !f.suspect {
-		return map[string][]demand.Count{}
+		return map[string]demand.Owned{}
 	}
-	return map[string][]demand.Count{"w": {{Runner: "r", Online: f.online, Suspect: f.suspect}}}
+	return map[string]demand.Owned{"w": {Counts: []demand.Count{{Runner: "r", Online: f.online, Suspect: f.suspect}}}}
 }
 
 func (f *fakeWork) Take(_ string, answer *demand.Answer, _ time.Time) {
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -14,8 +14,13 @@
 	// RefreshEvery is the time between two reports to a worker at whose runners this node has work, though nothing changed:
 	// the answer has the work of the other nodes, who choose among the same runners all the time.
 	RefreshEvery = 50 * time.Millisecond
-	// IdleRefreshEvery is that time for the other workers: requests go to their runners when the near ones are full.
+	// IdleRefreshEvery is that time for the other workers of this node's zone: requests go to their runners when those in use
+	// are full, and jobs go to the one that would begin them first.
 	IdleRefreshEvery = 500 * time.Millisecond
+	// farCallsEach is how many calls a second a node makes to the workers of other zones at whose runners it has no work, all
+	// together: with the answers some 2.4 kB a second, which is within the 3 kB that a node may spend on control. Without a
+	// bound the calls of all nodes rise with nodes times workers.
+	farCallsEach = 4
 	// endDelay is how long the end of a request waits for other news to be told with. It is short beside the patience of
 	// the workers, who cut no run where a place comes free in time.
 	endDelay = 10 * time.Millisecond
@@ -26,13 +31,20 @@
 
 // Work is the online work of this node.
 type Work interface {
-	// Online returns the counts of all runners with online work or under suspicion, by the address of the worker that owns
-	// the runner. It names every worker.
-	Online() map[string][]Count
+	// Online returns the online work by the address of the worker that owns the runners. It names every worker.
+	Online() map[string]Owned
 	// Take takes over what the worker at an address knows of its runners and tells of its batch work.
 	Take(address string, answer *Answer, now time.Time)
 }
 
+// Owned is the online work of this node at the runners that one worker owns.
+type Owned struct {
+	// Counts are those of the runners with online work or under suspicion.
+	Counts []Count
+	// Far says that the worker is in another zone.
+	Far bool
+}
+
 // Teller tells workers of the online work of this node. Its exported fields are set before Start.
 type Teller struct {
 	Node ident.Node
@@ -128,26 +140,42 @@
 			delete(t.workers, address)
 			continue
 		}
-		online[address] = nil
+		online[address] = Owned{}
 	}
-	for address, counts := range online {
+	idleFar := idleFarEvery(online)
+	for address, owned := range online {
 		known := t.workers[address]
 		if known == nil {
 			known = &correspondent{}
 			t.workers[address] = known
 		}
 		known.missed = known.telling
-		if known.telling || !known.lacks(counts, now) {
+		idle := IdleRefreshEvery
+		if owned.Far {
+			idle = idleFar
+		}
+		if known.telling || !known.lacks(owned.Counts, idle, now) {
 			continue
 		}
-		report := known.next(counts, now)
+		report := known.next(owned.Counts, now)
 		report.Node, report.Incarnation = t.Node, t.incarnation
 		t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
 	}
 }
 
-// lacks says whether the worker is to be told now.
-func (c *correspondent) lacks(counts []Count, now time.Time) bool {
+// idleFarEvery is the time between two reports to a worker of another zone at whose runners this node has no work.
+func idleFarEvery(online map[string]Owned) time.Duration {
+	idle := 0
+	for _, owned := range online {
+		if owned.Far && len(owned.Counts) == 0 {
+			idle++
+		}
+	}
+	return max(time.Duration(idle)*time.Second/farCallsEach, IdleRefreshEvery)
+}
+
+// lacks says whether the worker is to be told now. idle is the time between two reports where there is nothing to tell.
+func (c *correspondent) lacks(counts []Count, idle time.Duration, now time.Time) bool {
 	if now.Before(c.notBefore) {
 		return false
 	}
@@ -160,7 +188,7 @@
 		}
 	}
 	if len(counts) == 0 {
-		return now.Sub(c.lastAt) >= IdleRefreshEvery
+		return now.Sub(c.lastAt) >= idle
 	}
 	return now.Sub(c.lastAt) >= RefreshEvery
 }
--- /dev/null
+++ b/internal/demand/teller_test.go
@@ -0,0 +1,44 @@
+package demand
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func far(idle, used int) map[string]Owned {
+	online := map[string]Owned{"near": {}}
+	for index := range idle {
+		online[fmt.Sprint("idle-", index)] = Owned{Far: true}
+	}
+	for index := range used {
+		online[fmt.Sprint("used-", index)] = Owned{Far: true, Counts: []Count{{Runner: "r", Online: 1}}}
+	}
+	return online
+}
+
+// TestCallsToIdleWorkersOfOtherZonesAreBounded draws fleets: however many workers there are, a node without work makes no
+// more calls a second than its bound, and with few workers it hears of them as often as of near ones.
+func TestCallsToIdleWorkersOfOtherZonesAreBounded(t *testing.T) {
+	assert.Equal(t, idleFarEvery(far(0, 3)), IdleRefreshEvery)
+	assert.Equal(t, idleFarEvery(far(2, 40)), IdleRefreshEvery)
+	assert.Equal(t, idleFarEvery(far(38, 0)), 9500*time.Millisecond)
+	rapid.Check(t, func(t *rapid.T) {
+		idle := rapid.IntRange(1, 400).Draw(t, "idle")
+		every := idleFarEvery(far(idle, rapid.IntRange(0, 20).Draw(t, "used")))
+		assert.Assert(t, every >= IdleRefreshEvery)
+		assert.Assert(t, float64(idle)/every.Seconds() <= farCallsEach)
+	})
+}
+
+// TestWorkAtAFarWorkerIsToldAtOnce has a node that was silent towards a far worker have work there.
+func TestWorkAtAFarWorkerIsToldAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	known := &correspondent{lastAt: now}
+	assert.Assert(t, !known.lacks(nil, 9*time.Second, now.Add(8*time.Second)))
+	assert.Assert(t, known.lacks(nil, 9*time.Second, now.Add(9*time.Second)))
+	assert.Assert(t, known.lacks([]Count{{Runner: "r", Online: 1}}, 9*time.Second, now))
+}
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -19,18 +19,20 @@
 }
 
 // Online implements demand.Work.
-func (o *OnlineWork) Online() map[string][]demand.Count {
+func (o *OnlineWork) Online() map[string]demand.Owned {
 	workers := o.Holders.known()
-	counts := make(map[string][]demand.Count, len(workers))
+	owned := make(map[string]demand.Owned, len(workers))
 	for _, worker := range workers {
-		counts[worker.Address] = nil
+		owned[worker.Address] = demand.Owned{Far: worker.Zone != o.Holders.Zone}
 	}
 	for runner, count := range o.Runners.Online(o.Now()) {
 		if owner, found := jobrecord.Owner(runner, workers); found {
-			counts[owner.Address] = append(counts[owner.Address], count)
+			of := owned[owner.Address]
+			of.Counts = append(of.Counts, count)
+			owned[owner.Address] = of
 		}
 	}
-	return counts
+	return owned
 }
 
 // Take implements demand.Work.
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -98,14 +98,29 @@
 	return shortest
 }
 
+// ownedMemory is how long the list of the owned runners is used: reports of online work come some hundred times a second,
+// and runners come and go every few seconds.
+const ownedMemory = 100 * time.Millisecond
+
+// allOwned returns the runners of all services that this node owns. The caller holds the mutex.
+func (w *Worker) allOwned(now time.Time) []work.Runner {
+	if age := now.Sub(w.ownedAt); age >= 0 && age < ownedMemory {
+		return w.ownedRunners
+	}
+	w.ownedAt, w.ownedRunners = now, nil
+	for _, runner := range w.Runners.All() {
+		if w.owns(runner) {
+			w.ownedRunners = append(w.ownedRunners, runner)
+		}
+	}
+	return w.ownedRunners
+}
+
 // shares lists the work at the runners that this node owns, without that of the node which asks. The caller holds the
 // mutex.
 func (w *Worker) shares(asking ident.Node, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
-	for _, runner := range w.Runners.All() {
-		if !w.owns(runner) {
-			continue
-		}
+	for _, runner := range w.allOwned(now) {
 		answer.Shares = append(answer.Shares, demand.Share{
 			Runner: runner.ID,
 			Others: w.demand.Online(runner.ID, asking, now),
--- a/internal/jobworker/share.go
+++ b/internal/jobworker/share.go
@@ -32,7 +32,7 @@
 		return
 	}
 	w.workers = maps.Clone(workers)
-	w.owners = nil
+	w.owners, w.ownedAt = nil, time.Time{}
 	w.forgetLenders(workers)
 }
 
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -135,6 +135,9 @@
 	// owners holds the workers that own runners, as far as they were asked for since the workers changed: each report of
 	// online work asks for all.
 	owners map[ident.Runner]ident.Node
+	// ownedRunners are the runners that this node owned at ownedAt.
+	ownedRunners []work.Runner
+	ownedAt      time.Time
 	// found is the batch work that the last round of giving out items found.
 	found batchLoad
 	// loadLogged is when the batch load was last written to the log.
