Deny no job while a worker that may keep it is off the list

Their registrations had gone with their leases, so that the front asked nobody, and took that for a no. Change: a front asks also the workers that it knew within the last minute; one that asked nobody is not sure; workers say that they doubt the list for 5 s after an outage or their own start, and the front answers 503 in place of 404 meanwhile. Ruled out: a job lost from the disks (the lines show it kept, handed over and recorded in all three). Left: a front that has just started, while all keepers of a job are cut from the store.

--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -51,6 +51,8 @@
 	avoided map[string]time.Time
 	// batches is what workers told of their batch work, by address.
 	batches map[string]toldBatch
+	// keepersSeen is when each worker was last known, by address.
+	keepersSeen map[string]time.Time
 }
 
 // whereabouts is what is remembered of a job: the address of its holder, or since when none was found.
@@ -195,6 +197,7 @@
 	defer h.mutex.Unlock()
 	h.workers = workers
 	h.read = h.Now()
+	h.rememberKeepers(workers)
 }
 
 func (h *Holders) nearFirst(first, second jobrecord.Worker) int {
--- a/internal/jobpeer/keep.go
+++ b/internal/jobpeer/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -137,19 +138,13 @@
 	return ordered
 }
 
-// Pending says whether a worker has a job on its disk that the store may not have yet. sure is false where a worker did
-// not answer, so that it may have it. It asks the workers that are registered now and those known from before.
+// Pending says whether a worker has a job on its disk that the store may not have yet. sure is false where a worker may have
+// it that is not asked or did not answer. It asks the workers that are registered now and those known from a while before:
+// registrations go with their leases in an outage, and the disks stay.
 func (h *Holders) Pending(ctx context.Context, job ident.Job) (pending, sure bool) {
-	h.mutex.Lock()
-	workers := addresses(h.workers)
-	h.mutex.Unlock()
 	registered, err := h.Records.Workers(ctx)
-	sure = err == nil
-	for _, address := range addresses(registered) {
-		if !slices.Contains(workers, address) {
-			workers = append(workers, address)
-		}
-	}
+	workers := h.everyKeeper(registered)
+	sure = err == nil && len(workers) > 0
 	for _, address := range workers {
 		reply := &PendingReply{}
 		if !h.ask(ctx, address, methodPending, &PendingQuery{Job: job}, reply, 0) {
@@ -159,16 +154,37 @@
 		if reply.Pending {
 			return true, true
 		}
+		sure = sure && !reply.Doubt
 	}
 	return false, sure
 }
 
-func addresses(workers []jobrecord.Worker) []string {
-	var found []string
+// rememberedFor is how long a worker that is not registered any more is thought to keep jobs: longer than an outage takes
+// it off the list.
+const rememberedFor = time.Minute
+
+// everyKeeper returns the addresses of the workers that are registered, and of those known lately.
+func (h *Holders) everyKeeper(registered []jobrecord.Worker) []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.rememberKeepers(registered)
+	return slices.Sorted(maps.Keys(h.keepersSeen))
+}
+
+// rememberKeepers notes that workers are there, and forgets those that were not for long. The caller holds the mutex.
+func (h *Holders) rememberKeepers(workers []jobrecord.Worker) {
+	now := h.Now()
+	if h.keepersSeen == nil {
+		h.keepersSeen = map[string]time.Time{}
+	}
 	for _, worker := range workers {
-		found = append(found, worker.Address)
+		h.keepersSeen[worker.Address] = now
+	}
+	for address, seen := range h.keepersSeen {
+		if now.Sub(seen) > rememberedFor {
+			delete(h.keepersSeen, address)
+		}
 	}
-	return found
 }
 
 // Keep implements Server.
@@ -183,5 +199,5 @@
 
 // Pending implements Server.
 func (s *WorkerServer) Pending(_ context.Context, query *PendingQuery) (*PendingReply, error) {
-	return &PendingReply{Pending: s.Worker.Keeps(query.Job)}, nil
+	return &PendingReply{Pending: s.Worker.Keeps(query.Job), Doubt: s.Worker.DoubtsWorkers()}, nil
 }
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -13,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -26,6 +27,7 @@
 	drpc.Conn
 	keep    jobpeer.KeepReply
 	pending bool
+	doubt   bool
 	silent  bool
 	feed    fleetfeed.Snapshot
 	asked   chan *jobpeer.KeepRequest
@@ -44,7 +46,7 @@
 	case *fleetfeed.Snapshot:
 		*reply = p.feed
 	case *jobpeer.PendingReply:
-		reply.Pending = p.pending
+		reply.Pending, reply.Doubt = p.pending, p.doubt
 	}
 	return nil
 }
@@ -123,6 +125,29 @@
 	assert.Assert(t, !pending && sure)
 	_, sure = newHolders(t, oneZone, &peer{}, &peer{silent: true}).Pending(ctx, "j")
 	assert.Assert(t, !sure)
+	_, sure = newHolders(t, oneZone).Pending(ctx, "j")
+	assert.Assert(t, !sure, "nobody was asked")
+	_, sure = newHolders(t, oneZone, &peer{}, &peer{doubt: true}).Pending(ctx, "j")
+	assert.Assert(t, !sure, "a worker that keeps the job may not be registered again")
+}
+
+// TestWorkerThatIsNotRegisteredAnyMoreIsStillAsked has the registration of the worker that keeps a job go with its lease, as
+// in an outage: the job is not denied.
+func TestWorkerThatIsNotRegisteredAnyMoreIsStillAsked(t *testing.T) {
+	ctx := context.Background()
+	keeper := &peer{keep: keeps, pending: true}
+	holders := newHolders(t, oneZone, &peer{keep: keeps}, keeper)
+	assert.NilError(t, keep(holders))
+	other, err := holders.Records.Workers(ctx)
+	assert.NilError(t, err)
+	_, err = holders.Records.Store.Commit(ctx, nil, []kv.Write{{Key: "job/live/worker/b", Delete: true}})
+	assert.NilError(t, err)
+	remaining, err := holders.Records.Workers(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(remaining), len(other)-1)
+	holders.Learn(remaining)
+	pending, _ := holders.Pending(ctx, "j")
+	assert.Assert(t, pending)
 }
 
 // TestFrontLearnsOfWorkersFromAWorker has a worker name one that came after the front's own reading: only with it are there
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -89,6 +89,9 @@
 // PendingReply answers a PendingQuery.
 type PendingReply struct {
 	Pending bool `json:"pending"`
+	// Doubt says that the store was away, or the worker started, a moment ago: workers that keep jobs may not be registered
+	// again yet.
+	Doubt bool `json:"doubt,omitempty"`
 }
 
 // AssignRequest tells a worker of a job that was accepted with a claim for it.
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -83,6 +83,19 @@
 	return tokens
 }
 
+// doubtFor is how long after an outage of the store, and after this node's start, other workers may not be registered again
+// that keep jobs on their disks: they renew within a second of its return, start within two, and hand their jobs over in as
+// long.
+const doubtFor = 5 * time.Second
+
+// DoubtsWorkers says whether the workers that are registered may not be all that keep jobs.
+func (w *Worker) DoubtsWorkers() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := w.Now()
+	return now.Sub(w.started) < doubtFor || w.outage.justEnded(doubtFor, w.Options.OutageAfter, now)
+}
+
 func (w *Worker) keepsJobs() bool { return w.Handoff != nil && len(w.Handoff.Entries()) > 0 }
 
 // Keeps says whether a job is on this node's disk and not known to be in the store.
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -110,6 +110,8 @@
 	tomb  *tomb.Tomb
 	ctx   context.Context
 	mutex sync.Mutex
+	// started is when the worker was started.
+	started time.Time
 	// lease is the node's, or zero while it has none.
 	lease kv.LeaseID
 	// leaseUntil is when the lease may lapse, counted from the sending of the last renewal that was answered.
@@ -192,6 +194,7 @@
 	w.gauges = map[ident.Runner]*gauged{}
 	w.retirements = map[ident.Node]*retirement{}
 	w.duration = expectedDuration
+	w.started = w.Now()
 	parent.Go(w.keepLease)
 	parent.Go(w.followLive)
 	parent.Go(w.dispatchLoop)
