Test which owners are asked for places

Cause: no test showed that other zones are asked only for items that would be late. Change: two tests over the calls that a worker with waiting items makes.

--- a/internal/jobworker/lend_test.go
+++ b/internal/jobworker/lend_test.go
@@ -212,3 +212,65 @@
 		assert.Equal(t, sum, max(wanted, 0))
 	})
 }
+
+// waitingWorker is a worker of zone a with one idle runner of its own and a number of items that wait, each of which takes
+// five seconds and is due in twenty. There is another worker in its zone, and one in zone b.
+func waitingWorker(t *testing.T, items int) *Worker {
+	t.Helper()
+	w := idleWorker(t)
+	w.follow(map[ident.Node]jobrecord.Worker{
+		"w-1": {Node: "w-1", Zone: "a"}, "w-2": {Node: "w-2", Zone: "a", Address: "near"}, "w-3": {Node: "w-3", Zone: "b", Address: "far"},
+	})
+	w.owners = map[ident.Runner]ident.Node{"r": "w-1"}
+	adopted := w.Routes.Adopt(&work.Catalog{Version: 2, Routes: []work.Route{{
+		Name: "batch", Host: "h", PathPrefix: "/b/", Kind: work.Batch, Split: []work.WeightedService{{Service: "s", Weight: 1}},
+		CompletionObjective: 20 * time.Second,
+	}}})
+	assert.Assert(t, adopted)
+	job := &jobRun{header: &jobrecord.Header{ID: "job", Host: "h", SubmittedMs: time.Now().UnixMilli()}}
+	w.jobs["job"] = job
+	for index := range items {
+		job.items = append(job.items, &itemRun{job: job, index: index, item: work.Item{Path: "/b/x", Tokens: 1}})
+	}
+	return w
+}
+
+func wanted(calls []borrowCall, address string) int {
+	sum := 0
+	for _, call := range calls {
+		for _, want := range call.request.Wants {
+			if call.address == address {
+				sum += want.Places
+			}
+		}
+	}
+	return sum
+}
+
+// TestOwnersOfTheZoneAreAskedForAllThatWait asks for what does not start at once here, and nobody of another zone.
+func TestOwnersOfTheZoneAreAskedForAllThatWait(t *testing.T) {
+	w := waitingWorker(t, 100)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := time.Now()
+	free := w.spare(w.owned("s"), now)
+	calls := w.callsDue(now)
+	assert.Equal(t, wanted(calls, "near"), 100-free)
+	assert.Equal(t, wanted(calls, "far"), 0)
+}
+
+// TestOtherZonesAreAskedOnlyForItemsThatWouldBeLate has the zone lend nothing: with few items that wait no other zone is
+// asked, with many for those alone that the places here could not begin in time.
+func TestOtherZonesAreAskedOnlyForItemsThatWouldBeLate(t *testing.T) {
+	for items, someLate := range map[int]bool{20: false, 100: true} {
+		w := waitingWorker(t, items)
+		w.mutex.Lock()
+		now := time.Now()
+		w.lender("w-2").notBefore = now.Add(time.Minute)
+		calls := w.callsDue(now)
+		asked := wanted(calls, "far")
+		assert.Equal(t, asked > 0, someLate, "%d items: %d places asked for", items, asked)
+		assert.Assert(t, asked < items-w.spare(w.owned("s"), now), "places are asked for items that are in time here")
+		w.mutex.Unlock()
+	}
+}
