--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 
 test: tools lint model unit ## everything CI runs
 
-tools: ## says what is missing before anything starts
-	@command -v spin >/dev/null && command -v gcc >/dev/null || { echo "make test needs spin and gcc: apt-get install spin gcc make"; exit 1; }
+tools: ## installs what the tests need where it may, and says what is missing otherwise
+	@command -v spin >/dev/null && command -v gcc >/dev/null || { apt-get update -qq && apt-get install -y -qq spin gcc; } || { echo "make test needs spin and gcc: apt-get install spin gcc"; exit 1; }
 
 lint:
 	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; echo "gofmt: files above need formatting"; exit 1; }
