--- a/internal/handoff/log.go
+++ b/internal/handoff/log.go
@@ -37,6 +37,8 @@
 	folder string
 	// most is the bound of all files together, in bytes.
 	most int64
+	// reopened says that the folder was there before.
+	reopened bool
 
 	mutex   sync.Mutex
 	entries map[ident.Job]Summary
@@ -46,6 +48,7 @@
 // Open reads the folder, which is made where it is missing. Files that are not whole entries are removed: their sync was
 // not over, so that they were not acknowledged. The error wraps ErrDisk.
 func Open(folder string, most int64) (*Log, error) {
+	_, missing := os.Stat(folder)
 	if err := os.MkdirAll(folder, folderPerm); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
 	}
@@ -53,7 +56,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
 	}
-	log := &Log{folder: folder, most: most, entries: map[ident.Job]Summary{}}
+	log := &Log{folder: folder, most: most, reopened: missing == nil, entries: map[ident.Job]Summary{}}
 	for _, file := range files {
 		if err := log.recover(file.Name()); err != nil {
 			return nil, err
@@ -62,6 +65,9 @@
 	return log, nil
 }
 
+// Reopened says whether an earlier process had the folder: this one was started again.
+func (l *Log) Reopened() bool { return l.reopened }
+
 // recover takes over one file of an earlier process.
 func (l *Log) recover(name string) error {
 	path := filepath.Join(l.folder, name)
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -83,8 +83,8 @@
 	return tokens
 }
 
-// doubtFor is how long after an outage of the store, and after this node's start, other workers may not be registered again
-// that keep jobs on their disks: they renew within a second of its return, start within two, and hand their jobs over in as
+// doubtFor is how long after an outage of the store, and after this node was started again, other workers may not be
+// registered again that keep jobs on their disks: they renew within a second of its return, start within two, and hand their jobs over in as
 // long.
 const doubtFor = 5 * time.Second
 
@@ -93,7 +93,10 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.Now()
-	return now.Sub(w.started) < doubtFor || w.outage.justEnded(doubtFor, w.Options.OutageAfter, now)
+	// A node that is started again may have missed an outage; one with a new disk has nothing to go by, and asks for no doubt:
+	// otherwise a new site would be sure of nothing.
+	missed := w.Handoff != nil && w.Handoff.Reopened() && now.Sub(w.started) < doubtFor
+	return missed || w.outage.justEnded(doubtFor, w.Options.OutageAfter, now)
 }
 
 func (w *Worker) keepsJobs() bool { return w.Handoff != nil && len(w.Handoff.Entries()) > 0 }
