Tell how many runners are kept though not listed, and for how long

Cause: the lines of a node said that runners had left and not that some were in use though no list named them, so that hypothesis 1 of the incident could not be told from the others. Change: event 3516 (runners_kept) when the number changes, with the time without a reading; event 3507 says how long a runner that is dropped was used though missing.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -77,6 +77,8 @@
 	lastRead   time.Time
 	graceUntil time.Time
 	lost       bool
+	// kept counts the runners that the newest list lacks and that are in use.
+	kept int
 }
 
 // Start runs the follower's loops until the tomb dies.
@@ -140,15 +142,26 @@
 		return
 	}
 	f.revision = revision
-	added, removed := f.Runners.Replace(listed, now, f.keepIfAnswered(now))
+	unread := now.Sub(f.lastRead)
+	change := f.Runners.Replace(listed, now, f.keepIfAnswered(now))
 	f.lastRead = now
 	if f.lost {
 		f.lost = false
 		event.RegistryBack.Log(f.Logger).Int("runners", len(listed)).Send()
 	}
-	if len(added)+len(removed) > 0 {
-		event.RunnersChanged.Log(f.Logger).Int("added", len(added)).Int("removed", len(removed)).Int("listed", len(listed)).Send()
+	f.tellChange(change, len(listed), unread)
+}
+
+// tellChange logs what a list changed. unread is how long no list had come before it. The caller holds the mutex.
+func (f *Follower) tellChange(change runnertable.Change, listed int, unread time.Duration) {
+	if len(change.Added)+len(change.Removed) > 0 {
+		event.RunnersChanged.Log(f.Logger).Int("added", len(change.Added)).Int("removed", len(change.Removed)).Int("listed", listed).
+			Dur("used_missing_ms", change.LongestMissing).Send()
+	}
+	if kept := len(change.Kept); kept != f.kept && kept > 0 {
+		event.RunnersKept.Log(f.Logger).Int("kept", len(change.Kept)).Int("listed", listed).Dur("unread_ms", unread).Send()
 	}
+	f.kept = len(change.Kept)
 }
 
 // keepIfAnswered returns the time after which a runner must have answered to be kept although it is not listed. While
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -56,8 +56,8 @@
 	health        health
 	prefixes      prefixHistory
 	lastAnswer    time.Time
-	// missing is set while the registry does not list the runner and the table keeps it for a while.
-	missing bool
+	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
+	missingSince time.Time
 }
 
 // share is what the owner of the runner's batch places knows of the work there.
@@ -78,12 +78,23 @@
 	waiting int
 }
 
+// Change says what a list changed.
+type Change struct {
+	// Added are the runners that are new, Removed those that left.
+	Added, Removed []ident.Runner
+	// Kept are the runners that the list lacks and that stay for a while.
+	Kept []ident.Runner
+	// LongestMissing is the longest time that one of the removed was used although it was not listed.
+	LongestMissing time.Duration
+}
+
 // Replace takes over the registry's list. Runners that it does not name take no more work, except that those which
 // answered after keepIfAnswered stay: a registry that has just come back may not list the living yet. A zero time keeps
-// none. It returns the runners that are new and those that left.
-func (t *Table) Replace(listed []work.Runner, now, keepIfAnswered time.Time) (added, removed []ident.Runner) {
+// none.
+func (t *Table) Replace(listed []work.Runner, now, keepIfAnswered time.Time) Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	var change Change
 	seen := make(map[ident.Runner]bool, len(listed))
 	for _, runner := range listed {
 		seen[runner.ID] = true
@@ -91,10 +102,10 @@
 		if known == nil {
 			known = &entry{waiting: map[*Flight]time.Time{}}
 			t.runners[runner.ID] = known
-			added = append(added, runner.ID)
+			change.Added = append(change.Added, runner.ID)
 		}
 		known.runner = runner
-		known.missing = false
+		known.missingSince = time.Time{}
 		known.warmUntil = now.Add(runner.WarmUp)
 	}
 	for id, known := range t.runners {
@@ -102,14 +113,29 @@
 			continue
 		}
 		if !keepIfAnswered.IsZero() && known.runner.State == work.Ready && known.lastAnswer.After(keepIfAnswered) {
-			known.missing = true
+			known.keepMissing(now)
+			change.Kept = append(change.Kept, id)
 			continue
 		}
 		delete(t.runners, id)
-		removed = append(removed, id)
+		change.Removed = append(change.Removed, id)
+		change.LongestMissing = max(change.LongestMissing, known.missingFor(now))
 	}
 	t.index()
-	return added, removed
+	return change
+}
+
+func (e *entry) keepMissing(now time.Time) {
+	if e.missingSince.IsZero() {
+		e.missingSince = now
+	}
+}
+
+func (e *entry) missingFor(now time.Time) time.Duration {
+	if e.missingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(e.missingSince)
 }
 
 // index rebuilds the lists by service, ordered so that a choice depends on nothing but its inputs.
--- a/internal/runnertable/table_test.go
+++ b/internal/runnertable/table_test.go
@@ -47,8 +47,8 @@
 	}
 	_, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start)
 	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
-	_, removed := table.Replace([]work.Runner{leaving}, start, time.Time{})
-	assert.DeepEqual(t, removed, []ident.Runner{"2"})
+	change := table.Replace([]work.Runner{leaving}, start, time.Time{})
+	assert.DeepEqual(t, change.Removed, []ident.Runner{"2"})
 	_, err = table.Pick(runnertable.Wish{Service: "s"}, start, random())
 	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
 }
@@ -60,11 +60,13 @@
 	assert.NilError(t, err)
 	flight.Answered(nil, start.Add(time.Second))
 	flight.End()
-	table.Replace(nil, start.Add(2*time.Second), start)
+	change := table.Replace(nil, start.Add(2*time.Second), start)
+	assert.DeepEqual(t, change.Kept, []ident.Runner{"1"})
 	assert.Equal(t, table.Count(), 1)
 	assert.Equal(t, pick(t, table, start.Add(2*time.Second), runnertable.Wish{}).Runner.ID, ident.Runner("1"))
-	table.Replace(nil, start.Add(5*time.Second), time.Time{})
+	change = table.Replace(nil, start.Add(5*time.Second), time.Time{})
 	assert.Equal(t, table.Count(), 0)
+	assert.Equal(t, change.LongestMissing, 3*time.Second)
 }
 
 // TestUnreachableRunnerIsEjectedAndComesBack ejects for longer each time; one success brings the runner back.
