Take a list after a cut for proof, and keep runners for two seconds after an outage

Runners that leave without a word serve on, so that they answer. Change: follower.absence judges a list by the entries in it: where most entries known before a long gap never ran out, runners renewed through it and what is missing has left. After an outage runners are kept for two seconds from the first list on, which the platform states for living ones to be back, and the list that proves it is read at that moment. Idle runners are kept as well as used ones. The heartbeat comes from the settings. Ruled out: telling an outage by the runners' count of renewals (the store does not show it until something else of the entry changes; trial on a scratch copy); shorter pauses between full readings (21 calls in ten seconds, bound of an existing test 10). TestAbsenceAfterAnOutageIsNoProof becomes TestAbsenceIsProofOnlyWhereItIsSaidToBe: it said that an idle runner is dropped, which is the fault; the new one asks for the same of runners that are used, and that all are dropped by proof. fakeRegistry counts probes as readings.

--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -90,7 +90,8 @@
 // follow keeps the runners and the configuration up to date. What the roles differ in is set in the follower given.
 func (p *process) follow(role *follower.Follower) {
 	role.Registry, role.Runners, role.Routes = p.registry(), p.runners, p.routes
-	role.Options, role.Logger, role.Now = follower.OptionsFor(p.settings.Bounds.Drain()), p.logger, time.Now
+	role.Options = follower.OptionsFor(p.settings.Bounds.Drain(), p.settings.Bounds.Heartbeat())
+	role.Logger, role.Now = p.logger, time.Now
 	role.Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
 	p.tomb.Go(p.tellStoreCalls)
--- /dev/null
+++ b/internal/follower/absence.go
@@ -0,0 +1,68 @@
+package follower
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// entriesBack is how long after its return the registry lists all living runners again, as the platform states it.
+	entriesBack = 2 * time.Second
+	// heartbeatsKept is how many heartbeats of silence an entry outlives, as the platform states it.
+	heartbeatsKept = 3
+)
+
+// absence judges what it means that a list lacks a runner. Usually the runner has left. After an outage of the registry it
+// may live: it could not renew its entry. A gap in this node's own readings does not tell an outage from a cut of this node,
+// in which the others renewed all along; the entries themselves do. Its decisions depend on nothing but their arguments.
+//
+// A time of grace that ran from whichever reading came first to whichever came 2.5 s later had a front use a runner for up
+// to 5.2 s after its return (3.0 allowed), and a cut cost as much as an outage. Now a list after a cut is proof at once, and
+// after an outage runners are kept for entriesBack and no longer.
+type absence struct {
+	// outageAfter is the time between two lists from which on the registry may have been away for so long that entries ran
+	// out.
+	outageAfter time.Duration
+	// mixedGap is the longest gap beside which some entries may have run out and others not.
+	mixedGap time.Duration
+
+	// asOf is when the reading of the newest list began. It never goes back.
+	asOf time.Time
+	// registered holds the registrations of the newest list.
+	registered map[ident.Runner]int64
+	// proofFrom is from when on a list proves again who has left.
+	proofFrom time.Time
+}
+
+// take notes a list whose reading began at asOf, and says whether a runner that it lacks has left.
+func (a *absence) take(listed []work.Runner, asOf time.Time) (proof bool) {
+	gap := asOf.Sub(a.asOf)
+	if !a.asOf.IsZero() && gap > a.outageAfter && !a.renewedThrough(listed, gap) {
+		a.proofFrom = asOf.Add(entriesBack)
+	}
+	if gap > 0 {
+		a.asOf = asOf
+	}
+	a.registered = make(map[ident.Runner]int64, len(listed))
+	for _, runner := range listed {
+		a.registered[runner.ID] = runner.Registered
+	}
+	return !asOf.Before(a.proofFrom)
+}
+
+// renewedThrough says whether the list shows that runners renewed their entries through the gap: most of the entries that
+// were known before it never ran out. After a short gap that may be chance.
+func (a *absence) renewedThrough(listed []work.Runner, gap time.Duration) bool {
+	if gap <= a.mixedGap {
+		return false
+	}
+	kept := 0
+	for _, runner := range listed {
+		if before, known := a.registered[runner.ID]; known && before == runner.Registered {
+			kept++
+		}
+	}
+	return 2*kept > len(a.registered)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -29,10 +29,13 @@
 	// RetryAfter is the pause after a failed call. It doubles with each further one, up to RunnersEvery: calls that the
 	// registry refuses have their price too, and all nodes make them at once while it is away.
 	RetryAfter time.Duration
-	// OutageAfter is the time without a reading after which the registry counts as having been away.
+	// ProbeEvery is the time between two probes of a registry that does not answer. How late its return is noticed counts
+	// into how long a runner is used that left in the outage.
+	ProbeEvery time.Duration
+	// OutageAfter is the time between two lists after which the registry may have been away.
 	OutageAfter time.Duration
-	// KeepMissing is how long after an outage runners that answered lately are kept although they are not listed.
-	KeepMissing time.Duration
+	// EntryLife is how long the entry of a runner that is silent is kept.
+	EntryLife time.Duration
 }
 
 // readingShare is the part of the drain bound between two readings; the rest is for a reading that is slow (thousands of
@@ -40,15 +43,16 @@
 const readingShare = 0.5
 
 // OptionsFor suits a registry whose every call has a price. drain is how soon after the registry's news a leaving runner
-// must get no more work.
-func OptionsFor(drain time.Duration) Options {
+// must get no more work, heartbeat the time between two renewals of a runner's entry.
+func OptionsFor(drain, heartbeat time.Duration) Options {
 	return Options{
 		RunnersEvery: time.Duration(readingShare * float64(drain)),
 		OrdersWait:   2 * time.Second,
 		CallTimeout:  700 * time.Millisecond,
 		RetryAfter:   250 * time.Millisecond,
-		OutageAfter:  drain + 500*time.Millisecond,
-		KeepMissing:  2500 * time.Millisecond,
+		ProbeEvery:   500 * time.Millisecond,
+		OutageAfter:  drain,
+		EntryLife:    heartbeatsKept * heartbeat,
 	}
 }
 
@@ -71,18 +75,18 @@
 	// relaying is touched by followSource alone.
 	relaying bool
 
-	mutex      sync.Mutex
-	fresh      freshness
-	revision   int64
-	lastRead   time.Time
-	graceUntil time.Time
-	lost       bool
+	mutex    sync.Mutex
+	fresh    freshness
+	revision int64
+	absence  absence
+	lost     bool
 	// kept counts the runners that the newest list lacks and that are in use.
 	kept int
 }
 
 // Start runs the follower's loops until the tomb dies.
 func (f *Follower) Start(parent *tomb.Tomb) {
+	f.absence = f.Options.absence()
 	ctx := parent.Context(context.Background())
 	parent.Go(func() error { return f.followRunners(ctx) })
 	parent.Go(func() error { return f.followOrders(ctx) })
@@ -94,23 +98,52 @@
 func (f *Follower) followRunners(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
-		if relayed := f.relayedUntil().runners.Sub(f.Now()); relayed > 0 {
+		if pause := f.untilReading(f.relayedUntil().runners); pause > 0 {
 			failures = 0
-			sleep(ctx, relayed)
+			sleep(ctx, pause)
 			continue
 		}
 		if err := f.readRunners(ctx); err != nil {
 			f.noteLost(err)
 			failures++
-			sleep(ctx, f.Options.pauseAfter(failures))
+			f.awaitAnswer(ctx, f.Options.pauseAfter(failures))
 			continue
 		}
 		failures = 0
-		sleep(ctx, f.Options.RunnersEvery)
+		sleep(ctx, f.untilReading(f.Now().Add(f.Options.RunnersEvery)))
 	}
 	return nil
 }
 
+// untilReading returns how long this node need not read the list itself, given until when it is good enough. Where runners
+// are kept though missing, the list that proves whether they left is read as soon as it can be had: the usual time between
+// two readings, a second, would come on top of the time for which they are kept.
+func (f *Follower) untilReading(goodUntil time.Time) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.kept > 0 && f.absence.proofFrom.Before(goodUntil) {
+		goodUntil = f.absence.proofFrom
+	}
+	return goodUntil.Sub(f.Now())
+}
+
+// awaitAnswer returns when the registry answers a probe after the pause, or when another node passes its list on.
+func (f *Follower) awaitAnswer(ctx context.Context, pause time.Duration) {
+	for sleep(ctx, pause); ctx.Err() == nil; {
+		began := f.Now()
+		if f.relayedUntil().runners.After(began) || f.probe(ctx) == nil {
+			return
+		}
+		sleep(ctx, f.Options.ProbeEvery-f.Now().Sub(began))
+	}
+}
+
+func (f *Follower) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
+	defer cancel()
+	return f.Registry.Probe(ctx)
+}
+
 // pauseAfter returns the pause after a number of failed calls in a row.
 func (o Options) pauseAfter(failures int) time.Duration {
 	const mostDoublings = 10
@@ -118,6 +151,12 @@
 	return min(pause, max(o.RunnersEvery, o.RetryAfter))
 }
 
+func (o Options) absence() absence {
+	// A gap is longer than the outage in it by the time since the reading before and until the first one after it.
+	around := 2*o.RunnersEvery + o.CallTimeout
+	return absence{outageAfter: o.OutageAfter, mixedGap: o.EntryLife + around}
+}
+
 func (f *Follower) readRunners(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
 	defer cancel()
@@ -126,25 +165,25 @@
 	if err != nil {
 		return err
 	}
-	f.applyRunners(listed, revision, f.Now())
+	f.applyRunners(listed, revision, began)
 	if f.Feed != nil {
 		f.Feed.Read(listed, revision, began)
 	}
 	return nil
 }
 
-// applyRunners takes over a list. One of an older revision than the newest is passed over: a relayed list may come
-// after a newer one was read.
-func (f *Follower) applyRunners(listed []work.Runner, revision int64, now time.Time) {
+// applyRunners takes over a list whose reading began at asOf. One of an older revision than the newest is passed over: a
+// relayed list may come after a newer one was read.
+func (f *Follower) applyRunners(listed []work.Runner, revision int64, asOf time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if revision < f.revision {
 		return
 	}
 	f.revision = revision
-	unread := now.Sub(f.lastRead)
-	change := f.Runners.Replace(listed, now, f.keepIfAnswered(now))
-	f.lastRead = now
+	unread := asOf.Sub(f.absence.asOf)
+	proof := f.absence.take(listed, asOf)
+	change := f.Runners.Replace(listed, f.Now(), proof)
 	if f.lost {
 		f.lost = false
 		event.RegistryBack.Log(f.Logger).Int("runners", len(listed)).Send()
@@ -164,19 +203,6 @@
 	f.kept = len(change.Kept)
 }
 
-// keepIfAnswered returns the time after which a runner must have answered to be kept although it is not listed. While
-// the registry was away, the runners could not renew their entries, so their absence right after proves nothing. The
-// caller holds the mutex.
-func (f *Follower) keepIfAnswered(now time.Time) time.Time {
-	if !f.lastRead.IsZero() && now.Sub(f.lastRead) > f.Options.OutageAfter {
-		f.graceUntil = now.Add(f.Options.KeepMissing)
-	}
-	if now.Before(f.graceUntil) {
-		return now.Add(-f.Options.KeepMissing)
-	}
-	return time.Time{}
-}
-
 func (f *Follower) noteLost(err error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -19,7 +19,7 @@
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
-// fakeRegistry answers what the test sets, and counts the readings of runners.
+// fakeRegistry answers what the test sets, and counts the readings of runners and the probes.
 type fakeRegistry struct {
 	mutex    sync.Mutex
 	down     bool
@@ -57,6 +57,17 @@
 	return orders, after + 1, err
 }
 
+// Probe implements work.Registry.
+func (r *fakeRegistry) Probe(context.Context) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.readings++
+	if r.down {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
 func (r *fakeRegistry) ReportRetired(context.Context, ident.Node, bool) error { return nil }
 
 func (r *fakeRegistry) set(change func(r *fakeRegistry)) {
@@ -106,7 +117,7 @@
 func start(t *testing.T, f *follower.Follower, drain time.Duration) {
 	t.Helper()
 	f.Runners, f.Routes, f.Logger, f.Now = runnertable.New("z"), &routetable.Table{}, zerolog.Nop(), time.Now
-	f.Options = follower.OptionsFor(drain)
+	f.Options = follower.OptionsFor(drain, siteHeartbeat)
 	f.Options.RetryAfter = 10 * time.Millisecond
 	supervisor := new(tomb.Tomb)
 	f.Start(supervisor)
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -104,7 +104,7 @@
 	if snapshot.Catalog != nil && f.Routes.Adopt(snapshot.Catalog) {
 		event.CatalogAdopted.Log(f.Logger).Int64("version", snapshot.Catalog.Version).Bool("relayed", true).Send()
 	}
-	f.applyRunners(snapshot.Runners, snapshot.Revision, now)
+	f.applyRunners(snapshot.Runners, snapshot.Revision, now.Add(-runnersAge))
 	f.tellRetirements(snapshot.Retire)
 	if f.Feed != nil {
 		f.Feed.Read(snapshot.Runners, snapshot.Revision, now.Add(-runnersAge))
--- a/internal/follower/relay_test.go
+++ b/internal/follower/relay_test.go
@@ -7,12 +7,15 @@
 	"gotest.tools/v3/assert"
 )
 
+// heartbeat is that of the sites.
+const heartbeat = 1200 * time.Millisecond
+
 // TestRelayedOrdersAreTrustedNoLongerThanRelayedRunners is the case of a worker that is cut off while it waits for
 // orders: its last word about them is young, and still it would not hear of a new configuration.
 func TestRelayedOrdersAreTrustedNoLongerThanRelayedRunners(t *testing.T) {
 	const drain = 2 * time.Second
 	const applied = 2 * time.Second
-	f := &Follower{Options: OptionsFor(drain)}
+	f := &Follower{Options: OptionsFor(drain, heartbeat)}
 	now := time.Unix(100, 0)
 	for _, runnersAge := range []time.Duration{0, 500 * time.Millisecond, time.Second} {
 		fresh := f.freshUntil(now, runnersAge, 0)
@@ -31,7 +34,7 @@
 func TestRelayedOrdersLastUntilTheNextSnapshot(t *testing.T) {
 	now := time.Unix(100, 0)
 	for _, drain := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
-		f := &Follower{Options: OptionsFor(drain)}
+		f := &Follower{Options: OptionsFor(drain, heartbeat)}
 		const way = 100 * time.Millisecond
 		fresh := f.freshUntil(now, 0, f.Options.OrdersWait+way)
 		assert.Assert(t, fresh.orders.Sub(now) > f.Options.RunnersEvery+way, "drain %v: trusted for %v", drain, fresh.orders.Sub(now))
@@ -41,7 +44,7 @@
 // TestFailedCallsAreRepeatedLessAndLess has a registry that stays away: fronts of a large fleet would call it hundreds of
 // times a second.
 func TestFailedCallsAreRepeatedLessAndLess(t *testing.T) {
-	options := OptionsFor(3 * time.Second)
+	options := OptionsFor(3*time.Second, heartbeat)
 	assert.Equal(t, options.pauseAfter(1), options.RetryAfter)
 	assert.Equal(t, options.pauseAfter(2), 2*options.RetryAfter)
 	calls := 0
--- a/internal/follower/trouble_test.go
+++ b/internal/follower/trouble_test.go
@@ -39,13 +39,12 @@
 
 const (
 	// siteDrain is the bound of the sites that the figures were measured on.
-	siteDrain = 2 * time.Second
+	siteDrain     = 2 * time.Second
+	siteHeartbeat = 1200 * time.Millisecond
 	// inTouch is how long after its trouble a node must be right again.
 	inTouch = 3 * time.Second
 	// entriesBack is how long after the return of the registry the entries of all living runners are back.
 	entriesBack = 2 * time.Second
-	// heartbeatsLost is how long a runner's entry outlives its last renewal.
-	heartbeatsLost = 3600 * time.Millisecond
 	// useEvery is how often each runner is used.
 	useEvery = 10 * time.Millisecond
 )
@@ -68,6 +67,8 @@
 	leaves time.Duration
 	// back is when the entry of each other runner is back after an outage, counted from its end.
 	back []time.Duration
+	// renewed is how long before the trouble each runner renewed its entry last.
+	renewed []time.Duration
 	// idle has the living runners get no requests, so that nothing but the list speaks for them.
 	idle bool
 	// relayed has the node read through a worker, which is in the same outage but not cut off.
@@ -114,22 +115,30 @@
 	return listed, 1 + at.Milliseconds(), nil
 }
 
-// lapsed says whether the entries of the living ran out during the trouble.
-func (r *troubledRegistry) lapsed() bool {
+// lapsed says whether a runner's entry ran out during the trouble.
+func (r *troubledRegistry) lapsed(i int) bool {
 	trouble := r.play.trouble
-	return trouble.outage && trouble.lapses && trouble.to-trouble.from > heartbeatsLost
+	silent := trouble.to - trouble.from + r.play.renewed[i]
+	return trouble.outage && trouble.lapses && silent > 3*siteHeartbeat
 }
 
 func (r *troubledRegistry) lists(i int, at time.Duration) bool {
 	if i == 0 {
-		gone := at >= r.play.leaves || (r.lapsed() && at >= r.play.trouble.to)
+		gone := at >= r.play.leaves || (r.lapsed(i) && at >= r.play.trouble.to)
 		return !gone
 	}
-	return !r.lapsed() || at < r.play.trouble.to || at >= r.play.trouble.to+r.play.back[i-1]
+	return !r.lapsed(i) || at < r.play.trouble.to || at >= r.play.trouble.to+r.play.back[i-1]
 }
 
-func (r *troubledRegistry) entry(i int, _ time.Duration) work.Runner {
-	return work.Runner{ID: runnerOf(i), Service: "s", Address: "a", Zone: "z", Slots: 8, State: work.Ready}
+// entry is that of a runner. One that ran out and came back has another registration.
+func (r *troubledRegistry) entry(i int, at time.Duration) work.Runner {
+	registered := int64(1)
+	if r.lapsed(i) && at >= r.play.trouble.to {
+		registered = at.Milliseconds()
+	}
+	return work.Runner{
+		ID: runnerOf(i), Service: "s", Address: "a", Zone: "z", Slots: 8, State: work.Ready, Registered: registered,
+	}
 }
 
 func runnerOf(i int) ident.Runner { return ident.Runner(fmt.Sprint("i-", i)) }
@@ -151,6 +160,9 @@
 	return work.Orders{}, after, ctx.Err()
 }
 
+// Probe implements work.Registry.
+func (r *troubledRegistry) Probe(ctx context.Context) error { return r.call(ctx) }
+
 // ReportRetired implements work.Registry.
 func (r *troubledRegistry) ReportRetired(context.Context, ident.Node, bool) error { return nil }
 
@@ -214,7 +226,7 @@
 
 func newFollower(registry work.Registry, table *runnertable.Table) *follower.Follower {
 	return &follower.Follower{
-		Registry: registry, Runners: table, Routes: &routetable.Table{}, Options: follower.OptionsFor(siteDrain),
+		Registry: registry, Runners: table, Routes: &routetable.Table{}, Options: follower.OptionsFor(siteDrain, siteHeartbeat),
 		Logger: zerolog.Nop(), Now: time.Now,
 	}
 }
@@ -242,6 +254,9 @@
 	p.trouble.silent = rapid.Bool().Draw(t, "silent")
 	p.trouble.outage = rapid.Bool().Draw(t, "outage")
 	p.trouble.lapses = p.trouble.outage && rapid.Bool().Draw(t, "lapses")
+	for i := range 6 {
+		p.renewed = append(p.renewed, milliseconds(t, fmt.Sprint("renewed", i), 0, int(siteHeartbeat.Milliseconds())))
+	}
 	p.leaves = p.trouble.from - time.Second + milliseconds(t, "leaves", 0, int((p.trouble.to-p.trouble.from).Milliseconds()))
 	for i := range 5 {
 		p.back = append(p.back, milliseconds(t, fmt.Sprint("back", i), 0, int(entriesBack.Milliseconds())))
@@ -282,7 +297,7 @@
 func TestRunnerThatLeftDuringACutIsDroppedWithTheFirstList(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	for range 20 {
-		p := play{trouble: trouble{from: 4 * time.Second, silent: true}, back: make([]time.Duration, 5)}
+		p := play{trouble: trouble{from: 4 * time.Second, silent: true}, back: make([]time.Duration, 5), renewed: make([]time.Duration, 6)}
 		p.trouble.to = p.trouble.from + 6*time.Second + time.Duration(random.IntN(4000))*time.Millisecond
 		p.leaves = p.trouble.from + time.Second
 		got := runInBubble(t, p)
--- a/internal/jobworker/borrow_test.go
+++ b/internal/jobworker/borrow_test.go
@@ -49,7 +49,7 @@
 func (g *lendingGroup) add(node ident.Node) {
 	store := kvtest.NewPaged(g.data)
 	table := runnertable.New("z")
-	table.Replace(g.runners, time.Now(), time.Time{})
+	table.Replace(g.runners, time.Now(), true)
 	caller := &fakeCaller{held: true}
 	options := jobworker.DefaultOptions
 	options.LeaseTTL = time.Second
--- a/internal/jobworker/demand_bench_test.go
+++ b/internal/jobworker/demand_bench_test.go
@@ -23,7 +23,7 @@
 	for index := range 153 {
 		listed = append(listed, work.Runner{ID: ident.Runner(fmt.Sprint("r-", index)), Service: "s", Zone: "a", Slots: 5})
 	}
-	runners.Replace(listed, now, time.Time{})
+	runners.Replace(listed, now, true)
 	workers := map[ident.Node]jobrecord.Worker{}
 	for index := range 45 {
 		node := ident.Node(fmt.Sprint("w-", index))
--- a/internal/jobworker/lend_test.go
+++ b/internal/jobworker/lend_test.go
@@ -49,7 +49,7 @@
 	w, _ := demandWorker(t)
 	now := time.Now()
 	w.Runners = runnertable.New("a")
-	w.Runners.Replace([]work.Runner{{ID: "r", Service: "s", Zone: "a", Slots: 12}}, now, time.Time{})
+	w.Runners.Replace([]work.Runner{{ID: "r", Service: "s", Zone: "a", Slots: 12}}, now, true)
 	w.jobs = map[ident.Job]*jobRun{}
 	w.ctx = w.tomb.Context(context.Background())
 	w.gaugeOf("r").gauge.Observe(work.Load{}, 0, 0, now)
@@ -89,7 +89,7 @@
 		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "a", Slots: 5})
 		w.gaugeOf(id).gauge.Observe(work.Load{}, 0, 0, now)
 	}
-	w.Runners.Replace(runners, now, time.Time{})
+	w.Runners.Replace(runners, now, true)
 	assert.Equal(t, w.spare(w.owned("s"), now), 3*(5-2), "without word of online work, each runner keeps places")
 	w.Demand(&demand.Report{Node: "front", Sequence: 1})
 	assert.Equal(t, w.spare(w.owned("s"), now), 15-1)
--- a/internal/jobworker/mirror_test.go
+++ b/internal/jobworker/mirror_test.go
@@ -94,7 +94,7 @@
 func (g *group) addMirrored(node ident.Node, caller work.Caller, mirrors *localMirrors, runner work.Runner) {
 	store := kvtest.NewPaged(g.data)
 	table := runnertable.New("z")
-	table.Replace([]work.Runner{runner}, time.Now(), time.Time{})
+	table.Replace([]work.Runner{runner}, time.Now(), true)
 	options := jobworker.DefaultOptions
 	options.LeaseTTL = time.Second
 	options.MirrorEvery = 20 * time.Millisecond
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -121,7 +121,7 @@
 func (g *group) add(node ident.Node, runners ...work.Runner) {
 	store := kvtest.NewPaged(g.data)
 	table := runnertable.New("z")
-	table.Replace(runners, time.Now(), time.Time{})
+	table.Replace(runners, time.Now(), true)
 	g.callers[node], g.stores[node], g.tables[node], g.tombs[node] = &fakeCaller{}, store, table, new(tomb.Tomb)
 	options := jobworker.DefaultOptions
 	options.LeaseTTL = time.Second
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -88,7 +88,7 @@
 	for _, id := range []ident.Runner{"1", "2", "3", "4"} {
 		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "z", Slots: 4})
 	}
-	table.Replace(runners, time.Now(), time.Time{})
+	table.Replace(runners, time.Now(), true)
 	caller := &scriptedCaller{replies: replies}
 	forwarder := &online.Forwarder{Runners: table, Caller: caller, Logger: zerolog.Nop(), Now: time.Now}
 	route := &work.Route{
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -37,7 +37,6 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.stopWaiting()
-	f.entry.lastAnswer = now
 	if load != nil {
 		f.entry.observe(*load, now)
 	}
@@ -48,7 +47,6 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.stopWaiting()
-	f.entry.lastAnswer = now
 	if !f.succeeded {
 		f.succeeded = true
 		f.entry.health.succeeded(now)
@@ -95,7 +93,6 @@
 	defer t.mutex.Unlock()
 	if known := t.runners[id]; known != nil {
 		known.observe(load, now)
-		known.lastAnswer = now
 	}
 }
 
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -55,7 +55,6 @@
 	share         share
 	health        health
 	prefixes      prefixHistory
-	lastAnswer    time.Time
 	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
 	missingSince time.Time
 }
@@ -88,10 +87,10 @@
 	LongestMissing time.Duration
 }
 
-// Replace takes over the registry's list. Runners that it does not name take no more work, except that those which
-// answered after keepIfAnswered stay: a registry that has just come back may not list the living yet. A zero time keeps
-// none.
-func (t *Table) Replace(listed []work.Runner, now, keepIfAnswered time.Time) Change {
+// Replace takes over the registry's list. Runners that it does not name take no more work where their absence is proof that
+// they left. A registry that has just come back may not list the living yet: then ready runners stay, also idle ones. Their
+// own answers show nothing, for those that left serve on for a while.
+func (t *Table) Replace(listed []work.Runner, now time.Time, absenceIsProof bool) Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var change Change
@@ -112,7 +111,7 @@
 		if seen[id] {
 			continue
 		}
-		if !keepIfAnswered.IsZero() && known.runner.State == work.Ready && known.lastAnswer.After(keepIfAnswered) {
+		if !absenceIsProof && known.runner.State == work.Ready {
 			known.keepMissing(now)
 			change.Kept = append(change.Kept, id)
 			continue
--- a/internal/runnertable/table_test.go
+++ b/internal/runnertable/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 
 func tableOf(runners ...work.Runner) *runnertable.Table {
 	table := runnertable.New("a")
-	table.Replace(runners, start, time.Time{})
+	table.Replace(runners, start, true)
 	return table
 }
 
@@ -41,32 +42,38 @@
 	table := tableOf(runner("1", "a"), runner("2", "a"))
 	leaving := runner("1", "a")
 	leaving.State = work.Draining
-	table.Replace([]work.Runner{leaving, runner("2", "a")}, start, time.Time{})
+	table.Replace([]work.Runner{leaving, runner("2", "a")}, start, true)
 	for range 20 {
 		assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("2"))
 	}
 	_, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start)
 	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
-	change := table.Replace([]work.Runner{leaving}, start, time.Time{})
+	change := table.Replace([]work.Runner{leaving}, start, true)
 	assert.DeepEqual(t, change.Removed, []ident.Runner{"2"})
 	_, err = table.Pick(runnertable.Wish{Service: "s"}, start, random())
 	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
 }
 
-// TestAbsenceAfterAnOutageIsNoProof keeps the runner that answered, until a later reading without the outage.
-func TestAbsenceAfterAnOutageIsNoProof(t *testing.T) {
-	table := tableOf(runner("1", "a"), runner("2", "a"))
+// TestAbsenceIsProofOnlyWhereItIsSaidToBe keeps the ready runners that a list lacks, used lately or not, and drops those that
+// said that they leave. A later list that is proof drops all.
+func TestAbsenceIsProofOnlyWhereItIsSaidToBe(t *testing.T) {
+	leaving := runner("3", "a")
+	leaving.State = work.Draining
+	table := tableOf(runner("1", "a"), runner("2", "a"), leaving)
 	flight, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start)
 	assert.NilError(t, err)
 	flight.Answered(nil, start.Add(time.Second))
 	flight.End()
-	change := table.Replace(nil, start.Add(2*time.Second), start)
-	assert.DeepEqual(t, change.Kept, []ident.Runner{"1"})
-	assert.Equal(t, table.Count(), 1)
-	assert.Equal(t, pick(t, table, start.Add(2*time.Second), runnertable.Wish{}).Runner.ID, ident.Runner("1"))
-	change = table.Replace(nil, start.Add(5*time.Second), time.Time{})
-	assert.Equal(t, table.Count(), 0)
+	change := table.Replace(nil, start.Add(2*time.Second), false)
+	slices.Sort(change.Kept)
+	assert.DeepEqual(t, change.Kept, []ident.Runner{"1", "2"})
+	assert.DeepEqual(t, change.Removed, []ident.Runner{"3"})
+	_, err = table.StartAt("2", runnertable.Wish{Service: "s"}, start.Add(2*time.Second))
+	assert.NilError(t, err)
+	change = table.Replace([]work.Runner{runner("2", "a")}, start.Add(5*time.Second), true)
+	assert.DeepEqual(t, change.Removed, []ident.Runner{"1"})
 	assert.Equal(t, change.LongestMissing, 3*time.Second)
+	assert.Equal(t, table.Count(), 1)
 }
 
 // TestUnreachableRunnerIsEjectedAndComesBack ejects for longer each time; one success brings the runner back.
--- a/internal/sitesettings/settings.go
+++ b/internal/sitesettings/settings.go
@@ -85,6 +85,7 @@
 	ConfigurationMs  int     `yaml:"configuration_ms"`
 	SettleMs         int     `yaml:"settle_ms"`
 	CancelMs         int     `yaml:"cancel_ms"`
+	HeartbeatMs      int     `yaml:"heartbeat_ms"`
 	ResultRetentionS float64 `yaml:"result_retention_s"`
 	QuotaOverage     float64 `yaml:"quota_overage"`
 	// LostDisks is how many machines with a disk may be lost at once.
@@ -97,6 +98,9 @@
 // Drain is how soon a leaving runner must get no more work.
 func (b Bounds) Drain() time.Duration { return time.Duration(b.DrainMs) * time.Millisecond }
 
+// Heartbeat is the time between two renewals of a runner's entry in the registry.
+func (b Bounds) Heartbeat() time.Duration { return time.Duration(b.HeartbeatMs) * time.Millisecond }
+
 // ResultRetention is how long results stay readable, counted from the submission of their job.
 func (b Bounds) ResultRetention() time.Duration {
 	return time.Duration(b.ResultRetentionS * float64(time.Second))
@@ -149,6 +153,9 @@
 	if s.Bounds.GraceS <= 0 {
 		fault("bounds.grace_s", "must be above zero")
 	}
+	if s.Bounds.HeartbeatMs <= 0 {
+		fault("bounds.heartbeat_ms", "must be above zero")
+	}
 	if s.Bounds.LostDisks < 0 {
 		fault("bounds.lost_disks", "must not be below zero")
 	}
--- a/internal/sitesettings/settings_test.go
+++ b/internal/sitesettings/settings_test.go
@@ -17,7 +17,7 @@
 listen: {callers: "127.0.0.1:1", ready: "127.0.0.1:2", peers: "127.0.0.1:3"}
 store: {address: "127.0.0.1:4", value_bytes: 1048576, shortest_lease_ms: 1000}
 limits: {memory_mb: 300, cores: 1, descriptors: 1000}
-bounds: {drain_ms: 2000, grace_s: 8.5, configuration_ms: 2000, settle_ms: 1000, cancel_ms: 3000, result_retention_s: 120, quota_overage: 0.1, lost_disks: 1}
+bounds: {drain_ms: 2000, grace_s: 8.5, configuration_ms: 2000, settle_ms: 1000, cancel_ms: 3000, heartbeat_ms: 1200, result_retention_s: 120, quota_overage: 0.1, lost_disks: 1}
 `
 
 func TestGoodSettings(t *testing.T) {
@@ -27,6 +27,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, settings.Bounds.Grace(), 8500*time.Millisecond)
 	assert.Equal(t, settings.Bounds.Drain(), 2*time.Second)
+	assert.Equal(t, settings.Bounds.Heartbeat(), 1200*time.Millisecond)
 	assert.Equal(t, settings.Bounds.ResultRetention(), 2*time.Minute)
 	assert.Equal(t, settings.Store.ShortestLease(), time.Second)
 }
@@ -44,6 +45,7 @@
 		{`value_bytes: 1048576`, `value_bytes: 0`, "store.value_bytes"},
 		{`memory_mb: 300`, `memory_mb: -1`, "limits.memory_mb"},
 		{`grace_s: 8.5`, `grace_s: 0`, "bounds.grace_s"},
+		{`heartbeat_ms: 1200`, `heartbeat_ms: 0`, "bounds.heartbeat_ms"},
 		{`lost_disks: 1`, `lost_disks: -1`, "bounds.lost_disks"},
 	}
 	for _, c := range cases {
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -69,6 +69,8 @@
 	// NextOrders waits for orders newer than the revision. It returns none, and a revision to go on from, when none
 	// came within the wait.
 	NextOrders(ctx context.Context, after int64, wait time.Duration) (Orders, int64, error)
+	// Probe makes the cheapest call there is, to see whether the registry answers at all.
+	Probe(ctx context.Context) error
 	// ReportRetired tells the operators how far a worker is emptied.
 	ReportRetired(ctx context.Context, node ident.Node, emptied bool) error
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -73,6 +73,9 @@
 	State   State
 	// WarmUp is how long the runner stays slow, counted from the reading of the registry.
 	WarmUp time.Duration
+	// Registered is the registry's revision at which the runner's entry was made. An entry that ran out and came back has
+	// another one.
+	Registered int64
 }
 
 // Kind says what a route allows.
