Close the connections beside one that fell silent; count a freeze as the age of a relayed list

And a feed took the time held after it had told the ages: a freeze between the two made an old list look young. Change: a call that runs out of time on a kept connection closes the others kept to that address; the ages of a relayed list and the time it was held come from one look at the clock; a gap counts as an outage from two heartbeats on (2.4 s), the least in which an entry can run out. Tests, each seen to fail first: TestConnectionsBesideASilentOneAreNotUsed, TestFreezeBeforeTheAnswerIsNotHeldTime.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -54,6 +55,7 @@
 	if err != nil {
 		stop()
 		_ = taken.conn.Close()
+		p.suspect(ctx, taken)
 		return nil, err
 	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
@@ -64,6 +66,14 @@
 	}, nil
 }
 
+// suspect closes the connections kept beside one on which a call ran out of time. Connections may fall silent all at once
+// and without a reset, while new ones work: the calls after it would each lose their time on the next of them.
+func (p *Pool) suspect(ctx context.Context, failed *connection) {
+	if failed.reused && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		p.Forget(failed.address)
+	}
+}
+
 // exchange writes the request and reads the head of its answer.
 func (c *connection) exchange(call *Call) (*http.Response, error) {
 	written, err := c.conn.Write(encode(call))
--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -16,6 +16,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	expires time.Time
+	// reused says that the connection was kept after an earlier call.
+	reused bool
 }
 
 func newConnection(address string, conn net.Conn) *connection {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -112,6 +112,7 @@
 	if idleTimeout <= 0 {
 		idleTimeout = p.options.IdleTimeout
 	}
+	returned.reused = true
 	returned.expires = p.options.Now().Add(idleTimeout)
 	p.mutex.Lock()
 	kept := p.idle[returned.address]
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -127,6 +128,55 @@
 	assert.ErrorIs(t, err, connpool.ErrNoAnswer)
 }
 
+// TestConnectionsBesideASilentOneAreNotUsed has all kept connections fall silent without a reset, while new ones work. One
+// call finds out; the next one gets its answer over a new connection, in place of waiting on each of the others in turn.
+func TestConnectionsBesideASilentOneAreNotUsed(t *testing.T) {
+	var silentUpTo, connections atomic.Int64
+	var numbers sync.Map
+	together := make(chan struct{}, 2)
+	address, opened := serve(t, func(conn net.Conn, request *http.Request) bool {
+		number, known := numbers.Load(conn)
+		if !known {
+			number = connections.Add(1)
+			numbers.Store(conn, number)
+		}
+		if number.(int64) <= silentUpTo.Load() {
+			_, _ = conn.Read(make([]byte, 1))
+			return false
+		}
+		if request.URL.Path == "/together" {
+			together <- struct{}{}
+			for len(together) < cap(together) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		return whole("Keep-Alive: timeout=60\r\n")(conn, request)
+	})
+	pool, _ := newPool()
+	var both sync.WaitGroup
+	for range cap(together) {
+		both.Go(func() {
+			answer, err := pool.Do(context.Background(), &connpool.Call{Address: address, Method: http.MethodGet, Target: "/together", Host: "h"})
+			if err == nil {
+				_, _ = io.ReadAll(answer.Body)
+			}
+		})
+	}
+	both.Wait()
+	assert.Equal(t, opened.Load(), int64(2))
+	silentUpTo.Store(2)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := pool.Do(ctx, &connpool.Call{Address: address, Method: http.MethodGet, Target: "/", Host: "h"})
+	assert.ErrorIs(t, err, connpool.ErrNoAnswer)
+	ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answer, err := pool.Do(ctx, &connpool.Call{Address: address, Method: http.MethodGet, Target: "/", Host: "h"})
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	assert.Equal(t, opened.Load(), int64(3))
+}
+
 // TestEndOfTheCallClosesTheConnection: closing is how the other side learns to stop.
 func TestEndOfTheCallClosesTheConnection(t *testing.T) {
 	ended := make(chan error, 1)
--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -124,9 +124,11 @@
 	timer := time.NewTimer(min(time.Duration(known.WaitMs)*time.Millisecond, longestHold))
 	defer timer.Stop()
 	for over := false; ; {
-		snapshot, changed, newer := f.compare(known)
+		// The time held ends where the ages are told: a freeze after that is the answer's way.
+		now := f.Now()
+		snapshot, changed, newer := f.compare(known, now)
 		if newer || over {
-			snapshot.HeldMs = f.Now().Sub(began).Milliseconds()
+			snapshot.HeldMs = now.Sub(began).Milliseconds()
 			if f.Workers != nil {
 				snapshot.Workers = f.Workers()
 			}
@@ -145,11 +147,10 @@
 // longestHold bounds how long an answer is held.
 const longestHold = 5 * time.Second
 
-// compare returns the present snapshot, what is closed at the next change, and whether the node lacks something.
-func (f *Feed) compare(known *Known) (*Snapshot, <-chan struct{}, bool) {
+// compare returns the snapshot as of now, what is closed at the next change, and whether the node lacks something.
+func (f *Feed) compare(known *Known, now time.Time) (*Snapshot, <-chan struct{}, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	now := f.Now()
 	snapshot := &Snapshot{
 		Incarnation: f.incarnation, Reading: f.reading, Runners: f.runners, Revision: f.revision,
 		Retire:       slices.Clone(f.retire),
--- a/internal/fleetfeed/feed_test.go
+++ b/internal/fleetfeed/feed_test.go
@@ -43,6 +43,24 @@
 	assert.Equal(t, (<-answered).Catalog.Version, int64(6))
 }
 
+// TestFreezeBeforeTheAnswerIsNotHeldTime freezes the process after it looked at its clock for the ages. What a node takes off
+// its call's time as held must not contain the freeze, or an old list looks young.
+func TestFreezeBeforeTheAnswerIsNotHeldTime(t *testing.T) {
+	const looksBeforeTheFreeze = 2
+	now, looks := time.Unix(100, 0), 0
+	feed := fleetfeed.New(func() time.Time { return now })
+	feed.Read([]work.Runner{{ID: "i-1"}}, 1, now)
+	feed.Now = func() time.Time {
+		if looks++; looks > looksBeforeTheFreeze {
+			return now.Add(6 * time.Second)
+		}
+		return now
+	}
+	snapshot, err := feed.Snapshot(context.Background(), &fleetfeed.Known{})
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.RunnersAgeMs, snapshot.HeldMs, "the freeze is in one of them only")
+}
+
 // TestFeedWithoutAReadingAnswersNothing holds a call that comes before the first reading.
 func TestFeedWithoutAReadingAnswersNothing(t *testing.T) {
 	feed := fleetfeed.New(time.Now)
--- a/internal/follower/absence.go
+++ b/internal/follower/absence.go
@@ -22,8 +22,9 @@
 // to 5.2 s after its return (3.0 allowed), and a cut cost as much as an outage. Now a list after a cut is proof at once, and
 // after an outage runners are kept for entriesBack and no longer.
 type absence struct {
-	// outageAfter is the time between two lists from which on the registry may have been away for so long that entries ran
-	// out.
+	// outageAfter is the least time between two lists in which an entry may have run out: one that was due to be renewed
+	// when an outage began has a heartbeat less than its whole life. With a second of this taken for an outage, connections
+	// that fall silent (a call of 0.7 s lost) would cost two seconds of grace.
 	outageAfter time.Duration
 	// mixedGap is the longest gap beside which some entries may have run out and others not.
 	mixedGap time.Duration
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -32,10 +32,8 @@
 	// ProbeEvery is the time between two probes of a registry that does not answer. How late its return is noticed counts
 	// into how long a runner is used that left in the outage.
 	ProbeEvery time.Duration
-	// OutageAfter is the time between two lists after which the registry may have been away.
-	OutageAfter time.Duration
-	// EntryLife is how long the entry of a runner that is silent is kept.
-	EntryLife time.Duration
+	// Heartbeat is the time between two renewals of a runner's entry.
+	Heartbeat time.Duration
 }
 
 // readingShare is the part of the drain bound between two readings; the rest is for a reading that is slow (thousands of
@@ -51,8 +49,7 @@
 		CallTimeout:  700 * time.Millisecond,
 		RetryAfter:   250 * time.Millisecond,
 		ProbeEvery:   500 * time.Millisecond,
-		OutageAfter:  drain,
-		EntryLife:    heartbeatsKept * heartbeat,
+		Heartbeat:    heartbeat,
 	}
 }
 
@@ -151,10 +148,12 @@
 	return min(pause, max(o.RunnersEvery, o.RetryAfter))
 }
 
+// absence returns a judge of lists that knows none yet.
 func (o Options) absence() absence {
+	entryLife := heartbeatsKept * o.Heartbeat
 	// A gap is longer than the outage in it by the time since the reading before and until the first one after it.
 	around := 2*o.RunnersEvery + o.CallTimeout
-	return absence{outageAfter: o.OutageAfter, mixedGap: o.EntryLife + around}
+	return absence{outageAfter: entryLife - o.Heartbeat, mixedGap: entryLife + around}
 }
 
 func (f *Follower) readRunners(ctx context.Context) error {
