Test that output of two holders of a job is never joined

Two workers run one item at once, because the lease of the first ran out at a store that does not answer it; a third one keeps the output of both and takes the job over. Fails on the code as it is: the result's text is of the runs 0 0 1 0 2 2, and run 0 was not asked to go on after event 3.

--- /dev/null
+++ b/internal/jobworker/joined_test.go
@@ -0,0 +1,239 @@
+package jobworker_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// What was seen: a listed result whose text went on, after an event, with a run that had not been asked to go on there.
+//
+// How it came about: the store did writes without answering them, or did them seconds later. A worker's lease ran out while the
+// worker went on; another one claimed the job, and a third one after that. The third took over the output that it had kept
+// for both.
+//
+// Cause: a piece of kept output said at which length it follows and not of which run it is. The pieces of two runs of one item
+// have the same lengths, so that the piece of one run was put behind the text of the other.
+//
+// Proof: the lines of the three workers (job_claimed with four outputs taken over, while the first holder still ran them), and
+// the test below, in which nothing but the order of the pieces is arranged.
+
+// steppedRuns are the runs of all workers, whose events come one by one as the test lets them.
+type steppedRuns struct {
+	mutex sync.Mutex
+	runs  []*steppedRun
+}
+
+// steppedRun is one run of an item. Its events' data is its number.
+type steppedRun struct {
+	node    ident.Node
+	resumed int64
+	allowed chan struct{}
+}
+
+// steppedEvents are the events of each item.
+const steppedEvents = 6
+
+// step lets the newest run of a node make that many events.
+func (s *steppedRuns) step(t *testing.T, node ident.Node, events int) {
+	t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for i := len(s.runs) - 1; i >= 0; i-- {
+		if run := s.runs[i]; run.node == node {
+			for range events {
+				run.allowed <- struct{}{}
+			}
+			return
+		}
+	}
+	t.Fatalf("no run of %s", node)
+}
+
+// count returns how many runs a node began.
+func (s *steppedRuns) count(node ident.Node) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for _, run := range s.runs {
+		if run.node == node {
+			count++
+		}
+	}
+	return count
+}
+
+// checkJoints fails where a text goes on with a run that was not asked to go on there.
+func (s *steppedRuns) checkJoints(t *testing.T, text string) {
+	t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := -1
+	for event, data := range strings.Split(text, "\n") {
+		number, err := strconv.Atoi(data)
+		assert.NilError(t, err)
+		if number != before {
+			assert.Equal(t, s.runs[number].resumed, int64(event), "text %q: run %d was not asked to go on after event %d", text, number, event)
+		}
+		before = number
+	}
+}
+
+// steppedCaller makes the runs of one node.
+type steppedCaller struct {
+	fakeCaller
+	node ident.Node
+	all  *steppedRuns
+}
+
+// Send implements work.Caller.
+func (c *steppedCaller) Send(ctx context.Context, attempt work.Attempt) (*work.Reply, error) {
+	run := &steppedRun{node: c.node, resumed: attempt.ResumeAfter, allowed: make(chan struct{}, steppedEvents)}
+	c.all.mutex.Lock()
+	number := len(c.all.runs)
+	c.all.runs = append(c.all.runs, run)
+	c.all.mutex.Unlock()
+	body, events := io.Pipe()
+	go func() {
+		for event := attempt.ResumeAfter + 1; event <= steppedEvents; event++ {
+			select {
+			case <-run.allowed:
+				_, _ = fmt.Fprintf(events, "id: %d\ndata: %d\n\n", event, number)
+			case <-ctx.Done():
+				_ = events.CloseWithError(ctx.Err())
+				return
+			}
+		}
+		_ = events.Close()
+	}()
+	return &work.Reply{Head: work.Head{Status: http.StatusOK}, Sealed: true, Framed: true, Body: body}, nil
+}
+
+// holder is a worker of the test.
+type holder struct {
+	worker *jobworker.Worker
+	store  *kvtest.Paged
+	table  *runnertable.Table
+	tomb   *tomb.Tomb
+}
+
+func (h *holder) end() {
+	h.tomb.Kill(nil)
+	_ = h.tomb.Wait()
+}
+
+func (g *group) addStepped(node ident.Node, all *steppedRuns, mirrors *localMirrors, runners ...work.Runner) *holder {
+	h := &holder{store: kvtest.NewPaged(g.data), table: runnertable.New("z"), tomb: new(tomb.Tomb)}
+	h.table.Replace(runners, time.Now(), true)
+	options := jobworker.DefaultOptions
+	options.LeaseTTL = time.Second
+	options.MirrorEvery = mirrorEvery
+	options.StallAfter = time.Minute
+	h.worker = &jobworker.Worker{
+		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(h.store), Store: h.store, Runners: h.table, Routes: g.routes,
+		Caller: &steppedCaller{node: node, all: all}, Options: options, Logger: zerolog.Nop(), Now: time.Now, Mirrors: mirrors,
+	}
+	mirrors.mutex.Lock()
+	mirrors.workers[string(node)] = h.worker
+	mirrors.mutex.Unlock()
+	h.worker.Start(h.tomb)
+	g.t.Cleanup(h.end)
+	return h
+}
+
+const (
+	mirrorEvery = 20 * time.Millisecond
+	// mirrorRounds is long enough for several rounds of sending output to its second place.
+	mirrorRounds = 300 * time.Millisecond
+)
+
+// runnerOwnedBy returns a runner that a worker owns among all of them.
+func runnerOwnedBy(t *testing.T, owner ident.Node, workers ...ident.Node) work.Runner {
+	t.Helper()
+	known := map[ident.Node]jobrecord.Worker{}
+	for _, node := range workers {
+		known[node] = jobrecord.Worker{Node: node, Zone: "z"}
+	}
+	for i := range 1000 {
+		if runner := oneRunner(fmt.Sprint("i-", i)); jobrecord.OwnerOf(runner, known) == owner {
+			return runner
+		}
+	}
+	t.Fatalf("no runner for %s", owner)
+	return work.Runner{}
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s never came", what)
+}
+
+// TestOutputOfTwoHoldersIsNeverJoined has two workers run one item at once: the lease of the first ran out at the store, which
+// does not answer it. A third one keeps the output of both, and takes the job over in the end.
+func TestOutputOfTwoHoldersIsNeverJoined(t *testing.T) {
+	g, all, mirrors := newGroup(t), &steppedRuns{}, &localMirrors{workers: map[string]*jobworker.Worker{}}
+	nodes := []ident.Node{"n0", "n1", "n2"}
+	runners := []work.Runner{runnerOwnedBy(t, "n0", nodes...), runnerOwnedBy(t, "n1", nodes...)}
+	// Without a runner of its own the third takes no job.
+	third := g.addStepped("n2", all, mirrors)
+	first := g.addStepped("n0", all, mirrors, runners...)
+	job := ident.Job("j")
+	g.submit(string(job), 1)
+	waitFor(t, "the first run", func() bool { return all.count("n0") == 1 })
+	second := g.addStepped("n1", all, mirrors, runners...)
+	keptEvents := func() int64 {
+		kept := third.worker.Mirrored(job)
+		if len(kept) == 0 {
+			return 0
+		}
+		return kept[0].LastEvent
+	}
+	all.step(t, "n0", 2)
+	waitFor(t, "the output of the first", func() bool { return keptEvents() == 2 })
+	time.Sleep(1500 * time.Millisecond) // A job that is younger is not asked for output.
+
+	first.store.SetFaults(kvtest.PagedFaults{Down: true})
+	waitFor(t, "the run of the second", func() bool { return all.count("n1") == 1 })
+	all.step(t, "n0", 1)
+	waitFor(t, "the third event of the first", func() bool { return keptEvents() == 3 })
+	all.step(t, "n1", 1)
+	time.Sleep(mirrorRounds)
+	all.step(t, "n0", 1)
+	time.Sleep(mirrorRounds)
+
+	first.end()
+	second.end()
+	third.table.Replace([]work.Runner{runnerOwnedBy(t, "n2", "n2")}, time.Now(), true)
+	waitFor(t, "the run of the third", func() bool { return all.count("n2") == 1 })
+	all.step(t, "n2", steppedEvents)
+	var results []work.Result
+	waitFor(t, "the result", func() bool {
+		var err error
+		results, err = g.records.AllResults(context.Background(), job)
+		return err == nil && len(results) == 1
+	})
+	assert.Equal(t, len(strings.Split(results[0].Text, "\n")), steppedEvents)
+	all.checkJoints(t, results[0].Text)
+}
