Join kept output only with what its own run, or one that went on behind it, made next

Cause: proved by the test before: a piece of output named no run, and pieces of two holders of one item have the same lengths. Change: each run of an item has an id (revision of the claim, number in the process). A piece names the run of its last event and the one it follows; a mirror, in memory or on disk, takes it only behind that run, passes over what comes under an older claim than it keeps or names no run, and otherwise asks for the output from the beginning. Output taken over carries its run. Ruled out: results under a lost claim (the store's own condition on the claim's revision refuses them, also late ones). Looked at for the same cause: streams resumed by a front (one process, one request: the text is its own), output read from disk after a restart (lines of earlier versions name no run and are passed over), lent places (a loan is a number of places; the holder runs its items).

--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -9,6 +9,7 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -51,8 +52,11 @@
 	// text is the data of the events so far, lastEvent the id of the last.
 	text      bytes.Buffer
 	lastEvent int64
-	// mirrored is how much of the text the second place has, in bytes.
-	mirrored int
+	// begun is the run in progress, run the one that made the last event.
+	begun, run progress.RunID
+	// mirrored is how much of the text the second place has, in bytes, and mirroredRun the run that made its end.
+	mirrored    int
+	mirroredRun progress.RunID
 	// failures counts the runs that the runner itself failed.
 	failures int
 	// avoid holds the runners that failed it.
--- a/internal/jobworker/mirror.go
+++ b/internal/jobworker/mirror.go
@@ -78,8 +78,9 @@
 // outgrowth is output of an item on its way to its second place.
 type outgrowth struct {
 	item *itemRun
-	// length is how much of the output is there once the piece has arrived.
+	// length is how much of the output is there once the piece has arrived, and run what made its end.
 	length int
+	run    progress.RunID
 }
 
 // shipment is what one worker is sent at once.
@@ -147,9 +148,9 @@
 		}
 		text := append([]byte(nil), item.text.Bytes()[item.mirrored:]...)
 		update.Pieces = append(update.Pieces, progress.Piece{
-			Item: item.item.ID, Offset: item.mirrored, LastEvent: item.lastEvent, Text: text,
+			Item: item.item.ID, Run: item.run, Before: item.mirroredRun, Offset: item.mirrored, LastEvent: item.lastEvent, Text: text,
 		})
-		grown = append(grown, outgrowth{item: item, length: item.text.Len()})
+		grown = append(grown, outgrowth{item: item, length: item.text.Len(), run: item.run})
 	}
 	return update, grown
 }
@@ -177,7 +178,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, one := range sent.grown {
-		one.item.mirrored = one.length
+		one.item.mirrored, one.item.mirroredRun = one.length, one.run
 		if missing[one.item.item.ID] {
 			one.item.mirrored = 0
 		}
@@ -237,7 +238,7 @@
 		}
 		item.text.Reset()
 		item.text.Write(output.Text)
-		item.lastEvent = output.LastEvent
+		item.lastEvent, item.run = output.LastEvent, output.Run
 		resumed++
 	}
 	return resumed
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -12,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/eventstream"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -40,6 +41,7 @@
 func (w *Worker) run(ctx context.Context, item *itemRun, route *work.Route, flight *runnertable.Flight) {
 	defer flight.End()
 	resumed := item.lastEvent
+	w.name(item)
 	status, err := w.stream(ctx, item, route, flight)
 	now := w.Now()
 	w.mutex.Lock()
@@ -76,6 +78,15 @@
 	}
 }
 
+// name gives a run of an item that begins its id. Runs of other workers, and those of before a restart, are under other
+// claims.
+func (w *Worker) name(item *itemRun) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.runs++
+	item.begun = progress.RunID{Claim: item.job.claim.Revision, Number: w.runs}
+}
+
 func failureOf(err error) runnertable.Failure {
 	if errors.Is(err, connpool.ErrNotSent) {
 		return runnertable.Unreachable
@@ -197,7 +208,7 @@
 		item.text.WriteByte('\n')
 	}
 	item.text.Write(next.Data)
-	item.lastEvent = next.ID
+	item.lastEvent, item.run = next.ID, item.begun
 	item.progressed = now
 	item.job.progressed = now
 	return nil
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -124,6 +124,8 @@
 	workers map[ident.Node]jobrecord.Worker
 	open    map[ident.Job]*openJob
 	jobs    map[ident.Job]*jobRun
+	// runs counts the runs of items that this process began.
+	runs int64
 	// mirror keeps output for other workers.
 	mirror progress.Mirror
 	// demand is the online work that nodes tell of.
--- a/internal/progress/journal.go
+++ b/internal/progress/journal.go
@@ -171,7 +171,7 @@
 	for id, job := range j.jobs {
 		update := &Update{Job: id}
 		for _, kept := range job.outputs {
-			update.Pieces = append(update.Pieces, Piece{Item: kept.Item, LastEvent: kept.LastEvent, Text: kept.Text})
+			update.Pieces = append(update.Pieces, Piece{Item: kept.Item, Run: kept.Run, LastEvent: kept.LastEvent, Text: kept.Text})
 		}
 		line, err := encodeLine(update)
 		if err == nil && int64(len(content)+len(line)) <= j.most/2 {
--- a/internal/progress/mirror.go
+++ b/internal/progress/mirror.go
@@ -17,9 +17,21 @@
 	keptBytes = 24 << 20
 )
 
+// RunID names one run of an item. Two runs of one item make different texts of the same length, so that what is kept of one
+// may only be followed by what that run, or one that was asked to go on behind it, made next.
+type RunID struct {
+	// Claim is the revision of the claim under which the run was begun. It rises with each claim of a job.
+	Claim int64 `json:"claim"`
+	// Number tells the runs of one process apart. The zero value of a RunID names no run.
+	Number int64 `json:"number"`
+}
+
 // Piece is what an item's output grew by.
 type Piece struct {
 	Item ident.Request `json:"item"`
+	// Run made the last event of the output after, Before that of the output before.
+	Run    RunID `json:"run"`
+	Before RunID `json:"before"`
 	// Offset is the length of the output before, in bytes.
 	Offset int `json:"offset"`
 	// LastEvent is the id of the last event in the output after.
@@ -35,9 +47,11 @@
 
 // Output is what is kept of an item.
 type Output struct {
-	Item      ident.Request `json:"item"`
-	LastEvent int64         `json:"last_event"`
-	Text      []byte        `json:"text"`
+	Item ident.Request `json:"item"`
+	// Run made the last event.
+	Run       RunID  `json:"run"`
+	LastEvent int64  `json:"last_event"`
+	Text      []byte `json:"text"`
 }
 
 // Mirror keeps outputs for other nodes. It is safe for concurrent use.
@@ -80,21 +94,25 @@
 	return gaps
 }
 
-// take adds a piece, and returns by how many bytes the outputs grew.
+// take adds a piece, and returns by how many bytes the outputs grew. What comes under an older claim than what is kept, or
+// names no run, is passed over: its sender has lost the job, or cannot say what its piece follows.
 func (j *mirrored) take(piece Piece) (grown int, follows bool) {
 	kept := j.outputs[piece.Item]
 	if kept == nil {
 		kept = &Output{Item: piece.Item}
-		j.outputs[piece.Item] = kept
+	}
+	if piece.Run == (RunID{}) || piece.Run.Claim < kept.Run.Claim {
+		return 0, true
 	}
 	before := len(kept.Text)
-	switch piece.Offset {
-	case before:
-	case 0:
+	switch {
+	case piece.Offset == 0:
 		kept.Text = nil
-	default:
+	case piece.Offset != before, piece.Before != kept.Run:
 		return 0, false
 	}
+	j.outputs[piece.Item] = kept
+	kept.Run = piece.Run
 	kept.Text = append(kept.Text, piece.Text...)
 	kept.LastEvent = piece.LastEvent
 	grown = len(kept.Text) - before
@@ -129,7 +147,9 @@
 	}
 	outputs := make([]Output, 0, len(job.outputs))
 	for _, kept := range job.outputs {
-		outputs = append(outputs, Output{Item: kept.Item, LastEvent: kept.LastEvent, Text: append([]byte(nil), kept.Text...)})
+		outputs = append(outputs, Output{
+			Item: kept.Item, Run: kept.Run, LastEvent: kept.LastEvent, Text: append([]byte(nil), kept.Text...),
+		})
 	}
 	return outputs
 }
