--- a/model/records.pml
+++ b/model/records.pml
@@ -4,11 +4,12 @@
  * condition still holds then. The store may be away at any time. Leases lapse at any time, also while their holder goes on.
  * LOST disks are lost, at any time.
  *
- * The taking of the job and the recording of its results (-DRESULTS) are searched apart: they meet in the store alone.
+ * The taking of the job, the recording of its results (-DRESULTS), and the output that is kept of an item in progress at a
+ * second worker (-DOUTPUT, internal/progress) are searched apart: they meet in the store alone.
  *
  * Seeded bugs (-D): ONE_COPY, REMOVE_EARLY, BLIND_HANDOVER, PROMISE_UNKNOWN, NO_COMPARES, ASSUME_WRITTEN,
- * END_KEEPS_CLAIM. Without one of its two compares (claim, position) recording still holds: each alone is enough while a job
- * is open; the claim is what ends it.
+ * END_KEEPS_CLAIM, PIECES_NAME_NO_RUN. Without one of its two compares (claim, position) recording still holds: each alone is enough while a job
+ * is open; the claim is what ends it. Likewise kept output holds without its compare of claims, which only spares sendings.
  */
 #ifndef LOST
 #define LOST 1
@@ -214,10 +215,112 @@
     od
 }
 
+#ifdef OUTPUT
+/*
+ * One item, run by holders whose claims lapse while they go on: each begins from what the mirror kept when it claimed the job,
+ * and sends it what it makes. Pieces arrive, arrive late, or arrive and are not answered. An event is the claim of the run that
+ * made it. All events are of one length. What may be recorded of it is the matter of -DRESULTS.
+ */
+#define HOLDERS 2
+#define EVENTS 3
+
+typedef Text { byte by[EVENTS]; byte length }
+/* What follows the first events of a text, and the run that it follows. */
+typedef Piece { byte by[EVENTS]; byte length; byte offset; byte before }
+
+Text kept;
+Text made[HOLDERS];
+Piece late[HOLDERS];            /* length 0 for none */
+byte resumedAt[HOLDERS + 1];    /* by claim */
+bool forgot = false;
+
+/* A text goes on with another run only where that run was asked to go on. */
+inline check_joints(text) {
+    assert(text.length < 2 || text.by[0] == text.by[1] || resumedAt[text.by[1]] == 1);
+    assert(text.length < 3 || text.by[1] == text.by[2] || resumedAt[text.by[2]] == 2)
+}
+
+inline copy_text(to, from) {
+    to.by[0] = from.by[0]; to.by[1] = from.by[1]; to.by[2] = from.by[2]; to.length = from.length
+}
+
+/* progress.mirrored.take */
+inline take(piece, follows) {
+    follows = true;
+    if
+    :: kept.length > 0 && piece.by[piece.length - 1] < kept.by[kept.length - 1] -> skip
+    :: else ->
+        if
+        :: piece.offset == 0 -> copy_text(kept, piece)
+#ifdef PIECES_NAME_NO_RUN
+        :: piece.offset > 0 && piece.offset == kept.length ->
+#else
+        :: piece.offset > 0 && piece.offset == kept.length && piece.before == kept.by[kept.length - 1] ->
+#endif
+            if
+            :: piece.offset == 1 -> kept.by[1] = piece.by[1]; kept.by[2] = piece.by[2]
+            :: piece.offset == 2 -> kept.by[2] = piece.by[2]
+            fi;
+            kept.length = piece.length
+        :: else -> follows = false
+        fi
+    fi;
+    check_joints(kept)
+}
+
+proctype Holder(byte me) {
+    byte mine, sent;
+    bool follows;
+    Piece piece;
+end:
+    atomic { claim == 0 && claims < HOLDERS -> claims++; claim = claims; mine = claims };
+    /* The mirror is asked after the claim, and may have gone on since. */
+    atomic { copy_text(made[me], kept); resumedAt[mine] = kept.length; sent = 0 };
+    do
+    :: atomic { made[me].length < EVENTS -> made[me].by[made[me].length] = mine; made[me].length++ }
+    :: atomic { made[me].length > sent ->
+        copy_text(piece, made[me]);
+        piece.offset = sent;
+        if
+        :: sent > 0 -> piece.before = made[me].by[sent - 1]
+        :: else -> piece.before = 0
+        fi;
+        if
+        :: true ->
+            take(piece, follows);
+            if
+            :: follows -> sent = made[me].length
+            :: else -> sent = 0
+            fi
+        :: true -> take(piece, follows)                 /* the answer is lost */
+        :: late[me].length == 0 ->
+            copy_text(late[me], piece); late[me].offset = piece.offset; late[me].before = piece.before
+        fi;
+        piece.by[0] = 0; piece.by[1] = 0; piece.by[2] = 0; piece.length = 0; piece.offset = 0; piece.before = 0; follows = false }
+    :: atomic { made[me].length == EVENTS -> check_joints(made[me]) ; break }
+    :: break                                            /* the process dies */
+    od
+}
+
+active proctype Network() {
+    bool ignored;
+end:
+    do
+    :: atomic { late[0].length > 0 -> take(late[0], ignored); late[0].length = 0; ignored = false }
+    :: atomic { late[1].length > 0 -> take(late[1], ignored); late[1].length = 0; ignored = false }
+    :: atomic { !forgot -> forgot = true; kept.length = 0 }     /* the mirror is started again */
+    od
+}
+#endif
+
 init {
+#ifdef OUTPUT
+    atomic { run Holder(0); run Holder(1) }
+#else
 #ifdef RESULTS
     atomic { header = true; open = true; run Worker(0); run Worker(1) }
 #else
     atomic { run Front(); run Deliverer(0); run Deliverer(1) }
 #endif
+#endif
 }
