Go on elsewhere with a stream that hangs between two events

Cause: a connection that falls silent in the middle of a stream was noticed at the request's deadline only; the guard of silence ended with the first event, and connections kept to the same runner stayed in use. Change: the guard watches each pause of a stream that another runner may go on with, for half of the pause that the route allows (150 ms of 300; what is left is for the other runner), while the node reads and not while the caller does. An attempt that it ends closes the connections kept to that runner. Streams without attempts left are left alone. Tests, first seen to fail: TestStreamThatHangsIsGoneOnWithElsewhere; beside it a caller that reads slowly, and a stream without attempts.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	allowed := min(max(silenceFactor*e.route.Objective, shortestSilence), longestSilence)
-	return newSilenceGuard(allowed, cancel)
+	return newSilenceGuard(allowed, time.Duration(pauseShare*float64(e.route.Pause)), cancel)
 }
 
 // sendFailed notes an attempt without an answer.
@@ -102,6 +102,7 @@
 	result, cause := classify(err)
 	if guard.fired() {
 		cause = runnertable.Silent
+		e.forwarder.Caller.Forget(flight.Runner)
 	}
 	e.outcome = outcome.Join(e.outcome, result)
 	if e.ctx.Err() == nil {
@@ -154,6 +155,7 @@
 		guard.stop()
 		return fmt.Errorf("%w: status %d", errTryAgain, reply.Head.Status)
 	}
+	before := e.lastEvent
 	err := e.relay(flight, reply, guard)
 	if err == nil || errors.Is(err, errCallerGone) {
 		return err
@@ -161,6 +163,9 @@
 	if e.ctx.Err() == nil {
 		cause := runnertable.NoAnswer
 		if guard.fired() {
+			e.forwarder.Caller.Forget(flight.Runner)
+		}
+		if guard.fired() && e.lastEvent == before {
 			cause = runnertable.Silent
 		}
 		flight.Failed(cause, e.forwarder.Now())
--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -62,17 +62,20 @@
 // asked from the start.
 func (e *exchange) relayEvents(flight *runnertable.Flight, reply *work.Reply, guard *silenceGuard) error {
 	reader := eventstream.NewReader(reply.Body)
-	for {
+	for first := true; ; first = false {
+		if !first {
+			guard.await()
+		}
 		next, err := reader.Next()
+		guard.stop()
 		if errors.Is(err, io.EOF) {
 			return e.streamEnded(reply)
 		}
 		if err != nil {
 			return fmt.Errorf("reading the runner's stream: %w", err)
 		}
-		guard.stop()
 		if guard.fired() {
-			return fmt.Errorf("%w: first event came too late", errUnprovenEnd)
+			return fmt.Errorf("%w: an event came too late", errUnprovenEnd)
 		}
 		flight.Began(e.forwarder.Now())
 		if err := e.passOn(next, reply); err != nil {
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,12 +23,40 @@
 type scriptedCaller struct {
 	replies []*work.Reply
 	resumed []int64
+	// forgotten are the runners whose kept connections were closed.
+	forgotten []ident.Runner
 }
 
-func (c *scriptedCaller) Send(_ context.Context, attempt work.Attempt) (*work.Reply, error) {
+// hangingBody gives its text and then nothing until the attempt is ended, as a connection that fell silent.
+type hangingBody struct {
+	io.Reader
+	ctx context.Context
+}
+
+func (b *hangingBody) Read(buffer []byte) (int, error) {
+	count, err := b.Reader.Read(buffer)
+	if err == io.EOF {
+		<-b.ctx.Done()
+		err = b.ctx.Err()
+	}
+	return count, err
+}
+
+func (b *hangingBody) Close() error { return nil }
+
+func hangingStream(text string) *work.Reply {
+	hanging := stream(text, true)
+	hanging.Body = &hangingBody{Reader: strings.NewReader(text)}
+	return hanging
+}
+
+func (c *scriptedCaller) Send(ctx context.Context, attempt work.Attempt) (*work.Reply, error) {
 	c.resumed = append(c.resumed, attempt.ResumeAfter)
 	next := c.replies[0]
 	c.replies = c.replies[1:]
+	if hanging, hangs := next.Body.(*hangingBody); hangs {
+		hanging.ctx = ctx
+	}
 	return next, nil
 }
 
@@ -35,12 +64,14 @@
 	return work.Load{}, nil
 }
 
-func (c *scriptedCaller) Forget(work.Runner) {}
+func (c *scriptedCaller) Forget(runner work.Runner) { c.forgotten = append(c.forgotten, runner.ID) }
 
 // recorder keeps what the caller was sent.
 type recorder struct {
 	status int
 	body   strings.Builder
+	// slow is how long the caller takes to read an event.
+	slow time.Duration
 }
 
 func (r *recorder) Until(time.Time) {}
@@ -51,6 +82,7 @@
 }
 
 func (r *recorder) Write(bytes []byte) error {
+	time.Sleep(r.slow)
 	_, err := r.body.Write(bytes)
 	return err
 }
@@ -83,6 +115,12 @@
 
 // serve sends one request of a resumable stream through the replies.
 func serve(attempts int, replies ...*work.Reply) (*recorder, *scriptedCaller, error) {
+	writer := &recorder{}
+	caller, err := serveTo(writer, attempts, replies...)
+	return writer, caller, err
+}
+
+func serveTo(writer *recorder, attempts int, replies ...*work.Reply) (*scriptedCaller, error) {
 	table := runnertable.New("z")
 	var runners []work.Runner
 	for _, id := range []ident.Runner{"1", "2", "3", "4"} {
@@ -92,13 +130,12 @@
 	caller := &scriptedCaller{replies: replies}
 	forwarder := &online.Forwarder{Runners: table, Caller: caller, Logger: zerolog.Nop(), Now: time.Now}
 	route := &work.Route{
-		Name: "r", Kind: work.Streaming, Resumable: true, MaximumAttempts: attempts, Objective: time.Second,
+		Name: "r", Kind: work.Streaming, Resumable: true, MaximumAttempts: attempts, Objective: time.Second, Pause: 300 * time.Millisecond,
 		Split: []work.WeightedService{{Service: "s", Weight: 1}},
 	}
-	writer := &recorder{}
 	request := &work.Request{ID: "q", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
 	err := forwarder.Serve(context.Background(), route, request, writer)
-	return writer, caller, err
+	return caller, err
 }
 
 const (
@@ -126,6 +163,42 @@
 	assert.DeepEqual(t, caller.resumed, []int64{0, 1, 1})
 }
 
+// TestStreamThatHangsIsGoneOnWithElsewhere has a connection fall silent between two events: another runner goes on with the
+// stream before its pause is over, and the connections kept to the first are not used again.
+func TestStreamThatHangsIsGoneOnWithElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		writer, caller, err := serve(2, hangingStream(firstEvent), stream(secondEvent, true))
+		assert.NilError(t, err)
+		assert.Equal(t, writer.body.String(), firstEvent+secondEvent)
+		assert.DeepEqual(t, caller.resumed, []int64{0, 1})
+		assert.Equal(t, len(caller.forgotten), 1)
+		assert.Assert(t, time.Since(began) < 300*time.Millisecond, "gone on with after %v", time.Since(began))
+	})
+}
+
+// TestCallerThatReadsSlowlyIsNoSilenceOfTheRunner has the caller take longer over an event than the pause that is allowed.
+func TestCallerThatReadsSlowlyIsNoSilenceOfTheRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := &recorder{slow: time.Second}
+		caller, err := serveTo(writer, 2, stream(firstEvent+secondEvent, true))
+		assert.NilError(t, err)
+		assert.Equal(t, writer.body.String(), firstEvent+secondEvent)
+		assert.Equal(t, len(caller.resumed), 1)
+	})
+}
+
+// TestStreamWithoutAttemptsLeftIsNotEndedForItsSilence leaves a stream alone that nobody can go on with: its runner may yet.
+func TestStreamWithoutAttemptsLeftIsNotEndedForItsSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		_, caller, err := serve(1, hangingStream(firstEvent))
+		assert.ErrorIs(t, err, online.ErrBroken)
+		assert.Equal(t, len(caller.resumed), 1)
+		assert.Equal(t, time.Since(began), time.Minute)
+	})
+}
+
 // TestFailureBeforeTheFirstEventIsPassedOn keeps the runner's own failure for a request that may not run again.
 func TestFailureBeforeTheFirstEventIsPassedOn(t *testing.T) {
 	writer, _, err := serve(1, answer(http.StatusInternalServerError, "failed"))
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -110,6 +110,8 @@
 	Timeout time.Duration
 	// Objective is the time to the first event (or the answer) that earns full credit.
 	Objective time.Duration
+	// Pause is the longest time between two events of a stream that earns full credit; zero names none.
+	Pause time.Duration
 	// CompletionObjective is when all results of a batch job are due, counted from its submission.
 	CompletionObjective time.Duration
 	// Retention is when items of a batch job may be given up, counted from its submission.
