Test that each configuration is in force once a node is back, also beside silent connections

Drawn plays of the follower: cuts of the node, of the worker that tells it, outages, and connections that all fall silent at one moment with the calls in progress on them.

--- a/internal/follower/trouble_test.go
+++ b/internal/follower/trouble_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -41,6 +42,8 @@
 	// siteDrain is the bound of the sites that the figures were measured on.
 	siteDrain     = 2 * time.Second
 	siteHeartbeat = 1200 * time.Millisecond
+	// siteApplied is how soon a configuration must be in force.
+	siteApplied = 2 * time.Second
 	// inTouch is how long after its trouble a node must be right again.
 	inTouch = 3 * time.Second
 	// entriesBack is how long after the return of the registry the entries of all living runners are back.
@@ -49,7 +52,8 @@
 	useEvery = 10 * time.Millisecond
 )
 
-// trouble is a time in which the registry does not answer. Offsets count from the start of the play.
+// trouble is a time in which the registry does not answer. Offsets count from the start of the play. Calls in progress at its
+// beginning get no answer any more; a trouble without length is one in which all connections fall silent.
 type trouble struct {
 	from, to time.Duration
 	// silent calls hang until they are given up; others are refused at once.
@@ -58,8 +62,13 @@
 	outage bool
 	// lapses has the entries run out during an outage.
 	lapses bool
+	// worker has the worker cut off from the registry as well, or in place of this node.
+	worker, notNode bool
 }
 
+// struckWithin says whether the trouble begins in a time.
+func (t trouble) struckWithin(from, to time.Duration) bool { return from < t.from && t.from <= to }
+
 // play is a site in which one runner leaves without a word and serves on.
 type play struct {
 	trouble trouble
@@ -71,6 +80,8 @@
 	renewed []time.Duration
 	// idle has the living runners get no requests, so that nothing but the list speaks for them.
 	idle bool
+	// changes is when the configuration of each version comes, from version 2 on.
+	changes []time.Duration
 	// relayed has the node read through a worker, which is in the same outage but not cut off.
 	relayed bool
 }
@@ -85,24 +96,29 @@
 
 func (r *troubledRegistry) since() time.Duration { return time.Since(r.began) }
 
-// call answers whether a call that begins now gets through.
-func (r *troubledRegistry) call(ctx context.Context) error {
+// callTime is how long the registry takes for a call.
+const callTime = 4 * time.Millisecond
+
+// call answers whether a call that begins now, and is held for a time, gets through.
+func (r *troubledRegistry) call(ctx context.Context, held time.Duration) error {
 	at, trouble := r.since(), r.play.trouble
-	if at < trouble.from || at >= trouble.to || (!trouble.outage && !r.cut) {
-		time.Sleep(4 * time.Millisecond)
-		return ctx.Err()
-	}
-	if trouble.silent {
+	struck := trouble.outage || r.cut
+	switch {
+	case !struck:
+	case trouble.struckWithin(at, at+callTime+held), at >= trouble.from && at < trouble.to && trouble.silent:
 		<-ctx.Done()
 		return fmt.Errorf("%w: %w", kv.ErrOutcomeUnknown, ctx.Err())
+	case at >= trouble.from && at < trouble.to:
+		time.Sleep(callTime)
+		return kv.ErrUnavailable
 	}
-	time.Sleep(4 * time.Millisecond)
-	return kv.ErrUnavailable
+	time.Sleep(callTime)
+	return ctx.Err()
 }
 
 // Runners implements work.Registry.
 func (r *troubledRegistry) Runners(ctx context.Context) ([]work.Runner, int64, error) {
-	if err := r.call(ctx); err != nil {
+	if err := r.call(ctx, 0); err != nil {
 		return nil, 0, err
 	}
 	at := r.since()
@@ -145,23 +161,50 @@
 
 // Orders implements work.Registry.
 func (r *troubledRegistry) Orders(ctx context.Context) (work.Orders, int64, error) {
-	return work.Orders{}, 1, r.call(ctx)
+	if err := r.call(ctx, 0); err != nil {
+		return work.Orders{}, 0, err
+	}
+	version := r.version(r.since())
+	return work.Orders{Catalog: &work.Catalog{Version: version}}, version, nil
+}
+
+// version is that of the configuration at a time.
+func (r *troubledRegistry) version(at time.Duration) int64 {
+	version := int64(1)
+	for _, change := range r.play.changes {
+		if change <= at {
+			version++
+		}
+	}
+	return version
+}
+
+// untilNewer returns how long it takes until there is a newer version than the one given, the wait at most.
+func (r *troubledRegistry) untilNewer(version int64, wait time.Duration) time.Duration {
+	at := r.since()
+	for _, change := range r.play.changes {
+		if r.version(change) > version && change < at+wait {
+			return max(change-at, 0)
+		}
+	}
+	return wait
 }
 
 // NextOrders implements work.Registry.
 func (r *troubledRegistry) NextOrders(ctx context.Context, after int64, wait time.Duration) (work.Orders, int64, error) {
-	if err := r.call(ctx); err != nil {
+	held := r.untilNewer(after, wait)
+	if err := r.call(ctx, held); err != nil {
 		return work.Orders{}, after, err
 	}
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
+	time.Sleep(held)
+	if version := r.version(r.since()); version > after {
+		return work.Orders{Catalog: &work.Catalog{Version: version}}, version, nil
 	}
 	return work.Orders{}, after, ctx.Err()
 }
 
 // Probe implements work.Registry.
-func (r *troubledRegistry) Probe(ctx context.Context) error { return r.call(ctx) }
+func (r *troubledRegistry) Probe(ctx context.Context) error { return r.call(ctx, 0) }
 
 // ReportRetired implements work.Registry.
 func (r *troubledRegistry) ReportRetired(context.Context, ident.Node, bool) error { return nil }
@@ -174,8 +217,8 @@
 
 // Next implements follower.Source.
 func (s *cutSource) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
-	if !s.registry.play.trouble.outage {
-		if err := s.registry.call(ctx); err != nil {
+	if !s.registry.play.trouble.outage && s.registry.cut {
+		if err := s.registry.call(ctx, 0); err != nil {
 			return nil, err
 		}
 	}
@@ -188,18 +231,20 @@
 	lastUse time.Duration
 	// lost tells of the first living runner that could not be used, or is empty.
 	lost string
+	// behind tells of the first configuration that was not in force in time, or is empty.
+	behind string
 }
 
 // run plays the site in simulated time. It uses every runner that the node may use, all the time.
 func (p play) run(t *testing.T) outcome {
 	began := time.Now()
 	table := runnertable.New("z")
-	registry := &troubledRegistry{play: p, began: began, cut: true}
+	registry := &troubledRegistry{play: p, began: began, cut: !p.trouble.notNode}
 	node := newFollower(registry, table)
 	supervisor := new(tomb.Tomb)
 	if p.relayed {
 		feed := fleetfeed.New(time.Now)
-		worker := newFollower(&troubledRegistry{play: p, began: began}, runnertable.New("z"))
+		worker := newFollower(&troubledRegistry{play: p, began: began, cut: p.trouble.worker}, runnertable.New("z"))
 		worker.Feed = feed
 		worker.Start(supervisor)
 		node.Source = &cutSource{feed: feed, registry: registry}
@@ -217,6 +262,11 @@
 				result.lost = fmt.Sprintf("runner %d at %v", i, at)
 			}
 		}
+		if due := registry.version(p.due(at)); at > settled && result.behind == "" {
+			if inForce := node.Routes.Catalog().Version; inForce < due {
+				result.behind = fmt.Sprintf("version %d in place of %d at %v", inForce, due, at)
+			}
+		}
 		time.Sleep(useEvery)
 	}
 	supervisor.Kill(nil)
@@ -224,6 +274,16 @@
 	return result
 }
 
+// due is the newest moment of which all changes must be in force at a time: a node that is in touch has them within
+// siteApplied; one that was struck is in touch inTouch after the end of its trouble.
+func (p play) due(at time.Duration) time.Duration {
+	newest := at - siteApplied
+	if at >= p.trouble.from && at < p.trouble.to+inTouch {
+		newest = min(newest, p.trouble.from-siteApplied)
+	}
+	return newest
+}
+
 func newFollower(registry work.Registry, table *runnertable.Table) *follower.Follower {
 	return &follower.Follower{
 		Registry: registry, Runners: table, Routes: &routetable.Table{}, Options: follower.OptionsFor(siteDrain, siteHeartbeat),
@@ -250,7 +310,16 @@
 	const began = 4 * time.Second
 	p := play{relayed: rapid.Bool().Draw(t, "relayed"), idle: rapid.Bool().Draw(t, "idle")}
 	p.trouble.from = began + milliseconds(t, "from", 0, 1000)
-	p.trouble.to = p.trouble.from + milliseconds(t, "length", 500, 20_000)
+	if !rapid.Bool().Draw(t, "connections") {
+		p.trouble.to = p.trouble.from + milliseconds(t, "length", 500, 20_000)
+	} else {
+		p.trouble.to = p.trouble.from
+	}
+	p.trouble.worker, p.trouble.notNode = rapid.Bool().Draw(t, "worker"), rapid.Bool().Draw(t, "not the node")
+	for i := range 3 {
+		p.changes = append(p.changes, milliseconds(t, fmt.Sprint("change", i), 3000, int((p.trouble.to+2*inTouch).Milliseconds())))
+	}
+	slices.Sort(p.changes)
 	p.trouble.silent = rapid.Bool().Draw(t, "silent")
 	p.trouble.outage = rapid.Bool().Draw(t, "outage")
 	p.trouble.lapses = p.trouble.outage && rapid.Bool().Draw(t, "lapses")
@@ -281,6 +350,17 @@
 	})
 }
 
+// TestConfigurationIsInForceOnceTheNodeIsBack draws the same. Three seconds after the end of its trouble a node handles
+// requests as every version says that came two seconds before, also where the worker that tells it was struck.
+func TestConfigurationIsInForceOnceTheNodeIsBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlay(rt)
+		if got := runInBubble(t, p); got.behind != "" {
+			rt.Fatalf("%+v: %s, trouble until %v", p, got.behind, p.trouble.to)
+		}
+	})
+}
+
 // TestNoLivingRunnerIsLostByAnOutage draws the same: a list that lacks living runners, because the registry was away, takes
 // none of them out of use.
 func TestNoLivingRunnerIsLostByAnOutage(t *testing.T) {
