--- a/internal/follower/trouble_test.go
+++ b/internal/follower/trouble_test.go
@@ -386,6 +386,24 @@
 	}
 }
 
+// TestReturnOfTheRegistryIsNoticedByAProbe ends outages at each hundredth of a second. How late the return is noticed adds to
+// how long a runner that left is used: no more than a call that hangs and the time between two probes.
+func TestReturnOfTheRegistryIsNoticedByAProbe(t *testing.T) {
+	const noticedWithin = 800 * time.Millisecond
+	for hundredths := range 100 {
+		for _, silent := range []bool{false, true} {
+			p := play{
+				trouble: trouble{from: 4 * time.Second, silent: silent, outage: true, lapses: true},
+				back:    make([]time.Duration, 5), renewed: make([]time.Duration, 6),
+			}
+			p.trouble.to = p.trouble.from + 8*time.Second + time.Duration(hundredths)*10*time.Millisecond
+			p.leaves = p.trouble.from + time.Second
+			got := runInBubble(t, p)
+			assert.Assert(t, got.lastUse-p.trouble.to <= entriesBack+noticedWithin, "%+v: used %v after the outage", p, got.lastUse-p.trouble.to)
+		}
+	}
+}
+
 // bubbles lets one play at a time run: each has a clock of its own.
 var bubbles sync.Mutex
 
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -68,7 +68,8 @@
 		byAddress[name] = p
 		lease, err := store.Grant(context.Background(), time.Minute)
 		assert.NilError(t, err)
-		assert.NilError(t, records.Register(context.Background(), jobrecord.Worker{Node: ident.Node(name), Zone: zones[index], Address: name}, lease))
+		_, err = records.Register(context.Background(), jobrecord.Worker{Node: ident.Node(name), Zone: zones[index], Address: name}, lease)
+		assert.NilError(t, err)
 	}
 	return &jobpeer.Holders{
 		Records: records, Zone: "z", Copies: 2, Now: time.Now,
--- a/internal/jobrecord/live.go
+++ b/internal/jobrecord/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -61,12 +62,29 @@
 	return nil
 }
 
-// Register writes the entry of a worker under its lease.
-func (r *Records) Register(ctx context.Context, worker Worker, lease kv.LeaseID) error {
-	_, err := r.Store.Commit(ctx, nil, []kv.Write{{Key: keyWorker(worker.Node), Value: encode(worker), Lease: lease}})
-	return err
+// Register writes the entry of a worker under its lease, and returns the revision of the writing. The entry must be as it was
+// read: a registration that was not answered and takes effect late would put the entry under a lease that is not renewed any
+// more, and the entry would go with it while the worker lives.
+func (r *Records) Register(ctx context.Context, worker Worker, lease kv.LeaseID) (int64, error) {
+	revision := int64(0)
+	for range registrationTries {
+		result, err := r.Store.Commit(ctx,
+			[]kv.Compare{{Key: keyWorker(worker.Node), ModRevision: revision}},
+			[]kv.Write{{Key: keyWorker(worker.Node), Value: encode(worker), Lease: lease}})
+		if err != nil || result.Succeeded {
+			return result.Revision, err
+		}
+		revision = 0
+		for _, present := range result.Conflicts {
+			revision = present.ModRevision
+		}
+	}
+	return 0, fmt.Errorf("%w: %s", ErrNotRegistered, worker.Node)
 }
 
+// registrationTries bounds how often an entry that changes meanwhile is read: only this worker and its lease change it.
+const registrationTries = 3
+
 func (l *Live) apply(changed kv.WatchEvent) {
 	key := changed.Pair.Key
 	switch {
--- a/internal/jobrecord/record.go
+++ b/internal/jobrecord/record.go
@@ -29,6 +29,8 @@
 	ErrNoSuchItem = failure.Kind("job record: no such item")
 	// ErrClaimLost means that the claim is not the newest any more: another node runs the job, or it is ended.
 	ErrClaimLost = failure.Kind("job record: claim lost")
+	// ErrNotRegistered means that a worker's entry changed with each try to write it.
+	ErrNotRegistered = failure.Kind("job record: worker not registered")
 	// ErrTooLarge means that an item or the job cannot be kept.
 	ErrTooLarge = failure.Kind("job record: too large")
 	// ErrDamaged means that a stored value cannot be read.
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -66,6 +66,8 @@
 	defer w.mutex.Unlock()
 	now := w.Now()
 	w.follow(w.live.Workers)
+	_, listed := w.live.Workers[w.Node]
+	w.unlisted = !listed && w.live.Revision >= w.registered
 	for id, entry := range w.live.Open {
 		known := w.open[id]
 		if known == nil {
--- a/internal/jobworker/lease.go
+++ b/internal/jobworker/lease.go
@@ -1,6 +1,7 @@
 package jobworker
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -45,6 +46,7 @@
 		ttl, err := w.Store.KeepAlive(ctx, lease)
 		if err == nil {
 			w.holdLease(lease, sent.Add(ttl))
+			return w.registerAgain(ctx, lease)
 		}
 		if !errors.Is(err, kv.ErrLeaseNotFound) {
 			return err
@@ -53,7 +55,7 @@
 	}
 	granted, err := w.Store.Grant(ctx, w.Options.LeaseTTL)
 	if err == nil {
-		err = w.Records.Register(ctx, w.self(), granted)
+		err = w.register(ctx, granted)
 	}
 	if err != nil {
 		w.holdLease(0, time.Time{})
@@ -67,6 +69,31 @@
 	return nil
 }
 
+// register writes this node's entry among the workers.
+func (w *Worker) register(ctx context.Context, lease kv.LeaseID) error {
+	revision, err := w.Records.Register(ctx, w.self(), lease)
+	if err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.registered, w.unlisted = revision, false
+	return nil
+}
+
+// registerAgain writes the entry anew where it is gone though the lease lives. A worker without one owns no runner in the eyes
+// of all, its own too, and takes itself for registered as long as it renews its lease.
+func (w *Worker) registerAgain(ctx context.Context, lease kv.LeaseID) error {
+	w.mutex.Lock()
+	gone := w.unlisted && !w.draining
+	w.mutex.Unlock()
+	if !gone {
+		return nil
+	}
+	event.RegistrationGone.Log(w.Logger).Int64("lease", int64(lease)).Send()
+	return w.register(ctx, lease)
+}
+
 // self is this node's entry among the workers.
 func (w *Worker) self() jobrecord.Worker {
 	return jobrecord.Worker{Node: w.Node, Zone: w.Zone, Address: w.Address}
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -116,6 +116,9 @@
 	lease kv.LeaseID
 	// leaseUntil is when the lease may lapse, counted from the sending of the last renewal that was answered.
 	leaseUntil time.Time
+	// registered is the revision of the node's entry among the workers; unlisted says that the entry is gone since.
+	registered int64
+	unlisted   bool
 	// live is what the node follows; only followLive touches it.
 	live *jobrecord.Live
 	// outage follows whether the store is away, by the renewals of the lease.
