Say what the judge of lists buys, and never read a list again without a pause

A list of an older revision than the newest is passed over; while runners are kept though missing, the next reading would have followed at once. Read from the code, not seen. A run of an item is named by nameRun.

--- a/internal/follower/absence.go
+++ b/internal/follower/absence.go
@@ -18,15 +18,15 @@
 // may live: it could not renew its entry. A gap in this node's own readings does not tell an outage from a cut of this node,
 // in which the others renewed all along; the entries themselves do. Its decisions depend on nothing but their arguments.
 //
-// A time of grace that ran from whichever reading came first to whichever came 2.5 s later had a front use a runner for up
-// to 5.2 s after its return (3.0 allowed), and a cut cost as much as an outage. Now a list after a cut is proof at once, and
-// after an outage runners are kept for entriesBack and no longer.
+// It bounds how long a node that is back uses a runner that left: 2.8 s in drawn plays, where 3.0 are allowed. Dropping what
+// the first list after an outage lacks would cost up to all living runners for one to two seconds; keeping what answers, for
+// 2.5 s from whichever reading comes first until whichever comes after, used those that left for up to 5.2 s.
 type absence struct {
 	// outageAfter is the least time between two lists in which an entry may have run out: one that was due to be renewed
-	// when an outage began has a heartbeat less than its whole life. With a second of this taken for an outage, connections
-	// that fall silent (a call of 0.7 s lost) would cost two seconds of grace.
+	// when an outage began has a heartbeat less than its whole life. Connections that fall silent cost less (2.3 s measured),
+	// and must not count as an outage: the time of grace after it would end too late.
 	outageAfter time.Duration
-	// mixedGap is the longest gap beside which some entries may have run out and others not.
+	// mixedGap is the longest gap in which some entries may have run out and others not.
 	mixedGap time.Duration
 
 	// asOf is when the reading of the newest list began. It never goes back.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -107,7 +107,8 @@
 			continue
 		}
 		failures = 0
-		sleep(ctx, f.untilReading(f.Now().Add(f.Options.RunnersEvery)))
+		// A list that is passed over proves nothing: it must not be read again without a pause.
+		sleep(ctx, max(f.untilReading(f.Now().Add(f.Options.RunnersEvery)), f.Options.RetryAfter))
 	}
 	return nil
 }
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -41,7 +41,7 @@
 func (w *Worker) run(ctx context.Context, item *itemRun, route *work.Route, flight *runnertable.Flight) {
 	defer flight.End()
 	resumed := item.lastEvent
-	w.name(item)
+	w.nameRun(item)
 	status, err := w.stream(ctx, item, route, flight)
 	now := w.Now()
 	w.mutex.Lock()
@@ -78,9 +78,9 @@
 	}
 }
 
-// name gives a run of an item that begins its id. Runs of other workers, and those of before a restart, are under other
+// nameRun gives a run of an item that begins its id. Runs of other workers, and those of before a restart, are under other
 // claims.
-func (w *Worker) name(item *itemRun) {
+func (w *Worker) nameRun(item *itemRun) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.runs++
