--- a/internal/jobworker/assign_test.go
+++ b/internal/jobworker/assign_test.go
@@ -12,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -39,7 +40,7 @@
 func TestAssignedJobIsRunAtOnce(t *testing.T) {
 	g := newGroup(t)
 	mirrors := &localMirrors{workers: map[string]*jobworker.Worker{}}
-	g.addMirrored("n0", &stuckCaller{until: eventsEach}, mirrors, oneRunner("i-1"))
+	g.start("n0", kvtest.NewPaged(g.data), &stuckCaller{until: eventsEach}, mirrors, oneRunner("i-1"))
 	worker := mirrors.workers["n0"]
 	lease := leaseOf(t, worker)
 	for _, id := range []ident.Job{"a", "b", "c"} {
@@ -57,7 +58,7 @@
 func TestAssignedJobThatNobodyToldOfIsRun(t *testing.T) {
 	g := newGroup(t)
 	mirrors := &localMirrors{workers: map[string]*jobworker.Worker{}}
-	g.addMirrored("n0", &stuckCaller{until: eventsEach}, mirrors, oneRunner("i-1"))
+	g.start("n0", kvtest.NewPaged(g.data), &stuckCaller{until: eventsEach}, mirrors, oneRunner("i-1"))
 	lease := leaseOf(t, mirrors.workers["n0"])
 	_, err := g.records.AcceptFor(context.Background(), assignedSubmission("a"), nil, jobrecord.Assignee{Node: "n0", Lease: lease})
 	assert.NilError(t, err)
@@ -68,7 +69,7 @@
 func TestJobOfAnotherLeaseIsNotTaken(t *testing.T) {
 	g := newGroup(t)
 	mirrors := &localMirrors{workers: map[string]*jobworker.Worker{}}
-	g.addMirrored("n0", &stuckCaller{until: eventsEach}, mirrors, oneRunner("i-1"))
+	g.start("n0", kvtest.NewPaged(g.data), &stuckCaller{until: eventsEach}, mirrors, oneRunner("i-1"))
 	worker := mirrors.workers["n0"]
 	lease := leaseOf(t, worker)
 	assigned := jobrecord.Assigned{Open: jobrecord.Open{ID: "a", Route: "r", Revision: 1 << 40}}
--- a/internal/jobworker/joined_test.go
+++ b/internal/jobworker/joined_test.go
@@ -11,15 +11,12 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
-	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -126,43 +123,8 @@
 	return &work.Reply{Head: work.Head{Status: http.StatusOK}, Sealed: true, Framed: true, Body: body}, nil
 }
 
-// holder is a worker of the test.
-type holder struct {
-	worker *jobworker.Worker
-	store  *kvtest.Paged
-	table  *runnertable.Table
-	tomb   *tomb.Tomb
-}
-
-func (h *holder) end() {
-	h.tomb.Kill(nil)
-	_ = h.tomb.Wait()
-}
-
-func (g *group) addStepped(node ident.Node, all *steppedRuns, mirrors *localMirrors, runners ...work.Runner) *holder {
-	h := &holder{store: kvtest.NewPaged(g.data), table: runnertable.New("z"), tomb: new(tomb.Tomb)}
-	h.table.Replace(runners, time.Now(), true)
-	options := jobworker.DefaultOptions
-	options.LeaseTTL = time.Second
-	options.MirrorEvery = mirrorEvery
-	options.StallAfter = time.Minute
-	h.worker = &jobworker.Worker{
-		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(h.store), Store: h.store, Runners: h.table, Routes: g.routes,
-		Caller: &steppedCaller{node: node, all: all}, Options: options, Logger: zerolog.Nop(), Now: time.Now, Mirrors: mirrors,
-	}
-	mirrors.mutex.Lock()
-	mirrors.workers[string(node)] = h.worker
-	mirrors.mutex.Unlock()
-	h.worker.Start(h.tomb)
-	g.t.Cleanup(h.end)
-	return h
-}
-
-const (
-	mirrorEvery = 20 * time.Millisecond
-	// mirrorRounds is long enough for several rounds of sending output to its second place.
-	mirrorRounds = 300 * time.Millisecond
-)
+// mirrorRounds is long enough for several rounds of sending output to its second place.
+const mirrorRounds = 15 * mirrorEvery
 
 // runnerOwnedBy returns a runner that a worker owns among all of them.
 func runnerOwnedBy(t *testing.T, owner ident.Node, workers ...ident.Node) work.Runner {
@@ -197,14 +159,15 @@
 	nodes := []ident.Node{"n0", "n1", "n2"}
 	runners := []work.Runner{runnerOwnedBy(t, "n0", nodes...), runnerOwnedBy(t, "n1", nodes...)}
 	// Without a runner of its own the third takes no job.
-	third := g.addStepped("n2", all, mirrors)
-	first := g.addStepped("n0", all, mirrors, runners...)
+	third := g.start("n2", kvtest.NewPaged(g.data), &steppedCaller{node: "n2", all: all}, mirrors)
+	storeOfFirst := kvtest.NewPaged(g.data)
+	g.start("n0", storeOfFirst, &steppedCaller{node: "n0", all: all}, mirrors, runners...)
 	job := ident.Job("j")
 	g.submit(string(job), 1)
 	waitFor(t, "the first run", func() bool { return all.count("n0") == 1 })
-	second := g.addStepped("n1", all, mirrors, runners...)
+	g.start("n1", kvtest.NewPaged(g.data), &steppedCaller{node: "n1", all: all}, mirrors, runners...)
 	keptEvents := func() int64 {
-		kept := third.worker.Mirrored(job)
+		kept := third.Mirrored(job)
 		if len(kept) == 0 {
 			return 0
 		}
@@ -214,7 +177,7 @@
 	waitFor(t, "the output of the first", func() bool { return keptEvents() == 2 })
 	time.Sleep(1500 * time.Millisecond) // A job that is younger is not asked for output.
 
-	first.store.SetFaults(kvtest.PagedFaults{Down: true})
+	storeOfFirst.SetFaults(kvtest.PagedFaults{Down: true})
 	waitFor(t, "the run of the second", func() bool { return all.count("n1") == 1 })
 	all.step(t, "n0", 1)
 	waitFor(t, "the third event of the first", func() bool { return keptEvents() == 3 })
@@ -223,9 +186,9 @@
 	all.step(t, "n0", 1)
 	time.Sleep(mirrorRounds)
 
-	first.end()
-	second.end()
-	third.table.Replace([]work.Runner{runnerOwnedBy(t, "n2", "n2")}, time.Now(), true)
+	g.end("n0")
+	g.end("n1")
+	g.tables["n2"].Replace([]work.Runner{runnerOwnedBy(t, "n2", "n2")}, time.Now(), true)
 	waitFor(t, "the run of the third", func() bool { return all.count("n2") == 1 })
 	all.step(t, "n2", steppedEvents)
 	var results []work.Result
--- a/internal/jobworker/mirror_test.go
+++ b/internal/jobworker/mirror_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -19,7 +17,6 @@
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/progress"
-	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -90,30 +87,15 @@
 	return worker.Mirrored(job), nil
 }
 
-// addMirrored starts a worker whose output is kept at a second one.
-func (g *group) addMirrored(node ident.Node, caller work.Caller, mirrors *localMirrors, runner work.Runner) {
-	store := kvtest.NewPaged(g.data)
-	table := runnertable.New("z")
-	table.Replace([]work.Runner{runner}, time.Now(), true)
-	options := jobworker.DefaultOptions
-	options.LeaseTTL = time.Second
-	options.MirrorEvery = 20 * time.Millisecond
-	options.StallAfter = time.Minute
-	worker := &jobworker.Worker{
-		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
-		Caller: caller, Options: options, Logger: zerolog.Nop(), Now: time.Now, Mirrors: mirrors,
-	}
-	mirrors.mutex.Lock()
-	mirrors.workers[string(node)] = worker
-	mirrors.mutex.Unlock()
-	g.tombs[node] = new(tomb.Tomb)
-	worker.Start(g.tombs[node])
-	g.t.Cleanup(func() {
-		g.tombs[node].Kill(nil)
-		_ = g.tombs[node].Wait()
-	})
+func (m *localMirrors) add(worker *jobworker.Worker) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.workers[worker.Address] = worker
 }
 
+// mirrorEvery is the time between two sendings of output to its second place.
+const mirrorEvery = 20 * time.Millisecond
+
 // TestOutputOutlivesItsWorker ends a worker in the middle of its items: the one that takes the job over goes on after their
 // last event, and the output is whole.
 func TestOutputOutlivesItsWorker(t *testing.T) {
@@ -121,11 +103,11 @@
 	mirrors := &localMirrors{workers: map[string]*jobworker.Worker{}}
 	runner := oneRunner("i-1")
 	stuck := &stuckCaller{until: 2}
-	g.addMirrored("n0", stuck, mirrors, runner)
+	g.start("n0", kvtest.NewPaged(g.data), stuck, mirrors, runner)
 	g.submit("j", 3)
 	g.waitClaimed("j", "n0")
 	second := &stuckCaller{until: eventsEach}
-	g.addMirrored("n1", second, mirrors, runner)
+	g.start("n1", kvtest.NewPaged(g.data), second, mirrors, runner)
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if reached(mirrors.workers["n1"].Mirrored("j"), 2) == 3 {
 			break
@@ -136,8 +118,7 @@
 	mirrors.mutex.Lock()
 	delete(mirrors.workers, "n0")
 	mirrors.mutex.Unlock()
-	g.tombs["n0"].Kill(nil)
-	_ = g.tombs["n0"].Wait()
+	g.end("n0")
 	g.waitWhole("j", 3)
 	second.mutex.Lock()
 	defer second.mutex.Unlock()
--- a/internal/jobworker/register_test.go
+++ b/internal/jobworker/register_test.go
@@ -6,17 +6,12 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
-	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
-	"mallowlatch.example/mallowlatch/internal/runnertable"
-	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // What was seen: after all troubles of a site were over, accepted jobs were run by nobody. No worker owned a runner.
@@ -32,20 +27,7 @@
 
 // addOn starts a worker on a store, and waits until it is registered.
 func (g *group) addOn(node ident.Node, store *kvtest.Paged) {
-	table := runnertable.New("z")
-	table.Replace([]work.Runner{oneRunner("i-1")}, time.Now(), true)
-	options := jobworker.DefaultOptions
-	options.LeaseTTL = time.Second
-	worker := &jobworker.Worker{
-		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
-		Caller: &fakeCaller{}, Options: options, Logger: zerolog.Nop(), Now: time.Now,
-	}
-	g.tombs[node] = new(tomb.Tomb)
-	worker.Start(g.tombs[node])
-	g.t.Cleanup(func() {
-		g.tombs[node].Kill(nil)
-		_ = g.tombs[node].Wait()
-	})
+	g.start(node, store, &fakeCaller{}, nil, oneRunner("i-1"))
 	waitFor(g.t, "the registration", func() bool { return g.isRegistered(node) })
 }
 
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -119,21 +119,36 @@
 
 // add starts a worker that knows the runners.
 func (g *group) add(node ident.Node, runners ...work.Runner) {
-	store := kvtest.NewPaged(g.data)
+	g.callers[node], g.stores[node] = &fakeCaller{}, kvtest.NewPaged(g.data)
+	g.start(node, g.stores[node], g.callers[node], nil, runners...)
+}
+
+// start starts a worker that knows the runners, on its client of the store. With mirrors its output is kept at a second one.
+func (g *group) start(node ident.Node, store *kvtest.Paged, caller work.Caller, mirrors *localMirrors, runners ...work.Runner) *jobworker.Worker {
 	table := runnertable.New("z")
 	table.Replace(runners, time.Now(), true)
-	g.callers[node], g.stores[node], g.tables[node], g.tombs[node] = &fakeCaller{}, store, table, new(tomb.Tomb)
+	g.tables[node], g.tombs[node] = table, new(tomb.Tomb)
 	options := jobworker.DefaultOptions
 	options.LeaseTTL = time.Second
 	worker := &jobworker.Worker{
 		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
-		Caller: g.callers[node], Options: options, Logger: zerolog.Nop(), Now: time.Now,
+		Caller: caller, Options: options, Logger: zerolog.Nop(), Now: time.Now,
+	}
+	if mirrors != nil {
+		worker.Options.MirrorEvery = mirrorEvery
+		worker.Options.StallAfter = time.Minute
+		worker.Mirrors = mirrors
+		mirrors.add(worker)
 	}
 	worker.Start(g.tombs[node])
-	g.t.Cleanup(func() {
-		g.tombs[node].Kill(nil)
-		_ = g.tombs[node].Wait()
-	})
+	g.t.Cleanup(func() { g.end(node) })
+	return worker
+}
+
+// end ends a worker and waits until it has ended. Further calls do nothing.
+func (g *group) end(node ident.Node) {
+	g.tombs[node].Kill(nil)
+	_ = g.tombs[node].Wait()
 }
 
 // waitClaimed waits until a worker holds the claim of a job, and fails where another one does.
