Take a claim of one's own up also where the job can't be run, so that it is released

Cause, from the code: a job accepted with a claim for a worker that was not told (the answer was lost) is claimed again by that worker, unless it owns no runner for it. Then it left the claim alone and renewed its lease, and nobody else could claim the job.

--- a/internal/jobworker/assign_test.go
+++ b/internal/jobworker/assign_test.go
@@ -78,3 +78,19 @@
 	assert.ErrorIs(t, worker.Assign(assigned, lease), jobworker.ErrNotAssignable)
 	assert.Equal(t, worker.Demand(&demand.Report{Node: "front"}).Batch.Lease, int64(0))
 }
+
+// TestClaimOfAWorkerWithoutRunnersIsGivenUp has a job accepted with a claim for a worker that is never told, as where the answer
+// of the store was lost, and that owns no runner any more. As long as it renews its lease nobody else can claim the job: it must give the
+// claim up.
+//
+// Seen in the soak: accepted jobs that lay for half a minute after the last trouble, beside workers that ran others.
+func TestClaimOfAWorkerWithoutRunnersIsGivenUp(t *testing.T) {
+	g := newGroup(t)
+	mirrors := &localMirrors{workers: map[string]*jobworker.Worker{}}
+	lease := leaseOf(t, g.start("n0", kvtest.NewPaged(g.data), &fakeCaller{}, mirrors, oneRunner("i-1")))
+	g.tables["n0"].Replace(nil, time.Now(), true)
+	_, err := g.records.AcceptFor(context.Background(), assignedSubmission("a"), nil, jobrecord.Assignee{Node: "n0", Lease: lease})
+	assert.NilError(t, err)
+	g.start("n1", kvtest.NewPaged(g.data), &fakeCaller{}, mirrors, runnerOwnedBy(t, "n1", "n0", "n1"))
+	g.waitWhole("a", 1)
+}
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -116,7 +116,9 @@
 		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil || now.Before(candidate.notBefore) {
 			continue
 		}
-		if !w.canRun(candidate.entry.Route) {
+		// A claim of this node's own keeps all others from the job: it is taken up also where the job can't be run here, and
+		// released with what rests.
+		if !candidate.own && !w.canRun(candidate.entry.Route) {
 			continue
 		}
 		if !counted {
