--- a/internal/follower/absence.go
+++ b/internal/follower/absence.go
@@ -23,7 +23,7 @@
 // 2.5 s from whichever reading comes first until whichever comes after, used those that left for up to 5.2 s.
 type absence struct {
 	// outageAfter is the least time between two lists in which an entry may have run out: one that was due to be renewed
-	// when an outage began has a heartbeat less than its whole life. Connections that fall silent cost less (2.3 s measured),
+	// when an outage began has a heartbeat less than its whole life. Connections that fall silent cost less (2.0 s measured),
 	// and must not count as an outage: the time of grace after it would end too late.
 	outageAfter time.Duration
 	// mixedGap is the longest gap in which some entries may have run out and others not.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -40,15 +40,28 @@
 // runners take many pages) or tried again.
 const readingShare = 0.5
 
+const (
+	// ordersWait is how long a call waits for new orders: with callTimeout it ends within the 3 s after which the platform holds
+	// a node that is back to the newest configuration.
+	ordersWait = 2 * time.Second
+	// callTimeout bounds a call beyond its wait: more than a store takes that answers sixty times as slowly as its 4 ms, and with
+	// probeEvery and entriesBack less than those 3 s.
+	callTimeout = 700 * time.Millisecond
+	// retryAfter is the first pause after a failed call.
+	retryAfter = 250 * time.Millisecond
+	// probeEvery is the time between two probes. Twice as much breaks the bound of TestReturnOfTheRegistryIsNoticedByAProbe.
+	probeEvery = 500 * time.Millisecond
+)
+
 // OptionsFor suits a registry whose every call has a price. drain is how soon after the registry's news a leaving runner
 // must get no more work, heartbeat the time between two renewals of a runner's entry.
 func OptionsFor(drain, heartbeat time.Duration) Options {
 	return Options{
 		RunnersEvery: time.Duration(readingShare * float64(drain)),
-		OrdersWait:   2 * time.Second,
-		CallTimeout:  700 * time.Millisecond,
-		RetryAfter:   250 * time.Millisecond,
-		ProbeEvery:   500 * time.Millisecond,
+		OrdersWait:   ordersWait,
+		CallTimeout:  callTimeout,
+		RetryAfter:   retryAfter,
+		ProbeEvery:   probeEvery,
 		Heartbeat:    heartbeat,
 	}
 }
