Have a held runner of the worker tests stay silent after its call was given up

The log of a failing run: the fake runner is held so that the items stay in progress, but it answered the whole output as soon as its call was given up, 2.5 s later (StallAfter), in the middle of the outage. Worker n0 then had both results when the store returned, recorded them with the claim it took again and finished the job at once; a test that looked 20 ms later found a finished job and waited 30 s for a claim. Change: the fake returns the error of a call that was given up. Assertions are unchanged. Ruled out: the other worker taking the claim, a lost registration, a claim left to a holder that is gone: none is in the log. Conclusion: a race in the test's stand-in, not in the worker.

--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -52,6 +52,9 @@
 	for c.isHeld() && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.cut {
