Draw freezes of a node and of its worker in the plays of the follower

Cause: the table of beliefs gave worst times after a freeze that no test had seen. In a freeze nothing of a process runs, what was answered meanwhile is read afterwards, and the call's time and its answer are both over: which one counts is chance. Change: a drawn trouble may be a freeze in place of a cut, of the node, the worker it reads through, or both; answers that came in time but are read late are kept in half of the plays. The clock of a process that stands still shows the end of the freeze. Ruled out: that ages counted from the end of a reading would be caught by it.

--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -47,8 +47,15 @@
 	lapses bool
 	// worker has the worker cut off from the registry as well, or in place of this node.
 	worker, notNode bool
+	// freeze has the process stand still in place of being cut off: nothing of it runs, and what came for it is read afterwards.
+	freeze bool
+	// overdue has a call that ended in the freeze yield its answer although its time was over: both are ready when it ends.
+	overdue bool
 }
 
+// stopped says whether a process stands still at a time.
+func (t trouble) stopped(at time.Duration) bool { return t.freeze && at >= t.from && at < t.to }
+
 // struckWithin says whether the trouble begins in a time.
 func (t trouble) struckWithin(from, to time.Duration) bool { return from < t.from && t.from <= to }
 
@@ -79,13 +86,39 @@
 
 func (r *troubledRegistry) since() time.Duration { return time.Since(r.began) }
 
+// now is the clock of the process that reads the registry. Whoever looks at it in a freeze sees the end of it: a process
+// that stands still looks then. It does not wait, because the process may hold a mutex.
+func (r *troubledRegistry) now() time.Time {
+	if at := r.since(); r.cut && r.play.trouble.stopped(at) {
+		return r.began.Add(r.play.trouble.to)
+	}
+	return time.Now()
+}
+
+// standStill returns once the process runs.
+func (r *troubledRegistry) standStill() {
+	if at := r.since(); r.cut && r.play.trouble.stopped(at) {
+		time.Sleep(r.play.trouble.to - at)
+	}
+}
+
+// ended returns what becomes of a call that the registry has answered, once the process runs.
+func (r *troubledRegistry) ended(ctx context.Context) error {
+	r.standStill()
+	if r.cut && r.play.trouble.freeze && r.play.trouble.overdue {
+		return nil
+	}
+	return ctx.Err()
+}
+
 // callTime is how long the registry takes for a call.
 const callTime = 4 * time.Millisecond
 
 // call answers whether a call that begins now, and is held for a time, gets through.
 func (r *troubledRegistry) call(ctx context.Context, held time.Duration) error {
+	r.standStill()
 	at, trouble := r.since(), r.play.trouble
-	struck := trouble.outage || r.cut
+	struck := trouble.outage || (r.cut && !trouble.freeze)
 	switch {
 	case !struck:
 	case trouble.struckWithin(at, at+callTime+held), at >= trouble.from && at < trouble.to && trouble.silent:
@@ -96,7 +129,7 @@
 		return kv.ErrUnavailable
 	}
 	time.Sleep(callTime)
-	return ctx.Err()
+	return nil
 }
 
 // Runners implements work.Registry.
@@ -111,7 +144,7 @@
 			listed = append(listed, r.entry(i, at))
 		}
 	}
-	return listed, 1 + at.Milliseconds(), nil
+	return listed, 1 + at.Milliseconds(), r.ended(ctx)
 }
 
 // lapsed says whether a runner's entry ran out during the trouble.
@@ -148,7 +181,7 @@
 		return work.Orders{}, 0, err
 	}
 	version := r.version(r.since())
-	return work.Orders{Catalog: &work.Catalog{Version: version}}, version, nil
+	return work.Orders{Catalog: &work.Catalog{Version: version}}, version, r.ended(ctx)
 }
 
 // version is that of the configuration at a time.
@@ -181,21 +214,27 @@
 	}
 	time.Sleep(held)
 	if version := r.version(r.since()); version > after {
-		return work.Orders{Catalog: &work.Catalog{Version: version}}, version, nil
+		return work.Orders{Catalog: &work.Catalog{Version: version}}, version, r.ended(ctx)
 	}
-	return work.Orders{}, after, ctx.Err()
+	return work.Orders{}, after, r.ended(ctx)
 }
 
 // Probe implements work.Registry.
-func (r *troubledRegistry) Probe(ctx context.Context) error { return r.call(ctx, 0) }
+func (r *troubledRegistry) Probe(ctx context.Context) error {
+	if err := r.call(ctx, 0); err != nil {
+		return err
+	}
+	return r.ended(ctx)
+}
 
 // ReportRetired implements work.Registry.
 func (r *troubledRegistry) ReportRetired(context.Context, ident.Node, bool) error { return nil }
 
 // cutSource is a worker's feed, which a node that is cut off does not reach.
 type cutSource struct {
-	feed     *fleetfeed.Feed
-	registry *troubledRegistry
+	feed *fleetfeed.Feed
+	// worker is the registry as the worker sees it, registry as the node does.
+	worker, registry *troubledRegistry
 }
 
 // Next implements follower.Source.
@@ -205,7 +244,22 @@
 			return nil, err
 		}
 	}
-	return s.feed.Snapshot(ctx, known)
+	answered := make(chan *fleetfeed.Snapshot, 1)
+	go func() {
+		s.worker.standStill()
+		snapshot, err := s.feed.Snapshot(ctx, known)
+		s.worker.standStill()
+		if err == nil {
+			answered <- snapshot
+		}
+	}()
+	select {
+	case snapshot := <-answered:
+		return snapshot, s.registry.ended(ctx)
+	case <-ctx.Done():
+		// The worker may stand still.
+		return nil, fmt.Errorf("waiting for a snapshot: %w", ctx.Err())
+	}
 }
 
 // outcome is what became of the runners.
@@ -226,16 +280,21 @@
 	node := newFollower(registry, table)
 	supervisor := new(tomb.Tomb)
 	if p.relayed {
-		feed := fleetfeed.New(time.Now)
-		worker := newFollower(&troubledRegistry{play: p, began: began, cut: p.trouble.worker}, runnertable.New("z"))
+		passes := &troubledRegistry{play: p, began: began, cut: p.trouble.worker}
+		feed := fleetfeed.New(passes.now)
+		worker := newFollower(passes, runnertable.New("z"))
 		worker.Feed = feed
 		worker.Start(supervisor)
-		node.Source = &cutSource{feed: feed, registry: registry}
+		node.Source = &cutSource{feed: feed, worker: passes, registry: registry}
 	}
 	node.Start(supervisor)
 	var result outcome
 	const settled = 2 * time.Second
 	for at := time.Duration(0); at < p.trouble.to+3*inTouch; at = time.Since(began) {
+		if registry.cut && p.trouble.stopped(at) {
+			time.Sleep(p.trouble.to - at)
+			continue
+		}
 		for i := range len(p.back) + 1 {
 			used := p.use(table, i)
 			switch {
@@ -267,10 +326,10 @@
 	return newest
 }
 
-func newFollower(registry work.Registry, table *runnertable.Table) *follower.Follower {
+func newFollower(registry *troubledRegistry, table *runnertable.Table) *follower.Follower {
 	return &follower.Follower{
 		Registry: registry, Runners: table, Routes: &routetable.Table{}, Options: follower.OptionsFor(siteDrain, siteHeartbeat),
-		Logger: zerolog.Nop(), Now: time.Now,
+		Logger: zerolog.Nop(), Now: registry.now,
 	}
 }
 
--- a/internal/follower/trouble_test.go
+++ b/internal/follower/trouble_test.go
@@ -42,6 +42,8 @@
 	slices.Sort(p.changes)
 	p.trouble.silent = rapid.Bool().Draw(t, "silent")
 	p.trouble.outage = rapid.Bool().Draw(t, "outage")
+	p.trouble.freeze = !p.trouble.outage && rapid.Bool().Draw(t, "freeze")
+	p.trouble.overdue = rapid.Bool().Draw(t, "overdue")
 	p.trouble.lapses = p.trouble.outage && rapid.Bool().Draw(t, "lapses")
 	for i := range 6 {
 		p.renewed = append(p.renewed, milliseconds(t, fmt.Sprint("renewed", i), 0, int(siteHeartbeat.Milliseconds())))
