Keep what is relayed with the moment as of which it is known

Cause: what a worker told of the work at its runners, of its batch work and of the other workers counted from when a node took it over. After a freeze of the node an answer that had lain unread for seconds was believed as if it were new, for another 1.5 s, and of two answers that overtook each other the older one stayed. Change: internal/asof holds a value with the moment as of which it is known, passes over what is older, and is used for the shares and loads of runners, the batch work of workers and the list of workers. Answers of workers count from when the question was sent. Ruled out: taking the age of a worker's reading of the registry for that of its list of workers: the worker follows those by a call of its own, and a front would not learn of a new worker for a second (TestFrontLearnsOfWorkersFromAWorker failed). Figures: TestAnswerReadAfterAFreezeIsAsOldAsItsQuestion failed before (believed for another 1.5 s). A runner that failed up to 30 times is in use again 3 s after its last failure at the latest (drawn, passed as it was). Lists and configuration keep their ages in the feed as they were; the times of loans are ends, not ages.

--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -33,8 +33,8 @@
 type Work interface {
 	// Online returns the online work by the address of the worker that owns the runners. It names every worker.
 	Online() map[string]Owned
-	// Take takes over what the worker at an address knows of its runners and tells of its batch work.
-	Take(address string, answer *Answer, now time.Time)
+	// Take takes over what the worker at an address knew of its runners and told of its batch work, as of a moment.
+	Take(address string, answer *Answer, asOf time.Time)
 }
 
 // Owned is the online work of this node at the runners that one worker owns.
@@ -208,11 +208,13 @@
 func (t *Teller) tell(ctx context.Context, address string, known *correspondent, report *Report) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
+	sent := t.Now()
 	answer, err := t.Tell(ctx, address, report)
-	now := t.Now()
 	if err == nil {
-		t.Work.Take(address, answer, now)
+		// The answer may have lain unread through a freeze of this process.
+		t.Work.Take(address, answer, sent)
 	}
+	now := t.Now()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known.telling = false
--- a/internal/demand/teller_test.go
+++ b/internal/demand/teller_test.go
@@ -1,12 +1,15 @@
 package demand
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
 func far(idle, used int) map[string]Owned {
@@ -42,3 +45,25 @@
 	assert.Assert(t, known.lacks(nil, 9*time.Second, now.Add(9*time.Second)))
 	assert.Assert(t, known.lacks([]Count{{Runner: "r", Online: 1}}, 9*time.Second, now))
 }
+
+// takenWork notes as of when answers were taken over.
+type takenWork struct {
+	Work
+	asOf time.Time
+}
+
+func (w *takenWork) Take(_ string, _ *Answer, asOf time.Time) { w.asOf = asOf }
+
+// TestAnswerReadAfterAFreezeIsAsOldAsItsQuestion stands still for longer than an answer is believed, between the question and
+// the reading of its answer. What the worker knew before counts no more.
+func TestAnswerReadAfterAFreezeIsAsOldAsItsQuestion(t *testing.T) {
+	now := time.Unix(100, 0)
+	work := &takenWork{}
+	teller := NewTeller(ident.Node("front"), work, func() time.Time { return now })
+	teller.Tell = func(context.Context, string, *Report) (*Answer, error) {
+		now = now.Add(2 * Lifetime)
+		return &Answer{}, nil
+	}
+	teller.tell(t.Context(), "w", &correspondent{}, &Report{})
+	assert.Assert(t, now.Sub(work.asOf) >= 2*Lifetime, "the answer is believed for another %v", Lifetime-now.Sub(work.asOf))
+}
--- a/internal/jobpeer/assign.go
+++ b/internal/jobpeer/assign.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/asof"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
@@ -17,20 +18,16 @@
 	longestAssignedWait = time.Second
 )
 
-// toldBatch is the batch work of a worker as it told of it.
-type toldBatch struct {
-	at    time.Time
-	batch demand.Batch
-}
-
-// noteBatch takes over what a worker told of its batch work.
-func (h *Holders) noteBatch(address string, batch demand.Batch) {
+// noteBatch takes over what a worker told of its batch work, as of a moment.
+func (h *Holders) noteBatch(address string, batch demand.Batch, asOf time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.batches == nil {
-		h.batches = map[string]toldBatch{}
+		h.batches = map[string]asof.Fact[demand.Batch]{}
 	}
-	h.batches[address] = toldBatch{at: h.Now(), batch: batch}
+	told := h.batches[address]
+	told.Renew(batch, asOf)
+	h.batches[address] = told
 }
 
 // Assignee returns the worker of the zone that would begin a job of some items first, if one would soon. The items are
@@ -40,26 +37,27 @@
 	defer h.mutex.Unlock()
 	now := h.Now()
 	best, found := "", false
-	for _, worker := range h.workers {
-		told, known := h.batches[worker.Address]
-		stale := !known || now.Sub(told.at) > batchMemory || told.batch.Node != worker.Node
-		if worker.Zone != h.Zone || stale || told.batch.Lease == 0 || now.Before(h.avoided[worker.Address]) {
+	for _, worker := range h.workers.Value() {
+		told := h.batches[worker.Address]
+		batch := told.Value()
+		stale := !told.Within(batchMemory, now) || batch.Node != worker.Node
+		if worker.Zone != h.Zone || stale || batch.Lease == 0 || now.Before(h.avoided[worker.Address]) {
 			continue
 		}
-		if told.batch.Wait(0) > longestAssignedWait {
+		if batch.Wait(0) > longestAssignedWait {
 			continue
 		}
-		if !found || told.batch.Wait(items) < h.batches[best].batch.Wait(items) {
+		if !found || batch.Wait(items) < h.batches[best].Value().Wait(items) {
 			best, found = worker.Address, true
 		}
 	}
 	if !found {
 		return jobrecord.Assignee{}, false
 	}
-	chosen := h.batches[best]
-	chosen.batch.Waiting += items
-	h.batches[best] = chosen
-	return jobrecord.Assignee{Node: chosen.batch.Node, Lease: kv.LeaseID(chosen.batch.Lease), Address: best}, true
+	chosen := h.batches[best].Value()
+	chosen.Waiting += items
+	h.batches[best] = h.batches[best].With(chosen)
+	return jobrecord.Assignee{Node: chosen.Node, Lease: kv.LeaseID(chosen.Lease), Address: best}, true
 }
 
 // Assign tells a worker of a job that was accepted with a claim for it, and says whether the worker runs it.
--- a/internal/jobpeer/assign_test.go
+++ b/internal/jobpeer/assign_test.go
@@ -18,11 +18,11 @@
 	h := &Holders{Zone: "a", Now: func() time.Time { return now }}
 	_, found := h.Assignee(10)
 	assert.Assert(t, !found, "no worker is known")
-	h.Learn([]jobrecord.Worker{{Node: "w-1", Zone: "a", Address: "1"}, {Node: "w-2", Zone: "a", Address: "2"}, {Node: "far", Zone: "b", Address: "3"}})
+	h.Learn([]jobrecord.Worker{{Node: "w-1", Zone: "a", Address: "1"}, {Node: "w-2", Zone: "a", Address: "2"}, {Node: "far", Zone: "b", Address: "3"}}, h.Now())
 	_, found = h.Assignee(10)
 	assert.Assert(t, !found, "no worker told of its batch work")
 	tell := func(address string, node ident.Node, lease int64, waiting int) {
-		h.noteBatch(address, demand.Batch{Node: node, Lease: lease, Waiting: waiting, Places: 20, RunMs: 2000})
+		h.noteBatch(address, demand.Batch{Node: node, Lease: lease, Waiting: waiting, Places: 20, RunMs: 2000}, h.Now())
 	}
 	tell("1", "w-1", 11, 0)
 	tell("2", "w-2", 22, 2)
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -36,9 +36,9 @@
 }
 
 // Take implements demand.Work.
-func (o *OnlineWork) Take(address string, answer *demand.Answer, now time.Time) {
-	o.Runners.TakeShares(answer.Shares, now)
-	o.Holders.noteBatch(address, answer.Batch)
+func (o *OnlineWork) Take(address string, answer *demand.Answer, asOf time.Time) {
+	o.Runners.TakeShares(answer.Shares, asOf)
+	o.Holders.noteBatch(address, answer.Batch, asOf)
 }
 
 // TellDemand tells a worker of online work. A worker that does not answer is left alone for a while.
@@ -60,5 +60,5 @@
 func (h *Holders) known() []jobrecord.Worker {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return slices.Clone(h.workers)
+	return slices.Clone(h.workers.Value())
 }
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -27,13 +27,18 @@
 	if err != nil {
 		return nil, err
 	}
+	sent := w.Holders.Now()
 	snapshot, err := fleetfeed.Ask(ctx, connection, known)
 	if err != nil {
 		w.Holders.avoid(address)
 		return nil, err
 	}
-	if len(snapshot.Workers) > 0 && snapshot.RunnersAgeMs < oldestLearned.Milliseconds() {
-		w.Holders.Learn(workersOf(snapshot))
+	// A worker that reads the registry also follows the other workers, and told of them no earlier than this, however long its
+	// answer lay unread.
+	told := sent.Add(time.Duration(snapshot.HeldMs) * time.Millisecond)
+	read := told.Add(-time.Duration(snapshot.RunnersAgeMs) * time.Millisecond)
+	if len(snapshot.Workers) > 0 && w.Holders.Now().Sub(read) < oldestLearned {
+		w.Holders.Learn(workersOf(snapshot), told)
 	}
 	return snapshot, nil
 }
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -9,6 +9,8 @@
 
 	"storj.io/drpc"
 
+	"mallowlatch.example/mallowlatch/internal/asof"
+	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -45,12 +47,14 @@
 	Now    func() time.Time
 
 	mutex   sync.Mutex
-	workers []jobrecord.Worker
-	read    time.Time
+	// workers are those that run batch jobs, in the order in which they are asked.
+	workers asof.Fact[[]jobrecord.Worker]
+	// read is when they were last read, or tried to be, put back where they are to be read sooner.
+	read time.Time
 	jobs    map[ident.Job]whereabouts
 	avoided map[string]time.Time
 	// batches is what workers told of their batch work, by address.
-	batches map[string]toldBatch
+	batches map[string]asof.Fact[demand.Batch]
 	// keepersSeen is when each worker was last known, by address.
 	keepersSeen map[string]time.Time
 }
@@ -110,7 +114,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	var near, far []string
-	for _, worker := range h.workers {
+	for _, worker := range h.workers.Value() {
 		switch {
 		case h.Now().Before(h.avoided[worker.Address]):
 		case worker.Zone == h.Zone:
@@ -156,7 +160,7 @@
 		return nil
 	}
 	var addresses []string
-	for _, worker := range h.workers {
+	for _, worker := range h.workers.Value() {
 		if !now.Before(h.avoided[worker.Address]) {
 			addresses = append(addresses, worker.Address)
 		}
@@ -169,7 +173,7 @@
 	h.mutex.Lock()
 	now := h.Now()
 	kept := workersKept
-	if len(h.workers) == 0 {
+	if len(h.workers.Value()) == 0 {
 		kept = noWorkersKept
 	}
 	fresh := !h.read.IsZero() && now.Sub(h.read) < kept
@@ -182,20 +186,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
+	began := h.Now()
 	workers, err := h.Records.Workers(ctx)
 	if err != nil {
 		return
 	}
-	h.Learn(workers)
+	h.Learn(workers, began)
 }
 
-// Learn takes over a list of the workers that was just read, here or by another node.
-func (h *Holders) Learn(workers []jobrecord.Worker) {
+// Learn takes over a list of the workers that was read here or by another node, as of a moment. An older one than is known is
+// passed over.
+func (h *Holders) Learn(workers []jobrecord.Worker, asOf time.Time) {
 	slices.SortFunc(workers, func(first, second jobrecord.Worker) int { return cmp.Compare(first.Node, second.Node) })
 	slices.SortStableFunc(workers, h.nearFirst)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.workers = workers
+	if !h.workers.Renew(workers, asOf) {
+		return
+	}
 	h.read = h.Now()
 	h.rememberKeepers(workers)
 }
--- a/internal/jobpeer/keep.go
+++ b/internal/jobpeer/keep.go
@@ -119,7 +119,7 @@
 	defer h.mutex.Unlock()
 	var zones []ident.Zone
 	byZone := map[ident.Zone][]string{}
-	for _, worker := range h.workers {
+	for _, worker := range h.workers.Value() {
 		if h.Now().Before(h.avoided[worker.Address]) {
 			continue
 		}
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -146,7 +146,7 @@
 	remaining, err := holders.Records.Workers(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, len(remaining), len(other)-1)
-	holders.Learn(remaining)
+	holders.Learn(remaining, holders.Now())
 	pending, _ := holders.Pending(ctx, "j")
 	assert.Assert(t, pending)
 }
@@ -170,3 +170,13 @@
 	assert.NilError(t, err)
 	assert.NilError(t, keep(holders))
 }
+
+// TestOlderListOfWorkersIsPassedOver has what a worker told overtaken by a newer reading.
+func TestOlderListOfWorkersIsPassedOver(t *testing.T) {
+	holders := newHolders(t, oneZone, &peer{keep: keeps}, &peer{keep: keeps})
+	assert.NilError(t, keep(holders))
+	holders.Learn(nil, holders.Now().Add(-time.Minute))
+	assert.NilError(t, keep(holders))
+	holders.Learn(nil, holders.Now())
+	assert.Assert(t, keep(holders) != nil)
+}
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -84,7 +84,7 @@
 // observe takes over a runner's own count of its work.
 func (e *entry) observe(load work.Load, now time.Time) {
 	others := load.Running + load.Waiting - e.own[Online] - e.own[Batch]
-	e.load = loadReport{at: now, others: max(others, 0), waiting: load.Waiting}
+	e.load.Renew(loadReport{others: max(others, 0), waiting: load.Waiting}, now)
 }
 
 // Observe takes over a count that the runner told outside a flight.
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -120,7 +120,7 @@
 
 // eligible filters out the ejected runners too, and those of which their owner tells that they are silent.
 func (e *entry) eligible(wish Wish, now time.Time) bool {
-	silent := e.share.silent && now.Sub(e.share.at) < shareMemory
+	silent := e.share.Value().silent && e.share.Within(shareMemory, now)
 	return e.allowed(wish) && !e.health.ejected(now) && !silent
 }
 
@@ -186,14 +186,15 @@
 // node's work, and what the runner counted beyond it, fading.
 func (e *entry) estimate(now time.Time) (firm, yielding int) {
 	own := e.own[Online] + e.own[Batch]
-	if now.Sub(e.share.at) < shareMemory {
-		return own + e.share.others, e.share.batch
+	if e.share.Within(shareMemory, now) {
+		told := e.share.Value()
+		return own + told.others, told.batch
 	}
-	age := now.Sub(e.load.at)
-	if age >= loadMemory {
+	if !e.load.Within(loadMemory, now) {
 		return own, 0
 	}
-	return own + int(float64(e.load.others)*(1-float64(age)/float64(loadMemory))+0.5), 0
+	faded := 1 - float64(e.load.Age(now))/float64(loadMemory)
+	return own + int(float64(e.load.Value().others)*faded+0.5), 0
 }
 
 // silentFor returns how long the oldest request without a first byte has waited.
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -36,13 +36,14 @@
 	return online
 }
 
-// TakeShares takes over what the owner of runners knows of the work at them.
-func (t *Table) TakeShares(shares []demand.Share, now time.Time) {
+// TakeShares takes over what the owner of runners knew of the work at them, as of a moment. An older word than the last one
+// is passed over.
+func (t *Table) TakeShares(shares []demand.Share, asOf time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, told := range shares {
 		if known := t.runners[told.Runner]; known != nil {
-			known.share = share{at: now, others: told.Others, batch: told.Batch, silent: told.Silent}
+			known.share.Renew(share{others: told.Others, batch: told.Batch, silent: told.Silent}, asOf)
 		}
 	}
 }
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/asof"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -51,17 +52,18 @@
 	waiting map[*Flight]time.Time
 	// pendingTokens are the prompt tokens of flights without a first event that the runner is not thought to keep.
 	pendingTokens int
-	load          loadReport
-	share         share
-	health        health
-	prefixes      prefixHistory
+	// load is the runner's own count, as of its answer's head; share what the owner of its batch places told, as of the
+	// question.
+	load     asof.Fact[loadReport]
+	share    asof.Fact[share]
+	health   health
+	prefixes prefixHistory
 	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
 	missingSince time.Time
 }
 
 // share is what the owner of the runner's batch places knows of the work there.
 type share struct {
-	at time.Time
 	// others is the online work of other nodes, batch the owner's items.
 	others, batch int
 	// silent says that the runner does not answer its owner either.
@@ -70,7 +72,6 @@
 
 // loadReport is the runner's own count and what it was of.
 type loadReport struct {
-	at time.Time
 	// others is the work the runner counted beyond this node's.
 	others int
 	// waiting is the number of requests that waited at the runner.
--- a/internal/runnertable/table_test.go
+++ b/internal/runnertable/table_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -240,3 +241,33 @@
 	table.TakeShares([]demand.Share{{Runner: "1", Silent: true}, {Runner: "2", Silent: true}}, start)
 	pick(t, table, start, runnertable.Wish{})
 }
+
+// TestOlderWordOfAnOwnerIsPassedOver has two answers of the owner of a runner overtake each other.
+func TestOlderWordOfAnOwnerIsPassedOver(t *testing.T) {
+	table := tableOf(runner("1", "a"), runner("2", "a"))
+	table.TakeShares([]demand.Share{{Runner: "1", Others: 4}, {Runner: "2"}}, start)
+	table.TakeShares([]demand.Share{{Runner: "1"}, {Runner: "2", Others: 4}}, start.Add(-time.Millisecond))
+	assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+}
+
+// TestRunnerIsBackInUseAfterItsTrouble draws failures of a runner beside one that is busy. However many there were, a while
+// after the last one it is chosen again, and one success then clears it.
+func TestRunnerIsBackInUseAfterItsTrouble(t *testing.T) {
+	const longestEjection = 3 * time.Second
+	kinds := []runnertable.Failure{runnertable.Unreachable, runnertable.NoAnswer, runnertable.Silent, runnertable.Erred}
+	rapid.Check(t, func(t *rapid.T) {
+		table := tableOf(runner("1", "a"), runner("2", "a"))
+		now := start
+		wish := runnertable.Wish{Service: "s"}
+		for range rapid.IntRange(1, 30).Draw(t, "failures") {
+			flight, err := table.StartAt("1", wish, now)
+			if err == nil {
+				flight.Failed(rapid.SampledFrom(kinds).Draw(t, "failure"), now)
+				flight.End()
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+		}
+		_, err := table.StartAt("1", wish, now.Add(longestEjection))
+		assert.NilError(t, err, "the runner is passed over %v after its trouble", longestEjection)
+	})
+}
