--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -46,11 +46,11 @@
 	Copies int
 	Now    func() time.Time
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
 	// workers are those that run batch jobs, in the order in which they are asked.
 	workers asof.Fact[[]jobrecord.Worker]
 	// read is when they were last read, or tried to be, put back where they are to be read sooner.
-	read time.Time
+	read    time.Time
 	jobs    map[ident.Job]whereabouts
 	avoided map[string]time.Time
 	// batches is what workers told of their batch work, by address.
