Let requests wait at the front, and turn away at once what gets no place in time

Cause: where online work took the places of all runners, a front sent what came to five runners in a row, each of which queued or refused it. Change: internal/waitline decides, without I/O, who gets a place that comes free and who gets none in time: the mean time of a run over the places this node holds, corrected by how much longer waits were than expected. internal/online/room.go is the room where requests of a service wait; a runner is sent no more online work than its places and a quarter of them. What would be late is refused at once, as not run, with the time after which those who wait have a place, spread over as much again. A request that a runner may have run, and a stream that has begun, do not wait. Event 3517 counts those that waited, that were turned away, and that were so wrongly. TestThreeFailuresAreExplainedByTheirIds: its runner refuses each of the five tries now; a single refusal is waited out and served. What Retry-After says of jobs and quotas is as it was.

--- a/internal/event/online.go
+++ b/internal/event/online.go
@@ -20,5 +20,6 @@
 	FleetRelayed   = register(3513, "fleet_relayed", zerolog.InfoLevel, "The runners and the configuration come from a worker; this node reads the store only when that is too old.", "none")
 	FleetReadAlone = register(3514, "fleet_read_alone", zerolog.InfoLevel, "No worker passes the runners and the configuration on; this node reads the store itself.", "none unless it persists: check the workers of the zone")
 	RunnersKept    = register(3516, "runners_kept", zerolog.InfoLevel, "The list lacks runners that were known; they stay in use for a moment, because the registry may have been away. The line says how long nothing was read before.", "none unless it repeats while the store is up")
+	PlacesShort    = register(3517, "places_short", zerolog.InfoLevel, "Requests found the places of all runners taken by online work. The line says how many waited and got one, how many were told that none comes free in time, for how many of these one did, and by which factor waits were longer than expected.", "none unless it persists: the service has too few runners for its load")
 	StoreCalls     = register(3515, "store_calls", zerolog.InfoLevel, "The calls this node made to the store since the last such line, by kind.", "none unless the number of calls is dear: the kinds tell which part makes them")
 )
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/waitline"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -26,15 +26,20 @@
 	writer    work.AnswerWriter
 	deadline  time.Time
 	service   string
-	// tried holds the runners that had the request.
-	tried map[ident.Runner]bool
+	// tried holds the runners that had the request, full those that refused it since it last waited.
+	tried, full map[ident.Runner]bool
+	// room is where the request waits for a place, waiter its place in the line there.
+	room   *room
+	waiter *waitline.Waiter
 	// runs counts the attempts that a runner may have run.
 	runs int
 	// begun is set once the head went to the caller; after that no error can be told but by breaking off.
 	begun bool
 	// lastEvent is the id of the last event the caller has.
 	lastEvent int64
-	outcome   outcome.Outcome
+	// sent is when the last attempt was sent.
+	sent    time.Time
+	outcome outcome.Outcome
 }
 
 // errTryAgain means that another runner may have the request.
@@ -63,12 +68,15 @@
 	if budget < leastBudget {
 		return e.refusal(failure.CodeDeadlineExceeded, "the time of the request is over", nil)
 	}
-	flight, err := e.forwarder.Runners.Pick(e.wish(), now, rand.New(rand.NewPCG(rand.Uint64(), 0)))
+	flight, err := e.pick()
 	if err != nil {
-		return e.refusal(failure.CodeNoBackend, "no runner may take the request", err)
+		return e.notPicked(err)
 	}
+	e.sent = e.forwarder.Now()
+	defer func() { e.room.freed(e.forwarder.Now().Sub(e.sent)) }()
 	defer flight.End()
 	e.tried[flight.Runner.ID] = true
+	budget = e.deadline.Sub(e.sent)
 	ctx, cancel := context.WithCancel(e.ctx)
 	defer cancel()
 	guard := e.guardSilence(cancel)
@@ -81,11 +89,27 @@
 	return e.take(flight, reply, guard)
 }
 
-func (e *exchange) wish() runnertable.Wish {
-	return runnertable.Wish{
+// notPicked is the final answer of a request for which no runner was chosen.
+func (e *exchange) notPicked(err error) error {
+	switch {
+	case errors.Is(err, errHopeless):
+		return e.refusal(failure.CodeOverloaded, "no runner has a place in time", err)
+	case e.ctx.Err() != nil:
+		return e.refusal(failure.CodeDeadlineExceeded, "the time of the request is over", err)
+	}
+	return e.refusal(failure.CodeNoBackend, "no runner may take the request", err)
+}
+
+// wish is what the choice of a runner depends on. One that waits is not sent where it would have to wait at the runner.
+func (e *exchange) wish(waits bool) runnertable.Wish {
+	wish := runnertable.Wish{
 		Service: e.service, Class: runnertable.Online, Prefix: e.request.Prefix,
 		PromptTokens: e.request.PromptTokens, Bytes: len(e.request.Body), Exclude: e.tried,
 	}
+	if waits {
+		wish.Full = e.full
+	}
+	return wish
 }
 
 // guardSilence ends the attempt when no first event comes in time, where a further attempt is allowed.
@@ -134,6 +158,8 @@
 		return fmt.Errorf("%w: runner %s is replaced", errTryAgain, flight.Runner.ID)
 	case reply.NotRun:
 		guard.stop()
+		delete(e.tried, flight.Runner.ID)
+		e.full[flight.Runner.ID] = true
 		flight.Failed(runnertable.Refused, e.forwarder.Now())
 		return fmt.Errorf("%w: runner %s refused", errTryAgain, flight.Runner.ID)
 	}
@@ -226,7 +252,7 @@
 	case errors.Is(cause, connpool.ErrNotSent), errors.Is(cause, runnertable.ErrNoRunner):
 		return refused.WithRetryAfter(retryAfterOutage)
 	}
-	return refused.WithRetryAfter(retryAfter)
+	return refused.WithRetryAfter(e.room.returnAfter())
 }
 
 func (e *exchange) logAttempt(flight *runnertable.Flight, err error) {
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -48,6 +48,8 @@
 	Caller  work.Caller
 	Logger  zerolog.Logger
 	Now     func() time.Time
+
+	rooms rooms
 }
 
 // Serve answers one request of a route. A nil error means that the whole answer was passed on. An error that wraps
@@ -58,10 +60,13 @@
 	writer.Until(deadline.Add(writeSlack))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	service := chooseService(route)
+	room := f.rooms.of(service, f.Now, f.Logger)
 	exchange := &exchange{
 		forwarder: f, ctx: ctx, route: route, request: request, writer: writer, deadline: deadline,
-		service: chooseService(route), tried: map[ident.Runner]bool{},
+		service: service, tried: map[ident.Runner]bool{}, full: map[ident.Runner]bool{},
 		lastEvent: request.ResumeAfter, outcome: outcome.NotRun,
+		room: room, waiter: room.waiter(onTime(route, request, deadline), deadline.Add(-leastBudget)),
 	}
 	return exchange.run()
 }
@@ -81,6 +86,14 @@
 	return deadline
 }
 
+// onTime is until when an answer earns its full credit; where the route names no objective, until the deadline.
+func onTime(route *work.Route, request *work.Request, deadline time.Time) time.Time {
+	if route.Objective <= 0 {
+		return deadline
+	}
+	return request.Arrived.Add(route.Objective)
+}
+
 // defaultTimeout bounds a request for which neither the client nor the route names a time.
 const defaultTimeout = 60 * time.Second
 
--- /dev/null
+++ b/internal/online/room.go
@@ -0,0 +1,240 @@
+package online
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/waitline"
+)
+
+const (
+	// lookEvery is the time between two looks for a free place while requests wait. What other nodes have at the runners is
+	// known anew each 50 ms; the ends of this node's own requests are looked at as they come.
+	lookEvery = 20 * time.Millisecond
+	// answeredWeight is the part that one request has in the mean time to the first event.
+	answeredWeight = 0.05
+)
+
+// errHopeless means that a request would get no place in time.
+const errHopeless = failure.Kind("online: no place comes free in time")
+
+// room is where the requests of one service wait for a place. It wakes one at a time, which looks for a place itself and
+// wakes the next one when it found one.
+type room struct {
+	service string
+	now     func() time.Time
+	logger  zerolog.Logger
+
+	mutex sync.Mutex
+	line  waitline.Line
+	// woken holds what each waiting request is woken by.
+	woken map[*waitline.Waiter]chan struct{}
+	// looking says that the timer runs.
+	looking bool
+	// answered is the mean time from the sending of a request to its first event.
+	answered time.Duration
+	// told is when the log was last told of the room.
+	told time.Time
+}
+
+// waiter is a request's place in the line, given until when its answer is on time, and of any use.
+func (r *room) waiter(onTime, latest time.Time) *waitline.Waiter {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if latest.Before(onTime) {
+		onTime = latest
+	}
+	return &waitline.Waiter{OnTime: onTime.Add(-r.answered), Latest: latest.Add(-r.answered)}
+}
+
+// taken notes that a request got a place after it waited or at once, and wakes the next one: there may be more.
+func (r *room) taken(waiter *waitline.Waiter, waited bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.line.Taken()
+	if waited {
+		r.line.Served(waiter, r.now())
+	}
+	r.wake()
+}
+
+// freed notes that a request gave its place back after a time, and has the next one look for it.
+func (r *room) freed(after time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
+	r.line.Freed(after, now)
+	r.wake()
+	r.tell(now)
+}
+
+// tellEvery is the time between two lines of the log about a room.
+const tellEvery = 10 * time.Second
+
+// tell logs what became of the requests that found no place at once. The caller holds the mutex.
+func (r *room) tell(now time.Time) {
+	if now.Sub(r.told) < tellEvery {
+		return
+	}
+	r.told = now
+	tally, longer := r.line.Tally()
+	if tally == (waitline.Tally{}) {
+		return
+	}
+	event.PlacesShort.Log(r.logger).Str("service", r.service).Int("waited", tally.Waited).Int("turned_away", tally.TurnedAway).
+		Int("wrongly", tally.Wrongly).Float64("longer_than_expected", longer).Send()
+}
+
+// noteAnswered keeps the mean time from the sending of a request to its first event.
+func (r *room) noteAnswered(took time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.answered == 0 {
+		r.answered = took
+	}
+	r.answered += time.Duration(answeredWeight * float64(took-r.answered))
+}
+
+// crowded says whether requests wait, so that one that comes must not pass them.
+func (r *room) crowded() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.line.Len() > 0
+}
+
+// wait returns nil when a request is to look for a place. The error wraps errHopeless where it would get none in time. One
+// that waited before and found no place is the first in the line again.
+func (r *room) wait(ctx context.Context, waiter *waitline.Waiter, again bool) error {
+	woken := r.enter(waiter, again)
+	if woken == nil {
+		return errHopeless
+	}
+	select {
+	case <-woken:
+		return nil
+	case <-ctx.Done():
+		r.leave(waiter)
+		return ctx.Err()
+	}
+}
+
+func (r *room) enter(waiter *waitline.Waiter, again bool) <-chan struct{} {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if again {
+		r.line.Again(waiter)
+	} else if !r.line.Join(waiter, r.now()) {
+		return nil
+	}
+	woken := make(chan struct{})
+	r.woken[waiter] = woken
+	r.lookSoon()
+	return woken
+}
+
+func (r *room) leave(waiter *waitline.Waiter) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if _, waits := r.woken[waiter]; !waits {
+		// It was woken as its caller left: the place that it was woken for is the next one's.
+		r.wake()
+		return
+	}
+	delete(r.woken, waiter)
+	r.line.Leave(waiter)
+}
+
+// wake has the request look for a place that has the least time left. The caller holds the mutex.
+func (r *room) wake() {
+	if next := r.line.Next(); next != nil {
+		close(r.woken[next])
+		delete(r.woken, next)
+	}
+}
+
+// lookSoon has a request look for a place after a moment, for as long as any waits. The caller holds the mutex.
+func (r *room) lookSoon() {
+	if r.looking {
+		return
+	}
+	r.looking = true
+	time.AfterFunc(lookEvery, r.look)
+}
+
+func (r *room) look() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.looking = false
+	if r.line.Len() == 0 {
+		return
+	}
+	r.wake()
+	r.lookSoon()
+}
+
+// returnAfter is when a caller may come back that got no place: when all that wait now have one. Those who are sent away
+// together come back spread over as much time again, so that they do not meet in another crowd.
+func (r *room) returnAfter() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	expected := min(max(r.line.Return(), retryAfter), retryAfterOutage)
+	return expected + time.Duration(rand.Int64N(int64(expected)))
+}
+
+// rooms holds the rooms of the services.
+type rooms struct {
+	mutex  sync.Mutex
+	byName map[string]*room
+}
+
+// of returns the room of a service.
+func (r *rooms) of(service string, now func() time.Time, logger zerolog.Logger) *room {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.byName == nil {
+		r.byName = map[string]*room{}
+	}
+	found := r.byName[service]
+	if found == nil {
+		found = &room{service: service, now: now, logger: logger, woken: map[*waitline.Waiter]chan struct{}{}, told: now()}
+		r.byName[service] = found
+	}
+	return found
+}
+
+// pick chooses a runner, once one has a place. A request that a runner may have run, and a stream that has begun, are sent at
+// once and wait at the runner: they can't be sent away as not run.
+func (e *exchange) pick() (*runnertable.Flight, error) {
+	waits := e.runs == 0 && !e.begun
+	waited := false
+	if waits && e.room.crowded() {
+		if err := e.room.wait(e.ctx, e.waiter, false); err != nil {
+			return nil, err
+		}
+		waited = true
+	}
+	for {
+		random := rand.New(rand.NewPCG(rand.Uint64(), 0))
+		flight, err := e.forwarder.Runners.Pick(e.wish(waits), e.forwarder.Now(), random)
+		if err == nil {
+			e.room.taken(e.waiter, waited)
+			return flight, nil
+		}
+		if !errors.Is(err, runnertable.ErrFull) {
+			return nil, err
+		}
+		if err := e.room.wait(e.ctx, e.waiter, waited); err != nil {
+			return nil, err
+		}
+		waited = true
+		clear(e.full)
+	}
+}
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -13,6 +13,13 @@
 // ErrNoRunner means that no runner of the service may take the request now.
 const ErrNoRunner = failure.Kind("runner table: no runner may take the request")
 
+// ErrFull means that runners may take the request, and that online work takes the places of all of them.
+const ErrFull = failure.Kind("runner table: the places of all runners are taken")
+
+// queueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
+// until nodes hear of it, and so little that what comes later and has less time is not kept behind it.
+const queueShare = 0.25
+
 // Costs are in milliseconds of expected delay to the first event, so that unlike things can be added.
 const (
 	// loadCost is the delay of a runner whose places are all taken, beside one that is idle.
@@ -54,6 +61,9 @@
 	Bytes int
 	// Exclude holds runners that already had the request.
 	Exclude map[ident.Runner]bool
+	// Full holds runners that refused the request a moment ago, because their places were taken. A nil map has the request
+	// sent also where it must wait at the runner.
+	Full map[ident.Runner]bool
 }
 
 // Pick chooses the runner with the least expected delay and starts a flight on it. The error wraps ErrNoRunner.
@@ -62,6 +72,9 @@
 	defer t.mutex.Unlock()
 	home := t.home(wish, now)
 	best := t.cheapest(wish, home, now, random)
+	if best == nil && t.anyFull(wish, now) {
+		return nil, fmt.Errorf("%w: service %s", ErrFull, wish.Service)
+	}
 	if best == nil {
 		best = t.firstBack(wish)
 	}
@@ -76,7 +89,7 @@
 	var best *entry
 	bestCost := 0.0
 	for _, candidate := range t.services[wish.Service] {
-		if !candidate.eligible(wish, now) {
+		if !candidate.eligible(wish, now) || candidate.full(wish, now) {
 			continue
 		}
 		cost := t.cost(candidate, wish, candidate == home, now) + jitterCost*random.Float64()
@@ -87,6 +100,27 @@
 	return best
 }
 
+// anyFull says whether a runner may take the request as soon as it has a place.
+func (t *Table) anyFull(wish Wish, now time.Time) bool {
+	for _, candidate := range t.services[wish.Service] {
+		if candidate.eligible(wish, now) && candidate.full(wish, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// full says whether a request that waits for a place elsewhere would have to wait at the runner: online work takes its places,
+// or it has just refused the request.
+func (e *entry) full(wish Wish, now time.Time) bool {
+	if wish.Full == nil {
+		return false
+	}
+	firm, _ := e.estimate(now)
+	places := float64(max(e.runner.Slots, 1))
+	return wish.Full[e.runner.ID] || float64(firm+1) > places*(1+queueShare)
+}
+
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
 // is ejected, which may be this node's own fault.
 func (t *Table) firstBack(wish Wish) *entry {
--- /dev/null
+++ b/internal/waitline/waitline.go
@@ -0,0 +1,170 @@
+// Package waitline decides which request gets a place that comes free, and which one can get none in time. While online work
+// takes the places of all runners, requests wait at the node that took them: what waits in the queue of a runner can't be told
+// at once that it will not be served in time, and makes all that comes behind it late too. The package does no I/O; times are
+// arguments.
+package waitline
+
+import (
+	"slices"
+	"time"
+)
+
+// Waiter is a request without a place.
+type Waiter struct {
+	// OnTime is the last moment at which a place still lets it be answered within its objective, Latest the last one at which a
+	// place is of any use. OnTime is never after Latest.
+	OnTime, Latest time.Time
+	// due is what the line is ordered by: OnTime, or Latest for one that came too late to be on time.
+	due time.Time
+	// joined is when it began to wait, expected how long that was thought to take.
+	joined   time.Time
+	expected time.Duration
+}
+
+const (
+	// runWeight is the part that one run has in their mean time, errorWeight the part that one wait has in the mean error.
+	runWeight, errorWeight = 0.05, 0.1
+	// leastError and mostError bound the factor by which waits are longer than expected: a few odd ones must neither close the
+	// line nor open it.
+	leastError, mostError = 0.5, 4
+)
+
+// Line is the requests without a place at one node, for one service, and how fast places come free. The zero Line is empty.
+type Line struct {
+	// waiting is ordered by due.
+	waiting []*Waiter
+	// held are the places that this node's requests have, run is the mean time for which they have them.
+	held int
+	run  time.Duration
+	// error is the mean factor by which waits were longer than expected; zero is not known.
+	error float64
+	// turned holds until when each request that was turned away would have been in time, for those that still would.
+	turned []time.Time
+	tally  Tally
+}
+
+// Tally is what became of the requests that found no place at once.
+type Tally struct {
+	// Waited got a place, TurnedAway were told that they would get none in time. Wrongly counts those among them for which
+	// there was a place in time after all: one came free while nobody waited.
+	Waited, TurnedAway, Wrongly int
+}
+
+// Tally returns the counts since the last call, and the mean factor by which waits were longer than expected.
+func (l *Line) Tally() (Tally, float64) {
+	tally := l.tally
+	l.tally = Tally{}
+	return tally, l.bias()
+}
+
+// Taken notes that a request got a place.
+func (l *Line) Taken() { l.held++ }
+
+// Freed notes that a request gave its place back after a time. Where nobody waits for it, one that was turned away and
+// would still be in time could have had it.
+func (l *Line) Freed(after time.Duration, now time.Time) {
+	l.held--
+	if len(l.waiting) == 0 {
+		l.noteWrong(now)
+	}
+	if l.run == 0 {
+		l.run = after
+	}
+	l.run += time.Duration(runWeight * float64(after-l.run))
+}
+
+// Len returns how many wait.
+func (l *Line) Len() int { return len(l.waiting) }
+
+// untilPlace is how long it takes until a request gets a place that has some before it: this node's places come free one after
+// the other in the time of a run. A node that has none yet knows nothing, and expects one at once.
+func (l *Line) untilPlace(ahead int) time.Duration {
+	if l.held <= 0 {
+		return 0
+	}
+	expected := float64(l.run) * float64(ahead+1) / float64(l.held)
+	return time.Duration(expected * l.bias())
+}
+
+func (l *Line) bias() float64 {
+	if l.error == 0 {
+		return 1
+	}
+	return min(max(l.error, leastError), mostError)
+}
+
+// Join has a request wait, and returns false where it can't get a place in time: on time, or for one that is late already,
+// while a place is of any use. Nobody's time is taken for a place that does not come.
+func (l *Line) Join(waiter *Waiter, now time.Time) bool {
+	waiter.due = waiter.OnTime
+	if now.After(waiter.due) {
+		waiter.due = waiter.Latest
+	}
+	ahead := l.before(waiter.due)
+	expected := l.untilPlace(ahead)
+	if now.Add(expected).After(waiter.due) {
+		l.dropLate(now)
+		l.turned = append(l.turned, waiter.due)
+		l.tally.TurnedAway++
+		return false
+	}
+	waiter.joined, waiter.expected = now, expected
+	l.waiting = slices.Insert(l.waiting, ahead, waiter)
+	return true
+}
+
+// noteWrong counts a request that was turned away though a place came free in time, if there is one.
+func (l *Line) noteWrong(now time.Time) {
+	l.dropLate(now)
+	if len(l.turned) > 0 {
+		l.turned = slices.Delete(l.turned, 0, 1)
+		l.tally.Wrongly++
+	}
+}
+
+// dropLate forgets the requests that were turned away and would be late by now.
+func (l *Line) dropLate(now time.Time) {
+	l.turned = slices.DeleteFunc(l.turned, func(due time.Time) bool { return due.Before(now) })
+}
+
+// before returns how many of those that wait are due no later than a moment.
+func (l *Line) before(due time.Time) int {
+	index := slices.IndexFunc(l.waiting, func(waiter *Waiter) bool { return waiter.due.After(due) })
+	if index < 0 {
+		return len(l.waiting)
+	}
+	return index
+}
+
+// Leave takes a request out of the line.
+func (l *Line) Leave(waiter *Waiter) {
+	if index := slices.Index(l.waiting, waiter); index >= 0 {
+		l.waiting = slices.Delete(l.waiting, index, index+1)
+	}
+}
+
+// Next takes the request out of the line that has the least time left, or returns nil.
+func (l *Line) Next() *Waiter {
+	if len(l.waiting) == 0 {
+		return nil
+	}
+	next := l.waiting[0]
+	l.waiting = slices.Delete(l.waiting, 0, 1)
+	return next
+}
+
+// Again puts a request back that was taken out and found no place.
+func (l *Line) Again(waiter *Waiter) { l.waiting = slices.Insert(l.waiting, 0, waiter) }
+
+// Served notes how long a request waited that found a place, so that the next ones are expected better.
+func (l *Line) Served(waiter *Waiter, now time.Time) {
+	l.tally.Waited++
+	if waiter.expected <= 0 {
+		return
+	}
+	longer := l.bias() * float64(now.Sub(waiter.joined)) / float64(waiter.expected)
+	l.error = l.bias() + errorWeight*(min(longer, mostError)-l.bias())
+}
+
+// Return is how long it takes until all that wait now have a place, and one more.
+func (l *Line) Return() time.Duration { return l.untilPlace(len(l.waiting)) }
