--- a/internal/waitline/waitline.go
+++ b/internal/waitline/waitline.go
@@ -22,11 +22,11 @@
 }
 
 const (
-	// runWeight is the part that one run has in their mean time, errorWeight the part that one wait has in the mean error.
-	runWeight, errorWeight = 0.05, 0.1
-	// leastError and mostError bound the factor by which waits are longer than expected: a few odd ones must neither close the
-	// line nor open it.
-	leastError, mostError = 0.5, 4
+	// runWeight is the part that one run has in their mean time, waitWeight the part that one wait has in the mean factor by
+	// which waits are longer than expected.
+	runWeight, waitWeight = 0.05, 0.1
+	// leastLonger and mostLonger bound that factor: a few odd waits must neither close the line nor open it.
+	leastLonger, mostLonger = 0.5, 4
 )
 
 // Line is the requests without a place at one node, for one service, and how fast places come free. The zero Line is empty.
@@ -36,8 +36,8 @@
 	// held are the places that this node's requests have, run is the mean time for which they have them.
 	held int
 	run  time.Duration
-	// error is the mean factor by which waits were longer than expected; zero is not known.
-	error float64
+	// longer is the mean factor by which waits were longer than expected; zero is not known.
+	longer float64
 	// turned holds until when each request that was turned away would have been in time, for those that still would.
 	turned []time.Time
 	tally  Tally
@@ -51,10 +51,10 @@
 }
 
 // Tally returns the counts since the last call, and the mean factor by which waits were longer than expected.
-func (l *Line) Tally() (Tally, float64) {
+func (l *Line) Tally() (counts Tally, longer float64) {
 	tally := l.tally
 	l.tally = Tally{}
-	return tally, l.bias()
+	return tally, l.longerBy()
 }
 
 // Taken notes that a request got a place.
@@ -83,14 +83,15 @@
 		return 0
 	}
 	expected := float64(l.run) * float64(ahead+1) / float64(l.held)
-	return time.Duration(expected * l.bias())
+	return time.Duration(expected * l.longerBy())
 }
 
-func (l *Line) bias() float64 {
-	if l.error == 0 {
+// longerBy is the factor that waits are expected to be longer by than the places and the runs say.
+func (l *Line) longerBy() float64 {
+	if l.longer == 0 {
 		return 1
 	}
-	return min(max(l.error, leastError), mostError)
+	return min(max(l.longer, leastLonger), mostLonger)
 }
 
 // Join has a request wait, and returns false where it can't get a place in time: on time, or for one that is late already,
@@ -162,8 +163,9 @@
 	if waiter.expected <= 0 {
 		return
 	}
-	longer := l.bias() * float64(now.Sub(waiter.joined)) / float64(waiter.expected)
-	l.error = l.bias() + errorWeight*(min(longer, mostError)-l.bias())
+	before := l.longerBy()
+	this := before * float64(now.Sub(waiter.joined)) / float64(waiter.expected)
+	l.longer = before + waitWeight*(min(this, mostLonger)-before)
 }
 
 // Return is how long it takes until all that wait now have a place, and one more.
--- a/internal/waitline/waitline_test.go
+++ b/internal/waitline/waitline_test.go
@@ -129,7 +129,9 @@
 		wrongly int
 	}{{objective, 1}, {objective + 1, 0}} {
 		line := holding(1, time.Second)
-		assert.Assert(t, !line.Join(arriving(start), start) && !line.Join(arriving(start), start))
+		for range 2 {
+			assert.Assert(t, !line.Join(arriving(start), start))
+		}
 		line.Freed(time.Second, start.Add(freed.after))
 		tally, _ := line.Tally()
 		assert.DeepEqual(t, tally, waitline.Tally{TurnedAway: 2, Wrongly: freed.wrongly})
