Keep the question of a call that is given up, in the plays of the follower

On a socket each call has its own. Change: the stand-in copies the question. Ruled out: a race in the follower or the feed, which share nothing else. Conclusion: a race in the test's stand-in; the whole script was not run again on this commit.

--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -245,9 +245,11 @@
 		}
 	}
 	answered := make(chan *fleetfeed.Snapshot, 1)
+	// A call that is given up is answered later, as on a socket: it keeps the question that was sent.
+	asked := *known
 	go func() {
 		s.worker.standStill()
-		snapshot, err := s.feed.Snapshot(ctx, known)
+		snapshot, err := s.feed.Snapshot(ctx, &asked)
 		s.worker.standStill()
 		if err == nil {
 			answered <- snapshot
