--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -225,3 +225,12 @@
 	defer work.mutex.Unlock()
 	assert.DeepEqual(t, work.taken, []demand.Share{{Runner: "r", Others: 2}})
 }
+
+// TestWordOfASilentNodeIsForgotten states the bound that docs/design/beliefs.md gives for demand.
+func TestWordOfASilentNodeIsForgotten(t *testing.T) {
+	const forgottenAfter = 1500 * time.Millisecond
+	var ledger demand.Ledger
+	ledger.Take(report("a", 1, 1, 3), start)
+	assert.Equal(t, ledger.Online("r", "", start.Add(forgottenAfter)), 3)
+	assert.Equal(t, ledger.Online("r", "", start.Add(forgottenAfter+time.Millisecond)), 0)
+}
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -118,3 +118,16 @@
 		}
 	})
 }
+
+// TestPlacesOfASilentBorrowerAreBack states the bound that docs/design/beliefs.md gives for places lent.
+func TestPlacesOfASilentBorrowerAreBack(t *testing.T) {
+	const backAfter = 1500 * time.Millisecond
+	var l Ledger
+	now := time.Unix(100, 0)
+	assert.Assert(t, l.Renew(request("w-1", 1), now))
+	l.Lend("w-1", "r", 2)
+	lent, _ := l.At("r", now.Add(backAfter-time.Millisecond))
+	assert.Equal(t, lent, 2)
+	lent, _ = l.At("r", now.Add(backAfter))
+	assert.Equal(t, lent, 0)
+}
--- a/internal/runnertable/table_test.go
+++ b/internal/runnertable/table_test.go
@@ -271,3 +271,21 @@
 		assert.NilError(t, err, "the runner is passed over %v after its trouble", longestEjection)
 	})
 }
+
+// TestOldWordsOfRunnersAndOwnersAreForgotten states the bound that docs/design/beliefs.md gives for shares and loads: after it
+// only this node's own work counts.
+func TestOldWordsOfRunnersAndOwnersAreForgotten(t *testing.T) {
+	const forgottenAfter = 1500 * time.Millisecond
+	for name, tell := range map[string]func(table *runnertable.Table){
+		"the owner":  func(table *runnertable.Table) { table.TakeShares([]demand.Share{{Runner: "1", Others: 50}}, start) },
+		"the runner": func(table *runnertable.Table) { table.Observe("1", work.Load{Running: 50, Slots: 4}, start) },
+	} {
+		table := tableOf(runner("1", "a"))
+		tell(table)
+		wish := runnertable.Wish{Service: "s", Full: map[ident.Runner]bool{}}
+		_, err := table.Pick(wish, start.Add(time.Millisecond), random())
+		assert.ErrorIs(t, err, runnertable.ErrFull, name)
+		_, err = table.Pick(wish, start.Add(forgottenAfter), random())
+		assert.NilError(t, err, name)
+	}
+}
