Send nothing for a caller who left as its request was woken

Change: a request looks at its caller before it takes a place, and gives its wake to the next one. The failing test had callers at runners and callers that wait leave in one instant; the end of a context reaches its children one after the other, so that one more request was rightly sent in some runs. It has the others stay now, asks that those who wait end at the moment they leave, and that nothing of them is sent when the places come free. Ruled out: a leak of places or of wakes (the node serves on in all runs).

--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -121,11 +121,14 @@
 	}
 	select {
 	case <-woken:
-		return nil
 	case <-ctx.Done():
+	}
+	// Both may have come: a caller that has left takes no place.
+	if err := ctx.Err(); err != nil {
 		r.leave(waiter)
-		return ctx.Err()
+		return err
 	}
+	return nil
 }
 
 func (r *room) enter(waiter *waitline.Waiter, again bool) <-chan struct{} {
@@ -215,6 +218,9 @@
 // pick chooses a runner, once one has a place. A request that a runner may have run, and a stream that has begun, are sent at
 // once and wait at the runner: they can't be sent away as not run.
 func (e *exchange) pick() (*runnertable.Flight, error) {
+	if err := e.ctx.Err(); err != nil {
+		return nil, err
+	}
 	waits := e.runs == 0 && !e.begun
 	waited := false
 	if waits && e.room.crowded() {
--- a/internal/online/room_test.go
+++ b/internal/online/room_test.go
@@ -148,15 +148,22 @@
 	})
 }
 
-// TestCallersThatLeaveGiveTheirPlaceInTheLineBack ends half of the requests while they wait: nothing of them is sent, and the
-// node serves on.
+// TestCallersThatLeaveGiveTheirPlaceInTheLineBack has callers leave while their requests wait behind others: nothing of them is
+// sent when the places of those come free, and the node serves on.
 func TestCallersThatLeaveGiveTheirPlaceInTheLineBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 50 * time.Millisecond}
 		forwarder := busySite(caller)
+		var holders sync.WaitGroup
+		holders.Go(func() { serveAll(t.Context(), forwarder, slots+queued) })
+		synctest.Wait()
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(10*time.Millisecond, cancel)
-		serveAll(ctx, forwarder, 20)
+		for _, got := range serveAll(ctx, forwarder, 15) {
+			assert.Assert(t, got.err != nil)
+			assert.Equal(t, got.took, 10*time.Millisecond)
+		}
+		holders.Wait()
 		assert.Equal(t, caller.sent, slots+queued, "a request was sent whose caller had left")
 		for _, got := range serveAll(t.Context(), forwarder, 10) {
 			assert.NilError(t, got.err)
@@ -173,6 +180,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		serveAll(ctx, forwarder, 3)
+		assert.Equal(t, caller.sent, 0)
 		assert.Equal(t, len(forwarder.Runners.Online(time.Now())), 0, "places are taken by requests that ended")
 	})
 }
