--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) *|.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: dev test tools build lint model known-red unit generate
+.PHONY: dev test tools build lint model known-red unit fuzz generate
 
 dev: ## a whole small site in one process on loopback
 	$(GO) run ./cmd/mallowlatch dev
@@ -16,7 +16,7 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-test: tools lint model unit ## everything CI runs
+test: tools lint model unit fuzz ## everything CI runs
 
 tools: ## installs what the tests need where it may, and says what is missing otherwise
 	@command -v spin >/dev/null && command -v gcc >/dev/null || { apt-get update -qq && apt-get install -y -qq spin gcc; } || { echo "make test needs spin and gcc: apt-get install spin gcc"; exit 1; }
@@ -33,6 +33,13 @@
 	$(GO) test $(SKIP_KNOWN_RED) -race -count=1 -timeout 20m $(PLAIN_PACKAGES)
 	$(if $(RAPID_PACKAGES),$(GO) test $(SKIP_KNOWN_RED) -race -count=1 -timeout 20m $(RAPID_PACKAGES) -rapid.seed=$(SEED))
 
+# What outside systems write is decoded in platform: each fuzz test there runs for a moment.
+FUZZ_TESTS = $(shell sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p' platform/*_test.go)
+FUZZ_TIME ?= 5s
+
+fuzz:
+	for name in $(FUZZ_TESTS); do $(GO) test ./platform -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME) || exit 1; done
+
 model:
 	@if [ -x model/check ]; then model/check; fi
 
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -77,21 +77,29 @@
 func (p *process) records() *jobrecord.Records {
 	return &jobrecord.Records{
 		Store: p.store, ValueBytes: p.settings.Store.ValueBytes, Retention: p.settings.Bounds.ResultRetention(), Now: time.Now,
+		Refused: func(key string, err error) { p.tellRefusal(key, err, 1) },
 	}
 }
 
 // registry reads the runners and the operators' orders.
 func (p *process) registry() *platform.Registry {
-	return &platform.Registry{Store: p.store, Damaged: func(key string, err error) {
-		event.CatalogInvalid.Log(p.logger).Str("key", key).Err(err).Send()
-	}}
+	return &platform.Registry{Store: p.store, Refusals: &platform.Refusals{Tell: p.tellRefusal}}
+}
+
+// tellRefusal writes a line of a value that cannot be read, or can be read again.
+func (p *process) tellRefusal(key string, err error, total int) {
+	if err == nil {
+		event.ValueReadable.Log(p.logger).Str("key", key).Int("refused", total).Send()
+		return
+	}
+	event.ValueRefused.Log(p.logger).Str("key", key).Int("refused", total).Err(err).Send()
 }
 
 // follow keeps the runners and the configuration up to date. What the roles differ in is set in the follower given.
 func (p *process) follow(role *follower.Follower) {
 	role.Registry, role.Runners, role.Routes = p.registry(), p.runners, p.routes
 	role.Options = follower.OptionsFor(p.settings.Bounds.Drain(), p.settings.Bounds.Heartbeat())
-	role.Logger, role.Now = p.logger, time.Now
+	role.Logger, role.Now, role.Forget = p.logger, time.Now, p.caller.Pool.Forget
 	role.Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
 	p.tomb.Go(p.tellStoreCalls)
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -18,8 +18,8 @@
 
 // Count is the online work that one node has at one runner.
 type Count struct {
-	Runner ident.Runner `json:"runner"`
-	Online int          `json:"online"`
+	Runner ident.Incarnation `json:"runner"`
+	Online int               `json:"online"`
 	// Suspect says that the node passes the runner over, because it could not be reached or did not answer.
 	Suspect bool `json:"suspect,omitempty"`
 }
@@ -36,7 +36,7 @@
 
 // Share is what a worker knows of the work at one of its runners.
 type Share struct {
-	Runner ident.Runner `json:"runner"`
+	Runner ident.Incarnation `json:"runner"`
 	// Others is the online work of all nodes but the one that asks, Batch the items of the worker.
 	Others int `json:"others"`
 	Batch  int `json:"batch"`
@@ -74,7 +74,7 @@
 	mutex sync.Mutex
 	nodes map[ident.Node]*told
 	// totals is the sum of the counts of all nodes that are counted.
-	totals map[ident.Runner]int
+	totals map[ident.Incarnation]int
 	// counted is the number of those nodes.
 	counted int
 	// nextExpiry is no later than the first moment at which a counted node has been silent for too long.
@@ -85,14 +85,14 @@
 type told struct {
 	incarnation, sequence int64
 	at                    time.Time
-	counts                map[ident.Runner]int
+	counts                map[ident.Incarnation]int
 	// counted says that the counts are part of the ledger's totals: nothing older than Lifetime is.
 	counted bool
 }
 
 // Take takes over a report. It returns the runners at which the node's work changed; none where a newer report was taken
 // already.
-func (l *Ledger) Take(report *Report, now time.Time) []ident.Runner {
+func (l *Ledger) Take(report *Report, now time.Time) []ident.Incarnation {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.expire(now)
@@ -102,13 +102,13 @@
 	}
 	next := &told{
 		incarnation: report.Incarnation, sequence: report.Sequence, at: now,
-		counts: make(map[ident.Runner]int, len(report.Counts)),
+		counts: make(map[ident.Incarnation]int, len(report.Counts)),
 	}
 	for _, count := range report.Counts {
 		next.counts[count.Runner] = max(count.Online, 0)
 	}
 	if l.nodes == nil {
-		l.nodes, l.totals = map[ident.Node]*told{}, map[ident.Runner]int{}
+		l.nodes, l.totals = map[ident.Node]*told{}, map[ident.Incarnation]int{}
 	}
 	if before != nil {
 		l.uncount(before)
@@ -165,8 +165,8 @@
 }
 
 // changed returns the runners at which the counts differ from those before, in the order of their names.
-func (t *told) changed(before *told) []ident.Runner {
-	var changed []ident.Runner
+func (t *told) changed(before *told) []ident.Incarnation {
+	var changed []ident.Incarnation
 	for runner, online := range t.counts {
 		if before == nil || before.counts[runner] != online {
 			changed = append(changed, runner)
@@ -199,7 +199,7 @@
 }
 
 // Online returns the online work at a runner by all nodes but the one named, which may be empty.
-func (l *Ledger) Online(runner ident.Runner, except ident.Node, now time.Time) int {
+func (l *Ledger) Online(runner ident.Incarnation, except ident.Node, now time.Time) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.expire(now)
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -24,18 +24,18 @@
 // TestNewestReportOfEachNodeCounts has reports overtake each other, a node start again, and one fall silent.
 func TestNewestReportOfEachNodeCounts(t *testing.T) {
 	var ledger demand.Ledger
-	assert.DeepEqual(t, ledger.Take(report("a", 1, 2, 3), start), []ident.Runner{"r"})
+	assert.DeepEqual(t, ledger.Take(report("a", 1, 2, 3), start), []ident.Incarnation{"r"})
 	assert.Equal(t, len(ledger.Take(report("a", 1, 1, 9), start)), 0, "an older report is passed over")
-	assert.DeepEqual(t, ledger.Take(report("b", 1, 1, 1), start), []ident.Runner{"r"})
+	assert.DeepEqual(t, ledger.Take(report("b", 1, 1, 1), start), []ident.Incarnation{"r"})
 	assert.Equal(t, ledger.Online("r", "", start), 4)
 	assert.Equal(t, ledger.Online("r", "a", start), 1)
 	assert.Equal(t, len(ledger.Take(report("a", 1, 3, 3), start)), 0, "nothing changed")
-	assert.DeepEqual(t, ledger.Take(report("a", 1, 4, 2), start), []ident.Runner{"r"})
-	assert.DeepEqual(t, ledger.Take(report("a", 2, 1, 5), start), []ident.Runner{"r"})
+	assert.DeepEqual(t, ledger.Take(report("a", 1, 4, 2), start), []ident.Incarnation{"r"})
+	assert.DeepEqual(t, ledger.Take(report("a", 2, 1, 5), start), []ident.Incarnation{"r"})
 	assert.Equal(t, ledger.Online("r", "", start), 6)
 	late := start.Add(demand.Lifetime + time.Millisecond)
 	assert.Equal(t, ledger.Online("r", "", late), 0, "what a silent node told counts no more")
-	assert.DeepEqual(t, ledger.Take(&demand.Report{Node: "a", Incarnation: 2, Sequence: 2}, late), []ident.Runner{"r"})
+	assert.DeepEqual(t, ledger.Take(&demand.Report{Node: "a", Incarnation: 2, Sequence: 2}, late), []ident.Incarnation{"r"})
 	assert.Equal(t, ledger.Online("r", "", late), 0)
 }
 
@@ -67,17 +67,17 @@
 	rapid.Check(t, func(t *rapid.T) {
 		type heard struct {
 			at     time.Time
-			online map[ident.Runner]int
+			online map[ident.Incarnation]int
 		}
 		var ledger demand.Ledger
-		nodes, runners := []ident.Node{"a", "b", "c"}, []ident.Runner{"r", "s"}
+		nodes, runners := []ident.Node{"a", "b", "c"}, []ident.Incarnation{"r", "s"}
 		newest := map[ident.Node]heard{}
 		now := start
 		for sequence := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
 			node := rapid.SampledFrom(nodes).Draw(t, "node")
 			told := &demand.Report{Node: node, Incarnation: 1, Sequence: int64(sequence + 1)}
-			online := map[ident.Runner]int{}
+			online := map[ident.Incarnation]int{}
 			for _, runner := range runners {
 				if rapid.Bool().Draw(t, "told") {
 					online[runner] = rapid.IntRange(0, 5).Draw(t, "online")
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -68,7 +68,7 @@
 	// telling says that a call is on its way, missed that something may have changed since it was sent.
 	telling, missed bool
 	// last is what was told, and lastAt when.
-	last   map[ident.Runner]Count
+	last   map[ident.Incarnation]Count
 	lastAt time.Time
 	// notBefore is when the worker may be called again after a failure.
 	notBefore time.Time
@@ -197,7 +197,7 @@
 func (c *correspondent) next(counts []Count, now time.Time) *Report {
 	c.sequence++
 	c.telling, c.lastAt = true, now
-	c.last = make(map[ident.Runner]Count, len(counts))
+	c.last = make(map[ident.Incarnation]Count, len(counts))
 	for _, count := range counts {
 		c.last[count.Runner] = count
 	}
--- a/internal/follower/absence.go
+++ b/internal/follower/absence.go
@@ -32,7 +32,7 @@
 	// asOf is when the reading of the newest list began. It never goes back.
 	asOf time.Time
 	// registered holds the registrations of the newest list.
-	registered map[ident.Runner]int64
+	registered map[ident.Incarnation]int64
 	// proofFrom is from when on a list proves again who has left.
 	proofFrom time.Time
 }
@@ -46,7 +46,7 @@
 	if gap > 0 {
 		a.asOf = asOf
 	}
-	a.registered = make(map[ident.Runner]int64, len(listed))
+	a.registered = make(map[ident.Incarnation]int64, len(listed))
 	for _, runner := range listed {
 		a.registered[runner.ID] = runner.Registered
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -72,6 +72,8 @@
 	Runners  *runnertable.Table
 	Routes   *routetable.Table
 	Options  Options
+	// Forget closes the connections kept to an address at which a runner is over; nil keeps them.
+	Forget func(address string)
 	// Retire is told of each worker to be emptied, again after each whole reading; nil is told nothing.
 	Retire func(retirement work.Retirement)
 	Logger zerolog.Logger
@@ -197,6 +199,11 @@
 	unread := asOf.Sub(f.absence.asOf)
 	proof := f.absence.take(listed, asOf)
 	change := f.Runners.Replace(listed, f.Now(), proof)
+	if f.Forget != nil {
+		for _, address := range change.Addresses {
+			f.Forget(address)
+		}
+	}
 	if f.lost {
 		f.lost = false
 		event.RegistryBack.Log(f.Logger).Int("runners", len(listed)).Send()
--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -173,7 +173,7 @@
 	}
 }
 
-func runnerOf(i int) ident.Runner { return ident.Runner(fmt.Sprint("i-", i)) }
+func runnerOf(i int) ident.Incarnation { return ident.Incarnation(fmt.Sprint("i-", i)) }
 
 // Orders implements work.Registry.
 func (r *troubledRegistry) Orders(ctx context.Context) (work.Orders, int64, error) {
--- a/internal/jobrecord/live.go
+++ b/internal/jobrecord/live.go
@@ -43,7 +43,7 @@
 	live := newLive()
 	live.Revision = revision
 	for _, pair := range pairs {
-		live.apply(kv.WatchEvent{Pair: pair})
+		r.apply(live, kv.WatchEvent{Pair: pair})
 	}
 	return live, nil
 }
@@ -56,7 +56,7 @@
 		return err
 	}
 	for _, changed := range response.Events {
-		live.apply(changed)
+		r.apply(live, changed)
 	}
 	live.Revision = max(live.Revision, response.Revision)
 	return nil
@@ -85,48 +85,61 @@
 // registrationTries bounds how often an entry that changes meanwhile is read: only this worker and its lease change it.
 const registrationTries = 3
 
-func (l *Live) apply(changed kv.WatchEvent) {
+// apply takes one change over. An entry that cannot be read changes nothing.
+func (r *Records) apply(live *Live, changed kv.WatchEvent) {
+	if err := live.apply(changed); err != nil && r.Refused != nil {
+		r.Refused(changed.Pair.Key, err)
+	}
+}
+
+func (l *Live) apply(changed kv.WatchEvent) error {
 	key := changed.Pair.Key
 	switch {
 	case strings.HasPrefix(key, prefixOpen):
-		l.applyOpen(ident.Job(strings.TrimPrefix(key, prefixOpen)), changed)
+		return l.applyOpen(ident.Job(strings.TrimPrefix(key, prefixOpen)), changed)
 	case strings.HasPrefix(key, prefixClaim):
-		l.applyClaim(ident.Job(strings.TrimPrefix(key, prefixClaim)), changed)
+		return l.applyClaim(ident.Job(strings.TrimPrefix(key, prefixClaim)), changed)
 	case strings.HasPrefix(key, prefixWorker):
-		l.applyWorker(ident.Node(strings.TrimPrefix(key, prefixWorker)), changed)
+		return l.applyWorker(ident.Node(strings.TrimPrefix(key, prefixWorker)), changed)
 	}
+	return nil
 }
 
-func (l *Live) applyOpen(job ident.Job, changed kv.WatchEvent) {
+func (l *Live) applyOpen(job ident.Job, changed kv.WatchEvent) error {
 	if changed.Deleted {
 		delete(l.Open, job)
-		return
+		return nil
 	}
-	if entry, err := decodeOpen(changed.Pair); err == nil {
+	entry, err := decodeOpen(changed.Pair)
+	if err == nil {
 		l.Open[job] = entry
 	}
+	return err
 }
 
-func (l *Live) applyClaim(job ident.Job, changed kv.WatchEvent) {
+func (l *Live) applyClaim(job ident.Job, changed kv.WatchEvent) error {
 	if changed.Deleted {
 		delete(l.Claimed, job)
-		return
+		return nil
 	}
-	// A claim that cannot be read is somebody's all the same.
 	var held claimValue
-	_ = decode(changed.Pair, &held)
+	err := decode(changed.Pair, &held)
+	// A claim that cannot be read is somebody's all the same.
 	l.Claimed[job] = held.Node
+	return err
 }
 
-func (l *Live) applyWorker(node ident.Node, changed kv.WatchEvent) {
+func (l *Live) applyWorker(node ident.Node, changed kv.WatchEvent) error {
 	if changed.Deleted {
 		delete(l.Workers, node)
-		return
+		return nil
 	}
 	worker := Worker{Node: node}
-	if err := decode(changed.Pair, &worker); err == nil {
+	err := decode(changed.Pair, &worker)
+	if err == nil {
 		l.Workers[node] = worker
 	}
+	return err
 }
 
 // Workers returns the nodes that run jobs.
@@ -137,7 +150,7 @@
 	}
 	live := newLive()
 	for _, pair := range pairs {
-		live.apply(kv.WatchEvent{Pair: pair})
+		r.apply(live, kv.WatchEvent{Pair: pair})
 	}
 	return slices.Collect(maps.Values(live.Workers)), nil
 }
--- a/internal/jobrecord/record.go
+++ b/internal/jobrecord/record.go
@@ -133,6 +133,8 @@
 	// Retention is how long an ended job stays readable, counted from its submission.
 	Retention time.Duration
 	Now       func() time.Time
+	// Refused is told of an entry that cannot be read, once for each writing; nil is told nothing.
+	Refused func(key string, err error)
 }
 
 func decode(pair kv.Pair, into any) error {
--- a/internal/jobworker/borrow.go
+++ b/internal/jobworker/borrow.go
@@ -211,7 +211,7 @@
 }
 
 // borrowedAt returns the places that this node may use at a runner of another owner. The caller holds the mutex.
-func (w *Worker) borrowedAt(id ident.Runner, now time.Time) int {
+func (w *Worker) borrowedAt(id ident.Incarnation, now time.Time) int {
 	loan := w.borrowed[id]
 	if loan == nil || !now.Before(loan.until) {
 		return 0
@@ -220,7 +220,7 @@
 }
 
 // borrowedRoom returns how many items more may start there. The caller holds the mutex.
-func (w *Worker) borrowedRoom(id ident.Runner, now time.Time) int {
+func (w *Worker) borrowedRoom(id ident.Incarnation, now time.Time) int {
 	return max(w.borrowedAt(id, now)-w.Runners.Own(id, runnertable.Batch), 0)
 }
 
@@ -308,7 +308,7 @@
 // takeLoan takes over what an owner lends. Items beyond it step aside. The caller holds the mutex.
 func (w *Worker) takeLoan(next borrowCall, reply *lending.Reply) {
 	if w.borrowed == nil {
-		w.borrowed = map[ident.Runner]*borrowed{}
+		w.borrowed = map[ident.Incarnation]*borrowed{}
 	}
 	for _, count := range reply.Places {
 		loan := w.borrowed[count.Runner]
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -44,7 +44,7 @@
 
 // noteExcess takes note of the work at a runner: where it does not fit, items step aside unless it fits in a moment. The
 // caller holds the mutex.
-func (w *Worker) noteExcess(id ident.Runner, now time.Time) {
+func (w *Worker) noteExcess(id ident.Incarnation, now time.Time) {
 	runner, known := w.Runners.Runner(id)
 	if !known {
 		return
@@ -69,7 +69,7 @@
 }
 
 // endShortage ends as many runs at a runner as did not fit since the shortage began, and looks for a new one.
-func (w *Worker) endShortage(id ident.Runner) {
+func (w *Worker) endShortage(id ident.Incarnation) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.Now()
--- a/internal/jobworker/demand_bench_test.go
+++ b/internal/jobworker/demand_bench_test.go
@@ -21,7 +21,7 @@
 	runners := runnertable.New("a")
 	var listed []work.Runner
 	for index := range 153 {
-		listed = append(listed, work.Runner{ID: ident.Runner(fmt.Sprint("r-", index)), Service: "s", Zone: "a", Slots: 5})
+		listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprint("r-", index)), Service: "s", Zone: "a", Slots: 5})
 	}
 	runners.Replace(listed, now, true)
 	workers := map[ident.Node]jobrecord.Worker{}
@@ -31,7 +31,7 @@
 	}
 	w := &Worker{
 		Node: "w-1", Zone: "a", Runners: runners, Routes: &routetable.Table{}, Now: time.Now, tomb: new(tomb.Tomb),
-		workers: workers, gauges: map[ident.Runner]*gauged{}, jobs: map[ident.Job]*jobRun{},
+		workers: workers, gauges: map[ident.Incarnation]*gauged{}, jobs: map[ident.Job]*jobRun{},
 	}
 	w.tomb.Go(func() error { <-w.tomb.Dying(); return nil })
 	defer func() {
--- a/internal/jobworker/demand_test.go
+++ b/internal/jobworker/demand_test.go
@@ -31,7 +31,7 @@
 	w := &Worker{
 		Node: "w-1", Zone: "a", Runners: runners, Routes: routes, Now: time.Now, tomb: new(tomb.Tomb),
 		workers:  map[ident.Node]jobrecord.Worker{"w-1": {Node: "w-1", Zone: "a"}, "w-2": {Node: "w-2", Zone: "b"}},
-		duration: expectedDuration, gauges: map[ident.Runner]*gauged{}, jobs: map[ident.Job]*jobRun{},
+		duration: expectedDuration, gauges: map[ident.Incarnation]*gauged{}, jobs: map[ident.Job]*jobRun{},
 	}
 	// Without a goroutine of its own the tomb would take no further one after the first ended.
 	w.tomb.Go(func() error { <-w.tomb.Dying(); return nil })
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -120,7 +120,7 @@
 
 // roomiest returns the runner of a service with the most room for batch items, among those this node owns that neither
 // fail nor failed the item before. Where all it owns did, the item goes to any that does not fail now.
-func (w *Worker) roomiest(service string, item *itemRun, now time.Time) (ident.Runner, bool) {
+func (w *Worker) roomiest(service string, item *itemRun, now time.Time) (ident.Incarnation, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	owned := w.owned(service)
@@ -136,7 +136,7 @@
 
 // roomiestBorrowed returns the runner with the most borrowed places that are free, one of this zone where there is any.
 // The caller holds the mutex.
-func (w *Worker) roomiestBorrowed(service string, avoid map[ident.Runner]bool, now time.Time) (ident.Runner, bool) {
+func (w *Worker) roomiestBorrowed(service string, avoid map[ident.Incarnation]bool, now time.Time) (ident.Incarnation, bool) {
 	var best work.Runner
 	bestRoom := 0
 	for _, runner := range w.Runners.Of(service) {
@@ -153,8 +153,8 @@
 }
 
 // roomiestOf returns the runner with the most room for batch items among some. The caller holds the mutex.
-func (w *Worker) roomiestOf(runners []work.Runner, avoid map[ident.Runner]bool, now time.Time) (ident.Runner, bool) {
-	var best ident.Runner
+func (w *Worker) roomiestOf(runners []work.Runner, avoid map[ident.Incarnation]bool, now time.Time) (ident.Incarnation, bool) {
+	var best ident.Incarnation
 	bestRoom := 0
 	if w.spare(runners, now) == 0 {
 		return best, false
@@ -227,7 +227,7 @@
 }
 
 // gaugeOf returns the gauge of a runner. The caller holds the mutex.
-func (w *Worker) gaugeOf(id ident.Runner) *gauged {
+func (w *Worker) gaugeOf(id ident.Incarnation) *gauged {
 	known := w.gauges[id]
 	if known == nil {
 		known = &gauged{}
@@ -302,7 +302,7 @@
 }
 
 // ownReported counts the own items at a runner that its report can know of. The caller holds the mutex.
-func (w *Worker) ownReported(id ident.Runner, now time.Time) int {
+func (w *Worker) ownReported(id ident.Incarnation, now time.Time) int {
 	count := 0
 	for _, job := range w.jobs {
 		for _, item := range job.items {
@@ -316,7 +316,7 @@
 
 // cut ends runs of this node at a runner, the last in order first; they go on later after their last event. The caller
 // holds the mutex.
-func (w *Worker) cut(id ident.Runner, count int) {
+func (w *Worker) cut(id ident.Incarnation, count int) {
 	if count <= 0 {
 		return
 	}
@@ -336,7 +336,7 @@
 }
 
 // start runs an item at a runner.
-func (w *Worker) start(item *itemRun, service string, route *work.Route, id ident.Runner, now time.Time) {
+func (w *Worker) start(item *itemRun, service string, route *work.Route, id ident.Incarnation, now time.Time) {
 	wish := runnertable.Wish{Service: service, Class: runnertable.Batch, Bytes: len(item.body)}
 	flight, err := w.Runners.StartAt(id, wish, now)
 	if err != nil {
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -46,7 +46,7 @@
 	running  bool
 	// cancel ends the run in progress.
 	cancel context.CancelFunc
-	runner ident.Runner
+	runner ident.Incarnation
 	// started and progressed are when the run began and when its last event came.
 	started, progressed time.Time
 	// text is the data of the events so far, lastEvent the id of the last.
@@ -60,7 +60,7 @@
 	// failures counts the runs that the runner itself failed.
 	failures int
 	// avoid holds the runners that failed it.
-	avoid map[ident.Runner]bool
+	avoid map[ident.Incarnation]bool
 	// notBefore is when the item may be tried again.
 	notBefore time.Time
 	// routeGone is when the item was first seen to have no route.
@@ -71,7 +71,7 @@
 	job := &jobRun{claim: claim, header: &loaded.Header, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	for index, item := range loaded.Header.Items {
 		job.items = append(job.items, &itemRun{
-			job: job, index: index, item: item.Item, body: loaded.Bodies[index], avoid: map[ident.Runner]bool{},
+			job: job, index: index, item: item.Item, body: loaded.Bodies[index], avoid: map[ident.Incarnation]bool{},
 		})
 	}
 	return job
--- a/internal/jobworker/lend.go
+++ b/internal/jobworker/lend.go
@@ -57,7 +57,7 @@
 
 // batchAt returns the batch work at a runner that this node counts: its own items, and the places that it lent. The caller
 // holds the mutex.
-func (w *Worker) batchAt(id ident.Runner, now time.Time) int {
+func (w *Worker) batchAt(id ident.Incarnation, now time.Time) int {
 	lent, _ := w.lent.At(id, now)
 	return w.Runners.Own(id, runnertable.Batch) + lent
 }
@@ -78,7 +78,7 @@
 
 // yield has batch work step aside at a runner so that online work has its places: places that are lent are taken back first,
 // because the owner's own items have the first call on them. The caller holds the mutex.
-func (w *Worker) yield(id ident.Runner, count int) {
+func (w *Worker) yield(id ident.Incarnation, count int) {
 	if count <= 0 {
 		return
 	}
--- a/internal/jobworker/lend_test.go
+++ b/internal/jobworker/lend_test.go
@@ -85,7 +85,7 @@
 	w := idleWorker(t)
 	now := time.Now()
 	var runners []work.Runner
-	for _, id := range []ident.Runner{"r-1", "r-2", "r-3"} {
+	for _, id := range []ident.Incarnation{"r-1", "r-2", "r-3"} {
 		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "a", Slots: 5})
 		w.gaugeOf(id).gauge.Observe(work.Load{}, 0, 0, now)
 	}
@@ -221,7 +221,7 @@
 	w.follow(map[ident.Node]jobrecord.Worker{
 		"w-1": {Node: "w-1", Zone: "a"}, "w-2": {Node: "w-2", Zone: "a", Address: "near"}, "w-3": {Node: "w-3", Zone: "b", Address: "far"},
 	})
-	w.owners = map[ident.Runner]ident.Node{"r": "w-1"}
+	w.owners = map[ident.Incarnation]ident.Node{"r": "w-1"}
 	adopted := w.Routes.Adopt(&work.Catalog{Version: 2, Routes: []work.Route{{
 		Name: "batch", Host: "h", PathPrefix: "/b/", Kind: work.Batch, Split: []work.WeightedService{{Service: "s", Weight: 1}},
 		CompletionObjective: 20 * time.Second,
--- a/internal/jobworker/share.go
+++ b/internal/jobworker/share.go
@@ -19,7 +19,7 @@
 		return owner
 	}
 	if w.owners == nil {
-		w.owners = map[ident.Runner]ident.Node{}
+		w.owners = map[ident.Incarnation]ident.Node{}
 	}
 	owner = jobrecord.OwnerOf(runner, w.workers)
 	w.owners[runner.ID] = owner
--- a/internal/jobworker/suspect.go
+++ b/internal/jobworker/suspect.go
@@ -32,13 +32,13 @@
 
 // suspect asks a runner that a node suspects whether it lives. A runner counts as silent for all nodes once this one, its
 // owner, gets no answer either: one node's word alone may be the fault of its own path. The caller holds the mutex.
-func (w *Worker) suspect(id ident.Runner, now time.Time) {
+func (w *Worker) suspect(id ident.Incarnation, now time.Time) {
 	runner, known := w.Runners.Runner(id)
 	if !known || !w.owns(runner) || !w.tomb.Alive() {
 		return
 	}
 	if w.suspicions == nil {
-		w.suspicions = map[ident.Runner]*suspicion{}
+		w.suspicions = map[ident.Incarnation]*suspicion{}
 	}
 	held := w.suspicions[id]
 	if held == nil {
@@ -92,7 +92,7 @@
 }
 
 // silent says whether a runner answers neither some node nor this one, its owner. The caller holds the mutex.
-func (w *Worker) silent(id ident.Runner) bool {
+func (w *Worker) silent(id ident.Incarnation) bool {
 	held := w.suspicions[id]
 	return held != nil && held.silent
 }
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -137,11 +137,11 @@
 	lent   lending.Ledger
 	wanted map[string]time.Time
 	// borrowed is what this node may use at runners of other owners, lenders what is known of those.
-	borrowed map[ident.Runner]*borrowed
+	borrowed map[ident.Incarnation]*borrowed
 	lenders  map[ident.Node]*lender
 	// owners holds the workers that own runners, as far as they were asked for since the workers changed: each report of
 	// online work asks for all.
-	owners map[ident.Runner]ident.Node
+	owners map[ident.Incarnation]ident.Node
 	// ownedRunners are the runners that this node owned at ownedAt.
 	ownedRunners []work.Runner
 	ownedAt      time.Time
@@ -150,9 +150,9 @@
 	// loadLogged is when the batch load was last written to the log.
 	loadLogged time.Time
 	// suspicions are the runners that some node suspects.
-	suspicions map[ident.Runner]*suspicion
+	suspicions map[ident.Incarnation]*suspicion
 	// gauges follow the runners that may take batch items.
-	gauges map[ident.Runner]*gauged
+	gauges map[ident.Incarnation]*gauged
 	// duration is the mean time of a whole run, events the mean number of its events, tokens the mean of the items'
 	// counts.
 	duration time.Duration
@@ -196,7 +196,7 @@
 	w.live = &jobrecord.Live{}
 	w.open = map[ident.Job]*openJob{}
 	w.jobs = map[ident.Job]*jobRun{}
-	w.gauges = map[ident.Runner]*gauged{}
+	w.gauges = map[ident.Incarnation]*gauged{}
 	w.retirements = map[ident.Node]*retirement{}
 	w.duration = expectedDuration
 	w.started = w.Now()
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -33,7 +33,7 @@
 	// held makes every item wait until it is false.
 	held bool
 	// failing is the runner that answers every item with a failure.
-	failing ident.Runner
+	failing ident.Incarnation
 }
 
 func (c *fakeCaller) hold(held bool) {
@@ -195,7 +195,7 @@
 }
 
 func oneRunner(id string) work.Runner {
-	return work.Runner{ID: ident.Runner(id), Service: "s", Address: id, Zone: "z", Slots: 8}
+	return work.Runner{ID: ident.Incarnation(id), Service: "s", Address: id, Zone: "z", Slots: 8}
 }
 
 // TestEveryJobIsRunThoughSomeWorkersOwnNoRunner has more workers than runners: none may keep a job it cannot run.
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -22,8 +22,8 @@
 
 // Count is a number of places at one runner.
 type Count struct {
-	Runner ident.Runner `json:"runner"`
-	Places int          `json:"places"`
+	Runner ident.Incarnation `json:"runner"`
+	Places int               `json:"places"`
 }
 
 // Want is a number of places more that a worker could use at any runners of a service.
@@ -53,8 +53,8 @@
 
 // Recall takes lent places back at once.
 type Recall struct {
-	Runner ident.Runner `json:"runner"`
-	Places int          `json:"places"`
+	Runner ident.Incarnation `json:"runner"`
+	Places int               `json:"places"`
 }
 
 // Order is a Recall and the address of the borrower it goes to.
@@ -75,7 +75,7 @@
 	sequence int64
 	until    time.Time
 	// loans are by runner; one whose places were all taken back stays, so that a renewal under way does not revive it.
-	loans map[ident.Runner]*loan
+	loans map[ident.Incarnation]*loan
 }
 
 // loan is what one worker was lent at one runner. used is never more than lent.
@@ -101,7 +101,7 @@
 	} else if request.Sequence <= known.sequence {
 		return false
 	}
-	renewed := make(map[ident.Runner]*loan, len(request.Held))
+	renewed := make(map[ident.Incarnation]*loan, len(request.Held))
 	for _, held := range request.Held {
 		places := max(held.Places, 0)
 		if before := known.loans[held.Runner]; before != nil {
@@ -114,7 +114,7 @@
 }
 
 // Lend adds places at a runner to those of a borrower that has just renewed.
-func (l *Ledger) Lend(node ident.Node, runner ident.Runner, places int) {
+func (l *Ledger) Lend(node ident.Node, runner ident.Incarnation, places int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	known := l.borrowers[node]
@@ -144,7 +144,7 @@
 }
 
 // At returns the places lent at a runner, and how many of them had an item when their borrowers last called.
-func (l *Ledger) At(runner ident.Runner, now time.Time) (lent, used int) {
+func (l *Ledger) At(runner ident.Incarnation, now time.Time) (lent, used int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for _, known := range l.borrowers {
@@ -158,7 +158,7 @@
 
 // TakeBack takes places at a runner back, those of the borrowers with the most there first. It returns what the borrowers
 // are to be told, and how many places that makes: fewer than asked for where fewer are lent.
-func (l *Ledger) TakeBack(runner ident.Runner, places int, now time.Time) (orders []Order, taken int) {
+func (l *Ledger) TakeBack(runner ident.Incarnation, places int, now time.Time) (orders []Order, taken int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	byAddress := map[string]int{}
@@ -180,7 +180,7 @@
 }
 
 // largest returns the borrower with the most places at a runner, or nil. The caller holds the mutex.
-func (l *Ledger) largest(runner ident.Runner, now time.Time) *borrower {
+func (l *Ledger) largest(runner ident.Incarnation, now time.Time) *borrower {
 	var most *borrower
 	for _, known := range l.borrowers {
 		loan := known.loans[runner]
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -27,7 +27,7 @@
 	deadline  time.Time
 	service   string
 	// tried holds the runners that had the request, full those that refused it since it last waited.
-	tried, full map[ident.Runner]bool
+	tried, full map[ident.Incarnation]bool
 	// room is where the request waits for a place, waiter its place in the line there.
 	room   *room
 	waiter *waitline.Waiter
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -64,7 +64,7 @@
 	room := f.rooms.of(service, f.Now, f.Logger)
 	exchange := &exchange{
 		forwarder: f, ctx: ctx, route: route, request: request, writer: writer, deadline: deadline,
-		service: service, tried: map[ident.Runner]bool{}, full: map[ident.Runner]bool{},
+		service: service, tried: map[ident.Incarnation]bool{}, full: map[ident.Incarnation]bool{},
 		lastEvent: request.ResumeAfter, outcome: outcome.NotRun,
 		room: room, waiter: room.waiter(onTime(route, request, deadline), deadline.Add(-leastBudget)),
 	}
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -24,7 +24,7 @@
 	replies []*work.Reply
 	resumed []int64
 	// forgotten are the runners whose kept connections were closed.
-	forgotten []ident.Runner
+	forgotten []ident.Incarnation
 }
 
 // hangingBody gives its text and then nothing until the attempt is ended, as a connection that fell silent.
@@ -123,7 +123,7 @@
 func serveTo(writer *recorder, attempts int, replies ...*work.Reply) (*scriptedCaller, error) {
 	table := runnertable.New("z")
 	var runners []work.Runner
-	for _, id := range []ident.Runner{"1", "2", "3", "4"} {
+	for _, id := range []ident.Incarnation{"1", "2", "3", "4"} {
 		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "z", Slots: 4})
 	}
 	table.Replace(runners, time.Now(), true)
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -88,7 +88,7 @@
 }
 
 // Observe takes over a count that the runner told outside a flight.
-func (t *Table) Observe(id ident.Runner, load work.Load, now time.Time) {
+func (t *Table) Observe(id ident.Incarnation, load work.Load, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if known := t.runners[id]; known != nil {
@@ -97,7 +97,7 @@
 }
 
 // FailureRate returns the share of failures among a runner's last outcomes, fading with time.
-func (t *Table) FailureRate(id ident.Runner, now time.Time) float64 {
+func (t *Table) FailureRate(id ident.Incarnation, now time.Time) float64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if known := t.runners[id]; known != nil {
@@ -107,7 +107,7 @@
 }
 
 // Own returns this node's work in progress of a class at a runner.
-func (t *Table) Own(id ident.Runner, class Class) int {
+func (t *Table) Own(id ident.Incarnation, class Class) int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if known := t.runners[id]; known != nil {
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -61,10 +61,10 @@
 	// Bytes is the size of the request, for the price of sending it to another zone.
 	Bytes int
 	// Exclude holds runners that already had the request.
-	Exclude map[ident.Runner]bool
+	Exclude map[ident.Incarnation]bool
 	// Full holds runners that refused the request a moment ago, because their places were taken. A nil map has the request
 	// sent also where it must wait at the runner.
-	Full map[ident.Runner]bool
+	Full map[ident.Incarnation]bool
 }
 
 // Pick chooses the runner with the least expected delay and starts a flight on it. The error wraps ErrNoRunner.
@@ -138,7 +138,7 @@
 }
 
 // StartAt starts a flight at a runner the caller chose by itself.
-func (t *Table) StartAt(id ident.Runner, wish Wish, now time.Time) (*Flight, error) {
+func (t *Table) StartAt(id ident.Incarnation, wish Wish, now time.Time) (*Flight, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	chosen := t.runners[id]
--- a/internal/runnertable/prefix.go
+++ b/internal/runnertable/prefix.go
@@ -74,7 +74,7 @@
 
 // homeRank orders runners for a shared beginning the same way at every node (rendezvous hashing), so that nodes which
 // do not talk to each other send it to the same runner.
-func homeRank(prefix []work.Part, runner ident.Runner) uint64 {
+func homeRank(prefix []work.Part, runner ident.Incarnation) uint64 {
 	shared := prefix[len(prefix)-2]
 	var digest xxhash.Digest
 	digest.Reset()
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -29,7 +29,9 @@
 type Table struct {
 	zone    ident.Zone
 	mutex   sync.Mutex
-	runners map[ident.Runner]*entry
+	runners map[ident.Incarnation]*entry
+	// latest is the latest incarnation of each name that was ever listed while the name is listed. It never goes back.
+	latest map[ident.Runner]ident.Incarnation
 	// services holds the entries of each service in a fixed order.
 	services map[string][]*entry
 	// onlineChanged is told when this node's online work at a runner rose or fell; nil is told nothing. It must not block.
@@ -38,7 +40,10 @@
 
 // New returns an empty table for a node of the zone.
 func New(zone ident.Zone) *Table {
-	return &Table{zone: zone, runners: map[ident.Runner]*entry{}, services: map[string][]*entry{}}
+	return &Table{
+		zone: zone, runners: map[ident.Incarnation]*entry{}, latest: map[ident.Runner]ident.Incarnation{},
+		services: map[string][]*entry{},
+	}
 }
 
 // entry is what the table believes of one runner. The table's mutex guards it.
@@ -60,6 +65,8 @@
 	prefixes prefixHistory
 	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
 	missingSince time.Time
+	// overwritten is when a list first showed an earlier incarnation under the runner's name; zero while its entry is its own.
+	overwritten time.Time
 }
 
 // share is what the owner of the runner's batch places knows of the work there.
@@ -81,9 +88,11 @@
 // Change says what a list changed.
 type Change struct {
 	// Added are the runners that are new, Removed those that left.
-	Added, Removed []ident.Runner
+	Added, Removed []ident.Incarnation
+	// Addresses are those of the removed: connections kept to them are of no more use, and may be silent.
+	Addresses []string
 	// Kept are the runners that the list lacks and that stay for a while.
-	Kept []ident.Runner
+	Kept []ident.Incarnation
 	// LongestMissing is the longest time that one of the removed was used although it was not listed.
 	LongestMissing time.Duration
 }
@@ -95,9 +104,11 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var change Change
-	seen := make(map[ident.Runner]bool, len(listed))
+	names := t.names(listed, now)
 	for _, runner := range listed {
-		seen[runner.ID] = true
+		if runner.State == work.Unreadable || names[runner.ID.Name()] != runner.ID {
+			continue
+		}
 		known := t.runners[runner.ID]
 		if known == nil {
 			known = &entry{waiting: map[*Flight]time.Time{}}
@@ -105,26 +116,76 @@
 			change.Added = append(change.Added, runner.ID)
 		}
 		known.runner = runner
-		known.missingSince = time.Time{}
+		known.missingSince, known.overwritten = time.Time{}, time.Time{}
 		known.warmUntil = now.Add(runner.WarmUp)
 	}
 	for id, known := range t.runners {
-		if seen[id] {
+		present, named := names[id.Name()]
+		if present == id {
 			continue
 		}
-		if !absenceIsProof && known.runner.State == work.Ready {
+		if !named && !absenceIsProof && known.runner.State == work.Ready {
 			known.keepMissing(now)
 			change.Kept = append(change.Kept, id)
 			continue
 		}
 		delete(t.runners, id)
 		change.Removed = append(change.Removed, id)
+		change.Addresses = append(change.Addresses, known.runner.Address)
 		change.LongestMissing = max(change.LongestMissing, known.missingFor(now))
 	}
 	t.index()
 	return change
 }
 
+// overwrittenFor is how long an incarnation is used whose entry shows an earlier one again: an entry that was written late. A
+// living runner writes its own again within a heartbeat, 1.2 s on all deployments so far, and the list is read twice meanwhile.
+const overwrittenFor = 2500 * time.Millisecond
+
+// names returns which incarnation each name of the list is of, or none. Whatever else has a listed name is over, also where
+// absence proves nothing. The caller holds the mutex.
+func (t *Table) names(listed []work.Runner, now time.Time) map[ident.Runner]ident.Incarnation {
+	names := make(map[ident.Runner]ident.Incarnation, len(listed))
+	for _, runner := range listed {
+		names[runner.ID.Name()] = t.incarnation(runner, now)
+	}
+	for name, latest := range t.latest {
+		if _, listed := names[name]; !listed && t.runners[latest] == nil {
+			delete(t.latest, name)
+		}
+	}
+	return names
+}
+
+// incarnation returns which incarnation an entry of the list is of. An entry that cannot be read is of none, nor is one that
+// does not tell its start where the runner of the name did. An entry that goes back to an earlier start was written late: the
+// latest incarnation stays for a moment, and the earlier one never comes back. The caller holds the mutex.
+func (t *Table) incarnation(listed work.Runner, now time.Time) ident.Incarnation {
+	name := listed.ID.Name()
+	latest := t.latest[name]
+	_, told := listed.ID.Started()
+	_, latestTold := latest.Started()
+	switch {
+	case listed.State == work.Unreadable, latestTold && !told:
+		return ""
+	case !listed.ID.Precedes(latest):
+		t.latest[name] = listed.ID
+		return listed.ID
+	}
+	if known := t.runners[latest]; known != nil && known.overwrittenWithin(overwrittenFor, now) {
+		return latest
+	}
+	return ""
+}
+
+// overwrittenWithin notes that the entry shows an earlier incarnation, and says whether that began less than the time ago.
+func (e *entry) overwrittenWithin(limit time.Duration, now time.Time) bool {
+	if e.overwritten.IsZero() {
+		e.overwritten = now
+	}
+	return now.Sub(e.overwritten) < limit
+}
+
 func (e *entry) keepMissing(now time.Time) {
 	if e.missingSince.IsZero() {
 		e.missingSince = now
@@ -150,7 +211,7 @@
 }
 
 // Runner returns the runner with the id, if the table has it.
-func (t *Table) Runner(id ident.Runner) (work.Runner, bool) {
+func (t *Table) Runner(id ident.Incarnation) (work.Runner, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.runners[id]
--- a/internal/runnertable/table_test.go
+++ b/internal/runnertable/table_test.go
@@ -19,7 +19,7 @@
 var start = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
 
 func runner(id, zone string) work.Runner {
-	return work.Runner{ID: ident.Runner(id), Service: "s", Address: id, Zone: ident.Zone(zone), Slots: 4}
+	return work.Runner{ID: ident.Incarnation(id), Service: "s", Address: id, Zone: ident.Zone(zone), Slots: 4}
 }
 
 func tableOf(runners ...work.Runner) *runnertable.Table {
@@ -45,12 +45,12 @@
 	leaving.State = work.Draining
 	table.Replace([]work.Runner{leaving, runner("2", "a")}, start, true)
 	for range 20 {
-		assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+		assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Incarnation("2"))
 	}
 	_, err := table.StartAt("1", runnertable.Wish{Service: "s"}, start)
 	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
 	change := table.Replace([]work.Runner{leaving}, start, true)
-	assert.DeepEqual(t, change.Removed, []ident.Runner{"2"})
+	assert.DeepEqual(t, change.Removed, []ident.Incarnation{"2"})
 	_, err = table.Pick(runnertable.Wish{Service: "s"}, start, random())
 	assert.ErrorIs(t, err, runnertable.ErrNoRunner)
 }
@@ -67,12 +67,12 @@
 	flight.End()
 	change := table.Replace(nil, start.Add(2*time.Second), false)
 	slices.Sort(change.Kept)
-	assert.DeepEqual(t, change.Kept, []ident.Runner{"1", "2"})
-	assert.DeepEqual(t, change.Removed, []ident.Runner{"3"})
+	assert.DeepEqual(t, change.Kept, []ident.Incarnation{"1", "2"})
+	assert.DeepEqual(t, change.Removed, []ident.Incarnation{"3"})
 	_, err = table.StartAt("2", runnertable.Wish{Service: "s"}, start.Add(2*time.Second))
 	assert.NilError(t, err)
 	change = table.Replace([]work.Runner{runner("2", "a")}, start.Add(5*time.Second), true)
-	assert.DeepEqual(t, change.Removed, []ident.Runner{"1"})
+	assert.DeepEqual(t, change.Removed, []ident.Incarnation{"1"})
 	assert.Equal(t, change.LongestMissing, 3*time.Second)
 	assert.Equal(t, table.Count(), 1)
 }
@@ -117,13 +117,13 @@
 // TestEveryRunnerEjectedIsBetterTriedThanRefused picks the one whose ejection ends first.
 func TestEveryRunnerEjectedIsBetterTriedThanRefused(t *testing.T) {
 	table := tableOf(runner("1", "a"), runner("2", "a"))
-	for index, id := range []ident.Runner{"2", "1"} {
+	for index, id := range []ident.Incarnation{"2", "1"} {
 		flight, err := table.StartAt(id, runnertable.Wish{Service: "s"}, start)
 		assert.NilError(t, err)
 		flight.Failed(runnertable.Unreachable, start.Add(time.Duration(index)*time.Millisecond))
 		flight.End()
 	}
-	assert.Equal(t, pick(t, table, start.Add(time.Millisecond), runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+	assert.Equal(t, pick(t, table, start.Add(time.Millisecond), runnertable.Wish{}).Runner.ID, ident.Incarnation("2"))
 }
 
 // TestWorkStaysInTheZoneUntilItIsFull fills the near runner.
@@ -142,7 +142,7 @@
 // TestSharedBeginningsMeetAtOneRunner lets two nodes that never spoke place the same beginning.
 func TestSharedBeginningsMeetAtOneRunner(t *testing.T) {
 	runners := []work.Runner{runner("1", "a"), runner("2", "a"), runner("3", "a"), runner("4", "a")}
-	used := map[ident.Runner]bool{}
+	used := map[ident.Incarnation]bool{}
 	for part := range 40 {
 		wish := runnertable.Wish{
 			PromptTokens: 9000,
@@ -185,18 +185,18 @@
 func TestRequestsGoWhereLeastMustStepAside(t *testing.T) {
 	table := tableOf(runner("online", "a"), runner("items", "a"), runner("free", "a"))
 	table.TakeShares([]demand.Share{{Runner: "online", Others: 4}, {Runner: "items", Batch: 4}, {Runner: "free", Others: 1, Batch: 1}}, start)
-	var chosen []ident.Runner
+	var chosen []ident.Incarnation
 	for range 4 {
 		chosen = append(chosen, pick(t, table, start, runnertable.Wish{}).Runner.ID)
 	}
-	assert.DeepEqual(t, chosen[:2], []ident.Runner{"free", "free"})
+	assert.DeepEqual(t, chosen[:2], []ident.Incarnation{"free", "free"})
 	for _, id := range chosen[2:] {
 		assert.Assert(t, id != "online", "a request waits though an item could step aside: %v", chosen)
 	}
 	old := start.Add(demand.Lifetime)
 	table.Observe("items", work.Load{Running: 4 + 3, Slots: 4}, old)
 	table.Observe("free", work.Load{Running: 4 + 3, Slots: 4}, old)
-	assert.Equal(t, pick(t, table, old, runnertable.Wish{}).Runner.ID, ident.Runner("online"), "an old word is still believed")
+	assert.Equal(t, pick(t, table, old, runnertable.Wish{}).Runner.ID, ident.Incarnation("online"), "an old word is still believed")
 }
 
 // TestOnlineWorkIsToldOf tells of each start and end of a request, and of no item.
@@ -233,11 +233,11 @@
 	table := tableOf(runner("1", "a"), runner("2", "a"))
 	table.TakeShares([]demand.Share{{Runner: "1", Silent: true}, {Runner: "2", Others: 50}}, start)
 	for range 10 {
-		assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+		assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Incarnation("2"))
 	}
-	assert.Equal(t, pick(t, table, start.Add(demand.Lifetime), runnertable.Wish{}).Runner.ID, ident.Runner("1"), "an old word is still believed")
+	assert.Equal(t, pick(t, table, start.Add(demand.Lifetime), runnertable.Wish{}).Runner.ID, ident.Incarnation("1"), "an old word is still believed")
 	table.TakeShares([]demand.Share{{Runner: "1"}, {Runner: "2", Others: 50}}, start)
-	assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("1"))
+	assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Incarnation("1"))
 	table.TakeShares([]demand.Share{{Runner: "1", Silent: true}, {Runner: "2", Silent: true}}, start)
 	pick(t, table, start, runnertable.Wish{})
 }
@@ -247,7 +247,7 @@
 	table := tableOf(runner("1", "a"), runner("2", "a"))
 	table.TakeShares([]demand.Share{{Runner: "1", Others: 4}, {Runner: "2"}}, start)
 	table.TakeShares([]demand.Share{{Runner: "1"}, {Runner: "2", Others: 4}}, start.Add(-time.Millisecond))
-	assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Runner("2"))
+	assert.Equal(t, pick(t, table, start, runnertable.Wish{}).Runner.ID, ident.Incarnation("2"))
 }
 
 // TestRunnerIsBackInUseAfterItsTrouble draws failures of a runner beside one that is busy. However many there were, a while
@@ -282,10 +282,108 @@
 	} {
 		table := tableOf(runner("1", "a"))
 		tell(table)
-		wish := runnertable.Wish{Service: "s", Full: map[ident.Runner]bool{}}
+		wish := runnertable.Wish{Service: "s", Full: map[ident.Incarnation]bool{}}
 		_, err := table.Pick(wish, start.Add(time.Millisecond), random())
 		assert.ErrorIs(t, err, runnertable.ErrFull, name)
 		_, err = table.Pick(wish, start.Add(forgottenAfter), random())
 		assert.NilError(t, err, name)
 	}
 }
+
+func born(name string, started int64) work.Runner {
+	id, ok := ident.NewIncarnation(ident.Runner(name), time.UnixMilli(started))
+	if !ok {
+		panic(name)
+	}
+	return runner(string(id), "a")
+}
+
+func unreadable(name string) work.Runner {
+	return work.Runner{ID: ident.Incarnation(name), State: work.Unreadable}
+}
+
+// TestRunnerThatStartsAgainUnderItsNameIsAnother has a runner start again behind an outage of the registry: nothing that was
+// remembered of it holds, and the earlier incarnation is over though absence proves nothing.
+func TestRunnerThatStartsAgainUnderItsNameIsAnother(t *testing.T) {
+	before, after := born("1", 1000), born("1", 2000)
+	table := tableOf(before)
+	flight := pick(t, table, start, runnertable.Wish{})
+	flight.Failed(runnertable.Unreachable, start)
+	flight.Failed(runnertable.Unreachable, start)
+	change := table.Replace([]work.Runner{after}, start.Add(time.Second), false)
+	assert.DeepEqual(t, change.Added, []ident.Incarnation{after.ID})
+	assert.DeepEqual(t, change.Removed, []ident.Incarnation{before.ID})
+	assert.Equal(t, table.FailureRate(after.ID, start.Add(time.Second)), 0.0)
+	assert.Equal(t, table.Own(after.ID, runnertable.Online), 0)
+	flight.End()
+	assert.Equal(t, pick(t, table, start.Add(time.Second), runnertable.Wish{}).Runner.ID, after.ID)
+}
+
+// TestUnreadableEntryEndsTheRunnerOfItsName takes the runner from new work at once, also where absence proves nothing, and
+// leaves all others.
+func TestUnreadableEntryEndsTheRunnerOfItsName(t *testing.T) {
+	table := tableOf(born("1", 1000), born("2", 1000))
+	change := table.Replace([]work.Runner{unreadable("1")}, start.Add(time.Second), false)
+	assert.DeepEqual(t, change.Removed, []ident.Incarnation{born("1", 1000).ID})
+	assert.DeepEqual(t, change.Kept, []ident.Incarnation{born("2", 1000).ID})
+	change = table.Replace([]work.Runner{runner("2", "a")}, start.Add(time.Second), false)
+	assert.DeepEqual(t, change.Removed, []ident.Incarnation{born("2", 1000).ID})
+	assert.Equal(t, table.Count(), 0, "an entry that does not tell its start is none of a runner that did")
+}
+
+// TestEntryThatGoesBackIsPassedOver shows the entry of an earlier start, written late: the later one stays for two heartbeats,
+// and the earlier one does not come back however long its entry lies there.
+func TestEntryThatGoesBackIsPassedOver(t *testing.T) {
+	earlier, later := born("1", 1000), born("1", 2000)
+	table := tableOf(earlier)
+	table.Replace([]work.Runner{later}, start, true)
+	for after := time.Duration(0); after < 4*time.Second; after += 500 * time.Millisecond {
+		table.Replace([]work.Runner{earlier}, start.Add(after), true)
+		_, used := table.Runner(later.ID)
+		assert.Equal(t, used, after < 2500*time.Millisecond, after.String())
+		_, back := table.Runner(earlier.ID)
+		assert.Assert(t, !back)
+	}
+	table.Replace([]work.Runner{later}, start.Add(5*time.Second), true)
+	_, used := table.Runner(later.ID)
+	assert.Assert(t, used)
+}
+
+// TestDrawnListsNeverBringAnEarlierStartBack draws lists of readable, unreadable, late and missing entries: at most one
+// incarnation of a name is known, never an earlier one than before, and none whose entry is unreadable.
+func TestDrawnListsNeverBringAnEarlierStartBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := runnertable.New("a")
+		latest := map[ident.Runner]ident.Incarnation{}
+		now := start
+		for range rapid.IntRange(1, 12).Draw(t, "lists") {
+			now = now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(t, "pause")) * time.Millisecond)
+			var listed []work.Runner
+			bad := map[ident.Runner]bool{}
+			for _, name := range []string{"1", "2", "3"} {
+				switch kind := rapid.IntRange(0, 5).Draw(t, "kind"); kind {
+				case 0:
+				case 1:
+					listed = append(listed, unreadable(name))
+					bad[ident.Runner(name)] = true
+				default:
+					listed = append(listed, born(name, int64(kind)))
+				}
+			}
+			table.Replace(listed, now, rapid.Bool().Draw(t, "proof"))
+			seen := map[ident.Runner]bool{}
+			for _, known := range table.All() {
+				name := known.ID.Name()
+				assert.Assert(t, !seen[name] && !bad[name])
+				seen[name] = true
+				assert.Assert(t, !known.ID.Precedes(latest[name]))
+				latest[name] = known.ID
+			}
+			for name := range latest {
+				if !seen[name] && !slices.ContainsFunc(listed, func(r work.Runner) bool { return r.ID.Name() == name }) {
+					delete(latest, name)
+				}
+			}
+		}
+	})
+}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -60,12 +60,14 @@
 	Ready State = iota
 	// Draining runners finish what they have.
 	Draining
+	// Unreadable entries name no runner. Whichever incarnation had the entry's name before takes no more work.
+	Unreadable
 )
 
 // Runner is one incarnation of a model engine, as the registry lists it.
 type Runner struct {
-	// ID names the incarnation; a restart begins a new one.
-	ID      ident.Runner
+	// ID is the incarnation; a restart begins a new one, also under the same name. That of an unreadable entry is the name alone.
+	ID      ident.Incarnation
 	Service string
 	Address string
 	Zone    ident.Zone
