Send a state once to a replica that catches up

Cause, from lines of six copies of the failing test on one core: each state was sent two or three times, 7 s each at the test's rate. (1) The leader took the end of the stream for the end of the sending; the receipt is a message that comes once the state is durable, so that until then the next entry to send still lay before the log and the state was sent anew (next 1, match 0, held 1597). (2) The log held behind the state went once the learner had come within the retained entries, and what was known of it went with the epoch when it became a member: the log was compacted past it and nothing commits without a member.

Change: after a state that was taken the entries behind it are sent; one that did not become durable is found out by the member's answer, as before. The log is held until the replica is a member, and nothing is dropped before the set is activated.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(if $(RAPID_PACKAGES),$(GO) test $(SKIP_KNOWN_RED) -race -count=1 -timeout 20m $(RAPID_PACKAGES) -rapid.seed=$(SEED))
 
 # What outside systems write is decoded in platform: each fuzz test there runs for a moment.
-FUZZ_TESTS = $(shell sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p' platform/*_test.go)
+FUZZ_TESTS = $(shell grep -oh '^func Fuzz[A-Za-z0-9]*' platform/*_test.go | cut -c6-)
 FUZZ_TIME ?= 5s
 
 fuzz:
--- a/internal/shard/replication.go
+++ b/internal/shard/replication.go
@@ -360,11 +360,18 @@
 	}
 }
 
-// SnapshotEnded tells that sending the applied state to a member ended. The receipt itself is a message. The log behind
-// the state stays: the next attempt may go on where this one broke off.
-func (c *Core) SnapshotEnded(member Member) {
-	if c.role == Leader && c.progress[member] != nil {
-		c.progress[member].snapshot = false
+// SnapshotEnded tells that sending the applied state to a member ended, and whether the member took it. The receipt itself is a
+// message, which comes once the state is durable there: until then the entries behind the state are sent, so that the same state
+// is not sent again. One that did not become durable is found out by the member's answer. The log behind the state stays: the
+// next attempt may go on where this one broke off.
+func (c *Core) SnapshotEnded(member Member, taken bool) {
+	follower := c.progress[member]
+	if c.role != Leader || follower == nil {
+		return
+	}
+	follower.snapshot = false
+	if taken {
+		follower.next = max(follower.next, follower.held+1)
 	}
 }
 
--- a/internal/shard/shardsim/network.go
+++ b/internal/shard/shardsim/network.go
@@ -73,20 +73,21 @@
 		arrives := s.now >= s.network.cut[link{from: sender.name, to: to.Node}]
 		if !arrives || receiver.member() != to {
 			if sender.lives == lives {
-				sender.input(func() error { sender.driver.Core.SnapshotEnded(to); return nil })
+				sender.input(func() error { sender.driver.Core.SnapshotEnded(to, false); return nil })
 			}
 			return
 		}
+		taken := false
 		receiver.input(func() error {
 			if receiver.driver.Core.Install(receiver.clock(), snapshot) {
-				receiver.staged = state
+				receiver.staged, taken = state, true
 			}
 			return nil
 		})
 		// The receipt may be refused or lost: the sender's stream ends either way.
 		s.After(snapshotTakes, func() {
 			if sender.lives == lives {
-				sender.input(func() error { sender.driver.Core.SnapshotEnded(to); return nil })
+				sender.input(func() error { sender.driver.Core.SnapshotEnded(to, taken); return nil })
 			}
 		})
 	})
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -97,11 +97,17 @@
 	return min(c.log.applied-retained, c.log.persisted)
 }
 
-// heldAfter returns the index after which entries are held for replicas that catch up.
+// heldAfter returns the index after which entries are held for replicas that catch up. Until the set is activated all are: a
+// new member has caught up but for its last entries, what the former leader knew of it is gone with the former epoch, and a
+// second state would hold up every command while it is sent, because nothing commits without a member.
 func (c *Core) heldAfter(retained uint64) uint64 {
+	if c.hard.Activated < c.hard.Configuration.Epoch {
+		return 0
+	}
 	held := uint64(math.MaxUint64)
-	for _, follower := range c.progress {
-		if follower.match+retained >= c.log.applied {
+	for member, follower := range c.progress {
+		// A learner may lack more than the retained entries when it becomes a member.
+		if c.hard.Configuration.Has(member) && follower.match+retained >= c.log.applied {
 			follower.held = 0
 		}
 		if follower.held > 0 {
--- a/internal/shardhost/recovery_test.go
+++ b/internal/shardhost/recovery_test.go
@@ -1,6 +1,7 @@
 package shardhost_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strings"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 	"storj.io/drpc"
 
@@ -41,6 +43,41 @@
 	f.awaitMember(wiped)
 }
 
+// sentStates counts the states that were sent whole, by their log lines.
+type sentStates struct{ count atomic.Int64 }
+
+// Write implements io.Writer.
+func (s *sentStates) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(`"shard_snapshot_sent"`)) {
+		s.count.Add(1)
+	}
+	return len(line), nil
+}
+
+// TestMemberThatHasCaughtUpNeedsNoSecondState has a node whose disk was wiped catch up while commands are committed faster than
+// few entries of the log last. Once it is a member its set commits nothing without it: a second state would hold up every command
+// for as long as it takes to send.
+func TestMemberThatHasCaughtUpNeedsNoSecondState(t *testing.T) {
+	states := &sentStates{}
+	f, wiped := newLargeFixture(t, shardhosttest.Options{CatchUpRate: 4 << 20, Logger: zerolog.New(states)})
+	leader := f.fleet.Host(f.leader(1)).Replica(0)
+	var load sync.WaitGroup
+	var ended atomic.Bool
+	for number := range 16 {
+		load.Go(func() {
+			for !ended.Load() {
+				_, _ = leader.Propose(context.Background(), []byte(fmt.Sprint(number)), 0)
+			}
+		})
+	}
+	defer load.Wait()
+	defer ended.Store(true)
+	before := states.count.Load()
+	assert.NilError(t, f.fleet.Start(wiped))
+	f.awaitMember(wiped)
+	assert.Equal(t, states.count.Load()-before, int64(1))
+}
+
 // newLargeFixture returns a fleet of three with a state of about 7 MB, behind which the log was dropped, and a node whose
 // disk was wiped and that the set goes on without.
 func newLargeFixture(t *testing.T, options shardhosttest.Options) (*fixture, int) {
--- a/internal/shardhost/snapshot.go
+++ b/internal/shardhost/snapshot.go
@@ -47,10 +47,10 @@
 		} else {
 			_ = view.Close()
 		}
-		// The receipt, if there is one, went to the core as a message: in either case nothing is on its way any more.
+		// In either case nothing is on its way any more but the receipt, if there is one.
 		select {
 		case <-r.stopped:
-		case r.inbox <- func() error { r.driver.Core.SnapshotEnded(to); return nil }:
+		case r.inbox <- func() error { r.driver.Core.SnapshotEnded(to, err == nil); return nil }:
 		}
 		return nil
 	})
