--- a/internal/shard/shardsim/sim_test.go
+++ b/internal/shard/shardsim/sim_test.go
@@ -201,6 +201,25 @@
 	})
 }
 
+// TestSecondPauseAfterACommonOneLeavesTwoCopies is a draw of TestFalseSuspicionLeavesTwoCopies: all three members stand still for 2.5 s
+// and one of them again 5 s later.
+func TestSecondPauseAfterACommonOneLeavesTwoCopies(t *testing.T) {
+	s := New(Options{Seed: 0xc, Nodes: 4, Copies: 3, Machine: logMachine{}, Retained: 30})
+	s.Load(time.Hour)
+	for _, hit := range [][]int{{0, 1, 2}, {1}} {
+		assert.NilError(t, s.Run(5*time.Second))
+		for _, number := range hit {
+			s.apply(Fault{Kind: Pause, Node: number, Duration: 2500 * time.Millisecond})
+		}
+	}
+	assert.NilError(t, s.Run(healing))
+	s.checker.final(s)
+	assert.NilError(t, s.Err())
+	for _, stored := range s.store.history {
+		assert.Assert(t, len(stored.Members) >= 2, "%v", stored)
+	}
+}
+
 // TestFalseSuspicionLeavesTwoCopies pauses or cuts off members for less than the time after which one goes on alone. It
 // failed when a member believed the loss of both others after three times the silence that is enough for one.
 func TestFalseSuspicionLeavesTwoCopies(t *testing.T) {
