Read the open jobs with one worker for all, and start processes through seeds

Change: changefeed holds a state and its latest changes and tells a follower what it lacks beyond its revision, or the whole. The first worker by name reads the open jobs, the next in line while it does not answer; the others ask it, and take nothing older than an own waiting call could be. Workers serve what the platform calls control, so that its settings name up to three of them: a process that starts asks these for 0.3 s (1.5 s at the first start of all) before it reads the store. A worker that is to read gives its question up at once, because what it was told is as old as what the others were.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -44,7 +44,10 @@
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	records := process.records()
-	holders := &jobpeer.Holders{Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Copies: settings.Bounds.LostDisks + 1, Now: time.Now}
+	holders := &jobpeer.Holders{
+		Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Copies: settings.Bounds.LostDisks + 1,
+		Seeds: settings.Seeds, SeedsFor: process.startGrace(), Now: time.Now,
+	}
 	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes()}
 	process.follow(&follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}})
 	process.tellDemand(holders)
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -73,6 +73,26 @@
 	}
 }
 
+const (
+	// firstStartGrace is how long a process waits to be told of the fleet where all start together for the first time: each that
+	// reads the store itself makes four calls, all of them a thousand on a site of 300 machines. Traffic comes ten seconds later.
+	firstStartGrace = 1500 * time.Millisecond
+	// startGrace is the same for a process that starts alone, or after a loss of power: callers wait for it. A worker that is up
+	// answers within some ten milliseconds.
+	startGrace = 300 * time.Millisecond
+)
+
+// startGrace is how long this process waits to be told of the fleet before it reads the store; without seeds nobody can tell.
+func (p *process) startGrace() time.Duration {
+	switch {
+	case len(p.settings.Seeds) == 0:
+		return 0
+	case p.settings.Node.FirstStart:
+		return firstStartGrace
+	}
+	return startGrace
+}
+
 // records are the batch jobs in the store.
 func (p *process) records() *jobrecord.Records {
 	return &jobrecord.Records{
@@ -99,6 +119,7 @@
 func (p *process) follow(role *follower.Follower) {
 	role.Registry, role.Runners, role.Routes = p.registry(), p.runners, p.routes
 	role.Options = follower.OptionsFor(p.settings.Bounds.Drain(), p.settings.Bounds.Heartbeat())
+	role.Options.StartGrace = p.startGrace()
 	role.Logger, role.Now, role.Forget = p.logger, time.Now, p.caller.Pool.Forget
 	role.Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -41,12 +41,14 @@
 	}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
-	peers := &jobpeer.Peers{Connect: pool.ConnAddress}
-	worker.Mirrors, worker.Lenders = peers, peers
+	peers := &jobpeer.Peers{Connect: pool.ConnAddress, Now: time.Now}
+	worker.Mirrors, worker.Lenders, worker.Readers = peers, peers, peers
+	worker.Seeds, worker.SeedsFor = settings.Seeds, process.startGrace()
+	source := &jobpeer.LeaderFeed{Reader: worker.Reader, Connect: pool.ConnAddress, Now: time.Now}
+	worker.Followed = source.Changed
 	worker.Start(process.tomb)
 	feed := fleetfeed.New(time.Now)
 	feed.Workers = jobpeer.FeedWorkers(worker)
-	source := &jobpeer.LeaderFeed{Leader: worker.Leader, Connect: pool.ConnAddress, Now: time.Now}
 	process.follow(&follower.Follower{Retire: worker.Retire, Feed: feed, Source: source})
 	if err := process.servePeers(worker, feed); err != nil {
 		return err
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -34,6 +34,9 @@
 	ProbeEvery time.Duration
 	// Heartbeat is the time between two renewals of a runner's entry.
 	Heartbeat time.Duration
+	// StartGrace is how long a node that starts waits for another one to tell it, before it reads the registry itself. Zero reads
+	// at once.
+	StartGrace time.Duration
 }
 
 // readingShare is the part of the drain bound between two readings; the rest is for a reading that is slow (thousands of
@@ -87,11 +90,15 @@
 	// relaying is touched by followSource alone.
 	relaying bool
 
-	mutex    sync.Mutex
-	fresh    freshness
-	revision int64
-	absence  absence
-	lost     bool
+	mutex sync.Mutex
+	fresh freshness
+	// graceUntil is until when the node waits to be told for the first time; zero once it was, or reads for all.
+	graceUntil time.Time
+	// alone is closed when this node begins to read for itself; nil while nothing waits for that.
+	alone chan struct{}
+	revision   int64
+	absence    absence
+	lost       bool
 	// kept counts the runners that the newest list lacks and that are in use.
 	kept int
 }
@@ -99,6 +106,9 @@
 // Start runs the follower's loops until the tomb dies.
 func (f *Follower) Start(parent *tomb.Tomb) {
 	f.absence = f.Options.absence()
+	if f.Source != nil {
+		f.graceUntil = f.Now().Add(f.Options.StartGrace)
+	}
 	ctx := parent.Context(context.Background())
 	parent.Go(func() error { return f.followRunners(ctx) })
 	parent.Go(func() error { return f.followOrders(ctx) })
@@ -112,7 +122,7 @@
 	for ctx.Err() == nil {
 		if pause := f.untilReading(f.relayedUntil().runners); pause > 0 {
 			failures = 0
-			sleep(ctx, pause)
+			f.restRelayed(ctx, pause)
 			continue
 		}
 		if err := f.readRunners(ctx); err != nil {
@@ -239,7 +249,7 @@
 	for ctx.Err() == nil {
 		if relayed := f.relayedUntil().orders.Sub(f.Now()); relayed > 0 {
 			revision, failures = 0, 0
-			sleep(ctx, relayed)
+			f.restRelayed(ctx, relayed)
 			continue
 		}
 		next, err := f.nextOrders(ctx, revision)
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -16,6 +18,9 @@
 	Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error)
 }
 
+// ErrReadAlone means that there is no other node to ask: this one reads the registry itself, at once.
+const ErrReadAlone = failure.Kind("follower: no other node reads")
+
 // freshness is until when the relayed readings are good enough.
 type freshness struct {
 	runners, orders time.Time
@@ -28,6 +33,9 @@
 	oldestShare = 1.3
 	// relayPause parts two calls after one that brought nothing usable.
 	relayPause = 500 * time.Millisecond
+	// startPause parts two calls of a node that was told nothing yet, and two looks whether it was: nodes start within 0.3 s of
+	// each other, and a list is read in a few milliseconds.
+	startPause = 50 * time.Millisecond
 )
 
 // followSource takes over what the source read, as long as it is fresh.
@@ -37,12 +45,58 @@
 		used := f.relay(ctx, known)
 		f.noteRelay(used)
 		if !used {
-			sleep(ctx, relayPause)
+			sleep(ctx, f.pauseAfterNothing())
 		}
 	}
 	return nil
 }
 
+func (f *Follower) pauseAfterNothing() time.Duration {
+	if f.inGrace() {
+		return startPause
+	}
+	return relayPause
+}
+
+// inGrace says whether the node has just started and waits to be told.
+func (f *Follower) inGrace() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.Now().Before(f.graceUntil)
+}
+
+// readAlone has this node read for itself from now on: others wait for what it reads, and what it was told is as old as what they
+// were told.
+func (f *Follower) readAlone() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.fresh == (freshness{}) && f.graceUntil.IsZero() {
+		return
+	}
+	f.fresh, f.graceUntil = freshness{}, time.Time{}
+	if f.alone != nil {
+		close(f.alone)
+		f.alone = nil
+	}
+}
+
+// restRelayed waits while what was told is good enough, or until this node reads alone.
+func (f *Follower) restRelayed(ctx context.Context, duration time.Duration) {
+	f.mutex.Lock()
+	if f.alone == nil {
+		f.alone = make(chan struct{})
+	}
+	alone := f.alone
+	f.mutex.Unlock()
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-alone:
+	case <-ctx.Done():
+	}
+}
+
 // freshUntil returns until when relayed readings of the ages are good enough. The orders are so no longer than the
 // runners: a node that waits for orders and is cut off from the registry hears nothing, and only its failing readings of
 // the runners show that its silence is no proof.
@@ -89,6 +143,9 @@
 	}
 	began := f.Now()
 	snapshot, err := f.Source.Next(ctx, known)
+	if errors.Is(err, ErrReadAlone) {
+		f.readAlone()
+	}
 	if err != nil {
 		return false
 	}
@@ -111,14 +168,19 @@
 		f.Feed.Orders(work.Orders{Catalog: snapshot.Catalog, Retire: snapshot.Retire}, now.Add(-ordersAge))
 	}
 	f.mutex.Lock()
-	f.fresh = f.freshUntil(now, runnersAge, ordersAge)
+	f.fresh, f.graceUntil = f.freshUntil(now, runnersAge, ordersAge), time.Time{}
 	f.mutex.Unlock()
 	return true
 }
 
-// relayedUntil returns until when the relayed readings are good enough, or a time that has passed.
+// relayedUntil returns until when the relayed readings are good enough, or a time that has passed. At a start it is asked again
+// and again until the node is told, or the grace is over.
 func (f *Follower) relayedUntil() freshness {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if now := f.Now(); now.Before(f.graceUntil) {
+		again := now.Add(startPause)
+		return freshness{runners: again, orders: again}
+	}
 	return f.fresh
 }
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -19,20 +19,25 @@
 	Holders *Holders
 	// Index chooses among the near workers, so that nodes spread over them.
 	Index uint64
+	// failed counts the questions in vain, so that another seed is asked next.
+	failed uint64
 }
 
 // Next implements follower.Source.
 func (w *WorkerFeed) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
-	address, connection, err := w.Holders.Nearest(ctx, w.Index)
+	address, connection, err := w.Holders.Nearest(ctx, w.Index+w.failed)
 	if err != nil {
+		w.failed++
 		return nil, err
 	}
 	sent := w.Holders.Now()
 	snapshot, err := fleetfeed.Ask(ctx, connection, known)
 	if err != nil {
+		w.failed++
 		w.Holders.avoid(address)
 		return nil, err
 	}
+	w.failed = 0
 	// A worker that reads the registry also follows the other workers, and told of them no earlier than this, however long its
 	// answer lay unread.
 	told := sent.Add(time.Duration(snapshot.HeldMs) * time.Millisecond)
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -44,9 +44,15 @@
 	Connect func(address string) (drpc.Conn, error)
 	// Copies is the number of workers that must have a job on disk before it is acknowledged without the store.
 	Copies int
-	Now    func() time.Time
+	// Seeds are addresses of workers that are asked before any is known, SeedsFor how long that is tried before the records are
+	// read: each process that starts would read them otherwise.
+	Seeds    []string
+	SeedsFor time.Duration
+	Now      func() time.Time
 
 	mutex sync.Mutex
+	// began is when a worker was first wanted.
+	began time.Time
 	// workers are those that run batch jobs, in the order in which they are asked.
 	workers asof.Fact[[]jobrecord.Worker]
 	// read is when they were last read, or tried to be, put back where they are to be read sooner.
@@ -126,6 +132,9 @@
 	if len(near) == 0 {
 		near = far
 	}
+	if len(near) == 0 && len(h.workers.Value()) == 0 {
+		near = h.Seeds
+	}
 	if len(near) == 0 {
 		return "", false
 	}
@@ -176,7 +185,10 @@
 	if len(h.workers.Value()) == 0 {
 		kept = noWorkersKept
 	}
-	fresh := !h.read.IsZero() && now.Sub(h.read) < kept
+	if h.began.IsZero() {
+		h.began = now
+	}
+	fresh := h.asksSeeds(now) || !h.read.IsZero() && now.Sub(h.read) < kept
 	if !fresh {
 		h.read = now
 	}
@@ -194,6 +206,11 @@
 	h.Learn(workers, began)
 }
 
+// asksSeeds says whether this node has just started and knows no worker but the seeds. The caller holds the mutex.
+func (h *Holders) asksSeeds(now time.Time) bool {
+	return len(h.Seeds) > 0 && len(h.workers.Value()) == 0 && now.Sub(h.began) < h.SeedsFor
+}
+
 // Learn takes over a list of the workers that was read here or by another node, as of a moment. An older one than is known is
 // passed over.
 func (h *Holders) Learn(workers []jobrecord.Worker, asOf time.Time) {
@@ -235,14 +252,18 @@
 	h.jobs[job] = where
 }
 
-// avoid leaves a worker alone for a while, and has the list of workers read again soon.
+// avoid leaves a worker alone for a while, and has the list of workers read again soon. Seeds that start at the same moment as
+// this node are asked again at once.
 func (h *Holders) avoid(address string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := h.Now()
+	if h.asksSeeds(now) {
+		return
+	}
 	if h.avoided == nil {
 		h.avoided = map[string]time.Time{}
 	}
-	now := h.Now()
 	h.avoided[address] = now.Add(avoidFor)
 	h.read = now.Add(avoidFor - workersKept)
 }
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -180,3 +180,34 @@
 	holders.Learn(nil, holders.Now())
 	assert.Assert(t, keep(holders) != nil)
 }
+
+// TestFrontThatStartsAsksSeeds has a front that knows no worker ask the seeds by turns, without a call of the records, until one
+// tells it of the others or the time for that is over.
+func TestFrontThatStartsAsksSeeds(t *testing.T) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	store := kvtest.NewPaged(kvtest.NewData(func() time.Time { return now }))
+	var asked []string
+	holders := &jobpeer.Holders{
+		Records: &jobrecord.Records{Store: store, ValueBytes: 1 << 20, Now: func() time.Time { return now }}, Zone: "z",
+		Connect: func(address string) (drpc.Conn, error) {
+			asked = append(asked, address)
+			return nil, jobpeer.ErrNoWorker
+		},
+		Seeds: []string{"a", "b", "c"}, SeedsFor: time.Second, Now: func() time.Time { return now },
+	}
+	source := &jobpeer.WorkerFeed{Holders: holders}
+	for range 6 {
+		_, err := source.Next(context.Background(), &fleetfeed.Known{})
+		assert.ErrorIs(t, err, jobpeer.ErrNoWorker)
+	}
+	assert.DeepEqual(t, asked, []string{"a", "b", "c", "a", "b", "c"})
+	assert.Equal(t, store.Calls(), 0)
+	now = now.Add(1100 * time.Millisecond)
+	_, err := source.Next(context.Background(), &fleetfeed.Known{})
+	assert.ErrorIs(t, err, jobpeer.ErrNoWorker)
+	assert.Equal(t, store.Calls(), 1, "seeds that do not answer are asked for a moment only")
+	holders.Learn([]jobrecord.Worker{{Node: "w", Zone: "z", Address: "w"}}, now)
+	_, err = source.Next(context.Background(), &fleetfeed.Known{})
+	assert.ErrorIs(t, err, jobpeer.ErrNoWorker)
+	assert.Equal(t, asked[len(asked)-1], "w")
+}
--- a/internal/jobpeer/leader.go
+++ b/internal/jobpeer/leader.go
@@ -2,45 +2,78 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"storj.io/drpc"
 
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
 )
 
 // LeaderFeed lets the workers read the registry through one of them, so that its price does not rise with their number.
 // It implements follower.Source. It is no lock: while workers come and go several may read, or one reads in vain and the
 // others read for themselves.
 type LeaderFeed struct {
-	// Leader returns the address of the worker that reads for the others, and false where that is this node or unknown.
-	Leader func() (address string, other bool)
+	// Reader returns the address of the worker that reads for this one, and false where that is this node or none answers.
+	Reader func(avoided func(address string) bool) (address string, other bool)
 	// Connect returns a connection to an address.
 	Connect func(address string) (drpc.Conn, error)
 	Now     func() time.Time
 
 	mutex sync.Mutex
-	// avoided is until when the address is left alone after a failed call.
+	// avoided is until when an address is left alone after a failed call.
 	avoided map[string]time.Time
+	// asked is the address of the call in progress, stop ends it.
+	asked string
+	stop  context.CancelFunc
 }
 
-// Next implements follower.Source.
+// Next implements follower.Source. The call is given up where this node is to read itself meanwhile: the others wait for it, and
+// what it was told is as old as what they were.
 func (l *LeaderFeed) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
-	address, other := l.Leader()
-	if !other || l.avoids(address) {
-		return nil, ErrNoWorker
+	address, other := l.Reader(l.avoids)
+	if !other {
+		return nil, follower.ErrReadAlone
 	}
+	call, stop := context.WithCancel(ctx)
+	defer stop()
+	l.begin(address, stop)
+	defer l.begin("", nil)
 	connection, err := l.Connect(address)
 	if err != nil {
 		l.avoid(address)
 		return nil, err
 	}
-	snapshot, err := fleetfeed.Ask(ctx, connection, known)
-	if err != nil {
-		l.avoid(address)
+	snapshot, err := fleetfeed.Ask(call, connection, known)
+	switch {
+	case err == nil:
+		return snapshot, nil
+	case call.Err() != nil && ctx.Err() == nil:
+		return nil, follower.ErrReadAlone
+	}
+	l.avoid(address)
+	return nil, err
+}
+
+func (l *LeaderFeed) begin(address string, stop context.CancelFunc) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.asked, l.stop = address, stop
+}
+
+// Changed has the call in progress end where this node is to read itself now.
+func (l *LeaderFeed) Changed() {
+	l.mutex.Lock()
+	asked, stop := l.asked, l.stop
+	l.mutex.Unlock()
+	if asked == "" {
+		return
+	}
+	if _, other := l.Reader(l.avoids); !other {
+		stop()
 	}
-	return snapshot, err
 }
 
 func (l *LeaderFeed) avoids(address string) bool {
@@ -52,6 +85,10 @@
 func (l *LeaderFeed) avoid(address string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	// Only one address is avoided at a time: there is one leader.
-	l.avoided = map[string]time.Time{address: l.Now().Add(avoidFor)}
+	now := l.Now()
+	if l.avoided == nil {
+		l.avoided = map[string]time.Time{}
+	}
+	maps.DeleteFunc(l.avoided, func(_ string, until time.Time) bool { return now.After(until) })
+	l.avoided[address] = now.Add(avoidFor)
 }
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -31,6 +31,7 @@
 	methodAssign   = "/mallowlatch.jobpeer.Jobs/Assign"
 	methodLend     = "/mallowlatch.jobpeer.Jobs/Lend"
 	methodTakeBack = "/mallowlatch.jobpeer.Jobs/TakeBack"
+	methodLive     = "/mallowlatch.jobpeer.Jobs/Live"
 )
 
 // Query asks for the results of a job from a position on.
@@ -153,13 +154,14 @@
 	Assign(ctx context.Context, request *AssignRequest) (*AssignReply, error)
 	Lend(ctx context.Context, request *lending.Request) (*lending.Reply, error)
 	TakeBack(ctx context.Context, recall *lending.Recall) (*TakeBackReply, error)
+	Live(ctx context.Context, query *LiveQuery) (*LiveReply, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 10 }
+func (Description) NumMethods() int { return 11 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -184,6 +186,8 @@
 		return methodLend, jsoncall.Encoding{}, receiveLend, Server.Lend, true
 	case 9:
 		return methodTakeBack, jsoncall.Encoding{}, receiveTakeBack, Server.TakeBack, true
+	case 10:
+		return methodLive, jsoncall.Encoding{}, receiveLive, Server.Live, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -227,3 +231,7 @@
 func receiveTakeBack(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 	return server.(Server).TakeBack(ctx, in.(*lending.Recall))
 }
+
+func receiveLive(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Live(ctx, in.(*LiveQuery))
+}
--- a/internal/jobpeer/peers.go
+++ b/internal/jobpeer/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"storj.io/drpc"
 
@@ -12,10 +13,12 @@
 	"mallowlatch.example/mallowlatch/internal/progress"
 )
 
-// Peers makes the calls between workers. It implements jobworker.Mirrors and jobworker.Lenders.
+// Peers makes the calls between workers. It implements jobworker.Mirrors, jobworker.Lenders and
+// jobworker.Readers.
 type Peers struct {
 	// Connect returns a connection to an address.
 	Connect func(address string) (drpc.Conn, error)
+	Now     func() time.Time
 }
 
 // Send implements jobworker.Mirrors.
--- a/internal/jobrecord/live.go
+++ b/internal/jobrecord/live.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/changefeed"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/kv"
 )
@@ -36,30 +37,49 @@
 
 // ReadLive reads the whole.
 func (r *Records) ReadLive(ctx context.Context) (*Live, error) {
-	pairs, revision, err := kv.ListAll(ctx, r.Store, prefixLive, kv.PageOptions{})
+	update, err := r.LiveWhole(ctx)
 	if err != nil {
 		return nil, err
 	}
-	live := newLive()
-	live.Revision = revision
+	live := &Live{}
+	r.Apply(live, update)
+	return live, nil
+}
+
+// LiveWhole reads the whole as an update. Its pages are not one snapshot, but each change since the first page comes again with
+// the changes after its revision.
+func (r *Records) LiveWhole(ctx context.Context) (changefeed.Update, error) {
+	sent := r.Now()
+	pairs, revision, err := kv.ListAll(ctx, r.Store, prefixLive, kv.PageOptions{})
+	if err != nil {
+		return changefeed.Update{}, err
+	}
+	update := changefeed.Update{Whole: true, Revision: revision, AsOf: sent}
 	for _, pair := range pairs {
-		r.apply(live, kv.WatchEvent{Pair: pair})
+		update.Changes = append(update.Changes, kv.WatchEvent{Pair: pair})
 	}
-	return live, nil
+	return update, nil
 }
 
-// Follow waits for changes and takes them over. Pages of ReadLive are not one snapshot, but each change since the first
-// page comes again here.
-func (r *Records) Follow(ctx context.Context, live *Live, wait time.Duration) error {
-	response, err := r.Store.Changes(ctx, prefixLive, live.Revision, wait)
+// LiveChanges waits for changes after a revision, at most for the wait.
+func (r *Records) LiveChanges(ctx context.Context, after int64, wait time.Duration) (changefeed.Update, error) {
+	sent := r.Now()
+	response, err := r.Store.Changes(ctx, prefixLive, after, wait)
 	if err != nil {
-		return err
+		return changefeed.Update{}, err
 	}
-	for _, changed := range response.Events {
-		r.apply(live, changed)
+	return changefeed.Update{Changes: response.Events, Revision: max(after, response.Revision), AsOf: sent}, nil
+}
+
+// Apply takes an update over. An entry that cannot be read changes nothing.
+func (r *Records) Apply(live *Live, update changefeed.Update) {
+	if update.Whole {
+		*live = *newLive()
 	}
-	live.Revision = max(live.Revision, response.Revision)
-	return nil
+	for _, change := range update.Changes {
+		r.apply(live, change)
+	}
+	live.Revision = update.Revision
 }
 
 // Register writes the entry of a worker under its lease, and returns the revision of the writing. The entry must be as it was
--- a/internal/jobworker/borrow_test.go
+++ b/internal/jobworker/borrow_test.go
@@ -56,7 +56,7 @@
 	options.StallAfter = time.Minute
 	worker := &jobworker.Worker{
 		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
-		Caller: caller, Options: options, Logger: zerolog.Nop(), Now: time.Now, Mirrors: g.peers, Lenders: g.peers,
+		Caller: caller, Options: options, Logger: zerolog.Nop(), Now: time.Now, Mirrors: g.peers, Lenders: g.peers, Readers: g.peers,
 	}
 	g.peers.mutex.Lock()
 	g.peers.workers[string(node)] = worker
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -12,53 +12,6 @@
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
-// followLive follows the open jobs, the claims and the workers. It reads them anew after a failure.
-func (w *Worker) followLive() error {
-	for {
-		pause := w.watchPause()
-		if err := w.nextLive(); err != nil {
-			w.logStore("following the open jobs", err)
-			w.live.Revision = 0
-			if !w.pauseForStore() {
-				return nil
-			}
-			continue
-		}
-		if !w.pause(pause) {
-			return nil
-		}
-	}
-}
-
-func (w *Worker) watchPause() time.Duration {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.crowded(w.Options.WatchPause)
-}
-
-// nextLive takes over the next changes. Only followLive calls it, so that the live state has one writer; what other
-// loops need of it is copied under the mutex.
-func (w *Worker) nextLive() error {
-	if w.live.Revision == 0 {
-		ctx, cancel := w.call()
-		defer cancel()
-		live, err := w.Records.ReadLive(ctx)
-		if err != nil {
-			return err
-		}
-		w.live = live
-		w.takeOver()
-		return nil
-	}
-	ctx, cancel := w.callWithin(w.Options.WatchWait + w.Options.CallTimeout)
-	defer cancel()
-	if err := w.Records.Follow(ctx, w.live, w.Options.WatchWait); err != nil {
-		return err
-	}
-	w.takeOver()
-	return nil
-}
-
 // takeOver compares the live state with what this node runs. A job that is open no more was finished or ended: nothing
 // more of it is run.
 func (w *Worker) takeOver() {
--- /dev/null
+++ b/internal/jobworker/follow_test.go
@@ -0,0 +1,111 @@
+package jobworker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/storemeter"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// metered is a group of workers that read through each other, each with a meter of its calls.
+type metered struct {
+	*group
+	peers  *localMirrors
+	meters map[ident.Node]*storemeter.Store
+}
+
+func newMetered(t *testing.T, workers int) *metered {
+	m := &metered{group: newGroup(t), peers: &localMirrors{workers: map[string]*jobworker.Worker{}}, meters: map[ident.Node]*storemeter.Store{}}
+	var runners []work.Runner
+	for index := range 4 * workers {
+		runners = append(runners, work.Runner{ID: ident.Incarnation(fmt.Sprint("i-", index)), Service: "s", Address: "a", Zone: "z", Slots: 4})
+	}
+	for index := range workers {
+		node := ident.Node(fmt.Sprintf("w-%02d", index))
+		m.stores[node], m.callers[node] = kvtest.NewPaged(m.data), &fakeCaller{}
+		m.meters[node] = storemeter.New(m.stores[node])
+		m.startOn(node, m.meters[node], m.callers[node], m.peers, runners...)
+	}
+	return m
+}
+
+// liveCalls counts the calls that workers made for the open jobs since the last count.
+func (m *metered) liveCalls() map[ident.Node]int {
+	calls := map[ident.Node]int{}
+	for node, meter := range m.meters {
+		counts := meter.Take()
+		if made := counts["watch job/live"] + counts["list job/live"]; made > 0 {
+			calls[node] = made
+		}
+	}
+	return calls
+}
+
+// settled waits until all workers know each other.
+func (m *metered) settled(workers int) {
+	m.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		seen := 0
+		m.peers.mutex.Lock()
+		for _, worker := range m.peers.workers {
+			if len(worker.Registered()) == workers {
+				seen++
+			}
+		}
+		m.peers.mutex.Unlock()
+		if seen == len(m.peers.workers) {
+			return
+		}
+	}
+	m.t.Fatal("the workers never saw each other")
+}
+
+func (m *metered) leave(node ident.Node) {
+	m.peers.mutex.Lock()
+	delete(m.peers.workers, string(node))
+	m.peers.mutex.Unlock()
+}
+
+// TestOpenJobsAreReadByOneWorkerForAll counts the calls of twelve workers while jobs come and are done.
+func TestOpenJobsAreReadByOneWorkerForAll(t *testing.T) {
+	const workers = 12
+	m := newMetered(t, workers)
+	m.settled(workers)
+	time.Sleep(2 * time.Second)
+	m.liveCalls()
+	for index := range 6 {
+		id := fmt.Sprint("job-", index)
+		m.submit(id, 8)
+		m.waitWhole(id, 8)
+	}
+	calls := m.liveCalls()
+	assert.Equal(t, len(calls), 1, "one worker reads: %v", calls)
+	assert.Assert(t, calls["w-00"] > 0, "the first by name reads: %v", calls)
+}
+
+// TestJobsAreRunWhileTheirReaderIsGoneOrCutOff has the worker that reads for the others die, and the one that reads then be cut
+// off from the store while it answers: the jobs that come meanwhile are done.
+func TestJobsAreRunWhileTheirReaderIsGoneOrCutOff(t *testing.T) {
+	const workers = 4
+	m := newMetered(t, workers)
+	m.settled(workers)
+	m.leave("w-00")
+	m.end("w-00")
+	m.submit("gone", 8)
+	m.waitWhole("gone", 8)
+	m.stores["w-01"].SetFaults(kvtest.PagedFaults{Down: true})
+	began := time.Now()
+	m.submit("cut", 8)
+	m.waitWhole("cut", 8)
+	assert.Assert(t, time.Since(began) < 20*time.Second, "after %v", time.Since(began))
+	m.stores["w-01"].SetFaults(kvtest.PagedFaults{})
+	m.submit("back", 8)
+	m.waitWhole("back", 8)
+}
--- a/internal/jobworker/mirror_test.go
+++ b/internal/jobworker/mirror_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mallowlatch.example/mallowlatch/internal/changefeed"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
@@ -71,6 +72,14 @@
 	return nil, failure.Kind("no such worker")
 }
 
+func (m *localMirrors) Live(ctx context.Context, address string, after int64, wait time.Duration) (changefeed.Update, error) {
+	worker, err := m.at(address)
+	if err != nil {
+		return changefeed.Update{}, err
+	}
+	return worker.LiveAfter(ctx, after, wait)
+}
+
 func (m *localMirrors) Send(_ context.Context, address string, updates []progress.Update) ([]ident.Request, error) {
 	worker, err := m.at(address)
 	if err != nil {
--- a/internal/jobworker/share.go
+++ b/internal/jobworker/share.go
@@ -43,20 +43,6 @@
 	return slices.Collect(maps.Values(w.workers))
 }
 
-// Leader returns the address of the worker that reads the registry for the others: the first by name of those that are
-// registered. It returns false where that is this node, or none is known.
-func (w *Worker) Leader() (string, bool) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	var first jobrecord.Worker
-	for _, worker := range w.workers {
-		if first.Node == "" || worker.Node < first.Node {
-			first = worker
-		}
-	}
-	return first.Address, first.Node != "" && first.Node != w.Node
-}
-
 const (
 	// claimShare of the time the waiting items will take is how long a node leaves a new job to idler ones.
 	claimShare = 0.25
--- a/internal/jobworker/share_test.go
+++ b/internal/jobworker/share_test.go
@@ -47,17 +47,55 @@
 	assert.Assert(t, claimDelay(1000, 1, time.Minute, 100, step) <= longestClaimDelay+lastClaimTurn*step)
 }
 
+// noReaders answers nothing.
+type noReaders struct{ Readers }
+
 func TestOneWorkerReadsForTheOthers(t *testing.T) {
-	w := &Worker{Node: "w-1"}
-	_, other := w.Leader()
+	never := func(string) bool { return false }
+	w := &Worker{Node: "w-1", Readers: noReaders{}, Now: time.Now}
+	_, other := w.Reader(never)
 	assert.Assert(t, !other, "no worker is known")
-	w.workers = map[ident.Node]jobrecord.Worker{"w-1": {Node: "w-1", Address: "first"}, "w-2": {Node: "w-2", Address: "second"}}
-	_, other = w.Leader()
+	w.workers = map[ident.Node]jobrecord.Worker{
+		"w-1": {Node: "w-1", Address: "first"}, "w-2": {Node: "w-2", Address: "second"}, "w-3": {Node: "w-3", Address: "third"}, "w-4": {Node: "w-4", Address: "fourth"},
+	}
+	_, other = w.Reader(never)
 	assert.Assert(t, !other, "the first worker reads for itself")
-	w.Node = "w-2"
-	address, other := w.Leader()
+	for _, node := range []ident.Node{"w-2", "w-3", "w-4"} {
+		w.Node = node
+		address, other := w.Reader(never)
+		assert.Assert(t, other)
+		assert.Equal(t, address, "first")
+	}
+	address, other := w.Reader(func(address string) bool { return address == "first" })
 	assert.Assert(t, other)
-	assert.Equal(t, address, "first")
+	assert.Equal(t, address, "second", "the next in line is asked while the first does not answer")
+	_, other = w.Reader(func(string) bool { return true })
+	assert.Assert(t, !other, "a worker that nobody answers reads for itself")
+	w.Node = "w-2"
+	_, other = w.Reader(func(address string) bool { return address == "first" })
+	assert.Assert(t, !other, "the next in line reads for the others")
+}
+
+// TestWorkerThatStartsAsksSeedsForAMoment has a worker that knows no other ask those of its settings, unless it is one of them.
+func TestWorkerThatStartsAsksSeedsForAMoment(t *testing.T) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	w := &Worker{
+		Node: "w-9", Address: "own", Readers: noReaders{}, Seeds: []string{"a", "b", "c"}, SeedsFor: time.Second, started: now,
+		Now: func() time.Time { return now },
+	}
+	asked := map[string]bool{}
+	for range 3 {
+		address, other := w.Reader(func(string) bool { return true })
+		assert.Assert(t, other)
+		asked[address] = true
+	}
+	assert.Equal(t, len(asked), 3)
+	w.Address = "b"
+	_, other := w.Reader(func(string) bool { return false })
+	assert.Assert(t, !other, "a seed reads for itself")
+	w.Address, now = "own", now.Add(1100*time.Millisecond)
+	_, other = w.Reader(func(string) bool { return false })
+	assert.Assert(t, !other, "seeds that do not answer are asked for a moment only")
 }
 
 func TestManyWorkersCallLessOftenEach(t *testing.T) {
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/batchroom"
+	"mallowlatch.example/mallowlatch/internal/changefeed"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -29,9 +30,10 @@
 	LeaseTTL time.Duration
 	// CallTimeout bounds one call of the store.
 	CallTimeout time.Duration
-	// WatchWait is how long one call waits for changes of the open jobs; it bounds how late the end of a job is seen.
+	// WatchWait is how long one call waits for changes of the open jobs, at the store or at the worker that reads for the others;
+	// it bounds how late the end of a job is seen.
 	WatchWait time.Duration
-	// WatchPause is the pause between two such calls, so that changes in quick succession cost one call.
+	// WatchPause is the pause between two calls of the store for them, so that changes in quick succession cost one call.
 	WatchPause time.Duration
 	// RetryAfter is the pause after a failed call of the store.
 	RetryAfter time.Duration
@@ -66,7 +68,7 @@
 var DefaultOptions = Options{
 	LeaseTTL:      3 * time.Second,
 	CallTimeout:   time.Second,
-	WatchWait:     4 * time.Second,
+	WatchWait:     1500 * time.Millisecond,
 	WatchPause:    400 * time.Millisecond,
 	RetryAfter:    200 * time.Millisecond,
 	ClaimStep:     600 * time.Millisecond,
@@ -100,6 +102,13 @@
 	Mirrors Mirrors
 	// Lenders reaches the workers that lend places; nil uses the own runners alone.
 	Lenders Lenders
+	// Readers reaches the workers that read the open jobs for the others; nil has each read for itself.
+	Readers Readers
+	// Followed is told of each change of the open jobs and the workers once it is taken over; nil is told nothing. It must not block.
+	Followed func()
+	// Seeds are addresses of workers that may be asked before any is known, SeedsFor how long that is tried after the start.
+	Seeds    []string
+	SeedsFor time.Duration
 	// Outputs keeps the output of other workers' items on this node's disk too; nil keeps it in memory alone.
 	Outputs *progress.Journal
 	// Registry is told when a worker is emptied.
@@ -119,8 +128,13 @@
 	// registered is the revision of the node's entry among the workers; unlisted says that the entry is gone since.
 	registered int64
 	unlisted   bool
-	// live is what the node follows; only followLive touches it.
-	live *jobrecord.Live
+	// live is what the node follows, avoidedReaders until when workers are not asked for it; only followLive touches them.
+	live           *jobrecord.Live
+	avoidedReaders map[string]time.Time
+	// liveFeed passes it on.
+	liveFeed changefeed.Feed
+	// seedsAsked counts the questions to seeds.
+	seedsAsked int
 	// outage follows whether the store is away, by the renewals of the lease.
 	outage outage
 	// workers are all that run jobs, open the open jobs of all nodes, jobs those that this node runs.
@@ -193,7 +207,7 @@
 func (w *Worker) Start(parent *tomb.Tomb) {
 	w.tomb = parent
 	w.ctx = parent.Context(context.Background())
-	w.live = &jobrecord.Live{}
+	w.live, w.avoidedReaders = &jobrecord.Live{}, map[string]time.Time{}
 	w.open = map[ident.Job]*openJob{}
 	w.jobs = map[ident.Job]*jobRun{}
 	w.gauges = map[ident.Incarnation]*gauged{}
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
@@ -116,7 +117,7 @@
 	return g
 }
 
-func (g *group) recordsOf(store *kvtest.Paged) *jobrecord.Records {
+func (g *group) recordsOf(store kv.Paged) *jobrecord.Records {
 	return &jobrecord.Records{Store: store, ValueBytes: 1 << 20, Retention: time.Minute, Now: time.Now}
 }
 
@@ -128,6 +129,10 @@
 
 // start starts a worker that knows the runners, on its client of the store. With mirrors its output is kept at a second one.
 func (g *group) start(node ident.Node, store *kvtest.Paged, caller work.Caller, mirrors *localMirrors, runners ...work.Runner) *jobworker.Worker {
+	return g.startOn(node, store, caller, mirrors, runners...)
+}
+
+func (g *group) startOn(node ident.Node, store kv.Paged, caller work.Caller, mirrors *localMirrors, runners ...work.Runner) *jobworker.Worker {
 	table := runnertable.New("z")
 	table.Replace(runners, time.Now(), true)
 	g.tables[node], g.tombs[node] = table, new(tomb.Tomb)
@@ -140,7 +145,7 @@
 	if mirrors != nil {
 		worker.Options.MirrorEvery = mirrorEvery
 		worker.Options.StallAfter = time.Minute
-		worker.Mirrors = mirrors
+		worker.Mirrors, worker.Readers = mirrors, mirrors
 		mirrors.add(worker)
 	}
 	worker.Start(g.tombs[node])
--- a/internal/sitesettings/settings.go
+++ b/internal/sitesettings/settings.go
@@ -29,6 +29,8 @@
 	Store  Store  `yaml:"store"`
 	Limits Limits `yaml:"limits"`
 	Bounds Bounds `yaml:"bounds"`
+	// Seeds are addresses at which some workers may be asked, also ones that are gone.
+	Seeds []string `yaml:"seeds"`
 }
 
 // Node names the process and its place.
@@ -36,6 +38,8 @@
 	Name   string `yaml:"name"`
 	Zone   string `yaml:"zone"`
 	Region string `yaml:"region"`
+	// FirstStart says that the whole deployment starts for the first time, and all of its processes together.
+	FirstStart bool `yaml:"first_start"`
 	// DataFolder is empty on machines without a disk.
 	DataFolder string `yaml:"data_folder"`
 	// Zones are all zones of the deployment.
@@ -147,6 +151,9 @@
 	checkAddress("listen.callers", s.Listen.Callers, false, fault)
 	checkAddress("listen.ready", s.Listen.Ready, false, fault)
 	checkAddress("listen.peers", s.Listen.Peers, true, fault)
+	for _, seed := range s.Seeds {
+		checkAddress("seeds", seed, true, fault)
+	}
 	if s.Limits.MemoryMB <= 0 {
 		fault("limits.memory_mb", "must be above zero")
 	}
