Keep the book of refusals outside of the platform's dialect

TestThePlatformDecidesNothing failed in the whole run of the platform tests (216 s, all others passed): the book of refused values holds a mutex, and platform/ is to hold no state. It is a package of its own now, unchanged otherwise.

--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/refusal"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/site"
@@ -103,7 +104,7 @@
 
 // registry reads the runners and the operators' orders.
 func (p *process) registry() *platform.Registry {
-	return &platform.Registry{Store: p.store, Refusals: &platform.Refusals{Tell: p.tellRefusal}}
+	return &platform.Registry{Store: p.store, Refusals: &refusal.Book{Tell: p.tellRefusal}}
 }
 
 // tellRefusal writes a line of a value that cannot be read, or can be read again.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -95,10 +95,10 @@
 	// graceUntil is until when the node waits to be told for the first time; zero once it was, or reads for all.
 	graceUntil time.Time
 	// alone is closed when this node begins to read for itself; nil while nothing waits for that.
-	alone chan struct{}
-	revision   int64
-	absence    absence
-	lost       bool
+	alone    chan struct{}
+	revision int64
+	absence  absence
+	lost     bool
 	// kept counts the runners that the newest list lacks and that are in use.
 	kept int
 }
--- /dev/null
+++ b/internal/refusal/refusal_test.go
@@ -0,0 +1,35 @@
+package refusal_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/refusal"
+)
+
+const (
+	errPlaces = failure.Kind("places")
+	errState  = failure.Kind("state")
+	errForm   = failure.Kind("form")
+)
+
+// TestRefusalIsToldWhenItBeginsChangesAndEnds reads the same list again and again.
+func TestRefusalIsToldWhenItBeginsChangesAndEnds(t *testing.T) {
+	var told []string
+	refusals := &refusal.Book{Tell: func(key string, err error, total int) { told = append(told, fmt.Sprint(key, " ", err, " ", total)) }}
+	for _, reading := range []map[string]error{
+		{"servers/a": errPlaces}, {"servers/a": errPlaces}, {"servers/a": errState, "servers/b": errForm}, {"servers/b": errForm}, {}, {},
+	} {
+		refusals.Settle("servers/", maps.Clone(reading))
+	}
+	assert.Equal(t, len(told), 5, told)
+	refusals.Note("op/config", errForm)
+	refusals.Settle("servers/", nil)
+	refusals.Note("op/config", errForm)
+	refusals.Note("op/config", nil)
+	assert.Equal(t, len(told), 7, told)
+}
