Let one node's reading serve all after an outage and a common start

A front whose source had nothing fresh asked it again only after half a second; at the start it asked for 0.3 s and then paused as long, and workers had the list after 0.35 s.

Change: a source that answers with something old is asked again with a held call, so that its next reading is here at once; the node that reads for all probes every 0.1 s while the registry is away; the others wait 0.15 s for it after a probe of their own was answered; the grace of a start that is not the first is 0.6 s. A newer configuration is taken over however old its reading.

Ruled out: leaving probes to the one that reads (a front may reach a store that refuses it).

--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -78,9 +78,9 @@
 	// firstStartGrace is how long a process waits to be told of the fleet where all start together for the first time: each that
 	// reads the store itself makes four calls, all of them a thousand on a site of 300 machines. Traffic comes ten seconds later.
 	firstStartGrace = 1500 * time.Millisecond
-	// startGrace is the same for a process that starts alone, or after a loss of power: callers wait for it. A worker that is up
-	// answers within some ten milliseconds.
-	startGrace = 300 * time.Millisecond
+	// startGrace is the same for a process that starts alone, or after a loss of power: callers wait for it. Where all
+	// start at once, workers tell after 0.35 s; a worker that is up answers within some ten milliseconds.
+	startGrace = 600 * time.Millisecond
 )
 
 // startGrace is how long this process waits to be told of the fleet before it reads the store; without seeds nobody can tell.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -94,6 +94,8 @@
 	fresh freshness
 	// graceUntil is until when the node waits to be told for the first time; zero once it was, or reads for all.
 	graceUntil time.Time
+	// sourceAnswers says that the last call of the source was answered, readsForAll that there is no other node to ask.
+	sourceAnswers, readsForAll bool
 	// alone is closed when this node begins to read for itself; nil while nothing waits for that.
 	alone    chan struct{}
 	revision int64
@@ -129,6 +131,7 @@
 			f.noteLost(err)
 			failures++
 			f.awaitAnswer(ctx, f.Options.pauseAfter(failures))
+			f.awaitRelay(ctx)
 			continue
 		}
 		failures = 0
@@ -157,10 +160,23 @@
 		if f.relayedUntil().runners.After(began) || f.probe(ctx) == nil {
 			return
 		}
-		sleep(ctx, f.Options.ProbeEvery-f.Now().Sub(began))
+		sleep(ctx, f.probeEvery()-f.Now().Sub(began))
 	}
 }
 
+// readerProbe is the time between two probes of the node that reads for all: it is one or two of them, and all others wait for
+// what it finds.
+const readerProbe = 100 * time.Millisecond
+
+func (f *Follower) probeEvery() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.readsForAll {
+		return min(readerProbe, f.Options.ProbeEvery)
+	}
+	return f.Options.ProbeEvery
+}
+
 func (f *Follower) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
 	defer cancel()
@@ -257,6 +273,7 @@
 			revision = 0
 			failures++
 			sleep(ctx, f.Options.pauseAfter(failures))
+			f.awaitRelay(ctx)
 			continue
 		}
 		revision, failures = next, 0
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -27,6 +27,8 @@
 	revision int64
 	catalog  *work.Catalog
 	readings int
+	// lists counts the readings of the whole list alone.
+	lists int
 }
 
 func (r *fakeRegistry) Runners(context.Context) ([]work.Runner, int64, error) {
@@ -36,6 +38,7 @@
 	if r.down {
 		return nil, 0, kv.ErrUnavailable
 	}
+	r.lists++
 	return r.runners, r.revision, nil
 }
 
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -42,21 +42,30 @@
 func (f *Follower) followSource(ctx context.Context) error {
 	known := &fleetfeed.Known{WaitMs: f.oldest().Milliseconds()}
 	for ctx.Err() == nil {
-		used := f.relay(ctx, known)
-		f.noteRelay(used)
-		if !used {
-			sleep(ctx, f.pauseAfterNothing())
+		told := f.relay(ctx, known)
+		f.noteRelay(told == toldFresh)
+		switch {
+		case told == toldFresh:
+		case told == toldOld || f.inGrace():
+			sleep(ctx, startPause)
+		default:
+			sleep(ctx, relayPause)
 		}
 	}
 	return nil
 }
 
-func (f *Follower) pauseAfterNothing() time.Duration {
-	if f.inGrace() {
-		return startPause
-	}
-	return relayPause
-}
+// told says what a call of the source brought.
+type told uint8
+
+const (
+	// toldNothing means that the source did not answer.
+	toldNothing told = iota
+	// toldOld means that the source has nothing that is fresh: the registry is away from it too. The next call is held until it has.
+	toldOld
+	// toldFresh means that what it told is used.
+	toldFresh
+)
 
 // inGrace says whether the node has just started and waits to be told.
 func (f *Follower) inGrace() bool {
@@ -70,6 +79,7 @@
 func (f *Follower) readAlone() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.readsForAll = true
 	if f.fresh == (freshness{}) && f.graceUntil.IsZero() {
 		return
 	}
@@ -134,8 +144,8 @@
 	return time.Duration(oldestShare * float64(f.Options.RunnersEvery))
 }
 
-// relay makes one call and says whether it brought something usable.
-func (f *Follower) relay(ctx context.Context, known *fleetfeed.Known) bool {
+// relay makes one call and says what it brought.
+func (f *Follower) relay(ctx context.Context, known *fleetfeed.Known) told {
 	ctx, cancel := context.WithTimeout(ctx, f.oldest()+relaySlack)
 	defer cancel()
 	if catalog := f.Routes.Catalog(); catalog != nil {
@@ -146,21 +156,23 @@
 	if errors.Is(err, ErrReadAlone) {
 		f.readAlone()
 	}
+	f.noteAnswer(err == nil)
 	if err != nil {
-		return false
+		return toldNothing
 	}
 	now := f.Now()
 	// Whatever of the call's time the other node did not hold it, the answer may have been on its way.
 	way := max(now.Sub(began)-time.Duration(snapshot.HeldMs)*time.Millisecond, 0)
 	runnersAge := time.Duration(snapshot.RunnersAgeMs)*time.Millisecond + way
 	ordersAge := time.Duration(snapshot.OrdersAgeMs)*time.Millisecond + way
-	if runnersAge > f.oldest() || ordersAge > f.oldestOrders() {
-		return false
-	}
 	known.Incarnation, known.Reading = snapshot.Incarnation, snapshot.Reading
+	// A newer configuration is newer however long ago it was read.
 	if snapshot.Catalog != nil && f.Routes.Adopt(snapshot.Catalog) {
 		event.CatalogAdopted.Log(f.Logger).Int64("version", snapshot.Catalog.Version).Bool("relayed", true).Send()
 	}
+	if runnersAge > f.oldest() || ordersAge > f.oldestOrders() {
+		return toldOld
+	}
 	f.applyRunners(snapshot.Runners, snapshot.Revision, now.Add(-runnersAge))
 	f.tellRetirements(snapshot.Retire)
 	if f.Feed != nil {
@@ -170,7 +182,35 @@
 	f.mutex.Lock()
 	f.fresh, f.graceUntil = f.freshUntil(now, runnersAge, ordersAge), time.Time{}
 	f.mutex.Unlock()
-	return true
+	return toldFresh
+}
+
+// noteAnswer notes whether the source answers: then what it reads is told at once.
+func (f *Follower) noteAnswer(answers bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.sourceAnswers = answers
+	if answers {
+		f.readsForAll = false
+	}
+}
+
+// relayLead is how long a node that has seen the registry's return waits for another one that reads for all to tell it: that one
+// looks for the return every readerProbe, and its list is here some ten milliseconds after it was read. 300 nodes that read the
+// list and the orders themselves make 2,000 calls. It counts into how long a runner is used that left in the outage.
+const relayLead = 150 * time.Millisecond
+
+// awaitRelay waits for the source to tell what it reads, where there is one that answers.
+func (f *Follower) awaitRelay(ctx context.Context) {
+	for end := f.Now().Add(relayLead); ctx.Err() == nil && f.Now().Before(end); {
+		f.mutex.Lock()
+		wait := f.sourceAnswers && !f.fresh.runners.After(f.Now())
+		f.mutex.Unlock()
+		if !wait {
+			return
+		}
+		sleep(ctx, relayLead/5)
+	}
 }
 
 // relayedUntil returns until when the relayed readings are good enough, or a time that has passed. At a start it is asked again
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -115,3 +115,47 @@
 		assert.NilError(t, supervisor.Wait())
 	})
 }
+
+// TestListAfterAnOutageComesFromTheOneThatReads has the registry away from all. Once it is back, the node that reads for all has its
+// list after some ten milliseconds; one that it tells reads nothing itself, and one whose source has died reads at once.
+func TestListAfterAnOutageComesFromTheOneThatReads(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			feed := fleetfeed.New(time.Now)
+			runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
+			registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Version: 1}}
+			source := &feedSource{feed: feed, cut: make(chan struct{})}
+			f := &follower.Follower{
+				Registry: registry, Source: source, Runners: runnertable.New("z"), Routes: &routetable.Table{}, Logger: zerolog.Nop(),
+				Now: time.Now, Options: follower.OptionsFor(longDrain, siteHeartbeat),
+			}
+			f.Options.StartGrace = time.Second
+			feed.Read(runners, 5, time.Now())
+			feed.Orders(work.Orders{Catalog: registry.catalog}, time.Now())
+			supervisor := new(tomb.Tomb)
+			f.Start(supervisor)
+			registry.set(func(r *fakeRegistry) { r.down = true })
+			time.Sleep(8 * time.Second)
+			if dies {
+				close(source.cut)
+				time.Sleep(4 * time.Second)
+			}
+			back := time.Now()
+			registry.set(func(r *fakeRegistry) { r.down, r.revision, r.runners = false, 6, append(runners, work.Runner{ID: "i-2", Service: "s", Slots: 1}) })
+			if !dies {
+				time.Sleep(120 * time.Millisecond)
+				feed.Read(registry.runners, 6, time.Now())
+				feed.Orders(work.Orders{Catalog: registry.catalog}, time.Now())
+			}
+			for f.Runners.Count() < 2 && time.Since(back) < time.Minute {
+				time.Sleep(10 * time.Millisecond)
+			}
+			known := time.Since(back)
+			assert.Assert(t, known <= time.Second, "the list was known %v after the return", known)
+			assert.Assert(t, dies || known <= 200*time.Millisecond, "told after %v", known)
+			assert.Equal(t, registry.lists > 0, dies)
+			supervisor.Kill(nil)
+			assert.NilError(t, supervisor.Wait())
+		})
+	}
+}
