Refuse a job at once at a node that hears neither the store nor a worker

A front asked 45 workers one after the other, 0.95 s each, in up to four tries.

Change: a node of which none of the first workers answers in the time that one may take asks no further, and gives the job up after that try, as one that may have been taken. Workers that refuse a connection at once are passed over as before.

Ruled out: the store (it served the other fronts); the hand-over (no job was kept). Calling a cut front not ready was weighed: it is noticed after three seconds and taken out after five, of twelve.

Tests: TestNodeThatHearsNobodyAsksNoFurther, TestNodeThatHearsNobodyRefusesAtOnce; without the change the first asks all twelve workers and the second makes four tries.

--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -141,7 +141,9 @@
 				time.Sleep(4 * time.Second)
 			}
 			back := time.Now()
-			registry.set(func(r *fakeRegistry) { r.down, r.revision, r.runners = false, 6, append(runners, work.Runner{ID: "i-2", Service: "s", Slots: 1}) })
+			registry.set(func(r *fakeRegistry) {
+				r.down, r.revision, r.runners = false, 6, append(runners, work.Runner{ID: "i-2", Service: "s", Slots: 1})
+			})
 			if !dies {
 				time.Sleep(120 * time.Millisecond)
 				feed.Read(registry.runners, 6, time.Now())
--- a/internal/handoff/entry.go
+++ b/internal/handoff/entry.go
@@ -25,6 +25,8 @@
 	ErrDisk = failure.Kind("handoff: disk failed")
 	// ErrDamaged means that a file is not a whole entry. It was never acknowledged.
 	ErrDamaged = failure.Kind("handoff: damaged entry")
+	// ErrNobodyAnswers means that none of the workers that were asked to keep a job said anything, for as long as one may take.
+	ErrNobodyAnswers = failure.Kind("handoff: no worker answers")
 )
 
 // Entry is an accepted job on its way to the store.
--- a/internal/jobentry/acceptance.go
+++ b/internal/jobentry/acceptance.go
@@ -8,6 +8,7 @@
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -25,6 +26,8 @@
 	// told is Unknown once a try may have made the job durable without having said so.
 	told outcome.Outcome
 	last error
+	// unheard says that neither the store nor any worker said anything in a whole try.
+	unheard bool
 }
 
 // run tries until the job is durable, and returns false where it is given up. A job that exists is left as it is, so that
@@ -38,7 +41,8 @@
 		if a.try(ctx) {
 			return true
 		}
-		if a.final() || !pause(ctx, submitPause) {
+		// A node that hears nobody is cut off: the caller's time is better spent at another one.
+		if a.final() || a.unheard || !pause(ctx, submitPause) {
 			return false
 		}
 	}
@@ -71,8 +75,10 @@
 				return true
 			}
 			a.note(one.err)
+			a.unheard = a.unheard || one.handedOff && errors.Is(one.err, handoff.ErrNobodyAnswers)
 			if errors.Is(one.err, jobrecord.ErrRaced) {
 				// The store answers: the next try counts anew.
+				a.unheard = false
 				continue
 			}
 			if !one.handedOff && !a.final() {
--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobentry"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -130,6 +132,18 @@
 	assert.Equal(t, refused.Outcome, outcome.Unknown)
 }
 
+// TestNodeThatHearsNobodyRefusesAtOnce has neither the store nor a worker say anything: the caller is told after one try, in which
+// a job may have been taken, and can go to another node.
+func TestNodeThatHearsNobodyRefusesAtOnce(t *testing.T) {
+	silent := fmt.Errorf("%w: 3 asked", handoff.ErrNobodyAnswers)
+	holders := &fakeHolders{keepErr: failure.New(failure.CodeOutcomeUnknown, "none").WithOutcome(outcome.Unknown).WithCause(silent)}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	refused := mustRefuse(t, submit(desk, "a", 10))
+	assert.Equal(t, refused.Outcome, outcome.Unknown)
+	assert.Equal(t, holders.asked, 1)
+}
+
 func TestJobThatNobodyHasIsPromisedNotToRun(t *testing.T) {
 	holders := &fakeHolders{keepErr: failure.New(failure.CodeShardUnavailable, "no worker")}
 	desk, store := newDesk(holders)
--- a/internal/jobpeer/keep.go
+++ b/internal/jobpeer/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -40,6 +41,7 @@
 	submission *jobrecord.Submission
 	accepted   time.Time
 	asked      int
+	answered   int
 	kept       int
 	// told is Unknown once a worker may have the job without having said so.
 	told    outcome.Outcome
@@ -63,6 +65,9 @@
 		if k.take(<-replies) {
 			return nil
 		}
+		if k.unheard() {
+			return k.failure()
+		}
 		if k.asked < len(k.candidates) && k.kept+k.asked-answered-1 < k.needed {
 			k.ask(ctx, replies)
 		}
@@ -70,6 +75,12 @@
 	return k.failure()
 }
 
+// unheard says that none of the first workers has answered in the time that one may take. The node is cut off, as a rule: asking the
+// others, each as long, would hold the caller to its deadline, and another node may reach them.
+func (k *keeping) unheard() bool {
+	return k.answered == 0 && k.holders.Now().Sub(k.accepted) >= keepTimeout+callSlack
+}
+
 // ask sends the job to the next worker. Each call has a tomb of its own: one whose calls all ended takes no more.
 func (k *keeping) ask(ctx context.Context, replies chan<- *KeepReply) {
 	address, turn := k.candidates[k.asked], k.asked
@@ -87,6 +98,9 @@
 
 // take notes a worker's answer, or that none came, and says whether the job is durable.
 func (k *keeping) take(reply *KeepReply) bool {
+	if reply != nil {
+		k.answered++
+	}
 	switch {
 	case reply == nil:
 		k.told = outcome.Unknown
@@ -101,6 +115,10 @@
 
 // failure is what the caller is told of a job that too few workers have.
 func (k *keeping) failure() error {
+	if k.unheard() {
+		return failure.New(failure.CodeOutcomeUnknown, "none of %d workers answered", k.asked).WithOutcome(outcome.Unknown).
+			WithCause(fmt.Errorf("%w: %d asked", handoff.ErrNobodyAnswers, k.asked))
+	}
 	if k.kept > 0 || k.told != outcome.NotRun {
 		return failure.New(failure.CodeOutcomeUnknown, "%d of %d workers have the job", k.kept, k.needed).WithOutcome(outcome.Unknown)
 	}
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -31,12 +34,17 @@
 	silent  bool
 	feed    fleetfeed.Snapshot
 	asked   chan *jobpeer.KeepRequest
+	// takes is what passes while a silent worker is waited for; nil is nothing.
+	takes func()
 }
 
 func (p *peer) Invoke(_ context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
 	if request, isKeep := in.(*jobpeer.KeepRequest); isKeep {
 		p.asked <- request
 	}
+	if p.silent && p.takes != nil {
+		p.takes()
+	}
 	if p.silent {
 		return errSilent
 	}
@@ -100,6 +108,34 @@
 	assert.Equal(t, failure.As(err).Outcome, outcome.Unknown)
 }
 
+// TestNodeThatHearsNobodyAsksNoFurther has none of the first workers answer in the time that one may take: the others are not asked
+// one after the other, which would hold the caller to its deadline. Workers that refuse at once are passed over.
+func TestNodeThatHearsNobodyAsksNoFurther(t *testing.T) {
+	const workers = 12
+	for takes, wanted := range map[time.Duration]int{time.Second: 3, time.Millisecond: workers} {
+		var zones []ident.Zone
+		var peers []*peer
+		for range workers {
+			zones, peers = append(zones, "z"), append(peers, &peer{silent: true})
+		}
+		holders := newHolders(t, zones, peers...)
+		var since atomic.Int64
+		start := time.Now()
+		holders.Now = func() time.Time { return start.Add(time.Duration(since.Load())) }
+		for _, p := range peers {
+			p.takes = func() { since.Add(int64(takes)) }
+		}
+		err := keep(holders)
+		asked := 0
+		for _, p := range peers {
+			asked += len(p.asked)
+		}
+		assert.Equal(t, asked, wanted)
+		assert.Equal(t, errors.Is(err, handoff.ErrNobodyAnswers), takes == time.Second)
+		assert.Equal(t, failure.As(err).Outcome, outcome.Unknown)
+	}
+}
+
 func TestJobThatNoWorkerHasIsRefused(t *testing.T) {
 	err := keep(newHolders(t, oneZone, &peer{keep: isFull}, &peer{keep: isFull}))
 	assert.Equal(t, failure.As(err).Code, failure.CodeJobQuota)
