Read no orders while the registry is known to be away

Change: a node that knows the registry to be away waits for a probe to be answered, or for another node to tell, before it reads the orders again.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -100,7 +100,8 @@
 	alone    chan struct{}
 	revision int64
 	absence  absence
-	lost     bool
+	// lost says that the list cannot be read, answers that a probe was answered since.
+	lost, answers bool
 	// kept counts the runners that the newest list lacks and that are in use.
 	kept int
 }
@@ -157,7 +158,11 @@
 func (f *Follower) awaitAnswer(ctx context.Context, pause time.Duration) {
 	for sleep(ctx, pause); ctx.Err() == nil; {
 		began := f.Now()
-		if f.relayedUntil().runners.After(began) || f.probe(ctx) == nil {
+		if f.relayedUntil().runners.After(began) {
+			return
+		}
+		if f.probe(ctx) == nil {
+			f.noteBack()
 			return
 		}
 		sleep(ctx, f.probeEvery()-f.Now().Sub(began))
@@ -177,6 +182,13 @@
 	return f.Options.ProbeEvery
 }
 
+// noteBack notes that the registry answers again.
+func (f *Follower) noteBack() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.answers = true
+}
+
 func (f *Follower) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
 	defer cancel()
@@ -252,6 +264,7 @@
 func (f *Follower) noteLost(err error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.answers = false
 	if f.lost {
 		return
 	}
@@ -273,6 +286,7 @@
 			revision = 0
 			failures++
 			sleep(ctx, f.Options.pauseAfter(failures))
+			f.awaitRegistry(ctx)
 			f.awaitRelay(ctx)
 			continue
 		}
@@ -281,6 +295,19 @@
 	return nil
 }
 
+// awaitRegistry waits while the registry is known to be away: the readings of the runners look for its return.
+func (f *Follower) awaitRegistry(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mutex.Lock()
+		away := f.lost && !f.answers && !f.fresh.orders.After(f.Now())
+		f.mutex.Unlock()
+		if !away {
+			return
+		}
+		sleep(ctx, startPause)
+	}
+}
+
 // nextOrders reads the orders whole after a failure, and otherwise waits for newer ones.
 func (f *Follower) nextOrders(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
