--- a/internal/shardhost/recovery_test.go
+++ b/internal/shardhost/recovery_test.go
@@ -28,6 +28,13 @@
 	fleet := f.fleet
 	leader := fleet.Host(f.leader(1)).Replica(0)
 
+	defer proposeAllTheTime(leader)()
+	assert.NilError(t, fleet.Start(wiped))
+	f.awaitMember(wiped)
+}
+
+// proposeAllTheTime has commands proposed without a pause until the returned function is called.
+func proposeAllTheTime(leader shard.Replica) (end func()) {
 	var load sync.WaitGroup
 	var ended atomic.Bool
 	for number := range 16 {
@@ -37,10 +44,10 @@
 			}
 		})
 	}
-	defer load.Wait()
-	defer ended.Store(true)
-	assert.NilError(t, fleet.Start(wiped))
-	f.awaitMember(wiped)
+	return func() {
+		ended.Store(true)
+		load.Wait()
+	}
 }
 
 // sentStates counts the states that were sent whole, by their log lines.
@@ -61,17 +68,7 @@
 	states := &sentStates{}
 	f, wiped := newLargeFixture(t, shardhosttest.Options{CatchUpRate: 4 << 20, Logger: zerolog.New(states)})
 	leader := f.fleet.Host(f.leader(1)).Replica(0)
-	var load sync.WaitGroup
-	var ended atomic.Bool
-	for number := range 16 {
-		load.Go(func() {
-			for !ended.Load() {
-				_, _ = leader.Propose(context.Background(), []byte(fmt.Sprint(number)), 0)
-			}
-		})
-	}
-	defer load.Wait()
-	defer ended.Store(true)
+	defer proposeAllTheTime(leader)()
 	before := states.count.Load()
 	assert.NilError(t, f.fleet.Start(wiped))
 	f.awaitMember(wiped)
