--- a/internal/jobworker/follow.go
+++ b/internal/jobworker/follow.go
@@ -194,8 +194,8 @@
 	return w.Now().Before(w.avoidedReaders[address])
 }
 
-// noteReader notes how a question to a reader ended, and logs when this worker begins and ends to read for itself. The seeds of a
-// start are not avoided: they start at the same moment.
+// noteReader notes how a question to a reader ended: one in vain passes the reader over for a while. The seeds of a start are not
+// passed over, because they start at the same moment.
 func (w *Worker) noteReader(address string, err error) {
 	if err == nil {
 		delete(w.avoidedReaders, address)
