--- a/internal/refusal/refusal_test.go
+++ b/internal/refusal/refusal_test.go
@@ -22,14 +22,14 @@
 	var told []string
 	refusals := &refusal.Book{Tell: func(key string, err error, total int) { told = append(told, fmt.Sprint(key, " ", err, " ", total)) }}
 	for _, reading := range []map[string]error{
-		{"servers/a": errPlaces}, {"servers/a": errPlaces}, {"servers/a": errState, "servers/b": errForm}, {"servers/b": errForm}, {}, {},
+		{"runners/a": errPlaces}, {"runners/a": errPlaces}, {"runners/a": errState, "runners/b": errForm}, {"runners/b": errForm}, {}, {},
 	} {
-		refusals.Settle("servers/", maps.Clone(reading))
+		refusals.Settle("runners/", maps.Clone(reading))
 	}
 	assert.Equal(t, len(told), 5, told)
-	refusals.Note("op/config", errForm)
-	refusals.Settle("servers/", nil)
-	refusals.Note("op/config", errForm)
-	refusals.Note("op/config", nil)
+	refusals.Note("orders/config", errForm)
+	refusals.Settle("runners/", nil)
+	refusals.Note("orders/config", errForm)
+	refusals.Note("orders/config", nil)
 	assert.Equal(t, len(told), 7, told)
 }
