--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -79,7 +79,7 @@
 	// reads the store itself makes four calls, all of them a thousand on a site of 300 machines. Traffic comes ten seconds later.
 	firstStartGrace = 1500 * time.Millisecond
 	// startGrace is the same for a process that starts alone, or after a loss of power: callers wait for it. Where all
-	// start at once, workers tell after 0.35 s; a worker that is up answers within some ten milliseconds.
+	// of 295 processes were killed and started at once, fronts were told after 0.02 to 0.12 s (one play).
 	startGrace = 600 * time.Millisecond
 )
 
