Have two tests of the follower fail on the fault they are for

With the fault put in, TestListAfterAnOutageComesFromTheOneThatReads and TestNodeThatIsToReadForOthersReadsAtOnce passed: the first met one phase of the node's probes, the second let the node read at its start. They go through 20 phases and start with a grace now, and fail with each fault; the other three tests of that kind (unheard keepers, unheard acceptance, grace of a start) failed with theirs.

--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -104,6 +104,7 @@
 			Registry: registry, Source: source, Runners: runnertable.New("z"), Routes: &routetable.Table{}, Logger: zerolog.Nop(),
 			Now: time.Now, Options: follower.OptionsFor(longDrain, siteHeartbeat),
 		}
+		f.Options.StartGrace = time.Second
 		feed.Read(runners, 5, began)
 		feed.Orders(work.Orders{Catalog: registry.catalog}, began)
 		supervisor := new(tomb.Tomb)
@@ -119,7 +120,9 @@
 // TestListAfterAnOutageComesFromTheOneThatReads has the registry away from all. Once it is back, the node that reads for all has its
 // list after some ten milliseconds; one that it tells reads nothing itself, and one whose source has died reads at once.
 func TestListAfterAnOutageComesFromTheOneThatReads(t *testing.T) {
-	for _, dies := range []bool{false, true} {
+	// The node's probes come at each phase of the return.
+	for phase := range 20 {
+		dies := phase%2 == 1
 		synctest.Test(t, func(t *testing.T) {
 			feed := fleetfeed.New(time.Now)
 			runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
@@ -135,7 +138,7 @@
 			supervisor := new(tomb.Tomb)
 			f.Start(supervisor)
 			registry.set(func(r *fakeRegistry) { r.down = true })
-			time.Sleep(8 * time.Second)
+			time.Sleep(8*time.Second + time.Duration(phase)*27*time.Millisecond)
 			if dies {
 				close(source.cut)
 				time.Sleep(4 * time.Second)
