Show which attempts are of one request by a keyed hash

Cause: a request that comes again has a new id each time, so that lines of attempts do not tell how often it was sent.

The key is a setting, the same on all machines and after a restart; without one it is the store's address.

Ruled out: the id of the request, its length or its prompt parts: the first is new each time, the others are shared by many.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -40,7 +40,7 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
-	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Logger: process.logger, Now: time.Now}
+	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Key: settings.Key(), Logger: process.logger, Now: time.Now}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	records := process.records()
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -29,7 +29,7 @@
 	worker := &jobworker.Worker{
 		Node: ident.Node(settings.Node.Name), Zone: ident.Zone(settings.Node.Zone), Address: settings.Listen.Peers,
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
-		Caller: process.caller, Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
+		Caller: process.caller, Key: settings.Key(), Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
 	}
 	kept, err := process.openHandoff()
 	if err != nil {
--- a/internal/event/jobworker.go
+++ b/internal/event/jobworker.go
@@ -10,7 +10,7 @@
 	JobLeft          = register(3603, "job_left", zerolog.InfoLevel, "This node does not run a batch job any more.", "none")
 	LeaseLapsed      = register(3604, "claim_lease_lapsed", zerolog.WarnLevel, "The lease that this node's claims hang on lapsed; they are taken anew.", "check the store and the path to it, or whether the process stood still")
 	JobStoreFailed   = register(3605, "job_store_failed", zerolog.WarnLevel, "A call of the store for batch jobs failed and is tried again.", "check the store and the path to it")
-	ItemRunBroken    = register(3606, "item_run_broken", zerolog.WarnLevel, "A run of a batch item ended without its whole output; another run goes on after the event named.", "none unless one runner stands out")
+	ItemRunBroken    = register(3606, "item_run_broken", zerolog.WarnLevel, "A run of a batch item ended without its whole output; another run goes on after the event named. The line has the print of the item, which tells nothing of its text.", "none unless one runner stands out")
 	ItemGivenUp      = register(3607, "item_given_up", zerolog.WarnLevel, "A batch item was given up and is listed as a dead letter; the line says why.", "see the reason")
 	JobReadFailed    = register(3608, "job_read_failed", zerolog.WarnLevel, "A job could not be read and the caller was told to come again.", "check the store and the path to it")
 	JobKept          = register(3610, "job_kept", zerolog.InfoLevel, "A batch job is on this worker's disk until the store takes it.", "none")
--- a/internal/event/online.go
+++ b/internal/event/online.go
@@ -4,7 +4,7 @@
 
 // Events of serving requests of a platform's dialect: 3500 to 3599.
 var (
-	AttemptFailed  = register(3500, "attempt_failed", zerolog.WarnLevel, "An attempt at a runner gave no whole answer; the line says which run it was and after which event it ended.", "none unless one runner stands out: check that runner")
+	AttemptFailed  = register(3500, "attempt_failed", zerolog.WarnLevel, "An attempt at a runner gave no whole answer; the line says which run it was, after which event it ended, and the print of the request, which is the same when it comes again.", "none unless one runner stands out: check that runner")
 	RequestFailed  = register(3501, "request_failed", zerolog.WarnLevel, "A request got an error of the system's own; the line says whether it may have run.", "follow the request's id through attempt_failed lines")
 	RequestBroken  = register(3502, "request_broken", zerolog.WarnLevel, "An answer was begun and broken off, so that it does not look complete.", "follow the request's id through attempt_failed lines")
 	CatalogAdopted = register(3503, "catalog_adopted", zerolog.InfoLevel, "A newer configuration is in force on this node.", "none")
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -42,7 +42,8 @@
 	defer flight.End()
 	resumed := item.lastEvent
 	w.nameRun(item)
-	status, err := w.stream(ctx, item, route, flight)
+	request := w.request(item)
+	status, err := w.stream(ctx, item, request, flight)
 	now := w.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -73,7 +74,7 @@
 			item.notBefore = now.Add(pauseAfterFailure)
 			flight.Failed(failureOf(err), now)
 			event.ItemRunBroken.Log(w.Logger).Str("job", string(item.job.header.ID)).Str("item", string(item.item.ID)).
-				Str("runner", string(flight.Runner.ID)).Int64("last_event", item.lastEvent).Int("status", status).Err(err).Send()
+				Str("print", string(w.Key.Of(request))).Str("runner", string(flight.Runner.ID)).Int64("last_event", item.lastEvent).Int("status", status).Err(err).Send()
 		}
 	}
 }
@@ -118,9 +119,9 @@
 }
 
 // stream sends the item to the runner and takes its events. It returns the status of an answer that was read whole.
-func (w *Worker) stream(ctx context.Context, item *itemRun, route *work.Route, flight *runnertable.Flight) (int, error) {
+func (w *Worker) stream(ctx context.Context, item *itemRun, request *work.Request, flight *runnertable.Flight) (int, error) {
 	reply, err := w.Caller.Send(ctx, work.Attempt{
-		Request: w.request(item), Runner: flight.Runner, Budget: longestBudget, ResumeAfter: item.lastEvent,
+		Request: request, Runner: flight.Runner, Budget: longestBudget, ResumeAfter: item.lastEvent,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/lending"
+	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
@@ -95,6 +96,8 @@
 	Runners *runnertable.Table
 	Routes  *routetable.Table
 	Caller  work.Caller
+	// Key is what the prints of items are made with.
+	Key     poison.Key
 	Options Options
 	// Handoff keeps jobs that the store did not take yet; nil keeps none.
 	Handoff *handoff.Log
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -258,6 +258,7 @@
 func (e *exchange) logAttempt(flight *runnertable.Flight, err error) {
 	event.AttemptFailed.Log(e.forwarder.Logger).
 		Str("request", string(e.request.ID)).
+		Str("print", string(e.forwarder.Key.Of(e.request))).
 		Str("runner", string(flight.Runner.ID)).
 		Int("runs", e.runs).
 		Int64("last_event", e.lastEvent).
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -46,8 +47,10 @@
 type Forwarder struct {
 	Runners *runnertable.Table
 	Caller  work.Caller
-	Logger  zerolog.Logger
-	Now     func() time.Time
+	// Key is what the prints of requests are made with.
+	Key    poison.Key
+	Logger zerolog.Logger
+	Now    func() time.Time
 
 	rooms rooms
 }
--- a/internal/sitesettings/settings.go
+++ b/internal/sitesettings/settings.go
@@ -13,6 +13,7 @@
 	"gopkg.in/yaml.v3"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/poison"
 )
 
 const (
@@ -31,6 +32,9 @@
 	Bounds Bounds `yaml:"bounds"`
 	// Seeds are addresses at which some workers may be asked, also ones that are gone.
 	Seeds []string `yaml:"seeds"`
+	// PrintKey keys the hashes by which nodes tell each other of requests. It is the same on all machines; empty takes one from
+	// the store's address, which is no secret: whoever knows it can try out texts that they guess.
+	PrintKey string `yaml:"print_key"`
 }
 
 // Node names the process and its place.
@@ -115,6 +119,14 @@
 	return time.Duration(s.ShortestLeaseMs) * time.Millisecond
 }
 
+// Key is what the prints of requests are made with.
+func (s Settings) Key() poison.Key {
+	if s.PrintKey != "" {
+		return poison.Key(s.PrintKey)
+	}
+	return poison.Key(s.Store.Address)
+}
+
 // Load reads and checks the file. The error wraps ErrUnreadable or ErrInvalid.
 func Load(path string) (Settings, error) {
 	content, err := os.ReadFile(path)
