Count the workers that are asked once all of them were

Cause: a test counted the workers asked for a job as soon as the node had given up. The first three are asked beside each other, and the node may give up when one has answered and the others are about to be asked.

Change: the test runs in simulated time and waits until nothing moves before it counts. The figures that it asks for are the same.

--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -113,29 +114,36 @@
 func TestNodeThatHearsNobodyAsksNoFurther(t *testing.T) {
 	const workers = 12
 	for takes, wanted := range map[time.Duration]int{time.Second: 3, time.Millisecond: workers} {
-		var zones []ident.Zone
-		var peers []*peer
-		for range workers {
-			zones, peers = append(zones, "z"), append(peers, &peer{silent: true})
-		}
-		holders := newHolders(t, zones, peers...)
-		var since atomic.Int64
-		start := time.Now()
-		holders.Now = func() time.Time { return start.Add(time.Duration(since.Load())) }
-		for _, p := range peers {
-			p.takes = func() { since.Add(int64(takes)) }
-		}
-		err := keep(holders)
-		asked := 0
-		for _, p := range peers {
-			asked += len(p.asked)
-		}
-		assert.Equal(t, asked, wanted)
-		assert.Equal(t, errors.Is(err, handoff.ErrNobodyAnswers), takes == time.Second)
-		assert.Equal(t, failure.As(err).Outcome, outcome.Unknown)
+		synctest.Test(t, func(t *testing.T) { askSilentWorkers(t, workers, takes, wanted) })
 	}
 }
 
+// askSilentWorkers has a job kept by workers that are silent for a time each, and checks how many are asked.
+func askSilentWorkers(t *testing.T, workers int, takes time.Duration, wanted int) {
+	var zones []ident.Zone
+	var peers []*peer
+	for range workers {
+		zones, peers = append(zones, "z"), append(peers, &peer{silent: true})
+	}
+	holders := newHolders(t, zones, peers...)
+	var since atomic.Int64
+	start := time.Now()
+	holders.Now = func() time.Time { return start.Add(time.Duration(since.Load())) }
+	for _, p := range peers {
+		p.takes = func() { since.Add(int64(takes)) }
+	}
+	err := keep(holders)
+	// The first are asked beside each other: one may have answered before another was asked.
+	synctest.Wait()
+	asked := 0
+	for _, p := range peers {
+		asked += len(p.asked)
+	}
+	assert.Equal(t, asked, wanted)
+	assert.Equal(t, errors.Is(err, handoff.ErrNobodyAnswers), takes == time.Second)
+	assert.Equal(t, failure.As(err).Outcome, outcome.Unknown)
+}
+
 func TestJobThatNoWorkerHasIsRefused(t *testing.T) {
 	err := keep(newHolders(t, oneZone, &peer{keep: isFull}, &peer{keep: isFull}))
 	assert.Equal(t, failure.As(err).Code, failure.CodeJobQuota)
