Refuse a request under which three runners ended, at all nodes

Cause: what is remembered of the end of a runner was remembered of the runner, nothing of the request. One that ends its runners comes again with another id at any node, and the attempts of its route (2) bound each coming anew.

Change: where an answer breaks off, the node asks the runner whether it lives (endwatch): only nobody at its address, another incarnation there, or an entry that the registry drops counts as an end; a reset, silence, a cut and a runner that leaves do not. Ends are written down by print (poison.Book), excused once a runner comes to the end of the request, and explained by another request under which more runners ended. Three make it refused: 502, not invited again, before it waits and before each attempt. Nodes tell two workers, those all others, and each answer to a report of online work has what a node lacks; the store is not needed. A worker keeps it on its disk; one that was away reads at another each second. An item waits 5, 10 and 20 s, three tries, then until its retention.

Ruled out: counting broken answers (479 streams and 121 attempts broke off in one storm, nearly all of requests beside); the registry alone as the proof (2.3 to 4 s, 3 are allowed); the store as the way (it may be away).

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -40,7 +40,7 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
-	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Key: settings.Key(), Logger: process.logger, Now: time.Now}
+	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Ends: process.ends, Key: settings.Key(), Logger: process.logger, Now: time.Now}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	records := process.records()
@@ -51,6 +51,7 @@
 	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes()}
 	process.follow(&follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}})
 	process.tellDemand(holders)
+	holders.TellEnds(process.tomb, process.ends)
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: time.Now,
@@ -69,7 +70,7 @@
 
 // tellDemand has the workers told of the online work of this node.
 func (p *process) tellDemand(holders *jobpeer.Holders) {
-	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Now: time.Now}, time.Now)
+	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Now: time.Now}, time.Now)
 	teller.Tell = holders.TellDemand
 	p.runners.OnOnlineChanged(teller.Changed)
 	teller.Start(p.tomb)
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -10,10 +10,12 @@
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/connpool"
+	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/refusal"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
@@ -50,6 +52,7 @@
 	runners   *runnertable.Table
 	routes    *routetable.Table
 	lifecycle *site.Lifecycle
+	ends      *endwatch.Watch
 }
 
 func newProcess(path string, settings sitesettings.Settings, role string) *process {
@@ -61,7 +64,7 @@
 	storePool := connpool.New(connpool.Options{
 		DialTimeout: storeDialTimeout, IdleTimeout: storeIdleTimeout, MaximumIdle: storeIdle,
 	})
-	return &process{
+	started := &process{
 		path: path, settings: settings, logs: logs, logger: logger, tomb: new(tomb.Tomb),
 		store:     storemeter.New(&platform.Store{Address: settings.Store.Address, Pool: storePool}),
 		storePool: storePool,
@@ -72,6 +75,11 @@
 		routes:    &routetable.Table{},
 		lifecycle: &site.Lifecycle{},
 	}
+	started.ends = &endwatch.Watch{
+		Book: poison.NewBook(time.Now().UnixNano()), Runners: started.runners, Caller: started.caller, Tomb: started.tomb,
+		Logger: logger, Now: time.Now,
+	}
+	return started
 }
 
 const (
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -29,7 +29,7 @@
 	worker := &jobworker.Worker{
 		Node: ident.Node(settings.Node.Name), Zone: ident.Zone(settings.Node.Zone), Address: settings.Listen.Peers,
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
-		Caller: process.caller, Key: settings.Key(), Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
+		Caller: process.caller, Ends: process.ends, Key: settings.Key(), Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
 	}
 	kept, err := process.openHandoff()
 	if err != nil {
@@ -46,7 +46,12 @@
 	worker.Seeds, worker.SeedsFor = settings.Seeds, process.startGrace()
 	source := &jobpeer.LeaderFeed{Reader: worker.Reader, Connect: pool.ConnAddress, Now: time.Now}
 	worker.Followed = source.Changed
+	if settings.Node.DataFolder != "" {
+		process.ends.Keep(filepath.Join(settings.Node.DataFolder, endsFile))
+	}
 	worker.Start(process.tomb)
+	ends := &jobpeer.WorkerEnds{Node: worker.Node, Watch: process.ends, Workers: worker.Registered, Peers: peers}
+	ends.Start(process.tomb)
 	feed := fleetfeed.New(time.Now)
 	feed.Workers = jobpeer.FeedWorkers(worker)
 	process.follow(&follower.Follower{Retire: worker.Retire, Feed: feed, Source: source})
@@ -102,6 +107,9 @@
 	return outputs, nil
 }
 
+// endsFile has which requests end their runners, below the data folder, so that they outlive this process.
+const endsFile = "ends.json"
+
 // servePeers lets other nodes read the results of the worker's jobs, and what it read of the registry.
 func (p *process) servePeers(worker *jobworker.Worker, feed *fleetfeed.Feed) error {
 	listener, err := net.Listen("tcp4", p.settings.Listen.Peers)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -17,6 +19,8 @@
 	ErrNotSent = failure.Kind("connection pool: request not sent")
 	// ErrNoAnswer means that the request was sent, wholly or in part, and no answer of its own came.
 	ErrNoAnswer = failure.Kind("connection pool: no answer")
+	// ErrNobodyListens comes with ErrNotSent where the machine is there and no process of it listens at the address.
+	ErrNobodyListens = failure.Kind("connection pool: nobody listens")
 )
 
 // Options shape a pool.
@@ -98,6 +102,9 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNobodyListens, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/poison"
 )
 
 // Lifetime is how long what a node told counts without news from it: a few times IdleRefreshEvery, so that one lost call
@@ -32,6 +33,8 @@
 	Incarnation int64   `json:"incarnation"`
 	Sequence    int64   `json:"sequence"`
 	Counts      []Count `json:"counts"`
+	// EndsRead is how far the node has read what the worker knows of requests that end their runners.
+	EndsRead poison.Cursor `json:"ends_read"`
 }
 
 // Share is what a worker knows of the work at one of its runners.
@@ -62,10 +65,12 @@
 	return run * time.Duration(b.Waiting+more) / time.Duration(max(b.Places, 1))
 }
 
-// Answer is a worker's answer to a report: the shares of all runners that it owns, and its batch work.
+// Answer is a worker's answer to a report: the shares of all runners that it owns, its batch work, and what the node lacks of
+// the requests that end their runners. Nodes report twice a second at least, so that they hear of such a request within that.
 type Answer struct {
-	Shares []Share `json:"shares"`
-	Batch  Batch   `json:"batch"`
+	Shares []Share     `json:"shares"`
+	Batch  Batch       `json:"batch"`
+	Ends   poison.News `json:"ends"`
 }
 
 // Ledger holds what nodes told. It is safe for concurrent use. It is asked some hundred times for each report, so that the
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -8,6 +8,7 @@
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/poison"
 )
 
 const (
@@ -72,6 +73,8 @@
 	lastAt time.Time
 	// notBefore is when the worker may be called again after a failure.
 	notBefore time.Time
+	// endsRead is how far this node has read what the worker knows of requests that end their runners.
+	endsRead poison.Cursor
 }
 
 // NewTeller returns a teller that is not started.
@@ -201,7 +204,7 @@
 	for _, count := range counts {
 		c.last[count.Runner] = count
 	}
-	return &Report{Sequence: c.sequence, Counts: counts}
+	return &Report{Sequence: c.sequence, Counts: counts, EndsRead: c.endsRead}
 }
 
 // tell makes one call and, where more happened meanwhile, has the next one made.
@@ -224,6 +227,7 @@
 		known.notBefore = now.Add(pauseAfterFailure)
 		return
 	}
+	known.endsRead = answer.Ends.Cursor
 	if known.missed {
 		t.Changed(true)
 	}
--- a/internal/failure/code.go
+++ b/internal/failure/code.go
@@ -27,6 +27,7 @@
 	CodeNoBackend            Code = "no_backend"
 	CodeBackendFailed        Code = "backend_failed"
 	CodeStreamInterrupted    Code = "stream_interrupted"
+	CodeEndsRunners          Code = "request_ends_runners"
 	CodeShardUnavailable     Code = "job_storage_unavailable"
 	CodeTooFewCopies         Code = "too_few_copies"
 	CodeJobQuota             Code = "job_quota_exceeded"
@@ -61,6 +62,7 @@
 	CodeNoBackend:            http.StatusServiceUnavailable,
 	CodeBackendFailed:        http.StatusBadGateway,
 	CodeStreamInterrupted:    http.StatusBadGateway,
+	CodeEndsRunners:          http.StatusBadGateway,
 	CodeShardUnavailable:     http.StatusServiceUnavailable,
 	CodeTooFewCopies:         http.StatusServiceUnavailable,
 	CodeJobQuota:             http.StatusTooManyRequests,
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 )
@@ -15,7 +16,9 @@
 type OnlineWork struct {
 	Holders *Holders
 	Runners *runnertable.Table
-	Now     func() time.Time
+	// Ends takes what workers tell of requests that end their runners; nil takes none.
+	Ends *endwatch.Watch
+	Now  func() time.Time
 }
 
 // Online implements demand.Work.
@@ -39,6 +42,7 @@
 func (o *OnlineWork) Take(address string, answer *demand.Answer, asOf time.Time) {
 	o.Runners.TakeShares(answer.Shares, asOf)
 	o.Holders.noteBatch(address, answer.Batch, asOf)
+	o.Ends.Learn(answer.Ends.Records, false)
 }
 
 // TellDemand tells a worker of online work. A worker that does not answer is left alone for a while.
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -15,6 +15,7 @@
 	"mallowlatch.example/mallowlatch/internal/jsoncall"
 	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -32,6 +33,7 @@
 	methodLend     = "/mallowlatch.jobpeer.Jobs/Lend"
 	methodTakeBack = "/mallowlatch.jobpeer.Jobs/TakeBack"
 	methodLive     = "/mallowlatch.jobpeer.Jobs/Live"
+	methodEnds     = "/mallowlatch.jobpeer.Jobs/Ends"
 )
 
 // Query asks for the results of a job from a position on.
@@ -142,6 +144,20 @@
 // TakeBackReply says that places were given back.
 type TakeBackReply struct{}
 
+// EndsRequest tells a worker of requests that end their runners, and asks for what it knows.
+type EndsRequest struct {
+	Records []poison.Record `json:"records,omitempty"`
+	// PassOn has the worker tell the others.
+	PassOn bool `json:"pass_on,omitempty"`
+	// Read is how far the caller has read what the worker knows; nil asks for nothing.
+	Read *poison.Cursor `json:"read,omitempty"`
+}
+
+// EndsReply is what the caller lacks.
+type EndsReply struct {
+	News poison.News `json:"news"`
+}
+
 // Server answers queries.
 type Server interface {
 	Results(ctx context.Context, query *Query) (*Reply, error)
@@ -155,13 +171,14 @@
 	Lend(ctx context.Context, request *lending.Request) (*lending.Reply, error)
 	TakeBack(ctx context.Context, recall *lending.Recall) (*TakeBackReply, error)
 	Live(ctx context.Context, query *LiveQuery) (*LiveReply, error)
+	Ends(ctx context.Context, request *EndsRequest) (*EndsReply, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 11 }
+func (Description) NumMethods() int { return 12 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -188,6 +205,8 @@
 		return methodTakeBack, jsoncall.Encoding{}, receiveTakeBack, Server.TakeBack, true
 	case 10:
 		return methodLive, jsoncall.Encoding{}, receiveLive, Server.Live, true
+	case 11:
+		return methodEnds, jsoncall.Encoding{}, receiveEnds, Server.Ends, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -235,3 +254,7 @@
 func receiveLive(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 	return server.(Server).Live(ctx, in.(*LiveQuery))
 }
+
+func receiveEnds(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Ends(ctx, in.(*EndsRequest))
+}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -62,3 +62,13 @@
 	s.Worker.TakenBack(*recall)
 	return &TakeBackReply{}, nil
 }
+
+// Ends implements Server.
+func (s *WorkerServer) Ends(_ context.Context, request *EndsRequest) (*EndsReply, error) {
+	s.Worker.Ends.Learn(request.Records, request.PassOn)
+	reply := &EndsReply{}
+	if request.Read != nil && s.Worker.Ends != nil {
+		reply.News = s.Worker.Ends.Book.Since(*request.Read, s.Worker.Now(), false)
+	}
+	return reply, nil
+}
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -72,7 +72,7 @@
 	full := map[string]bool{}
 	for _, item := range waiting {
 		route := w.routeOf(item, now)
-		if route == nil {
+		if route == nil || w.holdsBack(item, now) {
 			continue
 		}
 		service := route.Split[item.index%len(route.Split)].Service
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -9,6 +9,7 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -57,6 +58,8 @@
 	// mirrored is how much of the text the second place has, in bytes, and mirroredRun the run that made its end.
 	mirrored    int
 	mirroredRun progress.RunID
+	// print is the item's once it was needed.
+	print poison.Print
 	// failures counts the runs that the runner itself failed.
 	failures int
 	// avoid holds the runners that failed it.
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -44,6 +44,7 @@
 	w.nameRun(item)
 	request := w.request(item)
 	status, err := w.stream(ctx, item, request, flight)
+	w.noteEnd(ctx, flight, request, status, err)
 	now := w.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -165,8 +166,15 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	request := w.requestOf(item)
+	request.Headers = headers
+	return request
+}
+
+// requestOf is what a runner is asked to do, without headers. The caller holds the mutex.
+func (w *Worker) requestOf(item *itemRun) *work.Request {
 	return &work.Request{
-		ID: item.item.ID, Method: http.MethodPost, Path: item.item.Path, Host: item.job.header.Host, Headers: headers, Body: item.body,
+		ID: item.item.ID, Method: http.MethodPost, Path: item.item.Path, Host: item.job.header.Host, Body: item.body,
 	}
 }
 
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -13,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/batchroom"
 	"mallowlatch.example/mallowlatch/internal/changefeed"
 	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -96,6 +97,8 @@
 	Runners *runnertable.Table
 	Routes  *routetable.Table
 	Caller  work.Caller
+	// Ends finds out which items end the runners that run them; nil lets each run.
+	Ends *endwatch.Watch
 	// Key is what the prints of items are made with.
 	Key     poison.Key
 	Options Options
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -12,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/waitline"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -40,6 +41,8 @@
 	// sent is when the last attempt was sent.
 	sent    time.Time
 	outcome outcome.Outcome
+	// printed is the request's print once it was needed.
+	printed poison.Print
 }
 
 // errTryAgain means that another runner may have the request.
@@ -68,10 +71,18 @@
 	if budget < leastBudget {
 		return e.refusal(failure.CodeDeadlineExceeded, "the time of the request is over", nil)
 	}
+	if e.endsRunners() {
+		return e.turnedAway()
+	}
 	flight, err := e.pick()
 	if err != nil {
 		return e.notPicked(err)
 	}
+	// Other nodes may have told of it while the request waited for its place.
+	if e.endsRunners() {
+		flight.End()
+		return e.turnedAway()
+	}
 	e.sent = e.forwarder.Now()
 	defer func() { e.room.freed(e.forwarder.Now().Sub(e.sent)) }()
 	defer flight.End()
@@ -136,6 +147,7 @@
 	if result == outcome.NotRun {
 		return fmt.Errorf("%w: %w", errTryAgain, err)
 	}
+	e.brokeOff(flight)
 	e.runs++
 	return e.afterRun(err)
 }
@@ -183,9 +195,13 @@
 	}
 	before := e.lastEvent
 	err := e.relay(flight, reply, guard)
+	if err == nil && !erred(reply) {
+		e.cameToItsEnd()
+	}
 	if err == nil || errors.Is(err, errCallerGone) {
 		return err
 	}
+	e.brokeOff(flight)
 	if e.ctx.Err() == nil {
 		cause := runnertable.NoAnswer
 		if guard.fired() {
@@ -258,7 +274,7 @@
 func (e *exchange) logAttempt(flight *runnertable.Flight, err error) {
 	event.AttemptFailed.Log(e.forwarder.Logger).
 		Str("request", string(e.request.ID)).
-		Str("print", string(e.forwarder.Key.Of(e.request))).
+		Str("print", string(e.print())).
 		Str("runner", string(flight.Runner.ID)).
 		Int("runs", e.runs).
 		Int64("last_event", e.lastEvent).
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"mallowlatch.example/mallowlatch/internal/connpool"
+	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
@@ -47,6 +48,8 @@
 type Forwarder struct {
 	Runners *runnertable.Table
 	Caller  work.Caller
+	// Ends finds out which requests end the runners that run them; nil lets each run.
+	Ends *endwatch.Watch
 	// Key is what the prints of requests are made with.
 	Key    poison.Key
 	Logger zerolog.Logger
--- /dev/null
+++ b/internal/poison/book.go
@@ -0,0 +1,419 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+const (
+	// enoughEnds is how many runners may end under a request before it is run no more: the most that the platform allows. Fewer
+	// would refuse more requests that only ran beside one that ends its runners.
+	enoughEnds = 3
+	// certainEnds is the number from which on a request is refused though another explains its ends: of two that are always
+	// together each may be the cause.
+	certainEnds = 5
+	// keptFor is how long a record is kept after the last end under its request. One that is refused is run again then: runners
+	// with other weights may be able to. If they are not, that costs three runners more.
+	keptFor = time.Hour
+	// keptPrints bounds the prints of a Book. Each takes 0.3 kB. A storm on 18 runners leaves some hundred, nearly all of requests
+	// that only ran beside another.
+	keptPrints = 512
+	// keptEnds bounds the ends that are kept of one print.
+	keptEnds = 16
+	// toldAtOnce bounds the records of one answer, to some 60 kB. The rest is told with the next.
+	toldAtOnce = 256
+)
+
+// End is the end of a runner under a request.
+type End struct {
+	Runner ident.Incarnation `json:"runner"`
+	// AgeMs is how long ago that was when it was told, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
+	// Excused says that a runner came to the end of the request later, so that this end had another cause.
+	Excused bool `json:"excused,omitempty"`
+}
+
+// Record is what a node tells others of one print.
+type Record struct {
+	Print Print `json:"print"`
+	Ends  []End `json:"ends"`
+}
+
+// Cursor is how far a node has read the Book of another; the zero Cursor reads from the beginning.
+type Cursor struct {
+	// Book tells Books apart: a node that starts again begins a new one.
+	Book     int64 `json:"book,omitempty"`
+	Position int64 `json:"position,omitempty"`
+}
+
+// News are the records that changed since a cursor, and the next cursor.
+type News struct {
+	Records []Record `json:"records,omitempty"`
+	Cursor  Cursor   `json:"cursor"`
+}
+
+// Book holds which runners ended under which requests. It is safe for concurrent use.
+type Book struct {
+	id    int64
+	mutex sync.Mutex
+	// records are by print; at most keptPrints.
+	records map[Print]*record
+	// position rises with each change of a record.
+	position int64
+	// untold is signalled when there is something to tell others, anything with each change.
+	untold, anything chan struct{}
+}
+
+// record is what is known of one print.
+type record struct {
+	// ends are the runners that ended; at most keptEnds. An end that is excused stays so, and none is taken back: whatever the order
+	// in which nodes tell each other, they come to know the same.
+	ends map[ident.Incarnation]*noted
+	// refused says that the request is to be run no more. It follows from the ends of all records.
+	refused bool
+	// position is the Book's as of the last change.
+	position int64
+	// untold says that the record has what this node is still to tell others.
+	untold bool
+}
+
+// noted is the end of one runner.
+type noted struct {
+	at      time.Time
+	excused bool
+}
+
+// NewBook returns an empty Book. The id tells it from those of other processes and of before a restart.
+func NewBook(id int64) *Book {
+	return &Book{id: id, records: map[Print]*record{}, untold: make(chan struct{}, 1), anything: make(chan struct{}, 1)}
+}
+
+// Empty says that nothing is known of any request, so that none needs to be looked up.
+func (b *Book) Empty() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.records) == 0
+}
+
+// Refused says whether a request is to be run no more.
+func (b *Book) Refused(print Print) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known := b.records[print]
+	return known != nil && known.refused
+}
+
+// Ends returns how many runners ended under a request, and when the last did.
+func (b *Book) Ends(print Print) (count int, last time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known := b.records[print]
+	if known == nil {
+		return 0, time.Time{}
+	}
+	return known.count(), known.last()
+}
+
+// Ended notes that a runner ended while it ran requests. It returns those that are refused from now on.
+func (b *Book) Ended(runner ident.Incarnation, prints []Print, at, now time.Time) []Print {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, print := range prints {
+		if known := b.recordOf(print); known.note(runner, at, false) {
+			b.changed(known, true)
+		}
+	}
+	return b.settle(now)
+}
+
+// Well notes that a runner came to the end of a request: those that ended under it before did so for another cause.
+func (b *Book) Well(print Print, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known := b.records[print]
+	if known == nil || known.count() == 0 {
+		return
+	}
+	for _, end := range known.ends {
+		end.excused = true
+	}
+	b.changed(known, true)
+	b.settle(now)
+}
+
+// Learn takes over what another node told. passOn says that this node is to tell others. It returns the prints that are refused
+// from now on.
+func (b *Book) Learn(records []Record, now time.Time, passOn bool) []Print {
+	if len(records) == 0 {
+		return nil
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, told := range records {
+		known := b.recordOf(told.Print)
+		news := false
+		for _, end := range told.Ends {
+			at := now.Add(-time.Duration(max(end.AgeMs, 0)) * time.Millisecond)
+			news = known.note(end.Runner, at, end.Excused) || news
+		}
+		if news {
+			b.changed(known, passOn)
+		}
+	}
+	return b.settle(now)
+}
+
+// note takes over one end, and says whether it is news. Where no more are kept, an excused end makes room for one that is not.
+func (r *record) note(runner ident.Incarnation, at time.Time, excused bool) bool {
+	known := r.ends[runner]
+	switch {
+	case known != nil && (known.excused || !excused):
+		return false
+	case known != nil:
+		known.excused = true
+		return true
+	case len(r.ends) >= keptEnds && (excused || !r.dropExcused()):
+		return false
+	}
+	r.ends[runner] = &noted{at: at, excused: excused}
+	return true
+}
+
+// dropExcused forgets one excused end, if there is any.
+func (r *record) dropExcused() bool {
+	for runner, end := range r.ends {
+		if end.excused {
+			delete(r.ends, runner)
+			return true
+		}
+	}
+	return false
+}
+
+// count is the number of ends that are not excused.
+func (r *record) count() int {
+	count := 0
+	for _, end := range r.ends {
+		if !end.excused {
+			count++
+		}
+	}
+	return count
+}
+
+// last is when the last runner ended.
+func (r *record) last() time.Time {
+	var last time.Time
+	for _, end := range r.ends {
+		if end.at.After(last) {
+			last = end.at
+		}
+	}
+	return last
+}
+
+// recordOf returns the record of a print, a new one where there is none. The caller holds the mutex.
+func (b *Book) recordOf(print Print) *record {
+	known := b.records[print]
+	if known == nil {
+		known = &record{ends: map[ident.Incarnation]*noted{}}
+		b.records[print] = known
+	}
+	return known
+}
+
+// changed gives a record its place in the order of changes. The caller holds the mutex.
+func (b *Book) changed(known *record, untold bool) {
+	b.position++
+	known.position = b.position
+	signal(b.anything)
+	if untold {
+		known.untold = true
+		signal(b.untold)
+	}
+}
+
+func signal(waiting chan struct{}) {
+	select {
+	case waiting <- struct{}{}:
+	default:
+	}
+}
+
+// Changed is signalled with each change.
+func (b *Book) Changed() <-chan struct{} { return b.anything }
+
+// Untold is signalled when there is something to tell others.
+func (b *Book) Untold() <-chan struct{} { return b.untold }
+
+// Since returns the records that changed since a cursor, the earliest first; refusedOnly leaves out those of requests that may
+// run and have no end that is excused.
+func (b *Book) Since(cursor Cursor, now time.Time, refusedOnly bool) News {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	after := cursor.Position
+	if cursor.Book != b.id {
+		after = 0
+	}
+	news := News{Cursor: Cursor{Book: b.id, Position: b.position}}
+	if after >= b.position {
+		return news
+	}
+	var changed []Print
+	for print, known := range b.records {
+		if known.position > after && (!refusedOnly || known.refused || known.count() < len(known.ends)) {
+			changed = append(changed, print)
+		}
+	}
+	slices.SortFunc(changed, func(first, second Print) int {
+		return cmp.Compare(b.records[first].position, b.records[second].position)
+	})
+	if len(changed) > toldAtOnce {
+		changed = changed[:toldAtOnce]
+		news.Cursor.Position = b.records[changed[toldAtOnce-1]].position
+	}
+	for _, print := range changed {
+		news.Records = append(news.Records, b.records[print].tell(print, now))
+	}
+	return news
+}
+
+// TakeUntold returns the records that this node is to tell others, at most as many as are told at once. What could not be told is
+// given back by PutBack.
+func (b *Book) TakeUntold(now time.Time) []Record {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var untold []Record
+	for print, known := range b.records {
+		switch {
+		case !known.untold:
+		case len(untold) == toldAtOnce:
+			signal(b.untold)
+			return untold
+		default:
+			known.untold = false
+			untold = append(untold, known.tell(print, now))
+		}
+	}
+	return untold
+}
+
+// PutBack has records told again.
+func (b *Book) PutBack(records []Record) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, record := range records {
+		if known := b.records[record.Print]; known != nil {
+			known.untold = true
+			signal(b.untold)
+		}
+	}
+}
+
+// All returns all records, at most some 150 kB.
+func (b *Book) All(now time.Time) []Record {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	all := make([]Record, 0, len(b.records))
+	for print, known := range b.records {
+		all = append(all, known.tell(print, now))
+	}
+	return all
+}
+
+func (r *record) tell(print Print, now time.Time) Record {
+	told := Record{Print: print}
+	for runner, end := range r.ends {
+		told.Ends = append(told.Ends, End{Runner: runner, AgeMs: now.Sub(end.at).Milliseconds(), Excused: end.excused})
+	}
+	return told
+}
+
+// settle forgets what is old or too much, works out anew which requests are refused, and returns those that are so from now on.
+// The caller holds the mutex.
+func (b *Book) settle(now time.Time) []Print {
+	for print, known := range b.records {
+		if now.Sub(known.last()) > keptFor {
+			delete(b.records, print)
+		}
+	}
+	var refused []Print
+	most := b.mostEnds()
+	for print, known := range b.records {
+		was := known.refused
+		known.refused = known.endsRunners(most)
+		if known.refused != was {
+			// A node that is told of refused requests alone has missed the record's earlier changes.
+			b.changed(known, false)
+		}
+		if known.refused && !was {
+			refused = append(refused, print)
+		}
+	}
+	b.bound()
+	slices.Sort(refused)
+	return refused
+}
+
+// mostEnds returns, for each runner that ended, the largest number of ends of a request that it ran then. The caller holds the
+// mutex.
+func (b *Book) mostEnds() map[ident.Incarnation]int {
+	most := map[ident.Incarnation]int{}
+	for _, known := range b.records {
+		count := known.count()
+		for runner, end := range known.ends {
+			if !end.excused {
+				most[runner] = max(most[runner], count)
+			}
+		}
+	}
+	return most
+}
+
+// endsRunners says whether enough runners ended under a request. An end is explained by another request at the same runner under
+// which more of them ended: in a storm a request may be beside such ones three times by chance.
+func (r *record) endsRunners(most map[ident.Incarnation]int) bool {
+	count := r.count()
+	if count >= certainEnds {
+		return true
+	}
+	unexplained := 0
+	for runner, end := range r.ends {
+		if !end.excused && most[runner] <= count {
+			unexplained++
+		}
+	}
+	return unexplained >= enoughEnds
+}
+
+// bound drops prints beyond what is kept: those whose ends are excused first, then those that are not refused, of each the one of which
+// something was seen longest ago. The caller holds the mutex.
+func (b *Book) bound() {
+	over := len(b.records) - keptPrints
+	if over <= 0 {
+		return
+	}
+	prints := slices.SortedFunc(maps.Keys(b.records), func(first, second Print) int {
+		one, other := b.records[first], b.records[second]
+		return cmp.Or(cmp.Compare(one.rank(), other.rank()), one.last().Compare(other.last()))
+	})
+	for _, print := range prints[:over] {
+		delete(b.records, print)
+	}
+}
+
+// rank orders what is dropped: the lowest goes first.
+func (r *record) rank() int {
+	switch {
+	case r.refused:
+		return 2
+	case r.count() > 0:
+		return 1
+	}
+	return 0
+}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -221,6 +221,14 @@
 	return known.runner, true
 }
 
+// Leaving says whether a runner is known to leave, or the list lacks it: its end is no surprise.
+func (t *Table) Leaving(id ident.Incarnation) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.runners[id]
+	return known == nil || known.runner.State != work.Ready || !known.missingSince.IsZero()
+}
+
 // Of returns the ready runners of a service.
 func (t *Table) Of(service string) []work.Runner {
 	t.mutex.Lock()
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
@@ -36,10 +37,13 @@
 	Body   io.ReadCloser
 }
 
+// ErrOtherIncarnation means that another incarnation answers at the address of the one that was asked, which has ended.
+const ErrOtherIncarnation = failure.Kind("work: another incarnation answers")
+
 // Caller sends attempts to runners. Its errors wrap connpool.ErrNotSent or connpool.ErrNoAnswer.
 type Caller interface {
 	Send(ctx context.Context, attempt Attempt) (*Reply, error)
-	// Report reads a runner's own account of its work.
+	// Report reads a runner's own account of its work. Its error wraps ErrOtherIncarnation where another one has the address.
 	Report(ctx context.Context, runner Runner) (Load, error)
 	// Forget drops the connections kept to a runner.
 	Forget(runner Runner)
