Read what is known of requests that end runners at three workers a second

Cause: a test of how news reach all nodes (9 fronts and 6 workers, two dead, a zone cut off) failed: two workers of that zone knew nothing three seconds after their return, for those that they had read meanwhile were dead or back from the same cut.

Change: a worker reads at three others beside each other. An answer without news names no cursor, and the id of a book is short: each report of online work carries it.

--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"math"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -76,7 +78,7 @@
 		lifecycle: &site.Lifecycle{},
 	}
 	started.ends = &endwatch.Watch{
-		Book: poison.NewBook(time.Now().UnixNano()), Runners: started.runners, Caller: started.caller, Tomb: started.tomb,
+		Book: poison.NewBook(rand.Int64N(math.MaxInt32)), Runners: started.runners, Caller: started.caller, Tomb: started.tomb,
 		Logger: logger, Now: time.Now,
 	}
 	return started
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -34,7 +34,7 @@
 	Sequence    int64   `json:"sequence"`
 	Counts      []Count `json:"counts"`
 	// EndsRead is how far the node has read what the worker knows of requests that end their runners.
-	EndsRead poison.Cursor `json:"ends_read"`
+	EndsRead poison.Cursor `json:"ends_read,omitzero"`
 }
 
 // Share is what a worker knows of the work at one of its runners.
@@ -70,7 +70,7 @@
 type Answer struct {
 	Shares []Share     `json:"shares"`
 	Batch  Batch       `json:"batch"`
-	Ends   poison.News `json:"ends"`
+	Ends   poison.News `json:"ends,omitzero"`
 }
 
 // Ledger holds what nodes told. It is safe for concurrent use. It is asked some hundred times for each report, so that the
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -227,7 +227,7 @@
 		known.notBefore = now.Add(pauseAfterFailure)
 		return
 	}
-	known.endsRead = answer.Ends.Cursor
+	known.endsRead = answer.Ends.After(report.EndsRead)
 	if known.missed {
 		t.Changed(true)
 	}
--- a/internal/jobpeer/ends.go
+++ b/internal/jobpeer/ends.go
@@ -16,7 +16,7 @@
 
 // What a node learns of requests that end their runners reaches the others without the store. A node that does not run jobs tells
 // two workers, each of them all others, and each node hears of it from the workers that it reports its online work to, twice a
-// second at least. A worker that was cut off or has just started reads what it lacks at one other worker a second.
+// second at least. A worker that was cut off or has just started reads what it lacks at three others a second.
 const (
 	// endsGathered is how long news wait for others to be told with: the answers of a runner that ends break off at several nodes
 	// within some ten milliseconds.
@@ -26,8 +26,10 @@
 	// endsTold bounds one call, endsAgain parts two tries to tell where no worker answered.
 	endsTold  = 300 * time.Millisecond
 	endsAgain = 200 * time.Millisecond
-	// endsReadEvery is the time between two readings at other workers.
+	// endsReadEvery is the time between two readings at endsReadAt other workers. Some may be dead, and others back from the same
+	// cut: with one at a time, two of six workers knew nothing three seconds after their return.
 	endsReadEvery = time.Second
+	endsReadAt    = 3
 )
 
 // TellEnds passes on what this node learns of requests that end their runners, until the tomb dies.
@@ -99,7 +101,7 @@
 	Workers func() []jobrecord.Worker
 	Peers   *Peers
 
-	// read is how far each worker was read, by address; turn chooses the one to be read next. Only run touches them.
+	// read is how far each worker was read, by address; turn chooses those to be read next. Only the loop touches them.
 	read map[string]poison.Cursor
 	turn int
 }
@@ -121,7 +123,7 @@
 				}
 				e.tellAll(ctx)
 			case <-timer.C:
-				e.readNext(ctx)
+				e.readOthers(ctx)
 				timer.Reset(endsReadEvery)
 			}
 		}
@@ -142,29 +144,35 @@
 	calls.Wait()
 }
 
-// readNext reads what this worker lacks at the next of the others.
-func (e *WorkerEnds) readNext(ctx context.Context) {
+// readOthers reads what this worker lacks at the next of the others.
+func (e *WorkerEnds) readOthers(ctx context.Context) {
 	others := e.others()
-	if len(others) == 0 {
-		return
+	var calls sync.WaitGroup
+	replies := make([]*EndsReply, min(endsReadAt, len(others)))
+	addresses := make([]string, len(replies))
+	for index := range replies {
+		addresses[index] = others[(e.turn+index)%len(others)]
+		cursor := e.read[addresses[index]]
+		calls.Go(func() { replies[index], _ = e.call(ctx, addresses[index], &EndsRequest{Read: &cursor}) })
 	}
-	e.turn++
-	address := others[e.turn%len(others)]
-	cursor := e.read[address]
-	reply, err := e.call(ctx, address, &EndsRequest{Read: &cursor})
-	if err != nil {
-		return
+	calls.Wait()
+	e.turn += len(replies)
+	for index, reply := range replies {
+		if reply != nil {
+			e.read[addresses[index]] = reply.News.After(e.read[addresses[index]])
+			e.Watch.Learn(reply.News.Records, false)
+		}
 	}
-	e.read[address] = reply.News.Cursor
-	e.Watch.Learn(reply.News.Records, false)
 }
 
 func (e *WorkerEnds) call(ctx context.Context, address string, request *EndsRequest) (*EndsReply, error) {
 	call, cancel := context.WithTimeout(ctx, endsTold)
 	defer cancel()
 	reply := &EndsReply{}
-	err := e.Peers.call(call, address, methodEnds, request, reply)
-	return reply, err
+	if err := e.Peers.call(call, address, methodEnds, request, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
 }
 
 // others returns the addresses of the other workers, in a fixed order.
--- /dev/null
+++ b/internal/jobpeer/ends_test.go
@@ -0,0 +1,234 @@
+package jobpeer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/endwatch"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobpeer"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/poison"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+)
+
+// knownWithin is when each node that is in touch has to know of a request that ends its runners, counted from the third end or from
+// the end of its own trouble.
+const knownWithin = 3 * time.Second
+
+// mostAdded is what a node may spend a second on requests that end their runners once all know of one, in bytes: a third of the
+// 3 kB that it may spend on control.
+const mostAdded = 1000
+
+// endsFleet are nodes that call each other without a network. Its mutex guards the maps.
+type endsFleet struct {
+	mutex   sync.Mutex
+	workers map[string]*jobworker.Worker
+	// cut are the nodes that no call reaches and whose calls reach nobody: they wait until they are given up.
+	cut map[string]bool
+	// bytes counts what the calls carried, by node that made them.
+	bytes map[string]int
+	list  []jobrecord.Worker
+	nodes []*endsNode
+	tomb  *tomb.Tomb
+}
+
+// endsNode is a node of the fleet.
+type endsNode struct {
+	name  string
+	watch *endwatch.Watch
+}
+
+// endsConn is a connection from one node to another.
+type endsConn struct {
+	drpc.Conn
+	fleet    *endsFleet
+	from, to string
+}
+
+func (c *endsConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	c.fleet.mutex.Lock()
+	worker := c.fleet.workers[c.to]
+	away := c.fleet.cut[c.from] || c.fleet.cut[c.to] || worker == nil
+	c.fleet.mutex.Unlock()
+	if away {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	server := &jobpeer.WorkerServer{Worker: worker}
+	var reply any
+	var err error
+	switch request := in.(type) {
+	case *demand.Report:
+		reply, err = server.Demand(ctx, request)
+	case *jobpeer.EndsRequest:
+		reply, err = server.Ends(ctx, request)
+	}
+	if err != nil {
+		return err
+	}
+	asked, _ := json.Marshal(in)
+	told, _ := json.Marshal(reply)
+	c.fleet.mutex.Lock()
+	c.fleet.bytes[c.from] += len(asked) + len(told)
+	c.fleet.mutex.Unlock()
+	return json.Unmarshal(told, out)
+}
+
+func (f *endsFleet) connect(from string) func(string) (drpc.Conn, error) {
+	return func(to string) (drpc.Conn, error) { return &endsConn{fleet: f, from: from, to: to}, nil }
+}
+
+func (f *endsFleet) newWatch(name string, table *runnertable.Table) *endwatch.Watch {
+	watch := &endwatch.Watch{
+		Book: poison.NewBook(1e9 + int64(len(f.nodes))), Runners: table, Tomb: f.tomb, Logger: zerolog.Nop(), Now: time.Now,
+	}
+	f.nodes = append(f.nodes, &endsNode{name: name, watch: watch})
+	return watch
+}
+
+func (f *endsFleet) startWorker(name string, zone ident.Zone) {
+	table := runnertable.New(zone)
+	worker := &jobworker.Worker{Node: ident.Node(name), Zone: zone, Address: name, Runners: table, Ends: f.newWatch(name, table), Now: time.Now}
+	f.mutex.Lock()
+	f.workers[name] = worker
+	f.mutex.Unlock()
+	ends := &jobpeer.WorkerEnds{
+		Node: worker.Node, Watch: worker.Ends, Workers: func() []jobrecord.Worker { return f.list },
+		Peers: &jobpeer.Peers{Connect: f.connect(name), Now: time.Now},
+	}
+	ends.Start(f.tomb)
+}
+
+func (f *endsFleet) startFront(name string, zone ident.Zone) *endsNode {
+	table := runnertable.New(zone)
+	watch := f.newWatch(name, table)
+	holders := &jobpeer.Holders{Zone: zone, Connect: f.connect(name), Now: time.Now}
+	holders.Learn(append([]jobrecord.Worker(nil), f.list...), time.Now())
+	teller := demand.NewTeller(ident.Node(name), &jobpeer.OnlineWork{Holders: holders, Runners: table, Ends: watch, Now: time.Now}, time.Now)
+	teller.Tell = holders.TellDemand
+	teller.Start(f.tomb)
+	holders.TellEnds(f.tomb, watch)
+	return f.nodes[len(f.nodes)-1]
+}
+
+// setCut cuts nodes off, or ends that.
+func (f *endsFleet) setCut(cut bool, names ...string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, name := range names {
+		f.cut[name] = cut
+	}
+}
+
+// load returns the bytes a second of the node that calls most, while nothing happens.
+func (f *endsFleet) load() int {
+	const seconds = 20
+	f.mutex.Lock()
+	clear(f.bytes)
+	f.mutex.Unlock()
+	time.Sleep(seconds * time.Second)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	most := 0
+	for _, count := range f.bytes {
+		most = max(most, count)
+	}
+	return most / seconds
+}
+
+// ignorant returns the nodes that would run the request, but for those that are cut off.
+func (f *endsFleet) ignorant() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var names []string
+	for _, node := range f.nodes {
+		if !f.cut[node.name] && !node.watch.Refused("bad") {
+			names = append(names, node.name)
+		}
+	}
+	return names
+}
+
+// playEnds has runners end under a request at three nodes of different zones while some workers are dead and a whole zone is cut
+// off, which comes back later; a node starts then too.
+func playEnds(t *testing.T, seed uint64, zones, fronts, workers int) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		f := &endsFleet{workers: map[string]*jobworker.Worker{}, cut: map[string]bool{}, bytes: map[string]int{}, tomb: new(tomb.Tomb)}
+		over := make(chan struct{})
+		f.tomb.Go(func() error { <-over; return nil })
+		zoneOf := func(index int) ident.Zone { return ident.Zone(fmt.Sprint("z", index%zones)) }
+		for index := range workers {
+			name := fmt.Sprint("worker-", index)
+			f.list = append(f.list, jobrecord.Worker{Node: ident.Node(name), Zone: zoneOf(index), Address: name})
+		}
+		const dead = 2
+		for index := dead; index < workers; index++ {
+			f.startWorker(fmt.Sprint("worker-", index), zoneOf(index))
+		}
+		var all []*endsNode
+		for index := range fronts {
+			all = append(all, f.startFront(fmt.Sprint("front-", index), zoneOf(index)))
+		}
+		before := f.load()
+		time.Sleep(time.Second + time.Duration(random.Int64N(int64(time.Second))))
+		var away []string
+		for index := range workers {
+			if zoneOf(index) == zoneOf(zones-1) {
+				away = append(away, fmt.Sprint("worker-", index))
+			}
+		}
+		for index := range fronts {
+			if zoneOf(index) == zoneOf(zones-1) {
+				away = append(away, fmt.Sprint("front-", index))
+			}
+		}
+		f.setCut(true, away...)
+		for end := range 3 {
+			// Any front that is not cut off.
+			index := random.IntN(fronts/zones)*zones + end%(zones-1)
+			all[index].watch.Book.Ended(ident.Incarnation(fmt.Sprint("r", end)), []poison.Print{"bad"}, time.Now(), time.Now())
+			time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+		}
+		time.Sleep(knownWithin)
+		assert.DeepEqual(t, f.ignorant(), []string(nil))
+		f.setCut(false, away...)
+		f.startFront("front-late", zoneOf(random.IntN(zones)))
+		time.Sleep(knownWithin)
+		assert.DeepEqual(t, f.ignorant(), []string(nil))
+		after := f.load()
+		t.Logf("seed %d, %d fronts, %d workers: the node that calls most, bytes a second: %d before, %d after", seed, fronts, workers, before, after)
+		assert.Assert(t, after-before <= mostAdded)
+		f.tomb.Kill(nil)
+		close(over)
+		_ = f.tomb.Wait()
+	})
+}
+
+// TestEveryNodeKnowsInTime
+//
+// The load is the smallest, the usual and the largest site: all nodes that are in touch must refuse a request within three seconds of
+// the third end under it, also where the store is away (nothing here uses it), two workers are dead and a zone is cut off; those of
+// the zone, and a node that starts, within three seconds of their return.
+func TestEveryNodeKnowsInTime(t *testing.T) {
+	for _, size := range []struct{ zones, fronts, workers, plays int }{{3, 9, 6, 20}, {4, 62, 12, 6}, {7, 250, 45, 1}} {
+		for seed := range size.plays {
+			playEnds(t, uint64(seed), size.zones, size.fronts, size.workers)
+		}
+	}
+}
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -155,7 +155,7 @@
 
 // EndsReply is what the caller lacks.
 type EndsReply struct {
-	News poison.News `json:"news"`
+	News poison.News `json:"news,omitzero"`
 }
 
 // Server answers queries.
--- a/internal/online/storm_test.go
+++ b/internal/online/storm_test.go
@@ -281,7 +281,7 @@
 		now = time.Now()
 		for index, node := range nodes {
 			news := worker.Since(cursors[index], now, true)
-			cursors[index] = news.Cursor
+			cursors[index] = news.After(cursors[index])
 			node.Ends.Learn(news.Records, false)
 		}
 	}
--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -50,10 +50,10 @@
 	Position int64 `json:"position,omitempty"`
 }
 
-// News are the records that changed since a cursor, and the next cursor.
+// News are the records that changed since a cursor, and the next cursor. The zero News says that nothing changed.
 type News struct {
 	Records []Record `json:"records,omitempty"`
-	Cursor  Cursor   `json:"cursor"`
+	Cursor  Cursor   `json:"cursor,omitzero"`
 }
 
 // Book holds which runners ended under which requests. It is safe for concurrent use.
@@ -85,6 +85,14 @@
 	excused bool
 }
 
+// After is the cursor for the next question, where this is the answer to one with a cursor.
+func (n News) After(asked Cursor) Cursor {
+	if n.Cursor == (Cursor{}) {
+		return asked
+	}
+	return n.Cursor
+}
+
 // NewBook returns an empty Book. The id tells it from those of other processes and of before a restart.
 func NewBook(id int64) *Book {
 	return &Book{id: id, records: map[Print]*record{}, untold: make(chan struct{}, 1), anything: make(chan struct{}, 1)}
@@ -271,10 +279,10 @@
 	if cursor.Book != b.id {
 		after = 0
 	}
-	news := News{Cursor: Cursor{Book: b.id, Position: b.position}}
 	if after >= b.position {
-		return news
+		return News{}
 	}
+	news := News{Cursor: Cursor{Book: b.id, Position: b.position}}
 	var changed []Print
 	for print, known := range b.records {
 		if known.position > after && (!refusedOnly || known.refused() || known.count() < len(known.ends)) {
--- a/internal/poison/book_test.go
+++ b/internal/poison/book_test.go
@@ -98,7 +98,7 @@
 	var cursor poison.Cursor
 	read := func(second float64) int {
 		news := book.Since(cursor, at(second), true)
-		cursor = news.Cursor
+		cursor = news.After(cursor)
 		reader.Learn(news.Records, at(second), false)
 		return len(news.Records)
 	}
@@ -155,7 +155,7 @@
 				return 0
 			}
 			news := books[source].Since(cursors[reader][source], at(now), false)
-			cursors[reader][source] = news.Cursor
+			cursors[reader][source] = news.After(cursors[reader][source])
 			now += random.Float64() / 10
 			books[reader].Learn(news.Records, at(now), false)
 			return len(news.Records)
