--- a/internal/jobpeer/ends_test.go
+++ b/internal/jobpeer/ends_test.go
@@ -207,6 +207,7 @@
 		}
 		time.Sleep(knownWithin)
 		assert.DeepEqual(t, f.ignorant(), []string(nil))
+		time.Sleep(time.Duration(random.Int64N(int64(6 * time.Second))))
 		f.setCut(false, away...)
 		f.startFront("front-late", zoneOf(random.IntN(zones)))
 		time.Sleep(knownWithin)
