Count the time asleep in all ages of the processes of a platform's machines

Cause: the steady clock of the standard library stands still while a machine is suspended, so that whatever is older than the sleep looks younger by its length: a worker thinks its lease valid for up to three seconds more, a relayed list young, a deadline later.

Change: package clock, whose Now adds the difference between the clock since the boot and the steady one; it never goes back, and a clock that cannot be read ends the process at the start. What shows a date (submission, expiry, numbers that outlive a process) reads Date; a job's submission becomes a moment of Now when the job is loaded. Deadlines for the standard library are converted. Event 3525 tells of a sleep. Fixtures of three tests of the worker set the new field; what they check is unchanged.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -40,13 +41,13 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
-	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Ends: process.ends, Key: settings.Key(), Logger: process.logger, Now: time.Now}
+	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Ends: process.ends, Key: settings.Key(), Logger: process.logger, Now: clock.Now}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	records := process.records()
 	holders := &jobpeer.Holders{
 		Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Copies: settings.Bounds.LostDisks + 1,
-		Seeds: settings.Seeds, SeedsFor: process.startGrace(), Now: time.Now,
+		Seeds: settings.Seeds, SeedsFor: process.startGrace(), Now: clock.Now,
 	}
 	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes()}
 	process.follow(&follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}})
@@ -54,7 +55,7 @@
 	holders.TellEnds(process.tomb, process.ends)
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
-		Logger: process.logger, Now: time.Now,
+		Logger: process.logger, Now: clock.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
 	if err != nil {
@@ -70,7 +71,7 @@
 
 // tellDemand has the workers told of the online work of this node.
 func (p *process) tellDemand(holders *jobpeer.Holders) {
-	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Now: time.Now}, time.Now)
+	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Now: clock.Now}, clock.Now)
 	teller.Tell = holders.TellDemand
 	p.runners.OnOnlineChanged(teller.Changed)
 	teller.Start(p.tomb)
--- a/cmd/mallowlatch-site/main.go
+++ b/cmd/mallowlatch-site/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/explain"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
 	"mallowlatch.example/mallowlatch/platform"
@@ -41,6 +42,9 @@
 			if err != nil {
 				return fmt.Errorf("reading the settings %q: %w", *path, err)
 			}
+			if err := clock.Start(); err != nil {
+				return fmt.Errorf("starting the clock: %w", err)
+			}
 			return run(*path, settings)
 		},
 	}
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/event"
@@ -55,11 +56,13 @@
 	routes    *routetable.Table
 	lifecycle *site.Lifecycle
 	ends      *endwatch.Watch
+	// slept is how long the machine was suspended as of the last look; only the sweep of connections touches it.
+	slept time.Duration
 }
 
 func newProcess(path string, settings sitesettings.Settings, role string) *process {
 	site.ApplyLimits(settings.Limits)
-	logs := site.NewLogWriter(os.Stdout, time.Now)
+	logs := site.NewLogWriter(os.Stdout, clock.Now)
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	logger := zerolog.New(logs).With().Timestamp().Str("node", settings.Node.Name).Logger()
 	event.SiteStarting.Log(logger).Str("role", role).Str("zone", settings.Node.Zone).Int("memory_mb", settings.Limits.MemoryMB).Send()
@@ -79,7 +82,7 @@
 	}
 	started.ends = &endwatch.Watch{
 		Book: poison.NewBook(rand.Int64N(math.MaxInt32)), Runners: started.runners, Caller: started.caller, Tomb: started.tomb,
-		Logger: logger, Now: time.Now,
+		Logger: logger, Now: clock.Now,
 	}
 	return started
 }
@@ -107,7 +110,7 @@
 // records are the batch jobs in the store.
 func (p *process) records() *jobrecord.Records {
 	return &jobrecord.Records{
-		Store: p.store, ValueBytes: p.settings.Store.ValueBytes, Retention: p.settings.Bounds.ResultRetention(), Now: time.Now,
+		Store: p.store, ValueBytes: p.settings.Store.ValueBytes, Retention: p.settings.Bounds.ResultRetention(), Now: clock.Date,
 		Refused: func(key string, err error) { p.tellRefusal(key, err, 1) },
 	}
 }
@@ -131,7 +134,7 @@
 	role.Registry, role.Runners, role.Routes = p.registry(), p.runners, p.routes
 	role.Options = follower.OptionsFor(p.settings.Bounds.Drain(), p.settings.Bounds.Heartbeat())
 	role.Options.StartGrace = p.startGrace()
-	role.Logger, role.Now, role.Forget = p.logger, time.Now, p.caller.Pool.Forget
+	role.Logger, role.Now, role.Forget = p.logger, clock.Now, p.caller.Pool.Forget
 	role.Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
 	p.tomb.Go(p.tellStoreCalls)
@@ -145,12 +148,22 @@
 		case <-p.tomb.Dying():
 			return nil
 		case <-ticker.C:
+			p.tellSleep()
 			p.caller.Pool.CloseExpired()
 			p.storePool.CloseExpired()
 		}
 	}
 }
 
+// tellSleep writes a line where the machine was suspended since the last look.
+func (p *process) tellSleep() {
+	before := p.slept
+	p.slept = clock.Slept()
+	if p.slept > before {
+		event.MachineSlept.Log(p.logger).Dur("slept_ms", p.slept-before).Dur("total_ms", p.slept).Send()
+	}
+}
+
 // tellStoreCalls writes a line of the calls made to the store now and then.
 func (p *process) tellStoreCalls() error {
 	ticker := time.NewTicker(storeCallsEvery)
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/handoff"
@@ -29,7 +30,7 @@
 	worker := &jobworker.Worker{
 		Node: ident.Node(settings.Node.Name), Zone: ident.Zone(settings.Node.Zone), Address: settings.Listen.Peers,
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
-		Caller: process.caller, Ends: process.ends, Key: settings.Key(), Registry: process.registry(), Options: options, Logger: process.logger, Now: time.Now,
+		Caller: process.caller, Ends: process.ends, Key: settings.Key(), Registry: process.registry(), Options: options, Logger: process.logger, Now: clock.Now,
 	}
 	kept, err := process.openHandoff()
 	if err != nil {
@@ -41,10 +42,10 @@
 	}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
-	peers := &jobpeer.Peers{Connect: pool.ConnAddress, Now: time.Now}
+	peers := &jobpeer.Peers{Connect: pool.ConnAddress, Now: clock.Now}
 	worker.Mirrors, worker.Lenders, worker.Readers = peers, peers, peers
 	worker.Seeds, worker.SeedsFor = settings.Seeds, process.startGrace()
-	source := &jobpeer.LeaderFeed{Reader: worker.Reader, Connect: pool.ConnAddress, Now: time.Now}
+	source := &jobpeer.LeaderFeed{Reader: worker.Reader, Connect: pool.ConnAddress, Now: clock.Now}
 	worker.Followed = source.Changed
 	if settings.Node.DataFolder != "" {
 		process.ends.Keep(filepath.Join(settings.Node.DataFolder, endsFile))
@@ -52,7 +53,7 @@
 	worker.Start(process.tomb)
 	ends := &jobpeer.WorkerEnds{Node: worker.Node, Watch: process.ends, Workers: worker.Registered, Peers: peers}
 	ends.Start(process.tomb)
-	feed := fleetfeed.New(time.Now)
+	feed := fleetfeed.New(clock.Now)
 	feed.Workers = jobpeer.FeedWorkers(worker)
 	process.follow(&follower.Follower{Retire: worker.Retire, Feed: feed, Source: source})
 	if err := process.servePeers(worker, feed); err != nil {
@@ -81,7 +82,7 @@
 		return nil, fmt.Errorf("opening the jobs on the disk: %w", err)
 	}
 	deliverer := &handoff.Deliverer{
-		Log: log, Store: p.records(), Lifetime: p.settings.Bounds.ResultRetention(), Logger: p.logger, Now: time.Now,
+		Log: log, Store: p.records(), Lifetime: p.settings.Bounds.ResultRetention(), Logger: p.logger, Now: clock.Date,
 	}
 	deliverer.Start(p.tomb)
 	return log, nil
@@ -100,7 +101,7 @@
 		return nil, nil
 	}
 	most := int64(outputsShare * float64(p.settings.Limits.DiskBytes()))
-	outputs, err := progress.OpenJournal(filepath.Join(p.settings.Node.DataFolder, outputsFolder), most, time.Now())
+	outputs, err := progress.OpenJournal(filepath.Join(p.settings.Node.DataFolder, outputsFolder), most, clock.Now())
 	if err != nil {
 		return nil, fmt.Errorf("opening the output kept on the disk: %w", err)
 	}
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,90 @@
+package clock
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+)
+
+// suspend has the machine be suspended for a time, as far as this process can see: the clock that counts it is ahead by that. It
+// returns when the process has woken.
+func suspend(t *testing.T, lasting *time.Duration) {
+	before, beforeStart, beforeSlept := aheadOf, atStart.Load(), slept.Load()
+	t.Cleanup(func() {
+		aheadOf = before
+		atStart.Store(beforeStart)
+		slept.Store(beforeSlept)
+	})
+	aheadOf = func() (time.Duration, error) { return time.Hour + *lasting, nil }
+	slept.Store(0)
+	assert.NilError(t, Start())
+}
+
+func TestAgesCountTheTimeAsleep(t *testing.T) {
+	for _, sleep := range []time.Duration{200 * time.Millisecond, 2 * time.Second, 5 * time.Second, time.Minute} {
+		var lasting time.Duration
+		suspend(t, &lasting)
+		began := Now()
+		lasting = sleep
+		age := Now().Sub(began)
+		assert.Assert(t, age >= sleep && age < sleep+time.Second, "%v", age)
+		assert.Equal(t, Slept(), sleep)
+	}
+}
+
+func TestClockNeverGoesBack(t *testing.T) {
+	lasting := 5 * time.Second
+	suspend(t, new(time.Duration))
+	aheadOf = func() (time.Duration, error) { return time.Hour + lasting, nil }
+	before := Now()
+	lasting = 0
+	assert.Assert(t, !Now().Before(before))
+	aheadOf = func() (time.Duration, error) { return 0, ErrUnreadable }
+	assert.Assert(t, !Now().Before(before))
+	assert.Equal(t, Slept(), 5*time.Second)
+}
+
+// TestReadingsApartAreNoSleep has the two clocks be read some microseconds apart, as they are.
+func TestReadingsApartAreNoSleep(t *testing.T) {
+	lasting := 900 * time.Microsecond
+	suspend(t, new(time.Duration))
+	aheadOf = func() (time.Duration, error) { return time.Hour + lasting, nil }
+	assert.Equal(t, Slept(), time.Duration(0))
+}
+
+func TestDeadlinesAndDatesAfterASleep(t *testing.T) {
+	var lasting time.Duration
+	suspend(t, &lasting)
+	submitted := Date().Add(-10 * time.Second)
+	deadline := Now().Add(30 * time.Second)
+	lasting = 20 * time.Second
+	ctx, cancel := WithDeadline(context.Background(), deadline)
+	defer cancel()
+	end, _ := ctx.Deadline()
+	assert.Assert(t, time.Until(end) < 11*time.Second, "%v", time.Until(end))
+	assert.Assert(t, time.Until(System(deadline)) < 11*time.Second)
+	// The date here did not move with the sleep, which a stand-in of the time of day would have to show.
+	age := Now().Sub(At(submitted))
+	assert.Assert(t, age >= 10*time.Second && age < 11*time.Second, "%v", age)
+}
+
+func TestClockThatCannotBeReadIsAnErrorAtTheStart(t *testing.T) {
+	suspend(t, new(time.Duration))
+	aheadOf = func() (time.Duration, error) { return 0, ErrUnreadable }
+	assert.ErrorIs(t, Start(), failure.Kind(ErrUnreadable))
+}
+
+func TestSystemsClocksCanBeRead(t *testing.T) {
+	assert.NilError(t, Start())
+	assert.Assert(t, Now().Sub(time.Now()) < time.Second)
+}
+
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		Now()
+	}
+}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/failure"
 )
 
@@ -47,7 +48,7 @@
 // New returns an empty pool.
 func New(options Options) *Pool {
 	if options.Now == nil {
-		options.Now = time.Now
+		options.Now = clock.Now
 	}
 	return &Pool{
 		options: options,
--- a/internal/event/online.go
+++ b/internal/event/online.go
@@ -27,5 +27,6 @@
 	RequestsRefused   = register(3522, "request_refused_for_ends", zerolog.WarnLevel, "Three runners ended under a request, here or at other nodes: whatever has its print is refused from now on. The line says how many ended.", "find the callers by the print in the lines of attempt_failed, and the fault in the runner's software; it is given another chance an hour after the last end")
 	RequestTurnedAway = register(3523, "request_turned_away", zerolog.InfoLevel, "A request was refused because runners ended under it, now or when it came before.", "see request_refused_for_ends")
 	EndsNotKept       = register(3524, "ends_not_kept", zerolog.WarnLevel, "The disk did not take, or could not give back, which requests end their runners; they are known in memory and to the other nodes.", "check the disk")
+	MachineSlept      = register(3525, "machine_slept", zerolog.WarnLevel, "The machine was suspended: its steady clock stood still, and what this node goes by is older by that. The line says for how long, and for how long since the start.", "none unless it repeats: find out who suspends the machine")
 	StoreCalls        = register(3515, "store_calls", zerolog.InfoLevel, "The calls this node made to the store since the last such line, by kind.", "none unless the number of calls is dear: the kinds tell which part makes them")
 )
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -95,7 +96,7 @@
 
 func (d *Desk) now() time.Time {
 	if d.Now == nil {
-		return time.Now()
+		return clock.Now()
 	}
 	return d.Now()
 }
--- a/internal/jobpeer/keep.go
+++ b/internal/jobpeer/keep.go
@@ -9,6 +9,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -26,7 +27,7 @@
 	h.readWorkers(ctx)
 	keeping := &keeping{
 		holders: h, candidates: h.keepers(), needed: h.Copies,
-		bound: route.MaximumQueuedTokens, submission: submission, accepted: h.Now(),
+		bound: route.MaximumQueuedTokens, submission: submission, accepted: h.Now(), date: clock.Date(),
 	}
 	return keeping.run(ctx)
 }
@@ -40,9 +41,11 @@
 	bound      int
 	submission *jobrecord.Submission
 	accepted   time.Time
-	asked      int
-	answered   int
-	kept       int
+	// date is the same as the time of day: it stays with the job.
+	date     time.Time
+	asked    int
+	answered int
+	kept     int
 	// told is Unknown once a worker may have the job without having said so.
 	told    outcome.Outcome
 	refused *failure.Error
@@ -86,7 +89,7 @@
 	address, turn := k.candidates[k.asked], k.asked
 	k.asked++
 	new(tomb.Tomb).Go(func() error {
-		request := &KeepRequest{Entry: handoff.NewEntry(k.submission, k.accepted, turn), MaximumQueuedTokens: k.bound, Copies: k.needed + spareKeepers}
+		request := &KeepRequest{Entry: handoff.NewEntry(k.submission, k.date, turn), MaximumQueuedTokens: k.bound, Copies: k.needed + spareKeepers}
 		reply := &KeepReply{}
 		if !k.holders.ask(ctx, address, methodKeep, request, reply, keepTimeout) {
 			reply = nil
--- a/internal/jobworker/assign.go
+++ b/internal/jobworker/assign.go
@@ -119,7 +119,7 @@
 	job.progressed = w.Now()
 	job.list(results)
 	resumed := 0
-	if w.Now().Sub(loaded.Header.Submitted()) > youngJob {
+	if w.Now().Sub(job.submitted) > youngJob {
 		resumed = job.resume(w.recall(entry.ID))
 	}
 	w.mutex.Lock()
--- a/internal/jobworker/borrow.go
+++ b/internal/jobworker/borrow.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -99,7 +100,7 @@
 // mutex.
 func (w *Worker) newCall(node ident.Node, address string, held []lending.Count, wants []lending.Want, now time.Time) borrowCall {
 	known := w.lender(node)
-	known.sequence = max(known.sequence+1, now.UnixNano())
+	known.sequence = max(known.sequence+1, clock.Date().UnixNano())
 	known.calling, known.called = true, now
 	w.giveBackUnused(node)
 	return borrowCall{node: node, address: address, sent: now, request: &lending.Request{
--- a/internal/jobworker/demand_test.go
+++ b/internal/jobworker/demand_test.go
@@ -39,7 +39,7 @@
 		w.tomb.Kill(nil)
 		_ = w.tomb.Wait()
 	})
-	job := &jobRun{header: &jobrecord.Header{ID: "job", SubmittedMs: now.UnixMilli()}}
+	job := &jobRun{header: &jobrecord.Header{ID: "job", SubmittedMs: now.UnixMilli()}, submitted: now}
 	w.jobs["job"] = job
 	ended := make([]bool, 4)
 	for index := range ended {
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -99,7 +99,7 @@
 	defer w.mutex.Unlock()
 	if route != nil && route.Kind == work.Batch {
 		item.routeGone = time.Time{}
-		if route.Retention > 0 && now.After(item.job.header.Submitted().Add(route.Retention)) {
+		if route.Retention > 0 && now.After(item.job.submitted.Add(route.Retention)) {
 			w.giveUp(item, "its retention is over")
 			return nil
 		}
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -19,7 +20,9 @@
 	entry  jobrecord.Open
 	claim  jobrecord.Claim
 	header *jobrecord.Header
-	items  []*itemRun
+	// submitted is the moment of the submission by this node's clock: the header has the date.
+	submitted time.Time
+	items     []*itemRun
 	// recorded are the results in the records, by position.
 	recorded []work.Result
 	// changed is closed and made anew when results are recorded.
@@ -71,7 +74,7 @@
 }
 
 func newJobRun(claim jobrecord.Claim, loaded *jobrecord.Job) *jobRun {
-	job := &jobRun{claim: claim, header: &loaded.Header, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	job := &jobRun{claim: claim, header: &loaded.Header, submitted: clock.At(loaded.Header.Submitted()), wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	for index, item := range loaded.Header.Items {
 		job.items = append(job.items, &itemRun{
 			job: job, index: index, item: item.Item, body: loaded.Bodies[index], avoid: map[ident.Incarnation]bool{},
--- a/internal/jobworker/lend_test.go
+++ b/internal/jobworker/lend_test.go
@@ -227,7 +227,7 @@
 		CompletionObjective: 20 * time.Second,
 	}}})
 	assert.Assert(t, adopted)
-	job := &jobRun{header: &jobrecord.Header{ID: "job", Host: "h", SubmittedMs: time.Now().UnixMilli()}}
+	job := &jobRun{header: &jobrecord.Header{ID: "job", Host: "h", SubmittedMs: time.Now().UnixMilli()}, submitted: time.Now()}
 	w.jobs["job"] = job
 	for index := range items {
 		job.items = append(job.items, &itemRun{job: job, index: index, item: work.Item{Path: "/b/x", Tokens: 1}})
--- a/internal/jobworker/order.go
+++ b/internal/jobworker/order.go
@@ -79,7 +79,7 @@
 
 // due returns when the item's job is due. Without a route it is due when it was submitted.
 func (w *Worker) due(item *itemRun) time.Time {
-	submitted := item.job.header.Submitted()
+	submitted := item.job.submitted
 	route, _ := w.Routes.Match(item.job.header.Host, item.item.Path)
 	if route == nil {
 		return submitted
--- a/internal/jobworker/order_test.go
+++ b/internal/jobworker/order_test.go
@@ -19,7 +19,7 @@
 // waitingItem is an item of a job that was submitted some time ago and is due 20 s after that.
 func waitingItem(job string, age time.Duration, tokens int) *itemRun {
 	header := &jobrecord.Header{ID: ident.Job(job), Host: "h", SubmittedMs: orderStart.Add(-age).UnixMilli()}
-	return &itemRun{job: &jobRun{header: header}, item: work.Item{ID: ident.Request(job), Path: "/p/x", Tokens: tokens}}
+	return &itemRun{job: &jobRun{header: header, submitted: header.Submitted()}, item: work.Item{ID: ident.Request(job), Path: "/p/x", Tokens: tokens}}
 }
 
 func orderOf(w *Worker, items ...*itemRun) string {
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -64,7 +65,7 @@
 func (f *Forwarder) Serve(ctx context.Context, route *work.Route, request *work.Request, writer work.AnswerWriter) error {
 	deadline := f.deadline(route, request)
 	writer.Until(deadline.Add(writeSlack))
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := clock.WithDeadline(ctx, deadline)
 	defer cancel()
 	service := chooseService(route)
 	room := f.rooms.of(service, f.Now, f.Logger)
