Ask again for a list whose orders are still old

Cause: after an outage the node that reads for all has the list of runners some milliseconds before the orders, for it reads them beside each other. Those that it tells were given the list with orders older than they may be, passed both over and, having read that reading, heard of it again only with the next one, up to a second later.

Ruled out: to use the list without its orders, for each node would then read the orders itself, 300 calls of the store on a large site.

--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -165,12 +165,17 @@
 	way := max(now.Sub(began)-time.Duration(snapshot.HeldMs)*time.Millisecond, 0)
 	runnersAge := time.Duration(snapshot.RunnersAgeMs)*time.Millisecond + way
 	ordersAge := time.Duration(snapshot.OrdersAgeMs)*time.Millisecond + way
-	known.Incarnation, known.Reading = snapshot.Incarnation, snapshot.Reading
+	listFresh, ordersFresh := runnersAge <= f.oldest(), ordersAge <= f.oldestOrders()
+	if !listFresh || ordersFresh {
+		known.Incarnation, known.Reading = snapshot.Incarnation, snapshot.Reading
+	}
 	// A newer configuration is newer however long ago it was read.
 	if snapshot.Catalog != nil && f.Routes.Adopt(snapshot.Catalog) {
 		event.CatalogAdopted.Log(f.Logger).Int64("version", snapshot.Catalog.Version).Bool("relayed", true).Send()
 	}
-	if runnersAge > f.oldest() || ordersAge > f.oldestOrders() {
+	// The other node reads the list and the orders beside each other. Where only the list is fresh the same is asked for again: it
+	// is told once, and would be heard of anew with the next reading, a second later.
+	if !listFresh || !ordersFresh {
 		return toldOld
 	}
 	f.applyRunners(snapshot.Runners, snapshot.Revision, now.Add(-runnersAge))
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -119,7 +119,16 @@
 
 // TestListAfterAnOutageComesFromTheOneThatReads has the registry away from all. Once it is back, the node that reads for all has its
 // list after some ten milliseconds; one that it tells reads nothing itself, and one whose source has died reads at once.
-func TestListAfterAnOutageComesFromTheOneThatReads(t *testing.T) {
+func TestListAfterAnOutageComesFromTheOneThatReads(t *testing.T) { listAfterAnOutage(t, 0) }
+
+// TestListAfterAnOutageIsUsedThoughItsOrdersComeLater has the one that reads for all have the list a moment before the orders, which
+// it reads beside each other: those that it tells had passed the list over then, and heard of it again with the next one.
+func TestListAfterAnOutageIsUsedThoughItsOrdersComeLater(t *testing.T) {
+	listAfterAnOutage(t, 20*time.Millisecond)
+}
+
+// listAfterAnOutage has the orders come some time after the list.
+func listAfterAnOutage(t *testing.T, ordersAfter time.Duration) {
 	// The node's probes come at each phase of the return.
 	for phase := range 20 {
 		dies := phase%2 == 1
@@ -150,6 +159,7 @@
 			if !dies {
 				time.Sleep(120 * time.Millisecond)
 				feed.Read(registry.runners, 6, time.Now())
+				time.Sleep(ordersAfter)
 				feed.Orders(work.Orders{Catalog: registry.catalog}, time.Now())
 			}
 			for f.Runners.Count() < 2 && time.Since(back) < time.Minute {
