Count no silence of other members from before a replica's own standstill

Cause: a replica that was paused takes the messages that it has not come to yet for silence. In the draw that was listed as known red all members are paused for 2.5 s: the leader wakes, hears one of the other two first and drops the third at once, with a silence of its own making. The next pause, of the other, left it alone.

Change: a core that was not ticked for two heartbeats counts the silence of others, and of its leader, from then on at the earliest.

Ruled out: the time after which a member goes on alone (4 s there): the other was silent for 4.2 s, two pauses that adjoin; with three members in the set it is dropped and the set keeps three.

--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -52,8 +52,11 @@
 	leaseEnd time.Duration
 	// heardAt is when this replica last heard from a leader, or started; followingSince is when it last had one, or
 	// learnt its replica set.
-	heardAt        time.Duration
-	followingSince time.Duration
+	heardAt time.Duration
+	// ticked is the last tick, awakeSince when the process last went on after a standstill: the silence of others is counted from
+	// then at the earliest.
+	ticked, awakeSince time.Duration
+	followingSince     time.Duration
 	// electionDue is when a member without a leader campaigns.
 	electionDue time.Duration
 	votes       map[Member]bool
@@ -117,6 +120,7 @@
 // Tick lets time pass.
 func (c *Core) Tick(now time.Duration) error {
 	c.now = max(c.now, now)
+	c.noteStandstill()
 	if c.role == Leader {
 		return c.tickLeader()
 	}
@@ -126,6 +130,19 @@
 	return nil
 }
 
+// standstillFactor times the time between two heartbeats without a tick shows that this process stood still: hosts tick several
+// times within one.
+const standstillFactor = 2
+
+// noteStandstill notes when this process goes on after a standstill. What others sent meanwhile lies unread, so that none of them
+// is known to have been silent: a leader that was paused with all members dropped one whose message it had not come to.
+func (c *Core) noteStandstill() {
+	if c.ticked > 0 && c.now-c.ticked > standstillFactor*c.settings.Heartbeat {
+		c.awakeSince = c.now
+	}
+	c.ticked = c.now
+}
+
 // Adopt takes a replica set that is known to be stored in the key-value service. A newer epoch ends every role of the
 // older one. It reports whether the set was new.
 func (c *Core) Adopt(configuration Configuration) bool {
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -49,7 +49,7 @@
 		Self: c.self, Role: c.role, Leader: c.leader, Term: c.hard.Term, Configuration: c.hard.Configuration,
 		Activated: c.hard.Activated, FirstIndex: c.log.firstIndex(), LastIndex: c.log.lastIndex(),
 		Commit: c.log.commit, Applied: c.log.applied, LeaseEnd: c.LeaseEnd(),
-		Transferring: c.transferTo != (Member{}), LeaderSilence: c.now - c.heardAt,
+		Transferring: c.transferTo != (Member{}), LeaderSilence: c.now - max(c.heardAt, c.awakeSince),
 		Unfollowed: c.now - c.followingSince,
 	}
 	status.Serving = c.Serving() && status.Applied >= c.firstOfTerm
@@ -66,10 +66,10 @@
 	status := MemberStatus{Member: member, Learner: learner}
 	if follower := c.progress[member]; follower != nil {
 		status.Match = follower.match
-		status.Silence = c.now - max(follower.answered, follower.since)
+		status.Silence = c.now - max(follower.answered, follower.since, c.awakeSince)
 		return status
 	}
-	status.Silence = c.now - max(c.replied[member], c.followingSince)
+	status.Silence = c.now - max(c.replied[member], c.followingSince, c.awakeSince)
 	return status
 }
 
