Claim a job with a copy of its entry

Cause: startClaim hands the open job to a goroutine that reads its entry without the mutex, while takeOver replaces the entry under it.

Change: the claim gets a copy, made under the mutex.

Ruled out: the same shape in assign.go (hands over the assigned entry itself) and reclaim (job.entry is set once, before the job is known to others).

Conclusion: a fault of the product, not of the test; the value read was that of the same job, so that no wrong claim could follow but one for a revision that is replaced.

--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -107,10 +107,11 @@
 		return
 	}
 	candidate.claiming = true
-	lease := w.lease
+	// The claim goes on without the mutex, while what is followed replaces the entry: it gets a copy.
+	entry, lease := candidate.entry, w.lease
 	w.tomb.Go(func() error {
-		if err := w.claim(candidate.entry, lease); err != nil {
-			w.logStore("claiming job "+string(candidate.entry.ID), err)
+		if err := w.claim(entry, lease); err != nil {
+			w.logStore("claiming job "+string(entry.ID), err)
 		}
 		w.mutex.Lock()
 		candidate.claiming = false
