Draw sleeps of a node's machine beside outages and leaving runners

Cause: that the clock which counts the time asleep keeps a node right after a sleep was worked out, not tested.

Change: the simulated registry of the follower's plays can be ahead of the node by the time that its machine was suspended: timers of the node stand still, the world goes on, answers that came meanwhile are there at waking.

Conclusion: the rows on lists, absence and configuration of a node that reads for itself are tested; workers, relayed lists and the real program are not.

--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -51,6 +51,9 @@
 	freeze bool
 	// overdue has a call that ended in the freeze yield its answer although its time was over: both are ready when it ends.
 	overdue bool
+	// suspended has the machine of this node sleep in place of being cut off: its timers and its steady clock stand still, and the
+	// world goes on. steady has the node go by that clock.
+	suspended, steady bool
 }
 
 // stopped says whether a process stands still at a time.
@@ -84,7 +87,25 @@
 	cut bool
 }
 
-func (r *troubledRegistry) since() time.Duration { return time.Since(r.began) }
+// since is the time of the world. A machine that is suspended has no simulated time of its own while it sleeps: the world is ahead
+// by the sleep from then on.
+func (r *troubledRegistry) since() time.Duration {
+	at, trouble := time.Since(r.began), r.play.trouble
+	if trouble.suspended && at >= trouble.from {
+		at += trouble.to - trouble.from
+	}
+	return at
+}
+
+// wait returns after a time of the world, or when the machine wakes after it.
+func (r *troubledRegistry) wait(lasting time.Duration) {
+	at, trouble := r.since(), r.play.trouble
+	end := at + lasting
+	if trouble.suspended && at < trouble.from && end >= trouble.from {
+		time.Sleep(trouble.from - at)
+	}
+	time.Sleep(max(end-r.since(), 0))
+}
 
 // now is the clock of the process that reads the registry. Whoever looks at it in a freeze sees the end of it: a process
 // that stands still looks then. It does not wait, because the process may hold a mutex.
@@ -92,6 +113,9 @@
 	if at := r.since(); r.cut && r.play.trouble.stopped(at) {
 		return r.began.Add(r.play.trouble.to)
 	}
+	if r.play.trouble.suspended && !r.play.trouble.steady {
+		return r.began.Add(r.since())
+	}
 	return time.Now()
 }
 
@@ -118,7 +142,7 @@
 func (r *troubledRegistry) call(ctx context.Context, held time.Duration) error {
 	r.standStill()
 	at, trouble := r.since(), r.play.trouble
-	struck := trouble.outage || (r.cut && !trouble.freeze)
+	struck := trouble.outage || (r.cut && !trouble.freeze && !trouble.suspended)
 	switch {
 	case !struck:
 	case trouble.struckWithin(at, at+callTime+held), at >= trouble.from && at < trouble.to && trouble.silent:
@@ -128,7 +152,7 @@
 		time.Sleep(callTime)
 		return kv.ErrUnavailable
 	}
-	time.Sleep(callTime)
+	r.wait(callTime)
 	return nil
 }
 
@@ -212,7 +236,7 @@
 	if err := r.call(ctx, held); err != nil {
 		return work.Orders{}, after, err
 	}
-	time.Sleep(held)
+	r.wait(held)
 	if version := r.version(r.since()); version > after {
 		return work.Orders{Catalog: &work.Catalog{Version: version}}, version, r.ended(ctx)
 	}
@@ -292,13 +316,13 @@
 	node.Start(supervisor)
 	var result outcome
 	const settled = 2 * time.Second
-	for at := time.Duration(0); at < p.trouble.to+3*inTouch; at = time.Since(began) {
+	for at := time.Duration(0); at < p.trouble.to+3*inTouch; at = registry.since() {
 		if registry.cut && p.trouble.stopped(at) {
 			time.Sleep(p.trouble.to - at)
 			continue
 		}
 		for i := range len(p.back) + 1 {
-			used := p.use(table, i)
+			used := p.use(table, i, registry.now())
 			switch {
 			case i == 0 && used:
 				result.lastUse = at
@@ -336,15 +360,15 @@
 }
 
 // use sends a request to a runner, which answers it well, and says whether the node may use it. Idle ones get none.
-func (p play) use(table *runnertable.Table, i int) bool {
+func (p play) use(table *runnertable.Table, i int, now time.Time) bool {
 	if _, known := table.Runner(runnerOf(i)); p.idle && i != 0 {
 		return known
 	}
-	flight, err := table.StartAt(runnerOf(i), runnertable.Wish{Service: "s"}, time.Now())
+	flight, err := table.StartAt(runnerOf(i), runnertable.Wish{Service: "s"}, now)
 	if err != nil {
 		return false
 	}
-	flight.Began(time.Now())
+	flight.Began(now)
 	flight.End()
 	return true
 }
