Refuse a job at once at a node that nobody answers

Change: reach.Watch is told of each call to the store and to workers whether it was answered. With three calls or more failed, and none answered for 1.5 s, the desk refuses a job before it sends it anywhere: as not run, which is true, and to be sent again after 0.1 s, because another node can take it.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -47,9 +47,11 @@
 	records := process.records()
 	holders := &jobpeer.Holders{
 		Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Copies: settings.Bounds.LostDisks + 1,
-		Seeds: settings.Seeds, SeedsFor: process.startGrace(), Now: clock.Now,
+		Seeds: settings.Seeds, SeedsFor: process.startGrace(), Heard: process.heard, Now: clock.Now,
+	}
+	desk := &jobentry.Desk{
+		Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes(), Heard: process.heard,
 	}
-	desk := &jobentry.Desk{Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes()}
 	process.follow(&follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}})
 	process.tellDemand(holders)
 	holders.TellEnds(process.tomb, process.ends)
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -19,6 +19,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/poison"
+	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/refusal"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
@@ -50,6 +51,7 @@
 	logger    zerolog.Logger
 	tomb      *tomb.Tomb
 	store     *storemeter.Store
+	heard     *reach.Watch
 	storePool *connpool.Pool
 	caller    *platform.RunnerCaller
 	runners   *runnertable.Table
@@ -72,6 +74,7 @@
 	started := &process{
 		path: path, settings: settings, logs: logs, logger: logger, tomb: new(tomb.Tomb),
 		store:     storemeter.New(&platform.Store{Address: settings.Store.Address, Pool: storePool}),
+		heard:     &reach.Watch{},
 		storePool: storePool,
 		caller: &platform.RunnerCaller{Pool: connpool.New(connpool.Options{
 			DialTimeout: runnerDialTimeout, IdleTimeout: runnerIdleTimeout, MaximumIdle: runnerIdle,
@@ -80,6 +83,7 @@
 		routes:    &routetable.Table{},
 		lifecycle: &site.Lifecycle{},
 	}
+	started.store.Heard = started.heard
 	started.ends = &endwatch.Watch{
 		Book: poison.NewBook(rand.Int64N(math.MaxInt32)), Runners: started.runners, Caller: started.caller, Tomb: started.tomb,
 		Logger: logger, Now: clock.Now,
--- a/internal/clock/sources_test.go
+++ b/internal/clock/sources_test.go
@@ -16,7 +16,7 @@
 var counted = []string{
 	"../../cmd/mallowlatch-site", "../../platform", "../batchroom", "../changefeed", "../connpool", "../demand", "../endwatch", "../eventstream",
 	"../fleetfeed", "../follower", "../handoff", "../jobentry", "../jobpeer", "../jobrecord", "../jobworker", "../lending", "../online",
-	"../poison", "../progress", "../refusal", "../routetable", "../runnertable", "../site", "../storemeter", "../waitline", "../work",
+	"../poison", "../progress", "../reach", "../refusal", "../routetable", "../runnertable", "../site", "../storemeter", "../waitline", "../work",
 }
 
 // TestOnlyThisPackageReadsTheSystemsClock looks through the sources: an age by another clock is too young after a sleep. Tests and
--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -235,3 +236,26 @@
 	assert.NilError(t, err)
 	assert.Assert(t, waiting <= bound, "%d tokens wait", waiting)
 }
+
+// TestNodeThatIsCutOffRefusesAtOnce has a node that nobody has answered for a while be given a job, as a site's fronts were that
+// had been cut off for four seconds: each held it for 1.4 to 1.8 s and then could not say whether it had been taken, so that all its
+// items were late. Nothing is sent now, and the caller is told so and to go on at once. With the first answer jobs are taken again.
+func TestNodeThatIsCutOffRefusesAtOnce(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	desk.Heard = &reach.Watch{}
+	for range 3 {
+		desk.Heard.Failed(time.Now().Add(-2 * time.Second))
+	}
+	refused := mustRefuse(t, submit(desk, "a", 10))
+	assert.Equal(t, refused.Outcome, outcome.NotRun)
+	assert.Assert(t, refused.RetryAfter > 0 && refused.RetryAfter <= 100*time.Millisecond)
+	assert.ErrorIs(t, refused, jobentry.ErrDeaf)
+	assert.Equal(t, holders.asked, 0)
+	exists, err := desk.Records.Exists(context.Background(), "a")
+	assert.NilError(t, err)
+	assert.Assert(t, !exists, "a job that was refused as not run was written")
+
+	desk.Heard.Answered()
+	assert.NilError(t, submit(desk, "a", 10))
+}
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -16,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -34,6 +35,8 @@
 	sendingFactor = 4
 	// doubtFor is how long after a failed call the workers are asked at once.
 	doubtFor = 2 * time.Second
+	// deafRetryAfter is when a caller may come back to a node that hears nobody: it goes to another one, which can take the job now.
+	deafRetryAfter = 100 * time.Millisecond
 	// quotaRetryAfter is when a caller may come back to a full queue.
 	quotaRetryAfter = time.Second
 	// cachedHeaders bounds the headers kept in memory. A header never changes, so that any copy is good.
@@ -69,7 +72,9 @@
 	Holders Holders
 	// LinkBytes is what the node's link carries, in bytes a second; zero is not known.
 	LinkBytes float64
-	Logger    zerolog.Logger
+	// Heard knows whether anybody answers this node; nil does not.
+	Heard  *reach.Watch
+	Logger zerolog.Logger
 
 	// Now is the steady clock; nil is the machine's.
 	Now func() time.Time
@@ -83,6 +88,9 @@
 // Accept makes a job durable. A nil error means that it is, now or since an earlier submission. The error is a
 // *failure.Error; its outcome is NotRun only where the job was not written and never will be.
 func (d *Desk) Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+	if d.Heard.Deaf(d.now()) {
+		return d.refuseUnheard(submission)
+	}
 	attempt := &acceptance{desk: d, route: route, submission: submission, told: outcome.NotRun}
 	if attempt.run(ctx) {
 		event.JobTaken.Log(d.Logger).Str("job", string(submission.ID)).Int("items", len(submission.Items)).
@@ -94,6 +102,18 @@
 	return refused
 }
 
+// ErrDeaf means that neither the store nor any worker has answered this node for a while.
+const ErrDeaf = failure.Kind("job entry: nobody answers this node")
+
+// refuseUnheard refuses a job that was sent nowhere. A node that is cut off held a job for 1.4 to 1.8 s before it said that it may have
+// been taken, the time of two jobs' acceptance; its caller is better served by another node at once.
+func (d *Desk) refuseUnheard(submission *jobrecord.Submission) *failure.Error {
+	refused := failure.New(failure.CodeShardUnavailable, "this node reaches nobody who could take the job").
+		WithRetryAfter(deafRetryAfter).WithCause(ErrDeaf)
+	event.JobRefused.Log(d.Logger).Str("job", string(submission.ID)).Str("not_run", refused.Outcome.String()).Err(ErrDeaf).Send()
+	return refused
+}
+
 func (d *Desk) now() time.Time {
 	if d.Now == nil {
 		return clock.Now()
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -38,6 +38,7 @@
 		return nil, err
 	}
 	w.failed = 0
+	w.Holders.Heard.Answered()
 	// A worker that reads the registry also follows the other workers, and told of them no earlier than this, however long its
 	// answer lay unread.
 	told := sent.Add(time.Duration(snapshot.HeldMs) * time.Millisecond)
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -15,6 +15,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jsoncall"
+	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -48,7 +49,9 @@
 	// read: each process that starts would read them otherwise.
 	Seeds    []string
 	SeedsFor time.Duration
-	Now      func() time.Time
+	// Heard is told whether workers answer; nil is not.
+	Heard *reach.Watch
+	Now   func() time.Time
 
 	mutex sync.Mutex
 	// began is when a worker was first wanted.
@@ -149,10 +152,15 @@
 	if err == nil {
 		err = connection.Invoke(call, method, jsoncall.Encoding{}, query, reply)
 	}
-	if err != nil && ctx.Err() == nil {
+	if err == nil {
+		h.Heard.Answered()
+		return true
+	}
+	if ctx.Err() == nil {
+		h.Heard.Failed(h.Now())
 		h.avoid(address)
 	}
-	return err == nil
+	return false
 }
 
 // candidates returns the addresses to ask: the holder that answered last, or else all workers, those of the zone first.
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -20,6 +20,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -255,3 +256,19 @@
 	assert.ErrorIs(t, err, jobpeer.ErrNoWorker)
 	assert.Equal(t, asked[len(asked)-1], "w")
 }
+
+// TestCallsToWorkersTellWhetherAnybodyAnswers has workers fall silent: the node is told so with the calls that it makes anyway, and
+// of the first that answers again.
+func TestCallsToWorkersTellWhetherAnybodyAnswers(t *testing.T) {
+	peers := []*peer{{silent: true}, {silent: true}, {silent: true}, {silent: true, keep: keeps}}
+	holders := newHolders(t, oneZone, peers...)
+	holders.Copies, holders.Heard = 3, &reach.Watch{}
+	later := func() time.Time { return time.Now().Add(time.Minute) }
+	assert.Assert(t, keep(holders) != nil)
+	assert.Assert(t, holders.Heard.Deaf(later()))
+
+	peers[3].silent = false
+	holders.Now = func() time.Time { return time.Now().Add(5 * time.Second) }
+	assert.Assert(t, keep(holders) != nil, "one of three is too few")
+	assert.Assert(t, !holders.Heard.Deaf(time.Now().Add(6*time.Second)))
+}
--- a/internal/storemeter/storemeter_test.go
+++ b/internal/storemeter/storemeter_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/storemeter"
 )
 
@@ -57,3 +58,26 @@
 	})
 	assert.Equal(t, len(meter.Take()), 0)
 }
+
+// TestAnswersOfTheStoreAreNoted takes a refusal for an answer, and a call that its caller gave up for neither.
+func TestAnswersOfTheStoreAreNoted(t *testing.T) {
+	ctx := context.Background()
+	meter := storemeter.New(silentStore{})
+	meter.Heard = &reach.Watch{}
+	later := func() time.Time { return time.Now().Add(time.Minute) }
+	fail := func(ctx context.Context) {
+		for range 3 {
+			_, err := meter.Changes(ctx, "job/live/", 0, 0)
+			assert.ErrorIs(t, err, kv.ErrUnavailable)
+		}
+	}
+	given, giveUp := context.WithCancel(ctx)
+	giveUp()
+	fail(given)
+	assert.Assert(t, !meter.Heard.Deaf(later()), "given up by the caller")
+	fail(ctx)
+	assert.Assert(t, meter.Heard.Deaf(later()))
+	_, err := meter.Commit(ctx, nil, nil)
+	assert.ErrorIs(t, err, kv.ErrRateLimited)
+	assert.Assert(t, !meter.Heard.Deaf(later()), "a refusal is an answer")
+}
