Send readers of jobs on at once from a node that nobody answers

Change: reading results, a body, and ending a job are refused there at once, with 0.1 s to come back.

Tests: TestNodeThatIsCutOffSendsReadersOnAtOnce.

--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -259,3 +259,27 @@
 	desk.Heard.Answered()
 	assert.NilError(t, submit(desk, "a", 10))
 }
+
+// TestNodeThatIsCutOffSendsReadersOnAtOnce has it asked for results, for the body of an item and for the end of a job: it would ask
+// workers and the store, each in vain, while any other node can answer.
+func TestNodeThatIsCutOffSendsReadersOnAtOnce(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	assert.NilError(t, submit(desk, "a", 10))
+	_, err := desk.Results(context.Background(), "a", 0, 0)
+	assert.NilError(t, err)
+	desk.Heard = &reach.Watch{}
+	for range 3 {
+		desk.Heard.Failed(time.Now().Add(-2 * time.Second))
+	}
+	_, unread := desk.Results(context.Background(), "a", 0, 0)
+	_, noBody := desk.Body(context.Background(), "a", "a-0")
+	for _, err := range []error{unread, noBody, desk.End(context.Background(), "a")} {
+		refused := mustRefuse(t, err)
+		assert.Equal(t, refused.Code, failure.CodeShardUnavailable)
+		assert.Assert(t, refused.RetryAfter > 0 && refused.RetryAfter <= 100*time.Millisecond)
+	}
+	desk.Heard.Answered()
+	_, err = desk.Results(context.Background(), "a", 0, 0)
+	assert.NilError(t, err)
+}
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -88,7 +88,7 @@
 // Accept makes a job durable. A nil error means that it is, now or since an earlier submission. The error is a
 // *failure.Error; its outcome is NotRun only where the job was not written and never will be.
 func (d *Desk) Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
-	if d.Heard.Deaf(d.now()) {
+	if d.deaf() {
 		return d.refuseUnheard(submission)
 	}
 	attempt := &acceptance{desk: d, route: route, submission: submission, told: outcome.NotRun}
@@ -105,6 +105,9 @@
 // ErrDeaf means that neither the store nor any worker has answered this node for a while.
 const ErrDeaf = failure.Kind("job entry: nobody answers this node")
 
+// deaf says that this node can neither take a job nor tell of one.
+func (d *Desk) deaf() bool { return d.Heard.Deaf(d.now()) }
+
 // refuseUnheard refuses a job that was sent nowhere. A node that is cut off held a job for 1.4 to 1.8 s before it said that it may have
 // been taken, the time of two jobs' acceptance; its caller is better served by another node at once.
 func (d *Desk) refuseUnheard(submission *jobrecord.Submission) *failure.Error {
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -28,6 +28,9 @@
 // a *failure.Error.
 func (d *Desk) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (Listing, error) {
 	wait = min(wait, longestWait)
+	if d.deaf() {
+		return Listing{}, d.readFailure(job, ErrDeaf)
+	}
 	if d.Holders != nil {
 		if total, results, sure := d.Holders.Results(ctx, job, from, wait); sure {
 			return Listing{Total: total, Results: cut(results)}, nil
@@ -84,6 +87,9 @@
 
 // Body reads the body of an item that is not listed yet. The error is a *failure.Error.
 func (d *Desk) Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, error) {
+	if d.deaf() {
+		return nil, d.readFailure(job, ErrDeaf)
+	}
 	if d.Holders != nil {
 		if body, found := d.Holders.Body(ctx, job, item); found {
 			return body, nil
@@ -104,6 +110,9 @@
 
 // End ends a job. The error is a *failure.Error.
 func (d *Desk) End(ctx context.Context, job ident.Job) error {
+	if d.deaf() {
+		return d.readFailure(job, ErrDeaf)
+	}
 	header, err := d.header(ctx, job)
 	if err != nil {
 		return d.readFailure(job, err)
@@ -192,5 +201,9 @@
 		return failure.New(failure.CodeNotFound, "no such item, or its result is listed").WithCause(err)
 	}
 	event.JobReadFailed.Log(d.Logger).Str("job", string(job)).Err(err).Send()
-	return failure.New(failure.CodeShardUnavailable, "the job cannot be read now").WithRetryAfter(retryAfter).WithCause(err)
+	after := retryAfter
+	if errors.Is(err, ErrDeaf) {
+		after = deafRetryAfter
+	}
+	return failure.New(failure.CodeShardUnavailable, "the job cannot be read now").WithRetryAfter(after).WithCause(err)
 }
