Test that a worker whose machine slept is not sure of its claims

Cause: that leases count the time asleep was worked out, not tested.

Change: the group of workers in the tests has a clock that can be ahead of their timers. A machine sleeps five seconds, its lease lasts one: right after waking the worker answers nothing from memory and tells of no lease for new jobs, though no timer of it has run; with its renewal it serves its job again.

--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/connpool"
+	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
@@ -102,13 +104,19 @@
 	stores  map[ident.Node]*kvtest.Paged
 	tables  map[ident.Node]*runnertable.Table
 	tombs   map[ident.Node]*tomb.Tomb
+	// asleep is for how long the machines of the workers were suspended: the world is ahead by that, their timers are not.
+	asleep atomic.Int64
 }
 
+// now is the time of the world, and of workers that count the time asleep.
+func (g *group) now() time.Time { return time.Now().Add(time.Duration(g.asleep.Load())) }
+
 func newGroup(t *testing.T) *group {
 	g := &group{
-		t: t, data: kvtest.NewData(time.Now), routes: &routetable.Table{}, callers: map[ident.Node]*fakeCaller{},
+		t: t, routes: &routetable.Table{}, callers: map[ident.Node]*fakeCaller{},
 		stores: map[ident.Node]*kvtest.Paged{}, tables: map[ident.Node]*runnertable.Table{}, tombs: map[ident.Node]*tomb.Tomb{},
 	}
+	g.data = kvtest.NewData(g.now)
 	g.records = g.recordsOf(kvtest.NewPaged(g.data))
 	g.routes.Adopt(&work.Catalog{Version: 1, Routes: []work.Route{{
 		Name: "r", Host: "h", PathPrefix: "/p/", Kind: work.Batch, Split: []work.WeightedService{{Service: "s", Weight: 1}},
@@ -140,7 +148,7 @@
 	options.LeaseTTL = time.Second
 	worker := &jobworker.Worker{
 		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
-		Caller: caller, Options: options, Logger: zerolog.Nop(), Now: time.Now,
+		Caller: caller, Options: options, Logger: zerolog.Nop(), Now: g.now,
 	}
 	if mirrors != nil {
 		worker.Options.MirrorEvery = mirrorEvery
@@ -316,3 +324,37 @@
 		g.waitWhole(fmt.Sprint("j", job), 1)
 	}
 }
+
+// TestWorkerWhoseMachineSleptIsNotSureOfItsJobs suspends a worker's machine for longer than its lease: the store has given its claims
+// up and another worker may have recorded more, while no timer of the worker has run. It answers nothing from memory and is given no
+// job before it has renewed, and serves its job again then. With a clock that stands still in the sleep it was sure at once.
+func TestWorkerWhoseMachineSleptIsNotSureOfItsJobs(t *testing.T) {
+	g := newGroup(t)
+	runner := work.Runner{ID: "i-1", Service: "s", Address: "a", Zone: "z", Slots: 4}
+	caller, store := &fakeCaller{held: true}, kvtest.NewPaged(g.data)
+	g.callers["w"], g.stores["w"] = caller, store
+	worker := g.start("w", store, caller, nil, runner)
+	isSure := func() bool {
+		_, _, sure := worker.Held(context.Background(), "job", 0, 0)
+		return sure
+	}
+	awaitSure := func() {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); !isSure(); time.Sleep(20 * time.Millisecond) {
+			assert.Assert(t, time.Now().Before(end), "never sure of its job")
+		}
+	}
+	g.submit("job", 2)
+	awaitSure()
+
+	// Whatever the worker asks the store right after waking is not answered yet.
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	g.asleep.Store(int64(5 * time.Second))
+	assert.Assert(t, !isSure(), "sure of a job whose claim has lapsed")
+	assert.Equal(t, worker.Demand(&demand.Report{Node: "front", Incarnation: 1, Sequence: 1}).Batch.Lease, int64(0))
+
+	store.SetFaults(kvtest.PagedFaults{})
+	awaitSure()
+	caller.hold(false)
+	g.waitWhole("job", 2)
+}
