End the other request in a test of admission once the first one waits

The other request is ended by a timer of 1 ms from within the dispatch. Where that comes before the refusal has been handled, nothing is in flight any more, and the request is refused: Return says that nothing tells when there is room then.

Change: the other request ends as soon as the first one waits in the queue, which is what the test is about. The assertions are as they were.

Left: a request that is refused just as the last other one ends could take the place that came free. It is told to come back.

--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -301,7 +301,7 @@
 				return nil
 			}
 			if otherEnds {
-				time.AfterFunc(time.Millisecond, func() { other.Done(nil) })
+				go endOnceQueued(controller, other)
 			}
 			return full
 		})
@@ -315,6 +315,20 @@
 	}
 }
 
+// endOnceQueued ends a request as soon as another one waits for its turn. Had it ended a moment before, the other would have been
+// refused: nothing in flight tells when there is room then.
+func endOnceQueued(controller *Controller, ending *Ticket) {
+	queued := func() int {
+		controller.mutex.Lock()
+		defer controller.mutex.Unlock()
+		return controller.service("s").queue.len()
+	}
+	for queued() == 0 {
+		time.Sleep(100 * time.Microsecond)
+	}
+	ending.Done(nil)
+}
+
 // TestUnusedLimitReturnsToTheShare cuts the limit of a node that sends little, and raises it far above its share.
 func TestUnusedLimitReturnsToTheShare(t *testing.T) {
 	const share, rounds = 16.0, 60
