--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mallowlatch.example/mallowlatch/internal/access"
 	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/follower"
@@ -52,11 +53,13 @@
 	desk := &jobentry.Desk{
 		Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes(), Heard: process.heard,
 	}
-	process.follow(&follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}})
+	orders := &follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}}
+	process.follow(orders)
+	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
 	process.tellDemand(holders)
 	holders.TellEnds(process.tomb, process.ends)
 	front := &platform.Front{
-		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone)), Stopping: process.lifecycle.Stopping,
+		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: clock.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
--- /dev/null
+++ b/internal/access/access_test.go
@@ -0,0 +1,134 @@
+package access_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/access"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/keyhash"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// source is a configuration that a gate reads anew.
+type source struct {
+	routes   *routetable.Table
+	newest   *work.Catalog
+	err      error
+	takes    time.Duration
+	readings int
+}
+
+func (s *source) refresh(context.Context) error {
+	s.readings++
+	time.Sleep(s.takes)
+	if s.err == nil && s.newest != nil {
+		s.routes.Adopt(s.newest)
+	}
+	return s.err
+}
+
+func catalog(version int64, tenant ident.Tenant, keys ...string) *work.Catalog {
+	made := &work.Catalog{Version: version, Keyed: true, Tenants: []work.Tenant{{Name: tenant}}}
+	for _, key := range keys {
+		made.Tenants[0].Keys = append(made.Tenants[0].Keys, keyhash.Of(key))
+	}
+	return made
+}
+
+func newGate(known *work.Catalog) (*access.Gate, *source) {
+	from := &source{routes: &routetable.Table{}, takes: 5 * time.Millisecond}
+	if known != nil {
+		from.routes.Adopt(known)
+	}
+	return &access.Gate{Routes: from.routes, Refresh: from.refresh, Logger: zerolog.Nop(), Now: time.Now}, from
+}
+
+func codeOf(err error) failure.Code { return failure.As(err).Code }
+
+// TestUnknownKeyIsRefusedOnlyByTheNewestConfiguration asks with a key that a newer configuration has, and with one that none has.
+func TestUnknownKeyIsRefusedOnlyByTheNewestConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, from := newGate(catalog(1, "clinic", "old"))
+		from.newest = catalog(2, "clinic", "old", "new")
+		holder, err := gate.Tenant(t.Context(), "new", false)
+		assert.NilError(t, err)
+		assert.Equal(t, holder.Name, ident.Tenant("clinic"))
+		_, err = gate.Tenant(t.Context(), "never", false)
+		assert.Equal(t, codeOf(err), failure.CodeInvalidKey)
+		assert.Equal(t, from.readings, 1)
+		// What was read a while ago proves nothing of a key.
+		time.Sleep(2 * time.Second)
+		from.newest = catalog(3, "clinic", "old", "newer")
+		_, err = gate.Tenant(t.Context(), "newer", false)
+		assert.NilError(t, err)
+		assert.Equal(t, from.readings, 2)
+	})
+}
+
+// TestOneReadingServesAllThatWait asks with many unknown keys at once, and again and again: what unknown keys cause is bounded.
+func TestOneReadingServesAllThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, from := newGate(catalog(1, "clinic", "old"))
+		for range 50 {
+			go func() {
+				_, err := gate.Tenant(t.Context(), "never", false)
+				assert.Check(t, codeOf(err) == failure.CodeInvalidKey)
+			}()
+		}
+		synctest.Wait()
+		time.Sleep(from.takes)
+		synctest.Wait()
+		assert.Equal(t, from.readings, 1)
+		for range 1000 {
+			_, err := gate.Tenant(t.Context(), "never", false)
+			assert.Equal(t, codeOf(err), failure.CodeInvalidKey)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, from.readings <= 11, "%d readings in ten seconds", from.readings)
+	})
+}
+
+// TestKeyThatCannotBeMadeSureOfIsNotRefusedForGood has the configuration out of reach.
+func TestKeyThatCannotBeMadeSureOfIsNotRefusedForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, from := newGate(catalog(1, "clinic", "old"))
+		from.err = kv.ErrUnavailable
+		_, err := gate.Tenant(t.Context(), "new", false)
+		told := failure.As(err)
+		assert.Equal(t, told.Code, failure.CodeConfigUnavailable)
+		assert.Equal(t, told.Outcome, outcome.NotRun)
+		assert.Assert(t, told.RetryAfter > 0)
+		_, err = gate.Tenant(t.Context(), "old", false)
+		assert.NilError(t, err)
+		// A reading that failed says nothing: the next key is looked for again.
+		from.err, from.newest = nil, catalog(2, "clinic", "new")
+		_, err = gate.Tenant(t.Context(), "new", false)
+		assert.NilError(t, err)
+		_, err = gate.Tenant(t.Context(), "old", false)
+		assert.Equal(t, codeOf(err), failure.CodeInvalidKey)
+	})
+}
+
+// TestNodeWithoutAConfigurationFindsOutWhetherKeysAreNeeded serves nothing before it knows.
+func TestNodeWithoutAConfigurationFindsOutWhetherKeysAreNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, from := newGate(nil)
+		from.err = kv.ErrUnavailable
+		_, err := gate.Tenant(t.Context(), "", false)
+		assert.Equal(t, codeOf(err), failure.CodeConfigUnavailable)
+		from.err, from.newest = nil, &work.Catalog{Version: 1}
+		holder, err := gate.Tenant(t.Context(), "", false)
+		assert.NilError(t, err)
+		assert.Assert(t, holder == nil)
+	})
+}
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -12,6 +12,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/catalog"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/keyhash"
 )
 
 const (
@@ -39,8 +40,7 @@
 
 // Digest returns the hexadecimal SHA-256 of a secret, as catalog.Key keeps it.
 func Digest(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
+	return keyhash.Of(secret).String()
 }
 
 // Generate reads 256 random bits from randomness and returns a new secret and its digest.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -12,7 +12,9 @@
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/keyhash"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -334,12 +336,62 @@
 	if f.Feed != nil {
 		f.Feed.Orders(orders, f.Now())
 	}
-	if orders.Catalog != nil && f.Routes.Adopt(orders.Catalog) {
-		event.CatalogAdopted.Log(f.Logger).Int64("version", orders.Catalog.Version).Int("routes", len(orders.Catalog.Routes)).Send()
-	}
+	f.adopt(orders.Catalog, false)
 	f.tellRetirements(orders.Retire)
 }
 
+// ErrRegistryAway means that the registry is known not to answer.
+const ErrRegistryAway = failure.Kind("follower: the registry does not answer")
+
+// Refresh reads the orders now and takes them over, for whoever must not go by older ones. It fails at once where the registry is
+// known to be away.
+func (f *Follower) Refresh(ctx context.Context) error {
+	f.mutex.Lock()
+	away := f.lost && !f.answers
+	f.mutex.Unlock()
+	if away {
+		return ErrRegistryAway
+	}
+	_, err := f.nextOrders(ctx, 0)
+	return err
+}
+
+// adopt puts a configuration in force where it is newer. relayed says that another node read it.
+func (f *Follower) adopt(catalog *work.Catalog, relayed bool) {
+	if catalog == nil {
+		return
+	}
+	before := f.Routes.Catalog()
+	if !f.Routes.Adopt(catalog) {
+		return
+	}
+	event.CatalogAdopted.Log(f.Logger).Int64("version", catalog.Version).Int("routes", len(catalog.Routes)).
+		Int("tenants", len(catalog.Tenants)).Bool("relayed", relayed).Send()
+	if before != nil {
+		f.tellKeys(routetable.CompareKeys(before, catalog))
+	}
+}
+
+// toldKeys is how many of the keys that came or went a line names.
+const toldKeys = 8
+
+// tellKeys logs which keys came and went.
+func (f *Follower) tellKeys(change routetable.KeyChange) {
+	if len(change.Added)+len(change.Removed) == 0 {
+		return
+	}
+	event.KeysChanged.Log(f.Logger).Int("added", len(change.Added)).Int("removed", len(change.Removed)).
+		Strs("added_hashes", shortened(change.Added)).Strs("removed_hashes", shortened(change.Removed)).Send()
+}
+
+func shortened(keys []keyhash.Digest) []string {
+	short := make([]string, 0, min(len(keys), toldKeys))
+	for _, key := range keys[:min(len(keys), toldKeys)] {
+		short = append(short, key.Short())
+	}
+	return short
+}
+
 func (f *Follower) tellRetirements(retirements []work.Retirement) {
 	if f.Retire == nil {
 		return
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -132,7 +132,7 @@
 
 // TestNothingKnownIsLostWhileTheRegistryIsAway keeps the last runners and routes, and goes on when it is back.
 func TestNothingKnownIsLostWhileTheRegistryIsAway(t *testing.T) {
-	registry := &fakeRegistry{runners: []work.Runner{{ID: "i-1"}}, revision: 1, catalog: &work.Catalog{Version: 1}}
+	registry := &fakeRegistry{runners: []work.Runner{{ID: "i-1"}}, revision: 1, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
 	f := &follower.Follower{Registry: registry}
 	start(t, f, shortDrain)
 	eventually(t, func() bool { return f.Runners.Count() == 1 && f.Routes.Catalog() != nil })
@@ -142,7 +142,7 @@
 	assert.Equal(t, f.Runners.Count(), 1)
 	assert.Equal(t, f.Routes.Catalog().Version, int64(1))
 	registry.set(func(r *fakeRegistry) {
-		r.down, r.revision, r.catalog = false, 2, &work.Catalog{Version: 9}
+		r.down, r.revision, r.catalog = false, 2, &work.Catalog{Form: work.CatalogForm, Version: 9}
 		r.runners = []work.Runner{{ID: "i-1"}, {ID: "i-2"}}
 	})
 	eventually(t, func() bool { return f.Runners.Count() == 2 && f.Routes.Catalog().Version == 9 })
@@ -162,7 +162,7 @@
 
 // TestRelayedNodeReadsForItselfWhenTheRelayIsSilent reads nothing while a feed is fresh, and all when it is cut.
 func TestRelayedNodeReadsForItselfWhenTheRelayIsSilent(t *testing.T) {
-	registry := &fakeRegistry{runners: []work.Runner{{ID: "i-1"}}, revision: 1, catalog: &work.Catalog{Version: 1}}
+	registry := &fakeRegistry{runners: []work.Runner{{ID: "i-1"}}, revision: 1, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
 	feed := fleetfeed.New(time.Now)
 	start(t, &follower.Follower{Registry: registry, Feed: feed}, longDrain)
 	eventually(t, func() bool {
@@ -180,7 +180,7 @@
 	time.Sleep(500 * time.Millisecond)
 	assert.Assert(t, own.read() <= quiet+2, "%d readings of its own beside a fresh feed", own.read()-quiet)
 	own.set(func(r *fakeRegistry) {
-		r.down, r.revision, r.runners, r.catalog = false, 2, []work.Runner{{ID: "i-1"}, {ID: "i-2"}}, &work.Catalog{Version: 2}
+		r.down, r.revision, r.runners, r.catalog = false, 2, []work.Runner{{ID: "i-1"}, {ID: "i-2"}}, &work.Catalog{Form: work.CatalogForm, Version: 2}
 	})
 	close(source.cut)
 	eventually(t, func() bool { return f.Runners.Count() == 2 && f.Routes.Catalog().Version == 2 })
@@ -191,7 +191,7 @@
 func TestWorkerPassesOnWhatItWasTold(t *testing.T) {
 	first := fleetfeed.New(time.Now)
 	read := time.Now().Add(-200 * time.Millisecond)
-	first.Orders(work.Orders{Catalog: &work.Catalog{Version: 3}, Retire: []work.Retirement{{Node: "w-2", Within: time.Second}}}, read)
+	first.Orders(work.Orders{Catalog: &work.Catalog{Form: work.CatalogForm, Version: 3}, Retire: []work.Retirement{{Node: "w-2", Within: time.Second}}}, read)
 	first.Read([]work.Runner{{ID: "i-1"}}, 1, read)
 
 	var mutex sync.Mutex
--- /dev/null
+++ b/internal/follower/older_test.go
@@ -0,0 +1,66 @@
+package follower_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// TestConfigurationOfAnOlderBuildIsReadAnew has a node told by one of an older build, which left the tenants out. What is told so must
+// never be in force: each request would be served without a key.
+func TestConfigurationOfAnOlderBuildIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		feed := fleetfeed.New(time.Now)
+		runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
+		whole := func(version int64) *work.Catalog {
+			return &work.Catalog{Version: version, Form: work.CatalogForm, Keyed: true, Tenants: []work.Tenant{{Name: "clinic"}}}
+		}
+		registry := &fakeRegistry{runners: runners, revision: 5, catalog: whole(1)}
+		f := &follower.Follower{
+			Registry: registry, Source: &lateSource{from: began, feed: feed}, Runners: runnertable.New("z"), Routes: &routetable.Table{},
+			Logger: zerolog.Nop(), Now: time.Now, Options: follower.OptionsFor(longDrain, siteHeartbeat),
+		}
+		f.Options.StartGrace = time.Second
+		supervisor := new(tomb.Tomb)
+		version := int64(1)
+		tell := func() {
+			feed.Read(runners, 5, time.Now())
+			feed.Orders(work.Orders{Catalog: &work.Catalog{Version: version}}, time.Now())
+		}
+		tell()
+		f.Start(supervisor)
+		for step := range 400 {
+			if step == 200 {
+				version = 2
+				registry.mutex.Lock()
+				registry.catalog = whole(version)
+				registry.mutex.Unlock()
+				changed := time.Now()
+				defer func() {
+					assert.Assert(t, f.Routes.Catalog().Version == 2, "not in force %v after the change", time.Since(changed))
+				}()
+			}
+			tell()
+			time.Sleep(10 * time.Millisecond)
+			if catalog := f.Routes.Catalog(); catalog != nil {
+				assert.Assert(t, catalog.Keyed, "version %d is in force without its tenants", catalog.Version)
+			}
+			if step > 250 {
+				assert.Equal(t, f.Routes.Catalog().Version, int64(2), "half a second after the change")
+			}
+		}
+		supervisor.Kill(nil)
+		assert.NilError(t, supervisor.Wait())
+	})
+}
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -84,6 +84,19 @@
 		return
 	}
 	f.fresh, f.graceUntil = freshness{}, time.Time{}
+	f.wakeReaders()
+}
+
+// readOrdersItself has this node read the orders itself now, and the list until it is told again.
+func (f *Follower) readOrdersItself() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.fresh.orders, f.graceUntil = time.Time{}, time.Time{}
+	f.wakeReaders()
+}
+
+// wakeReaders has those that wait for what is told look whether this node reads itself. The caller holds the mutex.
+func (f *Follower) wakeReaders() {
 	if f.alone != nil {
 		close(f.alone)
 		f.alone = nil
@@ -169,10 +182,13 @@
 	if !listFresh || ordersFresh {
 		known.Incarnation, known.Reading = snapshot.Incarnation, snapshot.Reading
 	}
-	// A newer configuration is newer however long ago it was read.
-	if snapshot.Catalog != nil && f.Routes.Adopt(snapshot.Catalog) {
-		event.CatalogAdopted.Log(f.Logger).Int64("version", snapshot.Catalog.Version).Bool("relayed", true).Send()
+	if snapshot.Catalog != nil && snapshot.Catalog.Form < work.CatalogForm {
+		// A node of an older build left out of the configuration what it doesn't know.
+		f.readOrdersItself()
+		return toldOld
 	}
+	// A newer configuration is newer however long ago it was read.
+	f.adopt(snapshot.Catalog, true)
 	// The other node reads the list and the orders beside each other. Where only the list is fresh the same is asked for again: it
 	// is told once, and would be heard of anew with the next reading, a second later.
 	if !listFresh || !ordersFresh {
--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -205,7 +205,7 @@
 		return work.Orders{}, 0, err
 	}
 	version := r.version(r.since())
-	return work.Orders{Catalog: &work.Catalog{Version: version}}, version, r.ended(ctx)
+	return work.Orders{Catalog: &work.Catalog{Form: work.CatalogForm, Version: version}}, version, r.ended(ctx)
 }
 
 // version is that of the configuration at a time.
@@ -238,7 +238,7 @@
 	}
 	r.wait(held)
 	if version := r.version(r.since()); version > after {
-		return work.Orders{Catalog: &work.Catalog{Version: version}}, version, r.ended(ctx)
+		return work.Orders{Catalog: &work.Catalog{Form: work.CatalogForm, Version: version}}, version, r.ended(ctx)
 	}
 	return work.Orders{}, after, r.ended(ctx)
 }
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -54,7 +54,7 @@
 				began := time.Now()
 				feed := fleetfeed.New(time.Now)
 				runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
-				registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Version: 1}}
+				registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
 				f := &follower.Follower{
 					Registry: registry, Source: &lateSource{from: began.Add(c.after), until: c.until, feed: feed},
 					Runners: runnertable.New("z"), Routes: &routetable.Table{}, Logger: zerolog.Nop(), Now: time.Now,
@@ -98,7 +98,7 @@
 		began := time.Now()
 		feed := fleetfeed.New(time.Now)
 		runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
-		registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Version: 1}}
+		registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
 		source := &turnSource{lateSource: lateSource{from: began, feed: feed}, turn: began.Add(100 * time.Millisecond)}
 		f := &follower.Follower{
 			Registry: registry, Source: source, Runners: runnertable.New("z"), Routes: &routetable.Table{}, Logger: zerolog.Nop(),
@@ -135,7 +135,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			feed := fleetfeed.New(time.Now)
 			runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
-			registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Version: 1}}
+			registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
 			source := &feedSource{feed: feed, cut: make(chan struct{})}
 			f := &follower.Follower{
 				Registry: registry, Source: source, Runners: runnertable.New("z"), Routes: &routetable.Table{}, Logger: zerolog.Nop(),
--- a/internal/handoff/entry.go
+++ b/internal/handoff/entry.go
@@ -35,6 +35,8 @@
 	Route string     `json:"route"`
 	Host  string     `json:"host"`
 	Zone  ident.Zone `json:"zone"`
+	// Tenant is whose job it is, if anybody's.
+	Tenant ident.Tenant `json:"tenant,omitempty"`
 	// SubmittedMs is when the job was accepted, in milliseconds of Unix time.
 	SubmittedMs int64 `json:"submitted_ms"`
 	// Turn is the position among the workers that keep the job: later ones leave it to the earlier ones for a while.
@@ -51,7 +53,7 @@
 // NewEntry returns the entry of a submission.
 func NewEntry(submission *jobrecord.Submission, accepted time.Time, turn int) *Entry {
 	entry := &Entry{
-		Job: submission.ID, Route: submission.Route, Host: submission.Host, Zone: submission.Zone,
+		Job: submission.ID, Route: submission.Route, Host: submission.Host, Zone: submission.Zone, Tenant: submission.Tenant,
 		SubmittedMs: accepted.UnixMilli(), Turn: turn, Items: make([]Item, 0, len(submission.Items)),
 	}
 	for _, item := range submission.Items {
@@ -65,7 +67,7 @@
 // Submission is what the store is to take.
 func (e *Entry) Submission() *jobrecord.Submission {
 	submission := &jobrecord.Submission{
-		ID: e.Job, Route: e.Route, Host: e.Host, Zone: e.Zone, Accepted: time.UnixMilli(e.SubmittedMs),
+		ID: e.Job, Route: e.Route, Host: e.Host, Zone: e.Zone, Tenant: e.Tenant, Accepted: time.UnixMilli(e.SubmittedMs),
 		Items: make([]work.Item, 0, len(e.Items)),
 	}
 	for _, item := range e.Items {
@@ -75,6 +77,9 @@
 	return submission
 }
 
+// Queue is where the job waits.
+func (e *Entry) Queue() jobrecord.Queue { return jobrecord.Queue{Route: e.Route, Tenant: e.Tenant} }
+
 // Tokens are those of all items.
 func (e *Entry) Tokens() int {
 	tokens := 0
--- a/internal/handoff/log.go
+++ b/internal/handoff/log.go
@@ -14,6 +14,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/durable"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
 )
 
 const (
@@ -27,6 +28,7 @@
 type Summary struct {
 	Job    ident.Job
 	Route  string
+	Tenant ident.Tenant
 	Tokens int
 	Turn   int
 	bytes  int64
@@ -86,7 +88,7 @@
 
 // add notes an entry. The caller holds the mutex or is the only user.
 func (l *Log) add(entry *Entry, size int64) {
-	l.entries[entry.Job] = Summary{Job: entry.Job, Route: entry.Route, Tokens: entry.Tokens(), Turn: entry.Turn, bytes: size}
+	l.entries[entry.Job] = Summary{Job: entry.Job, Route: entry.Route, Tenant: entry.Tenant, Tokens: entry.Tokens(), Turn: entry.Turn, bytes: size}
 	l.bytes += size
 }
 
@@ -159,13 +161,13 @@
 	return kept
 }
 
-// Tokens returns the tokens of a route's entries.
-func (l *Log) Tokens(route string) int {
+// Tokens returns the tokens of a queue's entries.
+func (l *Log) Tokens(queue jobrecord.Queue) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	tokens := 0
 	for _, entry := range l.entries {
-		if entry.Route == route {
+		if queue.Has(entry.Route, entry.Tenant) {
 			tokens += entry.Tokens
 		}
 	}
--- a/internal/handoff/log_test.go
+++ b/internal/handoff/log_test.go
@@ -48,7 +48,7 @@
 
 	again := openLog(t, folder)
 	assert.Assert(t, again.Has("a") && !again.Has("b"))
-	assert.Equal(t, again.Tokens("r"), 30)
+	assert.Equal(t, again.Tokens(jobrecord.Queue{Route: "r"}), 30)
 	loaded, err := again.Load("a")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, loaded, entry("a", 1))
--- a/internal/jobentry/acceptance.go
+++ b/internal/jobentry/acceptance.go
@@ -112,7 +112,7 @@
 func (a *acceptance) final() bool {
 	var typed *failure.Error
 	if !errors.As(a.last, &typed) {
-		return false
+		return errors.Is(a.last, jobrecord.ErrOthersJob)
 	}
 	return typed.Code == failure.CodeJobQuota || typed.Code == failure.CodeBodyTooLarge
 }
--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -36,14 +36,16 @@
 	assignee    jobrecord.Assignee
 	assigned    []jobrecord.Assigned
 	refusesJobs bool
+	// held is what a worker has of each job; without items none has.
+	held work.Held
 }
 
-func (h *fakeHolders) Results(context.Context, ident.Job, int, time.Duration) (int, []work.Result, bool) {
-	return 0, nil, false
+func (h *fakeHolders) Results(context.Context, ident.Job, int, time.Duration) (work.Held, bool) {
+	return h.held, h.held.Total > 0
 }
 
-func (h *fakeHolders) Body(context.Context, ident.Job, ident.Request) ([]byte, bool) {
-	return nil, false
+func (h *fakeHolders) Body(context.Context, ident.Job, ident.Request) ([]byte, ident.Tenant, bool) {
+	return []byte("body"), h.held.Tenant, h.held.Total > 0
 }
 
 func (h *fakeHolders) Keep(context.Context, *work.Route, *jobrecord.Submission) error {
@@ -184,16 +186,16 @@
 	holders := &fakeHolders{pending: true}
 	desk, _ := newDesk(holders)
 	ctx := context.Background()
-	_, err := desk.Results(ctx, "a", 0, 0)
+	_, err := desk.Results(ctx, "", "a", 0, 0)
 	assert.Equal(t, failure.As(err).Code, failure.CodeShardUnavailable)
-	assert.Equal(t, failure.As(desk.End(ctx, "a")).Code, failure.CodeShardUnavailable)
+	assert.Equal(t, failure.As(desk.End(ctx, "", "a")).Code, failure.CodeShardUnavailable)
 
 	holders.pending, holders.unsure = false, true
-	_, err = desk.Body(ctx, "a", "a-0")
+	_, err = desk.Body(ctx, "", "a", "a-0")
 	assert.Equal(t, failure.As(err).Code, failure.CodeShardUnavailable)
 
 	holders.unsure = false
-	_, err = desk.Results(ctx, "a", 0, 0)
+	_, err = desk.Results(ctx, "", "a", 0, 0)
 	assert.Equal(t, failure.As(err).Code, failure.CodeNotFound)
 }
 
@@ -202,7 +204,7 @@
 	holders := &fakeHolders{}
 	desk, _ := newDesk(holders)
 	holders.onAsking = func() { assert.NilError(t, submit(desk, "a", 10)) }
-	listing, err := desk.Results(context.Background(), "a", 0, 0)
+	listing, err := desk.Results(context.Background(), "", "a", 0, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, listing.Total, 1)
 }
@@ -232,7 +234,7 @@
 	first.Records = &records
 	refused := mustRefuse(t, submit(first, "a", bound*7/10))
 	assert.Equal(t, refused.Code, failure.CodeJobQuota)
-	waiting, err := second.Records.WaitingTokens(context.Background(), "r", 0)
+	waiting, err := second.Records.WaitingTokens(context.Background(), jobrecord.Queue{Route: "r"}, 0)
 	assert.NilError(t, err)
 	assert.Assert(t, waiting <= bound, "%d tokens wait", waiting)
 }
@@ -266,20 +268,69 @@
 	holders := &fakeHolders{}
 	desk, _ := newDesk(holders)
 	assert.NilError(t, submit(desk, "a", 10))
-	_, err := desk.Results(context.Background(), "a", 0, 0)
+	_, err := desk.Results(context.Background(), "", "a", 0, 0)
 	assert.NilError(t, err)
 	desk.Heard = &reach.Watch{}
 	for range 3 {
 		desk.Heard.Failed(time.Now().Add(-2 * time.Second))
 	}
-	_, unread := desk.Results(context.Background(), "a", 0, 0)
-	_, noBody := desk.Body(context.Background(), "a", "a-0")
-	for _, err := range []error{unread, noBody, desk.End(context.Background(), "a")} {
+	_, unread := desk.Results(context.Background(), "", "a", 0, 0)
+	_, noBody := desk.Body(context.Background(), "", "a", "a-0")
+	for _, err := range []error{unread, noBody, desk.End(context.Background(), "", "a")} {
 		refused := mustRefuse(t, err)
 		assert.Equal(t, refused.Code, failure.CodeShardUnavailable)
 		assert.Assert(t, refused.RetryAfter > 0 && refused.RetryAfter <= 100*time.Millisecond)
 	}
 	desk.Heard.Answered()
-	_, err = desk.Results(context.Background(), "a", 0, 0)
+	_, err = desk.Results(context.Background(), "", "a", 0, 0)
 	assert.NilError(t, err)
 }
+
+// submitOf submits a job of a tenant.
+func submitOf(desk *jobentry.Desk, tenant ident.Tenant, job string, tokens int) error {
+	submission := &jobrecord.Submission{ID: ident.Job(job), Route: "r", Host: "h", Zone: "z", Tenant: tenant, Items: []work.Item{
+		{ID: ident.Request(job + "-0"), Path: "/p/x", Tokens: tokens, Body: []byte("b")},
+	}}
+	return desk.Accept(context.Background(), &work.Route{Name: "r", MaximumQueuedTokens: bound}, submission)
+}
+
+// TestTokensWaitByTenant fills the queue of one tenant; that of another is its own.
+func TestTokensWaitByTenant(t *testing.T) {
+	desk, _ := newDesk(&fakeHolders{})
+	assert.NilError(t, submitOf(desk, "a", "a-1", bound))
+	assert.Equal(t, mustRefuse(t, submitOf(desk, "a", "a-2", 1)).Code, failure.CodeJobQuota)
+	assert.NilError(t, submitOf(desk, "b", "b-1", bound))
+	assert.Equal(t, mustRefuse(t, submitOf(desk, "b", "b-2", 1)).Code, failure.CodeJobQuota)
+}
+
+// TestJobOfNobodyCountsForEachTenant has a job in the queue that a build without tenants took: whose it is is not known.
+func TestJobOfNobodyCountsForEachTenant(t *testing.T) {
+	desk, _ := newDesk(&fakeHolders{})
+	assert.NilError(t, submitOf(desk, "", "old", bound/2+1))
+	assert.Equal(t, mustRefuse(t, submitOf(desk, "a", "a-1", bound/2)).Code, failure.CodeJobQuota)
+	assert.NilError(t, submitOf(desk, "a", "a-2", bound/4))
+}
+
+// TestJobOfAnotherTenantIsNotThere asks for a job by its own tenant and by another, from the records, from a worker that tells whose it
+// is, and from one of a build that does not.
+func TestJobOfAnotherTenantIsNotThere(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	ctx := context.Background()
+	assert.NilError(t, submitOf(desk, "a", "job", 1))
+	assert.Equal(t, mustRefuse(t, submitOf(desk, "b", "job", 1)).Code, failure.CodeConflict)
+	assert.NilError(t, submitOf(desk, "a", "job", 1))
+	for _, held := range []work.Held{{}, {Tenant: "a", Total: 1}, {Total: 1}} {
+		holders.held = held
+		_, err := desk.Results(ctx, "a", "job", 0, 0)
+		assert.NilError(t, err)
+		_, err = desk.Body(ctx, "a", "job", "job-0")
+		assert.NilError(t, err)
+		_, err = desk.Results(ctx, "b", "job", 0, 0)
+		assert.Equal(t, failure.As(err).Code, failure.CodeNotFound, "%+v", held)
+		_, err = desk.Body(ctx, "b", "job", "job-0")
+		assert.Equal(t, failure.As(err).Code, failure.CodeNotFound, "%+v", held)
+		assert.Equal(t, failure.As(desk.End(ctx, "b", "job")).Code, failure.CodeNotFound)
+	}
+	assert.NilError(t, desk.End(ctx, "a", "job"))
+}
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -50,7 +50,7 @@
 // Holders reads from the memory of the worker that runs a job.
 type Holders interface {
 	// Results returns results from a position on. sure is false where no worker answered for certain.
-	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool)
+	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (held work.Held, sure bool)
 	// Keep has workers keep a job on disk until the store takes it. Its error is a *failure.Error.
 	Keep(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error
 	// Pending says whether a worker keeps a job that the store may not have yet; sure is false where one may and did not
@@ -60,8 +60,8 @@
 	Assignee(items int) (jobrecord.Assignee, bool)
 	// Assign tells the worker of a job that was accepted with a claim for it, and says whether it runs the job.
 	Assign(ctx context.Context, assignee jobrecord.Assignee, assigned jobrecord.Assigned) bool
-	// Body returns the body of an item without a result, if a worker has it.
-	Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, bool)
+	// Body returns the body of an item without a result and whose job it is, if a worker has it.
+	Body(ctx context.Context, job ident.Job, item ident.Request) (body []byte, tenant ident.Tenant, found bool)
 }
 
 // Desk takes jobs in and reads them. It is safe for concurrent use.
@@ -144,6 +144,8 @@
 		return final
 	case errors.As(last, &final) && final.Code == failure.CodeBodyTooLarge:
 		return final
+	case errors.Is(last, jobrecord.ErrOthersJob):
+		return failure.New(failure.CodeConflict, "another job has this id").WithCause(last)
 	case told != outcome.NotRun:
 		return failure.New(failure.CodeOutcomeUnknown, "the job may have been taken; send it again").WithOutcome(told).WithCause(last)
 	}
@@ -203,7 +205,7 @@
 		return 0, nil
 	}
 	tokens := submission.Tokens()
-	waiting, err := d.Records.WaitingTokens(ctx, route.Name, bound-tokens)
+	waiting, err := d.Records.WaitingTokens(ctx, submission.Queue(), bound-tokens)
 	if err != nil {
 		return 0, errNotWritten(err)
 	}
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -24,24 +24,52 @@
 	Results []work.Result
 }
 
-// Results reads results from a position on. Without any it waits for the next one, at most for the wait. The error is
-// a *failure.Error.
-func (d *Desk) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (Listing, error) {
+// Results reads results of a tenant's job from a position on. Without any it waits for the next one, at most for the wait. The error
+// is a *failure.Error.
+func (d *Desk) Results(ctx context.Context, tenant ident.Tenant, job ident.Job, from int, wait time.Duration) (Listing, error) {
 	wait = min(wait, longestWait)
 	if d.deaf() {
 		return Listing{}, d.readFailure(job, ErrDeaf)
 	}
 	if d.Holders != nil {
-		if total, results, sure := d.Holders.Results(ctx, job, from, wait); sure {
-			return Listing{Total: total, Results: cut(results)}, nil
+		if held, sure := d.Holders.Results(ctx, job, from, wait); sure {
+			if err := d.checkTenant(ctx, tenant, held.Tenant, job); err != nil {
+				return Listing{}, d.readFailure(job, err)
+			}
+			return Listing{Total: held.Total, Results: cut(held.Results)}, nil
 		}
 	}
-	return d.recordedResults(ctx, job, from, wait)
+	return d.recordedResults(ctx, tenant, job, from, wait)
 }
 
-// recordedResults reads the records themselves.
-func (d *Desk) recordedResults(ctx context.Context, job ident.Job, from int, wait time.Duration) (Listing, error) {
+// checkTenant returns nil where a tenant may read a job, given whose it is as the worker told that holds it. One that told of nobody
+// may be of an older build: then the records say.
+func (d *Desk) checkTenant(ctx context.Context, tenant, holder ident.Tenant, job ident.Job) error {
+	if holder == tenant {
+		return nil
+	}
+	if holder == "" {
+		_, err := d.headerFor(ctx, tenant, job)
+		return err
+	}
+	return fmt.Errorf("%w: %s is another tenant's", jobrecord.ErrNoSuchJob, job)
+}
+
+// headerFor returns the header of a tenant's job. To another tenant there is no such job.
+func (d *Desk) headerFor(ctx context.Context, tenant ident.Tenant, job ident.Job) (*jobrecord.Header, error) {
 	header, err := d.header(ctx, job)
+	if err != nil {
+		return nil, err
+	}
+	if !header.BelongsTo(tenant) {
+		return nil, fmt.Errorf("%w: %s is another tenant's", jobrecord.ErrNoSuchJob, job)
+	}
+	return header, nil
+}
+
+// recordedResults reads the records themselves.
+func (d *Desk) recordedResults(ctx context.Context, tenant ident.Tenant, job ident.Job, from int, wait time.Duration) (Listing, error) {
+	header, err := d.headerFor(ctx, tenant, job)
 	if err != nil {
 		return Listing{}, d.readFailure(job, err)
 	}
@@ -85,17 +113,20 @@
 	return results
 }
 
-// Body reads the body of an item that is not listed yet. The error is a *failure.Error.
-func (d *Desk) Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, error) {
+// Body reads the body of an item of a tenant's job that is not listed yet. The error is a *failure.Error.
+func (d *Desk) Body(ctx context.Context, tenant ident.Tenant, job ident.Job, item ident.Request) ([]byte, error) {
 	if d.deaf() {
 		return nil, d.readFailure(job, ErrDeaf)
 	}
 	if d.Holders != nil {
-		if body, found := d.Holders.Body(ctx, job, item); found {
+		if body, holder, found := d.Holders.Body(ctx, job, item); found {
+			if err := d.checkTenant(ctx, tenant, holder, job); err != nil {
+				return nil, d.readFailure(job, err)
+			}
 			return body, nil
 		}
 	}
-	header, err := d.header(ctx, job)
+	header, err := d.headerFor(ctx, tenant, job)
 	if err != nil {
 		return nil, d.readFailure(job, err)
 	}
@@ -108,12 +139,12 @@
 	return body, nil
 }
 
-// End ends a job. The error is a *failure.Error.
-func (d *Desk) End(ctx context.Context, job ident.Job) error {
+// End ends a tenant's job. The error is a *failure.Error.
+func (d *Desk) End(ctx context.Context, tenant ident.Tenant, job ident.Job) error {
 	if d.deaf() {
 		return d.readFailure(job, ErrDeaf)
 	}
-	header, err := d.header(ctx, job)
+	header, err := d.headerFor(ctx, tenant, job)
 	if err != nil {
 		return d.readFailure(job, err)
 	}
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -75,33 +75,33 @@
 }
 
 // Results reads the results of a job from its holder. sure is false where no holder answered for certain.
-func (h *Holders) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool) {
+func (h *Holders) Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (held work.Held, sure bool) {
 	query := &Query{Job: job, From: from, WaitMs: wait.Milliseconds()}
 	candidates := h.candidates(ctx, job)
 	if len(candidates) == 0 {
 		// Nobody was asked, so that nothing new is known: the time without a holder must not begin anew.
-		return 0, nil, false
+		return work.Held{}, false
 	}
 	for _, address := range candidates {
 		reply := &Reply{}
 		if h.ask(ctx, address, methodResults, query, reply, wait) && reply.Sure {
 			h.remember(job, whereabouts{address: address})
-			return reply.Total, reply.Results, true
+			return work.Held{Tenant: reply.Tenant, Total: reply.Total, Results: reply.Results}, true
 		}
 	}
 	h.remember(job, whereabouts{unheld: h.Now()})
-	return 0, nil, false
+	return work.Held{}, false
 }
 
-// Body reads the body of an item from the worker that holds its job.
-func (h *Holders) Body(ctx context.Context, job ident.Job, item ident.Request) ([]byte, bool) {
+// Body reads the body of an item, and whose it is, from the worker that holds its job.
+func (h *Holders) Body(ctx context.Context, job ident.Job, item ident.Request) (body []byte, tenant ident.Tenant, found bool) {
 	for _, address := range h.candidates(ctx, job) {
 		reply := &BodyReply{}
 		if h.ask(ctx, address, methodBody, &BodyQuery{Job: job, Item: item}, reply, 0) && reply.Found {
-			return reply.Body, true
+			return reply.Body, reply.Tenant, true
 		}
 	}
-	return nil, false
+	return nil, "", false
 }
 
 // Nearest returns a connection to a worker of the node's zone, or of another where the zone has none that answers.
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -47,7 +47,9 @@
 // Reply is what the worker knows.
 type Reply struct {
 	// Sure says that the worker knows the newest state; without, the rest means nothing.
-	Sure    bool          `json:"sure"`
+	Sure bool `json:"sure"`
+	// Tenant is whose job it is; empty where it is nobody's, or the worker's build does not know of tenants.
+	Tenant  ident.Tenant  `json:"tenant,omitempty"`
 	Total   int           `json:"total"`
 	Results []work.Result `json:"results"`
 }
@@ -60,8 +62,10 @@
 
 // BodyReply is the body, if the worker has it.
 type BodyReply struct {
-	Found bool   `json:"found"`
-	Body  []byte `json:"body"`
+	Found bool `json:"found"`
+	// Tenant is whose job it is, as in a Reply.
+	Tenant ident.Tenant `json:"tenant,omitempty"`
+	Body   []byte       `json:"body"`
 }
 
 // KeepRequest asks a worker to put a job on its disk until the store takes it.
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -21,14 +21,14 @@
 // Results implements Server.
 func (s *WorkerServer) Results(ctx context.Context, query *Query) (*Reply, error) {
 	wait := min(time.Duration(query.WaitMs)*time.Millisecond, longestWait)
-	total, results, sure := s.Worker.Held(ctx, query.Job, max(query.From, 0), wait)
-	return &Reply{Sure: sure, Total: total, Results: results}, nil
+	held, sure := s.Worker.Held(ctx, query.Job, max(query.From, 0), wait)
+	return &Reply{Sure: sure, Tenant: held.Tenant, Total: held.Total, Results: held.Results}, nil
 }
 
 // Body implements Server.
 func (s *WorkerServer) Body(_ context.Context, query *BodyQuery) (*BodyReply, error) {
-	body, found := s.Worker.HeldBody(query.Job, query.Item)
-	return &BodyReply{Found: found, Body: body}, nil
+	body, tenant, found := s.Worker.HeldBody(query.Job, query.Item)
+	return &BodyReply{Found: found, Tenant: tenant, Body: body}, nil
 }
 
 // Demand implements Server.
--- a/internal/jobrecord/accept.go
+++ b/internal/jobrecord/accept.go
@@ -27,6 +27,8 @@
 	Route string
 	Host  string
 	Zone  ident.Zone
+	// Tenant is whose job it is, if anybody's.
+	Tenant ident.Tenant
 	// Accepted is when the job was accepted; zero means now.
 	Accepted time.Time
 	Items    []work.Item
@@ -104,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	open := Open{ID: header.ID, Route: header.Route, Zone: header.Zone, Tokens: header.Tokens}
+	open := Open{ID: header.ID, Route: header.Route, Zone: header.Zone, Tenant: header.Tenant, Tokens: header.Tokens}
 	writes := []kv.Write{
 		{Key: keyHeader(header.ID), Value: encode(header)},
 		{Key: keyOpen(header.ID), Value: encode(open)},
@@ -126,18 +128,30 @@
 		open.Revision = result.Revision
 		return &Assigned{Open: open, Claim: Claim{Job: header.ID, Revision: result.Revision}}, nil
 	}
-	if admission == nil {
-		// A transaction that fails its one compare found the header: the job was accepted before.
-		return nil, nil
-	}
 	for _, present := range result.Conflicts {
 		if present.Key == keyHeader(header.ID) {
-			return nil, nil
+			return nil, sameTenant(present, header)
 		}
 	}
+	if admission == nil {
+		// A transaction that fails its one compare found the header: the job was accepted before.
+		return nil, nil
+	}
 	return nil, fmt.Errorf("%w: %s", ErrRaced, header.ID)
 }
 
+// sameTenant returns nil where a job that was accepted before is the tenant's who submits it now.
+func sameTenant(present kv.Pair, header *Header) error {
+	var before Header
+	if err := decode(present, &before); err != nil {
+		return err
+	}
+	if !before.BelongsTo(header.Tenant) {
+		return fmt.Errorf("%w: %s", ErrOthersJob, header.ID)
+	}
+	return nil
+}
+
 func (r *Records) accepted(submission *Submission) time.Time {
 	if submission.Accepted.IsZero() {
 		return r.Now()
@@ -154,7 +168,7 @@
 // layOut puts the bodies one behind the other into values.
 func (r *Records) layOut(submission *Submission) (*Header, [][]byte, error) {
 	header := &Header{
-		ID: submission.ID, Route: submission.Route, Host: submission.Host, Zone: submission.Zone,
+		ID: submission.ID, Route: submission.Route, Host: submission.Host, Zone: submission.Zone, Tenant: submission.Tenant,
 		SubmittedMs: r.accepted(submission).UnixMilli(), Tokens: submission.Tokens(),
 	}
 	largest := r.ValueBytes / 4 * 3
@@ -186,9 +200,24 @@
 	return err == nil, err
 }
 
-// WaitingTokens returns the tokens of a route's items that have no result, over all nodes. Finished items of jobs in
+// Queue names the items that wait together and are bounded together: those of a tenant on a route, or of the whole route where
+// there are no tenants.
+type Queue struct {
+	Route  string
+	Tenant ident.Tenant
+}
+
+// Queue is the job's.
+func (s *Submission) Queue() Queue { return Queue{Route: s.Route, Tenant: s.Tenant} }
+
+// Has says whether a job waits in the queue. One without a tenant is in each queue of its route: whose it is is not known.
+func (q Queue) Has(route string, tenant ident.Tenant) bool {
+	return route == q.Route && (q.Tenant == "" || tenant == "" || tenant == q.Tenant)
+}
+
+// WaitingTokens returns the tokens of a queue's items that have no result, over all nodes. Finished items of jobs in
 // progress are only left out where the sum would go beyond the bound: that takes a second call.
-func (r *Records) WaitingTokens(ctx context.Context, route string, bound int) (int, error) {
+func (r *Records) WaitingTokens(ctx context.Context, queue Queue, bound int) (int, error) {
 	open, _, err := r.ListOpen(ctx)
 	if err != nil {
 		return 0, err
@@ -196,7 +225,7 @@
 	waiting := 0
 	tokens := map[ident.Job]int{}
 	for _, entry := range open {
-		if entry.Route == route {
+		if queue.Has(entry.Route, entry.Tenant) {
 			waiting += entry.Tokens
 			tokens[entry.ID] = entry.Tokens
 		}
--- a/internal/jobrecord/record.go
+++ b/internal/jobrecord/record.go
@@ -33,6 +33,8 @@
 	ErrNotRegistered = failure.Kind("job record: worker not registered")
 	// ErrTooLarge means that an item or the job cannot be kept.
 	ErrTooLarge = failure.Kind("job record: too large")
+	// ErrOthersJob means that another tenant has a job of that id.
+	ErrOthersJob = failure.Kind("job record: job of another tenant")
 	// ErrDamaged means that a stored value cannot be read.
 	ErrDamaged = failure.Kind("job record: damaged value")
 )
@@ -80,6 +82,8 @@
 	Host  string `json:"host"`
 	// Zone is where the job was accepted.
 	Zone ident.Zone `json:"zone"`
+	// Tenant is whose job it is; empty where it is nobody's, or was accepted by a build that did not know of tenants.
+	Tenant ident.Tenant `json:"tenant,omitempty"`
 	// SubmittedMs is when the job was accepted, in milliseconds of Unix time.
 	SubmittedMs int64 `json:"submitted_ms"`
 	// Tokens are those of all items.
@@ -89,6 +93,9 @@
 	Items []ItemHeader `json:"items"`
 }
 
+// BelongsTo says whether a tenant may read and end the job. One without a tenant is open to all.
+func (h *Header) BelongsTo(tenant ident.Tenant) bool { return h.Tenant == "" || h.Tenant == tenant }
+
 // Submitted is when the job was accepted.
 func (h *Header) Submitted() time.Time { return time.UnixMilli(h.SubmittedMs) }
 
@@ -105,6 +112,8 @@
 	ID    ident.Job  `json:"-"`
 	Route string     `json:"route"`
 	Zone  ident.Zone `json:"zone"`
+	// Tenant is the header's.
+	Tenant ident.Tenant `json:"tenant,omitempty"`
 	// Tokens are those of all items at acceptance.
 	Tokens int `json:"tokens"`
 	// Revision is that of the entry.
--- a/internal/jobrecord/record_test.go
+++ b/internal/jobrecord/record_test.go
@@ -150,10 +150,10 @@
 	assert.NilError(t, err)
 	header, _ := records.Header(ctx, "j")
 	assert.NilError(t, records.Append(ctx, claim, header, 0, []work.Result{{ID: "j-0", State: work.Completed}}, 30, false))
-	waiting, err := records.WaitingTokens(ctx, "r", 100)
+	waiting, err := records.WaitingTokens(ctx, jobrecord.Queue{Route: "r"}, 100)
 	assert.NilError(t, err)
 	assert.Equal(t, waiting, 40)
-	waiting, err = records.WaitingTokens(ctx, "r", 35)
+	waiting, err = records.WaitingTokens(ctx, jobrecord.Queue{Route: "r"}, 35)
 	assert.NilError(t, err)
 	assert.Equal(t, waiting, 30)
 }
--- a/internal/jobworker/held.go
+++ b/internal/jobworker/held.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -16,36 +17,37 @@
 	finishedBytes = 24 << 20
 )
 
-// Held answers from memory how far a job is recorded: its number of items and its results from a position on. With none
+// Held answers from memory how far a job is recorded: whose it is, its number of items and its results from a position on. With none
 // it waits for the next, at most for the wait. It returns false where this node cannot be sure that it knows the newest
 // state: it does not hold the claim, or its lease may have lapsed, so that another node may have recorded more.
-func (w *Worker) Held(ctx context.Context, job ident.Job, from int, wait time.Duration) (total int, results []work.Result, sure bool) {
+func (w *Worker) Held(ctx context.Context, job ident.Job, from int, wait time.Duration) (held work.Held, sure bool) {
 	end := w.Now().Add(wait)
 	for {
-		total, results, changed, sure := w.heldNow(job, from)
+		held, changed, sure := w.heldNow(job, from)
 		left := end.Sub(w.Now())
-		if !sure || len(results) > 0 || from >= total || left <= 0 {
-			return total, results, sure
+		if !sure || len(held.Results) > 0 || from >= held.Total || left <= 0 {
+			return held, sure
 		}
 		if !waitFor(ctx, changed, left) {
-			total, results, _, sure = w.heldNow(job, from)
-			return total, results, sure
+			held, _, sure = w.heldNow(job, from)
+			return held, sure
 		}
 	}
 }
 
 // heldNow returns what is recorded now, and what is closed when that changes.
-func (w *Worker) heldNow(id ident.Job, from int) (total int, results []work.Result, changed <-chan struct{}, sure bool) {
+func (w *Worker) heldNow(id ident.Job, from int) (held work.Held, changed <-chan struct{}, sure bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if kept, found := w.finished.find(id); found {
-		return len(kept), tail(kept, from), nil, true
+		kept.Results = tail(kept.Results, from)
+		return kept, nil, true
 	}
 	job := w.jobs[id]
 	if job == nil || !w.Now().Before(w.leaseUntil.Add(-leaseMargin)) {
-		return 0, nil, nil, false
+		return work.Held{}, nil, false
 	}
-	return len(job.items), tail(job.recorded, from), job.changed, true
+	return work.Held{Tenant: job.header.Tenant, Total: len(job.items), Results: tail(job.recorded, from)}, job.changed, true
 }
 
 func tail(results []work.Result, from int) []work.Result {
@@ -65,26 +67,26 @@
 	return false
 }
 
-// HeldBody answers the body of an item without a recorded result from memory. It returns false where this node does not
-// have it; that says nothing about the item.
-func (w *Worker) HeldBody(id ident.Job, item ident.Request) ([]byte, bool) {
+// HeldBody answers the body of an item without a recorded result, and whose job it is, from memory. It returns false where this node
+// does not have it; that says nothing about the item.
+func (w *Worker) HeldBody(id ident.Job, item ident.Request) (body []byte, tenant ident.Tenant, found bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	job := w.jobs[id]
 	if job == nil {
-		return nil, false
+		return nil, "", false
 	}
 	for _, candidate := range job.items {
 		if candidate.item.ID == item {
-			return candidate.body, candidate.body != nil
+			return candidate.body, job.header.Tenant, candidate.body != nil
 		}
 	}
-	return nil, false
+	return nil, "", false
 }
 
 // finishedJobs keeps the results of finished jobs for a while. They never change, so that no lease is needed.
 type finishedJobs struct {
-	byID  map[ident.Job][]work.Result
+	byID  map[ident.Job]work.Held
 	order []finishedJob
 	bytes int
 }
@@ -95,20 +97,21 @@
 	bytes int
 }
 
-func (f *finishedJobs) find(id ident.Job) ([]work.Result, bool) {
-	results, found := f.byID[id]
-	return results, found
+func (f *finishedJobs) find(id ident.Job) (work.Held, bool) {
+	held, found := f.byID[id]
+	return held, found
 }
 
-func (f *finishedJobs) keep(id ident.Job, results []work.Result, now time.Time) {
+func (f *finishedJobs) keep(header *jobrecord.Header, results []work.Result, now time.Time) {
 	if f.byID == nil {
-		f.byID = map[ident.Job][]work.Result{}
+		f.byID = map[ident.Job]work.Held{}
 	}
 	size := 0
 	for _, result := range results {
 		size += len(result.Text)
 	}
-	f.byID[id] = results
+	id := header.ID
+	f.byID[id] = work.Held{Tenant: header.Tenant, Total: len(results), Results: results}
 	f.order = append(f.order, finishedJob{id: id, at: now, bytes: size})
 	f.bytes += size
 	for len(f.order) > 0 && (f.bytes > finishedBytes || now.Sub(f.order[0].at) > finishedKept) {
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -292,7 +292,7 @@
 	job.unlisted = job.unlisted[len(next.results):]
 	job.progressed = w.Now()
 	if next.finished {
-		w.finished.keep(job.header.ID, job.recorded, w.Now())
+		w.finished.keep(job.header, job.recorded, w.Now())
 		w.drop(job)
 		event.JobLeft.Log(w.Logger).Str("job", string(job.header.ID)).Str("why", "all results are recorded").Int("items", len(job.items)).Send()
 		delete(w.open, job.header.ID)
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -8,6 +8,7 @@
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 )
 
@@ -44,13 +45,13 @@
 	if w.Handoff == nil {
 		return failure.New(failure.CodeShardUnavailable, "this worker has no disk")
 	}
-	kept := w.Handoff.Tokens(entry.Route)
+	kept := w.Handoff.Tokens(entry.Queue())
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.draining {
 		return failure.New(failure.CodeShardUnavailable, "this worker is about to stop").WithRetryAfter(keepRetryAfter)
 	}
-	waiting := w.waitingTokens(entry.Route) + keptByAll(kept, len(w.workers), copies)
+	waiting := w.waitingTokens(entry.Queue()) + keptByAll(kept, len(w.workers), copies)
 	if bound > 0 && float64(waiting+entry.Tokens()) > keptShare*float64(bound) {
 		return failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, entry.Tokens(), bound).
 			WithRetryAfter(keepRetryAfter)
@@ -67,13 +68,13 @@
 	return kept * workers / copies
 }
 
-// waitingTokens returns the tokens of the open jobs of a route, as this node last saw them. Of the jobs of other nodes all
+// waitingTokens returns the tokens of the open jobs of a queue, as this node last saw them. Of the jobs of other nodes all
 // items count. The caller holds the mutex.
-func (w *Worker) waitingTokens(route string) int {
+func (w *Worker) waitingTokens(queue jobrecord.Queue) int {
 	tokens := 0
 	for id, known := range w.open {
 		switch job := w.jobs[id]; {
-		case known.entry.Route != route:
+		case !queue.Has(known.entry.Route, known.entry.Tenant):
 		case job != nil:
 			tokens += job.remaining(nil)
 		default:
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/keyhash"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -17,10 +19,12 @@
 	current atomic.Pointer[index]
 }
 
-// index is one catalog with its routes by host.
+// index is one catalog with its routes by host and its tenants by key and by name.
 type index struct {
 	catalog *work.Catalog
 	byHost  map[string][]*work.Route
+	byKey   map[keyhash.Digest]*work.Tenant
+	byName  map[ident.Tenant]*work.Tenant
 }
 
 // Adopt puts the catalog in force if its version is higher than that of the one in force, and says whether it did.
@@ -38,15 +42,61 @@
 }
 
 func newIndex(catalog *work.Catalog) *index {
-	built := &index{catalog: catalog, byHost: map[string][]*work.Route{}}
+	built := &index{
+		catalog: catalog, byHost: map[string][]*work.Route{},
+		byKey: map[keyhash.Digest]*work.Tenant{}, byName: make(map[ident.Tenant]*work.Tenant, len(catalog.Tenants)),
+	}
 	for position := range catalog.Routes {
 		route := &catalog.Routes[position]
 		host := strings.ToLower(route.Host)
 		built.byHost[host] = append(built.byHost[host], route)
 	}
+	for position := range catalog.Tenants {
+		tenant := &catalog.Tenants[position]
+		built.byName[tenant.Name] = tenant
+		for _, key := range tenant.Keys {
+			built.byKey[key] = tenant
+		}
+	}
 	return built
 }
 
+// Keyed says whether requests carry the key of a tenant.
+func (t *Table) Keyed() bool {
+	current := t.current.Load()
+	return current != nil && current.catalog.Keyed
+}
+
+// Holder returns the tenant that holds a key, or nil.
+func (t *Table) Holder(key keyhash.Digest) *work.Tenant {
+	if current := t.current.Load(); current != nil {
+		return current.byKey[key]
+	}
+	return nil
+}
+
+// Tenant returns the tenant of a name, or nil.
+func (t *Table) Tenant(name ident.Tenant) *work.Tenant {
+	if current := t.current.Load(); current != nil {
+		return current.byName[name]
+	}
+	return nil
+}
+
+// PublicJobs says whether a batch route of a host takes jobs without a key.
+func (t *Table) PublicJobs(host string) bool {
+	current := t.current.Load()
+	if current == nil {
+		return false
+	}
+	for _, route := range current.byHost[normalHost(host)] {
+		if route.Public && route.Kind == work.Batch {
+			return true
+		}
+	}
+	return false
+}
+
 // Catalog returns the configuration in force, or nil.
 func (t *Table) Catalog() *work.Catalog {
 	if current := t.current.Load(); current != nil {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/keyhash"
 )
 
 // Part is one piece of a prompt. Requests that share a part and all parts before it can share what a runner keeps.
@@ -31,6 +32,8 @@
 	Prefix []Part
 	// PromptTokens and MaximumTokens are the client's counts; zero when it gave none.
 	PromptTokens, MaximumTokens int
+	// Tenant is whose request it is; empty where the configuration names no tenants.
+	Tenant ident.Tenant
 	// Arrived is when the node received the request.
 	Arrived time.Time
 	// Deadline is when the client stops waiting; zero means that it did not say.
@@ -124,8 +127,11 @@
 	MaximumAttempts int
 	// Resumable says that another runner can go on after the last event.
 	Resumable bool
-	// MaximumQueuedTokens bounds the waiting tokens of a batch route over all nodes; zero means no bound.
+	// MaximumQueuedTokens bounds the waiting tokens of a batch route over all nodes, of each tenant where there are tenants; zero
+	// means no bound.
 	MaximumQueuedTokens int
+	// Public routes take requests without a key.
+	Public bool `json:",omitempty"`
 }
 
 // Repeatable says whether a request of the route may run on a second runner after it may have run on a first.
@@ -157,6 +163,21 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
+// Tenant is a team that shares the fleet.
+type Tenant struct {
+	Name ident.Tenant
+	// Keys are the hashes of its keys. No other tenant has one of them.
+	Keys []keyhash.Digest
+	// Priority is the rank of its requests; zero is the most urgent.
+	Priority int
+	// Rate bounds its requests a second over all nodes, beside a Burst above that; zero means no bound.
+	Rate, Burst float64
+}
+
+// CatalogForm numbers what this build reads of a configuration. A node passes on only what it read itself, so that one of an older
+// build passes on less.
+const CatalogForm = 1
+
 // Catalog is one whole configuration.
 type Catalog struct {
 	// Version rises with each change, by uneven steps.
@@ -164,6 +185,11 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Keyed says that requests carry the key of a tenant.
+	Keyed   bool     `json:",omitempty"`
+	Tenants []Tenant `json:",omitempty"`
+	// Form is the CatalogForm of the build that read the configuration; builds before the first number say none.
+	Form int `json:",omitempty"`
 }
 
 // Item is one request of a batch job.
@@ -193,3 +219,12 @@
 	// Text is the data of all events in order, parted by line feeds.
 	Text string `json:"text"`
 }
+
+// Held is what the worker that runs a job knows of it.
+type Held struct {
+	// Tenant is whose job it is, if anybody's.
+	Tenant ident.Tenant
+	// Total is the number of its items; Results are those from the position asked for on.
+	Total   int
+	Results []Result
+}
