Take the age of what was never read for old

Cause: a node that has read the orders never (or the list) told their age as the time since the zero time, 292 years. Whoever was told added the answer's way, which overflowed: the age was below zero.

Ruled out: the relayed list, whose age was right in all lines; the grace at the start (over before the first of these readings).

--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -154,7 +154,7 @@
 	snapshot := &Snapshot{
 		Incarnation: f.incarnation, Reading: f.reading, Runners: f.runners, Revision: f.revision,
 		Retire:       slices.Clone(f.retire),
-		RunnersAgeMs: now.Sub(f.readAt).Milliseconds(), OrdersAgeMs: now.Sub(f.ordersAt).Milliseconds(),
+		RunnersAgeMs: ageMs(f.readAt, now), OrdersAgeMs: ageMs(f.ordersAt, now),
 	}
 	newCatalog := f.catalog != nil && f.catalog.Version > known.CatalogVersion
 	if newCatalog {
@@ -164,6 +164,18 @@
 	return snapshot, f.changed, newer && !f.readAt.IsZero()
 }
 
+// LongestAge is what is told of a reading that was never made. It is older than any that is used, and can be added to: the time since
+// the zero time can't.
+const LongestAge = 24 * time.Hour
+
+// ageMs is how long ago a reading was, in milliseconds.
+func ageMs(at, now time.Time) int64 {
+	if at.IsZero() {
+		return LongestAge.Milliseconds()
+	}
+	return min(now.Sub(at), LongestAge).Milliseconds()
+}
+
 // Server answers nodes.
 type Server interface {
 	Snapshot(ctx context.Context, known *Known) (*Snapshot, error)
--- a/internal/fleetfeed/feed_test.go
+++ b/internal/fleetfeed/feed_test.go
@@ -69,3 +69,14 @@
 	_, err := feed.Snapshot(ctx, &fleetfeed.Known{WaitMs: 60_000})
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// TestFeedThatHasReadNothingSaysSo asks one that has just started: the ages it tells are older than anything that is used, and can be
+// added to.
+func TestFeedThatHasReadNothingSaysSo(t *testing.T) {
+	feed := fleetfeed.New(time.Now)
+	snapshot, err := feed.Snapshot(context.Background(), &fleetfeed.Known{WaitMs: 1})
+	assert.NilError(t, err)
+	for _, age := range []int64{snapshot.RunnersAgeMs, snapshot.OrdersAgeMs} {
+		assert.Assert(t, age >= time.Hour.Milliseconds() && age <= 365*24*time.Hour.Milliseconds(), "%d ms", age)
+	}
+}
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -176,8 +176,8 @@
 	now := f.Now()
 	// Whatever of the call's time the other node did not hold it, the answer may have been on its way.
 	way := max(now.Sub(began)-time.Duration(snapshot.HeldMs)*time.Millisecond, 0)
-	runnersAge := time.Duration(snapshot.RunnersAgeMs)*time.Millisecond + way
-	ordersAge := time.Duration(snapshot.OrdersAgeMs)*time.Millisecond + way
+	runnersAge := toldAge(snapshot.RunnersAgeMs) + way
+	ordersAge := toldAge(snapshot.OrdersAgeMs) + way
 	listFresh, ordersFresh := runnersAge <= f.oldest(), ordersAge <= f.oldestOrders()
 	if !listFresh || ordersFresh {
 		known.Incarnation, known.Reading = snapshot.Incarnation, snapshot.Reading
@@ -206,6 +206,14 @@
 	return toldFresh
 }
 
+// toldAge is an age as another node told it. One that no reading can have is of a reading that was never made.
+func toldAge(ms int64) time.Duration {
+	if ms < 0 || ms > fleetfeed.LongestAge.Milliseconds() {
+		return fleetfeed.LongestAge
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // noteAnswer notes whether the source answers: then what it reads is told at once.
 func (f *Follower) noteAnswer(answers bool) {
 	f.mutex.Lock()
