Decide on requests that come while the process stops

Cause: a request that needs credit starts a call, on the tomb of the process. A front serves requests for a while after that tomb has ended, and one that has ended panics. Seen by reading; TestRequestIsDecidedOnWhileTheProcessStops panics without the change.

Change: each call has a tomb of its own, as in jobentry. Ruled out: refusing such requests; they may be within the limit.

--- a/internal/access/limiter.go
+++ b/internal/access/limiter.go
@@ -147,7 +147,8 @@
 		return address
 	}
 	for address, spending := range l.Meter.Due(owner, l.Now()) {
-		l.tomb.Go(func() error { l.tell(address, spending); return nil })
+		// Each call has a tomb of its own: requests are served for a while when that of the process takes no more.
+		new(tomb.Tomb).Go(func() error { l.tell(address, spending); return nil })
 	}
 }
 
--- a/internal/access/limiter_test.go
+++ b/internal/access/limiter_test.go
@@ -165,6 +165,18 @@
 	})
 }
 
+// TestRequestIsDecidedOnWhileTheProcessStops has a request come after the tomb of the process took its last call.
+func TestRequestIsDecidedOnWhileTheProcessStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		parent := new(tomb.Tomb)
+		limiter := newAccount(quota.Limit{Rate: clinic.Rate, Burst: clinic.Burst}).limiter("a", parent)
+		parent.Kill(nil)
+		assert.NilError(t, parent.Wait())
+		err := limiter.Admit(context.Background(), clinic)
+		assert.Assert(t, err == nil || failure.As(err).Outcome == outcome.NotRun)
+	})
+}
+
 // TestWorkersOfAnOlderBuildLimitNothing has no worker that keeps account, as before there were limits.
 func TestWorkersOfAnOlderBuildLimitNothing(t *testing.T) {
 	withNodes(t, clinic, 2, func(account *account, limiters []*access.Limiter) {
