Wait for the calls that are under way at the end of a test of limits

Change: the tests wait a second of simulated time. Ruled out: a fault of the limiter; no check changed.

--- a/internal/access/limiter_test.go
+++ b/internal/access/limiter_test.go
@@ -119,6 +119,8 @@
 		run(account, limiters)
 		parent.Kill(nil)
 		assert.NilError(t, parent.Wait())
+		// Calls that are under way end by themselves.
+		time.Sleep(time.Second)
 	})
 }
 
