--- /dev/null
+++ b/internal/quota/size_test.go
@@ -0,0 +1,101 @@
+package quota
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+)
+
+// The size to design for: what a node of many has to do with limits, and what it may say for that.
+const (
+	designNodes, designOwners, designTenants = 330, 45, 2200
+	designRequests                           = 2500.0
+	designBytes                              = 3000
+)
+
+// TestWhatANodeSaysAtTheSizeToDesignFor has one node of many serve its part of the peak, of tenants of very different sizes, and adds up
+// the contents of its messages to the owners and of their answers.
+func TestWhatANodeSaysAtTheSizeToDesignFor(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1000, 0)
+	meter := NewMeter("front-region-a-zone-1-117", 1, simWindow, now.Add(-time.Hour))
+	ledgers := map[string]*Ledger{}
+	for owner := range designOwners {
+		ledgers[fmt.Sprint(owner)] = NewLedger(simWindow, now.Add(-time.Hour))
+	}
+	owner := func(tenant ident.Tenant) string {
+		return fmt.Sprint(len(tenant) * int(tenant[len(tenant)-1]) % designOwners)
+	}
+	limit := Limit{Rate: 100, Burst: 100}
+	limitOf := func(ident.Tenant) (Limit, bool) { return limit, true }
+	const lasts, step = 30 * time.Second, 10 * time.Millisecond
+	said, messages, refused := 0, 0, 0
+	tell := func() {
+		for name, spending := range meter.Due(owner, now) {
+			answer := ledgers[name].Settle(spending, limitOf, now)
+			for _, message := range []any{spending, answer} {
+				encoded, err := json.Marshal(message)
+				assert.NilError(t, err)
+				said += len(encoded)
+			}
+			meter.Settle(spending, answer, now)
+			messages++
+		}
+	}
+	for end := now.Add(lasts); now.Before(end); now = now.Add(step) {
+		if random.Float64() < designRequests/designNodes*step.Seconds() {
+			// The largest tenants have most of the requests.
+			tenant := ident.Tenant(fmt.Sprintf("tenant-%d", int(math.Exp(random.Float64()*math.Log(designTenants)))))
+			if meter.Take(tenant, limit, now).Decision == Ask {
+				meter.Wait(tenant, limit)
+				tell()
+				if meter.Take(tenant, limit, now).Decision != Admit {
+					refused++
+				}
+				meter.Leave(tenant)
+			}
+		}
+		if now.UnixMilli()%100 == 0 {
+			tell()
+		}
+	}
+	t.Logf("%.0f bytes and %.1f messages a second", float64(said)/lasts.Seconds(), float64(messages)/lasts.Seconds())
+	assert.Equal(t, refused, 0)
+	assert.Assert(t, float64(said)/lasts.Seconds() <= designBytes)
+}
+
+// TestMemoryOfAccountsAtTheSizeToDesignFor fills the accounts of all owners together: each node has told of as many tenants as it serves in
+// a window.
+func TestMemoryOfAccountsAtTheSizeToDesignFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	before := heapInUse()
+	ledger := NewLedger(simWindow, now.Add(-time.Hour))
+	each := int(designRequests / designNodes * simWindow.Seconds())
+	for node := range designNodes {
+		spending := &Spending{Node: ident.Node(fmt.Sprint(node)), Incarnation: 1}
+		for tenant := range each {
+			name := ident.Tenant(fmt.Sprint((node*each + tenant) % designTenants))
+			spending.Spent = append(spending.Spent, Spent{Tenant: name, Recent: []int{1}})
+		}
+		ledger.Settle(spending, func(ident.Tenant) (Limit, bool) { return Limit{Rate: 10, Burst: 10}, true }, now)
+	}
+	taken := heapInUse() - before
+	t.Logf("%.1f MB for all owners together, %.2f MB for each of %d", float64(taken)/1e6, float64(taken)/1e6/designOwners, designOwners)
+	assert.Assert(t, taken/designOwners < 1<<20)
+	runtime.KeepAlive(ledger)
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
