Spread choices of a runner over all that have a free place

Load weighed as much as chance did.

Change: chance 12 -> 45 ms of cost, load 12 -> 2 (a step takes hardly longer with more requests).

Ruled out before: when places come free (taken back), no work waiting at runners.

--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -23,8 +23,9 @@
 
 // Costs are in milliseconds of expected delay to the first event, so that unlike things can be added.
 const (
-	// loadCost is the delay of a runner whose places are all taken, beside one that is idle.
-	loadCost = 12.0
+	// loadCost is the delay of a runner whose places are all taken, beside one that is idle: a step takes hardly longer with more
+	// requests, as long as each has a place.
+	loadCost = 2.0
 	// queueCost is the delay for each request beyond the places.
 	queueCost = 60.0
 	// yieldCost is the delay where an item has to step aside first. It is less than farCost: a run that is cut goes on
@@ -40,9 +41,10 @@
 	silenceSuspect = 450 * time.Millisecond
 	// warmUpCost is added while a runner is in its slow start.
 	warmUpCost = 80.0
-	// jitterCost spreads the choices of nodes that decide at once: it is that of a place or more, because none of them
-	// sees what the others chose in the last moment, and less than a queue.
-	jitterCost = 12.0
+	// jitterCost spreads the choices of nodes that decide at once, over all runners with a free place. None of them sees what the
+	// others chose in the last moment: were the emptiest the first choice of all, it would be the fullest until they hear of it.
+	// It is less than a queue.
+	jitterCost = 45.0
 	// fullCost is added for a runner that refused a request a moment ago.
 	fullCost = 400.0
 	// failureCost is added to a runner whose last outcomes were all failures, and in proportion.
