--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -418,16 +418,16 @@
 
 // strike does one thing that may happen at any time.
 func (w *world) strike(by way) {
-	for_ := time.Duration(500+w.random.IntN(8000)) * time.Millisecond
+	lasts := time.Duration(500+w.random.IntN(8000)) * time.Millisecond
 	share := w.random.Float64() * 0.6
 	kind := w.random.IntN(7)
-	w.struck += fmt.Sprintf(" %.1f s: %s (%.1f s, %.2f)", w.end.Sub(w.now).Seconds(), strikes[kind], for_.Seconds(), share)
+	w.struck += fmt.Sprintf(" %.1f s: %s (%.1f s, %.2f)", w.end.Sub(w.now).Seconds(), strikes[kind], lasts.Seconds(), share)
 	switch kind {
 	case 0, 1: // nodes are cut off from all owners
 		for node := range w.cut {
 			if w.random.Float64() < share {
 				w.cut[node] = true
-				w.after(for_, func() { w.cut[node] = false })
+				w.after(lasts, func() { w.cut[node] = false })
 			}
 		}
 	case 2: // nodes are killed and start again
@@ -437,7 +437,7 @@
 			}
 		}
 	case 3: // the first owner is killed; it is not listed after a while, and again when it is back
-		w.loseOwner(by, 0, for_)
+		w.loseOwner(by, 0, lasts)
 	case 4: // all is killed at once
 		for node := range w.down {
 			w.kill(by, node, 1500*time.Millisecond)
@@ -459,7 +459,7 @@
 	case 6: // calls are lost
 		before := w.loss
 		w.loss = 0.5
-		w.after(for_, func() { w.loss = before })
+		w.after(lasts, func() { w.loss = before })
 	}
 }
 
