Refuse an unknown key only by a reading that began after its request

Change: each unknown key waits for a reading that begins after its request came; all that wait share it, and readings begin a tenth of a second apart.

First try: a mutex held through the pause; simulated time does not pass under one, and the tests of the package hung.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -17,9 +18,8 @@
 )
 
 const (
-	// checkedFor is how long the configuration counts as the newest after it was read: it bounds the readings that unknown keys
-	// cause, and for as long a key that was added since may be refused.
-	checkedFor = time.Second
+	// checkEvery is the time between the beginnings of two readings: it bounds those that unknown keys cause.
+	checkEvery = 100 * time.Millisecond
 	// retryAfter is when a caller may come back to a node that could not find out whether its key is known.
 	retryAfter = 500 * time.Millisecond
 )
@@ -41,16 +41,15 @@
 	Now     func() time.Time
 
 	mutex sync.Mutex
-	// checked is when the last reading that brought an answer began.
-	checked time.Time
-	// checking is the reading in progress, or nil.
-	checking *check
+	// next is the reading that has not begun yet, or nil; last is the one that began last.
+	next, last *check
 }
 
 // check is a reading of the configuration that requests wait for.
 type check struct {
-	// ended is closed when err is set.
+	// ended is closed when the others are set.
 	ended chan struct{}
+	began time.Time
 	err   error
 }
 
@@ -100,39 +99,36 @@
 		WithRetryAfter(retryAfter).WithCause(cause)
 }
 
-// makeSure returns nil once the configuration in force was the newest at, or shortly before, the call. One reading serves all
-// requests that wait for it.
+// makeSure returns nil once a reading of the configuration that began after the call has ended. One serves all that wait for it.
 func (g *Gate) makeSure(ctx context.Context) error {
 	g.mutex.Lock()
-	now := g.Now()
-	if !g.checked.IsZero() && now.Sub(g.checked) < checkedFor {
-		g.mutex.Unlock()
-		return nil
+	next := g.next
+	if next == nil {
+		next = &check{ended: make(chan struct{})}
+		g.next = next
+		// The reading is the others' too: it goes on where this caller leaves.
+		last := g.last
+		new(tomb.Tomb).Go(func() error { g.check(next, last); return nil })
 	}
-	if running := g.checking; running != nil {
-		g.mutex.Unlock()
-		return running.wait(ctx)
-	}
-	running := &check{ended: make(chan struct{})}
-	g.checking = running
-	g.mutex.Unlock()
-	// The reading is the others' too: it goes on where this caller leaves.
-	running.err = g.Refresh(context.WithoutCancel(ctx))
-	g.mutex.Lock()
-	if running.err == nil {
-		g.checked = now
-	}
-	g.checking = nil
 	g.mutex.Unlock()
-	close(running.ended)
-	return running.err
-}
-
-func (c *check) wait(ctx context.Context) error {
 	select {
-	case <-c.ended:
-		return c.err
+	case <-next.ended:
+		return next.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
+
+// check makes a reading when the last one has ended and its time has come. Whoever comes once it has begun waits for the one after.
+func (g *Gate) check(next, last *check) {
+	if last != nil {
+		<-last.ended
+		time.Sleep(checkEvery - g.Now().Sub(last.began))
+	}
+	g.mutex.Lock()
+	g.next, g.last = nil, next
+	g.mutex.Unlock()
+	next.began = g.Now()
+	next.err = g.Refresh(context.Background())
+	close(next.ended)
+}
