Agree on what nodes tell each other for the parts of hard load

Cause: five decisions under hard load lack what other nodes know: how fast a runner works now, what each tenant takes of a service, runs of nodes that are gone, and the tokens that a runner holds.

Change: fields on the reports of online work and their answers, which go both ways already, and a typed pace that is read at the edge from the fourth figure of a runner's load.

Ruled out: calls of their own for each part; they would rise with nodes times workers, and the reports pass within 50 ms of work anyway.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -11,6 +11,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/poison"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // Lifetime is how long what a node told counts without news from it: a few times IdleRefreshEvery, so that one lost call
@@ -23,6 +24,28 @@
 	Online int               `json:"online"`
 	// Suspect says that the node passes the runner over, because it could not be reached or did not answer.
 	Suspect bool `json:"suspect,omitempty"`
+	// Tokens are those of the node's online requests there, prompts and the most that may be made.
+	Tokens int `json:"tokens,omitempty"`
+	// Pace is the last that the runner told this node, PaceAgeMs how long before the report that was, in milliseconds. Zero where
+	// the node knows none, or its build does not read it.
+	Pace      work.Pace `json:"pace,omitempty"`
+	PaceAgeMs int64     `json:"pace_age_ms,omitempty"`
+}
+
+// Use is what the requests of one tenant take of a service at one node.
+type Use struct {
+	Service string       `json:"service"`
+	Tenant  ident.Tenant `json:"tenant"`
+	// Taken are the places that its requests have, Waiting the requests that have none.
+	Taken   int `json:"taken,omitempty"`
+	Waiting int `json:"waiting,omitempty"`
+}
+
+// Bound is how many places of a service the requests of a tenant may take at the node that asks, while places are scarce.
+type Bound struct {
+	Service string       `json:"service"`
+	Tenant  ident.Tenant `json:"tenant"`
+	Places  int          `json:"places"`
 }
 
 // Report is what a node tells the owner of some runners: all its online work at them, and those that it suspects. Runners
@@ -35,6 +58,8 @@
 	Counts      []Count `json:"counts"`
 	// EndsRead is how far the node has read what the worker knows of requests that end their runners.
 	EndsRead poison.Cursor `json:"ends_read,omitzero"`
+	// Uses are those of the services of which the worker keeps account; empty from nodes of a build that tells none.
+	Uses []Use `json:"uses,omitempty"`
 }
 
 // Share is what a worker knows of the work at one of its runners.
@@ -45,6 +70,14 @@
 	Batch  int `json:"batch"`
 	// Silent says that the runner answers neither some node nor the worker.
 	Silent bool `json:"silent,omitempty"`
+	// Orphans are the runs at the runner that no node tells of: work of nodes that are gone.
+	Orphans int `json:"orphans,omitempty"`
+	// Tokens are those of the requests of all nodes but the one that asks, and of the worker's items.
+	Tokens int `json:"tokens,omitempty"`
+	// Pace is the newest that any node heard of the runner, PaceAgeMs how long before the answer that was, in milliseconds. Zero
+	// where nobody knows it, or the worker's build does not read it.
+	Pace      work.Pace `json:"pace,omitempty"`
+	PaceAgeMs int64     `json:"pace_age_ms,omitempty"`
 }
 
 // Batch is the batch work of a worker, for those that choose who runs a job.
@@ -71,6 +104,9 @@
 	Shares []Share     `json:"shares"`
 	Batch  Batch       `json:"batch"`
 	Ends   poison.News `json:"ends,omitzero"`
+	// Bounds are those of the tenants that have more than their share of places that are scarce. A tenant that is not named is
+	// bounded by nothing.
+	Bounds []Bound `json:"bounds,omitempty"`
 }
 
 // Ledger holds what nodes told. It is safe for concurrent use. It is asked some hundred times for each report, so that the
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -52,9 +52,17 @@
 	Load *Load
 }
 
+// Pace is how long work takes at a runner now, as a multiple of the usual: 1 is as usual, 2 takes twice as long. Zero is not known.
+type Pace float64
+
+// Known says whether the pace is.
+func (p Pace) Known() bool { return p > 0 }
+
 // Load is a runner's own count of its work.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is told by runners that share their machine with others; zero where it is not told.
+	Pace Pace
 }
 
 // State is what the registry says of a runner.
