--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -173,12 +173,25 @@
 	if err != nil {
 		return toldNothing
 	}
-	now := f.Now()
-	// Whatever of the call's time the other node did not hold it, the answer may have been on its way.
-	way := max(now.Sub(began)-time.Duration(snapshot.HeldMs)*time.Millisecond, 0)
-	runnersAge := toldAge(snapshot.RunnersAgeMs) + way
-	ordersAge := toldAge(snapshot.OrdersAgeMs) + way
-	listFresh, ordersFresh := runnersAge <= f.oldest(), ordersAge <= f.oldestOrders()
+	return f.takeSnapshot(snapshot, known, agesOf(snapshot, began, f.Now()))
+}
+
+// snapshotAges says how old the parts of a snapshot were as it came.
+type snapshotAges struct {
+	came            time.Time
+	runners, orders time.Duration
+}
+
+// agesOf returns the ages of a snapshot that was asked for and came at the given times. Whatever of the call's time the other node
+// did not hold it, the answer may have been on its way.
+func agesOf(snapshot *fleetfeed.Snapshot, asked, came time.Time) snapshotAges {
+	way := max(came.Sub(asked)-time.Duration(snapshot.HeldMs)*time.Millisecond, 0)
+	return snapshotAges{came: came, runners: toldAge(snapshot.RunnersAgeMs) + way, orders: toldAge(snapshot.OrdersAgeMs) + way}
+}
+
+// takeSnapshot takes over what of a snapshot is new enough, and says what it brought.
+func (f *Follower) takeSnapshot(snapshot *fleetfeed.Snapshot, known *fleetfeed.Known, ages snapshotAges) told {
+	listFresh, ordersFresh := ages.runners <= f.oldest(), ages.orders <= f.oldestOrders()
 	if !listFresh || ordersFresh {
 		known.Incarnation, known.Reading = snapshot.Incarnation, snapshot.Reading
 	}
@@ -194,16 +207,22 @@
 	if !listFresh || !ordersFresh {
 		return toldOld
 	}
-	f.applyRunners(snapshot.Runners, snapshot.Revision, now.Add(-runnersAge))
+	f.applySnapshot(snapshot, ages)
+	return toldFresh
+}
+
+// applySnapshot has a fresh snapshot in force here, and passes it on where this node feeds others.
+func (f *Follower) applySnapshot(snapshot *fleetfeed.Snapshot, ages snapshotAges) {
+	read := ages.came.Add(-ages.runners)
+	f.applyRunners(snapshot.Runners, snapshot.Revision, read)
 	f.tellRetirements(snapshot.Retire)
 	if f.Feed != nil {
-		f.Feed.Read(snapshot.Runners, snapshot.Revision, now.Add(-runnersAge))
-		f.Feed.Orders(work.Orders{Catalog: snapshot.Catalog, Retire: snapshot.Retire}, now.Add(-ordersAge))
+		f.Feed.Read(snapshot.Runners, snapshot.Revision, read)
+		f.Feed.Orders(work.Orders{Catalog: snapshot.Catalog, Retire: snapshot.Retire}, ages.came.Add(-ages.orders))
 	}
 	f.mutex.Lock()
-	f.fresh, f.graceUntil = f.freshUntil(now, runnersAge, ordersAge), time.Time{}
-	f.mutex.Unlock()
-	return toldFresh
+	defer f.mutex.Unlock()
+	f.fresh, f.graceUntil = f.freshUntil(ages.came, ages.runners, ages.orders), time.Time{}
 }
 
 // toldAge is an age as another node told it. One that no reading can have is of a reading that was never made.
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -253,7 +253,16 @@
 		table:   n.table,
 		logger:  n.logger,
 	}
-	n.exchange = exchange.New(exchange.Config{
+	n.exchange = n.newExchange()
+	n.admission = n.newAdmission()
+	n.demand = admission.NewExchange(n.admission, n.pool)
+	n.dispatcher = n.newDispatcher()
+	return nil
+}
+
+// newExchange returns what tells the owners of runners of this node's online work.
+func (n *Node) newExchange() *exchange.Exchange {
+	return exchange.New(exchange.Config{
 		Node:       n.id(),
 		Zone:       n.zone(),
 		Table:      n.table,
@@ -264,7 +273,11 @@
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
-	n.admission = admission.New(admission.Config{
+}
+
+// newAdmission returns what lets online requests onto the runners.
+func (n *Node) newAdmission() *admission.Controller {
+	return admission.New(admission.Config{
 		Node:    n.id(),
 		Catalog: n.replica,
 		Nodes:   n.peers.nodes,
@@ -278,8 +291,11 @@
 		},
 		Registerer: n.registry,
 	})
-	n.demand = admission.NewExchange(n.admission, n.pool)
-	n.dispatcher = dispatch.New(dispatch.Config{
+}
+
+// newDispatcher returns what sends online requests to engines.
+func (n *Node) newDispatcher() *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{
 		Node:    n.id(),
 		Zone:    n.zone(),
 		Table:   n.table,
@@ -298,7 +314,6 @@
 		Logger:     n.logger,
 		Registerer: n.registry,
 	})
-	return nil
 }
 
 func (n *Node) assembleBatch() error {
