Believe, spread and use the pace of runners

Cause: runners tell how slow they are and no node read it. Change: internal/pace decides what is believed; the table hears it from own answers, reports and shares; the teller passes each word on once, and asks the owners of the zone before a choice; the cost of a runner rises with what its pace adds to the first event. Ruled out: a runner's pace taken from the gaps of its events, and expected times of single items by pace: items of one runner are compared only with each other where one has to step aside.

--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -142,6 +142,7 @@
 	role.Start(p.tomb)
 	p.tomb.Go(p.sweepConnections)
 	p.tomb.Go(p.tellStoreCalls)
+	p.tomb.Go(p.tellSlowRunners)
 }
 
 func (p *process) sweepConnections() error {
@@ -184,6 +185,32 @@
 	}
 }
 
+// slowRunnersEvery is the time between two lines on slow runners.
+const slowRunnersEvery = 10 * time.Second
+
+// tellSlowRunners writes a line now and then of the runners that turned slow, and what the choices did with them.
+func (p *process) tellSlowRunners() error {
+	ticker := time.NewTicker(slowRunnersEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			counted, slow := p.runners.TakeSlowPhases(clock.Now())
+			if counted == (runnertable.SlowPhases{}) && len(slow) == 0 {
+				continue
+			}
+			event.RunnersSlow.Log(p.logger).Int("begun", counted.Begun).Int("ended", counted.Ended).
+				Int("slow", len(slow)).Strs("runners", slow[:min(len(slow), slowRunnersNamed)]).
+				Int("choices", counted.Chosen).Int("at_slow", counted.Slow).Int("beyond_pause", counted.Beyond).Send()
+		}
+	}
+}
+
+// slowRunnersNamed bounds the names in such a line.
+const slowRunnersNamed = 8
+
 // waitForStop returns when the process is asked to stop or a part of it failed. On a hang-up it reads the settings
 // again.
 func (p *process) waitForStop() {
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -30,6 +30,17 @@
 	// the node knows none, or its build does not read it.
 	Pace      work.Pace `json:"pace,omitempty"`
 	PaceAgeMs int64     `json:"pace_age_ms,omitempty"`
+	// Heard is when that was by this node's clock, which is told to nobody.
+	Heard time.Time `json:"-"`
+}
+
+// HasWork says whether the count tells of more than a pace.
+func (c Count) HasWork() bool { return c.Online > 0 || c.Suspect }
+
+// withoutPace is the count of the work alone.
+func (c Count) withoutPace() Count {
+	c.Pace, c.PaceAgeMs, c.Heard = 0, 0, time.Time{}
+	return c
 }
 
 // Use is what the requests of one tenant take of a service at one node.
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -40,7 +40,7 @@
 
 // Owned is the online work of this node at the runners that one worker owns.
 type Owned struct {
-	// Counts are those of the runners with online work or under suspicion.
+	// Counts are those of the runners with online work, under suspicion, or of whose pace this node heard.
 	Counts []Count
 	// Far says that the worker is in another zone.
 	Far bool
@@ -58,6 +58,8 @@
 	incarnation int64
 	// started and ended are signalled when a request was sent to a runner, and when one was done.
 	started, ended chan struct{}
+	// asked takes the questions of those that choose a runner.
+	asked chan question
 
 	mutex   sync.Mutex
 	workers map[string]*correspondent
@@ -66,11 +68,19 @@
 // correspondent is a worker that is told. The teller's mutex guards it.
 type correspondent struct {
 	sequence int64
-	// telling says that a call is on its way, missed that something may have changed since it was sent.
-	telling, missed bool
-	// last is what was told, and lastAt when.
+	// missed says that something may have changed since the call on its way was sent.
+	missed bool
+	// last is what was told of work, and lastAt when.
 	last   map[ident.Incarnation]Count
 	lastAt time.Time
+	// paces are when this node heard those paces that the worker has answered to know.
+	paces map[ident.Incarnation]time.Time
+	// far says that the worker is in another zone.
+	far bool
+	// knownAt is when the question of the newest answer was sent.
+	knownAt time.Time
+	// called is closed when the call on its way has ended.
+	called chan struct{}
 	// notBefore is when the worker may be called again after a failure.
 	notBefore time.Time
 	// endsRead is how far this node has read what the worker knows of requests that end their runners.
@@ -81,11 +91,12 @@
 func NewTeller(node ident.Node, work Work, now func() time.Time) *Teller {
 	return &Teller{
 		Node: node, Work: work, Now: now, incarnation: now().UnixNano(),
-		started: make(chan struct{}, 1), ended: make(chan struct{}, 1), workers: map[string]*correspondent{},
+		started: make(chan struct{}, 1), ended: make(chan struct{}, 1), asked: make(chan question),
+		workers: map[string]*correspondent{},
 	}
 }
 
-// Changed notes that the node's online work changed. It never blocks.
+// Changed notes that the node's online work, or what it knows of runners, changed. It never blocks.
 func (t *Teller) Changed(started bool) {
 	signal := t.ended
 	if started {
@@ -113,6 +124,9 @@
 		select {
 		case <-t.tomb.Dying():
 			return nil
+		case asked := <-t.asked:
+			asked.calls <- t.ask(ctx, asked.older)
+			continue
 		case <-t.started:
 		case <-t.ended:
 			if !hurried {
@@ -138,7 +152,7 @@
 		if _, named := online[address]; named {
 			continue
 		}
-		if len(known.last) == 0 && !known.telling {
+		if len(known.last) == 0 && !known.telling() {
 			// The worker is gone, and has nothing to be taken back.
 			delete(t.workers, address)
 			continue
@@ -147,25 +161,37 @@
 	}
 	idleFar := idleFarEvery(online)
 	for address, owned := range online {
-		known := t.workers[address]
-		if known == nil {
-			known = &correspondent{}
-			t.workers[address] = known
-		}
-		known.missed = known.telling
+		known := t.worker(address, owned)
+		known.missed = known.telling()
 		idle := IdleRefreshEvery
 		if owned.Far {
 			idle = idleFar
 		}
-		if known.telling || !known.lacks(owned.Counts, idle, now) {
+		if known.telling() || !known.lacks(owned.Counts, idle, now) {
 			continue
 		}
-		report := known.next(owned.Counts, now)
-		report.Node, report.Incarnation = t.Node, t.incarnation
-		t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
+		t.call(ctx, address, known, owned.Counts, now)
 	}
 }
 
+// worker returns what is known of a worker. The caller holds the mutex.
+func (t *Teller) worker(address string, owned Owned) *correspondent {
+	known := t.workers[address]
+	if known == nil {
+		known = &correspondent{}
+		t.workers[address] = known
+	}
+	known.far = owned.Far
+	return known
+}
+
+// call begins a call to a worker. The caller holds the mutex, and runs in the teller's loop.
+func (t *Teller) call(ctx context.Context, address string, known *correspondent, counts []Count, now time.Time) {
+	report := known.next(counts, now)
+	report.Node, report.Incarnation = t.Node, t.incarnation
+	t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
+}
+
 // idleFarEvery is the time between two reports to a worker of another zone at whose runners this node has no work.
 func idleFarEvery(online map[string]Owned) time.Duration {
 	idle := 0
@@ -182,31 +208,75 @@
 	if now.Before(c.notBefore) {
 		return false
 	}
-	if len(counts) != len(c.last) {
-		return true
-	}
+	working := 0
 	for _, count := range counts {
-		if c.last[count.Runner] != count {
+		if c.lacksPace(count) {
+			return true
+		}
+		if !count.HasWork() {
+			continue
+		}
+		working++
+		if c.last[count.Runner] != count.withoutPace() {
 			return true
 		}
 	}
-	if len(counts) == 0 {
+	if working != len(c.last) {
+		return true
+	}
+	if working == 0 {
 		return now.Sub(c.lastAt) >= idle
 	}
 	return now.Sub(c.lastAt) >= RefreshEvery
 }
 
+// lacksPace says whether a count has a word of a runner's pace that the worker does not know. Each is told once, so that its age
+// makes no report due.
+func (c *correspondent) lacksPace(count Count) bool {
+	return count.Pace.Known() && count.Heard.After(c.paces[count.Runner])
+}
+
 // next is the report of the counts; the worker counts as told.
 func (c *correspondent) next(counts []Count, now time.Time) *Report {
 	c.sequence++
-	c.telling, c.lastAt = true, now
+	c.called, c.lastAt = make(chan struct{}), now
 	c.last = make(map[ident.Incarnation]Count, len(counts))
+	paces := make(map[ident.Incarnation]time.Time, len(c.paces))
+	report := &Report{Sequence: c.sequence, EndsRead: c.endsRead}
 	for _, count := range counts {
-		c.last[count.Runner] = count
+		told := count.withoutPace()
+		if count.HasWork() {
+			c.last[count.Runner] = told
+		}
+		if c.lacksPace(count) {
+			told.Pace, told.Heard, told.PaceAgeMs = count.Pace, count.Heard, max(now.Sub(count.Heard).Milliseconds(), 0)
+		} else if heard, answered := c.paces[count.Runner]; answered {
+			paces[count.Runner] = heard
+		}
+		if told.HasWork() || told.Pace.Known() {
+			report.Counts = append(report.Counts, told)
+		}
 	}
-	return &Report{Sequence: c.sequence, Counts: counts, EndsRead: c.endsRead}
+	c.paces = paces
+	return report
 }
 
+// answered notes that the worker has a report.
+func (c *correspondent) answered(report *Report, sent time.Time) {
+	c.knownAt = sent
+	if c.paces == nil {
+		c.paces = map[ident.Incarnation]time.Time{}
+	}
+	for _, count := range report.Counts {
+		if count.Pace.Known() {
+			c.paces[count.Runner] = count.Heard
+		}
+	}
+}
+
+// telling says whether a call is on its way.
+func (c *correspondent) telling() bool { return c.called != nil }
+
 // tell makes one call and, where more happened meanwhile, has the next one made.
 func (t *Teller) tell(ctx context.Context, address string, known *correspondent, report *Report) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
@@ -220,13 +290,17 @@
 	now := t.Now()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known.telling = false
+	if known.called != nil {
+		close(known.called)
+		known.called = nil
+	}
 	if err != nil {
 		// What the worker was told is not known any more.
-		known.last = nil
+		known.last, known.paces = nil, nil
 		known.notBefore = now.Add(pauseAfterFailure)
 		return
 	}
+	known.answered(report, sent)
 	known.endsRead = answer.Ends.After(report.EndsRead)
 	if known.missed {
 		t.Changed(true)
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -14,6 +14,7 @@
 func (w *Worker) Demand(report *demand.Report) *demand.Answer {
 	now := w.Now()
 	changed := w.demand.Take(report, now)
+	w.Runners.HearCounts(report.Counts, now)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, id := range changed {
@@ -124,12 +125,14 @@
 func (w *Worker) shares(asking ident.Node, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
 	for _, runner := range w.allOwned(now) {
-		answer.Shares = append(answer.Shares, demand.Share{
+		share := demand.Share{
 			Runner: runner.ID,
 			Others: w.demand.Online(runner.ID, asking, now),
 			Batch:  w.batchAt(runner.ID, now),
 			Silent: w.silent(runner.ID),
-		})
+		}
+		w.Runners.PaceNews(&share, now)
+		answer.Shares = append(answer.Shares, share)
 	}
 	return answer
 }
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -138,12 +138,12 @@
 // The caller holds the mutex.
 func (w *Worker) roomiestBorrowed(service string, avoid map[ident.Incarnation]bool, now time.Time) (ident.Incarnation, bool) {
 	var best work.Runner
-	bestRoom := 0
+	bestRoom := 0.0
 	for _, runner := range w.Runners.Of(service) {
 		if w.owns(runner) || avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > failingRate {
 			continue
 		}
-		room := w.borrowedRoom(runner.ID, now)
+		room := w.paced(w.borrowedRoom(runner.ID, now), runner.ID, now)
 		isNear, bestIsNear := runner.Zone == w.Zone, best.Zone == w.Zone
 		if room > 0 && (bestRoom == 0 || (isNear && !bestIsNear) || (isNear == bestIsNear && room > bestRoom)) {
 			best, bestRoom = runner, room
@@ -155,7 +155,7 @@
 // roomiestOf returns the runner with the most room for batch items among some. The caller holds the mutex.
 func (w *Worker) roomiestOf(runners []work.Runner, avoid map[ident.Incarnation]bool, now time.Time) (ident.Incarnation, bool) {
 	var best ident.Incarnation
-	bestRoom := 0
+	bestRoom := 0.0
 	if w.spare(runners, now) == 0 {
 		return best, false
 	}
@@ -163,13 +163,18 @@
 		if avoid[runner.ID] || w.silent(runner.ID) || w.Runners.FailureRate(runner.ID, now) > failingRate {
 			continue
 		}
-		if room := w.room(runner, now); room > bestRoom {
+		if room := w.paced(w.room(runner, now), runner.ID, now); room > bestRoom {
 			best, bestRoom = runner.ID, room
 		}
 	}
 	return best, bestRoom > 0
 }
 
+// paced is the room at a runner, less by its pace: items are begun at runners of the usual pace first.
+func (w *Worker) paced(room int, id ident.Incarnation, now time.Time) float64 {
+	return float64(room) / float64(w.Runners.Pace(id, now))
+}
+
 // owned returns the runners of a service that this node gives batch items to. The caller holds the mutex.
 func (w *Worker) owned(service string) []work.Runner {
 	var owned []work.Runner
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -232,6 +232,7 @@
 		}
 		waited = true
 	}
+	e.forwarder.freshen(e.ctx, e.service)
 	for {
 		random := rand.New(rand.NewPCG(rand.Uint64(), 0))
 		flight, err := e.forwarder.Runners.Pick(e.wish(waits), e.forwarder.Now(), random)
--- /dev/null
+++ b/internal/pace/usual.go
@@ -0,0 +1,50 @@
+package pace
+
+import (
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// usualStep is the part by which a usual time follows one that was seen: that of the middle within some tens of requests.
+const usualStep = 0.05
+
+// leastSeen is the shortest time that says anything: what was read in one piece came at one moment.
+const leastSeen = time.Millisecond
+
+// Usual is the time in the middle that something takes at the usual pace, as far as this node saw. Single times that are far
+// longer, of queues or of callers that read slowly, move it no more than others. The zero Usual knows none.
+type Usual struct{ middle time.Duration }
+
+// See takes in a time that something took at a pace.
+func (u *Usual) See(took time.Duration, at work.Pace) {
+	took = time.Duration(float64(took) / max(float64(at), 1))
+	switch {
+	case took < leastSeen:
+	case u.middle == 0:
+		u.middle = took
+	case took > u.middle:
+		u.middle += time.Duration(usualStep * float64(u.middle))
+	default:
+		u.middle -= time.Duration(usualStep * float64(u.middle))
+	}
+}
+
+// Or returns the time, or another one where none was seen.
+func (u *Usual) Or(unseen time.Duration) time.Duration {
+	if u.middle == 0 {
+		return unseen
+	}
+	return u.middle
+}
+
+// Delay is by how much longer something takes at a pace that usually takes a time.
+func Delay(usual time.Duration, at work.Pace) time.Duration {
+	return time.Duration(float64(usual) * max(float64(at)-1, 0))
+}
+
+// Keeps says whether a runner at a pace keeps to the longest pause between two events. It does where no pause is named, or
+// where nobody saw the usual one.
+func Keeps(usualGap, pause time.Duration, at work.Pace) bool {
+	return pause <= 0 || at <= 1 || time.Duration(float64(usualGap)*float64(at)) <= pause
+}
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -19,11 +19,13 @@
 	// succeeded says that the runner's work on the flight was noted, so that each flight counts once.
 	succeeded bool
 	ended     bool
+	// seen is when the last event came; before the first one, when the runner was chosen.
+	seen time.Time
 }
 
 // start counts a flight. The caller holds the mutex.
 func (t *Table) start(chosen *entry, class Class, uncached int, prefix []work.Part, now time.Time) *Flight {
-	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached}
+	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached, seen: now}
 	chosen.own[class]++
 	t.noteOnline(class, true)
 	chosen.waiting[flight] = now
@@ -39,14 +41,16 @@
 	f.stopWaiting()
 	if load != nil {
 		f.entry.observe(*load, now)
+		f.table.hearRunner(f.entry, load.Pace, now)
 	}
 }
 
-// Began notes the first event, and that the runner works.
+// Began notes an event, the first or a further one, and that the runner works.
 func (f *Flight) Began(now time.Time) {
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.stopWaiting()
+	f.seeEvent(now)
 	if !f.succeeded {
 		f.succeeded = true
 		f.entry.health.succeeded(now)
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -62,6 +62,8 @@
 	PromptTokens int
 	// Bytes is the size of the request, for the price of sending it to another zone.
 	Bytes int
+	// Pause is the longest time between two events that earns full credit; zero names none.
+	Pause time.Duration
 	// Exclude holds runners that already had the request.
 	Exclude map[ident.Incarnation]bool
 	// Full holds runners that refused the request a moment ago, because their places were taken. A nil map has the request
@@ -84,6 +86,7 @@
 	if best == nil {
 		return nil, fmt.Errorf("%w: service %s", ErrNoRunner, wish.Service)
 	}
+	t.noteChoice(best, wish, now)
 	return t.start(best, wish.Class, best.uncached(wish, best == home, now), wish.Prefix, now), nil
 }
 
@@ -121,7 +124,7 @@
 	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
-	return wish.Full[e.runner.ID] || float64(firm+1) > places*(1+queueShare)
+	return wish.Full[e.runner.ID] || float64(firm+1) > places*(1+queueShare/float64(e.pace.Now(now)))
 }
 
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
@@ -191,7 +194,8 @@
 	case load+float64(yielding) > places:
 		cost += yieldCost
 	}
-	cost += float64(candidate.pendingTokens+candidate.uncached(wish, isHome, now)) / tokensPerMillisecond
+	reading := float64(candidate.pendingTokens+candidate.uncached(wish, isHome, now)) / tokensPerMillisecond
+	cost += reading + t.slowness(candidate, wish, reading+queueCost*max(load-places, 0), now)
 	if candidate.runner.Zone != t.zone {
 		cost += farCost + farCostPerKilobyte*float64(wish.Bytes)/1000
 	}
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -4,14 +4,15 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/pace"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // shareMemory is how long the word of a runner's owner is believed: as long as the owner believes this node's.
 const shareMemory = demand.Lifetime
 
-// OnOnlineChanged has a function told whenever this node's online work at a runner rises or falls. It must not block. It
-// is called before the table is used.
+// OnOnlineChanged has a function told whenever this node's online work at a runner rises or falls, and whenever a runner's pace
+// changed as far as this node knew, as of a fall. It must not block. It is called before the table is used.
 func (t *Table) OnOnlineChanged(told func(rose bool)) { t.onlineChanged = told }
 
 // noteOnline tells of a change of the online work. The caller holds the mutex.
@@ -21,15 +22,18 @@
 	}
 }
 
-// Online returns the runners at which this node has online work, and how much, and those that it passes over after
-// failures.
+// Online returns the runners at which this node has online work, and how much, those that it passes over after failures, and
+// those whose pace it heard a moment ago.
 func (t *Table) Online(now time.Time) map[work.Runner]demand.Count {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	online := map[work.Runner]demand.Count{}
 	for id, known := range t.runners {
 		count := demand.Count{Runner: id, Online: known.own[Online], Suspect: known.health.ejected(now)}
-		if count.Online > 0 || count.Suspect {
+		if known.spoken.Pace.Known() && now.Sub(known.spoken.At) < spokenFor {
+			count.Pace, count.Heard = known.spoken.Pace, known.spoken.At
+		}
+		if count.HasWork() || count.Pace.Known() {
 			online[known.runner] = count
 		}
 	}
@@ -44,6 +48,7 @@
 	for _, told := range shares {
 		if known := t.runners[told.Runner]; known != nil {
 			known.share.Renew(share{others: told.Others, batch: told.Batch, silent: told.Silent}, asOf)
+			t.hear(known, pace.Told(told.Pace, told.PaceAgeMs, asOf), false)
 		}
 	}
 }
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -11,6 +11,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/asof"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/pace"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -34,15 +35,20 @@
 	latest map[ident.Runner]ident.Incarnation
 	// services holds the entries of each service in a fixed order.
 	services map[string][]*entry
-	// onlineChanged is told when this node's online work at a runner rose or fell; nil is told nothing. It must not block.
+	// onlineChanged is told when this node's online work at a runner rose or fell, and when a runner's pace changed as far as this
+	// node knew; nil is told nothing. It must not block.
 	onlineChanged func(rose bool)
+	// usual is what the services' requests take at the usual pace.
+	usual map[string]*usual
+	// slowPhases counts for the log.
+	slowPhases SlowPhases
 }
 
 // New returns an empty table for a node of the zone.
 func New(zone ident.Zone) *Table {
 	return &Table{
 		zone: zone, runners: map[ident.Incarnation]*entry{}, latest: map[ident.Runner]ident.Incarnation{},
-		services: map[string][]*entry{},
+		services: map[string][]*entry{}, usual: map[string]*usual{},
 	}
 }
 
@@ -59,9 +65,12 @@
 	pendingTokens int
 	// load is the runner's own count, as of its answer's head; share what the owner of its batch places told, as of the
 	// question.
-	load     asof.Fact[loadReport]
-	share    asof.Fact[share]
-	health   health
+	load   asof.Fact[loadReport]
+	share  asof.Fact[share]
+	health health
+	// pace is how long work takes at the runner now, spoken the newest word of it that the runner told this node itself.
+	pace     pace.Belief
+	spoken   pace.Word
 	prefixes prefixHistory
 	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
 	missingSince time.Time
