--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -57,7 +57,7 @@
 	orders := &follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}}
 	process.follow(orders)
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
-	forwarder.Ask = process.tellDemand(holders).Ask
+	forwarder.Owners = &jobpeer.Owners{Holders: holders, Teller: process.tellDemand(holders)}
 	holders.TellEnds(process.tomb, process.ends)
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Limiter: process.limiter(holders), Stopping: process.lifecycle.Stopping,
--- a/internal/demand/ask.go
+++ b/internal/demand/ask.go
@@ -5,56 +5,68 @@
 	"time"
 )
 
-// question asks the workers of this node's zone for what they know.
+// question asks workers for what they know.
 type question struct {
+	// address is that of the worker; empty asks all workers of this node's zone.
+	address string
 	// older is the age from which on an answer is asked anew.
 	older time.Duration
-	// calls takes one channel for each call to be waited for. It has room for them.
+	// calls takes the channels that are closed as the calls end that are to be waited for. It has room for them.
 	calls chan []<-chan struct{}
 }
 
-// Ask has the workers of this node's zone asked whose last answer is older than a time, and waits for the answers, within limits: what
-// does not come in time goes on and is taken over then. It returns at once where all answers are fresh.
-func (t *Teller) Ask(ctx context.Context, older, within time.Duration) {
-	if t.fresh(older) {
-		return
+// asks says whether the question is for a worker.
+func (q *question) asks(address string, far bool) bool {
+	if q.address == "" {
+		return !far
 	}
-	timer := time.NewTimer(within)
-	defer timer.Stop()
-	asked := question{older: older, calls: make(chan []<-chan struct{}, 1)}
-	var calls []<-chan struct{}
+	return q.address == address
+}
+
+// AskNear has the workers of this node's zone asked whose last answer is older than a time, and waits for the answers until the context
+// ends: what does not come in time goes on and is taken over then. It returns at once where all answers are fresh.
+func (t *Teller) AskNear(ctx context.Context, older time.Duration) { t.ask(ctx, question{older: older}) }
+
+// Ask is AskNear for the worker at an address, of any zone. It says whether the worker was asked or waited for.
+func (t *Teller) Ask(ctx context.Context, address string, older time.Duration) bool {
+	return t.ask(ctx, question{address: address, older: older})
+}
+
+func (t *Teller) ask(ctx context.Context, asked question) bool {
+	if t.fresh(&asked) {
+		return false
+	}
+	asked.calls = make(chan []<-chan struct{}, 1)
 	select {
 	case t.asked <- asked:
-		calls = <-asked.calls
-	case <-timer.C:
 	case <-ctx.Done():
+		return false
 	}
+	calls := <-asked.calls
 	for _, call := range calls {
 		select {
 		case <-call:
-		case <-timer.C:
-			return
 		case <-ctx.Done():
-			return
 		}
 	}
+	return len(calls) > 0
 }
 
 // fresh says whether nothing is to be asked or waited for.
-func (t *Teller) fresh(older time.Duration) bool {
+func (t *Teller) fresh(asked *question) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.Now()
-	for _, known := range t.workers {
-		if known.stale(older, now) {
+	for address, known := range t.workers {
+		if asked.asks(address, known.far) && known.stale(asked.older, now) {
 			return false
 		}
 	}
 	return true
 }
 
-// ask begins the calls to the workers whose last answer is too old, and returns those to be waited for. It runs in the teller's loop.
-func (t *Teller) ask(ctx context.Context, older time.Duration) []<-chan struct{} {
+// begin begins the calls for a question, and returns those to be waited for. It runs in the teller's loop.
+func (t *Teller) begin(ctx context.Context, asked *question) []<-chan struct{} {
 	online := t.Work.Online()
 	now := t.Now()
 	t.mutex.Lock()
@@ -62,7 +74,7 @@
 	var calls []<-chan struct{}
 	for address, owned := range online {
 		known := t.worker(address, owned)
-		if !known.stale(older, now) {
+		if !asked.asks(address, owned.Far) || !known.stale(asked.older, now) {
 			continue
 		}
 		if !known.telling() {
@@ -80,7 +92,7 @@
 // stale says whether a worker is to be asked, or its answer to be waited for, because the last answer is older than a time.
 func (c *correspondent) stale(older time.Duration, now time.Time) bool {
 	switch {
-	case c.far, now.Before(c.notBefore), now.Sub(c.knownAt) < older:
+	case now.Before(c.notBefore), now.Sub(c.knownAt) < older:
 		return false
 	case c.telling():
 		return now.Sub(c.lastAt) < awaitedFor
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -125,7 +125,7 @@
 		case <-t.tomb.Dying():
 			return nil
 		case asked := <-t.asked:
-			asked.calls <- t.ask(ctx, asked.older)
+			asked.calls <- t.begin(ctx, &asked)
 			continue
 		case <-t.started:
 		case <-t.ended:
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -55,28 +55,12 @@
 	Key    poison.Key
 	Logger zerolog.Logger
 	Now    func() time.Time
-	// Ask has the owners of this node's runners asked whose last word is older than a time, and waits for it within limits; nil asks
-	// nobody.
-	Ask func(ctx context.Context, older, within time.Duration)
+	// Owners are asked before a choice where runners tell their pace; nil asks nobody.
+	Owners Owners
 
 	rooms rooms
 }
 
-const (
-	// askOlder is the age of an owner's word from which on it is asked anew before a choice, where runners tell their pace: a slow phase
-	// lasts some hundred milliseconds, and other nodes hear of it within some ten of its begin.
-	askOlder = 100 * time.Millisecond
-	// askWithin is how long a request waits for that at the most: some calls within a zone, and little beside an objective of 300 ms.
-	askWithin = 10 * time.Millisecond
-)
-
-// freshen has this node hear how slow the runners of a service are now, where they tell it.
-func (f *Forwarder) freshen(ctx context.Context, service string) {
-	if f.Ask != nil && f.Runners.TellsPace(service, f.Now()) {
-		f.Ask(ctx, askOlder, askWithin)
-	}
-}
-
 // Serve answers one request of a route. A nil error means that the whole answer was passed on. An error that wraps
 // ErrBroken means that the answer was begun and must not look complete; any other is a *failure.Error for an answer
 // that was not begun.
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -232,10 +232,10 @@
 		}
 		waited = true
 	}
-	e.forwarder.freshen(e.ctx, e.service)
+	seed := rand.Uint64()
+	e.forwarder.freshen(e.ctx, e.wish(waits), seed)
 	for {
-		random := rand.New(rand.NewPCG(rand.Uint64(), 0))
-		flight, err := e.forwarder.Runners.Pick(e.wish(waits), e.forwarder.Now(), random)
+		flight, err := e.forwarder.Runners.Pick(e.wish(waits), e.forwarder.Now(), random(seed))
 		if err == nil {
 			e.room.taken(e.waiter, waited)
 			return flight, nil
--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -1,6 +1,7 @@
 package runnertable
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -138,6 +139,17 @@
 	return counted, slow
 }
 
+// Would returns the runner that Pick would choose, and starts nothing. It is none where Pick would not choose by cost.
+func (t *Table) Would(wish Wish, now time.Time, random *rand.Rand) (work.Runner, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	best := t.cheapest(wish, t.home(wish, now), now, random)
+	if best == nil {
+		return work.Runner{}, false
+	}
+	return best.runner, true
+}
+
 // TellsPace says whether runners of a service in this node's zone tell their pace.
 func (t *Table) TellsPace(service string, now time.Time) bool {
 	t.mutex.Lock()
