Let slowness within the objective cost less than a queue

Cause: of 39 late requests of a trace 16 waited at full runners of usual pace while slow ones had places. Change: the delay of a slow runner counts by the part of the objective that its first event takes.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -115,7 +115,8 @@
 func (e *exchange) wish(waits bool) runnertable.Wish {
 	wish := runnertable.Wish{
 		Service: e.service, Class: runnertable.Online, Prefix: e.request.Prefix,
-		PromptTokens: e.request.PromptTokens, Bytes: len(e.request.Body), Pause: e.route.Pause, Exclude: e.tried,
+		PromptTokens: e.request.PromptTokens, Bytes: len(e.request.Body), Objective: e.route.Objective, Pause: e.route.Pause,
+		Exclude: e.tried,
 	}
 	if waits {
 		wish.Full = e.full
--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -52,14 +52,15 @@
 }
 
 // slowness is what a runner's pace adds to the expected delay of the first event, in milliseconds: nothing at the usual one.
-// behind is the time that a request takes at the usual pace before its own work begins.
+// behind are the milliseconds that a request takes there at the usual pace before its own work begins.
 func (t *Table) slowness(candidate *entry, wish Wish, behind float64, now time.Time) float64 {
 	at := candidate.pace.Now(now)
 	if at <= 1 {
 		return 0
 	}
 	usual := t.usualOf(wish.Service)
-	cost := milliseconds(pace.Delay(usual.first.Or(unseenFirst), at)) + behind*(float64(at)-1)
+	first := usual.first.Or(unseenFirst) + time.Duration(behind*float64(time.Millisecond))
+	cost := milliseconds(pace.Cost(first, wish.Objective, at))
 	if !pace.Keeps(usual.gap.Or(0), wish.Pause, at) {
 		cost += pauseCost
 	}
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -62,8 +62,9 @@
 	PromptTokens int
 	// Bytes is the size of the request, for the price of sending it to another zone.
 	Bytes int
-	// Pause is the longest time between two events that earns full credit; zero names none.
-	Pause time.Duration
+	// Objective is the time to the first event that earns full credit, Pause the longest time between two events that does; zero
+	// names none.
+	Objective, Pause time.Duration
 	// Exclude holds runners that already had the request.
 	Exclude map[ident.Incarnation]bool
 	// Full holds runners that refused the request a moment ago, because their places were taken. A nil map has the request
