--- a/internal/demand/ask.go
+++ b/internal/demand/ask.go
@@ -25,7 +25,9 @@
 
 // AskNear has the workers of this node's zone asked whose last answer is older than a time, and waits for the answers until the context
 // ends: what does not come in time goes on and is taken over then. It returns at once where all answers are fresh.
-func (t *Teller) AskNear(ctx context.Context, older time.Duration) { t.ask(ctx, question{older: older}) }
+func (t *Teller) AskNear(ctx context.Context, older time.Duration) {
+	t.ask(ctx, question{older: older})
+}
 
 // Ask is AskNear for the worker at an address, of any zone. It says whether the worker was asked or waited for.
 func (t *Teller) Ask(ctx context.Context, address string, older time.Duration) bool {
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -19,13 +19,18 @@
 	// succeeded says that the runner's work on the flight was noted, so that each flight counts once.
 	succeeded bool
 	ended     bool
+	// prompted says that the request has a prompt.
+	prompted bool
 	// seen is when the last event came; before the first one, when the runner was chosen.
 	seen time.Time
 }
 
 // start counts a flight. The caller holds the mutex.
 func (t *Table) start(chosen *entry, class Class, uncached int, prefix []work.Part, now time.Time) *Flight {
-	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached, seen: now}
+	flight := &Flight{
+		Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached, seen: now,
+		prompted: uncached > 0 || len(prefix) > 0,
+	}
 	chosen.own[class]++
 	t.noteOnline(class, true)
 	chosen.waiting[flight] = now
--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -26,12 +26,22 @@
 
 // usual is what the requests of a service take at a runner at the usual pace, as far as this node saw.
 type usual struct {
-	// first is the time to the first event, gap that between two events.
-	first, gap pace.Usual
+	// first is the time to the first event, of requests with a prompt and without: those are other work.
+	first, promptless pace.Usual
+	// gap is the time between two events.
+	gap pace.Usual
 	// told is when a runner of this node's zone last told its pace.
 	told time.Time
 }
 
+// toFirst returns the usual time to the first event of requests with a prompt, or without.
+func (u *usual) toFirst(prompted bool) *pace.Usual {
+	if prompted {
+		return &u.first
+	}
+	return &u.promptless
+}
+
 // SlowPhases counts what this node heard of slow runners and how it chose.
 type SlowPhases struct {
 	// Begun and Ended are the slow phases of runners that it heard of.
@@ -59,7 +69,7 @@
 		return 0
 	}
 	usual := t.usualOf(wish.Service)
-	first := usual.first.Or(unseenFirst) + time.Duration(behind*float64(time.Millisecond))
+	first := usual.toFirst(wish.PromptTokens > 0).Or(unseenFirst) + time.Duration(behind*float64(time.Millisecond))
 	cost := milliseconds(pace.Cost(first, wish.Objective, at))
 	if !pace.Keeps(usual.gap.Or(0), wish.Pause, at) {
 		cost += pauseCost
@@ -102,7 +112,7 @@
 	if f.succeeded {
 		usual.gap.See(now.Sub(f.seen), at)
 	} else {
-		usual.first.See(now.Sub(f.seen), at)
+		usual.toFirst(f.prompted).See(now.Sub(f.seen), at)
 	}
 	f.seen = now
 }
