--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -55,6 +55,8 @@
 	Key    poison.Key
 	Logger zerolog.Logger
 	Now    func() time.Time
+	// Owners are asked before a choice where runners tell their pace; nil asks nobody.
+	Owners Owners
 
 	rooms rooms
 }
