--- a/internal/clock/sources_test.go
+++ b/internal/clock/sources_test.go
@@ -15,7 +15,7 @@
 // counted are the folders of what runs on a platform's machines. The rest of the product still goes by the steady clock.
 var counted = []string{
 	"../../cmd/mallowlatch-site", "../../platform", "../batchroom", "../changefeed", "../connpool", "../demand", "../endwatch", "../eventstream",
-	"../fleetfeed", "../follower", "../handoff", "../jobentry", "../jobpeer", "../jobrecord", "../jobworker", "../lending", "../online", "../pace", "../pace",
+	"../fleetfeed", "../follower", "../handoff", "../jobentry", "../jobpeer", "../jobrecord", "../jobworker", "../lending", "../online", "../pace",
 	"../poison", "../progress", "../reach", "../refusal", "../routetable", "../runnertable", "../site", "../storemeter", "../waitline", "../work",
 }
 
--- a/internal/online/fresh.go
+++ b/internal/online/fresh.go
@@ -23,7 +23,7 @@
 	// some hundred milliseconds, and the first node hears of it within some ten of its begin.
 	nearOlder = 100 * time.Millisecond
 	// chosenOlder is that age for the owner of the runner that would be chosen. In a peak many nodes see the same runner as the best
-	// one; of the requests sent on a word of 30 to 100 ms where no place was free, 2 in 100 were late, on a newer one 3 in 1,000.
+	// one, and a word of 30 ms and more does not tell of those that chose it meanwhile.
 	chosenOlder = 20 * time.Millisecond
 	// askRounds is how often that owner is asked: its answer may show that another runner is better, of which as little is known.
 	askRounds = 3
