--- a/internal/runnertable/pace_load_test.go
+++ b/internal/runnertable/pace_load_test.go
@@ -249,7 +249,7 @@
 func TestSlowPhasesOfAFewRunnersMakeFewRequestsLate(t *testing.T) {
 	requests, late := 0, 0
 	for seed := range uint64(3) {
-		f := newSlowFleet(seed, false)
+		f := newSlowFleet(seed, true)
 		f.play(t, 400, 6*time.Second)
 		requests, late = requests+f.requests, late+f.late
 	}
@@ -262,7 +262,7 @@
 func TestSlowThirdOfTheRunnersIsSparedWhileOthersHavePlaces(t *testing.T) {
 	requests, late := 0, 0
 	for seed := range uint64(3) {
-		f := newSlowFleet(seed, false)
+		f := newSlowFleet(seed, true)
 		for index, runner := range f.runners {
 			if index/slowZones%3 == 0 {
 				runner.busy = 3
