Close a node's store after the last reading of it

Cause: localReplica.View takes its reading in the replica's goroutine and reads in the caller's. The host that ends waits for its own goroutines, not for its callers', and the store closed under the reading: panic "pebble: closed", seen twice in TestJobSurvivesLossOfDisks. Beside it, a caller whose replica ended just as the view was opened took the end for the answer and left the view open for good, and states on their way in (Staged) wrote from the transport's goroutines.

Change: the store counts readings and these writes (uses), refuses new ones with ErrClosed once it closes, and waits for the rest. openView looks for its view once more after the replica's end.

Ruled out: a lock held for reading (a reader that begins another use while Close waits for the lock would stand for good); ending readings by their context (a scan has none); recovering the panic (it hides what the store is closed under).

TestReadingOutlivesItsHost was seen to fail without the change with just this panic.

--- a/internal/shardhost/host_test.go
+++ b/internal/shardhost/host_test.go
@@ -227,3 +227,33 @@
 		assert.Assert(t, shards > 60 && shards < 140, "%s has %d", node, shards)
 	}
 }
+
+// TestReadingOutlivesItsHost ends a host, and closes its store, while a caller of it reads a shard. The reading found "pebble: closed"
+// and ended the process before the store waited for it.
+func TestReadingOutlivesItsHost(t *testing.T) {
+	f := newFixture(t, 3)
+	f.propose(1)
+	leader := f.leader(3)
+	host := f.fleet.Host(leader)
+	stopped := make(chan error, 1)
+	begun := false
+	err := host.Replica(0).View(context.Background(), func(state shard.Reader) error {
+		begun = true
+		go func() { stopped <- f.fleet.Stop(leader) }()
+		<-host.Dead()
+		// The host has ended, and its store is closed next: there is time for that before the reading goes on.
+		select {
+		case err := <-stopped:
+			stopped <- err
+		case <-time.After(300 * time.Millisecond):
+		}
+		found, err := state.Get([]byte("command-1"))
+		assert.Check(t, err != nil || len(found) > 0)
+		return err
+	})
+	assert.Assert(t, begun)
+	var notLeader *shard.NotLeaderError
+	assert.Assert(t, errors.As(err, &notLeader), "%v", err)
+	assert.NilError(t, <-stopped)
+	assert.Assert(t, host.Replica(0).View(context.Background(), func(shard.Reader) error { return nil }) != nil)
+}
--- a/internal/shardhost/propose.go
+++ b/internal/shardhost/propose.go
@@ -242,7 +242,11 @@
 			done <- opened{err: &shard.NotLeaderError{Shard: r.id, Leader: r.otherLeader()}}
 			return nil
 		}
-		done <- opened{view: r.log.View()}
+		view, err := r.log.View()
+		if err != nil {
+			err = fmt.Errorf("%w: %w", shard.ErrUnavailable, err)
+		}
+		done <- opened{view: view, err: err}
 		return nil
 	})
 	if !queued {
@@ -252,6 +256,12 @@
 	case result := <-done:
 		return result.view, result.err
 	case <-r.stopped:
+	}
+	// What the replica did last may have opened the view: it is this caller's to close.
+	select {
+	case result := <-done:
+		return result.view, result.err
+	default:
 		return nil, fmt.Errorf("shard %d: stopped: %w", r.id, shard.ErrUnavailable)
 	}
 }
--- a/internal/shardhost/replica.go
+++ b/internal/shardhost/replica.go
@@ -172,7 +172,9 @@
 		output := core.Take()
 		r.host.peers.send(output.Messages)
 		for _, member := range output.SendSnapshots {
-			r.sendSnapshot(member)
+			if err := r.sendSnapshot(member); err != nil {
+				return err
+			}
 		}
 		if len(output.Append) > 0 {
 			r.host.metrics.batch.Observe(float64(len(output.Append)))
--- a/internal/shardhost/snapshot.go
+++ b/internal/shardhost/snapshot.go
@@ -24,10 +24,14 @@
 const errRefused = failure.Kind("shard host: state refused")
 
 // sendSnapshot sends the applied state beside the replica's goroutine, which goes on.
-func (r *replica) sendSnapshot(to shard.Member) {
+func (r *replica) sendSnapshot(to shard.Member) error {
 	view := r.transfers.takeView(to, r.log.FirstIndex())
 	if view == nil {
-		view = r.log.View()
+		opened, err := r.log.View()
+		if err != nil {
+			return err
+		}
+		view = opened
 	}
 	status := r.driver.Core.Status(r.host.now())
 	index, _, failed := view.Position()
@@ -54,6 +58,7 @@
 		}
 		return nil
 	})
+	return nil
 }
 
 func (r *replica) streamSnapshot(view *shardlog.View, status shard.Status, to shard.Member) error {
--- a/internal/shardlog/log_test.go
+++ b/internal/shardlog/log_test.go
@@ -104,8 +104,9 @@
 
 func stateOf(t assert.TestingT, log *Log) *shardtest.State {
 	state := shardtest.NewState()
-	view := log.View()
-	err := view.Reader().Scan(nil, nil, func(key, value []byte) bool { return state.Set(key, value) == nil })
+	view, err := log.View()
+	assert.NilError(t, err)
+	err = view.Reader().Scan(nil, nil, func(key, value []byte) bool { return state.Set(key, value) == nil })
 	assert.NilError(t, err)
 	assert.NilError(t, view.Close())
 	return state
@@ -124,7 +125,8 @@
 	_, err = target.Apply(putMachine{}, entriesOf(1, 5, 1))
 	assert.NilError(t, err)
 
-	view := source.View()
+	view, err := source.View()
+	assert.NilError(t, err)
 	index, term, err := view.Position()
 	assert.NilError(t, err)
 	assert.Equal(t, index, uint64(40))
--- a/internal/shardlog/snapshot.go
+++ b/internal/shardlog/snapshot.go
@@ -63,6 +63,10 @@
 	if s.log.removed {
 		return fmt.Errorf("shard %d: staging for a removed replica: %w", s.log.id, ErrCompacted)
 	}
+	if err := s.log.store.uses.begin(); err != nil {
+		return fmt.Errorf("shard %d: staging: %w", s.log.id, err)
+	}
+	defer s.log.store.uses.end()
 	batch := s.log.store.db.NewBatch()
 	prefix := numberedKey(spaceState, s.log.id, s.number)
 	for _, pair := range pairs {
@@ -80,6 +84,10 @@
 	if s.log.removed {
 		return nil
 	}
+	if err := s.log.store.uses.begin(); err != nil {
+		return fmt.Errorf("shard %d: discarding: %w", s.log.id, err)
+	}
+	defer s.log.store.uses.end()
 	batch := s.log.store.db.NewBatch()
 	prefix := numberedKey(spaceState, s.log.id, s.number)
 	if err := batch.DeleteRange(prefix, after(prefix), nil); err != nil {
@@ -136,6 +144,10 @@
 
 // Bytes estimates the disk space of the replica's log and state.
 func (l *Log) Bytes() (uint64, error) {
+	if err := l.store.uses.begin(); err != nil {
+		return 0, fmt.Errorf("shard %d: measuring: %w", l.id, err)
+	}
+	defer l.store.uses.end()
 	total := uint64(0)
 	for _, space := range []byte{spaceLog, spaceState} {
 		prefix := shardKey(space, l.id)
--- a/internal/shardlog/state.go
+++ b/internal/shardlog/state.go
@@ -99,13 +99,16 @@
 	applied  []byte
 }
 
-// View opens a reading of the state as it is now.
-func (l *Log) View() *View {
+// View opens a reading of the state as it is now. The store closes after it.
+func (l *Log) View() (*View, error) {
+	if err := l.store.uses.begin(); err != nil {
+		return nil, fmt.Errorf("shard %d: reading: %w", l.id, err)
+	}
 	generation := l.generation.Load()
 	return &View{
 		snapshot: l.store.db.NewSnapshot(), log: l,
 		prefix: numberedKey(spaceState, l.id, generation), applied: l.appliedKey(generation),
-	}
+	}, nil
 }
 
 // Reader returns the state.
@@ -113,6 +116,7 @@
 
 // Close releases the reading.
 func (v *View) Close() error {
+	defer v.log.store.uses.end()
 	if err := v.snapshot.Close(); err != nil {
 		return fmt.Errorf("closing a view: %w: %w", ErrDisk, err)
 	}
--- a/internal/shardlog/store.go
+++ b/internal/shardlog/store.go
@@ -26,6 +26,8 @@
 	ErrDisk = failure.Kind("shard log: disk failed")
 	// ErrCompacted means that an entry is no longer in the log.
 	ErrCompacted = failure.Kind("shard log: entry compacted")
+	// ErrClosed means that the store is closed, or waits for the last readings to close.
+	ErrClosed = failure.Kind("shard log: store closed")
 )
 
 // Options bound the store's memory and choose its file system.
@@ -54,6 +56,8 @@
 	db          *pebble.DB
 	incarnation string
 	syncs       *atomic.Int64
+	// uses are the readings and writes that do not end with the goroutines of the replicas.
+	uses uses
 }
 
 // Open opens the store in the folder, or creates it with a new incarnation. The incarnation stands in the store itself:
@@ -73,7 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("opening %s: %w: %w", folder, ErrDisk, err)
 	}
-	store := &Store{db: db, syncs: syncs}
+	store := &Store{db: db, syncs: syncs, uses: uses{idle: make(chan struct{})}}
 	if err := store.identify(); err != nil {
 		return nil, errors.Join(err, db.Close())
 	}
@@ -152,8 +156,9 @@
 // Incarnation returns the random identity of this folder.
 func (s *Store) Incarnation() string { return s.incarnation }
 
-// Close flushes and closes the store.
+// Close waits for the end of the readings that are open, then flushes and closes the store. The replicas must have ended.
 func (s *Store) Close() error {
+	s.uses.close()
 	if err := s.db.Close(); err != nil {
 		return fmt.Errorf("closing the store: %w: %w", ErrDisk, err)
 	}
