Tell an owner of tenants only what it does not know, and leave room for nodes that it never heard

Cause (bytes): each tenant with a request in the window was told to its owner each 0.7 s with its whole counts, and once more 0.1 s after each request that had asked, because the owner did not count what it had given credit for.

Change: an owner counts requests that waited as let through when it gives them credit; the node tells only what differs. A message says with the owner's epoch of the node (another one when its memory is empty) that all else is known: the owner ages it by itself, and what it doesn't know is told at once. Reports without news each 1.4 s for all tenants of an owner together, each 0.7 s as before where more than a quarter of a limit is used. Answers say which part of the limit the other nodes have; the next owner leaves out the part of those it has not heard. New fields are left out where there is nothing to tell: an owner of the last landing tells no epoch and is told all each 0.7 s, a node of it is answered as before.

--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -37,7 +37,12 @@
 	// AgeMs is how long ago that was: what an earlier process let through is not known to this one.
 	AgeMs int64 `json:"age_ms"`
 	// Spent is by tenant.
-	Spent []Spent `json:"spent"`
+	Spent []Spent `json:"spent,omitempty"`
+	// Kept is the epoch of an owner that has answered for all that the node let through of its other tenants; zero says nothing of them.
+	Kept uint32 `json:"kept,omitempty"`
+
+	// owner is the name of the owner that is told, upTo numbers the last request that is counted of each of Spent, at the node.
+	owner string
 }
 
 // Spent is what a node let through of one tenant's requests.
@@ -47,8 +52,10 @@
 	Recent []int `json:"recent"`
 	// Want is how many requests wait at the node for credit.
 	Want int `json:"want,omitempty"`
-	// Share is the part that the node has in the tenant's requests, as an owner told it last.
+	// Share is the part that the node has in the tenant's requests, as another owner told it last, or this one before it lost its memory.
 	Share float64 `json:"share,omitempty"`
+	// Others is the part that other nodes had, as told with Share.
+	Others float64 `json:"others,omitempty"`
 
 	// upTo numbers the last request that is counted, at the node.
 	upTo uint64
@@ -59,6 +66,9 @@
 	Credits []Credit `json:"credits,omitempty"`
 	// Nodes is how many nodes tell the owner of what they let through.
 	Nodes int `json:"nodes"`
+	// Epoch numbers what the owner remembers of the node: it is another one when the owner has an empty memory, and zero where the owner
+	// wants to be told all each time.
+	Epoch uint32 `json:"epoch,omitempty"`
 }
 
 // Credit is the owner's word on one tenant. It replaces all credit that the node had.
@@ -68,6 +78,10 @@
 	Amount int `json:"amount"`
 	// Share is the part of the limit that the node may use while it reaches no owner; zero where the owner does not know enough yet.
 	Share float64 `json:"share,omitempty"`
+	// Others is the part that other nodes may use: the next owner may not hear of them.
+	Others float64 `json:"others,omitempty"`
+	// Tight says that a good part of the limit is used: the owner has to know soon what becomes of the tenant.
+	Tight bool `json:"tight,omitempty"`
 	// AfterMs is when credit can be had again, where there is none now.
 	AfterMs int64 `json:"after_ms,omitempty"`
 }
@@ -77,13 +91,18 @@
 	slots = 20
 	// creditFor is how long a node may use credit.
 	creditFor = time.Second
-	// keepEvery is the time between two reports of a tenant that had requests in the window, though none came since: an owner that does
-	// not hear them takes the node for cut off.
-	keepEvery = 700 * time.Millisecond
-	// allToldAfter is how long it takes until an owner has heard of all that was let through before it became the owner.
-	allToldAfter = keepEvery + 200*time.Millisecond
-	// silentAfter is how long an owner hears nothing of a node before it takes it for cut off.
-	silentAfter = 1500 * time.Millisecond
+	// keepEvery is the time between two reports to an owner of tenants that had requests in the window, though none came since: an owner
+	// that does not hear them takes the node for cut off. It is looseEvery where little of the limits is used. Credit that is not used
+	// is given back after keepEvery: others may wait for it.
+	keepEvery, looseEvery = 700 * time.Millisecond, 1400 * time.Millisecond
+	// allToldAfter is how long it takes until an owner has heard of all that was let through before it became the owner, of a tenant that
+	// uses a good part of its limit; looseToldAfter of any.
+	allToldAfter, looseToldAfter = keepEvery + 200*time.Millisecond, looseEvery + 200*time.Millisecond
+	// silentAfter is how long an owner hears nothing of a node before it takes it for cut off: one report may be lost. looseSilentAfter is
+	// for one that tells each looseEvery.
+	silentAfter, looseSilentAfter = 2*keepEvery + 100*time.Millisecond, 2*looseEvery + 100*time.Millisecond
+	// usedFor is how long after an owner gave credit the node may still be using it: as long as it lasts, and the answer was on its way.
+	usedFor = creditFor + 200*time.Millisecond
 	// aloneFor is how long after the last answer a node that reaches no owner uses its share.
 	aloneFor = time.Minute
 )
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -52,27 +53,47 @@
 
 	mutex    sync.Mutex
 	accounts map[ident.Tenant]*account
+	owners   map[string]*informed
 	// nodes is how many share the limits, as an owner said last.
 	nodes int
 	// told says that one did.
 	told bool
 }
 
+// informed is what the node knows of one owner.
+type informed struct {
+	// epoch is that of its last answer; zero is one that wants to be told all each time.
+	epoch uint32
+	// heard is when what it answered last was sent.
+	heard time.Time
+	// telling says that a message without tenants is on its way.
+	telling bool
+}
+
 // account is what the node knows of one tenant.
 type account struct {
 	limit Limit
 	spent tally
-	// count numbers the requests let through, settled is the last of them that an owner has answered for.
+	// count numbers the requests let through, settled is the last of them that an owner has answered for: the one of that name and epoch.
+	// It has also counted the expected: the credit that it gave for requests that waited.
 	count, settled uint64
+	expected       uint64
+	owner          string
+	epoch          uint32
 	// credit is what may be let through until creditUntil.
 	credit      int
 	creditUntil time.Time
+	// ahead says that the credit was for more than the requests that waited, tight that the owner is to be told soon.
+	ahead, tight bool
 	// deniedUntil is until when nothing is left, after is what callers are told then.
 	deniedUntil time.Time
 	after       time.Duration
 	// share is the part of the limit that the node may use while it reaches no owner, until shareUntil.
-	share      float64
-	shareUntil time.Time
+	// others is what other nodes may use then. shareOwner and shareEpoch are the owner that knows of the share.
+	share, others float64
+	shareUntil    time.Time
+	shareOwner    string
+	shareEpoch    uint32
 	// waiting are the requests that wait for an answer; telling says that an owner is being told. Two messages at a time could overtake
 	// each other, and the older one would take back what the newer one told.
 	waiting int
@@ -87,7 +108,8 @@
 // each start of the node.
 func NewMeter(node ident.Node, incarnation int64, window time.Duration, now time.Time) *Meter {
 	return &Meter{
-		node: node, incarnation: incarnation, started: now, on: newRuler(now.Add(-window), window), window: window, nodes: assumedNodes, accounts: map[ident.Tenant]*account{},
+		node: node, incarnation: incarnation, started: now, on: newRuler(now.Add(-window), window), window: window, nodes: assumedNodes,
+		accounts: map[ident.Tenant]*account{}, owners: map[string]*informed{},
 	}
 }
 
@@ -186,58 +208,156 @@
 	m.accounts[tenant].waiting--
 }
 
-// Due returns what owners are to be told now, by their names: the tenants whose requests wait for credit, and now and then those that
-// had requests in the window. owner returns an empty name where there is none. Each that is returned must be settled, or be told to
-// have failed.
+// pending is what one owner may be told.
+type pending struct {
+	// due are the tenants that it is to be told of now, open those of which it does not know all: they are told beside others. settled says
+	// that there are tenants with requests in the window of which it knows all, tight that a good part of the limit of one of them is used.
+	due, open      []ident.Tenant
+	settled, tight bool
+	// telling says that it is being told of a tenant, so that nobody can say what it knows.
+	telling bool
+}
+
+// Due returns what owners are to be told now, by their names: the tenants whose requests wait for credit, now and then those of which they
+// do not know all, and that the others are as they know them. owner returns an empty name where there is none. Each message that is
+// returned must be settled, or be told to have failed.
 func (m *Meter) Due(owner func(ident.Tenant) string, now time.Time) map[string]*Spending {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	var due map[string]*Spending
+	all := m.pending(owner, now)
+	maps.DeleteFunc(m.owners, func(name string, state *informed) bool {
+		return all[name] == nil && !state.telling && now.Sub(state.heard) > aloneFor
+	})
+	for name, told := range all {
+		if len(told.due) == 0 && !m.isSilent(name, told, now) {
+			continue
+		}
+		if due == nil {
+			due = map[string]*Spending{}
+		}
+		due[name] = m.message(name, told, now)
+	}
+	return due
+}
+
+// pending sorts the tenants by their owners, and forgets those that nobody needs any more. The caller holds the mutex.
+func (m *Meter) pending(owner func(ident.Tenant) string, now time.Time) map[string]*pending {
+	all := map[string]*pending{}
 	for tenant, known := range m.accounts {
-		if !m.isDue(tenant, known, now) {
+		if m.isOver(tenant, known, now) {
 			continue
 		}
 		name := owner(tenant)
 		if name == "" {
 			continue
 		}
-		if due == nil {
-			due = map[string]*Spending{}
+		told := all[name]
+		if told == nil {
+			told = &pending{}
+			all[name] = told
 		}
-		if due[name] == nil {
-			due[name] = &Spending{Node: m.node, Incarnation: m.incarnation, AgeMs: now.Sub(m.started).Milliseconds()}
-		}
-		known.telling = true
-		spent := Spent{Tenant: tenant, Recent: known.spent.recent(m.on.index(now)), Want: known.waiting, upTo: known.count}
-		if now.Before(known.shareUntil) {
-			spent.Share = known.share
+		switch {
+		case known.telling:
+			told.telling = true
+		case m.isDue(known, name, now):
+			told.due = append(told.due, tenant)
+		case !known.told():
+			told.open = append(told.open, tenant)
+		default:
+			told.settled, told.tight = true, told.tight || known.tight
 		}
-		due[name].Spent = append(due[name].Spent, spent)
 	}
-	return due
+	return all
 }
 
-// isDue says whether a tenant's owner is to be told, and forgets what nobody needs any more. The caller holds the mutex.
-func (m *Meter) isDue(tenant ident.Tenant, known *account, now time.Time) bool {
-	switch {
-	case known.telling:
+// isOver says whether nothing of a tenant is in the window and none of its requests waits. The caller holds the mutex.
+func (m *Meter) isOver(tenant ident.Tenant, known *account, now time.Time) bool {
+	if known.telling || known.waiting > 0 || known.spent.all(m.on.index(now)) > 0 {
 		return false
-	case known.waiting > 0:
-		return true
-	// What was let through since is told before its owner stops counting on it.
-	case known.spent.all(m.on.index(now)) > 0:
-		return now.Sub(known.lastTold) >= keepEvery || known.low(now)
 	}
-	known.share = 0
+	known.share, known.others = 0, 0
 	if now.After(known.creditUntil) {
 		delete(m.accounts, tenant)
 	}
-	return false
+	return true
+}
+
+// isDue says whether a tenant's owner is to be told of it. The caller holds the mutex.
+func (m *Meter) isDue(known *account, name string, now time.Time) bool {
+	state := m.owner(name)
+	since := now.Sub(known.lastTold)
+	switch {
+	case known.waiting > 0, known.low(now):
+		return true
+	case !known.knownTo(name, state.epoch), known.tellsShare(name, state.epoch, now):
+		return true
+	case known.credit > 0, state.epoch == 0:
+		return since >= keepEvery
+	case known.told():
+		return false
+	}
+	return since >= every(known.tight)
+}
+
+// every is the time between two reports of a tenant.
+func every(tight bool) time.Duration {
+	if tight {
+		return keepEvery
+	}
+	return looseEvery
+}
+
+// isSilent says whether an owner would soon take the node for cut off. The caller holds the mutex.
+func (m *Meter) isSilent(name string, told *pending, now time.Time) bool {
+	state := m.owner(name)
+	return told.settled && state.epoch != 0 && !state.telling && !told.telling && now.Sub(state.heard) >= every(told.tight)
+}
+
+// owner returns what is known of an owner. The caller holds the mutex.
+func (m *Meter) owner(name string) *informed {
+	state := m.owners[name]
+	if state == nil {
+		state = &informed{}
+		m.owners[name] = state
+	}
+	return state
+}
+
+// message tells an owner of the tenants of which it does not know all. The caller holds the mutex.
+func (m *Meter) message(name string, told *pending, now time.Time) *Spending {
+	spending := &Spending{Node: m.node, Incarnation: m.incarnation, AgeMs: now.Sub(m.started).Milliseconds(), owner: name}
+	state := m.owner(name)
+	if !told.telling {
+		spending.Kept = state.epoch
+	}
+	for _, tenant := range append(told.due, told.open...) {
+		known := m.accounts[tenant]
+		known.telling = true
+		spent := Spent{Tenant: tenant, Recent: known.spent.recent(m.on.index(now)), Want: known.waiting, upTo: known.count}
+		if now.Before(known.shareUntil) && (state.epoch == 0 || known.tellsShare(name, state.epoch, now)) {
+			spent.Share, spent.Others = known.share, known.others
+		}
+		spending.Spent = append(spending.Spent, spent)
+	}
+	state.telling = state.telling || len(spending.Spent) == 0
+	return spending
 }
 
-// low says whether the node had credit ahead and used most of it.
+// knownTo says whether an owner of that epoch has answered for the tenant last: another one has never heard of it, or lost its memory.
+func (a *account) knownTo(name string, epoch uint32) bool { return a.owner == name && a.epoch == epoch }
+
+// tellsShare says whether an owner of that epoch has yet to hear of the node's share.
+func (a *account) tellsShare(name string, epoch uint32, now time.Time) bool {
+	return epoch != 0 && a.share > 0 && now.Before(a.shareUntil) && (a.shareOwner != name || a.shareEpoch != epoch)
+}
+
+// told says whether the owner has counted all that was let through.
+func (a *account) told() bool { return a.count == a.settled+a.expected }
+
+// low says whether the node had credit ahead and used all of it.
 func (a *account) low(now time.Time) bool {
-	return a.settled != a.count && a.credit == 0 && now.Before(a.creditUntil)
+	return a.ahead && a.settled != a.count && a.credit == 0 && now.Before(a.creditUntil)
 }
 
 // Settle takes an owner's answer to what it was told at a moment. It returns false where the answer lacks a tenant: an owner of a build
@@ -246,6 +366,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.nodes, m.told = max(answer.Nodes, 1), true
+	m.hear(told, answer.Epoch, sent)
 	answers := make(map[ident.Tenant]Credit, len(answer.Credits))
 	for _, credit := range answer.Credits {
 		answers[credit.Tenant] = credit
@@ -260,16 +381,34 @@
 		credit, answered := answers[spent.Tenant]
 		if answered {
 			known.settle(spent, credit, sent)
+			known.owner, known.epoch, known.expected = told.owner, answer.Epoch, 0
+			if credit.Share > 0 || spent.Share > 0 {
+				known.shareOwner, known.shareEpoch = told.owner, answer.Epoch
+			}
+			if answer.Epoch != 0 {
+				known.expected = uint64(min(credit.Amount, spent.Want))
+			}
 		}
 		whole = whole && answered
 	}
 	return whole
 }
 
+// hear notes that an owner answered. The caller holds the mutex.
+func (m *Meter) hear(told *Spending, epoch uint32, sent time.Time) {
+	state := m.owner(told.owner)
+	state.telling = state.telling && len(told.Spent) > 0
+	if sent.After(state.heard) {
+		state.heard, state.epoch = sent, epoch
+	}
+}
+
 // Failed notes that an owner did not answer to what it was told.
 func (m *Meter) Failed(told *Spending) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	state := m.owner(told.owner)
+	state.telling = state.telling && len(told.Spent) > 0
 	for _, spent := range told.Spent {
 		if known := m.accounts[spent.Tenant]; known != nil {
 			known.telling = false
@@ -283,8 +422,9 @@
 	a.settled, a.lastTold = spent.upTo, sent
 	a.credit = max(answer.Amount-int(a.count-spent.upTo), 0)
 	a.creditUntil = sent.Add(creditFor)
+	a.ahead, a.tight = answer.Amount > spent.Want, answer.Tight
 	if answer.Share > 0 {
-		a.share, a.shareUntil = answer.Share, sent.Add(aloneFor)
+		a.share, a.others, a.shareUntil = answer.Share, answer.Others, sent.Add(aloneFor)
 	}
 	a.deniedUntil = time.Time{}
 	if answer.Amount < spent.Want {
