Read a runner's answer on while its caller lags

Events were read from the runner as the caller took them: one that reads slowly left the runner's answer unread, which a runner cuts off after some seconds, and kept its place. Now the reading goes over to another goroutine once a write lasts, up to 64 KiB a stream and within the node's budget; the place is free when the answer is read whole. A caller that holds its runner up for a second in all is cut off. Whole bodies count while they are held.

Ruled out: a goroutine that writes for each stream (a hand-over an event), short write deadlines (they spoil the connection).

Seen to fail: without the reading on (deadlock of the test with four callers), without freeing the place, with the buffer of the last event used again (events doubled), without the second's bound (hangs), without asking the budget, without ending the run of a caller whose connection broke, with a hundred times the bound, with a bound of a millisecond, with a guard that runs while the caller lags.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -28,7 +28,8 @@
 	HasID bool
 	// Data is the value of its data fields, parted by line feeds.
 	Data []byte
-	// Raw is the event as it was read, with its closing empty line. It is only valid until the next call of Next.
+	// Raw is the event as it was read, with its closing empty line. It is only valid until the next call of Next, unless Keep was
+	// called before.
 	Raw []byte
 }
 
@@ -43,6 +44,9 @@
 	return &Reader{source: bufio.NewReaderSize(source, 2048)}
 }
 
+// Keep leaves the last event's bytes to its holder: the next one is read into a buffer of its own.
+func (r *Reader) Keep() { r.raw = nil }
+
 // Next returns the next whole event. At a proven end between events it returns io.EOF; any other error of the source
 // is returned as it is, and an end inside an event is ErrTruncated.
 func (r *Reader) Next() (Event, error) {
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -10,6 +10,7 @@
 	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/poison"
@@ -38,6 +39,8 @@
 	begun bool
 	// lastEvent is the id of the last event the caller has.
 	lastEvent int64
+	// place is that of the last attempt.
+	place *place
 	// sent is when the last attempt was sent.
 	sent    time.Time
 	outcome outcome.Outcome
@@ -84,12 +87,12 @@
 		return e.turnedAway()
 	}
 	e.sent = e.forwarder.Now()
-	defer func() { e.room.freed(e.forwarder.Now().Sub(e.sent)) }()
-	defer flight.End()
-	e.tried[flight.Runner.ID] = true
-	budget = e.deadline.Sub(e.sent)
 	ctx, cancel := context.WithCancel(e.ctx)
 	defer cancel()
+	e.place = &place{flight: flight, room: e.room, now: e.forwarder.Now, sent: e.sent, ctx: ctx, end: cancel}
+	defer e.place.free()
+	e.tried[flight.Runner.ID] = true
+	budget = e.deadline.Sub(e.sent)
 	guard := e.guardSilence(cancel)
 	reply, err := e.forwarder.Caller.Send(ctx, work.Attempt{Request: e.request, Runner: flight.Runner, Budget: budget, ResumeAfter: e.lastEvent})
 	if err != nil {
@@ -198,7 +201,8 @@
 	if err == nil && !erred(reply) {
 		e.cameToItsEnd()
 	}
-	if err == nil || errors.Is(err, errCallerGone) {
+	// None of these is a failure of the runner.
+	if err == nil || errors.Is(err, errCallerGone) || errors.Is(err, heldbytes.ErrOver) {
 		return err
 	}
 	e.brokeOff(flight)
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/poison"
@@ -51,6 +52,8 @@
 	Caller  work.Caller
 	// Ends finds out which requests end the runners that run them; nil lets each run.
 	Ends *endwatch.Watch
+	// Held bounds what the node holds for callers; nil bounds nothing.
+	Held *heldbytes.OfNode
 	// Key is what the prints of requests are made with.
 	Key    poison.Key
 	Logger zerolog.Logger
--- /dev/null
+++ b/internal/online/place.go
@@ -0,0 +1,31 @@
+package online
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+)
+
+// place is what one attempt has of a runner. It is given back once: when the runner's answer is read whole, though its caller may still
+// take it, or when the attempt ends.
+type place struct {
+	flight *runnertable.Flight
+	room   *room
+	now    func() time.Time
+	// sent is when the attempt was sent.
+	sent time.Time
+	// ctx is the attempt's; end ends it, and the runner's work with it.
+	ctx  context.Context
+	end  context.CancelFunc
+	once sync.Once
+}
+
+// free gives the place back. Further calls do nothing.
+func (p *place) free() {
+	p.once.Do(func() {
+		p.flight.End()
+		p.room.freed(p.now().Sub(p.sent))
+	})
+}
--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -9,6 +9,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/eventstream"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -25,7 +26,7 @@
 // relay passes an answer on as it comes.
 func (e *exchange) relay(flight *runnertable.Flight, reply *work.Reply, guard *silenceGuard) error {
 	if isStream(reply) {
-		return e.relayEvents(flight, reply, guard)
+		return e.relayEvents(reply, guard)
 	}
 	guard.stop()
 	return e.relayBody(flight, reply)
@@ -37,15 +38,21 @@
 }
 
 // relayBody passes a whole body on. It is read before the head is sent where it has no length, so that a body cut
-// short is never taken for a whole one.
+// short is never taken for a whole one. The error wraps heldbytes.ErrOver where the node has no room for it.
 func (e *exchange) relayBody(flight *runnertable.Flight, reply *work.Reply) error {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maximumBodyBytes+1))
+	held, err := e.forwarder.Held.Reserve(heldbytes.Answer, e.whose(), min(max(reply.Length, 0), maximumBodyBytes))
+	if err != nil {
+		return fmt.Errorf("keeping the runner's answer: %w", err)
+	}
+	defer held.Release()
+	body, err := ReadHeld(io.LimitReader(reply.Body, maximumBodyBytes+1), held, min(max(reply.Length, 0), maximumBodyBytes))
 	if err != nil {
 		return fmt.Errorf("reading the runner's answer: %w", err)
 	}
 	if len(body) > maximumBodyBytes {
 		return fmt.Errorf("%w: body over %d bytes", errUnsound, maximumBodyBytes)
 	}
+	e.place.free()
 	if !erred(reply) {
 		flight.Began(e.forwarder.Now())
 		e.room.noteAnswered(e.forwarder.Now().Sub(e.sent))
@@ -59,30 +66,28 @@
 // maximumBodyBytes bounds an answer that is not a stream.
 const maximumBodyBytes = 8 << 20
 
+// whose names for whom the node holds the request and its answer.
+func (e *exchange) whose() heldbytes.Whose {
+	return heldbytes.Whose{Tenant: e.request.Tenant, Connection: e.request.Connection}
+}
+
 // relayEvents passes whole events on. The head goes out with the first event: until then another runner can still be
 // asked from the start.
-func (e *exchange) relayEvents(flight *runnertable.Flight, reply *work.Reply, guard *silenceGuard) error {
-	reader := eventstream.NewReader(reply.Body)
+func (e *exchange) relayEvents(reply *work.Reply, guard *silenceGuard) error {
+	source := e.readAhead(eventstream.NewReader(reply.Body), guard)
+	defer source.close()
 	for first := true; ; first = false {
-		if !first {
-			guard.await()
-		}
-		next, err := reader.Next()
-		guard.stop()
+		next, err := source.next(first)
 		if errors.Is(err, io.EOF) {
 			return e.streamEnded(reply)
 		}
 		if err != nil {
 			return fmt.Errorf("reading the runner's stream: %w", err)
 		}
-		if guard.fired() {
-			return fmt.Errorf("%w: an event came too late", errUnprovenEnd)
-		}
-		flight.Began(e.forwarder.Now())
 		if first {
 			e.room.noteAnswered(e.forwarder.Now().Sub(e.sent))
 		}
-		if err := e.passOn(next, reply); err != nil {
+		if err := source.write(func() error { return e.passOn(next, reply) }); err != nil {
 			return err
 		}
 	}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -36,6 +36,8 @@
 	Tenant ident.Tenant
 	// Rank is that of the tenant; zero is the most urgent.
 	Rank int
+	// Connection names the caller's connection; empty where there is none.
+	Connection string
 	// Arrived is when the node received the request.
 	Arrived time.Time
 	// Deadline is when the client stops waiting; zero means that it did not say.
