Refuse what a node cannot hold before it is read

Bodies of up to the configuration's limit were read whole beside each other without a sum; twenty of 4 MiB, decoded and sent on, are more than the smallest front has. A request or job reserves its length at its head, one in chunks each step of its buffer; what does not fit is refused as not run with a time to come back. A job is held until the last call with its items has ended. Line bytes_held each 10 s at most where it says something.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -43,7 +43,7 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
-	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Ends: process.ends, Key: settings.Key(), Logger: process.logger, Now: clock.Now}
+	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Ends: process.ends, Held: process.held, Key: settings.Key(), Logger: process.logger, Now: clock.Now}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	records := process.records()
@@ -59,9 +59,11 @@
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
 	process.tellDemand(holders)
 	holders.TellEnds(process.tomb, process.ends)
+	jobs := platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate)
+	jobs.Held = process.held
 	front := &platform.Front{
-		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Limiter: process.limiter(holders), Stopping: process.lifecycle.Stopping,
-		Logger: process.logger, Now: clock.Now,
+		Routes: process.routes, Serve: forwarder.Serve, Jobs: jobs, Gate: gate, Limiter: process.limiter(holders), Held: process.held,
+		Stopping: process.lifecycle.Stopping, Logger: process.logger, Now: clock.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
 	if err != nil {
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -16,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/poison"
@@ -58,6 +59,8 @@
 	routes    *routetable.Table
 	lifecycle *site.Lifecycle
 	ends      *endwatch.Watch
+	// held bounds what the process holds for callers.
+	held *heldbytes.OfNode
 	// slept is how long the machine was suspended as of the last look; only the sweep of connections touches it.
 	slept time.Duration
 }
@@ -82,6 +85,7 @@
 		runners:   runnertable.New(ident.Zone(settings.Node.Zone)),
 		routes:    &routetable.Table{},
 		lifecycle: &site.Lifecycle{},
+		held:      heldbytes.New[ident.Tenant, string](heldbytes.LimitsOf(settings.Limits.MemoryBytes())),
 	}
 	started.store.Heard = started.heard
 	started.ends = &endwatch.Watch{
@@ -180,10 +184,23 @@
 			if counts := p.store.Take(); len(counts) > 0 {
 				event.StoreCalls.Log(p.logger).Interface("calls", counts).Send()
 			}
+			p.tellHeld()
 		}
 	}
 }
 
+// tellHeld writes a line of what is held for callers, where it is much or something was refused or cut for it.
+func (p *process) tellHeld() {
+	tally := p.held.Take()
+	if !tally.Telling() {
+		return
+	}
+	event.BytesHeld.Log(p.logger).Int64("held", tally.Held).Int64("most", tally.Most).Int64("of", tally.All).
+		Int("requests_refused", tally.Refused[heldbytes.Request]).Int("jobs_refused", tally.Refused[heldbytes.Submission]).
+		Int("results_refused", tally.Refused[heldbytes.Result]).Int("answers_refused", tally.Refused[heldbytes.Answer]).
+		Int("callers_cut", tally.Cut).Send()
+}
+
 // waitForStop returns when the process is asked to stop or a part of it failed. On a hang-up it reads the settings
 // again.
 func (p *process) waitForStop() {
@@ -210,6 +227,7 @@
 		return
 	}
 	site.ApplyLimits(settings.Limits)
+	p.held.SetLimits(heldbytes.LimitsOf(settings.Limits.MemoryBytes()))
 	event.SettingsAgain.Log(p.logger).Int("memory_mb", settings.Limits.MemoryMB).Send()
 }
 
--- a/internal/jobentry/acceptance.go
+++ b/internal/jobentry/acceptance.go
@@ -59,7 +59,9 @@
 func (a *acceptance) try(ctx context.Context) bool {
 	ended := make(chan attempt, 2)
 	// Each call has a tomb of its own: one whose calls all ended takes no more.
+	a.submission.Hold()
 	new(tomb.Tomb).Go(func() error {
+		defer a.submission.LetGo()
 		ended <- attempt{err: a.desk.accept(ctx, a.route, a.submission)}
 		return nil
 	})
@@ -88,7 +90,9 @@
 		if !asked && !a.final() {
 			asked = true
 			open++
+			a.submission.Hold()
 			new(tomb.Tomb).Go(func() error {
+				defer a.submission.LetGo()
 				ended <- attempt{handedOff: true, err: a.desk.Holders.Keep(ctx, a.route, a.submission)}
 				return nil
 			})
--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -334,3 +334,40 @@
 	}
 	assert.NilError(t, desk.End(ctx, "a", "job"))
 }
+
+// lastingHolders are workers whose answer to a job does not come until they are let go.
+type lastingHolders struct {
+	*fakeHolders
+	letGo chan struct{}
+}
+
+func (h *lastingHolders) Keep(context.Context, *work.Route, *jobrecord.Submission) error {
+	<-h.letGo
+	return handoff.ErrNobodyAnswers
+}
+
+// TestItemsAreHeldUntilTheLastCallWithThemEnds has the store take a job while workers are still asked to keep it: the caller is answered,
+// and the items are there as long as that call is.
+func TestItemsAreHeldUntilTheLastCallWithThemEnds(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	assert.NilError(t, submit(desk, "a", 10))
+	store.SetFaults(kvtest.PagedFaults{})
+	lasting := &lastingHolders{fakeHolders: holders, letGo: make(chan struct{})}
+	desk.Holders = lasting
+	released := make(chan struct{})
+	// The store is doubted, so that the workers are asked at once.
+	submission := &jobrecord.Submission{
+		ID: "b", Route: "r", Host: "h", Zone: "z", Items: []work.Item{{ID: "b-0", Path: "/p/x", Tokens: 1, Body: []byte("b")}},
+		Released: func() { close(released) },
+	}
+	assert.NilError(t, desk.Accept(context.Background(), &work.Route{Name: "r", MaximumQueuedTokens: bound}, submission))
+	select {
+	case <-released:
+		t.Fatal("the items are still held")
+	default:
+	}
+	close(lasting.letGo)
+	<-released
+}
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -88,10 +88,12 @@
 // Accept makes a job durable. A nil error means that it is, now or since an earlier submission. The error is a
 // *failure.Error; its outcome is NotRun only where the job was not written and never will be.
 func (d *Desk) Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+	attempt := &acceptance{desk: d, route: route, submission: submission, told: outcome.NotRun}
+	submission.Hold()
+	defer submission.LetGo()
 	if d.deaf() {
 		return d.refuseUnheard(submission)
 	}
-	attempt := &acceptance{desk: d, route: route, submission: submission, told: outcome.NotRun}
 	if attempt.run(ctx) {
 		event.JobTaken.Log(d.Logger).Str("job", string(submission.ID)).Int("items", len(submission.Items)).
 			Int("tries", attempt.tries).Bool("handed_off", attempt.handedOff).Send()
--- a/internal/jobpeer/keep.go
+++ b/internal/jobpeer/keep.go
@@ -88,7 +88,9 @@
 func (k *keeping) ask(ctx context.Context, replies chan<- *KeepReply) {
 	address, turn := k.candidates[k.asked], k.asked
 	k.asked++
+	k.submission.Hold()
 	new(tomb.Tomb).Go(func() error {
+		defer k.submission.LetGo()
 		request := &KeepRequest{Entry: handoff.NewEntry(k.submission, k.date, turn), MaximumQueuedTokens: k.bound, Copies: k.needed + spareKeepers}
 		reply := &KeepReply{}
 		if !k.holders.ask(ctx, address, methodKeep, request, reply, keepTimeout) {
--- a/internal/jobrecord/accept.go
+++ b/internal/jobrecord/accept.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -32,6 +33,20 @@
 	// Accepted is when the job was accepted; zero means now.
 	Accepted time.Time
 	Items    []work.Item
+	// Released is called once nobody holds the items any more; nil is told nothing.
+	Released func()
+	// holders counts who still holds the items.
+	holders atomic.Int32
+}
+
+// Hold notes that a part of the program holds the items from now on: calls with them go on after the caller was answered.
+func (s *Submission) Hold() { s.holders.Add(1) }
+
+// LetGo notes that it holds them no more. The last one tells Released.
+func (s *Submission) LetGo() {
+	if s.holders.Add(-1) == 0 && s.Released != nil {
+		s.Released()
+	}
 }
 
 // Tokens are those of all items.
--- a/internal/sitesettings/settings.go
+++ b/internal/sitesettings/settings.go
@@ -80,6 +80,9 @@
 	LinkMbps float64 `yaml:"link_mbps"`
 }
 
+// MemoryBytes is the memory of the machine.
+func (l Limits) MemoryBytes() int64 { return int64(l.MemoryMB) << 20 }
+
 // DiskBytes is the size of the disk.
 func (l Limits) DiskBytes() int64 { return int64(l.DiskMB * 1e6) }
 
