Keep the requests at a runner within its memory

A runner falls over when what it holds grows beyond its memory, and nodes chose by places alone: eight prompts of 20,000 tokens went to a runner with memory for 101,495. Tokens of flights (prompt but for kept parts, and the most that may be made) are counted, told to the owner of the runner and back, and one that would take a runner beyond nine tenths of what its report tells goes elsewhere or waits. Nothing is told back below half of the memory, and nothing bounded where no report was read: prompts of 450 tokens at eight places take 4 in 100 of it.

Seen to fail: without the bound in the choice, without the word of others, without the sharing, without the giving back, without the ledger's taking out, without the owner's word, without the front's.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -72,8 +72,10 @@
 	Silent bool `json:"silent,omitempty"`
 	// Orphans are the runs at the runner that no node tells of: work of nodes that are gone.
 	Orphans int `json:"orphans,omitempty"`
-	// Tokens are those of the requests of all nodes but the one that asks, and of the worker's items.
+	// Tokens are those of the requests of all nodes but the one that asks, and of the worker's items. Memory is how many the runner can
+	// hold. Both are told only where all together are above half of it.
 	Tokens int `json:"tokens,omitempty"`
+	Memory int `json:"memory,omitempty"`
 	// Pace is the newest that any node heard of the runner, PaceAgeMs how long before the answer that was, in milliseconds. Zero
 	// where nobody knows it, or the worker's build does not read it.
 	Pace      work.Pace `json:"pace,omitempty"`
@@ -116,6 +118,8 @@
 	nodes map[ident.Node]*told
 	// totals is the sum of the counts of all nodes that are counted.
 	totals map[ident.Incarnation]int
+	// tokens is the sum of the tokens of the same nodes.
+	tokens map[ident.Incarnation]int
 	// counted is the number of those nodes.
 	counted int
 	// nextExpiry is no later than the first moment at which a counted node has been silent for too long.
@@ -127,6 +131,8 @@
 	incarnation, sequence int64
 	at                    time.Time
 	counts                map[ident.Incarnation]int
+	// tokens are those of the counts that tell any; nil from a node that tells none.
+	tokens map[ident.Incarnation]int
 	// counted says that the counts are part of the ledger's totals: nothing older than Lifetime is.
 	counted bool
 }
@@ -147,9 +153,10 @@
 	}
 	for _, count := range report.Counts {
 		next.counts[count.Runner] = max(count.Online, 0)
+		next.noteTokens(count)
 	}
 	if l.nodes == nil {
-		l.nodes, l.totals = map[ident.Node]*told{}, map[ident.Incarnation]int{}
+		l.nodes, l.totals, l.tokens = map[ident.Node]*told{}, map[ident.Incarnation]int{}, map[ident.Incarnation]int{}
 	}
 	if before != nil {
 		l.uncount(before)
@@ -166,6 +173,7 @@
 	for runner, online := range kept.counts {
 		l.totals[runner] += online
 	}
+	l.countTokens(kept, 1)
 	if until := kept.at.Add(Lifetime); l.counted == 1 || until.Before(l.nextExpiry) {
 		l.nextExpiry = until
 	}
@@ -184,6 +192,7 @@
 			delete(l.totals, runner)
 		}
 	}
+	l.countTokens(kept, -1)
 }
 
 // expire takes out what silent nodes told, and forgets the nodes that it took out the last time. The caller holds the mutex.
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -124,12 +124,14 @@
 func (w *Worker) shares(asking ident.Node, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
 	for _, runner := range w.allOwned(now) {
-		answer.Shares = append(answer.Shares, demand.Share{
+		share := demand.Share{
 			Runner: runner.ID,
 			Others: w.demand.Online(runner.ID, asking, now),
 			Batch:  w.batchAt(runner.ID, now),
 			Silent: w.silent(runner.ID),
-		})
+		}
+		w.fillTokens(&share, asking, now)
+		answer.Shares = append(answer.Shares, share)
 	}
 	return answer
 }
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -292,6 +292,7 @@
 	if err != nil {
 		return
 	}
+	w.Runners.NoteMemory(runner.ID, load.Memory)
 	now := w.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -337,7 +338,7 @@
 
 // start runs an item at a runner.
 func (w *Worker) start(item *itemRun, service string, route *work.Route, id ident.Incarnation, now time.Time) {
-	wish := runnertable.Wish{Service: service, Class: runnertable.Batch, Bytes: len(item.body)}
+	wish := runnertable.Wish{Service: service, Class: runnertable.Batch, Tokens: item.item.Tokens, Bytes: len(item.body)}
 	flight, err := w.Runners.StartAt(id, wish, now)
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/jobworker/tokens_test.go
@@ -0,0 +1,41 @@
+package jobworker
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+)
+
+// shareOf returns what the worker tells a node of its runner.
+func shareOf(t *testing.T, w *Worker, report *demand.Report) demand.Share {
+	t.Helper()
+	for _, share := range w.Demand(report).Shares {
+		if share.Runner == "r" {
+			return share
+		}
+	}
+	t.Fatal("nothing is told of the runner")
+	return demand.Share{}
+}
+
+// TestOwnerTellsOfTokensWhereTheyAreMuch has two nodes send long prompts to a runner with items: each is told what the others have there,
+// once all together are above half of the runner's memory.
+func TestOwnerTellsOfTokensWhereTheyAreMuch(t *testing.T) {
+	w, _ := demandWorker(t)
+	_, err := w.Runners.StartAt("r", runnertable.Wish{Service: "s", Class: runnertable.Batch, Tokens: 10_000}, w.Now())
+	assert.NilError(t, err)
+	long := func(node ident.Node, sequence int64, tokens int) *demand.Report {
+		return &demand.Report{Node: node, Sequence: sequence, Counts: []demand.Count{{Runner: "r", Online: 1, Tokens: tokens}}}
+	}
+	assert.Equal(t, shareOf(t, w, long("a", 1, 20_000)).Memory, 0, "the memory is not known")
+	w.Runners.NoteMemory("r", 100_000)
+	assert.Equal(t, shareOf(t, w, long("a", 2, 20_000)).Tokens, 0, "30,000 of 100,000 are nothing to tell")
+	told := shareOf(t, w, long("b", 1, 40_000))
+	assert.Equal(t, told.Tokens, 30_000)
+	assert.Equal(t, told.Memory, 100_000)
+	assert.Equal(t, shareOf(t, w, long("a", 3, 20_000)).Tokens, 50_000)
+}
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -118,7 +118,7 @@
 func (e *exchange) wish(waits bool) runnertable.Wish {
 	wish := runnertable.Wish{
 		Service: e.service, Class: runnertable.Online, Prefix: e.request.Prefix,
-		PromptTokens: e.request.PromptTokens, Bytes: len(e.request.Body), Exclude: e.tried,
+		PromptTokens: e.request.PromptTokens, Tokens: e.request.PromptTokens + e.request.MaximumTokens, Bytes: len(e.request.Body), Exclude: e.tried,
 	}
 	if waits {
 		wish.Full = e.full
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -16,19 +16,22 @@
 	class  Class
 	// uncached are the prompt tokens the runner is not thought to keep.
 	uncached int
+	// tokens are what the request takes of the runner's memory.
+	tokens int
 	// succeeded says that the runner's work on the flight was noted, so that each flight counts once.
 	succeeded bool
 	ended     bool
 }
 
 // start counts a flight. The caller holds the mutex.
-func (t *Table) start(chosen *entry, class Class, uncached int, prefix []work.Part, now time.Time) *Flight {
-	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached}
-	chosen.own[class]++
-	t.noteOnline(class, true)
+func (t *Table) start(chosen *entry, wish Wish, uncached int, now time.Time) *Flight {
+	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: wish.Class, uncached: uncached, tokens: wish.weight(uncached)}
+	chosen.own[wish.Class]++
+	chosen.tokens[wish.Class] += flight.tokens
+	t.noteOnline(wish.Class, true)
 	chosen.waiting[flight] = now
 	chosen.pendingTokens += uncached
-	chosen.prefixes.add(prefix, now)
+	chosen.prefixes.add(wish.Prefix, now)
 	return flight
 }
 
@@ -71,6 +74,7 @@
 	f.ended = true
 	f.stopWaiting()
 	f.entry.own[f.class]--
+	f.entry.tokens[f.class] -= f.tokens
 	f.table.noteOnline(f.class, false)
 }
 
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -60,6 +60,8 @@
 	Prefix  []work.Part
 	// PromptTokens is the whole prompt.
 	PromptTokens int
+	// Tokens are the prompt and the most that may be made, summed; zero where they are not told.
+	Tokens int
 	// Bytes is the size of the request, for the price of sending it to another zone.
 	Bytes int
 	// Exclude holds runners that already had the request.
@@ -84,7 +86,7 @@
 	if best == nil {
 		return nil, fmt.Errorf("%w: service %s", ErrNoRunner, wish.Service)
 	}
-	return t.start(best, wish.Class, best.uncached(wish, best == home, now), wish.Prefix, now), nil
+	return t.start(best, wish, best.uncached(wish, best == home, now), now), nil
 }
 
 // cheapest returns the eligible runner with the least cost, or nil.
@@ -121,7 +123,7 @@
 	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
-	return wish.Full[e.runner.ID] || float64(firm+1) > places*(1+queueShare)
+	return wish.Full[e.runner.ID] || !e.fits(wish, now) || float64(firm+1) > places*(1+queueShare)
 }
 
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
@@ -144,10 +146,10 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	chosen := t.runners[id]
-	if chosen == nil || !chosen.eligible(wish, now) {
+	if chosen == nil || !chosen.eligible(wish, now) || !chosen.fits(wish, now) {
 		return nil, fmt.Errorf("%w: runner %s", ErrNoRunner, id)
 	}
-	return t.start(chosen, wish.Class, chosen.uncached(wish, false, now), wish.Prefix, now), nil
+	return t.start(chosen, wish, chosen.uncached(wish, false, now), now), nil
 }
 
 // allowed filters out the runners that must never have the request.
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -28,7 +28,7 @@
 	defer t.mutex.Unlock()
 	online := map[work.Runner]demand.Count{}
 	for id, known := range t.runners {
-		count := demand.Count{Runner: id, Online: known.own[Online], Suspect: known.health.ejected(now)}
+		count := demand.Count{Runner: id, Online: known.own[Online], Tokens: known.tokens[Online], Suspect: known.health.ejected(now)}
 		if count.Online > 0 || count.Suspect {
 			online[known.runner] = count
 		}
@@ -43,7 +43,10 @@
 	defer t.mutex.Unlock()
 	for _, told := range shares {
 		if known := t.runners[told.Runner]; known != nil {
-			known.share.Renew(share{others: told.Others, batch: told.Batch, silent: told.Silent}, asOf)
+			known.share.Renew(share{others: told.Others, batch: told.Batch, silent: told.Silent, tokens: max(told.Tokens, 0)}, asOf)
+			if told.Memory > 0 {
+				known.memory = told.Memory
+			}
 		}
 	}
 }
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -53,6 +53,11 @@
 	warmUntil time.Time
 	// own counts this node's work in progress, by class.
 	own [classes]int
+	// tokens are what the work in progress takes of the runner's memory, by class: prompts, but for parts that are kept, and the most
+	// that may be made.
+	tokens [classes]int
+	// memory is how many tokens the runner can hold; zero where it is not known.
+	memory int
 	// waiting holds the flights without a first byte.
 	waiting map[*Flight]time.Time
 	// pendingTokens are the prompt tokens of flights without a first event that the runner is not thought to keep.
@@ -75,6 +80,8 @@
 	others, batch int
 	// silent says that the runner does not answer its owner either.
 	silent bool
+	// tokens are those of the work of others.
+	tokens int
 }
 
 // loadReport is the runner's own count and what it was of.
--- /dev/null
+++ b/internal/runnertable/tokens_test.go
@@ -0,0 +1,123 @@
+package runnertable_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// runnerMemory is what a runner of eight places can hold, in tokens. With requests of 450 and 20 tokens that bounds nothing.
+	runnerMemory = 101_495
+	// longPrompt is one of which eight places hold more than the memory.
+	longPrompt = 20_000
+)
+
+// twoRunners is a table of runners with eight places each.
+func twoRunners(now time.Time) *runnertable.Table {
+	table := runnertable.New("z")
+	table.Replace([]work.Runner{{ID: "1", Service: "s", Zone: "z", Slots: 8}, {ID: "2", Service: "s", Zone: "z", Slots: 8}}, now, true)
+	return table
+}
+
+// pickLong chooses a runner for requests with long prompts until none takes another one, or as many as all places.
+func pickLong(t *testing.T, table *runnertable.Table, now time.Time) map[ident.Incarnation][]*runnertable.Flight {
+	t.Helper()
+	picked := map[ident.Incarnation][]*runnertable.Flight{}
+	wish := runnertable.Wish{Service: "s", PromptTokens: longPrompt, Tokens: longPrompt, Full: map[ident.Incarnation]bool{}}
+	for range 16 {
+		flight, err := table.Pick(wish, now, rand.New(rand.NewPCG(1, 1)))
+		if err != nil {
+			assert.ErrorIs(t, err, runnertable.ErrFull)
+			return picked
+		}
+		picked[flight.Runner.ID] = append(picked[flight.Runner.ID], flight)
+	}
+	return picked
+}
+
+// TestLongPromptsStayWithinTheMemoryOfRunners is a peak of requests with 20,000 tokens at runners with memory for 101,495: each gets four,
+// and the others wait until one of these ends. A runner that holds more than its memory falls over with all that it has.
+func TestLongPromptsStayWithinTheMemoryOfRunners(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := twoRunners(now)
+	table.NoteMemory("1", runnerMemory)
+	table.NoteMemory("2", runnerMemory)
+	picked := pickLong(t, table, now)
+	assert.Equal(t, len(picked["1"]), 4)
+	assert.Equal(t, len(picked["2"]), 4)
+	picked["2"][0].End()
+	picked["2"][0].End()
+	assert.Equal(t, len(pickLong(t, table, now)["2"]), 1)
+}
+
+// TestWhatOthersHoldAtARunnerCounts has its owner tell of 60,000 tokens of others at one of the runners.
+func TestWhatOthersHoldAtARunnerCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := twoRunners(now)
+	table.NoteMemory("2", runnerMemory)
+	table.TakeShares([]demand.Share{{Runner: "1", Tokens: 60_000, Memory: runnerMemory}, {Runner: "2"}}, now)
+	picked := pickLong(t, table, now)
+	assert.Equal(t, len(picked["1"]), 1)
+	assert.Equal(t, len(picked["2"]), 4)
+}
+
+// TestRunnerThatTellsNoMemoryIsNotBounded gives every place, and two more that may wait, to long prompts.
+func TestRunnerThatTellsNoMemoryIsNotBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	assert.Equal(t, len(pickLong(t, twoRunners(now), now)["1"]), 8)
+}
+
+// TestSharedPartsCountOnce has requests share 18,000 of 20,000 tokens, at a runner with memory for 45,000: all places take them, with
+// 34,160 tokens together, though their prompts are 160,000.
+func TestSharedPartsCountOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := twoRunners(now)
+	table.NoteMemory("1", 45_000)
+	wish := runnertable.Wish{
+		Service: "s", PromptTokens: longPrompt, Tokens: longPrompt + 20,
+		Exclude: map[ident.Incarnation]bool{"2": true}, Full: map[ident.Incarnation]bool{},
+	}
+	for index := range 8 {
+		wish.Prefix = []work.Part{{ID: "shared", Tokens: longPrompt - 2000}, {ID: fmt.Sprint(index), Tokens: 2000}}
+		_, err := table.Pick(wish, now, rand.New(rand.NewPCG(1, 1)))
+		assert.NilError(t, err)
+	}
+}
+
+// TestIdleRunnerIsAskedWhateverTheSize leaves it to the runner to say that a request is larger than its memory: it does not know of parts
+// that it keeps, and a request that no runner may have would wait for nothing.
+func TestIdleRunnerIsAskedWhateverTheSize(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := twoRunners(now)
+	table.NoteMemory("1", longPrompt/2)
+	table.NoteMemory("2", longPrompt/2)
+	picked := pickLong(t, table, now)
+	assert.Equal(t, len(picked["1"])+len(picked["2"]), 2)
+}
+
+// TestTokensAreToldWithTheOnlineWork is what the owner of a runner adds up.
+func TestTokensAreToldWithTheOnlineWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := twoRunners(now)
+	flight, err := table.StartAt("1", runnertable.Wish{Service: "s", Tokens: 470}, now)
+	assert.NilError(t, err)
+	_, err = table.StartAt("1", runnertable.Wish{Service: "s", Class: runnertable.Batch, Tokens: 300}, now)
+	assert.NilError(t, err)
+	for _, count := range table.Online(now) {
+		assert.Equal(t, count.Tokens, 470)
+	}
+	own, _ := table.Tokens("1")
+	assert.Equal(t, own, 770)
+	flight.End()
+	own, _ = table.Tokens("1")
+	assert.Equal(t, own, 300)
+}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -63,6 +63,8 @@
 // Load is a runner's own count of its work.
 type Load struct {
 	Running, Waiting, Slots int
+	// Memory is how many tokens of prompts and output the runner can hold; zero where it is not told.
+	Memory int
 	// Pace is told by runners that share their machine with others; zero where it is not told.
 	Pace Pace
 }
