--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -133,6 +133,7 @@
 			Silent: w.silent(runner.ID),
 		}
 		w.Runners.PaceNews(&share, answered, now)
+		w.fillTokens(&share, asking, now)
 		answer.Shares = append(answer.Shares, share)
 	}
 	return answer
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -16,6 +16,8 @@
 	class  Class
 	// uncached are the prompt tokens the runner is not thought to keep.
 	uncached int
+	// tokens are what the request takes of the runner's memory.
+	tokens int
 	// succeeded says that the runner's work on the flight was noted, so that each flight counts once.
 	succeeded bool
 	ended     bool
@@ -26,16 +28,17 @@
 }
 
 // start counts a flight. The caller holds the mutex.
-func (t *Table) start(chosen *entry, class Class, uncached int, prefix []work.Part, now time.Time) *Flight {
+func (t *Table) start(chosen *entry, wish Wish, uncached int, now time.Time) *Flight {
 	flight := &Flight{
-		Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached, seen: now,
-		prompted: uncached > 0 || len(prefix) > 0,
+		Runner: chosen.runner, table: t, entry: chosen, class: wish.Class, uncached: uncached, tokens: wish.weight(uncached), seen: now,
+		prompted: uncached > 0 || len(wish.Prefix) > 0,
 	}
-	chosen.own[class]++
-	t.noteOnline(class, true)
+	chosen.own[wish.Class]++
+	chosen.tokens[wish.Class] += flight.tokens
+	t.noteOnline(wish.Class, true)
 	chosen.waiting[flight] = now
 	chosen.pendingTokens += uncached
-	chosen.prefixes.add(prefix, now)
+	chosen.prefixes.add(wish.Prefix, now)
 	return flight
 }
 
@@ -80,6 +83,7 @@
 	f.ended = true
 	f.stopWaiting()
 	f.entry.own[f.class]--
+	f.entry.tokens[f.class] -= f.tokens
 	f.table.noteOnline(f.class, false)
 }
 
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -36,6 +36,8 @@
 	Tenant ident.Tenant
 	// Rank is that of the tenant; zero is the most urgent.
 	Rank int
+	// Connection names the caller's connection; empty where there is none.
+	Connection string
 	// Arrived is when the node received the request.
 	Arrived time.Time
 	// Deadline is when the client stops waiting; zero means that it did not say.
@@ -61,6 +63,8 @@
 // Load is a runner's own count of its work.
 type Load struct {
 	Running, Waiting, Slots int
+	// Memory is how many tokens of prompts and output the runner can hold; zero where it is not told.
+	Memory int
 	// Pace is told by runners that share their machine with others; zero where it is not told.
 	Pace Pace
 }
