Send nothing where no zone answers, and leave a full zone in proportion

Cause (docs/design/zones.md): during a cut fronts send to zones of which they hear nothing and take their runners for idle, .4 s each in vain; after it they pass all runners of the others over for the cut's failures; in peaks too few leave a zone that is full; a runner whose owner has died is the first choice of all nodes.

A zone in doubt is asked at once, one that is cut off gets nothing while others work, and is asked four times a second; its failures are forgotten when it is back. Words that are overdue give way to what is usual in the zone. Idle workers of other zones are asked in turn by zone, as often as before in all. A list of runners that was asked for in a cut and answered at its end proves nothing for two seconds from its answer, not from its question: a zone that was back dropped 5 of 13 of its runners for a second.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -88,8 +88,9 @@
 
 // tellDemand has the workers told of the online work of this node.
 func (p *process) tellDemand(holders *jobpeer.Holders) {
-	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Now: clock.Now}, clock.Now)
-	teller.Tell = holders.TellDemand
+	online := &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Logger: p.logger, Now: clock.Now}
+	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), online, clock.Now)
+	teller.Tell = online.Tell
 	p.runners.OnOnlineChanged(teller.Changed)
 	teller.Start(p.tomb)
 }
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -44,6 +45,10 @@
 	Counts []Count
 	// Far says that the worker is in another zone.
 	Far bool
+	// Zone is the worker's. Doubted is since when that zone leaves questions without an answer, or zero: its workers are asked
+	// until one answers, the first time all of them at once.
+	Zone    ident.Zone
+	Doubted time.Time
 }
 
 // Teller tells workers of the online work of this node. Its exported fields are set before Start.
@@ -146,6 +151,8 @@
 		online[address] = Owned{}
 	}
 	idleFar := idleFarEvery(online)
+	probed := t.probed(online, now)
+	nextFar := t.nextFar(online, idleFar, now)
 	for address, owned := range online {
 		known := t.workers[address]
 		if known == nil {
@@ -157,7 +164,10 @@
 		if owned.Far {
 			idle = idleFar
 		}
-		if known.telling || !known.lacks(owned.Counts, idle, now) {
+		if known.telling || (!probed[address] && !known.doubted(owned.Doubted) && !known.lacks(owned.Counts, idle, now)) {
+			continue
+		}
+		if owned.Far && known.idle(owned.Counts) && !known.lastAt.IsZero() && !probed[address] && !known.doubted(owned.Doubted) && address != nextFar {
 			continue
 		}
 		report := known.next(owned.Counts, now)
@@ -177,6 +187,75 @@
 	return max(time.Duration(idle)*time.Second/farCallsEach, IdleRefreshEvery)
 }
 
+// nextFar returns which worker of another zone, at whose runners this node has no work, is asked next, or none: one after the other, of
+// those that are due the one whose zone was asked the longest ago, so that each zone is heard of at even intervals. The caller holds the mutex.
+func (t *Teller) nextFar(online map[string]Owned, every time.Duration, now time.Time) string {
+	zones := map[ident.Zone]time.Time{}
+	var last time.Time
+	for address, owned := range online {
+		known := t.workers[address]
+		if !owned.Far || known == nil || !known.idle(owned.Counts) {
+			continue
+		}
+		if known.lastAt.After(zones[owned.Zone]) {
+			zones[owned.Zone] = known.lastAt
+		}
+		if known.lastAt.After(last) {
+			last = known.lastAt
+		}
+	}
+	if now.Sub(last) < time.Second/farCallsEach {
+		return ""
+	}
+	next := ""
+	for address, owned := range online {
+		known := t.workers[address]
+		if !owned.Far || known == nil || known.telling || !known.idle(owned.Counts) || now.Before(known.notBefore) || now.Sub(known.lastAt) < every {
+			continue
+		}
+		if next == "" || cmp.Or(zones[owned.Zone].Compare(zones[online[next].Zone]), known.lastAt.Compare(t.workers[next].lastAt), cmp.Compare(address, next)) < 0 {
+			next = address
+		}
+	}
+	return next
+}
+
+// idle says whether the worker has nothing to be told, and was told nothing that is over.
+func (c *correspondent) idle(counts []Count) bool { return len(counts) == 0 && len(c.last) == 0 }
+
+// doubted says whether the worker was not asked since its zone is in doubt.
+func (c *correspondent) doubted(since time.Time) bool { return c.lastAt.Before(since) }
+
+// probeEvery is the time between two questions to a zone that leaves them without an answer.
+const probeEvery = 250 * time.Millisecond
+
+// probed returns the workers that are asked whether their zone is back: of each such zone the one that was asked the longest ago,
+// once in probeEvery. The caller holds the mutex.
+func (t *Teller) probed(online map[string]Owned, now time.Time) map[string]bool {
+	var oldest map[ident.Zone]string
+	newest := map[ident.Zone]time.Time{}
+	for address, owned := range online {
+		known := t.workers[address]
+		if owned.Doubted.IsZero() || known == nil {
+			continue
+		}
+		if oldest == nil {
+			oldest = map[ident.Zone]string{}
+		}
+		if known.lastAt.After(newest[owned.Zone]) {
+			newest[owned.Zone] = known.lastAt
+		}
+		if before := t.workers[oldest[owned.Zone]]; !known.telling && (before == nil || known.lastAt.Before(before.lastAt)) {
+			oldest[owned.Zone] = address
+		}
+	}
+	probed := make(map[string]bool, len(oldest))
+	for zone, address := range oldest {
+		probed[address] = now.Sub(newest[zone]) >= probeEvery
+	}
+	return probed
+}
+
 // lacks says whether the worker is to be told now. idle is the time between two reports where there is nothing to tell.
 func (c *correspondent) lacks(counts []Count, idle time.Duration, now time.Time) bool {
 	if now.Before(c.notBefore) {
--- a/internal/follower/absence.go
+++ b/internal/follower/absence.go
@@ -37,11 +37,12 @@
 	proofFrom time.Time
 }
 
-// take notes a list whose reading began at asOf, and says whether a runner that it lacks has left.
-func (a *absence) take(listed []work.Runner, asOf time.Time) (proof bool) {
+// take notes a list whose reading began at asOf and ended now, and says whether a runner that it lacks has left. A reading that began in an
+// outage and was answered at its end does not tell when the registry was back, only that it is.
+func (a *absence) take(listed []work.Runner, asOf, now time.Time) (proof bool) {
 	gap := asOf.Sub(a.asOf)
 	if !a.asOf.IsZero() && gap > a.outageAfter && !a.renewedThrough(listed, gap) {
-		a.proofFrom = asOf.Add(entriesBack)
+		a.proofFrom = now.Add(entriesBack)
 	}
 	if gap > 0 {
 		a.asOf = asOf
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -237,7 +237,7 @@
 	}
 	f.revision = revision
 	unread := asOf.Sub(f.absence.asOf)
-	proof := f.absence.take(listed, asOf)
+	proof := f.absence.take(listed, asOf, f.Now())
 	change := f.Runners.Replace(listed, f.Now(), proof)
 	if f.Forget != nil {
 		for _, address := range change.Addresses {
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/endwatch"
+	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 )
@@ -17,16 +23,21 @@
 	Holders *Holders
 	Runners *runnertable.Table
 	// Ends takes what workers tell of requests that end their runners; nil takes none.
-	Ends *endwatch.Watch
-	Now  func() time.Time
+	Ends   *endwatch.Watch
+	Logger zerolog.Logger
+	Now    func() time.Time
+
+	// departuresTold is when the log was last told of the requests that left their zone.
+	departuresTold time.Time
 }
 
 // Online implements demand.Work.
 func (o *OnlineWork) Online() map[string]demand.Owned {
+	o.tellZones()
 	workers := o.Holders.known()
 	owned := make(map[string]demand.Owned, len(workers))
 	for _, worker := range workers {
-		owned[worker.Address] = demand.Owned{Far: worker.Zone != o.Holders.Zone}
+		owned[worker.Address] = demand.Owned{Far: worker.Zone != o.Holders.Zone, Zone: worker.Zone, Doubted: o.Runners.ZoneDoubted(worker.Zone)}
 	}
 	for runner, count := range o.Runners.Online(o.Now()) {
 		if owner, found := jobrecord.Owner(runner, workers); found {
@@ -38,6 +49,31 @@
 	return owned
 }
 
+// Tell makes the call of a teller, and notes whether the zone of the worker answers.
+func (o *OnlineWork) Tell(ctx context.Context, address string, report *demand.Report) (*demand.Answer, error) {
+	asked := o.Now()
+	answer, err := o.Holders.TellDemand(ctx, address, report)
+	zone, known := o.Holders.zoneOf(address)
+	switch {
+	case !known, errors.Is(err, errAvoided):
+	case err == nil:
+		o.Runners.HeardZone(zone, asked)
+	default:
+		o.Runners.MissedZone(zone, address, asked, o.Now())
+	}
+	return answer, err
+}
+
+// zoneOf returns the zone of the worker at an address, if it is known.
+func (h *Holders) zoneOf(address string) (ident.Zone, bool) {
+	for _, worker := range h.known() {
+		if worker.Address == address {
+			return worker.Zone, true
+		}
+	}
+	return "", false
+}
+
 // Take implements demand.Work.
 func (o *OnlineWork) Take(address string, answer *demand.Answer, asOf time.Time) {
 	o.Runners.TakeShares(answer.Shares, asOf)
@@ -45,15 +81,43 @@
 	o.Ends.Learn(answer.Ends.Records, false)
 }
 
+// departuresEvery is the time between two lines of the log about requests that left their zone.
+const departuresEvery = 10 * time.Second
+
+// tellZones logs which zones are out of reach or back, and now and then how many requests left their zone.
+func (o *OnlineWork) tellZones() {
+	now := o.Now()
+	for _, change := range o.Runners.ZoneChanges(now) {
+		told := event.ZoneBack
+		if change.Cut {
+			told = event.ZoneOutOfReach
+		}
+		told.Log(o.Logger).Str("zone", string(change.Zone)).Send()
+	}
+	if now.Sub(o.departuresTold) < departuresEvery {
+		return
+	}
+	o.departuresTold = now
+	for departure, count := range o.Runners.Departures() {
+		event.RequestsLeftZone.Log(o.Logger).Str("to", string(departure.To)).Int("requests", count).Bool("balanced", departure.Balanced).Send()
+	}
+}
+
 // TellDemand tells a worker of online work. A worker that does not answer is left alone for a while.
 func (h *Holders) TellDemand(ctx context.Context, address string, report *demand.Report) (*demand.Answer, error) {
 	answer := &demand.Answer{}
-	if h.avoids(address) || !h.ask(ctx, address, methodDemand, report, answer, 0) {
+	if h.avoids(address) {
+		return nil, fmt.Errorf("%w: %s", errAvoided, address)
+	}
+	if !h.ask(ctx, address, methodDemand, report, answer, 0) {
 		return nil, fmt.Errorf("%w: %s", ErrNoWorker, address)
 	}
 	return answer, nil
 }
 
+// errAvoided means that a worker was not asked, because it did not answer a moment ago.
+const errAvoided = failure.Kind("job peer: worker is left alone")
+
 func (h *Holders) avoids(address string) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -14,6 +14,8 @@
 	table  *Table
 	entry  *entry
 	class  Class
+	// chosen is when the flight began.
+	chosen time.Time
 	// uncached are the prompt tokens the runner is not thought to keep.
 	uncached int
 	// succeeded says that the runner's work on the flight was noted, so that each flight counts once.
@@ -23,7 +25,7 @@
 
 // start counts a flight. The caller holds the mutex.
 func (t *Table) start(chosen *entry, class Class, uncached int, prefix []work.Part, now time.Time) *Flight {
-	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: class, uncached: uncached}
+	flight := &Flight{Runner: chosen.runner, table: t, entry: chosen, class: class, chosen: now, uncached: uncached}
 	chosen.own[class]++
 	t.noteOnline(class, true)
 	chosen.waiting[flight] = now
@@ -37,6 +39,7 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.stopWaiting()
+	f.table.heard(f.Runner.Zone, f.chosen)
 	if load != nil {
 		f.entry.observe(*load, now)
 	}
@@ -79,6 +82,9 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.entry.health.failed(failure, now)
+	if failure == Unreachable || failure == Silent {
+		f.table.missed(f.Runner.Zone, string(f.Runner.ID), f.chosen, now)
+	}
 }
 
 // observe takes over a runner's own count of its work.
--- a/internal/runnertable/health.go
+++ b/internal/runnertable/health.go
@@ -99,6 +99,9 @@
 	h.ejectedUntil = time.Time{}
 }
 
+// forgive forgets the failures, but not that something else has the address.
+func (h *health) forgive() { *h = health{replaced: h.replaced} }
+
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
 func (h *health) full(now time.Time) bool { return now.Before(h.fullUntil) }
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -73,8 +73,10 @@
 func (t *Table) Pick(wish Wish, now time.Time, random *rand.Rand) (*Flight, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	areas := t.survey(wish, now)
 	home := t.home(wish, now)
-	best := t.cheapest(wish, home, now, random)
+	choice := choice{areas: areas, goal: t.goal(wish, areas, random), avoidCut: avoidCut(areas)}
+	best := t.cheapest(wish, home, choice, now, random)
 	if best == nil && t.anyFull(wish, now) {
 		return nil, fmt.Errorf("%w: service %s", ErrFull, wish.Service)
 	}
@@ -84,18 +86,19 @@
 	if best == nil {
 		return nil, fmt.Errorf("%w: service %s", ErrNoRunner, wish.Service)
 	}
+	t.noteLeft(best, wish, choice.goal)
 	return t.start(best, wish.Class, best.uncached(wish, best == home, now), wish.Prefix, now), nil
 }
 
 // cheapest returns the eligible runner with the least cost, or nil.
-func (t *Table) cheapest(wish Wish, home *entry, now time.Time, random *rand.Rand) *entry {
+func (t *Table) cheapest(wish Wish, home *entry, choice choice, now time.Time, random *rand.Rand) *entry {
 	var best *entry
 	bestCost := 0.0
 	for _, candidate := range t.services[wish.Service] {
-		if !candidate.eligible(wish, now) || candidate.full(wish, now) {
+		if choice.shuns(candidate) || !candidate.eligible(wish, now) || candidate.full(wish, now) {
 			continue
 		}
-		cost := t.cost(candidate, wish, candidate == home, now) + jitterCost*random.Float64()
+		cost := t.cost(candidate, wish, candidate == home, choice, now) + jitterCost*random.Float64()
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
@@ -180,7 +183,7 @@
 }
 
 // cost is the expected delay of the first event, in milliseconds, with the price of the bytes.
-func (t *Table) cost(candidate *entry, wish Wish, isHome bool, now time.Time) float64 {
+func (t *Table) cost(candidate *entry, wish Wish, isHome bool, choice choice, now time.Time) float64 {
 	places := float64(max(candidate.runner.Slots, 1))
 	firm, yielding := candidate.estimate(now)
 	load := float64(firm + 1)
@@ -192,9 +195,7 @@
 		cost += yieldCost
 	}
 	cost += float64(candidate.pendingTokens+candidate.uncached(wish, isHome, now)) / tokensPerMillisecond
-	if candidate.runner.Zone != t.zone {
-		cost += farCost + farCostPerKilobyte*float64(wish.Bytes)/1000
-	}
+	cost += t.zoneCost(candidate, wish, choice, firm, now)
 	if candidate.silentFor(now) > silenceSuspect {
 		cost += silenceCost
 	}
@@ -220,18 +221,17 @@
 
 // estimate returns the work thought to be at the runner. yielding are the items among it that step aside for a request,
 // where the owner of the runner's batch places told of them lately; firm is the rest. Without such word all is firm: this
-// node's work, and what the runner counted beyond it, fading.
+// node's work, and what the runner counted beyond it. Either gives way to what is usual in the runner's zone as it gets old.
 func (e *entry) estimate(now time.Time) (firm, yielding int) {
 	own := e.own[Online] + e.own[Batch]
 	if e.share.Within(shareMemory, now) {
 		told := e.share.Value()
-		return own + told.others, told.batch
+		return own + e.faded(told.others, overdue(e.share.Age(now))), told.batch
 	}
 	if !e.load.Within(loadMemory, now) {
-		return own, 0
+		return own + e.faded(0, 1), 0
 	}
-	faded := 1 - float64(e.load.Age(now))/float64(loadMemory)
-	return own + int(float64(e.load.Value().others)*faded+0.5), 0
+	return own + e.faded(e.load.Value().others, float64(e.load.Age(now))/float64(loadMemory)), 0
 }
 
 // silentFor returns how long the oldest request without a first byte has waited.
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -36,6 +36,7 @@
 	services map[string][]*entry
 	// onlineChanged is told when this node's online work at a runner rose or fell; nil is told nothing. It must not block.
 	onlineChanged func(rose bool)
+	zones         zones
 }
 
 // New returns an empty table for a node of the zone.
@@ -49,6 +50,8 @@
 // entry is what the table believes of one runner. The table's mutex guards it.
 type entry struct {
 	runner work.Runner
+	// zoneAt is the place of its zone among the names of all.
+	zoneAt int
 	// warmUntil is when the runner ends its slow start.
 	warmUntil time.Time
 	// own counts this node's work in progress, by class.
@@ -59,8 +62,11 @@
 	pendingTokens int
 	// load is the runner's own count, as of its answer's head; share what the owner of its batch places told, as of the
 	// question.
-	load     asof.Fact[loadReport]
-	share    asof.Fact[share]
+	load  asof.Fact[loadReport]
+	share asof.Fact[share]
+	// usual is the online work of other nodes that a runner of this size has in its zone, as of the last choice; zero where none
+	// is known.
+	usual    float64
 	health   health
 	prefixes prefixHistory
 	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
@@ -201,6 +207,7 @@
 
 // index rebuilds the lists by service, ordered so that a choice depends on nothing but its inputs.
 func (t *Table) index() {
+	t.nameZones()
 	t.services = make(map[string][]*entry, len(t.services))
 	for _, known := range t.runners {
 		t.services[known.runner.Service] = append(t.services[known.runner.Service], known)
