Keep a zone's workers in use while their registrations are gone

Cause: the registrations of a zone's workers lapse while it is cut off from the store. When it is back its fronts read a list without them and tell workers of other zones of their requests, one sooner than the other; for two seconds nobody knew how full the zone's runners were (10.6 requests where 2.3 were thought).

Change: a front keeps the workers of its zone for 4 s when all of them vanish at once though they answer; a worker tells back what it was told of a runner that it does not own. Zones that do not answer are asked eight times a second in all.

--- a/internal/demand/far_test.go
+++ b/internal/demand/far_test.go
@@ -58,6 +58,14 @@
 		teller.workers[address].lastAt = now.Add(time.Duration(index) * time.Millisecond)
 		assert.Assert(t, !teller.workers[address].doubted(now))
 	}
+	many := map[string]Owned{}
+	for index := range 10 {
+		address := fmt.Sprint("m", index)
+		many[address] = Owned{Far: true, Zone: ident.Zone(address), Doubted: now}
+		teller.workers[address] = &correspondent{lastAt: now}
+	}
+	assert.Assert(t, !teller.probed(many, now.Add(time.Second))["m0"], "ten zones are asked more than eight times a second")
+	assert.Assert(t, teller.probed(many, now.Add(1250*time.Millisecond))["m0"])
 	for round := range 6 {
 		now = now.Add(probeEvery + 10*time.Millisecond)
 		probed := teller.probed(online, now)
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -226,11 +226,15 @@
 // doubted says whether the worker was not asked since its zone is in doubt.
 func (c *correspondent) doubted(since time.Time) bool { return c.lastAt.Before(since) }
 
-// probeEvery is the time between two questions to a zone that leaves them without an answer.
-const probeEvery = 250 * time.Millisecond
+const (
+	// probeEvery is the time between two questions to a zone that leaves them without an answer.
+	probeEvery = 250 * time.Millisecond
+	// probesEach is how many such questions a node asks a second, all together: some 250 bytes each.
+	probesEach = 8
+)
 
 // probed returns the workers that are asked whether their zone is back: of each such zone the one that was asked the longest ago,
-// once in probeEvery. The caller holds the mutex.
+// once in probeEvery, and less often where there are many. The caller holds the mutex.
 func (t *Teller) probed(online map[string]Owned, now time.Time) map[string]bool {
 	var oldest map[ident.Zone]string
 	newest := map[ident.Zone]time.Time{}
@@ -249,9 +253,10 @@
 			oldest[owned.Zone] = address
 		}
 	}
+	every := max(probeEvery, time.Duration(len(newest))*time.Second/probesEach)
 	probed := make(map[string]bool, len(oldest))
 	for zone, address := range oldest {
-		probed[address] = now.Sub(newest[zone]) >= probeEvery
+		probed[address] = now.Sub(newest[zone]) >= every
 	}
 	return probed
 }
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -27,6 +27,7 @@
 	Logger zerolog.Logger
 	Now    func() time.Time
 
+	neighbours neighbours
 	// departuresTold is when the log was last told of the requests that left their zone.
 	departuresTold time.Time
 }
@@ -34,7 +35,7 @@
 // Online implements demand.Work.
 func (o *OnlineWork) Online() map[string]demand.Owned {
 	o.tellZones()
-	workers := o.Holders.known()
+	workers := o.neighbours.workers(o.Holders.Zone, o.Holders.known(), o.Now())
 	owned := make(map[string]demand.Owned, len(workers))
 	for _, worker := range workers {
 		owned[worker.Address] = demand.Owned{Far: worker.Zone != o.Holders.Zone, Zone: worker.Zone, Doubted: o.Runners.ZoneDoubted(worker.Zone)}
@@ -58,6 +59,7 @@
 	case !known, errors.Is(err, errAvoided):
 	case err == nil:
 		o.Runners.HeardZone(zone, asked)
+		o.neighbours.answered(address, asked)
 	default:
 		o.Runners.MissedZone(zone, address, asked, o.Now())
 	}
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -25,6 +25,7 @@
 		}
 	}
 	answer := w.shares(report.Node, now)
+	answer.Shares = append(answer.Shares, w.foreign(report, now)...)
 	answer.Batch = w.batch(now)
 	if w.Ends != nil {
 		answer.Ends = w.Ends.Book.Since(report.EndsRead, now, true)
