--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -14,6 +14,8 @@
 	table  *Table
 	entry  *entry
 	class  Class
+	// chosen is when the flight began.
+	chosen time.Time
 	// uncached are the prompt tokens the runner is not thought to keep.
 	uncached int
 	// tokens are what the request takes of the runner's memory.
@@ -30,8 +32,8 @@
 // start counts a flight. The caller holds the mutex.
 func (t *Table) start(chosen *entry, wish Wish, uncached int, now time.Time) *Flight {
 	flight := &Flight{
-		Runner: chosen.runner, table: t, entry: chosen, class: wish.Class, uncached: uncached, tokens: wish.weight(uncached), seen: now,
-		prompted: uncached > 0 || len(wish.Prefix) > 0,
+		Runner: chosen.runner, table: t, entry: chosen, class: wish.Class, chosen: now, uncached: uncached, tokens: wish.weight(uncached),
+		seen: now, prompted: uncached > 0 || len(wish.Prefix) > 0,
 	}
 	chosen.own[wish.Class]++
 	chosen.tokens[wish.Class] += flight.tokens
@@ -47,6 +49,7 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.stopWaiting()
+	f.table.heard(f.Runner.Zone, f.chosen)
 	if load != nil {
 		f.entry.observe(*load, now)
 		f.table.hearRunner(f.entry, load.Pace, now)
@@ -92,6 +95,9 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.entry.health.failed(failure, now)
+	if failure == Unreachable || failure == Silent {
+		f.table.missed(f.Runner.Zone, string(f.Runner.ID), f.chosen, now)
+	}
 }
 
 // observe takes over a runner's own count of its work.
--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -23,11 +23,11 @@
 	// pauseCost is added for a runner that can't keep to the pause between events: more than all else, so that any other that may
 	// take the request is chosen.
 	pauseCost = 1e5
-	// wordMemory is the age up to which the word of an owner in another zone is one to go by, unheardCost what a runner there costs more with
+	// wordMemory is the age up to which the word of an owner in another zone is one to go by, unansweredCost what a runner there costs more with
 	// an older one: in a peak one in four requests that went by such a word was late, and one in forty of those that were the first to
 	// wait at a runner of the own zone.
-	wordMemory  = 150 * time.Millisecond
-	unheardCost = 2 * queueCost
+	wordMemory     = 150 * time.Millisecond
+	unansweredCost = 2 * queueCost
 )
 
 // usual is what the requests of a service take at a runner at the usual pace, as far as this node saw.
@@ -156,10 +156,10 @@
 	return counted, slow
 }
 
-// unheard is what a runner costs more because its owner's word is old although it was asked.
-func (e *entry) unheard(wish Wish, now time.Time) float64 {
+// unanswered is what a runner costs more because its owner's word is old although it was asked.
+func (e *entry) unanswered(wish Wish, now time.Time) float64 {
 	if wish.Wary && !e.share.Within(wordMemory, now) {
-		return unheardCost
+		return unansweredCost
 	}
 	return 0
 }
@@ -172,11 +172,11 @@
 		runner work.Runner
 		cost   float64
 	}
-	home := t.home(wish, now)
+	choice := t.choose(wish, now, random)
 	var found []priced
 	for _, candidate := range t.services[wish.Service] {
-		if candidate.eligible(wish, now) && !candidate.full(wish, now) {
-			found = append(found, priced{candidate.runner, t.cost(candidate, wish, candidate == home, now) + jitterCost*random.Float64()})
+		if !choice.shuns(candidate) && candidate.eligible(wish, now) && !candidate.full(wish, now) {
+			found = append(found, priced{candidate.runner, t.cost(candidate, wish, choice, now) + jitterCost*random.Float64()})
 		}
 	}
 	slices.SortStableFunc(found, func(first, second priced) int { return cmp.Compare(first.cost, second.cost) })
--- a/internal/runnertable/pace_test.go
+++ b/internal/runnertable/pace_test.go
@@ -27,7 +27,7 @@
 }
 
 // costWithoutPace is what a runner cost before any told its pace.
-func costWithoutPace(t *Table, candidate *entry, wish Wish, isHome bool, now time.Time) float64 {
+func costWithoutPace(t *Table, candidate *entry, wish Wish, choice choice, now time.Time) float64 {
 	places := float64(max(candidate.runner.Slots, 1))
 	firm, yielding := candidate.estimate(now)
 	load := float64(firm + 1)
@@ -38,10 +38,8 @@
 	case load+float64(yielding) > places:
 		cost += yieldCost
 	}
-	cost += float64(candidate.pendingTokens+candidate.uncached(wish, isHome, now)) / tokensPerMillisecond
-	if candidate.runner.Zone != t.zone {
-		cost += farCost + farCostPerKilobyte*float64(wish.Bytes)/1000
-	}
+	cost += float64(candidate.pendingTokens+candidate.uncached(wish, candidate == choice.home, now)) / tokensPerMillisecond
+	cost += t.zoneCost(candidate, wish, choice, firm, now)
 	if candidate.silentFor(now) > silenceSuspect {
 		cost += silenceCost
 	}
@@ -90,8 +88,9 @@
 		wish := Wish{
 			Service: "s", PromptTokens: 400, Bytes: 1500, Objective: 300 * time.Millisecond, Pause: time.Millisecond, Full: map[ident.Incarnation]bool{},
 		}
+		choice := table.choose(wish, now, rand.New(rand.NewPCG(1, 1)))
 		for _, candidate := range table.runners {
-			assert.Equal(t, table.cost(candidate, wish, false, now), costWithoutPace(table, candidate, wish, false, now))
+			assert.Equal(t, table.cost(candidate, wish, choice, now), costWithoutPace(table, candidate, wish, choice, now))
 			firm, _ := candidate.estimate(now)
 			assert.Equal(t, candidate.full(wish, now), float64(firm+1) > float64(max(candidate.runner.Slots, 1))*(1+queueShare))
 		}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -42,6 +42,7 @@
 	usual map[string]*usual
 	// slowPhases counts for the log.
 	slowPhases SlowPhases
+	zones      zones
 }
 
 // New returns an empty table for a node of the zone.
@@ -55,6 +56,8 @@
 // entry is what the table believes of one runner. The table's mutex guards it.
 type entry struct {
 	runner work.Runner
+	// zoneAt is the place of its zone among the names of all.
+	zoneAt int
 	// warmUntil is when the runner ends its slow start.
 	warmUntil time.Time
 	// own counts this node's work in progress, by class.
@@ -70,9 +73,12 @@
 	pendingTokens int
 	// load is the runner's own count, as of its answer's head; share what the owner of its batch places told, as of the
 	// question.
-	load   asof.Fact[loadReport]
-	share  asof.Fact[share]
-	health health
+	load  asof.Fact[loadReport]
+	share asof.Fact[share]
+	// usualOthers is the online work of other nodes that a runner of this size has in its zone, as of the last choice; zero where none
+	// is known.
+	usualOthers float64
+	health      health
 	// pace is how long work takes at the runner now, spoken the newest word of it that the runner told this node itself.
 	pace     pace.Belief
 	spoken   pace.Word
@@ -217,6 +223,7 @@
 
 // index rebuilds the lists by service, ordered so that a choice depends on nothing but its inputs.
 func (t *Table) index() {
+	t.nameZones()
 	t.services = make(map[string][]*entry, len(t.services))
 	for _, known := range t.runners {
 		t.services[known.runner.Service] = append(t.services[known.runner.Service], known)
