Count the runs of nodes that are gone, and hold requests until the fleet is known

Cause: after a common loss of power fronts and workers remember nothing. Owners told nothing of runs that dead nodes left, so that fronts took busy runners for empty ones and workers would begin items there; and a front refused all that came in the half second until it knew configuration and runners, to come again half a second later, when they met all others.

Fronts count them as firm work, without a queue for their places, and take a runner for full for a tenth of a second until they heard of it. Workers begin no item in the first second and count orphans as taken. A front without the fleet holds a request .24 s.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -43,6 +43,9 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
+	if !settings.Node.FirstStart {
+		process.runners.StartsAgain()
+	}
 	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Ends: process.ends, Key: settings.Key(), Logger: process.logger, Now: clock.Now}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
@@ -60,7 +63,7 @@
 	process.tellDemand(holders)
 	holders.TellEnds(process.tomb, process.ends)
 	front := &platform.Front{
-		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Limiter: process.limiter(holders), Stopping: process.lifecycle.Stopping,
+		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Limiter: process.limiter(holders), Known: process.knowsFleet, Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: clock.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
@@ -88,7 +91,7 @@
 
 // tellDemand has the workers told of the online work of this node.
 func (p *process) tellDemand(holders *jobpeer.Holders) {
-	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Now: clock.Now}, clock.Now)
+	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Logger: p.logger, Now: clock.Now}, clock.Now)
 	teller.Tell = holders.TellDemand
 	p.runners.OnOnlineChanged(teller.Changed)
 	teller.Start(p.tomb)
@@ -96,9 +99,12 @@
 
 // ready says whether the node can serve: it knows the configuration and the runners, and is not stopping.
 func (p *process) ready() bool {
-	return !p.lifecycle.Stopping() && p.routes.Catalog() != nil && p.runners.Count() > 0
+	return !p.lifecycle.Stopping() && p.knowsFleet()
 }
 
+// knowsFleet says whether the node knows the configuration and the runners.
+func (p *process) knowsFleet() bool { return p.routes.Catalog() != nil && p.runners.Count() > 0 }
+
 // serve listens on an address and answers with the handler.
 func (p *process) serve(address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
--- a/internal/batchroom/gauge.go
+++ b/internal/batchroom/gauge.go
@@ -62,6 +62,8 @@
 	Online int
 	// Any says that nodes tell of their work at all, so that no work is told of where there is none.
 	Any bool
+	// Orphans are the runs there that no living node tells of.
+	Orphans int
 }
 
 // Kept returns how many places an owner keeps free of all that its runners have together, where nodes tell of their online
@@ -74,7 +76,7 @@
 // chance alone.
 func (g *Gauge) others(told Told) int {
 	if told.Any {
-		return told.Online + g.untold()
+		return told.Online + max(g.untold(), told.Orphans)
 	}
 	if len(g.samples) == 0 {
 		return 0
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -53,15 +53,20 @@
 type Report struct {
 	Node ident.Node `json:"node"`
 	// Incarnation rises with each start of the node's process, Sequence with each of its reports to one worker.
-	Incarnation int64   `json:"incarnation"`
-	Sequence    int64   `json:"sequence"`
-	Counts      []Count `json:"counts"`
+	Incarnation int64 `json:"incarnation"`
+	Sequence    int64 `json:"sequence"`
+	// AgeMs is how long the node's process has lived, in milliseconds, at least one. Zero from nodes of a build that tells none.
+	AgeMs  int64   `json:"age_ms,omitempty"`
+	Counts []Count `json:"counts"`
 	// EndsRead is how far the node has read what the worker knows of requests that end their runners.
 	EndsRead poison.Cursor `json:"ends_read,omitzero"`
 	// Uses are those of the services of which the worker keeps account; empty from nodes of a build that tells none.
 	Uses []Use `json:"uses,omitempty"`
 }
 
+// Age is how long the node's process had lived when it made the report, or zero where it does not say.
+func (r *Report) Age() time.Duration { return time.Duration(r.AgeMs) * time.Millisecond }
+
 // Share is what a worker knows of the work at one of its runners.
 type Share struct {
 	Runner ident.Incarnation `json:"runner"`
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -56,6 +56,8 @@
 
 	tomb        *tomb.Tomb
 	incarnation int64
+	// began is when the teller was made.
+	began time.Time
 	// started and ended are signalled when a request was sent to a runner, and when one was done.
 	started, ended chan struct{}
 
@@ -79,8 +81,9 @@
 
 // NewTeller returns a teller that is not started.
 func NewTeller(node ident.Node, work Work, now func() time.Time) *Teller {
+	began := now()
 	return &Teller{
-		Node: node, Work: work, Now: now, incarnation: now().UnixNano(),
+		Node: node, Work: work, Now: now, incarnation: began.UnixNano(), began: began,
 		started: make(chan struct{}, 1), ended: make(chan struct{}, 1), workers: map[string]*correspondent{},
 	}
 }
@@ -162,6 +165,7 @@
 		}
 		report := known.next(owned.Counts, now)
 		report.Node, report.Incarnation = t.Node, t.incarnation
+		report.AgeMs = max(now.Sub(t.began).Milliseconds(), 1)
 		t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
 	}
 }
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -17,8 +19,11 @@
 	Holders *Holders
 	Runners *runnertable.Table
 	// Ends takes what workers tell of requests that end their runners; nil takes none.
-	Ends *endwatch.Watch
-	Now  func() time.Time
+	Ends   *endwatch.Watch
+	Logger zerolog.Logger
+	Now    func() time.Time
+
+	orphans orphanNews
 }
 
 // Online implements demand.Work.
@@ -41,6 +46,7 @@
 // Take implements demand.Work.
 func (o *OnlineWork) Take(address string, answer *demand.Answer, asOf time.Time) {
 	o.Runners.TakeShares(answer.Shares, asOf)
+	o.orphans.take(address, answer.Shares, o.Logger)
 	o.Holders.noteBatch(address, answer.Batch, asOf)
 	o.Ends.Learn(answer.Ends.Records, false)
 }
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -16,6 +16,7 @@
 	changed := w.demand.Take(report, now)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.loss.heard(report, now)
 	for _, id := range changed {
 		w.noteExcess(id, now)
 	}
@@ -124,11 +125,14 @@
 func (w *Worker) shares(asking ident.Node, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
 	for _, runner := range w.allOwned(now) {
+		if w.loss.unread(runner.ID, now) {
+			continue
+		}
 		answer.Shares = append(answer.Shares, demand.Share{
 			Runner: runner.ID,
 			Others: w.demand.Online(runner.ID, asking, now),
 			Batch:  w.batchAt(runner.ID, now),
-			Silent: w.silent(runner.ID),
+			Silent: w.silent(runner.ID), Orphans: w.loss.at(runner.ID, now),
 		})
 	}
 	return answer
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -27,6 +27,7 @@
 		w.found = batchLoad{waiting: len(waiting), places: w.batchPlaces(now)}
 		w.endStalled(now)
 		w.claimDue(now)
+		w.followOrphans(now)
 		w.mutex.Unlock()
 		w.askReports(now)
 		w.give(waiting, now)
@@ -222,7 +223,12 @@
 
 // room returns how many items more a runner by itself could take. The caller holds the mutex.
 func (w *Worker) room(runner work.Runner, now time.Time) int {
-	told := batchroom.Told{Online: w.demand.Online(runner.ID, "", now), Any: w.demand.Any(now)}
+	if w.loss.holdsItems(now) {
+		return 0
+	}
+	told := batchroom.Told{
+		Online: w.demand.Online(runner.ID, "", now), Any: w.demand.Any(now), Orphans: w.loss.at(runner.ID, now),
+	}
 	return w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.batchAt(runner.ID, now), told, now)
 }
 
@@ -243,17 +249,24 @@
 	defer w.mutex.Unlock()
 	for _, service := range w.watched(now) {
 		for _, runner := range w.Runners.Of(service) {
-			if !w.watches(runner, now) {
-				continue
+			if w.watches(runner, now) {
+				w.askDue(runner, w.Options.ReportEvery, now)
 			}
-			gauge := w.gaugeOf(runner.ID)
-			if now.Sub(gauge.asked) < w.Options.ReportEvery {
-				continue
-			}
-			gauge.asked = now
-			w.tomb.Go(func() error { w.askReport(runner); return nil })
 		}
 	}
+	for _, runner := range w.orphaned(now) {
+		w.askDue(runner, w.loss.watch.ReadEvery(w.Options.ReportEvery, now), now)
+	}
+}
+
+// askDue reads the report of a runner unless it was asked for less than a time ago. The caller holds the mutex.
+func (w *Worker) askDue(runner work.Runner, every time.Duration, now time.Time) {
+	gauge := w.gaugeOf(runner.ID)
+	if now.Sub(gauge.asked) < every {
+		return
+	}
+	gauge.asked = now
+	w.tomb.Go(func() error { w.askReport(runner); return nil })
 }
 
 // watches says whether this node reads the reports of a runner: it owns it, or has items there that no owner has lent a
@@ -295,6 +308,7 @@
 	now := w.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.loss.read(runner.ID, load, now)
 	gauge := &w.gaugeOf(runner.ID).gauge
 	_, lent := w.lent.At(runner.ID, now)
 	gauge.Observe(load, w.ownReported(runner.ID, now)+lent, w.demand.Online(runner.ID, "", now), now)
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -115,6 +115,8 @@
 	// Seeds are addresses of workers that may be asked before any is known, SeedsFor how long that is tried after the start.
 	Seeds    []string
 	SeedsFor time.Duration
+	// StartsAgain says that the deployment had started before this process did.
+	StartsAgain bool
 	// Outputs keeps the output of other workers' items on this node's disk too; nil keeps it in memory alone.
 	Outputs *progress.Journal
 	// Registry is told when a worker is emptied.
@@ -169,6 +171,8 @@
 	found batchLoad
 	// loadLogged is when the batch load was last written to the log.
 	loadLogged time.Time
+	// loss is what this node knows of runs of nodes that are gone.
+	loss commonLoss
 	// suspicions are the runners that some node suspects.
 	suspicions map[ident.Incarnation]*suspicion
 	// gauges follow the runners that may take batch items.
@@ -220,6 +224,9 @@
 	w.retirements = map[ident.Node]*retirement{}
 	w.duration = expectedDuration
 	w.started = w.Now()
+	if w.StartsAgain {
+		w.loss.watch.Begin(w.started)
+	}
 	parent.Go(w.keepLease)
 	parent.Go(w.followLive)
 	parent.Go(w.dispatchLoop)
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -121,7 +121,8 @@
 	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
-	return wish.Full[e.runner.ID] || float64(firm+1) > places*(1+queueShare)
+	queue := queueShare * max(places-float64(e.orphans(now)), 0)
+	return wish.Full[e.runner.ID] || e.unheard(now) || float64(firm+1) > places+queue
 }
 
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
@@ -219,13 +220,13 @@
 }
 
 // estimate returns the work thought to be at the runner. yielding are the items among it that step aside for a request,
-// where the owner of the runner's batch places told of them lately; firm is the rest. Without such word all is firm: this
+// where the owner of the runner's batch places told of them lately; firm is the rest, runs of nodes that are gone among it. Without such word all is firm: this
 // node's work, and what the runner counted beyond it, fading.
 func (e *entry) estimate(now time.Time) (firm, yielding int) {
 	own := e.own[Online] + e.own[Batch]
 	if e.share.Within(shareMemory, now) {
 		told := e.share.Value()
-		return own + told.others, told.batch
+		return own + told.others + told.orphans, told.batch
 	}
 	if !e.load.Within(loadMemory, now) {
 		return own, 0
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -43,7 +43,7 @@
 	defer t.mutex.Unlock()
 	for _, told := range shares {
 		if known := t.runners[told.Runner]; known != nil {
-			known.share.Renew(share{others: told.Others, batch: told.Batch, silent: told.Silent}, asOf)
+			known.share.Renew(share{others: told.Others, batch: told.Batch, orphans: told.Orphans, silent: told.Silent}, asOf)
 		}
 	}
 }
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -36,6 +36,8 @@
 	services map[string][]*entry
 	// onlineChanged is told when this node's online work at a runner rose or fell; nil is told nothing. It must not block.
 	onlineChanged func(rose bool)
+	// unheardFor is how long the runners of the next list count as full unless they were heard of.
+	unheardFor time.Duration
 }
 
 // New returns an empty table for a node of the zone.
@@ -63,6 +65,8 @@
 	share    asof.Fact[share]
 	health   health
 	prefixes prefixHistory
+	// unheardUntil is until when the runner counts as full unless it was heard of; zero where it does not.
+	unheardUntil time.Time
 	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
 	missingSince time.Time
 	// overwritten is when a list first showed an earlier incarnation under the runner's name; zero while its entry is its own.
@@ -71,8 +75,8 @@
 
 // share is what the owner of the runner's batch places knows of the work there.
 type share struct {
-	// others is the online work of other nodes, batch the owner's items.
-	others, batch int
+	// others is the online work of other nodes, batch the owner's items, orphans the runs of nodes that are gone.
+	others, batch, orphans int
 	// silent says that the runner does not answer its owner either.
 	silent bool
 }
@@ -111,7 +115,7 @@
 		}
 		known := t.runners[runner.ID]
 		if known == nil {
-			known = &entry{waiting: map[*Flight]time.Time{}}
+			known = &entry{waiting: map[*Flight]time.Time{}, unheardUntil: now.Add(t.unheardFor)}
 			t.runners[runner.ID] = known
 			change.Added = append(change.Added, runner.ID)
 		}
@@ -135,6 +139,9 @@
 		change.LongestMissing = max(change.LongestMissing, known.missingFor(now))
 	}
 	t.index()
+	if len(t.runners) > 0 {
+		t.unheardFor = 0
+	}
 	return change
 }
 
