--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -55,7 +55,8 @@
 	// Incarnation rises with each start of the node's process, Sequence with each of its reports to one worker.
 	Incarnation int64 `json:"incarnation"`
 	Sequence    int64 `json:"sequence"`
-	// AgeMs is how long the node's process has lived, in milliseconds, at least one. Zero from nodes of a build that tells none.
+	// AgeMs is how long the node's process has lived, in milliseconds, at least one. Zero from nodes that have
+	// lived for long, or whose build tells none.
 	AgeMs  int64   `json:"age_ms,omitempty"`
 	Counts []Count `json:"counts"`
 	// EndsRead is how far the node has read what the worker knows of requests that end their runners.
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -165,11 +165,24 @@
 		}
 		report := known.next(owned.Counts, now)
 		report.Node, report.Incarnation = t.Node, t.incarnation
-		report.AgeMs = max(now.Sub(t.began).Milliseconds(), 1)
+		report.AgeMs = t.age(now)
 		t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
 	}
 }
 
+// ageToldFor is how long a node tells its age: longer than any owner asks for it. One that tells none counts as one that has lived
+// long, and the reports of all the time to come are as short as before.
+const ageToldFor = 15 * time.Second
+
+// age is how long this process has lived, in milliseconds, at least one; zero where it is not told any more.
+func (t *Teller) age(now time.Time) int64 {
+	lived := now.Sub(t.began)
+	if lived > ageToldFor {
+		return 0
+	}
+	return max(lived.Milliseconds(), 1)
+}
+
 // idleFarEvery is the time between two reports to a worker of another zone at whose runners this node has no work.
 func idleFarEvery(online map[string]Owned) time.Duration {
 	idle := 0
--- a/internal/demand/teller_test.go
+++ b/internal/demand/teller_test.go
@@ -67,3 +67,12 @@
 	teller.tell(t.Context(), "w", &correspondent{}, &Report{})
 	assert.Assert(t, now.Sub(work.asOf) >= 2*Lifetime, "the answer is believed for another %v", Lifetime-now.Sub(work.asOf))
 }
+
+// TestAgeIsToldWhileAnOwnerMayAskForIt: an owner that started with this node goes by the age; later it would be bytes in each report.
+func TestAgeIsToldWhileAnOwnerMayAskForIt(t *testing.T) {
+	began := time.Unix(100, 0)
+	teller := NewTeller(ident.Node("front"), &takenWork{}, func() time.Time { return began })
+	assert.Equal(t, teller.age(began), int64(1))
+	assert.Equal(t, teller.age(began.Add(13*time.Second)), int64(13_000))
+	assert.Equal(t, teller.age(began.Add(16*time.Second)), int64(0))
+}
