--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -43,6 +43,9 @@
 // runFront answers clients until it is asked to stop.
 func runFront(path string, settings sitesettings.Settings) error {
 	process := newProcess(path, settings, "front")
+	if !settings.Node.FirstStart {
+		process.runners.StartsAgain()
+	}
 	forwarder := &online.Forwarder{Runners: process.runners, Caller: process.caller, Ends: process.ends, Held: process.held, Key: settings.Key(), Logger: process.logger, Now: clock.Now}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
@@ -63,7 +66,7 @@
 	jobs.Held = process.held
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: jobs, Gate: gate, Limiter: process.limiter(holders), Held: process.held,
-		Stopping: process.lifecycle.Stopping, Logger: process.logger, Now: clock.Now,
+		Known: process.knowsFleet, Stopping: process.lifecycle.Stopping, Logger: process.logger, Now: clock.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
 	if err != nil {
@@ -100,9 +103,12 @@
 
 // ready says whether the node can serve: it knows the configuration and the runners, and is not stopping.
 func (p *process) ready() bool {
-	return !p.lifecycle.Stopping() && p.routes.Catalog() != nil && p.runners.Count() > 0
+	return !p.lifecycle.Stopping() && p.knowsFleet()
 }
 
+// knowsFleet says whether the node knows the configuration and the runners.
+func (p *process) knowsFleet() bool { return p.routes.Catalog() != nil && p.runners.Count() > 0 }
+
 // serve listens on an address and answers with the handler.
 func (p *process) serve(address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -61,6 +61,8 @@
 
 	tomb        *tomb.Tomb
 	incarnation int64
+	// began is when the teller was made.
+	began time.Time
 	// started and ended are signalled when a request was sent to a runner, and when one was done.
 	started, ended chan struct{}
 	// asked takes the questions of those that choose a runner.
@@ -94,8 +96,9 @@
 
 // NewTeller returns a teller that is not started.
 func NewTeller(node ident.Node, work Work, now func() time.Time) *Teller {
+	began := now()
 	return &Teller{
-		Node: node, Work: work, Now: now, incarnation: now().UnixNano(),
+		Node: node, Work: work, Now: now, incarnation: began.UnixNano(), began: began,
 		started: make(chan struct{}, 1), ended: make(chan struct{}, 1), asked: make(chan question),
 		workers: map[string]*correspondent{},
 	}
@@ -198,10 +201,23 @@
 // call begins a call to a worker. The caller holds the mutex, and runs in the teller's loop.
 func (t *Teller) call(ctx context.Context, address string, known *correspondent, counts []Count, now time.Time) {
 	report := known.next(counts, now)
-	report.Node, report.Incarnation = t.Node, t.incarnation
+	report.Node, report.Incarnation, report.AgeMs = t.Node, t.incarnation, t.age(now)
 	t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
 }
 
+// ageToldFor is how long a node tells its age: longer than any owner asks for it. One that tells none counts as one that has lived
+// long, and the reports of all the time to come are as short as before.
+const ageToldFor = 15 * time.Second
+
+// age is how long this process has lived, in milliseconds, at least one; zero where it is not told any more.
+func (t *Teller) age(now time.Time) int64 {
+	lived := now.Sub(t.began)
+	if lived > ageToldFor {
+		return 0
+	}
+	return max(lived.Milliseconds(), 1)
+}
+
 // idleFarEvery is the time between two reports to a worker of another zone at whose runners this node has no work.
 func idleFarEvery(online map[string]Owned) time.Duration {
 	idle := 0
--- a/internal/event/online.go
+++ b/internal/event/online.go
@@ -37,5 +37,7 @@
 	ZoneOutOfReach    = register(3535, "zone_out_of_reach", zerolog.WarnLevel, "Nobody in another zone answers this node any more, workers or runners; its runners get nothing as long as others work.", "check the network between the zones; see docs/operators/zones.md")
 	ZoneBack          = register(3536, "zone_back", zerolog.InfoLevel, "A zone that was out of reach answers again. What its runners failed meanwhile is forgotten.", "none")
 	RequestsLeftZone  = register(3537, "requests_left_zone", zerolog.InfoLevel, "Requests went to runners of another zone since the last such line: to which and how many, and whether the places of their own zone were scarcer than there (balanced) or it had none that was free.", "none unless it persists: the zone has too few runners for its demand")
+	OrphansHeard      = register(3538, "orphans_heard", zerolog.InfoLevel, "Workers tell this node of runs of nodes that are gone: their places are not given to requests. The line says how many there were as it first heard of any, and from which worker.", "none; such runs end by themselves")
+	OrphansOver       = register(3539, "orphans_over", zerolog.InfoLevel, "No worker tells of runs of nodes that are gone any more; the line says the most that there were.", "none")
 	StoreCalls        = register(3515, "store_calls", zerolog.InfoLevel, "The calls this node made to the store since the last such line, by kind.", "none unless the number of calls is dear: the kinds tell which part makes them")
 )
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -30,6 +30,7 @@
 	neighbours neighbours
 	// departuresTold is when the log was last told of the requests that left their zone.
 	departuresTold time.Time
+	orphans        orphanNews
 }
 
 // Online implements demand.Work.
@@ -79,6 +80,7 @@
 // Take implements demand.Work.
 func (o *OnlineWork) Take(address string, answer *demand.Answer, asOf time.Time) {
 	o.Runners.TakeShares(answer.Shares, asOf)
+	o.orphans.take(address, answer.Shares, o.Logger)
 	o.Holders.noteBatch(address, answer.Batch, asOf)
 	o.Ends.Learn(answer.Ends.Records, false)
 }
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -18,6 +18,7 @@
 	w.Runners.HearCounts(report.Counts, now)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.loss.heard(report, now)
 	for _, id := range changed {
 		w.noteExcess(id, now)
 	}
@@ -127,11 +128,15 @@
 func (w *Worker) shares(asking ident.Node, answered, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
 	for _, runner := range w.allOwned(now) {
+		if w.loss.unread(runner.ID, now) {
+			continue
+		}
 		share := demand.Share{
-			Runner: runner.ID,
-			Others: w.demand.Online(runner.ID, asking, now),
-			Batch:  w.batchAt(runner.ID, now),
-			Silent: w.silent(runner.ID),
+			Runner:  runner.ID,
+			Others:  w.demand.Online(runner.ID, asking, now),
+			Batch:   w.batchAt(runner.ID, now),
+			Silent:  w.silent(runner.ID),
+			Orphans: w.loss.at(runner.ID, now),
 		}
 		w.Runners.PaceNews(&share, answered, now)
 		w.fillTokens(&share, asking, now)
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -130,7 +130,8 @@
 	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
-	return wish.Full[e.runner.ID] || !e.fits(wish, now) || float64(firm+1) > places*(1+queueShare/float64(e.pace.Now(now)))
+	queue := queueShare / float64(e.pace.Now(now)) * max(places-float64(e.orphans(now)), 0)
+	return wish.Full[e.runner.ID] || !e.fits(wish, now) || e.unheard(now) || float64(firm+1) > places+queue
 }
 
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
@@ -227,13 +228,14 @@
 }
 
 // estimate returns the work thought to be at the runner. yielding are the items among it that step aside for a request,
-// where the owner of the runner's batch places told of them lately; firm is the rest. Without such word all is firm: this
-// node's work, and what the runner counted beyond it. Either gives way to what is usual in the runner's zone as it gets old.
+// where the owner of the runner's batch places told of them lately; firm is the rest, runs of nodes that are gone among it. Without
+// such word all is firm: this node's work, and what the runner counted beyond it. Either gives way to what is usual in the runner's
+// zone as it gets old.
 func (e *entry) estimate(now time.Time) (firm, yielding int) {
 	own := e.own[Online] + e.own[Batch]
 	if e.share.Within(shareMemory, now) {
 		told := e.share.Value()
-		return own + e.faded(told.others, overdue(e.share.Age(now))), told.batch
+		return own + e.faded(told.others, overdue(e.share.Age(now))) + told.orphans, told.batch
 	}
 	if !e.load.Within(loadMemory, now) {
 		return own + e.faded(0, 1), 0
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -47,7 +47,9 @@
 	defer t.mutex.Unlock()
 	for _, told := range shares {
 		if known := t.runners[told.Runner]; known != nil {
-			known.share.Renew(share{others: told.Others, batch: told.Batch, silent: told.Silent, tokens: max(told.Tokens, 0)}, asOf)
+			known.share.Renew(share{
+				others: told.Others, batch: told.Batch, orphans: told.Orphans, silent: told.Silent, tokens: max(told.Tokens, 0),
+			}, asOf)
 			if told.Memory > 0 {
 				known.memory = told.Memory
 			}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -43,6 +43,8 @@
 	// slowPhases counts for the log.
 	slowPhases SlowPhases
 	zones      zones
+	// unheardFor is how long the runners of the next list count as full unless they were heard of.
+	unheardFor time.Duration
 }
 
 // New returns an empty table for a node of the zone.
@@ -83,6 +85,8 @@
 	pace     pace.Belief
 	spoken   pace.Word
 	prefixes prefixHistory
+	// unheardUntil is until when the runner counts as full unless it was heard of; zero where it does not.
+	unheardUntil time.Time
 	// missingSince is when a list first lacked the runner and the table kept it; zero while it is listed.
 	missingSince time.Time
 	// overwritten is when a list first showed an earlier incarnation under the runner's name; zero while its entry is its own.
@@ -91,8 +95,8 @@
 
 // share is what the owner of the runner's batch places knows of the work there.
 type share struct {
-	// others is the online work of other nodes, batch the owner's items.
-	others, batch int
+	// others is the online work of other nodes, batch the owner's items, orphans the runs of nodes that are gone.
+	others, batch, orphans int
 	// silent says that the runner does not answer its owner either.
 	silent bool
 	// tokens are those of the work of others.
@@ -133,7 +137,7 @@
 		}
 		known := t.runners[runner.ID]
 		if known == nil {
-			known = &entry{waiting: map[*Flight]time.Time{}}
+			known = &entry{waiting: map[*Flight]time.Time{}, unheardUntil: now.Add(t.unheardFor)}
 			t.runners[runner.ID] = known
 			change.Added = append(change.Added, runner.ID)
 		}
@@ -157,6 +161,9 @@
 		change.LongestMissing = max(change.LongestMissing, known.missingFor(now))
 	}
 	t.index()
+	if len(t.runners) > 0 {
+		t.unheardFor = 0
+	}
 	return change
 }
 
