Tell each node each word of pace once

Cause: worked out at 330 nodes and 880 runners, words in each answer add 27 kB a second to what a front reads, nine times what it may spend on control. Change: an owner tells a node what came since its last report, and of a slow runner that stays so a word each 200 ms.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -242,6 +242,16 @@
 	return r.Sequence > than.sequence
 }
 
+// Heard returns when a node last told of its work, or zero where it did not, or too long ago for it to know what it was answered.
+func (l *Ledger) Heard(node ident.Node) time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if kept := l.nodes[node]; kept != nil {
+		return kept.at
+	}
+	return time.Time{}
+}
+
 // Any says whether nodes tell of their work.
 func (l *Ledger) Any(now time.Time) bool {
 	l.mutex.Lock()
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -13,6 +13,7 @@
 // answers what this node knows of the work at the runners it owns.
 func (w *Worker) Demand(report *demand.Report) *demand.Answer {
 	now := w.Now()
+	answered := w.demand.Heard(report.Node)
 	changed := w.demand.Take(report, now)
 	w.Runners.HearCounts(report.Counts, now)
 	w.mutex.Lock()
@@ -25,7 +26,7 @@
 			w.suspect(count.Runner, now)
 		}
 	}
-	answer := w.shares(report.Node, now)
+	answer := w.shares(report.Node, answered, now)
 	answer.Batch = w.batch(now)
 	if w.Ends != nil {
 		answer.Ends = w.Ends.Book.Since(report.EndsRead, now, true)
@@ -120,9 +121,9 @@
 	return w.ownedRunners
 }
 
-// shares lists the work at the runners that this node owns, without that of the node which asks. The caller holds the
-// mutex.
-func (w *Worker) shares(asking ident.Node, now time.Time) *demand.Answer {
+// shares lists the work at the runners that this node owns, without that of the node which asks, and the words of their pace since
+// that was answered before. The caller holds the mutex.
+func (w *Worker) shares(asking ident.Node, answered, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
 	for _, runner := range w.allOwned(now) {
 		share := demand.Share{
@@ -131,7 +132,7 @@
 			Batch:  w.batchAt(runner.ID, now),
 			Silent: w.silent(runner.ID),
 		}
-		w.Runners.PaceNews(&share, now)
+		w.Runners.PaceNews(&share, answered, now)
 		answer.Shares = append(answer.Shares, share)
 	}
 	return answer
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -14,6 +14,9 @@
 	// half is the time in which half of a runner's slowness is over where nothing more is heard: slow phases last .7 s in the
 	// middle.
 	half = 700 * time.Millisecond
+	// renewAfter is how much newer a word is that says the same and is worth telling: other nodes know the rest of the slowness within
+	// a fifth meanwhile.
+	renewAfter = 200 * time.Millisecond
 	// Kept is how long a word counts, the time of a long phase. An eighth of the slowness is left then.
 	Kept = 3 * half
 )
@@ -40,11 +43,14 @@
 	own bool
 	// doubted is until when some node may believe in a slow phase that is over.
 	doubted time.Time
+	// told is the newest word that is worth telling, and came when it came.
+	told Word
+	came time.Time
 }
 
-// Hear takes over a word, and says whether a slow phase began or ended with it. The newest counts, whoever heard it; of two of
-// the same moment the slower one, so that nodes that hear both in any order believe the same.
-func (b *Belief) Hear(word Word, own bool) (changed bool) {
+// Hear takes over a word that came now, and says whether a slow phase began or ended with it. The newest counts, whoever heard it;
+// of two of the same moment the slower one, so that nodes that hear both in any order believe the same.
+func (b *Belief) Hear(word Word, own bool, now time.Time) (changed bool) {
 	if !word.Pace.Known() || !b.olderThan(word) {
 		return false
 	}
@@ -53,9 +59,25 @@
 		b.doubted = b.ends()
 	}
 	b.word, b.own = word, own
-	return wasSlow != b.slow()
+	changed = wasSlow != b.slow()
+	if changed || b.worthTelling() {
+		b.told, b.came = word, now
+	}
+	return changed
+}
+
+// worthTelling says whether a node that knows the word told last would do with the newest one: not where both are of the usual pace.
+func (b *Belief) worthTelling() bool {
+	differs := math.Abs(float64(b.word.Pace-b.told.Pace)) > float64(b.told.Pace)*sameWithin
+	return differs || b.slow() && b.word.At.Sub(b.told.At) >= renewAfter
 }
 
+// overlap is how long before a moment a word may have come that an answer of that moment lacks, because both were worked on at once.
+const overlap = 20 * time.Millisecond
+
+// sameWithin is the part of a pace by which another one is told as the same.
+const sameWithin = 0.2
+
 func (b *Belief) olderThan(word Word) bool {
 	return word.At.After(b.word.At) || word.At.Equal(b.word.At) && word.Pace > b.word.Pace
 }
@@ -82,10 +104,10 @@
 // Word returns the newest word, and whether this node heard it from the runner itself.
 func (b *Belief) Word() (word Word, own bool) { return b.word, b.own }
 
-// News returns the word where another node may do with it: a slow one as long as it counts, and the usual one as long as
-// somebody may believe in the slow phase before it.
-func (b *Belief) News(now time.Time) (word Word, news bool) {
-	if b.word.Pace.Known() && (b.slowAt(now) || now.Before(b.doubted)) {
+// News returns the word where another node may do with it that was told all before a moment: a slow one as long as it counts, and the
+// usual one as long as somebody may believe in the slow phase before it.
+func (b *Belief) News(since, now time.Time) (word Word, news bool) {
+	if b.told.Pace.Known() && b.came.After(since.Add(-overlap)) && (b.slowAt(now) || now.Before(b.doubted)) {
 		return b.word, true
 	}
 	return Word{}, false
--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -86,8 +86,8 @@
 func milliseconds(duration time.Duration) float64 { return duration.Seconds() * 1000 }
 
 // hear takes over a word of a runner's pace. The caller holds the mutex.
-func (t *Table) hear(known *entry, word pace.Word, own bool) (changed bool) {
-	changed = known.pace.Hear(word, own)
+func (t *Table) hear(known *entry, word pace.Word, own bool, now time.Time) (changed bool) {
+	changed = known.pace.Hear(word, own, now)
 	switch {
 	case !changed:
 	case word.Pace >= pace.Slow:
@@ -107,7 +107,7 @@
 		t.usualOf(known.runner.Service).told = now
 	}
 	known.spoken = pace.Word{Pace: told, At: now}
-	if t.hear(known, known.spoken, true) && t.onlineChanged != nil {
+	if t.hear(known, known.spoken, true, now) && t.onlineChanged != nil {
 		t.onlineChanged(false)
 	}
 }
@@ -201,7 +201,7 @@
 	defer t.mutex.Unlock()
 	for _, count := range counts {
 		if known := t.runners[count.Runner]; known != nil {
-			t.hear(known, pace.Told(count.Pace, count.PaceAgeMs, now), false)
+			t.hear(known, pace.Told(count.Pace, count.PaceAgeMs, now), false, now)
 		}
 	}
 }
@@ -216,15 +216,16 @@
 	return 1
 }
 
-// PaceNews puts the newest word of a runner's pace into what its owner tells other nodes, where they may do with it.
-func (t *Table) PaceNews(told *demand.Share, now time.Time) {
+// PaceNews puts the newest word of a runner's pace into what its owner tells another node that was told all before a moment, where it may
+// do with it.
+func (t *Table) PaceNews(told *demand.Share, since, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.runners[told.Runner]
 	if known == nil {
 		return
 	}
-	if word, news := known.pace.News(now); news {
+	if word, news := known.pace.News(since, now); news {
 		told.Pace, told.PaceAgeMs = word.Pace, max(now.Sub(word.At).Milliseconds(), 0)
 	}
 }
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -48,7 +48,7 @@
 	for _, told := range shares {
 		if known := t.runners[told.Runner]; known != nil {
 			known.share.Renew(share{others: told.Others, batch: told.Batch, silent: told.Silent}, asOf)
-			t.hear(known, pace.Told(told.Pace, told.PaceAgeMs, asOf), false)
+			t.hear(known, pace.Told(told.Pace, told.PaceAgeMs, asOf), false, asOf)
 		}
 	}
 }
