Move an item on from a runner that stays slow

Cause: with a third of the runners three times slower for twelve seconds an item there takes 14 s of the 18 in which it is due, while others have room between peaks. Ruled out: moving by the pace alone, phases of .7 s would cut runs for nothing.

--- a/internal/pace/usual.go
+++ b/internal/pace/usual.go
@@ -6,27 +6,36 @@
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
-// usualStep is the part by which a usual time follows one that was seen: that of the middle within some tens of requests.
-const usualStep = 0.05
+// usualStep is the part by which a usual time follows one that was seen, firstStep that of the first: what was seen first may be
+// far from the middle, which is found within some tens of requests.
+const usualStep, firstStep = 0.05, 0.5
 
 // leastSeen is the shortest time that says anything: what was read in one piece came at one moment.
 const leastSeen = time.Millisecond
 
 // Usual is the time in the middle that something takes at the usual pace, as far as this node saw. Single times that are far
 // longer, of queues or of callers that read slowly, move it no more than others. The zero Usual knows none.
-type Usual struct{ middle time.Duration }
+type Usual struct {
+	middle time.Duration
+	// seen counts the times that were taken in.
+	seen int
+}
 
 // See takes in a time that something took at a pace.
 func (u *Usual) See(took time.Duration, at work.Pace) {
 	took = time.Duration(float64(took) / max(float64(at), 1))
+	if took < leastSeen {
+		return
+	}
+	u.seen++
+	step := time.Duration(max(usualStep, firstStep/float64(u.seen)) * float64(u.middle))
 	switch {
-	case took < leastSeen:
 	case u.middle == 0:
 		u.middle = took
 	case took > u.middle:
-		u.middle += time.Duration(usualStep * float64(u.middle))
+		u.middle = min(u.middle+step, took)
 	default:
-		u.middle -= time.Duration(usualStep * float64(u.middle))
+		u.middle = max(u.middle-step, took)
 	}
 }
 
@@ -57,3 +66,20 @@
 func Keeps(usualGap, pause time.Duration, at work.Pace) bool {
 	return pause <= 0 || at <= 1 || time.Duration(float64(usualGap)*float64(at)) <= pause
 }
+
+const (
+	// leastWatched is how long a run must have been slow for a slowness that lasts: a phase of the usual kind is over then.
+	leastWatched = 2 * time.Second
+	// leastSaved is what must be saved by moving a run: many times what it takes to begin it elsewhere.
+	leastSaved = time.Second
+)
+
+// MovePays says whether a run is clearly better off at a runner of the usual pace. took is how long it has run here, usually how long what
+// it did would have taken, left how long the rest does. A slowness is expected to go on for as long as it has lasted.
+func MovePays(took, usually, left time.Duration, at work.Pace) bool {
+	if at < Slow || took < leastWatched || took < 2*usually {
+		return false
+	}
+	slow := min(time.Duration(float64(left)*float64(at)), took)
+	return float64(slow)*(1-1/float64(at)) >= float64(leastSaved)
+}
