--- a/internal/jobworker/pace_test.go
+++ b/internal/jobworker/pace_test.go
@@ -131,7 +131,7 @@
 		"fast so far": func(_ *Worker, item *itemRun, _ time.Time) { item.resumed = -40 },
 		"nearly done": func(_ *Worker, item *itemRun, _ time.Time) { item.lastEvent, item.resumed = 95, 75 },
 		"both slow": func(w *Worker, _ *itemRun, now time.Time) {
-			w.Runners.HearCounts([]demand.Count{{Runner: "usual", Pace: 3}}, now)
+			w.Runners.HearCounts([]demand.Count{{Runner: "usual", Pace: 2}}, now)
 		},
 		"no room": func(w *Worker, _ *itemRun, _ time.Time) {
 			w.Demand(&demand.Report{Node: "front", Sequence: 2, Counts: []demand.Count{{Runner: "slow", Pace: 3}, {Runner: "usual", Online: 8}}})
