--- a/internal/event/jobworker.go
+++ b/internal/event/jobworker.go
@@ -23,6 +23,5 @@
 	LendingFailed    = register(3616, "lending_failed", zerolog.WarnLevel, "A worker could not be asked for places of its runners, or told that lent ones are taken back; it is asked again later, and lent places end by themselves.", "none unless it persists: check the worker named")
 	RegistrationGone = register(3618, "registration_gone", zerolog.WarnLevel, "This worker's entry is gone from the store though its lease lives; it is written anew.", "none unless it repeats: then look for who removes it")
 	ReaderAvoided    = register(3619, "reader_avoided", zerolog.InfoLevel, "The worker that reads the open jobs for this one did not answer, or told what may be old; the next in line is asked, or this one reads the store for a moment.", "none unless it persists: check the worker at the address")
-	ItemMoved        = register(3640, "item_moved", zerolog.InfoLevel, "A run of a batch item was ended because its runner has been slow for long and one of the usual pace has room; the item goes on there after the event named.", "none unless one runner stands out: look at what shares its machine")
 	RunnerSilent     = register(3617, "runner_silent", zerolog.WarnLevel, "A runner answers neither a node that asked nor the worker that owns it; all nodes pass it over until it answers.", "check the runner and the path to it")
 )
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -30,7 +30,6 @@
 		w.mutex.Unlock()
 		w.askReports(now)
 		w.give(waiting, now)
-		w.moveSlow(len(waiting), now)
 		w.releaseResting(now)
 		w.logLoad(now)
 	}
@@ -171,6 +170,11 @@
 	return best, bestRoom > 0
 }
 
+// paced is the room at a runner, less by its pace: items are begun at runners of the usual pace first.
+func (w *Worker) paced(room int, id ident.Incarnation, now time.Time) float64 {
+	return float64(room) / float64(w.Runners.Pace(id, now))
+}
+
 // owned returns the runners of a service that this node gives batch items to. The caller holds the mutex.
 func (w *Worker) owned(service string) []work.Runner {
 	var owned []work.Runner
@@ -352,7 +356,7 @@
 		return
 	}
 	item.running, item.cancel, item.runner = true, cancel, id
-	item.started, item.progressed, item.resumed = now, now, item.lastEvent
+	item.started, item.progressed = now, now
 	item.job.running++
 	w.mutex.Unlock()
 	w.tomb.Go(func() error {
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -53,8 +53,6 @@
 	runner ident.Incarnation
 	// started and progressed are when the run began and when its last event came.
 	started, progressed time.Time
-	// resumed is the id of the event after which the run began.
-	resumed int64
 	// text is the data of the events so far, lastEvent the id of the last.
 	text      bytes.Buffer
 	lastEvent int64
--- a/internal/jobworker/pace_test.go
+++ b/internal/jobworker/pace_test.go
@@ -9,7 +9,6 @@
 
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -92,57 +91,3 @@
 	begin()
 	assert.Equal(t, roomiest(), ident.Incarnation("a"), "a slow place is better than none")
 }
-
-// slowItem is a worker with an item that has run for six seconds at a slow runner, with a fifth of its events, beside a usual one that is idle.
-func slowItem(t *testing.T) (*Worker, *itemRun, *bool, time.Time) {
-	t.Helper()
-	w := idleWorker(t)
-	now := time.Now()
-	w.Now = func() time.Time { return now }
-	var runners []work.Runner
-	for _, id := range []ident.Incarnation{"slow", "usual"} {
-		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "a", Slots: 8})
-		w.gaugeOf(id).gauge.Observe(work.Load{}, 0, 0, now)
-	}
-	w.Runners.Replace(runners, now, true)
-	w.Demand(&demand.Report{Node: "front", Sequence: 1, Counts: []demand.Count{{Runner: "slow", Pace: 3}}})
-	w.events, w.duration = 100, 5*time.Second
-	ended := false
-	job := &jobRun{header: &jobrecord.Header{ID: "job"}, submitted: now.Add(-6 * time.Second)}
-	item := &itemRun{job: job, running: true, runner: "slow", started: now.Add(-6 * time.Second), lastEvent: 50, resumed: 30, cancel: func() { ended = true }}
-	job.items = append(job.items, item)
-	w.jobs["job"] = job
-	return w, item, &ended, now
-}
-
-// TestItemIsMovedFromARunnerThatStaysSlow has the item go on elsewhere, and not where nothing is gained by it: while others wait, where the slowness is a phase
-// as each runner has, where no usual runner has room, or the item is nearly done.
-func TestItemIsMovedFromARunnerThatStaysSlow(t *testing.T) {
-	w, _, ended, now := slowItem(t)
-	w.moveSlow(1, now)
-	assert.Assert(t, !*ended, "an item waits for the place")
-	w.moveSlow(0, now)
-	assert.Assert(t, *ended)
-
-	for name, spoil := range map[string]func(w *Worker, item *itemRun, now time.Time){
-		"brief phase": func(_ *Worker, item *itemRun, now time.Time) {
-			item.started, item.resumed = now.Add(-1500*time.Millisecond), 45
-		},
-		"fast so far": func(_ *Worker, item *itemRun, _ time.Time) { item.resumed = -40 },
-		"nearly done": func(_ *Worker, item *itemRun, _ time.Time) { item.lastEvent, item.resumed = 95, 75 },
-		"both slow": func(w *Worker, _ *itemRun, now time.Time) {
-			w.Runners.HearCounts([]demand.Count{{Runner: "usual", Pace: 2}}, now)
-		},
-		"no room": func(w *Worker, _ *itemRun, _ time.Time) {
-			w.Demand(&demand.Report{Node: "front", Sequence: 2, Counts: []demand.Count{{Runner: "slow", Pace: 3}, {Runner: "usual", Online: 8}}})
-		},
-		"usual again": func(w *Worker, _ *itemRun, now time.Time) {
-			w.Runners.HearCounts([]demand.Count{{Runner: "slow", Pace: 1}}, now.Add(time.Millisecond))
-		},
-	} {
-		w, item, ended, now := slowItem(t)
-		spoil(w, item, now)
-		w.moveSlow(0, now.Add(time.Millisecond))
-		assert.Assert(t, !*ended, name)
-	}
-}
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -177,13 +177,3 @@
 	assert.Assert(t, pace.Keeps(0, 250*time.Millisecond, 100), "the usual gap is not known")
 	assert.Assert(t, pace.Keeps(time.Second, 250*time.Millisecond, 1), "a runner at its usual pace is as slow as all")
 }
-
-// TestMoveOfARunPaysOnlyWhereTheSlownessLasts looks at runs of five seconds of which a fifth is done.
-func TestMoveOfARunPaysOnlyWhereTheSlownessLasts(t *testing.T) {
-	const done, left = time.Second, 4 * time.Second
-	assert.Assert(t, pace.MovePays(3*time.Second, done, left, 3))
-	assert.Assert(t, !pace.MovePays(1900*time.Millisecond, done/2, left, 3), "a phase as each runner has")
-	assert.Assert(t, !pace.MovePays(1900*time.Millisecond, done, left, 3), "it was slow for a part of the time only")
-	assert.Assert(t, !pace.MovePays(3*time.Second, done, 500*time.Millisecond, 2), "less than a second is saved")
-	assert.Assert(t, !pace.MovePays(8*time.Second, done, 7*time.Second, 1.2), "the runner is hardly slow any more")
-}
--- a/internal/pace/usual.go
+++ b/internal/pace/usual.go
@@ -66,20 +66,3 @@
 func Keeps(usualGap, pause time.Duration, at work.Pace) bool {
 	return pause <= 0 || at <= 1 || time.Duration(float64(usualGap)*float64(at)) <= pause
 }
-
-const (
-	// leastWatched is how long a run must have been slow for a slowness that lasts: a phase of the usual kind is over then.
-	leastWatched = 2 * time.Second
-	// leastSaved is what must be saved by moving a run: many times what it takes to begin it elsewhere.
-	leastSaved = time.Second
-)
-
-// MovePays says whether a run is clearly better off at a runner of the usual pace. took is how long it has run here, usually how long what
-// it did would have taken, left how long the rest does. A slowness is expected to go on for as long as it has lasted.
-func MovePays(took, usually, left time.Duration, at work.Pace) bool {
-	if at < Slow || took < leastWatched || took < 2*usually {
-		return false
-	}
-	slow := min(time.Duration(float64(left)*float64(at)), took)
-	return float64(slow)*(1-1/float64(at)) >= float64(leastSaved)
-}
