--- a/internal/event/jobworker.go
+++ b/internal/event/jobworker.go
@@ -25,6 +25,5 @@
 	ReaderAvoided    = register(3619, "reader_avoided", zerolog.InfoLevel, "The worker that reads the open jobs for this one did not answer, or told what may be old; the next in line is asked, or this one reads the store for a moment.", "none unless it persists: check the worker at the address")
 	OrphansFound     = register(3646, "orphans_found", zerolog.InfoLevel, "This worker started together with other nodes, not for the first time: the line says how many runs of nodes that are gone its runners have, how many of these were read, and how long after its start that was.", "none; such runs end by themselves, orphans_gone says when")
 	OrphansGone      = register(3647, "orphans_gone", zerolog.InfoLevel, "The runners of this worker have no runs of nodes that are gone any more; the line says how many reports it read meanwhile.", "none")
-	ItemMoved        = register(3640, "item_moved", zerolog.InfoLevel, "A run of a batch item was ended because its runner has been slow for long and one of the usual pace has room; the item goes on there after the event named.", "none unless one runner stands out: look at what shares its machine")
 	RunnerSilent     = register(3617, "runner_silent", zerolog.WarnLevel, "A runner answers neither a node that asked nor the worker that owns it; all nodes pass it over until it answers.", "check the runner and the path to it")
 )
