Reckon a tenant's use from the requests that a share was told for

Cause: an owner that takes over divides what a node let through by the share that the last owner told it. A node that had let many more through since then seemed to prove that the limit was near: all were refused for up to 0.25 s at a thousandth of the limit. Change: the node tells of how many requests its share was reckoned.

Ruled out: a share told more often (costs bytes, and the rush may come between).

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -177,9 +177,10 @@
 		return
 	}
 	b.moved = true
-	own := 0
-	for _, count := range spent.Recent {
-		own += max(count, 0)
+	// Since it was told of its share, the node may have let many more through at once.
+	own := spent.count()
+	if spent.Of > 0 {
+		own = min(own, spent.Of)
 	}
 	b.hot = b.hot || float64(own)/spent.Share > hotShare*limit.window(l.window)
 }
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -54,13 +54,23 @@
 	Want int `json:"want,omitempty"`
 	// Share is the part that the node has in the tenant's requests, as another owner told it last, or this one before it lost its memory.
 	Share float64 `json:"share,omitempty"`
-	// Others is the part that other nodes had, as told with Share.
+	// Others is the part that other nodes had, as told with Share, Of how many requests of the node Share was reckoned from.
 	Others float64 `json:"others,omitempty"`
+	Of     int     `json:"of,omitempty"`
 
 	// upTo numbers the last request that is counted, at the node.
 	upTo uint64
 }
 
+// count is how many requests Recent counts.
+func (s Spent) count() int {
+	total := 0
+	for _, count := range s.Recent {
+		total += max(count, 0)
+	}
+	return total
+}
+
 // Answer is what an owner says to a node.
 type Answer struct {
 	Credits []Credit `json:"credits,omitempty"`
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -89,8 +89,9 @@
 	deniedUntil time.Time
 	after       time.Duration
 	// share is the part of the limit that the node may use while it reaches no owner, until shareUntil.
-	// others is what other nodes may use then. shareOwner and shareEpoch are the owner that knows of the share.
+	// others is what other nodes may use then, shareOf the requests that share was reckoned from. shareOwner and shareEpoch are the owner that knows of the share.
 	share, others float64
+	shareOf       int
 	shareUntil    time.Time
 	shareOwner    string
 	shareEpoch    uint32
@@ -336,7 +337,7 @@
 		known.telling = true
 		spent := Spent{Tenant: tenant, Recent: known.spent.recent(m.on.index(now)), Want: known.waiting, upTo: known.count}
 		if now.Before(known.shareUntil) && (state.epoch == 0 || known.tellsShare(name, state.epoch, now)) {
-			spent.Share, spent.Others = known.share, known.others
+			spent.Share, spent.Others, spent.Of = known.share, known.others, known.shareOf
 		}
 		spending.Spent = append(spending.Spent, spent)
 	}
@@ -425,6 +426,7 @@
 	a.ahead, a.tight = answer.Amount > spent.Want, answer.Tight
 	if answer.Share > 0 {
 		a.share, a.others, a.shareUntil = answer.Share, answer.Others, sent.Add(aloneFor)
+		a.shareOf = spent.count() + min(answer.Amount, spent.Want)
 	}
 	a.deniedUntil = time.Time{}
 	if answer.Amount < spent.Want {
--- a/internal/quota/telling_test.go
+++ b/internal/quota/telling_test.go
@@ -16,6 +16,8 @@
 	meter  *Meter
 	ledger *Ledger
 	limit  Limit
+	// owner is its name.
+	owner string
 	// old has the owner answer as one of a build without epochs.
 	old bool
 }
@@ -23,7 +25,7 @@
 func newTellerRig(t *testing.T) *tellerRig {
 	now := time.Unix(1000, 0)
 	return &tellerRig{
-		t: t, now: now, limit: Limit{Rate: 100, Burst: 100},
+		t: t, now: now, owner: "first", limit: Limit{Rate: 100, Burst: 100},
 		meter: NewMeter("node", 1, simWindow, now.Add(-time.Hour)), ledger: NewLedger(simWindow, now.Add(-time.Hour)),
 	}
 }
@@ -31,7 +33,7 @@
 // tell passes what is due on, and returns the messages.
 func (r *tellerRig) tell() []*Spending {
 	var told []*Spending
-	for _, spending := range r.meter.Due(func(ident.Tenant) string { return "owner" }, r.now) {
+	for _, spending := range r.meter.Due(func(ident.Tenant) string { return r.owner }, r.now) {
 		answer := r.ledger.Settle(spending, func(ident.Tenant) (Limit, bool) { return r.limit, true }, r.now)
 		if r.old {
 			answer.Epoch = 0
@@ -142,3 +144,21 @@
 	r.ledger.Settle(node, limit, r.now)
 	assert.Equal(t, r.known("c"), 2)
 }
+
+// TestOwnerThatTakesOverATenantFarBelowItsLimitRefusesNothing has a node's requests of a tenant come many together after it was told its
+// share: the share of a few does not make all of them a part of the limit. Callers were told to come back though the limit was far away.
+func TestOwnerThatTakesOverATenantFarBelowItsLimitRefusesNothing(t *testing.T) {
+	r := newTellerRig(t)
+	r.limit = Limit{Rate: 100_000, Burst: 100_000}
+	r.request("a")
+	r.pass(time.Second)
+	r.request("a")
+	for range 60 {
+		r.meter.Pass("a", r.limit, r.now)
+	}
+	r.owner, r.ledger = "second", NewLedger(simWindow, r.now.Add(-time.Hour))
+	for range 20 {
+		r.request("a")
+		r.pass(100 * time.Millisecond)
+	}
+}
