--- a/internal/online/ahead_test.go
+++ b/internal/online/ahead_test.go
@@ -364,3 +364,18 @@
 		})
 	})
 }
+
+// BenchmarkStreamToACallerThatKeepsUp passes on a stream of twenty events that are all there: what the node adds to it.
+func BenchmarkStreamToACallerThatKeepsUp(b *testing.B) {
+	text := strings.Join(numbered(20, 100), "")
+	site := newLagSite(smallNode, nil, nil)
+	caller := &scriptedCaller{}
+	site.forwarder.Caller = caller
+	b.ReportAllocs()
+	for b.Loop() {
+		caller.replies, caller.resumed = append(caller.replies[:0], stream(text, true)), caller.resumed[:0]
+		if err := site.serve(b.Context(), "c", &recorder{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
