--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -33,14 +33,11 @@
 	headerBytes   = 256 << 10
 	// peerDialTimeout bounds the opening of a connection to another node.
 	peerDialTimeout = 300 * time.Millisecond
-	// peerBackoff is the longest pause before another attempt to connect to a node: those who call it pace their calls, and after a
-	// common start all wait for the few that they ask first, which may come up last.
-	peerBackoff = 50 * time.Millisecond
 )
 
 // newPeerPool returns connections to other nodes.
 func newPeerPool() *transport.Pool {
-	return transport.NewPool(transport.PoolOptions{PrivateNetwork: true, DialTimeout: peerDialTimeout, LongestBackoff: peerBackoff, Jitter: rand.Float64})
+	return transport.NewPool(transport.PoolOptions{PrivateNetwork: true, DialTimeout: peerDialTimeout, Jitter: rand.Float64})
 }
 
 // runFront answers clients until it is asked to stop.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -31,10 +31,8 @@
 	// DefaultDialTimeout bounds connecting and the handshake.
 	DefaultDialTimeout = 2 * time.Second
 
-	// DefaultLongestBackoff bounds the pause after attempts to connect that failed one after the other.
-	DefaultLongestBackoff = 2 * time.Second
-
 	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 2 * time.Second
 )
 
 // PoolOptions sets up a pool. Lookup is required; zero values of the others mean the defaults of this package.
@@ -49,7 +47,6 @@
 	IdlePerNode     int
 	IdleTimeout     time.Duration
 	DialTimeout     time.Duration
-	LongestBackoff  time.Duration
 	MaxMessageBytes int
 	Metrics         *Metrics
 	// Jitter returns a number in [0, 1) that spreads the backoff; nil means none.
@@ -95,7 +92,6 @@
 	setDefault(&options.IdlePerNode, DefaultIdlePerNode)
 	setDefault(&options.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&options.DialTimeout, DefaultDialTimeout)
-	setDefault(&options.LongestBackoff, DefaultLongestBackoff)
 	setDefault(&options.MaxMessageBytes, DefaultMaxMessageBytes)
 	if options.Metrics == nil {
 		options.Metrics = NewMetrics(nil)
@@ -294,7 +290,7 @@
 		known.notBefore = time.Time{}
 		return
 	}
-	delay := min(firstBackoff<<min(known.failures, 10), p.options.LongestBackoff)
+	delay := min(firstBackoff<<min(known.failures, 10), lastBackoff)
 	known.failures++
 	spread := 0.5 + 0.5*p.options.Jitter()
 	known.notBefore = time.Now().Add(time.Duration(float64(delay) * spread))
