Take other zones to have filled up as the own one has

Cause: what a node knows of the other zones is .8 s old in the middle, of its own .05 s.

Change: the rise of the own zone since the moment of the others' words is added to theirs.

--- a/internal/runnertable/zones.go
+++ b/internal/runnertable/zones.go
@@ -38,8 +38,9 @@
 	// names are those of the zones of all runners, in order.
 	names    []ident.Zone
 	contacts map[ident.Zone]*zoneroom.Contact
-	// splits are by service.
+	// splits and pasts are by service.
 	splits map[string]*zoneroom.Split
+	pasts  map[string]*zoneroom.Past
 	// told is the state of each zone that was last told.
 	told map[ident.Zone]zoneroom.State
 	left map[Departure]int
@@ -174,8 +175,9 @@
 	room zoneroom.Room
 	// state says whether the zone answers; its own zone always does.
 	state zoneroom.State
-	// taken and places are the online work of others and the places at the runners there, newer words having more part in them.
-	taken, places float64
+	// taken and places are the online work of others and the places at the runners there, newer words having more part in them; age is
+	// that of the words, in seconds times places.
+	taken, places, age float64
 	// works says that a runner there may take the wish.
 	works bool
 }
@@ -189,10 +191,12 @@
 	entries := t.services[wish.Service]
 	for _, known := range entries {
 		if known.share.Within(shareMemory, now) {
-			part := float64(freshness) / float64(freshness+max(known.share.Age(now), 0))
+			age, places := max(known.share.Age(now), 0), float64(max(known.runner.Slots, 1))
+			part := float64(freshness) / float64(freshness+age)
 			there := &areas[known.zoneAt]
 			there.taken += part * float64(known.share.Value().others)
-			there.places += part * float64(max(known.runner.Slots, 1))
+			there.places += part * places
+			there.age += part * places * age.Seconds()
 		}
 	}
 	for _, known := range entries {
@@ -215,6 +219,38 @@
 	return areas
 }
 
+// used is the part of the places that is taken.
+func (a area) used() float64 { return a.room.Taken / max(a.room.Places, 1) }
+
+// past returns what the zone of this node had taken of a service lately. The caller holds the mutex.
+func (t *Table) past(service string) *zoneroom.Past {
+	if t.zones.pasts == nil {
+		t.zones.pasts = map[string]*zoneroom.Past{}
+	}
+	if t.zones.pasts[service] == nil {
+		t.zones.pasts[service] = &zoneroom.Past{}
+	}
+	return t.zones.pasts[service]
+}
+
+// noteZone takes note of what the zone of this node has taken, for each service that is in several. The caller holds the mutex.
+func (t *Table) noteZone(now time.Time) {
+	if len(t.zones.names) < 2 {
+		return
+	}
+	for service, entries := range t.services {
+		var own area
+		for _, known := range entries {
+			if known.runner.Zone == t.zone && known.share.Within(shareMemory, now) {
+				firm, _ := known.estimate(now)
+				own.room.Places += float64(max(known.runner.Slots, 1))
+				own.room.Taken += float64(firm)
+			}
+		}
+		t.past(service).Note(own.used(), now)
+	}
+}
+
 // avoidCut says whether zones that are out of reach get nothing: as long as another zone has a runner that may take the wish, however
 // full it is.
 func avoidCut(areas []area) bool {
@@ -222,14 +258,18 @@
 }
 
 // goal returns the zone that a request is to go to. The caller holds the mutex.
-func (t *Table) goal(wish Wish, areas []area, random *rand.Rand) ident.Zone {
+func (t *Table) goal(wish Wish, areas []area, now time.Time, random *rand.Rand) ident.Zone {
 	own := slices.IndexFunc(areas, func(there area) bool { return there.room.Zone == t.zone })
 	if wish.Class != Online || own < 0 || len(areas) < 2 {
 		return t.zone
 	}
+	past, used := t.past(wish.Service), areas[own].used()
+	past.Note(used, now)
 	var others []zoneroom.Room
 	for index, there := range areas {
 		if index != own && there.state == zoneroom.InTouch && there.room.Places > 0 {
+			told := now.Add(-time.Duration(there.age / there.places * float64(time.Second)))
+			there.room.Taken += past.Rise(used, told) * there.room.Places
 			others = append(others, there.room)
 		}
 	}
