Share scarce places between tenants over all nodes

Cause: where limits admit more than there is room for, whoever sends most has most: a front's line takes turns among its own requests only, a freed place is mostly taken by the node that freed it, and items of jobs know no tenant. Change: internal/fairshare divides the places of a service by weighted max-min shares; one worker a service keeps account of what nodes tell with their reports (Report.Uses) and answers bounds (Answer.Bounds) for tenants over their share. At a front a request beyond its tenant's bound takes a slot that is free now or waits behind the others; the short queue at runners is the others'. No slot is held empty. Items of several tenants are begun in turn by tokens where not all can be in time. Nothing of it without tenants. A place given back unused is no longer counted as held for good.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -57,7 +57,7 @@
 	orders := &follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}}
 	process.follow(orders)
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
-	process.tellDemand(holders)
+	process.tellDemand(holders, forwarder)
 	holders.TellEnds(process.tomb, process.ends)
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Limiter: process.limiter(holders), Stopping: process.lifecycle.Stopping,
@@ -87,8 +87,9 @@
 }
 
 // tellDemand has the workers told of the online work of this node.
-func (p *process) tellDemand(holders *jobpeer.Holders) {
-	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Now: clock.Now}, clock.Now)
+func (p *process) tellDemand(holders *jobpeer.Holders, tenants jobpeer.Tenants) {
+	work := &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Tenants: tenants, Now: clock.Now}
+	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), work, clock.Now)
 	teller.Tell = holders.TellDemand
 	p.runners.OnOnlineChanged(teller.Changed)
 	teller.Start(p.tomb)
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -44,6 +44,8 @@
 	Counts []Count
 	// Far says that the worker is in another zone.
 	Far bool
+	// Uses are what tenants take and wait for, of the services of which the worker keeps account.
+	Uses []Use
 }
 
 // Teller tells workers of the online work of this node. Its exported fields are set before Start.
@@ -75,6 +77,8 @@
 	notBefore time.Time
 	// endsRead is how far this node has read what the worker knows of requests that end their runners.
 	endsRead poison.Cursor
+	// usesAt is when the worker was last told what tenants take and wait for.
+	usesAt time.Time
 }
 
 // NewTeller returns a teller that is not started.
@@ -157,10 +161,11 @@
 		if owned.Far {
 			idle = idleFar
 		}
-		if known.telling || !known.lacks(owned.Counts, idle, now) {
+		if known.telling || !known.lacks(owned.Counts, idle, now) && !known.lacksUses(owned.Uses, now) {
 			continue
 		}
 		report := known.next(owned.Counts, now)
+		report.Uses = known.nextUses(owned.Uses, now)
 		report.Node, report.Incarnation = t.Node, t.incarnation
 		t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
 	}
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -18,7 +18,9 @@
 	Runners *runnertable.Table
 	// Ends takes what workers tell of requests that end their runners; nil takes none.
 	Ends *endwatch.Watch
-	Now  func() time.Time
+	// Tenants tells what tenants take and wait for; nil tells nothing.
+	Tenants Tenants
+	Now     func() time.Time
 }
 
 // Online implements demand.Work.
@@ -35,6 +37,7 @@
 			owned[owner.Address] = of
 		}
 	}
+	o.addUses(owned)
 	return owned
 }
 
@@ -43,6 +46,9 @@
 	o.Runners.TakeShares(answer.Shares, asOf)
 	o.Holders.noteBatch(address, answer.Batch, asOf)
 	o.Ends.Learn(answer.Ends.Records, false)
+	if o.Tenants != nil && len(answer.Bounds) > 0 {
+		o.Tenants.Learn(answer.Bounds, asOf)
+	}
 }
 
 // TellDemand tells a worker of online work. A worker that does not answer is left alone for a while.
--- /dev/null
+++ b/internal/jobpeer/places_test.go
@@ -0,0 +1,68 @@
+package jobpeer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+)
+
+// tenantUses are what a node's tenants take, and what it learned.
+type tenantUses struct {
+	uses    []demand.Use
+	learned []demand.Bound
+}
+
+func (t *tenantUses) Uses() []demand.Use { return t.uses }
+
+func (t *tenantUses) Learn(bounds []demand.Bound, _ time.Time) { t.learned = bounds }
+
+// TestUsesGoToTheOneKeeperOfTheirService has nodes that list the workers in different orders tell one worker of a service, whether they have work at
+// its runners or not, and the next one where it does not answer.
+func TestUsesGoToTheOneKeeperOfTheirService(t *testing.T) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	workers := []jobrecord.Worker{{Node: "w-1", Zone: "a", Address: "1"}, {Node: "w-2", Zone: "a", Address: "2"}, {Node: "w-3", Zone: "b", Address: "3"}}
+	tenants := &tenantUses{uses: []demand.Use{{Service: "s", Tenant: "hot", Taken: 3}, {Service: "other", Tenant: "hot", Taken: 1}, {Service: "s", Taken: 2}}}
+	told := func(work *OnlineWork, service string) string {
+		found := ""
+		for address, owned := range work.Online() {
+			for _, use := range owned.Uses {
+				if use.Service == service {
+					assert.Assert(t, found == "" || found == address, "two workers are told")
+					found = address
+				}
+			}
+		}
+		return found
+	}
+	var first string
+	for _, listed := range [][]jobrecord.Worker{workers, {workers[2], workers[0], workers[1]}} {
+		h := &Holders{Zone: "a", Now: func() time.Time { return now }}
+		h.Learn(listed, now)
+		work := &OnlineWork{Holders: h, Runners: runnertable.New("a"), Tenants: tenants, Now: h.Now}
+		keeper := told(work, "s")
+		assert.Assert(t, keeper != "" && (first == "" || first == keeper))
+		first = keeper
+		h.avoid(keeper)
+		next := told(work, "s")
+		assert.Assert(t, next != "" && next != keeper, "%q after %q", next, keeper)
+		now = now.Add(2 * avoidFor)
+		assert.Equal(t, told(work, "s"), keeper)
+	}
+}
+
+// TestWhatAKeeperSaysIsLearned has a worker's answer with bounds, and one of a build that tells none.
+func TestWhatAKeeperSaysIsLearned(t *testing.T) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	tenants := &tenantUses{}
+	work := &OnlineWork{Holders: &Holders{Now: func() time.Time { return now }}, Runners: runnertable.New("a"), Tenants: tenants}
+	bounds := []demand.Bound{{Service: "s", Tenant: ident.Tenant("hot"), Places: 2}}
+	work.Take("1", &demand.Answer{Bounds: bounds}, now)
+	work.Take("2", &demand.Answer{}, now)
+	assert.DeepEqual(t, tenants.learned, bounds)
+}
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -26,6 +26,7 @@
 	}
 	answer := w.shares(report.Node, now)
 	answer.Batch = w.batch(now)
+	answer.Bounds = w.boundsFor(report, now)
 	if w.Ends != nil {
 		answer.Ends = w.Ends.Book.Since(report.EndsRead, now, true)
 	}
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -27,6 +27,7 @@
 		w.found = batchLoad{waiting: len(waiting), places: w.batchPlaces(now)}
 		w.endStalled(now)
 		w.claimDue(now)
+		w.logTurns(now)
 		w.mutex.Unlock()
 		w.askReports(now)
 		w.give(waiting, now)
@@ -49,7 +50,7 @@
 			}
 		}
 	}
-	ordered := w.prospects(waiting, now)
+	ordered := w.inTurn(w.prospects(waiting, now), now)
 	for position, prospect := range ordered {
 		waiting[position] = prospect.item
 	}
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/changefeed"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/endwatch"
+	"mallowlatch.example/mallowlatch/internal/fairshare"
 	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -153,6 +154,10 @@
 	mirror progress.Mirror
 	// demand is the online work that nodes tell of.
 	demand demand.Ledger
+	// tenants is what they tell of the places of tenants, of the services that this node keeps account of, overLogged when the log was
+	// last told of it, turnsLogged when of the items that take turns.
+	tenants                 fairshare.Account
+	overLogged, turnsLogged time.Time
 	// lent is what this node has lent to others, wanted when places of a service were last asked for.
 	lent   lending.Ledger
 	wanted map[string]time.Time
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -81,10 +81,11 @@
 	// Other nodes may have told of it while the request waited for its place.
 	if e.endsRunners() {
 		flight.End()
+		e.room.unused(e.waiter)
 		return e.turnedAway()
 	}
 	e.sent = e.forwarder.Now()
-	defer func() { e.room.freed(e.forwarder.Now().Sub(e.sent)) }()
+	defer func() { e.room.freed(e.waiter, e.forwarder.Now().Sub(e.sent)) }()
 	defer flight.End()
 	e.tried[flight.Runner.ID] = true
 	budget = e.deadline.Sub(e.sent)
@@ -104,6 +105,7 @@
 func (e *exchange) notPicked(err error) error {
 	switch {
 	case errors.Is(err, errHopeless):
+		e.room.turnedAway(e.waiter, func() int { return e.forwarder.Runners.Free(e.service, e.forwarder.Now()) })
 		return e.refusal(failure.CodeOverloaded, "no runner has a place in time", err)
 	case e.ctx.Err() != nil:
 		return e.refusal(failure.CodeDeadlineExceeded, "the time of the request is over", err)
@@ -118,7 +120,8 @@
 		PromptTokens: e.request.PromptTokens, Bytes: len(e.request.Body), Exclude: e.tried,
 	}
 	if waits {
-		wish.Full = e.full
+		wish.Full, wish.Yields = e.full, e.room.yieldsNow(e.waiter)
+		wish.Scarce = e.request.Tenant != "" && e.room.scarce()
 	}
 	return wish
 }
@@ -268,7 +271,7 @@
 	case errors.Is(cause, connpool.ErrNotSent), errors.Is(cause, runnertable.ErrNoRunner):
 		return refused.WithRetryAfter(retryAfterOutage)
 	}
-	return refused.WithRetryAfter(e.room.returnAfter())
+	return refused.WithRetryAfter(e.room.returnAfter(e.waiter))
 }
 
 func (e *exchange) logAttempt(flight *runnertable.Flight, err error) {
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -73,7 +73,7 @@
 		forwarder: f, ctx: ctx, route: route, request: request, writer: writer, deadline: deadline,
 		service: service, tried: map[ident.Incarnation]bool{}, full: map[ident.Incarnation]bool{},
 		lastEvent: request.ResumeAfter, outcome: outcome.NotRun,
-		room: room, waiter: room.waiter(request, onTime(route, request, deadline), deadline.Add(-leastBudget)),
+		room: room, waiter: room.waiter(request, route.Priority, onTime(route, request, deadline), deadline.Add(-leastBudget)),
 	}
 	return exchange.run()
 }
--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -48,7 +48,7 @@
 	}
 	if !erred(reply) {
 		flight.Began(e.forwarder.Now())
-		e.room.noteAnswered(e.forwarder.Now().Sub(e.sent))
+		e.noteAnswered()
 	}
 	if err := e.begin(reply.Head, int64(len(body))); err != nil {
 		return err
@@ -80,7 +80,7 @@
 		}
 		flight.Began(e.forwarder.Now())
 		if first {
-			e.room.noteAnswered(e.forwarder.Now().Sub(e.sent))
+			e.noteAnswered()
 		}
 		if err := e.passOn(next, reply); err != nil {
 			return err
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,6 +12,8 @@
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/fairshare"
+	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/waitline"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -46,17 +49,29 @@
 	answered time.Duration
 	// told is when the log was last told of the room.
 	told time.Time
+	// local is what tenants have of the places here, and their bounds; held is whom these held back since the log was last told.
+	local fairshare.Local
+	held  heldBack
+	// unanswered holds when requests of tenants were sent to runners whose answers have not begun.
+	unanswered map[*waitline.Waiter]time.Time
+	// answers counts the answers that began on time and late, by tenant, since the log was last told.
+	answers map[ident.Tenant][2]int
+	// extra is how many requests that yield may still take places that others freed, until the next look.
+	extra int
+	// mostUrgent is the least rank of the kinds of request that came here.
+	mostUrgent int
 }
 
-// waiter is a request's place in the line, given until when its answer is on time, and of any use.
-func (r *room) waiter(request *work.Request, onTime, latest time.Time) *waitline.Waiter {
+// waiter is the place in the line of a request of a kind, given until when its answer is on time, and of any use.
+func (r *room) waiter(request *work.Request, kind int, onTime, latest time.Time) *waitline.Waiter {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.mostUrgent = min(r.mostUrgent, kind)
 	if latest.Before(onTime) {
 		onTime = latest
 	}
 	return &waitline.Waiter{
-		Tenant: request.Tenant, Rank: request.Rank, OnTime: onTime.Add(-r.answered), Latest: latest.Add(-r.answered),
+		Tenant: request.Tenant, Rank: request.Rank, Kind: kind, OnTime: onTime.Add(-r.answered), Latest: latest.Add(-r.answered),
 	}
 }
 
@@ -65,18 +80,25 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.line.Taken()
+	r.tookPlace(waiter)
 	if waited {
 		r.line.Served(waiter, r.now())
+		if r.yields(waiter) {
+			if r.extra--; r.extra <= 0 {
+				return
+			}
+		}
 	}
 	r.wake()
 }
 
 // freed notes that a request gave its place back after a time, and has the next one look for it.
-func (r *room) freed(after time.Duration) {
+func (r *room) freed(waiter *waitline.Waiter, after time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
 	r.line.Freed(after, now)
+	r.gavePlace(waiter)
 	r.wake()
 	r.tell(now)
 }
@@ -90,6 +112,8 @@
 		return
 	}
 	r.told = now
+	r.tellHeldBack()
+	r.tellLate()
 	tally, longer := r.line.Tally()
 	if tally == (waitline.Tally{}) {
 		return
@@ -108,11 +132,11 @@
 	r.answered += time.Duration(answeredWeight * float64(took-r.answered))
 }
 
-// crowded says whether requests wait, so that one that comes must not pass them.
-func (r *room) crowded() bool {
+// crowded says whether requests wait that one which comes must not pass.
+func (r *room) crowded(waiter *waitline.Waiter) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.line.Len() > 0
+	return r.line.MustWait(waiter)
 }
 
 // wait returns nil when a request is to look for a place. The error wraps errHopeless where it would get none in time. One
@@ -137,9 +161,11 @@
 func (r *room) enter(waiter *waitline.Waiter, again bool) <-chan struct{} {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	now := r.now()
+	r.local.Waited(now)
 	if again {
 		r.line.Again(waiter)
-	} else if !r.line.Join(waiter, r.now()) {
+	} else if !r.line.Join(waiter, now) {
 		return nil
 	}
 	woken := make(chan struct{})
@@ -184,15 +210,21 @@
 	if r.line.Len() == 0 {
 		return
 	}
-	r.wake()
+	r.extra = r.line.Extra()
+	if r.extra > 0 || !r.line.NextYields() {
+		r.wake()
+	}
 	r.lookSoon()
 }
 
 // returnAfter is when a caller may come back that got no place: when all that wait now have one. Those who are sent away
 // together come back spread over as much time again, so that they do not meet in another crowd.
-func (r *room) returnAfter() time.Duration {
+func (r *room) returnAfter(waiter *waitline.Waiter) time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.yields(waiter) {
+		return r.returnOfYielding(waiter)
+	}
 	expected := min(max(r.line.Return(), retryAfter), retryAfterOutage)
 	return expected + time.Duration(rand.Int64N(int64(expected)))
 }
@@ -212,7 +244,9 @@
 	}
 	found := r.byName[service]
 	if found == nil {
-		found = &room{service: service, now: now, logger: logger, woken: map[*waitline.Waiter]chan struct{}{}, told: now()}
+		found = &room{
+			service: service, now: now, logger: logger, woken: map[*waitline.Waiter]chan struct{}{}, told: now(), mostUrgent: math.MaxInt,
+		}
 		r.byName[service] = found
 	}
 	return found
@@ -226,7 +260,7 @@
 	}
 	waits := e.runs == 0 && !e.begun
 	waited := false
-	if waits && e.room.crowded() {
+	if waits && e.room.crowded(e.waiter) {
 		if err := e.room.wait(e.ctx, e.waiter, false); err != nil {
 			return nil, err
 		}
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -16,10 +16,10 @@
 // ErrFull means that runners may take the request, and that online work takes the places of all of them.
 const ErrFull = failure.Kind("runner table: the places of all runners are taken")
 
-// queueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
+// QueueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
 // until nodes hear of it, and so little that a request can still be told that it will be late. On nine plays of three kinds of
 // overload none made .584 of the worth, a quarter .593, half .542, all that runners take .536.
-const queueShare = 0.25
+const QueueShare = 0.25
 
 // Costs are in milliseconds of expected delay to the first event, so that unlike things can be added.
 const (
@@ -67,6 +67,11 @@
 	// Full holds runners that refused the request a moment ago, because their places were taken. A nil map has the request
 	// sent also where it must wait at the runner.
 	Full map[ident.Incarnation]bool
+	// Scarce says that places are scarce: a runner is not thought to be free because nothing was heard of it.
+	Scarce bool
+	// Yields says that the request has no part in the short queue of runners, which is kept for others: it takes a slot that is free
+	// now or none. It counts only with Full.
+	Yields bool
 }
 
 // Pick chooses the runner with the least expected delay and starts a flight on it. The error wraps ErrNoRunner.
@@ -121,7 +126,13 @@
 	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
-	return wish.Full[e.runner.ID] || float64(firm+1) > places*(1+queueShare)
+	switch {
+	case !wish.Yields:
+		places *= 1 + QueueShare
+	case !e.seenFree(now):
+		return true
+	}
+	return wish.Full[e.runner.ID] || float64(firm+1) > places
 }
 
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
@@ -195,6 +206,9 @@
 	if candidate.runner.Zone != t.zone {
 		cost += farCost + farCostPerKilobyte*float64(wish.Bytes)/1000
 	}
+	if wish.Scarce && candidate.unheard(now) {
+		cost += unheardCost
+	}
 	if candidate.silentFor(now) > silenceSuspect {
 		cost += silenceCost
 	}
--- a/internal/waitline/waitline.go
+++ b/internal/waitline/waitline.go
@@ -6,10 +6,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/fairshare"
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
@@ -18,6 +18,8 @@
 	// Tenant is whose request it is; empty where there are no tenants. Rank is the tenant's, zero the most urgent.
 	Tenant ident.Tenant
 	Rank   int
+	// Kind is the rank of its kind of request, zero the most urgent: it orders the requests that yield.
+	Kind int
 	// OnTime is the last moment at which a place still lets it be answered within its objective, Latest the last one at which a
 	// place is of any use. OnTime is never after Latest.
 	OnTime, Latest time.Time
@@ -25,9 +27,10 @@
 	turn int
 	// due is what it is ordered by then: OnTime, or Latest for one that came too late to be on time.
 	due time.Time
-	// joined is when it began to wait, expected how long that was thought to take.
+	// joined is when it began to wait, expected how long that was thought to take, yielded whether it yielded then.
 	joined   time.Time
 	expected time.Duration
+	yielded  bool
 }
 
 const (
@@ -40,6 +43,8 @@
 
 // Line is the requests without a place at one node, for one service, and how fast places come free. The zero Line is empty.
 type Line struct {
+	// Yields says whether a request is to wait behind those that don't yield; nil has none yield. It is set before the line is used.
+	Yields func(*Waiter) bool
 	// waiting is ordered by turn and due.
 	waiting []*Waiter
 	// turn is that of the last request that got a place, next the turn of each tenant's next request. Both begin anew with an empty
@@ -49,8 +54,10 @@
 	// held are the places that this node's requests have, run is the mean time for which they have them.
 	held int
 	run  time.Duration
-	// longer is the mean factor by which waits were longer than expected; zero is not known.
-	longer float64
+	// longer is the mean factor by which waits were longer than expected, longerYielding that of those that yielded; zero is not known.
+	longer, longerYielding float64
+	// extra is the part of a request that the next look may let take a place.
+	extra float64
 	// turned holds until when each request that was turned away would have been in time, for those that still would.
 	turned []time.Time
 	tally  Tally
@@ -67,7 +74,7 @@
 func (l *Line) Tally() (counts Tally, longer float64) {
 	tally := l.tally
 	l.tally = Tally{}
-	return tally, l.longerBy()
+	return tally, longerBy(l.longer)
 }
 
 // Taken notes that a request got a place.
@@ -91,20 +98,20 @@
 
 // untilPlace is how long it takes until a request gets a place that has some before it: this node's places come free one after
 // the other in the time of a run. A node that has none yet knows nothing, and expects one at once.
-func (l *Line) untilPlace(ahead int) time.Duration {
+func (l *Line) untilPlace(ahead int, longer float64) time.Duration {
 	if l.held <= 0 {
 		return 0
 	}
 	expected := float64(l.run) * float64(ahead+1) / float64(l.held)
-	return time.Duration(expected * l.longerBy())
+	return time.Duration(expected * longerBy(longer))
 }
 
-// longerBy is the factor that waits are expected to be longer by than the places and the runs say.
-func (l *Line) longerBy() float64 {
-	if l.longer == 0 {
+// longerBy is the factor that waits are expected to be longer by than the places and the runs say, for the mean so far.
+func longerBy(longer float64) float64 {
+	if longer == 0 {
 		return 1
 	}
-	return min(max(l.longer, leastLonger), mostLonger)
+	return min(max(longer, leastLonger), mostLonger)
 }
 
 // Join has a request wait, and returns false where it can't get a place in time: on time, or for one that is late already,
@@ -115,9 +122,10 @@
 		waiter.due = waiter.Latest
 	}
 	waiter.turn = l.turnOf(waiter)
-	ahead := l.before(waiter)
-	expected := l.untilPlace(ahead)
-	if now.Add(expected).After(waiter.due) {
+	position := l.before(waiter)
+	waiter.yielded = l.yields(waiter)
+	expected := l.untilPlace(l.ahead(waiter, position), *l.longerOf(waiter))
+	if now.Add(l.unsure(waiter, expected)).After(waiter.due) {
 		l.dropLate(now)
 		l.turned = append(l.turned, waiter.due)
 		l.tally.TurnedAway++
@@ -125,7 +133,7 @@
 	}
 	l.take(waiter)
 	waiter.joined, waiter.expected = now, expected
-	l.waiting = slices.Insert(l.waiting, ahead, waiter)
+	l.waiting = slices.Insert(l.waiting, position, waiter)
 	return true
 }
 
@@ -164,9 +172,6 @@
 	return max(l.turn, int(l.next[waiter.Tenant]))
 }
 
-// mostRank bounds the ranks that are told apart.
-const mostRank = 4
-
 // take counts the turn of a request that waits. A tenant has half as many turns as one of the next more urgent rank.
 func (l *Line) take(waiter *Waiter) {
 	if waiter.Tenant == "" {
@@ -175,8 +180,7 @@
 	if l.next == nil {
 		l.next = map[ident.Tenant]float64{}
 	}
-	turns := math.Exp2(float64(min(max(waiter.Rank, 0), mostRank)))
-	l.next[waiter.Tenant] = max(l.next[waiter.Tenant], float64(waiter.turn)) + turns
+	l.next[waiter.Tenant] = max(l.next[waiter.Tenant], float64(waiter.turn)) + 1/fairshare.Weight(waiter.Rank)
 }
 
 // Leave takes a request out of the line.
@@ -186,13 +190,15 @@
 	}
 }
 
-// Next takes the request out of the line whose turn it is, of several the one that has the least time left, or returns nil.
+// Next takes the request out of the line whose turn it is, of several the one that has the least time left, or returns nil. Those
+// that yield come last.
 func (l *Line) Next() *Waiter {
 	if len(l.waiting) == 0 {
 		return nil
 	}
-	next := l.waiting[0]
-	l.waiting = slices.Delete(l.waiting, 0, 1)
+	position := l.first()
+	next := l.waiting[position]
+	l.waiting = slices.Delete(l.waiting, position, position+1)
 	l.turn = max(l.turn, next.turn)
 	return next
 }
@@ -206,10 +212,11 @@
 	if waiter.expected <= 0 {
 		return
 	}
-	before := l.longerBy()
+	longer := l.longerOf(waiter)
+	before := longerBy(*longer)
 	this := before * float64(now.Sub(waiter.joined)) / float64(waiter.expected)
-	l.longer = before + waitWeight*(min(this, mostLonger)-before)
+	*longer = before + waitWeight*(min(this, mostLonger)-before)
 }
 
 // Return is how long it takes until all that wait now have a place, and one more.
-func (l *Line) Return() time.Duration { return l.untilPlace(len(l.waiting)) }
+func (l *Line) Return() time.Duration { return l.untilPlace(len(l.waiting), l.longer) }
