--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -60,7 +60,7 @@
 	orders := &follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}}
 	process.follow(orders)
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
-	forwarder.Owners = &jobpeer.Owners{Holders: holders, Teller: process.tellDemand(holders)}
+	forwarder.Owners = &jobpeer.Owners{Holders: holders, Teller: process.tellDemand(holders, forwarder)}
 	holders.TellEnds(process.tomb, process.ends)
 	jobs := platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate)
 	jobs.Held = process.held
@@ -92,8 +92,10 @@
 }
 
 // tellDemand has the workers told of the online work of this node.
-func (p *process) tellDemand(holders *jobpeer.Holders) *demand.Teller {
-	online := &jobpeer.OnlineWork{Holders: holders, Runners: p.runners, Ends: p.ends, Logger: p.logger, Now: clock.Now}
+func (p *process) tellDemand(holders *jobpeer.Holders, tenants jobpeer.Tenants) *demand.Teller {
+	online := &jobpeer.OnlineWork{
+		Holders: holders, Runners: p.runners, Ends: p.ends, Tenants: tenants, Logger: p.logger, Now: clock.Now,
+	}
 	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), online, clock.Now)
 	teller.Tell = online.Tell
 	p.runners.OnOnlineChanged(teller.Changed)
--- a/internal/demand/ask.go
+++ b/internal/demand/ask.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		if !known.telling() {
-			t.call(ctx, address, known, owned.Counts, now)
+			t.call(ctx, address, known, owned, now)
 		}
 		calls = append(calls, known.called)
 	}
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -49,6 +49,8 @@
 	// until one answers, the first time all of them at once.
 	Zone    ident.Zone
 	Doubted time.Time
+	// Uses are what tenants take and wait for, of the services of which the worker keeps account.
+	Uses []Use
 }
 
 // Teller tells workers of the online work of this node. Its exported fields are set before Start.
@@ -92,6 +94,8 @@
 	notBefore time.Time
 	// endsRead is how far this node has read what the worker knows of requests that end their runners.
 	endsRead poison.Cursor
+	// usesAt is when the worker was last told what tenants take and wait for.
+	usesAt time.Time
 }
 
 // NewTeller returns a teller that is not started.
@@ -177,13 +181,14 @@
 		if owned.Far {
 			idle = idleFar
 		}
-		if known.telling() || (!probed[address] && !known.doubted(owned.Doubted) && !known.lacks(owned.Counts, idle, now)) {
+		usesDue := known.lacksUses(owned.Uses, now)
+		if known.telling() || (!probed[address] && !known.doubted(owned.Doubted) && !known.lacks(owned.Counts, idle, now) && !usesDue) {
 			continue
 		}
-		if owned.Far && known.idle(owned.Counts) && !known.lastAt.IsZero() && !probed[address] && !known.doubted(owned.Doubted) && address != nextFar {
+		if owned.Far && known.idle(owned.Counts) && !known.lastAt.IsZero() && !probed[address] && !known.doubted(owned.Doubted) && address != nextFar && !usesDue {
 			continue
 		}
-		t.call(ctx, address, known, owned.Counts, now)
+		t.call(ctx, address, known, owned, now)
 	}
 }
 
@@ -199,8 +204,9 @@
 }
 
 // call begins a call to a worker. The caller holds the mutex, and runs in the teller's loop.
-func (t *Teller) call(ctx context.Context, address string, known *correspondent, counts []Count, now time.Time) {
-	report := known.next(counts, now)
+func (t *Teller) call(ctx context.Context, address string, known *correspondent, owned Owned, now time.Time) {
+	report := known.next(owned.Counts, now)
+	report.Uses = known.nextUses(owned.Uses, now)
 	report.Node, report.Incarnation, report.AgeMs = t.Node, t.incarnation, t.age(now)
 	t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
 }
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -23,9 +23,11 @@
 	Holders *Holders
 	Runners *runnertable.Table
 	// Ends takes what workers tell of requests that end their runners; nil takes none.
-	Ends   *endwatch.Watch
-	Logger zerolog.Logger
-	Now    func() time.Time
+	Ends *endwatch.Watch
+	// Tenants tells what tenants take and wait for; nil tells nothing.
+	Tenants Tenants
+	Logger  zerolog.Logger
+	Now     func() time.Time
 
 	neighbours neighbours
 	// departuresTold is when the log was last told of the requests that left their zone.
@@ -48,6 +50,7 @@
 			owned[owner.Address] = of
 		}
 	}
+	o.addUses(owned)
 	return owned
 }
 
@@ -83,6 +86,9 @@
 	o.orphans.take(address, answer.Shares, o.Logger)
 	o.Holders.noteBatch(address, answer.Batch, asOf)
 	o.Ends.Learn(answer.Ends.Records, false)
+	if o.Tenants != nil && len(answer.Bounds) > 0 {
+		o.Tenants.Learn(answer.Bounds, asOf)
+	}
 }
 
 // departuresEvery is the time between two lines of the log about requests that left their zone.
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -28,6 +28,7 @@
 		w.endStalled(now)
 		w.claimDue(now)
 		w.followOrphans(now)
+		w.logTurns(now)
 		w.mutex.Unlock()
 		w.askReports(now)
 		w.give(waiting, now)
@@ -50,7 +51,7 @@
 			}
 		}
 	}
-	ordered := w.prospects(waiting, now)
+	ordered := w.inTurn(w.prospects(waiting, now), now)
 	for position, prospect := range ordered {
 		waiting[position] = prospect.item
 	}
--- a/internal/online/place.go
+++ b/internal/online/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/waitline"
 )
 
 // place is what one attempt has of a runner. It is given back once: when the runner's answer is read whole, though its caller may still
@@ -13,6 +14,7 @@
 type place struct {
 	flight *runnertable.Flight
 	room   *room
+	waiter *waitline.Waiter
 	now    func() time.Time
 	// sent is when the attempt was sent.
 	sent time.Time
@@ -26,6 +28,6 @@
 func (p *place) free() {
 	p.once.Do(func() {
 		p.flight.End()
-		p.room.freed(p.now().Sub(p.sent))
+		p.room.freed(p.waiter, p.now().Sub(p.sent))
 	})
 }
--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -55,7 +55,7 @@
 	e.place.free()
 	if !erred(reply) {
 		flight.Began(e.forwarder.Now())
-		e.room.noteAnswered(e.forwarder.Now().Sub(e.sent))
+		e.noteAnswered()
 	}
 	if err := e.begin(reply.Head, int64(len(body))); err != nil {
 		return err
@@ -85,7 +85,7 @@
 			return fmt.Errorf("reading the runner's stream: %w", err)
 		}
 		if first {
-			e.room.noteAnswered(e.forwarder.Now().Sub(e.sent))
+			e.noteAnswered()
 		}
 		if err := source.write(func() error { return e.passOn(next, reply) }); err != nil {
 			return err
--- a/internal/runnertable/orphans.go
+++ b/internal/runnertable/orphans.go
@@ -11,8 +11,8 @@
 // called before the table is used, by a node whose deployment had started before.
 func (t *Table) StartsAgain() { t.unheardFor = unheardFor }
 
-// unheard says whether the node has just started and knows nothing of the work at the runner.
-func (e *entry) unheard(now time.Time) bool {
+// unheardSinceStart says whether the node has just started and knows nothing of the work at the runner.
+func (e *entry) unheardSinceStart(now time.Time) bool {
 	return now.Before(e.unheardUntil) && !e.share.Within(shareMemory, now) && !e.load.Within(loadMemory, now)
 }
 
--- a/internal/runnertable/pace_test.go
+++ b/internal/runnertable/pace_test.go
@@ -92,7 +92,7 @@
 		for _, candidate := range table.runners {
 			assert.Equal(t, table.cost(candidate, wish, choice, now), costWithoutPace(table, candidate, wish, choice, now))
 			firm, _ := candidate.estimate(now)
-			assert.Equal(t, candidate.full(wish, now), float64(firm+1) > float64(max(candidate.runner.Slots, 1))*(1+queueShare))
+			assert.Equal(t, candidate.full(wish, now), float64(firm+1) > float64(max(candidate.runner.Slots, 1))*(1+QueueShare))
 		}
 	})
 }
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -16,10 +16,10 @@
 // ErrFull means that runners may take the request, and that online work takes the places of all of them.
 const ErrFull = failure.Kind("runner table: the places of all runners are taken")
 
-// queueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
+// QueueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
 // until nodes hear of it, and so little that a request can still be told that it will be late. On nine plays of three kinds of
 // overload none made .584 of the worth, a quarter .593, half .542, all that runners take .536.
-const queueShare = 0.25
+const QueueShare = 0.25
 
 // Costs are in milliseconds of expected delay to the first event, so that unlike things can be added.
 const (
@@ -74,6 +74,11 @@
 	// Full holds runners that refused the request a moment ago, because their places were taken. A nil map has the request
 	// sent also where it must wait at the runner.
 	Full map[ident.Incarnation]bool
+	// Scarce says that places are scarce: a runner is not thought to be free because nothing was heard of it.
+	Scarce bool
+	// Yields says that the request has no part in the short queue of runners, which is kept for others: it takes a slot that is free
+	// now or none. It counts only with Full.
+	Yields bool
 }
 
 // Pick chooses the runner with the least expected delay and starts a flight on it. The error wraps ErrNoRunner.
@@ -130,8 +135,15 @@
 	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
-	queue := queueShare / float64(e.pace.Now(now)) * max(places-float64(e.orphans(now)), 0)
-	return wish.Full[e.runner.ID] || !e.fits(wish, now) || e.unheard(now) || float64(firm+1) > places+queue
+	queue := QueueShare / float64(e.pace.Now(now)) * max(places-float64(e.orphans(now)), 0)
+	switch {
+	case !wish.Yields:
+	case !e.seenFree(now):
+		return true
+	default:
+		queue = 0
+	}
+	return wish.Full[e.runner.ID] || !e.fits(wish, now) || e.unheardSinceStart(now) || float64(firm+1) > places+queue
 }
 
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
@@ -204,6 +216,9 @@
 	reading := float64(candidate.pendingTokens+candidate.uncached(wish, candidate == choice.home, now)) / tokensPerMillisecond
 	cost += reading + t.slowness(candidate, wish, reading+queueCost*max(load-places, 0), now)
 	cost += t.zoneCost(candidate, wish, choice, firm, now)
+	if wish.Scarce && candidate.overdue(now) {
+		cost += unansweredCost
+	}
 	if candidate.silentFor(now) > silenceSuspect {
 		cost += silenceCost
 	}
