Begin items in half of the free places right after a common loss

Change: while nodes that have just started have not told of their work, half of a runner's free places may be used for items; an unread runner gets none, as before.

--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -223,13 +223,10 @@
 
 // room returns how many items more a runner by itself could take. The caller holds the mutex.
 func (w *Worker) room(runner work.Runner, now time.Time) int {
-	if w.loss.holdsItems(now) {
-		return 0
-	}
 	told := batchroom.Told{
 		Online: w.demand.Online(runner.ID, "", now), Any: w.demand.Any(now), Orphans: w.loss.at(runner.ID, now),
 	}
-	return w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.batchAt(runner.ID, now), told, now)
+	return w.loss.roomFor(runner.ID, w.gaugeOf(runner.ID).gauge.Room(runner.Slots, w.batchAt(runner.ID, now), told, now), now)
 }
 
 // gaugeOf returns the gauge of a runner. The caller holds the mutex.
--- a/internal/jobworker/orphans.go
+++ b/internal/jobworker/orphans.go
@@ -53,8 +53,20 @@
 	return l.watch.Settling(now) && (count == nil || !count.WasRead())
 }
 
-// holdsItems says whether no item is begun, because nodes that have just started have not told of their work.
-func (l *commonLoss) holdsItems(now time.Time) bool { return l.watch.Settling(now) && l.unsettled > 0 }
+// startShare of the room for items is used while nodes that have just started have not told of their work: the rest is for requests,
+// which are there at once. Items can't wait for all of them: those of the jobs in progress have lost time already.
+const startShare = 0.5
+
+// roomFor is how many items more may begin at a runner that has room for some.
+func (l *commonLoss) roomFor(id ident.Incarnation, room int, now time.Time) int {
+	switch {
+	case l.unread(id, now):
+		return 0
+	case l.watch.Settling(now) && l.unsettled > 0:
+		return int(startShare * float64(room))
+	}
+	return room
+}
 
 // followOrphans notes the work at the owned runners that is known of, so that their reports can be held against it. The caller
 // holds the mutex.
--- a/internal/orphans/watch.go
+++ b/internal/orphans/watch.go
@@ -8,8 +8,8 @@
 	Together = 3 * time.Second
 	// watchFor is how long orphans are looked for: longer than the longest run of an item at a runner that works at half its pace.
 	watchFor = 10 * time.Second
-	// settleFor is how long no item begins after a common loss: nodes come up over half a second, and the callers of the outage come
-	// back within the second after; what they take is not told before.
+	// settleFor is how long it takes until nodes have told of their work: they come up over half a second, and the callers of the outage
+	// come back within the second after.
 	settleFor = time.Second
 )
 
@@ -52,5 +52,5 @@
 	return usual
 }
 
-// Settling says that nodes have not had the time to tell of their work, so that no item is begun.
+// Settling says that nodes have not had the time to tell of their work.
 func (w *Watch) Settling(now time.Time) bool { return w.Open(now) && now.Sub(w.began) < settleFor }
