--- a/internal/online/body.go
+++ b/internal/online/body.go
@@ -2,10 +2,18 @@
 
 import (
 	"io"
+	"math/rand/v2"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/heldbytes"
 )
 
+// NoRoom is the answer to what the node cannot hold beside all else. It has not run.
+func NoRoom(err error) *failure.Error {
+	return failure.New(failure.CodeOverloaded, "the node holds as much as it can").WithCause(err).
+		WithRetryAfter(heldbytes.ReturnAfter(rand.Float64()))
+}
+
 // firstBodyStep is the first buffer of a body that does not tell its length, in bytes.
 const firstBodyStep = 8 << 10
 
