Hold no zone for cut where the node's own workers do not answer either

Change: contact with the workers of the own zone is kept too; where that is lost, misses of others prove nothing.

--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -39,7 +39,9 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.stopWaiting()
-	f.table.heard(f.Runner.Zone, f.chosen)
+	if f.isFar() {
+		f.table.heard(f.Runner.Zone, f.chosen)
+	}
 	if load != nil {
 		f.entry.observe(*load, now)
 	}
@@ -82,11 +84,15 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.entry.health.failed(failure, now)
-	if failure == Unreachable || failure == Silent {
+	if f.isFar() && (failure == Unreachable || failure == Silent) {
 		f.table.missed(f.Runner.Zone, string(f.Runner.ID), f.chosen, now)
 	}
 }
 
+// isFar says whether the runner is in another zone: whether that answers is learned from its runners too. Of the node's own zone only workers are
+// counted.
+func (f *Flight) isFar() bool { return f.Runner.Zone != f.table.zone }
+
 // observe takes over a runner's own count of its work.
 func (e *entry) observe(load work.Load, now time.Time) {
 	others := load.Running + load.Waiting - e.own[Online] - e.own[Batch]
--- a/internal/runnertable/zones.go
+++ b/internal/runnertable/zones.go
@@ -91,7 +91,7 @@
 func (t *Table) ZoneDoubted(zone ident.Zone) time.Time {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known := t.zones.contacts[zone]; known != nil {
+	if known := t.zones.contacts[zone]; known != nil && zone != t.zone {
 		return known.Doubted()
 	}
 	return time.Time{}
@@ -128,11 +128,8 @@
 
 // heard notes an answer. A zone that is back has the failures of its runners forgotten that were its own. The caller holds the mutex.
 func (t *Table) heard(zone ident.Zone, asked time.Time) {
-	if zone == t.zone {
-		return
-	}
 	since, back := t.contact(zone).Answered(asked)
-	if !back {
+	if !back || zone == t.zone {
 		return
 	}
 	for _, known := range t.runners {
@@ -144,9 +141,7 @@
 
 // missed notes a question without an answer. The caller holds the mutex.
 func (t *Table) missed(zone ident.Zone, by string, asked, now time.Time) {
-	if zone != t.zone {
-		t.contact(zone).Missed(by, asked, now)
-	}
+	t.contact(zone).Missed(by, asked, now)
 }
 
 func (t *Table) contact(zone ident.Zone) *zoneroom.Contact {
@@ -161,10 +156,11 @@
 	return known
 }
 
-// reach says whether a zone answers. The caller holds the mutex.
+// reach says whether a zone answers. A node that its own zone does not answer either is cut off by itself, which proves nothing of
+// the zones: runners may well answer it. The caller holds the mutex.
 func (t *Table) reach(zone ident.Zone, now time.Time) zoneroom.State {
-	known := t.zones.contacts[zone]
-	if known == nil {
+	known, own := t.zones.contacts[zone], t.zones.contacts[t.zone]
+	if known == nil || zone == t.zone || (own != nil && own.State(now) == zoneroom.Cut) {
 		return zoneroom.InTouch
 	}
 	return known.State(now)
--- a/internal/runnertable/zones_test.go
+++ b/internal/runnertable/zones_test.go
@@ -477,3 +477,24 @@
 	assert.Assert(t, counted.share("b") >= worstOfMean, "%v", counted)
 	assert.Assert(t, counted.left["c"] > counted.left["b"], "%v", counted)
 }
+
+// TestNodeThatHearsNoWorkerHoldsNoZoneForCut has all workers leave a node's questions without an answer, also those of its own zone, while runners
+// answer it. Its zone has no free place: requests go on to the runners of the other one.
+func TestNodeThatHearsNoWorkerHoldsNoZoneForCut(t *testing.T) {
+	for _, ownAnswers := range []bool{true, false} {
+		table := tableOf(runner("near", "a"), runner("far", "b"))
+		for _, worker := range []string{"1", "2"} {
+			table.MissedZone("b", worker, start, start.Add(zonedUnanswered))
+			if !ownAnswers {
+				table.MissedZone("a", worker, start, start.Add(zonedUnanswered))
+			}
+		}
+		now := start.Add(zonedUnanswered)
+		for range 6 {
+			_, err := table.StartAt("near", runnertable.Wish{Service: "s"}, now)
+			assert.NilError(t, err)
+		}
+		chosen := pick(t, table, now, runnertable.Wish{}).Runner.ID
+		assert.Equal(t, chosen == "far", !ownAnswers, "own zone answers: %v, chosen %s", ownAnswers, chosen)
+	}
+}
