--- /dev/null
+++ b/internal/runnertable/areas.go
@@ -0,0 +1,173 @@
+package runnertable
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/zoneroom"
+)
+
+const (
+	// fadesFrom and fadesTo are the ages between which the word of a runner's owner gives way to what is usual at the runners of its zone.
+	// An owner that is well tells each 50 ms where this node has work, and places are taken anew within the time of a run: one that says nothing
+	// while the others fill up would have its runners be the first choice of all nodes.
+	fadesFrom, fadesTo = 250 * time.Millisecond, time.Second
+	// freshness is the age at which a word has half the part in what is usual that a new one has.
+	freshness = 100 * time.Millisecond
+)
+
+// choice is what a choice of a runner goes by beside the runners.
+type choice struct {
+	areas []area
+	// goal is the zone that the request is to go to.
+	goal ident.Zone
+	// avoidCut says that zones out of reach get nothing.
+	avoidCut bool
+}
+
+// shuns says whether a runner gets nothing because its zone is out of reach.
+func (c choice) shuns(candidate *entry) bool {
+	return c.avoidCut && c.areas[candidate.zoneAt].state == zoneroom.Cut
+}
+
+// area is what a choice goes by in one zone.
+type area struct {
+	room zoneroom.Room
+	// state says whether the zone answers; its own zone always does.
+	state zoneroom.State
+	// taken and places are the online work of others and the places at the runners there, newer words having more part in them; age is
+	// that of the words, in seconds times places.
+	taken, places, age float64
+	// works says that a runner there may take the wish.
+	works bool
+}
+
+// survey works out what a choice goes by in each zone, and what is usual at the runners there. The caller holds the mutex.
+func (t *Table) survey(wish Wish, now time.Time) []area {
+	areas := make([]area, len(t.zones.names))
+	for index, zone := range t.zones.names {
+		areas[index] = area{room: zoneroom.Room{Zone: zone}, state: t.reach(zone, now)}
+	}
+	entries := t.services[wish.Service]
+	for _, known := range entries {
+		if known.share.Within(shareMemory, now) {
+			age, places := max(known.share.Age(now), 0), float64(max(known.runner.Slots, 1))
+			part := float64(freshness) / float64(freshness+age)
+			there := &areas[known.zoneAt]
+			there.taken += part * float64(known.share.Value().others)
+			there.places += part * places
+			there.age += part * places * age.Seconds()
+		}
+	}
+	for _, known := range entries {
+		there := &areas[known.zoneAt]
+		places := float64(max(known.runner.Slots, 1))
+		known.usual = 0
+		if there.places > 0 {
+			known.usual = there.taken / there.places * places
+		}
+		if !known.eligible(wish, now) {
+			continue
+		}
+		there.works = true
+		if known.share.Within(shareMemory, now) {
+			firm, _ := known.estimate(now)
+			there.room.Places += places
+			there.room.Taken += float64(firm)
+		}
+	}
+	return areas
+}
+
+// used is the part of the places that is taken.
+func (a area) used() float64 { return a.room.Taken / max(a.room.Places, 1) }
+
+// past returns what the zone of this node had taken of a service lately. The caller holds the mutex.
+func (t *Table) past(service string) *zoneroom.Past {
+	if t.zones.pasts == nil {
+		t.zones.pasts = map[string]*zoneroom.Past{}
+	}
+	if t.zones.pasts[service] == nil {
+		t.zones.pasts[service] = &zoneroom.Past{}
+	}
+	return t.zones.pasts[service]
+}
+
+// noteZone takes note of what the zone of this node has taken, for each service that is in several. The caller holds the mutex.
+func (t *Table) noteZone(now time.Time) {
+	if len(t.zones.names) < 2 {
+		return
+	}
+	for service, entries := range t.services {
+		var own area
+		for _, known := range entries {
+			if known.runner.Zone == t.zone && known.share.Within(shareMemory, now) {
+				firm, _ := known.estimate(now)
+				own.room.Places += float64(max(known.runner.Slots, 1))
+				own.room.Taken += float64(firm)
+			}
+		}
+		t.past(service).Note(own.used(), now)
+	}
+}
+
+// avoidCut says whether zones that are out of reach get nothing: as long as another zone has a runner that may take the wish, however
+// full it is.
+func avoidCut(areas []area) bool {
+	return slices.ContainsFunc(areas, func(there area) bool { return there.works && there.state != zoneroom.Cut })
+}
+
+// goal returns the zone that a request is to go to. The caller holds the mutex.
+func (t *Table) goal(wish Wish, areas []area, now time.Time, random *rand.Rand) ident.Zone {
+	own := slices.IndexFunc(areas, func(there area) bool { return there.room.Zone == t.zone })
+	if wish.Class != Online || own < 0 || len(areas) < 2 {
+		return t.zone
+	}
+	past, used := t.past(wish.Service), areas[own].used()
+	past.Note(used, now)
+	var others []zoneroom.Room
+	for index, there := range areas {
+		if index != own && there.state == zoneroom.InTouch && there.room.Places > 0 {
+			told := now.Add(-time.Duration(there.age / there.places * float64(time.Second)))
+			there.room.Taken += past.Rise(used, told) * there.room.Places
+			others = append(others, there.room)
+		}
+	}
+	if len(others) == 0 {
+		return t.zone
+	}
+	if t.zones.splits == nil {
+		t.zones.splits = map[string]*zoneroom.Split{}
+	}
+	split := t.zones.splits[wish.Service]
+	if split == nil {
+		split = &zoneroom.Split{}
+		t.zones.splits[wish.Service] = split
+	}
+	return split.Draw(areas[own].room, others, way(wish), random.Float64())
+}
+
+// nameZones gives each runner the place of its zone among all. The caller holds the mutex.
+func (t *Table) nameZones() {
+	t.zones.names = t.zones.names[:0]
+	for _, known := range t.runners {
+		t.zones.names = append(t.zones.names, known.runner.Zone)
+	}
+	slices.Sort(t.zones.names)
+	t.zones.names = slices.Compact(t.zones.names)
+	for _, known := range t.runners {
+		known.zoneAt, _ = slices.BinarySearch(t.zones.names, known.runner.Zone)
+	}
+}
+
+// overdue is how far a word of some age has given way to what is usual: from 0 to 1.
+func overdue(age time.Duration) float64 {
+	return min(max(float64(age-fadesFrom)/float64(fadesTo-fadesFrom), 0), 1)
+}
+
+// faded is the online work of others, where some of an age was told.
+func (e *entry) faded(told int, gone float64) int {
+	return int(float64(told)*(1-gone) + e.usual*gone + 0.5)
+}
