Keep a zone's workers until all of them have their registrations back

Cause: registrations come back one after the other; a list with one of four made that one the owner of all runners of the zone in the eyes of the fronts that had read it.

Change: those that lack theirs stay for as long as they answer, four seconds at most.

--- a/internal/jobpeer/neighbours.go
+++ b/internal/jobpeer/neighbours.go
@@ -23,9 +23,9 @@
 // neighbours knows none. It is safe for concurrent use.
 type neighbours struct {
 	mutex sync.Mutex
-	// last are the workers of the zone that were last listed, listed is when.
-	last   []jobrecord.Worker
-	listed time.Time
+	// last are the workers of the zone before all of them vanished from the list, vanished is when that was; zero once they are back.
+	last     []jobrecord.Worker
+	vanished time.Time
 	// heard is when each of them was last asked and answered, by address.
 	heard map[string]time.Time
 }
@@ -40,22 +40,39 @@
 	n.heard[address] = asked
 }
 
-// workers returns the workers to go by, given those that are listed.
+// workers returns the workers to go by, given those that are listed. While the zone gets its registrations back, one after the other, those
+// that lack theirs stay: the owners of its runners would change with each.
 func (n *neighbours) workers(zone ident.Zone, listed []jobrecord.Worker, now time.Time) []jobrecord.Worker {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	near := slices.DeleteFunc(slices.Clone(listed), func(worker jobrecord.Worker) bool { return worker.Zone != zone })
-	if len(near) > 0 {
-		n.last, n.listed = near, now
-		return listed
+	if len(near) == 0 && n.vanished.IsZero() {
+		n.vanished = now
 	}
-	if now.Sub(n.listed) >= unlistedFor {
+	if n.vanished.IsZero() || now.Sub(n.vanished) >= unlistedFor {
+		n.forgetVanished(near)
 		return listed
 	}
+	lacking := 0
 	for _, worker := range n.last {
+		if slices.Contains(near, worker) {
+			continue
+		}
+		lacking++
 		if now.Sub(n.heard[worker.Address]) < answersFor {
 			listed = append(listed, worker)
 		}
 	}
+	if lacking == 0 {
+		n.forgetVanished(near)
+	}
 	return listed
 }
+
+// forgetVanished goes by the list again. The caller holds the mutex.
+func (n *neighbours) forgetVanished(near []jobrecord.Worker) {
+	n.last = near
+	if len(near) > 0 {
+		n.vanished = time.Time{}
+	}
+}
