Let first attempts go before requests that come again too late

Change: while requests of a tenant are refused at a node, one that comes again gives way. It is told by the time that its caller has left, against the times that callers of the tenant give at first on the route. The limit is untouched. Ruled out, by reasoning and not played: longer times to come back (callers keep to them for a third of the time that they have, and more come when there is no room either way).

--- a/internal/access/limiter.go
+++ b/internal/access/limiter.go
@@ -55,6 +55,7 @@
 	// usage is what tenants sent since it was logged last.
 	usage      map[ident.Tenant]*usage
 	usageSince time.Time
+	returns    returns
 }
 
 // usage counts the requests of a tenant.
@@ -81,17 +82,23 @@
 	})
 }
 
-// Admit returns nil for a request within its tenant's limit. The error is a *failure.Error of one that was not run.
-func (l *Limiter) Admit(ctx context.Context, tenant *work.Tenant) error {
+// Admit returns nil for a request within its tenant's limit. While requests of the tenant are refused that can be on time, one that comes
+// again too late for that is refused for them: it would take the place of one of theirs. The error is a *failure.Error of a request that
+// was not run.
+func (l *Limiter) Admit(ctx context.Context, tenant *work.Tenant, asked Asked) error {
 	if l == nil || tenant == nil {
 		return nil
 	}
 	limit := quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst}
-	verdict := l.Meter.Take(tenant.Name, limit, l.Now())
+	again, gives := l.givesWay(tenant.Name, limit, asked)
+	verdict := quota.Verdict{Decision: quota.Refuse, After: spread}
+	if !gives {
+		verdict = l.Meter.Take(tenant.Name, limit, l.Now())
+	}
 	if verdict.Decision == quota.Ask {
 		verdict = l.await(ctx, tenant.Name, limit)
 	}
-	l.count(tenant.Name, verdict.Decision)
+	l.count(tenant.Name, verdict.Decision, again)
 	if verdict.Decision == quota.Admit {
 		return nil
 	}
@@ -165,10 +172,25 @@
 	l.tellNews()
 }
 
+// givesWay says whether a request comes again too late to be on time, and whether it is refused for those that can be.
+func (l *Limiter) givesWay(tenant ident.Tenant, limit quota.Limit, asked Asked) (again, gives bool) {
+	if !limit.Bounded() {
+		return false, false
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.Now()
+	again = l.returns.again(tenant, asked, now)
+	return again, again && l.returns.isPressed(tenant, now)
+}
+
 // count notes what became of a request.
-func (l *Limiter) count(tenant ident.Tenant, decision quota.Decision) {
+func (l *Limiter) count(tenant ident.Tenant, decision quota.Decision, again bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if decision != quota.Admit && !again {
+		l.returns.press(tenant, l.Now())
+	}
 	counted := l.usage[tenant]
 	if counted == nil {
 		counted = &usage{tenant: tenant}
--- a/internal/access/limiter_test.go
+++ b/internal/access/limiter_test.go
@@ -91,7 +91,7 @@
 			go func() {
 				defer all.Done()
 				time.Sleep(time.Duration(float64(sent) / rate * float64(time.Second)))
-				err := limiter.Admit(context.Background(), tenant)
+				err := limiter.Admit(context.Background(), tenant, access.Asked{})
 				mutex.Lock()
 				defer mutex.Unlock()
 				if err == nil {
@@ -174,7 +174,7 @@
 		limiter := newAccount(quota.Limit{Rate: clinic.Rate, Burst: clinic.Burst}).limiter("a", parent)
 		parent.Kill(nil)
 		assert.NilError(t, parent.Wait())
-		err := limiter.Admit(context.Background(), clinic)
+		err := limiter.Admit(context.Background(), clinic, access.Asked{})
 		assert.Assert(t, err == nil || failure.As(err).Outcome == outcome.NotRun)
 	})
 }
@@ -194,6 +194,6 @@
 		assert.Check(t, play(t, limiters, free, 100, time.Second) == 200)
 		assert.Check(t, account.calls == 0)
 		var none *access.Limiter
-		assert.Check(t, none.Admit(context.Background(), clinic) == nil)
+		assert.Check(t, none.Admit(context.Background(), clinic, access.Asked{}) == nil)
 	})
 }
