Count requests as coming again from two thirds of their objective on

Cause: one that comes again after 250 of 300 ms is let through and late all the same. Change: a third of the objective is left for the answer.

--- a/internal/access/again.go
+++ b/internal/access/again.go
@@ -14,6 +14,8 @@
 	// usualAfter is how many requests that give the same time make it a usual one: callers give round times at first, and whatever is left of
 	// them when they come again.
 	usualAfter = 3
+	// gonePart of its objective is how much time of a request may have gone by for it to be on time yet: the rest is for its answer.
+	gonePart = 2.0 / 3
 	// timesFor is how long the times that requests give are counted, mostTimes how many of them for each tenant and route.
 	timesFor  = 10 * time.Second
 	mostTimes = 256
@@ -47,8 +49,8 @@
 	pressed map[ident.Tenant]time.Time
 }
 
-// again counts a request and says whether it comes again and can't be on time any more: less of the usual time is left than the objective
-// allows, and it is no usual time itself.
+// again counts a request and says whether it comes again and can't be on time any more: too much of the usual time has gone by for its
+// objective, and what is left is no usual time itself.
 func (r *returns) again(tenant ident.Tenant, asked Asked, now time.Time) bool {
 	if asked.Left <= 0 || asked.Route == nil || asked.Route.Objective <= 0 {
 		return false
@@ -69,7 +71,8 @@
 		known.longest = max(known.longest, asked.Left)
 		return false
 	}
-	return asked.Left+asked.Route.Objective < known.longest
+	gone := known.longest - asked.Left
+	return gone > time.Duration(gonePart*float64(asked.Route.Objective))
 }
 
 // isPressed says whether a tenant's requests that may be on time are refused.
