Leave a tenant alone unbounded

Cause: while requests of one tenant wait and no other has any, it wants more than there is, was bounded and lost the short queue at runners for nobody. Change: places are divided among two at least. The test of nodes' turns has a second tenant for that; its check is the same.

--- a/internal/fairshare/account.go
+++ b/internal/fairshare/account.go
@@ -188,6 +188,12 @@
 	s.forget(now)
 	claims, rest, taken := s.claims(fleet)
 	s.places = s.placesOf(taken, fleet, now)
+	s.parts = make(map[ident.Node][]demand.Bound, len(s.nodes))
+	if len(claims) < 2 && rest == 0 {
+		// A tenant alone has all places.
+		clear(s.over)
+		return
+	}
 	// The tenants that no node names have few places each, and what they want.
 	shares := Shares(s.places-float64(rest), claims)
 	most := mostForWeight(claims, shares, s.places)
@@ -197,7 +203,6 @@
 		share := max(shares[index], min(most*claim.Weight, s.places), s.places*claim.Weight/max(fleet.Weights, claim.Weight))
 		s.bound(claim, share, now)
 	}
-	s.parts = make(map[ident.Node][]demand.Bound, len(s.nodes))
 	nodes := s.inTurn(now)
 	for _, tenant := range slices.Sorted(maps.Keys(s.over)) {
 		if known := s.over[tenant]; now.Sub(known.since) > wantsLessFor {
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -78,6 +78,14 @@
 	assert.Equal(t, len(node.tell(100, begin, use("hot", 90, 0), use("other", 5, 0))), 0)
 }
 
+// TestTenantAloneIsNotBounded has requests of one tenant wait, and of no other.
+func TestTenantAloneIsNotBounded(t *testing.T) {
+	node := reporter{keeper: &fairshare.Account{}, node: "a"}
+	assert.DeepEqual(t, node.tell(100, begin, use("alone", 100, 40)), map[ident.Tenant]int{"": 0})
+	assert.Equal(t, len(node.tell(100, begin.Add(time.Second), use("alone", 90, 40), use("other", 10, 0))), 2)
+	assert.DeepEqual(t, node.tell(100, begin.Add(2*time.Second), use("alone", 100, 40)), map[ident.Tenant]int{"": 0})
+}
+
 // TestOnlyWhoIsOverItsShareIsBounded has one tenant want most of the places beside two that want little.
 func TestOnlyWhoIsOverItsShareIsBounded(t *testing.T) {
 	node := reporter{keeper: &fairshare.Account{}, node: "a"}
@@ -117,7 +125,7 @@
 	})
 }
 
-// TestNodeWhosePartIsUnderOnePlaceGetsOneInItsTurn has forty nodes share ten places, for a minute.
+// TestNodeWhosePartIsUnderOnePlaceGetsOneInItsTurn has forty nodes share ten places but one, for a minute.
 func TestNodeWhosePartIsUnderOnePlaceGetsOneInItsTurn(t *testing.T) {
 	keeper := &fairshare.Account{}
 	var reporters []*reporter
@@ -126,8 +134,12 @@
 	}
 	had := map[ident.Node]int{}
 	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(250 * time.Millisecond) {
-		for _, one := range reporters {
-			had[one.node] += one.tell(10, now, use("hot", 1, 1))["hot"]
+		for index, one := range reporters {
+			uses := []demand.Use{use("hot", 1, 1)}
+			if index == 0 {
+				uses = append(uses, use("other", 1, 0))
+			}
+			had[one.node] += one.tell(10, now, uses...)["hot"]
 		}
 	}
 	for _, one := range reporters {
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -16,10 +16,10 @@
 // ErrFull means that runners may take the request, and that online work takes the places of all of them.
 const ErrFull = failure.Kind("runner table: the places of all runners are taken")
 
-// QueueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
+// queueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
 // until nodes hear of it, and so little that a request can still be told that it will be late. On nine plays of three kinds of
 // overload none made .584 of the worth, a quarter .593, half .542, all that runners take .536.
-const QueueShare = 0.25
+const queueShare = 0.25
 
 // Costs are in milliseconds of expected delay to the first event, so that unlike things can be added.
 const (
@@ -128,7 +128,7 @@
 	places := float64(max(e.runner.Slots, 1))
 	switch {
 	case !wish.Yields:
-		places *= 1 + QueueShare
+		places *= 1 + queueShare
 	case !e.seenFree(now):
 		return true
 	}
