--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -23,9 +23,8 @@
 	// pauseCost is added for a runner that can't keep to the pause between events: more than all else, so that any other that may
 	// take the request is chosen.
 	pauseCost = 1e5
-	// wordMemory is the age up to which the word of an owner in another zone is one to go by, unansweredCost what a runner there costs more with
-	// an older one: in a peak one in four requests that went by such a word was late, and one in forty of those that were the first to
-	// wait at a runner of the own zone.
+	// wordMemory is the age up to which the word of an owner that is told of work each 50 ms is one to go by, unansweredCost what its runner
+	// costs more with an older one: as for the short queue that may be there.
 	wordMemory     = 150 * time.Millisecond
 	unansweredCost = 2 * queueCost
 )
