Have the wait for the fleet decided outside the dialect

Cause: TestThePlatformDecidesNothing: the platform's package used a ticker. Change: internal/site has the wait, the front is handed it. The tests stay as they were, on the front.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -21,6 +21,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/quota"
+	"mallowlatch.example/mallowlatch/internal/site"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
 	"mallowlatch.example/mallowlatch/internal/transport"
 	"mallowlatch.example/mallowlatch/platform"
@@ -62,8 +63,9 @@
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
 	process.tellDemand(holders)
 	holders.TellEnds(process.tomb, process.ends)
+	start := &site.Start{Known: process.knowsFleet, Now: clock.Now}
 	front := &platform.Front{
-		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Limiter: process.limiter(holders), Known: process.knowsFleet, Stopping: process.lifecycle.Stopping,
+		Routes: process.routes, Serve: forwarder.Serve, Jobs: platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate), Gate: gate, Limiter: process.limiter(holders), Await: start.Await, Stopping: process.lifecycle.Stopping,
 		Logger: process.logger, Now: clock.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
--- a/platform/start.go
+++ b/internal/site/await.go
@@ -1,4 +1,4 @@
-package platform
+package site
 
 import (
 	"context"
@@ -13,14 +13,21 @@
 	startLook = 5 * time.Millisecond
 )
 
-// awaitFleet waits until the node knows configuration and runners, as long as a request that arrived at a time may wait for it.
-func (f *Front) awaitFleet(ctx context.Context, arrived time.Time) {
-	if f.Known == nil || f.Known() {
+// Start is the beginning of a process's service: requests wait until the process knows the fleet.
+type Start struct {
+	// Known says whether it knows the configuration and the runners.
+	Known func() bool
+	Now   func() time.Time
+}
+
+// Await returns once the fleet is known, or when a request that arrived at a time may wait for it no longer.
+func (s *Start) Await(ctx context.Context, arrived time.Time) {
+	if s.Known() {
 		return
 	}
 	ticker := time.NewTicker(startLook)
 	defer ticker.Stop()
-	for f.Now().Sub(arrived) < startPatience && !f.Known() {
+	for s.Now().Sub(arrived) < startPatience && !s.Known() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
