--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -21,6 +21,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/quota"
+	"mallowlatch.example/mallowlatch/internal/site"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
 	"mallowlatch.example/mallowlatch/internal/transport"
 	"mallowlatch.example/mallowlatch/platform"
@@ -64,9 +65,10 @@
 	holders.TellEnds(process.tomb, process.ends)
 	jobs := platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate)
 	jobs.Held = process.held
+	start := &site.Start{Known: process.knowsFleet, Now: clock.Now}
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: jobs, Gate: gate, Limiter: process.limiter(holders), Held: process.held,
-		Known: process.knowsFleet, Stopping: process.lifecycle.Stopping, Logger: process.logger, Now: clock.Now,
+		Await: start.Await, Stopping: process.lifecycle.Stopping, Logger: process.logger, Now: clock.Now,
 	}
 	callers, err := process.serve(settings.Listen.Callers, front)
 	if err != nil {
