Write the lines that sum up figures in one loop

Cause: three loops of a process of the platform's machines stood side by side, alike but for what they do each time.

Change: one function calls another again and again; the three lines that sum up what was counted are written one after the other.

Ruled out: nothing. Figures: none.

--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -40,8 +40,8 @@
 	storeIdle         = 8
 	// idleSweep is the time between closings of connections past their time.
 	idleSweep = 2 * time.Second
-	// storeCallsEvery is the time between two lines of the calls made to the store: rare enough to cost nothing.
-	storeCallsEvery = 10 * time.Second
+	// figuresEvery is the time between two lines that sum up what was counted: rare enough to cost nothing.
+	figuresEvery = 10 * time.Second
 )
 
 // process is what both roles share: the connections, what is known of the fleet, and the logs.
@@ -144,24 +144,30 @@
 	role.Options.StartGrace = p.startGrace()
 	role.Logger, role.Now, role.Forget = p.logger, clock.Now, p.caller.Pool.Forget
 	role.Start(p.tomb)
-	p.tomb.Go(p.sweepConnections)
-	p.tomb.Go(p.tellStoreCalls)
-	p.tomb.Go(p.tellSlowRunners)
+	p.each(idleSweep, p.sweepConnections)
+	p.each(figuresEvery, p.tellFigures)
 }
 
-func (p *process) sweepConnections() error {
-	ticker := time.NewTicker(idleSweep)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-p.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			p.tellSleep()
-			p.caller.Pool.CloseExpired()
-			p.storePool.CloseExpired()
+// each calls a function again and again until the process ends.
+func (p *process) each(interval time.Duration, do func()) {
+	p.tomb.Go(func() error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-p.tomb.Dying():
+				return nil
+			case <-ticker.C:
+				do()
+			}
 		}
-	}
+	})
+}
+
+func (p *process) sweepConnections() {
+	p.tellSleep()
+	p.caller.Pool.CloseExpired()
+	p.storePool.CloseExpired()
 }
 
 // tellSleep writes a line where the machine was suspended since the last look.
@@ -173,49 +179,33 @@
 	}
 }
 
-// tellStoreCalls writes a line of the calls made to the store now and then.
-func (p *process) tellStoreCalls() error {
-	ticker := time.NewTicker(storeCallsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-p.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			if counts := p.store.Take(); len(counts) > 0 {
-				event.StoreCalls.Log(p.logger).Interface("calls", counts).Send()
-			}
-			p.tellHeld()
-		}
-	}
+// tellFigures writes the lines that sum up what was counted since the last ones.
+func (p *process) tellFigures() {
+	p.tellStoreCalls()
+	p.tellHeld()
+	p.tellSlowRunners()
 }
 
-// slowRunnersEvery is the time between two lines on slow runners.
-const slowRunnersEvery = 10 * time.Second
-
-// tellSlowRunners writes a line now and then of the runners that turned slow, and what the choices did with them.
-func (p *process) tellSlowRunners() error {
-	ticker := time.NewTicker(slowRunnersEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-p.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			counted, slow := p.runners.TakeSlowPhases(clock.Now())
-			if counted == (runnertable.SlowPhases{}) && len(slow) == 0 {
-				continue
-			}
-			event.RunnersSlow.Log(p.logger).Int("begun", counted.Begun).Int("ended", counted.Ended).
-				Int("slow", len(slow)).Strs("runners", slow[:min(len(slow), slowRunnersNamed)]).
-				Int("choices", counted.Chosen).Int("at_slow", counted.Slow).Int("beyond_pause", counted.Beyond).Send()
-		}
+func (p *process) tellStoreCalls() {
+	if counts := p.store.Take(); len(counts) > 0 {
+		event.StoreCalls.Log(p.logger).Interface("calls", counts).Send()
 	}
 }
 
-// slowRunnersNamed bounds the names in such a line.
+// slowRunnersNamed bounds the names in a line on slow runners.
 const slowRunnersNamed = 8
 
+// tellSlowRunners writes a line of the runners that turned slow, and what the choices did with them.
+func (p *process) tellSlowRunners() {
+	counted, slow := p.runners.TakeSlowPhases(clock.Now())
+	if counted == (runnertable.SlowPhases{}) && len(slow) == 0 {
+		return
+	}
+	event.RunnersSlow.Log(p.logger).Int("begun", counted.Begun).Int("ended", counted.Ended).
+		Int("slow", len(slow)).Strs("runners", slow[:min(len(slow), slowRunnersNamed)]).
+		Int("choices", counted.Chosen).Int("at_slow", counted.Slow).Int("beyond_pause", counted.Beyond).Send()
+}
+
 // tellHeld writes a line of what is held for callers, where it is much or something was refused or cut for it.
 func (p *process) tellHeld() {
 	tally := p.held.Take()
