--- a/internal/access/again.go
+++ b/internal/access/again.go
@@ -10,7 +10,7 @@
 const (
 	// pressedFor is how long after a request was refused its tenant counts as pressed: what it may send is wanted by requests that can be on
 	// time.
-	pressedFor = time.Second
+	pressedFor = 500 * time.Millisecond
 	// usualAfter is how many requests that give the same time make it a usual one: callers give round times at first, and whatever is left of
 	// them when they come again.
 	usualAfter = 3
