--- a/internal/runnertable/areas.go
+++ b/internal/runnertable/areas.go
@@ -37,9 +37,8 @@
 	room zoneroom.Room
 	// state says whether the zone answers; its own zone always does.
 	state zoneroom.State
-	// taken and places are the online work of others and the places at the runners there, newer words having more part in them; age is
-	// that of the words, in seconds times places.
-	taken, places, age float64
+	// taken and places are the online work of others and the places at the runners there, newer words having more part in them.
+	taken, places float64
 	// works says that a runner there may take the wish.
 	works bool
 }
@@ -58,7 +57,6 @@
 			there := &areas[known.zoneAt]
 			there.taken += part * float64(known.share.Value().others)
 			there.places += part * places
-			there.age += part * places * age.Seconds()
 		}
 	}
 	for _, known := range entries {
@@ -81,38 +79,6 @@
 	return areas
 }
 
-// used is the part of the places that is taken.
-func (a area) used() float64 { return a.room.Taken / max(a.room.Places, 1) }
-
-// past returns what the zone of this node had taken of a service lately. The caller holds the mutex.
-func (t *Table) past(service string) *zoneroom.Past {
-	if t.zones.pasts == nil {
-		t.zones.pasts = map[string]*zoneroom.Past{}
-	}
-	if t.zones.pasts[service] == nil {
-		t.zones.pasts[service] = &zoneroom.Past{}
-	}
-	return t.zones.pasts[service]
-}
-
-// noteZone takes note of what the zone of this node has taken, for each service that is in several. The caller holds the mutex.
-func (t *Table) noteZone(now time.Time) {
-	if len(t.zones.names) < 2 {
-		return
-	}
-	for service, entries := range t.services {
-		var own area
-		for _, known := range entries {
-			if known.runner.Zone == t.zone && known.share.Within(shareMemory, now) {
-				firm, _ := known.estimate(now)
-				own.room.Places += float64(max(known.runner.Slots, 1))
-				own.room.Taken += float64(firm)
-			}
-		}
-		t.past(service).Note(own.used(), now)
-	}
-}
-
 // avoidCut says whether zones that are out of reach get nothing: as long as another zone has a runner that may take the wish, however
 // full it is.
 func avoidCut(areas []area) bool {
@@ -120,18 +86,14 @@
 }
 
 // goal returns the zone that a request is to go to. The caller holds the mutex.
-func (t *Table) goal(wish Wish, areas []area, now time.Time, random *rand.Rand) ident.Zone {
+func (t *Table) goal(wish Wish, areas []area, random *rand.Rand) ident.Zone {
 	own := slices.IndexFunc(areas, func(there area) bool { return there.room.Zone == t.zone })
 	if wish.Class != Online || own < 0 || len(areas) < 2 {
 		return t.zone
 	}
-	past, used := t.past(wish.Service), areas[own].used()
-	past.Note(used, now)
 	var others []zoneroom.Room
 	for index, there := range areas {
 		if index != own && there.state == zoneroom.InTouch && there.room.Places > 0 {
-			told := now.Add(-time.Duration(there.age / there.places * float64(time.Second)))
-			there.room.Taken += past.Rise(used, told) * there.room.Places
 			others = append(others, there.room)
 		}
 	}
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -75,7 +75,7 @@
 	defer t.mutex.Unlock()
 	areas := t.survey(wish, now)
 	home := t.home(wish, now)
-	choice := choice{areas: areas, goal: t.goal(wish, areas, now, random), avoidCut: avoidCut(areas)}
+	choice := choice{areas: areas, goal: t.goal(wish, areas, random), avoidCut: avoidCut(areas)}
 	best := t.cheapest(wish, home, choice, now, random)
 	if best == nil && t.anyFull(wish, now) {
 		return nil, fmt.Errorf("%w: service %s", ErrFull, wish.Service)
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -26,7 +26,6 @@
 func (t *Table) Online(now time.Time) map[work.Runner]demand.Count {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.noteZone(now)
 	online := map[work.Runner]demand.Count{}
 	for id, known := range t.runners {
 		count := demand.Count{Runner: id, Online: known.own[Online], Suspect: known.health.ejected(now)}
--- a/internal/runnertable/zones.go
+++ b/internal/runnertable/zones.go
@@ -28,9 +28,8 @@
 	// names are those of the zones of all runners, in order.
 	names    []ident.Zone
 	contacts map[ident.Zone]*zoneroom.Contact
-	// splits and pasts are by service.
+	// splits are by service.
 	splits map[string]*zoneroom.Split
-	pasts  map[string]*zoneroom.Past
 	// told is the state of each zone that was last told.
 	told map[ident.Zone]zoneroom.State
 	left map[Departure]int
--- a/internal/zoneroom/zoneroom_test.go
+++ b/internal/zoneroom/zoneroom_test.go
@@ -162,18 +162,3 @@
 	assert.Equal(t, split.Draw(room("a", 100, 70), other, way, 0), ident.Zone("a"))
 	assert.Equal(t, split.Draw(between, other, way, 0), ident.Zone("a"))
 }
-
-// TestRiseIsThatSinceAMoment has a zone fill up within a second, and be read and noted at other times.
-func TestRiseIsThatSinceAMoment(t *testing.T) {
-	var past zoneroom.Past
-	assert.Equal(t, past.Rise(0.8, at(0)), 0.0, "nothing is known of before")
-	for ms := 0; ms <= 1000; ms += 10 {
-		past.Note(float64(ms)/1000, at(ms))
-	}
-	assert.Equal(t, past.Rise(1, at(500)), 0.5)
-	assert.Equal(t, past.Rise(1, at(990)), 0.0)
-	assert.Equal(t, past.Rise(1, at(-5000)), 1.0, "no more than is known")
-	assert.Equal(t, past.Rise(0.2, at(500)), 0.0, "a zone that empties has no others filled")
-	past.Note(1, at(3000))
-	assert.Equal(t, past.Rise(1, at(500)), 0.0, "what is older than the words of other zones is forgotten")
-}
