Take a process that was followed by another one for ended, not for cut off

An owner left the shares of killed processes to them for up to a minute: it took them for cut off, because the processes after them told of other tenants. Since tenants are told of only when something changed, the last word of a killed process is older than it was, so that nearly all of them were taken for cut off.

Change: a holding of a process that another one at the node has followed is not cut off; what it let through counts for its window, as before.

TestProcessThatEndedHoldsNothingBack was seen to fail without the change.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -136,6 +136,13 @@
 	return known.kept
 }
 
+// hasEnded says whether the process of which a holding is has been followed by another one, which tells of other tenants: it is not cut
+// off, and lets nothing through any more. The caller holds the mutex.
+func (l *Ledger) hasEnded(node ident.Node, held *holding) bool {
+	known := l.nodes[node]
+	return known != nil && known.incarnation > held.incarnation
+}
+
 // silenceOf is after how long a node is taken for cut off.
 func silenceOf(tight bool) time.Duration {
 	if tight {
@@ -369,7 +376,7 @@
 			continue
 		}
 		limit := silenceOf(held.tight)
-		cut := silent > limit && held.idleAt.Sub(heard) > limit
+		cut := silent > limit && held.idleAt.Sub(heard) > limit && !l.hasEnded(node, held)
 		if cut {
 			sum.cut += held.share
 		}
--- a/internal/quota/telling_test.go
+++ b/internal/quota/telling_test.go
@@ -162,3 +162,25 @@
 		r.pass(100 * time.Millisecond)
 	}
 }
+
+// TestProcessThatEndedHoldsNothingBack has a tenant's only node be killed and come back, where the tenant's callers now meet another node.
+// The killed process is not cut off: its node tells of other tenants. What it let through counts for a window and no longer, so that
+// a small tenant is served as before within some seconds, and not refused for a minute.
+func TestProcessThatEndedHoldsNothingBack(t *testing.T) {
+	r := newTellerRig(t)
+	r.limit = Limit{Rate: 1, Burst: 1}
+	r.request("small")
+	// The owner tells of shares once all nodes had time to tell it of the tenant.
+	r.now = r.now.Add(2 * time.Second)
+	r.request("small")
+	r.meter = NewMeter("node", 2, simWindow, r.now)
+	for range 10 {
+		r.now = r.now.Add(time.Second)
+		r.request("other")
+	}
+	r.meter = NewMeter("another", 1, simWindow, r.now.Add(-time.Hour))
+	for range 3 {
+		r.request("small")
+		r.now = r.now.Add(time.Second)
+	}
+}
