Read the steady clock last, so that a lost processor is no sleep

Cause: the steady clock was read before the one that counts the time asleep; a thread that lost its processor between them saw them apart by that time (8 ms once, up to 5.7 ms in a loop), which counted as a sleep of the machine and brought deadlines closer. Change: the steady clock is read last, so that the loss makes the difference smaller; at the start the opposite bound is taken, the least of sixteen readings. A sleep noticed too short is counted in whole by the next reading. Ruled out: a third reading each time (half as dear again on every reading of the time) and a longer least sleep (8 ms would still pass). Test: TestLostProcessorIsNoSleep fails with the old order (20 ms at reading 1). Tests of the package replace the two clocks in place of their difference; their checks are the same.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -17,21 +18,44 @@
 // ErrUnreadable means that the system's clocks cannot be read.
 const ErrUnreadable = failure.Kind("clock: unreadable")
 
-// aheadOf returns by how much the clock that counts the time asleep is ahead of the one that does not. Tests replace it.
-var aheadOf = func() (time.Duration, error) {
-	// The time asleep is the difference between the two, so that it is nothing where the steady clock is simulated.
-	var steady, counting unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
-		return 0, fmt.Errorf("%w: steady clock: %w", ErrUnreadable, err)
+// steady stands still while the machine is suspended, counting goes on. Both are read past the standard library, so that their difference
+// is nothing where its clock is simulated. Tests replace them.
+var (
+	steady   = func() (time.Duration, error) { return read(unix.CLOCK_MONOTONIC) }
+	counting = func() (time.Duration, error) { return read(unix.CLOCK_BOOTTIME) }
+)
+
+func read(clock int32) (time.Duration, error) {
+	var at unix.Timespec
+	if err := unix.ClockGettime(clock, &at); err != nil {
+		return 0, fmt.Errorf("%w: clock %d: %w", ErrUnreadable, clock, err)
 	}
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &counting); err != nil {
-		return 0, fmt.Errorf("%w: clock since the boot: %w", ErrUnreadable, err)
+	return time.Duration(at.Nano()), nil
+}
+
+// aheadAtLeast returns by how much the counting clock is ahead of the steady one, at least. A thread that loses its processor between the
+// two readings reads the steady clock late, and the difference small: the loss is never taken for a sleep.
+func aheadAtLeast() (time.Duration, error) {
+	count, err := counting()
+	if err != nil {
+		return 0, err
 	}
-	return time.Duration(counting.Nano() - steady.Nano()), nil
+	still, err := steady()
+	return count - still, err
+}
+
+// aheadAtMost is the opposite bound, by the opposite order.
+func aheadAtMost() (time.Duration, error) {
+	still, err := steady()
+	if err != nil {
+		return 0, err
+	}
+	count, err := counting()
+	return count - still, err
 }
 
 var (
-	// atStart is what aheadOf said at the start.
+	// atStart is by how much the counting clock was ahead at the start, at most.
 	atStart atomic.Int64
 	// slept is the time asleep since; it never falls.
 	slept atomic.Int64
@@ -39,21 +63,28 @@
 
 // Start begins to count. It is called before anything is decided by an age. Its error wraps ErrUnreadable.
 func Start() error {
-	ahead, err := aheadOf()
-	if err != nil {
-		return err
+	least := time.Duration(math.MaxInt64)
+	for range readingsAtStart {
+		ahead, err := aheadAtMost()
+		if err != nil {
+			return err
+		}
+		least = min(least, ahead)
 	}
-	atStart.Store(int64(ahead))
+	atStart.Store(int64(least))
 	return nil
 }
 
-// leastSleep is what the two clocks may differ by because they are read one after the other.
+// readingsAtStart is how often the clocks are read to find the least bound: what one of them is off by would be missing from every sleep.
+const readingsAtStart = 16
+
+// leastSleep is the shortest time asleep that counts: what the two clocks are read apart is no sleep.
 const leastSleep = time.Millisecond
 
 // Slept returns how long the machine was suspended since Start.
 func Slept() time.Duration {
 	known := slept.Load()
-	ahead, err := aheadOf()
+	ahead, err := aheadAtLeast()
 	if err != nil {
 		// It could be read at the start.
 		return time.Duration(known)
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -13,13 +13,14 @@
 // suspend has the machine be suspended for a time, as far as this process can see: the clock that counts it is ahead by that. It
 // returns when the process has woken.
 func suspend(t *testing.T, lasting *time.Duration) {
-	before, beforeStart, beforeSlept := aheadOf, atStart.Load(), slept.Load()
+	beforeSteady, beforeCounting, beforeStart, beforeSlept := steady, counting, atStart.Load(), slept.Load()
 	t.Cleanup(func() {
-		aheadOf = before
+		steady, counting = beforeSteady, beforeCounting
 		atStart.Store(beforeStart)
 		slept.Store(beforeSlept)
 	})
-	aheadOf = func() (time.Duration, error) { return time.Hour + *lasting, nil }
+	steady = func() (time.Duration, error) { return time.Minute, nil }
+	counting = func() (time.Duration, error) { return time.Hour + *lasting, nil }
 	slept.Store(0)
 	assert.NilError(t, Start())
 }
@@ -39,11 +40,11 @@
 func TestClockNeverGoesBack(t *testing.T) {
 	lasting := 5 * time.Second
 	suspend(t, new(time.Duration))
-	aheadOf = func() (time.Duration, error) { return time.Hour + lasting, nil }
+	counting = func() (time.Duration, error) { return time.Hour + lasting, nil }
 	before := Now()
 	lasting = 0
 	assert.Assert(t, !Now().Before(before))
-	aheadOf = func() (time.Duration, error) { return 0, ErrUnreadable }
+	counting = func() (time.Duration, error) { return 0, ErrUnreadable }
 	assert.Assert(t, !Now().Before(before))
 	assert.Equal(t, Slept(), 5*time.Second)
 }
@@ -52,10 +53,37 @@
 func TestReadingsApartAreNoSleep(t *testing.T) {
 	lasting := 900 * time.Microsecond
 	suspend(t, new(time.Duration))
-	aheadOf = func() (time.Duration, error) { return time.Hour + lasting, nil }
+	counting = func() (time.Duration, error) { return time.Hour + lasting, nil }
 	assert.Equal(t, Slept(), time.Duration(0))
 }
 
+// TestLostProcessorIsNoSleep has the thread lose its processor for 20 ms before each reading of a clock in turn, at the start and later: no
+// deadline comes sooner by it. A sleep that follows counts in whole.
+func TestLostProcessorIsNoSleep(t *testing.T) {
+	const lost, asleep = 20 * time.Millisecond, 5 * time.Second
+	for at := range 8 {
+		var lasting time.Duration
+		suspend(t, &lasting)
+		readings, passed := 0, time.Duration(0)
+		tick := func() time.Duration {
+			if readings%8 == at {
+				passed += lost
+			}
+			readings++
+			return passed
+		}
+		steady = func() (time.Duration, error) { return tick(), nil }
+		counting = func() (time.Duration, error) { return tick() + time.Hour + lasting, nil }
+		assert.NilError(t, Start())
+		for range 8 {
+			assert.Equal(t, Slept(), time.Duration(0), "processor lost before reading %d", at)
+		}
+		lasting = asleep
+		Slept()
+		assert.Equal(t, Slept(), asleep, "processor lost before reading %d", at)
+	}
+}
+
 func TestDeadlinesAndDatesAfterASleep(t *testing.T) {
 	var lasting time.Duration
 	suspend(t, &lasting)
@@ -74,7 +102,7 @@
 
 func TestClockThatCannotBeReadIsAnErrorAtTheStart(t *testing.T) {
 	suspend(t, new(time.Duration))
-	aheadOf = func() (time.Duration, error) { return 0, ErrUnreadable }
+	counting = func() (time.Duration, error) { return 0, ErrUnreadable }
 	assert.ErrorIs(t, Start(), failure.Kind(ErrUnreadable))
 }
 
