Count a request as it chooses, so that no more pass for within a bound than are

Cause: whether a request yields was judged before the choice and its place counted after it. Requests of one tenant that came at the same moment each counted none of the others, and a tenant over its share took the queue of a runner (5 running before 4 slots). Change: a request counts from the moment it chooses; where it finds no place, the count is taken back. Ruled out: the clock (fails after it was mended), the picker (the same seed picks the same).

--- a/internal/online/fair.go
+++ b/internal/online/fair.go
@@ -82,12 +82,29 @@
 	return r.local.Uses(r.service, waiting, queued, now)
 }
 
-// tookPlace notes that a request got a place. The caller holds the mutex.
+// choose counts a request that chooses a runner among those that have a place, and says whether it yields: of several that choose at the same
+// moment each counts those before it, so that no more of them pass for within their tenant's bound than are. It is followed by taken or
+// foundNone.
+func (r *room) choose(waiter *waitline.Waiter) (yields bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	yields = r.yields(waiter)
+	r.local.Took(waiter.Tenant)
+	return yields
+}
+
+// foundNone takes back that a request chose: it got no place.
+func (r *room) foundNone(waiter *waitline.Waiter) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.local.Gave(waiter.Tenant)
+}
+
+// tookPlace notes that a request that chose got a place. The caller holds the mutex.
 func (r *room) tookPlace(waiter *waitline.Waiter) {
 	if waiter.Tenant == "" {
 		return
 	}
-	r.local.Took(waiter.Tenant)
 	if r.unanswered == nil {
 		r.unanswered = map[*waitline.Waiter]time.Time{}
 	}
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// taken notes that a request got a place after it waited or at once, and wakes the next one: there may be more.
+// taken notes that a request that chose got a place after it waited or at once, and wakes the next one: there may be more.
 func (r *room) taken(waiter *waitline.Waiter, waited bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -269,11 +269,14 @@
 	seed := rand.Uint64()
 	wish := e.forwarder.freshen(e.ctx, e.wish(waits), seed)
 	for {
+		yields := e.room.choose(e.waiter)
+		wish.Yields = waits && yields
 		flight, err := e.forwarder.Runners.Pick(wish, e.forwarder.Now(), random(seed))
 		if err == nil {
 			e.room.taken(e.waiter, waited)
 			return flight, nil
 		}
+		e.room.foundNone(e.waiter)
 		if !errors.Is(err, runnertable.ErrFull) {
 			return nil, err
 		}
