--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,14 @@
 SEED ?= 20261202
 STATICCHECK := $(GO) run honnef.co/go/tools/cmd/staticcheck@v0.8.2
 RAPID_PACKAGES = $(shell grep -rl '"pgregory.net/rapid"' --include='*_test.go' . | xargs -r -n1 dirname | sort -u)
+SIMULATED_PACKAGES = $(shell grep -rl 'internal/simulated"' --include='*_test.go' . | xargs -r -n1 dirname | sort -u)
 PLAIN_PACKAGES = $(filter-out $(patsubst ./%,mallowlatch.example/mallowlatch/%,$(RAPID_PACKAGES)),$(shell $(GO) list ./...))
 
 # Names of the tests listed in KNOWN-RED.txt, as one pattern of the test tool; empty skips none.
 KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) *|.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: dev test tools build lint model known-red unit fuzz generate
+.PHONY: dev test tools build lint model known-red unit simulated fuzz generate
 
 dev: ## a whole small site in one process on loopback
 	$(GO) run ./cmd/mallowlatch dev
@@ -16,7 +17,7 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-test: tools lint model unit fuzz ## everything CI runs
+test: tools lint model unit simulated fuzz ## everything CI runs
 
 tools: ## installs what the tests need where it may, and says what is missing otherwise
 	@command -v spin >/dev/null && command -v gcc >/dev/null || { apt-get update -qq && apt-get install -y -qq spin gcc; } || { echo "make test needs spin and gcc: apt-get install spin gcc"; exit 1; }
@@ -34,6 +35,10 @@
 	$(GO) test $(SKIP_KNOWN_RED) -race -count=1 -timeout 20m $(PLAIN_PACKAGES)
 	$(if $(RAPID_PACKAGES),$(GO) test $(SKIP_KNOWN_RED) -race -count=1 -timeout 20m $(RAPID_PACKAGES) -rapid.seed=$(SEED))
 
+# With the race detector, tests in simulated time run on one processor: here they run on all, where goroutines meet in more orders.
+simulated:
+	$(GO) test $(SKIP_KNOWN_RED) -count=1 -timeout 20m $(SIMULATED_PACKAGES)
+
 # What outside systems write is decoded in platform: each fuzz test there runs for a moment.
 FUZZ_TESTS = $(shell grep -oh '^func Fuzz[A-Za-z0-9]*' platform/*_test.go | cut -c6-)
 FUZZ_TIME ?= 5s
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -59,7 +60,7 @@
 
 // TestUnknownKeyIsRefusedOnlyByTheNewestConfiguration asks with a key that a newer configuration has, and with one that none has.
 func TestUnknownKeyIsRefusedOnlyByTheNewestConfiguration(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		gate, from := newGate(catalog(1, "clinic", "old"))
 		from.newest = catalog(2, "clinic", "old", "new")
 		holder, err := gate.Tenant(t.Context(), "new", false)
@@ -79,7 +80,7 @@
 
 // TestOneReadingServesAllThatWait asks with many unknown keys at once, and again and again: what unknown keys cause is bounded.
 func TestOneReadingServesAllThatWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		gate, from := newGate(catalog(1, "clinic", "old"))
 		for range 50 {
 			go func() {
@@ -106,7 +107,7 @@
 
 // TestKeyThatCannotBeMadeSureOfIsNotRefusedForGood has the configuration out of reach.
 func TestKeyThatCannotBeMadeSureOfIsNotRefusedForGood(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		gate, from := newGate(catalog(1, "clinic", "old"))
 		from.err = kv.ErrUnavailable
 		_, err := gate.Tenant(t.Context(), "new", false)
@@ -127,7 +128,7 @@
 
 // TestNodeWithoutAConfigurationFindsOutWhetherKeysAreNeeded serves nothing before it knows.
 func TestNodeWithoutAConfigurationFindsOutWhetherKeysAreNeeded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		gate, from := newGate(nil)
 		from.err = kv.ErrUnavailable
 		_, err := gate.Tenant(t.Context(), "", false)
--- a/internal/access/limiter_test.go
+++ b/internal/access/limiter_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/quota"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -109,7 +109,7 @@
 }
 
 func withNodes(t *testing.T, tenant *work.Tenant, nodes int, run func(account *account, limiters []*access.Limiter)) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		account := newAccount(quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst})
 		parent := new(tomb.Tomb)
 		var limiters []*access.Limiter
@@ -169,7 +169,7 @@
 
 // TestRequestIsDecidedOnWhileTheProcessStops has a request come after the tomb of the process took its last call.
 func TestRequestIsDecidedOnWhileTheProcessStops(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		parent := new(tomb.Tomb)
 		limiter := newAccount(quota.Limit{Rate: clinic.Rate, Burst: clinic.Burst}).limiter("a", parent)
 		parent.Kill(nil)
--- a/internal/endwatch/watch_test.go
+++ b/internal/endwatch/watch_test.go
@@ -19,6 +19,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -79,7 +80,7 @@
 		"it is cut off, and another came since": {[]error{errCutOff, errCutOff, errCutOff, errCutOff, errReplaced}, 1, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simulated.Test(t, func(t *testing.T) {
 				watch, asked := newWatch(t, c.answers...)
 				watch.Broken(broken, "one")
 				watch.Broken(broken, "other")
@@ -102,7 +103,7 @@
 	leaving.State = work.Draining
 	for name, listed := range map[string][]work.Runner{"draining": {leaving}, "left": {}} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simulated.Test(t, func(t *testing.T) {
 				watch, asked := newWatch(t, errGone)
 				watch.Runners.Replace(listed, time.Now(), false)
 				watch.Broken(broken, "one")
@@ -116,7 +117,7 @@
 
 // TestRunnerThatTheListDropsHasEnded has a machine go dark with its runner: nothing answers, and its entry runs out.
 func TestRunnerThatTheListDropsHasEnded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		watch, _ := newWatch(t, connpool.ErrNoAnswer)
 		watch.Broken(broken, "one")
 		time.Sleep(2 * time.Second)
@@ -130,7 +131,7 @@
 
 // TestAnswerThatBreaksOffLaterCounts has a request notice the end of its runner after that was found, as one whose caller is slow.
 func TestAnswerThatBreaksOffLaterCounts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		watch, asked := newWatch(t, errGone)
 		watch.Broken(broken, "one")
 		time.Sleep(time.Second)
--- a/internal/follower/older_test.go
+++ b/internal/follower/older_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,13 +12,14 @@
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // TestConfigurationOfAnOlderBuildIsReadAnew has a node told by one of an older build, which left the tenants out. What is told so must
 // never be in force: each request would be served without a key.
 func TestConfigurationOfAnOlderBuildIsReadAnew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		began := time.Now()
 		feed := fleetfeed.New(time.Now)
 		runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,6 +17,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -380,6 +380,6 @@
 	bubbles.Lock()
 	defer bubbles.Unlock()
 	var result outcome
-	synctest.Test(t, func(t *testing.T) { result = p.run(t) })
+	simulated.Test(t, func(t *testing.T) { result = p.run(t) })
 	return result
 }
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -50,7 +50,7 @@
 		{"no other", time.Hour, follower.ErrReadAlone, 0, 100 * time.Millisecond, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simulated.Test(t, func(t *testing.T) {
 				began := time.Now()
 				feed := fleetfeed.New(time.Now)
 				runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
@@ -94,7 +94,7 @@
 // TestNodeThatIsToReadForOthersReadsAtOnce tells a node and then has it read for the others. What it was told is as old as what they
 // were told: were it to read only when that is too old, each of them would read too.
 func TestNodeThatIsToReadForOthersReadsAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		began := time.Now()
 		feed := fleetfeed.New(time.Now)
 		runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
@@ -132,7 +132,7 @@
 	// The node's probes come at each phase of the return.
 	for phase := range 20 {
 		dies := phase%2 == 1
-		synctest.Test(t, func(t *testing.T) {
+		simulated.Test(t, func(t *testing.T) {
 			feed := fleetfeed.New(time.Now)
 			runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
 			registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
--- a/internal/follower/unread_test.go
+++ b/internal/follower/unread_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -32,7 +32,7 @@
 func TestWhatWasNeverReadIsOld(t *testing.T) {
 	never := time.Duration(math.MaxInt64).Milliseconds()
 	for _, source := range []agedSource{{10, never}, {never, 10}, {never, never}, {10, -never}, {-never, 10}} {
-		synctest.Test(t, func(t *testing.T) {
+		simulated.Test(t, func(t *testing.T) {
 			f := &Follower{
 				Source: source, Feed: fleetfeed.New(time.Now), Runners: runnertable.New("z"), Routes: &routetable.Table{},
 				Options: OptionsFor(3*time.Second, heartbeat), Logger: zerolog.Nop(), Now: time.Now,
--- a/internal/jobpeer/ends_test.go
+++ b/internal/jobpeer/ends_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +22,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 )
 
 // knownWithin is when each node that is in touch has to know of a request that ends its runners, counted from the third end or from
@@ -167,7 +167,7 @@
 // playEnds has runners end under a request at three nodes of different zones while some workers are dead and a whole zone is cut
 // off, which comes back later; a node starts then too.
 func playEnds(t *testing.T, seed uint64, zones, fronts, workers int) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		f := &endsFleet{workers: map[string]*jobworker.Worker{}, cut: map[string]bool{}, bytes: map[string]int{}, tomb: new(tomb.Tomb)}
 		over := make(chan struct{})
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -21,6 +21,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/reach"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -115,7 +116,7 @@
 func TestNodeThatHearsNobodyAsksNoFurther(t *testing.T) {
 	const workers = 12
 	for takes, wanted := range map[time.Duration]int{time.Second: 3, time.Millisecond: workers} {
-		synctest.Test(t, func(t *testing.T) { askSilentWorkers(t, workers, takes, wanted) })
+		simulated.Test(t, func(t *testing.T) { askSilentWorkers(t, workers, takes, wanted) })
 	}
 }
 
--- a/internal/jobpeer/zones_test.go
+++ b/internal/jobpeer/zones_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 )
 
 // lines is a log that is read while it is written.
@@ -49,7 +49,7 @@
 // TestNodeKnowsWhichZonesAnswer has a node without any request lose a zone of three, whose workers leave its calls without an answer. A single
 // worker that dies is no cut zone.
 func TestNodeKnowsWhichZonesAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		f := &endsFleet{workers: map[string]*jobworker.Worker{}, cut: map[string]bool{}, bytes: map[string]int{}, tomb: new(tomb.Tomb)}
 		over := make(chan struct{})
 		f.tomb.Go(func() error { <-over; return nil })
--- a/internal/jobworker/heap_test.go
+++ b/internal/jobworker/heap_test.go
@@ -5,10 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +20,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -129,17 +128,6 @@
 // Forget implements work.Caller.
 func (c *zoneCaller) Forget(work.Runner) {}
 
-// oneProcessor has the goroutines of a test run on one processor where the race detector is on. In simulated time its runtime has one
-// context for all timers, and timers of one moment that fire on two processors at once end the process with a failed check of its own
-// (tsan_rtl.cpp, 5 of 96 runs). The order of goroutines stays drawn; without the detector they run on all processors.
-func oneProcessor(t *testing.T) {
-	if !raceDetector {
-		return
-	}
-	before := runtime.GOMAXPROCS(1)
-	t.Cleanup(func() { runtime.GOMAXPROCS(before) })
-}
-
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, began: time.Now(), running: map[ident.Incarnation]int{}}
 	data := kvtest.NewData(time.Now)
@@ -235,8 +223,7 @@
 // Grounds for the figure: 360 items of five seconds need 1,800 place-seconds; online work leaves 360 places for 12 of the 20
 // seconds, 4,320, and the zone by itself 1,080. Nine tenths in time leave a tenth for runs that are cut near the end.
 func TestHeapInOneZoneFindsThePlacesOfAll(t *testing.T) {
-	oneProcessor(t)
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		time.Sleep(3 * time.Second)
 		const jobs, items = 4, 90
--- a/internal/online/ahead_test.go
+++ b/internal/online/ahead_test.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -182,7 +183,7 @@
 // TestRunnerIsReadOnWhileItsCallerLags has callers take a second over each event of a stream that is made in 400 ms: its runner is read
 // to the end as if they were fast, within the two looks, 300 ms, that it takes to notice, and its place is free; the callers get every event.
 func TestRunnerIsReadOnWhileItsCallerLags(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		events := numbered(20, 100)
 		site := newLagSite(smallNode, events, always(20*time.Millisecond))
 		began := time.Now()
@@ -210,7 +211,7 @@
 // TestCallerThatTakesALittleAtATimeHoldsNoPlace has a caller take 60 ms over each event of a stream that is made in 400 ms: each write is
 // short, and the runner would still be held up for 0.8 s.
 func TestCallerThatTakesALittleAtATimeHoldsNoPlace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		events := numbered(20, 100)
 		site := newLagSite(smallNode, events, always(20*time.Millisecond))
 		writer := newReader(always(60 * time.Millisecond))
@@ -225,7 +226,7 @@
 // TestCallerThatStopsIsCutOff has one caller stop in the middle of an answer that has no end in sight, beside one that reads: it is cut
 // off before its runner would cut the answer, and the runner's work ends; the other gets all of its own.
 func TestCallerThatStopsIsCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		events := numbered(4000, 100)
 		site := newLagSite(smallNode, events, always(2*time.Millisecond))
 		stopped, reads := newReader(stops(3)), newReader(always(0))
@@ -246,7 +247,7 @@
 
 // TestBurstOverASlowLinkIsNotCut has a runner give half a megabyte at once to a caller whose link takes 0.8 s for it.
 func TestBurstOverASlowLinkIsNotCut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		events := numbered(16, 32<<10)
 		site := newLagSite(smallNode, events, always(0))
 		writer := newReader(always(50 * time.Millisecond))
@@ -258,7 +259,7 @@
 // TestNodeWithoutRoomCutsOnlyThoseThatLag has more callers stop than the node can hold the answers of: its budget is kept, those that
 // read get their answers.
 func TestNodeWithoutRoomCutsOnlyThoseThatLag(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		events := numbered(20, 2<<10)
 		site := newLagSite(1<<20, events, always(time.Millisecond))
 		table := runnertable.New("z")
@@ -289,7 +290,7 @@
 // TestRunnerThatFallsSilentBehindALaggingCallerIsLeft has a runner hang while its caller lags: the guard measures the runner and not the
 // caller, and another attempt goes on where the first one ended.
 func TestRunnerThatFallsSilentBehindALaggingCallerIsLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		events := numbered(10, 100)
 		hangs := true
 		site := newLagSite(smallNode, events, func(position int) time.Duration {
@@ -309,7 +310,7 @@
 
 // TestCallerThatLeavesWhileItLagsEndsTheRun has a caller leave whose answer is read ahead: the runner's work ends at once.
 func TestCallerThatLeavesWhileItLagsEndsTheRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		site := newLagSite(smallNode, numbered(1000, 10), always(10*time.Millisecond))
 		ctx, leave := context.WithCancel(t.Context())
 		left := time.Now().Add(time.Second)
@@ -328,7 +329,7 @@
 
 // TestConnectionThatBreaksWhileItsCallerLagsEndsTheRun has the writing fail before anything else tells that the caller is gone.
 func TestConnectionThatBreaksWhileItsCallerLagsEndsTheRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		site := newLagSite(smallNode, numbered(1000, 10), always(10*time.Millisecond))
 		writer := newReader(always(1200 * time.Millisecond))
 		breaks := time.Now().Add(time.Second)
@@ -347,7 +348,7 @@
 		paces := rapid.SampledFrom([]time.Duration{0, time.Millisecond, 30 * time.Millisecond, 99 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond})
 		makes := rapid.SliceOfN(paces, len(events), len(events)).Draw(drawn, "makes")
 		takes := rapid.SliceOfN(paces, len(events), len(events)).Draw(drawn, "takes")
-		synctest.Test(t, func(t *testing.T) {
+		simulated.Test(t, func(t *testing.T) {
 			site := newLagSite(smallNode, events, func(position int) time.Duration { return makes[position%len(makes)] })
 			writer := newReader(func(position int) time.Duration { return takes[position%len(takes)] })
 			err := site.serve(t.Context(), "c", writer)
--- a/internal/online/ends_test.go
+++ b/internal/online/ends_test.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/poison"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -66,7 +67,7 @@
 // TestRequestUnderWhichThreeRunnersEndedIsRefused tells its caller at once, though all places are taken, that it has run, and invites
 // it to nothing.
 func TestRequestUnderWhichThreeRunnersEndedIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: time.Second}
 		forwarder := busySite(caller)
 		w := newWatched(forwarder, caller, 3)
@@ -93,7 +94,7 @@
 
 // TestRequestThatWaitsIsRefusedOnceItIsKnown has other nodes tell of it while it waits for a place.
 func TestRequestThatWaitsIsRefusedOnceItIsKnown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: time.Second}
 		forwarder := busySite(caller)
 		w := newWatched(forwarder, caller, 2)
--- a/internal/online/fair_test.go
+++ b/internal/online/fair_test.go
@@ -13,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -45,7 +46,7 @@
 // TestTenantOverItsShareLeavesTheShortQueueToTheOthers has a tenant with a bound of one place send more than a runner's slots, and another tenant one
 // request: the first has all slots, for none is held empty, and the other's request goes to the runner before any that waits.
 func TestTenantOverItsShareLeavesTheShortQueueToTheOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 100 * time.Millisecond}
 		forwarder := busySite(caller)
 		<-serveOf(t, forwarder, "other", 0, 1)
@@ -64,7 +65,7 @@
 // TestWhatYieldsIsToldAtOnceThatItIsNotInTime has a tenant over its share send far more than its places serve in time. Those that would be late are
 // told at once that they have not run, and to come back spread over what a caller waits; the others' requests are served.
 func TestWhatYieldsIsToldAtOnceThatItIsNotInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 100 * time.Millisecond}
 		forwarder := busySite(caller)
 		const requests = 60
@@ -95,7 +96,7 @@
 // TestLessUrgentKindPassesNoMoreUrgentOneThatYields has a bounded tenant's requests of a more urgent kind wait, and another tenant's of a less
 // urgent one come.
 func TestLessUrgentKindPassesNoMoreUrgentOneThatYields(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 100 * time.Millisecond}
 		forwarder := busySite(caller)
 		<-serveOf(t, forwarder, "other", 0, 1)
@@ -112,7 +113,7 @@
 // TestScarcityIsToldBeforePlacesAreFull has a runner leave requests without an answer for longer than prompts are read: what tenants have is told,
 // as waiting, and before that nothing is.
 func TestScarcityIsToldBeforePlacesAreFull(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		forwarder := busySite(&busyCaller{takes: 200 * time.Millisecond})
 		ended := serveOf(t, forwarder, "a", 0, 2)
 		assert.Equal(t, len(forwarder.Uses()), 0)
@@ -127,7 +128,7 @@
 
 // TestWithoutTenantsNothingIsToldOfScarcePlaces has more requests of nobody come than there are places, and a bound be heard.
 func TestWithoutTenantsNothingIsToldOfScarcePlaces(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 20 * time.Millisecond}
 		forwarder := busySite(caller)
 		bind(forwarder, "hot", 1)
--- a/internal/online/fresh_test.go
+++ b/internal/online/fresh_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,6 +13,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -131,7 +131,7 @@
 
 // TestOwnersThatDoNotAnswerHoldUpNoRequestForLong has the questions end with no answer: a request waits 20 ms, little of an objective of 300.
 func TestOwnersThatDoNotAnswerHoldUpNoRequestForLong(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		forwarder, owners, caller := askedSite([]work.Runner{runnerOf("1", "z")}, true)
 		owners.dead = true
 		began := time.Now()
--- a/internal/online/room_test.go
+++ b/internal/online/room_test.go
@@ -17,6 +17,7 @@
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/outcome"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -103,7 +104,7 @@
 // TestRequestsWaitWhereTheyCanBeTurnedAway has more requests come than a runner has places: no more than a few wait at the
 // runner, and each gets a place in turn.
 func TestRequestsWaitWhereTheyCanBeTurnedAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 20 * time.Millisecond}
 		const requests = 20
 		for _, got := range serveAll(t.Context(), busySite(caller), requests) {
@@ -117,7 +118,7 @@
 // TestWhatCannotBeServedInTimeIsTurnedAwayAtOnce has a burst come at a node that knows how long its runner takes. Those that
 // would be late are told so at once, that they have not run, and when to come back; the others are served on time.
 func TestWhatCannotBeServedInTimeIsTurnedAwayAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 100 * time.Millisecond}
 		forwarder := busySite(caller)
 		serveAll(t.Context(), forwarder, slots)
@@ -140,7 +141,7 @@
 
 // TestRefusalOfAFullRunnerIsWaitedOut has the only runner refuse a request twice: it gets its place afterwards.
 func TestRefusalOfAFullRunnerIsWaitedOut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: time.Millisecond, refuses: 2}
 		got := serveAll(t.Context(), busySite(caller), 1)[0]
 		assert.NilError(t, got.err)
@@ -151,7 +152,7 @@
 // TestCallersThatLeaveGiveTheirPlaceInTheLineBack has callers leave while their requests wait behind others: nothing of them is
 // sent when the places of those come free, and the node serves on.
 func TestCallersThatLeaveGiveTheirPlaceInTheLineBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: 50 * time.Millisecond}
 		forwarder := busySite(caller)
 		var holders sync.WaitGroup
@@ -174,7 +175,7 @@
 // TestRequestWhoseCallerLeftTakesNoPlace has callers leave before their requests are looked at, as after a freeze of the node:
 // no runner is thought to work on them afterwards.
 func TestRequestWhoseCallerLeftTakesNoPlace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		caller := &busyCaller{takes: time.Millisecond}
 		forwarder := busySite(caller)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +15,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -169,7 +169,7 @@
 // TestStreamThatHangsIsGoneOnWithElsewhere has a connection fall silent between two events: another runner goes on with the
 // stream, long before its deadline, and the connections kept to the first are not used again.
 func TestStreamThatHangsIsGoneOnWithElsewhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		began := time.Now()
 		writer, caller, err := serve(2, hangingStream(firstEvent), stream(secondEvent, true))
 		assert.NilError(t, err)
@@ -182,7 +182,7 @@
 
 // TestCallerThatReadsSlowlyIsNoSilenceOfTheRunner has the caller take longer over an event than the pause that is allowed.
 func TestCallerThatReadsSlowlyIsNoSilenceOfTheRunner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		writer := &recorder{slow: time.Second}
 		caller, err := serveTo(writer, 2, stream(firstEvent+secondEvent, true))
 		assert.NilError(t, err)
@@ -193,7 +193,7 @@
 
 // TestStreamWithoutAttemptsLeftIsNotEndedForItsSilence leaves a stream alone that nobody can go on with: its runner may yet.
 func TestStreamWithoutAttemptsLeftIsNotEndedForItsSilence(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		began := time.Now()
 		_, caller, err := serve(1, hangingStream(firstEvent))
 		assert.ErrorIs(t, err, online.ErrBroken)
--- a/internal/online/storm_test.go
+++ b/internal/online/storm_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +22,7 @@
 	"mallowlatch.example/mallowlatch/internal/online"
 	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -191,7 +191,7 @@
 
 // play plays the load, with the watch on the ends of runners or without.
 func (s storm) play(t *testing.T, watched bool) (result stormResult) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(s.seed, 0))
 		site, supervisor := newStormSite(rand.New(rand.NewPCG(s.seed, 1)), s.longest), new(tomb.Tomb)
 		over := make(chan struct{})
--- a/internal/jobworker/norace_test.go
+++ b/internal/simulated/norace.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package jobworker_test
+package simulated
 
 // raceDetector says that the race detector is on.
 const raceDetector = false
