--- a/internal/online/ahead.go
+++ b/internal/online/ahead.go
@@ -20,8 +20,8 @@
 	// cut off.
 	lagEvery = 250 * time.Millisecond
 	lagAgain = 50 * time.Millisecond
-	// aheadBytes are the most that is read ahead of a caller that lags, but for one event: twenty times a stream of 20 to 140 events of
-	// some 100 bytes. Four hundred such callers fill the budget of a node with 136 MB.
+	// aheadBytes are the most that is read ahead of a caller that lags, but for one event: many times a usual stream, and so little that
+	// hundreds of such callers fit into a node's budget.
 	aheadBytes = 64 << 10
 	// heldUpMost is how long the reading of a stream may be held up by its caller, in all. It is less than the seconds after which a
 	// runner cuts an answer off.
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -38,7 +38,7 @@
 	longestSilence  = 1200 * time.Millisecond
 	// pauseFactor times the pause that a route allows between two events is how long a runner may leave a stream that has
 	// begun without the next one. Half a pause would leave time to go on elsewhere within it, and ends sound streams beside
-	// long prompts: worth .866 -> .838 and .782 -> .740 on two sites with 12 plays a side; twice the pause .875 and .780.
+	// long prompts.
 	pauseFactor = 2
 	// writeSlack is how long after a request's end its answer may still be written to a slow caller.
 	writeSlack = 2 * time.Second
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -30,10 +30,9 @@
 // errHopeless means that a request would get no place in time.
 const errHopeless = failure.Kind("online: no place comes free in time")
 
-// room is where the requests of one service wait for a place, instead of in the queue of a runner that they can't leave. With
-// it a day of overload earns .593 of its worth in place of .536 (nine plays a side), and a runner is asked once for each
-// request in place of three times. It wakes one request at a time, which looks for a place itself and wakes the next one when
-// it found one.
+// room is where the requests of one service wait for a place, instead of in the queue of a runner that they can't leave: a runner is
+// asked once for each request, and who waits is served in order of urgency. It wakes one request at a time, which looks for a place
+// itself and wakes the next one when it found one.
 type room struct {
 	service string
 	now     func() time.Time
--- a/internal/runnertable/areas.go
+++ b/internal/runnertable/areas.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// overdue is how far a word of some age has given way to what is usual: from 0 to 1.
-func overdue(age time.Duration) float64 {
+// givenWay is how far a word of some age has given way to what is usual: from 0 to 1.
+func givenWay(age time.Duration) float64 {
 	return min(max(float64(age-fadesFrom)/float64(fadesTo-fadesFrom), 0), 1)
 }
 
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -17,8 +17,7 @@
 const ErrFull = failure.Kind("runner table: the places of all runners are taken")
 
 // queueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
-// until nodes hear of it, and so little that a request can still be told that it will be late. On nine plays of three kinds of
-// overload none made .584 of the worth, a quarter .593, half .542, all that runners take .536.
+// until nodes hear of it, and so little that a request can still be told that it will be late.
 const queueShare = 0.25
 
 // Costs are in milliseconds of expected delay to the first event, so that unlike things can be added.
@@ -250,7 +249,7 @@
 	own := e.own[Online] + e.own[Batch]
 	if e.share.Within(shareMemory, now) {
 		told := e.share.Value()
-		return own + e.faded(told.others, overdue(e.share.Age(now))) + told.orphans, told.batch
+		return own + e.faded(told.others, givenWay(e.share.Age(now))) + told.orphans, told.batch
 	}
 	if !e.load.Within(loadMemory, now) {
 		return own + e.faded(0, 1), 0
--- a/internal/zoneroom/split.go
+++ b/internal/zoneroom/split.go
@@ -18,8 +18,7 @@
 
 const (
 	// fullWait is how long a request waits at a runner of a zone whose places are all taken, in milliseconds, and steepness how the
-	// wait grows until then: nodes choose by counts that are some 60 ms old, so that they meet at full runners before all are
-	// full, hardly below four fifths of the places.
+	// wait grows until then: nodes choose by counts that are a report old, so that they meet at full runners before all are full.
 	fullWait  = 120.0
 	steepness = 8
 	// overWait is the wait for as many requests beyond the places as there are places: a run, of the shortest that there are.
