--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) *|.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: dev test tools build lint model known-red unit simulated fuzz generate
+.PHONY: dev test tools history build lint model known-red unit simulated fuzz generate
 
 dev: ## a whole small site in one process on loopback
 	$(GO) run ./cmd/mallowlatch dev
@@ -17,7 +17,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-test: tools lint model unit simulated fuzz ## everything CI runs
+test: tools history lint model unit simulated fuzz ## everything CI runs
+
+history: ## says so where the history lacks the last landing, whose program runs beside this one's
+	@git cat-file -e "$$(cat platform/testdata/landed)^{commit}" 2>/dev/null || echo "NOT RUN: TestTwoBuildsSideBySide; the history lacks $$(cat platform/testdata/landed)"
 
 tools: ## installs what the tests need where it may, and says what is missing otherwise
 	@command -v spin >/dev/null && command -v gcc >/dev/null || { apt-get update -qq && apt-get install -y -qq spin gcc; } || { echo "make test needs spin and gcc: apt-get install spin gcc"; exit 1; }
