Estimate the work at a runner once for each choice

Cause: a choice among 880 runners estimated the work at each one three times (room of its zone, whether it is full, cost), and each question of a fact's age copied the fact. Change: the survey keeps the estimate for the choice; Age and Within take the fact where it is. Ruled out: the draw among zones (2% of the profile). Choices are the same: TestServiceThatTellsNoPaceIsChosenAsBefore compares the kept estimate with a fresh one.

--- a/internal/asof/asof.go
+++ b/internal/asof/asof.go
@@ -19,7 +19,7 @@
 func (f Fact[T]) Value() T { return f.value }
 
 // Age returns how long ago the value was known. It is more than any bound for the zero Fact.
-func (f Fact[T]) Age(now time.Time) time.Duration {
+func (f *Fact[T]) Age(now time.Time) time.Duration {
 	if f.at.IsZero() {
 		return longest
 	}
@@ -30,7 +30,7 @@
 const longest = time.Duration(1<<63 - 1)
 
 // Within says whether the value was known less than the bound ago.
-func (f Fact[T]) Within(bound time.Duration, now time.Time) bool { return f.Age(now) < bound }
+func (f *Fact[T]) Within(bound time.Duration, now time.Time) bool { return f.Age(now) < bound }
 
 // With returns another value that is known as of the same moment.
 func (f Fact[T]) With(value T) Fact[T] { return Fact[T]{value: value, at: f.at} }
--- a/internal/runnertable/areas.go
+++ b/internal/runnertable/areas.go
@@ -51,7 +51,7 @@
 	works bool
 }
 
-// survey works out what a choice goes by in each zone, and what is usual at the runners there. The caller holds the mutex.
+// survey works out what a choice goes by in each zone, what is usual at the runners there and the work at each. The caller holds the mutex.
 func (t *Table) survey(wish Wish, now time.Time) []area {
 	areas := make([]area, len(t.zones.names))
 	for index, zone := range t.zones.names {
@@ -74,14 +74,14 @@
 		if there.places > 0 {
 			known.usualOthers = there.taken / there.places * places
 		}
+		known.firm, known.yielding = known.estimate(now)
 		if !known.eligible(wish, now) {
 			continue
 		}
 		there.works = true
 		if known.share.Within(t.roomMemory(known, wish), now) {
-			firm, _ := known.estimate(now)
 			there.room.Places += places
-			there.room.Taken += float64(firm)
+			there.room.Taken += float64(known.firm)
 		}
 	}
 	return areas
--- a/internal/runnertable/pace_test.go
+++ b/internal/runnertable/pace_test.go
@@ -39,7 +39,7 @@
 		cost += yieldCost
 	}
 	cost += float64(candidate.pendingTokens+candidate.uncached(wish, candidate == choice.home, now)) / tokensPerMillisecond
-	cost += t.zoneCost(candidate, wish, choice, firm, now)
+	cost += t.zoneCost(candidate, wish, choice, now)
 	if candidate.silentFor(now) > silenceSuspect {
 		cost += silenceCost
 	}
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -132,7 +132,6 @@
 	if wish.Full == nil {
 		return false
 	}
-	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
 	queue := queueShare / float64(e.pace.Now(now)) * max(places-float64(e.orphans(now)), 0)
 	switch {
@@ -142,7 +141,7 @@
 	default:
 		queue = 0
 	}
-	return wish.Full[e.runner.ID] || !e.fits(wish, now) || e.unheardSinceStart(now) || float64(firm+1) > places+queue
+	return wish.Full[e.runner.ID] || !e.fits(wish, now) || e.unheardSinceStart(now) || float64(e.firm+1) > places+queue
 }
 
 // firstBack returns the ejected runner whose ejection ends first: trying it is better than refusing while every runner
@@ -203,18 +202,17 @@
 // cost is the expected delay of the first event, in milliseconds, with the price of the bytes.
 func (t *Table) cost(candidate *entry, wish Wish, choice choice, now time.Time) float64 {
 	places := float64(max(candidate.runner.Slots, 1))
-	firm, yielding := candidate.estimate(now)
-	load := float64(firm + 1)
-	cost := loadCost * min((load+float64(yielding))/places, 1)
+	load, yielding := float64(candidate.firm+1), float64(candidate.yielding)
+	cost := loadCost * min((load+yielding)/places, 1)
 	switch {
 	case load > places:
 		cost += queueCost * (load - places)
-	case load+float64(yielding) > places:
+	case load+yielding > places:
 		cost += yieldCost
 	}
 	reading := float64(candidate.pendingTokens+candidate.uncached(wish, candidate == choice.home, now)) / tokensPerMillisecond
 	cost += reading + t.slowness(candidate, wish, reading+queueCost*max(load-places, 0), now)
-	cost += t.zoneCost(candidate, wish, choice, firm, now)
+	cost += t.zoneCost(candidate, wish, choice, now)
 	if wish.Scarce && candidate.overdue(now) {
 		cost += unansweredCost
 	}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -80,7 +80,9 @@
 	// usualOthers is the online work of other nodes that a runner of this size has in its zone, as of the last choice; zero where none
 	// is known.
 	usualOthers float64
-	health      health
+	// firm and yielding are the estimate of the choice in progress, or of the last one.
+	firm, yielding int
+	health         health
 	// pace is how long work takes at the runner now, spoken the newest word of it that the runner told this node itself.
 	pace     pace.Belief
 	spoken   pace.Word
--- a/internal/runnertable/zones.go
+++ b/internal/runnertable/zones.go
@@ -145,7 +145,7 @@
 func way(wish Wish) float64 { return farCost + farCostPerKilobyte*float64(wish.Bytes)/1000 }
 
 // zoneCost is what the zone of a runner adds to its cost. firm is the online work that is thought to be there. The caller holds the mutex.
-func (t *Table) zoneCost(candidate *entry, wish Wish, choice choice, firm int, now time.Time) float64 {
+func (t *Table) zoneCost(candidate *entry, wish Wish, choice choice, now time.Time) float64 {
 	zone := candidate.runner.Zone
 	if zone == t.zone {
 		if choice.goal != t.zone {
@@ -165,7 +165,7 @@
 	}
 	cost += candidate.unanswered(wish, now)
 	places := max(candidate.runner.Slots, 1)
-	if firm+1 > places-places/keptPart {
+	if candidate.firm+1 > places-places/keptPart {
 		cost += keptCost
 	}
 	return cost
