Tell nodes what a reading changed in the list of the runners, and whole lists packed

The list of the runners went whole to each node after each reading, some 150 bytes a runner, through links of 30 Mbit/s: 99 workers are told by one. Change: a node says which list of the feed it has, and is told the changes to it (the last eight readings are kept); a node that has none is told the whole list in the DEFLATE format. Nodes of the last landing say neither and are told it as before; a feed of the last landing ignores what it is told, and answers whole. Ruled out: passing changes with each entry's revision (entries that go leave none), and a list in a shorter text (a third at best). Incarnations of feeds are drawn, because changes to another list would now be taken for those of the own one.

--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -27,15 +29,27 @@
 	CatalogVersion int64 `json:"catalog_version"`
 	// WaitMs is how long the answer may be held for a newer reading, in milliseconds.
 	WaitMs int64 `json:"wait_ms"`
+	// ListOf and List are the incarnation and the reading of the list that the node has, to be told the changes to it alone; zero has none.
+	// Unpacks says that it takes a packed list. A node of an older build says neither, and is told the list whole.
+	ListOf  int64 `json:"list_of,omitempty"`
+	List    int64 `json:"list,omitempty"`
+	Unpacks bool  `json:"unpacks,omitempty"`
 }
 
 // Snapshot is what the feeding node read last.
 type Snapshot struct {
 	Incarnation int64 `json:"incarnation"`
 	Reading     int64 `json:"reading"`
-	// Runners are those of the registry at the revision.
-	Runners  []work.Runner `json:"runners"`
-	Revision int64         `json:"revision"`
+	// Runners are those of the registry at the revision. Where the node said that it has an earlier list, Since is the reading of that, and
+	// Changed and Gone what changed, and Length how many there are then; where it takes a packed list, Packed may be there instead.
+	// Copy.Complete makes either whole.
+	Runners  []work.Runner       `json:"runners"`
+	Since    int64               `json:"since,omitempty"`
+	Changed  []work.Runner       `json:"changed,omitempty"`
+	Gone     []ident.Incarnation `json:"gone,omitempty"`
+	Length   int                 `json:"length,omitempty"`
+	Packed   []byte              `json:"packed,omitempty"`
+	Revision int64               `json:"revision"`
 	// RunnersAgeMs is the time since the reading began, OrdersAgeMs since the newest answer about the orders.
 	RunnersAgeMs int64 `json:"runners_age_ms"`
 	OrdersAgeMs  int64 `json:"orders_age_ms"`
@@ -73,11 +87,15 @@
 	catalog     *work.Catalog
 	retire      []work.Retirement
 	changed     chan struct{}
+	// history is what the last readings changed. packed is the list in its packed form once it was asked for, or nil.
+	history history
+	packed  []byte
 }
 
 // New returns an empty feed.
 func New(now func() time.Time) *Feed {
-	return &Feed{Now: now, incarnation: now().UnixNano(), changed: make(chan struct{})}
+	// Drawn: nodes that start at the same moment must not take each other's lists for their own.
+	return &Feed{Now: now, incarnation: rand.Int64N(math.MaxInt64) + 1, changed: make(chan struct{})}
 }
 
 // Read notes a reading of the runners that began at the time. One older than the newest is passed over.
@@ -88,7 +106,8 @@
 		return
 	}
 	f.reading++
-	f.runners, f.revision, f.readAt = runners, revision, began
+	f.history.note(f.reading, f.runners, runners)
+	f.runners, f.revision, f.readAt, f.packed = runners, revision, began, nil
 	f.wake()
 }
 
@@ -126,8 +145,11 @@
 	for over := false; ; {
 		// The time held ends where the ages are told: a freeze after that is the answer's way.
 		now := f.Now()
-		snapshot, changed, newer := f.compare(known, now)
-		if newer || over {
+		snapshot, changed, err := f.compare(known, now, over)
+		if err != nil {
+			return nil, err
+		}
+		if snapshot != nil {
 			snapshot.HeldMs = now.Sub(began).Milliseconds()
 			if f.Workers != nil {
 				snapshot.Workers = f.Workers()
@@ -147,21 +169,45 @@
 // longestHold bounds how long an answer is held.
 const longestHold = 5 * time.Second
 
-// compare returns the snapshot as of now, what is closed at the next change, and whether the node lacks something.
-func (f *Feed) compare(known *Known, now time.Time) (*Snapshot, <-chan struct{}, bool) {
+// compare returns the snapshot as of now where the node lacks something or is to be answered anyway, nil otherwise, and what is closed at
+// the next change.
+func (f *Feed) compare(known *Known, now time.Time, anyway bool) (*Snapshot, <-chan struct{}, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	newCatalog := f.catalog != nil && f.catalog.Version > known.CatalogVersion
+	newer := known.Incarnation != f.incarnation || known.Reading != f.reading || newCatalog
+	if !anyway && (!newer || f.readAt.IsZero()) {
+		return nil, f.changed, nil
+	}
 	snapshot := &Snapshot{
-		Incarnation: f.incarnation, Reading: f.reading, Runners: f.runners, Revision: f.revision,
+		Incarnation: f.incarnation, Reading: f.reading, Revision: f.revision,
 		Retire:       slices.Clone(f.retire),
 		RunnersAgeMs: ageMs(f.readAt, now), OrdersAgeMs: ageMs(f.ordersAt, now),
 	}
-	newCatalog := f.catalog != nil && f.catalog.Version > known.CatalogVersion
 	if newCatalog {
 		snapshot.Catalog = f.catalog
 	}
-	newer := known.Incarnation != f.incarnation || known.Reading != f.reading || newCatalog
-	return snapshot, f.changed, newer && !f.readAt.IsZero()
+	return snapshot, f.changed, f.tellRunners(snapshot, known)
+}
+
+// tellRunners gives a snapshot the list in the shortest form that the node takes. The caller holds the mutex.
+func (f *Feed) tellRunners(snapshot *Snapshot, known *Known) (err error) {
+	if known.ListOf == f.incarnation && known.List > 0 {
+		made, kept := f.history.since(known.List)
+		if kept && made.len() <= len(f.runners)/2 {
+			snapshot.Since, snapshot.Changed, snapshot.Gone, snapshot.Length = known.List, made.changed, made.gone, len(f.runners)
+			return nil
+		}
+	}
+	if !known.Unpacks || len(f.runners) < packFrom {
+		snapshot.Runners = f.runners
+		return nil
+	}
+	if f.packed == nil {
+		f.packed, err = pack(f.runners)
+	}
+	snapshot.Packed = f.packed
+	return err
 }
 
 // LongestAge is what is told of a reading that was never made. It is older than any that is used, and can be added to: the time since
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -89,8 +89,9 @@
 	// Feed passes on what this node read or was told; nil passes nothing on.
 	Feed *fleetfeed.Feed
 
-	// relaying is touched by followSource alone.
+	// relaying and copy, the list of the source as this node has it, are touched by followSource alone.
 	relaying bool
+	copy     fleetfeed.Copy
 
 	mutex sync.Mutex
 	fresh freshness
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -164,6 +164,7 @@
 	if catalog := f.Routes.Catalog(); catalog != nil {
 		known.CatalogVersion = catalog.Version
 	}
+	f.copy.Tell(known)
 	began := f.Now()
 	snapshot, err := f.Source.Next(ctx, known)
 	if errors.Is(err, ErrReadAlone) {
@@ -173,6 +174,10 @@
 	if err != nil {
 		return toldNothing
 	}
+	if err := f.copy.Complete(snapshot); err != nil {
+		event.FeedUnread.Log(f.Logger).Err(err).Send()
+		return toldNothing
+	}
 	return f.takeSnapshot(snapshot, known, agesOf(snapshot, began, f.Now()))
 }
 
