Read the configuration for unknown keys once for the fleet

Cause: each request with an unknown key had its front read the orders anew, and clients whose keys were taken away come again and again.

The reading still begins after the request came. The next worker in line is asked where the first does not answer, cannot read or is of an older build, then the front reads itself as before. A waiting request is served as soon as a configuration with its key is in force.

Ruled out: refusing a key that this node saw taken away without a reading: it may be put back a moment ago, and the rule is that only the newest configuration refuses. The revision of the reading of runners: it does not tell whether the orders changed. A stale read: seconds old.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -58,7 +58,10 @@
 	desk := &jobentry.Desk{
 		Records: records, Logger: process.logger, Holders: holders, LinkBytes: settings.Limits.LinkBytes(), Heard: process.heard,
 	}
-	orders := &follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}}
+	newest := &jobpeer.Newest{Holders: holders, Logger: process.logger}
+	orders := &follower.Follower{
+		Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}, Newest: newest.Catalog,
+	}
 	process.follow(orders)
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
 	forwarder.Owners = &jobpeer.Owners{Holders: holders, Teller: process.tellDemand(holders, forwarder)}
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -57,7 +57,9 @@
 	ends.Start(process.tomb)
 	feed := fleetfeed.New(clock.Now)
 	feed.Workers = jobpeer.FeedWorkers(worker)
-	process.follow(&follower.Follower{Retire: worker.Retire, Feed: feed, Source: source})
+	orders := &follower.Follower{Retire: worker.Retire, Feed: feed, Source: source}
+	feed.Refresh = jobpeer.NewestReadings(orders.Refresh, clock.Now).Fresh
+	process.follow(orders)
 	if err := process.servePeers(worker, feed); err != nil {
 		return err
 	}
--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -8,18 +8,20 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/keyhash"
 	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/sharedread"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 const (
 	// checkEvery is the time between the beginnings of two readings: it bounds those that unknown keys cause.
 	checkEvery = 100 * time.Millisecond
+	// lookEvery is the time between two looks of a waiting request at the configuration in force.
+	lookEvery = 30 * time.Millisecond
 	// retryAfter is when a caller may come back to a node that could not find out whether its key is known.
 	retryAfter = 500 * time.Millisecond
 )
@@ -40,17 +42,9 @@
 	Logger  zerolog.Logger
 	Now     func() time.Time
 
-	mutex sync.Mutex
-	// next is the reading that has not begun yet, or nil; last is the one that began last.
-	next, last *check
-}
-
-// check is a reading of the configuration that requests wait for.
-type check struct {
-	// ended is closed when the others are set.
-	ended chan struct{}
-	began time.Time
-	err   error
+	once sync.Once
+	// readings are those that requests wait for.
+	readings *sharedread.Readings
 }
 
 // Tenant returns the holder of a key, or nil where the configuration names no tenants, or the request needs no key and has none
@@ -61,7 +55,7 @@
 	}
 	if g.Routes.Catalog() == nil {
 		// A node that has no configuration yet cannot tell whether keys are needed.
-		if err := g.makeSure(ctx); err != nil {
+		if err := g.makeSure(ctx, func() bool { return g.Routes.Catalog() != nil }); err != nil {
 			return nil, g.refuse(keyhash.Digest{}, fmt.Errorf("%w: %w", ErrNotSure, err))
 		}
 	}
@@ -79,7 +73,7 @@
 		return holder, nil
 	}
 	// A newer configuration may have the key.
-	if err := g.makeSure(ctx); err != nil {
+	if err := g.makeSure(ctx, func() bool { return g.Routes.Holder(digest) != nil }); err != nil {
 		return nil, g.refuse(digest, fmt.Errorf("%w: %w", ErrNotSure, err))
 	}
 	if holder := g.Routes.Holder(digest); holder != nil {
@@ -99,36 +93,23 @@
 		WithRetryAfter(retryAfter).WithCause(cause)
 }
 
-// makeSure returns nil once a reading of the configuration that began after the call has ended. One serves all that wait for it.
-func (g *Gate) makeSure(ctx context.Context) error {
-	g.mutex.Lock()
-	next := g.next
-	if next == nil {
-		next = &check{ended: make(chan struct{})}
-		g.next = next
-		// The reading is the others' too: it goes on where this caller leaves.
-		last := g.last
-		new(tomb.Tomb).Go(func() error { g.check(next, last); return nil })
-	}
-	g.mutex.Unlock()
-	select {
-	case <-next.ended:
-		return next.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// check makes a reading when the last one has ended and its time has come. Whoever comes once it has begun waits for the one after.
-func (g *Gate) check(next, last *check) {
-	if last != nil {
-		<-last.ended
-		time.Sleep(checkEvery - g.Now().Sub(last.began))
+// makeSure returns nil once a reading of the configuration that began after the call has ended, or what the caller waits for is in
+// force: the configuration may come another way before a reading begins.
+func (g *Gate) makeSure(ctx context.Context, inForce func() bool) error {
+	g.once.Do(func() { g.readings = &sharedread.Readings{Read: g.Refresh, Every: checkEvery, Now: g.Now} })
+	reading := g.readings.Ask()
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-reading.Ended:
+			return reading.Err
+		case <-look.C:
+			if inForce() {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	g.mutex.Lock()
-	g.next, g.last = nil, next
-	g.mutex.Unlock()
-	next.began = g.Now()
-	next.err = g.Refresh(context.Background())
-	close(next.ended)
 }
--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -12,6 +12,7 @@
 
 	"storj.io/drpc"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jsoncall"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -62,6 +63,8 @@
 	Now func() time.Time
 	// Workers returns the nodes that run batch jobs; nil tells none.
 	Workers func() []Worker
+	// Refresh reads the orders anew and notes them here; nil cannot.
+	Refresh func(ctx context.Context) error
 
 	mutex       sync.Mutex
 	incarnation int64
@@ -176,31 +179,69 @@
 	return min(now.Sub(at), LongestAge).Milliseconds()
 }
 
+// Newest is what a reading of the configuration for another node brought.
+type Newest struct {
+	// Catalog is the configuration, or nil where the node has this version.
+	Catalog *work.Catalog `json:"catalog,omitempty"`
+	// Unread says why the configuration could not be read; empty where it was.
+	Unread string `json:"unread,omitempty"`
+}
+
+// ErrUnread means that a node could not read the configuration for another one.
+const ErrUnread = failure.Kind("fleet feed: the configuration could not be read")
+
+// Newest answers a node that must not go by what was read before its question: the configuration is read anew.
+func (f *Feed) Newest(ctx context.Context, known *Known) (*Newest, error) {
+	if f.Refresh == nil {
+		return &Newest{Unread: "this node reads for no other"}, nil
+	}
+	if err := f.Refresh(ctx); err != nil {
+		return &Newest{Unread: err.Error()}, nil
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.catalog == nil || f.catalog.Version <= known.CatalogVersion {
+		return &Newest{}, nil
+	}
+	return &Newest{Catalog: f.catalog}, nil
+}
+
 // Server answers nodes.
 type Server interface {
 	Snapshot(ctx context.Context, known *Known) (*Snapshot, error)
+	Newest(ctx context.Context, known *Known) (*Newest, error)
 }
 
-const methodSnapshot = "/mallowlatch.fleetfeed.Feed/Snapshot"
+const (
+	methodSnapshot = "/mallowlatch.fleetfeed.Feed/Snapshot"
+	methodNewest   = "/mallowlatch.fleetfeed.Feed/Newest"
+)
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 1 }
+func (Description) NumMethods() int { return 2 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if index != 0 {
-		return "", nil, nil, nil, false
+	switch index {
+	case 0:
+		return methodSnapshot, jsoncall.Encoding{}, receiveSnapshot, Server.Snapshot, true
+	case 1:
+		return methodNewest, jsoncall.Encoding{}, receiveNewest, Server.Newest, true
 	}
-	return methodSnapshot, jsoncall.Encoding{}, receiveSnapshot, Server.Snapshot, true
+	return "", nil, nil, nil, false
 }
 
 func receiveSnapshot(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 	return server.(Server).Snapshot(ctx, in.(*Known))
 }
 
+func receiveNewest(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Newest(ctx, in.(*Known))
+}
+
 // Ask asks the feed behind a connection.
 func Ask(ctx context.Context, connection drpc.Conn, known *Known) (*Snapshot, error) {
 	snapshot := &Snapshot{}
@@ -209,3 +250,15 @@
 	}
 	return snapshot, nil
 }
+
+// AskNewest has the node behind a connection read the configuration anew, and returns it where its version is newer than the given one.
+func AskNewest(ctx context.Context, connection drpc.Conn, version int64) (*work.Catalog, error) {
+	newest := &Newest{}
+	if err := connection.Invoke(ctx, methodNewest, jsoncall.Encoding{}, &Known{CatalogVersion: version}, newest); err != nil {
+		return nil, fmt.Errorf("asking a feed for the newest configuration: %w", err)
+	}
+	if newest.Unread != "" {
+		return nil, fmt.Errorf("%w: %s", ErrUnread, newest.Unread)
+	}
+	return newest.Catalog, nil
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -86,6 +86,9 @@
 
 	// Source is another node that passes on what it read; nil reads alone.
 	Source Source
+	// Newest has another node read the configuration anew, after the call, and returns it where its version is newer than the given one;
+	// nil has this node read for itself.
+	Newest func(ctx context.Context, version int64) (*work.Catalog, error)
 	// Feed passes on what this node read or was told; nil passes nothing on.
 	Feed *fleetfeed.Feed
 
@@ -343,9 +346,12 @@
 // ErrRegistryAway means that the registry is known not to answer.
 const ErrRegistryAway = failure.Kind("follower: the registry does not answer")
 
-// Refresh reads the orders now and takes them over, for whoever must not go by older ones. It fails at once where the registry is
-// known to be away.
+// Refresh has the newest configuration in force, as of a reading that begins after the call, for whoever must not go by an older one.
+// Another node reads where it can; otherwise this one does, and fails at once where the registry is known to be away.
 func (f *Follower) Refresh(ctx context.Context) error {
+	if f.Newest != nil && f.refreshThrough(ctx) == nil {
+		return nil
+	}
 	f.mutex.Lock()
 	away := f.lost && !f.answers
 	f.mutex.Unlock()
@@ -356,6 +362,27 @@
 	return err
 }
 
+// refreshThrough has another node read the configuration anew. The failure is the source's to log.
+func (f *Follower) refreshThrough(ctx context.Context) error {
+	version := int64(0)
+	if catalog := f.Routes.Catalog(); catalog != nil {
+		version = catalog.Version
+	}
+	catalog, err := f.Newest(ctx, version)
+	if err != nil {
+		return err
+	}
+	if catalog != nil && catalog.Form < work.CatalogForm {
+		// A node of an older build left out of the configuration what it doesn't know.
+		return errOlderForm
+	}
+	f.adopt(catalog, true)
+	return nil
+}
+
+// errOlderForm means that another node told a configuration that its build did not read whole.
+const errOlderForm = failure.Kind("follower: configuration of an older build")
+
 // adopt puts a configuration in force where it is newer. relayed says that another node read it.
 func (f *Follower) adopt(catalog *work.Catalog, relayed bool) {
 	if catalog == nil {
--- a/internal/jobpeer/forms_test.go
+++ b/internal/jobpeer/forms_test.go
@@ -55,6 +55,7 @@
 		"quota-reply":      &quota.Answer{},
 		"feed":             &fleetfeed.Known{},
 		"feed-reply":       &fleetfeed.Snapshot{},
+		"newest-reply":     &fleetfeed.Newest{},
 		"job-header":       &jobrecord.Header{},
 		"job-open":         &jobrecord.Open{},
 		"job-on-disk":      &handoff.Entry{},
--- a/internal/jobpeer/leader.go
+++ b/internal/jobpeer/leader.go
@@ -22,9 +22,9 @@
 	Connect func(address string) (drpc.Conn, error)
 	Now     func() time.Time
 
+	avoidance avoidance
+
 	mutex sync.Mutex
-	// avoided is until when an address is left alone after a failed call.
-	avoided map[string]time.Time
 	// asked is the address of the call in progress, stop ends it.
 	asked string
 	stop  context.CancelFunc
@@ -76,19 +76,28 @@
 	}
 }
 
-func (l *LeaderFeed) avoids(address string) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.Now().Before(l.avoided[address])
+func (l *LeaderFeed) avoids(address string) bool { return l.avoidance.avoids(address, l.Now()) }
+
+func (l *LeaderFeed) avoid(address string) { l.avoidance.avoid(address, l.Now()) }
+
+// avoidance is until when addresses are left alone after a call in vain. It is safe for concurrent use.
+type avoidance struct {
+	mutex sync.Mutex
+	until map[string]time.Time
 }
 
-func (l *LeaderFeed) avoid(address string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	now := l.Now()
-	if l.avoided == nil {
-		l.avoided = map[string]time.Time{}
+func (a *avoidance) avoids(address string, now time.Time) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return now.Before(a.until[address])
+}
+
+func (a *avoidance) avoid(address string, now time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.until == nil {
+		a.until = map[string]time.Time{}
 	}
-	maps.DeleteFunc(l.avoided, func(_ string, until time.Time) bool { return now.After(until) })
-	l.avoided[address] = now.Add(avoidFor)
+	maps.DeleteFunc(a.until, func(_ string, until time.Time) bool { return now.After(until) })
+	a.until[address] = now.Add(avoidFor)
 }
--- a/internal/jobworker/follow.go
+++ b/internal/jobworker/follow.go
@@ -22,9 +22,9 @@
 }
 
 const (
-	// readersInLine is how many workers are asked for what they read before a worker reads for itself: the first by name, and the
+	// ReadersInLine is how many workers are asked for what they read before a worker reads for itself: the first by name, and the
 	// next one while the first does not answer. While the lease of a dead one lasts, all others would read for themselves.
-	readersInLine = 2
+	ReadersInLine = 2
 	// avoidReaderFor is how long a worker that did not answer, or told what is too old, is passed over.
 	avoidReaderFor = 1500 * time.Millisecond
 	// askSlack bounds a question to a reader beyond its wait.
@@ -80,7 +80,7 @@
 
 // readsForAll says whether this worker is one of those that others ask. The caller holds the mutex.
 func (w *Worker) readsForAll() bool {
-	return slices.Contains(firstByName(w.workers, readersInLine), w.Node)
+	return slices.Contains(firstByName(w.workers, ReadersInLine), w.Node)
 }
 
 // askLive takes over what another worker knows.
@@ -156,7 +156,7 @@
 	if len(w.workers) == 0 {
 		return w.seed()
 	}
-	for _, node := range firstByName(w.workers, readersInLine) {
+	for _, node := range firstByName(w.workers, ReadersInLine) {
 		if node == w.Node {
 			return "", false
 		}
