Drop kept jobs that are known to be in the store without a call

Change: the deliverer asks its worker first (Worker.Accepted): a job whose open entry was read, or that was assigned or finished here, is in the store. One that is not known there is asked for as before. Deliveries begin after the worker does.

Seen failing: TestJobThatIsKnownToBeTakenCostsNoCall without the question, one call a turn where none is allowed.

--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -53,6 +53,7 @@
 		process.ends.Keep(filepath.Join(settings.Node.DataFolder, endsFile))
 	}
 	worker.Start(process.tomb)
+	process.deliver(kept, worker)
 	ends := &jobpeer.WorkerEnds{Node: worker.Node, Watch: process.ends, Workers: worker.Registered, Peers: peers}
 	ends.Start(process.tomb)
 	feed := fleetfeed.New(clock.Now)
@@ -75,7 +76,7 @@
 	handoffShare = 0.5
 )
 
-// openHandoff opens the jobs on the disk and begins to hand them over; nil where the machine has no disk.
+// openHandoff opens the jobs on the disk; nil where the machine has no disk.
 func (p *process) openHandoff() (*handoff.Log, error) {
 	if p.settings.Node.DataFolder == "" {
 		return nil, nil
@@ -85,11 +86,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("opening the jobs on the disk: %w", err)
 	}
+	return log, nil
+}
+
+// deliver begins to hand the jobs on the disk over; nil has none.
+func (p *process) deliver(log *handoff.Log, worker *jobworker.Worker) {
+	if log == nil {
+		return
+	}
 	deliverer := &handoff.Deliverer{
-		Log: log, Store: p.records(), Lifetime: p.settings.Bounds.ResultRetention(), Logger: p.logger, Now: clock.Date,
+		Log: log, Store: p.records(), Lifetime: p.settings.Bounds.ResultRetention(), Taken: worker.Accepted, Logger: p.logger, Now: clock.Date,
 	}
 	deliverer.Start(p.tomb)
-	return log, nil
 }
 
 const (
--- a/internal/handoff/deliver.go
+++ b/internal/handoff/deliver.go
@@ -36,8 +36,10 @@
 	// Lifetime is how long after its acceptance a job is handed over at most. The store forgets jobs later than that, and
 	// must not take one again that it has forgotten.
 	Lifetime time.Duration
-	Logger   zerolog.Logger
-	Now      func() time.Time
+	// Taken says whether a job is known to be in the store without a call of it; nil knows none.
+	Taken  func(job ident.Job) bool
+	Logger zerolog.Logger
+	Now    func() time.Time
 
 	mutex sync.Mutex
 	// seen counts the rounds since an entry came or a call failed, whichever was later: an entry waits for as many as its
@@ -112,6 +114,10 @@
 
 // deliver hands one job over. An entry that cannot be handed over any more is dropped, so that it does not hold up others.
 func (d *Deliverer) deliver(ctx context.Context, job ident.Job) error {
+	if d.Taken != nil && d.Taken(job) {
+		d.drop(job, "the store is known to have it")
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 	held, err := d.Store.Exists(ctx, job)
--- a/internal/handoff/log_test.go
+++ b/internal/handoff/log_test.go
@@ -145,6 +145,34 @@
 	}
 }
 
+// TestJobThatIsKnownToBeTakenCostsNoCall
+//
+// The load is one job that four workers keep, as many as are asked at once where two disks may be lost. The aim is that only the one that
+// hands it over calls the store, where the others have seen the job among the open ones before their turn; one that has not still asks.
+func TestJobThatIsKnownToBeTakenCostsNoCall(t *testing.T) {
+	ctx := context.Background()
+	data := kvtest.NewData(time.Now)
+	taken := map[ident.Job]bool{}
+	for turn, calls := range []int{2, 0, 0, 0} {
+		worker := newDelivery(t, data)
+		worker.Taken = func(job ident.Job) bool { return taken[job] }
+		assert.NilError(t, worker.Log.Put(entry("a", turn)))
+		for range turn + 1 {
+			assert.Assert(t, worker.Log.Has("a"))
+			worker.Round(ctx)
+		}
+		assert.Assert(t, !worker.Log.Has("a"))
+		assert.Equal(t, worker.store.Calls(), calls, "turn %d", turn)
+		taken["a"] = true
+	}
+	unaware := newDelivery(t, data)
+	unaware.Taken = func(ident.Job) bool { return false }
+	assert.NilError(t, unaware.Log.Put(entry("a", 0)))
+	unaware.Round(ctx)
+	assert.Assert(t, !unaware.Log.Has("a"))
+	assert.Equal(t, unaware.store.Calls(), 1)
+}
+
 // TestLastCopyIsHandedOverToo removes the workers whose turn comes first.
 func TestLastCopyIsHandedOverToo(t *testing.T) {
 	d := newDelivery(t, kvtest.NewData(time.Now))
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -106,3 +106,12 @@
 func (w *Worker) Keeps(job ident.Job) bool {
 	return w.Handoff != nil && w.Handoff.Has(job)
 }
+
+// Accepted says whether this node knows that the store has a job: its open entry was read, or the job was assigned here once it was
+// accepted. False says nothing.
+func (w *Worker) Accepted(job ident.Job) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	_, finished := w.finished.find(job)
+	return w.open[job] != nil || finished
+}
--- a/internal/jobworker/keep_test.go
+++ b/internal/jobworker/keep_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/handoff"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
 )
 
 // TestWorkersAreDoubtedAfterWhatMayHaveTakenThemOffTheList has a worker start with a new disk, start again, and see an outage.
@@ -35,3 +37,12 @@
 	now = now.Add(time.Millisecond)
 	assert.Assert(t, !w.DoubtsWorkers())
 }
+
+// TestWorkerKnowsWhichJobsTheStoreHas asks for a job that is open, one that was finished here, and one that it has not heard of.
+func TestWorkerKnowsWhichJobsTheStoreHas(t *testing.T) {
+	w := &Worker{open: map[ident.Job]*openJob{"open": {}}}
+	w.finished.keep(&jobrecord.Header{ID: "finished"}, nil, time.Unix(1000, 0))
+	assert.Assert(t, w.Accepted("open"))
+	assert.Assert(t, w.Accepted("finished"))
+	assert.Assert(t, !w.Accepted("unheard"))
+}
