Tell nodes the workers when they change

Cause: each answer about the fleet named all workers again, some 70 bytes each: 3.1 kB a second of each node at the size to design for, where 3 kB is the aim for all of control; workers, who follow each other by themselves, were told too. Change: an answer has a print of the workers, the same in any order; a node that has it is not told them again. Nodes of the last landing send no print and are told them as before. Ruled out: the print alone with a call of its own for the list (a call more after each change). With 45 workers and 880 runners, one runner changed a second, an answer stays below 500 bytes.

--- a/internal/fleetfeed/changes_test.go
+++ b/internal/fleetfeed/changes_test.go
@@ -25,15 +25,23 @@
 	return got, len(encoded)
 }
 
-// ask has a node ask a feed for what is there, and returns the list that it has then and the bytes of the answer.
-func ask(t assert.TestingT, feed *fleetfeed.Feed, copy *fleetfeed.Copy) ([]work.Runner, int) {
+// asker is a node that asks a feed.
+type asker struct {
+	copy    fleetfeed.Copy
+	workers uint64
+}
+
+// ask has the node ask for what is there, and returns the list that it has then and the bytes of the answer.
+func (a *asker) ask(t assert.TestingT, feed *fleetfeed.Feed) ([]work.Runner, int) {
 	known := &fleetfeed.Known{}
-	copy.Tell(known)
+	a.copy.Tell(known)
+	known.WorkersPrint = a.workers
 	known, _ = passed(t, known)
 	snapshot, err := feed.Snapshot(context.Background(), known)
 	assert.NilError(t, err)
 	snapshot, bytes := passed(t, snapshot)
-	assert.NilError(t, copy.Complete(snapshot))
+	assert.NilError(t, a.copy.Complete(snapshot))
+	a.workers = snapshot.WorkersPrint
 	return snapshot.Runners, bytes
 }
 
@@ -53,7 +61,7 @@
 		newFeed := func() *fleetfeed.Feed { return fleetfeed.New(func() time.Time { return now }) }
 		feeds := []*fleetfeed.Feed{newFeed(), newFeed()}
 		most := rapid.SampledFrom([]int{3, 8, 150}).Draw(t, "runners")
-		copy := &fleetfeed.Copy{}
+		node := &asker{}
 		var list []work.Runner
 		for range rapid.IntRange(1, 40).Draw(t, "readings") {
 			now = now.Add(time.Second)
@@ -68,7 +76,7 @@
 			}
 			feeds[which].Read(list, now.Unix(), now)
 			if rapid.Bool().Draw(t, "heard") {
-				got, _ := ask(t, feeds[which], copy)
+				got, _ := node.ask(t, feeds[which])
 				assert.Equal(t, len(got), len(list))
 				assert.DeepEqual(t, listed(got), listed(list))
 			}
@@ -107,15 +115,21 @@
 func TestReadingOfALargeFleetIsTheChangesAlone(t *testing.T) {
 	now := time.Unix(100, 0)
 	feed := fleetfeed.New(func() time.Time { return now })
-	list, copy := fleet(880), &fleetfeed.Copy{}
+	list, node := fleet(880), &asker{}
+	// As many workers as a fleet of that size has.
+	var workers []fleetfeed.Worker
+	for index := range 45 {
+		workers = append(workers, fleetfeed.Worker{Node: ident.Node(fmt.Sprint("worker-", index)), Zone: "zone-1", Address: fmt.Sprintf("10.1.64.%d:8402", index)})
+	}
+	feed.Workers = func() []fleetfeed.Worker { return workers }
 	feed.Read(list, 1, now)
-	_, whole := ask(t, feed, copy)
+	_, whole := node.ask(t, feed)
 	for reading := range 20 {
 		now = now.Add(time.Second)
 		list = append([]work.Runner{}, list...)
 		list[reading*40].State = work.Draining
 		feed.Read(list, int64(2+reading), now)
-		got, bytes := ask(t, feed, copy)
+		got, bytes := node.ask(t, feed)
 		assert.DeepEqual(t, got, list)
 		assert.Assert(t, bytes < 500, "%d bytes", bytes)
 	}
@@ -127,6 +141,30 @@
 	assert.Assert(t, whole < len(plain)/5, "%d bytes of %d", whole, len(plain))
 }
 
+// TestWorkersAreToldWhenTheyChange asks a feed whose workers come and go: they are told once, in whatever order they are listed.
+func TestWorkersAreToldWhenTheyChange(t *testing.T) {
+	now := time.Unix(100, 0)
+	feed := fleetfeed.New(func() time.Time { return now })
+	feed.Read(fleet(2), 1, now)
+	first, second := fleetfeed.Worker{Node: "a", Zone: "z", Address: "1"}, fleetfeed.Worker{Node: "b", Zone: "z", Address: "2"}
+	moved := fleetfeed.Worker{Node: "b", Zone: "z", Address: "3"}
+	print := uint64(0)
+	for _, step := range []struct {
+		workers []fleetfeed.Worker
+		told    int
+	}{
+		{nil, 0}, {[]fleetfeed.Worker{first}, 1}, {[]fleetfeed.Worker{first, second}, 2}, {[]fleetfeed.Worker{second, first}, 0},
+		{[]fleetfeed.Worker{first, moved}, 2}, {nil, 0},
+	} {
+		feed.Workers = func() []fleetfeed.Worker { return step.workers }
+		snapshot, err := feed.Snapshot(t.Context(), &fleetfeed.Known{WorkersPrint: print})
+		assert.NilError(t, err)
+		assert.Equal(t, len(snapshot.Workers), step.told)
+		assert.Equal(t, snapshot.WorkersPrint == 0, len(step.workers) == 0)
+		print = snapshot.WorkersPrint
+	}
+}
+
 // TestNodeOfAnOlderBuildIsToldTheListWhole asks as a node does that knows nothing of changes.
 func TestNodeOfAnOlderBuildIsToldTheListWhole(t *testing.T) {
 	now := time.Unix(100, 0)
@@ -147,7 +185,7 @@
 func TestEntriesOfOneIDAreToldWhole(t *testing.T) {
 	now := time.Unix(100, 0)
 	feed := fleetfeed.New(func() time.Time { return now })
-	copy := &fleetfeed.Copy{}
+	node := &asker{}
 	for _, list := range [][]work.Runner{
 		{{ID: "i-1", Address: "a"}},
 		{{ID: "i-1", Address: "a"}, {ID: "i-1", Address: "b"}},
@@ -156,7 +194,7 @@
 	} {
 		now = now.Add(time.Second)
 		feed.Read(list, now.Unix(), now)
-		got, _ := ask(t, feed, copy)
+		got, _ := node.ask(t, feed)
 		assert.DeepEqual(t, got, list)
 	}
 }
--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"storj.io/drpc"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
@@ -35,6 +36,8 @@
 	ListOf  int64 `json:"list_of,omitempty"`
 	List    int64 `json:"list,omitempty"`
 	Unpacks bool  `json:"unpacks,omitempty"`
+	// WorkersPrint is the print of the workers that the node was told last; zero was told none.
+	WorkersPrint uint64 `json:"workers_print,omitempty"`
 }
 
 // Snapshot is what the feeding node read last.
@@ -58,8 +61,10 @@
 	Catalog *work.Catalog `json:"catalog,omitempty"`
 	// Retire holds the workers to be emptied.
 	Retire []work.Retirement `json:"retire,omitempty"`
-	// Workers are those that run batch jobs, as the node last saw them; none means that it does not know.
-	Workers []Worker `json:"workers,omitempty"`
+	// Workers are those that run batch jobs, as the node last saw them; none means that it does not know, or that they are those of the
+	// print that the asking node has. WorkersPrint is their print.
+	Workers      []Worker `json:"workers,omitempty"`
+	WorkersPrint uint64   `json:"workers_print,omitempty"`
 	// HeldMs is how long the answer was held; what is left of the call's time was its way.
 	HeldMs int64 `json:"held_ms"`
 }
@@ -154,9 +159,7 @@
 		}
 		if snapshot != nil {
 			snapshot.HeldMs = now.Sub(began).Milliseconds()
-			if f.Workers != nil {
-				snapshot.Workers = f.Workers()
-			}
+			f.tellWorkers(snapshot, known)
 			return snapshot, nil
 		}
 		select {
@@ -193,6 +196,27 @@
 	return snapshot, f.changed, f.tellRunners(snapshot, known)
 }
 
+// tellWorkers gives a snapshot the workers, where they are not those that the node was told.
+func (f *Feed) tellWorkers(snapshot *Snapshot, known *Known) {
+	if f.Workers == nil {
+		return
+	}
+	workers := f.Workers()
+	snapshot.WorkersPrint = print(workers)
+	if snapshot.WorkersPrint != known.WorkersPrint {
+		snapshot.Workers = workers
+	}
+}
+
+// print tells lists of workers apart, in whatever order they are; zero is that of none.
+func print(workers []Worker) uint64 {
+	sum := uint64(0)
+	for _, worker := range workers {
+		sum += xxhash.Sum64String(string(worker.Node) + "\x00" + string(worker.Zone) + "\x00" + worker.Address)
+	}
+	return sum
+}
+
 // tellRunners gives a snapshot the list in the shortest form that the node takes. The caller holds the mutex.
 func (f *Feed) tellRunners(snapshot *Snapshot, known *Known) (err error) {
 	if known.ListOf == f.incarnation && known.List > 0 {
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -21,6 +21,9 @@
 	Index uint64
 	// failed counts the questions in vain, so that another seed is asked next.
 	failed uint64
+	// workers are those that were told last, print is their print.
+	workers []fleetfeed.Worker
+	print   uint64
 }
 
 // Next implements follower.Source.
@@ -31,6 +34,7 @@
 		return nil, err
 	}
 	sent := w.Holders.Now()
+	known.WorkersPrint = w.print
 	snapshot, err := fleetfeed.Ask(ctx, connection, known)
 	if err != nil {
 		w.failed++
@@ -43,15 +47,23 @@
 	// answer lay unread.
 	told := sent.Add(time.Duration(snapshot.HeldMs) * time.Millisecond)
 	read := told.Add(-time.Duration(snapshot.RunnersAgeMs) * time.Millisecond)
-	if len(snapshot.Workers) > 0 && w.Holders.Now().Sub(read) < oldestLearned {
-		w.Holders.Learn(workersOf(snapshot), told)
+	if workers := w.toldWorkers(snapshot); len(workers) > 0 && w.Holders.Now().Sub(read) < oldestLearned {
+		w.Holders.Learn(workersOf(workers), told)
 	}
 	return snapshot, nil
 }
 
-func workersOf(snapshot *fleetfeed.Snapshot) []jobrecord.Worker {
-	workers := make([]jobrecord.Worker, 0, len(snapshot.Workers))
-	for _, worker := range snapshot.Workers {
+// toldWorkers returns the workers of a snapshot. One without them that has the print of those told last means these.
+func (w *WorkerFeed) toldWorkers(snapshot *fleetfeed.Snapshot) []fleetfeed.Worker {
+	if len(snapshot.Workers) > 0 || snapshot.WorkersPrint == 0 || snapshot.WorkersPrint != w.print {
+		w.workers, w.print = snapshot.Workers, snapshot.WorkersPrint
+	}
+	return w.workers
+}
+
+func workersOf(told []fleetfeed.Worker) []jobrecord.Worker {
+	workers := make([]jobrecord.Worker, 0, len(told))
+	for _, worker := range told {
 		workers = append(workers, jobrecord.Worker{Node: worker.Node, Zone: worker.Zone, Address: worker.Address})
 	}
 	return workers
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -217,6 +217,35 @@
 	assert.NilError(t, keep(holders))
 }
 
+// TestWorkersThatAreToldOnceAreLearnedLater has a worker tell the others with a reading that is too old, and with the next one that they are the
+// same. One that names none, and has another print, does not know them.
+func TestWorkersThatAreToldOnceAreLearnedLater(t *testing.T) {
+	first := &peer{keep: keeps}
+	holders := newHolders(t, oneZone, first)
+	source := &jobpeer.WorkerFeed{Holders: holders}
+	known := &fleetfeed.Known{}
+	first.feed = fleetfeed.Snapshot{
+		RunnersAgeMs: (5 * time.Second).Milliseconds(), WorkersPrint: 7,
+		Workers: []fleetfeed.Worker{{Node: "a", Zone: "z", Address: "a"}, {Node: "b", Zone: "z", Address: "a"}},
+	}
+	for _, feed := range []fleetfeed.Snapshot{first.feed, {RunnersAgeMs: 200, WorkersPrint: 8}} {
+		first.feed = feed
+		_, err := source.Next(context.Background(), known)
+		assert.NilError(t, err)
+		assert.Assert(t, keep(holders) != nil)
+	}
+	first.feed = fleetfeed.Snapshot{
+		RunnersAgeMs: (5 * time.Second).Milliseconds(), WorkersPrint: 7,
+		Workers: []fleetfeed.Worker{{Node: "a", Zone: "z", Address: "a"}, {Node: "b", Zone: "z", Address: "a"}},
+	}
+	for _, feed := range []fleetfeed.Snapshot{first.feed, {RunnersAgeMs: 200, WorkersPrint: 7}} {
+		first.feed = feed
+		_, err := source.Next(context.Background(), known)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, keep(holders))
+}
+
 // TestOlderListOfWorkersIsPassedOver has what a worker told overtaken by a newer reading.
 func TestOlderListOfWorkersIsPassedOver(t *testing.T) {
 	holders := newHolders(t, oneZone, &peer{keep: keeps}, &peer{keep: keeps})
--- a/internal/jobpeer/leader.go
+++ b/internal/jobpeer/leader.go
@@ -49,6 +49,8 @@
 	snapshot, err := fleetfeed.Ask(call, connection, known)
 	switch {
 	case err == nil:
+		// Workers follow each other by themselves: they need not be told of them again.
+		known.WorkersPrint = snapshot.WorkersPrint
 		return snapshot, nil
 	case call.Err() != nil && ctx.Err() == nil:
 		return nil, follower.ErrReadAlone
