--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -44,11 +44,6 @@
 	return h.held, h.held.Total > 0
 }
 
-// Recorded implements jobentry.Holders: no worker reads the records.
-func (h *fakeHolders) Recorded(context.Context, ident.Job, int) (work.Held, int64, bool) {
-	return work.Held{}, 0, false
-}
-
 func (h *fakeHolders) Body(context.Context, ident.Job, ident.Request) ([]byte, ident.Tenant, bool) {
 	return []byte("body"), h.held.Tenant, h.held.Total > 0
 }
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -39,6 +39,8 @@
 	deafRetryAfter = 100 * time.Millisecond
 	// quotaRetryAfter is when a caller may come back to a full queue.
 	quotaRetryAfter = time.Second
+	// cachedHeaders bounds the headers kept in memory. A header never changes, so that any copy is good.
+	cachedHeaders = 256
 	// answerBytes bounds the results of one answer.
 	answerBytes = 900 << 10
 	// resultOverhead is what a result takes in an answer beside its text.
@@ -49,9 +51,6 @@
 type Holders interface {
 	// Results returns results from a position on. sure is false where no worker answered for certain.
 	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (held work.Held, sure bool)
-	// Recorded has a worker read from a position on what is recorded of a job that no worker holds, and returns it with the revision of
-	// the reading, zero where it was in memory. read is false where none did.
-	Recorded(ctx context.Context, job ident.Job, from int) (held work.Held, revision int64, read bool)
 	// Keep has workers keep a job on disk until the store takes it. Its error is a *failure.Error.
 	Keep(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error
 	// Pending says whether a worker keeps a job that the store may not have yet; sure is false where one may and did not
@@ -80,9 +79,8 @@
 	// Now is the steady clock; nil is the machine's.
 	Now func() time.Time
 
-	headers jobrecord.Headers
-
-	mutex sync.Mutex
+	mutex   sync.Mutex
+	headers map[ident.Job]*jobrecord.Header
 	// storeDoubted is until when workers are asked to keep a job without waiting for the store first.
 	storeDoubted time.Time
 }
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -67,39 +67,26 @@
 	return header, nil
 }
 
-// recordedResults reads the records, through a worker where one reads them.
+// recordedResults reads the records themselves.
 func (d *Desk) recordedResults(ctx context.Context, tenant ident.Tenant, job ident.Job, from int, wait time.Duration) (Listing, error) {
-	recorded, revision, err := d.recorded(ctx, tenant, job, from)
+	header, err := d.headerFor(ctx, tenant, job)
 	if err != nil {
 		return Listing{}, d.readFailure(job, err)
 	}
-	results := recorded.Results
-	if len(results) == 0 && from < recorded.Total && wait > 0 && revision > 0 {
-		// A wait that fails is an empty answer: the list was read before it.
-		results, _ = d.next(ctx, job, from, revision, wait)
-	}
-	return Listing{Total: recorded.Total, Results: cut(results)}, nil
-}
-
-// recorded returns what is recorded of a tenant's job from a position on, and the revision of the reading. A worker that reads it keeps
-// what cannot change, for the other nodes that are asked.
-func (d *Desk) recorded(ctx context.Context, tenant ident.Tenant, job ident.Job, from int) (work.Held, int64, error) {
-	if d.Holders != nil {
-		if held, revision, read := d.Holders.Recorded(ctx, job, from); read {
-			return held, revision, d.checkTenant(ctx, tenant, held.Tenant, job)
-		}
+	listing := Listing{Total: len(header.Items)}
+	if from >= listing.Total {
+		return listing, nil
 	}
-	header, err := d.headerFor(ctx, tenant, job)
+	results, revision, err := d.list(ctx, job, from)
 	if err != nil {
-		return work.Held{}, 0, err
+		return Listing{}, d.readFailure(job, err)
 	}
-	held := work.Held{Tenant: header.Tenant, Total: len(header.Items)}
-	if from >= held.Total {
-		return held, 0, nil
+	if len(results) == 0 && wait > 0 {
+		// A wait that fails is an empty answer: the list was read before it.
+		results, _ = d.next(ctx, job, from, revision, wait)
 	}
-	results, revision, err := d.list(ctx, job, from)
-	held.Results = results
-	return held, revision, err
+	listing.Results = cut(results)
+	return listing, nil
 }
 
 func (d *Desk) list(ctx context.Context, job ident.Job, from int) ([]work.Result, int64, error) {
@@ -181,7 +168,10 @@
 
 // header returns a job's header, from memory if it was read before.
 func (d *Desk) header(ctx context.Context, job ident.Job) (*jobrecord.Header, error) {
-	if known := d.headers.Find(job); known != nil {
+	d.mutex.Lock()
+	known := d.headers[job]
+	d.mutex.Unlock()
+	if known != nil {
 		return known, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -193,7 +183,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.headers.Keep(header)
+	d.remember(header)
 	return header, nil
 }
 
@@ -218,6 +208,21 @@
 	return pending || !sure
 }
 
+func (d *Desk) remember(header *jobrecord.Header) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.headers == nil {
+		d.headers = map[ident.Job]*jobrecord.Header{}
+	}
+	if len(d.headers) >= cachedHeaders {
+		for id := range d.headers {
+			delete(d.headers, id)
+			break
+		}
+	}
+	d.headers[header.ID] = header
+}
+
 // readFailure turns a failed reading into what the caller is told. Only what the records deny is not found.
 func (d *Desk) readFailure(job ident.Job, err error) *failure.Error {
 	switch {
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -14,10 +14,8 @@
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
-	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/jsoncall"
 	"mallowlatch.example/mallowlatch/internal/reach"
-	"mallowlatch.example/mallowlatch/internal/rendezvous"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -97,42 +95,6 @@
 	return work.Held{}, false
 }
 
-// recordedDuty is what workers are ranked by for reading the records of a job: all nodes must rank alike.
-const recordedDuty = "recorded/"
-
-// Recorded has a worker read what is recorded of a job from a position on: the same one for all nodes, which keeps the results of a
-// finished job. The revision is that of the reading, zero where the worker had them in memory. read is false where it did not read.
-func (h *Holders) Recorded(ctx context.Context, job ident.Job, from int) (held work.Held, revision int64, read bool) {
-	address, found := h.recorder(job)
-	if !found {
-		return work.Held{}, 0, false
-	}
-	query, reply := &Query{Job: job, From: from, Recorded: true}, &Reply{}
-	if !h.ask(ctx, address, methodResults, query, reply, jobworker.RecordedTimeout) || !reply.Sure {
-		return work.Held{}, 0, false
-	}
-	if len(reply.Results) > 0 && from+len(reply.Results) == reply.Total {
-		h.remember(job, whereabouts{address: address})
-	}
-	return work.Held{Tenant: reply.Tenant, Total: reply.Total, Results: reply.Results}, reply.Revision, true
-}
-
-// recorder returns the address of the worker that ranks first for the records of a job, of those that answer.
-func (h *Holders) recorder(job ident.Job) (string, bool) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	address, best := "", ident.Node("")
-	for _, worker := range h.workers.Value() {
-		if h.Now().Before(h.avoided[worker.Address]) {
-			continue
-		}
-		if address == "" || rendezvous.Compare(recordedDuty+string(job), worker.Node, best) < 0 {
-			address, best = worker.Address, worker.Node
-		}
-	}
-	return address, address != ""
-}
-
 // Body reads the body of an item, and whose it is, from the worker that holds its job.
 func (h *Holders) Body(ctx context.Context, job ident.Job, item ident.Request) (body []byte, tenant ident.Tenant, found bool) {
 	for _, address := range h.candidates(ctx, job) {
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -44,8 +44,6 @@
 	From int       `json:"from"`
 	// WaitMs is how long the worker may wait for the next result, in milliseconds.
 	WaitMs int64 `json:"wait_ms"`
-	// Recorded has the worker read the records where it does not know the newest state itself.
-	Recorded bool `json:"recorded,omitempty"`
 }
 
 // Reply is what the worker knows.
@@ -56,8 +54,6 @@
 	Tenant  ident.Tenant  `json:"tenant,omitempty"`
 	Total   int           `json:"total"`
 	Results []work.Result `json:"results"`
-	// Revision is that of the reading where the worker read the records; empty where it answered from memory.
-	Revision int64 `json:"revision,omitempty"`
 }
 
 // BodyQuery asks for the body of an item without a recorded result.
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -25,15 +25,7 @@
 func (s *WorkerServer) Results(ctx context.Context, query *Query) (*Reply, error) {
 	wait := min(time.Duration(query.WaitMs)*time.Millisecond, longestWait)
 	held, sure := s.Worker.Held(ctx, query.Job, max(query.From, 0), wait)
-	if sure || !query.Recorded {
-		return &Reply{Sure: sure, Tenant: held.Tenant, Total: held.Total, Results: held.Results}, nil
-	}
-	held, revision, err := s.Worker.Recorded(ctx, query.Job, max(query.From, 0))
-	if err != nil {
-		// The node that asks reads the records itself, and tells what became of that.
-		return &Reply{}, nil
-	}
-	return &Reply{Sure: true, Tenant: held.Tenant, Total: held.Total, Results: held.Results, Revision: revision}, nil
+	return &Reply{Sure: sure, Tenant: held.Tenant, Total: held.Total, Results: held.Results}, nil
 }
 
 // Body implements Server.
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -192,8 +192,6 @@
 	retirements map[ident.Node]*retirement
 	// finished holds the results of jobs that were finished here lately.
 	finished finishedJobs
-	// headers are those of jobs that were read for other nodes.
-	headers jobrecord.Headers
 }
 
 // openJob is a job that is not finished.
