Keep beside each result what readers need of its job

A header is kept by the front that read it, and each such job is read about once a front.

Change: the entry of a result has the number of the job's items and its tenant (jobrecord.StoredResult), and a reading takes in the result before its position, so that it tells of the job from any position, the end too. The header is read where nothing is recorded yet, or an earlier build recorded it. Earlier builds pass over the new fields.

Ruled out: one worker that reads for all nodes (taken back: there is nobody to share with).

Seen failing: TestResultsThatNoWorkerHoldsAreReadInOneCall without the use of the new fields, 40 calls for 20 readings.

--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -69,30 +69,42 @@
 
 // recordedResults reads the records themselves.
 func (d *Desk) recordedResults(ctx context.Context, tenant ident.Tenant, job ident.Job, from int, wait time.Duration) (Listing, error) {
-	header, err := d.headerFor(ctx, tenant, job)
-	if err != nil {
-		return Listing{}, d.readFailure(job, err)
-	}
-	listing := Listing{Total: len(header.Items)}
-	if from >= listing.Total {
-		return listing, nil
-	}
-	results, revision, err := d.list(ctx, job, from)
+	read, err := d.list(ctx, tenant, job, from)
 	if err != nil {
 		return Listing{}, d.readFailure(job, err)
 	}
-	if len(results) == 0 && wait > 0 {
+	results := read.Results
+	if len(results) == 0 && from < read.Total && wait > 0 {
 		// A wait that fails is an empty answer: the list was read before it.
-		results, _ = d.next(ctx, job, from, revision, wait)
+		results, _ = d.next(ctx, job, from, read.Revision, wait)
 	}
-	listing.Results = cut(results)
-	return listing, nil
+	return Listing{Total: read.Total, Results: cut(results)}, nil
 }
 
-func (d *Desk) list(ctx context.Context, job ident.Job, from int) ([]work.Result, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// list reads results of a tenant's job. Where they do not tell of the job, its header does.
+func (d *Desk) list(ctx context.Context, tenant ident.Tenant, job ident.Job, from int) (jobrecord.Listing, error) {
+	known := d.known(job)
+	if known != nil && from >= len(known.Items) && known.BelongsTo(tenant) {
+		return jobrecord.Listing{Total: len(known.Items)}, nil
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return d.Records.Results(ctx, job, from)
+	read, err := d.Records.Results(call, job, from)
+	if err != nil {
+		return jobrecord.Listing{}, err
+	}
+	if read.Total > 0 {
+		if !read.BelongsTo(tenant) {
+			return jobrecord.Listing{}, fmt.Errorf("%w: %s is another tenant's", jobrecord.ErrNoSuchJob, job)
+		}
+		return read, nil
+	}
+	header, err := d.headerFor(ctx, tenant, job)
+	if err != nil {
+		return jobrecord.Listing{}, err
+	}
+	read.Total = len(header.Items)
+	return read, nil
 }
 
 func (d *Desk) next(ctx context.Context, job ident.Job, from int, after int64, wait time.Duration) ([]work.Result, error) {
@@ -166,12 +178,16 @@
 	return d.Records.End(ctx, header)
 }
 
+// known returns a job's header if it was read before, or nil.
+func (d *Desk) known(job ident.Job) *jobrecord.Header {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.headers[job]
+}
+
 // header returns a job's header, from memory if it was read before.
 func (d *Desk) header(ctx context.Context, job ident.Job) (*jobrecord.Header, error) {
-	d.mutex.Lock()
-	known := d.headers[job]
-	d.mutex.Unlock()
-	if known != nil {
+	if known := d.known(job); known != nil {
 		return known, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- /dev/null
+++ b/internal/jobentry/read_test.go
@@ -0,0 +1,151 @@
+package jobentry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobentry"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const recordedItems = 3
+
+// recordJob puts a job of a tenant into a desk's store, with the results of its first items.
+func recordJob(t *testing.T, records *jobrecord.Records, id ident.Job, tenant ident.Tenant, finished int) {
+	t.Helper()
+	ctx := context.Background()
+	submission := &jobrecord.Submission{ID: id, Route: "r", Host: "h", Zone: "z", Tenant: tenant}
+	for index := range recordedItems {
+		submission.Items = append(submission.Items, work.Item{ID: ident.Request(fmt.Sprint(id, "-", index)), Path: "/p", Body: []byte("b")})
+	}
+	lease, err := records.Store.Grant(ctx, time.Hour)
+	assert.NilError(t, err)
+	assigned, err := records.AcceptFor(ctx, submission, nil, jobrecord.Assignee{Node: "w", Lease: lease})
+	assert.NilError(t, err)
+	header, err := records.Header(ctx, id)
+	assert.NilError(t, err)
+	for position := range finished {
+		result := work.Result{ID: submission.Items[position].ID, State: work.Completed, Text: fmt.Sprint("text ", position)}
+		last := position == recordedItems-1
+		assert.NilError(t, records.Append(ctx, assigned.Claim, header, position, []work.Result{result}, 0, last))
+	}
+}
+
+// mustList reads results and checks them.
+func mustList(t *testing.T, desk *jobentry.Desk, tenant ident.Tenant, id ident.Job, from, finished int) {
+	t.Helper()
+	listing, err := desk.Results(context.Background(), tenant, id, from, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, listing.Total, recordedItems)
+	assert.Equal(t, len(listing.Results), max(finished-from, 0))
+	for index, result := range listing.Results {
+		assert.Equal(t, result.Text, fmt.Sprint("text ", from+index))
+	}
+}
+
+// TestResultsThatNoWorkerHoldsAreReadInOneCall
+//
+// The load is what is asked for after a loss of all machines: finished jobs, each read once or twice at fronts that have not read it before,
+// from any position, the end too. The aim is one call for a reading: the store has all that the answer needs in one place.
+func TestResultsThatNoWorkerHoldsAreReadInOneCall(t *testing.T) {
+	const jobs = 20
+	for from := range recordedItems + 1 {
+		desk, store := newDesk(&fakeHolders{})
+		for job := range jobs {
+			recordJob(t, desk.Records, ident.Job(fmt.Sprint("job-", job)), "clinic", recordedItems)
+		}
+		before := store.Calls()
+		for job := range jobs {
+			mustList(t, desk, "clinic", ident.Job(fmt.Sprint("job-", job)), from, recordedItems)
+		}
+		calls := store.Calls() - before
+		assert.Assert(t, calls <= jobs, "%d calls for %d readings from %d", calls, jobs, from)
+	}
+}
+
+// TestResultsTellOnlyTheirTenant reads jobs of a tenant and of nobody, whole and in part, as that tenant and as another one.
+func TestResultsTellOnlyTheirTenant(t *testing.T) {
+	for finished := range recordedItems + 1 {
+		for from := range recordedItems + 1 {
+			desk, _ := newDesk(&fakeHolders{})
+			recordJob(t, desk.Records, "job", "clinic", finished)
+			recordJob(t, desk.Records, "open-to-all", "", finished)
+			for range 2 {
+				_, err := desk.Results(context.Background(), "school", "job", from, 0)
+				assert.Equal(t, failure.As(err).Code, failure.CodeNotFound)
+				mustList(t, desk, "clinic", "job", from, finished)
+				mustList(t, desk, "school", "open-to-all", from, finished)
+			}
+		}
+	}
+}
+
+// olderStore keeps results as earlier builds did, without what readers need of the job.
+type olderStore struct{ kv.Paged }
+
+// Commit implements kv.Paged.
+func (s *olderStore) Commit(ctx context.Context, compares []kv.Compare, writes []kv.Write) (kv.TransactionResult, error) {
+	for index := range writes {
+		var stored map[string]any
+		if json.Unmarshal(writes[index].Value, &stored) != nil || stored["state"] == nil {
+			continue
+		}
+		delete(stored, "total")
+		delete(stored, "tenant")
+		writes[index].Value, _ = json.Marshal(stored)
+	}
+	return s.Paged.Commit(ctx, compares, writes)
+}
+
+// TestResultsOfAnEarlierBuildAreRead has the header read for them.
+func TestResultsOfAnEarlierBuildAreRead(t *testing.T) {
+	for finished := range recordedItems + 1 {
+		for from := range recordedItems + 1 {
+			desk, store := newDesk(&fakeHolders{})
+			desk.Records.Store = &olderStore{Paged: store}
+			recordJob(t, desk.Records, "job", "clinic", finished)
+			for range 2 {
+				_, err := desk.Results(context.Background(), "school", "job", from, 0)
+				assert.Equal(t, failure.As(err).Code, failure.CodeNotFound)
+				mustList(t, desk, "clinic", "job", from, finished)
+			}
+		}
+	}
+}
+
+// narrowStore has pages of one result, as a store has whose pages are bounded in bytes.
+type narrowStore struct{ *kvtest.Paged }
+
+// ListPage implements kv.Paged.
+func (s *narrowStore) ListPage(ctx context.Context, prefix string, options kv.PageOptions) (kv.Page, error) {
+	page, err := s.Paged.ListPage(ctx, prefix, options)
+	if len(page.Pairs) > 1 {
+		page.Pairs, page.More = page.Pairs[:1], true
+	}
+	return page, err
+}
+
+// TestLargeResultDoesNotHideTheNextOne reads from each position where a page has room for one result: an answer has one at least, if
+// there is one.
+func TestLargeResultDoesNotHideTheNextOne(t *testing.T) {
+	desk, store := newDesk(&fakeHolders{})
+	recordJob(t, desk.Records, "job", "clinic", recordedItems)
+	desk.Records.Store = &narrowStore{Paged: store}
+	for from := range recordedItems {
+		listing, err := desk.Results(context.Background(), "clinic", "job", from, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, listing.Total, recordedItems)
+		assert.Equal(t, len(listing.Results), 1)
+		assert.Equal(t, listing.Results[0].Text, fmt.Sprint("text ", from))
+	}
+}
--- a/internal/jobpeer/forms_test.go
+++ b/internal/jobpeer/forms_test.go
@@ -58,6 +58,7 @@
 		"newest-reply":     &fleetfeed.Newest{},
 		"job-header":       &jobrecord.Header{},
 		"job-open":         &jobrecord.Open{},
+		"job-result":       &jobrecord.StoredResult{},
 		"job-on-disk":      &handoff.Entry{},
 		"configuration":    &work.Catalog{},
 		"registered-peers": &jobrecord.Worker{},
--- a/internal/jobrecord/read.go
+++ b/internal/jobrecord/read.go
@@ -53,18 +53,56 @@
 	return part[i.Offset : i.Offset+i.Length : i.Offset+i.Length], nil
 }
 
-// Results reads results from a position on, one page at most, and the revision of the reading.
-func (r *Records) Results(ctx context.Context, job ident.Job, from int) ([]work.Result, int64, error) {
+// Listing is what one reading of a job's results told.
+type Listing struct {
+	// Results stand at successive positions from the one asked for, one page of them at most.
+	Results []work.Result
+	// Total is the number of the job's items and Tenant whose job it is; Total is zero where the reading did not tell, because nothing
+	// was recorded there, or by an earlier build.
+	Total  int
+	Tenant ident.Tenant
+	// Revision is that of the reading.
+	Revision int64
+}
+
+// BelongsTo says whether a tenant may read the job, where the reading told of it. One without a tenant is open to all.
+func (l *Listing) BelongsTo(tenant ident.Tenant) bool { return belongsTo(l.Tenant, tenant) }
+
+// Results reads results from a position on, one page at most. The result before the position is read too: it tells of the job where
+// there is none at the position.
+func (r *Records) Results(ctx context.Context, job ident.Job, from int) (Listing, error) {
+	page, err := r.resultPage(ctx, job, max(from-1, 0))
+	if err != nil {
+		return Listing{}, err
+	}
+	listing := Listing{Revision: page.Revision}
+	if len(page.Pairs) > 0 {
+		var first StoredResult
+		if err := decode(page.Pairs[0], &first); err != nil {
+			return Listing{}, err
+		}
+		listing.Total, listing.Tenant = first.Total, first.Tenant
+	}
+	if from > 0 && len(page.Pairs) > 0 && page.Pairs[0].Key == keyResult(job, from-1) {
+		page.Pairs = page.Pairs[1:]
+	}
+	if len(page.Pairs) == 0 && page.More {
+		// The result before the position filled the page.
+		if page, err = r.resultPage(ctx, job, from); err != nil {
+			return Listing{}, err
+		}
+	}
+	listing.Results, err = decodeResults(job, from, page.Pairs)
+	return listing, err
+}
+
+// resultPage reads the results from a position on, one page at most.
+func (r *Records) resultPage(ctx context.Context, job ident.Job, from int) (kv.Page, error) {
 	options := kv.PageOptions{}
 	if from > 0 {
 		options.After = keyResult(job, from-1)
 	}
-	page, err := r.Store.ListPage(ctx, resultsOf(job), options)
-	if err != nil {
-		return nil, 0, err
-	}
-	results, err := decodeResults(job, from, page.Pairs)
-	return results, page.Revision, err
+	return r.Store.ListPage(ctx, resultsOf(job), options)
 }
 
 // NextResults waits for results from a position on that came after the revision. It returns none when the wait is over,
--- a/internal/jobrecord/record.go
+++ b/internal/jobrecord/record.go
@@ -94,7 +94,9 @@
 }
 
 // BelongsTo says whether a tenant may read and end the job. One without a tenant is open to all.
-func (h *Header) BelongsTo(tenant ident.Tenant) bool { return h.Tenant == "" || h.Tenant == tenant }
+func (h *Header) BelongsTo(tenant ident.Tenant) bool { return belongsTo(h.Tenant, tenant) }
+
+func belongsTo(owner, tenant ident.Tenant) bool { return owner == "" || owner == tenant }
 
 // Submitted is when the job was accepted.
 func (h *Header) Submitted() time.Time { return time.UnixMilli(h.SubmittedMs) }
@@ -107,6 +109,15 @@
 	Length int `json:"length"`
 }
 
+// StoredResult is the entry of a result. Beside it stands what readers need of the job's header, so that they need not read that.
+type StoredResult struct {
+	work.Result
+	// Total is the number of the job's items; zero where an earlier build recorded the result.
+	Total int `json:"total,omitempty"`
+	// Tenant is the header's.
+	Tenant ident.Tenant `json:"tenant,omitempty"`
+}
+
 // Open is the entry of a job that is not finished. It is small, because every worker reads it.
 type Open struct {
 	ID    ident.Job  `json:"-"`
--- a/internal/jobrecord/run.go
+++ b/internal/jobrecord/run.go
@@ -148,7 +148,8 @@
 	for index, result := range results {
 		key := keyResult(claim.Job, position+index)
 		compares = append(compares, kv.Compare{Key: key})
-		writes = append(writes, kv.Write{Key: key, Value: encode(result)})
+		stored := StoredResult{Result: result, Total: len(header.Items), Tenant: header.Tenant}
+		writes = append(writes, kv.Write{Key: key, Value: encode(stored)})
 	}
 	if finished {
 		writes = append(writes, r.closing(header)...)
