Claim no jobs while the store refuses the renewals of the lease

Change: claims wait until a renewal was answered, as the other loops do.

Seen failing: TestWorkerThatTheStoreRefusesClaimsNothing, 84 claims of three jobs in seven seconds where none is allowed.

--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -61,8 +61,12 @@
 	return claimed && (holder != w.Node || w.jobs[id] != nil)
 }
 
-// claimDue claims the unclaimed jobs whose delay is over. The caller holds the mutex.
+// claimDue claims the unclaimed jobs whose delay is over. While the renewals of the lease fail it claims none: a claim would fail as well,
+// or hang on a lease that is about to lapse. The caller holds the mutex.
 func (w *Worker) claimDue(now time.Time) {
+	if !w.outage.failingSince.IsZero() {
+		return
+	}
 	waiting, places := 0, 0
 	counted := false
 	for _, candidate := range w.open {
--- a/internal/jobworker/claim_test.go
+++ b/internal/jobworker/claim_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,3 +60,53 @@
 	supervisor.Kill(nil)
 	assert.NilError(t, supervisor.Wait())
 }
+
+// refusingStore refuses each commit and counts them.
+type refusingStore struct {
+	kv.Paged
+	refused atomic.Int64
+}
+
+// Commit implements kv.Paged.
+func (s *refusingStore) Commit(context.Context, []kv.Compare, []kv.Write) (kv.TransactionResult, error) {
+	s.refused.Add(1)
+	return kv.TransactionResult{}, kv.ErrRateLimited
+}
+
+// TestWorkerThatTheStoreRefusesClaimsNothing
+//
+// The load is three jobs that nobody runs at a worker that the store turns away for seven seconds, while another worker tells it of them.
+// The aim is that only the renewals of the lease try whether the store is back; a claim is made in the first round after that.
+func TestWorkerThatTheStoreRefusesClaimsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		supervisor := new(tomb.Tomb)
+		supervisor.Go(func() error { <-supervisor.Dying(); return nil })
+		store := &refusingStore{}
+		w := &Worker{
+			Node: "w", Zone: "z", Store: store, Routes: &routetable.Table{}, Options: DefaultOptions, Logger: zerolog.Nop(), Now: time.Now,
+			Records: &jobrecord.Records{Store: store, Now: time.Now},
+			tomb:    supervisor, ctx: supervisor.Context(context.Background()), lease: 1, open: map[ident.Job]*openJob{},
+		}
+		for _, id := range []ident.Job{"a", "b", "c"} {
+			// A claim of its own that it does not serve: nobody else can claim the job.
+			w.open[id] = &openJob{entry: jobrecord.Open{ID: id, Route: "r"}, own: true, unclaimed: time.Now()}
+		}
+		round := func() {
+			w.mutex.Lock()
+			w.claimDue(w.Now())
+			w.mutex.Unlock()
+			time.Sleep(w.Options.DispatchEvery)
+		}
+		w.noteOutage(true)
+		for began := time.Now(); time.Since(began) < 7*time.Second; {
+			round()
+		}
+		assert.Equal(t, store.refused.Load(), int64(0), "claims while the store refuses the renewals")
+		w.noteOutage(false)
+		round()
+		synctest.Wait()
+		assert.Equal(t, store.refused.Load(), int64(len(w.open)))
+		supervisor.Kill(nil)
+		assert.NilError(t, supervisor.Wait())
+	})
+}
