--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -67,45 +67,44 @@
 	return header, nil
 }
 
-// recordedResults reads the records, through a worker where one reads them.
+// recordedResults reads the records themselves.
 func (d *Desk) recordedResults(ctx context.Context, tenant ident.Tenant, job ident.Job, from int, wait time.Duration) (Listing, error) {
-	recorded, revision, err := d.recorded(ctx, tenant, job, from)
+	read, err := d.list(ctx, tenant, job, from)
 	if err != nil {
 		return Listing{}, d.readFailure(job, err)
 	}
-	results := recorded.Results
-	if len(results) == 0 && from < recorded.Total && wait > 0 && revision > 0 {
+	results := read.Results
+	if len(results) == 0 && from < read.Total && wait > 0 {
 		// A wait that fails is an empty answer: the list was read before it.
-		results, _ = d.next(ctx, job, from, revision, wait)
+		results, _ = d.next(ctx, job, from, read.Revision, wait)
 	}
-	return Listing{Total: recorded.Total, Results: cut(results)}, nil
+	return Listing{Total: read.Total, Results: cut(results)}, nil
 }
 
-// recorded returns what is recorded of a tenant's job from a position on, and the revision of the reading. A worker that reads it keeps
-// what cannot change, for the other nodes that are asked.
-func (d *Desk) recorded(ctx context.Context, tenant ident.Tenant, job ident.Job, from int) (work.Held, int64, error) {
-	if d.Holders != nil {
-		if held, revision, read := d.Holders.Recorded(ctx, job, from); read {
-			return held, revision, d.checkTenant(ctx, tenant, held.Tenant, job)
+// list reads results of a tenant's job. Where they do not tell of the job, its header does.
+func (d *Desk) list(ctx context.Context, tenant ident.Tenant, job ident.Job, from int) (jobrecord.Listing, error) {
+	known := d.known(job)
+	if known != nil && from >= len(known.Items) && known.BelongsTo(tenant) {
+		return jobrecord.Listing{Total: len(known.Items)}, nil
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	read, err := d.Records.Results(call, job, from)
+	if err != nil {
+		return jobrecord.Listing{}, err
+	}
+	if read.Total > 0 {
+		if !read.BelongsTo(tenant) {
+			return jobrecord.Listing{}, fmt.Errorf("%w: %s is another tenant's", jobrecord.ErrNoSuchJob, job)
 		}
+		return read, nil
 	}
 	header, err := d.headerFor(ctx, tenant, job)
 	if err != nil {
-		return work.Held{}, 0, err
+		return jobrecord.Listing{}, err
 	}
-	held := work.Held{Tenant: header.Tenant, Total: len(header.Items)}
-	if from >= held.Total {
-		return held, 0, nil
-	}
-	results, revision, err := d.list(ctx, job, from)
-	held.Results = results
-	return held, revision, err
-}
-
-func (d *Desk) list(ctx context.Context, job ident.Job, from int) ([]work.Result, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return d.Records.Results(ctx, job, from)
+	read.Total = len(header.Items)
+	return read, nil
 }
 
 func (d *Desk) next(ctx context.Context, job ident.Job, from int, after int64, wait time.Duration) ([]work.Result, error) {
@@ -179,9 +178,16 @@
 	return d.Records.End(ctx, header)
 }
 
+// known returns a job's header if it was read before, or nil.
+func (d *Desk) known(job ident.Job) *jobrecord.Header {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.headers[job]
+}
+
 // header returns a job's header, from memory if it was read before.
 func (d *Desk) header(ctx context.Context, job ident.Job) (*jobrecord.Header, error) {
-	if known := d.headers.Find(job); known != nil {
+	if known := d.known(job); known != nil {
 		return known, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -193,7 +199,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.headers.Keep(header)
+	d.remember(header)
 	return header, nil
 }
 
@@ -218,6 +224,21 @@
 	return pending || !sure
 }
 
+func (d *Desk) remember(header *jobrecord.Header) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.headers == nil {
+		d.headers = map[ident.Job]*jobrecord.Header{}
+	}
+	if len(d.headers) >= cachedHeaders {
+		for id := range d.headers {
+			delete(d.headers, id)
+			break
+		}
+	}
+	d.headers[header.ID] = header
+}
+
 // readFailure turns a failed reading into what the caller is told. Only what the records deny is not found.
 func (d *Desk) readFailure(job ident.Job, err error) *failure.Error {
 	switch {
