Look for a new lack of places when the patience of the last one is over

Cause: a shortage ends as many runs as did not fit all through its patience. A request that came meanwhile, or stayed when another one ended, had no place then, and nobody looked for it until a front told of another count: a front that waits has nothing new to tell.

Change: when a shortage ends, the work that does not fit is compared with the runs that were cut and have not ended yet. Where it is more, another shortage begins with the same patience. Each look comes a patience after the last; none comes where no route says how long to wait, and none once the runs that end make room for all, also if they never end, as fakes of tests don't.

Ruled out: a look without the runs that are about to end: it goes on for as long as one of them does.

TestRequestThatDidNotFindAPlaceInTimeIsNotForgotten is new and was seen to fail on the code before. TestItemsStepAsideForRequestsThatDoNotFit and TestNoRunIsCutForAPlaceThatComesFree ended when the first shortage did, and took what was left undone for the end; they run in simulated time now, check the same at the end of the first patience, and go on to the second. The first was seen to fail on the code before there (a third request without a place), the second passes on both.

--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -58,16 +58,32 @@
 		return
 	}
 	short := &w.gaugeOf(id).short
-	excess := batchroom.Excess(runner.Slots, w.batchAt(id, now), w.demand.Online(id, "", now))
+	excess := w.excessAt(runner, now)
 	if short.awaited {
 		short.least = min(short.least, excess)
 		return
 	}
-	if excess == 0 || !w.tomb.Alive() {
+	if excess > 0 {
+		w.awaitShortage(id, excess, w.patienceAt(runner))
+	}
+}
+
+// excessAt is how many items at a runner do not fit beside its online work. The caller holds the mutex.
+func (w *Worker) excessAt(runner work.Runner, now time.Time) int {
+	return batchroom.Excess(runner.Slots, w.batchAt(runner.ID, now), w.demand.Online(runner.ID, "", now))
+}
+
+// patienceAt is how long online work at a runner may wait for a place, or zero where no route says.
+func (w *Worker) patienceAt(runner work.Runner) time.Duration {
+	return time.Duration(patienceShare * float64(w.shortestObjective(runner.Service)))
+}
+
+// awaitShortage begins a shortage, which ends when its patience is over. The caller holds the mutex.
+func (w *Worker) awaitShortage(id ident.Incarnation, excess int, patience time.Duration) {
+	if !w.tomb.Alive() {
 		return
 	}
-	*short = shortage{least: excess, awaited: true}
-	patience := time.Duration(patienceShare * float64(w.shortestObjective(runner.Service)))
+	w.gaugeOf(id).short = shortage{least: excess, awaited: true}
 	w.tomb.Go(func() error {
 		if w.pause(patience) {
 			w.endShortage(id)
@@ -85,6 +101,33 @@
 	short := &w.gaugeOf(id).short
 	w.yield(id, short.least)
 	*short = shortage{}
+	w.lookAgain(id, now)
+}
+
+// lookAgain begins a new shortage where more work does not fit than the runs that are about to end make room for: nobody tells of
+// work that stays as it is. The caller holds the mutex.
+func (w *Worker) lookAgain(id ident.Incarnation, now time.Time) {
+	runner, known := w.Runners.Runner(id)
+	if !known {
+		return
+	}
+	excess, patience := w.excessAt(runner, now), w.patienceAt(runner)
+	if excess > w.ending(id) && patience > 0 {
+		w.awaitShortage(id, excess, patience)
+	}
+}
+
+// ending counts the runs at a runner that were cut and have not ended yet. The caller holds the mutex.
+func (w *Worker) ending(id ident.Incarnation) int {
+	count := 0
+	for _, job := range w.jobs {
+		for _, item := range job.items {
+			if item.running && item.cut && item.runner == id {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // shortestObjective is the shortest objective of the online routes that go to a service, or zero where there is none.
--- a/internal/jobworker/demand_test.go
+++ b/internal/jobworker/demand_test.go
@@ -1,7 +1,9 @@
 package jobworker
 
 import (
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -69,31 +71,67 @@
 	t.Fatal("the shortage never ended")
 }
 
-// TestItemsStepAsideForRequestsThatDoNotFit has two fronts tell of online work at a full runner: as many runs end as did
-// not fit all the while, the last in order first, and no report of the runner is needed for it.
-func TestItemsStepAsideForRequestsThatDoNotFit(t *testing.T) {
-	w, ended := demandWorker(t)
-	answer := w.Demand(tell("front", 1, 2))
-	assert.DeepEqual(t, answer.Shares, []demand.Share{{Runner: "r", Others: 0, Batch: 4}})
-	answer = w.Demand(tell("second", 1, 1))
-	assert.DeepEqual(t, answer.Shares, []demand.Share{{Runner: "r", Others: 2, Batch: 4}})
-	shortageEnds(t, w)
+// patienceOfRig is how long requests wait for a place at the runner of demandWorker, and a moment more.
+const patienceOfRig = time.Duration(patienceShare*float64(2*time.Second)) + time.Millisecond
+
+// cutRuns returns which runs were cut by the end of a patience.
+func cutRuns(w *Worker, ended []bool) []bool {
+	time.Sleep(patienceOfRig)
+	synctest.Wait()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	assert.DeepEqual(t, ended, []bool{false, false, true, true})
-	assert.Equal(t, w.room(work.Runner{ID: "r", Slots: 4}, time.Now()), 0, "no place is given out beside what is told")
+	return slices.Clone(ended)
 }
 
-// TestNoRunIsCutForAPlaceThatComesFree has the request that did not fit find a place before its patience is over.
+// TestItemsStepAsideForRequestsThatDoNotFit has two fronts tell of online work at a full runner: as many runs end as did
+// not fit all the while, the last in order first, and no report of the runner is needed for it. Nothing more is told: what came during
+// the first patience has waited all through the second.
+func TestItemsStepAsideForRequestsThatDoNotFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ended := demandWorker(t)
+		answer := w.Demand(tell("front", 1, 2))
+		assert.DeepEqual(t, answer.Shares, []demand.Share{{Runner: "r", Others: 0, Batch: 4}})
+		answer = w.Demand(tell("second", 1, 1))
+		assert.DeepEqual(t, answer.Shares, []demand.Share{{Runner: "r", Others: 2, Batch: 4}})
+		assert.DeepEqual(t, cutRuns(w, ended), []bool{false, false, true, true})
+		assert.DeepEqual(t, cutRuns(w, ended), []bool{false, true, true, true})
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		assert.Assert(t, !w.gaugeOf("r").short.awaited, "nobody looks on once runs make room for all")
+		assert.Equal(t, w.room(work.Runner{ID: "r", Slots: 4}, time.Now()), 0, "no place is given out beside what is told")
+	})
+}
+
+// TestNoRunIsCutForAPlaceThatComesFree has the request that did not fit find a place before its patience is over, twice: the second time
+// in the patience that began when the first was over.
 func TestNoRunIsCutForAPlaceThatComesFree(t *testing.T) {
-	w, ended := demandWorker(t)
-	w.Demand(tell("front", 1, 1))
-	w.Demand(tell("front", 2, 0))
-	w.Demand(tell("front", 3, 1))
-	shortageEnds(t, w)
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	assert.DeepEqual(t, ended, []bool{false, false, false, false})
+	synctest.Test(t, func(t *testing.T) {
+		w, ended := demandWorker(t)
+		none := []bool{false, false, false, false}
+		w.Demand(tell("front", 1, 1))
+		w.Demand(tell("front", 2, 0))
+		w.Demand(tell("front", 3, 1))
+		assert.DeepEqual(t, cutRuns(w, ended), none)
+		w.Demand(tell("front", 4, 0))
+		assert.DeepEqual(t, cutRuns(w, ended), none)
+		assert.DeepEqual(t, cutRuns(w, ended), none)
+	})
+}
+
+// TestRequestThatDidNotFindAPlaceInTimeIsNotForgotten has one request end and another one come within a patience, and nothing more be told:
+// the one that stays has its place when it has waited for a patience of its own. One that never found a place was left at a runner full
+// of items until something changed there.
+func TestRequestThatDidNotFindAPlaceInTimeIsNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ended := demandWorker(t)
+		w.Demand(tell("front", 1, 1))
+		w.Demand(tell("front", 2, 0))
+		w.Demand(tell("front", 3, 1))
+		assert.DeepEqual(t, cutRuns(w, ended), []bool{false, false, false, false})
+		assert.DeepEqual(t, cutRuns(w, ended), []bool{false, false, false, true})
+		// One place is enough for one request.
+		assert.DeepEqual(t, cutRuns(w, ended), []bool{false, false, false, true})
+	})
 }
 
 // TestPatienceIsThatOfTheMostUrgentOnlineRoute leaves out batch routes and other services.
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -349,6 +349,7 @@
 	ordered := w.prospects(running, w.Now())
 	slices.Reverse(ordered)
 	for _, prospect := range ordered[:min(count, len(ordered))] {
+		prospect.item.cut = true
 		prospect.item.cancel()
 	}
 }
@@ -368,7 +369,7 @@
 		flight.End()
 		return
 	}
-	item.running, item.cancel, item.runner = true, cancel, id
+	item.running, item.cut, item.cancel, item.runner = true, false, cancel, id
 	item.started, item.progressed = now, now
 	item.job.running++
 	w.mutex.Unlock()
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -48,8 +48,9 @@
 	// finished says that the item has a result, recorded or waiting to be.
 	finished bool
 	running  bool
-	// cancel ends the run in progress.
+	// cancel ends the run in progress; cut says that it was told to, so that online work has its place.
 	cancel context.CancelFunc
+	cut    bool
 	runner ident.Incarnation
 	// started and progressed are when the run began and when its last event came.
 	started, progressed time.Time
