Leave the time that runners wait for callers out of the length of runs

Cause: the line at a front expects places to come free in the mean time of a run. A caller that stopped kept its place for 1.3 s, and that counted as a run: in a trace of the known red test, after six of them, the front expected 360 to 415 ms where runs took 130, and turned requests away, as not run, whose places were free or would have been in 20 ms.

Change: the time in which a runner was not read for its caller is left out, and a caller that was cut off tells nothing of how long runs last.

Ruled out: a place that the node still counts after its end.

Test, seen failing first: after eighteen such callers, four of ten requests that come together at five places were turned away; none is now.

--- a/internal/online/ahead.go
+++ b/internal/online/ahead.go
@@ -52,6 +52,8 @@
 	done, more, room chan struct{}
 	// heldUp is how long the reading waited for the caller; only the reading touches it.
 	heldUp time.Duration
+	// lastRead is when the last event was read; it goes with the reader.
+	lastRead time.Time
 
 	mutex  sync.Mutex
 	events []eventstream.Event
@@ -123,7 +125,8 @@
 	if a.guard.fired() {
 		return next, fmt.Errorf("%w: an event came too late", errUnprovenEnd)
 	}
-	a.place.flight.Began(a.place.now())
+	a.lastRead = a.place.now()
+	a.place.flight.Began(a.lastRead)
 	return next, nil
 }
 
@@ -181,6 +184,7 @@
 func (a *ahead) readOn() {
 	defer close(a.done)
 	defer a.place.free()
+	a.place.stood = a.place.now().Sub(a.lastRead)
 	// The writer is still about the last event.
 	a.reader.Keep()
 	a.held = a.exchange.forwarder.Held.Open(heldbytes.Answer, a.exchange.whose())
@@ -222,15 +226,21 @@
 	case <-a.room:
 	case <-patience.C:
 	case <-held.cut:
-		a.heldUp += a.place.now().Sub(began)
+		a.noteHeldUp(began)
 		return a.cutOff()
 	case <-a.place.ctx.Done():
 		return a.place.ctx.Err()
 	}
-	a.heldUp += a.place.now().Sub(began)
+	a.noteHeldUp(began)
 	return nil
 }
 
+func (a *ahead) noteHeldUp(since time.Time) {
+	lasted := a.place.now().Sub(since)
+	a.heldUp += lasted
+	a.place.stood += lasted
+}
+
 // put keeps an event if there is room. One event always has, as far as the node's budget allows.
 func (a *ahead) put(next eventstream.Event) bool {
 	size := int64(len(next.Raw))
@@ -278,6 +288,7 @@
 	forwarder := a.exchange.forwarder
 	event.CallerCut.Log(forwarder.Logger).Str("request", string(a.exchange.request.ID)).Dur("held_up_ms", a.heldUp).Send()
 	forwarder.Held.NoteCut()
+	a.place.cut = true
 	a.place.end()
 	a.exchange.writer.Until(a.place.now().Add(-time.Second))
 	return fmt.Errorf("%w: it reads too slowly", errCallerGone)
--- a/internal/online/place.go
+++ b/internal/online/place.go
@@ -22,12 +22,21 @@
 	ctx  context.Context
 	end  context.CancelFunc
 	once sync.Once
+	// stood is how long the runner was not read since its caller took nothing, cut says that the caller was cut off for it. Only the
+	// reading ahead sets them.
+	stood time.Duration
+	cut   bool
 }
 
 // free gives the place back. Further calls do nothing.
 func (p *place) free() {
 	p.once.Do(func() {
 		p.flight.End()
-		p.room.freed(p.waiter, p.now().Sub(p.sent))
+		if p.cut {
+			// It says nothing of how long runs last.
+			p.room.unused(p.waiter)
+			return
+		}
+		p.room.freed(p.waiter, p.now().Sub(p.sent)-p.stood)
 	})
 }
--- a/internal/online/scarce_test.go
+++ b/internal/online/scarce_test.go
@@ -128,3 +128,29 @@
 		assert.Equal(t, site.held.Take().Cut, 0)
 	})
 }
+
+// TestWaitingForACallerIsNoPartOfARun has callers that stopped keep places for more than a second each where a slot is free, and then
+// twice as many requests come at once as the runner takes, whose answers take 100 ms: all get a place within 100 ms, as the runs before
+// those callers say, and none is turned away.
+func TestWaitingForACallerIsNoPartOfARun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newLagSite(smallNode, numbered(10, 100<<10), always(slowPrompt))
+		serveAtOnce := func(requests int) {
+			var serving sync.WaitGroup
+			for index := range requests {
+				serving.Go(func() {
+					assert.Check(t, site.serveWithin(t.Context(), 300*time.Millisecond, fmt.Sprint(index), newReader(always(0))))
+				})
+			}
+			serving.Wait()
+		}
+		serveAtOnce(slots)
+		for range 6 {
+			var stopped sync.WaitGroup
+			site.lag(t, &stopped, slots-1, 300*time.Millisecond, stops(1))
+			stopped.Wait()
+		}
+		assert.Equal(t, site.held.Take().Cut, 6*(slots-1))
+		serveAtOnce(2 * (slots + queued))
+	})
+}
