Take requests of the living out of the runs of dead nodes once they are told

Cause, by a trace of the known red test: a worker that started with the fronts read its runners at 0.5 s, before any front told it of work, and took all 21 requests there for orphans. As the fronts told of them, at 1.03 s, they counted twice for 0.4 s: runners of four places were thought to have ten to thirteen runs, nodes that waited sent nothing to places that were free, and the line turned requests away.

Change: until an owner has answered once, a node tells it which of its requests were sent more than 300 ms ago: these were there at each reading, and are taken out of the orphans at once. The field is left out where it is zero.

Ruled out: not believing an owner's orphans for 0.6 s where its first word comes 0.5 s or later after the node's first request (built, taken back: the same was seen with a first word after 0.3 s, which the load tests of the common loss have to be believed). Taking out all requests that are told for the first time: those of a herd are younger than the reading, and hide true orphans.

Test, seen failing first (jobworker, the call taken out): 8 orphans in place of 3.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -18,12 +18,19 @@
 // forgets nothing, and no longer than the requests of a dead node may go on at their runners.
 const Lifetime = 1500 * time.Millisecond
 
+// OldAfter is how long ago a request was sent that every report of its runner shows which its owner has read: it reads a runner each 200 ms at
+// least where it looks for runs of dead nodes, and a report is some 100 ms old by then.
+const OldAfter = 300 * time.Millisecond
+
 // Count is the online work that one node has at one runner.
 type Count struct {
 	Runner ident.Incarnation `json:"runner"`
 	Online int               `json:"online"`
 	// Suspect says that the node passes the runner over, because it could not be reached or did not answer.
 	Suspect bool `json:"suspect,omitempty"`
+	// Old are those of the online requests that were sent more than OldAfter ago. It is told until the owner has answered once, so that it
+	// does not take them for runs of dead nodes.
+	Old int `json:"old,omitempty"`
 	// Tokens are those of the node's online requests there, prompts and the most that may be made.
 	Tokens int `json:"tokens,omitempty"`
 	// Pace is the last that the runner told this node, PaceAgeMs how long before the report that was, in milliseconds. Zero where
@@ -37,9 +44,9 @@
 // HasWork says whether the count tells of more than a pace.
 func (c Count) HasWork() bool { return c.Online > 0 || c.Suspect }
 
-// withoutPace is the count of the work alone.
+// withoutPace is the count of the work alone, however old it is.
 func (c Count) withoutPace() Count {
-	c.Pace, c.PaceAgeMs, c.Heard = 0, 0, time.Time{}
+	c.Pace, c.PaceAgeMs, c.Heard, c.Old = 0, 0, time.Time{}, 0
 	return c
 }
 
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -359,6 +359,9 @@
 		} else if heard, answered := c.paces[count.Runner]; answered {
 			paces[count.Runner] = heard
 		}
+		if c.knownAt.IsZero() {
+			told.Old = count.Old
+		}
 		if told.HasWork() || told.Pace.Known() {
 			report.Counts = append(report.Counts, told)
 		}
--- a/internal/demand/teller_test.go
+++ b/internal/demand/teller_test.go
@@ -76,3 +76,18 @@
 	assert.Equal(t, teller.age(began.Add(13*time.Second)), int64(13_000))
 	assert.Equal(t, teller.age(began.Add(16*time.Second)), int64(0))
 }
+
+// TestOldRequestsAreToldUntilTheOwnerAnswers has a node report three times: what is old grows with time alone, is no news, and is told until
+// an answer came.
+func TestOldRequestsAreToldUntilTheOwnerAnswers(t *testing.T) {
+	now := time.Unix(100, 0)
+	known := &correspondent{}
+	counts := []Count{{Runner: "r", Online: 3, Old: 1}}
+	assert.Equal(t, known.next(counts, now).Counts[0].Old, 1)
+	counts[0].Old = 2
+	assert.Assert(t, !known.lacks(counts, IdleRefreshEvery, now), "a request that grew old makes a report due")
+	second := known.next(counts, now.Add(time.Second))
+	assert.Equal(t, second.Counts[0].Old, 2)
+	known.answered(second, now.Add(time.Second))
+	assert.Equal(t, known.next(counts, now.Add(2*time.Second)).Counts[0].Old, 0)
+}
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -19,6 +19,9 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.loss.heard(report, now)
+	if answered.IsZero() {
+		w.loss.heardFirst(report, now)
+	}
 	for _, id := range changed {
 		w.noteExcess(id, now)
 	}
--- a/internal/jobworker/orphans.go
+++ b/internal/jobworker/orphans.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// heardFirst takes requests of a node that tells for the first time out of the orphans, as far as they were sent before the runners were
+// read.
+func (l *commonLoss) heardFirst(report *demand.Report, now time.Time) {
+	if !l.watch.Open(now) {
+		return
+	}
+	for _, told := range report.Counts {
+		if told.Old <= 0 {
+			continue
+		}
+		count := l.counts[told.Runner]
+		if count == nil {
+			count = l.add(told.Runner)
+		}
+		count.Learn(min(told.Old, told.Online), now)
+	}
+}
+
 // read takes in the report of a runner.
 func (l *commonLoss) read(id ident.Incarnation, load work.Load, now time.Time) {
 	if count := l.counts[id]; count != nil && l.watch.Open(now) {
--- a/internal/jobworker/orphans_test.go
+++ b/internal/jobworker/orphans_test.go
@@ -140,3 +140,21 @@
 		})
 	}
 }
+
+// TestRequestsOfTheLivingAreNoRunsOfTheDead has a worker read a runner that is full before any node told it of work, and then a node, which
+// started with it, tell of requests that it sent long before: these are taken out of the runs of dead nodes at once, and the rest stays.
+func TestRequestsOfTheLivingAreNoRunsOfTheDead(t *testing.T) {
+	w, _ := startedWorker(t, true)
+	eventually(t, "the runner is read", func() bool { return told(w, "early", 1, 50*time.Millisecond, 0)["a"].Orphans == 8 })
+	report := &demand.Report{Node: "late", Sequence: 1, AgeMs: 400, Counts: []demand.Count{{Runner: "a", Online: 6, Old: 5}}}
+	for _, share := range w.Demand(report).Shares {
+		assert.Assert(t, share.Runner != "a" || share.Orphans == 3, "%+v", share)
+	}
+	early := told(w, "early", 2, 50*time.Millisecond, 0)["a"]
+	assert.Equal(t, early.Others, 6)
+	assert.Equal(t, early.Orphans, 3)
+	// It is told once: what grows old since then was known as the runner was read.
+	report.Sequence, report.Counts[0].Old = 2, 6
+	w.Demand(report)
+	assert.Equal(t, told(w, "early", 3, 50*time.Millisecond, 0)["a"].Orphans, 3)
+}
--- a/internal/orphans/orphans.go
+++ b/internal/orphans/orphans.go
@@ -40,6 +40,18 @@
 	}
 }
 
+// Learn notes work that was there at all readings until now though nobody told of it: a node that lives tells for the first time of requests
+// that it sent long before.
+func (c *Count) Learn(work int, now time.Time) {
+	if len(c.known) == 0 {
+		c.known = []known{{at: now.Add(-reportDelay)}}
+	}
+	for position := range c.known {
+		c.known[position].work += work
+	}
+	c.most, c.excess = max(c.most-work, 0), max(c.excess-work, 0)
+}
+
 // knownThen is the work that was known of when a report read now was made.
 func (c *Count) knownThen(now time.Time) int {
 	then := 0
--- a/internal/orphans/orphans_test.go
+++ b/internal/orphans/orphans_test.go
@@ -37,6 +37,28 @@
 	assert.Equal(t, count.Runs(after(400)), 6)
 }
 
+// TestRequestsThatAreToldLateAreNoOrphans has nodes tell of six requests after they were read as orphans, for the first time: they are none
+// from then on, and the two readings after that, by reports that were made before, bring none of them back and hide none of the others.
+func TestRequestsThatAreToldLateAreNoOrphans(t *testing.T) {
+	for name, read := range map[string]bool{"after a reading": true, "before any": false} {
+		t.Run(name, func(t *testing.T) {
+			var count orphans.Count
+			if read {
+				count.Know(0, start)
+				count.Read(8, after(10))
+				assert.Equal(t, count.Runs(after(10)), 8)
+			}
+			count.Learn(6, after(20))
+			count.Know(6, after(20))
+			for ms := 30; ms <= 630; ms += 200 {
+				count.Know(6, after(ms))
+				count.Read(8, after(ms))
+				assert.Equal(t, count.Runs(after(ms)), 2, "after %d ms", ms)
+			}
+		})
+	}
+}
+
 // TestOneReportProvesNoEnd has a report that was made before the requests told of came to the runner. The count falls with the next one.
 func TestOneReportProvesNoEnd(t *testing.T) {
 	var count orphans.Count
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -1,6 +1,7 @@
 package runnertable
 
 import (
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -36,6 +37,9 @@
 		seen: now, prompted: uncached > 0 || len(wish.Prefix) > 0,
 	}
 	chosen.own[wish.Class]++
+	if wish.Class == Online {
+		chosen.online = append(chosen.online, flight)
+	}
 	chosen.tokens[wish.Class] += flight.tokens
 	t.noteOnline(wish.Class, true)
 	chosen.waiting[flight] = now
@@ -88,6 +92,9 @@
 	f.ended = true
 	f.stopWaiting()
 	f.entry.own[f.class]--
+	if at := slices.Index(f.entry.online, f); at >= 0 {
+		f.entry.online = slices.Delete(f.entry.online, at, at+1)
+	}
 	f.entry.tokens[f.class] -= f.tokens
 	f.table.noteOnline(f.class, false)
 }
--- a/internal/runnertable/orphans_test.go
+++ b/internal/runnertable/orphans_test.go
@@ -112,3 +112,26 @@
 		}
 	})
 }
+
+// TestOldRequestsAreToldApart has a node send two requests 301 ms, and one 299 ms, before it tells of them.
+func TestOldRequestsAreToldApart(t *testing.T) {
+	now := time.Now()
+	table := runnertable.New("z")
+	table.Replace(eightPlaces("a"), now, true)
+	var flights []*runnertable.Flight
+	for _, sent := range []time.Duration{0, 0, 2 * time.Millisecond} {
+		flight, err := table.Pick(waits(), now.Add(sent), anyOrder())
+		assert.NilError(t, err)
+		flights = append(flights, flight)
+	}
+	old := func() (old int) {
+		for _, count := range table.Online(now.Add(301 * time.Millisecond)) {
+			old = count.Old
+		}
+		return old
+	}
+	assert.Equal(t, old(), 2)
+	flights[0].End()
+	flights[0].End()
+	assert.Equal(t, old(), 1)
+}
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -29,7 +29,7 @@
 	defer t.mutex.Unlock()
 	online := map[work.Runner]demand.Count{}
 	for id, known := range t.runners {
-		count := demand.Count{Runner: id, Online: known.own[Online], Tokens: known.tokens[Online], Suspect: known.health.ejected(now)}
+		count := demand.Count{Runner: id, Online: known.own[Online], Old: known.sentBefore(now.Add(-demand.OldAfter)), Tokens: known.tokens[Online], Suspect: known.health.ejected(now)}
 		if known.spoken.Pace.Known() && now.Sub(known.spoken.At) < spokenFor {
 			count.Pace, count.Heard = known.spoken.Pace, known.spoken.At
 		}
@@ -40,6 +40,17 @@
 	return online
 }
 
+// sentBefore counts the online requests at the runner that were sent before a moment.
+func (e *entry) sentBefore(moment time.Time) int {
+	count := 0
+	for _, flight := range e.online {
+		if flight.chosen.Before(moment) {
+			count++
+		}
+	}
+	return count
+}
+
 // TakeShares takes over what the owner of runners knew of the work at them, as of a moment. An older word than the last one
 // is passed over.
 func (t *Table) TakeShares(shares []demand.Share, asOf time.Time) {
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -69,6 +69,8 @@
 	tokens [classes]int
 	// memory is how many tokens the runner can hold; zero where it is not known.
 	memory int
+	// online are the flights of online work, the oldest first.
+	online []*Flight
 	// waiting holds the flights without a first byte.
 	waiting map[*Flight]time.Time
 	// pendingTokens are the prompt tokens of flights without a first event that the runner is not thought to keep.
