--- a/internal/jobworker/demand_test.go
+++ b/internal/jobworker/demand_test.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -87,7 +88,7 @@
 // not fit all the while, the last in order first, and no report of the runner is needed for it. Nothing more is told: what came during
 // the first patience has waited all through the second.
 func TestItemsStepAsideForRequestsThatDoNotFit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		w, ended := demandWorker(t)
 		answer := w.Demand(tell("front", 1, 2))
 		assert.DeepEqual(t, answer.Shares, []demand.Share{{Runner: "r", Others: 0, Batch: 4}})
@@ -105,7 +106,7 @@
 // TestNoRunIsCutForAPlaceThatComesFree has the request that did not fit find a place before its patience is over, twice: the second time
 // in the patience that began when the first was over.
 func TestNoRunIsCutForAPlaceThatComesFree(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		w, ended := demandWorker(t)
 		none := []bool{false, false, false, false}
 		w.Demand(tell("front", 1, 1))
@@ -122,7 +123,7 @@
 // the one that stays has its place when it has waited for a patience of its own. One that never found a place was left at a runner full
 // of items until something changed there.
 func TestRequestThatDidNotFindAPlaceInTimeIsNotForgotten(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
 		w, ended := demandWorker(t)
 		w.Demand(tell("front", 1, 1))
 		w.Demand(tell("front", 2, 0))
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -36,7 +36,9 @@
 type room struct {
 	service string
 	now     func() time.Time
-	logger  zerolog.Logger
+	// free is how many places of the service's runners are thought to be free.
+	free   func() int
+	logger zerolog.Logger
 
 	mutex sync.Mutex
 	line  waitline.Line
@@ -59,13 +61,16 @@
 	extra int
 	// mostUrgent is the least rank of the kinds of request that came here.
 	mostUrgent int
+	laggards   laggards
 }
 
-// waiter is the place in the line of a request of a kind, given until when its answer is on time, and of any use.
-func (r *room) waiter(request *work.Request, kind int, onTime, latest time.Time) *waitline.Waiter {
+// waiter is the place in the line of a request of a route, given until when its answer is on time, and of any use.
+func (r *room) waiter(request *work.Request, route *work.Route, onTime, latest time.Time) *waitline.Waiter {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	kind := route.Priority
 	r.mostUrgent = min(r.mostUrgent, kind)
+	r.laggards.noteObjective(route.Objective)
 	if latest.Before(onTime) {
 		onTime = latest
 	}
@@ -74,11 +79,15 @@
 	}
 }
 
-// taken notes that a request that chose got a place after it waited or at once, and wakes the next one: there may be more.
-func (r *room) taken(waiter *waitline.Waiter, waited bool) {
+// taken notes that a request that chose got a place at a runner after it waited or at once, and wakes the next one: there may be more. vacant says that
+// it was one that was kept.
+func (r *room) taken(waiter *waitline.Waiter, runner ident.Incarnation, vacant, waited bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.line.Taken()
+	if !vacant {
+		r.laggards.fill(runner)
+	}
 	r.tookPlace(waiter)
 	if waited {
 		r.line.Served(waiter, r.now())
@@ -193,7 +202,8 @@
 	}
 }
 
-// lookSoon has a request look for a place after a moment, for as long as any waits. The caller holds the mutex.
+// lookSoon has a request look for a place after a moment, for as long as any waits, and the room at callers that hold their runners up. The
+// caller holds the mutex.
 func (r *room) lookSoon() {
 	if r.looking {
 		return
@@ -206,6 +216,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.looking = false
+	r.lookAtLaggards(r.now())
+	if len(r.laggards.heldUp) > 0 {
+		r.lookSoon()
+	}
 	if r.line.Len() == 0 {
 		return
 	}
@@ -234,8 +248,9 @@
 	byName map[string]*room
 }
 
-// of returns the room of a service.
-func (r *rooms) of(service string, now func() time.Time, logger zerolog.Logger) *room {
+// roomOf returns the room of a service.
+func (f *Forwarder) roomOf(service string) *room {
+	r := &f.rooms
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.byName == nil {
@@ -244,7 +259,8 @@
 	found := r.byName[service]
 	if found == nil {
 		found = &room{
-			service: service, now: now, logger: logger, woken: map[*waitline.Waiter]chan struct{}{}, told: now(), mostUrgent: math.MaxInt,
+			service: service, now: f.Now, logger: f.Logger, woken: map[*waitline.Waiter]chan struct{}{}, told: f.Now(), mostUrgent: math.MaxInt,
+			free: func() int { return f.Runners.Free(service, f.Now()) }, laggards: newLaggards(),
 		}
 		r.byName[service] = found
 	}
@@ -270,9 +286,9 @@
 	for {
 		yields := e.room.choose(e.waiter)
 		wish.Yields = waits && yields
-		flight, err := e.forwarder.Runners.Pick(wish, e.forwarder.Now(), random(seed))
+		flight, vacant, err := e.choose(wish, seed)
 		if err == nil {
-			e.room.taken(e.waiter, waited)
+			e.room.taken(e.waiter, flight.Runner.ID, vacant, waited)
 			return flight, nil
 		}
 		e.room.foundNone(e.waiter)
@@ -286,3 +302,18 @@
 		clear(e.full)
 	}
 }
+
+// choose chooses a runner. Where all are full it is that of a caller that was cut off for the requests that wait, if there is one, and vacant
+// is true: the runner has no more work with the request than it had with that caller.
+func (e *exchange) choose(wish runnertable.Wish, seed uint64) (flight *runnertable.Flight, vacant bool, err error) {
+	flight, err = e.forwarder.Runners.Pick(wish, e.forwarder.Now(), random(seed))
+	if !errors.Is(err, runnertable.ErrFull) {
+		return flight, false, err
+	}
+	wish.Vacant, vacant = e.room.takeVacant()
+	if !vacant {
+		return nil, false, err
+	}
+	flight, err = e.forwarder.Runners.Pick(wish, e.forwarder.Now(), random(seed))
+	return flight, true, err
+}
