--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -215,6 +215,7 @@
 	event.BytesHeld.Log(p.logger).Int64("held", tally.Held).Int64("most", tally.Most).Int64("of", tally.All).
 		Int("requests_refused", tally.Refused[heldbytes.Request]).Int("jobs_refused", tally.Refused[heldbytes.Submission]).
 		Int("results_refused", tally.Refused[heldbytes.Result]).Int("answers_refused", tally.Refused[heldbytes.Answer]).
+		Int("jobs_not_taken", tally.Refused[heldbytes.Job]).Int("results_not_kept", tally.Refused[heldbytes.Kept]).
 		Int("callers_cut", tally.Cut).Send()
 }
 
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -33,6 +33,7 @@
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
 		Caller: process.caller, Ends: process.ends, Key: settings.Key(), Registry: process.registry(), Options: options, Logger: process.logger, Now: clock.Now,
 	}
+	worker.Budget = process.held
 	worker.StartsAgain = !settings.Node.FirstStart
 	kept, err := process.openHandoff()
 	if err != nil {
--- a/internal/handoff/entry.go
+++ b/internal/handoff/entry.go
@@ -80,6 +80,15 @@
 // Queue is where the job waits.
 func (e *Entry) Queue() jobrecord.Queue { return jobrecord.Queue{Route: e.Route, Tenant: e.Tenant} }
 
+// Bytes is the size of the bodies.
+func (e *Entry) Bytes() int64 {
+	bytes := int64(0)
+	for index := range e.Items {
+		bytes += int64(len(e.Items[index].Bytes))
+	}
+	return bytes
+}
+
 // Tokens are those of all items.
 func (e *Entry) Tokens() int {
 	tokens := 0
--- a/internal/heldbytes/budget.go
+++ b/internal/heldbytes/budget.go
@@ -22,7 +22,10 @@
 // ErrOver means that bytes do not fit the budget. Nothing of them is held.
 const ErrOver = failure.Kind("held bytes: no room")
 
-// Kind is what bytes are held for, the least urgent first.
+// ErrShare means that bytes do not fit the part of one tenant or connection. It comes with ErrOver.
+const ErrShare = failure.Kind("held bytes: beyond the part of one")
+
+// Kind is what bytes are held for: what passes through a front, the least urgent first, and what a worker keeps.
 type Kind uint8
 
 const (
@@ -34,6 +37,10 @@
 	Result
 	// Answer is what a runner made and its caller has not taken yet.
 	Answer
+	// Job is a job that a worker runs: the bodies of its items and what they have put out.
+	Job
+	// Kept is what the store has too, and a worker keeps for readers.
+	Kept
 	kinds
 )
 
@@ -48,6 +55,10 @@
 	// what is more urgent. An answer may fill it, since its request has run.
 	submissionShare = 0.5
 	incomingShare   = 0.75
+	// jobShare of the budget may be held in all when a worker takes a job: what is left is for the output of those that it has.
+	// keptShare may be when it keeps something for readers: that is let go for a job.
+	jobShare  = 0.75
+	keptShare = 0.5
 )
 
 // Limits are the most that may be held, in bytes.
@@ -63,6 +74,7 @@
 	limits := Limits{All: int64(all), Tenant: int64(tenantShare * all), Connection: int64(connectionShare * all)}
 	limits.Kinds = [kinds]int64{
 		Submission: int64(submissionShare * all), Request: int64(incomingShare * all), Result: int64(incomingShare * all), Answer: int64(all),
+		Job: int64(jobShare * all), Kept: int64(keptShare * all),
 	}
 	return limits
 }
@@ -78,8 +90,10 @@
 type Budget[T, C comparable] struct {
 	mutex  sync.Mutex
 	limits Limits
-	// held is the sum of all reservations. It is above limits.All only after the limits were lowered.
+	// held is the sum of all reservations. It is above limits.All only after the limits were lowered, and by what was Set.
 	held int64
+	// jobs counts the reservations of jobs that hold anything.
+	jobs int
 	// tenants and connections hold the sums of those that hold anything.
 	tenants     map[T]int64
 	connections map[C]int64
@@ -165,19 +179,66 @@
 	b.tally.Cut++
 }
 
-// fits says whether an owner may have so many more bytes. The caller holds the mutex.
-func (b *Budget[T, C]) fits(kind Kind, owner Owner[T, C], bytes int64) bool {
+// Over says whether more is held in all than when bytes of a kind are taken.
+func (b *Budget[T, C]) Over(kind Kind) bool {
+	if b == nil {
+		return false
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.held > b.limits.Kinds[kind]
+}
+
+// Load returns the bytes held in all, and how many may be.
+func (b *Budget[T, C]) Load() (held, all int64) {
+	if b == nil {
+		return 0, 0
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.held, b.limits.All
+}
+
+// fits returns why an owner may not have so many more bytes, or nil. The caller holds the mutex.
+func (b *Budget[T, C]) fits(kind Kind, owner Owner[T, C], bytes int64) error {
 	var noTenant T
 	var noConnection C
 	switch {
 	case bytes < 0, b.held+bytes > b.limits.Kinds[kind]:
-		return false
+		return ErrOver
 	case owner.Tenant != noTenant && b.tenants[owner.Tenant]+bytes > b.limits.Tenant:
-		return false
+		return fmt.Errorf("%w: %w", ErrOver, ErrShare)
 	case owner.Connection != noConnection && b.connections[owner.Connection]+bytes > b.limits.Connection:
-		return false
+		return fmt.Errorf("%w: %w", ErrOver, ErrShare)
 	}
-	return true
+	return nil
+}
+
+// admits is fits, but for the only job, which is taken whatever its size: it is accepted, and may fit no other worker either. The
+// caller holds the mutex.
+func (b *Budget[T, C]) admits(kind Kind, owner Owner[T, C], bytes int64) error {
+	if kind == Job && b.jobs == 0 && bytes >= 0 {
+		return nil
+	}
+	return b.fits(kind, owner, bytes)
+}
+
+// change changes what a reservation holds. The caller holds the mutex.
+func (b *Budget[T, C]) change(r *Reservation[T, C], bytes int64) {
+	before := r.bytes
+	r.bytes += bytes
+	if r.kind == Job {
+		b.jobs += holding(r.bytes) - holding(before)
+	}
+	b.add(r.owner, bytes)
+}
+
+// holding counts a reservation of so many bytes.
+func holding(bytes int64) int {
+	if bytes > 0 {
+		return 1
+	}
+	return 0
 }
 
 // add changes what an owner holds. The caller holds the mutex.
@@ -221,15 +282,30 @@
 	}
 	r.budget.mutex.Lock()
 	defer r.budget.mutex.Unlock()
-	if r.released || !r.budget.fits(r.kind, r.owner, bytes) {
+	err := r.budget.admits(r.kind, r.owner, bytes)
+	if r.released {
+		err = ErrOver
+	}
+	if err != nil {
 		r.budget.tally.Refused[r.kind]++
-		return fmt.Errorf("%w for %d bytes beside %d", ErrOver, bytes, r.budget.held)
+		return fmt.Errorf("%w for %d bytes beside %d", err, bytes, r.budget.held)
 	}
-	r.bytes += bytes
-	r.budget.add(r.owner, bytes)
+	r.budget.change(r, bytes)
 	return nil
 }
 
+// Set has the reservation hold what is there already, whether it fits or not.
+func (r *Reservation[T, C]) Set(bytes int64) {
+	if r == nil {
+		return
+	}
+	r.budget.mutex.Lock()
+	defer r.budget.mutex.Unlock()
+	if !r.released {
+		r.budget.change(r, max(bytes, 0)-r.bytes)
+	}
+}
+
 // Shrink gives some of the bytes back.
 func (r *Reservation[T, C]) Shrink(bytes int64) {
 	if r == nil {
@@ -237,9 +313,7 @@
 	}
 	r.budget.mutex.Lock()
 	defer r.budget.mutex.Unlock()
-	returned := min(max(bytes, 0), r.bytes)
-	r.bytes -= returned
-	r.budget.add(r.owner, -returned)
+	r.budget.change(r, -min(max(bytes, 0), r.bytes))
 }
 
 // Release gives all bytes back. Further calls do nothing.
@@ -250,8 +324,7 @@
 	r.budget.mutex.Lock()
 	defer r.budget.mutex.Unlock()
 	r.released = true
-	r.budget.add(r.owner, -r.bytes)
-	r.bytes = 0
+	r.budget.change(r, -r.bytes)
 }
 
 // returnSoonest is when a caller may come back that found no room: requests end within some hundred milliseconds.
--- a/internal/heldbytes/budget_test.go
+++ b/internal/heldbytes/budget_test.go
@@ -244,3 +244,52 @@
 	assert.Equal(t, tally.Held, int64(0))
 	assert.Assert(t, tally.Most <= megabyte/5, "%d bytes were held", tally.Most)
 }
+
+// TestOnlyJobIsTakenWhateverItsSize has a worker of the smallest memory claim jobs of 8 MiB: it takes no more than three quarters of its
+// budget has room for, and one that no worker has room for all the same where it has no other.
+func TestOnlyJobIsTakenWhateverItsSize(t *testing.T) {
+	held := newBudget(smallFront)
+	first := mustReserve(t, held, heldbytes.Job, owner{Tenant: "a"}, 100*megabyte)
+	_, err := held.Reserve(heldbytes.Job, owner{Tenant: "b"}, 1)
+	assert.ErrorIs(t, err, heldbytes.ErrOver)
+	first.Release()
+	taken := 0
+	for ; ; taken++ {
+		if _, err = held.Reserve(heldbytes.Job, owner{}, 8*megabyte*3/4); err != nil {
+			break
+		}
+	}
+	assert.ErrorIs(t, err, heldbytes.ErrOver)
+	assert.Assert(t, taken >= 2, "%d jobs were taken", taken)
+	assert.Assert(t, held.Take().Most >= 100*megabyte)
+	assert.Assert(t, held.Take().Held <= smallFront/5*3/4)
+}
+
+// TestPartOfOneTenantIsToldFromTheWhole has one tenant's jobs refused while there is room for another's.
+func TestPartOfOneTenantIsToldFromTheWhole(t *testing.T) {
+	held := newBudget(smallFront)
+	mustReserve(t, held, heldbytes.Job, owner{Tenant: "a"}, 12*megabyte)
+	_, err := held.Reserve(heldbytes.Job, owner{Tenant: "a"}, 6*megabyte)
+	assert.ErrorIs(t, err, heldbytes.ErrShare)
+	assert.ErrorIs(t, err, heldbytes.ErrOver)
+	mustReserve(t, held, heldbytes.Job, owner{Tenant: "b"}, 6*megabyte)
+	_, err = held.Reserve(heldbytes.Job, owner{Tenant: "c"}, 6*megabyte)
+	assert.Assert(t, errors.Is(err, heldbytes.ErrOver) && !errors.Is(err, heldbytes.ErrShare), err)
+}
+
+// TestOutputOfJobsIsCountedBeyondTheLimits has the items of a job put out more than the budget: it is there, and counted.
+func TestOutputOfJobsIsCountedBeyondTheLimits(t *testing.T) {
+	held := newBudget(smallFront)
+	job := mustReserve(t, held, heldbytes.Job, owner{Tenant: "a"}, megabyte)
+	job.Set(smallFront)
+	assert.Assert(t, held.Over(heldbytes.Job) && held.Over(heldbytes.Kept))
+	_, err := held.Reserve(heldbytes.Kept, owner{}, 1)
+	assert.ErrorIs(t, err, heldbytes.ErrOver)
+	job.Set(kilobyte)
+	assert.Assert(t, !held.Over(heldbytes.Kept))
+	job.Release()
+	job.Set(megabyte)
+	now, all := held.Load()
+	assert.Equal(t, now, int64(0))
+	assert.Equal(t, all, smallFront/5)
+}
--- a/internal/jobpeer/assign.go
+++ b/internal/jobpeer/assign.go
@@ -64,7 +64,7 @@
 func (h *Holders) Assign(ctx context.Context, assignee jobrecord.Assignee, assigned jobrecord.Assigned) bool {
 	request := &AssignRequest{
 		Job: assigned.Open.ID, Route: assigned.Open.Route, Zone: assigned.Open.Zone, Tokens: assigned.Open.Tokens,
-		Opened: assigned.Open.Revision, Claimed: assigned.Claim.Revision, Lease: int64(assignee.Lease),
+		Tenant: assigned.Open.Tenant, Bytes: assigned.Open.Bytes, Opened: assigned.Open.Revision, Claimed: assigned.Claim.Revision, Lease: int64(assignee.Lease),
 	}
 	reply := &AssignReply{}
 	if !h.ask(ctx, assignee.Address, methodAssign, request, reply, 0) || !reply.Taken {
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -109,6 +109,9 @@
 	Route  string     `json:"route"`
 	Zone   ident.Zone `json:"zone"`
 	Tokens int        `json:"tokens"`
+	// Tenant and Bytes are those of the job's open entry; builds that did not tell them leave them out.
+	Tenant ident.Tenant `json:"tenant,omitempty"`
+	Bytes  int64        `json:"bytes,omitempty"`
 	// Opened and Claimed are the revisions of the job's open entry and of the claim, Lease is what the claim hangs on.
 	Opened  int64 `json:"opened"`
 	Claimed int64 `json:"claimed"`
@@ -117,7 +120,7 @@
 
 func (r *AssignRequest) assigned() jobrecord.Assigned {
 	return jobrecord.Assigned{
-		Open:  jobrecord.Open{ID: r.Job, Route: r.Route, Zone: r.Zone, Tokens: r.Tokens, Revision: r.Opened},
+		Open:  jobrecord.Open{ID: r.Job, Route: r.Route, Zone: r.Zone, Tenant: r.Tenant, Tokens: r.Tokens, Bytes: r.Bytes, Revision: r.Opened},
 		Claim: jobrecord.Claim{Job: r.Job, Revision: r.Claimed},
 	}
 }
--- a/internal/jobrecord/accept.go
+++ b/internal/jobrecord/accept.go
@@ -121,9 +121,13 @@
 	if err != nil {
 		return nil, err
 	}
-	open := Open{ID: header.ID, Route: header.Route, Zone: header.Zone, Tenant: header.Tenant, Tokens: header.Tokens}
+	encoded := encode(header)
+	open := Open{
+		ID: header.ID, Route: header.Route, Zone: header.Zone, Tenant: header.Tenant, Tokens: header.Tokens,
+		Bytes: sizeOf(encoded) + sizeOf(parts...),
+	}
 	writes := []kv.Write{
-		{Key: keyHeader(header.ID), Value: encode(header)},
+		{Key: keyHeader(header.ID), Value: encoded},
 		{Key: keyOpen(header.ID), Value: encode(open)},
 	}
 	for index, part := range parts {
@@ -155,6 +159,15 @@
 	return nil, fmt.Errorf("%w: %s", ErrRaced, header.ID)
 }
 
+// sizeOf is the sum of the lengths of some values.
+func sizeOf(values ...[]byte) int64 {
+	sum := int64(0)
+	for _, value := range values {
+		sum += int64(len(value))
+	}
+	return sum
+}
+
 // sameTenant returns nil where a job that was accepted before is the tenant's who submits it now.
 func sameTenant(present kv.Pair, header *Header) error {
 	var before Header
--- a/internal/jobrecord/record.go
+++ b/internal/jobrecord/record.go
@@ -116,10 +116,20 @@
 	Tenant ident.Tenant `json:"tenant,omitempty"`
 	// Tokens are those of all items at acceptance.
 	Tokens int `json:"tokens"`
+	// Bytes is the size of the header and the bodies; zero in an entry of a build that did not tell it.
+	Bytes int64 `json:"bytes,omitempty"`
 	// Revision is that of the entry.
 	Revision int64 `json:"-"`
 }
 
+// Size is how much memory the job takes that is about to be read: an unknown one is thought to be as large as a job may be.
+func (o Open) Size() int64 {
+	if o.Bytes <= 0 {
+		return maximumParts * partBytes
+	}
+	return o.Bytes
+}
+
 // Job is a job with its bodies.
 type Job struct {
 	Header Header
--- a/internal/jobworker/assign.go
+++ b/internal/jobworker/assign.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -20,7 +22,7 @@
 // batch tells of this node's batch work. A node that takes no jobs tells of no lease. The caller holds the mutex.
 func (w *Worker) batch(now time.Time) demand.Batch {
 	told := demand.Batch{Node: w.Node, RunMs: w.duration.Milliseconds()}
-	if w.draining || !now.Before(w.leaseUntil.Add(-leaseMargin)) {
+	if w.draining || w.memory.isFull(now) || !now.Before(w.leaseUntil.Add(-leaseMargin)) {
 		return told
 	}
 	told.Waiting, told.Places = w.found.waiting, w.found.places
@@ -81,19 +83,23 @@
 	if known.claiming || w.jobs[id] != nil {
 		return nil
 	}
+	held, err := w.reserve(assigned.Open, w.Now())
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotAssignable, err)
+	}
 	known.claimed, known.claiming = true, true
 	w.tomb.Go(func() error {
-		w.runAssigned(assigned, known)
+		w.runAssigned(assigned, known, held)
 		return nil
 	})
 	return nil
 }
 
 // runAssigned reads the job and begins it. Where it cannot be read it is claimed again like any other.
-func (w *Worker) runAssigned(assigned jobrecord.Assigned, known *openJob) {
+func (w *Worker) runAssigned(assigned jobrecord.Assigned, known *openJob, held *heldbytes.Held) {
 	ctx, cancel := w.call()
 	defer cancel()
-	err := w.begin(ctx, assigned.Open, assigned.Claim, true)
+	err := w.begin(ctx, beginning{entry: assigned.Open, claim: assigned.Claim, fresh: true, held: held})
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	known.claiming = false
@@ -108,14 +114,27 @@
 	event.JobStoreFailed.Log(w.Logger).Str("doing", "reading an assigned job").Str("job", string(assigned.Open.ID)).Err(err).Send()
 }
 
-// begin reads a claimed job and runs it. fresh says that the job was never claimed before, so that it has no results.
-func (w *Worker) begin(ctx context.Context, entry jobrecord.Open, claim jobrecord.Claim, fresh bool) error {
+// beginning is a claimed job that is about to be run.
+type beginning struct {
+	entry jobrecord.Open
+	claim jobrecord.Claim
+	// fresh says that the job was never claimed before, so that it has no results.
+	fresh bool
+	// held is the room for it.
+	held *heldbytes.Held
+}
+
+// begin reads a claimed job and runs it. What is held for it is released where it does not run.
+func (w *Worker) begin(ctx context.Context, begun beginning) error {
+	entry, fresh := begun.entry, begun.fresh
 	loaded, results, err := w.load(ctx, entry, fresh)
 	if err != nil {
+		begun.held.Release()
 		return err
 	}
-	job := newJobRun(claim, loaded)
-	job.entry = entry
+	job := newJobRun(begun.claim, loaded)
+	job.entry, job.held = entry, begun.held
+	job.measure(entry.Bytes)
 	job.progressed = w.Now()
 	job.list(results)
 	resumed := 0
@@ -126,6 +145,7 @@
 	defer w.mutex.Unlock()
 	known := w.open[entry.ID]
 	if known == nil {
+		begun.held.Release()
 		return nil
 	}
 	known.claimed = true
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -1,11 +1,14 @@
 package jobworker
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
@@ -63,30 +66,55 @@
 
 // claimDue claims the unclaimed jobs whose delay is over. The caller holds the mutex.
 func (w *Worker) claimDue(now time.Time) {
-	waiting, places := 0, 0
-	counted := false
-	for _, candidate := range w.open {
-		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil || now.Before(candidate.notBefore) {
-			continue
-		}
-		// A claim of this node's own keeps all others from the job: it is taken up also where the job can't be run here, and
-		// released with what rests.
-		if !candidate.own && !w.canRun(candidate.entry.Route) {
+	candidates := w.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	waiting, places := len(w.waiting(now)), w.places(now)
+	noRoom := map[ident.Tenant]bool{}
+	for _, candidate := range candidates {
+		if noRoom[candidate.entry.Tenant] {
 			continue
 		}
-		if !counted {
-			waiting, places = len(w.waiting(now)), w.places(now)
-			counted = true
-		}
 		delay := claimDelay(waiting, places, w.duration, w.claimTurn(candidate), w.crowded(w.Options.ClaimStep))
 		if candidate.own {
 			delay = ownClaimDelay
 		}
-		if now.Sub(candidate.unclaimed) >= delay {
-			w.startClaim(candidate)
+		if now.Sub(candidate.unclaimed) < delay {
+			continue
+		}
+		err := w.startClaim(candidate)
+		if err == nil {
 			waiting += expectedItems
+			continue
+		}
+		noRoom[candidate.entry.Tenant] = true
+		if !errors.Is(err, heldbytes.ErrShare) && now.Sub(candidate.unclaimed) > delay+overtakenFor {
+			return
+		}
+	}
+}
+
+// candidates returns the jobs that this node may claim now, the oldest first. The caller holds the mutex.
+func (w *Worker) candidates(now time.Time) []*openJob {
+	if w.lease == 0 || w.draining {
+		return nil
+	}
+	var candidates []*openJob
+	for _, candidate := range w.open {
+		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil || now.Before(candidate.notBefore) {
+			continue
+		}
+		// A claim of this node's own keeps all others from the job: it is taken up also where the job can't be run here, and
+		// released with what rests.
+		if candidate.own || w.canRun(candidate.entry.Route) {
+			candidates = append(candidates, candidate)
 		}
 	}
+	slices.SortFunc(candidates, func(first, second *openJob) int {
+		return cmp.Compare(first.entry.Revision, second.entry.Revision)
+	})
+	return candidates
 }
 
 // ownClaimDelay is how long a claim of this node that it does not serve is left alone: whoever accepted the job with the
@@ -101,16 +129,18 @@
 // expectedItems is what a job that is being claimed is thought to add before it is read.
 const expectedItems = 10
 
-// startClaim claims a job in the background. The caller holds the mutex.
-func (w *Worker) startClaim(candidate *openJob) {
-	if w.lease == 0 || w.draining || candidate.claiming || w.jobs[candidate.entry.ID] != nil {
-		return
+// startClaim claims a candidate in the background. The error wraps heldbytes.ErrOver where there is no room for the job. The caller
+// holds the mutex.
+func (w *Worker) startClaim(candidate *openJob) error {
+	held, noRoom := w.reserve(candidate.entry, w.Now())
+	if noRoom != nil && !candidate.own {
+		return noRoom
 	}
 	candidate.claiming = true
 	// The claim goes on without the mutex, while what is followed replaces the entry: it gets a copy.
 	entry, lease := candidate.entry, w.lease
 	w.tomb.Go(func() error {
-		if err := w.claim(entry, lease); err != nil {
+		if err := w.claimOrGiveBack(entry, lease, held, noRoom); err != nil {
 			w.logStore("claiming job "+string(entry.ID), err)
 		}
 		w.mutex.Lock()
@@ -119,6 +149,31 @@
 		w.mutex.Unlock()
 		return nil
 	})
+	return noRoom
+}
+
+// claimOrGiveBack takes a job over, or gives up the claim that this node has of it where there is no room.
+func (w *Worker) claimOrGiveBack(entry jobrecord.Open, lease kv.LeaseID, held *heldbytes.Held, noRoom error) error {
+	if noRoom != nil {
+		return w.giveBack(entry, lease)
+	}
+	return w.claim(entry, lease, held)
+}
+
+// giveBack gives up a claim of this node that it has no room to serve, so that another one may take the job.
+func (w *Worker) giveBack(entry jobrecord.Open, lease kv.LeaseID) error {
+	ctx, cancel := w.call()
+	defer cancel()
+	claim, err := w.Records.Claim(ctx, entry, w.Node, lease)
+	if errors.Is(err, jobrecord.ErrClaimLost) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	event.JobLeft.Log(w.Logger).Str("job", string(entry.ID)).Str("why", "there is no room for it").Send()
+	w.release(claim)
+	return nil
 }
 
 // canRun says whether this node owns a runner for the route's items. Without any it must not hold their job. A route
@@ -147,18 +202,20 @@
 	return true
 }
 
-// claim takes a job over from the beginning or from where another node stopped.
-func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID) error {
+// claim takes a job over from the beginning or from where another node stopped. What is held for it is released where that fails.
+func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID, held *heldbytes.Held) error {
 	ctx, cancel := w.call()
 	defer cancel()
 	claim, err := w.Records.Claim(ctx, entry, w.Node, lease)
 	if errors.Is(err, jobrecord.ErrClaimLost) {
+		held.Release()
 		return nil
 	}
 	if err != nil {
+		held.Release()
 		return err
 	}
-	if err := w.begin(ctx, entry, claim, false); err != nil {
+	if err := w.begin(ctx, beginning{entry: entry, claim: claim, held: held}); err != nil {
 		return fmt.Errorf("loading: %w", err)
 	}
 	return nil
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -26,12 +26,14 @@
 		waiting := w.waiting(now)
 		w.found = batchLoad{waiting: len(waiting), places: w.batchPlaces(now)}
 		w.endStalled(now)
+		w.countMemory(now)
 		w.claimDue(now)
 		w.followOrphans(now)
 		w.logTurns(now)
+		most := w.mayBegin()
 		w.mutex.Unlock()
 		w.askReports(now)
-		w.give(waiting, now)
+		w.give(waiting, most, now)
 		w.releaseResting(now)
 		w.logLoad(now)
 	}
@@ -69,10 +71,13 @@
 	}
 }
 
-// give starts the items that a runner has room for.
-func (w *Worker) give(waiting []*itemRun, now time.Time) {
+// give starts the items that a runner has room for, at most a number of them.
+func (w *Worker) give(waiting []*itemRun, most int, now time.Time) {
 	full := map[string]bool{}
 	for _, item := range waiting {
+		if most <= 0 {
+			return
+		}
 		route := w.routeOf(item, now)
 		if route == nil || w.holdsBack(item, now) {
 			continue
@@ -86,7 +91,9 @@
 			full[service] = len(item.avoid) == 0
 			continue
 		}
-		w.start(item, service, route, id, now)
+		if w.start(item, service, route, id, now) {
+			most--
+		}
 	}
 }
 
@@ -353,12 +360,12 @@
 	}
 }
 
-// start runs an item at a runner.
-func (w *Worker) start(item *itemRun, service string, route *work.Route, id ident.Incarnation, now time.Time) {
+// start runs an item at a runner, and says whether it does.
+func (w *Worker) start(item *itemRun, service string, route *work.Route, id ident.Incarnation, now time.Time) bool {
 	wish := runnertable.Wish{Service: service, Class: runnertable.Batch, Tokens: item.item.Tokens, Bytes: len(item.body)}
 	flight, err := w.Runners.StartAt(id, wish, now)
 	if err != nil {
-		return
+		return false
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.mutex.Lock()
@@ -366,7 +373,7 @@
 		w.mutex.Unlock()
 		cancel()
 		flight.End()
-		return
+		return false
 	}
 	item.running, item.cancel, item.runner = true, cancel, id
 	item.started, item.progressed = now, now
@@ -377,4 +384,5 @@
 		w.run(ctx, item, route, flight)
 		return nil
 	})
+	return true
 }
--- a/internal/jobworker/held.go
+++ b/internal/jobworker/held.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -19,7 +19,8 @@
 
 // Held answers from memory how far a job is recorded: whose it is, its number of items and its results from a position on. With none
 // it waits for the next, at most for the wait. It returns false where this node cannot be sure that it knows the newest
-// state: it does not hold the claim, or its lease may have lapsed, so that another node may have recorded more.
+// state: it does not hold the claim, or its lease may have lapsed, so that another node may have recorded more. Results that it let go are
+// read from the store, too.
 func (w *Worker) Held(ctx context.Context, job ident.Job, from int, wait time.Duration) (held work.Held, sure bool) {
 	end := w.Now().Add(wait)
 	for {
@@ -44,10 +45,10 @@
 		return kept, nil, true
 	}
 	job := w.jobs[id]
-	if job == nil || !w.Now().Before(w.leaseUntil.Add(-leaseMargin)) {
+	if job == nil || from < job.readable || !w.Now().Before(w.leaseUntil.Add(-leaseMargin)) {
 		return work.Held{}, nil, false
 	}
-	return work.Held{Tenant: job.header.Tenant, Total: len(job.items), Results: tail(job.recorded, from)}, job.changed, true
+	return work.Held{Tenant: job.header.Tenant, Total: len(job.items), Results: tail(job.recorded, from-job.readable)}, job.changed, true
 }
 
 func tail(results []work.Result, from int) []work.Result {
@@ -88,13 +89,14 @@
 type finishedJobs struct {
 	byID  map[ident.Job]work.Held
 	order []finishedJob
-	bytes int
+	bytes int64
 }
 
 type finishedJob struct {
 	id    ident.Job
 	at    time.Time
-	bytes int
+	bytes int64
+	held  *heldbytes.Held
 }
 
 func (f *finishedJobs) find(id ident.Job) (work.Held, bool) {
@@ -102,22 +104,38 @@
 	return held, found
 }
 
-func (f *finishedJobs) keep(header *jobrecord.Header, results []work.Result, now time.Time) {
+// keep takes over the results of a job that is finished, if the node's budget has room for them.
+func (f *finishedJobs) keep(budget *heldbytes.OfNode, job *jobRun, now time.Time) {
+	size := job.recordedBytes
+	held, err := budget.Reserve(heldbytes.Kept, heldbytes.Whose{}, size)
+	for err != nil && f.dropOldest() {
+		held, err = budget.Reserve(heldbytes.Kept, heldbytes.Whose{}, size)
+	}
+	if err != nil {
+		// The store has them.
+		return
+	}
 	if f.byID == nil {
 		f.byID = map[ident.Job]work.Held{}
 	}
-	size := 0
-	for _, result := range results {
-		size += len(result.Text)
-	}
-	id := header.ID
-	f.byID[id] = work.Held{Tenant: header.Tenant, Total: len(results), Results: results}
-	f.order = append(f.order, finishedJob{id: id, at: now, bytes: size})
+	id := job.header.ID
+	f.byID[id] = work.Held{Tenant: job.header.Tenant, Total: len(job.recorded), Results: job.recorded}
+	f.order = append(f.order, finishedJob{id: id, at: now, bytes: size, held: held})
 	f.bytes += size
 	for len(f.order) > 0 && (f.bytes > finishedBytes || now.Sub(f.order[0].at) > finishedKept) {
-		oldest := f.order[0]
-		f.order = f.order[1:]
-		f.bytes -= oldest.bytes
-		delete(f.byID, oldest.id)
+		f.dropOldest()
+	}
+}
+
+// dropOldest lets the results go that were kept the longest, and returns false where there are none.
+func (f *finishedJobs) dropOldest() bool {
+	if len(f.order) == 0 {
+		return false
 	}
+	oldest := f.order[0]
+	f.order = f.order[1:]
+	f.bytes -= oldest.bytes
+	oldest.held.Release()
+	delete(f.byID, oldest.id)
+	return true
 }
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -8,6 +8,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/poison"
@@ -23,8 +24,16 @@
 	// submitted is the moment of the submission by this node's clock: the header has the date.
 	submitted time.Time
 	items     []*itemRun
-	// recorded are the results in the records, by position.
-	recorded []work.Result
+	// recorded are the results in the records, by position, but for the first readable ones: those were let go, and are read from the
+	// store. recordedBytes are their texts.
+	recorded      []work.Result
+	readable      int
+	recordedBytes int64
+	// held is the job's part of the node's budget; headerBytes and values are the sizes of its header and of the values that its bodies
+	// lie in.
+	held        *heldbytes.Held
+	headerBytes int64
+	values      []int64
 	// changed is closed and made anew when results are recorded.
 	changed chan struct{}
 	// unlisted are results that wait to be recorded, in the order they came.
@@ -92,6 +101,7 @@
 	for _, item := range j.items {
 		if recorded[item.item.ID] {
 			item.finished = true
+			item.text, item.body = bytes.Buffer{}, nil
 		}
 	}
 	kept := j.unlisted[:0]
@@ -100,18 +110,33 @@
 			kept = append(kept, result)
 		}
 	}
+	clear(j.unlisted[len(kept):])
 	j.unlisted = kept
+	j.recorded, j.readable, j.recordedBytes = nil, 0, 0
 	j.record(results)
 	j.signal()
 }
 
-// record takes over the results in the records and tells those that wait for them.
+// record takes over further results in the records and tells those that wait for them.
 func (j *jobRun) record(results []work.Result) {
-	j.recorded = results
+	j.recorded = append(j.recorded, results...)
+	j.recordedBytes += textBytes(results)
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
 
+// textBytes is the size of the texts of results.
+func textBytes(results []work.Result) int64 {
+	sum := int64(0)
+	for index := range results {
+		sum += int64(len(results[index].Text))
+	}
+	return sum
+}
+
+// listed is the number of results in the records.
+func (j *jobRun) listed() int { return j.readable + len(j.recorded) }
+
 // remaining are the tokens of the items without a recorded result beyond those about to be recorded.
 func (j *jobRun) remaining(recording []work.Result) int {
 	tokens := 0
@@ -169,6 +194,7 @@
 		}
 	}
 	delete(w.jobs, job.header.ID)
+	job.held.Release()
 	job.signal()
 	close(job.changed)
 	job.changed = make(chan struct{})
@@ -218,7 +244,7 @@
 	if job.dropped || w.draining || len(job.unlisted) == 0 || len(job.unlisted) >= w.Records.MaximumAppended(job.header) {
 		return true
 	}
-	if len(job.recorded)+len(job.unlisted) == len(job.items) {
+	if job.listed()+len(job.unlisted) == len(job.items) {
 		return true
 	}
 	untilDue := w.due(job.items[0]).Sub(w.Now())
@@ -265,13 +291,13 @@
 // nextBatch returns what to record next. While an Append is unanswered the same results come again, in the same order:
 // new ones only join behind.
 func (j *jobRun) nextBatch(most int) (batch, bool) {
-	if j.dropped || (len(j.unlisted) == 0 && len(j.recorded) < len(j.items)) {
+	if j.dropped || (len(j.unlisted) == 0 && j.listed() < len(j.items)) {
 		return batch{}, false
 	}
 	results := append([]work.Result(nil), j.unlisted[:min(len(j.unlisted), most)]...)
 	return batch{
-		claim: j.claim, position: len(j.recorded), results: results, remaining: j.remaining(results),
-		finished: len(j.recorded)+len(results) == len(j.items),
+		claim: j.claim, position: j.listed(), results: results, remaining: j.remaining(results),
+		finished: j.listed()+len(results) == len(j.items),
 	}, true
 }
 
@@ -288,12 +314,15 @@
 	if job.claim != next.claim || job.dropped {
 		return false, nil
 	}
-	job.record(append(job.recorded, next.results...))
+	job.record(next.results)
+	clear(job.unlisted[:len(next.results)])
 	job.unlisted = job.unlisted[len(next.results):]
 	job.progressed = w.Now()
 	if next.finished {
-		w.finished.keep(job.header, job.recorded, w.Now())
 		w.drop(job)
+		if job.readable == 0 {
+			w.finished.keep(w.Budget, job, w.Now())
+		}
 		event.JobLeft.Log(w.Logger).Str("job", string(job.header.ID)).Str("why", "all results are recorded").Int("items", len(job.items)).Send()
 		delete(w.open, job.header.ID)
 	}
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/handoff"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
@@ -29,6 +31,12 @@
 	if refused := w.refuseToKeep(entry, bound, copies); refused != nil {
 		return refused
 	}
+	held, err := w.Budget.Reserve(heldbytes.Submission, heldbytes.Whose{Tenant: entry.Tenant}, entry.Bytes())
+	if err != nil {
+		return failure.New(failure.CodeOverloaded, "this worker holds as much as it can").WithCause(err).
+			WithRetryAfter(heldbytes.ReturnAfter(rand.Float64()))
+	}
+	defer held.Release()
 	if err := w.Handoff.Put(entry); err != nil {
 		failed := failure.New(failure.CodeShardUnavailable, "the job could not be written here").WithCause(err)
 		if errors.Is(err, handoff.ErrDisk) {
--- a/internal/jobworker/load.go
+++ b/internal/jobworker/load.go
@@ -36,11 +36,12 @@
 	}
 	w.loadLogged = now
 	items, places := w.itemsInUse(now), w.placesInUse(now)
+	held, all := w.Budget.Load()
 	event.BatchLoad.Log(w.Logger).Int("jobs", len(w.jobs)).
 		Int("waiting", items.waiting).Int("late", items.late).Int("running", items.running).
 		Int("runners", places.runners).Int("slots", places.slots).
 		Int("online", places.online).Int("batch", places.batch).Int("room", places.room).
-		Int64("run_ms", w.duration.Milliseconds()).Send()
+		Int64("run_ms", w.duration.Milliseconds()).Int64("held_bytes", held).Int64("may_hold_bytes", all).Send()
 }
 
 // itemsInUse counts the items. The caller holds the mutex.
--- /dev/null
+++ b/internal/jobworker/memory_test.go
@@ -0,0 +1,263 @@
+package jobworker_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/handoff"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+const (
+	// smallWorker is the memory of the smallest worker that is known, in bytes. A fifth of it may be held: bodies are there up to three
+	// times for moments, and the process itself takes a quarter.
+	smallWorker = 136 << 20
+	// largeItem is the body of a large item, largeItems how many a job of 8 MiB has of them, once they are decoded.
+	largeItem  = 620_000
+	largeItems = 10
+)
+
+// memoryWorld is a worker with little memory, whose items end when the test lets them.
+type memoryWorld struct {
+	*group
+	worker *jobworker.Worker
+	caller *fakeCaller
+	log    *bytes.Buffer
+	jobs   []*jobrecord.Submission
+}
+
+func newMemoryWorld(t *testing.T) *memoryWorld {
+	m := &memoryWorld{group: newGroup(t), caller: &fakeCaller{held: true}, log: &bytes.Buffer{}}
+	m.budget, m.logger = heldbytes.New[ident.Tenant, string](heldbytes.LimitsOf(smallWorker)), zerolog.New(zerolog.SyncWriter(m.log))
+	m.worker = m.start("w", kvtest.NewPaged(m.data), m.caller, nil, oneRunner("i-1"))
+	time.Sleep(time.Second)
+	return m
+}
+
+// submitOf accepts a job of a tenant with items of a size.
+func (m *memoryWorld) submitOf(tenant ident.Tenant, id string, items, size int) {
+	submission := &jobrecord.Submission{ID: ident.Job(id), Route: "r", Host: "h", Zone: "z", Tenant: tenant}
+	for index := range items {
+		submission.Items = append(submission.Items, work.Item{ID: ident.Request(fmt.Sprint(id, "-", index)), Path: "/p/x", Tokens: 10, Body: make([]byte, size)})
+	}
+	assert.NilError(m.t, m.records.Accept(context.Background(), submission))
+	m.jobs = append(m.jobs, submission)
+}
+
+// bodies is the sum of the bodies that the worker has in memory, jobs how many jobs they are of.
+func (m *memoryWorld) bodies() (sum, jobs int) {
+	for _, job := range m.jobs {
+		before := sum
+		for _, item := range job.Items {
+			if body, _, found := m.worker.HeldBody(job.ID, item.ID); found {
+				sum += len(body)
+			}
+		}
+		if sum > before {
+			jobs++
+		}
+	}
+	return sum, jobs
+}
+
+func (m *memoryWorld) logged(event string) bool { return bytes.Contains(m.log.Bytes(), []byte(event)) }
+
+// TestWorkerHoldsNoMoreJobsThanItsMemoryHas is the load of twelve jobs of 8 MiB, ten items of 620,000 bytes each, that find one worker of
+// the smallest memory: 74 MB of bodies, beside a process of 36 MB and what is there twice for moments. It may hold a fifth of the memory,
+// and has each job done all the same, none of them given up.
+func TestWorkerHoldsNoMoreJobsThanItsMemoryHas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		for job := range 12 {
+			m.submitOf("", fmt.Sprint("j", job), largeItems, largeItem)
+		}
+		time.Sleep(8 * time.Second)
+		sum, jobs := m.bodies()
+		t.Logf("%d bytes of %d jobs", sum, jobs)
+		assert.Assert(t, sum <= smallWorker/5, "%d bytes of bodies are in memory", sum)
+		assert.Assert(t, jobs >= 2, "%d jobs are run", jobs)
+		assert.Assert(t, m.logged("worker_memory_full"))
+
+		m.caller.hold(false)
+		for _, job := range m.jobs {
+			m.waitWhole(string(job.ID), largeItems)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, m.logged("worker_memory_free"))
+		tally := m.budget.Take()
+		assert.Assert(t, tally.Most <= smallWorker/5, "%d bytes were held", tally.Most)
+		assert.Assert(t, tally.Held < largeItem, "%d bytes are held after the last job", tally.Held)
+	})
+}
+
+// TestLargeJobsOfOneTenantLeaveRoomForAnother has a tenant with a heap of large jobs before one with small ones.
+func TestLargeJobsOfOneTenantLeaveRoomForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		for job := range 8 {
+			m.submitOf("large", fmt.Sprint("l", job), largeItems, largeItem)
+		}
+		time.Sleep(5 * time.Second)
+		m.submitOf("small", "s", 2, 1000)
+		time.Sleep(5 * time.Second)
+		_, _, found := m.worker.HeldBody("s", "s-0")
+		assert.Assert(t, found, "the job of the small tenant is not run")
+	})
+}
+
+// TestLargeJobIsNotOvertakenForLong has jobs of one item of 620,000 bytes come four a second, as fast as they end, at a worker whose memory
+// is full of them. One of ten such items comes with them: the room of each that ends would be taken by the next small one. It is to be in
+// memory within the 20 seconds in which jobs of its route are due.
+func TestLargeJobIsNotOvertakenForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		m.caller.hold(false)
+		m.caller.takes = 2 * time.Second
+		small := 0
+		submitSmall := func() {
+			m.submitOf(ident.Tenant(fmt.Sprint("t", small%4)), fmt.Sprint("s", small), 1, largeItem)
+			small++
+		}
+		for range 60 {
+			submitSmall()
+		}
+		time.Sleep(4 * time.Second)
+		m.submitOf("large", "large", largeItems, largeItem)
+		seen := false
+		for range 80 {
+			time.Sleep(250 * time.Millisecond)
+			submitSmall()
+			_, _, found := m.worker.HeldBody("large", ident.Request(fmt.Sprint("large-", largeItems-1)))
+			seen = seen || found
+		}
+		assert.Assert(t, seen, "the large job found no room")
+		assert.Assert(t, m.budget.Take().Most <= smallWorker/5)
+	})
+}
+
+// TestFullWorkerIsBroughtNoJob has fronts ask a worker without room: they are told of no lease, and a job that is brought all the same is
+// not taken, so that its claim is given up for others.
+func TestFullWorkerIsBroughtNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		lease := func() int64 {
+			return m.worker.Demand(&demand.Report{Node: "front", Incarnation: 1, Sequence: 1}).Batch.Lease
+		}
+		m.submitOf("", "first", 1, 1000)
+		time.Sleep(5 * time.Second)
+		first := lease()
+		assert.Assert(t, first != 0)
+		for job := range 6 {
+			m.submitOf("", fmt.Sprint("j", job), largeItems, largeItem)
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, lease(), int64(0))
+		brought := jobrecord.Open{ID: "brought", Route: "r", Zone: "z", Bytes: largeItems * largeItem, Revision: 1 << 40}
+		err := m.worker.Assign(jobrecord.Assigned{Open: brought, Claim: jobrecord.Claim{Job: "brought"}}, kv.LeaseID(first))
+		assert.ErrorIs(t, err, jobworker.ErrNotAssignable)
+	})
+}
+
+// TestWorkerKeepsNoJobBeyondItsMemory has fronts bring jobs of 8 MiB for the disk of a worker whose memory is taken.
+func TestWorkerKeepsNoJobBeyondItsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		for job := range 6 {
+			m.submitOf("", fmt.Sprint("j", job), largeItems, largeItem)
+		}
+		time.Sleep(5 * time.Second)
+		log, err := handoff.Open(filepath.Join(t.TempDir(), "handoff"), 1<<30)
+		assert.NilError(t, err)
+		m.worker.Handoff = log
+		refused := failure.As(m.worker.Keep(handoff.NewEntry(m.jobs[5], time.Now(), 0), 0, 1))
+		assert.Equal(t, refused.Code, failure.CodeOverloaded)
+		assert.Equal(t, refused.Outcome, outcome.NotRun)
+		assert.Assert(t, refused.RetryAfter > 0)
+		assert.Assert(t, !log.Has(m.jobs[5].ID))
+	})
+}
+
+// TestResultsThatWereLetGoAreReadFromTheStore has jobs end at a worker whose readers come late. While there is room, they are answered from
+// memory; once jobs need it, the worker is not sure, and the store has every result.
+func TestResultsThatWereLetGoAreReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		m.caller.hold(false)
+		m.submitOf("", "early", 3, 1000)
+		m.waitWhole("early", 3)
+		time.Sleep(time.Second)
+		held, sure := m.worker.Held(context.Background(), "early", 0, 0)
+		assert.Assert(t, sure)
+		assert.Equal(t, len(held.Results), 3)
+
+		m.caller.hold(true)
+		for job := range 6 {
+			m.submitOf("", fmt.Sprint("j", job), largeItems, largeItem)
+		}
+		time.Sleep(5 * time.Second)
+		_, sure = m.worker.Held(context.Background(), "early", 0, 0)
+		assert.Assert(t, !sure, "results of a finished job take room that a job needs")
+		m.waitWhole("early", 3)
+	})
+}
+
+// TestJobLargerThanTheRoomIsTakenAlone lowers the memory, as settings that are read again do, below what one job needs: it was accepted,
+// and is run by itself.
+func TestJobLargerThanTheRoomIsTakenAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		m.budget.SetLimits(heldbytes.LimitsOf(16 << 20))
+		m.caller.hold(false)
+		m.submitOf("a", "one", largeItems, largeItem)
+		m.submitOf("a", "two", largeItems, largeItem)
+		m.waitWhole("one", largeItems)
+		m.waitWhole("two", largeItems)
+	})
+}
+
+// TestClaimsWithoutRoomAreGivenBackAtAStart starts a worker again that holds the claims of more jobs than its memory has room for now.
+// Nobody else may run them as long as it has the claims: those that do not fit go to the other worker.
+func TestClaimsWithoutRoomAreGivenBackAtAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryWorld(t)
+		m.budget.SetLimits(heldbytes.LimitsOf(1 << 30))
+		for job := range 7 {
+			m.submitOf("", fmt.Sprint("j", job), largeItems, largeItem)
+		}
+		time.Sleep(5 * time.Second)
+		_, jobs := m.bodies()
+		assert.Equal(t, jobs, 7)
+		m.end("w")
+		m.budget = heldbytes.New[ident.Tenant, string](heldbytes.LimitsOf(smallWorker))
+		m.worker = m.start("w", kvtest.NewPaged(m.data), m.caller, nil, oneRunner("i-1"))
+		m.budget = nil
+		m.add("other", oneRunner("i-1"), runnerOwnedBy(t, "other", "w", "other"))
+		m.callers["other"].hold(true)
+		time.Sleep(10 * time.Second)
+		sum, jobs := m.bodies()
+		assert.Assert(t, jobs >= 2 && sum <= smallWorker/5, "%d bytes of %d jobs", sum, jobs)
+		assert.Assert(t, m.logged("there is no room for it"))
+		m.caller.hold(false)
+		m.callers["other"].hold(false)
+		for _, job := range m.jobs {
+			m.waitWhole(string(job.ID), largeItems)
+		}
+	})
+}
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -16,6 +16,7 @@
 	"mallowlatch.example/mallowlatch/internal/endwatch"
 	"mallowlatch.example/mallowlatch/internal/fairshare"
 	"mallowlatch.example/mallowlatch/internal/handoff"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
@@ -118,6 +119,8 @@
 	SeedsFor time.Duration
 	// StartsAgain says that the deployment had started before this process did.
 	StartsAgain bool
+	// Budget bounds what the worker holds of jobs; nil bounds nothing.
+	Budget *heldbytes.OfNode
 	// Outputs keeps the output of other workers' items on this node's disk too; nil keeps it in memory alone.
 	Outputs *progress.Journal
 	// Registry is told when a worker is emptied.
@@ -192,6 +195,8 @@
 	retirements map[ident.Node]*retirement
 	// finished holds the results of jobs that were finished here lately.
 	finished finishedJobs
+	// memory is what is known of the room for jobs.
+	memory memory
 }
 
 // openJob is a job that is not finished.
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -17,6 +17,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
@@ -35,6 +36,8 @@
 	cut   bool
 	// held makes every item wait until it is false.
 	held bool
+	// takes is how long each run takes.
+	takes time.Duration
 	// failing is the runner that answers every item with a failure.
 	failing ident.Incarnation
 }
@@ -55,6 +58,7 @@
 	for c.isHeld() && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
+	time.Sleep(c.takes)
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -104,6 +108,9 @@
 	stores  map[ident.Node]*kvtest.Paged
 	tables  map[ident.Node]*runnertable.Table
 	tombs   map[ident.Node]*tomb.Tomb
+	// budget bounds what each worker holds, if it is set; logger takes their lines.
+	budget *heldbytes.OfNode
+	logger zerolog.Logger
 	// asleep is for how long the machines of the workers were suspended: the world is ahead by that, their timers are not.
 	asleep atomic.Int64
 }
@@ -114,7 +121,7 @@
 func newGroup(t *testing.T) *group {
 	g := &group{
 		t: t, routes: &routetable.Table{}, callers: map[ident.Node]*fakeCaller{},
-		stores: map[ident.Node]*kvtest.Paged{}, tables: map[ident.Node]*runnertable.Table{}, tombs: map[ident.Node]*tomb.Tomb{},
+		stores: map[ident.Node]*kvtest.Paged{}, tables: map[ident.Node]*runnertable.Table{}, tombs: map[ident.Node]*tomb.Tomb{}, logger: zerolog.Nop(),
 	}
 	g.data = kvtest.NewData(g.now)
 	g.records = g.recordsOf(kvtest.NewPaged(g.data))
@@ -148,7 +155,7 @@
 	options.LeaseTTL = time.Second
 	worker := &jobworker.Worker{
 		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
-		Caller: caller, Options: options, Logger: zerolog.Nop(), Now: g.now,
+		Caller: caller, Options: options, Logger: g.logger, Now: g.now, Budget: g.budget,
 	}
 	if mirrors != nil {
 		worker.Options.MirrorEvery = mirrorEvery
--- a/internal/progress/mirror.go
+++ b/internal/progress/mirror.go
@@ -59,6 +59,8 @@
 	mutex sync.Mutex
 	jobs  map[ident.Job]*mirrored
 	bytes int
+	// most bounds the output of all jobs, in bytes; zero is keptBytes.
+	most int
 }
 
 // mirrored is what is kept of a job.
@@ -129,7 +131,7 @@
 				oldest = id
 			}
 		}
-		if oldest == "" || (m.bytes <= keptBytes && now.Sub(m.jobs[oldest].updated) <= keptFor) {
+		if oldest == "" || (m.bytes <= m.bound() && now.Sub(m.jobs[oldest].updated) <= keptFor) {
 			return
 		}
 		m.bytes -= m.jobs[oldest].bytes
@@ -137,6 +139,23 @@
 	}
 }
 
+// bound is the most that is kept. The caller holds the mutex.
+func (m *Mirror) bound() int {
+	if m.most == 0 {
+		return keptBytes
+	}
+	return min(m.most, keptBytes)
+}
+
+// Bound has no more bytes kept than fit, and returns how many are.
+func (m *Mirror) Bound(most int64, now time.Time) int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.most = max(int(most), 1)
+	m.forget(now)
+	return int64(m.bytes)
+}
+
 // Outputs returns what is kept of a job.
 func (m *Mirror) Outputs(id ident.Job) []Output {
 	m.mutex.Lock()
