Ask for the memory of runners before a stream is gone on with

Cause: a choice without a line (second runs, streams that have begun) asked no runner whether its memory has room, so that the break of one runner could send its streams to one that was nearly full: it falls over, and its streams go on to the next.

Change: such a choice asks with prompt and the most that may be made; where no runner has room the request waits for one, until the time of its caller is over. It may take half of the tenth that new requests leave.

Ruled out: the line of new requests (its order is by what is on time, its waits measure those of requests that can be turned away).

--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 
 	mutex sync.Mutex
 	line  waitline.Line
+	// resumed are those that ran already and wait for the memory of a runner.
+	resumed []chan struct{}
 	// woken holds what each waiting request is woken by.
 	woken map[*waitline.Waiter]chan struct{}
 	// looking says that the timer runs.
@@ -186,8 +189,12 @@
 	r.line.Leave(waiter)
 }
 
-// wake has the request look for a place that has the least time left. The caller holds the mutex.
+// wake has the request look for a place that has the least time left, and all that ran already. The caller holds the mutex.
 func (r *room) wake() {
+	for _, woken := range r.resumed {
+		close(woken)
+	}
+	r.resumed = nil
 	if next := r.line.Next(); next != nil {
 		close(r.woken[next])
 		delete(r.woken, next)
@@ -229,6 +236,45 @@
 	return expected + time.Duration(rand.Int64N(int64(expected)))
 }
 
+// pickAgain chooses a runner for a request that may have run.
+func (e *exchange) pickAgain() (*runnertable.Flight, error) {
+	seed := rand.Uint64()
+	wish := e.forwarder.freshen(e.ctx, e.wish(false), seed)
+	for {
+		flight, err := e.forwarder.Runners.Pick(wish, e.forwarder.Now(), random(seed))
+		if err == nil {
+			e.room.taken(e.waiter, false)
+			return flight, nil
+		}
+		if !errors.Is(err, runnertable.ErrFull) {
+			return nil, err
+		}
+		if err := e.room.waitForMemory(e.ctx); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// waitForMemory returns nil when a request that ran already is to look again for a runner with memory: a place was given back, or a moment
+// is over. Those in the line are not held up by it, and look too.
+func (r *room) waitForMemory(ctx context.Context) error {
+	r.mutex.Lock()
+	woken := make(chan struct{})
+	r.resumed = append(r.resumed, woken)
+	r.mutex.Unlock()
+	moment := time.NewTimer(lookEvery)
+	defer moment.Stop()
+	select {
+	case <-woken:
+	case <-moment.C:
+	case <-ctx.Done():
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.resumed = slices.DeleteFunc(r.resumed, func(other chan struct{}) bool { return other == woken })
+	return ctx.Err()
+}
+
 // rooms holds the rooms of the services.
 type rooms struct {
 	mutex  sync.Mutex
@@ -252,22 +298,25 @@
 	return found
 }
 
-// pick chooses a runner, once one has a place. A request that a runner may have run, and a stream that has begun, are sent at
-// once and wait at the runner: they can't be sent away as not run.
+// pick chooses a runner, once one has a place. A request that a runner may have run, and a stream that has begun, can't be sent away as
+// not run: they wait for a place at the runner, and here only until one has memory for them.
 func (e *exchange) pick() (*runnertable.Flight, error) {
 	if err := e.ctx.Err(); err != nil {
 		return nil, err
 	}
 	waits := e.runs == 0 && !e.begun
+	if !waits {
+		return e.pickAgain()
+	}
 	waited := false
-	if waits && e.room.crowded(e.waiter) {
+	if e.room.crowded(e.waiter) {
 		if err := e.room.wait(e.ctx, e.waiter, false); err != nil {
 			return nil, err
 		}
 		waited = true
 	}
 	seed := rand.Uint64()
-	wish := e.forwarder.freshen(e.ctx, e.wish(waits), seed)
+	wish := e.forwarder.freshen(e.ctx, e.wish(true), seed)
 	for {
 		flight, err := e.forwarder.Runners.Pick(wish, e.forwarder.Now(), random(seed))
 		if err == nil {
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -13,7 +13,7 @@
 // ErrNoRunner means that no runner of the service may take the request now.
 const ErrNoRunner = failure.Kind("runner table: no runner may take the request")
 
-// ErrFull means that runners may take the request, and that online work takes the places of all of them.
+// ErrFull means that runners may take the request, and that online work takes the places, or the memory, of all of them.
 const ErrFull = failure.Kind("runner table: the places of all runners are taken")
 
 // queueShare of its places is how much online work may wait at a runner: enough that a place which comes free is not idle
@@ -72,7 +72,7 @@
 	// Exclude holds runners that already had the request.
 	Exclude map[ident.Incarnation]bool
 	// Full holds runners that refused the request a moment ago, because their places were taken. A nil map has the request
-	// sent also where it must wait at the runner.
+	// sent also where it must wait at the runner, if that has memory for it.
 	Full map[ident.Incarnation]bool
 	// Scarce says that places are scarce: a runner is not thought to be free because nothing was heard of it.
 	Scarce bool
@@ -128,10 +128,10 @@
 }
 
 // full says whether a request that waits for a place elsewhere would have to wait at the runner: online work takes its places,
-// or it has just refused the request.
+// or it has just refused the request. One that waits nowhere else finds only a lack of memory there.
 func (e *entry) full(wish Wish, now time.Time) bool {
 	if wish.Full == nil {
-		return false
+		return !e.fits(wish, now)
 	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
--- a/internal/runnertable/tokens.go
+++ b/internal/runnertable/tokens.go
@@ -9,8 +9,12 @@
 // A runner keeps the prompts and the output of all requests that it holds, those that wait there too, and falls over when they grow beyond
 // its memory. What a node knows of that is its own requests, and those of the others as far as the owner of the runner tells.
 
-// memoryShare of its memory may be taken by the requests at a runner: nodes choose at the same moment, and hear of each other later.
-const memoryShare = 0.9
+const (
+	// memoryShare of its memory may be taken by the requests at a runner: nodes choose at the same moment, and hear of each other later.
+	memoryShare = 0.9
+	// resumedShare may be taken where a request is sent that ran already: it can't be sent away, and there are few of them.
+	resumedShare = 0.95
+)
 
 // NoteMemory takes over how many tokens a runner can hold, as it told.
 func (t *Table) NoteMemory(id ident.Incarnation, tokens int) {
@@ -39,10 +43,18 @@
 	if e.share.Within(shareMemory, now) {
 		held += e.share.Value().tokens
 	}
-	room := int(memoryShare*float64(e.memory)) - held
+	room := int(wish.memoryShare()*float64(e.memory)) - held
 	return e.memory == 0 || held == 0 || wish.Tokens <= room || wish.weight(e.uncached(wish, false, now)) <= room
 }
 
+// memoryShare is the part of a runner's memory that may be taken with the request.
+func (w Wish) memoryShare() float64 {
+	if w.Class == Online && w.Full == nil {
+		return resumedShare
+	}
+	return memoryShare
+}
+
 // weight is what a request takes of a runner's memory that would have to read so many tokens of its prompt: the parts that it keeps for
 // others are there once.
 func (w Wish) weight(uncached int) int { return max(w.Tokens-w.PromptTokens, 0) + uncached }
--- a/internal/runnertable/tokens_test.go
+++ b/internal/runnertable/tokens_test.go
@@ -121,3 +121,25 @@
 	own, _ = table.Tokens("1")
 	assert.Equal(t, own, 300)
 }
+
+// TestRequestThatRanAlreadyAsksForMemory has 80,000 of 101,495 tokens at each runner. A stream that broke off elsewhere with 20,000 finds
+// no runner, since one with 100,000 is about to fall over; with 15,000 it does, though a new request would wait: that can.
+func TestRequestThatRanAlreadyAsksForMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := twoRunners(now)
+	table.NoteMemory("1", runnerMemory)
+	table.NoteMemory("2", runnerMemory)
+	picked := pickLong(t, table, now)
+	resumed := func(tokens int) (*runnertable.Flight, error) {
+		return table.Pick(runnertable.Wish{Service: "s", PromptTokens: tokens - 1000, Tokens: tokens}, now, rand.New(rand.NewPCG(1, 1)))
+	}
+	_, err := resumed(20_000)
+	assert.ErrorIs(t, err, runnertable.ErrFull)
+	_, err = resumed(15_000)
+	assert.NilError(t, err)
+	picked["2"][0].End()
+	picked["2"][1].End()
+	flight, err := resumed(20_000)
+	assert.NilError(t, err)
+	assert.Equal(t, flight.Runner.ID, ident.Incarnation("2"))
+}
