Keep little of a large message on connections between nodes

Of 8.2 MB that the ten largest sites of the heap have at the end, 5.8 MB are buffers of connections: each end keeps one for the largest frame that ever passed, frames had up to 64 KB, and a worker has a connection from each front.

Change: messages are sent in frames of 8 KB, and the buffer of a call's message is not kept beyond 16 KB. Frames are put together by any build as before.

Ruled out: items' bodies and output (0.1 to 0.3 MB), the output kept for other workers (0.1 MB), results of finished jobs (1.8 MB, bounded by the budget).

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -12,9 +12,7 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
-	"storj.io/drpc/drpcwire"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
@@ -261,9 +259,7 @@
 	}
 	// Cancelled calls close their connection instead of asking the peer politely: a connection to a frozen peer must
 	// not be used again.
-	inner := drpcconn.NewWithOptions(carrier, drpcconn.Options{Manager: drpcmanager.Options{
-		Reader: drpcwire.ReaderOptions{MaximumBufferSize: p.options.MaxMessageBytes},
-	}})
+	inner := drpcconn.NewWithOptions(carrier, drpcconn.Options{Manager: managerOptions(p.options.MaxMessageBytes, 0)})
 	return &clientConn{Conn: inner, meter: meter}, nil
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"mallowlatch.example/mallowlatch/internal/event"
@@ -85,14 +86,28 @@
 		idle:     make(chan struct{}),
 	}
 	server.drpc = drpcserver.NewWithOptions(handlerFunc(server.handle), drpcserver.Options{
-		Manager: drpcmanager.Options{
-			Reader:            drpcwire.ReaderOptions{MaximumBufferSize: options.MaxMessageBytes},
-			InactivityTimeout: serverIdleTimeout,
-		},
+		Manager: managerOptions(options.MaxMessageBytes, serverIdleTimeout),
 	})
 	return server
 }
 
+const (
+	// frameBytes is the size of the frames that a message is sent in. Either end of a connection keeps a buffer for the largest frame that
+	// passed, for as long as the connection lives.
+	frameBytes = 8 << 10
+	// keptMessageBytes is the largest message whose buffer is kept for the next one of its call.
+	keptMessageBytes = 16 << 10
+)
+
+// managerOptions are those of either end of a connection.
+func managerOptions(maxMessageBytes int, inactivity time.Duration) drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Stream:            drpcstream.Options{SplitSize: frameBytes, MaximumBufferSize: keptMessageBytes},
+		InactivityTimeout: inactivity,
+	}
+}
+
 type handlerFunc func(stream drpc.Stream, rpc string) error
 
 // HandleRPC implements drpc.Handler.
