--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -101,13 +101,18 @@
 		return nil
 	}
 	var candidates []*openJob
+	canRun := map[string]bool{}
 	for _, candidate := range w.open {
 		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil || now.Before(candidate.notBefore) {
 			continue
 		}
 		// A claim of this node's own keeps all others from the job: it is taken up also where the job can't be run here, and
 		// released with what rests.
-		if candidate.own || w.canRun(candidate.entry.Route) {
+		route := candidate.entry.Route
+		if _, known := canRun[route]; !known && !candidate.own {
+			canRun[route] = w.canRun(route)
+		}
+		if candidate.own || canRun[route] {
 			candidates = append(candidates, candidate)
 		}
 	}
