Guard the log of the tests of a worker's memory

The race detector saw the test read the buffer while the worker wrote its lines; on one processor with the detector, as the other tests in simulated time.

--- a/internal/jobworker/memory_test.go
+++ b/internal/jobworker/memory_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,18 +35,38 @@
 	largeItems = 10
 )
 
+// lines takes the lines of a worker's log.
+type lines struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *lines) has(text string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return bytes.Contains(l.text.Bytes(), []byte(text))
+}
+
 // memoryWorld is a worker with little memory, whose items end when the test lets them.
 type memoryWorld struct {
 	*group
 	worker *jobworker.Worker
 	caller *fakeCaller
-	log    *bytes.Buffer
+	log    *lines
 	jobs   []*jobrecord.Submission
 }
 
 func newMemoryWorld(t *testing.T) *memoryWorld {
-	m := &memoryWorld{group: newGroup(t), caller: &fakeCaller{held: true}, log: &bytes.Buffer{}}
-	m.budget, m.logger = heldbytes.New[ident.Tenant, string](heldbytes.LimitsOf(smallWorker)), zerolog.New(zerolog.SyncWriter(m.log))
+	oneProcessor(t)
+	m := &memoryWorld{group: newGroup(t), caller: &fakeCaller{held: true}, log: &lines{}}
+	m.budget, m.logger = heldbytes.New[ident.Tenant, string](heldbytes.LimitsOf(smallWorker)), zerolog.New(m.log)
 	m.worker = m.start("w", kvtest.NewPaged(m.data), m.caller, nil, oneRunner("i-1"))
 	time.Sleep(time.Second)
 	return m
@@ -77,7 +98,7 @@
 	return sum, jobs
 }
 
-func (m *memoryWorld) logged(event string) bool { return bytes.Contains(m.log.Bytes(), []byte(event)) }
+func (m *memoryWorld) logged(text string) bool { return m.log.has(text) }
 
 // TestWorkerHoldsNoMoreJobsThanItsMemoryHas is the load of twelve jobs of 8 MiB, ten items of 620,000 bytes each, that find one worker of
 // the smallest memory: 74 MB of bodies, beside a process of 36 MB and what is there twice for moments. It may hold a fifth of the memory,
