--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -86,6 +86,7 @@
 	}
 	deliverer := &handoff.Deliverer{
 		Log: log, Store: p.records(), Lifetime: p.settings.Bounds.ResultRetention(), Logger: p.logger, Now: clock.Date,
+		Held: p.held,
 	}
 	deliverer.Start(p.tomb)
 	return log, nil
--- a/internal/handoff/deliver.go
+++ b/internal/handoff/deliver.go
@@ -10,6 +10,7 @@
 	"gopkg.in/tomb.v2"
 
 	"mallowlatch.example/mallowlatch/internal/event"
+	"mallowlatch.example/mallowlatch/internal/heldbytes"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 )
@@ -38,6 +39,8 @@
 	Lifetime time.Duration
 	Logger   zerolog.Logger
 	Now      func() time.Time
+	// Held counts the entry that is being handed over; nil counts nothing. It refuses none: a job that was accepted is to reach the store.
+	Held *heldbytes.OfNode
 
 	mutex sync.Mutex
 	// seen counts the rounds since an entry came or a call failed, whichever was later: an entry waits for as many as its
@@ -74,7 +77,7 @@
 	entries := d.Log.Entries()
 	var failed error
 	for _, entry := range d.due(entries) {
-		if failed = d.deliver(ctx, entry.Job); failed != nil {
+		if failed = d.deliver(ctx, entry); failed != nil {
 			event.HandoffFailed.Log(d.Logger).Str("job", string(entry.Job)).Int("kept", len(entries)).Err(failed).Send()
 			break
 		}
@@ -111,7 +114,8 @@
 }
 
 // deliver hands one job over. An entry that cannot be handed over any more is dropped, so that it does not hold up others.
-func (d *Deliverer) deliver(ctx context.Context, job ident.Job) error {
+func (d *Deliverer) deliver(ctx context.Context, summary Summary) error {
+	job := summary.Job
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 	held, err := d.Store.Exists(ctx, job)
@@ -122,6 +126,9 @@
 		d.drop(job, "the store has it")
 		return nil
 	}
+	counted := d.Held.Open(heldbytes.Submission, heldbytes.Whose{Tenant: summary.Tenant})
+	counted.Set(summary.bytes)
+	defer counted.Release()
 	entry, err := d.Log.Load(job)
 	if errors.Is(err, ErrDamaged) {
 		d.drop(job, "its file is damaged")
--- a/internal/jobworker/memory_test.go
+++ b/internal/jobworker/memory_test.go
@@ -282,3 +282,27 @@
 		}
 	})
 }
+
+// TestItemsBeginOneAtATimeBeyondTheBudget lowers the memory below what the one job of a worker takes: its items go on, one at a time of eight
+// places, since each adds its output, and only their ends give room back. With room they run beside each other.
+func TestItemsBeginOneAtATimeBeyondTheBudget(t *testing.T) {
+	most := func(memory int64) int {
+		ran := 0
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemoryWorld(t)
+			m.budget.SetLimits(heldbytes.LimitsOf(memory))
+			m.caller.hold(false)
+			m.caller.takes = 500 * time.Millisecond
+			m.submitOf("", "job", largeItems, largeItem)
+			time.Sleep(6 * time.Second)
+			m.caller.mutex.Lock()
+			ran = m.caller.most
+			m.caller.mutex.Unlock()
+			m.waitWhole("job", largeItems)
+		})
+		return ran
+	}
+	// The last item of the job is 620,000 bytes, more than a fifth of this.
+	assert.Equal(t, most(2<<20), 1)
+	assert.Assert(t, most(smallWorker) > 1)
+}
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -36,8 +36,9 @@
 	cut   bool
 	// held makes every item wait until it is false.
 	held bool
-	// takes is how long each run takes.
-	takes time.Duration
+	// takes is how long each run takes; running counts those in progress, most is the most that were.
+	takes         time.Duration
+	running, most int
 	// failing is the runner that answers every item with a failure.
 	failing ident.Incarnation
 }
@@ -48,6 +49,13 @@
 	c.held = held
 }
 
+func (c *fakeCaller) count(change int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.running += change
+	c.most = max(c.most, c.running)
+}
+
 func (c *fakeCaller) isHeld() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -58,7 +66,9 @@
 	for c.isHeld() && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
+	c.count(1)
 	time.Sleep(c.takes)
+	c.count(-1)
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
