--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -33,6 +33,7 @@
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
 		Caller: process.caller, Ends: process.ends, Key: settings.Key(), Registry: process.registry(), Options: options, Logger: process.logger, Now: clock.Now,
 	}
+	worker.Budget = process.held
 	worker.StartsAgain = !settings.Node.FirstStart
 	kept, err := process.openHandoff()
 	if err != nil {
@@ -96,6 +97,7 @@
 	}
 	deliverer := &handoff.Deliverer{
 		Log: log, Store: p.records(), Lifetime: p.settings.Bounds.ResultRetention(), Taken: worker.Accepted, Logger: p.logger, Now: clock.Date,
+		Held: p.held,
 	}
 	deliverer.Start(p.tomb)
 }
--- a/internal/jobworker/keep_test.go
+++ b/internal/jobworker/keep_test.go
@@ -41,7 +41,7 @@
 // TestWorkerKnowsWhichJobsTheStoreHas asks for a job that is open, one that was finished here, and one that it has not heard of.
 func TestWorkerKnowsWhichJobsTheStoreHas(t *testing.T) {
 	w := &Worker{open: map[ident.Job]*openJob{"open": {}}}
-	w.finished.keep(&jobrecord.Header{ID: "finished"}, nil, time.Unix(1000, 0))
+	w.finished.keep(nil, &jobRun{header: &jobrecord.Header{ID: "finished"}}, time.Unix(1000, 0))
 	assert.Assert(t, w.Accepted("open"))
 	assert.Assert(t, w.Accepted("finished"))
 	assert.Assert(t, !w.Accepted("unheard"))
