Pass a reader over that the store turns away

Cause: where the store turns away the worker that reads for all, and serves the others, that worker answers with what it read before. The others took this for an outage: each asked it on and read the list and the orders itself for as long, which is what the next in line is for.

Change: a source is told when what it brought was too old (follower.Passing). A worker then asks the next in line; where both tell what is old and it is not in line itself it asks the first again, so that in an outage of all one or two look for the return, as before. A front asks the next near worker, two each 1.5 s at most. How old a list or an order may be is unchanged.

Seen failing: TestReaderThatTheStoreTurnsAwayIsPassedOver without the change, 203 calls of 31 nodes in 9 s where 93 are allowed, 93 now. TestNodesWaitWhileTheStoreIsAwayFromAll passes on both; the questions to other nodes in an outage of 8 s rise from 128 to 374 for 33 nodes, 792 are allowed.

Test changed: TestWorkerThatIsToReadGivesItsQuestionUp names whether its worker is in line, which the source now asks.

--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -47,7 +47,7 @@
 	peers := &jobpeer.Peers{Connect: pool.ConnAddress, Now: clock.Now}
 	worker.Mirrors, worker.Lenders, worker.Readers = peers, peers, peers
 	worker.Seeds, worker.SeedsFor = settings.Seeds, process.startGrace()
-	source := &jobpeer.LeaderFeed{Reader: worker.Reader, Connect: pool.ConnAddress, Now: clock.Now}
+	source := &jobpeer.LeaderFeed{Reader: worker.Reader, InLine: worker.ReadsForAll, Connect: pool.ConnAddress, Now: clock.Now}
 	worker.Followed = source.Changed
 	if settings.Node.DataFolder != "" {
 		process.ends.Keep(filepath.Join(settings.Node.DataFolder, endsFile))
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -18,6 +18,12 @@
 	Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error)
 }
 
+// Passing is a Source that can ask another node than the one that it asked last.
+type Passing interface {
+	// PassOver says that what the last node told was too old to be used.
+	PassOver()
+}
+
 // ErrReadAlone means that there is no other node to ask: this one reads the registry itself, at once.
 const ErrReadAlone = failure.Kind("follower: no other node reads")
 
@@ -46,7 +52,10 @@
 		f.noteRelay(told == toldFresh)
 		switch {
 		case told == toldFresh:
-		case told == toldOld || f.inGrace():
+		case f.inGrace():
+			sleep(ctx, startPause)
+		case told == toldOld:
+			f.passOver()
 			sleep(ctx, startPause)
 		default:
 			sleep(ctx, relayPause)
@@ -55,6 +64,13 @@
 	return nil
 }
 
+// passOver has the source ask another node, where it can: the one that it asked may be the only one that the registry turns away.
+func (f *Follower) passOver() {
+	if source, passes := f.Source.(Passing); passes {
+		source.PassOver()
+	}
+}
+
 // told says what a call of the source brought.
 type told uint8
 
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -19,13 +19,31 @@
 	Holders *Holders
 	// Index chooses among the near workers, so that nodes spread over them.
 	Index uint64
-	// failed counts the questions in vain, so that another seed is asked next.
-	failed uint64
+	// failed counts the questions in vain, so that another seed is asked next; turn counts the workers that were passed over.
+	failed, turn uint64
+	// passing is since when the last workers were passed over for what they told, passed how many.
+	passing time.Time
+	passed  int
+}
+
+// mostPassed is how many workers are passed over each avoidFor. While the store is away from all, each tells what is old, the whole list
+// each time. The next one may be the one that the store turns away, or be about to hear of it.
+const mostPassed = 2
+
+// PassOver implements follower.Passing.
+func (w *WorkerFeed) PassOver() {
+	if now := w.Holders.Now(); now.Sub(w.passing) >= avoidFor {
+		w.passing, w.passed = now, 0
+	}
+	if w.passed < mostPassed {
+		w.passed++
+		w.turn++
+	}
 }
 
 // Next implements follower.Source.
 func (w *WorkerFeed) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
-	address, connection, err := w.Holders.Nearest(ctx, w.Index+w.failed)
+	address, connection, err := w.Holders.Nearest(ctx, w.Index+w.failed+w.turn)
 	if err != nil {
 		w.failed++
 		return nil, err
--- a/internal/jobpeer/leader.go
+++ b/internal/jobpeer/leader.go
@@ -18,22 +18,26 @@
 type LeaderFeed struct {
 	// Reader returns the address of the worker that reads for this one, and false where that is this node or none answers.
 	Reader func(avoided func(address string) bool) (address string, other bool)
+	// InLine says whether this worker is one of those that read for others.
+	InLine func() bool
 	// Connect returns a connection to an address.
 	Connect func(address string) (drpc.Conn, error)
 	Now     func() time.Time
 
 	avoidance avoidance
+	// old holds the workers that answer and told what was too old: the store may turn them away alone.
+	old avoidance
 
 	mutex sync.Mutex
-	// asked is the address of the call in progress, stop ends it.
-	asked string
-	stop  context.CancelFunc
+	// asked is the address of the call in progress, stop ends it; last is the one asked last.
+	asked, last string
+	stop        context.CancelFunc
 }
 
 // Next implements follower.Source. The call is given up where this node is to read itself meanwhile: the others wait for it, and
 // what it was told is as old as what they were.
 func (l *LeaderFeed) Next(ctx context.Context, known *fleetfeed.Known) (*fleetfeed.Snapshot, error) {
-	address, other := l.Reader(l.avoids)
+	address, other := l.reader()
 	if !other {
 		return nil, follower.ErrReadAlone
 	}
@@ -61,6 +65,26 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.asked, l.stop = address, stop
+	if address != "" {
+		l.last = address
+	}
+}
+
+// PassOver implements follower.Passing.
+func (l *LeaderFeed) PassOver() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.old.avoid(l.last, l.Now())
+}
+
+// reader returns the worker to ask: the first in line that answers and tells what is new, and otherwise one that answers, unless this
+// worker is in line itself. While the store is away from all, what they tell is old, and one or two are to look for its return.
+func (l *LeaderFeed) reader() (string, bool) {
+	address, other := l.Reader(func(address string) bool { return l.avoids(address) || l.old.avoids(address, l.Now()) })
+	if other || l.InLine() {
+		return address, other
+	}
+	return l.Reader(l.avoids)
 }
 
 // Changed has the call in progress end where this node is to read itself now.
@@ -71,7 +95,7 @@
 	if asked == "" {
 		return
 	}
-	if _, other := l.Reader(l.avoids); !other {
+	if _, other := l.reader(); !other {
 		stop()
 	}
 }
--- a/internal/jobpeer/leader_test.go
+++ b/internal/jobpeer/leader_test.go
@@ -27,6 +27,7 @@
 	var reads atomic.Bool
 	source := &jobpeer.LeaderFeed{
 		Reader:  func(func(string) bool) (string, bool) { return "a", !reads.Load() },
+		InLine:  reads.Load,
 		Connect: func(string) (drpc.Conn, error) { return heldConn{}, nil }, Now: time.Now,
 	}
 	ended := make(chan error, 1)
--- /dev/null
+++ b/internal/jobpeer/refused_test.go
@@ -0,0 +1,286 @@
+package jobpeer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobpeer"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// sharedRegistry is a registry that turns single nodes away.
+type sharedRegistry struct {
+	mutex   sync.Mutex
+	version int64
+	refused map[string]bool
+	// calls counts the calls of each node, probes left out; probes counts those, and asked the questions to feeds.
+	calls, probes map[string]int
+	asked         int
+}
+
+// nodeRegistry is a node's way to it. It implements work.Registry.
+type nodeRegistry struct {
+	work.Registry
+	shared *sharedRegistry
+	node   string
+}
+
+func (r *nodeRegistry) admit() (int64, error) {
+	time.Sleep(4 * time.Millisecond)
+	r.shared.mutex.Lock()
+	defer r.shared.mutex.Unlock()
+	if r.shared.refused[r.node] {
+		return 0, kv.ErrRateLimited
+	}
+	return r.shared.version, nil
+}
+
+func (r *nodeRegistry) count() {
+	r.shared.mutex.Lock()
+	defer r.shared.mutex.Unlock()
+	r.shared.calls[r.node]++
+}
+
+func (r *nodeRegistry) Runners(context.Context) ([]work.Runner, int64, error) {
+	r.count()
+	version, err := r.admit()
+	return []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}, version, err
+}
+
+func (r *nodeRegistry) Orders(context.Context) (work.Orders, int64, error) {
+	r.count()
+	version, err := r.admit()
+	return work.Orders{Catalog: &work.Catalog{Form: work.CatalogForm, Version: version}}, version, err
+}
+
+func (r *nodeRegistry) NextOrders(ctx context.Context, after int64, wait time.Duration) (work.Orders, int64, error) {
+	r.count()
+	for end := time.Now().Add(wait); ; time.Sleep(20 * time.Millisecond) {
+		version, err := r.admit()
+		switch {
+		case err != nil || ctx.Err() != nil:
+			return work.Orders{}, after, kv.ErrRateLimited
+		case version > after:
+			return work.Orders{Catalog: &work.Catalog{Form: work.CatalogForm, Version: version}}, version, nil
+		case time.Now().After(end):
+			return work.Orders{}, after, nil
+		}
+	}
+}
+
+func (r *nodeRegistry) Probe(context.Context) error {
+	r.shared.mutex.Lock()
+	r.shared.probes[r.node]++
+	r.shared.mutex.Unlock()
+	_, err := r.admit()
+	return err
+}
+
+// snapshotConn is a connection to a worker's feed.
+type snapshotConn struct {
+	drpc.Conn
+	feed   *fleetfeed.Feed
+	shared *sharedRegistry
+}
+
+func (c *snapshotConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	time.Sleep(time.Millisecond)
+	c.shared.mutex.Lock()
+	c.shared.asked++
+	c.shared.mutex.Unlock()
+	snapshot, err := c.feed.Snapshot(ctx, in.(*fleetfeed.Known))
+	if err == nil {
+		*out.(*fleetfeed.Snapshot) = *snapshot
+	}
+	return err
+}
+
+// refusedFleet are workers and fronts that follow the registry through each other.
+type refusedFleet struct {
+	registry *sharedRegistry
+	tomb     *tomb.Tomb
+	workers  []string
+	feeds    map[string]*fleetfeed.Feed
+	routes   map[string]*routetable.Table
+}
+
+func (f *refusedFleet) connect(address string) (drpc.Conn, error) {
+	return &snapshotConn{feed: f.feeds[address], shared: f.registry}, nil
+}
+
+func (f *refusedFleet) start(name string, source follower.Source, feed *fleetfeed.Feed) {
+	f.routes[name] = &routetable.Table{}
+	followed := &follower.Follower{
+		Registry: &nodeRegistry{shared: f.registry, node: name}, Source: source, Feed: feed, Runners: runnertable.New("z"), Routes: f.routes[name],
+		Options: follower.OptionsFor(3*time.Second, 1200*time.Millisecond), Logger: zerolog.Nop(), Now: time.Now,
+	}
+	followed.Options.StartGrace = time.Second
+	followed.Start(f.tomb)
+}
+
+// reader is how a worker finds the one to ask; see jobworker.Worker.Reader.
+func (f *refusedFleet) reader(self string) func(func(string) bool) (string, bool) {
+	return func(avoided func(string) bool) (string, bool) {
+		for _, name := range f.workers[:2] {
+			if name == self {
+				return "", false
+			}
+			if !avoided(name) {
+				return name, true
+			}
+		}
+		return "", false
+	}
+}
+
+func newRefusedFleet(workers, fronts int) *refusedFleet {
+	f := &refusedFleet{
+		registry: &sharedRegistry{version: 1, refused: map[string]bool{}, calls: map[string]int{}, probes: map[string]int{}}, tomb: new(tomb.Tomb),
+		feeds: map[string]*fleetfeed.Feed{}, routes: map[string]*routetable.Table{},
+	}
+	var list []jobrecord.Worker
+	for index := range workers {
+		name := fmt.Sprintf("worker-%02d", index)
+		f.workers = append(f.workers, name)
+		// No two processes start at the same nanosecond, by which their feeds are told apart.
+		time.Sleep(time.Millisecond)
+		f.feeds[name] = fleetfeed.New(time.Now)
+		list = append(list, jobrecord.Worker{Node: ident.Node(name), Zone: "z", Address: name})
+	}
+	told := make([]fleetfeed.Worker, 0, workers)
+	for _, worker := range list {
+		told = append(told, fleetfeed.Worker{Node: worker.Node, Zone: worker.Zone, Address: worker.Address})
+	}
+	for index, name := range f.workers {
+		f.feeds[name].Workers = func() []fleetfeed.Worker { return told }
+		source := &jobpeer.LeaderFeed{Reader: f.reader(name), InLine: func() bool { return index < 2 }, Connect: f.connect, Now: time.Now}
+		f.start(name, source, f.feeds[name])
+	}
+	for index := range fronts {
+		holders := &jobpeer.Holders{Zone: "z", Connect: f.connect, Now: time.Now}
+		holders.Learn(append([]jobrecord.Worker(nil), list...), time.Now())
+		f.start(fmt.Sprintf("front-%02d", index), &jobpeer.WorkerFeed{Holders: holders, Index: uint64(index)}, nil)
+	}
+	return f
+}
+
+// change has the operator change the configuration.
+func (f *refusedFleet) change() int64 {
+	f.registry.mutex.Lock()
+	defer f.registry.mutex.Unlock()
+	f.registry.version++
+	return f.registry.version
+}
+
+func (f *refusedFleet) refuse(refused bool, names ...string) {
+	f.registry.mutex.Lock()
+	defer f.registry.mutex.Unlock()
+	for _, name := range names {
+		f.registry.refused[name] = refused
+	}
+}
+
+// others adds up the calls of the nodes that are not in line.
+func (f *refusedFleet) others() int {
+	f.registry.mutex.Lock()
+	defer f.registry.mutex.Unlock()
+	sum := 0
+	for name, calls := range f.registry.calls {
+		if name != f.workers[0] && name != f.workers[1] {
+			sum += calls
+		}
+	}
+	return sum
+}
+
+// mustKnow fails where a node that is not turned away lacks a configuration.
+func (f *refusedFleet) mustKnow(t *testing.T, version int64) {
+	t.Helper()
+	for name, routes := range f.routes {
+		assert.Assert(t, f.registry.refused[name] || routes.Catalog().Version >= version, "%s lacks version %d", name, version)
+	}
+}
+
+// TestReaderThatTheStoreTurnsAwayIsPassedOver
+//
+// The load is a site of eleven workers and 22 fronts whose reader for all the store turns away for 9 s while it answers the other nodes.
+// The aim is that the next in line reads for all: each other node reads the list and the orders itself once at most while that is found
+// out, and no more while it lasts. Configurations must be in force within the 3 s that a site allows, all the while.
+func TestReaderThatTheStoreTurnsAwayIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workers, fronts, callsEach, inForceWithin = 11, 22, 3, 3 * time.Second
+		f := newRefusedFleet(workers, fronts)
+		time.Sleep(10 * time.Second)
+		f.refuse(true, f.workers[0])
+		before := f.others()
+		for range 3 {
+			version := f.change()
+			time.Sleep(inForceWithin)
+			f.mustKnow(t, version)
+		}
+		calls := f.others() - before
+		t.Logf("%d calls of %d nodes", calls, workers-2+fronts)
+		assert.Assert(t, calls <= callsEach*(workers-2+fronts), "%d calls", calls)
+		f.refuse(false, f.workers[0])
+		time.Sleep(inForceWithin)
+		before = f.others()
+		version := f.change()
+		time.Sleep(inForceWithin)
+		f.mustKnow(t, version)
+		assert.Equal(t, f.others(), before, "calls after the reader is back")
+		f.tomb.Kill(nil)
+		_ = f.tomb.Wait()
+	})
+}
+
+// TestNodesWaitWhileTheStoreIsAwayFromAll
+//
+// The load is the same site while the store answers nobody for 8 s. The aim is that passing readers over costs no more than before: the
+// two in line look for its return ten times a second, the others twice, and each asks its source a few times a second at most. A
+// configuration of the outage must be in force everywhere within 3 s of the return.
+func TestNodesWaitWhileTheStoreIsAwayFromAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workers, fronts, seconds, askedEach, inForceWithin = 11, 22, 8, 3, 3 * time.Second
+		f := newRefusedFleet(workers, fronts)
+		time.Sleep(10 * time.Second)
+		var all []string
+		for name := range f.routes {
+			all = append(all, name)
+		}
+		f.refuse(true, all...)
+		asked := f.registry.asked
+		time.Sleep(seconds * time.Second)
+		asked = f.registry.asked - asked
+		t.Logf("%d questions of %d nodes in %d s, %v probes", asked, len(all), seconds, f.registry.probes)
+		assert.Assert(t, asked <= askedEach*seconds*len(all), "%d questions", asked)
+		for name, probes := range f.registry.probes {
+			most := 2 * seconds
+			if name == f.workers[0] || name == f.workers[1] {
+				most = 10 * seconds
+			}
+			assert.Assert(t, probes <= most, "%s made %d probes", name, probes)
+		}
+		version := f.change()
+		f.refuse(false, all...)
+		time.Sleep(inForceWithin)
+		f.mustKnow(t, version)
+		f.tomb.Kill(nil)
+		_ = f.tomb.Wait()
+	})
+}
--- a/internal/jobworker/follow.go
+++ b/internal/jobworker/follow.go
@@ -83,6 +83,13 @@
 	return slices.Contains(firstByName(w.workers, ReadersInLine), w.Node)
 }
 
+// ReadsForAll says whether this worker is one of those that others ask.
+func (w *Worker) ReadsForAll() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.readsForAll()
+}
+
 // askLive takes over what another worker knows.
 func (w *Worker) askLive(address string) error {
 	wait := w.Options.WatchWait
