--- a/internal/jobpeer/refused_test.go
+++ b/internal/jobpeer/refused_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -209,11 +210,21 @@
 	return sum
 }
 
+// counted returns the questions to feeds and the probes of each node so far.
+func (f *refusedFleet) counted() (asked int, probes map[string]int) {
+	f.registry.mutex.Lock()
+	defer f.registry.mutex.Unlock()
+	return f.registry.asked, maps.Clone(f.registry.probes)
+}
+
 // mustKnow fails where a node that is not turned away lacks a configuration.
 func (f *refusedFleet) mustKnow(t *testing.T, version int64) {
 	t.Helper()
+	f.registry.mutex.Lock()
+	refused := maps.Clone(f.registry.refused)
+	f.registry.mutex.Unlock()
 	for name, routes := range f.routes {
-		assert.Assert(t, f.registry.refused[name] || routes.Catalog().Version >= version, "%s lacks version %d", name, version)
+		assert.Assert(t, refused[name] || routes.Catalog().Version >= version, "%s lacks version %d", name, version)
 	}
 }
 
@@ -264,12 +275,13 @@
 			all = append(all, name)
 		}
 		f.refuse(true, all...)
-		asked := f.registry.asked
+		before, _ := f.counted()
 		time.Sleep(seconds * time.Second)
-		asked = f.registry.asked - asked
-		t.Logf("%d questions of %d nodes in %d s, %v probes", asked, len(all), seconds, f.registry.probes)
+		after, probed := f.counted()
+		asked := after - before
+		t.Logf("%d questions of %d nodes in %d s, %v probes", asked, len(all), seconds, probed)
 		assert.Assert(t, asked <= askedEach*seconds*len(all), "%d questions", asked)
-		for name, probes := range f.registry.probes {
+		for name, probes := range probed {
 			most := 2 * seconds
 			if name == f.workers[0] || name == f.workers[1] {
 				most = 10 * seconds
