Have nodes tell the next owner of a share that they gave up

Cause: an owner that takes over leaves out the part of a limit that nodes had and that it doesn't hear of: they may be cut off. A node with nothing of the tenant in the window gives its share up and told nobody; the next owner took it for cut off for a minute, and handed the part on to the owner after it.

Change: a node remembers a share of use that it gave up for ten seconds, doesn't use it, and tells the next owner of it once, without what others had then.

TestShareThatWasGivenUpIsNotLeftOut was seen to fail on the code before. In the simulation owners have names of their own, as they have in a site; the two had one, so that no node noticed another one but by its memory.

--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -115,6 +115,9 @@
 	usedFor = creditFor + 200*time.Millisecond
 	// aloneFor is how long after the last answer a node that reaches no owner uses its share.
 	aloneFor = time.Minute
+	// givenUpFor is how long a node remembers a share that it gave up: until it tells the next owner, though that is not known for a lease,
+	// and others were told of the share up to a window before the last owner was lost.
+	givenUpFor = 10 * time.Second
 )
 
 // ruler turns moments into slots.
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -95,6 +95,8 @@
 	shareUntil    time.Time
 	shareOwner    string
 	shareEpoch    uint32
+	// givenUp is when the node gave its share up, because nothing of the tenant was in the window; zero while it has one.
+	givenUp time.Time
 	// waiting are the requests that wait for an answer; telling says that an owner is being told. Two messages at a time could overtake
 	// each other, and the older one would take back what the newer one told.
 	waiting int
@@ -143,7 +145,7 @@
 	if !m.told {
 		budget = max(budget, alonePart*limit.window(m.window)/assumedNodes)
 	}
-	if now.Before(known.shareUntil) {
+	if now.Before(known.shareUntil) && known.givenUp.IsZero() {
 		budget = max(budget, alonePart*known.share*limit.window(m.window))
 	}
 	// A part of a request is a whole one at that part of the nodes.
@@ -246,11 +248,12 @@
 func (m *Meter) pending(owner func(ident.Tenant) string, now time.Time) map[string]*pending {
 	all := map[string]*pending{}
 	for tenant, known := range m.accounts {
-		if m.isOver(tenant, known, now) {
+		over := m.isOver(tenant, known, now)
+		if over && !known.remembersShare(m.window, now) {
 			continue
 		}
 		name := owner(tenant)
-		if name == "" {
+		if name == "" || over && !known.isNewTo(name, m.owner(name).epoch) {
 			continue
 		}
 		told := all[name]
@@ -277,13 +280,21 @@
 	if known.telling || known.waiting > 0 || known.spent.all(m.on.index(now)) > 0 {
 		return false
 	}
-	known.share, known.others = 0, 0
-	if now.After(known.creditUntil) {
+	if known.givenUp.IsZero() {
+		known.givenUp = now
+	}
+	if now.After(known.creditUntil) && !known.remembersShare(m.window, now) {
 		delete(m.accounts, tenant)
 	}
 	return true
 }
 
+// remembersShare says whether a share that the node gave up is one that the next owner may still miss: others were told of it before,
+// and would be left less for it.
+func (a *account) remembersShare(window time.Duration, now time.Time) bool {
+	return usable(a.share, a.limit, window) > 0 && now.Sub(a.givenUp) < givenUpFor && now.Before(a.shareUntil)
+}
+
 // isDue says whether a tenant's owner is to be told of it. The caller holds the mutex.
 func (m *Meter) isDue(known *account, name string, now time.Time) bool {
 	state := m.owner(name)
@@ -337,7 +348,11 @@
 		known.telling = true
 		spent := Spent{Tenant: tenant, Recent: known.spent.recent(m.on.index(now)), Want: known.waiting, upTo: known.count}
 		if now.Before(known.shareUntil) && (state.epoch == 0 || known.tellsShare(name, state.epoch, now)) {
-			spent.Share, spent.Others, spent.Of = known.share, known.others, known.shareOf
+			spent.Share, spent.Of = known.share, known.shareOf
+			// What others had when this node still had a share is long over.
+			if known.givenUp.IsZero() {
+				spent.Others = known.others
+			}
 		}
 		spending.Spent = append(spending.Spent, spent)
 	}
@@ -350,7 +365,12 @@
 
 // tellsShare says whether an owner of that epoch has yet to hear of the node's share.
 func (a *account) tellsShare(name string, epoch uint32, now time.Time) bool {
-	return epoch != 0 && a.share > 0 && now.Before(a.shareUntil) && (a.shareOwner != name || a.shareEpoch != epoch)
+	return epoch != 0 && a.share > 0 && now.Before(a.shareUntil) && a.isNewTo(name, epoch)
+}
+
+// isNewTo says whether an owner of that epoch, or one of which no epoch is known, has yet to hear of the node's share.
+func (a *account) isNewTo(name string, epoch uint32) bool {
+	return a.shareOwner != name || epoch != 0 && a.shareEpoch != epoch
 }
 
 // told says whether the owner has counted all that was let through.
@@ -425,7 +445,7 @@
 	a.creditUntil = sent.Add(creditFor)
 	a.ahead, a.tight = answer.Amount > spent.Want, answer.Tight
 	if answer.Share > 0 {
-		a.share, a.others, a.shareUntil = answer.Share, answer.Others, sent.Add(aloneFor)
+		a.share, a.others, a.shareUntil, a.givenUp = answer.Share, answer.Others, sent.Add(aloneFor), time.Time{}
 		a.shareOf = spent.count() + min(answer.Amount, spent.Want)
 	}
 	a.deniedUntil = time.Time{}
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
 // TestSharesOfCutOffNodesOutliveTheirOwner has three of nine nodes cut off with their shares of a limit, of which three times as much is
@@ -31,3 +33,50 @@
 		}
 	}
 }
+
+// TestShareThatWasGivenUpIsNotLeftOut has one of two nodes let nothing more through while the owner is lost, so that it gives up its
+// share of half of the limit. The next owner hears that from it and leaves nothing out: all that is within the limit is let through at the
+// other node. It took the node for cut off, and half of the limit was out of use for a minute.
+func TestShareThatWasGivenUpIsNotLeftOut(t *testing.T) {
+	const tenant, many = ident.Tenant("a"), 30
+	busy, idle := newTellerRig(t), newTellerRig(t)
+	idle.meter, idle.ledger = NewMeter("idle", 1, simWindow, idle.now.Add(-time.Hour)), busy.ledger
+	both := []*tellerRig{busy, idle}
+	pass := func(lasting time.Duration) {
+		for _, r := range both {
+			r.pass(lasting)
+		}
+	}
+	for _, r := range both {
+		r.limit = Limit{Rate: 10, Burst: 40}
+		for range 10 {
+			r.request(tenant)
+		}
+	}
+	// Both are told of their shares and of the other one's, and then the owner is lost until nothing of the one is in the window.
+	for range 2 {
+		pass(1100 * time.Millisecond)
+		for _, r := range both {
+			r.request(tenant)
+		}
+	}
+	for range int(simWindow/time.Second) + 1 {
+		busy.meter.Pass(tenant, busy.limit, busy.now)
+		for _, r := range both {
+			r.now = r.now.Add(time.Second)
+			r.meter.Due(func(ident.Tenant) string { return "" }, r.now)
+		}
+	}
+	second := NewLedger(simWindow, busy.now.Add(-time.Hour))
+	for _, r := range both {
+		r.owner, r.ledger = "second", second
+	}
+	pass(time.Second)
+	for range many {
+		busy.meter.Wait(tenant, busy.limit)
+	}
+	busy.tell()
+	for range many {
+		assert.Equal(t, busy.meter.Take(tenant, busy.limit, busy.now).Decision, Admit)
+	}
+}
--- a/internal/quota/ways_test.go
+++ b/internal/quota/ways_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -68,7 +69,7 @@
 		return
 	}
 	meter, sent := c.meters[node], c.w.now
-	for _, spending := range meter.Due(func(ident.Tenant) string { return "owner" }, c.w.now) {
+	for _, spending := range meter.Due(func(ident.Tenant) string { return fmt.Sprint("owner-", owner) }, c.w.now) {
 		var answer *Answer
 		c.w.call(node, owner, func() {
 			answer = c.ledgers[owner].Settle(spending, func(ident.Tenant) (Limit, bool) { return c.w.configured, true }, c.w.now)
