Let nodes without a share go on with a small part of a limit that is far away

Cause: a node that reaches no owner has its share of the limit, and without one a request in a window. A share is told 0.9 s after an owner first heard of the tenant, and reckoned from what the node let through: 1.6 times that, 24 requests at least where the limit is 100,000 a second. So a front whose owner is killed before it told a share refused the second request (429) at a ten-thousandth of the limit; one that no owner had ever answered let through 727.

Change: all nodes together may let .02 of the limit through in a window without a share, where that is more than the 15 requests that they may already: it fits into the tenth and 20 that any window may have above its limit.

Ruled out: an even part in each share that an owner tells. It has to be left out of what others get while the node is cut off, and a node that was told no share has none still.

Seen to fail on the code before: TestFrontThatLostItsOwnerServesATenantFarBelowItsLimit (429 for the first request without an owner, twice of two), TestNodeThatReachesNoOwnerServesATenantFarBelowItsLimit (request 21 and request 1).

--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -17,6 +17,9 @@
 	// aloneNodes is how many nodes that reach no owner may let through one request in a window each of a tenant in which they have no
 	// share: a fixed choice among all nodes.
 	aloneNodes = 15
+	// sparePart of a limit is what all nodes together may let through in a window without a share, where that is more: it fits into what a
+	// window may have above its limit, as the requests of aloneNodes do. A node of a tenant far below its limit needs no share by it.
+	sparePart = 0.02
 	// assumedNodes is how many nodes share a limit as long as no owner has said.
 	assumedNodes = 330
 	// alonePart of its share is what a node uses that reaches no owner: until the owner takes it for cut off, others get its part too.
@@ -54,7 +57,7 @@
 	mutex    sync.Mutex
 	accounts map[ident.Tenant]*account
 	owners   map[string]*informed
-	// nodes is how many share the limits, as an owner said last.
+	// nodes is how many share the limits, by the owner that has heard of the most in the last minute.
 	nodes int
 	// told says that one did.
 	told bool
@@ -64,8 +67,9 @@
 type informed struct {
 	// epoch is that of its last answer; zero is one that wants to be told all each time.
 	epoch uint32
-	// heard is when what it answered last was sent.
+	// heard is when what it answered last was sent, nodes how many told it then of what they let through.
 	heard time.Time
+	nodes int
 	// telling says that a message without tenants is on its way.
 	telling bool
 }
@@ -141,7 +145,8 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	known := m.account(tenant, limit)
-	budget := min(aloneNodes/float64(m.nodes), 1)
+	nodes := float64(m.nodes)
+	budget := max(min(aloneNodes/nodes, 1), sparePart*limit.window(m.window)/nodes)
 	if !m.told {
 		budget = max(budget, alonePart*limit.window(m.window)/assumedNodes)
 	}
@@ -386,8 +391,8 @@
 func (m *Meter) Settle(told *Spending, answer *Answer, sent time.Time) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.nodes, m.told = max(answer.Nodes, 1), true
-	m.hear(told, answer.Epoch, sent)
+	m.hear(told, answer, sent)
+	m.nodes, m.told = m.heardOf(), true
 	answers := make(map[ident.Tenant]Credit, len(answer.Credits))
 	for _, credit := range answer.Credits {
 		answers[credit.Tenant] = credit
@@ -416,12 +421,22 @@
 }
 
 // hear notes that an owner answered. The caller holds the mutex.
-func (m *Meter) hear(told *Spending, epoch uint32, sent time.Time) {
+func (m *Meter) hear(told *Spending, answer *Answer, sent time.Time) {
 	state := m.owner(told.owner)
 	state.telling = state.telling && len(told.Spent) > 0
 	if sent.After(state.heard) {
-		state.heard, state.epoch = sent, epoch
+		state.heard, state.epoch, state.nodes = sent, answer.Epoch, answer.Nodes
+	}
+}
+
+// heardOf is the most nodes that an owner told of in the last minute: one that has just taken over has not heard of all yet. The caller
+// holds the mutex.
+func (m *Meter) heardOf() int {
+	most := 1
+	for _, state := range m.owners {
+		most = max(most, state.nodes)
 	}
+	return most
 }
 
 // Failed notes that an owner did not answer to what it was told.
