Ask the only runner again for a stream that it paused in

Cause: a runner that shows no event for twice the pause of the route is given up in the middle of the stream, and a runner that had the request is not asked again. Where no other one was left the stream was broken off at once, though the route allowed another run and the runner was well: in a test of real processes one that paused 0.7 s, where 0.5 s are allowed, cost the caller the rest (0.9 s, event 1 of 4). On a busy machine the pause may be the node's own.

Change: where nobody else may take the request, the runners that paused within a stream may go on with it, over a new connection; each once for a pause, within the runs of the route. Those that broke off or showed no event at all are not asked again, as before.

Ruled out: to leave the pause alone where one runner is there: what others are there is known only once the run is over.

TestOnlyRunnerGoesOnWithAStreamThatHung was seen to fail on the code before.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -30,6 +30,8 @@
 	service   string
 	// tried holds the runners that had the request, full those that refused it since it last waited.
 	tried, full map[ident.Incarnation]bool
+	// paused are those of tried that were given up for a pause within a stream: they work.
+	paused []ident.Incarnation
 	// room is where the request waits for a place, waiter its place in the line there.
 	room   *room
 	waiter *waitline.Waiter
@@ -215,8 +217,11 @@
 		if guard.fired() {
 			e.forwarder.Caller.Forget(flight.Runner)
 		}
-		if guard.fired() && e.lastEvent == before {
+		switch {
+		case guard.fired() && e.lastEvent == before:
 			cause = runnertable.Silent
+		case guard.fired():
+			e.paused = append(e.paused, flight.Runner.ID)
 		}
 		flight.Failed(cause, e.forwarder.Now())
 		e.logAttempt(flight, err)
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -274,6 +274,9 @@
 			e.room.taken(e.waiter, waited)
 			return flight, nil
 		}
+		if errors.Is(err, runnertable.ErrNoRunner) && e.takesPausedAgain() {
+			continue
+		}
 		if !errors.Is(err, runnertable.ErrFull) {
 			return nil, err
 		}
@@ -284,3 +287,14 @@
 		clear(e.full)
 	}
 }
+
+// takesPausedAgain lets runners go on with a stream that paused in it, where no other one is left. It says whether there are any; each
+// is asked again once for a pause, within the runs of the route.
+func (e *exchange) takesPausedAgain() bool {
+	for _, id := range e.paused {
+		delete(e.tried, id)
+	}
+	found := len(e.paused) > 0
+	e.paused = nil
+	return found
+}
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -121,9 +121,13 @@
 }
 
 func serveTo(writer *recorder, attempts int, replies ...*work.Reply) (*scriptedCaller, error) {
+	return serveBy([]ident.Incarnation{"1", "2", "3", "4"}, writer, attempts, replies...)
+}
+
+func serveBy(ids []ident.Incarnation, writer *recorder, attempts int, replies ...*work.Reply) (*scriptedCaller, error) {
 	table := runnertable.New("z")
 	var runners []work.Runner
-	for _, id := range []ident.Incarnation{"1", "2", "3", "4"} {
+	for _, id := range ids {
 		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "z", Slots: 4})
 	}
 	table.Replace(runners, time.Now(), true)
@@ -180,6 +184,27 @@
 	})
 }
 
+// TestOnlyRunnerGoesOnWithAStreamThatHung has the connection to the only runner fall silent between two events: the runner works, and is
+// asked to go on over another connection, within the runs of the route. The stream was broken off though a run was left. A runner that
+// broke off without a pause is not asked again.
+func TestOnlyRunnerGoesOnWithAStreamThatHung(t *testing.T) {
+	only := []ident.Incarnation{"1"}
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		writer := &recorder{}
+		caller, err := serveBy(only, writer, 2, hangingStream(firstEvent), stream(secondEvent, true))
+		assert.NilError(t, err)
+		assert.Equal(t, writer.body.String(), firstEvent+secondEvent)
+		assert.DeepEqual(t, caller.resumed, []int64{0, 1})
+		assert.Equal(t, time.Since(began), 2*pauseAllowed)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		caller, err := serveBy(only, &recorder{}, 2, stream(firstEvent, false))
+		assert.ErrorIs(t, err, online.ErrBroken)
+		assert.DeepEqual(t, caller.resumed, []int64{0})
+	})
+}
+
 // TestCallerThatReadsSlowlyIsNoSilenceOfTheRunner has the caller take longer over an event than the pause that is allowed.
 func TestCallerThatReadsSlowlyIsNoSilenceOfTheRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
