--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -262,6 +262,9 @@
 			return flight, nil
 		}
 		e.room.foundNone(e.waiter)
+		if errors.Is(err, runnertable.ErrNoRunner) && e.takesPausedAgain() {
+			continue
+		}
 		if !errors.Is(err, runnertable.ErrFull) {
 			return nil, err
 		}
@@ -367,3 +370,14 @@
 	flight, err = e.forwarder.Runners.Pick(wish, e.forwarder.Now(), random(seed))
 	return flight, true, err
 }
+
+// takesPausedAgain lets runners go on with a stream that paused in it, where no other one is left. It says whether there are any; each
+// is asked again once for a pause, within the runs of the route.
+func (e *exchange) takesPausedAgain() bool {
+	for _, id := range e.paused {
+		delete(e.tried, id)
+	}
+	found := len(e.paused) > 0
+	e.paused = nil
+	return found
+}
