Have owners grant scarce places after a common loss

Cause: where runs of dead nodes leave an owner fewer free places than there are nodes, every node sees the same place come free and sends to it; most of those requests wait at the runner and come late.

Change: reports tell owners that ration what waits (Report.Waiting), the answer grants each place to one node (Share.Rationed, Granted, GrantedLate; decision in orphans.Ration, pure). A rationed runner is full at a node but for its grants; a place that its own request gives back is the owner's again, and that end is told at once. Where places are rationed nobody is turned away by the node's own places, late requests stand behind the others, and runners with orphans are read each 15 ms while requests wait that can be on time. All of it is left out where no service has orphans and fewer free places than nodes that tell, and where the owner does not look for orphans; nodes of the last build pass the fields over.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -61,7 +61,9 @@
 	orders := &follower.Follower{Source: &jobpeer.WorkerFeed{Holders: holders, Index: xxhash.Sum64String(settings.Node.Name)}}
 	process.follow(orders)
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
-	forwarder.Owners = &jobpeer.Owners{Holders: holders, Teller: process.tellDemand(holders, forwarder)}
+	teller := process.tellDemand(holders, forwarder)
+	forwarder.Owners = &jobpeer.Owners{Holders: holders, Teller: teller}
+	forwarder.Asks = func() { teller.Changed(true) }
 	holders.TellEnds(process.tomb, process.ends)
 	jobs := platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate)
 	jobs.Held = process.held
@@ -94,9 +96,9 @@
 }
 
 // tellDemand has the workers told of the online work of this node.
-func (p *process) tellDemand(holders *jobpeer.Holders, tenants jobpeer.Tenants) *demand.Teller {
+func (p *process) tellDemand(holders *jobpeer.Holders, forwarder *online.Forwarder) *demand.Teller {
 	online := &jobpeer.OnlineWork{
-		Holders: holders, Runners: p.runners, Ends: p.ends, Tenants: tenants, Logger: p.logger, Now: clock.Now,
+		Holders: holders, Runners: p.runners, Ends: p.ends, Tenants: forwarder, Waiters: forwarder, Logger: p.logger, Now: clock.Now,
 	}
 	teller := demand.NewTeller(ident.Node(p.settings.Node.Name), online, clock.Now)
 	teller.Tell = online.Tell
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -59,6 +59,16 @@
 	Places  int          `json:"places"`
 }
 
+// Waiting are the requests for one service that wait for a place at a node.
+type Waiting struct {
+	Service string `json:"service"`
+	// OnTime are those that can still be answered within their objective; the first of them runs out of time in LeftMs milliseconds.
+	OnTime int   `json:"on_time,omitempty"`
+	LeftMs int64 `json:"left_ms,omitempty"`
+	// Late are the others.
+	Late int `json:"late,omitempty"`
+}
+
 // Report is what a node tells the owner of some runners: all its online work at them, and those that it suspects. Runners
 // that it does not name have neither.
 type Report struct {
@@ -74,6 +84,9 @@
 	EndsRead poison.Cursor `json:"ends_read,omitzero"`
 	// Uses are those of the services of which the worker keeps account; empty from nodes of a build that tells none.
 	Uses []Use `json:"uses,omitempty"`
+	// Waiting are the requests that wait for a place of services whose places the worker rations; empty otherwise, and from nodes of a
+	// build that asks for none.
+	Waiting []Waiting `json:"waiting,omitempty"`
 }
 
 // Age is how long the node's process had lived when it made the report, or zero where it does not say.
@@ -89,6 +102,12 @@
 	Silent bool `json:"silent,omitempty"`
 	// Orphans are the runs at the runner that no node tells of: work of nodes that are gone.
 	Orphans int `json:"orphans,omitempty"`
+	// Rationed says that the worker gives out the runner's places one by one: the asking node may begin as many requests there as are
+	// Granted, from its question on, and none more until the next answer.
+	Rationed bool `json:"rationed,omitempty"`
+	Granted  int  `json:"granted,omitempty"`
+	// GrantedLate says that they may be requests that are late already: none that can be on time waits for them.
+	GrantedLate bool `json:"granted_late,omitempty"`
 	// Tokens are those of the requests of all nodes but the one that asks, and of the worker's items. Memory is how many the runner can
 	// hold. Both are told only where all together are above half of it.
 	Tokens int `json:"tokens,omitempty"`
@@ -267,6 +286,14 @@
 	return time.Time{}
 }
 
+// Nodes returns how many nodes tell of their work.
+func (l *Ledger) Nodes(now time.Time) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.expire(now)
+	return l.counted
+}
+
 // Any says whether nodes tell of their work.
 func (l *Ledger) Any(now time.Time) bool {
 	l.mutex.Lock()
--- a/internal/demand/teller.go
+++ b/internal/demand/teller.go
@@ -51,6 +51,8 @@
 	Doubted time.Time
 	// Uses are what tenants take and wait for, of the services of which the worker keeps account.
 	Uses []Use
+	// Waiting are the requests that wait for places which the worker rations, in the order of the services.
+	Waiting []Waiting
 }
 
 // Teller tells workers of the online work of this node. Its exported fields are set before Start.
@@ -94,6 +96,8 @@
 	notBefore time.Time
 	// endsRead is how far this node has read what the worker knows of requests that end their runners.
 	endsRead poison.Cursor
+	// waiting is what the worker was last told to wait here.
+	waiting []Waiting
 	// usesAt is when the worker was last told what tenants take and wait for.
 	usesAt time.Time
 }
@@ -148,14 +152,14 @@
 			continue
 		case <-timer.C:
 		}
-		t.tellAll(ctx)
+		next := t.tellAll(ctx)
 		hurried = false
-		timer.Reset(RefreshEvery)
+		timer.Reset(next)
 	}
 }
 
-// tellAll calls the workers that lack something.
-func (t *Teller) tellAll(ctx context.Context) {
+// tellAll calls the workers that lack something. It returns after what time it is to be called again.
+func (t *Teller) tellAll(ctx context.Context) time.Duration {
 	online := t.Work.Online()
 	now := t.Now()
 	t.mutex.Lock()
@@ -173,6 +177,7 @@
 	}
 	idleFar := idleFarEvery(online)
 	probed := t.probed(online, now)
+	next := RefreshEvery
 	nextFar := t.nextFar(online, idleFar, now)
 	for address, owned := range online {
 		known := t.worker(address, owned)
@@ -181,8 +186,11 @@
 		if owned.Far {
 			idle = idleFar
 		}
-		usesDue := known.lacksUses(owned.Uses, now)
+		usesDue := known.lacksUses(owned.Uses, now) || known.lacksWaiting(owned.Waiting, now)
 		if known.telling() || (!probed[address] && !known.doubted(owned.Doubted) && !known.lacks(owned.Counts, idle, now) && !usesDue) {
+			if known.asksSoon(owned.Waiting, now) {
+				next = askEvery
+			}
 			continue
 		}
 		if owned.Far && known.idle(owned.Counts) && !known.lastAt.IsZero() && !probed[address] && !known.doubted(owned.Doubted) && address != nextFar && !usesDue {
@@ -190,6 +198,7 @@
 		}
 		t.call(ctx, address, known, owned, now)
 	}
+	return next
 }
 
 // worker returns what is known of a worker. The caller holds the mutex.
@@ -207,6 +216,7 @@
 func (t *Teller) call(ctx context.Context, address string, known *correspondent, owned Owned, now time.Time) {
 	report := known.next(owned.Counts, now)
 	report.Uses = known.nextUses(owned.Uses, now)
+	report.Waiting, known.waiting = owned.Waiting, owned.Waiting
 	report.Node, report.Incarnation, report.AgeMs = t.Node, t.incarnation, t.age(now)
 	t.tomb.Go(func() error { t.tell(ctx, address, known, report); return nil })
 }
@@ -402,7 +412,7 @@
 	}
 	if err != nil {
 		// What the worker was told is not known any more.
-		known.last, known.paces = nil, nil
+		known.last, known.paces, known.waiting = nil, nil, nil
 		known.notBefore = now.Add(pauseAfterFailure)
 		return
 	}
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -26,6 +26,8 @@
 	Ends *endwatch.Watch
 	// Tenants tells what tenants take and wait for; nil tells nothing.
 	Tenants Tenants
+	// Waiters tells what waits for places that workers ration; nil tells nothing.
+	Waiters Waiters
 	Logger  zerolog.Logger
 	Now     func() time.Time
 
@@ -51,6 +53,7 @@
 		}
 	}
 	o.addUses(owned)
+	o.addWaiting(owned, workers)
 	return owned
 }
 
@@ -84,6 +87,9 @@
 func (o *OnlineWork) Take(address string, answer *demand.Answer, asOf time.Time) {
 	o.Runners.TakeShares(answer.Shares, asOf)
 	o.orphans.take(address, answer.Shares, o.Logger)
+	if o.Waiters != nil && slices.ContainsFunc(answer.Shares, func(told demand.Share) bool { return told.Granted > 0 }) {
+		o.Waiters.Granted()
+	}
 	o.Holders.noteBatch(address, answer.Batch, asOf)
 	o.Ends.Learn(answer.Ends.Records, false)
 	if o.Tenants != nil && len(answer.Bounds) > 0 {
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -27,7 +27,9 @@
 			w.suspect(count.Runner, now)
 		}
 	}
+	w.loss.note(report, now)
 	answer := w.shares(report.Node, answered, now)
+	w.rationPlaces(answer.Shares, report.Node, now)
 	answer.Shares = append(answer.Shares, w.foreign(report, now)...)
 	answer.Batch = w.batch(now)
 	answer.Bounds = w.boundsFor(report, now)
--- a/internal/jobworker/orphans.go
+++ b/internal/jobworker/orphans.go
@@ -16,7 +16,10 @@
 // worker's mutex guards it. The zero commonLoss looks for none.
 type commonLoss struct {
 	watch  orphans.Watch
-	counts map[ident.Incarnation]*orphans.Count
+	ration orphans.Ration
+	// reading are the runners of which a reading beside the usual ones is on its way.
+	reading map[ident.Incarnation]bool
+	counts  map[ident.Incarnation]*orphans.Count
 	// readings counts those made; unsettled is how many owned runners were not read, or had orphans, in the last round.
 	readings, unsettled int
 	// found says that the log was told what was found, gone that it was told that there are none any more.
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -231,6 +231,7 @@
 	w.started = w.Now()
 	if w.StartsAgain {
 		w.loss.watch.Begin(w.started)
+		parent.Go(w.watchOrphans)
 	}
 	parent.Go(w.keepLease)
 	parent.Go(w.followLive)
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -116,6 +116,9 @@
 	return e.refusal(failure.CodeNoBackend, "no runner may take the request", err)
 }
 
+// late says that the request can't be answered within its objective any more.
+func (e *exchange) late() bool { return e.forwarder.Now().After(e.waiter.OnTime) }
+
 // wish is what the choice of a runner depends on. One that waits is not sent where it would have to wait at the runner.
 func (e *exchange) wish(waits bool) runnertable.Wish {
 	wish := runnertable.Wish{
@@ -124,7 +127,7 @@
 		Objective: e.route.Objective, Pause: e.route.Pause, Exclude: e.tried,
 	}
 	if waits {
-		wish.Full, wish.Yields = e.full, e.room.yieldsNow(e.waiter)
+		wish.Full, wish.Yields, wish.Late = e.full, e.room.yieldsNow(e.waiter), e.late()
 		wish.Scarce = e.request.Tenant != "" && e.room.scarce()
 	}
 	return wish
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -60,6 +60,8 @@
 	Now    func() time.Time
 	// Owners are asked before a choice where runners tell their pace; nil asks nobody.
 	Owners Owners
+	// Asks has the owners of runners asked for places, where they ration them and a request waits; nil asks nobody. It must not block.
+	Asks func()
 
 	rooms rooms
 }
@@ -73,7 +75,7 @@
 	ctx, cancel := clock.WithDeadline(ctx, deadline)
 	defer cancel()
 	service := chooseService(route)
-	room := f.rooms.of(service, f.Now, f.Logger)
+	room := f.room(service)
 	exchange := &exchange{
 		forwarder: f, ctx: ctx, route: route, request: request, writer: writer, deadline: deadline,
 		service: service, tried: map[ident.Incarnation]bool{}, full: map[ident.Incarnation]bool{},
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -38,6 +38,9 @@
 	service string
 	now     func() time.Time
 	logger  zerolog.Logger
+	// rationed says whether owners grant the places of the runners one by one; asks has them told that requests wait. asks may be nil.
+	rationed func() bool
+	asks     func()
 
 	mutex sync.Mutex
 	line  waitline.Line
@@ -163,17 +166,29 @@
 	defer r.mutex.Unlock()
 	now := r.now()
 	r.local.Waited(now)
+	rationed := r.rationed()
 	if again {
 		r.line.Again(waiter)
-	} else if !r.line.Join(waiter, now) {
+	} else if !r.join(waiter, rationed, now) {
 		return nil
 	}
 	woken := make(chan struct{})
 	r.woken[waiter] = woken
 	r.lookSoon()
+	if rationed && r.asks != nil {
+		r.asks()
+	}
 	return woken
 }
 
+// join has a request wait, unless it would get no place in time. The caller holds the mutex.
+func (r *room) join(waiter *waitline.Waiter, rationed bool, now time.Time) bool {
+	if rationed {
+		return r.line.JoinRationed(waiter, now)
+	}
+	return r.line.Join(waiter, now)
+}
+
 func (r *room) leave(waiter *waitline.Waiter) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -188,6 +203,9 @@
 
 // wake has the request look for a place that has the least time left. The caller holds the mutex.
 func (r *room) wake() {
+	if r.line.Len() > 1 && r.rationed() {
+		r.line.LateLast(r.now())
+	}
 	if next := r.line.Next(); next != nil {
 		close(r.woken[next])
 		delete(r.woken, next)
@@ -235,19 +253,20 @@
 	byName map[string]*room
 }
 
-// of returns the room of a service.
-func (r *rooms) of(service string, now func() time.Time, logger zerolog.Logger) *room {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.byName == nil {
-		r.byName = map[string]*room{}
+// room returns the room of a service.
+func (f *Forwarder) room(service string) *room {
+	f.rooms.mutex.Lock()
+	defer f.rooms.mutex.Unlock()
+	if f.rooms.byName == nil {
+		f.rooms.byName = map[string]*room{}
 	}
-	found := r.byName[service]
+	found := f.rooms.byName[service]
 	if found == nil {
 		found = &room{
-			service: service, now: now, logger: logger, woken: map[*waitline.Waiter]chan struct{}{}, told: now(), mostUrgent: math.MaxInt,
+			service: service, now: f.Now, logger: f.Logger, woken: map[*waitline.Waiter]chan struct{}{}, told: f.Now(), mostUrgent: math.MaxInt,
+			rationed: func() bool { return f.Runners.Rations(service, f.Now()) }, asks: f.Asks,
 		}
-		r.byName[service] = found
+		f.rooms.byName[service] = found
 	}
 	return found
 }
@@ -282,5 +301,6 @@
 		}
 		waited = true
 		clear(e.full)
+		wish.Late = e.late()
 	}
 }
--- a/internal/orphans/load_test.go
+++ b/internal/orphans/load_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -36,6 +37,13 @@
 	window = 2 * time.Second
 	// way is how long a message takes between a front and an owner, and back.
 	way = 2 * time.Millisecond
+	// owners is how many workers own the runners, about as on the sites of that size.
+	owners = 10
+	// endTold is how long the end of a request waits to be told with other news, askEvery the least time between two questions for places.
+	endTold  = 10 * time.Millisecond
+	askEvery = 20 * time.Millisecond
+	// round is the time between two rounds of an owner, in each of which it reads the runners that are due.
+	round = 60 * time.Millisecond
 	// reportAge is how old a runner's report is.
 	reportAge = 100 * time.Millisecond
 )
@@ -79,19 +87,37 @@
 	table    *runnertable.Table
 	line     waitline.Line
 	requests map[*waitline.Waiter]*request
-	sequence int64
-	toldAt   time.Duration
+	// told is what each owner was told; tellAt is when the owners are told that lack something.
+	told   [owners]told
+	tellAt time.Duration
 	// ending are the runs of this front, by when they end.
 	ending []*request
 }
 
+// told is what a front told one owner.
+type told struct {
+	at       time.Duration
+	sequence int64
+	counts   map[ident.Incarnation]int
+	// waits is what the owner knows to wait there, rationed whether it rations its places.
+	waits    demand.Waiting
+	rationed bool
+}
+
+// owner is a worker that owns each tenth of the runners.
+type owner struct {
+	ledger  demand.Ledger
+	ration  orphans.Ration
+	runners []*runner
+}
+
 type model struct {
 	pattern
 	random *rand.Rand
 	fleet  []*runner
 	byID   map[ident.Incarnation]*runner
 	fronts []*front
-	ledger demand.Ledger
+	owners [owners]owner
 	watch  orphans.Watch
 	counts map[ident.Incarnation]*orphans.Count
 	all    []*request
@@ -106,12 +132,17 @@
 	for index := range p.runners {
 		r := &runner{id: ident.Incarnation(fmt.Sprintf("r-%02d", index))}
 		m.fleet, m.byID[r.id], m.counts[r.id] = append(m.fleet, r), r, &orphans.Count{}
+		m.owners[index%owners].runners = append(m.owners[index%owners].runners, r)
 		listed = append(listed, work.Runner{ID: r.id, Service: "s", Zone: "z", Slots: places})
 	}
 	m.leave(p.leftItems, itemTakes)
 	m.leave(p.leftOnline, requestTakes)
 	for index := range p.fronts {
-		f := &front{node: ident.Node(fmt.Sprintf("f-%02d", index)), table: runnertable.New("z"), requests: map[*waitline.Waiter]*request{}, toldAt: -time.Duration(m.random.Int64N(int64(demand.RefreshEvery)))}
+		f := &front{node: ident.Node(fmt.Sprintf("f-%02d", index)), table: runnertable.New("z"), requests: map[*waitline.Waiter]*request{}, tellAt: time.Duration(m.random.Int64N(int64(demand.RefreshEvery)))}
+		for index := range f.told {
+			f.told[index].at = -time.Second
+		}
+		f.table.OnOnlineChanged(func(rose bool) { f.tellWithin(m.now, rose) })
 		f.table.StartsAgain()
 		f.table.Replace(listed, start, true)
 		m.fronts = append(m.fronts, f)
@@ -202,15 +233,37 @@
 	if f.line.Len() == 0 && m.pick(f, req) {
 		return
 	}
-	if f.line.Join(req.waiter, m.moment()) {
+	join := f.line.Join
+	if m.rations(f) {
+		join = f.line.JoinRationed
+	}
+	if join(req.waiter, m.moment()) {
 		req.waited = true
 		f.requests[req.waiter] = req
+		m.ask(f)
+	}
+}
+
+func (m *model) rations(f *front) bool { return f.table.Rations("s", m.moment()) }
+
+// ask has the owners asked for places, where these are rationed.
+func (m *model) ask(f *front) {
+	if m.rations(f) {
+		f.tellWithin(m.now, true)
 	}
 }
 
+// tellWithin has the owners told at once, or soon.
+func (f *front) tellWithin(now time.Duration, atOnce bool) {
+	if !atOnce {
+		now += endTold
+	}
+	f.tellAt = min(f.tellAt, now)
+}
+
 // pick sends a request, if a runner may have it.
 func (m *model) pick(f *front, req *request) bool {
-	flight, err := f.table.Pick(runnertable.Wish{Service: "s", Class: runnertable.Online, Full: map[ident.Incarnation]bool{}}, m.moment(), m.random)
+	flight, err := f.table.Pick(runnertable.Wish{Service: "s", Class: runnertable.Online, Full: map[ident.Incarnation]bool{}, Late: m.moment().After(req.waiter.OnTime)}, m.moment(), m.random)
 	if errors.Is(err, runnertable.ErrFull) || errors.Is(err, runnertable.ErrNoRunner) {
 		return false
 	}
@@ -231,6 +284,9 @@
 
 // wake has the first in line look for a place, look all of them, one after the other, until one finds none.
 func (m *model) wake(f *front) bool {
+	if m.rations(f) {
+		f.line.LateLast(m.moment())
+	}
 	next := f.line.Next()
 	if next == nil {
 		return false
@@ -239,6 +295,7 @@
 		return true
 	}
 	f.line.Again(next)
+	m.ask(f)
 	return false
 }
 
@@ -247,55 +304,141 @@
 	}
 }
 
-// own is the owner of all runners: it notes what it knows of and reads reports.
+// own has the owners note what they know of their runners and read reports: in their rounds, and more often while requests wait for places
+// that are rationed.
 func (m *model) own() {
 	if m.now < m.ownersLate || !m.watch.Open(m.moment()) {
 		return
 	}
 	age := m.now - m.ownersLate
 	readEvery := m.watch.ReadEvery(200*time.Millisecond, m.moment())
-	for _, r := range m.fleet {
-		count := m.counts[r.id]
-		if age%(60*time.Millisecond) == 0 {
-			count.Know(m.ledger.Online(r.id, "", m.moment()), m.moment())
-		}
-		if age%readEvery == 0 && !count.Gone() {
-			then := max(len(r.totals)-int(reportAge/tick), 0)
-			total := len(r.ends) + len(r.waiting)
-			if len(r.totals) > 0 {
-				total = r.totals[min(then, len(r.totals)-1)]
+	rounds := (readEvery + round - 1) / round
+	for index := range m.owners {
+		owner := &m.owners[index]
+		pressed := owner.ration.Pressed(m.moment()) && age%orphans.PressedReadEvery == 0
+		for _, r := range owner.runners {
+			if pressed || age%round == 0 {
+				m.counts[r.id].Know(owner.ledger.Online(r.id, "", m.moment()), m.moment())
+			}
+			if (pressed || age%(rounds*round) == 0) && !m.counts[r.id].Gone() {
+				m.read(r)
 			}
-			count.Read(total, m.moment())
 		}
 	}
 }
 
-// tell has a front report its work to the owner and take over the answer, each 50 ms, as demand's teller does.
+func (m *model) read(r *runner) {
+	then := max(len(r.totals)-int(reportAge/tick), 0)
+	total := len(r.ends) + len(r.waiting)
+	if len(r.totals) > 0 {
+		total = r.totals[min(then, len(r.totals)-1)]
+	}
+	m.counts[r.id].Read(total, m.moment())
+}
+
+// tell has a front call the owners that lack something, and then take over the answers, as demand's teller does: changes of the work and
+// of what waits for rationed places, what did not change each 50 ms, or half a second where there is nothing.
 func (m *model) tell(f *front) {
-	if m.now < m.ownersLate+way || m.now-f.toldAt < demand.RefreshEvery {
+	if m.now < m.ownersLate+way || m.now < f.tellAt {
 		return
 	}
-	f.toldAt = m.now
-	f.sequence++
-	report := &demand.Report{Node: f.node, Incarnation: 1, Sequence: f.sequence, AgeMs: m.now.Milliseconds() + 1}
+	f.tellAt = m.now + demand.RefreshEvery
+	online := map[ident.Incarnation]int{}
 	for _, count := range f.table.Online(m.moment()) {
-		report.Counts = append(report.Counts, count)
+		online[count.Runner] = count.Online
 	}
-	m.ledger.Take(report, m.moment())
+	waits := m.waiting(f)
+	var shares []demand.Share
+	for index := range f.told {
+		known, counts, asked := &f.told[index], m.countsAt(index, online), demand.Waiting{}
+		if known.rationed {
+			asked = waits
+		}
+		news := asked.OnTime != known.waits.OnTime || asked.Late != known.waits.Late
+		if m.lacks(known, counts, news) {
+			shares = append(shares, m.report(f, index, counts, asked)...)
+		} else if news {
+			f.tellAt = m.now + askEvery
+		}
+	}
+	f.table.TakeShares(shares, m.moment().Add(way/2))
+	if slices.ContainsFunc(shares, func(told demand.Share) bool { return told.Granted > 0 }) {
+		m.look(f)
+	}
+}
+
+func (m *model) waiting(f *front) demand.Waiting {
+	onTime, until, late := f.line.Waiting(m.moment())
+	return demand.Waiting{Service: "s", OnTime: onTime, LeftMs: until.Sub(m.moment()).Milliseconds(), Late: late}
+}
+
+func (m *model) countsAt(owner int, online map[ident.Incarnation]int) map[ident.Incarnation]int {
+	counts := map[ident.Incarnation]int{}
+	for _, r := range m.owners[owner].runners {
+		if online[r.id] > 0 {
+			counts[r.id] = online[r.id]
+		}
+	}
+	return counts
+}
+
+// lacks says whether an owner is to be called now.
+func (m *model) lacks(known *told, counts map[ident.Incarnation]int, news bool) bool {
+	since := m.now - known.at
+	switch {
+	case !maps.Equal(counts, known.counts), news && since >= askEvery:
+		return true
+	case len(counts) > 0 || known.waits.OnTime+known.waits.Late > 0:
+		return since >= demand.RefreshEvery
+	}
+	return since >= demand.IdleRefreshEvery
+}
+
+// report is one call of an owner. It returns the answer.
+func (m *model) report(f *front, index int, counts map[ident.Incarnation]int, waits demand.Waiting) []demand.Share {
+	known, owner := &f.told[index], &m.owners[index]
+	known.at, known.counts, known.waits = m.now, counts, waits
+	known.sequence++
+	report := &demand.Report{Node: f.node, Incarnation: 1, Sequence: known.sequence, AgeMs: m.now.Milliseconds() + 1}
+	for id, count := range counts {
+		report.Counts = append(report.Counts, demand.Count{Runner: id, Online: count})
+	}
+	owner.ledger.Take(report, m.moment())
 	m.watch.Heard(report.Age(), m.moment())
+	asked := map[string]orphans.Wait{}
+	if waits.OnTime+waits.Late > 0 {
+		until := m.moment().Add(time.Duration(waits.LeftMs) * time.Millisecond)
+		asked["s"] = orphans.Wait{OnTime: waits.OnTime, Late: waits.Late, Until: until}
+	}
+	owner.ration.Take(f.node, asked, m.moment())
+	shares := m.sharesOf(owner, f.node)
+	known.rationed = slices.ContainsFunc(shares, func(told demand.Share) bool { return told.Rationed })
+	return shares
+}
+
+func (m *model) sharesOf(owner *owner, asking ident.Node) []demand.Share {
 	var shares []demand.Share
-	for _, r := range m.fleet {
+	var listed []orphans.Place
+	for _, r := range owner.runners {
 		count := m.counts[r.id]
 		if !m.tellsNone && m.watch.Settling(m.moment()) && !count.WasRead() {
 			continue
 		}
-		share := demand.Share{Runner: r.id, Others: m.ledger.Online(r.id, f.node, m.moment())}
+		share := demand.Share{Runner: r.id, Others: owner.ledger.Online(r.id, asking, m.moment())}
 		if !m.tellsNone {
 			share.Orphans = count.Runs(m.moment())
 		}
 		shares = append(shares, share)
+		free := places - owner.ledger.Online(r.id, "", m.moment()) - share.Orphans
+		listed = append(listed, orphans.Place{Runner: r.id, Service: "s", Free: free, Orphans: share.Orphans})
+	}
+	granted := owner.ration.Grant(asking, listed, owner.ledger.Nodes(m.moment()), m.moment())
+	for position := range shares {
+		share := &shares[position]
+		given, rationed := granted[share.Runner]
+		share.Rationed, share.Granted, share.GrantedLate = rationed, given.Places, given.Late
 	}
-	f.table.TakeShares(shares, m.moment())
+	return shares
 }
 
 // inTime counts the requests that were answered within the objective.
--- a/internal/orphans/watch.go
+++ b/internal/orphans/watch.go
@@ -11,6 +11,9 @@
 	// settleFor is how long it takes until nodes have told of their work: they come up over half a second, and the callers of the outage
 	// come back within the second after.
 	settleFor = time.Second
+	// PressedReadEvery is the time between two readings of a runner with orphans while requests wait for its places. A place is seen to be
+	// free after two readings that agree, and each that stands idle for so long is a request late.
+	PressedReadEvery = 15 * time.Millisecond
 )
 
 // Watch decides whether a node looks for orphans. It does after a common loss of power: the node started, not for the first time with
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -37,6 +37,7 @@
 	}
 	chosen.own[wish.Class]++
 	chosen.tokens[wish.Class] += flight.tokens
+	chosen.noteBegun(wish.Class, now)
 	t.noteOnline(wish.Class, true)
 	chosen.waiting[flight] = now
 	chosen.pendingTokens += uncached
@@ -89,7 +90,8 @@
 	f.stopWaiting()
 	f.entry.own[f.class]--
 	f.entry.tokens[f.class] -= f.tokens
-	f.table.noteOnline(f.class, false)
+	// A place that is rationed stands idle until its owner hears that it is free.
+	f.table.noteOnline(f.class, f.entry.share.Value().rationed)
 }
 
 // Failed notes a failure of the runner or of the way to it.
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -79,6 +79,8 @@
 	// Yields says that the request has no part in the short queue of runners, which is kept for others: it takes a slot that is free
 	// now or none. It counts only with Full.
 	Yields bool
+	// Late says that the request can't be on time any more. It counts only with Full.
+	Late bool
 }
 
 // Pick chooses the runner with the least expected delay and starts a flight on it. The error wraps ErrNoRunner.
@@ -133,6 +135,9 @@
 	if wish.Full == nil {
 		return false
 	}
+	if e.rationed(now) {
+		return wish.Full[e.runner.ID] || !e.fits(wish, now) || !e.grants(wish, now)
+	}
 	firm, _ := e.estimate(now)
 	places := float64(max(e.runner.Slots, 1))
 	queue := queueShare / float64(e.pace.Now(now)) * max(places-float64(e.orphans(now)), 0)
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -12,7 +12,7 @@
 const shareMemory = demand.Lifetime
 
 // OnOnlineChanged has a function told whenever this node's online work at a runner rises or falls, and whenever a runner's pace
-// changed as far as this node knew, as of a fall. It must not block. It is called before the table is used.
+// changed as far as this node knew, as of a fall. A fall where places are rationed is told as a rise: at once. It must not block. It is called before the table is used.
 func (t *Table) OnOnlineChanged(told func(rose bool)) { t.onlineChanged = told }
 
 // noteOnline tells of a change of the online work. The caller holds the mutex.
@@ -49,7 +49,9 @@
 		if known := t.runners[told.Runner]; known != nil {
 			known.share.Renew(share{
 				others: told.Others, batch: told.Batch, orphans: told.Orphans, silent: told.Silent, tokens: max(told.Tokens, 0),
+				rationed: told.Rationed, granted: told.Granted, grantedLate: told.GrantedLate,
 			}, asOf)
+			known.forgetBegun(asOf)
 			if told.Memory > 0 {
 				known.memory = told.Memory
 			}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -80,7 +80,9 @@
 	// usualOthers is the online work of other nodes that a runner of this size has in its zone, as of the last choice; zero where none
 	// is known.
 	usualOthers float64
-	health      health
+	// begun is when this node began online requests since the owner's word, where the runner's places are rationed.
+	begun  []time.Time
+	health health
 	// pace is how long work takes at the runner now, spoken the newest word of it that the runner told this node itself.
 	pace     pace.Belief
 	spoken   pace.Word
@@ -101,6 +103,11 @@
 	silent bool
 	// tokens are those of the work of others.
 	tokens int
+	// rationed says that the owner gives out the places one by one, granted how many this node may take, grantedLate whether also for
+	// requests that are late.
+	rationed    bool
+	granted     int
+	grantedLate bool
 }
 
 // loadReport is the runner's own count and what it was of.
--- a/internal/waitline/waitline.go
+++ b/internal/waitline/waitline.go
@@ -117,14 +117,30 @@
 // Join has a request wait, and returns false where it can't get a place in time: on time, or for one that is late already,
 // while a place is of any use. Nobody's time is taken for a place that does not come.
 func (l *Line) Join(waiter *Waiter, now time.Time) bool {
+	position := l.position(waiter, now)
+	expected := l.untilPlace(l.ahead(waiter, position), *l.longerOf(waiter))
+	return l.join(waiter, position, expected, now)
+}
+
+// JoinRationed has a request wait where places are granted by others, and how fast this node's own come free tells nothing. It returns
+// false where no place is of any use any more.
+func (l *Line) JoinRationed(waiter *Waiter, now time.Time) bool {
+	return l.join(waiter, l.position(waiter, now), 0, now)
+}
+
+// position is where in the line a request is to stand.
+func (l *Line) position(waiter *Waiter, now time.Time) int {
 	waiter.due = waiter.OnTime
 	if now.After(waiter.due) {
 		waiter.due = waiter.Latest
 	}
 	waiter.turn = l.turnOf(waiter)
-	position := l.before(waiter)
 	waiter.yielded = l.yields(waiter)
-	expected := l.untilPlace(l.ahead(waiter, position), *l.longerOf(waiter))
+	return l.before(waiter)
+}
+
+// join has a request wait that expects a place after a time, or turns it away.
+func (l *Line) join(waiter *Waiter, position int, expected time.Duration, now time.Time) bool {
 	if now.Add(l.unsure(waiter, expected)).After(waiter.due) {
 		l.dropLate(now)
 		l.turned = append(l.turned, waiter.due)
