Test grants of scarce places on the way that they take in the product

Cause: the load test decides with the product's parts and plays their messages itself; nothing showed that the parts are joined.

A test that a node's few places turn nobody away where places are granted.

Ruled out: nothing.

--- a/internal/online/ration_test.go
+++ b/internal/online/ration_test.go
@@ -84,3 +84,31 @@
 		assert.Equal(t, caller.sent, 0)
 	})
 }
+
+// TestFewPlacesOfANodeTurnNobodyAwayWherePlacesAreGranted has a node with one request at a runner, of 200 ms, and an objective of 300 ms. By its own
+// places one of five would get one in time; where owners grant them all five wait, and are sent with the grants.
+func TestFewPlacesOfANodeTurnNobodyAwayWherePlacesAreGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := &busyCaller{takes: 200 * time.Millisecond}
+		forwarder := rationedSite(caller, func(*online.Forwarder) {})
+		grant(forwarder, 2)
+		assert.NilError(t, serveAll(t.Context(), forwarder, 1)[0].err)
+		var done sync.WaitGroup
+		done.Go(func() { serveAll(t.Context(), forwarder, 1) })
+		time.Sleep(time.Millisecond)
+		grant(forwarder, 1)
+		synctest.Wait()
+		assert.Equal(t, caller.sent, 2)
+		done.Go(func() {
+			for _, got := range serveAll(t.Context(), forwarder, 5) {
+				assert.NilError(t, got.err)
+			}
+		})
+		synctest.Wait()
+		assert.Equal(t, forwarder.Waiting()[0].OnTime, 5)
+		time.Sleep(time.Millisecond)
+		grant(forwarder, 5)
+		done.Wait()
+		assert.Equal(t, caller.sent, 7)
+	})
+}
