Merge owners that grant scarce places after a common loss

Where runs of nodes that are gone leave fewer places than there are nodes, the owner of the runners gives them out one by one; active only while owners look for such runs. Joined with places of callers that were cut off: under rationing these are the owner's to give.

--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -60,6 +60,8 @@
 	Now    func() time.Time
 	// Owners are asked before a choice where runners tell their pace; nil asks nobody.
 	Owners Owners
+	// Asks has the owners of runners asked for places, where they ration them and a request waits; nil asks nobody. It must not block.
+	Asks func()
 
 	rooms rooms
 }
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -81,6 +81,8 @@
 	// Vacant is a runner at which another request gave its place back for this one, so that it is full only where the request does not fit its
 	// memory or was refused there; empty is none.
 	Vacant ident.Incarnation
+	// Late says that the request can't be on time any more. It counts only with Full.
+	Late bool
 }
 
 // Pick chooses the runner with the least expected delay and starts a flight on it. The error wraps ErrNoRunner.
@@ -139,6 +141,8 @@
 		return false
 	case wish.Full[e.runner.ID]:
 		return true
+	case e.rationed(now):
+		return !e.grants(wish, now)
 	case e.runner.ID == wish.Vacant:
 		return false
 	}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -84,7 +84,9 @@
 	usualOthers float64
 	// firm and yielding are the estimate of the choice in progress, or of the last one.
 	firm, yielding int
-	health         health
+	// begun is when this node began online requests since the owner's word, where the runner's places are rationed.
+	begun  []time.Time
+	health health
 	// pace is how long work takes at the runner now, spoken the newest word of it that the runner told this node itself.
 	pace     pace.Belief
 	spoken   pace.Word
@@ -105,6 +107,11 @@
 	silent bool
 	// tokens are those of the work of others.
 	tokens int
+	// rationed says that the owner gives out the places one by one, granted how many this node may take, grantedLate whether also for
+	// requests that are late.
+	rationed    bool
+	granted     int
+	grantedLate bool
 }
 
 // loadReport is the runner's own count and what it was of.
