--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -15,8 +15,10 @@
 	// tenant sends must not become as many questions, and others may give back what they had.
 	leastDenied, mostDenied = 50 * time.Millisecond, 250 * time.Millisecond
 	// aloneNodes is how many nodes that reach no owner may let through one request in a window each of a tenant in which they have no
-	// share: a fixed choice among all nodes.
-	aloneNodes = 15
+	// share. Of a larger site a hash chooses chosenNodes of them, in the mean: few enough that hardly any draw has more than a window may
+	// have above its limit.
+	aloneNodes  = 15
+	chosenNodes = 7
 	// sparePart of a limit is what all nodes together may let through in a window without a share, where that is more: it fits into what a
 	// window may have above its limit, as the requests of aloneNodes do. A node of a tenant far below its limit needs no share by it.
 	sparePart = 0.02
@@ -146,7 +148,11 @@
 	defer m.mutex.Unlock()
 	known := m.account(tenant, limit)
 	nodes := float64(m.nodes)
-	budget := max(min(aloneNodes/nodes, 1), sparePart*limit.window(m.window)/nodes)
+	budget := 1.0
+	if m.nodes > aloneNodes {
+		budget = chosenNodes / nodes
+	}
+	budget = max(budget, sparePart*limit.window(m.window)/nodes)
 	if !m.told {
 		budget = max(budget, alonePart*limit.window(m.window)/assumedNodes)
 	}
