Have a node without a configuration read it itself

Cause: a node that looked for the configuration before it had any asked another node first and waited for that, up to 0.8 s where it was silent; it serves nobody meanwhile.

Seen failing: TestNodeWithoutAConfigurationAsksNobodyForIt, 800 ms where 50 are allowed.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -349,7 +349,8 @@
 // Refresh has the newest configuration in force, as of a reading that begins after the call, for whoever must not go by an older one.
 // Another node reads where it can; otherwise this one does, and fails at once where the registry is known to be away.
 func (f *Follower) Refresh(ctx context.Context) error {
-	if f.Newest != nil && f.refreshThrough(ctx) == nil {
+	// A node without a configuration serves nobody: it waits for no other node.
+	if f.Newest != nil && f.Routes.Catalog() != nil && f.refreshThrough(ctx) == nil {
 		return nil
 	}
 	f.mutex.Lock()
@@ -364,11 +365,7 @@
 
 // refreshThrough has another node read the configuration anew. The failure is the source's to log.
 func (f *Follower) refreshThrough(ctx context.Context) error {
-	version := int64(0)
-	if catalog := f.Routes.Catalog(); catalog != nil {
-		version = catalog.Version
-	}
-	catalog, err := f.Newest(ctx, version)
+	catalog, err := f.Newest(ctx, f.Routes.Catalog().Version)
 	if err != nil {
 		return err
 	}
--- a/internal/jobpeer/newest_test.go
+++ b/internal/jobpeer/newest_test.go
@@ -218,3 +218,23 @@
 		assert.Equal(t, failure.As(err).Code, failure.CodeConfigUnavailable)
 	})
 }
+
+// TestNodeWithoutAConfigurationAsksNobodyForIt starts a front beside workers that are silent: it reads the configuration itself at once, in
+// the few milliseconds that a call takes, and not when a worker's time is over.
+func TestNodeWithoutAConfigurationAsksNobodyForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const atOnce = 50 * time.Millisecond
+		f := newKeyFleet(1, 2, true)
+		f.silent["worker-00"], f.silent["worker-01"] = true, true
+		starting := f.newFollower()
+		holders := &jobpeer.Holders{
+			Zone: "z", Now: time.Now, Connect: func(to string) (drpc.Conn, error) { return &keyConn{fleet: f, to: to}, nil },
+		}
+		holders.Learn([]jobrecord.Worker{{Node: "worker-00", Zone: "z", Address: "worker-00"}}, time.Now())
+		starting.Newest = (&jobpeer.Newest{Holders: holders, Logger: zerolog.Nop()}).Catalog
+		began := time.Now()
+		assert.NilError(t, starting.Refresh(context.Background()))
+		assert.Assert(t, time.Since(began) <= atOnce, "%v", time.Since(began))
+		assert.Equal(t, starting.Routes.Catalog().Version, int64(1))
+	})
+}
