Tell owners of tenants the limit, so that one without a configuration keeps to it

Cause: a worker that does not know a tenant gave credit without a bound for it. After a loss of all machines, with the store away, the worker that owns an account has no configuration while fronts have one, and a tenant that sends ten times its limit gets all of it through. Change: a node tells its limit to an owner of which it does not know that it remembers the tenant; the owner goes by that where it knows none.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -61,6 +61,8 @@
 	// moved says that another owner knew of some of it, given is the part of the limit that nodes had from that one in all.
 	moved bool
 	given float64
+	// told is the limit that a node told last; without a rate none did.
+	told Limit
 }
 
 // holding is what the owner knows of a tenant's requests at one node.
@@ -101,12 +103,13 @@
 	l.forget(now)
 	answer := &Answer{Nodes: len(l.nodes), Epoch: known.epoch}
 	for _, spent := range spending.Spent {
+		book := l.book(spent.Tenant, now)
 		bound, known := limit(spent.Tenant)
 		if !known {
-			// The configuration of one of the two is old. The node goes by its own until it is told otherwise.
-			bound = Limit{}
+			// The configuration of one of the two is old, or this worker has none yet: the limit that a node told holds. Without one the
+			// node, of an older build, goes by its own until it is told otherwise.
+			bound = book.limitTold(spent)
 		}
-		book := l.book(spent.Tenant, now)
 		book.estimate(spent, l, bound, now)
 		held := book.take(spending, spent, l, now)
 		held.carried = max(held.carried, usable(spent.Share, bound, l.window))
@@ -227,6 +230,14 @@
 	return second
 }
 
+// limitTold is the limit that a node told last, for a worker that does not know the tenant.
+func (b *book) limitTold(spent Spent) Limit {
+	if told := (Limit{Rate: spent.Rate, Burst: spent.Burst}); told.Bounded() {
+		b.told = told
+	}
+	return b.told
+}
+
 // credit is what a node is told. The caller holds the mutex.
 func (l *Ledger) credit(book *book, held *holding, spent Spent, limit Limit, now time.Time) Credit {
 	index := l.on.index(now)
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -57,6 +57,10 @@
 	// Others is the part that other nodes had, as told with Share, Of how many requests of the node Share was reckoned from.
 	Others float64 `json:"others,omitempty"`
 	Of     int     `json:"of,omitempty"`
+	// Rate and Burst are the limit as the node knows it, told to an owner that may have no configuration with the tenant yet: one that
+	// has just started, or has never heard of the tenant from this node.
+	Rate  float64 `json:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
 
 	// upTo numbers the last request that is counted, at the node.
 	upTo uint64
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -358,6 +358,9 @@
 		known := m.accounts[tenant]
 		known.telling = true
 		spent := Spent{Tenant: tenant, Recent: known.spent.recent(m.on.index(now)), Want: known.waiting, upTo: known.count}
+		if !known.knownTo(name, state.epoch) {
+			spent.Rate, spent.Burst = known.limit.Rate, known.limit.Burst
+		}
 		if now.Before(known.shareUntil) && (state.epoch == 0 || known.tellsShare(name, state.epoch, now)) {
 			spent.Share, spent.Of = known.share, known.shareOf
 			// What others had when this node still had a share is long over.
