Pass a configuration on that comes with a list which is too old

Cause: a node takes a newer configuration over however old the list is that comes with it, and is not told it again since it has it; it passed on only what came with a fresh list. Change: what is taken over is passed on, without a younger age of the orders. TestConfigurationThatComesWithAnOldListIsPassedOn fails on the code before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -386,6 +386,10 @@
 	if catalog == nil {
 		return
 	}
+	if f.Feed != nil {
+		// Whoever told it tells it once, maybe with a list that is too old to be passed on.
+		f.Feed.Orders(work.Orders{Catalog: catalog}, time.Time{})
+	}
 	before := f.Routes.Catalog()
 	if !f.Routes.Adopt(catalog) {
 		return
--- /dev/null
+++ b/internal/follower/passed_test.go
@@ -0,0 +1,53 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// TestConfigurationThatComesWithAnOldListIsPassedOn has a node that feeds others be told a newer configuration while the list that comes with it is
+// old, as when the registry is back and the orders were read first. It has the configuration in force, so that it is not told it again with
+// the list: the nodes that it feeds must hear of it all the same.
+func TestConfigurationThatComesWithAnOldListIsPassedOn(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
+		runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
+		version := func(version int64) work.Orders {
+			return work.Orders{Catalog: &work.Catalog{Version: version, Form: work.CatalogForm}}
+		}
+		source, passes := fleetfeed.New(time.Now), fleetfeed.New(time.Now)
+		f := &follower.Follower{
+			Registry: &fakeRegistry{down: true}, Source: &lateSource{feed: source}, Feed: passes, Runners: runnertable.New("z"),
+			Routes: &routetable.Table{}, Logger: zerolog.Nop(), Now: time.Now, Options: follower.OptionsFor(longDrain, siteHeartbeat),
+		}
+		source.Read(runners, 5, time.Now())
+		source.Orders(version(1), time.Now())
+		supervisor := new(tomb.Tomb)
+		f.Start(supervisor)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.Routes.Catalog().Version, int64(1))
+		time.Sleep(5 * time.Second)
+		source.Orders(version(2), time.Now())
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, f.Routes.Catalog().Version, int64(2))
+		source.Read(runners, 6, time.Now())
+		source.Orders(work.Orders{}, time.Now())
+		time.Sleep(time.Second)
+		told, err := passes.Snapshot(context.Background(), &fleetfeed.Known{CatalogVersion: 1})
+		assert.NilError(t, err)
+		assert.Assert(t, told.Catalog != nil && told.Catalog.Version == 2, "the nodes that it feeds are not told")
+		supervisor.Kill(nil)
+		assert.NilError(t, supervisor.Wait())
+	})
+}
