--- a/internal/event/jobworker.go
+++ b/internal/event/jobworker.go
@@ -4,7 +4,7 @@
 
 // Events of batch jobs kept in the platform's store: 3600 to 3699.
 var (
-	JobTaken         = register(3600, "job_taken", zerolog.InfoLevel, "A batch job is durable; its client was told.", "none")
+	JobTaken         = register(3600, "job_taken", zerolog.InfoLevel, "A batch job is durable; its client was told. The line has its tokens and, where they were counted in the store, those that waited beside it.", "none")
 	JobRefused       = register(3601, "job_refused", zerolog.WarnLevel, "A batch job was not taken; the line says why and whether it may have been written.", "none unless it persists: check the store")
 	JobClaimed       = register(3602, "job_claimed", zerolog.InfoLevel, "This node runs a batch job from now on, from its beginning or from what another node recorded.", "none")
 	JobLeft          = register(3603, "job_left", zerolog.InfoLevel, "This node does not run a batch job any more.", "none")
@@ -13,9 +13,9 @@
 	ItemRunBroken    = register(3606, "item_run_broken", zerolog.WarnLevel, "A run of a batch item ended without its whole output; another run goes on after the event named. The line has the print of the item, which tells nothing of its text.", "none unless one runner stands out")
 	ItemGivenUp      = register(3607, "item_given_up", zerolog.WarnLevel, "A batch item was given up and is listed as a dead letter; the line says why.", "see the reason")
 	JobReadFailed    = register(3608, "job_read_failed", zerolog.WarnLevel, "A job could not be read and the caller was told to come again.", "check the store and the path to it")
-	JobKept          = register(3610, "job_kept", zerolog.InfoLevel, "A batch job is on this worker's disk until the store takes it.", "none")
+	JobKept          = register(3610, "job_kept", zerolog.InfoLevel, "A batch job is on this worker's disk until the store takes it. The line has its tokens, and those that waited beside it as far as this worker knew.", "none")
 	HandoffFailed    = register(3611, "handoff_failed", zerolog.WarnLevel, "The store did not take a job from this worker's disk; it is tried again.", "check the store and the path to it")
-	HandoffEnded     = register(3612, "handoff_ended", zerolog.InfoLevel, "A job left this worker's disk; the line says why.", "none, unless the reason is that its time is over: then the store was away for minutes")
+	HandoffEnded     = register(3612, "handoff_ended", zerolog.InfoLevel, "A job left this worker's disk; the line says why and how many tokens the job has.", "none, unless the reason is that its time is over: then the store was away for minutes")
 	WorkerRetired    = register(3609, "worker_retired", zerolog.InfoLevel, "A worker is emptied as the operator asked, and the operator was told.", "none")
 	MirrorFailed     = register(3613, "mirror_failed", zerolog.WarnLevel, "The output so far of batch items could not be kept at a second worker, or asked for there.", "none unless it persists: check the worker named")
 	JobNotAssigned   = register(3614, "job_not_assigned", zerolog.InfoLevel, "A batch job was claimed for a worker as it was accepted, and the worker did not answer or does not run it; the claim is given up.", "none unless it persists: check the worker named")
--- a/internal/handoff/deliver.go
+++ b/internal/handoff/deliver.go
@@ -119,7 +119,7 @@
 func (d *Deliverer) deliver(ctx context.Context, summary Summary) error {
 	job := summary.Job
 	if d.Taken != nil && d.Taken(job) {
-		d.drop(job, "the store is known to have it")
+		d.drop(summary, "the store is known to have it")
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
@@ -129,7 +129,7 @@
 		return err
 	}
 	if held {
-		d.drop(job, "the store has it")
+		d.drop(summary, "the store has it")
 		return nil
 	}
 	counted := d.Held.Open(heldbytes.Submission, heldbytes.Whose{Tenant: summary.Tenant})
@@ -137,7 +137,7 @@
 	defer counted.Release()
 	entry, err := d.Log.Load(job)
 	if errors.Is(err, ErrDamaged) {
-		d.drop(job, "its file is damaged")
+		d.drop(summary, "its file is damaged")
 		return nil
 	}
 	if err != nil {
@@ -145,21 +145,21 @@
 	}
 	submission := entry.Submission()
 	if d.Now().Sub(submission.Accepted) > d.Lifetime {
-		d.drop(job, "its time is over")
+		d.drop(summary, "its time is over")
 		return nil
 	}
 	err = d.Store.Accept(ctx, submission)
 	if errors.Is(err, jobrecord.ErrTooLarge) {
-		d.drop(job, "it is too large for the store")
+		d.drop(summary, "it is too large for the store")
 		return nil
 	}
 	if err == nil {
-		d.drop(job, "handed over")
+		d.drop(summary, "handed over")
 	}
 	return err
 }
 
-func (d *Deliverer) drop(job ident.Job, why string) {
-	d.Log.Remove(job)
-	event.HandoffEnded.Log(d.Logger).Str("job", string(job)).Str("why", why).Send()
+func (d *Deliverer) drop(entry Summary, why string) {
+	d.Log.Remove(entry.Job)
+	event.HandoffEnded.Log(d.Logger).Str("job", string(entry.Job)).Int("tokens", entry.Tokens).Str("why", why).Send()
 }
--- a/internal/jobentry/acceptance.go
+++ b/internal/jobentry/acceptance.go
@@ -23,6 +23,8 @@
 	tries      int
 	// handedOff says that workers keep the job until the store takes it.
 	handedOff bool
+	// waiting are the tokens that were counted in the store beside the job, zero where it was taken without a count there.
+	waiting int
 	// told is Unknown once a try may have made the job durable without having said so.
 	told outcome.Outcome
 	last error
@@ -52,6 +54,7 @@
 // attempt is how one of the two ways to make a job durable ended.
 type attempt struct {
 	handedOff bool
+	waiting   int
 	err       error
 }
 
@@ -62,7 +65,8 @@
 	a.submission.Hold()
 	new(tomb.Tomb).Go(func() error {
 		defer a.submission.LetGo()
-		ended <- attempt{err: a.desk.accept(ctx, a.route, a.submission)}
+		waiting, err := a.desk.accept(ctx, a.route, a.submission)
+		ended <- attempt{waiting: waiting, err: err}
 		return nil
 	})
 	hedge := time.NewTimer(a.desk.hedgeDelay(a.submission))
@@ -73,7 +77,7 @@
 		case one := <-ended:
 			open--
 			if one.err == nil {
-				a.handedOff = one.handedOff
+				a.handedOff, a.waiting = one.handedOff, one.waiting
 				return true
 			}
 			a.note(one.err)
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -96,7 +96,8 @@
 	}
 	if attempt.run(ctx) {
 		event.JobTaken.Log(d.Logger).Str("job", string(submission.ID)).Int("items", len(submission.Items)).
-			Int("tries", attempt.tries).Bool("handed_off", attempt.handedOff).Send()
+			Int("tries", attempt.tries).Bool("handed_off", attempt.handedOff).
+			Int("tokens", submission.Tokens()).Int("waiting", attempt.waiting).Send()
 		return nil
 	}
 	refused := refusal(attempt.last, attempt.told)
@@ -154,18 +155,18 @@
 	return failure.New(failure.CodeShardUnavailable, "the job could not be written").WithRetryAfter(retryAfter).WithCause(last)
 }
 
-// accept makes one try.
-func (d *Desk) accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+// accept makes one try. It returns the tokens that were counted beside the job.
+func (d *Desk) accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := d.write(ctx, route, submission)
+	waiting, err := d.write(ctx, route, submission)
 	for race := 1; race < racesEach && errors.Is(err, jobrecord.ErrRaced); race++ {
-		err = d.write(ctx, route, submission)
+		waiting, err = d.write(ctx, route, submission)
 	}
 	if errors.Is(err, jobrecord.ErrTooLarge) {
-		return tooLarge(err)
+		return waiting, tooLarge(err)
 	}
-	return err
+	return waiting, err
 }
 
 // racesEach bounds the writes of one try that another job may forestall.
@@ -177,22 +178,22 @@
 
 // write counts the waiting tokens and writes the job. Where the queue may become full, nothing else is taken between the
 // two.
-func (d *Desk) write(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+func (d *Desk) write(ctx context.Context, route *work.Route, submission *jobrecord.Submission) (int, error) {
 	waiting, err := d.checkQuota(ctx, route, submission)
 	if err != nil {
-		return err
+		return waiting, err
 	}
 	if float64(waiting+submission.Tokens()) <= guardedShare*float64(route.MaximumQueuedTokens) || route.MaximumQueuedTokens <= 0 {
-		return d.put(ctx, submission, nil)
+		return waiting, d.put(ctx, submission, nil)
 	}
 	admission, err := d.Records.Admission(ctx, route.Name)
 	if err != nil {
-		return errNotWritten(err)
+		return waiting, errNotWritten(err)
 	}
-	if _, err := d.checkQuota(ctx, route, submission); err != nil {
-		return err
+	if waiting, err = d.checkQuota(ctx, route, submission); err != nil {
+		return waiting, err
 	}
-	return d.put(ctx, submission, &admission)
+	return waiting, d.put(ctx, submission, &admission)
 }
 
 func tooLarge(err error) *failure.Error {
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -28,7 +28,8 @@
 	if w.Keeps(entry.Job) {
 		return nil
 	}
-	if refused := w.refuseToKeep(entry, bound, copies); refused != nil {
+	waiting, refused := w.refuseToKeep(entry, bound, copies)
+	if refused != nil {
 		return refused
 	}
 	held, err := w.Budget.Reserve(heldbytes.Submission, heldbytes.Whose{Tenant: entry.Tenant}, entry.Bytes())
@@ -44,27 +45,28 @@
 		}
 		return failed.WithRetryAfter(keepRetryAfter)
 	}
-	event.JobKept.Log(w.Logger).Str("job", string(entry.Job)).Int("items", len(entry.Items)).Int("turn", entry.Turn).Send()
+	event.JobKept.Log(w.Logger).Str("job", string(entry.Job)).Int("items", len(entry.Items)).Int("turn", entry.Turn).
+		Int("tokens", entry.Tokens()).Int("waiting", waiting).Send()
 	return nil
 }
 
-// refuseToKeep returns why this node does not take a job, or nil.
-func (w *Worker) refuseToKeep(entry *handoff.Entry, bound, copies int) error {
+// refuseToKeep returns the tokens that wait beside a job, as far as this node knows, and why it does not take the job, or nil.
+func (w *Worker) refuseToKeep(entry *handoff.Entry, bound, copies int) (int, error) {
 	if w.Handoff == nil {
-		return failure.New(failure.CodeShardUnavailable, "this worker has no disk")
+		return 0, failure.New(failure.CodeShardUnavailable, "this worker has no disk")
 	}
 	kept := w.Handoff.Tokens(entry.Queue())
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.draining {
-		return failure.New(failure.CodeShardUnavailable, "this worker is about to stop").WithRetryAfter(keepRetryAfter)
+		return 0, failure.New(failure.CodeShardUnavailable, "this worker is about to stop").WithRetryAfter(keepRetryAfter)
 	}
 	waiting := w.waitingTokens(entry.Queue()) + keptByAll(kept, len(w.workers), copies)
 	if bound > 0 && float64(waiting+entry.Tokens()) > keptShare*float64(bound) {
-		return failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, entry.Tokens(), bound).
+		return waiting, failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, entry.Tokens(), bound).
 			WithRetryAfter(keepRetryAfter)
 	}
-	return nil
+	return waiting, nil
 }
 
 // keptByAll estimates the tokens of the jobs that all workers keep from those kept here: each job is kept by some of
