--- /dev/null
+++ b/internal/jobpeer/intake_test.go
@@ -0,0 +1,444 @@
+package jobpeer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/handoff"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobentry"
+	"mallowlatch.example/mallowlatch/internal/jobpeer"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/kv"
+	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// The site that takes jobs: fronts and workers of four zones, as many as a small customer has, before one store.
+const (
+	intakeZones, intakeFronts, intakeWorkers = 4, 9, 4
+	// intakeBound is the route's bound, intakeSlack the part beyond it that may wait, as the users' contract has both.
+	intakeBound, intakeSlack = 1_600_000, 0.1
+	// linkDelay is the way between two nodes, both directions together.
+	linkDelay = 2 * time.Millisecond
+)
+
+// intake is a site in simulated time without a network that takes jobs. Desks, the calls between nodes, workers, their disks and the
+// handing over are the real ones. No job runs, so that all that was taken waits.
+type intake struct {
+	t          *testing.T
+	data       *kvtest.Data
+	routes     *routetable.Table
+	random     *rand.Rand
+	fronts     []*intakeFront
+	workers    []*intakeWorker
+	supervisor *tomb.Tomb
+
+	mutex sync.Mutex
+	// taken are the tokens of the jobs whose callers were told that they are taken, most the highest sum so far.
+	taken   map[ident.Job]int
+	waiting int
+	most    int
+	// refused counts the answers that promise that a job was not taken.
+	refused int
+}
+
+// intakeFront is a node that callers reach.
+type intakeFront struct {
+	desk  *jobentry.Desk
+	store *intakeStore
+}
+
+// intakeWorker is a worker; while it is silent, or its process is gone, nothing reaches it and it reaches nothing.
+type intakeWorker struct {
+	site   *intake
+	node   ident.Node
+	zone   ident.Zone
+	folder string
+	store  *intakeStore
+	tomb   *tomb.Tomb
+	server *jobpeer.WorkerServer
+
+	mutex  sync.Mutex
+	silent bool
+}
+
+func (w *intakeWorker) setSilent(silent bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.silent = silent
+	w.store.setSilent(silent)
+}
+
+func (w *intakeWorker) isSilent() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.silent
+}
+
+// intakeStore is a node's way to the store: its calls take time, or get no answer.
+type intakeStore struct {
+	*kvtest.Paged
+
+	mutex  sync.Mutex
+	silent bool
+	takes  time.Duration
+}
+
+func (s *intakeStore) setSilent(silent bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = silent
+}
+
+// setTakes sets how long each call takes.
+func (s *intakeStore) setTakes(takes time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.takes = takes
+}
+
+// pass waits for what a call takes, and fails where it gets no answer.
+func (s *intakeStore) pass(ctx context.Context) error {
+	s.mutex.Lock()
+	silent, takes := s.silent, s.takes
+	s.mutex.Unlock()
+	if !silent && sleepFor(ctx, takes) {
+		return nil
+	}
+	<-ctx.Done()
+	return kv.ErrOutcomeUnknown
+}
+
+// sleepFor waits, or returns false when ctx ends first.
+func sleepFor(ctx context.Context, lasting time.Duration) bool {
+	select {
+	case <-time.After(lasting):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *intakeStore) Get(ctx context.Context, key string) (kv.Pair, int64, error) {
+	if err := s.pass(ctx); err != nil {
+		return kv.Pair{}, 0, err
+	}
+	return s.Paged.Get(ctx, key)
+}
+
+func (s *intakeStore) ListPage(ctx context.Context, prefix string, options kv.PageOptions) (kv.Page, error) {
+	if err := s.pass(ctx); err != nil {
+		return kv.Page{}, err
+	}
+	page, err := s.Paged.ListPage(ctx, prefix, options)
+	for err == nil && page.More {
+		options.After = page.Pairs[len(page.Pairs)-1].Key
+		var next kv.Page
+		if next, err = s.Paged.ListPage(ctx, prefix, options); err == nil {
+			page.Pairs, page.More = append(page.Pairs, next.Pairs...), next.More
+		}
+	}
+	return page, err
+}
+
+func (s *intakeStore) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.WatchResponse, error) {
+	if err := s.pass(ctx); err != nil {
+		return kv.WatchResponse{}, err
+	}
+	return s.Paged.Changes(ctx, prefix, after, wait)
+}
+
+func (s *intakeStore) Commit(ctx context.Context, compares []kv.Compare, writes []kv.Write) (kv.TransactionResult, error) {
+	if err := s.pass(ctx); err != nil {
+		return kv.TransactionResult{}, err
+	}
+	return s.Paged.Commit(ctx, compares, writes)
+}
+
+func (s *intakeStore) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	return s.Paged.Grant(ctx, ttl)
+}
+
+func (s *intakeStore) KeepAlive(ctx context.Context, lease kv.LeaseID) (time.Duration, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	return s.Paged.KeepAlive(ctx, lease)
+}
+
+// intakeCall is a connection to a worker. What is said passes in its encoded form.
+type intakeCall struct {
+	drpc.Conn
+	to *intakeWorker
+	// from is the worker that calls; nil is a front.
+	from *intakeWorker
+}
+
+// errNoSuchCall is what a worker answers that has no such call.
+const errNoSuchCall = failure.Kind("test: unknown rpc")
+
+func (c *intakeCall) Invoke(ctx context.Context, method string, _ drpc.Encoding, in, out drpc.Message) error {
+	if !sleepFor(ctx, linkDelay) || c.to.isSilent() || (c.from != nil && c.from.isSilent()) {
+		<-ctx.Done()
+		return errSilent
+	}
+	c.to.mutex.Lock()
+	server := c.to.server
+	c.to.mutex.Unlock()
+	if server == nil {
+		return errSilent
+	}
+	for index := range (jobpeer.Description{}).NumMethods() {
+		name, _, receive, _, _ := jobpeer.Description{}.Method(index)
+		if name != method {
+			continue
+		}
+		reply, err := receive(server, ctx, in, nil)
+		if err != nil {
+			return err
+		}
+		encoded, err := json.Marshal(reply)
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(encoded, out)
+	}
+	return errNoSuchCall
+}
+
+// newIntake starts a site and waits until its workers are registered.
+func newIntake(t *testing.T, seed uint64) *intake {
+	s := &intake{
+		t: t, data: kvtest.NewData(time.Now), random: rand.New(rand.NewPCG(seed, 0)), taken: map[ident.Job]int{},
+		routes: &routetable.Table{}, supervisor: new(tomb.Tomb),
+	}
+	s.routes.Adopt(&work.Catalog{Version: 1, Routes: []work.Route{*intakeRoute()}})
+	s.supervisor.Go(func() error { <-s.supervisor.Dying(); return nil })
+	for index := range intakeWorkers {
+		zone := ident.Zone(fmt.Sprint("z", index%intakeZones))
+		w := &intakeWorker{site: s, node: ident.Node(fmt.Sprint("w", index)), zone: zone, folder: filepath.Join(t.TempDir(), "handoff"), store: s.newStore()}
+		s.workers = append(s.workers, w)
+	}
+	for _, w := range s.workers {
+		w.start(false)
+	}
+	for index := range intakeFronts {
+		s.fronts = append(s.fronts, s.newFront(ident.Zone(fmt.Sprint("z", index%intakeZones))))
+	}
+	t.Cleanup(func() {
+		for _, w := range s.workers {
+			w.stop()
+		}
+		s.supervisor.Kill(nil)
+		_ = s.supervisor.Wait()
+	})
+	time.Sleep(intakeStarts)
+	return s
+}
+
+// intakeStarts is how long a site is left to itself before callers come: workers are registered and known then.
+const intakeStarts = 6 * time.Second
+
+func intakeRoute() *work.Route {
+	return &work.Route{
+		Name: "r", Host: "h", PathPrefix: "/p/", Kind: work.Batch, Split: []work.WeightedService{{Service: "s", Weight: 1}},
+		CompletionObjective: 20 * time.Second, Retention: time.Minute, MaximumAttempts: 3, MaximumQueuedTokens: intakeBound,
+	}
+}
+
+// storeCall is what a call of the store usually takes.
+const storeCall = 5 * time.Millisecond
+
+func (s *intake) newStore() *intakeStore {
+	return &intakeStore{Paged: kvtest.NewPaged(s.data), takes: storeCall}
+}
+
+// stores are the ways to the store of all nodes.
+func (s *intake) stores() []*intakeStore {
+	var all []*intakeStore
+	for _, front := range s.fronts {
+		all = append(all, front.store)
+	}
+	for _, w := range s.workers {
+		all = append(all, w.store)
+	}
+	return all
+}
+
+func (s *intake) newRecords(store kv.Paged) *jobrecord.Records {
+	return &jobrecord.Records{Store: store, ValueBytes: 1 << 20, Retention: time.Minute, Now: time.Now}
+}
+
+func (s *intake) newFront(zone ident.Zone) *intakeFront {
+	store := s.newStore()
+	records := s.newRecords(store)
+	holders := &jobpeer.Holders{Records: records, Zone: zone, Connect: s.connect(nil), Copies: 2, Now: time.Now}
+	return &intakeFront{store: store, desk: &jobentry.Desk{Records: records, Holders: holders, Logger: zerolog.Nop(), Now: time.Now}}
+}
+
+// connect returns connections to workers as a node has them.
+func (s *intake) connect(from *intakeWorker) func(string) (drpc.Conn, error) {
+	return func(address string) (drpc.Conn, error) {
+		for _, w := range s.workers {
+			if string(w.node) == address {
+				return &intakeCall{to: w, from: from}, nil
+			}
+		}
+		return nil, errSilent
+	}
+}
+
+// start begins the worker's process with the disk that it has.
+func (w *intakeWorker) start(again bool) {
+	kept, err := handoff.Open(w.folder, 64<<20)
+	assert.NilError(w.site.t, err)
+	peers := &jobpeer.Peers{Connect: w.site.connect(w), Now: time.Now}
+	worker := &jobworker.Worker{
+		Node: w.node, Zone: w.zone, Address: string(w.node), Store: w.store, Records: w.site.newRecords(w.store), Runners: runnertable.New(w.zone),
+		Routes: w.site.routes, Options: jobworker.DefaultOptions, Handoff: kept, Readers: peers, StartsAgain: again, Logger: zerolog.Nop(), Now: time.Now,
+	}
+	process := new(tomb.Tomb)
+	worker.Start(process)
+	deliverer := &handoff.Deliverer{
+		Log: kept, Store: worker.Records, Lifetime: 2 * time.Minute, Taken: worker.Accepted, Logger: zerolog.Nop(), Now: time.Now,
+	}
+	deliverer.Start(process)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.tomb, w.server = process, &jobpeer.WorkerServer{Worker: worker}
+}
+
+// stop ends the worker's process as a kill does: nothing is given up.
+func (w *intakeWorker) stop() {
+	w.mutex.Lock()
+	process := w.tomb
+	w.tomb, w.server = nil, nil
+	w.mutex.Unlock()
+	if process != nil {
+		process.Kill(nil)
+		_ = process.Wait()
+	}
+}
+
+// intakeJob is a job that a caller hands in.
+type intakeJob struct {
+	id     ident.Job
+	tokens int
+}
+
+// call hands a job in as the users' clients do: at another front after each refusal or failure, until the time is over.
+func (s *intake) call(job intakeJob, patience time.Duration) {
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		s.mutex.Lock()
+		front := s.fronts[s.random.IntN(len(s.fronts))]
+		s.mutex.Unlock()
+		err := s.hand(front, job)
+		if err == nil {
+			return
+		}
+		pause := 100 * time.Millisecond
+		var refused *failure.Error
+		if errors.As(err, &refused) && refused.RetryAfter > 0 {
+			pause = refused.RetryAfter
+		}
+		time.Sleep(pause)
+	}
+}
+
+// hand hands a job in at a front and checks the bound where it is taken.
+func (s *intake) hand(front *intakeFront, job intakeJob) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	submission := &jobrecord.Submission{ID: job.id, Route: "r", Host: "h", Zone: "z0"}
+	const items = 16
+	for index := range items {
+		submission.Items = append(submission.Items, work.Item{ID: ident.Request(fmt.Sprint(job.id, "-", index)), Path: "/p/x", Tokens: job.tokens / items, Body: []byte("body")})
+	}
+	err := front.desk.Accept(ctx, intakeRoute(), submission)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err != nil {
+		if failure.As(err).Outcome == outcome.NotRun {
+			s.refused++
+		}
+		return err
+	}
+	if _, known := s.taken[job.id]; !known {
+		s.taken[job.id] = submission.Tokens()
+		s.waiting += submission.Tokens()
+		s.most = max(s.most, s.waiting)
+	}
+	return nil
+}
+
+// burst hands jobs in over a time, and waits until each is taken or given up.
+func (s *intake) burst(jobs, tokens int, over, patience time.Duration) {
+	var callers sync.WaitGroup
+	for index := range jobs {
+		job := intakeJob{id: ident.Job(fmt.Sprintf("j-%d-%03d", time.Now().UnixMilli(), index)), tokens: tokens}
+		after := time.Duration(s.random.Int64N(int64(over)))
+		callers.Go(func() {
+			time.Sleep(after)
+			s.call(job, patience)
+		})
+	}
+	callers.Wait()
+}
+
+// checkBound fails where more waited at an acceptance than the contract allows.
+func (s *intake) checkBound(t *testing.T) {
+	t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t.Logf("%d jobs taken, at most %d tokens waited of %d; %d refusals", len(s.taken), s.most, intakeBound, s.refused)
+	assert.Assert(t, float64(s.most) <= intakeBound*(1+intakeSlack), "%d tokens were taken and %d may wait", s.most, intakeBound)
+}
+
+// TestJobsTakenOnDisksAndByTheStoreKeepOneBound guards against more tokens waiting than a route allows because the store and the workers'
+// disks take jobs beside each other without a common count. A burst of twice what fits comes within a second while each call of the store
+// takes seven times as long as usual: whichever way is first takes a job.
+func TestJobsTakenOnDisksAndByTheStoreKeepOneBound(t *testing.T) {
+	troubles := map[string]func(*intake){
+		"none":                            func(*intake) {},
+		"a worker has no power":           func(s *intake) { s.workers[3].setSilent(true) },
+		"the reader of jobs has no power": func(s *intake) { s.workers[0].setSilent(true) },
+	}
+	for name, begin := range troubles {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				simulated.Test(t, func(t *testing.T) {
+					s := newIntake(t, seed)
+					for _, store := range s.stores() {
+						store.setTakes(7 * storeCall)
+					}
+					begin(s)
+					s.burst(46, 70_000, 1200*time.Millisecond, 3*time.Second)
+					s.checkBound(t)
+				})
+			})
+		}
+	}
+}
