Reserve a job's room before it is taken, whichever way

Cause: two ways make a job durable, the store and the workers' disks, and each counted by itself. The store counts what it holds; a worker counted the open jobs as it last heard of them, and guessed at other disks. Jobs on their way by the other way were in neither. A burst made it so without any outage: with 23 writes racing for the admission record a submission passes the 120 ms after which workers are asked too. The worker that reads the open jobs for the others had no power, so that their view was 1.85 s old; and jobs on too few disks were handed over to the store without a count, and found there by the next submission.

Change: a few workers keep the account of a route. A node reserves a job's tokens at all of them and waits for a majority before anything is written; any two majorities have a keeper in common. Jobs stay in the account until the store is followed to list them.

Refusals cost one call of the store in place of three, acceptances one in place of two to five.

--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -46,7 +46,8 @@
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
 	peers := &jobpeer.Peers{Connect: pool.ConnAddress, Now: clock.Now}
-	worker.Mirrors, worker.Lenders, worker.Readers = peers, peers, peers
+	worker.Mirrors, worker.Lenders, worker.Readers, worker.Accounts = peers, peers, peers, peers
+	worker.Tolerance = settings.Bounds.LostDisks
 	worker.Seeds, worker.SeedsFor = settings.Seeds, process.startGrace()
 	source := &jobpeer.LeaderFeed{Reader: worker.Reader, InLine: worker.ReadsForAll, Connect: pool.ConnAddress, Now: clock.Now}
 	worker.Followed = source.Changed
--- a/internal/handoff/log.go
+++ b/internal/handoff/log.go
@@ -34,6 +34,9 @@
 	bytes  int64
 }
 
+// Queue is where the job waits.
+func (s Summary) Queue() jobrecord.Queue { return jobrecord.Queue{Route: s.Route, Tenant: s.Tenant} }
+
 // Log is a folder with one file for each entry. It is safe for concurrent use.
 type Log struct {
 	folder string
--- a/internal/jobentry/acceptance.go
+++ b/internal/jobentry/acceptance.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"gopkg.in/tomb.v2"
 
+	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/handoff"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/queueroom"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -20,10 +23,13 @@
 	desk       *Desk
 	route      *work.Route
 	submission *jobrecord.Submission
-	tries      int
+	// name tells this acceptance from others of the job; room is what is reserved for it, or nil where there is no bound.
+	name  string
+	room  *queueroom.Reservation
+	tries int
 	// handedOff says that workers keep the job until the store takes it.
 	handedOff bool
-	// waiting are the tokens that were counted in the store beside the job, zero where it was taken without a count there.
+	// waiting are the tokens that were counted beside the job.
 	waiting int
 	// told is Unknown once a try may have made the job durable without having said so.
 	told outcome.Outcome
@@ -39,7 +45,18 @@
 		a.note(tooLarge(err))
 		return false
 	}
+	taken := a.tryAll(ctx)
+	if !taken && a.room != nil && a.told == outcome.NotRun {
+		a.room.Release()
+	}
+	return taken
+}
+
+func (a *acceptance) tryAll(ctx context.Context) bool {
 	for a.tries = 1; a.tries <= submitTries; a.tries++ {
+		if !a.reserve(ctx) {
+			return false
+		}
 		if a.try(ctx) {
 			return true
 		}
@@ -51,6 +68,84 @@
 	return false
 }
 
+// reserve asks for room for the job, until it is known whether there is. It returns false where there is none.
+func (a *acceptance) reserve(ctx context.Context) bool {
+	if a.counted() || a.desk.Holders == nil {
+		return true
+	}
+	a.room = a.desk.Holders.Reserve(ctx, a.route, a.submission, a.name)
+	count := a.room.Count
+	switch a.room.Verdict {
+	case queueroom.Unheard:
+		a.note(failure.New(failure.CodeShardUnavailable, "no worker tells what waits on the route").WithRetryAfter(retryAfter))
+		return false
+	case queueroom.Unsure:
+		event.JobUnaccounted.Log(a.desk.Logger).Str("job", string(a.submission.ID)).Int("answers", count.Answers).Int("sure", count.Sure).Send()
+	case queueroom.Full:
+		return a.refuse(ctx)
+	}
+	return true
+}
+
+// refuse notes that there is no room for the job, and returns true where it was taken before.
+func (a *acceptance) refuse(ctx context.Context) bool {
+	if a.desk.exists(ctx, a.submission.ID) {
+		// The store has it: writing it again changes nothing.
+		a.room.Verdict = queueroom.Fits
+		return true
+	}
+	count, tokens, bound := a.room.Count, a.submission.Tokens(), a.route.MaximumQueuedTokens
+	if count.Asked {
+		a.note(failure.New(failure.CodeOutcomeUnknown, "an earlier submission of the job is on its way").WithOutcome(outcome.Unknown))
+		a.room.Release()
+		return false
+	}
+	a.note(failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", count.Waiting, tokens, bound).
+		WithRetryAfter(queueroom.ReturnAfter(count, tokens, bound, rand.Float64())))
+	return false
+}
+
+// counted says whether the job needs no further count: its room is reserved, or there is no bound.
+func (a *acceptance) counted() bool {
+	return a.route.MaximumQueuedTokens <= 0 || (a.room != nil && a.room.Verdict == queueroom.Fits)
+}
+
+const (
+	// guardedShare of a route's bound may wait before jobs that workers keep no account of are taken one after the other: below it, jobs
+	// that several nodes take at the same moment do not fill the queue.
+	guardedShare = 0.5
+	// unsureShare of a route's bound may wait by the store's count where too few keepers of its account are sure: what is on its
+	// way is known in part.
+	unsureShare = 0.85
+)
+
+// unaccounted says that the route has an account that too few keepers are sure of.
+func (a *acceptance) unaccounted() bool { return a.room != nil && a.room.Verdict == queueroom.Unsure }
+
+// storeBound is what may wait by the store's count.
+func (a *acceptance) storeBound() int {
+	if a.unaccounted() {
+		return int(unsureShare*float64(a.route.MaximumQueuedTokens)) - a.room.Count.Unlisted
+	}
+	return a.route.MaximumQueuedTokens
+}
+
+// unguarded is the part of that bound up to which several jobs may be written at once.
+func (a *acceptance) unguarded() float64 {
+	if a.unaccounted() {
+		return 0
+	}
+	return guardedShare
+}
+
+// keptBound is what may wait by the count of workers that keep the job on their disks; zero asks for none.
+func (a *acceptance) keptBound() int {
+	if a.counted() {
+		return 0
+	}
+	return a.route.MaximumQueuedTokens
+}
+
 // attempt is how one of the two ways to make a job durable ended.
 type attempt struct {
 	handedOff bool
@@ -65,13 +160,13 @@
 	a.submission.Hold()
 	new(tomb.Tomb).Go(func() error {
 		defer a.submission.LetGo()
-		waiting, err := a.desk.accept(ctx, a.route, a.submission)
+		waiting, err := a.desk.accept(ctx, a)
 		ended <- attempt{waiting: waiting, err: err}
 		return nil
 	})
 	hedge := time.NewTimer(a.desk.hedgeDelay(a.submission))
 	defer hedge.Stop()
-	for open, asked := 1, a.desk.Holders == nil; open > 0; {
+	for open, asked := 1, a.desk.Holders == nil || a.unaccounted(); open > 0; {
 		select {
 		case <-hedge.C:
 		case one := <-ended:
@@ -97,7 +192,7 @@
 			a.submission.Hold()
 			new(tomb.Tomb).Go(func() error {
 				defer a.submission.LetGo()
-				ended <- attempt{handedOff: true, err: a.desk.Holders.Keep(ctx, a.route, a.submission)}
+				ended <- attempt{handedOff: true, err: a.desk.Holders.Keep(ctx, a.keptBound(), a.submission)}
 				return nil
 			})
 		}
--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -18,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/queueroom"
 	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -38,6 +39,12 @@
 	refusesJobs bool
 	// held is what a worker has of each job; without items none has.
 	held work.Held
+	// room is what the keepers of the route's account say; nil has them keep none. attempts are the tries that asked, released how many
+	// gave their room back, keepBound the bound that workers were told last.
+	room      *queueroom.Reservation
+	attempts  []string
+	released  int
+	keepBound int
 }
 
 func (h *fakeHolders) Results(context.Context, ident.Job, int, time.Duration) (work.Held, bool) {
@@ -48,10 +55,28 @@
 	return []byte("body"), h.held.Tenant, h.held.Total > 0
 }
 
-func (h *fakeHolders) Keep(context.Context, *work.Route, *jobrecord.Submission) error {
+// Reserve answers as workers do of which no account is known, unless the test says otherwise.
+func (h *fakeHolders) Reserve(_ context.Context, _ *work.Route, _ *jobrecord.Submission, attempt string) *queueroom.Reservation {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.attempts = append(h.attempts, attempt)
+	room := queueroom.Reservation{Verdict: queueroom.Unkept}
+	if h.room != nil {
+		room = *h.room
+	}
+	room.Release = func() {
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		h.released++
+	}
+	return &room
+}
+
+func (h *fakeHolders) Keep(_ context.Context, bound int, _ *jobrecord.Submission) error {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.asked++
+	h.keepBound = bound
 	return h.keepErr
 }
 
@@ -341,7 +366,7 @@
 	letGo chan struct{}
 }
 
-func (h *lastingHolders) Keep(context.Context, *work.Route, *jobrecord.Submission) error {
+func (h *lastingHolders) Keep(context.Context, int, *jobrecord.Submission) error {
 	<-h.letGo
 	return handoff.ErrNobodyAnswers
 }
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,6 +18,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/queueroom"
 	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -37,8 +40,10 @@
 	doubtFor = 2 * time.Second
 	// deafRetryAfter is when a caller may come back to a node that hears nobody: it goes to another one, which can take the job now.
 	deafRetryAfter = 100 * time.Millisecond
-	// quotaRetryAfter is when a caller may come back to a full queue.
+	// quotaRetryAfter is when a caller may come back to a queue that is full by the store's count.
 	quotaRetryAfter = time.Second
+	// existsTimeout bounds the question whether a job that does not fit was taken before.
+	existsTimeout = 300 * time.Millisecond
 	// cachedHeaders bounds the headers kept in memory. A header never changes, so that any copy is good.
 	cachedHeaders = 256
 	// answerBytes bounds the results of one answer.
@@ -51,8 +56,11 @@
 type Holders interface {
 	// Results returns results from a position on. sure is false where no worker answered for certain.
 	Results(ctx context.Context, job ident.Job, from int, wait time.Duration) (held work.Held, sure bool)
-	// Keep has workers keep a job on disk until the store takes it. Its error is a *failure.Error.
-	Keep(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error
+	// Reserve asks for room for a job beside all that waits on the route. attempt names the try to take the job; it may ask again.
+	Reserve(ctx context.Context, route *work.Route, submission *jobrecord.Submission, attempt string) *queueroom.Reservation
+	// Keep has workers keep a job on disk until the store takes it. bound is what may wait by their own count; zero asks for none. Its
+	// error is a *failure.Error.
+	Keep(ctx context.Context, bound int, submission *jobrecord.Submission) error
 	// Pending says whether a worker keeps a job that the store may not have yet; sure is false where one may and did not
 	// answer.
 	Pending(ctx context.Context, job ident.Job) (pending, sure bool)
@@ -88,7 +96,9 @@
 // Accept makes a job durable. A nil error means that it is, now or since an earlier submission. The error is a
 // *failure.Error; its outcome is NotRun only where the job was not written and never will be.
 func (d *Desk) Accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
-	attempt := &acceptance{desk: d, route: route, submission: submission, told: outcome.NotRun}
+	attempt := &acceptance{
+		desk: d, route: route, submission: submission, name: strconv.FormatUint(rand.Uint64(), 36), told: outcome.NotRun,
+	}
 	submission.Hold()
 	defer submission.LetGo()
 	if d.deaf() {
@@ -155,13 +165,13 @@
 	return failure.New(failure.CodeShardUnavailable, "the job could not be written").WithRetryAfter(retryAfter).WithCause(last)
 }
 
-// accept makes one try. It returns the tokens that were counted beside the job.
-func (d *Desk) accept(ctx context.Context, route *work.Route, submission *jobrecord.Submission) (int, error) {
+// accept makes one try of an acceptance. It returns the tokens that were counted beside the job.
+func (d *Desk) accept(ctx context.Context, attempt *acceptance) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	waiting, err := d.write(ctx, route, submission)
+	waiting, err := d.write(ctx, attempt)
 	for race := 1; race < racesEach && errors.Is(err, jobrecord.ErrRaced); race++ {
-		waiting, err = d.write(ctx, route, submission)
+		waiting, err = d.write(ctx, attempt)
 	}
 	if errors.Is(err, jobrecord.ErrTooLarge) {
 		return waiting, tooLarge(err)
@@ -172,41 +182,52 @@
 // racesEach bounds the writes of one try that another job may forestall.
 const racesEach = 4
 
-// guardedShare of a route's bound may wait before jobs are taken one after the other: below it, jobs that several nodes
-// take at the same moment do not fill the queue.
-const guardedShare = 0.5
-
-// write counts the waiting tokens and writes the job. Where the queue may become full, nothing else is taken between the
-// two.
-func (d *Desk) write(ctx context.Context, route *work.Route, submission *jobrecord.Submission) (int, error) {
-	waiting, err := d.checkQuota(ctx, route, submission)
+// write writes a job whose room is reserved. Of any other one the waiting tokens are counted in the store, and where the queue may become
+// full, nothing else is taken between the two.
+func (d *Desk) write(ctx context.Context, attempt *acceptance) (int, error) {
+	submission := attempt.submission
+	if attempt.counted() {
+		return attempt.room.Count.Waiting, d.put(ctx, submission, nil)
+	}
+	bound := attempt.storeBound()
+	waiting, err := d.checkQuota(ctx, bound, submission)
 	if err != nil {
 		return waiting, err
 	}
-	if float64(waiting+submission.Tokens()) <= guardedShare*float64(route.MaximumQueuedTokens) || route.MaximumQueuedTokens <= 0 {
+	if float64(waiting+submission.Tokens()) <= attempt.unguarded()*float64(bound) {
 		return waiting, d.put(ctx, submission, nil)
 	}
-	admission, err := d.Records.Admission(ctx, route.Name)
+	admission, err := d.Records.Admission(ctx, attempt.route.Name)
 	if err != nil {
 		return waiting, errNotWritten(err)
 	}
-	if waiting, err = d.checkQuota(ctx, route, submission); err != nil {
+	if waiting, err = d.checkQuota(ctx, bound, submission); err != nil {
 		return waiting, err
 	}
 	return waiting, d.put(ctx, submission, &admission)
 }
 
+// exists says whether the store is known to have a job.
+func (d *Desk) exists(ctx context.Context, job ident.Job) bool {
+	if d.doubtsStore() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, existsTimeout)
+	defer cancel()
+	exists, err := d.Records.Exists(ctx, job)
+	if err != nil {
+		event.JobStoreFailed.Log(d.Logger).Str("doing", "asking for job "+string(job)).Err(err).Send()
+	}
+	return exists
+}
+
 func tooLarge(err error) *failure.Error {
 	return failure.New(failure.CodeBodyTooLarge, "the job is too large to be kept").WithCause(err)
 }
 
-// checkQuota counts the tokens that wait on the route, over all nodes, and refuses a job that does not fit beside them. A
+// checkQuota counts the tokens that wait on the route in the store, and refuses a job that does not fit beside them. A
 // job that was accepted before is not refused.
-func (d *Desk) checkQuota(ctx context.Context, route *work.Route, submission *jobrecord.Submission) (int, error) {
-	bound := route.MaximumQueuedTokens
-	if bound <= 0 {
-		return 0, nil
-	}
+func (d *Desk) checkQuota(ctx context.Context, bound int, submission *jobrecord.Submission) (int, error) {
 	tokens := submission.Tokens()
 	waiting, err := d.Records.WaitingTokens(ctx, submission.Queue(), bound-tokens)
 	if err != nil {
--- a/internal/jobpeer/forms_test.go
+++ b/internal/jobpeer/forms_test.go
@@ -53,6 +53,8 @@
 		"ends-reply":       &jobpeer.EndsReply{},
 		"quota":            &quota.Spending{},
 		"quota-reply":      &quota.Answer{},
+		"room":             &jobpeer.RoomRequest{},
+		"room-reply":       &jobpeer.RoomReply{},
 		"feed":             &fleetfeed.Known{},
 		"feed-reply":       &fleetfeed.Snapshot{},
 		"newest-reply":     &fleetfeed.Newest{},
--- a/internal/jobpeer/holders.go
+++ b/internal/jobpeer/holders.go
@@ -15,6 +15,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jsoncall"
+	"mallowlatch.example/mallowlatch/internal/queueroom"
 	"mallowlatch.example/mallowlatch/internal/reach"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -66,6 +67,8 @@
 	unlimited map[string]time.Time
 	// batches is what workers told of their batch work, by address.
 	batches map[string]asof.Fact[demand.Batch]
+	// roster are the workers that may keep accounts.
+	roster queueroom.Roster
 	// keepersSeen is when each worker was last known, by address.
 	keepersSeen map[string]time.Time
 }
@@ -233,6 +236,11 @@
 	}
 	h.read = h.Now()
 	h.rememberKeepers(workers)
+	registered := make([]queueroom.Worker, 0, len(workers))
+	for _, worker := range workers {
+		registered = append(registered, queueroom.Worker{Node: worker.Node, Zone: worker.Zone, Address: worker.Address})
+	}
+	h.roster.Note(registered, h.Now())
 }
 
 func (h *Holders) nearFirst(first, second jobrecord.Worker) int {
--- a/internal/jobpeer/intake_test.go
+++ b/internal/jobpeer/intake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -57,8 +58,11 @@
 	taken   map[ident.Job]int
 	waiting int
 	most    int
-	// refused counts the answers that promise that a job was not taken.
+	// refused counts the answers that promise that a job was not taken; unsure are the jobs of which some answer promised nothing.
 	refused int
+	unsure  map[ident.Job]bool
+	// handed are all jobs that were handed in.
+	handed map[ident.Job]bool
 }
 
 // intakeFront is a node that callers reach.
@@ -232,7 +236,7 @@
 func newIntake(t *testing.T, seed uint64) *intake {
 	s := &intake{
 		t: t, data: kvtest.NewData(time.Now), random: rand.New(rand.NewPCG(seed, 0)), taken: map[ident.Job]int{},
-		routes: &routetable.Table{}, supervisor: new(tomb.Tomb),
+		unsure: map[ident.Job]bool{}, handed: map[ident.Job]bool{}, routes: &routetable.Table{}, supervisor: new(tomb.Tomb),
 	}
 	s.routes.Adopt(&work.Catalog{Version: 1, Routes: []work.Route{*intakeRoute()}})
 	s.supervisor.Go(func() error { <-s.supervisor.Dying(); return nil })
@@ -317,7 +321,7 @@
 	peers := &jobpeer.Peers{Connect: w.site.connect(w), Now: time.Now}
 	worker := &jobworker.Worker{
 		Node: w.node, Zone: w.zone, Address: string(w.node), Store: w.store, Records: w.site.newRecords(w.store), Runners: runnertable.New(w.zone),
-		Routes: w.site.routes, Options: jobworker.DefaultOptions, Handoff: kept, Readers: peers, StartsAgain: again, Logger: zerolog.Nop(), Now: time.Now,
+		Routes: w.site.routes, Options: jobworker.DefaultOptions, Handoff: kept, Readers: peers, Accounts: peers, Tolerance: 1, StartsAgain: again, Logger: zerolog.Nop(), Now: time.Now,
 	}
 	process := new(tomb.Tomb)
 	worker.Start(process)
@@ -380,10 +384,13 @@
 	err := front.desk.Accept(ctx, intakeRoute(), submission)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.handed[job.id] = true
+	if err != nil && failure.As(err).Outcome == outcome.NotRun {
+		s.refused++
+		return err
+	}
 	if err != nil {
-		if failure.As(err).Outcome == outcome.NotRun {
-			s.refused++
-		}
+		s.unsure[job.id] = true
 		return err
 	}
 	if _, known := s.taken[job.id]; !known {
@@ -399,7 +406,7 @@
 	var callers sync.WaitGroup
 	for index := range jobs {
 		job := intakeJob{id: ident.Job(fmt.Sprintf("j-%d-%03d", time.Now().UnixMilli(), index)), tokens: tokens}
-		after := time.Duration(s.random.Int64N(int64(over)))
+		after := time.Duration(s.draw() * float64(over))
 		callers.Go(func() {
 			time.Sleep(after)
 			s.call(job, patience)
@@ -417,6 +424,116 @@
 	assert.Assert(t, float64(s.most) <= intakeBound*(1+intakeSlack), "%d tokens were taken and %d may wait", s.most, intakeBound)
 }
 
+// restart ends the worker's process and starts it again after a while, with its disk or an empty one.
+func (w *intakeWorker) restart(after time.Duration, keepsDisk bool) {
+	w.stop()
+	time.Sleep(after)
+	if !keepsDisk {
+		w.folder = filepath.Join(w.site.t.TempDir(), "handoff")
+	}
+	w.start(true)
+}
+
+// trouble is something that happens to a site for a while.
+type trouble func(s *intake, lasting time.Duration)
+
+type namedTrouble struct {
+	name   string
+	happen trouble
+}
+
+// away has the store give some nodes no answer, or refuse each call.
+func away(silent bool, part float64) trouble {
+	return func(s *intake, lasting time.Duration) {
+		var struck []*intakeStore
+		for _, store := range s.stores() {
+			if s.draw() < part {
+				struck = append(struck, store)
+			}
+		}
+		set := func(begin bool) {
+			for _, store := range struck {
+				if silent {
+					store.setSilent(begin)
+				} else {
+					store.SetFaults(kvtest.PagedFaults{Down: begin})
+				}
+			}
+		}
+		set(true)
+		time.Sleep(lasting)
+		set(false)
+	}
+}
+
+// unanswered has the store do some writes without an answer, at once or seconds later.
+func unanswered(late bool) trouble {
+	return func(s *intake, lasting time.Duration) {
+		for _, store := range s.stores() {
+			if late {
+				store.SetFaults(kvtest.PagedFaults{DelayNext: 2})
+			} else {
+				store.SetFaults(kvtest.PagedFaults{LoseNext: 2})
+			}
+		}
+		time.Sleep(lasting)
+		for _, store := range s.stores() {
+			store.SetFaults(kvtest.PagedFaults{})
+			store.ApplyDelayed()
+		}
+	}
+}
+
+func slowStore(s *intake, lasting time.Duration) {
+	for _, store := range s.stores() {
+		store.setTakes(40 * storeCall)
+	}
+	time.Sleep(lasting)
+	for _, store := range s.stores() {
+		store.setTakes(storeCall)
+	}
+}
+
+func silentWorker(s *intake, lasting time.Duration) {
+	struck := s.drawWorker()
+	struck.setSilent(true)
+	time.Sleep(lasting)
+	struck.setSilent(false)
+}
+
+func killedWorker(s *intake, lasting time.Duration) { s.drawWorker().restart(lasting/4, true) }
+
+func allKilled(s *intake, lasting time.Duration) {
+	var restarts sync.WaitGroup
+	for _, w := range s.workers {
+		restarts.Go(func() { w.restart(lasting/4, true) })
+	}
+	restarts.Wait()
+}
+
+func lostDisk(s *intake, lasting time.Duration) { s.drawWorker().restart(lasting/4, false) }
+
+func (s *intake) draw() float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.Float64()
+}
+
+func (s *intake) drawWorker() *intakeWorker { return s.workers[int(s.draw()*float64(len(s.workers)))] }
+
+// checkPromises fails where a job that was taken is gone, or one exists of which every answer promised that it was not taken.
+func (s *intake) checkPromises(t *testing.T) {
+	t.Helper()
+	records := s.newRecords(s.newStore())
+	for job := range s.handed {
+		exists, err := records.Exists(context.Background(), job)
+		assert.NilError(t, err)
+		_, taken := s.taken[job]
+		assert.Assert(t, exists || !taken, "job %s was taken and is gone", job)
+		assert.Assert(t, !exists || taken || s.unsure[job], "job %s was refused each time and exists", job)
+	}
+}
+
 // TestJobsTakenOnDisksAndByTheStoreKeepOneBound guards against more tokens waiting than a route allows because the store and the workers'
 // disks take jobs beside each other without a common count. A burst of twice what fits comes within a second while each call of the store
 // takes seven times as long as usual: whichever way is first takes a job.
@@ -442,3 +559,79 @@
 		}
 	}
 }
+
+// troublesOfIntake are drawn one or two beside each other. Of the workers one is struck at a time: the deployment bears the loss of one.
+var (
+	troublesOfStores = []namedTrouble{
+		{"silent store", away(true, 1)}, {"store refuses", away(false, 1)}, {"silent store for some", away(true, 0.4)},
+		{"store refuses some", away(false, 0.4)}, {"lost answers", unanswered(false)}, {"late writes", unanswered(true)}, {"slow store", slowStore},
+	}
+	troublesOfWorkers = []namedTrouble{
+		{"silent worker", silentWorker}, {"killed worker", killedWorker}, {"lost disk", lostDisk}, {"all workers killed", allKilled},
+	}
+)
+
+// TestJobsAreTakenWithinTheBoundInDrawnTroubles draws what happens to the store and to workers beside a burst of jobs of different sizes, some
+// of which are handed in at two fronts at once. At each acceptance the bound holds, each promise is true, and once all is well again what fits
+// is taken at its first try.
+func TestJobsAreTakenWithinTheBoundInDrawnTroubles(t *testing.T) {
+	for seed := range *intakeSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			simulated.Test(t, func(t *testing.T) { playIntake(t, *intakeFrom+seed) })
+		})
+	}
+}
+
+var (
+	intakeSeeds = flag.Uint64("intake-seeds", 24, "how many plays of jobs beside drawn troubles")
+	intakeFrom  = flag.Uint64("intake-from", 0, "the first seed of these plays")
+)
+
+func playIntake(t *testing.T, seed uint64) {
+	s := newIntake(t, seed)
+	var all sync.WaitGroup
+	strike := func(of []namedTrouble) {
+		happens := of[int(s.draw()*float64(len(of)))]
+		after, lasting := time.Duration(s.draw()*float64(time.Second)), time.Duration((0.5+4*s.draw())*float64(time.Second))
+		t.Logf("%s after %v for %v", happens.name, after, lasting)
+		all.Go(func() {
+			time.Sleep(after)
+			happens.happen(s, lasting)
+		})
+	}
+	if s.draw() < 0.8 {
+		strike(troublesOfStores)
+	}
+	if s.draw() < 0.7 {
+		strike(troublesOfWorkers)
+	}
+	for index := range 40 {
+		job := intakeJob{id: ident.Job(fmt.Sprintf("j-%03d", index)), tokens: 16 * int(1000+9000*s.draw()*s.draw())}
+		after, twice := time.Duration(s.draw()*float64(3*time.Second)), s.draw() < 0.2
+		for range 1 + map[bool]int{true: 1}[twice] {
+			all.Go(func() {
+				time.Sleep(after)
+				s.call(job, 4*time.Second)
+			})
+		}
+	}
+	all.Wait()
+	time.Sleep(intakeHeals)
+	s.checkBound(t)
+	s.checkPromises(t)
+	s.checkRoom(t)
+}
+
+// intakeHeals is how long a site is left to itself after a trouble: room of jobs that never came is free again.
+const intakeHeals = 15 * time.Second
+
+// checkRoom fails where a job that fits beside all that the store holds is not taken at once.
+func (s *intake) checkRoom(t *testing.T) {
+	t.Helper()
+	waiting, err := s.newRecords(s.newStore()).WaitingTokens(context.Background(), jobrecord.Queue{Route: "r"}, 0)
+	assert.NilError(t, err)
+	const items = 16
+	if free := (intakeBound - waiting) / items * items; free > 0 {
+		assert.NilError(t, s.hand(s.fronts[0], intakeJob{id: "last", tokens: free}), "%d wait", waiting)
+	}
+}
--- a/internal/jobpeer/keep.go
+++ b/internal/jobpeer/keep.go
@@ -15,19 +15,19 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
-	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // keepTimeout bounds the writing of a job to a worker's disk, beside callSlack.
 const keepTimeout = 600 * time.Millisecond
 
-// Keep has workers put a job on their disks until the store takes it. A nil error means that enough of them did for the
+// Keep has workers put a job on their disks until the store takes it. bound is what may wait on the route by the workers' own count; zero
+// asks for none, because the job's room is reserved. A nil error means that enough of them did for the
 // job to be durable. Any other is a *failure.Error: its outcome is NotRun only where no worker can have the job.
-func (h *Holders) Keep(ctx context.Context, route *work.Route, submission *jobrecord.Submission) error {
+func (h *Holders) Keep(ctx context.Context, bound int, submission *jobrecord.Submission) error {
 	h.readWorkers(ctx)
 	keeping := &keeping{
 		holders: h, candidates: h.keepers(), needed: h.Copies,
-		bound: route.MaximumQueuedTokens, submission: submission, accepted: h.Now(), date: clock.Date(),
+		bound: bound, submission: submission, accepted: h.Now(), date: clock.Date(),
 	}
 	return keeping.run(ctx)
 }
--- a/internal/jobpeer/keep_test.go
+++ b/internal/jobpeer/keep_test.go
@@ -90,7 +90,7 @@
 
 func keep(holders *jobpeer.Holders) error {
 	submission := &jobrecord.Submission{ID: "j", Route: "r", Items: []work.Item{{ID: "j-0", Path: "/p", Tokens: 1}}}
-	return holders.Keep(context.Background(), &work.Route{Name: "r"}, submission)
+	return holders.Keep(context.Background(), 0, submission)
 }
 
 var oneZone = []ident.Zone{"z", "z", "z", "z"}
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -36,6 +36,7 @@
 	methodLive     = "/mallowlatch.jobpeer.Jobs/Live"
 	methodEnds     = "/mallowlatch.jobpeer.Jobs/Ends"
 	methodQuota    = "/mallowlatch.jobpeer.Jobs/Quota"
+	methodRoom     = "/mallowlatch.jobpeer.Jobs/Room"
 )
 
 // Query asks for the results of a job from a position on.
@@ -73,7 +74,7 @@
 // KeepRequest asks a worker to put a job on its disk until the store takes it.
 type KeepRequest struct {
 	Entry *handoff.Entry `json:"entry"`
-	// MaximumQueuedTokens is the route's.
+	// MaximumQueuedTokens is the route's, or zero where the job's room is reserved.
 	MaximumQueuedTokens int `json:"maximum_queued_tokens"`
 	// Copies is the number of workers asked to keep the job.
 	Copies int `json:"copies"`
@@ -182,13 +183,14 @@
 	Live(ctx context.Context, query *LiveQuery) (*LiveReply, error)
 	Ends(ctx context.Context, request *EndsRequest) (*EndsReply, error)
 	Quota(ctx context.Context, spending *quota.Spending) (*quota.Answer, error)
+	Room(ctx context.Context, request *RoomRequest) (*RoomReply, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 13 }
+func (Description) NumMethods() int { return 14 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -219,6 +221,8 @@
 		return methodEnds, jsoncall.Encoding{}, receiveEnds, Server.Ends, true
 	case 12:
 		return methodQuota, jsoncall.Encoding{}, receiveQuota, Server.Quota, true
+	case 13:
+		return methodRoom, jsoncall.Encoding{}, receiveRoom, Server.Room, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -274,3 +278,7 @@
 func receiveQuota(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 	return server.(Server).Quota(ctx, in.(*quota.Spending))
 }
+
+func receiveRoom(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).Room(ctx, in.(*RoomRequest))
+}
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -24,6 +24,7 @@
 	w.follow(w.live.Workers)
 	_, listed := w.live.Workers[w.Node]
 	w.unlisted = !listed && w.live.Revision >= w.registered
+	w.followRoom(now)
 	for id, entry := range w.live.Open {
 		known := w.open[id]
 		if known == nil {
@@ -48,6 +49,7 @@
 			continue
 		}
 		delete(w.open, id)
+		w.account.ledger.Unlist(id, now)
 		if job := w.jobs[id]; job != nil {
 			w.drop(job)
 			event.JobLeft.Log(w.Logger).Str("job", string(id)).Str("why", "finished or ended").Send()
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -153,6 +153,17 @@
 	return tokens
 }
 
+// unfinished are the tokens of the items that no runner has finished.
+func (j *jobRun) unfinished() int {
+	tokens := 0
+	for _, item := range j.items {
+		if !item.finished {
+			tokens += item.item.Tokens
+		}
+	}
+	return tokens
+}
+
 func (j *jobRun) isUnlisted(id ident.Request) bool {
 	for _, result := range j.unlisted {
 		if result.ID == id {
@@ -326,6 +337,7 @@
 		}
 		event.JobLeft.Log(w.Logger).Str("job", string(job.header.ID)).Str("why", "all results are recorded").Int("items", len(job.items)).Send()
 		delete(w.open, job.header.ID)
+		w.account.ledger.Unlist(job.header.ID, w.Now())
 	}
 	return next.finished, nil
 }
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -12,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/outcome"
+	"mallowlatch.example/mallowlatch/internal/queueroom"
 )
 
 // keepRetryAfter is when a caller may come back to a worker that does not keep its job.
@@ -21,8 +22,8 @@
 // milliseconds old, and other workers keep jobs at the same moment.
 const keptShare = 0.85
 
-// Keep puts a job on this node's disk until the store takes it. bound is the route's bound of waiting tokens (zero has
-// none), copies the number of workers that keep each job. A nil error means that the job is durable here; any other is a
+// Keep puts a job on this node's disk until the store takes it. bound is what may wait on the route (zero has no bound, or the job's room
+// is reserved), copies the number of workers that keep each job. A nil error means that the job is durable here; any other is a
 // *failure.Error, with the outcome NotRun where the job is not kept here.
 func (w *Worker) Keep(entry *handoff.Entry, bound, copies int) error {
 	if w.Keeps(entry.Job) {
@@ -45,6 +46,7 @@
 		}
 		return failed.WithRetryAfter(keepRetryAfter)
 	}
+	w.LearnRoom(&queueroom.News{Kept: []queueroom.Kept{keptJob(entry.Job, entry.Queue(), entry.Tokens())}})
 	event.JobKept.Log(w.Logger).Str("job", string(entry.Job)).Int("items", len(entry.Items)).Int("turn", entry.Turn).
 		Int("tokens", entry.Tokens()).Int("waiting", waiting).Send()
 	return nil
@@ -61,7 +63,7 @@
 	if w.draining {
 		return 0, failure.New(failure.CodeShardUnavailable, "this worker is about to stop").WithRetryAfter(keepRetryAfter)
 	}
-	waiting := w.waitingTokens(entry.Queue()) + keptByAll(kept, len(w.workers), copies)
+	waiting := max(w.waitingTokens(entry.Queue())+keptByAll(kept, len(w.workers), copies), w.waitsFor(entry.Queue()))
 	if bound > 0 && float64(waiting+entry.Tokens()) > keptShare*float64(bound) {
 		return waiting, failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, entry.Tokens(), bound).
 			WithRetryAfter(keepRetryAfter)
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -114,6 +114,10 @@
 	Readers Readers
 	// Followed is told of each change of the open jobs and the workers once it is taken over; nil is told nothing. It must not block.
 	Followed func()
+	// Accounts reaches the workers that keep the accounts of waiting tokens; nil tells them nothing.
+	Accounts Accounts
+	// Tolerance is how many workers may be lost at once with their disks.
+	Tolerance int
 	// Seeds are addresses of workers that may be asked before any is known, SeedsFor how long that is tried after the start.
 	Seeds    []string
 	SeedsFor time.Duration
@@ -197,6 +201,8 @@
 	finished finishedJobs
 	// memory is what is known of the room for jobs.
 	memory memory
+	// account is that of the waiting tokens of routes.
+	account account
 }
 
 // openJob is a job that is not finished.
@@ -245,6 +251,9 @@
 	parent.Go(w.mirrorLoop)
 	parent.Go(w.borrowLoop)
 	parent.Go(w.retireLoop)
+	if w.Accounts != nil {
+		parent.Go(w.roomLoop)
+	}
 }
 
 // Drain stops giving out items and waits until those in progress are recorded, at most until the wait is over. Then it
