Take jobs of routes without a bound, for which no room is reserved

The tests of the desk all had a bound; TestRouteWithoutABoundAsksForNoRoom failed with the same stack. Beside it what the desk does with each verdict: room that is kept where the outcome is unknown and given back where not, a full queue, too few keepers.

--- a/internal/jobentry/acceptance.go
+++ b/internal/jobentry/acceptance.go
@@ -110,6 +110,14 @@
 	return a.route.MaximumQueuedTokens <= 0 || (a.room != nil && a.room.Verdict == queueroom.Fits)
 }
 
+// reservedBeside is what waited beside the job as its room was reserved; zero where none had to be.
+func (a *acceptance) reservedBeside() int {
+	if a.room == nil {
+		return 0
+	}
+	return a.room.Count.Waiting
+}
+
 const (
 	// guardedShare of a route's bound may wait before jobs that workers keep no account of are taken one after the other: below it, jobs
 	// that several nodes take at the same moment do not fill the queue.
--- a/internal/jobentry/acceptance_test.go
+++ b/internal/jobentry/acceptance_test.go
@@ -112,6 +112,73 @@
 	return desk.Accept(context.Background(), &work.Route{Name: "r", MaximumQueuedTokens: bound}, submission)
 }
 
+// TestRouteWithoutABoundAsksForNoRoom guards against a front that ends itself over a job of a route on which any number of tokens may wait.
+func TestRouteWithoutABoundAsksForNoRoom(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	submission := &jobrecord.Submission{ID: "a", Route: "r", Host: "h", Zone: "z", Items: []work.Item{{ID: "a-0", Path: "/p/x", Tokens: 10, Body: []byte("b")}}}
+	assert.NilError(t, desk.Accept(context.Background(), &work.Route{Name: "r"}, submission))
+	assert.Equal(t, len(holders.attempts), 0)
+}
+
+// fits is the answer of keepers that have room.
+func fits() *queueroom.Reservation {
+	return &queueroom.Reservation{Verdict: queueroom.Fits, Count: queueroom.Count{Answers: 2, Sure: 2}}
+}
+
+// TestJobWhoseRoomIsReservedIsNotCountedAgain has the store away: workers are asked to keep the job without a bound of their own, and the room
+// stays where the outcome is not known.
+func TestJobWhoseRoomIsReservedIsNotCountedAgain(t *testing.T) {
+	holders := &fakeHolders{room: fits(), keepBound: -1}
+	desk, store := newDesk(holders)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	assert.NilError(t, submit(desk, "a", 10))
+	assert.Equal(t, holders.keepBound, 0)
+	assert.Equal(t, len(holders.attempts), 1)
+	holders.keepErr = failure.New(failure.CodeOutcomeUnknown, "1 of 2").WithOutcome(outcome.Unknown)
+	assert.Equal(t, mustRefuse(t, submit(desk, "b", 10)).Outcome, outcome.Unknown)
+	assert.Equal(t, holders.released, 0)
+	holders.keepErr = failure.New(failure.CodeShardUnavailable, "no worker")
+	assert.Equal(t, mustRefuse(t, submit(desk, "c", 10)).Outcome, outcome.NotRun)
+	assert.Equal(t, holders.released, 1)
+}
+
+// TestFullQueueIsToldAtOnce has the keepers say that there is no room: the job is written nowhere, its room is given back, and the caller is
+// told when as much is finished as it lacks. One that the store has was taken; one that another attempt is about to write is not denied.
+func TestFullQueueIsToldAtOnce(t *testing.T) {
+	holders := &fakeHolders{}
+	desk, _ := newDesk(holders)
+	assert.NilError(t, submit(desk, "taken", 10))
+	full := &queueroom.Reservation{Verdict: queueroom.Full, Count: queueroom.Count{Answers: 2, Sure: 2, Waiting: bound, Freed: 10}}
+	holders.room = full
+	refused := mustRefuse(t, submit(desk, "a", 10))
+	assert.Equal(t, refused.Code, failure.CodeJobQuota)
+	assert.Equal(t, refused.Outcome, outcome.NotRun)
+	assert.Assert(t, refused.RetryAfter >= time.Second && refused.RetryAfter <= 1500*time.Millisecond, "%v", refused.RetryAfter)
+	assert.Equal(t, holders.released, 1)
+	assert.Equal(t, holders.asked, 0)
+	assert.NilError(t, submit(desk, "taken", 10))
+	full.Count.Asked = true
+	assert.Equal(t, mustRefuse(t, submit(desk, "b", 10)).Outcome, outcome.Unknown)
+}
+
+// TestTooFewKeepersLeaveTheStoreAlone has no majority of keepers be sure: the store takes a job by its own count, less what they know of and a
+// reserve, and disks take none. Where no keeper answers nothing is taken.
+func TestTooFewKeepersLeaveTheStoreAlone(t *testing.T) {
+	holders := &fakeHolders{room: &queueroom.Reservation{Verdict: queueroom.Unsure, Count: queueroom.Count{Answers: 1, Unlisted: 30}}}
+	desk, store := newDesk(holders)
+	assert.NilError(t, submit(desk, "a", 50))
+	assert.Equal(t, mustRefuse(t, submit(desk, "b", 10)).Code, failure.CodeJobQuota)
+	store.SetFaults(kvtest.PagedFaults{Down: true})
+	assert.Equal(t, mustRefuse(t, submit(desk, "c", 1)).Outcome, outcome.NotRun)
+	assert.Equal(t, holders.asked, 0)
+	store.SetFaults(kvtest.PagedFaults{})
+	holders.room.Verdict = queueroom.Unheard
+	refused := mustRefuse(t, submit(desk, "d", 1))
+	assert.Equal(t, refused.Outcome, outcome.NotRun)
+	assert.Assert(t, refused.RetryAfter > 0)
+}
+
 // mustRefuse returns the failure of a submission.
 func mustRefuse(t *testing.T, err error) *failure.Error {
 	t.Helper()
--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -187,7 +187,7 @@
 func (d *Desk) write(ctx context.Context, attempt *acceptance) (int, error) {
 	submission := attempt.submission
 	if attempt.counted() {
-		return attempt.room.Count.Waiting, d.put(ctx, submission, nil)
+		return attempt.reservedBeside(), d.put(ctx, submission, nil)
 	}
 	bound := attempt.storeBound()
 	waiting, err := d.checkQuota(ctx, bound, submission)
