Know a finished job for as long as it may be handed in again

A job that was finished more than ten seconds ago, handed in again while its queue is full and the store is in doubt, was told that it was not run. Keepers remember for two minutes, as long as results are kept, that it was taken; it takes no room.

--- a/internal/queueroom/account_test.go
+++ b/internal/queueroom/account_test.go
@@ -269,6 +269,19 @@
 	assert.Equal(t, verdict, Full)
 }
 
+// TestFinishedJobIsNotDenied has a job handed in again after all of it was finished, while the queue is full: it counts as taken for as long
+// as callers may ask for it, and takes no room.
+func TestFinishedJobIsNotDenied(t *testing.T) {
+	ledger, now := &Ledger{}, time.Unix(1000, 0)
+	ledger.List(Kept{Route: "r", Held: Held{Job: "a", Tokens: 10}}, now)
+	ledger.Unlist("a", now)
+	for _, after := range []time.Duration{0, time.Minute} {
+		answer := ledger.Place(&Question{Route: "r", Held: Held{Job: "a", Tokens: 10}, Attempt: "1"}, true, 1, now.Add(after))
+		assert.Assert(t, answer.Taken)
+		assert.Equal(t, ledger.Waits("r", "", now.Add(after)), 0)
+	}
+}
+
 // TestQueuesOfTenantsAreApart has two tenants and a job of nobody on one route: whose that is is not known, so that it counts for both.
 func TestQueuesOfTenantsAreApart(t *testing.T) {
 	ledger, now := &Ledger{}, time.Unix(1000, 0)
--- a/internal/queueroom/ledger.go
+++ b/internal/queueroom/ledger.go
@@ -17,6 +17,8 @@
 	// latelyFor is how long a job counts as listed a moment ago: longer than keepers that are not cut off follow the list at different
 	// ages, and than a disk may tell of a job that the store has.
 	latelyFor = 10 * time.Second
+	// knownFor is how long a job that is open no more counts as taken: as long as callers may hand it in again and read it.
+	knownFor = 2 * time.Minute
 )
 
 // queue is a tenant's part of a route.
@@ -48,7 +50,7 @@
 	return !now.Before(h.kept) && (len(h.attempts) == 0 || !now.Before(h.reserved))
 }
 
-// listedJob is a job that the store lists as open, or did a moment ago.
+// listedJob is a job that the store lists as open, or did not long ago.
 type listedJob struct {
 	queue queue
 	// left are the tokens that are not finished; zero once the job is open no more.
@@ -60,7 +62,7 @@
 
 // Ledger is a keeper's account. The zero Ledger is empty. It is not safe for concurrent use.
 //
-// Invariant: a job that is listed, or was a moment ago, has no hold.
+// Invariant: a job that is listed, or was not long ago, has no hold.
 type Ledger struct {
 	holds  map[ident.Job]*hold
 	placed int64
@@ -108,7 +110,7 @@
 	}
 }
 
-// Learn takes over what a worker told. Of jobs that are listed, or were a moment ago, it says nothing new that they are on disks.
+// Learn takes over what a worker told. Of jobs that are listed, or were not long ago, it says nothing new that they are on disks.
 func (l *Ledger) Learn(news *News, now time.Time) {
 	for _, kept := range news.Kept {
 		if l.listed[kept.Job] == nil {
@@ -208,7 +210,7 @@
 		}
 	}
 	for id, job := range l.listed {
-		if !job.open && now.Sub(job.changed) >= latelyFor {
+		if !job.open && now.Sub(job.changed) >= knownFor {
 			delete(l.listed, id)
 		}
 	}
