--- a/internal/jobentry/desk.go
+++ b/internal/jobentry/desk.go
@@ -121,8 +121,7 @@
 // deaf says that this node can neither take a job nor tell of one.
 func (d *Desk) deaf() bool { return d.Heard.Deaf(d.now()) }
 
-// refuseUnheard refuses a job that was sent nowhere: another node can take it now. While nodes that are cut off tried on, each held a
-// job for 1.4 to 1.8 s and could not say then whether it had been taken (lines of 250 nodes, 88 of them cut off).
+// refuseUnheard refuses a job that was sent nowhere: another node can take it now, and this one would hold it until its caller had gone.
 func (d *Desk) refuseUnheard(submission *jobrecord.Submission) *failure.Error {
 	refused := failure.New(failure.CodeShardUnavailable, "this node reaches nobody who could take the job").
 		WithRetryAfter(deafRetryAfter).WithCause(ErrDeaf)
