--- /dev/null
+++ b/internal/jobpeer/agreed_test.go
@@ -0,0 +1,97 @@
+package jobpeer_test
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobpeer"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/queueroom"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// callsFile lists the calls of a build beside the samples of its forms, a name a line.
+const callsFile = "calls.txt"
+
+// calls are the names of the calls between nodes.
+func calls() []string {
+	var names []string
+	for _, description := range []drpc.Description{jobpeer.Description{}, fleetfeed.Description{}} {
+		for index := range description.NumMethods() {
+			name, _, _, _, _ := description.Method(index)
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestCallsOfEarlierBuildsAreAnswered guards against a call that was renamed or taken away while nodes of an earlier build still make it.
+func TestCallsOfEarlierBuildsAreAnswered(t *testing.T) {
+	if *writeForms != "" {
+		folder := filepath.Join("testdata/forms", *writeForms)
+		assert.NilError(t, os.MkdirAll(folder, 0o755))
+		assert.NilError(t, os.WriteFile(filepath.Join(folder, callsFile), []byte(strings.Join(calls(), "\n")+"\n"), 0o644))
+	}
+	lists, err := filepath.Glob(filepath.Join("testdata/forms/*", callsFile))
+	assert.NilError(t, err)
+	assert.Assert(t, len(lists) > 0, "no lists of calls")
+	known := calls()
+	for _, list := range lists {
+		content, err := os.ReadFile(list)
+		assert.NilError(t, err)
+		for name := range strings.Lines(string(content)) {
+			assert.Assert(t, slices.Contains(known, strings.TrimSpace(name)), "%s: %s", list, name)
+		}
+	}
+}
+
+// agreedWorkers are the workers that duties are dealt to, in four zones.
+func agreedWorkers() []jobrecord.Worker {
+	var workers []jobrecord.Worker
+	for _, name := range []string{"w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"} {
+		zone := ident.Zone("z" + string('0'+(name[1]-'0')%4))
+		workers = append(workers, jobrecord.Worker{Node: ident.Node(name), Zone: zone, Address: name})
+	}
+	return workers
+}
+
+// TestNodesOfAllBuildsDealDutiesAlike guards against a hash or the name of a duty that changes while nodes of an earlier build go by the old
+// one: two nodes would own one runner, or keep one tenant's account. What is wanted was computed once, and must not follow the code.
+func TestNodesOfAllBuildsDealDutiesAlike(t *testing.T) {
+	workers := agreedWorkers()
+	holders := newHolders(t, nil)
+	holders.Learn(workers, time.Now())
+	for tenant, wanted := range map[ident.Tenant]string{"a": "w7", "b": "w1", "c": "w2"} {
+		owner, kept := holders.QuotaOwner(tenant)
+		assert.Assert(t, kept)
+		assert.Equal(t, owner, wanted, "tenant %s", tenant)
+	}
+	for runner, wanted := range map[ident.Incarnation]ident.Node{"i-1": "w1", "i-2": "w5", "i-3": "w1"} {
+		owner, found := jobrecord.Owner(work.Runner{ID: runner, Zone: "z1"}, workers)
+		assert.Assert(t, found)
+		assert.Equal(t, owner.Node, wanted, "runner %s", runner)
+	}
+	var roster queueroom.Roster
+	var registered []queueroom.Worker
+	for _, worker := range workers {
+		registered = append(registered, queueroom.Worker{Node: worker.Node, Zone: worker.Zone, Address: worker.Address})
+	}
+	roster.Note(registered, time.Now())
+	for route, wanted := range map[string]string{"r": "w4 w6 w7", "s": "w3 w2 w5"} {
+		var names []string
+		for _, keeper := range roster.Keepers(route, 1, time.Now()) {
+			names = append(names, string(keeper.Node))
+		}
+		assert.Equal(t, strings.Join(names, " "), wanted, "route %s", route)
+	}
+}
--- a/internal/jobpeer/forms_test.go
+++ b/internal/jobpeer/forms_test.go
@@ -18,6 +18,8 @@
 	"mallowlatch.example/mallowlatch/internal/jobpeer"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/lending"
+	"mallowlatch.example/mallowlatch/internal/poison"
+	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/quota"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -64,6 +66,8 @@
 		"job-on-disk":      &handoff.Entry{},
 		"configuration":    &work.Catalog{},
 		"registered-peers": &jobrecord.Worker{},
+		"output-on-disk":   &progress.Update{},
+		"ends-on-disk":     &[]poison.Record{},
 	}
 }
 
--- a/internal/jobpeer/intake_plays_test.go
+++ b/internal/jobpeer/intake_plays_test.go
@@ -52,6 +52,27 @@
 	})
 }
 
+// TestKeepersOfAnEarlierBuildLeaveBothWays guards against jobs being refused while machines are replaced one after the other: workers that
+// lack the call keep no account, and jobs are taken by either way as that build does, whether all or some of them are of it. Once the store
+// is away a job is taken on disks.
+func TestKeepersOfAnEarlierBuildLeaveBothWays(t *testing.T) {
+	for old := range smallIntake.workers + 1 {
+		t.Run(fmt.Sprint(old), func(t *testing.T) {
+			simulated.Test(t, func(t *testing.T) {
+				s := newIntake(t, smallIntake, 0)
+				for _, w := range s.workers[:old] {
+					w.old = true
+				}
+				assert.NilError(t, s.hand(s.fronts[0], intakeJob{id: "a", tokens: 16_000}))
+				for _, store := range s.stores() {
+					store.setSilent(true)
+				}
+				assert.NilError(t, s.hand(s.fronts[0], intakeJob{id: "b", tokens: 16_000}))
+			})
+		})
+	}
+}
+
 // TestJobsAreTakenWithinTheBoundInDrawnTroubles draws what happens to the store and to workers beside a burst of jobs of different sizes, some
 // of which are handed in at two fronts at once. At each acceptance the bound holds, each promise is true, and once all is well again what fits
 // is taken at its first try.
--- a/internal/jobpeer/intake_test.go
+++ b/internal/jobpeer/intake_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -90,6 +91,8 @@
 
 	mutex  sync.Mutex
 	silent bool
+	// old has it answer as a build that keeps no account.
+	old bool
 }
 
 func (w *intakeWorker) setSilent(silent bool) {
@@ -208,7 +211,7 @@
 }
 
 // errNoSuchCall is what a worker answers that has no such call.
-const errNoSuchCall = failure.Kind("test: unknown rpc")
+const errNoSuchCall = failure.Kind("protocol error: unknown rpc")
 
 func (c *intakeCall) Invoke(ctx context.Context, method string, _ drpc.Encoding, in, out drpc.Message) error {
 	if !sleepFor(ctx, linkDelay) || c.to.isSilent() || (c.from != nil && c.from.isSilent()) {
@@ -216,8 +219,11 @@
 		return errSilent
 	}
 	c.to.mutex.Lock()
-	server := c.to.server
+	server, old := c.to.server, c.to.old
 	c.to.mutex.Unlock()
+	if old && strings.HasSuffix(method, "/Room") {
+		return errNoSuchCall
+	}
 	if server == nil {
 		return errSilent
 	}
