--- a/internal/jobpeer/intake_plays_test.go
+++ b/internal/jobpeer/intake_plays_test.go
@@ -61,7 +61,7 @@
 			simulated.Test(t, func(t *testing.T) {
 				s := newIntake(t, smallIntake, 0)
 				for _, w := range s.workers[:old] {
-					w.old = true
+					w.setOld()
 				}
 				assert.NilError(t, s.hand(s.fronts[0], intakeJob{id: "a", tokens: 16_000}))
 				for _, store := range s.stores() {
--- a/internal/jobpeer/intake_test.go
+++ b/internal/jobpeer/intake_test.go
@@ -102,6 +102,13 @@
 	w.store.setSilent(silent)
 }
 
+// setOld has the worker be of a build that keeps no account.
+func (w *intakeWorker) setOld() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.old = true
+}
+
 func (w *intakeWorker) isSilent() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
