Tell a node's own earlier question from another's

A node that asked for room again, after too few keepers were sure, was told that another attempt of the job is on its way, so that a refusal for a full queue promised nothing though the job was written nowhere. TestAttemptThatAsksAgainIsNotTakenForAnother failed before.

--- a/internal/queueroom/account_test.go
+++ b/internal/queueroom/account_test.go
@@ -269,6 +269,19 @@
 	assert.Equal(t, verdict, Full)
 }
 
+// TestAttemptThatAsksAgainIsNotTakenForAnother guards against a refusal that promises nothing because the node's own question of a moment
+// ago was taken for that of another one.
+func TestAttemptThatAsksAgainIsNotTakenForAnother(t *testing.T) {
+	s := newSite()
+	question := s.question("a", 900)
+	for range 2 {
+		_, count := s.ask(question, []int{0, 1})
+		assert.Assert(t, !count.Asked)
+	}
+	_, count := s.ask(s.question("a", 900), []int{0, 1})
+	assert.Assert(t, count.Asked)
+}
+
 // TestFinishedJobIsNotDenied has a job handed in again after all of it was finished, while the queue is full: it counts as taken for as long
 // as callers may ask for it, and takes no room.
 func TestFinishedJobIsNotDenied(t *testing.T) {
--- a/internal/queueroom/ledger.go
+++ b/internal/queueroom/ledger.go
@@ -81,8 +81,8 @@
 		return answer
 	}
 	of := l.hold(question.Held, queue{question.Route, question.Tenant})
-	taken, asked := now.Before(of.kept), len(of.attempts) > 0
 	of.attempts[question.Attempt] = true
+	taken, asked := now.Before(of.kept), len(of.attempts) > 1
 	of.reserved = now.Add(reservedFor)
 	answer := l.answer(question, now)
 	answer.Taken, answer.Asked, answer.Sure, answer.Revision = taken, asked, sure, revision
