Ask keepers that were started again once more, and let disks count where too few keepers are sure

What callers saw: 503 for each job in the first 0.8 s after a start of all workers, and, with two workers of which one is gone, in a whole outage. Cause: keepers that learn what is on disks say nothing for 0.8 s, and the front refused at once; where too few keepers are sure no disk was asked. The front asks again for a second; disks are asked with the bound, and refuse while their worker was just started or follows no list of open jobs.

--- a/internal/jobentry/acceptance.go
+++ b/internal/jobentry/acceptance.go
@@ -73,7 +73,7 @@
 	if a.counted() || a.desk.Holders == nil {
 		return true
 	}
-	a.room = a.desk.Holders.Reserve(ctx, a.route, a.submission, a.name)
+	a.ask(ctx)
 	count := a.room.Count
 	switch a.room.Verdict {
 	case queueroom.Unheard:
@@ -87,6 +87,24 @@
 	return true
 }
 
+const (
+	// askAgainFor is how long keepers that say nothing yet are asked again: those that were started again learn first what is on disks.
+	askAgainFor = time.Second
+	// askAgainEvery is the time between two such questions.
+	askAgainEvery = 100 * time.Millisecond
+)
+
+// ask asks the keepers, again where none says anything.
+func (a *acceptance) ask(ctx context.Context) {
+	end := a.desk.now().Add(askAgainFor)
+	for {
+		a.room = a.desk.Holders.Reserve(ctx, a.route, a.submission, a.name)
+		if a.room.Verdict != queueroom.Unheard || !a.desk.now().Before(end) || !pause(ctx, askAgainEvery) {
+			return
+		}
+	}
+}
+
 // refuse notes that there is no room for the job, and returns true where it was taken before.
 func (a *acceptance) refuse(ctx context.Context) bool {
 	if a.desk.exists(ctx, a.submission.ID) {
@@ -174,7 +192,7 @@
 	})
 	hedge := time.NewTimer(a.desk.hedgeDelay(a.submission))
 	defer hedge.Stop()
-	for open, asked := 1, a.desk.Holders == nil || a.unaccounted(); open > 0; {
+	for open, asked := 1, a.desk.Holders == nil; open > 0; {
 		select {
 		case <-hedge.C:
 		case one := <-ended:
--- a/internal/jobworker/keep.go
+++ b/internal/jobworker/keep.go
@@ -63,6 +63,9 @@
 	if w.draining {
 		return 0, failure.New(failure.CodeShardUnavailable, "this worker is about to stop").WithRetryAfter(keepRetryAfter)
 	}
+	if bound > 0 && !w.knowsWaiting() {
+		return 0, failure.New(failure.CodeShardUnavailable, "this worker does not know which jobs wait").WithRetryAfter(keepRetryAfter)
+	}
 	waiting := max(w.waitingTokens(entry.Queue())+keptByAll(kept, len(w.workers), copies), w.waitsFor(entry.Queue()))
 	if bound > 0 && float64(waiting+entry.Tokens()) > keptShare*float64(bound) {
 		return waiting, failure.New(failure.CodeJobQuota, "%d tokens wait on the route and the job has %d, at most %d may wait", waiting, entry.Tokens(), bound).
--- a/internal/jobworker/room.go
+++ b/internal/jobworker/room.go
@@ -58,6 +58,13 @@
 	return w.account.ledger.Place(question, sure, w.account.revision, now)
 }
 
+// knowsWaiting says whether this worker can count what waits for itself: it follows the open jobs, and was told of what was on its way as
+// it was started. The caller holds the mutex.
+func (w *Worker) knowsWaiting() bool {
+	learned := !w.StartsAgain || w.Now().Sub(w.started) >= learnsFor
+	return w.Accounts == nil || (learned && w.account.revision > 0)
+}
+
 // ReleaseRoom ends the need of an attempt for its room.
 func (w *Worker) ReleaseRoom(release *queueroom.Release) {
 	w.mutex.Lock()
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -23,6 +23,7 @@
 	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/progress"
+	"mallowlatch.example/mallowlatch/internal/queueroom"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -251,6 +252,8 @@
 	parent.Go(w.mirrorLoop)
 	parent.Go(w.borrowLoop)
 	parent.Go(w.retireLoop)
+	// What is on the disk counts from the first question on.
+	w.LearnRoom(&queueroom.News{Kept: w.keptJobs()})
 	if w.Accounts != nil {
 		parent.Go(w.roomLoop)
 	}
