Keep the count of orphaned runs while requests follow each other in a slot

Callers: after a simultaneous restart, a runner with one free slot was given two requests, once three. The second waited at the runner, where no node can take it back, and was late.

Cause: the owner's count of orphaned runs fell from 7 to 6 while all seven went on, so a living run's slot was granted. The count compares a runner's report with the work accounted for at its moment. That work was recorded in rounds, so a slot that was idle for 4 ms between two rounds was missing from it, and the window around the moment covered ends that are reported late but not requests that the runner gets after their report.

Change: the work is recorded at each change, and the least of it within 50 ms on both sides of the report's moment is used.

Why it works: requests in one slot follow each other with a report of none between them, so the least is never more than the runner had.

The new tests failed before: 6 orphaned runs for 7.

--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -23,6 +23,7 @@
 		w.orphanRuns.subtractKnown(report, now)
 	}
 	for _, id := range changed {
+		w.recordAccounted(id, now)
 		w.checkExcess(id, now)
 	}
 	for _, count := range report.Counts {
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -381,6 +381,7 @@
 	item.running, item.preempt, item.cancel, item.runner = true, false, cancel, id
 	item.started, item.progressed = now, now
 	item.job.running++
+	w.recordAccounted(id, now)
 	w.mutex.Unlock()
 	w.tomb.Go(func() error {
 		defer cancel()
--- a/internal/jobworker/orphans.go
+++ b/internal/jobworker/orphans.go
@@ -106,7 +106,7 @@
 		if count == nil {
 			count = orphanRuns.addCount(runner.ID)
 		}
-		count.RecordAccounted(w.demand.Online(runner.ID, "", now)+w.batchRunsAt(runner.ID, now), now)
+		w.recordAccounted(runner.ID, now)
 		runs += count.Runs(now)
 		if count.WasRead() {
 			read++
@@ -120,6 +120,16 @@
 	}, orphanRuns.watch.Settling(now))
 }
 
+// recordAccounted records the known work at a runner after a change of it, if the runner has a count of orphans. The caller
+// must hold the mutex.
+func (w *Worker) recordAccounted(id ident.Incarnation, now time.Time) {
+	count := w.orphanRuns.counts[id]
+	if count == nil || !w.orphanRuns.watch.Open(now) {
+		return
+	}
+	count.RecordAccounted(w.demand.Online(id, "", now)+w.batchRunsAt(id, now), now)
+}
+
 func (s *orphanState) addCount(id ident.Incarnation) *orphans.Count {
 	if s.counts == nil {
 		s.counts = map[ident.Incarnation]*orphans.Count{}
--- a/internal/jobworker/orphans_test.go
+++ b/internal/jobworker/orphans_test.go
@@ -159,3 +159,49 @@
 	w.Demand(report)
 	assert.Equal(t, demandAnswer(w, "early", 3, 50*time.Millisecond, 0)["a"].Orphans, 3)
 }
+
+// TestSlotThatIsIdleForAMomentIsNoOrphan guards against taking an idle slot for the end of an orphaned run, after which the
+// slot of the run still there was granted too. A request ends and another node's begins within a few milliseconds, between
+// two rounds of the owner, and two reports show the runner in between.
+func TestSlotThatIsIdleForAMomentIsNoOrphan(t *testing.T) {
+	start := time.Now()
+	now := start
+	at := func(ms int) { now = start.Add(time.Duration(ms) * time.Millisecond) }
+	runners := runnertable.New("z")
+	runners.Replace([]work.Runner{{ID: "a", Service: "s", Zone: "z", Slots: 8}}, now, true)
+	w := &Worker{
+		Node: "w", Zone: "z", Runners: runners, Routes: &routetable.Table{}, Logger: zerolog.Nop(), Now: func() time.Time { return now },
+		tomb: new(tomb.Tomb), gauges: map[ident.Incarnation]*runnerGauge{},
+	}
+	w.setWorkers(map[ident.Node]jobrecord.Worker{"w": {Node: "w", Zone: "z"}})
+	w.orphanRuns.watch.Begin(now)
+	round := func(ms int) {
+		at(ms)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.updateOrphans(now)
+	}
+	read := func(ms, running int) {
+		at(ms)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.orphanRuns.recordReport("a", work.Load{Running: running, Slots: 8}, now)
+	}
+	round(0)
+	read(1, 7)
+	at(2)
+	demandAnswer(w, "first", 1, 50*time.Millisecond, 1)
+	round(300)
+	read(301, 8)
+	at(303)
+	demandAnswer(w, "first", 2, 350*time.Millisecond, 0)
+	at(307)
+	demandAnswer(w, "second", 1, 350*time.Millisecond, 1)
+	round(315)
+	round(400)
+	read(403, 7)
+	read(406, 7)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	assert.Equal(t, w.orphanRuns.runsAt("a", now), 7)
+}
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -39,7 +39,7 @@
 
 // run makes one run of an item and records its outcome.
 func (w *Worker) run(ctx context.Context, item *itemRun, route *work.Route, flight *runnertable.Flight) {
-	defer flight.End()
+	defer w.endFlight(flight)
 	resumed := item.lastEvent
 	w.assignRunID(item)
 	request := w.request(item)
@@ -81,6 +81,14 @@
 	}
 }
 
+// endFlight releases the slot of a run that has ended.
+func (w *Worker) endFlight(flight *runnertable.Flight) {
+	flight.End()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.recordAccounted(flight.Runner.ID, w.Now())
+}
+
 // assignRunID assigns an id to a run that is about to start. Runs of other workers, and those before a restart, have other
 // claims in their ids.
 func (w *Worker) assignRunID(item *itemRun) {
--- a/internal/orphans/orphans.go
+++ b/internal/orphans/orphans.go
@@ -9,9 +9,10 @@
 	// reportDelay is the age of a runner's report when it is read: it is compared with the work known at that time, not
 	// with what nodes have reported since.
 	reportDelay = 100 * time.Millisecond
-	// maxNotifyDelay is how late a node may report the end of a request: usually within some milliseconds, later if it
-	// has to wait for a processor.
-	maxNotifyDelay = 50 * time.Millisecond
+	// maxReportSkew is how far the moment that a report shows may lie from its assumed one, on the time scale of the
+	// accounted work: a node reports the start of a request before the runner has it and the end after it, the report is
+	// read late, and each of them may wait for a processor.
+	maxReportSkew = 50 * time.Millisecond
 	// fullCountPeriod is how long a reading counts in full, long enough for two readings to fail. A count that decayed
 	// from the moment of a reading would always show a free slot at each full runner.
 	fullCountPeriod = 500 * time.Millisecond
@@ -29,7 +30,8 @@
 // Count tracks the orphaned runs at one runner. Their senders are gone, so the number never grows. The zero Count has no
 // reading.
 type Count struct {
-	// knownWork is the accounted work over time, newest last; the first entry is at least as old as a report may be.
+	// knownWork is the accounted work over time, newest last. Each entry differs from the one before it and holds until
+	// the next; the first one is at least as old as a report may be.
 	knownWork []knownWork
 	// upperBound is the largest number that all readings so far allow; excess is what the last reading showed beyond the
 	// accounted work.
@@ -38,10 +40,13 @@
 	readAt time.Time
 }
 
-// RecordAccounted records how much work at the runner is accounted for: what nodes reported, and the owner's items.
+// RecordAccounted records how much work at the runner is accounted for: what nodes reported, and the owner's items. It must
+// be called at each change: a slot that was idle between two calls would look like an orphaned run that ended.
 func (c *Count) RecordAccounted(work int, now time.Time) {
-	c.knownWork = append(c.knownWork, knownWork{work: work, at: now})
-	for len(c.knownWork) > 1 && now.Sub(c.knownWork[1].at) >= reportDelay {
+	if last := len(c.knownWork) - 1; last < 0 || c.knownWork[last].work != work {
+		c.knownWork = append(c.knownWork, knownWork{work: work, at: now})
+	}
+	for len(c.knownWork) > 1 && now.Sub(c.knownWork[1].at) >= reportDelay+maxReportSkew {
 		c.knownWork = c.knownWork[1:]
 	}
 }
@@ -50,7 +55,7 @@
 // the first time requests that it sent long before.
 func (c *Count) AddLateReported(work int, now time.Time) {
 	if len(c.knownWork) == 0 {
-		c.knownWork = []knownWork{{at: now.Add(-reportDelay)}}
+		c.knownWork = []knownWork{{at: now.Add(-reportDelay - maxReportSkew)}}
 	}
 	for position := range c.knownWork {
 		c.knownWork[position].work += work
@@ -58,21 +63,20 @@
 	c.upperBound, c.excess = max(c.upperBound-work, 0), max(c.excess-work, 0)
 }
 
-// knownAtReport returns the work that was accounted for when a report read now was made, or the least value in the
-// maxNotifyDelay after that, if it is lower: the end of a request may be reported late, and would otherwise look like
-// the end of an orphaned run, permanently.
+// knownAtReport returns the least work that was accounted for within maxReportSkew of the moment that a report read now
+// shows. More than the runner had at that moment would look like the end of an orphaned run, permanently.
 func (c *Count) knownAtReport(now time.Time) int {
-	then := 0
+	least := 0
 	for _, entry := range c.knownWork {
 		age := now.Sub(entry.at)
 		switch {
-		case age >= reportDelay:
-			then = entry.work
-		case age >= reportDelay-maxNotifyDelay:
-			then = min(then, entry.work)
+		case age >= reportDelay+maxReportSkew:
+			least = entry.work
+		case age >= reportDelay-maxReportSkew:
+			least = min(least, entry.work)
 		}
 	}
-	return then
+	return least
 }
 
 // RecordReading records the runner's own count of its work, running and waiting. What it shows beyond the accounted work is
--- a/internal/orphans/orphans_test.go
+++ b/internal/orphans/orphans_test.go
@@ -164,3 +164,53 @@
 	}
 	assert.Equal(t, count.Runs(after(300)), 6)
 }
+
+// slotUse is a request in a runner's slot: when its node reports it from and to, and when the runner has it.
+type slotUse struct{ reportedFrom, reportedTo, runsFrom, runsTo int }
+
+// drawSlotUses draws requests that follow each other in one slot. The next one is granted the slot once the end of the
+// one before was reported. The runner gets a request after its node has reported it, and its end is reported late.
+func drawSlotUses(t *rapid.T) []slotUse {
+	var uses []slotUse
+	at := rapid.IntRange(0, 40).Draw(t, "first")
+	for range rapid.IntRange(1, 12).Draw(t, "requests") {
+		use := slotUse{reportedFrom: at}
+		use.runsFrom = at + rapid.IntRange(0, 40).Draw(t, "start late by ms")
+		use.runsTo = use.runsFrom + rapid.IntRange(20, 150).Draw(t, "takes ms")
+		use.reportedTo = use.runsTo + rapid.IntRange(0, 40).Draw(t, "end late by ms")
+		at = use.reportedTo + rapid.IntRange(1, 20).Draw(t, "granted after ms")
+		uses = append(uses, use)
+	}
+	return uses
+}
+
+// TestRequestsInOneSlotHideNoOrphans guards against a count that falls while all orphaned runs go on: a node reports a
+// request before the runner has it, or reports the end late, and two reports in a row are read meanwhile. The count never
+// rises again, so that the slots of the runs still there were granted until they ended.
+func TestRequestsInOneSlotHideNoOrphans(t *testing.T) {
+	const orphaned, reportAge = 7, 100
+	rapid.Check(t, func(t *rapid.T) {
+		uses := drawSlotUses(t)
+		var count orphans.Count
+		count.RecordAccounted(0, after(-200))
+		count.RecordReading(orphaned, after(-1))
+		nextReading := 0
+		for ms := range uses[len(uses)-1].reportedTo + 200 {
+			known, running := 0, 0
+			for _, use := range uses {
+				if use.reportedFrom <= ms && ms < use.reportedTo {
+					known = 1
+				}
+				if shown := ms - reportAge; use.runsFrom <= shown && shown < use.runsTo {
+					running = 1
+				}
+			}
+			count.RecordAccounted(known, after(ms))
+			if ms == nextReading {
+				count.RecordReading(orphaned+running, after(ms))
+				nextReading = ms + rapid.IntRange(1, 20).Draw(t, "next reading after ms")
+			}
+			assert.Equal(t, count.Runs(after(ms)), orphaned, "at %d ms", ms)
+		}
+	})
+}
