Report a worker as emptied only when it is gone

Callers: an accepted job could be lost. A worker that was to be emptied was reported so while jobs were on its disk; the operator then removes the machine with its disk, and one further loss, which must be borne, was too many.

Cause: another worker took it for gone 1.5 s after it was missing from the registered ones. It is missing too when its lease expired in an outage, while it drains and while it restarts.

Change: a worker that answers at its last address is left to report itself; otherwise it must be missing for doubtPeriod, which counts only while no worker may be missing after an outage.

Why it works: a live worker knows its disk. The copies of a gone worker's jobs are on other workers' disks, and these hand over within doubtPeriod.

--- a/internal/jobworker/handoff.go
+++ b/internal/jobworker/handoff.go
@@ -110,7 +110,11 @@
 func (w *Worker) MayMissWorkers() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	now := w.Now()
+	return w.mayMissWorkers(w.Now())
+}
+
+// mayMissWorkers is MayMissWorkers at a time. The caller must hold the mutex.
+func (w *Worker) mayMissWorkers(now time.Time) bool {
 	// A restarted node may have missed an outage. A node with a new disk cannot tell and does not doubt: otherwise a new
 	// site would never be sure of anything.
 	mayHaveMissed := w.Handoff != nil && w.Handoff.Reopened() && now.Sub(w.started) < doubtPeriod
--- a/internal/jobworker/retire.go
+++ b/internal/jobworker/retire.go
@@ -1,10 +1,12 @@
 package jobworker
 
 import (
+	"context"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/queuecapacity"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -13,8 +15,9 @@
 	retirePollEvery = 300 * time.Millisecond
 	// drainFraction of the time given may be used to finish what runs.
 	drainFraction = 0.5
-	// absentAfter is how long a worker must be unregistered before another one reports it as emptied.
-	absentAfter = 1500 * time.Millisecond
+	// absentAfter is how long a worker must be unregistered before another one reports it as emptied. By then a worker that
+	// restarts has registered again, and the others have handed over the copies of the jobs on its disk.
+	absentAfter = doubtPeriod
 )
 
 // retirement is an order to empty a worker.
@@ -23,8 +26,10 @@
 	requested time.Time
 	// acting is set when this node drains, or has reported that another one is gone.
 	acting bool
-	// absent is since when the worker has been unregistered.
+	// absent is since when the worker has been unregistered, and the store reachable.
 	absent time.Time
+	// address is where the worker was last registered; empty if this node has not seen it registered.
+	address string
 }
 
 // Retire accepts an order to empty a worker. The same order may be repeated.
@@ -37,8 +42,9 @@
 	w.retirements[order.Node] = &retirement{within: order.Within, requested: w.Now()}
 }
 
-// retireLoop empties this node on request. A worker that is no longer registered counts as empty; any other worker reports
-// that.
+// retireLoop empties this node on request. A worker that is gone counts as empty; any other worker reports that. A worker
+// that answers is not gone: one that drains, or whose lease expired in an outage, is unregistered and may still have jobs
+// on its disk.
 func (w *Worker) retireLoop() error {
 	for w.pause(retirePollEvery) {
 		for node, order := range w.dueRetirements() {
@@ -46,25 +52,44 @@
 				w.tomb.Go(func() error { w.retireSelf(order); return nil })
 				continue
 			}
-			if !w.reportRetired(node) {
-				w.mutex.Lock()
-				order.acting = false
-				w.mutex.Unlock()
+			if w.answers(order.address) || !w.reportRetired(node) {
+				w.postpone(order)
 			}
 		}
 	}
 	return nil
 }
 
+// postpone has this node check again whether the worker of an order is gone, after it was absent once more.
+func (w *Worker) postpone(order *retirement) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	order.acting, order.absent = false, time.Time{}
+}
+
+// answers reports whether the worker at an address answers a call. It is false for an empty address.
+func (w *Worker) answers(address string) bool {
+	if w.Accounts == nil || address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, accountReportTimeout)
+	defer cancel()
+	return w.Accounts.ReportQueueUse(ctx, address, &queuecapacity.Report{}) == nil
+}
+
 // dueRetirements returns the orders on which this node has to act now, and marks them as acted on.
 func (w *Worker) dueRetirements() map[ident.Node]*retirement {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	due := map[ident.Node]*retirement{}
 	now := w.Now()
+	mayMiss := w.mayMissWorkers(now)
 	for node, order := range w.retirements {
-		_, registered := w.workers[node]
-		if registered || node == w.Node || len(w.workers) == 0 {
+		worker, registered := w.workers[node]
+		if registered {
+			order.address = worker.Address
+		}
+		if registered || mayMiss || node == w.Node || len(w.workers) == 0 {
 			order.absent = time.Time{}
 		} else if order.absent.IsZero() {
 			order.absent = now
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -159,15 +159,7 @@
 }
 
 func (g *group) startOn(node ident.Node, store kv.Paged, caller work.Caller, mirrors *localMirrors, runners ...work.Runner) *jobworker.Worker {
-	table := runnertable.New("z")
-	table.Replace(runners, time.Now(), true)
-	g.tables[node], g.tombs[node] = table, new(tomb.Tomb)
-	options := jobworker.DefaultOptions
-	options.LeaseTTL = time.Second
-	worker := &jobworker.Worker{
-		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
-		Caller: caller, Options: options, Logger: g.logger, Now: g.now, Budget: g.budget,
-	}
+	worker := g.newWorker(node, store, caller, runners...)
 	if mirrors != nil {
 		worker.Options.MirrorEvery = mirrorEvery
 		worker.Options.StallAfter = time.Minute
@@ -175,10 +167,23 @@
 		mirrors.add(worker)
 	}
 	worker.Start(g.tombs[node])
-	g.t.Cleanup(func() { g.end(node) })
 	return worker
 }
 
+// newWorker returns a worker that is not started; the end of the test stops it.
+func (g *group) newWorker(node ident.Node, store kv.Paged, caller work.Caller, runners ...work.Runner) *jobworker.Worker {
+	table := runnertable.New("z")
+	table.Replace(runners, time.Now(), true)
+	g.tables[node], g.tombs[node] = table, new(tomb.Tomb)
+	options := jobworker.DefaultOptions
+	options.LeaseTTL = time.Second
+	g.t.Cleanup(func() { g.end(node) })
+	return &jobworker.Worker{
+		Node: node, Zone: "z", Address: string(node), Records: g.recordsOf(store), Store: store, Runners: table, Routes: g.routes,
+		Caller: caller, Options: options, Logger: g.logger, Now: g.now, Budget: g.budget,
+	}
+}
+
 // end stops a worker and waits until it has stopped. Further calls do nothing.
 func (g *group) end(node ident.Node) {
 	g.tombs[node].Kill(nil)
