Log each claim of a batch job

An accepted job that nobody runs could not be traced: the claim itself was in no line. claim_written says who claimed a job for which worker, under which lease and at which revision; claim_unserved says that the store has a claim of this worker for a job that it does not run.

No decision is changed. A job adds one line at the node that claims it.

--- a/internal/jobentry/assign.go
+++ b/internal/jobentry/assign.go
@@ -27,6 +27,8 @@
 		if assignee, found := d.Workers.Assignee(len(submission.Items)); found {
 			assigned, err := d.Records.AcceptFor(ctx, submission, admission, assignee)
 			if assigned != nil {
+				event.ClaimWritten.Log(d.Logger).Str("job", string(submission.ID)).Str("worker", string(assignee.Node)).
+					Int64("lease", int64(assignee.Lease)).Int64("revision", assigned.Claim.Revision).Bool("assigned", true).Send()
 				d.assign(assignee, *assigned)
 			}
 			if !errors.Is(err, kv.ErrLeaseNotFound) {
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -41,7 +41,7 @@
 			}
 		}
 		state.claimed = claimed
-		state.ownClaim = w.live.Claimed[id] == w.Node && !claimed
+		w.updateOwnClaim(state)
 	}
 	for id, state := range w.open {
 		if _, isOpen := w.live.Open[id]; isOpen || state.entry.Revision > w.live.Revision {
@@ -58,6 +58,23 @@
 	w.claimDueJobs(now)
 }
 
+// updateOwnClaim records whether the claim of a job is this node's although the job does not run here. The caller must hold
+// the mutex.
+func (w *Worker) updateOwnClaim(state *openJob) {
+	id := state.entry.ID
+	before := state.ownClaim
+	state.ownClaim = w.live.Claimed[id] == w.Node && !state.claimed
+	if state.ownClaim && !before && !state.claiming {
+		event.ClaimUnserved.Log(w.Logger).Str("job", string(id)).Int64("lease", int64(w.lease)).Send()
+	}
+}
+
+// logClaim logs a claim of this node.
+func (w *Worker) logClaim(claim jobrecord.Claim, lease kv.LeaseID) {
+	event.ClaimWritten.Log(w.Logger).Str("job", string(claim.Job)).Str("worker", string(w.Node)).Int64("lease", int64(lease)).
+		Int64("revision", claim.Revision).Send()
+}
+
 // claimedElsewhere reports whether a claim keeps this node from a job. If the claim is this node's own but the job does
 // not run here, the claim comes from a call whose answer was lost or from before a restart. The job is then claimed again,
 // because no other node can. The caller must hold the mutex.
@@ -227,6 +244,7 @@
 		reservation.Release()
 		return err
 	}
+	w.logClaim(claim, lease)
 	if err := w.startJob(ctx, claimedJob{entry: entry, claim: claim, reservation: reservation}); err != nil {
 		return fmt.Errorf("loading job: %w", err)
 	}
@@ -245,6 +263,7 @@
 	defer cancel()
 	claim, err := w.Records.Claim(ctx, job.entry, w.Node, lease)
 	if err == nil {
+		w.logClaim(claim, lease)
 		err = w.syncResults(job, claim)
 	}
 	switch {
