--- a/internal/jobworker/retire.go
+++ b/internal/jobworker/retire.go
@@ -81,6 +81,9 @@
 func (w *Worker) dueRetirements() map[ident.Node]*retirement {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if len(w.retirements) == 0 {
+		return nil
+	}
 	due := map[ident.Node]*retirement{}
 	now := w.Now()
 	mayMiss := w.mayMissWorkers(now)
