Count an answer from the time at which the reported work was counted

Callers: two requests could be sent on one granted slot, so that the second waited at the runner.

Cause: a node counts its work, makes the report and sends it. The answer counted from the sending, and grants used before that time were dropped as known to the owner. A request that started in between, or that had looked at the clock before the counting, was in no report, and its grant was used again.

Evidence: brought about in two tests, which failed before (the answer counts from 20 ms after the counting; a second request on one grant is sent).

Change: the answer counts from the counting, and a request is never taken for older than the last counting, which lacks it.

Ruled out: dropping all grants at each counting, which idles granted slots of owners that are not called.

--- a/internal/demand/poll.go
+++ b/internal/demand/poll.go
@@ -73,6 +73,7 @@
 
 // startPolls starts the calls for a request and returns those to wait for. It runs in the reporter's loop.
 func (t *Reporter) startPolls(ctx context.Context, request *pollRequest) []<-chan struct{} {
+	countedAt := t.Now()
 	online := t.Work.Online()
 	now := t.Now()
 	t.mutex.Lock()
@@ -84,7 +85,7 @@
 			continue
 		}
 		if !state.inFlight() {
-			t.startCall(ctx, address, state, owned, now)
+			t.startCall(ctx, address, state, owned, countedAt, now)
 		}
 		pending = append(pending, state.callDone)
 	}
--- a/internal/demand/reporter.go
+++ b/internal/demand/reporter.go
@@ -90,7 +90,7 @@
 	ackedPaces map[ident.Incarnation]time.Time
 	// far means that the worker is in another zone.
 	far bool
-	// answerAsOf is when the report with the newest answer was sent.
+	// answerAsOf is when the work in the report with the newest answer was counted.
 	answerAsOf time.Time
 	// callDone is closed when the call in flight ends; nil if there is none.
 	callDone chan struct{}
@@ -165,6 +165,7 @@
 // reportAll calls the workers for which a report is due. It returns the time after which it has to be called
 // again.
 func (t *Reporter) reportAll(ctx context.Context) time.Duration {
+	countedAt := t.Now()
 	online := t.Work.Online()
 	now := t.Now()
 	t.mutex.Lock()
@@ -203,7 +204,7 @@
 			!state.unpolledSince(owned.UnresponsiveSince) && address != nextFar && !extrasDue {
 			continue
 		}
-		t.startCall(ctx, address, state, owned, now)
+		t.startCall(ctx, address, state, owned, countedAt, now)
 	}
 	return next
 }
@@ -219,13 +220,14 @@
 	return state
 }
 
-// startCall starts a call to a worker. The caller holds the mutex, and runs in the reporter's loop.
-func (t *Reporter) startCall(ctx context.Context, address string, state *workerState, owned OwnerDemand, now time.Time) {
+// startCall starts a call to a worker, which reports the work counted since countedAt. The caller holds the mutex, and runs
+// in the reporter's loop.
+func (t *Reporter) startCall(ctx context.Context, address string, state *workerState, owned OwnerDemand, countedAt, now time.Time) {
 	report := state.nextReport(owned.Counts, now)
 	report.Uses = state.nextUses(owned.Uses, now)
 	report.Waiting, state.waiting = owned.Waiting, owned.Waiting
 	report.Node, report.Incarnation, report.AgeMs = t.Node, t.incarnation, t.age(now)
-	t.tomb.Go(func() error { t.send(ctx, address, state, report); return nil })
+	t.tomb.Go(func() error { t.send(ctx, address, state, report, countedAt); return nil })
 }
 
 // ageReportedFor is the uptime up to which a node reports its age: longer than any owner uses it. A node without
@@ -393,8 +395,8 @@
 }
 
 // acknowledge records that the worker received a report.
-func (c *workerState) acknowledge(report *Report, sent time.Time) {
-	c.answerAsOf = sent
+func (c *workerState) acknowledge(report *Report, countedAt time.Time) {
+	c.answerAsOf = countedAt
 	if c.ackedPaces == nil {
 		c.ackedPaces = map[ident.Incarnation]time.Time{}
 	}
@@ -409,14 +411,14 @@
 func (c *workerState) inFlight() bool { return c.callDone != nil }
 
 // send makes one call. If something changed in the meantime, it schedules the next one.
-func (t *Reporter) send(ctx context.Context, address string, state *workerState, report *Report) {
+func (t *Reporter) send(ctx context.Context, address string, state *workerState, report *Report, countedAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := t.Now()
 	answer, err := t.Send(ctx, address, report)
 	if err == nil {
-		// The answer counts from the time of the report: it may have been buffered while this process was frozen.
-		t.Work.Take(address, answer, sent)
+		// The answer counts from the time at which the work was counted: a request sent since is not in it, and the answer
+		// may have been buffered while this process was frozen.
+		t.Work.Take(address, answer, countedAt)
 	}
 	now := t.Now()
 	t.mutex.Lock()
@@ -431,7 +433,7 @@
 		state.notBefore = now.Add(failureBackoff)
 		return
 	}
-	state.acknowledge(report, sent)
+	state.acknowledge(report, countedAt)
 	state.endsRead = answer.Ends.After(report.EndsRead)
 	if state.changedDuringCall {
 		t.Changed(true)
--- a/internal/demand/reporter_test.go
+++ b/internal/demand/reporter_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -65,10 +66,45 @@
 		now = now.Add(2 * Lifetime)
 		return &Answer{}, nil
 	}
-	reporter.send(t.Context(), "w", &workerState{}, &Report{})
+	reporter.send(t.Context(), "w", &workerState{}, &Report{}, now)
 	assert.Assert(t, now.Sub(work.asOf) >= 2*Lifetime, "the answer counts for another %v", Lifetime-now.Sub(work.asOf))
 }
 
+// slowCount takes some time from the moment at which it counts the work.
+type slowCount struct {
+	answerTimes
+	pass func()
+	// countedAt is when the work was counted.
+	countedAt time.Time
+	now       func() time.Time
+}
+
+func (w *slowCount) Online() map[string]OwnerDemand {
+	w.countedAt = w.now()
+	w.pass()
+	return map[string]OwnerDemand{"w": {Counts: []Count{{Runner: "r", Online: 1}}}}
+}
+
+// TestAnswerCountsFromTheTimeOfTheCounts guards against an answer that claims to know of requests which started while the
+// report was made. The grant that such a request had used was then used by another one.
+func TestAnswerCountsFromTheTimeOfTheCounts(t *testing.T) {
+	now := time.Unix(100, 0)
+	work := &slowCount{now: func() time.Time { return now }, pass: func() { now = now.Add(20 * time.Millisecond) }}
+	supervisor := new(tomb.Tomb)
+	reporter := NewReporter(ident.Node("front"), work, work.now)
+	reporter.tomb = supervisor
+	reporter.Send = func(context.Context, string, *Report) (*Answer, error) { return &Answer{}, nil }
+	reporter.reportAll(t.Context())
+	assert.NilError(t, supervisor.Wait())
+	assert.Assert(t, !work.asOf.After(work.countedAt), "%v after the work was counted", work.asOf.Sub(work.countedAt))
+	supervisor = new(tomb.Tomb)
+	reporter.tomb = supervisor
+	now = now.Add(time.Second)
+	reporter.startPolls(t.Context(), &pollRequest{addresses: []string{"w"}})
+	assert.NilError(t, supervisor.Wait())
+	assert.Assert(t, !work.asOf.After(work.countedAt), "%v after the work was counted", work.asOf.Sub(work.countedAt))
+}
+
 // TestAgeIsReportedOnlyAfterStart checks that the age is reported while an owner that started with this node may
 // need it, and omitted later to save bytes.
 func TestAgeIsReportedOnlyAfterStart(t *testing.T) {
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -41,7 +41,7 @@
 		chosen.online = append(chosen.online, flight)
 	}
 	chosen.tokens[request.Class] += flight.tokens
-	chosen.countGrantUse(request.Class, now)
+	chosen.countGrantUse(request.Class, t.countedAt, now)
 	t.notifyOnline(request.Class, true)
 	chosen.waiting[flight] = now
 	chosen.pendingTokens += uncached
--- a/internal/runnertable/ration.go
+++ b/internal/runnertable/ration.go
@@ -31,11 +31,16 @@
 	return reported.granted > len(e.grantUses)
 }
 
-// countGrantUse records an online request that is sent to a rationed runner.
-func (e *entry) countGrantUse(class Class, now time.Time) {
-	if class == Online && e.share.Value().rationed {
-		e.grantUses = append(e.grantUses, now)
+// countGrantUse records an online request that is sent to a rationed runner. Its time is not before countedAt, the time of
+// the last report, which lacks the request although it may have been chosen before.
+func (e *entry) countGrantUse(class Class, countedAt, now time.Time) {
+	if class != Online || !e.share.Value().rationed {
+		return
 	}
+	if now.Before(countedAt) {
+		now = countedAt
+	}
+	e.grantUses = append(e.grantUses, now)
 }
 
 // dropGrantUses drops the requests sent before a report's time, which the owner already took into account in that
--- a/internal/runnertable/ration_test.go
+++ b/internal/runnertable/ration_test.go
@@ -101,3 +101,18 @@
 		assert.Equal(t, len(table.Online(now)), 0, "%v", ident.Incarnation("a"))
 	}
 }
+
+// TestRequestThatIsChosenAsTheWorkIsCountedUsesItsGrant has the node count its work for a report between the moment at which
+// a request looked at the clock and the one at which it was sent. The report lacks the request, which still uses up the grant
+// in the answer.
+func TestRequestThatIsChosenAsTheWorkIsCountedUsesItsGrant(t *testing.T) {
+	now := time.Now()
+	table := rationedTable(now, demand.Share{Orphans: 1, Granted: 1})
+	countedAt := now.Add(2 * time.Millisecond)
+	assert.Equal(t, len(table.Online(countedAt)), 0)
+	_, err := table.Pick(queueableRequest(), now.Add(time.Millisecond), fixedRand())
+	assert.NilError(t, err)
+	table.UpdateShares([]demand.Share{{Runner: "a", Rationed: true, Granted: 1}}, countedAt)
+	_, err = table.Pick(queueableRequest(), now.Add(3*time.Millisecond), fixedRand())
+	assert.ErrorIs(t, err, runnertable.ErrFull)
+}
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -29,6 +29,7 @@
 func (t *Table) Online(now time.Time) map[work.Runner]demand.Count {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.countedAt = now
 	online := map[work.Runner]demand.Count{}
 	for id, known := range t.runners {
 		count := demand.Count{Runner: id, Online: known.own[Online], Old: known.sentBefore(now.Add(-demand.MaxReportAge)),
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -39,6 +39,8 @@
 	// onlineChanged is called when this node's online work at a runner changes or a direct report starts or ends a
 	// slow phase of a runner; see OnOnlineChanged. It may be nil.
 	onlineChanged func(rose bool)
+	// countedAt is when this node's online work was last counted for a report.
+	countedAt time.Time
 	// timings holds the typical times of requests, by service.
 	timings map[string]*serviceTimings
 	// slowPhases holds the counters for the log.
