Let workers know each other within 0.2 s of their start

Callers: jobs were refused through a whole outage of the store that began 0.4 s after all processes of a site had started.

Cause: in an outage a job is accepted by the workers on the list. A starting worker read the list before the others had registered and then paused as in steady state: 400 ms where it reads for the others, and up to 1.2 s where another worker could have been asked at once.

Change: after a read of its own a worker asks the one that reads for all 60 ms later. Readers pause 50 ms in the first second of their process.

Ruled out: telling registrations from worker to worker, by which fronts would take workers for owners of runners that the store does not list; 3 s of short pauses, three times the calls for no further moment of the test.

At most 20 calls more for a reader's start.

--- a/internal/jobworker/follow.go
+++ b/internal/jobworker/follow.go
@@ -33,6 +33,11 @@
 	readerCallMargin = 350 * time.Millisecond
 	// readerRetryPause is the pause after a failed call to a reader.
 	readerRetryPause = 60 * time.Millisecond
+	// startPeriod is how long after its start a worker that reads for others pauses only for startWatchPause between two
+	// reads. Workers that start together register one after the other in that time, and a job can be accepted in an outage
+	// only by workers that are known.
+	startPeriod     = time.Second
+	startWatchPause = 50 * time.Millisecond
 )
 
 // errStale means that a reader returned data that may have been out of date for too long.
@@ -64,21 +69,25 @@
 	}
 }
 
-// pauseAfterLive returns how long to wait before the next call or read. Another worker sends changes as they come. A
-// worker that reads for others polls often; workers that all read for themselves poll more rarely the more of them there
-// are.
+// pauseAfterLive returns how long to wait before the next call or read. Another worker sends changes as they come, and is
+// asked soon after a read of this node's own. A worker that reads for others polls often; workers that all read for
+// themselves poll more rarely the more of them there are.
 func (w *Worker) pauseAfterLive(other bool, err error) time.Duration {
+	if other && err == nil {
+		return 0
+	}
+	_, asksNext := w.Reader(w.avoidsReader)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	switch {
-	case other && err != nil:
+	case other || asksNext:
 		return readerRetryPause
-	case other:
-		return 0
-	case w.readsForAll():
-		return w.Options.WatchPause
+	case len(w.workers) > 0 && !w.readsForAll():
+		return w.scaledByWorkers(w.Options.WatchPause)
+	case w.Now().Sub(w.started) < startPeriod:
+		return startWatchPause
 	}
-	return w.scaledByWorkers(w.Options.WatchPause)
+	return w.Options.WatchPause
 }
 
 // readsForAll reports whether this worker is one of the readers that others ask. The caller must hold the mutex.
--- a/internal/jobworker/follow_test.go
+++ b/internal/jobworker/follow_test.go
@@ -10,6 +10,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/simulated"
 	"mallowlatch.example/mallowlatch/internal/storemeter"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -109,3 +110,31 @@
 	m.submit("back", 8)
 	m.waitWhole("back", 8)
 }
+
+// TestWorkersKnowEachOtherBeforeAnOutageRightAfterTheirStart guards against jobs that are refused for a whole outage because
+// no worker knows enough others to keep them. The workers start 50 ms after each other, and the store goes away between 0.2
+// and 2 s after the last start. Their leases last longer than the test.
+func TestWorkersKnowEachOtherBeforeAnOutageRightAfterTheirStart(t *testing.T) {
+	const workers = 3
+	for after := 200 * time.Millisecond; after <= 2*time.Second; after += 50 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			simulated.Test(t, func(t *testing.T) {
+				g, peers := newGroup(t), &localMirrors{workers: map[string]*jobworker.Worker{}}
+				for index := range workers {
+					node := ident.Node(fmt.Sprint("n", index))
+					g.stores[node] = kvtest.NewPaged(g.data)
+					g.start(node, g.stores[node], &fakeCaller{}, peers)
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(after - 50*time.Millisecond)
+				for _, store := range g.stores {
+					store.SetFaults(kvtest.PagedFaults{Down: true})
+				}
+				time.Sleep(100 * time.Millisecond)
+				for address, worker := range peers.workers {
+					assert.Check(t, len(worker.Registered()) == workers, "%s knows %d workers", address, len(worker.Registered()))
+				}
+			})
+		})
+	}
+}
