Remove fields and a method that nothing reads, and test a missed announcement

retirement.requested, batch.Worker.draining and confsync.Core.PeerRevision were written or defined and read by nothing.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -75,8 +75,6 @@
 	wake chan struct{}
 	// events contains functions that other goroutines post to the loop, which owns all fields below tenants.
 	events chan func()
-	// draining is closed by Drain.
-	draining chan struct{}
 	// tenants counts the running items for policies, which may read it from another goroutine.
 	tenants tenantCounter
 
@@ -136,7 +134,6 @@
 		wake:         make(chan struct{}, 1),
 		prefillTimer: time.NewTimer(config.Tick),
 		events:       make(chan func(), eventQueue),
-		draining:     make(chan struct{}),
 		registry:     newLeaseRegistry(),
 		runners:      map[ident.Runner]*runnerState{},
 		commits:      map[*heldLease]*commit{},
@@ -162,12 +159,7 @@
 // Drain stops leasing and starting items, releases the queued ones, and waits until the running ones have ended and are
 // committed, or ctx is done.
 func (w *Worker) Drain(ctx context.Context) error {
-	w.post(func() {
-		if !w.stopping {
-			w.stopping = true
-			close(w.draining)
-		}
-	})
+	w.post(func() { w.stopping = true })
 	for {
 		idle := make(chan bool, 1)
 		w.post(func() { idle <- len(w.registry.leases) == 0 })
--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -127,9 +127,6 @@
 // Diverged reports whether a peer reported a different history at the same revision, or a change did not continue this history.
 func (c *Core) Diverged() bool { return c.diverged }
 
-// PeerRevision returns the revision the peer last reported, or zero.
-func (c *Core) PeerRevision(node ident.Node) int64 { return c.known[node] }
-
 // Held reports whether some live peer has reported the revision or a newer one.
 func (c *Core) Held(revision int64) bool {
 	for _, known := range c.known {
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -88,6 +88,23 @@
 	assert.Equal(t, fleet.Violation, "")
 }
 
+// TestNodeThatMissedTheAnnouncementsCatchesUpDuringAnOutage has a node receive nothing while a change is announced, and an
+// outage begin at once. The node must have the change within the objective of 6 s, from the digests of other nodes.
+func TestNodeThatMissedTheAnnouncementsCatchesUpDuringAnOutage(t *testing.T) {
+	for seed := range uint64(20) {
+		fleet := confsim.New(simOptions(seed, 3, 9))
+		fleet.Run(5 * time.Second)
+		missing := fleet.Nodes()[4]
+		missing.SetPaused(true)
+		accepted := accept(t, fleet, fleet.Nodes()[0], "announced")
+		fleet.SetOutage(true)
+		fleet.Run(2 * time.Second)
+		missing.SetPaused(false)
+		fleet.Run(6 * time.Second)
+		assert.Equal(t, fleet.Lowest(), accepted.Change.Revision, "seed %d", seed)
+	}
+}
+
 // TestCutZoneCatchesUp partitions a zone, changes the configuration, and heals the partition during an outage. The zone must
 // catch up from other nodes.
 func TestCutZoneCatchesUp(t *testing.T) {
--- a/internal/jobworker/retire.go
+++ b/internal/jobworker/retire.go
@@ -22,8 +22,7 @@
 
 // retirement is an order to empty a worker.
 type retirement struct {
-	within    time.Duration
-	requested time.Time
+	within time.Duration
 	// acting is set when this node drains, or has reported that another one is gone.
 	acting bool
 	// absent is since when the worker has been unregistered, and the store reachable.
@@ -39,7 +38,7 @@
 	if w.retirements[order.Node] != nil {
 		return
 	}
-	w.retirements[order.Node] = &retirement{within: order.Within, requested: w.Now()}
+	w.retirements[order.Node] = &retirement{within: order.Within}
 }
 
 // retireLoop empties this node on request. A worker that is gone counts as empty; any other worker reports that. A worker
