Account only for requests of nodes that have reported since a report's moment

Cause: the report of a request's end is up to 350 ms late where a node has no processor. The owner looked 50 ms ahead of the moment that a runner's report shows, and took the slot for that of an orphaned run that ended.

Change: any fall of the accounted work since the moment counts, and so does the silence of a node since then.

Why it works: a request that a node reports after the moment had not ended at it; nothing else is accounted for.

Ruled out: a longer window alone, which an end without a report passes. The new test failed before.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -322,6 +322,19 @@
 	return l.counted > 0
 }
 
+// OnlineSince returns the online work at a runner of the nodes that have reported since a time.
+func (l *Ledger) OnlineSince(runner ident.Incarnation, since time.Time) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	online := 0
+	for _, entry := range l.nodes {
+		if entry.counted && !entry.at.Before(since) {
+			online += entry.counts[runner]
+		}
+	}
+	return online
+}
+
 // Online returns the online work at a runner of all nodes except the one named, which may be empty.
 func (l *Ledger) Online(runner ident.Incarnation, except ident.Node, now time.Time) int {
 	l.mutex.Lock()
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -320,7 +320,7 @@
 	now := w.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.orphanRuns.recordReport(runner.ID, load, now)
+	w.recordOrphanReading(runner.ID, load, now)
 	gauge := &w.gaugeOf(runner.ID).gauge
 	_, lent := w.lent.LentAt(runner.ID, now)
 	gauge.Observe(load, w.reportedOwnRuns(runner.ID, now)+lent, w.demand.Online(runner.ID, "", now), now)
--- a/internal/jobworker/orphans.go
+++ b/internal/jobworker/orphans.go
@@ -125,12 +125,26 @@
 // counts only if the borrower has an item there: an idle one would look like an orphaned run that ended. The caller must
 // hold the mutex.
 func (w *Worker) recordAccounted(id ident.Incarnation, now time.Time) {
-	count := w.orphanRuns.counts[id]
-	if count == nil || !w.orphanRuns.watch.Open(now) {
-		return
+	if count := w.orphanRuns.counts[id]; count != nil && w.orphanRuns.watch.Open(now) {
+		count.RecordAccounted(w.demand.Online(id, "", now)+w.knownItems(id, now), now)
 	}
+}
+
+// knownItems returns the items known to run at a runner: this node's, and those of borrowers as of their last requests. The
+// caller must hold the mutex.
+func (w *Worker) knownItems(id ident.Incarnation, now time.Time) int {
 	_, borrowersItems := w.lent.LentAt(id, now)
-	count.RecordAccounted(w.demand.Online(id, "", now)+w.Runners.Own(id, runnertable.Batch)+borrowersItems, now)
+	return w.Runners.Own(id, runnertable.Batch) + borrowersItems
+}
+
+// recordOrphanReading records a runner's report. Requests of nodes that have not reported since the moment that it shows may
+// have ended before, and are not accounted for. The caller must hold the mutex.
+func (w *Worker) recordOrphanReading(id ident.Incarnation, load work.Load, now time.Time) {
+	if count := w.orphanRuns.counts[id]; count != nil && w.orphanRuns.watch.Open(now) {
+		count.RecordAccounted(w.demand.OnlineSince(id, now.Add(-reportDelay))+w.knownItems(id, now), now)
+	}
+	w.orphanRuns.recordReport(id, load, now)
+	w.recordAccounted(id, now)
 }
 
 func (s *orphanState) addCount(id ident.Incarnation) *orphans.Count {
--- a/internal/jobworker/orphans_test.go
+++ b/internal/jobworker/orphans_test.go
@@ -197,7 +197,7 @@
 	r.at(ms)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.orphanRuns.recordReport("a", work.Load{Running: running, Slots: 8}, r.now)
+	r.recordOrphanReading("a", work.Load{Running: running, Slots: 8}, r.now)
 }
 
 func (r *orphanRig) orphanedRuns() int {
@@ -243,3 +243,24 @@
 	}
 	assert.Equal(t, r.orphanedRuns(), 5)
 }
+
+// TestEndThatIsReportedLateIsNoOrphan has a request end at the runner while its node has no processor for 300 ms: the node's
+// report of the end arrives after two reports of the runner that lack the request.
+func TestEndThatIsReportedLateIsNoOrphan(t *testing.T) {
+	r := newOrphanRig()
+	r.round(0)
+	r.read(1, 7)
+	r.at(2)
+	demandAnswer(r.Worker, "front", 1, 50*time.Millisecond, 1)
+	r.round(250)
+	r.read(253, 7)
+	r.read(270, 7)
+	assert.Equal(t, r.orphanedRuns(), 7)
+	r.at(300)
+	demandAnswer(r.Worker, "front", 2, 350*time.Millisecond, 0)
+	r.at(301)
+	demandAnswer(r.Worker, "other", 1, 350*time.Millisecond, 1)
+	r.read(310, 7)
+	r.read(325, 7)
+	assert.Equal(t, r.orphanedRuns(), 7)
+}
--- a/internal/jobworker/ration.go
+++ b/internal/jobworker/ration.go
@@ -94,6 +94,6 @@
 	defer w.mutex.Unlock()
 	delete(w.orphanRuns.polling, runner.ID)
 	if err == nil {
-		w.orphanRuns.recordReport(runner.ID, load, now)
+		w.recordOrphanReading(runner.ID, load, now)
 	}
 }
