Ask an owner that grants slots each 200 ms

Callers: beside load up to 21 requests went at once to a runner with one free slot after a simultaneous restart, and waited there.

Cause: a node without an answer for 600 ms takes the owner for gone and uses its slots as usual. Idle nodes asked each 500 ms, so that one answer 100 ms late was enough, for all nodes that were late with it.

Change: while a worker of its zone grants slots, an idle node asks it each 200 ms. Calls to other zones keep their bound.

Why it works: two answers in a row must be missing now, 400 ms of lateness.

Ruled out: a longer time until an owner counts as gone, which delays requests where it is.

--- a/internal/demand/reporter.go
+++ b/internal/demand/reporter.go
@@ -20,6 +20,9 @@
 	// IdleRefreshInterval is that time for the other workers of this node's zone. Requests go to their runners when
 	// those in use are full, and jobs go to the worker that would start them first.
 	IdleRefreshInterval = 500 * time.Millisecond
+	// rationedRefreshInterval is that time while a worker of this node's zone grants slots one by one: a node that has no
+	// answer for a little longer than IdleRefreshInterval takes the worker for gone and its slots for free.
+	rationedRefreshInterval = 200 * time.Millisecond
 	// farCallsPerSecond is the total rate of a node's calls to the workers of other zones at whose runners it has
 	// no work. With the answers this is about 2.4 kB a second, within the 3 kB that a node may spend on control
 	// traffic. Without a bound, the calls of all nodes grow with nodes times workers.
@@ -53,8 +56,22 @@
 	UnresponsiveSince time.Time
 	// Uses are the tenants' uses of the services for which the worker is the account holder.
 	Uses []Use
-	// Waiting counts the requests that wait for slots granted by the worker, ordered by service.
-	Waiting []Waiting
+	// Rationed means that the worker grants the slots of some of its runners one by one. Waiting counts the requests that
+	// wait for them, ordered by service.
+	Rationed bool
+	Waiting  []Waiting
+}
+
+// idleInterval returns the time between two reports to the worker without work at its runners, given that for workers of
+// other zones.
+func (d OwnerDemand) idleInterval(far time.Duration) time.Duration {
+	switch {
+	case d.Far:
+		return far
+	case d.Rationed:
+		return rationedRefreshInterval
+	}
+	return IdleRefreshInterval
 }
 
 // Reporter reports the online work of this node to workers. Its exported fields are set before Start.
@@ -188,10 +205,7 @@
 	for address, owned := range online {
 		state := t.worker(address, owned)
 		state.changedDuringCall = state.inFlight()
-		idle := IdleRefreshInterval
-		if owned.Far {
-			idle = idleFar
-		}
+		idle := owned.idleInterval(idleFar)
 		extrasDue := state.usesDue(owned.Uses, now) || state.waitingDue(owned.Waiting, now)
 		if state.inFlight() || (!probesDue[address] && !state.unpolledSince(owned.UnresponsiveSince) &&
 			!state.reportDue(owned.Counts, idle, now) && !extrasDue) {
--- a/internal/demand/reporter_test.go
+++ b/internal/demand/reporter_test.go
@@ -129,3 +129,14 @@
 	state.acknowledge(second, now.Add(time.Second))
 	assert.Equal(t, state.nextReport(counts, now.Add(2*time.Second)).Counts[0].Old, 0)
 }
+
+// TestWorkerThatRationsIsAskedBeforeItCountsAsGone guards against nodes that take granted slots for free because one answer
+// was 100 ms late: two answers in a row must be missing.
+func TestWorkerThatRationsIsAskedBeforeItCountsAsGone(t *testing.T) {
+	const countsAsGone = IdleRefreshInterval + 100*time.Millisecond
+	rationed := OwnerDemand{Rationed: true}
+	assert.Assert(t, 2*(rationed.idleInterval(IdleRefreshInterval)+RefreshInterval) <= countsAsGone)
+	assert.Equal(t, OwnerDemand{}.idleInterval(time.Minute), IdleRefreshInterval)
+	far := OwnerDemand{Far: true, Rationed: true}
+	assert.Equal(t, far.idleInterval(time.Minute), time.Minute, "calls to other zones stay bounded")
+}
--- a/internal/jobpeer/ration.go
+++ b/internal/jobpeer/ration.go
@@ -27,6 +27,7 @@
 	waiting := o.Waiters.WaitingReport()
 	for address, services := range rationers {
 		entry := owned[address]
+		entry.Rationed = true
 		for _, request := range waiting {
 			if slices.Contains(services, request.Service) {
 				entry.Waiting = append(entry.Waiting, request)
