--- a/internal/orphans/orphans.go
+++ b/internal/orphans/orphans.go
@@ -9,9 +9,9 @@
 	// reportDelay is the age of a runner's report when it is read: it is compared with the work known at that time, not
 	// with what nodes have reported since.
 	reportDelay = 100 * time.Millisecond
-	// maxStartSkew is how much later than its node reports a request the runner may have it, plus how late a report of the
-	// runner may be read.
-	maxStartSkew = 50 * time.Millisecond
+	// maxArrivalDelay is how long after its node has reported a request the runner may receive it, plus how late a report of
+	// the runner may be read.
+	maxArrivalDelay = 50 * time.Millisecond
 	// fullCountPeriod is how long a reading counts in full, long enough for two readings to fail. A count that decayed
 	// from the moment of a reading would always show a free slot at each full runner.
 	fullCountPeriod = 500 * time.Millisecond
@@ -45,7 +45,7 @@
 	if last := len(c.knownWork) - 1; last < 0 || c.knownWork[last].work != work {
 		c.knownWork = append(c.knownWork, knownWork{work: work, at: now})
 	}
-	for len(c.knownWork) > 1 && now.Sub(c.knownWork[1].at) >= reportDelay+maxStartSkew {
+	for len(c.knownWork) > 1 && now.Sub(c.knownWork[1].at) >= reportDelay+maxArrivalDelay {
 		c.knownWork = c.knownWork[1:]
 	}
 }
@@ -54,7 +54,7 @@
 // the first time requests that it sent long before.
 func (c *Count) AddLateReported(work int, now time.Time) {
 	if len(c.knownWork) == 0 {
-		c.knownWork = []knownWork{{at: now.Add(-reportDelay - maxStartSkew)}}
+		c.knownWork = []knownWork{{at: now.Add(-reportDelay - maxArrivalDelay)}}
 	}
 	for position := range c.knownWork {
 		c.knownWork[position].work += work
@@ -62,13 +62,13 @@
 	c.upperBound, c.excess = max(c.upperBound-work, 0), max(c.excess-work, 0)
 }
 
-// knownAtReport returns the least work that was accounted for from maxStartSkew before the moment that a report read now
+// knownAtReport returns the least work that was accounted for from maxArrivalDelay before the moment that a report read now
 // shows. More than the runner had at that moment would look like the end of an orphaned run, permanently, and a node may
 // report the end of a request at any time after it.
 func (c *Count) knownAtReport(now time.Time) int {
 	least := 0
 	for _, entry := range c.knownWork {
-		if now.Sub(entry.at) >= reportDelay+maxStartSkew {
+		if now.Sub(entry.at) >= reportDelay+maxArrivalDelay {
 			least = entry.work
 			continue
 		}
--- a/internal/runnertable/ration.go
+++ b/internal/runnertable/ration.go
@@ -31,8 +31,8 @@
 	return reported.granted > len(e.grantUses)
 }
 
-// countGrantUse records an online request that is sent to a rationed runner. Its time is not before countedAt, the time of
-// the last report, which lacks the request although it may have been chosen before.
+// countGrantUse records an online request that is sent to a rationed runner, at now or at countedAt, whichever is later: the
+// last report, whose work was counted then, lacks the request even if the runner was chosen before.
 func (e *entry) countGrantUse(class Class, countedAt, now time.Time) {
 	if class != Online || !e.share.Value().rationed {
 		return
