Count the calls between nodes by kind and zone

What callers saw: nothing yet; the fleet of 985 machines spends its processor time and its traffic between zones before the first request, and no line says on what. Change: each process writes peer_calls every ten seconds: calls, bytes of requests and answers by method, apart for calls to other zones. It counts the encoded messages, not the headers below them.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -56,9 +56,10 @@
 	defer func() { _ = pool.Close() }()
 	records := process.records()
 	holders := &jobpeer.WorkerClient{
-		Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: pool.ConnAddress, Copies: settings.Bounds.TolerableDiskLosses + 1,
+		Records: records, Zone: ident.Zone(settings.Node.Zone), Connect: process.peerCalls.Wrap(pool.ConnAddress), Copies: settings.Bounds.TolerableDiskLosses + 1,
 		Seeds: settings.Seeds, SeedsFor: process.startGrace(), Reach: process.reachability, Now: clock.Now,
 	}
+	process.peerCalls.ZoneOf = holders.ZoneOf
 	desk := &jobentry.Intake{
 		Records: records, Logger: process.logger, Workers: holders, LinkBytes: settings.Limits.LinkBytes(), Reachability: process.reachability,
 	}
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"mallowlatch.example/mallowlatch/internal/callmeter"
 	"mallowlatch.example/mallowlatch/internal/clock"
 	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/event"
@@ -59,6 +60,8 @@
 	routes       *routetable.Table
 	lifecycle    *site.Lifecycle
 	ends         *poisonwatch.Watch
+	// peerCalls counts the calls to other nodes.
+	peerCalls *callmeter.Meter
 	// heldBytes limits the memory used for the requests and answers of clients.
 	heldBytes *memorybudget.NodeBudget
 	// suspended is the total time the machine was suspended, as of the last check. Only closeExpiredConnections
@@ -86,6 +89,7 @@
 		runners:   runnertable.New(ident.Zone(settings.Node.Zone)),
 		routes:    &routetable.Table{},
 		lifecycle: &site.Lifecycle{},
+		peerCalls: &callmeter.Meter{Zone: ident.Zone(settings.Node.Zone)},
 		heldBytes: memorybudget.New[ident.Tenant, string](memorybudget.LimitsOf(settings.Limits.MemoryBytes())),
 	}
 	started.store.Heard = started.reachability
@@ -186,6 +190,7 @@
 // logCounters logs what was counted since the last call.
 func (p *process) logCounters() {
 	p.logStoreCalls()
+	p.logPeerCalls()
 	p.logHeldBytes()
 	p.logSlowRunners()
 }
@@ -196,6 +201,12 @@
 	}
 }
 
+func (p *process) logPeerCalls() {
+	if counts := p.peerCalls.Take(); len(counts) > 0 {
+		event.PeerCalls.Log(p.logger).Interface("calls", counts).Send()
+	}
+}
+
 // maxSlowRunnersLogged is the maximum number of runner names in a log line on slow runners.
 const maxSlowRunnersLogged = 8
 
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -46,11 +46,13 @@
 	}
 	pool := newPeerPool()
 	defer func() { _ = pool.Close() }()
-	peers := &jobpeer.Peers{Connect: pool.ConnAddress, Now: clock.Now}
+	connect := process.peerCalls.Wrap(pool.ConnAddress)
+	process.peerCalls.ZoneOf = worker.ZoneOf
+	peers := &jobpeer.Peers{Connect: connect, Now: clock.Now}
 	worker.Mirrors, worker.Lenders, worker.Readers, worker.Accounts = peers, peers, peers, peers
 	worker.Tolerance = settings.Bounds.TolerableDiskLosses
 	worker.Seeds, worker.SeedPeriod = settings.Seeds, process.startGrace()
-	source := &jobpeer.LeaderFeed{Reader: worker.Reader, Eligible: worker.IsReader, Connect: pool.ConnAddress, Now: clock.Now}
+	source := &jobpeer.LeaderFeed{Reader: worker.Reader, Eligible: worker.IsReader, Connect: connect, Now: clock.Now}
 	worker.OnLiveChanged = source.Changed
 	if settings.Node.DataFolder != "" {
 		process.ends.Persist(filepath.Join(settings.Node.DataFolder, endsFile))
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -61,7 +61,7 @@
 func (o *OnlineWork) Report(ctx context.Context, address string, report *demand.Report) (*demand.Answer, error) {
 	asked := o.Now()
 	answer, err := o.Client.ReportDemand(ctx, address, report)
-	zone, known := o.Client.zoneOf(address)
+	zone, known := o.Client.ZoneOf(address)
 	switch {
 	case !known, errors.Is(err, errSkipped):
 	case err == nil:
@@ -73,8 +73,8 @@
 	return answer, err
 }
 
-// zoneOf returns the zone of the worker at the given address. It returns false for an unknown address.
-func (h *WorkerClient) zoneOf(address string) (ident.Zone, bool) {
+// ZoneOf returns the zone of the worker at the given address. It returns false for an unknown address.
+func (h *WorkerClient) ZoneOf(address string) (ident.Zone, bool) {
 	for _, worker := range h.knownWorkers() {
 		if worker.Address == address {
 			return worker.Zone, true
--- a/internal/jobworker/ownership.go
+++ b/internal/jobworker/ownership.go
@@ -43,6 +43,18 @@
 	return slices.Collect(maps.Values(w.workers))
 }
 
+// ZoneOf returns the zone of the registered worker at an address. It returns false for an unknown address.
+func (w *Worker) ZoneOf(address string) (ident.Zone, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, worker := range w.workers {
+		if worker.Address == address {
+			return worker.Zone, true
+		}
+	}
+	return "", false
+}
+
 const (
 	// claimDelayFraction of the time that the waiting items will take is how long a node leaves a new job to less busy
 	// ones.
