Keep owners and used runners at each change in place of walking the fleet

Cause: at each change of the workers a worker chose the owners of all runners of the fleet anew among all workers, in memory of runners times workers; each report, request, item and round copied or walked all runners (ReadyRunners, All, Table.Online, Table.Rationed), though a worker owns some 70 and a front uses a handful. Change: jobrecord.Owners caches owners by zone and corrects them for the workers that joined or left; the owned runners are a list that is made at a change of the runners or workers; the table keeps runners by zone, those in use and those that are rationed; a list that changes nothing is compared and not applied. Why it works: an owner is one of the runner's zone, so that a worker of another zone changes none; a runner without a request, an ejection or a pace has nothing to report.

--- a/internal/jobpeer/ration.go
+++ b/internal/jobpeer/ration.go
@@ -5,7 +5,6 @@
 
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
-	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // Waiters reports a node's requests that wait for slots; see online.Forwarder.
@@ -55,5 +54,5 @@
 
 // hasRunnerInZone reports whether this node's zone has runners of a service.
 func (o *OnlineWork) hasRunnerInZone(service string) bool {
-	return slices.ContainsFunc(o.Runners.ReadyRunners(service), func(runner work.Runner) bool { return runner.Zone == o.Client.Zone })
+	return o.Runners.HasReady(service, o.Client.Zone)
 }
--- a/internal/jobworker/borrow.go
+++ b/internal/jobworker/borrow.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 const (
@@ -81,7 +83,7 @@
 // dueBorrowCalls returns the calls to make now: one to each owner whose slots are to be renewed or returned, and one to
 // each of a few owners that may have free slots. The caller must hold the mutex.
 func (w *Worker) dueBorrowCalls(now time.Time) []borrowCall {
-	held, wants := w.borrowedSlotsInUse(), map[ident.Node][]lending.Want{}
+	held, wants := w.borrowedSlotsInUse(now), map[ident.Node][]lending.Want{}
 	for _, service := range w.servicesInUse() {
 		w.addWants(service, wants, now)
 	}
@@ -121,12 +123,11 @@
 }
 
 // borrowedSlotsInUse counts the items that run at runners of other owners, by owner. The caller must hold the mutex.
-func (w *Worker) borrowedSlotsInUse() map[ident.Node][]lending.Count {
+func (w *Worker) borrowedSlotsInUse(now time.Time) map[ident.Node][]lending.Count {
 	held := map[ident.Node][]lending.Count{}
-	for _, runner := range w.Runners.All() {
-		running := w.Runners.Own(runner.ID, runnertable.Batch)
-		if owner := w.ownerOf(runner); running > 0 && owner != w.Node {
-			held[owner] = append(held[owner], lending.Count{Runner: runner.ID, Slots: running})
+	for _, runner := range w.Runners.InFlight(runnertable.Batch, now) {
+		if owner := w.ownerOf(runner); owner != w.Node {
+			held[owner] = append(held[owner], lending.Count{Runner: runner.ID, Slots: w.Runners.Own(runner.ID, runnertable.Batch)})
 		}
 	}
 	return held
@@ -227,10 +228,8 @@
 // slots. The caller must hold the mutex.
 func (w *Worker) usableSlots(service string, now time.Time) int {
 	slots := w.serviceSlots(service, now)
-	for _, runner := range w.Runners.ReadyRunners(service) {
-		if !w.owns(runner) {
-			slots += w.borrowedSlots(runner.ID, now)
-		}
+	for _, runner := range w.borrowedRunners(service) {
+		slots += w.borrowedSlots(runner.ID, now)
 	}
 	return slots
 }
@@ -238,14 +237,27 @@
 // freeSlots returns how many items of a service could start now in own and borrowed slots. The caller must hold the mutex.
 func (w *Worker) freeSlots(service string, now time.Time) int {
 	free := w.spareSlots(w.owned(service), now)
-	for _, runner := range w.Runners.ReadyRunners(service) {
-		if !w.owns(runner) && w.Runners.FailureRate(runner.ID, now) <= maxFailureRate {
+	for _, runner := range w.borrowedRunners(service) {
+		if w.Runners.FailureRate(runner.ID, now) <= maxFailureRate {
 			free += w.freeBorrowedSlots(runner.ID, now)
 		}
 	}
 	return free
 }
 
+// borrowedRunners returns the ready runners of a service at which this node may have borrowed slots, ordered by id. The
+// caller must hold the mutex.
+func (w *Worker) borrowedRunners(service string) []work.Runner {
+	var runners []work.Runner
+	for _, id := range slices.Sorted(maps.Keys(w.borrowed)) {
+		runner, known := w.Runners.Runner(id)
+		if known && runner.Service == service && runner.State == work.Ready && !w.owns(runner) {
+			runners = append(runners, runner)
+		}
+	}
+	return runners
+}
+
 // borrowedSlots returns the slots that this node may use at a runner of another owner. The caller must hold the mutex.
 func (w *Worker) borrowedSlots(id ident.Incarnation, now time.Time) int {
 	loan := w.borrowed[id]
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -155,29 +155,11 @@
 	return shortest
 }
 
-// ownedCacheTTL is how long the list of owned runners is cached. Reports of online work arrive several hundred times a
-// second, and runners come and go every few seconds.
-const ownedCacheTTL = 100 * time.Millisecond
-
-// allOwned returns the runners of all services that this node owns. The caller must hold the mutex.
-func (w *Worker) allOwned(now time.Time) []work.Runner {
-	if age := now.Sub(w.ownedAt); age >= 0 && age < ownedCacheTTL {
-		return w.ownedRunners
-	}
-	w.ownedAt, w.ownedRunners = now, nil
-	for _, runner := range w.Runners.All() {
-		if w.owns(runner) {
-			w.ownedRunners = append(w.ownedRunners, runner)
-		}
-	}
-	return w.ownedRunners
-}
-
 // demandShares lists the work at the runners that this node owns, without the work of the asking node, and the changes of
 // their pace since that node was last answered. The caller must hold the mutex.
 func (w *Worker) demandShares(node ident.Node, answered, now time.Time) *demand.Answer {
 	answer := &demand.Answer{}
-	for _, runner := range w.allOwned(now) {
+	for _, runner := range w.allOwned() {
 		if w.orphanRuns.unknown(runner.ID, now) {
 			continue
 		}
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -148,8 +148,8 @@
 func (w *Worker) pickBorrowedRunner(service string, avoid map[ident.Incarnation]bool, now time.Time) (ident.Incarnation, bool) {
 	var best work.Runner
 	bestFree := 0.0
-	for _, runner := range w.Runners.ReadyRunners(service) {
-		if w.owns(runner) || avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
+	for _, runner := range w.borrowedRunners(service) {
+		if avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
 			continue
 		}
 		free := w.pacedSlots(w.freeBorrowedSlots(runner.ID, now), runner.ID, now)
@@ -184,17 +184,6 @@
 	return float64(slots) / float64(w.Runners.Pace(id, now))
 }
 
-// owned returns the runners of a service to which this node assigns batch items. The caller must hold the mutex.
-func (w *Worker) owned(service string) []work.Runner {
-	var owned []work.Runner
-	for _, runner := range w.Runners.ReadyRunners(service) {
-		if w.owns(runner) {
-			owned = append(owned, runner)
-		}
-	}
-	return owned
-}
-
 // ownedSlots returns how many items the owned runners could run now beside their online work. The caller must hold the
 // mutex.
 func (w *Worker) ownedSlots(now time.Time) int {
@@ -258,13 +247,15 @@
 func (w *Worker) pollReports(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	for _, service := range w.polledServices(now) {
-		for _, runner := range w.Runners.ReadyRunners(service) {
-			if w.pollsRunner(runner, now) {
-				w.pollIfDue(runner, w.Options.ReportEvery, now)
-			}
+	services := w.polledServices(now)
+	for _, service := range services {
+		for _, runner := range w.owned(service) {
+			w.pollIfDue(runner, w.Options.ReportEvery, now)
 		}
 	}
+	for _, runner := range w.unlentRunners(services, now) {
+		w.pollIfDue(runner, w.Options.ReportEvery, now)
+	}
 	for _, runner := range w.orphanedRunners(now) {
 		w.pollIfDue(runner, w.orphanRuns.watch.ReadInterval(w.Options.ReportEvery, now), now)
 	}
@@ -280,10 +271,16 @@
 	w.tomb.Go(func() error { w.pollReport(runner); return nil })
 }
 
-// pollsRunner reports whether this node reads the reports of a runner: it owns the runner, or has items there without a
-// slot lent by an owner. The caller must hold the mutex.
-func (w *Worker) pollsRunner(runner work.Runner, now time.Time) bool {
-	return w.owns(runner) || (w.Runners.Own(runner.ID, runnertable.Batch) > 0 && w.borrowedSlots(runner.ID, now) == 0)
+// unlentRunners returns the ready runners of other owners where this node has items without a slot lent by the owner. The
+// caller must hold the mutex.
+func (w *Worker) unlentRunners(services []string, now time.Time) []work.Runner {
+	var runners []work.Runner
+	for _, runner := range w.Runners.InFlight(runnertable.Batch, now) {
+		if runner.State == work.Ready && slices.Contains(services, runner.Service) && !w.owns(runner) && w.borrowedSlots(runner.ID, now) == 0 {
+			runners = append(runners, runner)
+		}
+	}
+	return runners
 }
 
 // servicesInUse returns the services of this node's items. The caller must hold the mutex.
--- a/internal/jobworker/lend.go
+++ b/internal/jobworker/lend.go
@@ -8,7 +8,6 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
-	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // Lenders carries the calls between workers that lend slots to each other.
@@ -101,6 +100,3 @@
 			Str("runner", string(order.Recall.Runner)).Int("places", order.Recall.Slots).Err(err).Send()
 	}
 }
-
-// owns reports whether this node assigns the batch slots of a runner. The caller must hold the mutex.
-func (w *Worker) owns(runner work.Runner) bool { return w.ownerOf(runner) == w.Node }
--- a/internal/jobworker/lend_test.go
+++ b/internal/jobworker/lend_test.go
@@ -154,11 +154,10 @@
 	defer w.mutex.Unlock()
 	w.applyLoan(borrowCall{node: "w-2", sent: sent}, &lending.Reply{Slots: []lending.Count{{Runner: "r", Slots: 6}}})
 	assert.Equal(t, w.freeBorrowedSlots("r", sent), 2)
-	runner, _ := w.Runners.Runner("r")
-	assert.Assert(t, !w.pollsRunner(runner, sent), "the owner polls the runner")
+	assert.Equal(t, len(w.unlentRunners([]string{"s"}, sent)), 0, "the owner polls the runner")
 	after := sent.Add(lending.Lifetime)
 	assert.Equal(t, w.freeBorrowedSlots("r", after), 0)
-	assert.Assert(t, w.pollsRunner(runner, after), "no other worker polls it any more")
+	assert.Equal(t, len(w.unlentRunners([]string{"s"}, after)), 1, "no other worker polls it any more")
 }
 
 // TestBorrowRequestListsRunningItems has the runner of running items change its owner.
@@ -166,7 +165,7 @@
 	w, _ := borrower(t)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	assert.DeepEqual(t, w.borrowedSlotsInUse(), map[ident.Node][]lending.Count{"w-2": {{Runner: "r", Slots: 4}}})
+	assert.DeepEqual(t, w.borrowedSlotsInUse(time.Now()), map[ident.Node][]lending.Count{"w-2": {{Runner: "r", Slots: 4}}})
 	calls := w.dueBorrowCalls(time.Now())
 	assert.Equal(t, len(calls), 1)
 	assert.DeepEqual(t, calls[0].request.Held, []lending.Count{{Runner: "r", Slots: 4}})
@@ -222,7 +221,8 @@
 	w.setWorkers(map[ident.Node]jobrecord.Worker{
 		"w-1": {Node: "w-1", Zone: "a"}, "w-2": {Node: "w-2", Zone: "a", Address: "near"}, "w-3": {Node: "w-3", Zone: "b", Address: "far"},
 	})
-	w.owners = map[ident.Incarnation]ident.Node{"r": "w-1"}
+	runner, _ := w.Runners.Runner("r")
+	assert.Assert(t, w.owns(runner))
 	adopted := w.Routes.Adopt(&work.Catalog{Version: 2, Routes: []work.Route{{
 		Name: "batch", Host: "h", PathPrefix: "/b/", Kind: work.Batch, Split: []work.WeightedService{{Service: "s", Weight: 1}},
 		CompletionObjective: 20 * time.Second,
--- a/internal/jobworker/orphans.go
+++ b/internal/jobworker/orphans.go
@@ -99,7 +99,7 @@
 	if !orphanRuns.watch.Open(now) {
 		return
 	}
-	owned := w.allOwned(now)
+	owned := w.allOwned()
 	runs, read := 0, 0
 	orphanRuns.unsettled = max(len(owned), 1)
 	for _, runner := range owned {
@@ -162,7 +162,7 @@
 		return nil
 	}
 	var found []work.Runner
-	for _, runner := range w.allOwned(now) {
+	for _, runner := range w.allOwned() {
 		if count := w.orphanRuns.counts[runner.ID]; count != nil && !count.Ended() {
 			found = append(found, runner)
 		}
--- a/internal/jobworker/ownership.go
+++ b/internal/jobworker/ownership.go
@@ -12,18 +12,70 @@
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
+// ownedRunners are the runners that this node owns, as of a state of the runners and of the workers.
+type ownedRunners struct {
+	table, workers uint64
+	all            []work.Runner
+	// ready holds the ready ones of each service, ordered by id.
+	ready map[string][]work.Runner
+}
+
 // ownerOf returns the worker that assigns batch items to a runner. The caller must hold the mutex.
 func (w *Worker) ownerOf(runner work.Runner) ident.Node {
-	owner, known := w.owners[runner.ID]
-	if known {
-		return owner
-	}
+	owner, _ := w.ownersOfRunners().Owner(runner)
+	return owner.Node
+}
+
+// ownersOfRunners returns the owners among the registered workers. The caller must hold the mutex.
+func (w *Worker) ownersOfRunners() *jobrecord.Owners {
 	if w.owners == nil {
-		w.owners = map[ident.Incarnation]ident.Node{}
+		w.owners = jobrecord.NewOwners(w.workers)
+	}
+	return w.owners
+}
+
+// owns reports whether this node assigns the batch slots of a runner. The caller must hold the mutex.
+func (w *Worker) owns(runner work.Runner) bool { return w.ownerOf(runner) == w.Node }
+
+// allOwned returns the runners of all services that this node owns. The caller must hold the mutex, and must not change the
+// list.
+func (w *Worker) allOwned() []work.Runner { return w.ownedNow().all }
+
+// owned returns the runners of a service to which this node assigns batch items, ordered by id. The caller must hold the
+// mutex, and must not change the list.
+func (w *Worker) owned(service string) []work.Runner { return w.ownedNow().ready[service] }
+
+// ownedNow returns the owned runners, and chooses them anew if the runners or the workers changed. The caller must hold the
+// mutex.
+func (w *Worker) ownedNow() *ownedRunners {
+	owners := w.ownersOfRunners()
+	table, workers := w.Runners.Generation(), owners.Generation()
+	if w.ownedRunners != nil && w.ownedRunners.table == table && w.ownedRunners.workers == workers {
+		return w.ownedRunners
+	}
+	w.ownedRunners = &ownedRunners{table: table, workers: workers, ready: map[string][]work.Runner{}}
+	for _, zone := range w.Runners.Zones() {
+		if !owners.MayOwn(w.Node, zone) {
+			continue
+		}
+		runners := w.Runners.InZone(zone)
+		owners.Trim(zone, len(runners))
+		w.ownedRunners.add(runners, w.owns)
+	}
+	return w.ownedRunners
+}
+
+// add adds those of the given runners that are owned.
+func (o *ownedRunners) add(runners []work.Runner, owns func(work.Runner) bool) {
+	for _, runner := range runners {
+		if !owns(runner) {
+			continue
+		}
+		o.all = append(o.all, runner)
+		if runner.State == work.Ready {
+			o.ready[runner.Service] = append(o.ready[runner.Service], runner)
+		}
 	}
-	owner = jobrecord.OwnerOf(runner, w.workers)
-	w.owners[runner.ID] = owner
-	return owner
 }
 
 // setWorkers stores the registered workers. The caller must hold the mutex.
@@ -32,7 +84,7 @@
 		return
 	}
 	w.workers = maps.Clone(workers)
-	w.owners, w.ownedAt = nil, time.Time{}
+	w.ownersOfRunners().SetWorkers(w.workers)
 	w.removeLenders(workers)
 }
 
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -186,11 +186,9 @@
 	// borrowed is what this node may use at runners of other owners, lenders the state of those owners.
 	borrowed map[ident.Incarnation]*borrowed
 	lenders  map[ident.Node]*lender
-	// owners caches the owners of runners until the workers change, because each report of online work needs all of them.
-	owners map[ident.Incarnation]ident.Node
-	// ownedRunners are the runners that this node owned at ownedAt.
-	ownedRunners []work.Runner
-	ownedAt      time.Time
+	// owners are the owners of runners; nil until they are needed. ownedRunners are the runners that this node owns.
+	owners       *jobrecord.Owners
+	ownedRunners *ownedRunners
 	// found is the batch work found by the last dispatch round.
 	found batchLoad
 	// loadLogged is when the batch load was last logged.
--- /dev/null
+++ b/internal/runnertable/fleetsize_test.go
@@ -0,0 +1,138 @@
+package runnertable
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// fleetOf returns a number of ready runners of one zone.
+func fleetOf(size int) []work.Runner {
+	var listed []work.Runner
+	for index := range size {
+		listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprintf("r-%05d", index)), Service: "s", Zone: "a", Slots: 8, State: work.Ready})
+	}
+	return listed
+}
+
+// TestReportWalksTheRunnersInUseOnly has requests and failures at a few runners of fleets of several sizes: the reports walk
+// those, and none once the requests have ended and the ejections are over.
+func TestReportWalksTheRunnersInUseOnly(t *testing.T) {
+	for _, size := range []int{100, 1000, 10000} {
+		now := time.Unix(1000, 0)
+		table := New("a")
+		table.Replace(fleetOf(size), now, true)
+		var flights []*Flight
+		for index := range 5 {
+			flight, err := table.StartAt(ident.Incarnation(fmt.Sprintf("r-%05d", index)), PickRequest{Service: "s"}, now)
+			assert.NilError(t, err)
+			flights = append(flights, flight)
+		}
+		assert.Equal(t, len(table.Online(now)), 5)
+		assert.Equal(t, len(table.inUse), 5)
+		assert.Equal(t, len(table.InFlight(Online, now)), 5)
+		for _, flight := range flights {
+			flight.End()
+		}
+		flights[0].Failed(Unreachable, now)
+		flights[0].Failed(Unreachable, now)
+		assert.Equal(t, len(table.Online(now)), 1, "the ejected runner")
+		assert.Equal(t, len(table.inUse), 1)
+		now = now.Add(longestEjection)
+		assert.Equal(t, len(table.Online(now)), 0)
+		assert.Equal(t, len(table.inUse), 0)
+	}
+}
+
+func TestRemovedRunnerIsNotInUse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New("a")
+	table.Replace(fleetOf(3), now, true)
+	flight, err := table.StartAt("r-00001", PickRequest{Service: "s"}, now)
+	assert.NilError(t, err)
+	table.UpdateShares([]demand.Share{{Runner: "r-00001", Rationed: true}}, now)
+	assert.Equal(t, len(table.Rationed(now)), 1)
+	table.Replace(fleetOf(1), now, true)
+	flight.Failed(NoAnswer, now)
+	flight.End()
+	assert.Equal(t, len(table.inUse), 0)
+	assert.Equal(t, len(table.Rationed(now)), 0)
+}
+
+// TestUnchangedListAllocatesNothing applies a list again that was applied before, in fleets of several sizes.
+func TestUnchangedListAllocatesNothing(t *testing.T) {
+	for _, size := range []int{100, 1000, 10000} {
+		now := time.Unix(1000, 0)
+		table := New("a")
+		table.Replace(fleetOf(size), now, true)
+		again, generation := fleetOf(size), table.Generation()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		change := table.Replace(again, now, true)
+		runtime.ReadMemStats(&after)
+		assert.Equal(t, len(change.Added)+len(change.Removed)+len(change.Retained), 0)
+		assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 1024, "%d bytes for %d runners", after.TotalAlloc-before.TotalAlloc, size)
+		assert.Equal(t, table.Generation(), generation)
+	}
+}
+
+// TestListsAreAppliedAlikeHoweverTheyCome applies lists with additions, removals, changes, duplicates and absences that prove
+// nothing, and checks the ordered lists against the runners.
+func TestListsAreAppliedAlikeHoweverTheyCome(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1000, 0)
+	table := New("a")
+	for range 300 {
+		listed := fleetOf(8)
+		random.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
+		listed = listed[:random.IntN(len(listed))]
+		for index := range listed {
+			listed[index].Zone = ident.Zone([]string{"a", "a", "b"}[random.IntN(3)])
+			listed[index].Service = []string{"s", "s", "t"}[random.IntN(3)]
+			if random.IntN(4) == 0 {
+				listed[index].State = work.Draining
+			}
+		}
+		if len(listed) > 1 && random.IntN(5) == 0 {
+			listed[0] = listed[1]
+		}
+		now = now.Add(time.Second)
+		absenceIsProof := random.IntN(2) == 0
+		table.Replace(listed, now, absenceIsProof)
+		again := table.Replace(listed, now, absenceIsProof)
+		assert.Equal(t, len(again.Added)+len(again.Removed), 0)
+		inServices, inZones := 0, 0
+		for service, entries := range table.services {
+			inServices += len(entries)
+			for index, known := range entries {
+				assert.Assert(t, known.runner.Service == service && table.runners[known.runner.ID] == known)
+				assert.Assert(t, index == 0 || entries[index-1].runner.ID < known.runner.ID)
+			}
+		}
+		for zone, entries := range table.byZone {
+			inZones += len(entries)
+			for _, known := range entries {
+				assert.Equal(t, known.runner.Zone, zone)
+				assert.Equal(t, table.zones.names[known.zoneIndex], zone)
+			}
+		}
+		assert.Equal(t, inServices, len(table.runners))
+		assert.Equal(t, inZones, len(table.runners))
+		for _, runner := range listed {
+			got, known := table.Runner(runner.ID)
+			assert.Assert(t, known)
+			assert.Equal(t, got.State, runner.State)
+		}
+		if absenceIsProof {
+			assert.Assert(t, len(table.runners) <= len(listed))
+		}
+	}
+}
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -37,6 +37,7 @@
 		tokens: request.memoryTokens(uncached), lastEvent: now, hasPrompt: uncached > 0 || len(request.Prefix) > 0,
 	}
 	chosen.own[request.Class]++
+	t.use(chosen)
 	if request.Class == Online {
 		chosen.online = append(chosen.online, flight)
 	}
@@ -107,6 +108,7 @@
 	f.table.mutex.Lock()
 	defer f.table.mutex.Unlock()
 	f.entry.health.failed(failure, now)
+	f.table.use(f.entry)
 	if f.isCrossZone() && (failure == Unreachable || failure == FirstByteTimeout) {
 		f.table.zoneTimedOut(f.Runner.Zone, string(f.Runner.ID), f.startedAt, now)
 	}
--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -113,6 +113,7 @@
 		t.timingsOf(known.runner.Service).paceReported = now
 	}
 	known.directPace = pace.Report{Pace: reported, At: now}
+	t.use(known)
 	if t.updatePace(known, known.directPace, true, now) && t.onlineChanged != nil {
 		t.onlineChanged(false)
 	}
--- a/internal/runnertable/ration.go
+++ b/internal/runnertable/ration.go
@@ -51,9 +51,7 @@
 
 // IsRationed says whether any runner of a service is rationed.
 func (t *Table) IsRationed(service string, now time.Time) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return slices.ContainsFunc(t.services[service], func(known *entry) bool { return known.rationed(now) })
+	return slices.ContainsFunc(t.Rationed(now), func(runner work.Runner) bool { return runner.Service == service })
 }
 
 // Rationed returns the runners whose slots are rationed, in no particular order.
@@ -61,10 +59,12 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var rationed []work.Runner
-	for _, known := range t.runners {
-		if known.rationed(now) {
-			rationed = append(rationed, known.runner)
+	for id, known := range t.rationed {
+		if !known.rationed(now) {
+			delete(t.rationed, id)
+			continue
 		}
+		rationed = append(rationed, known.runner)
 	}
 	return rationed
 }
--- a/internal/runnertable/share.go
+++ b/internal/runnertable/share.go
@@ -31,10 +31,11 @@
 	defer t.mutex.Unlock()
 	t.countedAt = now
 	online := map[work.Runner]demand.Count{}
-	for id, known := range t.runners {
+	t.inUse.prune(now)
+	for id, known := range t.inUse {
 		count := demand.Count{Runner: id, Online: known.own[Online], Old: known.sentBefore(now.Add(-demand.MaxReportAge)),
 			Tokens: known.tokens[Online], Suspect: known.health.ejected(now)}
-		if known.directPace.Pace.Known() && now.Sub(known.directPace.At) < directReportLifetime {
+		if known.passesPace(now) {
 			count.Pace, count.PaceReceivedAt = known.directPace.Pace, known.directPace.At
 		}
 		if count.HasWork() || count.Pace.Known() {
@@ -66,6 +67,9 @@
 				others: reported.Others, batch: reported.Batch, orphans: reported.Orphans, unresponsive: reported.Unresponsive,
 				tokens: max(reported.Tokens, 0), rationed: reported.Rationed, granted: reported.Granted, grantedLate: reported.GrantedLate,
 			}, asOf)
+			if reported.Rationed {
+				t.rationed[reported.Runner] = known
+			}
 			known.dropGrantUses(asOf)
 			if reported.TokenCapacity > 0 {
 				known.memory = reported.TokenCapacity
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -34,8 +34,17 @@
 	// latest is the latest incarnation ever listed under each name that is still listed. It never goes back to an
 	// earlier one.
 	latest map[ident.Runner]ident.Incarnation
-	// services holds the entries of each service, ordered by runner id.
+	// services and byZone hold the entries of each service and of each zone, ordered by runner id.
 	services map[string][]*entry
+	byZone   map[ident.Zone][]*entry
+	// generation rises with each change of the runners. pass counts the lists that were compared with them.
+	generation, pass uint64
+	inUse            inUse
+	// rationed holds the entries whose owners ration their slots, as of the last reports.
+	rationed map[ident.Incarnation]*entry
+	// settled says that the last list decided about every runner in the table and every entry of the list, so that the
+	// same list changes nothing.
+	settled bool
 	// onlineChanged is called when this node's online work at a runner changes or a direct report starts or ends a
 	// slow phase of a runner; see OnOnlineChanged. It may be nil.
 	onlineChanged func(rose bool)
@@ -54,7 +63,7 @@
 func New(zone ident.Zone) *Table {
 	return &Table{
 		zone: zone, runners: map[ident.Incarnation]*entry{}, latest: map[ident.Runner]ident.Incarnation{},
-		services: map[string][]*entry{}, timings: map[string]*serviceTimings{},
+		services: map[string][]*entry{}, byZone: map[ident.Zone][]*entry{}, inUse: inUse{}, rationed: map[ident.Incarnation]*entry{}, timings: map[string]*serviceTimings{},
 	}
 }
 
@@ -99,6 +108,8 @@
 	// assumeFullUntil is when the runner stops counting as full for lack of information; zero if it does not count as
 	// full.
 	assumeFullUntil time.Time
+	// pass is the number of the last list that named the runner unchanged.
+	pass uint64
 	// missingSince is when a list first lacked the runner and the table retained it; zero while it is listed.
 	missingSince time.Time
 	// overwritten is when a list first showed an earlier incarnation under the runner's name; zero while its latest
@@ -147,21 +158,18 @@
 func (t *Table) Replace(listed []work.Runner, now time.Time, absenceIsProof bool) Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.settled && t.lists(listed) {
+		return Change{}
+	}
 	var change Change
 	names := t.names(listed, now)
+	t.settled = true
 	for _, runner := range listed {
 		if runner.State == work.Unreadable || names[runner.ID.Name()] != runner.ID {
+			t.settled = false
 			continue
 		}
-		known := t.runners[runner.ID]
-		if known == nil {
-			known = &entry{waiting: map[*Flight]time.Time{}, assumeFullUntil: now.Add(t.assumeFullFor)}
-			t.runners[runner.ID] = known
-			change.Added = append(change.Added, runner.ID)
-		}
-		known.runner = runner
-		known.missingSince, known.overwritten = time.Time{}, time.Time{}
-		known.warmUpUntil = now.Add(runner.WarmUp)
+		t.put(runner, now, &change)
 	}
 	for id, known := range t.runners {
 		present, named := names[id.Name()]
@@ -169,22 +177,68 @@
 			continue
 		}
 		if !named && !absenceIsProof && known.runner.State == work.Ready {
+			t.settled = false
 			known.markMissing(now)
 			change.Retained = append(change.Retained, id)
 			continue
 		}
-		delete(t.runners, id)
+		t.remove(id, known)
 		change.Removed = append(change.Removed, id)
 		change.Addresses = append(change.Addresses, known.runner.Address)
 		change.LongestMissing = max(change.LongestMissing, known.missingFor(now))
 	}
-	t.index()
+	t.indexZones()
 	if len(t.runners) > 0 {
 		t.assumeFullFor = 0
 	}
 	return change
 }
 
+// lists says whether a list names exactly the runners in the table, as they are. The caller holds the mutex.
+func (t *Table) lists(listed []work.Runner) bool {
+	if len(listed) != len(t.runners) {
+		return false
+	}
+	t.pass++
+	for _, runner := range listed {
+		known := t.runners[runner.ID]
+		if known == nil || known.runner != runner || known.pass == t.pass {
+			return false
+		}
+		known.pass = t.pass
+	}
+	return true
+}
+
+// put adds or updates a listed runner. The caller holds the mutex.
+func (t *Table) put(runner work.Runner, now time.Time, change *Change) {
+	known := t.runners[runner.ID]
+	switch {
+	case known == nil:
+		known = &entry{runner: runner, waiting: map[*Flight]time.Time{}, assumeFullUntil: now.Add(t.assumeFullFor)}
+		t.runners[runner.ID] = known
+		t.index(known)
+		change.Added = append(change.Added, runner.ID)
+	case known.runner.Service != runner.Service || known.runner.Zone != runner.Zone:
+		t.unindex(known)
+		known.runner = runner
+		t.index(known)
+	case known.runner != runner:
+		known.runner = runner
+		t.generation++
+	}
+	known.missingSince, known.overwritten = time.Time{}, time.Time{}
+	known.warmUpUntil = now.Add(runner.WarmUp)
+}
+
+// remove removes a runner. The caller holds the mutex.
+func (t *Table) remove(id ident.Incarnation, known *entry) {
+	delete(t.runners, id)
+	delete(t.inUse, id)
+	delete(t.rationed, id)
+	t.unindex(known)
+}
+
 // overwrittenGrace is how long an incarnation is used after its entry shows an earlier one again, which happens when
 // an entry is written late. A live runner rewrites its own entry within a heartbeat, 1.2 s in all deployments so far,
 // and the list is read twice in that time.
@@ -249,18 +303,37 @@
 	return now.Sub(e.missingSince)
 }
 
-// index rebuilds the lists by service, sorted so that a choice depends only on its inputs.
-func (t *Table) index() {
-	t.indexZones()
-	t.services = make(map[string][]*entry, len(t.services))
-	for _, known := range t.runners {
-		t.services[known.runner.Service] = append(t.services[known.runner.Service], known)
+// index adds an entry to the ordered lists, so that a choice depends only on its inputs. The caller holds the mutex.
+func (t *Table) index(known *entry) {
+	t.generation++
+	t.services[known.runner.Service] = insert(t.services[known.runner.Service], known)
+	t.byZone[known.runner.Zone] = insert(t.byZone[known.runner.Zone], known)
+}
+
+// unindex removes an entry from the ordered lists. The caller holds the mutex.
+func (t *Table) unindex(known *entry) {
+	t.generation++
+	removeFrom(t.services, known.runner.Service, known)
+	removeFrom(t.byZone, known.runner.Zone, known)
+}
+
+func insert(entries []*entry, added *entry) []*entry {
+	at, _ := slices.BinarySearchFunc(entries, added.runner.ID, compareID)
+	return slices.Insert(entries, at, added)
+}
+
+func removeFrom[K comparable](lists map[K][]*entry, key K, removed *entry) {
+	at, found := slices.BinarySearchFunc(lists[key], removed.runner.ID, compareID)
+	if found {
+		lists[key] = slices.Delete(lists[key], at, at+1)
 	}
-	for _, entries := range t.services {
-		slices.SortFunc(entries, func(first, second *entry) int { return cmp.Compare(first.runner.ID, second.runner.ID) })
+	if len(lists[key]) == 0 {
+		delete(lists, key)
 	}
 }
 
+func compareID(known *entry, id ident.Incarnation) int { return cmp.Compare(known.runner.ID, id) }
+
 // Runner returns the runner with the id, if it is in the table.
 func (t *Table) Runner(id ident.Incarnation) (work.Runner, bool) {
 	t.mutex.Lock()
@@ -281,17 +354,38 @@
 	return known == nil || known.runner.State != work.Ready || !known.missingSince.IsZero()
 }
 
-// ReadyRunners returns the ready runners of a service.
-func (t *Table) ReadyRunners(service string) []work.Runner {
+// HasReady says whether a zone has a ready runner of a service.
+func (t *Table) HasReady(service string, zone ident.Zone) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var found []work.Runner
-	for _, known := range t.services[service] {
-		if known.runner.State == work.Ready {
-			found = append(found, known.runner)
-		}
+	return slices.ContainsFunc(t.byZone[zone], func(known *entry) bool {
+		return known.runner.Service == service && known.runner.State == work.Ready
+	})
+}
+
+// Generation returns a number that rises with each change of the runners.
+func (t *Table) Generation() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.generation
+}
+
+// Zones returns the zones that have runners, sorted.
+func (t *Table) Zones() []ident.Zone {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Clone(t.zones.names)
+}
+
+// InZone returns the runners of a zone, ordered by id.
+func (t *Table) InZone(zone ident.Zone) []work.Runner {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	runners := make([]work.Runner, 0, len(t.byZone[zone]))
+	for _, known := range t.byZone[zone] {
+		runners = append(runners, known.runner)
 	}
-	return found
+	return runners
 }
 
 // All returns all runners in the table, in no particular order.
--- a/internal/runnertable/zoneload.go
+++ b/internal/runnertable/zoneload.go
@@ -1,6 +1,7 @@
 package runnertable
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -133,16 +134,13 @@
 	return spillover.Choose(zones[own].load, others, transferCost(request), random.Float64())
 }
 
-// indexZones rebuilds the sorted list of zones and sets each runner's index into it. The caller holds the mutex.
+// indexZones sets the sorted list of zones and each runner's index into it. The caller holds the mutex.
 func (t *Table) indexZones() {
-	t.zones.names = t.zones.names[:0]
-	for _, known := range t.runners {
-		t.zones.names = append(t.zones.names, known.runner.Zone)
-	}
-	slices.Sort(t.zones.names)
-	t.zones.names = slices.Compact(t.zones.names)
-	for _, known := range t.runners {
-		known.zoneIndex, _ = slices.BinarySearch(t.zones.names, known.runner.Zone)
+	t.zones.names = slices.Sorted(maps.Keys(t.byZone))
+	for index, zone := range t.zones.names {
+		for _, known := range t.byZone[zone] {
+			known.zoneIndex = index
+		}
 	}
 }
 
