Let a front work with a bounded number of workers

Cause: each front called each worker of its zone twice a second (rationed: five times) and four of the fleet, and each answer listed all runners that the worker owns: 50,000 calls of 4 kB a second before the first request, growing with fronts times workers. The calls to other zones reached a worker each 30 s, though a report counts for 1.5 s. Change: a front works with six workers of its zone and eight of the others (subset), prefers the runners of the six while one has a free slot, and reports to further workers only while it uses their runners. Answers leave idle runners out where front and worker agree on the set. A front at rest wakes when a report is due and not each 50 ms. Sequence numbers of reports rise over all workers, since a worker that is given up and called again would take a restarted count for old reports. Why it works: six workers own some 400 runners for a front with .43 requests a second; with six workers a zone or fewer nothing changes. Workers say how many nodes report to them, and fronts leave those with more than others. Evidence: jobworker.TestRestingFrontCallsABoundedNumberOfWorkers, simulated, messages alone: at 10, 150 and 300 workers and 300, 10,000 and 20,000 runners 8, 16 and 16 calls a second and under 3 kB (the budget for control). Before: 8, 64 and 124 calls worked out, 4 kB each. subset.TestWorkersHaveEvenNumbersOfNodes: none over 1.25 times its share at 30, 300, 900 and 2,000 machines; it fails without the review. Failed try: omitempty on a report's counts changed its form for older builds (a test of the form failed); it is left out only where it is nil.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -69,8 +69,12 @@
 	}
 	process.follow(orders)
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
-	reporter := process.startDemandReporter(holders, forwarder)
-	forwarder.Owners = &jobpeer.Owners{Client: holders, Reporter: reporter}
+	onlineWork := &jobpeer.OnlineWork{
+		Node: ident.Node(settings.Node.Name), Client: holders, Runners: process.runners, Ends: process.ends, Tenants: forwarder, Waiters: forwarder,
+		Logger: process.logger, Now: clock.Now,
+	}
+	reporter := process.startDemandReporter(onlineWork)
+	forwarder.Owners = &jobpeer.Owners{Work: onlineWork, Reporter: reporter}
 	forwarder.RequestSlots = func() { reporter.Changed(true) }
 	holders.SendPoisonRecords(process.tomb, process.ends)
 	jobs := platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate)
@@ -104,10 +108,7 @@
 }
 
 // startDemandReporter starts reporting the online work of this node to the workers.
-func (p *process) startDemandReporter(holders *jobpeer.WorkerClient, forwarder *online.Forwarder) *demand.Reporter {
-	onlineWork := &jobpeer.OnlineWork{
-		Client: holders, Runners: p.runners, Ends: p.ends, Tenants: forwarder, Waiters: forwarder, Logger: p.logger, Now: clock.Now,
-	}
+func (p *process) startDemandReporter(onlineWork *jobpeer.OnlineWork) *demand.Reporter {
 	reporter := demand.NewReporter(ident.Node(p.settings.Node.Name), onlineWork, clock.Now)
 	reporter.Send = onlineWork.Report
 	p.runners.OnOnlineChanged(reporter.Changed)
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -92,7 +94,7 @@
 	// AgeMs is the uptime of the node's process in milliseconds, at least 1. It is zero for a node that has run
 	// for longer than ageReportedFor, or whose build does not report it.
 	AgeMs  int64   `json:"age_ms,omitempty"`
-	Counts []Count `json:"counts"`
+	Counts []Count `json:"counts,omitzero"`
 	// EndsRead is the node's read position in the worker's list of requests that terminate their runners.
 	EndsRead poison.Cursor `json:"ends_read,omitzero"`
 	// Uses are the node's uses of the services for which the worker is the account holder. It is empty from nodes
@@ -101,6 +103,15 @@
 	// Waiting counts the requests that wait for slots which the worker grants one by one. It is empty otherwise,
 	// and from nodes of a build that requests no grants.
 	Waiting []Waiting `json:"waiting,omitempty"`
+	// Owned is the sum of the fingerprints of the runners that the node takes the worker to own. If the worker owns exactly
+	// these, it may leave those without work out of its answer. Zero, as from nodes of a build that does not know it, requests
+	// all.
+	Owned uint32 `json:"owned,omitempty"`
+}
+
+// RunnerFingerprint returns a hash of a runner, to be added up for a set of runners.
+func RunnerFingerprint(runner ident.Incarnation) uint32 {
+	return uint32(xxhash.Sum64String(string(runner)))
 }
 
 // Age returns the uptime of the node's process when it made the report, or zero if unknown.
@@ -138,13 +149,13 @@
 type Batch struct {
 	Node ident.Node `json:"node"`
 	// Lease is the lease that the worker's claims depend on. Without a lease (zero) the worker takes no job.
-	Lease int64 `json:"lease"`
+	Lease int64 `json:"lease,omitempty"`
 	// Waiting is the number of items that are not assigned to a runner, Places the number that its runners could
 	// run now.
-	Waiting int `json:"waiting"`
-	Slots   int `json:"places"`
+	Waiting int `json:"waiting,omitempty"`
+	Slots   int `json:"places,omitempty"`
 	// RunMs is the mean run time in milliseconds.
-	RunMs int64 `json:"run_ms"`
+	RunMs int64 `json:"run_ms,omitempty"`
 }
 
 // Wait estimates how long new items wait behind those of the worker and some more.
@@ -163,8 +174,15 @@
 	// Bounds are the bounds of the tenants that exceed their share of scarce slots. Tenants that are not listed
 	// are unbounded.
 	Bounds []Bound `json:"bounds,omitempty"`
+	// IdleOmitted means that the shares leave out runners at which there is no work: all others that the node named by
+	// Report.Owned. Nodes is the number of nodes that report to the worker; zero from workers of a build that does not say it.
+	IdleOmitted bool `json:"idle_out,omitempty"`
+	Nodes       int  `json:"nodes,omitempty"`
 }
 
+// IsIdle reports whether a share says only that there is no work at its runner.
+func (s Share) IsIdle() bool { return s == Share{Runner: s.Runner} }
+
 // Ledger stores the newest report of each node. It is safe for concurrent use. It is queried some hundred times
 // for each report, so sums are maintained when a report arrives and not computed for each query.
 type Ledger struct {
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -121,7 +121,7 @@
 	f.online = online
 }
 
-func (f *fakeWork) Online() map[string]demand.OwnerDemand {
+func (f *fakeWork) Online([]string) map[string]demand.OwnerDemand {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.online == 0 && !f.suspect {
--- a/internal/demand/poll.go
+++ b/internal/demand/poll.go
@@ -8,7 +8,7 @@
 
 // pollRequest requests current answers from workers.
 type pollRequest struct {
-	// addresses are the workers to poll; nil selects all workers of this node's zone.
+	// addresses are the workers to poll; nil selects those workers of this node's zone that it works with.
 	addresses []string
 	// maxAge is the age at which an answer is too old and is requested again.
 	maxAge time.Duration
@@ -25,7 +25,7 @@
 	return slices.Contains(q.addresses, address)
 }
 
-// PollOwnZone polls the workers of this node's zone whose last answer is older than the given age, and waits for the
+// PollOwnZone polls those workers of this node's zone that it works with and whose last answer is older than the given age, and waits for the
 // answers until the context ends. Calls that take longer continue in the background, and their answers are applied
 // when they arrive. PollOwnZone returns at once if all answers are fresh.
 func (t *Reporter) PollOwnZone(ctx context.Context, maxAge time.Duration) {
@@ -63,6 +63,11 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.Now()
+	for _, address := range request.addresses {
+		if t.workers[address] == nil {
+			return false
+		}
+	}
 	for address, state := range t.workers {
 		if request.includes(address, state.far) && state.stale(request.maxAge, now) {
 			return false
@@ -74,7 +79,7 @@
 // startPolls starts the calls for a request and returns those to wait for. It runs in the reporter's loop.
 func (t *Reporter) startPolls(ctx context.Context, request *pollRequest) []<-chan struct{} {
 	countedAt := t.Now()
-	online := t.Work.Online()
+	online := t.Work.Online(request.addresses)
 	now := t.Now()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/demand/poll_test.go
+++ b/internal/demand/poll_test.go
@@ -20,7 +20,7 @@
 	taken  map[string]int
 }
 
-func (w *fleetWork) Online() map[string]OwnerDemand {
+func (w *fleetWork) Online([]string) map[string]OwnerDemand {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	online := map[string]OwnerDemand{}
--- a/internal/demand/reporter.go
+++ b/internal/demand/reporter.go
@@ -37,8 +37,9 @@
 
 // Work is the online work of this node.
 type Work interface {
-	// Online returns the online work by the address of the worker that owns the runners. It lists every worker.
-	Online() map[string]OwnerDemand
+	// Online returns the online work by the address of the worker that owns the runners. It lists the workers that this node
+	// works with, whether it has work there or not, all others at whose runners it has work, and those at the given addresses.
+	Online(also []string) map[string]OwnerDemand
 	// Take applies the answer of the worker at an address: its shares of runners and its batch load, as of the
 	// given time.
 	Take(address string, answer *Answer, asOf time.Time)
@@ -84,6 +85,9 @@
 
 	tomb        *tomb.Tomb
 	incarnation int64
+	// sequence is the number of the last report, to whichever worker: a worker that is given up and called again must not take
+	// the new reports for old ones. The mutex guards it.
+	sequence int64
 	// createdAt is when the reporter was created; it stands for the start of the process.
 	createdAt time.Time
 	// started and ended are signalled when a request was sent to a runner, and when one ended.
@@ -97,7 +101,6 @@
 
 // workerState is the state of the reports to one worker. The reporter's mutex guards it.
 type workerState struct {
-	sequence int64
 	// changedDuringCall means that something may have changed since the call in flight was sent.
 	changedDuringCall bool
 	// reported is the work in the last report, calledAt the time of that report.
@@ -183,7 +186,7 @@
 // again.
 func (t *Reporter) reportAll(ctx context.Context) time.Duration {
 	countedAt := t.Now()
-	online := t.Work.Online()
+	online := t.Work.Online(nil)
 	now := t.Now()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -200,7 +203,6 @@
 	}
 	idleFar := idleFarInterval(online)
 	probesDue := t.probesDue(online, now)
-	next := RefreshInterval
 	nextFar := t.nextFar(online, idleFar, now)
 	for address, owned := range online {
 		state := t.worker(address, owned)
@@ -209,9 +211,6 @@
 		extrasDue := state.usesDue(owned.Uses, now) || state.waitingDue(owned.Waiting, now)
 		if state.inFlight() || (!probesDue[address] && !state.unpolledSince(owned.UnresponsiveSince) &&
 			!state.reportDue(owned.Counts, idle, now) && !extrasDue) {
-			if state.waitingChanged(owned.Waiting, now) {
-				next = waitingReportInterval
-			}
 			continue
 		}
 		if owned.Far && state.idle(owned.Counts) && !state.calledAt.IsZero() && !probesDue[address] &&
@@ -220,6 +219,25 @@
 		}
 		t.startCall(ctx, address, state, owned, countedAt, now)
 	}
+	return t.nextReports(online, idleFar, now)
+}
+
+// nextReports returns the time until a report may be due again if nothing changes. The caller holds the mutex.
+func (t *Reporter) nextReports(online map[string]OwnerDemand, idleFar time.Duration, now time.Time) time.Duration {
+	next := IdleRefreshInterval
+	for address, owned := range online {
+		state := t.workers[address]
+		switch {
+		case state.waitingChanged(owned.Waiting, now):
+			return waitingReportInterval
+		case !state.idle(owned.Counts), !owned.UnresponsiveSince.IsZero(), owned.Rationed, len(owned.Uses) > 0:
+			next = min(next, RefreshInterval)
+		case owned.Far:
+			next = min(next, time.Second/farCallsPerSecond)
+		default:
+			next = min(next, max(state.calledAt.Add(owned.idleInterval(idleFar)).Sub(now), RefreshInterval))
+		}
+	}
 	return next
 }
 
@@ -237,7 +255,9 @@
 // startCall starts a call to a worker, which reports the work counted since countedAt. The caller holds the mutex, and runs
 // in the reporter's loop.
 func (t *Reporter) startCall(ctx context.Context, address string, state *workerState, owned OwnerDemand, countedAt, now time.Time) {
+	t.sequence++
 	report := state.nextReport(owned.Counts, now)
+	report.Sequence = t.sequence
 	report.Uses = state.nextUses(owned.Uses, now)
 	report.Waiting, state.waiting = owned.Waiting, owned.Waiting
 	report.Node, report.Incarnation, report.AgeMs = t.Node, t.incarnation, t.age(now)
@@ -380,13 +400,12 @@
 	return count.Pace.Known() && count.PaceReceivedAt.After(c.ackedPaces[count.Runner])
 }
 
-// nextReport builds the next report from the counts and records it as sent.
+// nextReport builds the next report from the counts, without its sequence number, and records it as sent.
 func (c *workerState) nextReport(counts []Count, now time.Time) *Report {
-	c.sequence++
 	c.callDone, c.calledAt = make(chan struct{}), now
 	c.reported = make(map[ident.Incarnation]Count, len(counts))
 	ackedPaces := make(map[ident.Incarnation]time.Time, len(c.ackedPaces))
-	report := &Report{Sequence: c.sequence, EndsRead: c.endsRead}
+	report := &Report{EndsRead: c.endsRead}
 	for _, count := range counts {
 		sent := count.withoutPace()
 		if count.HasWork() {
--- a/internal/demand/reporter_test.go
+++ b/internal/demand/reporter_test.go
@@ -79,7 +79,7 @@
 	now       func() time.Time
 }
 
-func (w *slowCount) Online() map[string]OwnerDemand {
+func (w *slowCount) Online([]string) map[string]OwnerDemand {
 	w.countedAt = w.now()
 	w.pass()
 	return map[string]OwnerDemand{"w": {Counts: []Count{{Runner: "r", Online: 1}}}}
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -16,10 +16,13 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/poisonwatch"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/subset"
 )
 
 // OnlineWork groups a node's online work by the workers that own the runners. It implements demand.Work.
 type OnlineWork struct {
+	// Node is this node; it chooses the workers that it works with by its name.
+	Node    ident.Node
 	Client  *WorkerClient
 	Runners *runnertable.Table
 	// Ends receives the workers' records of poison requests; nil ignores them.
@@ -32,34 +35,60 @@
 	Now     func() time.Time
 
 	zoneWorkers zoneWorkers
+	owners      ownerMap
 	// departuresLogged is when the requests that left their zone were last logged.
 	departuresLogged time.Time
 	orphans          orphanTracker
 }
 
-// Online implements demand.Work.
-func (o *OnlineWork) Online() map[string]demand.OwnerDemand {
+// Online implements demand.Work. It lists the workers that this node works with, and those at whose runners it has work.
+func (o *OnlineWork) Online(also []string) map[string]demand.OwnerDemand {
 	o.logZones()
 	workers := o.zoneWorkers.workers(o.Client.Zone, o.Client.knownWorkers(), o.Now())
-	owned := make(map[string]demand.OwnerDemand, len(workers))
-	for _, worker := range workers {
-		owned[worker.Address] = demand.OwnerDemand{Far: worker.Zone != o.Client.Zone, Zone: worker.Zone, UnresponsiveSince: o.Runners.ZoneSuspectedSince(worker.Zone)}
+	chosen := o.owners.update(o.Node, o.Client.Zone, workers, o.Runners, o.Now())
+	owned := make(map[string]demand.OwnerDemand, len(chosen.Near)+len(chosen.Far))
+	for _, listed := range [][]subset.Worker{chosen.Near, chosen.Far} {
+		for _, worker := range listed {
+			owned[worker.Address] = o.newDemand(worker.Zone)
+		}
 	}
 	for runner, count := range o.Runners.Online(o.Now()) {
-		if owner, found := jobrecord.Owner(runner, workers); found {
-			entry := owned[owner.Address]
+		if owner, found := o.owners.owner(runner); found {
+			entry := o.demandFor(owned, owner.Address, owner.Zone)
 			entry.Counts = append(entry.Counts, count)
 			owned[owner.Address] = entry
 		}
 	}
+	for _, address := range also {
+		if zone, known := o.Client.ZoneOf(address); known {
+			owned[address] = o.demandFor(owned, address, zone)
+		}
+	}
 	o.addUses(owned)
-	o.addWaiting(owned, workers)
+	o.addWaiting(owned)
 	return owned
 }
 
+// demandFor returns the listed work for a worker, or that of one that is not listed yet.
+func (o *OnlineWork) demandFor(owned map[string]demand.OwnerDemand, address string, zone ident.Zone) demand.OwnerDemand {
+	if entry, listed := owned[address]; listed {
+		return entry
+	}
+	return o.newDemand(zone)
+}
+
+// newDemand returns the work, still empty, for a worker of a zone.
+func (o *OnlineWork) newDemand(zone ident.Zone) demand.OwnerDemand {
+	return demand.OwnerDemand{Far: zone != o.Client.Zone, Zone: zone, UnresponsiveSince: o.Runners.ZoneSuspectedSince(zone)}
+}
+
 // Report sends a report for the demand.Reporter and records whether the worker's zone answers.
 func (o *OnlineWork) Report(ctx context.Context, address string, report *demand.Report) (*demand.Answer, error) {
 	asked := o.Now()
+	owned := o.owners.ownedBy(address)
+	if owned != nil {
+		report.Owned = owned.fingerprint
+	}
 	answer, err := o.Client.ReportDemand(ctx, address, report)
 	zone, known := o.Client.ZoneOf(address)
 	switch {
@@ -70,6 +99,9 @@
 	default:
 		o.Runners.ZoneTimedOut(zone, address, asked, o.Now())
 	}
+	if err == nil && answer.IdleOmitted && owned != nil {
+		owned.complete(answer)
+	}
 	return answer, err
 }
 
@@ -91,6 +123,7 @@
 		o.Waiters.SlotsGranted()
 	}
 	o.Client.recordBatch(address, answer.Batch, asOf)
+	o.owners.record(answer.Batch.Node, answer.Nodes)
 	o.Ends.ApplyRecords(answer.Ends.Records, false)
 	if o.Tenants != nil && len(answer.Bounds) > 0 {
 		o.Tenants.ApplyBounds(answer.Bounds, asOf)
@@ -140,9 +173,9 @@
 	return h.Now().Before(h.skippedUntil[address])
 }
 
-// knownWorkers returns the most recently read list of workers.
+// knownWorkers returns the most recently read list of workers, which must not be changed.
 func (h *WorkerClient) knownWorkers() []jobrecord.Worker {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return slices.Clone(h.workers.Value())
+	return slices.Clip(h.workers.Value())
 }
--- a/internal/jobpeer/owners.go
+++ b/internal/jobpeer/owners.go
@@ -5,13 +5,12 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
-	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // Owners requests runner state from the workers that own the runners. It implements online.Owners.
 type Owners struct {
-	Client   *WorkerClient
+	Work     *OnlineWork
 	Reporter *demand.Reporter
 }
 
@@ -22,10 +21,9 @@
 
 // Query implements online.Owners.
 func (o *Owners) Query(ctx context.Context, runners []work.Runner, older time.Duration) bool {
-	workers := o.Client.knownWorkers()
 	var addresses []string
 	for _, runner := range runners {
-		if owner, found := jobrecord.Owner(runner, workers); found {
+		if owner, found := o.Work.owners.owner(runner); found {
 			addresses = append(addresses, owner.Address)
 		}
 	}
--- a/internal/jobpeer/ration.go
+++ b/internal/jobpeer/ration.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"mallowlatch.example/mallowlatch/internal/demand"
-	"mallowlatch.example/mallowlatch/internal/jobrecord"
 )
 
 // Waiters reports a node's requests that wait for slots; see online.Forwarder.
@@ -15,17 +14,20 @@
 
 // addWaiting adds the requests waiting for slots to the work for the workers that ration the slots of their service, by
 // address.
-func (o *OnlineWork) addWaiting(owned map[string]demand.OwnerDemand, workers []jobrecord.Worker) {
+func (o *OnlineWork) addWaiting(owned map[string]demand.OwnerDemand) {
 	if o.Waiters == nil {
 		return
 	}
-	rationers := o.rationers(workers)
+	rationers := o.rationers()
 	if len(rationers) == 0 {
 		return
 	}
 	waiting := o.Waiters.WaitingReport()
 	for address, services := range rationers {
-		entry := owned[address]
+		entry, listed := owned[address]
+		if zone, known := o.Client.ZoneOf(address); known && !listed {
+			entry = o.newDemand(zone)
+		}
 		entry.Rationed = true
 		for _, request := range waiting {
 			if slices.Contains(services, request.Service) {
@@ -38,10 +40,10 @@
 
 // rationers returns the services whose slots each worker rations, by address. Workers of other zones are left out if this zone
 // has runners of the service: otherwise the number of reports would grow with nodes times workers.
-func (o *OnlineWork) rationers(workers []jobrecord.Worker) map[string][]string {
+func (o *OnlineWork) rationers() map[string][]string {
 	rationers := map[string][]string{}
 	for _, runner := range o.Runners.Rationed(o.Now()) {
-		owner, found := jobrecord.Owner(runner, workers)
+		owner, found := o.owners.owner(runner)
 		if !found || slices.Contains(rationers[owner.Address], runner.Service) {
 			continue
 		}
--- a/internal/jobpeer/ration_test.go
+++ b/internal/jobpeer/ration_test.go
@@ -47,7 +47,7 @@
 			online := &OnlineWork{Client: client, Runners: table, Waiters: requests, Now: client.Now}
 			online.Take("1", &demand.Answer{Shares: []demand.Share{{Runner: c.rationed, Rationed: true}}}, now)
 			assert.Equal(t, requests.granted, 0)
-			for address, owned := range online.Online() {
+			for address, owned := range online.Online(nil) {
 				if address != c.reported {
 					assert.Equal(t, len(owned.Waiting), 0, "worker %s receives waiting requests", address)
 					continue
--- a/internal/jobpeer/slots_test.go
+++ b/internal/jobpeer/slots_test.go
@@ -34,7 +34,7 @@
 	}}
 	reportedTo := func(work *OnlineWork, service string) string {
 		found := ""
-		for address, owned := range work.Online() {
+		for address, owned := range work.Online(nil) {
 			for _, use := range owned.Uses {
 				if use.Service == service {
 					assert.Assert(t, found == "" || found == address, "two workers receive a report")
--- a/internal/jobpeer/zoneworkers.go
+++ b/internal/jobpeer/zoneworkers.go
@@ -23,6 +23,8 @@
 // zero value knows no workers. It is safe for concurrent use.
 type zoneWorkers struct {
 	mutex sync.Mutex
+	// listed is the last list, if it could be used as it is.
+	listed []jobrecord.Worker
 	// lastListed are the zone's workers before all of them disappeared from the list; vanishedSince is when that happened, zero once they
 	// are back.
 	lastListed    []jobrecord.Worker
@@ -46,12 +48,19 @@
 func (z *zoneWorkers) workers(zone ident.Zone, listed []jobrecord.Worker, now time.Time) []jobrecord.Worker {
 	z.mutex.Lock()
 	defer z.mutex.Unlock()
+	if len(listed) > 0 && sameList(z.listed, listed) {
+		return listed
+	}
+	z.listed = nil
 	near := slices.DeleteFunc(slices.Clone(listed), func(worker jobrecord.Worker) bool { return worker.Zone != zone })
 	if len(near) == 0 && z.vanishedSince.IsZero() {
 		z.vanishedSince = now
 	}
 	if z.vanishedSince.IsZero() || now.Sub(z.vanishedSince) >= unlistedGrace {
 		z.useListOnly(near)
+		if len(near) > 0 {
+			z.listed = listed
+		}
 		return listed
 	}
 	lacking := 0
@@ -77,3 +86,8 @@
 		z.vanishedSince = time.Time{}
 	}
 }
+
+// sameList reports whether two lists are the same in memory: a list of workers is never changed once it is stored.
+func sameList(first, second []jobrecord.Worker) bool {
+	return len(first) == len(second) && (len(first) == 0 || &first[0] == &second[0])
+}
--- a/internal/jobworker/demand.go
+++ b/internal/jobworker/demand.go
@@ -1,6 +1,7 @@
 package jobworker
 
 import (
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/batchcapacity"
@@ -34,6 +35,8 @@
 	w.orphanRuns.recordWaiting(report, now)
 	answer := w.demandShares(report.Node, answered, now)
 	w.rationSlots(answer.Shares, report.Node, now)
+	w.omitIdle(answer, report.Owned)
+	answer.Nodes = w.demand.Nodes(now)
 	answer.Shares = append(answer.Shares, w.unownedShares(report, now)...)
 	answer.Batch = w.batchReport(now)
 	answer.Bounds = w.tenantBounds(report, now)
@@ -176,3 +179,17 @@
 	}
 	return answer
 }
+
+// omitIdle leaves the runners without work out of an answer if the node that asked takes this node to own exactly the runners
+// that it answers for. owned is the sum of the fingerprints of those. The caller must hold the mutex.
+func (w *Worker) omitIdle(answer *demand.Answer, owned uint32) {
+	now := w.ownedNow()
+	if owned == 0 || owned != now.fingerprint || len(answer.Shares) != len(now.all) {
+		return
+	}
+	answer.Shares = slices.DeleteFunc(answer.Shares, demand.Share.IsIdle)
+	if len(answer.Shares) == 0 {
+		answer.Shares = nil
+	}
+	answer.IdleOmitted = true
+}
--- a/internal/jobworker/ownership.go
+++ b/internal/jobworker/ownership.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -16,6 +17,8 @@
 type ownedRunners struct {
 	table, workers uint64
 	all            []work.Runner
+	// fingerprint is the sum of the fingerprints of all.
+	fingerprint uint32
 	// ready holds the ready ones of each service, ordered by id.
 	ready map[string][]work.Runner
 }
@@ -72,6 +75,7 @@
 			continue
 		}
 		o.all = append(o.all, runner)
+		o.fingerprint += demand.RunnerFingerprint(runner.ID)
 		if runner.State == work.Ready {
 			o.ready[runner.Service] = append(o.ready[runner.Service], runner)
 		}
--- a/internal/runnertable/pace.go
+++ b/internal/runnertable/pace.go
@@ -131,9 +131,9 @@
 }
 
 // countChoice updates the slow-phase counters for the log. The caller holds the mutex.
-func (t *Table) countChoice(chosen *entry, request PickRequest, now time.Time) {
+func (t *Table) countChoice(chosen *entry, entries []*entry, request PickRequest, now time.Time) {
 	slow := false
-	for _, candidate := range t.services[request.Service] {
+	for _, candidate := range entries {
 		slow = slow || candidate.pace.Current(now) >= pace.Slow
 	}
 	if !slow {
@@ -181,7 +181,7 @@
 	}
 	pick := t.newPickContext(request, now, random)
 	var found []priced
-	for _, candidate := range t.services[request.Service] {
+	for _, candidate := range pick.entries {
 		if !pick.skips(candidate) && candidate.eligible(request, now) && !candidate.full(request, now) {
 			found = append(found, priced{candidate.runner, t.cost(candidate, request, pick, now) + jitterCost*random.Float64()})
 		}
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -95,16 +95,16 @@
 	defer t.mutex.Unlock()
 	pick := t.newPickContext(pickRequest, now, random)
 	best := t.cheapest(pickRequest, pick, now, random)
-	if best == nil && t.anyFull(pickRequest, now) {
+	if best == nil && pick.anyFull(pickRequest, now) {
 		return nil, fmt.Errorf("%w: service %s", ErrFull, pickRequest.Service)
 	}
 	if best == nil {
-		best = t.earliestReadmitted(pickRequest)
+		best = pick.earliestReadmitted(pickRequest)
 	}
 	if best == nil {
 		return nil, fmt.Errorf("%w: service %s", ErrNoRunner, pickRequest.Service)
 	}
-	t.countChoice(best, pickRequest, now)
+	t.countChoice(best, pick.entries, pickRequest, now)
 	t.countDeparture(best, pickRequest, pick.targetZone)
 	return t.start(best, pickRequest, best.uncached(pickRequest, best == pick.prefixHome, now), now), nil
 }
@@ -113,7 +113,7 @@
 func (t *Table) cheapest(pickRequest PickRequest, pick pickContext, now time.Time, random *rand.Rand) *entry {
 	var best *entry
 	bestCost := 0.0
-	for _, candidate := range t.services[pickRequest.Service] {
+	for _, candidate := range pick.entries {
 		if pick.skips(candidate) || !candidate.eligible(pickRequest, now) || candidate.full(pickRequest, now) {
 			continue
 		}
@@ -126,8 +126,8 @@
 }
 
 // anyFull says whether a runner is eligible for the request but full.
-func (t *Table) anyFull(pickRequest PickRequest, now time.Time) bool {
-	for _, candidate := range t.services[pickRequest.Service] {
+func (c pickContext) anyFull(pickRequest PickRequest, now time.Time) bool {
+	for _, candidate := range c.entries {
 		if candidate.eligible(pickRequest, now) && candidate.full(pickRequest, now) {
 			return true
 		}
@@ -165,9 +165,9 @@
 
 // earliestReadmitted returns the ejected runner whose ejection ends first. If every runner is ejected, the cause may
 // be this node itself, so trying one is better than refusing the request.
-func (t *Table) earliestReadmitted(pickRequest PickRequest) *entry {
+func (c pickContext) earliestReadmitted(pickRequest PickRequest) *entry {
 	var best *entry
-	for _, candidate := range t.services[pickRequest.Service] {
+	for _, candidate := range c.entries {
 		if !candidate.allowed(pickRequest) {
 			continue
 		}
@@ -201,13 +201,13 @@
 }
 
 // prefixHome returns the runner of the node's zone to which nodes send prompts with this shared prefix, or nil.
-func (t *Table) prefixHome(pickRequest PickRequest, now time.Time) *entry {
+func (t *Table) prefixHome(entries []*entry, pickRequest PickRequest, now time.Time) *entry {
 	if sharedTokens(pickRequest.Prefix) < smallestSharedTokens {
 		return nil
 	}
 	var best *entry
 	var bestRank uint64
-	for _, candidate := range t.services[pickRequest.Service] {
+	for _, candidate := range entries {
 		if candidate.runner.Zone != t.zone || !candidate.eligible(pickRequest, now) {
 			continue
 		}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -37,6 +37,8 @@
 	// services and byZone hold the entries of each service and of each zone, ordered by runner id.
 	services map[string][]*entry
 	byZone   map[ident.Zone][]*entry
+	// preferred holds the entries of each service that are considered first; see Prefer.
+	preferred map[string][]*entry
 	// generation rises with each change of the runners. pass counts the lists that were compared with them.
 	generation, pass uint64
 	inUse            inUse
@@ -314,6 +316,7 @@
 func (t *Table) unindex(known *entry) {
 	t.generation++
 	removeFrom(t.services, known.runner.Service, known)
+	removeFrom(t.preferred, known.runner.Service, known)
 	removeFrom(t.byZone, known.runner.Zone, known)
 }
 
--- a/internal/runnertable/zoneload.go
+++ b/internal/runnertable/zoneload.go
@@ -22,6 +22,8 @@
 
 // pickContext holds what the choice of a runner depends on besides the runners themselves.
 type pickContext struct {
+	// entries are the runners that are considered.
+	entries []*entry
 	// prefixHome is the runner to which nodes send prompts with this shared prefix, or nil.
 	prefixHome *entry
 	zones      []zoneSummary
@@ -33,8 +35,9 @@
 
 // newPickContext returns the context for choosing a runner. The caller holds the mutex.
 func (t *Table) newPickContext(request PickRequest, now time.Time, random *rand.Rand) pickContext {
-	zones := t.summarizeZones(request, now)
-	return pickContext{prefixHome: t.prefixHome(request, now), zones: zones, targetZone: t.targetZone(request, zones, random),
+	entries := t.considered(request, now)
+	zones := t.summarizeZones(entries, request, now)
+	return pickContext{entries: entries, prefixHome: t.prefixHome(entries, request, now), zones: zones, targetZone: t.targetZone(request, zones, random),
 		skipUnreachable: skipUnreachable(zones)}
 }
 
@@ -55,14 +58,13 @@
 	eligible bool
 }
 
-// summarizeZones summarizes each zone, and updates the typical load and the estimate of each runner of the service.
+// summarizeZones summarizes each zone by the given runners, and updates their typical load and their estimates.
 // The caller holds the mutex.
-func (t *Table) summarizeZones(request PickRequest, now time.Time) []zoneSummary {
+func (t *Table) summarizeZones(entries []*entry, request PickRequest, now time.Time) []zoneSummary {
 	zones := make([]zoneSummary, len(t.zones.names))
 	for index, zone := range t.zones.names {
 		zones[index] = zoneSummary{load: zonebalance.ZoneLoad{Zone: zone}, state: t.zoneState(zone, now)}
 	}
-	entries := t.services[request.Service]
 	for _, known := range entries {
 		if known.share.Within(shareLifetime, now) {
 			age, slots := max(known.share.Age(now), 0), float64(max(known.runner.Slots, 1))
