Read the changes of the runners in place of all pages at each reading

Cause: Follower.readRunners gave all pages one call's time, and each reading listed all of them: 50 calls each half of the drain bound, and no list at all in a store 60 times as slow (240 ms a page). Change: kvcopy lists once, then asks for the changes since; each call has a time of its own. A feed that records the same list again compares it and makes no index of it. Why it works: a reading ends at the store's revision as it begins, whatever the number of runners (design/whole-fleet.md). The code before has no such type; its one call's time for all pages was read, not played.

--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -47,12 +47,14 @@
 
 // process holds what both roles share: the connections, the view of the fleet, and the logs.
 type process struct {
-	path         string
-	settings     sitesettings.Settings
-	logs         *site.LogWriter
-	logger       zerolog.Logger
-	tomb         *tomb.Tomb
-	store        *storemeter.Store
+	path     string
+	settings sitesettings.Settings
+	logs     *site.LogWriter
+	logger   zerolog.Logger
+	tomb     *tomb.Tomb
+	store    *storemeter.Store
+	// registry reads the runners and the operators' orders.
+	registry     *platform.Registry
 	reachability *reachability.Watch
 	storePool    *connpool.Pool
 	caller       *platform.RunnerCaller
@@ -93,6 +95,7 @@
 		heldBytes: memorybudget.New[ident.Tenant, string](memorybudget.LimitsOf(settings.Limits.MemoryBytes())),
 	}
 	started.store.Heard = started.reachability
+	started.registry = platform.NewRegistry(started.store, &refusal.Tracker{OnChange: started.logRefusal})
 	started.ends = &poisonwatch.Watch{
 		Book: poison.NewBook(rand.Int64N(math.MaxInt32)), Runners: started.runners, Caller: started.caller, Tomb: started.tomb,
 		Logger: logger, Now: clock.Now,
@@ -130,11 +133,6 @@
 	}
 }
 
-// registry returns the reader of the runners and the operators' orders.
-func (p *process) registry() *platform.Registry {
-	return &platform.Registry{Store: p.store, Refusals: &refusal.Tracker{OnChange: p.logRefusal}}
-}
-
 // logRefusal logs that a stored value cannot be read, or is readable again.
 func (p *process) logRefusal(key string, err error, total int) {
 	if err == nil {
@@ -147,7 +145,7 @@
 // follow starts keeping the runners and the configuration up to date, and the periodic tasks. The caller sets the
 // fields of the follower that differ between roles.
 func (p *process) follow(role *follower.Follower) {
-	role.Registry, role.Runners, role.Routes = p.registry(), p.runners, p.routes
+	role.Registry, role.Runners, role.Routes = p.registry, p.runners, p.routes
 	role.Options = follower.OptionsFor(p.settings.Bounds.Drain(), p.settings.Bounds.Heartbeat())
 	role.Options.StartGrace = p.startGrace()
 	role.Logger, role.Now, role.Forget = p.logger, clock.Now, p.caller.Pool.Forget
@@ -176,6 +174,7 @@
 	p.logSuspension()
 	p.caller.Pool.CloseExpired()
 	p.storePool.CloseExpired()
+	p.registry.Release()
 }
 
 // logSuspension logs if the machine was suspended since the last check.
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -31,7 +31,7 @@
 	worker := &jobworker.Worker{
 		Node: ident.Node(settings.Node.Name), Zone: ident.Zone(settings.Node.Zone), Address: settings.Listen.Peers,
 		Records: process.records(), Store: process.store, Runners: process.runners, Routes: process.routes,
-		Caller: process.caller, PoisonWatch: process.ends, Key: settings.RequestFingerprintKey(), Registry: process.registry(),
+		Caller: process.caller, PoisonWatch: process.ends, Key: settings.RequestFingerprintKey(), Registry: process.registry,
 		Options: options, Logger: process.logger, Now: clock.Now,
 	}
 	worker.Budget = process.heldBytes
--- a/internal/fleetfeed/changes.go
+++ b/internal/fleetfeed/changes.go
@@ -1,6 +1,8 @@
 package fleetfeed
 
 import (
+	"slices"
+
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -37,6 +39,10 @@
 // record stores what a reading changed. If two entries of a list have the same id, changes cannot distinguish them:
 // the history is reset, so that nodes receive the full list.
 func (h *history) record(reading int64, before, after []work.Runner) {
+	if h.from != 0 && slices.Equal(before, after) {
+		h.add(changeSet{reading: reading})
+		return
+	}
 	known, unique := byID(before)
 	listed, alsoUnique := byID(after)
 	if h.from == 0 || !unique || !alsoUnique {
@@ -54,7 +60,11 @@
 			difference.gone = append(difference.gone, runner.ID)
 		}
 	}
-	h.sets = append(h.sets, changeSet{reading: reading, changes: difference})
+	h.add(changeSet{reading: reading, changes: difference})
+}
+
+func (h *history) add(set changeSet) {
+	h.sets = append(h.sets, set)
 	if len(h.sets) > maxChangeSets {
 		h.from = h.sets[0].reading
 		h.sets = h.sets[1:]
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -220,10 +220,8 @@
 }
 
 func (f *Follower) readRunners(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.Options.CallTimeout)
-	defer cancel()
 	began := f.Now()
-	listed, revision, err := f.Registry.Runners(ctx)
+	listed, revision, err := f.Registry.Runners(ctx, f.Options.CallTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -31,7 +31,7 @@
 	lists int
 }
 
-func (r *fakeRegistry) Runners(context.Context) ([]work.Runner, int64, error) {
+func (r *fakeRegistry) Runners(context.Context, time.Duration) ([]work.Runner, int64, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.readings++
--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -157,7 +157,9 @@
 }
 
 // Runners implements work.Registry.
-func (r *faultyRegistry) Runners(ctx context.Context) ([]work.Runner, int64, error) {
+func (r *faultyRegistry) Runners(ctx context.Context, callTimeout time.Duration) ([]work.Runner, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if err := r.call(ctx, 0); err != nil {
 		return nil, 0, err
 	}
--- a/internal/jobpeer/refused_test.go
+++ b/internal/jobpeer/refused_test.go
@@ -58,7 +58,7 @@
 	r.shared.calls[r.node]++
 }
 
-func (r *nodeRegistry) Runners(context.Context) ([]work.Runner, int64, error) {
+func (r *nodeRegistry) Runners(context.Context, time.Duration) ([]work.Runner, int64, error) {
 	r.count()
 	version, err := r.admit()
 	return []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}, version, err
--- /dev/null
+++ b/internal/kvcopy/kvcopy.go
@@ -0,0 +1,145 @@
+// Package kvcopy keeps a copy of the pairs under a prefix of a key-value service whose lists come in pages. The first reading lists
+// all pages; each further one asks for the changes since, so that its calls and its time do not grow with the number of pairs.
+package kvcopy
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"mallowlatch.example/mallowlatch/internal/kv"
+)
+
+// Options configure a copy.
+type Options struct {
+	Store  kv.Paged
+	Prefix string
+	// MarkPrefix is a prefix with few or no keys. A page of it is read for the service's present revision.
+	MarkPrefix string
+	// MaxAge is the age from which a copy is listed anew: the changes since would be more than the pairs, or forgotten.
+	MaxAge time.Duration
+	Now    func() time.Time
+}
+
+// Copy is a copy of the pairs under a prefix. It is not safe for concurrent use.
+type Copy struct {
+	options Options
+	// pairs are ordered by key. They are complete if readAt is set, the time from which on the copy was true.
+	pairs    []kv.Pair
+	revision int64
+	readAt   time.Time
+}
+
+// New returns an empty copy.
+func New(options Options) *Copy { return &Copy{options: options} }
+
+// Read brings the copy up to date: to a state that is no older than the call. It returns the pairs, which are valid until the next
+// Read, and their revision. callTimeout bounds each call of the service. After an error the copy stays as it was, and the next Read
+// goes on from it.
+func (c *Copy) Read(ctx context.Context, callTimeout time.Duration) ([]kv.Pair, int64, error) {
+	began := c.options.Now()
+	if c.readAt.IsZero() || began.Sub(c.readAt) > c.options.MaxAge {
+		return c.list(ctx, callTimeout, began)
+	}
+	err := c.follow(ctx, callTimeout)
+	if errors.Is(err, kv.ErrCompacted) {
+		return c.list(ctx, callTimeout, began)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	c.readAt = began
+	return c.pairs, c.revision, nil
+}
+
+// Release drops the pairs if the copy is too old to be brought up to date, and reports whether it did.
+func (c *Copy) Release() bool {
+	if c.readAt.IsZero() || c.options.Now().Sub(c.readAt) <= c.options.MaxAge {
+		return false
+	}
+	c.pairs, c.readAt = nil, time.Time{}
+	return true
+}
+
+// list reads all pages. Pages are not a snapshot: the copy has the revision of the first page, and the changes since then are read
+// before it is complete.
+func (c *Copy) list(ctx context.Context, callTimeout time.Duration, began time.Time) ([]kv.Pair, int64, error) {
+	c.pairs, c.revision, c.readAt = nil, 0, time.Time{}
+	after := ""
+	for {
+		page, err := c.page(ctx, callTimeout, c.options.Prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			c.revision = page.Revision
+		}
+		c.pairs = append(c.pairs, page.Pairs...)
+		if !page.More || len(page.Pairs) == 0 {
+			break
+		}
+		after = page.Pairs[len(page.Pairs)-1].Key
+	}
+	if after != "" {
+		if err := c.follow(ctx, callTimeout); err != nil {
+			return nil, 0, err
+		}
+	}
+	c.readAt = began
+	return c.pairs, c.revision, nil
+}
+
+func (c *Copy) page(ctx context.Context, callTimeout time.Duration, prefix, after string) (kv.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.options.Store.ListPage(ctx, prefix, kv.PageOptions{After: after})
+}
+
+// follow applies the changes up to the revision that the service has when it begins. An answer may hold a part of the changes.
+func (c *Copy) follow(ctx context.Context, callTimeout time.Duration) error {
+	mark, err := c.page(ctx, callTimeout, c.options.MarkPrefix, "")
+	if err != nil {
+		return err
+	}
+	for c.revision < mark.Revision {
+		changes, err := c.changes(ctx, callTimeout)
+		if err != nil {
+			return err
+		}
+		for _, event := range changes.Events {
+			c.apply(event)
+		}
+		c.revision = max(c.revision, changes.Revision)
+		if len(changes.Events) == 0 {
+			// Nothing under the prefix has changed up to the mark.
+			c.revision = max(c.revision, mark.Revision)
+		}
+	}
+	return nil
+}
+
+// shortestWait is how long the service may wait for a change before it answers that there is none.
+const shortestWait = time.Millisecond
+
+func (c *Copy) changes(ctx context.Context, callTimeout time.Duration) (kv.WatchResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.options.Store.Changes(ctx, c.options.Prefix, c.revision, shortestWait)
+}
+
+// apply applies a change, unless the copy has a newer state of the key.
+func (c *Copy) apply(event kv.WatchEvent) {
+	at, found := slices.BinarySearchFunc(c.pairs, event.Pair.Key, func(pair kv.Pair, key string) int { return cmp.Compare(pair.Key, key) })
+	switch {
+	case found && c.pairs[at].ModRevision >= event.Pair.ModRevision:
+	case event.Deleted && found:
+		c.pairs = slices.Delete(c.pairs, at, at+1)
+	case event.Deleted:
+	case found:
+		c.pairs[at] = event.Pair
+	default:
+		c.pairs = slices.Insert(c.pairs, at, event.Pair)
+	}
+}
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -66,8 +66,9 @@
 
 // Registry lists the runners and reads the operators' orders.
 type Registry interface {
-	// Runners returns all runners in the registry and a revision; the list is of that revision or a later one.
-	Runners(ctx context.Context) (runners []Runner, revision int64, err error)
+	// Runners returns all runners in the registry and a revision; the list is of that revision or a later one. callTimeout bounds
+	// each of the calls that a list takes.
+	Runners(ctx context.Context, callTimeout time.Duration) (runners []Runner, revision int64, err error)
 	// Orders returns all orders, and the revision to pass to NextOrders.
 	Orders(ctx context.Context) (Orders, int64, error)
 	// NextOrders waits for orders newer than the revision. If there are none within the wait, it returns no orders and
