Tell what the store says to each zone once

What callers saw: nothing alone; each worker of other zones asked the one worker that reads for all, so that each change of the jobs, the workers, the runners and the configuration crossed into a zone once a worker: 119 times in a fleet of 150, with as many answers to encode at one machine of half a core. Change: the first worker of a zone by name is its relay where the zone has eight workers or more; the others ask it, then the readers of the fleet. A relay holds what it was told for others as a reader does, so nothing new is kept or agreed on. Why it works: what fails is passed over as a reader is (1.5 s); what a relay that is cut off says is rejected by its age. Older workers go on asking the readers, and are answered. Evidence: jobworker.TestFactsCrossIntoAZoneABoundedNumberOfTimes at 50, 150 and 300 workers: two crossings a zone at most (10 at 50 workers without the change); TestRelayIsPassedOverWhileItDoesNotAnswer, TestRelayAsksTheReaders.

--- a/internal/jobworker/follow.go
+++ b/internal/jobworker/follow.go
@@ -164,9 +164,9 @@
 	return w.liveFeed.Next(ctx, after, min(wait, w.Options.WatchWait))
 }
 
-// Reader returns the address of the worker that reads the store for this one: the first registered worker by name, or the
-// next one if the first is avoided. It returns false if that is this node itself or if all are avoided. A worker that does
-// not know any other yet asks the seeds in its settings for a limited time, unless it is one of them.
+// Reader returns the address of the worker to ask for what the store says: the relay of this zone, the first registered worker
+// by name, or the next one, whichever is not avoided. It returns false if this node reads the store itself or if all are
+// avoided. A worker that does not know any other yet asks the seeds in its settings for a limited time, unless it is one of them.
 func (w *Worker) Reader(avoided func(address string) bool) (string, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -176,7 +176,7 @@
 	if len(w.workers) == 0 {
 		return w.nextSeed()
 	}
-	for _, node := range firstByName(w.workers, MaxReaders) {
+	for _, node := range readersFor(w.Node, w.Zone, w.workers) {
 		if node == w.Node {
 			return "", false
 		}
@@ -187,6 +187,38 @@
 	return "", false
 }
 
+// minRelayedWorkers is the number of workers from which a zone has a relay. In a smaller zone the step through the relay would
+// cost more time than it saves calls between zones.
+const minRelayedWorkers = 8
+
+// readersFor returns the workers that a worker asks for what the store says, in order: the relay of its zone, unless it is the
+// relay or a reader itself, and the readers of the fleet. A relay asks the readers, so that each fact crosses into a zone
+// once, and holds what it knows for the workers of its zone as a reader does.
+func readersFor(node ident.Node, zone ident.Zone, workers map[ident.Node]jobrecord.Worker) []ident.Node {
+	readers := firstByName(workers, MaxReaders)
+	relay, found := relayOf(zone, workers)
+	if !found || relay == node || slices.Contains(readers, node) {
+		return readers
+	}
+	others := slices.DeleteFunc(readers, func(reader ident.Node) bool { return reader == relay })
+	return append([]ident.Node{relay}, others...)
+}
+
+// relayOf returns the first worker of a zone by name, or false if the zone needs no relay.
+func relayOf(zone ident.Zone, workers map[ident.Node]jobrecord.Worker) (relay ident.Node, found bool) {
+	count := 0
+	for node, worker := range workers {
+		if worker.Zone != zone {
+			continue
+		}
+		count++
+		if relay == "" || node < relay {
+			relay = node
+		}
+	}
+	return relay, count >= minRelayedWorkers
+}
+
 // nextSeed returns the seeds in the settings in rotation. The caller must hold the mutex.
 func (w *Worker) nextSeed() (string, bool) {
 	if len(w.Seeds) == 0 || slices.Contains(w.Seeds, w.Address) || w.Now().Sub(w.started) > w.SeedPeriod {
