Wait for a peer that answers while all nodes start

Cause: a node that had no data .6 s after its start (1.5 s the first time) read the store itself, the list of workers as well. Change: a source that answers and has no data yet extends the start grace, three seconds at most; so do seeds for the list of workers. Calls in that time are held for half a second. Why it works: a seed that is dead or cut off from the node does not answer, and the node reads as before. TestNodeReadsItselfWhereTheOthersNeverGetData: within 4 s. jobpeer.TestStartingNodeReadsNoWorkersWhileSeedsAnswer.

--- /dev/null
+++ b/internal/follower/commonstart_test.go
@@ -0,0 +1,82 @@
+package follower_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/routetable"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/simulated"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// startTogether starts nodes that all ask one feed, which has data after a time, and returns the lists of runners that the nodes
+// read from the registry themselves, and the time after which the last one knew the runners.
+func startTogether(t *testing.T, nodes int, after time.Duration) (lists int, known time.Duration) {
+	simulated.Test(t, func(t *testing.T) {
+		began := time.Now()
+		feed := fleetfeed.New(time.Now)
+		runners := []work.Runner{{ID: "i-1", Service: "s", Slots: 1}}
+		registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
+		supervisor := new(tomb.Tomb)
+		var followers []*follower.Follower
+		for range nodes {
+			f := &follower.Follower{
+				Registry: registry, Source: &lateSource{feed: feed}, Runners: runnertable.New("z"), Routes: &routetable.Table{},
+				Logger: zerolog.Nop(), Now: time.Now, Options: follower.OptionsFor(longDrain, siteHeartbeat),
+			}
+			f.Options.StartGrace = 600 * time.Millisecond
+			f.Start(supervisor)
+			followers = append(followers, f)
+		}
+		for time.Since(began) < after+10*time.Second && known == 0 {
+			if time.Since(began) >= after {
+				feed.RecordRunners(runners, 5, time.Now())
+				feed.RecordOrders(work.Orders{Catalog: registry.catalog}, time.Now())
+			}
+			time.Sleep(50 * time.Millisecond)
+			if allKnow(followers) {
+				known = time.Since(began)
+			}
+		}
+		lists = registry.read()
+		supervisor.Kill(nil)
+		assert.NilError(t, supervisor.Wait())
+	})
+	return lists, known
+}
+
+func allKnow(followers []*follower.Follower) bool {
+	for _, f := range followers {
+		if f.Runners.Count() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestCommonStartCostsNoListANode starts 30, 300 and 1,000 nodes together, and the node that reads for all of them has the list two
+// seconds later, as a busy one does: no other node reads the registry.
+func TestCommonStartCostsNoListANode(t *testing.T) {
+	for _, nodes := range []int{30, 300, 1000} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			lists, known := startTogether(t, nodes, 2*time.Second)
+			assert.Equal(t, lists, 0)
+			assert.Assert(t, known <= 2500*time.Millisecond, "known after %v", known)
+		})
+	}
+}
+
+// TestNodeReadsItselfWhereTheOthersNeverGetData starts nodes whose source answers and never has data.
+func TestNodeReadsItselfWhereTheOthersNeverGetData(t *testing.T) {
+	lists, known := startTogether(t, 3, time.Hour)
+	assert.Assert(t, lists > 0)
+	assert.Assert(t, known <= 4*time.Second, "known after %v", known)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -102,6 +102,8 @@
 	fresh freshness
 	// graceUntil is the end of the start grace period; zero once the node has received data or reads the registry itself.
 	graceUntil time.Time
+	// graceEnd is the time up to which the period may be extended.
+	graceEnd time.Time
 	// sourceAnswers means that the last call of the source was answered, readsForAll that this node reads the registry for the others
 	// because there is no other node to ask.
 	sourceAnswers, readsForAll bool
@@ -120,6 +122,7 @@
 	f.absence = f.Options.absence()
 	if f.Source != nil {
 		f.graceUntil = f.Now().Add(f.Options.StartGrace)
+		f.graceEnd = f.graceUntil.Add(maxStartHold)
 	}
 	ctx := parent.Context(context.Background())
 	parent.Go(func() error { return f.followRunners(ctx) })
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -42,16 +42,26 @@
 	// startPollInterval is the delay between calls of a node that has no data yet, or whose source has only old data, and the interval
 	// at which the node polls its own state. Nodes start within 0.3 s of each other, and reading a list takes a few milliseconds.
 	startPollInterval = 50 * time.Millisecond
+	// startWait is how long the source may hold a call of a node in its start grace period before it answers that it has no
+	// data yet.
+	startWait = 500 * time.Millisecond
+	// maxStartHold bounds the time by which such answers extend the grace period. After a common restart one node reads the
+	// registry and answers all others; if each of a thousand read thousands of runners itself, none would have them for longer.
+	maxStartHold = 3 * time.Second
 )
 
 // followSource applies what the source read, as long as it is fresh.
 func (f *Follower) followSource(ctx context.Context) error {
-	known := &fleetfeed.SnapshotRequest{WaitMs: f.maxListAge().Milliseconds()}
+	known := &fleetfeed.SnapshotRequest{}
 	for ctx.Err() == nil {
+		known.WaitMs = f.sourceWait().Milliseconds()
 		outcome := f.relay(ctx, known)
 		f.setRelaying(outcome == sourceFresh)
 		switch {
 		case outcome == sourceFresh:
+		case outcome == sourceStale && f.extendGrace():
+			f.switchSource()
+			sleep(ctx, startPollInterval)
 		case f.inGrace():
 			sleep(ctx, startPollInterval)
 		case outcome == sourceStale:
@@ -91,6 +101,33 @@
 	return f.Now().Before(f.graceUntil)
 }
 
+// sourceWait returns how long the source may hold a call.
+func (f *Follower) sourceWait() time.Duration {
+	if f.inGrace() {
+		return min(startWait, f.maxListAge())
+	}
+	return f.maxListAge()
+}
+
+// extendGrace extends the start grace period because the source answers and has no data yet either. It returns false if the
+// period is over.
+func (f *Follower) extendGrace() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.Now()
+	if !now.Before(f.graceUntil) {
+		return false
+	}
+	extended := now.Add(startWait + startPollInterval + relaySlack)
+	if extended.After(f.graceEnd) {
+		extended = f.graceEnd
+	}
+	if extended.After(f.graceUntil) {
+		f.graceUntil = extended
+	}
+	return true
+}
+
 // readAlone makes this node read the registry itself from now on. Others wait for what it reads, and the data it received is as old as
 // theirs.
 func (f *Follower) readAlone() {
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -69,6 +69,8 @@
 	read := answeredAt.Add(-time.Duration(snapshot.RunnersAgeMs) * time.Millisecond)
 	if workers := w.snapshotWorkers(snapshot); len(workers) > 0 && w.Client.Now().Sub(read) < maxWorkerListAge {
 		w.Client.UpdateWorkers(workersOf(workers), answeredAt)
+	} else {
+		w.Client.seedAnswered()
 	}
 	return snapshot, nil
 }
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -33,6 +33,8 @@
 	skipDuration = 1500 * time.Millisecond
 	// noHolderTTL is how long a job without a known holder is read from the records before workers are asked again.
 	noHolderTTL = 600 * time.Millisecond
+	// maxSeedHold is how much longer than usual a starting node waits for seeds that answer and know nothing yet.
+	maxSeedHold = 3 * time.Second
 	// maxCachedJobs is the capacity of the cache of job locations.
 	maxCachedJobs = 512
 )
@@ -55,8 +57,8 @@
 	Now   func() time.Time
 
 	mutex sync.Mutex
-	// began is when this node first needed a worker.
-	began time.Time
+	// began is when this node first needed a worker, seedsUntil until when it waits for the seeds to name workers.
+	began, seedsUntil time.Time
 	// workers are the workers that run batch jobs, in the order in which they are called.
 	workers asof.Fact[[]jobrecord.Worker]
 	// workersRead is when the list of workers was last read, successfully or not. It is set back to have the list read again sooner.
@@ -199,7 +201,7 @@
 		ttl = emptyWorkerListTTL
 	}
 	if h.began.IsZero() {
-		h.began = now
+		h.began, h.seedsUntil = now, now.Add(h.SeedsFor)
 	}
 	fresh := h.usesSeeds(now) || !h.workersRead.IsZero() && now.Sub(h.workersRead) < ttl
 	if !fresh {
@@ -221,7 +223,22 @@
 
 // usesSeeds reports whether this node has just started and knows no worker but the seeds. The caller holds the mutex.
 func (h *WorkerClient) usesSeeds(now time.Time) bool {
-	return len(h.Seeds) > 0 && len(h.workers.Value()) == 0 && now.Sub(h.began) < h.SeedsFor
+	return len(h.Seeds) > 0 && len(h.workers.Value()) == 0 && (h.began.IsZero() || now.Before(h.seedsUntil))
+}
+
+// seedAnswered makes a starting node wait for the seeds for SeedsFor from now on, because one of them answers and knows nothing
+// yet either, but no longer than maxSeedHold more in all.
+func (h *WorkerClient) seedAnswered() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.Now()
+	if !h.usesSeeds(now) {
+		return
+	}
+	h.seedsUntil = now.Add(h.SeedsFor)
+	if latest := h.began.Add(h.SeedsFor + maxSeedHold); h.seedsUntil.After(latest) {
+		h.seedsUntil = latest
+	}
 }
 
 // UpdateWorkers replaces the list of workers with one that this or another node read, as of the given time. It ignores a list that is
