--- a/internal/runnertable/fleetsize_test.go
+++ b/internal/runnertable/fleetsize_test.go
@@ -136,3 +136,24 @@
 		}
 	}
 }
+
+// TestChangedListAllocatesByItsChanges applies lists of fleets of several sizes of which 25 runners were replaced.
+func TestChangedListAllocatesByItsChanges(t *testing.T) {
+	const changed = 25
+	var bytes []uint64
+	for _, size := range []int{1000, 10000, 20000} {
+		now := time.Unix(1000, 0)
+		table := New("a")
+		table.Replace(fleetOf(size), now, true)
+		var before, after runtime.MemStats
+		listed := fleetOf(size + changed)[changed:]
+		runtime.ReadMemStats(&before)
+		change := table.Replace(listed, now.Add(time.Second), true)
+		runtime.ReadMemStats(&after)
+		assert.Equal(t, len(change.Added), changed)
+		assert.Equal(t, len(change.Removed), changed)
+		bytes = append(bytes, after.TotalAlloc-before.TotalAlloc)
+	}
+	// One growth of the ordered lists of pointers is allowed for.
+	assert.Assert(t, bytes[2] <= bytes[0]+4*8*20000, "%d bytes", bytes)
+}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -44,9 +44,6 @@
 	inUse            inUse
 	// rationed holds the entries whose owners ration their slots, as of the last reports.
 	rationed map[ident.Incarnation]*entry
-	// settled says that the last list decided about every runner in the table and every entry of the list, so that the
-	// same list changes nothing.
-	settled bool
 	// onlineChanged is called when this node's online work at a runner changes or a direct report starts or ends a
 	// slow phase of a runner; see OnOnlineChanged. It may be nil.
 	onlineChanged func(rose bool)
@@ -160,26 +157,25 @@
 func (t *Table) Replace(listed []work.Runner, now time.Time, absenceIsProof bool) Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.settled && t.lists(listed) {
-		return Change{}
-	}
+	t.pass++
+	generation := t.generation
+	rest := t.markUnchanged(listed)
 	var change Change
-	names := t.names(listed, now)
-	t.settled = true
-	for _, runner := range listed {
-		if runner.State == work.Unreadable || names[runner.ID.Name()] != runner.ID {
-			t.settled = false
-			continue
+	names := t.names(rest, now)
+	for _, runner := range rest {
+		if runner.State != work.Unreadable && names[runner.ID.Name()] == runner.ID {
+			t.put(runner, now, &change)
 		}
-		t.put(runner, now, &change)
 	}
 	for id, known := range t.runners {
-		present, named := names[id.Name()]
+		if known.pass == t.pass {
+			continue
+		}
+		present, named := t.named(id.Name(), names)
 		if present == id {
 			continue
 		}
 		if !named && !absenceIsProof && known.runner.State == work.Ready {
-			t.settled = false
 			known.markMissing(now)
 			change.Retained = append(change.Retained, id)
 			continue
@@ -189,27 +185,56 @@
 		change.Addresses = append(change.Addresses, known.runner.Address)
 		change.LongestMissing = max(change.LongestMissing, known.missingFor(now))
 	}
-	t.indexZones()
+	t.forgetNames(names)
+	if t.generation != generation {
+		t.indexZones()
+	}
 	if len(t.runners) > 0 {
 		t.assumeFullFor = 0
 	}
 	return change
 }
 
-// lists says whether a list names exactly the runners in the table, as they are. The caller holds the mutex.
-func (t *Table) lists(listed []work.Runner) bool {
-	if len(listed) != len(t.runners) {
-		return false
-	}
-	t.pass++
+// markUnchanged marks the runners that a list names as they are, and returns the rest of the list. The caller holds the mutex.
+func (t *Table) markUnchanged(listed []work.Runner) []work.Runner {
+	var rest []work.Runner
 	for _, runner := range listed {
 		known := t.runners[runner.ID]
-		if known == nil || known.runner != runner || known.pass == t.pass {
-			return false
+		if known == nil || known.runner != runner || known.pass == t.pass || !known.settled() || t.latest[runner.ID.Name()] != runner.ID {
+			rest = append(rest, runner)
+			continue
 		}
 		known.pass = t.pass
 	}
-	return true
+	return rest
+}
+
+// settled says whether the last list named the runner and no earlier incarnation of it.
+func (e *entry) settled() bool { return e.missingSince.IsZero() && e.overwritten.IsZero() }
+
+// named returns the incarnation that the list has for a name, given those of the rest of the list, and whether it has the name.
+// The caller holds the mutex.
+func (t *Table) named(name ident.Runner, rest map[ident.Runner]ident.Incarnation) (ident.Incarnation, bool) {
+	if present, named := rest[name]; named {
+		return present, true
+	}
+	latest := t.latest[name]
+	if known := t.runners[latest]; known != nil && known.pass == t.pass {
+		return latest, true
+	}
+	return "", false
+}
+
+// forgetNames removes the latest incarnations of names that are neither listed nor in the table. The caller holds the mutex.
+func (t *Table) forgetNames(rest map[ident.Runner]ident.Incarnation) {
+	if len(t.latest) <= len(t.runners) {
+		return
+	}
+	for name, latest := range t.latest {
+		if _, listed := rest[name]; !listed && t.runners[latest] == nil {
+			delete(t.latest, name)
+		}
+	}
 }
 
 // put adds or updates a listed runner. The caller holds the mutex.
@@ -231,6 +256,7 @@
 	}
 	known.missingSince, known.overwritten = time.Time{}, time.Time{}
 	known.warmUpUntil = now.Add(runner.WarmUp)
+	known.pass = t.pass
 }
 
 // remove removes a runner. The caller holds the mutex.
@@ -246,18 +272,13 @@
 // and the list is read twice in that time.
 const overwrittenGrace = 2500 * time.Millisecond
 
-// names returns the incarnation of each name in the list; it is empty for an entry that counts for none. Any other
+// names returns the incarnation of each name in a part of the list; it is empty for an entry that counts for none. Any other
 // incarnation of a listed name is over, even if absence proves nothing. The caller holds the mutex.
 func (t *Table) names(listed []work.Runner, now time.Time) map[ident.Runner]ident.Incarnation {
 	names := make(map[ident.Runner]ident.Incarnation, len(listed))
 	for _, runner := range listed {
 		names[runner.ID.Name()] = t.incarnation(runner, now)
 	}
-	for name, latest := range t.latest {
-		if _, listed := names[name]; !listed && t.runners[latest] == nil {
-			delete(t.latest, name)
-		}
-	}
 	return names
 }
 
