Spread the nodes' own reading of long lists over the time that all would need

Cause: each node whose relayed list is older than 1.3 intervals reads the store itself, all in the same moment: 985 listings of 3 MB over a link of 1 Gbit/s. The reader's calls time out among them, so that lists stay old. Change: only relays and readers read a long list at once; others wait .1 ms a runner and a drawn time that grows with runners and workers (follower.Fallback). Long lists are read twice as often, lists of a page or two anew as before (kvcopy made two calls of one). The record of registrations is made only when a gap is judged. Why it works: what the others read fits the store's link. TestLongListIsReadByThoseThatOthersAskFirst.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -67,6 +67,7 @@
 	orders := &follower.Follower{
 		Source: &jobpeer.WorkerFeed{Client: holders, Index: xxhash.Sum64String(settings.Node.Name)}, Newest: newest.Catalog,
 	}
+	orders.Fallback = func() follower.Fallback { return follower.Fallback{Workers: holders.KnownWorkers()} }
 	process.follow(orders)
 	gate := &access.Gate{Routes: process.routes, Refresh: orders.Refresh, Logger: process.logger, Now: clock.Now}
 	onlineWork := &jobpeer.OnlineWork{
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -65,6 +65,9 @@
 	feed.Workers = jobpeer.FeedWorkers(worker)
 	orders := &follower.Follower{Retire: worker.Retire, Feed: feed, Source: source}
 	feed.Refresh = jobpeer.NewSharedReads(orders.Refresh, clock.Now).AwaitFresh
+	orders.Fallback = func() follower.Fallback {
+		return follower.Fallback{First: worker.IsRelay(), RelaysToOthers: true, Workers: len(worker.Registered())}
+	}
 	process.follow(orders)
 	if err := process.servePeers(worker, feed); err != nil {
 		return err
--- a/internal/follower/absence.go
+++ b/internal/follower/absence.go
@@ -32,8 +32,8 @@
 
 	// asOf is when the reading of the newest list began. It never decreases.
 	asOf time.Time
-	// registered maps the runners of the newest list to their registrations.
-	registered map[ident.Incarnation]int64
+	// listed is the newest list.
+	listed []work.Runner
 	// proofFrom is the time from which on a list proves again which runners have left.
 	proofFrom time.Time
 }
@@ -48,10 +48,7 @@
 	if gap > 0 {
 		a.asOf = asOf
 	}
-	a.registered = make(map[ident.Incarnation]int64, len(listed))
-	for _, runner := range listed {
-		a.registered[runner.ID] = runner.Registered
-	}
+	a.listed = listed
 	return !asOf.Before(a.proofFrom)
 }
 
@@ -61,11 +58,15 @@
 	if gap <= a.mixedGap {
 		return false
 	}
+	registered := make(map[ident.Incarnation]int64, len(a.listed))
+	for _, runner := range a.listed {
+		registered[runner.ID] = runner.Registered
+	}
 	kept := 0
 	for _, runner := range listed {
-		if before, known := a.registered[runner.ID]; known && before == runner.Registered {
+		if before, known := registered[runner.ID]; known && before == runner.Registered {
 			kept++
 		}
 	}
-	return 2*kept > len(a.registered)
+	return 2*kept > len(registered)
 }
--- a/internal/follower/commonstart_test.go
+++ b/internal/follower/commonstart_test.go
@@ -11,6 +11,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/follower"
+	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/simulated"
@@ -80,3 +81,38 @@
 	assert.Assert(t, lists > 0)
 	assert.Assert(t, known <= 4*time.Second, "known after %v", known)
 }
+
+// TestLongListIsReadByThoseThatOthersAskFirst has the source of nodes with a long list have nothing new any more: one that others ask
+// reads the registry when its list is old, the others only after the time that a list takes to reach them.
+func TestLongListIsReadByThoseThatOthersAskFirst(t *testing.T) {
+	var runners []work.Runner
+	for index := range 1000 {
+		runners = append(runners, work.Runner{ID: ident.Incarnation(fmt.Sprint("i-", index)), Service: "s", Slots: 1})
+	}
+	for _, first := range []bool{true, false} {
+		simulated.Test(t, func(t *testing.T) {
+			feed := fleetfeed.New(time.Now)
+			registry := &fakeRegistry{runners: runners, revision: 5, catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}
+			feed.RecordRunners(runners, 5, time.Now())
+			feed.RecordOrders(work.Orders{Catalog: registry.catalog}, time.Now())
+			f := &follower.Follower{
+				Registry: registry, Source: &lateSource{feed: feed}, Runners: runnertable.New("z"), Routes: &routetable.Table{},
+				Logger: zerolog.Nop(), Now: time.Now, Options: follower.OptionsFor(longDrain, siteHeartbeat),
+				Fallback: func() follower.Fallback { return follower.Fallback{First: first, Workers: 100} },
+			}
+			f.Options.StartGrace = 600 * time.Millisecond
+			supervisor := new(tomb.Tomb)
+			f.Start(supervisor)
+			began := time.Now()
+			for registry.read() == 0 && time.Since(began) < time.Minute {
+				time.Sleep(10 * time.Millisecond)
+			}
+			old := time.Duration(1.3 * float64(f.Options.ListInterval))
+			waited := time.Since(began) - old
+			assert.Assert(t, waited <= 50*time.Millisecond == first, "read %v after the list was old", waited)
+			assert.Assert(t, waited <= 100*time.Millisecond+7*time.Second, "read %v after the list was old", waited)
+			supervisor.Kill(nil)
+			assert.NilError(t, supervisor.Wait())
+		})
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -92,6 +92,9 @@
 	Newest func(ctx context.Context, version int64) (*work.Catalog, error)
 	// Feed receives what this node read or received, to relay it to other nodes. It may be nil.
 	Feed *fleetfeed.Feed
+	// Fallback returns this node's part in reading long lists while the nodes that read for the others fail. With nil it reads
+	// at once.
+	Fallback func() Fallback
 
 	// relaying means that the last call of the source returned fresh data; copy is this node's copy of the source's list. Only
 	// followSource uses them.
@@ -100,6 +103,8 @@
 
 	mutex sync.Mutex
 	fresh freshness
+	// delay is how long after the end of fresh this node waits before it reads a long list itself.
+	delay time.Duration
 	// graceUntil is the end of the start grace period; zero once the node has received data or reads the registry itself.
 	graceUntil time.Time
 	// graceEnd is the time up to which the period may be extended.
@@ -149,7 +154,7 @@
 		}
 		failures = 0
 		// A list of an older revision is ignored, which leaves proofFrom in the past: the delay prevents reading again at once.
-		sleep(ctx, max(f.timeToReading(f.Now().Add(f.Options.ListInterval)), f.Options.RetryAfter))
+		sleep(ctx, max(f.timeToReading(f.Now().Add(f.readInterval())), f.Options.RetryAfter))
 	}
 	return nil
 }
@@ -160,8 +165,8 @@
 func (f *Follower) timeToReading(goodUntil time.Time) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.kept > 0 && f.absence.proofFrom.Before(goodUntil) {
-		goodUntil = f.absence.proofFrom
+	if proof := f.absence.proofFrom.Add(f.delay); f.kept > 0 && proof.Before(goodUntil) {
+		goodUntil = proof
 	}
 	return goodUntil.Sub(f.Now())
 }
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -129,11 +129,14 @@
 }
 
 // readAlone makes this node read the registry itself from now on. Others wait for what it reads, and the data it received is as old as
-// theirs.
+// theirs. A node that has data and is not one of those that others ask goes on until its data is old.
 func (f *Follower) readAlone() {
+	if f.Runners.Count() > 0 && f.waitsForOthers() {
+		return
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.readsForAll = true
+	f.readsForAll, f.delay = true, 0
 	if f.fresh == (freshness{}) && f.graceUntil.IsZero() {
 		return
 	}
@@ -284,6 +287,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.fresh, f.graceUntil = f.freshUntil(ages.received, ages.runners, ages.orders), time.Time{}
+	f.delay = f.fallbackDelay()
 }
 
 // receivedAge converts an age sent by another node. An age outside the valid range stands for a reading that was never made.
@@ -310,9 +314,13 @@
 // themselves, that makes 2,000 calls. The wait adds to how long a runner that left during the outage is used.
 const relayGrace = 150 * time.Millisecond
 
-// awaitRelay waits up to relayGrace for fresh data from the source, if the source answers.
+// awaitRelay waits for fresh data from the source, if the source answers: up to relayGrace, and with a long list for the delay
+// of this node besides.
 func (f *Follower) awaitRelay(ctx context.Context) {
-	for end := f.Now().Add(relayGrace); ctx.Err() == nil && f.Now().Before(end); {
+	f.mutex.Lock()
+	grace := relayGrace + f.delay
+	f.mutex.Unlock()
+	for end := f.Now().Add(grace); ctx.Err() == nil && f.Now().Before(end); {
 		f.mutex.Lock()
 		wait := f.sourceAnswers && !f.fresh.runners.After(f.Now())
 		f.mutex.Unlock()
@@ -332,5 +340,5 @@
 		again := now.Add(startPollInterval)
 		return freshness{runners: again, orders: again}
 	}
-	return f.fresh
+	return freshness{runners: f.fresh.runners.Add(f.delay), orders: f.fresh.orders.Add(f.delay)}
 }
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -173,6 +173,9 @@
 	return h.Now().Before(h.skippedUntil[address])
 }
 
+// KnownWorkers returns the number of workers in the most recently read list.
+func (h *WorkerClient) KnownWorkers() int { return len(h.knownWorkers()) }
+
 // knownWorkers returns the most recently read list of workers, which must not be changed.
 func (h *WorkerClient) knownWorkers() []jobrecord.Worker {
 	h.mutex.Lock()
--- a/internal/jobworker/follow.go
+++ b/internal/jobworker/follow.go
@@ -102,6 +102,14 @@
 	return w.readsForAll()
 }
 
+// IsRelay reports whether others ask this worker for what the store says: workers of its zone, or relays and readers.
+func (w *Worker) IsRelay() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	relay, found := relayOf(w.Zone, w.workers)
+	return w.readsForAll() || found && relay == w.Node
+}
+
 // fetchLive applies what another worker knows.
 func (w *Worker) fetchLive(address string) error {
 	wait := w.Options.WatchWait
--- a/internal/kvcopy/kvcopy.go
+++ b/internal/kvcopy/kvcopy.go
@@ -1,5 +1,6 @@
 // Package kvcopy keeps a copy of the pairs under a prefix of a key-value service whose lists come in pages. The first reading lists
-// all pages; each further one asks for the changes since, so that its calls and its time do not grow with the number of pairs.
+// all pages; each further one asks for the changes since, so that its calls and its time do not grow with the number of pairs. A list
+// of a page or two is read anew each time, which takes no more calls.
 package kvcopy
 
 import (
@@ -27,7 +28,9 @@
 type Copy struct {
 	options Options
 	// pairs are ordered by key. They are complete if readAt is set, the time from which on the copy was true.
-	pairs    []kv.Pair
+	pairs []kv.Pair
+	// pages is the number of pages of the last listing.
+	pages    int
 	revision int64
 	readAt   time.Time
 }
@@ -40,7 +43,7 @@
 // goes on from it.
 func (c *Copy) Read(ctx context.Context, callTimeout time.Duration) ([]kv.Pair, int64, error) {
 	began := c.options.Now()
-	if c.readAt.IsZero() || began.Sub(c.readAt) > c.options.MaxAge {
+	if c.readAt.IsZero() || c.pages <= maxListedPages || began.Sub(c.readAt) > c.options.MaxAge {
 		return c.list(ctx, callTimeout, began)
 	}
 	err := c.follow(ctx, callTimeout)
@@ -54,6 +57,9 @@
 	return c.pairs, c.revision, nil
 }
 
+// maxListedPages is the largest number of pages that are listed anew at each reading. Reading the changes takes two calls at least.
+const maxListedPages = 2
+
 // Release drops the pairs if the copy is too old to be brought up to date, and reports whether it did.
 func (c *Copy) Release() bool {
 	if c.readAt.IsZero() || c.options.Now().Sub(c.readAt) <= c.options.MaxAge {
@@ -66,7 +72,7 @@
 // list reads all pages. Pages are not a snapshot: the copy has the revision of the first page, and the changes since then are read
 // before it is complete.
 func (c *Copy) list(ctx context.Context, callTimeout time.Duration, began time.Time) ([]kv.Pair, int64, error) {
-	c.pairs, c.revision, c.readAt = nil, 0, time.Time{}
+	c.pairs, c.pages, c.revision, c.readAt = nil, 0, 0, time.Time{}
 	after := ""
 	for {
 		page, err := c.page(ctx, callTimeout, c.options.Prefix, after)
@@ -77,12 +83,13 @@
 			c.revision = page.Revision
 		}
 		c.pairs = append(c.pairs, page.Pairs...)
+		c.pages++
 		if !page.More || len(page.Pairs) == 0 {
 			break
 		}
 		after = page.Pairs[len(page.Pairs)-1].Key
 	}
-	if after != "" {
+	if c.pages > maxListedPages {
 		if err := c.follow(ctx, callTimeout); err != nil {
 			return nil, 0, err
 		}
