Have one choice of a runner's owner

The choice among a plain list was left to tests alone; its text moves to Owners, the independent choice to the test that compares both. The test of the ranks across builds keeps its expected values.

--- a/internal/jobpeer/compatibility_test.go
+++ b/internal/jobpeer/compatibility_test.go
@@ -77,8 +77,13 @@
 		assert.Assert(t, kept)
 		assert.Equal(t, owner, wanted, "tenant %s", tenant)
 	}
+	byNode := map[ident.Node]jobrecord.Worker{}
+	for _, worker := range workers {
+		byNode[worker.Node] = worker
+	}
+	owners := jobrecord.NewOwners(byNode)
 	for runner, wanted := range map[ident.Incarnation]ident.Node{"i-1": "w1", "i-2": "w5", "i-3": "w1"} {
-		owner, found := jobrecord.Owner(work.Runner{ID: runner, Zone: "z1"}, workers)
+		owner, found := owners.Owner(work.Runner{ID: runner, Zone: "z1"})
 		assert.Assert(t, found)
 		assert.Equal(t, owner.Node, wanted, "runner %s", runner)
 	}
--- a/internal/jobrecord/owners.go
+++ b/internal/jobrecord/owners.go
@@ -11,7 +11,12 @@
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
-// Owners assigns each runner the owner that Owner returns, and caches it. The cache follows the workers: one that joins is
+// Owners assigns each runner its owner: the worker that assigns batch items to it, chosen by rendezvous hashing among the workers of
+// the runner's zone, or among all workers if the zone has none. A single owner prevents two workers from filling the same slots and
+// from preempting batch runs for the same request. It is a convention and not a lock: while workers join or leave, two may act as
+// owner, which costs some restarts of items.
+//
+// Owners are cached. The cache follows the workers: one that joins is
 // compared with the owners of the runners of its zone only, and one that leaves costs a new choice for the runners that it
 // owned. Memory grows with the runners asked for, whatever the number of workers. It is not safe for concurrent use.
 type Owners struct {
@@ -147,3 +152,17 @@
 	}
 	return zone
 }
+
+// candidate is the worker with the highest rank so far.
+type candidate struct {
+	worker Worker
+	rank   uint64
+}
+
+// better returns the candidate with the higher rank; of equal ranks, the one with the lower node name.
+func (c candidate) better(worker Worker, rank uint64) candidate {
+	if c.worker.Node == "" || rank > c.rank || (rank == c.rank && worker.Node < c.worker.Node) {
+		return candidate{worker: worker, rank: rank}
+	}
+	return c
+}
--- a/internal/jobrecord/owners_test.go
+++ b/internal/jobrecord/owners_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -33,7 +34,7 @@
 			for _, runner := range runners {
 				if rapid.Bool().Draw(t, "asked") {
 					owner, found := owners.Owner(runner)
-					assert.Equal(t, owner.Node, OwnerOf(runner, workers))
+					assert.Equal(t, owner.Node, expectedOwner(runner, workers))
 					assert.Equal(t, owner, workers[owner.Node])
 					assert.Equal(t, found, len(workers) > 0)
 					assert.Assert(t, !found || owners.MayOwn(owner.Node, runner.Zone))
@@ -43,6 +44,23 @@
 	})
 }
 
+// expectedOwner chooses the owner of a runner among all workers.
+func expectedOwner(runner work.Runner, workers map[ident.Node]Worker) ident.Node {
+	var sameZone, overall candidate
+	for node, worker := range workers {
+		worker.Node = node
+		rank := xxhash.Sum64String(string(node) + "/" + string(runner.ID))
+		overall = overall.better(worker, rank)
+		if worker.Zone == runner.Zone {
+			sameZone = sameZone.better(worker, rank)
+		}
+	}
+	if sameZone.worker.Node != "" {
+		return sameZone.worker.Node
+	}
+	return overall.worker.Node
+}
+
 // TestWorkerThatJoinsIsComparedWithItsZoneOnly counts the ranks that one more worker costs in fleets of several sizes whose
 // zones are alike.
 func TestWorkerThatJoinsIsComparedWithItsZoneOnly(t *testing.T) {
--- a/internal/jobworker/twoholders_test.go
+++ b/internal/jobworker/twoholders_test.go
@@ -128,8 +128,10 @@
 	for _, node := range workers {
 		known[node] = jobrecord.Worker{Node: node, Zone: "z"}
 	}
+	owners := jobrecord.NewOwners(known)
 	for i := range 1000 {
-		if runner := oneRunner(fmt.Sprint("i-", i)); jobrecord.OwnerOf(runner, known) == owner {
+		runner := oneRunner(fmt.Sprint("i-", i))
+		if chosen, _ := owners.Owner(runner); chosen.Node == owner {
 			return runner
 		}
 	}
