Work with two workers of each other zone at least

Read: with eleven zones, eight chosen workers of other zones leave some zones without one and others with a single one, whose loss would look like that of its zone after .6 s. subset.TestEachOtherZoneHasTwoChosenWorkers. Up to five zones nothing changes.

--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -16,8 +16,11 @@
 	// MaxNear is the largest number of chosen workers of the node's own zone. A node's requests use a few slots of the
 	// runners that six workers own, and the loss of one of them leaves five.
 	MaxNear = 6
-	// MaxFar is the largest number of chosen workers of all other zones together.
+	// MaxFar is the largest number of chosen workers of all other zones together, except that each zone has minPerZone.
 	MaxFar = 8
+	// minPerZone is the number of chosen workers of each other zone that has as many: with one, its loss would look like that of
+	// the zone.
+	minPerZone = 2
 )
 
 // Worker is a worker that may be chosen.
@@ -49,7 +52,7 @@
 	return Chosen{Near: near[:min(len(near), MaxNear)], Far: spread(byZone), All: len(near) <= MaxNear}
 }
 
-// spread returns up to MaxFar workers, taking one of each zone in turn.
+// spread returns up to MaxFar workers, taking one of each zone in turn, and minPerZone of each zone.
 func spread(byZone map[ident.Zone][]Worker) []Worker {
 	var zones []ident.Zone
 	for zone := range byZone {
@@ -60,7 +63,7 @@
 	for round := 0; ; round++ {
 		added := false
 		for _, zone := range zones {
-			if round < len(byZone[zone]) && len(spread) < MaxFar {
+			if round < len(byZone[zone]) && (len(spread) < MaxFar || round < minPerZone) {
 				spread, added = append(spread, byZone[zone][round]), true
 			}
 		}
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// TestEachOtherZoneHasTwoChosenWorkers chooses in fleets of more zones than workers would be chosen.
+func TestEachOtherZoneHasTwoChosenWorkers(t *testing.T) {
+	chosen := Choose("front", "z-0", workersOf(11, 30), nil)
+	zones := map[ident.Zone]int{}
+	for _, worker := range chosen.Far {
+		zones[worker.Zone]++
+	}
+	assert.Equal(t, len(zones), 10)
+	for zone, count := range zones {
+		assert.Equal(t, count, minPerZone, "zone %s", zone)
+	}
+}
+
 // TestChoiceChangesLittleWithTheWorkers removes workers one by one: only a choice that was removed is replaced.
 func TestChoiceChangesLittleWithTheWorkers(t *testing.T) {
 	workers := workersOf(1, 30)
