--- a/internal/kvcopy/kvcopy.go
+++ b/internal/kvcopy/kvcopy.go
@@ -8,15 +8,18 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/kv"
 )
 
 // Options configure a copy.
-type Options struct {
+type Options[V any] struct {
 	Store  kv.Paged
 	Prefix string
+	// Decode returns what a pair says. It is called once for each revision of a pair.
+	Decode func(pair kv.Pair) V
 	// MarkPrefix is a prefix with few or no keys. A page of it is read for the service's present revision.
 	MarkPrefix string
 	// MaxAge is the age from which a copy is listed anew: the changes since would be more than the pairs, or forgotten.
@@ -24,24 +27,47 @@
 	Now    func() time.Time
 }
 
-// Copy is a copy of the pairs under a prefix. It is not safe for concurrent use.
-type Copy struct {
-	options Options
+// Copy is a copy of what the pairs under a prefix say. It is safe for concurrent use.
+type Copy[V any] struct {
+	options Options[V]
+
+	mutex sync.Mutex
 	// pairs are ordered by key. They are complete if readAt is set, the time from which on the copy was true.
-	pairs []kv.Pair
+	pairs []decoded[V]
 	// pages is the number of pages of the last listing.
 	pages    int
 	revision int64
 	readAt   time.Time
 }
 
+// decoded is what a pair says, as of its revision.
+type decoded[V any] struct {
+	key      string
+	revision int64
+	value    V
+}
+
 // New returns an empty copy.
-func New(options Options) *Copy { return &Copy{options: options} }
+func New[V any](options Options[V]) *Copy[V] { return &Copy[V]{options: options} }
+
+// Read brings the copy up to date: to a state that is no older than the call. It returns what the pairs say, in the order of their
+// keys, and their revision. callTimeout bounds each call of the service. After an error the next Read goes on from the changes that were
+// read, or lists anew.
+func (c *Copy[V]) Read(ctx context.Context, callTimeout time.Duration) ([]V, int64, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if err := c.update(ctx, callTimeout); err != nil {
+		return nil, 0, err
+	}
+	values := make([]V, 0, len(c.pairs))
+	for _, pair := range c.pairs {
+		values = append(values, pair.value)
+	}
+	return values, c.revision, nil
+}
 
-// Read brings the copy up to date: to a state that is no older than the call. It returns the pairs, which are valid until the next
-// Read, and their revision. callTimeout bounds each call of the service. After an error the copy stays as it was, and the next Read
-// goes on from it.
-func (c *Copy) Read(ctx context.Context, callTimeout time.Duration) ([]kv.Pair, int64, error) {
+// update brings the copy up to date. The caller holds the mutex, as for all that follows.
+func (c *Copy[V]) update(ctx context.Context, callTimeout time.Duration) error {
 	began := c.options.Now()
 	if c.readAt.IsZero() || c.pages <= maxListedPages || began.Sub(c.readAt) > c.options.MaxAge {
 		return c.list(ctx, callTimeout, began)
@@ -51,38 +77,42 @@
 		return c.list(ctx, callTimeout, began)
 	}
 	if err != nil {
-		return nil, 0, err
+		return err
 	}
 	c.readAt = began
-	return c.pairs, c.revision, nil
+	return nil
 }
 
 // maxListedPages is the largest number of pages that are listed anew at each reading. Reading the changes takes two calls at least.
 const maxListedPages = 2
 
-// Release drops the pairs if the copy is too old to be brought up to date, and reports whether it did.
-func (c *Copy) Release() bool {
-	if c.readAt.IsZero() || c.options.Now().Sub(c.readAt) <= c.options.MaxAge {
-		return false
+// Release drops the pairs if the copy is too old to be brought up to date. It does nothing while the copy is read.
+func (c *Copy[V]) Release() {
+	if !c.mutex.TryLock() {
+		return
+	}
+	defer c.mutex.Unlock()
+	if c.options.Now().Sub(c.readAt) > c.options.MaxAge {
+		c.pairs, c.readAt = nil, time.Time{}
 	}
-	c.pairs, c.readAt = nil, time.Time{}
-	return true
 }
 
 // list reads all pages. Pages are not a snapshot: the copy has the revision of the first page, and the changes since then are read
 // before it is complete.
-func (c *Copy) list(ctx context.Context, callTimeout time.Duration, began time.Time) ([]kv.Pair, int64, error) {
+func (c *Copy[V]) list(ctx context.Context, callTimeout time.Duration, began time.Time) error {
 	c.pairs, c.pages, c.revision, c.readAt = nil, 0, 0, time.Time{}
 	after := ""
 	for {
 		page, err := c.page(ctx, callTimeout, c.options.Prefix, after)
 		if err != nil {
-			return nil, 0, err
+			return err
 		}
 		if after == "" {
 			c.revision = page.Revision
 		}
-		c.pairs = append(c.pairs, page.Pairs...)
+		for _, pair := range page.Pairs {
+			c.pairs = append(c.pairs, c.decode(pair))
+		}
 		c.pages++
 		if !page.More || len(page.Pairs) == 0 {
 			break
@@ -91,21 +121,25 @@
 	}
 	if c.pages > maxListedPages {
 		if err := c.follow(ctx, callTimeout); err != nil {
-			return nil, 0, err
+			return err
 		}
 	}
 	c.readAt = began
-	return c.pairs, c.revision, nil
+	return nil
+}
+
+func (c *Copy[V]) decode(pair kv.Pair) decoded[V] {
+	return decoded[V]{key: pair.Key, revision: pair.ModRevision, value: c.options.Decode(pair)}
 }
 
-func (c *Copy) page(ctx context.Context, callTimeout time.Duration, prefix, after string) (kv.Page, error) {
+func (c *Copy[V]) page(ctx context.Context, callTimeout time.Duration, prefix, after string) (kv.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return c.options.Store.ListPage(ctx, prefix, kv.PageOptions{After: after})
 }
 
 // follow applies the changes up to the revision that the service has when it begins. An answer may hold a part of the changes.
-func (c *Copy) follow(ctx context.Context, callTimeout time.Duration) error {
+func (c *Copy[V]) follow(ctx context.Context, callTimeout time.Duration) error {
 	mark, err := c.page(ctx, callTimeout, c.options.MarkPrefix, "")
 	if err != nil {
 		return err
@@ -130,23 +164,23 @@
 // shortestWait is how long the service may wait for a change before it answers that there is none.
 const shortestWait = time.Millisecond
 
-func (c *Copy) changes(ctx context.Context, callTimeout time.Duration) (kv.WatchResponse, error) {
+func (c *Copy[V]) changes(ctx context.Context, callTimeout time.Duration) (kv.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return c.options.Store.Changes(ctx, c.options.Prefix, c.revision, shortestWait)
 }
 
 // apply applies a change, unless the copy has a newer state of the key.
-func (c *Copy) apply(event kv.WatchEvent) {
-	at, found := slices.BinarySearchFunc(c.pairs, event.Pair.Key, func(pair kv.Pair, key string) int { return cmp.Compare(pair.Key, key) })
+func (c *Copy[V]) apply(event kv.WatchEvent) {
+	at, found := slices.BinarySearchFunc(c.pairs, event.Pair.Key, func(pair decoded[V], key string) int { return cmp.Compare(pair.key, key) })
 	switch {
-	case found && c.pairs[at].ModRevision >= event.Pair.ModRevision:
+	case found && c.pairs[at].revision >= event.Pair.ModRevision:
 	case event.Deleted && found:
 		c.pairs = slices.Delete(c.pairs, at, at+1)
 	case event.Deleted:
 	case found:
-		c.pairs[at] = event.Pair
+		c.pairs[at] = c.decode(event.Pair)
 	default:
-		c.pairs = slices.Insert(c.pairs, at, event.Pair)
+		c.pairs = slices.Insert(c.pairs, at, c.decode(event.Pair))
 	}
 }
--- a/internal/kvcopy/kvcopy_test.go
+++ b/internal/kvcopy/kvcopy_test.go
@@ -85,7 +85,7 @@
 	return response, nil
 }
 
-func key(index int) string { return fmt.Sprintf("servers/%06d", index) }
+func key(index int) string { return fmt.Sprintf("runners/%06d", index) }
 
 // put writes or deletes some keys.
 func put(data *kvtest.Data, deleted bool, keys ...string) {
@@ -111,8 +111,9 @@
 	return data
 }
 
-func newCopy(store kv.Paged) *kvcopy.Copy {
-	return kvcopy.New(kvcopy.Options{Store: store, Prefix: "servers/", MarkPrefix: "op/retire/", MaxAge: maxAge, Now: time.Now})
+func newCopy(store kv.Paged) *kvcopy.Copy[kv.Pair] {
+	decode := func(pair kv.Pair) kv.Pair { return pair }
+	return kvcopy.New(kvcopy.Options[kv.Pair]{Store: store, Decode: decode, Prefix: "runners/", MarkPrefix: "mark/", MaxAge: maxAge, Now: time.Now})
 }
 
 // TestReadingAgainCostsTheChangesOnly reads copies of several sizes, with the usual delay of the store and one sixty times as long:
@@ -165,7 +166,7 @@
 				if random.IntN(5) == 0 {
 					store.fail = kv.ErrUnavailable
 				}
-				before, _ := store.data.Range("servers/", kvtest.PrefixEnd("servers/"))
+				before, _ := store.data.Range("runners/", kvtest.PrefixEnd("runners/"))
 				since := store.data.Revision()
 				pairs, revision, err := copied.Read(context.Background(), callTimeout)
 				if store.fail != nil {
