Wait for the first answer of a peer that many nodes ask at once

Cause: the extension of the start grace came with the first answer of a seed, which may hold a call for .5 s; the grace of a restart is .6 s, and seeds that hundreds of nodes ask answer later than that. Change: while the first call is in flight the grace lasts .9 s longer; each answer extends it in the same step in which the call ends. Three seconds in all, as before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -107,8 +107,9 @@
 	delay time.Duration
 	// graceUntil is the end of the start grace period; zero once the node has received data or reads the registry itself.
 	graceUntil time.Time
-	// graceEnd is the time up to which the period may be extended.
+	// graceEnd is the time up to which the period may be extended. calling means that a call of the source is in flight.
 	graceEnd time.Time
+	calling  bool
 	// sourceAnswers means that the last call of the source was answered, readsForAll that this node reads the registry for the others
 	// because there is no other node to ask.
 	sourceAnswers, readsForAll bool
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -48,6 +48,9 @@
 	// maxStartHold bounds the time by which such answers extend the grace period. After a common restart one node reads the
 	// registry and answers all others; if each of a thousand read thousands of runners itself, none would have them for longer.
 	maxStartHold = 3 * time.Second
+	// pendingHold is how long after the end of the grace period a node waits for the answer to a call in flight: a source that
+	// many nodes ask at the same moment answers late.
+	pendingHold = startWait + relaySlack
 )
 
 // followSource applies what the source read, as long as it is fresh.
@@ -59,10 +62,7 @@
 		f.setRelaying(outcome == sourceFresh)
 		switch {
 		case outcome == sourceFresh:
-		case outcome == sourceStale && f.extendGrace():
-			f.switchSource()
-			sleep(ctx, startPollInterval)
-		case f.inGrace():
+		case outcome != sourceStale && f.inGrace():
 			sleep(ctx, startPollInterval)
 		case outcome == sourceStale:
 			f.switchSource()
@@ -98,7 +98,23 @@
 func (f *Follower) inGrace() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.Now().Before(f.graceUntil)
+	return f.Now().Before(f.graceDeadline())
+}
+
+// graceDeadline returns the end of the start grace period, and while a call is in flight the time up to which its answer is waited
+// for. The caller holds the mutex.
+func (f *Follower) graceDeadline() time.Time {
+	if f.calling && !f.graceUntil.IsZero() {
+		return earlier(f.graceUntil.Add(pendingHold), f.graceEnd)
+	}
+	return f.graceUntil
+}
+
+// beginCall records that a call of the source is in flight.
+func (f *Follower) beginCall() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.calling = true
 }
 
 // sourceWait returns how long the source may hold a call.
@@ -109,23 +125,24 @@
 	return f.maxListAge()
 }
 
-// extendGrace extends the start grace period because the source answers and has no data yet either. It returns false if the
-// period is over.
-func (f *Follower) extendGrace() bool {
+// callReturned ends a call of the source. An answer in the start grace period extends it, because the source is alive; if it has
+// data, the period ends when that is applied.
+func (f *Follower) callReturned(answered bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.Now()
-	if !now.Before(f.graceUntil) {
-		return false
-	}
-	extended := now.Add(startWait + startPollInterval + relaySlack)
-	if extended.After(f.graceEnd) {
-		extended = f.graceEnd
-	}
-	if extended.After(f.graceUntil) {
+	extended := earlier(now.Add(startWait+startPollInterval), f.graceEnd)
+	if answered && now.Before(f.graceDeadline()) && extended.After(f.graceUntil) {
 		f.graceUntil = extended
 	}
-	return true
+	f.calling = false
+}
+
+func earlier(first, second time.Time) time.Time {
+	if first.Before(second) {
+		return first
+	}
+	return second
 }
 
 // readAlone makes this node read the registry itself from now on. Others wait for what it reads, and the data it received is as old as
@@ -223,7 +240,9 @@
 	}
 	f.copy.SetKnown(known)
 	began := f.Now()
+	f.beginCall()
 	snapshot, err := f.Source.Next(ctx, known)
+	f.callReturned(err == nil)
 	if errors.Is(err, ErrNoSource) {
 		f.readAlone()
 	}
@@ -336,7 +355,7 @@
 func (f *Follower) relayedUntil() freshness {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if now := f.Now(); now.Before(f.graceUntil) {
+	if now := f.Now(); now.Before(f.graceDeadline()) {
 		again := now.Add(startPollInterval)
 		return freshness{runners: again, orders: again}
 	}
