Read the configuration again where it moves on during a rehearsal

Callers saw: operators that changed one resource at the same moment were refused with 503 (configuration service unavailable, change not accepted, come back in 10 s) in place of 409, although the service answered at once.

Cause: a rehearsal reads the head, then compares the node's copy with it. Where another change is accepted between the two, the copy is ahead of the head that was read. Writer.Apply tries again in that case, Writer.DryRun gave up at once.

TestRehearsalBesideAnotherChangeIsNotUnavailable brings the moment about and failed before.

Change: the rehearsal reads again, with the backoff of Apply, while the copy is ahead, until its time limit. A service that has lost changes is still unavailable (TestRehearsalOnAServiceThatLostChangesEnds).

--- a/internal/confsync/writer.go
+++ b/internal/confsync/writer.go
@@ -159,13 +159,29 @@
 	if err := validate(proposal); err != nil {
 		return Change{}, err
 	}
-	_, base, err := w.newest(ctx)
+	base, err := w.settledBase(ctx)
 	if err != nil {
 		return Change{}, unavailable(err)
 	}
 	return prepare(base, proposal, w.now())
 }
 
+// settledBase returns the newest state, as newest does, and reads again while the copy moves on during the reading, which
+// only shows that other changes are being accepted. Each such reading costs one call.
+func (w *Writer) settledBase(ctx context.Context) (*State, error) {
+	bound := minApplyBackoff
+	for {
+		_, base, err := w.newest(ctx)
+		if !errors.Is(err, errHeadBehind) {
+			return base, err
+		}
+		if sleepErr := w.sleep(ctx, w.jitter(bound)); sleepErr != nil {
+			return nil, fmt.Errorf("%w: %w", err, sleepErr)
+		}
+		bound = min(2*bound, maxApplyBackoff)
+	}
+}
+
 // validate rejects proposals that are invalid for any state.
 func validate(proposal Proposal) error {
 	if len(proposal.Mutations) == 0 {
--- a/internal/confsync/writer_test.go
+++ b/internal/confsync/writer_test.go
@@ -163,6 +163,52 @@
 	wantFailure(t, err, failure.CodeConflict, outcome.NotRun)
 }
 
+// movingCopy is a copy that another change reaches right after the head was read.
+type movingCopy struct {
+	confsync.LocalCopy
+	change func()
+}
+
+func (c *movingCopy) State() *confsync.State {
+	if change := c.change; change != nil {
+		c.change = nil
+		change()
+	}
+	return c.LocalCopy.State()
+}
+
+// TestRehearsalBesideAnotherChangeIsNotUnavailable guards against a refusal as unavailable (503) where an operator's change is
+// rehearsed in the moment in which another one is accepted: it is a conflict.
+func TestRehearsalBesideAnotherChangeIsNotUnavailable(t *testing.T) {
+	ctx := context.Background()
+	other, store, local, clock := newWriter(1)
+	moving := &movingCopy{LocalCopy: local}
+	writer := confsync.NewWriter(store, moving, clock.option())
+	first, err := writer.Apply(ctx, put("a", "1"))
+	assert.NilError(t, err)
+	stale := put("a", "2")
+	stale.Expected = map[confsync.Key]int64{{Kind: "models", Name: "a"}: first.Revision}
+	moving.change = func() {
+		_, err := other.Apply(ctx, put("a", "3"))
+		assert.NilError(t, err)
+	}
+	_, err = writer.DryRun(ctx, stale)
+	wantFailure(t, err, failure.CodeConflict, outcome.NotRun)
+}
+
+// TestRehearsalOnAServiceThatLostChangesEnds has a key-value service that stays behind the copy: the rehearsal ends with its
+// time limit.
+func TestRehearsalOnAServiceThatLostChangesEnds(t *testing.T) {
+	writer, _, local, _ := newWriter(1)
+	ctx := context.Background()
+	_, err := writer.Apply(ctx, put("a", "1"))
+	assert.NilError(t, err)
+	clock := &fakeClock{now: time.Unix(1000, 0), deadline: time.Unix(1005, 0)}
+	empty := confsync.NewWriter(kvtest.New(2), local, clock.option())
+	_, err = empty.DryRun(ctx, put("a", "2"))
+	wantFailure(t, err, failure.CodeConfigUnavailable, outcome.NotRun)
+}
+
 func TestHistoryAndRollback(t *testing.T) {
 	writer, _, local, _ := newWriter(1)
 	ctx := context.Background()
