--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -233,20 +233,25 @@
 		Int("callers_cut", tally.Disconnected).Send()
 }
 
-// waitForStop returns when the process is asked to stop or a part of it failed. On SIGHUP it reloads the settings.
+// waitForStop returns when the process is asked to stop or a part of it failed. On SIGHUP it reloads the settings, on SIGUSR1 it
+// writes a processor profile.
 func (p *process) waitForStop() {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	for {
 		select {
 		case <-p.tomb.Dying():
 			return
 		case received := <-signals:
-			if received != syscall.SIGHUP {
+			switch received {
+			case syscall.SIGHUP:
+				p.reloadSettings()
+			case syscall.SIGUSR1:
+				p.startProfile()
+			default:
 				event.SiteStopping.Log(p.logger).Str("signal", received.String()).Send()
 				return
 			}
-			p.reloadSettings()
 		}
 	}
 }
--- a/internal/event/online.go
+++ b/internal/event/online.go
@@ -18,6 +18,8 @@
 	SiteStopped         = register(3510, "site_stopped", zerolog.InfoLevel, "A process stopped normally.", "none")
 	SettingsReloaded    = register(3511, "settings_read_again", zerolog.InfoLevel, "The settings file was reloaded after a signal.", "none")
 	SettingsUnreadable  = register(3512, "settings_unreadable", zerolog.ErrorLevel, "The settings file could not be reloaded; the old settings stay in use.", "correct the settings file")
+	ProfileWritten      = register(3543, "profile_written", zerolog.InfoLevel, "A processor profile was written after a signal; the line has its path.", "none")
+	ProfileFailed       = register(3544, "profile_failed", zerolog.WarnLevel, "A processor profile could not be written.", "check the folder in the line; only one profile can be recorded at a time")
 	FleetRelayed        = register(3513, "fleet_relayed", zerolog.InfoLevel, "A worker provides the runners and the configuration; this node reads the store only when that data is too old.", "none")
 	FleetReadAlone      = register(3514, "fleet_read_alone", zerolog.InfoLevel, "No worker provides the runners and the configuration; this node reads the store itself.", "none unless it persists: check the workers of the zone")
 	FeedUnread          = register(3534, "feed_unread", zerolog.WarnLevel, "An update of the runners from another node could not be decoded; this node requests the whole list.", "none unless it repeats: check the version of the node that it asks")
