Have starting nodes ask all workers for their first list, and not three seeds

Cause: a starting node knows three seeds. Each of them told 280 fronts the whole list of 10,000 runners, 230 kB packed: 64 MB, a second of its link, besides encoding it. At twice the size it is four times as much. Read and counted, not profiled.

Change: a starting node first has a seed name the workers, one short answer, and asks one of its zone for the list. If the seed names none yet, or is of a build that cannot, it is asked as before; if a named worker does not answer, the next call has a seed name them again. Nothing else is taken from these names: who owns a runner follows from lists that are as old as they say.

--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -290,18 +290,20 @@
 type Server interface {
 	Snapshot(ctx context.Context, known *SnapshotRequest) (*Snapshot, error)
 	Newest(ctx context.Context, known *SnapshotRequest) (*Newest, error)
+	KnownWorkers(ctx context.Context, request *WorkersRequest) (*WorkersAnswer, error)
 }
 
 const (
 	methodSnapshot = "/mallowlatch.fleetfeed.Feed/Snapshot"
 	methodNewest   = "/mallowlatch.fleetfeed.Feed/Newest"
+	methodWorkers  = "/mallowlatch.fleetfeed.Feed/Workers"
 )
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 2 }
+func (Description) NumMethods() int { return 3 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -310,6 +312,8 @@
 		return methodSnapshot, jsoncall.Encoding{}, receiveSnapshot, Server.Snapshot, true
 	case 1:
 		return methodNewest, jsoncall.Encoding{}, receiveNewest, Server.Newest, true
+	case 2:
+		return methodWorkers, jsoncall.Encoding{}, receiveWorkers, Server.KnownWorkers, true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -48,7 +48,14 @@
 
 // Next implements follower.Source.
 func (w *WorkerFeed) Next(ctx context.Context, known *fleetfeed.SnapshotRequest) (*fleetfeed.Snapshot, error) {
-	address, connection, err := w.Client.Nearest(ctx, w.Index+w.failed+w.passedOver)
+	w.Client.readWorkers(ctx)
+	if w.Client.lacksStartWorkers() {
+		if err := w.Client.fetchStartWorkers(ctx, w.index()); err != nil {
+			w.failed++
+			return nil, err
+		}
+	}
+	address, connection, err := w.Client.Nearest(ctx, w.index())
 	if err != nil {
 		w.failed++
 		return nil, err
@@ -59,6 +66,8 @@
 	if err != nil {
 		w.failed++
 		w.Client.skip(address)
+		// The next call has a seed name them again, so that it does not go from one dead worker to the next.
+		w.Client.setStartWorkers(nil)
 		return nil, err
 	}
 	w.failed = 0
@@ -75,6 +84,9 @@
 	return snapshot, nil
 }
 
+// index selects the worker or seed to ask next.
+func (w *WorkerFeed) index() uint64 { return w.Index + w.failed + w.passedOver }
+
 // snapshotWorkers returns the workers of a snapshot. A snapshot without workers but with the fingerprint of the previous list
 // stands for that list.
 func (w *WorkerFeed) snapshotWorkers(snapshot *fleetfeed.Snapshot) []fleetfeed.Worker {
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -12,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/asof"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jsoncall"
@@ -61,6 +62,8 @@
 	began, seedsUntil time.Time
 	// workers are the workers that run batch jobs, in the order in which they are called.
 	workers asof.Fact[[]jobrecord.Worker]
+	// startWorkers are the addresses of workers that a seed named, to be asked while no worker is known for certain.
+	startWorkers []string
 	// workersRead is when the list of workers was last read, successfully or not. It is set back to have the list read again sooner.
 	workersRead  time.Time
 	jobs         map[ident.Job]jobLocation
@@ -142,6 +145,9 @@
 	if len(near) == 0 {
 		near = far
 	}
+	if len(near) == 0 && len(h.workers.Value()) == 0 {
+		near = h.startWorkers
+	}
 	if len(near) == 0 && len(h.workers.Value()) == 0 {
 		near = h.Seeds
 	}
@@ -226,6 +232,51 @@
 	return len(h.Seeds) > 0 && len(h.workers.Value()) == 0 && (h.began.IsZero() || now.Before(h.seedsUntil))
 }
 
+// lacksStartWorkers reports whether this node starts, knows no worker but the seeds, and no seed has named others.
+func (h *WorkerClient) lacksStartWorkers() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.usesSeeds(h.Now()) && len(h.startWorkers) == 0
+}
+
+// fetchStartWorkers has a seed name the workers, so that the starting nodes of a large fleet spread over them. index selects the
+// seed. The error is that of the connection. A seed that names no worker, or of a build that cannot, is asked for a snapshot like
+// one that was named.
+func (h *WorkerClient) fetchStartWorkers(ctx context.Context, index uint64) error {
+	connection, err := h.Connect(h.Seeds[index%uint64(len(h.Seeds))])
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	named, err := fleetfeed.FetchWorkers(ctx, connection)
+	if err == nil {
+		h.setStartWorkers(startAddresses(named, h.Zone))
+	}
+	return nil
+}
+
+func (h *WorkerClient) setStartWorkers(addresses []string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.startWorkers = addresses
+}
+
+// startAddresses returns the addresses of the workers of a zone, or of all workers if the zone has none.
+func startAddresses(workers []fleetfeed.Worker, zone ident.Zone) []string {
+	var near, all []string
+	for _, worker := range workers {
+		all = append(all, worker.Address)
+		if worker.Zone == zone {
+			near = append(near, worker.Address)
+		}
+	}
+	if len(near) == 0 {
+		return all
+	}
+	return near
+}
+
 // seedAnswered makes a starting node wait for the seeds for SeedsFor from now on, because one of them answers and knows nothing
 // yet either, but no longer than maxSeedHold more in all.
 func (h *WorkerClient) seedAnswered() {
