Ask quiet workers less often while a node itself is idle

What it is for: a fleet at rest pays by the call (profiles of real processes at rest: half of a worker's samples are in answering calls, those of a front in making them). A front of the whole fleet makes 16 a second, twelve of them to the six workers of its zone that it works with, each half a second, while there is next to no work: 18 requests and some 100 items at 80,000 slots.

Change: where a node works with some of many workers of its zone, has no work at any runner, and a worker's last answer showed less than one request or item for eight runners, the node asks that worker each .9 s. A request makes the node ask at .5 s again, at once where that is over. .9 s is below the second for which a worker's batch load and its availability count, so nothing else changes. Zones with six workers or fewer, and workers that grant slots one by one, are asked as before.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -180,6 +180,19 @@
 	Nodes       int  `json:"nodes,omitempty"`
 }
 
+// quietRunners is the number of runners for each request or item up to which an answer is quiet: where nodes choose among so many
+// free slots, a choice by an older report is as good.
+const quietRunners = 8
+
+// Quiet reports whether there is hardly any work at the runners of the worker, of other nodes or of its own.
+func (a *Answer) Quiet() bool {
+	work := 0
+	for _, share := range a.Shares {
+		work += share.Others + share.Batch + share.Orphans
+	}
+	return quietRunners*work <= len(a.Shares)
+}
+
 // IsIdle reports whether a share says only that there is no work at its runner.
 func (s Share) IsIdle() bool { return s == Share{Runner: s.Runner} }
 
--- a/internal/demand/reporter.go
+++ b/internal/demand/reporter.go
@@ -20,6 +20,9 @@
 	// IdleRefreshInterval is that time for the other workers of this node's zone. Requests go to their runners when
 	// those in use are full, and jobs go to the worker that would start them first.
 	IdleRefreshInterval = 500 * time.Millisecond
+	// quietRefreshInterval is that time while this node has no work anywhere and there is hardly any at the runners of the
+	// worker, where this node works with some of many workers of its zone. A worker's report counts for a second at least.
+	quietRefreshInterval = 900 * time.Millisecond
 	// rationedRefreshInterval is that time while a worker of this node's zone grants slots one by one: a node that has no
 	// answer for a little longer than IdleRefreshInterval takes the worker for gone and its slots for free.
 	rationedRefreshInterval = 200 * time.Millisecond
@@ -51,6 +54,8 @@
 	Counts []Count
 	// Far means that the worker is in another zone.
 	Far bool
+	// Subset means that the worker is in this node's zone, which has more workers than the node works with.
+	Subset bool
 	// Zone is the worker's zone. Doubted is the time since when that zone does not answer, or zero. Its workers
 	// are polled until one answers: first all of them at once, then one at a time.
 	Zone              ident.Zone
@@ -63,14 +68,16 @@
 	Waiting  []Waiting
 }
 
-// idleInterval returns the time between two reports to the worker without work at its runners, given that for workers of
-// other zones.
-func (d OwnerDemand) idleInterval(far time.Duration) time.Duration {
+// IdleInterval returns the time between two reports to the worker without work at its runners, given that for workers of
+// other zones, and whether neither this node has work nor the worker's last answer showed more than hardly any.
+func (d OwnerDemand) IdleInterval(far time.Duration, quiet bool) time.Duration {
 	switch {
 	case d.Far:
 		return far
 	case d.Rationed:
 		return rationedRefreshInterval
+	case d.Subset && quiet:
+		return quietRefreshInterval
 	}
 	return IdleRefreshInterval
 }
@@ -112,6 +119,8 @@
 	far bool
 	// answerAsOf is when the work in the report with the newest answer was counted.
 	answerAsOf time.Time
+	// quiet means that the newest answer was quiet.
+	quiet bool
 	// callDone is closed when the call in flight ends; nil if there is none.
 	callDone chan struct{}
 	// notBefore is when the worker may be called again after a failure.
@@ -202,12 +211,13 @@
 		online[address] = OwnerDemand{}
 	}
 	idleFar := idleFarInterval(online)
+	resting := isResting(online)
 	probesDue := t.probesDue(online, now)
 	nextFar := t.nextFar(online, idleFar, now)
 	for address, owned := range online {
 		state := t.worker(address, owned)
 		state.changedDuringCall = state.inFlight()
-		idle := owned.idleInterval(idleFar)
+		idle := owned.IdleInterval(idleFar, resting && state.quiet)
 		extrasDue := state.usesDue(owned.Uses, now) || state.waitingDue(owned.Waiting, now)
 		if state.inFlight() || (!probesDue[address] && !state.unpolledSince(owned.UnresponsiveSince) &&
 			!state.reportDue(owned.Counts, idle, now) && !extrasDue) {
@@ -224,7 +234,7 @@
 
 // nextReports returns the time until a report may be due again if nothing changes. The caller holds the mutex.
 func (t *Reporter) nextReports(online map[string]OwnerDemand, idleFar time.Duration, now time.Time) time.Duration {
-	next := IdleRefreshInterval
+	next, resting := IdleRefreshInterval, isResting(online)
 	for address, owned := range online {
 		state := t.workers[address]
 		switch {
@@ -235,7 +245,7 @@
 		case owned.Far:
 			next = min(next, time.Second/farCallsPerSecond)
 		default:
-			next = min(next, max(state.calledAt.Add(owned.idleInterval(idleFar)).Sub(now), RefreshInterval))
+			next = min(next, max(state.calledAt.Add(owned.IdleInterval(idleFar, resting && state.quiet)).Sub(now), RefreshInterval))
 		}
 	}
 	return next
@@ -277,6 +287,16 @@
 	return max(lived.Milliseconds(), 1)
 }
 
+// isResting reports whether this node has no work at any runner, and nothing else to report.
+func isResting(online map[string]OwnerDemand) bool {
+	for _, owned := range online {
+		if len(owned.Counts) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // idleFarInterval returns the time between two reports to a worker of another zone at whose runners this node has
 // no work.
 func idleFarInterval(online map[string]OwnerDemand) time.Duration {
@@ -467,6 +487,7 @@
 		return
 	}
 	state.acknowledge(report, countedAt)
+	state.quiet = answer.Quiet()
 	state.endsRead = answer.Ends.After(report.EndsRead)
 	if state.changedDuringCall {
 		t.Changed(true)
--- a/internal/demand/reporter_test.go
+++ b/internal/demand/reporter_test.go
@@ -135,8 +135,26 @@
 func TestWorkerThatRationsIsAskedBeforeItCountsAsGone(t *testing.T) {
 	const countsAsGone = IdleRefreshInterval + 100*time.Millisecond
 	rationed := OwnerDemand{Rationed: true}
-	assert.Assert(t, 2*(rationed.idleInterval(IdleRefreshInterval)+RefreshInterval) <= countsAsGone)
-	assert.Equal(t, OwnerDemand{}.idleInterval(time.Minute), IdleRefreshInterval)
+	assert.Assert(t, 2*(rationed.IdleInterval(IdleRefreshInterval, true)+RefreshInterval) <= countsAsGone)
+	assert.Equal(t, OwnerDemand{}.IdleInterval(time.Minute, true), IdleRefreshInterval)
 	far := OwnerDemand{Far: true, Rationed: true}
-	assert.Equal(t, far.idleInterval(time.Minute), time.Minute, "calls to other zones stay bounded")
+	assert.Equal(t, far.IdleInterval(time.Minute, true), time.Minute, "calls to other zones stay bounded")
+}
+
+// TestQuietWorkersOfASubsetAreAskedLessOften states when a node asks less often: only where it works with some of many workers, and
+// only while these have hardly any work, so that a choice among scarce slots is never made by an older report than before.
+func TestQuietWorkersOfASubsetAreAskedLessOften(t *testing.T) {
+	subset := OwnerDemand{Subset: true}
+	assert.Equal(t, subset.IdleInterval(time.Minute, true), quietRefreshInterval)
+	assert.Equal(t, subset.IdleInterval(time.Minute, false), IdleRefreshInterval)
+	assert.Equal(t, OwnerDemand{}.IdleInterval(time.Minute, true), IdleRefreshInterval)
+	subset.Rationed = true
+	assert.Equal(t, subset.IdleInterval(time.Minute, true), rationedRefreshInterval)
+
+	answer := &Answer{Shares: make([]Share, 16)}
+	assert.Assert(t, answer.Quiet())
+	answer.Shares[3] = Share{Others: 1, Batch: 1}
+	assert.Assert(t, answer.Quiet())
+	answer.Shares[4] = Share{Orphans: 1}
+	assert.Assert(t, !answer.Quiet())
 }
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -49,7 +49,9 @@
 	owned := make(map[string]demand.OwnerDemand, len(chosen.Near)+len(chosen.Far))
 	for _, listed := range [][]subset.Worker{chosen.Near, chosen.Far} {
 		for _, worker := range listed {
-			owned[worker.Address] = o.newDemand(worker.Zone)
+			listed := o.newDemand(worker.Zone)
+			listed.Subset = !listed.Far && !chosen.All
+			owned[worker.Address] = listed
 		}
 	}
 	for runner, count := range o.Runners.Online(o.Now()) {
--- a/internal/runnertable/subsetload_test.go
+++ b/internal/runnertable/subsetload_test.go
@@ -31,7 +31,9 @@
 	random  *rand.Rand
 	now     time.Time
 	workers int
-	fronts  []*loadedFront
+	// idle is what a front without work at a worker reports to it.
+	idle   demand.OwnerDemand
+	fronts []*loadedFront
 	// taken is the number of requests at each runner, dead the workers that answer no more.
 	taken map[ident.Incarnation]int
 	dead  map[int]bool
@@ -44,9 +46,10 @@
 
 type loadedFront struct {
 	table *Table
-	// near are the chosen workers, told when each worker last reported to the front.
-	near map[int]bool
-	told map[int]time.Time
+	// near are the chosen workers, told when each worker last reported to the front, and quiet whether that report was.
+	near  map[int]bool
+	told  map[int]time.Time
+	quiet map[int]bool
 }
 
 type requestEnd struct {
@@ -72,9 +75,10 @@
 			listed = append(listed, work.Runner{ID: runnerOf(worker, index), Service: "s", Zone: "a", Slots: zoneSlots, State: work.Ready})
 		}
 	}
+	z.idle = demand.OwnerDemand{Subset: choose && workers > subset.MaxNear}
 	avoided := reviewedChoices(z.random, fronts, candidates)
 	for front := range fronts {
-		created := &loadedFront{table: New("a"), near: map[int]bool{}, told: map[int]time.Time{}}
+		created := &loadedFront{table: New("a"), near: map[int]bool{}, told: map[int]time.Time{}, quiet: map[int]bool{}}
 		created.table.Replace(listed, z.now, true)
 		chosen := subset.Choose(ident.Node(fmt.Sprint("front-", front)), "a", slices.Clone(candidates), avoided[front])
 		var preferred []ident.Incarnation
@@ -159,8 +163,8 @@
 	z.ends = kept
 }
 
-// report brings the reports of the workers to a front: of those where it has work each step, of the chosen ones without each
-// half second.
+// report brings the reports of the workers to a front: of those where it has work each step, of the chosen ones without at the
+// interval of idle reports.
 func (z *loadedZone) report(front *loadedFront) {
 	counts := front.table.Online(z.now)
 	busy := map[int]bool{}
@@ -170,7 +174,7 @@
 		busy[worker] = true
 	}
 	for worker := range z.workers {
-		due := busy[worker] || front.near[worker] && z.now.Sub(front.told[worker]) >= demand.IdleRefreshInterval
+		due := busy[worker] || front.near[worker] && z.now.Sub(front.told[worker]) >= z.idle.IdleInterval(0, len(counts) == 0 && front.quiet[worker])
 		if !due || z.dead[worker] {
 			continue
 		}
@@ -180,6 +184,7 @@
 			id := runnerOf(worker, index)
 			shares = append(shares, demand.Share{Runner: id, Others: z.taken[id] - front.table.Own(id, Online)})
 		}
+		front.quiet[worker] = (&demand.Answer{Shares: shares}).Quiet()
 		front.table.UpdateShares(shares, z.now)
 	}
 }
