Read again also where an earlier configuration is read beside a change

Found while looking for the same fault elsewhere: reading an earlier revision and preparing a rollback compared the node's copy with the head once and answered 503 where another change was accepted in between. The test of the rehearsal covers it and failed before (configuration_service_unavailable: head at revision 2, copy at 3).

--- a/internal/confsync/history.go
+++ b/internal/confsync/history.go
@@ -51,7 +51,7 @@
 func (w *Writer) rewind(ctx context.Context, revision int64) (newest, earlier *State, err error) {
 	ctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
-	_, newest, err = w.newest(ctx)
+	newest, err = w.settledBase(ctx)
 	if err != nil {
 		return nil, nil, historyError(err)
 	}
--- a/internal/confsync/writer_test.go
+++ b/internal/confsync/writer_test.go
@@ -194,6 +194,14 @@
 	}
 	_, err = writer.DryRun(ctx, stale)
 	wantFailure(t, err, failure.CodeConflict, outcome.NotRun)
+
+	moving.change = func() {
+		_, err := other.Apply(ctx, put("a", "4"))
+		assert.NilError(t, err)
+	}
+	earlier, err := writer.At(ctx, first.Revision)
+	assert.NilError(t, err)
+	assert.Equal(t, earlier.Revision, first.Revision)
 }
 
 // TestRehearsalOnAServiceThatLostChangesEnds has a key-value service that stays behind the copy: the rehearsal ends with its
