Derive once what follows from a list of workers

Cause: each answer of a feed walked all workers three times (a copy, a conversion, a fingerprint with an allocation for each); each call for the open jobs found the relay and the readers among all of them; each answered report looked its worker's zone up among all. All of these are a few a second at each of 150 workers, and grow with the number of workers. A profile of a worker at rest (100 machines) has the walk of the feed in it; what it takes in full was not measured apart.

Change: a worker derives the ordered list, the zones by address, and whom to ask from the list of workers when that changes (jobworker/roster.go, with what stood in follow.go); a feed keeps the fingerprint of the list; a node keeps the zones by address.

--- a/internal/fleetfeed/changes_test.go
+++ b/internal/fleetfeed/changes_test.go
@@ -220,3 +220,23 @@
 	assert.ErrorIs(t, nodeCopy.Complete(other), fleetfeed.ErrGap)
 	assert.ErrorIs(t, nodeCopy.Complete(&fleetfeed.Snapshot{Packed: []byte{1, 2}}), jsoncall.ErrDamaged)
 }
+
+// TestSnapshotDoesNotWalkTheWorkers counts the allocations of snapshots for nodes that have the list of workers, in fleets of several
+// sizes: a fingerprint allocates for each worker with a name as long as these, and is made once for each list.
+func TestSnapshotDoesNotWalkTheWorkers(t *testing.T) {
+	var allocations []float64
+	for _, count := range []int{15, 150, 300} {
+		var workers []fleetfeed.Worker
+		for index := range count {
+			workers = append(workers, fleetfeed.Worker{Node: ident.Node(fmt.Sprintf("worker-%040d", index)), Zone: "z", Address: "a"})
+		}
+		feed := fleetfeed.New(time.Now)
+		feed.Workers = func() []fleetfeed.Worker { return workers }
+		feed.RecordRunners([]work.Runner{{ID: "i-1"}}, 1, time.Now())
+		snapshot, err := feed.Snapshot(context.Background(), &fleetfeed.SnapshotRequest{})
+		assert.NilError(t, err)
+		known := &fleetfeed.SnapshotRequest{WorkersFingerprint: snapshot.WorkersFingerprint}
+		allocations = append(allocations, testing.AllocsPerRun(20, func() { _, _ = feed.Snapshot(context.Background(), known) }))
+	}
+	assert.Assert(t, allocations[2] <= allocations[0]+2, "%v", allocations)
+}
--- a/internal/fleetfeed/feed.go
+++ b/internal/fleetfeed/feed.go
@@ -84,7 +84,8 @@
 // Feed stores the newest readings of a node and serves them to other nodes. It is safe for concurrent use.
 type Feed struct {
 	Now func() time.Time
-	// Workers returns the nodes that run batch jobs; if it is nil, snapshots list no workers.
+	// Workers returns the nodes that run batch jobs, in a list that is not changed afterwards; if it is nil, snapshots list no
+	// workers.
 	Workers func() []Worker
 	// Refresh reads the orders anew and passes them to RecordOrders; if it is nil, Newest reports that it cannot read.
 	Refresh func(ctx context.Context) error
@@ -103,6 +104,9 @@
 	// requested yet.
 	history    history
 	compressed []byte
+	// workers is the list of workers in the last snapshot, fingerprint its fingerprint.
+	workers     []Worker
+	fingerprint uint64
 }
 
 // New returns an empty feed.
@@ -210,12 +214,22 @@
 		return
 	}
 	workers := f.Workers()
-	snapshot.WorkersFingerprint = workersFingerprint(workers)
+	snapshot.WorkersFingerprint = f.fingerprintOf(workers)
 	if snapshot.WorkersFingerprint != known.WorkersFingerprint {
 		snapshot.Workers = workers
 	}
 }
 
+// fingerprintOf returns the fingerprint of a list of workers, which is made once for each list.
+func (f *Feed) fingerprintOf(workers []Worker) uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !work.SameList(f.workers, workers) {
+		f.workers, f.fingerprint = workers, workersFingerprint(workers)
+	}
+	return f.fingerprint
+}
+
 // workersFingerprint returns a hash of a list of workers that does not depend on their order; it is zero for an empty
 // list.
 func workersFingerprint(workers []Worker) uint64 {
--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -109,12 +109,10 @@
 
 // ZoneOf returns the zone of the worker at the given address. It returns false for an unknown address.
 func (h *WorkerClient) ZoneOf(address string) (ident.Zone, bool) {
-	for _, worker := range h.knownWorkers() {
-		if worker.Address == address {
-			return worker.Zone, true
-		}
-	}
-	return "", false
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	zone, known := h.zones[address]
+	return zone, known
 }
 
 // Take implements demand.Work.
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // maxWorkerListAge is the maximum age of a worker's read of the registry for its worker list to be used: a worker that is
@@ -104,13 +106,22 @@
 	return workers
 }
 
-// FeedWorkers returns a function that lists the workers known to a worker, for its feed.
+// FeedWorkers returns a function that lists the workers known to a worker, for its feed. It returns the same list until they change.
 func FeedWorkers(worker *jobworker.Worker) func() []fleetfeed.Worker {
+	var mutex sync.Mutex
+	var listed []jobrecord.Worker
+	var named []fleetfeed.Worker
 	return func() []fleetfeed.Worker {
-		var workers []fleetfeed.Worker
-		for _, registered := range worker.Registered() {
-			workers = append(workers, fleetfeed.Worker{Node: registered.Node, Zone: registered.Zone, Address: registered.Address})
+		registered := worker.Registered()
+		mutex.Lock()
+		defer mutex.Unlock()
+		if work.SameList(listed, registered) {
+			return named
 		}
-		return workers
+		listed, named = registered, make([]fleetfeed.Worker, 0, len(registered))
+		for _, registered := range registered {
+			named = append(named, fleetfeed.Worker{Node: registered.Node, Zone: registered.Zone, Address: registered.Address})
+		}
+		return named
 	}
 }
--- a/internal/jobpeer/ownermap.go
+++ b/internal/jobpeer/ownermap.go
@@ -47,7 +47,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	generation := table.Generation()
-	sameWorkers := m.owners != nil && slices.Equal(m.listed, workers)
+	sameWorkers := m.owners != nil && (work.SameList(m.listed, workers) || slices.Equal(m.listed, workers))
 	if sameWorkers && !m.givesUp(now) && generation == m.table {
 		return m.chosen
 	}
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -62,6 +62,8 @@
 	began, seedsUntil time.Time
 	// workers are the workers that run batch jobs, in the order in which they are called.
 	workers asof.Fact[[]jobrecord.Worker]
+	// zones are the zones of the workers, by address.
+	zones map[string]ident.Zone
 	// startWorkers are the addresses of workers that a seed named, to be asked while no worker is known for certain.
 	startWorkers []string
 	// workersRead is when the list of workers was last read, successfully or not. It is set back to have the list read again sooner.
@@ -304,8 +306,10 @@
 	}
 	h.workersRead = h.Now()
 	h.recordRegistered(workers)
+	h.zones = make(map[string]ident.Zone, len(workers))
 	registered := make([]queuecapacity.Worker, 0, len(workers))
 	for _, worker := range workers {
+		h.zones[worker.Address] = worker.Zone
 		registered = append(registered, queuecapacity.Worker{Node: worker.Node, Zone: worker.Zone, Address: worker.Address})
 	}
 	h.roster.Update(registered, h.Now())
--- a/internal/jobworker/follow.go
+++ b/internal/jobworker/follow.go
@@ -10,8 +10,6 @@
 	"mallowlatch.example/mallowlatch/internal/changefeed"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
-	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
 )
 
@@ -91,9 +89,7 @@
 }
 
 // readsForAll reports whether this worker is one of the readers that others ask. The caller must hold the mutex.
-func (w *Worker) readsForAll() bool {
-	return slices.Contains(firstByName(w.workers, MaxReaders), w.Node)
-}
+func (w *Worker) readsForAll() bool { return w.rosterNow().reader }
 
 // IsReader reports whether this worker is one of the readers that others ask.
 func (w *Worker) IsReader() bool {
@@ -106,8 +102,8 @@
 func (w *Worker) IsRelay() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	relay, found := relayOf(w.Zone, w.workers)
-	return w.readsForAll() || found && relay == w.Node
+	roster := w.rosterNow()
+	return roster.reader || roster.relay
 }
 
 // fetchLive applies what another worker knows.
@@ -184,49 +180,17 @@
 	if len(w.workers) == 0 {
 		return w.nextSeed()
 	}
-	for _, node := range readersFor(w.Node, w.Zone, w.workers) {
-		if node == w.Node {
+	for _, source := range w.rosterNow().sources {
+		if source.Node == w.Node {
 			return "", false
 		}
-		if address := w.workers[node].Address; !avoided(address) {
-			return address, true
+		if !avoided(source.Address) {
+			return source.Address, true
 		}
 	}
 	return "", false
 }
 
-// minRelayedWorkers is the number of workers from which a zone has a relay. In a smaller zone the step through the relay would
-// cost more time than it saves calls between zones.
-const minRelayedWorkers = 8
-
-// readersFor returns the workers that a worker asks for what the store says, in order: the relay of its zone, unless it is the
-// relay or a reader itself, and the readers of the fleet. A relay asks the readers, so that each fact crosses into a zone
-// once, and holds what it knows for the workers of its zone as a reader does.
-func readersFor(node ident.Node, zone ident.Zone, workers map[ident.Node]jobrecord.Worker) []ident.Node {
-	readers := firstByName(workers, MaxReaders)
-	relay, found := relayOf(zone, workers)
-	if !found || relay == node || slices.Contains(readers, node) {
-		return readers
-	}
-	others := slices.DeleteFunc(readers, func(reader ident.Node) bool { return reader == relay })
-	return append([]ident.Node{relay}, others...)
-}
-
-// relayOf returns the first worker of a zone by name, or false if the zone needs no relay.
-func relayOf(zone ident.Zone, workers map[ident.Node]jobrecord.Worker) (relay ident.Node, found bool) {
-	count := 0
-	for node, worker := range workers {
-		if worker.Zone != zone {
-			continue
-		}
-		count++
-		if relay == "" || node < relay {
-			relay = node
-		}
-	}
-	return relay, count >= minRelayedWorkers
-}
-
 // nextSeed returns the seeds in the settings in rotation. The caller must hold the mutex.
 func (w *Worker) nextSeed() (string, bool) {
 	if len(w.Seeds) == 0 || slices.Contains(w.Seeds, w.Address) || w.Now().Sub(w.started) > w.SeedPeriod {
@@ -236,20 +200,6 @@
 	return w.Seeds[w.seedCalls%len(w.Seeds)], true
 }
 
-// firstByName returns the first nodes by name, at most limit of them.
-func firstByName(workers map[ident.Node]jobrecord.Worker, limit int) []ident.Node {
-	first := make([]ident.Node, 0, limit+1)
-	for node := range workers {
-		position, _ := slices.BinarySearch(first, node)
-		if position == limit {
-			continue
-		}
-		first = slices.Insert(first, position, node)
-		first = first[:min(len(first), limit)]
-	}
-	return first
-}
-
 func (w *Worker) avoidsReader(address string) bool {
 	return w.Now().Before(w.avoidedReaders[address])
 }
--- a/internal/jobworker/ownership.go
+++ b/internal/jobworker/ownership.go
@@ -1,8 +1,6 @@
 package jobworker
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,35 +80,6 @@
 	}
 }
 
-// setWorkers stores the registered workers. The caller must hold the mutex.
-func (w *Worker) setWorkers(workers map[ident.Node]jobrecord.Worker) {
-	if maps.Equal(w.workers, workers) {
-		return
-	}
-	w.workers = maps.Clone(workers)
-	w.ownersOfRunners().SetWorkers(w.workers)
-	w.removeLenders(workers)
-}
-
-// Registered returns the workers in this node's view.
-func (w *Worker) Registered() []jobrecord.Worker {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return slices.Collect(maps.Values(w.workers))
-}
-
-// ZoneOf returns the zone of the registered worker at an address. It returns false for an unknown address.
-func (w *Worker) ZoneOf(address string) (ident.Zone, bool) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	for _, worker := range w.workers {
-		if worker.Address == address {
-			return worker.Zone, true
-		}
-	}
-	return "", false
-}
-
 const (
 	// claimDelayFraction of the time that the waiting items will take is how long a node leaves a new job to less busy
 	// ones.
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -186,6 +186,8 @@
 	// borrowed is what this node may use at runners of other owners, lenders the state of those owners.
 	borrowed map[ident.Incarnation]*borrowed
 	lenders  map[ident.Node]*lender
+	// roster is derived from the workers; nil until it is needed.
+	roster *roster
 	// owners are the owners of runners; nil until they are needed. ownedRunners are the runners that this node owns.
 	owners       *jobrecord.Owners
 	ownedRunners *ownedRunners
