--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -166,7 +166,8 @@
 
 // Answer is a worker's answer to a report: the shares of all runners that it owns, its batch load, and the entries
 // that the node has not read yet of the list of requests that terminate their runners. Nodes report to the workers
-// of their own zone at least twice a second, so that such an entry reaches them within half a second.
+// of their own zone that they work with at least once per quietRefreshInterval, to each at another moment, and each worker has
+// all entries.
 type Answer struct {
 	Shares []Share        `json:"shares"`
 	Batch  Batch          `json:"batch"`
--- a/internal/runnertable/ration.go
+++ b/internal/runnertable/ration.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// rationingLifetime is how long a runner counts as rationed after its owner's last report. Owners report every
-	// half second to nodes without work at the runner, so an owner that is gone delays requests no longer than this.
+	// rationingLifetime is how long a runner counts as rationed after its owner's last report, so an owner that is gone delays
+	// requests no longer than this. Nodes without work at the runner ask the owner several times in it.
 	rationingLifetime = demand.IdleRefreshInterval + 100*time.Millisecond
 	// grantLifetime is how long a grant may be used: slightly less than the owner reserves the slot.
 	grantLifetime = 80 * time.Millisecond
