Count the told lists of a test without a race, and renew all pairs of another in one write

The counter is atomic now; checks and bounds are as they were. Renewing 20,000 pairs one after the other took most of a minute of kvcopy's test.

--- a/internal/jobpeer/commonstart_test.go
+++ b/internal/jobpeer/commonstart_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 
 	// link is taken while a whole list is told. A mutex would stop the simulated clock.
 	link  chan struct{}
-	lists int
+	lists atomic.Int64
 }
 
 func (w *startingWorker) Invoke(ctx context.Context, method string, _ drpc.Encoding, in, out drpc.Message) error {
@@ -53,7 +54,7 @@
 	*out.(*fleetfeed.Snapshot) = *snapshot
 	if len(snapshot.Runners) > 0 {
 		w.link <- struct{}{}
-		w.lists++
+		w.lists.Add(1)
 		time.Sleep(listTime)
 		<-w.link
 	}
@@ -123,7 +124,7 @@
 	}
 	late = time.Since(began) - listAfter
 	for _, worker := range byAddress {
-		mostLists = max(mostLists, worker.lists)
+		mostLists = max(mostLists, int(worker.lists.Load()))
 	}
 	supervisor.Kill(nil)
 	assert.NilError(t, supervisor.Wait())
--- a/internal/kvcopy/kvcopy_test.go
+++ b/internal/kvcopy/kvcopy_test.go
@@ -107,12 +107,17 @@
 
 func fill(size int) *kvtest.Data {
 	data := kvtest.NewData(time.Now)
+	put(data, false, keys(size)...)
+	return data
+}
+
+// keys returns a number of keys.
+func keys(size int) []string {
 	var keys []string
 	for index := range size {
 		keys = append(keys, key(index))
 	}
-	put(data, false, keys...)
-	return data
+	return keys
 }
 
 func newCopy(store kv.Paged) *kvcopy.Copy[kv.Pair, []kv.Pair] {
@@ -143,9 +148,7 @@
 				return values
 			}
 			first := read()
-			for index := range size {
-				put(store.data, false, key(index))
-			}
+			put(store.data, false, keys(size)...)
 			assert.Assert(t, work.SameList(first, read()))
 			assert.Equal(t, made, 1)
 			for _, change := range []func(){
