Ask the seeds where they name few workers of a zone

Change: with fewer than three named workers in its zone a node asks the seeds as before, and has them name the workers once. jobpeer.TestSeedsAreAskedWhereTheyNameFewWorkers; the tests of starting fronts pass unchanged at 15 workers in five zones and more.

--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -68,8 +68,7 @@
 	if err != nil {
 		w.failed++
 		w.Client.skip(address)
-		// The next call has a seed name them again, so that it does not go from one dead worker to the next.
-		w.Client.setStartWorkers(nil)
+		w.Client.forgetStartWorkers()
 		return nil, err
 	}
 	w.failed = 0
--- a/internal/jobpeer/seeds_test.go
+++ b/internal/jobpeer/seeds_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
 )
@@ -35,3 +37,23 @@
 		assert.Equal(t, now.Sub(began), c.reads, "seeds that answer for %v", c.answersFor)
 	}
 }
+
+// TestSeedsAreAskedWhereTheyNameFewWorkers guards against a starting node that asks only the one worker of its zone, which may be
+// down, where a seed of another zone answers.
+func TestSeedsAreAskedWhereTheyNameFewWorkers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, named := range []int{0, 1, 2, 3, 30} {
+		client := &WorkerClient{Zone: "z", Seeds: []string{"seed"}, SeedsFor: time.Second, Now: func() time.Time { return now }}
+		var workers []fleetfeed.Worker
+		for index := range named {
+			workers = append(workers, fleetfeed.Worker{Zone: "z", Address: fmt.Sprint("w", index)})
+		}
+		client.recordStartWorkers(workers)
+		assert.Equal(t, client.lacksStartWorkers(), named == 0)
+		address, found := client.nearest(0)
+		assert.Assert(t, found)
+		assert.Equal(t, address == "seed", named < minStartWorkers, "%d workers named", named)
+		client.forgetStartWorkers()
+		assert.Equal(t, client.lacksStartWorkers(), named == 0 || named >= minStartWorkers)
+	}
+}
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -64,8 +64,10 @@
 	workers asof.Fact[[]jobrecord.Worker]
 	// zones are the zones of the workers, by address.
 	zones map[string]ident.Zone
-	// startWorkers are the addresses of workers that a seed named, to be asked while no worker is known for certain.
+	// startWorkers are the addresses of workers that a seed named, to be asked while no worker is known for certain. startNamed
+	// means that a seed has named the workers, whether there are enough of them to ask them in place of the seeds or not.
 	startWorkers []string
+	startNamed   bool
 	// workersRead is when the list of workers was last read, successfully or not. It is set back to have the list read again sooner.
 	workersRead  time.Time
 	jobs         map[ident.Job]jobLocation
@@ -238,7 +240,7 @@
 func (h *WorkerClient) lacksStartWorkers() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.usesSeeds(h.Now()) && len(h.startWorkers) == 0
+	return h.usesSeeds(h.Now()) && !h.startNamed
 }
 
 // fetchStartWorkers has a seed name the workers, so that the starting nodes of a large fleet spread over them. index selects the
@@ -253,28 +255,40 @@
 	defer cancel()
 	named, err := fleetfeed.FetchWorkers(ctx, connection)
 	if err == nil {
-		h.setStartWorkers(startAddresses(named, h.Zone))
+		h.recordStartWorkers(named)
 	}
 	return nil
 }
 
-func (h *WorkerClient) setStartWorkers(addresses []string) {
+func (h *WorkerClient) recordStartWorkers(named []fleetfeed.Worker) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.startWorkers = addresses
+	h.startWorkers, h.startNamed = startAddresses(named, h.Zone), len(named) > 0
 }
 
-// startAddresses returns the addresses of the workers of a zone, or of all workers if the zone has none.
+// forgetStartWorkers has a seed name the workers anew before the next call, if one that was named has been asked.
+func (h *WorkerClient) forgetStartWorkers() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if len(h.startWorkers) > 0 {
+		h.startWorkers, h.startNamed = nil, false
+	}
+}
+
+// minStartWorkers is the least number of named workers of a zone that are asked in place of the seeds: fewer may all be down while
+// a seed answers, and the seeds of a small fleet can tell its list to all.
+const minStartWorkers = 3
+
+// startAddresses returns the addresses of the workers of a zone, or none if there are too few.
 func startAddresses(workers []fleetfeed.Worker, zone ident.Zone) []string {
-	var near, all []string
+	var near []string
 	for _, worker := range workers {
-		all = append(all, worker.Address)
 		if worker.Zone == zone {
 			near = append(near, worker.Address)
 		}
 	}
-	if len(near) == 0 {
-		return all
+	if len(near) < minStartWorkers {
+		return nil
 	}
 	return near
 }
