Choose the mirror of a job's output once for each list of workers

What callers saw: nothing yet; a worker with many jobs in a fleet of many workers spends its processor time on this in place of items.

Cause: every round of mirroring, 400 ms, sorted all registered workers into those of the zone and the others and hashed one of the two lists, for each job, also where no output is to be sent (read in the code; counted: with ten jobs a round allocates ten times as much at thirty zones as at three).

Change: the roster, derived once from each list of workers, holds those that may mirror; a job remembers the roster that its mirror was chosen from and chooses again when that changes. A mirror that changes is sent the output from the beginning, as before.

TestMirroringCostsTheJobsOnly fails on the code before; TestMirrorPeerFollowsTheWorkers has the mirror leave.

--- a/internal/jobworker/fleetsize_test.go
+++ b/internal/jobworker/fleetsize_test.go
@@ -107,6 +107,31 @@
 	})
 }
 
+// TestMirroringCostsTheJobsOnly looks for output to mirror, with ten jobs that have none.
+func TestMirroringCostsTheJobsOnly(t *testing.T) {
+	assertFleetIndependent(t, func(w *Worker, _ map[ident.Node]jobrecord.Worker) func() {
+		for index := range 10 {
+			id := ident.Job(fmt.Sprint("job-", index))
+			w.jobs[id] = &jobRun{header: &jobrecord.Header{ID: id}}
+		}
+		return func() { w.pendingMirrors() }
+	})
+}
+
+// TestMirrorPeerFollowsTheWorkers has the worker that mirrors a job's output leave.
+func TestMirrorPeerFollowsTheWorkers(t *testing.T) {
+	w, workers := fleetWorker(t, 2)
+	job := &jobRun{header: &jobrecord.Header{ID: "job"}}
+	first, found := w.mirrorPeerOf(job)
+	assert.Assert(t, found && first.Zone == w.Zone && first.Node != w.Node, "%v", first)
+	job.items = []*itemRun{{job: job, mirrored: 3}}
+	delete(workers, first.Node)
+	w.setWorkers(workers)
+	second, found := w.mirrorPeerOf(job)
+	assert.Assert(t, found && second.Node != first.Node, "%v", second)
+	assert.Equal(t, job.items[0].mirrored, 0)
+}
+
 // TestWorkerOfAnotherZoneCostsNoNewOwners has a worker of another zone join and leave, and a node report after each change.
 func TestWorkerOfAnotherZoneCostsNoNewOwners(t *testing.T) {
 	measure := func(runnersPerZone int) uint64 {
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -45,7 +45,9 @@
 	dropped bool
 	// mirrorPeer is the worker that stores a second copy of the output of the items in progress.
 	mirrorPeer ident.Node
-	wake       chan struct{}
+	// mirrorRoster is the roster that mirrorPeer was chosen from.
+	mirrorRoster *roster
+	wake         chan struct{}
 }
 
 // itemRun is one item and the state of its output so far.
--- a/internal/jobworker/mirror.go
+++ b/internal/jobworker/mirror.go
@@ -95,15 +95,11 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	batches := map[string]*mirrorBatch{}
-	for id, job := range w.jobs {
-		mirrorPeer, found := w.mirrorWorker(id)
+	for _, job := range w.jobs {
+		mirrorPeer, found := w.mirrorPeerOf(job)
 		if !found {
 			continue
 		}
-		if job.mirrorPeer != mirrorPeer.Node {
-			job.mirrorPeer = mirrorPeer.Node
-			job.resetMirrored()
-		}
 		update, pieces := job.pendingOutput()
 		if len(pieces) == 0 {
 			continue
@@ -119,24 +115,20 @@
 	return batches
 }
 
-// mirrorWorker returns the worker that stores a second copy of a job's output, preferably in the same zone, because
-// traffic between zones costs money. The caller must hold the mutex.
-func (w *Worker) mirrorWorker(job ident.Job) (jobrecord.Worker, bool) {
-	sameZone, otherZones := make([]ident.Node, 0, len(w.workers)), make([]ident.Node, 0, len(w.workers))
-	for node, worker := range w.workers {
-		switch {
-		case node == w.Node:
-		case worker.Zone == w.Zone:
-			sameZone = append(sameZone, node)
-		default:
-			otherZones = append(otherZones, node)
+// mirrorPeerOf returns the worker that stores a second copy of a job's output. It is chosen once for each list of workers; another
+// one is sent the output from the beginning. The caller must hold the mutex.
+func (w *Worker) mirrorPeerOf(job *jobRun) (jobrecord.Worker, bool) {
+	current := w.rosterNow()
+	if job.mirrorRoster != current {
+		job.mirrorRoster = current
+		peer, _ := rendezvous.First(string(job.header.ID), slices.Values(current.mirrors))
+		if job.mirrorPeer != peer {
+			job.mirrorPeer = peer
+			job.resetMirrored()
 		}
 	}
-	if len(sameZone) == 0 {
-		sameZone = otherZones
-	}
-	first, found := rendezvous.First(string(job), slices.Values(sameZone))
-	return w.workers[first], found
+	worker, found := w.workers[job.mirrorPeer]
+	return worker, found
 }
 
 // pendingOutput returns the output of the job's items that the mirror peer lacks. The caller must hold the worker's mutex.
--- a/internal/jobworker/roster.go
+++ b/internal/jobworker/roster.go
@@ -17,6 +17,9 @@
 	zones map[string]ident.Zone
 	// sources are the workers to ask for what the store says, in order.
 	sources []jobrecord.Worker
+	// mirrors are the workers to choose from for second copies of output: those of the same zone, because traffic between zones
+	// costs money, or all others if there are none.
+	mirrors []ident.Node
 	// reader means that this worker is one of those that others ask, relay that it is the one that its zone asks.
 	reader, relay bool
 }
@@ -35,9 +38,28 @@
 	}
 	relay, found := relayOf(zone, workers)
 	made.relay = found && relay == node
+	made.mirrors = mirrorsOf(node, zone, made.listed)
 	return made
 }
 
+// mirrorsOf returns the workers that may store second copies of a worker's output.
+func mirrorsOf(node ident.Node, zone ident.Zone, listed []jobrecord.Worker) []ident.Node {
+	var sameZone, otherZones []ident.Node
+	for _, worker := range listed {
+		switch {
+		case worker.Node == node:
+		case worker.Zone == zone:
+			sameZone = append(sameZone, worker.Node)
+		default:
+			otherZones = append(otherZones, worker.Node)
+		}
+	}
+	if len(sameZone) == 0 {
+		return otherZones
+	}
+	return sameZone
+}
+
 // rosterNow returns the roster of the registered workers. The caller must hold the mutex.
 func (w *Worker) rosterNow() *roster {
 	if w.roster == nil {
