Have a worker that does not hold a job name the one that does

What callers saw: a client that polls a job at another front than before waits while that front asks the workers one after the other.

Cause (read, counted): WorkerClient.Results called each worker, those of the zone first, until one was sure: half of the workers in the mean, and all of them for a job that ended, 150 calls in the whole fleet and 300 at twice its size, most of them across zones.

Change: a worker that is not sure names the holder: from the claims, which each worker follows already, or, for as long as results of ended jobs stay in memory, the worker that held it last. The front asks that one next. Three workers that know of none, or name one that was asked, end the search; the front then reads the store, as it did. A worker with an old view names nobody and denies nothing, and workers of earlier builds are all asked.

Why it works: only a holder with its lease answers for a job, as before, so a wrong name costs a call and nothing else.

--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -60,6 +60,10 @@
 	Tenant  ident.Tenant  `json:"tenant,omitempty"`
 	Total   int           `json:"total"`
 	Results []work.Result `json:"results"`
+	// Holder is the address of the worker that holds the job, or held it last, as far as a worker knows that is not sure. NoHolder
+	// means that it knows of none. Workers of earlier builds send neither.
+	Holder   string `json:"holder,omitempty"`
+	NoHolder bool   `json:"no_holder,omitempty"`
 }
 
 // BodyQuery asks for the body of an item without a recorded result.
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -25,7 +25,11 @@
 func (s *WorkerServer) Results(ctx context.Context, query *ResultsQuery) (*ResultsReply, error) {
 	wait := min(time.Duration(query.WaitMs)*time.Millisecond, maxQueryWait)
 	held, sure := s.Worker.RecordedResults(ctx, query.Job, max(query.From, 0), wait)
-	return &ResultsReply{Sure: sure, Tenant: held.Tenant, Total: held.Total, Results: held.Results}, nil
+	if !sure {
+		holder := s.Worker.Holder(query.Job)
+		return &ResultsReply{Holder: holder.Address, NoHolder: holder.Known && holder.Address == ""}, nil
+	}
+	return &ResultsReply{Sure: true, Tenant: held.Tenant, Total: held.Total, Results: held.Results}, nil
 }
 
 // Body implements Server.
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -96,12 +96,17 @@
 		// No worker was called, so nothing new is known: the period without a holder must not restart.
 		return work.Held{}, false
 	}
-	for _, address := range candidates {
+	search := &holderSearch{left: candidates}
+	for address, more := search.next(); more; address, more = search.next() {
 		reply := &ResultsReply{}
-		if h.ask(ctx, address, methodResults, query, reply, wait) && reply.Sure {
+		if h.isSkipped(address) || !h.ask(ctx, address, methodResults, query, reply, wait) {
+			continue
+		}
+		if reply.Sure {
 			h.cacheLocation(job, jobLocation{address: address})
 			return work.Held{Tenant: reply.Tenant, Total: reply.Total, Results: reply.Results}, true
 		}
+		search.applyUnsure(reply)
 	}
 	h.cacheLocation(job, jobLocation{noHolderSince: h.Now()})
 	return work.Held{}, false
@@ -180,6 +185,13 @@
 	return false
 }
 
+// isSkipped reports whether a worker did not answer lately.
+func (h *WorkerClient) isSkipped(address string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.Now().Before(h.skippedUntil[address])
+}
+
 // candidates returns the addresses to call: the holder that answered last, or else all workers, with those of this zone first.
 func (h *WorkerClient) candidates(ctx context.Context, job ident.Job) []string {
 	h.readWorkers(ctx)
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -21,6 +21,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.Now()
+	w.reconciled = now
 	w.setWorkers(w.live.Workers)
 	_, listed := w.live.Workers[w.Node]
 	w.registrationGone = !listed && w.live.Revision >= w.registered
@@ -40,7 +41,7 @@
 				state.notBefore = now.Add(w.Options.HolderGrace)
 			}
 		}
-		state.claimed = claimed
+		state.claimed, state.holder = claimed, w.live.Claimed[id]
 		w.updateOwnClaim(state)
 	}
 	for id, state := range w.open {
@@ -49,6 +50,9 @@
 			continue
 		}
 		delete(w.open, id)
+		if state.holder != "" {
+			w.pastHolders.add(id, state.holder, now)
+		}
 		w.account.ledger.Unlist(id, now)
 		if job := w.jobs[id]; job != nil {
 			w.drop(job)
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -170,6 +170,9 @@
 	workers map[ident.Node]jobrecord.Worker
 	open    map[ident.Job]*openJob
 	jobs    map[ident.Job]*jobRun
+	// pastHolders are the workers that held the jobs that ended lately, reconciled is when the live state was last applied.
+	pastHolders pastHolders
+	reconciled  time.Time
 	// runs counts the runs of items that this process started.
 	runs int64
 	// mirror stores output of other workers' items in memory.
@@ -223,6 +226,8 @@
 	// claimed is set if some node holds the job; otherwise unclaimed is since when none does.
 	claimed   bool
 	unclaimed time.Time
+	// holder is the node that holds the claim; empty if none does.
+	holder ident.Node
 	// ownClaim is set if the claim is this node's although it does not run the job, which keeps all other nodes from
 	// claiming it.
 	ownClaim bool
