Name the last known holder of a job in an outage of the store, too

While the store is away the workers' views age, so that none named a holder and a front that did not know it asked all workers again, one after the other.

Change: a worker names the holder that it knows, however old its view is, because claims don't change while the store is away and a wrong name costs a call; it still denies a holder only where its view is current. One of two functions that said the same of a worker that did not answer is gone.

--- a/internal/jobpeer/demand.go
+++ b/internal/jobpeer/demand.go
@@ -167,6 +167,7 @@
 // errSkipped means that a worker was not called because it recently did not answer.
 const errSkipped = failure.Kind("job peer: worker skipped after a failed call")
 
+// skips reports whether a worker is not called because it recently did not answer.
 func (h *WorkerClient) skips(address string) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -99,7 +99,7 @@
 	search := &holderSearch{left: candidates}
 	for address, more := search.next(); more; address, more = search.next() {
 		reply := &ResultsReply{}
-		if h.isSkipped(address) || !h.ask(ctx, address, methodResults, query, reply, wait) {
+		if h.skips(address) || !h.ask(ctx, address, methodResults, query, reply, wait) {
 			continue
 		}
 		if reply.Sure {
@@ -185,13 +185,6 @@
 	return false
 }
 
-// isSkipped reports whether a worker did not answer lately.
-func (h *WorkerClient) isSkipped(address string) bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.Now().Before(h.skippedUntil[address])
-}
-
 // candidates returns the addresses to call: the holder that answered last, or else all workers, with those of this zone first.
 func (h *WorkerClient) candidates(ctx context.Context, job ident.Job) []string {
 	h.readWorkers(ctx)
--- a/internal/jobworker/holder.go
+++ b/internal/jobworker/holder.go
@@ -11,19 +11,16 @@
 	// Address is that of the worker that holds the job, or that held it last if the job is no longer open. It is empty if there
 	// is none.
 	Address string
-	// Known means that this worker follows the jobs. Without it, an empty address says nothing.
+	// Known means that this worker follows the jobs. Without it the address may be out of date, and an empty one says nothing.
 	Known bool
 }
 
-// Holder returns which worker holds a job. A worker that holds it itself, and was asked for results that it is not sure of, does
-// not know a better one.
+// Holder returns which worker holds a job. While the store is away claims do not change, so that the last known holder is named
+// then, too. A worker that holds the job itself, and was asked for results that it is not sure of, does not know a better one.
 func (w *Worker) Holder(job ident.Job) Holder {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.Now()
-	if now.Sub(w.reconciled) > w.maxLiveAge() {
-		return Holder{}
-	}
 	node := w.pastHolders.find(job, now)
 	if state := w.open[job]; state != nil {
 		node = state.holder
@@ -31,7 +28,7 @@
 	if node == w.Node {
 		return Holder{}
 	}
-	return Holder{Address: w.workers[node].Address, Known: true}
+	return Holder{Address: w.workers[node].Address, Known: now.Sub(w.reconciled) <= w.maxLiveAge()}
 }
 
 // pastHolders are the workers that held the jobs that ended lately. Those workers have the results in memory for as long.
