Hold requests while all nodes start together, until the fleet is known

Cause: a request waits .24 s for a starting node to know the fleet, chosen where that takes some .3 s, so that a client that is sent away finds a node that knows it. The fronts of this fleet know the runners 1.8 to 2.4 s after a common start, and no other front does earlier.

Change: while workers answer a starting node and know nothing either, as after a common start, requests wait on for as long as their clients leave time to serve them; up to 3.6 s after the start, the time for which a node takes seeds that know nothing for starting ones. A node that starts alone knows the fleet with its first answer; one that nobody answers refuses after .24 s, as before, and so does one at which a request would not be served in time.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -80,7 +80,7 @@
 	holders.SendPoisonRecords(process.tomb, process.ends)
 	jobs := platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate)
 	jobs.Held = process.heldBytes
-	start := &site.Start{Known: process.knowsFleet, Now: clock.Now}
+	start := &site.Start{Known: process.knowsFleet, Together: holders.StartsWithOthers, Now: clock.Now}
 	front := &platform.Front{
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: jobs, Gate: gate, Limiter: process.limiter(holders), Held: process.heldBytes,
 		Await: start.Await, Stopping: process.lifecycle.Stopping, Logger: process.logger, Now: clock.Now,
--- a/internal/jobpeer/commonstart_test.go
+++ b/internal/jobpeer/commonstart_test.go
@@ -75,8 +75,9 @@
 }
 
 // startFronts starts fronts together in five zones, whose workers know each other after 200 ms and have the runners after a second.
-// It returns the largest number of whole lists that a worker told, and how long after the workers had it the last front had it.
-func startFronts(t *testing.T, fronts, workers int, older bool) (mostLists int, late time.Duration) {
+// It returns the largest number of whole lists that a worker told, how long after the workers had it the last front had it, and at
+// how many moments before that, from a time after the start on, a front did not see others start.
+func startFronts(t *testing.T, fronts, workers int, older bool) (mostLists int, late time.Duration, unseen int) {
 	const zones, workersAfter, listAfter = 5, 200 * time.Millisecond, time.Second
 	began := time.Now()
 	byAddress := map[string]*startingWorker{}
@@ -96,6 +97,7 @@
 	}
 	supervisor := new(tomb.Tomb)
 	var followers []*follower.Follower
+	var clients []*jobpeer.WorkerClient
 	for number := range fronts {
 		name := fmt.Sprint("front-", number)
 		client := &jobpeer.WorkerClient{
@@ -110,9 +112,15 @@
 		}
 		followed.Options.StartGrace = 600 * time.Millisecond
 		followed.Start(supervisor)
-		followers = append(followers, followed)
+		followers, clients = append(followers, followed), append(clients, client)
+	}
+	for time.Sleep(startSeenWithin); time.Since(began) < listAfter; time.Sleep(50 * time.Millisecond) {
+		for _, client := range clients {
+			if !client.StartsWithOthers() {
+				unseen++
+			}
+		}
 	}
-	time.Sleep(listAfter)
 	for _, worker := range byAddress {
 		worker.feed.RecordOrders(work.Orders{Catalog: &work.Catalog{Form: work.CatalogForm, Version: 1}}, time.Now())
 		worker.feed.RecordRunners([]work.Runner{{ID: "i-1", Service: "s", Slots: 1}}, 5, time.Now())
@@ -128,7 +136,39 @@
 	}
 	supervisor.Kill(nil)
 	assert.NilError(t, supervisor.Wait())
-	return mostLists, late
+	return mostLists, late, unseen
+}
+
+// startSeenWithin is the time within which a front that starts must see that others start: requests that arrive with its start
+// are refused after it otherwise.
+const startSeenWithin = 240 * time.Millisecond
+
+// TestFrontsSeeThatTheFleetStarts starts the fronts of fleets of several sizes together.
+func TestFrontsSeeThatTheFleetStarts(t *testing.T) {
+	for _, fleet := range []struct{ fronts, workers int }{{25, 5}, {255, 45}, {850, 150}} {
+		simulated.Test(t, func(t *testing.T) {
+			_, _, unseen := startFronts(t, fleet.fronts, fleet.workers, false)
+			assert.Equal(t, unseen, 0, "%d fronts", fleet.fronts)
+		})
+	}
+}
+
+// TestFrontWithoutAnswersStartsAlone has no worker answer a front that starts.
+func TestFrontWithoutAnswersStartsAlone(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
+		client := &jobpeer.WorkerClient{
+			Zone: "z0", Seeds: []string{"w0"}, SeedsFor: 600 * time.Millisecond, Now: time.Now,
+			Connect: func(string) (drpc.Conn, error) { return nil, errUnresponsive },
+			Records: &jobrecord.Records{Store: kvtest.NewPaged(kvtest.NewData(time.Now)), Now: time.Now},
+		}
+		source := &jobpeer.WorkerFeed{Client: client}
+		for range 5 {
+			_, err := source.Next(t.Context(), &fleetfeed.SnapshotRequest{})
+			assert.Assert(t, err != nil)
+			assert.Assert(t, !client.StartsWithOthers())
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
 }
 
 // TestStartingFrontsSpreadOverTheWorkers starts the fronts of fleets of several sizes together: no worker tells more whole lists than
@@ -136,7 +176,7 @@
 func TestStartingFrontsSpreadOverTheWorkers(t *testing.T) {
 	for _, fleet := range []struct{ fronts, workers int }{{85, 15}, {255, 45}, {850, 150}, {1700, 300}} {
 		simulated.Test(t, func(t *testing.T) {
-			lists, late := startFronts(t, fleet.fronts, fleet.workers, false)
+			lists, late, _ := startFronts(t, fleet.fronts, fleet.workers, false)
 			t.Logf("%d fronts, %d workers: %d lists, the last one %v late", fleet.fronts, fleet.workers, lists, late)
 			assert.Assert(t, lists <= 4*fleet.fronts/fleet.workers, "%d lists", lists)
 			assert.Assert(t, late <= 250*time.Millisecond, "%v", late)
@@ -147,7 +187,7 @@
 // TestStartingFrontsAskSeedsOfAnOlderBuild starts fronts whose workers cannot name each other.
 func TestStartingFrontsAskSeedsOfAnOlderBuild(t *testing.T) {
 	simulated.Test(t, func(t *testing.T) {
-		_, late := startFronts(t, 255, 45, true)
+		_, late, _ := startFronts(t, 255, 45, true)
 		assert.Assert(t, late <= 750*time.Millisecond, "%v", late)
 	})
 }
--- a/internal/jobpeer/feed.go
+++ b/internal/jobpeer/feed.go
@@ -72,6 +72,7 @@
 		return nil, err
 	}
 	w.failed = 0
+	w.Client.recordAnswer()
 	w.Client.Reach.Answered()
 	// The polled worker follows the other workers itself. Its list is no older than this time, even if the answer was read
 	// late.
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -36,6 +36,8 @@
 	noHolderTTL = 600 * time.Millisecond
 	// maxSeedHold is how much longer than usual a starting node waits for seeds that answer and know nothing yet.
 	maxSeedHold = 3 * time.Second
+	// startAnswerTTL is how long an answer shows that other nodes answer: longer than a worker without news holds a call.
+	startAnswerTTL = 1500 * time.Millisecond
 	// maxCachedJobs is the capacity of the cache of job locations.
 	maxCachedJobs = 512
 )
@@ -60,6 +62,8 @@
 	mutex sync.Mutex
 	// began is when this node first needed a worker, seedsUntil until when it waits for the seeds to name workers.
 	began, seedsUntil time.Time
+	// answered is when a worker last answered this node's call for its state or for the names of workers.
+	answered time.Time
 	// workers are the workers that run batch jobs, in the order in which they are called.
 	workers asof.Fact[[]jobrecord.Worker]
 	// zones are the zones of the workers, by address.
@@ -241,6 +245,25 @@
 	return len(h.Seeds) > 0 && len(h.workers.Value()) == 0 && (h.began.IsZero() || now.Before(h.seedsUntil))
 }
 
+// recordAnswer records that a worker answered this node's call for its state.
+func (h *WorkerClient) recordAnswer() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.answered = h.Now()
+}
+
+// StartsWithOthers reports whether this node has just started and workers answer it. A worker that knows the fleet tells it with
+// its first answer, so that a node that does not know the fleet yet has started together with them.
+func (h *WorkerClient) StartsWithOthers() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.Now()
+	if h.began.IsZero() || h.answered.IsZero() {
+		return false
+	}
+	return now.Sub(h.began) < h.SeedsFor+maxSeedHold && now.Sub(h.answered) < startAnswerTTL
+}
+
 // lacksStartWorkers reports whether this node starts, knows no worker but the seeds, and no seed has named others.
 func (h *WorkerClient) lacksStartWorkers() bool {
 	h.mutex.Lock()
@@ -260,6 +283,7 @@
 	defer cancel()
 	named, err := fleetfeed.FetchWorkers(ctx, connection)
 	if err == nil {
+		h.recordAnswer()
 		h.recordStartWorkers(named)
 	}
 	return nil
