Say in the logs at which software version a stream is served

Callers saw streams of two software versions, and no line told which node had a stream go on where: a broken attempt named the runner and not its version, and a stream that a client takes up again had no line at all. The version of a runner's entry was checked and thrown away.

Change: an entry's version is kept with the runner (nodes of the last landing leave it out of the lists that they pass on, and pass over it in those that they get), attempt_failed and item_run_broken have it, and stream_taken_up is new. No choice depends on any of it yet.

--- a/internal/event/online.go
+++ b/internal/event/online.go
@@ -4,9 +4,10 @@
 
 // Events of serving requests in a platform's dialect: 3500 to 3599.
 var (
-	AttemptFailed       = register(3500, "attempt_failed", zerolog.WarnLevel, "An attempt at a runner returned no complete answer; the line has the number of the run, the event after which it ended, and the fingerprint of the request (print), which is the same when the request is sent again.", "none unless one runner is responsible for most of them: check that runner")
+	AttemptFailed       = register(3500, "attempt_failed", zerolog.WarnLevel, "An attempt at a runner returned no complete answer; the line has the number of the run, the event after which it ended, the software version of the runner, and the fingerprint of the request (print), which is the same when the request is sent again.", "none unless one runner is responsible for most of them: check that runner")
 	RequestFailed       = register(3501, "request_failed", zerolog.WarnLevel, "A request got an error from the system itself; the line says whether the request may have run.", "search the attempt_failed lines for the request's id")
 	RequestBroken       = register(3502, "request_broken", zerolog.WarnLevel, "An answer was aborted after it had begun, in a way that the client cannot mistake for a complete one.", "search the attempt_failed lines for the request's id")
+	StreamTakenUp       = register(3504, "stream_taken_up", zerolog.InfoLevel, "A runner goes on with a stream that a client took up again after its connection had ended. The line has the event after which it goes on, the client's attempt that brought the first event (first), and the runner and its software version.", "none; search the first attempt's id for what ended the connection")
 	CatalogAdopted      = register(3503, "catalog_adopted", zerolog.InfoLevel, "A newer configuration is active on this node.", "none")
 	ValueRefused        = register(3518, "value_refused", zerolog.WarnLevel, "A value in the store cannot be read and is ignored: a runner's entry, the configuration or an order. The line has the reason, and the number of values refused now.", "find out who wrote the key; if a configuration is refused, the last valid one stays active")
 	ValueReadable       = register(3519, "value_readable", zerolog.InfoLevel, "A value in the store that was refused can be read again or was removed.", "none")
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -76,7 +76,7 @@
 			flight.Failed(failureOf(err), now)
 			event.ItemRunBroken.Log(w.Logger).Str("job", string(item.job.header.ID)).Str("item", string(item.item.ID)).
 				Str("print", string(w.Key.Of(request))).Str("runner", string(flight.Runner.ID)).
-				Int64("last_event", item.lastEvent).Int("status", status).Err(err).Send()
+				Str("version", string(flight.Runner.Version)).Int64("last_event", item.lastEvent).Int("status", status).Err(err).Send()
 		}
 	}
 }
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -209,6 +209,9 @@
 		return fmt.Errorf("%w: status %d", errTryAgain, reply.Head.Status)
 	}
 	before := e.lastEvent
+	if e.request.ResumeAfter > 0 && !e.headSent {
+		e.logTakenUp(flight)
+	}
 	err := e.relay(flight, reply, guard)
 	if err == nil && !erred(reply) {
 		e.recordCompleted()
@@ -295,8 +298,20 @@
 		Str("request", string(e.request.ID)).
 		Str("print", string(e.fingerprint())).
 		Str("runner", string(flight.Runner.ID)).
+		Str("version", string(flight.Runner.Version)).
 		Int("runs", e.runs).
 		Int64("last_event", e.lastEvent).
 		Err(err).
 		Send()
 }
+
+// logTakenUp logs that a runner goes on with a stream that the client took up again.
+func (e *exchange) logTakenUp(flight *runnertable.Flight) {
+	event.StreamTakenUp.Log(e.forwarder.Logger).
+		Str("request", string(e.request.ID)).
+		Str("first", string(e.request.Resumes)).
+		Str("runner", string(flight.Runner.ID)).
+		Str("version", string(flight.Runner.Version)).
+		Int64("last_event", e.lastEvent).
+		Send()
+}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -45,6 +45,9 @@
 	Deadline time.Time
 	// ResumeAfter is the id of the last event that the caller already has; zero requests the whole answer.
 	ResumeAfter int64
+	// Resumes is the id of the client attempt that brought the first event of the stream that this one resumes, also if there were
+	// further attempts in between; empty if it resumes none, or if the client does not say which.
+	Resumes ident.Request
 }
 
 // Head is the beginning of a runner's answer.
@@ -83,6 +86,9 @@
 	Unreadable
 )
 
+// Version is a version of the software of runners. Versions have no order; the empty one is unknown.
+type Version string
+
 // Runner is one incarnation of a model engine, as the registry lists it.
 type Runner struct {
 	// ID is the incarnation; each restart begins a new one, even under the same name. The ID of an unreadable entry is the name
@@ -95,6 +101,9 @@
 	State   State
 	// WarmUp is how long the runner stays slow, counted from the read of the registry.
 	WarmUp time.Duration
+	// Version is the version of the runner's software, not of its weights; empty means unknown. Nodes of earlier builds pass lists on
+	// without it.
+	Version Version `json:",omitempty"`
 	// Registered is the registry's revision at which the runner's entry was created. An entry that expired and was created
 	// again has another one.
 	Registered int64
