--- a/internal/progress/journal.go
+++ b/internal/progress/journal.go
@@ -1,15 +1,10 @@
 package progress
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"hash/crc32"
 	"os"
 	"path/filepath"
-	"strconv"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/durable"
@@ -23,22 +18,17 @@
 const (
 	journalName = "outputs"
 	folderMode  = 0o700
-	fileMode    = 0o600
 	// maxLineBytes is the maximum length of a line that is read: at most the output of all items of one job.
 	maxLineBytes = 16 << 20
 )
 
 // Journal is a Mirror whose outputs survive a restart of the process. Updates are appended to a file, which is
-// rewritten from memory when it reaches its maximum size. Each line carries a checksum; reading stops at the first
-// corrupt line. It is safe for concurrent use.
+// rewritten from memory when it reaches its maximum size. It is safe for concurrent use.
 type Journal struct {
 	Mirror
-	folder string
 	// maxBytes is the maximum size of the file.
 	maxBytes int64
-
-	file *os.File
-	size int64
+	file     *durable.LineFile
 }
 
 // OpenJournal opens the journal in the folder and loads the outputs that an earlier process stored there. It creates
@@ -47,68 +37,37 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
 	}
-	j := &Journal{folder: folder, maxBytes: maxBytes}
-	if err := j.read(now); err != nil {
-		return nil, err
+	j := &Journal{maxBytes: maxBytes}
+	path := filepath.Join(folder, journalName)
+	if err := durable.ReadLines(path, maxLineBytes, func(text []byte) bool { return j.read(text, now) }); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
 	}
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	if err := j.rewrite(); err != nil {
-		return nil, err
+	var err error
+	if j.file, err = durable.NewLineFile(path, maxBytes, j.content()); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDisk, err)
 	}
 	return j, nil
 }
 
-func (j *Journal) path() string { return filepath.Join(j.folder, journalName) }
-
-// read applies the lines of the file up to the first corrupt one.
-func (j *Journal) read(now time.Time) error {
-	file, err := os.Open(j.path())
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrDisk, err)
-	}
-	defer func() { _ = file.Close() }()
-	scanner := bufio.NewScanner(file)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		update, err := decodeLine(scanner.Bytes())
-		if err != nil {
-			return nil
-		}
-		j.Mirror.Apply(update, now)
+// read applies the update of a line, and reports whether it is one.
+func (j *Journal) read(text []byte, now time.Time) bool {
+	update := &Update{}
+	if err := json.Unmarshal(text, update); err != nil {
+		return false
 	}
-	return nil
+	j.Mirror.Apply(update, now)
+	return true
 }
 
-// errCorruptLine means that a line is truncated or its checksum does not match.
-const errCorruptLine = failure.Kind("progress: damaged line")
-
-// encodeLine returns an update as a line: the checksum of its JSON text, a space and the text.
-func encodeLine(update *Update) ([]byte, error) {
+// encodeUpdate returns an update as a line.
+func encodeUpdate(update *Update) ([]byte, error) {
 	text, err := json.Marshal(update)
 	if err != nil {
 		return nil, fmt.Errorf("encoding an update: %w", err)
 	}
-	line := strconv.AppendUint(nil, uint64(crc32.ChecksumIEEE(text)), 16)
-	line = append(line, ' ')
-	line = append(line, text...)
-	return append(line, '\n'), nil
-}
-
-func decodeLine(line []byte) (*Update, error) {
-	sum, text, _ := bytes.Cut(line, []byte{' '})
-	want, err := strconv.ParseUint(string(sum), 16, 32)
-	if err != nil || uint32(want) != crc32.ChecksumIEEE(text) {
-		return nil, errCorruptLine
-	}
-	update := &Update{}
-	if err := json.Unmarshal(text, update); err != nil {
-		return nil, fmt.Errorf("%w: %w", errCorruptLine, err)
-	}
-	return update, nil
+	return durable.EncodeLine(text), nil
 }
 
 // Store applies updates in memory and writes them to the file. Like Take, it returns the items whose output must be
@@ -126,43 +85,25 @@
 func (j *Journal) append(updates []Update) error {
 	var lines []byte
 	for index := range updates {
-		line, err := encodeLine(&updates[index])
+		line, err := encodeUpdate(&updates[index])
 		if err != nil {
 			return err
 		}
 		lines = append(lines, line...)
 	}
-	if j.size+int64(len(lines)) > j.maxBytes {
-		return j.rewrite()
+	if !j.file.Fits(lines) {
+		if err := j.file.Rewrite(j.content()); err != nil {
+			return fmt.Errorf("%w: %w", ErrDisk, err)
+		}
+		return nil
 	}
-	count, err := j.file.Write(lines)
-	j.size += int64(count)
+	err := j.file.Append(lines)
 	if err == nil {
 		err = j.file.Sync()
 	}
-	if err != nil {
-		// Lines behind a truncated one would not be read after a restart, so the next update rewrites the file.
-		j.size = j.maxBytes
-		return fmt.Errorf("%w: %w", ErrDisk, err)
-	}
-	return nil
-}
-
-// rewrite replaces the file by one with the outputs in memory, without those that exceed the size limit. The caller
-// holds the mutex.
-func (j *Journal) rewrite() error {
-	content := j.content()
-	if err := durable.Write(j.path(), content); err != nil {
-		return fmt.Errorf("%w: %w", ErrDisk, err)
-	}
-	file, err := os.OpenFile(j.path(), os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrDisk, err)
 	}
-	if j.file != nil {
-		_ = j.file.Close()
-	}
-	j.file, j.size = file, int64(len(content))
 	return nil
 }
 
@@ -175,7 +116,7 @@
 		for _, stored := range job.outputs {
 			update.Pieces = append(update.Pieces, OutputPart{Item: stored.Item, Run: stored.Run, LastEvent: stored.LastEvent, Text: stored.Text})
 		}
-		line, err := encodeLine(update)
+		line, err := encodeUpdate(update)
 		if err == nil && int64(len(content)+len(line)) <= j.maxBytes/2 {
 			content = append(content, line...)
 		}
