Let streams and items go on only at the software version that began them

What callers saw: streams with events of two software versions of the runners, which do not fit together, and results of items joined so.

Cause: nothing chose a runner by its version, and no node kept at which version a stream began, so that a front that was asked to go on with one could not have known. Class: going on with what another runner wrote, as if any runner of the route could.

Within an answer and for an item, further runs choose among runners that the origin permits. A front tells two workers where a stream began, while a service has or had several versions within a minute; workers keep it in memory and in a file. A front that is asked to go on asks four workers; a stream that nobody knows goes on only if all that answer know one version, and one of them is certain to miss none. Else it is refused at once, as not run (stream_not_resumable). An item whose version has had no free slot for a second begins anew, as does output that an earlier build mirrored.

A call that a worker of an earlier build does not have no longer makes a node skip that worker.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -77,6 +77,9 @@
 	reporter := process.startDemandReporter(onlineWork)
 	forwarder.Owners = &jobpeer.Owners{Work: onlineWork, Reporter: reporter}
 	forwarder.RequestSlots = func() { reporter.Changed(true) }
+	origins := &jobpeer.StreamOrigins{Client: holders, Runners: process.runners, Now: clock.Now}
+	origins.Start(process.tomb)
+	forwarder.Origins = origins
 	holders.SendPoisonRecords(process.tomb, process.ends)
 	jobs := platform.NewJobAPI(desk, ident.Zone(settings.Node.Zone), gate)
 	jobs.Held = process.heldBytes
--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -17,6 +17,7 @@
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/quota"
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
+	"mallowlatch.example/mallowlatch/internal/streamorigin"
 	"mallowlatch.example/mallowlatch/internal/transport"
 )
 
@@ -57,6 +58,12 @@
 	if settings.Node.DataFolder != "" {
 		process.ends.Persist(filepath.Join(settings.Node.DataFolder, endsFile))
 	}
+	origins := &streamorigin.Keeper{
+		Runners: process.runners, FirstStart: settings.Node.FirstStart, Logger: process.logger, Now: clock.Now, Date: clock.Date,
+	}
+	if err := process.openOrigins(origins); err != nil {
+		return err
+	}
 	worker.Start(process.tomb)
 	process.startDeliverer(handoffLog, worker)
 	ends := &jobpeer.PoisonRecordSync{Node: worker.Node, Watch: process.ends, Workers: worker.Registered, Peers: peers}
@@ -69,7 +76,7 @@
 		return follower.Fallback{First: worker.IsRelay(), RelaysToOthers: true, Workers: len(worker.Registered())}
 	}
 	process.follow(orders)
-	if err := process.servePeers(worker, feed); err != nil {
+	if err := process.servePeers(worker, feed, origins); err != nil {
 		return err
 	}
 	process.waitForStop()
@@ -130,19 +137,35 @@
 	return outputs, nil
 }
 
+// originsFolder is the folder, below the data folder, of the software versions at which streams of other nodes began.
+const originsFolder = "origins"
+
+// openOrigins loads and begins to keep where streams of other nodes began, in memory only if the machine has no disk.
+func (p *process) openOrigins(origins *streamorigin.Keeper) error {
+	folder := ""
+	if p.settings.Node.DataFolder != "" {
+		folder = filepath.Join(p.settings.Node.DataFolder, originsFolder)
+	}
+	if err := origins.Open(folder); err != nil {
+		return fmt.Errorf("opening the origins of streams: %w", err)
+	}
+	origins.Start(p.tomb)
+	return nil
+}
+
 // endsFile is the file, below the data folder, that records which requests crash their runners, so that this survives
 // a restart of the process.
 const endsFile = "ends.json"
 
 // servePeers serves the worker's calls and its fleet feed to other nodes.
-func (p *process) servePeers(worker *jobworker.Worker, feed *fleetfeed.Feed) error {
+func (p *process) servePeers(worker *jobworker.Worker, feed *fleetfeed.Feed, origins *streamorigin.Keeper) error {
 	listener, err := net.Listen("tcp4", p.settings.Listen.Peers)
 	if err != nil {
 		return fmt.Errorf("listening on %s: %w", p.settings.Listen.Peers, err)
 	}
 	server := transport.NewServer(transport.ServerOptions{PrivateNetwork: true, Logger: p.logger})
 	if err := server.Register(&jobpeer.WorkerServer{
-		Worker: worker, Ledger: quota.NewLedger(p.settings.Bounds.QuotaWindow(), clock.Now()),
+		Worker: worker, Ledger: quota.NewLedger(p.settings.Bounds.QuotaWindow(), clock.Now()), Origins: origins,
 	}, jobpeer.Description{}); err != nil {
 		return fmt.Errorf("serving other nodes: %w", err)
 	}
--- a/internal/failure/code.go
+++ b/internal/failure/code.go
@@ -27,6 +27,7 @@
 	CodeNoBackend            Code = "no_backend"
 	CodeBackendFailed        Code = "backend_failed"
 	CodeStreamInterrupted    Code = "stream_interrupted"
+	CodeNotResumable         Code = "stream_not_resumable"
 	CodeEndsRunners          Code = "request_ends_runners"
 	CodeShardUnavailable     Code = "job_storage_unavailable"
 	CodeTooFewCopies         Code = "too_few_copies"
@@ -62,6 +63,7 @@
 	CodeNoBackend:            http.StatusServiceUnavailable,
 	CodeBackendFailed:        http.StatusBadGateway,
 	CodeStreamInterrupted:    http.StatusBadGateway,
+	CodeNotResumable:         http.StatusServiceUnavailable,
 	CodeEndsRunners:          http.StatusBadGateway,
 	CodeShardUnavailable:     http.StatusServiceUnavailable,
 	CodeTooFewCopies:         http.StatusServiceUnavailable,
--- a/internal/jobpeer/message.go
+++ b/internal/jobpeer/message.go
@@ -23,6 +23,7 @@
 	"mallowlatch.example/mallowlatch/internal/poison"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/quota"
+	"mallowlatch.example/mallowlatch/internal/streamorigin"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -42,6 +43,9 @@
 	methodEnds     = "/mallowlatch.jobpeer.Jobs/Ends"
 	methodQuota    = "/mallowlatch.jobpeer.Jobs/Quota"
 	methodRoom     = "/mallowlatch.jobpeer.Jobs/Room"
+	// A worker of an earlier build does not answer these two.
+	methodKeepOrigins = "/mallowlatch.jobpeer.Jobs/KeepOrigins"
+	methodFindOrigin  = "/mallowlatch.jobpeer.Jobs/FindOrigin"
 )
 
 // ResultsQuery asks for the results of a job, starting at position From.
@@ -193,13 +197,15 @@
 	Ends(ctx context.Context, request *EndsRequest) (*EndsReply, error)
 	Quota(ctx context.Context, spending *quota.NodeReport) (*quota.Answer, error)
 	Room(ctx context.Context, request *RoomRequest) (*RoomReply, error)
+	KeepOrigins(ctx context.Context, request *KeepOriginsRequest) (*KeepOriginsReply, error)
+	FindOrigin(ctx context.Context, query *FindOriginQuery) (*streamorigin.Answer, error)
 }
 
 // Description registers a Server with a drpc.Mux.
 type Description struct{}
 
 // NumMethods implements drpc.Description.
-func (Description) NumMethods() int { return 14 }
+func (Description) NumMethods() int { return 16 }
 
 // Method implements drpc.Description.
 func (Description) Method(index int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -232,6 +238,10 @@
 		return methodQuota, jsoncall.Encoding{}, receiveQuota, Server.Quota, true
 	case 13:
 		return methodRoom, jsoncall.Encoding{}, receiveRoom, Server.Room, true
+	case 14:
+		return methodKeepOrigins, jsoncall.Encoding{}, receiveKeepOrigins, Server.KeepOrigins, true
+	case 15:
+		return methodFindOrigin, jsoncall.Encoding{}, receiveFindOrigin, Server.FindOrigin, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -291,3 +301,11 @@
 func receiveRoom(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 	return server.(Server).Room(ctx, in.(*RoomRequest))
 }
+
+func receiveKeepOrigins(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).KeepOrigins(ctx, in.(*KeepOriginsRequest))
+}
+
+func receiveFindOrigin(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return server.(Server).FindOrigin(ctx, in.(*FindOriginQuery))
+}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -9,6 +9,7 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/quota"
+	"mallowlatch.example/mallowlatch/internal/streamorigin"
 )
 
 // maxQueryWait is the maximum time that a query may wait for a result.
@@ -19,6 +20,8 @@
 	Worker *jobworker.Worker
 	// Ledger contains the quota accounts of the tenants whose account holder this worker is.
 	Ledger *quota.Ledger
+	// Origins keeps where streams of other nodes began.
+	Origins *streamorigin.Keeper
 }
 
 // Results implements Server.
--- a/internal/jobpeer/workerclient.go
+++ b/internal/jobpeer/workerclient.go
@@ -182,7 +182,10 @@
 		h.Reach.Answered()
 		return true
 	}
-	if ctx.Err() == nil {
+	switch {
+	case isUnknownCall(err):
+		// The worker answers; its build is older.
+	case ctx.Err() == nil:
 		h.Reach.Failed(h.Now())
 		h.skip(address)
 	}
--- a/internal/jobworker/burst_test.go
+++ b/internal/jobworker/burst_test.go
@@ -142,7 +142,7 @@
 	for zone := range fleetZones {
 		for index := range zoneRunners {
 			f.runners = append(f.runners, work.Runner{
-				ID: ident.Incarnation(fmt.Sprintf("i-%d-%d", zone, index)), Service: "s", Address: "a", Zone: zoneNamed(zone), Slots: runnerSlots,
+				ID: ident.Incarnation(fmt.Sprintf("i-%d-%d", zone, index)), Service: "s", Address: "a", Zone: zoneNamed(zone), Slots: runnerSlots, Version: "v1",
 			})
 		}
 	}
--- a/internal/jobworker/claim_bench_test.go
+++ b/internal/jobworker/claim_bench_test.go
@@ -21,7 +21,7 @@
 	table := runnertable.New("z")
 	var runners []work.Runner
 	for i := range 72 {
-		runners = append(runners, work.Runner{ID: ident.Incarnation(fmt.Sprint("i", i)), Service: "s", Zone: "z", Slots: 8})
+		runners = append(runners, work.Runner{ID: ident.Incarnation(fmt.Sprint("i", i)), Service: "s", Version: "v1", Zone: "z", Slots: 8})
 	}
 	table.Replace(runners, time.Now(), true)
 	w := &Worker{Node: "w", Zone: "z", Routes: routes, Runners: table, Options: DefaultOptions, Logger: zerolog.Nop(), Now: time.Now, lease: 1, open: map[ident.Job]*openJob{}}
--- a/internal/jobworker/demand_bench_test.go
+++ b/internal/jobworker/demand_bench_test.go
@@ -21,7 +21,7 @@
 	runners := runnertable.New("a")
 	var listed []work.Runner
 	for index := range 153 {
-		listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprint("r-", index)), Service: "s", Zone: "a", Slots: 5})
+		listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprint("r-", index)), Service: "s", Version: "v1", Zone: "a", Slots: 5})
 	}
 	runners.Replace(listed, now, true)
 	workers := map[ident.Node]jobrecord.Worker{}
--- a/internal/jobworker/demand_test.go
+++ b/internal/jobworker/demand_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	now := time.Now()
 	runners := runnertable.New("a")
-	runners.Replace([]work.Runner{{ID: "r", Service: "s", Zone: "a", Slots: 4}, {ID: "other", Service: "s", Zone: "b", Slots: 4}}, now, true)
+	runners.Replace([]work.Runner{{ID: "r", Service: "s", Version: "v1", Zone: "a", Slots: 4}, {ID: "other", Service: "s", Version: "v1", Zone: "b", Slots: 4}}, now, true)
 	routes := &routetable.Table{}
 	routes.Adopt(&work.Catalog{Version: 1, Routes: []work.Route{
 		{Name: "batch", Host: "h", PathPrefix: "/b/", Kind: work.Batch, Objective: time.Millisecond, Split: []work.WeightedService{{Service: "s", Weight: 1}}},
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -7,6 +7,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/batchcapacity"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -88,7 +89,7 @@
 		}
 		id, found := w.pickRunner(service, item, now)
 		if !found {
-			full[service] = len(item.avoid) == 0
+			full[service] = len(item.avoid) == 0 && item.lastEvent == 0
 			continue
 		}
 		if w.start(item, service, route, id, now) {
@@ -127,29 +128,69 @@
 // would otherwise take one item after another.
 const maxFailureRate = 0.4
 
-// pickRunner returns the runner of a service with the most free slots for batch items, among those this node owns that
-// neither fail nor failed the item before. If all of them failed the item, it goes to any that does not fail now.
+// pickRunner returns the runner of a service for an item. One with output goes on at a runner that may go on with it; if none of them
+// has had a free slot for originPatience, the item begins anew at any.
 func (w *Worker) pickRunner(service string, item *itemRun, now time.Time) (ident.Incarnation, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if item.lastEvent == 0 {
+		return w.pickAny(service, item.avoid, nil, now)
+	}
+	if id, found := w.pickAny(service, item.avoid, &item.origin, now); found {
+		item.waitsForOrigin = time.Time{}
+		return id, true
+	}
+	if item.waitsForOrigin.IsZero() {
+		item.waitsForOrigin = now
+	}
+	if now.Sub(item.waitsForOrigin) < originPatience && w.servesOrigin(&item.origin) {
+		return "", false
+	}
+	id, found := w.pickAny(service, item.avoid, nil, now)
+	if found {
+		item.beginAnew()
+	}
+	return id, found
+}
+
+// originPatience is how long an item waits for a slot at a runner that may go on with its output. A run takes a few seconds, so that more
+// would cost more than it saves.
+const originPatience = time.Second
+
+// servesOrigin reports whether any runner may go on with what began at the origin. The caller must hold the mutex.
+func (w *Worker) servesOrigin(origin *work.Origin) bool {
+	return slices.ContainsFunc(w.owned(origin.Service), origin.Permits) || slices.ContainsFunc(w.borrowedRunners(origin.Service), origin.Permits)
+}
+
+// beginAnew drops the output of an item. The caller must hold the worker's mutex.
+func (i *itemRun) beginAnew() {
+	i.text.Reset()
+	i.lastEvent, i.lastEventRun, i.mirrored = 0, progress.RunID{}, 0
+	i.origin, i.waitsForOrigin = work.Origin{}, time.Time{}
+}
+
+// pickAny returns the runner of a service with the most free slots for batch items, among those this node owns or borrows that neither
+// fail nor failed the item before, and that may go on with what began at the origin; nil permits all. If all of them failed the item, it
+// goes to any that does not fail now. The caller must hold the mutex.
+func (w *Worker) pickAny(service string, avoid map[ident.Incarnation]bool, origin *work.Origin, now time.Time) (ident.Incarnation, bool) {
 	owned := w.owned(service)
-	best, found := w.pickFrom(owned, item.avoid, now)
+	best, found := w.pickFrom(owned, avoid, origin, now)
 	if !found {
-		best, found = w.pickBorrowedRunner(service, item.avoid, now)
+		best, found = w.pickBorrowedRunner(service, avoid, origin, now)
 	}
-	if !found && len(item.avoid) > 0 && len(item.avoid) >= len(owned) {
-		return w.pickFrom(owned, nil, now)
+	if !found && len(avoid) > 0 && len(avoid) >= len(owned) {
+		return w.pickFrom(owned, nil, origin, now)
 	}
 	return best, found
 }
 
 // pickBorrowedRunner returns the runner with the most free borrowed slots, preferring runners in this zone. The caller
 // must hold the mutex.
-func (w *Worker) pickBorrowedRunner(service string, avoid map[ident.Incarnation]bool, now time.Time) (ident.Incarnation, bool) {
+func (w *Worker) pickBorrowedRunner(service string, avoid map[ident.Incarnation]bool, origin *work.Origin, now time.Time) (ident.Incarnation, bool) {
 	var best work.Runner
 	bestFree := 0.0
 	for _, runner := range w.borrowedRunners(service) {
-		if avoid[runner.ID] || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
+		if avoid[runner.ID] || origin != nil && !origin.Permits(runner) || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
 			continue
 		}
 		free := w.pacedSlots(w.freeBorrowedSlots(runner.ID, now), runner.ID, now)
@@ -162,14 +203,14 @@
 }
 
 // pickFrom returns the given runner with the most free slots for batch items. The caller must hold the mutex.
-func (w *Worker) pickFrom(runners []work.Runner, avoid map[ident.Incarnation]bool, now time.Time) (ident.Incarnation, bool) {
+func (w *Worker) pickFrom(runners []work.Runner, avoid map[ident.Incarnation]bool, origin *work.Origin, now time.Time) (ident.Incarnation, bool) {
 	var best ident.Incarnation
 	bestFree := 0.0
 	if w.spareSlots(runners, now) == 0 {
 		return best, false
 	}
 	for _, runner := range runners {
-		if avoid[runner.ID] || w.unresponsive(runner.ID) || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
+		if avoid[runner.ID] || origin != nil && !origin.Permits(runner) || w.unresponsive(runner.ID) || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
 			continue
 		}
 		if free := w.pacedSlots(w.free(runner, now), runner.ID, now); free > bestFree {
@@ -369,7 +410,8 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.mutex.Lock()
-	if item.job.dropped || item.finished || item.running {
+	changedVersion := item.lastEvent > 0 && !item.origin.Permits(flight.Runner)
+	if item.job.dropped || item.finished || item.running || changedVersion {
 		w.mutex.Unlock()
 		cancel()
 		flight.End()
--- a/internal/jobworker/fleetsize_test.go
+++ b/internal/jobworker/fleetsize_test.go
@@ -31,7 +31,7 @@
 	for zone := range zones {
 		name := ident.Zone(fmt.Sprint("z-", zone))
 		for index := range fleetRunnersPerZone {
-			listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprint("r-", zone, "-", index)), Service: "s", Zone: name, Slots: 8})
+			listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprint("r-", zone, "-", index)), Service: "s", Version: "v1", Zone: name, Slots: 8})
 		}
 		for index := range fleetWorkersPerZone {
 			node := ident.Node(fmt.Sprint("w-", zone, "-", index))
@@ -102,7 +102,7 @@
 			w.dueBorrowCalls(now)
 			w.usableSlots("s", now)
 			w.freeSlots("s", now)
-			w.pickBorrowedRunner("s", nil, now)
+			w.pickBorrowedRunner("s", nil, nil, now)
 		}
 	})
 }
@@ -139,7 +139,7 @@
 		var listed []work.Runner
 		for zone := range 10 {
 			for index := range runnersPerZone {
-				listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprint("s-", zone, "-", index)), Service: "s", Zone: ident.Zone(fmt.Sprint("z-", zone))})
+				listed = append(listed, work.Runner{ID: ident.Incarnation(fmt.Sprint("s-", zone, "-", index)), Service: "s", Version: "v1", Zone: ident.Zone(fmt.Sprint("z-", zone))})
 			}
 		}
 		w.Runners.Replace(listed, time.Now(), true)
--- a/internal/jobworker/follow_test.go
+++ b/internal/jobworker/follow_test.go
@@ -26,7 +26,7 @@
 	m := &meteredGroup{group: newGroup(t), peers: &localMirrors{workers: map[string]*jobworker.Worker{}}, meters: map[ident.Node]*storemeter.Store{}}
 	var runners []work.Runner
 	for index := range 4 * workers {
-		runners = append(runners, work.Runner{ID: ident.Incarnation(fmt.Sprint("i-", index)), Service: "s", Address: "a", Zone: "z", Slots: 4})
+		runners = append(runners, work.Runner{ID: ident.Incarnation(fmt.Sprint("i-", index)), Service: "s", Version: "v1", Address: "a", Zone: "z", Slots: 4})
 	}
 	for index := range workers {
 		node := ident.Node(fmt.Sprintf("w-%02d", index))
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -68,6 +68,10 @@
 	// text is the data of the events so far, lastEvent the id of the last one.
 	text      bytes.Buffer
 	lastEvent int64
+	// origin is where the output so far began; zero without output. waitsForOrigin is since when no runner that may go on with it has a
+	// free slot; zero while one has.
+	origin         work.Origin
+	waitsForOrigin time.Time
 	// currentRun is the run in progress, lastEventRun the one that produced the last event.
 	currentRun, lastEventRun progress.RunID
 	// mirrored is how many bytes of the text the mirror peer has, and mirroredRun the run that produced the end of them.
--- a/internal/jobworker/lend_test.go
+++ b/internal/jobworker/lend_test.go
@@ -86,7 +86,7 @@
 	now := time.Now()
 	var runners []work.Runner
 	for _, id := range []ident.Incarnation{"r-1", "r-2", "r-3"} {
-		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "a", Slots: 5})
+		runners = append(runners, work.Runner{ID: id, Service: "s", Version: "v1", Zone: "a", Slots: 5})
 		w.gaugeOf(id).gauge.Observe(work.Load{}, 0, 0, now)
 	}
 	w.Runners.Replace(runners, now, true)
--- a/internal/jobworker/mirror.go
+++ b/internal/jobworker/mirror.go
@@ -11,6 +11,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/rendezvous"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 const (
@@ -141,7 +142,7 @@
 		}
 		text := append([]byte(nil), item.text.Bytes()[item.mirrored:]...)
 		update.Pieces = append(update.Pieces, progress.OutputPart{
-			Item: item.item.ID, Run: item.lastEventRun, Before: item.mirroredRun, Offset: item.mirrored, LastEvent: item.lastEvent, Text: text,
+			Item: item.item.ID, Run: item.lastEventRun, Before: item.mirroredRun, Offset: item.mirrored, LastEvent: item.lastEvent, Text: text, Origin: item.origin,
 		})
 		pieces = append(pieces, pendingPiece{item: item, length: item.text.Len(), lastEventRun: item.lastEventRun})
 	}
@@ -221,17 +222,18 @@
 	}
 }
 
-// resume makes the job's items continue after the mirrored output. It returns how many do.
+// resume makes the job's items continue after the mirrored output. It returns how many do. Output without an origin, which earlier builds
+// mirrored, cannot be continued.
 func (j *jobRun) resume(mirrored map[ident.Request]progress.Output) int {
 	resumed := 0
 	for _, item := range j.items {
 		output := mirrored[item.item.ID]
-		if item.finished || output.LastEvent <= item.lastEvent {
+		if item.finished || output.LastEvent <= item.lastEvent || output.Origin == (work.Origin{}) {
 			continue
 		}
 		item.text.Reset()
 		item.text.Write(output.Text)
-		item.lastEvent, item.lastEventRun = output.LastEvent, output.Run
+		item.lastEvent, item.lastEventRun, item.origin = output.LastEvent, output.Run, output.Origin
 		resumed++
 	}
 	return resumed
--- a/internal/jobworker/orphans_test.go
+++ b/internal/jobworker/orphans_test.go
@@ -53,7 +53,7 @@
 	t.Helper()
 	runners := runnertable.New("z")
 	runners.Replace([]work.Runner{
-		{ID: "a", Service: "s", Zone: "z", Slots: 8}, {ID: "b", Service: "s", Zone: "z", Slots: 8},
+		{ID: "a", Service: "s", Version: "v1", Zone: "z", Slots: 8}, {ID: "b", Service: "s", Version: "v1", Zone: "z", Slots: 8},
 	}, time.Now(), true)
 	routes := &routetable.Table{}
 	routes.Adopt(&work.Catalog{Version: 1})
@@ -107,7 +107,7 @@
 	eventually(t, "orphaned runs are reported", func() bool { return next()["a"].Orphans == 8 })
 	assert.Equal(t, next()["b"].Orphans, 0)
 	w.mutex.Lock()
-	free := w.free(work.Runner{ID: "b", Service: "s", Zone: "z", Slots: 8}, w.Now())
+	free := w.free(work.Runner{ID: "b", Service: "s", Version: "v1", Zone: "z", Slots: 8}, w.Now())
 	w.mutex.Unlock()
 	assert.Assert(t, free <= 4, "items would take the slots of requests not reported yet")
 	caller.set("a", 0)
@@ -171,7 +171,7 @@
 	start := time.Now()
 	r := &orphanRig{start: start, now: start}
 	runners := runnertable.New("z")
-	runners.Replace([]work.Runner{{ID: "a", Service: "s", Zone: "z", Slots: 8}}, start, true)
+	runners.Replace([]work.Runner{{ID: "a", Service: "s", Version: "v1", Zone: "z", Slots: 8}}, start, true)
 	r.Worker = &Worker{
 		Node: "w", Zone: "z", Runners: runners, Routes: &routetable.Table{}, Logger: zerolog.Nop(), Now: func() time.Time { return r.now },
 		tomb: new(tomb.Tomb), gauges: map[ident.Incarnation]*runnerGauge{},
--- a/internal/jobworker/pace_test.go
+++ b/internal/jobworker/pace_test.go
@@ -65,7 +65,7 @@
 	w.Now = func() time.Time { return now }
 	var runners []work.Runner
 	for _, id := range []ident.Incarnation{"a", "b"} {
-		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "a", Slots: 9})
+		runners = append(runners, work.Runner{ID: id, Service: "s", Version: "v1", Zone: "a", Slots: 9})
 		w.gaugeOf(id).gauge.Observe(work.Load{}, 0, 0, now)
 	}
 	w.Runners.Replace(runners, now, true)
@@ -73,7 +73,7 @@
 	pick := func() ident.Incarnation {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
-		id, found := w.pickFrom(w.owned("s"), nil, now)
+		id, found := w.pickFrom(w.owned("s"), nil, nil, now)
 		assert.Assert(t, found)
 		return id
 	}
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -206,14 +206,14 @@
 		}
 		now := w.Now()
 		flight.EventReceived(now)
-		if err := w.appendEvent(item, next, now); err != nil {
+		if err := w.appendEvent(item, flight.Runner, next, now); err != nil {
 			return err
 		}
 	}
 }
 
-// appendEvent appends one event, which must directly follow the last one.
-func (w *Worker) appendEvent(item *itemRun, next eventstream.Event, now time.Time) error {
+// appendEvent appends one event of a runner, which must directly follow the last one.
+func (w *Worker) appendEvent(item *itemRun, runner work.Runner, next eventstream.Event, now time.Time) error {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if next.ID != item.lastEvent+1 {
@@ -224,6 +224,8 @@
 	}
 	if item.lastEvent > 0 {
 		item.text.WriteByte('\n')
+	} else {
+		item.origin = work.OriginOf(runner)
 	}
 	item.text.Write(next.Data)
 	item.lastEvent, item.lastEventRun = next.ID, item.currentRun
--- a/internal/jobworker/worker_test.go
+++ b/internal/jobworker/worker_test.go
@@ -231,7 +231,7 @@
 }
 
 func oneRunner(id string) work.Runner {
-	return work.Runner{ID: ident.Incarnation(id), Service: "s", Address: id, Zone: "z", Slots: 8}
+	return work.Runner{ID: ident.Incarnation(id), Service: "s", Version: "v1", Address: id, Zone: "z", Slots: 8}
 }
 
 // TestEveryJobIsRunThoughSomeWorkersOwnNoRunner has more workers than runners: none may hold a job it cannot run.
@@ -355,7 +355,7 @@
 // during suspension it was sure at once.
 func TestWorkerIsNotSureOfItsJobsAfterSuspension(t *testing.T) {
 	g := newGroup(t)
-	runner := work.Runner{ID: "i-1", Service: "s", Address: "a", Zone: "z", Slots: 4}
+	runner := work.Runner{ID: "i-1", Service: "s", Version: "v1", Address: "a", Zone: "z", Slots: 4}
 	caller, store := &fakeCaller{held: true}, kvtest.NewPaged(g.data)
 	g.callers["w"], g.stores["w"] = caller, store
 	worker := g.start("w", store, caller, nil, runner)
--- a/internal/online/bufferedstream_test.go
+++ b/internal/online/bufferedstream_test.go
@@ -150,7 +150,7 @@
 
 func newSlowCallerSite(memory int64, events []string, pause func(int) time.Duration) *slowCallerSite {
 	table := runnertable.New("z")
-	table.Replace([]work.Runner{{ID: "1", Service: "s", Zone: "z", Slots: 4}}, time.Now(), true)
+	table.Replace([]work.Runner{{ID: "1", Service: "s", Version: "v1", Zone: "z", Slots: 4}}, time.Now(), true)
 	site := &slowCallerSite{
 		caller: &pacedCaller{events: events, pause: pause},
 		held:   memorybudget.New[ident.Tenant, string](memorybudget.LimitsOf(memory)),
@@ -270,7 +270,7 @@
 		events := numberedEvents(20, 2<<10)
 		site := newSlowCallerSite(1<<20, events, always(time.Millisecond))
 		table := runnertable.New("z")
-		table.Replace([]work.Runner{{ID: "1", Service: "s", Zone: "z", Slots: 100}}, time.Now(), true)
+		table.Replace([]work.Runner{{ID: "1", Service: "s", Version: "v1", Zone: "z", Slots: 100}}, time.Now(), true)
 		site.forwarder.Runners = table
 		var serving sync.WaitGroup
 		for index := range 40 {
@@ -307,7 +307,7 @@
 			}
 			return 10 * time.Millisecond
 		})
-		site.forwarder.Runners.Replace([]work.Runner{{ID: "1", Service: "s", Zone: "z", Slots: 4}, {ID: "2", Service: "s", Zone: "z", Slots: 4}}, time.Now(), true)
+		site.forwarder.Runners.Replace([]work.Runner{{ID: "1", Service: "s", Version: "v1", Zone: "z", Slots: 4}, {ID: "2", Service: "s", Version: "v1", Zone: "z", Slots: 4}}, time.Now(), true)
 		writer := newPacedReader(always(400 * time.Millisecond))
 		assert.NilError(t, site.serve(t.Context(), "c", writer))
 		assert.Equal(t, writer.body.String(), strings.Join(events, ""))
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -42,6 +42,9 @@
 	headSent bool
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent int64
+	// stream is the id of the client attempt that brought the first event, origin where that event came from; nil before it.
+	stream ident.Request
+	origin *work.Origin
 	// slot is that of the last attempt.
 	slot *slot
 	// sent is when the last attempt was sent.
@@ -110,6 +113,8 @@
 // pickFailed returns the final error of a request for which no runner was chosen.
 func (e *exchange) pickFailed(err error) error {
 	switch {
+	case errors.Is(err, runnertable.ErrNoRunner) && e.origin != nil:
+		return e.refuseResumption(err)
 	case errors.Is(err, errNoSlotInTime):
 		e.queue.recordHeldBack(e.waiter)
 		return e.refusal(failure.CodeOverloaded, "no runner has a place in time", err)
@@ -128,7 +133,7 @@
 	pickRequest := runnertable.PickRequest{
 		Service: e.service, Class: runnertable.Online, Prefix: e.request.Prefix,
 		PromptTokens: e.request.PromptTokens, Tokens: e.request.PromptTokens + e.request.MaximumTokens, Bytes: len(e.request.Body),
-		Objective: e.route.Objective, Pause: e.route.Pause, Exclude: e.tried,
+		Objective: e.route.Objective, Pause: e.route.Pause, Exclude: e.tried, Origin: e.origin,
 	}
 	if waits {
 		pickRequest.RefusedBy, pickRequest.NoQueueing, pickRequest.Late = e.full, e.queue.isYielding(e.waiter), e.late()
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -64,6 +64,8 @@
 	Now    func() time.Time
 	// Owners are queried before a runner is chosen if runners report their pace; nil disables these queries.
 	Owners Owners
+	// Origins finds where streams began that are taken up here; nil means that the table of runners alone must tell.
+	Origins Origins
 	// RequestSlots triggers requests for slots to the owners of runners when a request waits for rationed slots; it may be nil. It
 	// must not block.
 	RequestSlots func()
@@ -83,9 +85,12 @@
 	exchange := &exchange{
 		forwarder: f, ctx: ctx, route: route, request: request, writer: writer, deadline: deadline,
 		service: service, tried: map[ident.Incarnation]bool{}, full: map[ident.Incarnation]bool{},
-		lastEvent: request.ResumeAfter, outcome: outcome.NotRun,
+		lastEvent: request.ResumeAfter, outcome: outcome.NotRun, stream: streamOf(request),
 		queue: queue, waiter: queue.waiter(request, route, onTimeDeadline(route, request, deadline), deadline.Add(-minBudget)),
 	}
+	if err := exchange.findOrigin(); err != nil {
+		return err
+	}
 	return exchange.run()
 }
 
--- a/internal/online/memory_test.go
+++ b/internal/online/memory_test.go
@@ -40,7 +40,7 @@
 	s := &memorySite{}
 	table := runnertable.New("z")
 	for _, id := range []ident.Incarnation{"1", "2", "3", "4", "5", "6"} {
-		s.runners = append(s.runners, work.Runner{ID: id, Service: "s", Zone: "z", Slots: 8})
+		s.runners = append(s.runners, work.Runner{ID: id, Service: "s", Version: "v1", Zone: "z", Slots: 8})
 	}
 	table.Replace(s.runners, time.Now(), true)
 	s.forwarder = &online.Forwarder{Runners: table, Caller: s, Logger: zerolog.Nop(), Now: time.Now}
--- /dev/null
+++ b/internal/online/origin.go
@@ -0,0 +1,84 @@
+package online
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"mallowlatch.example/mallowlatch/internal/failure"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/streamorigin"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// What runners of two software versions write does not fit together, and runners do not check that. A stream therefore goes on only at
+// a runner of the version that began it, within an answer and over the attempts of its client; one whose version is unknown does not go on.
+
+// Origins remembers where streams began, over all nodes.
+type Origins interface {
+	// Begun records where a stream began. It must not block.
+	Begun(stream ident.Request, origin work.Origin)
+	// Find returns where a stream began that is served by one of the services. Its error wraps streamorigin.ErrUnknown or
+	// streamorigin.ErrOutOfReach.
+	Find(ctx context.Context, stream ident.Request, services []string) (work.Origin, error)
+}
+
+// streamOf returns the id under which the origin of a request's stream is recorded.
+func streamOf(request *work.Request) ident.Request {
+	if request.ResumeAfter > 0 {
+		return request.Resumes
+	}
+	return request.ID
+}
+
+// findOrigin finds where a stream began that the client takes up. Its error is the final one.
+func (e *exchange) findOrigin() error {
+	if e.request.ResumeAfter <= 0 {
+		return nil
+	}
+	origin, err := e.forwarder.findOrigin(e.ctx, e.stream, e.route)
+	if err == nil && !e.route.Serves(origin.Service) {
+		err = fmt.Errorf("%w: service %s no longer serves the route", streamorigin.ErrUnknown, origin.Service)
+	}
+	if err != nil {
+		return e.refuseResumption(err)
+	}
+	e.origin, e.service = &origin, origin.Service
+	e.queue = e.forwarder.queueOf(origin.Service)
+	return nil
+}
+
+func (f *Forwarder) findOrigin(ctx context.Context, stream ident.Request, route *work.Route) (work.Origin, error) {
+	services := route.Services()
+	if f.Origins != nil {
+		return f.Origins.Find(ctx, stream, services)
+	}
+	versions := f.Runners.Versions(services[0], f.Now())
+	if len(services) > 1 || len(versions) != 1 || versions[0] == "" {
+		return work.Origin{}, streamorigin.ErrUnknown
+	}
+	return work.Origin{Service: services[0], Version: versions[0]}, nil
+}
+
+// refuseResumption returns the final error of a stream that cannot go on. Its client is told to come back only if nodes that may know
+// where the stream began were out of reach.
+func (e *exchange) refuseResumption(cause error) error {
+	refused := failure.New(failure.CodeNotResumable, "no runner can go on with the stream").WithOutcome(e.outcome).WithCause(cause)
+	if errors.Is(cause, streamorigin.ErrOutOfReach) {
+		return refused.WithRetryAfter(minRetryAfter)
+	}
+	return refused
+}
+
+// recordOrigin records where the stream began, at the first event that is sent to the caller. A stream that was taken up is recorded
+// under its first attempt again, so that more nodes know it.
+func (e *exchange) recordOrigin(flight *runnertable.Flight) {
+	if e.origin == nil {
+		origin := work.OriginOf(flight.Runner)
+		e.origin = &origin
+	}
+	if e.forwarder.Origins != nil && e.route.Resumable && e.stream != "" {
+		e.forwarder.Origins.Begun(e.stream, *e.origin)
+	}
+}
--- a/internal/online/poison_test.go
+++ b/internal/online/poison_test.go
@@ -123,7 +123,7 @@
 func TestStreamThatEndsItsRunnersIsNotResumed(t *testing.T) {
 	caller := &endingCaller{scriptedCaller: scriptedCaller{replies: []*work.Reply{stream(firstEvent, false), stream(secondEvent, true)}}}
 	forwarder := busySite(caller)
-	forwarder.Runners.Replace([]work.Runner{{ID: "1", Service: "s", Zone: "z", Slots: slots}, {ID: "2", Service: "s", Zone: "z", Slots: slots}}, time.Now(), true)
+	forwarder.Runners.Replace([]work.Runner{{ID: "1", Service: "s", Version: "v1", Zone: "z", Slots: slots}, {ID: "2", Service: "s", Version: "v1", Zone: "z", Slots: slots}}, time.Now(), true)
 	w := newWatchedRequest(forwarder, caller, 2)
 	caller.ends = func() { w.end(1) }
 	writer := &recorder{}
--- a/internal/online/queue.go
+++ b/internal/online/queue.go
@@ -342,12 +342,13 @@
 }
 
 // pick chooses a runner once one has a slot. A request that a runner may have run, and a stream that has begun, can't be
-// rejected as not run: they wait for a slot at the runner, and here only until a runner has memory for them.
+// rejected as not run: they wait for a slot at the runner, and here only until a runner has memory for them. So does a stream that
+// was taken up: here it would make requests wait that may go to runners of other versions.
 func (e *exchange) pick() (*runnertable.Flight, error) {
 	if err := e.ctx.Err(); err != nil {
 		return nil, err
 	}
-	if e.runs > 0 || e.headSent {
+	if e.runs > 0 || e.headSent || e.origin != nil {
 		return e.pickForRetry()
 	}
 	waited := false
--- a/internal/online/refresh_test.go
+++ b/internal/online/refresh_test.go
@@ -83,7 +83,7 @@
 }
 
 func runnerOf(id ident.Incarnation, zone ident.Zone) work.Runner {
-	return work.Runner{ID: id, Service: "s", Zone: zone, Slots: 4}
+	return work.Runner{ID: id, Service: "s", Version: "v1", Zone: zone, Slots: 4}
 }
 
 // TestNoOwnerIsAskedForRunnersThatReportNoPace checks that owners are not queried if runners do not report their pace.
--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -100,6 +100,9 @@
 			return fmt.Errorf("%w: %d after %d", errOutOfOrder, next.ID, e.lastEvent)
 		}
 	}
+	if !e.headSent {
+		e.recordOrigin(e.slot.flight)
+	}
 	if err := e.sendHead(reply.Head, -1); err != nil {
 		return err
 	}
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -128,7 +128,7 @@
 	table := runnertable.New("z")
 	var runners []work.Runner
 	for _, id := range ids {
-		runners = append(runners, work.Runner{ID: id, Service: "s", Zone: "z", Slots: 4})
+		runners = append(runners, work.Runner{ID: id, Service: "s", Version: "v1", Zone: "z", Slots: 4})
 	}
 	table.Replace(runners, time.Now(), true)
 	caller := &scriptedCaller{replies: replies}
--- a/internal/online/storm_test.go
+++ b/internal/online/storm_test.go
@@ -84,7 +84,7 @@
 func (s *stormSite) start() {
 	s.started++
 	id := ident.Incarnation(fmt.Sprint("r", s.started))
-	s.runners[id] = &stormRunner{work: work.Runner{ID: id, Service: "s", Zone: "z", Slots: stormSlots}, ended: make(chan struct{})}
+	s.runners[id] = &stormRunner{work: work.Runner{ID: id, Service: "s", Version: "v1", Zone: "z", Slots: stormSlots}, ended: make(chan struct{})}
 }
 
 // listed returns the runners in the registry.
--- a/internal/progress/journal.go
+++ b/internal/progress/journal.go
@@ -114,7 +114,7 @@
 	for id, job := range j.jobs {
 		update := &Update{Job: id}
 		for _, stored := range job.outputs {
-			update.Pieces = append(update.Pieces, OutputPart{Item: stored.Item, Run: stored.Run, LastEvent: stored.LastEvent, Text: stored.Text})
+			update.Pieces = append(update.Pieces, OutputPart{Item: stored.Item, Run: stored.Run, LastEvent: stored.LastEvent, Text: stored.Text, Origin: stored.Origin})
 		}
 		line, err := encodeUpdate(update)
 		if err == nil && int64(len(content)+len(line)) <= j.maxBytes/2 {
--- a/internal/progress/mirror.go
+++ b/internal/progress/mirror.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 const (
@@ -40,6 +41,8 @@
 	// LastEvent is the id of the last event of the output including this piece.
 	LastEvent int64  `json:"last_event"`
 	Text      []byte `json:"text"`
+	// Origin is where the output began. Earlier builds send none.
+	Origin work.Origin `json:"origin,omitzero"`
 }
 
 // Update holds additions to the outputs of the items of a job.
@@ -55,6 +58,8 @@
 	Run       RunID  `json:"run"`
 	LastEvent int64  `json:"last_event"`
 	Text      []byte `json:"text"`
+	// Origin is where the output began; zero if that is unknown.
+	Origin work.Origin `json:"origin,omitzero"`
 }
 
 // Mirror stores outputs for other nodes. The zero Mirror is empty. It is safe for concurrent use.
@@ -119,7 +124,7 @@
 	j.outputs[piece.Item] = stored
 	stored.Run = piece.Run
 	stored.Text = append(stored.Text, piece.Text...)
-	stored.LastEvent = piece.LastEvent
+	stored.LastEvent, stored.Origin = piece.LastEvent, piece.Origin
 	grown = len(stored.Text) - before
 	j.bytes += grown
 	return grown, true
@@ -172,7 +177,7 @@
 	outputs := make([]Output, 0, len(job.outputs))
 	for _, stored := range job.outputs {
 		outputs = append(outputs, Output{
-			Item: stored.Item, Run: stored.Run, LastEvent: stored.LastEvent, Text: append([]byte(nil), stored.Text...),
+			Item: stored.Item, Run: stored.Run, LastEvent: stored.LastEvent, Text: append([]byte(nil), stored.Text...), Origin: stored.Origin,
 		})
 	}
 	return outputs
--- a/internal/runnertable/list.go
+++ b/internal/runnertable/list.go
@@ -56,7 +56,7 @@
 			change.Retained = append(change.Retained, id)
 			continue
 		}
-		t.remove(id, known)
+		t.remove(id, known, now)
 		change.Removed = append(change.Removed, id)
 		change.Addresses = append(change.Addresses, known.runner.Address)
 		change.LongestMissing = max(change.LongestMissing, known.missingFor(now))
@@ -120,6 +120,10 @@
 // put adds or updates a listed runner. The caller holds the mutex.
 func (t *Table) put(runner work.Runner, now time.Time, change *Change) {
 	known := t.runners[runner.ID]
+	t.countVersion(runner, 1, now)
+	if known != nil {
+		t.countVersion(known.runner, -1, now)
+	}
 	switch {
 	case known == nil:
 		known = &entry{runner: runner, waiting: map[*Flight]time.Time{}, assumeFullUntil: now.Add(t.assumeFullFor)}
@@ -140,7 +144,8 @@
 }
 
 // remove removes a runner. The caller holds the mutex.
-func (t *Table) remove(id ident.Incarnation, known *entry) {
+func (t *Table) remove(id ident.Incarnation, known *entry, now time.Time) {
+	t.countVersion(known.runner, -1, now)
 	delete(t.runners, id)
 	delete(t.inUse, id)
 	delete(t.rationed, id)
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -72,6 +72,8 @@
 	// OwnersPolled says that the owners were polled before the choice. Runners whose owner did not answer in time then cost
 	// more.
 	OwnersPolled bool
+	// Origin is where the stream began that the runner goes on with; nil means that it begins one.
+	Origin *work.Origin
 	// Exclude holds the runners that the request was already sent to.
 	Exclude map[ident.Incarnation]bool
 	// RefusedBy holds the runners that refused the request recently because their slots were taken. If the map is nil, the
@@ -191,6 +193,9 @@
 
 // allowed excludes the runners that must never get the request.
 func (e *entry) allowed(pickRequest PickRequest) bool {
+	if pickRequest.Origin != nil && !pickRequest.Origin.Permits(e.runner) {
+		return false
+	}
 	return e.runner.State == work.Ready && !pickRequest.Exclude[e.runner.ID] && !e.health.replaced
 }
 
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -55,6 +55,9 @@
 	// slowPhases holds the counters for the log.
 	slowPhases SlowPhases
 	zones      zones
+	// versions holds the software versions of the runners of each service; newVersion is signalled when one is added.
+	versions   map[string]map[work.Version]*versionUse
+	newVersion chan struct{}
 	// assumeFullFor is how long runners of the next list count as full until there is information about them.
 	assumeFullFor time.Duration
 }
@@ -64,6 +67,7 @@
 	return &Table{
 		zone: zone, runners: map[ident.Incarnation]*entry{}, latest: map[ident.Runner]ident.Incarnation{},
 		services: map[string][]*entry{}, byZone: map[ident.Zone][]*entry{}, inUse: inUse{}, rationed: map[ident.Incarnation]*entry{}, timings: map[string]*serviceTimings{},
+		versions: map[string]map[work.Version]*versionUse{}, newVersion: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -175,6 +176,17 @@
 	return false
 }
 
+// Services returns the names of the services in the route's split, each once.
+func (r *Route) Services() []string {
+	var names []string
+	for _, part := range r.Split {
+		if !slices.Contains(names, part.Service) {
+			names = append(names, part.Service)
+		}
+	}
+	return names
+}
+
 // Service is a set of runners that do the same work.
 type Service struct {
 	Name       string
