--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/streamorigin"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -130,6 +131,11 @@
 
 // stream sends the item to the runner and reads its events. It returns the status of an answer that was read completely.
 func (w *Worker) stream(ctx context.Context, item *itemRun, request *work.Request, flight *runnertable.Flight) (int, error) {
+	if item.lastEvent > 0 {
+		if err := w.confirm(ctx, flight); err != nil {
+			return 0, err
+		}
+	}
 	reply, err := w.Caller.Send(ctx, work.Attempt{
 		Request: request, Runner: flight.Runner, Budget: maxRunTime, ResumeAfter: item.lastEvent,
 	})
@@ -156,6 +162,20 @@
 	return http.StatusOK, w.readEvents(item, flight, reply)
 }
 
+// confirm makes sure that a runner that is to go on with an item's output is the incarnation that the registry lists. Its error wraps
+// errRefused.
+func (w *Worker) confirm(ctx context.Context, flight *runnertable.Flight) error {
+	err := streamorigin.Confirm(ctx, w.Caller, flight.Runner)
+	if err == nil {
+		return nil
+	}
+	if streamorigin.IsReplaced(err) {
+		flight.Failed(runnertable.Replaced, w.Now())
+		w.Caller.Forget(flight.Runner)
+	}
+	return fmt.Errorf("%w: %w", errRefused, err)
+}
+
 // statusOf returns the status of a failure that was read completely and comes from the runner itself.
 func statusOf(reply *work.Reply, err error) (int, error) {
 	if err != nil {
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -99,6 +99,9 @@
 	e.slot = &slot{flight: flight, queue: e.queue, waiter: e.waiter, now: e.forwarder.Now, sent: e.sent, ctx: ctx, abort: cancel}
 	defer e.slot.release()
 	e.tried[flight.Runner.ID] = true
+	if err := e.confirm(ctx, flight); err != nil {
+		return err
+	}
 	budget = e.deadline.Sub(e.sent)
 	guard := e.guardSilence(cancel)
 	reply, err := e.forwarder.Caller.Send(ctx, work.Attempt{Request: e.request, Runner: flight.Runner, Budget: budget, ResumeAfter: e.lastEvent})
--- a/internal/online/origin.go
+++ b/internal/online/origin.go
@@ -71,6 +71,26 @@
 	return refused
 }
 
+// confirm makes sure that a runner that is to go on with the stream is the incarnation that the registry lists. It returns errTryAgain if
+// another one is to be asked.
+func (e *exchange) confirm(ctx context.Context, flight *runnertable.Flight) error {
+	if e.origin == nil {
+		return nil
+	}
+	err := streamorigin.Confirm(ctx, e.forwarder.Caller, flight.Runner)
+	if err == nil {
+		return nil
+	}
+	cause := runnertable.Unreachable
+	if streamorigin.IsReplaced(err) {
+		cause = runnertable.Replaced
+	}
+	flight.Failed(cause, e.forwarder.Now())
+	e.forwarder.Caller.Forget(flight.Runner)
+	e.logAttempt(flight, err)
+	return fmt.Errorf("%w: %w", errTryAgain, err)
+}
+
 // recordOrigin records where the stream began, at the first event that is sent to the caller. A stream that was taken up is recorded
 // under its first attempt again, so that more nodes know it.
 func (e *exchange) recordOrigin(flight *runnertable.Flight) {
--- a/internal/streamorigin/book.go
+++ b/internal/streamorigin/book.go
@@ -56,6 +56,7 @@
 func (b *Book) Add(record Record, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.expire(now)
 	known, exists := b.origins[record.Stream]
 	if exists {
 		if known.origin != record.Origin {
@@ -66,7 +67,6 @@
 	}
 	b.origins[record.Stream] = entry{origin: record.Origin, added: now}
 	b.order = append(b.order, record.Stream)
-	b.expire(now)
 }
 
 // Find returns the origin of a stream. recorded reports whether one was added; an origin without a version is not known all the same.
@@ -117,7 +117,7 @@
 func (b *Book) expire(now time.Time) {
 	for b.oldest < len(b.order) {
 		stream := b.order[b.oldest]
-		if len(b.origins) <= maxOrigins && now.Sub(b.origins[stream].added) <= retention {
+		if len(b.origins) < maxOrigins && now.Sub(b.origins[stream].added) <= retention {
 			break
 		}
 		delete(b.origins, stream)
