Say in the logs which parts of its prompt a broken request shares with others

Callers were not served, because requests that no line connects ended runner after runner: each has another fingerprint, and the lines name that alone. attempt_failed and item_run_broken name the fingerprints of the shared parts of the prompt now (all but the last one); items name theirs in their headers.

--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -19,6 +19,7 @@
 	"mallowlatch.example/mallowlatch/internal/sitesettings"
 	"mallowlatch.example/mallowlatch/internal/streamorigin"
 	"mallowlatch.example/mallowlatch/internal/transport"
+	"mallowlatch.example/mallowlatch/platform"
 )
 
 // drainReserve is the part of the grace period reserved for giving up the lease and exiting.
@@ -35,6 +36,7 @@
 		Caller: process.caller, PoisonWatch: process.ends, Key: settings.RequestFingerprintKey(), Registry: process.registry,
 		Options: options, Logger: process.logger, Now: clock.Now,
 	}
+	worker.PromptOf = platform.PromptOf
 	worker.Budget = process.heldBytes
 	worker.Restarted = !settings.Node.FirstStart
 	handoffLog, err := process.openHandoff()
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -76,7 +76,7 @@
 			item.notBefore = now.Add(pauseAfterFailure)
 			flight.Failed(failureOf(err), now)
 			event.ItemRunBroken.Log(w.Logger).Str("job", string(item.job.header.ID)).Str("item", string(item.item.ID)).
-				Str("print", string(w.Key.Of(request))).Str("runner", string(flight.Runner.ID)).
+				Str("print", string(w.Key.Of(request))).Interface("parts", w.Key.OfParts(request.Prefix)).Str("runner", string(flight.Runner.ID)).
 				Str("version", string(flight.Runner.Version)).Int64("last_event", item.lastEvent).Int("status", status).Err(err).Send()
 		}
 	}
@@ -203,10 +203,19 @@
 // requestOf returns the request for an item, without headers. The caller must hold the mutex.
 func (w *Worker) requestOf(item *itemRun) *work.Request {
 	return &work.Request{
-		ID: item.item.ID, Method: http.MethodPost, Path: item.item.Path, Host: item.job.header.Host, Body: item.body,
+		Prefix: w.promptOf(item),
+		ID:     item.item.ID, Method: http.MethodPost, Path: item.item.Path, Host: item.job.header.Host, Body: item.body,
 	}
 }
 
+// promptOf returns the parts of an item's prompt.
+func (w *Worker) promptOf(item *itemRun) []work.Part {
+	if w.PromptOf == nil {
+		return nil
+	}
+	return w.PromptOf(item.item.Headers)
+}
+
 // readEvents reads the events of a run. The output is complete only if the framing proves its end.
 func (w *Worker) readEvents(item *itemRun, flight *runnertable.Flight, reply *work.Reply) error {
 	reader := eventstream.NewReader(reply.Body)
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -112,8 +112,10 @@
 	// PoisonWatch tracks which items terminate the runners that run them; nil lets every item run.
 	PoisonWatch *poisonwatch.Watch
 	// Key is used to compute the fingerprints of items.
-	Key     poison.Key
-	Options Options
+	Key poison.Key
+	// PromptOf returns the parts of an item's prompt from its headers; nil means that items do not name them.
+	PromptOf func(headers map[string]string) []work.Part
+	Options  Options
 	// Handoff stores jobs that the store has not accepted yet; nil stores none.
 	Handoff *handoff.Log
 	// Mirrors carries the output of items to a second worker; nil disables mirroring.
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -52,6 +52,8 @@
 	outcome outcome.Outcome
 	// cachedFingerprint is the request's fingerprint, empty until first needed.
 	cachedFingerprint poison.Fingerprint
+	// cachedParts are the fingerprints of the parts of its prompt that others may share; nil until first needed.
+	cachedParts []poison.Fingerprint
 }
 
 // errTryAgain means that the request may be sent to another runner.
@@ -305,6 +307,7 @@
 	event.AttemptFailed.Log(e.forwarder.Logger).
 		Str("request", string(e.request.ID)).
 		Str("print", string(e.fingerprint())).
+		Interface("parts", e.parts()).
 		Str("runner", string(flight.Runner.ID)).
 		Str("version", string(flight.Runner.Version)).
 		Int("runs", e.runs).
--- a/internal/online/poison.go
+++ b/internal/online/poison.go
@@ -21,6 +21,14 @@
 	return e.cachedFingerprint
 }
 
+// parts returns the fingerprints of the parts of the prompt that other requests may share.
+func (e *exchange) parts() []poison.Fingerprint {
+	if e.cachedParts == nil {
+		e.cachedParts = e.forwarder.Key.OfParts(e.request.Prefix)
+	}
+	return e.cachedParts
+}
+
 // isPoison reports whether enough runners have ended under the request for it to be refused.
 func (e *exchange) isPoison() bool {
 	return !e.forwarder.PoisonWatch.Idle() && e.forwarder.PoisonWatch.Refused(e.fingerprint())
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -9,12 +9,14 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
+	"strings"
 
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
-// Fingerprint is the fingerprint of a request: a keyed hash of what a runner is asked to do. It is the same each time the request is submitted
-// and does not disclose its text.
+// Fingerprint is the fingerprint of a request, or of one part of prompts: a keyed hash of what a runner is asked to do. It is the same each
+// time the request is submitted and does not disclose its text.
 type Fingerprint string
 
 // fingerprintBytes is the length of the truncated hash. With the fingerprints of a full Book, one request in 10^35 is mistaken for
@@ -24,6 +26,33 @@
 // Key is the key of the hash. All nodes of a site have the same key, also after a restart.
 type Key []byte
 
+// partLabel keeps the fingerprints of parts apart from those of requests.
+const partLabel = "part\x00"
+
+// OfParts returns the fingerprints of the parts of a prompt that other requests may share: all but the last one, each once. A part has the
+// same fingerprint wherever it stands.
+func (k Key) OfParts(prompt []work.Part) []Fingerprint {
+	if len(prompt) < 2 {
+		return nil
+	}
+	fingerprints := make([]Fingerprint, 0, len(prompt)-1)
+	for _, part := range prompt[:len(prompt)-1] {
+		mac := hmac.New(sha256.New, k)
+		_, _ = mac.Write([]byte(partLabel + part.ID))
+		fingerprint := Fingerprint(partPrefix + hex.EncodeToString(mac.Sum(nil)[:fingerprintBytes]))
+		if !slices.Contains(fingerprints, fingerprint) {
+			fingerprints = append(fingerprints, fingerprint)
+		}
+	}
+	return fingerprints
+}
+
+// partPrefix marks the fingerprints of parts.
+const partPrefix = "part-"
+
+// isPart reports whether a fingerprint is that of a part.
+func (f Fingerprint) isPart() bool { return strings.HasPrefix(string(f), partPrefix) }
+
 // Of returns the fingerprint of a request, computed from its method, host, path and body. The id and the deadline are left out, because
 // they differ each time the request is submitted.
 func (k Key) Of(request *work.Request) Fingerprint {
