Withhold requests with a part of the prompt that ends runners

Cause: ends of runners are counted by the fingerprint of the whole request, and no two of these are alike. Class: evidence kept under a key that the next occurrence does not have.

Change (docs/design/requests-that-end-runners.md, "Parts of prompts"): poison.Book has records of parts too, told and kept as those of requests. Suspects are the parts, but the last, of requests that waited for their first event at a runner that ended; an answer that begins clears them; they are judged together, so that a crash that one part explains does not count against others. Requests with a withheld part are refused at once, as not run, with no time to come back; items wait.

Tests of online, jobworker, jobpeer, poison, poisonwatch pass.

Failed try: three crashes without judging parts together was not built; in the reasoning it refuses the shared first part.

--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -80,11 +80,11 @@
 			return
 		}
 		route := w.routeOf(item, now)
-		if route == nil || w.withholds(item, now) {
+		if route == nil {
 			continue
 		}
 		service := route.Split[item.index%len(route.Split)].Service
-		if full[service] {
+		if full[service] || w.withholds(item, service, now) {
 			continue
 		}
 		id, found := w.pickRunner(service, item, now)
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -45,7 +45,7 @@
 	w.assignRunID(item)
 	request := w.request(item)
 	status, err := w.stream(ctx, item, request, flight)
-	w.recordRunEnd(ctx, flight, request, status, err)
+	w.recordRunEnd(ctx, flight, request, item.lastEvent > resumed, status, err)
 	now := w.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -219,7 +219,7 @@
 // readEvents reads the events of a run. The output is complete only if the framing proves its end.
 func (w *Worker) readEvents(item *itemRun, flight *runnertable.Flight, reply *work.Reply) error {
 	reader := eventstream.NewReader(reply.Body)
-	for {
+	for first := true; ; first = false {
 		next, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			if !reply.Framed {
@@ -234,6 +234,9 @@
 			continue
 		}
 		now := w.Now()
+		if first {
+			w.PoisonWatch.RecordBegan(flight.Runner, w.Key.OfParts(w.promptOf(item)))
+		}
 		flight.EventReceived(now)
 		if err := w.appendEvent(item, flight.Runner, next, now); err != nil {
 			return err
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -45,8 +45,9 @@
 	// stream is the id of the client attempt that brought the first event, origin where that event came from; nil before it.
 	stream ident.Request
 	origin *work.Origin
-	// slot is that of the last attempt.
-	slot *slot
+	// slot is that of the last attempt; began means that its runner has begun to answer.
+	slot  *slot
+	began bool
 	// sent is when the last attempt was sent.
 	sent    time.Time
 	outcome outcome.Outcome
@@ -100,6 +101,7 @@
 	defer cancel()
 	e.slot = &slot{flight: flight, queue: e.queue, waiter: e.waiter, now: e.forwarder.Now, sent: e.sent, ctx: ctx, abort: cancel}
 	defer e.slot.release()
+	e.began = false
 	e.tried[flight.Runner.ID] = true
 	if err := e.confirm(ctx, flight); err != nil {
 		return err
--- a/internal/online/fair.go
+++ b/internal/online/fair.go
@@ -212,6 +212,8 @@
 
 // recordFirstEvent records that the runner's answer begins, and whether that is on time.
 func (e *exchange) recordFirstEvent() {
+	e.began = true
+	e.forwarder.PoisonWatch.RecordBegan(e.slot.flight.Runner, e.parts())
 	now := e.forwarder.Now()
 	e.queue.recordFirstEvent(now.Sub(e.sent))
 	if e.request.Tenant != "" {
--- a/internal/online/poison.go
+++ b/internal/online/poison.go
@@ -29,19 +29,30 @@
 	return e.cachedParts
 }
 
-// isPoison reports whether enough runners have ended under the request for it to be refused.
+// isPoison reports whether enough runners have ended under the request, or under others with a part of its prompt, for it to be refused.
 func (e *exchange) isPoison() bool {
-	return !e.forwarder.PoisonWatch.Idle() && e.forwarder.PoisonWatch.Refused(e.fingerprint())
+	watch := e.forwarder.PoisonWatch
+	return !watch.Idle() && (watch.Refused(e.fingerprint()) || watch.Withheld(e.parts(), e.service))
 }
 
 // recordBroken records that a runner's answer to the request broke off. A caller that left or a passed deadline is no sign of
 // a fault of the runner, and is not recorded.
 func (e *exchange) recordBroken(flight *runnertable.Flight) {
 	if e.forwarder.PoisonWatch != nil && e.ctx.Err() == nil {
-		e.forwarder.PoisonWatch.RecordBroken(flight.Runner, e.fingerprint())
+		e.forwarder.PoisonWatch.RecordBroken(flight.Runner, e.suspects()...)
 	}
 }
 
+// suspects returns the fingerprints that may be to blame if the runner has ended: that of the request, and those of the parts of its prompt
+// if the runner had not begun to answer.
+func (e *exchange) suspects() []poison.Fingerprint {
+	suspects := []poison.Fingerprint{e.fingerprint()}
+	if !e.began {
+		suspects = append(suspects, e.parts()...)
+	}
+	return suspects
+}
+
 // recordCompleted records that a runner completed the request.
 func (e *exchange) recordCompleted() {
 	if !e.forwarder.PoisonWatch.Idle() {
@@ -49,9 +60,13 @@
 	}
 }
 
-// refusePoison returns the final error for a poison request. Its outcome is that it ran, though perhaps under another id, and
-// it carries no retry delay.
+// refusePoison returns the final error for a poison request, which carries no retry delay. If the request itself was repeated, its outcome is that
+// it ran, though perhaps under another id.
 func (e *exchange) refusePoison() error {
-	event.RequestTurnedAway.Log(e.forwarder.Logger).Str("request", string(e.request.ID)).Str("print", string(e.fingerprint())).Send()
-	return failure.New(failure.CodeEndsRunners, "runners ended while they ran this request").WithOutcome(outcome.Ran)
+	event.RequestTurnedAway.Log(e.forwarder.Logger).Str("request", string(e.request.ID)).Str("print", string(e.fingerprint())).
+		Interface("parts", e.parts()).Send()
+	if e.forwarder.PoisonWatch.Refused(e.fingerprint()) {
+		return failure.New(failure.CodeEndsRunners, "runners ended while they ran this request").WithOutcome(outcome.Ran)
+	}
+	return failure.New(failure.CodeEndsRunners, "runners ended while they ran requests with a part of this prompt").WithOutcome(e.outcome)
 }
--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 const (
@@ -33,14 +34,21 @@
 	Runner ident.Incarnation `json:"runner"`
 	// AgeMs is the time from the crash to the sending of the record, in milliseconds.
 	AgeMs int64 `json:"age_ms"`
-	// Excused means that a runner completed the request later, so that this crash had another cause.
+	// Excused means that a runner completed the request later, or began to answer with the part, so that this crash had another cause.
 	Excused bool `json:"excused,omitempty"`
+	// Service and Version are those of the runner. They are set for parts; earlier builds leave them out when they pass records on.
+	Service string       `json:"service,omitempty"`
+	Version work.Version `json:"version,omitempty"`
 }
 
 // Record is what a node sends to others about one fingerprint.
 type Record struct {
 	Print Fingerprint `json:"print"`
 	Ends  []End       `json:"ends"`
+	// Served means that a node had answers begin with the part before its first crash.
+	Served bool `json:"served,omitempty"`
+	// Withheld means that the sending node refuses requests with the part.
+	Withheld bool `json:"withheld,omitempty"`
 }
 
 // Cursor is the position up to which a node has read the Book of another node. The zero Cursor reads from the beginning.
@@ -64,6 +72,9 @@
 	records map[Fingerprint]*record
 	// position increases with each change of a record.
 	position int64
+	// served and withheld are what is known of parts; see parts.go.
+	served   servedParts
+	withheld withheldParts
 	// unsent is signalled when there are records to send to others, changeSignal after each change.
 	unsent, changeSignal chan struct{}
 }
@@ -77,12 +88,21 @@
 	position int64
 	// unsent means that the record has changes that this node has not sent to others yet.
 	unsent bool
+	// limit is the number of crashes that refuse the request; zero for a part, which is judged together with the others.
+	limit int
+	// served and withheldElsewhere are as in a Record. answers is the number of answers begun at this node when the first crash was recorded
+	// that is not excused.
+	served, withheldElsewhere bool
+	answers                   int64
 }
 
 // crash is the crash of one runner.
 type crash struct {
 	at      time.Time
 	excused bool
+	// service and version are those of the runner, for parts.
+	service string
+	version work.Version
 }
 
 // After returns the cursor for the next call, given the cursor of the call that returned n.
@@ -132,7 +152,7 @@
 	for _, fingerprint := range fingerprints {
 		known := b.recordOf(fingerprint)
 		was := known.refused()
-		if known.add(runner, at, false) {
+		if known.add(runner, crash{at: at}) {
 			b.markChanged(known, true)
 		}
 		if known.refused() && !was {
@@ -158,7 +178,7 @@
 }
 
 // Learn merges records from another node. passOn means that this node sends the changes on to others. It returns the fingerprints that
-// are refused from now on.
+// are refused from now on, those of parts included.
 func (b *Book) Learn(records []Record, now time.Time, passOn bool) []Fingerprint {
 	if len(records) == 0 {
 		return nil
@@ -166,13 +186,15 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var refused []Fingerprint
+	withheld := b.withheldNow()
 	for _, received := range records {
 		known := b.recordOf(received.Print)
 		was, updated := known.refused(), false
 		for _, end := range received.Ends {
 			at := now.Add(-time.Duration(max(end.AgeMs, 0)) * time.Millisecond)
-			updated = known.add(end.Runner, at, end.Excused) || updated
+			updated = known.add(end.Runner, crash{at: at, excused: end.Excused, service: end.Service, version: end.Version}) || updated
 		}
+		updated = b.learnPart(known, &received) || updated
 		if updated {
 			b.markChanged(known, passOn)
 		}
@@ -181,26 +203,33 @@
 		}
 	}
 	b.expire(now)
-	return refused
+	return append(refused, b.newlyWithheld(withheld)...)
 }
 
 // add adds or excuses one crash, and reports whether that changed the record. In a full record it evicts an excused crash for one that
 // is not excused.
-func (r *record) add(runner ident.Incarnation, at time.Time, excused bool) bool {
+func (r *record) add(runner ident.Incarnation, added crash) bool {
 	known := r.crashes[runner]
 	switch {
-	case known != nil && (known.excused || !excused):
+	case known != nil && (known.excused || !added.excused):
 		return false
 	case known != nil:
 		known.excused = true
 		return true
-	case len(r.crashes) >= maxCrashes && (excused || !r.dropExcused()):
+	case len(r.crashes) >= r.maxCrashes() && (added.excused || !r.dropExcused()):
 		return false
 	}
-	r.crashes[runner] = &crash{at: at, excused: excused}
+	r.crashes[runner] = &added
 	return true
 }
 
+func (r *record) maxCrashes() int {
+	if r.limit == 0 {
+		return maxPartCrashes
+	}
+	return maxCrashes
+}
+
 // dropExcused removes one excused crash, and reports whether there was any.
 func (r *record) dropExcused() bool {
 	for runner, end := range r.crashes {
@@ -223,8 +252,8 @@
 	return count
 }
 
-// refused reports whether the request must not be run any more.
-func (r *record) refused() bool { return r.count() >= crashLimit }
+// refused reports whether the request must not be run any more. It is false for a part.
+func (r *record) refused() bool { return r.limit > 0 && r.count() >= r.limit }
 
 // last returns the time of the last crash.
 func (r *record) last() time.Time {
@@ -241,7 +270,10 @@
 func (b *Book) recordOf(fingerprint Fingerprint) *record {
 	known := b.records[fingerprint]
 	if known == nil {
-		known = &record{crashes: map[ident.Incarnation]*crash{}}
+		known = &record{crashes: map[ident.Incarnation]*crash{}, limit: crashLimit}
+		if fingerprint.IsPart() {
+			known.limit, known.served, known.answers = 0, b.served.has(fingerprint), b.served.answers
+		}
 		b.records[fingerprint] = known
 	}
 	return known
@@ -273,7 +305,7 @@
 func (b *Book) Unsent() <-chan struct{} { return b.unsent }
 
 // Since returns the records that changed since a cursor, the earliest change first. refusedOnly leaves out the records of requests that
-// may run and have no excused crash.
+// and parts that may run and have no excused crash.
 func (b *Book) Since(cursor Cursor, now time.Time, refusedOnly bool) Changes {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -287,7 +319,7 @@
 	news := Changes{Cursor: Cursor{Book: b.id, Position: b.position}}
 	var changed []Fingerprint
 	for fingerprint, known := range b.records {
-		if known.position > after && (!refusedOnly || known.refused() || known.count() < len(known.crashes)) {
+		if known.position > after && (!refusedOnly || known.matters()) {
 			changed = append(changed, fingerprint)
 		}
 	}
@@ -299,7 +331,7 @@
 		news.Cursor.Position = b.records[changed[maxRecordsSent-1]].position
 	}
 	for _, fingerprint := range changed {
-		news.Records = append(news.Records, b.records[fingerprint].export(fingerprint, now))
+		news.Records = append(news.Records, b.export(fingerprint, now))
 	}
 	return news
 }
@@ -318,7 +350,7 @@
 			return unsent
 		default:
 			known.unsent = false
-			unsent = append(unsent, known.export(fingerprint, now))
+			unsent = append(unsent, b.export(fingerprint, now))
 		}
 	}
 	return unsent
@@ -341,17 +373,20 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	all := make([]Record, 0, len(b.records))
-	for fingerprint, known := range b.records {
-		all = append(all, known.export(fingerprint, now))
+	for fingerprint := range b.records {
+		all = append(all, b.export(fingerprint, now))
 	}
 	return all
 }
 
-// export returns the record in the form in which it is sent to other nodes.
-func (r *record) export(fingerprint Fingerprint, now time.Time) Record {
-	exported := Record{Print: fingerprint}
-	for runner, end := range r.crashes {
-		exported.Ends = append(exported.Ends, End{Runner: runner, AgeMs: now.Sub(end.at).Milliseconds(), Excused: end.excused})
+// export returns a record in the form in which it is sent to other nodes. The caller holds the mutex.
+func (b *Book) export(fingerprint Fingerprint, now time.Time) Record {
+	known := b.records[fingerprint]
+	exported := Record{Print: fingerprint, Served: known.served, Withheld: b.isWithheld(fingerprint)}
+	for runner, end := range known.crashes {
+		exported.Ends = append(exported.Ends, End{
+			Runner: runner, AgeMs: now.Sub(end.at).Milliseconds(), Excused: end.excused, Service: end.service, Version: end.version,
+		})
 	}
 	return exported
 }
@@ -359,8 +394,9 @@
 // expire removes the records that are too old, and then those beyond maxRecords. The caller holds the mutex.
 func (b *Book) expire(now time.Time) {
 	for fingerprint, known := range b.records {
-		if now.Sub(known.last()) > recordRetention {
+		if now.Sub(known.last()) > known.retention() {
 			delete(b.records, fingerprint)
+			b.position++
 		}
 	}
 	b.trim()
@@ -374,21 +410,36 @@
 		return
 	}
 	fingerprints := slices.SortedFunc(maps.Keys(b.records), func(first, second Fingerprint) int {
-		one, other := b.records[first], b.records[second]
-		return cmp.Or(cmp.Compare(one.rank(), other.rank()), one.last().Compare(other.last()))
+		return cmp.Or(cmp.Compare(b.rank(first), b.rank(second)), b.records[first].last().Compare(b.records[second].last()))
 	})
 	for _, fingerprint := range fingerprints[:over] {
 		delete(b.records, fingerprint)
 	}
 }
 
-// rank returns the order of eviction: the lowest rank is evicted first.
-func (r *record) rank() int {
+// matters reports whether other nodes need the record to decide: the request is refused, the part may have to be withheld, or a crash is
+// excused.
+func (r *record) matters() bool {
+	count := r.count()
+	return r.refused() || count < len(r.crashes) || r.limit == 0 && count >= partLimit
+}
+
+// rank returns the order of eviction: the lowest rank is evicted first. The caller holds the mutex.
+func (b *Book) rank(fingerprint Fingerprint) int {
+	known := b.records[fingerprint]
 	switch {
-	case r.refused():
+	case known.refused(), b.isWithheld(fingerprint):
 		return 2
-	case r.count() > 0:
+	case known.count() > 0:
 		return 1
 	}
 	return 0
 }
+
+// retention returns how long the record is retained after its last crash.
+func (r *record) retention() time.Duration {
+	if r.limit == 0 {
+		return partRetention
+	}
+	return recordRetention
+}
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -50,8 +50,8 @@
 // partPrefix marks the fingerprints of parts.
 const partPrefix = "part-"
 
-// isPart reports whether a fingerprint is that of a part.
-func (f Fingerprint) isPart() bool { return strings.HasPrefix(string(f), partPrefix) }
+// IsPart reports whether a fingerprint is that of a part.
+func (f Fingerprint) IsPart() bool { return strings.HasPrefix(string(f), partPrefix) }
 
 // Of returns the fingerprint of a request, computed from its method, host, path and body. The id and the deadline are left out, because
 // they differ each time the request is submitted.
--- a/internal/poisonwatch/watch.go
+++ b/internal/poisonwatch/watch.go
@@ -52,7 +52,8 @@
 // investigation is the state of the probes of one runner. The watch's mutex guards it.
 type investigation struct {
 	runner work.Runner
-	// fingerprints are the requests whose answers broke off there; startedAt is when the first one did.
+	// fingerprints are the requests whose answers broke off there, and the parts of those that had received no event; startedAt is when the
+	// first one did.
 	fingerprints []poison.Fingerprint
 	startedAt    time.Time
 	// ended is true if the runner was found to have ended.
@@ -67,12 +68,24 @@
 // Idle reports whether there are no records of any request, so that no fingerprint is needed.
 func (w *Watch) Idle() bool { return w == nil || w.Book.Empty() }
 
+// Withheld reports whether requests with one of some parts must not run at the runners of a service.
+func (w *Watch) Withheld(parts []poison.Fingerprint, service string) bool {
+	return w != nil && len(parts) > 0 && w.Book.Withheld(parts, service)
+}
+
+// RecordBegan records that a runner began to answer a request with some parts.
+func (w *Watch) RecordBegan(runner work.Runner, parts []poison.Fingerprint) {
+	if w != nil {
+		w.Book.RecordBegan(runner, parts, w.Now())
+	}
+}
+
 // RecordCompleted records that a runner completed a request.
 func (w *Watch) RecordCompleted(fingerprint poison.Fingerprint) { w.Book.Completed(fingerprint) }
 
-// RecordBroken records that a runner's answer to a request broke off or did not come. Unless the runner is known to be leaving,
-// it is probed.
-func (w *Watch) RecordBroken(runner work.Runner, fingerprint poison.Fingerprint) {
+// RecordBroken records that a runner's answer to a request broke off or did not come. The fingerprints are that of the request, and those of
+// its parts if no event had come. Unless the runner is known to be leaving, it is probed.
+func (w *Watch) RecordBroken(runner work.Runner, fingerprints ...poison.Fingerprint) {
 	if w == nil || w.Runners.Leaving(runner.ID) {
 		return
 	}
@@ -81,7 +94,7 @@
 	current := w.investigations[runner.ID]
 	if current != nil && current.ended {
 		w.mutex.Unlock()
-		w.recordEnd(current, []poison.Fingerprint{fingerprint}, now)
+		w.recordEnd(current, fingerprints, now)
 		return
 	}
 	defer w.mutex.Unlock()
@@ -96,8 +109,10 @@
 		w.investigations[runner.ID] = current
 		w.Tomb.Go(func() error { w.investigate(current); return nil })
 	}
-	if !slices.Contains(current.fingerprints, fingerprint) {
-		current.fingerprints = append(current.fingerprints, fingerprint)
+	for _, fingerprint := range fingerprints {
+		if !slices.Contains(current.fingerprints, fingerprint) {
+			current.fingerprints = append(current.fingerprints, fingerprint)
+		}
 	}
 }
 
@@ -148,8 +163,17 @@
 
 // recordEnd records the end of a runner for its requests.
 func (w *Watch) recordEnd(current *investigation, fingerprints []poison.Fingerprint, now time.Time) {
-	event.RunnerEnded.Log(w.Logger).Str("runner", string(current.runner.ID)).Int("requests", len(fingerprints)).Send()
-	w.logRefused(w.Book.RecordCrash(current.runner.ID, fingerprints, current.startedAt, now))
+	var requests, parts []poison.Fingerprint
+	for _, fingerprint := range fingerprints {
+		if fingerprint.IsPart() {
+			parts = append(parts, fingerprint)
+		} else {
+			requests = append(requests, fingerprint)
+		}
+	}
+	event.RunnerEnded.Log(w.Logger).Str("runner", string(current.runner.ID)).Int("requests", len(requests)).Int("parts", len(parts)).Send()
+	w.logRefused(w.Book.RecordCrash(current.runner.ID, requests, current.startedAt, now))
+	w.logRefused(w.Book.RecordPartCrash(current.runner, parts, current.startedAt, now))
 }
 
 // ApplyRecords applies records from another node. If passOn is set, this node passes them on to others.
@@ -159,10 +183,14 @@
 	}
 }
 
-// logRefused logs each request that is refused from now on.
+// logRefused logs each request that is refused from now on, and each part that is withheld.
 func (w *Watch) logRefused(fingerprints []poison.Fingerprint) {
 	for _, fingerprint := range fingerprints {
 		ends, _ := w.Book.Crashes(fingerprint)
+		if fingerprint.IsPart() {
+			event.PartWithheld.Log(w.Logger).Str("part", string(fingerprint)).Int("ends", ends).Send()
+			continue
+		}
 		event.RequestsRefused.Log(w.Logger).Str("print", string(fingerprint)).Int("ends", ends).Send()
 	}
 }
