Take an answer that ends with its connection for whole unless it ends inside an event

What callers would see: a stream without a length or chunks was run again at another runner after its last event, and aborted where no attempt was left; such an item ran several times.

Change: an end between two events ends the stream; one before the first event of a run proves nothing and is tried again, as before.

--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -79,7 +79,7 @@
 	for first := true; ; first = false {
 		next, err := source.next(first)
 		if errors.Is(err, io.EOF) {
-			return e.streamEnded(reply)
+			return e.streamEnded(reply, first)
 		}
 		if err != nil {
 			return fmt.Errorf("reading the runner's stream: %w", err)
@@ -115,9 +115,10 @@
 	return nil
 }
 
-// streamEnded decides whether the end of a body without an error is the end of the whole stream.
-func (e *exchange) streamEnded(reply *work.Reply) error {
-	if !reply.Framed {
+// streamEnded decides whether the end of a body between two events is the end of the whole stream. An answer without a length or chunks ends
+// with its connection: it is whole unless nothing came, because a runner that breaks off does so inside an event.
+func (e *exchange) streamEnded(reply *work.Reply, empty bool) error {
+	if !reply.Framed && empty {
 		return errUnprovenEnd
 	}
 	return e.sendHead(reply.Head, -1)
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -236,3 +236,30 @@
 	assert.Equal(t, writer.status, http.StatusInternalServerError)
 	assert.Equal(t, writer.body.String(), "failed")
 }
+
+// TestStreamMayEndWithItsConnection guards against an answer that has neither a length nor chunks and is taken for broken off although its last
+// event is whole, and against one that ends inside an event, or before the first one, and is taken for whole.
+func TestStreamMayEndWithItsConnection(t *testing.T) {
+	unframed := func(text string) *work.Reply {
+		reply := stream(text, true)
+		reply.Framed = false
+		return reply
+	}
+	for name, c := range map[string]struct {
+		replies []*work.Reply
+		resumed []int64
+	}{
+		"whole":             {[]*work.Reply{unframed(firstEvent + secondEvent)}, []int64{0}},
+		"inside an event":   {[]*work.Reply{unframed(firstEvent + "id: 2\ndata"), stream(secondEvent, true)}, []int64{0, 1}},
+		"before any event":  {[]*work.Reply{unframed(""), stream(firstEvent+secondEvent, true)}, []int64{0, 0}},
+		"reset in transit":  {[]*work.Reply{func() *work.Reply { r := stream(firstEvent, false); r.Framed = false; return r }(), stream(secondEvent, true)}, []int64{0, 1}},
+		"nothing in a rest": {[]*work.Reply{stream(firstEvent, false), unframed(""), stream(secondEvent, true)}, []int64{0, 1, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			writer, caller, err := serve(3, c.replies...)
+			assert.NilError(t, err)
+			assert.Equal(t, writer.body.String(), firstEvent+secondEvent)
+			assert.DeepEqual(t, caller.resumed, c.resumed)
+		})
+	}
+}
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -30,7 +30,8 @@
 	Sealed bool
 	// Encoded means that the body has a content encoding and is not the runner's original bytes.
 	Encoded bool
-	// Framed means that the framing of the body marks its end, and not only the close of the connection.
+	// Framed means that the framing of the body marks its end. Otherwise the body ends with its connection; a stream that ends so inside an
+	// event was broken off.
 	Framed bool
 	// Length is the length of the body in bytes, or negative if the answer does not specify it.
 	Length int64
