--- a/internal/jobpeer/origins.go
+++ b/internal/jobpeer/origins.go
@@ -108,8 +108,9 @@
 // Begun implements online.Origins.
 func (o *StreamOrigins) Begun(stream ident.Request, origin work.Origin) {
 	record := streamorigin.Record{Stream: stream, Origin: origin}
+	tells := o.updateTold(origin.Service)
 	o.begun.Add(record, o.Now())
-	if o.updateTold(origin.Service) {
+	if tells {
 		o.tell(pendingOrigin{record: record})
 	}
 }
