Refuse a stream that its runner may have begun as another software version

Cause: a name that is used again is believed to be the runner that the list says.

Change, where names of runners are used again: the origin has the incarnation and the time of the first event; before a stream or an item goes on, the runner that began it is asked for its start, or the list is looked at. A stream that may have begun after a later start is unknown.

--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -68,6 +68,8 @@
 		if item.failures >= max(route.MaximumAttempts, 1) {
 			w.giveUp(item, "maximum number of attempts reached")
 		}
+	case errors.Is(err, streamorigin.ErrUnknown):
+		item.beginAnew()
 	case errors.Is(err, errRefused):
 		item.notBefore = now.Add(pauseAfterRefusal)
 	default:
@@ -132,7 +134,7 @@
 // stream sends the item to the runner and reads its events. It returns the status of an answer that was read completely.
 func (w *Worker) stream(ctx context.Context, item *itemRun, request *work.Request, flight *runnertable.Flight) (int, error) {
 	if item.lastEvent > 0 {
-		if err := w.confirm(ctx, flight); err != nil {
+		if err := w.confirm(ctx, item, flight); err != nil {
 			return 0, err
 		}
 	}
@@ -162,9 +164,12 @@
 	return http.StatusOK, w.readEvents(item, flight, reply)
 }
 
-// confirm makes sure that a runner that is to go on with an item's output is the incarnation that the registry lists. Its error wraps
-// errRefused.
-func (w *Worker) confirm(ctx context.Context, flight *runnertable.Flight) error {
+// confirm makes sure that the version that began an item's output is known, and that a runner that is to go on with it is the incarnation that
+// the registry lists. Its error wraps errRefused, and streamorigin.ErrUnknown if the output cannot be continued.
+func (w *Worker) confirm(ctx context.Context, item *itemRun, flight *runnertable.Flight) error {
+	if err := streamorigin.Verify(ctx, w.Caller, w.Runners, item.origin); err != nil {
+		return fmt.Errorf("%w: %w", errRefused, err)
+	}
 	err := streamorigin.Confirm(ctx, w.Caller, flight.Runner)
 	if err == nil {
 		return nil
@@ -258,7 +263,7 @@
 	if item.lastEvent > 0 {
 		item.text.WriteByte('\n')
 	} else {
-		item.origin = work.OriginOf(runner)
+		item.origin = work.OriginOf(runner, w.Records.Now())
 	}
 	item.text.Write(next.Data)
 	item.lastEvent, item.lastEventRun = next.ID, item.currentRun
--- a/internal/online/forwarder.go
+++ b/internal/online/forwarder.go
@@ -62,6 +62,8 @@
 	Key    poison.Key
 	Logger zerolog.Logger
 	Now    func() time.Time
+	// Date returns the time of day; nil stands for Now.
+	Date func() time.Time
 	// Owners are queried before a runner is chosen if runners report their pace; nil disables these queries.
 	Owners Owners
 	// Origins finds where streams began that are taken up here; nil means that the table of runners alone must tell.
--- a/internal/online/origin.go
+++ b/internal/online/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -24,6 +25,14 @@
 	Find(ctx context.Context, stream ident.Request, services []string) (work.Origin, error)
 }
 
+// date returns the time of day.
+func (f *Forwarder) date() time.Time {
+	if f.Date == nil {
+		return f.Now()
+	}
+	return f.Date()
+}
+
 // streamOf returns the id under which the origin of a request's stream is recorded.
 func streamOf(request *work.Request) ident.Request {
 	if request.ResumeAfter > 0 {
@@ -71,12 +80,15 @@
 	return refused
 }
 
-// confirm makes sure that a runner that is to go on with the stream is the incarnation that the registry lists. It returns errTryAgain if
-// another one is to be asked.
+// confirm makes sure that the version that began the stream is known, and that a runner that is to go on with it is the incarnation that the
+// registry lists. It returns errTryAgain if another one is to be asked.
 func (e *exchange) confirm(ctx context.Context, flight *runnertable.Flight) error {
 	if e.origin == nil {
 		return nil
 	}
+	if err := streamorigin.Verify(ctx, e.forwarder.Caller, e.forwarder.Runners, *e.origin); err != nil {
+		return e.refuseResumption(err)
+	}
 	err := streamorigin.Confirm(ctx, e.forwarder.Caller, flight.Runner)
 	if err == nil {
 		return nil
@@ -95,7 +107,7 @@
 // under its first attempt again, so that more nodes know it.
 func (e *exchange) recordOrigin(flight *runnertable.Flight) {
 	if e.origin == nil {
-		origin := work.OriginOf(flight.Runner)
+		origin := work.OriginOf(flight.Runner, e.forwarder.date())
 		e.origin = &origin
 	}
 	if e.forwarder.Origins != nil && e.route.Resumable && e.stream != "" {
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -155,6 +155,13 @@
 	return known.runner, true
 }
 
+// Latest returns the latest incarnation that was listed under a name; empty if there is none.
+func (t *Table) Latest(name ident.Runner) ident.Incarnation {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.latest[name]
+}
+
 // Leaving says whether a runner is known to leave, or is not listed any more, so that the end of its process is
 // expected.
 func (t *Table) Leaving(id ident.Incarnation) bool {
--- a/internal/runnertable/versions_test.go
+++ b/internal/runnertable/versions_test.go
@@ -54,10 +54,10 @@
 		assert.Equal(t, flight.Runner.ID, ident.Incarnation("a"), "it waits in the queue of its version")
 		flight.Failed(runnertable.NoAnswer, now)
 	}
-	flight, err := pick(work.OriginOf(runnerOfVersion("e", "")))
+	flight, err := pick(work.OriginOf(runnerOfVersion("e", ""), now))
 	assert.NilError(t, err)
 	assert.Equal(t, flight.Runner.ID, ident.Incarnation("e"), "only the same incarnation may go on with what is of no known version")
-	for _, origin := range []work.Origin{{Service: "s", Version: "v3"}, {Service: "other", Version: "v1"}, {}, work.OriginOf(runnerOfVersion("x", ""))} {
+	for _, origin := range []work.Origin{{Service: "s", Version: "v3"}, {Service: "other", Version: "v1"}, {}, work.OriginOf(runnerOfVersion("x", ""), now)} {
 		_, err := pick(origin)
 		assert.ErrorIs(t, err, runnertable.ErrNoRunner, "%v", origin)
 	}
--- a/internal/streamorigin/book.go
+++ b/internal/streamorigin/book.go
@@ -59,7 +59,7 @@
 	b.expire(now)
 	known, exists := b.origins[record.Stream]
 	if exists {
-		if known.origin != record.Origin {
+		if !sameOrigin(known.origin, record.Origin) {
 			known.conflicting = true
 			b.origins[record.Stream] = known
 		}
@@ -69,6 +69,14 @@
 	b.order = append(b.order, record.Stream)
 }
 
+// sameOrigin reports whether two origins are of the same service and version, and of the same incarnation if the version is unknown.
+func sameOrigin(first, second work.Origin) bool {
+	if first.Service != second.Service || first.Version != second.Version {
+		return false
+	}
+	return first.Version != "" || first.Runner == second.Runner
+}
+
 // Find returns the origin of a stream. recorded reports whether one was added; an origin without a version is not known all the same.
 func (b *Book) Find(stream ident.Request, now time.Time) (origin work.Origin, recorded bool) {
 	b.mutex.Lock()
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -41,6 +41,21 @@
 // ErrOtherIncarnation means that the requested incarnation has ended and another one answers at its address.
 const ErrOtherIncarnation = failure.Kind("work: another incarnation answers")
 
+// OtherIncarnation is the error of a call that asked for one incarnation and reached another one. It wraps ErrOtherIncarnation.
+type OtherIncarnation struct {
+	Asked ident.Incarnation
+	// Started is when the other one started; zero if it does not tell.
+	Started time.Time
+}
+
+// Error implements error.
+func (e *OtherIncarnation) Error() string {
+	return string(ErrOtherIncarnation) + ": " + string(e.Asked)
+}
+
+// Unwrap returns ErrOtherIncarnation.
+func (e *OtherIncarnation) Unwrap() error { return ErrOtherIncarnation }
+
 // Caller sends attempts to runners. Its errors wrap connpool.ErrNotSent or connpool.ErrNoResponse.
 type Caller interface {
 	Send(ctx context.Context, attempt Attempt) (*Reply, error)
