Look for a free slot of any version first when an item is dispatched

A slot of any version is looked for first now, which costs what it did before versions were heeded; only if the runner with the most free slots may not go on with the output is one that may looked for.

Evidence: jobworker.TestItemGoesOnAtItsVersionOrBeginsAnew is new; all tests of the package pass.

--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -89,10 +89,10 @@
 		}
 		id, found := w.pickRunner(service, item, now)
 		if !found {
-			full[service] = len(item.avoid) == 0 && item.lastEvent == 0
+			full[service] = len(item.avoid) == 0
 			continue
 		}
-		if w.start(item, service, route, id, now) {
+		if id != "" && w.start(item, service, route, id, now) {
 			limit--
 		}
 	}
@@ -128,29 +128,33 @@
 // would otherwise take one item after another.
 const maxFailureRate = 0.4
 
-// pickRunner returns the runner of a service for an item. One with output goes on at a runner that may go on with it; if none of them
-// has had a free slot for originPatience, the item begins anew at any.
-func (w *Worker) pickRunner(service string, item *itemRun, now time.Time) (ident.Incarnation, bool) {
+// pickRunner returns the runner of a service for an item, empty if the item has to wait for one that may go on with its output; found is false
+// if no runner has a free slot for it. If none that may go on has had one for originPatience while others have, the item begins anew.
+func (w *Worker) pickRunner(service string, item *itemRun, now time.Time) (id ident.Incarnation, found bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if item.lastEvent == 0 {
-		return w.pickAny(service, item.avoid, nil, now)
+	id, found = w.pickAny(service, item.avoid, nil, now)
+	if !found || item.lastEvent == 0 || w.mayGoOn(item, id) {
+		return id, found
 	}
-	if id, found := w.pickAny(service, item.avoid, &item.origin, now); found {
+	if permitted, found := w.pickAny(service, item.avoid, &item.origin, now); found {
 		item.waitsForOrigin = time.Time{}
-		return id, true
+		return permitted, true
 	}
 	if item.waitsForOrigin.IsZero() {
 		item.waitsForOrigin = now
 	}
 	if now.Sub(item.waitsForOrigin) < originPatience && w.servesOrigin(&item.origin) {
-		return "", false
+		return "", true
 	}
-	id, found := w.pickAny(service, item.avoid, nil, now)
-	if found {
-		item.beginAnew()
-	}
-	return id, found
+	item.beginAnew()
+	return id, true
+}
+
+// mayGoOn reports whether a runner may go on with an item's output. The caller must hold the mutex.
+func (w *Worker) mayGoOn(item *itemRun, id ident.Incarnation) bool {
+	runner, listed := w.Runners.Runner(id)
+	return listed && item.origin.Permits(runner)
 }
 
 // originPatience is how long an item waits for a slot at a runner that may go on with its output. A run takes a few seconds, so that more
--- /dev/null
+++ b/internal/jobworker/origin_test.go
@@ -0,0 +1,68 @@
+package jobworker
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/demand"
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/progress"
+	"mallowlatch.example/mallowlatch/internal/runnertable"
+	"mallowlatch.example/mallowlatch/internal/work"
+)
+
+// TestItemGoesOnAtItsVersionOrBeginsAnew guards against an item that goes on at another software version, and against one that waits for its
+// version for ever, or holds up others while it waits.
+func TestItemGoesOnAtItsVersionOrBeginsAnew(t *testing.T) {
+	w := idleWorker(t)
+	now := time.Now()
+	w.Now = func() time.Time { return now }
+	listed := []work.Runner{
+		{ID: "old", Service: "s", Version: "v1", Zone: "a", Slots: 2}, {ID: "new", Service: "s", Version: "v2", Zone: "a", Slots: 12},
+	}
+	observe := func() {
+		for _, runner := range listed {
+			w.gaugeOf(runner.ID).gauge.Observe(work.Load{}, 0, 0, now)
+		}
+		w.Demand(&demand.Report{Node: "front", Sequence: now.UnixNano()})
+	}
+	w.Runners.Replace(listed, now, true)
+	observe()
+	begun := func() *itemRun {
+		item := &itemRun{lastEvent: 3, lastEventRun: progress.RunID{Claim: 1, Number: 1}, mirrored: 5, origin: work.OriginOf(listed[0], now)}
+		item.text.WriteString("a\nb\nc")
+		return item
+	}
+	pick := func(item *itemRun) ident.Incarnation {
+		id, found := w.pickRunner("s", item, now)
+		assert.Assert(t, found, "a runner has a free slot, so that others are not held up")
+		return id
+	}
+	assert.Equal(t, pick(&itemRun{}), ident.Incarnation("new"), "the most free slots")
+	item := begun()
+	assert.Equal(t, pick(item), ident.Incarnation("old"))
+	for range 2 {
+		_, err := w.Runners.StartAt("old", runnertable.PickRequest{Service: "s", Class: runnertable.Batch}, now)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, pick(item), ident.Incarnation(""), "it waits")
+	now = now.Add(originPatience / 2)
+	observe()
+	assert.Equal(t, pick(item), ident.Incarnation(""))
+	assert.Equal(t, item.lastEvent, int64(3))
+	now = now.Add(originPatience)
+	observe()
+	assert.Equal(t, pick(item), ident.Incarnation("new"))
+	assert.Assert(t, item.lastEvent == 0 && item.text.Len() == 0 && item.mirrored == 0, "it begins anew")
+
+	gone := begun()
+	w.Runners.Replace(listed[1:], now, true)
+	assert.Equal(t, pick(gone), ident.Incarnation("new"), "no runner of its version is left")
+	assert.Equal(t, gone.lastEvent, int64(0))
+	unknown := begun()
+	unknown.origin = work.Origin{Service: "s", Runner: "elsewhere"}
+	assert.Equal(t, pick(unknown), ident.Incarnation("new"))
+	assert.Equal(t, unknown.lastEvent, int64(0), "output of no known version is not gone on with")
+}
