Tell where streams began whose route is split over several services

What callers would see: a stream of a split route that is taken up while each service has one version was refused, because nothing was told and the service was not known.

Change: streams of such routes are always told. Evidence: a case in jobpeer.TestOriginsAreToldOnlyWhileVersionsDiffer, which fails without it.

--- a/internal/jobpeer/origins.go
+++ b/internal/jobpeer/origins.go
@@ -57,8 +57,8 @@
 	return &answer, nil
 }
 
-// StreamOrigins tells workers at which software version streams began, and finds it for streams that clients take up again. While a service
-// has one version only, nothing is told. It implements online.Origins. Its exported fields are set before Start.
+// StreamOrigins tells workers at which service and software version streams began, and finds it for streams that clients take up again. Of a
+// route with one service that has one version, nothing is told. It implements online.Origins. Its exported fields are set before Start.
 type StreamOrigins struct {
 	Client  *WorkerClient
 	Runners *runnertable.Table
@@ -106,11 +106,11 @@
 }
 
 // Begun implements online.Origins.
-func (o *StreamOrigins) Begun(stream ident.Request, origin work.Origin) {
+func (o *StreamOrigins) Begun(stream ident.Request, origin work.Origin, split bool) {
 	record := streamorigin.Record{Stream: stream, Origin: origin}
 	tells := o.updateTold(origin.Service)
 	o.begun.Add(record, o.Now())
-	if tells {
+	if tells || split {
 		o.tell(pendingOrigin{record: record})
 	}
 }
--- a/internal/jobpeer/origins_test.go
+++ b/internal/jobpeer/origins_test.go
@@ -113,6 +113,9 @@
 	_ = f.tomb.Wait()
 }
 
+// originsToldAtStart is what a front tells of its first stream, before a worker has told it which versions there were.
+const originsToldAtStart = 2
+
 // find has a front find a stream, and returns its version, or the error.
 func find(origins *jobpeer.StreamOrigins, stream ident.Request) (work.Version, error) {
 	origin, err := origins.Find(context.Background(), stream, []string{"s"})
@@ -134,7 +137,7 @@
 		f := newOriginFleet(t, 6, "v1", "v2")
 		began, other := f.front("v1", "v2"), f.front("v1", "v2")
 		for index := range 50 {
-			began.Begun(ident.Request(fmt.Sprint(index)), origin("v2"))
+			began.Begun(ident.Request(fmt.Sprint(index)), origin("v2"), false)
 		}
 		settle()
 		assert.Equal(t, f.told, 100, "each origin is told to two workers")
@@ -204,13 +207,18 @@
 	simulated.Test(t, func(t *testing.T) {
 		f := newOriginFleet(t, 4, "v1")
 		front := f.front("v1")
-		front.Begun("first", origin("v1"))
+		front.Begun("first", origin("v1"), false)
 		settle()
 		for index := range 100 {
-			front.Begun(ident.Request(fmt.Sprint(index)), origin("v1"))
+			front.Begun(ident.Request(fmt.Sprint(index)), origin("v1"), false)
 		}
 		settle()
-		assert.Assert(t, f.told <= 2, "%d origins were told while one version serves", f.told)
+		assert.Assert(t, f.told <= originsToldAtStart, "%d origins were told while one version serves", f.told)
+		front.Begun("split", origin("v1"), true)
+		settle()
+		answer, err := f.front("v1").Find(context.Background(), "split", []string{"s", "other"})
+		assert.NilError(t, err)
+		assert.Equal(t, answer, origin("v1"), "of a route with two services the service has to be known")
 		listVersions(front.Runners, "v1", "v2")
 		settle()
 		assert.Assert(t, f.told >= 200, "%d origins were told when the second version appeared", f.told)
@@ -218,10 +226,10 @@
 		time.Sleep(2 * time.Minute)
 		before := f.told
 		for index := range 100 {
-			front.Begun(ident.Request(fmt.Sprint("later-", index)), origin("v2"))
+			front.Begun(ident.Request(fmt.Sprint("later-", index)), origin("v2"), false)
 		}
 		settle()
-		assert.Assert(t, f.told <= before+2, "%d origins were told after the first version was gone", f.told-before)
+		assert.Assert(t, f.told <= before+originsToldAtStart, "%d origins were told after the first version was gone", f.told-before)
 		f.stop()
 	})
 }
@@ -235,7 +243,7 @@
 		settle()
 		f.bytes = 0
 		for index := range streams * seconds / fronts {
-			front.Begun(ident.Request(fmt.Sprintf("%016x", index)), origin("v2"))
+			front.Begun(ident.Request(fmt.Sprintf("%016x", index)), origin("v2"), false)
 			time.Sleep(time.Second * fronts / streams)
 		}
 		settle()
--- a/internal/online/origin.go
+++ b/internal/online/origin.go
@@ -18,8 +18,9 @@
 
 // Origins remembers where streams began, over all nodes.
 type Origins interface {
-	// Begun records where a stream began. It must not block.
-	Begun(stream ident.Request, origin work.Origin)
+	// Begun records where a stream began. split means that several services serve its route, so that the service has to be known too. It must
+	// not block.
+	Begun(stream ident.Request, origin work.Origin, split bool)
 	// Find returns where a stream began that is served by one of the services. Its error wraps streamorigin.ErrUnknown or
 	// streamorigin.ErrOutOfReach.
 	Find(ctx context.Context, stream ident.Request, services []string) (work.Origin, error)
@@ -111,6 +112,6 @@
 		e.origin = &origin
 	}
 	if e.forwarder.Origins != nil && e.route.Resumable && e.stream != "" {
-		e.forwarder.Origins.Begun(e.stream, *e.origin)
+		e.forwarder.Origins.Begun(e.stream, *e.origin, len(e.route.Services()) > 1)
 	}
 }
