Judge parts at a node without experience by what is served beside them

Cause: a front judges parts only after 20 answers; while runners end as soon as they are back, these take seconds, and no other node is more experienced.

Change: such a node judges a part too if one that is served was at four of the same crashes: one answer with the shared first part shows which of the two is sound.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -20,8 +20,8 @@
 	partLimit         = 4
 	servedPartLimit   = 8
 	servedPartAnswers = 20
-	// experiencedAnswers is the number of answers that must have begun at a node before it judges parts itself: until then it cannot tell one
-	// with which no answer begins.
+	// experiencedAnswers is the number of answers that must have begun at a node before it judges parts by itself: until then it cannot tell one
+	// with which no answer begins, unless a part that was served was in requests at the same crashes.
 	experiencedAnswers = 20
 	// maxPartCrashes bounds the crashes stored for one part. All crashes that a part caused are needed to tell it from those beside it.
 	maxPartCrashes = 64
@@ -220,10 +220,30 @@
 		}
 	}
 	switch {
-	case b.served.answers < experiencedAnswers:
+	case b.served.answers < experiencedAnswers && !b.besideServed(known):
 		return known.withheldElsewhere
 	case known.served:
 		return unexplained >= servedPartLimit && b.served.answers-known.answers >= servedPartAnswers
 	}
 	return unexplained >= partLimit
 }
+
+// besideServed reports whether a part with which answers begin was in requests at as many of a part's crashes as withhold it. The caller holds the
+// mutex.
+func (b *Book) besideServed(known *record) bool {
+	for _, other := range b.records {
+		if other == known || !other.served {
+			continue
+		}
+		shared := 0
+		for runner := range known.crashes {
+			if other.crashes[runner] != nil {
+				shared++
+			}
+		}
+		if shared >= partLimit {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -108,6 +108,14 @@
 	fresh.Learn(old.TakeUnsent(now), now, false)
 	assert.Assert(t, fresh.withholds(guilty) && !fresh.withholds(first))
 	assert.Assert(t, len(old.TakeUnsent(now)) == 0, "what is told is told once")
+
+	starting := NewBook(3)
+	for index := range partLimit {
+		starting.RecordPartCrash(runnerOf(index, "v1"), []Fingerprint{first, guilty}, now, now)
+	}
+	assert.Assert(t, !starting.withholds(guilty))
+	starting.RecordBegan(runnerOf(9, "v1"), []Fingerprint{first}, now.Add(time.Second))
+	assert.Assert(t, starting.withholds(guilty) && !starting.withholds(first), "one answer shows which of the two is sound")
 }
 
 // TestLastPartIsNeverWithheld guards against a fingerprint of the part that is the request's own, and against one that depends on the place.
