Do not count a crash against a request beside a part that explains it

Cause: requests are judged by their own crashes alone, though a part explains them.

Change: crashes that a withheld part explains do not count against requests, for items neither; they are excused when the part is forgotten.

--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -125,15 +125,16 @@
 	return len(b.records) == 0
 }
 
-// Refused reports whether a request must not be run any more.
+// Refused reports whether a request must not be run any more. Crashes that a withheld part explains do not count.
 func (b *Book) Refused(fingerprint Fingerprint) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known := b.records[fingerprint]
-	return known != nil && known.refused()
+	return known != nil && known.refused() && known.unexplained(b.explainedNow()) >= known.limit
 }
 
-// Crashes returns how many runners crashed while running a request, excused crashes not counted, and the time of the last crash.
+// Crashes returns how many runners crashed while running a request, without those that are excused or that a withheld part explains, and the
+// time of the last crash.
 func (b *Book) Crashes(fingerprint Fingerprint) (count int, last time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -141,7 +142,10 @@
 	if known == nil {
 		return 0, time.Time{}
 	}
-	return known.count(), known.last()
+	if fingerprint.IsPart() {
+		return known.count(), known.last()
+	}
+	return known.unexplained(b.explainedNow()), known.last()
 }
 
 // RecordCrash records that a runner crashed while it ran requests. It returns the fingerprints that are refused from now on.
@@ -252,6 +256,17 @@
 	return count
 }
 
+// unexplained returns the number of crashes that are not excused and not among those explained.
+func (r *record) unexplained(explained map[ident.Incarnation]bool) int {
+	count := 0
+	for runner, end := range r.crashes {
+		if !end.excused && !explained[runner] {
+			count++
+		}
+	}
+	return count
+}
+
 // refused reports whether the request must not be run any more. It is false for a part.
 func (r *record) refused() bool { return r.limit > 0 && r.count() >= r.limit }
 
@@ -394,10 +409,14 @@
 // expire removes the records that are too old, and then those beyond maxRecords. The caller holds the mutex.
 func (b *Book) expire(now time.Time) {
 	for fingerprint, known := range b.records {
-		if now.Sub(known.last()) > known.retention() {
-			delete(b.records, fingerprint)
-			b.position++
+		if now.Sub(known.last()) <= known.retention() {
+			continue
 		}
+		if b.isWithheld(fingerprint) {
+			b.excuseExplained(known)
+		}
+		delete(b.records, fingerprint)
+		b.position++
 	}
 	b.trim()
 }
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -54,7 +54,9 @@
 
 // withheldParts is the result of judging all parts, as of a position of the Book and a number of answers.
 type withheldParts struct {
-	parts             map[Fingerprint]bool
+	parts map[Fingerprint]bool
+	// explained are the runners whose crashes the parts explain.
+	explained         map[ident.Incarnation]bool
 	position, answers int64
 	judged            bool
 }
@@ -159,16 +161,35 @@
 func (b *Book) withheldNow() map[Fingerprint]bool {
 	w := &b.withheld
 	if !w.judged || w.position != b.position || w.answers+servedPartAnswers <= b.served.answers {
-		*w = withheldParts{parts: b.judge(), position: b.position, answers: b.served.answers, judged: true}
+		*w = withheldParts{position: b.position, answers: b.served.answers, judged: true}
+		w.parts, w.explained = b.judge()
 	}
 	return w.parts
 }
 
-// judge returns the parts to withhold. Parts are judged in the order of their crashes, those with which no answer ever began first, and a crash
+// explainedNow returns the runners whose crashes withheld parts explain. The caller holds the mutex.
+func (b *Book) explainedNow() map[ident.Incarnation]bool {
+	b.withheldNow()
+	return b.withheld.explained
+}
+
+// excuseExplained excuses the crashes that a withheld part explained for requests, because the part is about to be forgotten. The caller holds
+// the mutex.
+func (b *Book) excuseExplained(part *record) {
+	for _, known := range b.records {
+		if known.limit == 0 {
+			continue
+		}
+		for runner, end := range known.crashes {
+			end.excused = end.excused || part.crashes[runner] != nil
+		}
+	}
+}
+
+// judge returns the parts to withhold, and the runners whose crashes they explain. Parts are judged in the order of their crashes, those with which no answer ever began first, and a crash
 // that one of them explains does not count against the others. The caller holds the mutex.
-func (b *Book) judge() map[Fingerprint]bool {
-	withheld := map[Fingerprint]bool{}
-	explained := map[ident.Incarnation]bool{}
+func (b *Book) judge() (withheld map[Fingerprint]bool, explained map[ident.Incarnation]bool) {
+	withheld, explained = map[Fingerprint]bool{}, map[ident.Incarnation]bool{}
 	for _, part := range b.suspects() {
 		known := b.records[part]
 		if !b.guilty(known, explained) {
@@ -181,7 +202,7 @@
 			}
 		}
 	}
-	return withheld
+	return withheld, explained
 }
 
 // suspects returns the parts with enough crashes in the order in which they are judged. The caller holds the mutex.
@@ -213,12 +234,7 @@
 
 // guilty reports whether a part is to be withheld, given the crashes that others explain. The caller holds the mutex.
 func (b *Book) guilty(known *record, explained map[ident.Incarnation]bool) bool {
-	unexplained := 0
-	for runner, end := range known.crashes {
-		if !end.excused && !explained[runner] {
-			unexplained++
-		}
-	}
+	unexplained := known.unexplained(explained)
 	switch {
 	case b.served.answers < experiencedAnswers && !b.besideServed(known):
 		return known.withheldElsewhere
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -191,3 +191,26 @@
 		}
 	})
 }
+
+// TestRequestBesideAGuiltyPartIsNotRefused guards against a request that is refused for an hour, because it is asked often and ran beside one with
+// a part that crashes runners; also after the part is forgotten.
+func TestRequestBesideAGuiltyPartIsNotRefused(t *testing.T) {
+	book := experienced(1)
+	crash := func(from, to int, at time.Time, parts ...Fingerprint) {
+		for index := from; index < to; index++ {
+			book.RecordCrash(runnerOf(index, "v1").ID, []Fingerprint{"often"}, at, at)
+			book.RecordPartCrash(runnerOf(index, "v1"), parts, at, at)
+		}
+	}
+	crash(0, crashLimit, partsBegan, part("guilty"))
+	assert.Assert(t, book.Refused("often"), "nothing tells the two apart yet")
+	crash(crashLimit, 8, partsBegan, part("guilty"))
+	assert.Assert(t, book.withholds(part("guilty")) && !book.Refused("often"))
+	count, _ := book.Crashes("often")
+	assert.Equal(t, count, 0)
+	later := partsBegan.Add(partRetention + time.Second)
+	crash(8, 8+crashLimit-1, later)
+	assert.Assert(t, !book.withholds(part("guilty")) && !book.Refused("often"))
+	crash(20, 20+crashLimit, later)
+	assert.Assert(t, book.Refused("often"), "it crashes runners by itself")
+}
