--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -324,6 +324,7 @@
 func (b *Book) Since(cursor Cursor, now time.Time, refusedOnly bool) Changes {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.withheldNow()
 	after := cursor.Position
 	if cursor.Book != b.id {
 		after = 0
@@ -356,6 +357,7 @@
 func (b *Book) TakeUnsent(now time.Time) []Record {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.withheldNow()
 	var unsent []Record
 	for fingerprint, known := range b.records {
 		switch {
@@ -387,6 +389,7 @@
 func (b *Book) All(now time.Time) []Record {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.withheldNow()
 	all := make([]Record, 0, len(b.records))
 	for fingerprint := range b.records {
 		all = append(all, b.export(fingerprint, now))
@@ -394,7 +397,7 @@
 	return all
 }
 
-// export returns a record in the form in which it is sent to other nodes. The caller holds the mutex.
+// export returns a record in the form in which it is sent to other nodes. The caller holds the mutex and has judged the parts.
 func (b *Book) export(fingerprint Fingerprint, now time.Time) Record {
 	known := b.records[fingerprint]
 	exported := Record{Print: fingerprint, Served: known.served, Withheld: b.isWithheld(fingerprint)}
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -214,3 +214,21 @@
 	crash(20, 20+crashLimit, later)
 	assert.Assert(t, book.Refused("often"), "it crashes runners by itself")
 }
+
+// TestVerdictOutlivesARestart guards against a node that forgets with its restart which parts were withheld, and so counts their crashes against
+// requests: it has no experience then.
+func TestVerdictOutlivesARestart(t *testing.T) {
+	book, restarted := experienced(1), NewBook(2)
+	for index := range partLimit {
+		book.RecordCrash(runnerOf(index, "v1").ID, []Fingerprint{"often"}, partsBegan, partsBegan)
+		book.RecordPartCrash(runnerOf(index, "v1"), []Fingerprint{part("guilty")}, partsBegan, partsBegan)
+	}
+	for range experiencedAnswers {
+		book.RecordBegan(runnerOf(9, "v1"), nil, partsBegan)
+	}
+	restarted.Learn(book.All(partsBegan), partsBegan, false)
+	assert.Assert(t, restarted.withholds(part("guilty")) && !restarted.Refused("often"))
+	third := NewBook(3)
+	third.Learn(restarted.Since(Cursor{}, partsBegan, true).Records, partsBegan, false)
+	assert.Assert(t, third.withholds(part("guilty")) && !third.Refused("often"))
+}
