Tell of each stream where names of runners are used again

Change: streams of such runners are always told, with the incarnation and the time, and the only version that is listed decides nothing there.

Evidence: cases in jobpeer.TestUnknownOriginIsNotGuessed.

--- a/internal/jobpeer/origins.go
+++ b/internal/jobpeer/origins.go
@@ -58,7 +58,8 @@
 }
 
 // StreamOrigins tells workers at which service and software version streams began, and finds it for streams that clients take up again. Of a
-// route with one service that has one version, nothing is told. It implements online.Origins. Its exported fields are set before Start.
+// route with one service that has one version, nothing is told, unless names of its runners are used again: one that was started again as another
+// version is listed later than it begins streams. It implements online.Origins. Its exported fields are set before Start.
 type StreamOrigins struct {
 	Client  *WorkerClient
 	Runners *runnertable.Table
@@ -110,7 +111,7 @@
 	record := streamorigin.Record{Stream: stream, Origin: origin}
 	tells := o.updateTold(origin.Service)
 	o.begun.Add(record, o.Now())
-	if tells || split {
+	if tells || split || origin.Runner != "" {
 		o.tell(pendingOrigin{record: record})
 	}
 }
@@ -218,6 +219,7 @@
 	}
 	for _, service := range services {
 		search.addVersions(service, o.Runners.Versions(service, o.Now()))
+		search.namesRecur = search.namesRecur || o.Runners.NamesRecur(service)
 	}
 	for round := 0; ; round++ {
 		if origin, recorded := o.ask(ctx, search); recorded {
@@ -246,6 +248,8 @@
 	left []string
 	// versions are those that any node knows of the services.
 	versions map[work.Origin]bool
+	// namesRecur means that names of the services' runners are used again.
+	namesRecur bool
 	// answered means that a worker answered, certain that one of them misses no version.
 	answered, certain bool
 }
@@ -256,9 +260,10 @@
 	}
 }
 
-// result returns the origin of a stream that no worker has recorded: the only version if there was no other.
+// result returns the origin of a stream that no worker has recorded: the only version if there was no other. Where names recur, each stream is
+// told, and the only version that is listed need not be the one that began it.
 func (s *originSearch) result() (work.Origin, error) {
-	if s.certain && len(s.versions) == 1 {
+	if s.certain && len(s.versions) == 1 && !s.namesRecur {
 		for only := range s.versions {
 			if only.Version != "" {
 				return only, nil
--- a/internal/jobpeer/origins_test.go
+++ b/internal/jobpeer/origins_test.go
@@ -186,13 +186,30 @@
 		assert.ErrorIs(t, err, streamorigin.ErrUnknown, "a list from a node of an earlier build has no versions")
 		single.stop()
 
+		recurring := newOriginFleet(t, 4, "v1")
+		again, _ := ident.NewIncarnation("i-1", time.Now())
+		runner := work.Runner{ID: again, Service: "s", Zone: "z", Version: "v1", Slots: 1}
+		front := recurring.front("v1")
+		front.Runners.Replace([]work.Runner{runner}, time.Now(), true)
+		_, err = find(front, "never-told")
+		assert.ErrorIs(t, err, streamorigin.ErrUnknown, "a runner may have been started again as another version, and not be listed yet")
+		settle()
+		before := recurring.told
+		front.Begun("told", work.OriginOf(runner, time.Now()), false)
+		settle()
+		assert.Assert(t, recurring.told > before)
+		version, err = find(recurring.front("v1"), "told")
+		assert.NilError(t, err)
+		assert.Equal(t, version, work.Version("v1"))
+		recurring.stop()
+
 		two := newOriginFleet(t, 4, "v1", "v2")
 		_, err = find(two.front("v1"), "never-told")
 		assert.ErrorIs(t, err, streamorigin.ErrUnknown, "a front that lags behind")
 		two.stop()
 
 		older := newOriginFleet(t, 4, "v1")
-		front := older.front("v1")
+		front = older.front("v1")
 		for name := range older.keepers {
 			older.older[name] = true
 		}
--- a/internal/runnertable/versions.go
+++ b/internal/runnertable/versions.go
@@ -94,3 +94,15 @@
 	slices.Sort(versions)
 	return versions
 }
+
+// NamesRecur reports whether runners of a service are started again under their names: their entries tell when they started.
+func (t *Table) NamesRecur(service string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	entries := t.services[service]
+	if len(entries) == 0 {
+		return false
+	}
+	_, hasStart := entries[0].runner.ID.Started()
+	return hasStart
+}
