Linger at a planned stop for connections whose request is still in progress, too

Callers saw: a planned stop closed a connection without an answer to the request just sent on it (unexpected EOF), so that its caller cannot tell whether the request ran. Cause: Shutdown lingers until no connection is idle. It looked first while the answer was sent and the connection not yet marked as idle, found none, and the server closed it as soon as it was. The same happens to each caller whose request is in progress when the stop begins. Change: connections with a request in progress are lingered for as well, up to the same bound. A stop waits for their answers anyway.

--- a/internal/listener/connections.go
+++ b/internal/listener/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,7 +13,7 @@
 	// idleGrace is how long idle connections are left to the library after a stop began. It ends those that it has told
 	// of the stop within a second of their last stream.
 	idleGrace = 1500 * time.Millisecond
-	// idlePoll is the time between two looks for idle connections after that.
+	// idlePoll is the time between two looks at the connections.
 	idlePoll = 100 * time.Millisecond
 )
 
@@ -43,13 +44,14 @@
 	return len(c.states)
 }
 
-// awaitNoneIdle waits until no connection is idle, at most for the bound or until ctx is done.
-func (c connections) awaitNoneIdle(ctx context.Context, bound time.Duration) {
+// awaitNoneUsed waits until no connection has had a request, at most for the bound or until ctx is done. One whose request is in
+// progress counts: it may be idle next, with an answer that did not announce the end of the connection.
+func (c connections) awaitNoneUsed(ctx context.Context, bound time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	look := time.NewTicker(idlePoll)
 	defer look.Stop()
-	for len(c.idle()) > 0 {
+	for len(c.in(http.StateActive, http.StateIdle)) > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -69,19 +71,20 @@
 			return nil
 		case <-wait.C:
 		}
-		for _, connection := range c.idle() {
+		for _, connection := range c.in(http.StateIdle) {
 			_ = connection.Close()
 		}
 		wait.Reset(idlePoll)
 	}
 }
 
-func (c connections) idle() []net.Conn {
+// in returns the connections that are in one of the states.
+func (c connections) in(states ...http.ConnState) []net.Conn {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var found []net.Conn
 	for connection, state := range c.states {
-		if state == http.StateIdle {
+		if slices.Contains(states, state) {
 			found = append(found, connection)
 		}
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -42,7 +42,7 @@
 	HeaderTimeout, IdleTimeout time.Duration
 	// Connections bounds the open connections; more wait in the system's backlog.
 	Connections int
-	// Linger is how long Shutdown goes on serving while callers hold idle connections; the handler must end the connection
+	// Linger is how long Shutdown goes on serving while callers hold connections that they have used; the handler must end the connection
 	// with each answer by then. A caller that sends a request just as its idle connection is closed can't tell whether the
 	// request ran.
 	Linger time.Duration
@@ -138,7 +138,7 @@
 // Shutdown lingers, stops taking connections and waits until those with a request in progress have answered, or ctx is done;
 // then it closes the rest.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.open.awaitNoneIdle(ctx, s.options.Linger)
+	s.open.awaitNoneUsed(ctx, s.options.Linger)
 	var idle tomb.Tomb
 	idle.Go(func() error { return s.open.closeIdle(idle.Dying()) })
 	err := s.server.Shutdown(ctx)
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -134,6 +134,41 @@
 	assert.NilError(t, <-ended)
 }
 
+// TestShutdownServesWhoseConnectionTurnsIdle guards against a connection that is closed at once because its answer ended just after the
+// stop began: its caller may already send the next request on it.
+func TestShutdownServesWhoseConnectionTurnsIdle(t *testing.T) {
+	begun, proceed := make(chan struct{}), make(chan struct{})
+	server := start(t, Options{Linger: patience, Handler: http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("Last") != "" {
+			response.Header().Set("Connection", "close")
+			_, _ = io.WriteString(response, "last")
+			return
+		}
+		close(begun)
+		<-proceed
+		_, _ = io.WriteString(response, "first")
+	})})
+	connection := dial(t, server)
+	_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	<-begun
+	ended := make(chan error, 1)
+	go func() { ended <- server.Shutdown(context.Background()) }()
+	time.Sleep(2 * idlePoll)
+	close(proceed)
+	first, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(first.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "first")
+	time.Sleep(2 * idlePoll)
+	last := get(t, connection, "Last: yes\r\n")
+	body, err = io.ReadAll(last.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "last")
+	assert.NilError(t, <-ended)
+}
+
 func TestTLSServesBothProtocols(t *testing.T) {
 	borrowed := httptest.NewUnstartedServer(nil)
 	borrowed.StartTLS()
