Use no credit from an account holder that was not told the limit

Callers saw: other tenants' share of the runners used up, as a tenant sent 129 to 167 requests in a window in which 86 may run. Cause: a node reports the limit only to an owner that it has not reported to before, known by address and epoch. The restarted worker has neither accounts nor configuration, but the node's next report still assumes the epoch of the one before and lacks the limit. Ruled out: requests that nodes admit on their own (their shares sum to 24 a window), owners that differ between nodes. Change: an answer of an epoch that was not told the limit settles nothing; the tenant is due again at once, with its limit, and the waiting request uses that answer. Costs one call more for each node and owner that restarts. No message changes; fronts of an earlier build keep the fault until replaced.

--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -388,6 +388,13 @@
 	return a.owner == name && a.epoch == epoch
 }
 
+// limitTold reports whether an owner that answered a report with that epoch was told the limit, by the report or by an earlier one in the
+// same epoch. An owner that has lost its state, and whose configuration lacks the tenant, grants credit without a bound. Owners without
+// epochs are of an earlier build and are not told.
+func (a *account) limitTold(spent TenantReport, owner string, epoch uint32) bool {
+	return epoch == 0 || spent.Rate > 0 || a.isKnownTo(owner, epoch)
+}
+
 // mustReportShare reports whether the node's share has still to be reported to an owner of that epoch.
 func (a *account) mustReportShare(name string, epoch uint32, now time.Time) bool {
 	return epoch != 0 && a.share > 0 && now.Before(a.shareUntil) && a.isShareUnknownTo(name, epoch)
@@ -406,8 +413,9 @@
 	return a.advance && a.settled != a.count && a.credit == 0 && now.Before(a.creditUntil)
 }
 
-// ApplyAnswer applies an owner's answer to a report that was sent at a given time. It returns false if the answer lacks a tenant: an
-// owner of a build without ledgers answers for none.
+// ApplyAnswer applies an owner's answer to a report that was sent at a given time. Credit from an owner that was not told the limit is
+// not used, and the tenant is due to be reported again, with its limit. It returns false if the answer lacks a tenant: an owner of a build
+// without ledgers answers for none.
 func (m *Meter) ApplyAnswer(spending *NodeReport, answer *Answer, sent time.Time) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -425,7 +433,7 @@
 		}
 		acct.reporting = false
 		credit, answered := answers[spent.Tenant]
-		if answered {
+		if answered && acct.limitTold(spent, spending.owner, answer.Epoch) {
 			acct.settle(spent, credit, sent)
 			acct.owner, acct.epoch, acct.expected = spending.owner, answer.Epoch, 0
 			if credit.Share > 0 || spent.Share > 0 {
