Refuse a request that was served before only after eight runners ended under it

Callers saw: a request that many send alike was refused with 502 for an hour, at all nodes, though nothing is wrong with it: it had been in progress at three or more runners when all of them ended together (a rack, a loss of power, a part of other prompts that crashes runners), and as it was refused, no node completed it any more. Cause: three ends are taken for proof whatever is known of the request before them. Its completions count only after the ends. Change: a node remembers the requests that runners completed for it lately (two generations of 4,096 fingerprints, as for parts). One that was completed needs what a part that was served needs, eight ends and twenty answers to others since the first of them. A node that knows a request as served says so when it hears that others may refuse it. A request that ends each runner is never completed and is refused after three ends as before; one that was served and ends runners from some moment on now costs eight.

--- a/internal/online/poison.go
+++ b/internal/online/poison.go
@@ -55,7 +55,7 @@
 
 // recordCompleted records that a runner completed the request.
 func (e *exchange) recordCompleted() {
-	if !e.forwarder.PoisonWatch.Idle() {
+	if e.forwarder.PoisonWatch != nil {
 		e.forwarder.PoisonWatch.RecordCompleted(e.fingerprint())
 	}
 }
--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// crashLimit is the number of runners that may crash while running a request before the request is refused: the most that the
+	// crashLimit is the number of runners that may crash while running a request that no node completed before it is refused: the most that the
 	// platform allows. A request that was only in flight beside such a request rarely reaches it: none of 108,000 did in 48 simulated
 	// storms of ten requests that crash their runners. Ignoring crashes at which another request had a higher count, to protect such
 	// requests, made ten bad requests hide each other: one was run 18 more times.
@@ -45,7 +45,8 @@
 type Record struct {
 	Print Fingerprint `json:"print"`
 	Ends  []End       `json:"ends"`
-	// Served means that a node had answers begin with the part before its first crash.
+	// Served means that a node had answers begin with the part, or completed the request, before its first crash. Earlier builds do not say it
+	// of requests.
 	Served bool `json:"served,omitempty"`
 	// Withheld means that the sending node refuses requests with the part.
 	Withheld bool `json:"withheld,omitempty"`
@@ -72,8 +73,11 @@
 	records map[Fingerprint]*record
 	// position increases with each change of a record.
 	position int64
-	// served and withheld are what is known of parts; see parts.go.
-	served   servedParts
+	// completed are the requests that runners completed for this node lately, began the parts with which answers began here, and answers is
+	// the number of all answers that began here.
+	completed, began recentSet
+	answers          int64
+	// withheld is what is known of parts; see parts.go.
 	withheld withheldParts
 	// unsent is signalled when there are records to send to others, changeSignal after each change.
 	unsent, changeSignal chan struct{}
@@ -88,7 +92,7 @@
 	position int64
 	// unsent means that the record has changes that this node has not sent to others yet.
 	unsent bool
-	// limit is the number of crashes that refuse the request; zero for a part, which is judged together with the others.
+	// limit is the number of crashes that refuse the request if no node completed it; zero for a part, which is judged together with the others.
 	limit int
 	// served and withheldElsewhere are as in a Record. answers is the number of answers begun at this node when the first crash was recorded
 	// that is not excused.
@@ -130,7 +134,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known := b.records[fingerprint]
-	return known != nil && known.refused() && known.unexplained(b.explainedNow()) >= known.limit
+	return known != nil && known.reachedLimit() && b.refuses(known, b.explainedNow())
 }
 
 // Crashes returns how many runners crashed while running a request, without those that are excused or that a withheld part explains, and the
@@ -155,11 +159,14 @@
 	var refused []Fingerprint
 	for _, fingerprint := range fingerprints {
 		known := b.recordOf(fingerprint)
-		was := known.refused()
+		was := b.refuses(known, nil)
+		if known.count() == 0 {
+			known.answers = b.answers
+		}
 		if known.add(runner, crash{at: at}) {
 			b.markChanged(known, true)
 		}
-		if known.refused() && !was {
+		if b.refuses(known, nil) && !was {
 			refused = append(refused, fingerprint)
 		}
 	}
@@ -171,8 +178,13 @@
 func (b *Book) Completed(fingerprint Fingerprint) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.completed.add(fingerprint)
 	known := b.records[fingerprint]
-	if known == nil || known.count() == 0 {
+	if known == nil {
+		return
+	}
+	known.served = true
+	if known.count() == 0 {
 		return
 	}
 	for _, end := range known.crashes {
@@ -193,16 +205,18 @@
 	withheld := b.withheldNow()
 	for _, received := range records {
 		known := b.recordOf(received.Print)
-		was, updated := known.refused(), false
+		was, updated := b.refuses(known, nil), false
 		for _, end := range received.Ends {
 			at := now.Add(-time.Duration(max(end.AgeMs, 0)) * time.Millisecond)
 			updated = known.add(end.Runner, crash{at: at, excused: end.Excused, service: end.Service, version: end.Version}) || updated
 		}
-		updated = b.learnPart(known, &received) || updated
-		if updated {
-			b.markChanged(known, passOn)
+		updated = known.learnServed(&received) || updated
+		// The sender may refuse a request that this node knows to be served.
+		untold := known.served && !received.Served && known.reachedLimit()
+		if updated || untold {
+			b.markChanged(known, passOn || untold)
 		}
-		if known.refused() && !was {
+		if b.refuses(known, nil) && !was {
 			refused = append(refused, received.Print)
 		}
 	}
@@ -267,8 +281,27 @@
 	return count
 }
 
-// refused reports whether the request must not be run any more. It is false for a part.
-func (r *record) refused() bool { return r.limit > 0 && r.count() >= r.limit }
+// reachedLimit reports whether the request has as many crashes as refuse one that no node completed. It is false for a part.
+func (r *record) reachedLimit() bool { return r.limit > 0 && r.count() >= r.limit }
+
+// refuses reports whether a request must not be run any more, given the crashes that withheld parts explain. It is false for a part. The caller
+// holds the mutex.
+func (b *Book) refuses(known *record, explained map[ident.Incarnation]bool) bool {
+	switch unexplained := known.unexplained(explained); {
+	case known.limit == 0:
+		return false
+	case known.served:
+		return b.guiltyThoughServed(known, unexplained)
+	default:
+		return unexplained >= known.limit
+	}
+}
+
+// guiltyThoughServed reports whether a request or part that was served before its crashes is to be refused, given the crashes that nothing else
+// explains. While all runners are down nothing shows that it is still served, so that answers to others must have begun since.
+func (b *Book) guiltyThoughServed(known *record, unexplained int) bool {
+	return unexplained >= servedLimit && b.answers-known.answers >= servedAnswers
+}
 
 // last returns the time of the last crash.
 func (r *record) last() time.Time {
@@ -285,9 +318,9 @@
 func (b *Book) recordOf(fingerprint Fingerprint) *record {
 	known := b.records[fingerprint]
 	if known == nil {
-		known = &record{crashes: map[ident.Incarnation]*crash{}, limit: crashLimit}
+		known = &record{crashes: map[ident.Incarnation]*crash{}, limit: crashLimit, served: b.completed.has(fingerprint), answers: b.answers}
 		if fingerprint.IsPart() {
-			known.limit, known.served, known.answers = 0, b.served.has(fingerprint), b.served.answers
+			known.limit, known.served = 0, b.began.has(fingerprint)
 		}
 		b.records[fingerprint] = known
 	}
@@ -443,14 +476,14 @@
 // excused.
 func (r *record) matters() bool {
 	count := r.count()
-	return r.refused() || count < len(r.crashes) || r.limit == 0 && count >= partLimit
+	return r.reachedLimit() || count < len(r.crashes) || r.limit == 0 && count >= partLimit
 }
 
 // rank returns the order of eviction: the lowest rank is evicted first. The caller holds the mutex.
 func (b *Book) rank(fingerprint Fingerprint) int {
 	known := b.records[fingerprint]
 	switch {
-	case known.refused(), b.isWithheld(fingerprint):
+	case known.reachedLimit(), b.isWithheld(fingerprint):
 		return 2
 	case known.count() > 0:
 		return 1
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -14,41 +14,37 @@
 // that crashed: it is the one with which no answer begins, and which explains the most crashes.
 
 const (
-	// partLimit is the number of crashes that withhold a part with which no answer ever began, servedPartLimit that of one with which answers
-	// had begun before; then servedPartAnswers answers without it must have begun since the first of them too, because while all runners are
-	// down nothing clears a part.
-	partLimit         = 4
-	servedPartLimit   = 8
-	servedPartAnswers = 20
+	// partLimit is the number of crashes that withhold a part with which no answer ever began, servedLimit that of a part or request that was
+	// served before; then servedAnswers answers to others must have begun since the first of them too.
+	partLimit     = 4
+	servedLimit   = 8
+	servedAnswers = 20
 	// experiencedAnswers is the number of answers that must have begun at a node before it judges parts by itself: until then it cannot tell one
 	// with which no answer begins, unless a part that was served was in requests at the same crashes.
 	experiencedAnswers = 20
 	// maxPartCrashes bounds the crashes stored for one part. All crashes that a part caused are needed to tell it from those beside it.
 	maxPartCrashes = 64
-	// maxServedParts bounds the parts of one generation of those with which answers began. Each takes some 100 bytes.
-	maxServedParts = 4096
+	// maxRecent bounds one generation of a recentSet. Each fingerprint takes some 100 bytes.
+	maxRecent = 4096
 	// partRetention is how long a part is withheld after its last crash. Then requests with it may run again, because runners of another
 	// version may be able to run them. If they are not, they crash four more.
 	partRetention = 10 * time.Minute
 )
 
-// servedParts are the parts with which answers began at this node lately, in two generations, and the number of all such answers.
-type servedParts struct {
-	current, previous map[Fingerprint]bool
-	answers           int64
-}
+// recentSet holds the fingerprints that were added last, in two generations. The zero value is empty.
+type recentSet struct{ current, previous map[Fingerprint]bool }
 
-func (s *servedParts) add(fingerprint Fingerprint) {
+func (s *recentSet) add(fingerprint Fingerprint) {
 	if s.current[fingerprint] {
 		return
 	}
-	if len(s.current) >= maxServedParts || s.current == nil {
+	if len(s.current) >= maxRecent || s.current == nil {
 		s.current, s.previous = map[Fingerprint]bool{}, s.current
 	}
 	s.current[fingerprint] = true
 }
 
-func (s *servedParts) has(fingerprint Fingerprint) bool {
+func (s *recentSet) has(fingerprint Fingerprint) bool {
 	return s.current[fingerprint] || s.previous[fingerprint]
 }
 
@@ -70,7 +66,7 @@
 	for _, part := range parts {
 		known := b.recordOf(part)
 		if known.count() == 0 {
-			known.answers = b.served.answers
+			known.answers = b.answers
 		}
 		if known.add(runner.ID, crash{at: at, service: runner.Service, version: runner.Version}) {
 			b.markChanged(known, true)
@@ -85,9 +81,9 @@
 func (b *Book) RecordBegan(runner work.Runner, parts []Fingerprint, at time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.served.answers++
+	b.answers++
 	for _, part := range parts {
-		b.served.add(part)
+		b.began.add(part)
 		if known := b.records[part]; known != nil && known.clear(runner, at) {
 			b.markChanged(known, true)
 		}
@@ -109,12 +105,11 @@
 	return cleared
 }
 
-// learnPart merges what another node knows of a part beside its crashes, and reports whether that changed the record. The caller holds the
-// mutex.
-func (b *Book) learnPart(known *record, received *Record) bool {
-	updated := received.Served && !known.served || received.Withheld && !known.withheldElsewhere
-	known.served = known.served || received.Served
-	known.withheldElsewhere = known.withheldElsewhere || received.Withheld
+// learnServed merges what another node knows beside the crashes, and reports whether that changed the record.
+func (r *record) learnServed(received *Record) bool {
+	updated := received.Served && !r.served || received.Withheld && !r.withheldElsewhere
+	r.served = r.served || received.Served
+	r.withheldElsewhere = r.withheldElsewhere || received.Withheld
 	return updated
 }
 
@@ -160,8 +155,8 @@
 // withheldNow returns the parts that are withheld. The caller holds the mutex.
 func (b *Book) withheldNow() map[Fingerprint]bool {
 	w := &b.withheld
-	if !w.judged || w.position != b.position || w.answers+servedPartAnswers <= b.served.answers {
-		*w = withheldParts{position: b.position, answers: b.served.answers, judged: true}
+	if !w.judged || w.position != b.position || w.answers+servedAnswers <= b.answers {
+		*w = withheldParts{position: b.position, answers: b.answers, judged: true}
 		w.parts, w.explained = b.judge()
 	}
 	return w.parts
@@ -236,10 +231,10 @@
 func (b *Book) guilty(known *record, explained map[ident.Incarnation]bool) bool {
 	unexplained := known.unexplained(explained)
 	switch {
-	case b.served.answers < experiencedAnswers && !b.besideServed(known):
+	case b.answers < experiencedAnswers && !b.besideServed(known):
 		return known.withheldElsewhere
 	case known.served:
-		return unexplained >= servedPartLimit && b.served.answers-known.answers >= servedPartAnswers
+		return b.guiltyThoughServed(known, unexplained)
 	}
 	return unexplained >= partLimit
 }
