Give a runner the time that remains after it was confirmed

Callers saw: nothing yet; a runner that goes on with a stream was given up to half a second more than the request had left (the platform's rule on time given). Cause: the time left was read before the runners are asked for their starts, which takes up to .3 s a call since streams are confirmed where names of runners are used again. Change: the attempt counts as sent, and its time is read, after the confirmation; without time left the request ends as at its deadline.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -106,7 +106,11 @@
 	if err := e.confirm(ctx, flight); err != nil {
 		return err
 	}
-	budget = e.deadline.Sub(e.sent)
+	e.sent = e.forwarder.Now()
+	e.slot.sent = e.sent
+	if budget = e.deadline.Sub(e.sent); budget < minBudget {
+		return e.refusal(failure.CodeDeadlineExceeded, "the time of the request is over", nil)
+	}
 	guard := e.guardSilence(cancel)
 	reply, err := e.forwarder.Caller.Send(ctx, work.Attempt{Request: e.request, Runner: flight.Runner, Budget: budget, ResumeAfter: e.lastEvent})
 	if err != nil {
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -125,21 +125,24 @@
 }
 
 func serveBy(ids []ident.Incarnation, writer *recorder, attempts int, replies ...*work.Reply) (*scriptedCaller, error) {
+	caller := &scriptedCaller{replies: replies}
+	return caller, serveWith(caller, ids, writer, attempts)
+}
+
+func serveWith(caller work.Caller, ids []ident.Incarnation, writer *recorder, attempts int) error {
 	table := runnertable.New("z")
 	var runners []work.Runner
 	for _, id := range ids {
 		runners = append(runners, work.Runner{ID: id, Service: "s", Version: "v1", Zone: "z", Slots: 4})
 	}
 	table.Replace(runners, time.Now(), true)
-	caller := &scriptedCaller{replies: replies}
 	forwarder := &online.Forwarder{Runners: table, Caller: caller, Logger: zerolog.Nop(), Now: time.Now}
 	route := &work.Route{
 		Name: "r", Kind: work.Streaming, Resumable: true, MaximumAttempts: attempts, Objective: time.Second, Pause: pauseAllowed,
 		Split: []work.WeightedService{{Service: "s", Weight: 1}},
 	}
 	request := &work.Request{ID: "q", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
-	err := forwarder.Serve(context.Background(), route, request, writer)
-	return caller, err
+	return forwarder.Serve(context.Background(), route, request, writer)
 }
 
 // pauseAllowed is the pause between two events that the route of the tests allows.
