Wait for a list as young as the stream where the runner that began it cannot be asked

Callers saw: an item whose text holds output of two software versions; streams in the same way. Cause: a guess that the design named: a runner that began something under a name that is used again, and that has crashed before it can be asked, was believed to be the version that was listed. A list that is older than the stream's beginning says nothing of that. Change: the table of runners knows until when all starts are listed (the last list that proves absence, less a heartbeat). Where the runner cannot be asked, its version is known only if that is later than the first event by the difference of clocks. Else an item begins anew, and a stream waits up to 2.5 s for such a list, then is refused, with a time to come back. Costs nothing where runners answer or names are never used again. What remains: a runner that crashes before it has written its entry even once since its restart is in no list; its streams go on at the version listed, its items begin anew.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -253,6 +253,10 @@
 	unread := asOf.Sub(f.absence.asOf)
 	proof := f.absence.apply(listed, asOf, f.Now())
 	change := f.Runners.Replace(listed, f.Now(), proof)
+	if proof {
+		// A runner writes its entry at least once in a heartbeat.
+		f.Runners.SetCompleteThrough(asOf.Add(-f.Options.Heartbeat))
+	}
 	if f.Forget != nil {
 		for _, address := range change.Addresses {
 			f.Forget(address)
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -167,7 +167,8 @@
 // confirm makes sure that the version that began an item's output is known, and that a runner that is to go on with it is the incarnation that
 // the registry lists. Its error wraps errRefused, and streamorigin.ErrUnknown if the output cannot be continued.
 func (w *Worker) confirm(ctx context.Context, item *itemRun, flight *runnertable.Flight) error {
-	if err := streamorigin.Verify(ctx, w.Caller, w.Runners, item.origin); err != nil {
+	moment := streamorigin.Moment{Date: w.Records.Now(), Now: w.Now()}
+	if err := streamorigin.Verify(ctx, w.Caller, w.Runners, item.origin, moment); err != nil {
 		return fmt.Errorf("%w: %w", errRefused, err)
 	}
 	err := streamorigin.Confirm(ctx, w.Caller, flight.Runner)
--- a/internal/online/origin.go
+++ b/internal/online/origin.go
@@ -72,10 +72,10 @@
 }
 
 // refuseResumption returns the final error of a stream that cannot go on. Its client is told to come back only if nodes that may know
-// where the stream began were out of reach.
+// where the stream began were out of reach, or if the registry may tell later.
 func (e *exchange) refuseResumption(cause error) error {
 	refused := failure.New(failure.CodeNotResumable, "no runner can go on with the stream").WithOutcome(e.outcome).WithCause(cause)
-	if errors.Is(cause, streamorigin.ErrOutOfReach) {
+	if errors.Is(cause, streamorigin.ErrOutOfReach) || errors.Is(cause, streamorigin.ErrNotYetListed) {
 		return refused.WithRetryAfter(minRetryAfter)
 	}
 	return refused
@@ -87,7 +87,7 @@
 	if e.origin == nil {
 		return nil
 	}
-	if err := streamorigin.Verify(ctx, e.forwarder.Caller, e.forwarder.Runners, *e.origin); err != nil {
+	if err := e.awaitVerified(ctx); err != nil {
 		return e.refuseResumption(err)
 	}
 	err := streamorigin.Confirm(ctx, e.forwarder.Caller, flight.Runner)
@@ -104,6 +104,32 @@
 	return fmt.Errorf("%w: %w", errTryAgain, err)
 }
 
+const (
+	// originWait is how long a stream waits at most until the registry tells whether the runner that began it had been started again: a
+	// heartbeat, the difference of clocks, and the time to the next list.
+	originWait = 2500 * time.Millisecond
+	// originPoll is the time between two looks meanwhile.
+	originPoll = 100 * time.Millisecond
+)
+
+// awaitVerified makes sure that the version that began the stream is known, and waits while the next lists may tell.
+func (e *exchange) awaitVerified(ctx context.Context) error {
+	f := e.forwarder
+	end := f.Now().Add(originWait)
+	for {
+		moment := streamorigin.Moment{Date: f.date(), Now: f.Now()}
+		err := streamorigin.Verify(ctx, f.Caller, f.Runners, *e.origin, moment)
+		if !errors.Is(err, streamorigin.ErrNotYetListed) || f.Now().After(end) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(originPoll):
+		}
+	}
+}
+
 // recordOrigin records where the stream began, at the first event that is sent to the caller. A stream that was taken up is recorded
 // under its first attempt again, so that more nodes know it.
 func (e *exchange) recordOrigin(flight *runnertable.Flight) {
--- a/internal/runnertable/list.go
+++ b/internal/runnertable/list.go
@@ -75,6 +75,22 @@
 	return change
 }
 
+// SetCompleteThrough records that the lists applied so far show all runners that were started until a time. It never goes back.
+func (t *Table) SetCompleteThrough(through time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if through.After(t.completeThrough) {
+		t.completeThrough = through
+	}
+}
+
+// CompleteThrough returns the time until which all starts of runners are known; the zero time if none are.
+func (t *Table) CompleteThrough() time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.completeThrough
+}
+
 // markUnchanged marks the runners that a list names as they are, and returns the rest of the list. The caller holds the mutex.
 func (t *Table) markUnchanged(listed []work.Runner) []work.Runner {
 	var rest []work.Runner
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -42,7 +42,9 @@
 	generation, pass uint64
 	// settled is the last list if applying it again, at whatever time, would change nothing; nil otherwise.
 	settled []work.Runner
-	inUse   inUse
+	// completeThrough is the time until which all starts of runners are known from lists.
+	completeThrough time.Time
+	inUse           inUse
 	// rationed holds the entries whose owners ration their slots, as of the last reports.
 	rationed map[ident.Incarnation]*entry
 	// onlineChanged is called when this node's online work at a runner changes or a direct report starts or ends a
--- a/internal/streamorigin/incarnation.go
+++ b/internal/streamorigin/incarnation.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/failure"
-	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -36,34 +35,47 @@
 // startSlack is by how much the clocks of two machines may differ.
 const startSlack = 500 * time.Millisecond
 
+// ErrNotYetListed means that a runner which began a stream cannot be asked whether it had been started again before, and that the registry may
+// not have listed such a start yet.
+const ErrNotYetListed = failure.Kind("stream origins: a start of the runner may not be listed yet")
+
+// Moment is the present time, as a date and by the node's clock for ages.
+type Moment struct{ Date, Now time.Time }
+
 // Verify makes sure that a stream began at the version that its origin names. A runner that is started again under its name with another software
 // version answers before the registry lists it anew, so that a stream that it begins then is taken for one of the version before. Its error
-// is ErrUnknown if the stream may have begun after such a start.
-func Verify(ctx context.Context, caller work.Caller, runners *runnertable.Table, origin work.Origin) error {
+// wraps ErrUnknown if the stream may have begun after such a start, and ErrNotYetListed too if a later list will tell.
+func Verify(ctx context.Context, caller work.Caller, runners *runnertable.Table, origin work.Origin, moment Moment) error {
 	if _, hasStart := origin.Runner.Started(); !hasStart || origin.Version == "" {
 		return nil
 	}
-	started, again := startedAgain(ctx, caller, runners, origin.Runner)
-	if again && !time.UnixMilli(origin.BeganMs).Add(startSlack).Before(started) {
-		return fmt.Errorf("%w: runner %s was started again", ErrUnknown, origin.Runner)
+	if listed, isListed := runners.Runner(origin.Runner); isListed {
+		err := Confirm(ctx, caller, listed)
+		if err == nil {
+			return nil
+		}
+		var other *work.OtherIncarnation
+		if errors.As(err, &other) {
+			return checkStart(origin, other.Started)
+		}
+	} else if latest := runners.Latest(origin.Runner.Name()); latest != "" && latest != origin.Runner {
+		started, _ := latest.Started()
+		return checkStart(origin, started)
+	}
+	age := moment.Date.Sub(time.UnixMilli(origin.BeganMs).Add(startSlack))
+	if runners.CompleteThrough().Before(moment.Now.Add(-age)) {
+		return fmt.Errorf("%w: %w: %s", ErrUnknown, ErrNotYetListed, origin.Runner)
 	}
 	return nil
 }
 
-// startedAgain returns when a later incarnation of a runner started, if there is one: the registry lists it, or it answers. It is the zero time if
-// it does not tell.
-func startedAgain(ctx context.Context, caller work.Caller, runners *runnertable.Table, id ident.Incarnation) (started time.Time, again bool) {
-	listed, isListed := runners.Runner(id)
-	if !isListed {
-		latest := runners.Latest(id.Name())
-		started, _ = latest.Started()
-		return started, latest != "" && latest != id
-	}
-	var other *work.OtherIncarnation
-	if errors.As(Confirm(ctx, caller, listed), &other) {
-		return other.Started, true
+// checkStart returns an error that wraps ErrUnknown unless the stream began before the runner was started again. The zero time is a start
+// whose time the runner does not tell.
+func checkStart(origin work.Origin, started time.Time) error {
+	if time.UnixMilli(origin.BeganMs).Add(startSlack).Before(started) {
+		return nil
 	}
-	return time.Time{}, false
+	return fmt.Errorf("%w: runner %s was started again", ErrUnknown, origin.Runner)
 }
 
 // IsReplaced reports whether an error of Confirm means that the listed incarnation is gone.
