Ask a runner that goes on with a stream or an item once more when its answer has begun

Callers saw: a stream taken up that holds events of two software versions. Cause: a runner that is to go on is asked whether it is still the one that is listed, and then sent the request. Between the two it may be started again under its name as another version: the request is then run by that one. A check before the act, for a state that changes by itself. The two new tests failed before (the wrong event was relayed; the item took the output). Change: the runner is asked again after its answer has begun. Whoever answers then as the listed one has sent that answer too, as its process cannot have begun later than the answer. Else nothing of the answer is used, and another runner is asked within the attempts of the route. The question before stays, as it costs no run. One report more for each stream that goes on, only where names of runners are used again. After: tests of online and jobworker pass.

--- a/internal/jobworker/origin_test.go
+++ b/internal/jobworker/origin_test.go
@@ -1,6 +1,10 @@
 package jobworker
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +12,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/progress"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -66,3 +71,46 @@
 	assert.Equal(t, pick(unknown), ident.Incarnation("new"))
 	assert.Equal(t, unknown.lastEvent, int64(0), "output of no known version is not gone on with")
 }
+
+// restartingCaller is a runner that is started again under its name just before it gets a request, and answers it.
+type restartingCaller struct {
+	work.Caller
+	restarted bool
+}
+
+func (c *restartingCaller) Report(_ context.Context, runner work.Runner) (work.Load, error) {
+	if c.restarted {
+		return work.Load{}, &work.OtherIncarnation{Asked: runner.ID, Started: time.Now()}
+	}
+	return work.Load{}, nil
+}
+
+func (c *restartingCaller) Send(context.Context, work.Attempt) (*work.Reply, error) {
+	c.restarted = true
+	return &work.Reply{
+		Head: work.Head{Status: http.StatusOK}, Sealed: true, Framed: true,
+		Body: io.NopCloser(strings.NewReader("id: 2\ndata: of another version\n\n")),
+	}, nil
+}
+
+func (c *restartingCaller) Forget(work.Runner) {}
+
+// TestRunnerRestartedAsItIsSentAnItemDoesNotGoOn guards against output of a runner that is started again as another software version after it was
+// confirmed and before it gets the item.
+func TestRunnerRestartedAsItIsSentAnItemDoesNotGoOn(t *testing.T) {
+	w := idleWorker(t)
+	w.Caller, w.Records = &restartingCaller{}, &jobrecord.Records{Now: time.Now}
+	now := time.Now()
+	id, _ := ident.NewIncarnation("i-1", now.Add(-time.Hour))
+	runner := work.Runner{ID: id, Service: "s", Version: "v1", Zone: "a", Slots: 2}
+	w.Runners.Replace([]work.Runner{runner}, now, true)
+	flight, err := w.Runners.StartAt(id, runnertable.PickRequest{Service: "s", Class: runnertable.Batch}, now)
+	assert.NilError(t, err)
+	defer flight.End()
+	item := &itemRun{job: &jobRun{}, lastEvent: 1, origin: work.OriginOf(runner, now)}
+	item.text.WriteString("a")
+	_, err = w.stream(context.Background(), item, &work.Request{}, flight)
+	assert.ErrorIs(t, err, errRefused)
+	assert.Equal(t, item.text.String(), "a")
+	assert.Equal(t, item.lastEvent, int64(1))
+}
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -133,10 +133,8 @@
 
 // stream sends the item to the runner and reads its events. It returns the status of an answer that was read completely.
 func (w *Worker) stream(ctx context.Context, item *itemRun, request *work.Request, flight *runnertable.Flight) (int, error) {
-	if item.lastEvent > 0 {
-		if err := w.confirm(ctx, item, flight); err != nil {
-			return 0, err
-		}
+	if err := w.confirm(ctx, item, flight); err != nil {
+		return 0, err
 	}
 	reply, err := w.Caller.Send(ctx, work.Attempt{
 		Request: request, Runner: flight.Runner, Budget: maxRunTime, ResumeAfter: item.lastEvent,
@@ -161,16 +159,32 @@
 	case !reply.Sealed || reply.Encoded:
 		return 0, fmt.Errorf("%w: success response is unsigned or content-encoded", errUnexpected)
 	}
+	// The runner may have been started again, as another version, between its confirmation and the request.
+	if err := w.confirmRunner(ctx, item, flight); err != nil {
+		return 0, err
+	}
 	return http.StatusOK, w.readEvents(item, flight, reply)
 }
 
 // confirm makes sure that the version that began an item's output is known, and that a runner that is to go on with it is the incarnation that
 // the registry lists. Its error wraps errRefused, and streamorigin.ErrUnknown if the output cannot be continued.
 func (w *Worker) confirm(ctx context.Context, item *itemRun, flight *runnertable.Flight) error {
+	if item.lastEvent == 0 {
+		return nil
+	}
 	moment := streamorigin.Moment{Date: w.Records.Now(), Now: w.Now()}
 	if err := streamorigin.Verify(ctx, w.Caller, w.Runners, item.origin, moment); err != nil {
 		return fmt.Errorf("%w: %w", errRefused, err)
 	}
+	return w.confirmRunner(ctx, item, flight)
+}
+
+// confirmRunner makes sure that the runner of an item that goes on is the incarnation that the registry lists. After its answer has begun, this
+// proves that the answer is of that incarnation too. Its error wraps errRefused.
+func (w *Worker) confirmRunner(ctx context.Context, item *itemRun, flight *runnertable.Flight) error {
+	if item.lastEvent == 0 {
+		return nil
+	}
 	err := streamorigin.Confirm(ctx, w.Caller, flight.Runner)
 	if err == nil {
 		return nil
--- a/internal/online/confirm_test.go
+++ b/internal/online/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,18 +40,58 @@
 // go on with the stream.
 func TestConfirmingARunnerTakesFromItsTime(t *testing.T) {
 	simulated.Test(t, func(t *testing.T) {
-		var ids []ident.Incarnation
-		for _, name := range []ident.Runner{"1", "2"} {
-			id, _ := ident.NewIncarnation(name, time.Now().Add(-time.Hour))
-			ids = append(ids, id)
-		}
 		caller := &slowlyConfirmed{
 			scriptedCaller: &scriptedCaller{replies: []*work.Reply{stream(firstEvent, false), stream(secondEvent, true)}}, t: t,
 			deadline: time.Now().Add(time.Minute),
 		}
 		writer := &recorder{}
-		assert.NilError(t, serveWith(caller, ids, writer, 2))
+		assert.NilError(t, serveWith(caller, startedIDs(2), writer, 2))
 		assert.Equal(t, writer.body.String(), firstEvent+secondEvent)
 		assert.Equal(t, len(caller.budgets), 2)
 	})
 }
+
+// restartingCaller is a scriptedCaller whose second runner is started again just before it gets the request.
+type restartingCaller struct {
+	*scriptedCaller
+	// restarted is the runner that was started again; empty before.
+	restarted ident.Incarnation
+}
+
+func (c *restartingCaller) Report(_ context.Context, runner work.Runner) (work.Load, error) {
+	if runner.ID == c.restarted {
+		return work.Load{}, &work.OtherIncarnation{Asked: runner.ID, Started: time.Now()}
+	}
+	return work.Load{}, nil
+}
+
+func (c *restartingCaller) Send(ctx context.Context, attempt work.Attempt) (*work.Reply, error) {
+	if len(c.resumed) == 1 {
+		c.restarted = attempt.Runner.ID
+	}
+	return c.scriptedCaller.Send(ctx, attempt)
+}
+
+// TestRunnerRestartedAsItIsSentAStreamDoesNotGoOn guards against events of a runner that is started again as another software version after it was
+// confirmed and before it gets the request. Another runner goes on.
+func TestRunnerRestartedAsItIsSentAStreamDoesNotGoOn(t *testing.T) {
+	simulated.Test(t, func(t *testing.T) {
+		caller := &restartingCaller{scriptedCaller: &scriptedCaller{replies: []*work.Reply{
+			stream(firstEvent, false), stream("id: 2\ndata: of another version\n\n", true), stream(secondEvent, true),
+		}}}
+		writer := &recorder{}
+		assert.NilError(t, serveWith(caller, startedIDs(3), writer, 3))
+		assert.Equal(t, writer.body.String(), firstEvent+secondEvent)
+		assert.DeepEqual(t, caller.resumed, []int64{0, 1, 1})
+	})
+}
+
+// startedIDs returns the ids of runners whose names are used again.
+func startedIDs(count int) []ident.Incarnation {
+	var ids []ident.Incarnation
+	for index := range count {
+		id, _ := ident.NewIncarnation(ident.Runner(fmt.Sprint("i-", index)), time.Now().Add(-time.Hour))
+		ids = append(ids, id)
+	}
+	return ids
+}
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -224,6 +224,11 @@
 		guard.stop()
 		return fmt.Errorf("%w: status %d", errTryAgain, reply.Head.Status)
 	}
+	// The runner may have been started again, as another version, between its confirmation and the request.
+	if err := e.confirmRunner(e.slot.ctx, flight); err != nil {
+		guard.stop()
+		return e.retryOrFail(err)
+	}
 	before := e.lastEvent
 	if e.request.ResumeAfter > 0 && !e.headSent {
 		e.logTakenUp(flight)
--- a/internal/online/origin.go
+++ b/internal/online/origin.go
@@ -90,6 +90,18 @@
 	if err := e.awaitVerified(ctx); err != nil {
 		return e.refuseResumption(err)
 	}
+	if err := e.confirmRunner(ctx, flight); err != nil {
+		return fmt.Errorf("%w: %w", errTryAgain, err)
+	}
+	return nil
+}
+
+// confirmRunner makes sure that the runner of a stream that goes on is the incarnation that the registry lists. After its answer has begun, this
+// proves that the answer is of that incarnation too.
+func (e *exchange) confirmRunner(ctx context.Context, flight *runnertable.Flight) error {
+	if e.origin == nil {
+		return nil
+	}
 	err := streamorigin.Confirm(ctx, e.forwarder.Caller, flight.Runner)
 	if err == nil {
 		return nil
@@ -101,7 +113,7 @@
 	flight.Failed(cause, e.forwarder.Now())
 	e.forwarder.Caller.Forget(flight.Runner)
 	e.logAttempt(flight, err)
-	return fmt.Errorf("%w: %w", errTryAgain, err)
+	return err
 }
 
 const (
