--- a/internal/jobpeer/origins.go
+++ b/internal/jobpeer/origins.go
@@ -285,13 +285,15 @@
 	}
 	replies := make(chan reply, len(search.left))
 	for _, address := range search.left {
-		go func() {
+		// Each call has its own tomb: during shutdown requests are still served for a while after the process's tomb accepts no more.
+		new(tomb.Tomb).Go(func() error {
 			answer := &streamorigin.Answer{}
 			if !o.Client.ask(ctx, address, methodFindOrigin, search.query, answer, 0) {
 				answer = nil
 			}
 			replies <- reply{address, answer}
-		}()
+			return nil
+		})
 	}
 	for range search.left {
 		next := <-replies
