--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// judge returns the parts to withhold, and the runners whose crashes they explain. Parts are judged in the order of their crashes, those with which no answer ever began first, and a crash
-// that one of them explains does not count against the others. The caller holds the mutex.
+// judge returns the parts to withhold, and the runners whose crashes they explain. Parts are judged in the order of their crashes, those with
+// which no answer ever began first, and a crash that one of them explains does not count against the others. The caller holds the mutex.
 func (b *Book) judge() (withheld map[Fingerprint]bool, explained map[ident.Incarnation]bool) {
 	withheld, explained = map[Fingerprint]bool{}, map[ident.Incarnation]bool{}
 	for _, part := range b.suspects() {
