Show that workers end when the store comes back slowly, and put the cases in order

When a lease has run out in an outage of the store, a job is claimed again by the loop that renews the lease and by the writer of its results at once. The first reads results that the second has in flight, and the second then takes them out of a list that lacks them: the worker ends with a panic, or its list of results differs from the store's.

The cases of expected weights and of split routes follow.

--- a/review/.standin/nestedroute.go
+++ b/review/.standin/nestedroute.go
@@ -18,14 +18,7 @@
 	}
 	defer s.close()
 	defer s.keepLogs(os.Getenv("REVIEW_LOGS"))
-	s.store.Put("op/config", configuration(7, nil))
-	for index, zone := range []string{"palermo", "palermo", "catania", "catania", "agrigento", "agrigento"} {
-		next := &runner{id: fmt.Sprintf("i-7f3a91c%d", index), service: service, zone: zone, slots: 17, events: 40, interval: 25 * time.Millisecond}
-		if err := s.addRunner(next); err != nil {
-			return cannotRun, err
-		}
-	}
-	fronts, _, err := threeZones(s)
+	fronts, err := s.oneService()
 	if err != nil {
 		return cannotRun, err
 	}
--- a/review/.standin/runner.go
+++ b/review/.standin/runner.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,9 @@
 	"time"
 )
 
+// weights is the version of the weights of all runners.
+const weights = "1"
+
 // seal is the signature that a runner puts into its answers.
 func seal(id string) string { return "3e1b.07.5a2.600.0." + id }
 
@@ -28,30 +32,35 @@
 	return strings.Join(lines, "\n")
 }
 
+// eventsOf returns the number of events of the answer to a request, which is the same at all runners.
+func (r *runner) eventsOf(id string) int {
+	if r.spread == 0 {
+		return r.events
+	}
+	return r.events + int(crc32.ChecksumIEEE([]byte(id))%uint32(r.spread))
+}
+
 // run is a request that a runner has begun.
 type run struct {
-	id         string
-	resume     int
-	began      time.Time
-	ended      time.Time
-	status     int
-	aborted    bool
-	runner     string
-	fromWorker string
+	id      string
+	resume  int
+	began   time.Time
+	ended   time.Time
+	status  int
+	aborted bool
+	runner  string
 }
 
 // runner is a sound model runner as PROTOCOL.md describes one: it works on slots requests at once, rejects what is beyond that as
 // not run, checks X-Mallowlatch-Expect-Instance, drops a request whose connection closes, and goes on after Last-Event-Id.
 type runner struct {
 	id, service, zone string
-	slots, events     int
-	interval          time.Duration
-	record            *record
-	listener          net.Listener
-	// impossible answers 422 for an item, which the page says can then never be done; nil means none.
-	impossible func(id string) bool
-	// onAnswer is called after an answer without a stream.
-	onAnswer func(id string, status int, remote string)
+	slots             int
+	// events is the least number of events of an answer, spread by how many more some have.
+	events, spread int
+	interval       time.Duration
+	record         *record
+	listener       net.Listener
 
 	mutex    sync.Mutex
 	runs     []*run
@@ -138,6 +147,7 @@
 	id := request.Header.Get("X-Mallowlatch-Request-Id")
 	back := "X-Mallowlatch-Request-Id: " + id + "\r\n"
 	expected := request.Header.Get("X-Mallowlatch-Expect-Instance")
+	pinned := request.Header.Get("X-Mallowlatch-Expect-Version")
 	switch {
 	case request.URL.Path == "/mallowlatch/report":
 		return r.report(conn)
@@ -147,8 +157,11 @@
 		return plain(conn, http.StatusBadRequest, "X-Mallowlatch-Not-Run: 1\r\n", "")
 	case expected != "" && expected != r.id:
 		return plain(conn, http.StatusMisdirectedRequest, back+"X-Mallowlatch-Not-Run: 1\r\n", "")
+	case pinned != "" && pinned != weights:
+		r.record.write("runner %s answers 421 to %s, which expects weights %s", r.id, id, pinned)
+		return plain(conn, http.StatusMisdirectedRequest, back+"X-Mallowlatch-Weight-Versions: "+weights+"\r\nX-Mallowlatch-Not-Run: 1\r\n", "")
 	}
-	current := &run{id: id, began: time.Now(), runner: r.id, fromWorker: conn.RemoteAddr().String()}
+	current := &run{id: id, began: time.Now(), runner: r.id}
 	current.resume, _ = strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	r.mutex.Lock()
 	if r.running >= r.slots {
@@ -161,7 +174,7 @@
 	load := r.load()
 	r.mutex.Unlock()
 	r.record.write("runner %s (%s) begins %s after event %d", r.id, r.service, id, current.resume)
-	keep := r.work(conn, current, back+"X-Mallowlatch-Server-Seal: "+seal(id)+"\r\n"+load)
+	keep := r.work(conn, current, back+"X-Mallowlatch-Server-Seal: "+seal(id)+"\r\nX-Mallowlatch-Weight-Versions: "+weights+"\r\n"+load)
 	r.mutex.Lock()
 	r.running--
 	current.ended = time.Now()
@@ -171,21 +184,12 @@
 }
 
 func (r *runner) work(conn net.Conn, current *run, head string) bool {
-	if r.impossible != nil && r.impossible(current.id) {
-		time.Sleep(r.interval)
-		current.status = http.StatusUnprocessableEntity
-		sent := plain(conn, current.status, head, "impossible")
-		if r.onAnswer != nil {
-			r.onAnswer(current.id, current.status, current.fromWorker)
-		}
-		return sent
-	}
 	current.status = http.StatusOK
 	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		current.aborted = true
 		return false
 	}
-	for position := current.resume + 1; position <= r.events; position++ {
+	for position := current.resume + 1; position <= r.eventsOf(current.id); position++ {
 		time.Sleep(r.interval)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", position, eventText(current.id, position))
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
--- a/review/.standin/site.go
+++ b/review/.standin/site.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mallowlatch.example/mallowlatch/platform/platformtest"
@@ -47,8 +48,10 @@
 	name, role                   string
 	callers, ready, peers, store string
 	settings                     string
-	command                      *exec.Cmd
-	ended                        chan struct{}
+	// exits is how often the process ended by itself; the site's mutex guards it, and the two below after the first start.
+	exits   int
+	command *exec.Cmd
+	ended   chan struct{}
 }
 
 // site is a small deployment: the platform's store, runners, and the project's processes.
@@ -62,7 +65,11 @@
 	all     []*process
 	seeds   []string
 	zones   []string
+	// runnersEach is the number of runners of a zone. events is the least number of events of an answer, spread by how many more some have.
+	runnersEach, events, spread int
 
+	// slow makes the answers of transactions take slowFactor times as long; what is asked is done at once.
+	slow  atomic.Bool
 	mutex sync.Mutex
 	down  bool
 	done  chan struct{}
@@ -73,6 +80,8 @@
 	heartbeat   = 1200 * time.Millisecond
 	storeAnswer = 4 * time.Millisecond
 	pageEntries = 500
+	// slowFactor is the x of the site's platform_slow.
+	slowFactor = 60
 )
 
 func newSite(record *record, program string, zones []string) (*site, error) {
@@ -80,19 +89,37 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{record: record, folder: folder, program: program, store: platformtest.NewStore(), zones: zones, done: make(chan struct{})}
+	s := &site{record: record, folder: folder, program: program, store: platformtest.NewStore(), zones: zones, runnersEach: 2, events: 40, done: make(chan struct{})}
 	s.store.PageSize = pageEntries
 	s.store.SetLatency(storeAnswer)
-	s.server = httptest.NewServer(s.store)
+	s.server = httptest.NewServer(http.HandlerFunc(s.serveStore))
 	return s, nil
 }
 
+// serveStore answers a call of the store. While the store is slow, transactions are answered late.
+func (s *site) serveStore(response http.ResponseWriter, request *http.Request) {
+	if !s.slow.Load() || request.URL.Path != "/mallowlatch/kv-txn" {
+		s.store.ServeHTTP(response, request)
+		return
+	}
+	answer := httptest.NewRecorder()
+	s.store.ServeHTTP(answer, request)
+	time.Sleep((slowFactor - 1) * storeAnswer)
+	for name, values := range answer.Header() {
+		response.Header()[name] = values
+	}
+	response.WriteHeader(answer.Code)
+	_, _ = response.Write(answer.Body.Bytes())
+}
+
 // close ends all processes that the site started.
 func (s *site) close() {
 	close(s.done)
+	s.mutex.Lock()
 	for _, p := range s.all {
 		p.kill()
 	}
+	s.mutex.Unlock()
 	for _, r := range s.runners {
 		r.stop()
 	}
@@ -206,16 +233,44 @@
 	if err := p.command.Start(); err != nil {
 		return err
 	}
+	command := p.command
 	p.ended = make(chan struct{})
+	ended := p.ended
 	go func() {
-		_ = p.command.Wait()
+		_ = command.Wait()
 		_ = log.Close()
-		close(p.ended)
+		close(ended)
+		s.restart(p, zone, command.ProcessState)
 	}()
-	s.record.write("%s starts, process %d", p.name, p.command.Process.Pid)
+	s.record.write("%s starts, process %d", p.name, command.Process.Pid)
 	return nil
 }
 
+// restartDelay is the time after which the platform starts a process again that ended.
+const restartDelay = 500 * time.Millisecond
+
+// restart starts a process again that ended by itself, as the platform does.
+func (s *site) restart(p *process, zone string, state *os.ProcessState) {
+	select {
+	case <-s.done:
+		return
+	default:
+	}
+	s.record.say("%s ended by itself: %v", p.name, state)
+	time.Sleep(restartDelay)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p.exits++
+	select {
+	case <-s.done:
+		return
+	default:
+	}
+	if err := s.start(p, zone, false); err != nil {
+		s.record.say("%s is not started again: %v", p.name, err)
+	}
+}
+
 // kill ends a process with SIGKILL and waits for its end.
 func (p *process) kill() {
 	if p.command == nil || p.command.Process == nil {
@@ -253,6 +308,9 @@
 	}
 }
 
+// callTimeout is how long a client waits for a whole answer: that of the site's kinds of requests, and longer than the 1.5 s of a read.
+const callTimeout = 3 * time.Second
+
 // call makes one client call on a new connection. The status is zero if no whole answer came.
 func (s *site) call(method, address, path, id string, body []byte, headers ...string) (int, string) {
 	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
@@ -266,7 +324,7 @@
 	for index := 0; index+1 < len(headers); index += 2 {
 		request.Header.Set(headers[index], headers[index+1])
 	}
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, err.Error()
@@ -293,13 +351,16 @@
 
 // job is a batch job as its client knows it.
 type job struct {
-	id       string
-	path     string
+	id   string
+	path string
+	// weights is the version of the weights that the items expect; empty if any will do.
+	weights  string
 	items    []string
 	accepted bool
 	sent     time.Time
-	total    int
-	results  []result
+	// wrongTotal is a number of items that a node named and the job does not have; zero if none did.
+	wrongTotal int
+	results    []result
 }
 
 func newJob(id string, items int) *job {
@@ -318,10 +379,14 @@
 
 func (j *job) body() []byte {
 	var listed []map[string]any
+	headers := map[string]string{"X-Mallowlatch-Model": "m", "X-Mallowlatch-Token-Count": "200,100"}
+	if j.weights != "" {
+		headers["X-Mallowlatch-Expect-Version"] = j.weights
+	}
 	for _, item := range j.items {
 		listed = append(listed, map[string]any{
-			"id": item, "path": j.path, "headers": map[string]string{"X-Mallowlatch-Model": "m", "X-Mallowlatch-Token-Count": "540,400"},
-			"body": []byte("body of " + item), "tokens": 940,
+			"id": item, "path": j.path, "headers": headers,
+			"body": []byte("body of " + item), "tokens": 300,
 		})
 	}
 	encoded, _ := json.Marshal(map[string]any{"requests": listed})
@@ -357,13 +422,16 @@
 		s.record.write("read of %s: %v", j.id, err)
 		return
 	}
-	j.total = page.Total
+	if page.Total != len(j.items) {
+		j.wrongTotal = page.Total
+		s.record.write("read of %s at %s: total %d", j.id, front.name, page.Total)
+	}
 	if len(page.Results) == 0 {
 		return
 	}
 	j.results = append(j.results, page.Results...)
-	for _, one := range page.Results {
-		s.record.write("%s lists %s as %s, %d bytes", j.id, one.ID, one.State, len(one.Text))
+	for index, one := range page.Results {
+		s.record.write("%s at %s lists %s at position %d as %s, %d bytes", j.id, front.name, one.ID, len(j.results)-len(page.Results)+index, one.State, len(one.Text))
 	}
 }
 
--- a/review/.standin/splitjobs.go
+++ b/review/.standin/splitjobs.go
@@ -64,6 +64,21 @@
 	return fronts, workers, nil
 }
 
+// oneService starts a site with three zones, each with runners of one service, and returns its fronts.
+func (s *site) oneService() ([]*process, error) {
+	s.store.Put("op/config", configuration(7, nil))
+	for index := range s.runnersEach * len(s.zones) {
+		next := &runner{
+			id: fmt.Sprintf("i-7f3a91%02d", index), service: service, zone: s.zones[index/s.runnersEach], slots: 17, events: s.events, spread: s.spread, interval: 25 * time.Millisecond,
+		}
+		if err := s.addRunner(next); err != nil {
+			return nil, err
+		}
+	}
+	fronts, _, err := threeZones(s)
+	return fronts, err
+}
+
 // lead is the time from the start of the machines to that of the traffic.
 const lead = 10 * time.Second
 
@@ -118,7 +133,9 @@
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		left := 0
 		for index, next := range jobs {
-			s.read(next, fronts[index%len(fronts)])
+			if len(next.unlisted()) > 0 && time.Now().Before(end) {
+				s.read(next, fronts[index%len(fronts)])
+			}
 			left += len(next.unlisted())
 		}
 		if left == 0 {
@@ -159,7 +176,7 @@
 			}
 		}
 		for _, one := range next.results {
-			if one.State == "completed" && one.Text != wholeText(one.ID, s.runners[0].events) {
+			if one.State == "completed" && one.Text != wholeText(one.ID, s.runners[0].eventsOf(one.ID)) {
 				s.record.say("%s is completed with another text", one.ID)
 				return broken
 			}
