--- a/review/.standin/storeback.go
+++ b/review/.standin/storeback.go
@@ -17,7 +17,7 @@
 	// lastWait is the time after the last cycle, in which the last jobs have been handed in 12 s before: more than finishS after they are due.
 	lastWait = 8*time.Second + finish
 	// jobsEach is the number of jobs of itemsEach items that are handed in before each outage.
-	jobsEach, itemsEach = 18, 12
+	jobsEach, itemsEach = 12, 24
 )
 
 // storeBack hands in batch jobs all the time. With trouble, the store is down for some seconds, in which leases run out, and slow for some
