Log when a request was sent after its runner was chosen, and when a list first says that runners leave

runners_leaving (3547) names the runners that a list is the first to call leaving, with its revision and age. request_held_after_choice (3548) has the time between choice and sending where it is over 0.3 s, the list in use at both, and whether the last one still names the runner as ready. The moment of sending is now known: the pool calls BeforeSend once the connection is open, right before it writes. It never refuses yet; no decision is changed.

Tests of event, connpool, runnertable, follower, online and jobworker pass.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -23,6 +23,9 @@
 	// Accept reports whether a response belongs to this call; nil accepts every response. A rejected response is
 	// discarded and the next one on the connection is read.
 	Accept func(*http.Response) bool
+	// BeforeSend is called once a connection is open, right before the request is written; nil is not called. If it returns an error the
+	// request is not sent.
+	BeforeSend func() error
 }
 
 // maxStrayResponses is the maximum number of responses to other requests that are discarded before the response to a
@@ -53,6 +56,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.BeforeSend != nil {
+		if err := call.BeforeSend(); err != nil {
+			p.putBack(acquired)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = acquired.conn.Close() })
 	response, err := acquired.exchange(call)
 	if err != nil {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -117,14 +117,26 @@
 	return newConnection(address, conn), nil
 }
 
-// release returns a connection to the pool after its response was read to the end. It closes the connection if the
-// address already has the maximum number of idle connections.
+// release returns a connection to the pool after its response was read to the end.
 func (p *Pool) release(returned *connection, idleTimeout time.Duration) {
 	if idleTimeout <= 0 {
 		idleTimeout = p.options.IdleTimeout
 	}
 	returned.reused = true
 	returned.expires = p.options.Now().Add(idleTimeout)
+	p.keep(returned)
+}
+
+// putBack returns a connection to the pool that was acquired and not used.
+func (p *Pool) putBack(unused *connection) {
+	if unused.expires.IsZero() {
+		unused.expires = p.options.Now().Add(p.options.IdleTimeout)
+	}
+	p.keep(unused)
+}
+
+// keep adds an idle connection to the pool, or closes it if the address already has the maximum number of them.
+func (p *Pool) keep(returned *connection) {
 	p.mutex.Lock()
 	pooled := p.idle[returned.address]
 	full := len(pooled) >= p.options.MaxIdlePerAddress
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,7 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
+	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/keyhash"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
@@ -253,6 +254,7 @@
 	unread := asOf.Sub(f.absence.asOf)
 	proof := f.absence.apply(listed, asOf, f.Now())
 	change := f.Runners.Replace(listed, f.Now(), proof)
+	f.Runners.SetListInUse(runnertable.ListInUse{Revision: revision, AsOf: asOf})
 	if proof {
 		// A runner writes its entry at least once in a heartbeat.
 		f.Runners.SetCompleteThrough(asOf.Add(-f.Options.Heartbeat))
@@ -267,6 +269,23 @@
 		event.RegistryBack.Log(f.Logger).Int("runners", len(listed)).Send()
 	}
 	f.logChange(change, len(listed), unread)
+	f.logLeaving(change.Leaving, f.Now().Sub(asOf))
+}
+
+// maxLoggedRunners bounds the runners that a log line names.
+const maxLoggedRunners = 8
+
+// logLeaving logs that the newest list, of an age, is the first that names runners as leaving. The caller holds the mutex.
+func (f *Follower) logLeaving(leaving []ident.Incarnation, age time.Duration) {
+	if len(leaving) == 0 {
+		return
+	}
+	named := make([]string, 0, maxLoggedRunners)
+	for _, id := range leaving[:min(len(leaving), maxLoggedRunners)] {
+		named = append(named, string(id))
+	}
+	event.RunnersLeaving.Log(f.Logger).Int("leaving", len(leaving)).Strs("runners", named).Int64("revision", f.revision).
+		Dur("age_ms", age).Send()
 }
 
 // logChange logs the changes of a list. unread is the time since the list before it. The caller holds the mutex.
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -138,6 +138,7 @@
 	}
 	reply, err := w.Caller.Send(ctx, work.Attempt{
 		Request: request, Runner: flight.Runner, Budget: maxRunTime, ResumeAfter: item.lastEvent,
+		BeforeSend: func() error { return w.beforeSend(item, flight) },
 	})
 	if err != nil {
 		return 0, err
@@ -166,6 +167,16 @@
 	return http.StatusOK, w.readEvents(item, flight, reply)
 }
 
+// beforeSend is called when an item is about to be sent to a runner that was chosen before. It logs an item that was held since.
+func (w *Worker) beforeSend(item *itemRun, flight *runnertable.Flight) error {
+	sending := flight.BeforeSend(w.Now())
+	if sending.Waited > runnertable.LongHold {
+		event.RequestHeldLong.Log(w.Logger).Str("job", string(item.job.header.ID)).Str("item", string(item.item.ID)).
+			Str("runner", string(flight.Runner.ID)).EmbedObject(sending).Send()
+	}
+	return nil
+}
+
 // confirm makes sure that the version that began an item's output is known, and that a runner that is to go on with it is the incarnation that
 // the registry lists. Its error wraps errRefused, and streamorigin.ErrUnknown if the output cannot be continued.
 func (w *Worker) confirm(ctx context.Context, item *itemRun, flight *runnertable.Flight) error {
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -112,7 +112,7 @@
 		return e.refusal(failure.CodeDeadlineExceeded, "the time of the request is over", nil)
 	}
 	guard := e.guardSilence(cancel)
-	reply, err := e.forwarder.Caller.Send(ctx, work.Attempt{Request: e.request, Runner: flight.Runner, Budget: budget, ResumeAfter: e.lastEvent})
+	reply, err := e.forwarder.Caller.Send(ctx, work.Attempt{Request: e.request, Runner: flight.Runner, Budget: budget, ResumeAfter: e.lastEvent, BeforeSend: func() error { return e.beforeSend(flight) }})
 	if err != nil {
 		return e.sendFailed(flight, err, guard)
 	}
@@ -121,6 +121,16 @@
 	return e.handleReply(flight, reply, guard)
 }
 
+// beforeSend is called when a request is about to be sent to a runner that was chosen before. It logs a request that was held since.
+func (e *exchange) beforeSend(flight *runnertable.Flight) error {
+	sending := flight.BeforeSend(e.forwarder.Now())
+	if sending.Waited > runnertable.LongHold {
+		event.RequestHeldLong.Log(e.forwarder.Logger).Str("request", string(e.request.ID)).Str("runner", string(flight.Runner.ID)).
+			EmbedObject(sending).Send()
+	}
+	return nil
+}
+
 // pickFailed returns the final error of a request for which no runner was chosen.
 func (e *exchange) pickFailed(err error) error {
 	switch {
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -17,6 +19,8 @@
 	class  Class
 	// startedAt is when the runner was chosen.
 	startedAt time.Time
+	// chosenFrom is the list that was in use then.
+	chosenFrom ListInUse
 	// uncached is the number of prompt tokens that are assumed not to be in the runner's prefix cache.
 	uncached int
 	// tokens is the memory that the request needs at the runner, in tokens.
@@ -33,7 +37,7 @@
 // start registers a new flight. The caller holds the mutex.
 func (t *Table) start(chosen *entry, request PickRequest, uncached int, now time.Time) *Flight {
 	flight := &Flight{
-		Runner: chosen.runner, table: t, entry: chosen, class: request.Class, startedAt: now, uncached: uncached,
+		Runner: chosen.runner, table: t, entry: chosen, class: request.Class, startedAt: now, chosenFrom: t.listInUse, uncached: uncached,
 		tokens: request.memoryTokens(uncached), lastEvent: now, hasPrompt: uncached > 0 || len(request.Prefix) > 0,
 	}
 	chosen.own[request.Class]++
@@ -50,6 +54,37 @@
 	return flight
 }
 
+// Sending is what is known of a flight when its request is sent.
+type Sending struct {
+	// Waited is the time since the runner was chosen.
+	Waited time.Duration
+	// ChosenFrom and SentFrom are the lists in use at the choice and now; ChosenAge and SentAge are their ages then.
+	ChosenFrom, SentFrom ListInUse
+	ChosenAge, SentAge   time.Duration
+	// Listed means that the list in use names the runner as ready.
+	Listed bool
+}
+
+// LongHold is the time between the choice of a runner and the sending of the request from which on it is logged.
+const LongHold = 300 * time.Millisecond
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (d Sending) MarshalZerologObject(line *zerolog.Event) {
+	line.Dur("held_ms", d.Waited).Int64("chosen_revision", d.ChosenFrom.Revision).Dur("chosen_age_ms", d.ChosenAge).
+		Int64("sent_revision", d.SentFrom.Revision).Dur("sent_age_ms", d.SentAge).Bool("listed", d.Listed)
+}
+
+// BeforeSend returns what is known now, when the request is about to be sent.
+func (f *Flight) BeforeSend(now time.Time) Sending {
+	f.table.mutex.Lock()
+	defer f.table.mutex.Unlock()
+	known := f.table.runners[f.Runner.ID]
+	return Sending{
+		Waited: now.Sub(f.startedAt), ChosenFrom: f.chosenFrom, SentFrom: f.table.listInUse, ChosenAge: f.startedAt.Sub(f.chosenFrom.AsOf),
+		SentAge: now.Sub(f.table.listInUse.AsOf), Listed: known != nil && known.runner.State == work.Ready,
+	}
+}
+
 // HeadReceived records the head of the runner's response and the load reported in it, if any.
 func (f *Flight) HeadReceived(load *work.Load, now time.Time) {
 	f.table.mutex.Lock()
--- a/internal/runnertable/list.go
+++ b/internal/runnertable/list.go
@@ -13,6 +13,8 @@
 type Change struct {
 	// Added are the new runners, Removed those that were removed.
 	Added, Removed []ident.Incarnation
+	// Leaving are the runners that were ready and are not any more, though they are still in the table.
+	Leaving []ident.Incarnation
 	// Addresses are the addresses of the removed runners. Pooled connections to them are useless, and may be dead.
 	Addresses []string
 	// Retained are the runners that the list lacks and that the table retains for now.
@@ -91,6 +93,20 @@
 	return t.completeThrough
 }
 
+// ListInUse identifies the newest list of the registry that a table was given.
+type ListInUse struct {
+	Revision int64
+	// AsOf is when the reading of the list began, here or at the node that passed it on.
+	AsOf time.Time
+}
+
+// SetListInUse records which list was passed to Replace last.
+func (t *Table) SetListInUse(list ListInUse) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.listInUse = list
+}
+
 // markUnchanged marks the runners that a list names as they are, and returns the rest of the list. The caller holds the mutex.
 func (t *Table) markUnchanged(listed []work.Runner) []work.Runner {
 	var rest []work.Runner
@@ -151,6 +167,9 @@
 		known.runner = runner
 		t.index(known)
 	case known.runner != runner:
+		if known.runner.State == work.Ready && runner.State != work.Ready {
+			change.Leaving = append(change.Leaving, runner.ID)
+		}
 		known.runner = runner
 		t.generation++
 	}
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -44,6 +44,7 @@
 	settled []work.Runner
 	// completeThrough is the time until which all starts of runners are known from lists.
 	completeThrough time.Time
+	listInUse       ListInUse
 	inUse           inUse
 	// rationed holds the entries whose owners ration their slots, as of the last reports.
 	rationed map[ident.Incarnation]*entry
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -17,6 +17,9 @@
 	Budget time.Duration
 	// ResumeAfter is the id of the last event already received; zero requests the whole answer.
 	ResumeAfter int64
+	// BeforeSend is called once a connection to the runner is open, right before the request is written. It may be nil. If it returns an
+	// error the request is not sent.
+	BeforeSend func() error
 }
 
 // Reply is a runner's answer to one attempt. Body must be closed; closing it before its end makes the runner stop.
