Look at the list again before a request is sent to a runner that was chosen before

Callers' requests reached runners more than 2 s after these had said that they leave.

Cause: a runner was chosen, something else was waited for, and the request was sent without another look. A stream that is taken up waited up to 2.5 s, between the choice and the sending, until lists told whether its first runner had been started again; it then waited for the runner's report (0.3 s) and for a connection (0.4 s). Meanwhile it held a slot of the runner, idle. Evidence: the lines of late requests show a wait of 1.6 to 2.0 s and a list in use, 60 ms old, that names the runner as leaving.

Change: the wait for lists comes before the choice, which needs none of it. Every request and item, on whatever way it was chosen, is checked against the list in use once its connection is open, right before the first byte; where the runner is not ready any more nothing is written, the connection stays, the runner counts as no less healthy, and another one is chosen. That covers each wait between the two: reports, connections, retries, places lent by others, items that go on.

--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -201,3 +201,27 @@
 	_, err = io.ReadAll(answer.Body)
 	assert.Assert(t, err != nil, "a truncated body was returned without an error")
 }
+
+// TestRequestThatIsHeldBackIsNotWritten guards against a request that is written though it was held back once its connection was open, and
+// against the loss of that connection.
+func TestRequestThatIsHeldBackIsNotWritten(t *testing.T) {
+	var reached atomic.Int64
+	address, opened := serve(t, func(conn net.Conn, request *http.Request) bool {
+		reached.Add(1)
+		return fixedResponse("")(conn, request)
+	})
+	pool, _ := newPool()
+	heldBack := fmt.Errorf("the runner leaves")
+	for range 3 {
+		_, err := pool.Do(context.Background(), &connpool.Call{
+			Address: address, Method: http.MethodPost, Target: "/", Host: "h", Body: []byte("b"), BeforeSend: func() error { return heldBack },
+		})
+		assert.ErrorIs(t, err, connpool.ErrNotSent)
+		assert.ErrorIs(t, err, heldBack)
+	}
+	body, err := call(t, pool, address)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, reached.Load(), int64(1))
+	assert.Equal(t, opened.Load(), int64(1))
+}
--- a/internal/jobworker/origin_test.go
+++ b/internal/jobworker/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
@@ -114,3 +116,39 @@
 	assert.Equal(t, item.text.String(), "a")
 	assert.Equal(t, item.lastEvent, int64(1))
 }
+
+// leavingCaller is a runner that says that it leaves while the connection to it opens.
+type leavingCaller struct {
+	restartingCaller
+	leave func()
+	sent  bool
+}
+
+func (c *leavingCaller) Send(_ context.Context, attempt work.Attempt) (*work.Reply, error) {
+	c.leave()
+	if err := attempt.BeforeSend(); err != nil {
+		return nil, fmt.Errorf("%w: %w", connpool.ErrNotSent, err)
+	}
+	c.sent = true
+	return nil, connpool.ErrNoResponse
+}
+
+// TestChosenRunnerThatLeavesIsNotSentTheItem guards against an item that is sent to a runner although a list since its choice says that it leaves.
+// The item waits for another one, and the runner counts as no less healthy.
+func TestChosenRunnerThatLeavesIsNotSentTheItem(t *testing.T) {
+	w := idleWorker(t)
+	now := time.Now()
+	runner := work.Runner{ID: "i-1", Service: "s", Version: "v1", Zone: "a", Slots: 2}
+	leaving := runner
+	leaving.State = work.Draining
+	caller := &leavingCaller{leave: func() { w.Runners.Replace([]work.Runner{leaving}, now, true) }}
+	w.Caller, w.Records = caller, &jobrecord.Records{Now: time.Now}
+	w.Runners.Replace([]work.Runner{runner}, now, true)
+	flight, err := w.Runners.StartAt(runner.ID, runnertable.PickRequest{Service: "s", Class: runnertable.Batch}, now)
+	assert.NilError(t, err)
+	defer flight.End()
+	_, err = w.stream(context.Background(), &itemRun{job: &jobRun{}}, &work.Request{}, flight)
+	assert.ErrorIs(t, err, errRefused)
+	assert.Assert(t, !caller.sent)
+	assert.Equal(t, w.Runners.FailureRate(runner.ID, now), 0.0)
+}
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -140,6 +140,9 @@
 		Request: request, Runner: flight.Runner, Budget: maxRunTime, ResumeAfter: item.lastEvent,
 		BeforeSend: func() error { return w.beforeSend(item, flight) },
 	})
+	if errors.Is(err, runnertable.ErrWithdrawn) {
+		return 0, fmt.Errorf("%w: %w", errRefused, err)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -167,14 +170,14 @@
 	return http.StatusOK, w.readEvents(item, flight, reply)
 }
 
-// beforeSend is called when an item is about to be sent to a runner that was chosen before. It logs an item that was held since.
+// beforeSend is called when an item is about to be sent to a runner that was chosen before. Its error means that another one is to be chosen.
 func (w *Worker) beforeSend(item *itemRun, flight *runnertable.Flight) error {
 	sending := flight.BeforeSend(w.Now())
 	if sending.Waited > runnertable.LongHold {
 		event.RequestHeldLong.Log(w.Logger).Str("job", string(item.job.header.ID)).Str("item", string(item.item.ID)).
 			Str("runner", string(flight.Runner.ID)).EmbedObject(sending).Send()
 	}
-	return nil
+	return sending.Check()
 }
 
 // confirm makes sure that the version that began an item's output is known, and that a runner that is to go on with it is the incarnation that
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -86,6 +86,9 @@
 	if e.isPoison() {
 		return e.refusePoison()
 	}
+	if err := e.awaitVerified(); err != nil {
+		return e.refuseResumption(err)
+	}
 	flight, err := e.pick()
 	if err != nil {
 		return e.pickFailed(err)
@@ -103,8 +106,8 @@
 	defer e.slot.release()
 	e.began = false
 	e.tried[flight.Runner.ID] = true
-	if err := e.confirm(ctx, flight); err != nil {
-		return err
+	if err := e.confirmRunner(ctx, flight); err != nil {
+		return fmt.Errorf("%w: %w", errTryAgain, err)
 	}
 	e.sent = e.forwarder.Now()
 	e.slot.sent = e.sent
@@ -121,14 +124,14 @@
 	return e.handleReply(flight, reply, guard)
 }
 
-// beforeSend is called when a request is about to be sent to a runner that was chosen before. It logs a request that was held since.
+// beforeSend is called when a request is about to be sent to a runner that was chosen before. Its error means that another one is to be chosen.
 func (e *exchange) beforeSend(flight *runnertable.Flight) error {
 	sending := flight.BeforeSend(e.forwarder.Now())
 	if sending.Waited > runnertable.LongHold {
 		event.RequestHeldLong.Log(e.forwarder.Logger).Str("request", string(e.request.ID)).Str("runner", string(flight.Runner.ID)).
 			EmbedObject(sending).Send()
 	}
-	return nil
+	return sending.Check()
 }
 
 // pickFailed returns the final error of a request for which no runner was chosen.
@@ -175,6 +178,10 @@
 
 // sendFailed handles an attempt that got no answer.
 func (e *exchange) sendFailed(flight *runnertable.Flight, err error, guard *silenceGuard) error {
+	if errors.Is(err, runnertable.ErrWithdrawn) {
+		guard.stop()
+		return fmt.Errorf("%w: %w", errTryAgain, err)
+	}
 	result, cause := classify(err)
 	if guard.fired() {
 		cause = runnertable.FirstByteTimeout
--- a/internal/online/origin.go
+++ b/internal/online/origin.go
@@ -81,21 +81,6 @@
 	return refused
 }
 
-// confirm makes sure that the version that began the stream is known, and that a runner that is to go on with it is the incarnation that the
-// registry lists. It returns errTryAgain if another one is to be asked.
-func (e *exchange) confirm(ctx context.Context, flight *runnertable.Flight) error {
-	if e.origin == nil {
-		return nil
-	}
-	if err := e.awaitVerified(ctx); err != nil {
-		return e.refuseResumption(err)
-	}
-	if err := e.confirmRunner(ctx, flight); err != nil {
-		return fmt.Errorf("%w: %w", errTryAgain, err)
-	}
-	return nil
-}
-
 // confirmRunner makes sure that the runner of a stream that goes on is the incarnation that the registry lists. After its answer has begun, this
 // proves that the answer is of that incarnation too.
 func (e *exchange) confirmRunner(ctx context.Context, flight *runnertable.Flight) error {
@@ -124,18 +109,22 @@
 	originPoll = 100 * time.Millisecond
 )
 
-// awaitVerified makes sure that the version that began the stream is known, and waits while the next lists may tell.
-func (e *exchange) awaitVerified(ctx context.Context) error {
+// awaitVerified makes sure that the version that began the stream is known, and waits while the next lists may tell. It comes before the choice
+// of a runner, which may leave while the stream waits.
+func (e *exchange) awaitVerified() error {
+	if e.origin == nil {
+		return nil
+	}
 	f := e.forwarder
 	end := f.Now().Add(originWait)
 	for {
 		moment := streamorigin.Moment{Date: f.date(), Now: f.Now()}
-		err := streamorigin.Verify(ctx, f.Caller, f.Runners, *e.origin, moment)
+		err := streamorigin.Verify(e.ctx, f.Caller, f.Runners, *e.origin, moment)
 		if !errors.Is(err, streamorigin.ErrNotYetListed) || f.Now().After(end) {
 			return err
 		}
 		select {
-		case <-ctx.Done():
+		case <-e.ctx.Done():
 			return err
 		case <-time.After(originPoll):
 		}
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -1,11 +1,13 @@
 package runnertable
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -65,6 +67,17 @@
 	Listed bool
 }
 
+// ErrWithdrawn means that a chosen runner must not be sent the request any more, because a list since the choice says that it leaves.
+const ErrWithdrawn = failure.Kind("runner table: the chosen runner leaves")
+
+// Check returns an error that wraps ErrWithdrawn unless the request may be sent.
+func (d Sending) Check() error {
+	if !d.Listed {
+		return fmt.Errorf("%w: list %d, chosen from %d", ErrWithdrawn, d.SentFrom.Revision, d.ChosenFrom.Revision)
+	}
+	return nil
+}
+
 // LongHold is the time between the choice of a runner and the sending of the request from which on it is logged.
 const LongHold = 300 * time.Millisecond
 
