Send nothing by a list that is overdue after the process stood still

Callers' requests and items reached runners 3 s after these had said that they leave, sent in the first milliseconds after a front or worker had stood still (8 of 10 requests, 3 of 3 items).

Cause: of the class "decided, waited for, then done": the list in use was as old as the process stood still, and nothing noticed that a newer one should have come. Beside that, a reading in flight at the beginning times out on waking, which looked like a registry that does not answer.

Change: each list has a time until which it may be relied on, 0.85 of the drain bound. Once that is over while the registry is not known to be away, a front waits for the next list before it chooses (0.8 s at most, by when a reading has been answered or has failed), a worker starts nothing, and what was chosen before is chosen anew. A failed reading that took longer than its timeouts is made again once, before the registry counts as away. While the registry is away nothing is held back, as before.

The stand-in of the registry now sets no timeout while its process stands still, which no process can. A runner that leaves without a word during a standstill is still used for up to 3 s after it, as stated before (absence after a gap proves nothing for 2 s).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,6 +25,8 @@
 type Options struct {
 	// ListInterval is the time between readings of the list of runners.
 	ListInterval time.Duration
+	// ListLife is the age of a list from which on no request is sent by it while a newer one is to be expected; zero sets no limit.
+	ListLife time.Duration
 	// OrdersWait is how long one call waits for new orders, that is configuration and retirements.
 	OrdersWait time.Duration
 	// CallTimeout is the timeout of a call, in addition to its wait.
@@ -46,6 +48,9 @@
 // runners take many pages) or repeated.
 const readingShare = 0.5
 
+// listLifeShare is the life of a list as a fraction of the drain bound. The rest is for the way of a request to its runner.
+const listLifeShare = 0.85
+
 const (
 	// ordersWait is how long a call waits for new orders. Together with callTimeout it is less than 3 s: the platform requires a node
 	// that reaches the registry again to use the newest configuration within that time.
@@ -65,6 +70,7 @@
 func OptionsFor(drain, heartbeat time.Duration) Options {
 	return Options{
 		ListInterval:  time.Duration(readingShare * float64(drain)),
+		ListLife:      time.Duration(listLifeShare * float64(drain)),
 		OrdersWait:    ordersWait,
 		CallTimeout:   callTimeout,
 		RetryAfter:    retryAfter,
@@ -140,27 +146,46 @@
 }
 
 func (f *Follower) followRunners(ctx context.Context) error {
-	failures := 0
+	failures, readAgain := 0, false
 	for ctx.Err() == nil {
 		if pause := f.timeToReading(f.relayedUntil().runners); pause > 0 {
 			failures = 0
 			f.waitRelayed(ctx, pause)
 			continue
 		}
+		began := f.Now()
 		if err := f.readRunners(ctx); err != nil {
+			if !readAgain && f.stoodStillSince(began) {
+				readAgain = true
+				continue
+			}
 			f.markRegistryLost(err)
 			failures++
 			f.awaitAnswer(ctx, f.Options.backoff(failures))
 			f.awaitRelay(ctx)
 			continue
 		}
-		failures = 0
+		failures, readAgain = 0, false
 		// A list of an older revision is ignored, which leaves proofFrom in the past: the delay prevents reading again at once.
 		sleep(ctx, max(f.timeToReading(f.Now().Add(f.readInterval())), f.Options.RetryAfter))
 	}
 	return nil
 }
 
+// stillSlack is by how much a reading may exceed the timeouts of its calls before the process is taken to have stood still meanwhile. On a busy
+// machine it may only have been late: the list is then read again, once.
+const stillSlack = 20 * time.Millisecond
+
+// stoodStillSince reports whether a reading that began at a time and failed took longer than it can: it failed because the process stood still
+// then, which tells nothing of the registry.
+func (f *Follower) stoodStillSince(began time.Time) bool {
+	calls := time.Duration(f.Runners.Count()/minPage + 1)
+	return f.Now().Sub(began) > calls*f.Options.CallTimeout+stillSlack
+}
+
+// minPage is the least number of runners of a page of the list, but for its last one.
+const minPage = 100
+
 // timeToReading returns the time until this node has to read the list itself, given until when the present one is fresh. While missing
 // runners are kept in use, it reads the list that proves whether they left as early as possible: the usual interval of one second would
 // add to the time for which they are used.
@@ -254,7 +279,7 @@
 	unread := asOf.Sub(f.absence.asOf)
 	proof := f.absence.apply(listed, asOf, f.Now())
 	change := f.Runners.Replace(listed, f.Now(), proof)
-	f.Runners.SetListInUse(runnertable.ListInUse{Revision: revision, AsOf: asOf})
+	f.Runners.SetListInUse(runnertable.ListInUse{Revision: revision, AsOf: asOf, Until: asOf.Add(f.Options.ListLife + f.delay)})
 	if proof {
 		// A runner writes its entry at least once in a heartbeat.
 		f.Runners.SetCompleteThrough(asOf.Add(-f.Options.Heartbeat))
@@ -309,6 +334,7 @@
 		return
 	}
 	f.lost = true
+	f.Runners.SetRegistryLost()
 	event.RegistryLost.Log(f.Logger).Err(err).Send()
 }
 
--- a/internal/follower/simulation_test.go
+++ b/internal/follower/simulation_test.go
@@ -67,6 +67,8 @@
 	fault fault
 	// leaves is when the entry of runner 0 is removed.
 	leaves time.Duration
+	// says means that runner 0 says that it leaves, and that its entry stays.
+	says bool
 	// back is the time from the end of an outage until each other runner is listed again.
 	back []time.Duration
 	// renewed is the time from the last renewal of each runner's entry to the beginning of the fault.
@@ -158,6 +160,8 @@
 
 // Runners implements work.Registry.
 func (r *faultyRegistry) Runners(ctx context.Context, callTimeout time.Duration) ([]work.Runner, int64, error) {
+	// A frozen process sets no timeout before it runs again.
+	r.awaitUnfrozen()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := r.call(ctx, 0); err != nil {
@@ -183,7 +187,7 @@
 // lists reports whether a runner is listed at a time.
 func (r *faultyRegistry) lists(i int, at time.Duration) bool {
 	if i == 0 {
-		gone := at >= r.scenario.leaves || (r.lapsed(i) && at >= r.scenario.fault.to)
+		gone := at >= r.scenario.leaves && !r.scenario.says || (r.lapsed(i) && at >= r.scenario.fault.to)
 		return !gone
 	}
 	return !r.lapsed(i) || at < r.scenario.fault.to || at >= r.scenario.fault.to+r.scenario.back[i-1]
@@ -195,8 +199,12 @@
 	if r.lapsed(i) && at >= r.scenario.fault.to {
 		registered = at.Milliseconds()
 	}
+	state := work.Ready
+	if i == 0 && at >= r.scenario.leaves {
+		state = work.Draining
+	}
 	return work.Runner{
-		ID: runnerOf(i), Service: "s", Address: "a", Zone: "z", Slots: 8, State: work.Ready, Registered: registered,
+		ID: runnerOf(i), Service: "s", Address: "a", Zone: "z", Slots: 8, State: state, Registered: registered,
 	}
 }
 
@@ -295,6 +303,8 @@
 type outcome struct {
 	// lastUse is the time of the last use of the runner that left.
 	lastUse time.Duration
+	// lastSent is the time of the last of them that the node did not hold back for a list that was overdue.
+	lastSent time.Duration
 	// lost describes the first living runner that could not be used, or is empty.
 	lost string
 	// behind describes the first configuration that was not applied in time, or is empty.
@@ -329,6 +339,9 @@
 			switch {
 			case i == 0 && used:
 				result.lastUse = at
+				if !table.Overdue(registry.now()) {
+					result.lastSent = at
+				}
 			case i != 0 && !used && at > settled && result.lost == "":
 				result.lost = fmt.Sprintf("runner %d at %v", i, at)
 			}
--- a/internal/follower/suspended_test.go
+++ b/internal/follower/suspended_test.go
@@ -34,6 +34,22 @@
 	})
 }
 
+// TestNodeThatStoodStillSendsNothingByItsOldList guards against requests that a process sends right after it stood still, or its machine was
+// suspended, to a runner that said meanwhile that it leaves: the registry answers all the time, so that the node can know.
+func TestNodeThatStoodStillSendsNothingByItsOldList(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawSuspended(rt)
+		p.says, p.fault.outage, p.fault.lapses = true, false, false
+		p.fault.suspended = rapid.Bool().Draw(rt, "suspended")
+		p.fault.freeze = !p.fault.suspended
+		p.relayed = p.fault.freeze && rapid.Bool().Draw(rt, "relayed too")
+		got := runSimulated(t, p)
+		if got.lastSent >= p.leaves+siteDrain {
+			rt.Fatalf("%+v: the runner was sent a request %v after it left", p, got.lastSent-p.leaves)
+		}
+	})
+}
+
 // TestMonotonicClockLosesRunnersAfterSuspension is a case of the test above that fails with a clock that stops during a suspension: the
 // node sees no gap between its readings, treats the first list after the outage as complete, and drops a runner whose entry is not back
 // yet.
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -73,6 +73,9 @@
 
 // dispatch starts the items that a runner has a free slot for, at most limit of them.
 func (w *Worker) dispatch(waiting []*itemRun, limit int, now time.Time) {
+	if w.Runners.Overdue(w.Now()) {
+		return
+	}
 	full := map[string]bool{}
 	for _, item := range waiting {
 		if limit <= 0 {
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -89,6 +89,7 @@
 	if err := e.awaitVerified(); err != nil {
 		return e.refuseResumption(err)
 	}
+	e.awaitList()
 	flight, err := e.pick()
 	if err != nil {
 		return e.pickFailed(err)
@@ -124,6 +125,25 @@
 	return e.handleReply(flight, reply, guard)
 }
 
+const (
+	// listWait is how long a request waits at most for a list that is overdue: by then a reading has been answered or has failed.
+	listWait = 800 * time.Millisecond
+	// listPoll is the time between two looks meanwhile.
+	listPoll = 10 * time.Millisecond
+)
+
+// awaitList waits while the list of runners is overdue, as after the process stood still, so that no runner is chosen that has left meanwhile.
+func (e *exchange) awaitList() {
+	f := e.forwarder
+	for end := f.Now().Add(listWait); f.Runners.Overdue(f.Now()) && f.Now().Before(end); {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-time.After(listPoll):
+		}
+	}
+}
+
 // beforeSend is called when a request is about to be sent to a runner that was chosen before. Its error means that another one is to be chosen.
 func (e *exchange) beforeSend(flight *runnertable.Flight) error {
 	sending := flight.BeforeSend(e.forwarder.Now())
@@ -180,6 +200,9 @@
 func (e *exchange) sendFailed(flight *runnertable.Flight, err error, guard *silenceGuard) error {
 	if errors.Is(err, runnertable.ErrWithdrawn) {
 		guard.stop()
+		if !errors.Is(err, runnertable.ErrLeaves) {
+			delete(e.tried, flight.Runner.ID)
+		}
 		return fmt.Errorf("%w: %w", errTryAgain, err)
 	}
 	result, cause := classify(err)
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -21,8 +21,9 @@
 	class  Class
 	// startedAt is when the runner was chosen.
 	startedAt time.Time
-	// chosenFrom is the list that was in use then.
-	chosenFrom ListInUse
+	// chosenFrom is the list that was in use then, chosenOverdue whether a newer one should have come by then.
+	chosenFrom    ListInUse
+	chosenOverdue bool
 	// uncached is the number of prompt tokens that are assumed not to be in the runner's prefix cache.
 	uncached int
 	// tokens is the memory that the request needs at the runner, in tokens.
@@ -39,7 +40,7 @@
 // start registers a new flight. The caller holds the mutex.
 func (t *Table) start(chosen *entry, request PickRequest, uncached int, now time.Time) *Flight {
 	flight := &Flight{
-		Runner: chosen.runner, table: t, entry: chosen, class: request.Class, startedAt: now, chosenFrom: t.listInUse, uncached: uncached,
+		Runner: chosen.runner, table: t, entry: chosen, class: request.Class, startedAt: now, chosenFrom: t.listInUse, chosenOverdue: t.overdue(now), uncached: uncached,
 		tokens: request.memoryTokens(uncached), lastEvent: now, hasPrompt: uncached > 0 || len(request.Prefix) > 0,
 	}
 	chosen.own[request.Class]++
@@ -65,15 +66,26 @@
 	ChosenAge, SentAge   time.Duration
 	// Listed means that the list in use names the runner as ready.
 	Listed bool
+	// Overdue means that a newer list should have come since the choice.
+	Overdue bool
 }
 
-// ErrWithdrawn means that a chosen runner must not be sent the request any more, because a list since the choice says that it leaves.
-const ErrWithdrawn = failure.Kind("runner table: the chosen runner leaves")
+const (
+	// ErrWithdrawn means that a chosen runner must not be sent the request any more.
+	ErrWithdrawn = failure.Kind("runner table: the runner is to be chosen anew")
+	// ErrLeaves means that a list since the choice says that the runner leaves. It comes with ErrWithdrawn.
+	ErrLeaves = failure.Kind("runner table: the runner leaves")
+	// ErrOverdue means that a newer list should have come since the choice, as after the process stood still. It comes with ErrWithdrawn.
+	ErrOverdue = failure.Kind("runner table: the list is overdue")
+)
 
 // Check returns an error that wraps ErrWithdrawn unless the request may be sent.
 func (d Sending) Check() error {
-	if !d.Listed {
-		return fmt.Errorf("%w: list %d, chosen from %d", ErrWithdrawn, d.SentFrom.Revision, d.ChosenFrom.Revision)
+	switch {
+	case !d.Listed:
+		return fmt.Errorf("%w: %w: list %d, chosen from %d", ErrWithdrawn, ErrLeaves, d.SentFrom.Revision, d.ChosenFrom.Revision)
+	case d.Overdue:
+		return fmt.Errorf("%w: %w: list %d is %v old", ErrWithdrawn, ErrOverdue, d.SentFrom.Revision, d.SentAge)
 	}
 	return nil
 }
@@ -95,6 +107,7 @@
 	return Sending{
 		Waited: now.Sub(f.startedAt), ChosenFrom: f.chosenFrom, SentFrom: f.table.listInUse, ChosenAge: f.startedAt.Sub(f.chosenFrom.AsOf),
 		SentAge: now.Sub(f.table.listInUse.AsOf), Listed: known != nil && known.runner.State == work.Ready,
+		Overdue: f.table.overdue(now) && !f.chosenOverdue,
 	}
 }
 
--- a/internal/runnertable/list.go
+++ b/internal/runnertable/list.go
@@ -93,20 +93,6 @@
 	return t.completeThrough
 }
 
-// ListInUse identifies the newest list of the registry that a table was given.
-type ListInUse struct {
-	Revision int64
-	// AsOf is when the reading of the list began, here or at the node that passed it on.
-	AsOf time.Time
-}
-
-// SetListInUse records which list was passed to Replace last.
-func (t *Table) SetListInUse(list ListInUse) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.listInUse = list
-}
-
 // markUnchanged marks the runners that a list names as they are, and returns the rest of the list. The caller holds the mutex.
 func (t *Table) markUnchanged(listed []work.Runner) []work.Runner {
 	var rest []work.Runner
--- a/internal/runnertable/table.go
+++ b/internal/runnertable/table.go
@@ -44,8 +44,10 @@
 	settled []work.Runner
 	// completeThrough is the time until which all starts of runners are known from lists.
 	completeThrough time.Time
-	listInUse       ListInUse
-	inUse           inUse
+	// listInUse is the newest list. registryLost means that the registry does not answer since.
+	listInUse    ListInUse
+	registryLost bool
+	inUse        inUse
 	// rationed holds the entries whose owners ration their slots, as of the last reports.
 	rationed map[ident.Incarnation]*entry
 	// onlineChanged is called when this node's online work at a runner changes or a direct report starts or ends a
