Place an item again however often runners crashed under it, at a pace

Callers of jobs did not get the result of a sound item: runners had crashed under it in a burst, and afterwards it was never placed again though all was calm and runners were free, until it was listed as given up at its retention.

Cause: a count ended its turns. After three crashes an item was run three times more, 5, 10 and 20 s after the last one, and then never; an item with a part in its prompt under which runners crashed waited ten minutes. Both rest on the premise that an item may be the cause of the crashes; the platform says that it never is.

Change: no count ends an item's turns, and no part does. Once three runners crashed under it, or while a part of its prompt is withheld, it runs again three seconds after the last crash, apart from other such items, and at first one at a time: each one completed lets one more run, each one that breaks off begins again with one. So a storm costs a runner each three seconds, and in calm all are placed within seconds. Requests are refused and held back as before.

Packages poison and jobworker pass.

--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -86,12 +86,12 @@
 			continue
 		}
 		service := route.Split[item.index%len(route.Split)].Service
-		if full[service] || w.withholds(item, service, now) {
+		if full[service] || w.holdsBack(item, service, now) {
 			continue
 		}
 		id, found := w.pickRunner(service, item, now)
 		if !found {
-			full[service] = len(item.avoid) == 0
+			full[service] = len(item.avoid) == 0 && !item.onTrial
 			continue
 		}
 		if id != "" && w.start(item, service, route, id, now) {
--- a/internal/jobworker/fleetsize_test.go
+++ b/internal/jobworker/fleetsize_test.go
@@ -102,7 +102,7 @@
 			w.dueBorrowCalls(now)
 			w.usableSlots("s", now)
 			w.freeSlots("s", now)
-			w.pickBorrowedRunner("s", nil, nil, now)
+			w.pickBorrowedRunner("s", runnerSearch{}, now)
 		}
 	})
 }
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -79,6 +79,8 @@
 	mirroredRun progress.RunID
 	// fingerprint is the item's, once it was needed.
 	fingerprint poison.Fingerprint
+	// onTrial is set while the item runs at a pace because runners crashed under it.
+	onTrial bool
 	// failures counts the runs in which the runner itself failed.
 	failures int
 	// avoid holds the runners that failed the item.
--- a/internal/jobworker/lend.go
+++ b/internal/jobworker/lend.go
@@ -47,7 +47,7 @@
 	}
 	owned := w.owned(want.Service)
 	for range want.Slots {
-		id, found := w.pickFrom(owned, nil, nil, now)
+		id, found := w.pickFrom(owned, runnerSearch{}, now)
 		if !found {
 			return
 		}
--- a/internal/jobworker/pace_test.go
+++ b/internal/jobworker/pace_test.go
@@ -73,7 +73,7 @@
 	pick := func() ident.Incarnation {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
-		id, found := w.pickFrom(w.owned("s"), nil, nil, now)
+		id, found := w.pickFrom(w.owned("s"), runnerSearch{}, now)
 		assert.Assert(t, found)
 		return id
 	}
--- a/internal/jobworker/pick.go
+++ b/internal/jobworker/pick.go
@@ -18,11 +18,11 @@
 func (w *Worker) pickRunner(service string, item *itemRun, now time.Time) (id ident.Incarnation, found bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	id, found = w.pickAny(service, item.avoid, nil, now)
+	id, found = w.pickAny(service, item, nil, now)
 	if !found || item.lastEvent == 0 || w.mayGoOn(item, id) {
 		return id, found
 	}
-	if permitted, found := w.pickAny(service, item.avoid, &item.origin, now); found {
+	if permitted, found := w.pickAny(service, item, &item.origin, now); found {
 		item.waitsForOrigin = time.Time{}
 		return permitted, true
 	}
@@ -61,25 +61,48 @@
 // pickAny returns the runner of a service with the most free slots for batch items, among those this node owns or borrows that neither
 // fail nor failed the item before, and that may go on with what began at the origin; nil permits all. If all of them failed the item, it
 // goes to any that does not fail now. The caller must hold the mutex.
-func (w *Worker) pickAny(service string, avoid map[ident.Incarnation]bool, origin *work.Origin, now time.Time) (ident.Incarnation, bool) {
+func (w *Worker) pickAny(service string, item *itemRun, origin *work.Origin, now time.Time) (ident.Incarnation, bool) {
 	owned := w.owned(service)
-	best, found := w.pickFrom(owned, avoid, origin, now)
+	search := runnerSearch{avoid: item.avoid, origin: origin, apart: item.onTrial}
+	best, found := w.pickFrom(owned, search, now)
 	if !found {
-		best, found = w.pickBorrowedRunner(service, avoid, origin, now)
+		best, found = w.pickBorrowedRunner(service, search, now)
 	}
-	if !found && len(avoid) > 0 && len(avoid) >= len(owned) {
-		return w.pickFrom(owned, nil, origin, now)
+	if !found && len(item.avoid) > 0 && len(item.avoid) >= len(owned) {
+		search.avoid = nil
+		return w.pickFrom(owned, search, now)
 	}
 	return best, found
 }
 
+// runnerSearch is what limits the choice of a runner for an item beside free slots.
+type runnerSearch struct {
+	// avoid holds the runners that failed the item.
+	avoid map[ident.Incarnation]bool
+	// origin is where the output began that the runner goes on with; nil permits all.
+	origin *work.Origin
+	// apart means that no other item under which runners crashed may run there.
+	apart bool
+}
+
+// permits reports whether a search may choose a runner. The caller must hold the mutex.
+func (w *Worker) permits(search runnerSearch, runner work.Runner, now time.Time) bool {
+	switch {
+	case search.avoid[runner.ID], search.origin != nil && !search.origin.Permits(runner):
+		return false
+	case w.Runners.FailureRate(runner.ID, now) > maxFailureRate:
+		return false
+	}
+	return !search.apart || !w.hasTrial(runner.ID)
+}
+
 // pickBorrowedRunner returns the runner with the most free borrowed slots, preferring runners in this zone. The caller
 // must hold the mutex.
-func (w *Worker) pickBorrowedRunner(service string, avoid map[ident.Incarnation]bool, origin *work.Origin, now time.Time) (ident.Incarnation, bool) {
+func (w *Worker) pickBorrowedRunner(service string, search runnerSearch, now time.Time) (ident.Incarnation, bool) {
 	var best work.Runner
 	bestFree := 0.0
 	for _, runner := range w.borrowedRunners(service) {
-		if avoid[runner.ID] || origin != nil && !origin.Permits(runner) || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
+		if !w.permits(search, runner, now) {
 			continue
 		}
 		free := w.pacedSlots(w.freeBorrowedSlots(runner.ID, now), runner.ID, now)
@@ -92,14 +115,14 @@
 }
 
 // pickFrom returns the given runner with the most free slots for batch items. The caller must hold the mutex.
-func (w *Worker) pickFrom(runners []work.Runner, avoid map[ident.Incarnation]bool, origin *work.Origin, now time.Time) (ident.Incarnation, bool) {
+func (w *Worker) pickFrom(runners []work.Runner, search runnerSearch, now time.Time) (ident.Incarnation, bool) {
 	var best ident.Incarnation
 	bestFree := 0.0
 	if w.spareSlots(runners, now) == 0 {
 		return best, false
 	}
 	for _, runner := range runners {
-		if avoid[runner.ID] || origin != nil && !origin.Permits(runner) || w.unresponsive(runner.ID) || w.Runners.FailureRate(runner.ID, now) > maxFailureRate {
+		if w.unresponsive(runner.ID) || !w.permits(search, runner, now) {
 			continue
 		}
 		if free := w.pacedSlots(w.free(runner, now), runner.ID, now); free > bestFree {
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -51,6 +51,7 @@
 	defer w.mutex.Unlock()
 	item.running = false
 	item.job.running--
+	w.recordTrial(ctx, item, status, err)
 	if item.job.dropped {
 		return
 	}
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -202,6 +202,8 @@
 	loadLogged time.Time
 	// orphanRuns is what this node knows of runs of nodes that are gone.
 	orphanRuns orphanState
+	// trials limits the items that run though runners crashed under them.
+	trials poison.Trials
 	// suspicions are the runners that some node suspects.
 	suspicions map[ident.Incarnation]*suspicion
 	// gauges track the load of the runners that may take batch items.
--- a/internal/poison/book_test.go
+++ b/internal/poison/book_test.go
@@ -254,17 +254,31 @@
 	})
 }
 
-func TestItemIsRetriedWithIncreasingDelay(t *testing.T) {
-	for _, c := range []struct {
-		crashes int
-		since   time.Duration
-		may     bool
-	}{
-		{2, 0, true}, {3, 4 * time.Second, false}, {3, 5 * time.Second, true}, {4, 9 * time.Second, false}, {4, 10 * time.Second, true},
-		{5, 20 * time.Second, true}, {6, time.Hour, false},
-	} {
-		assert.Equal(t, poison.ItemMayRun(c.crashes, c.since), c.may, "%+v", c)
+// TestNoCountOfCrashesEndsTheTurnsOfAnItem guards against an item that is never run again, or at once again and again, after runners crashed under
+// it: whatever their number, its next turn comes within the five seconds of calm that the platform allows, and not before two.
+func TestNoCountOfCrashesEndsTheTurnsOfAnItem(t *testing.T) {
+	last := time.Unix(1000, 0)
+	for crashes := range 1000 {
+		next := poison.NextRun(crashes, last)
+		if crashes < 3 {
+			assert.Assert(t, next.IsZero(), "an item with %d crashes waits", crashes)
+			continue
+		}
+		assert.Assert(t, next.Sub(last) >= 2*time.Second && next.Sub(last) < 5*time.Second, "%d crashes: after %v", crashes, next.Sub(last))
+	}
+}
+
+// TestTrialsGrowWithWhatIsCompleted guards against many items under which runners crashed that are tried at once after a crash, and against ones
+// that are tried one by one for good.
+func TestTrialsGrowWithWhatIsCompleted(t *testing.T) {
+	var trials poison.Trials
+	assert.Equal(t, trials.Allowed(), 1)
+	for range 5 {
+		trials.Completed()
 	}
+	assert.Equal(t, trials.Allowed(), 6)
+	trials.Crashed()
+	assert.Equal(t, trials.Allowed(), 1)
 }
 
 // BenchmarkFingerprint measures the cost per request while the book is not empty, that is within an hour of a crash.
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -121,6 +121,21 @@
 	return slices.ContainsFunc(parts, func(part Fingerprint) bool { return withheld[part] && b.records[part].crashedAt(service) })
 }
 
+// LastCrash returns the number of crashes of the withheld one among some parts whose last crash at runners of a service is the latest, and the
+// time of that; zero if none is withheld.
+func (b *Book) LastCrash(parts []Fingerprint, service string) (crashes int, last time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	withheld := b.withheldNow()
+	for _, part := range parts {
+		known := b.records[part]
+		if withheld[part] && known.crashedAt(service) && known.last().After(last) {
+			crashes, last = known.count(), known.last()
+		}
+	}
+	return crashes, last
+}
+
 // crashedAt reports whether a runner of the service crashed, or one of an unknown service.
 func (r *record) crashedAt(service string) bool {
 	for _, end := range r.crashes {
--- a/internal/poison/retry.go
+++ b/internal/poison/retry.go
@@ -2,22 +2,28 @@
 
 import "time"
 
-const (
-	// itemRetries is how often an item of a job may be run again once crashLimit runners crashed while running it. An item must not be
-	// failed early: one that was only in flight beside a bad request then gets its result late instead of never. The platform allows
-	// three such runs.
-	itemRetries = 3
-	// firstRetryDelay is the time from the last crash to the first such run. It doubles with each further one. A storm caused by other
-	// requests is over by then, because requests that crash runners are refused on all nodes within a second or two.
-	firstRetryDelay = 5 * time.Second
-)
+// itemPause is the time from the last crash under an item to its next run. The platform allows an item that is owed to be without a runner for
+// five seconds of calm; the rest is for finding the crash and for a slot.
+const itemPause = 3 * time.Second
 
-// ItemMayRun reports whether an item of a job may run, given the number of runners that crashed while running it and the time since the
-// last crash.
-func ItemMayRun(crashes int, since time.Duration) bool {
-	retries := crashes - crashLimit
-	if retries < 0 {
-		return true
+// NextRun returns when an item of a job may run again, given the number of runners that crashed while running it and the time of the last crash.
+// No count ends its turns: items do not crash runners by themselves, and one that was only in flight beside the cause is owed its result.
+func NextRun(crashes int, last time.Time) time.Time {
+	if crashes < crashLimit {
+		return time.Time{}
 	}
-	return retries < itemRetries && since >= firstRetryDelay<<retries
+	return last.Add(itemPause)
 }
+
+// Trials limits how many items under which runners crashed a node runs at the same time: one after a crash, and one more for each that is
+// completed since. The zero value allows one.
+type Trials struct{ completed int }
+
+// Allowed returns the limit.
+func (t *Trials) Allowed() int { return 1 + t.completed }
+
+// Completed records that such an item was completed.
+func (t *Trials) Completed() { t.completed++ }
+
+// Crashed records that the run of such an item broke off.
+func (t *Trials) Crashed() { t.completed = 0 }
