Bound what is read of a runner's answer

A runner that sends bytes without end made each front and worker that reached it hold them: 426 and 966 MB for a header line, where the smallest machines have 284 MB, so that one such runner ends the nodes of a site one after the other. A failure's body was read on at 1 GB a second after all callers were served, and one item had no result after 30 s.

Cause: the head was read on an unbounded source, a worker read a failure's body to its end, and events without an id had no bound but time.

Change: a head takes 64 KB at most, of a failure's body 64 KB are read (a longer one counts by its status), and events without an id may take 1 MB between two that have one, as one event already might. Beyond that the connection is closed, the attempt counts as broken off, the runner as less healthy, and another one serves.

Fast tests for both sides: heads of 48 KB pass, comments between the events of a long stream pass, a failure counts however long its body is.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -98,7 +98,7 @@
 	}
 	request := &http.Request{Method: call.Method}
 	for range maxStrayResponses + 1 {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, fmt.Errorf("%w: reading: %w", ErrNoResponse, err)
 		}
@@ -115,6 +115,13 @@
 	return nil, fmt.Errorf("%w: only answers to other requests", ErrNoResponse)
 }
 
+// readHead reads the head of the next response on the connection.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.bounded.beginHead()
+	defer c.bounded.endHead()
+	return http.ReadResponse(c.reader, request)
+}
+
 // encode returns the request as one byte slice, so that it is sent with one system call.
 func encode(call *Call) []byte {
 	encoded := make([]byte, 0, len(call.Body)+1024)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -21,6 +21,8 @@
 	ErrNotSent = failure.Kind("connection pool: request not sent")
 	// ErrNoResponse means that the request was sent, completely or in part, and no response to it was received.
 	ErrNoResponse = failure.Kind("connection pool: no answer")
+	// ErrTooLong is wrapped together with ErrNoResponse if the head of the answer exceeds its bound.
+	ErrTooLong = failure.Kind("connection pool: answer too long")
 	// ErrConnectionRefused is wrapped together with ErrNotSent if the connection was refused: the host is reachable, but
 	// no process listens at the address.
 	ErrConnectionRefused = failure.Kind("connection pool: nobody listens")
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -225,3 +226,55 @@
 	assert.Equal(t, reached.Load(), int64(1))
 	assert.Equal(t, opened.Load(), int64(1))
 }
+
+// TestHeadIsBounded guards against a head of an answer that fills the memory: a long one arrives whole, one without end is given up, after a bounded
+// number of bytes.
+func TestHeadIsBounded(t *testing.T) {
+	const long, without = 48 << 10, 64 << 20
+	for name, c := range map[string]struct {
+		head  string
+		bytes int
+		whole bool
+	}{
+		"one long line":         {"X-Long: " + strings.Repeat("x", long) + "\r\n", 0, true},
+		"many lines":            {strings.Repeat("X-More: more\r\n", long/14), 0, true},
+		"a line without end":    {"X-Long: " + strings.Repeat("x", 1<<10), without, false},
+		"lines without end":     {strings.Repeat("X-More: more\r\n", 100), without, false},
+		"interim without end":   {"", without, false},
+		"a first line too long": {strings.Repeat("x", 1<<10), without, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			address, _ := serve(t, func(conn net.Conn, _ *http.Request) bool {
+				head, more := "HTTP/1.1 200 OK\r\n"+c.head, c.head
+				if name == "interim without end" {
+					head, more = "", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)
+				}
+				if name == "a first line too long" {
+					head = c.head
+				}
+				if c.whole {
+					_, err := io.WriteString(conn, head+"Content-Length: 2\r\n\r\nok")
+					return err == nil
+				}
+				for next := head; written.Load() < int64(c.bytes); next = more {
+					count, err := io.WriteString(conn, next)
+					written.Add(int64(count))
+					if err != nil {
+						return false
+					}
+				}
+				return false
+			})
+			pool, _ := newPool()
+			body, err := call(t, pool, address)
+			if c.whole {
+				assert.NilError(t, err)
+				assert.Equal(t, body, "ok")
+				return
+			}
+			assert.ErrorIs(t, err, connpool.ErrNoResponse)
+			assert.Assert(t, written.Load() < without, "all was read")
+		})
+	}
+}
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -21,6 +21,9 @@
 // maximumEventBytes bounds one event, and so the memory of one stream.
 const maximumEventBytes = 1 << 20
 
+// maximumUnnumberedBytes bounds the events without an id between two that have one, as comments that keep a connection alive are.
+const maximumUnnumberedBytes = 1 << 20
+
 // Event is one whole event.
 type Event struct {
 	// ID is the value of its id field; HasID is false when it had none or not a number.
@@ -37,6 +40,8 @@
 type Reader struct {
 	source *bufio.Reader
 	raw    []byte
+	// unnumbered is the size of the events without an id since the last one that had one.
+	unnumbered int
 }
 
 // NewReader reads from source.
@@ -59,12 +64,24 @@
 		}
 		if len(line) == 0 {
 			event.Raw = r.raw
-			return event, nil
+			return event, r.countUnnumbered(&event)
 		}
 		event.addField(line)
 	}
 }
 
+// countUnnumbered returns ErrTooLarge once the events without an id exceed their bound.
+func (r *Reader) countUnnumbered(event *Event) error {
+	if event.HasID {
+		r.unnumbered = 0
+		return nil
+	}
+	if r.unnumbered += len(event.Raw); r.unnumbered > maximumUnnumberedBytes {
+		return fmt.Errorf("%w: %d bytes of events without an id", ErrTooLarge, r.unnumbered)
+	}
+	return nil
+}
+
 // readLine returns the next line without its end, and keeps it whole in raw.
 func (r *Reader) readLine() ([]byte, error) {
 	start := len(r.raw)
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -77,3 +77,15 @@
 		}
 	})
 }
+
+// TestEventsWithoutAnIDAreBounded guards against a stream that sends events without an id for ever. Comments between events pass, however long the
+// stream is.
+func TestEventsWithoutAnIDAreBounded(t *testing.T) {
+	comment := ": nothing\n\n"
+	_, err := readAll(strings.NewReader(strings.Repeat(comment, 2<<20/len(comment))))
+	assert.ErrorIs(t, err, eventstream.ErrTooLarge)
+	piece := strings.Repeat(comment, 1000) + "id: 1\ndata: a\n\n"
+	raw, err := readAll(strings.NewReader(strings.Repeat(piece, 500)))
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, len(raw), 500*1001)
+}
--- a/internal/jobworker/origin_test.go
+++ b/internal/jobworker/origin_test.go
@@ -152,3 +152,36 @@
 	assert.Assert(t, !caller.sent)
 	assert.Equal(t, w.Runners.FailureRate(runner.ID, now), 0.0)
 }
+
+// failingCaller answers with a failure whose body has a length.
+type failingCaller struct {
+	restartingCaller
+	status, length int
+}
+
+func (c *failingCaller) Send(context.Context, work.Attempt) (*work.Reply, error) {
+	return &work.Reply{
+		Head: work.Head{Status: c.status}, Sealed: true, Framed: true, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", c.length))),
+	}, nil
+}
+
+// TestFailureCountsHoweverLongItsBodyIs guards against a failed attempt that does not count because its body is longer than what is read of it, and
+// against one whose body breaks off and counts.
+func TestFailureCountsHoweverLongItsBodyIs(t *testing.T) {
+	for _, length := range []int{0, 10, maxFailureBytes - 1, maxFailureBytes, maxFailureBytes + 1, 100 * maxFailureBytes} {
+		w := idleWorker(t)
+		now := time.Now()
+		runner := work.Runner{ID: "i-1", Service: "s", Version: "v1", Zone: "a", Slots: 2}
+		w.Caller, w.Records = &failingCaller{status: http.StatusInternalServerError, length: length}, &jobrecord.Records{Now: time.Now}
+		w.Runners.Replace([]work.Runner{runner}, now, true)
+		flight, err := w.Runners.StartAt(runner.ID, runnertable.PickRequest{Service: "s", Class: runnertable.Batch}, now)
+		assert.NilError(t, err)
+		status, err := w.stream(context.Background(), &itemRun{job: &jobRun{}}, &work.Request{}, flight)
+		assert.NilError(t, err, "%d bytes", length)
+		assert.Equal(t, status, http.StatusInternalServerError)
+		flight.End()
+	}
+	status, err := statusOf(&work.Reply{Head: work.Head{Status: http.StatusUnprocessableEntity}}, io.ErrUnexpectedEOF)
+	assert.ErrorIs(t, err, errBroken)
+	assert.Equal(t, status, http.StatusUnprocessableEntity)
+}
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -159,7 +159,7 @@
 		flight.Failed(runnertable.Refused, now)
 		return 0, errRefused
 	case reply.Head.Status != http.StatusOK:
-		_, err := io.Copy(io.Discard, reply.Body)
+		_, err := io.CopyN(io.Discard, reply.Body, maxFailureBytes)
 		return statusOf(reply, err)
 	case !reply.Sealed || reply.Encoded:
 		return 0, fmt.Errorf("%w: success response is unsigned or content-encoded", errUnexpected)
@@ -211,9 +211,12 @@
 	return fmt.Errorf("%w: %w", errRefused, err)
 }
 
-// statusOf returns the status of a failure that was read completely and comes from the runner itself.
+// maxFailureBytes bounds what is read of a failure's body, which nobody wants. A longer one counts by its status all the same.
+const maxFailureBytes = 64 << 10
+
+// statusOf returns the status of a failure that comes from the runner itself, given the error that ended the reading of its body.
 func statusOf(reply *work.Reply, err error) (int, error) {
-	if err != nil {
+	if err != nil && err != io.EOF {
 		return reply.Head.Status, fmt.Errorf("%w: %w", errBroken, err)
 	}
 	switch reply.Head.Status {
