--- a/internal/fleetfeed/compress.go
+++ b/internal/fleetfeed/compress.go
@@ -32,12 +32,18 @@
 	return compressed.Bytes(), nil
 }
 
+// maxUnpackedBytes bounds a list: several times one of 20,000 runners, whose entries take some 300 bytes each.
+const maxUnpackedBytes = 32 << 20
+
 // decompress returns the list. The error wraps jsoncall.ErrDamaged.
 func decompress(compressed []byte) ([]work.Runner, error) {
-	content, err := io.ReadAll(flate.NewReader(bytes.NewReader(compressed)))
+	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxUnpackedBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: decompressing a runner list: %w", jsoncall.ErrDamaged, err)
 	}
+	if len(content) > maxUnpackedBytes {
+		return nil, fmt.Errorf("%w: a runner list of more than %d bytes", jsoncall.ErrDamaged, maxUnpackedBytes)
+	}
 	var runners []work.Runner
 	if err := json.Unmarshal(content, &runners); err != nil {
 		return nil, fmt.Errorf("%w: decompressing a runner list: %w", jsoncall.ErrDamaged, err)
