Hold comments back until a stream's first event

Cause: the head, and with it whatever the runner sent, went to the caller with the first block, event or not. Now comments before the first event are held, 4 KB at most, and go with that event; a runner that sends more is given up before anything of it reached the caller, so that another one begins the answer afresh. Comments between events pass as before.

online.TestCommentsBeforeTheFirstEventAreNotMixed: failed before (10,000 comments, then the events of another runner), passes now; comments of a runner that goes on are passed whole, also where the stream has no event at all.

--- a/internal/online/relay.go
+++ b/internal/online/relay.go
@@ -71,21 +71,39 @@
 	return memorybudget.Whose{Tenant: e.request.Tenant, Connection: e.request.Connection}
 }
 
-// relayEvents relays whole events. The head is sent with the first event: until then another runner can still be asked from
-// the start.
+// maxHeldComments bounds the comments that are held until a stream's first event, in bytes.
+const maxHeldComments = 4 << 10
+
+// errOnlyComments means that a stream begins with more comments than are held.
+const errOnlyComments = failure.Kind("online: stream begins with too many comments")
+
+// relayEvents relays whole events. The head, and comments before the first event, are sent with that event: until then another runner can still be
+// asked from the start.
 func (e *exchange) relayEvents(reply *work.Reply, guard *silenceGuard) error {
 	source := e.bufferStream(eventstream.NewReader(reply.Body), guard)
 	defer source.close()
-	for first := true; ; first = false {
+	var comments []byte
+	for first := true; ; {
 		next, err := source.next(first)
 		if errors.Is(err, io.EOF) {
-			return e.streamEnded(reply, first)
+			return e.streamEnded(reply, comments, first)
 		}
 		if err != nil {
 			return fmt.Errorf("reading the runner's stream: %w", err)
 		}
+		if !e.headSent && !next.HasID && next.Data == nil {
+			if comments = append(comments, next.Raw...); len(comments) > maxHeldComments {
+				return errOnlyComments
+			}
+			continue
+		}
 		if first {
 			e.recordFirstEvent()
+			first = false
+		}
+		if len(comments) > 0 {
+			next.Raw = append(comments, next.Raw...)
+			comments = nil
 		}
 		if err := source.write(func() error { return e.relayEvent(next, reply) }); err != nil {
 			return err
@@ -117,11 +135,14 @@
 
 // streamEnded decides whether the end of a body between two events is the end of the whole stream. An answer without a length or chunks ends
 // with its connection: it is whole unless nothing came, because a runner that breaks off does so inside an event.
-func (e *exchange) streamEnded(reply *work.Reply, empty bool) error {
+func (e *exchange) streamEnded(reply *work.Reply, comments []byte, empty bool) error {
 	if !reply.Framed && empty {
 		return errUnprovenEnd
 	}
-	return e.sendHead(reply.Head, -1)
+	if err := e.sendHead(reply.Head, -1); err != nil || len(comments) == 0 {
+		return err
+	}
+	return e.write(comments)
 }
 
 // sendHead sends the head unless it was sent already: a resumed answer keeps the head of its first runner.
--- a/internal/online/serve_test.go
+++ b/internal/online/serve_test.go
@@ -266,3 +266,18 @@
 		})
 	}
 }
+
+// TestCommentsBeforeTheFirstEventAreNotMixed guards against comments of a runner that never sends an event before the events of another one. Those of
+// a runner that goes on are passed, with its first event.
+func TestCommentsBeforeTheFirstEventAreNotMixed(t *testing.T) {
+	const comment = ": nothing\n\n"
+	writer, caller, err := serve(2, stream(strings.Repeat(comment, 10_000), true), stream(comment+firstEvent+comment+secondEvent, true))
+	assert.NilError(t, err)
+	assert.Equal(t, writer.body.String(), comment+firstEvent+comment+secondEvent)
+	assert.Equal(t, len(caller.resumed), 2)
+	writer, _, err = serve(1, stream(comment+comment, true))
+	assert.NilError(t, err)
+	assert.Equal(t, writer.body.String(), comment+comment)
+	_, _, err = serve(1, stream(strings.Repeat(comment, 10_000), true))
+	assert.Assert(t, err != nil)
+}
