Write nothing into a connection that is not exactly one request

Anyone who may hand in a job could have runners run requests of their own: line ends in a header's value or name, in the path or in the id of an item, and a length or a coding of its own, were written into the connection as they came. Test with the real programs: six such jobs were accepted with 202, and runners ran requests "smuggled" that no client sent.

Cause: what an item says of itself was not checked against the grammar of HTTP, neither at acceptance nor where a request is encoded.

The one function that encodes a request writes nothing that is not one, so that no caller of it can forget; an item of that kind which an earlier build accepted is listed as not to be done, and its neighbours are run.

Other places that write text into a protocol, read: store keys (encoded queries and JSON), status values and log lines (JSON), headers to clients (the standard server removes line ends), Retry-After (a number), calls between nodes (drpc). None takes a client's word as it is.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -1,6 +1,7 @@
 package connpool
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mallowlatch.example/mallowlatch/internal/httpsyntax"
 )
 
 // Call describes one request.
@@ -52,6 +55,10 @@
 // Do sends one request and reads the response header. When ctx ends, the connection is closed, also while the body is
 // being read. An error wraps ErrNotSent or ErrNoResponse.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Answer, error) {
+	encoded, err := Encode(call)
+	if err != nil {
+		return nil, err
+	}
 	acquired, err := p.acquire(ctx, call.Address)
 	if err != nil {
 		return nil, err
@@ -63,7 +70,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = acquired.conn.Close() })
-	response, err := acquired.exchange(call)
+	response, err := acquired.exchange(call, encoded)
 	if err != nil {
 		stop()
 		_ = acquired.conn.Close()
@@ -87,9 +94,9 @@
 	}
 }
 
-// exchange writes the request and reads the header of its response.
-func (c *connection) exchange(call *Call) (*http.Response, error) {
-	written, err := c.conn.Write(encode(call))
+// exchange writes the encoded request and reads the header of its response.
+func (c *connection) exchange(call *Call, encoded []byte) (*http.Response, error) {
+	written, err := c.conn.Write(encoded)
 	if err != nil {
 		if written == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -122,8 +129,30 @@
 	return http.ReadResponse(c.reader, request)
 }
 
-// encode returns the request as one byte slice, so that it is sent with one system call.
-func encode(call *Call) []byte {
+// check returns an error that wraps ErrMalformed if a part of the request does not fit the grammar of HTTP, or frames the message.
+func (c *Call) check() error {
+	if err := cmp.Or(httpsyntax.CheckMethod(c.Method), httpsyntax.CheckWritable(c.Target), httpsyntax.CheckHost(c.Host)); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	for name, values := range c.Headers {
+		if err := httpsyntax.CheckFraming(name); err != nil {
+			return fmt.Errorf("%w: %w: %q", ErrMalformed, err, name)
+		}
+		for _, value := range values {
+			if err := httpsyntax.CheckHeader(name, value); err != nil {
+				return fmt.Errorf("%w: %w: %q", ErrMalformed, err, name)
+			}
+		}
+	}
+	return nil
+}
+
+// Encode returns the request as one byte slice, so that it is sent with one system call. It writes nothing that is not exactly one request: its
+// error wraps ErrMalformed and ErrNotSent.
+func Encode(call *Call) ([]byte, error) {
+	if err := call.check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	encoded := make([]byte, 0, len(call.Body)+1024)
 	encoded = append(encoded, call.Method...)
 	encoded = append(encoded, ' ')
@@ -145,7 +174,7 @@
 		encoded = append(encoded, "\r\n"...)
 	}
 	encoded = append(encoded, "\r\n"...)
-	return append(encoded, call.Body...)
+	return append(encoded, call.Body...), nil
 }
 
 // body reads a response body and returns the connection to the pool at the end of the body.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -19,6 +19,8 @@
 const (
 	// ErrNotSent means that no byte of the request was sent, so the request was not executed.
 	ErrNotSent = failure.Kind("connection pool: request not sent")
+	// ErrMalformed is wrapped together with ErrNotSent if what was to be sent is no HTTP request. It would not be sent by anyone.
+	ErrMalformed = failure.Kind("connection pool: no HTTP request")
 	// ErrNoResponse means that the request was sent, completely or in part, and no response to it was received.
 	ErrNoResponse = failure.Kind("connection pool: no answer")
 	// ErrTooLong is wrapped together with ErrNoResponse if the head of the answer exceeds its bound.
--- a/internal/jobworker/origin_test.go
+++ b/internal/jobworker/origin_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"mallowlatch.example/mallowlatch/internal/connpool"
@@ -185,3 +186,37 @@
 	assert.ErrorIs(t, err, errBroken)
 	assert.Equal(t, status, http.StatusUnprocessableEntity)
 }
+
+// malformedCaller writes requests as the pool does, to nobody.
+type malformedCaller struct {
+	restartingCaller
+}
+
+func (c *malformedCaller) Send(_ context.Context, attempt work.Attempt) (*work.Reply, error) {
+	request := attempt.Request
+	_, err := connpool.Encode(&connpool.Call{Method: request.Method, Target: request.Path, Host: request.Host, Headers: request.Headers, Body: request.Body})
+	if err != nil {
+		return nil, err
+	}
+	return &work.Reply{
+		Head: work.Head{Status: http.StatusOK}, Sealed: true, Framed: true, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n")),
+	}, nil
+}
+
+// TestItemThatIsNoRequestIsListedAsNotToBeDone guards against an item that an earlier build accepted although its words are no HTTP request: it is
+// listed as not to be done, its neighbour is run, and the runner counts as no less healthy.
+func TestItemThatIsNoRequestIsListedAsNotToBeDone(t *testing.T) {
+	w := idleWorker(t)
+	w.Caller, w.Records, w.Logger = &malformedCaller{}, &jobrecord.Records{Now: time.Now}, zerolog.Nop()
+	job := newJobRun(jobrecord.Claim{}, &jobrecord.Job{Header: jobrecord.Header{ID: "job", Host: "h", Items: []jobrecord.ItemHeader{
+		{Item: work.Item{ID: "malformed", Path: "/x HTTP/1.1\r\n\r\nPOST /smuggled"}}, {Item: work.Item{ID: "sound", Path: "/x"}},
+	}}, Bodies: [][]byte{nil, nil}})
+	for _, item := range job.items {
+		flight, err := w.Runners.StartAt("r", runnertable.PickRequest{Service: "s", Class: runnertable.Batch}, time.Now())
+		assert.NilError(t, err)
+		item.running, item.started = true, time.Now()
+		w.run(context.Background(), item, &work.Route{MaximumAttempts: 1}, flight)
+	}
+	assert.DeepEqual(t, job.unrecorded, []work.Result{{ID: "malformed", State: work.DeadLetter}, {ID: "sound", State: work.Completed, Text: "a"}})
+	assert.Equal(t, w.Runners.FailureRate("r", time.Now()), 0.0)
+}
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -69,6 +69,8 @@
 		if item.failures >= max(route.MaximumAttempts, 1) {
 			w.giveUp(item, "maximum number of attempts reached")
 		}
+	case errors.Is(err, connpool.ErrMalformed):
+		w.giveUp(item, "it is no HTTP request")
 	case errors.Is(err, streamorigin.ErrUnknown):
 		item.beginAnew()
 	case errors.Is(err, errRefused):
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -205,6 +205,10 @@
 		}
 		return fmt.Errorf("%w: %w", errTryAgain, err)
 	}
+	if errors.Is(err, connpool.ErrMalformed) {
+		guard.stop()
+		return failure.New(failure.CodeInvalidRequest, "the request cannot be passed on").WithOutcome(e.outcome).WithCause(err)
+	}
 	result, cause := classify(err)
 	if guard.fired() {
 		cause = runnertable.FirstByteTimeout
