A request from one caller takes no runner from the others

One request or item that expects a version of the weights that a runner does not have took that runner from the process for good: a front answered 503 to everybody while all runners were free, and accepted items of other jobs were not run.

Cause: a 421 was always taken for "another runner has the address", and that belief was never cleared. A 421 also says that the weights are of another version than X-Mallowlatch-Expect-Version asks for.

Change: a 421 to a request that asks for weights, without another instance in it, says nothing of the runner: the request goes to another one, an item avoids the runner, and nobody else does. What a 421 does say keeps the runner from new requests for five seconds, not for good: the entry of one that is gone lapses in less, and one that is still listed is tried again.

Looked for in runnertable: no other state is without an end.

--- a/internal/jobworker/poison.go
+++ b/internal/jobworker/poison.go
@@ -87,7 +87,7 @@
 
 // mayHaveCrashed reports whether a run ended as it does when its runner crashes. A run that this node cancelled is no evidence.
 func mayHaveCrashed(ctx context.Context, err error) bool {
-	return err != nil && !errors.Is(err, errRefused) && ctx.Err() == nil && failureOf(err) == runnertable.NoAnswer
+	return err != nil && !errors.Is(err, errRefused) && !errors.Is(err, errOtherWeights) && ctx.Err() == nil && failureOf(err) == runnertable.NoAnswer
 }
 
 // recordRunEnd records whether a runner survived an item or its output broke off. began says whether the runner had begun to answer.
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -20,9 +20,11 @@
 
 // Outcomes of a run after which the item is tried again.
 const (
-	errRefused    = failure.Kind("job worker: runner refused the item")
-	errBroken     = failure.Kind("job worker: run interrupted")
-	errUnexpected = failure.Kind("job worker: unexpected response")
+	errRefused = failure.Kind("job worker: runner refused the item")
+	// errOtherWeights means that the runner's weights are of another version than the item asks for.
+	errOtherWeights = failure.Kind("job worker: runner has other weights")
+	errBroken       = failure.Kind("job worker: run interrupted")
+	errUnexpected   = failure.Kind("job worker: unexpected response")
 )
 
 // Pauses before an item is tried again.
@@ -73,6 +75,9 @@
 		w.giveUp(item, "it is no HTTP request")
 	case errors.Is(err, streamorigin.ErrUnknown):
 		item.beginAnew()
+	case errors.Is(err, errOtherWeights):
+		item.avoid[flight.Runner.ID] = true
+		item.notBefore = now.Add(pauseAfterFailure)
 	case errors.Is(err, errRefused):
 		item.notBefore = now.Add(pauseAfterRefusal)
 	default:
@@ -157,6 +162,8 @@
 		flight.Failed(runnertable.Replaced, now)
 		w.Caller.Forget(flight.Runner)
 		return 0, fmt.Errorf("%w: runner was replaced", errRefused)
+	case reply.OtherWeights:
+		return 0, errOtherWeights
 	case reply.NotRun:
 		flight.Failed(runnertable.Refused, now)
 		return 0, errRefused
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -243,6 +243,9 @@
 		flight.Failed(runnertable.Replaced, e.forwarder.Now())
 		e.forwarder.Caller.Forget(flight.Runner)
 		return fmt.Errorf("%w: runner %s was replaced", errTryAgain, flight.Runner.ID)
+	case reply.OtherWeights:
+		guard.stop()
+		return fmt.Errorf("%w: runner %s has other weights", errTryAgain, flight.Runner.ID)
 	case reply.NotRun:
 		guard.stop()
 		delete(e.tried, flight.Runner.ID)
--- a/internal/runnertable/health.go
+++ b/internal/runnertable/health.go
@@ -35,6 +35,9 @@
 	// decays so that a runner that gets no requests is tried again.
 	rateWeight   = 0.2
 	rateHalfLife = 3 * time.Second
+	// replacedFor is how long a runner gets nothing after something else answered at its address. By then the registry has dropped the entry of
+	// one that is gone (three heartbeats); one that is still listed is tried again, because a single answer may be wrong.
+	replacedFor = 5 * time.Second
 	// refusalBackoff is how long a runner that refused a request is avoided.
 	refusalBackoff = 60 * time.Millisecond
 )
@@ -46,9 +49,8 @@
 	ejections    int
 	ejectedUntil time.Time
 	fullUntil    time.Time
-	// replaced is set when something else answered at the runner's address. It is never cleared: no probe brings the
-	// runner back.
-	replaced bool
+	// replacedUntil is until when the runner gets nothing because something else answered at its address.
+	replacedUntil time.Time
 	// rate is the share of failures among recent outcomes, as of rateAt.
 	rate   float64
 	rateAt time.Time
@@ -59,7 +61,7 @@
 	case Refused:
 		h.fullUntil = now.Add(refusalBackoff)
 	case Replaced:
-		h.replaced = true
+		h.replacedUntil = now.Add(replacedFor)
 	case Unreachable, FirstByteTimeout:
 		h.failures = max(h.failures, failuresBeforeEjection-1)
 		h.addFailure(now)
@@ -103,7 +105,10 @@
 }
 
 // reset clears the failures, but not that something else answers at the address.
-func (h *health) reset() { *h = health{replaced: h.replaced} }
+func (h *health) reset() { *h = health{replacedUntil: h.replacedUntil} }
+
+// replaced says whether something else answered at the address lately.
+func (h *health) replaced(now time.Time) bool { return now.Before(h.replacedUntil) }
 
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
--- a/internal/runnertable/pick.go
+++ b/internal/runnertable/pick.go
@@ -101,7 +101,7 @@
 		return nil, fmt.Errorf("%w: service %s", ErrFull, pickRequest.Service)
 	}
 	if best == nil {
-		best = pick.earliestReadmitted(pickRequest)
+		best = pick.earliestReadmitted(pickRequest, now)
 	}
 	if best == nil {
 		return nil, fmt.Errorf("%w: service %s", ErrNoRunner, pickRequest.Service)
@@ -167,10 +167,10 @@
 
 // earliestReadmitted returns the ejected runner whose ejection ends first. If every runner is ejected, the cause may
 // be this node itself, so trying one is better than refusing the request.
-func (c pickContext) earliestReadmitted(pickRequest PickRequest) *entry {
+func (c pickContext) earliestReadmitted(pickRequest PickRequest, now time.Time) *entry {
 	var best *entry
 	for _, candidate := range c.entries {
-		if !candidate.allowed(pickRequest) {
+		if !candidate.allowed(pickRequest, now) {
 			continue
 		}
 		if best == nil || candidate.health.ejectedUntil.Before(best.health.ejectedUntil) {
@@ -191,18 +191,18 @@
 	return t.start(chosen, pickRequest, chosen.uncached(pickRequest, false, now), now), nil
 }
 
-// allowed excludes the runners that must never get the request.
-func (e *entry) allowed(pickRequest PickRequest) bool {
+// allowed excludes the runners that must not get the request, even if no other one is left.
+func (e *entry) allowed(pickRequest PickRequest, now time.Time) bool {
 	if pickRequest.Origin != nil && !pickRequest.Origin.Permits(e.runner) {
 		return false
 	}
-	return e.runner.State == work.Ready && !pickRequest.Exclude[e.runner.ID] && !e.health.replaced
+	return e.runner.State == work.Ready && !pickRequest.Exclude[e.runner.ID] && !e.health.replaced(now)
 }
 
 // eligible also excludes ejected runners and those whose owner reports them as unresponsive.
 func (e *entry) eligible(pickRequest PickRequest, now time.Time) bool {
 	unresponsive := e.share.Value().unresponsive && e.share.Within(shareLifetime, now)
-	return e.allowed(pickRequest) && !e.health.ejected(now) && !unresponsive
+	return e.allowed(pickRequest, now) && !e.health.ejected(now) && !unresponsive
 }
 
 // prefixHome returns the runner of the node's zone to which nodes send prompts with this shared prefix, or nil.
--- a/internal/work/attempt.go
+++ b/internal/work/attempt.go
@@ -29,6 +29,9 @@
 	NotRun bool
 	// Replaced means that the address belongs to another runner, which did not run the request.
 	Replaced bool
+	// OtherWeights means that the runner did not run the request because it asks for another version of the weights. It says nothing of the
+	// runner's use for others.
+	OtherWeights bool
 	// Sealed means that the answer has the runner's signature; a success without it is not accepted.
 	Sealed bool
 	// Encoded means that the body has a content encoding and is not the runner's original bytes.
