--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,8 +14,6 @@
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/failure"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
-	"mallowlatch.example/mallowlatch/internal/ident"
-	"mallowlatch.example/mallowlatch/internal/keyhash"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
@@ -279,7 +277,7 @@
 	unread := asOf.Sub(f.absence.asOf)
 	proof := f.absence.apply(listed, asOf, f.Now())
 	change := f.Runners.Replace(listed, f.Now(), proof)
-	f.Runners.SetListInUse(runnertable.ListInUse{Revision: revision, AsOf: asOf, Until: asOf.Add(f.Options.ListLife + f.delay)})
+	f.Runners.SetListInUse(runnertable.ListInUse{Revision: revision, AsOf: asOf, Until: f.listUntil(asOf)})
 	if proof {
 		// A runner writes its entry at least once in a heartbeat.
 		f.Runners.SetCompleteThrough(asOf.Add(-f.Options.Heartbeat))
@@ -297,32 +295,13 @@
 	f.logLeaving(change.Leaving, f.Now().Sub(asOf))
 }
 
-// maxLoggedRunners bounds the runners that a log line names.
-const maxLoggedRunners = 8
-
-// logLeaving logs that the newest list, of an age, is the first that names runners as leaving. The caller holds the mutex.
-func (f *Follower) logLeaving(leaving []ident.Incarnation, age time.Duration) {
-	if len(leaving) == 0 {
-		return
-	}
-	named := make([]string, 0, maxLoggedRunners)
-	for _, id := range leaving[:min(len(leaving), maxLoggedRunners)] {
-		named = append(named, string(id))
-	}
-	event.RunnersLeaving.Log(f.Logger).Int("leaving", len(leaving)).Strs("runners", named).Int64("revision", f.revision).
-		Dur("age_ms", age).Send()
-}
-
-// logChange logs the changes of a list. unread is the time since the list before it. The caller holds the mutex.
-func (f *Follower) logChange(change runnertable.Change, listed int, unread time.Duration) {
-	if len(change.Added)+len(change.Removed) > 0 {
-		event.RunnersChanged.Log(f.Logger).Int("added", len(change.Added)).Int("removed", len(change.Removed)).Int("listed", listed).
-			Dur("used_missing_ms", change.LongestMissing).Send()
+// listUntil returns until when a list whose reading began at a time may be relied on; zero without a limit. A long list may take longer to come.
+// The caller holds the mutex.
+func (f *Follower) listUntil(asOf time.Time) time.Time {
+	if f.Options.ListLife == 0 {
+		return time.Time{}
 	}
-	if kept := len(change.Retained); kept != f.kept && kept > 0 {
-		event.RunnersKept.Log(f.Logger).Int("kept", len(change.Retained)).Int("listed", listed).Dur("unread_ms", unread).Send()
-	}
-	f.kept = len(change.Retained)
+	return asOf.Add(f.Options.ListLife + f.delay)
 }
 
 // markRegistryLost records that the list could not be read, and logs it the first time.
@@ -462,26 +441,6 @@
 	}
 }
 
-// maxLoggedKeys bounds the added and the removed keys that a log line lists.
-const maxLoggedKeys = 8
-
-// logKeyChange logs which keys were added and removed.
-func (f *Follower) logKeyChange(change routetable.KeyChange) {
-	if len(change.Added)+len(change.Removed) == 0 {
-		return
-	}
-	event.KeysChanged.Log(f.Logger).Int("added", len(change.Added)).Int("removed", len(change.Removed)).
-		Strs("added_hashes", shortened(change.Added)).Strs("removed_hashes", shortened(change.Removed)).Send()
-}
-
-func shortened(keys []keyhash.Digest) []string {
-	short := make([]string, 0, min(len(keys), maxLoggedKeys))
-	for _, key := range keys[:min(len(keys), maxLoggedKeys)] {
-		short = append(short, key.Short())
-	}
-	return short
-}
-
 func (f *Follower) notifyRetirements(retirements []work.Retirement) {
 	if f.Retire == nil {
 		return
--- a/internal/runnertable/flight.go
+++ b/internal/runnertable/flight.go
@@ -80,12 +80,12 @@
 )
 
 // Check returns an error that wraps ErrWithdrawn unless the request may be sent.
-func (d Sending) Check() error {
+func (s Sending) Check() error {
 	switch {
-	case !d.Listed:
-		return fmt.Errorf("%w: %w: list %d, chosen from %d", ErrWithdrawn, ErrLeaves, d.SentFrom.Revision, d.ChosenFrom.Revision)
-	case d.Overdue:
-		return fmt.Errorf("%w: %w: list %d is %v old", ErrWithdrawn, ErrOverdue, d.SentFrom.Revision, d.SentAge)
+	case !s.Listed:
+		return fmt.Errorf("%w: %w: list %d, chosen from %d", ErrWithdrawn, ErrLeaves, s.SentFrom.Revision, s.ChosenFrom.Revision)
+	case s.Overdue:
+		return fmt.Errorf("%w: %w: list %d is %v old", ErrWithdrawn, ErrOverdue, s.SentFrom.Revision, s.SentAge)
 	}
 	return nil
 }
@@ -94,9 +94,9 @@
 const LongHold = 300 * time.Millisecond
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
-func (d Sending) MarshalZerologObject(line *zerolog.Event) {
-	line.Dur("held_ms", d.Waited).Int64("chosen_revision", d.ChosenFrom.Revision).Dur("chosen_age_ms", d.ChosenAge).
-		Int64("sent_revision", d.SentFrom.Revision).Dur("sent_age_ms", d.SentAge).Bool("listed", d.Listed)
+func (s Sending) MarshalZerologObject(line *zerolog.Event) {
+	line.Dur("held_ms", s.Waited).Int64("chosen_revision", s.ChosenFrom.Revision).Dur("chosen_age_ms", s.ChosenAge).
+		Int64("sent_revision", s.SentFrom.Revision).Dur("sent_age_ms", s.SentAge).Bool("listed", s.Listed)
 }
 
 // BeforeSend returns what is known now, when the request is about to be sent.
