Read the records of ended runners from a copy in their test

TestEndsOutliveALossOfPower failed once in the whole script beside load ("no record was stored"), and 1 of 320 times with 32 side by side.

Traced: the test looks whether the records are on the disk by starting further processes on the same file, and each process writes what it has learned. One that read the file after the first of three crashes wrote that one back over the three, and nothing changed any more. A process has a disk of its own; two on one file are the test's doing.

--- a/internal/poisonwatch/watch_test.go
+++ b/internal/poisonwatch/watch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -157,9 +159,14 @@
 		for _, runner := range []ident.Incarnation{"a", "b", "c"} {
 			watch.Book.RecordCrash(runner, []poison.Fingerprint{"bad"}, time.Now(), time.Now())
 		}
+		// A process writes what it read too, which belongs on its own disk: each reads a copy of the file.
 		written := func() bool {
+			content, err := os.ReadFile(path)
+			assert.Assert(t, err == nil || errors.Is(err, fs.ErrNotExist), "%v", err)
+			copied := filepath.Join(t.TempDir(), "ends.json")
+			assert.NilError(t, os.WriteFile(copied, content, 0o600))
 			later, _ := newWatch(t, errGone)
-			later.Persist(path)
+			later.Persist(copied)
 			return later.Refused("bad")
 		}
 		for deadline := time.Now().Add(10 * time.Second); !written(); time.Sleep(20 * time.Millisecond) {
