--- a/internal/fleetfeed/compress_test.go
+++ b/internal/fleetfeed/compress_test.go
@@ -23,6 +23,8 @@
 		_, err := writer.Write(blank)
 		assert.NilError(t, err)
 	}
+	_, err = writer.Write([]byte("[]"))
+	assert.NilError(t, err)
 	assert.NilError(t, writer.Close())
 	_, err = decompress(packed.Bytes())
 	assert.ErrorIs(t, err, jsoncall.ErrDamaged)
--- a/internal/follower/suspended_test.go
+++ b/internal/follower/suspended_test.go
@@ -50,6 +50,20 @@
 	})
 }
 
+// TestReadingThatTimesOutInAStandstillIsNoOutage guards against a reading in flight as the process stands still that times out on waking and is taken
+// for a registry that does not answer, so that requests are sent by the list from before. Each standstill begins within a millisecond of a reading.
+func TestReadingThatTimesOutInAStandstillIsNoOutage(t *testing.T) {
+	const settled, step = 4 * time.Second, time.Millisecond
+	for from := settled; from < settled+40*time.Millisecond; from += step {
+		p := scenario{
+			fault: fault{from: from, to: from + 3*time.Second, freeze: true}, leaves: from, says: true,
+			back: make([]time.Duration, 5), renewed: make([]time.Duration, 6),
+		}
+		got := runSimulated(t, p)
+		assert.Assert(t, got.lastSent < p.leaves+siteDrain, "stood still from %v: the runner was sent a request %v after it left", from, got.lastSent-p.leaves)
+	}
+}
+
 // TestMonotonicClockLosesRunnersAfterSuspension is a case of the test above that fails with a clock that stops during a suspension: the
 // node sees no gap between its readings, treats the first list after the outage as complete, and drops a runner whose entry is not back
 // yet.
