Let one goroutine of a job make its calls of the store, one at a time

Cause: a job's claim and results were changed by four parties under one mutex, each with a call of the store between its reading and its writing. After a lapsed lease the writer and the renewal claimed the same job again and got the same claim; one read the results that an Append of the other had recorded, and the answer of that Append recorded them a second time. Traced call by call in a scratch copy of the new test: claim 53 taken twice, 13 results read while the Append of these 13 is in flight, 13 cut off the remaining 11.

Ruled out: one Append that is repeated after it was recorded (the trace has one).

Change: resultlog is the state machine of a job's claim and results, with one call in flight whose answer meets the state that it was asked for. The holder of a job, one goroutine, claims, reads, records and releases. Whoever learns of a new lease or a doubtful claim only says so. A worker whose claim may be gone, or with an unanswered Append, no longer says that there are no further results. An assignment that comes late is refused.

--- a/internal/jobworker/assign.go
+++ b/internal/jobworker/assign.go
@@ -12,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/memorybudget"
+	"mallowlatch.example/mallowlatch/internal/resultlog"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -73,7 +74,7 @@
 	id := assigned.Open.ID
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.draining || w.lease == 0 || w.lease != lease || !w.tomb.Alive() {
+	if w.draining || w.lease == 0 || w.lease != lease || !w.tomb.Alive() || w.isOutdated(assigned) {
 		return ErrNotAssignable
 	}
 	state := w.open[id]
@@ -81,63 +82,75 @@
 		state = &openJob{entry: assigned.Open, unclaimed: w.Now()}
 		w.open[id] = state
 	}
-	if state.claiming || w.jobs[id] != nil {
+	if w.holders[id] {
 		return nil
 	}
 	reservation, err := w.reserve(assigned.Open, w.Now())
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotAssignable, err)
 	}
-	state.claimed, state.claiming = true, true
-	w.tomb.Go(func() error {
-		w.startAssigned(assigned, state, reservation)
-		return nil
+	state.claimed = true
+	pending := claimedJob{
+		entry: assigned.Open, holding: resultlog.Holding{Claim: assigned.Claim, Lease: lease}, isNew: true, reservation: reservation,
+	}
+	w.startHolder(id, func() {
+		if job := w.startAssigned(pending, state); job != nil {
+			w.hold(job)
+		}
 	})
 	return nil
 }
 
-// startAssigned reads an assigned job and starts it. A job that cannot be read is claimed again like any other.
-func (w *Worker) startAssigned(assigned jobrecord.Assigned, state *openJob, reservation *memorybudget.Held) {
+// isOutdated reports whether the claim of an assigned job is known to be gone: the assignment came late. The caller must hold the mutex.
+func (w *Worker) isOutdated(assigned jobrecord.Assigned) bool {
+	if w.liveRevision < assigned.Claim.Revision {
+		return false
+	}
+	state := w.open[assigned.Open.ID]
+	return state == nil || state.holder != w.Node
+}
+
+// startAssigned reads an assigned job and starts it. It returns nil if that fails; the job is then claimed again like any other.
+func (w *Worker) startAssigned(pending claimedJob, state *openJob) *jobRun {
 	ctx, cancel := w.callContext()
 	defer cancel()
-	err := w.startJob(ctx, claimedJob{entry: assigned.Open, claim: assigned.Claim, isNew: true, reservation: reservation})
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	state.claiming = false
+	job, err := w.startJob(ctx, pending)
 	if err == nil {
-		return
+		return job
 	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	state.claimed, state.ownClaim = false, true
 	if errors.Is(err, jobrecord.ErrNoSuchJob) {
 		// The job ended before it was started.
-		return
+		return nil
 	}
-	event.JobStoreFailed.Log(w.Logger).Str("doing", "reading an assigned job").Str("job", string(assigned.Open.ID)).Err(err).Send()
+	event.JobStoreFailed.Log(w.Logger).Str("doing", "reading an assigned job").Str("job", string(pending.entry.ID)).Err(err).Send()
+	return nil
 }
 
 // claimedJob is a job that this node has claimed and is about to run.
 type claimedJob struct {
-	entry jobrecord.Open
-	claim jobrecord.Claim
+	entry   jobrecord.Open
+	holding resultlog.Holding
 	// isNew is set for a job that was never claimed before and therefore has no results.
 	isNew bool
 	// reservation is the memory reserved for the job.
 	reservation *memorybudget.Held
 }
 
-// startJob reads a claimed job and runs it. If the job does not run, its memory reservation is released.
-func (w *Worker) startJob(ctx context.Context, pending claimedJob) error {
+// startJob reads a claimed job and runs it. It returns nil if the job does not run; its memory reservation is then released.
+func (w *Worker) startJob(ctx context.Context, pending claimedJob) (*jobRun, error) {
 	entry, isNew := pending.entry, pending.isNew
 	loaded, results, err := w.loadJob(ctx, entry, isNew)
 	if err != nil {
 		pending.reservation.Release()
-		return err
+		return nil, err
 	}
-	job := newJobRun(pending.claim, loaded)
+	job := newJobRun(pending.holding, loaded, results)
 	job.entry, job.reservation = entry, pending.reservation
 	job.setSizes(entry.Bytes)
 	job.progressed = w.Now()
-	job.applyRecorded(results)
 	resumed := 0
 	if w.Now().Sub(job.submitted) > minMirroredAge {
 		resumed = job.resume(w.fetchMirrored(entry.ID))
@@ -147,14 +160,14 @@
 	state := w.open[entry.ID]
 	if state == nil {
 		pending.reservation.Release()
-		return nil
+		return nil, nil
 	}
 	state.claimed = true
 	w.jobs[entry.ID] = job
+	job.signal()
 	event.JobClaimed.Log(w.Logger).Str("job", string(entry.ID)).Int("items", len(loaded.Header.Items)).Int("listed", len(results)).
 		Int("resumed", resumed).Bool("assigned", isNew).Send()
-	w.startWriter(job)
-	return nil
+	return job, nil
 }
 
 func (w *Worker) loadJob(ctx context.Context, entry jobrecord.Open, isNew bool) (*jobrecord.Job, []work.Result, error) {
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -12,6 +12,7 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/memorybudget"
+	"mallowlatch.example/mallowlatch/internal/resultlog"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
 
@@ -21,7 +22,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.Now()
-	w.reconciled = now
+	w.reconciled, w.liveRevision = now, w.live.Revision
 	w.setWorkers(w.live.Workers)
 	_, listed := w.live.Workers[w.Node]
 	w.registrationGone = !listed && w.live.Revision >= w.registered
@@ -55,20 +56,43 @@
 		}
 		w.account.ledger.Unlist(id, now)
 		if job := w.jobs[id]; job != nil {
-			w.drop(job)
-			event.JobLeft.Log(w.Logger).Str("job", string(id)).Str("why", "finished or ended").Send()
+			w.leaveEnded(job)
 		}
 	}
+	w.doubtClaims()
 	w.claimDueJobs(now)
 }
 
+// leaveEnded stops running a job that is no longer open. If the call that closes it is in flight, its answer decides first. The caller
+// must hold the mutex.
+func (w *Worker) leaveEnded(job *jobRun) {
+	if job.log.Closing() {
+		job.ended = true
+		return
+	}
+	w.leave(job, "finished or ended")
+}
+
+// doubtClaims has the jobs claimed again whose claims the live state no longer has: a late release was done, or the lease lapsed while
+// another node may have claimed the job. The caller must hold the mutex.
+func (w *Worker) doubtClaims() {
+	for id, job := range w.jobs {
+		revision := job.log.Holding().Claim.Revision
+		if w.live.Revision < revision || w.live.Claimed[id] == w.Node {
+			continue
+		}
+		job.log.Doubt(revision)
+		job.signal()
+	}
+}
+
 // updateOwnClaim records whether the claim of a job is this node's although the job does not run here. The caller must hold
 // the mutex.
 func (w *Worker) updateOwnClaim(state *openJob) {
 	id := state.entry.ID
 	before := state.ownClaim
 	state.ownClaim = w.live.Claimed[id] == w.Node && !state.claimed
-	if state.ownClaim && !before && !state.claiming {
+	if state.ownClaim && !before && !w.holders[id] {
 		event.ClaimUnserved.Log(w.Logger).Str("job", string(id)).Int64("lease", int64(w.lease)).Send()
 	}
 }
@@ -130,7 +154,7 @@
 	var candidates []*openJob
 	canRun := map[string]bool{}
 	for _, candidate := range w.open {
-		if candidate.claimed || candidate.claiming || w.jobs[candidate.entry.ID] != nil || now.Before(candidate.notBefore) {
+		if candidate.claimed || w.holders[candidate.entry.ID] || now.Before(candidate.notBefore) {
 			continue
 		}
 		// A claim of this node keeps all other nodes from the job. It is taken up even if the job cannot run here; the job
@@ -168,28 +192,30 @@
 	if overBudget != nil && !candidate.ownClaim {
 		return overBudget
 	}
-	candidate.claiming = true
 	// The claim continues without the mutex while live updates replace the entry, so it gets a copy.
 	entry, lease := candidate.entry, w.lease
-	w.tomb.Go(func() error {
-		if err := w.claimOrRelease(entry, lease, reservation, overBudget); err != nil {
-			w.logStore("claiming job "+string(entry.ID), err)
+	w.startHolder(entry.ID, func() {
+		if overBudget != nil {
+			w.recordClaimTry(candidate, w.releaseUnserved(entry, lease))
+			return
+		}
+		job, err := w.claim(entry, lease, reservation)
+		w.recordClaimTry(candidate, err)
+		if job != nil {
+			w.hold(job)
 		}
-		w.mutex.Lock()
-		candidate.claiming = false
-		candidate.notBefore = w.Now().Add(w.Options.RetryAfter)
-		w.mutex.Unlock()
-		return nil
 	})
 	return overBudget
 }
 
-// claimOrRelease takes a job over, or releases this node's claim of it if there is no memory for the job.
-func (w *Worker) claimOrRelease(entry jobrecord.Open, lease kv.LeaseID, reservation *memorybudget.Held, overBudget error) error {
-	if overBudget != nil {
-		return w.releaseUnserved(entry, lease)
+// recordClaimTry records that a job was tried to be claimed. If it does not run here, it is not tried again at once.
+func (w *Worker) recordClaimTry(candidate *openJob, err error) {
+	if err != nil {
+		w.logStore("claiming job "+string(candidate.entry.ID), err)
 	}
-	return w.claim(entry, lease, reservation)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	candidate.notBefore = w.Now().Add(w.Options.RetryAfter)
 }
 
 // releaseUnserved releases a claim of this node that it has no memory to serve, so that another node may take the job.
@@ -234,66 +260,28 @@
 	return true
 }
 
-// claim takes a job over from the beginning or from where another node stopped. The memory reservation is released on
-// failure.
-func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID, reservation *memorybudget.Held) error {
+// claim takes a job over from the beginning or from where another node stopped. It returns nil if the job does not run here; the memory
+// reservation is then released.
+func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID, reservation *memorybudget.Held) (*jobRun, error) {
 	ctx, cancel := w.callContext()
 	defer cancel()
 	claim, err := w.Records.Claim(ctx, entry, w.Node, lease)
 	if errors.Is(err, jobrecord.ErrClaimLost) {
 		reservation.Release()
-		return nil
+		return nil, nil
 	}
 	if err != nil {
 		reservation.Release()
-		return err
+		return nil, err
 	}
 	w.logClaim(claim, lease)
-	if err := w.startJob(ctx, claimedJob{entry: entry, claim: claim, reservation: reservation}); err != nil {
-		return fmt.Errorf("loading job: %w", err)
-	}
-	return nil
-}
-
-// reclaim claims a job again whose claim was lost, or drops it if another node has claimed it.
-func (w *Worker) reclaim(job *jobRun) {
-	w.mutex.Lock()
-	lease := w.lease
-	w.mutex.Unlock()
-	if lease == 0 {
-		return
-	}
-	ctx, cancel := w.callContext()
-	defer cancel()
-	claim, err := w.Records.Claim(ctx, job.entry, w.Node, lease)
-	if err == nil {
-		w.logClaim(claim, lease)
-		err = w.syncResults(job, claim)
-	}
-	switch {
-	case errors.Is(err, jobrecord.ErrClaimLost), errors.Is(err, jobrecord.ErrNoSuchJob):
-		w.mutex.Lock()
-		w.drop(job)
-		w.mutex.Unlock()
-		event.JobLeft.Log(w.Logger).Str("job", string(job.header.ID)).Str("why", "claimed by another node").Send()
-	case err != nil:
-		w.logStore("claiming job again", err)
-	}
-}
-
-// syncResults loads the results recorded in the meantime, under the new claim.
-func (w *Worker) syncResults(job *jobRun, claim jobrecord.Claim) error {
-	ctx, cancel := w.callContext()
-	defer cancel()
-	results, err := w.Records.AllResults(ctx, job.header.ID)
+	job, err := w.startJob(ctx, claimedJob{
+		entry: entry, holding: resultlog.Holding{Claim: claim, Lease: lease}, reservation: reservation,
+	})
 	if err != nil {
-		return err
+		return nil, fmt.Errorf("loading job: %w", err)
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	job.claim = claim
-	job.applyRecorded(results)
-	return nil
+	return job, nil
 }
 
 func (w *Worker) logStore(doing string, err error) {
--- a/internal/jobworker/lease.go
+++ b/internal/jobworker/lease.go
@@ -62,10 +62,6 @@
 		return err
 	}
 	w.setLease(granted, sent.Add(w.Options.LeaseTTL))
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	jobs := w.claimedJobs()
-	w.tomb.Go(func() error { w.reclaimAll(jobs); return nil })
 	return nil
 }
 
@@ -99,22 +95,16 @@
 	return jobrecord.Worker{Node: w.Node, Zone: w.Zone, Address: w.Address}
 }
 
+// setLease records the lease and when it may expire. The holders of the jobs claim these again if the lease is another one.
 func (w *Worker) setLease(lease kv.LeaseID, until time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	replaced := lease != w.lease
 	w.lease, w.leaseUntil = lease, until
-}
-
-func (w *Worker) reclaimAll(jobs []*jobRun) {
-	for _, job := range jobs {
-		w.reclaim(job)
+	if !replaced {
+		return
 	}
-}
-
-func (w *Worker) claimedJobs() []*jobRun {
-	claimed := make([]*jobRun, 0, len(w.jobs))
 	for _, job := range w.jobs {
-		claimed = append(claimed, job)
+		job.signal()
 	}
-	return claimed
 }
--- a/internal/jobworker/memory.go
+++ b/internal/jobworker/memory.go
@@ -72,14 +72,14 @@
 	}
 	var largest *jobRun
 	for _, job := range w.jobs {
-		if job.recordedBytes > 0 && (largest == nil || job.recordedBytes > largest.recordedBytes) {
+		if job.log.RecordedBytes() > 0 && (largest == nil || job.log.RecordedBytes() > largest.log.RecordedBytes()) {
 			largest = job
 		}
 	}
 	if largest == nil {
 		return false
 	}
-	largest.evictRecorded()
+	largest.log.Evict()
 	largest.reservation.Set(largest.bytes())
 	return true
 }
@@ -150,10 +150,7 @@
 // bytes returns the memory that a job uses: its header, the values with a body that is still needed, the output of its
 // items and its results. The caller must hold the worker's mutex.
 func (j *jobRun) bytes() int64 {
-	sum := j.headerBytes + j.recordedBytes
-	for index := range j.unrecorded {
-		sum += int64(len(j.unrecorded[index].Text))
-	}
+	sum := j.headerBytes + j.log.RecordedBytes() + j.log.WaitingBytes()
 	counted := -1
 	for _, item := range j.items {
 		sum += int64(item.text.Len())
@@ -177,10 +174,3 @@
 	}
 	j.headerBytes = max(size-bodies, 0)
 }
-
-// evictRecorded removes the recorded results from memory: they are read from the store from then on. The caller must hold
-// the worker's mutex.
-func (j *jobRun) evictRecorded() {
-	j.evicted += len(j.recorded)
-	j.recorded, j.recordedBytes = nil, 0
-}
--- a/internal/jobworker/origin_test.go
+++ b/internal/jobworker/origin_test.go
@@ -17,6 +17,7 @@
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/progress"
+	"mallowlatch.example/mallowlatch/internal/resultlog"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/work"
 )
@@ -208,15 +209,15 @@
 func TestItemThatIsNoRequestIsListedAsNotToBeDone(t *testing.T) {
 	w := idleWorker(t)
 	w.Caller, w.Records, w.Logger = &malformedCaller{}, &jobrecord.Records{Now: time.Now}, zerolog.Nop()
-	job := newJobRun(jobrecord.Claim{}, &jobrecord.Job{Header: jobrecord.Header{ID: "job", Host: "h", Items: []jobrecord.ItemHeader{
+	job := newJobRun(resultlog.Holding{}, &jobrecord.Job{Header: jobrecord.Header{ID: "job", Host: "h", Items: []jobrecord.ItemHeader{
 		{Item: work.Item{ID: "malformed", Path: "/x HTTP/1.1\r\n\r\nPOST /smuggled"}}, {Item: work.Item{ID: "sound", Path: "/x"}},
-	}}, Bodies: [][]byte{nil, nil}})
+	}}, Bodies: [][]byte{nil, nil}}, nil)
 	for _, item := range job.items {
 		flight, err := w.Runners.StartAt("r", runnertable.PickRequest{Service: "s", Class: runnertable.Batch}, time.Now())
 		assert.NilError(t, err)
 		item.running, item.started = true, time.Now()
 		w.run(context.Background(), item, &work.Route{MaximumAttempts: 1}, flight)
 	}
-	assert.DeepEqual(t, job.unrecorded, []work.Result{{ID: "malformed", State: work.DeadLetter}, {ID: "sound", State: work.Completed, Text: "a"}})
+	assert.DeepEqual(t, job.log.Waiting(), []work.Result{{ID: "malformed", State: work.DeadLetter}, {ID: "sound", State: work.Completed, Text: "a"}})
 	assert.Equal(t, w.Runners.FailureRate("r", time.Now()), 0.0)
 }
--- a/internal/jobworker/release.go
+++ b/internal/jobworker/release.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 )
 
@@ -18,16 +17,14 @@
 	busy := w.anyRunning()
 	for _, job := range w.jobs {
 		canRun := w.canRun(job.header.Route)
-		if job.running > 0 || len(job.unrecorded) > 0 || (canRun && busy) || now.Sub(job.progressed) < w.idleLimit(canRun) {
+		if job.running > 0 || len(job.log.Waiting()) > 0 || (canRun && busy) || now.Sub(job.progressed) < w.idleLimit(canRun) {
 			continue
 		}
 		if known := w.open[job.header.ID]; known != nil {
 			known.notBefore = now.Add(w.Options.ReleaseAfter)
 		}
-		w.drop(job)
-		event.JobLeft.Log(w.Logger).Str("job", string(job.header.ID)).Str("why", "no item could be run here").Send()
-		claim := job.claim
-		w.tomb.Go(func() error { w.release(claim); return nil })
+		job.releases = true
+		w.leave(job, "no item could be run here")
 	}
 }
 
--- a/internal/jobworker/results.go
+++ b/internal/jobworker/results.go
@@ -46,10 +46,15 @@
 		return cached, nil, true
 	}
 	job := w.jobs[id]
-	if job == nil || from < job.evicted || !w.Now().Before(w.leaseUntil.Add(-leaseMargin)) {
+	if job == nil || !w.Now().Before(w.leaseUntil.Add(-leaseMargin)) {
 		return work.Held{}, nil, false
 	}
-	return work.Held{Tenant: job.header.Tenant, Total: len(job.items), Results: tail(job.recorded, from-job.evicted)}, job.changed, true
+	results, inMemory := job.log.From(from)
+	// What is recorded never changes. That nothing more is recorded takes the claim, and the answers to all calls.
+	if !inMemory || (len(results) == 0 && !job.log.Complete(w.lease)) {
+		return work.Held{}, nil, false
+	}
+	return work.Held{Tenant: job.header.Tenant, Total: len(job.items), Results: results}, job.changed, true
 }
 
 func tail(results []work.Result, from int) []work.Result {
@@ -105,9 +110,9 @@
 	return held, found
 }
 
-// add caches the results of a finished job if they fit in the node's budget.
+// add caches the results of a finished job, which must all be in memory, if they fit in the node's budget.
 func (f *finishedJobs) add(budget *memorybudget.NodeBudget, job *jobRun, now time.Time) {
-	size := job.recordedBytes
+	size := job.log.RecordedBytes()
 	reservation, err := budget.Reserve(memorybudget.Kept, memorybudget.Whose{}, size)
 	for err != nil && f.evictOldest() {
 		reservation, err = budget.Reserve(memorybudget.Kept, memorybudget.Whose{}, size)
@@ -120,7 +125,8 @@
 		f.byID = map[ident.Job]work.Held{}
 	}
 	id := job.header.ID
-	f.byID[id] = work.Held{Tenant: job.header.Tenant, Total: len(job.recorded), Results: job.recorded}
+	results, _ := job.log.From(0)
+	f.byID[id] = work.Held{Tenant: job.header.Tenant, Total: len(results), Results: results}
 	f.order = append(f.order, finishedJob{id: id, at: now, bytes: size, reservation: reservation})
 	f.bytes += size
 	for len(f.order) > 0 && (f.bytes > maxFinishedBytes || now.Sub(f.order[0].at) > finishedTTL) {
--- a/internal/jobworker/run.go
+++ b/internal/jobworker/run.go
@@ -106,7 +106,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.runs++
-	item.currentRun = progress.RunID{Claim: item.job.claim.Revision, Number: w.runs}
+	item.currentRun = progress.RunID{Claim: item.job.log.Holding().Claim.Revision, Number: w.runs}
 }
 
 func failureOf(err error) runnertable.Failure {
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -172,9 +172,15 @@
 	workers map[ident.Node]jobrecord.Worker
 	open    map[ident.Job]*openJob
 	jobs    map[ident.Job]*jobRun
-	// pastHolders are the workers that held the jobs that ended lately, reconciled is when the live state was last applied.
-	pastHolders pastHolders
-	reconciled  time.Time
+	// holders are the jobs about which a goroutine of this node may call the store: no second one may do so before it has ended.
+	holders map[ident.Job]bool
+	// reclaims has an entry for each job that is being claimed again.
+	reclaims chan struct{}
+	// pastHolders are the workers that held the jobs that ended lately, reconciled is when the live state was last applied, and
+	// liveRevision its revision.
+	pastHolders  pastHolders
+	reconciled   time.Time
+	liveRevision int64
 	// runs counts the runs of items that this process started.
 	runs int64
 	// mirror stores output of other workers' items in memory.
@@ -235,8 +241,6 @@
 	// ownClaim is set if the claim is this node's although it does not run the job, which keeps all other nodes from
 	// claiming it.
 	ownClaim bool
-	// claiming is set while this node is claiming the job.
-	claiming bool
 	// notBefore is the earliest time at which this node may claim the job (again).
 	notBefore time.Time
 }
@@ -258,6 +262,7 @@
 	w.live, w.avoidedReaders = &jobrecord.Live{}, map[string]time.Time{}
 	w.open = map[ident.Job]*openJob{}
 	w.jobs = map[ident.Job]*jobRun{}
+	w.reclaims = make(chan struct{}, maxReclaims)
 	w.gauges = map[ident.Incarnation]*runnerGauge{}
 	w.retirements = map[ident.Node]*retirement{}
 	w.duration = initialRunTime
@@ -310,7 +315,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, job := range w.jobs {
-		if job.running > 0 || len(job.unrecorded) > 0 {
+		if job.running > 0 || len(job.log.Waiting()) > 0 {
 			return true
 		}
 	}
