Let a job be claimed by whoever can get some of its items run

Cause: a claim asked for an owned runner of every service of the split, and runners are owned in their own zone; and a worker lends nothing while any item of its own waits, also one of a service that only another one owns. Evidence: no claim_written line but those of fronts; with the claim alone corrected by reading, two holders wait for each other.

Change: one notion (jobworker/capability.go) says how well a node can run items of some services; who claims, how long a job is left to others, who leaves it and for how long follow from it. Jobs whose items only wait for their turn after crashes of runners are not idle. Lending asks for waiting items of the wanted service. Why it works: whoever holds a job runs its items at its own runners and in lent places, and lenders with free places lend.

Checks changed: TestWorkerLendsWhatItsOwnItemsLeaveFree asks that nothing is lent while items of the wanted service wait, and now also that items of another service keep nothing from others.

--- a/internal/jobworker/assign.go
+++ b/internal/jobworker/assign.go
@@ -39,6 +39,8 @@
 type batchLoad struct {
 	// waiting counts the items that no runner has, slots those that the owned runners could run.
 	waiting, slots int
+	// waitingFor counts the waiting items by service.
+	waitingFor map[string]int
 }
 
 // batchSlots returns how many items the owned runners of all batch routes could run now. The caller must hold the mutex.
@@ -150,7 +152,8 @@
 	job := newJobRun(pending.holding, loaded, results)
 	job.entry, job.reservation = entry, pending.reservation
 	job.setSizes(entry.Bytes)
-	job.progressed = w.Now()
+	job.started = w.Now()
+	job.progressed = job.started
 	resumed := 0
 	if w.Now().Sub(job.submitted) > minMirroredAge {
 		resumed = job.resume(w.fetchMirrored(entry.ID))
--- a/internal/jobworker/borrow.go
+++ b/internal/jobworker/borrow.go
@@ -185,8 +185,7 @@
 func (w *Worker) waitingItemsOf(service string, now time.Time) []*itemRun {
 	var waiting []*itemRun
 	for _, item := range w.waiting(now) {
-		route, _ := w.Routes.Match(item.job.header.Host, item.item.Path)
-		if route != nil && len(route.Split) > 0 && route.Split[item.index%len(route.Split)].Service == service {
+		if dealtTo, found := w.serviceOf(item); found && dealtTo == service {
 			waiting = append(waiting, item)
 		}
 	}
--- a/internal/jobworker/burst_test.go
+++ b/internal/jobworker/burst_test.go
@@ -13,11 +13,13 @@
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
+	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/ident"
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 	"mallowlatch.example/mallowlatch/internal/jobworker"
 	"mallowlatch.example/mallowlatch/internal/kv/kvtest"
+	"mallowlatch.example/mallowlatch/internal/lending"
 	"mallowlatch.example/mallowlatch/internal/routetable"
 	"mallowlatch.example/mallowlatch/internal/runnertable"
 	"mallowlatch.example/mallowlatch/internal/simulated"
@@ -35,8 +37,13 @@
 
 	// jobs are the accepted jobs.
 	jobs []ident.Job
+	// routes is the configuration of all workers, and online is set if online work takes slots in bursts.
+	routes *routetable.Table
+	online bool
 
 	mutex sync.Mutex
+	// cut is a zone whose workers and runners the others do not reach, nor the reverse; empty if there is none.
+	cut ident.Zone
 	// running counts the items at each runner, runs the started runs, otherZoneRuns those that a worker started in another
 	// zone.
 	running       map[ident.Incarnation]int
@@ -59,7 +66,7 @@
 )
 
 // onlinePeak reports whether online work takes all slots now.
-func (f *fleet) onlinePeak() bool { return time.Since(f.began)%stepEvery < stepLasts }
+func (f *fleet) onlinePeak() bool { return f.online && time.Since(f.began)%stepEvery < stepLasts }
 
 // zoneCaller calls the runners for a worker of a zone.
 type zoneCaller struct {
@@ -100,6 +107,9 @@
 // Send implements work.Caller.
 func (c *zoneCaller) Send(ctx context.Context, attempt work.Attempt) (*work.Reply, error) {
 	f, id := c.fleet, attempt.Runner.ID
+	if !f.reaches(c.zone, attempt.Runner.Zone) {
+		return nil, connpool.ErrNotSent
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.running[id]++
@@ -117,6 +127,9 @@
 
 // Report implements work.Caller.
 func (c *zoneCaller) Report(_ context.Context, runner work.Runner) (work.Load, error) {
+	if !c.fleet.reaches(c.zone, runner.Zone) {
+		return work.Load{}, connpool.ErrNotSent
+	}
 	c.fleet.mutex.Lock()
 	defer c.fleet.mutex.Unlock()
 	load := work.Load{Running: c.fleet.running[runner.ID], Slots: runner.Slots}
@@ -129,35 +142,87 @@
 // Forget implements work.Caller.
 func (c *zoneCaller) Forget(work.Runner) {}
 
+// reaches reports whether a zone reaches another one.
+func (f *fleet) reaches(from, to ident.Zone) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return from == to || f.cut == "" || (from != f.cut && to != f.cut)
+}
+
+func (f *fleet) cutOff(zone ident.Zone) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cut = zone
+}
+
+// zonePeers calls the other workers for a worker of a zone.
+type zonePeers struct {
+	*localMirrors
+	fleet *fleet
+	zone  ident.Zone
+}
+
+// Borrow implements jobworker.Lenders.
+func (p *zonePeers) Borrow(ctx context.Context, address string, request *lending.Request) (*lending.Reply, error) {
+	if !p.fleet.reaches(p.zone, p.workers[address].Zone) {
+		return nil, connpool.ErrNotSent
+	}
+	return p.localMirrors.Borrow(ctx, address, request)
+}
+
+// batchRoute returns a batch route to some services.
+func batchRoute(split ...work.WeightedService) work.Route {
+	return work.Route{
+		Name: "r", Host: "h", PathPrefix: "/p/", Kind: work.Batch, Split: split, CompletionObjective: jobsDue, Retention: time.Minute, MaximumAttempts: 3,
+	}
+}
+
+// newFleet starts a fleet whose online work comes in bursts.
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, began: time.Now(), running: map[ident.Incarnation]int{}}
-	data := kvtest.NewData(time.Now)
-	f.records = &jobrecord.Records{Store: kvtest.NewPaged(data), ValueBytes: 1 << 20, Retention: time.Minute, Now: time.Now}
-	routes := &routetable.Table{}
-	split := []work.WeightedService{{Service: "s", Weight: 1}}
-	routes.Adopt(&work.Catalog{Version: 1, Routes: []work.Route{
-		{Name: "r", Host: "h", PathPrefix: "/p/", Kind: work.Batch, Split: split, CompletionObjective: jobsDue, Retention: time.Minute, MaximumAttempts: 3},
-		{Name: "o", Host: "h", PathPrefix: "/o/", Kind: work.Streaming, Split: split, Objective: 400 * time.Millisecond},
-	}})
+	var runners []work.Runner
 	for zone := range fleetZones {
 		for index := range zoneRunners {
-			f.runners = append(f.runners, work.Runner{
-				ID: ident.Incarnation(fmt.Sprintf("i-%d-%d", zone, index)), Service: "s", Address: "a", Zone: zoneNamed(zone), Slots: runnerSlots, Version: "v1",
-			})
+			runners = append(runners, runnerIn(zone, index, "s"))
 		}
 	}
+	split := []work.WeightedService{{Service: "s", Weight: 1}}
+	return startFleet(t, fleetShape{zones: fleetZones, workers: zoneWorkers, online: true}, runners, batchRoute(split...),
+		work.Route{Name: "o", Host: "h", PathPrefix: "/o/", Kind: work.Streaming, Split: split, Objective: 400 * time.Millisecond})
+}
+
+// fleetShape is the number of zones, and of workers in each, and whether online work takes slots in bursts.
+type fleetShape struct {
+	zones, workers int
+	online         bool
+}
+
+func runnerIn(zone, index int, service string) work.Runner {
+	return work.Runner{
+		ID: ident.Incarnation(fmt.Sprintf("i-%d-%d", zone, index)), Service: service, Address: "a", Zone: zoneNamed(zone), Slots: runnerSlots, Version: "v1",
+	}
+}
+
+// startFleet starts the workers of some zones, before runners and routes that they all know.
+func startFleet(t *testing.T, shape fleetShape, runners []work.Runner, routes ...work.Route) *fleet {
+	f := &fleet{
+		t: t, began: time.Now(), running: map[ident.Incarnation]int{}, runners: runners, routes: &routetable.Table{}, online: shape.online,
+	}
+	data := kvtest.NewData(time.Now)
+	f.records = &jobrecord.Records{Store: kvtest.NewPaged(data), ValueBytes: 1 << 20, Retention: time.Minute, Now: time.Now}
+	f.routes.Adopt(&work.Catalog{Version: 1, Routes: routes})
 	peers := &localMirrors{workers: map[string]*jobworker.Worker{}}
 	supervisor := new(tomb.Tomb)
-	for zone := range fleetZones {
-		for index := range zoneWorkers {
+	for zone := range shape.zones {
+		for index := range shape.workers {
 			node := ident.Node(fmt.Sprintf("w-%d-%d", zone, index))
 			store := kvtest.NewPaged(data)
 			table := runnertable.New(zoneNamed(zone))
 			table.Replace(f.runners, time.Now(), true)
 			worker := &jobworker.Worker{
-				Node: node, Zone: zoneNamed(zone), Address: string(node), Store: store, Runners: table, Routes: routes, Options: jobworker.DefaultOptions,
+				Node: node, Zone: zoneNamed(zone), Address: string(node), Store: store, Runners: table, Routes: f.routes, Options: jobworker.DefaultOptions,
 				Records: &jobrecord.Records{Store: store, ValueBytes: 1 << 20, Retention: time.Minute, Now: time.Now},
-				Caller:  &zoneCaller{fleet: f, zone: zoneNamed(zone)}, Logger: zerolog.Nop(), Now: time.Now, Lenders: peers, Readers: peers,
+				Caller:  &zoneCaller{fleet: f, zone: zoneNamed(zone)}, Logger: zerolog.Nop(), Now: time.Now,
+				Lenders: &zonePeers{localMirrors: peers, fleet: f, zone: zoneNamed(zone)}, Readers: peers,
 			}
 			peers.workers[string(node)] = worker
 			f.workers = append(f.workers, worker)
--- a/internal/jobworker/claim.go
+++ b/internal/jobworker/claim.go
@@ -13,7 +13,6 @@
 	"mallowlatch.example/mallowlatch/internal/kv"
 	"mallowlatch.example/mallowlatch/internal/memorybudget"
 	"mallowlatch.example/mallowlatch/internal/resultlog"
-	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // reconcile applies the live state of the open jobs to what this node runs. A job that is no longer open has finished or
@@ -121,13 +120,13 @@
 	if len(candidates) == 0 {
 		return
 	}
-	waiting, ownedSlots := len(w.waiting(now)), w.ownedSlots(now)
+	waiting, ownedSlots, step := len(w.waiting(now)), w.ownedSlots(now), w.scaledByWorkers(w.Options.ClaimStep)
 	overBudget := map[ident.Tenant]bool{}
 	for _, candidate := range candidates {
 		if overBudget[candidate.entry.Tenant] {
 			continue
 		}
-		delay := claimDelay(waiting, ownedSlots, w.duration, w.claimPosition(candidate), w.scaledByWorkers(w.Options.ClaimStep))
+		delay := candidate.leftToOthers + claimDelay(waiting, ownedSlots, w.duration, w.claimPosition(candidate), step)
 		if candidate.ownClaim {
 			delay = ownClaimDelay
 		}
@@ -152,18 +151,16 @@
 		return nil
 	}
 	var candidates []*openJob
-	canRun := map[string]bool{}
+	delays := claimDelays{}
 	for _, candidate := range w.open {
 		if candidate.claimed || w.holders[candidate.entry.ID] || now.Before(candidate.notBefore) {
 			continue
 		}
 		// A claim of this node keeps all other nodes from the job. It is taken up even if the job cannot run here; the job
 		// is then released with the idle ones.
-		route := candidate.entry.Route
-		if _, known := canRun[route]; !known && !candidate.ownClaim {
-			canRun[route] = w.canRun(route)
-		}
-		if candidate.ownClaim || canRun[route] {
+		delay, mayClaim := w.delayFor(candidate.entry.Route, delays)
+		candidate.leftToOthers = delay
+		if candidate.ownClaim || mayClaim {
 			candidates = append(candidates, candidate)
 		}
 	}
@@ -173,6 +170,26 @@
 	return candidates
 }
 
+// claimDelays are the delays of routes that were looked up in one round; negative for jobs that this node does not claim.
+type claimDelays map[string]time.Duration
+
+// delayFor returns how long this node leaves unclaimed jobs of a route to nodes that can run them better, and false if it does not claim
+// them. The caller must hold the mutex.
+func (w *Worker) delayFor(route string, delays claimDelays) (time.Duration, bool) {
+	delay, found := delays[route]
+	if !found {
+		delay = -1
+		if services, known := w.routeServices(route); known {
+			wanted, mayClaim := claimDelayFor(w.capabilityFor(services), w.scaledByWorkers(w.Options.ClaimStep), w.Options.ReleaseAfter)
+			if mayClaim {
+				delay = wanted
+			}
+		}
+		delays[route] = delay
+	}
+	return max(delay, 0), delay >= 0
+}
+
 // ownClaimDelay is how long a claim of this node without a running job is left alone, because the node that accepted the
 // job with the claim is about to assign it.
 const ownClaimDelay = 250 * time.Millisecond
@@ -234,32 +251,6 @@
 	return nil
 }
 
-// canRun reports whether this node owns a runner for the route's items. A node without one must not hold their job. A
-// route that no longer exists needs no runner, because its items are given up. The caller must hold the mutex.
-func (w *Worker) canRun(name string) bool {
-	catalog := w.Routes.Catalog()
-	if catalog == nil {
-		return false
-	}
-	for index := range catalog.Routes {
-		route := &catalog.Routes[index]
-		if route.Name == name && !w.ownsRunnersFor(route) {
-			return false
-		}
-	}
-	return true
-}
-
-// ownsRunnersFor reports whether this node owns a runner of each part of a route. The caller must hold the mutex.
-func (w *Worker) ownsRunnersFor(route *work.Route) bool {
-	for _, part := range route.Split {
-		if len(w.owned(part.Service)) == 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // claim takes a job over from the beginning or from where another node stopped. It returns nil if the job does not run here; the memory
 // reservation is then released.
 func (w *Worker) claim(entry jobrecord.Open, lease kv.LeaseID, reservation *memorybudget.Held) (*jobRun, error) {
--- a/internal/jobworker/dispatch.go
+++ b/internal/jobworker/dispatch.go
@@ -24,7 +24,7 @@
 		now := w.Now()
 		w.mutex.Lock()
 		waiting := w.waiting(now)
-		w.found = batchLoad{waiting: len(waiting), slots: w.batchSlots(now)}
+		w.found = batchLoad{waiting: len(waiting), slots: w.batchSlots(now), waitingFor: w.countByService(waiting)}
 		w.cancelStalled(now)
 		w.accountMemory(now)
 		w.claimDueJobs(now)
@@ -60,6 +60,17 @@
 	return waiting
 }
 
+// countByService counts items by the service that they are dealt to.
+func (w *Worker) countByService(items []*itemRun) map[string]int {
+	counts := map[string]int{}
+	for _, item := range items {
+		if service, found := w.serviceOf(item); found {
+			counts[service]++
+		}
+	}
+	return counts
+}
+
 // cancelStalled cancels runs that produce no more events; another runner resumes them. The caller must hold the mutex.
 func (w *Worker) cancelStalled(now time.Time) {
 	for _, job := range w.jobs {
@@ -85,7 +96,7 @@
 		if route == nil {
 			continue
 		}
-		service := route.Split[item.index%len(route.Split)].Service
+		service := dealt(route, item.index)
 		if full[service] || w.holdsBack(item, service, now) {
 			continue
 		}
--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -32,8 +32,8 @@
 	// changed is closed and replaced when results are recorded.
 	changed chan struct{}
 	running int
-	// progressed is when the claim was taken, an event of an item arrived, or results were recorded.
-	progressed time.Time
+	// started is when the job was claimed and read, progressed when an event of an item arrived or results were recorded since then.
+	started, progressed time.Time
 	// dropped is set when this node no longer runs the job, releases if its holder then releases the claim.
 	dropped, releases bool
 	// ended is set when the job is no longer open while the call that closes it is in flight.
--- a/internal/jobworker/lend.go
+++ b/internal/jobworker/lend.go
@@ -22,7 +22,7 @@
 const recallTimeout = 300 * time.Millisecond
 
 // Lend answers a worker that asks for slots at the runners that this node owns. It lends the slots that this node's items
-// leave free, and none while any of them waits.
+// leave free, and none of a service for which any of them waits.
 func (w *Worker) Lend(request *lending.Request) *lending.Reply {
 	now := w.Now()
 	if w.lent.Renew(request, now) {
@@ -42,7 +42,7 @@
 		w.lastWanted = map[string]time.Time{}
 	}
 	w.lastWanted[want.Service] = now
-	if w.draining || w.found.waiting > 0 {
+	if w.draining || w.found.waitingFor[want.Service] > 0 {
 		return
 	}
 	owned := w.owned(want.Service)
--- a/internal/jobworker/lend_test.go
+++ b/internal/jobworker/lend_test.go
@@ -73,10 +73,15 @@
 	assert.Equal(t, lentTo(w.Lend(lendRequest("third", 1, 1))), 0, "no slot is lent twice")
 
 	w.mutex.Lock()
-	w.found.waiting = 1
+	w.found.waiting, w.found.waitingFor = 1, map[string]int{"s": 1}
 	w.mutex.Unlock()
 	held := lending.Count{Runner: "r", Slots: 2}
 	assert.Equal(t, lentTo(w.Lend(lendRequest("first", 2, 4, held))), 2, "nothing more is lent while own items wait, and nothing is recalled")
+
+	w.mutex.Lock()
+	w.found.waitingFor = map[string]int{"other": 1}
+	w.mutex.Unlock()
+	assert.Equal(t, lentTo(w.Lend(lendRequest("first", 3, 2, held))), 4, "items of other services keep no slot from others")
 }
 
 // TestSlotsAreKeptFreeOverAllRunners has fronts report work to an owner of three runners with few slots each: slots are
--- a/internal/jobworker/release.go
+++ b/internal/jobworker/release.go
@@ -6,8 +6,8 @@
 	"mallowlatch.example/mallowlatch/internal/jobrecord"
 )
 
-// releaseIdleJobs releases jobs that make no progress here, because this node owns no runner for them or reaches none, so
-// that another worker can run them.
+// releaseIdleJobs releases jobs that make no progress here although another node may be able to run them: it owns runners for what is
+// left, or this node reaches none of its own.
 func (w *Worker) releaseIdleJobs(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -16,18 +16,51 @@
 	}
 	busy := w.anyRunning()
 	for _, job := range w.jobs {
-		canRun := w.canRun(job.header.Route)
-		if job.running > 0 || len(job.log.Waiting()) > 0 || (canRun && busy) || now.Sub(job.progressed) < w.idleLimit(canRun) {
+		if job.running > 0 || len(job.log.Waiting()) > 0 || now.Sub(job.progressed) < shortIdleLimit(w.Options.ReleaseAfter) || job.onlyPaced(now) {
 			continue
 		}
-		if known := w.open[job.header.ID]; known != nil {
-			known.notBefore = now.Add(w.Options.ReleaseAfter)
+		limit, mayRelease := idleLimit(w.capabilityFor(w.unfinishedServices(job)), busy, w.Options.ReleaseAfter)
+		if !mayRelease || now.Sub(job.progressed) < limit {
+			continue
 		}
+		w.backOff(job, now)
 		job.releases = true
 		w.leave(job, "no item could be run here")
 	}
 }
 
+// maxBackoffSteps bounds how often the time for which a job is left to others doubles.
+const maxBackoffSteps = 3
+
+// backOff leaves a job to other nodes for a time, which doubles each time that nothing of the job was run here. The caller must hold the
+// mutex.
+func (w *Worker) backOff(job *jobRun, now time.Time) {
+	known := w.open[job.header.ID]
+	if known == nil {
+		return
+	}
+	if job.progressed.After(job.started) {
+		known.fruitless = 0
+	}
+	known.notBefore = now.Add(w.Options.ReleaseAfter << min(known.fruitless, maxBackoffSteps))
+	known.fruitless++
+}
+
+// onlyPaced reports whether each item without a result waits for its turn because runners crashed under it: that is no lack of runners.
+func (j *jobRun) onlyPaced(now time.Time) bool {
+	paced := 0
+	for _, item := range j.items {
+		switch {
+		case item.finished:
+		case item.onTrial && now.Before(item.notBefore):
+			paced++
+		default:
+			return false
+		}
+	}
+	return paced > 0
+}
+
 // anyRunning reports whether any item runs. If so, this node reaches its runners, and an idle job waits for its turn. The
 // caller must hold the mutex.
 func (w *Worker) anyRunning() bool {
@@ -39,14 +72,21 @@
 	return false
 }
 
-// idleLimit returns how long a job may be idle, which is shorter if this node owns no runner for it.
-func (w *Worker) idleLimit(canRun bool) time.Duration {
-	if canRun {
-		return w.Options.ReleaseAfter
+// idleLimit returns how long a job may be idle at a node with a capability for what is left of it, and false if no other node could do
+// better. A node that runs other items reaches its runners: the job waits for its turn.
+func idleLimit(able capability, busy bool, after time.Duration) (limit time.Duration, mayRelease bool) {
+	switch able {
+	case noRunner:
+		return 0, false
+	case ownsMost:
+		return after, !busy
 	}
-	return w.Options.ReleaseAfter / 4
+	return shortIdleLimit(after), true
 }
 
+// shortIdleLimit is how long a job may be idle at a node while another one owns more of the runners for what is left.
+func shortIdleLimit(after time.Duration) time.Duration { return after / 4 }
+
 // release releases a claim. It retries until the outcome is known: a claim without a running job lasts as long as the
 // lease.
 func (w *Worker) release(claim jobrecord.Claim) {
--- a/internal/jobworker/worker.go
+++ b/internal/jobworker/worker.go
@@ -202,6 +202,8 @@
 	// owners are the owners of runners; nil until they are needed. ownedRunners are the runners that this node owns.
 	owners       *jobrecord.Owners
 	ownedRunners *ownedRunners
+	// serviceOwners are the owners of all runners by service; nil until they are needed.
+	serviceOwners *serviceOwners
 	// found is the batch work found by the last dispatch round.
 	found batchLoad
 	// loadLogged is when the batch load was last logged.
@@ -241,8 +243,12 @@
 	// ownClaim is set if the claim is this node's although it does not run the job, which keeps all other nodes from
 	// claiming it.
 	ownClaim bool
-	// notBefore is the earliest time at which this node may claim the job (again).
+	// notBefore is the earliest time at which this node may claim the job (again), fruitless how often in a row it left the job without
+	// having run anything of it.
 	notBefore time.Time
+	fruitless int
+	// leftToOthers is how long this node leaves the job, while it is unclaimed, to nodes that can run it better.
+	leftToOthers time.Duration
 }
 
 // runnerGauge is a runner's gauge, the time of the last poll of its report, and its shortage of slots.
