Apply the answer to a transfer of output only to the output it was made from

What callers may see: a result joined from two runs (ORDER, MIXED), if an item begins anew while a piece of its former output is on its way to the second worker, and that worker then takes the job over. Found by reading, as another place of the class "an answer meets a state that it was not asked for": the answer set how much of the new output the peer has, and the next piece was appended to the former output.

Change: an item counts how often its output is to be sent from the beginning; an answer to an earlier transfer says nothing.

Not seen with real processes.

--- a/internal/jobworker/job.go
+++ b/internal/jobworker/job.go
@@ -69,9 +69,11 @@
 	waitsForOrigin time.Time
 	// currentRun is the run in progress, lastEventRun the one that produced the last event.
 	currentRun, lastEventRun progress.RunID
-	// mirrored is how many bytes of the text the mirror peer has, and mirroredRun the run that produced the end of them.
+	// mirrored is how many bytes of the text the mirror peer has, and mirroredRun the run that produced the end of them. transfers counts how
+	// often the output was to be sent from the beginning.
 	mirrored    int
 	mirroredRun progress.RunID
+	transfers   int
 	// fingerprint is the item's, once it was needed.
 	fingerprint poison.Fingerprint
 	// onTrial is set while the item runs at a pace because runners crashed under it.
--- a/internal/jobworker/mirror.go
+++ b/internal/jobworker/mirror.go
@@ -83,6 +83,8 @@
 	// end.
 	length       int
 	lastEventRun progress.RunID
+	// transfers is the item's count of transfers when the piece was taken.
+	transfers int
 }
 
 // mirrorBatch is what one worker is sent at once.
@@ -144,7 +146,7 @@
 		update.Pieces = append(update.Pieces, progress.OutputPart{
 			Item: item.item.ID, Run: item.lastEventRun, Before: item.mirroredRun, Offset: item.mirrored, LastEvent: item.lastEvent, Text: text, Origin: item.origin,
 		})
-		pieces = append(pieces, pendingPiece{item: item, length: item.text.Len(), lastEventRun: item.lastEventRun})
+		pieces = append(pieces, pendingPiece{item: item, length: item.text.Len(), lastEventRun: item.lastEventRun, transfers: item.transfers})
 	}
 	return update, pieces
 }
@@ -152,10 +154,17 @@
 // resetMirrored has all output sent from the beginning. The caller must hold the worker's mutex.
 func (j *jobRun) resetMirrored() {
 	for _, item := range j.items {
-		item.mirrored = 0
+		item.restartTransfer()
 	}
 }
 
+// restartTransfer has an item's output sent from the beginning. The answer to a piece that is on its way says nothing of it. The caller must
+// hold the worker's mutex.
+func (i *itemRun) restartTransfer() {
+	i.mirrored = 0
+	i.transfers++
+}
+
 // sendMirror makes one call and records what arrived.
 func (w *Worker) sendMirror(address string, batch *mirrorBatch) {
 	ctx, cancel := context.WithTimeout(w.ctx, mirrorSendTimeout)
@@ -172,10 +181,18 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, piece := range batch.pieces {
-		piece.item.mirrored, piece.item.mirroredRun = piece.length, piece.lastEventRun
-		if missing[piece.item.item.ID] {
-			piece.item.mirrored = 0
-		}
+		piece.arrived(missing[piece.item.item.ID])
+	}
+}
+
+// arrived records that the mirror peer has a piece, or lacks output before it. The caller must hold the worker's mutex.
+func (p *pendingPiece) arrived(lacksBefore bool) {
+	if p.transfers != p.item.transfers {
+		return
+	}
+	p.item.mirrored, p.item.mirroredRun = p.length, p.lastEventRun
+	if lacksBefore {
+		p.item.mirrored = 0
 	}
 }
 
--- a/internal/jobworker/pick.go
+++ b/internal/jobworker/pick.go
@@ -54,7 +54,8 @@
 // beginAnew drops the output of an item. The caller must hold the worker's mutex.
 func (i *itemRun) beginAnew() {
 	i.text.Reset()
-	i.lastEvent, i.lastEventRun, i.mirrored = 0, progress.RunID{}, 0
+	i.lastEvent, i.lastEventRun = 0, progress.RunID{}
+	i.restartTransfer()
 	i.origin, i.waitsForOrigin = work.Origin{}, time.Time{}
 }
 
