Show that a job is not left while its item only waits for its turn

Its lines show that the job was left ("no item could be run here") 1.9 s after a crash, just before the item's turn, and claimed and read by the other worker 0.7 s later. Only suspected as the whole cause: the cut lines leave open where the other seconds went.

--- a/internal/jobworker/capability_test.go
+++ b/internal/jobworker/capability_test.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"mallowlatch.example/mallowlatch/internal/ident"
+	"mallowlatch.example/mallowlatch/internal/jobrecord"
+	"mallowlatch.example/mallowlatch/internal/resultlog"
+	"mallowlatch.example/mallowlatch/internal/work"
 )
 
 // TestCapabilityDecidesWhoClaimsAndWhoLeaves guards against jobs that nobody may claim, and jobs that are passed round though no node can do better.
@@ -36,3 +41,24 @@
 	_, mayRelease := idleLimit(ownsMost, true, idle)
 	assert.Assert(t, !mayRelease, "a job that waits for its turn is released")
 }
+
+// TestJobIsNotLeftWhileItsItemWaitsForItsTurn guards against an item under which runners crashed that waits longer than its turn: its job was left as
+// idle, and the next worker claimed and read it first.
+func TestJobIsNotLeftWhileItsItemWaitsForItsTurn(t *testing.T) {
+	w := idleWorker(t)
+	now := time.Now()
+	w.Options = DefaultOptions
+	w.workers = map[ident.Node]jobrecord.Worker{w.Node: {Node: w.Node, Zone: "a"}, "other": {Node: "other", Zone: "a"}}
+	job := newJobRun(resultlog.Holding{}, &jobrecord.Job{
+		Header: jobrecord.Header{ID: "job", Items: []jobrecord.ItemHeader{{Item: work.Item{ID: "item"}}}}, Bodies: [][]byte{nil},
+	}, nil)
+	w.jobs["job"] = job
+	item := job.items[0]
+	item.onTrial, item.notBefore = true, now.Add(time.Second)
+	job.progressed = now.Add(-2 * w.Options.ReleaseAfter)
+	w.releaseIdleJobs(now)
+	assert.Assert(t, !job.dropped, "left while its item waits for its turn")
+	item.notBefore = time.Time{}
+	w.releaseIdleJobs(now)
+	assert.Assert(t, job.dropped && job.releases, "kept though nothing of it is run here")
+}
