Bound the connections of callers and the memory of their heads

Cause: nothing counted what a caller makes a process hold before it has a whole request. A head was bounded to 256 KiB whatever the configuration said, its memory by nothing; connections by nothing but the descriptors, the last of which clients could take, so that runners, the store and workers were out of reach as well. The readiness listener was the same.

Change: connlimit, a pure ledger of connections with a listener and hooks for the HTTP server. The number of connections follows from memory and descriptors (1,706 on a machine of 284 MB and 4,100 descriptors, 870 on the smallest of 136 MB); half of the descriptors are left for connections to runners, an eighth for the process's own. A new caller is let in: the unfinished connection that has been silent the longest gives its place, or an idle one; one with a whole request never does, and where all have one, the new one is closed unread. Heads reserve their decoded memory as they come, beyond 16 KiB each; the largest unfinished one gives way. A head over the configured limit gets 431. The end of an answer waits 30 s for its caller at most.

A property test draws connections: the limits hold, a new one is let in unless all others are serving, and none of those is closed.

Why it works: a place is never waited for, it is taken from whoever holds one without use; so no time-out decides who is served.

--- a/cmd/mallowlatch-site/front.go
+++ b/cmd/mallowlatch-site/front.go
@@ -14,6 +14,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/access"
 	"mallowlatch.example/mallowlatch/internal/clock"
+	"mallowlatch.example/mallowlatch/internal/connlimit"
 	"mallowlatch.example/mallowlatch/internal/demand"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/ident"
@@ -30,8 +31,9 @@
 // Limits of a client connection. They only close dead connections; the limits that clients must respect are in the
 // configuration.
 const (
-	headerTimeout  = 20 * time.Second
-	idleTimeout    = 3 * time.Minute
+	headerTimeout = 20 * time.Second
+	idleTimeout   = 3 * time.Minute
+	// maxHeaderBytes limits a head while the node knows no configuration.
 	maxHeaderBytes = 256 << 10
 	// peerDialTimeout limits the time to open a connection to another node.
 	peerDialTimeout = 300 * time.Millisecond
@@ -88,11 +90,12 @@
 		Routes: process.routes, Serve: forwarder.Serve, Jobs: jobs, Gate: gate, Limiter: process.limiter(holders), Held: process.heldBytes,
 		Await: start.Await, Stopping: process.lifecycle.Stopping, Logger: process.logger, Now: clock.Now,
 	}
-	callers, err := process.serve(settings.Listen.Callers, front)
+	callers, err := process.serve(settings.Listen.Callers, front, process.callers)
 	if err != nil {
 		return err
 	}
-	if _, err := process.serve(settings.Listen.Ready, platform.ReadyHandler(process.ready)); err != nil {
+	checks := connlimit.New(readinessLimits, process.routes.HeadLimit, clock.Now)
+	if _, err := process.serve(settings.Listen.Ready, platform.ReadyHandler(process.ready), checks); err != nil {
 		return err
 	}
 	process.waitForStop()
@@ -128,18 +131,22 @@
 // knowsFleet reports whether the node knows the configuration and the runners.
 func (p *process) knowsFleet() bool { return p.routes.Catalog() != nil && p.runners.Count() > 0 }
 
-// serve starts an HTTP server for the handler on an address.
-func (p *process) serve(address string, handler http.Handler) (*http.Server, error) {
+// readinessLimits bound the readiness checks: few clients ask, once a second each.
+var readinessLimits = connlimit.Limits{Connections: 32, HeadBytes: 1 << 20}
+
+// serve starts an HTTP server for the handler on an address, within the limits on connections.
+func (p *process) serve(address string, handler http.Handler, limiter *connlimit.Limiter) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", address, err)
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: connlimit.Handler(handler), ConnContext: connlimit.ConnContext, ConnState: connlimit.ConnState,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	p.tomb.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limiter.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serving %s: %w", address, err)
 		}
 		return nil
--- a/cmd/mallowlatch-site/process.go
+++ b/cmd/mallowlatch-site/process.go
@@ -13,6 +13,7 @@
 
 	"mallowlatch.example/mallowlatch/internal/callmeter"
 	"mallowlatch.example/mallowlatch/internal/clock"
+	"mallowlatch.example/mallowlatch/internal/connlimit"
 	"mallowlatch.example/mallowlatch/internal/connpool"
 	"mallowlatch.example/mallowlatch/internal/event"
 	"mallowlatch.example/mallowlatch/internal/follower"
@@ -66,6 +67,8 @@
 	peerCalls *callmeter.Meter
 	// heldBytes limits the memory used for the requests and answers of clients.
 	heldBytes *memorybudget.NodeBudget
+	// callers limits the connections of clients. A worker has none.
+	callers *connlimit.Limiter
 	// suspended is the total time the machine was suspended, as of the last check. Only closeExpiredConnections
 	// accesses it.
 	suspended time.Duration
@@ -94,6 +97,7 @@
 		peerCalls: &callmeter.Meter{Zone: ident.Zone(settings.Node.Zone)},
 		heldBytes: memorybudget.New[ident.Tenant, string](memorybudget.LimitsOf(settings.Limits.MemoryBytes())),
 	}
+	started.callers = connlimit.New(callerLimits(settings.Limits), started.routes.HeadLimit, clock.Now)
 	started.store.Heard = started.reachability
 	started.registry = platform.NewRegistry(started.store, &refusal.Tracker{OnChange: started.logRefusal})
 	started.ends = &poisonwatch.Watch{
@@ -191,6 +195,7 @@
 	p.logStoreCalls()
 	p.logPeerCalls()
 	p.logHeldBytes()
+	p.logCallers()
 	p.logSlowRunners()
 }
 
@@ -233,6 +238,17 @@
 		Int("callers_cut", tally.Disconnected).Send()
 }
 
+// logCallers logs which connections of clients were closed or refused.
+func (p *process) logCallers() {
+	tally := p.callers.TakeTally()
+	if !tally.Reportable() {
+		return
+	}
+	event.CallersLimited.Log(p.logger).Int("open", tally.Open).Int("most", tally.Most).Int("of", tally.Limit).Int64("heads", tally.HeadBytes).
+		Int("unfinished_closed", tally.Unfinished).Int("idle_closed", tally.Idle).Int("refused", tally.Refused).
+		Int("late_bodies_closed", tally.Late).Int("heads_too_large", tally.TooLarge).Send()
+}
+
 // waitForStop returns when the process is asked to stop or a part of it failed. On SIGHUP it reloads the settings, on SIGUSR1 it
 // writes a processor profile.
 func (p *process) waitForStop() {
@@ -256,6 +272,11 @@
 	}
 }
 
+// callerLimits returns the limits on the connections of clients.
+func callerLimits(limits sitesettings.Limits) connlimit.Limits {
+	return connlimit.LimitsOf(limits.MemoryBytes(), limits.Descriptors)
+}
+
 func (p *process) reloadSettings() {
 	settings, err := sitesettings.Load(p.path)
 	if err != nil {
@@ -264,6 +285,7 @@
 	}
 	site.ApplyLimits(settings.Limits)
 	p.heldBytes.SetLimits(memorybudget.LimitsOf(settings.Limits.MemoryBytes()))
+	p.callers.SetLimits(callerLimits(settings.Limits))
 	event.SettingsReloaded.Log(p.logger).Int("memory_mb", settings.Limits.MemoryMB).Send()
 }
 
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -132,6 +132,14 @@
 	return defaultBodyBytes
 }
 
+// HeadLimit returns the maximum size of a request's head in bytes, or zero if the configuration sets none.
+func (t *Table) HeadLimit() int64 {
+	if catalog := t.Catalog(); catalog != nil {
+		return int64(catalog.Limits.HeaderBytes)
+	}
+	return 0
+}
+
 // Match returns the host's route with the longest matching path prefix, or nil. known is false while the node has no
 // configuration, in which case a nil route does not mean that the route does not exist.
 func (t *Table) Match(host, path string) (route *work.Route, known bool) {
