--- a/internal/jobrecord/accept.go
+++ b/internal/jobrecord/accept.go
@@ -215,10 +215,28 @@
 	if len(parts) > maximumParts {
 		return nil, nil, fmt.Errorf("%w: the bodies need %d values, at most %d are kept", ErrTooLarge, len(parts), maximumParts)
 	}
+	if size := leastEncodedSize(header); size > r.ValueBytes {
+		return nil, nil, fmt.Errorf("%w: the items without their bodies have %d bytes, at most %d are kept", ErrTooLarge, size, r.ValueBytes)
+	}
 	header.Parts = len(parts)
 	return header, parts, nil
 }
 
+// headerFraming is the number of bytes around the name and the value of an item's header once it is encoded: four quotation marks and a colon.
+const headerFraming = 5
+
+// leastEncodedSize returns a lower bound of the size of an encoded header.
+func leastEncodedSize(header *Header) int {
+	size := 0
+	for _, item := range header.Items {
+		size += len(item.ID) + len(item.Path)
+		for name, value := range item.Headers {
+			size += len(name) + len(value) + headerFraming
+		}
+	}
+	return size
+}
+
 // Exists reports whether a job was accepted and is still retained.
 func (r *Records) Exists(ctx context.Context, job ident.Job) (bool, error) {
 	_, err := r.Header(ctx, job)
--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -204,6 +204,19 @@
 	return b.held, b.limits.All
 }
 
+// Admissible reports whether an empty budget would admit a reservation. One that is not admissible can only be refused.
+func (b *Budget[T, C]) Admissible(kind Kind, owner Owner[T, C], bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var noTenant T
+	var noConnection C
+	return bytes <= b.limits.Kinds[kind] && (owner.Tenant == noTenant || bytes <= b.limits.Tenant) &&
+		(owner.Connection == noConnection || bytes <= b.limits.Connection)
+}
+
 // checkLimits returns nil if an owner may reserve more bytes, and otherwise the limit that refuses them. The caller holds the mutex.
 func (b *Budget[T, C]) checkLimits(kind Kind, owner Owner[T, C], bytes int64) error {
 	var noTenant T
