Bound what strangers at a worker's listener make it hold

What callers saw: no job was accepted while 900 connections to a worker were open that sent nothing; 100 messages without end took 140 MB of the worker's 96.

Cause: 4,096 connections were allowed whatever the descriptors, each with a buffer of up to 4 MiB for a message that has not arrived whole, and an error of accepting ended the listener.

Change: the listener has a limiter of its own (connlimit), which the server of calls tells when a request has arrived and when it was answered. A quarter of the descriptors, a quarter of the memory for messages that have not arrived whole. A connection that was closed before its request was whole is refused as not run. An error of accepting that passes is retried.

Suspected only: calls of whoever speaks the protocol (docs/incidents/peers-without-bound.md).

--- a/cmd/mallowlatch-site/worker.go
+++ b/cmd/mallowlatch-site/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mallowlatch.example/mallowlatch/internal/clock"
+	"mallowlatch.example/mallowlatch/internal/connlimit"
 	"mallowlatch.example/mallowlatch/internal/fleetfeed"
 	"mallowlatch.example/mallowlatch/internal/follower"
 	"mallowlatch.example/mallowlatch/internal/handoff"
@@ -165,7 +166,10 @@
 	if err != nil {
 		return fmt.Errorf("listening on %s: %w", p.settings.Listen.Peers, err)
 	}
-	server := transport.NewServer(transport.ServerOptions{PrivateNetwork: true, Logger: p.logger})
+	limits := connlimit.PeerLimitsOf(p.settings.Limits.MemoryBytes(), p.settings.Limits.Descriptors)
+	server := transport.NewServer(transport.ServerOptions{
+		PrivateNetwork: true, Logger: p.logger, Limiter: connlimit.NewForMessages(limits, clock.Now),
+	})
 	if err := server.Register(&jobpeer.WorkerServer{
 		Worker: worker, Ledger: quota.NewLedger(p.settings.Bounds.QuotaWindow(), clock.Now()), Origins: origins,
 	}, jobpeer.Description{}); err != nil {
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -127,6 +127,12 @@
 	return c.Conn.Close()
 }
 
+// Begin records that a whole request has arrived. It returns false if the connection was closed before: then the request must not be run.
+func (c *Conn) Begin() bool { return c.headArrived(true) }
+
+// End records that the request was answered.
+func (c *Conn) End() { c.answered() }
+
 func (c *Conn) headArrived(whole bool) bool {
 	c.limiter.mutex.Lock()
 	defer c.limiter.mutex.Unlock()
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -64,6 +64,7 @@
 // the sum of their memory; unfinished holds those that await a head or a body and resting the idle ones, the least recently active first.
 type ledger struct {
 	limits              Limits
+	decoding            Decoding
 	count               int
 	heads               int64
 	unfinished, resting list.List
@@ -173,7 +174,7 @@
 	}
 	e.headBytes += bytes
 	e.headLines += lines
-	needed := headMemory(e.headBytes, e.headLines)
+	needed := l.decoding.memory(e.headBytes, e.headLines)
 	l.heads += needed - e.memory
 	e.memory = needed
 	for l.heads > l.limits.HeadBytes && e.phase != closed && e.memory > 0 {
--- a/internal/connlimit/ledger_test.go
+++ b/internal/connlimit/ledger_test.go
@@ -115,6 +115,7 @@
 func TestLimitsHoldAndWholeRequestsAreKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := &drawnLedger{t: t, now: time.Unix(0, 0), ended: map[*entry]bool{}}
+		d.ledger.decoding = HTTPHead
 		d.ledger.limits = Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections"), HeadBytes: 1 << 20}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			d.step()
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -20,9 +20,15 @@
 	most, tooLarge int
 }
 
-// New returns a limiter. now is a monotonic clock.
+// New returns a limiter of a listener of HTTP requests. now is a monotonic clock.
 func New(limits Limits, headLimit func() int64, now func() time.Time) *Limiter {
-	return &Limiter{headLimit: headLimit, now: now, ledger: ledger{limits: limits}}
+	return &Limiter{headLimit: headLimit, now: now, ledger: ledger{limits: limits, decoding: HTTPHead}}
+}
+
+// NewForMessages returns a limiter of a listener of another protocol, whose server calls Begin and End of each connection. now is a monotonic
+// clock.
+func NewForMessages(limits Limits, now func() time.Time) *Limiter {
+	return &Limiter{headLimit: func() int64 { return 0 }, now: now, ledger: ledger{limits: limits, decoding: Message}}
 }
 
 // SetLimits changes the limits. Open connections beyond the new ones are closed as new ones come.
--- a/internal/connlimit/limits.go
+++ b/internal/connlimit/limits.go
@@ -46,15 +46,43 @@
 }
 
 const (
-	// headAllowance is the part of ConnectionBytes for the head of a request.
-	headAllowance = 16 << 10
-	// A decoded head takes up to memoryPerByte times its bytes, and memoryPerLine for each header: the entries of two maps, the header's name
-	// and its value.
-	memoryPerByte = 4
-	memoryPerLine = 300
+	// peerShare is the fraction of the usable descriptors for connections of other nodes.
+	peerShare = 1.0 / 4
+	// messageShare is the fraction of a process's memory for messages of other nodes that have not arrived whole.
+	messageShare = 0.25
 )
 
-// headMemory returns the memory that a head takes beyond headAllowance once it is decoded.
-func headMemory(bytes, lines int64) int64 {
-	return max(memoryPerByte*bytes+memoryPerLine*lines-headAllowance, 0)
+// PeerLimitsOf returns the limits on the connections of other nodes, of a machine with the given memory in bytes and number of descriptors;
+// zero descriptors mean no limit.
+func PeerLimitsOf(memory int64, descriptors int) Limits {
+	limits := Limits{
+		Connections: int(memoryShare * float64(memory) / ConnectionBytes),
+		HeadBytes:   int64(messageShare * float64(memory)),
+	}
+	if descriptors > 0 {
+		limits.Connections = min(limits.Connections, int(peerShare*float64(descriptors-fileDescriptors)))
+	}
+	limits.Connections = max(limits.Connections, minConnections)
+	return limits
+}
+
+// headAllowance is the part of ConnectionBytes for the head of a request.
+const headAllowance = 16 << 10
+
+// Decoding is the memory that the beginning of a request takes once it is decoded, or while it arrives.
+type Decoding struct {
+	// PerByte and PerLine are the bytes of memory for each byte and for each line.
+	PerByte, PerLine int64
+}
+
+var (
+	// HTTPHead is the head of an HTTP request: each header takes entries of two maps, its name and its value.
+	HTTPHead = Decoding{PerByte: 4, PerLine: 300}
+	// Message is a message of another node, whose buffer doubles as it grows.
+	Message = Decoding{PerByte: 2}
+)
+
+// memory returns the memory that a number of bytes and lines takes beyond headAllowance.
+func (d Decoding) memory(bytes, lines int64) int64 {
+	return max(d.PerByte*bytes+d.PerLine*lines-headAllowance, 0)
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -9,6 +9,7 @@
 
 	"storj.io/drpc/drpcctx"
 
+	"mallowlatch.example/mallowlatch/internal/connlimit"
 	"mallowlatch.example/mallowlatch/internal/ident"
 )
 
@@ -64,6 +65,8 @@
 	net.Conn
 	meter *meteredConn
 	peer  ident.Node
+	// limited is the connection in the server's limiter; nil if it has none.
+	limited *connlimit.Conn
 }
 
 // Peer returns the node that made a call, as named in its certificate. It returns false on a plain connection. ctx is the
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -20,6 +20,7 @@
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
+	"mallowlatch.example/mallowlatch/internal/connlimit"
 	"mallowlatch.example/mallowlatch/internal/event"
 )
 
@@ -45,8 +46,10 @@
 	// MaxMessageBytes and MaxConnections default to the constants of this package.
 	MaxMessageBytes int
 	MaxConnections  int
-	Metrics         *Metrics
-	Logger          zerolog.Logger
+	// Limiter limits the connections and the messages that have not arrived whole; nil means that only MaxConnections limits them.
+	Limiter *connlimit.Limiter
+	Metrics *Metrics
+	Logger  zerolog.Logger
 }
 
 // Server serves the drpc services of a node to other nodes. It is a drpc.Mux: pass it to the generated DRPCRegister
@@ -148,6 +151,9 @@
 	}
 	s.listener = listener
 	s.mutex.Unlock()
+	if s.options.Limiter != nil {
+		listener = s.options.Limiter.Listen(listener)
+	}
 	event.TransportServing.Log(s.options.Logger).Str("address", listener.Addr().String()).Send()
 	s.tomb.Go(func() error { return s.accept(listener) })
 	return s.tomb.Wait()
@@ -160,7 +166,12 @@
 			if s.isStopping() {
 				return nil
 			}
-			return fmt.Errorf("accept: %w", err)
+			if !isTemporary(err) {
+				return fmt.Errorf("accept: %w", err)
+			}
+			event.TransportAcceptFailed.Log(s.options.Logger).Err(err).Send()
+			s.pauseAccepting()
+			continue
 		}
 		if !s.track(connection) {
 			_ = connection.Close()
@@ -177,6 +188,7 @@
 func (s *Server) serveConnection(connection net.Conn) {
 	meter := &meteredConn{Conn: connection}
 	accepted := &serverConn{Conn: meter, meter: meter}
+	accepted.limited, _ = connection.(*connlimit.Conn)
 	if s.options.Credentials != nil {
 		secure := tls.Server(meter, s.options.Credentials.serverConfig())
 		if err := s.handshake(secure); err != nil {
@@ -211,11 +223,11 @@
 		// The answer of a unary call is sent together with the end of the call.
 		flusher.SetManualFlush(s.unary[rpc])
 	}
-	err := sendResult(stream, withCode(s.mux.HandleRPC(stream, rpc)))
-	if carrier, found := drpcctx.Transport(stream.Context()); found {
-		if accepted, isServerConn := carrier.(*serverConn); isServerConn {
-			s.options.Metrics.account(accepted.meter, s.label(rpc), sideServer)
-		}
+	accepted := serverConnOf(stream)
+	err := sendResult(stream, withCode(s.mux.HandleRPC(arriving(stream, accepted), rpc)))
+	if accepted != nil {
+		accepted.endCall()
+		s.options.Metrics.account(accepted.meter, s.label(rpc), sideServer)
 	}
 	return err
 }
