Keep 64 parts of prompts for a runner at most, whatever they are called

What callers saw: nothing yet; a front of 96 MB grew to 134 MB under 25,000 requests whose prompts had 400 new parts each.

Cause: the history of the parts sent to a runner gained all parts of a prompt with each request and lost one, so that it grew with each prompt of several new parts; each name kept its whole header alive.

Change: the history is cut to its bound after each request, and holds hashes.

Evidence: TestPartsOfPromptsAreForgotten fails before ("65 parts are kept").

--- a/internal/runnertable/prefix.go
+++ b/internal/runnertable/prefix.go
@@ -21,7 +21,8 @@
 
 // prefixHistory records the prompt parts this node sent to one runner, and when.
 type prefixHistory struct {
-	sent map[string]time.Time
+	// sent has at most maximumParts entries. Parts are named by a hash, since clients choose how long their ids are.
+	sent map[uint64]time.Time
 }
 
 // add records the shared parts of a prompt. The last part is the request's own and is not recorded.
@@ -30,21 +31,23 @@
 		return
 	}
 	if h.sent == nil {
-		h.sent = map[string]time.Time{}
+		h.sent = map[uint64]time.Time{}
 	}
-	for _, part := range prefix[:len(prefix)-1] {
-		h.sent[part.ID] = now
+	for _, part := range prefix[:min(len(prefix)-1, maximumParts)] {
+		h.sent[xxhash.Sum64String(part.ID)] = now
 	}
-	if len(h.sent) > maximumParts {
+	for len(h.sent) > maximumParts {
 		h.dropOldest()
 	}
 }
 
 func (h *prefixHistory) dropOldest() {
-	oldest, at := "", time.Time{}
-	for id, sent := range h.sent {
-		if oldest == "" || sent.Before(at) {
-			oldest, at = id, sent
+	var oldest uint64
+	var at time.Time
+	found := false
+	for part, sent := range h.sent {
+		if !found || sent.Before(at) {
+			oldest, at, found = part, sent, true
 		}
 	}
 	delete(h.sent, oldest)
@@ -54,7 +57,7 @@
 func (h *prefixHistory) cached(prefix []work.Part, now time.Time) int {
 	tokens := 0
 	for _, part := range prefix[:max(len(prefix)-1, 0)] {
-		sent, known := h.sent[part.ID]
+		sent, known := h.sent[xxhash.Sum64String(part.ID)]
 		if !known || now.Sub(sent) > prefixLifetime {
 			break
 		}
