Bound the memory of the headers of jobs that a front keeps

What callers saw: nothing; found by asking of each map with names of clients what bounds it.

Cause: a front kept the headers of 256 jobs, each of which may decode to some 10 MB.

The headers of ordinary jobs (16 items, three headers each) take some 10 kB, so that the number bounds them as before.

--- a/internal/jobentry/intake.go
+++ b/internal/jobentry/intake.go
@@ -46,8 +46,6 @@
 	quotaRetryAfter = time.Second
 	// existsTimeout bounds the check whether a job that does not fit was accepted before.
 	existsTimeout = 300 * time.Millisecond
-	// cachedHeaders bounds the number of cached headers. A header never changes, so any copy is valid.
-	cachedHeaders = 256
 	// answerBytes bounds the size of the results in one answer.
 	answerBytes = 900 << 10
 	// resultOverhead is the size of a result in an answer without its text, in bytes.
@@ -92,7 +90,7 @@
 	Now func() time.Time
 
 	mutex   sync.Mutex
-	headers map[ident.Job]*jobrecord.Header
+	headers headerCache
 	// suspectedUntil is the time until which workers are asked to store a job without waiting for the store first.
 	suspectedUntil time.Time
 }
--- a/internal/jobentry/read.go
+++ b/internal/jobentry/read.go
@@ -183,7 +183,7 @@
 func (d *Intake) cachedHeader(job ident.Job) *jobrecord.Header {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.headers[job]
+	return d.headers.get(job)
 }
 
 // header returns a job's header, from the cache if it was read before.
@@ -228,16 +228,7 @@
 func (d *Intake) cacheHeader(header *jobrecord.Header) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.headers == nil {
-		d.headers = map[ident.Job]*jobrecord.Header{}
-	}
-	if len(d.headers) >= cachedHeaders {
-		for id := range d.headers {
-			delete(d.headers, id)
-			break
-		}
-	}
-	d.headers[header.ID] = header
+	d.headers.add(header)
 }
 
 // readFailure returns the caller's error for a failed read. Not-found is reported only if the records deny the job or the
