Add three plays to the stand-ins of the second review

Cause: the stand-in runners could not be emptied as planned, and wrote events of one line only. Change: a runner keeps its state in its entry and can leave; the data of an event may have several lines; the site knows for how long no runner has had a request. The plays split, single and lines are new.

--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -15,6 +15,9 @@
 	"unframed": playUnframed,
 	"route":    playRoute,
 	"idle":     playIdle,
+	"split":    playSplit,
+	"lines":    playLines,
+	"single":   playSingle,
 }
 
 func main() {
--- a/review/.standin-2/runner.go
+++ b/review/.standin-2/runner.go
@@ -25,8 +25,8 @@
 	// of an event's data.
 	unframedOf int
 	eventBytes int
-	// markup makes the data of events text with markup.
-	markup bool
+	// markup makes the data of events text with markup, paragraphs has each third event begin a paragraph: its data begins with an empty line.
+	markup, paragraphs bool
 
 	mutex   sync.Mutex
 	running int
@@ -51,6 +51,7 @@
 	flags.IntVar(&r.unframedOf, "unframed-of", 0, "")
 	flags.IntVar(&r.eventBytes, "event-bytes", 0, "")
 	flags.BoolVar(&r.markup, "markup", false, "")
+	flags.BoolVar(&r.paragraphs, "paragraphs", false, "")
 	_ = flags.Parse(arguments)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -140,6 +141,9 @@
 	return data
 }
 
+// beginsParagraph reports whether the event at a position begins a paragraph.
+func beginsParagraph(position int) bool { return position%3 == 0 }
+
 func (r *runner) stream(conn net.Conn, id string, resume int, head string, unframed bool) bool {
 	head += "Content-Type: text/event-stream\r\n"
 	if unframed {
@@ -152,7 +156,11 @@
 	}
 	for position := resume + 1; position <= r.events; position++ {
 		time.Sleep(r.interval)
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", position, eventData(id, position, r.eventBytes, r.markup))
+		data := eventData(id, position, r.eventBytes, r.markup)
+		if r.paragraphs && beginsParagraph(position) {
+			data = "\n" + data
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", position, strings.ReplaceAll(data, "\n", "\ndata: "))
 		if !unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
--- a/review/.standin-2/site.go
+++ b/review/.standin-2/site.go
@@ -287,9 +287,18 @@
 	command *exec.Cmd
 	ended   chan struct{}
 
+	// announce writes the runner's entry in the store.
+	announce func()
+
 	mutex sync.Mutex
 	lines []string
 	dead  bool
+	// underWay counts the requests that were begun and not ended, lastLine is when one was begun or ended last.
+	underWay int
+	lastLine time.Time
+	// state is that of the entry.
+	state    string
+	sequence int
 }
 
 // addRunner starts a runner that keeps itself in the store.
@@ -298,7 +307,7 @@
 	if err != nil {
 		s.fail("%v", err)
 	}
-	r := &runnerProcess{site: s, id: id, service: service, ended: make(chan struct{})}
+	r := &runnerProcess{site: s, id: id, service: service, ended: make(chan struct{}), state: "ready"}
 	r.command = exec.Command(self, append([]string{"runner", "--id", id, "--slots", fmt.Sprint(slots)}, flags...)...)
 	r.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	output, _ := r.command.StdoutPipe()
@@ -313,9 +322,7 @@
 				listening <- address
 				continue
 			}
-			r.mutex.Lock()
-			r.lines = append(r.lines, lines.Text())
-			r.mutex.Unlock()
+			r.heard(lines.Text())
 			s.note("runner %s: %s", id, lines.Text())
 		}
 		_ = r.command.Wait()
@@ -323,16 +330,20 @@
 	}()
 	r.address = <-listening
 	s.runners = append(s.runners, r)
-	write := func(sequence int) {
+	r.announce = func() {
+		r.mutex.Lock()
+		r.sequence++
+		state, sequence := r.state, r.sequence
+		r.mutex.Unlock()
 		s.store.write("servers/"+id, map[string]any{
-			"service": service, "address": r.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "warmupLeftMs": 0,
+			"service": service, "address": r.address, "zone": zone, "version": "v1", "slots": slots, "state": state, "warmupLeftMs": 0,
 			"stage": "dual", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": sequence,
 		})
 	}
-	write(1)
+	r.announce()
 	s.note("runner %s of %s: started at %s", id, service, r.address)
 	go func() {
-		for sequence := 2; ; sequence++ {
+		for {
 			select {
 			case <-r.ended:
 				// Its entry lapses after three heartbeats of silence.
@@ -340,13 +351,27 @@
 				s.store.drop("servers/" + id)
 				return
 			case <-time.After(1200 * time.Millisecond):
-				write(sequence)
+				r.announce()
 			}
 		}
 	}()
 	return r
 }
 
+// heard takes a line that the runner printed.
+func (r *runnerProcess) heard(line string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.lines = append(r.lines, line)
+	r.lastLine = time.Now()
+	switch {
+	case strings.HasPrefix(line, "run "):
+		r.underWay++
+	case strings.HasPrefix(line, "done "), strings.HasPrefix(line, "dropped "):
+		r.underWay--
+	}
+}
+
 func (r *runnerProcess) kill() {
 	r.mutex.Lock()
 	dead := r.dead
