--- a/review/.standin-2/single.go
+++ b/review/.standin-2/single.go
@@ -26,5 +26,5 @@
 		single[0].kill()
 		time.Sleep(10 * time.Second)
 	}
-	return s.splitJob("single", count)
+	return s.leftLying([]string{"single-1", "single-2", "single-3"}, count)
 }
--- a/review/.standin-2/split.go
+++ b/review/.standin-2/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -27,16 +28,16 @@
 	s.startNodes(3, 3)
 	s.awaitReady()
 	time.Sleep(4 * time.Second)
-	broken := s.splitJob("before", count)
+	broken := s.leftLying([]string{"before"}, count)
 	if s.trouble {
 		s.configure(splitRoute(100, 0), streamRoute())
 		time.Sleep(configurationBound)
 		before := leaving.count("run ")
-		broken = s.splitJob("between", count) || broken
+		broken = s.leftLying([]string{"between"}, count) || broken
 		s.note("%s, whose weight is zero, ran %d of the %d items of job between", shadow, leaving.count("run ")-before, count)
 		leaving.leave()
 	}
-	return s.splitJob("after", count) || broken
+	return s.leftLying([]string{"after"}, count) || broken
 }
 
 const (
@@ -47,31 +48,47 @@
 	calm = 5 * time.Second
 )
 
-// splitJob hands a job in, and reports whether an item is left lying: after finishS, while it is not listed, nothing was begun or under way at any
+// leftLying hands jobs in, and reports whether an item is left lying: after finishS, while it is not listed, nothing was begun or under way at any
 // runner for the time that the rule calls calm.
-func (s *site) splitJob(job string, count int) bool {
-	if !s.submit(job, items(job, count, nil)) {
-		s.fail("job %s was not taken", job)
-	}
+func (s *site) leftLying(jobs []string, count int) bool {
 	taken := time.Now()
-	listed, status := s.results(job, count, completionTarget+finish)
-	lying := false
-	for end := time.Now().Add(watched); !lying && len(listed) < count && time.Now().Before(end); {
-		idle := s.idleFor()
-		listed, status = s.results(job, count, time.Second)
-		lying = len(listed) < count && idle >= calm
-	}
-	completed := 0
-	for _, result := range listed {
-		if result.State == "completed" {
-			completed++
+	for _, job := range jobs {
+		if !s.submit(job, items(job, count, nil)) {
+			s.fail("job %s was not taken", job)
 		}
 	}
-	s.note("job %s, %.0f s after the 202: %d of %d items are listed, %d of them completed, the last status was %d; nothing has run at any runner for %.1f s", job,
-		time.Since(taken).Seconds(), len(listed), count, completed, status, s.idleFor().Seconds())
+	allowed := completionTarget + finish
+	listed, completed := s.listed(jobs, count, allowed)
+	lying, idle := false, s.idleFor()
+	for !lying && listed < count*len(jobs) && time.Since(taken) < allowed+watched {
+		idle = s.idleFor()
+		listed, completed = s.listed(jobs, count, 100*time.Millisecond)
+		lying = listed < count*len(jobs) && idle >= calm
+	}
+	s.note("%s, %.0f s after the 202: %d of %d items are listed, %d of them completed; nothing had run at any runner for %.1f s", strings.Join(jobs, ", "),
+		time.Since(taken).Seconds(), listed, count*len(jobs), completed, idle.Seconds())
 	return lying
 }
 
+// listed returns how many items of jobs are listed, and how many of these are completed, once all are or after a time.
+func (s *site) listed(jobs []string, count int, limit time.Duration) (listed, completed int) {
+	for end := time.Now().Add(limit); ; {
+		listed, completed = 0, 0
+		for _, job := range jobs {
+			found, _ := s.results(job, count, min(time.Second, max(time.Until(end), 50*time.Millisecond)))
+			listed += len(found)
+			for _, result := range found {
+				if result.State == "completed" {
+					completed++
+				}
+			}
+		}
+		if listed == count*len(jobs) || time.Now().After(end) {
+			return listed, completed
+		}
+	}
+}
+
 // watched is how long after finishS is waited for such a moment at most. It is less than what is left until retentionS.
 const watched = 15 * time.Second
 
